Take SIGHUP as a new configuration, and give each connection to discovery an object of its own

Cause: no handler for SIGHUP was installed (honeywharf/__main__.py, run), so the process ended with it (exit 129) and took 22 requests along. The watch was also one protocol object for all its connections: the loss or late bytes of the old one would have reached the new one (discovery.py, connection_lost and data_received by self). Ruled out: memory (13 MB of 80) and descriptors (80 of 384). Change: the handler comes first in main; a bad file is one line and the old configuration stays; discovery moves at once and gives a whole list first, since versions don't compare; readiness, records and requests are not touched. Figures in an entry that make no sense (negative, not finite) leave the entry out.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import gc
+import os
 import resource
 import signal
 import sys
+from collections.abc import Mapping
+from dataclasses import replace
 
 import uvloop
 
@@ -46,11 +49,13 @@
         self.front = Front(loop, self.clock, self.driver, room - upstream, lambda: self.watch.up)
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
+        self.environ: Mapping[str, str] = os.environ
 
     async def run(self) -> None:
         """Serve until SIGTERM and then until nothing is open."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.driver.start(self.directory.take(self.conf.known, api.ListKind.CACHED))
         host, port = await self.front.listen(self.conf.listen)
         log(f"{self.conf.name} listens on {host}:{port}")
@@ -62,6 +67,20 @@
         gc.set_threshold(20000, 20, 50)
         await self.stopped.wait()
 
+    def reload(self) -> None:
+        """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
+        try:
+            conf = config.load(self.environ)
+        except Exception as fault:  # a bad file, however bad, must not end a proxy in service
+            log(f"reload: {fault or type(fault).__name__}; the configuration held stays")
+            return
+        old, self.conf = self.conf, replace(self.conf, discovery=conf.discovery)
+        if conf.discovery != old.discovery:
+            log(f"reload: discovery is at {conf.discovery[0]}:{conf.discovery[1]}")
+        if (conf.listen, conf.sockets, conf.settings) != (old.listen, old.sockets, old.settings):
+            log("reload: listen, limits and settings are taken over at the next start")
+        self.watch.move(conf.discovery)
+
     def drain(self) -> None:
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
         if self.front.draining:
@@ -93,22 +112,27 @@
         self.loop.call_later(STATS_S, self._stats)
 
 
-async def serve(conf: config.Config) -> None:
-    """Run one proxy in the running loop."""
+async def serve(conf: config.Config, early: list[int]) -> None:
+    """Run one proxy in the running loop; `early`: signals to reload that came before it."""
     loop = asyncio.get_running_loop()
 
     def caught(_: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
         log(f"event loop: {context.get('message')}: {context.get('exception')!r}")
 
     loop.set_exception_handler(caught)
-    await Proxy(conf, loop).run()
+    proxy = Proxy(conf, loop)
+    if early:
+        loop.call_soon(proxy.reload)
+    await proxy.run()
 
 
 def main() -> int:
     """Exit status: 0 after SIGTERM, 2 where the configuration is bad or the address can't be had."""
+    early: list[int] = []  # guards against SIGHUP ending the process before the loop can take it
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         conf = config.load()
-        uvloop.run(serve(conf))
+        uvloop.run(serve(conf, early))
     except (config.ConfigError, ValueError) as fault:
         print(f"honeywharf: {fault}", file=sys.stderr)
         return 2
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/net/discovery.py
@@ -36,8 +36,8 @@
     if not isinstance(name, str) or not name or state is None:
         raise ValueError("an entry has an id and a known state")
     figures = isinstance(started, int | float) and isinstance(weight, int | float) and isinstance(cell, int)
-    if not figures:
-        raise ValueError(f"{name}: figures are numbers")
+    if not figures or not (0 <= started < 1e15 and 0 <= weight < 1e9):
+        raise ValueError(f"{name}: figures are numbers that make sense")
     gone = state is api.EndpointState.GONE
     where = ("", 0) if gone and not row.get("hostPort") else address(row.get("hostPort"))
     return api.Endpoint(
@@ -87,7 +87,40 @@
         self.pool.forget(name)
 
 
-class Watch(asyncio.Protocol):
+class Line(asyncio.Protocol):
+    """One connection to discovery. What comes on it counts only while the watch holds it.
+
+    Guards against bytes, or the loss, of a connection that was left touching the one that took its place.
+    """
+
+    __slots__ = ("reader", "transport", "watch")
+
+    def __init__(self, watch: Watch) -> None:
+        self.watch = watch
+        self.reader = http1.ResponseReader(MAX_LIST)
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the way to write."""
+        self.transport = cast(asyncio.Transport, transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Hand on what has come, if anybody still waits for it."""
+        if self.watch.line is self:
+            self.watch.received(self, data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection is gone."""
+        if self.watch.line is self:
+            self.watch.lost()
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Watch:
     """One call after another on one connection; a new connection whenever one fails."""
 
     def __init__(
@@ -97,15 +130,15 @@
         self.loop, self.clock, self.where, self.directory, self.tell = loop, clock, where, directory, tell
         self.polled = polled  # the module asks for each watch, and is told when one fails
         self.wanted = self.whole = False
+        self.moved = False  # until the new address has given a whole list: versions don't compare
         self.up = False  # the first call has been answered, or is out with one that says nothing
         self.failures = 0
         self.random = random.Random()
-        self.transport: asyncio.Transport | None = None
-        self.reader = http1.ResponseReader(MAX_LIST)
+        self.line: Line | None = None
         self.called_ms = 0.0
-        self.calling = self.connecting = False
+        self.calling = False
+        self.connecting: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.tasks: set[asyncio.Task[None]] = set()
 
     def watch(self) -> None:
         """Ask for changes from now on."""
@@ -117,42 +150,62 @@
         self.whole = True
         self._next()
 
+    def move(self, where: Address) -> None:
+        """Turn to another address at once, wherever the present call stands; the list held goes on."""
+        if where == self.where:
+            return
+        self.where, self.moved, self.failures = where, True, 0
+        connecting, self.connecting = self.connecting, None
+        if connecting is not None:
+            connecting.cancel()
+        self.calling = False
+        self._disarm()
+        self._close()
+        self._next()
+
     def _next(self) -> None:
         """Make the next call, if one is wanted and none is out."""
-        if self.calling or self.connecting or not (self.wanted or self.whole):
+        if self.calling or self.connecting is not None or not (self.wanted or self.whole or self.moved):
             return
-        if self.transport is None or self.transport.is_closing():
-            self.connecting = True
-            task = self.loop.create_task(self._connect())
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+        line = self.line
+        if line is None or line.transport is None or line.transport.is_closing():
+            self._disarm()
+            self.connecting = self.loop.create_task(self._connect())
             return
-        wait = 0 if self.whole or not self.up else WAIT_MS
-        target = PATH if self.whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
-        self.calling, self.called_ms = True, self.clock.now()
+        whole = self.whole or self.moved
+        wait = 0 if whole or not self.up else WAIT_MS
+        target = PATH if whole else f"{PATH}?after={self.directory.generation}&wait_ms={wait}"
+        self.calling, self.called_ms, self.whole = True, self.clock.now(), whole
         self._arm((wait + SILENT_MS) / 1000.0, self._silent)
         host = f"{self.where[0]}:{self.where[1]}"
-        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        line.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
 
     async def _connect(self) -> None:
+        line, task = Line(self), asyncio.current_task()
         try:
             async with asyncio.timeout(SILENT_MS / 1000.0):
-                await self.loop.create_connection(lambda: self, *self.where)
+                await self.loop.create_connection(lambda: line, *self.where)
         except (OSError, TimeoutError):
-            self.connecting = False
-            self._failed()
+            line.close()
+            if self.connecting is task:
+                self.connecting = None
+                self._failed()
+            return
+        except asyncio.CancelledError:
+            line.close()
+            raise
+        if self.connecting is not task:  # the watch has moved in the very turn in which this came up
+            line.close()
             return
-        self.connecting = False
+        self.connecting, self.line = None, line
         self._next()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Begin anew with what comes back."""
-        self.transport, self.reader = cast(asyncio.Transport, transport), http1.ResponseReader(MAX_LIST)
-
-    def data_received(self, data: bytes) -> None:
+    def received(self, line: Line, data: bytes) -> None:
         """Take the answer, tell it, and call again at once."""
         try:
-            response = self.reader.feed(data)
+            if not self.calling:
+                raise ValueError("an answer that nobody asked for")
+            response = line.reader.feed(data)
             if response is None:
                 return
             if response.status != 200:
@@ -165,9 +218,9 @@
             return
         quick = self.clock.now() - self.called_ms < 1000.0 * QUIET_S
         first = not self.up
-        self.calling = self.whole = False
+        self.calling = self.whole = self.moved = False
         self.up, self.failures = True, 0
-        if self.transport is not None and not response.keep:
+        if not response.keep:
             self._close()
         if event.endpoints or event.kind is not api.ListKind.CHANGES or self.polled:
             self.tell(event)
@@ -177,10 +230,9 @@
             self._disarm()
             self._next()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+    def lost(self) -> None:
         """The connection is gone; so is the call on it."""
-        if self.transport is not None and self.transport.is_closing():
-            self.transport = None
+        self.line = None
         if self.calling:
             self._failed()
 
@@ -205,9 +257,9 @@
         self._arm(self.random.uniform(least, most), self._next)
 
     def _close(self) -> None:
-        transport, self.transport = self.transport, None
-        if transport is not None:
-            transport.abort()
+        line, self.line = self.line, None
+        if line is not None:
+            line.close()
 
     def _arm(self, delay_s: float, callback: Callable[[], None]) -> None:
         self._disarm()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -138,8 +138,8 @@
         self.port = 0
         self.server: asyncio.Server | None = None
 
-    async def start(self) -> Discovery:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> Discovery:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -33,6 +33,8 @@
 @pytest.mark.parametrize("bad", [
     {"lifecycle": "asleep"}, {"hostPort": "nowhere"}, {"hostPort": None}, {"hostPort": "h:99999"},
     {"instanceId": 5}, {"instanceId": ""}, {"startedAtMs": "x"}, {"weight": []}, {"cell": "c"},
+    {"startedAtMs": -1}, {"startedAtMs": 1e300}, {"weight": -0.5}, {"weight": float("nan")},
+    {"weight": float("inf")},
 ])
 def test_a_senseless_entry_is_told_apart(bad: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match=r"\w"):
@@ -213,3 +215,104 @@
         await asyncio.sleep(0)
         await discovery.stop()
     run(main())
+
+
+async def moved(w: World, discovery: Discovery) -> None:
+    """Wait until the watch stands at that discovery: the whole list asked for first, then changes."""
+    await until(lambda: len(discovery.calls) >= 2)
+    assert discovery.calls[0] == b"GET /registry/instances HTTP/1.1"
+    assert b"?after=" in discovery.calls[1]
+
+
+def test_a_moved_watch_takes_the_whole_list_first_and_keeps_what_is_held() -> None:
+    async def main() -> None:
+        backend, other = await Backend().start(), await Discovery().start()
+        backend.then = None
+        async with world([backend.row("b")]) as w:
+            await until(lambda: len(w.discovery.calls) == 2)
+            client = await Client.to(w.port)
+            client.send()
+            await soon(backend.came.wait())
+            record = w.proxy.driver.balancer.servers["b"]
+            w.proxy.watch.move(("127.0.0.1", other.port))
+            assert w.proxy.watch.up  # it stays in service
+            await until(lambda: len(other.calls) == 1)
+            w.discovery.tell(50, row("late", 9))  # the old connection speaks up late
+            other.tell(3, backend.row("b"), row("c", 2), reset=False)  # versions start anew
+            await moved(w, other)
+            assert b"after=3&" in other.calls[1]
+            assert [e.kind for e in lists(w)] == [api.ListKind.CACHED, api.ListKind.FULL]
+            assert w.proxy.driver.balancer.servers["b"] is record
+            assert not w.proxy.pool.known("late")
+            for writer in list(backend.writers):
+                writer.write(reply())
+            assert await client.status() == 200
+            assert backend.connections == 1
+            for writer in list(w.discovery.connections):  # and its late loss touches nothing
+                writer.transport.abort()
+            other.tell(4, row("d", 3))
+            await until(lambda: w.proxy.pool.known("d"))
+            assert len(other.connections) == 1
+        await other.stop()
+        await backend.stop()
+    run(main())
+
+
+def test_a_watch_moved_again_and_again_ends_at_the_last_address() -> None:
+    async def main() -> None:
+        first, last = await Discovery().start(), await Discovery().start()
+        async with world([row("b", 1)]) as w:
+            for _ in range(5):  # each while the connection before is still coming up
+                w.proxy.watch.move(("127.0.0.1", first.port))
+                await asyncio.sleep(0)
+                w.proxy.watch.move(("127.0.0.1", last.port))
+                await asyncio.sleep(0)
+            await until(lambda: len(last.calls) >= 1)
+            last.tell(1, row("e", 5))
+            await moved(w, last)
+            assert len(last.connections) == 1
+            assert w.proxy.pool.known("e")
+            assert not w.proxy.pool.known("b")
+            await until(lambda: not first.connections)
+        await first.stop()
+        await last.stop()
+    run(main())
+
+
+def test_an_address_that_is_not_up_yet_is_tried_until_it_gives_the_whole_list() -> None:
+    async def main() -> None:
+        other = await Discovery().start()
+        port = other.port
+        await other.stop()
+        async with world([row("b", 1)]) as w:
+            w.proxy.watch.move(("127.0.0.1", port))
+            await until(lambda: w.proxy.watch.failures >= 2)
+            assert w.proxy.watch.up
+            assert w.proxy.pool.known("b")
+            await other.start(port)
+            other.answers.put_nowait(reply(503))
+            other.tell(2, row("f", 6))
+            await until(lambda: w.proxy.pool.known("f"))
+            assert other.calls[:2] == [b"GET /registry/instances HTTP/1.1"] * 2
+        await other.stop()
+    run(main())
+
+
+def test_a_watch_moves_while_the_proxy_drains() -> None:
+    async def main() -> None:
+        backend, other = await Backend().start(), await Discovery().start()
+        backend.then = None
+        async with world([backend.row("b")]) as w:
+            client = await Client.to(w.port)
+            client.send()
+            await soon(backend.came.wait())
+            w.proxy.drain()
+            w.proxy.watch.move(("127.0.0.1", other.port))
+            other.tell(1, backend.row("b"))
+            await moved(w, other)
+            for writer in list(backend.writers):
+                writer.write(reply())
+            assert await client.status() == 200
+        await other.stop()
+        await backend.stop()
+    run(main())
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -131,3 +131,49 @@
         assert answer.startswith(b"HTTP/1.1 404 ")
         assert proxy.process.poll() is None
         first.close()
+
+
+class Agent:
+    """A discovery that answers every call with nothing new, and notes it."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(WAIT_S)
+        self.where = f"127.0.0.1:{self.listener.getsockname()[1]}"
+
+    def asked(self) -> bytes:
+        """The first line of the first call on the next connection."""
+        made, _ = self.listener.accept()
+        with made:
+            made.settimeout(WAIT_S)
+            line = made.recv(4096).split(b"\r\n")[0]
+            body = b'{"generation":1,"reset":true,"instances":[]}'
+            made.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        return line
+
+
+def test_sighup_moves_discovery_and_a_bad_file_is_one_line(tmp_path: Path) -> None:
+    first, second = Agent(), Agent()
+    with Process(tmp_path, discovery=first.where) as proxy:
+        assert first.asked().startswith(b"GET /registry/instances?after=1&")
+        file = tmp_path / "config.json"
+        good, errors = json.loads(file.read_text()), proxy.process.stderr
+        assert errors is not None
+        for bad in ("{", "[]", json.dumps({**good, "discovery": "nowhere"}), json.dumps({**good, "seed": []}),
+                    json.dumps({**good, "settings": {**SETTINGS, "zone": 3}}), "\udcff"):
+            file.write_bytes(bad.encode(errors="surrogateescape"))
+            proxy.process.send_signal(signal.SIGHUP)
+            while not (line := errors.readline()).startswith("reload: "):
+                assert line.startswith("discovery: ")
+            assert line.endswith("; the configuration held stays\n")
+        assert proxy.get("/nowhere").startswith(b"HTTP/1.1 404 ")
+        for agent in (second, first, second):  # repeated
+            file.write_text(json.dumps({**good, "discovery": agent.where}))
+            proxy.process.send_signal(signal.SIGHUP)
+            while not agent.asked().startswith(b"GET /registry/instances HTTP"):
+                pass
+        proxy.process.send_signal(signal.SIGTERM)
+        proxy.process.send_signal(signal.SIGHUP)
+        assert proxy.process.wait(WAIT_S) == 0
+    first.listener.close()
+    second.listener.close()
