Bear bad backends and bad clients: what a socket says is proven before it is believed

A length of gigabytes ends at the head. - Bytes lying unread on an idle connection would have passed for the next call's answer: it is asked for them first. - float() took nan, inf, 1_0 and negatives: figures have one form now. - Callers: those who say nothing were never swept, part of a request had 10 s, a full front looked at every connection and closed the first idle one, an early answer could be taken back by a reset, hundreds of requests at once were served. Now three groups in order of age (silent, part of a request, idle), the silent first to go; one lingering close for every last answer, bounded in time and bytes; more than 8 requests ahead is a 400. - Passed on are only headers that the protocol names; method, body and key have to fit the class; the time left is held to the deadline. Odd lengths and codings were tried one by one on the parser: it refuses all but 'gzip, chunked'. - Growth: parser and reader, and request and attempts, held each other until the collector came; an idle connection kept its last request; descriptors were constants where they must be shares (76 of 256 for backends, 102 now).

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -21,7 +21,11 @@
 from honeywharf.net.proxy import Clock, Driver, log
 from honeywharf.net.upstream import Pool
 
-OWN_DESCRIPTORS = 64  # for the interpreter, the loop, the listener, discovery, and what closes a turn late
+# Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
+# backend; the rest is for callers that idle. The proxy's own are those of the interpreter, the loop, the
+# listener and discovery, and room to accept while others are closing.
+OWN_SHARE, OWN_LEAST = 1 / 10, 20
+UPSTREAM_SHARE = 2 / 5
 ACCEPT_S = 0.6  # after SIGTERM: the front sends new connections for up to 0.4 s, and a busy machine runs late
 LAST_CALL_S = 0.5  # then, for connections that came and have not sent their request
 KILL_AFTER_MS = 3000.0  # SIGKILL comes 0.7 s after this, or the longest deadline if less, at the soonest
@@ -35,8 +39,8 @@
     def __init__(self, conf: config.Config, loop: asyncio.AbstractEventLoop) -> None:
         self.conf, self.loop, self.clock = conf, loop, Clock()
         sockets = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        room = sockets - min(OWN_DESCRIPTORS, sockets // 2)
-        upstream = room * 2 // 5  # as many callers at least can wait, and some that idle
+        room = sockets - min(max(OWN_LEAST, int(sockets * OWN_SHARE)), sockets // 2)
+        upstream = min(int(sockets * UPSTREAM_SHARE), room // 2)
         self.pool = Pool(loop, self.clock, conf.settings.limits, upstream)
         self.driver = Driver(
             conf.settings, Balancer(conf.settings, conf.seed), self.pool, loop, self.clock,
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/net/downstream.py
@@ -14,17 +14,25 @@
 BACKLOG = 1024
 READY = b"/health/ready"
 CALLS = b"/api"
-MOST_WAITING = 8  # requests sent ahead on one connection; then it is not read until they are answered
-SLOW_MS = 10000.0  # a request must be whole so long after its first byte
-LINGER_S = 1.0  # after an early answer: closing on unread bytes would take the answer back
-SWEEP_S = 1.0
+MOST_WAITING = 8  # requests sent ahead on one connection, of so many bytes: clients send one at a time
+MOST_WAITING_BYTES = http1.MAX_BODY
+SILENT_MS = 2000.0  # a connection on which nothing has come is closed then
+IDLE_MS = 6000.0  # and so is one that has been idle so long after an answer; where callers crowd, earlier:
+CROWDED_IDLE_MS = 2000.0
+SLOW_MS = 2400.0  # a request must be whole so long after its first byte
+YOUNG_MS = 250.0  # under that age a connection that says nothing is not the first to go
+LINGER_S = 0.5  # after a last answer: closing on unread bytes would take the answer back
+LINGER_MOST_S = 3.0  # the same for a caller that has not taken the answer off yet
+LINGER_BYTES = 256 * 1024  # what is read and thrown away in that time
+SWEEP_S = 0.2
 
 
 class Connection(asyncio.Protocol):
     """One caller's connection: one request at a time, in the order they came."""
 
     __slots__ = (
-        "current", "ended", "fault", "front", "reader", "since_ms", "surplus", "transport", "waiting",
+        "among", "current", "ended", "fault", "front", "reader", "since_ms", "thrown", "timer", "transport",
+        "waiting", "waiting_bytes",
     )
 
     def __init__(self, front: Front) -> None:
@@ -32,10 +40,13 @@
         self.reader = http1.RequestReader(self._continue)
         self.current: http1.Request | None = None
         self.waiting: deque[http1.Request] = deque()
+        self.waiting_bytes = 0
         self.fault: http1.MalformedError | None = None
-        self.surplus = False  # beyond the bound: its request is refused, and it closes
         self.ended = False  # nothing more is read or answered here
-        self.since_ms = 0.0  # idle, or with part of a request, since then
+        self.thrown = 0  # bytes that came after that
+        self.among: dict[Connection, None] | None = None  # which of the front's groups it is in
+        self.since_ms = 0.0  # in that group since then
+        self.timer: asyncio.TimerHandle | None = None
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -46,18 +57,13 @@
     def _continue(self) -> None:
         self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    @property
-    def idle(self) -> bool:
-        """Whether closing the connection now would lose nothing that has been read."""
-        return (self.current is None and not self.waiting and self.fault is None and not self.ended
-                and self.reader.idle)
-
     def data_received(self, data: bytes) -> None:
         """Read requests; one that comes while another is open waits for its answer."""
-        if self.ended or self.fault is not None:
+        if self.ended:
+            self._throw(len(data))
+            return
+        if self.fault is not None:
             return
-        if self.reader.idle:
-            self.since_ms = self.front.clock.now()
         requests = self.reader.feed(data)
         self.fault = self.reader.fault
         if requests:
@@ -65,19 +71,37 @@
             for request in requests:
                 request.read_ms = now
                 self.waiting.append(request)
-            if len(self.waiting) > MOST_WAITING:
-                self.transport.pause_reading()
+                self.waiting_bytes += len(request.body)
+            if len(self.waiting) > MOST_WAITING or (
+                    len(self.waiting) > 1 and self.waiting_bytes > MOST_WAITING_BYTES):
+                self._too_far_ahead()
+                return
         if self.current is None:
             self._next()
 
+    def _throw(self, size: int) -> None:
+        """Bytes after the last answer are read, so that it arrives, but not without end."""
+        self.thrown += size
+        if self.thrown > LINGER_BYTES and self.transport.is_reading():
+            self.transport.pause_reading()
+
+    def _too_far_ahead(self) -> None:
+        """Guards against a caller that sends requests by the hundred: none of them is served."""
+        request = self.current
+        self.reject(400)
+        if request is not None:
+            self.front.driver.gone(request)
+
     def _next(self) -> None:
         if self.waiting:
             self.current = self.waiting.popleft()
-            if not self.waiting and not self.transport.is_reading():
-                self.transport.resume_reading()
+            self.waiting_bytes -= len(self.current.body)
+            self.front.move(self, None)
             self.front.serve(self.current, self)
         elif self.fault is not None:
             self.reject(self.fault.status)
+        else:
+            self.front.rest(self)
 
     def answer(
         self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
@@ -86,14 +110,14 @@
         request, self.current = self.current, None
         if request is None or self.ended:
             return
-        keep = request.keep and not self.front.draining and not self.surplus
+        keep = request.keep and not self.front.draining
         self.transport.write(http1.answer(status, body, keep=keep, retry_after_ms=retry_after_ms, kind=kind))
         if not keep:
-            self.close()
-            return
-        self.since_ms = self.front.clock.now()
-        if self.waiting or self.fault is not None:
+            self._linger()
+        elif self.waiting or self.fault is not None:
             self.front.loop.call_soon(self._turn)
+        else:
+            self.front.rest(self)
 
     def _turn(self) -> None:
         if self.current is None and not self.ended:
@@ -101,27 +125,53 @@
 
     def reject(self, status: int) -> None:
         """Answer what is no sound request, and read no more."""
-        self.current = None
         if self.ended:
             return
-        self.ended = True
         self.transport.write(http1.answer(status, keep=False))
-        self.transport.write_eof()
-        self.front.loop.call_later(LINGER_S, self.transport.close)
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close after the last answer: at once on this side, and wholly when the caller has or time is up.
+
+        Guards against a reset, which takes back the answer where bytes have come that nobody has read.
+        """
+        self._stop()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.timer = self.front.loop.call_later(LINGER_S, self._cut)
+
+    def _cut(self) -> None:
+        self.timer = None
+        if self.transport.get_write_buffer_size() and not self.transport.is_closing():
+            self.timer = self.front.loop.call_later(LINGER_MOST_S - LINGER_S, self.transport.abort)
+        else:
+            self.transport.abort()
+
+    def _stop(self) -> None:
+        self.ended, self.current, self.waiting_bytes = True, None, 0
+        self.waiting.clear()
+        self.front.move(self, None)
 
     def close(self) -> None:
-        """Close once all that is written has left."""
-        self.ended = True
-        self.transport.close()
+        """Close a connection that holds no request."""
+        if self.transport.get_write_buffer_size():  # its caller has not taken off the last answer yet
+            self._linger()
+        else:
+            self._stop()
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone; so has its request, if it was not answered."""
-        self.ended = True
+        request = self.current
+        self._stop()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         self.front.left(self)
-        if self.current is not None:
-            self.front.driver.gone(self.current)
-            self.current = None
-        self.waiting.clear()
+        self.reader.close()
+        del self.reader
+        if request is not None:
+            self.front.driver.gone(request)
 
 
 class Front:
@@ -133,7 +183,12 @@
     ) -> None:
         self.loop, self.clock, self.driver, self.most = loop, clock, driver, most
         self.watch_is_up = watch_is_up
-        self.connections: dict[Connection, None] = {}  # in the order they came
+        self.connections: set[Connection] = set()
+        # Those that hold no whole request, the one that has been so longest first: nothing has come yet, part
+        # of a request has come, or the last one is answered.
+        self.silent: dict[Connection, None] = {}
+        self.partial: dict[Connection, None] = {}
+        self.idle: dict[Connection, None] = {}
         self.server: asyncio.Server | None = None
         self.draining = False
         self.on_empty: Callable[[], None] | None = None
@@ -146,19 +201,44 @@
         return host, port
 
     def joined(self, connection: Connection) -> None:
-        """A caller has connected: beyond the bound, one that is idle has to go."""
-        connection.since_ms = self.clock.now()
-        self.connections[connection] = None
-        if len(self.connections) > self.most:
-            for other in self.connections:
-                if other.idle and other is not connection:
-                    other.close()
-                    return
-            connection.surplus = True
+        """A caller has connected. Beyond the bound the one least likely to be missed has to go."""
+        self.connections.add(connection)
+        if len(self.connections) > self.most and not self._make_room():
+            connection.reject(REFUSED)
+            return
+        self.move(connection, self.silent)
+
+    def _make_room(self) -> bool:
+        """Close one that says nothing, or only half of it, before one that has been served."""
+        young = self.clock.now() - YOUNG_MS
+        for group in (self.silent, self.partial):
+            first = next(iter(group), None)
+            if first is not None and first.since_ms < young:
+                first.close()
+                return True
+        first = next(iter(self.idle), None) or next(iter(self.silent), None)
+        if first is not None:
+            first.close()
+        return first is not None
+
+    def move(self, connection: Connection, group: dict[Connection, None] | None) -> None:
+        """Count the connection to one group, or to none."""
+        if connection.among is not None:
+            connection.among.pop(connection, None)
+        connection.among = group
+        if group is not None:
+            group[connection] = None
+            connection.since_ms = self.clock.now()
+
+    def rest(self, connection: Connection) -> None:
+        """No whole request is held: the connection waits for the rest of one, or for the next."""
+        group = self.idle if connection.reader.idle else self.partial
+        if connection.among is not group:
+            self.move(connection, group)
 
     def left(self, connection: Connection) -> None:
         """A caller's connection is closed."""
-        self.connections.pop(connection, None)
+        self.connections.discard(connection)
         if not self.connections and self.on_empty is not None:
             self.on_empty()
 
@@ -171,7 +251,7 @@
             connection.answer(404)
         elif self.driver.fault_of(request) is not None:
             connection.reject(400)
-        elif self.driver.full() or connection.surplus:
+        elif self.driver.full():
             connection.answer(REFUSED)  # before it reaches the module: nothing has run
         elif not self.driver.arrived(request, connection):
             connection.answer(409)
@@ -183,13 +263,13 @@
     def drain(self) -> None:
         """Go out of service: every answer from now on closes its connection, and idle ones close at once."""
         self.draining = True
-        self.close_idle()
+        for connection in list(self.idle):
+            connection.close()
 
     def close_idle(self) -> None:
-        """Close the connections that hold no request."""
-        for connection in list(self.connections):
-            if connection.idle:
-                connection.close()
+        """Close all connections that hold no request, those too on which none has come at all."""
+        for connection in [*self.silent, *self.idle]:
+            connection.close()
 
     def stop_listening(self) -> None:
         """Take no new connection."""
@@ -197,10 +277,14 @@
             self.server.close()
 
     def _sweep(self) -> None:
-        """Guards against callers that send part of a request and then nothing."""
-        late = self.clock.now() - SLOW_MS
-        for connection in list(self.connections):
-            if (connection.current is None and not connection.ended and not connection.reader.idle
-                    and connection.since_ms < late):
-                connection.reject(408)
+        """Guards against callers that keep a descriptor and ask nothing, or never come to an end."""
+        now, crowded = self.clock.now(), len(self.connections) * 2 > self.most
+        self._close_older(self.silent, now - SILENT_MS)
+        self._close_older(self.idle, now - (CROWDED_IDLE_MS if crowded else IDLE_MS))
+        while self.partial and (first := next(iter(self.partial))).since_ms <= now - SLOW_MS:
+            first.reject(408)
         self.loop.call_later(SWEEP_S, self._sweep)
+
+    def _close_older(self, group: dict[Connection, None], than_ms: float) -> None:
+        while group and (first := next(iter(group))).since_ms <= than_ms:
+            first.close()
--- a/honeywharf/net/http1.py
+++ b/honeywharf/net/http1.py
@@ -9,17 +9,23 @@
 
 MAX_BODY = 64 * 1024
 MAX_HEAD = 16 * 1024
+MOST_PAIRS = 32  # figures that one header is read for
+MOST_INTERIM = 8  # 1xx answers ahead of one answer
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
     413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
     503: b"Service Unavailable", 504: b"Gateway Timeout",
 }
-#: Headers that speak of one connection, or that the proxy words itself.
-OWN = frozenset((
-    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
-    b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect", b"x-time-left",
+METHODS = frozenset((b"GET", b"POST", b"HEAD", b"PUT", b"DELETE", b"OPTIONS", b"PATCH"))
+#: Headers that go on to a backend: those that the protocol names, and the kind of the body. Guards against
+#: passing on what a backend might read as another framing, or as part of another request.
+PASSED = frozenset((
+    b"host", b"x-correlation-id", b"x-service-class", b"x-account", b"cookie", b"x-repeat",
+    b"idempotency-key", b"x-weight-hint", b"x-facts", b"content-type",
 ))
+_ID = re.compile(rb"[!-~]{1,128}")
 _DURATION = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
+_FIGURE = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
 _SID = re.compile(rb"(?:^|;)\s*sid=([^;\s]*)")
 
 
@@ -45,18 +51,31 @@
     return b"X-Time-Left: %du\r\n" % max(0, int(ms * 1000.0))
 
 
+def figure(value: bytes) -> float | None:
+    """A number of the usual form, not negative; None where it is none.
+
+    Guards against what `float` would take: `nan`, `inf`, `1_0`, and figures that no load has.
+    """
+    return float(value) if _FIGURE.fullmatch(value.strip()) else None
+
+
 def pairs(value: bytes) -> dict[str, float]:
     """`name=value,name=value` as numbers; what is none is left out."""
     found: dict[str, float] = {}
-    for item in value.split(b","):
-        name, _, figure = item.partition(b"=")
-        try:
-            found[name.strip().decode("latin-1")] = float(figure)
-        except ValueError:
-            continue
+    for item in value.split(b",", MOST_PAIRS)[:MOST_PAIRS]:
+        name, _, text = item.partition(b"=")
+        number = figure(text)
+        if number is not None:
+            found[name.strip().decode("latin-1")] = number
     return found
 
 
+def too_long(value: bytes, most: int) -> bool:
+    """Whether a Content-Length is more than may come; one that is no number is the parser's to refuse."""
+    value = value.strip()
+    return value.isdigit() and (len(value) > 18 or int(value) > most)
+
+
 def answer(
     status: int, body: bytes = b"", *, keep: bool = True, retry_after_ms: float = 0.0, kind: bytes = b"",
 ) -> bytes:
@@ -98,13 +117,18 @@
         return b"".join(lines)
 
 
+NONE = Request()  # between messages
+
+
 def _id(request: Request, value: bytes) -> None:
-    if request.id:
-        raise MalformedError(400, "two ids")
+    if request.id or not _ID.fullmatch(value):
+        raise MalformedError(400, "two ids, or one of odd characters")
     request.id = value.decode("latin-1")
 
 
 def _class(request: Request, value: bytes) -> None:
+    if request.class_name:
+        raise MalformedError(400, "two classes")
     request.class_name = value.decode("latin-1")
 
 
@@ -119,8 +143,8 @@
 
 
 def _left(request: Request, value: bytes) -> None:
-    request.left_ms = duration(value)
-    if request.left_ms is None:
+    again, request.left_ms = request.left_ms is not None, duration(value)
+    if again or request.left_ms is None:
         raise MalformedError(400, "senseless time left")
 
 
@@ -129,14 +153,14 @@
 
 
 def _idempotency(request: Request, value: bytes) -> None:
+    if request.idempotency_key:
+        raise MalformedError(400, "two idempotency keys")
     request.idempotency_key = value
 
 
 def _hint(request: Request, value: bytes) -> None:
-    try:
-        request.hint_ms = float(value) / 1000.0
-    except ValueError:
-        request.hint_ms = None
+    hint = figure(value)
+    request.hint_ms = None if hint is None else hint / 1000.0
 
 
 def _facts(request: Request, value: bytes) -> None:
@@ -184,6 +208,12 @@
             raise MalformedError(413, "the body is too long")
         self.parts.append(data)
 
+    def close(self) -> None:
+        """Let go of the parser. Guards against memory that waits for the collector: they hold each other."""
+        self.in_head = self.in_body = False
+        self.parts = []
+        del self.parser
+
     def body(self) -> bytes:
         return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
 
@@ -208,8 +238,7 @@
         super().__init__(MAX_BODY)
         self.on_continue = on_continue
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
-        self.request = Request()
-        self.dropped: tuple[bytes, ...] = ()  # headers that Connection names
+        self.request = NONE
         self.done: list[Request] = []
         self.fault: MalformedError | None = None
 
@@ -225,7 +254,7 @@
     def on_message_begin(self) -> None:
         """A message begins."""
         super().on_message_begin()
-        self.request, self.dropped = Request(), ()
+        self.request = Request()
 
     def on_url(self, url: bytes) -> None:
         """A part of the target."""
@@ -239,11 +268,13 @@
         take = HEADERS.get(key)
         if take is not None:
             take(self.request, value)
-        if key == b"connection":
-            self.dropped += tuple(word.strip().lower() + b":" for word in value.split(b","))
-        elif key == b"content-length" and value.isdigit() and int(value) > self.max_body:
-            raise MalformedError(413, "the body is too long")
-        if key not in OWN:
+        if key == b"content-length":
+            if too_long(value, self.max_body):
+                raise MalformedError(413, "the body is too long")
+        elif key == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":  # the parser lets others pass
+                raise MalformedError(400, "an odd transfer coding")
+        elif key in PASSED:
             self.request.forwarded.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
@@ -251,14 +282,14 @@
         self.in_head, self.in_body = False, True
         request = self.request
         request.method = self.parser.get_method()
-        if len(self.dropped) > 1 or (self.dropped and self.dropped[0] not in (b"close:", b"keep-alive:")):
-            request.forwarded = [x for x in request.forwarded if not x.lower().startswith(self.dropped)]
+        if request.method not in METHODS or self.parser.get_http_version() not in ("1.1", "1.0"):
+            raise MalformedError(400, "not HTTP/1, or an odd method")
         if request.expects:
             self.on_continue()
 
     def on_message_complete(self) -> None:
         """The message is whole."""
-        request, self.in_body = self.request, False
+        request, self.request, self.in_body = self.request, NONE, False  # an idle connection keeps none
         request.body, self.parts = self.body(), []
         request.keep = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         self.done.append(request)
@@ -279,24 +310,36 @@
 
 
 class ResponseReader(_Reader):
-    """Turns what comes back on one connection into answers."""
+    """Turns what comes back on one connection into answers, one to a request."""
 
     def __init__(self, max_body: int = MAX_BODY) -> None:
         super().__init__(max_body)
         self.parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
         self.response = Response()
         self.done: Response | None = None
+        self.surplus = False  # more has come than belongs to the answer: the connection is of no further use
+        self.interim = 0
 
     def feed(self, data: bytes) -> Response | None:
-        """The answer that is whole with these bytes, if one is; a second one in them is malformed."""
-        self._feed(data)
+        """The answer that is whole with these bytes, if one is.
+
+        What comes behind it is not read, whatever it is: the answer that is whole is good, and was made for
+        the one request that was out.
+        """
+        self.done = None
+        try:
+            self._feed(data)
+        except MalformedError:
+            if self.done is None:
+                raise
+            self.surplus = True
         done, self.done = self.done, None
         return done
 
     def on_message_begin(self) -> None:
         """A message begins."""
         if self.done is not None:
-            raise MalformedError(400, "two answers to one request")
+            raise MalformedError(400, "more than one answer")
         super().on_message_begin()
         self.response = Response()
 
@@ -310,6 +353,9 @@
             self.response.load = value
         elif key == b"content-type":
             self.response.kind = value
+        elif key == b"content-length" and too_long(value, self.max_body):
+            # Guards against reading, up to the cap, what is said to be gigabytes.
+            raise MalformedError(413, "the body is too long")
 
     def on_headers_complete(self) -> None:
         """The head is whole."""
@@ -319,9 +365,12 @@
         """The message is whole."""
         self.in_body = False
         status = self.parser.get_status_code()
-        if status < 200:
-            return  # an interim answer: the real one follows
-        response = self.response
+        if status < 200:  # an interim answer: the real one follows, and nothing of this one stays
+            self.parts, self.interim = [], self.interim + 1
+            if self.interim > MOST_INTERIM or status < 100:
+                raise MalformedError(400, "too many interim answers")
+            return
+        response, self.interim = self.response, 0
         response.status, response.body, self.parts = status, self.body(), []
         response.keep = self.parser.should_keep_alive()
-        self.done = response
+        self.response, self.done = Response(), response
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -199,8 +199,12 @@
             return "no id"
         if request.left_ms is None:
             return "no time left"
-        if cls.effect is api.Effect.KEYED and not request.idempotency_key:
-            return "no idempotency key"
+        if request.method != (b"GET" if cls.effect is api.Effect.REPEATABLE else b"POST"):
+            return "a method that is not the class's"
+        if request.method == b"GET" and request.body:
+            return "a body where none belongs"
+        if (cls.effect is api.Effect.KEYED) != bool(request.idempotency_key):
+            return "an idempotency key where none belongs, or none where one does"
         return None
 
     def full(self) -> bool:
@@ -211,7 +215,10 @@
         """Take a sound request; False where its id is already in the table."""
         if request.id in self.requests or request.left_ms is None:
             return False
-        left = max(0.0, request.left_ms - ANSWER_MARGIN_MS) - (self.clock.now() - request.read_ms)
+        # Guards against a time left of years: no client of the class waits longer than its deadline.
+        longest = self.classes[request.class_name].deadline_ms
+        left = max(0.0, min(request.left_ms, longest) - ANSWER_MARGIN_MS)
+        left -= self.clock.now() - request.read_ms
         held = Held(request, caller, self.clock.now() + left)
         self.requests[request.id] = held
         self.open += 1
@@ -325,7 +332,8 @@
                 if held is not None and not held.over:
                     self._over(held, "broken")
                     held.caller.answer(FAILED)
-                    self._feed(api.RequestExpired(held.request.id), held)
+                if held is not None and not isinstance(event, api.RequestExpired):
+                    self._feed(api.RequestExpired(held.request.id), held)  # nothing of it stays in the module
             for action in actions:
                 try:
                     self._perform(action)
@@ -429,6 +437,7 @@
             del self.requests[held.request.id]
         if held.timer is not None:
             held.timer.cancel()
+        held.attempts = []  # guards against memory that waits for the collector: they hold it in turn
 
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections import deque
 from dataclasses import dataclass, field
 from typing import cast
@@ -16,8 +17,14 @@
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
 IDLE_MARGIN_MS = 750.0
 SWEEP_S = 0.5
+# From an answer's first byte to its last. An answer holds 64 KiB at most and leaves in one piece.
+# Guards against a head or a body that never ends, which would hold the attempt until the deadline.
+ANSWER_S = 0.5
 
 O = api.Outcome  # noqa: E741
+# An answer that can't be read: the backend is up and has run the request. Guards against taking it for a
+# broken connection, which the module takes for the end of the backend's process.
+SPOILT = O.ERROR
 
 
 def outcome_of(response: http1.Response) -> api.Outcome:
@@ -43,7 +50,10 @@
 class Connection(asyncio.Protocol):
     """One connection to a backend. It carries one call at a time, and writes each call once."""
 
-    __slots__ = ("backend", "call", "closed", "idle_since", "pool", "reader", "transport", "unsent")
+    __slots__ = (
+        "backend", "call", "closed", "descriptor", "idle_since", "pool", "reader", "timer", "transport",
+        "unsent",
+    )
 
     def __init__(self, pool: Pool, backend: Backend) -> None:
         self.pool, self.backend = pool, backend
@@ -51,12 +61,15 @@
         self.reader = http1.ResponseReader()
         self.unsent = self.closed = False
         self.idle_since = 0.0
+        self.descriptor = -1
+        self.timer: asyncio.TimerHandle | None = None  # while an answer has begun and not ended
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Ask to be told whenever a write does not leave at once."""
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        self.descriptor = self.transport.get_extra_info("socket").fileno()
 
     def pause_writing(self) -> None:
         """Some of the request has not left yet: a break now proves that it never ran."""
@@ -78,17 +91,40 @@
 
     def data_received(self, data: bytes) -> None:
         """Read the answer; bytes that nobody asked for end the connection."""
+        if self.closed:
+            return
         if self.call is None:
             self.drop()
             return
         try:
             response = self.reader.feed(data)
         except http1.MalformedError:
-            self._end(O.RESET, None)
+            self._end(SPOILT, None)
             return
         if response is not None:
-            reusable = response.keep and self.reader.idle and not self.unsent
+            reader = self.reader
+            reusable = response.keep and reader.idle and not reader.surplus and not self.unsent
             self._end(outcome_of(response), response, reusable=reusable)
+        elif self.timer is None:
+            self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
+
+    def _stalled(self) -> None:
+        self.timer = None
+        self._end(SPOILT, None)
+
+    def _disarm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def stale(self) -> bool:
+        """Whether something has come on the idle connection that the loop has not read yet.
+
+        Guards against taking bytes that came before a request for its answer.
+        """
+        poll = select.poll()
+        poll.register(self.descriptor, select.POLLIN)
+        return bool(poll.poll(0))
 
     def eof_received(self) -> bool:
         """The backend will say no more."""
@@ -105,6 +141,7 @@
 
     def _end(self, outcome: api.Outcome, response: http1.Response | None, *, reusable: bool = False) -> None:
         call, self.call = self.call, None
+        self._disarm()
         if reusable:
             self.pool.rest(self)
         else:
@@ -117,6 +154,8 @@
         """Close at once; what was not written stays unwritten."""
         if not self.closed:
             self.closed = True
+            self._disarm()
+            self.reader.close()
             self.pool.dropped(self)
             self.transport.abort()
 
@@ -182,7 +221,8 @@
         oldest = self.clock.now() - self.idle_ms
         while backend.idle:
             connection = backend.idle.pop()
-            if connection.idle_since > oldest and not connection.transport.is_closing():
+            if (connection.idle_since > oldest and not connection.transport.is_closing()
+                    and not connection.stale()):
                 connection.carry(call)
                 return
             connection.drop()
