Take one reset or time-out for a connection's, not for its server's end; learn how long backends keep idle ones

Change: a failed connection counts twice and two of them eject (a dead process refuses the next one too); a reset or a time-out counts once, like an error; the absence after time-outs begins with the second failure in a row; a backend's idle connections are used no longer than four fifths of the time after which it was seen to close one.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -16,8 +16,7 @@
 
 PICKS = 8  # random picks at a level before it counts as empty: finds a half-usable level 255 times in 256
 REVIEW_MS = 250.0  # how often slowly changing judgements are renewed: short against any trouble
-DEAD_AFTER = 4  # failures in a row; a broken or failed connection is proof enough by itself
-DEAD = frozenset({api.Outcome.RESET, api.Outcome.CONNECT_FAILED})
+DEAD_AFTER = 4  # failures in a row; a failed connection counts twice: a dead process refuses the next one too
 SLOW_FROM = 1.7  # times the typical answer time: what is beyond adds to the suspicion, less takes from it
 STRAIN_MOST = 3.0  # what one call can add, a failed one included: no server is judged by a single call
 SUSPECT_AT = 6.0  # suspicion that ejects: by chance alone about once in some hundred calls
@@ -503,10 +502,11 @@
             if strain < 0:
                 server.pauses = 0
         else:
-            if event.outcome is api.Outcome.TIMEOUT:
+            if event.outcome is api.Outcome.TIMEOUT and server.failures > 0:
                 # Guards against a server that takes calls, of all classes or of one, and answers none.
+                # One call alone may be a connection that fell silent.
                 server.silent[request.cls.name] = self.now + SILENT_MS * self.random.uniform(0.75, 1.25)
-            server.failures += DEAD_AFTER if event.outcome in DEAD else 1
+            server.failures += 2 if event.outcome is api.Outcome.CONNECT_FAILED else 1
         if event.outcome is api.Outcome.REJECTED:
             # Guards against filling each slot of a jammed server at the moment it frees.
             if server.usable_at <= self.now and self._can_spare(server):
@@ -516,7 +516,7 @@
         suspect = server.failures >= DEAD_AFTER or server.suspicion >= SUSPECT_AT
         # Guards against emptying a zone for what a tier behind all its servers gets wrong.
         if server.usable_at <= self.now and suspect and (
-                event.outcome in DEAD or self._can_spare(server)):
+                event.outcome is api.Outcome.CONNECT_FAILED or self._can_spare(server)):
             self._eject(server, PAUSE_MS)
 
     def _time(self, name: str, typical: float, elapsed_ms: float) -> None:
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/net/upstream.py
@@ -17,6 +17,8 @@
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
 IDLE_MARGIN_MS = 750.0
+IDLE_PART = 0.8  # of the shortest time after which a backend was seen to close one
+IDLE_LEAST_MS = 200.0  # under that it closes after an answer, not as idle
 SWEEP_S = 0.5
 # From an answer's first byte to its last. An answer holds 64 KiB at most and leaves in one piece.
 # Guards against a head or a body that never ends, which would hold the attempt until the deadline.
@@ -46,6 +48,7 @@
     started_ms: float | None
     host: bytes
     open_for_work: bool = True  # else its connections are not kept
+    idle_ms: float = float("inf")  # what it was seen to close idle connections after, less a margin
     idle: deque[Connection] = field(default_factory=deque)  # the last used at the right
 
 
@@ -132,7 +135,12 @@
         """The backend will say no more."""
         if self.call is not None:
             self._end(O.CONNECT_FAILED if self.unsent else O.RESET, None)
-        else:
+        elif not self.closed:
+            # Guards against writing to a connection in the moment in which the backend closes it as idle,
+            # which it may do sooner than the settings say: the request would end as a reset.
+            idle_for = self.pool.clock.now() - self.idle_since
+            if idle_for > IDLE_LEAST_MS:
+                self.backend.idle_ms = max(IDLE_LEAST_MS, min(self.backend.idle_ms, IDLE_PART * idle_for))
             self.drop()
         return False
 
@@ -220,7 +228,7 @@
     def start(self, call: Call) -> None:
         """Put the call on the connection used last, or on a new one."""
         backend = self.backends[call.endpoint]
-        oldest = self.clock.now() - self.idle_ms
+        oldest = self.clock.now() - min(self.idle_ms, backend.idle_ms)
         while backend.idle:
             connection = backend.idle.pop()
             if (connection.idle_since > oldest and not connection.transport.is_closing()
@@ -297,8 +305,9 @@
 
     def _sweep(self) -> None:
         """Close what has been idle too long before the backend does."""
-        oldest = self.clock.now() - self.idle_ms
+        now = self.clock.now()
         for backend in self.backends.values():
+            oldest = now - min(self.idle_ms, backend.idle_ms)
             while backend.idle and backend.idle[0].idle_since <= oldest:
                 backend.idle[0].drop()
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -359,3 +359,32 @@
             assert w.proxy.driver.balancer.servers["b"].ejections == 0
         await backend.stop()
     run(main())
+
+
+def test_a_backend_that_closes_idle_connections_soon_is_not_written_to_on_an_old_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream, "IDLE_LEAST_MS", 20.0)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        pool = Pool(asyncio.get_running_loop(), Clock(), api.Limits(connect_timeout_ms=2000.0), 10)
+        pool.name("b", ("127.0.0.1", backend.port), None, open_for_work=True)
+        first = Ending(b"1")
+        pool.start(first)
+        await soon(first.outcome.wait())
+        await asyncio.sleep(0.1)
+        for writer in list(backend.writers):
+            writer.close()
+        await until(lambda: pool.count == 0)
+        learned = pool.backends["b"].idle_ms
+        assert 20.0 <= learned < 15000.0
+        second, third = Ending(b"2"), Ending(b"3")
+        pool.start(second)
+        await soon(second.outcome.wait())
+        pool.backends["b"].idle[0].idle_since -= learned  # as if it had stood that long
+        pool.start(third)
+        await soon(third.outcome.wait())
+        assert (backend.connections, third.outcomes) == (3, [O.OK])
+        await backend.stop()
+    run(main())
