Blame no server for callers in a hurry; let only answers show ease

Of attempts with under 800 ms left at the first tier one in five is answered, of those with all their time 99 in 100. The rest fail at every tier at once: time-outs after 50 to 140 ms at render and store, errors of front servers whose call ran out of time (160 in 5 s). brain._judge took each for the server's: all four fronts and five of six renders were ejected or marked silent in 60-80 s, calls went to any zone, and refusals stayed at 40 to 60 in 100 until 95 s. brain._teach took elapsed/ease of those errors (60 to 450 ms) for ease. Change: a time-out or an error of an attempt that was given less than 1.7 typical answer times is no word of the server; what fails teaches a limit only lateness, never ease. Tests over loopback sockets, both seen to fail without it.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -470,9 +470,11 @@
         cls = request.cls
         zone.in_flight -= 1
         ease = min(TARGET * cls.aim_ms, CROWDED_FROM * self.base_ms.get(cls.name, cls.aim_ms))
-        # Guards against taking a connection that is refused at once for a zone at ease.
-        if event.outcome not in UNREACHED:
-            zone.learn(3.0 if event.outcome is api.Outcome.REJECTED else event.elapsed_ms / ease, self.now)
+        lateness = 3.0 if event.outcome is api.Outcome.REJECTED else event.elapsed_ms / ease
+        # Guards against taking what failed early (a refused connection, a fault, little time left) for a zone
+        # at ease: only an answer shows ease, the rest at most that it came so late.
+        if event.outcome is api.Outcome.OK or (event.outcome not in UNREACHED and lateness > 1.0):
+            zone.learn(lateness, self.now)
 
     def _again(self, request: Request, outcome: api.Outcome) -> None:
         """A further attempt within the rules and the retry budget, else the final answer."""
@@ -487,7 +489,7 @@
 
     def _judge(self, server: Server, request: Request, event: api.AttemptEnded) -> None:
         """Eject a server whose recent calls failed, or came far later than is typical (a running sum)."""
-        if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT):
+        if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) or self._hurried(request, event):
             return
         strain = STRAIN_MOST
         if event.outcome is api.Outcome.OK:
@@ -519,6 +521,19 @@
                 event.outcome is api.Outcome.CONNECT_FAILED or self._can_spare(server)):
             self._eject(server, PAUSE_MS)
 
+    def _hurried(self, request: Request, event: api.AttemptEnded) -> bool:
+        """Whether the attempt failed for the little time that its caller had left.
+
+        Guards against taking out sound servers of this tier for callers in a hurry, or for time used up in
+        the tiers above; an error is then that of a call behind which ran out of time. Also covers retries
+        sent late. Could hurt where all callers are in a hurry: servers that fail are then told from sound
+        ones only by refused, broken or reset connections.
+        """
+        if event.outcome not in (api.Outcome.TIMEOUT, api.Outcome.ERROR):
+            return False
+        given = request.deadline - request.attempts[event.attempt].sent_ms
+        return given < SLOW_FROM * self.typical_ms.get(request.cls.name, 0.0)
+
     def _time(self, name: str, typical: float, elapsed_ms: float) -> None:
         """Follow a class's typical time, and its base time: down at once, up slowly."""
         heard = self.heard[name] = min(TYPICAL_OVER, self.heard.get(name, 0) + 1)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -72,9 +72,11 @@
 class Backend:
     """Answers each request with what `script` says: bytes to write, or None to say nothing.
 
-    What the script holds beyond bytes: "close" ends the connection with no answer.
+    What the script holds beyond bytes: "close" ends the connection with no answer. Before each: `pause_s`.
     """
 
+    pause_s = 0.0
+
     def __init__(self) -> None:
         self.requests: list[Message] = []
         self.script: list[bytes | str | None] = []
@@ -99,6 +101,8 @@
                 self.requests.append(await read_message(reader))
                 self.came.set()
                 step = self.script.pop(0) if self.script else self.then
+                if self.pause_s:
+                    await asyncio.sleep(self.pause_s)
                 if step == "close":
                     break
                 if isinstance(step, bytes):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -423,6 +423,21 @@
         outcome is api.Outcome.NOT_SENT)
 
 
+@pytest.mark.parametrize("outcome", [api.Outcome.ERROR, api.Outcome.RESET, api.Outcome.TIMEOUT])
+def test_what_fails_early_teaches_no_ease_and_what_fails_late_teaches_lateness(outcome: api.Outcome) -> None:
+    """Guards against a gate that opens just when calls begin to fail."""
+    driver = Driver(make_settings(limits=api.Limits(max_attempts=1)))
+    driver.list(TWO_ZONES[:4])
+    zone = driver.balancer.zones["a"]
+    zone.lateness = before = 0.9
+    driver.request()
+    driver.end(outcome, after_ms=1.0)
+    assert zone.lateness == before
+    driver.request()
+    driver.end(outcome, after_ms=1900.0)
+    assert zone.lateness > before
+
+
 def test_a_refusal_tells_when_to_come_back_as_far_as_the_site_allows() -> None:
     for limits, most in (
         (api.Limits(retry_after=True, max_retry_after_ms=2000.0), 600.0),
--- /dev/null
+++ b/tests/test_hurry.py
@@ -0,0 +1,58 @@
+"""Callers with little time left, over loopback sockets: what they bring about is not the servers' fault."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeywharf import interface as api
+from tests.loopback import Backend, Client, reply, run, world
+
+USUAL_S = 0.25  # in which the backends answer: far more than a caller in a hurry has left
+HURRY = "70m"
+
+
+@pytest.mark.parametrize("fails", [False, True], ids=["time-outs", "errors of the tier behind"])
+def test_callers_in_a_hurry_take_no_server_out(fails: bool) -> None:
+    """Guards against ejecting sound servers, tier by tier, for calls that nobody could answer in time."""
+    async def main() -> None:
+        backends = [await Backend().start() for _ in range(3)]
+        async with world([b.row(f"b{i}") for i, b in enumerate(backends)], bounds={"mostTries": 1}) as w:
+            balancer = w.proxy.driver.balancer
+            client = await Client.to(w.port)
+            for backend in backends:
+                backend.pause_s = USUAL_S
+            for _ in range(4):
+                client.send()
+                assert await client.status() == 200
+            for backend in backends:
+                backend.pause_s = 0.01 if fails else USUAL_S
+                backend.then = reply(500)
+            before = {name: zone.limit for name, zone in balancer.zones.items()}
+            for _ in range(12):
+                client.send("read", b"", HURRY)
+                assert await client.status() != 200
+            outcomes = [e.outcome for e in w.ended()[4:]]
+            assert len(outcomes) == 12
+            assert set(outcomes) == {api.Outcome.ERROR if fails else api.Outcome.TIMEOUT}
+            servers = balancer.servers.values()
+            assert [s.ejections for s in servers] == [0, 0, 0]
+            assert not any(s.silent or s.failures or s.suspicion for s in servers)
+            assert {name: zone.limit for name, zone in balancer.zones.items()} == before
+        for backend in backends:
+            await backend.stop()
+    run(main())
+
+
+def test_servers_that_fail_callers_with_time_are_still_taken_out() -> None:
+    async def main() -> None:
+        backends = [await Backend().start() for _ in range(3)]
+        backends[0].then = reply(500)
+        async with world([b.row(f"b{i}") for i, b in enumerate(backends)], bounds={"mostTries": 1}) as w:
+            client = await Client.to(w.port)
+            for _ in range(60):
+                client.send()
+                await client.status()
+            assert w.proxy.driver.balancer.servers["b0"].ejections > 0
+        for backend in backends:
+            await backend.stop()
+    run(main())
