--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -482,6 +482,8 @@
             self._close(request)
         elif not any(a.live for a in request.attempts):
             self._again(request, event.outcome)
+        else:  # what is still out hangs: it may yet come, so there is no final answer
+            self._copy(request)
         if event.outcome is api.Outcome.OK and not attempt.hangs:
             self._overtake(attempt, request.cls)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -447,3 +447,25 @@
         (refusal,) = driver.request()
         assert isinstance(refusal, api.Refuse)
         assert min(most, 200.0) <= refusal.retry_after_ms <= most
+
+
+def test_a_copy_of_a_hung_call_that_is_turned_away_is_sent_again_and_ends_no_request() -> None:
+    """Guards against requests that wait on a hung call alone because their one copy met a full server."""
+    limits = api.Limits(max_attempts=4, concurrent_attempts=True)
+    driver = Driver(make_settings(limits=limits))
+    driver.list([endpoint("a0"), endpoint("a1")])
+    for _ in range(40):
+        driver.request()
+        driver.end(api.Outcome.OK, after_ms=20.0)
+    server = only_send(driver.request(remaining_ms=2000.0)).endpoint
+    hung = f"r{driver.count}"
+    driver.now += 200.0
+    copies: list[api.Action] = []
+    while not copies:
+        driver.request()
+        copies = [a for a in driver.end(api.Outcome.OK, after_ms=20.0) if isinstance(a, api.Send)]
+    assert (copies[0].request, copies[0].endpoint != server) == (hung, True)
+    assert only_send(driver.end(api.Outcome.REJECTED, 1, hung, 1.0)).request == hung
+    driver.balancer.retry_tokens = 0.0
+    assert driver.end(api.Outcome.REJECTED, 2, hung, 1.0) == []  # the first may yet come
+    assert isinstance(driver.end(api.Outcome.TIMEOUT, 0, hung, 500.0)[0], (api.Fail, api.Refuse))
