--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -460,7 +460,7 @@
     server = only_send(driver.request(remaining_ms=2000.0)).endpoint
     hung = f"r{driver.count}"
     driver.now += 200.0
-    copies: list[api.Action] = []
+    copies: list[api.Send] = []
     while not copies:
         driver.request()
         copies = [a for a in driver.end(api.Outcome.OK, after_ms=20.0) if isinstance(a, api.Send)]
