Open a limit before the first answer only where the proxy has the servers to itself

Cause: each proxy began with an open limit, also after a restart, and all proxies of a zone together jammed its servers in the first second.

Change: a proxy that shares its servers (more proxies than zones) begins at the first value; one that has them to itself stays open until the first answer, as all that they hold is its own.

--- a/honeywharf/brain.py
+++ b/honeywharf/brain.py
@@ -164,8 +164,8 @@
 class Balancer:
     """The decisions of one balancer: an event in, the actions to carry out at once in order out."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
-        self.settings = settings
+    def __init__(self, settings: api.Settings, seed: int, limiter: str = limits.DEFAULT) -> None:
+        self.settings, self.limiter = settings, limiter
         self.random = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.servers: dict[str, Server] = {}
@@ -196,7 +196,7 @@
         """A limiter of a zone's calls; the balancers of a zone share its servers evenly."""
         settings = self.settings
         part = min(1.0, settings.zones / settings.balancers)
-        return limits.make(limits.DEFAULT, FIRST_CALLS * (settings.tiers - settings.tier) * part, part)
+        return limits.make(self.limiter, FIRST_CALLS * (settings.tiers - settings.tier) * part, part)
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """Take one event; `now_ms` never goes back."""
--- a/honeywharf/limits/lateness.py
+++ b/honeywharf/limits/lateness.py
@@ -2,11 +2,13 @@
 
 An answer is at ease up to `EASE` base times, but no sooner than `AIM_LEAST` of the target: what is so far
 within the aim shows no crowd, however it compares with the fastest answers seen. Above the target it is late,
-unless servers at ease take longer than that. Until the first answer nothing is known, and the limit is open;
-then it is what was in flight, or its first value if that is more. From there on it moves by time, not by
-answers, so that proxies of much and of little traffic agree: multiplicative both ways, e-fold in `ADAPT_MS`
-for answers late by once the ease, and `GROWTH` times more slowly upwards, for answers tell of a limit one
-round trip late: what was let in by then jams servers, which stay slow for long.
+unless servers at ease take longer than that. A proxy that has the servers to itself is open until the first
+answer: what it holds is all they hold; then the limit is what was in flight, or its first value if that is
+more. One that shares them knows nothing of what the others have in flight, and begins at the first value.
+From there on the limit moves by time, not by answers, so that proxies of much and of little traffic agree:
+multiplicative both ways, e-fold in `ADAPT_MS` for answers late by once the ease, and `GROWTH` times more
+slowly upwards, for answers tell of a limit one round trip late: what was let in by then jams servers, which
+stay slow for long.
 """
 
 from __future__ import annotations
@@ -44,8 +46,8 @@
         self.learned_ms = 0.0
         self.lateness = 1.0  # the running mean
         self.overload = 0.0  # the running share of answers that were dropped or past the target
-        if little:
-            self.limit = max(first, OPEN * part)
+        if little and part >= 1.0:
+            self.limit = max(first, OPEN)
 
     def learn(
         self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
@@ -55,7 +57,7 @@
         latest = target_ms
         if self.little:
             latest = max(target_ms, min(EASE * base_ms, SLOWEST * target_ms))
-            if self.learned_ms == 0.0:
+            if self.learned_ms == 0.0:  # the first answer: the open start, if there was one, is over
                 self.limit = max(self.first, min(self.limit, held))
         ease = max(1e-3, min(latest, max(EASE * base_ms, self.aim_least * target_ms)))
         span = min(SPAN_MS, now_ms - self.learned_ms) / ADAPT_MS
--- a/tests/limits/test_limiters.py
+++ b/tests/limits/test_limiters.py
@@ -44,9 +44,11 @@
     assert new.limit >= 200.0 / 0.2
 
 
-def test_the_limit_is_open_until_the_first_answer_and_then_what_was_in_flight() -> None:
-    limiter = limits.LatenessLimiter(1.0, 0.5)
-    assert limiter.limit == 32.0
+def test_alone_the_limit_is_open_until_the_first_answer_and_then_what_was_in_flight() -> None:
+    shared = limits.LatenessLimiter(1.0, 0.5)
+    assert shared.limit == 1.0  # what the others hold is not known, and may jam the servers already
+    limiter = limits.LatenessLimiter(1.0)
+    assert limiter.limit == 64.0
     limiter.learn(1.0, 100.0, 100.0, TARGET, 8.0)
     assert limiter.limit == pytest.approx(8.0, rel=1e-3)
     quiet = limits.LatenessLimiter(1.0)
