Add the command line, the file of features, a stand-in fleet on sockets and the demo

Need: later work wants one fleet to be tested on, one place for features, and a newcomer a command to run.

Change: honeywharf run|demo|check-config|version (click), imported only where an argument is given; features in one TOML file, decoded by msgspec into typed values, with errors that name file, key, found and wanted; off where HONEYWHARF_FEATURES names none. Stand-ins: backends round the model node with racks that count charges, registry with watches, clients with keys, deadlines, retries and obedience, a front. The demo runs three real proxies and checks the four rules from what stand-ins saw. tests/loopback takes its backend and registry from there: one stand-in of a thing. Proxies write their last stats line at their end.

--- a/honeywharf/__init__.py
+++ b/honeywharf/__init__.py
@@ -2,4 +2,6 @@
 
 from honeywharf.brain import Balancer
 
-__all__ = ["Balancer"]
+VERSION = "0.3.0"
+
+__all__ = ["VERSION", "Balancer"]
--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -10,10 +10,11 @@
 import sys
 from collections.abc import Mapping
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 import uvloop
 
-from honeywharf import interface as api
+from honeywharf import interface as api, limits
 from honeywharf.brain import Balancer
 from honeywharf.net import config
 from honeywharf.net.discovery import Directory, Watch
@@ -21,6 +22,9 @@
 from honeywharf.net.proxy import Clock, Driver, log
 from honeywharf.net.upstream import Pool
 
+if TYPE_CHECKING:
+    from honeywharf.config.features import Features
+
 # Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
 # backend; the rest is for callers that idle. The proxy's own are those of the interpreter, the loop, the
 # listener and discovery, and room to accept while others are closing.
@@ -36,15 +40,18 @@
 class Proxy:
     """All parts of one running proxy."""
 
-    def __init__(self, conf: config.Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, conf: config.Config, loop: asyncio.AbstractEventLoop, features: Features | None = None,
+    ) -> None:
         self.conf, self.loop, self.clock = conf, loop, Clock()
         sockets = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         room = sockets - min(max(OWN_LEAST, int(sockets * OWN_SHARE)), sockets // 2)
         upstream = min(int(sockets * UPSTREAM_SHARE), room // 2)
         self.pool = Pool(loop, self.clock, conf.settings.limits, upstream)
+        limiter = features.limits.limiter if features is not None else limits.DEFAULT
+        balancer = Balancer(conf.settings, conf.seed, limiter)
         self.driver = Driver(
-            conf.settings, Balancer(conf.settings, conf.seed), self.pool, loop, self.clock,
-            conf.report_fields)
+            conf.settings, balancer, self.pool, loop, self.clock, conf.report_fields)
         self.directory = Directory(self.pool)
         self.watch = Watch(
             loop, self.clock, conf.discovery, self.directory, self.driver.listed,
@@ -70,6 +77,7 @@
         gc.freeze()  # the collector need not look at what stays
         gc.set_threshold(20000, 20, 50)
         await self.stopped.wait()
+        self._stats()  # what was done since the last line is told too
 
     def reload(self) -> None:
         """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
@@ -116,7 +124,7 @@
         self.loop.call_later(STATS_S, self._stats)
 
 
-async def serve(conf: config.Config, early: list[int]) -> None:
+async def serve(conf: config.Config, early: list[int], features: Features | None = None) -> None:
     """Run one proxy in the running loop; `early`: signals to reload that came before it."""
     loop = asyncio.get_running_loop()
 
@@ -124,19 +132,41 @@
         log(f"event loop: {context.get('message')}: {context.get('exception')!r}")
 
     loop.set_exception_handler(caught)
-    proxy = Proxy(conf, loop)
+    proxy = Proxy(conf, loop, features)
     if early:
         loop.call_soon(proxy.reload)
     await proxy.run()
 
 
+def features_given() -> Features | None:
+    """The features that are on. Nothing of their package is imported where none are: that costs memory."""
+    if not os.environ.get("HONEYWHARF_FEATURES"):
+        return None
+    from honeywharf.config import features
+
+    try:
+        return features.given(os.environ)
+    except features.FeaturesError as fault:
+        raise config.ConfigError(str(fault)) from None
+
+
 def main() -> int:
+    """The platform's proxy where no argument is given, else the command line."""
+    if len(sys.argv) == 1:
+        return run_proxy()
+    from honeywharf.cli import main as command
+
+    command(prog_name="honeywharf")
+    return 0
+
+
+def run_proxy() -> int:
     """Exit status: 0 after SIGTERM, 2 where the configuration is bad or the address can't be had."""
     early: list[int] = []  # guards against SIGHUP ending the process before the loop can take it
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         conf = config.load()
-        uvloop.run(serve(conf, early))
+        uvloop.run(serve(conf, early, features_given()))
     except (config.ConfigError, ValueError) as fault:
         print(f"honeywharf: {fault}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/honeywharf/cli.py
@@ -0,0 +1,70 @@
+"""The command line: `honeywharf run|demo|check-config|version`. A command imports only what it needs."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+FEATURES = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group()
+def main() -> None:
+    """A zone-aware proxy and client-side load balancer."""
+
+
+@main.command()
+@click.option("--features", type=FEATURES, help="The file of features; HONEYWHARF_FEATURES names it else.")
+def run(features: Path | None) -> None:
+    """Run one proxy with the configuration that NODE_CONFIG names."""
+    from honeywharf.__main__ import run_proxy
+
+    if features is not None:
+        os.environ["HONEYWHARF_FEATURES"] = str(features)
+    sys.exit(run_proxy())
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(4.0, 600.0), default=12.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(1.0, 2000.0), default=300.0, show_default=True,
+              help="Orders a second, over all zones.")
+@click.option("--seed", type=int, default=1, show_default=True)
+def demo(seconds: float, rate: float, seed: int) -> None:
+    """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
+    from honeywharf.standins.demo import play
+
+    sys.exit(play(seconds, rate, seed, click.echo))
+
+
+@main.command("check-config")
+@click.argument("files", nargs=-1, required=True, type=FEATURES)
+def check_config(files: tuple[Path, ...]) -> None:
+    """Tell what is wrong with files of features (.toml) or of the platform's configuration (.json)."""
+    from honeywharf.config import features
+    from honeywharf.net import config
+
+    wrong = False
+    for path in files:
+        try:
+            if path.suffix == ".toml":
+                features.load(path)
+            else:
+                config.load({"NODE_CONFIG": str(path)})
+        except (features.FeaturesError, config.ConfigError) as fault:
+            words = str(fault)
+            click.echo(words if str(path) in words else f"{path}: {words}", err=True)
+            wrong = True
+        else:
+            click.echo(f"{path}: good")
+    sys.exit(2 if wrong else 0)
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    from honeywharf import VERSION
+
+    click.echo(f"honeywharf {VERSION}")
--- /dev/null
+++ b/honeywharf/config/features.py
@@ -0,0 +1,83 @@
+"""The file of features: one TOML file of ours, decoded into typed values. All is off where none is given."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+
+VARIABLE = "HONEYWHARF_FEATURES"
+
+
+class FeaturesError(Exception):
+    """What is wrong with the file, in one line that names file, key, what was found and what is wanted."""
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[limits]`: how admission learns what servers can hold; see docs/operators/limits.md."""
+
+    limiter: Literal["lateness", "open", "formerly", "gradient", "vegas", "aimd", "codel"] = "lateness"
+
+
+class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All sections of the file."""
+
+    limits: Limits = msgspec.field(default_factory=Limits)
+
+
+def load(path: Path) -> Features:
+    """The features that the file asks for; `FeaturesError` where it can't be read or is wrong."""
+    try:
+        raw = tomllib.loads(path.read_text("utf-8"))
+    except OSError as fault:
+        raise FeaturesError(f"{path}: {fault.strerror or fault}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise FeaturesError(f"{path}: not TOML: {fault}") from None
+    try:
+        return msgspec.convert(raw, Features)
+    except msgspec.ValidationError as fault:
+        raise FeaturesError(f"{path}: {explain(str(fault), raw)}") from None
+
+
+def given(environ: Mapping[str, str]) -> Features | None:
+    """The features of the file that the environment names; None where it names none."""
+    path = environ.get(VARIABLE)
+    return load(Path(path)) if path else None
+
+
+def explain(fault: str, raw: dict[str, Any]) -> str:
+    """A line that names the key, what was found there and what is wanted."""
+    words, _, where = fault.partition(" - at `$.")
+    key = where.rstrip("`")
+    unknown = re.search(r"unknown field `(.+)`", words)
+    if unknown is not None:
+        name = f"{key}.{unknown[1]}" if key else unknown[1]
+        return f"{name}: found a key that there is not, wanted one of {', '.join(known(key))}"
+    found: Any = raw
+    for part in key.split("."):
+        found = found.get(part) if isinstance(found, dict) else None
+    if words.startswith("Invalid enum value"):
+        return f"{key}: found {found!r}, wanted one of {', '.join(choices(key))}"
+    expected = re.search(r"Expected (.+?)(?:, got .+)?$", words)
+    return f"{key}: found {found!r}, wanted {expected[1].strip('`') if expected else words}"
+
+
+def _type_at(key: str) -> Any:
+    kind: Any = Features
+    for part in filter(None, key.split(".")):
+        kind = next(f.type for f in msgspec.structs.fields(kind) if f.name == part)
+    return kind
+
+
+def known(key: str) -> list[str]:
+    """The keys of the section."""
+    return [f.name for f in msgspec.structs.fields(_type_at(key))]
+
+
+def choices(key: str) -> list[str]:
+    """The values of a key that has only some."""
+    return [str(v) for v in _type_at(key).__args__]
--- a/honeywharf/standins/model.py
+++ b/honeywharf/standins/model.py
@@ -76,12 +76,14 @@
         """Take a call in; False where it is turned away unseen."""
         self._observe(now)
         self._strain(now, work_ms)
-        if not self.alive or self.draining or self.fallen or len(self.waiting) >= self.spec.queue:
+        if not self.alive or self.draining or self.fallen:
             return False
         if len(self.running) < self.spec.cores:
             self._run(now, call, work_ms)
-        else:
-            self.waiting.append((call, work_ms))
+            return True
+        if len(self.waiting) >= self.spec.queue:
+            return False
+        self.waiting.append((call, work_ms))
         return True
 
     def _run(self, now: float, call: str, work_ms: float) -> None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,10 +12,11 @@
 from honeywharf import interface as api, wire
 from honeywharf.__main__ import Proxy
 from honeywharf.net import config
+from honeywharf.standins.backend import Backend
 from honeywharf.standins.messages import Message, read_message, reply, row
 from honeywharf.standins.registry import Registry
 
-__all__ = ["Message", "reply", "row"]  # stand-ins' own, which the tests take from here
+__all__ = ["Backend", "Message", "reply", "row"]  # stand-ins' own, which the tests take from here
 
 T = TypeVar("T")
 WAIT_S = 20.0  # for what must happen; a test that waits so long has failed
@@ -54,61 +55,6 @@
             await asyncio.sleep(0.005)
 
 
-class Backend:
-    """Answers each request with what `script` says: bytes to write, or None to say nothing.
-
-    What the script holds beyond bytes: "close" ends the connection with no answer. Before each: `pause_s`.
-    """
-
-    pause_s = 0.0
-
-    def __init__(self) -> None:
-        self.requests: list[Message] = []
-        self.script: list[bytes | str | None] = []
-        self.then: bytes | str | None = reply()
-        self.connections = 0
-        self.writers: set[asyncio.StreamWriter] = set()
-        self.came = asyncio.Event()
-        self.closed = 0
-        self.port = 0
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> Backend:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        return self
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
-        self.writers.add(writer)
-        try:
-            while True:
-                self.requests.append(await read_message(reader))
-                self.came.set()
-                step = self.script.pop(0) if self.script else self.then
-                if self.pause_s:
-                    await asyncio.sleep(self.pause_s)
-                if step == "close":
-                    break
-                if isinstance(step, bytes):
-                    writer.write(step)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        finally:
-            self.closed += 1
-            self.writers.discard(writer)
-            writer.close()
-
-    def row(self, name: str, zone: str = "z", lifecycle: str = "up", **more: Any) -> dict[str, Any]:
-        return row(name, self.port, zone, lifecycle, **more)
-
-    async def stop(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
-
-
 async def scripted_registry(port: int = 0) -> Registry:
     """A registry that answers what it is told to, whatever was asked."""
     return await Registry(scripted=True).start(port)
