--- /dev/null
+++ b/tests/test_loop.py
@@ -0,0 +1,137 @@
+"""The proxy's own time: measured in the driver, taken out in the module, and shed by a limit of its own."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeywharf import interface as api, limits
+from honeywharf.net import http1
+from honeywharf.net.proxy import Driver
+from tests import helpers
+from tests.test_driver import SETTINGS, FakeCaller, FakeClock, FakeLoop, FakeTransport, Script, ok, send_each
+
+
+class BusyLoop(FakeLoop):
+    """A loop whose turn began when the test says, not now."""
+
+    begun_ms = 0.0
+
+    def time(self) -> float:
+        return self.begun_ms / 1000.0
+
+
+class Busy:
+    """A driver, with turns of the loop that take as long as the test says."""
+
+    def __init__(self) -> None:
+        self.clock = FakeClock()
+        self.loop = BusyLoop(self.clock)
+        self.transport, self.script = FakeTransport(), Script()
+        self.script.on = send_each
+        self.turns: list[float] = []
+        inner = self.script.handle
+
+        def handle(now_ms: float, event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.LoopTurned):
+                self.turns.append(event.turn_ms)
+            return inner(now_ms, event)
+
+        self.script.handle = handle  # type: ignore[method-assign]
+        self.driver = Driver(SETTINGS, self.script, self.transport, self.loop, self.clock)  # type: ignore[arg-type]
+        self.count = 0
+
+    def poll(self, waited_ms: float) -> None:
+        """The loop waits for I/O for so long, and begins a turn."""
+        self.clock.ms += waited_ms
+        self.loop.begun_ms = self.clock.ms
+
+    def arrive(self) -> None:
+        request = http1.Request()
+        self.count += 1
+        request.id, request.class_name, request.left_ms = f"r{self.count}", "order", 1000.0
+        request.read_ms = self.clock.ms
+        assert self.driver.arrived(request, FakeCaller())
+
+    def ended(self) -> api.AttemptEnded:
+        return next(e for _, e in reversed(self.script.seen) if isinstance(e, api.AttemptEnded))
+
+
+def test_an_answer_read_late_in_a_busy_turn_may_have_waited_since_the_turn_before() -> None:
+    busy = Busy()
+    busy.poll(5.0)
+    busy.arrive()
+    busy.loop.turn()  # sent at once
+    busy.clock.ms += 30.0  # the rest of the turn: other requests
+    busy.script.on = lambda event: []
+    busy.driver._feed(api.TimerFired("x"))
+    busy.loop.turn()
+    busy.poll(0.0)  # nothing to wait for: the answer was there
+    busy.clock.ms += 8.0
+    busy.transport.started[0].ended(api.Outcome.OK, ok())
+    busy.loop.turn()
+    assert busy.ended().elapsed_ms == pytest.approx(38.0)
+    assert busy.ended().proxy_ms == pytest.approx(38.0)
+
+
+def test_an_answer_that_the_loop_waited_for_took_the_server_that_long() -> None:
+    busy = Busy()
+    busy.poll(5.0)
+    busy.arrive()
+    busy.loop.turn()
+    busy.poll(40.0)
+    busy.transport.started[0].ended(api.Outcome.OK, ok())
+    busy.loop.turn()
+    assert busy.ended().elapsed_ms == pytest.approx(40.0)
+    assert busy.ended().proxy_ms == 0.0
+
+
+def test_the_module_is_told_of_the_shortest_turn_now_and_then() -> None:
+    busy = Busy()
+    for length in (70.0, 20.0, 70.0, 70.0):
+        busy.poll(1.0)
+        busy.arrive()
+        busy.clock.ms += length
+        busy.loop.turn()
+    assert busy.turns == pytest.approx([70.0, 20.0])  # the first at once, then once in 100 ms
+
+
+def test_a_saturated_proxy_sheds_by_its_own_limit_and_blames_no_zone() -> None:
+    driver = helpers.Driver()
+    driver.list([helpers.endpoint(f"a{i}") for i in range(4)])
+    driver.fill(200)
+    before = [z.limiter.limit for z in driver.balancer.zones.values()]
+    for _ in range(40):  # the loop takes 100 ms a turn, where the aim is 1000 ms
+        driver.now += 100.0
+        driver.feed(api.LoopTurned(100.0))
+    refused = []
+    for _ in range(300):
+        refused += [a for a in driver.request() if isinstance(a, api.Refuse)]
+        driver.feed(api.AttemptEnded(
+            f"r{driver.count}", 0, api.Outcome.OK, 800.0, True, proxy_ms=795.0))
+    assert len(refused) > 200
+    assert {a.reason for a in refused} == {api.Reason.PROXY}
+    assert [z.limiter.limit for z in driver.balancer.zones.values()] == before
+    for _ in range(40):
+        driver.now += 100.0
+        driver.feed(api.LoopTurned(1.0))
+    assert driver.balancer.loop.share == 1.0
+    assert isinstance(driver.request()[0], api.Send)
+
+
+def test_without_the_proxys_own_time_the_same_answers_would_shut_the_zone() -> None:
+    """The comparison that could have gone the other way."""
+    limiter = limits.LatenessLimiter(8.0)
+    for i in range(300):
+        limiter.learn(1000.0 + 10.0 * i, 800.0, 5.0, 400.0, 8.0)
+    assert limiter.limit == 2.0
+
+
+def test_shed_requests_of_an_ordered_class_leave_no_line_behind() -> None:
+    ordered = api.RequestClass("read", 1000, 2000, in_order=True)
+    driver = helpers.Driver(helpers.make_settings(classes=(ordered,)))
+    driver.list([helpers.endpoint("a0")])
+    driver.balancer.loop.share = 0.0
+    (refusal,) = driver.request(key="k")
+    assert isinstance(refusal, api.Refuse)
+    assert not driver.balancer.lines
+    assert not driver.balancer.requests
