Let stand-in backends spoil answers and report late; make a limiter's step cheaper

Change: parts of a backend's answers are noise, too long, cut short or headless, or 500; reports can be old. The limiter's step uses comparisons in place of min and max.

--- a/honeywharf/limits/lateness.py
+++ b/honeywharf/limits/lateness.py
@@ -23,6 +23,7 @@
 IN_USE = 0.8  # part of a limit that must be in use for it to grow: else it has not been tried
 FOLLOWS = 0.3  # of an answer, in the mean: single ones come late by chance, and lowering goes faster
 LATEST = 3.0  # eases that one answer may count as late
+EASE_LEAST_MS = 1e-3  # no answer is sooner: guards the division where no base time is known
 SPAN_MS = 250.0  # the longest time that one answer may speak for
 OPEN = 64.0  # calls for each unit of capacity before the first answer: one answer time of them jams nothing
 SLOWEST = 2.0  # targets: answers at ease may take so long before the aim is out of reach
@@ -64,23 +65,31 @@
         self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
-        """Move the limit by one answer."""
-        latest = target_ms
+        """Move the limit by one answer. It is on the path of each request: comparisons, not min and max."""
+        latest, ease = target_ms, EASE * base_ms
         if self.little:
-            latest = max(target_ms, min(EASE * base_ms, SLOWEST * target_ms))
+            if ease > target_ms:
+                latest = min(ease, SLOWEST * target_ms)
             if self.learned_ms == 0.0 and self.limit > self.first:  # the open start is over
                 self.limit = max(self.first, held / IN_USE)
+        wait = now_ms - self.learned_ms
         if not dropped:
             # Little's law again, now with what the servers do: calls in flight at their rate without a queue.
             # Guards against lowering a limit of many calls a server, at one answer a round trip, to far below
             # what keeps the servers at work. A jam is let drain, as its rate falls.
-            needed = (held - one) * min(1.0, base_ms / max(latency_ms, 1e-6))
-            part = min(1.0, max(0.0, now_ms - self.learned_ms) / FLIGHT_MS)
-            self.flight += (needed - self.flight) * part
-        ease = max(1e-3, min(latest, max(EASE * base_ms, self.aim_least * target_ms)))
-        span = min(SPAN_MS, now_ms - self.learned_ms) / ADAPT_MS
+            needed = held - one
+            if latency_ms > base_ms:
+                needed *= base_ms / latency_ms
+            self.flight += (needed - self.flight) * (wait / FLIGHT_MS if wait < FLIGHT_MS else 1.0)
+        if ease < self.aim_least * target_ms:
+            ease = self.aim_least * target_ms
+        if ease > latest:
+            ease = latest
+        if ease < EASE_LEAST_MS:
+            ease = EASE_LEAST_MS
+        span = (wait if wait < SPAN_MS else SPAN_MS) / ADAPT_MS
         self.learned_ms = now_ms
-        late = LATEST if dropped else min(latency_ms / ease, LATEST)
+        late = LATEST if dropped or latency_ms > LATEST * ease else latency_ms / ease
         self.lateness += (late - self.lateness) * FOLLOWS
         short = 1.0 - self.lateness
         least = LEAST_PART * self.first
--- a/honeywharf/standins/backend.py
+++ b/honeywharf/standins/backend.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+from collections import deque
 from contextlib import suppress
 from typing import Any
 
@@ -17,21 +18,32 @@
     return time.monotonic() * 1000.0
 
 
+SPOILT = (  # of a request that has run: noise, an answer said to have 3 GB, one cut short, a head without end
+    b"\x00\xff\x17 not http\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\n" + b"x" * 512,
+    b"HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\nhalf", b"HTTP/1.1 200 OK\r\nX-Noise: " + b"n" * 32768,
+)
+
+
 class Backend:
     """Answers each request with what `script` says, then with `then`, or as its `node` does the work.
 
     What the script holds beyond bytes to write: None says nothing, "close" ends the connection unanswered.
-    Before each: `pause_s`. With a node, `work_ms` is the mean of the works, which `seed` draws, and each
-    key that runs is charged to `rack`.
+    Before each: `pause_s`. `spoilt` and `errors` are the parts of a node's answers that are noise, or 500;
+    its load reports are `report_late_ms` old. `work_ms` is the mean of a node's works, which `seed` draws;
+    each key that runs is charged to `rack`.
     """
 
     pause_s = 0.0
 
     def __init__(
         self, node: Node | None = None, rack: Rack | None = None, *, work_ms: float = 10.0,
-        spread: float = 0.3, seed: int = 0, most_noted: int = 100_000,
+        spread: float = 0.3, spoilt: float = 0.0, errors: float = 0.0, report_late_ms: float = 0.0,
+        seed: int = 0, most_noted: int = 100_000,
     ) -> None:
         self.node, self.rack, self.work_ms, self.spread = node, rack, work_ms, spread
+        self.spoilt, self.errors, self.report_late_ms = spoilt, errors, report_late_ms
+        self.reports: deque[tuple[float, int]] = deque([(-INFINITY, 0)], maxlen=4096)  # when, calls waiting
         self.random = random.Random(seed)
         self.most_noted = most_noted
         self.requests: list[Message] = []  # without a node; the first `most_noted`
@@ -88,7 +100,7 @@
     async def _worked(self, node: Node, message: Message) -> bytes | None:
         first, headers, _ = message
         path = first.split()[1].partition(b"?")[0]
-        report = b"X-Backend-Load: queue=%d" % len(node.waiting)
+        report = b"X-Backend-Load: queue=%d" % self._report(node)
         if path == b"/health/live":
             return reply(503 if node.draining else 200, b"")
         if path == b"/stats":
@@ -113,7 +125,20 @@
         await done
         while node.silent:  # a machine that is cut off says nothing
             await asyncio.sleep(0.05)
-        return reply(200, b"tile for " + name, report)
+        fate = self.random.random()
+        if fate < self.spoilt:
+            return self.random.choice(SPOILT)
+        if fate < self.spoilt + self.errors:
+            return reply(500, b"")
+        return reply(200, b"tile for " + name, b"X-Backend-Load: queue=%d" % self._report(node))
+
+    def _report(self, node: Node) -> int:
+        """The calls that waited so long ago."""
+        now = now_ms()
+        self.reports.append((now, len(node.waiting)))
+        while len(self.reports) > 1 and self.reports[1][0] <= now - self.report_late_ms:
+            self.reports.popleft()
+        return self.reports[0][1]
 
     def _arm(self, node: Node) -> None:
         if self.timer is not None:
--- a/tests/standins/test_sockets.py
+++ b/tests/standins/test_sockets.py
@@ -126,6 +126,30 @@
     run(main())
 
 
+def test_spoilt_answers_and_errors_come_in_their_parts_and_reports_come_late() -> None:
+    async def main() -> None:
+        node = Node(NodeSpec(cores=64, warm_ms=0.0))
+        backend = await Backend(
+            node, work_ms=0.1, spoilt=0.3, errors=0.3, report_late_ms=60000.0, seed=5).start()
+        came = {"spoilt": 0, 200: 0, 500: 0}
+        for i in range(60):
+            reader, writer = await asyncio.open_connection("127.0.0.1", backend.port)
+            writer.write(f"GET /api/tile HTTP/1.1\r\nX-Correlation-Id: r{i}\r\n\r\n".encode())
+            writer.write_eof()
+            raw = await soon(reader.read())
+            head, _, body = raw.partition(b"\r\n\r\n")
+            sound = head.startswith(b"HTTP/1.1 ") and b"Content-Length: %d\r\n" % len(body) in head + b"\r\n"
+            came[int(head.split()[1]) if sound else "spoilt"] += 1
+            writer.close()
+        assert all(8 <= n <= 34 for n in came.values()), came
+        node.waiting.extend([("x", 1.0)] * 5)
+        assert await fetch(backend.port, "/stats") == (200, b"queue=0")  # it was so a minute ago
+        backend.report_late_ms = 0.0
+        assert await fetch(backend.port, "/stats") == (200, b"queue=5")
+        await backend.stop()
+    run(main())
+
+
 def test_a_front_passes_over_a_dead_proxy_until_it_looks_again() -> None:
     async def main() -> None:
         live = await Backend().start()
