End the bench's registry in its own loop; drop two figures that nothing read

Need: bench.beside_haproxy ended with two warnings on tasks that were destroyed while they waited.

Change: the registry's open watches are cancelled before its loop stops. Result.answers and least_limit go.

--- a/bench/beside_haproxy.py
+++ b/bench/beside_haproxy.py
@@ -133,6 +133,13 @@
     """A registry in a thread of its own; its port."""
     loop, made = asyncio.new_event_loop(), Registry()
 
+    async def finish() -> None:
+        await made.stop()
+        open_watches = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+        for task in open_watches:
+            task.cancel()
+        await asyncio.gather(*open_watches, return_exceptions=True)
+
     async def prepare() -> int:
         await made.start()
         await made.put(*rows)
@@ -143,6 +150,7 @@
     try:
         yield asyncio.run_coroutine_threadsafe(prepare(), loop).result(10)
     finally:
+        asyncio.run_coroutine_threadsafe(finish(), loop).result(10)
         loop.call_soon_threadsafe(loop.stop)
         thread.join(5)
 
--- a/honeywharf/standins/simulator.py
+++ b/honeywharf/standins/simulator.py
@@ -83,11 +83,9 @@
     fell: int = 0
     double_charges: int = 0
     late_drains: int = 0
-    answers: int = 0
     latencies: list[float] = field(default_factory=list)
     windows: dict[int, list[int]] = field(default_factory=dict)  # by WINDOW_MS: asked, good, refused
     reasons: dict[str, int] = field(default_factory=dict)
-    least_limit: float = float("inf")
 
     def quantile(self, part: float) -> float:
         """Of the served answers' times."""
