--- a/bench/beside_haproxy.py
+++ b/bench/beside_haproxy.py
@@ -176,8 +176,8 @@
         print(f"  socket errors: {errors[1]}", file=sys.stderr)
     return Result(
         float(re.search(r"Requests/sec:\s+([\d.]+)", done)[1]),  # type: ignore[index]
-        to_ms(re.search(r"50%\s+(\S+)", done)[1]),  # type: ignore[index]
-        to_ms(re.search(r"99%\s+(\S+)", done)[1]),  # type: ignore[index]
+        to_ms(re.search(r"^\s+50%\s+(\S+)", done, re.M)[1]),  # type: ignore[index]
+        to_ms(re.search(r"^\s+99%\s+(\S+)", done, re.M)[1]),  # type: ignore[index]
         int(odd[1]) / total if odd else 0.0)
 
 
