Tell the module of the loop's turns through the queue of events; count reasons once

Need: found on rereading: LoopTurned went to the module past the queue, so a module that raised on it broke the turn, and what it answered was dropped; a refusal of a request that was over already still counted its reason.

Change: it is fed like any event; a reason counts only with the final answer that it belongs to.

--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -311,7 +311,7 @@
         self.least_turn_ms = min(self.least_turn_ms, self.waits_ms - max(before, self.turn_ms))
         if self.waits_ms >= self.tell_ms:
             self.tell_ms = self.waits_ms + LOOP_MS
-            self.balancer.handle(self.waits_ms, api.LoopTurned(self.least_turn_ms))
+            self._feed(api.LoopTurned(self.least_turn_ms))
             self.least_turn_ms = float("inf")
 
     # Timers.
@@ -393,8 +393,8 @@
         if isinstance(action, api.Send):
             self._send(action)
         elif isinstance(action, api.Refuse):
-            self._count(REFUSED_BY[action.reason])
-            self._answer(action.request, REFUSED, "refused", action.retry_after_ms)
+            if self._answer(action.request, REFUSED, "refused", action.retry_after_ms):
+                self._count(REFUSED_BY[action.reason])
         elif isinstance(action, api.Fail):
             self._answer(action.request, FAILED, "failed")
         elif isinstance(action, api.SetTimer):
@@ -456,11 +456,14 @@
         probe.timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000.0, self._probe_time_out, probe)
         self.transport.start(probe)
 
-    def _answer(self, request: str, status: int, how: str, retry_after_ms: float = 0.0) -> None:
+    def _answer(self, request: str, status: int, how: str, retry_after_ms: float = 0.0) -> bool:
+        """Give the final answer; False where there is none to give any more."""
         held = self.requests.get(request)
-        if held is not None and not held.over:
-            self._over(held, how)
-            held.caller.answer(status, retry_after_ms=retry_after_ms)
+        if held is None or held.over:
+            return False
+        self._over(held, how)
+        held.caller.answer(status, retry_after_ms=retry_after_ms)
+        return True
 
     def fail_all(self) -> None:
         """Answer all that is open: the process is about to be killed."""
