--- a/honeywharf/standins/days.py
+++ b/honeywharf/standins/days.py
@@ -45,6 +45,14 @@
     return load(Day("over", seed, 100.0, THREE, none, spec=STEADY, retries=1), 2.0)
 
 
+def twice(seed: int, work_ms: float, cores: int, length_ms: float, limiter: str) -> Day:
+    """Four servers of so many cores, and twice what they can do."""
+    spec = NodeSpec(cores=cores, queue=8192, warm_ms=0.0)
+    day = Day("twice", seed, work_ms, {"z": 4}, none, length_ms=length_ms, spec=spec, proxies=1, spread=0.1,
+              limiter=limiter)
+    return load(day, 2.0)
+
+
 def speeds(seed: int) -> Day:
     """All nodes turn ten times slower at once, and ten times faster again."""
     draw = random.Random(seed)
--- a/honeywharf/standins/model.py
+++ b/honeywharf/standins/model.py
@@ -53,7 +53,6 @@
         self.rested_ms = 0.0  # how long it has been mostly idle
         self.offered: deque[tuple[float, float]] = deque()  # while cold: when, and how much work
         self.offered_sum = 0.0
-        self.work_done = 0.0
 
     @property
     def held(self) -> int:
@@ -88,7 +87,6 @@
 
     def _run(self, now: float, call: str, work_ms: float) -> None:
         heapq.heappush(self.running, (now + work_ms / self.pace(now), call))
-        self.work_done += work_ms
 
     def due(self) -> float:
         """When the next call ends; infinity where none runs."""
--- a/honeywharf/standins/simulator.py
+++ b/honeywharf/standins/simulator.py
@@ -9,6 +9,7 @@
 import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -120,8 +121,8 @@
     endpoint: str
     sent_ms: float
     back_ms: float
-    timer: int = 0
-    over: bool = False
+    key: str
+    work_ms: float
 
 
 class Simulation:
@@ -182,8 +183,10 @@
             when, _, call, args = heapq.heappop(self.heap)
             self.now = when
             call(*args)
+        charges: Counter[str] = Counter()  # over all racks: one does not know another's keys
         for rack in self.racks.values():
-            self.result.double_charges += sum(n > 1 for n in rack.charges.values())
+            charges.update(rack.charges)
+        self.result.double_charges = sum(n > 1 for n in charges.values())
         return self.result
 
     # Clients.
@@ -280,7 +283,9 @@
         number = self.attempts[action.request]
         self.attempts[action.request] = number + 1
         way = REPLY_MS if action.endpoint.rstrip("0123456789") == self.homes[proxy] else CROSS_MS
-        flight = _Flight(proxy, action.request, number, action.endpoint, self.now, way)
+        ask = self.asks[action.request]
+        flight = _Flight(
+            proxy, action.request, number, action.endpoint, self.now, way, ask.key, ask.works)
         self.serial += 1
         name = f"f{self.serial}"
         self.flights[name] = flight
@@ -295,17 +300,15 @@
         flight = self.flights.get(name)
         if flight is None:
             return
-        node, ask = self.nodes[flight.endpoint], self.asks.get(flight.request)
+        node = self.nodes[flight.endpoint]
         if not node.alive or node.fallen:
             self.at(self.now + flight.back_ms, self.end, name, api.Outcome.CONNECT_FAILED)
             return
-        key = ask.key if ask is not None else flight.request
-        work = ask.works if ask is not None else self.day.work_ms
-        if not node.offer(self.now, name, work):
+        if not node.offer(self.now, name, flight.work_ms):
             self.at(self.now + flight.back_ms, self.end, name, api.Outcome.REJECTED)
             return
         if self.day.effect is api.Effect.KEYED:
-            self.racks.setdefault(self.endpoints_cell(flight.endpoint), Rack()).charge(key, self.now)
+            self.racks.setdefault(self.endpoints_cell(flight.endpoint), Rack()).charge(flight.key, self.now)
         self.wake(flight.endpoint)
 
     def wake(self, endpoint: str) -> None:
--- a/tests/limits/test_days.py
+++ b/tests/limits/test_days.py
@@ -6,9 +6,11 @@
 
 import pytest
 
+from honeywharf import interface as api
+from honeywharf.brain import Request
 from honeywharf.standins import days
 from honeywharf.standins.model import NodeSpec
-from honeywharf.standins.simulator import Day, Result, Trouble, capacity, play
+from honeywharf.standins.simulator import Day, Result, Simulation, Trouble, capacity, play
 
 
 def kept(result: Result) -> Result:
@@ -47,10 +49,7 @@
 def test_at_twice_the_capacity_goodput_is_the_capacity_and_answers_are_in_time(
     work_ms: float, cores: int, length_ms: float,
 ) -> None:
-    spec = NodeSpec(cores=cores, queue=8192, warm_ms=0.0)
-    day = days.load(Day(
-        "twice", 1, work_ms, {"z": 4}, days.none, length_ms=length_ms, spec=spec, proxies=1, spread=0.1,
-        limiter="lateness" if work_ms <= 20.0 else "open"), 2.0)
+    day = days.twice(1, work_ms, cores, length_ms, "lateness" if work_ms <= 20.0 else "open")
     result = kept(play(day))
     assert result.goodput(4000.0) > 0.9 * 0.5  # the first seconds are for learning
     assert result.good > 0.8 * capacity(day) * length_ms / 1000.0
@@ -102,6 +101,39 @@
     assert now.refused_with_room <= before.refused_with_room + 0.01 * now.asked
 
 
+def keyed(seed: int) -> Day:
+    """Orders with keys, nodes that die in the middle of them, and nodes that drain."""
+    day = Day("keyed", seed, 100.0, days.THREE, days.none, length_ms=12000.0, spec=days.TILE, retries=2,
+              effect=api.Effect.KEYED, troubles=(
+                  Trouble(3000.0, "crash", part=0.3, for_ms=2000.0),
+                  Trouble(5000.0, "drain", part=0.2, for_ms=3000.0)))
+    return days.load(day, 0.7)
+
+
+def test_no_key_is_charged_twice_and_no_drain_broken_while_nodes_die_and_leave() -> None:
+    simulation = Simulation(keyed(1))
+    result = kept(simulation.play())
+    assert simulation.drained
+    assert sum(len(rack.charges) for rack in simulation.racks.values()) >= result.served > 0
+
+
+def test_the_simulators_checks_can_go_the_other_way(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against checks that cannot fail: forgotten cells, windows and drains are told."""
+    monkeypatch.setattr(Request, "may_send_to", lambda self, endpoint, now: True)
+    simulation = Simulation(keyed(1))
+    assert simulation.play().double_charges > 0
+    deaf = Simulation(keyed(1))
+    tell = deaf.feed
+
+    def feed(proxy: int, event: api.Event) -> None:
+        if not (isinstance(event, api.EndpointsListed) and event.endpoints
+                and event.endpoints[0].state is api.EndpointState.DRAINING):
+            tell(proxy, event)
+
+    monkeypatch.setattr(deaf, "feed", feed)
+    assert deaf.play().late_drains > 0
+
+
 def test_the_same_seed_plays_the_same_day() -> None:
     one, two = play(days.jam(4)), play(days.jam(4))
     assert one == two
