--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -59,9 +59,9 @@
         self.driver.registry = self.watch
         self.front = Front(loop, self.clock, self.driver, room - upstream, lambda: self.watch.up)
         if features is not None and features.order_keys.store != "off":
-            from honeywharf.orderkeys import edge  # not where it is off: that costs memory
+            from honeywharf import orderkeys  # not where it is off: that costs memory
 
-            self.driver.keys = edge.make(self.driver, features.order_keys)
+            self.driver.keys = orderkeys.make(self.driver, features.order_keys, loop)
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -27,14 +27,27 @@
 Milliseconds = Annotated[float, msgspec.Meta(gt=0)]
 
 
+class Redis(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[order_keys.redis]`: the store that proxies share. The password lies in `password_file`."""
+
+    url: str = "redis://127.0.0.1:6379"
+    password_file: str = ""
+    prefix: Annotated[str, msgspec.Meta(min_length=1, max_length=64)] = "honeywharf"
+    wait_ms: Milliseconds = 100.0
+    empty: Literal["wait", "trust"] = "wait"
+    durable: bool = False
+
+
 class OrderKeys(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`[order_keys]`: idempotency keys known at the edge; see docs/operators/orderkeys.md."""
 
-    store: Literal["off", "process"] = "off"
+    store: Literal["off", "process", "redis"] = "off"
     entries: Count = 20_000
     bytes: Count = 32 * 1024 * 1024
     whole_answer_bytes: Annotated[int, msgspec.Meta(ge=0)] = 16 * 1024
     keep_ms: dict[str, Milliseconds] = {}
+    alone: tuple[str, ...] = ()
+    redis: Redis = msgspec.field(default_factory=Redis)
 
 
 class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/honeywharf/net/proxy.py
+++ b/honeywharf/net/proxy.py
@@ -138,8 +138,8 @@
 class Watcher(Protocol):
     """Who is told of what becomes of a request's attempts: the holder of an idempotency key's claim."""
 
-    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> None:
-        """An attempt is about to leave."""
+    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> bool:
+        """An attempt is about to leave; False where it may only once the driver is told by `go`."""
 
     def ended(self, number: int, outcome: api.Outcome, response: http1.Response | None) -> None:
         """An attempt has its one outcome."""
@@ -493,13 +493,22 @@
             held.attempts.append(None)
             return
         attempt = Attempt(self, held, action.endpoint, now, until)
-        if held.watcher is not None:
-            held.watcher.sent(attempt.number, action.zone, action.cell, now)
         held.attempts.append(attempt)
         held.live += 1
         if until < held.deadline_ms - LAST_MS:  # else the request's own timer ends it
             attempt.timer = self.loop.call_later((until - now) / 1000.0, self._time_out, attempt)
-        self.transport.start(attempt)
+        if held.watcher is None or held.watcher.sent(attempt.number, action.zone, action.cell, now):
+            self.transport.start(attempt)
+
+    def go(self, request: str, number: int, sure: bool) -> None:
+        """An attempt that its watcher has held back leaves now, or never."""
+        held = self.requests.get(request)
+        attempt = held.attempts[number] if held is not None and number < len(held.attempts) else None
+        if attempt is not None and attempt.live:
+            if sure and not attempt.held.over and attempt.until_ms > self.clock.now() + LAST_MS:
+                self.transport.start(attempt)
+            else:
+                self.attempt_ended(attempt, api.Outcome.NOT_SENT, None)
 
     def _cancel(self, action: api.Cancel) -> None:
         held = self.requests.get(action.request)
--- a/honeywharf/orderkeys/__init__.py
+++ b/honeywharf/orderkeys/__init__.py
@@ -12,4 +12,28 @@
 repeats, and gives a claim back once nothing of the request is out. A repeat of an uncertain key is a new
 request to the decision module, which is told of the earlier attempt and holds the rules on cells and windows
 for both as if they were one.
+
+Keys that proxies share lie in Redis: `scripts` has the rules as it carries them out, `shared` one proxy's
+side of them (claims asked for, ends owed, the breaker), without I/O as well, and `redis` the connection.
 """
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from honeywharf.config.features import OrderKeys
+    from honeywharf.net.proxy import Driver
+    from honeywharf.orderkeys.edge import Edge
+
+
+def make(driver: Driver, features: OrderKeys, loop: asyncio.AbstractEventLoop) -> Edge:
+    """The edge that the file of features asks for; ValueError where it doesn't fit the classes."""
+    if features.store == "redis":
+        from honeywharf.orderkeys import redis
+
+        return redis.make(driver, features, loop)
+    from honeywharf.orderkeys import edge
+
+    return edge.make(driver, features)
--- a/honeywharf/orderkeys/edge.py
+++ b/honeywharf/orderkeys/edge.py
@@ -11,6 +11,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from mypy_extensions import mypyc_attr
+
 from honeywharf import interface as api
 from honeywharf.net import http1
 from honeywharf.net.proxy import FAILED, REFUSED, Caller, Driver, Timer
@@ -18,22 +20,50 @@
 
 if TYPE_CHECKING:
     from honeywharf.config.features import OrderKeys
+    from honeywharf.orderkeys.shared import Shared
 
 JOINED_MOST = 16  # repeats that wait for one request: a client that sends more is told 409
-WAITING_MOST = 4096  # repeats that wait in all
+WAITING_MOST = 4096  # requests that wait in all
+AFTER_LEASE_S = 0.005  # so long after another proxy's lease has ended its key is asked for again
 CONFLICT, UNPROCESSABLE = 409, 422
 KEPT_WINDOWS = 4.0  # windows for which a key is known where no time is given for its class
 
 
-class Run:
+@mypyc_attr(allow_interpreted_subclasses=True)
+class Joined:
+    """A key that runs, and the repeats that wait for it."""
+
+    __slots__ = ("answer_kept", "joined", "name", "payload")
+
+    def __init__(self, name: bytes, payload: bytes) -> None:
+        self.name, self.payload = name, payload
+        self.joined: deque[Waiting] = deque()
+        self.answer_kept: Answer | None = None  # where it is done, and attempts are still out
+
+
+class Elsewhere(Joined):
+    """A key that runs through another proxy: asked for again when the store tells, or its lease ends."""
+
+    __slots__ = ("timer",)
+
+    def __init__(self, name: bytes, payload: bytes) -> None:
+        super().__init__(name, payload)
+        self.timer: Timer | None = None
+
+
+class Run(Joined):
     """The holder of a key's claim: towards the driver the request's caller, and its attempts' watcher."""
 
-    __slots__ = ("caller", "claim", "edge", "joined", "name", "places", "request")
+    __slots__ = ("caller", "claim", "edge", "noted", "places", "request", "shared")
 
-    def __init__(self, edge: Edge, name: bytes, request: http1.Request, caller: Caller, claim: Claim) -> None:
-        self.edge, self.name, self.request, self.caller, self.claim = edge, name, request, caller, claim
+    def __init__(
+        self, edge: Edge, name: bytes, payload: bytes, request: http1.Request, caller: Caller, claim: Claim,
+        shared: bool,
+    ) -> None:
+        super().__init__(name, payload)
+        self.edge, self.request, self.caller, self.claim, self.shared = edge, request, caller, claim, shared
         self.places: dict[int, api.Earlier] = {}  # attempts that may have run
-        self.joined: deque[Waiting] = deque()
+        self.noted: api.Earlier | None = claim.earlier  # the place that a shared store knows
 
     def first_place(self) -> api.Earlier | None:
         """The first attempt that may have run, of this request."""
@@ -41,9 +71,10 @@
 
     # What the driver tells.
 
-    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> None:
-        """An attempt is about to leave."""
-        self.places[number] = api.Earlier(zone, cell, now_ms)
+    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> bool:
+        """An attempt is about to leave; one to another cell than a shared store knows waits for its note."""
+        place = self.places[number] = api.Earlier(zone, cell, now_ms)
+        return not self.shared or self.edge.noted(self, number, place)
 
     def ended(self, number: int, outcome: api.Outcome, response: http1.Response | None) -> None:
         """Forget an attempt that never ran; keep the first answer, for the repeats too.
@@ -59,11 +90,15 @@
         """Nothing is out any more: what is not done is uncertain, or free."""
         self.edge.settled(self)
 
+    def same(self, body: bytes) -> bool:
+        """Whether an answer is the one that the key's first request got, as far as that is known."""
+        return not self.claim.digest or self.claim.digest == digest(body)
+
     def answer(
         self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
     ) -> None:
         """The final answer to the request itself."""
-        if status == 200 and not self.edge.same(self, body):
+        if status == 200 and not self.same(body):
             # Guards "the same answer to every repeat" where the answer was too long to be kept.
             self.caller.answer(FAILED)
             return
@@ -71,25 +106,38 @@
 
 
 class Waiting:
-    """A repeat that waits for the answer of another request."""
+    """A request that waits: a repeat for the answer of another, any for a shared store's word."""
 
-    __slots__ = ("caller", "deadline_ms", "name", "payload", "request", "run", "timer")
+    __slots__ = ("caller", "deadline_ms", "edge", "group", "name", "payload", "request", "runs", "timer")
 
     def __init__(
-        self, name: bytes, payload: bytes, request: http1.Request, caller: Caller, deadline_ms: float,
+        self, edge: Edge, name: bytes, payload: bytes, request: http1.Request, caller: Caller,
+        deadline_ms: float,
     ) -> None:
-        self.name, self.payload, self.request, self.caller = name, payload, request, caller
-        self.deadline_ms = deadline_ms
-        self.run: Run | None = None
+        self.edge, self.name, self.payload, self.request = edge, name, payload, request
+        self.caller, self.deadline_ms = caller, deadline_ms
+        self.group: Joined | None = None
+        self.runs = False  # whether its key is known to have run, or to run
         self.timer: Timer | None = None
 
+    def claimed(self, claim: Claim) -> None:
+        """The shared store's word."""
+        self.edge.claimed(self, claim)
+
 
 class Edge:
-    """All keyed requests of one proxy. `keep_ms`: by class, how long a key is known after it has ended."""
+    """All keyed requests of one proxy. `keep_ms`: by class, how long a key is known after it has ended.
 
-    def __init__(self, driver: Driver, table: Table, keep_ms: dict[str, float]) -> None:
-        self.driver, self.table, self.keep_ms = driver, table, keep_ms
-        self.runs: dict[bytes, Run] = {}
+    With `shared` the keys are those of all proxies of the site, and `table` holds those of the classes in
+    `alone`, while the shared store is away.
+    """
+
+    def __init__(
+        self, driver: Driver, table: Table, keep_ms: dict[str, float], shared: Shared | None = None,
+        alone: frozenset[str] = frozenset(),
+    ) -> None:
+        self.driver, self.table, self.keep_ms, self.shared, self.alone = driver, table, keep_ms, shared, alone
+        self.runs: dict[bytes, Joined] = {}
         self.waiting: dict[http1.Request, Waiting] = {}
         for cls in driver.settings.classes:
             if cls.effect is api.Effect.KEYED and keep_ms.get(cls.name, 0.0) < cls.window_ms:
@@ -102,55 +150,188 @@
         """Run it, join it, or answer it from what is known."""
         name = name_of(request.account, request.class_name, request.idempotency_key)
         payload = payload_of(request.method, request.target, request.body)
-        return self._take(name, payload, request, caller, left_ms)
+        if self.shared is None:
+            return self._own(name, payload, request, caller, left_ms)
+        waiting = Waiting(self, name, payload, request, caller, self.driver.clock.now() + left_ms)
+        self._ask(waiting, self.shared)
+        return True
+
+    # One proxy's own keys.
 
-    def _take(
+    def _own(
         self, name: bytes, payload: bytes, request: http1.Request, caller: Caller, left_ms: float,
     ) -> bool:
         now = self.driver.clock.now()
         claim = self.table.claim(name, request.account, payload, now)
         if claim.verdict is Verdict.RUN:
-            run = Run(self, name, request, caller, claim)
+            run = Run(self, name, payload, request, caller, claim, False)
             if not self.driver.take(request, run, left_ms, claim.earlier, run):
                 self.table.settle(name, claim.fence, None, now)  # its id is in the table: nothing was sent
                 return False
             self.runs[name] = run
         elif claim.verdict is Verdict.JOIN:
-            return self._join(name, payload, request, caller, now + left_ms)
-        elif claim.verdict is Verdict.ANSWER and claim.answer is not None:
+            group = self.runs.get(name)
+            return group is not None and self._join(
+                Waiting(self, name, payload, request, caller, now + left_ms), group)
+        else:
+            self._say(claim, caller)
+        return True
+
+    def _say(self, claim: Claim, caller: Caller) -> None:
+        """Answer a request that neither runs nor waits."""
+        if claim.verdict is Verdict.ANSWER and claim.answer is not None:
             self.driver.count("keys:repeated")
             caller.answer(200, claim.answer.body, kind=claim.answer.kind)
         elif claim.verdict is Verdict.OTHER_PAYLOAD:
             self.driver.count("keys:other payload")
             caller.answer(UNPROCESSABLE)
+        elif claim.verdict is Verdict.BUSY:
+            self.driver.count("keys:conflict")
+            caller.answer(CONFLICT)
         else:
             self.driver.count("keys:full")
-            limits = self.driver.settings.limits
-            caller.answer(REFUSED, retry_after_ms=limits.max_retry_after_ms if limits.retry_after else 0.0)
-        return True
+            self._refuse(caller)
+
+    def _refuse(self, caller: Caller) -> None:
+        limits = self.driver.settings.limits
+        caller.answer(REFUSED, retry_after_ms=limits.max_retry_after_ms if limits.retry_after else 0.0)
+
+    # Keys that proxies share.
+
+    def _ask(self, waiting: Waiting, shared: Shared) -> None:
+        """Join it, or ask the store for its key."""
+        group, request = self.runs.get(waiting.name), waiting.request
+        if group is not None:
+            if group.payload != waiting.payload:
+                self._say(Claim(Verdict.OTHER_PAYLOAD), waiting.caller)
+            elif group.answer_kept is not None:
+                self._say(Claim(Verdict.ANSWER, answer=group.answer_kept), waiting.caller)
+            elif not self._join(waiting, group):
+                waiting.caller.answer(CONFLICT)
+            return
+        cls, left = self.driver.classes[request.class_name], waiting.deadline_ms - self.driver.clock.now()
+        keep = self.keep_ms[cls.name]
+        self._park(waiting)
+        if len(self.waiting) > WAITING_MOST or not shared.claim(
+                waiting.name, request.account, waiting.payload, max(0.0, left), keep, keep + cls.deadline_ms,
+                waiting):
+            self.claimed(waiting, Claim(Verdict.AWAY))
+
+    def claimed(self, waiting: Waiting, claim: Claim) -> None:
+        """The shared store's word on a request."""
+        shared, name, request, caller = self.shared, waiting.name, waiting.request, waiting.caller
+        assert shared is not None
+        here = self.waiting.get(request) is waiting
+        if here:
+            self._leave(waiting)
+        if claim.verdict is Verdict.RUN:
+            run = Run(self, name, waiting.payload, request, caller, claim, True)
+            left = waiting.deadline_ms - self.driver.clock.now()
+            if here and self.driver.take(request, run, left, claim.earlier, run):
+                self.runs[name] = run
+                return
+            self._end(run, None)  # nothing was sent
+            if here:
+                caller.answer(CONFLICT)  # its id is in the table
+        elif not here:
+            return
+        elif claim.verdict is Verdict.JOIN:
+            group = self.runs.get(name)
+            if group is None:
+                group = self.runs[name] = Elsewhere(name, waiting.payload)
+                group.timer = self.driver.loop.call_later(
+                    claim.wait_ms / 1000.0 + AFTER_LEASE_S, self.noticed, name)
+            if not self._join(waiting, group):
+                caller.answer(CONFLICT)
+        elif claim.verdict is Verdict.AWAY:
+            self._away(waiting, shared)
+        else:
+            self._say(claim, caller)
 
-    def _join(
-        self, name: bytes, payload: bytes, request: http1.Request, caller: Caller, deadline_ms: float,
-    ) -> bool:
-        run = self.runs.get(name)
-        if run is None or len(run.joined) >= JOINED_MOST or len(self.waiting) >= WAITING_MOST:
+    def _away(self, waiting: Waiting, shared: Shared) -> None:
+        """The store can't be asked, or has lost its keys: refuse, or go on alone, as the operator chose.
+
+        Nothing of this request has run. Where an earlier one of its key may have, a refusal would promise
+        that trying again is harmless.
+        """
+        request, caller = waiting.request, waiting.caller
+        self.driver.count("keys:store away")
+        if waiting.runs or request.repeat or shared.knows_of(waiting.name):
+            caller.answer(FAILED)
+        elif request.class_name not in self.alone:
+            self._refuse(caller)
+        elif not self._own(waiting.name, waiting.payload, request, caller,
+                           waiting.deadline_ms - self.driver.clock.now()):
+            caller.answer(CONFLICT)
+
+    def noted(self, run: Run, number: int, place: api.Earlier) -> bool:
+        """Tell the store where an attempt goes; False where it has to be sure before it leaves.
+
+        Guards a key whose proxy dies: it may be sent again only to the cell that the store knows, so no
+        attempt leaves for another one before the store knows that. Without any note it is sent nowhere.
+        """
+        shared, known = self.shared, run.noted
+        assert shared is not None
+        if known is not None and (known.zone, known.cell) == (place.zone, place.cell):
+            return True
+        if known is None:
+            run.noted = place
+            shared.note(run.name, run.claim.fence, place)
+            return True
+
+        def sure(held: bool) -> None:
+            if held:
+                run.noted = place
+            self.driver.go(run.request.id, number, held)
+
+        if not shared.note(run.name, run.claim.fence, place, sure):
+            self.driver.loop.call_soon(self.driver.go, run.request.id, number, False)
+        return False
+
+    def noticed(self, name: bytes) -> None:
+        """A key that runs through another proxy is settled, or its lease is over: ask again."""
+        group = self.runs.get(name)
+        if isinstance(group, Elsewhere):
+            del self.runs[name]
+            if group.timer is not None:
+                group.timer.cancel()
+            self._next(group)
+
+    def _end(self, run: Run, answer: Answer | None) -> None:
+        """Tell the store of a request's end."""
+        assert self.shared is not None
+        self.shared.end(run.name, run.claim.fence, run.request.account, run.payload, answer,
+                        run.first_place(), self.keep_ms[run.request.class_name])
+
+    # Those that wait.
+
+    def _join(self, waiting: Waiting, group: Joined) -> bool:
+        """Wait for the key's request."""
+        if len(group.joined) >= JOINED_MOST or len(self.waiting) >= WAITING_MOST:
             self.driver.count("keys:conflict")
             return False
-        waiting = Waiting(name, payload, request, caller, deadline_ms)
-        waiting.run = run
-        run.joined.append(waiting)
+        waiting.group, waiting.runs = group, True
+        group.joined.append(waiting)
         self.driver.count("keys:joined")
-        left_s = max(0.0, deadline_ms - self.driver.clock.now()) / 1000.0
+        self._park(waiting)
+        return True
+
+    def _park(self, waiting: Waiting) -> None:
+        left_s = max(0.0, waiting.deadline_ms - self.driver.clock.now()) / 1000.0
         waiting.timer = self.driver.loop.call_later(left_s, self._overdue, waiting)
-        self.waiting[request] = waiting
+        self.waiting[waiting.request] = waiting
         self.driver.open += 1
-        return True
 
     def _leave(self, waiting: Waiting) -> None:
         """It waits no more."""
-        if waiting.run is not None:
-            waiting.run.joined.remove(waiting)
-            waiting.run = None
+        group = waiting.group
+        if group is not None:
+            group.joined.remove(waiting)
+            waiting.group = None
+            if isinstance(group, Elsewhere) and not group.joined and self.runs.get(group.name) is group:
+                del self.runs[group.name]
+                if group.timer is not None:
+                    group.timer.cancel()
         if waiting.timer is not None:
             waiting.timer.cancel()
         if self.waiting.pop(waiting.request, None) is not None:
@@ -158,13 +339,13 @@
 
     def _overdue(self, waiting: Waiting) -> None:
         """Its own time is up. The request it waits for may have run: no promise."""
-        if waiting.request in self.waiting:
+        if self.waiting.get(waiting.request) is waiting:
             self._leave(waiting)
             self.driver.count("keys:overdue")
             waiting.caller.answer(FAILED)
 
     def gone(self, request: http1.Request) -> None:
-        """The client of a repeat has left. The request it waited for goes on."""
+        """The client of a request that waits has left. What it waited for goes on."""
         waiting = self.waiting.get(request)
         if waiting is not None:
             self._leave(waiting)
@@ -176,47 +357,66 @@
             self._leave(waiting)
             waiting.caller.answer(FAILED)
 
-    def same(self, run: Run, body: bytes) -> bool:
-        """Whether an answer is the one that the key's first request got, as far as that is known."""
-        first = self.table.digest_of(run.name)
-        return not first or first == digest(body)
+    # The end of a key's request.
 
     def answered(self, run: Run, answer: Answer) -> None:
         """The effect has happened: the key is done, and every repeat has its answer."""
-        until = self.driver.clock.now() + self.keep_ms[run.request.class_name]
-        if not self.same(run, answer.body):
+        if not run.same(answer.body):
             self.driver.count("keys:other answer")
             return
-        self.table.finish(run.name, run.claim.fence, answer, run.first_place(), until)
+        if run.answer_kept is not None:
+            return  # another attempt's answer was first
+        run.answer_kept = answer
+        if run.shared:
+            self._end(run, answer)
+        else:
+            until = self.driver.clock.now() + self.keep_ms[run.request.class_name]
+            self.table.finish(run.name, run.claim.fence, answer, run.first_place(), until)
         for waiting in list(run.joined):
             self._leave(waiting)
-            self.driver.count("keys:repeated")
-            waiting.caller.answer(200, answer.body, kind=answer.kind)
+            self._say(Claim(Verdict.ANSWER, answer=answer), waiting.caller)
 
     def settled(self, run: Run) -> None:
         """Give the claim back; the repeat that has waited longest is next."""
         if self.runs.get(run.name) is run:
             del self.runs[run.name]
-        until = self.driver.clock.now() + self.keep_ms[run.request.class_name]
-        self.table.settle(run.name, run.claim.fence, run.first_place(), until)
+        if run.answer_kept is None:
+            if run.shared:
+                self._end(run, None)
+            else:
+                until = self.driver.clock.now() + self.keep_ms[run.request.class_name]
+                self.table.settle(run.name, run.claim.fence, run.first_place(), until)
         if run.joined:
             self.driver.loop.call_soon(self._next, run)
 
-    def _next(self, run: Run) -> None:
+    def _next(self, group: Joined) -> None:
         """Each that waited is taken as if it came now: the first runs, the others wait for it."""
-        for waiting in list(run.joined):
+        for waiting in list(group.joined):
             self._leave(waiting)
+            if self.shared is not None:
+                self._ask(waiting, self.shared)
+                continue
             left = waiting.deadline_ms - self.driver.clock.now()
-            if not self._take(waiting.name, waiting.payload, waiting.request, waiting.caller, left):
+            if not self._own(waiting.name, waiting.payload, waiting.request, waiting.caller, left):
                 waiting.caller.answer(CONFLICT)
 
 
-def make(driver: Driver, features: OrderKeys) -> Edge:
-    """The edge that the file of features asks for; ValueError where its times do not fit the classes."""
+def kept_ms(driver: Driver, features: OrderKeys) -> dict[str, float]:
+    """By class, how long a key is known after it has ended; ValueError where a class has no keys."""
     keyed = {c.name: c for c in driver.settings.classes if c.effect is api.Effect.KEYED}
-    strange = sorted(set(features.keep_ms) - set(keyed))
-    if strange:
-        raise ValueError(
-            f"order_keys.keep_ms: found class {strange[0]!r}, wanted one of {', '.join(keyed) or 'none'}")
-    keep = {name: features.keep_ms.get(name, KEPT_WINDOWS * c.window_ms) for name, c in keyed.items()}
-    return Edge(driver, Table(features.entries, features.bytes, features.whole_answer_bytes), keep)
+    for key, names in (("keep_ms", set(features.keep_ms)), ("alone", set(features.alone))):
+        strange = sorted(names - set(keyed))
+        if strange:
+            raise ValueError(
+                f"order_keys.{key}: found class {strange[0]!r}, wanted one of {', '.join(keyed) or 'none'}")
+    return {name: features.keep_ms.get(name, KEPT_WINDOWS * c.window_ms) for name, c in keyed.items()}
+
+
+def table_of(features: OrderKeys) -> Table:
+    """An empty table within the bounds that the file of features sets."""
+    return Table(features.entries, features.bytes, features.whole_answer_bytes)
+
+
+def make(driver: Driver, features: OrderKeys) -> Edge:
+    """The edge of one proxy's own keys; ValueError where its times do not fit the classes."""
+    return Edge(driver, table_of(features), kept_ms(driver, features))
--- a/honeywharf/orderkeys/table.py
+++ b/honeywharf/orderkeys/table.py
@@ -35,6 +35,8 @@
     ANSWER = "answer"  # the effect has happened: the answer is there
     OTHER_PAYLOAD = "other payload"  # the key was used for another request
     FULL = "full"  # no room for a new key: nothing has run
+    BUSY = "busy"  # as JOIN, but too many wait already
+    AWAY = "away"  # a shared store can't be asked, or doesn't know: nothing of this request has run
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,12 +49,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Claim:
-    """The verdict on a request. `fence` and `earlier` where it is to run, `answer` where it is done."""
+    """The verdict on a request. `fence` and `earlier` where it is to run, `answer` where it is done.
+
+    `digest`: of the answer that the key's first request got, where it was too long to keep. `wait_ms`: how
+    long a running key's lease still is, or a store waits that has lost its keys.
+    """
 
     verdict: Verdict
     fence: int = 0
     earlier: api.Earlier | None = None
     answer: Answer | None = None
+    digest: bytes = b""
+    wait_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -139,7 +147,7 @@
         self.fence += 1
         entry.state, entry.fence = State.RUNNING, self.fence
         self._list(name, entry)
-        return Claim(Verdict.RUN, self.fence, entry.earlier)
+        return Claim(Verdict.RUN, self.fence, entry.earlier, digest=entry.digest)
 
     def finish(
         self, name: bytes, fence: int, answer: Answer, earlier: api.Earlier | None, until_ms: float,
@@ -184,11 +192,6 @@
         self._list(name, entry)
         return True
 
-    def digest_of(self, name: bytes) -> bytes:
-        """The digest of a done key's answer; empty where none is known."""
-        entry = self.entries.get(name)
-        return entry.digest if entry is not None else b""
-
     def expire(self, now_ms: float, most: int = 256) -> int:
         """Forget settled keys whose time is up, at most so many at once; how many they were."""
         gone = 0
--- a/tests/orderkeys/test_table.py
+++ b/tests/orderkeys/test_table.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from honeywharf import interface as api
-from honeywharf.orderkeys.table import ENTRY_BYTES, Answer, State, Table, Verdict, name_of, payload_of
+from honeywharf.orderkeys.table import ENTRY_BYTES, Answer, State, Table, Verdict, digest, name_of, payload_of
 
 V = Verdict
 TILE = Answer(b"tile", b"image/png")
@@ -68,7 +68,7 @@
     t.finish(b"k", claim.fence, TILE, PLACE, 500.0)
     again = t.claim(b"k", "t", P, 1.0)
     assert (again.verdict, again.earlier) == (V.RUN, PLACE)
-    assert t.digest_of(b"k")
+    assert again.digest == digest(TILE.body)
     t.settle(b"k", again.fence, None, 900.0)  # no answer this time: still done
     assert t.entries[b"k"].state is State.DONE
 
