--- a/honeywharf/standins/backend.py
+++ b/honeywharf/standins/backend.py
@@ -9,6 +9,7 @@
 from contextlib import suppress
 from typing import Any
 
+from honeywharf.standins.histories import History
 from honeywharf.standins.messages import Message, read_message, reply, row
 from honeywharf.standins.model import INFINITY, Node, Rack
 
@@ -58,6 +59,7 @@
         self.grace_ms = 550.0
         self.writers: set[asyncio.StreamWriter] = set()
         self.came = asyncio.Event()
+        self.history: History | None = None  # told of each charge
         self.port = 0
         self.server: asyncio.Server | None = None
 
@@ -118,8 +120,9 @@
         self.taken += 1
         self.last_taken_ms = now
         key = headers.get(b"idempotency-key")
-        if key is not None and self.rack is not None:
-            self.rack.charge(key.decode("latin-1"), now)
+        if (key is not None and self.rack is not None and self.rack.charge(key.decode("latin-1"), now)
+                and self.history is not None):
+            self.history.charged(key.decode("latin-1"), name.decode("latin-1"), now)
         done = self.ended[call] = asyncio.get_running_loop().create_future()
         self._arm(node)
         await done
