--- a/tests/orderkeys/shared.py
+++ b/tests/orderkeys/shared.py
@@ -12,15 +12,17 @@
 from honeywharf.orderkeys.edge import Edge
 from honeywharf.orderkeys.redis import Store
 from honeywharf.standins.redis import Redis
+from honeywharf.standins.relay import Relay
 from tests.loopback import Backend, World, until, world
 
 
 def on(
-    redis: Redis, empty: str = "trust", wait_ms: float = 2000.0, password_file: str = "", **changes: Any,
+    redis: Redis | Relay, empty: str = "trust", wait_ms: float = 2000.0, password_file: str = "",
+    **changes: Any,
 ) -> Features:
     """The features of a proxy that shares its keys there."""
-    told: dict[str, Any] = {
-        "url": redis.url, "empty": empty, "wait_ms": wait_ms, "password_file": password_file}
+    told: dict[str, Any] = {"url": f"redis://127.0.0.1:{redis.port}", "empty": empty, "wait_ms": wait_ms,
+                            "password_file": password_file}
     return Features(order_keys=OrderKeys(store="redis", redis=features.Redis(**told), **changes))
 
 
