Turn the driver into a core of no protocol, with HTTP, discovery and codecs beside it

Need: field units speak CoAP; the driver held HTTP/1.1 requests, heads and statuses, so no other protocol could pass through the decision module.

HTTP nodes can be given a request of another protocol (codecs.http1.head_of). tests/test_layers.py reads the imports: arrows point one way, and what settles something imports no socket, loop or clock.

--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -16,11 +16,12 @@
 
 from honeywharf import interface as api, limits
 from honeywharf.brain import Balancer
-from honeywharf.net import config
-from honeywharf.net.discovery import Directory, Watch
-from honeywharf.net.downstream import Front
-from honeywharf.net.proxy import Clock, Driver, log
-from honeywharf.net.upstream import Pool
+from honeywharf.config import node as config
+from honeywharf.core.driver import Driver
+from honeywharf.core.transport import Clock, log
+from honeywharf.discovery.watch import Directory, Watch
+from honeywharf.http.backend import Pool
+from honeywharf.http.front import Front
 
 if TYPE_CHECKING:
     from honeywharf.config.features import Features
--- a/honeywharf/cli.py
+++ b/honeywharf/cli.py
@@ -46,8 +46,7 @@
 @click.argument("files", nargs=-1, required=True, type=FEATURES)
 def check_config(files: tuple[Path, ...]) -> None:
     """Tell what is wrong with files of features (.toml) or of the platform's configuration (.json)."""
-    from honeywharf.config import features
-    from honeywharf.net import config
+    from honeywharf.config import features, node as config
 
     wrong = False
     for path in files:
--- /dev/null
+++ b/honeywharf/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Bytes to messages and back, one protocol a module, without sockets."""
--- a/honeywharf/net/http1.py
+++ b/honeywharf/codecs/http1.py
@@ -7,12 +7,13 @@
 
 import httptools
 
+from honeywharf.core import messages
+
 MAX_BODY = 64 * 1024  # of a request
 # Of an answer. The protocol says 64 KiB; good answers of 400 KB have been seen. What is said to be longer is
 # spoilt. Could hurt where many long ones come at once: the pool bounds what they hold together.
 MAX_ANSWER = 1024 * 1024
 MAX_HEAD = 16 * 1024
-MOST_PAIRS = 32  # figures that one header is read for
 MOST_INTERIM = 8  # 1xx answers ahead of one answer
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
@@ -29,7 +30,6 @@
 ))
 _ID = re.compile(rb"[!-~]{1,128}")
 _DURATION = re.compile(rb"(\d{1,12}(?:\.\d{1,9})?)([mu])")
-_FIGURE = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
 _SID = re.compile(rb"(?:^|;)\s*sid=([^;\s]*)")
 
 
@@ -55,25 +55,6 @@
     return b"X-Time-Left: %du\r\n" % max(0, int(ms * 1000.0))
 
 
-def figure(value: bytes) -> float | None:
-    """A number of the usual form, not negative; None where it is none.
-
-    Guards against what `float` would take: `nan`, `inf`, `1_0`, and figures that no load has.
-    """
-    return float(value) if _FIGURE.fullmatch(value.strip()) else None
-
-
-def pairs(value: bytes) -> dict[str, float]:
-    """`name=value,name=value` as numbers; what is none is left out."""
-    found: dict[str, float] = {}
-    for item in value.split(b",", MOST_PAIRS)[:MOST_PAIRS]:
-        name, _, text = item.partition(b"=")
-        number = figure(text)
-        if number is not None:
-            found[name.strip().decode("latin-1")] = number
-    return found
-
-
 def too_long(value: bytes, most: int) -> bool:
     """Whether a Content-Length is more than may come; one that is no number is the parser's to refuse."""
     value = value.strip()
@@ -94,31 +75,48 @@
     return head + b"\r\n" + body
 
 
-class Request:
-    """A caller's request, read to its last byte."""
+class Request(messages.Request):
+    """A caller's request; `forwarded` are the header lines that go on to an HTTP node."""
 
-    __slots__ = (
-        "account", "body", "class_name", "expects", "facts", "forwarded", "hint_ms", "id", "idempotency_key",
-        "keep", "left_ms", "method", "read_ms", "repeat", "sid", "target",
-    )
+    __slots__ = ("expects", "forwarded", "keep", "made_head")
 
     def __init__(self) -> None:
-        self.method = self.target = self.body = b""
-        self.forwarded: list[bytes] = []  # header lines that go on to the backend
-        self.id = self.class_name = self.account = self.sid = ""
-        self.idempotency_key = self.facts = b""
-        self.left_ms: float | None = None
-        self.hint_ms: float | None = None
-        self.repeat = self.expects = False
+        super().__init__()
+        self.forwarded: list[bytes] = []
+        self.expects = False
         self.keep = True
-        self.read_ms = 0.0  # when its last byte had come, on the proxy's clock
+        self.made_head = b""  # its head for a node, once it has been asked for
 
     def head(self) -> bytes:
-        """Its head for a backend, up to the time left."""
-        lines = [b"%b %b HTTP/1.1\r\n" % (self.method, self.target), *self.forwarded]
-        if self.body or self.method != b"GET":
-            lines.append(b"Content-Length: %d\r\n" % len(self.body))
-        return b"".join(lines)
+        """Its head for a node, up to the time left."""
+        if not self.made_head:
+            lines = [b"%b %b HTTP/1.1\r\n" % (self.method, self.target), *self.forwarded]
+            if self.body or self.method != b"GET":
+                lines.append(b"Content-Length: %d\r\n" % len(self.body))
+            self.made_head = b"".join(lines)
+        return self.made_head
+
+
+def head_of(request: messages.Request, host: bytes) -> bytes:
+    """The head for a node of any protocol's request, up to the time left; `host` where it named none."""
+    if isinstance(request, Request):
+        return request.head()
+    lines = [
+        b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (request.method, request.target, host),
+        b"X-Correlation-Id: %b\r\n" % request.id.encode("latin-1"),
+        b"X-Service-Class: %b\r\n" % request.class_name.encode("latin-1"),
+    ]
+    for name, value in (
+            (b"X-Account", request.account.encode("latin-1")), (b"Idempotency-Key", request.idempotency_key),
+            (b"X-Repeat", b"1" if request.repeat else b""), (b"X-Facts", request.facts),
+            (b"Content-Type", request.kind)):
+        if value:
+            lines.append(b"%b: %b\r\n" % (name, value))
+    if request.hint_ms is not None:
+        lines.append(b"X-Weight-Hint: %d\r\n" % int(request.hint_ms * 1000.0))
+    if request.body or request.method != b"GET":
+        lines.append(b"Content-Length: %d\r\n" % len(request.body))
+    return b"".join(lines)
 
 
 NONE = Request()  # between messages
@@ -163,7 +161,7 @@
 
 
 def _hint(request: Request, value: bytes) -> None:
-    hint = figure(value)
+    hint = messages.figure(value)
     request.hint_ms = None if hint is None else hint / 1000.0
 
 
@@ -171,6 +169,10 @@
     request.facts = value
 
 
+def _kind(request: Request, value: bytes) -> None:
+    request.kind = value
+
+
 def _expect(request: Request, value: bytes) -> None:
     request.expects = value.strip().lower() == b"100-continue"
 
@@ -178,7 +180,7 @@
 HEADERS: dict[bytes, Callable[[Request, bytes], None]] = {
     b"x-correlation-id": _id, b"x-service-class": _class, b"x-account": _account, b"cookie": _cookie,
     b"x-time-left": _left, b"x-repeat": _repeat, b"idempotency-key": _idempotency, b"x-weight-hint": _hint,
-    b"x-facts": _facts, b"expect": _expect,
+    b"x-facts": _facts, b"expect": _expect, b"content-type": _kind,
 }
 
 
@@ -302,17 +304,15 @@
         self.done.append(request)
 
 
-class Response:
-    """A backend's or discovery's answer, whole."""
+class Response(messages.Response):
+    """A node's or discovery's answer, whole."""
 
-    __slots__ = ("body", "keep", "kind", "load", "status", "unprocessed")
+    __slots__ = ("keep", "status", "unprocessed")
 
     def __init__(self) -> None:
+        super().__init__()
         self.status = 0
         self.unprocessed = False
-        self.load: bytes | None = None
-        self.kind = b""
-        self.body = b""
         self.keep = True
 
 
--- a/honeywharf/net/config.py
+++ b/honeywharf/config/node.py
@@ -10,8 +10,7 @@
 import orjson
 
 from honeywharf import interface as api, wire
-
-Address = tuple[str, int]
+from honeywharf.core.transport import Address, address
 
 
 class ConfigError(Exception):
@@ -32,16 +31,6 @@
     report_fields: tuple[str, ...]  # as the settings name them
 
 
-def address(text: object) -> Address:
-    """A `host:port` as a pair; ValueError where it is none."""
-    if not isinstance(text, str):
-        raise ValueError(f"an address is wanted, not {text!r}")
-    host, colon, port = text.rpartition(":")
-    if not host or not colon or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"an address is host:port, not {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def load(environ: Mapping[str, str] = os.environ) -> Config:
     """The configuration that the environment names."""
     path = environ.get("NODE_CONFIG")
--- /dev/null
+++ b/honeywharf/core/messages.py
@@ -0,0 +1,75 @@
+"""Requests and answers of no protocol, as driver, order keys and every protocol's package know them."""
+
+from __future__ import annotations
+
+import re
+from enum import IntEnum
+
+from mypy_extensions import mypyc_attr
+
+MOST_PAIRS = 32  # figures that one report is read for
+_FIGURE = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
+
+
+class Status(IntEnum):
+    """What a final answer says. An `IntEnum`, as looking one up in a table costs a fifth of an `Enum`."""
+
+    SERVED = 1
+    REFUSED = 2  # nothing has run: trying again is harmless
+    FAILED = 3  # no promise
+    CONFLICT = 4  # a request of this id, or too many of this key, are held
+    UNPROCESSABLE = 5  # the key was used with another payload
+
+
+def figure(value: bytes) -> float | None:
+    """A number of the usual form, not negative; None where it is none.
+
+    Guards against what `float` would take: `nan`, `inf`, `1_0`, and figures that no load has.
+    """
+    return float(value) if _FIGURE.fullmatch(value.strip()) else None
+
+
+def pairs(value: bytes) -> dict[str, float]:
+    """`name=value,name=value` as numbers; what is none is left out."""
+    found: dict[str, float] = {}
+    for item in value.split(b",", MOST_PAIRS)[:MOST_PAIRS]:
+        name, _, text = item.partition(b"=")
+        number = figure(text)
+        if number is not None:
+            found[name.strip().decode("latin-1")] = number
+    return found
+
+
+@mypyc_attr(allow_interpreted_subclasses=True)
+class Request:
+    """A client's request, read to its last byte; a protocol's own kind of it adds what only that one needs.
+
+    `method` is GET or POST, which HTTP and CoAP share (RFC 7252, 5.8); `target` is path and query.
+    """
+
+    __slots__ = (
+        "account", "body", "class_name", "facts", "hint_ms", "id", "idempotency_key", "kind", "left_ms",
+        "method", "read_ms", "repeat", "sid", "target",
+    )
+
+    def __init__(self) -> None:
+        self.method = self.target = self.body = b""
+        self.kind = b""  # the media type of the body; empty where it is not told
+        self.id = self.class_name = self.account = self.sid = ""
+        self.idempotency_key = self.facts = b""
+        self.left_ms: float | None = None
+        self.hint_ms: float | None = None
+        self.repeat = False
+        self.read_ms = 0.0  # when its last byte had come, on the proxy's clock
+
+
+@mypyc_attr(allow_interpreted_subclasses=True)
+class Response:
+    """A node's answer, whole. `load` is its report of load, `name=value,...`; None where it gave none."""
+
+    __slots__ = ("body", "kind", "load")
+
+    def __init__(self) -> None:
+        self.load: bytes | None = None
+        self.kind = b""
+        self.body = b""
--- /dev/null
+++ b/honeywharf/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's discovery: its lists, and the watch on them."""
--- a/honeywharf/net/discovery.py
+++ b/honeywharf/discovery/watch.py
@@ -10,10 +10,8 @@
 import orjson
 
 from honeywharf import interface as api
-from honeywharf.net import http1
-from honeywharf.net.config import Address, address
-from honeywharf.net.proxy import Clock, log
-from honeywharf.net.upstream import Pool
+from honeywharf.codecs import http1
+from honeywharf.core.transport import Address, AddressBook, Clock, address, log
 
 PATH = "/registry/instances"
 WAIT_MS = 5000  # of one watch call: short, since a cut connection says nothing until it is over
@@ -49,8 +47,8 @@
 class Directory:
     """The list as this proxy holds it: what the module is told and where the pool connects."""
 
-    def __init__(self, pool: Pool) -> None:
-        self.pool = pool
+    def __init__(self, book: AddressBook) -> None:
+        self.book = book
         self.generation = 0
         self.names: set[str] = set()
 
@@ -77,14 +75,14 @@
             else:
                 self.names.add(entry.id)
                 ready = entry.state is api.EndpointState.READY
-                self.pool.name(entry.id, where, entry.started_ms, open_for_work=ready)
+                self.book.name(entry.id, where, entry.started_ms, open_for_work=ready)
         self.generation = generation
         kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
         return api.EndpointsListed(kind, tuple(e for e, _ in rows), generation)
 
     def _forget(self, name: str) -> None:
         self.names.discard(name)
-        self.pool.forget(name)
+        self.book.forget(name)
 
 
 class Line(asyncio.Protocol):
--- a/honeywharf/net/upstream.py
+++ b/honeywharf/http/backend.py
@@ -10,9 +10,8 @@
 from typing import cast
 
 from honeywharf import interface as api
-from honeywharf.net import http1
-from honeywharf.net.config import Address
-from honeywharf.net.proxy import Call, Clock
+from honeywharf.codecs import http1
+from honeywharf.core.transport import Address, Call, Clock
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
 # its last byte: a connection nearer to that than this is closed, as a request on it would end as a reset.
@@ -25,6 +24,7 @@
 ANSWER_S = 0.5
 WHOLE_ANSWER_S = 2.0
 ANSWERS_BYTES = 8 * 1024 * 1024  # of all answers that have begun and not ended: guards the memory
+LIVE, REPORT = b"/health/live", b"/stats"  # what a health check asks for
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 O = api.Outcome  # noqa: E741
@@ -92,9 +92,13 @@
     def carry(self, call: Call) -> None:
         """Write the whole request, in one write."""
         self.call, call.connection = call, self
-        left = b"" if call.probe else http1.time_left(call.until_ms - self.pool.clock.now())
-        host = b"Host: %b\r\n" % self.backend.host if call.probe else b""
-        self.transport.write(b"%b%b%b\r\n%b" % (call.head, host, left, call.body))
+        request, host = call.request, self.backend.host
+        if request is None:
+            path = REPORT if call.report else LIVE
+            self.transport.write(b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (path, host))
+        else:
+            left = http1.time_left(call.until_ms - self.pool.clock.now())
+            self.transport.write(b"%b%b\r\n%b" % (http1.head_of(request, host), left, request.body))
         if self.transport.is_closing():
             # Guards against taking a write that failed for one that left: nothing of it did.
             self.unsent = True
--- a/honeywharf/net/downstream.py
+++ b/honeywharf/http/front.py
@@ -7,9 +7,10 @@
 from collections.abc import Callable
 from typing import cast
 
-from honeywharf.net import http1
-from honeywharf.net.config import Address
-from honeywharf.net.proxy import REFUSED, Clock, Driver
+from honeywharf.codecs import http1
+from honeywharf.core.driver import Driver
+from honeywharf.core.messages import Status
+from honeywharf.core.transport import Address, Clock
 
 BACKLOG = 1024
 READY = b"/health/ready"
@@ -25,6 +26,9 @@
 LINGER_MOST_S = 3.0  # the same for a caller that has not taken the answer off yet
 LINGER_BYTES = 256 * 1024  # what is read and thrown away in that time
 SWEEP_S = 0.2
+STATUSES = {Status.SERVED: 200, Status.REFUSED: 503, Status.FAILED: 502, Status.CONFLICT: 409,
+            Status.UNPROCESSABLE: 422}
+REFUSED = STATUSES[Status.REFUSED]
 
 
 class Connection(asyncio.Protocol):
@@ -104,9 +108,13 @@
             self.front.rest(self)
 
     def answer(
-        self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
+        self, status: Status, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
     ) -> None:
-        """Write the answer to the current request, then turn to the next."""
+        """Write the final answer to the current request, then turn to the next."""
+        self.reply(STATUSES[status], body, retry_after_ms, kind)
+
+    def reply(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0, kind: bytes = b"") -> None:
+        """Write an answer to the current request, then turn to the next."""
         request, self.current = self.current, None
         if request is None or self.ended:
             return
@@ -246,15 +254,15 @@
         """Answer what the proxy answers by itself; give the rest to the driver."""
         path = request.target.partition(b"?")[0]
         if path == READY and request.method == b"GET":
-            connection.answer(200 if self.ready() else REFUSED)
+            connection.reply(200 if self.ready() else REFUSED)
         elif path != CALLS and not path.startswith(CALLS + b"/"):
-            connection.answer(404)
+            connection.reply(404)
         elif self.driver.fault_of(request) is not None:
             connection.reject(400)
         elif self.driver.full():
-            connection.answer(REFUSED)  # before it reaches the module: nothing has run
+            connection.answer(Status.REFUSED)  # before it reaches the module: nothing has run
         elif not self.driver.arrived(request, connection):
-            connection.answer(409)
+            connection.answer(Status.CONFLICT)
 
     def ready(self) -> bool:
         """Whether clients may come."""
--- a/honeywharf/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real proxy: sockets, timers and configuration round the decision module."""
--- a/honeywharf/orderkeys/__init__.py
+++ b/honeywharf/orderkeys/__init__.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from honeywharf.config.features import OrderKeys
-    from honeywharf.net.proxy import Driver
+    from honeywharf.core.driver import Driver
     from honeywharf.orderkeys.edge import Edge
 
 
--- a/honeywharf/orderkeys/edge.py
+++ b/honeywharf/orderkeys/edge.py
@@ -13,8 +13,9 @@
 from mypy_extensions import mypyc_attr
 
 from honeywharf import interface as api
-from honeywharf.net import http1
-from honeywharf.net.proxy import FAILED, REFUSED, Caller, Driver, Timer
+from honeywharf.core.driver import Driver
+from honeywharf.core.messages import Request, Response, Status
+from honeywharf.core.transport import Caller, Timer
 from honeywharf.orderkeys.table import Answer, Claim, Table, Verdict, digest, name_of, payload_of
 
 if TYPE_CHECKING:
@@ -24,7 +25,6 @@
 JOINED_MOST = 16  # repeats that wait for one request: a client that sends more is told 409
 WAITING_MOST = 4096  # requests that wait in all
 AFTER_LEASE_S = 0.005  # so long after another proxy's lease has ended its key is asked for again
-CONFLICT, UNPROCESSABLE = 409, 422
 KEPT_WINDOWS = 4.0  # windows for which a key is known where no time is given for its class
 
 
@@ -56,7 +56,7 @@
     __slots__ = ("caller", "claim", "edge", "noted", "places", "request", "shared")
 
     def __init__(
-        self, edge: Edge, name: bytes, payload: bytes, request: http1.Request, caller: Caller, claim: Claim,
+        self, edge: Edge, name: bytes, payload: bytes, request: Request, caller: Caller, claim: Claim,
         shared: bool,
     ) -> None:
         super().__init__(name, payload)
@@ -75,7 +75,7 @@
         place = self.places[number] = api.Earlier(zone, cell, now_ms)
         return not self.shared or self.edge.noted(self, number, place)
 
-    def ended(self, number: int, outcome: api.Outcome, response: http1.Response | None) -> None:
+    def ended(self, number: int, outcome: api.Outcome, response: Response | None) -> None:
         """Forget an attempt that never ran; keep the first answer, for the repeats too.
 
         Also an answer that comes after the caller has left, or been told of a failure.
@@ -94,12 +94,12 @@
         return not self.claim.digest or self.claim.digest == digest(body)
 
     def answer(
-        self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
+        self, status: Status, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
     ) -> None:
         """The final answer to the request itself."""
-        if status == 200 and not self.same(body):
+        if status == Status.SERVED and not self.same(body):
             # Guards "the same answer to every repeat" where the answer was too long to be kept.
-            self.caller.answer(FAILED)
+            self.caller.answer(Status.FAILED)
             return
         self.caller.answer(status, body, retry_after_ms=retry_after_ms, kind=kind)
 
@@ -110,7 +110,7 @@
     __slots__ = ("caller", "deadline_ms", "edge", "group", "name", "payload", "request", "runs", "timer")
 
     def __init__(
-        self, edge: Edge, name: bytes, payload: bytes, request: http1.Request, caller: Caller,
+        self, edge: Edge, name: bytes, payload: bytes, request: Request, caller: Caller,
         deadline_ms: float,
     ) -> None:
         self.edge, self.name, self.payload, self.request = edge, name, payload, request
@@ -137,7 +137,7 @@
     ) -> None:
         self.driver, self.table, self.keep_ms, self.shared, self.alone = driver, table, keep_ms, shared, alone
         self.runs: dict[bytes, Joined] = {}
-        self.waiting: dict[http1.Request, Waiting] = {}
+        self.waiting: dict[Request, Waiting] = {}
         for cls in driver.settings.classes:
             if cls.effect is api.Effect.KEYED and keep_ms.get(cls.name, 0.0) < cls.window_ms:
                 found = keep_ms.get(cls.name, 0.0)
@@ -145,7 +145,7 @@
                     f"order keys: class {cls.name}: kept {found:g} ms, wanted {cls.window_ms:g} ms, its"
                     " window, at least")
 
-    def arrived(self, request: http1.Request, caller: Caller, left_ms: float) -> bool:
+    def arrived(self, request: Request, caller: Caller, left_ms: float) -> bool:
         """Run it, join it, or answer it from what is known."""
         name = name_of(request.account, request.class_name, request.idempotency_key)
         payload = payload_of(request.method, request.target, request.body)
@@ -158,7 +158,7 @@
     # One proxy's own keys.
 
     def _own(
-        self, name: bytes, payload: bytes, request: http1.Request, caller: Caller, left_ms: float,
+        self, name: bytes, payload: bytes, request: Request, caller: Caller, left_ms: float,
     ) -> bool:
         now = self.driver.clock.now()
         claim = self.table.claim(name, request.account, payload, now)
@@ -180,20 +180,20 @@
         """Answer a request that neither runs nor waits."""
         if claim.verdict is Verdict.ANSWER and claim.answer is not None:
             self.driver.count("keys:repeated")
-            caller.answer(200, claim.answer.body, kind=claim.answer.kind)
+            caller.answer(Status.SERVED, claim.answer.body, kind=claim.answer.kind)
         elif claim.verdict is Verdict.OTHER_PAYLOAD:
             self.driver.count("keys:other payload")
-            caller.answer(UNPROCESSABLE)
+            caller.answer(Status.UNPROCESSABLE)
         elif claim.verdict is Verdict.BUSY:
             self.driver.count("keys:conflict")
-            caller.answer(CONFLICT)
+            caller.answer(Status.CONFLICT)
         else:
             self.driver.count("keys:full")
             self._refuse(caller)
 
     def _refuse(self, caller: Caller) -> None:
         limits = self.driver.settings.limits
-        caller.answer(REFUSED, retry_after_ms=limits.max_retry_after_ms if limits.retry_after else 0.0)
+        caller.answer(Status.REFUSED, retry_after_ms=limits.max_retry_after_ms if limits.retry_after else 0.0)
 
     # Keys that proxies share.
 
@@ -206,7 +206,7 @@
             elif group.answer_kept is not None:
                 self._say(Claim(Verdict.ANSWER, answer=group.answer_kept), waiting.caller)
             elif not self._join(waiting, group):
-                waiting.caller.answer(CONFLICT)
+                waiting.caller.answer(Status.CONFLICT)
             return
         cls, left = self.driver.classes[request.class_name], waiting.deadline_ms - self.driver.clock.now()
         keep = self.keep_ms[cls.name]
@@ -231,7 +231,7 @@
                 return
             self._end(run, None)  # nothing was sent
             if here:
-                caller.answer(CONFLICT)  # its id is in the table
+                caller.answer(Status.CONFLICT)  # its id is in the table
         elif not here:
             return
         elif claim.verdict is Verdict.JOIN:
@@ -241,7 +241,7 @@
                 group.timer = self.driver.loop.call_later(
                     claim.wait_ms / 1000.0 + AFTER_LEASE_S, self.noticed, name)
             if not self._join(waiting, group):
-                caller.answer(CONFLICT)
+                caller.answer(Status.CONFLICT)
         elif claim.verdict is Verdict.AWAY:
             self._away(waiting, shared)
         else:
@@ -256,12 +256,12 @@
         request, caller = waiting.request, waiting.caller
         self.driver.count("keys:store away")
         if waiting.runs or request.repeat or shared.knows_of(waiting.name):
-            caller.answer(FAILED)
+            caller.answer(Status.FAILED)
         elif request.class_name not in self.alone:
             self._refuse(caller)
         elif not self._own(waiting.name, waiting.payload, request, caller,
                            waiting.deadline_ms - self.driver.clock.now()):
-            caller.answer(CONFLICT)
+            caller.answer(Status.CONFLICT)
 
     def noted(self, run: Run, number: int, place: api.Earlier) -> bool:
         """Tell the store where an attempt goes; False where it has to be sure before it leaves.
@@ -341,9 +341,9 @@
         if self.waiting.get(waiting.request) is waiting:
             self._leave(waiting)
             self.driver.count("keys:overdue")
-            waiting.caller.answer(FAILED)
+            waiting.caller.answer(Status.FAILED)
 
-    def gone(self, request: http1.Request) -> None:
+    def gone(self, request: Request) -> None:
         """The client of a request that waits has left. What it waited for goes on."""
         waiting = self.waiting.get(request)
         if waiting is not None:
@@ -354,7 +354,7 @@
         """Answer all that wait: the process is about to be killed."""
         for waiting in list(self.waiting.values()):
             self._leave(waiting)
-            waiting.caller.answer(FAILED)
+            waiting.caller.answer(Status.FAILED)
 
     # The end of a key's request.
 
@@ -397,7 +397,7 @@
                 continue
             left = waiting.deadline_ms - self.driver.clock.now()
             if not self._own(waiting.name, waiting.payload, waiting.request, waiting.caller, left):
-                waiting.caller.answer(CONFLICT)
+                waiting.caller.answer(Status.CONFLICT)
 
 
 def kept_ms(driver: Driver, features: OrderKeys) -> dict[str, float]:
--- a/honeywharf/orderkeys/redis.py
+++ b/honeywharf/orderkeys/redis.py
@@ -17,7 +17,8 @@
 
 import hiredis
 
-from honeywharf.net.proxy import Driver, log
+from honeywharf.core.driver import Driver
+from honeywharf.core.transport import log
 from honeywharf.orderkeys import scripts
 from honeywharf.orderkeys.edge import Edge, kept_ms, table_of
 from honeywharf.orderkeys.shared import Rules, Shared
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,8 +11,8 @@
 
 from honeywharf import interface as api, wire
 from honeywharf.__main__ import Proxy
+from honeywharf.config import node as config
 from honeywharf.config.features import Features
-from honeywharf.net import config
 from honeywharf.standins import node
 from honeywharf.standins.backend import Backend
 from honeywharf.standins.messages import Message, read_message, reply, row
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net.discovery import endpoint
+from honeywharf.discovery.watch import endpoint
 from honeywharf.standins.registry import Registry
 from tests.loopback import (
     Backend,
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -8,7 +8,8 @@
 import pytest
 
 from honeywharf import interface as api
-from honeywharf.net import downstream, http1
+from honeywharf.codecs import http1
+from honeywharf.http import front as downstream
 from tests.loopback import Backend, Client, reply, run, soon, until, world
 
 HEAD = b"X-Correlation-Id: abc\r\nX-Service-Class: read\r\nX-Time-Left: 900m\r\n"
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,65 @@
+"""Arrows point one way: protocols -> codecs -> core -> the decision module; rules do no I/O."""
+
+from __future__ import annotations
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "honeywharf"
+PROTOCOLS = ("http", "coap", "discovery")
+#: What a layer's modules may import of honeywharf; of its own package it may import all.
+ALLOWED = {
+    "core": ("core", "interface"),
+    "codecs": ("codecs", "core", "interface"),
+    **{name: (name, "codecs", "core", "interface") for name in PROTOCOLS},
+    "limits": ("limits", "interface"),
+    "brain.py": ("limits", "interface"),
+}
+#: Modules of subsystems that settle something: no sockets, no loop, no clock.
+PURE = ("brain.py", "interface.py", "limits", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
+        "orderkeys/shared.py", "orderkeys/scripts.py")
+IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
+
+
+def files(name: str) -> list[Path]:
+    path = ROOT / name
+    return sorted(path.rglob("*.py")) if path.is_dir() else [path] if path.exists() else []
+
+
+def imported(path: Path) -> Iterator[str]:
+    """What a module imports when it is loaded and when it runs; not what only a type checker reads."""
+    tree = ast.parse(path.read_text("utf-8"))
+    for node in ast.walk(tree):
+        if isinstance(node, ast.If) and isinstance(node.test, ast.Name) and node.test.id == "TYPE_CHECKING":
+            node.body = []
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom) and node.module is not None:
+            whole = node.module == "honeywharf"
+            yield from (f"honeywharf.{a.name}" for a in node.names) if whole else (node.module,)
+
+
+@pytest.mark.parametrize("layer", ALLOWED)
+def test_a_layer_imports_what_is_below_it_only(layer: str) -> None:
+    for path in files(layer):
+        for name in imported(path):
+            if name.startswith("honeywharf."):
+                assert name.split(".")[1] in ALLOWED[layer], f"{path.name} imports {name}"
+
+
+@pytest.mark.parametrize("name", PURE)
+def test_what_settles_something_does_no_io(name: str) -> None:
+    found = files(name)
+    assert found
+    for path in found:
+        assert not IO & {module.split(".")[0] for module in imported(path)}, path.name
+
+
+def test_the_scan_sees_what_it_is_to_see() -> None:
+    front = set(imported(ROOT / "http" / "front.py"))
+    assert {"asyncio", "honeywharf.codecs", "honeywharf.core.driver"} <= front
+    assert "honeywharf.config.features" not in set(imported(ROOT / "orderkeys" / "edge.py"))  # for types only
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -5,8 +5,8 @@
 import pytest
 
 from honeywharf import interface as api, limits
-from honeywharf.net import http1
-from honeywharf.net.proxy import Driver
+from honeywharf.codecs import http1
+from honeywharf.core.driver import Driver
 from tests import helpers
 from tests.test_driver import SETTINGS, FakeCaller, FakeClock, FakeLoop, FakeTransport, Script, ok, send_each
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from honeywharf.net import config
+from honeywharf.config import node as config
 from tests.loopback import SETTINGS, WAIT_S, row
 
 ROOT = Path(__file__).parent.parent
