Serve CoAP clients on the same core: message layer, Echo, block-wise, one billing

Change: codecs/coap.py (RFC 7252, 3), strict and compiled; coap/messages.py, the message layer without I/O: each request reaches the front once, lost replies are sent again without it, an empty ACK after 500 ms and then a separate answer; whole exchanges for 45 s, then marks for 247 s, all bounded. coap/blocks.py (RFC 7959, both ways), coap/front.py with Echo (RFC 9175) before anything runs. [coap] listen, off unless given.

Failed first: whole exchanges for 247 s filled 8,192 places in 2 s and turned everything away.

--- /dev/null
+++ b/bench/coap_orders.py
@@ -0,0 +1,42 @@
+"""Order keys tried by CoAP and by HTTP clients, over a network that loses, doubles and delays datagrams.
+
+    python -m bench.coap_orders [--keys 20000] [--seed 1]
+
+One proxy as a process before four racks of two HTTP nodes on loopback, which fall silent and die. Each key
+is sent up to five times, each time by HTTP or by one of 32 field units, whose datagrams are lost (30 in
+100 each way), doubled (10 in 100) and delayed by up to 0.2 s. Played without order keys and with them;
+printed for both: keys charged at the racks, keys charged twice, final answers by status (408: a unit gave
+up), datagrams, what the message layer counted, and what the checker of the history found. Status 1 where
+it found a fault with order keys on.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from bench.beside_haproxy import command
+from honeywharf.standins import coapday
+from honeywharf.standins.keyday import PROCESS
+
+
+def main() -> int:
+    """Play and print."""
+    parser = argparse.ArgumentParser(description="order keys by CoAP and HTTP")
+    parser.add_argument("--keys", type=int, default=20_000)
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    program, broken = tuple(command(Path(__file__).resolve().parent.parent)), False
+    for name, features in (("off", ""), ("on", PROCESS)):
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(coapday.day(features, args.keys, args.seed, Path(folder), program))
+        print(f"{name:>4}", *(f"{k}: {v}" for k, v in found.items()), sep="  ", flush=True)
+        broken = any(found["faults"].values())
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -18,12 +18,13 @@
 from honeywharf.brain import Balancer
 from honeywharf.config import node as config
 from honeywharf.core.driver import Driver
-from honeywharf.core.transport import Clock, log
+from honeywharf.core.transport import Clock, address, log
 from honeywharf.discovery.watch import Directory, Watch
 from honeywharf.http.backend import Pool
 from honeywharf.http.front import Front
 
 if TYPE_CHECKING:
+    from honeywharf.coap.front import Front as CoapFront
     from honeywharf.config.features import Features
 
 # Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
@@ -36,6 +37,7 @@
 KILL_AFTER_MS = 3000.0  # SIGKILL comes 0.7 s after this, or the longest deadline if less, at the soonest
 BEFORE_KILL_S = 0.45  # so long after that time, what is still open is answered
 STATS_S = 10.0
+ENDED_S = 0.02  # how often it is asked whether CoAP clients have been answered, at the end
 
 
 class Proxy:
@@ -63,6 +65,11 @@
             from honeywharf import orderkeys  # not where it is off: that costs memory
 
             self.driver.keys = orderkeys.make(self.driver, features.order_keys, loop)
+        self.coap: CoapFront | None = None
+        if features is not None and features.coap.listen:
+            from honeywharf.coap.front import Front as Coap
+
+            self.coap, self.coap_address = Coap(loop, self.clock, self.driver), address(features.coap.listen)
         self.stopped = asyncio.Event()
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
@@ -75,6 +82,9 @@
         self.driver.start(self.directory.take(self.conf.known, api.ListKind.CACHED))
         host, port = await self.front.listen(self.conf.listen)
         log(f"{self.conf.name} listens on {host}:{port}")
+        if self.coap is not None:
+            host, port = await self.coap.listen(self.coap_address)
+            log(f"{self.conf.name} listens for CoAP on {host}:{port}")
         if not self.conf.settings.polled_discovery:
             self.watch.watch()
         self.loop.call_later(STATS_S, self._stats)
@@ -82,6 +92,8 @@
         gc.freeze()  # the collector need not look at what stays
         gc.set_threshold(20000, 20, 50)
         await self.stopped.wait()
+        if self.coap is not None:
+            self.coap.close()
         self._stats()  # what was done since the last line is told too
 
     def reload(self) -> None:
@@ -103,17 +115,26 @@
         if self.front.draining:
             return
         self.front.drain()
+        if self.coap is not None:
+            self.coap.draining = True
         longest = max(c.deadline_ms for c in self.conf.settings.classes)
         self.loop.call_later(ACCEPT_S, self._close_listener)
         self.loop.call_later(min(longest, KILL_AFTER_MS) / 1000.0 + BEFORE_KILL_S, self._cut_off)
 
     def _close_listener(self) -> None:
         self.front.stop_listening()
-        self.front.on_empty = self.stopped.set
+        self.front.on_empty = self._ended
         if not self.front.connections:
-            self.stopped.set()
+            self._ended()
         self.loop.call_later(LAST_CALL_S, self.front.close_idle)
 
+    def _ended(self) -> None:
+        """No caller's connection is left; CoAP clients have none, so what they are owed is waited for."""
+        if self.coap is not None and self.coap.layer.open_of:
+            self.loop.call_later(ENDED_S, self._ended)
+        elif not self.front.connections:
+            self.stopped.set()
+
     def _cut_off(self) -> None:
         """What is still open is answered before the process is killed."""
         self.driver.fail_all()
@@ -122,6 +143,8 @@
     def _stats(self) -> None:
         """Now and then, what has been done since: a line for the operator."""
         counts = dict(self.driver.counts, handshakes=self.pool.handshakes)
+        if self.coap is not None:
+            counts.update(self.coap.layer.counts)
         changed = {k: v - self.told.get(k, 0) for k, v in counts.items() if v != self.told.get(k, 0)}
         if changed:
             log("stats " + " ".join(f"{k.replace(' ', '_')}={v}" for k, v in sorted(changed.items())))
--- a/honeywharf/cli.py
+++ b/honeywharf/cli.py
@@ -34,12 +34,17 @@
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--keys", is_flag=True, help="Show what order keys shared in Redis prevent: the same short day"
               " without them and with them. Wants redis-server.")
-def demo(seconds: float, rate: float, seed: int, keys: bool) -> None:
+@click.option("--coap", is_flag=True, help="Show orders by CoAP and HTTP clients over a bad network, without"
+              " order keys and with them.")
+def demo(seconds: float, rate: float, seed: int, keys: bool, coap: bool) -> None:
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     from honeywharf.standins import demo as played
 
-    sys.exit(played.play_keys(seconds, seed, click.echo) if keys else played.play(
-        seconds, rate, seed, click.echo))
+    if keys:
+        sys.exit(played.play_keys(seconds, seed, click.echo))
+    if coap:
+        sys.exit(played.play_coap(seconds, seed, click.echo))
+    sys.exit(played.play(seconds, rate, seed, click.echo))
 
 
 @main.command("check-config")
--- /dev/null
+++ b/honeywharf/coap/options.py
@@ -0,0 +1,93 @@
+"""How a CoAP request tells what an HTTP request tells in headers: options of the experimental range.
+
+RFC 7252, 12.2: 65000 to 65535. Odd numbers are critical, so a server that does not know them refuses the
+request (4.02) instead of running it without its key or its time. All are safe to forward.
+"""
+
+from __future__ import annotations
+
+from honeywharf.codecs import coap
+from honeywharf.core.messages import Request
+
+CLASS = 65001  # string: X-Service-Class
+ID = 65005  # string: X-Correlation-Id; new with every request, also with a client's repeat
+KEY = 65009  # opaque: Idempotency-Key
+TIME_LEFT = 65033  # uint, us: X-Time-Left
+ACCOUNT = 65037  # string: X-Account
+REPEAT = 65016  # empty: X-Repeat: 1
+WEIGHT = 65020  # uint, us: X-Weight-Hint
+SID = 65024  # string: the cookie sid
+RETRY_AFTER = 65028  # in a response, uint, ms: what Max-Age tells in whole seconds
+KNOWN = frozenset((
+    CLASS, ID, KEY, TIME_LEFT, ACCOUNT, REPEAT, WEIGHT, SID, coap.URI_HOST, coap.URI_PORT, coap.URI_PATH,
+    coap.URI_QUERY, coap.CONTENT_FORMAT, coap.ECHO, coap.REQUEST_TAG, coap.SIZE1, coap.SIZE2, coap.BLOCK1,
+    coap.BLOCK2,
+))
+ONCE = frozenset((CLASS, ID, KEY, TIME_LEFT, ACCOUNT, coap.ECHO, coap.BLOCK1, coap.BLOCK2))
+METHODS = {coap.GET: b"GET", coap.POST: b"POST"}
+MOST_ID = 128
+PLAIN = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~!$'()*+,;=:@"  # RFC 3986, pchar
+
+
+class OptionError(Exception):
+    """Options that make no request; `code` is the answer to them."""
+
+    def __init__(self, code: int, words: str) -> None:
+        super().__init__(words)
+        self.code = code
+
+
+def request_of(message: coap.Message) -> Request:
+    """A CoAP request as the core knows it; OptionError where it is none."""
+    request = Request()
+    method = METHODS.get(message.code)
+    if method is None:
+        raise OptionError(coap.METHOD_NOT_ALLOWED, f"found method 0.{message.code:02d}, wanted GET or POST")
+    path, query, seen = [], [], set()
+    for number, value in message.options:
+        if number not in KNOWN:
+            if coap.is_critical(number):
+                raise OptionError(coap.BAD_OPTION, f"found critical option {number}, which is not known")
+            continue
+        if number in ONCE and number in seen:
+            raise OptionError(coap.BAD_OPTION, f"found option {number} twice")
+        seen.add(number)
+        if number == coap.URI_PATH:
+            path.append(_escaped(value))
+        elif number == coap.URI_QUERY:
+            query.append(_escaped(value))
+        elif number == CLASS:
+            request.class_name = value.decode("latin-1")
+        elif number == ID:
+            request.id = _id(value)
+        elif number == KEY:
+            request.idempotency_key = value
+        elif number == TIME_LEFT:
+            if len(value) > 5:
+                raise OptionError(coap.BAD_OPTION, "found a time left of more than 12 days")
+            request.left_ms = coap.uint(value) / 1000.0
+        elif number == ACCOUNT:
+            request.account = value.decode("latin-1")
+        elif number == REPEAT:
+            request.repeat = True
+        elif number == WEIGHT:
+            request.hint_ms = coap.uint(value) / 1000.0 if len(value) <= 5 else None
+        elif number == SID:
+            request.sid = value.decode("latin-1")
+    request.method, request.body = method, message.payload
+    request.target = b"/" + b"/".join(path) + (b"?" + b"&".join(query) if query else b"")
+    return request
+
+
+def _id(value: bytes) -> str:
+    if not 0 < len(value) <= MOST_ID or any(not 0x21 <= byte <= 0x7E for byte in value):
+        raise OptionError(coap.BAD_OPTION, f"found an id of odd characters or {len(value)} bytes")
+    return value.decode("latin-1")
+
+
+def _escaped(value: bytes) -> bytes:
+    """A part of path or query as it stands in a URI (6.5): what could be read as more than one is escaped."""
+    if value.isalnum():
+        return value
+    return b"".join(
+        bytes((byte,)) if byte in PLAIN else b"%%%02X" % byte for byte in value)
--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -50,11 +50,18 @@
     redis: Redis = msgspec.field(default_factory=Redis)
 
 
+class Coap(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[coap]`: CoAP clients over UDP; see docs/operators/coap.md. Off where no address is given."""
+
+    listen: str = ""
+
+
 class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All sections of the file."""
 
     limits: Limits = msgspec.field(default_factory=Limits)
     order_keys: OrderKeys = msgspec.field(default_factory=OrderKeys)
+    coap: Coap = msgspec.field(default_factory=Coap)
 
 
 def load(path: Path) -> Features:
--- a/honeywharf/standins/demo.py
+++ b/honeywharf/standins/demo.py
@@ -214,6 +214,18 @@
         return asyncio.run(run(seconds, rate, seed, Path(folder), say))
 
 
+def tell_day(words: str, found: dict[str, Any], say: Callable[[str], None]) -> bool:
+    """Say what a day of order keys came to; whether a rule was broken."""
+    faults = {rule: number for rule, number in found["faults"].items() if number}
+    more = ", ".join(f"{name} {found[name]}" for name in (
+        "killed", "paused", "by CoAP", "datagrams", "lost", "duplicate") if found.get(name))
+    say(f"{words}: {found['requests']} requests ({more}), answers {found['answers']}")
+    told = ", ".join(f"{rule} {number} times" for rule, number in faults.items()) or "none"
+    say(f"    {found['keys charged']} keys charged, {found['twice']} of them twice or more;"
+        f" rules broken: {told}")
+    return bool(faults)
+
+
 def play_keys(seconds: float, seed: int, say: Callable[[str], None]) -> int:
     """A day of order keys without the feature and with it; status 0 where it kept what it promises."""
     from honeywharf.standins import keyday
@@ -229,11 +241,19 @@
             ("without order keys", "", None), ("with keys shared in Redis", keyday.SHARED, Redis())):
         with tempfile.TemporaryDirectory() as folder:
             found = asyncio.run(keyday.day(features, redis, keys, seed, Path(folder), 3))
-        faults = {rule: number for rule, number in found["faults"].items() if number}
-        say(f"{words}: {found['requests']} requests, answers {found['answers']}, proxies killed "
-            f"{found['killed']}, Redis paused {found['paused']} times")
-        told = ", ".join(f"{rule} {number} times" for rule, number in faults.items()) or "none"
-        say(f"    {found['keys charged']} keys charged, {found['twice']} of them twice or more;"
-            f" rules broken: {told}")
-        broken = bool(faults)
+        broken = tell_day(words, found, say)
+    return 1 if broken else 0
+
+
+def play_coap(seconds: float, seed: int, say: Callable[[str], None]) -> int:
+    """The same by CoAP and HTTP clients over a bad network; status 0 where keys kept what they promise."""
+    from honeywharf.standins import coapday, keyday
+
+    keys = int(seconds / keyday.SPACING_S)
+    say(f"{keys} order keys, each sent up to five times by HTTP clients and {coapday.UNITS} CoAP units, whose"
+        " datagrams are lost, doubled and delayed; nodes die")
+    broken = False
+    for words, features in (("without order keys", ""), ("with order keys", keyday.PROCESS)):
+        with tempfile.TemporaryDirectory() as folder:
+            broken = tell_day(words, asyncio.run(coapday.day(features, keys, seed, Path(folder))), say)
     return 1 if broken else 0
--- a/setup.py
+++ b/setup.py
@@ -13,7 +13,8 @@
 COMPILED = [
     "honeywharf/interface.py", *sorted(glob("honeywharf/limits/*.py")), "honeywharf/brain.py",
     "honeywharf/core/messages.py", "honeywharf/core/transport.py", "honeywharf/core/driver.py",
-    "honeywharf/codecs/http1.py", "honeywharf/orderkeys/table.py", "honeywharf/orderkeys/edge.py",
+    "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py", "honeywharf/orderkeys/table.py",
+    "honeywharf/orderkeys/edge.py",
 ]
 
 
--- /dev/null
+++ b/tests/coap/test_codec.py
@@ -0,0 +1,103 @@
+"""Datagrams: what the format refuses, each with its reason, and aiocoap's codec as the peer."""
+
+from __future__ import annotations
+
+import os
+import random
+
+import pytest
+from aiocoap import Message as Theirs
+from aiocoap.numbers import OptionNumber
+from aiocoap.optiontypes import OpaqueOption
+from hypothesis import given, settings, strategies as st
+
+from honeywharf.codecs import coap
+
+HEAD = bytes.fromhex("40010102")  # CON GET, id 0x0102
+
+
+@pytest.mark.parametrize(("data", "words"), [
+    (b"", "found 0 bytes"), (b"\x40\x01\x00", "found 3 bytes"), (b"\x00\x01\x01\x02", "found version 0"),
+    (b"\x80\x01\x01\x02", "found version 2"), (b"\x49\x01\x01\x02" + b"t" * 9, "a token of 9 bytes"),
+    (b"\x4f\x01\x01\x02" + b"t" * 15, "a token of 15 bytes"),
+    (b"\x42\x01\x01\x02t", "the end within the token"),
+    (b"\x40\x00\x01\x02\xff", "behind an empty message"), (b"\x41\x00\x01\x02t", "behind an empty message"),
+    (HEAD + b"\xff", "no payload"), (HEAD + b"\xf0", "an option's head"),
+    (HEAD + b"\x0f", "an option's head"),
+    (HEAD + b"\xd0", "an option's head"), (HEAD + b"\xe0\x01", "an option's head"),
+    (HEAD + b"\x0d", "an option's head"), (HEAD + b"\x13ab", "beyond the message"),
+    (HEAD + b"\xe0\xff\xff\xe0\xff\xff", "beyond the message"),
+    (HEAD + b"\x10" * (coap.MOST_OPTIONS + 1), "more than 48 options"),
+    (HEAD + b"\xff" + b"x" * coap.MAX_DATAGRAM, "wanted 2048 at most"),
+])
+def test_what_is_no_message_is_refused_with_its_reason(data: bytes, words: str) -> None:
+    with pytest.raises(coap.MalformedError, match=words):
+        coap.decode(data)
+
+
+def test_what_can_be_read_of_a_bad_message_is_told_for_the_reset() -> None:
+    with pytest.raises(coap.MalformedError) as told:
+        coap.decode(HEAD + b"\xff")
+    assert (told.value.mtype, told.value.mid) == (coap.CON, 0x0102)
+    with pytest.raises(coap.MalformedError) as told:
+        coap.decode(b"\x80\x01\x01\x02")
+    assert told.value.mtype == -1  # another version is ignored in silence
+
+
+options = st.lists(st.tuples(st.integers(3000, 65535), st.binary(max_size=300)), max_size=5)
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(mtype=st.integers(0, 3), code=st.integers(1, 255), mid=st.integers(0, 65535),
+       token=st.binary(max_size=8), some=options, payload=st.binary(max_size=200))
+def test_what_is_encoded_is_decoded_the_same_here_and_by_aiocoap(
+    mtype: int, code: int, mid: int, token: bytes, some: list[tuple[int, bytes]], payload: bytes,
+) -> None:
+    message = coap.Message(mtype, code, mid, token, some, payload)
+    data = coap.encode(message)
+    mine, theirs = coap.decode(data), Theirs.decode(data)
+    assert (mine.mtype, mine.code, mine.mid, mine.token, mine.payload) == (mtype, code, mid, token, payload)
+    assert mine.options == sorted(some, key=lambda o: o[0])
+    assert (int(theirs.mtype), int(theirs.code), theirs.mid, theirs.token, theirs.payload) == (
+        mtype, code, mid, token, payload)
+
+
+def test_what_aiocoap_encodes_is_read_as_it_was_meant() -> None:
+    theirs = Theirs(code=2, payload=b"tile", _mtype=0, _mid=7, _token=b"tok", uri="coap://h/api/order?a=1&b=2")
+    theirs.opt.add_option(OpaqueOption(OptionNumber(65001), b"order"))
+    mine = coap.decode(theirs.encode())
+    assert (mine.code, mine.mid, mine.token, mine.payload) == (coap.POST, 7, b"tok", b"tile")
+    assert [v for n, v in mine.options if n == coap.URI_PATH] == [b"api", b"order"]
+    assert [v for n, v in mine.options if n == coap.URI_QUERY] == [b"a=1", b"b=2"]
+    assert mine.option(65001) == b"order"
+
+
+def test_no_datagram_does_more_than_be_refused() -> None:
+    """Bounded here; HONEYWHARF_LONG=1 plays 1,000,000."""
+    draw, refused = random.Random(1), 0
+    number = 1_000_000 if os.environ.get("HONEYWHARF_LONG") else 30_000
+    seeds = [coap.encode(coap.Message(coap.CON, coap.POST, 1, b"tok", [(11, b"api"), (65001, b"order"),
+                                                                       (65009, b"k" * 40)], b"body"))]
+    for i in range(number):
+        data = bytearray(draw.choice(seeds)) if i % 3 else bytearray(draw.randbytes(draw.randrange(80)))
+        for _ in range(draw.randrange(4)):
+            if data:
+                data[draw.randrange(len(data))] = draw.randrange(256)
+        if draw.random() < 0.3:
+            del data[draw.randrange(len(data) + 1):]
+        try:
+            message = coap.decode(bytes(data))
+        except coap.MalformedError:
+            refused += 1
+        else:
+            again = coap.decode(coap.encode(message))
+            assert (again.options, again.payload) == (message.options, message.payload)
+            assert again.token == message.token
+    assert 0.1 < refused / number < 0.9
+
+
+def test_uints_have_their_shortest_form() -> None:
+    found = [coap.uint_bytes(n) for n in (0, 1, 255, 256, 65536)]
+    assert found == [b"", b"\x01", b"\xff", b"\x01\x00", b"\x01\x00\x00"]
+    assert coap.uint(b"") == 0
+    assert coap.uint(b"\x01\x00") == 256
--- /dev/null
+++ b/tests/coap/test_front.py
@@ -0,0 +1,440 @@
+"""CoAP clients of a running proxy: what they are answered, over good and over bad networks."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiocoap
+import pytest
+from aiocoap.numbers import OptionNumber
+from aiocoap.optiontypes import OpaqueOption
+
+from honeywharf import interface as api
+from honeywharf.coap import blocks, options
+from honeywharf.coap.front import Front
+from honeywharf.codecs import coap
+from honeywharf.config.features import Coap, Features, OrderKeys
+from honeywharf.standins.lossy import Lossy
+from tests.loopback import Backend, Client, World, reply, run, soon, until, world
+
+ON = Features(coap=Coap(listen="127.0.0.1:0"), order_keys=OrderKeys(store="process"))
+
+
+@asynccontextmanager
+async def served(features: Features = ON, **changes: object) -> AsyncIterator[tuple[World, Backend, Front]]:
+    """A proxy before one scripted HTTP node."""
+    backend = await Backend().start()
+    async with world([backend.row("b0", cell=0)], features, **changes) as w:
+        front = w.proxy.coap
+        assert front is not None
+        await until(lambda: front.transport is not None)
+        yield w, backend, front
+        await until(lambda: not w.proxy.driver.requests and not front.layer.open_of)
+        front.close()
+    await backend.stop()
+
+
+def port_of(front: Front) -> int:
+    assert front.transport is not None
+    return int(front.transport.get_extra_info("sockname")[1])
+
+
+def told(
+    class_name: str = "order", key: bytes = b"k", left_ms: int = 4000, **more: str,
+) -> list[tuple[int, bytes]]:
+    found = [(coap.URI_PATH, b"api"), (coap.URI_QUERY, b"q=1"), (options.CLASS, class_name.encode()),
+             (options.TIME_LEFT, coap.uint_bytes(left_ms * 1000))]
+    if class_name == "order":
+        found.append((options.KEY, key))
+    return found + [(getattr(options, name.upper()), value.encode()) for name, value in more.items()]
+
+
+class Unit(asyncio.DatagramProtocol):
+    """A field unit that says just what it is told to, datagram by datagram."""
+
+    def __init__(self) -> None:
+        self.got: asyncio.Queue[coap.Message] = asyncio.Queue()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.mid, self.echo = 100, b""
+
+    @classmethod
+    async def to(cls, port: int, *, believed: bool = True) -> Unit:
+        _, unit = await asyncio.get_running_loop().create_datagram_endpoint(
+            cls, remote_addr=("127.0.0.1", port))
+        if believed:
+            challenge = await unit.ask(told("read"))
+            assert challenge.code == coap.UNAUTHORIZED
+            unit.echo = challenge.option(coap.ECHO) or b""
+        return unit
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.DatagramTransport) or transport is not None
+        self.transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.got.put_nowait(coap.decode(data))
+
+    def send(
+        self, some: list[tuple[int, bytes]], code: int = coap.POST, *, mid: int = 0, token: bytes = b"tok",
+        payload: bytes = b"", mtype: int = coap.CON,
+    ) -> int:
+        self.mid += 1
+        if self.echo:
+            some = [*some, (coap.ECHO, self.echo)]
+        message = coap.Message(mtype, code, mid or self.mid, token, some, payload)
+        assert self.transport is not None
+        self.transport.sendto(coap.encode(message))
+        return message.mid
+
+    def acknowledge(self, message: coap.Message) -> None:
+        assert self.transport is not None
+        self.transport.sendto(coap.encode(coap.Message(coap.ACK, coap.EMPTY, message.mid)))
+
+    async def next(self) -> coap.Message:
+        return await soon(self.got.get())
+
+    async def ask(self, some: list[tuple[int, bytes]], code: int = 0) -> coap.Message:
+        read = (options.CLASS, b"read") in some
+        self.send(some, code or (coap.GET if read else coap.POST), payload=b"" if read else b"x")
+        return await self.next()
+
+
+def test_a_unit_is_served_by_an_http_node_and_an_order_is_told_as_http_tells_it() -> None:
+    async def main() -> None:
+        async with served() as (w, backend, front):
+            backend.then = reply(200, b"tile")
+            unit = await Unit.to(port_of(front))
+            answer = await unit.ask(told(account="acme", id="my-id"))
+            assert (answer.mtype, answer.code, answer.payload) == (coap.ACK, coap.CHANGED, b"tile")
+            first, headers, body = backend.requests[0]
+            assert (first, body) == (b"POST /api?q=1 HTTP/1.1", b"x")
+            assert headers[b"x-correlation-id"] == b"my-id"
+            assert headers[b"idempotency-key"] == b"k"
+            assert headers[b"x-account"] == b"acme"
+            assert headers[b"x-service-class"] == b"order"
+            answer = await unit.ask(told("read"))
+            assert (answer.code, answer.payload) == (coap.CONTENT, b"tile")
+            arrived = [e for e in w.events if isinstance(e, api.RequestArrived)]
+            assert 3000.0 < arrived[0].remaining_ms < 4000.0
+    run(main())
+
+
+def test_the_same_key_by_http_and_by_coap_runs_once() -> None:
+    async def main() -> None:
+        async with served() as (w, backend, front):
+            backend.then = reply(200, b"tile")
+            client, unit = await Client.to(w.port), await Unit.to(port_of(front))
+            client.send("order", b"x", key="k")
+            assert await client.status() == 200
+            answer = await unit.ask(told())
+            assert (answer.code, answer.payload) == (coap.CHANGED, b"tile")
+            assert len(backend.requests) == 1
+            unit.send(told(), payload=b"another")
+            assert (await unit.next()).code == coap.UNPROCESSABLE_ENTITY
+    run(main())
+
+
+def test_a_request_sent_again_after_it_was_forwarded_joins_it_also_without_order_keys() -> None:
+    async def main() -> None:
+        async with served(Features(coap=Coap(listen="127.0.0.1:0"))) as (_, backend, front):
+            backend.then = None
+            unit = await Unit.to(port_of(front))
+            mid = unit.send(told("pay"), payload=b"x")
+            await until(lambda: len(backend.requests) == 1)
+            for _ in range(3):
+                unit.send(told("pay"), mid=mid, payload=b"x")
+            ack = await unit.next()  # it takes long: an empty ACK, and the answer by itself
+            assert (ack.mtype, ack.code, ack.mid) == (coap.ACK, coap.EMPTY, mid)
+            for writer in list(backend.writers):
+                writer.write(reply(200, b"paid"))
+            while (answer := await unit.next()).code == coap.EMPTY:
+                pass
+            assert (answer.mtype, answer.code, answer.payload) == (coap.CON, coap.CHANGED, b"paid")
+            unit.acknowledge(answer)
+            await until(lambda: not front.layer.resend)
+            unit.send(told("pay"), mid=mid, payload=b"x")  # as late as it likes
+            assert (await unit.next()).code == coap.EMPTY
+            assert len(backend.requests) == 1
+    run(main())
+
+
+def test_an_address_that_is_not_proven_gets_little_and_nothing_runs_for_it() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            unit = await Unit.to(port_of(front), believed=False)
+            challenge = await unit.ask(told())
+            assert challenge.code == coap.UNAUTHORIZED
+            unit.echo = b"\0" * 12  # guessed
+            assert (await unit.ask(told())).code == coap.UNAUTHORIZED
+            assert not backend.requests
+            other = await Unit.to(port_of(front), believed=False)
+            other.echo = challenge.option(coap.ECHO) or b""  # another peer's
+            assert (await other.ask(told())).code == coap.UNAUTHORIZED
+            unit.echo = challenge.option(coap.ECHO) or b""
+            assert (await unit.ask(told())).code == coap.CHANGED
+            unit.echo = b""
+            assert (await unit.ask(told())).code == coap.CHANGED  # believed from now on
+            tiny = await Unit.to(port_of(front), believed=False)
+            tiny.send([], coap.GET, token=b"")
+            answer = await tiny.next()
+            assert (answer.code, len(coap.encode(answer))) == (coap.BAD_REQUEST, 4)  # no more than 3 times 4
+    run(main())
+
+
+@pytest.mark.parametrize(("some", "code", "wanted"), [
+    ([(coap.URI_PATH, b"elsewhere")], coap.GET, coap.NOT_FOUND),
+    (told(), coap.GET, coap.BAD_REQUEST), (told("none"), coap.POST, coap.BAD_REQUEST),
+    ([*told(), (9, b"critical")], coap.POST, coap.BAD_OPTION), (told(), 3, coap.METHOD_NOT_ALLOWED),
+    ([*told(), (options.KEY, b"two")], coap.POST, coap.BAD_OPTION),
+    (told(id="two words"), coap.POST, coap.BAD_OPTION),
+    ([o for o in told() if o[0] != options.TIME_LEFT], coap.POST, coap.BAD_REQUEST),
+    ([*told(), (coap.BLOCK1, b"\x07")], coap.POST, coap.BAD_REQUEST),  # a size that there is not
+    ([*told(), (coap.BLOCK1, b"\x08")], coap.POST, coap.BAD_REQUEST),  # a block of 1 byte that says 16
+    ([*told(), (coap.BLOCK1, b"\x10")], coap.POST, coap.REQUEST_ENTITY_INCOMPLETE),  # without a first
+    ([*told("read"), (coap.BLOCK2, b"\x16")], coap.GET, coap.REQUEST_ENTITY_INCOMPLETE),  # of no answer
+])
+def test_what_is_no_request_of_ours_is_told_so(some: list[tuple[int, bytes]], code: int, wanted: int) -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            unit = await Unit.to(port_of(front))
+            unit.send(some, code, payload=b"x")
+            assert (await unit.next()).code == wanted
+            assert not backend.requests
+    run(main())
+
+
+def test_an_elective_option_that_is_not_known_does_no_harm() -> None:
+    async def main() -> None:
+        async with served() as (_, _, front):
+            unit = await Unit.to(port_of(front))
+            assert (await unit.ask([*told(), (65500, b"?")])).code == coap.CHANGED
+    run(main())
+
+
+def test_a_refusal_tells_when_to_come_back_and_a_failure_does_not() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            unit = await Unit.to(port_of(front))
+            backend.then = reply(503, b"", b"X-Unprocessed: 1")
+            refused = await unit.ask(told(key=b"a"))
+            assert refused.code == coap.SERVICE_UNAVAILABLE
+            assert refused.option(coap.MAX_AGE) is not None
+            backend.then = None
+            failed = await unit.ask(told(key=b"b", left_ms=150))
+            assert failed.code == coap.BAD_GATEWAY
+            assert failed.option(coap.MAX_AGE) is None
+    run(main())
+
+
+def test_with_coap_off_nothing_listens() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b0")], Features()) as w:
+            assert w.proxy.coap is None
+        await backend.stop()
+    run(main())
+
+
+def test_aiocoaps_own_client_is_served_quickly_and_late() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            context = await aiocoap.Context.create_client_context()
+            uri = f"coap://127.0.0.1:{port_of(front)}/api?q=1"
+            echo = b""
+            for pause, wanted in ((0.0, "4.01"), (0.0, "2.04"), (0.9, "2.04")):
+                backend.pause_s = pause
+                request = aiocoap.Message(code=aiocoap.POST, uri=uri, payload=b"x")
+                for number, value in told(key=b"%f" % pause):
+                    if number > 60000:
+                        request.opt.add_option(OpaqueOption(OptionNumber(number), value))
+                if echo:
+                    request.opt.echo = echo
+                answer = await soon(context.request(request).response)
+                assert str(answer.code).startswith(wanted)
+                echo = answer.opt.echo or echo
+            await context.shutdown()
+            assert len(backend.requests) == 2
+    run(main())
+
+
+def test_over_a_network_that_loses_doubles_and_delays_each_order_runs_once_at_most() -> None:
+    async def main() -> None:
+        async with served(Features(coap=Coap(listen="127.0.0.1:0"))) as (_, backend, front):
+            network = await Lossy(
+                ("127.0.0.1", port_of(front)), 1, loss=0.3, double=0.1, delay_s=0.05).start()
+            unit = await Unit.to(network.port, believed=False)
+            while not unit.echo:
+                unit.send(told("read"), coap.GET)
+                await asyncio.sleep(0.02)
+                while not unit.got.empty():
+                    unit.echo = unit.got.get_nowait().option(coap.ECHO) or unit.echo
+            served_by: dict[bytes, set[bytes]] = {}
+            for i in range(60):
+                token, mid = b"%d" % i, 1000 + i
+                found = served_by.setdefault(token, set())
+                for _ in range(12):
+                    unit.send(told("pay"), mid=mid, token=token, payload=b"x")
+                    await asyncio.sleep(0.03)
+                    while not unit.got.empty():
+                        message = unit.got.get_nowait()
+                        if message.code == coap.CHANGED:
+                            served_by.setdefault(message.token, set()).add(message.payload)
+                            if message.mtype == coap.CON:
+                                unit.acknowledge(message)
+                    if found:
+                        break
+            assert sum(bool(f) for f in served_by.values()) > 50
+            assert len(backend.requests) <= 60  # each message id reached the node once, however often it came
+            assert front.layer.counts["coap:duplicate"] > 10
+            network.stop()
+    run(main())
+
+
+def in_blocks(body: bytes, szx: int = 2, tag: bytes = b"") -> list[tuple[list[tuple[int, bytes]], bytes]]:
+    """The options and payloads of a body in blocks."""
+    size = 1 << (szx + 4)
+    parts = [body[i:i + size] for i in range(0, len(body), size)]
+    return [([*told(), (coap.BLOCK1, blocks.Block(i, i + 1 < len(parts), szx).value()),
+              *([(coap.REQUEST_TAG, tag)] if tag else [])], one) for i, one in enumerate(parts)]
+
+
+async def put(unit: Unit, one: tuple[list[tuple[int, bytes]], bytes]) -> int:
+    unit.send(one[0], payload=one[1])
+    return (await unit.next()).code
+
+
+def test_a_body_in_blocks_is_one_request_and_two_at_a_time_are_told_apart_by_their_tags() -> None:
+    async def main() -> None:
+        async with served(Features(coap=Coap(listen="127.0.0.1:0"))) as (_, backend, front):
+            unit = await Unit.to(port_of(front))
+            one, two = bytes(range(200)), bytes(reversed(range(200)))
+            found = [await put(unit, part) for pair in zip(
+                in_blocks(one, tag=b"1"), in_blocks(two, tag=b"2"), strict=True) for part in pair]
+            assert found == [coap.CONTINUE] * 6 + [coap.CHANGED] * 2
+            assert [m[2] for m in backend.requests] == [one, two]
+            assert front.transfers.held_bytes == 0
+    run(main())
+
+
+def test_blocks_out_of_order_or_with_a_gap_run_nothing() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            unit = await Unit.to(port_of(front))
+            parts = in_blocks(bytes(200))
+            for order in ([0, 2], [0, 1, 1, 2, 3], [1, 0], [0, 1, 3]):
+                found = [await put(unit, parts[i]) for i in order]
+                assert coap.REQUEST_ENTITY_INCOMPLETE in found
+                assert coap.CHANGED not in found
+            assert not backend.requests
+            assert [await put(unit, p) for p in parts] == [coap.CONTINUE] * 3 + [coap.CHANGED]
+            assert [m[2] for m in backend.requests] == [bytes(200)]
+    run(main())
+
+
+def test_a_body_beyond_the_platforms_bound_is_refused_before_it_is_whole() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            unit = await Unit.to(port_of(front))
+            for part in in_blocks(bytes(64 * 1024 + 1), 6):
+                code = await put(unit, part)
+                if code != coap.CONTINUE:
+                    break
+            assert code == coap.REQUEST_ENTITY_TOO_LARGE
+            assert not backend.requests
+            assert front.transfers.held_bytes == 0
+    run(main())
+
+
+def test_aiocoaps_client_sends_64_kib_and_takes_a_mebibyte() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            answer, body = bytes(range(256)) * 4096, bytes(reversed(range(256))) * 256
+            backend.then = reply(200, answer)
+            context = await aiocoap.Context.create_client_context()
+            uri = f"coap://127.0.0.1:{port_of(front)}/api?q=1"
+            echo = b""
+            for payload in (b"", body):
+                request = aiocoap.Message(code=aiocoap.POST, uri=uri, payload=payload)
+                for number, value in told():
+                    if number > 60000:
+                        request.opt.add_option(OpaqueOption(OptionNumber(number), value))
+                if echo:
+                    request.opt.echo = echo
+                got = await soon(context.request(request).response)
+                echo = got.opt.echo or echo
+            assert (str(got.code), got.payload) == ("2.04 Changed", answer)
+            await context.shutdown()
+            assert [m[2] for m in backend.requests] == [body]
+    run(main())
+
+
+def test_another_block_after_a_restart_is_told_to_begin_again_and_the_key_has_the_same_answer() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            backend.then = reply(200, b"x" * 3000)
+            unit = await Unit.to(port_of(front))
+            first = await unit.ask(told())
+            assert (len(first.payload), first.option(coap.SIZE2)) == (1024, coap.uint_bytes(3000))
+            front.transfers = blocks.Transfers()  # what a restart leaves
+            second = [*told(), (coap.BLOCK2, blocks.Block(1, False, 6).value())]
+            assert (await unit.ask(second)).code == coap.REQUEST_ENTITY_INCOMPLETE
+            again = await unit.ask(told())
+            assert again.option(blocks.ETAG) == first.option(blocks.ETAG)
+            third = await unit.ask(second)
+            assert (third.code, len(third.payload)) == (coap.CHANGED, 1024)
+            assert len(backend.requests) == 1
+    run(main())
+
+
+def test_transfers_have_their_bounds() -> None:
+    t, peer = blocks.Transfers(most=3, most_bytes=5000), ("127.0.0.1", 1)
+    for i in range(10):
+        assert t.body((peer, b"%d" % i), blocks.Block(0, True, 6), bytes(1024), 0.0) is None
+        assert len(t.bodies) <= 3
+    for i in range(10):
+        t.keep((peer, b"%d" % i), bytes(2000), 1.0)
+        assert t.held_bytes <= 5000
+    assert t.held_bytes == sum(len(b) for _, b in (*t.bodies.values(), *t.answers.values()))
+    t.keep((peer, b"x"), b"late", blocks.LIFETIME_MS + 2.0)
+    assert list(t.answers) == [(peer, b"x")]
+    assert not t.bodies
+    assert t.held_bytes == 4
+
+
+def test_at_the_end_of_service_new_requests_are_refused_and_open_ones_answered() -> None:
+    async def main() -> None:
+        async with served() as (w, backend, front):
+            backend.then = None
+            first, second = await Unit.to(port_of(front)), await Unit.to(port_of(front))
+            first.send(told(), payload=b"x")
+            await until(lambda: len(backend.requests) == 1)
+            w.proxy.drain()
+            assert (await second.ask(told(key=b"new"))).code == coap.SERVICE_UNAVAILABLE
+            await until(lambda: w.proxy.front.on_empty is not None)  # the listener is closed by then
+            assert w.running is not None
+            assert not w.running.done()  # what is open holds the process
+            for writer in list(backend.writers):
+                writer.write(reply(200, b"tile"))
+            while (answer := await first.next()).code == coap.EMPTY:
+                pass
+            assert answer.payload == b"tile"
+            await soon(w.running)
+    run(main())
+
+
+def test_libcoaps_client_shows_its_address_and_takes_an_answer_in_blocks() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            backend.then = reply(200, b"t" * 3000)
+            process = await asyncio.create_subprocess_exec(
+                "coap-client-notls", "-m", "post", "-v", "6", "-B", "5", "-e", "x", "-O", "65001,order",
+                "-O", "65009,key", "-O", "65033,0x3d0900", f"coap://127.0.0.1:{port_of(front)}/api?q=1",
+                stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+            said, _ = await soon(process.communicate())
+            for block in (b"Block2:0/M/1024, Size2:3000", b"Block2:1/M/1024", b"Block2:2/_/1024"):
+                assert block in said
+            assert len(front.peers) == 1  # it answered the challenge by itself
+            assert [m[2] for m in backend.requests] == [b"x"]
+    run(main())
--- /dev/null
+++ b/tests/coap/test_messages.py
@@ -0,0 +1,250 @@
+"""The message layer without sockets: duplicates, lost replies, separate answers, bounds."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeywharf.coap import messages
+from honeywharf.coap.messages import ACK_AFTER, ACK_TIMEOUT, EXCHANGE_LIFETIME, NON_LIFETIME, Exchange, Layer
+from honeywharf.codecs import coap
+
+PEER, OTHER = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+class Scene:
+    """A layer with a clock set by hand; what it sends, and what it serves."""
+
+    def __init__(self, **bounds: int) -> None:
+        self.now, self.sent, self.served = 0.0, list[tuple[coap.Message, tuple[str, int]]](), list[Exchange]()
+        self.layer = Layer(lambda: self.now, lambda data, peer: self.sent.append((coap.decode(data), peer)),
+                           lambda exchange, message: self.served.append(exchange), 1, **bounds)
+
+    def get(
+        self, mid: int, peer: tuple[str, int] = PEER, mtype: int = coap.CON, token: bytes = b"t",
+        code: int = coap.GET,
+    ) -> None:
+        self.layer.received(coap.encode(coap.Message(mtype, code, mid, token)), peer)
+
+    def empty(self, mtype: int, mid: int, peer: tuple[str, int] = PEER) -> None:
+        self.layer.received(coap.encode(coap.Message(mtype, coap.EMPTY, mid)), peer)
+
+    def pass_time(self, ms: float) -> None:
+        end = self.now + ms
+        while self.layer.next_ms() <= end:
+            self.now = max(self.now, self.layer.next_ms())
+            self.layer.woken()
+        self.now = end
+        self.layer.woken()
+
+    def kinds(self) -> list[tuple[int, int]]:
+        return [(m.mtype, m.code) for m, _ in self.sent]
+
+
+def test_a_quick_answer_is_in_the_ack_and_a_duplicate_gets_the_same_bytes() -> None:
+    s = Scene()
+    s.get(7)
+    s.get(7)  # sent again before there is an answer: nothing yet
+    assert not s.sent
+    s.layer.answer(s.served[0], coap.CONTENT, payload=b"tile")
+    s.get(7)  # the reply was lost
+    assert len(s.served) == 1
+    first, second = (m for m, _ in s.sent)
+    assert s.kinds() == [(coap.ACK, coap.CONTENT)] * 2
+    for message in (first, second):
+        assert (message.mid, message.token, message.payload) == (7, b"t", b"tile")
+
+
+def test_a_slow_answer_comes_by_itself_and_again_until_it_is_acknowledged() -> None:
+    s = Scene()
+    s.get(7)
+    s.pass_time(ACK_AFTER)
+    assert s.kinds() == [(coap.ACK, coap.EMPTY)]
+    s.get(7)  # the ACK was lost
+    assert s.kinds() == [(coap.ACK, coap.EMPTY)] * 2
+    s.layer.answer(s.served[0], coap.CONTENT, payload=b"tile")
+    answer = s.sent[-1][0]
+    assert (answer.mtype, answer.code, answer.token) == (coap.CON, coap.CONTENT, b"t")
+    s.pass_time(1.5 * ACK_TIMEOUT)
+    assert len(s.sent) == 4  # once more
+    assert s.sent[-1][0].mid == answer.mid
+    s.get(7)  # a late duplicate of the request: the ACK again, and nothing new
+    assert s.kinds()[-1] == (coap.ACK, coap.EMPTY)
+    s.empty(coap.ACK, answer.mid)
+    s.pass_time(100_000.0)
+    assert len(s.sent) == 5
+    assert len(s.served) == 1
+    assert not s.layer.resend
+
+
+def test_an_answer_that_nobody_acknowledges_is_sent_five_times_within_the_span() -> None:
+    s = Scene()
+    s.get(7)
+    s.pass_time(ACK_AFTER)
+    s.layer.answer(s.served[0], coap.CONTENT)
+    s.pass_time(messages.MAX_TRANSMIT_SPAN + 2 * ACK_TIMEOUT * 16)
+    assert s.kinds().count((coap.CON, coap.CONTENT)) == 1 + messages.MAX_RETRANSMIT
+    assert s.layer.counts["coap:not acknowledged"] == 1
+    assert not s.layer.resend
+
+
+def test_a_reset_after_an_empty_ack_ends_the_sending() -> None:
+    s = Scene()
+    s.get(7)
+    s.pass_time(ACK_AFTER)
+    s.layer.answer(s.served[0], coap.CONTENT)
+    s.empty(coap.RST, s.sent[-1][0].mid)
+    s.pass_time(100_000.0)
+    assert len(s.sent) == 2
+    assert s.layer.counts["coap:reset"] == 1
+
+
+def test_an_ack_from_another_peer_ends_nothing() -> None:
+    s = Scene()
+    s.get(7)
+    s.pass_time(ACK_AFTER)
+    s.layer.answer(s.served[0], coap.CONTENT)
+    s.empty(coap.ACK, s.sent[-1][0].mid, OTHER)
+    assert len(s.layer.resend) == 1
+
+
+def test_a_non_has_a_non_and_its_duplicate_the_same_one() -> None:
+    s = Scene()
+    s.get(7, mtype=coap.NON)
+    s.pass_time(10_000.0)  # no ACK for it
+    s.layer.answer(s.served[0], coap.CONTENT)
+    s.get(7, mtype=coap.NON)
+    assert s.kinds() == [(coap.NON, coap.CONTENT)] * 2
+    assert s.sent[0][0].mid == s.sent[1][0].mid
+
+
+@pytest.mark.parametrize(("mtype", "life"), [(coap.CON, EXCHANGE_LIFETIME), (coap.NON, NON_LIFETIME)])
+def test_a_message_id_is_a_new_request_only_after_its_lifetime(mtype: int, life: float) -> None:
+    s = Scene()
+    s.get(7, mtype=mtype, code=coap.POST)
+    s.layer.answer(s.served[0], coap.CHANGED)
+    s.now = life - 1.0
+    s.get(7, mtype=mtype, code=coap.POST)
+    assert len(s.served) == 1
+    s.now = life + messages.MARKS_SPAN
+    s.get(7, mtype=mtype, code=coap.POST)
+    assert len(s.served) == 2
+
+
+def test_the_same_id_and_token_of_another_peer_is_another_request() -> None:
+    s = Scene()
+    s.get(7)
+    s.get(7, OTHER)
+    assert [e.peer for e in s.served] == [PEER, OTHER]
+
+
+def test_lifetimes_are_those_of_the_rfc() -> None:
+    assert (messages.MAX_TRANSMIT_SPAN, EXCHANGE_LIFETIME, NON_LIFETIME) == (45_000.0, 247_000.0, 145_000.0)
+
+
+def test_a_ping_and_what_nobody_asked_for_are_reset_and_junk_is_not_answered() -> None:
+    s = Scene()
+    s.empty(coap.CON, 9)
+    s.layer.received(coap.encode(coap.Message(coap.CON, coap.CONTENT, 10, b"t")), PEER)
+    s.layer.received(coap.encode(coap.Message(coap.CON, coap.GET, 11)) + b"\xff", PEER)
+    s.layer.received(b"\x80\x01\x00\x01", PEER)
+    s.layer.received(coap.encode(coap.Message(coap.NON, coap.GET, 12)) + b"\xff", PEER)
+    assert [(m.mtype, m.mid) for m, _ in s.sent] == [(coap.RST, 9), (coap.RST, 10), (coap.RST, 11)]
+
+
+def test_beyond_its_bound_a_request_is_refused_unseen_and_never_runs_later() -> None:
+    s = Scene(most=3, most_of_peer=10, most_marks=2)
+    for mid in range(6):
+        s.get(mid, code=coap.POST)
+    assert len(s.served) == 3
+    assert s.kinds() == [(coap.ACK, coap.SERVICE_UNAVAILABLE)] * 2
+    assert s.layer.counts["coap:dropped"] == 1  # not even that it came could be remembered: no answer
+    for exchange in s.served:
+        s.layer.answer(exchange, coap.CHANGED)
+    s.get(3, code=coap.POST)  # doubled by the network, long after the refusal
+    s.get(4, code=coap.POST)
+    assert len(s.served) == 3
+    assert s.layer.marked == 2
+    s.pass_time(EXCHANGE_LIFETIME + messages.MARKS_SPAN)
+    s.get(3, code=coap.POST)
+    assert len(s.served) == 4
+
+
+def test_an_answer_is_kept_while_its_client_may_ask_again_then_only_that_it_came() -> None:
+    s = Scene()
+    s.get(7, code=coap.POST)
+    s.layer.answer(s.served[0], coap.CHANGED, payload=b"tile")
+    s.pass_time(messages.MAX_TRANSMIT_SPAN - 1.0)
+    s.get(7, code=coap.POST)
+    assert s.kinds() == [(coap.ACK, coap.CHANGED)] * 2
+    s.pass_time(1.0)
+    assert (len(s.layer.done), s.layer.done_bytes, s.layer.marked) == (0, 0, 1)
+    s.get(7, code=coap.POST)
+    assert len(s.sent) == 2
+    assert len(s.served) == 1
+
+
+def test_where_answers_crowd_the_oldest_become_marks_and_nothing_runs_again() -> None:
+    s = Scene(most=10)
+    for mid in range(40):
+        s.get(mid, code=coap.POST)
+        s.layer.answer(s.served[-1], coap.CHANGED)
+    assert len(s.served) == 40
+    assert (len(s.layer.done), s.layer.marked) == (10, 30)
+    for mid in range(40):
+        s.get(mid, code=coap.POST)
+    assert len(s.served) == 40
+    assert s.layer.counts["coap:late duplicate"] == 30
+
+
+def test_a_read_leaves_no_mark() -> None:
+    s = Scene(most=1)
+    for mid in range(5):
+        s.get(mid)
+        s.layer.answer(s.served[-1], coap.CONTENT)
+    assert (len(s.layer.done), s.layer.marked) == (1, 0)
+
+
+def test_one_peer_holds_no_more_than_its_share_and_others_go_on() -> None:
+    s = Scene(most=100, most_of_peer=2)
+    for mid in range(4):
+        s.get(mid)
+    s.get(0, OTHER)
+    assert [e.peer for e in s.served] == [PEER, PEER, OTHER]
+    s.layer.answer(s.served[0], coap.CONTENT)
+    s.get(9)
+    assert len(s.served) == 4
+
+
+def test_kept_answers_are_bounded_in_bytes_and_given_back() -> None:
+    s = Scene(most=1000, most_bytes=20_000)
+    for mid in range(100):
+        s.get(mid)
+        s.layer.answer(s.served[-1], coap.CONTENT, payload=b"x" * 1000)
+        assert s.layer.done_bytes <= 20_000
+    assert s.layer.done_bytes == sum(len(e.data) for e in s.layer.done.values()) > 18_000
+    s.pass_time(messages.MAX_TRANSMIT_SPAN)
+    assert s.layer.done_bytes == 0
+    assert not s.layer.open_of
+
+
+def test_an_open_exchange_outlives_its_lifetime_until_it_is_answered() -> None:
+    s = Scene()
+    s.get(7)
+    s.pass_time(EXCHANGE_LIFETIME + 1.0)
+    s.get(7)
+    assert len(s.served) == 1
+    s.layer.answer(s.served[0], coap.CONTENT)
+    with pytest.raises(ValueError, match="one answer"):
+        s.layer.answer(s.served[0], coap.CONTENT)
+
+
+def test_ids_of_separate_answers_that_are_out_are_not_given_again() -> None:
+    s = Scene(most_of_peer=10)
+    for mid in range(3):
+        s.get(mid)
+    s.pass_time(ACK_AFTER)
+    s.layer.answer(s.served[0], coap.CONTENT)
+    used = s.sent[-1][0].mid
+    s.layer.next_mid = (used - 1) & 0xFFFF
+    s.layer.answer(s.served[1], coap.CONTENT)
+    assert s.sent[-1][0].mid != used
--- a/tests/config/test_features.py
+++ b/tests/config/test_features.py
@@ -99,7 +99,7 @@
     script = ("import sys, honeywharf.__main__; "
               "print([m for m in ('click', 'msgspec', 'tomllib', 'honeywharf.standins',"
                   " 'honeywharf.config.features',"
-              " 'honeywharf.orderkeys')"
+              " 'honeywharf.orderkeys', 'honeywharf.coap', 'honeywharf.codecs.coap')"
               " if m in sys.modules])")
     done = subprocess.run(
         [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True)
