Ask CoAP nodes beside HTTP ones, and prove what each end of a request says of its effect

Need: CoAP tile nodes are to be handled by the same core; an attempt may be tried again only where it is known not to have run, and UDP says less of that than TCP does.

ICMP proves something only for the first datagram of a socket, which is then given up; what has an effect and no key is sent once only, as a node that has started anew would run it again. CoAP nodes as stand-ins; [coap] nodes, nstart, off unless given.

--- a/bench/coap_orders.py
+++ b/bench/coap_orders.py
@@ -2,12 +2,12 @@
 
     python -m bench.coap_orders [--keys 20000] [--seed 1]
 
-One proxy as a process before four racks of two HTTP nodes on loopback, which fall silent and die. Each key
-is sent up to five times, each time by HTTP or by one of 32 field units, whose datagrams are lost (30 in
-100 each way), doubled (10 in 100) and delayed by up to 0.2 s. Played without order keys and with them;
-printed for both: keys charged at the racks, keys charged twice, final answers by status (408: a unit gave
-up), datagrams, what the message layer counted, and what the checker of the history found. Status 1 where
-it found a fault with order keys on.
+One proxy as a process before four racks of two nodes, one by HTTP and one by CoAP, on loopback, which fall
+silent and die. Each key is sent up to five times, each time by HTTP or by one of 32 field units, whose
+datagrams are lost (30 in 100 each way), doubled (10 in 100) and delayed by up to 0.2 s. Played without
+order keys and with them; printed for both: keys charged at the racks, keys charged twice, final answers by
+status (408: a unit gave up), datagrams, what the message layer counted, and what the checker of the
+history found. Status 1 where it found a fault with order keys on.
 """
 
 from __future__ import annotations
--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -18,7 +18,7 @@
 from honeywharf.brain import Balancer
 from honeywharf.config import node as config
 from honeywharf.core.driver import Driver
-from honeywharf.core.transport import Clock, address, log
+from honeywharf.core.transport import AddressBook, Clock, Transport, address, log
 from honeywharf.discovery.watch import Directory, Watch
 from honeywharf.http.backend import Pool
 from honeywharf.http.front import Front
@@ -53,9 +53,17 @@
         self.pool = Pool(loop, self.clock, conf.settings.limits, upstream)
         limiter = features.limits.limiter if features is not None else limits.DEFAULT
         self.balancer = Balancer(conf.settings, conf.seed, limiter)
+        transport: Transport = self.pool
+        books: dict[str, AddressBook] = {"http": self.pool}
+        if features is not None and features.coap.nodes:
+            from honeywharf.coap.backend import Pool as CoapPool
+            from honeywharf.core.routes import Routes
+
+            books["coap"] = coap_pool = CoapPool(loop, self.clock, features.coap.nstart)
+            transport = Routes(self.pool, coap_pool)
         self.driver = Driver(
-            conf.settings, self.balancer, self.pool, loop, self.clock, conf.report_fields)
-        self.directory = Directory(self.pool)
+            conf.settings, self.balancer, transport, loop, self.clock, conf.report_fields)
+        self.directory = Directory(books)
         self.watch = Watch(
             loop, self.clock, conf.discovery, self.directory, self.driver.listed,
             polled=conf.settings.polled_discovery)
--- a/honeywharf/coap/options.py
+++ b/honeywharf/coap/options.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import unquote_to_bytes
+
 from honeywharf.codecs import coap
 from honeywharf.core.messages import Request
 
@@ -18,6 +20,8 @@
 WEIGHT = 65020  # uint, us: X-Weight-Hint
 SID = 65024  # string: the cookie sid
 RETRY_AFTER = 65028  # in a response, uint, ms: what Max-Age tells in whole seconds
+UNPROCESSED = 65040  # in a response, empty: nothing of the request has run
+LOAD = 65044  # in a response, string: X-Backend-Load
 KNOWN = frozenset((
     CLASS, ID, KEY, TIME_LEFT, ACCOUNT, REPEAT, WEIGHT, SID, coap.URI_HOST, coap.URI_PORT, coap.URI_PATH,
     coap.URI_QUERY, coap.CONTENT_FORMAT, coap.ECHO, coap.REQUEST_TAG, coap.SIZE1, coap.SIZE2, coap.BLOCK1,
@@ -79,6 +83,20 @@
     return request
 
 
+def of_request(request: Request) -> list[tuple[int, bytes]]:
+    """The options by which a node is told any protocol's request, but for the time left."""
+    path, _, query = request.target.partition(b"?")
+    told = [(coap.URI_PATH, unquote_to_bytes(part)) for part in path.strip(b"/").split(b"/")]
+    told += [(coap.URI_QUERY, unquote_to_bytes(part)) for part in query.split(b"&") if part]
+    told += [(CLASS, request.class_name.encode("latin-1")), (ID, request.id.encode("latin-1"))]
+    for number, value in ((KEY, request.idempotency_key), (ACCOUNT, request.account.encode("latin-1"))):
+        if value:
+            told.append((number, value))
+    if request.repeat:
+        told.append((REPEAT, b""))
+    return told
+
+
 def _id(value: bytes) -> str:
     if not 0 < len(value) <= MOST_ID or any(not 0x21 <= byte <= 0x7E for byte in value):
         raise OptionError(coap.BAD_OPTION, f"found an id of odd characters or {len(value)} bytes")
--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -54,6 +54,8 @@
     """`[coap]`: CoAP clients over UDP; see docs/operators/coap.md. Off where no address is given."""
 
     listen: str = ""
+    nodes: bool = False
+    nstart: Count = 1
 
 
 class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/honeywharf/discovery/watch.py
+++ b/honeywharf/discovery/watch.py
@@ -47,8 +47,9 @@
 class Directory:
     """The list as this proxy holds it: what the module is told and where the pool connects."""
 
-    def __init__(self, book: AddressBook) -> None:
-        self.book = book
+    def __init__(self, books: dict[str, AddressBook]) -> None:
+        self.books = books  # by scheme; an entry that names none is of the first
+        self.first = next(iter(books))
         self.generation = 0
         self.names: set[str] = set()
 
@@ -63,26 +64,34 @@
         rows = []
         for row in raw["instances"]:
             try:
-                rows.append(endpoint(row))
+                entry, where = endpoint(row)
+                scheme = str(row.get("scheme") or self.first)
+                if scheme not in self.books:
+                    raise ValueError(f"{entry.id}: found scheme {scheme!r}, wanted {' or '.join(self.books)}")
+                rows.append((entry, where, scheme))
             except ValueError as fault:  # one bad entry must not hide the others
                 log(f"discovery: entry left out: {fault}")
         if full:
-            for name in self.names - {e.id for e, _ in rows}:
+            for name in self.names - {e.id for e, _, _ in rows}:
                 self._forget(name)
-        for entry, where in rows:
+        for entry, where, scheme in rows:
             if entry.state is api.EndpointState.GONE:
                 self._forget(entry.id)
             else:
                 self.names.add(entry.id)
                 ready = entry.state is api.EndpointState.READY
-                self.book.name(entry.id, where, entry.started_ms, open_for_work=ready)
+                for other, book in self.books.items():
+                    if other != scheme:
+                        book.forget(entry.id)
+                self.books[scheme].name(entry.id, where, entry.started_ms, open_for_work=ready)
         self.generation = generation
         kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
-        return api.EndpointsListed(kind, tuple(e for e, _ in rows), generation)
+        return api.EndpointsListed(kind, tuple(e for e, _, _ in rows), generation)
 
     def _forget(self, name: str) -> None:
         self.names.discard(name)
-        self.book.forget(name)
+        for book in self.books.values():
+            book.forget(name)
 
 
 class Line(asyncio.Protocol):
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -272,10 +272,10 @@
 
     def abort(self, call: Call) -> None:
         """Give the call up: closing its connection is how the backend learns of it."""
-        connection, call.connection = call.connection, None
+        connection = call.connection
         call.opening = False  # a connection that is still to come up is kept for another call
         if isinstance(connection, Connection):
-            connection.call = None
+            call.connection = connection.call = None
             connection.drop()
 
     def _not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
--- a/honeywharf/standins/coapday.py
+++ b/honeywharf/standins/coapday.py
@@ -8,13 +8,14 @@
 from typing import Any
 
 from honeywharf.standins import node
-from honeywharf.standins.backend import now_ms
+from honeywharf.standins.backend import Backend, now_ms
+from honeywharf.standins.coapnode import CoapBackend
 from honeywharf.standins.keyday import Day, Site
 from honeywharf.standins.lossy import Lossy
 from honeywharf.standins.units import Unit
 
 UNITS = 32
-COAP = '[coap]\nlisten = "127.0.0.1:{}"\n'
+COAP = '[coap]\nlisten = "127.0.0.1:{}"\nnodes = true\nnstart = 16\n'
 
 
 class BothDay(Day):
@@ -43,7 +44,7 @@
 ) -> dict[str, Any]:
     """One day at a site of its own."""
     (port,) = node.free_ports(1)
-    site = Site(features + COAP.format(port), seed, folder, 1, None, program)
+    site = Site(features + COAP.format(port), seed, folder, 1, None, program, (Backend, CoapBackend))
     network = await Lossy(("127.0.0.1", port), seed, loss=0.3, double=0.1, delay_s=0.2).start()
     units = [await Unit(seed * 1000 + i).to(network.port) for i in range(UNITS)]
     try:
@@ -59,4 +60,5 @@
     text = "".join(path.read_text("utf-8", "replace") for path in folder.glob("*.log"))
     for name in ("duplicate", "late_duplicate", "not_acknowledged"):
         found[name] = sum(int(n) for n in re.findall(rf"coap:{name}=(\d+)", text))
+    found["by CoAP nodes"] = sum(b.taken for b in site.fleet if isinstance(b, CoapBackend))
     return found
--- /dev/null
+++ b/honeywharf/standins/coapnode.py
@@ -0,0 +1,107 @@
+"""A node that speaks CoAP: the same model and rack as an HTTP node's, behind a message layer of its own."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from honeywharf.coap import options
+from honeywharf.coap.messages import Exchange, Layer, Peer
+from honeywharf.codecs import coap
+from honeywharf.standins.backend import Backend, now_ms
+from honeywharf.standins.messages import Message
+
+
+class CoapBackend(Backend):
+    """Answers by CoAP what `Backend` answers by HTTP. A crash closes its socket, and what it knew is lost."""
+
+    layer: Layer
+    transport: asyncio.DatagramTransport | None = None
+    tasks: set[asyncio.Task[None]]
+    timer_due: asyncio.TimerHandle | None = None
+
+    async def start(self) -> CoapBackend:
+        """Listen on 127.0.0.1, on the same port again after a crash."""
+        self.tasks = set()
+        seed = self.random.getrandbits(32)
+        self.layer = Layer(now_ms, self._write, self._request, seed, most_of_peer=8192)
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: Socket(self), local_addr=("127.0.0.1", self.port))
+        self.port = self.transport.get_extra_info("sockname")[1]
+        return self
+
+    def row(self, name: str, zone: str = "z", lifecycle: str = "up", **more: Any) -> dict[str, Any]:
+        """How the registry lists it."""
+        return super().row(name, zone, lifecycle, scheme="coap", **more)
+
+    def _write(self, data: bytes, peer: Peer) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.sendto(data, peer)
+
+    def received(self, data: bytes, peer: Peer) -> None:
+        """A datagram has come."""
+        self.layer.received(data, peer)
+        self._wake_later()
+
+    def _wake_later(self) -> None:
+        if self.timer_due is not None:
+            self.timer_due.cancel()
+            self.timer_due = None
+        if self.layer.next_ms() < float("inf"):
+            delay = max(0.0, self.layer.next_ms() - now_ms()) / 1000.0
+            self.timer_due = asyncio.get_running_loop().call_later(delay, self._woken)
+
+    def _woken(self) -> None:
+        self.timer_due = None
+        self.layer.woken()
+        self._wake_later()
+
+    def _request(self, exchange: Exchange, message: coap.Message) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(exchange, message))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _answer(self, exchange: Exchange, message: coap.Message) -> None:
+        layer, request = self.layer, options.request_of(message)
+        headers = {b"x-correlation-id": request.id.encode("latin-1")}
+        if request.idempotency_key:
+            headers[b"idempotency-key"] = request.idempotency_key
+        asked: Message = (b"%b %b HTTP/1.1" % (request.method, request.target), headers, request.body)
+        if self.node is None:
+            answer = await self._scripted(asked)
+        else:
+            answer = await self._worked(self.node, asked)
+        if not isinstance(answer, bytes):
+            return
+        head, _, body = answer.partition(b"\r\n\r\n")
+        status, unprocessed = int(head.split()[1]), b"X-Unprocessed: 1" in head
+        if status == 200:
+            layer.answer(exchange, coap.CHANGED if message.code == coap.POST else coap.CONTENT, payload=body)
+        elif status == 503:
+            told = [(options.UNPROCESSED, b"")] if unprocessed else []
+            layer.answer(exchange, coap.SERVICE_UNAVAILABLE, told)
+        else:
+            layer.answer(exchange, coap.BAD_GATEWAY)
+        self._wake_later()
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
+        if self.timer_due is not None:
+            self.timer_due.cancel()
+            self.timer_due = None
+        for task in list(self.tasks):
+            task.cancel()
+
+
+class Socket(asyncio.DatagramProtocol):
+    """Its socket."""
+
+    def __init__(self, owner: CoapBackend) -> None:
+        self.owner = owner
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand it on."""
+        self.owner.received(data, addr[:2])
--- a/honeywharf/standins/keyday.py
+++ b/honeywharf/standins/keyday.py
@@ -53,6 +53,9 @@
         writer.close()
 
 
+Kinds = tuple[type[Backend], ...]  # of the nodes: each rack has one of the first and one of the last
+
+
 class Day:
     """All keys at one site, and its troubles."""
 
@@ -145,11 +148,12 @@
 
     def __init__(
         self, features: str, seed: int, folder: Path, proxies: int, redis: Redis | None,
-        program: tuple[str, ...] = (sys.executable, "-m", "honeywharf"),
+        program: tuple[str, ...] = (sys.executable, "-m", "honeywharf"), kinds: Kinds = (Backend,),
     ) -> None:
         self.features, self.folder, self.redis, self.program = features, folder, redis, program
         racks, spec = [Rack(7500.0) for _ in range(4)], NodeSpec(cores=8, warm_ms=0.0)
-        self.fleet = [Backend(Node(spec), racks[i % 4], work_ms=15.0, seed=seed + i) for i in range(8)]
+        self.fleet = [kinds[i // 4 % len(kinds)](Node(spec), racks[i % 4], work_ms=15.0, seed=seed + i)
+                      for i in range(8)]
         self.registry = Registry()
         self.ports = node.free_ports(proxies)
         self.processes: list[subprocess.Popen[bytes] | None] = [None] * proxies
--- /dev/null
+++ b/tests/coap/test_backend.py
@@ -0,0 +1,288 @@
+"""CoAP nodes behind a running proxy: each row of the table of outcomes, and what the module makes of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+
+from honeywharf import interface as api
+from honeywharf.coap import blocks, options
+from honeywharf.coap.client import Client, End
+from honeywharf.codecs import coap
+from honeywharf.config.features import Coap, Features
+from honeywharf.standins.messages import row
+from tests.loopback import Backend, Client as Caller, World, run, until, world
+
+O = api.Outcome  # noqa: E741
+ON = Features(coap=Coap(nodes=True, nstart=16))
+
+
+class Node(asyncio.DatagramProtocol):
+    """A CoAP node that does what its script says with each request, and then answers `body`."""
+
+    def __init__(self) -> None:
+        self.script: list[str] = []
+        self.got: list[coap.Message] = []
+        self.bodies: list[bytes] = []
+        self.body = b"tile"
+        self.transfers = blocks.Transfers()
+        self.acks = 0
+        self.port = 0
+        self.transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> Node:
+        self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: self, local_addr=("127.0.0.1", self.port))
+        self.port = self.transport.get_extra_info("sockname")[1]
+        return self
+
+    def stop(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        message = coap.decode(data)
+        if not message.is_request():
+            self.acks += message.mtype == coap.ACK
+            return
+        self.got.append(message)
+        step = self.script.pop(0) if self.script else "ok"
+
+        def say(mtype: int, code: int, mid: int = message.mid, token: bytes = message.token,
+                told: list[tuple[int, bytes]] | None = None, payload: bytes = b"") -> None:
+            assert self.transport is not None
+            self.transport.sendto(coap.encode(coap.Message(mtype, code, mid, token, told, payload)), addr)
+
+        if step == "reset":
+            say(coap.RST, coap.EMPTY, token=b"")
+        elif step == "ack":
+            say(coap.ACK, coap.EMPTY, token=b"")
+        elif step == "separate":
+            say(coap.ACK, coap.EMPTY, token=b"")
+            for _ in range(2):  # its ACK was lost: once more
+                say(coap.CON, coap.CHANGED, 999, payload=self.body)
+        elif step == "unprocessed":
+            say(coap.ACK, coap.SERVICE_UNAVAILABLE, told=[(options.UNPROCESSED, b"")])
+        elif step == "busy":
+            say(coap.ACK, coap.SERVICE_UNAVAILABLE)
+        elif step == "foreign":
+            say(coap.ACK, coap.CHANGED, token=b"other", payload=b"not yours")
+        elif step == "ok":
+            self._serve(message, say)
+
+    def _serve(self, message: coap.Message, say: object) -> None:
+        assert callable(say)
+        key = blocks.key_of(message, ("", 0))
+        part, body = blocks.block_of(message, coap.BLOCK1), message.payload
+        wanted = blocks.block_of(message, coap.BLOCK2)
+        if part is not None:
+            whole = self.transfers.body(key, part, body, 0.0)
+            if whole is None:
+                say(coap.ACK, coap.CONTINUE, told=[(coap.BLOCK1, part.value())])
+                return
+            body = whole
+        if wanted is None:
+            self.bodies.append(body)
+        if len(self.body) <= 1024:
+            say(coap.ACK, coap.CHANGED, payload=self.body)
+            return
+        told, payload = blocks.part(self.body, wanted or blocks.Block(0, False, 6))
+        say(coap.ACK, coap.CHANGED, told=told, payload=payload)
+
+
+@asynccontextmanager
+async def nodes(number: int = 1, features: Features = ON) -> AsyncIterator[tuple[World, list[Node]]]:
+    made = [await Node().start() for _ in range(number)]
+    rows = [row(f"c{i}", n.port, cell=i, scheme="coap") for i, n in enumerate(made)]
+    async with world(rows, features) as w:
+        yield w, made
+        await until(lambda: not w.proxy.driver.requests)
+    for node in made:
+        node.stop()
+
+
+async def pay(w: World, left: str = "4000m", body: bytes = b"x", kind: str = "pay") -> tuple[int, bytes]:
+    caller = await Caller.to(w.port)
+    caller.send(kind, body, left, "X-Account: acme", key="k" if kind == "order" else "")
+    first, _, answer = await caller.answer()
+    return int(first.split()[1]), answer
+
+
+def test_an_http_client_is_served_by_a_coap_node() -> None:
+    async def main() -> None:
+        async with nodes() as (w, (node,)):
+            assert await pay(w, kind="order") == (200, b"tile")
+            message = node.got[0]
+            assert (message.code, message.payload) == (coap.POST, b"x")
+            request = options.request_of(message)
+            assert (request.target, request.class_name, request.account) == (b"/api?q=1", "order", "acme")
+            assert request.idempotency_key == b"k"
+            assert request.left_ms is not None
+            assert 3000.0 < request.left_ms < 4000.0
+    run(main())
+
+
+@pytest.mark.parametrize(("step", "outcome", "status"), [
+    ("reset", O.REJECTED, 200), ("unprocessed", O.REJECTED, 200),  # never ran: tried again
+    ("busy", O.ERROR, 502), ("silent", O.TIMEOUT, 502), ("ack", O.TIMEOUT, 502),
+    ("foreign", O.TIMEOUT, 502), ("separate", O.OK, 200),
+])
+def test_each_end_is_told_as_what_it_proves(step: str, outcome: api.Outcome, status: int) -> None:
+    """`pay` has an effect and no key: it is tried again only where it is known not to have run."""
+    async def main() -> None:
+        async with nodes(2) as (w, made):
+            for node in made:
+                node.script = [step]
+            assert (await pay(w, "400m"))[0] == status
+            await until(lambda: len(w.ended()) >= 1)
+            assert w.ended()[0].outcome is outcome
+            if status == 502:
+                assert sum(len({m.mid for m in n.got}) for n in made) == 1
+            if step == "separate":
+                await until(lambda: sum(n.acks for n in made) == 2)  # a lost ACK is given again
+    run(main())
+
+
+def test_a_node_that_is_gone_has_not_run_it() -> None:
+    async def main() -> None:
+        async with nodes(2) as (w, made):
+            made[0].stop()
+            for _ in range(6):
+                assert (await pay(w))[0] == 200
+            assert {e.outcome for e in w.ended()} == {O.OK, O.CONNECT_FAILED}
+            assert sum(len(n.bodies) for n in made) == 6
+    run(main())
+
+
+def test_nothing_goes_to_a_coap_node_that_drains() -> None:
+    async def main() -> None:
+        async with nodes(2) as (w, made):
+            for _ in range(12):
+                assert (await pay(w))[0] == 200
+            assert all(n.bodies for n in made)
+            w.discovery.tell(2, row("c0", made[0].port, "z", "draining", cell=0, scheme="coap"))
+            await until(lambda: w.proxy.balancer.servers["c0"].endpoint.state is api.EndpointState.DRAINING)
+            before = len(made[0].got)
+            for _ in range(12):
+                assert (await pay(w))[0] == 200
+            assert len(made[0].got) == before
+    run(main())
+
+
+def test_bodies_and_answers_go_in_blocks() -> None:
+    async def main() -> None:
+        async with nodes() as (w, (node,)):
+            node.body, body = bytes(range(256)) * 1000, bytes(reversed(range(256))) * 256
+            assert await pay(w, body=body) == (200, node.body)
+            assert node.bodies == [body]
+    run(main())
+
+
+def test_without_the_feature_a_coap_node_is_left_out_and_http_nodes_serve_beside_it() -> None:
+    async def main() -> None:
+        http, node = await Backend().start(), await Node().start()
+        rows = [http.row("h", cell=1), row("c", node.port, cell=2, scheme="coap")]
+        async with world(rows, Features()) as w:
+            assert list(w.proxy.balancer.servers) == ["h"]
+            assert (await pay(w))[0] == 200
+        async with world(rows, ON) as w:
+            for _ in range(12):
+                assert (await pay(w))[0] == 200
+            assert http.requests
+            assert node.bodies
+        node.stop()
+        await http.stop()
+    run(main())
+
+
+@pytest.mark.parametrize(("kind", "times"), [("order", 2), ("pay", 1)])
+def test_what_nobody_would_drop_is_sent_once_only(kind: str, times: int) -> None:
+    """A node that starts anew knows no message ids: it would run what is sent again a second time."""
+    async def main() -> None:
+        async with nodes() as (w, (node,)):
+            node.script = ["silent"]
+            status, _ = await pay(w, "4500m", kind=kind)
+            assert len(node.got) == times  # the ACK's time-out is 2 to 3 s
+            assert status == (200 if times == 2 else 502)
+    run(main())
+
+
+# The client's message layer, without sockets.
+
+
+class Scene:
+    def __init__(self, nstart: int = 1) -> None:
+        self.now, self.sent, self.ends = 0.0, list[coap.Message](), list[End]()
+        self.client = Client(lambda: self.now, lambda data: self.sent.append(coap.decode(data)), 1, nstart, 4)
+        self.client.resume()
+
+    def ask(self, until_ms: float = 60_000.0) -> None:
+        self.client.ask(coap.GET, [], b"", until_ms, lambda how, _: self.ends.append(how))
+
+    def pass_time(self, ms: float) -> None:
+        end = self.now + ms
+        while self.client.next_ms() <= end:
+            self.now = max(self.now, self.client.next_ms())
+            self.client.woken()
+        self.now = end
+
+
+def test_one_request_is_out_at_a_time_until_it_is_acknowledged() -> None:
+    s = Scene()
+    for _ in range(3):
+        s.ask()
+    assert len(s.sent) == 1
+    s.client.received(coap.encode(coap.Message(coap.ACK, coap.EMPTY, s.sent[0].mid)))
+    assert len(s.sent) == 2
+    s.client.received(coap.encode(coap.Message(coap.ACK, coap.CONTENT, s.sent[1].mid, s.sent[1].token)))
+    assert len(s.sent) == 3
+    assert s.ends == [End.ANSWERED]
+
+
+def test_it_is_sent_five_times_within_the_span_and_then_may_have_run() -> None:
+    s = Scene()
+    s.ask(200_000.0)
+    s.pass_time(150_000.0)
+    assert len(s.sent) == 5
+    assert len({m.mid for m in s.sent}) == 1
+    assert s.ends == [End.LOST]
+
+
+def test_what_waits_in_line_past_its_time_was_never_sent() -> None:
+    s = Scene()
+    s.ask()
+    s.ask(500.0)
+    s.pass_time(500.0)
+    assert s.ends == [End.UNSENT]
+    assert len({m.token for m in s.sent}) == 1
+
+
+def test_icmp_proves_something_only_where_it_can_mean_no_other_datagram() -> None:
+    s = Scene(nstart=2)
+    s.ask()
+    s.client.unreachable()
+    assert s.ends == [End.UNREACHABLE]
+    s.client.resume()  # a new socket
+    s.ask()
+    s.ask()
+    s.client.unreachable()
+    assert s.ends[1:] == [End.LOST, End.LOST]
+    s.client.resume()
+    s.ask()
+    s.pass_time(4000.0)  # sent again
+    s.client.unreachable()
+    assert s.ends[3:] == [End.LOST]
+    s.ask()
+    assert len(s.client.waiting) == 1  # until there is a socket
+
+
+def test_the_line_has_its_bound_and_an_old_answer_is_reset() -> None:
+    s = Scene()
+    for _ in range(5):
+        s.ask()
+    assert s.client.full()
+    s.client.received(coap.encode(coap.Message(coap.CON, coap.CONTENT, 5, b"old!")))
+    assert (s.sent[-1].mtype, s.sent[-1].mid) == (coap.RST, 5)
--- a/tests/coap/test_orders.py
+++ b/tests/coap/test_orders.py
@@ -19,5 +19,6 @@
     assert found["on"]["twice"] == 0
     assert not any(found["on"]["faults"].values())
     assert found["on"]["by CoAP"] > 100
+    assert found["on"]["by CoAP nodes"] > 20
     assert found["on"]["duplicate"] > 0
     assert found["on"]["lost"] > 0
--- a/tests/orderkeys/test_kills.py
+++ b/tests/orderkeys/test_kills.py
@@ -32,6 +32,14 @@
         client.send("order", b"x", left, key="k")
         return client
 
+    async def held(self) -> tuple[Client, int]:
+        """An order that a rack has, and says nothing to; the client, and which rack."""
+        for backend in self.backends:
+            backend.script = [None] * 9
+        client = await self.order()
+        await until(lambda: any(self.sent()))
+        return client, self.used()
+
     async def states(self) -> list[object]:
         """The state, and the cell of the note, of all keys that Redis has."""
         names = await self.redis.ask("ZRANGE", "honeywharf:x", "0", "-1")
@@ -104,12 +112,8 @@
 ) -> None:
     async def main() -> None:
         async with scene(tmp_path, monkeypatch) as s:
-            for backend in s.backends:
-                backend.script = [None] * 9
-            client = await s.order()
-            await until(lambda: any(s.sent()))
+            client, used = await s.held()
             s.killed()
-            used = s.used()
             assert await s.states() == [[b"R", b"%d" % used]]
             assert await client.closed()
             s.backends[used].script = []
@@ -124,12 +128,8 @@
 ) -> None:
     async def main() -> None:
         async with scene(tmp_path, monkeypatch) as s:
-            for backend in s.backends:
-                backend.script = [None] * 9
-            client = await s.order()
-            await until(lambda: any(s.sent()))
+            client, used = await s.held()
             s.relay.hold_there = True
-            used = s.used()
             for writer in list(s.backends[used].writers):
                 writer.write(reply(200, b"tile"))
             assert await client.status() == 200
