Let nothing on a CoAP node's old socket speak for a request on its new one

Need: both sockets of a node told the same object. An error that the first still had to deliver could have been taken for the second's, and a request that had arrived for one that never ran: it would be tried again elsewhere.

Change: a socket is an object of its own, and counts only while it is the node's present one; a test gives the old one's error to a node whose new socket has a request out.

--- a/honeywharf/coap/backend.py
+++ b/honeywharf/coap/backend.py
@@ -129,12 +129,36 @@
         return response
 
 
-class Node(asyncio.DatagramProtocol):
-    """One node's address and socket."""
+class Socket(asyncio.DatagramProtocol):
+    """One socket towards a node. What comes on one that was given up, an error too, speaks for nothing."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the way to write, and send what waits."""
+        self.node.socket, self.node.transport = self, cast("asyncio.DatagramTransport", transport)
+        self.node.client.resume()
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Hand it to the message layer."""
+        if self.node.socket is self:
+            self.node.client.received(data)
+            self.node.arm()
+
+    def error_received(self, exc: Exception) -> None:
+        """ICMP: nothing listens there."""
+        if self.node.socket is self:
+            self.node.unreachable()
+
+
+class Node:
+    """One node's address and message layer."""
 
     def __init__(self, pool: Pool, address: Address, started_ms: float | None) -> None:
         self.pool, self.address, self.started_ms = pool, address, started_ms
         self.client = Client(pool.clock.now, self._send, secrets.randbits(64), pool.nstart)
+        self.socket: Socket | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.opening: asyncio.Task[None] | None = None
         self.jobs: set[Job] = set()
@@ -147,26 +171,17 @@
     async def open(self) -> None:
         """Open the socket, then send what waits; a failure here has sent nothing."""
         try:
-            await self.pool.loop.create_datagram_endpoint(lambda: self, remote_addr=self.address)
+            await self.pool.loop.create_datagram_endpoint(
+                lambda: Socket(self), remote_addr=self.address)
         except OSError:
             self.client.none()
         finally:
             self.opening = None
         self.arm()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the way to write."""
-        self.transport = cast("asyncio.DatagramTransport", transport)
-        self.client.resume()
-
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Hand it to the message layer."""
-        self.client.received(data)
-        self.arm()
-
-    def error_received(self, exc: Exception) -> None:
+    def unreachable(self) -> None:
         """ICMP: nothing listens there. The socket is given up: what comes late must not speak for another."""
-        transport, self.transport = self.transport, None
+        transport, self.transport, self.socket = self.transport, None, None
         if transport is not None:
             transport.close()
         self.client.unreachable()
--- a/tests/coap/test_backend.py
+++ b/tests/coap/test_backend.py
@@ -10,9 +10,11 @@
 
 from honeywharf import interface as api
 from honeywharf.coap import blocks, options
+from honeywharf.coap.backend import Pool
 from honeywharf.coap.client import Client, End
 from honeywharf.codecs import coap
 from honeywharf.config.features import Coap, Features
+from honeywharf.core.routes import Routes
 from honeywharf.standins.messages import row
 from tests.loopback import Backend, Client as Caller, World, run, until, world
 
@@ -198,6 +200,28 @@
     run(main())
 
 
+def test_an_error_on_a_socket_that_was_given_up_says_nothing_of_a_later_request() -> None:
+    async def main() -> None:
+        async with nodes() as (w, (node,)):
+            assert (await pay(w))[0] == 200
+            transport = w.proxy.driver.transport
+            assert isinstance(transport, Routes)
+            pool = transport.ways[1]
+            assert isinstance(pool, Pool)
+            at = pool.nodes["c0"]
+            old = at.socket
+            assert old is not None
+            old.error_received(ConnectionRefusedError())
+            assert at.transport is None
+            node.script = ["silent"]
+            paid = asyncio.create_task(pay(w, "500m"))
+            await until(lambda: len(node.got) == 2)  # on a new socket
+            old.error_received(ConnectionRefusedError())  # late
+            assert (await paid)[0] == 502
+            assert w.ended()[1].outcome is O.TIMEOUT  # "connect failed" would have had it tried again
+    run(main())
+
+
 @pytest.mark.parametrize(("kind", "times"), [("order", 2), ("pay", 1)])
 def test_what_nobody_would_drop_is_sent_once_only(kind: str, times: int) -> None:
     """A node that starts anew knows no message ids: it would run what is sent again a second time."""
