Take nothing that was sent again to a CoAP node for unseen: its process may be another

Need: found on reading. A node may run a request, die and start again before the retransmission comes. The new process then resets it, or says that nothing has run, and the attempt was taken for one that never ran: the module could send an order to another cell, or refuse it.

Change: RST, and 5.03 with the option that says so, count as proof only for a request that was sent once.

Measured: two tests fail without the change.

--- a/honeywharf/coap/backend.py
+++ b/honeywharf/coap/backend.py
@@ -1,11 +1,12 @@
 """CoAP nodes: attempts over UDP, one socket for a node, and the outcome of each.
 
     UNSENT                           NOT_SENT        it never left
-    RESET (RST)                      REJECTED        the node has not taken it
+    RESET (RST, sent once)           REJECTED        the node has not taken it
     UNREACHABLE (ICMP, first sent)   CONNECT_FAILED  it never arrived
-    LOST (ICMP later, or no ACK)     RESET           it may have run
+    LOST (later RST, ICMP; no ACK)   RESET           it may have run
     2.04, 2.05                       OK
-    5.03 with option UNPROCESSED     REJECTED        the node says that it has not run
+    5.03 and UNPROCESSED, sent once  REJECTED        the node says that it has not run; of one sent again a
+                                                     new process says so, though the old one may have run it
     any other code                   ERROR           the node is up, and has run it or not
     a block that doesn't fit         ERROR           it has run, and the answer is spoilt
     nothing in time, ACK or not      TIMEOUT         the driver's; it may have run
@@ -96,9 +97,10 @@
             self.send()
             return
         if message.code not in (coap.CONTENT, coap.CHANGED, coap.CREATED):
-            unprocessed = message.code == coap.SERVICE_UNAVAILABLE and (
-                message.option(options.UNPROCESSED) is not None)
-            self.node.done(self, O.REJECTED if unprocessed else O.ERROR, self._response(message))
+            unseen = message.code == coap.SERVICE_UNAVAILABLE and (
+                message.option(options.UNPROCESSED) is not None) and (
+                self.asked is not None and self.asked.sent == 1)
+            self.node.done(self, O.REJECTED if unseen else O.ERROR, self._response(message))
             return
         block = blocks.block_of(message, coap.BLOCK2)
         if block is None:
--- a/honeywharf/coap/client.py
+++ b/honeywharf/coap/client.py
@@ -4,10 +4,11 @@
 acknowledged nor answered), is sent as a CON, again (4.2) until it is acknowledged or answered, and ends once:
 
     ANSWERED     a response with its token came, alone or in the ACK
-    RESET        RST: the node has not taken it
+    RESET        RST, and it was sent once: the node has not taken it. Of one sent again it proves nothing:
+                 the process that had the first may be gone, and the next does not know of it
     UNREACHABLE  ICMP, and it was all that the socket ever sent: it never arrived
-    LOST         any other ICMP, or never acknowledged: it may have run. We are not told which datagram ICMP
-                 is about, so one that came late must not speak for a later request, which may have arrived
+    LOST         any other RST or ICMP, or never acknowledged: it may have run. We are not told which datagram
+                 ICMP is about: one that came late must not speak for a later request, which may have arrived
     UNSENT       no room in the line, or its time ended while it waited there
 
 The caller gives up what takes too long. Times are ms on the caller's clock. Bounds: `most_waiting` in line.
@@ -160,7 +161,7 @@
                 return
             del self.by_mid[message.mid]
             if message.mtype == coap.RST:
-                self._end(asked, End.RESET)
+                self._end(asked, End.RESET if asked.sent == 1 else End.LOST)
             elif message.code == coap.EMPTY:
                 asked.acked, asked.due_ms = True, NO_DEADLINE
             elif message.token == asked.message.token:
--- a/tests/coap/test_backend.py
+++ b/tests/coap/test_backend.py
@@ -148,6 +148,17 @@
     run(main())
 
 
+def test_what_was_sent_again_is_not_taken_for_unseen() -> None:
+    """The process that had the first may have run it, and died; the one that answers knows nothing of it."""
+    async def main() -> None:
+        async with nodes() as (w, (node,)):
+            node.script = ["silent", "unprocessed"]
+            await pay(w, "4500m", kind="order")
+            assert w.ended()[0].outcome is O.ERROR
+            assert len({m.mid for m in node.got[:2]}) == 1
+    run(main())
+
+
 def test_a_node_that_is_gone_has_not_run_it() -> None:
     async def main() -> None:
         async with nodes(2) as (w, made):
@@ -275,6 +286,15 @@
     assert s.ends == [End.LOST]
 
 
+@pytest.mark.parametrize(("passed", "end"), [(0.0, End.RESET), (4000.0, End.LOST)])
+def test_a_reset_proves_something_only_of_what_was_sent_once(passed: float, end: End) -> None:
+    s = Scene()
+    s.ask()
+    s.pass_time(passed)
+    s.client.received(coap.encode(coap.Message(coap.RST, coap.EMPTY, s.sent[0].mid)))
+    assert s.ends == [end]
+
+
 def test_what_waits_in_line_past_its_time_was_never_sent() -> None:
     s = Scene()
     s.ask()
