Bound separate CoAP answers, and keep half of the marks for what has run

Need: found on reading. Separate answers that nobody acknowledges had no bound in number; the bound on proven peers had no test that reaches it; and challenges to made-up addresses could use up all marks, so that a doubled datagram of an order that ran would run again. A node that was forgotten while its socket was still coming up kept the socket for ever.

Change: beyond 8,192 the oldest separate answer is sent no more; what was only refused or challenged has half of the marks; a node's close waits for a socket that is still to come up.

--- a/honeywharf/coap/backend.py
+++ b/honeywharf/coap/backend.py
@@ -237,7 +237,7 @@
 
     def close(self) -> None:
         """Close the socket once nothing is out."""
-        if self.jobs:
+        if self.jobs or self.opening is not None:  # a socket that is still to come up, too
             self.pool.loop.call_later(1.0, self.close)
         elif self.transport is not None:
             self.transport.close()
--- a/honeywharf/coap/front.py
+++ b/honeywharf/coap/front.py
@@ -29,7 +29,7 @@
 PATHS = b"/api"
 CODES = {Status.REFUSED: coap.SERVICE_UNAVAILABLE, Status.FAILED: coap.BAD_GATEWAY,
          Status.CONFLICT: coap.CONFLICT, Status.UNPROCESSABLE: coap.UNPROCESSABLE_ENTITY}
-MOST_PEERS = 16384  # that are believed at a time; beyond it the one that has been silent longest goes
+MOST_PEERS = 16384  # that are believed at a time; beyond it the one believed longest has to show itself anew
 PEER_MS = 600_000.0  # for which a peer is believed since it last showed it
 ECHO_MS = 10_000.0  # for which an Echo value is good
 AMPLIFICATION = 3  # times what came from an address that is not believed is sent there at most
@@ -162,7 +162,7 @@
 
     def _challenge(self, exchange: Exchange, message: coap.Message) -> None:
         """Ask a peer to show that it receives at its address, in no more than three times what it sent."""
-        value = self._echo(exchange.peer)
+        value, exchange.ran = self._echo(exchange.peer), False
         if 4 + len(message.token) + 3 + len(value) > AMPLIFICATION * message.size:
             self.layer.answer(exchange, coap.BAD_REQUEST)
         else:
--- a/honeywharf/coap/messages.py
+++ b/honeywharf/coap/messages.py
@@ -16,8 +16,10 @@
 again (4.2) until it is acknowledged, reset, or MAX_RETRANSMIT is reached. Times are ms on the caller's clock.
 
 Bounds: `most` open exchanges, `most_of_peer` of one peer; `most` answered ones and `most_bytes` of their
-answers; `most_marks`. What is refused for want of room is marked too: else a datagram that the network
-doubled could run after its client was told that it had not. Without room for a mark it is dropped unanswered.
+answers; `most` separate answers that are not acknowledged, beyond which the oldest is sent no more;
+`most_marks`. What is refused is marked too: else a datagram that the network doubled could run after its
+client was told that it had not. It has half of the marks, so that who sends what is only refused, from
+made-up addresses too, leaves the rest to what has run. Without room for a mark it is dropped unanswered.
 """
 
 from __future__ import annotations
@@ -58,12 +60,14 @@
     """One request of one peer. `data`: the datagram that answers a duplicate."""
 
     __slots__ = (
-        "answered_ms", "data", "expires_ms", "message", "mid", "peer", "safe", "sent", "state", "wait_ms",
+        "answered_ms", "data", "expires_ms", "message", "mid", "peer", "ran", "safe", "sent", "state",
+        "wait_ms",
     )
 
     def __init__(self, peer: Peer, message: coap.Message, expires_ms: float) -> None:
         self.peer, self.expires_ms, self.answered_ms = peer, expires_ms, 0.0
         self.safe = message.code == coap.GET
+        self.ran = True  # may have; the front says so where it has refused it
         self.message: coap.Message | None = message  # while it is open
         self.state = State.OPEN
         self.data = b""
@@ -93,7 +97,7 @@
         self.marks: dict[int, set[int]] = {}  # hashes of keys, by the span of time in which they expire
         self.marked = 0
         self.resend: dict[Key, Exchange] = {}  # separate answers, by the id of their CON
-        # What is to be done when: an open exchange's ACK, and answers sent again. One for an exchange.
+        # What is to be done when: an open exchange's ACK, and answers sent again.
         self.due: list[tuple[float, int, Exchange | Resend]] = []
         self.serial = 0
         self.counts: dict[str, int] = {}
@@ -149,7 +153,7 @@
 
     def _turn_away(self, message: coap.Message, key: Key, expires_ms: float) -> None:
         """Refuse a request unseen; in silence where it can't be remembered that it was."""
-        if not self._mark(key, expires_ms):
+        if not self._mark(key, expires_ms, self.most_marks // 2):
             self.count("coap:dropped")
             return
         self.count("coap:turned away")
@@ -158,9 +162,9 @@
 
     # Marks.
 
-    def _mark(self, key: Key, expires_ms: float) -> bool:
-        """Remember of a request that it has come, and no more; False where there is no room."""
-        if self.marked >= self.most_marks:
+    def _mark(self, key: Key, expires_ms: float, most: int) -> bool:
+        """Remember of a request that it has come, and no more; False where there are `most` marks."""
+        if self.marked >= most:
             return False
         group = self.marks.setdefault(int(expires_ms // MARKS_SPAN), set())
         before = len(group)
@@ -178,7 +182,8 @@
         """Keep no more of the exchange that was answered longest ago than that it came."""
         key, exchange = self.done.popitem(last=False)
         self.done_bytes -= len(exchange.data)
-        if not exchange.safe and not self._mark(key, exchange.expires_ms):
+        most = self.most_marks if exchange.ran else self.most_marks // 2
+        if not exchange.safe and not self._mark(key, exchange.expires_ms, most):
             # 247 s of orders that no table holds. Its client has stopped sending; the network may not have.
             self.count("coap:forgotten")
 
@@ -228,6 +233,9 @@
         data = coap.encode(coap.Message(coap.CON, code, mid, message.token, options, payload))
         exchange.wait_ms = ACK_TIMEOUT * self.random.uniform(1.0, ACK_RANDOM_FACTOR)
         self.resend[(exchange.peer, mid)] = exchange
+        if len(self.resend) > self.most:
+            del self.resend[next(iter(self.resend))]
+            self.count("coap:not acknowledged")
         self._transmit(exchange, mid, data)
 
     def _keep(self, exchange: Exchange) -> None:
--- a/tests/coap/test_front.py
+++ b/tests/coap/test_front.py
@@ -13,7 +13,7 @@
 
 from honeywharf import interface as api
 from honeywharf.coap import blocks, options
-from honeywharf.coap.front import Front
+from honeywharf.coap.front import MOST_PEERS, Front
 from honeywharf.codecs import coap
 from honeywharf.config.features import Coap, Features, OrderKeys
 from honeywharf.standins.lossy import Lossy
@@ -183,6 +183,19 @@
     run(main())
 
 
+def test_no_more_peers_are_believed_than_may_be() -> None:
+    async def main() -> None:
+        async with served() as (_, backend, front):
+            for port in range(MOST_PEERS):
+                front.peers[("127.0.0.2", port)] = front.clock.now()
+            unit = await Unit.to(port_of(front))
+            assert (await unit.ask(told())).code == coap.CHANGED
+            assert len(front.peers) == MOST_PEERS
+            assert ("127.0.0.2", 0) not in front.peers
+            assert backend.requests
+    run(main())
+
+
 @pytest.mark.parametrize(("some", "code", "wanted"), [
     ([(coap.URI_PATH, b"elsewhere")], coap.GET, coap.NOT_FOUND),
     (told(), coap.GET, coap.BAD_REQUEST), (told("none"), coap.POST, coap.BAD_REQUEST),
