Ignore offers of other protocols, where a second answer followed the first

Need: a request with Connection: Upgrade and Upgrade: h2c or websocket was served, and a 400 followed on the same connection: two final answers, and the next request was lost. The parser ends such a message at its head; its body was read as the next request.

Change: the parser is given a head of the same framing once more, of which nothing is noted, so that it finds the body (RFC 9110, 7.8). Its kin, found by the tests first: - fields of a trailer were taken for headers and went on to the node; they are counted only; - a trailer line without end was kept without a bound; a head in two pieces counted twice, and many requests in one piece were refused as a long head; - 100 Continue could stand ahead of an earlier request's answer; HTTP/1.0 got one; - a caller that closed its half lost its answer. An interim answer tells it from one that has closed: only that one's machine meets it with a reset; - 1,100 half-sent heads closed the idle connections of callers that had been served. They go first now, and connections turned away hold 32 descriptors at most.

--- a/honeywharf/codecs/http1.py
+++ b/honeywharf/codecs/http1.py
@@ -10,6 +10,8 @@
 from honeywharf.core import messages
 
 MAX_HEAD = 16 * 1024
+SLICE = 4 * 1024  # bytes of a head given to a parser at once: what it may hold unseen beside the bound
+MAX_LINE = MAX_HEAD - SLICE  # bytes of one line that has not come to its end
 MOST_INTERIM = 8  # 1xx answers ahead of one answer
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
@@ -74,12 +76,13 @@
 class Request(messages.Request):
     """A caller's request; `forwarded` are the header lines that go on to an HTTP node."""
 
-    __slots__ = ("expects", "forwarded", "keep", "made_head")
+    __slots__ = ("expects", "forwarded", "interim", "keep", "made_head")
 
     def __init__(self) -> None:
         super().__init__()
         self.forwarded: list[bytes] = []
         self.expects = False
+        self.interim = True  # whether interim answers may be sent to it: not to HTTP/1.0 (RFC 9110, 15.2)
         self.keep = True
         self.made_head = b""  # its head for a node, once it has been asked for
 
@@ -190,6 +193,7 @@
         self.in_head = self.in_body = False
         self.head_bytes = 0
         self.body_bytes = 0
+        self.unsaid = 0  # bytes since the parser last told of anything
         self.parts: list[bytes] = []
         self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
@@ -200,13 +204,16 @@
 
     def on_message_begin(self) -> None:
         self.in_head, self.head_bytes, self.body_bytes, self.parts = True, 0, 0, []
+        self.unsaid = -1
 
     def _count(self, size: int) -> None:
+        self.unsaid = -1
         self.head_bytes += size
         if self.head_bytes > MAX_HEAD:
             raise MalformedError(431, "the head is too long")
 
     def on_body(self, data: bytes) -> None:
+        self.unsaid = -1
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body:
             raise MalformedError(413, "the body is too long")
@@ -222,29 +229,54 @@
         return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise MalformedError(400, "no upgrades here") from None
-        except httptools.HttpParserError as fault:
-            cause: BaseException | None = fault
-            while cause is not None and not isinstance(cause, MalformedError):
-                cause = cause.__cause__ or cause.__context__
-            raise cause or MalformedError(400, str(fault)) from None
-        if self.in_head:  # guards against a head whose one line never ends: the parser keeps it unseen
-            self._count(len(data))
+        """Parse what has come. MalformedError where it breaks the protocol or a bound."""
+        start, size = 0, len(data)
+        while size - start > SLICE:
+            end = start + (4 * SLICE if self.in_body else SLICE)
+            self._parse(data[start:end])
+            start = end
+        if start < size:
+            self._parse(data[start:] if start else data)
+
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as pause:
+                data = self._offered() + data[pause.args[0]:]
+                continue
+            except httptools.HttpParserError as fault:
+                cause: BaseException | None = fault
+                while cause is not None and not isinstance(cause, MalformedError):
+                    cause = cause.__cause__ or cause.__context__
+                raise cause or MalformedError(400, str(fault)) from None
+            break
+        # Guards against a line of a head, a trailer or a chunk that never ends: the parser keeps it unseen.
+        self.unsaid += len(data) if self.unsaid >= 0 else 1
+        if self.unsaid > MAX_LINE and not self.idle:
+            raise MalformedError(431, "a line is too long")
+
+    def _offered(self) -> bytes:
+        """What is put before the bytes behind a message that asked for another protocol."""
+        raise MalformedError(400, "no other protocol was asked for")
 
 
 class RequestReader(_Reader):
-    """Turns what one caller sends into requests."""
+    """Turns what one caller sends into requests.
+
+    An offer of another protocol (RFC 9110, 7.8) is ignored. The parser ends such a message at its head and
+    takes its body for the other protocol, so it is given a head of the same framing once more, of which
+    nothing is noted: what it then finds is the body.
+    """
 
-    def __init__(self, on_continue: Callable[[], None]) -> None:
+    def __init__(self) -> None:
         super().__init__(messages.MAX_BODY)
-        self.on_continue = on_continue
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
         self.request = NONE
         self.done: list[Request] = []
         self.fault: MalformedError | None = None
+        self.framing = b""  # header lines that say where the message ends
+        self.again = False  # the head that is being read is one that was given once more
 
     def feed(self, data: bytes) -> list[Request]:
         """The requests whose last byte has come with these; `fault` is what is wrong with the rest."""
@@ -255,21 +287,39 @@
         done, self.done = self.done, []
         return done
 
+    def wants_continue(self) -> bool:
+        """Whether the sender of the message that is being read waits for word before its body; said once."""
+        wants = self.in_body and self.request.expects and not self.body_bytes
+        if wants:
+            self.request.expects = False
+        return wants
+
+    def _offered(self) -> bytes:
+        self.again = True
+        return b"POST * HTTP/1.1\r\n" + self.framing + b"\r\n"
+
     def on_message_begin(self) -> None:
         """A message begins."""
-        super().on_message_begin()
-        self.request = Request()
+        if not self.again:
+            super().on_message_begin()
+            self.request, self.framing = Request(), b""
 
     def on_url(self, url: bytes) -> None:
         """A part of the target."""
-        self._count(len(url))
-        self.request.target += url
+        if not self.again:
+            self._count(len(url))
+            self.request.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """A header, whole."""
+        """A header, whole; a trailer's field is none (RFC 9110, 6.5.1) and only counts for the bound."""
+        if self.again:
+            return
+        self.unsaid = -1
         self.head_bytes += len(name) + len(value) + 4
         if self.head_bytes > MAX_HEAD:
             raise MalformedError(431, "the head is too long")
+        if not self.in_head:
+            return
         key = name.lower()
         take = HEADERS.get(key)
         if take is not None:
@@ -279,24 +329,34 @@
         elif key == b"content-length":
             if too_long(value, self.max_body):
                 raise MalformedError(413, "the body is too long")
-        elif key == b"transfer-encoding" and value.strip().lower() != b"chunked":  # the parser lets them pass
-            raise MalformedError(400, "an odd transfer coding")
+            self.framing += b"%b: %b\r\n" % (name, value)
+        elif key == b"transfer-encoding":
+            if value.strip().lower() != b"chunked":  # the parser lets them pass
+                raise MalformedError(400, "an odd transfer coding")
+            self.framing += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         """The head is whole."""
+        if self.again:
+            self.again = False
+            return
         self.in_head, self.in_body = False, True
         request = self.request
         request.method = self.parser.get_method()
-        if request.method not in METHODS or self.parser.get_http_version() not in ("1.1", "1.0"):
+        version = self.parser.get_http_version()
+        if request.method not in METHODS or version not in ("1.1", "1.0"):
             raise MalformedError(400, "not HTTP/1, or an odd method")
-        if request.expects:
-            self.on_continue()
+        if version == "1.0":
+            request.expects = request.interim = False  # its expectations are ignored (RFC 9110, 10.1.1)
+        # A proxy keeps no connection with a client of HTTP/1.0 (RFC 9112, 9.3), whatever that asks for.
+        request.keep = version == "1.1" and self.parser.should_keep_alive()
 
     def on_message_complete(self) -> None:
         """The message is whole."""
+        if self.parser.should_upgrade():
+            return  # only its head: see above
         request, self.request, self.in_body = self.request, NONE, False  # an idle connection keeps none
         request.body, self.parts = self.body(), []
-        request.keep = self.parser.should_keep_alive() and self.parser.get_http_version() == "1.1"
         self.done.append(request)
 
 
@@ -357,6 +417,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header, whole."""
         self._count(len(name) + len(value) + 4)
+        if not self.in_head:
+            return  # a trailer's: nothing that a head may say is taken from there
         key = name.lower()
         if key == b"x-unprocessed":
             self.response.unprocessed = value.strip() == b"1"
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -20,11 +21,14 @@
 IDLE_MS = 6000.0  # and so is one that has been idle so long after an answer; where callers crowd, earlier:
 CROWDED_IDLE_MS = 2000.0
 SLOW_MS = 2400.0  # a request must be whole so long after its first byte
+MOST_TURNED_AWAY = 32  # connections beyond the bound that are told so; further ones are cut
 YOUNG_MS = 250.0  # under that age a connection that says nothing is not the first to go
 LINGER_S = 0.5  # after a last answer: closing on unread bytes would take the answer back
 LINGER_MOST_S = 3.0  # the same for a caller that has not taken the answer off yet
 LINGER_BYTES = 256 * 1024  # what is read and thrown away in that time
 SWEEP_S = 0.2
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+ASK_S, ASK_MOST_S = 0.02, 0.5  # after which it is looked whether a caller that sends no more has closed
 STATUSES = {Status.SERVED: 200, Status.REFUSED: 503, Status.FAILED: 502, Status.CONFLICT: 409,
             Status.UNPROCESSABLE: 422}
 REFUSED = STATUSES[Status.REFUSED]
@@ -34,13 +38,13 @@
     """One caller's connection: one request at a time, in the order they came."""
 
     __slots__ = (
-        "among", "current", "ended", "fault", "front", "reader", "since_ms", "thrown", "timer", "transport",
-        "waiting", "waiting_bytes",
+        "among", "asked_s", "current", "ended", "fault", "front", "half_closed", "reader", "served",
+        "since_ms", "thrown", "timer", "transport", "waiting", "waiting_bytes",
     )
 
     def __init__(self, front: Front) -> None:
         self.front = front
-        self.reader = http1.RequestReader(self._continue)
+        self.reader = http1.RequestReader()
         self.current: http1.Request | None = None
         self.waiting: deque[http1.Request] = deque()
         self.waiting_bytes = 0
@@ -50,6 +54,9 @@
         self.among: dict[Connection, None] | None = None  # which of the front's groups it is in
         self.since_ms = 0.0  # in that group since then
         self.timer: asyncio.TimerHandle | None = None
+        self.served = False  # it has had an answer
+        self.half_closed = False  # the caller sends no more
+        self.asked_s = 0.0  # how long it was waited for a reset last
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -57,9 +64,6 @@
         self.transport = cast(asyncio.Transport, transport)
         self.front.joined(self)
 
-    def _continue(self) -> None:
-        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
     def data_received(self, data: bytes) -> None:
         """Read requests; one that comes while another is open waits for its answer."""
         if self.ended:
@@ -105,6 +109,8 @@
             self.reject(self.fault.status)
         else:
             self.front.rest(self)
+            if self.reader.wants_continue():  # not before: it would stand ahead of an earlier answer
+                self.transport.write(CONTINUE)
 
     def answer(
         self, status: Status, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
@@ -114,14 +120,15 @@
 
     def reply(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0, kind: bytes = b"") -> None:
         """Write an answer to the current request, then turn to the next."""
-        request, self.current = self.current, None
+        request, self.current, self.served = self.current, None, True
         if request is None or self.ended:
             return
-        keep = request.keep and not self.front.draining
+        keep = request.keep and not self.front.draining and not (
+            self.half_closed and not self.waiting and self.fault is None)
         self.transport.write(http1.answer(status, body, keep=keep, retry_after_ms=retry_after_ms, kind=kind))
         if not keep:
             self._linger()
-        elif self.waiting or self.fault is not None:
+        elif self.waiting or self.fault is not None or not self.reader.idle:
             self.front.loop.call_soon(self._turn)
         else:
             self.front.rest(self)
@@ -155,6 +162,9 @@
             self.transport.abort()
 
     def _stop(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
         self.ended, self.current, self.waiting_bytes = True, None, 0
         self.waiting.clear()
         self.front.move(self, None)
@@ -167,13 +177,38 @@
             self._stop()
             self.transport.abort()
 
+    def eof_received(self) -> bool:
+        """The caller sends no more: it has closed, or waits for its answer with its own side closed.
+
+        TCP tells these apart by what comes back only. An interim answer, which every caller has to skip (RFC
+        9110, 15.2), is met by a reset where the caller has closed: then its request is given up at once.
+        """
+        if self.ended or (self.current is None and not self.waiting):
+            return False
+        if self.asked_s == 0.0:
+            self.half_closed = True
+            request = self.current or self.waiting[0]
+            if request.interim:
+                self.transport.write(CONTINUE)
+                self._ask_again()
+        return True
+
+    def _ask_again(self) -> None:
+        """Whether a reset has come: this side reads no more, so nobody says so."""
+        self.timer = None
+        if self.ended:
+            return
+        told = self.transport.get_extra_info("socket")
+        if self.asked_s and told is not None and told.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.transport.abort()
+            return
+        self.asked_s = min(ASK_MOST_S, 2.0 * self.asked_s or ASK_S)
+        self.timer = self.front.loop.call_later(self.asked_s, self._ask_again)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone; so has its request, if it was not answered."""
         request = self.current
         self._stop()
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
         self.front.left(self)
         self.reader.close()
         del self.reader
@@ -212,17 +247,28 @@
         self.connections.add(connection)
         if len(self.connections) > self.most and not self._make_room():
             connection.reject(REFUSED)
+            if len(self.connections) > self.most + MOST_TURNED_AWAY:
+                connection.transport.abort()  # guards the descriptors: each holds one until it has read that
             return
         self.move(connection, self.silent)
 
     def _make_room(self) -> bool:
-        """Close one that says nothing, or only half of it, before one that has been served."""
+        """Close the one least likely to be missed; False where all hold whole requests.
+
+        First those that have said nothing or half of a request for a while, then half-sent heads of callers
+        that have had no answer yet, however young: a caller's first head comes in one piece, as a rule.
+        Guards those that have been served, or send a body, against a crowd of half-sent heads.
+        """
         young = self.clock.now() - YOUNG_MS
         for group in (self.silent, self.partial):
             first = next(iter(group), None)
             if first is not None and first.since_ms < young:
                 first.close()
                 return True
+        for first in self.partial:
+            if not first.served and first.reader.in_head:
+                first.close()
+                return True
         first = next(iter(self.idle), None) or next(iter(self.silent), None)
         if first is not None:
             first.close()
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -18,7 +18,7 @@
 
 
 def reader() -> http1.RequestReader:
-    return http1.RequestReader(lambda: None)
+    return http1.RequestReader()
 
 
 @pytest.mark.parametrize(("text", "ms"), [
