--- a/bench/orderkeys.py
+++ b/bench/orderkeys.py
@@ -40,8 +40,11 @@
         with tempfile.TemporaryDirectory() as folder:
             found = asyncio.run(keyday.day(
                 features, redis, args.keys, args.seed, Path(folder), args.proxies, program))
+        histories = found.pop("of these")
         print(f"{name:>7}", *(f"{k}: {v}" for k, v in found.items()), sep="  ", flush=True)
         broken = any(found["faults"].values())
+        if broken and features:
+            print(*(f"        {rule}: {rows}" for rule, rows in histories.items()), sep="\n", flush=True)
     return 1 if broken else 0
 
 
--- a/bench/orderkeys_cost.py
+++ b/bench/orderkeys_cost.py
@@ -33,7 +33,7 @@
 from honeywharf.codecs import http1
 from honeywharf.core.driver import Driver
 from honeywharf.core.messages import Status
-from honeywharf.core.transport import Call, Clock
+from honeywharf.core.transport import Clock, UpstreamRequest
 from honeywharf.orderkeys.edge import Edge
 from honeywharf.orderkeys.redis import Store
 from honeywharf.orderkeys.shared import Rules
@@ -125,18 +125,18 @@
     """The driver's transport and its requests' caller, in one: keeps the call that was started last."""
 
     def __init__(self) -> None:
-        self.call: Call | None = None
+        self.call: UpstreamRequest | None = None
         self.answered = 0
 
     def known(self, endpoint: str) -> bool:
         """All are."""
         return True
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Keep it."""
         self.call = call
 
-    def abort(self, call: Call) -> None:
+    def abort(self, call: UpstreamRequest) -> None:
         """Nothing is ever given up here."""
 
     def close_idle(self, endpoint: str) -> None:
--- a/honeywharf/coap/backend.py
+++ b/honeywharf/coap/backend.py
@@ -3,6 +3,8 @@
     UNSENT                           NOT_SENT        it never left
     RESET (RST, sent once)           REJECTED        the node has not taken it
     UNREACHABLE (ICMP, first sent)   CONNECT_FAILED  it never arrived
+    PROBING                          CONNECT_FAILED  it never left: the node is silent, and may be asked
+                                                     no more than PROBING_RATE allows
     LOST (later RST, ICMP; no ACK)   RESET           it may have run
     2.04, 2.05                       OK
     5.03 and UNPROCESSED, sent once  REJECTED        the node says that it has not run; of one sent again a
@@ -22,15 +24,16 @@
 from typing import cast
 
 from honeywharf.coap import blocks, options
-from honeywharf.coap.client import NSTART, Asked, Client, End
-from honeywharf.codecs import coap
+from honeywharf.coap.client import NSTART, PROBING_RATE, Asked, Client, End
+from honeywharf.codecs import coap, contentformat
 from honeywharf.core.messages import MAX_ANSWER, Response
-from honeywharf.core.transport import Address, Call, Clock
+from honeywharf.core.transport import Address, Clock, UpstreamRequest
 from honeywharf.policy import interface as api
 
 O = api.Outcome  # noqa: E741
 OUTCOMES = {
     End.RESET: O.REJECTED, End.UNREACHABLE: O.CONNECT_FAILED, End.LOST: O.RESET, End.UNSENT: O.NOT_SENT,
+    End.PROBING: O.CONNECT_FAILED,
 }
 LIVE, REPORT = b"health/live", b"stats"
 
@@ -40,7 +43,7 @@
 
     __slots__ = ("answer", "asked", "call", "etag", "node", "part", "szx", "told")
 
-    def __init__(self, node: Node, call: Call) -> None:
+    def __init__(self, node: Node, call: UpstreamRequest) -> None:
         self.node, self.call = node, call
         self.asked: Asked | None = None
         self.part, self.szx = 0, blocks.MOST_SZX  # of the body
@@ -127,6 +130,9 @@
     def _response(self, message: coap.Message) -> Response:
         response = Response()
         response.body, response.load = bytes(self.answer), message.option(options.LOAD)
+        value = message.option(coap.CONTENT_FORMAT)
+        if value is not None and len(value) <= 2:
+            response.kind = contentformat.media_type(value)
         return response
 
 
@@ -158,7 +164,8 @@
 
     def __init__(self, pool: Pool, address: Address, started_ms: float | None) -> None:
         self.pool, self.address, self.started_ms = pool, address, started_ms
-        self.client = Client(pool.clock.now, self._send, secrets.randbits(64), pool.nstart)
+        self.client = Client(
+            pool.clock.now, self._send, secrets.randbits(64), pool.nstart, probing_rate=pool.probing_rate)
         self.socket: Socket | None = None
         self.transport: asyncio.DatagramTransport | None = None
         self.opening: asyncio.Task[None] | None = None
@@ -194,7 +201,7 @@
         if self.opening is None:
             self.opening = self.pool.loop.create_task(self.open())
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Carry a call."""
         job = Job(self, call)
         call.connection = job
@@ -245,9 +252,13 @@
 class Pool:
     """All CoAP nodes that discovery has named."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Clock, nstart: int = NSTART) -> None:
-        self.loop, self.clock, self.nstart = loop, clock, nstart
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, nstart: int = NSTART,
+        probing_rate: float = PROBING_RATE,
+    ) -> None:
+        self.loop, self.clock, self.nstart, self.probing_rate = loop, clock, nstart, probing_rate
         self.nodes: dict[str, Node] = {}
+        self.starts = 0  # new processes that discovery has told of, cold ones
 
     def name(
         self, endpoint: str, address: Address, started_ms: float | None, *, open_for_work: bool,
@@ -256,6 +267,7 @@
         known = self.nodes.get(endpoint)
         if known is None or known.address != address or known.started_ms != started_ms:
             self.forget(endpoint)
+            self.starts += started_ms is not None
             self.nodes[endpoint] = Node(self, address, started_ms)
 
     def forget(self, endpoint: str) -> None:
@@ -268,11 +280,11 @@
         """Whether a list has named the endpoint."""
         return endpoint in self.nodes
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Carry the call."""
         self.nodes[call.endpoint].start(call)
 
-    def abort(self, call: Call) -> None:
+    def abort(self, call: UpstreamRequest) -> None:
         """Give the call up."""
         job = call.connection
         if isinstance(job, Job):
--- a/honeywharf/coap/blocks.py
+++ b/honeywharf/coap/blocks.py
@@ -76,7 +76,7 @@
         self.most, self.most_bytes = most, most_bytes
         # When each began, and what there is of it; the one that began longest ago first.
         self.bodies: OrderedDict[Key, tuple[float, bytearray]] = OrderedDict()
-        self.answers: OrderedDict[Key, tuple[float, bytes]] = OrderedDict()
+        self.answers: OrderedDict[Key, tuple[float, bytes, list[tuple[int, bytes]]]] = OrderedDict()
         self.held_bytes = 0
 
     def body(self, key: Key, block: Block, payload: bytes, now: float) -> bytes | None:
@@ -111,10 +111,12 @@
         if begun is not None:
             self.held_bytes -= len(begun[1])
 
-    def keep(self, key: Key, answer: bytes, now: float) -> None:
-        """Keep an answer for the requests that ask for its other blocks."""
+    def keep(
+        self, key: Key, answer: bytes, now: float, told: list[tuple[int, bytes]] | None = None,
+    ) -> None:
+        """Keep an answer, and options that go with each block, for the requests that ask for the others."""
         self._forget_answer(key)
-        self.answers[key] = (now, answer)
+        self.answers[key] = (now, answer, told or [])
         self.held_bytes += len(answer)
         self._bound(now)
 
@@ -123,14 +125,17 @@
         if known is not None:
             self.held_bytes -= len(known[1])
 
-    def kept(self, key: Key, now: float) -> bytes:
-        """The answer that another block is asked of; OptionError 4.08 where it is not known any more."""
+    def kept(self, key: Key, now: float) -> tuple[bytes, list[tuple[int, bytes]]]:
+        """The answer, with its options, that another block is asked of.
+
+        OptionError 4.08 where it is not known any more.
+        """
         self._bound(now)
         known = self.answers.get(key)
         if known is None:
             raise options.OptionError(
                 coap.REQUEST_ENTITY_INCOMPLETE, "found no answer, wanted its first block")
-        return known[1]
+        return known[1], known[2]
 
     def _bound(self, now: float) -> None:
         """Forget what is over, and the oldest where there is too much."""
@@ -140,7 +145,7 @@
                 break
             self._forget_body(key)
         while self.answers:
-            key, (kept, _) = next(iter(self.answers.items()))
+            key, (kept, _, _) = next(iter(self.answers.items()))
             if kept > now - LIFETIME_MS and len(self.answers) <= self.most:
                 break
             self._forget_answer(key)
--- a/honeywharf/coap/client.py
+++ b/honeywharf/coap/client.py
@@ -10,6 +10,8 @@
     LOST         any other RST or ICMP, or never acknowledged: it may have run. We are not told which datagram
                  ICMP is about: one that came late must not speak for a later request, which may have arrived
     UNSENT       no room in the line, or its time ended while it waited there
+    PROBING      never written: the node has been silent since a request was lost, and what has been sent to
+                 it since has used up what PROBING_RATE allows (4.7)
 
 The caller gives up what takes too long. Times are ms on the caller's clock. Bounds: `most_waiting` in line.
 """
@@ -25,6 +27,7 @@
 from honeywharf.codecs import coap
 
 NSTART = 1  # RFC 7252, 4.8
+PROBING_RATE = 1.0  # bytes a second, on the mean, to a node that does not respond; RFC 7252, 4.8
 MOST_WAITING = 256
 HEARD_MOST = 64  # message ids of the last separate answers: a duplicate is acknowledged again, and no more
 UNSENT_MS = 5.0  # so long before its end what still waits in line is told to be unsent
@@ -38,6 +41,7 @@
     UNREACHABLE = "unreachable"
     LOST = "lost"
     UNSENT = "unsent"
+    PROBING = "probing"
 
 
 Ended = Callable[[End, coap.Message | None], None]
@@ -46,12 +50,23 @@
 class Asked:
     """One request to the node."""
 
-    __slots__ = ("acked", "due_ms", "ended", "message", "most_sent", "over", "sent", "until_ms", "wait_ms")
+    __slots__ = (
+        "acked",
+        "done",
+        "due_ms",
+        "ended",
+        "message",
+        "most_sent",
+        "probing",
+        "sent",
+        "until_ms",
+        "wait_ms",
+    )
 
     def __init__(self, message: coap.Message, until_ms: float, ended: Ended, most_sent: int) -> None:
         self.message, self.until_ms, self.ended, self.most_sent = message, until_ms, ended, most_sent
         self.sent, self.wait_ms, self.due_ms = 0, 0.0, until_ms - UNSENT_MS
-        self.acked = self.over = False
+        self.acked = self.done = self.probing = False
 
 
 class Client:
@@ -59,7 +74,7 @@
 
     def __init__(
         self, clock: Callable[[], float], send: Callable[[bytes], None], seed: int, nstart: int = NSTART,
-        most_waiting: int = MOST_WAITING,
+        most_waiting: int = MOST_WAITING, probing_rate: float = PROBING_RATE,
     ) -> None:
         self.clock, self.send, self.nstart, self.most_waiting = clock, send, nstart, most_waiting
         self.random = random.Random(seed)
@@ -70,6 +85,10 @@
         self.waiting: deque[Asked] = deque()
         self.out: dict[bytes, Asked] = {}  # written, by token
         self.by_mid: dict[int, Asked] = {}  # those not acknowledged yet
+        self.probing_rate = probing_rate
+        self.silent = False  # a request was lost, and nothing has come since
+        self.probe_ms = 0.0  # while it is silent: what was sent is paid for then
+        self.held_back = 0  # requests that PROBING_RATE has kept from being written
         self.heard: deque[int] = deque(maxlen=HEARD_MOST)
 
     def ask(
@@ -93,7 +112,7 @@
 
     def give_up(self, asked: Asked) -> None:
         """Nobody waits for it any more; `ended` is not called."""
-        asked.over = True
+        asked.done = True
         self._leave(asked)
         self._fill()
 
@@ -106,14 +125,18 @@
             self.waiting.remove(asked)
 
     def _end(self, asked: Asked, how: End, message: coap.Message | None = None) -> None:
-        if not asked.over:
-            asked.over = True
+        if not asked.done:
+            asked.done = True
             self._leave(asked)
             asked.ended(how, message)
 
     def _fill(self) -> None:
         """Write what is first in line while fewer than NSTART are out unacknowledged."""
         while self.waiting and len(self.by_mid) < self.nstart and not self.paused:
+            if self.silent and self.clock() < self.probe_ms:
+                for asked in self.waiting:  # told when time is asked for next, as never from within
+                    asked.probing, asked.due_ms = True, 0.0
+                return
             asked = self.waiting.popleft()
             self.next_token = (self.next_token + 1) & 0xFFFFFFFF
             while self.next_mid in self.by_mid:
@@ -133,7 +156,10 @@
 
     def _send(self, message: coap.Message) -> None:
         self.written += 1
-        self.send(coap.encode(message))
+        data = coap.encode(message)
+        if self.silent:
+            self.probe_ms = max(self.probe_ms, self.clock()) + len(data) / self.probing_rate * 1000.0
+        self.send(data)
 
     def resume(self) -> None:
         """There is a socket, which has sent nothing yet."""
@@ -149,6 +175,7 @@
 
     def received(self, data: bytes) -> None:
         """Take a datagram of the node."""
+        self.silent = False
         try:
             message = coap.decode(data)
         except coap.MalformedError as fault:
@@ -196,9 +223,12 @@
         """Time has passed: send again, and tell what never left."""
         now = self.clock()
         for asked in [a for a in self.waiting if a.due_ms <= now]:
-            self._end(asked, End.UNSENT)
+            self.held_back += asked.probing
+            self._end(asked, End.PROBING if asked.probing else End.UNSENT)
         for asked in [a for a in self.by_mid.values() if a.due_ms <= now]:
             if asked.sent >= asked.most_sent:
+                if not self.silent:
+                    self.silent, self.probe_ms = True, now
                 self._end(asked, End.LOST)
             else:
                 self._write(asked)
--- a/honeywharf/coap/front.py
+++ b/honeywharf/coap/front.py
@@ -50,7 +50,7 @@
         self, status: Status, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
     ) -> None:
         """Write the final answer."""
-        self.front.answer(self, status, body, retry_after_ms)
+        self.front.answer(self, status, body, retry_after_ms, kind)
 
 
 class Front(asyncio.DatagramProtocol):
@@ -146,8 +146,9 @@
                 return True
             caller.request.body = body
         if caller.wanted.number:
-            told, payload = blocks.part(self.transfers.kept(caller.key, now), caller.wanted)
-            self.layer.answer(caller.exchange, self._code(caller), told, payload)
+            kept, told = self.transfers.kept(caller.key, now)
+            more, payload = blocks.part(kept, caller.wanted)
+            self.layer.answer(caller.exchange, self._code(caller), told + more, payload)
             return True
         return False
 
@@ -162,7 +163,9 @@
         else:
             self.layer.answer(exchange, coap.UNAUTHORIZED, [(coap.ECHO, value)])
 
-    def answer(self, caller: Caller, status: Status, body: bytes, retry_after_ms: float) -> None:
+    def answer(
+        self, caller: Caller, status: Status, body: bytes, retry_after_ms: float, kind: bytes = b"",
+    ) -> None:
         """A final answer, as a code."""
         if caller.exchange.message is None:
             return
@@ -170,10 +173,11 @@
             told = self._come_back(retry_after_ms) if status is Status.REFUSED else []
             self.layer.answer(caller.exchange, CODES[status], caller.told + told)
             return
-        told = []
+        told = options.format_of(kind)
         if len(body) > caller.wanted.size:
-            self.transfers.keep(caller.key, body, self.clock.now())
-            told, body = blocks.part(body, caller.wanted)
+            self.transfers.keep(caller.key, body, self.clock.now(), told)
+            more, body = blocks.part(body, caller.wanted)
+            told = told + more
         self.layer.answer(caller.exchange, self._code(caller), caller.told + told, body)
 
     def _come_back(self, ms: float) -> list[tuple[int, bytes]]:
--- a/honeywharf/coap/options.py
+++ b/honeywharf/coap/options.py
@@ -8,7 +8,7 @@
 
 from urllib.parse import quote_from_bytes, unquote_to_bytes
 
-from honeywharf.codecs import coap
+from honeywharf.codecs import coap, contentformat
 from honeywharf.core.messages import Request
 
 CLASS = 65001  # string: X-Service-Class
@@ -27,7 +27,8 @@
     coap.URI_QUERY, coap.CONTENT_FORMAT, coap.ECHO, coap.REQUEST_TAG, coap.SIZE1, coap.SIZE2, coap.BLOCK1,
     coap.BLOCK2,
 ))
-ONCE = frozenset((CLASS, ID, KEY, TIME_LEFT, ACCOUNT, coap.ECHO, coap.BLOCK1, coap.BLOCK2))
+ONCE = frozenset((
+    CLASS, ID, KEY, TIME_LEFT, ACCOUNT, coap.CONTENT_FORMAT, coap.ECHO, coap.BLOCK1, coap.BLOCK2))
 METHODS = {coap.GET: b"GET", coap.POST: b"POST"}
 MOST_ID = 128
 PLAIN = "!$'()*+,;=:@"  # RFC 3986, pchar, besides what is never escaped; but for `&`, which parts queries
@@ -76,6 +77,8 @@
             request.repeat = True
         elif number == WEIGHT:
             request.hint_ms = coap.uint(value) / 1000.0 if len(value) <= 5 else None
+        elif number == coap.CONTENT_FORMAT:
+            request.kind = _kind(value)
         elif number == SID:
             request.sid = value.decode("latin-1")
     request.method, request.body = method, message.payload
@@ -94,7 +97,20 @@
             told.append((number, value))
     if request.repeat:
         told.append((REPEAT, b""))
-    return told
+    return told + format_of(request.kind)
+
+
+def format_of(kind: bytes) -> list[tuple[int, bytes]]:
+    """The option that names a body's media type, where CoAP has a number for it."""
+    value = contentformat.content_format(kind)
+    return [(coap.CONTENT_FORMAT, value)] if value is not None else []
+
+
+def _kind(value: bytes) -> bytes:
+    try:
+        return contentformat.media_type(value)
+    except ValueError as fault:
+        raise OptionError(coap.BAD_OPTION, str(fault)) from None
 
 
 def _id(value: bytes) -> str:
--- a/honeywharf/coap/part.py
+++ b/honeywharf/coap/part.py
@@ -9,6 +9,7 @@
 from honeywharf.core.transport import address
 
 if TYPE_CHECKING:
+    from honeywharf.coap.backend import Pool
     from honeywharf.coap.front import Front
     from honeywharf.config.features import Coap
 
@@ -18,10 +19,11 @@
 
     def __init__(self, proxy: Assembly, features: Coap) -> None:
         self.front: Front | None = None
+        self.pool: Pool | None = None
         if features.nodes:
             from honeywharf.coap.backend import Pool
 
-            pool = Pool(proxy.loop, proxy.clock, features.nstart)
+            self.pool = pool = Pool(proxy.loop, proxy.clock, features.nstart, features.probing_rate)
             proxy.carry("coap", pool, pool)
         if features.listen:
             from honeywharf.coap.front import Front
@@ -45,8 +47,12 @@
         return self.front is not None and bool(self.front.layer.open_of)
 
     def counts(self) -> Mapping[str, int]:
-        """What the message layer has counted."""
-        return self.front.layer.counts if self.front is not None else {}
+        """What the message layers have counted: that of clients, and those of nodes together."""
+        counts = dict(self.front.layer.counts) if self.front is not None else {}
+        if self.pool is not None:
+            counts["coap:node starts"] = self.pool.starts
+            counts["coap:probes held back"] = sum(n.client.held_back for n in self.pool.nodes.values())
+        return counts
 
     def close(self) -> None:
         """Close the socket."""
--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -56,6 +56,7 @@
     listen: str = ""
     nodes: bool = False
     nstart: Count = 1
+    probing_rate: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
 class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -11,7 +11,6 @@
 
 from honeywharf.core.messages import Request, Response, Status, pairs
 from honeywharf.core.transport import (
-    Call,
     Caller,
     Clock,
     Decider,
@@ -20,6 +19,7 @@
     Registry,
     Timer,
     Transport,
+    UpstreamRequest,
     Watcher,
     log,
 )
@@ -51,7 +51,7 @@
         self.watcher: Watcher | None = None
 
 
-class Attempt(Call):
+class Attempt(UpstreamRequest):
     """One attempt of a request."""
 
     __slots__ = ("__weakref__", "driver", "exchange", "live", "number", "sent_ms", "timer")
@@ -69,7 +69,7 @@
         self.driver.attempt_ended(self, outcome, response)
 
 
-class Probe(Call):
+class Probe(UpstreamRequest):
     """A health check of a backend."""
 
     __slots__ = ("driver", "live", "sent_ms", "timer")
@@ -189,7 +189,7 @@
         """The client has left. Attempts that are out go on, as they do at the backend."""
         exchange = self.requests.get(request.id)
         if exchange is not None and exchange.request is request and not exchange.answered:
-            self._over(exchange, "gone")
+            self._finish(exchange, "gone")
             self._feed(api.RequestExpired(request.id), exchange)
         elif self.keys is not None:
             self.keys.gone(request)
@@ -212,7 +212,7 @@
         if exchange.watcher is not None:
             exchange.watcher.ended(attempt.number, outcome, response)
         if outcome is api.Outcome.OK and response is not None and not exchange.answered:
-            self._over(exchange, "served")
+            self._finish(exchange, "served")
             exchange.caller.answer(Status.SERVED, response.body, kind=response.kind)
         self.count(COUNTED[outcome])
         self._feed(api.AttemptEnded(
@@ -271,7 +271,7 @@
         self._run()
         if not exchange.answered:
             # Guards against a module that keeps a request past its time, or broke on it.
-            self._over(exchange, "overdue")
+            self._finish(exchange, "overdue")
             exchange.caller.answer(Status.FAILED)
             self._feed(api.RequestExpired(exchange.request.id), exchange)
 
@@ -316,7 +316,7 @@
                 log(f"decision failed on {type(event).__name__}: {type(fault).__name__}: {fault}")
                 actions = []
                 if exchange is not None and not exchange.answered:
-                    self._over(exchange, "broken")
+                    self._finish(exchange, "broken")
                     exchange.caller.answer(Status.FAILED)
                 if exchange is not None and not isinstance(event, api.RequestExpired):
                     # Nothing of it stays in the module.
@@ -421,7 +421,7 @@
         exchange = self.requests.get(request)
         if exchange is None or exchange.answered:
             return False
-        self._over(exchange, how)
+        self._finish(exchange, how)
         exchange.caller.answer(status, retry_after_ms=retry_after_ms)
         return True
 
@@ -429,14 +429,14 @@
         """Answer all that is open: the process is about to be killed."""
         for exchange in list(self.requests.values()):
             if not exchange.answered:
-                self._over(exchange, "cut off")
+                self._finish(exchange, "cut off")
                 exchange.caller.answer(Status.FAILED)
         if self.keys is not None:
             self.keys.fail_all()
 
     # The table.
 
-    def _over(self, exchange: Exchange, how: str) -> None:
+    def _finish(self, exchange: Exchange, how: str) -> None:
         """Nothing is owed any more; the one place that says so, so that there is one final answer."""
         exchange.answered = True
         self.open -= 1
--- a/honeywharf/core/routes.py
+++ b/honeywharf/core/routes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from honeywharf.core.transport import Call, Transport
+from honeywharf.core.transport import Transport, UpstreamRequest
 
 
 class Routes:
@@ -21,13 +21,13 @@
         """Whether a list has named the endpoint."""
         return self._way(endpoint) is not None
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Carry the call by the endpoint's way."""
         way = self._way(call.endpoint)
         assert way is not None
         way.start(call)
 
-    def abort(self, call: Call) -> None:
+    def abort(self, call: UpstreamRequest) -> None:
         """Give the call up. Its endpoint may be gone, so each is asked, and that which carries it acts."""
         for way in self.ways:
             way.abort(call)
--- a/honeywharf/core/transport.py
+++ b/honeywharf/core/transport.py
@@ -70,7 +70,7 @@
 
 
 @mypyc_attr(allow_interpreted_subclasses=True)
-class Call:
+class UpstreamRequest:
     """A request on its way to a node and back. The transport calls `ended` once, unless it is aborted.
 
     Without a request it is a health check, which asks for the node's report of load where `report` says so.
@@ -96,10 +96,10 @@
     def known(self, endpoint: str) -> bool:
         """Whether a list has named the endpoint."""
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Carry the call; its end comes later, never from within."""
 
-    def abort(self, call: Call) -> None:
+    def abort(self, call: UpstreamRequest) -> None:
         """Give the call up: its connection closes, and no end is told."""
 
     def close_idle(self, endpoint: str) -> None:
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -10,7 +10,7 @@
 from typing import cast
 
 from honeywharf.codecs import http1
-from honeywharf.core.transport import Address, Call, Clock
+from honeywharf.core.transport import Address, Clock, UpstreamRequest
 from honeywharf.policy import interface as api
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
@@ -64,7 +64,7 @@
 
     def __init__(self, pool: Pool, backend: Backend) -> None:
         self.pool, self.backend = pool, backend
-        self.call: Call | None = None
+        self.call: UpstreamRequest | None = None
         self.reader = http1.ResponseReader()
         self.unsent = self.closed = False
         self.idle_since = 0.0
@@ -89,7 +89,7 @@
         """All of the request has left."""
         self.unsent = False
 
-    def carry(self, call: Call) -> None:
+    def carry(self, call: UpstreamRequest) -> None:
         """Write the whole request, in one write."""
         self.call, call.connection = call, self
         request, host = call.request, self.backend.host
@@ -248,7 +248,7 @@
 
     # Calls.
 
-    def start(self, call: Call) -> None:
+    def start(self, call: UpstreamRequest) -> None:
         """Put the call on the connection used last, or on a new one."""
         backend = self.backends[call.endpoint]
         oldest = self.clock.now() - min(self.idle_ms, backend.idle_ms)
@@ -270,7 +270,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def abort(self, call: Call) -> None:
+    def abort(self, call: UpstreamRequest) -> None:
         """Give the call up: closing its connection is how the backend learns of it."""
         connection = call.connection
         call.opening = False  # a connection that is still to come up is kept for another call
@@ -278,11 +278,11 @@
             call.connection = connection.call = None
             connection.drop()
 
-    def _not_connected(self, call: Call, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
+    def _not_connected(self, call: UpstreamRequest, outcome: api.Outcome = O.CONNECT_FAILED) -> None:
         call.opening = False
         call.ended(outcome, None)
 
-    async def _open(self, call: Call, backend: Backend) -> None:
+    async def _open(self, call: UpstreamRequest, backend: Backend) -> None:
         """Open a connection for the call. What goes wrong here (no descriptor too) has sent nothing."""
         try:
             async with asyncio.timeout(self.connect_timeout_s):
--- a/honeywharf/limits/aimd.py
+++ b/honeywharf/limits/aimd.py
@@ -20,7 +20,7 @@
         self.lowered_ms = float("-inf")
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer."""
@@ -28,5 +28,5 @@
             if now_ms - self.lowered_ms >= latency_ms:
                 self.lowered_ms = now_ms
                 self.bound(self.limit * BACKOFF, 0.25 * self.first)
-        elif held > self.limit / 2.0:
+        elif in_flight > self.limit / 2.0:
             self.bound(self.limit + 1.0 / max(1.0, self.limit), 0.25 * self.first)
--- a/honeywharf/limits/base.py
+++ b/honeywharf/limits/base.py
@@ -9,8 +9,8 @@
 def littles_law(target_ms: float, base_ms: float) -> float:
     """Calls in flight that one server can hold and still answer each within `target_ms`.
 
-    Little (1961): held = rate x time. A server of which only the time of an answer at ease is known does at
-    least one call in `base_ms`, so of `target_ms / base_ms` calls the last is answered in time. At least 1.
+    Little (1961): in flight = rate x time. A server of which only the time of an answer at ease is known
+    does one call in `base_ms` at least, so of `target_ms / base_ms` calls the last is in time. At least 1.
     """
     return max(1.0, target_ms / base_ms) if base_ms > 0 else MOST
 
@@ -35,12 +35,12 @@
         return min(MOST, littles_law(ease_ms, base_ms) * self.part)
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer.
 
-        `held`: calls in flight for each unit of capacity while it was out, itself included, which is `one`
+        `in_flight`: calls for each unit of capacity while it was out, itself included, which is `one`
         call for each unit; the others are, on the mean, what is in flight at any time. `dropped`: it
         was turned away by a full server, or never came in time; `latency_ms` is then what was waited.
         """
--- a/honeywharf/limits/codel.py
+++ b/honeywharf/limits/codel.py
@@ -27,7 +27,7 @@
         self.count, self.due_ms, self.least_ms = 0, 0.0, float("inf")
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer."""
@@ -38,8 +38,8 @@
             standing = self.least_ms > DELAY_PART * target_ms
             self.count = self.count + 1 if standing else 0
             if standing:
-                self.bound(min(self.limit, held) * BACKOFF, 0.25 * self.first)
+                self.bound(min(self.limit, in_flight) * BACKOFF, 0.25 * self.first)
             self.due_ms = now_ms + interval / math.sqrt(max(1, self.count))
             self.least_ms = float("inf")
-        if self.count == 0 and held > self.limit / 2.0:
+        if self.count == 0 and in_flight > self.limit / 2.0:
             self.bound(self.limit + 1.0 / max(1.0, self.limit), 0.25 * self.first)
--- a/honeywharf/limits/gradient.py
+++ b/honeywharf/limits/gradient.py
@@ -27,7 +27,7 @@
         self.long_ms = self.short_ms = 0.0
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer."""
@@ -39,7 +39,7 @@
         self.short_ms += (latency_ms - self.short_ms) / SHORT_OVER
         if self.long_ms > 2.0 * self.short_ms:
             self.long_ms *= 0.95
-        if held < self.limit / 2.0:
+        if in_flight < self.limit / 2.0:
             return  # it has not been tried
         gradient = max(LEAST_GRADIENT, min(1.0, TOLERANCE * self.long_ms / max(self.short_ms, 1e-6)))
         wanted = self.limit * gradient + math.sqrt(self.limit)
--- a/honeywharf/limits/lateness.py
+++ b/honeywharf/limits/lateness.py
@@ -66,7 +66,7 @@
             super().settle()
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer. It is on the path of each request: comparisons, not min and max."""
@@ -75,13 +75,13 @@
             if ease > target_ms:
                 latest = min(ease, SLOWEST * target_ms)
             if self.learned_ms == 0.0 and self.limit > self.first:  # the open start is over
-                self.limit = max(self.first, held / IN_USE)
+                self.limit = max(self.first, in_flight / IN_USE)
         wait = now_ms - self.learned_ms
         if not dropped:
             # Little's law again, now with what the servers do: calls in flight at their rate without a queue.
             # Guards against lowering a limit of many calls a server, at one answer a round trip, to far below
             # what keeps the servers at work. A jam is let drain, as its rate falls.
-            needed = held - one
+            needed = in_flight - one
             if latency_ms > base_ms:
                 needed *= base_ms / latency_ms
             self.flight += (needed - self.flight) * (wait / FLIGHT_MS if wait < FLIGHT_MS else 1.0)
@@ -110,7 +110,7 @@
         if short < 0:
             self.lowered = True
             limit *= 1.0 + max(-0.5, short * span)
-        elif held > limit * IN_USE:
+        elif in_flight > limit * IN_USE:
             limit *= 1.0 + short * span / (GROWTH / SLOW_START if limit < self.first else GROWTH)
         self.bound(limit, least)
 
--- a/honeywharf/limits/vegas.py
+++ b/honeywharf/limits/vegas.py
@@ -13,13 +13,13 @@
     """After Brakmo and Peterson, "TCP Vegas" (1995), as concurrency limits use it.
 
     queue = limit x (1 - base / latency); below alpha the limit grows by log10(limit), above beta it shrinks
-    by as much. Both bounds grow with the limit, so that large pools are not held to a few waiting calls.
+    by as much. Both bounds grow with the limit, so that large pools are not kept to a few waiting calls.
     """
 
     __slots__ = ()
 
     def learn(
-        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, held: float, *,
+        self, now_ms: float, latency_ms: float, base_ms: float, target_ms: float, in_flight: float, *,
         one: float = 0.0, dropped: bool = False,
     ) -> None:
         """Move the limit by one answer."""
@@ -28,6 +28,6 @@
         limit = self.limit
         if dropped or queue > BETA * step:
             limit -= step / max(1.0, limit)  # one answer of `limit` in a round trip
-        elif held > limit / 2.0 and queue < ALPHA * step:
+        elif in_flight > limit / 2.0 and queue < ALPHA * step:
             limit += step / max(1.0, limit)
         self.bound(limit, 0.25 * self.first)
--- a/honeywharf/policy/admission.py
+++ b/honeywharf/policy/admission.py
@@ -80,5 +80,5 @@
         if event.outcome is api.Outcome.OK or rejected or (
                 event.outcome not in UNREACHED and latency > min(target, base)):
             one = 1.0 / max(zone.capacity, 1e-3)
-            load = (zone.in_flight + 1) * one
-            zone.limiter.learn(now, latency, base, target, load, one=one, dropped=rejected)
+            in_flight = (zone.in_flight + 1) * one
+            zone.limiter.learn(now, latency, base, target, in_flight, one=one, dropped=rejected)
--- a/tests/standins/test_histories.py
+++ b/tests/standins/test_histories.py
@@ -7,6 +7,7 @@
 import pytest
 
 from honeywharf.standins.histories import LOST, History
+from honeywharf.standins.units import GAVE_UP
 
 KEPT = 1000.0
 
@@ -108,3 +109,21 @@
     h.answered("a", 1.0, 200)
     with pytest.raises(MemoryError, match="2 events"):
         h.charged("k", "a", 1.0)
+
+
+@pytest.mark.parametrize(("late_ms", "faults"), [(0.0, 1), (200.0, 0)])
+def test_a_client_that_gave_up_runs_beside_a_refusal_as_long_as_its_datagrams_may_arrive(
+    late_ms: float, faults: int,
+) -> None:
+    h = good()
+    h.asked("d", "two", 7.0, False)
+    h.answered("d", 100.0, GAVE_UP, late_ms=late_ms)
+    h.asked("e", "two", 150.0, True)
+    h.charged("two", "d", 160.0)
+    h.answered("e", 170.0, 503)
+    h.asked("f", "two", 400.0, True)  # when nothing of it can arrive any more, the refusal is untrue
+    h.answered("f", 410.0, 503)
+    assert len(h.faults(KEPT)["refused means no charge"]) == faults + 1
+    assert [row.split(" ", 1)[1] for row in h.told("two")] == [
+        "d asks", "d ends with 408", "e asks again", "charged for d", "e ends with 503", "f asks again",
+        "f ends with 503"]
