Notice retry and reconnect storms, damp repeats, and promise times to return

Need: after 15 in 100 of the nodes die all clients try again and reconnect together. Nothing told repeats from first tries, and a refused client was told 200 to 600 ms whatever the backlog.

Change: honeywharf/storms, rules without I/O that the decision module asks for each request: - sketch: Bloom filters (rbloom) under a keyed hash: repeats without a mark, and who comes as told; - detector: calm, rising, storm, ebbing as a table of eight transitions with reasons, against what is usual for the hour; a flood of first tries is no storm; - budget: 0.2 repeats for each first try while it storms and room is short, by tenant; - advice: a calendar that promises no time of use to more than can be begun; early repeats keep theirs. Connections are accepted late by a listener with a token bucket (http/accept.py). Clients' habits are one table. Off unless `[storms] on`; then nothing of it is imported, and decisions are as before.

--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -59,12 +59,21 @@
     probing_rate: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
 
+class Storms(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[storms]`: retry and reconnect storms; see docs/operators/storms.md."""
+
+    on: bool = False
+    ratio: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.2
+    names: Annotated[int, msgspec.Meta(ge=100, le=1_000_000)] = 20_000
+
+
 class Features(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All sections of the file."""
 
     limits: Limits = msgspec.field(default_factory=Limits)
     order_keys: OrderKeys = msgspec.field(default_factory=OrderKeys)
     coap: Coap = msgspec.field(default_factory=Coap)
+    storms: Storms = msgspec.field(default_factory=Storms)
 
 
 def load(path: Path) -> Features:
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -35,6 +35,16 @@
 REFUSED_BY = {reason: f"refused:{reason.value or 'unsaid'}" for reason in api.Reason}
 
 
+def tries_name(request: Request) -> bytes:
+    """What all tries of one thing have in common: its idempotency key, or who asks for what; else nothing."""
+    if request.idempotency_key:
+        return b"%b %b" % (request.account.encode("latin-1"), request.idempotency_key)
+    if request.sid:
+        return b"%b %b %b" % (
+            request.account.encode("latin-1"), request.sid.encode("latin-1"), request.target)
+    return b""
+
+
 class Exchange:
     """A request in the table: until it is answered, its attempts have ended and the module was told."""
 
@@ -100,6 +110,9 @@
         self.decide: Callable[[float, api.Event], list[api.Action]] = balancer.handle
         self.registry: Registry | None = None
         self.keys: Keys | None = None  # where idempotency keys are known at the edge
+        self.watches_storms = False  # the module is told of connections, and what tries have in common
+        self.pace: Callable[[float], None] | None = None  # who accepts so many connections a second
+        self.connected = 0  # since the module was told
         self.classes = {c.name: c for c in settings.classes}
         # A report's figures by the settings' names, or by the interface's where they are the same thing.
         self.report_fields = tuple(zip(report_fields, settings.report_fields, strict=False))
@@ -178,10 +191,13 @@
         self.requests[request.id] = exchange
         self.open += 1
         exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
+        if self.connected:
+            self._feed(api.ClientsConnected(self.connected))
+            self.connected = 0
         self._feed(api.RequestArrived(
             request.id, request.class_name, left, request.account, request.repeat, request.sid,
             pairs(request.facts).get("isWrite", 0.0) > 0 if request.facts else False, request.hint_ms,
-            earlier,
+            earlier, tries_name(request) if self.watches_storms else b"",
         ), exchange)
         return True
 
@@ -356,6 +372,9 @@
                 self.registry.fetch()
         elif isinstance(action, api.CloseIdle):
             self.transport.close_idle(action.endpoint)
+        elif isinstance(action, api.PaceConnections):
+            if self.pace is not None:
+                self.pace(action.per_s)
         else:
             log(action.words)
 
--- a/honeywharf/core/parts.py
+++ b/honeywharf/core/parts.py
@@ -7,20 +7,35 @@
 
 from honeywharf.core.driver import Driver
 from honeywharf.core.transport import AddressBook, Clock, Transport
+from honeywharf.policy import Balancer
 
 if TYPE_CHECKING:
     import asyncio
 
 
+class Paced(Protocol):
+    """The listener of callers, as far as a feature may set it."""
+
+    paced: bool
+
+    def pace(self, per_s: float) -> None:
+        """Accept so many connections a second from now on; 0 for no bound."""
+
+
 class Assembly(Protocol):
     """The proxy as a feature's `attach` sees it."""
 
     loop: asyncio.AbstractEventLoop
     clock: Clock
     driver: Driver
+    balancer: Balancer
     transport: Transport  # the way to nodes; a feature may put others beside it
     books: dict[str, AddressBook]  # by the scheme of endpoints: who is told where they are
 
+    @property
+    def front(self) -> Paced:
+        """Where callers come."""
+
     def carry(self, scheme: str, transport: Transport, book: AddressBook) -> None:
         """Endpoints of that scheme are reached by another transport, beside those of before."""
 
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -6,13 +6,16 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from honeywharf.codecs import http1
 from honeywharf.core.driver import Driver
 from honeywharf.core.messages import MAX_BODY, Status, is_call
 from honeywharf.core.transport import Address, Clock
 
+if TYPE_CHECKING:
+    from honeywharf.http.accept import Acceptor
+
 BACKLOG = 1024
 READY = b"/health/ready"
 MOST_WAITING = 8  # requests sent ahead on one connection, of so many bytes: clients send one at a time
@@ -231,13 +234,19 @@
         self.silent: dict[Connection, None] = {}
         self.partial: dict[Connection, None] = {}
         self.idle: dict[Connection, None] = {}
-        self.server: asyncio.Server | None = None
+        self.server: asyncio.Server | Acceptor | None = None
+        self.paced = False  # whether connections may be accepted at a rate: to be set before `listen`
         self.draining = False
         self.on_empty: Callable[[], None] | None = None
 
     async def listen(self, where: Address) -> Address:
         """Open the listener; the address it has."""
-        self.server = await self.loop.create_server(lambda: Connection(self), *where, backlog=BACKLOG)
+        if self.paced:
+            from honeywharf.http.accept import Acceptor
+
+            self.server = Acceptor(self.loop, lambda: Connection(self), where, BACKLOG)
+        else:
+            self.server = await self.loop.create_server(lambda: Connection(self), *where, backlog=BACKLOG)
         self.loop.call_later(SWEEP_S, self._sweep)
         host, port = self.server.sockets[0].getsockname()[:2]
         return host, port
@@ -245,6 +254,8 @@
     def joined(self, connection: Connection) -> None:
         """A caller has connected. Beyond the bound the one least likely to be missed has to go."""
         self.connections.add(connection)
+        if self.driver.watches_storms:
+            self.driver.connected += 1
         if len(self.connections) > self.most and not self._make_room():
             connection.reject(REFUSED)
             if len(self.connections) > self.most + MOST_TURNED_AWAY:
@@ -319,6 +330,11 @@
         for connection in [*self.silent, *self.idle]:
             connection.close()
 
+    def pace(self, per_s: float) -> None:
+        """Accept so many connections a second from now on; 0 for no bound."""
+        if self.paced and self.server is not None:
+            cast("Acceptor", self.server).pace(per_s)
+
     def stop_listening(self) -> None:
         """Take no new connection."""
         if self.server is not None:
--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -8,7 +8,7 @@
 
 from honeywharf import limits
 from honeywharf.policy import interface as api
-from honeywharf.policy.admission import Admission
+from honeywharf.policy.admission import Admission, StormControl
 from honeywharf.policy.choice import Choice
 from honeywharf.policy.endpoints import Attempt, Endpoints, Server
 from honeywharf.policy.health import STRAIN_MOST, OutlierDetection, Times
@@ -24,6 +24,7 @@
 
     def __init__(self, settings: api.Settings, seed: int, limiter: str = limits.DEFAULT) -> None:
         self.settings = settings
+        self.storms: StormControl | None = None  # where storms are watched
         self.random = rng = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
         self.admission = Admission(settings, rng, limiter)
@@ -55,6 +56,9 @@
             self._woken(event.token)
         elif isinstance(event, api.LoopTurned):
             self.admission.loop.learn(now_ms, event.turn_ms)
+        elif isinstance(event, api.ClientsConnected):
+            if self.storms is not None and self.storms.connected(now_ms, event.number):
+                self._changed(self.storms)
         elif isinstance(event, api.AttemptOpened) and event.request in self.requests:
             self.requests[event.request].answered = True  # the stream is the client's: nothing more is owed
         while self.order.turns:
@@ -102,14 +106,28 @@
         self.requests[event.id] = request
         self.admission.rank(self.now, request, event.tenant)
         self.budget.earn()
-        if self.admission.sheds():
+        damped = self.storms is not None and not self._weathers(self.storms, request, event)
+        if damped or self.admission.sheds():
             request.key = ""  # it never stood in line
-            self._give_up(request, api.Reason.PROXY)
+            self._give_up(request, api.Reason.STORM if damped else api.Reason.PROXY)
         elif not request.key or self.order.join(self.now, request):
             self._attempt(request)
         else:
             self.actions.append(api.SetTimer(request.deadline, "wait"))
 
+    def _weathers(self, storms: StormControl, request: Request, event: api.RequestArrived) -> bool:
+        """Whether the request may be begun as far as storms go; less room is open to some repeats."""
+        request.coming, request.code, changed = storms.arrived(
+            self.now, event.name, event.tenant, event.is_retry)
+        if changed:
+            self._changed(storms)
+        request.room *= storms.room(request.coming)
+        return storms.admits(self.now, event.tenant, request.coming)
+
+    def _changed(self, storms: StormControl) -> None:
+        self.actions.append(api.PaceConnections(storms.pace()))
+        self.actions.append(api.Log(storms.words()))
+
     def _attempt(self, request: Request) -> None:
         """Send the request's next attempt, or end the request where there is nowhere to send it."""
         if request.deadline <= self.now:
@@ -137,12 +155,18 @@
         if request.may_refuse():
             site, again_ms = self.settings.limits, 0.0
             if site.retry_after:  # spread, so that those who were refused together do not return together
-                again_ms = min(site.max_retry_after_ms, self.random.uniform(*COME_BACK_MS))
+                again_ms = min(site.max_retry_after_ms, self._come_back_ms(request, reason))
             self.actions.append(api.Refuse(request.id, again_ms, reason))
         else:
             self.actions.append(api.Fail(request.id, reason))
         self._close(request)
 
+    def _come_back_ms(self, request: Request, reason: api.Reason) -> float:
+        if self.storms is not None:
+            return self.storms.refused(
+                self.now, request.code, request.coming, reason is not api.Reason.STORM)
+        return self.random.uniform(*COME_BACK_MS)
+
     def _close(self, request: Request) -> None:
         """The request is answered; it is forgotten once no attempt is out."""
         request.answered = True
--- a/honeywharf/policy/interface.py
+++ b/honeywharf/policy/interface.py
@@ -284,11 +284,21 @@
     sent_ms: float
 
 
+class Coming(Enum):
+    """How a request comes, as far as storms are concerned."""
+
+    FIRST = "first"
+    AS_TOLD = "as told"  # a repeat, not before the time that its refusal gave
+    EARLY = "early"  # before it
+    UNTOLD = "untold"  # a repeat of what was not refused here, as far as is known
+
+
 @dataclass(slots=True)
 class RequestArrived:
     """A request to answer exactly once within `remaining_ms`; `key` is empty where it has none.
 
-    `earlier`: the rules on repeats hold as if that attempt had been this request's first.
+    `earlier`: the rules on repeats hold as if that attempt had been this request's first. `name`: what all
+    tries of one thing have in common; empty where nothing tells.
     """
 
     id: str
@@ -300,6 +310,14 @@
     is_write: bool = False
     work_hint_ms: float | None = None
     earlier: Earlier | None = None
+    name: bytes = b""
+
+
+@dataclass(slots=True)
+class ClientsConnected:
+    """So many clients have connected since the last such event."""
+
+    number: int
 
 
 @dataclass(slots=True)
@@ -370,7 +388,7 @@
 
 Event = (
     Started | EndpointsListed | RequestArrived | AttemptOpened | AttemptEnded | RequestExpired | ProbeEnded
-    | TimerFired | LoopTurned | PeerMessage
+    | TimerFired | LoopTurned | PeerMessage | ClientsConnected
 )
 
 
@@ -406,6 +424,7 @@
     BUDGET = "budget"  # the attempts or the retry budget are used up
     TIME = "time"  # that the client gave is up
     UNKNOWN_CLASS = "unknown class"
+    STORM = "storm"  # a repeat beyond what repeats may be begun while it storms
 
 
 @dataclass(slots=True)
@@ -457,6 +476,13 @@
     endpoint: str
 
 
+@dataclass(slots=True)
+class PaceConnections:
+    """Accept so many connections a second from now on; without bound where it is 0."""
+
+    per_s: float
+
+
 @dataclass(slots=True)
 class Log:
     """A line for the operator."""
@@ -465,5 +491,6 @@
 
 
 Action = (
-    Send | Cancel | Refuse | Fail | Probe | SetTimer | WatchEndpoints | FetchEndpoints | CloseIdle | Log
+    Send | Cancel | Refuse | Fail | Probe | SetTimer | WatchEndpoints | FetchEndpoints | CloseIdle
+    | PaceConnections | Log
 )
--- a/honeywharf/policy/requests.py
+++ b/honeywharf/policy/requests.py
@@ -22,6 +22,8 @@
     room: float = 1.0  # part of a zone's limit that is open to it
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
+    coming: api.Coming = api.Coming.FIRST
+    code: int = 0  # of what its tries have in common, where storms are watched
     earlier: api.Earlier | None = None  # of another request of its key, which may have run
 
     def may_have_run(self) -> api.Earlier | None:
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -165,6 +165,10 @@
         from honeywharf import coap
 
         parts.append(coap.attach(proxy, features.coap))
+    if features.storms.on:
+        from honeywharf import storms
+
+        parts.append(storms.attach(proxy, features.storms))
     return parts
 
 
--- a/honeywharf/standins/simulator.py
+++ b/honeywharf/standins/simulator.py
@@ -15,6 +15,7 @@
 
 from honeywharf import limits
 from honeywharf.policy import Balancer, interface as api
+from honeywharf.standins.habits import pause_ms
 from honeywharf.standins.model import Node, NodeSpec, Rack
 
 REPLY_MS = 0.1  # one way between a proxy and a node of its zone, and
@@ -69,6 +70,9 @@
     retries: int = 0
     effect: api.Effect = api.Effect.REPEATABLE
     limiter: str = limits.DEFAULT
+    habits: tuple[tuple[str, float], ...] = ()  # of clients, and their weights; without any, as told
+    marks: float = 1.0  # part of repeats that are marked
+    storms: bool = False
 
 
 @dataclass
@@ -81,6 +85,10 @@
     refused: int = 0
     failed: int = 0
     refused_with_room: int = 0
+    told_and_refused: int = 0  # obedient tries that came as told and were refused again
+    as_told: int = 0
+    begun: dict[int, list[int]] = field(default_factory=dict)  # by WINDOW_MS: first tries and repeats sent on
+    states: list[tuple[float, int, str]] = field(default_factory=list)  # of storms: when, whose, what
     fell: int = 0
     double_charges: int = 0
     late_drains: int = 0
@@ -109,6 +117,8 @@
     works: float
     key: str
     tries: int = 0
+    habit: str = ""
+    told: bool = False  # this try comes as its refusal said
 
 
 @dataclass(slots=True)
@@ -162,6 +172,11 @@
                     drain_grace_ms=500.0, cold_share=day.spec.cold_share, warm_after_ms=day.spec.warm_ms,
                     cold_multiple=day.spec.fall_multiple, cold_window_ms=day.spec.fall_ms))
             self.proxies.append(Balancer(settings, day.seed * 101 + i, day.limiter))
+            if day.storms:
+                from honeywharf.storms import Rules, Storms
+
+                self.proxies[-1].storms = Storms(
+                    Rules(span_ms=day.deadline_ms), random.Random(day.seed * 103 + i), b"%d" % i)
 
     def at(self, when: float, call: Callable[..., None], *args: object) -> None:
         """Call back at that time."""
@@ -215,7 +230,11 @@
         work = self.day.work_ms * self.random.lognormvariate(0.0, self.day.spread)
         self.window(self.now)[0] += 1
         self.result.asked += 1
-        self.try_(_Ask(zone, self.now, work, f"k{self.result.asked}"))
+        ask = _Ask(zone, self.now, work, f"k{self.result.asked}")
+        if self.day.habits:
+            names, weights = zip(*self.day.habits, strict=True)
+            ask.habit = self.random.choices(names, weights)[0]
+        self.try_(ask)
 
     def try_(self, ask: _Ask) -> None:
         """A client tries, or tries again."""
@@ -225,7 +244,10 @@
         homes = [i for i, home in enumerate(self.homes) if home == ask.zone]
         proxy = homes[int(self.random.random() * len(homes))]
         self.asks[name], self.owner[name], self.attempts[name] = ask, proxy, 0
-        self.feed(proxy, api.RequestArrived(name, "read", self.day.deadline_ms, is_retry=ask.tries > 1))
+        marked = ask.tries > 1 and (self.day.marks >= 1.0 or self.random.random() < self.day.marks)
+        self.result.as_told += ask.told
+        left = self.day.deadline_ms - (self.now - ask.begun_ms if ask.habit else 0.0)
+        self.feed(proxy, api.RequestArrived(name, "read", left, is_retry=marked, name=ask.key.encode()))
 
     def window(self, when: float) -> list[int]:
         """The counts of that time: asked, good, refused."""
@@ -246,13 +268,19 @@
             return
         if how == "refused":
             self.result.refused += 1
+            self.result.told_and_refused += ask.told
             self.window(self.now)[2] += 1
             if self.has_room():
                 self.result.refused_with_room += 1
         else:
             self.result.failed += 1
         if ask.tries <= self.day.retries and (how == "refused" or self.day.effect is api.Effect.REPEATABLE):
-            self.at(self.now + max(wait_ms, 50.0), self.try_, ask)
+            pause = max(wait_ms, 50.0)
+            if ask.habit:
+                pause, ask.told = pause_ms(ask.habit, ask.tries, wait_ms, self.random)
+                if self.now + pause >= ask.begun_ms + self.day.deadline_ms:
+                    return  # it has given up by then
+            self.at(self.now + pause, self.try_, ask)
 
     def has_room(self) -> bool:
         """Whether so many cores of the nodes that proxies may use are idle that no one need be refused."""
@@ -277,11 +305,16 @@
                 self.answered(action.request, "refused", action.retry_after_ms)
             elif isinstance(action, api.Fail):
                 self.answered(action.request, "failed")
+            elif isinstance(action, api.Log):
+                self.result.states.append((self.now, proxy, action.words))
 
     def send(self, proxy: int, action: api.Send) -> None:
         """An attempt leaves its proxy."""
         number = self.attempts[action.request]
         self.attempts[action.request] = number + 1
+        if not number:
+            begun = self.result.begun.setdefault(int(self.now // WINDOW_MS), [0, 0])
+            begun[self.asks[action.request].tries > 1] += 1
         way = REPLY_MS if action.endpoint.rstrip("0123456789") == self.homes[proxy] else CROSS_MS
         ask = self.asks[action.request]
         flight = _Flight(
--- /dev/null
+++ b/honeywharf/storms/advice.py
@@ -0,0 +1,63 @@
+"""When the refused are told to come back: spread over the time that the backlog needs, and kept to."""
+
+from __future__ import annotations
+
+import math
+import random
+
+from honeywharf.storms.sketch import Promises
+
+SLOT_MS = 100.0
+LEAST_MS = 200.0  # sooner nothing has changed: an answer takes about that long in a jam
+SPREAD_MS = 400.0  # over which they are told to return while nothing storms
+KEPT_MS = 1500.0  # after its time a promise is still known to have been kept
+
+
+class Advice:
+    """A calendar of promises.
+
+    `cap_ms`: the longest time that may be told. `useful_ms`: up to which room is promised. Beyond it an
+    answer would be past its aim: a calendar filled to the cap makes everybody late, as any standing queue.
+    """
+
+    def __init__(
+        self, rng: random.Random, cap_ms: float, useful_ms: float, most_of_slot: int = 1024,
+    ) -> None:
+        if cap_ms < LEAST_MS:
+            raise ValueError(f"advice: wanted a longest time of {LEAST_MS} ms at least, found {cap_ms}")
+        self.random, self.cap_ms = rng, cap_ms
+        self.useful_ms = min(cap_ms, max(LEAST_MS + SLOT_MS, useful_ms))
+        self.promises = Promises(SLOT_MS, cap_ms, KEPT_MS, most_of_slot)
+        self.beyond = 0  # told a time without a promise, as no useful slot was free
+
+    def tell(self, now: float, name: int, per_ms: float) -> float:
+        """In how many ms to return; `per_ms`: repeats that can be begun a ms.
+
+        The first slot that has not been promised to as many as it can take, and a time drawn evenly in it.
+        Who finds none that is of use is told a time up to the longest, drawn evenly, and has no promise.
+        """
+        p, room = self.promises, max(1.0, per_ms * SLOT_MS)
+        soonest, last = now + LEAST_MS, now + self.useful_ms
+        due = soonest + self.random.random() * SLOT_MS
+        while due <= last and p.promised(now, due) >= room:
+            due += SLOT_MS
+        if due > last:
+            self.beyond += 1
+            return self.random.uniform(self.useful_ms, self.cap_ms)
+        p.promise(now, name, due)
+        return due - now
+
+    def calm(self, now: float, name: int) -> float:
+        """In how many ms to return while nothing storms: soon, and not together."""
+        due = now + LEAST_MS + self.random.random() * SPREAD_MS
+        self.promises.promise(now, name, due)
+        return min(self.cap_ms, due - now)
+
+
+def whole_seconds(ms: float, chance: float) -> int:
+    """The time in whole seconds, rounded at random so that its mean is the time meant.
+
+    `chance`: evenly random, 0 to 1. Rounding down could tell 0 s, which some clients take for none; so it is
+    1 s at least where it is any.
+    """
+    return max(1, math.floor(ms / 1000.0 + chance)) if ms > 0 else 0
--- a/setup.py
+++ b/setup.py
@@ -15,6 +15,7 @@
     "honeywharf/core/messages.py", "honeywharf/core/transport.py", "honeywharf/core/driver.py",
     "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py", "honeywharf/orderkeys/table.py",
     "honeywharf/orderkeys/edge.py",
+    *(path for path in sorted(glob("honeywharf/storms/*.py")) if not path.endswith("__init__.py")),
 ]
 
 
--- /dev/null
+++ b/tests/storms/test_rules.py
@@ -0,0 +1,351 @@
+"""Storms, part by part: sketches, states, budget and advice, against plain models of them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Mapping
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from honeywharf.policy.interface import Coming
+from honeywharf.storms import Rules, Storms, detector as signs
+from honeywharf.storms.advice import LEAST_MS, SLOT_MS, Advice, whole_seconds
+from honeywharf.storms.budget import LEAST_BURST, RepeatBudget
+from honeywharf.storms.detector import TABLE, Detector, State, Window
+from honeywharf.storms.sketch import Promises, Seen, digest
+
+HOUR = 3_600_000.0
+Steps = st.lists(st.tuples(st.integers(0, 40), st.floats(0.0, 400.0)), max_size=300)
+
+
+# Sketches.
+
+
+@settings(max_examples=60, deadline=None)
+@given(Steps)
+def test_what_was_seen_within_the_span_is_known_and_after_twice_that_it_is_not(steps: object) -> None:
+    seen, last, now = Seen(1000.0, 1000), dict[int, float](), 0.0
+    for name, passed in steps:  # type: ignore[attr-defined]
+        now += passed
+        known = seen.add(now, digest(b"%d" % name, b"s"))
+        if name in last and now - last[name] < 1000.0:
+            assert known
+        if name not in last or now - last[name] > 3000.0:
+            assert not known
+        last[name] = now
+
+
+def test_made_up_names_take_no_more_bytes_and_push_out_only_by_age() -> None:
+    seen = Seen(10_000.0, 2000)
+    before = seen.size_bytes
+    assert not seen.add(0.0, digest(b"mine", b"s"))
+    wrong = sum(seen.add(1.0 + i / 100.0, digest(b"made up %d" % i, b"s")) for i in range(50_000))
+    assert seen.size_bytes == before < 20_000
+    assert seen.early >= 20  # forgotten sooner, and counted
+    assert wrong < 50_000 * 0.004
+    assert digest(b"mine", b"s") != digest(b"mine", b"t")  # under another secret nothing collides on purpose
+
+
+@pytest.mark.parametrize("jump", [-1e7, 1e7, -3000.0])
+def test_a_clock_that_jumps_leaves_the_sketches_at_work(jump: float) -> None:
+    seen, promises, now = Seen(1000.0, 100), Promises(100.0, 2000.0, 1500.0, 50), 5e7
+    for _ in range(2):
+        seen.add(now, 1)
+        promises.promise(now, 1, now + 500.0)
+        now += jump
+    assert seen.add(now, 2) is False
+    assert seen.add(now + 1.0, 2) is True
+    promises.promise(now, 3, now + 700.0)
+    due = promises.due(now, 3)
+    assert due is not None
+    assert abs(due - now - 700.0) <= 100.0
+
+
+@settings(max_examples=60, deadline=None)
+@given(Steps)
+def test_promises_are_those_of_a_plain_table(steps: object) -> None:
+    promises, table, now = Promises(100.0, 2000.0, 1500.0, 20), dict[int, float](), 1e6
+    for name, passed in steps:  # type: ignore[attr-defined]
+        now += passed
+        if name % 3 and name not in table:
+            due = now + 200.0 + name * 40.0
+            if promises.promised(now, due) < 20:
+                promises.promise(now, name, due)
+                table[name] = due
+        found = promises.due(now, name)
+        if name in table and now < table[name] + 1400.0:
+            assert found == table[name] // 100.0 * 100.0
+        if name not in table or now > table[name] + 1700.0:
+            assert found is None
+            table.pop(name, None)
+        assert max(promises.counts) <= 20
+
+
+# States.
+
+
+def fed(d: Detector, begin: float, ms: float, rates: Mapping[int, float]) -> list[State]:
+    """The states passed through while so many of each kind come a second."""
+    passed = [d.state]
+    for step in range(int(ms // 10)):
+        now = begin + step * 10.0
+        for kind, rate in rates.items():
+            number = int(rate * (step + 1) / 100.0) - int(rate * step / 100.0)
+            if number:
+                d.count(now, kind, number)
+            else:
+                d.turn(now)
+            if d.state is not passed[-1]:
+                passed.append(d.state)
+    return passed
+
+
+def test_a_storm_rises_and_ebbs_by_the_table_alone() -> None:
+    d = Detector()
+    assert fed(d, 0.0, 20_000.0, {signs.FIRST: 100}) == [State.CALM]
+    assert fed(d, 20_000.0, 5000.0, {signs.FIRST: 100, signs.REPEAT: 80}) == [
+        State.CALM, State.RISING, State.STORM]
+    assert fed(d, 25_000.0, 10_000.0, {signs.FIRST: 100, signs.REPEAT: 2}) == [
+        State.STORM, State.EBBING, State.CALM]
+    assert d.reason == "quiet"
+
+
+def test_two_storms_on_top_of_each_other_are_one_that_ebbs_once() -> None:
+    d = Detector()
+    fed(d, 0.0, 5000.0, {signs.FIRST: 100})
+    fed(d, 5000.0, 4000.0, {signs.FIRST: 100, signs.REPEAT: 90})
+    ebbed = fed(d, 9000.0, 4000.0, {signs.FIRST: 100, signs.REPEAT: 5})
+    assert ebbed[-1] is State.EBBING
+    assert fed(d, 13_000.0, 4000.0, {signs.FIRST: 100, signs.REPEAT: 90}) == [State.EBBING, State.STORM]
+    assert fed(d, 17_000.0, 9000.0, {signs.FIRST: 100}) == [State.STORM, State.EBBING, State.CALM]
+
+
+def test_a_flood_of_first_tries_is_no_storm() -> None:
+    d = Detector()
+    fed(d, 0.0, 20_000.0, {signs.FIRST: 50, signs.REPEAT: 2, signs.REFUSED: 1})
+    flood = {signs.FIRST: 1500, signs.REPEAT: 60, signs.REFUSED: 300}
+    assert fed(d, 20_000.0, 30_000.0, flood) == [State.CALM]
+
+
+def test_reconnects_are_a_storm_only_while_requests_are_refused() -> None:
+    for refused, wanted in ((0, [State.CALM, State.RISING]), (20, [State.CALM, State.RISING, State.STORM])):
+        d = Detector()
+        fed(d, 0.0, 20_000.0, {signs.FIRST: 100, signs.CONNECTION: 10})
+        found = fed(d, 20_000.0, 3000.0, {signs.FIRST: 100, signs.CONNECTION: 400, signs.REFUSED: refused})
+        assert found == wanted
+
+
+def test_what_is_usual_is_that_of_the_hour() -> None:
+    d = Detector()
+    fed(d, 0.0, 40_000.0, {signs.FIRST: 100, signs.CONNECTION: 300})
+    assert fed(d, 40_000.0, 5000.0, {signs.FIRST: 100, signs.CONNECTION: 600}) == [State.CALM]
+    d = Detector()
+    fed(d, 5 * HOUR, 40_000.0, {signs.FIRST: 100, signs.CONNECTION: 10})
+    assert State.RISING in fed(d, 5 * HOUR + 40_000.0, 5000.0, {signs.FIRST: 100, signs.CONNECTION: 600})
+    assert len(d.ratios) == len(d.connects) == 24
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.tuples(
+    st.sampled_from(range(5)), st.integers(0, 60), st.floats(-3000.0, 2000.0)), max_size=200))
+def test_no_other_transition_is_possible(steps: list[tuple[int, int, float]]) -> None:
+    d, now, allowed = Detector(), 1e6, {(a, b) for a, _, b, _ in TABLE}
+    for kind, number, passed in steps:
+        now += passed  # the clock may jump
+        before = d.state
+        changed = d.count(now, kind, number)
+        assert changed == (d.state is not before)
+        assert not changed or (before, d.state) in allowed
+        assert len(d.slots) == signs.SLOTS
+
+
+def test_every_row_of_the_table_can_be_reached_and_names_its_reason() -> None:
+    windows = [Window(first=f, repeats=r, connections=c, refused=x, usual_connections=10.0, quiet_ms=q)
+               for f in (100,) for r in (0, 30, 90) for c in (0, 100) for x in (0, 5) for q in (0.0, 5000.0)]
+    reached = set()
+    for state in State:
+        for w in windows:
+            row = next((i for i, (s, sign, _, _) in enumerate(TABLE) if s is state and sign(w)), None)
+            reached.add(row)
+    assert reached >= set(range(len(TABLE)))
+    assert all(reason for *_, reason in TABLE)
+
+
+# Budget.
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(
+    st.sampled_from("abc"), st.sampled_from(("first", "told", "early")), st.floats(0.0, 30.0)), max_size=400))
+def test_each_tenants_repeats_are_paid_by_its_own_first_tries(steps: list[tuple[str, str, float]]) -> None:
+    budget, now = RepeatBudget(0.2), 0.0
+    first, begun = Counter[str](), Counter[str]()
+    for tenant, kind, passed in steps:
+        now += passed
+        if kind == "first":
+            budget.first(now, tenant)
+            first[tenant] += 1
+        else:
+            begun[tenant] += budget.repeat(now, tenant, kind == "told")
+        assert begun[tenant] <= 0.2 * first[tenant] + LEAST_BURST
+
+
+def test_one_customers_storm_takes_nothing_of_the_others() -> None:
+    budget, begun = RepeatBudget(), Counter[str]()
+    for ms in range(5000):
+        budget.first(ms, "loud")
+        begun["loud"] += sum(budget.repeat(ms, "loud", False) for _ in range(5))
+        if ms % 10 == 0:
+            budget.first(ms, "calm")
+        if ms % 100 == 0:
+            begun["calm"] += budget.repeat(ms, "calm", False)
+    assert begun["calm"] == 50
+    assert 0.15 * 5000 < begun["loud"] <= 0.2 * 5000 + LEAST_BURST
+
+
+def test_made_up_tenants_push_out_nobody_who_is_at_work_and_have_one_bucket_together() -> None:
+    budget = RepeatBudget(most=4)
+    for i in range(4):
+        budget.first(0.0, f"real{i}")
+    begun = sum(budget.repeat(1.0, f"made up {i}", True) for i in range(1000))
+    assert len(budget.buckets) == 4
+    assert begun <= LEAST_BURST
+    budget.first(10_000.0, "new")  # those that have been silent for long make room
+    assert "new" in budget.buckets
+    assert len(budget.buckets) == 4
+
+
+def test_what_is_kept_for_those_that_come_as_told_is_not_to_be_had_early() -> None:
+    budget = RepeatBudget()
+    for ms in range(2000):
+        budget.first(ms, "t")
+    early = sum(budget.repeat(2000.0, "t", False) for _ in range(1000))
+    told = sum(budget.repeat(2000.0, "t", True) for _ in range(1000))
+    assert early > 20
+    assert told > 0.8 * early
+
+
+def test_the_budget_is_widened_in_steps_and_narrowed_at_once() -> None:
+    budget, seen = RepeatBudget(0.2), []
+    for ms in range(0, 5000, 100):
+        budget.widen(ms)
+        seen.append(budget.widened)
+    assert seen == sorted(seen)
+    assert len(set(seen)) >= 4
+    assert seen[-1] == pytest.approx(1 / 0.2)
+    budget.narrow()
+    assert budget.widened == 1.0
+    with pytest.raises(ValueError, match="wanted a ratio over 0 and up to 1, found 2"):
+        RepeatBudget(2.0)
+
+
+# Advice.
+
+
+def test_no_useful_time_is_promised_to_more_than_can_be_begun() -> None:
+    advice, told = Advice(random.Random(1), 2000.0, 800.0), Counter[int]()
+    for i in range(3000):
+        ms = advice.tell(1e6, i, per_ms=0.5)
+        assert LEAST_MS <= ms <= 2000.0
+        due = advice.promises.due(1e6, i)
+        if due is not None:
+            told[int(due)] += 1
+            assert due <= 1e6 + ms <= due + SLOT_MS
+    assert max(told.values()) <= 50
+    assert 250 <= sum(told.values()) <= 400  # 600 ms of 0.5 a ms
+    assert advice.beyond == 3000 - sum(told.values())
+    with pytest.raises(ValueError, match=r"wanted a longest time of 200\.0 ms at least, found 100"):
+        Advice(random.Random(1), 100.0, 50.0)
+
+
+def test_two_proxies_do_not_step_in_time() -> None:
+    first, second = (Advice(random.Random(seed), 2000.0, 800.0) for seed in (1, 2))
+    pairs = [(first.tell(0.0, i, 10.0), second.tell(0.0, i, 10.0)) for i in range(200)]
+    assert sum(abs(a - b) < 1.0 for a, b in pairs) < 10
+
+
+def test_whole_seconds_have_the_mean_that_was_meant_and_are_never_none() -> None:
+    draw = random.Random(1)
+    for ms in (1200.0, 2500.0, 3999.0):
+        told = [whole_seconds(ms, draw.random()) for _ in range(20_000)]
+        assert abs(sum(told) / len(told) - ms / 1000.0) < 0.02
+        assert len(set(told)) == 2  # the spread survives
+    assert whole_seconds(100.0, 0.0) == 1
+    assert whole_seconds(0.0, 0.9) == 0
+
+
+# All together.
+
+
+def storming() -> tuple[Storms, float]:
+    """A proxy's view in a storm, and the time."""
+    s, now = Storms(Rules(), random.Random(1), b"secret"), 1e6
+    for i in range(3000):
+        now += 2.0
+        s.arrived(now, b"first %d" % i, "t", False)
+        coming, code, _ = s.arrived(now, b"again %d" % (i % 40), "t", False)
+        s.refused(now, code, coming, True)
+    assert s.state is State.STORM
+    return s, now
+
+
+def test_a_repeat_is_known_without_a_mark_and_by_whether_it_comes_as_told() -> None:
+    s, now = storming()
+    coming, code, _ = s.arrived(now, b"new", "t", False)
+    assert coming is Coming.FIRST
+    while (ms := s.refused(now, code, coming, True)) > 800.0:  # a time with a promise
+        now += 100.0
+    assert s.arrived(now + ms / 3, b"new", "t", False)[0] is Coming.EARLY
+    assert s.arrived(now + ms + SLOT_MS, b"new", "t", False)[0] is Coming.AS_TOLD
+    assert s.arrived(now, b"", "t", True)[0] is Coming.UNTOLD
+    assert s.arrived(now, b"", "t", False)[0] is Coming.FIRST
+
+
+def test_who_comes_early_keeps_its_time_and_gains_nothing() -> None:
+    s, now = storming()
+    coming, code, _ = s.arrived(now, b"new", "t", False)
+    while s.refused(now, code, coming, True) > 800.0:
+        now += 100.0
+    promised = s.advice.promises.outstanding(now)
+    due = s.advice.promises.due(now, code)
+    assert due is not None
+    for _ in range(5):
+        now += 20.0
+        early, code, _ = s.arrived(now, b"new", "t", False)
+        again = s.refused(now, code, early, True)
+        assert abs(now + again - due) <= SLOT_MS
+    assert s.advice.promises.outstanding(now) <= promised
+    assert s.room(Coming.EARLY) < s.room(Coming.FIRST) < s.room(Coming.AS_TOLD)
+
+
+def test_first_tries_are_never_damped_and_repeats_are_while_room_is_short() -> None:
+    s, now = storming()
+    assert all(s.admits(now, "t", Coming.FIRST) for _ in range(1000))
+    assert sum(s.admits(now, "t", Coming.EARLY) for _ in range(1000)) < 200
+    assert s.turned_away > 800
+    later = now + 600.0  # nothing was refused for want of room for a while
+    assert all(s.admits(later, "t", Coming.EARLY) for _ in range(1000))
+
+
+def test_a_storm_does_not_feed_itself() -> None:
+    s, now = storming()
+    s.detector.window.refused = 0
+    for _ in range(3000):
+        now += 2.0
+        s.refused(now, 7, Coming.EARLY, False)  # only for the storm's sake
+        s.arrived(now, b"first %f" % now, "t", False)
+    assert s.detector.window.refused == 0
+    assert s.state is State.CALM
+
+
+def test_its_sketches_do_not_grow() -> None:
+    s, now = storming()
+    before = s.size_bytes
+    for i in range(30_000):
+        now += 0.1
+        coming, code, _ = s.arrived(now, b"made up %d" % i, f"tenant {i}", False)
+        s.refused(now, code, coming, True)
+    assert s.size_bytes == before < 400_000
+    assert len(s.budget.buckets) <= s.budget.most
--- /dev/null
+++ b/tests/storms/test_sockets.py
@@ -0,0 +1,144 @@
+"""Storms through a running proxy: what callers get, the pace of accepting, nothing where it is off."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+import subprocess
+import sys
+from typing import cast
+
+import pytest
+
+from honeywharf.config.features import Features, Storms as On
+from honeywharf.http.accept import Acceptor
+from honeywharf.storms import StormsPart
+from honeywharf.storms.detector import State
+from honeywharf.storms.storms import SHORT_MS, Storms
+from tests.loopback import Backend, Client, World, run, soon, until, world
+
+ON = Features(storms=On(on=True))
+
+
+def storms_of(w: World) -> Storms:
+    (part,) = [p for p in w.proxy.parts if isinstance(p, StormsPart)]
+    return part.storms
+
+
+def acceptor(w: World) -> Acceptor:
+    server = w.proxy.front.server
+    assert isinstance(server, Acceptor)
+    return server
+
+
+def test_in_a_storm_first_tries_are_served_and_repeats_are_told_at_once_when_to_return() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], ON) as w:
+            client, s = await Client.to(w.port), storms_of(w)
+            s.detector.state, s.short_ms = State.STORM, w.proxy.clock.now() + 60_000.0
+            statuses, told = [], []
+            for i in range(30):
+                client.send("order", b"x", key="the same")
+                first, headers, _ = await client.answer()
+                statuses.append(int(first.split()[1]))
+                if b"retry-after" in headers:
+                    told.append(float(headers[b"retry-after"]))
+                client.send("order", b"x", key=f"new {i}")
+                assert await client.status() == 200
+            assert statuses[0] == 200
+            refused = statuses.count(503)
+            assert refused >= 20
+            assert refused == len(told) == s.turned_away
+            assert all(0.0 < t <= 2.0 for t in told)
+            assert w.proxy.driver.counts["refused:storm"] == refused
+            assert len(backend.requests) == 60 - refused
+            s.short_ms = w.proxy.clock.now() - SHORT_MS - 1.0  # room is not short any more
+            client.send("order", b"x", key="the same")
+            assert await client.status() == 200
+        await backend.stop()
+    run(main())
+
+
+def test_connections_are_accepted_late_in_a_storm_and_each_is_served() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], ON) as w:
+            w.proxy.front.pace(100.0)
+            begun = asyncio.get_running_loop().time()
+            clients = [await Client.to(w.port) for _ in range(40)]  # the kernel has taken them
+            for client in clients:
+                client.send()
+            assert [await client.status() for client in clients] == [200] * 40
+            assert asyncio.get_running_loop().time() - begun >= 0.25
+            w.proxy.front.pace(1.0)
+            waiting = [await Client.to(w.port) for _ in range(5)]
+            await until(lambda: acceptor(w).waits is not None)
+            w.proxy.front.pace(0.0)  # it is over: nobody waits for the old pace
+            for client in waiting:
+                client.send()
+            assert [await client.status() for client in waiting] == [200] * 5
+        await backend.stop()
+    run(main())
+
+
+def test_the_module_is_told_of_connections_and_its_log_of_the_state() -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], ON) as w:
+            s = storms_of(w)
+            for _ in range(7):
+                client = await Client.to(w.port)
+                client.send()
+                assert await client.status() == 200
+            assert sum(slot[2] for slot in s.detector.slots) == 7
+            part = next(p for p in w.proxy.parts if isinstance(p, StormsPart))
+            assert part.counts() == {
+                "storms:turned away": 0, "storms:promises kept": 0, "storms:promises broken": 0,
+                "storms:without promise": 0, "storms:forgotten early": 0}
+        await backend.stop()
+    run(main())
+
+
+def test_without_descriptors_the_listener_waits_and_goes_on(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Short(socket.socket):
+        """No descriptor is left for the first accepts."""
+
+        left = 3
+
+        def accept(self) -> tuple[socket.socket, object]:
+            if Short.left:
+                Short.left -= 1
+                raise OSError(errno.EMFILE, os.strerror(errno.EMFILE))
+            return super().accept()
+
+    async def main() -> None:
+        loop, made = asyncio.get_running_loop(), list[asyncio.Transport]()
+
+        class Kept(asyncio.Protocol):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                made.append(cast(asyncio.Transport, transport))
+
+        monkeypatch.setattr(socket, "socket", Short)
+        listener = Acceptor(loop, Kept, ("127.0.0.1", 0), 16)
+        monkeypatch.undo()
+        _, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
+        await until(lambda: len(made) == 1)
+        assert Short.left == 0
+        writer.close()
+        for transport in made:
+            transport.abort()
+        listener.close()
+        listener.close()
+        with pytest.raises(OSError, match="refused"):
+            await soon(asyncio.open_connection("127.0.0.1", writer.get_extra_info("peername")[1]))
+    run(main())
+
+
+def test_where_it_is_off_nothing_of_it_is_imported() -> None:
+    script = ("import sys; from honeywharf import proxy; "
+              "print([m for m in sys.modules if 'storms' in m or m in ('rbloom', 'honeywharf.http.accept')])")
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,15 +14,16 @@
 ALLOWED = {
     "limits": ("limits",),
     "policy": ("policy", "limits"),
+    "storms": ("storms", "core", "policy"),
     "core": ("core", "policy"),
     "codecs": ("codecs", "core", "policy"),
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
-    "proxy.py": (*PROTOCOLS, "config", "core", "limits", "orderkeys", "policy"),
+    "proxy.py": (*PROTOCOLS, "config", "core", "limits", "orderkeys", "policy", "storms"),
     "cli": ("VERSION", "config", "proxy", "standins"),
     "__main__.py": ("cli", "proxy"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
-PURE = ("policy", "limits", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
+PURE = ("policy", "limits", "storms", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
         "orderkeys/shared.py", "orderkeys/scripts.py", "coap/options.py", "coap/blocks.py",
         "coap/messages.py", "coap/client.py")
 IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
