--- a/honeywharf/standins/registry.py
+++ b/honeywharf/standins/registry.py
@@ -98,7 +98,10 @@
                 if self.scripted:
                     self.calls.append(first)
                 self.called.set()
-                writer.write(await self._answer(first.split()[1].decode()))
+                answer = await self._answer(first.split()[1].decode())
+                if writer.transport.is_closing():
+                    break  # who watched has gone
+                writer.write(answer)
         self.connections.discard(writer)
         writer.close()
 
