Pace connections only once it is known what is usual

On review: while nothing is known of the hour, a storm was met by 100 connections a second and proxy, so that the first tries of clients who came for the first time waited in the kernel's queue until their time was up. 5,000 clients open 500 and more a second.

Change: without a usual rate there is no pace. A test for a start, for a calm minute and for a storm after it.

--- a/honeywharf/storms/detector.py
+++ b/honeywharf/storms/detector.py
@@ -38,7 +38,7 @@
     refused: int = 0
     echo: int = 0  # repeats of what was refused here
     usual_ratio: float = 0.0
-    usual_connections: float = 0.0  # in a window
+    usual_connections: float = float("inf")  # in a window; without bound while it is not known
     quiet_ms: float = 0.0  # for so long neither sign has stood
 
     @property
--- a/honeywharf/storms/storms.py
+++ b/honeywharf/storms/storms.py
@@ -64,11 +64,14 @@
                 f" {window.first} first tries, {window.connections} connections, {window.refused} refused")
 
     def pace(self) -> float:
-        """Connections a second that may be accepted; 0 where there is no bound."""
-        if self.state is not State.STORM:
-            return 0.0
+        """Connections a second that may be accepted; 0 where there is no bound.
+
+        Guards against keeping first tries out: nothing is paced before it is known what is usual.
+        """
         usual = self.detector.window.usual_connections / (signs.SLOTS * signs.SLOT_MS / 1000.0)
-        return max(LEAST_PACE, PACE * usual) if usual < float("inf") else LEAST_PACE
+        if self.state is not State.STORM or usual == float("inf"):
+            return 0.0
+        return max(LEAST_PACE, PACE * usual)
 
     def connected(self, now: float, number: int) -> bool:
         """So many clients have connected; whether the state has changed."""
--- a/tests/storms/test_rules.py
+++ b/tests/storms/test_rules.py
@@ -329,6 +329,22 @@
     assert all(s.admits(later, "t", Coming.EARLY) for _ in range(1000))
 
 
+def test_connections_are_paced_by_what_is_usual_and_not_before_that_is_known() -> None:
+    s, now = Storms(Rules(), random.Random(1), b"secret"), 1e6
+    s.detector.state = State.STORM
+    assert s.pace() == 0.0  # nothing judged yet
+    s.connected(now, 500)
+    assert s.detector.window.usual_connections == float("inf")
+    assert s.pace() == 0.0  # who comes first is no reconnect
+    s.detector.state = State.CALM
+    for _ in range(600):
+        now += 100.0
+        s.connected(now, 40)  # 400 a second are usual
+    assert s.pace() == 0.0
+    s.detector.state = State.STORM
+    assert 700.0 < s.pace() < 900.0
+
+
 def test_a_storm_does_not_feed_itself() -> None:
     s, now = storming()
     s.detector.window.refused = 0
