Round times to return in one place, and tell CoAP clients 1 s rather than 0

Need: rounding at random stood twice: in the CoAP front, and in the storms' advice, where only a test called it. The front's could tell Max-Age 0, which says to come back at once, for the 200 to 600 ms that are meant.

Change: core.messages.whole_seconds, used by the CoAP front; 1 s at least.

--- a/honeywharf/coap/front.py
+++ b/honeywharf/coap/front.py
@@ -23,7 +23,7 @@
 from honeywharf.coap.messages import Exchange, Layer, Peer
 from honeywharf.codecs import coap
 from honeywharf.core.driver import Driver
-from honeywharf.core.messages import Request, Status, is_call
+from honeywharf.core.messages import Request, Status, is_call, whole_seconds
 from honeywharf.core.transport import Address, Clock
 
 CODES = {Status.REFUSED: coap.SERVICE_UNAVAILABLE, Status.FAILED: coap.BAD_GATEWAY,
@@ -181,11 +181,10 @@
         self.layer.answer(caller.exchange, self._code(caller), caller.told + told, body)
 
     def _come_back(self, ms: float) -> list[tuple[int, bytes]]:
-        """Max-Age in whole seconds, rounded up or down at random so that its mean is the time meant, and our
-        own option with the time in ms."""
+        """Max-Age in whole seconds, and our own option with the time in ms."""
         if ms <= 0.0:
             return [(coap.MAX_AGE, b"")]
-        seconds = math.floor(ms / 1000.0 + self.random.random())
+        seconds = whole_seconds(ms, self.random.random())
         return [(coap.MAX_AGE, coap.uint_bytes(seconds)), (options.RETRY_AFTER, coap.uint_bytes(round(ms)))]
 
     # Who is who.
--- a/honeywharf/core/messages.py
+++ b/honeywharf/core/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from enum import IntEnum
 
@@ -32,6 +33,15 @@
     return path == CALLS or path.startswith(CALLS + b"/")
 
 
+def whole_seconds(ms: float, chance: float) -> int:
+    """A time to come back in whole seconds, rounded at random so that its mean is the time meant.
+
+    `chance`: evenly random, 0 to 1. Rounding down could tell 0 s, which says to come back at once: it is 1 s
+    at least where it is any.
+    """
+    return max(1, math.floor(ms / 1000.0 + chance)) if ms > 0 else 0
+
+
 def figure(value: bytes) -> float | None:
     """A number of the usual form, not negative; None where it is none.
 
--- a/honeywharf/storms/advice.py
+++ b/honeywharf/storms/advice.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import random
 
 from honeywharf.storms.sketch import Promises
@@ -52,12 +51,3 @@
         due = now + LEAST_MS + self.random.random() * SPREAD_MS
         self.promises.promise(now, name, due)
         return min(self.cap_ms, due - now)
-
-
-def whole_seconds(ms: float, chance: float) -> int:
-    """The time in whole seconds, rounded at random so that its mean is the time meant.
-
-    `chance`: evenly random, 0 to 1. Rounding down could tell 0 s, which some clients take for none; so it is
-    1 s at least where it is any.
-    """
-    return max(1, math.floor(ms / 1000.0 + chance)) if ms > 0 else 0
--- a/tests/coap/test_front.py
+++ b/tests/coap/test_front.py
@@ -248,7 +248,7 @@
             backend.then = reply(503, b"", b"X-Unprocessed: 1")
             refused = await unit.ask(told(key=b"a"))
             assert refused.code == coap.SERVICE_UNAVAILABLE
-            assert refused.option(coap.MAX_AGE) is not None
+            assert refused.option(coap.MAX_AGE) == b"\x01"  # 0 would say at once: 200 to 600 ms are meant
             backend.then = None
             failed = await unit.ask(told(key=b"b", left_ms=150))
             assert failed.code == coap.BAD_GATEWAY
--- a/tests/storms/test_rules.py
+++ b/tests/storms/test_rules.py
@@ -9,9 +9,10 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from honeywharf.core.messages import whole_seconds
 from honeywharf.policy.interface import Coming
 from honeywharf.storms import Rules, Storms, detector as signs
-from honeywharf.storms.advice import LEAST_MS, SLOT_MS, Advice, whole_seconds
+from honeywharf.storms.advice import LEAST_MS, SLOT_MS, Advice
 from honeywharf.storms.budget import LEAST_BURST, RepeatBudget
 from honeywharf.storms.detector import TABLE, Detector, State, Window
 from honeywharf.storms.sketch import Promises, Seen, digest
