Estimate the rate of first tries once, and count no sign that nobody reads

Need: the rate of first tries was followed twice, by two formulas of the same meaning; repeats of what was refused here were counted and never read; times told in calm could be promised past the longest time.

Change: budget.Rate, used by the tenants' buckets and by the advice; ECHO is gone; times told in calm are promised as they are told.

--- a/honeywharf/storms/advice.py
+++ b/honeywharf/storms/advice.py
@@ -48,6 +48,6 @@
 
     def calm(self, now: float, name: int) -> float:
         """In how many ms to return while nothing storms: soon, and not together."""
-        due = now + LEAST_MS + self.random.random() * SPREAD_MS
+        due = now + LEAST_MS + self.random.random() * min(SPREAD_MS, self.cap_ms - LEAST_MS)
         self.promises.promise(now, name, due)
-        return min(self.cap_ms, due - now)
+        return due - now
--- a/honeywharf/storms/budget.py
+++ b/honeywharf/storms/budget.py
@@ -13,24 +13,39 @@
 RATE_OVER_MS = 2000.0
 
 
+class Rate:
+    """How many come a ms, over RATE_OVER_MS."""
+
+    __slots__ = ("at_ms", "per_ms")
+
+    def __init__(self, now: float) -> None:
+        self.per_ms, self.at_ms = 0.0, now
+
+    def came(self, now: float) -> None:
+        """One more."""
+        passed, self.at_ms = max(0.0, now - self.at_ms), now
+        self.per_ms = self.per_ms * max(0.0, 1.0 - passed / RATE_OVER_MS) + 1.0 / RATE_OVER_MS
+
+
 class Bucket:
     """Tokens that first tries earn and repeats cost."""
 
-    __slots__ = ("at_ms", "rate", "tokens")
+    __slots__ = ("rate", "tokens")
 
     def __init__(self, now: float) -> None:
-        self.tokens, self.rate, self.at_ms = LEAST_BURST, 0.0, now
+        self.tokens, self.rate = LEAST_BURST, Rate(now)
+
+    def _most(self, ratio: float) -> float:
+        return max(LEAST_BURST, self.rate.per_ms * BURST_MS * ratio)
 
     def earn(self, now: float, ratio: float) -> None:
-        """A first try. `rate` follows first tries a ms."""
-        passed, self.at_ms = max(0.0, now - self.at_ms), now
-        self.rate = self.rate * max(0.0, 1.0 - passed / RATE_OVER_MS) + 1.0 / RATE_OVER_MS
-        most = max(LEAST_BURST, self.rate * BURST_MS * ratio)
-        self.tokens = min(most, self.tokens + ratio)
+        """A first try."""
+        self.rate.came(now)
+        self.tokens = min(self._most(ratio), self.tokens + ratio)
 
     def spend(self, ratio: float, kept: bool) -> bool:
         """Whether a repeat may be begun; `kept`: what is kept for those that come as told is open to it."""
-        most = max(LEAST_BURST, self.rate * BURST_MS * ratio)
+        most = self._most(ratio)
         if self.tokens < (1.0 if kept else 1.0 + KEPT_PART * most):
             return False
         self.tokens -= 1.0
@@ -55,7 +70,7 @@
                 if self.others is None:
                     self.others = Bucket(now)
                 oldest, spared = next(iter(self.buckets.items()))
-                if now - spared.at_ms < RATE_OVER_MS:  # all are at work: made-up tenants push nobody out
+                if now - spared.rate.at_ms < RATE_OVER_MS:  # all are at work: made-up tenants push nobody out
                     return self.others
                 del self.buckets[oldest]
             bucket = self.buckets[tenant] = Bucket(now)
--- a/honeywharf/storms/detector.py
+++ b/honeywharf/storms/detector.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+FIRST, REPEAT, CONNECTION, REFUSED = KINDS = range(4)  # what is counted
 SLOT_MS = 250.0
 SLOTS = 8  # of a window: 2 s, longer than a client's back-off and shorter than an outage
 HOUR_MS = 3_600_000.0
@@ -35,8 +36,7 @@
     first: int = 0
     repeats: int = 0
     connections: int = 0
-    refused: int = 0
-    echo: int = 0  # repeats of what was refused here
+    refused: int = 0  # for want of room
     usual_ratio: float = 0.0
     usual_connections: float = float("inf")  # in a window; without bound while it is not known
     quiet_ms: float = 0.0  # for so long neither sign has stood
@@ -86,14 +86,15 @@
 
     def __init__(self) -> None:
         self.state, self.reason, self.since_ms = State.CALM, "start", 0.0
-        self.slots: deque[list[int]] = deque([[0] * 5 for _ in range(SLOTS)], maxlen=SLOTS)
+        self.slots: deque[list[int]] = deque(
+            [[0] * len(KINDS) for _ in range(SLOTS)], maxlen=SLOTS)
         self.window = Window()
         self.slot = -1
         self.quiet_slots = 0
         self.ratios, self.connects, self.heard = [0.0] * 24, [0.0] * 24, [0] * 24
 
     def count(self, now: float, kind: int, number: int = 1) -> bool:
-        """So many more of a kind (FIRST and so on); whether the state has changed."""
+        """So many more of one of KINDS; whether the state has changed."""
         changed = self.turn(now)
         self.slots[-1][kind] += number
         return changed
@@ -110,14 +111,14 @@
         before = self.state
         self._judge(now)
         for _ in range(min(passed, SLOTS)):
-            self.slots.append([0] * 5)
+            self.slots.append([0] * len(KINDS))
         self.quiet_slots += passed - 1 if not self.window.repeating and not self.window.reconnecting else 0
         self.slot = slot
         return self.state is not before
 
     def _judge(self, now: float) -> None:
         w, hour = self.window, int(now // HOUR_MS) % 24
-        w.first, w.repeats, w.connections, w.refused, w.echo = (sum(column) for column in zip(
+        w.first, w.repeats, w.connections, w.refused = (sum(column) for column in zip(
             *self.slots, strict=True))
         known = self.heard[hour] >= USUAL_OVER // 8
         w.usual_ratio = self.ratios[hour] if known else 0.0
@@ -136,6 +137,3 @@
             part = 1.0 / self.heard[hour]
             self.ratios[hour] += (w.ratio - self.ratios[hour]) * part
             self.connects[hour] += (w.connections - self.connects[hour]) * part
-
-
-FIRST, REPEAT, CONNECTION, REFUSED, ECHO = range(5)
--- a/honeywharf/storms/storms.py
+++ b/honeywharf/storms/storms.py
@@ -8,7 +8,7 @@
 from honeywharf.policy.interface import Coming
 from honeywharf.storms import detector as signs
 from honeywharf.storms.advice import SLOT_MS, Advice
-from honeywharf.storms.budget import RATIO, RepeatBudget
+from honeywharf.storms.budget import RATIO, Rate, RepeatBudget
 from honeywharf.storms.detector import Detector, State
 from honeywharf.storms.sketch import Seen, digest
 
@@ -44,7 +44,7 @@
         self.budget = RepeatBudget(rules.ratio)
         self.advice = Advice(rng, rules.cap_ms, USEFUL * rules.aim_ms)
         self.short_ms = float("-inf")  # when room was last found short
-        self.first_rate, self.rate_at = 0.0, 0.0  # first tries a ms
+        self.first = Rate(0.0)  # of first tries
         self.turned_away = self.kept_promises = self.broken_promises = 0
 
     @property
@@ -92,13 +92,9 @@
         if coming is Coming.FIRST:
             changed = self.detector.count(now, signs.FIRST)
             self.budget.first(now, tenant)
-            passed, self.rate_at = now - self.rate_at, now
-            part = min(1.0, max(0.0, passed) / 2000.0)
-            self.first_rate += (1.0 / max(passed, 0.05) - self.first_rate) * part
+            self.first.came(now)
         else:
             changed = self.detector.count(now, signs.REPEAT)
-            if coming is not Coming.UNTOLD:
-                self.detector.count(now, signs.ECHO)
         return coming, code, self._changed(now, changed)
 
     def _changed(self, now: float, changed: bool) -> bool:
@@ -144,5 +140,5 @@
                 return due - now + 0.5 * SLOT_MS
         if self.state is State.CALM:
             return self.advice.calm(now, code)
-        per_ms = self.first_rate * self.rules.ratio * self.budget.widened
+        per_ms = self.first.per_ms * self.rules.ratio * self.budget.widened
         return self.advice.tell(now, code, per_ms)
--- a/tests/storms/test_rules.py
+++ b/tests/storms/test_rules.py
@@ -150,7 +150,7 @@
 
 @settings(max_examples=100, deadline=None)
 @given(st.lists(st.tuples(
-    st.sampled_from(range(5)), st.integers(0, 60), st.floats(-3000.0, 2000.0)), max_size=200))
+    st.sampled_from(signs.KINDS), st.integers(0, 60), st.floats(-3000.0, 2000.0)), max_size=200))
 def test_no_other_transition_is_possible(steps: list[tuple[int, int, float]]) -> None:
     d, now, allowed = Detector(), 1e6, {(a, b) for a, _, b, _ in TABLE}
     for kind, number, passed in steps:
