Write the mix of clients' habits and the class of reads once

Need: bench.storms and bench.outage each had the mix of habits, and bench.outage the class that bench.processes has.

Change: habits.MIXED; bench.outage takes the class from bench.processes.

--- a/bench/outage.py
+++ b/bench/outage.py
@@ -1,6 +1,6 @@
 """An outage on loopback: 5,000 clients, three proxies, twenty nodes of which three die; damped and not.
 
-    python -m bench.outage [--clients 5000] [--seconds 34] [--rate 500] [--seed 1] [--cores 0,1,2,3]
+    python -m bench.outage [--clients 5000] [--seconds 34] [--rate 500] [--seed 1] [--cores 0,1,2]
 
 Nodes of the model (they jam, and come back cold for 4 s) in this process, three proxies as processes on the
 first three cores, clients in processes of their own. Each client has a connection of its own, asks for a
@@ -31,18 +31,15 @@
 from bench.processes import HERE, proxy, wait_for
 from honeywharf.standins import node
 from honeywharf.standins.backend import Backend
-from honeywharf.standins.habits import pause_ms
+from honeywharf.standins.habits import MIXED, pause_ms
 from honeywharf.standins.messages import read_message
 from honeywharf.standins.model import Node, NodeSpec
 from honeywharf.standins.registry import Registry
 
-READ = {"name": "read", "aimMs": 2000.0, "deadlineMs": 5000.0, "idempotency": "repeatable"}
 TILE = NodeSpec(cores=2, queue=12, cold_share=0.25, warm_ms=4000.0, jam_at=4.5)
 NODES, WORK_MS, DEAD = 20, 60.0, 3
 DIES_S, BACK_S = 10.0, 16.0
 AIM_S, PATIENCE_S, TRIES, WINDOW_S = 2.0, 5.0, 6, 0.5
-HABITS = (("obedient", 0.3), ("half", 0.2), ("deaf", 0.2), ("at once", 0.1), ("exponential", 0.1),
-          ("jitter", 0.1))
 STORMS = "[storms]\non = true\n"
 REQUEST = ("GET /api/{target} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {name}\r\n"
            "X-Service-Class: read\r\nX-Account: acme\r\nCookie: sid={sid}\r\n"
@@ -55,7 +52,7 @@
     def __init__(self, number: int, ports: list[int], seed: int, counts: dict[int, Counter[str]]) -> None:
         self.sid, self.ports, self.counts = f"c{number}", ports, counts
         self.random = random.Random(seed * 1_000_003 + number)
-        names, weights = zip(*HABITS, strict=True)
+        names, weights = zip(*MIXED, strict=True)
         self.habit = self.random.choices(names, weights)[0]
         self.pair: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.serial = 0
@@ -152,8 +149,7 @@
     with contextlib.ExitStack() as stack:
         for core, port in zip(cores, ports, strict=False):
             stack.enter_context(proxy(
-                HERE, core, port, registry.port, [one.port for one in made], folder, features=features,
-                classes=(READ,)))
+                HERE, core, port, registry.port, [one.port for one in made], folder, features=features))
         for port in ports:
             await asyncio.to_thread(wait_for, port)
         begun, per = time.monotonic() + 1.0, args.clients // 4
--- a/bench/storms.py
+++ b/bench/storms.py
@@ -29,6 +29,7 @@
 from dataclasses import replace
 
 from honeywharf.standins import days
+from honeywharf.standins.habits import MIXED
 from honeywharf.standins.simulator import WINDOW_MS, Day, Result, Trouble, play
 from honeywharf.storms import Rules, Storms
 
@@ -37,8 +38,7 @@
     "obedient": (("obedient", 1.0),),
     "30 % deaf": (("obedient", 0.7), ("deaf", 0.3)),
     "all deaf": (("deaf", 0.5), ("at once", 0.25), ("exponential", 0.25)),
-    "mixed": (("obedient", 0.3), ("half", 0.2), ("deaf", 0.2), ("at once", 0.1), ("exponential", 0.1),
-              ("jitter", 0.1)),
+    "mixed": MIXED,
 }
 
 
--- a/honeywharf/standins/habits.py
+++ b/honeywharf/standins/habits.py
@@ -17,6 +17,10 @@
     "jitter": lambda tries, told, draw: draw.uniform(0.0, min(MOST_MS, BASE_MS * 2 ** tries)),
 }
 
+#: Clients of every habit, and their weights.
+MIXED = (
+    ("obedient", 0.3), ("half", 0.2), ("deaf", 0.2), ("at once", 0.1), ("exponential", 0.1), ("jitter", 0.1))
+
 
 def pause_ms(habit: str, tries: int, told_ms: float, draw: random.Random) -> tuple[float, bool]:
     """The pause after so many tries, and whether the client comes as it was told. ValueError for no habit."""
