Wait for the request before a test's node answers it

The test answered as soon as four repeats waited, which may be before the first request has left: a connection that says something before it was asked is dropped, and that is right. It hid while machines were idle.

answer_all waits until a request has come, for every test that uses it.

--- a/tests/orderkeys/test_edge.py
+++ b/tests/orderkeys/test_edge.py
@@ -13,7 +13,7 @@
 from honeywharf.orderkeys.edge import JOINED_MOST, Edge
 from honeywharf.policy import interface as api
 from honeywharf.proxy import Proxy
-from tests.loopback import SETTINGS, Backend, Client, World, make_config, reply, run, until, world
+from tests.loopback import SETTINGS, Backend, Client, World, make_config, reply, run, soon, until, world
 
 ON = Features(order_keys=OrderKeys(store="process"))
 
@@ -60,7 +60,9 @@
     return first, repeat
 
 
-def answer_all(backend: Backend, body: bytes = b"tile") -> None:
+async def answer_all(backend: Backend, body: bytes = b"tile") -> None:
+    """Answer on every connection, once a request has come: what comes before one is nobody's answer."""
+    await soon(backend.came.wait())
     for writer in list(backend.writers):
         writer.write(reply(200, body))
 
@@ -73,7 +75,7 @@
             for client in copies:
                 client.send("order", b"x", key="k")
             await until(lambda: len(edge_of(w).waiting) == 4)
-            answer_all(backend, b"the one")
+            await answer_all(backend, b"the one")
             answers = [await client.answer() for client in copies]
             assert {(a[0].split()[1], a[2]) for a in answers} == {(b"200", b"the one")}
             copies[0].send("order", b"x", key="k")  # and once more, when all is done
@@ -101,7 +103,7 @@
             first, repeat = await joined(w, backend)
             first.writer.transport.abort()
             await until(lambda: w.proxy.driver.open == 1)
-            answer_all(backend)
+            await answer_all(backend)
             assert await repeat.status() == 200
             assert len(backend.requests) == 1
     run(main())
@@ -113,7 +115,7 @@
             first, repeat = await joined(w, backend)
             repeat.writer.transport.abort()
             await until(lambda: not edge_of(w).waiting)
-            answer_all(backend)
+            await answer_all(backend)
             assert await first.status() == 200
     run(main())
 
@@ -127,7 +129,7 @@
             await until(lambda: backend.came.is_set())
             repeat.send("order", b"x", "150m", key="k")
             assert await repeat.status() == 502  # not refused: the first may have run
-            answer_all(backend)
+            await answer_all(backend)
             assert await first.status() == 200
             assert len(backend.requests) == 1  # without the feature the repeat was sent, and timed out alike
     run(main())
@@ -263,7 +265,7 @@
             await until(lambda: len(edge_of(w).waiting) == JOINED_MOST)
             copies[-1].send("order", b"x", key="k")
             assert await copies[-1].status() == 409
-            answer_all(backend)
+            await answer_all(backend)
             assert [await c.status() for c in copies[:-1]] == [200] * (JOINED_MOST + 1)
     run(main())
 
@@ -280,7 +282,7 @@
             status, headers, _ = await second.answer()
             assert status.split()[1] == b"503"
             assert float(headers[b"retry-after"]) > 0
-            answer_all(backend)
+            await answer_all(backend)
             assert await first.status() == 200
             assert len(backend.requests) == 1
     run(main())
