Give the laboratory a package: clients by the million, proxies that restart, doors

Change: honeywharf/lab/ holds them. Troubles restart proxies while the front still sends to them, and take their descriptors. A habit of several tries at once, and eager ones that reconnect as soon as they are cut.

--- a/bench/limiters.py
+++ b/bench/limiters.py
@@ -17,8 +17,8 @@
 from dataclasses import replace
 
 from honeywharf import limits
-from honeywharf.standins import days
-from honeywharf.standins.simulator import play
+from honeywharf.lab import days
+from honeywharf.lab.simulator import play
 
 Row = tuple[str, str, float, float, float, int]  # limiter, kind, goodput, refused with room, p99, broken
 
--- a/bench/outage.py
+++ b/bench/outage.py
@@ -29,11 +29,11 @@
 import uvloop
 
 from bench.processes import HERE, proxy, wait_for
+from honeywharf.lab.habits import MIXED, pause_ms
+from honeywharf.lab.model import Node, NodeSpec
 from honeywharf.standins import node
 from honeywharf.standins.backend import Backend
-from honeywharf.standins.habits import MIXED, pause_ms
 from honeywharf.standins.messages import read_message
-from honeywharf.standins.model import Node, NodeSpec
 from honeywharf.standins.registry import Registry
 
 TILE = NodeSpec(cores=2, queue=12, cold_share=0.25, warm_ms=4000.0, jam_at=4.5)
--- a/bench/storms.py
+++ b/bench/storms.py
@@ -2,7 +2,7 @@
 
     python -m bench.storms [--seeds 4] [--calm-days 200]
 
-Twenty nodes that jam (TILE of standins/days.py) in three zones at 0.75 of what they can do, three proxies,
+Twenty nodes that jam (TILE of lab/days.py) in three zones at 0.75 of what they can do, three proxies,
 real decision modules. At 10 s so many nodes die, at 16 s they are back, cold for 8.5 s. Clients that were
 refused try again up to six times within their 5 s, by habit; half of the repeats are marked. Printed, as
 means over seeds:
@@ -28,9 +28,9 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 
-from honeywharf.standins import days
-from honeywharf.standins.habits import MIXED
-from honeywharf.standins.simulator import WINDOW_MS, Day, Result, Trouble, play
+from honeywharf.lab import days
+from honeywharf.lab.habits import MIXED
+from honeywharf.lab.simulator import WINDOW_MS, Day, Result, Trouble, play
 from honeywharf.storms import Rules, Storms
 
 DIES_MS, BACK_MS, LENGTH_MS = 10_000.0, 16_000.0, 40_000.0
--- a/bench/twice.py
+++ b/bench/twice.py
@@ -13,8 +13,8 @@
 import statistics
 import sys
 
-from honeywharf.standins import days
-from honeywharf.standins.simulator import play
+from honeywharf.lab import days
+from honeywharf.lab.simulator import play
 
 #: Work in ms, cores of a server, length in ms, limiter (the slow ones want an open start).
 CASES = ((2.0, 1, 6000.0, "lateness"), (20.0, 2, 14000.0, "lateness"), (20.0, 8, 10000.0, "lateness"),
--- a/honeywharf/standins/days.py
+++ b/honeywharf/lab/days.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from honeywharf.standins.model import NodeSpec
-from honeywharf.standins.simulator import Day, Trouble, capacity
+from honeywharf.lab.model import NodeSpec
+from honeywharf.lab.simulator import Day, Trouble, capacity
 
 #: As tile nodes: jam at more than 4.5 calls for each core over 2 s, and are cold for 8 s.
 TILE = NodeSpec(cores=2, queue=12, cold_share=0.25, warm_ms=8000.0, jam_at=4.5)
--- a/honeywharf/standins/simulator.py
+++ b/honeywharf/lab/simulator.py
@@ -14,23 +14,28 @@
 from dataclasses import dataclass, field, replace
 
 from honeywharf import limits
+from honeywharf.lab import doors, habits
+from honeywharf.lab.doors import Door
+from honeywharf.lab.model import Node, NodeSpec, Rack
+from honeywharf.lab.population import UNCONNECTED, Population, Turn
 from honeywharf.policy import Balancer, interface as api
-from honeywharf.standins.habits import pause_ms
-from honeywharf.standins.model import Node, NodeSpec, Rack
 
 REPLY_MS = 0.1  # one way between a proxy and a node of its zone, and
 CROSS_MS = 3.0  # of another
 CLIENT_MS = 0.05  # in which a client that has its answer asks again
+TICK_MS = 20.0  # in which a population's clients are looked for
 WINDOW_MS = 500.0
 IDLE_CORES = 0.3  # a fleet with so many of its cores idle has room
 
 
 @dataclass(frozen=True)
 class Trouble:
-    """What happens to nodes at a time.
+    """What happens to nodes, or to proxies, at a time.
 
-    `crash`: they die and are back cold after `for_ms`; `slow`: they turn slower by `factor`; `drain`: they
-    are listed as draining, and take nothing more after `for_ms`.
+    `crash`: nodes die and are back cold after `for_ms`; `slow`: they turn slower by `factor`; `drain`: they
+    are listed as draining, and take nothing more after `for_ms`. `restart`: the proxies that were restarted
+    longest ago die, the front still sends to them for `front_ms`, and new ones are there after `for_ms`;
+    `descriptors`: proxies take no connections over those that they hold, for `for_ms`.
     """
 
     at_ms: float
@@ -39,6 +44,7 @@
     part: float = 0.15
     for_ms: float = 4000.0
     factor: float = 1.0
+    front_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -47,7 +53,9 @@
 
     `rate_per_s`: arrivals by zone and time, whatever becomes of them. `connections`: clients for each zone
     that ask again as soon as they have an answer. `retries`: how often a client that was refused, or failed
-    where that is harmless, tries again.
+    where that is harmless, tries again. `clients`: a population of so many, each of which thinks `think_ms`
+    on the mean, in place of arrivals by rate. `accept_ms`, `request_ms`: what a connection and a request take
+    of a proxy's core.
     """
 
     name: str
@@ -73,6 +81,11 @@
     habits: tuple[tuple[str, float], ...] = ()  # of clients, and their weights; without any, as told
     marks: float = 1.0  # part of repeats that are marked
     storms: bool = False
+    clients: int = 0
+    think_ms: float = 1000.0
+    accept_ms: float = 0.0
+    request_ms: float = 0.0
+    keep_ms: float = 10_000.0  # for which a population's connections are kept idle
 
 
 @dataclass
@@ -89,6 +102,9 @@
     as_told: int = 0
     begun: dict[int, list[int]] = field(default_factory=dict)  # by WINDOW_MS: first tries and repeats sent on
     states: list[tuple[float, int, str]] = field(default_factory=list)  # of storms: when, whose, what
+    connected: dict[int, int] = field(default_factory=dict)  # connections accepted, by WINDOW_MS
+    cut: int = 0  # tries that ended with their proxy, or found none
+    for_gone: int = 0  # attempts begun for clients whose patience had ended
     fell: int = 0
     double_charges: int = 0
     late_drains: int = 0
@@ -119,6 +135,11 @@
     tries: int = 0
     habit: str = ""
     told: bool = False  # this try comes as its refusal said
+    client: int = -1  # of the population
+    out: int = 0  # of this try's copies, those without an answer
+    done: bool = False
+    wait_ms: float = 0.0  # the longest that a refused copy was told
+    how: str = ""
 
 
 @dataclass(slots=True)
@@ -163,20 +184,32 @@
             "read", day.aim_ms, day.deadline_ms, effect=day.effect, scope=api.DedupeScope.CELL,
             window_ms=7500.0)
         self.homes = [self.zones[i % len(self.zones)] for i in range(day.proxies)]
-        self.proxies = []
-        for i, zone in enumerate(self.homes):
-            settings = api.Settings(
-                zone=zone, classes=(shape,), zones=len(self.zones), balancers=day.proxies, me=i,
-                limits=api.Limits(max_attempts=4, retry_after=True, max_retry_after_ms=2000.0),
-                rules=api.Rules(
-                    drain_grace_ms=500.0, cold_share=day.spec.cold_share, warm_after_ms=day.spec.warm_ms,
-                    cold_multiple=day.spec.fall_multiple, cold_window_ms=day.spec.fall_ms))
-            self.proxies.append(Balancer(settings, day.seed * 101 + i, day.limiter))
-            if day.storms:
-                from honeywharf.storms import Rules, Storms
-
-                self.proxies[-1].storms = Storms(
-                    Rules(span_ms=day.deadline_ms), random.Random(day.seed * 103 + i), b"%d" % i)
+        self.of_zone = {z: [i for i, home in enumerate(self.homes) if home == z] for z in self.zones}
+        self.shape = shape
+        self.proxies = [self.balancer(i) for i in range(day.proxies)]
+        self.doors = [Door(day.accept_ms, day.request_ms) for _ in range(day.proxies)]
+        self.population: Population | None = None
+        if day.clients:
+            self.population = Population(
+                day.clients, day.think_ms, len(self.zones), day.habits or (("obedient", 1.0),), day.seed)
+
+    def balancer(self, i: int) -> Balancer:
+        """The decisions of a proxy that has just started."""
+        day = self.day
+        settings = api.Settings(
+            zone=self.homes[i], classes=(self.shape,), zones=len(self.zones), balancers=day.proxies, me=i,
+            limits=api.Limits(max_attempts=4, retry_after=True, max_retry_after_ms=2000.0),
+            rules=api.Rules(
+                drain_grace_ms=500.0, cold_share=day.spec.cold_share, warm_after_ms=day.spec.warm_ms,
+                cold_multiple=day.spec.fall_multiple, cold_window_ms=day.spec.fall_ms))
+        seed = int(self.now)  # 0 for those of the day's begin
+        made = Balancer(settings, day.seed * 101 + i + seed, day.limiter)
+        if day.storms:
+            from honeywharf.storms import Rules, Storms
+
+            made.storms = Storms(
+                Rules(span_ms=day.deadline_ms), random.Random(day.seed * 103 + i + seed), b"%d" % i)
+        return made
 
     def at(self, when: float, call: Callable[..., None], *args: object) -> None:
         """Call back at that time."""
@@ -186,9 +219,10 @@
     def play(self) -> Result:
         """Play the day to its end."""
         for i in range(len(self.proxies)):
-            self.feed(i, api.Started())
-            self.feed(i, api.EndpointsListed(api.ListKind.FULL, tuple(self.endpoints.values())))
-        for zone in self.zones:
+            self.begin(i)
+        if self.population is not None:
+            self.at(0.0, self.tick)
+        for zone in self.zones if self.population is None else ():
             self.at(0.0, self.next_ask, zone)
             for _ in range(self.day.connections):
                 self.at(0.0, self.ask, zone)
@@ -204,8 +238,35 @@
         self.result.double_charges = sum(n > 1 for n in charges.values())
         return self.result
 
+    def begin(self, proxy: int) -> None:
+        """A proxy starts: it is told of every endpoint."""
+        self.feed(proxy, api.Started())
+        self.feed(proxy, api.EndpointsListed(api.ListKind.FULL, tuple(self.endpoints.values())))
+
     # Clients.
 
+    def tick(self) -> None:
+        """Those of the population whose turn comes before the next tick."""
+        if self.population is None or self.now >= self.day.length_ms:
+            return
+        for turn in self.population.coming(min(self.now + TICK_MS, self.day.length_ms)):
+            self.at(max(self.now, turn.when_ms), self.turn, turn)
+        self.at(self.now + TICK_MS, self.tick)
+
+    def turn(self, turn: Turn) -> None:
+        """A client of the population makes a try."""
+        assert self.population is not None
+        work = self.day.work_ms * self.random.lognormvariate(0.0, self.day.spread)
+        ask = _Ask(
+            self.zones[self.population.zone(turn.client)], turn.begun_ms, work,
+            f"{turn.client}-{turn.serial}", turn.tries - 1,
+            habits.NAMES[self.population.habit[turn.client]], turn.told, turn.client)
+        if turn.tries == 1:
+            ask.begun_ms = self.now
+            self.window(self.now)[0] += 1
+            self.result.asked += 1
+        self.try_(ask)
+
     def next_ask(self, zone: str) -> None:
         """Draw when the zone's next request comes."""
         if self.now >= self.day.length_ms:
@@ -232,22 +293,89 @@
         self.result.asked += 1
         ask = _Ask(zone, self.now, work, f"k{self.result.asked}")
         if self.day.habits:
-            names, weights = zip(*self.day.habits, strict=True)
-            ask.habit = self.random.choices(names, weights)[0]
+            ask.habit = habits.draw_one(self.day.habits, self.random)
         self.try_(ask)
 
     def try_(self, ask: _Ask) -> None:
-        """A client tries, or tries again."""
+        """A client tries, or tries again; some make several tries at once of that."""
         ask.tries += 1
-        self.serial += 1
-        name = f"r{self.serial}"
-        homes = [i for i, home in enumerate(self.homes) if home == ask.zone]
-        proxy = homes[int(self.random.random() * len(homes))]
-        self.asks[name], self.owner[name], self.attempts[name] = ask, proxy, 0
-        marked = ask.tries > 1 and (self.day.marks >= 1.0 or self.random.random() < self.day.marks)
+        ask.out = habits.AT_ONCE.get(ask.habit, 1) if ask.tries > 1 else 1
+        ask.wait_ms, ask.how = 0.0, ""
         self.result.as_told += ask.told
-        left = self.day.deadline_ms - (self.now - ask.begun_ms if ask.habit else 0.0)
-        self.feed(proxy, api.RequestArrived(name, "read", left, is_retry=marked, name=ask.key.encode()))
+        for copy in range(ask.out):
+            self.serial += 1
+            name = f"r{self.serial}"
+            proxy, kept = self.choose(ask, copy)
+            self.asks[name], self.owner[name], self.attempts[name] = ask, proxy, 0
+            marked = ask.tries > 1 and (self.day.marks >= 1.0 or self.random.random() < self.day.marks)
+            left = self.day.deadline_ms - (self.now - ask.begun_ms if ask.habit else 0.0)
+            request = api.RequestArrived(name, "read", left, is_retry=marked, name=ask.key.encode())
+            if self.population is None and self.doors[proxy].up:
+                self.feed(proxy, request)
+            elif kept:
+                self.enter(proxy, self.proxies[proxy], request)
+            else:
+                self.connect(proxy, request)
+
+    def choose(self, ask: _Ask, copy: int) -> tuple[int, bool]:
+        """A proxy, and whether the client holds a connection to it."""
+        if self.population is not None and not copy and (held := int(self.population.proxy[ask.client])) >= 0:
+            return held, True
+        homes = self.of_zone[ask.zone]
+        listed = [i for i in homes if self.doors[i].listed] if self.day.troubles else homes
+        among = listed or homes
+        return among[int(self.random.random() * len(among))], False
+
+    def connect(self, proxy: int, request: api.RequestArrived) -> None:
+        """A client connects: it waits in the proxy's queue, or finds nobody there."""
+        door = self.doors[proxy]
+        if not door.up:
+            self.at(self.now + REPLY_MS, self.cut, request.id)
+            return
+        when = door.accept(self.now)
+        if when != doors.FULL:
+            door.queued += 1
+            self.at(when, self.accepted, proxy, self.proxies[proxy], request)
+        elif self.now + doors.LOOK_MS < self.asks[request.id].begun_ms + self.day.deadline_ms:
+            self.at(self.now + doors.LOOK_MS, self.connect, proxy, request)
+        else:
+            self.cut(request.id)
+
+    def accepted(self, proxy: int, balancer: Balancer, request: api.RequestArrived) -> None:
+        """The proxy accepts a connection, and reads what came on it meanwhile."""
+        if self.proxies[proxy] is not balancer or not self.doors[proxy].up:
+            self.cut(request.id)
+            return
+        door, ask = self.doors[proxy], self.asks[request.id]
+        door.queued -= 1
+        window = int(self.now // WINDOW_MS)
+        self.result.connected[window] = self.result.connected.get(window, 0) + 1
+        if self.population is not None and self.population.proxy[ask.client] < 0:  # a copy's is closed again
+            self.population.proxy[ask.client] = proxy
+            door.open += 1
+        self.feed(proxy, api.ClientsConnected(1))
+        self.enter(proxy, balancer, request)
+
+    def enter(self, proxy: int, balancer: Balancer, request: api.RequestArrived) -> None:
+        """The proxy has read a request, and comes to it when its core is free."""
+        cost = self.doors[proxy].request_ms
+        if cost > 0.0:
+            self.at(self.doors[proxy].work(self.now, cost), self.read, proxy, balancer, request)
+        else:
+            self.read(proxy, balancer, request)
+
+    def read(self, proxy: int, balancer: Balancer, request: api.RequestArrived) -> None:
+        """The decisions have the request, unless their proxy has died."""
+        if self.proxies[proxy] is balancer and self.doors[proxy].up:
+            self.feed(proxy, request)
+        else:
+            self.cut(request.id)
+
+    def cut(self, request: str) -> None:
+        """A try ends without an answer: its proxy is gone, or takes no connection."""
+        if request in self.asks:
+            self.result.cut += 1
+            self.answered(request, "failed")
 
     def window(self, when: float) -> list[int]:
         """The counts of that time: asked, good, refused."""
@@ -256,31 +384,60 @@
     def answered(self, request: str, how: str, wait_ms: float = 0.0) -> None:
         """A try has its final answer; some clients try again."""
         ask = self.asks.pop(request)
+        ask.out -= 1
+        if ask.done:  # a copy of what was served
+            return
         took = self.now - ask.begun_ms
         if self.day.connections:
             self.at(self.now + CLIENT_MS, self.ask, ask.zone)
         if how == "served":
+            ask.done = True
             self.result.served += 1
             self.result.latencies.append((ask.begun_ms, took))
             if took <= self.day.aim_ms:
                 self.result.good += 1
                 self.window(ask.begun_ms)[1] += 1
+            self.rest(ask)
             return
         if how == "refused":
             self.result.refused += 1
-            self.result.told_and_refused += ask.told
             self.window(self.now)[2] += 1
             if self.has_room():
                 self.result.refused_with_room += 1
         else:
             self.result.failed += 1
-        if ask.tries <= self.day.retries and (how == "refused" or self.day.effect is api.Effect.REPEATABLE):
-            pause = max(wait_ms, 50.0)
+        ask.wait_ms, ask.how = max(ask.wait_ms, wait_ms), "refused" if how == "refused" else ask.how
+        if ask.out:
+            return
+        self.result.told_and_refused += ask.told and ask.how == "refused"
+        if ask.tries <= self.day.retries and (
+                ask.how == "refused" or self.day.effect is api.Effect.REPEATABLE):
+            pause = max(ask.wait_ms, 50.0)
             if ask.habit:
-                pause, ask.told = pause_ms(ask.habit, ask.tries, wait_ms, self.random)
+                pause, ask.told = habits.pause_ms(ask.habit, ask.tries, ask.wait_ms, self.random)
                 if self.now + pause >= ask.begun_ms + self.day.deadline_ms:
-                    return  # it has given up by then
-            self.at(self.now + pause, self.try_, ask)
+                    self.rest(ask)  # it has given up by then
+                    return
+            if self.population is not None:
+                self.population.again(ask.client, self.now + pause, ask.told)
+            else:
+                self.at(self.now + pause, self.try_, ask)
+        else:
+            self.rest(ask)
+
+    def rest(self, ask: _Ask) -> None:
+        """A client of the population thinks of what it wants next."""
+        if self.population is not None:
+            self.population.rest(ask.client, self.now)
+            self.at(self.now + self.day.keep_ms, self.idle, ask.client, self.population.due[ask.client])
+
+    def idle(self, client: int, due: float) -> None:
+        """A client that still has the same pause before it has held its connection idle for long enough."""
+        assert self.population is not None
+        proxy = int(self.population.proxy[client])
+        if proxy >= 0 and self.population.due[client] == due:
+            self.population.proxy[client] = UNCONNECTED
+            self.doors[proxy].open -= 1
 
     def has_room(self) -> bool:
         """Whether so many cores of the nodes that proxies may use are idle that no one need be refused."""
@@ -299,7 +456,9 @@
             if isinstance(action, api.Send):
                 self.send(proxy, action)
             elif isinstance(action, api.SetTimer):
-                self.at(action.at_ms, self.feed, proxy, api.TimerFired(action.token))
+                self.at(action.at_ms, self.timer, proxy, self.proxies[proxy], action.token)
+            elif isinstance(action, api.PaceConnections):
+                self.doors[proxy].pace(self.now, action.per_s)
             elif isinstance(action, api.Refuse):
                 self.result.reasons[action.reason.value] = self.result.reasons.get(action.reason.value, 0) + 1
                 self.answered(action.request, "refused", action.retry_after_ms)
@@ -308,6 +467,11 @@
             elif isinstance(action, api.Log):
                 self.result.states.append((self.now, proxy, action.words))
 
+    def timer(self, proxy: int, balancer: Balancer, token: str) -> None:
+        """A timer fires, unless the proxy that set it has died."""
+        if self.proxies[proxy] is balancer:
+            self.feed(proxy, api.TimerFired(token))
+
     def send(self, proxy: int, action: api.Send) -> None:
         """An attempt leaves its proxy."""
         number = self.attempts[action.request]
@@ -317,6 +481,7 @@
             begun[self.asks[action.request].tries > 1] += 1
         way = REPLY_MS if action.endpoint.rstrip("0123456789") == self.homes[proxy] else CROSS_MS
         ask = self.asks[action.request]
+        self.result.for_gone += self.now > ask.begun_ms + self.day.deadline_ms and bool(ask.habit)
         flight = _Flight(
             proxy, action.request, number, action.endpoint, self.now, way, ask.key, ask.works)
         self.serial += 1
@@ -384,6 +549,9 @@
 
     def strike(self, trouble: Trouble) -> None:
         """A trouble begins."""
+        if trouble.kind in ("restart", "descriptors"):
+            self.strike_proxies(trouble)
+            return
         names = [n for n in self.nodes if not trouble.zone or self.endpoints[n].zone == trouble.zone]
         hit = self.random.sample(names, max(1, round(len(names) * trouble.part)))
         for name in hit:
@@ -398,7 +566,44 @@
                 self.tell(replace(self.endpoints[name], state=api.EndpointState.DRAINING))
                 self.at(self.now + trouble.for_ms, self.stop, name)
             else:
-                raise ValueError(f"trouble: crash, slow or drain is wanted, not {trouble.kind!r}")
+                raise ValueError(
+                    f"trouble: wanted crash, slow, drain, restart or descriptors, found {trouble.kind!r}")
+
+    def strike_proxies(self, trouble: Trouble) -> None:
+        """A trouble of proxies begins."""
+        among = [i for i, zone in enumerate(self.homes) if trouble.zone in ("", zone)]
+        among.sort(key=lambda i: self.doors[i].restarted_ms)
+        for i in among[:max(1, round(len(among) * trouble.part))]:
+            door = self.doors[i]
+            if trouble.kind == "descriptors":
+                door.most, most = max(1, door.open), door.most
+                self.at(self.now + trouble.for_ms, setattr, door, "most", most)
+                continue
+            door.die(self.now)
+            for name in [name for name, flight in self.flights.items() if flight.proxy == i]:
+                del self.flights[name]  # its node finds nobody to answer to
+            for name in [name for name in self.asks if self.owner[name] == i]:
+                self.at(self.now + REPLY_MS, self.cut, name)
+            self.reconnect(i)
+            if trouble.front_ms < trouble.for_ms:
+                self.at(self.now + trouble.front_ms, setattr, door, "listed", False)
+            self.at(self.now + trouble.for_ms, self.restart, i)
+
+    def reconnect(self, proxy: int) -> None:
+        """Connections to a proxy are cut; eager clients come again at once, to another or to the same."""
+        if self.population is None:
+            return
+        eager = [habits.NAMES.index(name) for name in sorted(habits.EAGER)]
+        for client in self.population.cut(proxy).tolist():
+            if self.population.habit[client] in eager and self.population.due[client] < float("inf"):
+                self.population.due[client] = self.now + self.random.uniform(0.0, 100.0)
+
+    def restart(self, proxy: int) -> None:
+        """A new process serves in a proxy's place."""
+        self.proxies[proxy] = self.balancer(proxy)
+        self.doors[proxy].start(self.now)
+        self.doors[proxy].listed = True
+        self.begin(proxy)
 
     def revive(self, name: str) -> None:
         """A node comes back, and the registry learns of it later."""
--- a/honeywharf/standins/backend.py
+++ b/honeywharf/standins/backend.py
@@ -9,9 +9,9 @@
 from contextlib import suppress
 from typing import Any
 
-from honeywharf.standins.histories import History
+from honeywharf.lab.histories import History
+from honeywharf.lab.model import INFINITY, Node, Rack
 from honeywharf.standins.messages import Message, read_message, reply, row
-from honeywharf.standins.model import INFINITY, Node, Rack
 
 
 def now_ms() -> float:
--- a/honeywharf/standins/demo.py
+++ b/honeywharf/standins/demo.py
@@ -22,11 +22,11 @@
 from pathlib import Path
 from typing import Any
 
+from honeywharf.lab.model import Node, NodeSpec, Rack
 from honeywharf.standins import node
 from honeywharf.standins.backend import Backend, now_ms
 from honeywharf.standins.clients import Clients, Front
 from honeywharf.standins.messages import read_message, row
-from honeywharf.standins.model import Node, NodeSpec, Rack
 from honeywharf.standins.registry import Registry
 
 ZONES = ("tallinn", "tartu", "parnu")
--- a/honeywharf/standins/keyday.py
+++ b/honeywharf/standins/keyday.py
@@ -18,11 +18,11 @@
 from pathlib import Path
 from typing import Any
 
+from honeywharf.lab.histories import LOST, History
+from honeywharf.lab.model import Node, NodeSpec, Rack
 from honeywharf.standins import node
 from honeywharf.standins.backend import Backend, now_ms
-from honeywharf.standins.histories import LOST, History
 from honeywharf.standins.messages import read_message
-from honeywharf.standins.model import Node, NodeSpec, Rack
 from honeywharf.standins.redis import Redis
 from honeywharf.standins.registry import Registry
 
--- a/tests/coap/test_orders.py
+++ b/tests/coap/test_orders.py
@@ -6,8 +6,8 @@
 from pathlib import Path
 
 from honeywharf.codecs import coap
+from honeywharf.lab.histories import History
 from honeywharf.standins.coapday import DELAY_S, day
-from honeywharf.standins.histories import History
 from honeywharf.standins.keyday import KEPT_MS, PROCESS
 from honeywharf.standins.units import GAVE_UP
 from tests.coap.test_front import Unit, port_of, served, told
--- a/tests/standins/test_histories.py
+++ b/tests/lab/test_histories.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.standins.histories import LOST, History
+from honeywharf.lab.histories import LOST, History
 from honeywharf.standins.units import GAVE_UP
 
 KEPT = 1000.0
--- a/tests/standins/test_model.py
+++ b/tests/lab/test_model.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.standins.model import Node, NodeSpec, Rack
+from honeywharf.lab.model import Node, NodeSpec, Rack
 
 
 def test_calls_take_cores_and_then_wait_and_then_are_turned_away() -> None:
--- a/tests/limits/test_days.py
+++ b/tests/limits/test_days.py
@@ -7,11 +7,11 @@
 
 import pytest
 
+from honeywharf.lab import days
+from honeywharf.lab.model import NodeSpec
+from honeywharf.lab.simulator import Day, Result, Simulation, Trouble, capacity, play
 from honeywharf.policy import interface as api
 from honeywharf.policy.requests import Request
-from honeywharf.standins import days
-from honeywharf.standins.model import NodeSpec
-from honeywharf.standins.simulator import Day, Result, Simulation, Trouble, capacity, play
 
 
 def kept(result: Result) -> Result:
--- a/tests/limits/test_sockets.py
+++ b/tests/limits/test_sockets.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.standins.model import Node, NodeSpec
+from honeywharf.lab.model import Node, NodeSpec
 from tests.loopback import Backend, Client, World, run, world
 
 CONNECTIONS, EACH = 64, 6
--- a/tests/standins/test_sockets.py
+++ b/tests/standins/test_sockets.py
@@ -13,11 +13,11 @@
 
 import pytest
 
+from honeywharf.lab.model import Node, NodeSpec, Rack
 from honeywharf.standins import demo
 from honeywharf.standins.backend import Backend
 from honeywharf.standins.clients import Clients, Front
 from honeywharf.standins.messages import read_message, reply, row
-from honeywharf.standins.model import Node, NodeSpec, Rack
 from honeywharf.standins.registry import MOST_CHANGES, Registry
 from tests.loopback import run, soon, until
 
--- a/tests/storms/test_days.py
+++ b/tests/storms/test_days.py
@@ -5,8 +5,8 @@
 import pytest
 
 from bench.storms import BACK_MS, DIES_MS, HABITS, outage, quiet, told
+from honeywharf.lab.simulator import play
 from honeywharf.policy.interface import Reason
-from honeywharf.standins.simulator import play
 from honeywharf.storms.budget import RATIO
 
 LEVEL, AFTER, RECOVERY, RATIO_SEEN, _, SWING, WRONG = range(7)
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -15,8 +15,8 @@
 ROOT = Path(__file__).parent.parent
 PLAY = """
 from honeywharf.policy import balancer
-from honeywharf.standins import days
-from honeywharf.standins.simulator import play
+from honeywharf.lab import days
+from honeywharf.lab.simulator import play
 print(balancer.__file__)
 for seed in (1, 2):
     for kind in (days.jam, days.crowd, days.outage):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,16 +16,18 @@
     "policy": ("policy", "limits"),
     "storms": ("storms", "core", "policy"),
     "core": ("core", "policy"),
+    "lab": ("lab", "core", "policy", "limits", "storms"),
     "codecs": ("codecs", "core", "policy"),
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
     "proxy.py": (*PROTOCOLS, "config", "core", "limits", "orderkeys", "policy", "storms"),
-    "cli": ("VERSION", "config", "proxy", "standins"),
+    "cli": ("VERSION", "config", "lab", "proxy", "standins"),
     "__main__.py": ("cli", "proxy"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
 PURE = ("policy", "limits", "storms", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
         "orderkeys/shared.py", "orderkeys/scripts.py", "coap/options.py", "coap/blocks.py",
-        "coap/messages.py", "coap/client.py")
+        "coap/messages.py", "coap/client.py", "lab/model.py", "lab/habits.py", "lab/doors.py",
+        "lab/population.py", "lab/simulator.py", "lab/days.py")
 IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
 
 
