Add honeywharf lab: experiments as TOML, over all cores, resumable, with a report

Change: an experiment file (checked by msgspec, every error with its place, what was found and wanted) is opened into cells; they are played over all cores with a progress bar (rich), kept in one bounded SQLite file, and a run that was killed goes on from there. compare pairs equal seeds and gives a bootstrap's interval; report writes one HTML page (jinja2, matplotlib). Libraries in requirements-lab.txt; without them the commands say so.

--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -8,6 +8,8 @@
 
 import click
 
+from honeywharf.cli.lab import lab
+
 FEATURES = click.Path(exists=True, dir_okay=False, path_type=Path)
 
 
@@ -69,6 +71,9 @@
     sys.exit(2 if wrong else 0)
 
 
+main.add_command(lab)
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/honeywharf/cli/lab.py
@@ -0,0 +1,95 @@
+"""`honeywharf lab run|compare|report`: experiments in virtual time. Wants requirements-lab.txt."""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+from pathlib import Path
+
+import click
+
+PATH = click.Path(dir_okay=False, path_type=Path)
+READ = click.Path(exists=True, dir_okay=False, path_type=Path)
+NEEDS = ("jinja2", "matplotlib", "numpy", "rich")
+
+
+@click.group()
+def lab() -> None:
+    """Experiments with the real decision modules in virtual time (docs/operators/lab.md)."""
+    missing = [name for name in NEEDS if importlib.util.find_spec(name) is None]
+    if missing:
+        raise click.ClickException(f"found no {' and no '.join(missing)}, wanted what requirements-lab.txt"
+                                   " names: pip install -r requirements-lab.txt")
+
+
+def table(rows: list[tuple[str, ...]], head: tuple[str, ...]) -> None:
+    """A table on standard output."""
+    from rich.console import Console
+    from rich.table import Table
+
+    made = Table(box=None, pad_edge=False)
+    for i, name in enumerate(head):
+        made.add_column(name, justify="right" if i else "left", no_wrap=bool(i))
+    for row in rows:
+        made.add_row(*row)
+    console = Console()
+    console.print(made, width=None if console.is_terminal else 200)
+
+
+@lab.command()
+@click.argument("experiment", type=READ)
+@click.option("--out", type=PATH, help="The file of results; beside the experiment else, with .results.")
+@click.option("--jobs", type=click.IntRange(0, 512), default=0, help="Processes; 0 for one a core.")
+@click.option("--quiet", is_flag=True, help="No progress bar.")
+def run(experiment: Path, out: Path | None, jobs: int, quiet: bool) -> None:
+    """Play the days of an experiment that are not in its results yet; go on where a run was killed."""
+    from honeywharf.lab import experiments, reports, runs
+    from honeywharf.lab.results import Results, ResultsError
+
+    try:
+        name, cells = experiments.load(experiment)
+        results = Results(out or experiment.with_suffix(".results"))
+        played, known = runs.run(name, cells, results, jobs, quiet)
+        found = reports.groups(results.rows(name))
+    except (experiments.ExperimentError, ResultsError) as fault:
+        raise click.ClickException(str(fault)) from None
+    click.echo(f"{name}: {played} days played, {known} were there")
+    table([(setting, *(reports.words(reports.mean(some, one)) for one in reports.SHOWN))
+           for setting, some in found.items()], ("setting", *reports.SHOWN))
+
+
+@lab.command()
+@click.argument("results", type=READ)
+@click.argument("axis")
+@click.argument("first")
+@click.argument("second")
+def compare(results: Path, axis: str, first: str, second: str) -> None:
+    """Two cases of an axis side by side, over days of equal seeds and settings."""
+    from honeywharf.lab import reports
+    from honeywharf.lab.results import Results, ResultsError
+
+    try:
+        told = reports.compare(Results(results).rows(), axis, first, second)
+    except (reports.ReportError, ResultsError) as fault:
+        raise click.ClickException(str(fault)) from None
+    table([(d.setting, d.figure, reports.words(d.first), reports.words(d.second),
+            f"{d.second - d.first:+.3f}", f"{d.low:+.3f} to {d.high:+.3f}", str(d.pairs)) for d in told],
+          ("setting", "figure", first, second, "difference", "95 in 100", "pairs"))
+
+
+@lab.command()
+@click.argument("results", type=READ)
+@click.argument("page", type=PATH)
+@click.option("--over", multiple=True, default=("recovery_s",),
+              help="Figures plotted over axes of three cases and more.")
+def report(results: Path, page: Path, over: tuple[str, ...]) -> None:
+    """Write one HTML page: the sweep's table, the day's lines, distributions, figures over an axis."""
+    from honeywharf.lab import reports
+    from honeywharf.lab.results import Results, ResultsError
+
+    try:
+        page.write_text(reports.page(list(Results(results).rows()), over=over), "utf-8")
+    except (reports.ReportError, ResultsError, OSError) as fault:
+        raise click.ClickException(str(fault)) from None
+    click.echo(f"wrote {page}")
+    sys.stdout.flush()
--- /dev/null
+++ b/honeywharf/lab/results.py
@@ -0,0 +1,73 @@
+"""What has been played: one SQLite file, a row a cell, each written whole or not at all.
+
+A run that is killed leaves what was done before; the next one goes on from there. The file is bounded: a
+cell that does not fit is an error, and what is in it stays.
+"""
+
+from __future__ import annotations
+
+import json
+import sqlite3
+from collections.abc import Iterator
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+VERSION = 1
+MOST_BYTES = 256 * 1024 * 1024
+PAGE = 4096
+
+
+class ResultsError(ValueError):
+    """A file that holds no results, or no more of them."""
+
+
+class Results:
+    """A file of results, created where there is none. `most_bytes` bounds it."""
+
+    def __init__(self, path: Path, most_bytes: int = MOST_BYTES) -> None:
+        self.path, self.most_bytes = path, most_bytes
+        fresh = not path.exists()
+        try:
+            self.file = sqlite3.connect(path)
+            self.file.execute(f"pragma max_page_count = {max(8, most_bytes // PAGE)}")
+            if fresh:
+                self.file.execute(f"pragma user_version = {VERSION}")
+                self.file.execute(
+                    "create table cells (key text primary key, experiment text, labels text, seed integer,"
+                    " result text) without rowid")
+                self.file.commit()
+            found = self.file.execute("pragma user_version").fetchone()[0]
+            self.file.execute("select key from cells limit 1")
+        except sqlite3.Error as fault:
+            raise ResultsError(f"{path}: wanted a file of results, found {fault}") from None
+        if found != VERSION:
+            raise ResultsError(f"{path}: wanted results of version {VERSION}, found {found}")
+
+    def add(
+        self, key: str, experiment: str, labels: dict[str, str], seed: int, result: dict[str, Any],
+    ) -> None:
+        """Keep a cell; one that is there already is replaced."""
+        row = (key, experiment, json.dumps(labels), seed, json.dumps(result, sort_keys=True))
+        try:
+            with self.file:
+                self.file.execute("insert or replace into cells values (?, ?, ?, ?, ?)", row)
+        except sqlite3.Error as fault:
+            raise ResultsError(
+                f"{self.path}: wanted room for a cell in {self.most_bytes} bytes, found {fault}") from None
+
+    def keys(self) -> set[str]:
+        """The cells that are done."""
+        return {row[0] for row in self.file.execute("select key from cells")}
+
+    def rows(self, experiment: str = "") -> Iterator[tuple[str, dict[str, str], int, dict[str, Any]]]:
+        """Experiment, labels, seed and result of each cell, in a fixed order."""
+        with closing(self.file.execute("select experiment, labels, seed, result from cells"
+                                       " order by experiment, labels, seed")) as rows:
+            for name, labels, seed, result in rows:
+                if not experiment or name == experiment:
+                    yield name, json.loads(labels), seed, json.loads(result)
+
+    def close(self) -> None:
+        """Nothing more is kept."""
+        self.file.close()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -20,7 +20,7 @@
     "codecs": ("codecs", "core", "policy"),
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
     "proxy.py": (*PROTOCOLS, "config", "core", "limits", "orderkeys", "policy", "storms"),
-    "cli": ("VERSION", "config", "lab", "proxy", "standins"),
+    "cli": ("VERSION", "cli", "config", "lab", "proxy", "standins"),
     "__main__.py": ("cli", "proxy"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
