Count the wait for accepting as time used, and begin no work for who left meanwhile

Need: in a storm connections are accepted late. A request that had waited in the kernel's queue was given all the time that its caller had written on it, and work was begun for callers that had given up and closed while they waited.

Change: the paced listener reads from TCP_INFO how long the bytes have waited and whether the caller has ended its side. The wait is taken off the time left.

--- a/honeywharf/http/accept.py
+++ b/honeywharf/http/accept.py
@@ -7,20 +7,38 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Callable
 
 from honeywharf.core.transport import Address
 
 BURST_S = 0.05  # of accepting that may be saved up
+TCP_INFO_BYTES, CLOSE_WAIT = 60, 8  # Linux: struct tcp_info up to its times, and a state of it
+LAST_HEARD = slice(52, 56)  # of it: tcpi_last_data_recv, ms since bytes came, or since the connection did
 AT_ONCE = 64  # accepted in one turn of the loop: the others' requests are waiting
 
 
+def waited(made: socket.socket) -> tuple[float, bool]:
+    """For how many ms what came on a connection has waited to be accepted, and whether nothing more comes.
+
+    (0, False) where the system does not tell. Guards against taking the time left, which its caller wrote
+    when it sent the request, for what is left when it is read.
+    """
+    try:
+        info = made.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return 0.0, False
+    if len(info) < TCP_INFO_BYTES:
+        return 0.0, False
+    return float(int.from_bytes(info[LAST_HEARD], sys.byteorder)), info[0] == CLOSE_WAIT
+
+
 class Acceptor:
     """One listening socket. Stands in for the loop's server: `sockets`, `close`."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, factory: Callable[[], asyncio.Protocol], where: Address,
-        backlog: int,
+        self, loop: asyncio.AbstractEventLoop, factory: Callable[[float, bool], asyncio.Protocol],
+        where: Address, backlog: int,
     ) -> None:
         self.loop, self.factory = loop, factory
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
@@ -85,7 +103,8 @@
 
     async def _join(self, made: socket.socket) -> None:
         try:
-            await self.loop.connect_accepted_socket(self.factory, made)
+            waited_ms, ended = waited(made)
+            await self.loop.connect_accepted_socket(lambda: self.factory(waited_ms, ended), made)
         except OSError:
             made.close()
 
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -41,12 +41,14 @@
     """One caller's connection: one request at a time, in the order they came."""
 
     __slots__ = (
-        "among", "asked_s", "current", "ended", "fault", "front", "half_closed", "reader", "served",
-        "since_ms", "thrown", "timer", "transport", "waiting", "waiting_bytes",
+        "among", "asked_s", "current", "doubtful", "ended", "fault", "front", "half_closed", "reader",
+        "served", "since_ms", "thrown", "timer", "transport", "waited_ms", "waiting", "waiting_bytes",
     )
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: Front, waited_ms: float = 0.0, doubtful: bool = False) -> None:
         self.front = front
+        self.waited_ms = waited_ms  # before it was accepted, what came first has waited so long
+        self.doubtful = doubtful  # its caller had ended its side by then, and may be gone
         self.reader = http1.RequestReader()
         self.current: http1.Request | None = None
         self.waiting: deque[http1.Request] = deque()
@@ -77,7 +79,7 @@
         requests = self.reader.feed(data)
         self.fault = self.reader.fault
         if requests:
-            now = self.front.clock.now()
+            now = self.front.clock.now() - self.waited_ms
             for request in requests:
                 request.read_ms = now
                 self.waiting.append(request)
@@ -86,9 +88,28 @@
                     len(self.waiting) > 1 and self.waiting_bytes > MOST_WAITING_BYTES):
                 self._too_far_ahead()
                 return
-        if self.current is None:
+        self.waited_ms = 0.0
+        if self.doubtful and self.waiting and self.waiting[0].interim:
+            self.doubtful = False
+            self.transport.write(CONTINUE)
+            self.timer = self.front.loop.call_later(ASK_S, self._trust)
+        elif self.current is None and self.timer is None:
             self._next()
 
+    def _trust(self) -> None:
+        """Begin what came on a connection accepted late, unless its caller has gone meanwhile.
+
+        Guards against work for those who gave up while they waited to be accepted.
+        """
+        self.timer = None
+        told = self.transport.get_extra_info("socket")
+        if told is not None and told.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.transport.abort()
+        elif not self.ended and self.current is None:
+            self._next()
+            if self.half_closed and self.current is not None:
+                self._ask_again()
+
     def _throw(self, size: int) -> None:
         """Bytes after the last answer are read, so that it arrives, but not without end."""
         self.thrown += size
@@ -192,7 +213,9 @@
         """
         if self.ended or (self.current is None and not self.waiting):
             return False
-        if self.asked_s == 0.0:
+        if self.current is None and self.timer is not None:
+            self.half_closed = True  # it is being asked
+        elif self.asked_s == 0.0:
             self.half_closed = True
             request = self.current or self.waiting[0]
             if request.interim:
@@ -248,7 +271,8 @@
         if self.paced:
             from honeywharf.http.accept import Acceptor
 
-            self.server = Acceptor(self.loop, lambda: Connection(self), where, BACKLOG)
+            self.server = Acceptor(
+                self.loop, lambda waited_ms, ended: Connection(self, waited_ms, ended), where, BACKLOG)
         else:
             self.server = await self.loop.create_server(lambda: Connection(self), *where, backlog=BACKLOG)
         self.loop.call_later(SWEEP_S, self._sweep)
--- a/tests/storms/test_sockets.py
+++ b/tests/storms/test_sockets.py
@@ -84,6 +84,58 @@
     run(main())
 
 
+async def paced(w: World) -> None:
+    """Accept one connection now, and the next after 400 ms."""
+    w.proxy.front.pace(2.5)
+    known = len(w.proxy.front.connections)
+    await Client.to(w.port)
+    await until(lambda: len(w.proxy.front.connections) == known + 1)
+
+
+def test_what_waited_to_be_accepted_has_so_much_less_time_left() -> None:
+    """Guards against work that is begun for a client whose time is up, or goes on past it."""
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], ON) as w:
+            await paced(w)
+            client = await Client.to(w.port)
+            client.send("read", b"", "3000m")
+            assert await client.status() == 200
+            _, headers, _ = backend.requests[0]
+            assert 0.0 < float(headers[b"x-time-left"].rstrip(b"u")) < (3000.0 - 250.0) * 1000.0
+            await paced(w)
+            client = await Client.to(w.port)
+            client.send("read", b"", "200m")
+            assert await client.status() == 503
+            assert len(backend.requests) == 1
+        await backend.stop()
+    run(main())
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_work_is_begun_for_who_sends_no_more_but_not_for_who_has_left_while_waiting(leaves: bool) -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], ON) as w:
+            await paced(w)
+            waits = await Client.to(w.port)
+            waits.send()
+            if leaves:
+                waits.writer.close()
+                await waits.writer.wait_closed()
+            else:
+                waits.writer.write_eof()
+                assert await waits.status() == 100  # which is how it is asked whether it is there
+                assert await waits.status() == 200
+            w.proxy.front.pace(0.0)
+            after = await Client.to(w.port)  # accepted after it
+            after.send()
+            assert await after.status() == 200
+            assert len(backend.requests) == (1 if leaves else 2)
+        await backend.stop()
+    run(main())
+
+
 def test_the_module_is_told_of_connections_and_its_log_of_the_state() -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -122,7 +174,7 @@
                 made.append(cast(asyncio.Transport, transport))
 
         monkeypatch.setattr(socket, "socket", Short)
-        listener = Acceptor(loop, Kept, ("127.0.0.1", 0), 16)
+        listener = Acceptor(loop, lambda waited_ms, ended: Kept(), ("127.0.0.1", 0), 16)
         monkeypatch.undo()
         _, writer = await asyncio.open_connection(*listener.sockets[0].getsockname())
         await until(lambda: len(made) == 1)
