--- a/honeywharf/lab/results.py
+++ b/honeywharf/lab/results.py
@@ -46,6 +46,7 @@
             self.file = sqlite3.connect(path)
             self.file.execute(f"pragma max_page_count = {max(8, most_bytes // PAGE)}")
             if fresh:
+                self.file.execute("begin immediate")  # whole or not at all, for who opens it meanwhile
                 self.file.execute(f"pragma user_version = {VERSION}")
                 self.file.execute(
                     "create table cells (key text primary key, experiment text, labels text, seed integer,"
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -147,7 +148,8 @@
     done = 0
     while done < 3 and time.monotonic() < until:
         time.sleep(0.1)
-        done = len(Results(out).keys()) if out.exists() and out.stat().st_size >= 4096 else 0
+        with suppress(ResultsError):  # the run has not made the file whole yet
+            done = len(Results(out).keys()) if out.exists() and out.stat().st_size else 0
     os.killpg(run.pid, signal.SIGKILL)
     run.wait()
     kept = Results(out).keys()
