--- a/honeywharf/lab/doors.py
+++ b/honeywharf/lab/doors.py
@@ -38,8 +38,8 @@
         return self.free_ms
 
     def accept(self, now: float) -> float:
-        """When a connection that comes now is accepted; FULL where there is no descriptor for it."""
-        if self.open + self.queued >= self.most:
+        """When a connection that comes now is accepted; FULL where no descriptor or place is left."""
+        if self.open + self.queued >= self.most or self.queued >= QUEUE:
             return FULL
         if self.per_ms <= 0.0:
             return self.work(now, self.accept_ms)
--- a/honeywharf/lab/simulator.py
+++ b/honeywharf/lab/simulator.py
@@ -329,6 +329,8 @@
     def connect(self, proxy: int, request: api.RequestArrived) -> None:
         """A client connects: it waits in the proxy's queue, or finds nobody there."""
         door = self.doors[proxy]
+        if request.id not in self.asks:  # cut while it waited for a descriptor
+            return
         if not door.up:
             self.at(self.now + REPLY_MS, self.cut, request.id)
             return
@@ -469,7 +471,7 @@
 
     def timer(self, proxy: int, balancer: Balancer, token: str) -> None:
         """A timer fires, unless the proxy that set it has died."""
-        if self.proxies[proxy] is balancer:
+        if self.proxies[proxy] is balancer and self.doors[proxy].up:
             self.feed(proxy, api.TimerFired(token))
 
     def send(self, proxy: int, action: api.Send) -> None:
--- a/tests/lab/test_population.py
+++ b/tests/lab/test_population.py
@@ -66,6 +66,10 @@
     assert [door.accept(10.0), door.accept(10.0)] == [22.0, 32.0]
     door.queued = 4
     assert door.accept(10.0) == doors.FULL
+    door.most, door.queued = 10_000, doors.QUEUE - 1
+    assert door.accept(10.0) != doors.FULL
+    door.queued = doors.QUEUE
+    assert door.accept(10.0) == doors.FULL
     door.die(50.0)
     assert (door.up, door.open, door.queued) == (False, 0, 0)
     door.start(60.0)
@@ -99,6 +103,13 @@
     assert result.goodput(3000.0, 5000.0) < 0.95 < result.goodput(6000.0, 12_000.0)
 
 
+def test_a_restart_while_descriptors_are_short_cuts_who_waits_and_nothing_else() -> None:
+    """Guards against a proxy that is back before who waited for a descriptor of the old one looks again."""
+    troubles = (Trouble(3000.0, "descriptors", part=1.0, for_ms=2000.0),
+                *(Trouble(3500.0 + 200.0 * i, "restart", part=1.0, for_ms=10.0) for i in range(5)))
+    accounted(play(day(troubles=troubles)))
+
+
 def test_clients_that_try_several_times_at_once_are_answered_once_and_counted_once() -> None:
     trouble = Trouble(3000.0, "crash", part=0.4, for_ms=3000.0)
     one = play(day(troubles=(trouble,)))
