Count the wait for accepting in the laboratory as the proxy does

Need: the listener takes the wait off the time left; the model's proxies still believed what the client had written when it sent the request.

Change: a request accepted late has what is left of its client's patience.

--- a/honeywharf/lab/simulator.py
+++ b/honeywharf/lab/simulator.py
@@ -350,6 +350,8 @@
             return
         door, ask = self.doors[proxy], self.asks[request.id]
         door.queued -= 1
+        # As the paced listener does, which reads from TCP_INFO how long it waited.
+        request.remaining_ms = self.day.deadline_ms - (self.now - ask.begun_ms)
         window = int(self.now // WINDOW_MS)
         self.result.connected[window] = self.result.connected.get(window, 0) + 1
         if self.population is not None and self.population.proxy[ask.client] < 0:  # a copy's is closed again
--- a/tests/lab/test_population.py
+++ b/tests/lab/test_population.py
@@ -110,6 +110,13 @@
     accounted(play(day(troubles=troubles)))
 
 
+def test_what_waits_to_be_accepted_is_begun_for_nobody_whose_patience_has_ended() -> None:
+    made = play(day(accept_ms=60.0))  # a core takes 16 connections a second, and more come
+    accounted(made)
+    assert made.quantile(0.9) > 1000.0
+    assert made.for_gone == 0
+
+
 def test_clients_that_try_several_times_at_once_are_answered_once_and_counted_once() -> None:
     trouble = Trouble(3000.0, "crash", part=0.4, for_ms=3000.0)
     one = play(day(troubles=(trouble,)))
