Judge recovery and swing in one place, and keep the storm demo in the laboratory

Need: bench.outage judged recovery and swing with code of its own beside the laboratory's; the demo summed seconds that measures.lines already gives, and stood among the stand-ins, though it meets nothing outside.

An alias, a second copy of a count and a flush that did nothing are gone.

--- a/bench/outage.py
+++ b/bench/outage.py
@@ -29,6 +29,7 @@
 import uvloop
 
 from bench.processes import HERE, proxy, wait_for
+from honeywharf.lab import measures
 from honeywharf.lab.habits import MIXED, pause_ms
 from honeywharf.lab.model import Node, NodeSpec
 from honeywharf.standins import node
@@ -190,18 +191,19 @@
         return found["good"] / max(1, found["first"])
 
     former, last = level(4.0, DIES_S), seconds - PATIENCE_S
-    back = [BACK_S + k * WINDOW_S for k in range(int((last - BACK_S) / WINDOW_S) - 4)]
-    recovery = next((at - BACK_S for at in back if all(
-        level(at + i * WINDOW_S, at + (i + 1) * WINDOW_S) >= 0.95 * former for i in range(4))), float("inf"))
-    calm = BACK_S + min(recovery, last) + 5.0
-    after = [level(at, at + 2.0) for at in (calm + 2.0 * i for i in range(int((last - calm) / 2.0)))] or [0.0]
+
+    def level_ms(begin_ms: float, end_ms: float) -> float:
+        return level(begin_ms / 1000.0, end_ms / 1000.0)
+
+    took = measures.recovery_ms(level_ms, former, BACK_S * 1000.0, last * 1000.0)
+    swung = measures.swing(level_ms, BACK_S * 1000.0 + (took or 0.0), last * 1000.0)
     out, told = rows(DIES_S, BACK_S + 5.0), rows(DIES_S, last)
     peak = max((row["connections"] for row in total.values()), default=0) / WINDOW_S
     return {
         "before": round(former, 3), "dead": round(level(DIES_S, BACK_S), 3),
-        "after": round(level(BACK_S, last), 3), "recovery s": recovery,
+        "after": round(level(BACK_S, last), 3), "recovery s": "never" if took is None else took / 1000.0,
         "repeats sent": round(out["repeats"] / max(1, out["first"]), 3),
-        "refused": told["refused"], "swing": round(max(after) - min(after), 3),
+        "refused": told["refused"], "swing": None if swung is None else round(swung, 3),
         "wrong advice": round(told["told again"] / max(1, told["told"]), 3), "told": told["told"],
         "connections/s": peak,
     }
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -44,9 +44,9 @@
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     if storm:
         needed()
-        from honeywharf.standins import stormday
+        from honeywharf.lab import demo as outage
 
-        sys.exit(stormday.show(seed, click.echo))
+        sys.exit(outage.show(seed, click.echo))
     from honeywharf.standins import demo as played
 
     if keys:
--- a/honeywharf/cli/lab.py
+++ b/honeywharf/cli/lab.py
@@ -103,4 +103,3 @@
     except (reports.ReportError, ResultsError, OSError) as fault:
         raise click.ClickException(str(fault)) from None
     click.echo(f"wrote {page}")
-    sys.stdout.flush()
--- a/honeywharf/standins/stormday.py
+++ b/honeywharf/lab/demo.py
@@ -1,12 +1,12 @@
-"""`demo --storm`: the same outage in the laboratory, damped and not, as two lines of a second each."""
+"""`demo --storm`: the same outage in the laboratory, damped and not, a column for each half second."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
-from honeywharf.lab import days
+from honeywharf.lab import days, measures
 from honeywharf.lab.habits import MIXED
-from honeywharf.lab.simulator import Day, Result, Trouble, play
+from honeywharf.lab.simulator import Day, Trouble, play
 
 DIES_MS, BACK_MS, LENGTH_MS = 6000.0, 12_000.0, 30_000.0
 BARS = " ▁▂▃▄▅▆▇█"
@@ -25,26 +25,17 @@
     return "".join(BARS[min(len(BARS) - 1, round(v / most * (len(BARS) - 1)))] for v in values)
 
 
-def by_second(result: Result) -> tuple[list[float], list[float]]:
-    """The level and the repeats begun for each first try, by second."""
-    level, repeats = [], []
-    for second in range(int(LENGTH_MS // 1000.0)):
-        first = sum(result.windows.get(2 * second + i, [0])[0] for i in (0, 1))
-        again = sum(result.begun.get(2 * second + i, [0, 0])[1] for i in (0, 1))
-        level.append(result.goodput(second * 1000.0, second * 1000.0 + 1000.0))
-        repeats.append(again / max(1, first))
-    return level, repeats
-
-
 def show(seed: int, say: Callable[[str], None]) -> int:
     """Play and tell; status 0 where the rules held and repeats were fewer with the feature."""
     say("20 nodes, 0.4 of them dead from 6 to 12 s, then cold for 8; 9 proxies; clients of every habit")
     found = {}
     for storms in (False, True):
-        result = play(outage(seed, storms))
-        level, repeats = by_second(result)
-        begin, end = int(DIES_MS // 1000.0), int(LENGTH_MS // 1000.0) - 2
-        found[storms] = sum(repeats[begin:end]) / (end - begin)
+        day = outage(seed, storms)
+        result = play(day)
+        lines = measures.lines(day, result)
+        level = [good / max(1, asked) for asked, good, *_ in lines]
+        repeats = [line[4] / max(1, line[0]) for line in lines]
+        found[storms] = measures.of(day, result)["repeats"]
         say(f"{'with' if storms else 'without'} storms = on: refused {result.refused}, repeats begun"
             f" {found[storms]:.2f} for each first try")
         say(f"    in time |{bars(level, 1.0)}|")
