--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -9,7 +9,8 @@
 import click
 
 from honeywharf.cli.admin import drain, endpoints, status, top
-from honeywharf.cli.lab import lab, needed
+from honeywharf.cli.lab import lab
+from honeywharf.cli.tables import needed
 from honeywharf.cli.traces import causes, explain, traces
 
 FEATURES = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -45,13 +46,14 @@
 def demo(seconds: float, rate: float, seed: int, keys: bool, coap: bool, storm: bool) -> None:
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     if storm:
-        needed()
+        needed("lab")
         from honeywharf.lab import demo as outage
 
         sys.exit(outage.show(seed, click.echo))
     from honeywharf.standins import demo as played
 
     if keys:
+        needed("demo")
         sys.exit(played.play_keys(seconds, seed, click.echo))
     if coap:
         sys.exit(played.play_coap(seconds, seed, click.echo))
@@ -63,12 +65,13 @@
 def check_config(files: tuple[Path, ...]) -> None:
     """Tell all that is wrong with files of features (.toml), or of the platform's configuration (.json)."""
     from honeywharf.config import features, node as config
+    from honeywharf.proxy import senseless
 
     wrong = False
     for path in files:
         found: list[str] = []
         if path.suffix == ".toml":
-            found = features.read(path)[1]
+            found = features.read(path, senseless)[1]
         else:
             try:
                 config.load({"NODE_CONFIG": str(path)})
--- a/honeywharf/cli/admin.py
+++ b/honeywharf/cli/admin.py
@@ -5,14 +5,14 @@
 
 from __future__ import annotations
 
-import importlib.util
 import sys
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
 
+from honeywharf.cli.tables import needed, shown, table
+
 AT = click.option(
     "--socket", "path", type=click.Path(path_type=Path), required=True, envvar="HONEYWHARF_ADMIN",
     show_envvar=True, help="The proxy's admin socket: [admin] socket in its features.")
@@ -30,16 +30,6 @@
         sys.exit(1 if fault.answered else 3)
 
 
-def shown(data: Any, as_json: bool, words: Callable[[Any], None]) -> None:
-    """As JSON, or in words."""
-    from honeywharf.cli.traces import show
-
-    if as_json:
-        show(data)
-    else:
-        words(data)
-
-
 @click.command()
 @AT
 @JSON
@@ -49,8 +39,6 @@
 
 
 def _status(data: dict[str, Any]) -> None:
-    from honeywharf.cli.lab import table
-
     click.echo(f"{data['name']} in {data['zone']}: {'ready' if data['ready'] else 'not ready'},"
                f" {data['open']} requests open, {data['retry_budget']:.1f} further attempts left")
     if data["storms"]:
@@ -76,8 +64,6 @@
 
 
 def _endpoints(data: dict[str, Any]) -> None:
-    from honeywharf.cli.lab import table
-
     table([(e["endpoint"], e["zone"], e["state"], str(e["calls"]), f"{e['share']:.2f}", f"{e['pace']:.2f}",
             f"{e['why']}, {e['out_for_ms'] / 1000.0:.1f} s more" if "why" in e else "")
            for e in data["endpoints"]], ("endpoint", "zone", "state", "calls", "share", "pace", "why"))
@@ -100,9 +86,9 @@
 @AT
 def top(path: Path) -> None:
     """A running proxy, looked at each second: zones, refusals by reason, who is out, why and until when."""
-    if importlib.util.find_spec("textual") is None:
-        raise click.ClickException("found no textual, wanted what requirements-ops.txt names:"
-                                   " pip install -r requirements-ops.txt")
+    needed("ops")
+    if not sys.stdout.isatty():
+        raise click.ClickException("found no terminal at standard output, wanted one; `status` needs none")
     from honeywharf.cli import screen
 
     screen.show(path)
--- a/honeywharf/cli/lab.py
+++ b/honeywharf/cli/lab.py
@@ -2,42 +2,20 @@
 
 from __future__ import annotations
 
-import importlib.util
-import sys
 from pathlib import Path
 
 import click
 
+from honeywharf.cli.tables import needed, table
+
 PATH = click.Path(dir_okay=False, path_type=Path)
 READ = click.Path(exists=True, dir_okay=False, path_type=Path)
-NEEDS = ("jinja2", "matplotlib", "numpy", "rich")
-
-
-def needed() -> None:
-    """ClickException where a library of the laboratory is not there."""
-    missing = [name for name in NEEDS if importlib.util.find_spec(name) is None]
-    if missing:
-        raise click.ClickException(f"found no {' and no '.join(missing)}, wanted what requirements-lab.txt"
-                                   " names: pip install -r requirements-lab.txt")
 
 
 @click.group()
 def lab() -> None:
     """Experiments with the real decision modules in virtual time (docs/operators/lab.md)."""
-    needed()
-
-
-def table(rows: list[tuple[str, ...]], head: tuple[str, ...]) -> None:
-    """A table on standard output."""
-    from rich.console import Console
-    from rich.table import Table
-
-    made = Table(box=None, pad_edge=False)
-    for i, name in enumerate(head):
-        made.add_column(name, justify="right" if i else "left", no_wrap=bool(i))
-    for row in rows:
-        made.add_row(*row)
-    Console(width=None if sys.stdout.isatty() else 240).print(made)
+    needed("lab")
 
 
 @lab.command()
--- a/honeywharf/cli/traces.py
+++ b/honeywharf/cli/traces.py
@@ -10,6 +10,8 @@
 
 import click
 
+from honeywharf.cli.tables import show, table
+
 FILES = click.Path(exists=True, dir_okay=False, path_type=Path)
 BAD = "failed or refused or slow"
 GOOD = 'kept = "ordinary"'
@@ -40,13 +42,6 @@
     return {k: sorted(v) if isinstance(v, frozenset) else v for k, v in row.items()}
 
 
-def show(data: object) -> None:
-    """JSON on standard output."""
-    import orjson
-
-    click.echo(orjson.dumps(data, option=orjson.OPT_INDENT_2).decode())
-
-
 def end_of(row: Mapping[str, Any]) -> str:
     """How the client's request ended."""
     return next((word for word in ("failed", "refused", "served") if row[word]), "gone")
@@ -60,7 +55,6 @@
 @click.option("--json", "as_json", is_flag=True, help="JSON, with every span.")
 def traces(expression: str, files: tuple[Path, ...], by: str | None, most: int, as_json: bool) -> None:
     """List the traces for which EXPRESSION holds, such as 'failed and attempts > 1 and zone = "tartu"'."""
-    from honeywharf.cli.lab import table
     from honeywharf.traces import language
 
     found = selected(rows_of(files), expression, "EXPRESSION")
--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 import msgspec
 
+from honeywharf.config import words
 from honeywharf.core.transport import address
 
 VARIABLE = "HONEYWHARF_FEATURES"
@@ -76,6 +76,7 @@
     bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 64 * 1024 * 1024
     rate: Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.01
     quantile: Annotated[float, msgspec.Meta(ge=0.5, lt=1)] = 0.99
+    trust: Literal["tier", "callers", "nobody"] = "tier"
     keep: str = ""
     hold_ms: Milliseconds = 10_000.0
     held: Count = 4000
@@ -101,103 +102,52 @@
     admin: Admin = msgspec.field(default_factory=Admin)
 
 
-def load(path: Path) -> Features:
+Sense = Callable[["Features"], Iterable[tuple[str, str]]]  # what only shows once all is read: key, and words
+
+
+def load(path: Path, sense: Sense | None = None) -> Features:
     """The features that the file asks for; `FeaturesError` names the first thing that is wrong."""
-    made, wrong = read(path)
+    made, wrong = read(path, sense)
     if wrong:
         raise FeaturesError(wrong[0])
     return made
 
 
-def read(path: Path) -> tuple[Features, list[str]]:
-    """The features that the file asks for, and a line for everything that is wrong with it."""
+def read(path: Path, sense: Sense | None = None) -> tuple[Features, list[str]]:
+    """The features that the file asks for, and a line for everything that is wrong with it.
+
+    A line has the file, the line and column, the key, what was found and what is wanted. `sense` tells what
+    the packages of the features find wrong; it is asked where the types are right.
+    """
     try:
-        raw = tomllib.loads(path.read_text("utf-8"))
+        text = path.read_text("utf-8")
+        raw = tomllib.loads(text)
     except OSError as fault:
         return Features(), [f"{path}: {fault.strerror or fault}"]
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
         return Features(), [f"{path}: not TOML: {fault}"]
-    wrong = [f"{path}: {words}" for words in _faults(raw, ())]
+    wrong = [words.located(path, text, str(fault), fault.where) for fault in words.faults(raw, Features)]
     if wrong:
         return Features(), wrong
     made = msgspec.convert(raw, Features)
-    return made, [f"{path}: {words}" for words in _senseless(made)]
-
-
-def _faults(raw: dict[str, Any], above: tuple[str, ...]) -> list[str]:
-    """What is wrong with each key by itself: a file is mended in one go, not a fault at a time."""
-    found: list[str] = []
-    for name, value in raw.items():
-        where = (*above, name)
-        kind = _type_at(".".join(above))
-        inner = {f.name: f.type for f in msgspec.structs.fields(kind)}.get(name)
-        if isinstance(value, dict) and isinstance(inner, type) and issubclass(inner, msgspec.Struct):
-            found += _faults(value, where)
-            continue
-        alone: Any = value
-        for part in reversed(where):
-            alone = {part: alone}
-        try:
-            msgspec.convert(alone, Features)
-        except msgspec.ValidationError as fault:
-            found.append(explain(str(fault), alone))
-    return found
-
-
-def _senseless(made: Features) -> list[str]:
-    """What only shows once all is read: addresses, and the expression of the sampler."""
-    found: list[str] = []
-    for name, texts in (("traces.notes", (made.traces.notes,)), ("traces.peers", made.traces.peers)):
-        for text in filter(None, texts):
+    found = [*_senseless(made), *(sense(made) if sense is not None else ())]
+    return made, [words.located(path, text, f"{key}: {told}", words.undotted(key)) for key, told in found]
+
+
+def _senseless(made: Features) -> Iterator[tuple[str, str]]:
+    """Addresses that are none."""
+    one: Iterable[tuple[str, str]] = (
+        ("traces.notes", made.traces.notes), ("coap.listen", made.coap.listen),
+        *((f"traces.peers[{i}]", text) for i, text in enumerate(made.traces.peers)))
+    for name, text in one:
+        if text:
             try:
                 address(text)
-            except ValueError as fault:
-                found.append(f"{name}: found {text!r}, wanted host:port ({fault})")
-    if made.traces.keep:
-        from honeywharf.traces import language
-
-        try:
-            language.compiled(made.traces.keep, language.OF_A_HOP, quantiles=False)
-        except language.ExpressionError as fault:
-            found.append(f"traces.keep: {fault}")
-    return found
+            except ValueError:
+                yield name, f"found {text!r}, wanted host:port, such as 127.0.0.1:4000"
 
 
-def given(environ: Mapping[str, str]) -> Features | None:
+def given(environ: Mapping[str, str], sense: Sense | None = None) -> Features | None:
     """The features of the file that the environment names; None where it names none."""
     path = environ.get(VARIABLE)
-    return load(Path(path)) if path else None
-
-
-def explain(fault: str, raw: dict[str, Any]) -> str:
-    """A line that names the key, what was found there and what is wanted."""
-    words, _, where = fault.partition(" - at `$.")
-    key = where.rstrip("`")
-    unknown = re.search(r"unknown field `(.+)`", words)
-    if unknown is not None:
-        name = f"{key}.{unknown[1]}" if key else unknown[1]
-        return f"{name}: found a key that there is not, wanted one of {', '.join(known(key))}"
-    found: Any = raw
-    for part in key.split("."):
-        found = found.get(part) if isinstance(found, dict) else None
-    if words.startswith("Invalid enum value"):
-        return f"{key}: found {found!r}, wanted one of {', '.join(choices(key))}"
-    expected = re.search(r"Expected (.+?)(?:, got .+)?$", words)
-    return f"{key}: found {found!r}, wanted {expected[1].strip('`') if expected else words}"
-
-
-def _type_at(key: str) -> Any:
-    kind: Any = Features
-    for part in filter(None, key.split(".")):
-        kind = next(f.type for f in msgspec.structs.fields(kind) if f.name == part)
-    return kind
-
-
-def known(key: str) -> list[str]:
-    """The keys of the section."""
-    return [f.name for f in msgspec.structs.fields(_type_at(key))]
-
-
-def choices(key: str) -> list[str]:
-    """The values of a key that has only some."""
-    return [str(v) for v in _type_at(key).__args__]
+    return load(Path(path), sense) if path else None
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from honeywharf.core.messages import Request, Response, Status, pairs
+from honeywharf.core.messages import Request, Response, Status, Traced, pairs
 from honeywharf.core.transport import (
     Caller,
     Clock,
@@ -18,7 +18,6 @@
     Loop,
     Registry,
     Timer,
-    Traced,
     Tracer,
     Transport,
     UpstreamRequest,
@@ -165,12 +164,26 @@
         """Take a request, or refuse it before it reaches the module; what is wrong with it, if so."""
         fault = self.fault_of(request)
         if fault is None:
+            if self.tracer is not None:
+                request.traced = self.tracer.begin(request, request.read_ms or self.clock.now())
+                if request.waited_ms:
+                    request.traced.waited("accept", request.read_ms, request.read_ms + request.waited_ms)
             if self.full():
+                self.closed(request, "refused", "too many open")
                 caller.answer(Status.REFUSED)  # nothing has run
             elif not self.arrived(request, caller):
+                self.closed(request, "failed", "conflict")
                 caller.answer(Status.CONFLICT)
         return fault
 
+    def closed(self, request: Request, how: str, reason: str) -> None:
+        """End the trace of a request that is answered without the module; before its answer is written."""
+        traced = request.traced
+        if traced is not None:
+            request.traced, now = None, self.clock.now()
+            request.answer_lines = traced.answered(how, reason, None, now)
+            traced.settled(now)
+
     def arrived(self, request: Request, caller: Caller) -> bool:
         """Take a sound request; False where its id is in the table, or its key's request can't be joined."""
         if request.left_ms is None:
@@ -195,8 +208,7 @@
         exchange.watcher = watcher
         self.requests[request.id] = exchange
         self.open += 1
-        if self.tracer is not None:
-            exchange.traced = self.tracer.begin(request, request.read_ms or self.clock.now())
+        exchange.traced = request.traced
         exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
         if self.connected:
             self._feed(api.ClientsConnected(self.connected))
--- a/honeywharf/core/messages.py
+++ b/honeywharf/core/messages.py
@@ -8,6 +8,8 @@
 
 from mypy_extensions import mypyc_attr
 
+from honeywharf.policy import interface as api
+
 CALLS = b"/api"  # the paths that are passed on
 MAX_BODY = 64 * 1024  # of a request
 # Of an answer. The protocol says 64 KiB; good answers of 400 KB have been seen. What is said to be longer is
@@ -73,7 +75,8 @@
 
     __slots__ = (
         "account", "answer_lines", "body", "class_name", "facts", "hint_ms", "id", "idempotency_key", "kind",
-        "left_ms", "method", "read_ms", "repeat", "sid", "target", "trace_parents", "trace_states",
+        "left_ms", "method", "read_ms", "repeat", "sid", "target", "trace_parents", "trace_states", "traced",
+        "waited_ms",
     )
 
     def __init__(self) -> None:
@@ -88,6 +91,8 @@
         self.trace_states: list[bytes] = NONE
         self.answer_lines = b""  # header lines that go with its answer
         self.read_ms = 0.0  # when its last byte had come, on the proxy's clock
+        self.waited_ms = 0.0  # from then on, for the proxy to accept its connection
+        self.traced: Traced | None = None  # where traces are recorded, from its arrival on
 
 
 @mypyc_attr(allow_interpreted_subclasses=True)
@@ -101,3 +106,38 @@
         self.trace = b""  # what it says of its hop's trace
         self.kind = b""
         self.body = b""
+
+
+@mypyc_attr(allow_interpreted_subclasses=True)
+class Traced:
+    """Who is told of one request's course, for its trace; what is returned goes out as header lines."""
+
+    __slots__ = ()
+
+    def sent(self, number: int, action: api.Send, now_ms: float) -> bytes:
+        """An attempt leaves."""
+        raise NotImplementedError
+
+    def ended(self, number: int, outcome: api.Outcome, response: Response | None, now_ms: float) -> None:
+        """An attempt has its one outcome."""
+        raise NotImplementedError
+
+    def waited(self, kind: str, begun_ms: float, now_ms: float, link: bytes = b"") -> None:
+        """It has waited from one time to the other, for `kind`; `link`: the mark of what it waited on."""
+        raise NotImplementedError
+
+    def linked(self, link: bytes) -> None:
+        """Its answer was made for the request of that mark."""
+        raise NotImplementedError
+
+    def mark(self) -> bytes:
+        """What names it for requests that wait on it."""
+        raise NotImplementedError
+
+    def answered(self, how: str, reason: str, why: api.Why | None, now_ms: float) -> bytes:
+        """The request has its one final answer, or its client has left."""
+        raise NotImplementedError
+
+    def settled(self, now_ms: float) -> None:
+        """Nothing of the request is out or owed any more."""
+        raise NotImplementedError
--- a/honeywharf/core/transport.py
+++ b/honeywharf/core/transport.py
@@ -9,7 +9,7 @@
 
 from mypy_extensions import mypyc_attr
 
-from honeywharf.core.messages import Request, Response, Status
+from honeywharf.core.messages import Request, Response, Status, Traced
 from honeywharf.policy import interface as api
 
 Address = tuple[str, int]
@@ -147,29 +147,6 @@
         """Nothing of the request is out or owed any more."""
 
 
-@mypyc_attr(allow_interpreted_subclasses=True)
-class Traced:
-    """Who is told of one request's course, for its trace; what is returned goes out as header lines."""
-
-    __slots__ = ()
-
-    def sent(self, number: int, action: api.Send, now_ms: float) -> bytes:
-        """An attempt leaves."""
-        raise NotImplementedError
-
-    def ended(self, number: int, outcome: api.Outcome, response: Response | None, now_ms: float) -> None:
-        """An attempt has its one outcome."""
-        raise NotImplementedError
-
-    def answered(self, how: str, reason: str, why: api.Why | None, now_ms: float) -> bytes:
-        """The request has its one final answer, or its client has left."""
-        raise NotImplementedError
-
-    def settled(self, now_ms: float) -> None:
-        """Nothing of the request is out or owed any more."""
-        raise NotImplementedError
-
-
 class Tracer(Protocol):
     """Who records traces."""
 
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -81,7 +81,7 @@
         if requests:
             now = self.front.clock.now() - self.waited_ms
             for request in requests:
-                request.read_ms = now
+                request.read_ms, request.waited_ms = now, self.waited_ms
                 self.waiting.append(request)
                 self.waiting_bytes += len(request.body)
             if len(self.waiting) > MOST_WAITING or (
--- a/honeywharf/lab/experiments.py
+++ b/honeywharf/lab/experiments.py
@@ -29,6 +29,7 @@
 import msgspec
 
 from honeywharf import limits
+from honeywharf.config import words
 from honeywharf.lab import days
 from honeywharf.lab.habits import MIXED, known
 from honeywharf.lab.model import NodeSpec
@@ -127,13 +128,17 @@
 def load(path: Path) -> tuple[str, list[Cell]]:
     """The experiment's name and its cells, in order."""
     try:
-        raw = tomllib.loads(path.read_text("utf-8"))
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
-        raise ExperimentError(f"{path}: {fault}") from None
+        text = path.read_text("utf-8")
+        raw = tomllib.loads(text)
+    except OSError as fault:
+        raise ExperimentError(f"{path}: {fault.strerror or fault}") from None
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as fault:
+        raise ExperimentError(f"{path}: not TOML: {fault}") from None
     try:
         return cells(raw)
     except ExperimentError as fault:
-        raise ExperimentError(f"{path}: {fault}") from None
+        raise ExperimentError("\n".join(
+            words.located(path, text, told) for told in str(fault).split("; "))) from None
 
 
 def cells(raw: dict[str, Any]) -> tuple[str, list[Cell]]:
@@ -210,10 +215,10 @@
 
 def _checked(raw: dict[str, Any]) -> Setting:
     """The setting, where all of it can be played."""
-    try:
-        setting = msgspec.convert(raw, Setting)
-    except msgspec.ValidationError as fault:
-        raise ExperimentError(str(fault)) from None
+    found = list(words.faults(raw, Setting))
+    if found:
+        raise ExperimentError("; ".join(map(str, found)))
+    setting = msgspec.convert(raw, Setting)
     wrong = list(_wrong(setting))
     if wrong:
         raise ExperimentError("; ".join(wrong))
--- a/honeywharf/orderkeys/edge.py
+++ b/honeywharf/orderkeys/edge.py
@@ -83,7 +83,9 @@
         if outcome in api.NEVER_RAN:
             self.places.pop(number, None)
         elif outcome is api.Outcome.OK and response is not None:
-            self.edge.answered(self, Answer(response.body, response.kind))
+            traced = self.request.traced
+            origin = traced.mark() if traced is not None else b""
+            self.edge.answered(self, Answer(response.body, response.kind, origin))
 
     def settled(self) -> None:
         """Nothing is out any more: what is not done is uncertain, or free."""
@@ -107,7 +109,8 @@
 class Waiting:
     """A request that waits: a repeat for the answer of another, any for a shared store's word."""
 
-    __slots__ = ("caller", "deadline_ms", "edge", "group", "name", "payload", "request", "runs", "timer")
+    __slots__ = ("caller", "deadline_ms", "edge", "group", "link", "name", "payload", "request", "runs",
+                 "since_ms", "timer")
 
     def __init__(
         self, edge: Edge, name: bytes, payload: bytes, request: Request, caller: Caller,
@@ -117,6 +120,8 @@
         self.caller, self.deadline_ms = caller, deadline_ms
         self.group: Joined | None = None
         self.runs = False  # whether its key is known to have run, or to run
+        self.since_ms = 0.0  # it has waited since then
+        self.link = b""  # for the request of that mark, if it is this proxy's
         self.timer: Timer | None = None
 
     def claimed(self, claim: Claim) -> None:
@@ -173,26 +178,38 @@
             return group is not None and self._join(
                 Waiting(self, name, payload, request, caller, now + left_ms), group)
         else:
-            self._say(claim, caller)
+            self._say(claim, request, caller)
         return True
 
-    def _say(self, claim: Claim, caller: Caller) -> None:
+    def _say(self, claim: Claim, request: Request, caller: Caller) -> None:
         """Answer a request that neither runs nor waits."""
         if claim.verdict is Verdict.ANSWER and claim.answer is not None:
             self.driver.count("keys:repeated")
+            if request.traced is not None and claim.answer.origin:
+                request.traced.linked(claim.answer.origin)
+            self.driver.closed(request, "served", "another's answer")
             caller.answer(Status.SERVED, claim.answer.body, kind=claim.answer.kind)
         elif claim.verdict is Verdict.OTHER_PAYLOAD:
             self.driver.count("keys:other payload")
-            caller.answer(Status.UNPROCESSABLE)
+            self._fail(request, caller, "other payload", Status.UNPROCESSABLE)
         elif claim.verdict is Verdict.BUSY:
             self.driver.count("keys:conflict")
-            caller.answer(Status.CONFLICT)
+            self._fail(request, caller, "conflict", Status.CONFLICT)
         else:
             self.driver.count("keys:full")
-            self._refuse(caller)
+            self._refuse(request, caller, "keys full")
 
-    def _refuse(self, caller: Caller) -> None:
+    def _fail(
+        self, request: Request, caller: Caller, reason: str, status: Status = Status.FAILED,
+    ) -> None:
+        """Answer a request whose key may have run, or that can't be joined."""
+        self.driver.closed(request, "failed", reason)
+        caller.answer(status)
+
+    def _refuse(self, request: Request, caller: Caller, reason: str) -> None:
+        """Answer a request of which nothing has run."""
         limits = self.driver.settings.limits
+        self.driver.closed(request, "refused", reason)
         caller.answer(Status.REFUSED, retry_after_ms=limits.max_retry_after_ms if limits.retry_after else 0.0)
 
     # Keys that proxies share.
@@ -202,11 +219,11 @@
         group, request = self.runs.get(waiting.name), waiting.request
         if group is not None:
             if group.payload != waiting.payload:
-                self._say(Claim(Verdict.OTHER_PAYLOAD), waiting.caller)
+                self._say(Claim(Verdict.OTHER_PAYLOAD), request, waiting.caller)
             elif group.answer_kept is not None:
-                self._say(Claim(Verdict.ANSWER, answer=group.answer_kept), waiting.caller)
+                self._say(Claim(Verdict.ANSWER, answer=group.answer_kept), request, waiting.caller)
             elif not self._join(waiting, group):
-                waiting.caller.answer(Status.CONFLICT)
+                self._fail(request, waiting.caller, "conflict", Status.CONFLICT)
             return
         cls, left = self.driver.classes[request.class_name], waiting.deadline_ms - self.driver.clock.now()
         keep = self.keep_ms[cls.name]
@@ -231,7 +248,7 @@
                 return
             self._end(run, None)  # nothing was sent
             if here:
-                caller.answer(Status.CONFLICT)  # its id is in the table
+                self._fail(request, caller, "conflict", Status.CONFLICT)  # its id is in the table
         elif not here:
             return
         elif claim.verdict is Verdict.JOIN:
@@ -241,11 +258,11 @@
                 group.timer = self.driver.loop.call_later(
                     claim.wait_ms / 1000.0 + AFTER_LEASE_S, self.noticed, name)
             if not self._join(waiting, group):
-                caller.answer(Status.CONFLICT)
+                self._fail(request, caller, "conflict", Status.CONFLICT)
         elif claim.verdict is Verdict.AWAY:
             self._away(waiting, shared)
         else:
-            self._say(claim, caller)
+            self._say(claim, request, caller)
 
     def _away(self, waiting: Waiting, shared: Shared) -> None:
         """The store can't be asked, or has lost its keys: refuse, or go on alone, as the operator chose.
@@ -256,12 +273,12 @@
         request, caller = waiting.request, waiting.caller
         self.driver.count("keys:store away")
         if waiting.runs or request.repeat or shared.knows_of(waiting.name):
-            caller.answer(Status.FAILED)
+            self._fail(request, caller, "store away")
         elif request.class_name not in self.alone:
-            self._refuse(caller)
+            self._refuse(request, caller, "store away")
         elif not self._own(waiting.name, waiting.payload, request, caller,
                            waiting.deadline_ms - self.driver.clock.now()):
-            caller.answer(Status.CONFLICT)
+            self._fail(request, caller, "conflict", Status.CONFLICT)
 
     def noted(self, run: Run, number: int, place: api.Earlier) -> bool:
         """Tell the store where an attempt goes; False where it has to be sure before it leaves.
@@ -278,9 +295,13 @@
             shared.note(run.name, run.claim.fence, place)
             return True
 
+        since = self.driver.clock.now()
+
         def sure(held: bool) -> None:
             if held:
                 run.noted = place
+            if run.request.traced is not None:
+                run.request.traced.waited("key note", since, self.driver.clock.now())
             self.driver.go(run.request.id, number, held)
 
         if not shared.note(run.name, run.claim.fence, place, sure):
@@ -310,6 +331,8 @@
             self.driver.count("keys:conflict")
             return False
         waiting.group, waiting.runs = group, True
+        if isinstance(group, Run) and group.request.traced is not None:
+            waiting.link = group.request.traced.mark()
         group.joined.append(waiting)
         self.driver.count("keys:joined")
         self._park(waiting)
@@ -318,6 +341,7 @@
     def _park(self, waiting: Waiting) -> None:
         left_s = max(0.0, waiting.deadline_ms - self.driver.clock.now()) / 1000.0
         waiting.timer = self.driver.loop.call_later(left_s, self._overdue, waiting)
+        waiting.since_ms = self.driver.clock.now()
         self.waiting[waiting.request] = waiting
         self.driver.open += 1
 
@@ -335,12 +359,17 @@
             waiting.timer.cancel()
         if self.waiting.pop(waiting.request, None) is not None:
             self.driver.open -= 1
+            if waiting.request.traced is not None:
+                waiting.request.traced.waited(
+                    "key joined" if group is not None else "key claim", waiting.since_ms,
+                    self.driver.clock.now(), waiting.link)
 
     def _overdue(self, waiting: Waiting) -> None:
         """Its own time is up. The request it waits for may have run: no promise."""
         if self.waiting.get(waiting.request) is waiting:
             self._leave(waiting)
             self.driver.count("keys:overdue")
+            self.driver.closed(waiting.request, "overdue", "key joined" if waiting.runs else "key claim")
             waiting.caller.answer(Status.FAILED)
 
     def gone(self, request: Request) -> None:
@@ -349,11 +378,13 @@
         if waiting is not None:
             self._leave(waiting)
             self.driver.count("keys:gone")
+            self.driver.closed(request, "gone", "")
 
     def fail_all(self) -> None:
         """Answer all that wait: the process is about to be killed."""
         for waiting in list(self.waiting.values()):
             self._leave(waiting)
+            self.driver.closed(waiting.request, "cut off", "")
             waiting.caller.answer(Status.FAILED)
 
     # The end of a key's request.
@@ -373,7 +404,7 @@
             self.table.finish(run.name, run.claim.fence, answer, run.first_place(), until)
         for waiting in list(run.joined):
             self._leave(waiting)
-            self._say(Claim(Verdict.ANSWER, answer=answer), waiting.caller)
+            self._say(Claim(Verdict.ANSWER, answer=answer), waiting.request, waiting.caller)
 
     def settled(self, run: Run) -> None:
         """Give the claim back; the repeat that has waited longest is next."""
@@ -397,7 +428,7 @@
                 continue
             left = waiting.deadline_ms - self.driver.clock.now()
             if not self._own(waiting.name, waiting.payload, waiting.request, waiting.caller, left):
-                waiting.caller.answer(Status.CONFLICT)
+                self._fail(waiting.request, waiting.caller, "conflict", Status.CONFLICT)
 
 
 def kept_ms(driver: Driver, features: OrderKeys) -> dict[str, float]:
--- a/honeywharf/orderkeys/table.py
+++ b/honeywharf/orderkeys/table.py
@@ -42,12 +42,15 @@
 
 
 class Answer:
-    """The final answer to a key's request, status 200."""
+    """The final answer to a key's request, status 200.
 
-    __slots__ = ("body", "kind")
+    `origin`: the mark of the attempt that earned it, where traces are recorded; not shared between proxies.
+    """
+
+    __slots__ = ("body", "kind", "origin")
 
-    def __init__(self, body: bytes, kind: bytes = b"") -> None:
-        self.body, self.kind = body, kind
+    def __init__(self, body: bytes, kind: bytes = b"", origin: bytes = b"") -> None:
+        self.body, self.kind, self.origin = body, kind, origin
 
 
 class Claim:
@@ -165,8 +168,9 @@
         entry.earlier = entry.earlier or earlier
         if whole:
             entry.answer = answer
-            entry.bytes += len(answer.body) + len(answer.kind)
-            self.held_bytes += len(answer.body) + len(answer.kind)
+            size = len(answer.body) + len(answer.kind) + len(answer.origin)
+            entry.bytes += size
+            self.held_bytes += size
         else:
             entry.digest = digest(answer.body)
         self._list(name, entry)
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -8,7 +8,7 @@
 import resource
 import signal
 import sys
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -181,6 +181,17 @@
     return parts
 
 
+def senseless(features: Features) -> Iterator[tuple[str, str]]:
+    """What is wrong with a file of features beyond its types: each key, and what was found and is wanted."""
+    if features.traces.keep:
+        from honeywharf.traces import language
+
+        try:
+            language.compiled(features.traces.keep, language.OF_A_HOP, quantiles=False)
+        except language.ExpressionError as fault:
+            yield "traces.keep", str(fault)
+
+
 async def serve(conf: config.Config, early: list[int], features: Features | None = None) -> None:
     """Run one proxy in the running loop; `early`: signals to reload that came before it."""
     loop = asyncio.get_running_loop()
@@ -202,7 +213,7 @@
     from honeywharf.config import features
 
     try:
-        return features.given(os.environ)
+        return features.given(os.environ, senseless)
     except features.FeaturesError as fault:
         raise config.ConfigError(str(fault)) from None
 
--- a/honeywharf/standins/demo.py
+++ b/honeywharf/standins/demo.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib.util
 import json
 import os
 import re
@@ -231,11 +230,6 @@
     from honeywharf.standins import keyday
     from honeywharf.standins.redis import Redis
 
-    missing = [name for name in ("lupa", "sortedcontainers") if importlib.util.find_spec(name) is None]
-    if missing:
-        say(f"found no {' and no '.join(missing)}, wanted what requirements-demo.txt names:"
-            " pip install -r requirements-demo.txt")
-        return 2
     keys = int(seconds / keyday.SPACING_S)
     say(f"{keys} order keys, each sent up to five times over 3 proxies and 4 racks; nodes and proxies die")
     broken = False
--- a/honeywharf/traces/__init__.py
+++ b/honeywharf/traces/__init__.py
@@ -102,7 +102,8 @@
 
     rules = Sampling(features.rate, features.hold_ms, features.held, features.held_bytes, features.quantile)
     sampler = Sampler(
-        rules, {c.name: c.aim_ms for c in settings.classes}, export, trusts=settings.tier > 0, rule=rule)
+        rules, {c.name: c.aim_ms for c in settings.classes}, export, rule=rule,
+        trusts=features.trust == "callers" or (features.trust == "tier" and settings.tier > 0))
     recorder = Recorder(sampler, random.Random(secrets.randbits(64)))
     if features.notes:
         peers = frozenset(address(peer) for peer in features.peers)
--- a/honeywharf/traces/context.py
+++ b/honeywharf/traces/context.py
@@ -1,6 +1,11 @@
 """Trace context as W3C Trace Context has it (Recommendation, level 1, with level 2's random flag). Without
 I/O.
 
+Randomness, by which all hops keep the same ordinary traces, is told as OpenTelemetry's specification of
+tracestate has it: the trace-id's last 56 bits where the random flag says that they are random, else the
+member `ot=rv:` with 14 hex digits. Both count only from callers that are trusted: what a client sends would
+choose what is kept, and how often it is counted.
+
     traceparent = version "-" trace-id "-" parent-id "-" trace-flags          (3.2)
     tracestate  = list of up to 32 members key "=" value, 512 characters      (3.3)
 
@@ -18,10 +23,14 @@
 MOST_STATE = 512  # characters of a tracestate that is passed on (3.3.1.1 asks for so many at least)
 MOST_MEMBERS = 32
 KEY, BAD = "hw", "hw=bad"  # our member: the caller keeps the trace, whatever its randomness says
+OT = "ot"  # OpenTelemetry's member: sub-keys parted by ";", of which `rv` is the trace's randomness
 RANDOM_BITS = 56
+RANDOM_DIGITS = RANDOM_BITS // 4
+NEVER = "g"  # a threshold that no hex digits reach
 FLAGS = ("-00", "-01", "-02", "-03")  # as written: formatting a number costs more than the rest of the line
 
 _PARENT = re.compile(r"([0-9a-f]{2})-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})(-.*)?", re.DOTALL)
+_RV = re.compile(r"ot=(?:[^;]*;)*rv:([0-9a-f]{14})(?:;.*)?")
 _MEMBER = re.compile(
     r"([a-z0-9][a-z0-9_\-*/@]{0,255})=[\x20-\x2b\x2d-\x3c\x3e-\x7e]{0,255}[\x21-\x2b\x2d-\x3c\x3e-\x7e]")
 
@@ -36,19 +45,19 @@
     trace_id: str
     parent_id: str = ""
     flags: int = 0
-    state: str = ""  # without the member of ours
-    bad: bool = False  # the caller keeps it for what it saw, says our member
-
-    @property
-    def randomness(self) -> int:
-        """The last 56 bits of the trace-id: the same at every hop."""
-        return int(self.trace_id[-RANDOM_BITS // 4:], 16)
+    state: str = ""  # without the member of ours, and without OpenTelemetry's where nobody is trusted
+    bad: bool = False  # a trusted caller keeps it for what it saw, says our member
+    #: 14 hex digits by which every hop decides alike; empty where a trusted caller told none that count.
+    randomness: str = ""
 
 
-def parse(parents: list[bytes], states: list[bytes]) -> tuple[Context | None, str]:
+def parse(
+    parents: list[bytes], states: list[bytes], *, trusts: bool = False,
+) -> tuple[Context | None, str]:
     """The context that a request brought, and what was wrong: `parent`, `twice`, `state` or nothing.
 
     None where a new trace has to begin. `parents`, `states`: the values of all such headers, as they came.
+    `trusts`: the caller is a hop of ours, so that its word on randomness and on what it keeps counts.
     """
     if not parents:
         return None, ""  # a tracestate alone says nothing (4.3)
@@ -59,9 +68,17 @@
         return None, "parent"
     if set(match[2]) == {"0"} or set(match[3]) == {"0"}:
         return None, "parent"
-    members, fault = _state(states)
+    members, fault = _state(states) if states else ({}, "")
     bad = members.pop(KEY, "") == BAD
-    return Context(match[2], match[3], int(match[4], 16) & RANDOM, ",".join(members.values()), bad), fault
+    if not trusts:
+        members.pop(OT, "")
+        return Context(match[2], match[3], 0, ",".join(members.values())), fault
+    told = _RV.fullmatch(members.get(OT, ""))
+    flags = int(match[4], 16) & RANDOM
+    randomness = told[1] if told is not None else match[2][-RANDOM_DIGITS:] if flags else ""
+    if told is None:
+        members.pop(OT, "")  # nothing of it is known here; a hop below would read its own of it
+    return Context(match[2], match[3], flags, ",".join(members.values()), bad, randomness), fault
 
 
 def _state(values: list[bytes]) -> tuple[dict[str, str], str]:
@@ -115,9 +132,16 @@
     return match is not None and match[2] == trace_id and bool(int(match[4], 16) & SAMPLED)
 
 
-def threshold(rate: float) -> int:
+def with_randomness(randomness: str, state: str) -> str:
+    """A tracestate that tells the hops below this hop's own randomness, 14 hex digits."""
+    return f"ot=rv:{randomness},{state}" if state else "ot=rv:" + randomness
+
+
+def threshold(rate: float) -> str:
     """Traces of which `randomness` is at least so much are kept: `rate` of them, the same ones at every hop.
 
-    Consistent probability sampling, after OpenTelemetry's specification of tracestate ("th").
+    Consistent probability sampling, after OpenTelemetry's specification of tracestate ("th"). As 14 hex
+    digits, which compare as the numbers do.
     """
-    return round((1.0 - rate) * (1 << RANDOM_BITS))
+    least = round((1.0 - rate) * (1 << RANDOM_BITS))
+    return f"{least:0{RANDOM_DIGITS}x}" if least < 1 << RANDOM_BITS else NEVER
--- a/honeywharf/traces/recorder.py
+++ b/honeywharf/traces/recorder.py
@@ -4,12 +4,13 @@
 
 import random
 
-from honeywharf.core.messages import Request, Response
-from honeywharf.core.transport import Traced
+from honeywharf.core.messages import Request, Response, Traced
 from honeywharf.policy import interface as api
 from honeywharf.traces import context
 from honeywharf.traces.sampler import Sampler
-from honeywharf.traces.spans import AttemptSpan, HopTrace
+from honeywharf.traces.spans import AttemptSpan, HopTrace, WaitSpan
+
+MOST_WAITS = 16  # of one request: a key's line is left and joined again with each request that gives it up
 
 
 class Recorder:
@@ -24,20 +25,32 @@
 
     def begin(self, request: Request, now_ms: float) -> Traced:
         """A request has been taken."""
-        found, fault = context.parse(request.trace_parents, request.trace_states)
-        if fault:
-            self.damaged[fault] += 1
-        bits = self.random.getrandbits
+        found, fault, bad = None, "", False
+        if request.trace_parents:
+            found, fault = context.parse(
+                request.trace_parents, request.trace_states, trusts=self.sampler.trusts)
+            if fault:
+                self.damaged[fault] += 1
         if found is None:
-            drawn = f"{bits(192):048x}"  # all zeros once in 2**64 draws, which receivers drop
+            # all zeros once in 2**64 draws, which receivers drop
+            drawn = f"{self.random.getrandbits(192):048x}"
+            randomness = drawn[32 - context.RANDOM_DIGITS:32]
             hop = HopTrace(drawn[:32], "", drawn[32:], context.RANDOM, "", now_ms)
-            bad = False
+        elif found.randomness:
+            span_id = f"{self.random.getrandbits(64):016x}"
+            hop, randomness = HopTrace(
+                found.trace_id, found.parent_id, span_id, found.flags, found.state, now_ms), found.randomness
+            bad = found.bad
         else:
-            span_id = f"{bits(64):016x}"
-            hop = HopTrace(found.trace_id, found.parent_id, span_id, found.flags, found.state, now_ms)
+            # Guards what is kept, and for how many it stands, against trace-ids that a client has made up:
+            # the id stays, to find it again, and chance is ours. The random flag would vouch for its bits.
+            drawn = f"{self.random.getrandbits(120):030x}"
+            randomness = drawn[16:]
+            hop = HopTrace(found.trace_id, found.parent_id, drawn[:16], 0,
+                           context.with_randomness(randomness, found.state), now_ms)
             bad = found.bad
         hop.request, hop.cls, hop.tenant = request.id, request.class_name, request.account
-        self.sampler.began(now_ms, hop, bad)
+        self.sampler.began(now_ms, hop, bad, randomness)
         return Course(self, hop)
 
 
@@ -70,6 +83,29 @@
         if response is not None and response.trace and context.kept_below(response.trace, hop.trace_id):
             hop.keep("below")
 
+    def waited(self, kind: str, begun_ms: float, now_ms: float, link: bytes = b"") -> None:
+        """It waited before it went on: for what, since when, and on whose span."""
+        hop = self.hop
+        if hop.waits is None:
+            hop.waits = []
+        if len(hop.waits) < MOST_WAITS:
+            hop.waits.append(WaitSpan(
+                kind, f"{self.recorder.random.getrandbits(64):016x}", begun_ms, now_ms,
+                link.decode("latin-1")))
+
+    def linked(self, link: bytes) -> None:
+        """Its answer was made for the request of that span."""
+        self.hop.link = link.decode("latin-1")
+
+    def mark(self) -> bytes:
+        """What others link to: the trace and the last attempt that is out, or the request's own span."""
+        hop = self.hop
+        span_id = hop.span_id
+        for span in hop.attempts:
+            if not span.outcome or span.outcome == "ok":
+                span_id = span.span_id
+        return f"{hop.trace_id}-{span_id}".encode()
+
     def answered(self, how: str, reason: str, why: api.Why | None, now_ms: float) -> bytes:
         """The request has its one final answer; the header line that goes with it."""
         hop = self.hop
--- a/honeywharf/traces/sampler.py
+++ b/honeywharf/traces/sampler.py
@@ -11,7 +11,8 @@
   after the note.
 
 Held traces are bounded in number and in bytes, the oldest ordinary going first; each that goes untold is
-counted.
+counted. So is what one trace's trouble may keep of its other parts (`MOST_TOLD`): a client may give all its
+requests one trace-id, and have one of them fail.
 
     held -> exported      a note or a request of the trace says that it is kept
     held -> dropped       after hold_ms, or for want of room
@@ -36,6 +37,7 @@
 # answers after which a class's sketch begins anew, with the quantile kept until it is believed
 FORGET = 50_000
 EXPIRE_EACH = 0.01  # of the time for which traces are held, between looks for those that were long enough
+MOST_TOLD = 32  # further parts of one trace that are kept at this hop, within `hold_ms`, as one part was bad
 HOP_BYTES, ATTEMPT_BYTES = 900, 700  # what a held trace and each of its attempts are counted with
 
 
@@ -78,6 +80,15 @@
         return took_ms > self.late_ms
 
 
+class Told:
+    """A trace that is kept here or elsewhere: until when that is known, and how many more parts it keeps."""
+
+    __slots__ = ("left", "until_ms")
+
+    def __init__(self, until_ms: float) -> None:
+        self.until_ms, self.left = until_ms, MOST_TOLD
+
+
 class Sampler:
     """The judgement of one hop. Times are ms on the caller's clock; they never go back."""
 
@@ -95,17 +106,17 @@
         self.held_bytes = 0
         self.expire_ms = 0.0  # when it is looked next whether any is held long enough
         # traces that others keep, and until when that is known
-        self.told: OrderedDict[str, float] = OrderedDict()
+        self.told: OrderedDict[str, Told] = OrderedDict()
         self.counts = dict.fromkeys(
-            ("bad", "ordinary", "ordinary kept", "told kept", "held out", "no room"), 0)
+            ("bad", "ordinary", "ordinary kept", "told kept", "told over", "held out", "no room"), 0)
 
-    def ordinary(self, trace_id: str) -> bool:
-        """Whether the trace is one of the ordinary that are kept."""
-        return int(trace_id[-context.RANDOM_BITS // 4:], 16) >= self.threshold
+    def ordinary(self, randomness: str) -> bool:
+        """Whether a trace of that randomness, 14 hex digits, is one of the ordinary that are kept."""
+        return randomness >= self.threshold
 
-    def began(self, now: float, hop: HopTrace, bad: bool) -> None:
+    def began(self, now: float, hop: HopTrace, bad: bool, randomness: str) -> None:
         """A request has come; `bad`: its caller says that it keeps the trace for what it saw."""
-        hop.ordinary = self.ordinary(hop.trace_id)
+        hop.ordinary = randomness >= self.threshold
         if self.trusts and bad:
             hop.keep("told")
             self.note(now, hop.trace_id)
@@ -136,8 +147,13 @@
         for attempt in hop.attempts:
             if attempt.late and attempt.outcome != "ok":
                 hop.keep("late attempt")
-        if hop.trace_id in self.told:
-            hop.keep("told")
+        told = self.told.get(hop.trace_id)
+        if told is not None and not hop.kept:
+            if told.left > 0:
+                told.left -= 1
+                hop.keep("told")
+            else:
+                self.counts["told over"] += 1
         if hop.kept:
             self.counts["bad"] += 1
             self.export(hop)
@@ -162,13 +178,19 @@
 
     def note(self, now: float, trace_id: str) -> None:
         """Another hop, or another request, keeps the trace: what is held of it is exported."""
-        self.told[trace_id] = now + self.rules.hold_ms
-        self.told.move_to_end(trace_id)
-        while len(self.told) > self.rules.most_held:
-            self.told.popitem(last=False)
+        told = self.told.get(trace_id)
+        if told is None:
+            told = self.told[trace_id] = Told(now + self.rules.hold_ms)
+            while len(self.told) > self.rules.most_held:
+                self.told.popitem(last=False)
+        # A trace that is told of again gets no further parts until the first word of it is forgotten.
         for hop in self.held.pop(trace_id, ()):
             self.held_bytes -= hop.bytes
             hop.bytes = 0  # its place in the queue is left behind
+            if told.left <= 0:
+                self.counts["told over"] += 1
+                continue
+            told.left -= 1
             hop.keep("told")
             self.counts["told kept"] += 1
             self.export(hop)
@@ -178,7 +200,7 @@
         self.expire_ms = now + EXPIRE_EACH * self.rules.hold_ms
         while self.queue and self.queue[0].answered_ms + self.rules.hold_ms <= now:
             self._let_go("held out")
-        while self.told and next(iter(self.told.values())) <= now:
+        while self.told and next(iter(self.told.values())).until_ms <= now:
             self.told.popitem(last=False)
 
     def _let_go(self, why: str) -> None:
--- a/honeywharf/traces/spans.py
+++ b/honeywharf/traces/spans.py
@@ -12,6 +12,9 @@
 from honeywharf.policy import interface as api
 
 KINDS = ("failed", "refused", "retried", "copied", "joined", "slow", "late attempt", "below", "told", "rule")
+#: What a request may wait for: a paced listener to accept it, the request of its key, the shared store's word
+#: on its key, and the store's note of where an attempt goes.
+WAITS = ("accept", "key joined", "key claim", "key note")
 #: Ends of a request that are no answer of a node.
 BAD_ENDS = frozenset({"failed", "overdue", "broken", "cut off"})
 
@@ -69,12 +72,35 @@
         return found
 
 
+class WaitSpan:
+    """A time in which a request waited: an INTERNAL span. `kind` is one of WAITS.
+
+    `link` names the trace and span that it waited on, `trace-id "-" span-id`; empty where none is known.
+    """
+
+    __slots__ = ("begun_ms", "ended_ms", "kind", "link", "span_id")
+
+    def __init__(self, kind: str, span_id: str, begun_ms: float, ended_ms: float, link: str) -> None:
+        self.kind, self.span_id, self.link = kind, span_id, link
+        self.begun_ms, self.ended_ms = begun_ms, ended_ms
+
+    def fields(self) -> dict[str, Any]:
+        """As it is exported."""
+        found: dict[str, Any] = {
+            "span_id": self.span_id, "kind": "wait", "for": self.kind, "start_ms": self.begun_ms,
+            "duration_ms": max(0.0, self.ended_ms - self.begun_ms),
+        }
+        if self.link:
+            found["link"] = self.link
+        return found
+
+
 class HopTrace:
     """One request at this hop: a SERVER span with its attempts, until all of them have ended."""
 
     __slots__ = (
-        "answered_ms", "attempts", "begun_ms", "bytes", "cls", "flags", "how", "kept", "ordinary",
-        "parent_id", "reason", "request", "span_id", "state", "tenant", "trace_id", "weight", "why",
+        "answered_ms", "attempts", "begun_ms", "bytes", "cls", "flags", "how", "kept", "link", "ordinary",
+        "parent_id", "reason", "request", "span_id", "state", "tenant", "trace_id", "waits", "weight", "why",
     )
 
     def __init__(
@@ -85,6 +111,8 @@
         self.request = self.cls = self.tenant = self.how = self.reason = ""
         self.answered_ms = 0.0
         self.attempts: list[AttemptSpan] = []
+        self.waits: list[WaitSpan] | None = None  # most requests have none
+        self.link = ""  # the trace and span of the request whose answer it was given
         self.kept: list[str] = []  # why, of KINDS
         self.weight = 1.0  # of ordinary traces, that it stands for
         self.why: api.Why | None = None  # where it was given up
@@ -119,6 +147,10 @@
             "kept": self.kept or ["ordinary"], "weight": self.weight,
             "attempts": [a.fields() for a in self.attempts],
         }
+        if self.waits:
+            found["waits"] = [w.fields() for w in self.waits]
+        if self.link:
+            found["link"] = self.link
         if self.why is not None:
             found["honeywharf.why"] = told(self.why)
         return found
--- a/tests/config/test_features.py
+++ b/tests/config/test_features.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import subprocess
 import sys
+import tomllib
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
+from hypothesis import given, settings, strategies as st
 
 from honeywharf import VERSION, limits
 from honeywharf.cli import main
-from honeywharf.config import features
+from honeywharf.config import features, places
 from honeywharf.proxy import Proxy
 from tests.loopback import make_config, run
 
@@ -30,18 +35,30 @@
 
 
 @pytest.mark.parametrize(("text", "told"), [
-    ("[limits]\nlimiter = 'red'", "limits.limiter: found 'red', wanted one of "),
-    ("[limits]\nlimiter = 3", "limits.limiter: found 3, wanted str"),
-    ("[limits]\nlimiters = 'aimd'", "limits.limiters: found a key that there is not, wanted one of limiter"),
-    ("[limit]", "limit: found a key that there is not, wanted one of limits"),
-    ("limits = 7", "limits: found 7, wanted object"),
-    ("[limits", "not TOML: "),
+    ("[limits]\nlimiter = 'red'", ":2:1: limits.limiter: found 'red', wanted one of lateness, open"),
+    ("[limits]\n  limiter = 3", ":2:3: limits.limiter: found 3, wanted one of lateness"),
+    ("[limits]\nlimiters = 'aimd'", ":2:1: limits.limiters: found a key that there is not, wanted one of"),
+    ("\n[limit]", ":2:1: limit: found a key that there is not, wanted one of limits"),
+    ("limits = 7", ":1:1: limits: found 7, wanted a table"),
+    ("[limits", ": not TOML: "),
+    ("[traces]\nrate = 7", ":2:1: traces.rate: found 7, wanted a number over 0 and at most 1"),
+    ("traces = { keep = '', rate = 7 }", ":1:23: traces.rate: found 7, wanted a number over 0 and at"),
+    ("[traces]\nquantile = 1", ":2:1: traces.quantile: found 1, wanted a number at least 0.5 and under 1"),
+    ("[traces]\nheld = 0", ":2:1: traces.held: found 0, wanted a whole number at least 1"),
+    ("[storms]\non = 1", ":2:1: storms.on: found 1, wanted true or false"),
+    ("[coap]\nlisten = true", ":2:1: coap.listen: found true, wanted text in quotes"),
+    ("[order_keys]\nkeep_ms = { a = -1 }", ":2:13: order_keys.keep_ms.a: found -1, wanted a number over 0"),
+    ("[order_keys]\nalone = 'a'", ":2:1: order_keys.alone: found 'a', wanted a list, each of it text"),
+    ("[order_keys]\nalone = [\n 'a', 7]", ":3:7: order_keys.alone[1]: found 7, wanted text"),
+    ("[order_keys.redis]\nprefix = ''", ":2:1: order_keys.redis.prefix: found '', wanted text"),
+    ("[traces]\npeers = ['a:1',\n'b']", ":3:1: traces.peers[1]: found 'b', wanted host:port"),
+    ("[coap]\nlisten = 'x'", ":2:1: coap.listen: found 'x', wanted host:port"),
 ])
 def test_what_is_wrong_is_told_with_file_key_found_and_wanted(tmp_path: Path, text: str, told: str) -> None:
     path = write(tmp_path, text)
     with pytest.raises(features.FeaturesError) as caught:
         features.load(path)
-    assert str(caught.value).startswith(f"{path}: {told}")
+    assert str(caught.value).startswith(f"{path}{told}")
     assert "\n" not in str(caught.value)
 
 
@@ -85,12 +102,45 @@
     result = CliRunner().invoke(main, ["check-config", str(path)])
     assert result.exit_code == 2
     told = result.output.splitlines()
-    assert [line.removeprefix(f"{path}: ").split(": found")[0] for line in told] == [
-        "limits.limiter", "storms.on", "storms.rate", "order_keys.redis.wait_ms", "colour"]
+    assert [line.removeprefix(f"{path}:").split(": found")[0] for line in told] == [
+        "2:1: limits.limiter", "4:1: storms.on", "5:1: storms.rate", "7:1: order_keys.redis.wait_ms",
+        "8:1: colour"]
     path.write_text('[traces]\nnotes = "nowhere"\npeers = ["a:1", "b"]\nkeep = "durations > 5"\n')
     words = CliRunner().invoke(main, ["check-config", str(path)]).output
     assert words.count("wanted host:port") == 2
-    assert "traces.keep: found field 'durations'" in words
+    assert f"{path}:4:1: traces.keep: found field 'durations'" in words
+
+
+@given(st.recursive(
+    st.booleans() | st.integers(-9, 9) | st.text("ab #=[]{},.'\n", max_size=6) | st.floats(0, 9),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text("ab-", min_size=1), inner, max_size=3),
+    max_leaves=12))
+@settings(deadline=None, max_examples=60)
+def test_every_value_of_any_file_has_the_place_where_its_key_or_it_stands(value: Any) -> None:
+    def written(one: Any) -> str:
+        if isinstance(one, dict):
+            return "{ " + ", ".join(f'"{k}" = {written(v)}' for k, v in one.items()) + " }"
+        if isinstance(one, list):
+            return "[\n" + "".join(f"  {written(v)}, # {i}\n" for i, v in enumerate(one)) + "]"
+        return json.dumps(one) if not isinstance(one, float) else f"{one:.3f}"
+
+    def paths(one: Any, at: tuple[str | int, ...]) -> Iterator[tuple[str | int, ...]]:
+        yield at
+        inner = one.items() if isinstance(one, dict) else enumerate(one) if isinstance(one, list) else ()
+        for step, more in inner:
+            yield from paths(more, (*at, step))
+
+    text = f"# first\n[t]\nkey = {written(value)}\nlast = 1\n"
+    assert tomllib.loads(text)["t"]["last"] == 1
+    found = places.places(text)
+    lines = text.split("\n")
+    assert found[("t", "last")] == (len(lines) - 1, 1)
+    for path in paths(value, ("t", "key")):
+        line, column = found[path]
+        rest = lines[line - 1][column - 1:]
+        if isinstance(path[-1], str):  # a key stands there, as it is written
+            assert rest.startswith((path[-1], f'"{path[-1]}"'))
 
 
 def test_version_and_the_list_of_commands() -> None:
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -84,8 +84,8 @@
     ("seeds", [1, "x"], "seeds: wanted whole numbers, or how many, found [1, 'x']"),
     ("seeds", [], "seeds: wanted"),
     ("seeds", 0, "seeds: wanted whole numbers, or how many, found 0"),
-    ("day.lenght_ms", 1.0, "unknown field `lenght_ms` - at `$.day`"),
-    ("day.load", "high", "Expected `float`, got `str` - at `$.day.load`"),
+    ("day.lenght_ms", 1.0, "day.lenght_ms: found a key that there is not, wanted one of length_ms"),
+    ("day.load", "high", "day.load: found 'high', wanted a number"),
     ("day.load", 11.0, "day.load: wanted 0 to 10, found 11"),
     ("day.deadline_ms", 5.0, "day.deadline_ms: wanted 2000 to 1e+06, found 5"),
     ("fleet.zones", {}, "fleet.zones: wanted a node"),
@@ -103,7 +103,7 @@
     ("sweep.1.cases.0", {"label": "x"}, "sweep[1].cases[0]: wanted a label and a table"),
     ("sweep.0.path", "troubles.7.part", "troubles.7.part: wanted a place from 0 to 0, found '7'"),
     ("sweep.0.path", "troubles.0", "troubles.0: wanted the name of a figure"),
-    ("sweep.0.path", "name2.x", "unknown field `name2`"),
+    ("sweep.0.path", "name2.x", "name2: found a key that there is not"),
     ("seeds", list(range(5000)), "sweep: wanted up to 10000 cells, found 20000"),
 ])
 def test_what_is_wrong_is_named_with_what_is_wanted(path: str, value: Any, words: str) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,8 @@
     "traces": ("traces", "core", "policy"),
     "admin": ("admin", "core", "policy"),
     "core": ("core", "policy"),
-    "lab": ("lab", "core", "policy", "limits", "storms"),
+    "config": ("config", "core", "policy", "wire"),
+    "lab": ("lab", "config", "core", "policy", "limits", "storms"),
     "codecs": ("codecs", "core", "policy"),
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
     "proxy.py": (
--- a/tests/traces/model.py
+++ b/tests/traces/model.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from honeywharf.policy import interface as api
+from honeywharf.traces import context
 from honeywharf.traces.sampler import Sampler, Sampling
 from honeywharf.traces.spans import AttemptSpan, HopTrace
 
@@ -60,7 +61,7 @@
             span = AttemptSpan(0, f"{rng.getrandbits(64):016x}", send, now, False)
             parent = span.span_id
             made.attempts.append(span)
-            samplers[tier, node].began(now, made, False)
+            samplers[tier, node].began(now, made, False, trace_id[-context.RANDOM_DIGITS:])
             hops.append((made, samplers[tier, node], span))
         for depth, (made, sampler, span) in enumerate(reversed(hops)):  # answers come from below
             total += rng.lognormvariate(3.0, 0.4)
--- a/tests/traces/test_rules.py
+++ b/tests/traces/test_rules.py
@@ -9,7 +9,7 @@
 
 from honeywharf.policy import interface as api
 from honeywharf.traces import context
-from honeywharf.traces.sampler import LEAST_ANSWERS, Sampler, Sampling
+from honeywharf.traces.sampler import LEAST_ANSWERS, MOST_TOLD, Sampler, Sampling
 from honeywharf.traces.spans import HopTrace
 from tests.traces.model import attempt, day, hop
 
@@ -55,7 +55,7 @@
 def test_a_tracestate_is_passed_on_within_its_bound(
     states: list[bytes], kept: str, bad: bool, fault: str,
 ) -> None:
-    made, wrong = context.parse([GOOD], states)
+    made, wrong = context.parse([GOOD], states, trusts=True)
     assert made is not None
     assert (made.state, made.bad, wrong) == (kept, bad, fault)
     assert len(made.state) <= context.MOST_STATE
@@ -65,16 +65,63 @@
 @settings(deadline=None)
 def test_what_is_parsed_is_passed_on_as_a_sound_context(parents: list[bytes], states: list[bytes]) -> None:
     for given_parents in (parents, [GOOD]):
-        made, _ = context.parse(given_parents, states)
+        made, _ = context.parse(given_parents, states, trusts=True)
         if made is None:
             continue
         lines = context.child(made.trace_id, SPAN, made.flags, made.state, bad=True).split(b"\r\n")
         values = dict(line.split(b": ", 1) for line in lines if line)
-        again, fault = context.parse([values[b"traceparent"]], [values[b"tracestate"]])
+        again, fault = context.parse([values[b"traceparent"]], [values[b"tracestate"]], trusts=True)
         assert again is not None
         assert (again.trace_id, again.state, again.bad, fault) == (made.trace_id, made.state, True, "")
 
 
+FORGED = f"00-{ID[:18]}{'f' * 14}-{SPAN}-03".encode()
+
+
+@pytest.mark.parametrize(("trusts", "states", "randomness", "passed_on"), [
+    (True, [], "f" * 14, ""),
+    (True, [b"ot=rv:00000000000001,a=1"], "00000000000001", "ot=rv:00000000000001,a=1"),
+    (True, [b"ot=th:0;rv:00000000000001"], "00000000000001", "ot=th:0;rv:00000000000001"),
+    (True, [b"ot=rv:0001,a=1"], "f" * 14, "a=1"),  # no such member: the random flag says what counts
+    (False, [], "", ""),
+    (False, [b"ot=rv:ffffffffffffff,a=1", b"hw=bad"], "", "a=1"),
+])
+def test_randomness_counts_only_from_those_who_are_trusted(
+    trusts: bool, states: list[bytes], randomness: str, passed_on: str,
+) -> None:
+    made, fault = context.parse([FORGED], states, trusts=trusts)
+    assert made is not None
+    assert (made.randomness, made.state, made.bad, fault) == (randomness, passed_on, False, "")
+
+
+def test_a_trusted_id_without_the_random_flag_or_randomness_vouches_for_nothing() -> None:
+    made, _ = context.parse([FORGED[:-2] + b"01"], [], trusts=True)
+    assert made is not None
+    assert made.randomness == ""
+
+
+@given(st.floats(1e-18, 1.0), st.integers(0, 2**56 - 1))
+@settings(deadline=None)
+def test_digits_compare_with_a_threshold_as_the_numbers_do(rate: float, number: int) -> None:
+    assert (f"{number:014x}" >= context.threshold(rate)) == (number >= round((1.0 - rate) * 2**56))
+
+
+@pytest.mark.parametrize("first", ["held", "bad"])
+def test_one_bad_part_keeps_a_bounded_number_of_a_trace_s_others(first: str) -> None:
+    found: list[HopTrace] = []
+    s, bad = sampler(found, trusts=False), hop(ID, "failed")
+    s.answered(bad)
+    if first == "bad":
+        s.settled(0.0, bad)
+    for i in range(10 * MOST_TOLD):
+        s.settled(1.0 + i / 10.0, hop(ID, at=float(i)))
+    if first == "held":
+        s.settled(400.0, bad)
+    assert len(found) == 1 + MOST_TOLD
+    assert s.counts["told over"] == 9 * MOST_TOLD
+    assert sum(h.weight for h in found) == len(found)  # none of them stands for others
+
+
 def test_an_answer_tells_only_of_its_own_trace_that_it_is_kept() -> None:
     for bad in (False, True):
         line = context.response(ID, SPAN, bad=bad).strip().split(b": ")[1]
@@ -160,7 +207,7 @@
         s = sampler(found, trusts)
         for i in range(100):
             h = hop(f"{i:032x}", at=float(i))
-            s.began(float(i), h, True)
+            s.began(float(i), h, True, h.trace_id[-context.RANDOM_DIGITS:])
             s.answered(h)
             s.settled(float(i), h)
         assert len(found) == (100 if trusts else 0)
--- a/tests/traces/test_sockets.py
+++ b/tests/traces/test_sockets.py
@@ -5,14 +5,17 @@
 
 import asyncio
 import os
+import re
 import subprocess
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from honeywharf.config.features import Features, FeaturesError, Traces, load
+from honeywharf.proxy import senseless
 from honeywharf.traces import TracesPart, store
 from honeywharf.traces.line import Line
 from honeywharf.traces.notes import BATCH_MS, MOST_IDS, MOST_WAITING, TIMES, Notes
@@ -61,7 +64,9 @@
             told = [m[1] for m in backend.requests]
             assert [t[b"traceparent"][36:52].decode() for t in told] == [lost["span_id"], ok["span_id"]]
             # The hops behind learn with the retry that the trace is kept.
-            assert [t[b"tracestate"] for t in told] == [b"other=1", b"hw=bad,other=1"]
+            states = [t[b"tracestate"].decode() for t in told]
+            assert states[1] == f"hw=bad,{states[0]}"
+            assert re.fullmatch(r"ot=rv:[0-9a-f]{14},other=1", states[0])
         await backend.stop()
     run(main())
 
@@ -102,7 +107,63 @@
                 assert await client.status() == 200
             (hop,) = await kept(w, 1)
             assert hop["kept"] == ["below"]
-            assert all(b"tracestate" not in m[1] for m in backend.requests)
+            assert not any(b"hw=" in m[1][b"tracestate"] for m in backend.requests)
+        await backend.stop()
+    run(main())
+
+
+def test_made_up_trace_ids_and_randomness_choose_nothing_at_the_entry(tmp_path: Path) -> None:
+    """3,000 forged requests beside 3,000 others: both kept at the rate, and both estimated truly."""
+    number, rate = 3000, 0.02
+
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")], on(tmp_path / "t", rate=rate)) as w:
+            async def ask(tenant: str, lines: Callable[[int], tuple[str, ...]]) -> None:
+                client = await Client.to(w.port)
+                for i in range(number):
+                    client.send("read", b"", "4000m", f"X-Account: {tenant}", *lines(i))
+                    assert await client.status() == 200
+            await asyncio.gather(
+                ask("forger", lambda i: (f"traceparent: 00-{i + 1:018x}{'f' * 14}-b7ad6b7169203331-03",
+                                         "tracestate: ot=rv:ffffffffffffff,hw=bad")),
+                ask("plain", lambda i: ()))
+            spool = spool_of(w)
+            (part,) = w.proxy.parts
+            hops = await kept(w, part.counts()["traces:ordinary kept"] + part.counts()["traces:bad"])
+            assert not spool.counts["lost ordinary"]
+            spread = 5.0 * (number * rate) ** 0.5
+            for tenant in ("forger", "plain"):
+                some = [h for h in hops if h["tenant"] == tenant and h["kept"] == ["ordinary"]]
+                assert abs(len(some) - number * rate) < spread, tenant
+                assert abs(sum(h["weight"] for h in some) - number) < spread / rate
+            forged = [h for h in hops if h["tenant"] == "forger"]
+            assert all(h["trace_id"].endswith("f" * 14) for h in forged)  # it can be found again by its id
+            told = [m[1].get(b"tracestate", b"") for m in backend.requests
+                    if m[1][b"traceparent"][21:35] == b"f" * 14]
+            assert len(told) == number
+            assert all(t.startswith(b"ot=rv:") and b"ffffffffffffff" not in t for t in told)
+            # Nobody below may take the made-up bits for random ones.
+            assert not any(int(m[1][b"traceparent"][-2:], 16) & 2 for m in backend.requests
+                           if m[1][b"traceparent"][21:35] == b"f" * 14)
+        await backend.stop()
+    run(main())
+
+
+@pytest.mark.parametrize(("trust", "tier", "trusted"), [
+    ("tier", 0, False), ("tier", 1, True), ("nobody", 1, False), ("callers", 0, True),
+])
+def test_who_is_trusted_is_configured(tmp_path: Path, trust: str, tier: int, trusted: bool) -> None:
+    async def main() -> None:
+        backend = await Backend().start()
+        features = on(tmp_path / "t", trust=trust)
+        async with world([backend.row("b")], features, tier=tier, tiers=["t", "u"]) as w:
+            client = await Client.to(w.port)
+            client.send("read", b"", "4000m", f"traceparent: {PARENT}", "tracestate: ot=rv:ffffffffffffff")
+            assert await client.status() == 200
+            (part,) = w.proxy.parts
+            await until(lambda: part.counts()["traces:ordinary"] == 1)
+            assert part.counts()["traces:ordinary kept"] == trusted
         await backend.stop()
     run(main())
 
@@ -226,8 +287,8 @@
     path = tmp_path / "f.toml"
     path.write_text('[traces]\nfile = "t"\nkeep = "durations > 5"\n')
     with pytest.raises(FeaturesError, match=r"traces\.keep: found field 'durations', wanted one of") as fault:
-        load(path)
-    assert str(path) in str(fault.value)
+        load(path, senseless)
+    assert str(fault.value).startswith(f"{path}:3:1: ")
 
 
 def part_of(w: World) -> tuple[TracesPart, Line]:
