Open and close zones by what nodes report of their load, the same for all proxies

Need: each proxy learns alone from its own few answers: behind 31 proxies and more a fleet that lost 0.4 of its nodes stayed jammed for good, while every answer carried the node's queue and nothing read it.

Change: honeywharf/reports/, rules without I/O: the six fields as a wait, a filter, belief and age for what is reported (lies, stuck figures, seconds of delay are found out), a zone's opening by a proportional and integral law on the wait, and a bound on calls in flight by Little's law, cut by balancers. The module asks it where [reports] on; without reports its actions are the same to the bit. The lab's nodes report, late, noisily, or lies.

--- a/honeywharf/config/features.py
+++ b/honeywharf/config/features.py
@@ -80,6 +80,12 @@
     queued_bytes: Annotated[int, msgspec.Meta(ge=65_536)] = 8 * 1024 * 1024
 
 
+class Reports(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[reports]`: load reports of nodes; see docs/operators/reports.md."""
+
+    on: bool = False
+
+
 class Traces(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`[traces]`: traces with every attempt; see docs/operators/traces.md.
 
@@ -132,6 +138,7 @@
     order_keys: OrderKeys = msgspec.field(default_factory=OrderKeys)
     coap: Coap = msgspec.field(default_factory=Coap)
     storms: Storms = msgspec.field(default_factory=Storms)
+    reports: Reports = msgspec.field(default_factory=Reports)
     traces: Traces = msgspec.field(default_factory=Traces)
     admin: Admin = msgspec.field(default_factory=Admin)
     metrics: Metrics = msgspec.field(default_factory=Metrics)
--- a/honeywharf/lab/experiments.py
+++ b/honeywharf/lab/experiments.py
@@ -33,7 +33,7 @@
 from honeywharf.lab import days
 from honeywharf.lab.habits import MIXED, known
 from honeywharf.lab.model import NodeSpec
-from honeywharf.lab.simulator import Day, Trouble, capacity
+from honeywharf.lab.simulator import Day, Reporting, Trouble, capacity
 
 MOST_CELLS = 10_000
 KINDS = ("crash", "slow", "drain", "restart", "descriptors")
@@ -87,10 +87,26 @@
     keep_ms: float = 10_000.0
 
 
+class Load(_Strict, frozen=True):
+    """How nodes report the calls that wait; `simulator.Reporting` has the words. Nothing is drawn where none
+    of the experiment's cells reads reports."""
+
+    told: bool = False
+    least_ms: float = 69.0
+    most_ms: float = 450.0
+    late_ms: float = 80.0
+    noise: float = 0.1
+    liars: float = 0.0
+    lie: float = 0.0
+    silent: float = 0.0
+    swing_ms: float = 0.0
+
+
 class Features(_Strict, frozen=True):
     """What of the product is on."""
 
     storms: bool = False
+    reports: bool = False
     limiter: str = "lateness"
 
 
@@ -113,6 +129,7 @@
     fleet: Fleet = Fleet()
     clients: Clients = Clients()
     features: Features = Features()
+    load: Load = Load()
     troubles: list[TroubleShape] = []
 
 
@@ -266,6 +283,13 @@
     return tuple((known(name), weight) for name, weight in clients.habits.items())
 
 
+def reporting(load: Load) -> Reporting | None:
+    """How nodes report, where they do."""
+    return Reporting(
+        (load.least_ms, load.most_ms), load.late_ms, load.noise, load.liars, load.lie, load.silent,
+        load.swing_ms) if load.told else None
+
+
 def day_of(cell: Cell) -> Day:
     """The day that a cell plays."""
     shape, fleet, clients = cell.setting.day, cell.setting.fleet, cell.setting.clients
@@ -278,7 +302,7 @@
         spread=shape.spread, retries=clients.retries, limiter=cell.setting.features.limiter,
         habits=habits(clients), marks=clients.marks, storms=cell.setting.features.storms,
         clients=clients.number, accept_ms=fleet.accept_ms, request_ms=fleet.request_ms,
-        keep_ms=clients.keep_ms)
+        keep_ms=clients.keep_ms, reports=cell.setting.features.reports, load=reporting(cell.setting.load))
     if clients.number:
         rate = max(1e-9, shape.load * capacity(day))
         return dataclasses.replace(day, think_ms=1000.0 * clients.number / rate)
--- a/honeywharf/lab/simulator.py
+++ b/honeywharf/lab/simulator.py
@@ -9,7 +9,7 @@
 import heapq
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
@@ -47,6 +47,23 @@
     front_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class Reporting:
+    """How nodes report the calls that wait with their answers.
+
+    A snapshot, renewed after a time evenly random between two, and told so late; `noise` is the deviation of
+    its factor. The `liars`, a part of the nodes, always say `lie`.
+    """
+
+    period_ms: tuple[float, float] = (69.0, 450.0)
+    late_ms: float = 80.0
+    noise: float = 0.1
+    liars: float = 0.0
+    lie: float = 0.0
+    silent: float = 0.0  # a part of the nodes that report nothing
+    swing_ms: float = 0.0  # how much later in the middle third of the day
+
+
 @dataclass(frozen=True)
 class Day:
     """One day.
@@ -86,6 +103,8 @@
     accept_ms: float = 0.0
     request_ms: float = 0.0
     keep_ms: float = 10_000.0  # for which a population's connections are kept idle
+    reports: bool = False  # whether the proxies read nodes' load reports
+    load: Reporting | None = None  # how nodes report
 
 
 @dataclass
@@ -174,6 +193,8 @@
         self.flights: dict[str, _Flight] = {}
         self.wakes: dict[str, float] = {}
         self.drained: dict[str, float] = {}  # when the proxies were told
+        #: By node: when its next snapshot is due, and those that are told in time, the oldest first.
+        self.snapshots: dict[str, tuple[float, deque[tuple[float, float]]]] = {}
         for number, zone in enumerate(self.zones):
             for i in range(day.nodes[zone]):
                 name = f"{zone}{i}"
@@ -201,9 +222,15 @@
             limits=api.Limits(max_attempts=4, retry_after=True, max_retry_after_ms=2000.0),
             rules=api.Rules(
                 drain_grace_ms=500.0, cold_share=day.spec.cold_share, warm_after_ms=day.spec.warm_ms,
-                cold_multiple=day.spec.fall_multiple, cold_window_ms=day.spec.fall_ms))
+                cold_multiple=day.spec.fall_multiple, cold_window_ms=day.spec.fall_ms),
+            report_fields=("queue",) if day.load is not None else (),
+            reports=api.Reports.WITH_ANSWERS if day.load is not None else api.Reports.NONE)
         seed = int(self.now)  # 0 for those of the day's begin
         made = Balancer(settings, day.seed * 101 + i + seed, day.limiter)
+        if day.reports:
+            from honeywharf.reports import LoadReports
+
+            made.choice.loads = LoadReports(settings)
         if day.storms:
             from honeywharf.storms import Rules, Storms
 
@@ -546,8 +573,31 @@
         if outcome is api.Outcome.OK and not over:
             self.answered(flight.request, "served")
             over = True
+        told = self.report(flight.endpoint) if outcome in (api.Outcome.OK, api.Outcome.REJECTED) else None
         self.feed(flight.proxy, api.AttemptEnded(
-            flight.request, flight.number, outcome, self.now - flight.sent_ms, over, None, flight.endpoint))
+            flight.request, flight.number, outcome, self.now - flight.sent_ms, over, told, flight.endpoint))
+
+    def report(self, endpoint: str) -> tuple[float, ...] | None:
+        """What a node says of itself with an answer, which is a snapshot of some time ago."""
+        shape = self.day.load
+        if shape is None:
+            return None
+        place = list(self.nodes).index(endpoint) / len(self.nodes)
+        if place >= 1.0 - shape.silent:
+            return None
+        if place < shape.liars:
+            return (shape.lie,)
+        due, kept = self.snapshots.get(endpoint, (-1.0, deque()))
+        if self.now >= due:
+            factor = max(0.0, 1.0 + self.random.gauss(0.0, shape.noise))
+            kept.append((self.now, round(len(self.nodes[endpoint].waiting) * factor)))
+            due = self.now + self.random.uniform(*shape.period_ms)
+            self.snapshots[endpoint] = (due, kept)
+        third = self.day.length_ms / 3.0
+        late = shape.late_ms + (shape.swing_ms if third <= self.now < 2.0 * third else 0.0)
+        while len(kept) > 1 and kept[1][0] <= self.now - late:
+            kept.popleft()
+        return (kept[0][1],)
 
     # Troubles.
 
--- /dev/null
+++ b/honeywharf/limits/times.py
@@ -0,0 +1,31 @@
+"""Usual times of answers, by class: an estimate that limits, health and retries are judged against."""
+
+from __future__ import annotations
+
+SLOW_FROM = 1.7  # times the typical answer time: what is beyond adds to the suspicion, less takes from it
+TYPICAL_OVER = 30  # answers over which the typical answer time is formed
+BASE_OVER = 500  # answers over which the base time, that of days at ease, follows a typical time above it
+
+
+class Times:
+    """By class: the typical time of an answer, and its base time, that of days at ease; ms."""
+
+    def __init__(self) -> None:
+        self.typical_ms: dict[str, float] = {}
+        self.base_ms: dict[str, float] = {}
+        self.heard: dict[str, int] = {}  # answers that the typical time is the mean of
+
+    def learn(self, name: str, typical: float, elapsed_ms: float) -> None:
+        """Follow a class's typical time, and its base time: down at once, up slowly."""
+        heard = self.heard[name] = min(TYPICAL_OVER, self.heard.get(name, 0) + 1)
+        typical += (elapsed_ms - typical) / heard
+        self.typical_ms[name] = typical
+        # Guards against a base of one or two short answers, which a balancer of little traffic keeps long.
+        base = self.base_ms.get(name, typical)
+        slowly = base + (typical - base) / BASE_OVER
+        self.base_ms[name] = typical if heard < TYPICAL_OVER else min(typical, slowly)
+
+    def usual(self, name: str, elapsed_ms: float) -> bool:
+        """Whether the typical time is known and an answer in `elapsed_ms` is not a late one."""
+        late = elapsed_ms > SLOW_FROM * self.typical_ms.get(name, 0.0)
+        return not late and self.heard.get(name, 0) >= TYPICAL_OVER
--- a/honeywharf/policy/__init__.py
+++ b/honeywharf/policy/__init__.py
@@ -11,9 +11,10 @@
                 zone, all that is ready; how warm a server is
     requests    what is kept of a request until its last attempt has ended: attempts, what they prove of its
                 effect, and the order that requests of one key keep
-    health      usual times of answers, and which servers count as absent for a while
+    health      which servers count as absent for a while
     choice      an even random choice in the first level with a usable server that has room
-    admission   what is turned away: limits of zones, this proxy's own, tenants' shares, worth
+    admission   what is turned away: limits of zones, this proxy's own, tenants' shares, worth; where nodes'
+                reports are read (`honeywharf.reports`), what they open zones to, in place of zones' limits
     retry       the budget of further attempts, and calls that hang
     balancer    the course of a request through all of these
 
--- a/honeywharf/policy/admission.py
+++ b/honeywharf/policy/admission.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from typing import Protocol
 
 from honeywharf import limits
+from honeywharf.limits.bucket import Bucket
 from honeywharf.policy import interface as api
 from honeywharf.policy.endpoints import WORTH_POWER, Zone
 from honeywharf.policy.requests import Request
@@ -16,25 +16,6 @@
 TARGET = 0.4  # of its aim that an answer may take before a zone counts as crowded; the rest is for chance
 FIRST_CALLS = 1.0  # calls that are safe for any server, for itself and each tier below it
 OVER_SHARE_ROOM = 0.25  # part of a limit open to tenants over their share: the rest is kept for the others
-SHARE_BURST_MS = 5000.0  # of its share that a tenant may save: one balancer sees few of its calls
-
-
-@dataclass(slots=True, eq=False)
-class Bucket:
-    """A tenant's share at this balancer: an even part of its quota over all balancers."""
-
-    per_ms: float
-    tokens: float
-    filled_ms: float
-
-    def take(self, now: float) -> bool:
-        """Whether one more request is within the share."""
-        self.tokens = min(SHARE_BURST_MS * self.per_ms, self.tokens + (now - self.filled_ms) * self.per_ms)
-        self.filled_ms = now
-        if self.tokens < 1.0:
-            return False
-        self.tokens -= 1.0
-        return True
 
 
 class StormControl(Protocol):
--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -7,11 +7,12 @@
 from mypy_extensions import mypyc_attr
 
 from honeywharf import limits
+from honeywharf.limits.times import Times
 from honeywharf.policy import interface as api
-from honeywharf.policy.admission import Admission, StormControl
+from honeywharf.policy.admission import TARGET, Admission, StormControl
 from honeywharf.policy.choice import Choice
 from honeywharf.policy.endpoints import Attempt, Endpoints, Server, Zone
-from honeywharf.policy.health import STRAIN_MOST, OutlierDetection, Times
+from honeywharf.policy.health import STRAIN_MOST, OutlierDetection
 from honeywharf.policy.requests import Order, Request
 from honeywharf.policy.retry import RetryBudget, cost_after, hung, may_copy
 
@@ -51,6 +52,10 @@
         elif isinstance(event, api.RequestExpired):
             if event.request in self.requests:
                 self._close(self.requests[event.request])
+        elif isinstance(event, api.ProbeEnded):
+            server = self.endpoints.servers.get(event.endpoint)
+            if server is not None and event.report is not None:
+                self._reported(server, event.report, self.settings.classes[0], None)
         elif isinstance(event, api.Started):
             self._watch_soon(self.settings.rules.ask_every_ms / 10)
         elif isinstance(event, api.TimerFired):
@@ -94,6 +99,9 @@
         else:
             self.failed_watches = 0
             self.endpoints.listed(self.now, event)
+            if self.choice.loads is not None:
+                self.choice.loads.listed({
+                    name: s.endpoint.started_ms for name, s in self.endpoints.servers.items()})
 
     # A request's course.
 
@@ -162,6 +170,19 @@
             sum(z.in_flight for z in zones) - any(a.live for a in request.attempts), self.budget.tokens,
             request.room)
 
+    def _reported(
+        self, server: Server, report: tuple[float, ...], cls: api.RequestClass,
+        event: api.AttemptEnded | None,
+    ) -> None:
+        """A server says what it holds, with an answer or without one."""
+        loads, zone = self.choice.loads, server.endpoint.zone
+        base = self.times.base_ms.get(cls.name)
+        if loads is not None and base is not None:
+            answer = event is not None and event.outcome is api.Outcome.OK
+            took = event.elapsed_ms - event.proxy_ms if answer and event is not None else -1.0
+            loads.heard(self.now, server.endpoint.id, zone, report, took, base, TARGET * cls.aim_ms)
+            self.choice.reported(self.now)
+
     def _give_up(self, request: Request, reason: api.Reason) -> None:
         why = self._why(request, 1, list(self.endpoints.zones.values())) if self.explains else None
         if request.may_refuse():
@@ -177,7 +198,8 @@
         if self.storms is not None:
             return self.storms.refused(
                 self.now, request.code, request.coming, reason is not api.Reason.STORM)
-        return self.random.uniform(*COME_BACK_MS)
+        drains = self.choice.loads.drain_ms(self.now) if self.choice.loads is not None else 0.0
+        return drains + self.random.uniform(*COME_BACK_MS)
 
     def _close(self, request: Request) -> None:
         """The request is answered; it is forgotten once no attempt is out."""
@@ -201,6 +223,8 @@
         if attempt.ejections == attempt.server.ejections and not attempt.hangs:  # else this is old news
             self.admission.learn(self.now, attempt.zone, cls, event, self.times.base_ms.get(cls.name))
             self.outliers.judge(self.now, attempt.server, request, event)
+        if event.report is not None:
+            self._reported(attempt.server, event.report, cls, event)
         if request.key and event.outcome in api.STILL_RUNS:
             # Guards order: the endpoint may be at work on it yet.
             self.actions.append(api.SetTimer(self.order.rest(self.now, request.key), "turn"))
--- a/honeywharf/policy/choice.py
+++ b/honeywharf/policy/choice.py
@@ -4,9 +4,10 @@
 
 import random
 
+from honeywharf.limits.load import LoadControl
+from honeywharf.limits.times import SLOW_FROM, Times
 from honeywharf.policy import interface as api
 from honeywharf.policy.endpoints import Endpoints, Server
-from honeywharf.policy.health import SLOW_FROM, Times
 from honeywharf.policy.requests import Request
 
 FEW = 2  # calls at a server: of more, one is late by chance, and their answers are told by `health`
@@ -21,6 +22,7 @@
         self, settings: api.Settings, rng: random.Random, endpoints: Endpoints, times: Times,
     ) -> None:
         self.settings, self.random, self.endpoints, self.times = settings, rng, endpoints, times
+        self.loads: LoadControl | None = None  # where nodes' reports are read
         self.depth = 0  # of the level that the last choice was made in
 
     def server(self, now: float, request: Request) -> Server | None:
@@ -28,6 +30,7 @@
         endpoints = self.endpoints
         if now >= endpoints.review_at:
             endpoints.review(now)
+            self.reported(now)
         endpoints.settle(now)
         home, chance = endpoints.zones.get(self.settings.zone), self.random.random()
         for depth, level in enumerate(endpoints.levels):
@@ -40,6 +43,13 @@
                 return server
         return None
 
+    def reported(self, now: float) -> None:
+        """Take over what nodes' reports open each zone to."""
+        if self.loads is not None:
+            for name, zone in self.endpoints.zones.items():
+                zone.open, zone.away = self.loads.open(now, name, False), self.loads.open(now, name, True)
+                zone.hold = self.loads.hold()
+
     def _pick(
         self, now: float, level: list[Server], depth: int, request: Request, chance: float,
     ) -> Server | None:
@@ -54,13 +64,17 @@
             server = level[int(self.random.random() * len(level))]
             if (server is tried and len(level) > 1) or (server.cold and now < server.next_ms):
                 continue
-            if gated and not zones[server.endpoint.zone].has_room(request.room, chance):
+            if gated and not zones[server.endpoint.zone].has_room(
+                    request.room, chance, server.endpoint.zone != self.settings.zone):
                 continue
             if depth < 2 and not answers(now, server, request):
                 continue
             if depth < 2 and owes(server, late_ms) and others and self.random.random() >= OWING_SHARE:
                 continue
-            if server.share >= 1.0 or self.random.random() < server.share:
+            share = server.share
+            if self.loads is not None and depth < 2:
+                share *= self.loads.share(now, server.endpoint.id)
+            if share >= 1.0 or self.random.random() < share:
                 return server
         return None
 
--- a/honeywharf/policy/endpoints.py
+++ b/honeywharf/policy/endpoints.py
@@ -17,6 +17,8 @@
 OPEN_MS = 50.0  # after the first call for which limits may be open: jams take longer, and fast servers answer
 SLIVER = 1.0  # call over the limit, by worth: a limit of about one turns a third away by chance alone
 SLIVERS = 0.5  # calls for each server that all balancers' slivers may come to: more of them keep jams full
+AWAY_HOLD = 0.25  # of the calls that a balancer may hold for a server, in each zone but its own
+CHANCE = 1.0  # roots of the calls that it may hold on the mean, that a balancer may hold by chance over them
 SMALL_ZONE = 3  # ready servers, under which one or two are no measure of their zone
 WORTH_POWER = 0.4  # a request may use its worth over the mean request's, to this power, of a limit
 
@@ -50,9 +52,20 @@
     ready: int = 0
     spare: int = 0  # usable servers, less two for each that is ejected
     sliver: float = SLIVER  # this balancer's
+    open: float = -1.0  # the part of its own calls that nodes' reports let in, of others', and the calls held
+    away: float = -1.0  # at most for each unit of capacity; under 0 where they tell nothing
+    hold: float = 0.0
 
-    def has_room(self, part: float, odds: float) -> bool:
+    def has_room(self, part: float, odds: float, away: bool = False) -> bool:
         """Whether one more call fits into the part of the limit that is open to it; a fraction by chance."""
+        told, hold = (self.away, AWAY_HOLD * self.hold) if away else (self.open, self.hold)
+        if told >= 0.0:
+            fit = hold * self.capacity  # on the mean; by chance a balancer of little traffic needs more
+            most: float = (fit + CHANCE * fit ** 0.5) * told * part
+            if told < 1.0 or not self.limiter.crowded():
+                return self.in_flight + odds < most
+            if self.in_flight + odds >= most:  # answers come late, and nodes say that nothing waits: both bind
+                return False
         sliver: float = self.sliver * part ** (1.0 / WORTH_POWER)
         return self.in_flight + odds < self.limiter.limit * self.capacity * part + sliver
 
--- a/honeywharf/policy/health.py
+++ b/honeywharf/policy/health.py
@@ -1,15 +1,15 @@
-"""Usual times of answers, and outlier detection: which servers count as absent for a while."""
+"""Outlier detection: which servers count as absent for a while."""
 
 from __future__ import annotations
 
 import random
 
+from honeywharf.limits.times import SLOW_FROM, Times
 from honeywharf.policy import interface as api
 from honeywharf.policy.endpoints import SMALL_ZONE, Endpoints, Server
 from honeywharf.policy.requests import Request
 
 DEAD_AFTER = 4  # failures in a row; a failed connection counts twice: a dead process refuses the next one too
-SLOW_FROM = 1.7  # times the typical answer time: what is beyond adds to the suspicion, less takes from it
 CROWD = 1.35  # base times: a typical time beyond is that of a crowd, where queues differ by chance
 SLOW_IN_CROWD = 2.5  # then it takes so many typical times to add to the suspicion
 STRAIN_MOST = 3.0  # what one call can add, a failed one included: no server is judged by a single call
@@ -21,32 +21,13 @@
 PACE_OVER = 6  # answers over which a server's own pace, in typical answer times, is formed
 SILENT_MS = 10000.0  # without calls of a class that ran out of time there: each trial may cost a request
 FULL_MS = 1000.0  # pause after a refusal: a server that is full needs that long to work its queue down
-TYPICAL_OVER = 30  # answers over which the typical answer time is formed
-BASE_OVER = 500  # answers over which the base time, that of days at ease, follows a typical time above it
 
 
-class Times:
-    """By class: the typical time of an answer, and its base time, that of days at ease; ms."""
-
-    def __init__(self) -> None:
-        self.typical_ms: dict[str, float] = {}
-        self.base_ms: dict[str, float] = {}
-        self.heard: dict[str, int] = {}  # answers that the typical time is the mean of
-
-    def learn(self, name: str, typical: float, elapsed_ms: float) -> None:
-        """Follow a class's typical time, and its base time: down at once, up slowly."""
-        heard = self.heard[name] = min(TYPICAL_OVER, self.heard.get(name, 0) + 1)
-        typical += (elapsed_ms - typical) / heard
-        self.typical_ms[name] = typical
-        # Guards against a base of one or two short answers, which a balancer of little traffic keeps long.
-        base = self.base_ms.get(name, typical)
-        slowly = base + (typical - base) / BASE_OVER
-        self.base_ms[name] = typical if heard < TYPICAL_OVER else min(typical, slowly)
+class OutlierDetection:
+    """Ejects servers whose recent calls failed, or came far later than is typical (a running sum)."""
 
-    def usual(self, name: str, elapsed_ms: float) -> bool:
-        """Whether the typical time is known and an answer in `elapsed_ms` is not a late one."""
-        late = elapsed_ms > SLOW_FROM * self.typical_ms.get(name, 0.0)
-        return not late and self.heard.get(name, 0) >= TYPICAL_OVER
+    def __init__(self, rng: random.Random, endpoints: Endpoints, times: Times) -> None:
+        self.random, self.endpoints, self.times = rng, endpoints, times
 
     def hurried(self, request: Request, event: api.AttemptEnded) -> bool:
         """Whether the attempt failed for the little time that its caller had left.
@@ -59,19 +40,12 @@
         if event.outcome not in (api.Outcome.TIMEOUT, api.Outcome.ERROR):
             return False
         given = request.deadline - request.attempts[event.attempt].sent_ms
-        return given < SLOW_FROM * self.typical_ms.get(request.cls.name, 0.0)
-
-
-class OutlierDetection:
-    """Ejects servers whose recent calls failed, or came far later than is typical (a running sum)."""
-
-    def __init__(self, rng: random.Random, endpoints: Endpoints, times: Times) -> None:
-        self.random, self.endpoints, self.times = rng, endpoints, times
+        return given < SLOW_FROM * self.times.typical_ms.get(request.cls.name, 0.0)
 
     def judge(self, now: float, server: Server, request: Request, event: api.AttemptEnded) -> None:
         """Take one outcome into account."""
         times = self.times
-        if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) or times.hurried(request, event):
+        if event.outcome in (api.Outcome.CANCELLED, api.Outcome.NOT_SENT) or self.hurried(request, event):
             return
         name, strain = request.cls.name, STRAIN_MOST
         if event.outcome is api.Outcome.OK:
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -189,6 +189,10 @@
         from honeywharf import storms
 
         parts.append(storms.attach(proxy, features.storms))
+    if features.reports.on:
+        from honeywharf import reports
+
+        parts.append(reports.attach(proxy))
     if features.traces.on:
         from honeywharf import traces
 
--- a/honeywharf/simhost.py
+++ b/honeywharf/simhost.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from typing import Any
 
@@ -12,6 +13,7 @@
 
 from honeywharf import wire
 from honeywharf.policy import Balancer, interface as api
+from honeywharf.reports.reports import LoadReports
 
 
 class Host:
@@ -19,6 +21,7 @@
 
     def __init__(self) -> None:
         self.balancers: dict[int, Balancer] = {}
+        self.reports = os.environ.get("HONEYWHARF_REPORTS") == "1"  # whether load reports are read
         self.pages: dict[int, tuple[api.Endpoint, ...]] = {}
         self.round = 0
 
@@ -63,7 +66,10 @@
     def _born(self, now: float, who: int, fields: dict[str, Any], output: list[dict[str, Any]]) -> None:
         seed = wire.integer(fields, "prng")
         try:
-            self.balancers[who] = Balancer(wire.born_settings(fields), seed)
+            settings = wire.born_settings(fields)
+            made = self.balancers[who] = Balancer(settings, seed)
+            if self.reports:
+                made.choice.loads = LoadReports(settings)
         except ValueError as fault:
             raise wire.WireError(str(fault)) from None
         self._handle(now, who, api.Started(), output)
--- a/setup.py
+++ b/setup.py
@@ -12,6 +12,7 @@
 
 COMPILED = [
     *sorted(glob("honeywharf/limits/*.py")), *sorted(glob("honeywharf/policy/*.py")),
+    *sorted(glob("honeywharf/reports/*.py")),
     "honeywharf/core/messages.py", "honeywharf/core/transport.py", "honeywharf/core/driver.py",
     "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py", "honeywharf/orderkeys/table.py",
     "honeywharf/orderkeys/edge.py",
--- /dev/null
+++ b/tests/reports/test_rules.py
@@ -0,0 +1,284 @@
+"""What reports come to, when they are believed, and what zones are opened to by them."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from honeywharf.lab import days
+from honeywharf.lab.simulator import Day, Reporting, play
+from honeywharf.policy import interface as api
+from honeywharf.reports import LoadReports
+from honeywharf.reports.fields import MOST, Reader
+from honeywharf.reports.node import NOTHING_MS, STUCK_MS, STUCK_REPORTS, NodeReports
+from honeywharf.reports.room import LEAST_OPEN, MOST_OPEN, OLD_MS, Room
+from tests.helpers import Driver, endpoint, make_settings
+
+FIELDS = ("in_flight", "queue", "utilization", "service_ms", "served_per_s", "errors_per_s")
+NAN, INF = math.nan, math.inf
+
+
+@pytest.mark.parametrize(("fields", "report", "waiting", "took"), [
+    (("queue",), (3.0,), 3.0, -1.0),
+    (("in_flight",), (5.0,), 3.0, -1.0),  # two of them run
+    (("in_flight",), (1.0,), 0.0, -1.0),
+    (("in_flight", "queue"), (9.0, 3.0), 3.0, -1.0),
+    (("in_flight", "served_per_s"), (6.0, 20.0), -1.0, 300.0),  # Little's law
+    (("in_flight", "served_per_s"), (6.0, 0.0), 4.0, -1.0),
+    (("in_flight", "served_per_s"), (0.0, 20.0), 0.0, -1.0),
+    (("service_ms",), (250.0,), -1.0, 250.0),
+    (("utilization",), (0.5,), 0.0, -1.0),
+    (("utilization",), (0.99,), -1.0, -1.0),  # full: a queue of any length
+    (("errors_per_s",), (1.0,), -1.0, -1.0),
+    (FIELDS, (5.0, 2.0, 1.0, 80.0, 20.0, 0.0), 2.0, -1.0),
+    (("queue",), (NAN,), -1.0, -1.0),
+    (("queue",), (INF,), -1.0, -1.0),
+    (("queue",), (-1.0,), -1.0, -1.0),
+    (("queue",), (2.0 ** 63,), -1.0, -1.0),
+    (("queue",), (), -1.0, -1.0),
+    (("queue",), (1.0, 2.0), -1.0, -1.0),
+    (("queue", "utilization"), (1.0, NAN), -1.0, -1.0),
+])
+def test_what_a_report_comes_to(
+    fields: tuple[str, ...], report: tuple[float, ...], waiting: float, took: float,
+) -> None:
+    figure = Reader(fields).read(report, 2.0)
+    assert (figure.waiting, figure.took_ms) == (waiting, took)
+    assert figure.said == (waiting >= 0.0 or took >= 0.0)
+
+
+def test_fields_that_tell_of_no_wait_are_of_no_use() -> None:
+    assert not Reader(()).useful
+    assert not Reader(("errors_per_s", "served_per_s")).useful
+    assert all(Reader((name,)).useful for name in FIELDS[:4])
+
+
+@given(st.lists(st.floats(allow_nan=True, allow_infinity=True), max_size=6), st.floats(0.1, 64.0))
+def test_no_report_whatever_gives_a_figure_out_of_its_range(report: list[float], cores: float) -> None:
+    figure = Reader(FIELDS[:len(report)]).read(tuple(report), cores)
+    assert figure.waiting == -1.0 or 0.0 <= figure.waiting <= MOST
+    assert figure.took_ms == -1.0 or 0.0 <= figure.took_ms <= 1000.0 * MOST / 0.1
+
+
+def test_a_report_grows_old_to_nothing_and_a_new_one_counts_at_once() -> None:
+    node = NodeReports()
+    assert node.weight(0.0) == 0.0
+    node.heard(0.0, 5.0, 250.0)
+    weights = [node.weight(t) for t in (0.0, 500.0, 1500.0, NOTHING_MS)]
+    assert weights == sorted(weights, reverse=True)
+    assert (weights[0], weights[-1]) == (1.0, 0.0)
+    node.heard(10_000.0, 0.0, 0.0)
+    assert node.wait_ms == 0.0  # nothing of what was said before is left
+    node.heard(10_010.0, 8.0, 400.0)
+    assert 0.0 < node.wait_ms < 100.0  # one report soon after another is no more than a hint
+
+
+def test_a_node_that_reports_nothing_and_answers_late_is_found_out_and_may_come_back() -> None:
+    node = NodeReports()
+    now = 0.0
+    for _ in range(20):
+        now += 50.0
+        node.heard(now, 0.0, 0.0)
+        node.compared(4.0)  # it takes four times what its report leads one to expect
+    assert not node.believed
+    assert node.weight(now) == 0.0
+    for _ in range(20):
+        node.compared(1.0)
+    assert node.believed
+    assert node.weight(now) == 1.0
+
+
+def test_one_late_answer_in_some_is_no_lie() -> None:
+    node, rng = NodeReports(), random.Random(1)
+    for _ in range(2000):
+        node.compared(rng.lognormvariate(0.0, 0.4))
+        assert node.believed
+
+
+def test_a_figure_that_never_changes_is_stuck_unless_it_is_zero() -> None:
+    for value, stuck in ((7.0, True), (0.0, False)):
+        node = NodeReports()
+        for i in range(STUCK_REPORTS + 2):
+            node.heard(i * (STUCK_MS / STUCK_REPORTS), value, 50.0 * value)
+        at = (STUCK_REPORTS + 1) * (STUCK_MS / STUCK_REPORTS)
+        assert node.stuck(at) is stuck
+        assert (node.weight(at) == 0.0) is stuck
+    node.heard(at + 1.0, 6.0, 300.0)
+    assert not node.stuck(at + 1.0)
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 4000.0), st.floats(0.0, 1e9), st.floats(0.0, 1.0)), max_size=60),
+       st.sampled_from([1.0, 0.3, 0.05, 0.001]))
+@settings(deadline=None)
+def test_what_a_zone_is_open_to_stays_in_its_bounds_and_is_forgotten(
+    heard: list[tuple[float, float, float]], part: float,
+) -> None:
+    room, now = Room(part), 0.0
+    for gap, wait, weight in heard:
+        now += gap
+        room.heard(now, wait, 100.0, weight)
+        for valve in (room.own, room.away):
+            assert min(LEAST_OPEN, 2.0 * part) <= valve.open <= MOST_OPEN
+        assert room.known(now) or weight <= 0.0
+        assert 0.0 <= room.wait_ms <= 1e9
+    assert not room.known(now + OLD_MS + 1.0)
+
+
+def test_a_zone_that_is_heard_of_first_is_open_at_once_as_far_as_its_wait_says() -> None:
+    for wait, least, most in ((0.0, 1.0, 1.0), (100.0, 1.0, 1.0), (200.0, 0.4, 0.6), (1e6, 0.2, 0.26)):
+        room = Room(0.1)
+        room.heard(0.0, wait, 100.0, 1.0)
+        assert least <= room.own.open <= most
+        assert room.away.open <= room.own.open
+
+
+def loop(delay_ms: float, proxies: int, seed: int = 1, factor: float = 2.0) -> tuple[float, float]:
+    """A fluid queue of one zone behind so many proxies, each hearing 20 reports a second of a wait that is so
+    old: the mean wait in references over the last half of a minute, and its widest swing there."""
+    rng = random.Random(seed)
+    rooms = [Room(1.0 / proxies) for _ in range(proxies)]
+    waits, wait, reference, seen = [0.0], 0.0, 100.0, []
+    for step in range(6000):  # of 10 ms
+        now = step * 10.0
+        for room in rooms:
+            if rng.random() < 0.2:
+                old = waits[max(0, len(waits) - 1 - int(delay_ms / 10.0))]
+                room.heard(now, old * rng.lognormvariate(0.0, 0.15), reference, 1.0)
+        # `factor` times what the zone can do is asked for; what is let in beyond that waits.
+        taken = factor * sum(min(1.0, room.own.open) for room in rooms) / proxies
+        wait = max(0.0, wait + (taken - 1.0) * 10.0)
+        waits.append(wait)
+        if step >= 3000:
+            seen.append(wait / reference)
+    return sum(seen) / len(seen), max(seen) - min(seen)
+
+
+@pytest.mark.parametrize("proxies", [1, 3, 31])
+def test_the_loop_settles_near_its_reference_however_many_proxies_share_it(proxies: int) -> None:
+    mean, swing = loop(200.0, proxies)
+    assert 0.5 < mean < 1.6
+    assert swing < 4.0
+
+
+def test_older_reports_swing_more_and_stay_bounded() -> None:
+    swings = [loop(delay, 3)[1] for delay in (0.0, 500.0, 1000.0, 2000.0)]
+    assert swings[0] < swings[-1] < 60.0
+
+
+def driven(loads: bool, reports: bool, seed: int) -> list[list[api.Action]]:
+    """The actions of a module over some calls."""
+    told = make_settings(report_fields=("queue",))
+    driver, rng = Driver(told), random.Random(seed)
+    if loads:
+        driver.balancer.choice.loads = LoadReports(told)
+    driver.list([*(endpoint(f"a{i}") for i in range(3)), endpoint("b0", "b")])
+    actions = []
+    for _ in range(200):
+        actions.append(driver.request())
+        if rng.random() < 0.8:
+            took, waiting = rng.uniform(10.0, 400.0), float(rng.randrange(9))
+            actions.append(driver.end(api.Outcome.OK, after_ms=took, report=(waiting,) if reports else None))
+    return actions
+
+
+def test_without_reports_every_action_is_the_same_to_the_bit() -> None:
+    for seed in range(3):
+        assert driven(True, False, seed) == driven(False, False, seed)
+        assert driven(False, True, seed) == driven(False, False, seed)  # and with those that nobody reads
+    assert driven(True, True, 1) != driven(False, False, 1)
+
+
+def answered(driver: Driver, waits: float, calls: int, took: float = 50.0) -> None:
+    for _ in range(calls):
+        driver.request()
+        driver.end(api.Outcome.OK, after_ms=took, report=(waits,))
+
+
+def reading(**changes: object) -> tuple[Driver, LoadReports]:
+    told = make_settings(report_fields=("queue",), balancers=40, **changes)
+    driver, loads = Driver(told), LoadReports(told)
+    driver.balancer.choice.loads = loads
+    driver.list([*(endpoint(f"a{i}") for i in range(4)), *(endpoint(f"b{i}", "b") for i in range(4))])
+    return driver, loads
+
+
+def test_a_full_own_zone_sends_calls_to_one_with_room_and_takes_them_back() -> None:
+    driver, loads = reading()
+    answered(driver, 0.0, 60)
+    assert loads.open(driver.now, "a", False) >= 1.0
+    full = {"a": 30.0, "b": 0.0}
+    for _ in range(300):
+        for action in driver.request():
+            if isinstance(action, api.Send):
+                driver.end(api.Outcome.OK, after_ms=20.0, report=(full[action.zone],))
+    assert loads.open(driver.now, "a", False) < 0.3
+    sent = [a.zone for _ in range(40) for a in driver.request() if isinstance(a, api.Send)]
+    assert sent.count("b") >= 1
+    assert loads.drain_ms(driver.now) >= 0.0
+
+
+def test_a_node_s_long_queue_takes_calls_from_it_and_the_others_stay_even() -> None:
+    driver, loads = reading()
+    answered(driver, 0.0, 60)
+    for _ in range(200):
+        (action,) = driver.request()
+        if not isinstance(action, api.Send):
+            continue
+        late = action.endpoint == "a0"
+        driver.end(api.Outcome.OK, after_ms=500.0 if late else 50.0, report=(20.0 if late else 0.0,))
+    at = loads.nodes["a0"].at_ms  # it is soon out, for its late answers: no proxy has to wait for that
+    shares = {f"a{i}": loads.share(at, f"a{i}") for i in range(4)}
+    assert shares["a0"] < 0.5
+    assert set(shares.values()) - {shares["a0"]} == {1.0}  # bounded, not ranked
+    assert loads.share(at + 10_000.0, "a0") == 1.0  # what is old says nothing
+
+
+def test_what_a_process_said_goes_with_it() -> None:
+    driver, loads = reading()
+    answered(driver, 3.0, 60)
+    known = set(loads.nodes)
+    assert known
+    one = sorted(known)[0]
+    driver.list([endpoint(one, started_ms=driver.now)], api.ListKind.CHANGES)
+    assert one not in loads.nodes  # restarted: its new process has said nothing
+    driver.list([endpoint("a3")], api.ListKind.FULL)
+    assert set(loads.nodes) <= {"a3"}  # what is not listed is not kept: as many as there are endpoints
+
+
+def test_a_probe_s_report_counts_and_one_of_a_server_that_is_gone_does_not() -> None:
+    driver, loads = reading()
+    answered(driver, 0.0, 60)
+    before = loads.counts["heard"]
+    driver.feed(api.ProbeEnded("b0", api.Outcome.OK, 2.0, (9.0,)))
+    driver.feed(api.ProbeEnded("gone", api.Outcome.OK, 2.0, (9.0,)))
+    driver.feed(api.ProbeEnded("b1", api.Outcome.OK, 2.0, None))
+    assert loads.counts["heard"] == before + 1
+    assert loads.rooms["b"].known(driver.now)
+
+
+def scene(proxies: int, reports: bool, load: Reporting, seed: int = 1) -> Day:
+    day = replace(days.outage(seed), reports=reports, load=load, proxies=proxies, length_ms=24_000.0,
+                  nodes={"a": 7, "b": 7, "c": 7})
+    crash = replace(day.troubles[0], at_ms=6000.0, part=0.4, for_ms=4000.0)
+    return days.load(replace(day, troubles=(crash,), retries=4), 0.75)
+
+
+def test_a_fleet_behind_many_proxies_comes_back_where_it_did_not() -> None:
+    good = {on: play(scene(42, on, Reporting())).goodput(14_000.0, 22_000.0) for on in (False, True)}
+    assert good[True] > good[False] + 0.1
+
+
+@pytest.mark.parametrize("load", [
+    Reporting(late_ms=3000.0), Reporting(noise=0.5), Reporting(silent=0.5), Reporting(liars=0.3, lie=0.0),
+    Reporting(liars=0.3, lie=1000.0), Reporting(liars=0.5, lie=7.0), Reporting(swing_ms=3000.0),
+], ids=["late", "noise", "silent", "liars: 0", "liars: 1000", "stuck at 7", "late for a while"])
+def test_no_cold_node_is_pushed_over_and_nothing_is_lost_whatever_is_reported(load: Reporting) -> None:
+    result = play(scene(12, True, load))
+    assert (result.fell, result.late_drains, result.failed) == (0, 0, 0)
+    assert result.goodput(14_000.0, 22_000.0) > 0.5
+
+
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
 ALLOWED = {
     "limits": ("limits",),
     "policy": ("policy", "limits"),
+    "reports": ("reports", "core", "policy"),
     "storms": ("storms", "core", "policy"),
     "traces": ("VERSION", "traces", "core", "policy"),
     "admin": ("admin", "core", "policy"),
@@ -21,17 +22,17 @@
     "logs.py": ("core",),
     "core": ("core", "policy"),
     "config": ("config", "core", "policy", "wire"),
-    "lab": ("lab", "config", "core", "policy", "limits", "storms"),
+    "lab": ("lab", "config", "core", "policy", "limits", "reports", "storms"),
     "codecs": ("codecs", "core", "policy"),
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
     "proxy.py": (
-        *PROTOCOLS, "admin", "config", "core", "limits", "logs", "metrics", "orderkeys", "policy", "storms",
-        "traces"),
+        *PROTOCOLS, "admin", "config", "core", "limits", "logs", "metrics", "orderkeys", "policy", "reports",
+        "storms", "traces"),
     "cli": ("VERSION", "admin", "cli", "config", "lab", "proxy", "standins", "traces"),
     "__main__.py": ("cli", "proxy"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
-PURE = ("policy", "limits", "storms", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
+PURE = ("policy", "limits", "reports", "storms", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
         "orderkeys/shared.py", "orderkeys/scripts.py", "coap/options.py", "coap/blocks.py",
         "coap/messages.py", "coap/client.py", "lab/model.py", "lab/habits.py", "lab/doors.py",
         "lab/population.py", "lab/simulator.py", "lab/days.py", "traces/context.py", "traces/spans.py",
