Show operators what load reports leave open of each zone

Need: with [reports] on nobody could see whether a zone is shut by what its nodes say, by answers, or by neither.

Change: `honeywharf status` has a column `reports`, `--json` also the calls that may be held and what is open to other zones' calls; nothing where no report is known or believed.

Measured: the tests of the operators' socket pass; nothing on a request's path.

--- a/honeywharf/admin/views.py
+++ b/honeywharf/admin/views.py
@@ -24,6 +24,9 @@
             "zone": name, "own": name == balancer.settings.zone, "limit": zone.limiter.limit * zone.capacity,
             "in_flight": zone.in_flight, "capacity": zone.capacity, "ready": zone.ready,
             "ejected": ejected.get(name, 0), "crowded": zone.limiter.crowded(),
+            # Where load reports are read and believed: what they leave open, and the calls that it may hold.
+            **({"open": zone.open, "open_to_others": zone.away, "hold": zone.hold * zone.capacity}
+               if zone.open >= 0.0 else {}),
         }
         for name, zone in sorted(balancer.endpoints.zones.items())]
 
--- a/honeywharf/cli/admin.py
+++ b/honeywharf/cli/admin.py
@@ -46,8 +46,9 @@
         click.echo(data["storms"])
     click.echo(", ".join(f"{n} {state}" for state, n in sorted(data["endpoints"].items())) or "no endpoints")
     table([(("*" if z["own"] else " ") + z["zone"], f"{z['limit']:.1f}", str(z["in_flight"]), str(z["ready"]),
-            str(z["ejected"]), "yes" if z["crowded"] else "") for z in data["zones"]],
-          ("zone", "limit", "in flight", "ready", "ejected", "crowded"))
+            str(z["ejected"]), "yes" if z["crowded"] else "", f"{z['open']:.2f}" if "open" in z else "-")
+           for z in data["zones"]],
+          ("zone", "limit", "in flight", "ready", "ejected", "crowded", "reports"))
     table([(k, str(v)) for k, v in sorted(data["counts"].items())], ("count", "since the start"))
 
 
--- a/tests/admin/test_admin.py
+++ b/tests/admin/test_admin.py
@@ -50,6 +50,9 @@
     status = views.status(driver.balancer)
     assert status["endpoints"] == {"ejected": 2, "usable": 4, "draining": 1}
     own = next(z for z in status["zones"] if z["own"])
+    assert "open" not in own  # no load reports are read
+    driver.balancer.endpoints.zones["a"].open = 0.5
+    assert views.status(driver.balancer)["zones"][0]["open"] == 0.5
     assert (own["ready"], own["ejected"], own["in_flight"]) == (6, 2, 0)
     assert own["limit"] > 0
 
