--- a/honeywharf/standins/tracedemo.py
+++ b/honeywharf/standins/tracedemo.py
@@ -14,12 +14,12 @@
 from honeywharf.standins.tiers import House
 
 SICK = "store-3"
-REQUESTS, PER_S = 1500, 300.0
+REQUESTS, PER_S = 4000, 400.0
 
 
 async def play(seed: int, folder: Path) -> House:
-    """A short day on which one store node fails a quarter of its orders, and one tier alone tries again."""
-    house = House(folder, seed=seed, sick=SICK, sick_errors=0.25, errors=0.0, rate=0.05, work_ms=4.0,
+    """A short day on which one store node fails one order in seven, and one tier alone tries again."""
+    house = House(folder, seed=seed, sick=SICK, sick_errors=0.15, errors=0.0, rate=0.05, work_ms=4.0,
                   rack=1, tries=(2, 1, 1))
     try:
         await house.start()
