--- a/bench/reports.py
+++ b/bench/reports.py
@@ -2,29 +2,30 @@
 
     python -m bench.reports [--proxies 3,9,31,93] [--seeds 2] [--jobs 8] [--quick]
 
-All in virtual time with the real decision modules (`honeywharf.lab`): 42 nodes that jam, 0.75 of capacity in
-use, 0.4 of the nodes dead from 10 to 16 s and then cold for 8 s; nodes report the calls that wait, as
+All in virtual time with the real decision modules (`honeywharf.lab`): 42 nodes that jam, 0.75 of capacity
+in use, 0.4 of the nodes dead from 10 to 16 s and then cold for 8 s; nodes report the calls that wait, as
 `simulator.Reporting` has it. Printed, off beside on: the share answered within the aim while nodes are dead
 and after, the time until it is back at 0.95 of before, and the widest swing of what waits at a node on the
-mean, over two-second steps at ease; the same for reports by delay and noise, and for nodes that lie; and the
-microseconds that reading a report adds to a request, on this build. Status 1 where a report that is stale or
-a lie costs more than 0.03 of what is answered in time beside reports off.
+mean, over two-second steps at ease; the same for reports by delay and noise, and for nodes that lie; the
+loop by itself, a fluid queue; and the microseconds that a report adds to a request, on the installed build.
+Status 1 where a report that is stale or a lie costs more than 0.03 of what is answered in time beside
+reports off.
 """
 
 from __future__ import annotations
 
 import argparse
 import statistics
+import subprocess
 import sys
-import time
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
 
+from bench.processes import HERE, command
 from honeywharf.lab import days, measures
 from honeywharf.lab.habits import MIXED
 from honeywharf.lab.simulator import Day, Reporting, Simulation, Trouble
-from honeywharf.policy import Balancer, interface as api
-from honeywharf.reports import LoadReports
+from tests.reports.model import loop
 
 WORSE = 0.03
 NODES = {"a": 14, "b": 14, "c": 14}
@@ -78,30 +79,39 @@
             f"{statistics.fmean(p.swing for p in plays):>7.2f}  {back}")
 
 
-def cost(requests: int = 100_000) -> float:
-    """Microseconds that a report adds to a request's decisions; the best of three."""
-    best: dict[bool, float] = {}
-    for on in (False, True):
-        settings = api.Settings(
-            zone="a", classes=(api.RequestClass("read", 1000.0, 2000.0),), zones=3, balancers=30,
-            limits=api.Limits(max_attempts=3), report_fields=("queue",))
-        best[on] = float("inf")
-        for _ in range(3):
-            balancer = Balancer(settings, 1)
-            if on:
-                balancer.choice.loads = LoadReports(settings)
-            balancer.handle(0.0, api.Started())
-            balancer.handle(0.0, api.EndpointsListed(api.ListKind.FULL, tuple(
-                api.Endpoint(f"{z}{i}", z) for z in "abc" for i in range(14))))
-            begun = time.perf_counter()
-            for i in range(requests):
-                now, name = i * 2.0, f"r{i}"
-                for action in balancer.handle(now, api.RequestArrived(name, "read", 2000.0)):
-                    if isinstance(action, api.Send):
-                        balancer.handle(now + 1.0, api.AttemptEnded(
-                            name, 0, api.Outcome.OK, 50.0, True, (float(i % 3),), action.endpoint))
-            best[on] = min(best[on], (time.perf_counter() - begun) / requests * 1e6)
-    return best[True] - best[False]
+PLAY = """
+import time
+from honeywharf.policy import Balancer, interface as api
+from honeywharf.reports import LoadReports
+
+def play(on, number):
+    settings = api.Settings(
+        zone="a", classes=(api.RequestClass("read", 1000.0, 2000.0),), zones=3, balancers=30,
+        limits=api.Limits(max_attempts=3), report_fields=("queue",))
+    balancer = Balancer(settings, 1)
+    if on:
+        balancer.choice.loads = LoadReports(settings)
+    balancer.handle(0.0, api.Started())
+    balancer.handle(0.0, api.EndpointsListed(api.ListKind.FULL, tuple(
+        api.Endpoint(f"{z}{i}", z) for z in "abc" for i in range(14))))
+    begun = time.process_time()
+    for i in range(number):
+        now, name = i * 2.0, f"r{i}"
+        for action in balancer.handle(now, api.RequestArrived(name, "read", 2000.0)):
+            if isinstance(action, api.Send):
+                balancer.handle(now + 1.0, api.AttemptEnded(
+                    name, 0, api.Outcome.OK, 50.0, True, (float(i % 3),), action.endpoint))
+    return (time.process_time() - begun) / number * 1e6
+
+print(min(play(True, 60_000) for _ in range(3)) - min(play(False, 60_000) for _ in range(3)))
+"""
+
+
+def cost() -> float:
+    """Microseconds that a report adds to a request's decisions, on what `deploy/build.sh` has installed."""
+    done = subprocess.run([*command(HERE)[:-2], "-c", PLAY], cwd="/", capture_output=True, text=True,
+                          check=True)
+    return float(done.stdout)
 
 
 def main() -> int:
@@ -132,6 +142,9 @@
             print(f"behind {many} proxies, by what is reported:")
         found[name] = plays[i * args.seeds:(i + 1) * args.seeds]
         print(row(name, found[name]))
+    for delay in (0.0, 200.0, 500.0, 1000.0, 2000.0):
+        mean, swing = loop(delay, 31)
+        print(f"the loop by itself, reports {delay:g} ms old: wait {mean:.2f}, swing {swing:.1f} references")
     print(f"a report costs {cost():.2f} us of a request's decisions")
     off = statistics.fmean(p.after for p in found[f"{many} proxies, reports off"])
     return 1 if any(statistics.fmean(p.after for p in found[name]) < off - WORSE for name, *_ in stale) else 0
--- a/honeywharf/limits/load.py
+++ b/honeywharf/limits/load.py
@@ -21,7 +21,7 @@
         """Whether what a zone is open to has kept a call out since this was told last."""
 
     def open(self, now: float, zone: str, away: bool) -> float:
-        """The part of arrivals that a zone is open to, for its own or others' calls; under 0 if not known."""
+        """The factor on `hold` for a zone's own calls, or for others'; under 0 where nothing is known."""
 
     def hold(self) -> float:
         """Calls that this balancer may hold for each unit of a zone's capacity."""
--- a/honeywharf/reports/reports.py
+++ b/honeywharf/reports/reports.py
@@ -109,7 +109,7 @@
             room.binds = True
 
     def open(self, now: float, zone: str, away: bool) -> float:
-        """The part of the arrivals that a zone is open to, under 0 where nothing is known of it.
+        """The factor on `hold` that a zone is open to, under 0 where nothing is known of it.
 
         `away`: for calls of another zone.
         """
--- a/honeywharf/standins/tracedemo.py
+++ b/honeywharf/standins/tracedemo.py
@@ -30,10 +30,10 @@
     return house
 
 
-def command(say: Callable[[str], None], *words: str, shown: str = "") -> int:
-    """One of the operators' commands, as an operator would type it; its exit status."""
-    say(f"$ honeywharf {shlex.join(words)} {shown}".rstrip())
-    done = subprocess.run([sys.executable, "-m", "honeywharf", *words, *Files.names], capture_output=True,
+def command(say: Callable[[str], None], files: tuple[str, ...], *words: str) -> int:
+    """One of the operators' commands on the proxies' files, as an operator would type it; its exit status."""
+    say(f"$ honeywharf {shlex.join(words)} *.jsonl")
+    done = subprocess.run([sys.executable, "-m", "honeywharf", *words, *files], capture_output=True,
                           text=True, check=False)
     for line in (done.stdout + done.stderr).splitlines()[:18]:
         say(f"    {line}")
@@ -41,12 +41,6 @@
     return done.returncode
 
 
-class Files:
-    """The traces of all proxies."""
-
-    names: tuple[str, ...] = ()
-
-
 def show(seed: int, say: Callable[[str], None]) -> int:
     """Play and walk; 0 only where the walk ends at what is really the matter."""
     begun = time.monotonic()
@@ -58,17 +52,15 @@
         if missing is None:
             say("no tile went missing: nothing to explain")
             return 1
-        Files.names = tuple(map(str, house.files()))
+        files = tuple(map(str, house.files()))
         say(f"a customer misses a tile: request {missing} was answered with an error. Where, and why?")
         say("")
-        shown = "*.jsonl"
-        explained = command(say, "explain", missing, shown=shown)
-        counted = command(say, "traces", "errors > 0", "--by", "server", "--most", "4",
-                          shown=shown)
-        caused = command(say, "causes", "--bad", "errors > 0", shown=shown)
+        explained = command(say, files, "explain", missing)
+        counted = command(say, files, "traces", "errors > 0", "--by", "server", "--most", "4")
+        caused = command(say, files, "causes", "--bad", "errors > 0")
         told = subprocess.run(
             [sys.executable, "-m", "honeywharf", "causes", "--json", "--bad", "errors > 0",
-             *Files.names], capture_output=True, text=True, check=False)
+             *files], capture_output=True, text=True, check=False)
         found = f'"text": "{SICK}"' in told.stdout
     took = time.monotonic() - begun
     say(f"the cause: server {SICK}, {'as it was planted' if found else 'which was NOT found'};"
--- a/tests/reports/test_rules.py
+++ b/tests/reports/test_rules.py
@@ -17,6 +17,7 @@
 from honeywharf.reports.node import NOTHING_MS, STUCK_MS, STUCK_REPORTS, NodeReports
 from honeywharf.reports.room import LEAST_OPEN, MOST_OPEN, OLD_MS, Room
 from tests.helpers import Driver, endpoint, make_settings
+from tests.reports.model import loop
 
 FIELDS = ("in_flight", "queue", "utilization", "service_ms", "served_per_s", "errors_per_s")
 NAN, INF = math.nan, math.inf
@@ -136,27 +137,6 @@
         assert room.away.open <= room.own.open
 
 
-def loop(delay_ms: float, proxies: int, seed: int = 1, factor: float = 2.0) -> tuple[float, float]:
-    """A fluid queue of one zone behind so many proxies, each hearing 20 reports a second of a wait that is so
-    old: the mean wait in references over the last half of a minute, and its widest swing there."""
-    rng = random.Random(seed)
-    rooms = [Room(1.0 / proxies) for _ in range(proxies)]
-    waits, wait, reference, seen = [0.0], 0.0, 100.0, []
-    for step in range(6000):  # of 10 ms
-        now = step * 10.0
-        for room in rooms:
-            if rng.random() < 0.2:
-                old = waits[max(0, len(waits) - 1 - int(delay_ms / 10.0))]
-                room.heard(now, old * rng.lognormvariate(0.0, 0.15), reference, 1.0)
-        # `factor` times what the zone can do is asked for; what is let in beyond that waits.
-        taken = factor * sum(min(1.0, room.own.open) for room in rooms) / proxies
-        wait = max(0.0, wait + (taken - 1.0) * 10.0)
-        waits.append(wait)
-        if step >= 3000:
-            seen.append(wait / reference)
-    return sum(seen) / len(seen), max(seen) - min(seen)
-
-
 @pytest.mark.parametrize("proxies", [1, 3, 31])
 def test_the_loop_settles_near_its_reference_however_many_proxies_share_it(proxies: int) -> None:
     mean, swing = loop(200.0, proxies)
