Answer operators: second address, bans, evacuation, and a life in states

Cause: nothing read NODE_INHERITED_FD or `operator`, SIGTERM was the only way out of service (proxy.py, drain). Change: `service/` has the life of a process and bans as rules without I/O, the form of the calls, and the address; the listener is taken from the inherited descriptor; SIGTERM with a shared listener stops accepting at once. The module is told who is out (EndpointsExcluded); the books forget such addresses, and a connection that comes up after its backend was taken out carries nothing.

--- a/honeywharf/config/node.py
+++ b/honeywharf/config/node.py
@@ -30,6 +30,8 @@
     known: dict[str, Any]
     settings: api.Settings
     report_fields: tuple[str, ...]  # as the settings name them
+    operator: Address | None = None  # where operators' calls come, if they do
+    inherited: int = -1  # the descriptor of a listening socket that the platform holds; under 0 for none
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -75,9 +77,26 @@
         known=known,
         settings=typed,
         report_fields=tuple(fields) if isinstance(fields, list) else (),
+        operator=_operator(raw.get("operator") or environ.get("NODE_OPERATOR")),
+        inherited=_inherited(environ.get("NODE_INHERITED_FD")),
     )
 
 
+def _operator(value: object) -> Address | None:
+    try:
+        return address(value) if value else None
+    except ValueError as fault:
+        raise ValueError(f"operator: {fault}") from None
+
+
+def _inherited(value: str | None) -> int:
+    if not value:
+        return -1
+    if not value.isascii() or not value.isdigit() or len(value) > 6:
+        raise ValueError(f"NODE_INHERITED_FD: the number of a descriptor is wanted, not {value!r}")
+    return int(value)
+
+
 def _seed(value: object) -> int:
     if isinstance(value, int):
         return value
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -239,6 +239,11 @@
         self.events.appendleft((event, None))
         self._run()
 
+    def excluded(self, names: frozenset[str]) -> None:
+        """An operator's word on who is out goes before all that waits, as discovery's does."""
+        self.events.appendleft((api.EndpointsExcluded(names), None))
+        self._run()
+
     def attempt_ended(self, attempt: Attempt, outcome: api.Outcome, response: Response | None) -> None:
         """Note an attempt's one outcome; the first 200 goes to the client at once."""
         if not attempt.live:
--- a/honeywharf/discovery/watch.py
+++ b/honeywharf/discovery/watch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, cast
 
 import orjson
@@ -44,6 +44,9 @@
     ), where
 
 
+Row = tuple[api.Endpoint, Address, str]  # with the scheme
+
+
 class Directory:
     """The list as this proxy holds it: what the module is told and where the pool connects."""
 
@@ -51,7 +54,8 @@
         self.books = books  # by scheme; an entry that names none is of the first
         self.first = next(iter(books))
         self.generation = 0
-        self.names: set[str] = set()
+        self.rows: dict[str, Row] = {}  # all that are listed
+        self.out: frozenset[str] = frozenset()  # by an operator's word: in no book, whatever a list says
 
     def take(self, raw: Any, kind: api.ListKind | None = None) -> api.EndpointsListed:
         """An answer as an event, after the pool has it. ValueError where it is no list."""
@@ -72,24 +76,39 @@
             except ValueError as fault:  # one bad entry must not hide the others
                 log(f"discovery: entry left out: {fault}", "discovery.entry", "warning")
         if full:
-            for name in self.names - {e.id for e, _, _ in rows}:
+            for name in self.rows.keys() - {e.id for e, _, _ in rows}:
                 self._forget(name)
-        for entry, where, scheme in rows:
-            if entry.state is api.EndpointState.GONE:
-                self._forget(entry.id)
+        for row in rows:
+            if row[0].state is api.EndpointState.GONE:
+                self._forget(row[0].id)
             else:
-                self.names.add(entry.id)
-                ready = entry.state is api.EndpointState.READY
-                for other, book in self.books.items():
-                    if other != scheme:
-                        book.forget(entry.id)
-                self.books[scheme].name(entry.id, where, entry.started_ms, open_for_work=ready)
+                self.rows[row[0].id] = row
+                self._name(row)
         self.generation = generation
         kind = kind or (api.ListKind.FULL if full else api.ListKind.CHANGES)
         return api.EndpointsListed(kind, tuple(e for e, _, _ in rows), generation)
 
+    def exclude(self, out: Iterable[str]) -> None:
+        """These are out by an operator's word, and no others: nothing can be sent to one that is."""
+        before, self.out = self.out, frozenset(out)
+        for name in before ^ self.out:
+            if name in self.out:
+                for book in self.books.values():
+                    book.forget(name)
+            elif name in self.rows:
+                self._name(self.rows[name])
+
+    def _name(self, row: Row) -> None:
+        entry, where, scheme = row
+        for other, book in self.books.items():
+            if other != scheme or entry.id in self.out:
+                book.forget(entry.id)
+        if entry.id not in self.out:
+            ready = entry.state is api.EndpointState.READY
+            self.books[scheme].name(entry.id, where, entry.started_ms, open_for_work=ready)
+
     def _forget(self, name: str) -> None:
-        self.names.discard(name)
+        self.rows.pop(name, None)
         for book in self.books.values():
             book.forget(name)
 
--- a/honeywharf/http/accept.py
+++ b/honeywharf/http/accept.py
@@ -38,15 +38,16 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, factory: Callable[[float, bool], asyncio.Protocol],
-        where: Address, backlog: int,
+        where: Address, backlog: int, inherited: socket.socket | None = None,
     ) -> None:
         self.loop, self.factory = loop, factory
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
-        made = socket.socket(family, socket.SOCK_STREAM)
+        made = inherited or socket.socket(family, socket.SOCK_STREAM)
         try:
-            made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             made.setblocking(False)
-            made.bind(where)
+            if inherited is None:
+                made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                made.bind(where)
             made.listen(backlog)
         except OSError:
             made.close()
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -311,6 +311,10 @@
             connection.drop()
             if call.opening:
                 self._not_connected(call)
+        elif call.opening and not backend.open_for_work:
+            # Guards the rule on drains: while this connection came up its backend was taken out.
+            connection.drop()
+            self._not_connected(call, O.NOT_SENT)
         elif call.opening:
             call.opening = False
             connection.carry(call)
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -151,7 +151,7 @@
         request, self.current, self.served = self.current, None, True
         if request is None or self.ended:
             return
-        keep = request.keep and not self.front.draining and not (
+        keep = request.keep and not self.front.closing and not (
             self.half_closed and not self.waiting and self.fault is None)
         self.transport.write(http1.answer(
             status, body, keep=keep, retry_after_ms=retry_after_ms, kind=kind, lines=request.answer_lines))
@@ -264,16 +264,21 @@
         self.idle: dict[Connection, None] = {}
         self.server: asyncio.Server | Acceptor | None = None
         self.paced = False  # whether connections may be accepted at a rate: to be set before `listen`
-        self.draining = False
+        self.closing = self.refusing = False  # answers close their connections; calls are refused
+        self.healthy = True
         self.on_empty: Callable[[], None] | None = None
 
-    async def listen(self, where: Address) -> Address:
-        """Open the listener; the address it has."""
+    async def listen(self, where: Address, inherited: socket.socket | None = None) -> Address:
+        """Open the listener, or take over one that was inherited; the address it has."""
         if self.paced:
             from honeywharf.http.accept import Acceptor
 
             self.server = Acceptor(
-                self.loop, lambda waited_ms, ended: Connection(self, waited_ms, ended), where, BACKLOG)
+                self.loop, lambda waited_ms, ended: Connection(self, waited_ms, ended), where, BACKLOG,
+                inherited)
+        elif inherited is not None:
+            self.server = await self.loop.create_server(
+                lambda: Connection(self), sock=inherited, backlog=BACKLOG)
         else:
             self.server = await self.loop.create_server(lambda: Connection(self), *where, backlog=BACKLOG)
         self.loop.call_later(SWEEP_S, self._sweep)
@@ -341,23 +346,31 @@
             connection.reply(200 if self.ready() else REFUSED)
         elif not is_call(request.target):
             connection.reply(404)
+        elif self.refusing:
+            connection.reject(REFUSED)  # nothing has run
         elif self.driver.offer(request, connection) is not None:
             connection.reject(400)
 
     def ready(self) -> bool:
         """Whether clients may come."""
-        return self.server is not None and not self.draining and self.watch_is_up()
+        return self.server is not None and self.healthy and self.watch_is_up()
 
-    def drain(self) -> None:
-        """Go out of service: every answer from now on closes its connection, and idle ones close at once."""
-        self.draining = True
+    def empty(self) -> bool:
+        """Whether no caller's connection is open."""
+        return not self.connections
+
+    def close_idle(self) -> None:
+        """Close the connections that hold no request and have had an answer."""
         for connection in list(self.idle):
             connection.close()
 
-    def close_idle(self) -> None:
-        """Close all connections that hold no request, those too on which none has come at all."""
-        for connection in [*self.silent, *self.idle]:
+    def close_silent(self) -> None:
+        """Close those on which no request has come, or only part of one's head: it was never taken."""
+        for connection in list(self.silent):
             connection.close()
+        for connection in list(self.partial):
+            if connection.reader.in_head:
+                connection.reject(REFUSED)
 
     def pace(self, per_s: float) -> None:
         """Accept so many connections a second from now on; 0 for no bound."""
--- a/honeywharf/logs.py
+++ b/honeywharf/logs.py
@@ -18,6 +18,8 @@
 EVENTS = {
     "listening": "the proxy takes connections",
     "feature": "a feature has begun, and where",
+    "life": "the process entered another state of its life: before, after, cause",
+    "operator.change": "an operator's call at the second address: what, which backend",
     "stats": "what was done in the last ten seconds, by count",
     "module": "the decision module's own words",
     "reload.done": "a reload was taken over",
--- a/honeywharf/policy/admission.py
+++ b/honeywharf/policy/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from typing import Protocol
 
 from honeywharf import limits
 from honeywharf.limits.bucket import Bucket
@@ -18,31 +17,6 @@
 OVER_SHARE_ROOM = 0.25  # part of a limit open to tenants over their share: the rest is kept for the others
 
 
-class StormControl(Protocol):
-    """What `honeywharf.storms` offers, where that is on: a judgement of each request, and times to return."""
-
-    def connected(self, now: float, number: int) -> bool:
-        """So many clients have connected; whether the state has changed."""
-
-    def arrived(self, now: float, name: bytes, tenant: str, marked: bool) -> tuple[api.Coming, int, bool]:
-        """How a request comes, a code for its name, whether the state has changed."""
-
-    def admits(self, now: float, tenant: str, coming: api.Coming) -> bool:
-        """Whether it may be begun, as far as repeats go."""
-
-    def room(self, coming: api.Coming) -> float:
-        """The part of what is open to a first try that is open to it."""
-
-    def refused(self, now: float, code: int, coming: api.Coming, short: bool) -> float:
-        """It is refused, for want of room or not: in how many ms to return."""
-
-    def words(self) -> str:
-        """The state and why, for the operator."""
-
-    def pace(self) -> float:
-        """Connections a second that may be accepted; 0 where there is no bound."""
-
-
 class Admission:
     """How much of the room in a zone is open to a request, and what answers teach of that room."""
 
--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -7,14 +7,16 @@
 from mypy_extensions import mypyc_attr
 
 from honeywharf import limits
+from honeywharf.limits.budget import RetryBudget
+from honeywharf.limits.storm import StormControl
 from honeywharf.limits.times import Times
 from honeywharf.policy import interface as api
-from honeywharf.policy.admission import TARGET, Admission, StormControl
+from honeywharf.policy.admission import TARGET, Admission
 from honeywharf.policy.choice import Choice
 from honeywharf.policy.endpoints import Attempt, Endpoints, Server, Zone
 from honeywharf.policy.health import STRAIN_MOST, OutlierDetection
 from honeywharf.policy.requests import Order, Request
-from honeywharf.policy.retry import RetryBudget, cost_after, hung, may_copy
+from honeywharf.policy.retry import cost_after, hung, may_copy
 
 COME_BACK_MS = (200.0, 600.0)  # in which a refused client may come back: a jam's answers take about that long
 
@@ -65,6 +67,8 @@
         elif isinstance(event, api.ClientsConnected):
             if self.storms is not None and self.storms.connected(now_ms, event.number):
                 self._changed(self.storms)
+        elif isinstance(event, api.EndpointsExcluded):
+            self.endpoints.exclude(now_ms, event.names)
         elif isinstance(event, api.AttemptOpened) and event.request in self.requests:
             self.requests[event.request].answered = True  # the stream is the client's: nothing more is owed
         while self.order.turns:
--- a/honeywharf/policy/endpoints.py
+++ b/honeywharf/policy/endpoints.py
@@ -19,6 +19,7 @@
 SLIVERS = 0.5  # calls for each server that all balancers' slivers may come to: more of them keep jams full
 AWAY_HOLD = 0.25  # of the calls that a balancer may hold for a server, in each zone but its own
 CHANCE = 1.0  # roots of the calls that it may hold on the mean, that a balancer may hold by chance over them
+BACK_MS = 100.0  # for each balancer, in which the first call goes to one that an operator lets back
 SMALL_ZONE = 3  # ready servers, under which one or two are no measure of their zone
 WORTH_POWER = 0.4  # a request may use its worth over the mean request's, to this power, of a limit
 
@@ -40,6 +41,7 @@
     cold: bool = False
     next_ms: float = 0.0  # while it is cold: nothing is sent to it before
     share: float = 1.0  # of the even share that it is given; under 1 while it warms up
+    back_ms: float = 0.0  # when an operator let it back, where nothing tells of a start since it was out
 
 
 @dataclass(slots=True, eq=False)
@@ -100,6 +102,7 @@
     ) -> None:
         self.settings, self.random, self.make_limiter = settings, rng, make_limiter
         self.servers: dict[str, Server] = {}
+        self.excluded: dict[str, float] = {}  # by an operator's word, since when
         self.zones: dict[str, Zone] = {}
         self.levels: list[list[Server]] = [[], [], []]
         self.review_at = 0.0
@@ -125,19 +128,32 @@
                 self.servers.pop(endpoint.id, None)
             elif known is None or known.endpoint.started_ms != endpoint.started_ms:
                 known = self.servers[endpoint.id] = Server(endpoint)  # a new process has a clean record
-                if self.warmth(now, endpoint) < 1.0:
+                if self.warmth(now, known) < 1.0:
                     self.space(now, known, 0.0, 1.0)
             else:
                 known.endpoint = endpoint
         self.review(now)
 
+    def exclude(self, now: float, names: frozenset[str]) -> None:
+        """Take over who is out by an operator's word."""
+        for name in [n for n in self.excluded if n not in names]:
+            since, server = self.excluded.pop(name), self.servers.get(name)
+            if server is not None and (server.endpoint.started_ms or 0.0) < since:
+                # Guards a backend that was restarted meanwhile, which discovery may tell of later.
+                server = self.servers[name] = Server(server.endpoint, back_ms=now)
+                server.next_ms = now + self.random.uniform(0.0, BACK_MS * self.settings.balancers)
+        for name in names:
+            self.excluded.setdefault(name, now)
+        self.review(now)
+
     def review(self, now: float) -> None:
         """Renew each server's share and the levels: own zone, every zone, and all that is ready."""
         self.review_at = now + REVIEW_MS
-        ready = [s for s in self.servers.values() if s.endpoint.state is api.EndpointState.READY]
+        ready = [s for s in self.servers.values() if s.endpoint.state is api.EndpointState.READY
+                 and s.endpoint.id not in self.excluded]
         for server in ready:
             fitness = min(1.0, EVEN_PACE / server.pace) ** 2
-            warmth = self.warmth(now, server.endpoint)
+            warmth = self.warmth(now, server)
             server.cold, server.share = warmth < 1.0, warmth * max(0.2, fitness)
         # Ejection never leaves a live fleet unusable: with none usable, all that are ready count as usable.
         usable = [s for s in ready if s.usable_at <= now] or ready
@@ -161,15 +177,15 @@
             shared = min(SLIVER, SLIVERS * zone.ready / self.settings.balancers)
             zone.sliver = shared if zone.limiter.crowded() else SLIVER
 
-    def warmth(self, now: float, endpoint: api.Endpoint) -> float:
+    def warmth(self, now: float, server: Server) -> float:
         """The part of its capacity that a server has at least, by the time since it started.
 
         Guards against pushing over a cold server: its part of the calls never exceeds its part of capacity.
         """
-        rules = self.settings.rules
-        if endpoint.started_ms is None or rules.warm_after_ms <= 0:
+        rules, started = self.settings.rules, max(server.endpoint.started_ms or 0.0, server.back_ms)
+        if started <= 0.0 or rules.warm_after_ms <= 0:
             return 1.0
-        age = max(0.0, now - endpoint.started_ms) / rules.warm_after_ms
+        age = max(0.0, now - started) / rules.warm_after_ms
         return min(1.0, rules.cold_share + (1.0 - rules.cold_share) * age)
 
     def space(self, now: float, server: Server, least: float, most: float) -> None:
@@ -177,7 +193,7 @@
 
         Guards against pushing it over: all balancers together send its part of what warm servers answered.
         """
-        part = self.settings.rules.cold_multiple / COLD_MARGIN * self.warmth(now, server.endpoint)
+        part = self.settings.rules.cold_multiple / COLD_MARGIN * self.warmth(now, server)
         server.next_ms = now + self.random.uniform(least, most) / (part * self.even_rate)
 
     def settle(self, now: float) -> None:
--- a/honeywharf/policy/interface.py
+++ b/honeywharf/policy/interface.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from honeywharf.limits.storm import Coming as Coming
 from honeywharf.policy.reasons import Reason as Reason, Why as Why
 
 
@@ -277,6 +278,16 @@
     serial: int = 0
 
 
+@dataclass(slots=True)
+class EndpointsExcluded:
+    """Those that an operator has taken out, and no others: nothing new goes there, whatever is listed.
+
+    One that comes back is taken for cold, unless it is listed as started since it was taken out.
+    """
+
+    names: frozenset[str]
+
+
 @dataclass(slots=True, frozen=True)
 class Earlier:
     """An attempt that may have run, made for an earlier request of the same idempotency key."""
@@ -286,15 +297,6 @@
     sent_ms: float
 
 
-class Coming(Enum):
-    """How a request comes, as far as storms are concerned."""
-
-    FIRST = "first"
-    AS_TOLD = "as told"  # a repeat, not before the time that its refusal gave
-    EARLY = "early"  # before it
-    UNTOLD = "untold"  # a repeat of what was not refused here, as far as is known
-
-
 @dataclass(slots=True)
 class RequestArrived:
     """A request to answer exactly once within `remaining_ms`; `key` is empty where it has none.
@@ -390,7 +392,7 @@
 
 Event = (
     Started | EndpointsListed | RequestArrived | AttemptOpened | AttemptEnded | RequestExpired | ProbeEnded
-    | TimerFired | LoopTurned | PeerMessage | ClientsConnected
+    | TimerFired | LoopTurned | PeerMessage | ClientsConnected | EndpointsExcluded
 )
 
 
--- a/honeywharf/policy/retry.py
+++ b/honeywharf/policy/retry.py
@@ -1,4 +1,4 @@
-"""The budget of further attempts, and which calls hang."""
+"""What a further attempt costs, and which calls hang."""
 
 from __future__ import annotations
 
@@ -7,30 +7,10 @@
 from honeywharf.policy.endpoints import Attempt
 from honeywharf.policy.requests import Request
 
-RETRY_RATIO = 0.1  # retries earned by each first attempt: a tenth more load at most when all fails
-RETRY_BURST = 5.0  # retries a quiet balancer may make at once
 REJECTED_COST = 0.25  # of a retry: turned away unseen is little load; giving up wastes the tiers above
 HUNG_AFTER = 3.0  # typical answer times: about one answer in some hundred comes that late by chance
 
 
-class RetryBudget:
-    """Tokens that first attempts earn and further ones cost, up to a bound."""
-
-    def __init__(self) -> None:
-        self.tokens = RETRY_BURST
-
-    def earn(self) -> None:
-        """A first attempt."""
-        self.tokens = min(RETRY_BURST, self.tokens + RETRY_RATIO)
-
-    def spend(self, cost: float) -> bool:
-        """Whether there was so much, which is gone now."""
-        if self.tokens < cost:
-            return False
-        self.tokens -= cost
-        return True
-
-
 def cost_after(outcome: api.Outcome, elapsed_ms: float, typical_ms: float) -> float:
     """What another attempt costs after such an end: as much as the one that ended was load.
 
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -7,8 +7,9 @@
 import os
 import resource
 import signal
+import socket
 import sys
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -23,21 +24,18 @@
 from honeywharf.http.backend import Pool
 from honeywharf.http.front import Front
 from honeywharf.policy import Balancer, interface as api
+from honeywharf.service.keeper import Keeper
 
 if TYPE_CHECKING:
     from honeywharf.config.features import Features
+    from honeywharf.service.door import Door
 
 # Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
 # backend; the rest is for callers that idle. The proxy's own are those of the interpreter, the loop, the
 # listener and discovery, and room to accept while others are closing.
 OWN_SHARE, OWN_LEAST = 1 / 10, 20
 UPSTREAM_SHARE = 2 / 5
-ACCEPT_S = 0.6  # after SIGTERM: the front sends new connections for up to 0.4 s, and a busy machine runs late
-LAST_CALL_S = 0.5  # then, for connections that came and have not sent their request
-KILL_AFTER_MS = 3000.0  # SIGKILL comes 0.7 s after this, or the longest deadline if less, at the soonest
-BEFORE_KILL_S = 0.45  # so long after that time, what is still open is answered
 STATS_S = 10.0
-ENDED_S = 0.02  # how often it is asked whether clients without connections have been answered, at the end
 
 
 class Proxy:
@@ -60,13 +58,15 @@
             conf.settings, self.balancer, self.pool, loop, self.clock, conf.report_fields)
         self.directory = Directory(self.books)
         self.watch = Watch(
-            loop, self.clock, conf.discovery, self.directory, self.driver.listed,
+            loop, self.clock, conf.discovery, self.directory, self.listed,
             polled=conf.settings.polled_discovery)
         self.driver.registry = self.watch
         self.front = Front(loop, self.clock, self.driver, room - upstream, lambda: self.watch.up)
         self.features = features
         self.parts: list[Part] = attached(self, features) if features is not None else []
-        self.stopped = asyncio.Event()
+        self.keeper = Keeper(
+            loop, self.clock, self.front, self, max(c.deadline_ms for c in conf.settings.classes))
+        self.door: Door | None = None  # operators' second address
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
 
@@ -88,24 +88,43 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.drain)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.driver.start(self.directory.take(self.conf.known, api.ListKind.CACHED))
-        host, port = await self.front.listen(self.conf.listen)
+        self.listed(self.directory.take(self.conf.known, api.ListKind.CACHED), self.driver.start)
+        inherited = inherited_listener(self.conf.inherited)
+        self.keeper.shares_listener = inherited is not None
+        host, port = await self.front.listen(self.conf.listen, inherited)
         log(f"{self.conf.name} listens on {host}:{port}", "listening", fields={"host": host, "port": port})
+        self.keeper.listening()
         for part in self.parts:
             words = await part.start()
             if words:
                 log(f"{self.conf.name} {words}", "feature")
         if not self.conf.settings.polled_discovery:
             self.watch.watch()
+        if self.conf.operator is not None:
+            from honeywharf.service.door import Door
+
+            self.door = Door(self.loop, self.keeper.call)
+            host, port = await self.door.listen(self.conf.operator)
+            log(f"{self.conf.name} takes operators' calls on {host}:{port}", "listening",
+                fields={"host": host, "port": port})
         self.loop.call_later(STATS_S, self._stats)
         gc.collect()
         gc.freeze()  # the collector need not look at what stays
         gc.set_threshold(20000, 20, 50)
-        await self.stopped.wait()
+        await self.keeper.stopped.wait()
+        if self.door is not None:
+            self.door.close()
         for part in self.parts:
             part.close()
         self._stats()  # what was done since the last line is told too
 
+    def listed(
+        self, event: api.EndpointsListed, tell: Callable[[api.EndpointsListed], None] | None = None,
+    ) -> None:
+        """Discovery has spoken: the module is told, and who may be banned is known."""
+        self.keeper.bans.saw(self.directory.rows)
+        (tell or self.driver.listed)(event)
+
     def reload(self) -> None:
         """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
         try:
@@ -124,33 +143,27 @@
 
     def drain(self) -> None:
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
-        if self.front.draining:
-            return
-        self.front.drain()
+        self.keeper.terminate()
+
+    # What the keeper acts on.
+
+    def excluded(self, out: Mapping[str, float]) -> None:
+        """These endpoints are out by an operator's word, and no others."""
+        self.directory.exclude(out)
+        self.driver.excluded(frozenset(out))
+
+    def leaving(self) -> None:
+        """The process ends: its parts take nothing new."""
         for part in self.parts:
             part.drain()
-        longest = max(c.deadline_ms for c in self.conf.settings.classes)
-        self.loop.call_later(ACCEPT_S, self._close_listener)
-        self.loop.call_later(min(longest, KILL_AFTER_MS) / 1000.0 + BEFORE_KILL_S, self._cut_off)
-
-    def _close_listener(self) -> None:
-        self.front.stop_listening()
-        self.front.on_empty = self._ended
-        if not self.front.connections:
-            self._ended()
-        self.loop.call_later(LAST_CALL_S, self.front.close_idle)
-
-    def _ended(self) -> None:
-        """No caller's connection is left; those without one, who are owed something, are waited for."""
-        if any(part.owed() for part in self.parts):
-            self.loop.call_later(ENDED_S, self._ended)
-        elif not self.front.connections:
-            self.stopped.set()
-
-    def _cut_off(self) -> None:
+
+    def owed(self) -> bool:
+        """Whether one without a connection is still owed an answer."""
+        return any(part.owed() for part in self.parts)
+
+    def answer_all(self) -> None:
         """What is still open is answered before the process is killed."""
         self.driver.fail_all()
-        self.loop.call_later(0.05, self.stopped.set)
 
     def counts(self) -> dict[str, int]:
         """What was done since the start, with what its parts count."""
@@ -170,6 +183,24 @@
         self.loop.call_later(STATS_S, self._stats)
 
 
+def inherited_listener(number: int) -> socket.socket | None:
+    """The listening socket that the platform holds; None where it holds none.
+
+    ConfigError where the descriptor is no such socket: a client would never be met on it.
+    """
+    if number < 0:
+        return None
+    try:
+        made = socket.socket(fileno=number)
+        if made.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            return made
+        made.detach()
+        found = "a socket that does not listen"
+    except OSError as fault:
+        found = fault.strerror or str(fault)
+    raise config.ConfigError(f"NODE_INHERITED_FD: found {found} at {number}, wanted a listening socket")
+
+
 def attached(proxy: Proxy, features: Features) -> list[Part]:
     """The features that are on. Nothing of one that is off is imported: that costs memory."""
     parts: list[Part] = []
--- /dev/null
+++ b/honeywharf/service/keeper.py
@@ -0,0 +1,219 @@
+"""Carries a process's life out: timers, listener, clients' connections, and operators' calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from honeywharf.core.parts import Ask, AskError, Change
+from honeywharf.core.transport import Clock, log
+from honeywharf.service.bans import BanError, Bans
+from honeywharf.service.calls import Call
+from honeywharf.service.life import Event, ImpossibleError, Life, State, Step
+
+FINISHED_S = 0.02  # how often it is asked whether clients without connections have been answered, at the end
+
+
+class Front(Protocol):
+    """Clients' connections, as far as the life of the process concerns them."""
+
+    closing: bool  # answers close their connections
+    refusing: bool  # calls are refused
+    healthy: bool  # GET /health/ready is answered with yes, where the rest is ready
+    on_empty: Callable[[], None] | None
+
+    def ready(self) -> bool:
+        """Whether clients may come."""
+
+    def empty(self) -> bool:
+        """Whether no client's connection is open."""
+
+    def close_idle(self) -> None:
+        """Close the connections that hold no request and have had an answer."""
+
+    def close_silent(self) -> None:
+        """Close those on which no request has come, or part of one's head."""
+
+    def stop_listening(self) -> None:
+        """Take no new connection."""
+
+
+class Served(Protocol):
+    """What a keeper acts on beside the front: the proxy."""
+
+    def excluded(self, out: Mapping[str, float]) -> None:
+        """These endpoints are out by hand, since those times; no others are."""
+
+    def leaving(self) -> None:
+        """The process ends: its parts take nothing new."""
+
+    def owed(self) -> bool:
+        """Whether one without a connection is still owed an answer."""
+
+    def answer_all(self) -> None:
+        """Answer all that is open."""
+
+
+class Keeper:
+    """One process's life and bans, at work."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, clock: Clock, front: Front, served: Served, longest_ms: float,
+    ) -> None:
+        self.loop, self.clock, self.front, self.served = loop, clock, front, served
+        self.life, self.bans = Life(longest_ms), Bans()
+        self.shares_listener = False  # with another process, which goes on
+        self.stopped = asyncio.Event()
+        self.timer: asyncio.TimerHandle | None = None
+        self.give: Callable[[], None] | None = None  # connections go to the other process
+        #: Told of each change of bans or of evacuation by an operator's word, before it is answered.
+        self.changed: Callable[[], None] | None = None
+        front.on_empty = self.emptied
+
+    # What happens.
+
+    def happens(self, event: Event, cause: str) -> bool:
+        """Take an event; whether the state changed. `ImpossibleError` where it can't be."""
+        before = self.life.state
+        if not self.life.happens(self.clock.now(), event):
+            return False
+        state, conduct = self.life.state, self.life.conduct
+        if event is not Event.LISTENING:  # which has a line of its own
+            log(f"life: {before.value} -> {state.value}: {cause}", "life",
+                fields={"before": before.value, "after": state.value, "cause": cause})
+        front = self.front
+        front.closing, front.healthy, front.refusing = not conduct.keeps, conduct.healthy, False
+        if state in (State.ENDING, State.HANDING_OVER):
+            self.served.leaving()
+        elif state is State.ENDED:
+            self.stopped.set()
+        self._steps()
+        if state is State.EVACUATING:
+            self.loop.call_soon(self.emptied)  # nothing may be open as it is
+        return True
+
+    def listening(self) -> None:
+        """The listener is open."""
+        self.happens(Event.LISTENING, "the listener is open")
+
+    def terminate(self, cause: str = "SIGTERM") -> None:
+        """Leave service for good, without losing a request."""
+        self.happens(Event.HAND_OVER if self.shares_listener else Event.TERMINATE, cause)
+
+    def emptied(self) -> None:
+        """No client's connection is left, as far as is known."""
+        if not self.front.empty():
+            return
+        if self.life.state is State.EVACUATING:
+            self.happens(Event.EMPTIED, "no client's connection is left")
+        elif self.life.state in (State.ENDING, State.HANDING_OVER) and not any(
+                step is Step.STOP_ACCEPTING for _, step in self.life.due):
+            if self.served.owed():  # those without a connection, who are waited for
+                self.loop.call_later(FINISHED_S, self.emptied)
+            else:
+                self.happens(Event.FINISHED, "nothing is open")
+
+    def _steps(self) -> None:
+        """Do what is due, and come back for the rest."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        while (step := self.life.step(self.clock.now())) is not None:
+            self._do(step)
+        due_ms = self.life.next_ms()
+        if due_ms is not None:
+            self.timer = self.loop.call_later(max(0.0, due_ms - self.clock.now()) / 1000.0, self._steps)
+
+    def _do(self, step: Step) -> None:
+        if step is Step.CLOSE_IDLE:
+            self.front.close_idle()
+        elif step is Step.CLOSE_SILENT:
+            self.front.close_silent()
+        elif step is Step.REFUSE:
+            self.front.refusing = True
+        elif step is Step.STOP_ACCEPTING:
+            self.front.stop_listening()
+            self.loop.call_soon(self.emptied)
+        elif step is Step.GIVE:
+            if self.give is not None:
+                self.give()
+        elif step is Step.ANSWER_ALL:
+            self.served.answer_all()
+        else:
+            self.happens(Event.FINISHED, "time is up")
+
+    # What operators say.
+
+    def asks(self) -> dict[str, Ask]:
+        """The calls, for both doors: each of a name and, of a backend, its `id`."""
+        return {
+            "readyz": lambda _: self.readyz(),
+            "exclude": Change(lambda of: self.exclude(_id(of))),
+            "include": Change(lambda of: self.include(_id(of))),
+            "evacuate": Change(lambda _: self.evacuate()),
+            "activate": Change(lambda _: self.activate()),
+        }
+
+    def call(self, call: Call) -> str:
+        """Carry out what was said at the second address; ValueError says why not."""
+        ask = self.asks()[call.do]
+        if isinstance(ask, Change):
+            log(f"operator: {call.do} {call.of}".rstrip(), "operator.change",
+                fields={"do": call.do, "id": call.of})
+        return str(ask({"id": call.of}))
+
+    def readyz(self) -> str:
+        """Whether this process takes clients."""
+        if not (self.life.conduct.readyz and self.front.ready()):
+            raise AskError(f"not ready: {self.life.state.value}")
+        return self.life.state.value
+
+    def exclude(self, name: str) -> str:
+        """Take a backend out until it is included again."""
+        try:
+            new = self.bans.exclude(name, self.clock.now())
+        except BanError as fault:
+            raise AskError(str(fault)) from None
+        if new:
+            self.banned()
+        return f"{name} is out" if new else f"{name} was out already"
+
+    def include(self, name: str) -> str:
+        """Use a backend again."""
+        try:
+            new = self.bans.include(name)
+        except BanError as fault:
+            raise AskError(str(fault)) from None
+        if new:
+            self.banned()
+        return f"{name} is used again" if new else f"{name} was not out"
+
+    def banned(self) -> None:
+        """The bans have changed: the module, the books and the other process are told."""
+        self.served.excluded(self.bans.since)
+        if self.changed is not None:
+            self.changed()
+
+    def evacuate(self) -> str:
+        """Empty this proxy of clients; it stays."""
+        return self._by_hand(Event.EVACUATE)
+
+    def activate(self) -> str:
+        """The end of an evacuation."""
+        return self._by_hand(Event.ACTIVATE)
+
+    def _by_hand(self, event: Event) -> str:
+        try:
+            new = self.happens(event, f"an operator's {event.value}")
+        except ImpossibleError as fault:
+            raise AskError(str(fault)) from None
+        if new and self.changed is not None:
+            self.changed()
+        return self.life.state.value
+
+
+def _id(of: Mapping[str, str]) -> str:
+    if not of.get("id"):
+        raise AskError("found no id, wanted that of a backend")
+    return of["id"]
--- a/tests/coap/test_front.py
+++ b/tests/coap/test_front.py
@@ -19,6 +19,7 @@
 from honeywharf.codecs import coap
 from honeywharf.config.features import Coap, Features, OrderKeys
 from honeywharf.policy import interface as api
+from honeywharf.service.life import Step
 from honeywharf.standins.lossy import Lossy
 from tests.loopback import Backend, Client, World, reply, run, soon, until, world
 
@@ -441,7 +442,7 @@
             await until(lambda: len(backend.requests) == 1)
             w.proxy.drain()
             assert (await second.ask(told(key=b"new"))).code == coap.SERVICE_UNAVAILABLE
-            await until(lambda: w.proxy.front.on_empty is not None)  # the listener is closed by then
+            await until(lambda: not any(s is Step.STOP_ACCEPTING for _, s in w.proxy.keeper.life.due))
             assert w.running is not None
             assert not w.running.done()  # what is open holds the process
             for writer in list(backend.writers):
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -312,7 +312,7 @@
 
 
 def test_the_end_comes_even_when_a_backend_never_answers(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("honeywharf.proxy.KILL_AFTER_MS", 100.0)
+    monkeypatch.setattr("honeywharf.service.life.KILL_AFTER_MS", 100.0)
 
     async def main() -> None:
         backend = await Backend().start()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
 ALLOWED = {
     "limits": ("limits",),
     "policy": ("policy", "limits"),
+    "service": ("service", "core", "policy"),
     "reports": ("reports", "core", "policy"),
     "storms": ("storms", "core", "policy"),
     "traces": ("VERSION", "traces", "core", "policy"),
@@ -27,12 +28,13 @@
     **{name: (name, "codecs", "core", "policy") for name in PROTOCOLS},
     "proxy.py": (
         *PROTOCOLS, "admin", "config", "core", "limits", "logs", "metrics", "orderkeys", "policy", "reports",
-        "storms", "traces"),
+        "service", "storms", "traces"),
     "cli": ("VERSION", "admin", "cli", "config", "lab", "proxy", "standins", "traces"),
     "__main__.py": ("cli", "proxy"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
-PURE = ("policy", "limits", "reports", "storms", "codecs", "orderkeys/table.py", "orderkeys/edge.py",
+PURE = ("policy", "limits", "reports", "storms", "codecs", "service/life.py",
+        "service/bans.py", "service/calls.py", "orderkeys/table.py", "orderkeys/edge.py",
         "orderkeys/shared.py", "orderkeys/scripts.py", "coap/options.py", "coap/blocks.py",
         "coap/messages.py", "coap/client.py", "lab/model.py", "lab/habits.py", "lab/doors.py",
         "lab/population.py", "lab/simulator.py", "lab/days.py", "traces/context.py", "traces/spans.py",
