Take new settings at SIGHUP, whole or not at all

Cause: Proxy.reload took over discovery alone and told the rest to wait for a start; a file without a key fell back to defaults (wire.settings: one attempt). Change: config/retune.py holds a file against the one in force, key by key, and turns it down with the key, what was found and what is wanted; SettingsChanged tells the module; the pool, the keeper and features follow. Classes that vanish are known for the longest deadline more; one that became stricter takes requests of its former form as long. Figures over 1e18 are refused by name.

--- a/honeywharf/config/node.py
+++ b/honeywharf/config/node.py
@@ -4,7 +4,7 @@
 
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import orjson
@@ -13,6 +13,8 @@
 from honeywharf.core.transport import Address, address
 from honeywharf.policy import interface as api
 
+MOST_BYTES = 16 * 1024 * 1024  # of the file, with the known list of a large fleet
+
 
 class ConfigError(Exception):
     """What is wrong with the configuration, in one plain line."""
@@ -32,6 +34,7 @@
     report_fields: tuple[str, ...]  # as the settings name them
     operator: Address | None = None  # where operators' calls come, if they do
     inherited: int = -1  # the descriptor of a listening socket that the platform holds; under 0 for none
+    raw: dict[str, Any] = field(default_factory=dict, repr=False, compare=False)  # as it was read
 
 
 def load(environ: Mapping[str, str] = os.environ) -> Config:
@@ -41,7 +44,10 @@
         raise ConfigError("NODE_CONFIG is not set")
     try:
         with open(path, "rb") as file:
-            raw = orjson.loads(file.read())
+            data = file.read(MOST_BYTES + 1)
+        if len(data) > MOST_BYTES:
+            raise ConfigError(f"NODE_CONFIG: found over {MOST_BYTES} bytes, wanted less")
+        raw = orjson.loads(data)
     except OSError as fault:
         raise ConfigError(f"NODE_CONFIG: {fault.strerror or fault}") from None
     except orjson.JSONDecodeError as fault:
@@ -67,26 +73,27 @@
         raise ValueError("limits.sockets: a whole number of at least 32 is wanted")
     report = settings.get("report")
     fields = report.get("fields") if isinstance(report, dict) else None
-    typed = wire.settings(settings)
+    typed, operator = wire.settings(settings), raw.get("operator") or environ.get("NODE_OPERATOR")
     return Config(
         name=str(raw.get("name") or environ.get("NODE_NAME") or "proxy"),
-        listen=address(raw.get("listen") or environ.get("NODE_LISTEN")),
-        discovery=address(raw.get("discovery") or environ.get("NODE_DISCOVERY")),
+        listen=_address("listen", raw.get("listen") or environ.get("NODE_LISTEN")),
+        discovery=_address("discovery", raw.get("discovery") or environ.get("NODE_DISCOVERY")),
         seed=_seed(raw.get("seed")),
         sockets=sockets,
         known=known,
         settings=typed,
         report_fields=tuple(fields) if isinstance(fields, list) else (),
-        operator=_operator(raw.get("operator") or environ.get("NODE_OPERATOR")),
+        operator=_address("operator", operator) if operator else None,
         inherited=_inherited(environ.get("NODE_INHERITED_FD")),
+        raw={k: v for k, v in raw.items() if k != "known"},
     )
 
 
-def _operator(value: object) -> Address | None:
+def _address(key: str, value: object) -> Address:
     try:
-        return address(value) if value else None
+        return address(value)
     except ValueError as fault:
-        raise ValueError(f"operator: {fault}") from None
+        raise ValueError(f"{key}: {fault}") from None
 
 
 def _inherited(value: str | None) -> int:
--- a/honeywharf/config/source.py
+++ b/honeywharf/config/source.py
@@ -16,10 +16,10 @@
 
 from honeywharf.config import features as of_features, node, places
 
-#: What SIGHUP takes over; all else waits for a start.
-RELOADED = frozenset({"node.discovery"})
+#: What SIGHUP takes over, with all below it; all else waits for a start.
+RELOADED = ("node.discovery", "node.settings", "node.report_fields")
 HIDDEN = ("traces.otlp.headers",)  # values that may be credentials
-UNSHOWN = frozenset({"node.known", "node.seed"})  # a list of nodes, and what nobody sets
+UNSHOWN = frozenset({"node.known", "node.seed", "node.raw"})  # a list of nodes, and what nobody sets
 
 
 class Value(msgspec.Struct, frozen=True):
@@ -106,5 +106,5 @@
 def differences(held: Mapping[str, Any], wanted: Mapping[str, Any]) -> list[Difference]:
     """The keys whose values differ, and when what the files say would be taken over."""
     keys = [*held, *(k for k in wanted if k not in held)]
-    return [Difference(k, held.get(k), wanted.get(k), "reload" if k in RELOADED else "start")
+    return [Difference(k, held.get(k), wanted.get(k), "reload" if k.startswith(RELOADED) else "start")
             for k in keys if held.get(k) != wanted.get(k)]
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -120,6 +120,7 @@
         self.pace: Callable[[float], None] | None = None  # who accepts so many connections a second
         self.connected = 0  # since the module was told
         self.classes = {c.name: c for c in settings.classes}
+        self.former: dict[str, api.RequestClass] = {}  # by name: classes that were less strict until just now
         # A report's figures by the settings' names, or by the interface's where they are the same thing.
         self.report_fields = tuple(zip(report_fields, settings.report_fields, strict=False))
         self.requests: dict[str, Exchange] = {}
@@ -150,6 +151,15 @@
             return "no id"
         if request.left_ms is None:
             return "no time left"
+        fault = self._misfit(request, cls)
+        former = self.former.get(request.class_name)
+        if fault is not None and former is not None:
+            # It was written before the class became stricter, under whose rules it is served.
+            fault = self._misfit(request, former)
+        return fault
+
+    def _misfit(self, request: Request, cls: api.RequestClass) -> str | None:
+        """Why the request has not the form of its class, if so."""
         if request.method != (b"GET" if cls.effect is api.Effect.REPEATABLE else b"POST"):
             return "a method that is not the class's"
         if request.method == b"GET" and request.body:
@@ -197,7 +207,7 @@
         cls = self.classes[request.class_name]
         left = max(0.0, min(request.left_ms, cls.deadline_ms) - ANSWER_MARGIN_MS)
         left -= self.clock.now() - request.read_ms
-        if self.keys is not None and cls.effect is api.Effect.KEYED:
+        if self.keys is not None and cls.effect is api.Effect.KEYED and request.idempotency_key:
             return self.keys.arrived(request, caller, left)
         return self.take(request, caller, left)
 
@@ -239,6 +249,17 @@
         self.events.appendleft((event, None))
         self._run()
 
+    def retune(
+        self, settings: api.Settings, report_fields: tuple[str, ...],
+        former: dict[str, api.RequestClass],
+    ) -> None:
+        """Take new settings over, before all that waits. `former`: classes that may come in that form too."""
+        self.settings, self.former = settings, former
+        self.classes = {c.name: c for c in settings.classes}
+        self.report_fields = tuple(zip(report_fields, settings.report_fields, strict=False))
+        self.events.appendleft((api.SettingsChanged(settings), None))
+        self._run()
+
     def excluded(self, names: frozenset[str]) -> None:
         """An operator's word on who is out goes before all that waits, as discovery's does."""
         self.events.appendleft((api.EndpointsExcluded(names), None))
--- a/honeywharf/core/parts.py
+++ b/honeywharf/core/parts.py
@@ -98,5 +98,8 @@
         """What an operator may ask of it, by name; what changes something is a Change."""
         return {}
 
+    def retuned(self) -> None:
+        """The driver's settings are new."""
+
     def close(self) -> None:
         """Nobody is owed anything any more."""
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -201,8 +201,8 @@
         self, loop: asyncio.AbstractEventLoop, clock: Clock, limits: api.Limits, most: int,
     ) -> None:
         self.loop, self.clock, self.most = loop, clock, most
-        self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
-        self.idle_ms = max(0.0, limits.idle_ms - IDLE_MARGIN_MS) if limits.idle_ms else 60000.0
+        self.connect_timeout_s = self.idle_ms = 0.0
+        self.retune(limits)
         self.backends: dict[str, Backend] = {}
         self.count = 0  # connections open or opening
         self.handshakes = 0
@@ -211,6 +211,11 @@
         self.tasks: set[asyncio.Task[None]] = set()
         loop.call_later(SWEEP_S, self._sweep)
 
+    def retune(self, limits: api.Limits) -> None:
+        """Go by the site's limits, for connections that are open too."""
+        self.connect_timeout_s = (limits.connect_timeout_ms or 1000.0) / 1000.0
+        self.idle_ms = max(0.0, limits.idle_ms - IDLE_MARGIN_MS) if limits.idle_ms else 60000.0
+
     # The list.
 
     def name(self, endpoint: str, address: Address, started_ms: float | None, *, open_for_work: bool) -> None:
--- a/honeywharf/orderkeys/__init__.py
+++ b/honeywharf/orderkeys/__init__.py
@@ -32,13 +32,20 @@
 class KeysPart(Part):
     """The keys of one proxy, for those who ask."""
 
-    def __init__(self, proxy: Assembly) -> None:
+    def __init__(self, proxy: Assembly, features: OrderKeys) -> None:
         from honeywharf.orderkeys.edge import Edge
         from honeywharf.orderkeys.views import Views
 
         assert isinstance(proxy.driver.keys, Edge)
+        self.edge, self.driver, self.features = proxy.driver.keys, proxy.driver, features
         self.views = Views(proxy.driver.keys, proxy.loop)
 
+    def retuned(self) -> None:
+        """How long a key is known goes by the classes; those of a class that went are known as before."""
+        from honeywharf.orderkeys.edge import kept_ms
+
+        self.edge.keep_ms = {**self.edge.keep_ms, **kept_ms(self.driver.settings, self.features)}
+
     def asks(self) -> Mapping[str, Ask]:
         """What is known of a key, and having it forgotten."""
         return self.views.asks()
@@ -55,4 +62,4 @@
         from honeywharf.orderkeys import edge
 
         proxy.driver.keys = edge.make(proxy.driver, features)
-    return KeysPart(proxy)
+    return KeysPart(proxy, features)
--- a/honeywharf/policy/admission.py
+++ b/honeywharf/policy/admission.py
@@ -27,6 +27,13 @@
         self.mean_worth = max(c.worth for c in settings.classes) or 1.0
         self.loop = limits.LoopLimiter(min(c.aim_ms for c in settings.classes))
 
+    def retune(self, settings: api.Settings) -> None:
+        """Take new settings over; tenants whose quota changed begin with a full share of the new one."""
+        before, self.settings = self.tenants, settings
+        self.tenants = {t.name: t for t in settings.tenants}
+        for name in [n for n in self.buckets if self.tenants.get(n) != before.get(n)]:
+            del self.buckets[name]
+
     def make_limiter(self) -> limits.Limiter:
         """A limiter of a zone's calls; the balancers of a zone share its servers evenly."""
         settings = self.settings
--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -69,6 +69,11 @@
                 self._changed(self.storms)
         elif isinstance(event, api.EndpointsExcluded):
             self.endpoints.exclude(now_ms, event.names)
+        elif isinstance(event, api.SettingsChanged):
+            self.settings = self.endpoints.settings = self.choice.settings = event.settings
+            self.classes = {c.name: c for c in event.settings.classes}
+            self.admission.retune(event.settings)
+            self.order.turn_gap_ms = event.settings.rules.turn_gap_ms
         elif isinstance(event, api.AttemptOpened) and event.request in self.requests:
             self.requests[event.request].answered = True  # the stream is the client's: nothing more is owed
         while self.order.turns:
--- a/honeywharf/policy/endpoints.py
+++ b/honeywharf/policy/endpoints.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass, field
 
 from honeywharf import limits
+from honeywharf.limits.rate import AnswerRate
 from honeywharf.policy import interface as api
 
 REVIEW_MS = 250.0  # how often slowly changing judgements are renewed: short against any trouble
 EVEN_PACE = 1.2  # up to here a server keeps its even share; a slower one gets less, in the square of its pace
 COLD_MARGIN = 3.0  # of the multiple that pushes a cold server over, a third: calls come by chance and differ
-RATE_OVER_MS = 5000.0  # in which the rate of answers follows upwards: longer than bursts of chance
-RATE_KEPT_MS = 60000.0  # and downwards: what a server could do is still known when nothing answers
 OPEN_MS = 50.0  # after the first call for which limits may be open: jams take longer, and fast servers answer
 SLIVER = 1.0  # call over the limit, by worth: a limit of about one turns a third away by chance alone
 SLIVERS = 0.5  # calls for each server that all balancers' slivers may come to: more of them keep jams full
@@ -106,10 +105,9 @@
         self.zones: dict[str, Zone] = {}
         self.levels: list[list[Server]] = [[], [], []]
         self.review_at = 0.0
-        self.served, self.reviewed_ms = 0, 0.0  # answers since the last review
         aim = max(c.aim_ms for c in settings.classes)
         # Answers a ms of a warm server, to this balancer: at least one for each aim, over all balancers.
-        self.even_rate = self.least_rate = 1.0 / (aim * settings.balancers)
+        self.rate = AnswerRate(1.0 / (aim * settings.balancers))
         self.settles_ms = 0.0  # when zones that have not answered since the first call begin at a first value
 
     def listed(self, now: float, event: api.EndpointsListed) -> None:
@@ -157,12 +155,7 @@
             server.cold, server.share = warmth < 1.0, warmth * max(0.2, fitness)
         # Ejection never leaves a live fleet unusable: with none usable, all that are ready count as usable.
         usable = [s for s in ready if s.usable_at <= now] or ready
-        span = max(1.0, now - self.reviewed_ms)
-        rate = self.served / span / (sum(s.share for s in usable) or 1.0)
-        follow = RATE_OVER_MS if rate > self.even_rate else RATE_KEPT_MS
-        self.even_rate += (rate - self.even_rate) * min(1.0, span / follow)
-        self.even_rate = max(self.least_rate, self.even_rate)
-        self.served, self.reviewed_ms = 0, now
+        self.rate.look(now, sum(s.share for s in usable))
         self.levels = [[s for s in usable if s.endpoint.zone == self.settings.zone], usable, usable]
         for zone in self.zones.values():
             zone.spare, zone.ready, zone.capacity = 0, 0, 0.0
@@ -194,7 +187,7 @@
         Guards against pushing it over: all balancers together send its part of what warm servers answered.
         """
         part = self.settings.rules.cold_multiple / COLD_MARGIN * self.warmth(now, server)
-        server.next_ms = now + self.random.uniform(least, most) / (part * self.even_rate)
+        server.next_ms = now + self.random.uniform(least, most) / (part * self.rate.per_ms)
 
     def settle(self, now: float) -> None:
         """Some time after the first call: zones that have not answered begin at a first value."""
--- a/honeywharf/policy/health.py
+++ b/honeywharf/policy/health.py
@@ -57,7 +57,7 @@
             times.learn(name, typical, event.elapsed_ms)
             server.failures = 0
             server.silent.pop(name, None)
-            self.endpoints.served += 1
+            self.endpoints.rate.answers += 1
             if strain < 0:
                 server.pauses = 0
         else:
--- a/honeywharf/policy/interface.py
+++ b/honeywharf/policy/interface.py
@@ -288,6 +288,13 @@
     names: frozenset[str]
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """New settings, as a whole. Requests under way keep their class; zone and tier do not change."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class Earlier:
     """An attempt that may have run, made for an earlier request of the same idempotency key."""
@@ -392,7 +399,7 @@
 
 Event = (
     Started | EndpointsListed | RequestArrived | AttemptOpened | AttemptEnded | RequestExpired | ProbeEnded
-    | TimerFired | LoopTurned | PeerMessage | ClientsConnected | EndpointsExcluded
+    | TimerFired | LoopTurned | PeerMessage | ClientsConnected | EndpointsExcluded | SettingsChanged
 )
 
 
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -126,21 +126,51 @@
         (tell or self.driver.listed)(event)
 
     def reload(self) -> None:
-        """Take over where discovery is now. All that is held, requests and records, goes on untouched."""
+        """Take a new file over, whole or not at all. All that is held, requests and records, goes on."""
+        from honeywharf.config import retune
+
+        held = self.conf
         try:
             conf = config.load(self.environ)
+            retune.check(held, conf)
+            faults = list(unfit(self.features, conf)) if self.features is not None else []
+            if faults:
+                raise retune.RetuneError("{}: {}".format(*faults[0]))
+            # Held against what is in force, with classes that vanished only just now.
+            between = retune.between(self.driver.settings, conf.settings)
+            former = retune.former(self.driver.settings, conf.settings)
         except Exception as fault:  # a bad file, however bad, must not end a proxy in service
             log(f"reload: {fault or type(fault).__name__}; the configuration held stays", "reload.failed",
                 "error")
             return
-        old, self.conf = self.conf, replace(self.conf, discovery=conf.discovery)
-        if conf.discovery != old.discovery:
+        self.conf = replace(conf, listen=held.listen, sockets=held.sockets, operator=held.operator,
+                            inherited=held.inherited)
+        if conf.discovery != held.discovery:
             log(f"reload: discovery is at {conf.discovery[0]}:{conf.discovery[1]}", "reload.done")
-        if (conf.listen, conf.sockets, conf.settings) != (old.listen, old.sockets, old.settings):
-            log("reload: listen, limits and settings are taken over at the next start", "reload.waits",
-                "warning")
+        if (conf.listen, conf.sockets, conf.operator) != (held.listen, held.sockets, held.operator):
+            log("reload: addresses and limits are taken over at the next start", "reload.waits", "warning")
+        if (conf.settings, conf.report_fields) != (held.settings, held.report_fields):
+            names = ", ".join(c.name for c in conf.settings.classes)
+            log(f"reload: new settings, of classes {names}", "reload.done",
+                fields={"classes": [c.name for c in conf.settings.classes]})
+            grace_s = retune.grace_ms(self.driver.settings, conf.settings) / 1000.0
+            self._retune(between, former)
+            self.loop.call_later(grace_s, self._retuned, self.conf)
         self.watch.move(conf.discovery)
 
+    def _retune(self, settings: api.Settings, former: dict[str, api.RequestClass]) -> None:
+        """Let all parts go by new settings."""
+        self.driver.retune(settings, self.conf.report_fields, former)
+        self.pool.retune(settings.limits)
+        self.keeper.life.longest_ms = max(c.deadline_ms for c in settings.classes)
+        for part in self.parts:
+            part.retuned()
+
+    def _retuned(self, conf: config.Config) -> None:
+        """What was under way by the settings of before has ended, unless there are newer ones by now."""
+        if self.conf is conf:
+            self._retune(conf.settings, {})
+
     def drain(self) -> None:
         """Leave service without losing a request: see DEPLOY and PROTOCOL on planned restarts."""
         self.keeper.terminate()
--- a/honeywharf/wire.py
+++ b/honeywharf/wire.py
@@ -47,6 +47,7 @@
 }
 
 _MISSING = object()
+MOST = 1e18  # of any figure: times are ms of Unix time, 1.8e12
 
 
 def _number(fields: Mapping[str, Any], name: str, default: Any = _MISSING) -> float:
@@ -55,6 +56,8 @@
         return float(default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise WireError(f"{name}: a number is wanted, not {value!r}")
+    if not -MOST <= value <= MOST:  # so neither infinity nor what is no number
+        raise WireError(f"{name}: a number of at most {MOST:g} is wanted, not {value!r}")
     return float(value)
 
 
