--- a/honeywharf/codecs/http1.py
+++ b/honeywharf/codecs/http1.py
@@ -8,6 +8,8 @@
 import httptools
 
 from honeywharf.core import messages
+from honeywharf.flow.account import Account
+from honeywharf.flow.pipe import Pipe
 
 MAX_HEAD = 16 * 1024
 SLICE = 4 * 1024  # bytes of a head given to a parser at once: what it may hold unseen beside the bound
@@ -59,6 +61,32 @@
     return value.isdigit() and (len(value) > 18 or int(value) > most)
 
 
+LAST_CHUNK = b"0\r\n\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk of a body of unknown length (RFC 9112, 7.1)."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def begun_answer(
+    status: int, length: int | None, *, keep: bool, chunked: bool, kind: bytes = b"", lines: bytes = b"",
+) -> bytes:
+    """The head of an answer whose body follows as it arrives; with neither length nor chunks, up to the end
+    of the connection."""
+    head = b"HTTP/1.1 %d %b\r\n" % (status, REASONS.get(status, b"Answer"))
+    if length is not None:
+        head += b"Content-Length: %d\r\n" % length
+    elif chunked:
+        head += CHUNKED
+    if kind:
+        head += b"Content-Type: %b\r\n" % kind
+    if not keep:
+        head += b"Connection: close\r\n"
+    return head + lines + b"\r\n"
+
+
 def answer(
     status: int, body: bytes = b"", *, keep: bool = True, retry_after_ms: float = 0.0, kind: bytes = b"",
     lines: bytes = b"",
@@ -87,11 +115,19 @@
         self.keep = True
         self.made_head = b""  # its head for a node, once it has been asked for
 
+    @property
+    def streams(self) -> bool:
+        """Its caller takes an answer as it arrives."""
+        return True
+
     def head(self) -> bytes:
         """Its head for a node, up to the time left."""
         if not self.made_head:
             lines = [b"%b %b HTTP/1.1\r\n" % (self.method, self.target), *self.forwarded]
-            if self.body or self.method != b"GET":
+            if self.pipe is not None:
+                length = self.pipe.length
+                lines.append(CHUNKED if length is None else b"Content-Length: %d\r\n" % length)
+            elif self.body or self.method != b"GET":
                 lines.append(b"Content-Length: %d\r\n" % len(self.body))
             self.made_head = b"".join(lines)
         return self.made_head
@@ -271,18 +307,27 @@
         raise MalformedError(400, "no other protocol was asked for")
 
 
+ALONE = 16 * 1024 * 1024  # bytes of long bodies that a reader without an account may hold
+
+
 class RequestReader(_Reader):
     """Turns what one caller sends into requests.
 
+    One whose body is longer than may be held whole is given as soon as that is known, with the rest of its
+    body on the way in its pipe; where the account has no place for it, its pipe has none either (`place`).
+
     An offer of another protocol (RFC 9110, 7.8) is ignored. The parser ends such a message at its head and
     takes its body for the other protocol, so it is given a head of the same framing once more, of which
     nothing is noted: what it then finds is the body.
     """
 
-    def __init__(self) -> None:
-        super().__init__(messages.MAX_BODY)
+    def __init__(self, account: Account | None = None) -> None:
+        super().__init__(messages.MOST_BODY)
+        self.account = account or Account(ALONE)
+        self.pipe: Pipe | None = None  # of the request that is being read
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
         self.request = NONE
+        self.length = -1  # of its body, where that was said
         self.done: list[Request] = []
         self.fault: MalformedError | None = None
         self.framing = b""  # header lines that say where the message ends
@@ -312,7 +357,7 @@
         """A message begins."""
         if not self.again:
             super().on_message_begin()
-            self.request, self.framing = Request(), b""
+            self.request, self.framing, self.length = Request(), b"", -1
 
     def on_url(self, url: bytes) -> None:
         """A part of the target."""
@@ -339,6 +384,8 @@
         elif key == b"content-length":
             if too_long(value, self.max_body):
                 raise MalformedError(413, "the body is too long")
+            if value.strip().isdigit():
+                self.length = int(value)
             self.framing += b"%b: %b\r\n" % (name, value)
         elif key == b"transfer-encoding":
             if value.strip().lower() != b"chunked":  # the parser lets them pass
@@ -360,11 +407,47 @@
             request.expects = request.interim = False  # its expectations are ignored (RFC 9110, 10.1.1)
         # A proxy keeps no connection with a client of HTTP/1.0 (RFC 9112, 9.3), whatever that asks for.
         request.keep = version == "1.1" and self.parser.should_keep_alive()
+        if self.length > messages.MAX_BODY:
+            self._begin(self.length)
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self.pipe is None:
+            super().on_body(data)
+            if self.body_bytes > messages.MAX_BODY:  # in chunks: nothing had said so
+                self._begin(None)
+            return
+        self.unsaid = -1
+        self.body_bytes += len(data)
+        if self.body_bytes > self.max_body:
+            raise MalformedError(413, "the body is too long")
+        self.pipe.push(data)
+
+    def _begin(self, length: int | None) -> None:
+        """The body is too long to be held whole: its request is given, and the rest follows."""
+        pipe = self.pipe = Pipe(self.account, length, place=self.account.enter())
+        parts, self.parts = self.parts, []
+        for part in parts:
+            pipe.push(part)
+        self.request.pipe = pipe
+        self.done.append(self.request)
+
+    def close(self) -> None:
+        """Let go of the parser; a body that is on the way breaks off."""
+        if self.pipe is not None:
+            pipe, self.pipe = self.pipe, None
+            pipe.fail()
+        super().close()
 
     def on_message_complete(self) -> None:
         """The message is whole."""
         if self.parser.should_upgrade():
             return  # only its head: see above
+        if self.pipe is not None:
+            pipe, self.pipe = self.pipe, None
+            self.request, self.in_body = NONE, False
+            pipe.finish()
+            return
         request, self.request, self.in_body = self.request, NONE, False  # an idle connection keeps none
         request.body, self.parts = self.body(), []
         self.done.append(request)
@@ -383,10 +466,20 @@
 
 
 class ResponseReader(_Reader):
-    """Turns what comes back on one connection into answers, one to a request."""
+    """Turns what comes back on one connection into answers, one to a request.
+
+    With an account, a 200 whose body is longer than `whole` is given as soon as that is known, with the
+    rest of its body on the way in its pipe; `pipe` is None again once all of it has come.
+    """
 
-    def __init__(self, max_body: int = messages.MAX_ANSWER) -> None:
+    def __init__(self, max_body: int = messages.MAX_ANSWER, account: Account | None = None) -> None:
         super().__init__(max_body)
+        self.account = account
+        self.whole_most = 0  # bytes of a body that is held whole, where longer ones are passed on; 0: none is
+        self.pipe: Pipe | None = None
+        self.length = -1
+        self.chunked = False
+        self.keeps = False  # whether the connection may carry another call after the answer that is passed on
         self.parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
         self.response = Response()
         self.done: Response | None = None
@@ -403,9 +496,12 @@
         try:
             self._feed(data)
         except MalformedError:
-            if not self.whole:
-                raise
+            pipe, self.pipe = self.pipe, None
             self.surplus = True
+            if pipe is not None:
+                pipe.fail()  # what was passed on of it is visibly broken
+            elif not self.whole:
+                raise
         return self._take()
 
     @property
@@ -419,10 +515,10 @@
 
     def on_message_begin(self) -> None:
         """A message begins."""
-        if self.whole:
+        if self.whole or self.pipe is not None:
             raise MalformedError(400, "more than one answer")
         super().on_message_begin()
-        self.response = Response()
+        self.response, self.length, self.chunked = Response(), -1, False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """A header, whole."""
@@ -438,17 +534,65 @@
             self.response.kind = value
         elif key == b"traceresponse":
             self.response.trace = value
-        elif key == b"content-length" and too_long(value, self.max_body):
-            # Guards against reading, up to the cap, what is said to be gigabytes.
-            raise MalformedError(413, "the body is too long")
+        elif key == b"content-length":
+            most = messages.MOST_BODY if self.whole_most else self.max_body
+            if too_long(value, most):
+                # Guards against reading, up to the cap, what is said to be gigabytes.
+                raise MalformedError(413, "the body is too long")
+            if value.strip().isdigit():
+                self.length = int(value)
+        elif key == b"transfer-encoding":
+            self.chunked = True
 
     def on_headers_complete(self) -> None:
         """The head is whole."""
         self.in_head, self.in_body = False, True
+        if 0 < self.whole_most < self.length:
+            self._begin(self.length)
+
+    def on_body(self, data: bytes) -> None:
+        """A part of the body."""
+        if self.pipe is None:
+            super().on_body(data)
+            if 0 < self.whole_most < self.body_bytes:
+                self._begin(None)
+            return
+        self.unsaid = -1
+        self.body_bytes += len(data)
+        if self.body_bytes > messages.MOST_BODY:
+            raise MalformedError(413, "the body is too long")
+        self.pipe.push(data)
+
+    def _begin(self, length: int | None) -> None:
+        """The body is too long to be held whole; only one that answers the request is passed on."""
+        if self.account is None or self.parser.get_status_code() != 200:
+            if self.body_bytes > self.max_body or self.length > self.max_body:
+                raise MalformedError(413, "the body is too long")
+            return
+        response = self.response
+        pipe = self.pipe = response.pipe = Pipe(self.account, length, place=False)
+        parts, self.parts = self.parts, []
+        for part in parts:
+            pipe.push(part)
+        response.status = 200
+        self.keeps = response.keep = self.parser.should_keep_alive()
+        self.done = response
+
+    def end(self) -> Response | None:
+        """The connection has ended: the answer, where that is how its body ends (RFC 9112, 6.3)."""
+        if not self.in_body or self.length >= 0 or self.chunked:
+            return None
+        self.on_message_complete()
+        return self._take()
 
     def on_message_complete(self) -> None:
         """The message is whole."""
         self.in_body = False
+        if self.pipe is not None:
+            pipe, self.pipe = self.pipe, None
+            self.response = Response()
+            pipe.finish()
+            return
         status = self.parser.get_status_code()
         if status < 200:  # an interim answer: the real one follows, and nothing of this one stays
             self.parts, self.interim = [], self.interim + 1
--- a/honeywharf/config/node.py
+++ b/honeywharf/config/node.py
@@ -29,6 +29,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     known: dict[str, Any]
     settings: api.Settings
     report_fields: tuple[str, ...]  # as the settings name them
@@ -80,6 +81,7 @@
         discovery=_address("discovery", raw.get("discovery") or environ.get("NODE_DISCOVERY")),
         seed=_seed(raw.get("seed")),
         sockets=sockets,
+        memory_mb=_memory(limits.get("memory_mb", 192)),
         known=known,
         settings=typed,
         report_fields=tuple(fields) if isinstance(fields, list) else (),
@@ -104,6 +106,12 @@
     return int(value)
 
 
+def _memory(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 16 <= value <= 1e6:
+        raise ValueError(f"limits.memory_mb: a number of at least 16 is wanted, not {value!r}")
+    return float(value)
+
+
 def _seed(value: object) -> int:
     if isinstance(value, int):
         return value
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from typing import cast
 
 from honeywharf.core.messages import Request, Response, Status, Traced, pairs
 from honeywharf.core.transport import (
@@ -17,6 +18,7 @@
     Keys,
     Loop,
     Registry,
+    StreamingCaller,
     Timer,
     Tracer,
     Transport,
@@ -32,6 +34,7 @@
 # The request's timer may come so early, and ends its attempts. Guards against one that is sent after that, to
 # a silent backend: it would stay for ever.
 LAST_MS = 1.0
+INFINITY = float("inf")
 COUNTED = {outcome: outcome.value for outcome in api.Outcome}  # looked up faster than an enum's value
 FAILED_BY = {reason: f"failed:{reason.value or 'unsaid'}" for reason in api.Reason}
 REFUSED_BY = {reason: f"refused:{reason.value or 'unsaid'}" for reason in api.Reason}
@@ -76,6 +79,8 @@
         self.driver, self.exchange, self.number, self.sent_ms = driver, exchange, len(exchange.attempts), now
         self.live = True
         self.timer: Timer | None = None
+        # Order keys have to know answers whole; callers of some protocols too.
+        self.streams = exchange.watcher is None and exchange.request.streams
 
     def ended(self, outcome: api.Outcome, response: Response | None) -> None:
         """Pass the outcome on."""
@@ -162,7 +167,7 @@
         """Why the request has not the form of its class, if so."""
         if request.method != (b"GET" if cls.effect is api.Effect.REPEATABLE else b"POST"):
             return "a method that is not the class's"
-        if request.method == b"GET" and request.body:
+        if request.method == b"GET" and (request.body or request.pipe is not None):
             return "a body where none belongs"
         if (cls.effect is api.Effect.KEYED) != bool(request.idempotency_key):
             return "an idempotency key where none belongs, or none where one does"
@@ -207,7 +212,8 @@
         cls = self.classes[request.class_name]
         left = max(0.0, min(request.left_ms, cls.deadline_ms) - ANSWER_MARGIN_MS)
         left -= self.clock.now() - request.read_ms
-        if self.keys is not None and cls.effect is api.Effect.KEYED and request.idempotency_key:
+        if self.keys is not None and cls.effect is api.Effect.KEYED and request.idempotency_key and (
+                request.pipe is None):  # a key is known by its payload, which is not in hand here
             return self.keys.arrived(request, caller, left)
         return self.take(request, caller, left)
 
@@ -219,31 +225,63 @@
         if request.id in self.requests:
             return False
         self._blind()
-        exchange = Exchange(request, caller, self.clock.now() + left)
+        arriving = request.pipe is not None and not request.pipe.ended
+        exchange = Exchange(request, caller, INFINITY if arriving else self.clock.now() + left)
         exchange.watcher = watcher
         self.requests[request.id] = exchange
         self.open += 1
         exchange.traced = request.traced
-        exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
+        if arriving and request.pipe is not None:
+            request.pipe.on_whole = lambda: self.whole(exchange)  # its time runs from its last byte
+        else:
+            exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
         if self.connected:
             self._feed(api.ClientsConnected(self.connected))
             self.connected = 0
         self._feed(api.RequestArrived(
             request.id, request.class_name, left, request.account, request.repeat, request.sid,
             pairs(request.facts).get("isWrite", 0.0) > 0 if request.facts else False, request.hint_ms,
-            earlier, tries_name(request) if self.watches_storms else b"",
+            earlier, tries_name(request) if self.watches_storms else b"", arriving,
         ), exchange)
         return True
 
+    def whole(self, exchange: Exchange) -> None:
+        """The last byte of a long body has come: the request's time, and its attempt's, runs from now."""
+        request, now = exchange.request, self.clock.now()
+        if exchange.answered or request.left_ms is None:
+            return
+        left = max(0.0, min(request.left_ms, self.longest_ms(request)) - ANSWER_MARGIN_MS)
+        exchange.deadline_ms = now + left
+        exchange.timer = self.loop.call_later(left / 1000.0, self._overdue, exchange)
+        for attempt in exchange.attempts:
+            if attempt is not None and attempt.live:
+                attempt.sent_ms, attempt.until_ms = now, exchange.deadline_ms
+        self._feed(api.RequestWhole(request.id, left), exchange)
+
+    def longest_ms(self, request: Request) -> float:
+        """No client of the class waits longer than that."""
+        cls = self.classes.get(request.class_name)
+        return cls.deadline_ms if cls is not None else request.left_ms or 0.0
+
     def gone(self, request: Request) -> None:
         """The client has left. Attempts that are out go on, as they do at the backend."""
         exchange = self.requests.get(request.id)
         if exchange is not None and exchange.request is request and not exchange.answered:
             self._finish(exchange, "gone")
+            if exchange.deadline_ms == INFINITY:  # nobody will ever have all of its body
+                for attempt in exchange.attempts:
+                    if attempt is not None and attempt.live:
+                        self.transport.abort(attempt)
+                        self.attempt_ended(attempt, api.Outcome.CANCELLED, None)
             self._feed(api.RequestExpired(request.id), exchange)
         elif self.keys is not None:
             self.keys.gone(request)
 
+    def broken(self, endpoint: str) -> None:
+        """An answer that had begun has broken off in the middle."""
+        self.count("broken off")
+        self._feed(api.AnswerBroken(endpoint))
+
     def listed(self, event: api.EndpointsListed) -> None:
         """Word from discovery goes before all that waits: a drain holds for each send after it."""
         self.events.appendleft((event, None))
@@ -275,17 +313,24 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         own = now - max(attempt.sent_ms, self._blind())
+        pipe = exchange.request.pipe
         if exchange.watcher is not None:
             exchange.watcher.ended(attempt.number, outcome, response)
         if exchange.traced is not None:
             exchange.traced.ended(attempt.number, outcome, response, now)
         if outcome is api.Outcome.OK and response is not None and not exchange.answered:
             self._finish(exchange, "served")
-            exchange.caller.answer(Status.SERVED, response.body, kind=response.kind)
+            if response.pipe is None:  # the usual one: an argument less is some time less
+                exchange.caller.answer(Status.SERVED, response.body, kind=response.kind)
+            else:
+                cast("StreamingCaller", exchange.caller).pass_on(response.pipe, response.kind)
+        elif response is not None and response.pipe is not None:
+            response.pipe.cancel()  # of a copy that nobody waits for
         self.count(COUNTED[outcome])
         self._feed(api.AttemptEnded(
             exchange.request.id, attempt.number, outcome, now - attempt.sent_ms, exchange.answered,
             self._report(response.load) if response is not None else None, attempt.endpoint, max(0.0, own),
+            pipe is not None and pipe.spent,
         ), exchange)
 
     def probe_ended(self, probe: Probe, outcome: api.Outcome, response: Response | None) -> None:
@@ -416,8 +461,9 @@
                     action.request, Status.FAILED, "failed", reason=action.reason.value, why=action.why):
                 self.count(FAILED_BY[action.reason])
         elif isinstance(action, api.SetTimer):
-            delay = max(0.0, action.at_ms - self.clock.now()) / 1000.0
-            self.loop.call_later(delay, self._woken, action.at_ms, action.token)
+            if action.at_ms < INFINITY:  # not for what is still arriving
+                delay = max(0.0, action.at_ms - self.clock.now()) / 1000.0
+                self.loop.call_later(delay, self._woken, action.at_ms, action.token)
         elif isinstance(action, api.Cancel):
             self._cancel(action)
         elif isinstance(action, api.Probe):
@@ -445,12 +491,14 @@
         until = exchange.deadline_ms
         if action.timeout_ms:
             until = min(until, now + action.timeout_ms)
-        if (exchange.answered or len(exchange.attempts) >= self.settings.limits.max_attempts
+        pipe = exchange.request.pipe
+        gone = pipe is not None and (pipe.spent or pipe.failed or pipe.cancelled)
+        if (gone or exchange.answered or len(exchange.attempts) >= self.settings.limits.max_attempts
                 or until <= now + LAST_MS or not self.transport.known(action.endpoint)):
             # Guards the rules on answers, effects and drains, whatever the module asks for.
             self._feed(api.AttemptEnded(
                 exchange.request.id, len(exchange.attempts), api.Outcome.NOT_SENT, 0.0, exchange.answered,
-                None, action.endpoint,
+                None, action.endpoint, 0.0, gone,
             ), exchange)
             exchange.attempts.append(None)
             return
--- a/honeywharf/core/messages.py
+++ b/honeywharf/core/messages.py
@@ -8,13 +8,16 @@
 
 from mypy_extensions import mypyc_attr
 
+from honeywharf.flow.pipe import Pipe
 from honeywharf.policy import interface as api
 
 CALLS = b"/api"  # the paths that are passed on
-MAX_BODY = 64 * 1024  # of a request
-# Of an answer. The protocol says 64 KiB; good answers of 400 KB have been seen. What is said to be longer is
-# spoilt. Could hurt where many long ones come at once: the pool bounds what they hold together.
+MAX_BODY = 64 * 1024  # of a request that is held whole; a longer one is passed on as it arrives
+# Of an answer that is held whole, where it can't be passed on as it arrives: for CoAP clients, and for
+# order keys. What is said to be longer is spoilt there. The pool bounds what they hold together.
 MAX_ANSWER = 1024 * 1024
+WHOLE_ANSWER = 64 * 1024  # else: a longer one is passed on as it arrives, and can't be asked for again
+MOST_BODY = 1024 ** 3  # bytes of any body: an answer that is said to be longer is spoilt
 MOST_PAIRS = 32  # figures that one report is read for
 _FIGURE = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
 
@@ -75,7 +78,8 @@
 
     __slots__ = (
         "account", "answer_lines", "body", "class_name", "facts", "hint_ms", "id", "idempotency_key", "kind",
-        "left_ms", "method", "read_ms", "repeat", "sid", "target", "trace_parents", "trace_states", "traced",
+        "left_ms", "method", "pipe", "read_ms", "repeat", "sid", "target", "trace_parents", "trace_states",
+        "traced",
         "waited_ms",
     )
 
@@ -93,19 +97,29 @@
         self.read_ms = 0.0  # when its last byte had come, on the proxy's clock
         self.waited_ms = 0.0  # from then on, for the proxy to accept its connection
         self.traced: Traced | None = None  # where traces are recorded, from its arrival on
+        self.pipe: Pipe | None = None  # its body, where that is too long to be held whole
+
+    @property
+    def streams(self) -> bool:
+        """Whether its caller takes an answer as it arrives."""
+        return False
 
 
 @mypyc_attr(allow_interpreted_subclasses=True)
 class Response:
-    """A node's answer, whole. `load` is its report of load, `name=value,...`; None where it gave none."""
+    """A node's answer, whole or with its body on the way.
+
+    `load` is its report of load, `name=value,...`; None where it gave none.
+    """
 
-    __slots__ = ("body", "kind", "load", "trace")
+    __slots__ = ("body", "kind", "load", "pipe", "trace")
 
     def __init__(self) -> None:
         self.load: bytes | None = None
         self.trace = b""  # what it says of its hop's trace
         self.kind = b""
         self.body = b""
+        self.pipe: Pipe | None = None  # its body, where that is passed on as it arrives; `body` is empty then
 
 
 @mypyc_attr(allow_interpreted_subclasses=True)
--- a/honeywharf/core/transport.py
+++ b/honeywharf/core/transport.py
@@ -10,6 +10,7 @@
 from mypy_extensions import mypyc_attr
 
 from honeywharf.core.messages import Request, Response, Status, Traced
+from honeywharf.flow.pipe import Pipe
 from honeywharf.policy import interface as api
 
 Address = tuple[str, int]
@@ -84,6 +85,13 @@
         """Write the final answer."""
 
 
+class StreamingCaller(Protocol):
+    """A caller whose request says that it `streams`."""
+
+    def pass_on(self, pipe: Pipe, kind: bytes) -> None:
+        """Write the head of a final answer that serves, and its body as it arrives."""
+
+
 @mypyc_attr(allow_interpreted_subclasses=True)
 class UpstreamRequest:
     """A request on its way to a node and back. The transport calls `ended` once, unless it is aborted.
@@ -91,7 +99,7 @@
     Without a request it is a health check, which asks for the node's report of load where `report` says so.
     """
 
-    __slots__ = ("connection", "endpoint", "lines", "opening", "report", "request", "until_ms")
+    __slots__ = ("connection", "endpoint", "lines", "opening", "report", "request", "streams", "until_ms")
 
     def __init__(
         self, endpoint: str, request: Request | None, until_ms: float, *, report: bool = False,
@@ -100,6 +108,7 @@
         self.connection: object = None
         self.opening = False
         self.lines = b""  # header lines that go with it alone
+        self.streams = False  # whether a long answer may be passed on as it arrives
 
     def ended(self, outcome: api.Outcome, response: Response | None) -> None:
         """What came of it."""
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -6,11 +6,16 @@
 import errno
 import select
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
 
 from honeywharf.codecs import http1
+from honeywharf.core.messages import WHOLE_ANSWER
 from honeywharf.core.transport import Address, Clock, UpstreamRequest
+from honeywharf.flow.account import Account
+from honeywharf.flow.pipe import Pipe, Sink, Source
+from honeywharf.http.pieces import read_in_pieces
 from honeywharf.policy import interface as api
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
@@ -22,12 +27,15 @@
 SWEEP_S = 0.5
 # Between the pieces of an answer, and from its first to its last: a long one comes in many.
 # Guards against a head or a body that never ends, which would hold the attempt until the deadline.
-ANSWER_S = 0.5
-WHOLE_ANSWER_S = 2.0
+# Callers' time bounds it too; slow ones give a good answer in pieces for seconds.
+ANSWER_S = 1.0
+WHOLE_ANSWER_S = 5.0
+STREAM_S = 3.0  # between the pieces of a long answer that is passed on as it arrives
 ANSWERS_BYTES = 8 * 1024 * 1024  # of all answers that have begun and not ended: guards the memory
 LIVE, REPORT = b"/health/live", b"/stats"  # what a health check asks for
 OWN_FAULTS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
+INFINITY = float("inf")
 O = api.Outcome  # noqa: E741
 # An answer that can't be read: the backend is up and has run the request. Guards against taking it for a
 # broken connection, which the module takes for the end of the backend's process.
@@ -59,14 +67,18 @@
     """One connection to a backend. It carries one call at a time, and writes each call once."""
 
     __slots__ = (
-        "backend", "begun_ms", "bytes_read", "call", "closed", "heard_ms", "idle_since", "poll", "pool",
-        "reader", "timer", "transport", "unsent",
+        "backend", "begun_ms", "body", "bytes_read", "call", "closed", "heard_ms", "held", "idle_since",
+        "poll", "pool", "reader", "sink", "stream", "timer", "transport", "unsent",
     )
 
     def __init__(self, pool: Pool, backend: Backend) -> None:
         self.pool, self.backend = pool, backend
         self.call: UpstreamRequest | None = None
-        self.reader = http1.ResponseReader()
+        self.reader = http1.ResponseReader(account=pool.account)
+        self.body: Pipe | None = None  # of the call, while part of it is still to come
+        self.sink: Sending | None = None
+        self.stream: Pipe | None = None  # an answer that is passed on as it arrives
+        self.held = False  # which its caller takes more slowly than it comes
         self.unsent = self.closed = False
         self.idle_since = 0.0
         self.timer: asyncio.TimerHandle | None = None  # while an answer has begun and not ended
@@ -85,10 +97,44 @@
     def pause_writing(self) -> None:
         """Some of the request has not left yet: a break now proves that it never ran."""
         self.unsent = True
+        if self.body is not None and self.transport.get_write_buffer_size() > self.pool.account.share():
+            self.body.full(True)
 
     def resume_writing(self) -> None:
-        """All of the request has left."""
-        self.unsent = False
+        """All that was written has left."""
+        self.unsent = self.body is not None
+        if self.body is not None:
+            self.body.full(False)
+
+    def take(self, data: bytes) -> None:
+        """Some more of the call's body."""
+        body = self.body
+        if body is not None:
+            self.transport.write(http1.chunk(data) if body.length is None else data)
+            if self.transport.get_write_buffer_size() > self.pool.account.share():
+                body.full(True)
+
+    def sent(self) -> None:
+        """All of the call's body has been written."""
+        body, self.body = self.body, None
+        if body is not None and body.length is None:
+            self.transport.write(http1.LAST_CHUNK)
+        self.unsent = self.transport.get_write_buffer_size() > 0 or self.transport.is_closing()
+
+    def broken_off(self) -> None:
+        """The rest of the call's body will not come: it can't have run."""
+        if not self.closed:
+            self._end(O.CONNECT_FAILED, None)
+
+    def hold(self, held: bool) -> None:
+        """Read no more of an answer, or go on."""
+        self.held = held
+        if not self.closed and not self.transport.is_closing():
+            if held:
+                self.transport.pause_reading()
+            elif not self.transport.is_reading():
+                self.heard_ms = self.pool.clock.now()
+                self.transport.resume_reading()
 
     def carry(self, call: UpstreamRequest) -> None:
         """Write the whole request, in one write."""
@@ -98,9 +144,15 @@
             path = REPORT if call.report else LIVE
             self.transport.write(b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (path, host))
         else:
-            left = http1.time_left(call.until_ms - self.pool.clock.now())
+            pipe, until = request.pipe, call.until_ms
+            left = http1.time_left(
+                until - self.pool.clock.now() if until < INFINITY else request.left_ms or 0.0)
+            self.reader.whole_most = WHOLE_ANSWER if call.streams else 0
             self.transport.write(b"%b%b%b\r\n%b" % (
                 http1.head_of(request, host), left, call.lines, request.body))
+            if pipe is not None:
+                self.body, self.sink, self.unsent = pipe, Sending(self), True
+                pipe.attach(self.sink)
         if self.transport.is_closing():
             # Guards against taking a write that failed for one that left: nothing of it did.
             self.unsent = True
@@ -109,6 +161,9 @@
         """Read the answer; bytes that nobody asked for end the connection."""
         if self.closed:
             return
+        if self.stream is not None:
+            self._streamed(data)
+            return
         if self.call is None:
             self.drop()
             return
@@ -118,9 +173,7 @@
             self._end(SPOILT, None)
             return
         if response is not None:
-            reader = self.reader
-            reusable = response.keep and reader.idle and not reader.surplus and not self.unsent
-            self._end(outcome_of(response), response, reusable=reusable)
+            self._answered(response)
             return
         self.heard_ms = self.pool.clock.now()
         self.bytes_read += len(data)
@@ -131,6 +184,89 @@
             self.begun_ms = self.heard_ms
             self.timer = self.pool.loop.call_later(ANSWER_S, self._stalled)
 
+    def _answered(self, response: http1.Response) -> None:
+        """An answer is whole, or is passed on from now on."""
+        reader = self.reader
+        if self.body is not None and response.status != 200:
+            # Before the request's last byte has left: the backend has not begun it, whatever the answer says.
+            self._end(O.REJECTED, response)
+        elif response.pipe is None or response.pipe.over:
+            reusable = response.keep and reader.idle and not reader.surplus and not self.unsent
+            self._end(outcome_of(response), response, reusable=reusable)
+        else:
+            self._stream(response, response.pipe)
+
+    def _stream(self, response: http1.Response, pipe: Pipe) -> None:
+        """Pass an answer on as it arrives; its call has ended with its first bytes."""
+        call, self.call = self.call, None
+        self._disarm()
+        self.stream, pipe.source = pipe, Answering(self)
+        self.heard_ms = self.pool.clock.now()
+        self.timer = self.pool.loop.call_later(STREAM_S, self._dried_up)
+        self.pool.streams += 1
+        read_in_pieces(self.transport, self)
+        if self.pool.account.open >= self.pool.account.places:
+            self.hold(True)  # until a place is free
+        pipe.queue = self.pool.account.wait(self._placed)
+        if call is not None:
+            call.connection = None
+            call.ended(O.OK, response)
+
+    def _placed(self) -> None:
+        """The answer has its place in the account."""
+        if self.stream is None:
+            self.pool.account.leave()
+            return
+        self.stream.place, self.stream.queue = True, 0
+        self.hold(False)
+
+    def _streamed(self, data: bytes) -> None:
+        """Read on; where the answer ends, the connection is free again."""
+        stream, reader, self.heard_ms = self.stream, self.reader, self.pool.clock.now()
+        assert stream is not None
+        try:
+            reader.feed(data)
+        except http1.MalformedError:
+            stream.fail()
+        if stream.ended:
+            self._stream_over(reusable=reader.idle and not reader.surplus and not self.unsent)
+        elif stream.over:
+            self._broke()
+
+    def _stream_over(self, *, reusable: bool) -> None:
+        self.stream = None
+        self._disarm()
+        if reusable and self.reader.keeps:
+            self.pool.rest(self)
+        else:
+            self.drop()
+
+    def _broke(self) -> None:
+        """An answer has broken off in the middle, by its backend's fault."""
+        stream, self.stream = self.stream, None
+        self._disarm()
+        if stream is not None:
+            stream.fail()
+        self.pool.broken(self.backend)
+        self.drop()
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest of the answer."""
+        self.stream = None
+        self._disarm()
+        self.drop()
+
+    def _dried_up(self) -> None:
+        """Nothing more of an answer has come for long, though its caller would take it."""
+        self.timer = None
+        if self.stream is None:
+            return
+        left_s = STREAM_S - (self.pool.clock.now() - self.heard_ms) / 1000.0
+        if self.held or left_s > 0.001:
+            self.timer = self.pool.loop.call_later(STREAM_S if self.held else left_s, self._dried_up)
+        else:
+            self._broke()
+
     def _stalled(self) -> None:
         """Nothing more of the answer has come for long, or it takes too long as a whole."""
         self.timer = None
@@ -156,7 +292,17 @@
         return bool(self.poll.poll(0))
 
     def eof_received(self) -> bool:
-        """The backend will say no more."""
+        """The backend will say no more: the end of an answer of no told length, or a break."""
+        if self.stream is not None:
+            self.reader.end()
+            if self.stream is not None and self.stream.ended:
+                self._stream_over(reusable=False)
+            elif self.stream is not None:
+                self._broke()
+            return False
+        if self.call is not None and (response := self.reader.end()) is not None:
+            self._end(outcome_of(response), response)
+            return False
         if self.call is not None:
             self._end(O.CONNECT_FAILED if self.unsent else O.RESET, None)
         elif not self.closed:
@@ -170,11 +316,16 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection broke, or was closed."""
+        if self.stream is not None:
+            self._broke()
         if not self.closed:
             self._end(O.CONNECT_FAILED if self.unsent else O.RESET, None)
 
     def _end(self, outcome: api.Outcome, response: http1.Response | None, *, reusable: bool = False) -> None:
         call, self.call = self.call, None
+        body, self.body = self.body, None
+        if body is not None and self.sink is not None:
+            body.detach(self.sink)
         self._disarm()
         if reusable:
             self.pool.rest(self)
@@ -189,17 +340,63 @@
         if not self.closed:
             self.closed = True
             self._disarm()
+            body, self.body = self.body, None
+            if body is not None and self.sink is not None:
+                body.detach(self.sink)
             self.reader.close()
             self.pool.dropped(self)
             self.transport.abort()
 
 
+class Sending(Sink):
+    """A connection to a backend as the sink of a request's body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def take(self, data: bytes) -> None:
+        """Some more of it."""
+        self.connection.take(data)
+
+    def whole(self) -> None:
+        """That was all."""
+        self.connection.sent()
+
+    def broken(self) -> None:
+        """The rest will not come."""
+        self.connection.broken_off()
+
+
+class Answering(Source):
+    """A connection to a backend as the source of an answer's body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def hold(self, held: bool) -> None:
+        """Stop reading, or go on."""
+        self.connection.hold(held)
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest."""
+        self.connection.unwanted()
+
+
 class Pool:
     """All connections to all backends, within one bound."""
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, limits: api.Limits, most: int,
+        account: Account | None = None,
     ) -> None:
+        self.account = account or Account(http1.ALONE)
+        self.streams = 0  # answers that were passed on as they arrived
+        self.broke = 0  # of them, those that broke off
+        self.on_broken: Callable[[str], None] | None = None  # told of the endpoint
         self.loop, self.clock, self.most = loop, clock, most
         self.connect_timeout_s = self.idle_ms = 0.0
         self.retune(limits)
@@ -264,6 +461,15 @@
         if len(known) >= EARLY_BACKENDS:
             self.early_ms = known[EARLY_BACKENDS - 1]
 
+    def broken(self, backend: Backend) -> None:
+        """An answer of that backend has broken off in the middle."""
+        self.broke += 1
+        if self.on_broken is not None:
+            for name, known in self.backends.items():
+                if known is backend:
+                    self.on_broken(name)
+                    break
+
     # Calls.
 
     def start(self, call: UpstreamRequest) -> None:
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -12,6 +12,10 @@
 from honeywharf.core.driver import Driver
 from honeywharf.core.messages import MAX_BODY, Status, is_call
 from honeywharf.core.transport import Address, Clock
+from honeywharf.flow.account import Account
+from honeywharf.flow.pace import HEAD_MS, LEAST_PER_S, STALL_MS, Pace
+from honeywharf.flow.pipe import Pipe, Sink, Source
+from honeywharf.http.pieces import read_in_pieces
 
 if TYPE_CHECKING:
     from honeywharf.http.accept import Acceptor
@@ -23,12 +27,14 @@
 SILENT_MS = 2000.0  # a connection on which nothing has come is closed then
 IDLE_MS = 6000.0  # and so is one that has been idle so long after an answer; where callers crowd, earlier:
 CROWDED_IDLE_MS = 2000.0
-SLOW_MS = 2400.0  # a request must be whole so long after its first byte
 MOST_TURNED_AWAY = 32  # connections beyond the bound that are told so; further ones are cut
 YOUNG_MS = 250.0  # under that age a connection that says nothing is not the first to go
 LINGER_S = 0.5  # after a last answer: closing on unread bytes would take the answer back
 LINGER_MOST_S = 3.0  # the same for a caller that has not taken the answer off yet
 LINGER_BYTES = 256 * 1024  # what is read and thrown away in that time
+# The same where a long body was still coming: some callers read their answer only when all is written.
+LINGER_BODY_S = 2.0
+MOST_THROWN = 64 * 1024 * 1024  # bytes of it in that time
 SWEEP_S = 0.2
 GIVE_AGAIN_S = 0.005  # until a connection is offered again that could not be given away
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -42,8 +48,9 @@
     """One caller's connection: one request at a time, in the order they came."""
 
     __slots__ = (
-        "among", "asked_s", "current", "doubtful", "ended", "fault", "front", "half_closed", "reader",
-        "served", "since_ms", "thrown", "timer", "transport", "waited_ms", "waiting", "waiting_bytes",
+        "among", "asked_s", "chunked", "closes", "coming", "current", "doubtful", "ended", "fault", "front",
+        "half_closed", "moved_ms", "pace", "reader", "served", "since_ms", "stream", "thrown", "timer",
+        "transport", "waited_ms", "waiting", "waiting_bytes",
     )
 
     def __init__(
@@ -52,7 +59,12 @@
         self.front = front
         self.waited_ms = waited_ms  # before it was accepted, what came first has waited so long
         self.doubtful = doubtful  # its caller had ended its side by then, and may be gone
-        self.reader = http1.RequestReader()
+        self.reader = http1.RequestReader(front.account)
+        self.coming: Pipe | None = None  # a long body of its caller's, on the way
+        self.pace: Pace | None = None  # of a body that is coming
+        self.stream: Pipe | None = None  # an answer's body, on the way to its caller
+        self.chunked = self.closes = False  # that answer's form, and whether its end is the connection's
+        self.moved_ms = 0.0  # when its caller took something of it last
         self.current: http1.Request | None = None
         self.waiting: deque[http1.Request] = deque()
         self.waiting_bytes = 0
@@ -81,9 +93,18 @@
             return
         requests = self.reader.feed(data)
         self.fault = self.reader.fault
+        if self.pace is not None:
+            self.pace.bytes += len(data)
+        if self.coming is not None:
+            if self.coming.over:
+                self._arrived()
+            elif self.fault is not None:
+                self._break_off()
         if requests:
             now = self.front.clock.now() - self.waited_ms
             for request in requests:
+                if request.pipe is not None and not request.pipe.over:
+                    self._arrives(request.pipe, now)
                 request.read_ms, request.waited_ms = now, self.waited_ms
                 self.waiting.append(request)
                 self.waiting_bytes += len(request.body)
@@ -96,9 +117,45 @@
             self.doubtful = False
             self.transport.write(CONTINUE)
             self.timer = self.front.loop.call_later(ASK_S, self._trust)
-        elif self.current is None and self.timer is None:
+        elif self.current is None and self.timer is None and self.stream is None:
             self._next()
 
+    def _arrives(self, pipe: Pipe, now: float) -> None:
+        """A long body comes in pieces from now on."""
+        self.coming, self.pace, pipe.source = pipe, Pace(now), Reading(self)
+        self.front.uploads[self] = None
+        read_in_pieces(self.transport, self)
+        if self.current is not None or self.stream is not None or len(self.waiting) > 0:
+            self.transport.pause_reading()  # until its turn comes
+            self.pace.hold(now, True)
+
+    def _arrived(self) -> None:
+        """No long body is coming any more: what comes next is read as before."""
+        if self.coming is not None:
+            self.hold(False)
+        self.coming = self.pace = None
+        self.front.uploads.pop(self, None)
+
+    def _break_off(self) -> None:
+        """What comes is no body: whoever has part of it learns that the rest never will."""
+        pipe, request = self.coming, self.current
+        if pipe is not None and request is not None and request.pipe is pipe:
+            self.front.driver.gone(request)
+            self.reject(400)
+        elif pipe is not None:
+            self._arrived()
+            pipe.fail()
+
+    def hold(self, held: bool) -> None:
+        """Read no more of a body, or go on: whoever writes it has its hands full."""
+        if self.pace is not None:
+            self.pace.hold(self.front.clock.now(), held)
+        if not self.ended and not self.transport.is_closing():
+            if held:
+                self.transport.pause_reading()
+            elif not self.transport.is_reading():
+                self.transport.resume_reading()
+
     def _trust(self) -> None:
         """Begin what came on a connection accepted late, unless its caller has gone meanwhile.
 
@@ -131,7 +188,13 @@
             self.current = self.waiting.popleft()
             self.waiting_bytes -= len(self.current.body)
             self.front.move(self, None)
-            self.front.serve(self.current, self)
+            request = self.current
+            if request.pipe is not None and request.pipe is self.coming:
+                self.hold(False)
+            self.front.serve(request, self)
+            if self.current is request and request.expects and request.pipe is not None:
+                request.expects = False
+                self.transport.write(CONTINUE)
         elif self.fault is not None:
             self.reject(self.fault.status)
         else:
@@ -149,16 +212,89 @@
         """Write the final answer to the current request, then turn to the next."""
         self.reply(STATUSES[status], body, retry_after_ms, kind)
 
+    def pass_on(self, pipe: Pipe, kind: bytes) -> None:
+        """Write the head of an answer whose body comes by and by, and pass that on as it arrives."""
+        request, self.current, self.served = self.current, None, True
+        if request is None or self.ended:
+            pipe.cancel()
+            return
+        whole = self.coming is None or self.coming is not request.pipe
+        keep = whole and self._keeps(request) and (pipe.length is not None or request.interim)
+        self.stream, self.closes = pipe, not keep
+        self.chunked = pipe.length is None and request.interim  # HTTP/1.0 knows no chunks
+        self.moved_ms = self.front.clock.now()
+        self.front.downloads[self] = None
+        self.transport.set_write_buffer_limits(high=self.front.account.share())
+        self.transport.write(http1.begun_answer(
+            200, pipe.length, keep=keep, chunked=self.chunked, kind=kind, lines=request.answer_lines))
+        pipe.attach(Writing(self))
+
+    def _keeps(self, request: http1.Request) -> bool:
+        """Whether the connection stays open after the request's answer."""
+        return request.keep and not self.front.closing and not (
+            self.half_closed and not self.waiting and self.fault is None)
+
+    def take(self, data: bytes) -> None:
+        """Some more of an answer's body."""
+        self.transport.write(http1.chunk(data) if self.chunked else data)
+
+    def sent(self) -> None:
+        """All of an answer's body has been written."""
+        self._stream_over()
+        if self.chunked:
+            self.transport.write(http1.LAST_CHUNK)
+        if self.closes:
+            self._linger()
+        elif self.waiting or self.fault is not None:
+            self.front.loop.call_soon(self._turn)
+        else:
+            self._rest()
+
+    def _stream_over(self) -> None:
+        self.stream = None
+        self.front.downloads.pop(self, None)
+        self.transport.set_write_buffer_limits()
+
+    def cut(self) -> None:
+        """The rest of an answer will not come: its caller sees that, by the connection's end."""
+        self._stream_over()
+        self.transport.abort()
+
+    def too_slow(self) -> None:
+        """The caller's body comes so slowly that it is given up; what was sent on of it never ran."""
+        request = self.current
+        if request is not None and request.pipe is self.coming:
+            self.front.driver.gone(request)
+        self.reject(408)
+
+    def cut_off(self) -> None:
+        """The caller has taken nothing of its answer for long."""
+        self._stop()
+        self.transport.abort()
+
+    def pause_writing(self) -> None:
+        """The caller takes an answer more slowly than it comes."""
+        if self.stream is not None:
+            self.stream.full(True)
+
+    def resume_writing(self) -> None:
+        """The caller has taken most of what was written."""
+        self.moved_ms = self.front.clock.now()
+        if self.stream is not None:
+            self.stream.full(False)
+
     def reply(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0, kind: bytes = b"") -> None:
         """Write an answer to the current request, then turn to the next."""
         request, self.current, self.served = self.current, None, True
         if request is None or self.ended:
             return
-        keep = request.keep and not self.front.closing and not (
-            self.half_closed and not self.waiting and self.fault is None)
+        unread = self.coming is not None and self.coming is request.pipe  # an answer before its end
+        keep = self._keeps(request) and not unread
         self.transport.write(http1.answer(
             status, body, keep=keep, retry_after_ms=retry_after_ms, kind=kind, lines=request.answer_lines))
-        if not keep:
+        if unread:
+            self._linger_unread()
+        elif not keep:
             self._linger()
         elif self.waiting or self.fault is not None:
             self.front.loop.call_soon(self._turn)
@@ -166,15 +302,21 @@
             self._rest()
 
     def _turn(self) -> None:
-        if self.current is None and not self.ended:
+        if self.current is None and not self.ended and self.stream is None:
             self._next()
 
     def reject(self, status: int) -> None:
         """Answer what is no sound request, and read no more."""
         if self.ended:
             return
+        if self.stream is not None:  # an answer is on its way: nothing may stand in the middle of it
+            self.cut_off()
+            return
         self.transport.write(http1.answer(status, keep=False))
-        self._linger()
+        if self.coming is not None:
+            self._linger_unread()
+        else:
+            self._linger()
 
     def _linger(self) -> None:
         """Close after the last answer: at once on this side, and wholly when the caller has or time is up.
@@ -186,6 +328,25 @@
             self.transport.write_eof()
         self.timer = self.front.loop.call_later(LINGER_S, self._cut)
 
+    def _linger_unread(self) -> None:
+        """The same while a long body is still coming, which is read and thrown away for some time.
+
+        Guards against a caller that reads nothing before it has written all: reading on is how it gets there.
+        """
+        pipe = self.coming
+        self._arrived()
+        self.thrown = -MOST_THROWN
+        if pipe is not None:
+            pipe.cancel()
+        self._stop()
+        if not self.transport.is_reading():
+            self.transport.resume_reading()
+        self.timer = self.front.loop.call_later(LINGER_BODY_S, self._linger_on)
+
+    def _linger_on(self) -> None:
+        if not self.transport.is_closing():
+            self._linger()
+
     def _cut(self) -> None:
         self.timer = None
         if self.transport.get_write_buffer_size() and not self.transport.is_closing():
@@ -199,6 +360,10 @@
             self.timer = None
         self.ended, self.current, self.waiting_bytes = True, None, 0
         self.waiting.clear()
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            self.front.downloads.pop(self, None)
+            stream.cancel()
         self.front.move(self, None)
 
     def let_go(self) -> None:
@@ -220,6 +385,11 @@
         TCP tells these apart by what comes back only. An interim answer, which every caller has to skip (RFC
         9110, 15.2), is met by a reset where the caller has closed: then its request is given up at once.
         """
+        if self.stream is not None:
+            self.half_closed = self.closes = True
+            return True
+        if self.coming is not None:
+            return False  # in the middle of a body: it never will be whole
         if self.ended or (self.current is None and not self.waiting):
             return False
         if self.current is None and self.timer is not None:
@@ -247,12 +417,51 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The caller has gone; so has its request, if it was not answered."""
         request = self.current
+        if request is not None:
+            self.front.driver.gone(request)  # before its body breaks off: that is no end of its attempt
+        self._arrived()
         self._stop()
         self.front.left(self)
         self.reader.close()
         del self.reader
-        if request is not None:
-            self.front.driver.gone(request)
+
+
+class Reading(Source):
+    """A caller's connection as the source of a body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def hold(self, held: bool) -> None:
+        """Stop reading, or go on."""
+        self.connection.hold(held)
+
+    def unwanted(self) -> None:
+        """Read on, and throw it away: the answer says the rest."""
+        self.connection.hold(False)
+
+
+class Writing(Sink):
+    """A caller's connection as the sink of an answer's body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def take(self, data: bytes) -> None:
+        """Some more of it."""
+        self.connection.take(data)
+
+    def whole(self) -> None:
+        """That was all."""
+        self.connection.sent()
+
+    def broken(self) -> None:
+        """The rest will not come."""
+        self.connection.cut()
 
 
 class Front:
@@ -260,8 +469,11 @@
 
     def __init__(
         self, loop: asyncio.AbstractEventLoop, clock: Clock, driver: Driver, most: int,
-        watch_is_up: Callable[[], bool],
+        watch_is_up: Callable[[], bool], account: Account,
     ) -> None:
+        self.account = account
+        self.uploads: dict[Connection, None] = {}  # long bodies that come, and answers that go
+        self.downloads: dict[Connection, None] = {}
         self.loop, self.clock, self.driver, self.most = loop, clock, driver, most
         self.watch_is_up = watch_is_up
         self.connections: set[Connection] = set()
@@ -361,8 +573,8 @@
             connection.reply(200 if self.ready() else REFUSED)
         elif not is_call(request.target):
             connection.reply(404)
-        elif self.refusing:
-            connection.reject(REFUSED)  # nothing has run
+        elif self.refusing or (request.pipe is not None and not request.pipe.place and not request.pipe.over):
+            connection.reply(REFUSED)  # nothing has run; of a long body there is no place for, too
         elif self.driver.offer(request, connection) is not None:
             connection.reject(400)
 
@@ -442,8 +654,18 @@
         now, crowded = self.clock.now(), len(self.connections) * 2 > self.most
         self._close_older(self.silent, now - SILENT_MS)
         self._close_older(self.idle, now - (CROWDED_IDLE_MS if crowded else IDLE_MS))
-        while self.partial and (first := next(iter(self.partial))).since_ms <= now - SLOW_MS:
-            first.reject(408)
+        # Bodies that fit are held whole, and may be as slow as long ones.
+        for connection in list(self.partial):
+            spent = now - connection.since_ms - HEAD_MS
+            if spent > 0 and (connection.reader.in_head
+                              or spent * LEAST_PER_S / 1000.0 > connection.reader.body_bytes):
+                connection.reject(408)
+        for connection in list(self.uploads):
+            if connection.pace is not None and connection.pace.late(now):
+                connection.too_slow()
+        for connection in list(self.downloads):
+            if connection.moved_ms < now - STALL_MS and connection.transport.get_write_buffer_size():
+                connection.cut_off()
         self.loop.call_later(SWEEP_S, self._sweep)
 
     def _close_older(self, group: dict[Connection, None], than_ms: float) -> None:
--- a/honeywharf/policy/__init__.py
+++ b/honeywharf/policy/__init__.py
@@ -6,11 +6,12 @@
 concern; a part knows those above it and none below:
 
     reasons     why a request was given up, and what a choice was made from
-    interface   settings, events and actions: what an embedding proxy builds and carries out
+    actions     what an embedding proxy is asked to carry out
+    interface   settings and events, which it builds; with the actions, all that it knows of the module
     endpoints   the servers as discovery lists them, their zones, and the levels made of them: own zone, every
                 zone, all that is ready; how warm a server is
     requests    what is kept of a request until its last attempt has ended: attempts, what they prove of its
-                effect, and the order that requests of one key keep
+                effect
     health      which servers count as absent for a while
     choice      an even random choice in the first level with a usable server that has room
     admission   what is turned away: limits of zones, this proxy's own, tenants' shares, worth; where nodes'
--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -10,14 +10,16 @@
 from honeywharf.limits.budget import RetryBudget
 from honeywharf.limits.storm import StormControl
 from honeywharf.limits.times import Times
+from honeywharf.limits.turns import Order
 from honeywharf.policy import interface as api
 from honeywharf.policy.admission import TARGET, Admission
 from honeywharf.policy.choice import Choice
 from honeywharf.policy.endpoints import Attempt, Endpoints, Server, Zone
 from honeywharf.policy.health import STRAIN_MOST, OutlierDetection
-from honeywharf.policy.requests import Order, Request
+from honeywharf.policy.requests import Request
 from honeywharf.policy.retry import cost_after, hung, may_copy
 
+INFINITY = float("inf")
 COME_BACK_MS = (200.0, 600.0)  # in which a refused client may come back: a jam's answers take about that long
 
 
@@ -69,6 +71,10 @@
                 self._changed(self.storms)
         elif isinstance(event, api.EndpointsExcluded):
             self.endpoints.exclude(now_ms, event.names)
+        elif isinstance(event, api.RequestWhole) and event.request in self.requests:
+            self._whole(self.requests[event.request], event.remaining_ms)
+        elif isinstance(event, api.AnswerBroken) and event.endpoint in self.endpoints.servers:
+            self.outliers.suspect(now_ms, self.endpoints.servers[event.endpoint], STRAIN_MOST)
         elif isinstance(event, api.SettingsChanged):
             self.settings = self.endpoints.settings = self.choice.settings = event.settings
             self.classes = {c.name: c for c in event.settings.classes}
@@ -79,7 +85,7 @@
         while self.order.turns:
             request = self.order.first(now_ms, self.order.turns.popleft())
             if request is not None:
-                self._attempt(request)
+                self._attempt(self.requests[request.id])
         return self.actions
 
     def _woken(self, token: str) -> None:
@@ -120,7 +126,9 @@
             self.actions.append(api.Fail(event.id, api.Reason.UNKNOWN_CLASS))
             return
         key = event.key if cls.in_order else ""
-        request = Request(event.id, cls, key, self.now + event.remaining_ms, cls.worth, earlier=event.earlier)
+        deadline = INFINITY if event.arriving else self.now + event.remaining_ms
+        request = Request(
+            event.id, cls, key, deadline, cls.worth, arriving=event.arriving, earlier=event.earlier)
         self.requests[event.id] = request
         self.admission.rank(self.now, request, event.tenant)
         self.budget.earn()
@@ -133,6 +141,15 @@
         else:
             self.actions.append(api.SetTimer(request.deadline, "wait"))
 
+    def _whole(self, request: Request, remaining_ms: float) -> None:
+        """What has been arriving is whole: its time, and that of the attempt that is out, runs from now."""
+        request.arriving, request.deadline = False, self.now + remaining_ms
+        for attempt in request.attempts:
+            if attempt.live:  # the latest of its server: those that were sent meanwhile came before it
+                attempt.sent_ms = self.now
+                if attempt.server.calls.pop(attempt, attempt) is None:
+                    attempt.server.calls[attempt] = None
+
     def _weathers(self, storms: StormControl, request: Request, event: api.RequestArrived) -> bool:
         """Whether the request may be begun as far as storms go; less room is open to some repeats."""
         request.coming, request.code, changed = storms.arrived(
@@ -160,7 +177,8 @@
 
     def _send(self, request: Request, server: Server) -> None:
         zone = self.endpoints.zones[server.endpoint.zone]
-        attempt = Attempt(request.id, server, zone, self.now, server.ejections)
+        attempt = Attempt(
+            request.id, server, zone, INFINITY if request.arriving else self.now, server.ejections)
         request.attempts.append(attempt)
         server.calls[attempt] = None
         zone.in_flight += 1
@@ -248,7 +266,7 @@
 
     def _again(self, request: Request, event: api.AttemptEnded) -> None:
         """A further attempt within the rules and the retry budget, else the final answer."""
-        spared = len(request.attempts) < self.settings.limits.max_attempts
+        spared = not event.last and len(request.attempts) < self.settings.limits.max_attempts
         typical = self.times.typical_ms.get(request.cls.name, 0.0)
         if spared and self.budget.spend(cost_after(event.outcome, event.elapsed_ms, typical)):
             self._attempt(request)
--- a/honeywharf/policy/interface.py
+++ b/honeywharf/policy/interface.py
@@ -1,4 +1,4 @@
-"""The balancer's interface: settings in, events in, actions out.
+"""The balancer's interface: settings in, events in, actions (`actions`) out.
 
 All times are milliseconds on the caller's clock. Nothing here decides anything: an embedding proxy (or
 the host of simulated ones, simhost.py) builds these values and carries the actions out.
@@ -10,6 +10,20 @@
 from enum import Enum
 
 from honeywharf.limits.storm import Coming as Coming
+from honeywharf.policy.actions import (
+    Action as Action,
+    Cancel as Cancel,
+    CloseIdle as CloseIdle,
+    Fail as Fail,
+    FetchEndpoints as FetchEndpoints,
+    Log as Log,
+    PaceConnections as PaceConnections,
+    Probe as Probe,
+    Refuse as Refuse,
+    Send as Send,
+    SetTimer as SetTimer,
+    WatchEndpoints as WatchEndpoints,
+)
 from honeywharf.policy.reasons import Reason as Reason, Why as Why
 
 
@@ -322,6 +336,23 @@
     work_hint_ms: float | None = None
     earlier: Earlier | None = None
     name: bytes = b""
+    # Its body is still to come: its time, and that of attempts, runs from RequestWhole.
+    arriving: bool = False
+
+
+@dataclass(slots=True)
+class RequestWhole:
+    """The last byte of a request that was arriving has left for where it was sent, or waits to be sent."""
+
+    request: str
+    remaining_ms: float
+
+
+@dataclass(slots=True)
+class AnswerBroken:
+    """An answer that had begun, and counted as one, has broken off, by its server's fault."""
+
+    endpoint: str
 
 
 @dataclass(slots=True)
@@ -356,6 +387,7 @@
     report: tuple[float, ...] | None = None
     endpoint: str = ""
     proxy_ms: float = 0.0
+    last: bool = False  # no further attempt can be made: part of its body has gone
 
 
 @dataclass(slots=True)
@@ -400,98 +432,5 @@
 Event = (
     Started | EndpointsListed | RequestArrived | AttemptOpened | AttemptEnded | RequestExpired | ProbeEnded
     | TimerFired | LoopTurned | PeerMessage | ClientsConnected | EndpointsExcluded | SettingsChanged
-)
-
-
-# Actions: what to do, in order.
-
-
-@dataclass(slots=True)
-class Send:
-    """Start the request's next attempt (they count from 0) at an endpoint; 0: until the client gives up."""
-
-    request: str
-    endpoint: str
-    timeout_ms: float
-    zone: str = field(default="", compare=False)  # of the endpoint
-    cell: int = field(default=0, compare=False)
-    why: Why | None = field(default=None, compare=False)  # where the module explains itself
-
-
-@dataclass(slots=True)
-class Cancel:
-    """Stop waiting for an attempt."""
-
-    request: str
-    attempt: int
-
-
-@dataclass(slots=True)
-class Refuse:
-    """Final answer: not run; trying again is harmless, after `retry_after_ms` where it is given."""
-
-    request: str
-    retry_after_ms: float = 0.0
-    reason: Reason = field(default=Reason.NONE, compare=False)
-    why: Why | None = field(default=None, compare=False)  # over all zones
-
-
-@dataclass(slots=True)
-class Fail:
-    """Final answer: failed, with no promise about the effect."""
-
-    request: str
-    reason: Reason = field(default=Reason.NONE, compare=False)
-    why: Why | None = field(default=None, compare=False)
-
-
-@dataclass(slots=True)
-class Probe:
-    """Check on an endpoint."""
-
-    endpoint: str
-
-
-@dataclass(slots=True)
-class SetTimer:
-    """Ask for a TimerFired with this token at `at_ms` or soon after."""
-
-    at_ms: float
-    token: str
-
-
-@dataclass(slots=True)
-class WatchEndpoints:
-    """Ask discovery for changes from now on."""
-
-
-@dataclass(slots=True)
-class FetchEndpoints:
-    """Ask discovery for the whole list, once."""
-
-
-@dataclass(slots=True)
-class CloseIdle:
-    """Close the idle connections to an endpoint."""
-
-    endpoint: str
-
-
-@dataclass(slots=True)
-class PaceConnections:
-    """Accept so many connections a second from now on; without bound where it is 0."""
-
-    per_s: float
-
-
-@dataclass(slots=True)
-class Log:
-    """A line for the operator."""
-
-    words: str
-
-
-Action = (
-    Send | Cancel | Refuse | Fail | Probe | SetTimer | WatchEndpoints | FetchEndpoints | CloseIdle
-    | PaceConnections | Log
+    | RequestWhole | AnswerBroken
 )
--- a/honeywharf/policy/retry.py
+++ b/honeywharf/policy/retry.py
@@ -44,6 +44,8 @@
     found: list[tuple[Attempt, Request]] = []
     for call in answered.server.calls:
         request = requests.get(call.request)
+        if request is not None and request.arriving:
+            continue  # of which nobody can have answered yet
         if request is None or call.sent_ms >= answered.sent_ms:
             break
         if now - call.sent_ms > HUNG_AFTER * typical_ms.get(request.cls.name, float("inf")):
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -21,6 +21,7 @@
 from honeywharf.core.parts import Part
 from honeywharf.core.transport import AddressBook, Clock, Transport, log
 from honeywharf.discovery.watch import Directory, Watch
+from honeywharf.flow.account import PART, Account
 from honeywharf.http.backend import Pool
 from honeywharf.http.front import Front
 from honeywharf.policy import Balancer, interface as api
@@ -49,7 +50,8 @@
         sockets = min(conf.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         room = sockets - min(max(OWN_LEAST, int(sockets * OWN_SHARE)), sockets // 2)
         upstream = min(int(sockets * UPSTREAM_SHARE), room // 2)
-        self.pool = Pool(loop, self.clock, conf.settings.limits, upstream)
+        self.account = Account(int(conf.memory_mb * 1024 * 1024 * PART))
+        self.pool = Pool(loop, self.clock, conf.settings.limits, upstream, self.account)
         limiter = features.limits.limiter if features is not None else limits.DEFAULT
         self.balancer = Balancer(conf.settings, conf.seed, limiter)
         self.transport: Transport = self.pool
@@ -61,7 +63,9 @@
             loop, self.clock, conf.discovery, self.directory, self.listed,
             polled=conf.settings.polled_discovery)
         self.driver.registry = self.watch
-        self.front = Front(loop, self.clock, self.driver, room - upstream, lambda: self.watch.up)
+        self.pool.on_broken = self.driver.broken
+        self.front = Front(
+            loop, self.clock, self.driver, room - upstream, lambda: self.watch.up, self.account)
         self.features = features
         self.parts: list[Part] = attached(self, features) if features is not None else []
         self.keeper = Keeper(
@@ -209,6 +213,9 @@
     def counts(self) -> dict[str, int]:
         """What was done since the start, with what its parts count."""
         counts = dict(self.driver.counts, handshakes=self.pool.handshakes)
+        if self.account.bytes:
+            counts.update({"bodies:mb": self.account.bytes >> 20, "bodies:refused": self.account.refused,
+                           "bodies:answers": self.pool.streams})
         for part in self.parts:
             counts.update(part.counts())
         return counts
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -65,6 +65,7 @@
     }
     return config.Config(
         name="n", listen=("127.0.0.1", 0), discovery=("127.0.0.1", port), seed=7, sockets=sockets,
+        memory_mb=changes.pop("memory_mb", 192.0),
         known={"generation": 1, "reset": True, "instances": rows}, settings=wire.settings(settings),
         report_fields=tuple(settings["report"]["fields"]),
     )
