Ask for a list again soon where it stalls half-way, and halve bodies' room between two processes

Seen: a list that had begun and stalled was waited for until the whole watch was over, 6 s (Watch._silent alone). Change: what has begun has to go on within 0.25 s, doubled after each failure up to 1 s; nothing of half a list is taken (tested cut and stalled at several bytes).

--- a/honeywharf/discovery/watch.py
+++ b/honeywharf/discovery/watch.py
@@ -16,6 +16,9 @@
 PATH = "/registry/instances"
 WAIT_MS = 5000  # of one watch call: short, since a cut connection says nothing until it is over
 SILENT_MS = 1000.0  # after that wait an answer is given up
+# An answer that has begun and brings nothing more for so long is given up, and asked for again; after
+# failures it is waited for longer.
+STALL_S = 0.25
 QUIET_S = 0.05  # before the next call where an answer came at once with nothing new; 0.2 s ends a watch
 RETRY_S = (0.02, 0.1)  # the first retry comes within a random time between these, the next within twice that
 RETRY_MOST_S = 1.0
@@ -242,6 +245,9 @@
                 raise ValueError("an answer that nobody asked for")
             response = line.reader.feed(data)
             if response is None:
+                # Guards against a list that stalls half-way: the whole wait would pass before it is asked
+                # again.
+                self._arm(min(STALL_S * 2 ** min(self.failures, 6), SILENT_MS / 1000.0), self._stalled)
                 return
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
@@ -279,6 +285,11 @@
         self.up = True
         self._failed()
 
+    def _stalled(self) -> None:
+        """An answer has begun and does not go on. Nothing of it is taken: half a list is none."""
+        log("discovery: a list has stalled half-way", "discovery.fault", "error")
+        self._failed()
+
     def _failed(self) -> None:
         """Call again soon, not in step with others; where the module asks for watches, it is told instead."""
         self.calling = self.whole = False
--- a/honeywharf/flow/account.py
+++ b/honeywharf/flow/account.py
@@ -25,7 +25,7 @@
     def __init__(self, most: int) -> None:
         if most < LEAST + READ:
             raise ValueError(f"found {most} bytes for bodies, wanted {LEAST + READ} at least")
-        self.most = most
+        self.whole = self.most = most
         self.places = most // (LEAST + READ)
         self.open = 0
         self.waiting: dict[int, Callable[[], None]] = {}  # by serial: who waits for a place, the first first
@@ -37,6 +37,12 @@
         """Bytes that one pipe may hold now, beyond one read."""
         return max(LEAST, min(EACH, self.most // max(1, self.open) - READ))
 
+    def room(self, part: float) -> None:
+        """Hold so much of what this process may hold alone; what is open stays so."""
+        self.most = max(LEAST + READ, int(self.whole * part))
+        self.places = self.most // (LEAST + READ)
+        self._next()
+
     def enter(self) -> bool:
         """Take a place; False where there is none."""
         if self.open >= self.places:
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -602,6 +602,7 @@
     def room(self, part: float) -> None:
         """Hold so much of the connections that this process may hold alone; those beyond close by and by."""
         self.most = max(1, int(self.whole_most * part))
+        self.account.room(part)
 
     def give_all(self, giver: Callable[[int], bool] | None) -> None:
         """Give connections away from now on, each as soon as it is between two requests; None: no longer."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -329,3 +329,35 @@
         await other.stop()
         await backend.stop()
     run(main())
+
+
+@pytest.mark.parametrize("at", [1, 20, 60, -1])
+@pytest.mark.parametrize("ends", [True, False])
+def test_half_a_list_is_never_taken_and_is_asked_for_again_soon(
+    at: int, ends: bool, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It breaks off or stalls at some byte, in the middle of a whole list that lacks what is held."""
+    monkeypatch.setattr("honeywharf.discovery.watch.STALL_S", 0.05)
+
+    async def main() -> None:
+        backend = await Backend().start()
+        async with world([backend.row("b")]) as w:
+            whole = w.discovery._body(2, (row("other", 1),), reset=True)
+            calls = len(w.discovery.calls)
+            before = set(w.discovery.connections)
+            w.discovery.answers.put_nowait(whole[:at])
+            if ends:
+                await until(lambda: w.discovery.answers.empty())
+                await asyncio.sleep(0.01)
+                for writer in before:
+                    writer.close()
+            await until(lambda: len(w.discovery.calls) > calls)  # well before the whole wait is over
+            assert set(w.proxy.directory.rows) == {"b"}
+            client = await Client.to(w.port)
+            client.send()
+            assert await client.status() == 200
+            w.discovery.tell(3, row("c", 1, lifecycle="draining"))
+            await until(lambda: w.proxy.directory.generation == 3)
+            assert set(w.proxy.directory.rows) == {"b", "c"}
+        await backend.stop()
+    run(main())
