--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -28,7 +28,7 @@
 # Between the pieces of an answer, and from its first to its last: a long one comes in many.
 # Guards against a head or a body that never ends, which would hold the attempt until the deadline.
 # Callers' time bounds it too; slow ones give a good answer in pieces for seconds.
-ANSWER_S = 1.0
+ANSWER_S = 0.5
 WHOLE_ANSWER_S = 5.0
 STREAM_S = 3.0  # between the pieces of a long answer that is passed on as it arrives
 ANSWERS_BYTES = 8 * 1024 * 1024  # of all answers that have begun and not ended: guards the memory
