Call an evacuated proxy empty only once the front has been told for long enough

Cause: keeper.emptied() went EVACUATING -> EMPTY at the first instant no client was connected, and EMPTY refuses. Ruled out: late drains (none), the timer of REFUSE (it fires at its time). Change: EMPTY is reached only once the life refuses; REFUSE asks for it itself.

--- a/honeywharf/service/keeper.py
+++ b/honeywharf/service/keeper.py
@@ -98,8 +98,6 @@
         elif state is State.ENDED:
             self.stopped.set()
         self._steps()
-        if state is State.EVACUATING:
-            self.loop.call_soon(self.emptied)  # nothing may be open as it is
         return True
 
     def listening(self) -> None:
@@ -114,7 +112,7 @@
         """No client's connection is left, as far as is known."""
         if not self.front.empty():
             return
-        if self.life.state is State.EVACUATING:
+        if self.life.state is State.EVACUATING and self.life.refuses:  # until then the front sends some more
             self.happens(Event.EMPTIED, "no client's connection is left")
         elif self.life.state in (State.ENDING, State.HANDING_OVER) and not any(
                 step is Step.STOP_ACCEPTING for _, step in self.life.due):
@@ -141,6 +139,7 @@
             self.front.close_silent()
         elif step is Step.REFUSE:
             self.front.refusing = True
+            self.loop.call_soon(self.emptied)
         elif step is Step.STOP_ACCEPTING:
             self.front.stop_listening()
             self.loop.call_soon(self.emptied)
