Name the seams of a request's course, and hang keys, traces and paces on them

Need: order keys, traces, storms' pace and watchers hung on fields of their own in the driver; long bodies and what comes next would have added more. Options: (a) an event bus by name (a look-up and a tuple for each event, untyped), (b) subclasses of the driver (no two features at once), (c) followers of one request, an empty tuple where nobody follows: taken.

--- a/bench/orderkeys_cost.py
+++ b/bench/orderkeys_cost.py
@@ -155,7 +155,7 @@
     settings = wire.settings(node.settings([ORDER]))
     driver = Driver(settings, Balancer(settings, 1), near, loop, clock)
     if keys:
-        driver.keys = Edge(driver, Table(number, 32 * 1024 * 1024, 16384), {"order": KEPT_MS})
+        driver.seams.joins = Edge(driver, Table(number, 32 * 1024 * 1024, 16384), {"order": KEPT_MS})
     driver.start(api.EndpointsListed(
         api.ListKind.FULL, tuple(api.Endpoint(f"n{i}", "z", cell=i % 4) for i in range(8))))
     took: list[list[float]] = [[], [], []]
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -54,7 +54,7 @@
                 action, took = api.Send("id", "s", 100.0, "tallinn", why=why), works[i % 1000]
                 if on:
                     traced = made.begin(request, now)
-                    traced.sent(0, action, now)
+                    traced.sending(0, action, now)
                     traced.ended(0, api.Outcome.OK, response, now + took)
                     traced.answered("served", "", None, now + took)
                     traced.settled(now + took)
@@ -74,7 +74,7 @@
     for _ in range(10_000):
         traced = made.begin(request, 0.0)
         action = api.Send("id", "s", 100.0, "tallinn", why=api.Why(0, 4, 4, 12.0, 3, 5.0))
-        traced.sent(0, action, 0.0)
+        traced.sending(0, action, 0.0)
         traced.ended(0, api.Outcome.OK, None, 5.0)
         traced.answered("served", "", None, 5.0)
         traced.settled(5.0)
@@ -104,7 +104,7 @@
             request.trace_parents, request.trace_states = parents, states
             traced = made[tier].begin(request, now)
             action = api.Send("id", f"{tier}-{rng.randrange(6)}", 100.0, "tallinn")
-            lines = traced.sent(0, action, now).split(b"\r\n")
+            lines = (traced.sending(0, action, now) or b"").split(b"\r\n")
             parents = [line[13:] for line in lines if line.startswith(b"traceparent: ")]
             states = [line[12:] for line in lines if line.startswith(b"tracestate: ")]
             course.append(traced)
--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -1,7 +1,8 @@
 """The driver: events into the decision module one at a time, its actions carried out in order.
 
 It owns the clock, the timers and the table of requests, and knows nothing of sockets: callers and backends
-are behind `Caller` and `Transport`. It decides nothing.
+are behind `Caller` and `Transport`. It decides nothing. What else is told of a request's course hangs on
+the seams (`core.seams`); bytes either way are a request's and a response's `pipe`.
 """
 
 from __future__ import annotations
@@ -10,22 +11,21 @@
 from collections.abc import Callable
 from typing import cast
 
-from honeywharf.core.messages import Request, Response, Status, Traced, pairs
+from honeywharf.core.messages import Request, Response, Status, pairs
+from honeywharf.core.seams import NOBODY, Follower, Seams
 from honeywharf.core.transport import (
     Caller,
     Clock,
     Decider,
-    Keys,
     Loop,
     Registry,
     StreamingCaller,
     Timer,
-    Tracer,
     Transport,
     UpstreamRequest,
-    Watcher,
     log,
 )
+from honeywharf.core.turns import Turns
 from honeywharf.policy import interface as api
 
 # The final answer has to be on its way before the client gives up: its time ran from its sending, so part of
@@ -53,18 +53,19 @@
 class Exchange:
     """A request in the table: until it is answered, its attempts have ended and the module was told."""
 
-    __slots__ = ("answered", "attempts", "caller", "deadline_ms", "live", "queued", "request", "timer",
-                 "traced", "watcher")
+    __slots__ = ("answered", "attempts", "caller", "deadline_ms", "followers", "live", "queued", "request",
+                 "timer")
 
-    def __init__(self, request: Request, caller: Caller, deadline_ms: float) -> None:
+    def __init__(
+        self, request: Request, caller: Caller, deadline_ms: float, followers: tuple[Follower, ...],
+    ) -> None:
         self.request, self.caller, self.deadline_ms = request, caller, deadline_ms
         self.attempts: list[Attempt | None] = []  # None where it was never sent
         self.live = 0
         self.queued = 0  # events that name it and are not handled yet
         self.answered = False
         self.timer: Timer | None = None
-        self.watcher: Watcher | None = None
-        self.traced: Traced | None = None
+        self.followers = followers
 
 
 class Attempt(UpstreamRequest):
@@ -79,8 +80,10 @@
         self.driver, self.exchange, self.number, self.sent_ms = driver, exchange, len(exchange.attempts), now
         self.live = True
         self.timer: Timer | None = None
-        # Order keys have to know answers whole; callers of some protocols too.
-        self.streams = exchange.watcher is None and exchange.request.streams
+        self.streams = exchange.request.streams
+        for follower in exchange.followers:
+            if follower.needs_whole():
+                self.streams = False
 
     def ended(self, outcome: api.Outcome, response: Response | None) -> None:
         """Pass the outcome on."""
@@ -103,8 +106,6 @@
 
 
 PROBE_TIMEOUT_MS = 250.0
-LOOP_MS = 100.0  # how often the module is told of the loop's turns: of the shortest in that time
-BUSY_MS = 0.5  # a wait for I/O shorter than that is none: the loop knows its own time by the ms only
 
 
 class Driver:
@@ -117,13 +118,8 @@
         self.settings, self.transport, self.loop, self.clock = settings, transport, loop, clock
         self.decide: Callable[[float, api.Event], list[api.Action]] = balancer.handle
         self.registry: Registry | None = None
-        self.keys: Keys | None = None  # where idempotency keys are known at the edge
-        self.tracer: Tracer | None = None  # where traces are recorded
-        #: Who is told of each final answer: its class, end, ms since its request came, now, and its trace.
-        self.told: Callable[[str, str, float, float, Traced | None], None] | None = None
-        self.watches_storms = False  # the module is told of connections, and what tries have in common
-        self.pace: Callable[[float], None] | None = None  # who accepts so many connections a second
-        self.connected = 0  # since the module was told
+        self.seams = Seams()
+        self.turns = Turns(clock)
         self.classes = {c.name: c for c in settings.classes}
         self.former: dict[str, api.RequestClass] = {}  # by name: classes that were less strict until just now
         # A report's figures by the settings' names, or by the interface's where they are the same thing.
@@ -133,11 +129,6 @@
         self.events: deque[tuple[api.Event, Exchange | None]] = deque()
         self.scheduled = self.running = False
         self.counts: dict[str, int] = {}
-        # The loop's turns: since when what came in may have waited for this proxy, when it last went to wait
-        # for I/O, when the module is told next, and the shortest turn since it was told.
-        self.blind_ms = self.turn_ms = self.waits_ms = self.tell_ms = 0.0
-        self.least_turn_ms = float("inf")
-        self.marked = False  # whether anything came in this turn
 
     def start(self, known: api.EndpointsListed) -> None:
         """Tell the module that it runs, and the list that it held last."""
@@ -181,8 +172,8 @@
         """Take a request, or refuse it before it reaches the module; what is wrong with it, if so."""
         fault = self.fault_of(request)
         if fault is None:
-            if self.tracer is not None:
-                request.traced = self.tracer.begin(request, request.read_ms or self.clock.now())
+            if self.seams.tracer is not None:
+                request.traced = self.seams.tracer.begin(request, request.read_ms or self.clock.now())
                 if request.waited_ms:
                     request.traced.waited("accept", request.read_ms, request.read_ms + request.waited_ms)
             if self.full():
@@ -200,9 +191,10 @@
             request.traced, now = None, self.clock.now()
             request.answer_lines = traced.answered(how, reason, None, now)
             traced.settled(now)
-        if self.told is not None:
+        if self.seams.answers:
             now = self.clock.now()
-            self.told(request.class_name, how, now - request.read_ms, now, traced)
+            for told in self.seams.answers:
+                told(request.class_name, how, now - request.read_ms, now, traced)
 
     def arrived(self, request: Request, caller: Caller) -> bool:
         """Take a sound request; False where its id is in the table, or its key's request can't be joined."""
@@ -212,36 +204,39 @@
         cls = self.classes[request.class_name]
         left = max(0.0, min(request.left_ms, cls.deadline_ms) - ANSWER_MARGIN_MS)
         left -= self.clock.now() - request.read_ms
-        if self.keys is not None and cls.effect is api.Effect.KEYED and request.idempotency_key and (
-                request.pipe is None):  # a key is known by its payload, which is not in hand here
-            return self.keys.arrived(request, caller, left)
+        if self.seams.joins is not None and cls.effect is api.Effect.KEYED and (
+                request.idempotency_key and request.pipe is None):  # it is known by its payload: not in hand
+            return self.seams.joins.arrived(request, caller, left)
         return self.take(request, caller, left)
 
     def take(
         self, request: Request, caller: Caller, left: float, earlier: api.Earlier | None = None,
-        watcher: Watcher | None = None,
+        follower: Follower | None = None,
     ) -> bool:
         """Take a request that has `left` ms; False where its id is already in the table."""
         if request.id in self.requests:
             return False
         self._blind()
         arriving = request.pipe is not None and not request.pipe.ended
-        exchange = Exchange(request, caller, INFINITY if arriving else self.clock.now() + left)
-        exchange.watcher = watcher
+        followers = NOBODY
+        if follower is not None:
+            followers += (follower,)
+        if request.traced is not None:
+            followers += (request.traced,)
+        exchange = Exchange(request, caller, INFINITY if arriving else self.clock.now() + left, followers)
         self.requests[request.id] = exchange
         self.open += 1
-        exchange.traced = request.traced
         if arriving and request.pipe is not None:
             request.pipe.on_whole = lambda: self.whole(exchange)  # its time runs from its last byte
         else:
             exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
-        if self.connected:
-            self._feed(api.ClientsConnected(self.connected))
-            self.connected = 0
+        if self.seams.connected:
+            self._feed(api.ClientsConnected(self.seams.connected))
+            self.seams.connected = 0
         self._feed(api.RequestArrived(
             request.id, request.class_name, left, request.account, request.repeat, request.sid,
             pairs(request.facts).get("isWrite", 0.0) > 0 if request.facts else False, request.hint_ms,
-            earlier, tries_name(request) if self.watches_storms else b"", arriving,
+            earlier, tries_name(request) if self.seams.names_tries else b"", arriving,
         ), exchange)
         return True
 
@@ -274,8 +269,8 @@
                         self.transport.abort(attempt)
                         self.attempt_ended(attempt, api.Outcome.CANCELLED, None)
             self._feed(api.RequestExpired(request.id), exchange)
-        elif self.keys is not None:
-            self.keys.gone(request)
+        elif self.seams.joins is not None:
+            self.seams.joins.gone(request)
 
     def beside(self, zones: dict[str, int]) -> None:
         """The other process of this proxy has so many calls out, by zone."""
@@ -318,10 +313,8 @@
             attempt.timer.cancel()
         own = now - max(attempt.sent_ms, self._blind())
         pipe = exchange.request.pipe
-        if exchange.watcher is not None:
-            exchange.watcher.ended(attempt.number, outcome, response)
-        if exchange.traced is not None:
-            exchange.traced.ended(attempt.number, outcome, response, now)
+        for follower in exchange.followers:
+            follower.ended(attempt.number, outcome, response, now)
         if outcome is api.Outcome.OK and response is not None and not exchange.answered:
             self._finish(exchange, "served")
             if response.pipe is None:  # the usual one: an argument less is some time less
@@ -350,29 +343,8 @@
         self._feed(api.ProbeEnded(probe.endpoint, outcome, self.clock.now() - probe.sent_ms, report))
 
     def _blind(self) -> float:
-        """Since when this proxy's own work may have kept it from reading what came.
-
-        Guards against taking its own lateness for a zone's: while it is busy, an answer that came in the last
-        turn is read in this one, behind others.
-        """
-        turn = self.clock.at(self.loop.time())
-        if turn != self.turn_ms:
-            busy = turn - self.waits_ms < BUSY_MS
-            self.blind_ms, self.turn_ms = self.turn_ms if busy else turn, turn
-        self.marked = True
-        return self.blind_ms
-
-    def _turned(self) -> None:
-        """The loop is about to wait for I/O again: measure its turn."""
-        before, self.waits_ms = self.waits_ms, self.clock.now()
-        if not self.marked:
-            return  # nothing that counts came in this turn: its start is not known
-        self.marked = False
-        self.least_turn_ms = min(self.least_turn_ms, self.waits_ms - max(before, self.turn_ms))
-        if self.waits_ms >= self.tell_ms:
-            self.tell_ms = self.waits_ms + LOOP_MS
-            self._feed(api.LoopTurned(self.least_turn_ms))
-            self.least_turn_ms = float("inf")
+        """Since when this proxy's own work may have kept it from reading what came."""
+        return self.turns.came(self.loop.time())
 
     # Timers.
 
@@ -450,7 +422,9 @@
                 if exchange.answered and not exchange.live and not exchange.queued:
                     self._forget(exchange)
         self.running = self.scheduled = False
-        self._turned()
+        turn_ms = self.turns.turned()
+        if turn_ms >= 0.0:
+            self._feed(api.LoopTurned(turn_ms))
 
     def _perform(self, action: api.Action) -> None:
         if isinstance(action, api.Send):
@@ -481,8 +455,8 @@
         elif isinstance(action, api.CloseIdle):
             self.transport.close_idle(action.endpoint)
         elif isinstance(action, api.PaceConnections):
-            if self.pace is not None:
-                self.pace(action.per_s)
+            if self.seams.pace is not None:
+                self.seams.pace(action.per_s)
         else:
             log(action.words, "module")
 
@@ -509,15 +483,20 @@
         attempt = Attempt(self, exchange, action.endpoint, now, until)
         exchange.attempts.append(attempt)
         exchange.live += 1
-        if exchange.traced is not None:
-            attempt.lines = exchange.traced.sent(attempt.number, action, now)
+        leaves = True
+        for follower in exchange.followers:
+            lines = follower.sending(attempt.number, action, now)
+            if lines is None:
+                leaves = False
+            else:
+                attempt.lines += lines
         if until < exchange.deadline_ms - LAST_MS:  # else the request's own timer ends it
             attempt.timer = self.loop.call_later((until - now) / 1000.0, self._time_out, attempt)
-        if exchange.watcher is None or exchange.watcher.sent(attempt.number, action.zone, action.cell, now):
+        if leaves:
             self.transport.start(attempt)
 
     def go(self, request: str, number: int, sure: bool) -> None:
-        """An attempt that its watcher has held back leaves now, or never."""
+        """An attempt that a follower has held back leaves now, or never."""
         attempt = self._attempt(request, number)
         if attempt is not None and attempt.live:
             if sure and not attempt.exchange.answered and attempt.until_ms > self.clock.now() + LAST_MS:
@@ -565,8 +544,8 @@
             if not exchange.answered:
                 self._finish(exchange, "cut off")
                 exchange.caller.answer(Status.FAILED)
-        if self.keys is not None:
-            self.keys.fail_all()
+        if self.seams.joins is not None:
+            self.seams.joins.fail_all()
 
     # The table.
 
@@ -577,23 +556,24 @@
         exchange.answered = True
         self.open -= 1
         self.count(how)
-        if exchange.traced is not None:
-            exchange.request.answer_lines = exchange.traced.answered(
-                how, reason, why, self.clock.now())
-        if self.told is not None:
-            now, request = self.clock.now(), exchange.request
-            self.told(request.class_name, how, now - (request.read_ms or now), now, exchange.traced)
+        request = exchange.request
+        for follower in exchange.followers:
+            lines = follower.answered(how, reason, why, self.clock.now())
+            if lines:
+                request.answer_lines = lines
+        if self.seams.answers:
+            now = self.clock.now()
+            for told in self.seams.answers:
+                told(request.class_name, how, now - (request.read_ms or now), now, request.traced)
 
     def _forget(self, exchange: Exchange) -> None:
         if self.requests.get(exchange.request.id) is exchange:
             del self.requests[exchange.request.id]
         if exchange.timer is not None:
             exchange.timer.cancel()
-        if exchange.watcher is not None:
-            exchange.watcher.settled()
-        if exchange.traced is not None:
-            exchange.traced.settled(self.clock.now())
-            exchange.traced = None
+        for follower in exchange.followers:
+            follower.settled(self.clock.now())
+        exchange.followers = NOBODY
         exchange.attempts = []  # guards against memory that waits for the collector: they hold it in turn
 
     def count(self, what: str) -> None:
--- a/honeywharf/core/messages.py
+++ b/honeywharf/core/messages.py
@@ -124,12 +124,16 @@
 
 @mypyc_attr(allow_interpreted_subclasses=True)
 class Traced:
-    """Who is told of one request's course, for its trace; what is returned goes out as header lines."""
+    """Who is told of one request's course, for its trace: a `core.seams.Follower`, and what waits tell."""
 
     __slots__ = ()
 
-    def sent(self, number: int, action: api.Send, now_ms: float) -> bytes:
-        """An attempt leaves."""
+    def needs_whole(self) -> bool:
+        """Whether answers must come whole."""
+        return False
+
+    def sending(self, number: int, action: api.Send, now_ms: float) -> bytes | None:
+        """An attempt is about to leave."""
         raise NotImplementedError
 
     def ended(self, number: int, outcome: api.Outcome, response: Response | None, now_ms: float) -> None:
--- a/honeywharf/core/transport.py
+++ b/honeywharf/core/transport.py
@@ -9,7 +9,7 @@
 
 from mypy_extensions import mypyc_attr
 
-from honeywharf.core.messages import Request, Response, Status, Traced
+from honeywharf.core.messages import Request, Response, Status
 from honeywharf.flow.pipe import Pipe
 from honeywharf.policy import interface as api
 
@@ -158,39 +158,6 @@
         """Take one event; what to do, in order."""
 
 
-class Watcher(Protocol):
-    """Who is told of what becomes of a request's attempts: the holder of an idempotency key's claim."""
-
-    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> bool:
-        """An attempt is about to leave; False where it may only once the driver is told by `go`."""
-
-    def ended(self, number: int, outcome: api.Outcome, response: Response | None) -> None:
-        """An attempt has its one outcome."""
-
-    def settled(self) -> None:
-        """Nothing of the request is out or owed any more."""
-
-
-class Tracer(Protocol):
-    """Who records traces."""
-
-    def begin(self, request: Request, now_ms: float) -> Traced:
-        """A request has been taken."""
-
-
-class Keys(Protocol):
-    """What joins requests of one idempotency key, before the driver."""
-
-    def arrived(self, request: Request, caller: Caller, left_ms: float) -> bool:
-        """Take a sound request of a keyed class that has `left_ms`; False where it can't be joined."""
-
-    def gone(self, request: Request) -> None:
-        """The client of a request that waits for another has left."""
-
-    def fail_all(self) -> None:
-        """Answer all that wait."""
-
-
 def address(text: object) -> Address:
     """A `host:port` as a pair; ValueError where it is none."""
     if not isinstance(text, str):
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -511,8 +511,8 @@
     def joined(self, connection: Connection) -> None:
         """A caller has connected. Beyond the bound the one least likely to be missed has to go."""
         self.connections.add(connection)
-        if self.driver.watches_storms:
-            self.driver.connected += 1
+        if self.driver.seams.counts_clients:
+            self.driver.seams.connected += 1
         if len(self.connections) > self.most and not self._make_room():
             connection.reject(REFUSED)
             if len(self.connections) > self.most + MOST_TURNED_AWAY:
--- a/honeywharf/metrics/__init__.py
+++ b/honeywharf/metrics/__init__.py
@@ -42,7 +42,7 @@
             proxy.name, proxy.driver.settings.zone, VERSION, proxy.counts, self._status, self.answers)
         self.server: asyncio.Server | None = None
         self.open = self.scraped = self.cut = 0
-        proxy.driver.told = self.answers.answered
+        proxy.driver.seams.answers.append(self.answers.answered)
 
     def _status(self) -> dict[str, Any]:
         return {**views.status(self.proxy.balancer), "open": self.proxy.driver.open,
--- a/honeywharf/orderkeys/__init__.py
+++ b/honeywharf/orderkeys/__init__.py
@@ -36,9 +36,9 @@
         from honeywharf.orderkeys.edge import Edge
         from honeywharf.orderkeys.views import Views
 
-        assert isinstance(proxy.driver.keys, Edge)
-        self.edge, self.driver, self.features = proxy.driver.keys, proxy.driver, features
-        self.views = Views(proxy.driver.keys, proxy.loop)
+        assert isinstance(proxy.driver.seams.joins, Edge)
+        self.edge, self.driver, self.features = proxy.driver.seams.joins, proxy.driver, features
+        self.views = Views(proxy.driver.seams.joins, proxy.loop)
 
     def retuned(self) -> None:
         """How long a key is known goes by the classes; those of a class that went are known as before."""
@@ -57,9 +57,9 @@
     if features.store == "redis":
         from honeywharf.orderkeys import redis
 
-        proxy.driver.keys = redis.make(proxy.driver, features, proxy.loop)
+        proxy.driver.seams.joins = redis.make(proxy.driver, features, proxy.loop)
     else:
         from honeywharf.orderkeys import edge
 
-        proxy.driver.keys = edge.make(proxy.driver, features)
+        proxy.driver.seams.joins = edge.make(proxy.driver, features)
     return KeysPart(proxy, features)
--- a/honeywharf/orderkeys/edge.py
+++ b/honeywharf/orderkeys/edge.py
@@ -51,7 +51,7 @@
 
 
 class Run(Joined):
-    """The holder of a key's claim: towards the driver the request's caller, and its attempts' watcher."""
+    """The holder of a key's claim: towards the driver the request's caller, and its attempts' follower."""
 
     __slots__ = ("caller", "claim", "edge", "noted", "places", "request", "shared")
 
@@ -70,12 +70,16 @@
 
     # What the driver tells.
 
-    def sent(self, number: int, zone: str, cell: int, now_ms: float) -> bool:
+    def needs_whole(self) -> bool:
+        """The repeats get the answer too."""
+        return True
+
+    def sending(self, number: int, action: api.Send, now_ms: float) -> bytes | None:
         """An attempt is about to leave; one to another cell than a shared store knows waits for its note."""
-        place = self.places[number] = api.Earlier(zone, cell, now_ms)
-        return not self.shared or self.edge.noted(self, number, place)
+        place = self.places[number] = api.Earlier(action.zone, action.cell, now_ms)
+        return b"" if not self.shared or self.edge.noted(self, number, place) else None
 
-    def ended(self, number: int, outcome: api.Outcome, response: Response | None) -> None:
+    def ended(self, number: int, outcome: api.Outcome, response: Response | None, now_ms: float) -> None:
         """Forget an attempt that never ran; keep the first answer, for the repeats too.
 
         Also an answer that comes after the caller has left, or been told of a failure.
@@ -87,7 +91,11 @@
             origin = traced.mark() if traced is not None else b""
             self.edge.answered(self, Answer(response.body, response.kind, origin))
 
-    def settled(self) -> None:
+    def answered(self, how: str, reason: str, why: api.Why | None, now_ms: float) -> bytes:
+        """Its own caller's answer settles no key: an attempt that is out may yet run."""
+        return b""
+
+    def settled(self, now_ms: float) -> None:
         """Nothing is out any more: what is not done is uncertain, or free."""
         self.edge.settled(self)
 
--- a/honeywharf/storms/__init__.py
+++ b/honeywharf/storms/__init__.py
@@ -67,6 +67,7 @@
         aim_ms=min(c.aim_ms for c in settings.classes))
     storms = Storms(rules, random.Random(secrets.randbits(64)), secrets.token_bytes(32))
     proxy.balancer.storms = storms
-    proxy.driver.watches_storms, proxy.driver.pace = True, proxy.front.pace
+    seams = proxy.driver.seams
+    seams.names_tries, seams.counts_clients, seams.pace = True, True, proxy.front.pace
     proxy.front.paced = True
     return StormsPart(storms)
--- a/honeywharf/traces/__init__.py
+++ b/honeywharf/traces/__init__.py
@@ -150,6 +150,6 @@
     if features.notes:
         peers = frozenset(address(peer) for peer in features.peers)
         line = Line(Notes(), peers, proxy.clock.now, sampler.note)
-    proxy.driver.tracer = recorder
+    proxy.driver.seams.tracer = recorder
     proxy.balancer.explains = True
     return TracesPart(recorder, exporters, line, address(features.notes) if features.notes else ("", 0))
--- a/honeywharf/traces/recorder.py
+++ b/honeywharf/traces/recorder.py
@@ -62,7 +62,7 @@
     def __init__(self, recorder: Recorder, hop: HopTrace) -> None:
         self.recorder, self.hop = recorder, hop
 
-    def sent(self, number: int, action: api.Send, now_ms: float) -> bytes:
+    def sending(self, number: int, action: api.Send, now_ms: float) -> bytes:
         """An attempt leaves; the header lines that go with it."""
         hop, copy = self.hop, False
         for earlier in hop.attempts:
--- a/tests/orderkeys/shared.py
+++ b/tests/orderkeys/shared.py
@@ -27,8 +27,8 @@
 
 
 def edge_of(w: World) -> Edge:
-    assert isinstance(w.proxy.driver.keys, Edge)
-    return w.proxy.driver.keys
+    assert isinstance(w.proxy.driver.seams.joins, Edge)
+    return w.proxy.driver.seams.joins
 
 
 def store_of(w: World) -> Store:
--- a/tests/orderkeys/test_edge.py
+++ b/tests/orderkeys/test_edge.py
@@ -31,7 +31,7 @@
     async with world([b.row(f"b{i}", cell=i) for i, b in enumerate(backends)], features, **changes) as w:
         yield w, backends
         await until(lambda: not w.proxy.driver.requests)
-        edge = w.proxy.driver.keys
+        edge = w.proxy.driver.seams.joins
         assert w.proxy.driver.open == 0
         if isinstance(edge, Edge):
             assert not edge.runs
@@ -41,8 +41,8 @@
 
 
 def edge_of(w: World) -> Edge:
-    assert isinstance(w.proxy.driver.keys, Edge)
-    return w.proxy.driver.keys
+    assert isinstance(w.proxy.driver.seams.joins, Edge)
+    return w.proxy.driver.seams.joins
 
 
 async def clients(w: World, number: int) -> list[Client]:
@@ -93,7 +93,7 @@
                 client.send("order", b"x", key="k")
                 assert await client.status() == 200
             assert len(backend.requests) == 2
-            assert w.proxy.driver.keys is None
+            assert w.proxy.driver.seams.joins is None
     run(main())
 
 
--- a/tests/traces/test_waits.py
+++ b/tests/traces/test_waits.py
@@ -106,7 +106,7 @@
     async def main() -> None:
         async with sharing(1, 2) as (_, (w,), backends):
             traced: list[HopTrace] = []
-            w.proxy.driver.tracer = Recorder(
+            w.proxy.driver.seams.tracer = Recorder(
                 Sampler(Sampling(1.0), {}, traced.append, trusts=False), random.Random(1))
             for backend in backends:
                 backend.script = ["close"]  # unprovable: it may be sent again in its own cell only
