--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -11,7 +11,6 @@
 from honeywharf.lab.simulator import Day, Trouble, play
 from honeywharf.policy import choice, endpoints
 
-
 SEEDS = (1, 2, 3)  # one play moves by 0.05
 
 
