Let a cold server wait by what is known of its like by now, not when it was listed

Cause: Endpoints.listed sets a cold server's next call by the least rate of answers (1 an aim over all balancers); the handover gives the true rate only after that, and the wait stayed. Change: the review shortens a wait longer than 1.5 spaces at the rate known now.

--- a/honeywharf/policy/balancer.py
+++ b/honeywharf/policy/balancer.py
@@ -184,7 +184,8 @@
         server.calls[attempt] = None
         zone.in_flight += 1
         if server.cold:
-            self.endpoints.space(self.now, server, 0.5, 1.5)
+            spacing = self.endpoints.spacing(self.now, server)
+            server.next_ms = self.now + self.random.uniform(0.5, 1.5) * spacing
         to = server.endpoint
         why = self._why(request, self.choice.depth, [zone]) if self.explains else None
         self.actions.append(api.Send(request.id, to.id, request.deadline - self.now, to.zone, to.cell, why))
--- a/honeywharf/policy/endpoints.py
+++ b/honeywharf/policy/endpoints.py
@@ -8,12 +8,11 @@
 
 from honeywharf import limits
 from honeywharf.limits.rate import AnswerRate
-from honeywharf.limits.warmth import warmth
+from honeywharf.limits.warmth import spacing, warmth
 from honeywharf.policy import interface as api
 
 REVIEW_MS = 250.0  # how often slowly changing judgements are renewed: short against any trouble
 EVEN_PACE = 1.2  # up to here a server keeps its even share; a slower one gets less, in the square of its pace
-COLD_MARGIN = 3.0  # of the multiple that pushes a cold server over, a third: calls come by chance and differ
 OPEN_MS = 50.0  # after the first call for which limits may be open: jams take longer, and fast servers answer
 SLIVER = 1.0  # call over the limit, by worth: a limit of about one turns a third away by chance alone
 SLIVERS = 0.5  # calls for each server that all balancers' slivers may come to: more of them keep jams full
@@ -133,7 +132,7 @@
             elif known is None or known.endpoint.started_ms != endpoint.started_ms:
                 known = self.servers[endpoint.id] = Server(endpoint)  # a new process has a clean record
                 if self.warmth(now, known) < 1.0:
-                    self.space(now, known, 0.0, 1.0)
+                    known.next_ms = now + self.random.uniform(0.0, 1.0) * self.spacing(now, known)
             else:
                 known.endpoint = endpoint
         self.review(now)
@@ -175,6 +174,9 @@
         for server in ready:
             self.zones[server.endpoint.zone].spare -= 2
             self.zones[server.endpoint.zone].ready += 1
+            if server.cold and server.next_ms > now + 1.5 * self.spacing(now, server):
+                # Guards against a wait from when this balancer did not know yet what servers answer.
+                server.next_ms = now + self.random.uniform(0.0, 1.5) * self.spacing(now, server)
         for server in usable:
             # Guards against pushing over the first cold servers of a zone that has lost all others.
             self.zones[server.endpoint.zone].capacity += server.share
@@ -188,13 +190,9 @@
         rules, started = self.settings.rules, max(server.endpoint.started_ms or 0.0, server.back_ms)
         return warmth(now, started, rules.cold_share, rules.warm_after_ms)
 
-    def space(self, now: float, server: Server, least: float, most: float) -> None:
-        """Set when the cold server may get its next call from this balancer.
-
-        Guards against pushing it over: all balancers together send its part of what warm servers answered.
-        """
-        part = self.settings.rules.cold_multiple / COLD_MARGIN * self.warmth(now, server)
-        server.next_ms = now + self.random.uniform(least, most) / (part * self.rate.per_ms)
+    def spacing(self, now: float, server: Server) -> float:
+        """The usual time between two calls from this balancer to a cold server."""
+        return spacing(self.warmth(now, server), self.settings.rules.cold_multiple, self.rate.per_ms)
 
     def settle(self, now: float) -> None:
         """Some time after the first call: zones that have not answered begin at a first value."""
--- a/tests/handover/test_rules.py
+++ b/tests/handover/test_rules.py
@@ -102,6 +102,21 @@
     assert other.balancer.endpoints.servers["a1"].usable_at == 0.0
 
 
+def test_a_new_module_lets_cold_servers_wait_no_longer_than_the_old_one() -> None:
+    """Guards against a wait set before the rate of answers was given on."""
+    old = busy()
+    told = json.loads(json.dumps(knowledge.learned(old.balancer)))
+    new = Driver(make_settings(balancers=4))
+    new.now = old.now + 50.0
+    new.list([endpoint("a5", started_ms=new.now), *(endpoint(n) for n in ("a2", "a3", "a4"))])
+    cold = new.balancer.endpoints.servers["a5"]
+    usual, unknown = (d.balancer.endpoints.spacing(new.now, cold) for d in (old, new))
+    assert 3.0 * usual < unknown
+    cold.next_ms = new.now + unknown
+    knowledge.know(new.balancer, new.now, told)
+    assert cold.next_ms <= new.now + 1.5 * usual
+
+
 def places(value: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
     found = [path] if path else []
     items = value.items() if isinstance(value, dict) else ()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -62,6 +62,14 @@
     assert 0.8 < warm["a0"] / warm["a1"] < 1.25
 
 
+def test_a_cold_server_waits_by_what_its_like_are_known_to_answer_by_now() -> None:
+    """Guards against a wait from the time when nothing was known: here it would be minutes."""
+    driver = Driver(make_settings(balancers=100))
+    driver.list([endpoint("a0", started_ms=driver.now), *(endpoint(f"a{i}") for i in range(1, 5))])
+    sent = driver.fill(3000)
+    assert 0.0 < sent["a0"] / sent["a1"] < 0.6  # cold share 0.2, three seconds of ten warmed meanwhile
+
+
 def test_a_restarted_server_is_cold_again() -> None:
     driver = Driver()
     driver.list([endpoint("a0"), endpoint("a1")])
