Keep one sink and one source of long bodies for both ends of the proxy

Change: one pair in http/pieces.py, with the connection's side as protocols; the backend's broken_off is cut, as at the front. Measured: tests of flow, http, handover, service and both ends pass, unchanged.

--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -14,8 +14,8 @@
 from honeywharf.core.messages import WHOLE_ANSWER
 from honeywharf.core.transport import Address, Clock, UpstreamRequest
 from honeywharf.flow.account import Account
-from honeywharf.flow.pipe import Pipe, Sink, Source
-from honeywharf.http.pieces import read_in_pieces
+from honeywharf.flow.pipe import Pipe
+from honeywharf.http.pieces import Reading, Writing, read_in_pieces
 from honeywharf.policy import interface as api
 
 # A backend closes an idle connection at the latest after the time in the settings, counted from when it wrote
@@ -76,7 +76,7 @@
         self.call: UpstreamRequest | None = None
         self.reader = http1.ResponseReader(account=pool.account)
         self.body: Pipe | None = None  # of the call, while part of it is still to come
-        self.sink: Sending | None = None
+        self.sink: Writing | None = None
         self.stream: Pipe | None = None  # an answer that is passed on as it arrives
         self.held = False  # which its caller takes more slowly than it comes
         self.unsent = self.closed = False
@@ -121,7 +121,7 @@
             self.transport.write(http1.LAST_CHUNK)
         self.unsent = self.transport.get_write_buffer_size() > 0 or self.transport.is_closing()
 
-    def broken_off(self) -> None:
+    def cut(self) -> None:
         """The rest of the call's body will not come: it can't have run."""
         if not self.closed:
             self._end(O.CONNECT_FAILED, None)
@@ -151,7 +151,7 @@
             self.transport.write(b"%b%b%b\r\n%b" % (
                 http1.head_of(request, host), left, call.lines, request.body))
             if pipe is not None:
-                self.body, self.sink, self.unsent = pipe, Sending(self), True
+                self.body, self.sink, self.unsent = pipe, Writing(self), True
                 pipe.attach(self.sink)
         if self.transport.is_closing():
             # Guards against taking a write that failed for one that left: nothing of it did.
@@ -200,7 +200,7 @@
         """Pass an answer on as it arrives; its call has ended with its first bytes."""
         call, self.call = self.call, None
         self._disarm()
-        self.stream, pipe.source = pipe, Answering(self)
+        self.stream, pipe.source = pipe, Reading(self)
         self.heard_ms = self.pool.clock.now()
         self.timer = self.pool.loop.call_later(STREAM_S, self._dried_up)
         self.pool.streams += 1
@@ -348,44 +348,6 @@
             self.transport.abort()
 
 
-class Sending(Sink):
-    """A connection to a backend as the sink of a request's body."""
-
-    __slots__ = ("connection",)
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def take(self, data: bytes) -> None:
-        """Some more of it."""
-        self.connection.take(data)
-
-    def whole(self) -> None:
-        """That was all."""
-        self.connection.sent()
-
-    def broken(self) -> None:
-        """The rest will not come."""
-        self.connection.broken_off()
-
-
-class Answering(Source):
-    """A connection to a backend as the source of an answer's body."""
-
-    __slots__ = ("connection",)
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def hold(self, held: bool) -> None:
-        """Stop reading, or go on."""
-        self.connection.hold(held)
-
-    def unwanted(self) -> None:
-        """Nobody takes the rest."""
-        self.connection.unwanted()
-
-
 class Pool:
     """All connections to all backends, within one bound."""
 
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -14,8 +14,8 @@
 from honeywharf.core.transport import Address, Clock
 from honeywharf.flow.account import Account
 from honeywharf.flow.pace import HEAD_MS, LEAST_PER_S, STALL_MS, Pace
-from honeywharf.flow.pipe import Pipe, Sink, Source
-from honeywharf.http.pieces import read_in_pieces
+from honeywharf.flow.pipe import Pipe
+from honeywharf.http.pieces import Reading, Writing, read_in_pieces
 
 if TYPE_CHECKING:
     from honeywharf.http.accept import Acceptor
@@ -255,6 +255,10 @@
         self.front.downloads.pop(self, None)
         self.transport.set_write_buffer_limits()
 
+    def unwanted(self) -> None:
+        """Read the rest of a body, and throw it away: the answer says the rest."""
+        self.hold(False)
+
     def cut(self) -> None:
         """The rest of an answer will not come: its caller sees that, by the connection's end."""
         self._stream_over()
@@ -426,44 +430,6 @@
         del self.reader
 
 
-class Reading(Source):
-    """A caller's connection as the source of a body."""
-
-    __slots__ = ("connection",)
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def hold(self, held: bool) -> None:
-        """Stop reading, or go on."""
-        self.connection.hold(held)
-
-    def unwanted(self) -> None:
-        """Read on, and throw it away: the answer says the rest."""
-        self.connection.hold(False)
-
-
-class Writing(Sink):
-    """A caller's connection as the sink of an answer's body."""
-
-    __slots__ = ("connection",)
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def take(self, data: bytes) -> None:
-        """Some more of it."""
-        self.connection.take(data)
-
-    def whole(self) -> None:
-        """That was all."""
-        self.connection.sent()
-
-    def broken(self) -> None:
-        """The rest will not come."""
-        self.connection.cut()
-
-
 class Front:
     """The listener and all callers' connections."""
 
--- a/honeywharf/http/pieces.py
+++ b/honeywharf/http/pieces.py
@@ -1,4 +1,4 @@
-"""Reads of a bounded size, for connections that carry a long body.
+"""A connection at an end of a long body's pipe, and reads of a bounded size for it.
 
 The event loop's own reads bring up to 250 kB at once, which the account would have to count for each body.
 A small receive buffer in the kernel is no way out: it was tried, and 64 kB of it made the sender wait for
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Protocol
 
 from honeywharf.flow.account import READ
+from honeywharf.flow.pipe import Sink, Source
 
 _BUFFER = bytearray(READ)  # shared by all: the loop reads into it and hands it on in the same turn
 _VIEW = memoryview(_BUFFER)
@@ -57,3 +59,64 @@
     transport.set_protocol(InPieces(inner))
     if reading:
         transport.resume_reading()
+
+
+class Writes(Protocol):
+    """A connection that a body is written to."""
+
+    def take(self, data: bytes) -> None:
+        """Some more of it."""
+
+    def sent(self) -> None:
+        """That was all."""
+
+    def cut(self) -> None:
+        """The rest will not come."""
+
+
+class Reads(Protocol):
+    """A connection that a body is read from."""
+
+    def hold(self, held: bool) -> None:
+        """Stop reading, or go on."""
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest."""
+
+
+class Writing(Sink):
+    """A connection as the sink of a body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Writes) -> None:
+        self.connection = connection
+
+    def take(self, data: bytes) -> None:
+        """Some more of it."""
+        self.connection.take(data)
+
+    def whole(self) -> None:
+        """That was all."""
+        self.connection.sent()
+
+    def broken(self) -> None:
+        """The rest will not come."""
+        self.connection.cut()
+
+
+class Reading(Source):
+    """A connection as the source of a body."""
+
+    __slots__ = ("connection",)
+
+    def __init__(self, connection: Reads) -> None:
+        self.connection = connection
+
+    def hold(self, held: bool) -> None:
+        """Stop reading, or go on."""
+        self.connection.hold(held)
+
+    def unwanted(self) -> None:
+        """Nobody takes the rest."""
+        self.connection.unwanted()
