Let one switch of the seams stand for storms, as one feature sets it

Need: names_tries and counts_clients were always set together, by storms.attach alone. Change: Seams.storms. Measured: tests of storms and the driver pass, unchanged.

--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -236,7 +236,7 @@
         self._feed(api.RequestArrived(
             request.id, request.class_name, left, request.account, request.repeat, request.sid,
             pairs(request.facts).get("isWrite", 0.0) > 0 if request.facts else False, request.hint_ms,
-            earlier, tries_name(request) if self.seams.names_tries else b"", arriving,
+            earlier, tries_name(request) if self.seams.storms else b"", arriving,
         ), exchange)
         return True
 
--- a/honeywharf/core/seams.py
+++ b/honeywharf/core/seams.py
@@ -76,7 +76,6 @@
         self.tracer: Tracer | None = None
         self.joins: Joins | None = None
         self.answers: list[Answers] = []
-        self.names_tries = False  # the module is told what tries of one thing have in common
-        self.counts_clients = False  # the module is told how many have connected
+        self.storms = False  # the module is told of connections, and what tries have in common
         self.connected = 0  # since it was told
         self.pace: Callable[[float], None] | None = None  # who accepts so many connections a second
--- a/honeywharf/http/front.py
+++ b/honeywharf/http/front.py
@@ -477,7 +477,7 @@
     def joined(self, connection: Connection) -> None:
         """A caller has connected. Beyond the bound the one least likely to be missed has to go."""
         self.connections.add(connection)
-        if self.driver.seams.counts_clients:
+        if self.driver.seams.storms:
             self.driver.seams.connected += 1
         if len(self.connections) > self.most and not self._make_room():
             connection.reject(REFUSED)
--- a/honeywharf/storms/__init__.py
+++ b/honeywharf/storms/__init__.py
@@ -68,6 +68,6 @@
     storms = Storms(rules, random.Random(secrets.randbits(64)), secrets.token_bytes(32))
     proxy.balancer.storms = storms
     seams = proxy.driver.seams
-    seams.names_tries, seams.counts_clients, seams.pace = True, True, proxy.front.pace
+    seams.storms, seams.pace = True, proxy.front.pace
     proxy.front.paced = True
     return StormsPart(storms)
