--- a/honeywharf/service/keeper.py
+++ b/honeywharf/service/keeper.py
@@ -180,7 +180,8 @@
     def readyz(self) -> str:
         """Whether this process takes clients."""
         if not (self.life.conduct.readyz and self.front.ready()):
-            raise AskError(f"not ready: {self.life.state.value}")
+            why = self.life.state.value if not self.life.conduct.readyz else "waiting for discovery's list"
+            raise AskError(f"not ready: {why}")
         if self.ready_told is not None:
             self.ready_told()
         return self.life.state.value
--- a/tests/every_command.py
+++ b/tests/every_command.py
@@ -74,7 +74,8 @@
     return {
         ("run",): [((), (2,))],
         ("demo",): [(("--seconds", "4"), (0,)), (("--keys", "--seconds", "4"), (0,)),
-                    (("--coap", "--seconds", "4"), (0,)), (("--traces",), (0,)), (("--storm",), (0,))],
+                    (("--coap", "--seconds", "4"), (0,)), (("--traces",), (0,)), (("--storm",), (0,)),
+                    (("--upgrade", "--seconds", "6"), (0,))],
         ("check-config",): [((str(folder / "f.toml"), str(folder / "n.json")), (0,)), ((day,), (2,))],
         ("config", "check"): [((str(folder / "f.toml"),), (0,))],
         ("config", "show"): [((*at,), (0,)), ((*at, "--all", "--json"), (0,)), (nobody, (3,))],
@@ -86,6 +87,12 @@
         ("endpoints",): [((*at, "--out"), (0,)), (nobody, (3,))],
         ("top",): [((*at,), (1,))],  # no terminal here
         ("drain",): [((*at,), (1,)), (nobody, (1,))],
+        ("readyz",): [((*at,), (1,)), (nobody, (3,)),  # 1: discovery is not up here
+                      ((), (2,)), (("--operator", "127.0.0.1:9"), (3,))],
+        ("exclude",): [((*at, "never-listed"), (1,)), ((*nobody, "s"), (3,))],
+        ("include",): [((*at, "never-listed"), (1,)), ((*nobody, "s"), (3,))],
+        ("evacuate",): [((*at,), (0,)), (nobody, (3,))],
+        ("activate",): [((*at,), (0,)), (nobody, (3,))],
         ("traces",): [(("failed", traces), (0,)), (("failed", traces, "--by", "server"), (0,)),
                       (("no", traces), (2,))],
         ("causes",): [((traces,), (1,))],
@@ -129,11 +136,12 @@
     while not (folder / "s").exists() and proxy.poll() is None and time.monotonic() < end:
         time.sleep(0.05)
     quick = [((*leaf, *more), wanted) for leaf, some in table.items() for more, wanted in some
-             if leaf[0] not in ("lab", "demo")]
+             if leaf[0] not in ("lab", "demo", "evacuate", "activate")]
     with ThreadPoolExecutor(4) as pool:
         wrong += filter(None, pool.map(lambda one: called(*one), quick))
         wrong += filter(None, pool.map(lambda leaf: called((*leaf, "--help"), (0,)), leaves(main)))
-    for leaf in (("lab", "run"), ("lab", "compare"), ("lab", "report")):  # each reads what the last one wrote
+    # Each reads what the last one wrote, or takes back what it did.
+    for leaf in (("lab", "run"), ("lab", "compare"), ("lab", "report"), ("evacuate",), ("activate",)):
         wrong += filter(None, (called((*leaf, *more), wanted) for more, wanted in table[leaf]))
     with ThreadPoolExecutor(2) as pool:  # two at a time: they are not to crowd each other
         wrong += filter(None, pool.map(lambda one: called(("demo", *one[0]), one[1]), table["demo",]))
