--- /dev/null
+++ b/honeywharf/strainer/routes.py
@@ -0,0 +1,247 @@
+"""Which service a request is for: a table built from a checked configuration, kept by every sluice.
+
+Theory of operation. By host, then by prefix: one dictionary of prefixes for each host. A path is looked up by
+its longest beginning that ends with a slash and is no longer than the host's longest prefix, then by the next
+shorter, and so on: the cost is the number of slashes there, whatever the number of routes. Prefixes begin and
+end with a slash, so nothing else can match. What many routes share (names, times, splits) is held once.
+"""
+
+from __future__ import annotations
+
+import json
+
+from honeywharf.strainer.quantities import seconds
+
+READ_ONLY = "read_only"
+MUTATING = "mutating"
+UPLOAD = "upload"
+
+#: What stands in for a field that a configuration leaves out.
+HEALTH = "/health"
+MOST_CONNECTIONS = 100
+MAX_HEADER_BYTES = 16384
+MAX_BODY_BYTES = 64 << 20
+HEADER_TIMEOUT_S = 3.0
+IDLE_TIMEOUT_S = 15.0
+SLASH = b"/"
+
+
+class Service:
+    """One service: where its health is asked for, what its backends bear."""
+
+    __slots__ = ("cold_per_s", "cold_start_s", "health", "most_connections", "name")
+
+    def __init__(self, fields: dict[str, object]) -> None:
+        """From its JSON object. KeyError, TypeError or ValueError where that was never checked."""
+        self.name = str(fields["name"])
+        self.health = str(_or(fields, "health-check-path", HEALTH))
+        self.most_connections = _whole(_or(fields, "max-connections", MOST_CONNECTIONS))
+        self.cold_start_s = seconds(_or(fields, "cold-start", "0s"))
+        self.cold_per_s = _float(_or(fields, "cold-per-s", float("inf")))  # requests a second
+
+
+class Limits:
+    """What a client may send, and how long it may take or stay idle. Bytes and seconds."""
+
+    __slots__ = ("header_timeout_s", "idle_timeout_s", "max_body_bytes", "max_header_bytes")
+
+    def __init__(self, fields: dict[str, object]) -> None:
+        """From its JSON object. TypeError or ValueError where that was never checked."""
+        self.max_header_bytes = _whole(_or(fields, "max-header-bytes", MAX_HEADER_BYTES))
+        self.max_body_bytes = _whole(_or(fields, "max-body-bytes", MAX_BODY_BYTES))
+        self.header_timeout_s = seconds(_or(fields, "header-timeout", f"{HEADER_TIMEOUT_S}s"))
+        self.idle_timeout_s = seconds(_or(fields, "idle-timeout", f"{IDLE_TIMEOUT_S}s"))
+
+
+class Route:
+    """One route. Times are seconds; `split` holds (service, weight), weights above 0 only."""
+
+    __slots__ = ("aim_s", "attempts", "host", "kind", "name", "prefix", "priority", "split", "timeout_s")
+
+    name: str
+    host: bytes  # in lower case, without a port
+    prefix: bytes
+    kind: str
+    timeout_s: float
+    aim_s: float
+    priority: int  # 0 is highest
+    attempts: int  # the most backends that one try may be sent to
+    split: tuple[tuple[str, float], ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run more than once."""
+        return self.kind == READ_ONLY
+
+    @property
+    def upload(self) -> bool:
+        """Whether its bodies are large."""
+        return self.kind == UPLOAD
+
+    def service(self, draw: float) -> str:
+        """The service for a request, by weight; `draw` is an even random number in [0, 1)."""
+        split = self.split
+        if len(split) == 1:
+            return split[0][0]
+        left = draw * sum(weight for _, weight in split)
+        for name, weight in split:
+            left -= weight
+            if left < 0.0:
+                return name
+        return split[-1][0]  # rounding
+
+
+def _or(fields: dict[str, object], key: str, default: object) -> object:
+    found = fields.get(key)
+    return default if found is None else found
+
+
+def _whole(value: object) -> int:
+    if not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is not a number")
+    return int(value)
+
+
+def _float(value: object) -> float:
+    if not isinstance(value, int | float):
+        raise ValueError(f"{value!r} is not a number")
+    return float(value)
+
+
+def _objects(value: object) -> list[dict[str, object]]:
+    if not isinstance(value, list):
+        raise ValueError("not a list")
+    return value
+
+
+def bare_host(host: bytes) -> bytes:
+    """A `Host` header's value in lower case, without its port."""
+    colon = host.rfind(b":")
+    if colon >= 0 and (colon == len(host) - 1 or host[colon + 1:].isdigit()):  # an empty port is a port
+        host = host[:colon]
+    return host.lower()
+
+
+def version_number(value: object) -> int:
+    """The number of a version such as `r12`. ValueError for anything else."""
+    if isinstance(value, str) and value[:1] == "r" and value[1:].isascii() and value[1:].isdigit():
+        return int(value[1:])
+    raise ValueError(f"{value!r} is not a version such as 'r12'")
+
+
+class _Shared:
+    """Holds one object for all equal ones while a table is built."""
+
+    __slots__ = ("held", "times")
+
+    def __init__(self) -> None:
+        self.held: dict[object, object] = {}
+        self.times: dict[object, float] = {}
+
+    def text(self, value: object) -> str:
+        held = self.held.setdefault(value, value)
+        if not isinstance(held, str):
+            raise ValueError(f"{value!r} is not text")
+        return held
+
+    def seconds(self, value: object) -> float:
+        found = self.times.get(value)
+        if found is None:
+            found = self.times[value] = seconds(value)
+        return found
+
+    def split(self, fields: dict[str, object]) -> tuple[tuple[str, float], ...]:
+        shares = fields.get("traffic-split")
+        if shares is None:
+            made: object = ((self.text(fields["target-service"]), 1.0),)
+        else:
+            pairs = [(self.text(s["target-service"]), _float(s["weight"])) for s in _objects(shares)]
+            made = tuple(pair for pair in pairs if pair[1] > 0)
+        held = self.held.setdefault(made, made)
+        if not isinstance(held, tuple) or not held:
+            raise ValueError("no weight above 0")
+        return held
+
+
+def _route(fields: dict[str, object], host: bytes, prefix: bytes, shared: _Shared) -> Route:
+    route = Route()
+    route.name = str(fields["name"])
+    route.host = host
+    route.prefix = prefix
+    route.kind = shared.text(fields["route-kind"])
+    route.timeout_s = shared.seconds(fields["timeout"])
+    route.aim_s = shared.seconds(_or(fields, "target-latency", fields["timeout"]))
+    route.priority = _whole(_or(fields, "priority", 0))
+    route.attempts = _whole(_or(fields, "max-attempts", 1))
+    route.split = shared.split(fields)
+    return route
+
+
+class _Host:
+    """The routes of one host."""
+
+    __slots__ = ("longest", "name", "routes")
+
+    def __init__(self, name: bytes) -> None:
+        self.name = name
+        self.longest = 0  # bytes of the longest prefix
+        self.routes: dict[bytes, Route] = {}
+
+
+class Table:
+    """All routes, services and limits of one configuration."""
+
+    __slots__ = ("_hosts", "limits", "routes", "services", "version")
+
+    def __init__(self, text: bytes) -> None:
+        """Built from a checked configuration's text. ValueError where it is not one."""
+        try:
+            whole = json.loads(text)
+            self.version: int = version_number(whole["config-version"])
+            self.services: dict[str, Service] = {}
+            for fields in whole["services"]:
+                service = Service(fields)
+                self.services[service.name] = service
+            self.limits: Limits = Limits(whole.get("limits") or {})
+            self._hosts: dict[bytes, _Host] = {}
+            self.routes: int = 0  # how many
+            self._fill(whole["routes"])
+        except (KeyError, TypeError, AttributeError, RecursionError) as fault:
+            raise ValueError(f"not a checked configuration: {fault!r}") from None
+
+    def _fill(self, routes: list[dict[str, object]]) -> None:
+        shared = _Shared()
+        for service in self.services:
+            shared.text(service)
+        for fields in routes:
+            name = bare_host(str(fields["hostname"]).encode())
+            host = self._hosts.get(name)
+            if host is None:
+                host = self._hosts[name] = _Host(name)
+            prefix = str(fields["path-prefix"]).encode()
+            host.longest = max(host.longest, len(prefix))
+            host.routes[prefix] = _route(fields, host.name, prefix, shared)
+        self.routes = sum(len(host.routes) for host in self._hosts.values())
+
+    def find(self, host: bytes, path: bytes) -> Route | None:
+        """The route with the longest prefix that begins `path` (without its query), among those of `host`.
+
+        `host` is the `Host` header's value; case and port make no difference. None where there is no route.
+        """
+        of = self._hosts.get(host)
+        if of is None:
+            of = self._hosts.get(bare_host(host))
+            if of is None:
+                return None
+        get = of.routes.get
+        end = path.rfind(SLASH, 0, of.longest) + 1
+        while end:
+            found = get(path[:end])
+            if found is not None:
+                return found
+            end = path.rfind(SLASH, 0, end - 1) + 1
+        return None
+
+    def all(self) -> list[Route]:
+        """Every route, by host and in the order of the configuration."""
+        return [route for host in self._hosts.values() for route in host.routes.values()]
