--- /dev/null
+++ b/honeywharf/flume/disk.py
@@ -0,0 +1,92 @@
+"""A disk that may lose, keep or tear what was not synced when the power went."""
+
+from __future__ import annotations
+
+import random
+
+
+class Operation:
+    """One write, rename or removal: begun at `start`, safe from `done` on (seconds)."""
+
+    __slots__ = ("data", "done", "kind", "name", "start", "to")
+
+    def __init__(self, kind: str, name: str, data: bytes, to: str, start: float, done: float) -> None:
+        self.kind, self.name, self.data, self.to, self.start, self.done = kind, name, data, to, start, done
+
+
+def apply(files: dict[str, bytes], operation: Operation) -> None:
+    """Do one operation whole."""
+    if operation.kind == "write":
+        files[operation.name] = operation.data
+    elif operation.kind == "remove":
+        files.pop(operation.name, None)
+    elif operation.name in files:
+        files[operation.to] = files.pop(operation.name)
+
+
+def torn(files: dict[str, bytes], operation: Operation, chance: random.Random) -> None:
+    """Do a part of a write: the beginning is new, the rest is old or missing. A name is never half there."""
+    if operation.kind != "write":
+        return
+    part = chance.randint(0, len(operation.data))
+    rest = files.get(operation.name, b"")[part:] if chance.random() < 0.5 else b""
+    files[operation.name] = operation.data[:part] + rest
+
+
+class Disk:
+    """Files as a process sees them, what of them is safe, and what is still under way."""
+
+    def __init__(self, sync: float = 0.005, per_byte: float = 1 / 60e6) -> None:
+        self.sync, self.per_byte = sync, per_byte
+        self.files: dict[str, bytes] = {}
+        self.safe: dict[str, bytes] = {}
+        self.pending: list[Operation] = []
+        self.operations = 0  # counted since the first start, for crashes at the n-th
+        self.crash_at: tuple[int, str] | None = None  # n, "before" | "torn" | "after"
+
+    def do(self, kind: str, name: str, now: float, data: bytes = b"", to: str = "") -> float:
+        """Do one operation at `now`; when it is over. A removal is safe with a later sync only."""
+        over = now if kind == "remove" else now + self.sync + len(data) * self.per_byte
+        operation = Operation(kind, name, data, to, now, float("inf") if kind == "remove" else over)
+        for earlier in self.pending:  # a rename syncs the folder; a write syncs the file and its own name
+            synced = earlier.kind != "write" if kind == "rename" else name in (earlier.name, earlier.to)
+            if synced and kind != "remove":
+                earlier.done = min(earlier.done, over)
+        self.pending.append(operation)
+        apply(self.files, operation)
+        return over
+
+    def settle(self, now: float) -> None:
+        """Move what has been synced by `now` to what is safe."""
+        for operation in self.pending:
+            if operation.done <= now:
+                apply(self.safe, operation)
+        self.pending = [operation for operation in self.pending if operation.done > now]
+
+    def stop(self, now: float, power: bool, chance: random.Random) -> None:
+        """The process died at `now`; with the power gone too, what is not safe is there, missing or torn."""
+        self.settle(now)
+        self.files = dict(self.safe)
+        none = power and chance.random() < 0.25  # at some losses all of it is gone
+        kept = []
+        for operation in self.pending:
+            if operation.start > now or none:
+                continue
+            luck = chance.random()
+            if not power and operation.done == float("inf"):
+                luck = 0.0  # what was over for a process stays so while there is power
+            if luck < 0.4:
+                apply(self.files, operation)
+                operation.done = float("inf")
+                kept.append(operation)
+            elif luck < 0.7:
+                torn(self.files, operation, chance)
+                operation.data, operation.done = self.files.get(operation.name, b""), float("inf")
+                kept += [operation] * (operation.kind == "write")
+        self.pending = [] if power else kept
+        if power:
+            self.safe = dict(self.files)
+
+    def wipe(self) -> None:
+        """Another disk, empty."""
+        self.files, self.safe, self.pending = {}, {}, []
--- /dev/null
+++ b/honeywharf/flume/world.py
@@ -0,0 +1,71 @@
+"""Virtual time: one heap of what is due, one seed. The same seed gives the same steps."""
+
+from __future__ import annotations
+
+import heapq
+import random
+import zlib
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+KEPT_NOTES = 400  # last lines kept to tell what happened before a rule broke
+
+
+class Event:
+    """A call that is due at `when` seconds."""
+
+    __slots__ = ("args", "call", "number", "when")
+
+    def __init__(
+            self, when: float, number: int, call: Callable[..., None] | None, args: tuple[Any, ...]) -> None:
+        self.when, self.number, self.call, self.args = when, number, call, args
+
+    def __lt__(self, other: Event) -> bool:
+        """Sooner, or asked for sooner."""
+        return (self.when, self.number) < (other.when, other.number)
+
+    def cancel(self) -> None:
+        """Do not call; harmless when it has been called."""
+        self.call = None
+
+
+class World:
+    """Seconds since the start, what is due, chance, and a checksum of all that was noted."""
+
+    def __init__(self, seed: int) -> None:
+        self.now, self.steps, self.digest = 0.0, 0, 0
+        self.random = random.Random(seed)
+        self.notes: deque[str] = deque(maxlen=KEPT_NOTES)
+        self.after_step: Callable[[float], None] | None = None
+        self.crashes: list[tuple[float, str, str]] = []  # programs that ended by an error: when, who, where
+        self._heap: list[Event] = []
+        self._count = 0
+
+    def at(self, when: float, call: Callable[..., None], *args: Any) -> Event:
+        """Call at `when`, or now where that has passed; equal times in the order of asking."""
+        self._count += 1
+        event = Event(max(when, self.now), self._count, call, args)
+        heapq.heappush(self._heap, event)
+        return event
+
+    def note(self, *what: object) -> None:
+        """Keep a line of history, and take it into the checksum of the run."""
+        line = f"{self.now:.6f} " + " ".join(map(str, what))
+        self.digest = zlib.crc32(line.encode(), self.digest)
+        self.notes.append(line)
+
+    def run(self, until: float) -> None:
+        """Do all that is due up to `until`, and check after each step."""
+        heap = self._heap
+        while heap and heap[0].when <= until:
+            event = heapq.heappop(heap)
+            call, event.call = event.call, None
+            if call is None:
+                continue
+            self.now = event.when
+            self.steps += 1
+            call(*event.args)
+            if self.after_step is not None:
+                self.after_step(self.now)
+        self.now = max(self.now, until)
--- /dev/null
+++ b/tests/flume/toys.py
@@ -0,0 +1,82 @@
+"""Small programs for the machine's own tests: one that asks, one that answers, and what each of them saw."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from honeywharf.flume.disk import Disk
+from honeywharf.flume.machine import Machine, Network, Process
+from honeywharf.flume.world import World
+from honeywharf.mains.host import Connection
+
+HERE, THERE = "10.1.0.1", "10.2.0.1"
+
+
+class Log:
+    """A handler that keeps what it was told, and echoes where it is asked to."""
+
+    def __init__(self, process: Process, connection: Connection, echo: bool = False) -> None:
+        self.process, self.connection, self.echo = process, connection, echo
+        self.data, self.told = b"", list[tuple[float, str]]()
+
+    def tell(self, what: str) -> None:
+        self.told.append((self.process.world.now, what))
+
+    def opened(self) -> None:
+        self.tell("opened")
+
+    def received(self, data: bytes) -> None:
+        self.data += data
+        self.tell("data")
+        if self.echo:
+            self.connection.send(data)
+
+    def ended(self) -> None:
+        self.tell("ended")
+        if self.echo:
+            self.connection.close()
+
+    def drained(self) -> None:
+        self.tell("drained")
+
+    def closed(self, why: str) -> None:
+        self.tell(f"closed {why}")
+
+    def names(self) -> list[str]:
+        return [what for _, what in self.told if what != "data"]
+
+
+class Two:
+    """Two machines in two zones, a process on each; the second takes connections at port 80."""
+
+    def __init__(self, seed: int = 1, echo: bool = True, loss: float = 0.0) -> None:
+        self.world = World(seed)
+        self.network = Network(self.world, loss=loss)
+        self.taken: list[Log] = []
+        self.here = Process(Machine(self.network, HERE, "a"), "here", lambda process: None)
+        self.there = Process(Machine(self.network, THERE, "b", Disk()), "there", self._serve)
+        self.echo = echo
+        self.here.start()
+        self.there.start()
+        self.world.run(0.01)
+
+    def _serve(self, process: Process) -> object:
+        process.listen((THERE, 80), self._accept)
+        return None
+
+    def _accept(self, connection: Connection) -> Log:
+        self.taken.append(Log(self.there, connection, self.echo))
+        return self.taken[-1]
+
+    def asked(self, port: int = 80, within: float = 1.0) -> Log:
+        logs: list[Log] = []
+
+        def made(connection: Connection) -> Log:
+            logs.append(Log(self.here, connection))
+            return logs[0]
+
+        self.here.connect((THERE, port), made, within)
+        return logs[0]
+
+    def on(self, process: Process, do: Callable[[], None]) -> None:
+        process.call(process.life, do)
