--- /dev/null
+++ b/tests/mains/test_calls.py
@@ -0,0 +1,143 @@
+"""Calls: one end for each, bounds, lost links, idle links, another acceptor for streams."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from honeywharf.mains import calls
+from honeywharf.mains.calls import Answerer, Caller
+from honeywharf.mains.frames import FrameReader, encode
+from honeywharf.mains.host import Address, Connection, Handler
+from tests.reservoir.world import Machine, World
+
+AT = ("10.0.0.2", 7000)
+
+
+def pair(methods: dict[str, calls.Method]) -> tuple[World, Machine, Machine, Caller, Answerer]:
+    world = World(3)
+    a, b = world.machine("10.0.0.1"), world.machine("10.0.0.2")
+    a.start(lambda host: None)
+    b.start(lambda host: None)
+    answerer = Answerer(methods)
+    b.listen(AT, answerer.accept)
+    return world, a, b, Caller(a), answerer
+
+
+def echo(args: Any, reply: calls.Reply, peer: Address) -> None:
+    reply(args)
+    reply("a second answer is dropped")
+
+
+def test_an_answer_comes_once_also_when_it_is_large() -> None:
+    world, _, _, caller, _ = pair({"echo": echo})
+    got: list[object] = []
+    big = b"x" * 3_000_000
+    for args in (1, [2], big):
+        caller.call(AT, "echo", args, 1.0, got.append)
+    assert got == []
+    world.run(2.0)
+    assert got == [1, [2], big]
+    assert caller.peers == 1
+
+
+def test_silence_an_unknown_method_and_nonsense_answer_none() -> None:
+    def wrong(args: Any, reply: calls.Reply, peer: Address) -> None:
+        raise KeyError("args")
+
+    world, _, _, caller, answerer = pair({"silent": lambda args, reply, peer: None, "wrong": wrong})
+    got: list[tuple[str, object]] = []
+    for method in ("silent", "none", "wrong"):
+        caller.call(AT, method, None, 0.3, lambda x, m=method: got.append((m, x)))  # type: ignore[misc]
+    world.run(1.0)
+    assert sorted(got) == [("none", None), ("silent", None), ("wrong", None)]
+    assert answerer.foreign == 1
+
+
+def test_a_dead_port_a_cut_and_a_lost_process_answer_none_and_the_link_mends() -> None:
+    world, _, b, caller, answerer = pair({"echo": echo})
+    got: list[object] = []
+    caller.call(("10.0.0.2", 9), "echo", 1, 1.0, got.append)
+    world.run(0.2)
+    assert got == [None]
+    caller.call(AT, "echo", 2, 1.0, got.append)
+    world.run(0.4)
+    world.cuts |= {("10.0.0.1", "10.0.0.2"), ("10.0.0.2", "10.0.0.1")}
+    caller.call(AT, "echo", 3, 0.3, got.append)
+    world.run(0.8)
+    assert got == [None, 2, None]
+    world.cuts.clear()
+    caller.call(AT, "echo", 4, 0.3, got.append)
+    world.run(1.2)
+    assert got == [None, 2, None, 4]
+    caller.call(AT, "echo", 5, 0.3, got.append)
+    b.off(power=False)
+    world.run(1.6)
+    b.start(lambda host: b.listen(AT, answerer.accept))
+    caller.call(AT, "echo", 6, 0.3, got.append)
+    world.run(2.5)
+    assert got == [None, 2, None, 4, None, 6]
+
+
+def test_links_are_bounded_and_idle_ones_close() -> None:
+    world, _, _, caller, _ = pair({"echo": echo})
+    got: list[object] = []
+    for n in range(calls.MOST_PEERS + 5):
+        caller.call(("10.0.1.1", 1 + n), "echo", n, 0.3, got.append)
+    assert caller.peers == calls.MOST_PEERS
+    world.run(0.2)
+    assert got == [None] * 5  # refused at once, all links being at work
+    world.run(2.0)
+    assert got == [None] * (calls.MOST_PEERS + 5)
+    for n in range(calls.MOST_WAITING + 3):
+        caller.call(AT, "echo", n, 0.3, got.append)
+    world.run(3.0)
+    assert got[-calls.MOST_WAITING - 3:-calls.MOST_WAITING] == [None] * 3
+    assert got[-calls.MOST_WAITING:] == list(range(calls.MOST_WAITING))
+    world.run(3.0 + 2 * calls.IDLE + 1)
+    assert caller.peers == 0
+
+
+def test_streams_are_handed_to_their_own_acceptor_with_what_is_left_over() -> None:
+    world, a, _, _, answerer = pair({"echo": echo})
+    seen: list[object] = []
+
+    class Inner:
+        def opened(self) -> None:
+            seen.append("opened")
+
+        def received(self, data: bytes) -> None:
+            seen.append(data)
+
+        def ended(self) -> None:
+            seen.append("ended")
+
+        def drained(self) -> None:
+            seen.append("drained")
+
+        def closed(self, why: str) -> None:
+            seen.append(why)
+
+    class Quiet(Inner):
+        def closed(self, why: str) -> None:
+            seen.append("caller's end")
+
+    def streams(connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
+        seen.append(frames)
+        return Inner()
+
+    answerer.streams = streams
+    wire = a.connect(AT, lambda connection: Quiet())
+    wire.send(encode("streams") + encode([1, 2]))
+    world.run(0.5)
+    wire.send(b"more")
+    world.run(1.0)
+    wire.abort()
+    world.run(2.0)
+    assert seen == ["opened", [[1, 2]], b"more", "caller's end", "reset"]
+
+
+def test_a_connection_that_begins_otherwise_is_dropped() -> None:
+    world, a, _, _, answerer = pair({"echo": echo})
+    a.connect(AT, Answerer({}).accept).send(b"GET / HTTP/1.1\r\n\r\n")
+    world.run(1.0)
+    assert answerer.foreign == 1
--- /dev/null
+++ b/tests/mains/test_frames.py
@@ -0,0 +1,48 @@
+"""Frames: any cut into pieces gives the same objects; bounds hold; large frames cost in proportion."""
+
+from __future__ import annotations
+
+from random import Random
+from time import process_time
+
+import pytest
+
+from honeywharf.mains.frames import FrameReader, encode
+
+
+def test_any_cut_into_pieces_gives_the_same_objects() -> None:
+    rng = Random(5)
+    told = [["calls", {1: b"x" * rng.randrange(300)}, None, n] for n in range(60)]
+    data = b"".join(map(encode, told))
+    for _ in range(50):
+        reader, got, at = FrameReader(), [], 0
+        while at < len(data):
+            step = rng.choice((1, 3, 40, 900))
+            got += reader.feed(data[at:at + step])
+            at += step
+        assert got == told
+        assert reader.held == 0
+
+
+def test_a_frame_over_the_bound_is_refused_before_its_body_comes() -> None:
+    reader = FrameReader(most=100)
+    assert reader.feed(encode(b"x" * 97)) == [b"x" * 97]
+    with pytest.raises(ValueError, match="found a frame of 101 bytes, wanted at most 100"):
+        reader.feed(b"\0\0\0\x65")
+
+
+@pytest.mark.parametrize(
+    "body", [b"\xc1", b"\x01\x02", b"\x92\x01", b"\xa2\xff\xff", b"\xdd\xff\xff\xff\xff", b""])
+def test_garbage_names_what_was_found(body: bytes) -> None:
+    with pytest.raises(ValueError, match=r"found .*, wanted one msgpack object"):
+        FrameReader().feed(len(body).to_bytes(4, "big") + body)
+
+
+def test_a_large_frame_in_small_pieces_is_not_copied_again_and_again() -> None:
+    def cost(size: int) -> float:
+        data, reader, begun = encode(b"x" * size), FrameReader(), process_time()
+        got = [f for at in range(0, len(data), 65536) for f in reader.feed(data[at:at + 65536])]
+        assert len(got) == 1
+        return process_time() - begun
+
+    assert cost(64 << 20) < 30 * cost(8 << 20) + 0.2  # 8 times in proportion, 64 times if quadratic
