--- /dev/null
+++ b/honeywharf/strainer/changes.py
@@ -0,0 +1,85 @@
+"""What one configuration changes of another, line by line, for who reviews it before it is sent."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from honeywharf.strainer.routes import Route, Service, Table
+
+#: What is compared, as the configuration calls it.
+ROUTE_FIELDS = (
+    ("name", "name"), ("kind", "route-kind"), ("timeout_s", "timeout"), ("aim_s", "target-latency"),
+    ("priority", "priority"), ("attempts", "max-attempts"),
+)
+SERVICE_FIELDS = (
+    ("health", "health-check-path"), ("most_connections", "max-connections"), ("cold_start_s", "cold-start"),
+    ("cold_per_s", "cold-per-s"),
+)
+LIMIT_FIELDS = (
+    ("max_header_bytes", "max-header-bytes"), ("max_body_bytes", "max-body-bytes"),
+    ("header_timeout_s", "header-timeout"), ("idle_timeout_s", "idle-timeout"),
+)
+
+
+def changes(before: Table, after: Table) -> Iterator[str]:
+    """Each change as one line: the version, limits, services by name, then routes by host and prefix."""
+    if before.version != after.version:
+        yield f"version: r{before.version} -> r{after.version}"
+    yield from _fields("limits", before.limits, after.limits, LIMIT_FIELDS)
+    for name in sorted({*before.services, *after.services}):
+        yield from _service(name, before.services.get(name), after.services.get(name))
+    old = {(route.host, route.prefix): route for route in before.all()}
+    new = {(route.host, route.prefix): route for route in after.all()}
+    for key in sorted({*old, *new}):
+        yield from _route(old.get(key), new.get(key))
+
+
+def place(route: Route) -> str:
+    """Where a route stands: host and prefix."""
+    return (route.host + route.prefix).decode("utf-8", "backslashreplace")
+
+
+def shares(route: Route) -> str:
+    """Which services a route goes to, with the percentage of each where there are several."""
+    total = sum(weight for _, weight in route.split)
+    if len(route.split) == 1:
+        return route.split[0][0]
+    return ", ".join(f"{name} {100 * weight / total:.4g}%" for name, weight in route.split)
+
+
+def value(name: str, found: object) -> str:
+    """A field's value with its unit; names of times end in `_s`."""
+    if isinstance(found, float):
+        return f"{found:g}s" if name.endswith("_s") and name != "cold_per_s" else f"{found:g}"
+    return str(found)
+
+
+def _fields(
+    what: str, before: object, after: object, names: tuple[tuple[str, str], ...],
+) -> Iterator[str]:
+    parts = []
+    for name, told in names:
+        old, new = getattr(before, name), getattr(after, name)
+        if old != new:
+            parts.append(f"{told} {value(name, old)} -> {value(name, new)}")
+    if parts:
+        yield f"{what}: {'; '.join(parts)}"
+
+
+def _service(name: str, before: Service | None, after: Service | None) -> Iterator[str]:
+    if before is None or after is None:
+        yield f"service {name}: {'added' if before is None else 'removed'}"
+    else:
+        yield from _fields(f"service {name}", before, after, SERVICE_FIELDS)
+
+
+def _route(before: Route | None, after: Route | None) -> Iterator[str]:
+    if before is None or after is None:
+        one = after if before is None else before
+        if one is not None:
+            done = "added" if before is None else "removed"
+            yield f"{place(one)}: {done}, {one.kind}, to {shares(one)}"
+        return
+    if sorted(before.split) != sorted(after.split):
+        yield f"{place(after)}: to {shares(before)} -> {shares(after)}"
+    yield from _fields(place(after), before, after, ROUTE_FIELDS)
--- /dev/null
+++ b/tests/strainer/test_command.py
@@ -0,0 +1,193 @@
+"""`honeywharf mesh`: what each command tells, its exit status, and how it speaks with a reservoir."""
+
+from __future__ import annotations
+
+import io
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from pathlib import Path
+
+import pytest
+
+from honeywharf.cli import mesh
+from tests.strainer.examples import CONFIGURATION, SETTINGS, example, text
+
+Capture = pytest.CaptureFixture[str]
+Log = pytest.LogCaptureFixture
+Answer = tuple[int, bytes, str]  # status, body, Location
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> Path:
+    """A folder with files good and bad."""
+    (tmp_path / "good.json").write_bytes(CONFIGURATION)
+    whole = example()
+    whole["config-version"] = "r8"
+    whole["routes"][0]["timeout"] = "5s"
+    whole["routes"][0]["traffic-split"][0]["weight"] = 30
+    whole["routes"][1]["path-prefix"] = "/moved/"
+    whole["services"][0]["max-connections"] = 5
+    whole["services"].append({"name": "new"})
+    whole["limits"]["idle-timeout"] = "1s"
+    (tmp_path / "next.json").write_bytes(text(whole))
+    whole["routes"][1]["max-attempts"] = 0
+    whole["routes"][0]["timeout"] = "601s"
+    (tmp_path / "bad.json").write_bytes(text(whole))
+    (tmp_path / "boot.yaml").write_text(SETTINGS)
+    return tmp_path
+
+
+@contextmanager
+def reservoir(answers: list[Answer]) -> Iterator[tuple[str, list[tuple[str, str, bytes]]]]:
+    """A server that gives these answers in turn: its address, and what it was asked."""
+    asked: list[tuple[str, str, bytes]] = []
+
+    class Handler(BaseHTTPRequestHandler):
+        def do_POST(self) -> None:
+            body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            asked.append((self.command, self.path, body))
+            status, said, location = answers[len(asked) - 1]
+            self.send_response(status)
+            if location:
+                self.send_header("Location", location.replace("HERE", at))
+            self.send_header("Content-Length", str(len(said)))
+            self.end_headers()
+            self.wfile.write(said)
+
+        do_GET = do_POST  # noqa: N815
+
+        def log_message(self, *_: object) -> None:
+            pass
+
+    server = HTTPServer(("127.0.0.1", 0), Handler)
+    at = f"127.0.0.1:{server.server_port}"
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+    try:
+        yield at, asked
+    finally:
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+
+def test_check_tells_what_a_file_holds_or_every_fault_of_it(files: Path, capsys: Capture) -> None:
+    assert mesh.main(["check", str(files / "good.json")]) == 0
+    assert "good.json: r7, 2 routes, 3 services, digest " in capsys.readouterr().out
+    assert mesh.main(["check", str(files / "bad.json")]) == 1
+    lines = capsys.readouterr().out.splitlines()
+    assert [line.partition("bad.json: ")[2] for line in lines] == [
+        'routes[0].timeout: found "601s", wanted at most 600s',
+        "routes[1].max-attempts: found 0, wanted 1 or more",
+    ]
+
+
+def test_check_reads_standard_input_once(monkeypatch: pytest.MonkeyPatch, capsys: Capture) -> None:
+    monkeypatch.setattr(sys, "stdin", io.TextIOWrapper(io.BytesIO(CONFIGURATION)))
+    monkeypatch.setattr(mesh, "_input", [])
+    assert mesh.main(["check", "-"]) == 0
+    assert capsys.readouterr().out.startswith("-: r7, 2 routes")
+
+
+def test_settings_are_told_or_their_first_fault(files: Path, capsys: Capture) -> None:
+    assert mesh.main(["settings", str(files / "boot.yaml")]) == 0
+    told = capsys.readouterr().out.splitlines()
+    for line in ("listen.outbound: 10.1.0.8:8304", "ports: 7620 to 7635", "bound contact: 3",
+                 "heartbeat_s: 1.3", "seeds: 10.1.0.12:8306, 10.2.0.9:8306",
+                 "data_directory: none"):
+        assert line in told
+    assert mesh.main(["settings", str(files / "good.json")]) == 1
+    assert "node-name: found nothing, wanted a name" in capsys.readouterr().out
+
+
+def test_route_tells_where_a_request_goes_its_query_apart(files: Path, capsys: Capture) -> None:
+    good = str(files / "good.json")
+    assert mesh.main(["route", good, "JEPU9.example:80", "/lepu270/2f?a=/b/"]) == 0
+    told = capsys.readouterr().out.splitlines()
+    assert told[:2] == ["jepu9.example/lepu270/: r-n2ctnfz", "to: huvo11a 90%, kafi81c 10%"]
+    assert "timeout: 1.5s" in told
+    assert mesh.main(["route", good, "jepu9.example", "/?/lepu270/"]) == 1
+    assert mesh.main(["route", str(files / "bad.json"), "jepu9.example", "/lepu270/"]) == 2
+
+
+def test_diff_tells_each_change_and_nothing_where_there_is_none(files: Path, capsys: Capture) -> None:
+    good, after = str(files / "good.json"), str(files / "next.json")
+    assert mesh.main(["diff", good, good]) == 0
+    assert capsys.readouterr().out == ""
+    assert mesh.main(["diff", good, after]) == 1
+    assert capsys.readouterr().out.splitlines() == [
+        "version: r7 -> r8",
+        "limits: idle-timeout 15s -> 1s",
+        "service huvo11a: max-connections 130 -> 5",
+        "service new: added",
+        "hulo84.example/moved/: added, mutating, to wuno96b",
+        "hulo84.example/xapu221/ny95/: removed, mutating, to wuno96b",
+        "jepu9.example/lepu270/: to huvo11a 90%, kafi81c 10% -> huvo11a 75%, kafi81c 25%",
+        "jepu9.example/lepu270/: timeout 1.5s -> 5s",
+    ]
+    assert mesh.main(["diff", good, str(files / "bad.json")]) == 2
+
+
+def test_replace_sends_the_file_as_it_is_and_follows_two_redirects(files: Path, capsys: Capture) -> None:
+    moved = (307, b"", "http://HERE/api/configuration/replace?again")
+    with reservoir([moved, moved, (200, b"", "")]) as (at, asked):
+        assert mesh.main(["replace", at, str(files / "good.json")]) == 0
+    assert "acknowledged: r7" in capsys.readouterr().out
+    assert [(method, body) for method, _, body in asked] == [("POST", CONFIGURATION)] * 3
+    assert [path for _, path, _ in asked[:2]] == [
+        "/api/configuration/replace", "/api/configuration/replace?again"]
+
+
+def test_a_third_redirect_is_not_followed(files: Path) -> None:
+    moved = (307, b"", "http://HERE/api/configuration/replace")
+    with reservoir([moved] * 4) as (at, asked):
+        assert mesh.main(["replace", at, str(files / "good.json")]) == 2
+    assert len(asked) == 3
+
+
+@pytest.mark.parametrize("location", ["", "/else", "https://10.0.0.4:8080/x", "http://host:80/x", "http://[x/y"])
+def test_a_redirect_to_what_is_no_address_ends_the_call(location: str, caplog: Log) -> None:
+    with reservoir([(307, b"", location)]) as (at, _):
+        assert mesh.main(["describe", at]) == 2
+    assert "wanted http://address:port/path" in caplog.text
+
+
+def test_a_bad_configuration_is_not_sent(files: Path) -> None:
+    with reservoir([]) as (at, asked):
+        assert mesh.main(["replace", at, str(files / "bad.json")]) == 1
+    assert asked == []
+
+
+ENDS = [(200, 0), (204, 0), (400, 1), (409, 1), (408, 2), (429, 2), (503, 2)]
+
+
+@pytest.mark.parametrize(("status", "ends"), ENDS)
+def test_an_order_for_a_zone_ends_as_it_was_answered(status: int, ends: int, caplog: Log) -> None:
+    with reservoir([(status, b"" if status == 204 else b"why", "")] * 2) as (at, asked):
+        assert mesh.main(["evacuate", at, "tartu/saal"]) == ends
+        assert mesh.main(["activate", at, "tartu-saal"]) == ends
+    assert asked == [("POST", "/api/evacuations/tartu%2Fsaal/start", b""),
+                     ("POST", "/api/evacuations/tartu-saal/complete", b"")]
+    assert ("may be in force, or may not" in caplog.text) == (ends == 2)
+
+
+def test_describe_prints_the_bytes_as_they_came() -> None:
+    with reservoir([(200, CONFIGURATION, "")]) as (at, asked):
+        call = [sys.executable, "-m", "honeywharf", "mesh", "--verbose", "describe", at]
+        done = subprocess.run(call, capture_output=True, check=False)
+    assert (done.returncode, done.stdout) == (0, CONFIGURATION)
+    assert f"-> 200, {len(CONFIGURATION)} bytes".encode() in done.stderr
+    assert asked == [("GET", "/api/configuration/describe", b"")]
+
+
+def test_a_wrong_call_a_missing_file_and_a_silent_address_end_with_two(files: Path, caplog: Log) -> None:
+    with reservoir([]) as (gone, _):
+        pass
+    for call in ([], ["bogus"], ["check"], ["check", str(files / "none")], ["describe", "core-1:8306"],
+                 ["describe", gone], ["evacuate", gone, "a"]):
+        assert mesh.main(call) == 2, call
+    assert caplog.text.count("no clear answer") == 2
