--- a/honeywharf/__init__.py
+++ b/honeywharf/__init__.py
@@ -1,7 +1,20 @@
 """honeywharf: a load balancer's decisions as a library, without I/O."""
 
-from honeywharf.policy import Balancer, interface
+from __future__ import annotations
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from honeywharf.policy import Balancer, interface
 
 VERSION = "0.3.0"
 
 __all__ = ["VERSION", "Balancer", "interface"]
+
+
+def __getattr__(name: str) -> object:
+    """The decisions, loaded when they are first asked for: the mesh's programs need other parts, and little memory."""
+    if name in ("Balancer", "interface"):
+        from honeywharf import policy
+
+        return getattr(policy, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/honeywharf/codecs/http1.py
+++ b/honeywharf/codecs/http1.py
@@ -7,13 +7,20 @@
 
 import httptools
 
+from honeywharf.codecs.reader import (
+    CHUNKED as CHUNKED,
+    LAST_CHUNK as LAST_CHUNK,
+    MAX_HEAD as MAX_HEAD,
+    SLICE as SLICE,
+    MalformedError as MalformedError,
+    Reader,
+    chunk as chunk,
+    too_long,
+)
 from honeywharf.core import messages
 from honeywharf.flow.account import Account
 from honeywharf.flow.pipe import Pipe
 
-MAX_HEAD = 16 * 1024
-SLICE = 4 * 1024  # bytes of a head given to a parser at once: what it may hold unseen beside the bound
-MAX_LINE = MAX_HEAD - SLICE  # bytes of one line that has not come to its end
 MOST_INTERIM = 8  # 1xx answers ahead of one answer
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
@@ -33,14 +40,6 @@
 _SID = re.compile(rb"(?:^|;)\s*sid=([^;\s]*)")
 
 
-class MalformedError(Exception):
-    """A message that is not what the protocol allows; `status` is the answer to it."""
-
-    def __init__(self, status: int, words: str) -> None:
-        super().__init__(words)
-        self.status = status
-
-
 def duration(value: bytes) -> float | None:
     """`480m` or `480000u` in milliseconds; None where it makes no sense."""
     match = _DURATION.fullmatch(value.strip())
@@ -55,21 +54,6 @@
     return b"X-Time-Left: %du\r\n" % max(0, int(ms * 1000.0))
 
 
-def too_long(value: bytes, most: int) -> bool:
-    """Whether a Content-Length is more than may come; one that is no number is the parser's to refuse."""
-    value = value.strip()
-    return value.isdigit() and (len(value) > 18 or int(value) > most)
-
-
-LAST_CHUNK = b"0\r\n\r\n"
-CHUNKED = b"Transfer-Encoding: chunked\r\n"
-
-
-def chunk(data: bytes) -> bytes:
-    """One chunk of a body of unknown length (RFC 9112, 7.1)."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 def begun_answer(
     status: int, length: int | None, *, keep: bool, chunked: bool, kind: bytes = b"", lines: bytes = b"",
 ) -> bytes:
@@ -229,88 +213,10 @@
 }
 
 
-class _Reader:
-    """What both directions share: the caps on head and body, whatever the framing says."""
-
-    __deletable__ = ("parser",)  # of a compiled class: `close` lets go of it
-
-    def __init__(self, max_body: int) -> None:
-        self.max_body = max_body
-        self.in_head = self.in_body = False
-        self.head_bytes = 0
-        self.body_bytes = 0
-        self.unsaid = 0  # bytes since the parser last told of anything
-        self.parts: list[bytes] = []
-        self.parser: httptools.HttpRequestParser | httptools.HttpResponseParser
-
-    @property
-    def idle(self) -> bool:
-        """Whether nothing of a message has come that has not ended."""
-        return not self.in_head and not self.in_body
-
-    def on_message_begin(self) -> None:
-        self.in_head, self.head_bytes, self.body_bytes, self.parts = True, 0, 0, []
-        self.unsaid = -1
-
-    def _count(self, size: int) -> None:
-        self.unsaid = -1
-        self.head_bytes += size
-        if self.head_bytes > MAX_HEAD:
-            raise MalformedError(431, "the head is too long")
-
-    def on_body(self, data: bytes) -> None:
-        self.unsaid = -1
-        self.body_bytes += len(data)
-        if self.body_bytes > self.max_body:
-            raise MalformedError(413, "the body is too long")
-        self.parts.append(data)
-
-    def close(self) -> None:
-        """Let go of the parser. Guards against memory that waits for the collector: they hold each other."""
-        self.in_head = self.in_body = False
-        self.parts = []
-        del self.parser
-
-    def body(self) -> bytes:
-        return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
-
-    def _feed(self, data: bytes) -> None:
-        """Parse what has come. MalformedError where it breaks the protocol or a bound."""
-        start, size = 0, len(data)
-        while size - start > SLICE:
-            end = start + (4 * SLICE if self.in_body else SLICE)
-            self._parse(data[start:end])
-            start = end
-        if start < size:
-            self._parse(data[start:] if start else data)
-
-    def _parse(self, data: bytes) -> None:
-        while True:
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserUpgrade as pause:
-                data = self._offered() + data[pause.args[0]:]
-                continue
-            except httptools.HttpParserError as fault:
-                cause: BaseException | None = fault
-                while cause is not None and not isinstance(cause, MalformedError):
-                    cause = cause.__cause__ or cause.__context__
-                raise cause or MalformedError(400, str(fault)) from None
-            break
-        # Guards against a line of a head, a trailer or a chunk that never ends: the parser keeps it unseen.
-        self.unsaid += len(data) if self.unsaid >= 0 else 1
-        if self.unsaid > MAX_LINE and not self.idle:
-            raise MalformedError(431, "a line is too long")
-
-    def _offered(self) -> bytes:
-        """What is put before the bytes behind a message that asked for another protocol."""
-        raise MalformedError(400, "no other protocol was asked for")
-
-
 ALONE = 16 * 1024 * 1024  # bytes of long bodies that a reader without an account may hold
 
 
-class RequestReader(_Reader):
+class RequestReader(Reader):
     """Turns what one caller sends into requests.
 
     One whose body is longer than may be held whole is given as soon as that is known, with the rest of its
@@ -371,7 +277,7 @@
             return
         self.unsaid = -1
         self.head_bytes += len(name) + len(value) + 4
-        if self.head_bytes > MAX_HEAD:
+        if self.head_bytes > self.max_head:
             raise MalformedError(431, "the head is too long")
         if not self.in_head:
             return
@@ -465,7 +371,7 @@
         self.keep = True
 
 
-class ResponseReader(_Reader):
+class ResponseReader(Reader):
     """Turns what comes back on one connection into answers, one to a request.
 
     With an account, a 200 whose body is longer than `whole` is given as soon as that is known, with the
--- a/honeywharf/policy/__init__.py
+++ b/honeywharf/policy/__init__.py
@@ -19,6 +19,9 @@
     retry       the budget of further attempts, and calls that hang
     balancer    the course of a request through all of these
 
+    levels      the mesh's choice at the source: own zone, then every zone, where the destination judges (it
+                stands by itself)
+
 Rules that no part may break, whatever the others ask for:
 
 - A request gets one final answer: `balancer` alone appends `Refuse` or `Fail`, and closes the request so.
@@ -33,6 +36,17 @@
 
 from __future__ import annotations
 
-from honeywharf.policy.balancer import Balancer
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from honeywharf.policy.balancer import Balancer
 
 __all__ = ["Balancer"]
+
+
+def __getattr__(name: str) -> object:
+    """The balancer, loaded when it is first asked for: a mesh's sluice needs `levels` alone."""
+    if name == "Balancer":
+        from honeywharf.policy.balancer import Balancer
+
+        return Balancer
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- /dev/null
+++ b/honeywharf/programs/sluice.py
@@ -0,0 +1,212 @@
+"""The data plane's program: put together here, and nowhere else."""
+
+from __future__ import annotations
+
+import os
+import sys
+
+if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
+    sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+
+from honeywharf.mains.calls import Answerer, Caller
+from honeywharf.mains.door import Call, Door
+from honeywharf.mains.streams import MOST_FRAME, Reception
+from honeywharf.runnel.society import Draws, Society
+from honeywharf.sluice.backend import Taps
+from honeywharf.sluice.beats import Beats
+from honeywharf.sluice.gate import DRAINING, READY, STATES, UNKNOWN, Gate
+from honeywharf.sluice.inbound import Inbound
+from honeywharf.sluice.outbound import Outbound
+from honeywharf.sluice.probe import Probe
+from honeywharf.sluice.source import Source
+from honeywharf.sluice.word import Word
+from honeywharf.verdict import WORDS
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Any
+
+    from honeywharf.mains.frames import FrameReader
+    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.runnel.entry import Entry
+    from honeywharf.strainer.settings import Settings
+
+COUNTERS_S = 10.0
+UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
+END_S = 0.4  # before the end of `grace-period`
+CHECK_S = 0.1
+
+
+class Sluice:
+    """One running sluice."""
+
+    def __init__(self, host: Host, settings: Settings) -> None:
+        self.host, self.settings = host, settings
+        now = host.now()
+        self.leaving = 0.0
+        self.gate = Gate(now, settings.service or "", settings.bound("cold-overage", 1.0),
+                         settings.bound("cold-slack", 0.0))
+        application = settings.application or ("127.0.0.1", 0)
+        self.handshakes = 0
+        self.taps = Taps(host, application, self._handshake)
+        self.inbound = Inbound(host, self.gate, self.taps)
+        self.caller = Caller(host)
+        self.word = Word(host, self.caller, self._cores, self._word_changed)
+        port = settings.ports[0]
+        say = {**self.gate.say(), "rev": 0}
+        self.society = Society(host, settings.ip, port, settings.zone, [seed[0] for seed in settings.seeds], say,
+                               int(host.wall() * 1000.0))
+        draw = Draws(host.random(8)).random
+        self.source = Source(host, settings, self.word, self.inbound, draw)
+        self.source.proxies = self._proxies
+        self.society.on_change = self._news
+        self.society.on_word = self._word_news
+        self.society.on_down = lambda node: self.source.doubt(node, True)
+        self.society.on_up = lambda node: self.source.doubt(node, False)
+        self.probe = Probe(host, application, self.gate, self._gate_changed)
+        host.listen((settings.ip, port), Answerer(dict(self.word.methods()), self._streams, log=host.log).accept)
+        self.told = 0
+        self.said = UNKNOWN
+        self.beats = Beats(host, self.gate, self._gate_changed)
+        self.doors = [Door(host, settings.listen["control-plane"], self.beats.take, 1 << 20),
+                      Door(host, settings.listen["readiness"], self._readiness, 1 << 16)]
+        self.outbound = Outbound(host, settings.listen["outbound"], self.word, self.source)
+        self.source.told(settings.ip, self.gate.say(), settings.zone)
+        self.word.start()
+        host.after(COUNTERS_S, self._counters)
+
+    # Who is there.
+
+    def _proxies(self) -> int:
+        return max(1, len(self.source.list))
+
+    def _cores(self) -> list[Address]:
+        """Reservoirs' internal addresses: those that news tell of, else the seeds."""
+        port = self.settings.ports[0]
+        known = [(node, port) for node, entry in self.society.entries().items()
+                 if entry.say is not None and entry.say.get("core") and self.society.alive(node)]
+        near = [a for a in known if self.society.entries()[a[0]].zone == self.settings.zone]
+        return near + [a for a in known if a not in near] or [(seed[0], port) for seed in self.settings.seeds]
+
+    def _news(self, node: str, entry: Entry | None, old: Entry | None) -> None:
+        if node != self.settings.ip:
+            say = None if entry is None else entry.say
+            self.source.told(node, say, entry.zone if entry is not None else "")
+
+    def _word_news(self, revision: int, holder: str) -> None:
+        self.word.heard(revision, (holder, self.settings.ports[0]))
+
+    def _word_changed(self) -> None:
+        now, word = self.host.now(), self.word
+        self.gate.evacuate(now, self.settings.zone in word.evacuated)
+        if word.table is not None:
+            service = word.table.services.get(self.gate.service)
+            if service is not None:
+                self.gate.bound(service.cold_per_s)
+                self.taps.most = max(1, service.most_connections - 2)
+                self.probe.path = service.health.encode()
+        self.source.relist()
+        self._gate_changed()
+        self.society.shout_word(word.revision)
+
+    # The gate beside this proxy.
+
+    def _handshake(self) -> None:
+        self.handshakes += 1
+
+    def _gate_changed(self) -> None:
+        """Something is known of the backend: others are told if it matters to them."""
+        gate = self.gate
+        self.probe.look()
+        if gate.changes == self.told and not self.leaving:
+            return
+        self.told = gate.changes
+        say = gate.say()
+        if self.leaving and gate.state == READY:
+            say["st"] = DRAINING
+        if gate.state != self.said:
+            self.said = gate.state
+            self.host.log(f"backend {gate.instance or '-'} is {STATES[gate.state]}")
+        self.source.told(self.settings.ip, say, self.settings.zone)
+        self.society.tell(**say)
+
+    def _streams(self, connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
+        reader.most = MOST_FRAME
+        return Reception(connection, reader, frames, self.inbound.begin)
+
+    # The platform.
+
+    def _readiness(self, call: Call) -> None:
+        if call.path != b"/api/readiness":
+            call.answer(404)
+        elif self.word.ready and not self.leaving:
+            call.answer(200, b"ready")
+        else:
+            call.answer(503, b"leaving" if self.leaving else b"no word yet")
+
+    def terminate(self) -> None:
+        """SIGTERM: finish what is held, tell others, end when nothing is left."""
+        if self.leaving:
+            return
+        self.leaving = self.host.now()
+        self.host.log("leaving")
+        self.inbound.leaving = True
+        self.outbound.leave()
+        self._gate_changed()
+        self.host.after(CHECK_S, self._leave)
+
+    def _leave(self) -> None:
+        since = self.host.now() - self.leaving
+        grace = self.settings.bound("grace-period", 5.0) - END_S
+        quiet = since >= min(UNTIL_QUIET_S, grace / 2)
+        if quiet:
+            self.outbound.settle()
+        if since >= grace or (quiet and not self.source.courses and not self.inbound.jobs and not self.outbound.guests):
+            self.outbound.close()
+            self.society.leave()
+            self.counters()
+            self.host.after(0.02, lambda: self.host.exit(0))
+            return
+        self.host.after(CHECK_S, self._leave)
+
+    # Counters.
+
+    def counters(self) -> None:
+        """One line of what was done so far."""
+        refused = " ".join(f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(self.inbound.refused.items()))
+        inbound = self.inbound
+        self.host.log(
+            f"{self.source.counters()}; gate served={inbound.served} failed={inbound.failed} "
+            f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
+            f"beats={self.beats.taken} late={self.beats.late}; word={self.word.revision} "
+            f"known={len(self.society.entries())}")
+
+    def _counters(self) -> None:
+        self.counters()
+        self.host.after(COUNTERS_S, self._counters)
+
+
+def main() -> int:
+    """Run until the platform ends it; the exit status."""
+    from signal import SIGHUP, SIGTERM
+
+    from honeywharf.mains.loop import Loop
+    from honeywharf.strainer.settings import SettingsError, load
+
+    try:
+        settings = load(os.environ["HONEYWHARF_SETTINGS"])
+    except KeyError:
+        sys.stderr.write("found no HONEYWHARF_SETTINGS, wanted the path of a settings file\n")
+        return 2
+    except (OSError, SettingsError) as fault:
+        sys.stderr.write(f"{fault}\n")
+        return 2
+    loop = Loop(None)
+    sluice = Sluice(loop, settings)
+    loop.on_signal(SIGTERM, sluice.terminate)
+    loop.on_signal(SIGHUP, lambda: loop.log("settings may have changed; they are read at the start"))
+    return loop.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/honeywharf/sluice/backend.py
@@ -0,0 +1,218 @@
+"""Connections to the backend on this machine: one request at a time on each, kept warm, never trusted.
+
+Theory of operation. An idle connection is used again only if less time has passed than the backend keeps it
+(`Keep-Alive`, less a margin); the one used last is used first, so the rest age out. An answer belongs to a
+request only if it echoes its attempt id: what does not is skipped, and the connection is closed afterwards; so
+is one on which anything comes while no request is out. A new connection's request is written once it is up, so
+one that is refused has seen nothing: a proof. Source: PROTOCOL, "Backends".
+"""
+
+from __future__ import annotations
+
+from honeywharf.codecs.mesh import Answer, AnswerReader
+from honeywharf.codecs.reader import MalformedError
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Protocol
+
+    from honeywharf.mains.host import Address, Connection, Handler, Host
+
+    class User(Protocol):
+        """Who has a connection for one request."""
+
+        attempt: bytes
+
+        def ready(self) -> None:
+            """The connection is up: write."""
+
+        def answered(self, answer: Answer) -> None:
+            """The head of its answer."""
+
+        def data(self, data: bytes) -> None:
+            """A part of its answer's body."""
+
+        def whole(self) -> None:
+            """Its answer is whole; the connection is not the user's any more."""
+
+        def broken(self, why: str, sent: bool, heard: bool) -> None:
+            """The connection is gone. `sent`: bytes of the request may have arrived; `heard`: of an answer came."""
+
+        def drained(self) -> None:
+            """What was written has gone."""
+
+MOST_ANSWER = 1 << 30
+MARGIN_S = 1.0  # before the backend closes an idle connection, it is not used any more
+UNTOLD_S = 2.0  # how long a backend that says nothing of it keeps one, as far as is assumed
+CONNECT_S = 0.6
+
+
+class Tap:
+    """One connection to the backend."""
+
+    __slots__ = (
+        "answering", "connection", "idle_since", "idle_until", "pool", "reader", "sent", "skipping", "spoilt", "up",
+        "user")
+
+    def __init__(self, pool: Taps, user: User) -> None:
+        self.pool = pool
+        self.user: User | None = user
+        self.up = self.sent = self.spoilt = self.skipping = self.answering = False
+        self.idle_since = self.idle_until = 0.0
+        self.reader = AnswerReader(self, MOST_ANSWER)
+        self.connection: Connection = pool.host.connect(pool.address, self._made, CONNECT_S)
+
+    def _made(self, connection: Connection) -> Handler:
+        return self
+
+    def opened(self) -> None:
+        """It is up."""
+        self.up = True
+        if self.user is not None:
+            self.user.ready()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the request."""
+        self.sent = True
+        self.connection.send(data)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that the backend has not taken yet."""
+        return self.connection.unsent
+
+    def release(self) -> None:
+        """The user gives its request up: the backend is told by the close."""
+        self.user = None
+        self.pool.leave(self)
+        self.connection.abort()
+
+    # What comes.
+
+    def received(self, data: bytes) -> None:
+        """Bytes of an answer, or bytes that belong to nothing."""
+        if self.user is None:
+            self._discard()
+            return
+        try:
+            self.reader.feed(data)
+        except MalformedError:
+            self.spoilt = True
+            if self.user is not None:
+                self._break("garbled")
+        if self.user is None and self.connection is not None:
+            if self.spoilt or not self.reader.idle:
+                self._discard()
+            elif self in self.pool.taps:
+                self.pool.rest(self)
+
+    def answer(self, answer: Answer) -> None:
+        """A head is whole."""
+        user = self.user
+        if user is None:  # behind a whole answer: it belongs to nothing
+            self.spoilt = True
+            return
+        if answer.attempt != user.attempt:
+            self.skipping = self.spoilt = True
+            return
+        self.skipping, self.answering = False, True
+        if not answer.keep:
+            self.spoilt = True
+        self.idle_until = (answer.idle_s - MARGIN_S) if answer.idle_s else UNTOLD_S
+        user.answered(answer)
+
+    def data(self, data: bytes) -> None:
+        """A part of a body."""
+        if self.user is not None and not self.skipping:
+            self.user.data(data)
+
+    def whole(self) -> None:
+        """An answer is whole."""
+        if self.skipping:
+            self.skipping = False
+            return
+        user, self.user = self.user, None
+        self.answering = False
+        if user is not None:
+            user.whole()
+
+    def ended(self) -> None:
+        """The backend sends nothing more."""
+        if self.user is not None:
+            self._break("ended")
+        else:
+            self._discard()
+
+    def drained(self) -> None:
+        """What was written has gone."""
+        if self.user is not None:
+            self.user.drained()
+
+    def closed(self, why: str) -> None:
+        """It is gone."""
+        self.pool.leave(self)
+        if self.user is not None:
+            self._break(why)
+
+    def _break(self, why: str) -> None:
+        user, self.user = self.user, None
+        heard = self.answering
+        self._discard()
+        if user is not None:
+            user.broken(why, self.sent, heard)
+
+    def _discard(self) -> None:
+        self.pool.leave(self)
+        self.connection.abort()
+
+
+class Taps:
+    """The connections to one backend. `most`: connections at once, as the configuration says."""
+
+    def __init__(self, host: Host, address: Address, made: Callable[[], None]) -> None:
+        self.host, self.address, self.made = host, address, made
+        self.taps: dict[Tap, None] = {}
+        self.idle: list[Tap] = []  # the one that rests for longest first
+        self.most = 100
+
+    def take(self, user: User, fresh: bool = False) -> Tap | None:
+        """A connection for one request; `user.ready` is called when it may be written to. None: no more may be open.
+
+        `fresh`: one that has just been used or is new, as what must not run twice should not meet a closing one.
+        """
+        now = self.host.now()
+        while self.idle:
+            tap = self.idle.pop()
+            if now - tap.idle_since < tap.idle_until * (0.5 if fresh else 1.0):
+                tap.user, tap.sent = user, False
+                self.host.after(0.0, lambda: tap.user.ready() if tap.user is user else None)
+                return tap
+            tap.release()
+        if len(self.taps) >= self.most:
+            return None
+        tap = Tap(self, user)
+        self.taps[tap] = None
+        self.made()
+        return tap
+
+    def rest(self, tap: Tap) -> None:
+        """It is free; those that rest for too long are closed."""
+        now = tap.idle_since = self.host.now()
+        if tap.idle_until <= 0:
+            tap.release()
+            return
+        self.idle.append(tap)
+        while self.idle and now - self.idle[0].idle_since >= self.idle[0].idle_until:
+            self.idle.pop(0).release()
+
+    def leave(self, tap: Tap) -> None:
+        """It is of no further use."""
+        self.taps.pop(tap, None)
+        if tap in self.idle:
+            self.idle.remove(tap)
+
+    def flush(self) -> None:
+        """Close all that rest: another backend is there now."""
+        for tap in list(self.idle):
+            tap.release()
--- /dev/null
+++ b/honeywharf/sluice/beats.py
@@ -0,0 +1,76 @@
+"""What the backend on this machine tells: beats and deregistrations, as a tree of matchers.
+
+Source: PROTOCOL, "Which backends there are". A beat is acknowledged with 200; what it says is in force from the moment
+at which it is acknowledged, as the gate beside it is the only way to the backend.
+"""
+
+from __future__ import annotations
+
+import json
+
+from honeywharf.codecs.mesh import duration
+from honeywharf.mains.matchers import NotAllowed, Tree
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from honeywharf.mains.door import Call
+    from honeywharf.mains.host import Host
+    from honeywharf.sluice.gate import Gate
+
+MOST_ID = 256
+
+
+class Beats:
+    """Answers the backend's calls. `told()` is called after each one that changed something."""
+
+    def __init__(self, host: Host, gate: Gate, told: Callable[[], None]) -> None:
+        self.host, self.gate, self.told = host, gate, told
+        self.late = self.taken = 0
+        self.tree = Tree()
+        self.tree.add("POST", "/api/instances/{id}/heartbeat", self._heartbeat)
+        self.tree.add("POST", "/api/instances/{id}/deregister", self._deregister)
+
+    def take(self, call: Call) -> None:
+        """Answer one call."""
+        try:
+            found = self.tree.find(call.method, call.path)
+        except NotAllowed:
+            call.answer(405)
+            return
+        if found is None:
+            call.answer(404)
+            return
+        target, params = found
+        if not 0 < len(params["id"]) <= MOST_ID:
+            call.answer(400, b"found an id of odd length")
+            return
+        target(call, params["id"])
+
+    def _heartbeat(self, call: Call, instance: str) -> None:
+        try:
+            body = json.loads(call.body)
+            details, status = body.get("details") or {}, body["status"]
+            sequence, state = int(status["call-sequence"]), status["state"]
+            slots, service = int(details.get("capacity-slots") or 0), details.get("target-service")
+            cold = duration(status.get("cold-remaining") or "0ms")
+        except (ValueError, TypeError, KeyError, AttributeError) as fault:
+            call.answer(400, b"found a beat that can't be read: %b" % str(fault).encode())
+            return
+        if state not in ("ready", "draining") or cold is None or slots < 0:
+            call.answer(400, b"found a state, a slot count or a time that makes no sense")
+            return
+        if service is not None and service != self.gate.service:
+            call.answer(409, b"found a beat of another service than the one on this machine")
+            return
+        self.taken += 1
+        if not self.gate.beat(self.host.now(), instance, sequence, state == "draining", slots, cold):
+            self.late += 1
+        self.told()
+        call.answer(200, b"{}")
+
+    def _deregister(self, call: Call, instance: str) -> None:
+        self.gate.deregister(instance)
+        self.told()
+        call.answer(200, b"{}")
--- /dev/null
+++ b/honeywharf/sluice/course.py
@@ -0,0 +1,332 @@
+"""The course of one request at its source: which backend is asked, what its word proves, what the client is told.
+
+Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has run and
+costs no more than a round trip, so the next one is asked at once, each gate once; when all have refused and some for
+want of room, the one with the shortest queue is asked to let the request wait, at most until `PATIENCE` of its
+aim has passed. What has reached a backend's socket is sent to another only by the verdict, the kind, the
+route's `max-attempts` and the retry budget. Exactly one final answer; `over` is set when it is given.
+
+    verdict          read_only                     mutating, upload
+    not run          another gate                  another gate
+    not run, arrived another, by the budget        another, by the budget
+    may have run     another, by the budget        502, 504
+    (nobody left)    503 with a time to return     503 with a time to return, only where nothing has run
+
+Source: RULES (TWICE, REFUSED, BUDGET), PROTOCOL ("Requests", "Answers").
+"""
+
+from __future__ import annotations
+
+from honeywharf.codecs.mesh import Head
+from honeywharf.mains.streams import WINDOW_BYTES, Ask
+from honeywharf.verdict import COLD, FULL, LEAVING, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    from honeywharf.mains.host import Timer
+    from honeywharf.sluice.source import Source
+    from honeywharf.strainer.routes import Route
+
+    class Channel(Protocol):
+        """The way to a gate: a stream of a link, or the job in this process."""
+
+        def data(self, data: bytes) -> None:
+            """A part of the body."""
+
+        def end(self) -> None:
+            """The body is whole."""
+
+        def window(self, size: int) -> None:
+            """So many bytes of the answer have gone on."""
+
+        def cancel(self) -> None:
+            """Nobody waits any more."""
+
+    class Client(Protocol):
+        """Where the answer goes."""
+
+        def final(self, course: Course, status: int, again_s: float, words: bytes) -> None:
+            """An answer of the mesh's own."""
+
+        def answer(self, course: Course, status: int, fields: bytes, length: int, body: bytes | None) -> None:
+            """A backend's answer, whole, or its head."""
+
+        def data(self, course: Course, data: bytes) -> None:
+            """A part of the body of a backend's answer."""
+
+        def whole(self, course: Course) -> None:
+            """The answer is whole."""
+
+        def broken(self, course: Course) -> None:
+            """The answer that had begun breaks off."""
+
+        def taken(self, course: Course) -> None:
+            """Bytes of the request's body have gone on: more may be read."""
+
+PATIENCE = 0.22  # of the aim, from the request's arrival: later refusals are priced
+KEPT_BYTES = 512 * 1024  # of a body that is kept, so that it can be sent once more
+MOST_ASKED = 24  # gates that one request asks
+RETURN_S = (0.08, 0.3)  # parts of the aim after which a refused client may come back
+END_S = 0.004  # before the deadline, a final answer still arrives
+
+
+class Course:
+    """One request. `deadline`: seconds on the steady clock."""
+
+    __slots__ = (
+        "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "due", "ended", "finished", "full",
+        "gate",
+        "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran", "read", "route", "sent", "service", "source",
+        "tries", "went", "who")
+
+    def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
+        self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
+        self.arrived_at = source.host.now()
+        self.kind = 0 if route.repeatable else 2 if route.upload else 1
+        self.service = route.service(source.draw())
+        self.asked: set[str] = set()
+        self.full: dict[str, float] = {}  # gates that had no room, and how long they said that a wait is
+        self.gate = ""  # that is asked now
+        self.channel: Channel | None = None
+        self.arrivals = 0  # at backends' sockets
+        self.ran = False  # an attempt may have run
+        self.tries = 0
+        self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
+        self.kept: list[bytes] = []
+        self.kept_bytes = self.read = self.sent = 0
+        self.credit = 0
+        self.due: Timer | None = None
+
+    def start(self) -> None:
+        """Ask the first gate."""
+        now = self.source.host.now()
+        self.source.budget(self.service).took(now)
+        self.due = self.source.host.after(max(0.0, self.deadline - now - END_S), self._late)
+        self._next()
+
+    # Which gate.
+
+    def _next(self) -> None:
+        now = self.source.host.now()
+        if self.deadline - now <= END_S:
+            self._give_up(0.0)
+            return
+        levels = self.source.levels_of(self.service)
+        key = levels.pick(now, self.asked) if len(self.asked) < MOST_ASKED else None
+        if key is not None:
+            self.asked.add(key)
+            self._ask(key, 0.0)
+            return
+        patience = self.arrived_at + PATIENCE * self.route.aim_s - now
+        if self.full and patience > END_S:
+            key = min(self.full, key=lambda k: self.full[k])
+            del self.full[key]
+            self._ask(key, min(patience, self.deadline - now))
+            return
+        self._give_up(self._return_s())
+
+    def _ask(self, key: str, patience_s: float) -> None:
+        now, head = self.source.host.now(), self.head
+        self.gate, self.went, self.finished, self.credit, self.sent = key, False, False, 0, 0
+        self.tries += 1
+        tries = self.tries
+        ask = Ask(self.service, head.attempt, self.kind, self.deadline - now, patience_s, self.route.priority,
+                  self.source.service, head.method, head.target, b"".join(head.fields), head.length,
+                  self.source.revision())
+        self.source.asks += 1
+        self.channel = None
+        channel = self.source.open(key, ask, self)
+        if self.over or self.tries != tries:
+            return  # the gate in this process has answered from within
+        if channel is None:  # no room on the link: nothing was sent
+            self._not_run(Verdict(NOT_RUN, LOST))
+        else:
+            self.channel = channel
+
+    def _return_s(self) -> float:
+        low, high = RETURN_S
+        return max(0.02, self.route.aim_s * (low + (high - low) * self.source.draw()))
+
+    def _give_up(self, again_s: float) -> None:
+        """The final answer of one that is tried no further; at once."""
+        if self.ran and self.kind != 0:
+            self._final(504 if self.source.host.now() >= self.deadline - 2 * END_S else 502, 0.0)
+        else:
+            self._final(503, again_s)
+
+    def _late(self) -> None:
+        """The time is up."""
+        self.due = None
+        if self.over:
+            return
+        channel, self.channel = self.channel, None
+        if channel is not None:
+            channel.cancel()
+        if self.answering:
+            self._end()
+            self.who.broken(self)
+        elif channel is None or (not self.went and self.head.length != 0):
+            self._final(503 if not self.ran or self.kind == 0 else 504, 0.0)
+        else:
+            self.source.failed(self.service, self.gate, False)
+            self._final(504, 0.0)
+
+    def _final(self, status: int, again_s: float, words: bytes = b"") -> None:
+        self._end()
+        self.source.count(status)
+        self.who.final(self, status, again_s, words)
+
+    def _end(self) -> None:
+        self.over = True
+        if self.due is not None:
+            self.due.cancel()
+        self.kept.clear()
+        self.kept_bytes = 0
+        self.source.courses.pop(self, None)
+
+    # The request's body.
+
+    def data(self, data: bytes) -> None:
+        """A part of it came."""
+        if self.over:
+            return
+        self.read += len(data)
+        self.kept.append(data)
+        self.kept_bytes += len(data)
+        self._send()
+
+    def end(self) -> None:
+        """It is whole."""
+        self.ended = True
+        if not self.over:
+            self._send()
+
+    @property
+    def held(self) -> int:
+        """Bytes of the body that wait to be sent."""
+        return max(0, self.read - self.sent) if not self.lost_body else 0
+
+    def _send(self) -> None:
+        """Send what the window allows."""
+        channel = self.channel
+        if channel is None or not self.went or self.finished:
+            return
+        at = 0
+        for part in self.kept:
+            start = self.read - self.kept_bytes + at
+            at += len(part)
+            if start + len(part) <= self.sent:
+                continue
+            piece = part[self.sent - start:]
+            if len(piece) > self.credit:
+                piece = piece[:self.credit]
+            if piece:
+                self.sent += len(piece)
+                self.credit -= len(piece)
+                channel.data(piece)
+            if not self.credit or self.over:
+                break
+        if self.over:
+            return
+        if self.ended and self.sent == self.read and self.head.length != 0:
+            self.finished = True
+            channel.end()
+            return
+        while self.kept and self.kept_bytes > KEPT_BYTES and (
+                self.read - self.kept_bytes + len(self.kept[0]) <= self.sent):
+            self.kept_bytes -= len(self.kept.pop(0))
+            self.lost_body = True
+
+    # What the gate says.
+
+    def go(self) -> None:
+        """It is admitted: its body is wanted."""
+        self.went, self.credit = True, WINDOW_BYTES
+        self._send()
+
+    def window(self, size: int) -> None:
+        """So many further bytes of the body may be sent."""
+        self.credit += size
+        self._send()
+        if not self.over:
+            self.who.taken(self)
+
+    def load(self, load: tuple[int, int, int]) -> None:
+        """What the backend holds."""
+
+    def answered(self, status: int, fields: bytes, length: int, body: bytes | None) -> None:
+        """A backend's answer."""
+        self.source.served(self.service, self.gate, status)
+        self.answering = True
+        if body is not None:
+            self.channel = None
+            self._end()
+        self.who.answer(self, status, fields, length, body)
+
+    def answer_data(self, data: bytes) -> None:
+        """A part of the answer's body."""
+        self.who.data(self, data)
+
+    def whole(self) -> None:
+        """The answer is whole."""
+        self.channel = None
+        self._end()
+        self.who.whole(self)
+
+    def gone_on(self, size: int) -> None:
+        """So many bytes of the answer have left for the client."""
+        if self.channel is not None and not self.over:
+            self.channel.window(size)
+
+    def failed(self, verdict: Verdict) -> None:
+        """No answer comes from there."""
+        self.channel = None
+        if self.over:
+            return
+        if self.answering:
+            self.source.failed(self.service, self.gate, False)
+            self._end()
+            self.who.broken(self)
+        elif verdict.ran == NOT_RUN and not verdict.arrived:
+            self._not_run(verdict)
+        else:
+            self._arrived(verdict)
+
+    def _not_run(self, verdict: Verdict) -> None:
+        """A proof, and nothing has arrived: the next gate costs nothing."""
+        if verdict.why == LOST:
+            self.source.failed(self.service, self.gate, True)
+        else:
+            self.source.refused(self.service, self.gate, verdict)
+        if verdict.why in (FULL, COLD, LEAVING):
+            self.full[self.gate] = verdict.again_s if verdict.why != LEAVING else 10.0
+        if self.lost_body:
+            self._give_up(self._return_s())
+        else:
+            self._next()
+
+    def _arrived(self, verdict: Verdict) -> None:
+        """A backend's socket saw it: a second one by verdict, kind, attempts and budget."""
+        self.arrivals += 1
+        if verdict.ran == MAY_HAVE_RUN:
+            self.ran = True
+            self.source.failed(self.service, self.gate, False)
+        else:
+            self.source.refused(self.service, self.gate, verdict)
+        if (self.lost_body or not verdict.may_repeat(self.kind == 0) or self.arrivals >= self.route.attempts
+                or verdict.why == TIMED_OUT or not self.source.spend(self.service)):
+            self._give_up(self._return_s())
+        else:
+            self._next()
+
+    def cancel(self) -> None:
+        """The client has gone."""
+        if self.over:
+            return
+        channel, self.channel = self.channel, None
+        self.source.released(self.service, self.gate)
+        self._end()
+        if channel is not None:
+            channel.cancel()
--- /dev/null
+++ b/honeywharf/sluice/inbound.py
@@ -0,0 +1,421 @@
+"""The destination's side of a request: judged by the gate, given a slot, sent to the backend, answered.
+
+Theory of operation. `begin` judges at once and again when a waiting request's turn comes. One that is admitted
+holds a slot until it is over. Its head is written to the backend only when its body has begun to come, or is whole
+where it is short: a source that has sent no byte of a body knows that nothing has run. An answer up to
+`WHOLE_BYTES` goes on whole, so that what breaks off before has shown the client nothing.
+
+    asked -> waiting -> admitted -> sent -> answering -> over
+      \\________\\_________ refused (not run)   \\_______ failed (may have run)
+
+Each `Job` tells its end once. `_over` is the only place that gives the slot and the connection back.
+"""
+
+from __future__ import annotations
+
+from honeywharf.codecs.mesh import UNKNOWN, Answer
+from honeywharf.mains.streams import WINDOW_BYTES
+from honeywharf.sluice.backend import Taps
+from honeywharf.verdict import (
+    BROKEN_OFF,
+    FULL,
+    GARBLED,
+    LATE,
+    LEAVING,
+    MAY_HAVE_RUN,
+    NOBODY,
+    NOT_RUN,
+    REFUSED,
+    TIMED_OUT,
+    TURNED_AWAY,
+    Verdict,
+)
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from typing import Protocol
+
+    from honeywharf.mains.host import Host, Timer
+    from honeywharf.mains.streams import Ask
+    from honeywharf.sluice.backend import Tap
+    from honeywharf.sluice.gate import Gate
+    from honeywharf.weir.admission import Waiter
+
+    class Answers(Protocol):
+        """Where a job's outcome goes: a stream's frames, or the source in this process."""
+
+        def go(self) -> None:
+            """It is admitted."""
+
+        def window(self, size: int) -> None:
+            """So many bytes of the request's body have gone on."""
+
+        def answer(self, status: int, fields: bytes, length: int, load: tuple[int, int, int],
+                   body: bytes | None) -> None:
+            """The answer, whole, or its head."""
+
+        def data(self, data: bytes) -> None:
+            """A part of the answer's body."""
+
+        def whole(self) -> None:
+            """The answer is whole."""
+
+        def fail(self, verdict: Verdict, load: tuple[int, int, int]) -> None:
+            """No answer comes, or none further."""
+
+SHORT_BYTES = 32 * 1024  # of a body that is held whole before the backend sees its head
+WHOLE_BYTES = 64 * 1024  # of an answer that goes on whole
+LATE_S = 0.03  # past the deadline, for the backend's own word of it
+LEAST_S = 0.005  # left, under which a request is not begun
+
+
+class Job:
+    """One request at its destination."""
+
+    __slots__ = (
+        "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held", "inbound",
+        "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter", "wrote")
+
+    def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
+        self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
+        self.attempt = ask.attempt
+        self.until = inbound.host.now() + ask.remaining_s
+        self.waiter: Waiter | None = None
+        self.tap: Tap | None = None
+        self.due: Timer | None = None
+        self.body: list[bytes] = []  # of the request, not yet written
+        self.read = self.held = 0  # bytes of it that came, that are held
+        self.ended = self.over = self.started = self.wrote = self.tap_up = self.streaming = False
+        self.head: Answer | None = None
+        self.kept: list[bytes] = []  # of an answer that goes on whole, or for which there is no window
+        self.credit = WINDOW_BYTES
+        self.begun_at = 0.0
+
+    # Judged.
+
+    def judge(self) -> None:
+        """Run it, queue it, or refuse it."""
+        inbound, ask, now = self.inbound, self.ask, self.inbound.host.now()
+        if not self._passes(now):
+            return
+        if inbound.gate.admission.free():
+            self._start(now)
+        elif ask.patience_s > 0:
+            self.waiter = inbound.gate.admission.wait(
+                now, ask.priority, min(ask.patience_s, ask.remaining_s), self._turn, self._too_long)
+            if self.waiter is None:
+                self._refuse(FULL, inbound.gate.admission.expected_s(ask.priority))
+            else:
+                inbound.look_soon()
+        else:
+            self._refuse(FULL, inbound.gate.admission.expected_s(ask.priority))
+
+    def _passes(self, now: float) -> bool:
+        inbound, ask = self.inbound, self.ask
+        if self.until - now < LEAST_S:
+            self._refuse(LATE, 0.0)
+        elif inbound.leaving and not ask.patience_s:
+            self._refuse(LEAVING, 0.0)
+        else:
+            refusal = inbound.gate.refusal(now, ask.service)
+            if refusal is None:
+                return True
+            self._refuse(*refusal)
+        return False
+
+    def _turn(self) -> None:
+        self.waiter = None
+        now = self.inbound.host.now()
+        if self._passes(now):
+            self._start(now)
+
+    def _too_long(self) -> None:
+        self.waiter = None
+        self._refuse(FULL, self.inbound.gate.admission.expected_s(self.ask.priority))
+
+    def _refuse(self, why: int, again_s: float) -> None:
+        self.inbound.refused[why] = self.inbound.refused.get(why, 0) + 1
+        self._fail(Verdict(NOT_RUN, why, False, again_s))
+
+    # Runs.
+
+    def _start(self, now: float) -> None:
+        self.gate.admission.start()
+        self.gate.sends(now)
+        self.started, self.begun_at = True, now
+        self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
+        if self.ask.length != 0:
+            self.answers.go()
+        self._write()
+
+    def _write(self) -> None:
+        """Write what may be written: the head first, once there is reason to."""
+        if not self.started or self.over:
+            return
+        if self.tap is None:
+            short = 0 <= self.ask.length <= SHORT_BYTES
+            if not self.ended and self.ask.length != 0 and (short or not self.read):
+                return
+            self.tap = self.inbound.taps.take(_User(self), fresh=self.ask.kind != 0)
+            if self.tap is None:
+                self._refuse(FULL, 0.05)
+            return
+        if not self.tap_up:
+            return
+        data = b"".join(self.body)
+        self.body.clear()
+        if not self.wrote:
+            data = self._head_bytes() + self._framed(data)
+            self.wrote = True
+            self.tap.write(data)
+        elif data or self.ended:
+            framed = self._framed(data)
+            if framed:
+                self.tap.write(framed)
+        if not self.tap.unsent:
+            self.drained()
+
+    def _head_bytes(self) -> bytes:
+        ask = self.ask
+        remaining = max(1, int((self.until - self.inbound.host.now()) * 1000.0))
+        framing = b""
+        if ask.length == UNKNOWN:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        elif ask.length or ask.method not in (b"GET", b"HEAD"):
+            framing = b"Content-Length: %d\r\n" % ask.length
+        return b"%b %b HTTP/1.1\r\n%b%bX-Honeywharf-Deadline-Remaining: %d\r\n" \
+               b"X-Honeywharf-Expected-Instance: %b\r\nX-Honeywharf-Caller-Service: %b\r\n\r\n" % (
+                   ask.method, ask.target, ask.fields, framing, remaining, self.gate.instance.encode(),
+                   ask.caller.encode())
+
+    def _framed(self, data: bytes) -> bytes:
+        if self.ask.length != UNKNOWN:
+            return data
+        chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+        return chunk + b"0\r\n\r\n" if self.ended else chunk
+
+    # What the source says.
+
+    def data(self, data: bytes) -> None:
+        """A part of the request's body."""
+        if not self.over:
+            self.body.append(data)
+            self.read += len(data)
+            self.held += len(data)
+            self._write()
+
+    def end(self) -> None:
+        """The body is whole."""
+        if not self.over:
+            self.ended = True
+            self._write()
+
+    def window(self, size: int) -> None:
+        """So many further bytes of the answer may be sent."""
+        self.credit += size
+        if self.streaming and not self.over:
+            self._pass_on()
+
+    def cancel(self) -> None:
+        """Nobody waits any more."""
+        if not self.over:
+            self.inbound.cancelled += 1
+            self._done()
+
+    # What the connection to the backend says.
+
+    def ready(self) -> None:
+        """It is up."""
+        if not self.over:
+            self.tap_up = True
+            self._write()
+
+    def drained(self) -> None:
+        """What was written has gone: the source may send as much again."""
+        if self.held and not self.body and not self.over:
+            held, self.held = self.held, 0
+            self.answers.window(held)
+
+    def answered(self, answer: Answer) -> None:
+        """The head of the answer."""
+        self.head = answer
+        if answer.cold_s is not None:
+            self.gate.cold_until = max(self.gate.cold_until, self.inbound.host.now() + answer.cold_s)
+        if answer.load:
+            self.inbound.told_load(answer.load)
+
+    def answer_data(self, data: bytes) -> None:
+        """A part of the answer's body."""
+        self.kept.append(data)
+        if self.streaming:
+            self._pass_on()
+        elif sum(map(len, self.kept)) > WHOLE_BYTES and self._good():
+            head = self.head
+            assert head is not None
+            self.streaming = True
+            self.answers.answer(head.status, b"".join(head.fields), head.length, self.gate.load(), None)
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Pass on what the window allows; read on when all of it has gone."""
+        data = b"".join(self.kept)
+        now, rest = data[:self.credit], data[self.credit:]
+        self.credit -= len(now)
+        self.kept = [rest] if rest else []
+        if now:
+            self.answers.data(now)
+        if self.tap is not None:
+            (self.tap.connection.pause if rest else self.tap.connection.resume)()
+
+    def _good(self) -> bool:
+        """Whether the answer is one that a client may see: a success has the seal, and is not encoded."""
+        head = self.head
+        return head is not None and not head.unexecuted and head.status != 421 and (
+            head.status >= 300 or head.sealed) and not head.encoded
+
+    def whole(self) -> None:
+        """The answer is whole."""
+        self.tap = None
+        head = self.head
+        assert head is not None
+        if head.status == 421 or head.unexecuted:
+            if head.status == 421:
+                self.inbound.other_there()
+            self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
+        elif self.streaming:
+            self.credit = 1 << 62
+            self._pass_on()
+            self.inbound.served += 1
+            self.answers.whole()
+            self._done()
+        elif not self._good():
+            self._fail(Verdict(MAY_HAVE_RUN, GARBLED, True))
+        else:
+            body = b"".join(self.kept)
+            self.inbound.served += 1
+            length = head.length if self.ask.method == b"HEAD" else len(body)
+            self.answers.answer(head.status, b"".join(head.fields), length, self.gate.load(), body)
+            self._done()
+
+    def broken(self, why: str, sent: bool, heard: bool) -> None:
+        """The connection to the backend is gone."""
+        self.tap = None
+        if not sent:
+            if why == "refused":
+                self.inbound.nobody_there()
+            self._fail(Verdict(NOT_RUN, NOBODY if why == "refused" else REFUSED))
+        else:
+            self._fail(Verdict(MAY_HAVE_RUN, GARBLED if heard else BROKEN_OFF, True))
+
+    # Ends.
+
+    def _late(self) -> None:
+        self.due = None
+        if not self.over:
+            ran = MAY_HAVE_RUN if self.wrote else NOT_RUN
+            self._fail(Verdict(ran, TIMED_OUT, self.wrote))
+
+    def _fail(self, verdict: Verdict) -> None:
+        if not self.over:
+            if verdict.ran != NOT_RUN:
+                self.inbound.failed += 1
+            load = self.gate.load()
+            self._done()
+            self.answers.fail(verdict, load)
+
+    def _done(self) -> None:
+        """Give the slot and the connection back."""
+        self.over = True
+        if self.due is not None:
+            self.due.cancel()
+        if self.tap is not None:
+            tap, self.tap = self.tap, None
+            tap.release()
+        if self.waiter is not None:
+            self.gate.admission.leave(self.waiter)
+            self.waiter = None
+        self.body.clear()
+        if self.started:
+            took = self.inbound.host.now() - self.begun_at if self.head is not None else None
+            self.gate.admission.ended(took)
+            self.inbound.pump_soon()
+        self.inbound.jobs.pop(self, None)
+
+
+class _User:
+    """A job as a connection's user: a request's body and an answer's both come as `data`."""
+
+    __slots__ = ("answered", "attempt", "broken", "data", "drained", "ready", "whole")
+
+    def __init__(self, job: Job) -> None:
+        self.attempt = job.attempt
+        self.ready, self.answered, self.data = job.ready, job.answered, job.answer_data
+        self.whole, self.broken, self.drained = job.whole, job.broken, job.drained
+
+
+class Inbound:
+    """All jobs before one backend."""
+
+    def __init__(self, host: Host, gate: Gate, taps: Taps) -> None:
+        self.host, self.gate, self.taps = host, gate, taps
+        self.jobs: dict[Job, None] = {}
+        self.refused: dict[int, int] = {}
+        self.served = self.failed = self.cancelled = 0
+        self.leaving = False
+        self.look: Timer | None = None
+        self.pumping = False
+        self.suspects = 0  # times at which the backend was found missing or another
+
+    def begin(self, ask: Ask, answers: Answers) -> Job:
+        """Take a request from a source; its outcome goes to `answers`, perhaps from within this call."""
+        job = Job(self, ask, answers)
+        self.jobs[job] = None
+        job.judge()
+        return job
+
+    def told_load(self, load: bytes) -> None:
+        """The backend told running, waiting, slots."""
+        figures = load.split(b",")
+        if len(figures) == 3 and figures[2].strip().isdigit():
+            slots = int(figures[2])
+            if 0 < slots < 100000:
+                self.gate.admission.slots = slots
+
+    def nobody_there(self) -> None:
+        """A connection was refused."""
+        self.suspects += 1
+        self.gate.missing()
+        self.taps.flush()
+
+    def other_there(self) -> None:
+        """The backend there is not the one that was meant."""
+        self.suspects += 1
+        self.gate.missing()
+        self.taps.flush()
+
+    def pump_soon(self) -> None:
+        """Let those who wait run, when what is under way has returned."""
+        if not self.pumping:
+            self.pumping = True
+            self.host.after(0.0, self._pump)
+
+    def _pump(self) -> None:
+        self.pumping = False
+        admission = self.gate.admission
+        while True:
+            waiter = admission.next(self.host.now())
+            if waiter is None:
+                return
+            waiter.go()
+
+    def look_soon(self) -> None:
+        """See to those who wait too long."""
+        due = self.gate.admission.due()
+        if due is not None and self.look is None:
+            self.look = self.host.after(max(0.0, due - self.host.now()), self._look)
+
+    def _look(self) -> None:
+        self.look = None
+        for waiter in self.gate.admission.expired(self.host.now()):
+            waiter.refuse()
+        self.look_soon()
--- /dev/null
+++ b/honeywharf/sluice/outbound.py
@@ -0,0 +1,363 @@
+"""Clients' connections: requests read, routed and given to courses; answers written in the order of the requests.
+
+Theory of operation. Each request on a connection is an `Exchange`. Several may be under way (pipelining); the
+first writes, the others hold their answers, which the windows of their courses bound. Reading stops while
+`MOST_AHEAD` requests are under way, or while more of a body is held than `HELD_BYTES`. What breaks the protocol or a
+bound of the configuration is answered (400, 408, 413, 431) behind the answers that are owed, and ends the connection.
+Source: PROTOCOL, "Requests"; RULES, LOST and MIXED.
+"""
+
+from __future__ import annotations
+
+from honeywharf.codecs.mesh import UNKNOWN, Head, RequestReader, begun, final
+from honeywharf.codecs.reader import MalformedError
+from honeywharf.mains.streams import WINDOW_BYTES
+from honeywharf.sluice.course import Course
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.sluice.source import Source
+    from honeywharf.sluice.word import Word
+
+MOST_AHEAD = 16
+HELD_BYTES = 64 * 1024  # of a body that waits to be sent
+MOST_CONNECTIONS = 3000
+DROPPED_BYTES = 4 << 20  # of a body that is read to its end though the answer is given
+DEADLINE_S = 10.0  # where a client tells none
+UNREAD = b"the body was too slow"
+
+
+class Exchange:
+    """One request and its answer. `out`: bytes that wait until those before it have been answered."""
+
+    __slots__ = ("bodiless", "chunked", "closes", "course", "done", "keep", "long", "out", "waiting", "whole_request")
+
+    def __init__(self, keep: bool, bodiless: bool) -> None:
+        self.course: Course | None = None
+        self.keep, self.bodiless = keep, bodiless
+        self.done = self.chunked = self.whole_request = self.closes = self.long = False
+        self.out: list[bytes] = []
+        self.waiting = 0  # bytes of the answer's body not yet told as gone
+
+
+class Guest:
+    """One client's connection."""
+
+    __slots__ = (
+        "closing", "connection", "exchange", "exchanges", "gone", "outbound", "paused", "reader", "since", "timer")
+
+    def __init__(self, outbound: Outbound, connection: Connection) -> None:
+        self.outbound, self.connection = outbound, connection
+        limits = outbound.word.limits()
+        self.reader = RequestReader(_Reading(self), limits.max_body_bytes, limits.max_header_bytes + 4096)
+        self.exchanges: list[Exchange] = []  # the first is answered first
+        self.exchange: Exchange | None = None  # whose body is being read
+        self.closing = self.gone = self.paused = False
+        self.since = outbound.host.now()  # of what the timer waits for
+        self.timer: Timer | None = None
+        self._time()
+
+    # Time.
+
+    def _time(self) -> None:
+        """Bound how long a head or a body may take, and how long the connection may rest."""
+        if self.timer is not None:
+            self.timer.cancel()
+        limits = self.outbound.word.limits()
+        wait = limits.header_timeout_s if self.reader.in_head else limits.idle_timeout_s
+        self.timer = self.outbound.host.after(wait, self._timed_out)
+
+    def _timed_out(self) -> None:
+        self.timer = None
+        if self.gone or self.closing:
+            return
+        if self.reader.in_head or (self.exchange is not None and not self.paused):
+            self._fault(408, UNREAD)
+        elif not self.exchanges:
+            self.closing = True
+            self.connection.close()
+        else:
+            self._time()
+
+    # What comes.
+
+    def opened(self) -> None:
+        """Not called on connections that came in."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes of requests."""
+        if self.closing:
+            return
+        in_head = self.reader.in_head
+        try:
+            self.reader.feed(data)
+        except MalformedError as fault:
+            self._fault(fault.status, str(fault).encode())
+            return
+        if self.gone:
+            return
+        if not (in_head and self.reader.in_head):
+            self._time()
+        self.gauge()
+
+    def head(self, head: Head) -> None:
+        """A request's head is whole."""
+        exchange = Exchange(head.keep, head.method == b"HEAD")
+        exchange.whole_request, exchange.long = head.length == 0, head.length > DROPPED_BYTES
+        self.exchanges.append(exchange)
+        if self.closing:
+            return  # behind one that closes: it counts as not read
+        outbound = self.outbound
+        if not exchange.keep:
+            exchange.closes = True
+        self.exchange = exchange
+        route = outbound.word.find(head.host, head.path)
+        if route is None:
+            self.own(exchange, 404, 0.0, b"no route")
+            return
+        if not head.attempt:
+            self.own(exchange, 400, 0.0, b"found no attempt id, wanted one")
+            return
+        if head.expects:
+            self._continue(exchange)
+        now = outbound.host.now()
+        remaining = DEADLINE_S if head.remaining_s is None else head.remaining_s
+        course = exchange.course = Course(
+            outbound.source, Asker(self, exchange), head, route, now + min(remaining, route.timeout_s))
+        outbound.source.courses[course] = None
+        course.start()
+
+    def _continue(self, exchange: Exchange) -> None:
+        if self.exchanges[0] is exchange:
+            self.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def data(self, data: bytes) -> None:
+        """A part of a body."""
+        if self.exchange is not None and self.exchange.course is not None:
+            self.exchange.course.data(data)
+
+    def whole(self) -> None:
+        """The request is whole."""
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.whole_request = True
+            if exchange.course is not None:
+                exchange.course.end()
+            self._flush()
+
+    def gauge(self) -> None:
+        """Stop or go on reading."""
+        course = self.exchange.course if self.exchange is not None else None
+        full = len(self.exchanges) >= MOST_AHEAD or (
+            course is not None and not course.over and course.held > HELD_BYTES)
+        if full != self.paused and not self.gone:
+            self.paused = full
+            (self.connection.pause if full else self.connection.resume)()
+
+    def _fault(self, status: int, words: bytes) -> None:
+        """What came makes no sense, or not in time: it is answered last, and the connection ends."""
+        exchange = self.exchange
+        self.exchange = None
+        if exchange is None:
+            exchange = Exchange(False, False)
+            self.exchanges.append(exchange)
+        elif exchange.course is not None and not exchange.course.over:
+            course = exchange.course
+            if status == 408 and (course.ran or course.sent):
+                status = 502  # guards the promise of 408: a part has gone on
+            course.cancel()
+        if exchange.out or exchange.done:
+            exchange.closes = exchange.done = True
+        else:
+            self.own(exchange, status, 0.0, words)
+            exchange.closes = True
+        self.closing = True
+        self._flush()
+
+    # What goes.
+
+    def own(self, exchange: Exchange, status: int, again_s: float, words: bytes) -> None:
+        """An answer of the mesh's own."""
+        if exchange.done:
+            return
+        if self.outbound.leaving or (not exchange.whole_request and exchange.long):
+            exchange.closes = True  # else the rest of its body is read and dropped: a reset could eat the answer
+        exchange.out.append(final(status, words, keep=not exchange.closes, again_s=again_s,
+                                  bare=exchange.bodiless))
+        exchange.done = True
+        self._flush()
+
+    def answer(self, exchange: Exchange, status: int, fields: bytes, length: int, body: bytes | None) -> None:
+        """A backend's answer."""
+        if self.outbound.leaving:
+            exchange.closes = True
+        exchange.chunked = length == UNKNOWN and body is None
+        bodiless = exchange.bodiless or status in (204, 304)
+        exchange.out.append(begun(status, fields, length, keep=not exchange.closes, bodiless=bodiless))
+        if body is not None:
+            if not bodiless:
+                exchange.out.append(body)
+            exchange.done = True
+        self._flush()
+
+    def answer_data(self, exchange: Exchange, data: bytes) -> None:
+        """A part of its body."""
+        exchange.out.append(b"%x\r\n%b\r\n" % (len(data), data) if exchange.chunked else data)
+        exchange.waiting += len(data)
+        self._flush()
+
+    def answer_whole(self, exchange: Exchange) -> None:
+        """It is whole."""
+        if exchange.chunked:
+            exchange.out.append(b"0\r\n\r\n")
+        exchange.done = True
+        self._flush()
+
+    def broken(self, exchange: Exchange) -> None:
+        """An answer that has begun breaks off: the connection must not look as if it had not."""
+        if not self.gone:
+            if self.exchanges and self.exchanges[0] is exchange:
+                self.connection.abort()
+            else:
+                self.closing = exchange.closes = exchange.done = True
+                exchange.out = []
+                self._flush()
+
+    def _flush(self) -> None:
+        """Write what may be written, in order."""
+        while self.exchanges and not self.gone:
+            exchange = self.exchanges[0]
+            if exchange.out:
+                data = b"".join(exchange.out)
+                exchange.out.clear()
+                self.connection.send(data)
+            if exchange.waiting and exchange.course is not None and self.connection.unsent < WINDOW_BYTES:
+                waiting, exchange.waiting = exchange.waiting, 0
+                exchange.course.gone_on(waiting)
+            if not exchange.done:
+                return
+            if exchange.closes:
+                self._close()
+                return
+            if not exchange.whole_request:
+                return
+            del self.exchanges[0]
+            if not self.exchanges and self.outbound.leaving and self.reader.idle:
+                self._close()
+                return
+        if not self.gone:
+            self.gauge()
+
+    def _close(self) -> None:
+        """All that is owed has been written; what is behind counts as not read."""
+        self.closing = True
+        for exchange in self.exchanges[1:]:
+            if exchange.course is not None:
+                exchange.course.cancel()
+        del self.exchanges[:]
+        self.connection.close()
+
+    def ended(self) -> None:
+        """The client sends nothing more; it may still read what it is owed."""
+        if not self.exchanges:
+            self.connection.close()
+        elif not self.reader.idle:
+            self.connection.abort()
+        else:
+            self.exchanges[-1].closes = True
+            self._flush()
+
+    def drained(self) -> None:
+        """What was written has gone."""
+        self._flush()
+
+    def closed(self, why: str) -> None:
+        """It is gone: nobody waits."""
+        self.gone = True
+        if self.timer is not None:
+            self.timer.cancel()
+        for exchange in self.exchanges:
+            if exchange.course is not None:
+                exchange.course.cancel()
+        self.exchanges.clear()
+        self.outbound.guests.pop(self, None)
+        self.reader.close()
+
+    def settle(self) -> None:
+        """This process leaves: close if nothing is owed."""
+        if not self.exchanges and self.reader.idle:
+            self.closing = True
+            self.connection.close()
+
+
+class _Reading:
+    """A guest as a reader's sink."""
+
+    __slots__ = ("data", "head", "whole")
+
+    def __init__(self, guest: Guest) -> None:
+        self.head, self.data, self.whole = guest.head, guest.data, guest.whole
+
+
+class Asker:
+    """An exchange as the place where a course's answer goes."""
+
+    __slots__ = ("exchange", "guest")
+
+    def __init__(self, guest: Guest, exchange: Exchange) -> None:
+        self.guest, self.exchange = guest, exchange
+
+    def final(self, course: Course, status: int, again_s: float, words: bytes) -> None:
+        """An answer of the mesh's own."""
+        self.guest.own(self.exchange, status, again_s, words)
+
+    def answer(self, course: Course, status: int, fields: bytes, length: int, body: bytes | None) -> None:
+        """A backend's answer."""
+        self.guest.answer(self.exchange, status, fields, length, body)
+
+    def data(self, course: Course, data: bytes) -> None:
+        """A part of its body."""
+        self.guest.answer_data(self.exchange, data)
+
+    def whole(self, course: Course) -> None:
+        """It is whole."""
+        self.guest.answer_whole(self.exchange)
+
+    def broken(self, course: Course) -> None:
+        """It breaks off."""
+        self.guest.broken(self.exchange)
+
+    def taken(self, course: Course) -> None:
+        """More of the request's body may be read."""
+        self.guest.gauge()
+
+
+class Outbound:
+    """Where clients come: the `outbound` address."""
+
+    def __init__(self, host: Host, address: Address, word: Word, source: Source) -> None:
+        self.host, self.address, self.word, self.source = host, address, word, source
+        self.guests: dict[Guest, None] = {}
+        self.leaving = False
+        host.listen(address, self._accept)
+
+    def _accept(self, connection: Connection) -> Handler:
+        guest = Guest(self, connection)
+        self.guests[guest] = None
+        if len(self.guests) > MOST_CONNECTIONS:
+            connection.abort()
+        return guest
+
+    def leave(self) -> None:
+        """This process ends soon: answers close their connections."""
+        self.leaving = True
+
+    def settle(self) -> None:
+        """Close connections on which nothing is owed."""
+        for guest in list(self.guests):
+            guest.settle()
+
+    def close(self) -> None:
+        """Take no further connections."""
+        self.host.unlisten(self.address)
--- /dev/null
+++ b/honeywharf/sluice/source.py
@@ -0,0 +1,197 @@
+"""What all courses of one sluice share: the word, the list, budgets, links, the gate beside it."""
+
+from __future__ import annotations
+
+from honeywharf.mains.streams import Ask, Links
+from honeywharf.policy.levels import Levels
+from honeywharf.verdict import WORDS, Verdict
+from honeywharf.weir.budget import RetryBudget
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from honeywharf.mains.host import Host
+    from honeywharf.sluice.course import Channel, Course
+    from honeywharf.sluice.inbound import Inbound
+    from honeywharf.sluice.word import Word
+    from honeywharf.strainer.settings import Settings
+
+MOST_SERVICES = 1024
+READY = 1  # a gate's state, as told
+
+
+class _Listed:
+    """What is told of one proxy's backend."""
+
+    __slots__ = ("instance", "service", "state", "zone")
+
+    def __init__(self, service: str, instance: str, state: int, zone: str) -> None:
+        self.service, self.instance, self.state, self.zone = service, instance, state, zone
+
+
+class Local:
+    """The gate in this process as a course's way to it, and the course as the job's way back."""
+
+    __slots__ = ("course", "job", "over")
+
+    def __init__(self, course: Course) -> None:
+        self.course, self.over = course, False
+        self.job: object = None
+
+    def go(self) -> None:
+        """It is admitted."""
+        self.course.go()
+
+    def answer(self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None) -> None:
+        """The answer, whole, or its head."""
+        self.over = body is not None
+        self.course.answered(status, fields, length, body)
+
+    def data(self, data: bytes) -> None:
+        """A part of the answer's body."""
+        self.course.answer_data(data)
+
+    def window(self, size: int) -> None:
+        """So many bytes of the request's body have gone on."""
+        self.course.window(size)
+
+    def whole(self) -> None:
+        """The answer is whole."""
+        self.over = True
+        self.course.whole()
+
+    def fail(self, verdict: Verdict, load: tuple[int, int, int]) -> None:
+        """No answer comes."""
+        self.over = True
+        self.course.failed(verdict)
+
+
+class _Remote:
+    """A course as a stream's `Replies`."""
+
+    __slots__ = ("answered", "data", "failed", "load", "went", "whole", "window")
+
+    def __init__(self, course: Course) -> None:
+        self.answered, self.data, self.failed = course.answered, course.answer_data, course.failed
+        self.load, self.went, self.whole, self.window = course.load, course.go, course.whole, course.window
+
+
+class Source:
+    """Shared by all courses. `draw()` gives even random numbers in [0, 1)."""
+
+    def __init__(
+        self, host: Host, settings: Settings, word: Word, inbound: Inbound, draw: Callable[[], float],
+    ) -> None:
+        self.host, self.word, self.inbound, self.draw = host, word, inbound, draw
+        self.me, self.zone, self.service = settings.ip, settings.zone, settings.service or ""
+        self.ratio = settings.bound("retry-budget-ratio", 0.1)
+        self.slack = settings.bound("retry-budget-slack", 10.0)
+        self.window_s = settings.bound("retry-window", 10.0)
+        self.links = Links(host, settings.ports[0])
+        self.levels: dict[str, Levels] = {}
+        self.budgets: dict[str, RetryBudget] = {}
+        self.list: dict[str, _Listed] = {}
+        self.courses: dict[Course, None] = {}
+        self.proxies: Callable[[], int] = lambda: 1
+        self.doubted: set[str] = set()
+        self.asks = 0
+        self.statuses: dict[int, int] = {}
+        self.refusals: dict[int, int] = {}
+
+    # The list.
+
+    def told(self, node: str, say: dict[str, object] | None, zone: str) -> None:
+        """News of a proxy: what its gate says of its backend; None when it has gone."""
+        before = self.list.get(node)
+        if say is None or not say.get("s"):
+            if before is not None:
+                del self.list[node]
+                self.levels_of(before.service).gone(node)
+            return
+        state = say.get("st")
+        now = _Listed(str(say["s"]), str(say.get("b", "")), state if isinstance(state, int) else 0, zone)
+        if before is not None and before.service != now.service:
+            self.levels_of(before.service).gone(node)
+        self.list[node] = now
+        renewed = before is None or before.instance != now.instance or (
+            before.state != READY and now.state == READY)
+        self._relist(node, renewed)
+
+    def _relist(self, node: str, renewed: bool) -> None:
+        entry = self.list.get(node)
+        if entry is not None:
+            usable = entry.state == READY and entry.zone not in self.word.evacuated and node not in self.doubted
+            self.levels_of(entry.service).listed(node, entry.zone, usable, renewed)
+
+    def relist(self) -> None:
+        """Evacuations have changed."""
+        for node in self.list:
+            self._relist(node, False)
+
+    def doubt(self, node: str, down: bool) -> None:
+        """Watchers say that a proxy is down, or up again."""
+        (self.doubted.add if down else self.doubted.discard)(node)
+        self._relist(node, not down)
+
+    def levels_of(self, service: str) -> Levels:
+        """The backends of a service."""
+        levels = self.levels.get(service)
+        if levels is None:
+            if len(self.levels) >= MOST_SERVICES:
+                self.levels = {s: v for s, v in self.levels.items() if v.targets}
+            levels = self.levels[service] = Levels(self.zone, self.draw)
+        return levels
+
+    # For courses.
+
+    def revision(self) -> int:
+        """Of the word that this sluice decides by."""
+        return self.word.revision
+
+    def budget(self, service: str) -> RetryBudget:
+        """The retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            if len(self.budgets) >= MOST_SERVICES:
+                self.budgets.clear()
+            budget = self.budgets[service] = RetryBudget(self.ratio, self.slack, self.window_s)
+        return budget
+
+    def spend(self, service: str) -> bool:
+        """Whether one more backend may be asked for a request that has arrived at one."""
+        return self.budget(service).spend(self.host.now(), self.proxies())
+
+    def open(self, key: str, ask: Ask, course: Course) -> Channel | None:
+        """The way to a gate; its word may come from within this call where it is in this process."""
+        if key == self.me:
+            return self.inbound.begin(ask, Local(course))
+        return self.links.to(key).open(ask, _Remote(course))
+
+    def served(self, service: str, key: str, status: int) -> None:
+        """A backend answered."""
+        self.count(status)
+        self.levels_of(service).served(key)
+
+    def failed(self, service: str, key: str, certain: bool) -> None:
+        """An attempt failed there."""
+        self.levels_of(service).failed(self.host.now(), key, certain)
+
+    def refused(self, service: str, key: str, verdict: Verdict) -> None:
+        """A gate refused."""
+        self.refusals[verdict.why] = self.refusals.get(verdict.why, 0) + 1
+        self.levels_of(service).refused(self.host.now(), key, 0.0)
+
+    def released(self, service: str, key: str) -> None:
+        """Nobody waits for an attempt there any more."""
+        self.levels_of(service).released(key)
+
+    def count(self, status: int) -> None:
+        """One more final answer of that status."""
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    def counters(self) -> str:
+        """What was done so far, for a log line."""
+        refusals = " ".join(f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(self.refusals.items()))
+        answers = " ".join(f"{status}={n}" for status, n in sorted(self.statuses.items()))
+        return f"answers {answers or 'none'}; asks={self.asks} {refusals} links-lost={self.links.lost}"
--- /dev/null
+++ b/honeywharf/sluice/word.py
@@ -0,0 +1,149 @@
+"""The operator's word as one sluice runs it: one revision at a time, never an older one.
+
+Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is asked for by
+its digest where it is another one. At the start a word counts only if a reservoir has read it from a majority
+("word.read"); after that any word of a higher revision that anybody has ("word.known") is taken, as reservoirs tell
+of none that is not settled. Whoever has a word gives it to others, so reservoirs need not serve all. A start without a
+majority to be had takes what is known after `ALONE_S`: the core is not settled then, and no rule asks for more.
+Source: RULES, CONFIG and EVAC.
+"""
+
+from __future__ import annotations
+
+import zlib
+
+from honeywharf.strainer.routes import Limits, Route, Table
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from honeywharf.mains.calls import Caller, Reply
+    from honeywharf.mains.host import Address, Host
+
+WITHIN_S = 0.7  # for a call
+BODY_WITHIN_S = 5.0
+AGAIN_S = 0.15
+ALONE_S = 4.0
+MOST_TEXT = 80 << 20
+
+
+class Word:
+    """What is in force here. `changed()` is called after each change, `holders()` gives addresses to ask."""
+
+    def __init__(self, host: Host, caller: Caller, cores: Callable[[], list[Address]],
+                 changed: Callable[[], None]) -> None:
+        self.host, self.caller, self.cores, self.changed = host, caller, cores, changed
+        self.revision = 0
+        self.version = 0
+        self.digest = ""
+        self.value: dict[str, Any] = {}
+        self.evacuated: set[str] = set()
+        self.table: Table | None = None
+        self.packed = b""  # the text, compressed
+        self.ready = False
+        self.newest = 0  # the highest revision heard of
+        self.fetching = False
+        self.started = host.now()
+        self.turn = 0
+        self._limits = Limits({})
+
+    # Used by the rest of the sluice.
+
+    def find(self, host: bytes, path: bytes) -> Route | None:
+        """The route of a request; None without one."""
+        return None if self.table is None else self.table.find(host, path)
+
+    def limits(self) -> Limits:
+        """What a client may send, and how long it may take."""
+        return self._limits if self.table is None else self.table.limits
+
+    # Taking a word over.
+
+    def start(self) -> None:
+        """Ask until a majority has told."""
+        if self.ready:
+            return
+        cores = self.cores()
+        if cores:
+            self.turn += 1
+            core = cores[self.turn % len(cores)]
+            alone = self.host.now() - self.started > ALONE_S
+            method = "word.known" if alone and self.turn % 2 else "word.read"
+            self.caller.call(core, method, None, WITHIN_S, lambda value: self._started(core, value))
+        else:
+            self.host.after(AGAIN_S, self.start)
+
+    def _started(self, core: Address, value: Any) -> None:
+        if isinstance(value, dict) and value.get("version"):
+            self._take(core, value, first=True)
+        if not self.ready:
+            self.host.after(AGAIN_S, self.start)
+
+    def heard(self, revision: int, holder: Address) -> None:
+        """News of a word: it is asked for if it is newer."""
+        self.newest = max(self.newest, revision)
+        if revision > self.revision and self.ready and not self.fetching:
+            self.fetching = True
+            self.caller.call(holder, "word.known", None, WITHIN_S, lambda value: self._known(holder, value))
+
+    def _known(self, holder: Address, value: Any) -> None:
+        self.fetching = False
+        if isinstance(value, dict) and value.get("version"):
+            self._take(holder, value, first=False)
+        else:
+            self._again()
+
+    def _again(self) -> None:
+        """The holder did not tell: ask a reservoir, in a while."""
+        if self.newest > self.revision:
+            cores = self.cores()
+            if cores:
+                self.turn += 1
+                core = cores[self.turn % len(cores)]
+                self.host.after(AGAIN_S, lambda: self.heard(self.newest, core))
+
+    def _take(self, holder: Address, value: dict[str, Any], first: bool) -> None:
+        if value["rev"] <= self.revision or self.fetching:
+            return
+        if value["digest"] == self.digest:
+            self._apply(value, None, b"")
+            return
+        self.fetching = True
+        self.caller.call(holder, "word.body", value["digest"], BODY_WITHIN_S,
+                         lambda packed: self._body(holder, value, packed, first))
+
+    def _body(self, holder: Address, value: dict[str, Any], packed: Any, first: bool) -> None:
+        self.fetching = False
+        table = None
+        if isinstance(packed, bytes):
+            try:
+                table = Table(zlib.decompressobj().decompress(packed, MOST_TEXT))
+            except (ValueError, KeyError, TypeError, zlib.error) as fault:
+                self.host.log(f"word r{value['version']} from {holder[0]} can't be read: {fault}")
+        if table is not None and value["rev"] > self.revision:
+            self._apply(value, table, packed)
+        if self.newest > self.revision:
+            if first:
+                self.host.after(AGAIN_S, self.start)
+            else:
+                self._again()
+
+    def _apply(self, value: dict[str, Any], table: Table | None, packed: bytes) -> None:
+        if table is not None:
+            self.table, self.packed, self.digest = table, packed, value["digest"]
+        self.value, self.revision, self.version = value, value["rev"], value["version"]
+        self.newest = max(self.newest, self.revision)
+        self.evacuated = {zone for zone, on in value["evac"].items() if on}
+        self.ready = True
+        evacuated = ",".join(sorted(self.evacuated)) or "none"
+        self.host.log(f"word {self.revision}: configuration r{self.version}, evacuated {evacuated}")
+        self.changed()
+
+    # Giving it to others.
+
+    def methods(self) -> dict[str, Callable[[Any, Reply, Address], None]]:
+        """What others may call."""
+        return {"word.known": lambda args, reply, peer: reply(self.value or None),
+                "word.body": lambda args, reply, peer: reply(self.packed if args == self.digest else None)}
--- a/setup.py
+++ b/setup.py
@@ -13,12 +13,13 @@
 from setuptools.command.build_ext import build_ext
 
 COMPILED = [
-    *sorted(glob("honeywharf/limits/*.py")), *sorted(glob("honeywharf/policy/*.py")),
+    *sorted(glob("honeywharf/limits/*.py")),
+    *(path for path in sorted(glob("honeywharf/policy/*.py")) if not path.endswith("__init__.py")),
     *sorted(glob("honeywharf/reports/*.py")), *sorted(glob("honeywharf/flow/*.py")),
     "honeywharf/core/messages.py", "honeywharf/core/transport.py", "honeywharf/core/seams.py",
     "honeywharf/core/turns.py", "honeywharf/core/driver.py",
-    "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py", "honeywharf/orderkeys/table.py",
-    "honeywharf/orderkeys/edge.py",
+    "honeywharf/codecs/reader.py", "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py",
+    "honeywharf/orderkeys/table.py", "honeywharf/orderkeys/edge.py",
     "honeywharf/traces/context.py", "honeywharf/traces/spans.py", "honeywharf/traces/sampler.py",
     "honeywharf/traces/recorder.py",
     *(path for path in sorted(glob("honeywharf/storms/*.py")) if not path.endswith("__init__.py")),
