--- /dev/null
+++ b/honeywharf/programs/reservoir.py
@@ -0,0 +1,122 @@
+"""The control plane's program: the operator's door, the register, and news of it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from functools import partial
+from typing import TYPE_CHECKING
+
+from honeywharf.mains.calls import Answerer, Caller
+from honeywharf.mains.door import Door
+from honeywharf.mains.host import Address, Host
+from honeywharf.reservoir.basin import Basin
+from honeywharf.reservoir.operator import Operator
+from honeywharf.reservoir.store import Store
+from honeywharf.reservoir.word import Value
+from honeywharf.runnel.society import Society
+
+if TYPE_CHECKING:
+    from honeywharf.strainer.settings import Settings
+
+MOST_BODY = 65 << 20  # bytes of a configuration
+STOPPING = 0.9  # s that calls at work have after SIGTERM
+DISK_AGAIN = 0.2  # s after which a disk that fails at the start is tried again
+
+
+class Reservoir:
+    """One reservoir on its host."""
+
+    def __init__(self, host: Host, settings: Settings) -> None:
+        self.host, self.settings = host, settings
+        self.here: Address = (settings.ip, settings.ports[0])
+        self.caller = Caller(host)
+        self.basin = Basin(
+            host, Store(host), self.caller, self.here, settings.zone,
+            [(ip, settings.ports[0]) for ip, _ in settings.seeds], settings.initial_start, self._word,
+            self._cores)
+        self.society: Society | None = None
+        self.door: Door | None = None
+        self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
+        self.stopping = False
+        self._begin()
+
+    def _begin(self) -> None:
+        """Start once the disk can be read."""
+        if self.stopping:
+            return
+        try:
+            self.basin.start()
+        except OSError as fault:
+            self.host.log(f"reservoir: the disk fails: {fault}")
+            self.host.after(DISK_AGAIN, self._begin)
+            return
+        settings, host = self.settings, self.host
+        self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
+        self.society = Society(
+            host, settings.ip, settings.ports[0], settings.zone, [ip for ip, _ in settings.seeds],
+            {"core": True, "disk": self.basin.state.disk, "rev": max(0, self.basin.announced)},
+            int(host.wall() * 1000))
+        self.society.on_word = self._rumour
+        self.door = Door(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
+        host.log(f"reservoir: {settings.node_name} at {settings.ip}, disk {self.basin.state.disk},"
+                 f" roster {self.basin.state.epoch}")
+
+    def _word(self, value: Value) -> None:
+        """There is a newer word, and its text is here."""
+        self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
+        if self.society is not None:
+            self.society.shout_word(value["rev"])
+
+    def _rumour(self, revision: int, holder: str) -> None:
+        """Somebody holds a newer word."""
+        if self.basin.known is None or revision > self.basin.known["rev"]:
+            self.basin.learn_from((holder, self.here[1]))
+
+    def _cores(self) -> list[Address]:
+        """The other reservoirs that news tell of."""
+        if self.society is None:
+            return []
+        return [(node, self.here[1]) for node, entry in self.society.entries().items()
+                if node != self.here[0] and entry.say is not None and entry.say.get("core")]
+
+    def stop(self) -> None:
+        """SIGTERM: take no further calls, end those at work, and exit within a second."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.operator.closing = True
+        if self.door is not None:
+            self.door.close()
+        if self.society is not None:
+            self.society.leave()
+        self.host.after(STOPPING, partial(self.host.exit, 0))
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.operator.at_work:
+            self.host.after(0.02, self._finish)
+        else:
+            self.host.after(0.02, partial(self.host.exit, 0))  # the answers are on their way
+
+
+def main() -> int:
+    """Run by the settings file that the platform names; 2 where it can't be used."""
+    from honeywharf.mains.loop import Loop
+    from honeywharf.strainer.settings import SettingsError, load
+
+    try:
+        settings = load(os.environ.get("HONEYWHARF_SETTINGS", "/etc/honeywharf/boot.yaml"))
+    except (SettingsError, OSError) as fault:
+        print(f"reservoir: {fault}", file=sys.stderr)
+        return 2
+    loop = Loop(settings.data_directory)
+    program = Reservoir(loop, settings)
+    loop.on_signal(signal.SIGTERM, program.stop)
+    loop.on_signal(signal.SIGHUP, lambda: None)
+    return loop.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
