Let a request wait at three gates at most, and outlive a fault of one call

A request that all gates had refused asked those with queues again without end: processes ended with a RecursionError, clients got 400 for it. Now each gate is waited at once, three in all; a fault in a call is logged, its connection ended, and the process goes on.

--- a/honeywharf/codecs/reader.py
+++ b/honeywharf/codecs/reader.py
@@ -97,6 +97,8 @@
                 cause: BaseException | None = fault
                 while cause is not None and not isinstance(cause, MalformedError):
                     cause = cause.__cause__ or cause.__context__
+                if cause is None and isinstance(fault, httptools.HttpParserCallbackError):
+                    raise  # not the sender's fault: what was called from here has failed
                 raise cause or MalformedError(400, str(fault)) from None
             break
         # Guards against a line of a head, a trailer or a chunk that never ends: the parser keeps it unseen.
--- a/honeywharf/mains/loop.py
+++ b/honeywharf/mains/loop.py
@@ -131,7 +131,7 @@
         self.status: int | None = None
         self.signals: dict[int, Callable[[], None]] = {}
         self.woken, self.waker = -1, -1
-        self.turns = 0
+        self.turns = self.faults = 0
 
     # Clocks and timers.
 
@@ -448,19 +448,31 @@
         while self.status is None:
             for number, events in poll(self._wait()):
                 wire = self.wires.get(number)
-                if wire is not None:
-                    self._wire_ready(wire, events)
-                elif number in self.ears:
-                    self._heard(number)
-                elif number in self.listeners:
-                    self._accepted(number)
-                elif number == self.woken:
-                    self._signalled()
+                try:
+                    if wire is not None:
+                        self._wire_ready(wire, events)
+                    elif number in self.ears:
+                        self._heard(number)
+                    elif number in self.listeners:
+                        self._accepted(number)
+                    elif number == self.woken:
+                        self._signalled()
+                except Exception:
+                    self._fault(wire)
             self._due()
             self._readied()
             self.turns += 1
         return self.status
 
+    def _fault(self, wire: Wire | None) -> None:
+        """A call has failed, by a fault of this program's: it is told, its connection ends, the process goes on."""
+        import traceback
+
+        self.faults += 1
+        self.log(f"fault {self.faults}: {traceback.format_exc()}")
+        if wire is not None:
+            wire.abort()
+
     def _wait(self) -> float:
         if self.ready:
             return 0.0
@@ -474,10 +486,16 @@
             timer = heappop(self.timers)[2]
             call, timer.call = timer.call, None
             if call is not None:
-                call()
+                self._guarded(call)
+
+    def _guarded(self, call: Callable[[], None]) -> None:
+        try:
+            call()
+        except Exception:
+            self._fault(None)
 
     def _readied(self) -> None:
         while self.ready:
             ready, self.ready = self.ready, []
             for call in ready:
-                call()
+                self._guarded(call)
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -68,6 +68,7 @@
 PATIENCE = 0.22  # of the aim, from the request's arrival: later refusals are priced
 KEPT_BYTES = 512 * 1024  # of a body that is kept, so that it can be sent once more
 MOST_ASKED = 24  # gates that one request asks
+MOST_WAITED = 3  # gates that it is ready to wait at, one after the other
 RETURN_S = (0.08, 0.3)  # parts of the aim after which a refused client may come back
 END_S = 0.004  # before the deadline, a final answer still arrives
 
@@ -79,7 +80,7 @@
         "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "due", "ended", "finished", "full",
         "gate",
         "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran", "read", "route", "sent", "service", "source",
-        "tries", "went", "who")
+        "tries", "waited", "went", "who")
 
     def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
@@ -92,7 +93,7 @@
         self.channel: Channel | None = None
         self.arrivals = 0  # at backends' sockets
         self.ran = False  # an attempt may have run
-        self.tries = 0
+        self.tries = self.waited = 0
         self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
         self.kept: list[bytes] = []
         self.kept_bytes = self.read = self.sent = 0
@@ -120,9 +121,10 @@
             self._ask(key, 0.0)
             return
         patience = self.arrived_at + PATIENCE * self.route.aim_s - now
-        if self.full and patience > END_S:
+        if self.full and patience > END_S and self.waited < MOST_WAITED:
             key = min(self.full, key=lambda k: self.full[k])
             del self.full[key]
+            self.waited += 1
             self._ask(key, min(patience, self.deadline - now))
             return
         self._give_up(self._return_s())
@@ -300,7 +302,7 @@
             self.source.failed(self.service, self.gate, True)
         else:
             self.source.refused(self.service, self.gate, verdict)
-        if verdict.why in (FULL, COLD, LEAVING):
+        if verdict.why in (FULL, COLD, LEAVING) and not self.waited:
             self.full[self.gate] = verdict.again_s if verdict.why != LEAVING else 10.0
         if self.lost_body:
             self._give_up(self._return_s())
