Stop the reservoir's news with its leave

After leave the news asked to be called at once, for ever, and an orderly end stood still. The program now stops them with the leave, whose rumour is sent by then. All nine tests of whole reservoirs pass in 1.1 s.

--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -91,6 +91,7 @@
             self.door.close()
         if self.society is not None:
             self.society.leave()
+            self.society.stop()
         self.host.after(STOPPING, partial(self.host.exit, 0))
         self._finish()
 
