--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -265,7 +265,9 @@
         elif key == INSTANCE:
             message.instance = value
         elif key == COLD:
-            message.cold_s = duration(value.decode("latin-1"))
+            message.cold_s = milliseconds(value)
+            if message.cold_s is None:
+                message.cold_s = duration(value.decode("latin-1").strip())
         elif key == b"content-encoding":
             message.encoded = True
         message.fields.append(b"%b: %b\r\n" % (name, value))
