--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -43,7 +43,8 @@
 UNKNOWN = -1  # a body's length: it comes in chunks, or up to the end of the connection
 ATTEMPT, REMAINING = b"x-honeywharf-attempt-id", b"x-honeywharf-deadline-remaining"
 SEAL, EXECUTED = b"x-honeywharf-server-seal", b"x-honeywharf-not-executed"
-INSTANCE, LOAD, COLD = b"x-honeywharf-instance-id", b"x-honeywharf-instance-load", b"x-honeywharf-cold-remaining"
+INSTANCE, LOAD = b"x-honeywharf-instance-id", b"x-honeywharf-instance-load"
+COLD = b"x-honeywharf-cold-remaining"
 HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
     b"content-length", b"expect", b"http2-settings", b"proxy-authenticate", b"proxy-authorization"))
@@ -71,7 +72,8 @@
 class Head:
     """The head of a request. `length`: bytes of its body, 0 where it has none, UNKNOWN in chunks."""
 
-    __slots__ = ("attempt", "expects", "fields", "host", "interim", "keep", "length", "method", "remaining_s", "target")
+    __slots__ = (
+        "attempt", "expects", "fields", "host", "interim", "keep", "length", "method", "remaining_s", "target")
 
     def __init__(self) -> None:
         self.method = self.target = self.host = self.attempt = b""
@@ -91,8 +93,8 @@
     """The head of an answer. `length` as in `Head`; `fields` are the lines that go on to the client."""
 
     __slots__ = (
-        "attempt", "cold_s", "encoded", "fields", "idle_s", "instance", "keep", "length", "load", "sealed", "status",
-        "unexecuted")
+        "attempt", "cold_s", "encoded", "fields", "idle_s", "instance", "keep", "length", "load", "sealed",
+        "status", "unexecuted")
 
     def __init__(self) -> None:
         self.status = 0
@@ -106,7 +108,10 @@
 
 
 class RequestReader(Reader):
-    """Turns what one client sends into heads, parts of bodies and ends. An offer of another protocol is ignored."""
+    """Turns what one client sends into heads, parts of bodies and ends.
+
+    An offer of another protocol is ignored.
+    """
 
     def __init__(self, sink: Sink, max_body: int, max_head: int) -> None:
         super().__init__(max_body, max_head)
@@ -118,7 +123,10 @@
         self.listed: list[bytes] = []  # names that a Connection header has told of
 
     def feed(self, data: bytes) -> None:
-        """Take bytes. MalformedError, with the status of the answer, where they break the protocol or a bound."""
+        """Take bytes. MalformedError, with the status of the answer.
+
+        Where they break the protocol or a bound.
+        """
         self._feed(data)
 
     def _offered(self) -> bytes:
@@ -222,7 +230,10 @@
 
 
 class AnswerReader(Reader):
-    """Turns what a backend sends into answers. `waiting`: how many may still come; what is beyond is an excess."""
+    """Turns what a backend sends into answers.
+
+    `waiting`: how many may still come; what is beyond is an excess.
+    """
 
     def __init__(self, sink: AnswerSink, max_body: int) -> None:
         super().__init__(max_body, 64 * 1024)
@@ -321,7 +332,8 @@
     for unit, scale in (("ms", 0.001), ("s", 1.0)):
         if text.endswith(unit):
             figure = text[:-len(unit)]
-            return float(figure) * scale if figure.replace(".", "", 1).isdigit() and len(figure) < 16 else None
+            sound = figure.replace(".", "", 1).isdigit() and len(figure) < 16
+            return float(figure) * scale if sound else None
     return None
 
 
--- a/honeywharf/codecs/reader.py
+++ b/honeywharf/codecs/reader.py
@@ -51,6 +51,7 @@
         return not self.in_head and not self.in_body
 
     def on_message_begin(self) -> None:
+        """A message begins."""
         self.in_head, self.head_bytes, self.body_bytes, self.parts = True, 0, 0, []
         self.unsaid = -1
 
@@ -61,6 +62,7 @@
             raise MalformedError(431, "the head is too long")
 
     def on_body(self, data: bytes) -> None:
+        """A part of the body. MalformedError where it grows too long."""
         self.unsaid = -1
         self.body_bytes += len(data)
         if self.body_bytes > self.max_body:
@@ -74,6 +76,7 @@
         del self.parser
 
     def body(self) -> bytes:
+        """What has come of the body."""
         return self.parts[0] if len(self.parts) == 1 else b"".join(self.parts)
 
     def _feed(self, data: bytes) -> None:
--- a/honeywharf/mains/__init__.py
+++ b/honeywharf/mains/__init__.py
@@ -1,1 +1,4 @@
-"""What lies under the ground: a machine's clock, wires and disk (`host`, `loop`), frames and links between proxies."""
+"""What lies under the ground.
+
+A machine's clock, wires and disk (`host`, `loop`), frames and links between proxies.
+"""
--- a/honeywharf/mains/door.py
+++ b/honeywharf/mains/door.py
@@ -163,9 +163,14 @@
 
 
 class Door:
-    """Listens at an address; `take` is given each whole call. `most_body`: bytes, longer ones are answered 413."""
+    """Listens at an address; `take` is given each whole call.
 
-    def __init__(self, host: Host, address: Address, take: Callable[[Call], None], most_body: int = 65 << 20) -> None:
+    `most_body`: bytes, longer ones are answered 413.
+    """
+
+    def __init__(
+        self, host: Host, address: Address, take: Callable[[Call], None], most_body: int = 65 << 20,
+    ) -> None:
         self.host, self.address, self.take, self.most_body = host, address, take, most_body
         self.guests = self.calls = 0
         self.closing = False
--- a/honeywharf/mains/host.py
+++ b/honeywharf/mains/host.py
@@ -74,7 +74,9 @@
     def after(self, seconds: float, call: Callable[[], None]) -> Timer:
         """Call once, so much later."""
 
-    def connect(self, to: Address, handler: Callable[[Connection], Handler], within: float = 1.0) -> Connection:
+    def connect(
+        self, to: Address, handler: Callable[[Connection], Handler], within: float = 1.0,
+    ) -> Connection:
         """Ask for a connection; `closed("timeout")` when it is not up in time."""
 
     def listen(self, at: Address, accept: Callable[[Connection], Handler]) -> None:
--- a/honeywharf/mains/loop.py
+++ b/honeywharf/mains/loop.py
@@ -465,7 +465,10 @@
         return self.status
 
     def _fault(self, wire: Wire | None) -> None:
-        """A call has failed, by a fault of this program's: it is told, its connection ends, the process goes on."""
+        """A call has failed, by a fault of this program's.
+
+        It is told, its connection ends, the process goes on.
+        """
         import traceback
 
         self.faults += 1
--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -3,8 +3,8 @@
 Theory of operation. The source opens a link to the sluice beside a backend and keeps it. Each request is a
 stream with a number of the source's. Frames are msgpack arrays `[kind, number, ...]`:
 
-    OPEN    service, attempt, kind, remaining ms, patience ms, priority, caller, method, target, fields, length, revision
-    GO      it is admitted: send the body
+    OPEN    service, attempt, kind, remaining ms, patience ms, priority, caller, method, target, fields,
+    length, revision GO      it is admitted: send the body
     DATA, END, WINDOW   either way: bytes, the end, bytes that may follow
     ANSWER  status, fields, length, load, whole body or nil (then it is whole)
     REFUSE  why, again ms, arrived, load: not run, a proof
@@ -12,9 +12,10 @@
     CANCEL  the source wants no answer any more
     PING, PONG   where streams wait and nothing was heard for `PING_S`
 
-No more than `WINDOW_BYTES` of a body are on the way unasked for, so a slow one holds up nobody else on the link. A link
-on which nothing is heard for `SILENT_S` while streams wait is lost: what was opened on it may have run, except
-a request whose body was not asked for, which has not.
+No more than `WINDOW_BYTES` of a body are on the way unasked for, so a slow one holds up nobody else on the
+link. A link
+on which nothing is heard for `SILENT_S` while streams wait is lost: what was opened on it may have run,
+except a request whose body was not asked for, which has not.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
     from collections.abc import Callable
     from typing import Any, Protocol
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.mains.host import Address, Connection, Host, Timer
 
     class Replies(Protocol):
         """What a source's attempt is told."""
@@ -83,8 +84,8 @@
     """What a source asks of a gate. Times are seconds from now; `length` as in `codecs.mesh.Head`."""
 
     __slots__ = (
-        "attempt", "caller", "fields", "kind", "length", "method", "patience_s", "priority", "remaining_s", "revision",
-        "service", "target")
+        "attempt", "caller", "fields", "kind", "length", "method", "patience_s", "priority", "remaining_s",
+        "revision", "service", "target")
 
     def __init__(
         self, service: str, attempt: bytes, kind: int, remaining_s: float, patience_s: float, priority: int,
@@ -106,7 +107,8 @@
         """From an OPEN frame. ValueError or TypeError where it is none."""
         (service, attempt, kind, remaining, patience, priority, caller, method, target, fields, length,
          revision) = frame[2:]
-        return cls(service, attempt, kind, remaining / 1000.0, patience / 1000.0, priority, caller, method, target,
+        return cls(service, attempt, kind, remaining / 1000.0, patience / 1000.0, priority, caller, method,
+        target,
                    fields, length, revision)
 
 
@@ -290,7 +292,10 @@
 
 
 class Reception:
-    """The destination's end of a link. `begin(ask, replies)` gives the work of a stream, or None if it is over."""
+    """The destination's end of a link.
+
+    `begin(ask, replies)` gives the work of a stream, or None if it is over.
+    """
 
     def __init__(
         self, connection: Connection, reader: FrameReader, frames: list[Any],
@@ -399,6 +404,6 @@
     def fail(self, verdict: Verdict, load: tuple[int, int, int]) -> None:
         """No answer comes, or none further."""
         kind = REFUSE if verdict.ran == NOT_RUN else FAIL
-        self.reception.send([kind, self.number, verdict.why, int(verdict.again_s * 1000.0), verdict.arrived, load,
-                             verdict.ran])
+        self.reception.send([
+            kind, self.number, verdict.why, int(verdict.again_s * 1000.0), verdict.arrived, load, verdict.ran])
         self._last()
--- a/honeywharf/policy/levels.py
+++ b/honeywharf/policy/levels.py
@@ -6,8 +6,8 @@
 and may be late without breaking a rule. All times are seconds on the caller's steady clock; no I/O.
 
 Absence: after failures in a row (one refused connection, or two of any other kind) a backend counts as absent
-for a pause that doubles up to `LONGEST_S`; after it a single trial goes there, and one success brings it back.
-A level whose members are all absent or passed over is empty. Source: DESIGN and SYSTEM, "The design".
+for a pause that doubles up to `LONGEST_S`; after it a single trial goes there, and one success brings it
+back. A level whose members are all absent or passed over is empty. Source: DESIGN and SYSTEM, "The design".
 """
 
 from __future__ import annotations
@@ -44,7 +44,10 @@
         self.depth = 0  # of the level of the last pick: 0 own zone, 1 every zone
 
     def listed(self, key: str, zone: str, usable: bool, renewed: bool) -> None:
-        """Take over one entry of the list. `renewed`: it is another life of the backend, with a clean record."""
+        """Take over one entry of the list.
+
+        `renewed`: it is another life of the backend, with a clean record.
+        """
         target = self.targets.get(key)
         if target is None or renewed or target.zone != zone:
             if target is None and len(self.targets) >= MOST:
@@ -57,10 +60,13 @@
         self.targets.pop(key, None)
 
     def pick(self, now: float, passed: Container[str] = ()) -> str | None:
-        """An even random choice in the first level that has a usable backend not passed over; None without one."""
+        """An even random choice in the first level that has a usable backend not passed over.
+
+        None without one.
+        """
         for spare in (True, False):  # those that were full a moment ago only where nobody else is left
-            usable = [t for t in self.targets.values() if t.usable and t.key not in passed and self._there(now, t)
-                      and (not spare or t.spared_until <= now)]
+            usable = [t for t in self.targets.values() if t.usable and t.key not in passed
+                      and self._there(now, t) and (not spare or t.spared_until <= now)]
             home = [t for t in usable if t.zone == self.zone]
             level = home or usable
             if level:
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -54,8 +54,9 @@
         self.word = Word(host, self.caller, self._cores, self._word_changed)
         port = settings.ports[0]
         say = {**self.gate.say(), "rev": 0}
-        self.society = Society(host, settings.ip, port, settings.zone, [seed[0] for seed in settings.seeds], say,
-                               int(host.wall() * 1000.0))
+        seeds = [seed[0] for seed in settings.seeds]
+        self.society = Society(
+            host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0))
         draw = Draws(host.random(8)).random
         self.source = Source(host, settings, self.word, self.inbound, draw)
         self.source.proxies = self._proxies
@@ -64,7 +65,8 @@
         self.society.on_down = lambda node: self.source.doubt(node, True)
         self.society.on_up = lambda node: self.source.doubt(node, False)
         self.probe = Probe(host, application, self.gate, self._gate_changed)
-        host.listen((settings.ip, port), Answerer(dict(self.word.methods()), self._streams, log=host.log).accept)
+        answerer = Answerer(dict(self.word.methods()), self._streams, log=host.log)
+        host.listen((settings.ip, port), answerer.accept)
         self.told = 0
         self.said = UNKNOWN
         self.beats = Beats(host, self.gate, self._gate_changed)
@@ -161,7 +163,8 @@
         quiet = since >= min(UNTIL_QUIET_S, grace / 2)
         if quiet:
             self.outbound.settle()
-        if since >= grace or (quiet and not self.source.courses and not self.inbound.jobs and not self.outbound.guests):
+        empty = not self.source.courses and not self.inbound.jobs and not self.outbound.guests
+        if since >= grace or (quiet and empty):
             self.outbound.close()
             self.society.leave()
             self.counters()
@@ -173,8 +176,8 @@
 
     def counters(self) -> None:
         """One line of what was done so far."""
-        refused = " ".join(f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(self.inbound.refused.items()))
         inbound = self.inbound
+        refused = " ".join(f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items()))
         self.host.log(
             f"{self.source.counters()}; gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
--- a/honeywharf/sluice/backend.py
+++ b/honeywharf/sluice/backend.py
@@ -2,13 +2,16 @@
 
 Theory of operation. An idle connection is used again only if less time has passed than the backend keeps it
 (`Keep-Alive`, less a margin); the one used last is used first, so the rest age out. An answer belongs to a
-request only if it echoes its attempt id: what does not is skipped, and the connection is closed afterwards; so
-is one on which anything comes while no request is out. A new connection's request is written once it is up, so
-one that is refused has seen nothing: a proof. Source: PROTOCOL, "Backends".
+request only if it echoes its attempt id: what does not is skipped, and the connection is closed
+afterwards; so
+is one on which anything comes while no request is out. A new connection's request is written once it is
+up, so one that is refused has seen nothing: a proof. Source: PROTOCOL, "Backends".
 """
 
 from __future__ import annotations
 
+from functools import partial
+
 from honeywharf.codecs.mesh import Answer, AnswerReader
 from honeywharf.codecs.reader import MalformedError
 
@@ -37,7 +40,10 @@
             """Its answer is whole; the connection is not the user's any more."""
 
         def broken(self, why: str, sent: bool, heard: bool) -> None:
-            """The connection is gone. `sent`: bytes of the request may have arrived; `heard`: of an answer came."""
+            """The connection is gone.
+
+            `sent`: bytes of the request may have arrived; `heard`: of an answer came.
+            """
 
         def drained(self) -> None:
             """What was written has gone."""
@@ -52,8 +58,8 @@
     """One connection to the backend."""
 
     __slots__ = (
-        "answering", "connection", "idle_since", "idle_until", "pool", "reader", "sent", "skipping", "spoilt", "up",
-        "user")
+        "answering", "connection", "idle_since", "idle_until", "pool", "reader", "sent", "skipping", "spoilt",
+        "up", "user")
 
     def __init__(self, pool: Taps, user: User) -> None:
         self.pool = pool
@@ -167,6 +173,12 @@
         self.connection.abort()
 
 
+def _begin(tap: Tap, user: User) -> None:
+    """Tell the user that the connection is up, if it is still its own."""
+    if tap.user is user:
+        user.ready()
+
+
 class Taps:
     """The connections to one backend. `most`: connections at once, as the configuration says."""
 
@@ -177,16 +189,19 @@
         self.most = 100
 
     def take(self, user: User, fresh: bool = False) -> Tap | None:
-        """A connection for one request; `user.ready` is called when it may be written to. None: no more may be open.
+        """A connection for one request; None where no more may be open.
+
+        `user.ready` is called when it may be written to.
 
-        `fresh`: one that has just been used or is new, as what must not run twice should not meet a closing one.
+        `fresh`: one that has just been used or is new, as what must not run twice should not meet a
+        closing one.
         """
         now = self.host.now()
         while self.idle:
             tap = self.idle.pop()
             if now - tap.idle_since < tap.idle_until * (0.5 if fresh else 1.0):
                 tap.user, tap.sent = user, False
-                self.host.after(0.0, lambda: tap.user.ready() if tap.user is user else None)
+                self.host.after(0.0, partial(_begin, tap, user))
                 return tap
             tap.release()
         if len(self.taps) >= self.most:
--- a/honeywharf/sluice/beats.py
+++ b/honeywharf/sluice/beats.py
@@ -1,7 +1,7 @@
 """What the backend on this machine tells: beats and deregistrations, as a tree of matchers.
 
-Source: PROTOCOL, "Which backends there are". A beat is acknowledged with 200; what it says is in force from the moment
-at which it is acknowledged, as the gate beside it is the only way to the backend.
+Source: PROTOCOL, "Which backends there are". A beat is acknowledged with 200; what it says is in force
+from the moment at which it is acknowledged, as the gate beside it is the only way to the backend.
 """
 
 from __future__ import annotations
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -1,9 +1,11 @@
-"""The course of one request at its source: which backend is asked, what its word proves, what the client is told.
-
-Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has run and
-costs no more than a round trip, so the next one is asked at once, each gate once; when all have refused and some for
-want of room, the one with the shortest queue is asked to let the request wait, at most until `PATIENCE` of its
-aim has passed. What has reached a backend's socket is sent to another only by the verdict, the kind, the
+"""The course of one request at its source: whom it asks, what their word proves, what the client is told.
+
+Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has
+run and
+costs no more than a round trip, so the next one is asked at once, each gate once; when all have refused
+and some for
+want of room, the one with the shortest queue is asked to let the request wait, at most until `PATIENCE` of
+its aim has passed. What has reached a backend's socket is sent to another only by the verdict, the kind, the
 route's `max-attempts` and the retry budget. Exactly one final answer; `over` is set when it is given.
 
     verdict          read_only                     mutating, upload
@@ -77,10 +79,9 @@
     """One request. `deadline`: seconds on the steady clock."""
 
     __slots__ = (
-        "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "due", "ended", "finished", "full",
-        "gate",
-        "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran", "read", "route", "sent", "service", "source",
-        "tries", "waited", "went", "who")
+        "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "due", "ended",
+        "finished", "full", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran", "read",
+        "route", "sent", "service", "source", "tries", "waited", "went", "who")
 
     def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
--- a/honeywharf/sluice/gate.py
+++ b/honeywharf/sluice/gate.py
@@ -48,7 +48,7 @@
     # What is told.
 
     def beat(
-        self, now: float, instance: str, sequence: int, draining: bool, slots: int, cold_s: float, version: str = "",
+        self, now: float, instance: str, sequence: int, draining: bool, slots: int, cold_s: float,
     ) -> bool:
         """A beat of a backend; False where it is late or of a life that is over, and changed nothing."""
         if instance in self.ended or (instance == self.instance and sequence <= self.sequence):
@@ -61,8 +61,13 @@
         self._become(DRAINING if draining else READY)
         return True
 
-    def health(self, now: float, instance: str, well: bool, slots: int, cold_s: float | None, asked: float) -> None:
-        """A health answer; `asked`: when it was asked for. It never undoes what a beat has said of draining."""
+    def health(
+        self, now: float, instance: str, well: bool, slots: int, cold_s: float | None, asked: float,
+    ) -> None:
+        """A health answer; `asked`: when it was asked for.
+
+        It never undoes what a beat has said of draining.
+        """
         if not instance or instance in self.ended:
             return
         self._life(now, instance)
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -1,7 +1,9 @@
 """The destination's side of a request: judged by the gate, given a slot, sent to the backend, answered.
 
-Theory of operation. `begin` judges at once and again when a waiting request's turn comes. One that is admitted
-holds a slot until it is over. Its head is written to the backend only when its body has begun to come, or is whole
+Theory of operation. `begin` judges at once and again when a waiting request's turn comes. One that is
+admitted
+holds a slot until it is over. Its head is written to the backend only when its body has begun to come, or
+is whole
 where it is short: a source that has sent no byte of a body knows that nothing has run. An answer up to
 `WHOLE_BYTES` goes on whole, so that what breaks off before has shown the client nothing.
 
@@ -73,8 +75,8 @@
     """One request at its destination."""
 
     __slots__ = (
-        "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held", "inbound",
-        "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter", "wrote")
+        "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held",
+        "inbound", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter", "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -1,9 +1,11 @@
-"""Clients' connections: requests read, routed and given to courses; answers written in the order of the requests.
+"""Clients' connections: requests read, routed and given to courses, answers written in order.
 
 Theory of operation. Each request on a connection is an `Exchange`. Several may be under way (pipelining); the
 first writes, the others hold their answers, which the windows of their courses bound. Reading stops while
-`MOST_AHEAD` requests are under way, or while more of a body is held than `HELD_BYTES`. What breaks the protocol or a
-bound of the configuration is answered (400, 408, 413, 431) behind the answers that are owed, and ends the connection.
+`MOST_AHEAD` requests are under way, or while more of a body is held than `HELD_BYTES`. What breaks the
+protocol or a
+bound of the configuration is answered (400, 408, 413, 431) behind the answers that are owed, and ends the
+connection.
 Source: PROTOCOL, "Requests"; RULES, LOST and MIXED.
 """
 
@@ -31,7 +33,9 @@
 class Exchange:
     """One request and its answer. `out`: bytes that wait until those before it have been answered."""
 
-    __slots__ = ("bodiless", "chunked", "closes", "course", "done", "keep", "long", "out", "waiting", "whole_request")
+    __slots__ = (
+        "bodiless", "chunked", "closes", "course", "done", "keep", "long", "out", "waiting",
+        "whole_request")
 
     def __init__(self, keep: bool, bodiless: bool) -> None:
         self.course: Course | None = None
@@ -45,7 +49,8 @@
     """One client's connection."""
 
     __slots__ = (
-        "closing", "connection", "exchange", "exchanges", "gone", "outbound", "paused", "reader", "since", "timer")
+        "closing", "connection", "exchange", "exchanges", "gone", "outbound", "paused", "reader", "since",
+        "timer")
 
     def __init__(self, outbound: Outbound, connection: Connection) -> None:
         self.outbound, self.connection = outbound, connection
@@ -182,7 +187,7 @@
         if exchange.done:
             return
         if self.outbound.leaving or (not exchange.whole_request and exchange.long):
-            exchange.closes = True  # else the rest of its body is read and dropped: a reset could eat the answer
+            exchange.closes = True  # else the rest is read and dropped: a reset could eat the answer
         exchange.out.append(final(status, words, keep=not exchange.closes, again_s=again_s,
                                   bare=exchange.bodiless))
         exchange.done = True
--- a/honeywharf/sluice/probe.py
+++ b/honeywharf/sluice/probe.py
@@ -1,7 +1,7 @@
 """Health probes: only where nothing else tells, as each has its price.
 
-Theory of operation. Asked for when the gate does not know what is there (this process is new, a connection was
-refused) or doubts whether it is cold (its zone was taken back). A beat often tells first; the probe waits
+Theory of operation. Asked for when the gate does not know what is there (this process is new, a connection
+was refused) or doubts whether it is cold (its zone was taken back). A beat often tells first; the probe waits
 `PATIENT_S` for one, except at the start, where a beat may be a whole interval away.
 """
 
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -43,7 +43,9 @@
         """It is admitted."""
         self.course.go()
 
-    def answer(self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None) -> None:
+    def answer(
+        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None,
+    ) -> None:
         """The answer, whole, or its head."""
         self.over = body is not None
         self.course.answered(status, fields, length, body)
@@ -121,7 +123,8 @@
     def _relist(self, node: str, renewed: bool) -> None:
         entry = self.list.get(node)
         if entry is not None:
-            usable = entry.state == READY and entry.zone not in self.word.evacuated and node not in self.doubted
+            usable = (entry.state == READY and entry.zone not in self.word.evacuated
+                      and node not in self.doubted)
             self.levels_of(entry.service).listed(node, entry.zone, usable, renewed)
 
     def relist(self) -> None:
--- a/honeywharf/verdict.py
+++ b/honeywharf/verdict.py
@@ -33,6 +33,7 @@
         self.ran, self.why, self.arrived, self.again_s = ran, why, arrived, again_s
 
     def __repr__(self) -> str:
+        """For logs and tests."""
         return f"Verdict({NAMES[self.ran]}, {WORDS[self.why]}{', arrived' if self.arrived else ''})"
 
     def may_repeat(self, repeatable: bool) -> bool:
--- a/honeywharf/weir/cold.py
+++ b/honeywharf/weir/cold.py
@@ -2,8 +2,8 @@
 
 Theory of operation. RULES, FAILBACK: in no second may a cold backend receive more than `cold-per-s` x
 `cold-overage` + `cold-slack` requests. The gate sends at most `PART` of that in any sliding `WINDOW_S`, which
-is a little longer than a second: sending and arrival do not fall together. A gate that has just started does not know
-what its predecessor sent, so it takes the bound as used up at its start.
+is a little longer than a second: sending and arrival do not fall together. A gate that has just started
+does not know what its predecessor sent, so it takes the bound as used up at its start.
 """
 
 from __future__ import annotations
@@ -39,7 +39,10 @@
         return 0.0 if len(self.sent) < self.most else self.sent[len(self.sent) - self.most] + WINDOW_S - now
 
     def took(self, now: float) -> None:
-        """One was sent, cold or not: coldness may be told late, and the window then holds what went before."""
+        """One was sent, cold or not.
+
+        Coldness may be told late, and the window then holds what went before.
+        """
         self.sent.append(now)
         if len(self.sent) > 4 * self.most:
             self.sent.popleft()
