--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -73,7 +73,8 @@
     """The head of a request. `length`: bytes of its body, 0 where it has none, UNKNOWN in chunks."""
 
     __slots__ = (
-        "attempt", "expects", "fields", "host", "interim", "keep", "length", "method", "remaining_s", "target")
+        "attempt", "expects", "fields", "host", "interim", "keep", "length", "method", "remaining_s",
+        "target")
 
     def __init__(self) -> None:
         self.method = self.target = self.host = self.attempt = b""
--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -405,5 +405,6 @@
         """No answer comes, or none further."""
         kind = REFUSE if verdict.ran == NOT_RUN else FAIL
         self.reception.send([
-            kind, self.number, verdict.why, int(verdict.again_s * 1000.0), verdict.arrived, load, verdict.ran])
+            kind, self.number, verdict.why, int(verdict.again_s * 1000.0), verdict.arrived, load,
+            verdict.ran])
         self._last()
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -177,7 +177,8 @@
     def counters(self) -> None:
         """One line of what was done so far."""
         inbound = self.inbound
-        refused = " ".join(f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items()))
+        refused = " ".join(
+            f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items()))
         self.host.log(
             f"{self.source.counters()}; gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -76,7 +76,8 @@
 
     __slots__ = (
         "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held",
-        "inbound", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter", "wrote")
+        "inbound", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter",
+        "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sluice/word.py
@@ -1,11 +1,11 @@
 """The operator's word as one sluice runs it: one revision at a time, never an older one.
 
-Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is asked
-for by its digest where it is another one. At the start a word counts only if a reservoir has read it from a
-majority ("word.read"); after that any word of a higher revision that anybody has ("word.known") is taken, as
-reservoirs tell of none that is not settled. Whoever has a word gives it to others, so reservoirs need not serve
-all. A start without a majority to be had takes what is known after `ALONE_S`: the core is not settled then, and
-no rule asks for more. Source: RULES, CONFIG and EVAC.
+Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is
+asked for by its digest where it is another one. At the start a word counts only if a reservoir has read it
+from a majority ("word.read"); after that any word of a higher revision that anybody has ("word.known") is
+taken, as reservoirs tell of none that is not settled. Whoever has a word gives it to others, so reservoirs
+need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core is not
+settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
 """
 
 from __future__ import annotations
