Explore the register in all orders of messages, and find six mutations

What the register must hold cannot be seen from a few runs. The very rounds, surveys and acceptors that the program runs are stepped through every order of messages, losses of power and wipes, up to a bound; what was told as in force is judged at each step. 17 tests; six mutations are found.

--- /dev/null
+++ b/tests/reservoir/test_register.py
@@ -0,0 +1,251 @@
+"""The register explored: what was told as in force is never followed by what is older; rosters never fork."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from honeywharf.reservoir import word
+from honeywharf.reservoir.register import Acceptor, Quorums, Round, Sends, State
+from honeywharf.reservoir.word import Key, initial, keys
+from tests.reservoir.explore import (
+    Actor,
+    BrokenError,
+    Node,
+    Vote,
+    World,
+    explore,
+    members,
+    proposer,
+    reader,
+    settled,
+    walk,
+)
+
+FIRST = members([("a", "first"), ("b", "first"), ("c", "first")])
+MOST = int(os.environ.get("EXPLORE", "10000"))  # states of one exploration
+
+
+def vote(disk: str, epoch: int = 1) -> Vote:
+    state = State(disk, epoch, FIRST if epoch else None)
+    return Vote(state, state)
+
+
+def node(*actors: Actor, more: tuple[str, ...] = ()) -> Node:
+    votes = {where: vote("first") for where in "abc"} | {where: vote(f"disk-{where}", 0) for where in more}
+    return Node(votes, tuple(actors), (), {}, 0)
+
+
+def two(made: type[Round] = Round, tries: int = 1) -> Node:
+    return node(proposer("p", word.replace(1, "one"), 1, FIRST, made=made),
+                proposer("q", word.replace(1, "other"), 1, FIRST, made=made, counter=tries))
+
+
+def walks(world: World, start: Callable[[], Node], count: int) -> int:
+    """Runs by chance; steps taken."""
+    return sum(walk(world, start(), Random(seed)) for seed in range(count))
+
+
+def test_two_proposers_in_all_orders() -> None:
+    count, whole = explore(World(), two(), MOST, seed=1)
+    assert whole or count == MOST
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_two_proposers_with_second_tries_and_a_reader(seed: int) -> None:
+    start = two()
+    start.actors += (reader(1, FIRST),)
+    count, _ = explore(World(tries=3), start, MOST, seed)
+    assert count == MOST
+
+
+def swaps(made: type[Round] = Round) -> Node:
+    """Two put machines in silent members' places, and a third changes the word under the roster it knew."""
+    start = node(
+        proposer("p", word.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST, made=made),
+        proposer("q", word.admit(["e", "disk-e", "", False], [("a", "first")]), 1, FIRST, made=made),
+        proposer("s", word.replace(1, "one"), 1, FIRST, made=made), reader(1, FIRST), more=("d", "e"))
+    return start
+
+
+def test_swaps_of_the_roster_never_fork() -> None:
+    walks(World(tries=3), swaps, 300)
+    count, _ = explore(World(tries=2), swaps(), MOST, seed=3)
+    assert count == MOST
+
+
+def stale(made: type[Round] = Round) -> Node:
+    """The roster went from a, b, c to a, b, d; one proposer knows, another does not."""
+    swap = proposer("r", word.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST)
+    world = World()
+    start = settled(world, node(swap, more=("d",)), 0, {"a", "b", "d"})
+    asking = start.actors[0].asking
+    assert asking.epoch == 2
+    for where in "ab":  # they have not been told that it was decided
+        assert start.votes[where].state.epoch == 1
+    start.actors = (
+        proposer("p", word.replace(1, "one"), 2, asking.roster, 2, made),
+        proposer("q", word.replace(1, "other"), 1, FIRST, 5, made))
+    return start
+
+
+def test_who_knows_an_older_roster_overtakes_nobody() -> None:
+    count, whole = explore(World(), stale(), MOST, seed=5)
+    assert whole or count == MOST
+    walks(World(tries=3), stale, 300)
+
+
+def other_name(state: State) -> State:
+    """What is right: a wiped disk has another name."""
+    return State("new", 1, FIRST)
+
+
+def same_name(state: State) -> State:
+    """A mutation: it votes as if nothing had been lost."""
+    return State(state.disk, 1, FIRST)
+
+
+def settled_by_two() -> Node:
+    """A word that a and b hold; another proposer and a reader come."""
+    start = settled(World(), node(proposer("r", word.replace(3, "three"), 1, FIRST)), 0, {"a", "b"})
+    start.actors = (reader(1, FIRST), proposer("q", word.replace(2, "two"), 1, FIRST, 3))
+    return start
+
+
+def test_a_wiped_disk_has_no_vote() -> None:
+    explore(World(faults=1, wiped=other_name), settled_by_two(), MOST, seed=7)
+    for seed in range(100):
+        start = two()
+        start.actors += (reader(1, FIRST),)
+        walk(World(tries=2, faults=1, wiped=other_name), start, Random(seed))
+
+
+# Mutations that must be found.
+
+
+def test_found_a_wiped_acceptor_that_keeps_voting() -> None:
+    with pytest.raises(BrokenError):
+        explore(World(faults=1, wiped=same_name), settled_by_two(), MOST, seed=7)
+
+
+def acknowledged(world: World) -> Node:
+    """What one proposer was acknowledged by a and b; then a reader comes."""
+    start = settled(world, node(proposer("p", word.replace(1, "one"), 1, FIRST)), 0, {"a", "b"})
+    start.actors = (*start.actors, reader(1, FIRST))
+    return start
+
+
+def test_found_an_answer_before_the_sync() -> None:
+    right = World(faults=3)
+    assert explore(right, acknowledged(right), MOST, seed=7)[1]
+    wrong = World(faults=3, late_sync=True)
+    with pytest.raises(BrokenError):
+        explore(wrong, acknowledged(wrong), MOST, seed=7)
+
+
+def test_found_a_majority_of_those_that_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    def living(self: Quorums, by: object) -> bool:
+        there = set(by)  # type: ignore[call-overload]
+        return all(any(key in there for key in roster) for roster in self.rosters)
+
+    monkeypatch.setattr(Quorums, "covered", living)
+    with pytest.raises(BrokenError):
+        explore(World(), two(), MOST, seed=1)
+
+
+class Hasty(Round):
+    """A mutation: promises of the roster that it knew are enough; the others are asked to accept only."""
+
+    def _cover(self) -> Sends:
+        if not self.quorums.covered(self.promises):
+            return []
+        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.roster)
+        made, self.answer = self.change(base)
+        self.proposal = made or base
+        self.quorums.add(base["roster"])
+        self.quorums.add(self.proposal["roster"])
+        self.phase, self.asked, self.again = "accept", set(), {}
+        return self.ask(self.quorums.members())
+
+
+class Narrow(Round):
+    """A mutation: the roster that it knew is enough for both halves."""
+
+    def _cover(self) -> Sends:
+        if not self.quorums.covered(self.promises):
+            return []
+        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.roster)
+        made, self.answer = self.change(base)
+        self.proposal = made or base
+        self.phase, self.asked, self.again = "accept", set(), {}
+        return self.ask(self.quorums.members())
+
+
+def test_found_no_joint_prepare() -> None:
+    with pytest.raises(BrokenError):
+        walks(World(), lambda: stale(Hasty), 3000)
+
+
+def test_found_a_roster_changed_by_the_old_one_alone() -> None:
+    with pytest.raises(BrokenError):
+        walks(World(tries=3), lambda: stale(Narrow), 3000)
+
+
+class Forgetful(Acceptor):
+    """A mutation: accepts whatever it has promised since."""
+
+    def _accept(self, state: State, asked: object, value: word.Value) -> tuple[State, dict[str, object]]:
+        return super()._accept(state.but(promised=(0, "", 0)), asked, value)  # type: ignore[arg-type]
+
+
+def test_found_an_acceptor_that_forgets_its_promise() -> None:
+    with pytest.raises(BrokenError):
+        explore(World(acceptor=Forgetful), two(), 20 * MOST, seed=1)
+
+
+# Single parts.
+
+
+def test_quorums_want_a_majority_of_each() -> None:
+    both = Quorums([FIRST, members([("a", "first"), ("d", "x"), ("e", "x"), ("f", "x")])])
+    a, b, d, e = ("a", "first"), ("b", "first"), ("d", "x"), ("e", "x")
+    wanted: list[tuple[list[Key], bool]] = [
+        ([a, b], False), ([a, b, d], False), ([a, b, d, e], True), ([a, d, e], False)]
+    for by, covered in wanted:
+        assert both.covered(by) == covered
+
+
+def test_swap_rules() -> None:
+    value = initial(FIRST)
+    joiner = ["d", "x", "z", False]
+    appended, _ = word.admit(joiner, [])(value)
+    assert appended is not None
+    assert [key[0] for key in keys(appended["roster"])] == ["a", "b", "c", "d"]
+    assert (appended["epoch"], appended["wanted"], appended["rev"]) == (2, 3, 1)
+    swapped, _ = word.admit(joiner, [("b", "first")])(value)
+    assert swapped is not None
+    assert [key[0] for key in keys(swapped["roster"])] == ["a", "d", "c"]
+    wiped, _ = word.admit(["c", "y", "z", False], [("b", "first")])(value)
+    assert wiped is not None
+    assert keys(wiped["roster"])[1:] == [("b", "first"), ("c", "y")]
+    fourth, _ = word.admit(["d", "x", "z", True], [("b", "first")])(value)
+    assert fourth is not None
+    assert (len(fourth["roster"]), fourth["wanted"]) == (4, 4)
+    assert word.drop([("a", "first")])(value) == (None, False)
+    dropped, _ = word.drop([("a", "first"), ("b", "first")])(appended)
+    assert dropped is not None
+    assert [key[0] for key in keys(dropped["roster"])] == ["b", "c", "d"]
+    full = {**value, "roster": members([(str(n), "x") for n in range(word.MOST_MEMBERS)])}
+    assert word.admit(joiner, [])(full) == (None, False)
+    zones = {**value, "evac": dict.fromkeys(map(str, range(word.MOST_ZONES)), False)}
+    assert word.evacuate("new", True)(zones) == (None, False)
+
+
+def test_every_change_is_nothing_the_second_time() -> None:
+    for change in (word.replace(3, "x"), word.evacuate("z", True), word.admit(["d", "x", "z", False], [])):
+        made, _ = change(initial(FIRST))
+        assert made is not None
+        assert change(made)[0] is None
