--- a/honeywharf/__init__.py
+++ b/honeywharf/__init__.py
@@ -12,7 +12,10 @@
 
 
 def __getattr__(name: str) -> object:
-    """The decisions, loaded when they are first asked for: the mesh's programs need other parts, and little memory."""
+    """The decisions, loaded when they are first asked for.
+
+    The mesh's programs need other parts, and little memory.
+    """
     if name in ("Balancer", "interface"):
         from honeywharf import policy
 
