--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import ast
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -31,8 +33,19 @@
     "proxy.py": (
         *PROTOCOLS, "admin", "config", "core", "flow", "handover", "limits", "logs", "metrics", "orderkeys",
         "policy", "reports", "service", "storms", "traces"),
-    "cli": ("VERSION", "admin", "cli", "config", "core", "lab", "proxy", "standins", "traces"),
+    "cli": ("VERSION", "admin", "cli", "config", "core", "lab", "proxy", "standins", "strainer", "traces"),
     "__main__.py": ("cli", "proxy"),
+    # The mesh: rules, then what moves bytes between programs, then the programs and the simulation.
+    "verdict.py": (),
+    "weir": ("weir",),
+    "gauges": ("gauges", "runnel"),
+    "runnel": ("runnel", "gauges"),
+    "strainer": ("strainer",),
+    "mains": ("mains", "codecs", "verdict"),
+    "sluice": ("sluice", "codecs", "mains", "policy", "strainer", "verdict", "weir"),
+    "reservoir": ("reservoir", "mains", "strainer"),
+    "programs": ("programs", "gauges", "mains", "reservoir", "runnel", "sluice", "strainer", "verdict"),
+    "flume": ("flume", "mains", "programs", "strainer"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
 PURE = ("policy", "limits", "flow", "reports", "storms", "codecs", "service/life.py",
@@ -44,7 +57,21 @@
         "traces/sampler.py", "traces/recorder.py", "traces/language.py", "traces/store.py",
         "traces/causes.py", "traces/notes.py", "traces/delivery.py",
         "metrics/durations.py", "metrics/families.py", "config/words.py", "config/places.py",
-        "admin/protocol.py", "admin/views.py")
+        "admin/protocol.py", "admin/views.py", "verdict.py", "weir", "gauges", "runnel", "strainer",
+        "sluice", "reservoir", "programs/sluice.py", "programs/reservoir.py", "mains/host.py",
+        "mains/frames.py", "mains/calls.py", "mains/streams.py", "mains/door.py", "mains/matchers.py",
+        "flume")
+#: Rules of the mesh that know no host either: time and facts come as arguments.
+RULES = {
+    "verdict.py": (), "weir": ("weir",), "policy/levels.py": (), "gauges/ring.py": (),
+    "gauges/watch.py": ("gauges", "runnel"), "runnel/entry.py": (), "runnel/table.py": ("runnel",),
+    "reservoir/register.py": ("reservoir",), "reservoir/word.py": ("reservoir",),
+    "sluice/gate.py": ("verdict", "weir"), "strainer": ("strainer",),
+}
+#: What a sluice must not load: each of many processes pays for it in memory.
+HEAVY = {
+    "absl", "asyncio", "attr", "attrs", "cappa", "dataclasses", "inspect", "jsonschema", "logging", "ssl",
+    "threading", "honeywharf.policy.balancer", "honeywharf.reservoir", "honeywharf.strainer.configuration"}
 IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
 
 
@@ -83,6 +110,24 @@
         assert not IO & {module.split(".")[0] for module in imported(path)}, path.name
 
 
+@pytest.mark.parametrize("name", RULES)
+def test_rules_of_the_mesh_know_no_host(name: str) -> None:
+    found = files(name)
+    assert found
+    for path in found:
+        for module in imported(path):
+            if module.startswith("honeywharf."):
+                assert module.split(".")[1] in RULES[name], f"{path.name} imports {module}"
+
+
+def test_a_sluice_loads_little() -> None:
+    words = "import sys, honeywharf.programs.sluice, honeywharf.mains.loop; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", words], cwd=ROOT.parent, capture_output=True, text=True, check=True).stdout
+    assert "honeywharf.sluice.gate" in loaded.split()
+    assert not HEAVY & set(loaded.split())
+
+
 def test_the_scan_sees_what_it_is_to_see() -> None:
     front = set(imported(ROOT / "http" / "front.py"))
     assert {"asyncio", "honeywharf.codecs", "honeywharf.core.driver"} <= front
