--- a/honeywharf/runnel/table.py
+++ b/honeywharf/runnel/table.py
@@ -73,11 +73,11 @@
 
 
 class News:
-    """One node's table. Calls take the time, in seconds on the steady clock, and return what is to be sent."""
+    """One node's table. Calls get the time, in seconds on the steady clock, and return what to send."""
 
     __slots__ = (
-        "_again", "_again_at", "_buried", "_digest_at", "_far", "_flush_at", "_fresh", "_hello_at",
-        "_left", "_near", "_peers_known", "_rev", "_rng", "_rounds", "_sum", "_sweep_at", "_word", "_word_known",
+        "_again", "_again_at", "_buried", "_digest_at", "_far", "_flush_at", "_fresh", "_hello_at", "_left",
+        "_near", "_peers_known", "_rev", "_rng", "_rounds", "_sum", "_sweep_at", "_word", "_word_known",
         "ignored", "me", "on_change", "on_word", "refused", "seeds", "table", "zone",
     )  # fmt: skip
 
