--- a/honeywharf/flume/machine.py
+++ b/honeywharf/flume/machine.py
@@ -476,7 +476,7 @@
         except Dead:
             return
         except Exception:
-            self.world.crashes.append((self.world.now, self.name, traceback.format_exc()))
+            self.world.crashed(self.name, traceback.format_exc(limit=-4))
             self.status = 1
         if self.status is not None and self.alive:
             self.world.at(self.now_here(), self._exited, self.life)
--- a/honeywharf/flume/rules.py
+++ b/honeywharf/flume/rules.py
@@ -116,10 +116,11 @@
         return self.book.world.now
 
     def broken(self, what: str) -> None:
-        """The rule is broken: once for each history is enough, the first few are kept."""
-        if len(self.book.found) < 20:
+        """The rule is broken: the world stops, and its notes end with what led there."""
+        if not self.book.found:
             self.book.found.append((type(self).__name__.upper(), self.now, what))
             self.book.world.note("BROKEN", type(self).__name__.upper(), what)
+            self.book.world.halted = True
 
 
 class Mixed(Rule):
@@ -232,7 +233,8 @@
         """The connection ended before a complete answer."""
         late = self.now - ask.sent > self.bound["loss-slack"] and not ask.behind
         if self.planned(ask) and (ask.arrivals or late):
-            self.broken(f"{ask.id} at {ask.machine} was cut {self.now - ask.sent:.3f} s after it was sent")
+            place = f"{'behind another ' * ask.behind}at {ask.machine}, arrived {len(ask.arrivals)} times"
+            self.broken(f"{ask.id} {place}, was cut {self.now - ask.sent:.3f} s after it was sent")
 
     def got(self, ask: Ask, status: int, headers: dict[str, str], body: bytes) -> None:
         """An answer came."""
@@ -327,15 +329,16 @@
     """A cold backend gets more than it can bear."""
 
     def begin(self) -> None:
-        """Arrivals while cold, by backend."""
-        self.times: dict[str, list[float]] = {}
+        """Arrivals while cold, by backend: (when, sent)."""
+        self.times: dict[str, list[tuple[float, float]]] = {}
 
     def arrived(self, backend: Any, id_: str) -> None:
-        """A request came to a backend."""
-        if self.now < backend.cold_until:
-            times = self.times.setdefault(backend.id, [])
-            times.append(self.now)
-            many = len(times) - bisect_left(times, self.now - 1.0)
+        """A request came to a backend. Those are counted that were sent and came within the second."""
+        ask = self.book.asks.get(id_)
+        if ask is not None and self.now < backend.cold_until:
+            times, begin = self.times.setdefault(backend.id, []), self.now - 1.0
+            times.append((self.now, ask.sent))
+            many = sum(sent >= begin for _, sent in times[bisect_left(times, (begin, 0.0)):])
             most = backend.cold_per_s * self.bound["cold-overage"] + self.bound["cold-slack"]
             if many > most:
                 self.broken(f"{many} requests in a second at {backend.id}, cold: at most {most}")
--- a/honeywharf/flume/run.py
+++ b/honeywharf/flume/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 
 from honeywharf.flume.days import Day, Fault, draw
@@ -10,7 +11,6 @@
 
 LEAD, QUIET = 5.0, 5.0  # seconds until traffic, and of traffic before troubles
 TROUBLES, AFTER = 10.0, 26.0  # seconds of troubles, and of traffic after the last may have begun
-CRASHES = 3  # reported of the processes that ended by an error of their own
 
 
 class Report:
@@ -21,10 +21,9 @@
         self.seed, self.faults = seed, faults
         self.steps, self.digest = field.world.steps, field.world.digest
         self.broken = list(field.book.found)
-        crashes = field.world.crashes[:CRASHES]
-        self.broken += [("FAULT", when, f"{who}: {trace}") for when, who, trace in crashes]
+        self.broken += [("FAULT", when, f"{who}: {trace}") for when, who, trace in field.world.crashes]
         self.asked, self.served = len(asks), sum(200 <= ask.status < 300 for ask in asks)
-        if not self.served:
+        if not self.served and not self.broken:
             self.broken.append(("FAULT", field.world.now, "no request was served"))
         self.notes = list(field.world.notes)
 
@@ -64,9 +63,9 @@
     field = Field(seed, sluice, reservoir, sides, LEAD, until)
     faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
     Day(field, faults)
-    while field.world.now < until + 2.0 and not field.book.found:
-        field.world.run(field.world.now + 0.25)
-    if not field.book.found:
+    field.world.strict = True
+    field.world.run(until + 2.0)
+    if not field.world.halted:
         field.book.tell("closing", until - 1.0)
         field.operator.read_back()
         field.world.run(until + 8.0)
@@ -100,4 +99,6 @@
 
 
 if __name__ == "__main__":
+    if sys.flags.hash_randomization:  # the order of sets of texts belongs to the seed
+        os.execve(sys.executable, sys.orig_argv, {**os.environ, "PYTHONHASHSEED": "0"})
     sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
