--- /dev/null
+++ b/tests/reservoir/test_store.py
@@ -0,0 +1,107 @@
+"""The disk: power lost at every write, name and removal leaves the old register or the new one."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+import pytest
+
+from honeywharf.reservoir.register import State
+from honeywharf.reservoir.store import BESIDE, KEPT, REGISTER, Store
+from tests.reservoir.town import Town
+from tests.reservoir.world import Machine, PowerLostError, World
+
+
+def machine() -> Machine:
+    return World(1).machine("10.0.0.1")
+
+
+def state(number: int) -> State:
+    value: dict[str, Any] = {"rev": number, "digest": f"d{number}", "roster": []}
+    return State("disk", 1, [], (number, "p", 1), (number, "p", 1), value)
+
+
+def busy(store: Store, kept: list[int]) -> None:
+    """Keep texts and states in turn; `kept` gets the numbers of those that were."""
+    for number in range(1, 7):
+        store.keep(f"d{number}", b"x" * (100 * number))
+        store.save(state(number))
+        kept.append(number)
+        store.sweep({f"d{number}"})
+
+
+@pytest.mark.parametrize("torn", [False, True])
+def test_power_lost_at_every_operation(torn: bool) -> None:
+    whole = machine()
+    busy(Store(whole), [])
+    assert whole.disk.count > 18
+    for at in range(1, whole.disk.count + 1):
+        host, kept = machine(), [0]
+        Store(host).save(state(0))
+        host.disk.fail_at, host.disk.torn = 2 + at, torn
+        with pytest.raises(PowerLostError):
+            busy(Store(host), kept)
+        again = Store(host)
+        found = again.load()
+        assert found is not None
+        number = found.promised[0]
+        assert number in (kept[-1], kept[-1] + 1)
+        assert number == 0 or again.get(f"d{number}") == b"x" * (100 * number)
+
+
+def test_damage_is_a_lost_register_and_a_missing_text() -> None:
+    host = machine()
+    store = Store(host)
+    busy(store, [])
+    for name in (REGISTER, "config-d6"):
+        data = bytearray(host.disk.files[name])
+        data[len(data) // 2] ^= 1
+        host.disk.files[name] = bytes(data)
+    again = Store(host)
+    assert again.load() is None
+    assert not again.empty()
+    assert again.get("d6") is None
+    assert again.get("d5") == b"x" * 500
+    assert BESIDE not in host.disk.files
+
+
+def test_texts_that_nothing_names_are_removed_but_for_the_last() -> None:
+    store = Store(machine())
+    busy(store, [])
+    assert store.digests == [*[f"d{n}" for n in range(6 - KEPT, 6)], "d6"]
+    with pytest.raises(ValueError, match="digest"):
+        store.keep("../register", b"")
+
+
+def test_a_disk_that_fails_answers_nothing_and_mends() -> None:
+    town = Town(21)
+    town.run(0.5)
+    host = town.world.machines["10.0.0.2"]
+    write = host.write
+
+    def broken(name: str, data: bytes) -> None:
+        raise OSError("no space")
+
+    host.write = broken  # type: ignore[method-assign]
+    promised = town.programs["10.0.0.2"].basin.state.promised
+    first = town.replace("10.0.0.1", 1, "one")
+    town.run(0.5)
+    assert first.status == 200
+    assert town.programs["10.0.0.2"].basin.state.promised == promised
+    host.write = write  # type: ignore[method-assign]
+    town.run(3.0)
+    value = town.programs["10.0.0.2"].basin.state.value
+    assert value is not None
+    assert value["version"] == 1
+
+
+def test_the_text_is_kept_compressed() -> None:
+    town = Town(22)
+    town.run(0.5)
+    town.replace("10.0.0.1", 1, "same " * 10_000)
+    town.run(0.5)
+    files = town.world.machines["10.0.0.3"].disk.files
+    (name,) = [name for name in files if name.startswith("config-")]
+    assert len(files[name]) < 2000
+    assert zlib.decompress(files[name][8:]).startswith(b"r1 same")
