Sort out those who have left the queue before a backend, and hold admission to tests

Waiters that left were kept until a slot came free: with all slots taken by long requests 5,000 cancelled ones stood in the queue, each with its request. The queue is now sorted out when it holds more than twice those who wait and 32.

--- a/honeywharf/weir/admission.py
+++ b/honeywharf/weir/admission.py
@@ -18,6 +18,7 @@
 QUEUE_SLOTS = 4  # waiting for each slot, at most
 MEAN_OVER = 16  # requests over which the mean time is formed
 FIRST_MEAN_S = 0.1
+SPARE = 32  # of those who have left, kept until they are sorted out
 
 
 class Waiter:
@@ -69,6 +70,9 @@
         if waiter.live:
             waiter.live = False
             self.waiting -= 1
+            if len(self.queue) > 2 * self.waiting + SPARE:
+                self.queue = [entry for entry in self.queue if entry[2].live]
+                self.queue.sort()
 
     def ended(self, took_s: float | None) -> None:
         """One runs no more; `took_s`: its time, where it tells of the backend's pace."""
--- /dev/null
+++ b/tests/weir/test_admission.py
@@ -0,0 +1,116 @@
+"""Slots and the short queue before them: bounds, order, and that nobody waits longer than they may."""
+
+from __future__ import annotations
+
+from random import Random
+
+from honeywharf.weir.admission import QUEUE_SLOTS, Admission, Waiter
+
+
+class Bench:
+    """An admission whose waiters note what becomes of them."""
+
+    def __init__(self, slots: int) -> None:
+        self.admission = Admission(slots)
+        self.admission.mean_s = 0.001
+        self.gone: list[str] = []
+        self.refused: list[str] = []
+
+    def wait(
+        self, name: str, now: float = 0.0, priority: int = 0, patience_s: float = 1.0, aim_s: float = 1.0,
+    ) -> Waiter | None:
+        return self.admission.wait(
+            now, (priority, aim_s), patience_s,
+            lambda: self.gone.append(name), lambda: self.refused.append(name))
+
+    def pump(self, now: float) -> None:
+        """Let those run who may."""
+        while (waiter := self.admission.next(now)) is not None:
+            self.admission.start()
+            waiter.go()
+
+
+def test_the_highest_rank_goes_first_then_the_shortest_aim_then_the_oldest() -> None:
+    bench = Bench(4)
+    for name, priority, aim_s in (
+            ("c1", 2, 1.0), ("a1", 0, 1.0), ("b1", 1, 0.1), ("a2", 0, 1.0), ("a0", 0, 0.4), ("c2", 2, 1.0)):
+        bench.wait(name, priority=priority, aim_s=aim_s)
+    bench.pump(0.1)
+    assert bench.gone == ["a0", "a1", "a2", "b1"]
+    bench.admission.ended(None)
+    bench.pump(0.1)
+    assert bench.gone[4:] == ["c1"]
+
+
+def test_the_queue_holds_so_many_for_a_slot_and_no_more() -> None:
+    bench = Bench(3)
+    taken = [bench.wait(str(n)) is not None for n in range(20)]
+    assert taken == [True] * (3 * QUEUE_SLOTS) + [False] * (20 - 3 * QUEUE_SLOTS)
+
+
+def test_one_that_would_wait_longer_than_it_may_is_not_queued() -> None:
+    bench = Bench(2)
+    bench.admission.mean_s = 0.4
+    assert bench.wait("first", patience_s=0.25) is not None  # 0.2 s by the mean
+    assert bench.wait("second", patience_s=0.25) is None
+    assert bench.wait("higher", priority=-1, patience_s=0.25) is not None
+
+
+def test_nobody_goes_after_their_time_and_each_ends_once() -> None:
+    rng, bench, now = Random(11), Bench(3), 0.0
+    until: dict[str, float] = {}
+    went: dict[str, float] = {}
+    left: set[str] = set()
+    waiters: dict[str, Waiter] = {}
+    for n in range(3000):
+        now += rng.expovariate(50.0)
+        due = bench.admission.due()
+        if due is not None and due <= now:
+            for waiter in bench.admission.expired(now):
+                waiter.refuse()
+        draw, name = rng.random(), str(n)
+        if draw < 0.5:
+            queued = bench.wait(name, now, rng.randrange(3), patience := rng.uniform(0.01, 0.4))
+            if queued is not None:
+                until[name], waiters[name] = now + patience, queued
+        elif draw < 0.8 and bench.admission.running:
+            bench.admission.ended(rng.uniform(0.0, 0.002))
+        elif draw < 0.85 and waiters:
+            name = rng.choice(list(waiters))
+            if waiters[name].live:
+                left.add(name)
+            bench.admission.leave(waiters[name])
+        before = len(bench.gone)
+        bench.pump(now)
+        went.update((name, now) for name in bench.gone[before:])
+        assert bench.admission.running <= 3
+        assert bench.admission.waiting == sum(w.live for w in waiters.values()) <= 3 * QUEUE_SLOTS
+    assert len(went) > 300
+    assert all(when < until[name] for name, when in went.items())
+    for waiter in bench.admission.expired(now + 10.0):
+        waiter.refuse()
+    ends = bench.gone + bench.refused + sorted(left)
+    assert sorted(ends) == sorted(until)
+
+
+def test_those_who_left_do_not_pile_up_behind_slots_that_stay_taken() -> None:
+    bench = Bench(2)
+    for _ in range(2):
+        bench.admission.start()
+    for n in range(5000):
+        waiter = bench.wait(str(n), now=n / 1000.0, patience_s=30.0)
+        assert waiter is not None
+        bench.admission.leave(waiter)
+    assert bench.admission.waiting == 0
+    assert len(bench.admission.queue) <= 100
+
+
+def test_the_mean_follows_the_backends_pace() -> None:
+    admission = Admission(1)
+    for _ in range(200):
+        admission.start()
+        admission.ended(0.5)
+    assert 0.49 < admission.mean_s < 0.51
+    admission.start()
+    admission.ended(None)  # told nothing of the pace
+    assert 0.49 < admission.mean_s < 0.51
