--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -333,7 +333,7 @@
     for unit, scale in (("ms", 0.001), ("s", 1.0)):
         if text.endswith(unit):
             figure = text[:-len(unit)]
-            sound = figure.replace(".", "", 1).isdigit() and len(figure) < 16
+            sound = figure.isascii() and figure.replace(".", "", 1).isdigit() and len(figure) < 16
             return float(figure) * scale if sound else None
     return None
 
