--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -81,7 +81,7 @@
     __slots__ = (
         "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "due", "ended",
         "finished", "full", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran", "read",
-        "route", "sent", "service", "source", "tries", "waited", "went", "who")
+        "route", "sending", "sent", "service", "source", "tries", "waited", "went", "who")
 
     def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
@@ -96,6 +96,7 @@
         self.ran = False  # an attempt may have run
         self.tries = self.waited = 0
         self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
+        self.sending = False  # from within a call to the gate
         self.kept: list[bytes] = []
         self.kept_bytes = self.read = self.sent = 0
         self.credit = 0
@@ -137,7 +138,7 @@
         tries = self.tries
         ask = Ask(self.service, head.attempt, self.kind, self.deadline - now, patience_s, self.route.priority,
                   self.source.service, head.method, head.target, b"".join(head.fields), head.length,
-                  self.source.revision())
+                  head.length, self.source.revision())
         self.source.asks += 1
         self.channel = None
         channel = self.source.open(key, ask, self)
@@ -147,6 +148,8 @@
             self._not_run(Verdict(NOT_RUN, LOST))
         else:
             self.channel = channel
+            if self.went:  # the gate in this process has asked for the body from within
+                self._send()
 
     def _return_s(self) -> float:
         low, high = RETURN_S
@@ -171,6 +174,7 @@
             self._end()
             self.who.broken(self)
         elif channel is None or (not self.went and self.head.length != 0):
+            self.source.released(self.service, self.gate)
             self._final(503 if not self.ran or self.kind == 0 else 504, 0.0)
         else:
             self.source.failed(self.service, self.gate, False)
@@ -212,31 +216,35 @@
         return max(0, self.read - self.sent) if not self.lost_body else 0
 
     def _send(self) -> None:
-        """Send what the window allows."""
+        """Send what the window allows; a gate in this process may widen it, or refuse, from within."""
         channel = self.channel
-        if channel is None or not self.went or self.finished:
+        if channel is None or not self.went or self.finished or self.sending:
             return
-        at = 0
-        for part in self.kept:
-            start = self.read - self.kept_bytes + at
-            at += len(part)
-            if start + len(part) <= self.sent:
-                continue
-            piece = part[self.sent - start:]
-            if len(piece) > self.credit:
-                piece = piece[:self.credit]
-            if piece:
-                self.sent += len(piece)
-                self.credit -= len(piece)
-                channel.data(piece)
-            if not self.credit or self.over:
-                break
-        if self.over:
-            return
-        if self.ended and self.sent == self.read and self.head.length != 0:
+        self.sending = True
+        while self.channel is channel and (piece := self._piece()):
+            self.sent += len(piece)
+            self.credit -= len(piece)
+            channel.data(piece)
+        self.sending = False
+        if self.channel is not channel:
+            self._send()  # another gate may have asked for it meanwhile
+        elif self.ended and self.sent == self.read and self.head.length != 0:
             self.finished = True
             channel.end()
-            return
+        else:
+            self._forget()
+
+    def _piece(self) -> bytes:
+        """The next bytes of the body to go; none where none are left, or no window."""
+        start = self.read - self.kept_bytes
+        for part in self.kept:
+            if start + len(part) > self.sent:
+                return part[self.sent - start:][:self.credit]
+            start += len(part)
+        return b""
+
+    def _forget(self) -> None:
+        """Keep no more of what was sent than a second gate may be given."""
         while self.kept and self.kept_bytes > KEPT_BYTES and (
                 self.read - self.kept_bytes + len(self.kept[0]) <= self.sent):
             self.kept_bytes -= len(self.kept.pop(0))
--- /dev/null
+++ b/tests/sluice/test_course.py
@@ -0,0 +1,411 @@
+"""The course of a request at its source: the table of its docstring, bodies sent again, one final answer."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from honeywharf.codecs.mesh import UNKNOWN
+from honeywharf.mains.streams import WINDOW_BYTES
+from honeywharf.sluice.course import KEPT_BYTES, MOST_ASKED, MOST_WAITED, PATIENCE, Course
+from honeywharf.verdict import (
+    BROKEN_OFF,
+    COLD,
+    DRAINING,
+    FULL,
+    LATE,
+    LOST,
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    TIMED_OUT,
+    TURNED_AWAY,
+    Verdict,
+)
+from tests.sluice.stage import SERVICE, Channel, Client, Clock, Scripted, head, route
+
+REFUSED = Verdict(NOT_RUN, DRAINING)
+ROOM = Verdict(NOT_RUN, FULL, again_s=0.02)
+PROOF = Verdict(NOT_RUN, TURNED_AWAY, arrived=True)
+PERHAPS = Verdict(MAY_HAVE_RUN, BROKEN_OFF, arrived=True)
+SILENT = Verdict(MAY_HAVE_RUN, LOST)
+KINDS = ("read_only", "mutating", "upload")
+
+
+class Play:
+    """One course over scripted gates."""
+
+    def __init__(
+        self, kind: str = "read_only", gates: int = 3, attempts: int = 2, length: int = 0,
+        within: float = 2.0, aim_s: float = 0.5,
+    ) -> None:
+        self.clock = Clock()
+        self.source = Scripted(self.clock)
+        self.source.list_gates(*(f"10.1.0.{n}" for n in range(20, 20 + gates)))
+        self.client = Client()
+        self.length = length
+        self.course = Course(self.source, self.client, head(length),
+                             route(kind, attempts, aim_s), self.clock.now() + within)
+        self.source.courses[self.course] = None
+
+    def start(self, body: bytes = b"") -> Channel:
+        """Start it, with its whole body; the first gate's channel."""
+        self.course.start()
+        if body:
+            self.course.data(body)
+        if self.length:
+            self.course.end()
+        return self.last
+
+    @property
+    def last(self) -> Channel:
+        """The gate asked last."""
+        return self.source.channels[-1]
+
+    @property
+    def asked(self) -> int:
+        """How many gates were asked so far."""
+        return len(self.source.channels)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize(("verdict", "spends"), [(REFUSED, []), (ROOM, []), (PROOF, [True])])
+def test_a_proof_leads_to_another_gate_and_the_budget_is_asked_only_for_arrivals(
+        kind: str, verdict: Verdict, spends: list[bool]) -> None:
+    play = Play(kind)
+    first = play.start()
+    play.course.failed(verdict)
+    assert play.asked == 2
+    assert play.last.key != first.key
+    assert play.source.took_spends == spends
+    play.course.answered(200, b"", 2, b"ok")
+    assert play.client.events == [("answer", 200)]
+    assert play.course.over
+    assert not play.source.courses
+    assert play.clock.pending() == 0
+
+
+@pytest.mark.parametrize("verdict", [PERHAPS, SILENT])
+def test_what_may_have_run_is_repeated_only_where_it_may_run_twice(verdict: Verdict) -> None:
+    for kind in KINDS:
+        play = Play(kind)
+        play.start()
+        play.course.failed(verdict)
+        if kind == "read_only":
+            assert (play.asked, play.source.took_spends) == (2, [True])
+            assert not play.course.over
+        else:
+            assert (play.asked, play.source.took_spends) == (1, [])
+            assert play.client.events == [("final", 502, pytest.approx(play.client.events[0][2]))]
+
+
+@pytest.mark.parametrize(("kind", "verdict", "status"), [
+    ("read_only", PROOF, 503), ("mutating", PROOF, 503), ("upload", PROOF, 503), ("read_only", PERHAPS, 503)])
+def test_without_a_budget_nothing_arrives_twice(kind: str, verdict: Verdict, status: int) -> None:
+    play = Play(kind)
+    play.source.may_spend = False
+    play.start()
+    play.course.failed(verdict)
+    assert (play.asked, play.source.took_spends) == (1, [False])
+    assert [e[:2] for e in play.client.events] == [("final", status)]
+    assert float(str(play.client.events[0][2])) > 0  # a time to return
+
+
+@pytest.mark.parametrize(("attempts", "arrivals"), [(1, 1), (2, 2), (3, 3)])
+def test_a_route_bounds_the_backends_that_one_try_arrives_at(attempts: int, arrivals: int) -> None:
+    play = Play("read_only", gates=9, attempts=attempts)
+    play.start()
+    while not play.course.over:
+        play.course.failed(PROOF)
+    assert play.asked == arrivals
+    assert len(play.source.took_spends) == arrivals - 1
+
+
+def test_a_proof_after_what_may_have_run_does_not_make_it_a_promise() -> None:
+    play = Play("read_only", gates=2, attempts=3)
+    play.start()
+    play.course.failed(PERHAPS)
+    play.course.failed(REFUSED)
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+    for kind in ("mutating", "upload"):
+        play = Play(kind, gates=3)
+        play.start()
+        play.course.failed(REFUSED)
+        play.course.failed(PERHAPS)
+        assert [e[:2] for e in play.client.events] == [("final", 502)]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_each_gate_is_asked_once_and_then_it_is_503_with_a_time_to_return(kind: str) -> None:
+    play = Play(kind, gates=5)
+    play.start()
+    for _ in range(5):
+        assert not play.course.over
+        play.course.failed(REFUSED)
+    assert len({c.key for c in play.source.channels}) == play.asked == 5
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+    assert play.source.took_spends == []
+
+
+def test_no_more_than_so_many_gates_are_asked() -> None:
+    play = Play("mutating", gates=MOST_ASKED + 20)
+    play.start()
+    while not play.course.over:
+        play.course.failed(REFUSED)
+    assert play.asked == MOST_ASKED
+
+
+def test_where_all_lack_room_it_waits_at_the_shortest_queue_within_its_patience() -> None:
+    play = Play("mutating", gates=5, aim_s=1.0)
+    play.start()
+    for again in (0.05, 0.02, 0.03, 0.01, 0.04):
+        assert play.last.ask.patience_s == 0.0
+        play.course.failed(Verdict(NOT_RUN, FULL, again_s=again))
+    order = [c.key for c in play.source.channels[:5]]
+    play.clock.move(0.05)
+    for key in (order[3], order[1], order[2])[:MOST_WAITED]:
+        assert play.last.key == key
+        left = play.course.arrived_at + PATIENCE * 1.0 - play.clock.now()
+        assert 0.0 < play.last.ask.patience_s <= left + 0.051
+        play.course.failed(Verdict(NOT_RUN, FULL, again_s=0.02))
+    assert play.course.over
+    assert play.asked == 5 + MOST_WAITED
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+
+
+def test_a_refusal_comes_before_a_quarter_of_the_aim_is_gone() -> None:
+    play = Play("read_only", gates=2, aim_s=1.0)
+    play.start()
+    play.course.failed(ROOM)
+    play.clock.move(0.24)
+    play.course.failed(Verdict(NOT_RUN, COLD, again_s=0.5))
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+
+
+def test_a_link_without_room_is_no_ask() -> None:
+    play = Play("mutating", gates=3)
+    play.source.script = lambda channel: len(play.source.channels) > 1
+    play.start()
+    assert play.asked == 2
+    assert not play.course.over
+    assert play.source.took_spends == []
+
+
+def test_without_any_gate_it_is_503_at_once() -> None:
+    play = Play("mutating", gates=0)
+    play.course.start()
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+
+
+@pytest.mark.parametrize(("kind", "length", "went", "status"), [
+    ("read_only", 0, False, 504), ("mutating", 0, False, 504), ("mutating", 5, False, 503),
+    ("mutating", 5, True, 504), ("upload", 5, False, 503), ("upload", 5, True, 504)])
+def test_at_the_deadline_only_a_body_not_asked_for_proves_anything(
+        kind: str, length: int, went: bool, status: int) -> None:
+    play = Play(kind, length=length)
+    channel = play.start(b"x" * length)
+    if went:
+        play.course.go()
+    play.clock.move(3.0)
+    assert channel.cancelled
+    assert [e[:2] for e in play.client.events] == [("final", status)]
+    assert play.clock.now() - play.course.arrived_at >= 2.0
+
+
+def test_a_trial_that_the_deadline_ends_is_not_the_last_one() -> None:
+    play = Play("mutating", gates=1, length=5)
+    levels = play.source.levels_of(SERVICE)
+    levels.failed(play.clock.now(), "10.1.0.20", certain=True)
+    play.clock.move(1.0)
+    play.course.deadline = play.clock.now() + 0.5
+    play.start(b"12345")
+    assert play.asked == 1
+    play.clock.move(1.0)  # it was never asked for its body, and the deadline came
+    assert play.course.over
+    play.clock.move(60.0)
+    assert levels.pick(play.clock.now()) == "10.1.0.20"
+
+
+def test_an_answer_that_breaks_off_is_told_and_not_repeated() -> None:
+    play = Play("read_only")
+    play.start()
+    play.course.answered(200, b"", 100, None)
+    play.course.answer_data(b"abc")
+    play.course.failed(PERHAPS)
+    assert play.client.events == [("answer", 200), ("broken",)]
+    assert play.asked == 1
+    play = Play("read_only")
+    play.start()
+    play.course.answered(200, b"", 100, None)
+    play.clock.move(5.0)
+    assert play.client.events == [("answer", 200), ("broken",)]
+    assert play.last.cancelled
+
+
+def test_a_client_that_left_is_told_nothing() -> None:
+    play = Play("mutating", length=5)
+    channel = play.start(b"abcde")
+    play.course.cancel()
+    play.course.cancel()
+    assert channel.cancelled
+    play.clock.move(10.0)
+    assert play.client.events == []
+    assert not play.source.courses
+
+
+# Bodies.
+
+
+def pieces(seed: int, size: int) -> list[bytes]:
+    rng, made = Random(seed), []
+    while size > 0:
+        made.append(rng.randbytes(min(size, rng.choice((1, 700, 9000, 30_000)))))
+        size -= len(made[-1])
+    return made
+
+
+@pytest.mark.parametrize("length", [40_000, UNKNOWN])
+def test_a_second_gate_is_sent_the_whole_body(length: int) -> None:
+    play, body = Play("upload", length=length), Random(3).randbytes(40_000)
+    first = play.start(body)
+    assert not first.body, "sent without being asked for"
+    play.course.go()
+    assert (bytes(first.body), first.ends) == (body, 1)
+    play.course.failed(Verdict(NOT_RUN, COLD))
+    second = play.last
+    assert not second.body
+    play.course.go()
+    assert (bytes(second.body), second.ends) == (body, 1)
+
+
+def test_a_second_gate_that_asks_from_within_is_sent_the_body_too() -> None:
+    play = Play("mutating", length=2000)
+    play.start(b"x" * 2000)
+
+    def at_once(channel: Channel) -> bool:
+        channel.course.go()
+        return True
+
+    play.source.script = at_once
+    play.course.failed(REFUSED)
+    assert (bytes(play.last.body), play.last.ends) == (b"x" * 2000, 1)
+
+
+def test_no_more_of_a_body_goes_than_the_window_allows() -> None:
+    play = Play("upload", length=UNKNOWN)
+    channel = play.start(b"x" * 300_000)
+    play.course.go()
+    assert len(channel.body) == WINDOW_BYTES
+    assert play.course.held == 300_000 - WINDOW_BYTES
+    for _ in range(1000):
+        if channel.ends:
+            break
+        play.course.window(1000)
+    assert len(channel.body) == 300_000
+    assert channel.ends == 1
+    assert play.client.taken_times > 100
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_gate_in_this_process_that_takes_from_within_gets_the_body_once_and_whole(seed: int) -> None:
+    rng, parts = Random(seed), pieces(seed, 900_000)
+    play = Play("upload", length=UNKNOWN, within=100.0)
+    play.course.start()
+    channel, owed = play.last, 0
+
+    def take(data: bytes) -> None:
+        nonlocal owed
+        owed += len(data)
+        if rng.random() < 0.7:
+            size, owed = owed, 0
+            play.course.window(size)
+
+    channel.on_data = take
+    late = len(parts) if seed % 2 else rng.randrange(len(parts))
+    for n, part in enumerate(parts):
+        if n == late:
+            play.course.go()
+        play.course.data(part)
+    play.course.end()
+    if late == len(parts):
+        play.course.go()
+    while owed:
+        size, owed = owed, 0
+        play.course.window(size)
+    assert bytes(channel.body) == b"".join(parts)
+    assert channel.ends == 1
+
+
+def test_what_is_kept_for_a_second_gate_is_bounded_and_nothing_is_sent_without_it() -> None:
+    play = Play("upload", length=UNKNOWN, within=100.0)
+    play.course.start()
+    play.course.go()
+    for part in pieces(4, 3 << 20):
+        play.course.data(part)
+        play.course.window(len(part))
+        assert play.course.kept_bytes <= KEPT_BYTES + 30_000 + WINDOW_BYTES
+    assert play.course.lost_body
+    play.course.failed(PROOF)
+    assert [e[:2] for e in play.client.events] == [("final", 503)]
+    assert play.asked == 1
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_storm_ends_each_request_once_and_promises_nothing_that_is_not_so(seed: int) -> None:
+    rng = Random(seed)
+    clock = Clock()
+    source = Scripted(clock, seed)
+    source.list_gates(*(f"10.1.0.{n}" for n in range(20, 26)))
+    verdicts = (REFUSED, ROOM, PROOF, PERHAPS, SILENT, Verdict(NOT_RUN, LOST), Verdict(NOT_RUN, LATE),
+                Verdict(MAY_HAVE_RUN, TIMED_OUT, True))
+    ran: dict[Course, bool] = {}
+
+    def within(channel: Channel) -> bool:
+        """Sometimes the gate's word comes from within, as from the one in this process."""
+        if rng.random() < 0.1:
+            channel.course.failed(rng.choice((REFUSED, ROOM)))
+        elif rng.random() < 0.1 and channel.ask.length:
+            channel.course.go()
+        return rng.random() < 0.95 or channel.course.channel is not None
+
+    source.script = within
+    plays: list[tuple[Course, Client, str, list[bytes]]] = []
+    for _ in range(60):
+        clock.move(rng.expovariate(50.0))
+        source.may_spend = rng.random() < 0.7
+        kind, length = rng.choice(KINDS), rng.choice((0, 100, UNKNOWN))
+        client = Client()
+        course = Course(source, client, head(length), route(kind, 3), clock.now() + rng.uniform(0.0, 1.0))
+        source.courses[course] = None
+        plays.append((course, client, kind, pieces(seed, 9000) if length else []))
+        course.start()
+        for _ in range(20):
+            course, client, kind, body = rng.choice(plays)
+            draw = rng.random()
+            if course.over or course.channel is None:
+                continue
+            if draw < 0.3 and body:
+                course.data(body.pop())
+                if not body:
+                    course.end()
+            elif draw < 0.45 and course.head.length:
+                course.go()
+            elif draw < 0.6:
+                course.failed(verdict := rng.choice(verdicts))
+                ran[course] = ran.get(course, False) or verdict.ran == MAY_HAVE_RUN
+            elif draw < 0.7:
+                course.answered(200, b"", UNKNOWN, None)
+                course.answer_data(b"abc")
+                course.whole()
+            elif draw < 0.75:
+                course.answered(200, b"", 3, b"abc")
+            elif draw < 0.78:
+                course.cancel()
+                client.ends += 1
+    clock.move(5.0)
+    assert not source.courses
+    assert clock.pending() == 0
+    for course, client, kind, _ in plays:
+        assert client.ends == 1, (kind, client.events)
+        if kind != "read_only" and ran.get(course):
+            assert ("final", 503) not in [e[:2] for e in client.events]
