Judge a request again before its late body goes to the backend, and mend four ends of a job

Tests of jobs against a scripted backend found five faults. A request admitted at once but written when its slow body had come reached a backend 2 s after it had said that it leaves, and 60 of them a cold one in a second that bears 38; the gate now judges again after 0.1 s.

--- a/honeywharf/sluice/backend.py
+++ b/honeywharf/sluice/backend.py
@@ -26,6 +26,7 @@
         """Who has a connection for one request."""
 
         attempt: bytes
+        bodiless: bool  # its answer has a head only, whatever that tells of a body
 
         def ready(self) -> None:
             """The connection is up: write."""
@@ -127,6 +128,9 @@
             self.spoilt = True
         self.idle_until = (answer.idle_s - MARGIN_S) if answer.idle_s else UNTOLD_S
         user.answered(answer)
+        if user.bodiless:  # the parser waits for a body that does not come
+            self.spoilt = True
+            self.whole()
 
     def data(self, data: bytes) -> None:
         """A part of a body."""
@@ -140,6 +144,7 @@
             return
         user, self.user = self.user, None
         self.answering = False
+        self.connection.resume()  # a user that held it up is done with it
         if user is not None:
             user.whole()
 
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -4,7 +4,8 @@
 admitted
 holds a slot until it is over. Its head is written to the backend only when its body has begun to come, or
 is whole
-where it is short: a source that has sent no byte of a body knows that nothing has run. An answer up to
+where it is short: a source that has sent no byte of a body knows that nothing has run. Where that took a
+while, the gate judges once more: what was admitted then may be forbidden now. An answer up to
 `WHOLE_BYTES` goes on whole, so that what breaks off before has shown the client nothing.
 
     asked -> waiting -> admitted -> sent -> answering -> over
@@ -69,6 +70,7 @@
 WHOLE_BYTES = 64 * 1024  # of an answer that goes on whole
 LATE_S = 0.03  # past the deadline, for the backend's own word of it
 LEAST_S = 0.005  # left, under which a request is not begun
+JUDGED_S = 0.1  # for so long a judgement holds; less than the cold bound's window is over a second
 
 
 class Job:
@@ -76,8 +78,8 @@
 
     __slots__ = (
         "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held",
-        "inbound", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until", "waiter",
-        "wrote")
+        "inbound", "judged_at", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until",
+        "waiter", "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
@@ -92,7 +94,7 @@
         self.head: Answer | None = None
         self.kept: list[bytes] = []  # of an answer that goes on whole, or for which there is no window
         self.credit = WINDOW_BYTES
-        self.begun_at = 0.0
+        self.begun_at = self.judged_at = 0.0
 
     # Judged.
 
@@ -145,7 +147,7 @@
     def _start(self, now: float) -> None:
         self.gate.admission.start()
         self.gate.sends(now)
-        self.started, self.begun_at = True, now
+        self.started, self.begun_at, self.judged_at = True, now, now
         self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
         if self.ask.length != 0:
             self.answers.go()
@@ -159,11 +161,13 @@
             short = 0 <= self.ask.length <= SHORT_BYTES
             if not self.ended and self.ask.length != 0 and (short or not self.read):
                 return
+            if not self._still_passes():
+                return
             self.tap = self.inbound.taps.take(_User(self), fresh=self.ask.kind != 0)
             if self.tap is None:
                 self._refuse(FULL, 0.05)
             return
-        if not self.tap_up:
+        if not self.tap_up or not (self.wrote or self._still_passes()):
             return
         data = b"".join(self.body)
         self.body.clear()
@@ -178,6 +182,19 @@
         if not self.tap.unsent:
             self.drained()
 
+    def _still_passes(self) -> bool:
+        """Judge once more where the last judgement is old: its body was slow, or the connection was."""
+        now = self.inbound.host.now()
+        if now - self.judged_at <= JUDGED_S:
+            return True
+        self.judged_at = now
+        refusal = self.gate.refusal(now, self.ask.service)
+        if refusal is not None:
+            self._refuse(*refusal)
+            return False
+        self.gate.sends(now)
+        return True
+
     def _head_bytes(self) -> bytes:
         ask = self.ask
         remaining = max(1, int((self.until - self.inbound.host.now()) * 1000.0))
@@ -252,9 +269,12 @@
         self.kept.append(data)
         if self.streaming:
             self._pass_on()
-        elif sum(map(len, self.kept)) > WHOLE_BYTES and self._good():
+        elif sum(map(len, self.kept)) > WHOLE_BYTES:
             head = self.head
             assert head is not None
+            if not self._good():
+                self._no_answer(head)  # nobody may see it, so nothing more of it is held
+                return
             self.streaming = True
             self.answers.answer(head.status, b"".join(head.fields), head.length, self.gate.load(), None)
             self._pass_on()
@@ -281,18 +301,14 @@
         self.tap = None
         head = self.head
         assert head is not None
-        if head.status == 421 or head.unexecuted:
-            if head.status == 421:
-                self.inbound.other_there()
-            self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
-        elif self.streaming:
+        if self.streaming:
             self.credit = 1 << 62
             self._pass_on()
             self.inbound.served += 1
             self.answers.whole()
             self._done()
         elif not self._good():
-            self._fail(Verdict(MAY_HAVE_RUN, GARBLED, True))
+            self._no_answer(head)
         else:
             body = b"".join(self.kept)
             self.inbound.served += 1
@@ -300,6 +316,15 @@
             self.answers.answer(head.status, b"".join(head.fields), length, self.gate.load(), body)
             self._done()
 
+    def _no_answer(self, head: Answer) -> None:
+        """What came is none that a client may see: the backend's word that it has not run, or nonsense."""
+        if head.status == 421 or head.unexecuted:
+            if head.status == 421:
+                self.inbound.other_there()
+            self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
+        else:
+            self._fail(Verdict(MAY_HAVE_RUN, GARBLED, True))
+
     def broken(self, why: str, sent: bool, heard: bool) -> None:
         """The connection to the backend is gone."""
         self.tap = None
@@ -348,10 +373,10 @@
 class _User:
     """A job as a connection's user: a request's body and an answer's both come as `data`."""
 
-    __slots__ = ("answered", "attempt", "broken", "data", "drained", "ready", "whole")
+    __slots__ = ("answered", "attempt", "bodiless", "broken", "data", "drained", "ready", "whole")
 
     def __init__(self, job: Job) -> None:
-        self.attempt = job.attempt
+        self.attempt, self.bodiless = job.attempt, job.ask.method == b"HEAD"
         self.ready, self.answered, self.data = job.ready, job.answered, job.answer_data
         self.whole, self.broken, self.drained = job.whole, job.broken, job.drained
 
@@ -366,6 +391,7 @@
         self.served = self.failed = self.cancelled = 0
         self.leaving = False
         self.look: Timer | None = None
+        self.look_at = 0.0
         self.pumping = False
         self.suspects = 0  # times at which the backend was found missing or another
 
@@ -414,8 +440,12 @@
     def look_soon(self) -> None:
         """See to those who wait too long."""
         due = self.gate.admission.due()
-        if due is not None and self.look is None:
-            self.look = self.host.after(max(0.0, due - self.host.now()), self._look)
+        if due is None or (self.look is not None and self.look_at <= due):
+            return
+        if self.look is not None:
+            self.look.cancel()
+        self.look_at = due
+        self.look = self.host.after(max(0.0, due - self.host.now()), self._look)
 
     def _look(self) -> None:
         self.look = None
--- /dev/null
+++ b/tests/sluice/test_gate.py
@@ -0,0 +1,175 @@
+"""The gate's table: what each word of a backend does in each state, and why a request is refused."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from honeywharf.sluice.gate import COLD_MARGIN_S, DRAINING, ENDED, MOST_LIVES, READY, UNKNOWN, Gate
+from honeywharf.verdict import COLD, DRAINING as LEAVES, EVACUATED, NOBODY, OTHER_SERVICE, UNREADY
+
+SERVICE = "order-desk"
+Do = Callable[[Gate], object]
+
+
+def beat(instance: str = "i-1", sequence: int = 2, draining: bool = False, cold_s: float = 0.0) -> Do:
+    return lambda gate: gate.beat(10.0, instance, sequence, draining, 8, cold_s)
+
+
+def health(instance: str = "i-1", well: bool = True, asked: float = 9.9) -> Do:
+    return lambda gate: gate.health(10.0, instance, well, 8, None, asked)
+
+
+def made() -> Gate:
+    gate = Gate(0.0, SERVICE, 1.5, 5.0)
+    gate.bound(22.0)
+    return gate
+
+
+START: dict[str, tuple[Do, ...]] = {
+    "unknown": (), "ready": (beat(sequence=1),), "draining": (beat(sequence=1, draining=True),),
+    "ended": (beat(sequence=1), lambda gate: gate.deregister("i-1")),
+    "missing": (beat(sequence=1), lambda gate: gate.missing())}
+TABLE: list[tuple[str, str, Do, int]] = [
+    ("unknown", "beat", beat(), READY), ("unknown", "last beat", beat(draining=True), DRAINING),
+    ("unknown", "health", health(), READY), ("unknown", "ill", health(well=False), UNKNOWN),
+    ("unknown", "no id", health(instance=""), UNKNOWN),
+    ("unknown", "deregister", lambda g: g.deregister("i-1"), UNKNOWN),
+    ("unknown", "missing", lambda g: g.missing(), UNKNOWN),
+    ("ready", "beat", beat(), READY), ("ready", "last beat", beat(draining=True), DRAINING),
+    ("ready", "late beat", beat(sequence=1, draining=True), READY),
+    ("ready", "health", health(), READY), ("ready", "ill", health(well=False), READY),
+    ("ready", "deregister", lambda g: g.deregister("i-1"), ENDED),
+    ("ready", "another's end", lambda g: g.deregister("i-0"), READY),
+    ("ready", "missing", lambda g: g.missing(), UNKNOWN),
+    ("ready", "new life", beat(instance="i-2", sequence=0), READY),
+    ("ready", "new life, ill", health(instance="i-2", well=False), UNKNOWN),
+    ("draining", "late beat", beat(sequence=1), DRAINING), ("draining", "health", health(), DRAINING),
+    ("draining", "taken back", beat(), READY), ("draining", "missing", lambda g: g.missing(), DRAINING),
+    ("draining", "deregister", lambda g: g.deregister("i-1"), ENDED),
+    ("draining", "new life", beat(instance="i-2", sequence=0), READY),
+    ("ended", "beat", beat(sequence=9), ENDED), ("ended", "health", health(), ENDED),
+    ("ended", "missing", lambda g: g.missing(), ENDED),
+    ("ended", "new life", beat(instance="i-2", sequence=0), READY),
+    ("ended", "new life's health", health(instance="i-2"), READY),
+    ("missing", "late beat", beat(sequence=1), UNKNOWN), ("missing", "beat", beat(), READY),
+    ("missing", "health", health(), READY), ("missing", "last beat", beat(draining=True), DRAINING)]
+
+
+@pytest.mark.parametrize(
+    ("start", "word", "do", "after"), TABLE, ids=lambda v: v if isinstance(v, str) else "")
+def test_the_table(start: str, word: str, do: Do, after: int) -> None:
+    gate = made()
+    for each in START[start]:
+        each(gate)
+    state, life, changes = gate.state, gate.instance, gate.changes
+    do(gate)
+    assert gate.state == after
+    assert (gate.changes > changes) == ((gate.state, gate.instance) != (state, life))
+    assert (gate.refusal(20.0, SERVICE) is None) == (after == READY and (not gate.doubted or "life" in word))
+
+
+def test_a_life_that_has_ended_never_comes_back() -> None:
+    gate = made()
+    beat("i-1", 1)(gate)
+    beat("i-2", 1)(gate)
+    assert beat("i-1", 99)(gate) is False
+    health("i-1")(gate)
+    assert (gate.instance, gate.state) == ("i-2", READY)
+    gate.deregister("i-3")  # before its first beat came here
+    assert beat("i-3", 1)(gate) is False
+    assert gate.instance == "i-2"
+
+
+def test_lives_that_are_over_are_remembered_up_to_a_bound() -> None:
+    gate = made()
+    for n in range(3 * MOST_LIVES):
+        beat(f"i-{n}", 1)(gate)
+    assert len(gate.ended) == MOST_LIVES
+    assert beat(f"i-{2 * MOST_LIVES + 2}", 99)(gate) is False
+
+
+def test_why_it_refuses() -> None:
+    gate = made()
+    assert gate.refusal(0.0, "another") == (OTHER_SERVICE, 0.0)
+    assert gate.refusal(0.0, SERVICE) == (UNREADY, 0.0)
+    beat()(gate)
+    assert gate.refusal(20.0, SERVICE) is None
+    gate.missing()
+    assert gate.refusal(20.0, SERVICE) == (NOBODY, 0.0)
+    beat(sequence=3, draining=True)(gate)
+    assert gate.refusal(20.0, SERVICE) == (LEAVES, 0.0)
+    gate.deregister("i-1")
+    assert gate.refusal(20.0, SERVICE) == (LEAVES, 0.0)
+    beat("i-2")(gate)
+    gate.evacuate(11.0, on=True)
+    assert gate.refusal(20.0, SERVICE) == (EVACUATED, 0.0)
+
+
+def spent(gate: Gate, now: float) -> int:
+    """Send until it refuses; how many went."""
+    went = 0
+    while gate.refusal(now, SERVICE) is None and went < 500:
+        gate.sends(now)
+        went += 1
+    return went
+
+
+def test_a_cold_one_takes_what_the_rule_allows_until_it_is_warm() -> None:
+    gate = made()
+    beat(cold_s=3.0)(gate)
+    allowed = int(22.0 * 1.5 + 5.0)
+    assert 0.8 * allowed < spent(gate, 10.0) <= allowed
+    refusal = gate.refusal(10.5, SERVICE)
+    assert refusal is not None
+    assert refusal[0] == COLD
+    assert refusal[1] == pytest.approx(0.65)
+    assert gate.refusal(10.0 + 3.0 + COLD_MARGIN_S, SERVICE) is None
+    assert spent(gate, 10.0 + 3.0 + COLD_MARGIN_S) == 500
+
+
+def test_a_new_process_and_a_new_life_are_doubted_until_they_are_told_of() -> None:
+    gate = made()
+    assert gate.is_cold(50.0)
+    health()(gate)
+    assert not gate.is_cold(50.0)
+    gate.missing()
+    assert gate.is_cold(50.0)
+    beat()(gate)
+    assert not gate.is_cold(50.0)
+
+
+def test_after_its_zone_was_taken_back_only_words_from_after_that_tell() -> None:
+    gate = made()
+    beat()(gate)
+    gate.evacuate(11.0, on=True)
+    gate.evacuate(12.0, on=False)
+    assert gate.is_cold(50.0)
+    assert gate.state == READY
+    gate.health(12.1, "i-1", True, 8, 0.0, asked=11.9)
+    assert gate.is_cold(50.0)
+    gate.health(12.2, "i-1", True, 8, 2.0, asked=12.05)
+    assert gate.is_cold(12.2 + 2.0)
+    assert not gate.is_cold(12.2 + 2.0 + COLD_MARGIN_S)
+    gate.evacuate(60.0, on=True)
+    gate.evacuate(61.0, on=False)
+    assert gate.is_cold(70.0)
+    gate.beat(61.5, "i-1", 3, False, 8, 0.0)
+    assert not gate.is_cold(70.0)
+
+
+def test_withdrawing_what_was_never_ordered_changes_nothing() -> None:
+    gate = made()
+    beat()(gate)
+    changes = gate.changes
+    gate.evacuate(11.0, on=False)
+    assert (gate.changes, gate.doubted) == (changes, False)
+
+
+def test_what_it_says_of_itself() -> None:
+    gate = made()
+    beat()(gate)
+    assert gate.say() == {"s": SERVICE, "b": "i-1", "st": READY, "sl": 8}
+    gate.admission.start()
+    assert gate.load() == (1, 0, 8)
