Read the rest of an upload that was answered early, and answer a client's faults once

Tests of clients' connections found four faults. A connection paused under an upload stayed so when its answer was given early: the rest was never read, and what stood behind it never answered; with 16 requests under way reading went on only when all had ended. Answers to broken requests did not say that the connection closes, and where an answer had begun while its upload went on, a fault in the upload put a second answer into its body.

--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -172,11 +172,15 @@
             if status == 408 and (course.ran or course.sent):
                 status = 502  # guards the promise of 408: a part has gone on
             course.cancel()
+            if course.answering:  # guards against a second answer behind the beginning of one
+                self.broken(exchange)
+                self.closing = True
+                return
+        exchange.closes = True
         if exchange.out or exchange.done:
-            exchange.closes = exchange.done = True
+            exchange.done = True
         else:
             self.own(exchange, status, 0.0, words)
-            exchange.closes = True
         self.closing = True
         self._flush()
 
@@ -230,6 +234,12 @@
                 self._flush()
 
     def _flush(self) -> None:
+        """Write what may be written, and read on if there is room now, or a rest to be dropped."""
+        self._write()
+        if not self.gone:
+            self.gauge()
+
+    def _write(self) -> None:
         """Write what may be written, in order."""
         while self.exchanges and not self.gone:
             exchange = self.exchanges[0]
@@ -251,8 +261,6 @@
             if not self.exchanges and self.outbound.leaving and self.reader.idle:
                 self._close()
                 return
-        if not self.gone:
-            self.gauge()
 
     def _close(self) -> None:
         """All that is owed has been written; what is behind counts as not read."""
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -3,23 +3,25 @@
 from __future__ import annotations
 
 import heapq
+import json
 from collections.abc import Callable
 from random import Random
 from typing import Any, cast
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.flume.field import APPLICATION, settings as settings_text
+from honeywharf.flume.field import APPLICATION, OUTBOUND, settings as settings_text
 from honeywharf.flume.machine import Machine, Network, Process
 from honeywharf.flume.world import World
-from honeywharf.mains.host import Connection, Handler, Host
+from honeywharf.mains.host import Address, Connection, Handler, Host
 from honeywharf.mains.streams import Ask
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.course import Course
 from honeywharf.sluice.gate import Gate
 from honeywharf.sluice.inbound import Inbound, Job
+from honeywharf.sluice.outbound import Outbound
 from honeywharf.sluice.source import Source
 from honeywharf.sluice.word import Word
-from honeywharf.strainer.routes import Route
+from honeywharf.strainer.routes import Route, Table
 from honeywharf.strainer.settings import Settings, parse
 from honeywharf.verdict import Verdict
 
@@ -118,10 +120,10 @@
 class Scripted(Source):
     """A source that asks no real gate: each ask is kept, and `script` may answer from within."""
 
-    def __init__(self, clock: Clock, seed: int = 1) -> None:
-        self.clock = clock
-        word = Word(cast("Host", clock), cast("Any", None), list, lambda: None)
-        super().__init__(cast("Host", clock), settings(), word, cast("Inbound", None), Random(seed).random)
+    def __init__(self, clock: Clock | Host, seed: int = 1) -> None:
+        host = cast("Host", clock)
+        word = Word(host, cast("Any", None), list, lambda: None)
+        super().__init__(host, settings(), word, cast("Inbound", None), Random(seed).random)
         self.channels: list[Channel] = []
         self.took_spends: list[bool] = []
         self.may_spend = True
@@ -145,6 +147,124 @@
         return self.may_spend
 
 
+TABLE = json.dumps({
+    "config-version": "r7",
+    "routes": [{
+        "name": f"r-{kind}", "hostname": "shop.example", "path-prefix": f"/{kind}/", "route-kind": kind,
+        "timeout": "3000ms", "target-latency": "500ms", "priority": 1, "target-service": SERVICE,
+        "max-attempts": 2} for kind in ("read_only", "mutating", "upload")],
+    "services": [{"name": SERVICE, "health-check-path": "/health", "max-connections": 20,
+                  "cold-per-s": 22.0}],
+    "limits": {"max-header-bytes": 8192, "max-body-bytes": 8 << 20, "header-timeout": "1s",
+               "idle-timeout": "2s"}}).encode()
+
+
+class Caller:
+    """A client's connection to the outbound address; what came back, read as it came."""
+
+    def __init__(self, host: Process, to: Address) -> None:
+        self.host = host
+        self.data = b""
+        self.gone: str | None = None
+        self.closed_at = 0.0
+        self.half = False
+        self.connection = host.connect(to, lambda connection: self)
+
+    def send(self, data: bytes) -> None:
+        """Send bytes of whatever kind."""
+        self.connection.send(data)
+
+    def answers(self) -> list[tuple[int, bytes, bytes]]:
+        """Status, head and body of all whole answers; what is left over must be nothing."""
+        made, rest = [], self.data
+        while rest:
+            top, end, rest = rest.partition(b"\r\n\r\n")
+            assert end, f"bytes that are no answer: {top[:80]!r}"
+            size = int(top.partition(b"Content-Length: ")[2].partition(b"\r\n")[0] or b"-1")
+            if size < 0:
+                assert b"Transfer-Encoding: chunked" in top
+                body = b""
+                while (line := rest.partition(b"\r\n"))[0] != b"0":
+                    step = int(line[0], 16)
+                    body, rest = body + line[2][:step], line[2][step + 2:]
+                rest = rest[5:]
+            else:
+                assert len(rest) >= size
+                body, rest = rest[:size], rest[size:]
+            made.append((int(top.split(b" ", 2)[1]), top, body))
+        return made
+
+    def statuses(self) -> list[int]:
+        """Statuses of all answers."""
+        return [status for status, _, _ in self.answers()]
+
+    def opened(self) -> None:
+        """It is up."""
+
+    def received(self, data: bytes) -> None:
+        """Bytes of answers."""
+        self.data += data
+
+    def ended(self) -> None:
+        """The sluice sends nothing more."""
+        self.half = True
+        self.connection.close()
+
+    def drained(self) -> None:
+        """All has gone."""
+
+    def closed(self, why: str) -> None:
+        """It is gone."""
+        self.gone, self.closed_at = why, self.host.world.now
+
+
+class Front:
+    """One machine with an outbound address over scripted gates, and clients on it."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.world = World(seed)
+        self.world.strict = True
+        self.machine = Machine(Network(self.world), IP, ZONE)
+        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.client = Process(self.machine, "client", lambda host: None)
+        self.sluice.start()
+        self.client.start()
+        self.run(0.1)
+
+    def _sluice(self, host: Process) -> Outbound:
+        source = Scripted(host)
+        source.word.table = Table(TABLE)
+        source.list_gates("10.1.0.20", "10.1.0.21")
+        return Outbound(host, (IP, OUTBOUND), source.word, source)
+
+    @property
+    def outbound(self) -> Outbound:
+        """What is tested."""
+        return cast("Outbound", self.sluice.program)
+
+    @property
+    def source(self) -> Scripted:
+        """Its source."""
+        return cast("Scripted", self.outbound.source)
+
+    @property
+    def channels(self) -> list[Channel]:
+        """What the gates were asked."""
+        return self.source.channels
+
+    def call(self, data: bytes = b"", seconds: float = 0.01) -> Caller:
+        """Connect and send."""
+        caller = Caller(self.client, (IP, OUTBOUND))
+        caller.send(data)
+        self.run(seconds)
+        return caller
+
+    def run(self, seconds: float = 0.01) -> None:
+        """Let time pass; a fault of a program fails the test."""
+        self.world.run(self.world.now + seconds)
+        assert not self.world.crashes, self.world.crashes[0][2]
+
+
 class Client:
     """Where a course's answer goes: kept. `ends` counts what ends a request."""
 
