--- a/honeywharf/mains/door.py
+++ b/honeywharf/mains/door.py
@@ -42,12 +42,16 @@
 class _Guest:
     """One connection at the door."""
 
-    __slots__ = ("at_work", "connection", "door", "head", "long", "parts", "queue", "reader", "size", "timer")
+    __slots__ = (
+        "at_work", "behind", "connection", "door", "head", "long", "parts", "queue", "reader", "reading",
+        "size", "timer")
 
     def __init__(self, door: Door, connection: Connection) -> None:
         self.door, self.connection = door, connection
         self.reader = RequestReader(_Reading(self), door.most_body, MOST_HEAD)
-        self.head: Head | None = None
+        self.head: Head | None = None  # of the call at work
+        self.reading: Head | None = None  # of the one that is read
+        self.behind: list[tuple[Head, bytes]] = []  # calls of the same read as the one at work
         self.parts: list[bytes] = []
         self.queue: list[bytes] = []  # unread bytes while a call is at work, one read at most
         self.size = 0
@@ -59,7 +63,7 @@
             self.connection.abort()
 
     def head_(self) -> Head:
-        """The head that was read last."""
+        """The head of the call at work."""
         assert self.head is not None
         return self.head
 
@@ -88,11 +92,23 @@
 
     def whole(self) -> None:
         """A call is whole."""
-        body = b"".join(self.parts)
-        self.parts, self.size, self.at_work = [], 0, True
+        head, body = self.reading, b"".join(self.parts)
+        assert head is not None
+        self.parts, self.size = [], 0
+        if self.at_work:
+            self.behind.append((head, body))
+        else:
+            self._take(head, body)
+
+    def _take(self, head: Head, body: bytes) -> None:
+        self.head, self.at_work = head, True
         self.timer.cancel()
         self.door.calls += 1
-        self.door.take(Call(self, self.head_(), body))
+        self.door.take(Call(self, head, body))
+
+    def _next(self) -> None:
+        if self.behind:
+            self._take(*self.behind.pop(0))
 
     def answer(self, status: int, body: bytes, lines: bytes) -> None:
         """Answer the call at work, and read on."""
@@ -100,11 +116,15 @@
         bare = self.head_().method == b"HEAD"
         kind = b"application/json" if body[:1] in (b"{", b"[") else b"text/plain" if body else b""
         self.connection.send(final(status, body, keep=keep, lines=lines, kind=kind, bare=bare))
-        self.at_work = False
+        self.at_work = bool(self.behind)
         self.leave()
         if not keep:
+            self.behind.clear()
             self.connection.close()
             return
+        if self.behind:
+            self.door.host.after(0.0, self._next)
+            return
         self.timer = self.door.host.after(IDLE_S, self._idle)
         queue, self.queue = self.queue, []
         if queue:
@@ -135,6 +155,7 @@
         """It is gone."""
         self.timer.cancel()
         self.leave()
+        self.behind.clear()
         self.door.guests -= 1
         self.reader.close()
 
@@ -149,7 +170,7 @@
 
     def head(self, head: Head) -> None:
         """A head is whole."""
-        self.guest.head = head
+        self.guest.reading = head
         if head.expects:
             self.guest.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
--- a/honeywharf/mains/loop.py
+++ b/honeywharf/mains/loop.py
@@ -297,7 +297,7 @@
         wire.connecting = False
         if wire.due is not None:
             wire.due.cancel()
-        if wire.handler is not None:
+        if wire.handler is not None and (wire.held or not wire.closing):
             wire.handler.opened()
         self.watch(wire)
         if wire.held:
@@ -338,7 +338,8 @@
             if not data:
                 wire.ended = True
                 self.watch(wire)
-                wire.handler.ended()
+                if not wire.closing:
+                    wire.handler.ended()
                 return
             if not wire.closing:
                 wire.handler.received(data)
