--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -137,7 +137,7 @@
         self.tries += 1
         tries = self.tries
         ask = Ask(self.service, head.attempt, self.kind, self.deadline - now, patience_s, self.route.priority,
-                  self.source.service, head.method, head.target, b"".join(head.fields), head.length,
+                  self.route.aim_s, self.source.service, head.method, head.target, b"".join(head.fields),
                   head.length, self.source.revision())
         self.source.asks += 1
         self.channel = None
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -107,13 +107,14 @@
             self._start(now)
         elif ask.patience_s > 0:
             self.waiter = inbound.gate.admission.wait(
-                now, ask.priority, min(ask.patience_s, ask.remaining_s), self._turn, self._too_long)
+                now, (ask.priority, ask.aim_s), min(ask.patience_s, ask.remaining_s), self._turn,
+                self._too_long)
             if self.waiter is None:
-                self._refuse(FULL, inbound.gate.admission.expected_s(ask.priority))
+                self._refuse(FULL, inbound.gate.admission.expected_s((ask.priority, ask.aim_s)))
             else:
                 inbound.look_soon()
         else:
-            self._refuse(FULL, inbound.gate.admission.expected_s(ask.priority))
+            self._refuse(FULL, inbound.gate.admission.expected_s((ask.priority, ask.aim_s)))
 
     def _passes(self, now: float) -> bool:
         inbound, ask = self.inbound, self.ask
@@ -136,7 +137,7 @@
 
     def _too_long(self) -> None:
         self.waiter = None
-        self._refuse(FULL, self.inbound.gate.admission.expected_s(self.ask.priority))
+        self._refuse(FULL, self.inbound.gate.admission.expected_s((self.ask.priority, self.ask.aim_s)))
 
     def _refuse(self, why: int, again_s: float) -> None:
         self.inbound.refused[why] = self.inbound.refused.get(why, 0) + 1
--- a/honeywharf/weir/admission.py
+++ b/honeywharf/weir/admission.py
@@ -1,8 +1,10 @@
 """Who runs and who waits at a backend: slots, and a short queue by priority.
 
 Theory of operation. A backend works on `slots` requests at once; each admitted one holds a slot until its
-answer is whole or it is given up. Others wait here, where they can still be refused with a proof, the
-lowest `priority` number first and the oldest first among equals. Nobody waits past their own limit: `expired`
+answer is whole or it is given up. Others wait here, where they can still be refused with a proof: the lowest
+`priority` number first, among those the shortest aim, then the oldest. Short aims go first because calls of
+other services' requests have them, and a request fails with its calls; where there is not enough for all, short
+ones also cost least of it. Nobody waits past their own limit: `expired`
 gives those who have, and the sooner of `due` is when to look again. A request that would wait longer than it
 may, by what requests have taken here of late, is not queued at all.
 """
@@ -37,7 +39,7 @@
         self.slots = slots
         self.running = 0
         self.mean_s = FIRST_MEAN_S
-        self.queue: list[tuple[int, int, Waiter]] = []
+        self.queue: list[tuple[tuple[int, float], int, Waiter]] = []
         self.waiting = 0
         self.serial = 0
 
@@ -45,23 +47,23 @@
         """Whether one more may run at once: a slot is free and nobody waits."""
         return self.running < self.slots and not self.waiting
 
-    def expected_s(self, priority: int) -> float:
-        """How long one of that priority would wait, by the mean."""
-        ahead = sum(1 for p, _, w in self.queue if w.live and p <= priority)
+    def expected_s(self, rank: tuple[int, float]) -> float:
+        """How long one of that rank (priority, aim in seconds) would wait, by the mean."""
+        ahead = sum(1 for r, _, w in self.queue if w.live and r <= rank)
         return (ahead + 1) * self.mean_s / max(1, self.slots)
 
     def start(self) -> None:
         """One runs."""
         self.running += 1
 
-    def wait(self, now: float, priority: int, patience_s: float, go: Callable[[], None],
+    def wait(self, now: float, rank: tuple[int, float], patience_s: float, go: Callable[[], None],
              refuse: Callable[[], None]) -> Waiter | None:
         """Queue one; None where the queue is full or the wait would be too long."""
-        if self.waiting >= QUEUE_SLOTS * self.slots or self.expected_s(priority) > patience_s:
+        if self.waiting >= QUEUE_SLOTS * self.slots or self.expected_s(rank) > patience_s:
             return None
         waiter = Waiter(go, refuse, now + patience_s)
         self.serial += 1
-        heappush(self.queue, (priority, self.serial, waiter))
+        heappush(self.queue, (rank, self.serial, waiter))
         self.waiting += 1
         return waiter
 
