--- a/honeywharf/sluice/beats.py
+++ b/honeywharf/sluice/beats.py
@@ -55,7 +55,7 @@
             sequence, state = int(status["call-sequence"]), status["state"]
             slots, service = int(details.get("capacity-slots") or 0), details.get("target-service")
             cold = duration(status.get("cold-remaining") or "0ms")
-        except (ValueError, TypeError, KeyError, AttributeError) as fault:
+        except (ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as fault:
             call.answer(400, b"found a beat that can't be read: %b" % str(fault).encode())
             return
         if state not in ("ready", "draining") or cold is None or slots < 0:
