Answer all that is at work on a connection before a leaving sluice closes it

Only the last request under way now closes it, and what comes behind an answer that says so is not begun.

--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -110,8 +110,10 @@
         """A request's head is whole."""
         exchange = Exchange(head.keep, head.method == b"HEAD")
         exchange.whole_request, exchange.long = head.length == 0, head.length > DROPPED_BYTES
+        behind = self.exchanges[-1].closes if self.exchanges else False
         self.exchanges.append(exchange)
-        if self.closing:
+        if self.closing or behind:
+            exchange.closes = True
             return  # behind one that closes: it counts as not read
         outbound = self.outbound
         if not exchange.keep:
@@ -190,16 +192,20 @@
         """An answer of the mesh's own."""
         if exchange.done:
             return
-        if self.outbound.leaving or (not exchange.whole_request and exchange.long):
+        if self._leaves(exchange) or (not exchange.whole_request and exchange.long):
             exchange.closes = True  # else the rest is read and dropped: a reset could eat the answer
         exchange.out.append(final(status, words, keep=not exchange.closes, again_s=again_s,
                                   bare=exchange.bodiless))
         exchange.done = True
         self._flush()
 
+    def _leaves(self, exchange: Exchange) -> bool:
+        """Whether this answer is the last because the process leaves; those at work behind it are owed."""
+        return self.outbound.leaving and self.exchanges[-1:] == [exchange]
+
     def answer(self, exchange: Exchange, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
-        if self.outbound.leaving:
+        if self._leaves(exchange):
             exchange.closes = True
         exchange.chunked = length == UNKNOWN and body is None
         bodiless = exchange.bodiless or status in (204, 304)
--- a/tests/sluice/test_outbound.py
+++ b/tests/sluice/test_outbound.py
@@ -384,3 +384,34 @@
         for name, (status, _, body) in zip(names, answers, strict=True):
             assert (status == 200 and body == name) or status in (503, 504)
     assert not front.source.courses
+
+
+def test_a_leaving_sluice_answers_all_that_is_at_work_on_a_connection() -> None:
+    front = Front()
+    caller = front.call(request() + request(attempt=b"a2") + request(attempt=b"a3"))
+    front.outbound.leave()
+    front.outbound.settle()
+    give(front, front.channels[1], b"two")
+    give(front, front.channels[0], b"one")
+    assert [body for _, _, body in caller.answers()] == [b"one", b"two"]
+    assert not front.channels[2].cancelled
+    give(front, front.channels[2], b"three")
+    front.run(0.1)
+    assert [body for _, _, body in caller.answers()] == [b"one", b"two", b"three"]
+    assert [b"Connection: close" in top for _, top, _ in caller.answers()] == [False, False, True]
+    assert caller.gone is not None
+
+
+def test_what_comes_behind_an_answer_that_closes_is_not_begun() -> None:
+    front = Front()
+    caller = front.call(request() + request(attempt=b"a2"))
+    front.outbound.leave()
+    give(front, front.channels[1], b"two")  # it waits, and says that the connection closes
+    caller.send(request("mutating", b"a3") + request("mutating", b"a4", body=b"abc"))
+    front.run()
+    assert len(front.channels) == 2
+    give(front, front.channels[0], b"one")
+    front.run(0.1)
+    assert [body for _, _, body in caller.answers()] == [b"one", b"two"]
+    assert caller.gone is not None
+    assert not front.source.courses
