Compile the mesh's readers too, as they stand on the compiled one

In a build of deploy/build.sh the mesh's HTTP reader could not be loaded: interpreted classes cannot inherit from compiled ones, and 100 tests of the compiled tree failed by that. The reader is compiled, the protocols that it is told by have a module for type checkers alone.

--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -14,31 +14,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from typing import Protocol
-
-    class Sink(Protocol):
-        """What is told of messages as they come."""
-
-        def head(self, head: Head) -> None:
-            """A head is whole."""
-
-        def data(self, data: bytes) -> None:
-            """A part of its body."""
-
-        def whole(self) -> None:
-            """The message is whole."""
-
-    class AnswerSink(Protocol):
-        """What is told of answers as they come."""
-
-        def answer(self, answer: Answer) -> None:
-            """A head is whole; not of interim answers."""
-
-        def data(self, data: bytes) -> None:
-            """A part of its body."""
-
-        def whole(self) -> None:
-            """The answer is whole."""
+    from honeywharf.codecs.sinks import AnswerSink, Sink
 
 UNKNOWN = -1  # a body's length: it comes in chunks, or up to the end of the connection
 ATTEMPT, REMAINING = b"x-honeywharf-attempt-id", b"x-honeywharf-deadline-remaining"
--- a/setup.py
+++ b/setup.py
@@ -19,6 +19,7 @@
     "honeywharf/core/messages.py", "honeywharf/core/transport.py", "honeywharf/core/seams.py",
     "honeywharf/core/turns.py", "honeywharf/core/driver.py",
     "honeywharf/codecs/reader.py", "honeywharf/codecs/http1.py", "honeywharf/codecs/coap.py",
+    "honeywharf/codecs/mesh.py",
     "honeywharf/orderkeys/table.py", "honeywharf/orderkeys/edge.py",
     "honeywharf/traces/context.py", "honeywharf/traces/spans.py", "honeywharf/traces/sampler.py",
     "honeywharf/traces/recorder.py",
