--- a/honeywharf/runnel/society.py
+++ b/honeywharf/runnel/society.py
@@ -13,6 +13,9 @@
     from honeywharf.runnel.entry import Entry
 
 
+SOONEST = 0.001  # seconds to the next turn, at least: timers and sums of times round differently
+
+
 class Draws:
     """A small generator of chance (xorshift, 64 bits), so that the library's need not be loaded."""
 
@@ -122,7 +125,7 @@
         self._send(self.watch.tick(now))
         self._send(self.news.tick(now))
         self._timer_at = self._next(now)
-        self._timer = self._host.after(max(0.0, self._timer_at - now), self._tick)
+        self._timer = self._host.after(max(SOONEST, self._timer_at - now), self._tick)
 
     def _next(self, now: float) -> float:
         return min(self.news.next(now), self.watch.next(now))
@@ -133,7 +136,7 @@
         if due < self._timer_at and not self._stopped:
             self._timer.cancel()
             self._timer_at = due
-            self._timer = self._host.after(max(0.0, due - now), self._tick)
+            self._timer = self._host.after(max(SOONEST, due - now), self._tick)
 
     def _send(self, sent: list[tuple[str, bytes]]) -> None:
         for node, data in sent:
--- /dev/null
+++ b/tests/runnel/net.py
@@ -0,0 +1,167 @@
+"""A simulated network of societies: one heap of events, datagrams with delay and loss, cuts and freezes."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, cast
+
+from honeywharf.mains.host import Address, Host
+from honeywharf.runnel.society import Society
+
+PORT = 7620
+ZONES = ("east", "north", "west")
+HEADERS = 28  # bytes of IP and UDP
+
+
+class Due:
+    """A call that is due."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Machine:
+    """What `Society` uses of a host."""
+
+    def __init__(self, net: Net, ip: str, zone: str) -> None:
+        self.net, self.ip, self.zone = net, ip, zone
+        self.frozen = False
+        self.off = False
+        self.late: list[Callable[[], None]] = []
+        self.take: Callable[[Address, bytes], None] | None = None
+
+    def now(self) -> float:
+        return self.net.now
+
+    def after(self, seconds: float, call: Callable[[], None]) -> Due:
+        due = Due(call)
+        self.net.at(seconds, lambda: self.run(lambda: due.call() if due.call else None))
+        return due
+
+    def run(self, call: Callable[[], None]) -> None:
+        if self.off:
+            return
+        if self.frozen:
+            self.late.append(call)
+        else:
+            call()
+
+    def thaw(self) -> None:
+        self.frozen = False
+        late, self.late = self.late, []
+        for call in late:
+            self.net.at(0.0, lambda call=call: self.run(call))  # type: ignore[misc]
+
+    def datagrams(self, at: Address, received: Callable[[Address, bytes], None]) -> None:
+        self.take = received
+
+    def send_datagram(self, to: Address, data: bytes) -> None:
+        assert len(data) <= 1400
+        self.net.carry(self, to[0], data)
+
+    def random(self, size: int) -> bytes:
+        return self.net.rng.randbytes(size)
+
+
+class Net:
+    """`nodes` machines, of which the first three are seeds, one in each zone."""
+
+    def __init__(self, seed: int, nodes: int, loss: float = 0.05) -> None:
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.now = 100.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.bytes = {"within": 0, "between": 0}
+        self.sent = 0
+        self.machines: dict[str, Machine] = {}
+        self.societies: dict[str, Society] = {}
+        self.downs: list[tuple[float, str, str]] = []
+        self.names = [f"10.{at % 3 + 1}.{at // 250}.{at % 250 + 1}" for at in range(nodes)]
+        self.seeds = self.names[:3]
+
+    def at(self, seconds: float, call: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (self.now + seconds, self.order, call))
+
+    def carry(self, machine: Machine, to: str, data: bytes) -> None:
+        target = self.machines.get(to)
+        between = target is not None and target.zone != machine.zone
+        self.bytes["between" if between else "within"] += len(data) + HEADERS
+        self.sent += 1
+        if target is None or (machine.ip, to) in self.cuts or self.rng.random() < self.loss:
+            return
+        delay = self.rng.uniform(0.001, 0.004) if between else self.rng.uniform(0.0002, 0.001)
+        self.at(delay, lambda: self.arrive(machine.ip, target, data))
+
+    def arrive(self, sender: str, target: Machine, data: bytes) -> None:
+        if (sender, target.ip) not in self.cuts and target.take:
+            take = target.take
+            target.run(lambda: take((sender, PORT), data))
+
+    def start(self, name: str, incarnation: int = 1, **say: Any) -> Society:
+        """Start a node, or start it again."""
+        if name in self.machines:
+            self.machines[name].off = True
+        zone = ZONES[int(name.split(".")[1]) - 1]
+        machine = self.machines[name] = Machine(self, name, zone)
+        society = Society(
+            cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation
+        )
+        society.on_down = lambda node: self.downs.append((self.now, name, node))
+        self.societies[name] = society
+        return society
+
+    def start_all(self, spread: float = 0.5) -> None:
+        for name in self.names:
+            self.at(self.rng.uniform(0.0, spread), partial(self.join, name))
+
+    def join(self, name: str) -> None:
+        self.start(name, **sample(name))
+
+    def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass; stops early when `until` is true, looked at every 20 ms. Whether it became true."""
+        end, look = self.now + seconds, self.now
+        while self.events and self.events[0][0] <= end:
+            at, _, call = heapq.heappop(self.events)
+            if until and at >= look:
+                if until():
+                    return True
+                look = at + 0.02
+            self.now = at
+            call()
+        self.now = end
+        return until is not None and until()
+
+    def cut(self, one: Iterable[str], other: Iterable[str], both: bool = True) -> None:
+        pairs = [(a, b) for a in one for b in other]
+        self.cuts |= {*pairs, *((b, a) for a, b in pairs if both)}
+
+    def live(self) -> list[Society]:
+        return [self.societies[name] for name, machine in self.machines.items() if not machine.off]
+
+    def kill(self, name: str) -> None:
+        self.machines[name].off = True
+
+    def all_know(self) -> bool:
+        """Whether every live node knows every live node under its present number, and holds it alive."""
+        truth = {society.news.me: society.news.table[society.news.me].version for society in self.live()}
+        return all(knows(society, truth) for society in self.live())
+
+
+def knows(society: Society, truth: dict[str, tuple[int, int, bool]]) -> bool:
+    table = society.news.table
+    return all(node in table and table[node].version == version for node, version in truth.items())
+
+
+def sample(name: str) -> dict[str, Any]:
+    """What a sluice would say."""
+    backend = {"service": "huvo11a", "id": f"i-{name}", "state": "ready", "slots": 12}
+    return {"kind": "sluice", "port": 8300, **backend}
