--- a/honeywharf/__main__.py
+++ b/honeywharf/__main__.py
@@ -1,4 +1,4 @@
-"""The platform's entry: the proxy where no argument is given, else the command line, the mesh's apart."""
+"""The platform's entry: the proxy where no argument is given, else the command line."""
 
 from __future__ import annotations
 
@@ -11,10 +11,6 @@
         from honeywharf.proxy import run_proxy
 
         return run_proxy()
-    if sys.argv[1] == "mesh":
-        from honeywharf.cli.mesh import main as mesh
-
-        return mesh(sys.argv[2:])
     from honeywharf.cli import main as command
 
     command(prog_name="honeywharf")
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -48,11 +48,13 @@
               " tile is followed from the complaint to its cause.")
 @click.option("--upgrade", is_flag=True, help="Show an upgrade, a ban and an evacuation under load, the four"
               " rules counted.")
+@click.option("--mesh", is_flag=True, help="Show a mesh of 3 reservoirs and 5 sluices: a change of routes, a"
+              " drain and a kill, the rules counted.")
 @click.option("--storm", is_flag=True, help="Show an outage and the clients that come back, damped and"
               " not, in virtual time.")
 def demo(
     seconds: float, rate: float, seed: int, with_keys: bool, coap: bool, with_traces: bool, upgrade: bool,
-    storm: bool,
+    mesh: bool, storm: bool,
 ) -> None:
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     if storm:
@@ -60,6 +62,10 @@
         from honeywharf.lab import demo as outage
 
         sys.exit(outage.show(seed, click.echo))
+    if mesh:
+        from honeywharf.standins import meshdemo
+
+        sys.exit(meshdemo.play(seconds, rate, seed, click.echo))
     if upgrade:
         from honeywharf.standins import operation
 
@@ -84,6 +90,15 @@
     main.add_command(command)
 
 
+@main.command("mesh", add_help_option=False, context_settings={"ignore_unknown_options": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def on_mesh(words: tuple[str, ...]) -> None:
+    """Check files of the mesh, and give a running mesh its orders."""
+    from honeywharf.cli.mesh import main as command
+
+    sys.exit(command(list(words)))
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- a/tests/every_command.py
+++ b/tests/every_command.py
@@ -14,14 +14,17 @@
 import sys
 import tempfile
 import time
+import typing
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import cappa
 import click
 
-from honeywharf.cli import main
+from honeywharf.cli import main, mesh
+from honeywharf.flume import field
 from honeywharf.lab.model import NodeSpec  # noqa: F401  (the laboratory is laid too)
-from honeywharf.standins import node
+from honeywharf.standins import meshdemo, node
 
 MOST_S = 120.0
 DAY = '''name = "short"
@@ -49,6 +52,12 @@
     return [above]
 
 
+def mesh_words() -> set[str]:
+    """The commands of `honeywharf mesh`, which another library reads."""
+    some = typing.get_args(typing.get_type_hints(mesh.Mesh)["command"])
+    return {str(cappa.Command.get(one).name) for one in some}
+
+
 def called(words: tuple[str, ...], wanted: tuple[int, ...], more: dict[str, str] | None = None) -> str:
     """What is wrong with one call; empty where nothing is."""
     done = subprocess.run(
@@ -71,11 +80,13 @@
     nobody = ("--socket", str(folder / "nobody"))
     traces, day = str(folder / "t.jsonl"), str(folder / "day.toml")
     results = str(folder / "day.results")
+    routes, settings, nowhere = str(folder / "r.json"), str(folder / "boot.yaml"), "127.0.0.1:9"
     return {
         ("run",): [((), (2,))],
         ("demo",): [(("--seconds", "4"), (0,)), (("--keys", "--seconds", "4"), (0,)),
                     (("--coap", "--seconds", "4"), (0,)), (("--traces",), (0,)), (("--storm",), (0,)),
-                    (("--upgrade", "--seconds", "6"), (0,))],
+                    (("--upgrade", "--seconds", "6"), (0,)),
+                    (("--mesh", "--seconds", "6", "--rate", "100"), (0,))],
         ("check-config",): [((str(folder / "f.toml"), str(folder / "n.json")), (0,)), ((day,), (2,))],
         ("config", "check"): [((str(folder / "f.toml"),), (0,))],
         ("config", "show"): [((*at,), (0,)), ((*at, "--all", "--json"), (0,)), (nobody, (3,))],
@@ -100,12 +111,18 @@
         ("lab", "run"): [((day, "--quiet", "--jobs", "1"), (0,))],
         ("lab", "compare"): [((results, "storms", "no", "yes"), (0,))],
         ("lab", "report"): [((results, str(folder / "page.html")), (0,))],
+        ("mesh",): [(("check", routes), (0,)), (("settings", settings), (0,)),
+                    (("route", routes, "maps.example", "/tiles/1"), (0,)), (("diff", routes, routes), (0,)),
+                    (("describe", nowhere), (2,)), (("replace", nowhere, routes), (2,)),
+                    (("evacuate", nowhere, "z"), (2,)), (("activate", nowhere, "z"), (2,))],
         ("version",): [((), (0,))],
     }
 
 
 def files(folder: Path) -> None:
     """What the calls read."""
+    (folder / "r.json").write_bytes(meshdemo.configuration(7, moved=False).text)
+    (folder / "boot.yaml").write_text(field.settings("10.1.0.8", field.ZONES[0], ["10.1.0.9"], True, "s"))
     (folder / "day.toml").write_text(DAY)
     (folder / "f.toml").write_text(
         f'[admin]\nsocket = "{folder}/s"\n[order_keys]\nstore = "process"\n[metrics]\non = true\n'
@@ -126,6 +143,8 @@
     """All calls; what is wrong."""
     files(folder)
     table, wrong = calls(folder), []
+    words = {more[0] for more, _ in table["mesh",]}
+    wrong += [f"mesh {word}: nothing says how it is called" for word in sorted(mesh_words() - words)]
     wrong += [f"{' '.join(leaf)}: nothing says how it is called" for leaf in leaves(main)
               if leaf not in table]
     environ = {"NODE_CONFIG": str(folder / "n.json"), "HONEYWHARF_FEATURES": str(folder / "f.toml")}
