Have two watchers in the zone and two elsewhere, and ask before doubting

Where two zones lost sight of each other a quarter of their nodes had two misled watchers, and at 5 % loss every tenth second a live node was doubted, at 225 KB of rumours. Watchers now stand on rings by zone, a silent node is asked for a beat first, beats carry the revision, and a change starts with one peer in each zone.

--- a/honeywharf/gauges/watch.py
+++ b/honeywharf/gauges/watch.py
@@ -1,19 +1,22 @@
-"""Who is silent: beats to three watchers, doubts, and the verdict when two share one. Without I/O.
+"""Who is silent: beats to a few watchers, doubts, and the verdict when two share one. Without I/O.
 
-Theory of operation. Each node sends a beat of one byte to the three nodes after it on the ring of live
-nodes, every 0.4 s. A watcher that has heard nothing from one for 1.6 s doubts it, under the version of
-the entry that it knows; its doubts stand in what it says of itself, so news carries and mends them, and
-a doubter's end ends them. A node is down when two live nodes doubt its present version, or all its
+Theory of operation. Each node sends a beat of a few bytes to its watchers on the rings of live nodes:
+two in its zone every 0.4 s, two elsewhere every 0.8 s. A watcher that has heard nothing from one for 1 s
+(1.6 s from elsewhere) asks it for a beat, and after 1.6 s (2.4 s) doubts it, under the version of the
+entry that it knows. Its doubts stand in what it says of itself, so news carries and mends them, and a
+doubter's end ends them. A node is down when two live nodes doubt its present version, or all its
 watchers where there are fewer; it stays down until it is heard of under a newer version. Who is doubted
-tells itself anew, which ends all doubts of it. A watcher that itself woke late or hears nobody blames
-nobody until it has been well for 1.6 s. A watcher whose doubt was refuted although it still hears
-nothing (a link that is cut one way) waits twice as long the next time, up to 25 s. Whoever follows a
-down node on the ring takes over the doubt of it, so that those who arrive later learn it too.
+tells itself anew, which ends all doubts of it.
+
+A watcher that itself woke late or hears nobody blames nobody until it has been well for 1.6 s. A watcher
+whose doubt was refuted although it still hears nothing (a link that is cut one way) waits twice as long
+the next time, up to 25 s. Whoever follows a down node on the rings takes over the doubt of it, so that
+those who arrive later learn it too.
 """
 
 from __future__ import annotations
 
-from honeywharf.gauges.ring import Ring
+from honeywharf.gauges.ring import Rings
 from honeywharf.runnel.entry import key_of, node_of, number_in
 
 TYPE_CHECKING = False
@@ -22,13 +25,14 @@
 
     from honeywharf.runnel.entry import Entry
 
-BEAT = b"t"  # first byte of a beat, and all of it
-BEAT_EVERY = 0.4  # seconds
-SILENT = 1.6  # seconds without a sign
+BEAT = b"t"  # and the revision that the sender holds, in as few bytes as it takes (none for 0)
+PROBE = b"p"  # answered with a beat
+BEAT_EVERY = 0.4  # seconds; to watchers elsewhere every second time
+ASKED, SILENT = 1.0, 1.6  # seconds without a sign until it is asked for one, and doubted
+ELSEWHERE = 1.5  # times as long for nodes of other zones, nearly
 LATE = 0.3  # seconds that a call may come late
-WATCHERS = 3
 NEEDED = 2  # doubts
-PATIENCE = 16  # times SILENT, at most
+PATIENCE = 16  # times as long, at most
 DOUBTS = 16  # told by one node, at most
 
 
@@ -36,26 +40,29 @@
     """One node's part. `entries`: the table of news; `tell` is called with the doubts that it is to tell."""
 
     __slots__ = (
-        "_against", "_doubts", "_due", "_entries", "_heard", "_heard_any", "_me", "_patience",
-        "_unwell_until", "down", "on_down", "on_refute", "on_up", "ring", "tell",
+        "_against", "_doubts", "_due", "_entries", "_heard", "_heard_any", "_me", "_odd", "_patience",
+        "_unwell_until", "_zone", "down", "on_down", "on_refute", "on_up", "revision", "rings", "tell",
     )  # fmt: skip
 
-    def __init__(self, me: str, entries: Mapping[str, Entry]) -> None:
+    def __init__(self, me: str, zone: str, entries: Mapping[str, Entry]) -> None:
         self._me = me
+        self._zone = zone
         self._entries = entries
-        self.ring = Ring()
-        self.ring.add(me)
+        self.rings = Rings()
+        self.rings.add(me, zone)
         self.down: dict[str, float] = {}  # since when
         self.on_down: Callable[[str], None] | None = None
         self.on_up: Callable[[str], None] | None = None
         self.on_refute: Callable[[], None] | None = None  # somebody doubts this node
         self.tell: Callable[[list[tuple[int, int, int]]], None] | None = None  # (key, incarnation, number)
+        self.revision = 0  # told with each beat
         self._against: dict[str, dict[str, tuple[int, int]]] = {}  # doubted: doubter: version
         self._doubts: dict[str, tuple[int, int]] = {}  # the own ones
         self._heard: dict[str, float] = {}  # those watched only
         self._heard_any = 0.0
-        self._patience: dict[str, int] = {}  # those watched only, times SILENT
+        self._patience: dict[str, int] = {}  # those watched only, times as long
         self._due = 0.0
+        self._odd = False
         self._unwell_until = 0.0
 
     def next(self, now: float) -> float:
@@ -69,34 +76,54 @@
             self._heard[node] = now
             self._patience.pop(node, None)
 
+    def beat(self) -> bytes:
+        """What is sent to each watcher, and to who asks."""
+        return BEAT + self.revision.to_bytes((self.revision.bit_length() + 7) // 8, "big")
+
     def tick(self, now: float) -> list[tuple[str, bytes]]:
-        """Beats, and the doubts of those that are silent."""
+        """Beats, questions, and the doubts of those that are silent."""
         if now < self._due:
             return []
         if (self._due and now - self._due > LATE) or now - self._heard_any > SILENT:
             self._unwell_until = now + SILENT
         self._due = now + BEAT_EVERY
-        self._look(now)
-        return [(node, BEAT) for node in self.ring.watchers(self._me, WATCHERS)]
-
-    def _look(self, now: float) -> None:
-        watched = self.ring.watched(self._me, WATCHERS)
-        taken = [node for node in self.down if self._me in self.ring.watchers(node, WATCHERS)]
-        kept = {*watched, *taken}
-        for node in [node for node in self._heard if node not in kept]:
-            del self._heard[node]
-            self._patience.pop(node, None)
-        if now < self._unwell_until:
-            for node in watched:
-                self._heard[node] = now
+        self._odd = not self._odd
+        beat = self.beat()
+        near, far = self.rings.watchers(self._me, self._zone)
+        out = [(node, PROBE) for node in self._look(now)]
+        return out + [(node, beat) for node in (near + far if self._odd else near)]
+
+    def _look(self, now: float) -> list[str]:
+        """Judge those watched. Returns those to be asked for a beat."""
+        near, far = self.rings.watched(self._me, self._zone)
+        taken = [node for node in self.down if self._takes(node)]
+        self._forget({*near, *far, *taken})
         doubts: dict[str, tuple[int, int]] = {}
-        for node in watched + taken:
-            since = self._heard.setdefault(node, 0.0 if node in self.down else now)
-            entry = self._entries.get(node)
-            if entry and now - since > SILENT * self._patience.get(node, 1) and len(doubts) < DOUBTS:
+        asked: list[str] = []
+        for node in near + far + taken:
+            if now < self._unwell_until and node not in self.down:
+                self._heard[node] = now
+            silent = now - self._heard.setdefault(node, now - ASKED if node in self.down else now)
+            times = ELSEWHERE if node in far else 1.0
+            if silent > ASKED * times and node not in self.down:
+                asked.append(node)
+            if silent > SILENT * times * self._patience.get(node, 1) and len(doubts) < DOUBTS:
+                entry = self._entries[node]
                 doubts[node] = (entry.incarnation, entry.number)
         if doubts != self._doubts:
             self._own(now, doubts)
+        for node in list(self._against):  # the rings may have changed
+            self._judge(now, node)
+        return asked
+
+    def _takes(self, node: str) -> bool:
+        near, far = self.rings.watchers(node, self._entries[node].zone)
+        return self._me in near or self._me in far
+
+    def _forget(self, kept: set[str]) -> None:
+        for node in [node for node in self._heard if node not in kept]:
+            del self._heard[node]
+            self._patience.pop(node, None)
 
     def _own(self, now: float, doubts: dict[str, tuple[int, int]]) -> None:
         self._count(self._me, self._doubts, doubts)
@@ -109,30 +136,33 @@
 
     def changed(self, now: float, node: str, entry: Entry | None, old: Entry | None) -> None:
         """News of another node were taken over; None: it was dropped."""
-        self._count(node, _doubts_in(old), _doubts_in(entry))
+        before, after = _doubts_in(old), _doubts_in(entry)
+        self._count(node, before, after)
         if entry is None or entry.say is None:
             self._gone(node)
         else:
-            self._alive(now, node, new=old is None or old.version != entry.version)
-        for doubted in {*_doubts_in(old), *_doubts_in(entry)}:
+            self._alive(now, node, entry)
+        for doubted in {*before, *after}:
             self._judge(now, doubted)
 
     def _gone(self, node: str) -> None:
-        self.ring.remove(node)
+        self.rings.remove(node)
         self.down.pop(node, None)
         self._against.pop(node, None)
 
-    def _alive(self, now: float, node: str, new: bool) -> None:
-        if new and node in self._heard:
-            if self._doubts.get(node):
+    def _alive(self, now: float, node: str, entry: Entry) -> None:
+        if node in self._heard:
+            if node in self._doubts:
                 self._patience[node] = min(PATIENCE, 2 * self._patience.get(node, 1))
             self._heard[node] = now
-        self.ring.add(node)
+        self.rings.add(node, entry.zone)
         if self.down.pop(node, None) is not None and self.on_up:
             self.on_up(node)
         self._judge(now, node)
 
-    def _count(self, doubter: str, old: dict[str, tuple[int, int]], new: dict[str, tuple[int, int]]) -> None:
+    def _count(
+        self, doubter: str, old: dict[str, tuple[int, int]], new: dict[str, tuple[int, int]]
+    ) -> None:
         for node in old:
             held = self._against.get(node)
             if held and node not in new:
@@ -154,8 +184,9 @@
             if doubters and self.on_refute:
                 self.on_refute()
             return
-        if len(doubters) >= min(NEEDED, len(self.ring.watchers(node, WATCHERS))):
-            self.ring.remove(node)
+        near, far = self.rings.watchers(node, entry.zone)
+        if doubters and len(doubters) >= min(NEEDED, len(near) + len(far)):
+            self.rings.remove(node)
             self.down[node] = now
             if self.on_down:
                 self.on_down(node)
--- a/honeywharf/runnel/society.py
+++ b/honeywharf/runnel/society.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from honeywharf.gauges.watch import BEAT, Watch
+from honeywharf.gauges.watch import BEAT, PROBE, Watch
 from honeywharf.runnel.table import News
 
 TYPE_CHECKING = False
@@ -66,7 +66,7 @@
         self.on_down: Callable[[str], None] | None = None
         self.on_up: Callable[[str], None] | None = None
         self.news = News(ip, zone, Draws(host.random(8)), say, incarnation, seeds)
-        self.watch = Watch(ip, self.news.table)
+        self.watch = Watch(ip, zone, self.news.table)
         self.news.on_change = self._changed
         self.news.on_word = self._word
         self.watch.tell = self._doubts
@@ -114,14 +114,20 @@
             return
         now = self._host.now()
         self.watch.heard(now, sender[0])
-        if data != BEAT:
+        kind = data[:1]
+        if kind == BEAT and len(data) <= 9:
+            self.news.holds(sender[0], int.from_bytes(data[1:], "big"))
+        elif kind == PROBE:
+            self._send([(sender[0], self.watch.beat())])
+        else:
             self._send(self.news.received(now, sender[0], data))
-            self._rearm()
+        self._rearm()
 
     def _tick(self) -> None:
         if self._stopped:
             return
         now = self._host.now()
+        self.watch.revision = self.news.revision
         self._send(self.watch.tick(now))
         self._send(self.news.tick(now))
         self._timer_at = self._next(now)
--- a/honeywharf/runnel/table.py
+++ b/honeywharf/runnel/table.py
@@ -58,11 +58,12 @@
 
 NODES = 4096  # entries held, at most
 QUIET = ("rev",)  # keys that have no part in the number
+FAR_ZONES = 4  # other zones that a node tells its own changes to, one peer each, at most
 GATHER = 0.02  # seconds that rumours wait for one another
 AGAIN = 0.15  # seconds until what is new is passed on a second time
 PEERS, PEERS_AGAIN = 3, 2  # that a rumour is passed on to, and to the second time
 FAR_HOPS = 2  # hops within which a rumour is passed on to another zone
-LAST = 15  # hops of what is not passed on
+MEND, LAST = 14, 15  # hops of what is passed on within a zone that learns it by a digest, and of what is not
 FLUSH = 64  # entries passed on at once, at most
 HELLO_EVERY, DIGEST_EVERY, SWEEP_EVERY = 0.2, 0.5, 1.0  # seconds
 STRAY_EVERY = 4  # digests between two to a node that is missing
@@ -77,8 +78,9 @@
 
     __slots__ = (
         "_again", "_again_at", "_buried", "_digest_at", "_far", "_flush_at", "_fresh", "_hello_at", "_left",
-        "_near", "_peers_known", "_rev", "_rng", "_rounds", "_sum", "_sweep_at", "_word", "_word_known",
-        "ignored", "me", "on_change", "on_word", "refused", "seeds", "table", "zone",
+        "_near", "_peers_known", "_rng", "_rounds", "_sum", "_sweep_at", "_word", "_word_at",
+        "_word_known",
+        "ignored", "me", "on_change", "on_word", "refused", "revision", "seeds", "table", "zone",
     )  # fmt: skip
 
     def __init__(
@@ -95,7 +97,7 @@
         self.on_word: Callable[[int, str], None] | None = None
         self._rng = rng
         self._sum = 0
-        self._rev = 0
+        self.revision = 0  # of the word, as this node says
         self._word: tuple[int, str] | None = None
         self._word_known = 0
         self._left = False
@@ -106,7 +108,8 @@
         self._far: list[str] = []
         self._peers_known = False
         self._rounds = 0
-        self._hello_at = self._digest_at = self._sweep_at = self._flush_at = self._again_at = 0.0
+        self._hello_at = self._digest_at = self._sweep_at = 0.0  # when each is due
+        self._flush_at = self._again_at = self._word_at = 0.0
         self._own(0.0, incarnation, 1, say)
 
     # What the node itself says.
@@ -119,7 +122,7 @@
         whole = {**(mine.say or {}), **say}
         if all(key in QUIET for key in say):
             mine.say = whole
-            self._rev = whole.get("rev", 0)
+            self.revision = whole.get("rev", 0)
             return
         self._own(now, mine.incarnation, mine.number + 1, whole)
 
@@ -142,7 +145,7 @@
         self.tell(now, rev=revision)
         if revision > self._word_known:
             self._word_known = revision
-            self._word = (revision, self.me)
+            self._word, self._word_at = (revision, self.me), 0.0
 
     def held_down(self, now: float, node: str, down: bool) -> None:
         """Take a node for silent, or for alive again. Who is silent is no peer and dropped in time."""
@@ -162,7 +165,7 @@
         entry = Entry(key_of(self.me), incarnation, number, self.zone, say)
         if len(entry.pack(0)) > ENTRY_SIZE:
             raise ValueError(f"what {self.me} says is over {ENTRY_SIZE} bytes")
-        self._rev = (say or {}).get("rev", 0) or self._rev
+        self.revision = (say or {}).get("rev", 0) or self.revision
         self._put(now, self.me, entry, 0)
 
     # Time.
@@ -171,7 +174,7 @@
         """When `tick` is due at the latest."""
         due = min(self._digest_at, self._sweep_at)
         if self._word:
-            return now
+            due = min(due, self._word_at)
         if self._fresh:
             due = min(due, self._flush_at)
         if self._again:
@@ -186,8 +189,8 @@
             self._sweep_at = now + SWEEP_EVERY
             self._sweep(now)
         out: Sent = []
-        if self._word:
-            out += self._pass_word(self._word)
+        if self._word and now >= self._word_at:
+            out += self._pass_word(now, self._word)
         if self._fresh and now >= self._flush_at:
             out += self._flush(now)
         if self._again and now >= self._again_at:
@@ -221,8 +224,9 @@
         seeds = [seed for seed in self.seeds if seed not in self.table]
         return held + seeds + [node for node in self._buried if node not in self.table]
 
-    def _pass_word(self, word: tuple[int, str]) -> Sent:
-        self._word = None
+    def _pass_word(self, now: float, word: tuple[int, str]) -> Sent:
+        again = word == self._word and self._word_at > 0
+        self._word, self._word_at = None if again else word, now + AGAIN
         data = WORD + msgpack.packb((word[0], key_of(word[1])))
         self._peers()
         to = self._some(self._near, 2 if self._far else 3) + self._some(self._far, 1 if self._near else 3)
@@ -234,14 +238,25 @@
             self._again_at = now + AGAIN
         for node, hop in batch:
             del self._fresh[node]
-            if not self._left:
+            if not self._left and hop < MEND:
                 self._again[node] = hop
         if self._fresh:
             self._flush_at = now + GATHER
         self._peers()
         out = self._told(batch, self._some(self._near, PEERS if self._far else PEERS + 1))
         far = [(node, hop) for node, hop in batch if hop < FAR_HOPS]
-        return out + self._told(far, self._some(self._far, 1 if self._near else PEERS))
+        mine = [(node, hop) for node, hop in far if hop == 0]
+        others = [(node, hop) for node, hop in far if hop]
+        out += self._told(mine, self._one_each())
+        return out + self._told(others, self._some(self._far, 1 if self._near else PEERS))
+
+    def _one_each(self) -> list[str]:
+        """One node of each other zone, of four at most."""
+        by_zone: dict[str, list[str]] = {}
+        for node in self._far:
+            by_zone.setdefault(self.table[node].zone, []).append(node)
+        zones = self._some(list(by_zone), FAR_ZONES)
+        return [self._some(by_zone[zone], 1)[0] for zone in zones]
 
     def _flush_again(self) -> Sent:
         batch = list(self._again.items())
@@ -297,21 +312,23 @@
             return self._hello(now, sender, body)
         if kind == ASK:
             entries = [self.table.get(node_of(key)) for key in keys_of(body)]
-            return self._entries(sender, [entry for entry in entries if entry is not None])
+            return self._mend(sender, [entry for entry in entries if entry is not None])
         if kind == WORD:
             revision, key = msgpack.unpackb(body)
-            return self._heard_word(revision, node_of(key)) if number_in(revision) and number_in(key) else []
+            if not number_in(revision) or not number_in(key):
+                raise ValueError("not a word")
+            return self._heard_word(now, revision, node_of(key))
         if kind == SUMMARY:
             revision, total = msgpack.unpackb(body)
-            self._head(sender, revision)
+            self.holds(sender, revision)
             return [] if total == self._sum else self._differ(sender)
         if kind == SUMS:
             revision, sums = msgpack.unpackb(body)
-            self._head(sender, revision)
+            self.holds(sender, revision)
             return self._compare_sums(sender, keys_of(sums))
         if kind == DIGEST:
             revision, buckets, packed = msgpack.unpackb(body)
-            self._head(sender, revision)
+            self.holds(sender, revision)
             return self._compare(now, sender, buckets, pairs(packed))
         raise ValueError("unknown kind")
 
@@ -328,21 +345,22 @@
         packed = [entry.pack(LAST) for entry in shown]
         return out + [(sender, data) for data in datagrams(RUMOUR, packed, most)]
 
-    def _head(self, sender: str, revision: object) -> None:
-        """Take over the revision that the sender holds."""
+    def holds(self, sender: str, revision: object) -> None:
+        """Take over which revision of the word the sender holds. ValueError where it is none."""
         if not number_in(revision):
             raise ValueError("not a revision")
         entry = self.table.get(sender)
         if entry and entry.say is not None and sender != self.me and revision > entry.say.get("rev", 0):
             entry.say["rev"] = revision
-        if revision > self._rev and self.on_word:
+        if revision > self.revision and self.on_word:
             self.on_word(revision, sender)
 
-    def _heard_word(self, revision: int, holder: str) -> Sent:
-        if revision <= max(self._word_known, self._rev):
+    def _heard_word(self, now: float, revision: int, holder: str) -> Sent:
+        if revision <= max(self._word_known, self.revision):
             return []
         self._word_known = revision
-        out = self._pass_word((revision, holder))
+        self._word_at = 0.0
+        out = self._pass_word(now, (revision, holder))
         if self.on_word:
             self.on_word(revision, holder)
         return out
@@ -354,7 +372,7 @@
             newer = self._take(now, sender, entry, hop)
             if newer:
                 back.append(newer)
-        return self._entries(sender, back)
+        return self._mend(sender, back)
 
     def _take(self, now: float, sender: str, entry: Entry, hop: int) -> Entry | None:
         """Take an entry over if it is newer. Returns the newer one where the sender is behind."""
@@ -371,7 +389,7 @@
                 return None
         elif entry.version <= old.version:
             return old if entry.version < old.version else None
-        self._put(now, node, entry, hop + 1)
+        self._put(now, node, entry, hop if hop >= MEND else min(hop + 1, MEND - 1))
         return None
 
     def _of_me(self, now: float, entry: Entry) -> Entry | None:
@@ -408,7 +426,7 @@
     # Digests.
 
     def _summary(self) -> bytes:
-        packed: bytes = msgpack.packb((self._rev, self._sum))
+        packed: bytes = msgpack.packb((self.revision, self._sum))
         return SUMMARY + packed
 
     def _offered(self) -> list[Entry]:
@@ -417,9 +435,9 @@
     def _differ(self, sender: str) -> Sent:
         offered = self._offered()
         if len(offered) <= SMALL:
-            return [(sender, DIGEST + msgpack.packb((self._rev, None, pairs_of(offered))))]
+            return [(sender, DIGEST + msgpack.packb((self.revision, None, pairs_of(offered))))]
         sums = b"".join([total.to_bytes(4, "big") for total in _sums(offered)])
-        return [(sender, SUMS + msgpack.packb((self._rev, sums)))]
+        return [(sender, SUMS + msgpack.packb((self.revision, sums)))]
 
     def _compare_sums(self, sender: str, theirs: list[int]) -> Sent:
         offered = self._offered()
@@ -435,7 +453,7 @@
                 some = some[: len(some) // 2]
                 held = [entry for entry in offered if bucket_of(entry.key) in some]
             differ -= set(some)
-            out.append((sender, DIGEST + msgpack.packb((self._rev, bytes(some), pairs_of(held[:SMALL])))))
+            out.append((sender, DIGEST + msgpack.packb((self.revision, bytes(some), pairs_of(held[:SMALL])))))
         return out
 
     def _compare(self, now: float, sender: str, buckets: bytes | None, theirs: dict[int, int]) -> Sent:
@@ -454,13 +472,15 @@
                 else:
                     ask.append(entry.key)
         ask += theirs
-        out = self._entries(sender, give)
+        out = self._mend(sender, give)
         if ask:
             out.append((sender, ASK + b"".join([key.to_bytes(4, "big") for key in ask[:300]])))
         return out
 
-    def _entries(self, to: str, entries: Iterable[Entry]) -> Sent:
-        packed = [entry.pack(LAST) for entry in entries]
+    def _mend(self, to: str, entries: Iterable[Entry]) -> Sent:
+        known = self.table.get(to)
+        hop = LAST if known is None or known.zone == self.zone else MEND
+        packed = [entry.pack(hop) for entry in entries]
         return [(to, data) for data in datagrams(RUMOUR, packed, MENDED)]
 
     # Peers.
--- a/tests/runnel/net.py
+++ b/tests/runnel/net.py
@@ -130,12 +130,11 @@
         """Let time pass; stops early when `until` is true, looked at every 20 ms. Whether it became true."""
         end, look = self.now + seconds, self.now
         while self.events and self.events[0][0] <= end:
-            at, _, call = heapq.heappop(self.events)
-            if until and at >= look:
+            if until and self.events[0][0] >= look:
                 if until():
                     return True
-                look = at + 0.02
-            self.now = at
+                look = self.events[0][0] + 0.02
+            self.now, _, call = heapq.heappop(self.events)
             call()
         self.now = end
         return until is not None and until()
