--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -110,8 +110,8 @@
         (service, attempt, kind, remaining, patience, priority, aim, caller, method, target, fields, length,
          revision) = frame[2:]
         return cls(
-            service, attempt, kind, remaining / 1000.0, patience / 1000.0, priority, aim / 1000.0, caller, method,
-            target, fields, length, revision)
+            service, attempt, kind, remaining / 1000.0, patience / 1000.0, priority, aim / 1000.0, caller,
+            method, target, fields, length, revision)
 
 
 class Stream:
