Keep slots for short requests, fetch a word from whoever has it, answer 503 without one

Now as many slots as short requests have held of late are kept from long ones, who is next to run may wait once more, a second holder is asked after 0.25 s, and a sluice without a word says 503. The cold bound keeps what went while it was hot.

--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -77,9 +77,9 @@
     """One request at its destination."""
 
     __slots__ = (
-        "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head", "held",
-        "inbound", "judged_at", "kept", "over", "read", "started", "streaming", "tap", "tap_up", "until",
-        "waiter", "wrote")
+        "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head",
+        "held", "inbound", "judged_at", "kept", "over", "read", "short", "started", "streaming", "tap",
+        "tap_up", "until", "waiter", "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
@@ -103,7 +103,8 @@
         inbound, ask, now = self.inbound, self.ask, self.inbound.host.now()
         if not self._passes(now):
             return
-        if inbound.gate.admission.free():
+        self.short = inbound.gate.admission.is_short(ask.aim_s)
+        if inbound.gate.admission.free(now, self.short):
             self._start(now)
         elif ask.patience_s > 0:
             self.waiter = inbound.gate.admission.wait(
@@ -146,7 +147,7 @@
     # Runs.
 
     def _start(self, now: float) -> None:
-        self.gate.admission.start()
+        self.gate.admission.start(now, self.short)
         self.gate.sends(now)
         self.started, self.begun_at, self.judged_at = True, now, now
         self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
@@ -365,8 +366,8 @@
             self.waiter = None
         self.body.clear()
         if self.started:
-            took = self.inbound.host.now() - self.begun_at if self.head is not None else None
-            self.gate.admission.ended(took)
+            now = self.inbound.host.now()
+            self.gate.admission.ended(now, self.short, now - self.begun_at if self.head is not None else None)
             self.inbound.pump_soon()
         self.inbound.jobs.pop(self, None)
 
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -23,6 +23,7 @@
     from honeywharf.sluice.word import Word
 
 MOST_AHEAD = 16
+NO_WORD_S = 0.2  # after which a client may come back to a sluice that has just started
 HELD_BYTES = 64 * 1024  # of a body that waits to be sent
 MOST_CONNECTIONS = 3000
 DROPPED_BYTES = 4 << 20  # of a body that is read to its end though the answer is given
@@ -120,6 +121,9 @@
             exchange.closes = True
         self.exchange = exchange
         route = outbound.word.find(head.host, head.path)
+        if route is None and not outbound.word.ready:
+            self.own(exchange, 503, NO_WORD_S, b"no configuration yet")
+            return
         if route is None:
             self.own(exchange, 404, 0.0, b"no route")
             return
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sluice/word.py
@@ -23,8 +23,9 @@
     from honeywharf.mains.host import Address, Host
 
 WITHIN_S = 0.7  # for a call
-BODY_WITHIN_S = 5.0
+BODY_WITHIN_S = (0.8, 6.0)  # for a text: at first, and at most after calls in vain, as it may be long
 AGAIN_S = 0.15
+PATIENT_S = 0.25  # for one holder, before news of another one is followed
 ALONE_S = 4.0
 MOST_TEXT = 80 << 20
 
@@ -44,7 +45,10 @@
         self.packed = b""  # the text, compressed
         self.ready = False
         self.newest = 0  # the highest revision heard of
-        self.fetching = False
+        self.fetch = 0  # number of the fetch under way; 0 without one
+        self.fetches = 0
+        self.fetched_at = 0.0
+        self.vain = 0  # fetches in a row without a text
         self.started = host.now()
         self.turn = 0
         self._limits = Limits({})
@@ -77,58 +81,68 @@
 
     def _started(self, core: Address, value: Any) -> None:
         if isinstance(value, dict) and value.get("version"):
-            self._take(core, value, first=True)
-        if not self.ready:
+            self._take(core, value)
+        if not self.ready and not self.fetch:
             self.host.after(AGAIN_S, self.start)
 
     def heard(self, revision: int, holder: Address) -> None:
-        """News of a word: it is asked for if it is newer."""
+        """News of a word: asked for if it is newer, though another holder may still owe an older one."""
         self.newest = max(self.newest, revision)
-        if revision > self.revision and self.ready and not self.fetching:
-            self.fetching = True
-            self.caller.call(holder, "word.known", None, WITHIN_S, lambda value: self._known(holder, value))
-
-    def _known(self, holder: Address, value: Any) -> None:
-        self.fetching = False
+        busy = self.fetch and self.host.now() - self.fetched_at < PATIENT_S
+        if revision > self.revision and self.ready and not busy:
+            fetch = self._begin()
+            self.caller.call(holder, "word.known", None, WITHIN_S,
+                             lambda value: self._known(fetch, holder, value))
+
+    def _begin(self) -> int:
+        self.fetches += 1
+        self.fetch, self.fetched_at = self.fetches, self.host.now()
+        return self.fetch
+
+    def _known(self, fetch: int, holder: Address, value: Any) -> None:
+        if self.fetch == fetch:
+            self.fetch = 0
         if isinstance(value, dict) and value.get("version"):
-            self._take(holder, value, first=False)
+            self._take(holder, value)
         else:
             self._again()
 
     def _again(self) -> None:
         """The holder did not tell: ask a reservoir, in a while."""
-        if self.newest > self.revision:
+        if self.newest > self.revision and self.ready:
             cores = self.cores()
             if cores:
                 self.turn += 1
                 core = cores[self.turn % len(cores)]
                 self.host.after(AGAIN_S, lambda: self.heard(self.newest, core))
 
-    def _take(self, holder: Address, value: dict[str, Any], first: bool) -> None:
-        if value["rev"] <= self.revision or self.fetching:
+    def _take(self, holder: Address, value: dict[str, Any]) -> None:
+        if value["rev"] <= self.revision:
             return
         if value["digest"] == self.digest:
             self._apply(value, None, b"")
             return
-        self.fetching = True
-        self.caller.call(holder, "word.body", value["digest"], BODY_WITHIN_S,
-                         lambda packed: self._body(holder, value, packed, first))
-
-    def _body(self, holder: Address, value: dict[str, Any], packed: Any, first: bool) -> None:
-        self.fetching = False
+        fetch = self._begin()
+        first, most = BODY_WITHIN_S
+        within = min(most, first * 2 ** min(self.vain, 4))
+        self.caller.call(holder, "word.body", value["digest"], within,
+                         lambda packed: self._body(fetch, holder, value, packed))
+
+    def _body(self, fetch: int, holder: Address, value: dict[str, Any], packed: Any) -> None:
+        if self.fetch == fetch:
+            self.fetch = 0
         table = None
         if isinstance(packed, bytes):
             try:
                 table = Table(zlib.decompressobj().decompress(packed, MOST_TEXT))
             except (ValueError, KeyError, TypeError, zlib.error) as fault:
                 self.host.log(f"word r{value['version']} from {holder[0]} can't be read: {fault}")
+        self.vain = 0 if table is not None else self.vain + 1
         if table is not None and value["rev"] > self.revision:
             self._apply(value, table, packed)
-        if self.newest > self.revision:
-            if first:
-                self.host.after(AGAIN_S, self.start)
-            else:
-                self._again()
+        elif not self.ready:
+            self.host.after(AGAIN_S, self.start)
+        self._again()
 
     def _apply(self, value: dict[str, Any], table: Table | None, packed: bytes) -> None:
         if table is not None:
--- a/honeywharf/weir/cold.py
+++ b/honeywharf/weir/cold.py
@@ -12,11 +12,12 @@
 
 WINDOW_S = 1.15
 PART = 0.9
+MOST = 8192  # times kept; a bound above that binds nobody
 FRESH_S = 1.15  # after a start
 
 
 class ColdBound:
-    """Times of what was sent. At most `most` are kept, so its memory is bounded by the bound itself."""
+    """Times of what was sent in the last window, cold or not."""
 
     __slots__ = ("begun", "most", "sent")
 
@@ -28,7 +29,7 @@
 
     def bound(self, per_s: float, overage: float, slack: float) -> None:
         """Take a new bound over: requests a second as configured, and the rule's figures."""
-        self.most = max(1, int(PART * (per_s * overage + slack)))
+        self.most = max(1, min(MOST, int(PART * min(1e6, per_s * overage + slack))))
 
     def wait(self, now: float) -> float:
         """Seconds until one more may be sent; 0.0 now."""
@@ -44,5 +45,5 @@
         Coldness may be told late, and the window then holds what went before.
         """
         self.sent.append(now)
-        if len(self.sent) > 4 * self.most:
+        while self.sent[0] <= now - WINDOW_S or len(self.sent) > MOST:
             self.sent.popleft()
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -234,6 +234,7 @@
     def _sluice(self, host: Process) -> Outbound:
         source = Scripted(host)
         source.word.table = Table(TABLE)
+        source.word.ready = True
         source.list_gates("10.1.0.20", "10.1.0.21")
         return Outbound(host, (IP, OUTBOUND), source.word, source)
 
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -402,6 +402,8 @@
     stage.run(0.15)
     assert hasty.events == [("fail", NOT_RUN, FULL, False)], "it waited past its patience"
     assert patient.events == []
+    stage.run(0.7)  # it is next to run: it waits once more
+    assert patient.events == []
     stage.run(0.7)
     assert patient.events == [("fail", NOT_RUN, FULL, False)]
     stage.run(3.0)
