Compare tables by a hash that is not linear, and test news and watch in a simulated network

A freeze of 20 of 60 nodes left some holding live ones down for ever: the checksum of (node, number) is linear, so two nodes behind by the same step cancelled in the sum and no digest followed.

--- a/honeywharf/gauges/ring.py
+++ b/honeywharf/gauges/ring.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 from _bisect import bisect_left
-from zlib import crc32
+
+from honeywharf.runnel.entry import mixed
 
 NEAR, FAR = 2, 2  # watchers in the own zone, and elsewhere
 ALONE = 3  # watchers where there is but one zone
@@ -17,10 +18,7 @@
 
 def place(node: str) -> int:
     """Where a node stands on a ring, below 2**32."""
-    mixed = crc32(node.encode())
-    for factor in (0x85EBCA6B, 0xC2B2AE35):  # a checksum alone puts neighbouring addresses side by side
-        mixed = (mixed ^ mixed >> 15) * factor & 0xFFFFFFFF
-    return mixed ^ mixed >> 16
+    return mixed(node.encode())
 
 
 class Ring:
--- a/honeywharf/runnel/entry.py
+++ b/honeywharf/runnel/entry.py
@@ -43,7 +43,7 @@
         self.received_at = 0.0  # seconds, steady clock
         self.gone_at: float | None = None  # since when it has left or is held down
         self.hidden = False  # gone for so long that it is no more offered
-        self.stamp = crc32(b"%d %d %d" % (key, incarnation, number))
+        self.stamp = mixed(b"%d %d %d" % (key, incarnation, number))
 
     @property
     def version(self) -> tuple[int, int, bool]:
@@ -57,6 +57,14 @@
         return packed
 
 
+def mixed(data: bytes) -> int:
+    """A hash below 2**32. Not a bare checksum: that is linear, and like changes of two nodes would cancel."""
+    value = crc32(data)
+    for factor in (0x85EBCA6B, 0xC2B2AE35):
+        value = (value ^ value >> 15) * factor & 0xFFFFFFFF
+    return value ^ value >> 16
+
+
 def key_of(node: str) -> int:
     """A node's IPv4 address as a number. ValueError where it is none."""
     parts = node.split(".")
--- a/honeywharf/runnel/table.py
+++ b/honeywharf/runnel/table.py
@@ -350,8 +350,8 @@
         if not number_in(revision):
             raise ValueError("not a revision")
         entry = self.table.get(sender)
-        if entry and entry.say is not None and sender != self.me and revision > entry.say.get("rev", 0):
-            entry.say["rev"] = revision
+        if entry and entry.say is not None and sender != self.me and revision:
+            _keep_revision({"rev": revision}, entry.say)
         if revision > self.revision and self.on_word:
             self.on_word(revision, sender)
 
@@ -407,8 +407,8 @@
             entry.zone = old.zone if entry.zone == old.zone else entry.zone
             if not old.hidden:
                 self._sum ^= old.stamp
-            if old.say and entry.say and old.incarnation == entry.incarnation:
-                entry.say["rev"] = max(old.say.get("rev", 0), entry.say.get("rev", 0))
+            if old.say and entry.say and old.incarnation == entry.incarnation and node != self.me:
+                _keep_revision(old.say, entry.say)
         entry.received_at = now
         entry.gone_at = now if entry.say is None else None
         self._sum ^= entry.stamp
@@ -511,6 +511,13 @@
         return chosen
 
 
+def _keep_revision(old: dict[str, Any], new: dict[str, Any]) -> None:
+    """What was told since in heads is newer than what came with the entry."""
+    known = old.get("rev", 0)
+    if number_in(known) and known and not (number_in(new.get("rev")) and new["rev"] >= known):
+        new["rev"] = known
+
+
 def _loud(say: dict[str, Any] | None) -> dict[str, Any] | None:
     return None if say is None else {key: value for key, value in say.items() if key not in QUIET}
 
--- a/tests/runnel/net.py
+++ b/tests/runnel/net.py
@@ -9,6 +9,7 @@
 from typing import Any, cast
 
 from honeywharf.mains.host import Address, Host
+from honeywharf.runnel.entry import Entry
 from honeywharf.runnel.society import Society
 
 PORT = 7620
@@ -83,6 +84,7 @@
         self.sent = 0
         self.machines: dict[str, Machine] = {}
         self.societies: dict[str, Society] = {}
+        self.seen: dict[tuple[str, str], tuple[int, int, bool]] = {}
         self.downs: list[tuple[float, str, str]] = []
         self.names = [f"10.{at % 3 + 1}.{at // 250}.{at % 250 + 1}" for at in range(nodes)]
         self.seeds = self.names[:3]
@@ -110,11 +112,13 @@
         """Start a node, or start it again."""
         if name in self.machines:
             self.machines[name].off = True
+            self.seen = {pair: version for pair, version in self.seen.items() if pair[0] != name}
         zone = ZONES[int(name.split(".")[1]) - 1]
         machine = self.machines[name] = Machine(self, name, zone)
         society = Society(
             cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation
         )
+        society.on_change = lambda node, entry, old: self.check(name, node, entry, old)
         society.on_down = lambda node: self.downs.append((self.now, name, node))
         self.societies[name] = society
         return society
@@ -126,6 +130,14 @@
     def join(self, name: str) -> None:
         self.start(name, **sample(name))
 
+    def check(self, name: str, node: str, entry: Entry | None, old: Entry | None) -> None:
+        """No entry goes back, not even after it was dropped."""
+        if entry is None:
+            return
+        seen = self.seen.get((name, node), (-1, -1, False))
+        assert entry.version > seen, f"{name} took over {entry.version} of {node} after {seen}"
+        self.seen[name, node] = entry.version
+
     def run(self, seconds: float, until: Callable[[], bool] | None = None) -> bool:
         """Let time pass; stops early when `until` is true, looked at every 20 ms. Whether it became true."""
         end, look = self.now + seconds, self.now
@@ -155,6 +167,15 @@
         return all(knows(society, truth) for society in self.live())
 
 
+def settled(nodes: int, seed: int = 1, loss: float = 0.05) -> Net:
+    """A network whose nodes have all come to know one another."""
+    net = Net(seed, nodes, loss)
+    net.start_all()
+    net.run(0.6)
+    assert net.run(10.0, net.all_know)
+    return net
+
+
 def knows(society: Society, truth: dict[str, tuple[int, int, bool]]) -> bool:
     table = society.news.table
     return all(node in table and table[node].version == version for node, version in truth.items())
