--- a/honeywharf/penstock/inlet.py
+++ b/honeywharf/penstock/inlet.py
@@ -97,8 +97,8 @@
 
     __slots__ = (
         "acked", "answer", "collected", "complete", "ended", "epoch", "finished", "got", "heard", "kept",
-        "life", "out", "read", "request", "sent", "sid", "state", "taken", "teller", "told", "total", "twice", "upto",
-        "went")
+        "life", "out", "read", "request", "sent", "sid", "state", "taken", "teller", "told", "total", "twice",
+        "upto", "went")
 
     def __init__(self, sid: bytes, request: Request, teller: Teller, life: bytes = b"") -> None:
         self.sid, self.request, self.teller, self.life = sid, request, teller, life
--- a/honeywharf/penstock/outlet.py
+++ b/honeywharf/penstock/outlet.py
@@ -219,14 +219,12 @@
             self.send(path, [VERDICT, outlet.sid, epoch, MAY_HAVE_RUN, LOST, 0, 0])
             return
         self.joins += 1
-        outlet.state, outlet.until = first.state, first.until
+        outlet.state, outlet.until = RUNNING, first.until  # of its own body nothing is wanted
         first.joined.append(outlet)
         self.sessions[outlet.sid] = outlet
         outlet.epoch, outlet.path, outlet.upto, outlet.moved_at = epoch, path, upto, now
-        if first.state == OVER or first.answer is not None:
+        if first.state == OVER or first.whole or first.base:
             self._copy(first, outlet)
-        else:
-            outlet.state = RUNNING  # of its own body nothing is wanted
 
     def _copy(self, first: Outlet, outlet: Outlet) -> None:
         """Give a joined session what the first was told, where it is all here still."""
--- a/tests/penstock/town.py
+++ b/tests/penstock/town.py
@@ -201,6 +201,7 @@
                 if others:
                     self.ways[inlet.sid] = others[0]
                     inlet.attach(self.now)
+                    self.still[inlet.sid] = (inlet.taken, self.now)
             elif inlet.state == 3:
                 since = self.left_at.setdefault(inlet.sid, self.now)
                 if inlet.quiet() or self.now - since >= QUIET_S:
