--- a/honeywharf/mains/loop.py
+++ b/honeywharf/mains/loop.py
@@ -26,7 +26,7 @@
 READ = 64 * 1024  # bytes of one read
 ROUNDS = 4  # reads of one connection before others have their turn
 BACKLOG = 512
-SILENT_MS = 2500  # a peer that acknowledges nothing for so long is lost
+SILENT_MS = 3000  # a peer that acknowledges nothing for so long is lost
 PROBE_S = 1  # between keep-alive probes of a connection that says nothing
 MOST_DATAGRAMS = 64  # read before others have their turn
 
--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -16,7 +16,8 @@
 No more than `WINDOW_BYTES` of a body are on the way unasked for, so a slow one holds up nobody else on the
 link. A link
 on which nothing is heard for `SILENT_S` while streams wait is lost: what was opened on it may have run,
-except a request whose body was not asked for, which has not.
+except a request whose body was not asked for, which has not. Requests that may run twice are given up on it
+sooner, after `STALLED_S`.
 """
 
 from __future__ import annotations
@@ -74,7 +75,8 @@
 WINDOW_BYTES = 64 * 1024
 PIECE = 16 * 1024  # bytes of one DATA frame: other streams have their turn between
 PING_S = 0.25
-SILENT_S = 1.2
+STALLED_S = 1.2  # of silence, after which what may run twice is not waited for on a link any more
+SILENT_S = 2.6  # of silence, after which a link is lost; a choked one says little for a second and more
 IDLE_S = 60.0  # without a stream, after which a link is closed
 MOST_STREAMS = 2048  # on one link
 MOST_FRAME = 1 << 20
@@ -119,11 +121,14 @@
 class Stream:
     """The source's end of one request on a link."""
 
-    __slots__ = ("bodied", "link", "number", "replies", "went")
+    __slots__ = ("bodied", "link", "number", "opened_at", "repeatable", "replies", "went")
 
-    def __init__(self, link: Link, number: int, replies: Replies, bodied: bool) -> None:
+    def __init__(
+        self, link: Link, number: int, replies: Replies, bodied: bool, repeatable: bool, now: float,
+    ) -> None:
         self.link: Link | None = link
         self.number, self.replies, self.bodied, self.went = number, replies, bodied, False
+        self.repeatable, self.opened_at = repeatable, now
 
     def data(self, data: bytes) -> None:
         """Send a part of the body, at most what the window allows."""
@@ -172,7 +177,9 @@
         if not self.streams:
             self.heard = max(self.heard, self.host.now())  # silence is counted from here
         self.number += 1
-        stream = self.streams[self.number] = Stream(self, self.number, replies, ask.length != 0)
+        now = self.host.now()
+        stream = self.streams[self.number] = Stream(
+            self, self.number, replies, ask.length != 0, ask.kind == 0, now)
         self.connection.send(ask.packed(self.number))
         self.used = self.host.now()
         return stream
@@ -188,6 +195,8 @@
         if self.streams and now - self.heard > SILENT_S:
             self.lose()
             return
+        if self.streams and now - self.heard > STALLED_S:
+            self._leave_stalled(now)
         if self.streams and now - self.heard >= PING_S:
             self.asked = now
             self.send([PING, 0])
@@ -196,6 +205,12 @@
             return
         self.timer = self.host.after(PING_S, self._watch)
 
+    def _leave_stalled(self, now: float) -> None:
+        """Give up, one by one, what may run twice and has waited in silence; the rest may yet be answered."""
+        for stream in [s for s in self.streams.values() if s.repeatable and now - s.opened_at > STALLED_S]:
+            stream.cancel()
+            stream.replies.failed(Verdict(MAY_HAVE_RUN, LOST))
+
     def lose(self) -> None:
         """Give it up: whatever was open on it has failed."""
         if self.dead:
--- a/tests/mains/test_streams.py
+++ b/tests/mains/test_streams.py
@@ -18,6 +18,7 @@
     MOST_STREAMS,
     PIECE,
     SILENT_S,
+    STALLED_S,
     WINDOW_BYTES,
     Answers,
     Ask,
@@ -319,6 +320,19 @@
     assert pair.link is link
 
 
+def test_what_may_run_twice_is_not_waited_for_in_silence_and_what_must_not_is_longer() -> None:
+    pair = Pair()
+    asks, told = [made(), made()], [Told(), Told()]
+    asks[0].kind = 0
+    assert all(pair.link.open(ask, replies) is not None for ask, replies in zip(asks, told, strict=True))
+    pair.run()
+    pair.cut()
+    pair.run(STALLED_S + 0.6)
+    assert [t.events for t in told] == [[("failed", MAY_HAVE_RUN, LOST, False, 0.0)], []]
+    pair.run(SILENT_S)
+    assert told[1].events == [("failed", MAY_HAVE_RUN, LOST, False, 0.0)]
+
+
 def test_an_unused_link_is_closed_and_another_opened_when_one_is_wanted() -> None:
     pair = Pair()
     pair.open()[0].cancel()
