--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -99,6 +99,15 @@
     sys.exit(command(list(words)))
 
 
+@main.command("flume", add_help_option=False, context_settings={"ignore_unknown_options": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def on_flume(words: tuple[str, ...]) -> None:
+    """Play days of the mesh in a simulated network, and check every rule."""
+    from honeywharf.cli.flume import main as command
+
+    sys.exit(command(list(words)))
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/honeywharf/cli/flume.py
@@ -0,0 +1,122 @@
+"""`honeywharf flume`: days of the simulated network by seed, the rules checked after each step.
+
+Exit status: 0 no rule was broken; 1 one was; 2 the call was wrong. A broken day is printed with its seed, the
+rule, the step and as few of its troubles as still break the rule, then what happened up to there.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from dataclasses import dataclass
+from multiprocessing import get_context
+from typing import Annotated
+
+import cappa
+
+from honeywharf.flume.run import Report, play, run
+
+HASHES = "PYTHONHASHSEED"  # the order of sets of texts belongs to a day
+MOST_JOBS = 512
+
+Seed = Annotated[int, cappa.Arg(help="The number that a day is drawn from.")]
+
+
+@cappa.command(name="run", help="Play one day.")
+@dataclass
+class Run:
+    """`flume run SEED`."""
+
+    seed: Seed
+
+    def __call__(self) -> int:
+        """Exit status."""
+        return _days(self.seed, 1, 1, quiet=False)
+
+
+@cappa.command(name="hunt", help="Play days from a seed on, and print those that break a rule.")
+@dataclass
+class Hunt:
+    """`flume hunt FIRST COUNT`."""
+
+    first: Annotated[int, cappa.Arg(help="The first seed.")]
+    count: Annotated[int, cappa.Arg(help="How many days.")]
+    jobs: Annotated[int, cappa.Arg(long=True, help="Processes; 0 for one a core.")] = 0
+
+    def __call__(self) -> int:
+        """Exit status."""
+        if self.count < 1 or not 0 <= self.jobs <= MOST_JOBS:
+            print(f"found {self.count} days and {self.jobs} jobs, wanted 1 or more, and 0 to {MOST_JOBS}")
+            return 2
+        return _days(self.first, self.count, self.jobs or os.cpu_count() or 1, quiet=True)
+
+
+@cappa.command(name="replay", help="Play one day whole, and print its last steps too.")
+@dataclass
+class Replay:
+    """`flume replay SEED`."""
+
+    seed: Seed
+
+    def __call__(self) -> int:
+        """Exit status."""
+        with _pool(1) as pool:
+            report = pool.submit(run, self.seed).result()
+        print(report)
+        for line in [*report.notes, *report.history()]:
+            print(f"    {line}")
+        return 1 if report.broken else 0
+
+
+@cappa.command(name="honeywharf flume", help="Play days of the simulated network, and check every rule.")
+@dataclass
+class Flume:
+    """`honeywharf flume ...`."""
+
+    command: cappa.Subcommands[Run | Hunt | Replay]
+
+
+def main(arguments: list[str]) -> int:
+    """The command line behind `honeywharf flume`. Exit status."""
+    try:
+        return cappa.parse(Flume, argv=arguments, completion=False).command()
+    except cappa.Exit as ended:
+        return int(ended.code or 0)
+
+
+@contextmanager
+def _pool(jobs: int) -> Iterator[ProcessPoolExecutor]:
+    """Processes that know the same order of sets; what was set here before is set again afterwards."""
+    before = os.environ.get(HASHES)
+    os.environ[HASHES] = "0"
+    try:
+        with ProcessPoolExecutor(jobs, mp_context=get_context("spawn")) as pool:
+            yield pool
+    finally:
+        if before is None:
+            del os.environ[HASHES]
+        else:
+            os.environ[HASHES] = before
+
+
+def _days(first: int, count: int, jobs: int, quiet: bool) -> int:
+    bad, begun = 0, time.monotonic()
+    with _pool(min(jobs, count)) as pool:
+        for report in pool.map(play, range(first, first + count)):
+            bad += bool(report.broken)
+            _print(report, quiet)
+    spent = time.monotonic() - begun
+    each = spent * min(jobs, count) / count
+    print(f"{bad} of {count} days broke a rule; {spent:.0f} s in all, {each:.2f} s a day")
+    return 1 if bad else 0
+
+
+def _print(report: Report, quiet: bool) -> None:
+    if report.broken or not quiet:
+        print(report, flush=True)
+    if report.broken:
+        for line in report.history():
+            print(f"    {line}", flush=True)
--- a/honeywharf/flume/days.py
+++ b/honeywharf/flume/days.py
@@ -16,10 +16,11 @@
 KINDS = {
     "after_ack_kill": ("",), "after_ack_wipe": ("",), "answer_lost": ("", "heavy"), "bad_config": ("",),
     "cold_return": ("",), "config_change": ("",), "config_race": ("",), "config_storm": ("",),
-    "core_cut": ("", "one_way"), "core_kill": ("", "power"), "evacuate": ("",), "garble": ("", "extra"),
-    "herd_kill": ("", "power"), "node_cut": ("", "one_way"), "node_freeze": ("",), "node_kill": ("", "power"),
+    "core_cut": ("", "one_way"), "core_kill": ("", "power"), "core_replace": ("", "planned"),
+    "evacuate": ("",), "garble": ("", "extra", "unsealed"), "herd_kill": ("", "power"), "late_again": ("",),
+    "life_swap": ("",), "node_cut": ("", "one_way"), "node_freeze": ("",), "node_kill": ("", "power"),
     "release": ("",), "replace_with_reuse": ("",), "roll_term": ("",), "zone_loss": ("",)}
-COUNTED = ("after_ack_kill", "after_ack_wipe", "core_cut", "core_kill", "zone_loss")
+COUNTED = ("after_ack_kill", "after_ack_wipe", "core_cut", "core_kill", "core_replace", "zone_loss")
 CLOSING = ("power_off_all", "kill_all", "wipe_after_ack")
 
 
@@ -65,7 +66,7 @@
                 self.world.at(self.counted_until, self._strike, fault)
                 return
             self.counted_until = self.world.now + 5.0 + self.book.bounds["catch-up"]
-        self.world.note("FAULT", repr(fault))
+        self.world.tell("FAULT", repr(fault))
         getattr(self, fault.kind)(fault, random.Random(fault.seed))
 
     def _sides(self, chance: random.Random, share: float) -> list[Side]:
@@ -104,6 +105,23 @@
         """A reservoir is killed."""
         self._kill(chance.choice(self.field.cores), fault.how == "power")
 
+    def core_replace(self, fault: Fault, chance: random.Random) -> None:
+        """A reservoir goes for good, with SIGTERM or without; another one comes, elsewhere and empty."""
+        old = chance.choice(self.field.cores)
+        if fault.how == "planned":
+            self._trouble(old.machine, 1.5)
+            old.signal(TERM)
+        self._later(1.0 if fault.how == "planned" else 0.0, self._remove, old)
+
+    def _remove(self, old: Process) -> None:
+        self._trouble(old.machine, 4.0)
+        old.kept = False
+        old.machine.power_off()
+        new = self.field.core_instead(old)
+        self._trouble(new.machine, 1.5)
+        self._later(1.0, new.start)
+        self._later(self.book.bounds["seed-lag"], self.field.listed, old, new)
+
     def zone_loss(self, fault: Fault, chance: random.Random) -> None:
         """A zone is without power."""
         zone = chance.choice(ZONES)
@@ -194,6 +212,13 @@
         side.backend.kept = False
         side.backend.end()
 
+    def life_swap(self, fault: Fault, chance: random.Random) -> None:
+        """Some backends crash and are there again at once, as other lives, cold."""
+        for side in self._sides(chance, 0.4):
+            self.book.any_event = self.world.now
+            side.backend.end()
+            side.backend.start()
+
     def _spoil(self, chance: random.Random, name: str, share: float, sides: float = 0.45) -> None:
         self.book.any_event = self.world.now
         for side in self._sides(chance, sides):
@@ -209,7 +234,7 @@
 
     def garble(self, fault: Fault, chance: random.Random) -> None:
         """Some backends spoil answers, or send them twice."""
-        self._spoil(chance, "extra" if fault.how == "extra" else "garble", 0.04)
+        self._spoil(chance, fault.how or "garble", 0.04)
 
     # The operator.
 
@@ -231,6 +256,14 @@
         for n in range(12):
             self._later(0.33 * n, self.config_change, fault, random.Random(fault.seed + n))
 
+    def late_again(self, fault: Fault, chance: random.Random) -> None:
+        """Older changes arrive a second time."""
+        old = [order for order in self.book.configs() if order.text]
+        for order in chance.sample(old, min(3, len(old))):
+            again = Order("config", order.version, text=order.text)
+            again.routes = order.routes
+            self.field.operator.order(again)
+
     def config_race(self, fault: Fault, chance: random.Random) -> None:
         """Two contents under one version, at once."""
         version = self.field.next_version()
@@ -241,9 +274,9 @@
     def bad_config(self, fault: Fault, chance: random.Random) -> None:
         """Configurations that are not valid."""
         good = self.field.moved(self.field.next_version(), self.moves).text
-        wrong = (good[:-40], good.replace(b'"weight": 1', b'"weight": -1'), good.replace(b"3000ms", b"601s"),
+        wrong = (good[:-40], good.replace(b'"weight": ', b'"weight": -', 1), good.replace(b"3000ms", b"601s"),
                  good.replace(b'"max-attempts": 2', b'"max-attempts": 0'),
-                 good.replace(b'[{"target-service": "order-desk"', b'[{"target-service": "nobody"'))
+                 good.replace(b'[{"target-service": "', b'[{"target-service": "no', 1))
         for n, text in enumerate(wrong):
             order = Order("config", self.field.version, text=text, valid=False)
             self._later(0.5 * n, self.field.operator.order, order, 3)
--- a/honeywharf/flume/field.py
+++ b/honeywharf/flume/field.py
@@ -106,7 +106,7 @@
             self.sides.append(Side(self, f"10.{n % 3 + 1}.0.{20 + n}", ZONES[n % 3], service))
         self.flows += [Flow(*row[:3], row[4] / sides, *row[5:]) for row in ROUTES]
         outside = Process(Machine(self.network, "10.9.0.1", "outside"), "operator", self._operator)
-        self.version = 10
+        self.version, self.replaced = 10, 0
         outside.start()
         for process in self.programs():
             self.world.at(self.world.random.uniform(0.0, 0.5), process.start)
@@ -125,6 +125,17 @@
 
         return Process(Machine(self.network, ip, zone, Disk()), f"reservoir-{ip}", make)
 
+    def core_instead(self, old: Process) -> Process:
+        """Another core machine of the same zone, not started yet; `listed` has the operator know of it."""
+        self.replaced += 1
+        ip = f"{old.machine.ip.rpartition('.')[0]}.{9 + self.replaced}"
+        return self._core(ip, old.machine.zone)
+
+    def listed(self, old: Process, new: Process) -> None:
+        """The operator's list and the seeds name one in place of another."""
+        self.cores[self.cores.index(old)] = new
+        self.seeds = [core.machine.ip for core in self.cores]
+
     def _operator(self, host: Process) -> object:
         self.operator = Operator(
             host, self.book, lambda: [(core.machine.ip, CONTROL) for core in self.cores])
--- a/honeywharf/flume/machine.py
+++ b/honeywharf/flume/machine.py
@@ -241,7 +241,7 @@
 
     def _pump(self) -> None:
         """Put on the wire what the window takes; tell when the last that was held has gone."""
-        if self.state not in ("open", "closing") or self.process.frozen:
+        if self.state not in ("open", "closing") or self.process.frozen or self.other is None:
             return
         while self.held and self.flying < WINDOW:
             room, data = min(PIECE, WINDOW - self.flying), self.held.popleft()
@@ -396,7 +396,7 @@
         if not self.alive and self.machine.power and self.kept:
             self.life += 1
             self.alive, self.frozen, self.status, self.busy = True, False, None, self.world.now
-            self.world.note(self.name, "starts")
+            self.world.tell(self.name, "starts")
             self.call(self.life, self._make)
 
     def _make(self) -> None:
@@ -411,7 +411,7 @@
         if not self.alive:
             return
         self.alive, self.frozen, self.program = False, False, None
-        self.world.note(self.name, "ends")
+        self.world.tell(self.name, "ends")
         self.waiting.clear()
         self.signals.clear()
         for table in (self.machine.listeners, self.machine.ears):
--- a/honeywharf/flume/rules.py
+++ b/honeywharf/flume/rules.py
@@ -36,6 +36,13 @@
         self.answers: dict[str, tuple[int, bytes]] = {}  # by seal: what backends answered
         self.behind = self.spoilt = False  # sent behind another; a backend broke off its answer
 
+    def story(self) -> list[str]:
+        """What became of it, a line each."""
+        told = [f"{self.sent:.6f} {self.id} {self.kind} sent at {self.machine} to {self.host}{self.path}"]
+        told += [f"{when:.6f} {self.id} came to {at.id} at {at.machine}" for when, at in self.arrivals]
+        told += [f"{when:.6f} {self.id} ran there" for when, at in self.runs]
+        return [*told, f"{self.id} was told {self.status}" if self.status else f"{self.id} has no answer"]
+
     @property
     def repeatable(self) -> bool:
         """Whether it may run more than once."""
@@ -53,6 +60,11 @@
         self.routes: dict[tuple[str, str], frozenset[str]] = {}
         self.sent, self.acked = float("inf"), float("inf")
 
+    def __str__(self) -> str:
+        """For the story of a day."""
+        what = f"r{self.version}{'' if self.valid else ', not valid'}" if self.kind == "config" else self.zone
+        return f"{self.kind} {what}"
+
     def services(self, host: str, path: str) -> frozenset[str]:
         """Services that a request may go to: those of the longest prefix; none where there is no route."""
         fits = [prefix for at, prefix in self.routes if at == host and path.startswith(prefix)]
@@ -119,7 +131,7 @@
         """The rule is broken: the world stops, and its notes end with what led there."""
         if not self.book.found:
             self.book.found.append((type(self).__name__.upper(), self.now, what))
-            self.book.world.note("BROKEN", type(self).__name__.upper(), what)
+            self.book.world.tell("BROKEN", type(self).__name__.upper(), what)
             self.book.world.halted = True
 
 
--- a/honeywharf/flume/run.py
+++ b/honeywharf/flume/run.py
@@ -1,9 +1,9 @@
-"""A day by seed, and the least of its faults that breaks a rule: `python -m honeywharf.flume.run 1 20`."""
+"""A day by seed, and the least of its faults that breaks a rule (`honeywharf flume` plays them).
 
-from __future__ import annotations
+The order of sets of texts belongs to a day, so one is played again only under the same PYTHONHASHSEED: 0.
+"""
 
-import os
-import sys
+from __future__ import annotations
 
 from honeywharf.flume.days import Day, Fault, draw
 from honeywharf.flume.field import TERM, Field, Make
@@ -26,13 +26,22 @@
         if not self.served and not self.broken:
             self.broken.append(("FAULT", field.world.now, "no request was served"))
         self.notes = list(field.world.notes)
+        self.story = list(field.world.story)
+        words = self.broken[0][2].split() if self.broken else []
+        self.about = [line for word in words[:1] if word in field.book.asks
+                      for line in field.book.asks[word].story()]
 
     def __str__(self) -> str:
         """One line for the day, one for each rule that was broken."""
         told = [f"day {self.seed}: {self.served} of {self.asked} served, {self.steps} steps, {self.faults}"]
-        told += [f"  BROKEN {rule} at {when:.3f}: {what}" for rule, when, what in self.broken]
+        told += [f"  BROKEN {rule} at {when:.3f}, step {self.steps}: {what}"
+                 for rule, when, what in self.broken]
         return "\n".join(told)
 
+    def history(self) -> list[str]:
+        """What led to the break: troubles, starts, ends, orders, then the request that shows it."""
+        return [*self.story, *self.about]
+
 
 def real_sluice(host: Process, settings: str) -> object:
     """The data plane's program."""
@@ -85,20 +94,7 @@
     return least
 
 
-def main(first: int, count: int) -> int:
-    """Play days; print those that break a rule, as small as they become. 1 where there is one."""
-    bad = 0
-    for seed in range(first, first + count):
-        report = run(seed)
-        if report.broken:
-            bad += 1
-            report = shrink(report)
-        print(report, flush=True)
-    print(f"{bad} of {count} days broke a rule")
-    return 1 if bad else 0
-
-
-if __name__ == "__main__":
-    if sys.flags.hash_randomization:  # the order of sets of texts belongs to the seed
-        os.execve(sys.executable, sys.orig_argv, {**os.environ, "PYTHONHASHSEED": "0"})
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+def play(seed: int) -> Report:
+    """The day of a seed; where it breaks a rule, with as few of its faults as still do."""
+    report = run(seed)
+    return shrink(report) if report.broken else report
--- a/honeywharf/flume/standins.py
+++ b/honeywharf/flume/standins.py
@@ -330,7 +330,7 @@
         self.address, self.control = f"{self.machine}:{application}", (self.machine, control)
         self.slots, self.queue, self.most = slots, queue, most
         self.cold_until, self.cold_per_s = host.world.now + cold, COLD_PER_S
-        self.lose = self.garble = self.extra = 0.0  # shares of the answers
+        self.lose = self.garble = self.extra = self.unsealed = 0.0  # shares of the answers
         self.mean, self.state, self.serial = 0.06, "ready", 0
         self.connections: dict[Served, None] = {}
         self.running: dict[Work, None] = {}
@@ -398,7 +398,9 @@
         luck = chance.random()
         if ask is not None:
             ask.answers[seal] = (status, body)
-            ask.spoilt = ask.spoilt or luck < self.lose + self.garble
+            ask.spoilt = ask.spoilt or luck < self.lose + self.garble or luck > 1 - self.unsealed
+        if luck > 1 - self.unsealed:
+            del headers["X-Honeywharf-Server-Seal"]
         whole = text(f"HTTP/1.1 {status} {REASONS[status]}", headers, body)
         if luck < self.lose:
             wire.abort()
@@ -484,6 +486,7 @@
         """Send, and again until it is clear."""
         self.book.orders.append(order)
         order.sent = self.host.world.now
+        self.host.world.tell("operator", "sends", order)
         self.book.tell("ordered", order)
         path = "configuration/replace" if order.kind == "config" else f"evacuations/{order.zone}/{order.kind}"
         headers: dict[str, object] = {"Host": "mesh", "Content-Type": "application/json"}
@@ -493,6 +496,7 @@
     def _clear(self, order: Order, message: Message, ip: str) -> None:
         if message.status < 300:
             order.acked, self.by = self.host.world.now, ip
+            self.host.world.tell("operator", "has an ack of", order, "from", ip)
             self.book.tell("acked", order)
             self.on_ack(order, ip)
 
--- a/honeywharf/flume/world.py
+++ b/honeywharf/flume/world.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 KEPT_NOTES = 400  # last lines kept to tell what happened before a rule broke
+KEPT_STORY = 120  # last lines of what a reader of a broken day wants to know
 
 
 class Event:
@@ -37,6 +38,7 @@
         self.now, self.steps, self.digest = 0.0, 0, 0
         self.random = random.Random(seed)
         self.notes: deque[str] = deque(maxlen=KEPT_NOTES)
+        self.story: deque[str] = deque(maxlen=KEPT_STORY)
         self.strict = False  # whether a program's error halts the world
         self.halted = False  # something was found: nothing more is done
         self.crashes: list[tuple[float, str, str]] = []  # programs that ended by an error: when, who, where
@@ -56,6 +58,11 @@
         self.digest = zlib.crc32(line.encode(), self.digest)
         self.notes.append(line)
 
+    def tell(self, *what: object) -> None:
+        """Note what belongs to the story of the day: starts, ends, troubles, orders."""
+        self.note(*what)
+        self.story.append(self.notes[-1])
+
     def crashed(self, who: str, trace: str) -> None:
         """A program ended by an error of its own."""
         self.crashes.append((self.now, who, trace))
