Tell people what is on a reservoir's disk, mend it, back it up and return it

A damaged register was written over at the next start, a file of a later version would have counted as damage and been removed, and nobody could bring a word back once two of three disks were gone.

--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -108,6 +108,15 @@
     sys.exit(command(list(words)))
 
 
+@main.command("mesh-store", add_help_option=False, context_settings={"ignore_unknown_options": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def on_mesh_store(words: tuple[str, ...]) -> None:
+    """Look at a reservoir's disk, mend it, back its word up, and return one."""
+    from honeywharf.cli.store import main as command
+
+    sys.exit(command(list(words)))
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- /dev/null
+++ b/tests/reservoir/test_store_mending.py
@@ -0,0 +1,193 @@
+"""The disk told to people: format, check, repair, backup, and the return of a word when all else is gone."""
+
+from __future__ import annotations
+
+import zlib
+from pathlib import Path
+
+import pytest
+
+from honeywharf.cli import store as command
+from honeywharf.mains.loop import Loop
+from honeywharf.reservoir import mending
+from honeywharf.reservoir.store import BAD, BESIDE, FORMAT, REGISTER, FormatError, Store, seal, unseal
+from tests.reservoir.test_store import machine, state
+from tests.reservoir.town import Town
+from tests.reservoir.world import Machine
+
+TEXT = b"r5 the routes"
+
+
+def used() -> tuple[Town, Machine]:
+    """A town with a configuration and an evacuated zone, and one of its machines."""
+    town = Town(31)
+    town.run(0.5)
+    town.replace("10.0.0.1", 5, "the routes")
+    town.run(0.5)
+    town.call("10.0.0.2", "POST", "/api/evacuations/b/start")
+    town.run(1.5)
+    return town, town.world.machines["10.0.0.2"]
+
+
+def spoil(host: Machine, name: str) -> None:
+    data = bytearray(host.disk.files[name])
+    data[-1] ^= 1
+    host.disk.files[name] = bytes(data)
+
+
+def later(data: bytes) -> bytes:
+    """The same file as a later version would write it."""
+    return data[:3] + b"%d" % (FORMAT + 1) + data[4:]
+
+
+@pytest.mark.parametrize("name", [REGISTER, "config"])
+def test_a_later_format_is_never_taken_for_damage(name: str) -> None:
+    town, host = used()
+    name = next(one for one in host.disk.files if one.startswith(name))
+    host.off(power=True)
+    host.disk.files[name] = later(host.disk.files[name])
+    before = dict(host.disk.files)
+    with pytest.raises(FormatError, match=f"format {FORMAT + 1}, wanted at most {FORMAT}"):
+        Store(host).load()
+    if name == REGISTER:
+        with pytest.raises(FormatError):
+            mending.repair(host)
+    town.start("10.0.0.2")
+    town.run(2.0)
+    assert host.disk.files == before
+    assert town.replace("10.0.0.1", 6).answers == []
+    town.run(0.5)
+    assert town.known("10.0.0.1")["version"] == 6, "the other two go on"
+
+
+def test_every_wrong_head_is_damage() -> None:
+    whole = seal(b"body")
+    assert unseal(whole) == b"body"
+    rest = whole[4:]
+    for wrong in (b"", whole[:7], b"hwr0" + rest, b"hwrx" + rest, b"HWR1" + rest, whole + b"x"):
+        assert unseal(wrong) is None
+
+
+def test_check_tells_what_is_there_and_each_fault() -> None:
+    _, host = used()
+    report = mending.check(host)
+    assert report.faults == []
+    lines = "\n".join(report.lines)
+    assert "configuration r5" in lines
+    assert "evacuated b" in lines
+    assert "roster 1: 10.0.0.1:7620/" in lines
+    (text,) = [name for name in host.disk.files if name.startswith("config-")]
+    spoil(host, text)
+    assert mending.check(host).faults == [f"{text}: damaged"]
+    del host.disk.files[text]
+    assert mending.check(host).faults == [f"{text}: missing, and the register names it"]
+    spoil(host, REGISTER)
+    assert mending.check(host).faults == [f"{REGISTER}: damaged"]
+    assert mending.check(machine()).lines == [f"{REGISTER}: none: the disk has no vote"]
+
+
+def test_repair_sets_damage_aside_and_gives_no_vote_back() -> None:
+    town, host = used()
+    host.off(power=False)
+    (text,) = [name for name in host.disk.files if name.startswith("config-")]
+    spoil(host, text)
+    spoil(host, REGISTER)
+    assert len(mending.repair(host)) == 2
+    assert sorted(host.disk.files) == [text + BAD, REGISTER + BAD]
+    assert mending.repair(host) == []
+    town.start("10.0.0.2", first=True)
+    basin = town.programs["10.0.0.2"].basin
+    assert basin.state.disk != "first", "a lost disk has no vote, even at the first start"
+    town.run(4.0)
+    assert basin.member(), "it is admitted anew"
+    call = town.describe("10.0.0.2")
+    town.run(1.0)
+    assert call.answers[0][:2] == (200, TEXT)
+
+
+def test_repair_ends_a_write_that_was_cut_off() -> None:
+    host = machine()
+    store = Store(host)
+    store.save(state(1).but(value=None))
+    host.disk.files[BESIDE] = seal(b"torn")[:9]
+    assert mending.repair(host) == [f"{BESIDE}: removed"]
+    store.save(state(2).but(value=None))
+    host.disk.files[BESIDE] = host.disk.files[REGISTER]
+    spoil(host, REGISTER)
+    assert len(mending.repair(host)) == 2
+    again = Store(host).load()
+    assert again is not None
+    assert again.promised[0] == 2
+
+
+def test_a_backup_is_whole_or_nothing() -> None:
+    _, host = used()
+    packed = mending.backup(host)
+    assert mending.opened(packed)["text"] == TEXT
+    for cut in range(0, len(packed), 7):
+        with pytest.raises(mending.BackupError):
+            mending.opened(packed[:cut])
+    with pytest.raises(mending.BackupError, match="no backup"):
+        mending.opened(seal(b"\xc1"))
+    with pytest.raises(mending.BackupError, match="no word"):
+        mending.backup(machine())
+    (text,) = [name for name in host.disk.files if name.startswith("config-")]
+    host.disk.files[text] = seal(zlib.compress(b"r5 others"))
+    with pytest.raises(mending.BackupError, match="no whole"):
+        mending.backup(host)
+
+
+@pytest.mark.parametrize("left", [0, 1])
+def test_a_word_returns_where_no_majority_is_left(left: int) -> None:
+    town, host = used()
+    packed = mending.backup(host)
+    before = town.known("10.0.0.1")["rev"]
+    members = [(f"{ip}:7620", "z") for ip in town.ips]
+    for n, ip in enumerate(town.ips):
+        lost = town.world.machines[ip]
+        lost.off(power=True)
+        if n >= left:
+            lost.disk.files.clear()
+    for ip in town.ips[left:]:
+        with pytest.raises(mending.BackupError, match="among them"):
+            mending.restore(town.world.machines[ip], packed, members, "10.0.0.9:7620")
+        mending.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
+        with pytest.raises(mending.BackupError, match="wanted an empty one"):
+            mending.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
+    for ip in town.ips:
+        town.start(ip)
+    town.run(6.0)
+    for ip in town.ips:
+        call = town.describe(ip)
+        town.run(1.0)
+        assert call.answers[0][:2] == (200, TEXT)
+        assert town.known(ip)["evac"] == {"b": True}
+        assert town.known(ip)["rev"] > before + mending.RAISED - 1
+        assert town.programs[ip].basin.member()
+    town.replace(town.ips[0], 6)
+    town.run(1.0)
+    assert town.known("10.0.0.3")["version"] == 6
+
+
+def test_the_command_line_on_files(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    _, host = used()
+    folder, other, file = tmp_path / "core", tmp_path / "new", tmp_path / "word.backup"
+    folder.mkdir()
+    other.mkdir()
+    for name, data in host.disk.files.items():
+        (folder / name).write_bytes(data)
+    assert command.main(["check", str(folder)]) == 0
+    assert command.main(["backup", str(folder), str(file)]) == 0
+    assert command.main(["backup", str(folder), str(file)]) == 2, "a backup is never written over"
+    here = ["--here", "10.0.0.1:7620", "--members"]
+    assert command.main(["return", str(file), str(other), *here, "10.0.0.1:7620"]) == 1
+    assert command.main(["return", str(file), str(other), *here, "10.0.0.1:7620/b"]) == 0
+    found = Store(Loop(str(other))).load()
+    assert found is not None
+    assert found.value is not None
+    assert found.value["version"] == 5
+    assert command.main(["check", str(tmp_path / "none")]) == 2
+    (folder / REGISTER).write_bytes(b"hwr1 garbage")
+    assert command.main(["check", str(folder)]) == 1
+    assert command.main(["repair", str(folder)]) == 0
+    assert "FAULT register: damaged" in capsys.readouterr().out
