Put slips of fifteen kinds into running sluices, and ask first after a standstill

Whether a slip is caught was not shown, and a thawed process or one that was told a wrong word ran its own machine's requests by it. Trials in the simulated network put in slips by seed and judge by the operator's orders what ran; a process that stood still, or whose word no reservoir has confirmed, now asks before it runs what must not run twice, a request that has waited is judged once more, and a request carries the revision of its decision, not that of its sending.

--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -43,9 +43,10 @@
 CONFIRM_S = 4.0  # between comparisons with a reservoir
 LOOK_S = 0.25  # between looks at all of oneself that others or requests ask for
 HOLD_S = 0.3  # that a request waits for news of the word
-FETCH_S = 0.05  # between fetches that requests ask for
+FETCH_S = 0.03  # between fetches in vain that requests ask for
 MOST_HELD = 256
 MOST_RELAPSES = 3  # slips so soon after healing, after which building anew counts as vain
+ACCUSERS, ACCUSED_S = 2, 5.0  # gates that hold otherwise within so long, and are believed
 MOST_SLIPS = 16  # told to who asks
 MOST_TEXT = 80 << 20
 MOST_WORDS = 160  # characters of a slip's cause
@@ -80,15 +81,17 @@
         now = self.host.now()
         self.state = states.State(now)
         self.rules = digests.Rules()
+        self.build = Table  # what reads a told text for those who decide
         self.told: Told | None = None
         self.told_digest = ""
         self.parts: Any = None
         self.parts_of: Table | None = None
         self.clean = True  # nothing found in this round
         self.turn = self.turn_list = self.sampled = self.relapses = 0
-        self.ticked = self.looked = self.confirmed = self.fetched = now
+        self.ticked = self.looked = self.confirmed = now
         self.looked -= LOOK_S
-        self.fetched -= FETCH_S
+        self.renewals, self.renewed = 0, now  # the last one's number, and when it began
+        self.unsure = False  # no reservoir has told this word since it was taken over
         self.rebuilding = self.renewing = self.asking = self.standing = False
         self.courses: list[Course] = []  # that wait for a renewal, to decide again
         self.jobs: list[Job] = []  # that wait for news of the word
@@ -96,6 +99,7 @@
         self.refused = 0
         self.slips: list[list[object]] = []
         self.cores_turn = 0
+        self.accused: dict[str, float] = {}  # gates that hold otherwise by our own word, and when
         self.host.after(STEP_S, self._tick)
 
     # At the source.
@@ -149,27 +153,44 @@
             return
         self.courses.append(course)
         if not self.renewing:
-            self.renewing = True
-            self.host.after(HOLD_S, self._release)
-            self._fetch((key, self.sluice.settings.ports[0]), self._compared)
+            self._begin()
+            self._fetch((key, self.sluice.settings.ports[0]), lambda value: self._compared(key, value))
 
     def _fetch(self, holder: Address, done: Any) -> None:
         """Ask a holder for its word, and take it over where it is newer."""
+        asked = self.host.now()
+
         def known(value: Any) -> None:
             if isinstance(value, dict) and value.get("version"):
                 self.word.take(holder, value)
-            done(value)
+            done(value if self.host.now() - asked < GAP_S else None)  # else it is as old as our standstill
 
         self.sluice.caller.call(holder, "word.known", None, HOLD_S, known)
 
-    def _compared(self, value: Any) -> None:
+    def _compared(self, key: str, value: Any) -> None:
         """A gate's word has come: where it is not newer than ours, one of us has slipped."""
-        if not isinstance(value, dict) or value.get("rev", 0) <= self.word.revision:
-            self.examine("judge", "a gate decides otherwise by the same word")
-            self._release()
+        if isinstance(value, dict) and value.get("rev", 0) > self.word.revision:
+            return
+        if not self.examine("judge", f"{key} decides otherwise") and isinstance(value, dict) and (
+                value.get("rev") == self.word.revision):
+            self._accuse(key)
+        self._release()
+
+    def _accuse(self, key: str) -> None:
+        """A gate holds otherwise and nothing is found here: two that do so are believed, one is not."""
+        now = self.host.now()
+        self.accused = {gate: at for gate, at in self.accused.items() if now - at < ACCUSED_S}
+        self.accused[key] = now
+        if len(self.accused) >= ACCUSERS:
+            self.accused.clear()
+            self.relapses = MOST_RELAPSES  # it is not built wrong: building anew heals nothing
+            self.slip("peers", f"{ACCUSERS} gates decide otherwise by the same word, {key} the last")
 
     def _release(self) -> None:
-        self.renewing, self.ticked = False, self.host.now()
+        now = self.host.now()
+        if now - self.renewed < GAP_S:
+            self.unsure, self.ticked = False, now
+        self.renewing = False
         courses, self.courses = self.courses, []
         for course in courses:
             course.decide()
@@ -196,6 +217,8 @@
         if strict and self.scanning and (fault := scan.others(self.sluice)):
             self.slip("scan", fault)
         if not ask.peer:
+            if strict and self.judging and self.unsure and not asked:
+                return self._hold(job, None)  # nobody else judges it: a reservoir must know this word
             return self._home(job, host, path)
         if not self.judging or (not strict and self._skip()):
             return True
@@ -208,6 +231,18 @@
             return self._hold(job, (ask.peer, self.sluice.settings.ports[0]))
         return self._refuse_job(job, 0.0 if verdict != judge.ASK else 0.05)
 
+    def still(self, job: Job) -> bool:
+        """Whether a request that has waited may go on; else it was refused, and its source decides again."""
+        ask = job.ask
+        if not ask.kind or not self.judging:
+            return True
+        if self.host.now() - self.ticked > GAP_S:
+            return self._refuse_job(job, 0.0)
+        host, path = judge.host_of(ask.fields), ask.target.partition(b"?")[0]
+        if not ask.peer:
+            return self._home(job, host, path)
+        return self._verdict(job, self.word.find(host, path)) == judge.RUN or self._refuse_job(job, 0.0)
+
     def _skip(self) -> bool:
         self.turn += 1
         return bool(self.turn % judge.EACH)
@@ -223,7 +258,9 @@
         if not self.reading or told is None:
             return True
         made, kind = told.decide(host, path)
-        if made == ask.rule and kind == ask.kind:
+        route = self.word.find(host, path)
+        if made == ask.rule and kind == ask.kind and route is not None and any(
+                name == ask.service for name, _ in route.split):
             return True
         if ask.revision == self.word.revision:
             self.slip("reading", f"{_shown(host, path)} would run by another rule")
@@ -240,18 +277,40 @@
             return self._refuse_job(job, 0.05)
         self.jobs.append(job)
         if not self.renewing:
-            self.renewing = True
-            self.host.after(HOLD_S, self._release)
-            cores = self.sluice.cores()
-            to = holder or (cores[0] if cores else None)
-            if to is not None:
-                self._fetch(to, self._asked)
+            self._begin()
+            self._ask(holder)
         return False
 
+    def _ask(self, holder: Address | None) -> None:
+        cores = self.sluice.cores()
+        if holder is not None or cores:
+            self.cores_turn += 1
+            self._fetch(holder or cores[self.cores_turn % len(cores)], self._asked)
+
+    def _begin(self) -> None:
+        """Something waits for a renewal: `HOLD_S` at most."""
+        self.renewing, self.renewals, self.renewed = True, self.renewals + 1, self.host.now()
+        number = self.renewals
+        self.host.after(HOLD_S, lambda: self._too_long(number))
+
+    def _too_long(self, number: int) -> None:
+        """Nobody has told anything new in time: go on without, unless this process stood still meanwhile."""
+        if not self.renewing or number != self.renewals:
+            return
+        if self.host.now() - self.renewed > GAP_S:
+            self._begin()
+            self._ask(None)
+        else:
+            self._release()
+
     def _asked(self, value: Any) -> None:
         """A holder told its word: where it is newer, its text is on the way and `word_changed` releases."""
-        self.ticked = self.host.now()
-        if not isinstance(value, dict) or value.get("rev", 0) <= self.word.revision:
+        if not isinstance(value, dict):  # a link that died meanwhile, or nobody there
+            if self.renewing:
+                self.host.after(FETCH_S, lambda: self._ask(None) if self.renewing else None)
+            return
+        self._confirmed(value)
+        if value.get("rev", 0) <= self.word.revision:
             self._release()
 
     # The word.
@@ -261,6 +320,7 @@
         if not self.rebuilding:
             self._read()
             self.parts = None
+            self.unsure, self.confirmed = True, self.host.now() - CONFIRM_S
             self.state.event(self.host.now(), states.APPLIED)
         if self.renewing:
             self.host.after(0.0, self._release)
@@ -336,9 +396,9 @@
 
     def _confirmed(self, value: Any) -> None:
         """A reservoir has told its word."""
-        if not isinstance(value, dict):
-            return
-        self.ticked = self.host.now()
+        if not isinstance(value, dict) or value.get("rev", 0) > self.word.revision:
+            return  # a newer text is on its way
+        self.ticked, self.unsure = self.host.now(), False
         mine = self.word.value
         if value.get("rev") == self.word.revision and any(
                 value.get(name) != mine.get(name) for name in ("version", "digest", "evac")):
@@ -412,7 +472,7 @@
         word = self.word
         try:
             text = text_of(word.packed, word.digest)
-            table, self.told, self.told_digest = Table(text), Told(text), word.digest
+            table, self.told, self.told_digest = self.build(text), Told(text), word.digest
         except (ValueError, KeyError, TypeError, LookupError) as fault:
             self.host.log(f"assay: the told text can't be read: {fault}")
             return False
@@ -477,7 +537,7 @@
             self._again()
             return
         try:
-            table = Table(text_of(packed, value["digest"]))
+            table = self.build(text_of(packed, value["digest"]))
         except ValueError as fault:
             self.host.log(f"assay: a majority's text can't be read: {fault}")
         else:
--- /dev/null
+++ b/honeywharf/flume/slips.py
@@ -0,0 +1,444 @@
+"""Slips put into running sluices by seed: who catches them, how soon, and what ran meanwhile.
+
+Theory of operation. A `Trial` plays a field with traffic and, one after the other, puts slips of one kind
+into sluices drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
+head goes to a backend, not by the sluices. A slip that is not healed in time is undone, and counts as not caught
+unless somebody noticed. The three ways of noticing can be switched off.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable
+from typing import Any, cast
+
+from honeywharf.assay import second
+from honeywharf.assay.watch import Assay
+from honeywharf.flume.field import SERVICES, ZONES, Field, Side
+from honeywharf.flume.rules import Order
+from honeywharf.flume.run import real_reservoir, real_sluice
+from honeywharf.sluice.inbound import Job
+from honeywharf.strainer.routes import Route, Table
+
+LEAD = 4.0
+FIRST = 9.0  # seconds, when the first slip comes
+UNDONE = 1.4  # seconds that a slip may stay; longer kinds below
+WAYS = ("scanning", "judging", "reading")
+STRICT = (b"/orders/", b"/uploads/")
+Undo = Callable[[], None]
+
+
+def _copy(route: Route, **fields: Any) -> Route:
+    made = Route()
+    for name in Route.__slots__:
+        setattr(made, name, fields.get(name, getattr(route, name)))
+    return made
+
+
+def _hosts(sluice: Any) -> Any:
+    return sluice.word.table._hosts
+
+
+def _place(sluice: Any, chance: random.Random, strict: bool = True) -> tuple[Any, bytes]:
+    places = [(of, prefix) for of in _hosts(sluice).values() for prefix in of.routes
+              if not strict or prefix in STRICT]
+    return chance.choice(places)
+
+
+def _change(sluice: Any, chance: random.Random, **fields: Any) -> Undo:
+    """A copy of an entry with other fields in its place."""
+    of, prefix = _place(sluice, chance)
+    before = of.routes[prefix]
+    of.routes[prefix] = _copy(before, **fields)
+    return lambda: of.routes.__setitem__(prefix, before)
+
+
+class Kinds:
+    """Each method puts one slip into a sluice and gives what undoes it."""
+
+    def __init__(self, trial: Trial) -> None:
+        self.trial = trial
+
+    def stored(self, sluice: Any, chance: random.Random) -> Undo:
+        """The stored version is not the one in force."""
+        word, value = sluice.word, sluice.word.value
+        table, revision, version = word.table, word.revision, word.version
+        how = chance.randrange(3)
+        if how == 0:
+            word.revision += chance.randint(1, 9)
+        elif how == 1:
+            word.value = {**value, "version": value["version"] + chance.choice((-1, 1))}
+        else:
+            word.table = Table(self.trial.older)
+
+        def undo() -> None:
+            word.table, word.revision, word.version, word.value = table, revision, version, value
+
+        return undo
+
+    def weights(self, sluice: Any, chance: random.Random) -> Undo:
+        """Weights are turned, or another service stands there."""
+        of, prefix = _place(sluice, chance)
+        before = of.routes[prefix]
+        split = before.split[::-1] if len(before.split) > 1 else ((chance.choice(SERVICES[:1]), 1.0),)
+        of.routes[prefix] = _copy(before, split=tuple(
+            (name, weight) for (name, _), (_, weight) in zip(split, before.split, strict=True)))
+        return lambda: of.routes.__setitem__(prefix, before)
+
+    def lost(self, sluice: Any, chance: random.Random) -> Undo:
+        """An entry is missing."""
+        of, prefix = _place(sluice, chance)
+        before = of.routes.pop(prefix)
+        return lambda: of.routes.__setitem__(prefix, before)
+
+    def added(self, sluice: Any, chance: random.Random) -> Undo:
+        """An entry that nobody ordered stands before one that must not run twice."""
+        of, prefix = _place(sluice, chance)
+        before = of.routes[prefix]
+        odd = prefix + b"1" + b"/"
+        of.routes[odd] = _copy(before, prefix=odd, kind="read_only")
+        of.routes[prefix] = _copy(before, attempts=before.attempts + 1)
+        longest, of.longest = of.longest, max(of.longest, len(odd))
+
+        def undo() -> None:
+            of.routes.pop(odd, None)
+            of.routes[prefix], of.longest = before, longest
+
+        return undo
+
+    def timeout(self, sluice: Any, chance: random.Random) -> Undo:
+        """A timeout of another route."""
+        return _change(sluice, chance, timeout_s=chance.choice((1.5, 2.0, 6.0, 60.0)))
+
+    def kind(self, sluice: Any, chance: random.Random) -> Undo:
+        """What must not run twice is held for `read_only`."""
+        return _change(sluice, chance, kind="read_only")
+
+    def limits(self, sluice: Any, chance: random.Random) -> Undo:
+        """Bounds or attempts of an older version are kept."""
+        how = chance.randrange(4)
+        if how == 0:
+            return _change(sluice, chance, attempts=5)
+        if how == 1:
+            most, sluice.taps.most = sluice.taps.most, sluice.taps.most + 50
+            return lambda: setattr(sluice.taps, "most", most)
+        if how == 2:
+            cold, sluice.gate.cold.most = sluice.gate.cold.most, sluice.gate.cold.most + 20
+            return lambda: setattr(sluice.gate.cold, "most", cold)
+        limits = sluice.word.table.limits
+        body, limits.max_body_bytes = limits.max_body_bytes, 1 << 30
+        return lambda: setattr(limits, "max_body_bytes", body)
+
+    def evacuation(self, sluice: Any, chance: random.Random) -> Undo:
+        """An evacuation is forgotten, or never withdrawn."""
+        word, gate = sluice.word, sluice.gate
+        before, evacuated = set(word.evacuated), gate.evacuated
+        if chance.random() < 0.5:
+            gate.evacuated = not gate.evacuated
+        else:
+            word.evacuated ^= {chance.choice(ZONES)}
+
+        def undo() -> None:
+            word.evacuated, gate.evacuated = before, evacuated
+
+        return undo
+
+    def list(self, sluice: Any, chance: random.Random) -> Undo:
+        """The list has one id, zone or draining mark wrong, or this backend's cold time."""
+        source = sluice.source
+        node = chance.choice([node for node in source.list if node != sluice.settings.ip])
+        entry, how = source.list[node], chance.randrange(4)
+        target = source.levels_of(entry.service).targets[node]
+        kept = (entry.instance, entry.zone, entry.state, target.zone, target.usable)
+        if how == 0:
+            entry.instance = "i-odd"
+        elif how == 1:
+            entry.zone = target.zone = chance.choice([zone for zone in ZONES if zone != entry.zone])
+        elif how == 2:
+            entry.state = 2 if entry.state == 1 else 1
+            target.usable = entry.state == 1
+        else:
+            target.usable = not target.usable
+
+        def undo() -> None:
+            entry.instance, entry.zone, entry.state, target.zone, target.usable = kept
+
+        return undo
+
+    def freeze(self, sluice: Any, chance: random.Random) -> Undo:
+        """The process stands still while the word changes."""
+        side = self.trial.victim
+        side.proxy.freeze()
+        self.trial.field.book.trouble(side.ip, 1)
+        self.trial.order(chance)
+
+        def thaw() -> None:
+            self.trial.field.book.trouble(side.ip, -1)
+            side.proxy.thaw()
+
+        self.trial.later(3.0, thaw)
+        return lambda: None
+
+    def content(self, sluice: Any, chance: random.Random) -> Undo:
+        """Two nodes believe one revision and differ in content; half of them with a digest that fits."""
+        word = sluice.word
+        kept = word.table, word.packed, word.digest, word.value
+        text, other = self.trial.odd(chance)
+        word.table, word.packed = Table(text), other
+        if chance.random() < 0.5:  # as if somebody had told it so
+            word.restore({**word.value, "digest": self.trial.digest(text)}, word.table, other)
+
+        def undo() -> None:
+            word.table, word.packed, word.digest, word.value = kept
+            sluice.assay.told_digest = ""
+            sluice.assay._read()
+
+        return undo
+
+    def build(self, sluice: Any, chance: random.Random) -> Undo:
+        """A program of another build reads the same text otherwise, each time."""
+        assay, word = sluice.assay, sluice.word
+
+        def other(text: bytes) -> Table:
+            table = Table(text)
+            for of in table._hosts.values():
+                for route in of.routes.values():
+                    route.aim_s, route.attempts = route.timeout_s, 1
+            return table
+
+        assay.build, kept = other, word.table
+        word.table = other(self.trial.newest)
+
+        def undo() -> None:
+            assay.build, word.table = Table, kept
+
+        return undo
+
+    def liar(self, sluice: Any, chance: random.Random) -> Undo:
+        """It says the right digest and decides otherwise; its own second reading is blind to it."""
+        assay, source, word = sluice.assay, sluice.source, sluice.word
+        find = word.find
+        if chance.random() < 0.5:  # another service
+            source.draw_service = lambda route: (
+                SERVICES[0] if route.prefix in STRICT else Route.service(route, source.draw()))
+        else:  # another kind
+            def found(host: bytes, path: bytes) -> Route | None:
+                route = find(host, path)
+                return route if route is None or route.prefix not in STRICT else _copy(
+                    route, kind="read_only")
+
+            told = {prefix: assay.rules.of(of.routes[prefix]) for of in _hosts(sluice).values()
+                    for prefix in of.routes if prefix in STRICT}
+            word.find = found
+            assay.look = lambda host, path, route: (found(host, path), 0.0)
+            source.rule = lambda route: told.get(route.prefix) or assay.rules.of(route)
+
+        def undo() -> None:
+            for thing, name in ((source, "draw_service"), (word, "find"), (assay, "look"), (source, "rule")):
+                thing.__dict__.pop(name, None)
+
+        return undo
+
+    def checker(self, sluice: Any, chance: random.Random) -> Undo:
+        """What was read a second time is itself wrong."""
+        told = sluice.assay.told
+        at = chance.randrange(len(told.rules))
+        told.rules[at] ^= 1 << chance.randrange(64)
+        return lambda: None
+
+    def disk(self, sluice: Any, chance: random.Random) -> Undo:
+        """A reservoir's disk gives back an older word."""
+        field = self.trial.field
+        core = chance.choice(field.cores)
+        disk = cast(Any, core.machine.disk)
+        older = dict(disk.files)
+        self.trial.order(chance)
+
+        def strike() -> None:
+            field.book.trouble(core.machine.ip, 1, True)
+            core.machine.power_off()
+            disk.files.clear()
+            disk.files.update(older)
+
+        def back() -> None:
+            core.machine.power_on()
+            field.book.trouble(core.machine.ip, -1, True)
+
+        self.trial.later(1.5, strike)
+        self.trial.later(2.5, back)
+        return lambda: None
+
+
+KINDS = ("stored", "weights", "lost", "added", "timeout", "kind", "limits", "evacuation", "list", "freeze",
+         "content", "build", "liar", "checker", "disk")
+LONG = {"freeze": 4.5, "build": 8.0, "liar": 8.0, "disk": 6.0, "content": 6.0}  # seconds that each may stay
+
+
+class Slip:
+    """One that was put in. `after`: requests sent at its node until it was noticed; -1: never."""
+
+    __slots__ = ("after", "at", "by", "ran", "victim")
+
+    def __init__(self, victim: str, at: float) -> None:
+        self.victim, self.at, self.after, self.by, self.ran = victim, at, -1, "", 0
+
+
+class Trial:
+    """One field with slips of one kind. `ways`: those of `WAYS` that are on."""
+
+    def __init__(self, seed: int, kind: str, many: int, ways: tuple[str, ...] = WAYS) -> None:
+        self.chance, self.kind, self.many, self.ways = random.Random(seed), kind, many, ways
+        self.gap = LONG.get(kind, UNDONE) + 0.4
+        self.field = Field(seed, self._sluice, real_reservoir, 6, LEAD, FIRST + many * self.gap + 2.0)
+        self.world, self.book = self.field.world, self.field.book
+        self.slips: list[Slip] = []
+        self.victim: Side = self.field.sides[0]
+        self.undo: Undo = lambda: None
+        self.told: list[tuple[Order, second.Told]] = []
+        self.strict = {"runs": 0, "slipped": 0}
+        self.wrong: list[str] = []  # mutating requests that ran by another rule than told
+        self.alarms: list[tuple[float, str, str]] = []
+        self.older = b""
+        self.moves: dict[str, dict[str, int]] = {"/orders/": {"order-desk": 3, "survey-intake": 1}}
+        self.world.at(2.0, self.order, random.Random(seed))
+        self.world.at(6.5, self.order, random.Random(seed + 1))
+        for n in range(many):
+            self.world.at(FIRST + n * self.gap, self._put)
+            self.world.at(FIRST + n * self.gap + self.gap - 0.4, self._take_out)
+
+    # What the trial does.
+
+    def _sluice(self, host: Any, settings: str) -> object:
+        sluice: Any = real_sluice(host, settings)
+        for way in WAYS:
+            setattr(sluice.assay, way, way in self.ways)
+        ip, assay = sluice.settings.ip, sluice.assay
+
+        def slip(by: str, what: str, renew: bool = False) -> None:
+            self._noticed(ip, by, what)
+            Assay.slip(assay, by, what, renew)
+
+        def refuse(job: Job, again_s: float) -> bool:
+            self._noticed(job.ask.peer or ip, "judge" if job.ask.peer else "reading", "refused")
+            return Assay._refuse_job(assay, job, again_s)
+
+        def hold(job: Job, holder: Any) -> bool:
+            if self.kind == "freeze":
+                self._noticed(ip, "judge", "asks first")
+            return Assay._hold(assay, job, holder)
+
+        assay.slip, assay._refuse_job, assay._hold = slip, refuse, hold
+        return sluice
+
+    def later(self, seconds: float, call: Callable[[], None]) -> None:
+        """Call so much later."""
+        self.world.at(self.world.now + seconds, call)
+
+    def order(self, chance: random.Random) -> None:
+        """An honest change, which touches what must not run twice."""
+        self.older = self.newest
+        self.moves["/orders/"] = {"order-desk": chance.randint(2, 5), "survey-intake": chance.randint(1, 2)}
+        self.moves["/parcels/"] = {chance.choice(SERVICES): 1}
+        order = self.field.moved(self.field.next_version(), self.moves, 2500 + 100 * (len(self.told) % 9))
+        self.told.append((order, second.Told(order.text)))
+        self.field.operator.order(order)
+
+    @property
+    def newest(self) -> bytes:
+        """The text that was ordered last."""
+        return self.told[-1][0].text if self.told else b""
+
+    def odd(self, chance: random.Random) -> tuple[bytes, bytes]:
+        """A text under the newest version with another rule, plain and packed."""
+        import zlib
+
+        whole = json.loads(self.newest)
+        for route in whole["routes"]:
+            if route["route-kind"] != "read_only":
+                route["max-attempts"] = 3 + chance.randrange(3)
+                route["traffic-split"] = route["traffic-split"][:1]
+        text = json.dumps(whole).encode()
+        return text, zlib.compress(text)
+
+    @staticmethod
+    def digest(text: bytes) -> str:
+        """As words name a text."""
+        from honeywharf.strainer.configuration import digest
+
+        return digest(text)
+
+    def _put(self) -> None:
+        running = [side for side in self.field.sides if side.proxy.program is not None
+                   and cast(Any, side.proxy.program).word.table is not None]
+        self.victim = self.chance.choice(running)
+        self.slips.append(Slip(self.victim.ip, self.world.now))
+        self.undo = getattr(Kinds(self), self.kind)(self.victim.proxy.program, self.chance)
+
+    def _take_out(self) -> None:
+        undo, self.undo = self.undo, lambda: None
+        sluice: Any = self.victim.proxy.program
+        if sluice is None:
+            return
+        healed = sluice.assay.state.at in (2, 5) and self.kind not in ("build", "liar")
+        if healed and not sluice.assay._whole():
+            return
+        undo()
+        sluice.assay.relapses = 0
+        sluice.assay.rebuild()
+        if sluice.assay.state.aside:
+            sluice.assay._event(2, "undone by the trial")
+
+    # What it sees.
+
+    def _noticed(self, ip: str, by: str, what: str) -> None:
+        slip = self.slips[-1] if self.slips else None
+        if slip is None or slip.victim != ip or self.world.now > slip.at + self.gap:
+            if by != "judge" and what != "refused":  # an honest change is decided again
+                self.alarms.append((self.world.now, ip, f"{by}: {what}"))
+        elif slip.after < 0:
+            slip.by = by
+            slip.after = sum(ask.machine == ip and ask.sent >= slip.at for ask in self.book.asks.values())
+
+    def ran(self, job: Job) -> None:
+        """A request's head goes to a backend now."""
+        ask = job.ask
+        sent = self.book.asks.get(ask.attempt.decode())
+        if sent is None or sent.repeatable:
+            return
+        self.strict["runs"] += 1
+        floor = max((order.version for order, _ in self.told
+                     if order.acked <= sent.sent - self.book.bounds["config-apply"]), default=0)
+        may = [(order, told) for order, told in self.told if order.version >= floor]
+        for order, told in may:
+            made, kind = told.decide(sent.host.encode(), sent.path.encode())
+            if made == ask.rule and kind == ask.kind and ask.service in order.services(sent.host, sent.path):
+                return
+        self.strict["slipped"] += 1
+        if self.slips:
+            self.slips[-1].ran += 1
+        self.wrong.append(f"{self.world.now:.3f} {sent.id} {sent.path} of {sent.machine} at {ask.service}, "
+                          f"kind {ask.kind}, from {ask.peer or 'home'}")
+
+    def play(self) -> Trial:
+        """Play it whole."""
+        plain = Job._head_bytes
+
+        def heads(job: Job) -> bytes:
+            self.ran(job)
+            return plain(job)
+
+        cast(Any, Job)._head_bytes = heads
+        try:
+            self.world.strict = True
+            self.world.run(FIRST + self.many * self.gap + 4.0)
+        finally:
+            cast(Any, Job)._head_bytes = plain
+        return self
+
+    def statuses(self) -> dict[int, int]:
+        """Final statuses of all tries; 0 and 1: no answer."""
+        found: dict[int, int] = {}
+        for ask in self.book.asks.values():
+            found[ask.status] = found.get(ask.status, 0) + 1
+        return found
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -83,7 +83,7 @@
     __slots__ = (
         "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "decided", "due",
         "ended", "finished", "full", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran",
-        "read", "route", "sending", "sent", "service", "source", "tries", "waited", "went", "who")
+        "read", "revision", "route", "sending", "sent", "service", "source", "tries", "waited", "went", "who")
 
     def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
@@ -98,7 +98,7 @@
         self.ran = False  # an attempt may have run
         self.tries = self.waited = 0
         self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
-        self.decided = 1  # times at which the route was found
+        self.decided, self.revision = 1, source.revision()  # times that a route was found, and by which word
         self.sending = False  # from within a call to the gate
         self.kept: list[bytes] = []
         self.kept_bytes = self.read = self.sent = 0
@@ -141,7 +141,7 @@
         tries = self.tries
         ask = Ask(self.service, head.attempt, self.kind, self.deadline - now, patience_s, self.route.priority,
                   self.route.aim_s, self.source.service, head.method, head.target, b"".join(head.fields),
-                  head.length, self.source.revision(), self.source.rule(self.route))
+                  head.length, self.revision, self.source.rule(self.route))
         self.source.asks += 1
         self.channel = None
         channel = self.source.open(key, ask, self)
@@ -159,7 +159,7 @@
         if self.over:
             return
         source, head = self.source, self.head
-        self.decided += 1
+        self.decided, self.revision = self.decided + 1, source.revision()
         route = source.word.find(head.host, head.path)
         if route is None:
             self._final(404, 0.0, b"no route")
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -133,8 +133,8 @@
 
     def _turn(self) -> None:
         self.waiter = None
-        now = self.inbound.host.now()
-        if self._passes(now):
+        now, assay = self.inbound.host.now(), self.inbound.assay
+        if self._passes(now) and (assay is None or assay.still(self)):
             self._start(now)
 
     def _too_long(self) -> None:
@@ -196,6 +196,8 @@
         if refusal is not None:
             self.refuse(*refusal)
             return False
+        if self.inbound.assay is not None and not self.inbound.assay.still(self):
+            return False
         self.gate.sends(now)
         return True
 
