Carry sessions through gateways that drain: the weirkeeper, its sources and destinations

Weirkeeper passes sessions on, grants no more than its link carries in half a second, tells its load and whether it takes sessions, and drains by an operator's order or SIGTERM; Conveyor is a course's channel by any gateway, Landing gives whole bodies to the gate. What failed on the way: 64 MB granted at once made the word to move wait 3 s behind bodies, so grants follow the link; a stall of 1 s moved sessions about on a full gateway, now 2.5 s; a session that began anew went past the bound.

--- /dev/null
+++ b/honeywharf/penstock/conveyor.py
@@ -0,0 +1,311 @@
+"""The source's side on its host: links to the gateways, which session goes by which, and when it moves.
+
+Theory of operation. To each gateway there are two lanes: one for short requests, which waits behind no body,
+and one for the others. The lane of short requests is always up and tells whether the gateway lives and
+takes sessions. Each session is a `Carriage`: for a course it is the channel, for its `Inlet` who is told. A
+tick every `TICK_S` while there are sessions leaves ways that are quiet, or on which nothing moves any more,
+and finds ways for those that have none. `sessions=False` is for comparison only: what loses its way fails.
+"""
+
+from __future__ import annotations
+
+from honeywharf.mains.streams import WINDOW_BYTES, Ask
+from honeywharf.penstock.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
+from honeywharf.penstock.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
+from honeywharf.penstock.kinds import GONE, LEAVE, SHORT, STATE, WINDOW
+from honeywharf.penstock.line import TO_SOURCES, Line
+from honeywharf.verdict import DRAINING, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+
+    from honeywharf.mains.host import Host, Timer
+    from honeywharf.mains.streams import Replies
+    from honeywharf.penstock.places import Place
+
+TICK_S = 0.02
+STALL_S = 2.5  # nothing came on a way that owes a word; a full gateway says little for a second and more
+PAUSES_S = (0.0, 0.0, 0.05, 0.1, 0.2, 0.4)  # before the first, second, ... way that is tried without success
+AGAIN_S = 0.4  # before a lost link to a gateway is asked for again
+MOST_SESSIONS = 4096
+MOST_LIVES = 1024  # destinations whose life is remembered
+
+
+def head_of(ask: Ask) -> list[object]:
+    """What a session carries of a request: first what is asked for, then what may differ from try to try."""
+    return [[ask.service, ask.kind, ask.caller, ask.method, ask.target, ask.fields],
+            [int(ask.patience_s * 1000.0), ask.priority, int(ask.aim_s * 1000.0), ask.revision, ask.rule]]
+
+
+class Carriage:
+    """One session of a course."""
+
+    __slots__ = (
+        "conveyor", "inlet", "left_at", "moved_at", "next_at", "replies", "seen", "short", "tries", "way")
+
+    def __init__(self, conveyor: Conveyor, replies: Replies, short: bool) -> None:
+        self.conveyor, self.replies, self.short = conveyor, replies, short
+        self.inlet: Inlet
+        self.way: Way | None = None
+        self.left_at = self.moved_at = self.next_at = 0.0
+        self.seen = -1  # frames of the inlet that were counted when it last moved
+        self.tries = 0  # ways without a word, one after the other
+
+    # For the course: the channel.
+
+    def data(self, data: bytes) -> None:
+        """A part of the body."""
+        self.inlet.data(data)
+        self.conveyor.flush(self)
+
+    def end(self) -> None:
+        """The body is whole."""
+        self.inlet.end()
+        self.conveyor.flush(self)
+
+    def window(self, size: int) -> None:
+        """So many bytes of the answer have gone on."""
+        self.inlet.window(size)
+        self.conveyor.flush(self)
+
+    def cancel(self) -> None:
+        """Nobody waits any more."""
+        self.inlet.cancel()
+        self.conveyor.flush(self)
+
+
+class _Teller:
+    """The replies of a course, as an inlet tells them."""
+
+    __slots__ = ("answered", "data", "failed", "replies", "whole", "window")
+
+    def __init__(self, replies: Replies) -> None:
+        self.replies = replies
+        self.answered, self.data, self.failed = replies.answered, replies.data, replies.failed
+        self.whole, self.window = replies.whole, replies.window
+
+    def went(self) -> None:
+        """The body is wanted: a course begins with less than a window."""
+        self.replies.went()
+        self.replies.window(WINDOW - WINDOW_BYTES)
+
+
+class Way:
+    """A gateway as a source has it: two lanes, and what it told of itself."""
+
+    def __init__(self, conveyor: Conveyor, place: Place) -> None:
+        self.conveyor, self.place = conveyor, place
+        self.gateway = Gateway(place.node, place.region, place.zone)
+        self.control: Line | None = None
+        self.bulk: Line | None = None
+        self.riders: dict[bytes, Carriage] = {}
+
+    def lane(self, short: bool) -> Line:
+        """The link for short or for other requests, asked for where there is none."""
+        host = self.conveyor.host
+        if short:
+            if self.control is None:
+                self.control = Line(host, self.place.address, TO_SOURCES, self._took, self._gone, stays=True)
+            return self.control
+        if self.bulk is None:
+            self.bulk = Line(host, self.place.address, TO_SOURCES, self._took, self._gone)
+        return self.bulk
+
+    def _took(self, line: Line, frame: list[Any]) -> None:
+        if frame[0] == STATE:
+            _, region, _, load, offered, _ = frame
+            if region != self.place.region:
+                raise ValueError(f"found a gateway of {region!r}, wanted {self.place.region!r}")
+            self.gateway.load, self.gateway.offered, self.gateway.up = load, bool(offered), True
+            return
+        rider = self.riders.get(frame[1])
+        if rider is not None:
+            self.conveyor.took(rider, frame)
+
+    def _gone(self, line: Line) -> None:
+        now = self.conveyor.host.now()
+        if line is self.control:
+            self.control, self.gateway.up = None, False
+            self.conveyor.host.after(AGAIN_S, self.look)
+        else:
+            self.bulk = None
+        self.gateway.doubted_until = now + DOUBT_S
+        for rider in list(self.riders.values()):
+            if rider.short == (line.stays):
+                self.conveyor.lost(rider)
+
+    def look(self) -> None:
+        """Keep the lane of short requests up."""
+        if not self.conveyor.closed:
+            self.lane(True)
+
+
+class Conveyor:
+    """All sessions of one source, and its gateways. `draw()`: even random numbers in [0, 1)."""
+
+    def __init__(
+        self, host: Host, region: str, zone: str, places: Iterable[Place], draw: Callable[[], float],
+        sessions: bool = True,
+    ) -> None:
+        self.host, self.region, self.zone, self.draw, self.sessions = host, region, zone, draw, sessions
+        self.ways = {place.node: Way(self, place) for place in list(places)[:MOST_GATEWAYS]}
+        self.riders: dict[Carriage, None] = {}
+        self.lives: dict[str, bytes] = {}
+        self.timer: Timer | None = None
+        self.closed = False
+        self.moves = self.lost_ways = self.twice = self.opened = 0
+        for way in self.ways.values():
+            way.look()
+
+    def open(
+        self, to: str, ask: Ask, replies: Replies, tenant: str = "", homes: tuple[str, ...] = (),
+    ) -> Carriage | None:
+        """Carry a request to the sluice at an IP address; None where there is no room for one more."""
+        if self.closed or len(self.riders) >= MOST_SESSIONS:
+            return None
+        host = self.host
+        deadline = host.now() + ask.remaining_s
+        request = Request(
+            to, ask.attempt, ask.length, deadline, int((host.wall() + ask.remaining_s) * 1000.0), tenant,
+            self.region, homes, head_of(ask))
+        rider = Carriage(self, replies, 0 <= ask.length <= SHORT)
+        rider.inlet = Inlet(host.random(16), request, _Teller(replies), self.lives.get(to, b""))
+        self.riders[rider] = None
+        self.opened += 1
+        host.after(0.0, lambda: self._find(rider))
+        self._tick_soon()
+        return rider
+
+    # Ways.
+
+    def _find(self, rider: Carriage) -> None:
+        """The next way for a session that has none."""
+        now, inlet = self.host.now(), rider.inlet
+        if inlet.state != IDLE or now < rider.next_at:
+            return
+        last = rider.way.gateway.node if rider.way is not None else ""
+        self._leave(rider)
+        gateway = choose(
+            [way.gateway for way in self.ways.values()], now, self.zone, self.region, inlet.request.homes,
+            last, self.draw)
+        rider.next_at = now + PAUSES_S[min(rider.tries, len(PAUSES_S) - 1)]
+        rider.tries += 1
+        if gateway is None:
+            return
+        way = rider.way = self.ways[gateway.node]
+        way.riders[inlet.sid] = rider
+        gateway.load += 1
+        if inlet.epoch:
+            self.moves += 1
+        rider.moved_at, rider.seen = now, inlet.taken
+        inlet.attach(now)
+        self.flush(rider)
+
+    def _leave(self, rider: Carriage) -> None:
+        way, rider.way = rider.way, None
+        if way is not None:
+            way.riders.pop(rider.inlet.sid, None)
+
+    def lost(self, rider: Carriage) -> None:
+        """A session's way is lost."""
+        self.lost_ways += 1
+        inlet = rider.inlet
+        if inlet.state == OVER:
+            return
+        if not self.sessions and inlet.epoch:
+            ran = MAY_HAVE_RUN if inlet.finished else NOT_RUN
+            inlet.cancel()
+            self._over(rider)
+            rider.replies.failed(Verdict(ran, LOST, inlet.finished))
+            return
+        inlet.detach()
+        self.host.after(0.0, lambda: self._find(rider))
+
+    def took(self, rider: Carriage, frame: list[Any]) -> None:
+        """A frame for a session."""
+        inlet, kind = rider.inlet, frame[0]
+        if kind == GONE and frame[2] == inlet.epoch and rider.way is not None:
+            if frame[3] != DRAINING:
+                rider.way.gateway.doubted_until = self.host.now() + DOUBT_S
+            self.lost(rider)
+            return
+        if kind == LEAVE and not self.sessions:
+            return
+        before = inlet.state
+        inlet.take(frame)
+        if inlet.state == FLOWING and before != FLOWING:
+            rider.tries = 0
+            self._remember(inlet)
+        if inlet.state == LEAVING and before != LEAVING:
+            rider.left_at = self.host.now()
+        self.flush(rider)
+        self._see(rider, self.host.now())
+
+    def _remember(self, inlet: Inlet) -> None:
+        if inlet.request.to not in self.lives and len(self.lives) >= MOST_LIVES:
+            self.lives.clear()
+        self.lives[inlet.request.to] = inlet.life
+
+    def flush(self, rider: Carriage) -> None:
+        """Send what a session has to send; forget one that is over."""
+        inlet = rider.inlet
+        frames, inlet.out = inlet.out, []
+        if rider.way is not None and frames:
+            lane = rider.way.lane(rider.short)
+            for frame in frames:
+                lane.send(frame)
+        if inlet.state == OVER:
+            self._over(rider)
+
+    def _over(self, rider: Carriage) -> None:
+        if rider in self.riders:
+            del self.riders[rider]
+            self.twice += rider.inlet.twice
+            self._leave(rider)
+            to = rider.inlet.request.to
+            if rider.inlet.life and not rider.inlet.complete:
+                self.lives.pop(to, None)  # it may have another life by now: ask first
+
+    # Time.
+
+    def _tick_soon(self) -> None:
+        if self.timer is None and self.riders:
+            self.timer = self.host.after(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self.timer = None
+        now = self.host.now()
+        for rider in list(self.riders):
+            self._see(rider, now)
+        self._tick_soon()
+
+    def _see(self, rider: Carriage, now: float) -> None:
+        """Leave a way that is quiet or bad; find one; give up in time."""
+        inlet = rider.inlet
+        if inlet.state == OVER:
+            return
+        if now >= inlet.request.deadline:
+            inlet.late()
+            self.flush(rider)
+        elif inlet.state == LEAVING:
+            if inlet.quiet() or now - rider.left_at >= QUIET_S:
+                inlet.detach()
+                self._find(rider)
+        elif inlet.state == IDLE:
+            self._find(rider)
+        elif rider.seen != inlet.taken:
+            rider.seen, rider.moved_at = inlet.taken, now
+        elif inlet.owed and now - rider.moved_at >= STALL_S:
+            if rider.way is not None:
+                rider.way.gateway.doubted_until = now + DOUBT_S
+            self.lost(rider)
+
+    def close(self) -> None:
+        """Give all links up."""
+        self.closed = True
+        for way in self.ways.values():
+            for lane in (way.control, way.bulk):
+                if lane is not None:
+                    lane.lose()
--- a/honeywharf/penstock/drain.py
+++ b/honeywharf/penstock/drain.py
@@ -2,9 +2,9 @@
 
 Theory of operation. An order, or SIGTERM, begins it; from ANNOUNCED on sources are told, from CLOSED on no
 new session is taken, in MOVING the long ones are asked to go on by another way, in LAST what is short is
-waited for, EMPTY says so, and the process ends from there where it was SIGTERM that began. The last gateway of a
-region is only WARNED by the first word; a second one, or the need of `grace-period`, has it go on. A kill may
-come at any state and breaks nothing: it costs each session a way.
+waited for, EMPTY says so, and the process ends from there where it was SIGTERM that began. The last gateway
+of a region is only WARNED by the first word; a second one, or the need of `grace-period`, has it go on. A
+kill may come at any state and breaks nothing: it costs each session a way.
 
     state      order      term       back      ticked                         on entering
     SERVING    ANNOUNCED  ANNOUNCED  .         .                              takes sessions
--- a/honeywharf/penstock/inlet.py
+++ b/honeywharf/penstock/inlet.py
@@ -33,6 +33,7 @@
     OPEN,
     PART,
     PIECE,
+    SHORT,
     UNKNOWN,
     VERDICT,
     WHOLE,
@@ -96,9 +97,9 @@
     """
 
     __slots__ = (
-        "acked", "answer", "collected", "complete", "ended", "epoch", "finished", "got", "heard", "kept",
-        "life", "out", "read", "request", "sent", "sid", "state", "taken", "teller", "told", "total", "twice",
-        "upto", "went")
+        "acked", "answer", "before", "collected", "complete", "ended", "epoch", "finished", "got", "heard",
+        "kept", "life", "out", "read", "request", "sent", "sid", "state", "taken", "teller", "told", "total",
+        "twice", "upto", "went")
 
     def __init__(self, sid: bytes, request: Request, teller: Teller, life: bytes = b"") -> None:
         self.sid, self.request, self.teller, self.life = sid, request, teller, life
@@ -108,6 +109,7 @@
         self.ended = request.length == 0  # the body is here whole
         self.finished = False  # its end was sent, by some way
         self.told = False  # its end was sent by this way
+        self.before = False  # its end was sent by a way before this one
         self.heard = self.went = False
         self.complete = False  # the destination has all of it, the end too
         self.taken = 0  # frames that counted: who waits sees by it whether anything moves
@@ -123,14 +125,14 @@
         if self.state == OVER:
             return
         self.epoch += 1
-        self.state, self.told = ASKING, False
+        self.state, self.told, self.before = ASKING, False, self.finished
         request = self.request
         remaining = max(0, int((request.deadline - now) * 1000.0))
         self.out = [[
             OPEN, self.sid, self.epoch, request.to, self.life, int(self.heard), self.got, request.attempt,
             request.length, remaining, request.expires_ms, request.tenant, request.origin,
             list(request.homes), request.head, self.read + ANSWER_WINDOW]]
-        if self.life and not self.heard:
+        if self.life and not self.heard and 0 <= request.length <= SHORT:
             self.twice += self.sent
             self.sent, self.upto = 0, FIRST
             if not self.went:
@@ -223,7 +225,8 @@
         elif kind == VERDICT:
             self._fail(Verdict(frame[3], frame[4], bool(frame[6]), frame[5] / 1000.0))
         elif kind == UNKNOWN:
-            self._fail(Verdict(self._ran(), LOST, self.finished))
+            # This way has led to a new life, and all of it: what an old one has had came by ways before.
+            self._fail(Verdict(MAY_HAVE_RUN if self.before else NOT_RUN, LOST, self.before))
         elif kind == LEAVE:
             self.state = LEAVING if self.state == FLOWING else IDLE
         elif kind == GONE:
--- a/honeywharf/penstock/kinds.py
+++ b/honeywharf/penstock/kinds.py
@@ -37,8 +37,9 @@
 
 PIECE = 16 * 1024  # bytes of one DATA or PART
 WINDOW = 256 * 1024  # bytes of a body on the way unacknowledged
-FIRST = 32 * 1024  # bytes that may follow an OPEN unasked, where the destination's life is known
+FIRST = 32 * 1024  # bytes that may follow an OPEN unasked: a short body, to a life that is known
+ANSWER_FIRST = 1024  # bytes of an answer that a gateway grants with an OPEN, room or not
 ANSWER_WINDOW = 128 * 1024  # bytes of an answer on the way unacknowledged
-SHORT = 32 * 1024  # a body up to here goes by the lane of short requests
+SHORT = FIRST  # a body up to here goes by the lane of short requests
 WHOLE_ANSWER = 64 * 1024  # an answer up to here is told at once
 STALE_S = 5.0  # past its deadline by the wall clock, an OPEN begins nothing; clocks differ by less
--- /dev/null
+++ b/honeywharf/penstock/landing.py
@@ -0,0 +1,140 @@
+"""The destination's side on its host: takes links of gateways, and gives whole requests to the gate."""
+
+from __future__ import annotations
+
+from honeywharf.mains.streams import Ask
+from honeywharf.penstock.hold import Hold
+from honeywharf.penstock.line import TO_LANDING, Caught
+from honeywharf.penstock.outlet import OVER, Outlet, Outlets
+from honeywharf.verdict import GARBLED, NOT_RUN, Verdict
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.mains.streams import Work
+
+DUE_S = 0.25
+MOST_LINKS = 256
+
+
+class Landed:
+    """Where the gate's work tells its outcome (`sluice.inbound.Answers`)."""
+
+    __slots__ = ("landing", "outlet", "over")
+
+    def __init__(self, landing: Landing, outlet: Outlet) -> None:
+        self.landing, self.outlet, self.over = landing, outlet, False
+
+    def go(self) -> None:
+        """It is admitted; the body is there already."""
+
+    def window(self, size: int) -> None:
+        """Bytes of the body have gone on: all of it is held here."""
+
+    def answer(
+        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None,
+    ) -> None:
+        """The answer, whole, or its head."""
+        outlets = self.landing.outlets
+        outlets.answered(self.outlet, status, fields, length)
+        if body is not None:
+            self.over = True
+            if body:
+                outlets.answer_data(self.outlet, body)
+            outlets.answer_whole(self.outlet)
+
+    def data(self, data: bytes) -> None:
+        """A part of the answer's body."""
+        self.landing.outlets.answer_data(self.outlet, data)
+
+    def whole(self) -> None:
+        """The answer is whole."""
+        self.over = True
+        self.landing.outlets.answer_whole(self.outlet)
+
+    def fail(self, verdict: Verdict, load: tuple[int, int, int]) -> None:
+        """No answer comes."""
+        self.over = True
+        self.landing.outlets.failed(self.outlet, verdict)
+
+
+class Landing:
+    """All sessions that end here. `begin(ask, answers)` gives the work, as `sluice.inbound.Inbound.begin`."""
+
+    def __init__(
+        self, host: Host, at: Address, region: str, begin: Callable[[Ask, Any], Work | None],
+        hold: Hold | None = None,
+    ) -> None:
+        self.host, self.begin = host, begin
+        self.outlets = Outlets(
+            host.random(8), region, hold or Hold(), self._send, self._run, self._stop, self._flowed)
+        self.links: dict[Caught, None] = {}
+        self.timer: Timer | None = None
+        host.listen(at, self._accept)
+
+    def _accept(self, connection: Connection) -> Handler:
+        line = Caught(connection, TO_LANDING, self._took, self._gone, lambda line: None)
+        self.links[line] = None
+        if len(self.links) > MOST_LINKS:
+            connection.abort()
+        return line
+
+    def _took(self, line: Caught, frame: list[Any]) -> None:
+        self.outlets.take(self.host.now(), int(self.host.wall() * 1000.0), line, frame)
+        if self.timer is None:
+            self.timer = self.host.after(DUE_S, self._due)
+
+    def _gone(self, line: Caught) -> None:
+        self.links.pop(line, None)
+        self.outlets.path_lost(self.host.now(), line)
+
+    @staticmethod
+    def _send(path: Any, frame: list[Any]) -> None:
+        path.send(frame)
+
+    def _due(self) -> None:
+        self.timer = None
+        self.outlets.due(self.host.now())
+        if self.outlets.sessions:
+            self.timer = self.host.after(DUE_S, self._due)
+
+    def _run(self, outlet: Outlet) -> None:
+        """The body is whole: judged by the gate, then the backend's."""
+        body = outlet.body()
+        try:
+            ask = self._ask(outlet, outlet.head, len(body))
+        except (TypeError, ValueError):
+            self.outlets.failed(outlet, Verdict(NOT_RUN, GARBLED))
+            return
+        answers = Landed(self, outlet)
+        work = self.begin(ask, answers)
+        if work is None or answers.over:
+            return
+        outlet.work = work
+        if body:
+            work.data(body)
+            if not answers.over:
+                work.end()
+        if answers.over:
+            outlet.work = None
+
+    def _ask(self, outlet: Outlet, head: Any, length: int) -> Ask:
+        """What the gate is asked, out of a head as `conveyor.head_of` makes it."""
+        (service, kind, caller, method, target, fields), (patience, priority, aim, revision, rule) = head
+        remaining = max(0.0, outlet.until - self.host.now())
+        return Ask(service, outlet.attempt, kind, remaining, patience / 1000.0, priority, aim / 1000.0,
+                   caller, method, target, fields, length, revision, rule)
+
+    @staticmethod
+    def _stop(outlet: Outlet) -> None:
+        work, outlet.work = outlet.work, None
+        if work is not None:
+            work.cancel()
+
+    @staticmethod
+    def _flowed(outlet: Outlet, size: int) -> None:
+        if outlet.work is not None and outlet.state != OVER:
+            outlet.work.window(size)
--- a/honeywharf/penstock/outlet.py
+++ b/honeywharf/penstock/outlet.py
@@ -213,7 +213,7 @@
 
     def _join(self, now: float, first: Outlet, outlet: Outlet, path: Path, epoch: int, upto: int) -> None:
         """The same attempt by another session: it is told what the first is told."""
-        same = first.head == outlet.head and first.length == outlet.length
+        same = _asked(first.head) == _asked(outlet.head) and first.length == outlet.length
         if not same or len(first.joined) >= MOST_JOINED:
             self.refused += 1
             self.send(path, [VERDICT, outlet.sid, epoch, MAY_HAVE_RUN, LOST, 0, 0])
@@ -466,3 +466,8 @@
         del self.sessions[outlet.sid]
         if self.ledger.get(outlet.attempt) is outlet:
             del self.ledger[outlet.attempt]
+
+
+def _asked(head: object) -> object:
+    """What is asked for: of a head in two parts the first; the second is what may differ from try to try."""
+    return head[0] if isinstance(head, list) and head else head
--- a/honeywharf/penstock/passage.py
+++ b/honeywharf/penstock/passage.py
@@ -2,25 +2,31 @@
 
 Theory of operation. A gateway holds no truth: it passes frames on, and never acknowledges by itself. What it
 may hold is what it has let the senders send: for each session and direction the offset granted less the
-offset acknowledged, at most `WINDOW`; the sum over all is at most `most_bytes`. A grant that does not fit is
-made smaller, and the rest is given, oldest first, when others are acknowledged. A session is refused (GONE)
-where there is no room, while the gateway drains, and where the rule of homes forbids the region.
+offset acknowledged, at most `WINDOW`, less where the sessions are many; the sum over all is at most
+`most_bytes`, of which windows get `FOR_WINDOWS` and the rest is for sessions that begin, so that a short one
+is not refused because bodies are many. A grant that does not fit is made smaller, and the rest is given,
+oldest first, when others are acknowledged. A session is refused (GONE) where there is no room, while the
+gateway drains, and where the rule of homes forbids the region.
 """
 
 from __future__ import annotations
 
 from honeywharf.penstock.kinds import (
     ACK,
+    ANSWER_FIRST,
     ANSWER_WINDOW,
     CLOSE,
     DATA,
     DROP,
+    END,
     FENCED,
     FIRST,
     GONE,
     HAVE,
     LEAVE,
     PART,
+    PIECE,
+    SHORT,
     UNKNOWN,
     VERDICT,
     WINDOW,
@@ -35,6 +41,7 @@
     Path = object  # a link, as its owner knows it
 
 MOST_SESSIONS = 4096
+FOR_WINDOWS = 0.75  # of `most_bytes`
 
 
 class Meter:
@@ -42,8 +49,8 @@
 
     __slots__ = ("given", "had", "wanted")
 
-    def __init__(self, had: int, given: int) -> None:
-        self.had, self.given, self.wanted = had, given, given
+    def __init__(self, had: int, given: int, wanted: int) -> None:
+        self.had, self.given, self.wanted = had, given, wanted
 
     @property
     def out(self) -> int:
@@ -55,7 +62,8 @@
     """One session at a gateway."""
 
     __slots__ = (
-        "answer", "asked", "body", "destination", "epoch", "length", "life", "sid", "since", "source")
+        "answer", "asked", "body", "destination", "epoch", "length", "life", "sid", "since", "source",
+        "whole")
 
     def __init__(
         self, sid: bytes, epoch: int, source: Path, destination: Path, length: int, since: float,
@@ -66,6 +74,7 @@
         self.body, self.answer = body, answer
         self.life = b""
         self.asked = False  # to leave
+        self.whole = False  # the body's end has passed
 
     @property
     def rest(self) -> int:
@@ -99,30 +108,34 @@
         old = self.rows.get(sid)
         if old is not None and old.epoch >= epoch:
             return  # a repeated frame
-        why = self._refusal(origin, homes, old)
+        if old is not None:
+            self.forget(old)
+        first = FIRST if life and 0 <= length <= SHORT else 0
+        why = self._refusal(origin, homes, first + ANSWER_FIRST)
         destination = reach(to, 0 <= length <= FIRST) if why is None else None
         if destination is None:
             self.refused += 1
             self.send(source, [GONE, sid, epoch, LOST if why is None else why])
             return
-        if old is not None:
-            self.forget(old)
         row = Row(
-            sid, epoch, source, destination, length, now, Meter(0, FIRST if life else 0),
-            Meter(frame[6], min(upto, frame[6] + ANSWER_WINDOW)))
+            sid, epoch, source, destination, length, now, Meter(0, first, 0),
+            Meter(frame[6], min(upto, frame[6] + ANSWER_FIRST), min(upto, frame[6] + ANSWER_FIRST)))
         self.rows[sid] = row
         self.granted += row.body.out + row.answer.out
+        if 0 <= length <= SHORT:  # a long body's answer is short: what else it needs is granted as it comes
+            row.answer.wanted = min(upto, frame[6] + min(FIRST, self._share()))
+            self._give(row, row.answer)
         self.passed += 1
         self.send(destination, [*frame[:15], row.answer.given])
 
-    def _refusal(self, origin: str, homes: list[str], old: Row | None) -> int | None:
+    def _refusal(self, origin: str, homes: list[str], size: int) -> int | None:
         if homes and self.region not in homes and self.region != origin:
             self.forbidden += 1
             return OTHER_SERVICE
         if not self.taking:
             return DRAINING
-        room = self.granted + FIRST + ANSWER_WINDOW <= self.most_bytes
-        return None if old is not None or (room and len(self.rows) < self.most_sessions) else FULL
+        room = self.granted + size <= self.most_bytes and len(self.rows) < self.most_sessions
+        return None if room else FULL
 
     def from_source(self, source: Path, frame: list[Any]) -> None:
         """Any other frame of a source."""
@@ -135,6 +148,8 @@
             if frame[3] + len(frame[4]) > row.body.given:
                 self.lose(row, FULL)  # more than it was let
                 return
+        elif kind == END:
+            self._shrink(row, frame[3])
         elif kind == ACK:
             self._grant(row, row.answer, frame[3], frame[4], ANSWER_WINDOW)
             frame = [ACK, sid, epoch, frame[3], row.answer.given, frame[5]]
@@ -166,15 +181,28 @@
         before = meter.out
         meter.had = max(meter.had, had)
         meter.given = max(meter.given, meter.had)
-        meter.wanted = max(meter.wanted, min(wanted, meter.had + window))
+        if meter is row.body and row.whole:
+            wanted = meter.wanted
+        meter.wanted = max(meter.wanted, min(wanted, meter.had + min(window, self._share())))
         self.granted += meter.out - before
         self._give(row, meter)
         if meter.given < meter.wanted:
             self.starved[row.sid] = None
         self._feed(row.sid)
 
+    def _shrink(self, row: Row, total: int) -> None:
+        """The body is whole: what it was granted beyond its end is free."""
+        before, row.whole = row.body.out, True
+        row.body.given = row.body.wanted = max(row.body.had, min(row.body.given, total))
+        self.granted += row.body.out - before
+        self._feed(row.sid)
+
+    def _share(self) -> int:
+        """Bytes of a window, where all sessions have one."""
+        return max(PIECE, int(FOR_WINDOWS * self.most_bytes) // max(1, len(self.rows)))
+
     def _give(self, row: Row, meter: Meter) -> bool:
-        more = min(meter.wanted - meter.given, self.most_bytes - self.granted)
+        more = min(meter.wanted - meter.given, int(FOR_WINDOWS * self.most_bytes) - self.granted)
         if more <= 0:
             return False
         meter.given += more
@@ -184,7 +212,7 @@
     def _feed(self, but: bytes) -> None:
         """Give what is free to those who waited for it longest."""
         for sid in list(self.starved):
-            if self.granted >= self.most_bytes:
+            if self.granted >= int(FOR_WINDOWS * self.most_bytes):
                 return
             row = self.rows.get(sid)
             if row is None or (row.body.given >= row.body.wanted and row.answer.given >= row.answer.wanted):
--- /dev/null
+++ b/tests/penstock/test_days.py
@@ -0,0 +1,109 @@
+"""A few seeded days of two and three regions, and that wrong programs break them."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeywharf.flume.world import World
+from honeywharf.penstock.drain import EMPTY
+from honeywharf.penstock.places import places
+from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from tests.penstock.days import TROUBLES, UPLOAD, Client, Day, Source
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_days_of_two_and_three_regions_break_nothing(seed: int) -> None:
+    assert Day(seed, 2 + seed % 2).play().faults == []
+
+
+def busy(count: int, size: int, patience_s: float) -> tuple[Day, Source, Weirkeeper]:
+    """A day without troubles in whose first second many uploads begin, by one gateway."""
+    day = Day(5, 2, troubles="", seconds=1.5, uploads=0)
+    day.world.run(1.0)
+    source, keeper = day.sources[0].program, day.keepers[0].program
+    assert isinstance(source, Source)
+    assert isinstance(keeper, Weirkeeper)
+    for _ in range(count):
+        Client(day, source, UPLOAD, size, patience_s)
+    return day, source, keeper
+
+
+@pytest.mark.parametrize("sessions", [True, False])
+def test_a_killed_gateway_costs_a_way_and_without_sessions_the_upload(sessions: bool) -> None:
+    day, source, _ = busy(20, 400_000, 30.0)
+    source.conveyor.sessions = sessions
+    day.world.run(1.3)
+    day.keepers[0].kill()
+    day.world.run(30.0)
+    uploads = [client for client in day.clients if client.kind == UPLOAD]
+    again = sum(client.tries > 1 for client in uploads)
+    refused = sum(each.refused for each in day.gates())
+    assert all(client.end == "done" for client in uploads)
+    assert again <= refused if sessions else again >= 10
+
+
+def test_five_hundred_uploads_at_once_move_within_the_grace_period() -> None:
+    day, source, keeper = busy(500, 40_000, 60.0)
+    day.world.run(1.2)
+    assert len(keeper.passages.rows) >= 200
+    assert keeper.passages.granted <= keeper.passages.most_bytes
+    keeper.order_drain()
+    day.world.run(6.0)
+    assert keeper.drain.state == EMPTY
+    day.world.run(30.0)
+    uploads = [client for client in day.clients if client.kind == UPLOAD]
+    assert sum(client.end == "done" for client in uploads) == 500
+    assert source.conveyor.moves > 0
+
+
+def test_a_slow_client_with_little_time_is_told_the_truth() -> None:
+    day, _, keeper = busy(1, 60_000_000, 6.0)
+    day.slow_s = 0.05
+    day.world.run(2.0)
+    keeper.order_drain()
+    day.play()
+    uploads = [client for client in day.clients if client.kind == UPLOAD]
+    assert [client.end for client in uploads] == ["not run"]
+    assert day.faults == []
+
+
+def test_the_last_gateway_of_a_region_stays_until_it_is_told_twice() -> None:
+    day, _, keeper = busy(4, 400_000, 20.0)
+    other = day.keepers[1].program
+    assert isinstance(other, Weirkeeper)
+    other.order_drain()
+    day.world.run(3.0)
+    assert keeper.last
+    keeper.order_drain()
+    day.world.run(4.0)
+    assert keeper.drain.taking
+    keeper.order_drain()
+    day.world.run(8.0)
+    assert keeper.drain.state == EMPTY
+    assert day.play().faults == []
+
+
+def test_the_same_seed_gives_the_same_day() -> None:
+    assert Day(3).play().world.digest == Day(3).play().world.digest
+    assert isinstance(Day(3).world, World)
+    assert set(TROUBLES.split()) == {"drain", "term", "kill", "cut", "restart"}
+
+
+@pytest.mark.parametrize("wrong", [
+    {}, [1], [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
+    [{"address": "10.0.0.1:0", "region": "a"}],
+    [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}]])
+def test_gateways_that_cannot_be_used_are_refused_by_name(wrong: object) -> None:
+    with pytest.raises(ValueError, match=r"gateways.*found.*wanted"):
+        places(wrong)
+
+
+def test_gateways_of_settings() -> None:
+    one = places([{"address": "10.0.0.1:7640", "region": "a", "zone": "a-1"}])[0]
+    assert (one.address, one.node, one.region, one.zone) == (("10.0.0.1", 7640), "10.0.0.1:7640", "a", "a-1")
+
+
+def test_a_gateway_grants_what_its_link_and_its_memory_carry() -> None:
+    assert granted_bytes(300.0, 80.0) == 5_000_000
+    assert granted_bytes(40.0, 10_000.0) == 10 << 20
+    assert granted_bytes(1.0, 1.0) == 4 << 20
