Keep a history of words and slips, and take the vote of a disk that went back

An operator had no view of who runs what, and a reservoir whose disk gives back an older register would have promised twice. Reservoirs now keep words, slips and the last texts on disk, bounded and written a moment later, collect the views of all sluices for GET /api/drift, tell what changed between two versions, and a register that is older than its own history or than it had told its peers, three beats in a row, is treated as a lost disk until it is admitted anew.

--- /dev/null
+++ b/honeywharf/assay/gather.py
@@ -0,0 +1,172 @@
+"""The assay's part in a reservoir: history, slips that sluices tell, and an operator's view of all.
+
+`GET /api/drift` asks every sluice that news tell of what it runs, `BATCH` at a time, and answers with their
+views, with those who did not answer, and with this machine's history. `GET /api/drift/between/r7/r12` tells
+what changed. A register whose disk has given back something older than it had told, to this machine's own
+history or to a peer, has no vote until it is admitted anew, as after a lost disk.
+"""
+
+from __future__ import annotations
+
+import json
+import zlib
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from honeywharf.assay import digests, second
+from honeywharf.assay.history import History
+from honeywharf.strainer.routes import version_number
+
+if TYPE_CHECKING:
+    from honeywharf.mains.calls import Reply
+    from honeywharf.mains.host import Address
+    from honeywharf.programs.reservoir import Reservoir
+    from honeywharf.reservoir.operator import Asked
+    from honeywharf.reservoir.word import Key, Value
+
+BATCH = 16  # sluices asked at once
+WITHIN_S = 0.8  # for each
+MOST_NODES = 2000
+MOST_PEERS = 64  # registers whose progress is remembered
+SURE = 3  # beats in a row that tell of an older register, after which it is believed
+SECOND_LOOK_S = 1.0  # between looks at our own register's progress
+
+
+class Gather:
+    """See the module."""
+
+    def __init__(self, program: Reservoir) -> None:
+        self.program, self.host, self.basin = program, program.host, program.basin
+        self.history = History(program.host)
+        self.peers: dict[Key, list[Any]] = {}  # the highest ballot told, and beats in a row below it
+        self.went_back = 0
+        tree = program.operator.tree
+        tree.add("GET", "/api/drift", self._drift)
+        tree.add("GET", "/api/drift/between/{before}/{after}", self._between)
+        self.basin.methods["drift.slip"] = self._slip
+        self.basin.methods["drift.older"] = self._told_older
+        self.basin.on_beat = self.beat
+
+    def start(self) -> None:
+        """The disk can be read: take the history up, and see whether the register is older than it says."""
+        self.history.load()
+        state = self.basin.state
+        if self.history.went_back(state.disk, state.promised, state.accepted):
+            self._disown("its history")
+        self._progress()
+
+    def _progress(self) -> None:
+        state = self.basin.state
+        self.history.register(state.disk, state.promised, state.accepted)
+        self.host.after(SECOND_LOOK_S, self._progress)
+
+    # Words and slips.
+
+    def word(self, value: Value) -> None:
+        """A word is in force."""
+        self.history.word(value, self.basin.store.get(value["digest"]) if value["digest"] else None)
+
+    def _slip(self, args: Any, reply: Reply, peer: Address) -> None:
+        node, _, by, cause, revision = args
+        self.history.slip(node, by, cause, revision)
+        self.host.log(f"assay: {node} slipped from revision {revision}, found by {by}: {str(cause)[:160]}")
+        reply(True)
+
+    # Registers that go back.
+
+    def beat(self, key: Key, accepted: tuple[Any, ...]) -> None:
+        """A peer has told how far its register is. Beats may overtake one another: `SURE` of them count."""
+        if key not in self.peers and len(self.peers) >= MOST_PEERS:
+            self.peers.pop(next(iter(self.peers)))
+        highest, below = self.peers.get(key, [accepted, 0])
+        below = below + 1 if accepted < highest else 0
+        self.peers[key] = [max(highest, accepted), below]
+        if below == SURE:
+            self.host.log(f"assay: the register of {key[0]} has gone back")
+            self.history.slip(key[0], "peer", "its register is older than it had told", 0)
+            ip, _, port = key[0].rpartition(":")
+            self.program.caller.call((ip, int(port)), "drift.older", [key[1], list(highest)], WITHIN_S,
+                                     lambda answer: None)
+
+    def _told_older(self, args: Any, reply: Reply, peer: Address) -> None:
+        """A peer says that this register had accepted more than it has now."""
+        disk, accepted = args
+        state = self.basin.state
+        if disk == state.disk and state.accepted < tuple(accepted):
+            self._disown(peer[0])
+        reply(True)
+
+    def _disown(self, by: str) -> None:
+        self.went_back += 1
+        self.host.log(f"assay: this disk has given back an older register, says {by}: it has no vote")
+        self.history.slip(self.host_name(), "register", f"older than told, says {by}", 0)
+        try:
+            self.basin.disown()
+        except OSError as fault:
+            self.host.log(f"assay: the disk fails: {fault}")
+
+    def host_name(self) -> str:
+        """This machine, as rosters hold it."""
+        return self.basin.here
+
+    # The operator's view.
+
+    def _drift(self, call: Asked) -> None:
+        nodes = [] if self.program.society is None else [
+            node for node, entry in self.program.society.entries().items()
+            if entry.say is not None and entry.say.get("s")]
+        _Collecting(self, call, nodes[:MOST_NODES]).go_on()
+
+    def answer(self, call: Asked, views: list[Any], silent: list[str]) -> None:
+        """All have told, or have been given up."""
+        made = {"views": views, "silent": silent, "told": self._told(), "words": self.history.words,
+                "slips": self.history.slips, "registers-gone-back": self.went_back}
+        self.program.operator.answered(call, 200, json.dumps(made).encode())
+
+    def _told(self) -> dict[str, Any]:
+        """What a majority holds, as this machine knows it, with its tree."""
+        value = self.basin.known
+        packed = None if value is None or not value["digest"] else self.basin.store.get(value["digest"])
+        if value is None or packed is None:
+            return {}
+        evacuated = {zone for zone, on in value["evac"].items() if on}
+        branches = second.tree(zlib.decompress(packed), evacuated)
+        return {"revision": value["rev"], "version": f"r{value['version']}", "digest": value["digest"],
+                "root": digests.root(branches).hex(),
+                "branches": {name: made.hex() for name, made in branches.items()}}
+
+    def _between(self, call: Asked, before: str, after: str) -> None:
+        try:
+            lines = self.history.between(version_number(before), version_number(after), self.basin.store.get)
+        except (ValueError, LookupError) as fault:
+            self.program.operator.answered(call, 404, str(fault.args[0] if fault.args else fault).encode())
+            return
+        self.program.operator.answered(call, 200, "".join(f"{line}\n" for line in lines).encode())
+
+
+class _Collecting:
+    """One view being collected."""
+
+    def __init__(self, gather: Gather, call: Asked, nodes: list[str]) -> None:
+        self.gather, self.call, self.nodes = gather, call, nodes
+        self.views: list[Any] = []
+        self.silent: list[str] = []
+        self.at_work = 0
+
+    def go_on(self) -> None:
+        """Ask the next ones; answer when nobody is left."""
+        while self.nodes and self.at_work < BATCH:
+            self.at_work += 1
+            node = self.nodes.pop()
+            self.gather.program.caller.call(
+                (node, self.gather.program.here[1]), "drift.view", None, WITHIN_S, partial(self._came, node))
+        if not self.at_work:
+            self.gather.answer(self.call, self.views, sorted(self.silent))
+
+    def _came(self, node: str, view: Any) -> None:
+        self.at_work -= 1
+        if isinstance(view, dict):
+            self.views.append(view)
+        else:
+            self.silent.append(node)
+        self.go_on()
--- a/honeywharf/flume/slips.py
+++ b/honeywharf/flume/slips.py
@@ -2,8 +2,8 @@
 
 Theory of operation. A `Trial` plays a field with traffic and, one after the other, puts slips of one kind
 into sluices drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
-head goes to a backend, not by the sluices. A slip that is not healed in time is undone, and counts as not caught
-unless somebody noticed. The three ways of noticing can be switched off.
+head goes to a backend, not by the sluices. A slip that is not healed in time is undone, and counts as not
+caught unless somebody noticed. The three ways of noticing can be switched off.
 """
 
 from __future__ import annotations
@@ -250,7 +250,7 @@
     def disk(self, sluice: Any, chance: random.Random) -> Undo:
         """A reservoir's disk gives back an older word."""
         field = self.trial.field
-        core = chance.choice(field.cores)
+        core = self.trial.core = chance.choice(field.cores)
         disk = cast(Any, core.machine.disk)
         older = dict(disk.files)
         self.trial.order(chance)
@@ -300,6 +300,7 @@
         self.wrong: list[str] = []  # mutating requests that ran by another rule than told
         self.alarms: list[tuple[float, str, str]] = []
         self.older = b""
+        self.core: Any = None  # the reservoir whose disk went back
         self.moves: dict[str, dict[str, int]] = {"/orders/": {"order-desk": 3, "survey-intake": 1}}
         self.world.at(2.0, self.order, random.Random(seed))
         self.world.at(6.5, self.order, random.Random(seed + 1))
@@ -377,6 +378,8 @@
 
     def _take_out(self) -> None:
         undo, self.undo = self.undo, lambda: None
+        if self.core is not None and self.core.program is not None and self.core.program.gather.went_back:
+            self.slips[-1].after, self.slips[-1].by = 0, "register"
         sluice: Any = self.victim.proxy.program
         if sluice is None:
             return
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -8,6 +8,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from honeywharf.assay.gather import Gather
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Door
 from honeywharf.mains.host import Address, Host
@@ -41,6 +42,7 @@
         self.door: Door | None = None
         self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
+        self.gather = Gather(self)
         self._begin()
 
     def _begin(self) -> None:
@@ -54,6 +56,7 @@
             self.host.after(DISK_AGAIN, self._begin)
             return
         settings, host = self.settings, self.host
+        self.gather.start()
         self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
         self.society = Society(
             host, settings.ip, settings.ports[0], settings.zone, [ip for ip, _ in settings.seeds],
@@ -68,6 +71,7 @@
     def _word(self, value: Value) -> None:
         """There is a newer word, and its text is here."""
         self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
+        self.gather.word(value)
         if self.society is not None:
             self.society.shout_word(value["rev"])
 
--- a/honeywharf/reservoir/basin.py
+++ b/honeywharf/reservoir/basin.py
@@ -99,6 +99,7 @@
         self.roster_at = 0.0  # when the decided roster was taken over
         self.ahead = NONE  # the highest ballot that another says it has accepted
         self.behind = 0  # beats in a row at which that was above our own
+        self.on_beat: Callable[[Key, tuple[Any, ...]], None] = lambda key, accepted: None
         self.announced = -1  # revision that `on_word` was told
         self.methods: dict[str, Method] = {
             "register.ask": self._asked, "register.learn": self._learn, "register.roster": self._roster,
@@ -156,6 +157,10 @@
             except OSError as fault:
                 self.host.log(f"basin: a roster could not be kept: {fault}")
 
+    def disown(self) -> None:
+        """This disk gave back an older register: as after a lost disk, it has no vote until admitted anew."""
+        self._keep(State(self.host.random(8).hex(), self.state.epoch, self.state.roster))
+
     # The vote.
 
     def _asked(self, args: Any, reply: Reply, peer: Address) -> None:
@@ -460,6 +465,7 @@
             return
         where, disk, epoch, rev, accepted = told
         self._hear((where, disk))
+        self.on_beat((where, disk), ballot(accepted))
         if epoch > self.state.epoch:
             self.caller.call(address(where), "register.roster", None, WITHIN, self._rostered)
         if rev > (self.known["rev"] if self.known is not None else -1):
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/reservoir/operator.py
@@ -89,6 +89,10 @@
         self.at_work -= 1
         call.answer(status, body, lines)
 
+    def answered(self, call: Asked, status: int, body: bytes) -> None:
+        """Answer a call that another part has taken from the tree."""
+        self._answer(call, status, body)
+
     def _unclear(self, call: Asked, result: str) -> None:
         self._answer(call, 503, f"no majority: {result}".encode(), b"Retry-After: 0.1\r\n")
 
