--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -50,11 +50,13 @@
               " rules counted.")
 @click.option("--mesh", is_flag=True, help="Show a mesh of 3 reservoirs and 5 sluices: a change of routes, a"
               " drain and a kill, the rules counted.")
+@click.option("--gateway", is_flag=True, help="Show gateways between two regions that drain and die under"
+              " uploads and print orders, counted.")
 @click.option("--storm", is_flag=True, help="Show an outage and the clients that come back, damped and"
               " not, in virtual time.")
 def demo(
     seconds: float, rate: float, seed: int, with_keys: bool, coap: bool, with_traces: bool, upgrade: bool,
-    mesh: bool, storm: bool,
+    mesh: bool, gateway: bool, storm: bool,
 ) -> None:
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     if storm:
@@ -66,6 +68,10 @@
         from honeywharf.standins import meshdemo
 
         sys.exit(meshdemo.play(seconds, rate, seed, click.echo))
+    if gateway:
+        from honeywharf.standins import gatewaydemo
+
+        sys.exit(gatewaydemo.play(seed, click.echo))
     if upgrade:
         from honeywharf.standins import operation
 
