--- /dev/null
+++ b/honeywharf/penstock/abroad.py
@@ -0,0 +1,49 @@
+"""What a sluice needs of this package where its settings name gateways; without them none of it is made.
+
+The seam in a sluice is `Abroad(...)` when it is put together, and in its source, before a link is taken:
+`if abroad is not None and abroad.far(zone): return abroad.open(key, ask, replies)`.
+"""
+
+from __future__ import annotations
+
+from honeywharf.penstock.conveyor import Conveyor
+from honeywharf.penstock.hold import Hold
+from honeywharf.penstock.landing import Landing
+
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Any
+
+    from honeywharf.mains.host import Host
+    from honeywharf.mains.streams import Ask, Replies, Work
+    from honeywharf.penstock.conveyor import Carriage
+    from honeywharf.penstock.places import Place
+
+HOLD_SHARE = 0.25  # of a sluice's memory, for half-finished bodies
+
+
+class Abroad:
+    """The other regions, as one sluice reaches them and is reached.
+
+    `port`: the first of the internal ports; sessions land at the next. `zones`: region by zone. `begin`: as
+    `sluice.inbound.Inbound.begin`. `homes(service)`: the regions that may hold its bodies; none: any.
+    """
+
+    def __init__(
+        self, host: Host, ip: str, port: int, zone: str, zones: dict[str, str], gateways: list[Place],
+        begin: Callable[[Ask, Any], Work | None], draw: Callable[[], float], memory_mb: float = 300.0,
+        homes: Callable[[str], tuple[str, ...]] = lambda service: (),
+    ) -> None:
+        self.zones, self.region, self.homes = zones, zones.get(zone, ""), homes
+        self.landing = Landing(
+            host, (ip, port + 1), self.region, begin, Hold(int(memory_mb * HOLD_SHARE) << 20))
+        self.conveyor = Conveyor(host, self.region, zone, gateways, draw)
+
+    def far(self, zone: str) -> bool:
+        """Whether a zone is of another region; one that is not known is taken as near."""
+        return self.zones.get(zone, self.region) != self.region
+
+    def open(self, key: str, ask: Ask, replies: Replies) -> Carriage | None:
+        """The way to a sluice of another region; None where there is no room for one more."""
+        return self.conveyor.open(key, ask, replies, ask.caller, self.homes(ask.service))
--- /dev/null
+++ b/tests/penstock/test_sluices.py
@@ -0,0 +1,105 @@
+"""Real sluices of two regions, joined by gateways, under the rules that judge every day of the mesh."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from honeywharf.flume import days, field
+from honeywharf.flume.field import TERM, Field
+from honeywharf.flume.machine import Machine, Process
+from honeywharf.flume.run import real_reservoir
+from honeywharf.penstock.abroad import Abroad
+from honeywharf.penstock.places import Place
+from honeywharf.programs.sluice import Sluice
+from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.sluice.source import _Remote
+from honeywharf.strainer.settings import parse
+
+ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
+GATE = 7700
+PLACES = [Place((f"10.8.{n}.{k}", GATE), region, zone) for n, (region, zone) in enumerate(
+    (("a", "tartu-saal"), ("b", "voru-saal"))) for k in (1, 2)]
+UNTIL = 24.0
+Plan = list[tuple[float, str, int]]
+
+
+def joined(host: Process, text: str) -> Sluice:
+    """A sluice whose courses reach backends of the other region through gateways."""
+    settings = parse(text)
+    sluice = Sluice(host, settings)
+    source: Any = sluice.source
+    near = source.open
+    abroad = Abroad(host, settings.ip, settings.ports[0], settings.zone, ZONES, PLACES, sluice.inbound.begin,
+                    host.world.random.random)
+
+    def far(key: str, ask: Any, course: Any) -> Any:
+        entry = source.list.get(key)
+        if entry is not None and abroad.far(entry.zone):
+            return abroad.open(key, ask, _Remote(course))
+        return near(key, ask, course)
+
+    source.open = far
+    source.abroad = abroad
+    host.on_signal(TERM, sluice.terminate)
+    return sluice
+
+
+def keeper(place: Place) -> Any:
+    def make(host: Process) -> Weirkeeper:
+        one = Weirkeeper(
+            host, place.address, place.region, place.zone, PLACES, field.INTERNAL + 1, 5.0)
+        host.on_signal(TERM, one.terminate)
+        return one
+    return make
+
+
+def day(seed: int, plan: Plan, faults: list[days.Fault]) -> Field:
+    """A day of the mesh; `plan`: when, "drain", "back", "term" or "kill", and which gateway."""
+    made = Field(seed, joined, real_reservoir, 6, 5.0, UNTIL)
+    keepers = [Process(Machine(made.network, place.address[0], place.zone), f"keeper-{n}", keeper(place))
+               for n, place in enumerate(PLACES)]
+    for process in keepers:
+        made.world.at(0.1, process.start)
+    days.Day(made, faults)
+    for at, what, which in plan:
+        made.world.at(at, act, keepers[which], what)
+    made.world.strict = True
+    made.world.run(UNTIL + 2.0)
+    return made
+
+
+def act(process: Process, what: str) -> None:
+    one = process.program
+    if what == "kill":
+        process.kill()
+    elif what == "term":
+        process.signal(TERM)
+    elif isinstance(one, Weirkeeper):
+        (one.order_drain if what == "drain" else one.take_back)()
+
+
+PLANS: dict[str, tuple[Plan, list[days.Fault], float]] = {
+    "quiet": ([], [], 0.98),
+    "drains": ([(9.0, "drain", 0), (12.0, "back", 0), (13.0, "drain", 1), (16.0, "back", 1)], [], 0.98),
+    "kills": ([(9.0, "kill", 0), (11.0, "kill", 1), (12.0, "kill", 0), (14.0, "term", 1)], [], 0.95),
+    "killed in its drain": (
+        [(9.0, "drain", 0), (9.15, "kill", 0), (12.0, "drain", 1), (12.1, "kill", 0)], [], 0.95),
+    "change, evacuation": (
+        [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "kill", 0)],
+        [days.Fault(9.0, "config_change", "", 3), days.Fault(11.9, "evacuate", "", 7)], 0.6),
+}
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_no_rule_is_broken_where_regions_are_joined_by_gateways(name: str) -> None:
+    plan, faults, share = PLANS[name]
+    made = day(31, plan, faults)
+    assert [*made.book.found, *made.world.crashes] == []
+    asks = made.book.asks.values()
+    served = sum(200 <= ask.status < 300 for ask in asks)
+    assert served > share * len(asks) > 400, (served, len(asks))
+    opened = sum(side.proxy.program.source.abroad.conveyor.opened for side in made.sides  # type: ignore[attr-defined]
+                 if side.proxy.program is not None)
+    assert opened > 50
