--- a/honeywharf/flume/days.py
+++ b/honeywharf/flume/days.py
@@ -15,7 +15,7 @@
 #: Kinds with their variants. Those of the core wait their turn: one counted machine at a time is lost.
 KINDS = {
     "after_ack_kill": ("",), "after_ack_wipe": ("",), "answer_lost": ("", "heavy"), "bad_config": ("",),
-    "cold_return": ("",), "config_change": ("",), "config_race": ("",), "config_storm": ("",),
+    "cold_return": ("",), "config_change": ("",), "config_race": ("", "versions"), "config_storm": ("",),
     "core_cut": ("", "one_way"), "core_kill": ("", "power"), "core_replace": ("", "planned"),
     "evacuate": ("",), "garble": ("", "extra", "unsealed"), "herd_kill": ("", "power"), "late_again": ("",),
     "life_swap": ("",), "node_cut": ("", "one_way"), "node_freeze": ("",), "node_kill": ("", "power"),
@@ -265,7 +265,12 @@
             self.field.operator.order(again)
 
     def config_race(self, fault: Fault, chance: random.Random) -> None:
-        """Two contents under one version, at once."""
+        """Two contents under one version, at once; or two versions, several times."""
+        if fault.how == "versions":
+            for n in range(8):
+                for _ in range(2):
+                    self._later(0.3 * n, self.config_change, fault, random.Random(chance.getrandbits(32)))
+            return
         version = self.field.next_version()
         for service in ("tile-vault", "order-desk"):
             moves = {"/parcels/": {service: 1, "survey-intake": 1}}
--- a/honeywharf/flume/disk.py
+++ b/honeywharf/flume/disk.py
@@ -36,8 +36,9 @@
 class Disk:
     """Files as a process sees them, what of them is safe, and what is still under way."""
 
-    def __init__(self, sync: float = 0.005, per_byte: float = 1 / 60e6) -> None:
-        self.sync, self.per_byte = sync, per_byte
+    def __init__(self, sync: float = 0.005, per_byte: float = 1 / 60e6, spread: float = 0.0) -> None:
+        self.sync, self.per_byte = sync, per_byte  # seconds
+        self.spread = spread  # a sync takes up to so many times longer, evenly
         self.files: dict[str, bytes] = {}
         self.safe: dict[str, bytes] = {}
         self.pending: list[Operation] = []
@@ -46,7 +47,8 @@
 
     def do(self, kind: str, name: str, now: float, data: bytes = b"", to: str = "") -> float:
         """Do one operation at `now`; when it is over. A removal is safe with a later sync only."""
-        over = now if kind == "remove" else now + self.sync + len(data) * self.per_byte
+        slow = 1.0 + self.spread * (hash((self.operations, round(now * 1e6))) % 997) / 997
+        over = now if kind == "remove" else now + self.sync * slow + len(data) * self.per_byte
         operation = Operation(kind, name, data, to, now, float("inf") if kind == "remove" else over)
         for earlier in self.pending:  # a rename syncs the folder; a write syncs the file and its own name
             synced = earlier.kind != "write" if kind == "rename" else name in (earlier.name, earlier.to)
--- a/honeywharf/flume/field.py
+++ b/honeywharf/flume/field.py
@@ -123,7 +123,7 @@
         def make(host: Process) -> object:
             return self.reservoir(host, settings(ip, zone, self.seeds, self.initial))
 
-        return Process(Machine(self.network, ip, zone, Disk()), f"reservoir-{ip}", make)
+        return Process(Machine(self.network, ip, zone, Disk(spread=1.5)), f"reservoir-{ip}", make)
 
     def core_instead(self, old: Process) -> Process:
         """Another core machine of the same zone, not started yet; `listed` has the operator know of it."""
--- /dev/null
+++ b/tests/flume/mutants.py
@@ -0,0 +1,554 @@
+"""Meshes with one thing left out or done wrong, each found out by a rule, with the troubles that show it.
+
+Where two guards hold one rule, leaving out one breaks nothing; such a mutant leaves out both, and says so
+("and"). `kinds` are drawn into every day of the mutant, at times and with chances by the day's seed.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from honeywharf.flume.days import Fault
+from honeywharf.flume.run import Report, run
+from honeywharf.mains.streams import Link
+from honeywharf.programs.sluice import Sluice
+from honeywharf.reservoir import word
+from honeywharf.reservoir.basin import Basin
+from honeywharf.reservoir.operator import Operator
+from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
+from honeywharf.reservoir.store import Store
+from honeywharf.runnel.table import News
+from honeywharf.sluice.backend import Tap
+from honeywharf.sluice.course import Course
+from honeywharf.sluice.gate import DRAINING, ENDED, READY, Gate
+from honeywharf.sluice.inbound import Job
+from honeywharf.sluice.outbound import Guest
+from honeywharf.sluice.source import Source
+from honeywharf.sluice.word import Word
+from honeywharf.verdict import BROKEN_OFF, MAY_HAVE_RUN, NOT_RUN, Verdict
+from honeywharf.weir.admission import Admission
+from honeywharf.weir.cold import ColdBound
+
+Put = Callable[[object, str, Any], None]  # owner, name, what stands there instead
+Kinds = tuple[tuple[str, str], ...]
+
+
+class Mutant:
+    """One wrong mesh: how it is made, the troubles of its days, and the rules that may tell it."""
+
+    def __init__(self, name: str, make: Callable[[Put], None], kinds: Kinds, rules: tuple[str, ...],
+                 after: float = 5.0) -> None:
+        self.name, self.make, self.kinds, self.rules, self.after = name, make, kinds, rules, after
+
+    def day(self, seed: int) -> list[Fault]:
+        """The troubles of one of its days."""
+        chance = random.Random(f"{self.name} {seed}")
+        faults = []
+        for kind, how in self.kinds:
+            at = chance.uniform(10.2, 13.0) + 5.0 * (kind == "late_again")
+            if "closing" in dict(self.kinds):  # what changes the word goes on up to the end
+                at = 16.0 if kind == "closing" else at + 2.8 * kind.startswith("config")
+            faults.append(Fault(at, kind, how, chance.getrandbits(32)))
+        return sorted(faults, key=lambda fault: fault.at)
+
+    def play(self, seed: int) -> Report:
+        """One of its days."""
+        with wrong(self.make):
+            return run(seed, self.day(seed), after=self.after)
+
+
+@contextmanager
+def wrong(make: Callable[[Put], None]) -> Iterator[None]:
+    """Have the mesh be wrong for a while."""
+    undone: list[tuple[Any, str, Any]] = []
+
+    def put(owner: Any, name: str, what: Any) -> None:
+        undone.append((owner, name, vars(owner)[name]))
+        setattr(owner, name, what)
+
+    make(put)
+    try:
+        yield
+    finally:
+        for owner, name, what in reversed(undone):
+            setattr(owner, name, what)
+
+
+def caught(mutant: Mutant, first: int, most: int) -> tuple[int, str]:
+    """After how many seeds a rule told it, and which; 0 and "" where none of `most` did."""
+    for count in range(1, most + 1):
+        report = mutant.play(first + count - 1)
+        if report.broken and report.broken[0][0] in mutant.rules:
+            return count, report.broken[0][0]
+    return 0, ""
+
+
+# The register and its disk.
+
+
+def ack_before_sync(put: Put) -> None:
+    def keep(self: Basin, state: Any) -> None:
+        if state is not self.state:
+            self.acceptor.state = state
+            self.host.after(0.05, lambda: self.store.save(state))
+
+    put(Basin, "_keep", keep)
+
+
+def text_before_sync(put: Put) -> None:
+    def keep(self: Store, digest: str, packed: bytes) -> None:
+        if digest not in self.digests:
+            self.digests.append(digest)
+            self.host.after(0.2, lambda: write(self, digest, packed))  # type: ignore[attr-defined]
+
+    def get(self: Store, digest: str) -> bytes | None:
+        found: bytes | None = held.get((id(self), digest)) or was_get(self, digest)
+        return found
+
+    def write(self: Store, digest: str, packed: bytes) -> None:
+        self.digests.remove(digest)
+        was_keep(self, digest, packed)
+
+    held: dict[tuple[int, str], bytes] = {}
+    was_keep, was_get = Store.keep, Store.get
+    put(Store, "keep", keep)
+    put(Store, "get", get)
+
+
+def majority_of_the_living(put: Put) -> None:
+    """Who does not answer counts as having agreed."""
+    def lost(asking: Asking, now: float, key: Any) -> Any:
+        asking.lost(now, key)
+        if isinstance(asking, Round) and asking.phase == "prepare":
+            asking.promises.setdefault(key, (NONE, None))
+            return asking._cover()
+        if isinstance(asking, Round) and asking.phase == "accept":
+            asking.accepts.add(key)
+            if asking.quorums.covered(asking.accepts):
+                asking._settled()
+        return []
+
+    put(Basin, "_lost", staticmethod(lost))
+
+
+def one_vote_is_enough(put: Put) -> None:
+    put(Quorums, "covered", lambda self, by: all(any(key in roster for key in set(by)) if roster else True
+                                                 for roster in self.rosters) and bool(set(by)))
+
+
+def wiped_disk_votes(put: Put) -> None:
+    def answer(self: Acceptor, message: Any) -> Any:
+        return was(self, {**message, "disk": self.state.disk})
+
+    was = Acceptor.answer
+    put(Acceptor, "answer", answer)
+
+
+def promise_not_kept(put: Put) -> None:
+    def accept(self: Acceptor, state: Any, asked: Any, value: Any) -> Any:
+        return was(self, state, max(asked, state.promised), value)
+
+    was = Acceptor._accept
+    put(Acceptor, "_accept", accept)
+
+
+def begins_from_own_word(put: Put) -> None:
+    """A round takes its own acceptor's value, not the one accepted under the highest ballot."""
+    def cover(self: Round) -> Any:
+        mine = [told for key, told in self.promises.items() if key[0] == self.who[0]]
+        if mine and self.quorums.covered(self.promises):
+            self.promises = dict.fromkeys(self.promises, mine[0])
+        return was(self)
+
+    was = Round._cover
+    put(Round, "_cover", cover)
+
+
+# The operator's word.
+
+
+def ack_without_majority(put: Put) -> None:
+    put(Operator, "_replaced", lambda self, call, version, result, answer: self._taken(call, version))
+
+
+def version_by_arrival(put: Put) -> None:
+    def replace(version: int, digest: str) -> Any:
+        return lambda value: (word.changed(value, version=version, digest=digest), True)
+
+    put(word, "replace", replace)
+
+    def taken(self: Operator, call: Any) -> None:
+        known, self.basin.known = self.basin.known, None
+        try:
+            was(self, call)
+        finally:
+            self.basin.known = known
+
+    was = Operator._replace
+    put(Operator, "_replace", taken)
+
+
+def invalid_is_taken(put: Put) -> None:
+    def load(self: Operator) -> None:
+        from honeywharf.strainer import configuration
+
+        def lenient(raw: bytes) -> Any:
+            good = was(raw)
+            if good.is_ok():
+                return good
+            import json
+
+            from result import Ok
+            try:
+                version = int(json.loads(raw)["config-version"][1:])
+            except ValueError:
+                return good
+            return Ok(configuration.Configuration(version, configuration.digest(raw), raw))
+
+        was = configuration.check
+        self.check = lenient
+
+    put(Operator, "load", load)
+
+
+def change_drops_evacuations(put: Put) -> None:
+    def replace(version: int, digest: str) -> Any:
+        def change(value: Any) -> Any:
+            made, answer = was(version, digest)(value)
+            return (None if made is None else {**made, "evac": {}}), answer
+        return change
+
+    was = word.replace
+    put(word, "replace", replace)
+
+
+def word_from_the_first(put: Put) -> None:
+    """And no news of a newer one, which mend it."""
+    def start(self: Word) -> None:
+        if not self.ready:
+            core = self.cores()[0]
+            self.caller.call(core, "word.known", None, 0.7, lambda value: self._started(core, value))
+
+    put(Word, "start", start)
+    put(Word, "heard", lambda self, revision, holder: None)
+
+
+def word_never_renewed(put: Put) -> None:
+    put(Word, "heard", lambda self, revision, holder: None)
+
+
+def evacuations_not_taken_over(put: Put) -> None:
+    def apply(self: Word, value: Any, table: Any, packed: bytes) -> None:
+        was(self, {**value, "evac": {}}, table, packed)
+
+    was = Word._apply
+    put(Word, "_apply", apply)
+
+
+# The gate.
+
+
+def gate_does_not_heed(put: Put, **fields: Any) -> None:
+    """Judge as if some of what the gate knows were otherwise."""
+    def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
+        kept = {name: getattr(self, name) for name in fields}
+        for name, what in fields.items():
+            setattr(self, name, READY if name == "state" and self.state in (DRAINING, ENDED) else (
+                self.state if name == "state" else what))
+        try:
+            return was(self, now, service, expected)
+        finally:
+            for name, what in kept.items():
+                setattr(self, name, what)
+
+    was = Gate.refusal
+    put(Gate, "refusal", refusal)
+
+
+def list_is_never_renewed(put: Put) -> None:
+    def told(self: Source, node: str, say: Any, zone: str) -> None:
+        before = self.list.get(node)
+        if say is not None and (before is None or before.state != READY):
+            was(self, node, say, zone)
+
+    was = Source.told
+    put(Source, "told", told)
+
+
+def nobody_heeds_draining(put: Put) -> None:
+    """Neither gate nor list."""
+    gate_does_not_heed(put, state=READY)
+    list_is_never_renewed(put)
+
+
+def nobody_heeds_evacuations(put: Put) -> None:
+    """Neither gate nor list."""
+    gate_does_not_heed(put, evacuated=False)
+
+    def relist(self: Source, node: str, renewed: bool) -> None:
+        kept, self.word.evacuated = self.word.evacuated, set()
+        was(self, node, renewed)
+        self.word.evacuated = kept
+
+    was = Source._relist
+    put(Source, "_relist", relist)
+
+
+def cold_bound_off(put: Put) -> None:
+    put(Gate, "is_cold", lambda self, now: False)
+
+
+def cold_is_not_told(put: Put) -> None:
+    put(Gate, "_told_cold", lambda self, now, cold_s: setattr(self, "doubted", False))
+
+
+def new_process_knows_no_cold(put: Put) -> None:
+    """A life is taken for warm until something tells otherwise, and coldness is not asked for."""
+    def life(self: Gate, now: float, instance: str) -> None:
+        was(self, now, instance)
+        self.doubted = False
+
+    was = Gate._life
+    put(Gate, "_life", life)
+    put(Gate, "_told_cold", lambda self, now, cold_s: None)
+
+
+def cold_bound_by_slices(put: Put) -> None:
+    def wait(self: ColdBound, now: float) -> float:
+        while self.sent and int(self.sent[0]) < int(now):
+            self.sent.popleft()
+        return 0.0 if len(self.sent) < self.most else 0.05
+
+    put(ColdBound, "wait", wait)
+
+
+def any_service(put: Put) -> None:
+    """The gate does not look at the service, the list is not renewed, the backend's id is not expected."""
+    def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
+        return was(self, now, self.service, expected)
+
+    was = Gate.refusal
+    put(Gate, "refusal", refusal)
+    list_is_never_renewed(put)
+    id_not_expected(put)
+
+
+def id_not_expected(put: Put) -> None:
+    def head(self: Job) -> bytes:
+        expected = b"X-Honeywharf-Expected-Instance"
+        return b"\r\n".join([line for line in was(self).split(b"\r\n") if not line.startswith(expected)])
+
+    was = Job._head_bytes
+    put(Job, "_head_bytes", head)
+
+
+def life_not_told_apart(put: Put) -> None:
+    """And no id is expected: another life at the address is taken for the one before it."""
+    def beat(self: Gate, now: float, instance: str, sequence: int, draining: bool, slots: int,
+             cold_s: float) -> bool:
+        return bool(was(self, now, self.instance or instance, self.sequence + 1, draining, slots, 0.0))
+
+    was = Gate.beat
+    put(Gate, "beat", beat)
+    put(Gate, "missing", lambda self: None)
+    id_not_expected(put)
+
+
+# Answers.
+
+
+def seal_not_checked(put: Put) -> None:
+    put(Job, "_good", lambda self: self.head is not None and not self.head.unexecuted)
+
+
+def echo_not_checked(put: Put) -> None:
+    def answer(self: Tap, head: Any) -> None:
+        if self.user is not None:
+            head.attempt = self.user.attempt
+        was(self, head)
+
+    was = Tap.answer
+    put(Tap, "answer", answer)
+
+
+def excess_is_used(put: Put) -> None:
+    """What comes while nobody waits is kept for who comes next, and no id is looked at."""
+    def discard(self: Tap) -> None:
+        if not self.up or self.connection.peer != self.pool.address or self.user is not None:
+            was(self)
+
+    was = Tap._discard
+    put(Tap, "_discard", discard)
+    echo_not_checked(put)
+
+
+def half_an_answer_is_whole(put: Put) -> None:
+    def broken(self: Job, why: str, sent: bool, heard: bool) -> None:
+        if heard and self.head is not None and not self.streaming:
+            self.whole()
+        else:
+            was(self, why, sent, heard)
+
+    was = Job.broken
+    put(Job, "broken", broken)
+
+
+def answers_as_they_come(put: Put) -> None:
+    def write(self: Guest) -> None:
+        self.exchanges.sort(key=lambda exchange: not exchange.done)
+        was(self)
+
+    was = Guest._write
+    put(Guest, "_write", write)
+
+
+def caller_as_sent(put: Put) -> None:
+    def start(self: Course) -> None:
+        self.source.service = "forged"
+        was(self)
+
+    was = Course.start
+    put(Course, "start", start)
+
+
+def pieces_from_the_beginning(put: Put) -> None:
+    def piece(self: Course) -> bytes:
+        return b"".join(self.kept)[:len(was(self))]
+
+    was = Course._piece
+    put(Course, "_piece", piece)
+
+
+# Run, not run, may have run.
+
+
+def reset_means_not_run(put: Put) -> None:
+    def broken(self: Job, why: str, sent: bool, heard: bool) -> None:
+        was(self, why, False, heard)
+
+    was = Job.broken
+    put(Job, "broken", broken)
+
+
+def lost_link_means_not_run(put: Put) -> None:
+    def lose(self: Link) -> None:
+        self.up = False
+        was(self)
+
+    was = Link.lose
+    put(Link, "lose", lose)
+
+
+def repeats_what_may_have_run(put: Put) -> None:
+    put(Verdict, "may_repeat", lambda self, repeatable: True)
+
+
+def refuses_what_may_have_run(put: Put) -> None:
+    def give_up(self: Course, again_s: float) -> None:
+        self.ran = False
+        was(self, again_s)
+
+    was = Course._give_up
+    put(Course, "_give_up", give_up)
+
+
+def ledger_off(put: Put) -> None:
+    """A source forgets that a request may have run once it is given to another gate."""
+    def ask(self: Course, key: str, patience_s: float) -> None:
+        self.ran = False
+        was(self, key, patience_s)
+
+    was = Course._ask
+    put(Course, "_ask", ask)
+    put(Course, "_arrived", lambda self, verdict: self._not_run(Verdict(NOT_RUN, verdict.why)))
+
+
+def budget_off(put: Put) -> None:
+    put(Source, "spend", lambda self, service: True)
+
+
+# The platform.
+
+
+def term_ends_at_once(put: Put) -> None:
+    put(Sluice, "terminate", lambda self: self.host.exit(0))
+
+
+def always_ready(put: Put) -> None:
+    """And SIGTERM waits for nobody."""
+    put(Sluice, "_readiness", lambda self, call: call.answer(200))
+    put(Sluice, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
+
+
+def leaving_refuses_who_is_there(put: Put) -> None:
+    """Those at work at a gate that leaves are given up."""
+    def terminate(self: Sluice) -> None:
+        was(self)
+        for job in list(self.inbound.jobs):
+            job._fail(Verdict(MAY_HAVE_RUN, BROKEN_OFF, True))
+
+    was = Sluice.terminate
+    put(Sluice, "terminate", terminate)
+
+
+def digest_never_sent(put: Put) -> None:
+    """Nor any head that tells of a revision, nor rumours of the word."""
+    put(News, "_summary", lambda self: b"")
+    put(News, "holds", lambda self, sender, revision: None)
+    put(News, "_pass_word", lambda self, now, word: [])
+
+
+def slots_never_given_back(put: Put) -> None:
+    put(Admission, "ended", lambda self, now, short, took: None)
+
+
+POWER, WIPE = ("closing", "power_off_all"), ("closing", "wipe_after_ack")
+KILL, CUT = ("node_kill", ""), ("core_cut", "")
+RACE, AGAIN = ("config_race", "versions"), ("late_again", "")
+STORM, CHANGE, LOST = ("config_storm", ""), ("config_change", ""), ("answer_lost", "heavy")
+
+MUTANTS = [
+    Mutant("ack before sync", ack_before_sync, (STORM, POWER), ("CONFIG",)),
+    Mutant("ack before the text is on disk", text_before_sync, (STORM, POWER), ("CONFIG", "RECOVER")),
+    Mutant("majority of the living", majority_of_the_living, (CUT, STORM, STORM), ("CONFIG",)),
+    Mutant("one vote is enough", one_vote_is_enough, (CUT, STORM, STORM), ("CONFIG",)),
+    Mutant("wiped disk votes", wiped_disk_votes, (WIPE,), ("CONFIG",)),
+    Mutant("promise not kept", promise_not_kept, (RACE, RACE), ("CONFIG",)),
+    Mutant("round begins from its own word", begins_from_own_word, (STORM, CUT, CHANGE), ("CONFIG",)),
+    Mutant("ack without a majority", ack_without_majority, (("core_cut", ""), STORM), ("CONFIG",)),
+    Mutant("version by arrival", version_by_arrival, (STORM, AGAIN, AGAIN, AGAIN), ("CONFIG",)),
+    Mutant("invalid is taken", invalid_is_taken, (("bad_config", ""),), ("CONFIG",)),
+    Mutant("change drops evacuations", change_drops_evacuations, (("evacuate", ""), STORM), ("EVAC",)),
+    Mutant("word from the first, and no news", word_from_the_first, (("herd_kill", ""), STORM), ("CONFIG",)),
+    Mutant("word never renewed", word_never_renewed, (STORM,), ("CONFIG",)),
+    Mutant("evacuations not taken over", evacuations_not_taken_over, (("evacuate", ""),), ("EVAC",)),
+    Mutant("nobody heeds draining", nobody_heeds_draining, (("release", ""),), ("DRAIN",)),
+    Mutant("nobody heeds evacuations", nobody_heeds_evacuations, (("evacuate", ""),), ("EVAC",)),
+    Mutant("cold bound off", cold_bound_off, (("cold_return", ""),), ("FAILBACK",)),
+    Mutant("cold is not told", cold_is_not_told, (("cold_return", ""),), ("FAILBACK",)),
+    Mutant("new life is taken for warm", new_process_knows_no_cold, (("life_swap", ""),), ("FAILBACK",)),
+    Mutant("cold bound by whole seconds", cold_bound_by_slices, (("cold_return", ""),) * 3, ("FAILBACK",)),
+    Mutant("any service", any_service, (("replace_with_reuse", ""),) * 2, ("ROUTE", "CONFIG")),
+    Mutant("life not told apart", life_not_told_apart, (("life_swap", ""),), ("FAILBACK",)),
+    Mutant("seal not checked", seal_not_checked, (("garble", "unsealed"),), ("MIXED",)),
+    Mutant("echo not checked", echo_not_checked, (("garble", "extra"),), ("MIXED", "TWICE", "REFUSED")),
+    Mutant("excess is used", excess_is_used, (("garble", "extra"),), ("MIXED", "TWICE", "REFUSED", "FAULT")),
+    Mutant("half an answer is whole", half_an_answer_is_whole, (("garble", ""),), ("MIXED",)),
+    Mutant("answers as they come", answers_as_they_come, (), ("MIXED",)),
+    Mutant("caller as sent", caller_as_sent, (), ("UNASKED",)),
+    Mutant("pieces from the beginning", pieces_from_the_beginning, (), ("UNASKED",)),
+    Mutant("reset means not run", reset_means_not_run, (LOST,), ("TWICE", "REFUSED")),
+    Mutant("lost link means not run", lost_link_means_not_run, (KILL, KILL, KILL), ("TWICE", "REFUSED")),
+    Mutant("repeats what may have run", repeats_what_may_have_run, (LOST,), ("TWICE",)),
+    Mutant("503 for what may have run", refuses_what_may_have_run, (LOST,), ("REFUSED",)),
+    Mutant("ledger off", ledger_off, (LOST,), ("TWICE", "REFUSED")),
+    Mutant("budget off", budget_off, (LOST,), ("BUDGET",)),
+    Mutant("SIGTERM exits at once", term_ends_at_once, (("roll_term", ""),), ("LOST",)),
+    Mutant("always ready, and ends soon", always_ready, (("roll_term", ""),), ("LOST",)),
+    Mutant("leaving gives up who is there", leaving_refuses_who_is_there, (("roll_term", ""),), ("LOST",)),
+    Mutant("digest never sent, nor rumours of the word", digest_never_sent, (STORM,), ("CONFIG",)),
+    Mutant("slots never given back", slots_never_given_back, (KILL,), ("RECOVER",), 26.0),
+]
