--- a/honeywharf/assay/scan.py
+++ b/honeywharf/assay/scan.py
@@ -74,13 +74,14 @@
     told = {zone for zone, on in value["evac"].items() if on}
     if word.evacuated != told or gate.evacuated != (sluice.settings.zone in told):
         return f"evacuated {sorted(word.evacuated)}, told {sorted(told)}"
-    service = table.services.get(gate.service)
-    if service is None:
-        return ""
-    most = max(1, int(0.9 * min(1e6, min(service.cold_per_s, 1e9) * gate.overage + gate.slack)))
-    if sluice.taps.most != max(1, service.most_connections - 2) or gate.cold.most != min(8192, most):
-        return "bounds at the backend are those of another version"
-    return "" if sluice.probe.path == service.health.encode() else "probes ask another path than told"
+    if bounds(sluice) != sluice.assay.bounds:
+        return "bounds at the backend are not those that the word gave"
+    return ""
+
+
+def bounds(sluice: Sluice) -> tuple[object, ...]:
+    """What timers and connections at the backend hold of the word: as set by it, or as it is now."""
+    return sluice.taps.most, sluice.gate.cold.most, sluice.probe.path
 
 
 def listed(sluice: Sluice, nodes: list[str]) -> str:
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -91,6 +91,7 @@
         self.ticked = self.looked = self.confirmed = now
         self.looked -= LOOK_S
         self.renewals, self.renewed = 0, now  # the last one's number, and when it began
+        self.bounds: tuple[object, ...] = ()  # at the backend, as the word in force gave them
         self.unsure = False  # no reservoir has told this word since it was taken over
         self.rebuilding = self.renewing = self.asking = self.standing = False
         self.courses: list[Course] = []  # that wait for a renewal, to decide again
@@ -148,13 +149,14 @@
 
     def stale(self, course: Course, key: str) -> None:
         """A gate refused by its word: renew ours from there, then the course decides again."""
-        if len(self.courses) >= MOST_HELD or key == self.sluice.settings.ip:
+        by = course.revision
+        if len(self.courses) >= MOST_HELD or key == self.sluice.settings.ip or by < self.word.revision:
             self.host.after(0.0, course.decide)
             return
         self.courses.append(course)
         if not self.renewing:
             self._begin()
-            self._fetch((key, self.sluice.settings.ports[0]), lambda value: self._compared(key, value))
+            self._fetch((key, self.sluice.settings.ports[0]), lambda value: self._compared(key, by, value))
 
     def _fetch(self, holder: Address, done: Any) -> None:
         """Ask a holder for its word, and take it over where it is newer."""
@@ -167,12 +169,12 @@
 
         self.sluice.caller.call(holder, "word.known", None, HOLD_S, known)
 
-    def _compared(self, key: str, value: Any) -> None:
+    def _compared(self, key: str, by: int, value: Any) -> None:
         """A gate's word has come: where it is not newer than ours, one of us has slipped."""
         if isinstance(value, dict) and value.get("rev", 0) > self.word.revision:
             return
         if not self.examine("judge", f"{key} decides otherwise") and isinstance(value, dict) and (
-                value.get("rev") == self.word.revision):
+                value.get("rev") == self.word.revision == by):
             self._accuse(key)
         self._release()
 
@@ -317,6 +319,7 @@
 
     def word_changed(self) -> None:
         """Another word is in force: read its text a second time, and compare all of it, part by part."""
+        self.bounds = scan.bounds(self.sluice)
         if not self.rebuilding:
             self._read()
             self.parts = None
@@ -484,6 +487,7 @@
         word.evacuated = {zone for zone, on in value["evac"].items() if on}
         self._relist()
         self.sluice.apply()
+        self.bounds = scan.bounds(self.sluice)
         self.rebuilding, self.parts = False, None
         return not self._whole()
 
--- a/honeywharf/flume/slips.py
+++ b/honeywharf/flume/slips.py
@@ -16,7 +16,7 @@
 from honeywharf.assay import second
 from honeywharf.assay.watch import Assay
 from honeywharf.flume.field import SERVICES, ZONES, Field, Side
-from honeywharf.flume.rules import Order
+from honeywharf.flume.rules import Ask, Order
 from honeywharf.flume.run import real_reservoir, real_sluice
 from honeywharf.sluice.inbound import Job
 from honeywharf.strainer.routes import Route, Table
@@ -295,7 +295,8 @@
         self.slips: list[Slip] = []
         self.victim: Side = self.field.sides[0]
         self.undo: Undo = lambda: None
-        self.told: list[tuple[Order, second.Told]] = []
+        self.told: list[Order] = []
+        self.readings: dict[bytes, second.Told] = {}
         self.strict = {"runs": 0, "slipped": 0}
         self.wrong: list[str] = []  # mutating requests that ran by another rule than told
         self.alarms: list[tuple[float, str, str]] = []
@@ -342,13 +343,13 @@
         self.moves["/orders/"] = {"order-desk": chance.randint(2, 5), "survey-intake": chance.randint(1, 2)}
         self.moves["/parcels/"] = {chance.choice(SERVICES): 1}
         order = self.field.moved(self.field.next_version(), self.moves, 2500 + 100 * (len(self.told) % 9))
-        self.told.append((order, second.Told(order.text)))
+        self.told.append(order)
         self.field.operator.order(order)
 
     @property
     def newest(self) -> bytes:
         """The text that was ordered last."""
-        return self.told[-1][0].text if self.told else b""
+        return self.told[-1].text if self.told else b""
 
     def odd(self, chance: random.Random) -> tuple[bytes, bytes]:
         """A text under the newest version with another rule, plain and packed."""
@@ -403,6 +404,21 @@
             slip.by = by
             slip.after = sum(ask.machine == ip and ask.sent >= slip.at for ask in self.book.asks.values())
 
+    def _read(self, order: Order) -> second.Told:
+        found = self.readings.get(order.text)
+        if found is None:
+            found = self.readings[order.text] = second.Told(order.text)
+        return found
+
+    def _may(self, sent: Ask) -> list[Order]:
+        """Configurations by which a request may run. Without slips, only machines in touch are held to it."""
+        bound = sent.sent - self.book.bounds["config-apply"]
+        orders = [order for order in self.book.configs() if order.sent <= self.world.now]
+        if self.kind == "none" and not self.book.in_touch(sent.machine, sent.sent):
+            return orders
+        floor = max((order.version for order in orders if order.acked <= bound), default=0)
+        return [order for order in orders if order.version >= floor]
+
     def ran(self, job: Job) -> None:
         """A request's head goes to a backend now."""
         ask = job.ask
@@ -410,11 +426,8 @@
         if sent is None or sent.repeatable:
             return
         self.strict["runs"] += 1
-        floor = max((order.version for order, _ in self.told
-                     if order.acked <= sent.sent - self.book.bounds["config-apply"]), default=0)
-        may = [(order, told) for order, told in self.told if order.version >= floor]
-        for order, told in may:
-            made, kind = told.decide(sent.host.encode(), sent.path.encode())
+        for order in self._may(sent):
+            made, kind = self._read(order).decide(sent.host.encode(), sent.path.encode())
             if made == ask.rule and kind == ask.kind and ask.service in order.services(sent.host, sent.path):
                 return
         self.strict["slipped"] += 1
@@ -423,8 +436,8 @@
         self.wrong.append(f"{self.world.now:.3f} {sent.id} {sent.path} of {sent.machine} at {ask.service}, "
                           f"kind {ask.kind}, from {ask.peer or 'home'}")
 
-    def play(self) -> Trial:
-        """Play it whole."""
+    def play(self, until: float = 0.0) -> Trial:
+        """Play it whole, or until a time."""
         plain = Job._head_bytes
 
         def heads(job: Job) -> bytes:
@@ -434,7 +447,7 @@
         cast(Any, Job)._head_bytes = heads
         try:
             self.world.strict = True
-            self.world.run(FIRST + self.many * self.gap + 4.0)
+            self.world.run(until or FIRST + self.many * self.gap + 4.0)
         finally:
             cast(Any, Job)._head_bytes = plain
         return self
