Ask few gates, wait where a wait was told, and start on a cold backend at once

Now a gate that refused is left alone for the wait that it told; with none left the shortest wait is asked for a place; GO asks for 8 KiB of a body and the gate for more as its link allows; a request may wait for a cold backend; the cold bound is free at once where the backend is younger than the process.

--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -13,8 +13,8 @@
     CANCEL  the source wants no answer any more
     PING, PONG   where streams wait and nothing was heard for `PING_S`
 
-No more than `WINDOW_BYTES` of a body are on the way unasked for, so a slow one holds up nobody else on the
-link. A link
+No more than `WINDOW_BYTES` of a body are on the way unasked for (`FIRST_WINDOW` of a request's at first), so
+a slow one holds up nobody else on the link. A link
 on which nothing is heard for `SILENT_S` while streams wait is lost: what was opened on it may have run,
 except a request whose body was not asked for, which has not. Requests that may run twice are given up on it
 sooner, after `STALLED_S`.
@@ -73,6 +73,7 @@
 
 OPEN, GO, DATA, END, WINDOW, ANSWER, REFUSE, FAIL, CANCEL, PING, PONG = range(11)
 WINDOW_BYTES = 64 * 1024
+FIRST_WINDOW = 8 * 1024  # bytes of a request's body that GO asks for; its gate asks for more
 PIECE = 16 * 1024  # bytes of one DATA frame: other streams have their turn between
 PING_S = 0.25
 STALLED_S = 1.2  # of silence, after which what may run twice is not waited for on a link any more
--- a/honeywharf/policy/levels.py
+++ b/honeywharf/policy/levels.py
@@ -18,20 +18,22 @@
 
 DEAD_AFTER = 2  # failures in a row
 PAUSE_S, LONGEST_S = 0.4, 4.0  # the first absence, and the longest
-FULL_S = 0.02  # a backend that was full a moment ago is asked last: answers take longer than that
+FULL_S, SPARED_S = 0.02, 0.3  # a backend that was full is asked again after the wait that it told, in between
 MOST = 8192  # backends of one service
 
 
 class Target:
     """What is known here of one backend. `key` names the proxy beside it."""
 
-    __slots__ = ("absent_until", "failures", "key", "pauses", "spared_until", "trial", "usable", "zone")
+    __slots__ = (
+        "absent_until", "failures", "key", "pauses", "spared_until", "trial", "usable",
+        "wait_s", "zone")
 
     def __init__(self, key: str, zone: str) -> None:
         self.key, self.zone = key, zone
         self.usable = True  # listed as ready, its proxy not doubted, its zone not evacuated
         self.failures = self.pauses = 0
-        self.absent_until = self.spared_until = 0.0
+        self.absent_until = self.spared_until = self.wait_s = 0.0
         self.trial = False  # one call is out to see whether it is back
 
 
@@ -60,26 +62,37 @@
         self.targets.pop(key, None)
 
     def pick(self, now: float, passed: Container[str] = ()) -> str | None:
-        """An even random choice in the first level that has a usable backend not passed over.
+        """An even random choice in the first level that has a usable backend with room, not passed over.
 
-        None without one.
+        None where there is none; those that were full when last heard of may still be asked to let a request
+        wait (`shortest`).
         """
-        for spare in (True, False):  # those that were full a moment ago only where nobody else is left
-            usable = [t for t in self.targets.values() if t.usable and t.key not in passed
-                      and self._there(now, t) and (not spare or t.spared_until <= now)]
-            home = [t for t in usable if t.zone == self.zone]
-            level = home or usable
-            if level:
-                self.depth = 0 if home else 1
-                return self._take(now, level[int(self.draw() * len(level))])
-        return None
+        usable = [t for t in self.targets.values() if t.usable and t.spared_until <= now
+                  and t.key not in passed and self._there(now, t)]
+        home = [t for t in usable if t.zone == self.zone]
+        level = home or usable
+        if not level:
+            return None
+        self.depth = 0 if home else 1
+        return self._take(level[int(self.draw() * len(level))])
+
+    def shortest(self, now: float, passed: Container[str] = ()) -> str | None:
+        """The usable backend, of those that lack room, that told the shortest wait; None without one."""
+        best, least = None, float("inf")
+        for target in self.targets.values():
+            full = target.usable and target.spared_until > now and target.wait_s > 0
+            if full and target.key not in passed and self._there(now, target):
+                wait = target.wait_s * (0.5 + self.draw())  # told a while ago, and to others as well
+                if wait < least:
+                    best, least = target, wait
+        return None if best is None else self._take(best)
 
     @staticmethod
     def _there(now: float, target: Target) -> bool:
         return not target.pauses or (target.absent_until <= now and not target.trial)
 
     @staticmethod
-    def _take(now: float, target: Target) -> str:
+    def _take(target: Target) -> str:
         if target.pauses:
             target.trial = True
         return target.key
@@ -103,11 +116,12 @@
             target.pauses += 1
             target.absent_until = now + pause * (0.75 + 0.5 * self.draw())
 
-    def refused(self, now: float, key: str, again_s: float) -> None:
-        """Its gate refused, a proof that nothing has run: ask others first for a while. It is there."""
+    def refused(self, now: float, key: str, wait_s: float) -> None:
+        """Its gate refused, a proof that nothing has run; it is there, and told how long a wait is."""
         target = self.targets.get(key)
         if target is not None:
-            target.spared_until = now + max(FULL_S, again_s)
+            target.wait_s = wait_s
+            target.spared_until = now + min(SPARED_S, max(FULL_S, wait_s))
             target.trial = False
 
     def released(self, key: str) -> None:
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -51,6 +51,7 @@
         self.handshakes = 0
         self.taps = Taps(host, application, self._handshake)
         self.inbound = Inbound(host, self.gate, self.taps)
+        self.inbound.link_bytes_s = settings.link_mbps * 125_000.0
         self.caller = Caller(host)
         self.word = Word(host, self.caller, self.cores, self._word_changed)
         self.word.named = is_named
@@ -114,7 +115,7 @@
         if word.table is not None:
             service = word.table.services.get(self.gate.service)
             if service is not None:
-                self.gate.bound(service.cold_per_s)
+                self.gate.bound(service.cold_per_s, service.cold_start_s)
                 self.taps.most = max(1, service.most_connections - 2)
                 self.probe.path = service.health.encode()
         self.source.relist()
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -1,12 +1,11 @@
 """The course of one request at its source: whom it asks, what their word proves, what the client is told.
 
-Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has
-run and
-costs no more than a round trip, so the next one is asked at once, each gate once; when all have refused
-and some for
-want of room, the one with the shortest queue is asked to let the request wait, at most until `PATIENCE` of
-its aim has passed. What has reached a backend's socket is sent to another only by the verdict, the kind, the
-route's `max-attempts` and the retry budget. Exactly one final answer; `over` is set when it is given.
+Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has run
+and costs no more than a round trip, so the next one is asked at once, each gate once, `MOST_ASKED` in all.
+When none is left that may have room, the one that told the shortest wait is asked to let the request wait,
+at most until `PATIENCE` of its aim has passed. What has reached a backend's socket is sent to another only by
+the verdict, the kind, the route's `max-attempts` and the retry budget. Exactly one final answer; `over` is
+set when it is given.
 
     verdict          read_only                     mutating, upload
     not run          another gate                  another gate
@@ -20,8 +19,8 @@
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.mains.streams import WINDOW_BYTES, Ask
-from honeywharf.verdict import COLD, DRIFT, FULL, LEAVING, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
+from honeywharf.mains.streams import FIRST_WINDOW, Ask
+from honeywharf.verdict import DRIFT, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -69,7 +68,7 @@
 
 PATIENCE = 0.22  # of the aim, from the request's arrival: later refusals are priced
 KEPT_BYTES = 512 * 1024  # of a body that is kept, so that it can be sent once more
-MOST_ASKED = 24  # gates that one request asks
+MOST_ASKED = 6  # gates that one request asks for a free slot
 MOST_DECIDED = 3  # times that the rule of one request is found, where a gate holds another
 DEADLINE_S = 10.0  # where a client tells none
 MOST_WAITED = 3  # gates that it is ready to wait at, one after the other
@@ -82,7 +81,7 @@
 
     __slots__ = (
         "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "decided", "due",
-        "ended", "finished", "full", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran",
+        "ended", "finished", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran",
         "read", "revision", "route", "sending", "sent", "service", "source", "tries", "waited", "went", "who")
 
     def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
@@ -91,12 +90,12 @@
         self.kind = 0 if route.repeatable else 2 if route.upload else 1
         self.service = source.draw_service(route)
         self.asked: set[str] = set()
-        self.full: dict[str, float] = {}  # gates that had no room, and how long they said that a wait is
+        self.waited: set[str] = set()  # gates that were asked to let it wait
         self.gate = ""  # that is asked now
         self.channel: Channel | None = None
         self.arrivals = 0  # at backends' sockets
         self.ran = False  # an attempt may have run
-        self.tries = self.waited = 0
+        self.tries = 0
         self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
         self.decided, self.revision = 1, source.revision()  # times that a route was found, and by which word
         self.sending = False  # from within a call to the gate
@@ -126,12 +125,12 @@
             self._ask(key, 0.0)
             return
         patience = self.arrived_at + PATIENCE * self.route.aim_s - now
-        if self.full and patience > END_S and self.waited < MOST_WAITED:
-            key = min(self.full, key=lambda k: self.full[k])
-            del self.full[key]
-            self.waited += 1
-            self._ask(key, min(patience, self.deadline - now))
-            return
+        if patience > END_S and len(self.waited) < MOST_WAITED:
+            key = levels.shortest(now, self.waited)
+            if key is not None:
+                self.waited.add(key)
+                self._ask(key, min(patience, self.deadline - now))
+                return
         self._give_up(self._return_s())
 
     def _ask(self, key: str, patience_s: float) -> None:
@@ -180,7 +179,7 @@
         self.due = source.host.after(max(0.0, self.deadline - now - END_S), self._late)
         if self.service != service:
             self.asked.clear()
-            self.full.clear()
+            self.waited.clear()
             source.budget(self.service).took(now)
 
     def _return_s(self) -> float:
@@ -286,7 +285,7 @@
 
     def go(self) -> None:
         """It is admitted: its body is wanted."""
-        self.went, self.credit = True, WINDOW_BYTES
+        self.went, self.credit = True, FIRST_WINDOW
         self._send()
 
     def window(self, size: int) -> None:
@@ -350,8 +349,6 @@
             self.source.failed(self.service, self.gate, True)
         else:
             self.source.refused(self.service, self.gate, verdict)
-        if verdict.why in (FULL, COLD, LEAVING) and not self.waited:
-            self.full[self.gate] = verdict.again_s if verdict.why != LEAVING else 10.0
         if self.lost_body:
             self._give_up(self._return_s())
         else:
--- a/honeywharf/sluice/gate.py
+++ b/honeywharf/sluice/gate.py
@@ -24,6 +24,7 @@
 STATES = ("unknown", "ready", "draining", "ended")
 MOST_LIVES = 64  # ended ones that are remembered
 FIRST_SLOTS = 4  # until something tells
+RESTART_S = 0.3  # at least, from the end of one process of this program to the work of the next
 COLD_MARGIN_S = 0.25  # beyond what is told: it was measured before it came here
 
 
@@ -38,6 +39,8 @@
         self.ended: dict[str, None] = {}  # lives that are over, the oldest first
         self.admission = Admission(FIRST_SLOTS)
         self.cold = ColdBound(now, float("inf") if slack == float("inf") else 0.0, overage, slack, fresh=True)
+        self.cold_start_s = float("inf")  # until a configuration tells how long backends are cold
+        self.born = now
         self.cold_until = 0.0
         self.doubted = True
         self.evacuated = False
@@ -100,8 +103,9 @@
             self.evacuated = on
             self.changes += 1
 
-    def bound(self, per_s: float) -> None:
-        """The configuration's bound for cold backends, requests a second."""
+    def bound(self, per_s: float, start_s: float = 0.0) -> None:
+        """The configuration's bound for cold backends: requests a second, and how long they are cold."""
+        self.cold_start_s = start_s or float("inf")
         self.cold.bound(min(per_s, 1e9), self.overage, self.slack)
 
     def _life(self, now: float, instance: str) -> None:
@@ -121,6 +125,8 @@
     def _told_cold(self, now: float, cold_s: float) -> None:
         self.doubted = False
         self.cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
+        if cold_s > 0 and self.cold_start_s - cold_s <= now - self.born + RESTART_S:
+            self.cold.unused()  # it is younger than the end of whoever ran before this process
 
     def _become(self, state: int) -> None:
         if state != self.state:
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -17,10 +17,11 @@
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import UNKNOWN, Answer
-from honeywharf.mains.streams import WINDOW_BYTES
+from honeywharf.mains.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.sluice.backend import Taps
 from honeywharf.verdict import (
     BROKEN_OFF,
+    COLD,
     FULL,
     GARBLED,
     LATE,
@@ -67,8 +68,11 @@
         def fail(self, verdict: Verdict, load: tuple[int, int, int]) -> None:
             """No answer comes, or none further."""
 
-SHORT_BYTES = 32 * 1024  # of a body that is held whole before the backend sees its head
+SHORT_BYTES = FIRST_WINDOW  # of a body that is held whole before the backend sees its head
 WHOLE_BYTES = 64 * 1024  # of an answer that goes on whole
+ON_THE_WAY_S = 0.1  # of the link's time, for bodies: what comes behind them waits no longer
+MOST_THAWING = 64  # requests that wait for a cold backend
+LEAVING_S = 1.0  # told by one that leaves: it is asked to let a request wait only after all others
 LATE_S = 0.03  # past the deadline, for the backend's own word of it
 LEAST_S = 0.005  # left, under which a request is not begun
 JUDGED_S = 0.1  # for so long a judgement holds; less than the cold bound's window is over a second
@@ -80,13 +84,14 @@
     __slots__ = (
         "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head",
         "held", "inbound", "judged_at", "kept", "over", "read", "short", "started", "streaming", "tap",
-        "tap_up", "until", "waiter", "wrote")
+        "tap_up", "thaw", "until", "waiter", "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
         self.attempt = ask.attempt
         self.until = inbound.host.now() + ask.remaining_s
         self.waiter: Waiter | None = None
+        self.thaw: Timer | None = None  # while it waits for a cold backend
         self.tap: Tap | None = None
         self.due: Timer | None = None
         self.body: list[bytes] = []  # of the request, not yet written
@@ -123,14 +128,25 @@
         if self.until - now < LEAST_S:
             self.refuse(LATE, 0.0)
         elif inbound.leaving and not ask.patience_s:
-            self.refuse(LEAVING, 0.0)
+            self.refuse(LEAVING, LEAVING_S)
         else:
             refusal = inbound.gate.refusal(now, ask.service)
             if refusal is None:
                 return True
+            if refusal[0] == COLD and refusal[1] <= ask.patience_s and inbound.thawing < MOST_THAWING:
+                inbound.thawing += 1
+                ask.patience_s -= refusal[1]
+                self.thaw = inbound.host.after(refusal[1], self._thawed)
+                return False
             self.refuse(*refusal)
         return False
 
+    def _thawed(self) -> None:
+        """A cold backend may take one more: this one, or another that waited as long."""
+        self.thaw = None
+        self.inbound.thawing -= 1
+        self.judge()
+
     def _turn(self) -> None:
         self.waiter = None
         now, assay = self.inbound.host.now(), self.inbound.assay
@@ -155,6 +171,9 @@
         self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
         if self.ask.length != 0:
             self.answers.go()
+            more = self.inbound.window() - FIRST_WINDOW
+            if more > 0 and not self.over and not 0 <= self.ask.length <= FIRST_WINDOW:
+                self.answers.window(more)
         self._write()
 
     def _write(self) -> None:
@@ -369,6 +388,10 @@
             self.gate.admission.leave(self.waiter)
             self.waiter = None
         self.body.clear()
+        if self.thaw is not None:
+            self.thaw.cancel()
+            self.thaw = None
+            self.inbound.thawing -= 1
         if self.started:
             now = self.inbound.host.now()
             self.gate.admission.ended(now, self.short, now - self.begun_at if self.head is not None else None)
@@ -396,6 +419,8 @@
         self.refused: dict[int, int] = {}
         self.served = self.failed = self.cancelled = 0
         self.leaving = False
+        self.thawing = 0  # requests that wait for a cold backend
+        self.link_bytes_s = float("inf")  # of this machine's link
         self.look: Timer | None = None
         self.look_at = 0.0
         self.pumping = False
@@ -410,6 +435,11 @@
             job.judge()
         return job
 
+    def window(self) -> int:
+        """Bytes of one more request's body that may be on the way: its share of the link's time."""
+        bodies = 1 + sum(1 for job in self.jobs if job.started and not job.ended)
+        return int(max(FIRST_WINDOW, min(WINDOW_BYTES, self.link_bytes_s * ON_THE_WAY_S / bodies)))
+
     def told_load(self, load: bytes) -> None:
         """The backend told running, waiting, slots."""
         figures = load.split(b",")
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -196,7 +196,7 @@
     def refused(self, service: str, key: str, verdict: Verdict) -> None:
         """A gate refused."""
         self.refusals[verdict.why] = self.refusals.get(verdict.why, 0) + 1
-        self.levels_of(service).refused(self.host.now(), key, 0.0)
+        self.levels_of(service).refused(self.host.now(), key, verdict.again_s)
 
     def released(self, service: str, key: str) -> None:
         """Nobody waits for an attempt there any more."""
--- a/honeywharf/weir/cold.py
+++ b/honeywharf/weir/cold.py
@@ -31,6 +31,10 @@
         """Take a new bound over: requests a second as configured, and the rule's figures."""
         self.most = max(1, min(MOST, int(PART * min(1e6, per_s * overage + slack))))
 
+    def unused(self) -> None:
+        """Nobody can have sent anything before this process did."""
+        self.begun = 0.0
+
     def wait(self, now: float) -> float:
         """Seconds until one more may be sent; 0.0 now."""
         if now < self.begun:
--- a/tests/sluice/test_gate.py
+++ b/tests/sluice/test_gate.py
@@ -173,3 +173,13 @@
     assert gate.say() == {"s": SERVICE, "b": "i-1", "st": READY, "sl": 8}
     gate.admission.running = 1
     assert gate.load() == (1, 0, 8)
+
+
+@pytest.mark.parametrize(("cold_s", "refused"), [(2.9, False), (2.75, False), (2.4, True), (1.0, True)])
+def test_a_new_process_sends_to_a_cold_backend_at_once_only_if_none_before_it_can_have(
+    cold_s: float, refused: bool,
+) -> None:
+    gate = Gate(10.0, SERVICE, 1.5, 5.0)
+    gate.bound(22.0, 3.0)
+    gate.beat(10.0, "i-1", 1, False, 8, cold_s)
+    assert (gate.refusal(10.0, SERVICE) is not None) == refused
