Wait for the destination's word on each new way, so that a drain repeats no byte

Nothing but a short body to a known life goes before HAVE now, and a way is left after at most 1.5 s instead of 0.3.

--- a/honeywharf/penstock/inlet.py
+++ b/honeywharf/penstock/inlet.py
@@ -69,7 +69,7 @@
 
 IDLE, ASKING, FLOWING, LEAVING, OVER = range(5)
 STATES = ("idle", "asking", "flowing", "leaving", "over")
-QUIET_S = 0.3  # for acknowledgements before a way is left
+QUIET_S = 1.5  # for acknowledgements before a way is left: what is on its way arrives meanwhile
 
 
 class Request:
@@ -97,9 +97,9 @@
     """
 
     __slots__ = (
-        "acked", "answer", "before", "collected", "complete", "ended", "epoch", "finished", "got", "heard",
-        "kept", "life", "out", "read", "request", "sent", "sid", "state", "taken", "teller", "told", "total",
-        "twice", "upto", "went")
+        "acked", "answer", "before", "collected", "complete", "early", "ended", "epoch", "finished",
+        "got", "heard", "kept", "life", "out", "read", "request", "sent", "sid", "state", "taken",
+        "teller", "told", "total", "twice", "upto", "went")
 
     def __init__(self, sid: bytes, request: Request, teller: Teller, life: bytes = b"") -> None:
         self.sid, self.request, self.teller, self.life = sid, request, teller, life
@@ -109,6 +109,7 @@
         self.ended = request.length == 0  # the body is here whole
         self.finished = False  # its end was sent, by some way
         self.told = False  # its end was sent by this way
+        self.early = False  # the body follows OPEN unasked
         self.before = False  # its end was sent by a way before this one
         self.heard = self.went = False
         self.complete = False  # the destination has all of it, the end too
@@ -132,7 +133,8 @@
             OPEN, self.sid, self.epoch, request.to, self.life, int(self.heard), self.got, request.attempt,
             request.length, remaining, request.expires_ms, request.tenant, request.origin,
             list(request.homes), request.head, self.read + ANSWER_WINDOW]]
-        if self.life and not self.heard and 0 <= request.length <= SHORT:
+        self.early = bool(self.life) and not self.heard and 0 <= request.length <= SHORT
+        if self.early:
             self.twice += self.sent
             self.sent, self.upto = 0, FIRST
             if not self.went:
@@ -195,7 +197,7 @@
 
     def _send(self) -> None:
         """Send what the window allows; the end only to a life that is known."""
-        if self.state not in (ASKING, FLOWING) or not self.life:
+        if self.state != FLOWING and not (self.state == ASKING and self.early):
             return
         while self.sent < min(self.upto, self.total):
             at = self.sent - self.acked
--- a/tests/penstock/test_sessions.py
+++ b/tests/penstock/test_sessions.py
@@ -9,7 +9,7 @@
 import pytest
 
 from honeywharf.penstock.inlet import Inlet
-from honeywharf.penstock.kinds import HAVE
+from honeywharf.penstock.kinds import HAVE, OPEN
 from honeywharf.penstock.outlet import Outlet, Outlets
 from honeywharf.penstock.passage import Passages, Row
 from tests.penstock.town import PLACES, Town
@@ -127,6 +127,18 @@
     assert any(Town(UPLOAD).play({at: TROUBLES["kill a"]}).sources[0][0].twice for at in range(steps))
 
 
+def test_what_a_client_sends_while_a_way_is_sought_waits_for_the_destinations_word() -> None:
+    """A first version sent it at once, past what the new gateway had granted: a window was sent twice."""
+    town = Town(UPLOAD)
+    inlet = town.sources[0][0]
+    while inlet.acked < 40_000:
+        town.step()
+    inlet.detach()
+    inlet.attach(town.now)
+    inlet.data(b"more of it")
+    assert [frame[0] for frame in inlet.out] == [OPEN]
+
+
 # Wrong ones: each must be found.
 
 
