--- a/honeywharf/penstock/abroad.py
+++ b/honeywharf/penstock/abroad.py
@@ -1,7 +1,6 @@
 """What a sluice needs of this package where its settings name gateways; without them none of it is made.
 
-The seam in a sluice is `Abroad(...)` when it is put together, and in its source, before a link is taken:
-`if abroad is not None and abroad.far(zone): return abroad.open(key, ask, replies)`.
+The program makes it by `joined`; the source asks `far` of the zone before it takes a link of its own region.
 """
 
 from __future__ import annotations
@@ -9,16 +8,26 @@
 from honeywharf.penstock.conveyor import Conveyor
 from honeywharf.penstock.hold import Hold
 from honeywharf.penstock.landing import Landing
+from honeywharf.penstock.places import Place
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Any
+    from typing import Any, Protocol
 
-    from honeywharf.mains.host import Host
+    from honeywharf.mains.host import Address, Host
     from honeywharf.mains.streams import Ask, Replies, Work
     from honeywharf.penstock.conveyor import Carriage
-    from honeywharf.penstock.places import Place
+
+    class Settings(Protocol):
+        """What is read of a sluice's settings."""
+
+        gateways: list[tuple[Address, str, str]]
+        ip: str
+        memory_mb: float
+        ports: tuple[int, int]
+        zone: str
+        zones: dict[str, str]
 
 HOLD_SHARE = 0.25  # of a sluice's memory, for half-finished bodies
 
@@ -47,3 +56,12 @@
     def open(self, key: str, ask: Ask, replies: Replies) -> Carriage | None:
         """The way to a sluice of another region; None where there is no room for one more."""
         return self.conveyor.open(key, ask, replies, ask.caller, self.homes(ask.service))
+
+
+def joined(
+    host: Host, settings: Settings, begin: Callable[[Ask, Any], Work | None], draw: Callable[[], float],
+) -> Abroad:
+    """The other regions by the gateways of a sluice's settings."""
+    return Abroad(
+        host, settings.ip, settings.ports[0], settings.zone, settings.zones,
+        [Place(*each) for each in settings.gateways], begin, draw, settings.memory_mb)
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -63,6 +63,10 @@
         draw = Draws(host.random(8)).random
         self.source = Source(host, settings, self.word, self.inbound, draw)
         self.source.proxies = self._proxies
+        if settings.gateways:
+            from honeywharf.penstock.abroad import joined  # one region alone does not pay for it
+
+            self.source.abroad = joined(host, settings, self.inbound.begin, draw)
         self.society.on_change = self._news
         self.society.on_word = self._word_news
         self.society.on_down = lambda node: self.source.doubt(node, True)
--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/weirkeeper.py
@@ -27,7 +27,7 @@
 from honeywharf.penstock.kinds import OPEN, SHORT, STATE
 from honeywharf.penstock.line import TO_LANDING, TO_SOURCES, Caught, Line
 from honeywharf.penstock.passage import Passages, Row
-from honeywharf.penstock.places import Place, places
+from honeywharf.penstock.places import Place
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -255,25 +255,21 @@
     """Run until the platform or an operator's SIGTERM ends it; the exit status."""
     from signal import SIGTERM
 
-    import yaml
-
     from honeywharf.mains.loop import Loop
     from honeywharf.strainer.settings import SettingsError, load
 
     try:
-        file = os.environ["HONEYWHARF_SETTINGS"]
-        settings = load(file)
-        with open(file, encoding="utf-8") as opened:
-            others = places((yaml.safe_load(opened) or {}).get("gateways", []))
+        settings = load(os.environ["HONEYWHARF_SETTINGS"])
     except KeyError:
         sys.stderr.write("found no HONEYWHARF_SETTINGS, wanted the path of a settings file\n")
         return 2
-    except (OSError, SettingsError, ValueError) as fault:
+    except (OSError, SettingsError) as fault:
         sys.stderr.write(f"{fault}\n")
         return 2
     loop = Loop(None)
     keeper = Weirkeeper(
-        loop, (settings.ip, settings.ports[0]), settings.region, settings.zone, others, settings.ports[0] + 1,
+        loop, (settings.ip, settings.ports[0]), settings.region, settings.zone,
+        [Place(*each) for each in settings.gateways], settings.ports[0] + 1,
         settings.bound("grace-period", 8.0), settings.listen.get("control-plane"),
         granted_bytes(settings.memory_mb, settings.link_mbps))
     loop.on_signal(SIGTERM, keeper.terminate)
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -13,6 +13,7 @@
 
     from honeywharf.assay.watch import Assay
     from honeywharf.mains.host import Host
+    from honeywharf.penstock.abroad import Abroad
     from honeywharf.sluice.course import Channel, Course
     from honeywharf.sluice.inbound import Inbound
     from honeywharf.sluice.word import Word
@@ -88,6 +89,7 @@
         self, host: Host, settings: Settings, word: Word, inbound: Inbound, draw: Callable[[], float],
     ) -> None:
         self.host, self.word, self.inbound, self.draw = host, word, inbound, draw
+        self.abroad: Abroad | None = None  # where settings name gateways to other regions
         self.me, self.zone, self.service = settings.ip, settings.zone, settings.service or ""
         self.ratio = settings.bound("retry-budget-ratio", 0.1)
         self.slack = settings.bound("retry-budget-slack", 10.0)
@@ -182,6 +184,8 @@
         """The way to a gate; its word may come from within this call where it is in this process."""
         if key == self.me:
             return self.inbound.begin(ask, Local(course))
+        if self.abroad is not None and key in self.list and self.abroad.far(self.list[key].zone):
+            return self.abroad.open(key, ask, _Remote(course))
         return self.links.to(key).open(ask, _Remote(course))
 
     def served(self, service: str, key: str, status: int) -> None:
--- a/honeywharf/strainer/settings.py
+++ b/honeywharf/strainer/settings.py
@@ -40,9 +40,9 @@
 
     __slots__ = (
         "application", "bounds", "config_mode", "contracts", "cpu_cores", "cpu_share", "data_directory",
-        "disk_mb", "fds", "file", "heartbeat_s", "initial_start", "ip", "link_mbps", "listen", "loss_counted",
-        "machine_class", "machine_failures", "memory_mb", "node_name", "ports", "region", "role", "seeds",
-        "serves", "service", "unread", "zone", "zone_failures", "zones",
+        "disk_mb", "fds", "file", "gateways", "heartbeat_s", "initial_start", "ip", "link_mbps", "listen",
+        "loss_counted", "machine_class", "machine_failures", "memory_mb", "node_name", "ports", "region",
+        "role", "seeds", "serves", "service", "unread", "zone", "zone_failures", "zones",
     )
 
     file: str  # where it was read from, for refusals
@@ -57,6 +57,7 @@
     listen: dict[str, tuple[str, int]]  # by what it is for: see LISTENS
     ports: tuple[int, int]  # first and last of those free for the mesh itself
     seeds: list[tuple[str, int]]
+    gateways: list[tuple[tuple[str, int], str, str]]  # address, region, zone
     initial_start: bool
     loss_counted: bool
     memory_mb: float
@@ -153,6 +154,13 @@
     return [_text(each) for each in value]
 
 
+def _gateways(value: object) -> list[tuple[tuple[str, int], str, str]]:
+    if not isinstance(value, list) or not all(isinstance(each, dict) for each in value):
+        raise ValueError
+    rows = [[each.get(name) for name in ("address", "region", "zone")] for each in value]
+    return [(address(at), _text(region), _text(zone)) for at, region, zone in rows]
+
+
 def _addresses(value: object) -> list[tuple[str, int]]:
     if not isinstance(value, list):
         raise ValueError
@@ -230,6 +238,7 @@
     to.listen = _listens(top.within("listen-addresses"))
     to.ports = top.read("internal-port-range", _span, "two ports, the first not above the second")
     to.seeds = top.read("seed-nodes", _addresses, "a list of addresses")
+    to.gateways = top.maybe("gateways", _gateways, "a list of {address, region, zone}", [])
     to.initial_start = top.read("initial-start", _truth, "true or false")
     to.loss_counted = top.maybe("loss-counted", _truth, "true or false", False)
     to.data_directory = top.maybe("data-directory", _text, "a path, or null", None)
--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
+from honeywharf.flume import field
 from honeywharf.flume.world import World
 from honeywharf.penstock.drain import EMPTY
-from honeywharf.penstock.places import places
+from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from honeywharf.strainer.settings import Settings, SettingsError, parse
 from tests.penstock.days import TROUBLES, UPLOAD, Client, Day, Source
 
 
@@ -89,18 +93,25 @@
     assert set(TROUBLES.split()) == {"drain", "term", "kill", "cut", "restart"}
 
 
+def settings(gateways: object) -> Settings:
+    text = json.loads(field.settings("10.1.0.20", field.ZONES[0], ["10.1.0.9"], True, "tile-vault"))
+    return parse(json.dumps({**text, "gateways": gateways}))
+
+
 @pytest.mark.parametrize("wrong", [
     {}, [1], [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
     [{"address": "10.0.0.1:0", "region": "a"}],
     [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}]])
 def test_gateways_that_cannot_be_used_are_refused_by_name(wrong: object) -> None:
-    with pytest.raises(ValueError, match=r"gateways.*found.*wanted"):
-        places(wrong)
+    with pytest.raises(SettingsError, match=r"gateways: found .*, wanted a list of .address"):
+        settings(wrong)
 
 
 def test_gateways_of_settings() -> None:
-    one = places([{"address": "10.0.0.1:7640", "region": "a", "zone": "a-1"}])[0]
-    assert (one.address, one.node, one.region, one.zone) == (("10.0.0.1", 7640), "10.0.0.1:7640", "a", "a-1")
+    read = settings([{"address": "10.0.0.1:7640", "region": "a", "zone": "a-1"}])
+    assert read.gateways == [(("10.0.0.1", 7640), "a", "a-1")]
+    assert Place(*read.gateways[0]).node == "10.0.0.1:7640"
+    assert settings([]).gateways == []
 
 
 def test_a_gateway_grants_what_its_link_and_its_memory_carry() -> None:
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 import pytest
@@ -10,11 +11,9 @@
 from honeywharf.flume.field import TERM, Field
 from honeywharf.flume.machine import Machine, Process
 from honeywharf.flume.run import real_reservoir
-from honeywharf.penstock.abroad import Abroad
 from honeywharf.penstock.places import Place
 from honeywharf.programs.sluice import Sluice
 from honeywharf.programs.weirkeeper import Weirkeeper
-from honeywharf.sluice.source import _Remote
 from honeywharf.strainer.settings import parse
 
 ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
@@ -26,22 +25,11 @@
 
 
 def joined(host: Process, text: str) -> Sluice:
-    """A sluice whose courses reach backends of the other region through gateways."""
-    settings = parse(text)
-    sluice = Sluice(host, settings)
-    source: Any = sluice.source
-    near = source.open
-    abroad = Abroad(host, settings.ip, settings.ports[0], settings.zone, ZONES, PLACES, sluice.inbound.begin,
-                    host.world.random.random)
-
-    def far(key: str, ask: Any, course: Any) -> Any:
-        entry = source.list.get(key)
-        if entry is not None and abroad.far(entry.zone):
-            return abroad.open(key, ask, _Remote(course))
-        return near(key, ask, course)
-
-    source.open = far
-    source.abroad = abroad
+    """A sluice of one of two regions: its settings name the gateways."""
+    gateways = [{"address": place.node, "region": place.region, "zone": place.zone} for place in PLACES]
+    zone = json.loads(text)["zone"]
+    sluice = Sluice(host, parse(json.dumps({
+        **json.loads(text), "zones": ZONES, "region": ZONES[zone], "gateways": gateways})))
     host.on_signal(TERM, sluice.terminate)
     return sluice
 
