Give a destination that is gone up with a proof, long before the deadline

A session whose destination had died was tried by all gateways until its deadline, though a course could have asked another backend. What may be sent again is given up when as many gateways as there are have not reached it, a body half way when the destination would have given it up; what may have run is tried on. A gateway does not try an unreachable destination again for half a second.

--- a/honeywharf/penstock/conveyor.py
+++ b/honeywharf/penstock/conveyor.py
@@ -14,6 +14,7 @@
 from honeywharf.penstock.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
 from honeywharf.penstock.kinds import GONE, LEAVE, SHORT, STATE, WINDOW
 from honeywharf.penstock.line import TO_SOURCES, Line
+from honeywharf.penstock.outlet import APART_S
 from honeywharf.verdict import DRAINING, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -29,6 +30,7 @@
 STALL_S = 2.5  # nothing came on a way that owes a word; a full gateway says little for a second and more
 PAUSES_S = (0.0, 0.0, 0.05, 0.1, 0.2, 0.4)  # before the first, second, ... way that is tried without success
 AGAIN_S = 0.4  # before a lost link to a gateway is asked for again
+LEAST_UNREACHED = 3
 MOST_SESSIONS = 4096
 MOST_LIVES = 1024  # destinations whose life is remembered
 
@@ -43,15 +45,18 @@
     """One session of a course."""
 
     __slots__ = (
-        "conveyor", "inlet", "left_at", "moved_at", "next_at", "replies", "seen", "short", "tries", "way")
+        "apart_since", "conveyor", "inlet", "left_at", "moved_at", "next_at", "read", "replies", "seen",
+        "short", "tries", "unreached", "way")
 
-    def __init__(self, conveyor: Conveyor, replies: Replies, short: bool) -> None:
-        self.conveyor, self.replies, self.short = conveyor, replies, short
+    def __init__(self, conveyor: Conveyor, replies: Replies, short: bool, read: bool) -> None:
+        self.conveyor, self.replies, self.short, self.read = conveyor, replies, short, read
         self.inlet: Inlet
         self.way: Way | None = None
         self.left_at = self.moved_at = self.next_at = 0.0
         self.seen = -1  # frames of the inlet that were counted when it last moved
         self.tries = 0  # ways without a word, one after the other
+        self.unreached = 0  # of these, gateways that did not reach the destination
+        self.apart_since = conveyor.host.now()  # when the destination was last heard
 
     # For the course: the channel.
 
@@ -170,7 +175,7 @@
         request = Request(
             to, ask.attempt, ask.length, deadline, int((host.wall() + ask.remaining_s) * 1000.0), tenant,
             self.region, homes, head_of(ask))
-        rider = Carriage(self, replies, 0 <= ask.length <= SHORT)
+        rider = Carriage(self, replies, 0 <= ask.length <= SHORT, ask.kind == 0)
         rider.inlet = Inlet(host.random(16), request, _Teller(replies), self.lives.get(to, b""))
         self.riders[rider] = None
         self.opened += 1
@@ -187,6 +192,10 @@
             return
         last = rider.way.gateway.node if rider.way is not None else ""
         self._leave(rider)
+        if self._hopeless(rider, now):
+            inlet.late(LOST)
+            self._over(rider)
+            return
         gateway = choose(
             [way.gateway for way in self.ways.values()], now, self.zone, self.region, inlet.request.homes,
             last, self.draw)
@@ -203,6 +212,17 @@
         inlet.attach(now)
         self.flush(rider)
 
+    def _hopeless(self, rider: Carriage, now: float) -> bool:
+        """Whether the destination is given up, so that a course may ask another.
+
+        What may be sent again is given up when as many gateways as there are have not reached it. What is
+        half way is tried as long as the destination would hold it; what may have run, until its deadline.
+        """
+        inlet = rider.inlet
+        if rider.read or not (inlet.finished or inlet.acked):
+            return rider.unreached >= max(LEAST_UNREACHED, len(self.ways))
+        return not inlet.finished and rider.unreached > 0 and now - rider.apart_since > APART_S + 1.0
+
     def _leave(self, rider: Carriage) -> None:
         way, rider.way = rider.way, None
         if way is not None:
@@ -227,6 +247,8 @@
         """A frame for a session."""
         inlet, kind = rider.inlet, frame[0]
         if kind == GONE and frame[2] == inlet.epoch and rider.way is not None:
+            if frame[3] == LOST:
+                rider.unreached += 1
             if frame[3] != DRAINING:
                 rider.way.gateway.doubted_until = self.host.now() + DOUBT_S
             self.lost(rider)
@@ -235,8 +257,9 @@
             return
         before = inlet.state
         inlet.take(frame)
+        rider.apart_since = self.host.now()
         if inlet.state == FLOWING and before != FLOWING:
-            rider.tries = 0
+            rider.tries = rider.unreached = 0
             self._remember(inlet)
         if inlet.state == LEAVING and before != LEAVING:
             rider.left_at = self.host.now()
--- a/honeywharf/penstock/inlet.py
+++ b/honeywharf/penstock/inlet.py
@@ -182,11 +182,11 @@
             self._frame(DROP)
             self._over()
 
-    def late(self) -> None:
+    def late(self, why: int = TIMED_OUT) -> None:
         """The time is up, or there is no way left: what is known then is the verdict."""
         if self.state != OVER:
             self._frame(DROP)
-            self._fail(Verdict(self._ran(), TIMED_OUT, self.finished))
+            self._fail(Verdict(self._ran(), why, self.finished))
 
     def _ran(self) -> int:
         return MAY_HAVE_RUN if self.finished else NOT_RUN
--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/weirkeeper.py
@@ -37,7 +37,8 @@
     from honeywharf.mains.host import Address, Connection, Handler, Host
 
 TELL_S = 0.5  # between words of its load
-QUEUE_S = 0.5
+QUEUE_S = 0.5  # of its link that a gateway may have on the way
+DOWN_S = 0.5  # for which a destination that could not be reached is not tried again
 LEAST_BYTES = 4 << 20
 LAST_S = 1.0  # for which short requests are waited for before they are asked to leave too
 END_S = 0.4  # before the end of `grace-period`
@@ -64,6 +65,7 @@
         self.drain = Drain()
         self.sources: dict[Caught, None] = {}
         self.landings: dict[tuple[str, bool], Line] = {}
+        self.down: dict[str, float] = {}  # destinations that could not be reached, and until when
         self.asked_at: dict[bytes, float] = {}
         self.others = [
             Other(self, place) for place in others if place.region == region and place.address != at]
@@ -97,7 +99,7 @@
         """The link to a destination, asked for where there is none; short requests have their own."""
         line = self.landings.get((to, short))
         if line is None:
-            if len(self.landings) >= MOST_LINKS:
+            if len(self.landings) >= MOST_LINKS or self.host.now() < self.down.get(to, 0.0):
                 return None
             line = self.landings[to, short] = Line(
                 self.host, (to, self.landing_port), TO_LANDING, self._from_landing, self._landing_gone)
@@ -109,6 +111,10 @@
     def _landing_gone(self, line: Line) -> None:
         for key in [key for key, each in self.landings.items() if each is line]:
             del self.landings[key]
+            if not line.is_up:
+                if len(self.down) >= MOST_LINKS:
+                    self.down.clear()
+                self.down[key[0]] = self.host.now() + DOWN_S
         self.passages.path_lost(line)
 
     @staticmethod
--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -12,7 +12,7 @@
 from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
 from honeywharf.strainer.settings import Settings, SettingsError, parse
-from tests.penstock.days import TROUBLES, UPLOAD, Client, Day, Source
+from tests.penstock.days import READ, TROUBLES, UPLOAD, Client, Day, Source
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -60,6 +60,17 @@
     assert source.conveyor.moves > 0
 
 
+def test_a_destination_that_is_gone_is_given_up_with_a_proof_long_before_the_deadline() -> None:
+    day, source, _ = busy(0, 0, 0.0)
+    gone = day.quarries[-1].machine
+    gone.power_off()
+    day.others = lambda region: [gone.ip]  # type: ignore[method-assign]
+    day.proofs.clear()
+    clients = [Client(day, source, READ, 10, 30.0), Client(day, source, UPLOAD, 400_000, 30.0)]
+    day.world.run(7.0)
+    assert all(client.tries > 1 and client.attempts[0] in day.proofs for client in clients)
+
+
 def test_a_slow_client_with_little_time_is_told_the_truth() -> None:
     day, _, keeper = busy(1, 60_000_000, 6.0)
     day.slow_s = 0.05
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -74,6 +74,9 @@
     "kills": ([(9.0, "kill", 0), (11.0, "kill", 1), (12.0, "kill", 0), (14.0, "term", 1)], [], 0.95),
     "killed in its drain": (
         [(9.0, "drain", 0), (9.15, "kill", 0), (12.0, "drain", 1), (12.1, "kill", 0)], [], 0.95),
+    "a destination dies": (
+        [(9.5, "kill", 0)],
+        [days.Fault(9.0, "node_kill", "power", 3), days.Fault(12.0, "node_kill", "", 8)], 0.8),
     "change, evacuation": (
         [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "kill", 0)],
         [days.Fault(9.0, "config_change", "", 3), days.Fault(11.9, "evacuate", "", 7)], 0.6),
