--- a/bench/drift.py
+++ b/bench/drift.py
@@ -106,13 +106,15 @@
             one = ONE_RUN[kind in LONG]
             tasks += [(1000 + n, kind, min(one, told.each - n), on) for n in range(0, told.each, one)]
     rows: dict[tuple[str, str], Row] = {}
+    done: Counter[tuple[str, str]] = Counter()
     bad = 0
     print("ways            kind        many  caught    median    run by it         by         clients told")
     with ProcessPoolExecutor(told.jobs, get_context("spawn")) as pool:
         for on, kind, row in pool.map(slipped, tasks):
             rows.setdefault((on, kind), Row()).add(row)
             whole = rows[on, kind]
-            if len(whole.after) == told.each:
+            done[on, kind] += 1
+            if done[on, kind] == -(-told.each // ONE_RUN[kind in LONG]):
                 print(_line(on, kind, whole), flush=True)
                 if on == "all":
                     bad += whole.slipped + len(whole.faults) + whole.alarms
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -47,6 +47,7 @@
 MOST_HELD = 256
 MOST_RELAPSES = 3  # slips so soon after healing, after which building anew counts as vain
 ACCUSERS, ACCUSED_S = 2, 5.0  # gates that hold otherwise within so long, and are believed
+TELL_S, MOST_TOLD = 0.25, 7  # between slips that reservoirs are told of, and how many are told
 MOST_SLIPS = 16  # told to who asks
 MOST_TEXT = 80 << 20
 MOST_WORDS = 160  # characters of a slip's cause
@@ -100,6 +101,7 @@
         self.refused = 0
         self.slips: list[list[object]] = []
         self.cores_turn = 0
+        self.told_at = now - TELL_S  # when reservoirs were told of a slip
         self.accused: dict[str, float] = {}  # gates that hold otherwise by our own word, and when
         self.host.after(STEP_S, self._tick)
 
@@ -107,7 +109,10 @@
 
     def look(self, host: bytes, path: bytes, route: Route | None) -> tuple[Route | None, float]:
         """The route for a request, read twice, and 0; or seconds after which a refused client may return."""
-        told = self.told
+        told, word = self.told, self.word
+        if self.scanning and word.table is not None and word.table.version != word.version:
+            self.slip("scan", f"r{word.table.version} decides, stored is r{word.version}")
+            route = word.find(host, path)
         strict = route is None or not route.repeatable
         if self.reading and told is not None and (strict or self._sample()) and not self._agree(
                 host, path, route):
@@ -563,11 +568,13 @@
         return self.state.at == states.QUARANTINED
 
     def _tell(self, by: str, what: str) -> None:
-        """Tell a reservoir of a slip, for the history."""
-        cores = self.sluice.cores()
-        if cores:
-            record = [self.sluice.settings.ip, self.host.wall(), by, what, self.word.revision]
-            self.sluice.caller.call(cores[0], "drift.slip", record, 1.0, lambda answer: None)
+        """Tell the reservoirs of a slip, for their histories; a flood of slips tells no more than one."""
+        record = [self.sluice.settings.ip, self.host.wall(), by, what, self.word.revision]
+        now = self.host.now()
+        if now - self.told_at >= TELL_S:
+            self.told_at = now
+            for core in self.sluice.cores()[:MOST_TOLD]:
+                self.sluice.caller.call(core, "drift.slip", record, 1.0, lambda answer: None)
 
     def view(self) -> dict[str, object]:
         """Who runs what, for an operator. Times in seconds."""
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -52,11 +52,13 @@
               " drain and a kill, the rules counted.")
 @click.option("--gateway", is_flag=True, help="Show gateways between two regions that drain and die under"
               " uploads and print orders, counted.")
+@click.option("--drift", is_flag=True, help="Show five slips put into running sluices, one after the other,"
+              " each caught and healed.")
 @click.option("--storm", is_flag=True, help="Show an outage and the clients that come back, damped and"
               " not, in virtual time.")
 def demo(
     seconds: float, rate: float, seed: int, with_keys: bool, coap: bool, with_traces: bool, upgrade: bool,
-    mesh: bool, gateway: bool, storm: bool,
+    mesh: bool, gateway: bool, drift: bool, storm: bool,
 ) -> None:
     """Play a small fleet on loopback, with a crash and a drain; status 0 where all four rules held."""
     if storm:
@@ -64,6 +66,10 @@
         from honeywharf.lab import demo as outage
 
         sys.exit(outage.show(seed, click.echo))
+    if drift:
+        from honeywharf.standins import driftdemo
+
+        sys.exit(driftdemo.play(seconds, rate, seed, click.echo))
     if mesh:
         from honeywharf.standins import meshdemo
 
@@ -105,6 +111,15 @@
     sys.exit(command(list(words)))
 
 
+@main.command("drift", add_help_option=False, context_settings={"ignore_unknown_options": True})
+@click.argument("words", nargs=-1, type=click.UNPROCESSED)
+def on_drift(words: tuple[str, ...]) -> None:
+    """Tell whether every sluice of a mesh runs what was told."""
+    from honeywharf.cli.drift import main as command
+
+    sys.exit(command(list(words)))
+
+
 @main.command("flume", add_help_option=False, context_settings={"ignore_unknown_options": True})
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
 def on_flume(words: tuple[str, ...]) -> None:
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -117,7 +117,7 @@
 
     def __call__(self) -> int:
         """Exit status."""
-        status, body = _call(self.address, "GET", "/api/configuration/describe", b"", self.within)
+        status, body = call(self.address, "GET", "/api/configuration/describe", b"", self.within)
         if status == 200:
             sys.stdout.buffer.write(body)
             sys.stdout.buffer.flush()
@@ -139,7 +139,7 @@
         if _checked(self.file):
             return NO
         text = _read(self.file)
-        status, body = _call(self.address, "POST", "/api/configuration/replace", text, self.within)
+        status, body = call(self.address, "POST", "/api/configuration/replace", text, self.within)
         return _ended(status, body) or _told(self.file, f"acknowledged: {_summary(text)}")
 
 
@@ -191,12 +191,12 @@
         return parsed.command()
     except cappa.Exit as ended:
         return int(ended.code or 0)
-    except (OSError, _WrongError) as fault:
+    except (OSError, WrongError) as fault:
         logging.error("%s", fault)
         return UNKNOWN
 
 
-class _WrongError(Exception):
+class WrongError(Exception):
     """What keeps a call from being made or its answer from being understood."""
 
 
@@ -265,23 +265,23 @@
 
 def _order(at: str, zone: str, order: str, within: float) -> int:
     path = f"/api/evacuations/{quote(zone, safe='')}/{order}"
-    status, body = _call(at, "POST", path, b"", within)
+    status, body = call(at, "POST", path, b"", within)
     return _ended(status, body) or _told(zone, f"evacuation {order} acknowledged")
 
 
-def _call(at: str, method: str, path: str, body: bytes, within: float) -> tuple[int, bytes]:
-    """Status and body of the answer, redirects followed. _WrongError where there is none."""
+def call(at: str, method: str, path: str, body: bytes, within: float) -> tuple[int, bytes]:
+    """Status and body of the answer, redirects followed. WrongError where there is none."""
     try:
         to = address(at)
     except ValueError as fault:
-        raise _WrongError(str(fault)) from None
+        raise WrongError(str(fault)) from None
     for _ in range(REDIRECTS + 1):
         status, answer, location = _once(to, method, path, body, within)
         logging.info("%s http://%s:%d%s -> %d, %d bytes", method, *to, path, status, len(answer))
         if status != 307:
             return status, answer
         to, path = _moved(location)
-    raise _WrongError(f"{at} redirects more than {REDIRECTS} times")
+    raise WrongError(f"{at} redirects more than {REDIRECTS} times")
 
 
 def _once(
@@ -295,7 +295,7 @@
         return answer.status, answer.read(MOST_ANSWER), answer.getheader("Location") or ""
     except (OSError, http.client.HTTPException) as fault:
         words = f"{to[0]}:{to[1]}: no clear answer: {fault!r}"
-        raise _WrongError(words if method == "GET" else f"{words}. {OPEN}") from None
+        raise WrongError(words if method == "GET" else f"{words}. {OPEN}") from None
     finally:
         connection.close()
 
@@ -309,7 +309,7 @@
         query = f"?{parts.query}" if parts.query else ""
         return address(parts.netloc if parts.port else f"{parts.netloc}:80"), parts.path + query
     except ValueError:
-        raise _WrongError(f"a redirect leads to {location!r}, wanted http://address:port/path") from None
+        raise WrongError(f"a redirect leads to {location!r}, wanted http://address:port/path") from None
 
 
 def _ended(status: int, body: bytes) -> int:
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -111,6 +111,7 @@
 
     def __init__(self, folder: Path, name: str, ip: str, settings: dict[str, Any]) -> None:
         self.name, self.ip, self.life = name, ip, 0
+        self.module = f"honeywharf.programs.{name}"
         self.file, self.log = folder / f"{name}-{ip}.yaml", folder / f"{name}-{ip}.log"
         self.file.write_text(json.dumps(settings))
         self.process: subprocess.Popen[bytes] | None = None
@@ -120,7 +121,7 @@
         self.life += 1
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", f"honeywharf.programs.{self.name}"], stdout=log, stderr=log,
+                [sys.executable, "-m", self.module], stdout=log, stderr=log,
                 stdin=subprocess.DEVNULL, env={**os.environ, "HONEYWHARF_SETTINGS": str(self.file)})
 
     def send(self, number: int) -> None:
--- /dev/null
+++ b/tests/assay/test_view.py
@@ -0,0 +1,84 @@
+"""What an operator is shown, of a running mesh in the simulated network."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, cast
+
+import pytest
+
+from honeywharf.cli import drift
+from honeywharf.cli.mesh import WrongError
+from honeywharf.flume.slips import Trial
+
+
+class Call:
+    """A call of an operator's."""
+
+    def __init__(self, path: bytes) -> None:
+        self.method, self.path, self.body = b"GET", path, b""
+        self.status, self.answered = 0, b""
+
+    def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
+        self.status, self.answered = status, body
+
+
+def asked(trial: Trial, path: bytes) -> Call:
+    call, core = Call(path), cast(Any, trial.field.cores[0].program)
+    core.operator.take(call)
+    trial.world.run(trial.world.now + 1.5)
+    return call
+
+
+def played(kind: str) -> Trial:
+    trial = Trial(5, kind, 2)
+    trial.world.run(14.0 if kind != "build" else 11.0)
+    return trial
+
+
+def test_all_is_told_of_who_runs_what() -> None:
+    trial = played("kind")
+    call = asked(trial, b"/api/drift")
+    found = json.loads(call.answered)
+    assert (call.status, len(found["views"]), found["silent"]) == (200, 6, [])
+    assert {view["root"] for view in found["views"]} == {found["told"]["root"]}
+    assert drift.judged(found) == 0
+    slips = [line for line in drift.lines(found) if line.startswith("slip")]
+    assert len(slips) == 2
+    view = next(one for one in found["views"] if one["node"] == trial.slips[0].victim)
+    told = list(drift.explained(view, found))
+    assert "runs in every branch what a majority holds" in told
+    assert any(line.startswith("slip ") for line in told)
+
+
+def test_a_node_that_cannot_heal_is_told_with_the_branch_that_differs() -> None:
+    trial = played("build")
+    found = json.loads(asked(trial, b"/api/drift").answered)
+    view = next(one for one in found["views"] if one["node"] == trial.slips[0].victim)
+    assert view["state"] in ("doubted", "quarantined")
+    assert drift.judged(found) == 1
+    told = list(drift.explained(view, found))
+    assert "refuses mutating requests and uploads until it has healed" in told
+    assert any(line.startswith("differs in routes/shop.example") for line in told)
+
+
+def test_what_changed_between_two_versions_is_told() -> None:
+    trial = played("kind")
+    first, second = [order.version for order in trial.told[:2]]
+    call = asked(trial, b"/api/drift/between/r%d/r%d" % (first, second))
+    assert call.status == 200
+    assert b"/orders/" in call.answered
+    assert asked(trial, b"/api/drift/between/r1/r2").status == 404
+    assert asked(trial, b"/api/drift/between/odd/r2").status == 404
+
+
+def test_a_call_that_nobody_answers_is_not_known(monkeypatch: pytest.MonkeyPatch) -> None:
+    def nobody(*arguments: object) -> tuple[int, bytes]:
+        raise WrongError("no clear answer")
+
+    monkeypatch.setattr(drift, "call", nobody)
+    assert drift.main([]) == drift.UNKNOWN
+    assert drift.main(["between", "r1", "r2"]) == drift.UNKNOWN
+    monkeypatch.setattr(drift, "call", lambda *arguments: (503, b"no majority"))
+    assert drift.main(["explain", "10.1.0.8"]) == drift.UNKNOWN
+    assert drift.main(["between", "r1", "r2"]) == drift.NO
