--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -38,7 +38,7 @@
 
 STEP_S = 0.25  # between steps of the scan
 WHOLE_STEPS = 16  # steps of a round, 4 s, up to WHOLE_STEPS * MOST_PARTS routes
-LEAST_PARTS, MOST_PARTS = 16, 100  # of one step: some 1.5 ms at most, 0.6 % of a core
+LEAST_PARTS, MOST_PARTS = 16, 100  # of one step: 1 ms at most, 0.4 % of a core
 GAP_S = 0.9  # without a step: this process stood still, and asks before it runs what must not run twice
 CONFIRM_S = 4.0  # between comparisons with a reservoir
 LOOK_S = 0.25  # between looks at all of oneself that others or requests ask for
