Hold the collector's port while the stand-in is away

Change: the stand-in holds its port by a second bound socket that never listens, from start to close; connections are refused meanwhile.

--- a/honeywharf/standins/collector.py
+++ b/honeywharf/standins/collector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 
 from opentelemetry.proto.collector.trace.v1.trace_service_pb2 import (
@@ -16,10 +17,19 @@
 MOST_SPANS = 1_000_000
 
 
+def bound(port: int) -> socket.socket:
+    """A socket bound to a port of 127.0.0.1 (0: a free one) that others of this function's may share."""
+    made = socket.socket()
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    made.bind(("127.0.0.1", port))
+    return made
+
+
 class Collector:
     """`script` holds what the next batches get: a status, one with `Retry-After`, or spans rejected of 200.
 
-    `silent` takes batches and says nothing. Without a script all is taken.
+    `silent` takes batches and says nothing. Without a script all is taken. From `start` to `close` its
+    port is its own, away or not: a socket that only holds it guards against another process taking it.
     """
 
     def __init__(self) -> None:
@@ -30,12 +40,15 @@
         self.headers: dict[bytes, bytes] = {}  # of the last batch
         self.port = 0
         self.server: asyncio.Server | None = None
+        self.holder: socket.socket | None = None
         self.open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> Collector:
-        """Listen on 127.0.0.1, on the same port again after `stop`."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port, limit=2**20)
-        self.port = self.server.sockets[0].getsockname()[1]
+        """Listen on 127.0.0.1, on the same port again after `stop`; OSError where there is none."""
+        if self.holder is None:
+            self.holder = bound(0)
+            self.port = self.holder.getsockname()[1]
+        self.server = await asyncio.start_server(self._serve, sock=bound(self.port), limit=2**20)
         return self
 
     @property
@@ -85,3 +98,10 @@
         for writer in list(self.open):
             with suppress(OSError):
                 writer.transport.abort()
+
+    async def close(self) -> None:
+        """Go away for good: the port is free."""
+        await self.stop()
+        if self.holder is not None:
+            self.holder.close()
+            self.holder = None
--- a/tests/traces/test_export.py
+++ b/tests/traces/test_export.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import socket
 import time
 from pathlib import Path
 from typing import Any
@@ -171,7 +172,22 @@
             assert len({s.trace_id for s in collector.spans}) == 3
             assert made.queue.lost == {"lost bad": 0, "lost ordinary": 0}
         await backend.stop()
+        await collector.close()
+    run(main())
+
+
+def test_the_stand_in_s_port_is_its_own_while_it_is_away() -> None:
+    async def main() -> None:
+        collector = await StandIn().start()
         await collector.stop()
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", collector.port))
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection("127.0.0.1", collector.port)
+        await collector.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", collector.port)
+        writer.close()
+        await collector.close()
     run(main())
 
 
@@ -192,7 +208,7 @@
             await collector.start()
             await until(lambda: made.sent == 2)
         await backend.stop()
-        await collector.stop()
+        await collector.close()
     run(main())
 
 
@@ -208,7 +224,7 @@
         await asyncio.to_thread(made.close)
         assert time.monotonic() - begun < 10.0
         assert made.sent + made.queue.lost["lost bad"] == 1
-        await collector.stop()
+        await collector.close()
         return len(collector.spans)
     assert run(main(True)) == 1
     assert run(main(False)) == 0
