--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -51,7 +51,7 @@
         self.handshakes = 0
         self.taps = Taps(host, application, self._handshake)
         self.inbound = Inbound(host, self.gate, self.taps)
-        self.inbound.link_bytes_s = settings.link_mbps * 125_000.0
+        self.inbound.linked(settings.link_mbps)
         self.caller = Caller(host)
         self.word = Word(host, self.caller, self.cores, self._word_changed)
         self.word.named = is_named
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -18,7 +18,7 @@
 
 from __future__ import annotations
 
-from honeywharf.codecs.mesh import Head
+from honeywharf.codecs.mesh import UNKNOWN, Head
 from honeywharf.mains.streams import FIRST_WINDOW, Ask
 from honeywharf.verdict import DRIFT, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
@@ -119,7 +119,8 @@
             self._give_up(0.0)
             return
         levels = self.source.levels_of(self.service)
-        key = levels.pick(now, self.asked) if len(self.asked) < MOST_ASKED else None
+        passed = self.asked | self.source.choked_now() if self._bodied() else self.asked
+        key = levels.pick(now, passed) if len(self.asked) < MOST_ASKED else None
         if key is not None:
             self.asked.add(key)
             self._ask(key, 0.0)
@@ -133,6 +134,10 @@
                 return
         self._give_up(self._return_s())
 
+    def _bodied(self) -> bool:
+        """Whether its body is one that a gate's link has to have room for."""
+        return self.head.length == UNKNOWN or self.head.length > FIRST_WINDOW
+
     def _ask(self, key: str, patience_s: float) -> None:
         now, head = self.source.host.now(), self.head
         self.gate, self.went, self.finished, self.credit, self.sent = key, False, False, 0, 0
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -8,8 +8,12 @@
 while, the gate judges once more: what was admitted then may be forbidden now. An answer up to
 `WHOLE_BYTES` goes on whole, so that what breaks off before has shown the client nothing.
 
-    asked -> waiting -> admitted -> sent -> answering -> over
-      \\________\\_________ refused (not run)   \\_______ failed (may have run)
+    asked -> receiving -> waiting -> admitted -> sent -> answering -> over
+      \\________\\__________\\________ refused (not run)   \\_______ failed (may have run)
+
+A body over `SHORT_BYTES` and up to `HELD_BYTES` is received before a slot is asked for: over a thin link it
+takes longer than the work, and a slot held meanwhile is a slot that nobody uses. How much of it is asked for
+when is the `Intake`'s word. A longer one takes its slot first and goes on as it comes.
 
 Each `Job` tells its end once. `_over` is the only place that gives the slot and the connection back.
 """
@@ -21,6 +25,7 @@
 from honeywharf.sluice.backend import Taps
 from honeywharf.verdict import (
     BROKEN_OFF,
+    CHOKED,
     COLD,
     FULL,
     GARBLED,
@@ -34,6 +39,7 @@
     TURNED_AWAY,
     Verdict,
 )
+from honeywharf.weir.intake import STALL_S, Intake
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -45,6 +51,7 @@
     from honeywharf.sluice.backend import Tap
     from honeywharf.sluice.gate import Gate
     from honeywharf.weir.admission import Waiter
+    from honeywharf.weir.intake import Place
 
     class Answers(Protocol):
         """Where a job's outcome goes: a stream's frames, or the source in this process."""
@@ -70,7 +77,10 @@
 
 SHORT_BYTES = FIRST_WINDOW  # of a body that is held whole before the backend sees its head
 WHOLE_BYTES = 64 * 1024  # of an answer that goes on whole
-ON_THE_WAY_S = 0.1  # of the link's time, for bodies: what comes behind them waits no longer
+HELD_BYTES = 512 * 1024  # of a request's body that is held before it has a slot
+BACKLOG = 0.3  # of the aim, that a body's first byte may wait for the link
+WAIT = 0.5  # of the aim, that one whose body is here may wait for a slot
+ON_THE_WAY_S = 0.1  # of the link's time, for longer bodies: what comes behind them waits no longer
 MOST_THAWING = 64  # requests that wait for a cold backend
 LEAVING_S = 1.0  # told by one that leaves: it is asked to let a request wait only after all others
 LATE_S = 0.03  # past the deadline, for the backend's own word of it
@@ -83,8 +93,8 @@
 
     __slots__ = (
         "answers", "ask", "attempt", "begun_at", "body", "credit", "due", "ended", "gate", "head",
-        "held", "inbound", "judged_at", "kept", "over", "read", "short", "started", "streaming", "tap",
-        "tap_up", "thaw", "until", "waiter", "wrote")
+        "held", "inbound", "judged_at", "kept", "over", "place", "read", "receiving", "short", "started",
+        "streaming", "tap", "tap_up", "thaw", "until", "waiter", "went", "wrote")
 
     def __init__(self, inbound: Inbound, ask: Ask, answers: Answers) -> None:
         self.inbound, self.ask, self.answers, self.gate = inbound, ask, answers, inbound.gate
@@ -92,6 +102,8 @@
         self.until = inbound.host.now() + ask.remaining_s
         self.waiter: Waiter | None = None
         self.thaw: Timer | None = None  # while it waits for a cold backend
+        self.place: Place | None = None  # of its body on the link
+        self.receiving = self.went = False  # its body comes before a slot; the source was told to send it
         self.tap: Tap | None = None
         self.due: Timer | None = None
         self.body: list[bytes] = []  # of the request, not yet written
@@ -110,18 +122,88 @@
         if not self._passes(now):
             return
         self.short = inbound.gate.admission.is_short(ask.aim_s)
-        if inbound.gate.admission.free(now, self.short):
+        if not self.ended and (SHORT_BYTES < ask.length <= HELD_BYTES or ask.length == UNKNOWN):
+            self._receive(now)
+        else:
+            self._seat(now)
+
+    def _seat(self, now: float) -> None:
+        """Have a slot, wait for one, or be refused."""
+        ask, admission = self.ask, self.inbound.gate.admission
+        if admission.free(now, self.short):
             self._start(now)
         elif ask.patience_s > 0:
-            self.waiter = inbound.gate.admission.wait(
+            self.waiter = admission.wait(
                 now, (ask.priority, ask.aim_s), min(ask.patience_s, ask.remaining_s), self._turn,
                 self._too_long)
             if self.waiter is None:
-                self.refuse(FULL, inbound.gate.admission.expected_s((ask.priority, ask.aim_s)))
+                self.refuse(FULL, admission.expected_s((ask.priority, ask.aim_s)))
             else:
-                inbound.look_soon()
+                self.inbound.look_soon()
+        else:
+            self.refuse(FULL, admission.expected_s((ask.priority, ask.aim_s)))
+
+    def _receive(self, now: float) -> None:
+        """Have the body come, if a slot is likely once it is here; before a byte of it there is a proof."""
+        inbound, ask = self.inbound, self.ask
+        expected = inbound.expected_s(self)
+        if expected > ask.patience_s:
+            self.refuse(FULL, expected)
+        elif not ask.peer:  # from this machine's own client, over no link of ours
+            self.receiving = self.went = True
+            inbound.receiving += 1
+            self.answers.go()
+            if not self.over:
+                self.answers.window(WINDOW_BYTES - FIRST_WINDOW)
+        else:
+            backlog, place = inbound.intake.backlog_s(), None
+            if backlog <= BACKLOG * ask.aim_s:
+                place = inbound.intake.join(now, ask.length, self._give)
+            if place is None:
+                self.refuse(CHOKED, max(0.02, backlog))
+                return
+            self.receiving, self.place = True, place
+            inbound.receiving += 1
+            inbound.pump_intake()
+        if self.receiving and not self.over:
+            self._due(now)
+
+    def _due(self, now: float) -> None:
+        if self.due is None:
+            self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
+
+    def _give(self, size: int) -> None:
+        """The link has room for so many further bytes."""
+        if not self.went:
+            self.went = True
+            self.answers.go()
+            size -= FIRST_WINDOW
+        if size > 0:
+            self.answers.window(size)
+
+    def _received(self, size: int) -> None:
+        """A part of a body that is received before it has a slot."""
+        inbound, now = self.inbound, self.inbound.host.now()
+        if self.read > HELD_BYTES:  # longer than it looked: it goes on as it comes from here
+            self._no_more(now)
+            self.ask.patience_s = max(self.ask.patience_s, WAIT * self.ask.aim_s)
+            if self._passes(now):
+                self._seat(now)
+        elif self.place is None:
+            self.answers.window(size)
         else:
-            self.refuse(FULL, inbound.gate.admission.expected_s((ask.priority, ask.aim_s)))
+            inbound.intake.took(now, self.place, size)
+            inbound.pump_intake()
+
+    def _no_more(self, now: float) -> None:
+        """Its body is whole, or is not received any more."""
+        if self.receiving:
+            self.receiving = False
+            self.inbound.receiving -= 1
+        if self.place is not None:
+            self.inbound.intake.leave(self.place)
+            self.place = None
+            self.inbound.pump_intake()
 
     def _passes(self, now: float) -> bool:
         inbound, ask = self.inbound, self.ask
@@ -168,8 +250,9 @@
         self.gate.admission.start(now, self.short)
         self.gate.sends(now)
         self.started, self.begun_at, self.judged_at = True, now, now
-        self.due = self.inbound.host.after(self.until - now + LATE_S, self._late)
-        if self.ask.length != 0:
+        self._due(now)
+        if self.ask.length != 0 and not self.went:
+            self.went = True
             self.answers.go()
             more = self.inbound.window() - FIRST_WINDOW
             if more > 0 and not self.over and not 0 <= self.ask.length <= FIRST_WINDOW:
@@ -243,17 +326,29 @@
 
     def data(self, data: bytes) -> None:
         """A part of the request's body."""
-        if not self.over:
-            self.body.append(data)
-            self.read += len(data)
+        if self.over:
+            return
+        self.body.append(data)
+        self.read += len(data)
+        if self.receiving:
+            self._received(len(data))
+        else:
             self.held += len(data)
             self._write()
 
     def end(self) -> None:
         """The body is whole."""
-        if not self.over:
-            self.ended = True
+        if self.over:
+            return
+        self.ended = True
+        if not self.receiving:
             self._write()
+            return
+        now, assay = self.inbound.host.now(), self.inbound.assay
+        self._no_more(now)
+        self.ask.patience_s = max(self.ask.patience_s, WAIT * self.ask.aim_s)
+        if self._passes(now) and (assay is None or assay.still(self)):
+            self._seat(now)
 
     def window(self, size: int) -> None:
         """So many further bytes of the answer may be sent."""
@@ -388,6 +483,7 @@
             self.gate.admission.leave(self.waiter)
             self.waiter = None
         self.body.clear()
+        self._no_more(0.0)
         if self.thaw is not None:
             self.thaw.cancel()
             self.thaw = None
@@ -421,6 +517,9 @@
         self.leaving = False
         self.thawing = 0  # requests that wait for a cold backend
         self.link_bytes_s = float("inf")  # of this machine's link
+        self.intake = Intake()
+        self.receiving = 0  # requests whose bodies come before they have a slot
+        self.intake_due: Timer | None = None
         self.look: Timer | None = None
         self.look_at = 0.0
         self.pumping = False
@@ -440,6 +539,28 @@
         bodies = 1 + sum(1 for job in self.jobs if job.started and not job.ended)
         return int(max(FIRST_WINDOW, min(WINDOW_BYTES, self.link_bytes_s * ON_THE_WAY_S / bodies)))
 
+    def linked(self, mbps: float) -> None:
+        """How fast this machine's link is, in megabits a second."""
+        self.link_bytes_s = mbps * 125_000.0
+        self.intake.link(self.link_bytes_s)
+
+    def expected_s(self, job: Job) -> float:
+        """How long it would wait for a slot if its body were here, after those whose bodies come."""
+        admission, now = self.gate.admission, self.host.now()
+        if admission.free(now, job.short) and admission.running + self.receiving < admission.slots:
+            return 0.0
+        return admission.expected_s((job.ask.priority, job.ask.aim_s)) + (
+            self.receiving * admission.mean_s / max(1, admission.slots))
+
+    def pump_intake(self) -> None:
+        """Ask for bytes of bodies; look again soon where some wait behind one that may have stalled."""
+        if self.intake.pump(self.host.now()) and self.intake_due is None:
+            self.intake_due = self.host.after(STALL_S, self._pump_intake)
+
+    def _pump_intake(self) -> None:
+        self.intake_due = None
+        self.pump_intake()
+
     def told_load(self, load: bytes) -> None:
         """The backend told running, waiting, slots."""
         figures = load.split(b",")
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -4,7 +4,7 @@
 
 from honeywharf.mains.streams import Ask, Links
 from honeywharf.policy.levels import Levels
-from honeywharf.verdict import WORDS, Verdict
+from honeywharf.verdict import CHOKED, WORDS, Verdict
 from honeywharf.weir.budget import RetryBudget
 
 TYPE_CHECKING = False
@@ -21,6 +21,7 @@
     from honeywharf.strainer.settings import Settings
 
 MOST_SERVICES = 1024
+CHOKED_S = 0.5  # at most, that a gate whose link is full of bodies is asked for no further one
 READY = 1  # a gate's state, as told
 
 
@@ -101,6 +102,7 @@
         self.courses: dict[Course, None] = {}
         self.proxies: Callable[[], int] = lambda: 1
         self.doubted: set[str] = set()
+        self.choked: dict[str, float] = {}  # by gate of the list, until when it is asked for no body
         self.asks = 0
         self.assay: Assay | None = None
         self.statuses: dict[int, int] = {}
@@ -200,7 +202,18 @@
     def refused(self, service: str, key: str, verdict: Verdict) -> None:
         """A gate refused."""
         self.refusals[verdict.why] = self.refusals.get(verdict.why, 0) + 1
-        self.levels_of(service).refused(self.host.now(), key, verdict.again_s)
+        if verdict.why == CHOKED:  # for bodies only: a lookup there is none the slower
+            if key in self.list:
+                self.choked[key] = self.host.now() + min(CHOKED_S, verdict.again_s)
+            self.levels_of(service).released(key)
+        else:
+            self.levels_of(service).refused(self.host.now(), key, verdict.again_s)
+
+    def choked_now(self) -> set[str]:
+        """Gates whose links are full of bodies, as far as was told."""
+        now = self.host.now()
+        self.choked = {key: until for key, until in self.choked.items() if until > now}
+        return set(self.choked)
 
     def released(self, service: str, key: str) -> None:
         """Nobody waits for an attempt there any more."""
--- a/honeywharf/verdict.py
+++ b/honeywharf/verdict.py
@@ -12,11 +12,11 @@
 
 # Why a gate refuses, or an attempt failed. Small numbers: they travel with each refusal.
 FULL, COLD, DRAINING, EVACUATED, NOBODY, OTHER_SERVICE, TURNED_AWAY, LEAVING, LATE, UNREADY = range(10)
-LOST, GARBLED, BROKEN_OFF, REFUSED, TIMED_OUT, CANCELLED, DRIFT = range(10, 17)
+LOST, GARBLED, BROKEN_OFF, REFUSED, TIMED_OUT, CANCELLED, DRIFT, CHOKED = range(10, 18)
 WORDS = (
     "full", "cold", "draining", "evacuated", "nobody", "other service", "turned away", "leaving", "late",
     "unready", "link lost", "garbled answer", "broken off", "connection refused", "timed out", "cancelled",
-    "drift")
+    "drift", "choked")
 
 
 class Verdict:
