--- a/honeywharf/weir/intake.py
+++ b/honeywharf/weir/intake.py
@@ -3,9 +3,9 @@
 Theory of operation. Uploads share the link with short requests, with inner calls and with the mesh's own
 words. What has been asked for and has not come yet waits in the link's queue, before all of these. So the
 destination asks for little at a time: `most_out` over all bodies, which is `ON_THE_WAY_S` of the link's time,
-and `EACH_OUT` for one. First come, first asked: like bodies end sooner one after the other than side by side.
-A body of which nothing came for `STALL_S` (a slow client) does not count against the others. Nothing is timed
-by a rate: what comes makes room for what is asked for next.
+and half of it, or `EACH_OUT`, for one. First come, first asked: like bodies end sooner one after the other
+than side by side. A body of which nothing came for `STALL_S` (a slow client) does not count against the
+others. Nothing is timed by a rate: what comes makes room for what is asked for next.
 
 A body whose turn has not come has been asked for no byte; its request can still be refused with a proof.
 Rules without I/O; times are seconds on the caller's clock, sizes bytes, `bytes_s` bytes a second.
@@ -57,6 +57,7 @@
         """The machine's link, as its settings tell."""
         self.bytes_s = bytes_s
         self.most_out = max(float(LEAST_OUT), bytes_s * ON_THE_WAY_S)
+        self.each_out = max(float(FIRST), min(float(EACH_OUT), self.most_out / 2))  # two are on the way
 
     def backlog_s(self) -> float:
         """How long the link needs for what the bodies here have still to send."""
@@ -98,7 +99,9 @@
         for place in list(self.places):
             if place not in self.places:
                 continue  # asking for another one's bytes has ended it
-            room = min(self.most_out - out, EACH_OUT - (place.asked - place.came))
+            if place.asked > place.came and now - place.at >= STALL_S:
+                continue  # what it was asked for has to come first
+            room = min(self.most_out - out, self.each_out - (place.asked - place.came))
             want = min(int(room), place.size - place.asked) if place.told else int(room)
             if not place.asked:
                 want = FIRST if room >= FIRST or not out else 0
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -12,6 +12,7 @@
 from honeywharf.sluice.inbound import Job
 from honeywharf.verdict import (
     BROKEN_OFF,
+    CHOKED,
     DRAINING,
     FULL,
     GARBLED,
@@ -548,3 +549,74 @@
     assert [r.headers[b"x-honeywharf-expected-instance"] for r in stage.backend.requests] == [
         LIFE.encode(), b"i-2"]
     assert stage.gate.service == SERVICE
+
+
+def test_a_body_on_its_way_holds_no_slot_and_a_lookup_goes_before_it() -> None:
+    stage = Stage(slots=1)
+    stage.inbound.linked(2.7)
+    far = ask(kind=2, length=40_000, remaining_s=5.0)
+    far.peer = "10.1.0.9"
+    job, told = stage.begin(far)
+    assert told.events == [("go",)]
+    job.data(bytes(8192))
+    _, lookup = stage.begin(ask())
+    stage.run(0.1)
+    assert lookup.events == [("answer", 200, 4, True)]
+    assert stage.gate.admission.running == 0
+    sent = 8192
+    while sent < 40_000:
+        assert told.windows + 8192 > sent, "the window was not opened again"
+        piece = min(told.windows + 8192, 40_000) - sent
+        job.data(bytes(piece))
+        sent += piece
+    assert not any(b"POST" in request.line for request in stage.backend.requests)
+    job.end()
+    stage.run()
+    assert told.events[1:] == [("answer", 200, 4, True)]
+    assert (stage.inbound.receiving, stage.inbound.intake.held) == (0, 0)
+    idle(stage)
+
+
+def test_a_choked_link_refuses_bodies_before_a_byte_and_nothing_else() -> None:
+    stage = Stage(slots=50)
+    stage.inbound.linked(2.7)
+    jobs = []
+    for n in range(12):
+        far = ask(kind=2, length=60_000, remaining_s=5.0, attempt=b"%016x" % n)
+        far.peer = "10.1.0.9"
+        jobs.append(stage.begin(far))
+    refused = [told for _, told in jobs if told.verdict is not None]
+    assert [told.events for told in refused] == [[("fail", NOT_RUN, CHOKED, False)]] * len(refused)
+    assert 12 - len(refused) == 1  # the next one's first byte would wait 0.18 s of an aim of 0.5
+    assert refused[0].verdict is not None
+    assert refused[0].verdict.again_s > 0.15
+    _, lookup = stage.begin(ask())
+    stage.run(0.1)
+    assert lookup.events == [("answer", 200, 4, True)]
+    jobs[0][0].cancel()
+    stage.run(0.1)
+    assert (stage.inbound.receiving, stage.inbound.intake.held) == (0, 0)
+
+
+def test_a_body_that_never_ends_is_given_up_with_a_proof() -> None:
+    stage = Stage()
+    far = ask(kind=2, length=40_000, remaining_s=1.0)
+    far.peer = "10.1.0.9"
+    job, told = stage.begin(far)
+    job.data(bytes(8192))
+    stage.run(1.2)
+    assert told.events == [("go",), ("fail", NOT_RUN, TIMED_OUT, False)]
+    assert not stage.backend.visits
+    assert (stage.inbound.receiving, stage.inbound.intake.held) == (0, 0)
+
+
+def test_what_was_allowed_at_the_head_is_judged_again_when_the_body_is_here() -> None:
+    stage = Stage()
+    job, told = stage.begin(ask(kind=2, length=40_000, remaining_s=5.0))
+    job.data(bytes(40_000))
+    stage.gate.beat(stage.inbound.host.now(), LIFE, 2, True, 4, 0.0)  # it drains
+    job.end()
+    stage.run()
+    assert told.events == [("go",), ("fail", NOT_RUN, DRAINING, False)]
+    assert not stage.backend.visits
+    idle(stage)
