--- a/honeywharf/cli/drift.py
+++ b/honeywharf/cli/drift.py
@@ -14,11 +14,11 @@
 from typing import Annotated, Any
 
 import cappa
-from absl import flags, logging
 
-from honeywharf.cli.mesh import WrongError, call
+from honeywharf.cli import ending
+from honeywharf.cli.ending import DONE, NO, WrongError
+from honeywharf.cli.mesh import call
 
-DONE, NO, UNKNOWN = 0, 1, 2
 VARIABLE = "HONEYWHARF_RESERVOIR"
 SHOWN_SLIPS = 20
 WELL = ("told", "applying", "agreed", "healed")
@@ -156,15 +156,10 @@
 
 def main(arguments: list[str]) -> int:
     """The command line behind `honeywharf drift`; without a word it is `show`. Exit status."""
-    flags.FLAGS.mark_as_parsed()
-    logging.use_absl_handler()
+    ending.log_faults()
     words = arguments if arguments[:1] and not arguments[0].startswith("--") else ["show", *arguments]
     if arguments[:1] in (["--help"], ["-h"]):
         words = arguments
-    try:
-        return cappa.parse(Drift, argv=words, completion=False).command()
-    except cappa.Exit as ended:
-        return int(ended.code or 0)
-    except (OSError, ValueError, KeyError, WrongError) as fault:
-        logging.error("%s", fault)
-        return UNKNOWN
+    return ending.status(
+        lambda: cappa.parse(Drift, argv=words, completion=False).command(), ending.logged,
+        (ValueError, KeyError, WrongError))
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -14,13 +14,14 @@
 from urllib.parse import quote, urlsplit
 
 import cappa
-from absl import flags, logging
+from absl import logging
 
+from honeywharf.cli import ending
+from honeywharf.cli.ending import DONE, NO, UNKNOWN, WrongError
 from honeywharf.strainer import changes, configuration, settings
 from honeywharf.strainer.quantities import address
 from honeywharf.strainer.routes import Route, Table
 
-DONE, NO, UNKNOWN = 0, 1, 2
 REDIRECTS = 2  # as many as the callers of the mesh follow
 MOST_ANSWER = 64 << 20  # bytes of an answer that are read
 OPEN = "What was ordered may be in force, or may not: send it again"
@@ -183,21 +184,13 @@
 
 def main(arguments: list[str]) -> int:
     """The command line behind `honeywharf mesh`. Exit status."""
-    flags.FLAGS.mark_as_parsed()  # cappa reads the arguments; the log would complain of it on every line
-    logging.use_absl_handler()
-    try:
+    def run() -> int:
         parsed = cappa.parse(Mesh, argv=arguments, completion=False)
         logging.set_verbosity(logging.INFO if parsed.verbose else logging.WARNING)
         return parsed.command()
-    except cappa.Exit as ended:
-        return int(ended.code or 0)
-    except (OSError, WrongError) as fault:
-        logging.error("%s", fault)
-        return UNKNOWN
-
 
-class WrongError(Exception):
-    """What keeps a call from being made or its answer from being understood."""
+    ending.log_faults()
+    return ending.status(run, ending.logged, (WrongError,))
 
 
 _input: list[bytes] = []  # standard input, once it has been read
--- a/honeywharf/cli/store.py
+++ b/honeywharf/cli/store.py
@@ -13,11 +13,11 @@
 
 import cappa
 
+from honeywharf.cli import ending
+from honeywharf.cli.ending import DONE, NO
 from honeywharf.mains.loop import Loop
 from honeywharf.reservoir import mending
 
-DONE, NO, UNKNOWN = 0, 1, 2
-
 Directory = Annotated[str, cappa.Arg(help="The data directory of a reservoir.")]
 File = Annotated[str, cappa.Arg(help="The file of a backup.")]
 
@@ -107,16 +107,9 @@
 
 def main(arguments: list[str]) -> int:
     """The command line behind `honeywharf mesh-store`. Exit status."""
-    try:
-        return cappa.parse(MeshStore, argv=arguments, completion=False).command()
-    except cappa.Exit as ended:
-        return int(ended.code or 0)
-    except mending.BackupError as fault:
-        print(fault, file=sys.stderr)
-        return NO
-    except OSError as fault:  # FormatError too
-        print(fault, file=sys.stderr)
-        return UNKNOWN
+    return ending.status(
+        lambda: cappa.parse(MeshStore, argv=arguments, completion=False).command(),
+        lambda fault: print(fault, file=sys.stderr), (), (mending.BackupError,))  # FormatError is an OSError
 
 
 def _disk(directory: str) -> Loop:
--- a/tests/assay/test_view.py
+++ b/tests/assay/test_view.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from honeywharf.cli import drift
-from honeywharf.cli.mesh import WrongError
+from honeywharf.cli import drift, ending
+from honeywharf.cli.ending import WrongError
 from honeywharf.flume.slips import Trial
 
 
@@ -77,8 +77,8 @@
         raise WrongError("no clear answer")
 
     monkeypatch.setattr(drift, "call", nobody)
-    assert drift.main([]) == drift.UNKNOWN
-    assert drift.main(["between", "r1", "r2"]) == drift.UNKNOWN
+    assert drift.main([]) == ending.UNKNOWN
+    assert drift.main(["between", "r1", "r2"]) == ending.UNKNOWN
     monkeypatch.setattr(drift, "call", lambda *arguments: (503, b"no majority"))
-    assert drift.main(["explain", "10.1.0.8"]) == drift.UNKNOWN
-    assert drift.main(["between", "r1", "r2"]) == drift.NO
+    assert drift.main(["explain", "10.1.0.8"]) == ending.UNKNOWN
+    assert drift.main(["between", "r1", "r2"]) == ending.NO
