--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -11,7 +11,10 @@
 from collections.abc import Callable
 from typing import cast
 
+from honeywharf.core.exchange import Attempt, Exchange
+from honeywharf.core.forms import Forms, tries_name
 from honeywharf.core.messages import Request, Response, Status, pairs
+from honeywharf.core.probes import Probes
 from honeywharf.core.seams import NOBODY, Follower, Seams
 from honeywharf.core.transport import (
     Caller,
@@ -20,17 +23,12 @@
     Loop,
     Registry,
     StreamingCaller,
-    Timer,
     Transport,
-    UpstreamRequest,
     log,
 )
 from honeywharf.core.turns import Turns
 from honeywharf.policy import interface as api
 
-# The final answer has to be on its way before the client gives up: its time ran from its sending, so part of
-# it was gone when the request was read, and the timer may run late.
-ANSWER_MARGIN_MS = 10.0
 # The request's timer may come so early, and ends its attempts. Guards against one that is sent after that, to
 # a silent backend: it would stay for ever.
 LAST_MS = 1.0
@@ -40,74 +38,6 @@
 REFUSED_BY = {reason: f"refused:{reason.value or 'unsaid'}" for reason in api.Reason}
 
 
-def tries_name(request: Request) -> bytes:
-    """What all tries of one thing have in common: its idempotency key, or who asks for what; else nothing."""
-    if request.idempotency_key:
-        return b"%b %b" % (request.account.encode("latin-1"), request.idempotency_key)
-    if request.sid:
-        return b"%b %b %b" % (
-            request.account.encode("latin-1"), request.sid.encode("latin-1"), request.target)
-    return b""
-
-
-class Exchange:
-    """A request in the table: until it is answered, its attempts have ended and the module was told."""
-
-    __slots__ = ("answered", "attempts", "caller", "deadline_ms", "followers", "live", "queued", "request",
-                 "timer")
-
-    def __init__(
-        self, request: Request, caller: Caller, deadline_ms: float, followers: tuple[Follower, ...],
-    ) -> None:
-        self.request, self.caller, self.deadline_ms = request, caller, deadline_ms
-        self.attempts: list[Attempt | None] = []  # None where it was never sent
-        self.live = 0
-        self.queued = 0  # events that name it and are not handled yet
-        self.answered = False
-        self.timer: Timer | None = None
-        self.followers = followers
-
-
-class Attempt(UpstreamRequest):
-    """One attempt of a request."""
-
-    __slots__ = ("__weakref__", "driver", "exchange", "live", "number", "sent_ms", "timer")
-
-    def __init__(
-        self, driver: Driver, exchange: Exchange, endpoint: str, now: float, until_ms: float,
-    ) -> None:
-        super().__init__(endpoint, exchange.request, until_ms)
-        self.driver, self.exchange, self.number, self.sent_ms = driver, exchange, len(exchange.attempts), now
-        self.live = True
-        self.timer: Timer | None = None
-        self.streams = exchange.request.streams
-        for follower in exchange.followers:
-            if follower.needs_whole():
-                self.streams = False
-
-    def ended(self, outcome: api.Outcome, response: Response | None) -> None:
-        """Pass the outcome on."""
-        self.driver.attempt_ended(self, outcome, response)
-
-
-class Probe(UpstreamRequest):
-    """A health check of a backend."""
-
-    __slots__ = ("driver", "live", "sent_ms", "timer")
-
-    def __init__(self, driver: Driver, endpoint: str, now: float, until_ms: float) -> None:
-        super().__init__(endpoint, None, until_ms, report=bool(driver.report_fields))
-        self.driver, self.sent_ms, self.live = driver, now, True
-        self.timer: Timer | None = None
-
-    def ended(self, outcome: api.Outcome, response: Response | None) -> None:
-        """Pass the finding on."""
-        self.driver.probe_ended(self, outcome, response)
-
-
-PROBE_TIMEOUT_MS = 250.0
-
-
 class Driver:
     """One proxy's decision module at work."""
 
@@ -120,8 +50,7 @@
         self.registry: Registry | None = None
         self.seams = Seams()
         self.turns = Turns(clock)
-        self.classes = {c.name: c for c in settings.classes}
-        self.former: dict[str, api.RequestClass] = {}  # by name: classes that were less strict until just now
+        self.forms = Forms(settings)
         # A report's figures by the settings' names, or by the interface's where they are the same thing.
         self.report_fields = tuple(zip(report_fields, settings.report_fields, strict=False))
         self.requests: dict[str, Exchange] = {}
@@ -129,6 +58,7 @@
         self.events: deque[tuple[api.Event, Exchange | None]] = deque()
         self.scheduled = self.running = False
         self.counts: dict[str, int] = {}
+        self.probes = Probes(transport, loop, clock, self._feed, self._report)
 
     def start(self, known: api.EndpointsListed) -> None:
         """Tell the module that it runs, and the list that it held last."""
@@ -138,44 +68,16 @@
 
     # What happens.
 
-    def fault_of(self, request: Request) -> str | None:
-        """Why the request can't be given to the module, if so."""
-        cls = self.classes.get(request.class_name)
-        if cls is None:
-            return "unknown class"
-        if not request.id:
-            return "no id"
-        if request.left_ms is None:
-            return "no time left"
-        fault = self._misfit(request, cls)
-        former = self.former.get(request.class_name)
-        if fault is not None and former is not None:
-            # It was written before the class became stricter, under whose rules it is served.
-            fault = self._misfit(request, former)
-        return fault
-
-    def _misfit(self, request: Request, cls: api.RequestClass) -> str | None:
-        """Why the request has not the form of its class, if so."""
-        if request.method != (b"GET" if cls.effect is api.Effect.REPEATABLE else b"POST"):
-            return "a method that is not the class's"
-        if request.method == b"GET" and (request.body or request.pipe is not None):
-            return "a body where none belongs"
-        if (cls.effect is api.Effect.KEYED) != bool(request.idempotency_key):
-            return "an idempotency key where none belongs, or none where one does"
-        return None
-
     def full(self) -> bool:
         """Whether the site's bound on open requests is reached."""
         return 0 < self.settings.limits.max_open <= self.open
 
     def offer(self, request: Request, caller: Caller) -> str | None:
         """Take a request, or refuse it before it reaches the module; what is wrong with it, if so."""
-        fault = self.fault_of(request)
+        fault = self.forms.fault_of(request)
         if fault is None:
             if self.seams.tracer is not None:
-                request.traced = self.seams.tracer.begin(request, request.read_ms or self.clock.now())
-                if request.waited_ms:
-                    request.traced.waited("accept", request.read_ms, request.read_ms + request.waited_ms)
+                self.seams.begin(request, request.read_ms or self.clock.now())
             if self.full():
                 self.closed(request, "refused", "too many open")
                 caller.answer(Status.REFUSED)  # nothing has run
@@ -186,24 +88,14 @@
 
     def closed(self, request: Request, how: str, reason: str) -> None:
         """End the trace of a request that is answered without the module; before its answer is written."""
-        traced = request.traced
-        if traced is not None:
-            request.traced, now = None, self.clock.now()
-            request.answer_lines = traced.answered(how, reason, None, now)
-            traced.settled(now)
-        if self.seams.answers:
-            now = self.clock.now()
-            for told in self.seams.answers:
-                told(request.class_name, how, now - request.read_ms, now, traced)
+        self.seams.unseen(request, how, reason, self.clock.now())
 
     def arrived(self, request: Request, caller: Caller) -> bool:
         """Take a sound request; False where its id is in the table, or its key's request can't be joined."""
         if request.left_ms is None:
             return False
-        # Guards against a time left of years: no client of the class waits longer than its deadline.
-        cls = self.classes[request.class_name]
-        left = max(0.0, min(request.left_ms, cls.deadline_ms) - ANSWER_MARGIN_MS)
-        left -= self.clock.now() - request.read_ms
+        left = self.forms.left_ms(request) - (self.clock.now() - request.read_ms)
+        cls = self.forms.classes[request.class_name]
         if self.seams.joins is not None and cls.effect is api.Effect.KEYED and (
                 request.idempotency_key and request.pipe is None):  # it is known by its payload: not in hand
             return self.seams.joins.arrived(request, caller, left)
@@ -231,8 +123,7 @@
         else:
             exchange.timer = self.loop.call_later(max(0.0, left) / 1000.0, self._overdue, exchange)
         if self.seams.connected:
-            self._feed(api.ClientsConnected(self.seams.connected))
-            self.seams.connected = 0
+            self._feed(api.ClientsConnected(self.seams.connections()))
         self._feed(api.RequestArrived(
             request.id, request.class_name, left, request.account, request.repeat, request.sid,
             pairs(request.facts).get("isWrite", 0.0) > 0 if request.facts else False, request.hint_ms,
@@ -245,29 +136,21 @@
         request, now = exchange.request, self.clock.now()
         if exchange.answered or request.left_ms is None:
             return
-        left = max(0.0, min(request.left_ms, self.longest_ms(request)) - ANSWER_MARGIN_MS)
+        left = self.forms.left_ms(request)
         exchange.deadline_ms = now + left
         exchange.timer = self.loop.call_later(left / 1000.0, self._overdue, exchange)
-        for attempt in exchange.attempts:
-            if attempt is not None and attempt.live:
-                attempt.sent_ms, attempt.until_ms = now, exchange.deadline_ms
+        for attempt in exchange.out():
+            attempt.sent_ms, attempt.until_ms = now, exchange.deadline_ms
         self._feed(api.RequestWhole(request.id, left), exchange)
 
-    def longest_ms(self, request: Request) -> float:
-        """No client of the class waits longer than that."""
-        cls = self.classes.get(request.class_name)
-        return cls.deadline_ms if cls is not None else request.left_ms or 0.0
-
     def gone(self, request: Request) -> None:
         """The client has left. Attempts that are out go on, as they do at the backend."""
         exchange = self.requests.get(request.id)
         if exchange is not None and exchange.request is request and not exchange.answered:
             self._finish(exchange, "gone")
             if exchange.deadline_ms == INFINITY:  # nobody will ever have all of its body
-                for attempt in exchange.attempts:
-                    if attempt is not None and attempt.live:
-                        self.transport.abort(attempt)
-                        self.attempt_ended(attempt, api.Outcome.CANCELLED, None)
+                for attempt in exchange.out():
+                    self._end(attempt, api.Outcome.CANCELLED)
             self._feed(api.RequestExpired(request.id), exchange)
         elif self.seams.joins is not None:
             self.seams.joins.gone(request)
@@ -291,8 +174,7 @@
         former: dict[str, api.RequestClass],
     ) -> None:
         """Take new settings over, before all that waits. `former`: classes that may come in that form too."""
-        self.settings, self.former = settings, former
-        self.classes = {c.name: c for c in settings.classes}
+        self.settings, self.forms = settings, Forms(settings, former)
         self.report_fields = tuple(zip(report_fields, settings.report_fields, strict=False))
         self.events.appendleft((api.SettingsChanged(settings), None))
         self._run()
@@ -313,8 +195,8 @@
             attempt.timer.cancel()
         own = now - max(attempt.sent_ms, self._blind())
         pipe = exchange.request.pipe
-        for follower in exchange.followers:
-            follower.ended(attempt.number, outcome, response, now)
+        if exchange.followers:
+            exchange.ended(attempt.number, outcome, response, now)
         if outcome is api.Outcome.OK and response is not None and not exchange.answered:
             self._finish(exchange, "served")
             if response.pipe is None:  # the usual one: an argument less is some time less
@@ -330,18 +212,6 @@
             pipe is not None and pipe.spent,
         ), exchange)
 
-    def probe_ended(self, probe: Probe, outcome: api.Outcome, response: Response | None) -> None:
-        """Tell the module what a probe found."""
-        if not probe.live:
-            return
-        probe.live = False
-        if probe.timer is not None:
-            probe.timer.cancel()
-        report = None
-        if response is not None:
-            report = self._report(response.load or response.body)
-        self._feed(api.ProbeEnded(probe.endpoint, outcome, self.clock.now() - probe.sent_ms, report))
-
     def _blind(self) -> float:
         """Since when this proxy's own work may have kept it from reading what came."""
         return self.turns.came(self.loop.time())
@@ -354,9 +224,8 @@
         if early > LAST_MS:  # the loop's timers may come a little early
             exchange.timer = self.loop.call_later(early / 1000.0, self._overdue, exchange)
             return
-        for attempt in exchange.attempts:
-            if attempt is not None and attempt.live:
-                self._time_out(attempt)
+        for attempt in exchange.out():
+            self._time_out(attempt)
         self._run()
         if not exchange.answered:
             # Guards against a module that keeps a request past its time, or broke on it.
@@ -366,14 +235,13 @@
 
     def _time_out(self, attempt: Attempt) -> None:
         """Nothing came in time. Guards against a vanished machine, which says nothing ever."""
+        self._end(attempt, api.Outcome.TIMEOUT)
+
+    def _end(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Nobody waits for what is out any more."""
         if attempt.live:
             self.transport.abort(attempt)
-            self.attempt_ended(attempt, api.Outcome.TIMEOUT, None)
-
-    def _probe_time_out(self, probe: Probe) -> None:
-        if probe.live:
-            self.transport.abort(probe)
-            self.probe_ended(probe, api.Outcome.TIMEOUT, None)
+            self.attempt_ended(attempt, outcome, None)
 
     def _woken(self, at_ms: float, token: str) -> None:
         early = at_ms - self.clock.now()
@@ -445,7 +313,7 @@
         elif isinstance(action, api.Cancel):
             self._cancel(action)
         elif isinstance(action, api.Probe):
-            self._probe(action.endpoint)
+            self.probes.start(action.endpoint, bool(self.report_fields))
         elif isinstance(action, api.WatchEndpoints):
             if self.registry is not None:
                 self.registry.watch()
@@ -483,13 +351,7 @@
         attempt = Attempt(self, exchange, action.endpoint, now, until)
         exchange.attempts.append(attempt)
         exchange.live += 1
-        leaves = True
-        for follower in exchange.followers:
-            lines = follower.sending(attempt.number, action, now)
-            if lines is None:
-                leaves = False
-            else:
-                attempt.lines += lines
+        leaves = not exchange.followers or exchange.sending(attempt, action, now)
         if until < exchange.deadline_ms - LAST_MS:  # else the request's own timer ends it
             attempt.timer = self.loop.call_later((until - now) / 1000.0, self._time_out, attempt)
         if leaves:
@@ -513,18 +375,8 @@
 
     def _cancel(self, action: api.Cancel) -> None:
         attempt = self._attempt(action.request, action.attempt)
-        if attempt is not None and attempt.live:
-            self.transport.abort(attempt)
-            self.attempt_ended(attempt, api.Outcome.CANCELLED, None)
-
-    def _probe(self, endpoint: str) -> None:
-        now = self.clock.now()
-        if not self.transport.known(endpoint):
-            self._feed(api.ProbeEnded(endpoint, api.Outcome.NOT_SENT, 0.0))
-            return
-        probe = Probe(self, endpoint, now, now + PROBE_TIMEOUT_MS)
-        probe.timer = self.loop.call_later(PROBE_TIMEOUT_MS / 1000.0, self._probe_time_out, probe)
-        self.transport.start(probe)
+        if attempt is not None:
+            self._end(attempt, api.Outcome.CANCELLED)
 
     def _answer(
         self, request: str, status: Status, how: str, retry_after_ms: float = 0.0, reason: str = "",
@@ -556,25 +408,18 @@
         exchange.answered = True
         self.open -= 1
         self.count(how)
-        request = exchange.request
-        for follower in exchange.followers:
-            lines = follower.answered(how, reason, why, self.clock.now())
-            if lines:
-                request.answer_lines = lines
+        if exchange.followers:
+            exchange.finished(how, reason, why, self.clock.now())
         if self.seams.answers:
-            now = self.clock.now()
-            for told in self.seams.answers:
-                told(request.class_name, how, now - (request.read_ms or now), now, request.traced)
+            request, now = exchange.request, self.clock.now()
+            self.seams.answered(request, how, now - (request.read_ms or now), now, request.traced)
 
     def _forget(self, exchange: Exchange) -> None:
         if self.requests.get(exchange.request.id) is exchange:
             del self.requests[exchange.request.id]
         if exchange.timer is not None:
             exchange.timer.cancel()
-        for follower in exchange.followers:
-            follower.settled(self.clock.now())
-        exchange.followers = NOBODY
-        exchange.attempts = []  # guards against memory that waits for the collector: they hold it in turn
+        exchange.settled(self.clock.now() if exchange.followers else 0.0)
 
     def count(self, what: str) -> None:
         """One more of it, for the operator's line."""
--- a/honeywharf/core/seams.py
+++ b/honeywharf/core/seams.py
@@ -79,3 +79,31 @@
         self.storms = False  # the module is told of connections, and what tries have in common
         self.connected = 0  # since it was told
         self.pace: Callable[[float], None] | None = None  # who accepts so many connections a second
+
+    def begin(self, request: Request, now_ms: float) -> None:
+        """Arrival, where there is a tracer: the request's trace begins."""
+        if self.tracer is not None:
+            request.traced = self.tracer.begin(request, now_ms)
+            if request.waited_ms:
+                request.traced.waited("accept", request.read_ms, request.read_ms + request.waited_ms)
+
+    def connections(self) -> int:
+        """The clients that have connected since the module was told, which it is now."""
+        number, self.connected = self.connected, 0
+        return number
+
+    def answered(
+        self, request: Request, how: str, took_ms: float, now_ms: float, traced: Traced | None,
+    ) -> None:
+        """The answer: all are told of it."""
+        for told in self.answers:
+            told(request.class_name, how, took_ms, now_ms, traced)
+
+    def unseen(self, request: Request, how: str, reason: str, now_ms: float) -> None:
+        """The answer of a request that the module has not seen: its trace ends before it is written."""
+        traced = request.traced
+        if traced is not None:
+            request.traced = None
+            request.answer_lines = traced.answered(how, reason, None, now_ms)
+            traced.settled(now_ms)
+        self.answered(request, how, now_ms - request.read_ms, now_ms, traced)
--- a/honeywharf/orderkeys/edge.py
+++ b/honeywharf/orderkeys/edge.py
@@ -233,7 +233,8 @@
             elif not self._join(waiting, group):
                 self._fail(request, waiting.caller, "conflict", Status.CONFLICT)
             return
-        cls, left = self.driver.classes[request.class_name], waiting.deadline_ms - self.driver.clock.now()
+        cls = self.driver.forms.classes[request.class_name]
+        left = waiting.deadline_ms - self.driver.clock.now()
         keep = self.keep_ms[cls.name]
         self._park(waiting)
         if len(self.waiting) > WAITING_MOST or not shared.claim(
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -10,7 +10,8 @@
 import pytest
 
 from honeywharf.codecs import http1
-from honeywharf.core.driver import ANSWER_MARGIN_MS, Driver
+from honeywharf.core.driver import Driver
+from honeywharf.core.forms import ANSWER_MARGIN_MS
 from honeywharf.core.messages import Status
 from honeywharf.core.transport import Clock, UpstreamRequest
 from honeywharf.policy import interface as api
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,7 +57,8 @@
         "sluice", "strainer", "verdict", "weir"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
-PURE = ("policy", "terms", "limits", "flow", "reports", "storms", "codecs", "service/life.py",
+PURE = ("policy", "terms", "limits", "flow", "reports", "storms", "codecs", "core/exchange.py",
+        "core/forms.py", "core/probes.py", "core/seams.py", "service/life.py",
         "service/bans.py", "service/calls.py", "handover/frames.py", "handover/knowledge.py",
         "handover/state.py", "orderkeys/table.py", "orderkeys/edge.py",
         "orderkeys/shared.py", "orderkeys/scripts.py", "coap/options.py", "coap/blocks.py",
