Keep what is due in the simulated network as plain tuples

The heap now holds (time, order, event), which the heap compares without Python. Collecting garbage more rarely was tried and gained nothing that could be told from the noise.

--- a/honeywharf/flume/machine.py
+++ b/honeywharf/flume/machine.py
@@ -487,7 +487,8 @@
 
     def now_here(self) -> float:
         """Virtual time as the process has it, after what its disk took."""
-        return max(self.world.now, self.busy)
+        now, busy = self.world.now, self.busy
+        return busy if busy > now else now
 
     def out(self, do: Callable[[], None]) -> None:
         """Let something out of the process: now, or when its disk lets it go on, if it lives then."""
@@ -511,7 +512,7 @@
     def after(self, seconds: float, call: Callable[[], None]) -> Event:
         """Call once, so much later and a little more."""
         late = self.world.random.uniform(0.00005, 0.001)
-        timer = Event(0.0, 0, call, ())
+        timer = Event(call)
         self.world.at(self.now_here() + max(0.0, seconds) + late, self.call, self.life, _fire, timer)
         return timer
 
