Ask a register that has gone back with every low beat, not once

The question that makes a register give up its vote was asked once, at the third low beat in a row; with that one message lost the disk went on voting. And where the disk failed while the new name was being kept, the old one went on too. Each low beat now asks, who is asked says whether it has given up, and the old name is silent in memory before the disk is asked. Known gap: until the first question, one beat, such a disk votes.

--- a/honeywharf/assay/gather.py
+++ b/honeywharf/assay/gather.py
@@ -28,7 +28,6 @@
 WITHIN_S = 0.8  # for each
 MOST_NODES = 2000
 MOST_PEERS = 64  # registers whose progress is remembered
-SURE = 3  # beats in a row that tell of an older register, after which it is believed
 SECOND_LOOK_S = 1.0  # between looks at our own register's progress
 
 
@@ -38,7 +37,7 @@
     def __init__(self, program: Reservoir) -> None:
         self.program, self.host, self.basin = program, program.host, program.basin
         self.history = History(program.host)
-        self.peers: dict[Key, list[Any]] = {}  # the highest ballot told, and beats in a row below it
+        self.peers: dict[Key, tuple[Any, ...]] = {}  # the highest ballot that each has told
         self.went_back = 0
         tree = program.operator.tree
         tree.add("GET", "/api/drift", self._drift)
@@ -75,26 +74,36 @@
     # Registers that go back.
 
     def beat(self, key: Key, accepted: tuple[Any, ...]) -> None:
-        """A peer has told how far its register is. Beats may overtake one another: `SURE` of them count."""
+        """A peer has told how far its register is: where that is less than before, ask it, with each beat.
+
+        Beats may overtake one another, so nothing follows from one here: the peer looks at what it holds.
+        """
         if key not in self.peers and len(self.peers) >= MOST_PEERS:
             self.peers.pop(next(iter(self.peers)))
-        highest, below = self.peers.get(key, [accepted, 0])
-        below = below + 1 if accepted < highest else 0
-        self.peers[key] = [max(highest, accepted), below]
-        if below == SURE:
-            self.host.log(f"assay: the register of {key[0]} has gone back")
-            self.history.slip(key[0], "peer", "its register is older than it had told", 0)
+        highest = self.peers[key] = max(self.peers.get(key, accepted), accepted)
+        if accepted < highest:
             ip, _, port = key[0].rpartition(":")
             self.program.caller.call((ip, int(port)), "drift.older", [key[1], list(highest)], WITHIN_S,
-                                     lambda answer: None)
+                                     partial(self._answered, key))
+
+    def _answered(self, key: Key, went_back: Any) -> None:
+        """A peer was asked about its register; True where it has given up its vote."""
+        if went_back is True:
+            self.host.log(f"assay: the register of {key[0]} has gone back")
+            self.history.slip(key[0], "peer", "its register is older than it had told", 0)
 
     def _told_older(self, args: Any, reply: Reply, peer: Address) -> None:
-        """A peer says that this register had accepted more than it has now."""
+        """A peer says that this register had accepted more than it has now.
+
+        An honest disk's has not, however late or often this comes: what it has accepted only grows under one
+        name, and is told only once it is on disk. So no order of messages takes the vote of an honest member.
+        """
         disk, accepted = args
         state = self.basin.state
-        if disk == state.disk and state.accepted < tuple(accepted):
+        older = disk == state.disk and state.accepted < tuple(accepted)
+        if older:
             self._disown(peer[0])
-        reply(True)
+        reply(older)
 
     def _disown(self, by: str) -> None:
         self.went_back += 1
--- a/honeywharf/reservoir/basin.py
+++ b/honeywharf/reservoir/basin.py
@@ -158,8 +158,13 @@
                 self.host.log(f"basin: a roster could not be kept: {fault}")
 
     def disown(self) -> None:
-        """This disk gave back an older register: as after a lost disk, it has no vote until admitted anew."""
-        self._keep(State(self.host.random(8).hex(), self.state.epoch, self.state.roster))
+        """This disk gave back an older register: as after a lost disk, it has no vote until admitted anew.
+
+        OSError where the disk fails: the old name is silent all the same, until a restart at the latest; the
+        new one is kept with the first promise that it makes.
+        """
+        self.acceptor.state = State(self.host.random(8).hex(), self.state.epoch, self.state.roster)
+        self.store.save(self.state)
 
     # The vote.
 
