--- a/honeywharf/cli/flume.py
+++ b/honeywharf/cli/flume.py
@@ -2,6 +2,9 @@
 
 Exit status: 0 no rule was broken; 1 one was; 2 the call was wrong. A broken day is printed with its seed, the
 rule, the step and as few of its troubles as still break the rule, then what happened up to there.
+
+A day belongs to its seed and the shape of its field: sidecar machines in each of three zones, and core
+machines, as `2,2,2/3`.
 """
 
 from __future__ import annotations
@@ -11,18 +14,22 @@
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import repeat
 from multiprocessing import get_context
 from typing import Annotated
 
 import cappa
 
+from honeywharf.flume.field import Shape
 from honeywharf.flume.run import Report, play, run
 
 HASHES = "PYTHONHASHSEED"  # the order of sets of texts belongs to a day
 MOST_JOBS = 512
 TOLD = 50  # days after which a hunt says how far it is
 
+Shaped = Annotated[Shape, cappa.Arg(
+    long="--shape", parse=Shape.told, help="Sidecar machines of each zone, and core machines: 2,2,2/3.")]
 Seed = Annotated[int, cappa.Arg(help="The number that a day is drawn from.")]
 
 
@@ -32,10 +39,11 @@
     """`flume run SEED`."""
 
     seed: Seed
+    shape: Shaped = field(default_factory=Shape)
 
     def __call__(self) -> int:
         """Exit status."""
-        return _days(self.seed, 1, 1, quiet=False)
+        return _days(self.seed, 1, 1, self.shape, quiet=False)
 
 
 @cappa.command(name="hunt", help="Play days from a seed on, and print those that break a rule.")
@@ -46,13 +54,14 @@
     first: Annotated[int, cappa.Arg(help="The first seed.")]
     count: Annotated[int, cappa.Arg(help="How many days.")]
     jobs: Annotated[int, cappa.Arg(long=True, help="Processes; 0 for one a core.")] = 0
+    shape: Shaped = field(default_factory=Shape)
 
     def __call__(self) -> int:
         """Exit status."""
         if self.count < 1 or not 0 <= self.jobs <= MOST_JOBS:
             print(f"found {self.count} days and {self.jobs} jobs, wanted 1 or more, and 0 to {MOST_JOBS}")
             return 2
-        return _days(self.first, self.count, self.jobs or os.cpu_count() or 1, quiet=True)
+        return _days(self.first, self.count, self.jobs or os.cpu_count() or 1, self.shape, quiet=True)
 
 
 @cappa.command(name="replay", help="Play one day whole, and print its last steps too.")
@@ -61,11 +70,12 @@
     """`flume replay SEED`."""
 
     seed: Seed
+    shape: Shaped = field(default_factory=Shape)
 
     def __call__(self) -> int:
         """Exit status."""
         with _pool(1) as pool:
-            report = pool.submit(run, self.seed).result()
+            report = pool.submit(run, self.seed, shape=self.shape).result()
         print(report)
         for line in [*report.notes, *report.history()]:
             print(f"    {line}")
@@ -103,10 +113,10 @@
             os.environ[HASHES] = before
 
 
-def _days(first: int, count: int, jobs: int, quiet: bool) -> int:
+def _days(first: int, count: int, jobs: int, shape: Shape, quiet: bool) -> int:
     bad, begun = 0, time.monotonic()
     with _pool(min(jobs, count)) as pool:
-        for done, report in enumerate(pool.map(play, range(first, first + count)), 1):
+        for done, report in enumerate(pool.map(play, range(first, first + count), repeat(shape)), 1):
             bad += bool(report.broken)
             _print(report, quiet)
             if done % TOLD == 0 and done < count:
--- a/honeywharf/flume/field.py
+++ b/honeywharf/flume/field.py
@@ -23,6 +23,8 @@
 #: The retry budget is tighter than sites have it: so small a deployment would not come near theirs.
 NUMBERS = {"retry-budget-ratio": 0.02, "retry-budget-slack": 8.0, "cold-overage": 1.5, "cold-slack": 5.0}
 WINDOW = {"retry-window": 10.0}
+MOST_SIDES, MOST_CORES = 2000, 7
+IN_A_ROW = 200  # sidecar machines of all zones that share the third number of their addresses
 COLD = 3.0  # seconds that a backend is cold after a start during traffic
 TERM = 15  # SIGTERM
 #: host, prefix, kind, service, requests a second, habit, bytes
@@ -58,6 +60,39 @@
         **({"application": f"{ip}:{APPLICATION}", "target-service": service} if service else {})})
 
 
+class Shape:
+    """How large a field is: sidecar machines in each zone, and core machines, spread over the zones."""
+
+    __slots__ = ("cores", "sides")
+
+    def __init__(self, sides: tuple[int, int, int] = (2, 2, 2), cores: int = 3) -> None:
+        self.sides, self.cores = sides, cores
+
+    @staticmethod
+    def told(text: str) -> Shape:
+        """From "SIDES,SIDES,SIDES/CORES", as "31,31,29/3"; ValueError where it is none."""
+        sides, _, cores = text.partition("/")
+        counts = [int(count) for count in (*sides.split(","), cores)]
+        few = len(counts) != 4 or min(counts) < 1 or counts[3] < 3
+        if few or max(counts[:3]) > MOST_SIDES or counts[3] > MOST_CORES:
+            raise ValueError(f"found {text!r}, wanted SIDES,SIDES,SIDES/CORES, 1 to {MOST_SIDES} sides in"
+                             f" each zone and 3 to {MOST_CORES} cores")
+        return Shape((counts[0], counts[1], counts[2]), counts[3])
+
+    def __str__(self) -> str:
+        """As `told` reads it."""
+        return f"{','.join(map(str, self.sides))}/{self.cores}"
+
+    @property
+    def many(self) -> int:
+        """Sidecar machines in all."""
+        return sum(self.sides)
+
+    def places(self) -> list[int]:
+        """The zone of each sidecar machine: by turns, while a zone has more."""
+        return [zone for turn in range(max(self.sides)) for zone in range(3) if turn < self.sides[zone]]
+
+
 class Side:
     """A sidecar machine: its proxy, its backend, its clients. `service` may change with a new backend."""
 
@@ -87,24 +122,28 @@
         return self.backend.program if isinstance(self.backend.program, Backend) else None
 
 
+SMALL = Shape()
+
+
 class Field:
     """The whole, not yet started. Times: machines start at 0, traffic lasts from `lead` to `until`."""
 
-    def __init__(self, seed: int, sluice: Make, reservoir: Make, sides: int = 6, lead: float = 5.0,
-                 until: float = 40.0) -> None:
+    def __init__(self, seed: int, sluice: Make, reservoir: Make, shape: Shape = SMALL, lead: float = 5.0,
+                 until: float = 40.0, per_s: float = 1.0) -> None:
+        """`per_s`: the field's requests a second, of what `ROUTES` have."""
         self.world = World(seed)
         self.network = Network(self.world)
         self.sluice, self.reservoir, self.lead, self.until = sluice, reservoir, lead, until
         self.book = Book(self.world, {**BOUNDS, **NUMBERS, **WINDOW})
-        self.seeds = [f"10.{n + 1}.0.9" for n in range(3)]
-        self.cores = [self._core(ip, zone) for ip, zone in zip(self.seeds, ZONES, strict=True)]
+        self.seeds = [f"10.{n % 3 + 1}.0.{9 - n // 3}" for n in range(shape.cores)]
+        self.cores = [self._core(ip, ZONES[n % 3]) for n, ip in enumerate(self.seeds)]
         self.sides: list[Side] = []
         self.flows: list[Flow] = []
         self.idlers: list[tuple[str, str, str, str]] = []  # as rows of ROUTES
-        for n in range(sides):
-            service = SERVICES[(n + n // 3) % 3]
-            self.sides.append(Side(self, f"10.{n % 3 + 1}.0.{20 + n}", ZONES[n % 3], service))
-        self.flows += [Flow(*row[:3], row[4] / sides, *row[5:]) for row in ROUTES]
+        for n, zone in enumerate(shape.places()):
+            ip = f"10.{zone + 1}.{n // IN_A_ROW}.{20 + n % IN_A_ROW}"
+            self.sides.append(Side(self, ip, ZONES[zone], SERVICES[(n + n // 3) % 3]))
+        self.flows += [Flow(*row[:3], per_s * row[4] / shape.many, *row[5:]) for row in ROUTES]
         outside = Process(Machine(self.network, "10.9.0.1", "outside"), "operator", self._operator)
         self.version, self.replaced = 10, 0
         outside.start()
--- a/honeywharf/flume/run.py
+++ b/honeywharf/flume/run.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from honeywharf.flume.days import Day, Fault, draw
-from honeywharf.flume.field import TERM, Field, Make
+from honeywharf.flume.field import SMALL, TERM, Field, Make, Shape
 from honeywharf.flume.machine import Process
 
 LEAD, QUIET = 5.0, 5.0  # seconds until traffic, and of traffic before troubles
@@ -62,14 +62,14 @@
 
 
 def run(seed: int, faults: list[Fault] | None = None, sluice: Make = real_sluice,
-        reservoir: Make = real_reservoir, sides: int = 6, after: float = AFTER) -> Report:
+        reservoir: Make = real_reservoir, shape: Shape = SMALL, after: float = AFTER) -> Report:
     """Play a day, with the faults that its seed draws or with those given; stop at the first broken rule.
 
     `after`: seconds of traffic after the last trouble may have begun; RECOVER needs all of them.
     """
     begin = LEAD + QUIET
     until = begin + TROUBLES + after
-    field = Field(seed, sluice, reservoir, sides, LEAD, until)
+    field = Field(seed, sluice, reservoir, shape, LEAD, until)
     faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
     Day(field, faults)
     field.world.strict = True
@@ -81,12 +81,13 @@
     return Report(seed, faults, field)
 
 
-def shrink(report: Report, sluice: Make = real_sluice, reservoir: Make = real_reservoir) -> Report:
+def shrink(report: Report, sluice: Make = real_sluice, reservoir: Make = real_reservoir,
+           shape: Shape = SMALL) -> Report:
     """Leave out one fault after the other while the same rule is still broken."""
     least, tried = report, 0
     while tried < len(least.faults):
         fewer = least.faults[:tried] + least.faults[tried + 1:]
-        again = run(report.seed, fewer, sluice, reservoir)
+        again = run(report.seed, fewer, sluice, reservoir, shape)
         if again.broken and again.broken[0][0] == report.broken[0][0]:
             least = again
         else:
@@ -94,7 +95,7 @@
     return least
 
 
-def play(seed: int) -> Report:
+def play(seed: int, shape: Shape = SMALL) -> Report:
     """The day of a seed; where it breaks a rule, with as few of its faults as still do."""
-    report = run(seed)
-    return shrink(report) if report.broken else report
+    report = run(seed, shape=shape)
+    return shrink(report, shape=shape) if report.broken else report
--- a/honeywharf/flume/slips.py
+++ b/honeywharf/flume/slips.py
@@ -15,7 +15,7 @@
 
 from honeywharf.assay import second
 from honeywharf.assay.watch import Assay
-from honeywharf.flume.field import SERVICES, ZONES, Field, Side
+from honeywharf.flume.field import SERVICES, SMALL, ZONES, Field, Side
 from honeywharf.flume.rules import Ask, Order
 from honeywharf.flume.run import real_reservoir, real_sluice
 from honeywharf.sluice.inbound import Job
@@ -290,7 +290,7 @@
     def __init__(self, seed: int, kind: str, many: int, ways: tuple[str, ...] = WAYS) -> None:
         self.chance, self.kind, self.many, self.ways = random.Random(seed), kind, many, ways
         self.gap = LONG.get(kind, UNDONE) + 0.4
-        self.field = Field(seed, self._sluice, real_reservoir, 6, LEAD, FIRST + many * self.gap + 2.0)
+        self.field = Field(seed, self._sluice, real_reservoir, SMALL, LEAD, FIRST + many * self.gap + 2.0)
         self.world, self.book = self.field.world, self.field.book
         self.slips: list[Slip] = []
         self.victim: Side = self.field.sides[0]
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -8,7 +8,7 @@
 import pytest
 
 from honeywharf.flume import days, field
-from honeywharf.flume.field import TERM, Field
+from honeywharf.flume.field import SMALL, TERM, Field
 from honeywharf.flume.machine import Machine, Process
 from honeywharf.flume.run import real_reservoir
 from honeywharf.penstock.places import Place
@@ -45,7 +45,7 @@
 
 def day(seed: int, plan: Plan, faults: list[days.Fault]) -> Field:
     """A day of the mesh; `plan`: when, "drain", "back", "term" or "kill", and which gateway."""
-    made = Field(seed, joined, real_reservoir, 6, 5.0, UNTIL)
+    made = Field(seed, joined, real_reservoir, SMALL, 5.0, UNTIL)
     keepers = [Process(Machine(made.network, place.address[0], place.zone), f"keeper-{n}", keeper(place))
                for n, place in enumerate(PLACES)]
     for process in keepers:
