--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -12,7 +12,7 @@
 from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
 from honeywharf.strainer.settings import Settings, SettingsError, parse
-from tests.penstock.days import READ, TROUBLES, UPLOAD, Client, Day, Source
+from honeywharf.flume.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/tests/penstock/test_passage.py
+++ b/tests/penstock/test_passage.py
@@ -10,7 +10,7 @@
 from honeywharf.penstock.passage import Passages
 from honeywharf.programs.weirkeeper import Weirkeeper
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
-from tests.penstock.days import Day
+from honeywharf.flume.regions import Day
 
 Sent = list[tuple[Any, list[Any]]]
 
