Read the settings of all three programs in one place

Each main read the variable, the file and its faults by itself; programs/start.py does it for sluice, reservoir and weirkeeper. A reservoir's refusal no longer begins with its name. The weirkeeper looks for a lost neighbour after 0.4 s and not 1 s: until then it takes itself for the last gateway of its region.

--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import signal
 import sys
 from functools import partial
@@ -12,6 +11,7 @@
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Door
 from honeywharf.mains.host import Address, Host
+from honeywharf.programs.start import settings_or_line
 from honeywharf.reservoir.basin import Basin
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.store import Store
@@ -111,12 +111,9 @@
 def main() -> int:
     """Run by the settings file that the platform names; 2 where it can't be used."""
     from honeywharf.mains.loop import Loop
-    from honeywharf.strainer.settings import SettingsError, load
 
-    try:
-        settings = load(os.environ.get("HONEYWHARF_SETTINGS", "/etc/honeywharf/boot.yaml"))
-    except (SettingsError, OSError) as fault:
-        print(f"reservoir: {fault}", file=sys.stderr)
+    settings = settings_or_line("/etc/honeywharf/boot.yaml")
+    if settings is None:
         return 2
     loop = Loop(settings.data_directory)
     program = Reservoir(loop, settings)
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -12,6 +12,7 @@
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Call, Door
 from honeywharf.mains.streams import MOST_FRAME, Reception
+from honeywharf.programs.start import settings_or_line
 from honeywharf.runnel.society import Draws, Society
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.beats import Beats
@@ -209,15 +210,9 @@
     from signal import SIGHUP, SIGTERM
 
     from honeywharf.mains.loop import Loop
-    from honeywharf.strainer.settings import SettingsError, load
 
-    try:
-        settings = load(os.environ["HONEYWHARF_SETTINGS"])
-    except KeyError:
-        sys.stderr.write("found no HONEYWHARF_SETTINGS, wanted the path of a settings file\n")
-        return 2
-    except (OSError, SettingsError) as fault:
-        sys.stderr.write(f"{fault}\n")
+    settings = settings_or_line()
+    if settings is None:
         return 2
     loop = Loop(None)
     sluice = Sluice(loop, settings)
--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/weirkeeper.py
@@ -29,6 +29,7 @@
 from honeywharf.penstock.passage import Passages, Row
 from honeywharf.penstock.places import Place
 from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.programs.start import settings_or_line
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -45,7 +46,7 @@
 END_S = 0.4  # before the end of `grace-period`
 COUNTERS_S = 10.0
 MOST_LINKS = 2048
-AGAIN_S = 1.0  # before another gateway that was lost is looked for again
+AGAIN_S = 0.4  # before another gateway that was lost is looked for again
 
 
 class Weirkeeper:
@@ -261,15 +262,9 @@
     from signal import SIGTERM
 
     from honeywharf.mains.loop import Loop
-    from honeywharf.strainer.settings import SettingsError, load
 
-    try:
-        settings = load(os.environ["HONEYWHARF_SETTINGS"])
-    except KeyError:
-        sys.stderr.write("found no HONEYWHARF_SETTINGS, wanted the path of a settings file\n")
-        return 2
-    except (OSError, SettingsError) as fault:
-        sys.stderr.write(f"{fault}\n")
+    settings = settings_or_line()
+    if settings is None:
         return 2
     loop = Loop(None)
     keeper = Weirkeeper(
