Hold the homes of routes at the choice, at the gateways and in the rule that gates compare

Cause: configurations name a route's homes (allowed-regions), and nobody read them: HOME was held only for what a session said of itself. Change: read, checked, part of a rule's digest in both readings, so that a gate with other homes refuses as it refuses any other rule; a course passes over backends outside them, and a zone whose region is not known is no home; sessions carry them to gateways and destinations. A route without homes pays one comparison. Homes of tenants: no tenant reaches the mesh by the wire, so there is nothing to read.

--- a/honeywharf/assay/digests.py
+++ b/honeywharf/assay/digests.py
@@ -1,10 +1,11 @@
 """The canonical form of a rule and its digest, and the tree of digests of a whole word. No I/O.
 
 Theory of operation. A rule's canonical form is one line of what decides: host, prefix, kind, timeout and aim
-in microseconds, priority, attempts, and the shares in the order of the text (a draw depends on it). Its name
-decides nothing and is left out. A digest is the first 8 bytes of BLAKE2b. A tree has a branch for each host,
-one for services, one for limits and one for evacuations; a branch is the digest of its sorted leaves and the
-root that of all branches, so equal parts have equal digests, whatever the order and the revision.
+in microseconds, priority, attempts, the shares in the order of the text (a draw depends on it), and its
+homes, sorted, where it has some. Its name decides nothing and is left out. A digest is the first 8 bytes of
+BLAKE2b. A tree has a branch for each host, one for services, one for limits and one for evacuations; a branch
+is the digest of its sorted leaves and the root that of all branches, so equal parts have equal digests,
+whatever the order and the revision.
 """
 
 from __future__ import annotations
@@ -34,10 +35,12 @@
 
 
 def rule(host: bytes, prefix: bytes, kind: str, timeout_s: float, aim_s: float, priority: int, attempts: int,
-         split: Split) -> bytes:
+         split: Split, homes: tuple[str, ...] = ()) -> bytes:
     """The digest of one route's rule. `host` in lower case, without its port."""
     shares = ",".join(f"{name}={weight!r}" for name, weight in split)
     line = f"\0{kind}\0{_us(timeout_s)}\0{_us(aim_s)}\0{priority}\0{attempts}\0{shares}"
+    if homes:
+        line += "\0" + ",".join(homes)
     return digest(b"%b\0%b%b" % (host, prefix, line.encode()))
 
 
@@ -96,7 +99,8 @@
 
     def of(self, it: Route) -> bytes:
         """A live route's digest."""
-        key = (it.host, it.prefix, it.kind, it.timeout_s, it.aim_s, it.priority, it.attempts, it.split)
+        key = (it.host, it.prefix, it.kind, it.timeout_s, it.aim_s, it.priority, it.attempts, it.split,
+               it.homes)
         found = self.held.get(key)
         if found is None:
             if len(self.held) >= MOST_KEPT:
--- a/honeywharf/assay/second.py
+++ b/honeywharf/assay/second.py
@@ -65,7 +65,8 @@
     kind = route["route-kind"]
     made = digests.rule(
         host, prefix, kind, _s(route["timeout"]), _s(_given(route, "target-latency", route["timeout"])),
-        int(_given(route, "priority", 0)), int(_given(route, "max-attempts", 1)), _split(route))
+        int(_given(route, "priority", 0)), int(_given(route, "max-attempts", 1)), _split(route),
+        tuple(sorted(set(_given(route, "allowed-regions", [])))))
     return host, prefix, KINDS[kind], made
 
 
--- a/honeywharf/penstock/abroad.py
+++ b/honeywharf/penstock/abroad.py
@@ -38,15 +38,15 @@
     """The other regions, as one sluice reaches them and is reached.
 
     `port`: the first of the internal ports; sessions land at the next. `zones`: region by zone. `begin`: as
-    `sluice.inbound.Inbound.begin`. `homes(service)`: the regions that may hold its bodies; none: any.
+    `sluice.inbound.Inbound.begin`.
     """
 
     def __init__(
         self, host: Host, ip: str, port: int, zone: str, zones: dict[str, str], gateways: list[Place],
         begin: Callable[[Ask, Any], Work | None], draw: Callable[[], float], memory_mb: float = 300.0,
-        homes: Callable[[str], tuple[str, ...]] = lambda service: (), link_mbps: float = LINK_MBPS,
+        link_mbps: float = LINK_MBPS,
     ) -> None:
-        self.zones, self.region, self.homes = zones, zones.get(zone, ""), homes
+        self.zones, self.region = zones, zones.get(zone, "")
         self.landing = Landing(
             host, (ip, port + 1), self.region, begin, Hold(int(memory_mb * HOLD_SHARE) << 20),
             link_mbps)
@@ -56,9 +56,14 @@
         """Whether a zone is of another region; one that is not known is taken as near."""
         return self.zones.get(zone, self.region) != self.region
 
-    def open(self, key: str, ask: Ask, replies: Replies) -> Carriage | None:
-        """The way to a sluice of another region; None where there is no room for one more."""
-        return self.conveyor.open(key, ask, replies, ask.caller, self.homes(ask.service))
+    def open(
+        self, key: str, ask: Ask, replies: Replies, homes: tuple[str, ...] = (),
+    ) -> Carriage | None:
+        """The way to a sluice of another region; None where there is no room for one more.
+
+        `homes`: the regions that may run it and hold its body; none: any.
+        """
+        return self.conveyor.open(key, ask, replies, ask.caller, homes)
 
 
 def joined(
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -119,20 +119,27 @@
             self._give_up(0.0)
             return
         levels = self.source.levels_of(self.service)
-        key = levels.pick(now, self.asked) if len(self.asked) < MOST_ASKED else None
+        barred = self._barred()
+        key = levels.pick(now, self.asked | barred if barred else self.asked) if (
+            len(self.asked) < MOST_ASKED) else None
         if key is not None:
             self.asked.add(key)
             self._ask(key, 0.0)
             return
         patience = self.arrived_at + PATIENCE * self.route.aim_s - now
         if patience > END_S and len(self.waited) < MOST_WAITED:
-            key = levels.shortest(now, self.waited)
+            key = levels.shortest(now, self.waited | barred if barred else self.waited)
             if key is not None:
                 self.waited.add(key)
                 self._ask(key, min(patience, self.deadline - now))
                 return
         self._give_up(self._return_s())
 
+    def _barred(self) -> set[str]:
+        """Backends that its route's homes forbid; most routes have none."""
+        homes = self.route.homes
+        return self.source.abroad_of(homes, self.service) if homes else set()
+
     def _ask(self, key: str, patience_s: float) -> None:
         now, head = self.source.host.now(), self.head
         self.gate, self.went, self.finished, self.credit, self.sent = key, False, False, 0, 0
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -94,6 +94,7 @@
         self.ratio = settings.bound("retry-budget-ratio", 0.1)
         self.slack = settings.bound("retry-budget-slack", 10.0)
         self.window_s = settings.bound("retry-window", 10.0)
+        self.regions = settings.zones  # by zone
         self.links = Links(host, settings.ports[0])
         self.levels: dict[str, Levels] = {}
         self.budgets: dict[str, RetryBudget] = {}
@@ -153,6 +154,14 @@
 
     # For courses.
 
+    def abroad_of(self, homes: tuple[str, ...], service: str) -> set[str]:
+        """Backends of a service that are in no home: a request that has homes passes them over.
+
+        A zone whose region is not known is no home: better refused than held where it must not be.
+        """
+        return {target.key for target in self.levels_of(service).targets.values()
+                if self.regions.get(target.zone, "") not in homes}
+
     def revision(self) -> int:
         """Of the word that this sluice decides by."""
         return self.word.revision
@@ -185,7 +194,7 @@
         if key == self.me:
             return self.inbound.begin(ask, Local(course))
         if self.abroad is not None and key in self.list and self.abroad.far(self.list[key].zone):
-            return self.abroad.open(key, ask, _Remote(course))
+            return self.abroad.open(key, ask, _Remote(course), course.route.homes)
         return self.links.to(key).open(ask, _Remote(course))
 
     def served(self, service: str, key: str, status: int) -> None:
--- a/honeywharf/strainer/changes.py
+++ b/honeywharf/strainer/changes.py
@@ -9,7 +9,7 @@
 #: What is compared, as the configuration calls it.
 ROUTE_FIELDS = (
     ("name", "name"), ("kind", "route-kind"), ("timeout_s", "timeout"), ("aim_s", "target-latency"),
-    ("priority", "priority"), ("attempts", "max-attempts"),
+    ("priority", "priority"), ("attempts", "max-attempts"), ("homes", "allowed-regions"),
 )
 SERVICE_FIELDS = (
     ("health", "health-check-path"), ("most_connections", "max-connections"), ("cold_start_s", "cold-start"),
--- a/honeywharf/strainer/configuration.py
+++ b/honeywharf/strainer/configuration.py
@@ -29,6 +29,7 @@
 MOST_BYTES = 8 << 20  # some 35,000 routes; what is larger is not read
 MOST_VERSION = 2**63 - 1  # versions travel between processes as 64 bits
 LONGEST_TIMEOUT_S = 600.0
+MOST_HOMES = 64  # regions of one route
 MOST_FAULTS = 5  # told to who sends a bad one
 SHOWN = 60  # characters of what was found
 KINDS = (READ_ONLY, MUTATING, UPLOAD)
@@ -54,6 +55,7 @@
         "timeout": _TEXT,
         "target-latency": _MAYBE_TEXT,
         "priority": _MAYBE_COUNT,
+        "allowed-regions": {"type": ["array", "null"], "items": _TEXT, "maxItems": MOST_HOMES},
         "max-attempts": {"type": "integer", "minimum": 1},
         "target-service": _MAYBE_TEXT,
         "traffic-split": {"type": ["array", "null"], "items": _SHARE},
--- a/honeywharf/strainer/routes.py
+++ b/honeywharf/strainer/routes.py
@@ -59,7 +59,8 @@
 class Route:
     """One route. Times are seconds; `split` holds (service, weight), weights above 0 only."""
 
-    __slots__ = ("aim_s", "attempts", "host", "kind", "name", "prefix", "priority", "split", "timeout_s")
+    __slots__ = (
+        "aim_s", "attempts", "homes", "host", "kind", "name", "prefix", "priority", "split", "timeout_s")
 
     name: str
     host: bytes  # in lower case, without a port
@@ -69,6 +70,7 @@
     aim_s: float
     priority: int  # 0 is highest
     attempts: int  # the most backends that one try may be sent to
+    homes: tuple[str, ...]  # regions that may run it and hold its body, in order of their names; none: any
     split: tuple[tuple[str, float], ...]
 
     @property
@@ -158,6 +160,15 @@
             found = self.times[value] = seconds(value)
         return found
 
+    def homes(self, value: object) -> tuple[str, ...]:
+        if value is None:
+            return ()
+        if not isinstance(value, list):
+            raise ValueError(f"{value!r} is not a list of regions")
+        made = tuple(sorted({self.text(region) for region in value}))
+        held = self.held.setdefault(("homes", made), made)
+        return held if isinstance(held, tuple) else made
+
     def split(self, fields: dict[str, object]) -> tuple[tuple[str, float], ...]:
         shares = fields.get("traffic-split")
         if shares is None:
@@ -181,6 +192,7 @@
     route.aim_s = shared.seconds(_or(fields, "target-latency", fields["timeout"]))
     route.priority = _whole(_or(fields, "priority", 0))
     route.attempts = _whole(_or(fields, "max-attempts", 1))
+    route.homes = shared.homes(fields.get("allowed-regions"))
     route.split = shared.split(fields)
     return route
 
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -311,7 +311,7 @@
     made = Route()
     made.name, made.host, made.prefix, made.kind = "r-1", b"shop.example", b"/orders/", kind
     made.timeout_s, made.aim_s, made.priority, made.attempts = timeout_s, aim_s, 1, attempts
-    made.split = ((SERVICE, 1.0),)
+    made.split, made.homes = ((SERVICE, 1.0),), ()
     return made
 
 
