--- a/honeywharf/flume/regions.py
+++ b/honeywharf/flume/regions.py
@@ -131,8 +131,8 @@
         length = 0 if self.kind == READ else self.size if day.world.random.random() < 0.7 else -1
         target = b"%d" % self.size if self.kind == READ else b"0"
         ask = Ask(
-            "quarry", attempt, self.kind, self.until - host.now(), 0.0, 1, self.aim_s, "tiles", b"POST", target, b"",
-            length, 1)
+            "quarry", attempt, self.kind, self.until - host.now(), 0.0, 1, self.aim_s, "tiles", b"POST",
+            target, b"", length, 1)
         self.body = day.world.random.randbytes(self.size) if self.kind != READ else b""
         self.at, self.credit, self.got = 0, 0, 0
         to = day.world.random.choice(day.others(self.source.region))
@@ -360,13 +360,13 @@
 
 
 def main() -> int:
-    """`python -m tests.penstock.days FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
+    """`python -m honeywharf.flume.regions FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     regions = int(sys.argv[3]) if len(sys.argv) > 3 else 2
     sessions = len(sys.argv) < 5 or sys.argv[4] == "sessions"
     troubles = sys.argv[5] if len(sys.argv) > 5 else TROUBLES
     broken, ends, moves, twice = 0, Counter[tuple[int, object]](), 0, 0
-    for seed in range(first, first + count):
+    for played, seed in enumerate(range(first, first + count), 1):
         day = Day(seed, regions, sessions, troubles).play()
         ends += day.ends
         for process in day.sources:
@@ -376,9 +376,10 @@
         if day.faults:
             broken += 1
             print(seed, day.faults[:3])
-    print(f"{count} days, {broken} broken; moves {moves}, bytes twice {twice}; "
-          + ", ".join(f"{('reads', 'orders', 'uploads')[kind]} {end}: {n}" for (kind, end), n in sorted(
-              ends.items(), key=str)))
+        if played % 50 == 0 or played == count:
+            print(f"{played} days, {broken} broken; moves {moves}, bytes twice {twice}; "
+                  + ", ".join(f"{('reads', 'orders', 'uploads')[kind]} {end}: {n}"
+                              for (kind, end), n in sorted(ends.items(), key=str)), flush=True)
     return int(broken > 0)
 
 
--- a/honeywharf/flume/shift.py
+++ b/honeywharf/flume/shift.py
@@ -1,4 +1,4 @@
-"""A working day of two regions in virtual time: steady uploads, short requests, a drain or a kill at its hours.
+"""A working day of two regions in virtual time: uploads, short requests, drains or kills at some hours.
 
 What is measured is what the machines' links and the distance cost: no processor is busy here, so the same
 seed gives the same figures on any machine. Shapes of traffic come from an experiment file
@@ -28,7 +28,9 @@
 
     __slots__ = ("answer", "body", "kind", "name", "share")
 
-    def __init__(self, name: str, kind: int, share: float, body: Iterable[int], answer: Iterable[int]) -> None:
+    def __init__(
+        self, name: str, kind: int, share: float, body: Iterable[int], answer: Iterable[int],
+    ) -> None:
         self.name, self.kind, self.share = name, kind, share
         self.body, self.answer = tuple(body), tuple(answer)
 
@@ -73,7 +75,9 @@
 class Shift(Day):
     """The day. `trouble`: "drain" or "kill". `lanes=False`: bodies go out as they come, for comparison."""
 
-    def __init__(self, seed: int, plan: Plan, trouble: str, sessions: bool = True, lanes: bool = True) -> None:
+    def __init__(
+        self, seed: int, plan: Plan, trouble: str, sessions: bool = True, lanes: bool = True,
+    ) -> None:
         super().__init__(
             seed, 2, sessions, "", plan.mbps, 0.0, uploads=0, sources=plan.sources,
             most_bytes=granted_bytes(MEMORY_MB, plan.mbps))
@@ -117,7 +121,8 @@
 
     def _here(self) -> Source | None:
         """A source of region a that runs."""
-        program = self.world.random.choice([one for one in self.sources if one.machine.zone[0] == "a"]).program
+        mine = [one for one in self.sources if one.machine.zone[0] == "a"]
+        program = self.world.random.choice(mine).program
         return program if isinstance(program, Source) else None
 
     def _begin(self, uploads: bool) -> bool:
@@ -178,7 +183,8 @@
 
     def took(self, name: str) -> dict[str, list[float]]:
         """Seconds of the requests of a shape that began before, during and after troubles."""
-        calls = [one for one in self.clients if isinstance(one, Call) and one.name == name and one.end == "done"]
+        calls = [one for one in self.clients
+                 if isinstance(one, Call) and one.name == name and one.end == "done"]
         return {window: [one.ended_at - one.began for one in calls
                          if any(low <= one.began - at < high for at in self.at)]
                 for window, low, high in WINDOWS}
--- a/honeywharf/penstock/conveyor.py
+++ b/honeywharf/penstock/conveyor.py
@@ -2,9 +2,10 @@
 
 Theory of operation. To each gateway there are three lanes, links of their own: one for inner calls (reads
 with a short aim), one for other short requests, and one for the rest. The lane of inner calls is always up
-and tells whether the gateway lives and takes sessions. Each session is a `Carriage`: for a course it is the channel, for its `Inlet` who is told. A
-tick every `TICK_S` while there are sessions leaves ways that are quiet, or on which nothing moves any more,
-and finds ways for those that have none. `sessions=False` is for comparison only: what loses its way fails.
+and tells whether the gateway lives and takes sessions. Bodies go out in turns (`spillway`). Each session is a
+`Carriage`: for a course it is the channel, for its `Inlet` who is told. A tick every `TICK_S` while there are
+sessions leaves ways that are quiet, or on which nothing moves any more, and finds ways for those that have
+none. `sessions=False` is for comparison only: what loses its way fails.
 """
 
 from __future__ import annotations
--- a/honeywharf/penstock/kinds.py
+++ b/honeywharf/penstock/kinds.py
@@ -5,8 +5,8 @@
 
     source to destination
       OPEN     to, life, heard, got, attempt, length, remaining ms, expires ms (wall), tenant, origin, homes,
-               head, upto, lane: a first way, or a further one (`heard`: the destination has spoken before; `got`:
-               bytes of the answer that are here; `upto`: bytes of the answer that may come; `lane`: of links)
+               head, upto, lane: a first way, or a further one (`heard`: the destination has spoken before;
+               `got`: bytes of the answer that are here; `upto`: bytes of it that may come; `lane`: of links)
       DATA     offset, bytes of the request's body
       END      bytes of the whole body
       ACK      bytes of the answer that came, bytes that may come, 1 where something is missing
--- a/honeywharf/penstock/spillway.py
+++ b/honeywharf/penstock/spillway.py
@@ -20,27 +20,11 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from typing import Any, Protocol
-
-    class Outlet(Protocol):
-        """A link, as `line` has them."""
-
-        dead: bool
-        short: bool  # it carries bodies of short requests only
-
-        @property
-        def unsent(self) -> int:
-            """Bytes that its connection holds."""
-
-        def send(self, frame: list[Any]) -> int:
-            """Send; the bytes of the frame."""
-
-        def lose(self) -> None:
-            """Give it up."""
+    from typing import Any
 
 LINK_MBPS = 1000.0  # where settings tell none
 SHARE = 0.9  # of the link, for bodies
-AHEAD, AHEAD_S = 2 * PIECE, 0.002  # of bodies in front of a short frame: bytes, or seconds of the link if more
+AHEAD, AHEAD_S = 2 * PIECE, 0.002  # of bodies before a short frame: bytes, or seconds if more
 LEAST_S, BLOCKED_S = 0.0005, 0.005  # between two looks; the second where only full links wait
 ORDERED = frozenset((OPEN, DATA, END, CLOSE, DROP, HEAD, PART, WHOLE))
 MOST_WAITING = 128 << 20
@@ -64,8 +48,8 @@
         self.waiting_bytes = 0
         self._ticking = False
 
-    def send(self, line: Outlet, frame: list[Any]) -> None:
-        """Send a frame by a link, at once or in its turn."""
+    def send(self, line: Any, frame: list[Any]) -> None:
+        """Send a frame by a link (`line.Line` or `line.Caught`), at once or in its turn."""
         kind = frame[0]
         if kind in ORDERED and self.waiting:
             queue = self.waiting.get((line, frame[1]))
@@ -81,11 +65,11 @@
         self._charge(line.send(frame))
 
     @staticmethod
-    def _is_body(line: Outlet, frame: list[Any]) -> bool:
+    def _is_body(line: Any, frame: list[Any]) -> bool:
         """A body of a request that is not short, or of an answer beyond its first piece."""
         return (frame[0] == DATA and not line.short) or (frame[0] == PART and frame[3] >= PIECE)
 
-    def _queue(self, queue: deque[list[Any]], line: Outlet, frame: list[Any]) -> None:
+    def _queue(self, queue: deque[list[Any]], line: Any, frame: list[Any]) -> None:
         queue.append(frame)
         self.waiting_bytes += _size(frame)
         if self.waiting_bytes > MOST_WAITING:
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -43,6 +43,8 @@
 UPLOADS = 6  # at a time
 PIECE, PACE_S = 48 * 1024, 0.06  # of an upload's client
 UP_S = 15.0
+SAMPLE_S = 0.1
+MOST_WARNED = 8
 MOST_TRIES = 6
 LOAD = (1, 0, 8)
 
@@ -144,8 +146,8 @@
         attempt = day.loop.random(8)
         self.attempts.append(attempt)
         self.at, self.credit, self.resting = 0, 0, False
-        ask = Ask("quarry", attempt, self.kind, self.until - now, 0.0, 1, AIM_S.get(self.name, 0.5), "tiles", b"POST",
-                  b"%d" % self.shape[4], b"", self.size, 1)
+        ask = Ask("quarry", attempt, self.kind, self.until - now, 0.0, 1, AIM_S.get(self.name, 0.5),
+                  "tiles", b"POST", b"%d" % self.shape[4], b"", self.size, 1)
         self.channel = day.conveyor.open(day.chance.choice(day.destinations), ask, self, homes=("b",))
 
     def went(self) -> None:
@@ -223,7 +225,9 @@
         self.windows: dict[str, list[tuple[str, float]]] = {"drain": [], "kill": []}
         self.phases: list[tuple[float, str]] = []  # of troubles: when, what
         self.drains_s: list[float] = []
+        self.samples: list[tuple[float, list[int]]] = []  # when; uploads by gateway
         self.twice_told, self.stopping = 0, False
+        self.warned = 0  # orders that a gateway took for the last one's
         for child in (*self.keepers.values(), *self.quarries):
             child.start()
         self.conveyor = Conveyor(self.loop, "a", "a-1", self.places, self.chance.random, sessions)
@@ -274,6 +278,7 @@
         for _ in range(UPLOADS):
             self.upload()
         self._ask()
+        self._sample()
 
     def upload(self) -> None:
         """One more upload."""
@@ -290,16 +295,35 @@
             self._begin(shape, PATIENCE_S)
             self.loop.after(self.chance.expovariate(self.rate), self._ask)
 
+    def _sample(self) -> None:
+        """Note how many uploads each gateway carries."""
+        if not self.stopping:
+            self.samples.append((self.loop.now(), [
+                sum(rider.lane == BULK for rider in way.riders.values())
+                for way in self.conveyor.ways.values()]))
+            self.loop.after(SAMPLE_S, self._sample)
+
     # Troubles.
 
     def busiest(self) -> str:
         """The gateway with the most sessions of this source."""
         return max(self.conveyor.ways, key=lambda node: len(self.conveyor.ways[node].riders))
 
-    def order(self, node: str, what: str) -> None:
-        """An operator's call at a gateway."""
+    def order(self, node: str, what: str) -> str:
+        """An operator's call at a gateway; the last line of the answer, or nothing within two seconds."""
         path = f"POST /api/gateway/{what} HTTP/1.1\r\nHost: gateway\r\nContent-Length: 0\r\n\r\n".encode()
-        _Call(self.loop, (node.rpartition(":")[0], self.door), path)
+        call = _Call(self.loop, (node.rpartition(":")[0], self.door), path)
+        self.until(lambda: bool(call.answer), 2.0)
+        return call.answer.rpartition(b"\n")[2].decode("latin-1")
+
+    def order_drain(self, node: str) -> None:
+        """Order it; one that takes itself for the last of its region is not forced, and asked again later."""
+        for _ in range(MOST_WARNED):
+            if self.order(node, "drain") != "warned":
+                return
+            self.warned += 1
+            self.order(node, "back")
+            self.rest(0.5)
 
     def drain(self) -> tuple[str, int, float]:
         """Drain the busiest gateway and take the order back: which, uploads there, seconds until none was."""
@@ -308,7 +332,7 @@
         held = sum(rider.lane == BULK for rider in riders.values())
         self.phases.append((self.loop.now(), "drain"))
         begun = self.loop.now()
-        self.order(node, "drain")
+        self.order_drain(node)
         self.until(lambda: not self.conveyor.ways[node].gateway.offered and not riders, 8.0)
         took = self.loop.now() - begun
         self.drains_s.append(took)
@@ -368,8 +392,10 @@
             elif client.end != "done" or client.took > AIM_S[client.name]:
                 found["reads over their aim"] += 1
         sent = sum(client.size * (len(client.attempts) - 1) for client in self.clients)
-        return {**found, "told twice": self.twice_told, "bytes sent twice": self.conveyor.twice + sent,
-                "moves": self.conveyor.moves}
+        found["told twice"], found["moves"] = self.twice_told, self.conveyor.moves
+        found["bytes sent twice"] = self.conveyor.twice + sent
+        found["orders taken for the last gateway's"] = self.warned
+        return dict(found)
 
     def _latencies(self) -> dict[str, Any]:
         """p50 and p99 of inner calls in ms: in the second before, the second from, the second after 1.5 s."""
@@ -390,10 +416,10 @@
 
 
 class _Call:
-    """One HTTP call whose answer nobody reads."""
+    """One HTTP call; `answer`: the bytes that came first."""
 
     def __init__(self, loop: Loop, to: tuple[str, int], text: bytes) -> None:
-        self.text = text
+        self.text, self.answer = text, b""
         loop.connect(to, self._made)
 
     def _made(self, connection: Connection) -> _Call:
@@ -405,7 +431,8 @@
         self.connection.send(self.text)
 
     def received(self, data: bytes) -> None:
-        """The answer."""
+        """The answer; it is short."""
+        self.answer += data
         self.connection.close()
 
     def ended(self) -> None:
@@ -426,9 +453,9 @@
 
 def run(
     drains: int, kills: int, rate: float, seed: int, sessions: bool, say: Callable[[str], None],
-    between_s: float = 1.5,
+    between_s: float = 1.5, drew: Callable[[Day], None] = lambda day: None,
 ) -> dict[str, Any]:
-    """A day; its figures. RuntimeError where the gateways do not come up."""
+    """A day; its figures. `drew(day)`: told before its end. RuntimeError where the gateways do not come up."""
     with tempfile.TemporaryDirectory() as name:
         day = Day(Path(name), seed, rate, sessions)
         try:
@@ -448,6 +475,7 @@
                     say(f"{time.monotonic() - begun:6.1f} s  gateway {node} killed with {held} uploads,"
                         " started again")
                     day.rest(between_s)
+            drew(day)
             return day.close()
         finally:
             for child in (*day.keepers.values(), *day.quarries):
--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -7,12 +7,12 @@
 import pytest
 
 from honeywharf.flume import field
+from honeywharf.flume.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
 from honeywharf.flume.world import World
 from honeywharf.penstock.drain import EMPTY
 from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
 from honeywharf.strainer.settings import Settings, SettingsError, parse
-from honeywharf.flume.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/tests/penstock/test_demo.py
+++ b/tests/penstock/test_demo.py
@@ -30,7 +30,7 @@
         client(b"twice", ORDER, "done"), client(b"ran", UPLOAD, "not run"), client(b"never", ORDER, "done"),
         client(b"read", READ, "done")]
     conveyor = SimpleNamespace(twice=5, moves=1)
-    day = cast(Any, SimpleNamespace(clients=clients, twice_told=0, conveyor=conveyor))
+    day = cast(Any, SimpleNamespace(clients=clients, twice_told=0, warned=0, conveyor=conveyor))
     cut = b"ran again".hex()
     found = Day._counted(day, Counter({b"twice".hex(): 2, cut: 1}), {cut: 9})
     assert found["orders recorded twice"] == 1
--- a/tests/penstock/test_passage.py
+++ b/tests/penstock/test_passage.py
@@ -6,11 +6,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from honeywharf.flume.regions import Day
 from honeywharf.penstock.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
 from honeywharf.penstock.passage import Passages
 from honeywharf.programs.weirkeeper import Weirkeeper
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
-from honeywharf.flume.regions import Day
 
 Sent = list[tuple[Any, list[Any]]]
 
--- a/tests/penstock/test_sessions.py
+++ b/tests/penstock/test_sessions.py
@@ -141,7 +141,7 @@
 
 
 def test_a_destination_that_has_all_or_has_refused_is_known_to_live_whatever_way_the_word_came_by() -> None:
-    """A first version took the word of a second way for less, and the next short request cost a round trip."""
+    """A first version took the word of a second way for less, and the next short request cost more."""
     for what, make in towns():
         for at in range(make().play().steps):
             inlet = make().play({at: TROUBLES["kill a"]}).sources[0][0]
