--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -20,7 +20,7 @@
 from collections import Counter
 from pathlib import Path
 
-from honeywharf.flume.regions import READ, UPLOAD
+from honeywharf.flume.regions import READ, UPLOAD, Source
 from honeywharf.flume.shift import WINDOWS, Call, Plan, Shift, quantile
 from honeywharf.standins import gatewaydemo
 
@@ -42,7 +42,9 @@
         marks[max(0, min(COLUMNS - 1, int((at - begin) / span * COLUMNS)))] = "v"
     lines = [f"{'':18}{''.join(marks)}"]
     for name, row in zip(names, cells, strict=True):
-        means = [sum(cell) / len(cell) if cell else 0.0 for cell in row]
+        means: list[float] = []
+        for cell in row:  # a column without a sample shows the one before
+            means.append(sum(cell) / len(cell) if cell else means[-1] if means else 0.0)
         digits = "".join("." if mean == 0 else "+" if mean >= 9.5 else f"{max(1, round(mean))}"
                          for mean in means)
         lines.append(f"{name:18}{digits}")
@@ -110,7 +112,8 @@
         words = ", ".join(
             f"{window} {quantile(values, 0.5) * 1e3:.1f} / {p99[window] * 1e3:.1f} of {len(values)}"
             for window, values in took.items())
-        print(f"  {name} p50 / p99 ms: {words}; during / before {p99['during'] / max(1e-9, p99['before']):.2f}")
+        ratio = p99["during"] / max(1e-9, p99["before"])
+        print(f"  {name} p50 / p99 ms: {words}; during / before {ratio:.2f}")
     ends: Counter[str] = Counter()
     for day in days:
         for one in day.clients:
@@ -120,8 +123,8 @@
             ends[f"{group} sent again whole"] += one.kind == UPLOAD and one.tries > 1
             if isinstance(one, Call) and one.kind == READ and one.end == "done":
                 ends["reads over 0.4 s"] += one.ended_at - one.began > 0.4
-    twice = sum(
-        side.program.conveyor.twice for day in days for side in day.sources)  # type: ignore[attr-defined]
+    sides = [side.program for day in days for side in day.sources if isinstance(side.program, Source)]
+    twice = sum(side.conveyor.twice for side in sides)
     print("  " + ", ".join(f"{key} {value}" for key, value in sorted(ends.items()) if value))
     print(f"  bytes twice {twice}; broken {sum(bool(day.faults) for day in days)}"
           f"; {[fault for day in days for fault in day.faults][:2]}")
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -455,7 +455,7 @@
     drains: int, kills: int, rate: float, seed: int, sessions: bool, say: Callable[[str], None],
     between_s: float = 1.5, drew: Callable[[Day], None] = lambda day: None,
 ) -> dict[str, Any]:
-    """A day; its figures. `drew(day)`: told before its end. RuntimeError where the gateways do not come up."""
+    """A day; its figures; `drew(day)` is told before its end. RuntimeError where no gateway comes up."""
     with tempfile.TemporaryDirectory() as name:
         day = Day(Path(name), seed, rate, sessions)
         try:
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -77,6 +77,12 @@
     "a destination dies": (
         [(9.5, "kill", 0)],
         [days.Fault(9.0, "node_kill", "power", 3), days.Fault(12.0, "node_kill", "", 8)], 0.8),
+    "a source ends in a move": (
+        [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "drain", 0), (12.0, "drain", 1), (13.0, "back", 0)],
+        [days.Fault(9.1, "roll_term", "", 2), days.Fault(12.1, "roll_term", "", 5)], 0.7),
+    "rules differ in a move": (
+        [(9.0, "drain", 0), (10.0, "back", 0), (12.0, "kill", 1)],
+        [days.Fault(at, "config_change", "", 3) for at in (8.9, 9.1, 9.3, 12.0, 12.2)], 0.6),
     "change, evacuation": (
         [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "kill", 0)],
         [days.Fault(9.0, "config_change", "", 3), days.Fault(11.9, "evacuate", "", 7)], 0.6),
