--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -119,7 +119,10 @@
             self._give_up(0.0)
             return
         levels = self.source.levels_of(self.service)
-        passed = self.asked | self.source.choked_now() if self._bodied() else self.asked
+        barred = self._barred()
+        passed = self.asked | barred if barred else self.asked
+        if self._bodied():
+            passed = passed | self.source.choked_now()
         key = levels.pick(now, passed) if len(self.asked) < MOST_ASKED else None
         if key is not None:
             self.asked.add(key)
@@ -127,7 +130,7 @@
             return
         patience = self.arrived_at + PATIENCE * self.route.aim_s - now
         if patience > END_S and len(self.waited) < MOST_WAITED:
-            key = levels.shortest(now, self.waited)
+            key = levels.shortest(now, self.waited | barred if barred else self.waited)
             if key is not None:
                 self.waited.add(key)
                 self._ask(key, min(patience, self.deadline - now))
@@ -138,6 +141,11 @@
         """Whether its body is one that a gate's link has to have room for."""
         return self.head.length == UNKNOWN or self.head.length > FIRST_WINDOW
 
+    def _barred(self) -> set[str]:
+        """Backends that its route's homes forbid; most routes have none."""
+        homes = self.route.homes
+        return self.source.abroad_of(homes, self.service) if homes else set()
+
     def _ask(self, key: str, patience_s: float) -> None:
         now, head = self.source.host.now(), self.head
         self.gate, self.went, self.finished, self.credit, self.sent = key, False, False, 0, 0
--- a/tests/penstock/test_passage.py
+++ b/tests/penstock/test_passage.py
@@ -6,11 +6,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from honeywharf.flume.regions import Day
 from honeywharf.penstock.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
 from honeywharf.penstock.passage import Passages
 from honeywharf.programs.weirkeeper import Weirkeeper
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
-from tests.penstock.days import Day
 
 Sent = list[tuple[Any, list[Any]]]
 
@@ -24,8 +24,8 @@
           homes: tuple[str, ...] = ()) -> bytes:
     sid = number.to_bytes(16, "big")
     frame = [OPEN, sid, epoch, "d", life, 0, 0, b"x", length, 1000, 1000, "t", origin, list(homes), None,
-             1 << 17]
-    one.opens(0.0, "source", frame, lambda to, short: "there")
+             1 << 17, 2]
+    one.opens(0.0, "source", frame, lambda to, lane: "there")
     return sid
 
 
