--- a/honeywharf/flume/world.py
+++ b/honeywharf/flume/world.py
@@ -22,10 +22,6 @@
             self, when: float, number: int, call: Callable[..., None] | None, args: tuple[Any, ...]) -> None:
         self.when, self.number, self.call, self.args = when, number, call, args
 
-    def __lt__(self, other: Event) -> bool:
-        """Sooner, or asked for sooner."""
-        return (self.when, self.number) < (other.when, other.number)
-
     def cancel(self) -> None:
         """Do not call; harmless when it has been called."""
         self.call = None
@@ -42,14 +38,14 @@
         self.strict = False  # whether a program's error halts the world
         self.halted = False  # something was found: nothing more is done
         self.crashes: list[tuple[float, str, str]] = []  # programs that ended by an error: when, who, where
-        self._heap: list[Event] = []
+        self._heap: list[tuple[float, int, Event]] = []  # compared without a call into Python
         self._count = 0
 
     def at(self, when: float, call: Callable[..., None], *args: Any) -> Event:
         """Call at `when`, or now where that has passed; equal times in the order of asking."""
         self._count += 1
         event = Event(max(when, self.now), self._count, call, args)
-        heapq.heappush(self._heap, event)
+        heapq.heappush(self._heap, (event.when, self._count, event))
         return event
 
     def note(self, *what: object) -> None:
@@ -71,8 +67,8 @@
     def run(self, until: float) -> None:
         """Do all that is due up to `until`, or until something halts the world."""
         heap = self._heap
-        while heap and heap[0].when <= until and not self.halted:
-            event = heapq.heappop(heap)
+        while heap and heap[0][0] <= until and not self.halted:
+            event = heapq.heappop(heap)[2]
             call, event.call = event.call, None
             if call is None:
                 continue
