--- a/honeywharf/flume/days.py
+++ b/honeywharf/flume/days.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,7 @@
 COUNTED = (
     "after_ack_kill", "after_ack_wipe", "core_cut", "core_freeze", "core_kill", "core_replace", "core_roll",
     "zone_loss")
+STORM = 12  # changes of a storm
 CLOSING = ("power_off_all", "kill_all", "wipe_after_ack")
 
 
@@ -59,6 +61,7 @@
         self.field, self.world, self.book = field, field.world, field.book
         self.counted_until = 0.0  # a counted machine is lost until then
         self.moves: dict[str, dict[str, int]] = {}
+        self.struck: Counter[str] = Counter()  # what really came, by kind; a storm is its changes
         self.world.at(2.0, self._change, 3000)
         for fault in faults:
             self.world.at(fault.at, self._strike, fault)
@@ -71,6 +74,7 @@
             lasts = 3.0 * len(self.field.cores) if fault.kind == "core_roll" else 5.0
             self.counted_until = self.world.now + lasts + self.book.bounds["catch-up"]
         self.world.tell("FAULT", repr(fault))
+        self.struck[fault.kind] += STORM if fault.kind == "config_storm" else 1
         getattr(self, fault.kind)(fault, random.Random(fault.seed))
 
     def _sides(self, chance: random.Random, share: float) -> list[Side]:
@@ -290,7 +294,7 @@
 
     def config_storm(self, fault: Fault, chance: random.Random) -> None:
         """Changes in quick succession."""
-        for n in range(12):
+        for n in range(STORM):
             self._later(0.33 * n, self.config_change, fault, random.Random(fault.seed + n))
 
     def late_again(self, fault: Fault, chance: random.Random) -> None:
