Hand requests of a sluice in doubt on to one that is well, and believe no accuser in doubt

Change: the request goes on whole, kind HANDED, to a sluice of the zone (else of the region) that is well; that one decides by its own word in the caller's name, once. Who stands aside accuses nobody; a rule that a third gate ran by counts no accuser.

--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -104,7 +104,7 @@
         self.cores_turn = 0
         self.told_at = now - TELL_S  # when reservoirs were told of a slip
         self.stubborn = 1  # renewals more that count as vain after each further relapse
-        self.accused: dict[str, float] = {}  # gates that hold otherwise by our own word, and when
+        self.accused: dict[str, tuple[bytes, float]] = {}  # gates that hold a rule otherwise, which, when
         self.host.after(STEP_S, self._tick)
 
     # At the source.
@@ -163,7 +163,9 @@
         self.courses.append(course)
         if not self.renewing:
             self._begin()
-            self._fetch((key, self.sluice.settings.ports[0]), lambda value: self._compared(key, by, value))
+            rule = self.rules.of(course.route)
+            self._fetch((key, self.sluice.settings.ports[0]),
+                        lambda value: self._compared(key, by, rule, value))
 
     def _fetch(self, holder: Address, done: Any) -> None:
         """Ask a holder for its word, and take it over where it is newer."""
@@ -176,21 +178,32 @@
 
         self.sluice.caller.call(holder, "word.known", None, HOLD_S, known)
 
-    def _compared(self, key: str, by: int, value: Any) -> None:
+    def _compared(self, key: str, by: int, rule: bytes, value: Any) -> None:
         """A gate's word has come: where it is not newer than ours, one of us has slipped."""
         if isinstance(value, dict) and value.get("rev", 0) > self.word.revision:
             return
         if not self.examine("judge", f"{key} decides otherwise") and isinstance(value, dict) and (
                 value.get("rev") == self.word.revision == by):
-            self._accuse(key)
+            self._accuse(key, rule)
         self._release()
 
-    def _accuse(self, key: str) -> None:
-        """A gate holds otherwise and nothing is found here: two that do so are believed, one is not."""
-        now = self.host.now()
-        self.accused = {gate: at for gate, at in self.accused.items() if now - at < ACCUSED_S}
-        self.accused[key] = now
-        if len(self.accused) >= ACCUSERS:
+    def agreed(self, rule: bytes, key: str) -> None:
+        """A gate has run what must not run twice by a rule: who holds it otherwise is not believed."""
+        if key != self.sluice.settings.ip:
+            self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if held != rule}
+
+    def _accuse(self, key: str, rule: bytes) -> None:
+        """A gate holds a rule otherwise and nothing is found here: two that do so are believed, one is not.
+
+        Who stands aside accuses nobody, and what two say of a rule counts only until a third one runs by it.
+        """
+        now, entry = self.host.now(), self.sluice.society.entries().get(key)
+        if entry is not None and entry.say is not None and entry.say.get("q"):
+            return
+        self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items()
+                        if now - at < ACCUSED_S}
+        self.accused[key] = rule, now
+        if sum(held == rule for held, _ in self.accused.values()) >= ACCUSERS:
             self.accused.clear()
             self.relapses = MOST_RELAPSES  # it is not built wrong: building anew heals nothing
             self.slip("peers", f"{ACCUSERS} gates decide otherwise by the same word, {key} the last")
@@ -590,7 +603,8 @@
             "state": states.NAMES[state.at], "for": round(now - state.since, 3), "why": state.why,
             "revision": word.revision, "version": f"r{word.version}", "digest": word.digest,
             "root": digests.root(live).hex(), "branches": {name: live[name].hex() for name in live},
-            "caught": dict(self.caught), "refused": self.refused, "changes": state.changes,
+            "caught": dict(self.caught), "refused": self.refused, "handed": self.sluice.source.handed,
+            "changes": state.changes,
             "slips": self.slips, "standing": self.standing}
 
     def methods(self) -> dict[str, Any]:
@@ -603,4 +617,5 @@
     def counters(self) -> str:
         """For a log line."""
         caught = " ".join(f"{by}={many}" for by, many in sorted(self.caught.items()))
-        return f"assay {states.NAMES[self.state.at]} refused={self.refused} caught {caught or 'none'}"
+        state, handed = states.NAMES[self.state.at], self.sluice.source.handed
+        return f"assay {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
--- a/honeywharf/mains/streams.py
+++ b/honeywharf/mains/streams.py
@@ -72,6 +72,7 @@
             """Nobody waits any more."""
 
 OPEN, GO, DATA, END, WINDOW, ANSWER, REFUSE, FAIL, CANCEL, PING, PONG = range(11)
+HANDED = 3  # an Ask's kind where the source decides nothing: the sluice that is asked does, by its own rules
 WINDOW_BYTES = 64 * 1024
 FIRST_WINDOW = 8 * 1024  # bytes of a request's body that GO asks for; its gate asks for more
 PIECE = 16 * 1024  # bytes of one DATA frame: other streams have their turn between
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -8,10 +8,11 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
+from honeywharf.assay.judge import host_of
 from honeywharf.assay.watch import Assay, is_named
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Call, Door
-from honeywharf.mains.streams import MOST_FRAME, Reception
+from honeywharf.mains.streams import HANDED, MOST_FRAME, Reception
 from honeywharf.runnel.society import Draws, Society
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.beats import Beats
@@ -25,11 +26,14 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from collections.abc import Container
     from typing import Any
 
     from honeywharf.mains.frames import FrameReader
     from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.mains.streams import Ask, Work
     from honeywharf.runnel.entry import Entry
+    from honeywharf.sluice.inbound import Answers
     from honeywharf.strainer.settings import Settings
 
 COUNTERS_S = 10.0
@@ -62,7 +66,7 @@
             host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0))
         draw = Draws(host.random(8)).random
         self.source = Source(host, settings, self.word, self.inbound, draw)
-        self.source.proxies = self._proxies
+        self.source.proxies, self.source.helper = self._proxies, self.helper
         if settings.gateways:
             from honeywharf.penstock.abroad import joined  # one region alone does not pay for it
 
@@ -147,7 +151,30 @@
 
     def _streams(self, connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
         reader.most = MOST_FRAME
-        return Reception(connection, reader, frames, self.inbound.begin)
+        return Reception(connection, reader, frames, self._begin)
+
+    def _begin(self, ask: Ask, answers: Answers) -> Work | None:
+        """A request of another sluice: for the gate here, or to be decided here."""
+        if ask.kind != HANDED:
+            return self.inbound.begin(ask, answers)
+        from honeywharf.sluice.bypass import take  # only where another one is in doubt
+
+        return take(self.source, ask, host_of(ask.fields), answers)
+
+    def helper(self, passed: Container[str]) -> str | None:
+        """A sluice of this region that is well, of this zone where there is one; None without one."""
+        settings, near, far = self.settings, [], []
+        for node, entry in self.society.entries().items():
+            say = entry.say
+            if say is None or not say.get("s") or say.get("q") or say.get("st") == DRAINING or (
+                    node == settings.ip or node in passed or not self.society.alive(node)):
+                continue
+            if entry.zone == settings.zone:
+                near.append(node)
+            elif settings.zones.get(entry.zone) == settings.zones.get(settings.zone):
+                far.append(node)
+        well = near or far
+        return well[int(self.source.draw() * len(well))] if well else None
 
     # The platform.
 
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -13,14 +13,19 @@
     may have run     another, by the budget        502, 504
     (nobody left)    503 with a time to return     503 with a time to return, only where nothing has run
 
+A sluice in doubt of its own rules decides nothing: its course hands the request on whole, by the rule
+`ASIDE`, to a sluice that is well (`bypass`), which has a course of its own for it. At most `MOST_HELPERS` are
+asked, and none further once one of them may have run it.
+
 Source: RULES (TWICE, REFUSED, BUDGET), PROTOCOL ("Requests", "Answers").
 """
 
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.mains.streams import FIRST_WINDOW, Ask
-from honeywharf.verdict import DRIFT, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
+from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
+from honeywharf.strainer.routes import Route
+from honeywharf.verdict import DRIFT, FULL, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -28,7 +33,6 @@
 
     from honeywharf.mains.host import Timer
     from honeywharf.sluice.source import Source
-    from honeywharf.strainer.routes import Route
 
     class Channel(Protocol):
         """The way to a gate: a stream of a link, or the job in this process."""
@@ -74,20 +78,44 @@
 MOST_WAITED = 3  # gates that it is ready to wait at, one after the other
 RETURN_S = (0.08, 0.3)  # parts of the aim after which a refused client may come back
 END_S = 0.004  # before the deadline, a final answer still arrives
+MOST_HELPERS = 2  # sluices that a request is handed on to, one after the other
+HELPED_S = 0.012  # before the deadline, a helper's own final answer still arrives
+
+
+def _aside() -> Route:
+    """The rule of what is decided elsewhere: no service, one attempt, never repeated from here."""
+    route = Route()
+    route.name, route.host, route.prefix, route.kind = "aside", b"", b"", "mutating"
+    route.timeout_s, route.aim_s, route.priority, route.attempts = 600.0, 1.0, 0, 1
+    route.split = (("", 1.0),)
+    return route
+
+
+ASIDE = _aside()
+
+
+def kind_of(route: Route) -> int:
+    """A route's kind as it travels."""
+    return HANDED if route is ASIDE else 0 if route.repeatable else 2 if route.upload else 1
 
 
 class Course:
-    """One request. `deadline`: seconds on the steady clock."""
+    """One request. `deadline`: seconds on the steady clock.
+
+    `caller`: the service it comes from, where it was handed on to here; such a one goes no further.
+    """
 
     __slots__ = (
-        "answering", "arrivals", "arrived_at", "asked", "channel", "credit", "deadline", "decided", "due",
-        "ended", "finished", "gate", "head", "kept", "kept_bytes", "kind", "lost_body", "over", "ran",
-        "read", "revision", "route", "sending", "sent", "service", "source", "tries", "waited", "went", "who")
+        "answering", "arrivals", "arrived_at", "asked", "caller", "channel", "credit", "deadline", "decided",
+        "drifted", "due", "ended", "finished", "gate", "head", "kept", "kept_bytes", "kind", "lost_body",
+        "over", "ran", "read", "revision", "route", "sending", "sent", "service", "source", "tries",
+        "waited", "went", "who")
 
-    def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float) -> None:
+    def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float,
+                 caller: str | None = None) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
-        self.arrived_at = source.host.now()
-        self.kind = 0 if route.repeatable else 2 if route.upload else 1
+        self.arrived_at, self.caller = source.host.now(), caller
+        self.kind = kind_of(route)
         self.service = source.draw_service(route)
         self.asked: set[str] = set()
         self.waited: set[str] = set()  # gates that were asked to let it wait
@@ -98,6 +126,7 @@
         self.tries = 0
         self.went = self.finished = self.answering = self.ended = self.over = self.lost_body = False
         self.decided, self.revision = 1, source.revision()  # times that a route was found, and by which word
+        self.drifted = False  # the last refusal was by another rule
         self.sending = False  # from within a call to the gate
         self.kept: list[bytes] = []
         self.kept_bytes = self.read = self.sent = 0
@@ -118,6 +147,9 @@
         if self.deadline - now <= END_S:
             self._give_up(0.0)
             return
+        if self.route is ASIDE:
+            self._next_helper()
+            return
         levels = self.source.levels_of(self.service)
         key = levels.pick(now, self.asked) if len(self.asked) < MOST_ASKED else None
         if key is not None:
@@ -131,16 +163,35 @@
                 self.waited.add(key)
                 self._ask(key, min(patience, self.deadline - now))
                 return
-        self._give_up(self._return_s())
+        if self.drifted and self._may_hand_on():
+            self.hand_on()
+        else:
+            self._give_up(self._return_s())
+
+    def _next_helper(self) -> None:
+        """Hand the request on to a sluice that is well."""
+        key = self.source.helper(self.asked) if len(self.asked) < MOST_HELPERS else None
+        if key is None:
+            self._give_up(self._return_s())
+            return
+        self.source.handed += not self.asked
+        self.asked.add(key)
+        self._ask(key, 0.0)
 
     def _ask(self, key: str, patience_s: float) -> None:
         now, head = self.source.host.now(), self.head
         self.gate, self.went, self.finished, self.credit, self.sent = key, False, False, 0, 0
         self.tries += 1
         tries = self.tries
-        ask = Ask(self.service, head.attempt, self.kind, self.deadline - now, patience_s, self.route.priority,
-                  self.route.aim_s, self.source.service, head.method, head.target, b"".join(head.fields),
-                  head.length, self.revision, self.source.rule(self.route))
+        caller = self.source.service if self.caller is None else self.caller
+        remaining, rule = self.deadline - now, b""
+        if self.route is ASIDE:
+            remaining = max(END_S, remaining - HELPED_S)
+        else:
+            rule = self.source.rule(self.route)
+        ask = Ask(self.service, head.attempt, self.kind, remaining, patience_s, self.route.priority,
+                  self.route.aim_s, caller, head.method, head.target, b"".join(head.fields),
+                  head.length, self.revision, rule)
         self.source.asks += 1
         self.channel = None
         channel = self.source.open(key, ask, self)
@@ -167,11 +218,16 @@
             self._by(route)
         self._next()
 
+    def hand_on(self) -> None:
+        """Decide no more here: nothing has run, and another sluice is to decide in this one's place."""
+        self._by(ASIDE)
+        self._next()
+
     def _by(self, route: Route) -> None:
         """Take another rule over: its kind, its times, a service of its own."""
         source, now, service = self.source, self.source.host.now(), self.service
         self.route, self.service = route, source.draw_service(route)
-        self.kind = 0 if route.repeatable else 2 if route.upload else 1
+        self.kind = kind_of(route)
         remaining = DEADLINE_S if self.head.remaining_s is None else self.head.remaining_s
         self.deadline = self.arrived_at + min(remaining, route.timeout_s)
         if self.due is not None:
@@ -301,6 +357,9 @@
     def answered(self, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
         self.source.served(self.service, self.gate, status)
+        assay = self.source.assay
+        if assay is not None and assay.accused and self.kind:
+            assay.agreed(assay.rule(self.route), self.gate)
         self.answering = True
         if body is not None:
             self.channel = None
@@ -338,12 +397,11 @@
 
     def _not_run(self, verdict: Verdict) -> None:
         """A proof, and nothing has arrived: the next gate costs nothing."""
-        assay = self.source.assay
-        if verdict.why == DRIFT and not verdict.again_s and assay is not None and not self.lost_body and (
-                self.decided < MOST_DECIDED):
-            self.source.released(self.service, self.gate)
-            self.tries += 1  # a gate in this process has refused from within
-            assay.stale(self, self.gate)
+        if self.route is ASIDE:
+            self._not_helped(verdict)
+            return
+        self.drifted = verdict.why == DRIFT and not verdict.again_s
+        if self.drifted and self._decides_again():
             return
         if verdict.why == LOST:
             self.source.failed(self.service, self.gate, True)
@@ -354,8 +412,38 @@
         else:
             self._next()
 
+    def _decides_again(self) -> bool:
+        """A gate holds another rule: decide again, at last elsewhere; False where neither can be had."""
+        source, assay, again = self.source, self.source.assay, self.decided < MOST_DECIDED
+        if assay is None or self.lost_body or not (again or self._may_hand_on()):
+            return False
+        source.released(self.service, self.gate)
+        self.tries += 1  # a gate in this process has refused from within
+        if again:
+            assay.stale(self, self.gate)
+        else:
+            self.hand_on()
+        return True
+
+    def _may_hand_on(self) -> bool:
+        """Whether another sluice may decide: never for the second time, nor when a backend has seen it."""
+        return (self.caller is None and not self.arrivals and not self.lost_body
+                and self.source.helper(()) is not None)
+
+    def _not_helped(self, verdict: Verdict) -> None:
+        """A helper has proved that nothing ran: its own final word, or it can't decide either."""
+        if verdict.why == FULL:
+            self._final(503, verdict.again_s)
+        elif self.lost_body:
+            self._give_up(self._return_s())
+        else:
+            self._next()
+
     def _arrived(self, verdict: Verdict) -> None:
         """A backend's socket saw it: a second one by verdict, kind, attempts and budget."""
+        if self.route is ASIDE:
+            self._final(verdict.status(False), 0.0)
+            return
         self.arrivals += 1
         if verdict.ran == MAY_HAVE_RUN:
             self.ran = True
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -14,7 +14,7 @@
 from honeywharf.codecs.mesh import UNKNOWN, Head, RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
 from honeywharf.mains.streams import WINDOW_BYTES
-from honeywharf.sluice.course import DEADLINE_S, Course
+from honeywharf.sluice.course import ASIDE, DEADLINE_S, Course
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -123,7 +123,9 @@
         assay, again_s = outbound.source.assay, 0.0
         if assay is not None:
             route, again_s = assay.look(head.host, head.path, route)
-        if again_s:
+        if again_s and outbound.source.helper(()) is not None:
+            route = ASIDE
+        elif again_s:
             self.own(exchange, 503, again_s, b"rules in doubt here")
             return
         if route is None and not outbound.word.ready:
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -9,11 +9,12 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
     from honeywharf.assay.watch import Assay
     from honeywharf.mains.host import Host
     from honeywharf.penstock.abroad import Abroad
+    from honeywharf.sluice.bypass import Passing
     from honeywharf.sluice.course import Channel, Course
     from honeywharf.sluice.inbound import Inbound
     from honeywharf.sluice.word import Word
@@ -102,6 +103,9 @@
         self.proxies: Callable[[], int] = lambda: 1
         self.doubted: set[str] = set()
         self.asks = 0
+        self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sluice that is well
+        self.handed = 0  # requests that a sluice that is well was asked to decide
+        self.passing: dict[Passing, None] = {}  # those of others that are decided here
         self.assay: Assay | None = None
         self.statuses: dict[int, int] = {}
         self.refusals: dict[int, int] = {}
--- a/tests/assay/test_slips.py
+++ b/tests/assay/test_slips.py
@@ -27,6 +27,32 @@
     assert trial.alarms == []
 
 
+@pytest.mark.parametrize("kind", ["build", "liar"])
+def test_clients_of_a_node_that_can_not_heal_feel_nothing(kind: str) -> None:
+    trial = Trial(1000, kind, 3).play()
+    assert set(trial.statuses()) <= {200, 500}  # 500 is the stand-in backends' own
+    assert trial.wrong == []
+    assert trial.alarms == []
+    assert sum(cast(Any, side.proxy.program).source.handed for side in trial.field.sides) > 10
+
+
+def test_who_stands_aside_accuses_nobody_nor_does_one_whose_rule_a_third_has_run() -> None:
+    trial = Trial(3, "none", 0)
+    trial.world.run(8.0)
+    sluice = cast(Any, trial.field.sides[0].proxy.program)
+    gates, rule = [side.ip for side in trial.field.sides[1:4]], b"12345678"
+    trial.field.sides[1].proxy.program.society.tell(q=1)  # type: ignore[attr-defined]
+    trial.world.run(9.0)
+    for gate in gates[:2]:
+        sluice.assay._accuse(gate, rule)
+    assert list(sluice.assay.accused) == [gates[1]]
+    sluice.assay.agreed(rule, gates[2])
+    sluice.assay._accuse(gates[2], rule)
+    assert sluice.assay.caught == {}
+    sluice.assay._accuse(gates[1], rule)
+    assert sluice.assay.caught == {"peers": 1}
+
+
 @pytest.mark.parametrize("way", ["scanning", "judging", "reading"])
 def test_each_way_catches_a_wrong_kind_alone(way: str) -> None:
     trial = Trial(6, "kind", 4, (way,)).play()
