Play the hard cases of drift, and have flume's backends echo the id of what they answer 421

Cause: of the hard cases only the cut node, the drifted checker, the flood and the made-up stamp had a test. PROTOCOL has backends echo the id in their answers. Change: tests of a change in the middle of an upload (same service, another one) and of retries with 421, of half on the next word for two seconds, of a zone that is behind, of 1,000 routes changed at once, of a lost majority; the id in the 421.

--- a/honeywharf/flume/standins.py
+++ b/honeywharf/flume/standins.py
@@ -355,7 +355,7 @@
         expected = work.head.headers.get("x-honeywharf-expected-instance", self.id)
         answer = work.connection.answer
         if expected != self.id:
-            answer(421, {"X-Honeywharf-Instance-Id": self.id})
+            answer(421, {"X-Honeywharf-Instance-Id": self.id, "X-Honeywharf-Attempt-Id": work.name})
             return
         if work.head.path == "/health":
             answer(200 if self.state == "ready" else 503, {
--- /dev/null
+++ b/tests/assay/test_hard.py
@@ -0,0 +1,159 @@
+"""Hard cases: changes in the middle of things, nodes ahead or behind, nobody to ask; and no false alarm."""
+
+from __future__ import annotations
+
+import random
+from typing import Any, cast
+
+import pytest
+
+from honeywharf.assay import states, watch
+from honeywharf.flume.days import Day, Fault
+from honeywharf.flume.field import ZONES, Side
+from honeywharf.flume.rules import Ask
+from honeywharf.flume.slips import Kinds, Trial
+from honeywharf.flume.standins import Caller
+from honeywharf.verdict import TURNED_AWAY
+
+
+def program(side: Side) -> Any:
+    """The sluice that runs there."""
+    return cast(Any, side.proxy.program)
+
+
+def calm(trial: Trial) -> None:
+    """Nothing was broken, and nobody was alarmed."""
+    assert trial.world.crashes == []
+    assert trial.book.found == []
+    assert trial.wrong == []
+    assert trial.alarms == []
+    assert all(not program(side).assay.state.aside for side in trial.field.sides)
+
+
+def deaf(side: Side) -> None:
+    """It hears no news of words; it may still ask for one, and be told by whom it asks."""
+    program(side).word.heard = lambda revision, holder: None
+
+
+def ordered(trial: Trial) -> int:
+    """An honest change of what must not run twice; its version."""
+    trial.order(random.Random(17))
+    return trial.told[-1].version
+
+
+@pytest.mark.parametrize("moved", [False, True])
+def test_a_change_in_the_middle_of_an_upload_neither_loses_nor_doubles_it(moved: bool) -> None:
+    trial = Trial(11, "none", 0)
+    trial.play(8.0)
+    side = trial.field.sides[0]
+    answers: list[Any] = []
+    caller = Caller(side.clients, (side.ip, 8304), lambda tag, message: answers.append(message))
+    ask = trial.book.asks["aa01"] = Ask("aa01", side.ip, side.service, "PUT", "shop.example", "/uploads/9",
+                                        "upload")
+    ask.body = bytes(40_000)
+    ask.deadline, ask.sent = trial.world.now + 2.0, trial.world.now
+    caller.ask(None, b"PUT /uploads/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: aa01\r\n"
+               b"Content-Length: 40000\r\n\r\n" + ask.body[:20_000])
+    trial.play(8.5)
+    if moved:
+        trial.moves["/uploads/"] = {"tile-vault": 1}
+    ordered(trial)
+    trial.play(9.2)
+    assert len({program(one).word.version for one in trial.field.sides}) == 1
+    caller.connection.send(ask.body[20_000:])
+    trial.play(12.0)
+    assert [message.status for message in answers] == [200]
+    assert len(ask.runs) == 1
+    calm(trial)
+
+
+def test_a_change_in_the_middle_of_retries_and_of_answers_421_alarms_nobody() -> None:
+    trial = Trial(12, "none", 0)
+    trial.field.until = 18.0
+    Day(trial.field, [Fault(8.0 + n, kind, "", 40 + n) for n in range(6)
+                      for kind in ("answer_lost", "config_change")])
+
+    def other() -> None:
+        for side in trial.field.sides[:3]:
+            program(side).gate.instance = "i-other"  # until its next beat, its backend answers 421
+
+    for n in range(24):
+        trial.world.at(8.0 + n / 4, other)
+    trial.play(22.0)
+    turned = sum(program(side).source.refusals.get(TURNED_AWAY, 0) for side in trial.field.sides)
+    assert turned > 10
+    calm(trial)
+
+
+def test_half_on_one_word_and_half_on_the_next_for_two_seconds_is_no_slip() -> None:
+    trial = Trial(13, "none", 0)
+    trial.play(8.0)
+    behind = trial.field.sides[::2]
+    before = program(behind[0]).word.version
+    for side in behind:
+        word = program(side).word
+        word.heard, word._take = (lambda revision, holder: None), (lambda holder, value: None)
+    version = ordered(trial)
+    trial.play(10.0)
+    assert {program(side).word.version for side in behind} == {before}
+    assert {program(side).word.version for side in trial.field.sides[1::2]} == {version}
+    assert all(side.proxy.program is not None for side in behind)
+    assert all(program(side).assay.caught == {} for side in trial.field.sides)
+    for side in behind:
+        word = program(side).word
+        del word.heard, word._take
+    trial.play(14.0)
+    assert {program(side).word.version for side in trial.field.sides} == {version}
+    calm(trial)
+
+
+def test_a_whole_zone_that_is_behind_learns_from_the_first_request_that_is_ahead() -> None:
+    trial = Trial(14, "none", 0)
+    trial.play(8.0)
+    zone = [side for side in trial.field.sides if side.machine.zone == ZONES[1]]
+    for side in zone:
+        deaf(side)
+    version = ordered(trial)
+    trial.play(11.5)
+    assert {program(side).word.version for side in trial.field.sides} == {version}
+    assert not any(ask.status in (502, 504) for ask in trial.book.asks.values())
+    calm(trial)
+
+
+def test_a_thousand_routes_changed_at_once_are_compared_within_the_bound() -> None:
+    trial = Trial(15, "none", 0)
+    trial.field.idlers = [("maps.example" if n % 2 else "shop.example", f"/many{n}/",
+                           "read_only" if n % 3 else "mutating", "tile-vault") for n in range(1000)]
+    trial.play(8.0)
+    ordered(trial)  # another timeout in each
+    whole = [program(side) for side in trial.field.sides]
+    trial.play(8.6)
+    assert {sluice.word.version for sluice in whole} == {trial.told[-1].version}
+    assert all(sluice.assay.state.at == states.APPLYING for sluice in whole)
+    trial.play(8.6 + watch.WHOLE_STEPS * watch.STEP_S + 0.5)
+    assert all(sluice.assay.state.at == states.AGREED for sluice in whole)
+    assert len({sluice.assay.view()["root"] for sluice in whole}) == 1
+    calm(trial)
+
+
+def test_with_the_majority_out_of_reach_slips_heal_and_what_can_not_is_not_run_here() -> None:
+    trial = Trial(16, "none", 0)
+    trial.field.until = 14.0
+    trial.play(8.0)
+    for core in trial.field.cores[:2]:
+        core.machine.power_off()
+    chance, (first, second) = random.Random(2), trial.field.sides[:2]
+    Kinds(trial).kind(program(first), chance)
+    trial.play(9.5)
+    assert program(first).assay.state.at in (states.HEALED, states.AGREED)
+    Kinds(trial).build(program(second), chance)
+    before = program(second).source.handed
+    trial.play(14.0)
+    assay = program(second).assay
+    assert (assay.state.at, assay.standing, assay.unfit) == (states.DOUBTED, True, False)
+    assert program(second).source.handed > before
+    asked = [ask for ask in trial.book.asks.values() if ask.machine == second.ip and ask.sent > 10.0]
+    assert {ask.kind for ask in asked} == {"read_only", "mutating", "upload"}
+    assert {ask.status for ask in asked if ask.sent < 12.0} <= {200, 500}
+    assert trial.wrong == []
+    assert trial.world.crashes == []
