Split the assay of a sluice by concern: watch, rounds, requests

Change: watch holds what follows from a slip and who is told, rounds what is compared in idle time, requests what is read at the source and judged at the destination; each builds on the one before.

--- a/honeywharf/flume/slips.py
+++ b/honeywharf/flume/slips.py
@@ -14,7 +14,7 @@
 from typing import Any, cast
 
 from honeywharf.assay import second
-from honeywharf.assay.watch import Assay
+from honeywharf.assay.requests import Assay
 from honeywharf.flume.field import SERVICES, ZONES, Field, Side
 from honeywharf.flume.rules import Ask, Order
 from honeywharf.flume.run import real_reservoir, real_sluice
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -9,7 +9,8 @@
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
 from honeywharf.assay.judge import host_of
-from honeywharf.assay.watch import Assay, is_named
+from honeywharf.assay.requests import Assay
+from honeywharf.assay.watch import is_named
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Call, Door
 from honeywharf.mains.streams import HANDED, MOST_FRAME, Reception
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -39,7 +39,7 @@
 if TYPE_CHECKING:
     from typing import Protocol
 
-    from honeywharf.assay.watch import Assay
+    from honeywharf.assay.requests import Assay
     from honeywharf.mains.host import Host, Timer
     from honeywharf.mains.streams import Ask
     from honeywharf.sluice.backend import Tap
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container
 
-    from honeywharf.assay.watch import Assay
+    from honeywharf.assay.requests import Assay
     from honeywharf.mains.host import Host
     from honeywharf.penstock.abroad import Abroad
     from honeywharf.sluice.bypass import Passing
--- a/tests/assay/test_hard.py
+++ b/tests/assay/test_hard.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.assay import states, watch
+from honeywharf.assay import rounds, states
 from honeywharf.flume.days import Day, Fault
 from honeywharf.flume.field import ZONES, Side
 from honeywharf.flume.rules import Ask
@@ -130,7 +130,7 @@
     trial.play(8.6)
     assert {sluice.word.version for sluice in whole} == {trial.told[-1].version}
     assert all(sluice.assay.state.at == states.APPLYING for sluice in whole)
-    trial.play(8.6 + watch.WHOLE_STEPS * watch.STEP_S + 0.5)
+    trial.play(8.6 + rounds.WHOLE_STEPS * rounds.STEP_S + 0.5)
     assert all(sluice.assay.state.at == states.AGREED for sluice in whole)
     assert len({sluice.assay.view()["root"] for sluice in whole}) == 1
     calm(trial)
