Try a rested connection to a backend before a whole request goes on it

A backend may forget a connection that rests, and the next bytes sent on it are reset: with the whole request written at once that was "may have run", a 502 for what must not run twice. Now the method's bytes go alone on one that has rested for 0.1 s and the rest 2 ms later; one that breaks in between is replaced by a new connection within the same attempt, as a head that was never whole cannot have run.

--- a/honeywharf/sluice/backend.py
+++ b/honeywharf/sluice/backend.py
@@ -5,7 +5,13 @@
 request only if it echoes its attempt id: what does not is skipped, and the connection is closed
 afterwards; so
 is one on which anything comes while no request is out. A new connection's request is written once it is
-up, so one that is refused has seen nothing: a proof. Source: PROTOCOL, "Backends".
+up, so one that is refused has seen nothing: a proof.
+
+A backend may forget a connection that rests, and says so only by a reset of what is sent next. So one that
+has rested for `TRUSTED_S` is tried first: the method's bytes go alone, which no backend can take for a
+request, and the rest `TRIED_S` later. One that breaks in between is replaced by a new one, and its request
+has not run.
+Source: PROTOCOL, "Backends"; LATER, "New on the wire".
 """
 
 from __future__ import annotations
@@ -27,6 +33,7 @@
 
         attempt: bytes
         bodiless: bool  # its answer has a head only, whatever that tells of a body
+        method: bytes  # with which its head begins
 
         def ready(self) -> None:
             """The connection is up: write."""
@@ -53,18 +60,22 @@
 MARGIN_S = 1.0  # before the backend closes an idle connection, it is not used any more
 UNTOLD_S = 2.0  # how long a backend that says nothing of it keeps one, as far as is assumed
 CONNECT_S = 0.6
+TRUSTED_S = 0.1  # of rest, after which a connection is tried before a whole request goes on it
+TRIED_S = 0.002  # a reset comes back on the same machine in a tenth of that
 
 
 class Tap:
     """One connection to the backend."""
 
     __slots__ = (
-        "answering", "connection", "idle_since", "idle_until", "pool", "reader", "sent", "skipping", "spoilt",
-        "up", "user")
+        "answering", "begun", "connection", "idle_since", "idle_until", "pool", "reader", "sent", "skipping",
+        "spoilt", "trying", "up", "user")
 
     def __init__(self, pool: Taps, user: User) -> None:
         self.pool = pool
         self.user: User | None = user
+        self.begun = b""  # bytes of the request that have gone ahead
+        self.trying = False  # whether the backend still knows the connection
         self.up = self.sent = self.spoilt = self.skipping = self.answering = False
         self.idle_since = self.idle_until = 0.0
         self.reader = AnswerReader(self, MOST_ANSWER)
@@ -79,8 +90,34 @@
         if self.user is not None:
             self.user.ready()
 
+    def again(self, user: User, now: float) -> None:
+        """Serve one more request: at once after a short rest, else once it has been tried."""
+        self.user, self.sent, self.begun = user, False, b""
+        if now - self.idle_since <= TRUSTED_S:
+            self.pool.host.after(0.0, partial(_begin, self, user))
+            return
+        self.trying, self.begun = True, user.method
+        self.connection.send(user.method)
+        self.pool.host.after(TRIED_S, partial(self._tried, user))
+
+    def _tried(self, user: User) -> None:
+        if self.trying and self.user is user:
+            self.trying = False
+            user.ready()
+
+    def _renew(self) -> None:
+        """The backend had forgotten it: a new connection takes its place, as nothing has run."""
+        self.trying, self.up, self.begun = False, False, b""
+        self.spoilt = self.skipping = self.answering = False
+        self.reader = AnswerReader(self, MOST_ANSWER)
+        self.pool.forgotten += 1
+        self.pool.made()
+        self.connection = self.pool.host.connect(self.pool.address, self._made, CONNECT_S)
+
     def write(self, data: bytes) -> None:
-        """Send bytes of the request."""
+        """Send bytes of the request, from its first on; what has gone ahead is not sent twice."""
+        if self.begun:
+            data, self.begun = data[len(self.begun):], b""
         self.sent = True
         self.connection.send(data)
 
@@ -102,6 +139,9 @@
         if self.user is None:
             self._discard()
             return
+        if self.trying:
+            self.connection.abort()  # `closed` follows, and a new one
+            return
         try:
             self.reader.feed(data)
         except MalformedError:
@@ -150,7 +190,9 @@
 
     def ended(self) -> None:
         """The backend sends nothing more."""
-        if self.user is not None:
+        if self.user is not None and self.trying:
+            self.connection.abort()  # `closed` follows, and a new one
+        elif self.user is not None:
             self._break("ended")
         else:
             self._discard()
@@ -162,6 +204,9 @@
 
     def closed(self, why: str) -> None:
         """It is gone."""
+        if self.trying and self.user is not None:
+            self._renew()
+            return
         self.pool.leave(self)
         if self.user is not None:
             self._break(why)
@@ -192,6 +237,7 @@
         self.taps: dict[Tap, None] = {}
         self.idle: list[Tap] = []  # the one that rests for longest first
         self.most = 100
+        self.forgotten = 0  # by the backend, found before a request went on them
 
     def take(self, user: User, fresh: bool = False) -> Tap | None:
         """A connection for one request; None where no more may be open.
@@ -205,8 +251,7 @@
         while self.idle:
             tap = self.idle.pop()
             if now - tap.idle_since < tap.idle_until * (0.5 if fresh else 1.0):
-                tap.user, tap.sent = user, False
-                self.host.after(0.0, partial(_begin, tap, user))
+                tap.again(user, now)
                 return tap
             tap.release()
         if len(self.taps) >= self.most:
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -402,10 +402,11 @@
 class _User:
     """A job as a connection's user: a request's body and an answer's both come as `data`."""
 
-    __slots__ = ("answered", "attempt", "bodiless", "broken", "data", "drained", "ready", "whole")
+    __slots__ = ("answered", "attempt", "bodiless", "broken", "data", "drained", "method", "ready", "whole")
 
     def __init__(self, job: Job) -> None:
-        self.attempt, self.bodiless = job.attempt, job.ask.method == b"HEAD"
+        self.attempt, self.method = job.attempt, job.ask.method
+        self.bodiless = self.method == b"HEAD"
         self.ready, self.answered, self.data = job.ready, job.answered, job.answer_data
         self.whole, self.broken, self.drained = job.whole, job.broken, job.drained
 
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -8,6 +8,7 @@
 
 from honeywharf.codecs.mesh import UNKNOWN
 from honeywharf.mains.streams import WINDOW_BYTES
+from honeywharf.sluice.backend import TRIED_S, TRUSTED_S
 from honeywharf.sluice.gate import READY, UNKNOWN as NOT_KNOWN
 from honeywharf.sluice.inbound import Job
 from honeywharf.verdict import (
@@ -127,6 +128,65 @@
         assert (len(stage.backend.visits) == 1) == again, (told_s, rest)
 
 
+@pytest.mark.parametrize("kind", [0, 1, 2])
+@pytest.mark.parametrize("way", ["reset", "end", "bytes"])
+def test_a_connection_that_the_backend_forgot_costs_no_request(kind: int, way: str) -> None:
+    stage = Stage()
+    size = 3000 if kind else 0
+    first, told = stage.begin(ask(kind=kind, length=size))
+    first.data(bytes(size))
+    first.end()
+    stage.run()
+    visit, = stage.backend.visits
+
+    def forgotten(data: bytes) -> None:
+        if way == "bytes":
+            visit.send(answer(b"0123456789abcdef"))
+        else:
+            (visit.connection.abort if way == "reset" else visit.connection.close)()
+
+    visit.received = forgotten  # type: ignore[method-assign]
+    stage.run(0.3)
+    job, told = stage.begin(ask(kind=kind, length=size))
+    job.data(b"x" * size)
+    job.end()
+    stage.run()
+    assert told.events[-1] == ("answer", 200, 4, True)
+    assert len(stage.backend.visits) == 2
+    assert [len(request.body) for request in stage.backend.requests] == [size, size]
+    assert stage.inbound.taps.forgotten == 1
+    idle(stage)
+
+
+def test_nothing_that_could_run_goes_on_a_rested_connection_before_it_is_tried() -> None:
+    stage = Stage()
+    stage.begin(ask())
+    stage.run(TRUSTED_S + 0.1)
+    visit, = stage.backend.visits
+    before = visit.bytes
+    job, told = stage.begin(ask())
+    stage.run(TRIED_S / 2)
+    assert visit.bytes - before == len(b"GET")
+    job.cancel()
+    stage.run()
+    assert len(stage.backend.requests) == 1
+    assert stage.inbound.taps.forgotten == 0
+    assert not told.events
+    idle(stage)
+
+
+def test_a_backend_that_goes_while_a_connection_is_tried_is_found_missing() -> None:
+    stage = Stage()
+    stage.begin(ask())
+    stage.run(0.3)
+    _, told = stage.begin(ask(kind=1))
+    stage.run(TRIED_S / 4)
+    stage.app.kill()
+    stage.run()
+    assert told.events == [("fail", NOT_RUN, NOBODY, False)]
+    assert stage.gate.state == NOT_KNOWN
+
+
 def test_a_connection_is_closed_after_an_answer_that_says_so() -> None:
     stage = Stage()
     stage.backend.serve = lambda visit, request: visit.send(
