Keep the gate of a sluice that is rolled open until shortly before its end

Now readiness falls at once, and the gate closes 0.8 s before clients have gone. What might not end within grace-period is refused with a proof, so nothing admitted late can be cut off.

--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -34,6 +34,7 @@
 
 COUNTERS_S = 10.0
 UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
+GATE_S = 0.8  # before that, the gate closes: what is at work behind it ends meanwhile
 END_S = 0.4  # before the end of `grace-period`
 CHECK_S = 0.1
 
@@ -133,11 +134,11 @@
         """Something is known of the backend: others are told if it matters to them."""
         gate = self.gate
         self.probe.look()
-        if gate.changes == self.told and not self.leaving:
+        if gate.changes == self.told and not self.inbound.leaving:
             return
         self.told = gate.changes
         say = gate.say()
-        if self.leaving and gate.state == READY:
+        if self.inbound.leaving and gate.state == READY:
             say["st"] = DRAINING
         if gate.state != self.said:
             self.said = gate.state
@@ -160,20 +161,33 @@
             call.answer(503, b"leaving" if self.leaving else b"no word yet")
 
     def terminate(self) -> None:
-        """SIGTERM: finish what is held, tell others, end when nothing is left."""
+        """SIGTERM: finish what is held, tell others, end when nothing is left.
+
+        Clients are sent elsewhere from now on; the backend behind the gate is needed until shortly before the
+        end, as a fleet that is rolled lacks each one for the time that its gate is closed.
+        """
         if self.leaving:
             return
         self.leaving = self.host.now()
         self.host.log("leaving")
-        self.inbound.leaving = True
+        self.inbound.end_at = self.leaving + self._grace()
         self.outbound.leave()
-        self._gate_changed()
+        self.host.after(max(0.0, self._quiet() - GATE_S), self._close_gate)
         self.host.after(CHECK_S, self._leave)
 
+    def _grace(self) -> float:
+        return self.settings.bound("grace-period", 5.0) - END_S
+
+    def _quiet(self) -> float:
+        return min(UNTIL_QUIET_S, self._grace() / 2)
+
+    def _close_gate(self) -> None:
+        self.inbound.leaving = True
+        self._gate_changed()
+
     def _leave(self) -> None:
-        since = self.host.now() - self.leaving
-        grace = self.settings.bound("grace-period", 5.0) - END_S
-        quiet = since >= min(UNTIL_QUIET_S, grace / 2)
+        since, grace = self.host.now() - self.leaving, self._grace()
+        quiet = since >= self._quiet()
         if quiet:
             self.outbound.settle()
         empty = not self.source.courses and not self.inbound.jobs and not self.outbound.guests
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -127,7 +127,7 @@
         inbound, ask = self.inbound, self.ask
         if self.until - now < LEAST_S:
             self.refuse(LATE, 0.0)
-        elif inbound.leaving and not ask.patience_s:
+        elif (inbound.leaving and not ask.patience_s) or self.until > inbound.end_at:
             self.refuse(LEAVING, LEAVING_S)
         else:
             refusal = inbound.gate.refusal(now, ask.service)
@@ -420,6 +420,7 @@
         self.refused: dict[int, int] = {}
         self.served = self.failed = self.cancelled = 0
         self.leaving = False
+        self.end_at = float("inf")  # when this process ends: what may take longer is not begun
         self.thawing = 0  # requests that wait for a cold backend
         self.link_bytes_s = float("inf")  # of this machine's link
         self.look: Timer | None = None
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -442,6 +442,9 @@
     stage.inbound.leaving = True
     assert stage.begin(ask())[1].events == [("fail", NOT_RUN, LEAVING, False)]
     stage.inbound.leaving = False
+    stage.inbound.end_at = stage.sluice.now() + 0.9  # the request may take 1.0 s
+    assert stage.begin(ask())[1].events == [("fail", NOT_RUN, LEAVING, False)]
+    stage.inbound.end_at = float("inf")
     stage.gate.beat(stage.sluice.now(), LIFE, 2, True, 4, 0.0)
     assert stage.begin(ask())[1].events == [("fail", NOT_RUN, DRAINING, False)]
     stage.run()
