Ask other zones once three backends of the own zone have turned a request away

Cause: a request asks six gates at most, and all six lay in the own zone while that listed a usable backend, so a full zone never spilled. Now the own zone counts as empty for a request that three of it have turned away; with nobody elsewhere it goes on at home.

--- a/honeywharf/policy/levels.py
+++ b/honeywharf/policy/levels.py
@@ -7,7 +7,10 @@
 
 Absence: after failures in a row (one refused connection, or two of any other kind) a backend counts as absent
 for a pause that doubles up to `LONGEST_S`; after it a single trial goes there, and one success brings it
-back. A level whose members are all absent or passed over is empty. Source: DESIGN and SYSTEM, "The design".
+back. A level whose members are all absent or passed over is empty, and so is the own zone for a request that
+`FULL_HOME` of its backends have turned away: traffic and backends do not lie over the zones in the same
+proportions, and a zone that is full must not spend all that one request may ask. Source: DESIGN and SYSTEM,
+"The design".
 """
 
 from __future__ import annotations
@@ -19,6 +22,7 @@
 DEAD_AFTER = 2  # failures in a row
 PAUSE_S, LONGEST_S = 0.4, 4.0  # the first absence, and the longest
 FULL_S, SPARED_S = 0.02, 0.3  # a backend that was full is asked again after the wait that it told, in between
+FULL_HOME = 3  # of the own zone that one request has asked in vain; then it asks every zone
 MOST = 8192  # backends of one service
 
 
@@ -67,13 +71,18 @@
         None where there is none; those that were full when last heard of may still be asked to let a request
         wait (`shortest`).
         """
-        usable = [t for t in self.targets.values() if t.usable and t.spared_until <= now
-                  and t.key not in passed and self._there(now, t)]
+        usable, asked_home = [], 0
+        for target in self.targets.values():
+            if target.key in passed:
+                asked_home += target.zone == self.zone
+            elif target.usable and target.spared_until <= now and self._there(now, target):
+                usable.append(target)
         home = [t for t in usable if t.zone == self.zone]
-        level = home or usable
+        away = [t for t in usable if t.zone != self.zone] if asked_home >= FULL_HOME else []
+        level = away or home or usable
         if not level:
             return None
-        self.depth = 0 if home else 1
+        self.depth = 0 if level is home else 1
         return self._take(level[int(self.draw() * len(level))])
 
     def shortest(self, now: float, passed: Container[str] = ()) -> str | None:
