--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -209,7 +209,7 @@
         inbound, ask = self.inbound, self.ask
         if self.until - now < LEAST_S:
             self.refuse(LATE, 0.0)
-        elif inbound.leaving and not ask.patience_s:
+        elif (inbound.leaving and not ask.patience_s) or self.until > inbound.end_at:
             self.refuse(LEAVING, LEAVING_S)
         else:
             refusal = inbound.gate.refusal(now, ask.service)
@@ -498,10 +498,11 @@
 class _User:
     """A job as a connection's user: a request's body and an answer's both come as `data`."""
 
-    __slots__ = ("answered", "attempt", "bodiless", "broken", "data", "drained", "ready", "whole")
+    __slots__ = ("answered", "attempt", "bodiless", "broken", "data", "drained", "method", "ready", "whole")
 
     def __init__(self, job: Job) -> None:
-        self.attempt, self.bodiless = job.attempt, job.ask.method == b"HEAD"
+        self.attempt, self.method = job.attempt, job.ask.method
+        self.bodiless = self.method == b"HEAD"
         self.ready, self.answered, self.data = job.ready, job.answered, job.answer_data
         self.whole, self.broken, self.drained = job.whole, job.broken, job.drained
 
@@ -515,6 +516,7 @@
         self.refused: dict[int, int] = {}
         self.served = self.failed = self.cancelled = 0
         self.leaving = False
+        self.end_at = float("inf")  # when this process ends: what may take longer is not begun
         self.thawing = 0  # requests that wait for a cold backend
         self.link_bytes_s = float("inf")  # of this machine's link
         self.intake = Intake()
