Keep for missing machines what they should have had, and hand it over

Cause: a node that comes back waited for its next digest to learn what it had missed. Change: cistern/ keeps names of changed entries and that the word changed, bounded by entries, bytes and time; the first watcher of each place hands them over at the first datagram.

--- /dev/null
+++ b/bench/cistern.py
@@ -0,0 +1,124 @@
+"""A node returns after a freeze, a cut or a restart: how soon it knows all, with the cistern and without.
+
+    python -m bench.cistern [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
+        [--hows freeze,cut,restart]
+
+In virtual time, with the real classes on the simulated network of three zones of tests/runnel/net.py. While
+one node is away, `changes` others change what they say, one of them settles a word, and one ends. Printed:
+seconds from the return until the node holds the newest entry of every live node (median, most), until it has
+heard of the word, until all hold it alive; bytes that all nodes sent in the first 2 s after the return, above
+those of 2 s without a return; names handed over. Status 1 where a node does not know all within 20 s.
+"""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import sys
+from collections.abc import Callable
+
+from honeywharf.runnel.society import Society
+from tests.runnel.net import Net, knows, sample
+
+HOWS = ("freeze", "cut", "restart")
+
+
+def main() -> int:
+    """Print a line for each size, kind and side."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--nodes", default="13,100,300")
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--away", type=float, default=6.0)
+    parser.add_argument("--changes", type=int, default=8)
+    parser.add_argument("--loss", type=float, default=0.02)
+    parser.add_argument("--hows", default=",".join(HOWS))
+    args = parser.parse_args()
+    late = 0
+    print("nodes  how      cistern   all known, s    word, s         held alive, s   bytes more  handed")
+    for nodes in [int(text) for text in args.nodes.split(",")]:
+        for how in args.hows.split(","):
+            for keeps in (False, True):
+                seeds = range(1, args.seeds + 1)
+                runs = [measure(nodes, seed, how, keeps, args) for seed in seeds]
+                late += sum(one["known"] >= 20.0 for one in runs)
+                spans = "  ".join(f"{statistics.median(one[name] for one in runs):6.3f}/"
+                                  f"{max(one[name] for one in runs):6.3f} "
+                                  for name in ("known", "word", "alive"))
+                more, handed = (statistics.mean(one[name] for one in runs) for name in ("bytes", "handed"))
+                print(f"{nodes:5}  {how:8} {'with' if keeps else 'without':8} {spans} {more:10.0f} "
+                      f"{handed:7.1f}", flush=True)
+    return 1 if late else 0
+
+
+def measure(nodes: int, seed: int, how: str, keeps: bool, args: argparse.Namespace) -> dict[str, float]:
+    """One return."""
+    net = Net(seed, nodes, args.loss)
+    net.start_all(0.5)
+    net.run(0.6)
+    net.run(30.0, net.all_know)
+    for society in net.live():
+        society.keeps = keeps
+    net.run(3.0)
+    gone = net.names[nodes // 2]
+    others = [name for name in net.names if name != gone]
+    back = leave(net, gone, how, others)
+    net.run(args.away / 2)
+    trouble(net, others, args.changes, seed)
+    net.run(args.away / 2)
+    quiet = sum(net.bytes.values())
+    net.run(2.0)
+    quiet = sum(net.bytes.values()) - quiet
+    begun, spent = net.now, sum(net.bytes.values())
+    back()
+    found = {"known": 20.0, "word": 20.0, "alive": 20.0}
+    heard: list[float] = []
+    net.societies[gone].on_word = lambda revision, _: heard.append(net.now)
+
+    def look() -> bool:
+        society = net.societies[gone]
+        truth = {one.news.me: one.news.table[one.news.me].version for one in net.live()}
+        if found["known"] == 20.0 and knows(society, truth):
+            found["known"] = net.now - begun
+        if found["alive"] == 20.0 and all(one.alive(gone) for one in net.live()):
+            found["alive"] = net.now - begun
+        return "bytes" in found and found["known"] < 20.0 and found["alive"] < 20.0 and bool(heard)
+
+    net.run(2.0, look)
+    found["bytes"] = sum(net.bytes.values()) - spent - quiet
+    net.run(18.0, look)
+    found["word"] = heard[0] - begun if heard else 20.0
+    found["handed"] = sum(one.cistern.tank.handed for one in net.live() if one.cistern is not None)
+    return found
+
+
+def leave(net: Net, gone: str, how: str, others: list[str]) -> Callable[[], object]:
+    """Have a node go; what brings it back."""
+    if how == "freeze":
+        net.machines[gone].frozen = True
+        return net.machines[gone].thaw
+    if how == "cut":
+        net.cut([gone], others)
+        return net.cuts.clear
+    net.kill(gone)
+    return lambda: restart(net, gone)
+
+
+def restart(net: Net, gone: str) -> Society:
+    """Start it anew, with a higher incarnation."""
+    return net.start(gone, 2, **sample(gone))
+
+
+def trouble(net: Net, others: list[str], changes: int, seed: int) -> None:
+    """Others change, one settles a word, one ends."""
+    chosen = net.rng.sample(others, min(changes + 1, len(others)))
+    for name in chosen[:-1]:
+        net.societies[name].tell(state="draining", turn=seed)
+    for society in net.live():
+        if society.news.me in others:
+            society.tell(rev=7)  # as if each had taken it
+    net.societies[chosen[0]].shout_word(7)
+    net.kill(chosen[-1])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/honeywharf/gauges/watch.py
+++ b/honeywharf/gauges/watch.py
@@ -41,7 +41,8 @@
 
     __slots__ = (
         "_against", "_doubts", "_due", "_entries", "_heard", "_heard_any", "_me", "_odd", "_patience",
-        "_unwell_until", "_zone", "down", "on_down", "on_refute", "on_up", "revision", "rings", "tell",
+        "_unwell_until", "_zone", "down", "missing", "on_down", "on_refute", "on_up", "revision", "rings",
+        "tell",
     )  # fmt: skip
 
     def __init__(self, me: str, zone: str, entries: Mapping[str, Entry]) -> None:
@@ -51,6 +52,7 @@
         self.rings = Rings()
         self.rings.add(me, zone)
         self.down: dict[str, float] = {}  # since when
+        self.missing: dict[str, float] = {}  # those watched that owe a sign, and when they last gave one
         self.on_down: Callable[[str], None] | None = None
         self.on_up: Callable[[str], None] | None = None
         self.on_refute: Callable[[], None] | None = None  # somebody doubts this node
@@ -75,6 +77,7 @@
         if node in self._heard:
             self._heard[node] = now
             self._patience.pop(node, None)
+            self.missing.pop(node, None)
 
     def beat(self) -> bytes:
         """What is sent to each watcher, and to who asks."""
@@ -105,8 +108,10 @@
                 self._heard[node] = now
             silent = now - self._heard.setdefault(node, now - ASKED if node in self.down else now)
             times = ELSEWHERE if node in far else 1.0
-            if silent > ASKED * times and node not in self.down:
-                asked.append(node)
+            if silent > ASKED * times:
+                self.missing.setdefault(node, now - silent)
+                if node not in self.down:
+                    asked.append(node)
             if silent > SILENT * times * self._patience.get(node, 1) and len(doubts) < DOUBTS:
                 entry = self._entries[node]
                 doubts[node] = (entry.incarnation, entry.number)
@@ -124,6 +129,12 @@
         for node in [node for node in self._heard if node not in kept]:
             del self._heard[node]
             self._patience.pop(node, None)
+            self.missing.pop(node, None)
+
+    def first(self, node: str, zone: str) -> bool:
+        """Whether this one is the first of a node's live watchers in its own zone, or the first elsewhere."""
+        near, far = self.rings.watchers(node, zone)
+        return self._me in near[:1] + far[:1]
 
     def _own(self, now: float, doubts: dict[str, tuple[int, int]]) -> None:
         self._count(self._me, self._doubts, doubts)
@@ -147,6 +158,7 @@
 
     def _gone(self, node: str) -> None:
         self.rings.remove(node)
+        self.missing.pop(node, None)
         self.down.pop(node, None)
         self._against.pop(node, None)
 
--- a/honeywharf/runnel/society.py
+++ b/honeywharf/runnel/society.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from honeywharf.cistern.news import NewsTank
     from honeywharf.mains.host import Address, Host, Timer
     from honeywharf.runnel.entry import Entry
 
@@ -43,8 +44,8 @@
     """
 
     __slots__ = (
-        "_host", "_port", "_stopped", "_timer", "_timer_at", "news", "on_change", "on_down", "on_up",
-        "on_word", "watch",
+        "_host", "_port", "_stopped", "_timer", "_timer_at", "cistern", "keeps", "news", "on_change",
+        "on_down", "on_up", "on_word", "watch",
     )  # fmt: skip
 
     def __init__(
@@ -61,6 +62,8 @@
         self._host = host
         self._port = port
         self._stopped = False
+        self.cistern: NewsTank | None = None  # for the missing ones that this node watches, once one was
+        self.keeps = True  # False: leave it to the digests
         self.on_change: Callable[[str, Entry | None, Entry | None], None] | None = None
         self.on_word: Callable[[int, str], None] | None = None
         self.on_down: Callable[[str], None] | None = None
@@ -114,6 +117,8 @@
             return
         now = self._host.now()
         self.watch.heard(now, sender[0])
+        if self.cistern is not None and sender[0] in self.cistern:
+            self._send(self._hand_over(sender[0]))
         kind = data[:1]
         if kind == BEAT and len(data) <= 8:
             self.news.holds(sender[0], int.from_bytes(data[1:], "big"))
@@ -130,6 +135,8 @@
         self.watch.revision = self.news.revision
         self._send(self.watch.tick(now))
         self._send(self.news.tick(now))
+        if self.watch.missing or self.cistern is not None:
+            self._keep(now)
         self._timer_at = self._next(now)
         self._timer = self._host.after(max(SOONEST, self._timer_at - now), self._tick)
 
@@ -148,10 +155,37 @@
         for node, data in sent:
             self._host.send_datagram((node, self._port), data)
 
+    # For those who are missing.
+
+    def _keep(self, now: float) -> None:
+        """Keep what the missing ones should have."""
+        if self.cistern is None:
+            if not self.keeps:
+                return
+            from honeywharf.cistern.news import NewsTank  # most nodes are never missed by this one
+
+            self.cistern = NewsTank(self._host.log)
+        table = self.news.table
+        self.cistern.look(now, self.watch.missing, self.news.revision, (
+            (node, entry.received_at, len(entry.pack(0))) for node, entry in table.items()))
+
+    def _hand_over(self, node: str) -> list[tuple[str, bytes]]:
+        """It is heard again: what it should have had, if this one is to tell; before its first digest."""
+        assert self.cistern is not None
+        names, word = self.cistern.returned(node, self.news.revision)
+        entry = self.news.table.get(node)
+        if entry is None or not self.watch.first(node, entry.zone):
+            return []
+        return self.news.handed(node, names, word)
+
     # From the rules.
 
     def _changed(self, node: str, entry: Entry | None, old: Entry | None) -> None:
         self.watch.changed(self._host.now(), node, entry, old)
+        if self.cistern is not None and entry is not None:
+            if old is None or old.incarnation != entry.incarnation:
+                self.cistern.renewed(node)
+            self.cistern.changed(node, len(entry.pack(0)))
         if self.on_change:
             self.on_change(node, entry, old)
 
--- a/honeywharf/runnel/table.py
+++ b/honeywharf/runnel/table.py
@@ -483,6 +483,13 @@
         packed = [entry.pack(hop) for entry in entries]
         return [(to, data) for data in datagrams(RUMOUR, packed, MENDED)]
 
+    def handed(self, node: str, names: Iterable[str], word: bool) -> Sent:
+        """What a node that was missing should have had: entries by name, and that there is a newer word."""
+        out = self._mend(node, [self.table[name] for name in names if name in self.table and name != node])
+        if word:
+            out.append((node, WORD + msgpack.packb((self.revision, key_of(self.me)))))
+        return out
+
     # Peers.
 
     def _peers(self) -> bool:
--- a/tests/runnel/net.py
+++ b/tests/runnel/net.py
@@ -70,6 +70,9 @@
     def random(self, size: int) -> bytes:
         return self.net.rng.randbytes(size)
 
+    def log(self, line: str) -> None:
+        self.net.lines.append(f"{self.ip} {line}")
+
 
 class Net:
     """`nodes` machines, of which the first three are seeds, one in each zone."""
@@ -83,6 +86,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.bytes = {"within": 0, "between": 0}
         self.sent = 0
+        self.lines: list[str] = []
         self.machines: dict[str, Machine] = {}
         self.societies: dict[str, Society] = {}
         self.seen: dict[tuple[str, str], tuple[tuple[int, int, bool], float]] = {}
