Put the roster's upkeep and standing aside under leases of a majority

Cause: any member might judge a silent one at the same moment, and two sluices that can't heal might take the last place to stand aside at once, as each judged by its own news. Change: stopcock/ grants named places for a term by a majority of the roster; a holder stops before the end; a grantor that started, or has a new roster, waits a term. Reservoirs hand the word to members that return. mesh duties shows votes and cistern. A round of the register at once on return was tried and dropped: it hid disks that had gone back.

--- a/honeywharf/assay/states.py
+++ b/honeywharf/assay/states.py
@@ -8,7 +8,8 @@
     quarantined    -"-      -"-       healed   -"-       quarantined   -
     healed         healed   applying  healed   doubted   -             agreed
 
-`*` only where the zone has room: at most `SHARE` of its proxies, and no half of all, stand aside at once.
+`*` only where the zone has room: at most `SHARE` of its proxies, and no half of all, stand aside at once; a
+majority of the reservoirs gives leave for each (`stopcock/`), so that two do not take the last place at once.
 Without room a node stays doubted and refuses request by request, what its two readings disagree on. A doubted
 node refuses `mutating` and `upload` with a time to come back and serves reads that both readings agree on; a
 quarantined one is not ready too. What is not in the table raises.
@@ -76,6 +77,16 @@
         return min(most, first * float(1 << min(self.tries, 8)))
 
 
+def zone_places(nodes: int) -> int:
+    """How many of a zone's nodes may stand aside at once."""
+    return max(1, int(SHARE * nodes))
+
+
+def all_places(nodes: int) -> int:
+    """How many of all nodes may stand aside at once: no half of them."""
+    return (max(3, nodes) - 1) // 2
+
+
 def room(aside: int, zone: int, aside_all: int, all_nodes: int) -> bool:
     """Whether one more node of a zone may stand aside. Counts are of nodes, without the one that asks."""
-    return aside < max(1, int(SHARE * zone)) and 2 * (aside_all + 1) < max(3, all_nodes)
+    return aside < zone_places(zone) and aside_all < all_places(all_nodes)
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -52,6 +52,8 @@
 MOST_SLIPS = 16  # told to who asks
 MOST_TEXT = 80 << 20
 MOST_WORDS = 160  # characters of a slip's cause
+STAND_AGAIN_S = 5.0  # after leave was refused, until it is asked for again
+MOST_PLACES = 8  # places to stand aside at that are tried, in the zone and of all
 
 
 def text_of(packed: bytes, digest: str) -> bytes:
@@ -96,6 +98,9 @@
         self.bounds: tuple[object, ...] = ()  # at the backend, as the word in force gave them
         self.unsure = False  # no reservoir has told this word since it was taken over
         self.rebuilding = self.renewing = self.asking = self.standing = False
+        self.leave: Any = None  # to stand aside: an `Errand`, once it was wanted
+        self.grudged = 0  # times that no majority gave leave
+        self.grudged_at = now - STAND_AGAIN_S
         self.courses: list[Course] = []  # that wait for a renewal, to decide again
         self.jobs: list[Job] = []  # that wait for news of the word
         self.caught: dict[str, int] = {}
@@ -123,7 +128,7 @@
             route = self.word.find(host, path)
             if not self._agree(host, path, route):
                 return route, self._refuse()
-        if self.standing and route is not None and not route.repeatable:
+        if self.standing and route is not None and not route.repeatable and self._refuses():
             return route, self._refuse()
         return route, 0.0
 
@@ -219,7 +224,7 @@
         host, path = judge.host_of(ask.fields), ask.target.partition(b"?")[0]
         route = self.word.find(host, path)
         strict = ask.kind != 0 or (route is not None and not route.repeatable)
-        if strict and self.standing:
+        if strict and self.standing and self._refuses():
             return self._refuse_job(job, self.state.again_s())
         if strict and self.judging and not asked and now - self.ticked > GAP_S:
             return self._hold(job, None)
@@ -458,19 +463,65 @@
 
     def _event(self, event: int, why: str) -> None:
         before = self.state.at
-        room = event == states.VAIN and self._room()
+        room = event == states.VAIN and self.leave is not None and bool(self.leave.holds())
         if self.state.event(self.host.now(), event, why, room):
             self.host.log(f"assay: {states.NAMES[before]} -> {states.NAMES[self.state.at]}"
                           f"{': ' + why if why else ''}")
         if not self.state.aside and self.standing:
-            self.standing = False
-            self.sluice.society.tell(q=0)
+            self._step_back()
+
+    # Standing aside.
 
     def stand(self) -> None:
-        """Refuse what must not run twice until healed, if there is room for one more that does."""
-        if not self.standing and self._room():
-            self.standing = True
+        """Refuse what must not run twice until healed, if there is room for one more that does.
+
+        A majority of the reservoirs gives leave; until it has (0.3 s at most) this node refuses too.
+        """
+        if self.standing or self.host.now() - self.grudged_at < STAND_AGAIN_S or not self._room():
+            return
+        from honeywharf.stopcock.errand import Errand  # wanted by none but a node that can't heal itself
+
+        self.standing = True
+        ip, zone = self.sluice.settings.ip, self.sluice.settings.zone
+        nodes, zones = self._nodes_here()
+        self.leave = Errand(
+            self.host, self.sluice.caller.call, self._roster, f"{ip}/{self.host.random(6).hex()}",
+            [self._places(zone, states.zone_places(zones)), self._places("", states.all_places(nodes))],
+            self._step_back)
+        self.leave.begin(self._may_stand)
+
+    def _places(self, scope: str, many: int) -> list[tuple[str, str, int]]:
+        """Places to try, from one at random on, so that two who ask at once try different ones."""
+        first = self.host.random(1)[0] % many
+        return [("aside", scope, (first + at) % many) for at in range(min(many, MOST_PLACES))]
+
+    def _roster(self) -> tuple[int, list[tuple[str, str]]]:
+        value = self.word.value
+        return value.get("epoch", 0), [(one[0], one[1]) for one in value.get("roster", ())]
+
+    def _may_stand(self, granted: bool) -> None:
+        if granted and self.state.aside:
             self.sluice.society.tell(q=1)
+            return
+        if not granted:
+            self.grudged, self.grudged_at = self.grudged + 1, self.host.now()
+        self._step_back()
+
+    def _step_back(self) -> None:
+        """Healed, without leave, or it has ended: refuse request by request at most."""
+        self.standing = False
+        self.leave.end()
+        self.sluice.society.tell(q=0)
+
+    def _refuses(self) -> bool:
+        """Whether it may refuse now: a process that stood still finds that its leave has ended."""
+        return bool(self.leave.asking or self.leave.holds())
+
+    def _nodes_here(self) -> tuple[int, int]:
+        """Sluices that news tell of, this one too: all, and of the own zone."""
+        zones = [entry.zone for node, entry in self.sluice.society.entries().items()
+                 if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")]
+        return len(zones) + 1, zones.count(self.sluice.settings.zone) + 1
 
     def _room(self) -> bool:
         entries = [entry for node, entry in self.sluice.society.entries().items()
@@ -527,6 +578,7 @@
     def _again(self) -> None:
         self.asking = False
         if self.state.aside:
+            self.stand()  # leave may be had by now
             self.host.after(self.state.again_s(), self.renew)
 
     def _read_back(self, core: Address, value: Any) -> None:
@@ -570,7 +622,7 @@
     @property
     def unfit(self) -> bool:
         """Whether this node is not ready: it cannot heal."""
-        return self.state.at == states.QUARANTINED
+        return self.state.at == states.QUARANTINED and self.leave is not None and bool(self.leave.holds())
 
     def _tell(self, by: str, what: str) -> None:
         """Tell the reservoirs of a slip, for their histories; a flood of slips tells no more than one."""
@@ -591,7 +643,7 @@
             "revision": word.revision, "version": f"r{word.version}", "digest": word.digest,
             "root": digests.root(live).hex(), "branches": {name: live[name].hex() for name in live},
             "caught": dict(self.caught), "refused": self.refused, "changes": state.changes,
-            "slips": self.slips, "standing": self.standing}
+            "slips": self.slips, "standing": self.standing, "leave-refused": self.grudged}
 
     def methods(self) -> dict[str, Any]:
         """What others may call."""
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import http.client
+import json
 import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Any
 from urllib.parse import quote, urlsplit
 
 import cappa
@@ -171,13 +172,42 @@
         return _order(self.address, self.zone, "complete", self.within)
 
 
+@cappa.command(name="duties", help="Tell who holds which duty, by one reservoir's votes, and its cistern.")
+@dataclass
+class Duties:
+    """`mesh duties ADDRESS`."""
+
+    address: At
+    within: Within = 5.0
+
+    def __call__(self) -> int:
+        """Exit status."""
+        status, body = call(self.address, "GET", "/api/duties", b"", self.within)
+        if status != 200:
+            raise WrongError(f"no duties: {status} {body[:200].decode('utf-8', 'backslashreplace')}")
+        for line in duties(json.loads(body)):
+            print(line)
+        return 0
+
+
+def duties(found: dict[str, Any]) -> Iterator[str]:
+    """A reservoir's view of duties, a line each."""
+    waits = f", grants no {' and no '.join(found['waits'])} yet" if found["waits"] else ""
+    yield f"{found['node']}: roster {found['roster']}{waits}"
+    for kind, scope, place, holder, number, left in found["votes"]:
+        yield f"vote {kind} {scope or 'all'} {place}: {holder}, number {number}, {left:.2f} s left"
+    for name in ("refused", "upkeep", "cistern"):
+        yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(found[name].items())) or "none")
+
+
 @cappa.command(name="honeywharf mesh", help="Check files of the mesh, and give a running mesh its orders.")
 @dataclass
 class Mesh:
     """`honeywharf mesh ...`."""
 
     command: cappa.Subcommands[
-        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate]
+        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate
+        | Duties]
     verbose: Annotated[bool, cappa.Arg(short=True, long=True, propagate=True, help="Log each call.")] = False
 
 
--- /dev/null
+++ b/honeywharf/programs/duties.py
@@ -0,0 +1,129 @@
+"""Leases in a reservoir: its votes, its own duty (the roster's upkeep), and the operators' view of both."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+from honeywharf.assay import states
+from honeywharf.reservoir import word
+from honeywharf.stopcock.errand import Errand
+from honeywharf.stopcock.grants import ROSTER, Grantor
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from honeywharf.mains.calls import Reply
+    from honeywharf.mains.host import Address
+    from honeywharf.programs.reservoir import Reservoir
+    from honeywharf.reservoir.operator import Asked
+
+UPKEEP = ("upkeep", "", 0)
+
+
+class Duties:
+    """See the module. It is the basin's `duty`: leave to take members out of the roster."""
+
+    def __init__(self, program: Reservoir) -> None:
+        self.program, self.host, self.basin = program, program.host, program.basin
+        self.grantor = Grantor(self.host.now(), self.places)
+        self.holder = f"{self.basin.here}/{self.host.random(6).hex()}"
+        self.errand: Errand | None = None
+        self.done = {"granted": 0, "refused": 0, "lost": 0}  # upkeep wanted here
+        self.basin.duty = self
+        self.basin.methods["stopcock.ask"] = self._ask
+        self.basin.methods["stopcock.free"] = self._free
+        program.operator.tree.add("GET", "/api/duties", self._view)
+
+    # Votes.
+
+    def places(self, kind: str, scope: str) -> int:
+        """How many may do a duty at once, by the sluices that news tell of here."""
+        if kind == "upkeep":
+            return int(scope == "")
+        society = self.program.society
+        zones = [] if society is None else [
+            entry.zone for entry in society.entries().values()
+            if entry.say is not None and entry.say.get("s")]
+        return states.zone_places(zones.count(scope)) if scope else states.all_places(len(zones))
+
+    def _ask(self, args: Any, reply: Reply, peer: Address) -> None:
+        kind, scope, place, holder, number, epoch, disk = args
+        _checked((kind, scope, holder, disk), (place, number, epoch))
+        state = self.basin.state
+        if disk != state.disk or not self.basin.member():
+            reply([ROSTER, 0])  # whoever asks means another one
+            return
+        accepted = state.value["epoch"] if state.value is not None else 0
+        now = self.host.now()
+        self.grantor.roster(now, state.epoch, accepted)
+        reply(list(self.grantor.ask(now, (kind, scope, place), holder, number, epoch)))
+
+    def _free(self, args: Any, reply: Reply, peer: Address) -> None:
+        kind, scope, place, holder, number, disk = args
+        _checked((kind, scope, holder, disk), (place, number))
+        if disk == self.basin.state.disk:
+            self.grantor.free((kind, scope, place), holder, number)
+        reply(True)
+
+    # Upkeep.
+
+    def _call(self, to: Address, method: str, args: Any, within: float, done: Callable[[Any], None]) -> None:
+        """As a caller does, but to this machine without a connection."""
+        if to == self.program.here:
+            self.host.after(0.0, lambda: self.basin.methods[method](args, done, to))
+        else:
+            self.program.caller.call(to, method, args, within, done)
+
+    def begin(self, go: Callable[[bool], None]) -> None:
+        """Ask for leave; False at once while there is another such errand."""
+        if self.errand is not None:
+            go(False)
+            return
+        state = self.basin.state
+        self.errand = Errand(self.host, self._call, lambda: (state.epoch, word.keys(state.roster)),
+                             self.holder, [[UPKEEP]], self._lost)
+        self.errand.begin(partial(self._answered, go))
+
+    def _answered(self, go: Callable[[bool], None], granted: bool) -> None:
+        self.done["granted" if granted else "refused"] += 1
+        if granted and self.errand is not None:
+            self.host.log(f"duties: upkeep of the roster is ours, number {self.errand.numbers()[0]}")
+        else:
+            self.errand = None
+        go(granted)
+
+    def _lost(self) -> None:
+        self.done["lost"] += 1
+
+    def holds(self) -> bool:
+        """Whether there is leave now."""
+        return self.errand is not None and self.errand.holds()
+
+    def end(self) -> None:
+        """Give it back."""
+        errand, self.errand = self.errand, None
+        if errand is not None:
+            errand.end()
+
+    # The operators' view.
+
+    def view(self) -> dict[str, Any]:
+        """Votes that are out, refusals, what was wanted here."""
+        now = self.host.now()
+        waits = [kind for kind in ("upkeep", "aside") if self.grantor.waits(now, kind)]
+        return {"node": self.basin.here, "roster": self.basin.state.epoch, "votes": self.grantor.view(now),
+                "refused": self.grantor.refused, "waits": waits,
+                "upkeep": {**self.done, "held": self.holds()}, "cistern": self.program.handing.view()}
+
+    def _view(self, call: Asked) -> None:
+        self.program.operator.answered(call, 200, json.dumps(self.view()).encode())
+
+
+def _checked(texts: tuple[object, ...], numbers: tuple[object, ...]) -> None:
+    """ValueError where a call holds something else."""
+    if not all(isinstance(one, str) and len(one) <= 200 for one in texts):
+        raise ValueError("found something else, wanted names")
+    if not all(type(one) is int for one in numbers):
+        raise ValueError("found something else, wanted numbers")
--- /dev/null
+++ b/honeywharf/programs/handing.py
@@ -0,0 +1,91 @@
+"""The cistern of a reservoir: what a silent member should have accepted, kept here and handed over on return.
+
+Who keeps: the members that stand after the missing one on the ring, `KEEPERS` of them. Kept is that the word
+has changed; handed over is the newest settled value, which names its text. The member knows it then at once,
+and fetches the text, instead of after its own first beat. Its vote is not touched: it goes on to accept what
+it missed by a round of its own after some beats (`Basin._compare`). A round at once was tried and dropped: a
+register whose disk has gone back was then mended before its peers had told three beats of it (`assay`).
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from honeywharf.cistern.tank import Tank
+from honeywharf.gauges.ring import Ring
+from honeywharf.reservoir import word
+from honeywharf.reservoir.basin import SILENT, WITHIN, address
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from honeywharf.mains.calls import Reply
+    from honeywharf.mains.host import Address
+    from honeywharf.programs.reservoir import Reservoir
+    from honeywharf.reservoir.word import Key, Value
+
+KEEPERS = 2
+LOOK_S = 0.3  # between looks at who is silent
+VALUE = 512  # bytes that a value takes, nearly
+
+
+class Handing:
+    """See the module. `kept` is switched off to measure what it brings."""
+
+    def __init__(self, program: Reservoir) -> None:
+        self.program, self.host, self.basin = program, program.host, program.basin
+        self.tank = Tank(self.host.log)
+        self.kept = True
+        self.taken = 0  # values that were news to this one, on its own return
+        self.basin.on_return = self._returned
+        self.basin.methods["cistern.hand"] = self._handed
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.host.after(LOOK_S, self._look)
+
+    def keeps(self, where: str) -> bool:
+        """Whether this one keeps for a member, by its address."""
+        ring = Ring()
+        for member, _ in word.keys(self.basin.state.roster):
+            ring.add(member)
+        return self.basin.here in ring.after(where, KEEPERS)
+
+    def _look(self) -> None:
+        now = self.host.now()
+        self.host.after(LOOK_S, self._look)
+        self.tank.sweep(now)
+        silent = [key[0] for key in self.basin.silent(SILENT)]
+        for where in [one for one in self.tank.held if one not in silent]:
+            self.tank.drop(where)  # it is not in the roster any more
+        for where in silent:
+            wanted = self.kept and where not in self.tank.held and self.keeps(where)
+            if wanted and self.tank.missing(where, now):
+                self._keep([where])
+
+    def word(self, value: Value) -> None:
+        """A newer word is in force: those who are missing should have had it."""
+        self._keep(self.tank.held)
+
+    def _keep(self, members: Iterable[str]) -> None:
+        value = self.basin.known
+        if value is not None:
+            self.tank.keep("word", VALUE + len(value["digest"]), members)
+
+    def _returned(self, key: Key) -> None:
+        """It is heard again: at once, before its own beats ask."""
+        if self.tank.returned(key[0]) and self.basin.known is not None:
+            self.program.caller.call(
+                address(key[0]), "cistern.hand", self.basin.known, WITHIN, lambda answer: None)
+
+    def _handed(self, args: Any, reply: Reply, peer: Address) -> None:
+        """What this one should have had while it was away."""
+        self.taken += self.basin.known is None or args["rev"] > self.basin.known["rev"]
+        self.basin.take(args)
+        reply(True)
+
+    def view(self) -> dict[str, Any]:
+        """Figures for operators."""
+        tank = self.tank
+        return {"missing": len(tank.held), "entries": tank.all_entries, "bytes": tank.all_bytes,
+                "handed": tank.handed, "spilled": tank.spilled, "stale": tank.stale, "taken": self.taken}
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -12,6 +12,8 @@
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Door
 from honeywharf.mains.host import Address, Host
+from honeywharf.programs.duties import Duties
+from honeywharf.programs.handing import Handing
 from honeywharf.reservoir.basin import Basin
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.store import Store
@@ -43,6 +45,8 @@
         self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
         self.gather = Gather(self)
+        self.duties = Duties(self)
+        self.handing = Handing(self)
         self._begin()
 
     def _begin(self) -> None:
@@ -57,6 +61,7 @@
             return
         settings, host = self.settings, self.host
         self.gather.start()
+        self.handing.start()
         self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
         self.society = Society(
             host, settings.ip, settings.ports[0], settings.zone, [ip for ip, _ in settings.seeds],
@@ -72,6 +77,7 @@
         """There is a newer word, and its text is here."""
         self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
         self.gather.word(value)
+        self.handing.word(value)
         if self.society is not None:
             self.society.shout_word(value["rev"])
 
--- a/honeywharf/reservoir/basin.py
+++ b/honeywharf/reservoir/basin.py
@@ -4,7 +4,8 @@
 likewise. Nothing is answered to a peer before what it promises is synced. Members call one another every
 `BEAT` seconds, which tells who is silent, who knows a newer decided roster or word, and who has not accepted
 what others have: such a one has a round of its own that changes nothing, and so brings itself up to date.
-Who is not in the roster asks a member to be admitted.
+Who is not in the roster asks a member to be admitted. To take a silent member out, or its place, wants leave
+(`duty`), so that two do not judge at once; the register is as safe without it.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Protocol
 
 from honeywharf.mains.calls import Caller
 from honeywharf.mains.host import Address, Host
@@ -54,6 +55,34 @@
     return ip, int(port)
 
 
+class Duty(Protocol):
+    """Leave to take members out of the roster, which one has at a time. None is needed for what is safe."""
+
+    def begin(self, go: Callable[[bool], None]) -> None:
+        """Ask for leave; `go` is told once, now or later. False at once while it is asked for or held."""
+
+    def holds(self) -> bool:
+        """Whether there is leave now."""
+
+    def end(self) -> None:
+        """Give it back."""
+
+
+class Anybody:
+    """The duty of who is alone: always granted."""
+
+    def begin(self, go: Callable[[bool], None]) -> None:
+        """Granted."""
+        go(True)
+
+    def holds(self) -> bool:
+        """Always."""
+        return True
+
+    def end(self) -> None:
+        """Nothing to give back."""
+
+
 class Waiting:
     """Somebody who waits for a round or a survey: told once, with its result or at the deadline."""
 
@@ -100,6 +129,8 @@
         self.ahead = NONE  # the highest ballot that another says it has accepted
         self.behind = 0  # beats in a row at which that was above our own
         self.on_beat: Callable[[Key, tuple[Any, ...]], None] = lambda key, accepted: None
+        self.on_return: Callable[[Key], None] = lambda key: None  # a silent member is heard again
+        self.duty: Duty = Anybody()
         self.announced = -1  # revision that `on_word` was told
         self.methods: dict[str, Method] = {
             "register.ask": self._asked, "register.learn": self._learn, "register.roster": self._roster,
@@ -409,18 +440,21 @@
 
     def _learn(self, args: Any, reply: Reply, peer: Address) -> None:
         """A value is in force, says who settled it."""
-        self._decided(args["epoch"], args["roster"])
-        self._know(args)
+        self.take(args)
         reply(True)
 
+    def take(self, value: Value) -> None:
+        """A value is in force, says a peer."""
+        self._decided(value["epoch"], value["roster"])
+        self._know(value)
+
     def learn_from(self, source: Address) -> None:
         """Ask somebody for the word that it knows, and take it over where it is newer."""
         self.caller.call(source, "word.known", None, WITHIN, self._learnt)
 
     def _learnt(self, value: Value | None) -> None:
         if value is not None:
-            self._decided(value["epoch"], value["roster"])
-            self._know(value)
+            self.take(value)
 
     def _read_for(self, args: Any, reply: Reply, peer: Address) -> None:
         self.read(0.8, reply)
@@ -481,10 +515,13 @@
 
     def _hear(self, key: Key | None) -> None:
         if key is not None:
+            returned = key in self.silent(SILENT)
             if key not in self.heard and len(self.heard) >= MOST_HEARD:
                 members = word.keys(self.state.roster)
                 del self.heard[min(self.heard, key=lambda one: (one in members, self.heard[one]))]
             self.heard[key] = self.host.now()
+            if returned:
+                self.on_return(key)
 
     def silent(self, span: float) -> list[Key]:
         """Members unheard for so long (s), while this one was well."""
@@ -499,7 +536,23 @@
         if len(members) <= wanted or not silent or self.round is not None:
             return
         if self.key == next((key for key in members if key not in silent), None):
-            self.submit(word.drop(silent), UPKEEP, lambda result, answer: None)
+            self._under_duty(word.drop(silent), lambda: None)
+
+    def _under_duty(self, change: Change, over: Callable[[], None]) -> None:
+        """Take members out, with leave; without it nothing is done, and who wants it asks again."""
+        epoch = self.state.epoch
+
+        def go(granted: bool) -> None:
+            if not granted:
+                over()
+                return
+            self.submit(word.fenced(change, epoch, self.duty.holds), UPKEEP - WITHIN, done)
+
+        def done(result: str, answer: Any) -> None:
+            self.duty.end()
+            over()
+
+        self.duty.begin(go)
 
     def _join(self, members: list[Key]) -> None:
         """Ask to be admitted, or first who the members are."""
@@ -529,8 +582,12 @@
                 not first and self._hesitant(where)):
             answer()
             return
-        change = word.admit(word.member(where, disk, zone, bool(first)), self.silent(SILENT))
-        self.submit(change, UPKEEP - WITHIN, lambda result, told: answer())
+        silent = self.silent(SILENT)
+        change = word.admit(word.member(where, disk, zone, bool(first)), silent)
+        if silent and not first and where not in [key[0] for key in word.keys(self.state.roster)]:
+            self._under_duty(change, answer)  # it may take a silent member's place
+        else:
+            self.submit(change, UPKEEP - WITHIN, lambda result, told: answer())
 
     def _hesitant(self, where: str) -> bool:
         """Whether somebody may be about to be held silent, so that a joiner had better come back."""
--- a/honeywharf/reservoir/word.py
+++ b/honeywharf/reservoir/word.py
@@ -124,6 +124,13 @@
     return change
 
 
+def fenced(change: Change, epoch: int, still: Callable[[], bool]) -> Change:
+    """A change that is made only to the roster it was judged by, and while its maker may still make it."""
+    def fence(value: Value) -> tuple[Value | None, Any]:
+        return change(value) if value["epoch"] == epoch and still() else (None, False)
+    return fence
+
+
 def together(changes: Sequence[Change]) -> Callable[[Value], tuple[Value | None, list[Any]]]:
     """Several changes as one, with an answer for each."""
     def change(value: Value) -> tuple[Value | None, list[Any]]:
--- /dev/null
+++ b/tests/stopcock/net.py
@@ -0,0 +1,212 @@
+"""Machines that grant and want duties: clocks that run apart and are set, freezes, cuts, starts, rosters."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from functools import partial
+from typing import Any, cast
+
+from honeywharf.mains.host import Address, Host
+from honeywharf.stopcock.errand import Errand
+from honeywharf.stopcock.grants import Grantor
+from honeywharf.stopcock.lease import RATE
+
+Key = tuple[str, str]  # address, disk
+
+PORT = 7620
+ROSTER_EVERY = (3.0, 8.0)  # seconds between changes of the roster
+PAUSE = (0.002, 0.04)  # seconds until a machine that was refused, or had the duty, wants it again
+
+
+class Due:
+    """A call that is due."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Node:
+    """One machine: its grantor, and its errand while it wants the duty."""
+
+    def __init__(self, net: Net, name: str) -> None:
+        self.net, self.name, self.key = net, name, (f"{name}:{PORT}", "disk")
+        self.rate = 1 + net.rng.choice((-RATE, RATE))
+        self.offset, self.step = net.rng.uniform(10.0, 900.0), 0.0
+        self.epoch = self.accepted = 1
+        self.life, self.frozen = 0, False
+        self.late: list[Callable[[], None]] = []
+        self.start()
+
+    def start(self) -> None:
+        self.life += 1
+        self.late = []
+        self.errand: Errand | None = None
+        self.grantor = Grantor(self.now(), lambda kind, scope: 1)
+        self.after(self.net.rng.uniform(0.0, 0.1), self.want)
+
+    # A host.
+
+    def now(self) -> float:
+        return self.offset + self.rate * self.net.time
+
+    def wall(self) -> float:
+        return 1.7e9 + self.step + self.net.time
+
+    def after(self, seconds: float, call: Callable[[], None]) -> Due:
+        due, life = Due(call), self.life
+        self.net.at(seconds / self.rate, lambda: self.run(
+            life, lambda: due.call() if due.call is not None else None))
+        return due
+
+    def run(self, life: int, call: Callable[[], None]) -> None:
+        if life == self.life:
+            if self.frozen:
+                self.late.append(lambda: self.run(life, call))
+            else:
+                call()
+
+    def thaw(self) -> None:
+        self.frozen = False
+        late, self.late = self.late, []
+        self.net.rng.shuffle(late)
+        for call in late:
+            call()
+
+    # The duty.
+
+    def want(self) -> None:
+        self.errand = Errand(cast("Host", self), self.call, self.roster, f"{self.name}/{self.life}",
+                             [[("upkeep", "", 0)]], self.over)
+        self.errand.begin(self.told)
+
+    def roster(self) -> tuple[int, Sequence[Key]]:
+        return self.epoch, self.net.rosters[self.epoch]
+
+    def told(self, granted: bool) -> None:
+        if granted:
+            assert self.errand is not None
+            self.net.granted.append((self.net.time, self.name, self.errand.numbers()[0]))
+            self.after(self.net.rng.uniform(0.0, 4.0), partial(self.give_back, self.errand))
+        else:
+            self.over()
+
+    def give_back(self, errand: Errand) -> None:
+        if self.errand is errand:
+            errand.end()
+            self.over()
+
+    def over(self) -> None:
+        self.errand = None
+        self.after(self.net.rng.uniform(*PAUSE), self.want)
+
+    def call(self, to: Address, method: str, args: Any, within: float, done: Callable[[Any], None]) -> None:
+        answered: list[bool] = []
+        life = self.life
+
+        def finish(answer: Any) -> None:
+            if not answered and life == self.life:  # a connection ends with its process
+                answered.append(True)
+                done(answer)
+
+        self.after(within, lambda: finish(None))
+        self.net.carry(self, self.net.nodes[to[0]], lambda there: there.take(method, args, lambda answer: (
+            self.net.carry(there, self, lambda here: finish(answer)))))
+
+    def take(self, method: str, args: Any, reply: Callable[[Any], None]) -> None:
+        if method == "stopcock.ask":
+            kind, scope, place, holder, number, epoch, _ = args
+            self.grantor.roster(self.now(), self.epoch, self.accepted)
+            reply(self.grantor.ask(self.now(), (kind, scope, place), holder, number, epoch))
+        else:
+            self.grantor.free((args[0], args[1], args[2]), args[3], args[4])
+
+    def holds(self) -> bool:
+        return not self.frozen and self.errand is not None and self.errand.holds()
+
+
+class Net:
+    """Five machines, three of them in the roster. `found` is what broke: when, and who held at once."""
+
+    def __init__(self, seed: int, steps: bool = True) -> None:
+        self.rng, self.time, self.order = random.Random(seed), 0.0, 0
+        self.steps = steps  # whether the time of day is set
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.granted: list[tuple[float, str, int]] = []
+        self.found: list[tuple[float, list[str]]] = []
+        self.nodes: dict[str, Node] = {}
+        for name in [f"10.0.0.{at}" for at in range(1, 6)]:
+            self.nodes[name] = Node(self, name)
+        self.rosters: dict[int, list[Key]] = {1: [self.nodes[name].key for name in list(self.nodes)[:3]]}
+        self.at(2.0, self.trouble)
+        self.at(3.0, self.another_roster)
+
+    def at(self, seconds: float, call: Callable[[], None]) -> None:
+        self.order += 1
+        heapq.heappush(self.events, (self.time + max(0.0, seconds), self.order, call))
+
+    def carry(self, one: Node, other: Node, do: Callable[[Node], None]) -> None:
+        if self.rng.random() < 0.01:
+            return
+        life = other.life
+        late = self.rng.uniform(0.2, 1.5) if self.rng.random() < 0.005 else 0.0
+        self.at(self.rng.uniform(0.0002, 0.002) + late, lambda: (
+            other.run(life, lambda: do(other)) if (one.name, other.name) not in self.cuts else None))
+
+    def trouble(self) -> None:
+        """One machine stands still, is cut off, starts anew, or has its time of day set."""
+        self.at(self.rng.uniform(0.1, 0.9), self.trouble)
+        node = self.rng.choice(list(self.nodes.values()))
+        kind = self.rng.choice(("freeze", "cut", "start", "wall"))
+        if self.rng.random() < 0.6:  # who has the duty
+            node = next((one for one in self.nodes.values() if one.holds()), node)
+        if kind == "freeze" and not node.frozen:
+            node.frozen = True
+            self.at(self.rng.uniform(0.05, 2.5), node.thaw)
+        elif kind == "cut":
+            pairs = {(a, b) for other in self.nodes for a, b in ((node.name, other), (other, node.name))
+                     if other != node.name and self.rng.random() < 0.8}
+            self.cuts |= pairs
+            self.at(self.rng.uniform(0.5, 2.5), lambda: self.cuts.difference_update(pairs))
+        elif kind == "start":
+            node.frozen = False
+            node.start()
+        elif self.steps:
+            node.step += self.rng.uniform(-500.0, 500.0)
+
+    def another_roster(self) -> None:
+        """A majority of the old roster accepts another one, which then is decided."""
+        self.at(self.rng.uniform(*ROSTER_EVERY), self.another_roster)
+        epoch = max(self.rosters)
+        old = self.rosters[epoch]
+        keys = [node.key for node in self.nodes.values()]
+        fresh = [key for key in keys if key not in old]
+        new = [*self.rng.sample(old, 2), self.rng.choice(fresh)]
+        self.rosters[epoch + 1] = new
+        accepting = {*self.rng.sample(old, 2), *self.rng.sample(new, 2)}
+        for node in self.nodes.values():
+            if node.key in accepting:
+                node.accepted = epoch + 1
+        for node in self.nodes.values():
+            late = 0.0 if self.rng.random() < 0.6 else self.rng.uniform(0.0, 2.0)
+            self.at(late, partial(self.learn, node, epoch + 1))
+
+    @staticmethod
+    def learn(node: Node, epoch: int) -> None:
+        node.epoch = max(node.epoch, epoch)
+        node.accepted = max(node.accepted, node.epoch)
+
+    def run(self, until: float) -> Net:
+        """Let time pass; after each step nobody may hold the duty beside another one."""
+        while self.events and self.events[0][0] <= until and not self.found:
+            self.time, _, call = heapq.heappop(self.events)
+            call()
+            holders = [node.name for node in self.nodes.values() if node.holds()]
+            if len(holders) > 1:
+                self.found.append((self.time, holders))
+        return self
--- /dev/null
+++ b/tests/stopcock/test_duties.py
@@ -0,0 +1,132 @@
+"""Leases in whole reservoirs and sluices: upkeep of the roster, and leave to stand aside."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, cast
+
+from honeywharf.assay import states
+from honeywharf.flume.slips import Trial
+from honeywharf.stopcock.grants import TERMS
+from tests.reservoir.town import Town
+
+
+def test_upkeep_of_the_roster_is_done_under_a_lease_and_given_back() -> None:
+    town = Town(4)
+    town.run(1.5)
+    town.world.machines["10.0.0.1"].off(power=True)
+    del town.world.machines["10.0.0.1"]
+    town.add("10.0.0.9")
+    town.run(4.0)
+    duties = [town.programs[ip].duties for ip in ("10.0.0.2", "10.0.0.3")]
+    assert town.programs["10.0.0.9"].basin.member()
+    assert sum(one.done["granted"] for one in duties) >= 1
+    assert [one.holds() for one in duties] == [False, False]
+    assert [one.grantor.view(town.world.time) for one in duties] == [[], []]
+
+
+def test_without_a_majority_no_upkeep_is_done_and_nobody_waits_for_it() -> None:
+    town = Town(5)
+    town.run(1.5)
+    for ip in ("10.0.0.1", "10.0.0.2"):
+        town.world.machines[ip].off(power=True)
+    town.add("10.0.0.9")
+    town.run(4.0)
+    duties = town.programs["10.0.0.3"].duties
+    assert duties.done["refused"] >= 1
+    assert duties.done["granted"] == 0
+    assert not duties.holds()
+    assert not town.programs["10.0.0.9"].basin.member()
+    town.world.machines["10.0.0.1"].on = False
+    town.start("10.0.0.1")
+    town.run(2.0 + TERMS["upkeep"])
+    taken = town.replace("10.0.0.3", 5, "five")
+    town.run(1.0)
+    assert taken.status == 200
+
+
+def test_an_operator_reads_duties_of_a_reservoir() -> None:
+    town = Town(6)
+    town.run(0.2)
+    program = town.programs["10.0.0.1"]
+    view = program.duties.view()
+    assert view["waits"] == ["upkeep", "aside"]
+    assert view["upkeep"] == {"granted": 0, "refused": 0, "lost": 0, "held": False}
+    assert json.loads(json.dumps(view)) == view
+    town.run(TERMS["aside"])
+    assert program.duties.view()["waits"] == []
+
+
+def test_calls_that_make_no_sense_are_no_votes() -> None:
+    town = Town(7)
+    town.run(1.5)
+    program = town.programs["10.0.0.1"]
+    for args in ([1, "", 0, "a", 5, 1, "first"], ["upkeep", "", "0", "a", 5, 1, "first"],
+                 ["upkeep", "", 0, "a" * 201, 5, 1, "first"], ["upkeep", "", 0, "a", True, 1, "first"]):
+        try:
+            program.basin.methods["stopcock.ask"](args, lambda answer: None, ("", 0))
+        except ValueError:
+            continue
+        raise AssertionError(f"{args} was taken")
+    told: list[Any] = []
+    program.basin.methods["stopcock.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
+    assert told == [["roster", 0]]
+
+
+def aside(trial: Trial) -> list[str]:
+    """Who stands aside by leave now."""
+    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides]
+    return [one.sluice.settings.ip for one in assays if one.leave is not None and one.leave.holds()]
+
+
+def play(trial: Trial, until: float) -> int:
+    """Have three of six slip for good at one moment; the most that stood aside by leave at once."""
+    trial.field.until = until
+    trial.world.run(9.0)
+    for side in trial.field.sides[:3]:
+        assay = cast(Any, side.proxy.program).assay
+        assay.rebuild = lambda: False
+        assay.slip("scan", "a build that cannot heal")
+    most = 0
+    while trial.world.now < until:
+        trial.world.run(trial.world.now + 0.01)
+        most = max(most, len(aside(trial)))
+    return most
+
+
+def test_three_that_slip_at_one_moment_do_not_all_stand_aside() -> None:
+    trial = Trial(11, "none", 0)
+    most = play(trial, 13.0)
+    assert 1 <= most <= states.all_places(len(trial.field.sides)) == 2
+
+
+def test_without_a_majority_nobody_stands_aside_for_longer_than_it_asks() -> None:
+    trial = Trial(12, "none", 0)
+    trial.world.run(8.5)
+    for core in trial.field.cores[:2]:
+        core.kept = False
+        core.machine.power_off()
+    assert play(trial, 13.0) == 0
+    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides[:3]]
+    assert sum(one.grudged for one in assays) >= 1
+    assert [one.standing for one in assays] == [False] * 3
+    assert not any(one.unfit for one in assays)
+
+
+def test_leave_that_has_ended_ends_the_refusals() -> None:
+    trial = Trial(13, "none", 0)
+    trial.field.until = 20.0
+    trial.world.run(9.0)
+    side = trial.field.sides[0]
+    assay = cast(Any, side.proxy.program).assay
+    assay.rebuild = lambda: False
+    assay.slip("scan", "a build that cannot heal")
+    trial.world.run(9.2)
+    assert assay.standing
+    assert assay.leave.holds()
+    for core in trial.field.cores:
+        core.freeze()
+    trial.world.run(9.2 + TERMS["aside"] + 0.4)
+    assert not assay.standing
+    assert not assay.leave.holds()
+    assert assay.state.aside, "it is doubted all the same"
--- a/tests/strainer/test_command.py
+++ b/tests/strainer/test_command.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import json
 import subprocess
 import sys
 import threading
@@ -175,6 +176,21 @@
     assert ("may be in force, or may not" in caplog.text) == (ends == 2)
 
 
+def test_duties_are_told_a_line_each(capsys: pytest.CaptureFixture[str]) -> None:
+    told = {"node": "10.1.0.1:7620", "roster": 2, "waits": ["aside"], "refused": {"held": 2},
+            "votes": [["aside", "tartu-saal", 0, "10.1.0.9/ab", 17, 1.25]], "cistern": {"missing": 1},
+            "upkeep": {"granted": 1, "held": False}}
+    with reservoir([(200, json.dumps(told).encode(), "")]) as (at, asked):
+        assert mesh.main(["duties", at]) == 0
+    assert asked == [("GET", "/api/duties", b"")]
+    assert capsys.readouterr().out.splitlines() == [
+        "10.1.0.1:7620: roster 2, grants no aside yet",
+        "vote aside tartu-saal 0: 10.1.0.9/ab, number 17, 1.25 s left",
+        "refused held=2", "upkeep granted=1 held=0", "cistern missing=1"]
+    with reservoir([(404, b"", "")]) as (at, _):
+        assert mesh.main(["duties", at]) == 2
+
+
 def test_describe_prints_the_bytes_as_they_came() -> None:
     with reservoir([(200, CONFIGURATION, "")]) as (at, asked):
         call = [sys.executable, "-m", "honeywharf", "mesh", "--verbose", "describe", at]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -41,19 +41,21 @@
     "verdict.py": (),
     "weir": ("weir",),
     "gauges": ("gauges", "runnel"),
-    "runnel": ("runnel", "gauges"),
+    "runnel": ("runnel", "cistern", "gauges"),
+    "cistern": ("cistern",),
+    "stopcock": ("stopcock", "mains"),
     "strainer": ("strainer",),
     "mains": ("mains", "codecs", "verdict"),
     "sluice": ("sluice", "codecs", "mains", "policy", "strainer", "verdict", "weir"),
     "reservoir": ("reservoir", "mains", "strainer"),
     "penstock": ("penstock", "mains", "verdict"),
-    "assay": ("assay", "strainer", "verdict"),
-    "programs": ("programs", "assay", "gauges", "mains", "penstock",
-                 "reservoir", "runnel", "sluice", "strainer",
+    "assay": ("assay", "stopcock", "strainer", "verdict"),
+    "programs": ("programs", "assay", "cistern", "gauges", "mains", "penstock",
+                 "reservoir", "runnel", "sluice", "stopcock", "strainer",
                  "verdict"),
     "flume": (
         "flume", "assay", "codecs", "gauges", "mains", "penstock", "programs", "reservoir", "runnel",
-        "sluice", "strainer", "verdict", "weir"),
+        "sluice", "stopcock", "strainer", "verdict", "weir"),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
 PURE = ("policy", "limits", "flow", "reports", "storms", "codecs", "service/life.py",
@@ -68,21 +70,23 @@
         "admin/protocol.py", "admin/views.py", "verdict.py", "weir", "gauges", "runnel", "strainer",
         "sluice", "reservoir", "programs/sluice.py", "programs/reservoir.py", "mains/host.py",
         "mains/frames.py", "mains/calls.py", "mains/streams.py", "mains/door.py", "mains/matchers.py",
-        "flume", "assay", "penstock")
+        "flume", "assay", "penstock", "stopcock", "cistern", "programs/duties.py",
+        "programs/handing.py")
 #: Rules of the mesh that know no host either: time and facts come as arguments.
 RULES = {
     "verdict.py": (), "weir": ("weir",), "policy/levels.py": (), "gauges/ring.py": (),
     "gauges/watch.py": ("gauges", "runnel"), "runnel/entry.py": (), "runnel/table.py": ("runnel",),
     "reservoir/register.py": ("reservoir",), "reservoir/word.py": ("reservoir",),
     "sluice/gate.py": ("verdict", "weir"), "assay/digests.py": (), "assay/second.py": ("assay",),
-    "assay/judge.py": (), "assay/states.py": (), "assay/scan.py": ("assay",), "strainer": ("strainer",),
+    "assay/judge.py": (), "assay/states.py": (), "assay/scan.py": ("assay",), "cistern": ("cistern",),
+    "stopcock/grants.py": (), "stopcock/lease.py": ("stopcock",), "strainer": ("strainer",),
     **{f"penstock/{name}.py": ("penstock", "verdict") for name in ("inlet", "outlet", "passage")},
 }
 #: What a sluice must not load: each of many processes pays for it in memory.
 HEAVY = {
     "absl", "asyncio", "attr", "attrs", "cappa", "dataclasses", "inspect", "jsonschema", "logging", "ssl",
     "threading", "hashlib", "honeywharf.policy.balancer",
-    "honeywharf.reservoir", "honeywharf.strainer.configuration"}
+    "honeywharf.reservoir", "honeywharf.cistern", "honeywharf.stopcock", "honeywharf.strainer.configuration"}
 IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
 
 
