--- a/honeywharf/assay/requests.py
+++ b/honeywharf/assay/requests.py
@@ -63,7 +63,7 @@
             route = self.word.find(host, path)
             if not self._agree(host, path, route):
                 return route, self._refuse()
-        if self.standing and route is not None and not route.repeatable:
+        if self.standing and route is not None and not route.repeatable and self._refuses():
             return route, self._refuse()
         return route, 0.0
 
@@ -161,7 +161,7 @@
         host, path = judge.host_of(ask.fields), ask.target.partition(b"?")[0]
         route = self.word.find(host, path)
         strict = ask.kind != 0 or (route is not None and not route.repeatable)
-        if strict and self.standing:
+        if strict and self.standing and self._refuses():
             return self._refuse_job(job, self.state.again_s())
         if strict and self.judging and not asked and now - self.ticked > GAP_S:
             return self._hold(job, None)
