--- a/honeywharf/flume/days.py
+++ b/honeywharf/flume/days.py
@@ -57,6 +57,7 @@
 
     def __init__(self, field: Field, faults: list[Fault]) -> None:
         self.field, self.world, self.book = field, field.world, field.book
+        self.leaving: set[Side] = set()  # those that leave for good, or have left
         self.counted_until = 0.0  # a counted machine is lost until then
         self.moves: dict[str, dict[str, int]] = {}
         self.world.at(2.0, self._change, 3000)
@@ -215,9 +216,15 @@
         """A backend drains and leaves, and its machine with it."""
         side = self._sides(chance, 0.1)[0]
         backend = side.life()
-        if backend is not None and backend.state == "ready":
+        if backend is not None and backend.state == "ready" and self._spare(side):
+            self.leaving.add(side)
             backend.leave(lambda: self._gone(side))
 
+    def _spare(self, side: Side) -> bool:
+        """Whether another machine that stays has the same service: without any, nothing could be served."""
+        return any(other.service == side.service for other in self.field.sides
+                   if other is not side and other not in self.leaving)
+
     def _gone(self, side: Side) -> None:
         side.backend.kept = side.clients.kept = side.proxy.kept = False
         side.backend.end()
@@ -232,8 +239,7 @@
         side = self._sides(chance, 0.1)[0]
         pause = self.book.bounds["address-reuse"]
         self._kill(side.proxy, True, pause)
-        services = [side.service for side in self.field.sides]
-        if services.count(side.service) > 1:
+        if self._spare(side):
             side.service = chance.choice([service for service in SERVICES if service != side.service])
 
     def cold_return(self, fault: Fault, chance: random.Random) -> None:
--- a/tests/flume/test_field.py
+++ b/tests/flume/test_field.py
@@ -4,9 +4,10 @@
 
 from collections import Counter
 
-from honeywharf.flume.days import Day
-from honeywharf.flume.field import ZONES, Field, Shape
+from honeywharf.flume.days import Day, Fault
+from honeywharf.flume.field import SERVICES, ZONES, Field, Shape
 from honeywharf.flume.run import real_reservoir, real_sluice
+from tests.flume.toymesh import toys
 
 
 def test_the_machines_of_a_shape_stand_where_they_are_told() -> None:
@@ -26,3 +27,14 @@
     asks = field.book.asks.values()
     assert (field.book.found, field.world.crashes) == ([], [])
     assert sum(ask.status == 200 for ask in asks) > 0.98 * len(asks) > 150
+
+
+def test_the_last_backend_of_a_service_stays() -> None:
+    for seed in range(3):
+        field = Field(seed, *toys(""), until=6.0)
+        kinds = ("scale_in", "replace_with_reuse")
+        Day(field, [Fault(6.0 + n, kinds[n % 2], "", 7 * seed + n) for n in range(14)])
+        field.world.run(30.0)
+        left = [side for side in field.sides if side.proxy.kept]
+        assert {side.service for side in left} == set(SERVICES), seed
+        assert len(left) < len(field.sides)
