--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -85,6 +85,7 @@
 def _aside() -> Route:
     """The rule of what is decided elsewhere: no service, one attempt, never repeated from here."""
     route = Route()
+    route.homes = ()
     route.name, route.host, route.prefix, route.kind = "aside", b"", b"", "mutating"
     route.timeout_s, route.aim_s, route.priority, route.attempts = 600.0, 1.0, 0, 1
     route.split = (("", 1.0),)
