--- a/tests/assay/test_hard.py
+++ b/tests/assay/test_hard.py
@@ -150,7 +150,7 @@
     before = program(second).source.handed
     trial.play(14.0)
     assay = program(second).assay
-    assert (assay.state.at, assay.standing, assay.unfit) == (states.DOUBTED, False, False)  # nobody gives leave
+    assert (assay.state.at, assay.standing, assay.unfit) == (states.DOUBTED, False, False)  # no leave
     assert program(second).source.handed > before
     asked = [ask for ask in trial.book.asks.values() if ask.machine == second.ip and ask.sent > 10.0]
     assert {ask.kind for ask in asked} == {"read_only", "mutating", "upload"}
