--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -1,7 +1,7 @@
 """Drains and kills of live gateways: on loopback with real processes, or a working day in virtual time.
 
     python -m bench.gateway [--drains 20] [--kills 20] [--rate 80] [--seed 1] [--sessions on|off|both]
-    python -m bench.gateway --flume [--days 5] [--seed 1] [--compare] [--plan bench/experiments/gateway.toml]
+    python -m bench.gateway --flume [--days 5] [--seed 1] [--compare] [--plan bench/days/gateway.toml]
     ... [--plot FOLDER]: an SVG of uploads by gateway for each run beside the text
 
 Loopback: two regions, two gateways each; the busiest gateway is drained and taken back, killed and started
@@ -145,7 +145,7 @@
     parser.add_argument("--sessions", choices=("on", "off", "both"), default="both")
     parser.add_argument("--flume", action="store_true", help="in virtual time")
     parser.add_argument("--compare", action="store_true", help="without lanes, without sessions too")
-    parser.add_argument("--plan", default="bench/experiments/gateway.toml")
+    parser.add_argument("--plan", default="bench/days/gateway.toml")
     parser.add_argument("--plot", default="", help="a folder for SVG files")
     chosen = parser.parse_args()
     (flume if chosen.flume else loopback)(chosen)
--- a/honeywharf/flume/shift.py
+++ b/honeywharf/flume/shift.py
@@ -2,7 +2,7 @@
 
 What is measured is what the machines' links and the distance cost: no processor is busy here, so the same
 seed gives the same figures on any machine. Shapes of traffic come from an experiment file
-(`bench/experiments/gateway.toml`), as `Plan` reads it.
+(`bench/days/gateway.toml`), as `Plan` reads it.
 """
 
 from __future__ import annotations
--- a/tests/penstock/test_shift.py
+++ b/tests/penstock/test_shift.py
@@ -12,7 +12,7 @@
 from honeywharf.flume.regions import UPLOAD
 from honeywharf.flume.shift import Plan, Shift, quantile
 
-FILE = Path(__file__).parents[2] / "bench" / "experiments" / "gateway.toml"
+FILE = Path(__file__).parents[2] / "bench" / "days" / "gateway.toml"
 
 
 def table(**fields: Any) -> dict[str, Any]:
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize(("ran", "why"), [(-1, FULL), (3, FULL), (NOT_RUN, -1), (NOT_RUN, len(WORDS))])
 def test_what_makes_no_sense_is_refused(ran: int, why: int) -> None:
-    with pytest.raises(ValueError, match="wanted 0 to 2 and 0 to 16"):
+    with pytest.raises(ValueError, match=f"wanted 0 to 2 and 0 to {len(WORDS) - 1}"):
         Verdict(ran, why)
 
 
