Open the contracts that the rare troubles ask for in copies

Asked with contracts left out one by one, the bench ties srv_grey, srv_lying_health and srv_flap to health and idle_race to pool; the copy opens both.

--- a/bench/all_troubles.py
+++ b/bench/all_troubles.py
@@ -4,8 +4,9 @@
 
 A site file names the troubles that its days are drawn from; any other may come as well. The copy keeps what
 the file lists and adds every kind below, so that `hunt` and `run ... mix` of the bench draw from all of them.
-The deployment's name changes too, and nothing else. The files that belong to a site (`.days`, `wire.json`)
-are copied beside it. OUT must hold "kinds" in its name and lie outside this repository.
+Kinds that ask for a contract which the deployment has not open come with that contract. The deployment's name
+changes too, and nothing else. The files that belong to a site (`.days`, `wire.json`) are copied beside it.
+OUT must hold "kinds" in its name and lie outside this repository.
 
 `--kinds FILE` compares the list with what the bench's `kinds` printed for the site, and refuses to write a
 copy that would miss a kind. `--extra-only` leaves out what the site file lists itself, so that a short hunt
@@ -45,6 +46,15 @@
 light = false
 """
 
+# Kinds that the bench plays only where a contract is open.
+CONTRACTS: Mapping[str, str] = {
+    "srv_grey": "health",
+    "srv_lying_health": "health",
+    "srv_flap": "health",
+    "idle_race": "pool",
+}
+OPEN = re.compile(r"^contracts = \[(?P<names>[^\]\n]*)\]$", re.MULTILINE)
+
 ONE_CORE: Trouble = {"on": "core", "count": 1}
 
 # What every entry of a kind has, then what each variant adds to it.
@@ -225,6 +235,16 @@
     return f"  {{ {fields} }},\n"
 
 
+def with_contracts(text: str, needed: Iterable[str]) -> str:
+    """The text with further contracts open. ValueError where the file has no list of them."""
+    listed = OPEN.search(text)
+    if listed is None:
+        raise ValueError("found no list `contracts`, wanted one on a line of its own")
+    names = dict.fromkeys([*tomllib.loads(listed[0])["contracts"], *needed])
+    quoted = ", ".join(f'"{name}"' for name in names)
+    return f"{text[: listed.start()]}contracts = [{quoted}]{text[listed.end() :]}"
+
+
 def copy(text: str, extra_only: bool = False) -> str:
     """The text of the copy. ValueError where the file has no list of troubles."""
     listed = TROUBLES.search(text)
@@ -234,6 +254,7 @@
     added = "".join(map(written, troubles(zones)))
     kept = "" if extra_only else listed["entries"]
     text = f"{text[: listed.start()]}troubles = [\n{kept}{added}]\n{text[listed.end() :]}"
+    text = with_contracts(text, CONTRACTS.values())
     return re.sub(r'^name = "([^"]+)"', rf'name = "\1-{NAME_PART}"', text, count=1)
 
 
--- a/tests/test_all_troubles.py
+++ b/tests/test_all_troubles.py
@@ -10,6 +10,7 @@
 from bench.all_troubles import KINDS, REPOSITORY, copy, main, missing, troubles, with_days
 
 SITE = """name = "harbour"
+contracts = ["base", "health"]
 zones = [
   { name = "east", region = "r" },
   { name = "west", region = "r" },
@@ -40,9 +41,10 @@
 """
 
 
-def test_only_the_list_of_troubles_and_the_name_change() -> None:
+def test_only_the_name_troubles_and_the_contracts_they_need_change() -> None:
     before, after = tomllib.loads(SITE), tomllib.loads(copy(SITE))
     assert after.pop("name") == "harbour-kinds"
+    assert after.pop("contracts") == [*before.pop("contracts"), "pool"]
     listed = after.pop("troubles")
     assert listed[:1] == before.pop("troubles")
     assert listed[1:] == list(troubles(["east", "west"]))
@@ -126,6 +128,11 @@
     assert not (tmp_path / name).exists()
 
 
+def test_a_file_without_contracts_is_refused() -> None:
+    with pytest.raises(ValueError, match="found no list `contracts`"):
+        copy(SITE.replace("contracts = [", "others = ["))
+
+
 def test_a_listing_with_an_unknown_kind_writes_nothing(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
