--- a/tests/assay/test_gather.py
+++ b/tests/assay/test_gather.py
@@ -89,8 +89,11 @@
     def _gather(self) -> Gather:
         basin = SimpleNamespace(methods={}, on_beat=None, here="10.0.0.1:7620", disown=self._disown)
         program: Any = SimpleNamespace(
-            host=Shelf(), basin=basin, caller=SimpleNamespace(call=self._ask),
-            operator=SimpleNamespace(tree=SimpleNamespace(add=lambda *path: None)))
+            host=Shelf(),
+            basin=basin,
+            caller=SimpleNamespace(call=self._ask),
+            operator=SimpleNamespace(tree=SimpleNamespace(add=lambda *path: None)),
+        )
         return Gather(program)
 
     def _disown(self) -> None:
--- a/tests/assay/test_hard.py
+++ b/tests/assay/test_hard.py
@@ -48,12 +48,16 @@
     side = trial.field.sides[0]
     answers: list[Any] = []
     caller = Caller(side.clients, (side.ip, 8304), lambda tag, message: answers.append(message))
-    ask = trial.book.asks["aa01"] = Ask("aa01", side.ip, side.service, "PUT", "shop.example", "/uploads/9",
-                                        "upload")
+    ask = trial.book.asks["aa01"] = Ask(
+        "aa01", side.ip, side.service, "PUT", "shop.example", "/uploads/9", "upload"
+    )
     ask.body = bytes(40_000)
     ask.deadline, ask.sent = trial.world.now + 2.0, trial.world.now
-    caller.ask(None, b"PUT /uploads/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: aa01\r\n"
-               b"Content-Length: 40000\r\n\r\n" + ask.body[:20_000])
+    caller.ask(
+        None,
+        b"PUT /uploads/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: aa01\r\n"
+        b"Content-Length: 40000\r\n\r\n" + ask.body[:20_000],
+    )
     trial.play(8.5)
     if moved:
         trial.moves["/uploads/"] = {"tile-vault": 1}
@@ -70,8 +74,10 @@
 def test_a_change_in_the_middle_of_retries_and_of_answers_421_alarms_nobody() -> None:
     trial = Trial(12, "none", 0)
     trial.field.until = 18.0
-    Day(trial.field, [Fault(8.0 + n, kind, "", 40 + n) for n in range(6)
-                      for kind in ("answer_lost", "config_change")])
+    Day(
+        trial.field,
+        [Fault(8.0 + n, kind, "", 40 + n) for n in range(6) for kind in ("answer_lost", "config_change")],
+    )
 
     def other() -> None:
         for side in trial.field.sides[:3]:
@@ -122,8 +128,15 @@
 
 def test_a_thousand_routes_changed_at_once_are_compared_within_the_bound() -> None:
     trial = Trial(15, "none", 0)
-    trial.field.idlers = [("maps.example" if n % 2 else "shop.example", f"/many{n}/",
-                           "read_only" if n % 3 else "mutating", "tile-vault") for n in range(1000)]
+    trial.field.idlers = [
+        (
+            "maps.example" if n % 2 else "shop.example",
+            f"/many{n}/",
+            "read_only" if n % 3 else "mutating",
+            "tile-vault",
+        )
+        for n in range(1000)
+    ]
     trial.play(8.0)
     ordered(trial)  # another timeout in each
     whole = [program(side) for side in trial.field.sides]
--- a/tests/assay/test_history.py
+++ b/tests/assay/test_history.py
@@ -70,7 +70,7 @@
     assert len(again.slips[0][3]) == history.MOST_CAUSE
     data = shelf.files[history.FILE]
     for at in Random(1).sample(range(4, len(data)), 20):
-        shelf.files[history.FILE] = data[:at] + bytes([data[at] ^ 1]) + data[at + 1:]
+        shelf.files[history.FILE] = data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
         assert made(shelf).words == []
 
 
--- a/tests/assay/test_judge.py
+++ b/tests/assay/test_judge.py
@@ -13,18 +13,21 @@
 MINE, OTHER = b"m" * 8, b"o" * 8
 
 
-@pytest.mark.parametrize(("theirs", "digest", "kind", "service", "wanted"), [
-    (7, MINE, 1, SERVICE, RUN),
-    (6, MINE, 1, SERVICE, RUN),  # an equal part of an older word
-    (8, MINE, 1, SERVICE, RUN),
-    (6, OTHER, 1, SERVICE, STALE),
-    (8, OTHER, 1, SERVICE, ASK),
-    (7, OTHER, 1, SERVICE, CONFLICT),
-    (7, MINE, 0, SERVICE, CONFLICT),  # the right digest, but held for read_only
-    (7, MINE, 1, "tile-vault", CONFLICT),  # the right digest, but another service drawn
-    (7, b"", 1, SERVICE, RUN),  # a source that tells no rule
-    (7, b"", 0, SERVICE, CONFLICT),
-])
+@pytest.mark.parametrize(
+    ("theirs", "digest", "kind", "service", "wanted"),
+    [
+        (7, MINE, 1, SERVICE, RUN),
+        (6, MINE, 1, SERVICE, RUN),  # an equal part of an older word
+        (8, MINE, 1, SERVICE, RUN),
+        (6, OTHER, 1, SERVICE, STALE),
+        (8, OTHER, 1, SERVICE, ASK),
+        (7, OTHER, 1, SERVICE, CONFLICT),
+        (7, MINE, 0, SERVICE, CONFLICT),  # the right digest, but held for read_only
+        (7, MINE, 1, "tile-vault", CONFLICT),  # the right digest, but another service drawn
+        (7, b"", 1, SERVICE, RUN),  # a source that tells no rule
+        (7, b"", 0, SERVICE, CONFLICT),
+    ],
+)
 def test_the_four_ways(theirs: int, digest: bytes, kind: int, service: str, wanted: int) -> None:
     assert judge((theirs, digest, kind, service), 7, route("mutating"), MINE) == wanted
 
@@ -34,10 +37,15 @@
     assert judge((theirs, OTHER, 1, SERVICE), 7, None, b"") == wanted
 
 
-@pytest.mark.parametrize(("fields", "wanted"), [
-    (b"Host: a.example\r\nX: 1\r\n", b"a.example"),
-    (b"X-Host: no\r\nhOsT:B.example:80\r\n", b"b.example:80"),
-    (b"X-Host: no\r\n", b""), (b"", b"")])
+@pytest.mark.parametrize(
+    ("fields", "wanted"),
+    [
+        (b"Host: a.example\r\nX: 1\r\n", b"a.example"),
+        (b"X-Host: no\r\nhOsT:B.example:80\r\n", b"b.example:80"),
+        (b"X-Host: no\r\n", b""),
+        (b"", b""),
+    ],
+)
 def test_the_host_is_read_from_the_lines_that_travel(fields: bytes, wanted: bytes) -> None:
     assert host_of(fields) == wanted
 
--- a/tests/assay/test_slips.py
+++ b/tests/assay/test_slips.py
@@ -58,7 +58,10 @@
     trial = Trial(6, "kind", 4, (way,)).play()
     assert sum(slip.after >= 0 for slip in trial.slips) >= 1
     assert {slip.by for slip in trial.slips if slip.by} == {
-        "scanning": {"scan"}, "judging": {"judge"}, "reading": {"reading"}}[way]
+        "scanning": {"scan"},
+        "judging": {"judge"},
+        "reading": {"reading"},
+    }[way]
 
 
 HONEST = {
@@ -100,11 +103,15 @@
     side = trial.field.sides[0]
     caller = Caller(side.clients, (side.ip, 8304), lambda tag, message: statuses.append(message))
     statuses: list[Any] = []
-    trial.book.asks["f0f0"] = ask = Ask("f0f0", side.ip, side.service, "POST", "shop.example", "/orders/9",
-                                        "mutating")
+    trial.book.asks["f0f0"] = ask = Ask(
+        "f0f0", side.ip, side.service, "POST", "shop.example", "/orders/9", "mutating"
+    )
     ask.deadline = trial.world.now + 2.0
-    caller.ask(None, b"POST /orders/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: f0f0\r\n"
-               b"X-Honeywharf-Revision: 9999\r\nX-Honeywharf-Rule: 00000000\r\nContent-Length: 0\r\n\r\n")
+    caller.ask(
+        None,
+        b"POST /orders/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: f0f0\r\n"
+        b"X-Honeywharf-Revision: 9999\r\nX-Honeywharf-Rule: 00000000\r\nContent-Length: 0\r\n\r\n",
+    )
     trial.world.run(8.0)
     assert [message.status for message in statuses] == [200]
     assert trial.alarms == []
--- a/tests/cistern/test_tank.py
+++ b/tests/cistern/test_tank.py
@@ -95,8 +95,9 @@
     net.cuts.clear()
 
     def all_known() -> bool:
-        return knows(net.societies[gone], {
-            one.news.me: one.news.table[one.news.me].version for one in net.live()})
+        return knows(
+            net.societies[gone], {one.news.me: one.news.table[one.news.me].version for one in net.live()}
+        )
 
     assert net.run(10.0, all_known)
     return net.now - back
--- a/tests/coap/test_backend.py
+++ b/tests/coap/test_backend.py
@@ -39,7 +39,8 @@
 
     async def start(self) -> Node:
         self.transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: self, local_addr=("127.0.0.1", self.port))
+            lambda: self, local_addr=("127.0.0.1", self.port)
+        )
         self.port = self.transport.get_extra_info("sockname")[1]
         return self
 
@@ -55,8 +56,14 @@
         self.got.append(message)
         step = self.script.pop(0) if self.script else "ok"
 
-        def say(mtype: int, code: int, mid: int = message.mid, token: bytes = message.token,
-                told: list[tuple[int, bytes]] | None = None, payload: bytes = b"") -> None:
+        def say(
+            mtype: int,
+            code: int,
+            mid: int = message.mid,
+            token: bytes = message.token,
+            told: list[tuple[int, bytes]] | None = None,
+            payload: bytes = b"",
+        ) -> None:
             assert self.transport is not None
             self.transport.sendto(coap.encode(coap.Message(mtype, code, mid, token, told, payload)), addr)
 
@@ -99,7 +106,9 @@
 
 @asynccontextmanager
 async def nodes(
-    number: int = 1, features: Features = ON, **changes: object,
+    number: int = 1,
+    features: Features = ON,
+    **changes: object,
 ) -> AsyncIterator[tuple[World, list[Node]]]:
     made = [await Node().start() for _ in range(number)]
     rows = [row(f"c{i}", n.port, cell=i, scheme="coap") for i, n in enumerate(made)]
@@ -128,16 +137,25 @@
             assert request.idempotency_key == b"k"
             assert request.left_ms is not None
             assert 3000.0 < request.left_ms < 4000.0
+
     run(main())
 
 
-@pytest.mark.parametrize(("step", "outcome", "status"), [
-    ("reset", O.REJECTED, 200), ("unprocessed", O.REJECTED, 200),  # never ran: tried again
-    ("busy", O.ERROR, 502), ("silent", O.TIMEOUT, 502), ("ack", O.TIMEOUT, 502),
-    ("foreign", O.TIMEOUT, 502), ("separate", O.OK, 200),
-])
+@pytest.mark.parametrize(
+    ("step", "outcome", "status"),
+    [
+        ("reset", O.REJECTED, 200),
+        ("unprocessed", O.REJECTED, 200),  # never ran: tried again
+        ("busy", O.ERROR, 502),
+        ("silent", O.TIMEOUT, 502),
+        ("ack", O.TIMEOUT, 502),
+        ("foreign", O.TIMEOUT, 502),
+        ("separate", O.OK, 200),
+    ],
+)
 def test_each_end_is_told_as_what_it_proves(step: str, outcome: api.Outcome, status: int) -> None:
     """`pay` has an effect and no key: it is tried again only where it is known not to have run."""
+
     async def main() -> None:
         async with nodes(2) as (w, made):
             for node in made:
@@ -149,17 +167,20 @@
                 assert sum(len({m.mid for m in n.got}) for n in made) == 1
             if step == "separate":
                 await until(lambda: sum(n.acks for n in made) == 2)  # a lost ACK is given again
+
     run(main())
 
 
 def test_what_was_sent_again_is_not_taken_for_unseen() -> None:
     """The process that had the first may have run it, and died; the one that answers knows nothing of it."""
+
     async def main() -> None:
         async with nodes() as (w, (node,)):
             node.script = ["silent", "unprocessed"]
             await pay(w, "4500m", kind="order")
             assert w.ended()[0].outcome is O.ERROR
             assert len({m.mid for m in node.got[:2]}) == 1
+
     run(main())
 
 
@@ -171,6 +192,7 @@
                 assert (await pay(w))[0] == 200
             assert {e.outcome for e in w.ended()} == {O.OK, O.CONNECT_FAILED}
             assert sum(len(n.bodies) for n in made) == 6
+
     run(main())
 
 
@@ -187,6 +209,7 @@
             for _ in range(12):
                 assert (await pay(w))[0] == 200
             assert len(made[0].got) == before
+
     run(main())
 
 
@@ -196,6 +219,7 @@
             node.body, body = bytes(range(256)) * 1000, bytes(reversed(range(256))) * 256
             assert await pay(w, body=body) == (200, node.body)
             assert node.bodies == [body]
+
     run(main())
 
 
@@ -213,6 +237,7 @@
             assert node.bodies
         node.stop()
         await http.stop()
+
     run(main())
 
 
@@ -235,18 +260,21 @@
             old.error_received(ConnectionRefusedError())  # late
             assert (await paid)[0] == 502
             assert w.ended()[1].outcome is O.TIMEOUT  # "connect failed" would have had it tried again
+
     run(main())
 
 
 @pytest.mark.parametrize(("kind", "times"), [("order", 2), ("pay", 1)])
 def test_what_nobody_would_drop_is_sent_once_only(kind: str, times: int) -> None:
     """A node that starts anew knows no message ids: it would run what is sent again a second time."""
+
     async def main() -> None:
         async with nodes() as (w, (node,)):
             node.script = ["silent"]
             status, _ = await pay(w, "4500m", kind=kind)
             assert len(node.got) == times  # the ACK's time-out is 2 to 3 s
             assert status == (200 if times == 2 else 502)
+
     run(main())
 
 
@@ -372,6 +400,7 @@
             assert O.CONNECT_FAILED in [e.outcome for e in w.ended()]
             assert w.proxy.balancer.endpoints.servers["c0"].failures > 0
             assert part.counts()["coap:probes held back"] == quiet.held_back
+
     run(main())
 
 
@@ -390,4 +419,5 @@
             got = [len(n.got) - b for n, b in zip(made, before, strict=True)]
             assert got[0] <= 1.35 * sum(got) * 0.22 / 4.22  # of five, one at a fifth of its capacity
             assert min(got[1:]) > 2 * got[0]
+
     run(main())
--- a/tests/coap/test_codec.py
+++ b/tests/coap/test_codec.py
@@ -16,20 +16,30 @@
 HEAD = bytes.fromhex("40010102")  # CON GET, id 0x0102
 
 
-@pytest.mark.parametrize(("data", "words"), [
-    (b"", "found 0 bytes"), (b"\x40\x01\x00", "found 3 bytes"), (b"\x00\x01\x01\x02", "found version 0"),
-    (b"\x80\x01\x01\x02", "found version 2"), (b"\x49\x01\x01\x02" + b"t" * 9, "a token of 9 bytes"),
-    (b"\x4f\x01\x01\x02" + b"t" * 15, "a token of 15 bytes"),
-    (b"\x42\x01\x01\x02t", "the end within the token"),
-    (b"\x40\x00\x01\x02\xff", "behind an empty message"), (b"\x41\x00\x01\x02t", "behind an empty message"),
-    (HEAD + b"\xff", "no payload"), (HEAD + b"\xf0", "an option's head"),
-    (HEAD + b"\x0f", "an option's head"),
-    (HEAD + b"\xd0", "an option's head"), (HEAD + b"\xe0\x01", "an option's head"),
-    (HEAD + b"\x0d", "an option's head"), (HEAD + b"\x13ab", "beyond the message"),
-    (HEAD + b"\xe0\xff\xff\xe0\xff\xff", "beyond the message"),
-    (HEAD + b"\x10" * (coap.MOST_OPTIONS + 1), "more than 48 options"),
-    (HEAD + b"\xff" + b"x" * coap.MAX_DATAGRAM, "wanted 2048 at most"),
-])
+@pytest.mark.parametrize(
+    ("data", "words"),
+    [
+        (b"", "found 0 bytes"),
+        (b"\x40\x01\x00", "found 3 bytes"),
+        (b"\x00\x01\x01\x02", "found version 0"),
+        (b"\x80\x01\x01\x02", "found version 2"),
+        (b"\x49\x01\x01\x02" + b"t" * 9, "a token of 9 bytes"),
+        (b"\x4f\x01\x01\x02" + b"t" * 15, "a token of 15 bytes"),
+        (b"\x42\x01\x01\x02t", "the end within the token"),
+        (b"\x40\x00\x01\x02\xff", "behind an empty message"),
+        (b"\x41\x00\x01\x02t", "behind an empty message"),
+        (HEAD + b"\xff", "no payload"),
+        (HEAD + b"\xf0", "an option's head"),
+        (HEAD + b"\x0f", "an option's head"),
+        (HEAD + b"\xd0", "an option's head"),
+        (HEAD + b"\xe0\x01", "an option's head"),
+        (HEAD + b"\x0d", "an option's head"),
+        (HEAD + b"\x13ab", "beyond the message"),
+        (HEAD + b"\xe0\xff\xff\xe0\xff\xff", "beyond the message"),
+        (HEAD + b"\x10" * (coap.MOST_OPTIONS + 1), "more than 48 options"),
+        (HEAD + b"\xff" + b"x" * coap.MAX_DATAGRAM, "wanted 2048 at most"),
+    ],
+)
 def test_what_is_no_message_is_refused_with_its_reason(data: bytes, words: str) -> None:
     with pytest.raises(coap.MalformedError, match=words):
         coap.decode(data)
@@ -48,10 +58,21 @@
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(mtype=st.integers(0, 3), code=st.integers(1, 255), mid=st.integers(0, 65535),
-       token=st.binary(max_size=8), some=options, payload=st.binary(max_size=200))
+@given(
+    mtype=st.integers(0, 3),
+    code=st.integers(1, 255),
+    mid=st.integers(0, 65535),
+    token=st.binary(max_size=8),
+    some=options,
+    payload=st.binary(max_size=200),
+)
 def test_what_is_encoded_is_decoded_the_same_here_and_by_aiocoap(
-    mtype: int, code: int, mid: int, token: bytes, some: list[tuple[int, bytes]], payload: bytes,
+    mtype: int,
+    code: int,
+    mid: int,
+    token: bytes,
+    some: list[tuple[int, bytes]],
+    payload: bytes,
 ) -> None:
     message = coap.Message(mtype, code, mid, token, some, payload)
     data = coap.encode(message)
@@ -59,11 +80,18 @@
     assert (mine.mtype, mine.code, mine.mid, mine.token, mine.payload) == (mtype, code, mid, token, payload)
     assert mine.options == sorted(some, key=lambda o: o[0])
     assert (int(theirs.mtype), int(theirs.code), theirs.mid, theirs.token, theirs.payload) == (
-        mtype, code, mid, token, payload)
+        mtype,
+        code,
+        mid,
+        token,
+        payload,
+    )
 
 
 def test_what_aiocoap_encodes_is_read_as_it_was_meant() -> None:
-    theirs = Theirs(code=2, payload=b"tile", _mtype=0, _mid=7, _token=b"tok", uri="coap://h/api/order?a=1&b=2")
+    theirs = Theirs(
+        code=2, payload=b"tile", _mtype=0, _mid=7, _token=b"tok", uri="coap://h/api/order?a=1&b=2"
+    )
     theirs.opt.add_option(OpaqueOption(OptionNumber(65001), b"order"))
     mine = coap.decode(theirs.encode())
     assert (mine.code, mine.mid, mine.token, mine.payload) == (coap.POST, 7, b"tok", b"tile")
@@ -76,15 +104,20 @@
     """Bounded here; HONEYWHARF_LONG=1 plays 1,000,000."""
     draw, refused = random.Random(1), 0
     number = 1_000_000 if os.environ.get("HONEYWHARF_LONG") else 30_000
-    seeds = [coap.encode(coap.Message(coap.CON, coap.POST, 1, b"tok", [(11, b"api"), (65001, b"order"),
-                                                                       (65009, b"k" * 40)], b"body"))]
+    seeds = [
+        coap.encode(
+            coap.Message(
+                coap.CON, coap.POST, 1, b"tok", [(11, b"api"), (65001, b"order"), (65009, b"k" * 40)], b"body"
+            )
+        )
+    ]
     for i in range(number):
         data = bytearray(draw.choice(seeds)) if i % 3 else bytearray(draw.randbytes(draw.randrange(80)))
         for _ in range(draw.randrange(4)):
             if data:
                 data[draw.randrange(len(data))] = draw.randrange(256)
         if draw.random() < 0.3:
-            del data[draw.randrange(len(data) + 1):]
+            del data[draw.randrange(len(data) + 1) :]
         try:
             message = coap.decode(bytes(data))
         except coap.MalformedError:
--- a/tests/coap/test_contentformat.py
+++ b/tests/coap/test_contentformat.py
@@ -25,12 +25,21 @@
         assert theirs.media_type.encode() == kind
 
 
-@pytest.mark.parametrize(("kind", "value"), [
-    (b"Application/JSON", b"\x32"), (b"text/plain", b""), (b"text/plain ; charset=UTF-8", b""),
-    (b"application/coap-payload;cf=12345", b"\x30\x39"), (b"application/coap-payload; cf=65535", b"\xff\xff"),
-    (b"application/coap-payload;cf=65536", None), (b"application/coap-payload;cf=x", None),
-    (b"text/html", None), (b"", None), (b"image/png; q=1", None),
-])
+@pytest.mark.parametrize(
+    ("kind", "value"),
+    [
+        (b"Application/JSON", b"\x32"),
+        (b"text/plain", b""),
+        (b"text/plain ; charset=UTF-8", b""),
+        (b"application/coap-payload;cf=12345", b"\x30\x39"),
+        (b"application/coap-payload; cf=65535", b"\xff\xff"),
+        (b"application/coap-payload;cf=65536", None),
+        (b"application/coap-payload;cf=x", None),
+        (b"text/html", None),
+        (b"", None),
+        (b"image/png; q=1", None),
+    ],
+)
 def test_a_type_has_its_number_or_no_option(kind: bytes, value: bytes | None) -> None:
     assert contentformat.content_format(kind) == value
 
@@ -55,6 +64,7 @@
             assert block.option(coap.CONTENT_FORMAT) == b"\x17"  # with each block
             bad = await unit.ask([*told(key=b"m"), (coap.CONTENT_FORMAT, b"\x01\x02\x03")])
             assert (bad.code, len(backend.requests)) == (coap.BAD_OPTION, 1)
+
     run(main())
 
 
@@ -73,6 +83,7 @@
             assert b"content-type" not in headers
             assert node.got[1].option(coap.CONTENT_FORMAT) is None
             await until(lambda: not w.proxy.driver.requests)
+
     run(main())
 
 
@@ -84,4 +95,5 @@
             unit.send(told("read"), coap.GET)
             theirs = aiocoap.Message.decode(coap.encode(await unit.next()))
             assert theirs.opt.content_format == ContentFormat.JSON
+
     run(main())
--- a/tests/coap/test_front.py
+++ b/tests/coap/test_front.py
@@ -47,10 +47,17 @@
 
 
 def told(
-    class_name: str = "order", key: bytes = b"k", left_ms: int = 4000, **more: str,
+    class_name: str = "order",
+    key: bytes = b"k",
+    left_ms: int = 4000,
+    **more: str,
 ) -> list[tuple[int, bytes]]:
-    found = [(coap.URI_PATH, b"api"), (coap.URI_QUERY, b"q=1"), (options.CLASS, class_name.encode()),
-             (options.TIME_LEFT, coap.uint_bytes(left_ms * 1000))]
+    found = [
+        (coap.URI_PATH, b"api"),
+        (coap.URI_QUERY, b"q=1"),
+        (options.CLASS, class_name.encode()),
+        (options.TIME_LEFT, coap.uint_bytes(left_ms * 1000)),
+    ]
     if class_name == "order":
         found.append((options.KEY, key))
     return found + [(getattr(options, name.upper()), value.encode()) for name, value in more.items()]
@@ -67,7 +74,8 @@
     @classmethod
     async def to(cls, port: int, *, believed: bool = True) -> Unit:
         _, unit = await asyncio.get_running_loop().create_datagram_endpoint(
-            cls, remote_addr=("127.0.0.1", port))
+            cls, remote_addr=("127.0.0.1", port)
+        )
         if believed:
             challenge = await unit.ask(told("read"))
             assert challenge.code == coap.UNAUTHORIZED
@@ -82,8 +90,14 @@
         self.got.put_nowait(coap.decode(data))
 
     def send(
-        self, some: list[tuple[int, bytes]], code: int = coap.POST, *, mid: int = 0, token: bytes = b"tok",
-        payload: bytes = b"", mtype: int = coap.CON,
+        self,
+        some: list[tuple[int, bytes]],
+        code: int = coap.POST,
+        *,
+        mid: int = 0,
+        token: bytes = b"tok",
+        payload: bytes = b"",
+        mtype: int = coap.CON,
     ) -> int:
         self.mid += 1
         if self.echo:
@@ -123,6 +137,7 @@
             assert (answer.code, answer.payload) == (coap.CONTENT, b"tile")
             arrived = [e for e in w.events if isinstance(e, api.RequestArrived)]
             assert 3000.0 < arrived[0].remaining_ms < 4000.0
+
     run(main())
 
 
@@ -138,6 +153,7 @@
             assert len(backend.requests) == 1
             unit.send(told(), payload=b"another")
             assert (await unit.next()).code == coap.UNPROCESSABLE_ENTITY
+
     run(main())
 
 
@@ -162,6 +178,7 @@
             unit.send(told("pay"), mid=mid, payload=b"x")  # as late as it likes
             assert (await unit.next()).code == coap.EMPTY
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -185,6 +202,7 @@
             tiny.send([], coap.GET, token=b"")
             answer = await tiny.next()
             assert (answer.code, len(coap.encode(answer))) == (coap.BAD_REQUEST, 4)  # no more than 3 times 4
+
     run(main())
 
 
@@ -198,13 +216,18 @@
             assert len(front.peers) == MOST_PEERS
             assert ("127.0.0.2", 0) not in front.peers
             assert backend.requests
+
     run(main())
 
 
-@pytest.mark.parametrize(("path", "query", "target"), [
-    (b"tile-7_a.b~c", b"q=1", b"/api/tile-7_a.b~c?q=1"), (b"a/b?c", b"x&y=#", b"/api/a%2Fb%3Fc?x%26y=%23"),
-    (b"\xc3\xb5 %", b"!$'()*+,;=:@", b"/api/%C3%B5%20%25?!$'()*+,;=:@"),
-])
+@pytest.mark.parametrize(
+    ("path", "query", "target"),
+    [
+        (b"tile-7_a.b~c", b"q=1", b"/api/tile-7_a.b~c?q=1"),
+        (b"a/b?c", b"x&y=#", b"/api/a%2Fb%3Fc?x%26y=%23"),
+        (b"\xc3\xb5 %", b"!$'()*+,;=:@", b"/api/%C3%B5%20%25?!$'()*+,;=:@"),
+    ],
+)
 def test_a_part_of_the_target_stays_one_part_there_and_back(path: bytes, query: bytes, target: bytes) -> None:
     some = [(coap.URI_PATH, b"api"), (coap.URI_PATH, path), (coap.URI_QUERY, query), (options.ID, b"i")]
     request = options.request_of(coap.Message(coap.CON, coap.GET, 1, b"", some))
@@ -212,18 +235,23 @@
     assert options.of_request(request)[:3] == some[:3]
 
 
-@pytest.mark.parametrize(("some", "code", "wanted"), [
-    ([(coap.URI_PATH, b"elsewhere")], coap.GET, coap.NOT_FOUND),
-    (told(), coap.GET, coap.BAD_REQUEST), (told("none"), coap.POST, coap.BAD_REQUEST),
-    ([*told(), (9, b"critical")], coap.POST, coap.BAD_OPTION), (told(), 3, coap.METHOD_NOT_ALLOWED),
-    ([*told(), (options.KEY, b"two")], coap.POST, coap.BAD_OPTION),
-    (told(id="two words"), coap.POST, coap.BAD_OPTION),
-    ([o for o in told() if o[0] != options.TIME_LEFT], coap.POST, coap.BAD_REQUEST),
-    ([*told(), (coap.BLOCK1, b"\x07")], coap.POST, coap.BAD_REQUEST),  # a size that there is not
-    ([*told(), (coap.BLOCK1, b"\x08")], coap.POST, coap.BAD_REQUEST),  # a block of 1 byte that says 16
-    ([*told(), (coap.BLOCK1, b"\x10")], coap.POST, coap.REQUEST_ENTITY_INCOMPLETE),  # without a first
-    ([*told("read"), (coap.BLOCK2, b"\x16")], coap.GET, coap.REQUEST_ENTITY_INCOMPLETE),  # of no answer
-])
+@pytest.mark.parametrize(
+    ("some", "code", "wanted"),
+    [
+        ([(coap.URI_PATH, b"elsewhere")], coap.GET, coap.NOT_FOUND),
+        (told(), coap.GET, coap.BAD_REQUEST),
+        (told("none"), coap.POST, coap.BAD_REQUEST),
+        ([*told(), (9, b"critical")], coap.POST, coap.BAD_OPTION),
+        (told(), 3, coap.METHOD_NOT_ALLOWED),
+        ([*told(), (options.KEY, b"two")], coap.POST, coap.BAD_OPTION),
+        (told(id="two words"), coap.POST, coap.BAD_OPTION),
+        ([o for o in told() if o[0] != options.TIME_LEFT], coap.POST, coap.BAD_REQUEST),
+        ([*told(), (coap.BLOCK1, b"\x07")], coap.POST, coap.BAD_REQUEST),  # a size that there is not
+        ([*told(), (coap.BLOCK1, b"\x08")], coap.POST, coap.BAD_REQUEST),  # a block of 1 byte that says 16
+        ([*told(), (coap.BLOCK1, b"\x10")], coap.POST, coap.REQUEST_ENTITY_INCOMPLETE),  # without a first
+        ([*told("read"), (coap.BLOCK2, b"\x16")], coap.GET, coap.REQUEST_ENTITY_INCOMPLETE),  # of no answer
+    ],
+)
 def test_what_is_no_request_of_ours_is_told_so(some: list[tuple[int, bytes]], code: int, wanted: int) -> None:
     async def main() -> None:
         async with served() as (_, backend, front):
@@ -231,6 +259,7 @@
             unit.send(some, code, payload=b"x")
             assert (await unit.next()).code == wanted
             assert not backend.requests
+
     run(main())
 
 
@@ -239,6 +268,7 @@
         async with served() as (_, _, front):
             unit = await Unit.to(port_of(front))
             assert (await unit.ask([*told(), (65500, b"?")])).code == coap.CHANGED
+
     run(main())
 
 
@@ -254,6 +284,7 @@
             failed = await unit.ask(told(key=b"b", left_ms=150))
             assert failed.code == coap.BAD_GATEWAY
             assert failed.option(coap.MAX_AGE) is None
+
     run(main())
 
 
@@ -263,6 +294,7 @@
         async with world([backend.row("b0")], Features()) as w:
             assert w.proxy.parts == []
         await backend.stop()
+
     run(main())
 
 
@@ -285,6 +317,7 @@
                 echo = answer.opt.echo or echo
             await context.shutdown()
             assert len(backend.requests) == 2
+
     run(main())
 
 
@@ -292,7 +325,8 @@
     async def main() -> None:
         async with served(Features(coap=Coap(listen="127.0.0.1:0"))) as (_, backend, front):
             network = await Lossy(
-                ("127.0.0.1", port_of(front)), 1, loss=0.3, double=0.1, delay_s=0.05).start()
+                ("127.0.0.1", port_of(front)), 1, loss=0.3, double=0.1, delay_s=0.05
+            ).start()
             unit = await Unit.to(network.port, believed=False)
             while not unit.echo:
                 unit.send(told("read"), coap.GET)
@@ -318,15 +352,25 @@
             assert len(backend.requests) <= 60  # each message id reached the node once, however often it came
             assert front.layer.counts["coap:duplicate"] > 10
             network.stop()
+
     run(main())
 
 
 def in_blocks(body: bytes, szx: int = 2, tag: bytes = b"") -> list[tuple[list[tuple[int, bytes]], bytes]]:
     """The options and payloads of a body in blocks."""
     size = 1 << (szx + 4)
-    parts = [body[i:i + size] for i in range(0, len(body), size)]
-    return [([*told(), (coap.BLOCK1, blocks.Block(i, i + 1 < len(parts), szx).value()),
-              *([(coap.REQUEST_TAG, tag)] if tag else [])], one) for i, one in enumerate(parts)]
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
+    return [
+        (
+            [
+                *told(),
+                (coap.BLOCK1, blocks.Block(i, i + 1 < len(parts), szx).value()),
+                *([(coap.REQUEST_TAG, tag)] if tag else []),
+            ],
+            one,
+        )
+        for i, one in enumerate(parts)
+    ]
 
 
 async def put(unit: Unit, one: tuple[list[tuple[int, bytes]], bytes]) -> int:
@@ -339,11 +383,15 @@
         async with served(Features(coap=Coap(listen="127.0.0.1:0"))) as (_, backend, front):
             unit = await Unit.to(port_of(front))
             one, two = bytes(range(200)), bytes(reversed(range(200)))
-            found = [await put(unit, part) for pair in zip(
-                in_blocks(one, tag=b"1"), in_blocks(two, tag=b"2"), strict=True) for part in pair]
+            found = [
+                await put(unit, part)
+                for pair in zip(in_blocks(one, tag=b"1"), in_blocks(two, tag=b"2"), strict=True)
+                for part in pair
+            ]
             assert found == [coap.CONTINUE] * 6 + [coap.CHANGED] * 2
             assert [m[2] for m in backend.requests] == [one, two]
             assert front.transfers.held_bytes == 0
+
     run(main())
 
 
@@ -359,6 +407,7 @@
             assert not backend.requests
             assert [await put(unit, p) for p in parts] == [coap.CONTINUE] * 3 + [coap.CHANGED]
             assert [m[2] for m in backend.requests] == [bytes(200)]
+
     run(main())
 
 
@@ -373,6 +422,7 @@
             assert code == coap.REQUEST_ENTITY_TOO_LARGE
             assert not backend.requests
             assert front.transfers.held_bytes == 0
+
     run(main())
 
 
@@ -396,6 +446,7 @@
             assert (str(got.code), got.payload) == ("2.04 Changed", answer)
             await context.shutdown()
             assert [m[2] for m in backend.requests] == [body]
+
     run(main())
 
 
@@ -414,6 +465,7 @@
             third = await unit.ask(second)
             assert (third.code, len(third.payload)) == (coap.CHANGED, 1024)
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -451,19 +503,23 @@
                 pass
             assert answer.payload == b"tile"
             await soon(w.running)
+
     run(main())
 
 
 def test_a_foreign_client_that_shows_its_address_takes_an_answer_in_blocks() -> None:
     """By aiocoap, which takes Block2 by itself and leaves Echo (RFC 9175) to its user."""
+
     async def main() -> None:
         async with served() as (_, backend, front):
             backend.then = reply(200, b"t" * 3000)
             context = await aiocoap.Context.create_client_context()
             try:
+
                 def request(echo: bytes) -> aiocoap.Message:
                     made = aiocoap.Message(
-                        code=aiocoap.POST, payload=b"x", uri=f"coap://127.0.0.1:{port_of(front)}/api?q=1")
+                        code=aiocoap.POST, payload=b"x", uri=f"coap://127.0.0.1:{port_of(front)}/api?q=1"
+                    )
                     for number, value in ((65001, b"order"), (65009, b"key"), (65033, b"\x3d\x09\x00")):
                         made.opt.add_option(OpaqueOption(OptionNumber(number), value))
                     if echo:
@@ -480,6 +536,7 @@
                 assert [m[2] for m in backend.requests] == [b"x"]
             finally:
                 await context.shutdown()
+
     run(main())
 
 
@@ -497,11 +554,17 @@
             peers = [("127.0.0.1", 1024 + i) for i in range(200)]
             for peer in peers[:50]:
                 front.peers[peer] = w.proxy.clock.now()
-            good = [coap.encode(coap.Message(kind, code, 7, b"t", some, body)) for kind, code, some, body in (
-                (coap.CON, coap.POST, told(), b"x"), (coap.NON, coap.GET, told("read"), b""),
-                (coap.CON, coap.POST, [*told(), (coap.BLOCK1, b"\x0e")], bytes(1024)),
-                (coap.CON, coap.GET, [*told("read"), (coap.BLOCK2, b"\x1e")], b""),
-                (coap.ACK, coap.EMPTY, [], b""), (coap.RST, coap.EMPTY, [], b""))]
+            good = [
+                coap.encode(coap.Message(kind, code, 7, b"t", some, body))
+                for kind, code, some, body in (
+                    (coap.CON, coap.POST, told(), b"x"),
+                    (coap.NON, coap.GET, told("read"), b""),
+                    (coap.CON, coap.POST, [*told(), (coap.BLOCK1, b"\x0e")], bytes(1024)),
+                    (coap.CON, coap.GET, [*told("read"), (coap.BLOCK2, b"\x1e")], b""),
+                    (coap.ACK, coap.EMPTY, [], b""),
+                    (coap.RST, coap.EMPTY, [], b""),
+                )
+            ]
             for i in range(number):
                 data = bytearray(draw.choice(good) if i % 4 else draw.randbytes(draw.randrange(60)))
                 if len(data) > 3:
@@ -510,7 +573,7 @@
                     if data:
                         data[draw.randrange(len(data))] = draw.randrange(256)
                 if draw.random() < 0.2:
-                    del data[draw.randrange(len(data) + 1):]
+                    del data[draw.randrange(len(data) + 1) :]
                 peer = draw.choice(peers)
                 front.datagram_received(bytes(data), peer)
                 if peer not in front.peers:  # an address that has shown nothing is not sent much
@@ -532,4 +595,5 @@
             assert (await unit.ask(told("read"))).code == coap.CONTENT
             assert faults == []
             assert backend.requests
+
     run(main(), 60.0 if number < 100_000 else 1800.0)
--- a/tests/coap/test_messages.py
+++ b/tests/coap/test_messages.py
@@ -16,11 +16,20 @@
 
     def __init__(self, **bounds: int) -> None:
         self.now, self.sent, self.served = 0.0, list[tuple[coap.Message, tuple[str, int]]](), list[Exchange]()
-        self.layer = Layer(lambda: self.now, lambda data, peer: self.sent.append((coap.decode(data), peer)),
-                           lambda exchange, message: self.served.append(exchange), 1, **bounds)
+        self.layer = Layer(
+            lambda: self.now,
+            lambda data, peer: self.sent.append((coap.decode(data), peer)),
+            lambda exchange, message: self.served.append(exchange),
+            1,
+            **bounds,
+        )
 
     def get(
-        self, mid: int, peer: tuple[str, int] = PEER, mtype: int = coap.CON, token: bytes = b"t",
+        self,
+        mid: int,
+        peer: tuple[str, int] = PEER,
+        mtype: int = coap.CON,
+        token: bytes = b"t",
         code: int = coap.GET,
     ) -> None:
         self.layer.received(coap.encode(coap.Message(mtype, code, mid, token)), peer)
--- a/tests/coap/test_orders.py
+++ b/tests/coap/test_orders.py
@@ -36,6 +36,7 @@
     A unit's order is on its way while it gives up. By HTTP the same key is asked for, and refused, as no node
     took it; the late datagram was joined to it, runs then, and is charged before the refusal is read.
     """
+
     async def main() -> None:
         async with served() as (w, backend, front):
             h, unit = History(), await Unit.to(port_of(front))
@@ -62,4 +63,5 @@
             assert not any(h.faults(KEPT_MS).values())
             h.asks["unit"].late_until_ms = 0.0  # as the checker saw it before
             assert h.faults(KEPT_MS)["refused means no charge"] == ["http"]
+
     run(main())
--- a/tests/config/test_features.py
+++ b/tests/config/test_features.py
@@ -34,26 +34,38 @@
     assert features.load(ROOT / "deploy" / "features.toml") == features.Features()
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("[limits]\nlimiter = 'red'", ":2:1: limits.limiter: found 'red', wanted one of lateness, open"),
-    ("[limits]\n  limiter = 3", ":2:3: limits.limiter: found 3, wanted one of lateness"),
-    ("[limits]\nlimiters = 'aimd'", ":2:1: limits.limiters: found a key that there is not, wanted one of"),
-    ("\n[limit]", ":2:1: limit: found a key that there is not, wanted one of limits"),
-    ("limits = 7", ":1:1: limits: found 7, wanted a table"),
-    ("[limits", ": not TOML: "),
-    ("[traces]\nrate = 7", ":2:1: traces.rate: found 7, wanted a number over 0 and at most 1"),
-    ("traces = { keep = '', rate = 7 }", ":1:23: traces.rate: found 7, wanted a number over 0 and at"),
-    ("[traces]\nquantile = 1", ":2:1: traces.quantile: found 1, wanted a number at least 0.5 and under 1"),
-    ("[traces]\nheld = 0", ":2:1: traces.held: found 0, wanted a whole number at least 1"),
-    ("[storms]\non = 1", ":2:1: storms.on: found 1, wanted true or false"),
-    ("[coap]\nlisten = true", ":2:1: coap.listen: found true, wanted text in quotes"),
-    ("[order_keys]\nkeep_ms = { a = -1 }", ":2:13: order_keys.keep_ms.a: found -1, wanted a number over 0"),
-    ("[order_keys]\nalone = 'a'", ":2:1: order_keys.alone: found 'a', wanted a list, each of it text"),
-    ("[order_keys]\nalone = [\n 'a', 7]", ":3:7: order_keys.alone[1]: found 7, wanted text"),
-    ("[order_keys.redis]\nprefix = ''", ":2:1: order_keys.redis.prefix: found '', wanted text"),
-    ("[traces]\npeers = ['a:1',\n'b']", ":3:1: traces.peers[1]: found 'b', wanted host:port"),
-    ("[coap]\nlisten = 'x'", ":2:1: coap.listen: found 'x', wanted host:port"),
-])
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("[limits]\nlimiter = 'red'", ":2:1: limits.limiter: found 'red', wanted one of lateness, open"),
+        ("[limits]\n  limiter = 3", ":2:3: limits.limiter: found 3, wanted one of lateness"),
+        (
+            "[limits]\nlimiters = 'aimd'",
+            ":2:1: limits.limiters: found a key that there is not, wanted one of",
+        ),
+        ("\n[limit]", ":2:1: limit: found a key that there is not, wanted one of limits"),
+        ("limits = 7", ":1:1: limits: found 7, wanted a table"),
+        ("[limits", ": not TOML: "),
+        ("[traces]\nrate = 7", ":2:1: traces.rate: found 7, wanted a number over 0 and at most 1"),
+        ("traces = { keep = '', rate = 7 }", ":1:23: traces.rate: found 7, wanted a number over 0 and at"),
+        (
+            "[traces]\nquantile = 1",
+            ":2:1: traces.quantile: found 1, wanted a number at least 0.5 and under 1",
+        ),
+        ("[traces]\nheld = 0", ":2:1: traces.held: found 0, wanted a whole number at least 1"),
+        ("[storms]\non = 1", ":2:1: storms.on: found 1, wanted true or false"),
+        ("[coap]\nlisten = true", ":2:1: coap.listen: found true, wanted text in quotes"),
+        (
+            "[order_keys]\nkeep_ms = { a = -1 }",
+            ":2:13: order_keys.keep_ms.a: found -1, wanted a number over 0",
+        ),
+        ("[order_keys]\nalone = 'a'", ":2:1: order_keys.alone: found 'a', wanted a list, each of it text"),
+        ("[order_keys]\nalone = [\n 'a', 7]", ":3:7: order_keys.alone[1]: found 7, wanted text"),
+        ("[order_keys.redis]\nprefix = ''", ":2:1: order_keys.redis.prefix: found '', wanted text"),
+        ("[traces]\npeers = ['a:1',\n'b']", ":3:1: traces.peers[1]: found 'b', wanted host:port"),
+        ("[coap]\nlisten = 'x'", ":2:1: coap.listen: found 'x', wanted host:port"),
+    ],
+)
 def test_what_is_wrong_is_told_with_file_key_found_and_wanted(tmp_path: Path, text: str, told: str) -> None:
     path = write(tmp_path, text)
     with pytest.raises(features.FeaturesError) as caught:
@@ -79,6 +91,7 @@
         given = features.load(write(tmp_path, "[limits]\nlimiter = 'aimd'"))
         assert Proxy(make_config(1, []), loop).balancer.admission.limiter == limits.DEFAULT
         return Proxy(make_config(1, []), loop, given).balancer.admission.limiter
+
     assert run(build()) == "aimd"
 
 
@@ -97,25 +110,35 @@
 
 def test_every_fault_of_a_file_is_told_at_once(tmp_path: Path) -> None:
     path = tmp_path / "f.toml"
-    path.write_text('[limits]\nlimiter = "loud"\n[storms]\non = 1\nrate = 2\n'
-                    '[order_keys.redis]\nwait_ms = -1.0\n[colour]\nx = 1\n')
+    path.write_text(
+        '[limits]\nlimiter = "loud"\n[storms]\non = 1\nrate = 2\n'
+        "[order_keys.redis]\nwait_ms = -1.0\n[colour]\nx = 1\n"
+    )
     result = CliRunner().invoke(main, ["check-config", str(path)])
     assert result.exit_code == 2
     told = result.output.splitlines()
     assert [line.removeprefix(f"{path}:").split(": found")[0] for line in told] == [
-        "2:1: limits.limiter", "4:1: storms.on", "5:1: storms.rate", "7:1: order_keys.redis.wait_ms",
-        "8:1: colour"]
+        "2:1: limits.limiter",
+        "4:1: storms.on",
+        "5:1: storms.rate",
+        "7:1: order_keys.redis.wait_ms",
+        "8:1: colour",
+    ]
     path.write_text('[traces]\nnotes = "nowhere"\npeers = ["a:1", "b"]\nkeep = "durations > 5"\n')
     words = CliRunner().invoke(main, ["check-config", str(path)]).output
     assert words.count("wanted host:port") == 2
     assert f"{path}:4:1: traces.keep: found field 'durations'" in words
 
 
-@given(st.recursive(
-    st.booleans() | st.integers(-9, 9) | st.text("ab #=[]{},.'\n", max_size=6) | st.floats(0, 9),
-    lambda inner: st.lists(inner, max_size=3)
-    | st.dictionaries(st.text("ab-", min_size=1), inner, max_size=3),
-    max_leaves=12))
+@given(
+    st.recursive(
+        st.booleans() | st.integers(-9, 9) | st.text("ab #=[]{},.'\n", max_size=6) | st.floats(0, 9),
+        lambda inner: (
+            st.lists(inner, max_size=3) | st.dictionaries(st.text("ab-", min_size=1), inner, max_size=3)
+        ),
+        max_leaves=12,
+    )
+)
 @settings(deadline=None, max_examples=60)
 def test_every_value_of_any_file_has_the_place_where_its_key_or_it_stands(value: Any) -> None:
     def written(one: Any) -> str:
@@ -138,7 +161,7 @@
     assert found[("t", "last")] == (len(lines) - 1, 1)
     for path in paths(value, ("t", "key")):
         line, column = found[path]
-        rest = lines[line - 1][column - 1:]
+        rest = lines[line - 1][column - 1 :]
         if isinstance(path[-1], str):  # a key stands there, as it is written
             assert rest.startswith((path[-1], f'"{path[-1]}"'))
 
@@ -153,19 +176,28 @@
     conf.write_text("{}")
     bad = write(tmp_path, "[limits]\nlimiter = 'red'")
     done = subprocess.run(
-        [sys.executable, "-m", "honeywharf", "run", "--features", str(bad)], cwd=ROOT, capture_output=True,
-        text=True, timeout=60, check=False, env={"NODE_CONFIG": str(conf), "PATH": "/usr/bin"})
+        [sys.executable, "-m", "honeywharf", "run", "--features", str(bad)],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+        env={"NODE_CONFIG": str(conf), "PATH": "/usr/bin"},
+    )
     assert done.returncode == 2
     assert done.stderr.startswith("honeywharf: ")
 
 
 def test_a_proxy_without_features_imports_none_of_them() -> None:
     """Guards the memory of the platform's proxies: click, msgspec, stand-ins and tomllib stay out."""
-    script = ("import sys, honeywharf.__main__; "
-              "print([m for m in ('click', 'msgspec', 'tomllib', 'honeywharf.standins',"
-                  " 'honeywharf.config.features',"
-              " 'honeywharf.orderkeys', 'honeywharf.coap', 'honeywharf.codecs.coap')"
-              " if m in sys.modules])")
+    script = (
+        "import sys, honeywharf.__main__; "
+        "print([m for m in ('click', 'msgspec', 'tomllib', 'honeywharf.standins',"
+        " 'honeywharf.config.features',"
+        " 'honeywharf.orderkeys', 'honeywharf.coap', 'honeywharf.codecs.coap')"
+        " if m in sys.modules])"
+    )
     done = subprocess.run(
-        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True)
+        [sys.executable, "-c", script], cwd=ROOT, capture_output=True, text=True, check=True
+    )
     assert done.stdout == "[]\n"
--- a/tests/config/test_retune.py
+++ b/tests/config/test_retune.py
@@ -17,8 +17,12 @@
 from tests.loopback import SETTINGS, Backend, Client, reply, row, run, soon, until, world
 
 GOOD: dict[str, Any] = {
-    "name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+    "name": "n",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:1",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "settings": SETTINGS,
     "known": {"generation": 1, "reset": True, "instances": [row("b", 1)]},
 }
 
@@ -50,29 +54,35 @@
     return made
 
 
-@pytest.mark.parametrize(("path", "value", "words"), [
-    (("name",), "m", "name: found 'm', wanted 'n'"),
-    (("settings", "profiles", 0, "deadlineMs"), 0, "aim outside"),
-    (("settings", "profiles", 0, "deadlineMs"), -5, "aim outside"),
-    (("settings", "profiles", 0, "deadlineMs"), "soon", "deadlineMs: a number is wanted, not 'soon'"),
-    (("settings", "profiles", 0, "deadlineMs"), True, "deadlineMs: a number is wanted"),
-    (("settings", "profiles", 0, "deadlineMs"), [1], "deadlineMs: a number is wanted"),
-    (("settings", "profiles", 0, "deadlineMs"), 1e300, "a number of at most 1e\\+18"),
-    (("settings", "profiles", 0, "deadlineMs"), None, "deadlineMs"),
-    (("settings", "profiles", 1, "windowMs"), None, "settings.profiles.order.windowMs: found nothing"),
-    (("settings", "profiles"), {}, "profiles: a list of objects"),
-    (("settings", "profiles"), [], "no request class"),
-    (("settings", "bounds", "mostTries"), 0, "no attempt allowed"),
-    (("settings", "bounds", "mostTries"), -1, "no attempt allowed"),
-    (("settings", "bounds", "mostTries"), "3", "mostTries: a whole number is wanted, not '3'"),
-    (("settings", "bounds", "mostTries"), 2.5, "mostTries: a whole number is wanted, not 2.5"),
-    (("settings", "bounds", "mostTries"), None, "settings.bounds.mostTries: found nothing"),
-    (("settings", "bounds"), 7, "bounds: an object is wanted"),
-    (("settings",), None, "settings: an object is wanted"),
-    (("limits",), None, "limits: found nothing, wanted a value"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "words"),
+    [
+        (("name",), "m", "name: found 'm', wanted 'n'"),
+        (("settings", "profiles", 0, "deadlineMs"), 0, "aim outside"),
+        (("settings", "profiles", 0, "deadlineMs"), -5, "aim outside"),
+        (("settings", "profiles", 0, "deadlineMs"), "soon", "deadlineMs: a number is wanted, not 'soon'"),
+        (("settings", "profiles", 0, "deadlineMs"), True, "deadlineMs: a number is wanted"),
+        (("settings", "profiles", 0, "deadlineMs"), [1], "deadlineMs: a number is wanted"),
+        (("settings", "profiles", 0, "deadlineMs"), 1e300, "a number of at most 1e\\+18"),
+        (("settings", "profiles", 0, "deadlineMs"), None, "deadlineMs"),
+        (("settings", "profiles", 1, "windowMs"), None, "settings.profiles.order.windowMs: found nothing"),
+        (("settings", "profiles"), {}, "profiles: a list of objects"),
+        (("settings", "profiles"), [], "no request class"),
+        (("settings", "bounds", "mostTries"), 0, "no attempt allowed"),
+        (("settings", "bounds", "mostTries"), -1, "no attempt allowed"),
+        (("settings", "bounds", "mostTries"), "3", "mostTries: a whole number is wanted, not '3'"),
+        (("settings", "bounds", "mostTries"), 2.5, "mostTries: a whole number is wanted, not 2.5"),
+        (("settings", "bounds", "mostTries"), None, "settings.bounds.mostTries: found nothing"),
+        (("settings", "bounds"), 7, "bounds: an object is wanted"),
+        (("settings",), None, "settings: an object is wanted"),
+        (("limits",), None, "limits: found nothing, wanted a value"),
+    ],
+)
 def test_what_is_turned_down_is_told_by_key(
-    tmp_path: Path, path: tuple[Any, ...], value: Any, words: str,
+    tmp_path: Path,
+    path: tuple[Any, ...],
+    value: Any,
+    words: str,
 ) -> None:
     held = load(tmp_path, json.dumps(GOOD))
     with pytest.raises((node.ConfigError, retune.RetuneError), match=words):
@@ -99,8 +109,10 @@
             continue  # an entry of a list, or the list of backends, which is the start's alone
         with pytest.raises((node.ConfigError, retune.RetuneError), match=str(path[-1])):
             retune.check(held, load(tmp_path, json.dumps(changed(path, None, drop=True))))
-    more = changed(("settings", "profiles"), [*SETTINGS["profiles"], {
-        "name": "new", "aimMs": 1.0, "deadlineMs": 2.0, "idempotency": "once"}])
+    more = changed(
+        ("settings", "profiles"),
+        [*SETTINGS["profiles"], {"name": "new", "aimMs": 1.0, "deadlineMs": 2.0, "idempotency": "once"}],
+    )
     more["settings"]["new"] = 1
     retune.check(held, load(tmp_path, json.dumps(more)))
 
@@ -171,8 +183,13 @@
             read, order, pay = SETTINGS["profiles"]
             reload(profiles=[{**read, "deadlineMs": 0}, order, pay])
             assert w.proxy.driver.forms.classes["read"].deadline_ms == 5000.0  # refused whole
-            reload(profiles=[order, pay, {"name": "new", "aimMs": 50.0, "deadlineMs": 80.0,
-                                          "idempotency": "once"}])
+            reload(
+                profiles=[
+                    order,
+                    pay,
+                    {"name": "new", "aimMs": 50.0, "deadlineMs": 80.0, "idempotency": "once"},
+                ]
+            )
             other.send("new", left="5000m")
             assert await other.status() == 502  # its own deadline, in time
             for writer in list(backend.writers):
@@ -182,23 +199,30 @@
             backend.then = reply(200, b"tile")
             client.send("read")  # written before: its method is the former class's
             assert await client.status() == 200
-            reload(profiles=[{**read, "idempotency": "once"}, order, pay], bounds={
-                **SETTINGS["bounds"], "mostTries": 1})
+            reload(
+                profiles=[{**read, "idempotency": "once"}, order, pay],
+                bounds={**SETTINGS["bounds"], "mostTries": 1},
+            )
             assert w.proxy.driver.settings.limits.max_attempts == 1
             assert w.proxy.pool.connect_timeout_s > 0
         await backend.stop()
+
     run(main())
 
 
 def test_the_former_form_and_vanished_classes_end_with_the_longest_deadline(tmp_path: Path) -> None:
     """And a newer reload is not taken back by the end of an older one."""
+
     async def main() -> None:
         short = [{**c, "aimMs": 20.0, "deadlineMs": 60.0} for c in SETTINGS["profiles"]]
         async with world([row("b", 1)], profiles=short) as w:
             file = tmp_path / "config.json"
             w.proxy.environ = {"NODE_CONFIG": str(file)}
-            good = {**GOOD, "discovery": f"127.0.0.1:{w.discovery.port}",
-                    "settings": {**SETTINGS, "profiles": short}}
+            good = {
+                **GOOD,
+                "discovery": f"127.0.0.1:{w.discovery.port}",
+                "settings": {**SETTINGS, "profiles": short},
+            }
             w.proxy.conf = load(tmp_path, json.dumps(good))
             for classes in (short[1:], short[2:]):
                 file.write_text(json.dumps({**good, "settings": {**SETTINGS, "profiles": classes}}))
@@ -207,4 +231,5 @@
             await until(lambda: set(w.proxy.driver.forms.classes) == {"pay"})
             await asyncio.sleep(0)
             assert [c.name for c in w.proxy.balancer.settings.classes] == ["pay"]
+
     run(main())
--- a/tests/flow/test_rules.py
+++ b/tests/flow/test_rules.py
@@ -38,11 +38,15 @@
         self.end = "broken"
 
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("push"), st.integers(1, KEEP)), st.tuples(st.just("attach"), st.just(0)),
-    st.tuples(st.just("detach"), st.just(0)),
-    st.tuples(st.sampled_from(("finish", "fail", "cancel")), st.just(0)),
-), max_size=24)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("push"), st.integers(1, KEEP)),
+        st.tuples(st.just("attach"), st.just(0)),
+        st.tuples(st.just("detach"), st.just(0)),
+        st.tuples(st.sampled_from(("finish", "fail", "cancel")), st.just(0)),
+    ),
+    max_size=24,
+)
 
 
 @given(STEPS)
--- a/tests/flow/test_sockets.py
+++ b/tests/flow/test_sockets.py
@@ -41,9 +41,11 @@
 
 FORMS = {
     "length": (b"Content-Length: %d\r\n\r\n" % len(LONG), LONG),
-    "chunked": (b"Transfer-Encoding: chunked\r\n\r\n",
-                b"".join(b"%x;a=b\r\n%b\r\n" % (65_536, LONG[i:i + 65_536]) for i in range(0, MB, 65_536))
-                + b"0\r\nX-Trailer: t\r\n\r\n"),
+    "chunked": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"".join(b"%x;a=b\r\n%b\r\n" % (65_536, LONG[i : i + 65_536]) for i in range(0, MB, 65_536))
+        + b"0\r\nX-Trailer: t\r\n\r\n",
+    ),
     "up to the end": (b"Connection: close\r\n\r\n", LONG),
 }
 
@@ -73,7 +75,8 @@
             client = await Client.to(w.port)
             client.writer.write(
                 f"GET /api {version}\r\nHost: x\r\nX-Correlation-Id: i1\r\nX-Service-Class: read\r\n"
-                "X-Time-Left: 4000m\r\n\r\n".encode())
+                "X-Time-Left: 4000m\r\n\r\n".encode()
+            )
             told = await head(client.reader)  # before the backend has given all
             assert told.startswith(b"HTTP/1.1 200 ")
             if b"chunked" in told:
@@ -99,6 +102,7 @@
             assert ended.outcome is api.Outcome.OK
             assert w.proxy.account.open <= 1
         server.close()
+
     run(main())
 
 
@@ -123,7 +127,8 @@
             form = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {4 * MB}"
             client.writer.write(
                 f"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: i1\r\nX-Service-Class: pay\r\n"
-                f"X-Time-Left: 3000m\r\nExpect: 100-continue\r\n{form}\r\n\r\n".encode())
+                f"X-Time-Left: 3000m\r\nExpect: 100-continue\r\n{form}\r\n\r\n".encode()
+            )
             assert (await head(client.reader)).startswith(b"HTTP/1.1 100 ")
             for i in range(4):
                 piece = LONG
@@ -136,6 +141,7 @@
             assert got.digest() == hashlib.sha256(LONG * 4).digest()
             assert (w.proxy.account.open, w.proxy.front.uploads) == (0, {})
         server.close()
+
     run(main())
 
 
@@ -143,7 +149,9 @@
     async def main() -> None:
         body = b"z" * 300
         answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x;x=y\r\n%b\r\n0\r\nT: t\r\n\r\n" % (
-            len(body), body)
+            len(body),
+            body,
+        )
         backend = await Backend().start()
         backend.then = None
         async with world([backend.row("b")]) as w:
@@ -156,9 +164,11 @@
                 await asyncio.sleep(0)
                 writer.write(answer[at:])
                 assert (await client.answer())[2] == body
-            request = (b"POST /api HTTP/1.1\r\nX-Correlation-Id: c%d\r\nX-Service-Class: pay\r\n"
-                       b"X-Time-Left: 4000m\r\nTransfer-Encoding: chunked\r\n\r\n"
-                       b"3;e\r\nabc\r\n0\r\nT: t\r\n\r\n")
+            request = (
+                b"POST /api HTTP/1.1\r\nX-Correlation-Id: c%d\r\nX-Service-Class: pay\r\n"
+                b"X-Time-Left: 4000m\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3;e\r\nabc\r\n0\r\nT: t\r\n\r\n"
+            )
             backend.then = reply(200, b"ok")
             for at in range(1, len(request) - 1):
                 whole = request % at
@@ -168,6 +178,7 @@
                 assert await client.status() == 200
                 assert backend.requests[-1][2] == b"abc"
         await backend.stop()
+
     run(main())
 
 
@@ -191,6 +202,7 @@
                 assert len(backend.requests) == 1  # its one final answer had begun: nothing more is sent
                 assert w.proxy.account.open == 0
             await backend.stop()
+
     run(main())
 
 
@@ -233,6 +245,7 @@
             assert given < 32 * MB
             assert w.proxy.account.open == 0
         server.close()
+
     run(main())
 
 
@@ -250,7 +263,8 @@
                 assert await client.status() == 200
                 client.writer.write(
                     b"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: u%d\r\nX-Service-Class: pay\r\n"
-                    b"X-Time-Left: 3000m\r\nContent-Length: 1000000\r\n\r\n" % leaves + b"y" * 100_000)
+                    b"X-Time-Left: 3000m\r\nContent-Length: 1000000\r\n\r\n" % leaves + b"y" * 100_000
+                )
                 await until(lambda: w.proxy.driver.open == 1)
                 if leaves:
                     client.writer.transport.abort()
@@ -260,11 +274,13 @@
                 await until(lambda: w.proxy.account.open == 0)
             assert len(backend.requests) == 2  # neither upload became a request there
         await backend.stop()
+
     run(main())
 
 
 def test_an_early_refusal_is_passed_on_while_the_body_still_comes() -> None:
     """The backend answers before it has all: it has not begun the request, and the caller may try again."""
+
     async def main() -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await head(reader)
@@ -279,7 +295,8 @@
             client = await Client.to(w.port)
             client.writer.write(
                 b"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: e1\r\nX-Service-Class: pay\r\n"
-                b"X-Time-Left: 3000m\r\nContent-Length: %d\r\n\r\n" % (8 * MB))
+                b"X-Time-Left: 3000m\r\nContent-Length: %d\r\n\r\n" % (8 * MB)
+            )
             for _ in range(8):  # it reads nothing before it has written all
                 client.writer.write(LONG)
                 await soon(client.writer.drain())
@@ -288,11 +305,13 @@
             assert w.ended()[0].last
             await until(lambda: w.proxy.account.open == 0)
         server.close()
+
     run(main())
 
 
 def test_a_body_in_hand_is_sent_again_and_one_that_has_gone_is_not() -> None:
     """What was refused before more than is kept had come goes to another backend, whole."""
+
     async def main() -> None:
         async def turn_away(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await head(reader)
@@ -315,7 +334,8 @@
             for i in range(12):  # until the bad one has had its turn
                 client.writer.write(
                     b"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: a%d\r\nX-Service-Class: pay\r\n"
-                    b"X-Time-Left: 3000m\r\nContent-Length: 200000\r\n\r\n" % i + b"w" * 30_000)
+                    b"X-Time-Left: 3000m\r\nContent-Length: 200000\r\n\r\n" % i + b"w" * 30_000
+                )
                 await soon(seen.wait())
                 seen.clear()
                 client.writer.write(b"w" * 170_000)
@@ -323,6 +343,7 @@
             assert any(e.outcome is api.Outcome.CONNECT_FAILED for e in w.ended())
         bad.close()
         good.close()
+
     run(main())
 
 
@@ -332,8 +353,10 @@
         async with world([backend.row("b")], memory_mb=16.0) as w:
             w.proxy.account.places = 1
             first, second = await Client.to(w.port), await Client.to(w.port)
-            upload = (b"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %b\r\nX-Service-Class: pay\r\n"
-                      b"X-Time-Left: 3000m\r\nContent-Length: 100000\r\n\r\n")
+            upload = (
+                b"POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %b\r\nX-Service-Class: pay\r\n"
+                b"X-Time-Left: 3000m\r\nContent-Length: 100000\r\n\r\n"
+            )
             first.writer.write(upload % b"p1" + b"x" * 90_000)
             await until(lambda: w.proxy.account.open == 1)
             second.writer.write(upload % b"p2" + b"x" * 90_000)
@@ -349,6 +372,7 @@
             await until(lambda: w.proxy.account.open == 0)
             assert w.proxy.account.refused == 1
         await backend.stop()
+
     run(main())
 
 
@@ -369,4 +393,5 @@
                 await soon(client.reader.readexactly(len(LONG)))
             await until(lambda: w.proxy.pool.count == 0)
         await backend.stop()
+
     run(main())
--- a/tests/flume/mutants.py
+++ b/tests/flume/mutants.py
@@ -39,8 +39,9 @@
 class Mutant:
     """One wrong mesh: how it is made, the troubles of its days, and the rules that may tell it."""
 
-    def __init__(self, name: str, make: Callable[[Put], None], kinds: Kinds, rules: tuple[str, ...],
-                 after: float = 5.0) -> None:
+    def __init__(
+        self, name: str, make: Callable[[Put], None], kinds: Kinds, rules: tuple[str, ...], after: float = 5.0
+    ) -> None:
         self.name, self.make, self.kinds, self.rules, self.after = name, make, kinds, rules, after
 
     def day(self, seed: int) -> list[Fault]:
@@ -119,6 +120,7 @@
 
 def majority_of_the_living(put: Put) -> None:
     """Who does not answer counts as having agreed."""
+
     def lost(asking: Asking, now: float, key: Any) -> Any:
         asking.lost(now, key)
         if isinstance(asking, Round) and asking.phase == "prepare":
@@ -134,8 +136,14 @@
 
 
 def one_vote_is_enough(put: Put) -> None:
-    put(Quorums, "covered", lambda self, by: all(any(key in roster for key in set(by)) if roster else True
-                                                 for roster in self.rosters) and bool(set(by)))
+    put(
+        Quorums,
+        "covered",
+        lambda self, by: (
+            all(any(key in roster for key in set(by)) if roster else True for roster in self.rosters)
+            and bool(set(by))
+        ),
+    )
 
 
 def wiped_disk_votes(put: Put) -> None:
@@ -156,6 +164,7 @@
 
 def begins_from_own_word(put: Put) -> None:
     """A round takes its own acceptor's value, not the one accepted under the highest ballot."""
+
     def cover(self: Round) -> Any:
         mine = [told for key, told in self.promises.items() if key[0] == self.who[0]]
         if mine and self.quorums.covered(self.promises):
@@ -201,6 +210,7 @@
             import json
 
             from result import Ok
+
             try:
                 version = int(json.loads(raw)["config-version"][1:])
             except ValueError:
@@ -218,6 +228,7 @@
         def change(value: Any) -> Any:
             made, answer = was(version, digest)(value)
             return (None if made is None else {**made, "evac": {}}), answer
+
         return change
 
     was = word.replace
@@ -226,6 +237,7 @@
 
 def word_from_the_first(put: Put) -> None:
     """And no news of a newer one, which mend it."""
+
     def start(self: Word) -> None:
         if not self.ready:
             core = self.cores()[0]
@@ -252,11 +264,17 @@
 
 def gate_does_not_heed(put: Put, **fields: Any) -> None:
     """Judge as if some of what the gate knows were otherwise."""
+
     def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
         kept = {name: getattr(self, name) for name in fields}
         for name, what in fields.items():
-            setattr(self, name, READY if name == "state" and self.state in (DRAINING, ENDED) else (
-                self.state if name == "state" else what))
+            setattr(
+                self,
+                name,
+                READY
+                if name == "state" and self.state in (DRAINING, ENDED)
+                else (self.state if name == "state" else what),
+            )
         try:
             return was(self, now, service, expected)
         finally:
@@ -306,6 +324,7 @@
 
 def new_process_knows_no_cold(put: Put) -> None:
     """A life is taken for warm until something tells otherwise, and coldness is not asked for."""
+
     def life(self: Gate, now: float, instance: str) -> None:
         was(self, now, instance)
         self.doubted = False
@@ -326,6 +345,7 @@
 
 def any_service(put: Put) -> None:
     """The gate does not look at the service, the list is not renewed, the backend's id is not expected."""
+
     def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
         return was(self, now, self.service, expected)
 
@@ -346,8 +366,10 @@
 
 def life_not_told_apart(put: Put) -> None:
     """And no id is expected: another life at the address is taken for the one before it."""
-    def beat(self: Gate, now: float, instance: str, sequence: int, draining: bool, slots: int,
-             cold_s: float) -> bool:
+
+    def beat(
+        self: Gate, now: float, instance: str, sequence: int, draining: bool, slots: int, cold_s: float
+    ) -> bool:
         return bool(was(self, now, self.instance or instance, self.sequence + 1, draining, slots, 0.0))
 
     was = Gate.beat
@@ -375,6 +397,7 @@
 
 def excess_is_used(put: Put) -> None:
     """What comes while nobody waits is kept for who comes next, and no id is looked at."""
+
     def discard(self: Tap) -> None:
         if not self.up or self.connection.peer != self.pool.address or self.user is not None:
             was(self)
@@ -415,7 +438,7 @@
 
 def pieces_from_the_beginning(put: Put) -> None:
     def piece(self: Course) -> bytes:
-        return b"".join(self.kept)[:len(was(self))]
+        return b"".join(self.kept)[: len(was(self))]
 
     was = Course._piece
     put(Course, "_piece", piece)
@@ -456,6 +479,7 @@
 
 def ledger_off(put: Put) -> None:
     """A source forgets that a request may have run once it is given to another gate."""
+
     def ask(self: Course, key: str, patience_s: float) -> None:
         self.ran = False
         was(self, key, patience_s)
@@ -484,6 +508,7 @@
 
 def leaving_refuses_who_is_there(put: Put) -> None:
     """Those at work at a gate that leaves are given up."""
+
     def terminate(self: Sluice) -> None:
         was(self)
         for job in list(self.inbound.jobs):
--- a/tests/flume/test_command.py
+++ b/tests/flume/test_command.py
@@ -22,8 +22,13 @@
     assert capsys.readouterr().out.startswith("0 of 2 days broke a rule; ")
 
 
-WRONG = [["hunt", "3", "0"], ["hunt", "3", "2", "--jobs", "-1"], ["hunt"], ["run", "x"],
-         *(["run", "3", "--shape", shape] for shape in ("2,2/3", "2,2,0/3", "2,2,2/2", "2,2,9999/3", "x"))]
+WRONG = [
+    ["hunt", "3", "0"],
+    ["hunt", "3", "2", "--jobs", "-1"],
+    ["hunt"],
+    ["run", "x"],
+    *(["run", "3", "--shape", shape] for shape in ("2,2/3", "2,2,0/3", "2,2,2/2", "2,2,9999/3", "x")),
+]
 
 
 @pytest.mark.parametrize("words", WRONG)
--- a/tests/flume/test_disk.py
+++ b/tests/flume/test_disk.py
@@ -28,8 +28,11 @@
 
 
 def test_a_file_written_beside_and_renamed_is_the_old_or_the_new_one_at_each_crash() -> None:
-    seen = {(crash, after(crash, seed)["word"]) for seed in range(40) for crash in (
-        (1, "before"), (1, "torn"), (1, "after"), (2, "before"), (2, "torn"), (2, "after"))}
+    seen = {
+        (crash, after(crash, seed)["word"])
+        for seed in range(40)
+        for crash in ((1, "before"), (1, "torn"), (1, "after"), (2, "before"), (2, "torn"), (2, "after"))
+    }
     old, new = b"old " * 100, b"NEW " * 100
     assert {data for _, data in seen} == {old, new}
     assert {data for crash, data in seen if crash[0] == 1 or crash == (2, "before")} == {old}
--- a/tests/flume/test_machine.py
+++ b/tests/flume/test_machine.py
@@ -222,8 +222,13 @@
         two = Two(echo=False)
         log = two.asked()
         two.world.run(0.1)
-        two.on(two.there, lambda two=two: (  # type: ignore[misc]
-            two.there.write("a", b"1"), two.taken[0].connection.send(b"safe"))[0])
+        two.on(
+            two.there,
+            lambda two=two: (  # type: ignore[misc]
+                two.there.write("a", b"1"),
+                two.taken[0].connection.send(b"safe"),
+            )[0],
+        )
         two.world.run(0.1 + moment)
         two.there.machine.power_off()
         two.world.run(2.0)
--- a/tests/flume/test_mutants.py
+++ b/tests/flume/test_mutants.py
@@ -7,9 +7,19 @@
 from tests.flume.mutants import MUTANTS, caught
 
 QUICK = (
-    "change drops evacuations", "nobody heeds draining", "cold bound off", "any service", "echo not checked",
-    "answers as they come", "reset means not run", "503 for what may have run", "budget off",
-    "SIGTERM exits at once", "word never renewed", "invalid is taken")
+    "change drops evacuations",
+    "nobody heeds draining",
+    "cold bound off",
+    "any service",
+    "echo not checked",
+    "answers as they come",
+    "reset means not run",
+    "503 for what may have run",
+    "budget off",
+    "SIGTERM exits at once",
+    "word never renewed",
+    "invalid is taken",
+)
 
 
 @pytest.mark.parametrize("name", QUICK)
--- a/tests/flume/test_rules.py
+++ b/tests/flume/test_rules.py
@@ -16,12 +16,21 @@
 QUIET: list[Fault] = []
 #: What is wrong with the toy, what happens, and the rule that must be found broken.
 WRONG = [
-    ("MIXED", "", "MIXED"), ("UNASKED", "", "UNASKED"), ("TWICE", "", "TWICE"), ("REFUSED", "", "REFUSED"),
-    ("ROUTE", "", "ROUTE"), ("BUDGET", "", "BUDGET"), ("READ BACK", "config_change", "CONFIG"),
-    ("CONFIG", "bad_config", "CONFIG"), ("CONFIG BACK", "config_storm", "CONFIG"),
+    ("MIXED", "", "MIXED"),
+    ("UNASKED", "", "UNASKED"),
+    ("TWICE", "", "TWICE"),
+    ("REFUSED", "", "REFUSED"),
+    ("ROUTE", "", "ROUTE"),
+    ("BUDGET", "", "BUDGET"),
+    ("READ BACK", "config_change", "CONFIG"),
+    ("CONFIG", "bad_config", "CONFIG"),
+    ("CONFIG BACK", "config_storm", "CONFIG"),
     ("DRAIN", "release", "DRAIN"),
-    ("LOST", "roll_term", "LOST"), ("FAILBACK", "cold_return", "FAILBACK"), ("EVAC", "evacuate", "EVAC"),
-    ("RECOVER", "herd_kill", "RECOVER")]
+    ("LOST", "roll_term", "LOST"),
+    ("FAILBACK", "cold_return", "FAILBACK"),
+    ("EVAC", "evacuate", "EVAC"),
+    ("RECOVER", "herd_kill", "RECOVER"),
+]
 
 
 @pytest.mark.parametrize(("wrong", "kind", "rule"), WRONG)
@@ -52,7 +61,7 @@
     drawn = {(fault.kind, fault.how) for seed in range(400) for fault in draw(seed, 10.0, 20.0)}
     assert {(kind, how) for kind, hows in KINDS.items() for how in hows} < drawn
     for n in range(0, len(KINDS), 5):
-        some = list(KINDS)[n:n + 5]
+        some = list(KINDS)[n : n + 5]
         report = day("", [Fault(9.0 + m, kind, KINDS[kind][-1], m) for m, kind in enumerate(some)], n)
         assert all(rule != "FAULT" for rule, _, _ in report.broken), report
 
--- a/tests/flume/toymesh.py
+++ b/tests/flume/toymesh.py
@@ -34,9 +34,14 @@
         except ValueError:
             return 400
         names = {service["name"] for service in word["services"]}
-        bad = any(route["max-attempts"] == 0 or route["timeout"] == "601s" or any(
-            part["weight"] < 0 or part["target-service"] not in names for part in route["traffic-split"])
-            for route in word["routes"])
+        bad = any(
+            route["max-attempts"] == 0
+            or route["timeout"] == "601s"
+            or any(
+                part["weight"] < 0 or part["target-service"] not in names for part in route["traffic-split"]
+            )
+            for route in word["routes"]
+        )
         version = int(word["config-version"][1:])
         if bad and self.fault != "CONFIG":
             return 400
@@ -73,8 +78,11 @@
         if message is None:
             self.connection.abort()
             return
-        headers: dict[str, object] = {name: value for name, value in message.headers.items() if name not in (
-            "content-length", "connection")}
+        headers: dict[str, object] = {
+            name: value
+            for name, value in message.headers.items()
+            if name not in ("content-length", "connection")
+        }
         self.connection.send(text(f"HTTP/1.1 {message.status} Toy", headers, message.body))
         self.go()
 
@@ -131,16 +139,25 @@
             told = json.loads(message.body)
             cold = int(told["status"]["cold-remaining"][:-2]) / 1000
             self.truth.backends[name] = {
-                "ip": self.ip, "zone": told["details"]["zone"], "service": told["details"]["target-service"],
-                "state": told["status"]["state"], "seen": self.host.world.now,
-                "cold": self.host.world.now + cold}
+                "ip": self.ip,
+                "zone": told["details"]["zone"],
+                "service": told["details"]["target-service"],
+                "state": told["status"]["state"],
+                "seen": self.host.world.now,
+                "cold": self.host.world.now + cold,
+            }
         reply(answer(200))
 
     def usable(self, service: str) -> list[str]:
         now, truth = self.host.world.now, self.truth
-        return [name for name, at in truth.backends.items() if at["service"] == service and (
-            at["state"] == "ready" or truth.fault == "DRAIN") and (
-            at["zone"] not in truth.empty or truth.fault == "EVAC") and now - at["seen"] < 3.0]
+        return [
+            name
+            for name, at in truth.backends.items()
+            if at["service"] == service
+            and (at["state"] == "ready" or truth.fault == "DRAIN")
+            and (at["zone"] not in truth.empty or truth.fault == "EVAC")
+            and now - at["seen"] < 3.0
+        ]
 
     def route(self, message: Message) -> str:
         routes = self.truth.routes
@@ -179,8 +196,11 @@
     def over(self, message: Message, reply: Any, tries: int, got: Message | None) -> None:
         fault, repeat = self.truth.fault, message.method == "GET"
         refused = got is not None and "toy" in got.headers
-        if tries and (refused or (fault == "TWICE" and not repeat and self.host.random(1)[0] < 8)
-                      or (fault == "BUDGET" and repeat)):
+        if tries and (
+            refused
+            or (fault == "TWICE" and not repeat and self.host.random(1)[0] < 8)
+            or (fault == "BUDGET" and repeat)
+        ):
             self.outbound(message, reply, tries - 1)
         elif got is None and repeat and tries and self.truth.extra < 20:
             self.truth.extra += 1
@@ -220,8 +240,14 @@
 
         self.open += 1
         caller = Caller(self.host, (self.ip, APPLICATION), told)
-        caller.ask(None, text(f"{message.method} {message.path} HTTP/1.1", {
-            **headers, "X-Honeywharf-Expected-Instance": name}, message.body))
+        caller.ask(
+            None,
+            text(
+                f"{message.method} {message.path} HTTP/1.1",
+                {**headers, "X-Honeywharf-Expected-Instance": name},
+                message.body,
+            ),
+        )
 
 
 class ToyReservoir:
@@ -229,8 +255,9 @@
 
     def __init__(self, host: Process, settings: str, truth: Truth) -> None:
         self.truth = truth
-        host.listen((json.loads(settings)["ip-address"], CONTROL), lambda connection: Serving(
-            connection, self.take))
+        host.listen(
+            (json.loads(settings)["ip-address"], CONTROL), lambda connection: Serving(connection, self.take)
+        )
 
     def take(self, message: Message, reply: Any) -> None:
         path = message.path.split("/")
@@ -250,5 +277,7 @@
     def truth(host: Process) -> Truth:
         return truths.setdefault(host.world, Truth(fault))
 
-    return (lambda host, text: ToySluice(host, text, truth(host)),
-            lambda host, text: ToyReservoir(host, text, truth(host)))
+    return (
+        lambda host, text: ToySluice(host, text, truth(host)),
+        lambda host, text: ToyReservoir(host, text, truth(host)),
+    )
--- a/tests/handover/test_rules.py
+++ b/tests/handover/test_rules.py
@@ -16,10 +16,14 @@
 from tests.helpers import Driver, endpoint, make_settings
 
 JSON = st.recursive(
-    st.none() | st.booleans() | st.floats(allow_nan=False, allow_infinity=False) | st.integers(-9, 10**15)
+    st.none()
+    | st.booleans()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.integers(-9, 10**15)
     | st.text(max_size=8),
     lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner, max_size=4),
-    max_leaves=12)
+    max_leaves=12,
+)
 
 
 @given(st.sampled_from(Kind), JSON)
@@ -58,13 +62,17 @@
         frames.decode(whole[:at])
 
 
-@pytest.mark.parametrize(("frame", "words"), [
-    (b"", "found 0 bytes"), (b"GET / HTTP/1.1\r\n\r\n", "found b'GET ', wanted b'HWHO'"),
-    (frames.HEAD.pack(b"HWHO", 2, 1, 0, 0, 0), "found version 2, wanted 1"),
-    (frames.HEAD.pack(b"HWHO", 1, 99, 0, 0, 0), "found kind 99"),
-    (frames.HEAD.pack(b"HWHO", 1, 1, 0, 5, 0), "found 0 bytes of payload, wanted 5"),
-    (frames.HEAD.pack(b"HWHO", 1, 1, 0, 1, 0) + b"x", "another checksum"),
-])
+@pytest.mark.parametrize(
+    ("frame", "words"),
+    [
+        (b"", "found 0 bytes"),
+        (b"GET / HTTP/1.1\r\n\r\n", "found b'GET ', wanted b'HWHO'"),
+        (frames.HEAD.pack(b"HWHO", 2, 1, 0, 0, 0), "found version 2, wanted 1"),
+        (frames.HEAD.pack(b"HWHO", 1, 99, 0, 0, 0), "found kind 99"),
+        (frames.HEAD.pack(b"HWHO", 1, 1, 0, 5, 0), "found 0 bytes of payload, wanted 5"),
+        (frames.HEAD.pack(b"HWHO", 1, 1, 0, 1, 0) + b"x", "another checksum"),
+    ],
+)
 def test_what_is_no_frame_is_told(frame: bytes, words: str) -> None:
     with pytest.raises(FrameError, match=words):
         frames.Reader().feed(frame)
@@ -79,8 +87,11 @@
         for action in driver.request():
             if isinstance(action, api.Send):
                 bad = action.endpoint == "a1"
-                driver.end(api.Outcome.RESET if bad else api.Outcome.OK, request_over=True,
-                           after_ms=1.0 if bad else 40.0 + i % 7)
+                driver.end(
+                    api.Outcome.RESET if bad else api.Outcome.OK,
+                    request_over=True,
+                    after_ms=1.0 if bad else 40.0 + i % 7,
+                )
     return driver
 
 
@@ -142,8 +153,9 @@
     new.list([endpoint(n) for n in ("a1", "a2", "a3", "a4")])
     knowledge.know(new.balancer, new.now, told)
     assert sum(new.fill(20).values()) >= 1
-    assert all(s.usable_at <= new.now + knowledge.LONGEST_PAUSE_MS
-               for s in new.balancer.endpoints.servers.values())
+    assert all(
+        s.usable_at <= new.now + knowledge.LONGEST_PAUSE_MS for s in new.balancer.endpoints.servers.values()
+    )
     assert 0.0 <= new.balancer.budget.tokens <= 5.0
     for zone in new.balancer.endpoints.zones.values():
         assert 0.0 < zone.limiter.limit < float("inf")
@@ -155,8 +167,9 @@
 
 
 def test_words_are_bounded_and_sound() -> None:
-    said = state.words({"evacuated": False, "at": 5, "out": {"a": 1, "": 2, "b": "x", "c": -1, "d" * 300: 3},
-                        "back": [1]})
+    said = state.words(
+        {"evacuated": False, "at": 5, "out": {"a": 1, "": 2, "b": "x", "c": -1, "d" * 300: 3}, "back": [1]}
+    )
     assert said is not None
     assert (said.out, said.back, said.evacuated_ms) == ({"a": 1.0}, {}, 5.0)
     assert state.names(["a", 3, "", "b"]) == ["a", "b"]
--- a/tests/handover/test_sockets.py
+++ b/tests/handover/test_sockets.py
@@ -21,8 +21,14 @@
 from honeywharf.standins.registry import Registry
 from tests.loopback import Backend, reply, run, soon, until
 
-ORDER = {"name": "order", "aimMs": 1000.0, "deadlineMs": 2000.0, "idempotency": "by_key", "group": "cell",
-         "windowMs": 7500.0}
+ORDER = {
+    "name": "order",
+    "aimMs": 1000.0,
+    "deadlineMs": 2000.0,
+    "idempotency": "by_key",
+    "group": "cell",
+    "windowMs": 7500.0,
+}
 
 
 @asynccontextmanager
@@ -55,6 +61,7 @@
 
 def test_upgrades_under_load_meet_no_client(tmp_path: Path) -> None:
     """Connections that idle, that ask, that have only come, and one that is asked while it changes hands."""
+
     async def main() -> None:
         async with place(tmp_path) as (platform, _, _):
             load = Load(platform.port, 200.0, 40)
@@ -77,6 +84,7 @@
             assert set(load.met) == {"200"}, platform.words()
             for _, writer in resting:
                 writer.close()
+
     run(main())
 
 
@@ -94,6 +102,7 @@
                 async def heard(port: int = port) -> None:
                     while (await say(port, "exclude second")) != "OK second was out already":
                         pass
+
                 await soon(heard())
             assert (await say(platform.operator, "evacuate")).startswith("OK e")
             while not (await say(platform.before, "readyz")).startswith("ERR not ready: e"):
@@ -113,6 +122,7 @@
             assert (await say(platform.operator, "readyz")).startswith("ERR not ready")
             assert not second.requests
             assert first.requests
+
     run(main())
 
 
@@ -147,6 +157,7 @@
             await load.end()
             assert set(load.met) == {"200"}, platform.words()
             assert not second.requests  # the ban has held whatever ended
+
     run(main())
 
 
@@ -159,6 +170,7 @@
                 await platform.start()
             platform.configuration = good
             assert (await say(platform.before, "readyz")) == "OK ready"
+
     run(main())
 
 
@@ -182,14 +194,25 @@
         await asyncio.Event().wait()  # it hangs for good
 
 
-@pytest.mark.parametrize("answers", [
-    [], [b"nonsense"], [frames.HEAD.pack(b"HWHO", 9, 2, 0, 0, 0)],
-    [*frames.encode(Kind.STATE, {"words": 3, "ever": 4, "list": {"generation": 9, "instances": [7]},
-                                 "learned": [1]})],
-    [*frames.encode(Kind.WORDS, {"evacuated": 1})], [*frames.encode(Kind.STATE, "x" * 100_000)][:1],
-])
+@pytest.mark.parametrize(
+    "answers",
+    [
+        [],
+        [b"nonsense"],
+        [frames.HEAD.pack(b"HWHO", 9, 2, 0, 0, 0)],
+        [
+            *frames.encode(
+                Kind.STATE,
+                {"words": 3, "ever": 4, "list": {"generation": 9, "instances": [7]}, "learned": [1]},
+            )
+        ],
+        [*frames.encode(Kind.WORDS, {"evacuated": 1})],
+        [*frames.encode(Kind.STATE, "x" * 100_000)][:1],
+    ],
+)
 def test_a_peer_that_hangs_or_lies_costs_a_bounded_wait_and_nothing_else(
-    tmp_path: Path, answers: list[bytes],
+    tmp_path: Path,
+    answers: list[bytes],
 ) -> None:
     async def main() -> None:
         desk = link.Desk(asyncio.get_running_loop(), str(tmp_path), "127.0.0.1", 80)
@@ -204,6 +227,7 @@
         assert not (tmp_path / desk.name).exists()
         serving.cancel()
         peer.listener.close()
+
     run(main())
 
 
@@ -218,6 +242,7 @@
             Path(desk.file).write_bytes(whole[:end])
             assert desk.kept_words() is None
         assert sorted(p.name for p in tmp_path.iterdir()) == [Path(desk.file).name]  # nothing half written
+
     run(main())
 
 
@@ -245,4 +270,5 @@
             other.close()
         desk.close()
         assert os.listdir(deep) == [Path(desk.file).name]
+
     run(main())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,11 @@
 REPEATABLE = api.RequestClass("read", aim_ms=1000, deadline_ms=2000)
 ONCE = api.RequestClass("write", aim_ms=1000, deadline_ms=2000, effect=api.Effect.ONCE)
 KEYED = api.RequestClass(
-    "keyed", aim_ms=1000, deadline_ms=2000, effect=api.Effect.KEYED, scope=api.DedupeScope.CELL,
+    "keyed",
+    aim_ms=1000,
+    deadline_ms=2000,
+    effect=api.Effect.KEYED,
+    scope=api.DedupeScope.CELL,
     window_ms=1500,
 )
 
@@ -60,15 +64,17 @@
         return self.feed(api.RequestArrived(f"r{self.count}", class_name, remaining_ms, **changes))
 
     def end(
-        self, outcome: api.Outcome, attempt: int = 0, request: str | None = None, after_ms: float = 50.0,
+        self,
+        outcome: api.Outcome,
+        attempt: int = 0,
+        request: str | None = None,
+        after_ms: float = 50.0,
         **changes: Any,
     ) -> Actions:
         """End an attempt of the last request (or of the one named) after some time."""
         self.now += after_ms
         changes.setdefault("request_over", outcome is api.Outcome.OK)
-        return self.feed(
-            api.AttemptEnded(request or f"r{self.count}", attempt, outcome, after_ms, **changes)
-        )
+        return self.feed(api.AttemptEnded(request or f"r{self.count}", attempt, outcome, after_ms, **changes))
 
     def fill(self, calls: int, outcome: api.Outcome = api.Outcome.OK) -> dict[str, int]:
         """Make calls that all end alike; the number sent to each endpoint."""
--- a/tests/http/test_offers.py
+++ b/tests/http/test_offers.py
@@ -12,8 +12,10 @@
 from tests.loopback import Backend, Client, reply, run, soon, until, world
 
 HEAD = b"X-Correlation-Id: %b\r\nX-Service-Class: %b\r\nX-Time-Left: 4000m\r\n"
-OFFERS = [b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n",
-          b"Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Key: x\r\n"]
+OFFERS = [
+    b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n",
+    b"Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Key: x\r\n",
+]
 
 
 def get(name: bytes, more: bytes = b"", version: bytes = b"1.1") -> bytes:
@@ -28,14 +30,18 @@
 
 
 @pytest.mark.parametrize("offer", OFFERS)
-@pytest.mark.parametrize("make", [
-    lambda offer: get(b"one", offer),
-    lambda offer: pay(b"one", b"GET / HTTP/1.1\r\n\r\n", offer),  # a body that looks like a request
-    lambda offer: pay(b"one", b"hello", offer, chunked=True),
-    lambda offer: pay(b"one", b"", offer),
-])
+@pytest.mark.parametrize(
+    "make",
+    [
+        lambda offer: get(b"one", offer),
+        lambda offer: pay(b"one", b"GET / HTTP/1.1\r\n\r\n", offer),  # a body that looks like a request
+        lambda offer: pay(b"one", b"hello", offer, chunked=True),
+        lambda offer: pay(b"one", b"", offer),
+    ],
+)
 def test_an_offer_of_another_protocol_is_ignored_and_the_next_request_is_served(
-    offer: bytes, make: object,
+    offer: bytes,
+    make: object,
 ) -> None:
     first = make(offer)  # type: ignore[operator]
 
@@ -53,6 +59,7 @@
             client.writer.write_eof()
             assert await client.closed()  # and nothing more was said
         await backend.stop()
+
     run(main())
 
 
@@ -106,7 +113,7 @@
 
 def test_a_head_in_pieces_counts_once_and_many_messages_in_one_piece_are_no_long_head() -> None:
     reader, text = http1.RequestReader(), get(b"one", b"X-Pad: " + b"p" * 12_000 + b"\r\n")
-    assert [r.id for i in range(0, len(text), 1000) for r in reader.feed(text[i:i + 1000])] == ["one"]
+    assert [r.id for i in range(0, len(text), 1000) for r in reader.feed(text[i : i + 1000])] == ["one"]
     many = b"".join(get(b"m%d" % i, b"X-Pad: " + b"p" * 9000 + b"\r\n") for i in range(6))
     assert len(reader.feed(many[:-10])) == 5
     assert reader.fault is None
@@ -137,15 +144,19 @@
             assert head.startswith(b"HTTP/1.1 200")
             assert await old.closed()
         await backend.stop()
+
     run(main())
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"CONNECT db:5432 HTTP/1.1\r\nHost: db:5432\r\n\r\nGET /api HTTP/1.1\r\n\r\n", 400),
-    (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400),
-    (pay(b"one", b"", b"Expect: 100-continue\r\n").replace(b"Length: 0", b"Length: 2000000000"), 413),
-    (get(b"one", b"Connection: keep-alive\r\n", b"1.0"), 200),  # a proxy keeps none (RFC 9112, 9.3)
-])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"CONNECT db:5432 HTTP/1.1\r\nHost: db:5432\r\n\r\nGET /api HTTP/1.1\r\n\r\n", 400),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 400),
+        (pay(b"one", b"", b"Expect: 100-continue\r\n").replace(b"Length: 0", b"Length: 2000000000"), 413),
+        (get(b"one", b"Connection: keep-alive\r\n", b"1.0"), 200),  # a proxy keeps none (RFC 9112, 9.3)
+    ],
+)
 def test_one_answer_and_the_end(raw: bytes, status: int) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -155,6 +166,7 @@
             assert await client.closed()
             assert len(backend.requests) == (status == 200)
         await backend.stop()
+
     run(main())
 
 
@@ -178,6 +190,7 @@
             assert await client.closed()
             await until(lambda: not w.proxy.front.connections)
         await backend.stop()
+
     run(main())
 
 
@@ -193,6 +206,7 @@
             await until(lambda: w.proxy.driver.counts.get("gone") == 1)
             assert not w.proxy.front.connections
         await backend.stop()
+
     run(main())
 
 
@@ -222,4 +236,5 @@
                 made.close()
             assert statuses == [200] * 80
         await backend.stop()
+
     run(main())
--- a/tests/lab/test_experiments.py
+++ b/tests/lab/test_experiments.py
@@ -25,13 +25,21 @@
 ROOT = Path(__file__).parents[2]
 FILES = sorted((ROOT / "bench" / "experiments").glob("*.toml"))
 SMALL: dict[str, Any] = {
-    "name": "small", "seeds": [1, 2],
-    "day": {"length_ms": 6000.0}, "fleet": {"zones": {"a": 2, "b": 2}, "proxies": 2},
+    "name": "small",
+    "seeds": [1, 2],
+    "day": {"length_ms": 6000.0},
+    "fleet": {"zones": {"a": 2, "b": 2}, "proxies": 2},
     "troubles": [{"kind": "crash", "at_ms": 2000.0, "for_ms": 1000.0}],
-    "sweep": [{"name": "storms", "path": "features.storms", "values": [False, True]},
-              {"name": "clients", "cases": [
-                  {"label": "deaf", "set": {"clients.habits": "deaf"}},
-                  {"label": "many", "set": {"clients.number": 300, "troubles.0.part": 0.5}}]}],
+    "sweep": [
+        {"name": "storms", "path": "features.storms", "values": [False, True]},
+        {
+            "name": "clients",
+            "cases": [
+                {"label": "deaf", "set": {"clients.habits": "deaf"}},
+                {"label": "many", "set": {"clients.number": 300, "troubles.0.part": 0.5}},
+            ],
+        },
+    ],
 }
 TOML = """
 name = "small"
@@ -72,40 +80,46 @@
 def test_a_sweep_is_every_combination_with_every_seed() -> None:
     _, found = cells(SMALL)
     assert [(c.labels["storms"], c.labels["clients"], c.seed) for c in found] == [
-        (storms, clients, seed) for storms in ("false", "true") for clients in ("deaf", "many")
-        for seed in (1, 2)]
+        (storms, clients, seed)
+        for storms in ("false", "true")
+        for clients in ("deaf", "many")
+        for seed in (1, 2)
+    ]
     assert len({c.key for c in found}) == 8
     assert (found[-1].setting.clients.number, found[-1].setting.troubles[0].part) == (300, 0.5)
     assert found[0].setting.troubles[0].part == 0.15  # one case sets nothing of another's
 
 
-@pytest.mark.parametrize(("path", "value", "words"), [
-    ("name", "", "name: wanted a word, found ''"),
-    ("seeds", [1, "x"], "seeds: wanted whole numbers, or how many, found [1, 'x']"),
-    ("seeds", [], "seeds: wanted"),
-    ("seeds", 0, "seeds: wanted whole numbers, or how many, found 0"),
-    ("day.lenght_ms", 1.0, "day.lenght_ms: found a key that there is not, wanted one of length_ms"),
-    ("day.load", "high", "day.load: found 'high', wanted a number"),
-    ("day.load", 11.0, "day.load: wanted 0 to 10, found 11"),
-    ("day.deadline_ms", 5.0, "day.deadline_ms: wanted 2000 to 1e+06, found 5"),
-    ("fleet.zones", {}, "fleet.zones: wanted a node"),
-    ("fleet.proxies", 1, "fleet.proxies: wanted 2 to 2000, found 1"),
-    ("clients.habits", {"shy": 1.0}, "habit: wanted one of obedient"),
-    ("clients.habits", {"deaf": 0.0}, "clients.habits: wanted weights over 0"),
-    ("features.limiter", "best", "features.limiter: wanted one of lateness"),
-    ("troubles.0.kind", "flood", "troubles[0].kind: wanted one of crash"),
-    ("troubles.0.part", 0.0, "troubles[0].part: wanted over 0"),
-    ("troubles.0.zone", "x", "troubles[0].zone: wanted one of a, b"),
-    ("sweep", {}, "sweep: wanted a list of axes"),
-    ("sweep.0", 3, "sweep[0]: wanted a table, found 3"),
-    ("sweep.0", {"path": "a", "values": []}, "sweep[0].values: wanted a list, found []"),
-    ("sweep.0", {"name": "n"}, "sweep[0]: wanted name with cases, or path with values"),
-    ("sweep.1.cases.0", {"label": "x"}, "sweep[1].cases[0]: wanted a label and a table"),
-    ("sweep.0.path", "troubles.7.part", "troubles.7.part: wanted a place from 0 to 0, found '7'"),
-    ("sweep.0.path", "troubles.0", "troubles.0: wanted the name of a figure"),
-    ("sweep.0.path", "name2.x", "name2: found a key that there is not"),
-    ("seeds", list(range(5000)), "sweep: wanted up to 10000 cells, found 20000"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "words"),
+    [
+        ("name", "", "name: wanted a word, found ''"),
+        ("seeds", [1, "x"], "seeds: wanted whole numbers, or how many, found [1, 'x']"),
+        ("seeds", [], "seeds: wanted"),
+        ("seeds", 0, "seeds: wanted whole numbers, or how many, found 0"),
+        ("day.lenght_ms", 1.0, "day.lenght_ms: found a key that there is not, wanted one of length_ms"),
+        ("day.load", "high", "day.load: found 'high', wanted a number"),
+        ("day.load", 11.0, "day.load: wanted 0 to 10, found 11"),
+        ("day.deadline_ms", 5.0, "day.deadline_ms: wanted 2000 to 1e+06, found 5"),
+        ("fleet.zones", {}, "fleet.zones: wanted a node"),
+        ("fleet.proxies", 1, "fleet.proxies: wanted 2 to 2000, found 1"),
+        ("clients.habits", {"shy": 1.0}, "habit: wanted one of obedient"),
+        ("clients.habits", {"deaf": 0.0}, "clients.habits: wanted weights over 0"),
+        ("features.limiter", "best", "features.limiter: wanted one of lateness"),
+        ("troubles.0.kind", "flood", "troubles[0].kind: wanted one of crash"),
+        ("troubles.0.part", 0.0, "troubles[0].part: wanted over 0"),
+        ("troubles.0.zone", "x", "troubles[0].zone: wanted one of a, b"),
+        ("sweep", {}, "sweep: wanted a list of axes"),
+        ("sweep.0", 3, "sweep[0]: wanted a table, found 3"),
+        ("sweep.0", {"path": "a", "values": []}, "sweep[0].values: wanted a list, found []"),
+        ("sweep.0", {"name": "n"}, "sweep[0]: wanted name with cases, or path with values"),
+        ("sweep.1.cases.0", {"label": "x"}, "sweep[1].cases[0]: wanted a label and a table"),
+        ("sweep.0.path", "troubles.7.part", "troubles.7.part: wanted a place from 0 to 0, found '7'"),
+        ("sweep.0.path", "troubles.0", "troubles.0: wanted the name of a figure"),
+        ("sweep.0.path", "name2.x", "name2: found a key that there is not"),
+        ("seeds", list(range(5000)), "sweep: wanted up to 10000 cells, found 20000"),
+    ],
+)
 def test_what_is_wrong_is_named_with_what_is_wanted(path: str, value: Any, words: str) -> None:
     with pytest.raises(ExperimentError) as fault:
         cells(changed(path, value))
@@ -115,12 +129,22 @@
 def test_the_same_cell_gives_the_same_figures_to_the_bit_in_another_process() -> None:
     _, found = cells(SMALL)
     cell = found[-1]  # a population, storms on
-    told = subprocess.run([sys.executable, "-c", (
-        "import json, sys; from tests.lab.test_experiments import SMALL;"
-        "from honeywharf.lab import runs; from honeywharf.lab.experiments import cells;"
-        "print(json.dumps(runs.play(cells(SMALL)[1][-1])[1], sort_keys=True))")],
-        capture_output=True, check=True, text=True, cwd=ROOT,
-        env={"PYTHONHASHSEED": "7", "PYTHONPATH": str(ROOT)})
+    told = subprocess.run(
+        [
+            sys.executable,
+            "-c",
+            (
+                "import json, sys; from tests.lab.test_experiments import SMALL;"
+                "from honeywharf.lab import runs; from honeywharf.lab.experiments import cells;"
+                "print(json.dumps(runs.play(cells(SMALL)[1][-1])[1], sort_keys=True))"
+            ),
+        ],
+        capture_output=True,
+        check=True,
+        text=True,
+        cwd=ROOT,
+        env={"PYTHONHASHSEED": "7", "PYTHONPATH": str(ROOT)},
+    )
     assert told.stdout.strip() == json.dumps(runs.play(cell)[1], sort_keys=True)
     other = runs.play(found[-2])[1]
     assert other != runs.play(cell)[1]
@@ -143,7 +167,11 @@
     file.write_text(TOML.replace("[1, 2, 3]", str(list(range(3000)))))
     run = subprocess.Popen(
         [sys.executable, "-m", "honeywharf", "lab", "run", str(file), "--jobs", "2", "--quiet"],
-        stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, cwd=ROOT, start_new_session=True)
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+        cwd=ROOT,
+        start_new_session=True,
+    )
     until = time.monotonic() + 60.0
     done = 0
     while done < 3 and time.monotonic() < until:
@@ -164,6 +192,7 @@
     def fill() -> None:
         for i in range(1000):
             results.add(f"k{i}", "e", {}, i, result)
+
     with pytest.raises(ResultsError, match="wanted room for a cell in 65536 bytes"):
         fill()
     kept = len(results.keys())
@@ -191,13 +220,20 @@
 
 
 def row(labels: dict[str, str], seed: int, **figures: float) -> reports.Row:
-    return "e", labels, seed, {"figures": figures, "lines": [[10, 9, 1, 9, 2, 0]] * 20,
-                               "latencies": [0.1 * i for i in range(51)]}
+    return (
+        "e",
+        labels,
+        seed,
+        {"figures": figures, "lines": [[10, 9, 1, 9, 2, 0]] * 20, "latencies": [0.1 * i for i in range(51)]},
+    )
 
 
 def test_a_comparison_is_over_pairs_of_equal_seeds_and_settings() -> None:
-    rows = [row({"on": on, "part": "0.1"}, seed, dead=0.5 + 0.1 * seed + (0.2 if on == "yes" else 0.0))
-            for on in ("no", "yes") for seed in (1, 2, 3)]
+    rows = [
+        row({"on": on, "part": "0.1"}, seed, dead=0.5 + 0.1 * seed + (0.2 if on == "yes" else 0.0))
+        for on in ("no", "yes")
+        for seed in (1, 2, 3)
+    ]
     rows.append(row({"on": "yes", "part": "0.1"}, 9, dead=0.0))  # without its pair
     (told,) = reports.compare(rows, "on", "no", "yes")
     assert told.pairs == 3
@@ -216,17 +252,24 @@
 
 def test_the_interval_of_a_difference_widens_with_what_seeds_differ_by() -> None:
     def width(spread: float) -> float:
-        rows = [row({"on": on}, seed, dead=(spread * (seed % 4) if on == "yes" else 0.0))
-                for on in ("no", "yes") for seed in range(12)]
+        rows = [
+            row({"on": on}, seed, dead=(spread * (seed % 4) if on == "yes" else 0.0))
+            for on in ("no", "yes")
+            for seed in range(12)
+        ]
         (told,) = reports.compare(rows, "on", "no", "yes")
         assert told.low <= told.second - told.first <= told.high
         return told.high - told.low
+
     assert 0.0 < width(0.1) < width(0.4)
 
 
 def test_a_page_has_every_setting_escaped_and_is_the_same_each_time() -> None:
-    rows = [row({"clients": str(10 ** n), "on": on}, 1, recovery_s=float(n)) for n in (1, 2, 3)
-            for on in ("<b>", "off")]
+    rows = [
+        row({"clients": str(10**n), "on": on}, 1, recovery_s=float(n))
+        for n in (1, 2, 3)
+        for on in ("<b>", "off")
+    ]
     page = reports.page(rows)
     assert page == reports.page(rows)
     assert "<b>" not in page
@@ -252,8 +295,9 @@
     assert (told.exit_code, "pairs" in told.output) == (0, True), told.output
     told = CliRunner().invoke(main, ["lab", "report", str(out), str(page)])
     assert (told.exit_code, page.read_text()[:15]) == (0, "<!doctype html>"), told.output
-    told = CliRunner().invoke(main, [
-        "lab", "compare", str(out), "build", "earlier", "now", "--also", str(out)])
+    told = CliRunner().invoke(
+        main, ["lab", "compare", str(out), "build", "earlier", "now", "--also", str(out)]
+    )
     assert (told.exit_code, "+0.000" in told.output) == (0, True), told.output
     file.write_text("name = 3")
     told = CliRunner().invoke(main, ["lab", "run", str(file)])
--- a/tests/lab/test_histories.py
+++ b/tests/lab/test_histories.py
@@ -65,12 +65,19 @@
     assert not any(good().faults(KEPT).values())
 
 
-@pytest.mark.parametrize(("rule", "spoil"), [
-    ("one charge", charged_again), ("one answer", unanswered), ("one answer", answered_twice),
-    ("one answer", lost_though_no_proxy_fell), ("same answer", another_answer),
-    ("served means charged", served_from_nothing), ("refused means no charge", refused_and_charged_later),
-    ("refused means no charge", refused_though_an_earlier_one_was_charged),
-])
+@pytest.mark.parametrize(
+    ("rule", "spoil"),
+    [
+        ("one charge", charged_again),
+        ("one answer", unanswered),
+        ("one answer", answered_twice),
+        ("one answer", lost_though_no_proxy_fell),
+        ("same answer", another_answer),
+        ("served means charged", served_from_nothing),
+        ("refused means no charge", refused_and_charged_later),
+        ("refused means no charge", refused_though_an_earlier_one_was_charged),
+    ],
+)
 def test_each_fault_is_found_under_its_rule(rule: str, spoil: Callable[[History], None]) -> None:
     h = good()
     spoil(h)
@@ -113,7 +120,8 @@
 
 @pytest.mark.parametrize(("late_ms", "faults"), [(0.0, 1), (200.0, 0)])
 def test_a_client_that_gave_up_runs_beside_a_refusal_as_long_as_its_datagrams_may_arrive(
-    late_ms: float, faults: int,
+    late_ms: float,
+    faults: int,
 ) -> None:
     h = good()
     h.asked("d", "two", 7.0, False)
@@ -125,5 +133,11 @@
     h.answered("f", 410.0, 503)
     assert len(h.faults(KEPT)["refused means no charge"]) == faults + 1
     assert [row.split(" ", 1)[1] for row in h.told("two")] == [
-        "d asks", "d ends with 408", "e asks again", "charged for d", "e ends with 503", "f asks again",
-        "f ends with 503"]
+        "d asks",
+        "d ends with 408",
+        "e asks again",
+        "charged for d",
+        "e ends with 503",
+        "f asks again",
+        "f ends with 503",
+    ]
--- a/tests/lab/test_model.py
+++ b/tests/lab/test_model.py
@@ -29,8 +29,17 @@
 
 
 def test_a_crowded_node_jams_and_recovers_when_idle() -> None:
-    node = Node(NodeSpec(cores=1, queue=100, warm_ms=0.0, jam_at=4.0, jam_over_ms=1000.0, jam_rest_ms=500.0,
-                         jam_most_ms=1e9))
+    node = Node(
+        NodeSpec(
+            cores=1,
+            queue=100,
+            warm_ms=0.0,
+            jam_at=4.0,
+            jam_over_ms=1000.0,
+            jam_rest_ms=500.0,
+            jam_most_ms=1e9,
+        )
+    )
     for i in range(20):
         node.offer(0.0, f"a{i}", 1000.0)
     node.offer(900.0, "b", 1000.0)
--- a/tests/lab/test_population.py
+++ b/tests/lab/test_population.py
@@ -11,14 +11,29 @@
 from honeywharf.lab.population import MOST, Population
 from honeywharf.lab.simulator import Day, Result, Simulation, Trouble, play
 
-RESTARTS = tuple(Trouble(3000.0 + 2000.0 * i, "restart", part=part, for_ms=1500.0, front_ms=1000.0)
-                 for i, part in enumerate((0.3, 0.3, 0.3, 0.1)))
+RESTARTS = tuple(
+    Trouble(3000.0 + 2000.0 * i, "restart", part=part, for_ms=1500.0, front_ms=1000.0)
+    for i, part in enumerate((0.3, 0.3, 0.3, 0.1))
+)
 
 
 def day(**changes: object) -> Day:
-    made = Day("population", 1, 100.0, {"a": 4, "b": 4}, days.none, spec=days.TILE, retries=6,
-               length_ms=14_000.0, habits=MIXED, marks=0.5, proxies=4, clients=2000,
-               think_ms=2000.0 / 0.09, **changes)  # type: ignore[arg-type]
+    made = Day(
+        "population",
+        1,
+        100.0,
+        {"a": 4, "b": 4},
+        days.none,
+        spec=days.TILE,
+        retries=6,
+        length_ms=14_000.0,
+        habits=MIXED,
+        marks=0.5,
+        proxies=4,
+        clients=2000,
+        think_ms=2000.0 / 0.09,
+        **changes,  # type: ignore[arg-type]
+    )
     return made
 
 
@@ -37,11 +52,21 @@
         assert shares[habits.NAMES.index(name)] == pytest.approx(weight, abs=0.005)
 
 
-@pytest.mark.parametrize(("size", "think_ms", "zones", "mix"), [
-    (0, 1.0, 1, MIXED), (MOST + 1, 1.0, 1, MIXED), (1, 0.0, 1, MIXED), (1, 1.0, 0, MIXED),
-    (1, 1.0, 1, (("shy", 1.0),))])
+@pytest.mark.parametrize(
+    ("size", "think_ms", "zones", "mix"),
+    [
+        (0, 1.0, 1, MIXED),
+        (MOST + 1, 1.0, 1, MIXED),
+        (1, 0.0, 1, MIXED),
+        (1, 1.0, 0, MIXED),
+        (1, 1.0, 1, (("shy", 1.0),)),
+    ],
+)
 def test_what_is_no_population_is_refused(
-    size: int, think_ms: float, zones: int, mix: tuple[tuple[str, float], ...],
+    size: int,
+    think_ms: float,
+    zones: int,
+    mix: tuple[tuple[str, float], ...],
 ) -> None:
     with pytest.raises(ValueError, match=r"wanted .* found"):
         Population(size, think_ms, zones, mix, 1)
@@ -105,8 +130,10 @@
 
 def test_a_restart_while_descriptors_are_short_cuts_who_waits_and_nothing_else() -> None:
     """Guards against a proxy that is back before who waited for a descriptor of the old one looks again."""
-    troubles = (Trouble(3000.0, "descriptors", part=1.0, for_ms=2000.0),
-                *(Trouble(3500.0 + 200.0 * i, "restart", part=1.0, for_ms=10.0) for i in range(5)))
+    troubles = (
+        Trouble(3000.0, "descriptors", part=1.0, for_ms=2000.0),
+        *(Trouble(3500.0 + 200.0 * i, "restart", part=1.0, for_ms=10.0) for i in range(5)),
+    )
     accounted(play(day(troubles=troubles)))
 
 
--- a/tests/lab/test_scale.py
+++ b/tests/lab/test_scale.py
@@ -17,9 +17,20 @@
 
 def outage(proxies: int, seed: int = 1) -> Day:
     """0.4 of 42 nodes that jam die at 8 s and are back, cold, at 14 s."""
-    day = Day("scale", seed, 100.0, {"a": 14, "b": 14, "c": 14}, days.none, spec=days.TILE, retries=6,
-              length_ms=34_000.0, habits=MIXED, marks=0.5, proxies=proxies,
-              troubles=(Trouble(8000.0, "crash", part=0.4, for_ms=6000.0),))
+    day = Day(
+        "scale",
+        seed,
+        100.0,
+        {"a": 14, "b": 14, "c": 14},
+        days.none,
+        spec=days.TILE,
+        retries=6,
+        length_ms=34_000.0,
+        habits=MIXED,
+        marks=0.5,
+        proxies=proxies,
+        troubles=(Trouble(8000.0, "crash", part=0.4, for_ms=6000.0),),
+    )
     return days.load(day, 0.75)
 
 
--- a/tests/limits/test_days.py
+++ b/tests/limits/test_days.py
@@ -24,9 +24,23 @@
     """So many connections that ask again at once, at four servers with cores to spare."""
     length = {0.2: 100.0, 2.0: 300.0, 20.0: 600.0}.get(work_ms, 6.0 * work_ms)
     spec = NodeSpec(cores=64, warm_ms=0.0)
-    return kept(play(Day(
-        "closed", 1, work_ms, {"z": 4}, days.none, length_ms=length, spec=spec, connections=connections,
-        proxies=1, spread=0.1, limiter=limiter)))
+    return kept(
+        play(
+            Day(
+                "closed",
+                1,
+                work_ms,
+                {"z": 4},
+                days.none,
+                length_ms=length,
+                spec=spec,
+                connections=connections,
+                proxies=1,
+                spread=0.1,
+                limiter=limiter,
+            )
+        )
+    )
 
 
 @pytest.mark.parametrize("connections", [1, 16, 64, 256])
@@ -44,11 +58,18 @@
     assert result.refused > 0.5 * result.asked
 
 
-@pytest.mark.parametrize(("work_ms", "cores", "length_ms"), [
-    (2.0, 1, 6000.0), (20.0, 8, 10000.0), (200.0, 8, 20000.0),
-])
+@pytest.mark.parametrize(
+    ("work_ms", "cores", "length_ms"),
+    [
+        (2.0, 1, 6000.0),
+        (20.0, 8, 10000.0),
+        (200.0, 8, 20000.0),
+    ],
+)
 def test_at_twice_the_capacity_goodput_is_the_capacity_and_answers_are_in_time(
-    work_ms: float, cores: int, length_ms: float,
+    work_ms: float,
+    cores: int,
+    length_ms: float,
 ) -> None:
     day = days.twice(1, work_ms, cores, length_ms, "lateness" if work_ms <= 20.0 else "open")
     result = kept(play(day))
@@ -70,17 +91,32 @@
 
 
 def test_in_a_crowd_a_queue_that_is_longer_by_chance_takes_no_server_out() -> None:
-    shares = [2.0 * kept(play(days.twice(seed, 20.0, 2, 14000.0, "lateness"))).goodput(4000.0)
-              for seed in range(1, 4)]
+    shares = [
+        2.0 * kept(play(days.twice(seed, 20.0, 2, 14000.0, "lateness"))).goodput(4000.0)
+        for seed in range(1, 4)
+    ]
     assert statistics.mean(shares) > 0.9
 
 
 def test_limits_follow_speeds_that_change_ten_times_in_a_second_both_ways() -> None:
     spec = days.STEADY
-    day = days.load(Day(
-        "speeds", 3, 20.0, {"a": 2, "b": 2}, days.none, length_ms=20000.0, spec=spec, proxies=2, troubles=(
-            Trouble(6000.0, "slow", part=1.0, factor=10.0),
-            Trouble(12000.0, "slow", part=1.0, factor=0.1))), 0.05)
+    day = days.load(
+        Day(
+            "speeds",
+            3,
+            20.0,
+            {"a": 2, "b": 2},
+            days.none,
+            length_ms=20000.0,
+            spec=spec,
+            proxies=2,
+            troubles=(
+                Trouble(6000.0, "slow", part=1.0, factor=10.0),
+                Trouble(12000.0, "slow", part=1.0, factor=0.1),
+            ),
+        ),
+        0.05,
+    )
     result = kept(play(day))
     assert result.goodput(0.0, 6000.0) == 1.0
     assert result.goodput(9000.0, 12000.0) > 0.9  # half of what the slowed fleet can do
@@ -88,8 +124,17 @@
 
 
 def test_a_slow_zone_beside_fast_ones_and_a_zone_of_one_server() -> None:
-    day = Day("uneven", 5, 50.0, {"a": 4, "b": 4, "c": 1}, days.none, length_ms=12000.0, spec=days.STEADY,
-              slow_zone="b", slow_factor=6.0)
+    day = Day(
+        "uneven",
+        5,
+        50.0,
+        {"a": 4, "b": 4, "c": 1},
+        days.none,
+        length_ms=12000.0,
+        spec=days.STEADY,
+        slow_zone="b",
+        slow_factor=6.0,
+    )
     result = kept(play(days.load(day, 0.6, {"a": 0.5, "b": 0.3, "c": 0.2})))
     assert result.goodput(4000.0) > 0.97
     assert result.refused_with_room < 0.01 * result.asked
@@ -122,10 +167,21 @@
 
 def keyed(seed: int) -> Day:
     """Orders with keys, nodes that die in the middle of them, and nodes that drain."""
-    day = Day("keyed", seed, 100.0, days.THREE, days.none, length_ms=12000.0, spec=days.TILE, retries=2,
-              effect=api.Effect.KEYED, troubles=(
-                  Trouble(3000.0, "crash", part=0.3, for_ms=2000.0),
-                  Trouble(5000.0, "drain", part=0.2, for_ms=3000.0)))
+    day = Day(
+        "keyed",
+        seed,
+        100.0,
+        days.THREE,
+        days.none,
+        length_ms=12000.0,
+        spec=days.TILE,
+        retries=2,
+        effect=api.Effect.KEYED,
+        troubles=(
+            Trouble(3000.0, "crash", part=0.3, for_ms=2000.0),
+            Trouble(5000.0, "drain", part=0.2, for_ms=3000.0),
+        ),
+    )
     return days.load(day, 0.7)
 
 
@@ -146,8 +202,11 @@
     tell = deaf.feed
 
     def feed(proxy: int, event: api.Event) -> None:
-        if not (isinstance(event, api.EndpointsListed) and event.endpoints
-                and event.endpoints[0].state is api.EndpointState.DRAINING):
+        if not (
+            isinstance(event, api.EndpointsListed)
+            and event.endpoints
+            and event.endpoints[0].state is api.EndpointState.DRAINING
+        ):
             tell(proxy, event)
 
     monkeypatch.setattr(deaf, "feed", feed)
--- a/tests/limits/test_limiters.py
+++ b/tests/limits/test_limiters.py
@@ -20,8 +20,14 @@
 
 
 def teach(
-    limiter: limits.Limiter, seconds: float, latency_ms: float, *, base_ms: float = 100.0, use: float = 1.0,
-    start_ms: float = 1000.0, dropped: bool = False,
+    limiter: limits.Limiter,
+    seconds: float,
+    latency_ms: float,
+    *,
+    base_ms: float = 100.0,
+    use: float = 1.0,
+    start_ms: float = 1000.0,
+    dropped: bool = False,
 ) -> None:
     """Answers all alike, one each 10 ms, with such a part of the limit in flight."""
     for i in range(int(seconds * 100)):
@@ -141,12 +147,22 @@
 
 
 @pytest.mark.parametrize("name", sorted(limits.LIMITERS))
-@given(st.lists(st.tuples(
-    st.floats(0.0, 5000.0), st.floats(0.0, 30000.0), st.floats(0.0, 5000.0), st.floats(0.0, 1e6),
-    st.booleans()), max_size=60))
+@given(
+    st.lists(
+        st.tuples(
+            st.floats(0.0, 5000.0),
+            st.floats(0.0, 30000.0),
+            st.floats(0.0, 5000.0),
+            st.floats(0.0, 1e6),
+            st.booleans(),
+        ),
+        max_size=60,
+    )
+)
 @settings(max_examples=60, deadline=None)
 def test_every_limit_stays_finite_positive_and_bounded(
-    name: str, answers: list[tuple[float, float, float, float, bool]],
+    name: str,
+    answers: list[tuple[float, float, float, float, bool]],
 ) -> None:
     limiter, now = limits.make(name, 2.0, 0.5), 1000.0
     for wait, latency, base, held, dropped in answers:
--- a/tests/limits/test_sockets.py
+++ b/tests/limits/test_sockets.py
@@ -14,6 +14,7 @@
 
 async def statuses(w: World) -> list[int]:
     """What so many clients get that ask again as soon as they have an answer."""
+
     async def one() -> list[int]:
         client, got = await Client.to(w.port), []
         for _ in range(EACH):
@@ -21,12 +22,14 @@
             got.append(await client.status())
         client.writer.close()
         return got
+
     return [status for got in await asyncio.gather(*(one() for _ in range(CONNECTIONS))) for status in got]
 
 
 @pytest.mark.parametrize("work_ms", [0.2, 2.0, 8.0])  # 20 ms and more: in virtual time
 def test_a_burst_of_connections_to_idle_servers_is_served_whole(work_ms: float) -> None:
     """Guards against refusing what is only fast, at the first moment too, when nothing is known."""
+
     async def main() -> None:
         spec = NodeSpec(cores=64, warm_ms=0.0)
         backends = [await Backend(Node(spec), work_ms=work_ms, seed=i).start() for i in range(4)]
@@ -35,11 +38,13 @@
             assert "refused" not in w.proxy.driver.counts
         for backend in backends:
             await backend.stop()
+
     run(main())
 
 
 def test_servers_that_are_full_are_refused_for_with_a_reason_and_at_once() -> None:
     """The comparison: a crowd is turned away, and told why."""
+
     async def main() -> None:
         spec = NodeSpec(cores=1, queue=1, warm_ms=0.0)
         backend = await Backend(Node(spec), work_ms=400.0, spread=0.0).start()
@@ -52,4 +57,5 @@
             assert sum(reasons.values()) == counts["refused"]
             assert reasons.get("refused:crowded", 0) > 0
         await backend.stop()
+
     run(main())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -26,12 +26,20 @@
 SETTINGS = node.settings(
     [
         {"name": "read", "aimMs": 2000.0, "deadlineMs": 5000.0, "idempotency": "repeatable"},
-        {"name": "order", "aimMs": 2000.0, "deadlineMs": 5000.0, "idempotency": "by_key", "group": "cell",
-         "windowMs": 7500.0},
+        {
+            "name": "order",
+            "aimMs": 2000.0,
+            "deadlineMs": 5000.0,
+            "idempotency": "by_key",
+            "group": "cell",
+            "windowMs": 7500.0,
+        },
         {"name": "pay", "aimMs": 2000.0, "deadlineMs": 5000.0, "idempotency": "once"},
     ],
-    bounds={"openCap": 100}, zones=["z", "y"],
-    report={"fields": ["pending", "busy_reqs"], "how": "piggyback"})
+    bounds={"openCap": 100},
+    zones=["z", "y"],
+    report={"fields": ["pending", "busy_reqs"], "how": "piggyback"},
+)
 
 
 def run(main: Coroutine[Any, Any, T], most_s: float = 3 * WAIT_S) -> T:
@@ -64,9 +72,14 @@
         for k, v in SETTINGS.items()
     }
     return config.Config(
-        name="n", listen=("127.0.0.1", 0), discovery=("127.0.0.1", port), seed=7, sockets=sockets,
+        name="n",
+        listen=("127.0.0.1", 0),
+        discovery=("127.0.0.1", port),
+        seed=7,
+        sockets=sockets,
         memory_mb=changes.pop("memory_mb", 192.0),
-        known={"generation": 1, "reset": True, "instances": rows}, settings=wire.settings(settings),
+        known={"generation": 1, "reset": True, "instances": rows},
+        settings=wire.settings(settings),
         report_fields=tuple(settings["report"]["fields"]),
     )
 
@@ -109,7 +122,9 @@
 
 @asynccontextmanager
 async def world(
-    rows: list[dict[str, Any]], features: Features | None = None, **changes: Any,
+    rows: list[dict[str, Any]],
+    features: Features | None = None,
+    **changes: Any,
 ) -> AsyncIterator[World]:
     """A running proxy that knows these backends and whose first watch has been answered with nothing new."""
     discovery = await scripted_registry()
@@ -143,15 +158,24 @@
         return cls(*await asyncio.open_connection("127.0.0.1", port))
 
     def send(
-        self, class_name: str = "read", body: bytes = b"", left: str = "4000m", *headers: str, key: str = "",
+        self,
+        class_name: str = "read",
+        body: bytes = b"",
+        left: str = "4000m",
+        *headers: str,
+        key: str = "",
     ) -> str:
         """Write one request; its id. `key`: of an order, its own where none is given."""
         Client.count += 1
         name = f"id{Client.count:08x}"
         method = "GET" if class_name == "read" else "POST"
         lines = [
-            f"{method} /api?q=1 HTTP/1.1", "Host: app.svc", f"X-Correlation-Id: {name}",
-            f"X-Service-Class: {class_name}", *([f"X-Time-Left: {left}"] if left else []), *headers,
+            f"{method} /api?q=1 HTTP/1.1",
+            "Host: app.svc",
+            f"X-Correlation-Id: {name}",
+            f"X-Service-Class: {class_name}",
+            *([f"X-Time-Left: {left}"] if left else []),
+            *headers,
         ]
         if class_name == "order":
             lines.append(f"Idempotency-Key: {key or 'key-' + name}")
--- a/tests/mains/test_calls.py
+++ b/tests/mains/test_calls.py
@@ -91,8 +91,8 @@
     for n in range(calls.MOST_WAITING + 3):
         caller.call(AT, "echo", n, 0.3, got.append)
     world.run(3.0)
-    assert got[-calls.MOST_WAITING - 3:-calls.MOST_WAITING] == [None] * 3
-    assert got[-calls.MOST_WAITING:] == list(range(calls.MOST_WAITING))
+    assert got[-calls.MOST_WAITING - 3 : -calls.MOST_WAITING] == [None] * 3
+    assert got[-calls.MOST_WAITING :] == list(range(calls.MOST_WAITING))
     world.run(3.0 + 2 * calls.IDLE + 1)
     assert caller.peers == 0
 
--- a/tests/mains/test_door.py
+++ b/tests/mains/test_door.py
@@ -52,8 +52,9 @@
         network = Network(self.world)
         self.calls: list[Call] = []
         self.at_once = False
-        self.inside = Process(Machine(network, IP, "a"), "door",
-                              lambda host: Door(host, AT, self._take, most_body))
+        self.inside = Process(
+            Machine(network, IP, "a"), "door", lambda host: Door(host, AT, self._take, most_body)
+        )
         self.outside = Process(Machine(network, "10.1.0.99", "a"), "caller", lambda host: None)
         self.inside.start()
         self.outside.start()
@@ -90,14 +91,16 @@
 def test_a_call_comes_whole_and_its_answer_goes_once() -> None:
     hall = Hall()
     visitor = hall.visit(post(body=b"x" * 9000))
-    call, = hall.calls
+    (call,) = hall.calls
     assert (call.method, call.path, call.body, call.peer[0]) == (b"POST", b"/a", b"x" * 9000, "10.1.0.99")
     assert visitor.data == b""
     call.answer(201, b'{"a":1}', b"X-A: 1\r\n")
     call.answer(500, b"again")
     hall.run()
-    assert visitor.data == (b"HTTP/1.1 201 Created\r\nContent-Length: 7\r\nContent-Type: application/json\r\n"
-                            b"X-A: 1\r\n\r\n{\"a\":1}")
+    assert visitor.data == (
+        b"HTTP/1.1 201 Created\r\nContent-Length: 7\r\nContent-Type: application/json\r\n"
+        b'X-A: 1\r\n\r\n{"a":1}'
+    )
     assert visitor.gone is None
 
 
@@ -127,9 +130,14 @@
     assert [call.path for call in hall.calls] == [b"/%d" % n for n in range(50)]
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", 400), (post(body=bytes(5 << 20))[:100], 413),
-    (b"GET / HTTP/1.1\r\nX: " + b"y" * 40_000, 431)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (post(body=bytes(5 << 20))[:100], 413),
+        (b"GET / HTTP/1.1\r\nX: " + b"y" * 40_000, 431),
+    ],
+)
 def test_what_is_no_call_is_answered_and_closed(data: bytes, status: int) -> None:
     hall = Hall()
     visitor = hall.visit(data, seconds=0.5)
--- a/tests/mains/test_frames.py
+++ b/tests/mains/test_frames.py
@@ -18,7 +18,7 @@
         reader, got, at = FrameReader(), [], 0
         while at < len(data):
             step = rng.choice((1, 3, 40, 900))
-            got += reader.feed(data[at:at + step])
+            got += reader.feed(data[at : at + step])
             at += step
         assert got == told
         assert reader.held == 0
@@ -32,7 +32,8 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"\xc1", b"\x01\x02", b"\x92\x01", b"\xa2\xff\xff", b"\xdd\xff\xff\xff\xff", b""])
+    "body", [b"\xc1", b"\x01\x02", b"\x92\x01", b"\xa2\xff\xff", b"\xdd\xff\xff\xff\xff", b""]
+)
 def test_garbage_names_what_was_found(body: bytes) -> None:
     with pytest.raises(ValueError, match=r"found .*, wanted one msgpack object"):
         FrameReader().feed(len(body).to_bytes(4, "big") + body)
@@ -41,7 +42,7 @@
 def test_a_large_frame_in_small_pieces_is_not_copied_again_and_again() -> None:
     def cost(size: int) -> float:
         data, reader, begun = encode(b"x" * size), FrameReader(), process_time()
-        got = [f for at in range(0, len(data), 65536) for f in reader.feed(data[at:at + 65536])]
+        got = [f for at in range(0, len(data), 65536) for f in reader.feed(data[at : at + 65536])]
         assert len(got) == 1
         return process_time() - begun
 
--- a/tests/mains/test_loop.py
+++ b/tests/mains/test_loop.py
@@ -78,7 +78,10 @@
         return log
 
     def ask(
-        self, to: Address | None = None, on: Callable[[Log], None] | None = None, within: float = 1.0,
+        self,
+        to: Address | None = None,
+        on: Callable[[Log], None] | None = None,
+        within: float = 1.0,
     ) -> Log:
         """Connect."""
         made: list[Log] = []
@@ -173,7 +176,7 @@
     bed.on = there
     log = bed.ask()
     for at in range(0, len(sent), 300_000):
-        log.connection.send(sent[at:at + 300_000])
+        log.connection.send(sent[at : at + 300_000])
     assert log.connection.unsent == len(sent)
     bed.until(lambda: len(log.data) == len(sent) and bool(bed.taken) and len(bed.taken[0].data) == len(sent))
     assert bytes(bed.taken[0].data) == sent
@@ -357,7 +360,8 @@
 
 
 def test_a_fault_in_a_call_ends_its_connection_and_the_process_goes_on(
-        bed: Bed, capfd: pytest.CaptureFixture[str]) -> None:
+    bed: Bed, capfd: pytest.CaptureFixture[str]
+) -> None:
     def fail(log: Log) -> None:
         if log.told == ["received"]:
             raise RuntimeError("a fault of the program")
--- a/tests/mains/test_matchers.py
+++ b/tests/mains/test_matchers.py
@@ -25,9 +25,18 @@
     assert t.find(b"DELETE", b"/api/instances/x/y") == ("other", {"what": "instances"})  # steps back
 
 
-@pytest.mark.parametrize("path", [
-    b"/", b"", b"/api", b"/api/instances//heartbeat", b"/api/instances/i/heartbeat/x", b"/a" * 5000,
-    b"/api/instances/i/beat"])
+@pytest.mark.parametrize(
+    "path",
+    [
+        b"/",
+        b"",
+        b"/api",
+        b"/api/instances//heartbeat",
+        b"/api/instances/i/heartbeat/x",
+        b"/a" * 5000,
+        b"/api/instances/i/beat",
+    ],
+)
 def test_what_is_not_there_is_not_found(path: bytes) -> None:
     assert tree().find(b"POST", path) is None
 
--- a/tests/mains/test_streams.py
+++ b/tests/mains/test_streams.py
@@ -166,14 +166,15 @@
 
 def made(length: int = 0) -> Ask:
     return Ask(
-        "order-desk", b"9c41", 1, 1.5, 0.25, 2, 0.5, "tile-vault", b"POST", b"/a?b", b"X: 1\r\n", length, 7)
+        "order-desk", b"9c41", 1, 1.5, 0.25, 2, 0.5, "tile-vault", b"POST", b"/a?b", b"X: 1\r\n", length, 7
+    )
 
 
 def test_an_ask_comes_as_it_was_sent() -> None:
     pair = Pair()
     pair.open(5)
     pair.run()
-    work, = pair.works
+    (work,) = pair.works
     for name in Ask.__slots__:
         wanted = "10.1.0.8" if name == "peer" else getattr(made(5), name)
         assert getattr(work.ask, name) == wanted, name
@@ -184,7 +185,7 @@
         pair = Pair()
         stream, told = pair.open(40_000)
         pair.run()
-        work, = pair.works
+        (work,) = pair.works
         work.answers.go()
         pair.run()
         assert told.events == [("went",)]
@@ -201,9 +202,14 @@
             work.answers.answer(200, b"S: 1\r\n", 3, LOAD, b"yes")
         pair.run()
         assert told.windows == 40_000
-        assert told.events[1:] == [("load", *LOAD), *(
-            [("answered", 200, b"S: 1\r\n", 50_000, None), ("whole",)] if parts
-            else [("answered", 200, b"S: 1\r\n", 3, b"yes")])]
+        assert told.events[1:] == [
+            ("load", *LOAD),
+            *(
+                [("answered", 200, b"S: 1\r\n", 50_000, None), ("whole",)]
+                if parts
+                else [("answered", 200, b"S: 1\r\n", 3, b"yes")]
+            ),
+        ]
         assert told.body == (b"y" * 50_000 if parts else b"")
         assert not pair.link.streams
         stream.window(5)
@@ -212,9 +218,14 @@
         assert not work.cancelled
 
 
-@pytest.mark.parametrize("verdict", [
-    Verdict(NOT_RUN, FULL, again_s=0.25), Verdict(NOT_RUN, GARBLED, True),
-    Verdict(MAY_HAVE_RUN, GARBLED, True)])
+@pytest.mark.parametrize(
+    "verdict",
+    [
+        Verdict(NOT_RUN, FULL, again_s=0.25),
+        Verdict(NOT_RUN, GARBLED, True),
+        Verdict(MAY_HAVE_RUN, GARBLED, True),
+    ],
+)
 def test_a_verdict_comes_as_it_was_given(verdict: Verdict) -> None:
     pair = Pair()
     _, told = pair.open()
@@ -260,9 +271,18 @@
 # What a lost link proves.
 
 
-@pytest.mark.parametrize(("length", "state", "ran"), [
-    (0, "never up", NOT_RUN), (5, "never up", NOT_RUN), (0, "sent", MAY_HAVE_RUN), (5, "sent", NOT_RUN),
-    (-1, "sent", NOT_RUN), (5, "went", MAY_HAVE_RUN), (-1, "went", MAY_HAVE_RUN)])
+@pytest.mark.parametrize(
+    ("length", "state", "ran"),
+    [
+        (0, "never up", NOT_RUN),
+        (5, "never up", NOT_RUN),
+        (0, "sent", MAY_HAVE_RUN),
+        (5, "sent", NOT_RUN),
+        (-1, "sent", NOT_RUN),
+        (5, "went", MAY_HAVE_RUN),
+        (-1, "went", MAY_HAVE_RUN),
+    ],
+)
 @pytest.mark.parametrize("how", ["cut", "reset"])
 def test_what_a_lost_link_proves(length: int, state: str, ran: int, how: str) -> None:
     pair = Pair()
@@ -390,8 +410,9 @@
     assert all(t.events[-1][0] == "failed" for t in told)
 
 
-@pytest.mark.parametrize("frame", [
-    7, [], [1], ["x", 1], [streams.OPEN, 1, "short"], [streams.OPEN, 1] + [None] * 13, {"a": 1}])
+@pytest.mark.parametrize(
+    "frame", [7, [], [1], ["x", 1], [streams.OPEN, 1, "short"], [streams.OPEN, 1] + [None] * 13, {"a": 1}]
+)
 def test_nonsense_ends_the_link_and_nothing_else(frame: object) -> None:
     pair = Pair()
     pair.open()
@@ -454,4 +475,5 @@
         elif n not in cancelled:
             assert work.body == sent
     assert set(pair.link.streams) == {
-        s.number for n, (s, t, _) in enumerate(opened) if not t.over and n not in cancelled}
+        s.number for n, (s, t, _) in enumerate(opened) if not t.over and n not in cancelled
+    }
--- a/tests/orderkeys/explorer.py
+++ b/tests/orderkeys/explorer.py
@@ -126,8 +126,9 @@
     def after(self, w: World) -> Iterator[tuple[str, World]]:
         """All states that one step leads to."""
         for i, p in enumerate(w.proxies):
+
             def put(new: Proxy, i: int = i, **more: Any) -> World:
-                return w._replace(proxies=(*w.proxies[:i], new, *w.proxies[i + 1:]), **more)
+                return w._replace(proxies=(*w.proxies[:i], new, *w.proxies[i + 1 :]), **more)
 
             if p.out:
                 yield self._store(w, i, p, put)
@@ -139,15 +140,18 @@
                 continue
             if w.crashes and p.phase not in END:
                 # What is on its way stays so; nothing comes back to it.
-                yield f"{i}: killed", put(
-                    p._replace(phase="dead", back=(), answer=""), crashes=w.crashes - 1)
+                yield f"{i}: killed", put(p._replace(phase="dead", back=(), answer=""), crashes=w.crashes - 1)
             yield from self._proxy(w, i, p, put)
         e = w.entry
         if w.expiries and e is not None and e.state == "R":
             yield "the lease ends", w._replace(now=e.until, expiries=w.expiries - 1)
 
     def _store(
-        self, w: World, i: int, p: Proxy, put: Callable[..., World],
+        self,
+        w: World,
+        i: int,
+        p: Proxy,
+        put: Callable[..., World],
     ) -> tuple[str, World]:
         """The oldest message of a proxy arrives at the store."""
         kind, *rest = p.out[0]
@@ -160,28 +164,44 @@
         else:
             how, kept, cell = rest
             entry, reply = self.rules.end(
-                w.entry, w.now, holder(i), how, kept, ("z", cell, w.now) if cell else None, KEEP, "P")
-        back = p.back if p.phase in END or kind == "end" or (kind == "note" and not rest[1]) else (
-            *p.back, reply)
+                w.entry, w.now, holder(i), how, kept, ("z", cell, w.now) if cell else None, KEEP, "P"
+            )
+        back = (
+            p.back
+            if p.phase in END or kind == "end" or (kind == "note" and not rest[1])
+            else (*p.back, reply)
+        )
         return f"{i}: {kind} arrives: {reply}", put(p._replace(out=p.out[1:], back=back), entry=entry)
 
     def _rack(
-        self, w: World, i: int, p: Proxy, n: int, cell: int, put: Callable[..., World],
+        self,
+        w: World,
+        i: int,
+        p: Proxy,
+        n: int,
+        cell: int,
+        put: Callable[..., World],
     ) -> Iterator[tuple[str, World]]:
         """An attempt arrives: it runs, or is turned away while somebody waits for it."""
-        left = p.flying[:n] + p.flying[n + 1:]
+        left = p.flying[:n] + p.flying[n + 1 :]
         charged = w.charged
         if not any(c == cell for c, _ in charged):
             charged = (*charged, (cell, holder(i)))
         body = next(by for c, by in charged if c == cell)
         waits = p.phase == "sent" and p.cell == cell and not p.answer
-        yield f"{i}: runs in {cell}", put(
-            p._replace(flying=left, answer=body if waits else p.answer), charged=charged)
+        yield (
+            f"{i}: runs in {cell}",
+            put(p._replace(flying=left, answer=body if waits else p.answer), charged=charged),
+        )
         if waits:
             yield f"{i}: turned away in {cell}", put(p._replace(flying=left, answer="no"))
 
     def _proxy(
-        self, w: World, i: int, p: Proxy, put: Callable[..., World],
+        self,
+        w: World,
+        i: int,
+        p: Proxy,
+        put: Callable[..., World],
     ) -> Iterator[tuple[str, World]]:
         """A proxy acts."""
         rules = self.rules
@@ -197,8 +217,10 @@
             # It waits no more, gives back what it may have been given, and refuses.
             yield f"{i}: the store is late", put(self._ended(p._replace(back=()), "none", "", 0, "refused"))
             if p.out:
-                yield f"{i}: the connection is cut", put(
-                    self._ended(p._replace(back=(), out=()), "none", "", 0, "refused"))
+                yield (
+                    f"{i}: the connection is cut",
+                    put(self._ended(p._replace(back=(), out=()), "none", "", 0, "refused")),
+                )
         elif p.phase == "claimed":
             for cell in CELLS if not p.known else (p.known,):
                 yield from self._sends(i, p, cell, put)
@@ -220,8 +242,7 @@
                 how = "failed" if p.known else "refused"
                 yield f"{i}: gives up", put(self._ended(fresh, "none", "", 0, how))
             elif p.answer:
-                yield f"{i}: has the answer", put(
-                    self._ended(p, "answer", p.answer, p.cell, "served"))
+                yield f"{i}: has the answer", put(self._ended(p, "answer", p.answer, p.cell, "served"))
             else:
                 yield f"{i}: its time is up", put(self._ended(p, "none", "", p.cell, "failed"))
 
@@ -247,11 +268,15 @@
         if p.noted == cell or not self.rules.claims:
             yield f"{i}: chooses {cell}", put(chosen._replace(phase="ready"))
         elif p.noted and self.rules.sure:
-            yield f"{i}: asks to note {cell}", put(
-                chosen._replace(phase="noting", out=(*p.out, ("note", cell, True))))
+            yield (
+                f"{i}: asks to note {cell}",
+                put(chosen._replace(phase="noting", out=(*p.out, ("note", cell, True)))),
+            )
         else:
-            yield f"{i}: chooses {cell} and notes it", put(
-                chosen._replace(phase="ready", noted=cell, out=(*p.out, ("note", cell, False))))
+            yield (
+                f"{i}: chooses {cell} and notes it",
+                put(chosen._replace(phase="ready", noted=cell, out=(*p.out, ("note", cell, False)))),
+            )
 
     def _ended(self, p: Proxy, how: str, kept: str, cell: int, phase: str) -> Proxy:
         out = (*p.out, ("end", how, kept, cell)) if self.rules.claims else p.out
@@ -260,22 +285,29 @@
 
 def canonical(w: World) -> World:
     """One of the states that differ by the order of the proxies only."""
-    order = sorted(range(len(w.proxies)), key=lambda i: (
-        repr(w.proxies[i]), w.entry is not None and w.entry.holder == holder(i),
-        any(by == holder(i) for _, by in w.charged)))
+    order = sorted(
+        range(len(w.proxies)),
+        key=lambda i: (
+            repr(w.proxies[i]),
+            w.entry is not None and w.entry.holder == holder(i),
+            any(by == holder(i) for _, by in w.charged),
+        ),
+    )
     if order == list(range(len(order))):
         return w
     new = {holder(old): holder(i) for i, old in enumerate(order)}
     proxies = tuple(_renamed(w.proxies[i], new) for i in order)
     entry = w.entry and w.entry._replace(
-        holder=new[w.entry.holder], answer=new.get(w.entry.answer, w.entry.answer))
+        holder=new[w.entry.holder], answer=new.get(w.entry.answer, w.entry.answer)
+    )
     return w._replace(proxies=proxies, entry=entry, charged=tuple((c, new[by]) for c, by in w.charged))
 
 
 def _renamed(p: Proxy, new: dict[str, str]) -> Proxy:
     out = tuple((m[0], m[1], new.get(m[2], m[2]), m[3]) if m[0] == "end" else m for m in p.out)
     back = tuple(
-        (r[0], new.get(r[1], r[1])) if isinstance(r, tuple) and r[0] == "answer" else r for r in p.back)
+        (r[0], new.get(r[1], r[1])) if isinstance(r, tuple) and r[0] == "answer" else r for r in p.back
+    )
     return p._replace(answer=new.get(p.answer, p.answer), out=out, back=back)
 
 
--- a/tests/orderkeys/model.py
+++ b/tests/orderkeys/model.py
@@ -26,7 +26,12 @@
 
 
 def claim(
-    e: Entry | None, now: int, payload: str, holder: str, lease: int, keep: int,
+    e: Entry | None,
+    now: int,
+    payload: str,
+    holder: str,
+    lease: int,
+    keep: int,
 ) -> tuple[Entry | None, tuple[object, ...]]:
     """The entry after it, and the verdict with what belongs to it."""
     if e is not None and e.state == "R" and e.until <= now:
@@ -55,7 +60,14 @@
 
 
 def end(
-    e: Entry | None, now: int, holder: str, how: str, kept: str, place: Place | None, keep: int, payload: str,
+    e: Entry | None,
+    now: int,
+    holder: str,
+    how: str,
+    kept: str,
+    place: Place | None,
+    keep: int,
+    payload: str,
 ) -> tuple[Entry | None, int]:
     """Whether the holder still had it, or nobody."""
     if e is not None and e.state == "D" and e.holder == holder:
@@ -71,5 +83,11 @@
         return None, 1
     state = "U" if how == "none" and not e.digest else "D"
     return e._replace(
-        state=state, until=now + keep, keep=keep, firm="1", place=place if place and not firm else e.place,
-        answer=kept if how == "answer" else e.answer, digest=kept if how == "digest" else e.digest), 1
+        state=state,
+        until=now + keep,
+        keep=keep,
+        firm="1",
+        place=place if place and not firm else e.place,
+        answer=kept if how == "answer" else e.answer,
+        digest=kept if how == "digest" else e.digest,
+    ), 1
--- a/tests/orderkeys/shared.py
+++ b/tests/orderkeys/shared.py
@@ -17,12 +17,19 @@
 
 
 def on(
-    redis: Redis | Relay, empty: str = "trust", wait_ms: float = 2000.0, password_file: str = "",
+    redis: Redis | Relay,
+    empty: str = "trust",
+    wait_ms: float = 2000.0,
+    password_file: str = "",
     **changes: Any,
 ) -> Features:
     """The features of a proxy that shares its keys there."""
-    told: dict[str, Any] = {"url": f"redis://127.0.0.1:{redis.port}", "empty": empty, "wait_ms": wait_ms,
-                            "password_file": password_file}
+    told: dict[str, Any] = {
+        "url": f"redis://127.0.0.1:{redis.port}",
+        "empty": empty,
+        "wait_ms": wait_ms,
+        "password_file": password_file,
+    }
     return Features(order_keys=OrderKeys(store="redis", redis=features.Redis(**told), **changes))
 
 
@@ -50,7 +57,10 @@
 
 @asynccontextmanager
 async def sharing(
-    proxies: int = 2, backends: int = 2, told: dict[str, Any] | None = None, **changes: Any,
+    proxies: int = 2,
+    backends: int = 2,
+    told: dict[str, Any] | None = None,
+    **changes: Any,
 ) -> AsyncIterator[tuple[Redis, list[World], list[Backend]]]:
     """So many proxies before the same backends, each in a cell of its own; all must be over at the end."""
     redis = await Redis().start()
@@ -60,7 +70,8 @@
             rows = [b.row(f"b{i}", cell=i) for i, b in enumerate(made)]
             worlds = [
                 await stack.enter_async_context(world(rows, on(redis, **(told or {})), **changes))
-                for _ in range(proxies)]
+                for _ in range(proxies)
+            ]
             for w in worlds:
                 await until(partial(up, w))
             yield redis, worlds, made
--- a/tests/orderkeys/test_edge.py
+++ b/tests/orderkeys/test_edge.py
@@ -24,7 +24,9 @@
 
 @asynccontextmanager
 async def racks(
-    number: int = 1, features: Features | None = ON, **changes: Any,
+    number: int = 1,
+    features: Features | None = ON,
+    **changes: Any,
 ) -> AsyncIterator[tuple[World, list[Backend]]]:
     """A proxy before so many backends, each in a cell of its own, and the check that nothing is left over."""
     backends = [await Backend().start() for _ in range(number)]
@@ -81,11 +83,13 @@
             copies[0].send("order", b"x", key="k")  # and once more, when all is done
             assert (await copies[0].answer())[2] == b"the one"
             assert len(backend.requests) == 1
+
     run(main())
 
 
 def test_without_the_feature_each_copy_is_sent() -> None:
     """The comparison that shows what the tests above rest on."""
+
     async def main() -> None:
         async with racks(features=None) as (w, (backend,)):
             (client,) = await clients(w, 1)
@@ -94,6 +98,7 @@
                 assert await client.status() == 200
             assert len(backend.requests) == 2
             assert w.proxy.driver.seams.joins is None
+
     run(main())
 
 
@@ -106,6 +111,7 @@
             await answer_all(backend)
             assert await repeat.status() == 200
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -117,6 +123,7 @@
             await until(lambda: not edge_of(w).waiting)
             await answer_all(backend)
             assert await first.status() == 200
+
     run(main())
 
 
@@ -132,6 +139,7 @@
             await answer_all(backend)
             assert await first.status() == 200
             assert len(backend.requests) == 1  # without the feature the repeat was sent, and timed out alike
+
     run(main())
 
 
@@ -159,6 +167,7 @@
             place = places[1]
             assert place is not None
             assert len(backends[place.cell].requests) >= 2
+
     run(main())
 
 
@@ -177,6 +186,7 @@
             client.send("order", b"x", key="k")
             assert await client.status() == 502  # a refusal would promise that trying again is harmless
             assert sum(len(b.requests) for b in backends) == sent > 0
+
     run(main())
 
 
@@ -200,6 +210,7 @@
                 backend.script = []
             client.send("order", b"x", key="new")  # the other cell serves
             assert await client.status() == 200
+
     run(main())
 
 
@@ -213,6 +224,7 @@
             await until(lambda: not w.proxy.driver.requests)
             assert not edge_of(w).table.entries
             assert all(e.earlier is None for e in w.events if isinstance(e, api.RequestArrived))
+
     run(main())
 
 
@@ -225,6 +237,7 @@
                 client.send("order", body, "4000m", f"X-Account: {account}", key="k")
                 assert await client.status() == status
             assert [m[2] for m in backend.requests] == [b"x", b"y"]
+
     run(main())
 
 
@@ -233,12 +246,15 @@
     async def main() -> None:
         async with racks() as (w, (backend,)):
             (client,) = await clients(w, 1)
-            head = (b"POST /api?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: %d\r\n"
-                    b"X-Service-Class: order\r\nX-Time-Left: 4000m\r\nContent-Length: 1\r\n"
-                    b"Idempotency-Key: %b\r\n\r\nx")
+            head = (
+                b"POST /api?q=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: %d\r\n"
+                b"X-Service-Class: order\r\nX-Time-Left: 4000m\r\nContent-Length: 1\r\n"
+                b"Idempotency-Key: %b\r\n\r\nx"
+            )
             for serial in range(2):
                 assert await client.ask(head % (serial, key)) == 200
             assert [m[1][b"idempotency-key"] for m in backend.requests] == [key]
+
     run(main())
 
 
@@ -247,11 +263,16 @@
     async def main() -> None:
         async with racks(features=features) as (w, (backend,)):
             (client,) = await clients(w, 1)
-            assert await client.ask(
-                b"POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: empty\r\n"
-                b"X-Service-Class: order\r\nX-Time-Left: 4000m\r\n"
-                b"Content-Length: 1\r\nIdempotency-Key:\r\n\r\nx") == 400
+            assert (
+                await client.ask(
+                    b"POST /api HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: empty\r\n"
+                    b"X-Service-Class: order\r\nX-Time-Left: 4000m\r\n"
+                    b"Content-Length: 1\r\nIdempotency-Key:\r\n\r\nx"
+                )
+                == 400
+            )
             assert not backend.requests
+
     run(main())
 
 
@@ -267,6 +288,7 @@
             assert await copies[-1].status() == 409
             await answer_all(backend)
             assert [await c.status() for c in copies[:-1]] == [200] * (JOINED_MOST + 1)
+
     run(main())
 
 
@@ -285,6 +307,7 @@
             await answer_all(backend)
             assert await first.status() == 200
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -302,14 +325,18 @@
             client.send("order", b"x", key="k")
             assert await client.status() == 502
             assert sorted(len(b.requests) for b in backends) == [0, 0, 3]
+
     run(main())
 
 
 def test_a_time_shorter_than_the_window_and_a_class_without_keys_are_told() -> None:
     async def main() -> None:
         for keep, words in (
-                ({"order": 1000.0}, "wanted 7500 at least"), ({"read": 9000.0}, "found class 'read'")):
+            ({"order": 1000.0}, "wanted 7500 at least"),
+            ({"read": 9000.0}, "found class 'read'"),
+        ):
             features = Features(order_keys=OrderKeys(store="process", keep_ms=keep))
             with pytest.raises(ValueError, match=words):
                 Proxy(make_config(1, []), asyncio.get_running_loop(), features)
+
     run(main())
--- a/tests/orderkeys/test_explorer.py
+++ b/tests/orderkeys/test_explorer.py
@@ -17,8 +17,18 @@
     explorer = Explorer(Rules(), proxies=3, crashes=2, expiries=1)
     assert explorer.run() is None
     assert explorer.states > 60_000
-    assert explorer.phases == {"new", "asked", "claimed", "noting", "ready", "sent", "served", "failed",
-                               "refused", "dead"}
+    assert explorer.phases == {
+        "new",
+        "asked",
+        "claimed",
+        "noting",
+        "ready",
+        "sent",
+        "served",
+        "failed",
+        "refused",
+        "dead",
+    }
 
 
 @pytest.mark.skipif(not os.environ.get("HONEYWHARF_LONG"), reason="HONEYWHARF_LONG=1 explores four proxies")
@@ -46,17 +56,39 @@
 
 
 def ends_for_anyone(
-    e: model.Entry | None, now: int, holder: str, *rest: Any,
+    e: model.Entry | None,
+    now: int,
+    holder: str,
+    *rest: Any,
 ) -> tuple[model.Entry | None, int]:
     return model.end(e, now, e.holder if e is not None else holder, *rest)
 
 
-@pytest.mark.parametrize("spoilt", [
-    Rules(claims=False), Rules(sure=False), Rules(unknown_fails=False), Rules(first_cell_only=False),
-    Rules(claim=frees_at_the_lease), Rules(claim=gives_to_all), Rules(claim=forgets_the_uncertain),
-    Rules(note=notes_for_anyone), Rules(end=ends_for_anyone),
-], ids=["no claims", "a note not waited for", "unknown is free", "any cell", "the lease frees", "no lease",
-        "uncertain is free", "notes for anyone", "ends for anyone"])
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        Rules(claims=False),
+        Rules(sure=False),
+        Rules(unknown_fails=False),
+        Rules(first_cell_only=False),
+        Rules(claim=frees_at_the_lease),
+        Rules(claim=gives_to_all),
+        Rules(claim=forgets_the_uncertain),
+        Rules(note=notes_for_anyone),
+        Rules(end=ends_for_anyone),
+    ],
+    ids=[
+        "no claims",
+        "a note not waited for",
+        "unknown is free",
+        "any cell",
+        "the lease frees",
+        "no lease",
+        "uncertain is free",
+        "notes for anyone",
+        "ends for anyone",
+    ],
+)
 def test_without_any_one_of_the_rules_there_is_one_that_does(spoilt: Rules) -> None:
     found = Explorer(spoilt).run()
     assert found is not None
--- a/tests/orderkeys/test_kills.py
+++ b/tests/orderkeys/test_kills.py
@@ -23,7 +23,12 @@
     """One proxy as a process that reaches Redis through a relay, and one in the test, before two racks."""
 
     def __init__(
-        self, redis: Redis, relay: Relay, first: Process, other: World, backends: list[Backend],
+        self,
+        redis: Redis,
+        relay: Relay,
+        first: Process,
+        other: World,
+        backends: list[Backend],
     ) -> None:
         self.redis, self.relay, self.first, self.other, self.backends = redis, relay, first, other, backends
 
@@ -72,7 +77,8 @@
     features.write_text(TOML.format(relay.port))
     monkeypatch.setenv("HONEYWHARF_FEATURES", str(features))
     process = await asyncio.to_thread(
-        Process, path, known={"generation": 1, "reset": True, "instances": rows})
+        Process, path, known={"generation": 1, "reset": True, "instances": rows}
+    )
     try:
         pipe = process.process.stderr
         assert pipe is not None
@@ -91,7 +97,8 @@
 
 
 def test_killed_between_claim_and_send_the_key_fails_and_is_sent_nowhere(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
         async with scene(tmp_path, monkeypatch) as s:
@@ -104,11 +111,13 @@
             assert await s.repeat() == 502  # waits for the lease; then nobody knows where it may have run
             assert await s.states() == [[b"U", None]]
             assert s.sent() == [0, 0]
+
     run(main())
 
 
 def test_killed_between_send_and_answer_the_key_goes_to_the_same_cell_only(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
         async with scene(tmp_path, monkeypatch) as s:
@@ -120,11 +129,13 @@
             assert await s.repeat() == 200
             assert s.sent()[1 - used] == 0
             assert await s.states() == [[b"D", b"%d" % used]]
+
     run(main())
 
 
 def test_killed_between_answer_and_finish_the_key_goes_to_the_same_cell_only(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def main() -> None:
         async with scene(tmp_path, monkeypatch) as s:
@@ -142,6 +153,7 @@
             (place,) = [e.earlier for e in s.other.events if isinstance(e, api.RequestArrived)]
             assert place is not None
             assert place.cell == used
+
     run(main())
 
 
@@ -163,6 +175,7 @@
                 assert await client.status() == 200
                 assert len(backend.requests) == 1
             await relay.stop()
+
     run(main())
 
 
@@ -185,6 +198,7 @@
             client.send("order", b"x", key="k")
             assert (await client.answer())[2] == b"tile"
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -213,4 +227,5 @@
                     client.send("order", b"x", key=key)
                     assert await client.status() == 200
             assert sum(len(b.requests) for b in backends) == 2
+
     run(main())
--- a/tests/orderkeys/test_scripts.py
+++ b/tests/orderkeys/test_scripts.py
@@ -29,7 +29,8 @@
         self.now = 1_000_000
         self.digests = {
             name: self.ask("SCRIPT", "LOAD", text)
-            for name, text in (("claim", scripts.CLAIM), ("note", scripts.NOTE), ("end", scripts.END))}
+            for name, text in (("claim", scripts.CLAIM), ("note", scripts.NOTE), ("end", scripts.END))
+        }
 
     def ask(self, *words: Any) -> Any:
         self.socket.sendall(hiredis.pack_command(words))
@@ -46,19 +47,57 @@
         return [part.decode() if isinstance(part, bytes) else part for part in reply]
 
     def claim(
-        self, name: str, holder: str, payload: str = "P", tenant: str = "t", entries: int = 100,
-        most_bytes: int = 10 ** 9, empty: int = 0,
+        self,
+        name: str,
+        holder: str,
+        payload: str = "P",
+        tenant: str = "t",
+        entries: int = 100,
+        most_bytes: int = 10**9,
+        empty: int = 0,
     ) -> list[Any]:
-        got = self.run("claim", name, tenant, payload, holder, LEASE, KEEP, empty, "proxy", entries,
-                       most_bytes, ENTRY_BYTES, self.now + 1, 16)
+        got = self.run(
+            "claim",
+            name,
+            tenant,
+            payload,
+            holder,
+            LEASE,
+            KEEP,
+            empty,
+            "proxy",
+            entries,
+            most_bytes,
+            ENTRY_BYTES,
+            self.now + 1,
+            16,
+        )
         return [got[0], *(int(part) if i == 4 else part for i, part in enumerate(got) if i > 1)]
 
     def end(
-        self, name: str, holder: str, how: str = "none", kept: str = "", place: model.Place | None = None,
-        payload: str = "P", tenant: str = "t", entries: int = 100,
+        self,
+        name: str,
+        holder: str,
+        how: str = "none",
+        kept: str = "",
+        place: model.Place | None = None,
+        payload: str = "P",
+        tenant: str = "t",
+        entries: int = 100,
     ) -> Any:
-        return self.run("end", name, holder, how, kept, *(place or ("", 0, 0)), KEEP, tenant, payload,
-                        ENTRY_BYTES, entries)[0]
+        return self.run(
+            "end",
+            name,
+            holder,
+            how,
+            kept,
+            *(place or ("", 0, 0)),
+            KEEP,
+            tenant,
+            payload,
+            ENTRY_BYTES,
+            entries,
+        )[0]
 
 
 @pytest.fixture
@@ -133,8 +172,20 @@
         if after is not None:
             entries[name] = after
     check_counts(redis, 100)
-    assert seen >= {("run", 1), ("run", 2), ("run", 5), ("join", 2), ("answer", 2), ("payload", 1),
-                    ("note", 0), ("note", 1), ("none", 0), ("none", 1), ("answer", 1), ("digest", 1)}
+    assert seen >= {
+        ("run", 1),
+        ("run", 2),
+        ("run", 5),
+        ("join", 2),
+        ("answer", 2),
+        ("payload", 1),
+        ("note", 0),
+        ("note", 1),
+        ("none", 0),
+        ("none", 1),
+        ("answer", 1),
+        ("digest", 1),
+    }
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -170,16 +221,34 @@
 
 
 def test_a_claim_that_comes_too_late_is_not_carried_out(redis: Scripts) -> None:
-    reply = redis.run("claim", "k", "t", "P", "h", LEASE, KEEP, 0, "proxy", 10, 10 ** 6, ENTRY_BYTES,
-                      redis.now - 1, 16)
+    reply = redis.run(
+        "claim", "k", "t", "P", "h", LEASE, KEEP, 0, "proxy", 10, 10**6, ENTRY_BYTES, redis.now - 1, 16
+    )
     assert reply[0] == "late"
     assert redis.claim("k", "other") == ["run"]
 
 
 def test_no_more_proxies_wait_for_a_key_than_may(redis: Scripts) -> None:
     redis.claim("k", "h")
-    got = [redis.run("claim", "k", "t", "P", "h2", LEASE, KEEP, 0, f"proxy{i}", 10, 10 ** 6, ENTRY_BYTES,
-                     redis.now + 1, 2)[0] for i in range(4)]
+    got = [
+        redis.run(
+            "claim",
+            "k",
+            "t",
+            "P",
+            "h2",
+            LEASE,
+            KEEP,
+            0,
+            f"proxy{i}",
+            10,
+            10**6,
+            ENTRY_BYTES,
+            redis.now + 1,
+            2,
+        )[0]
+        for i in range(4)
+    ]
     assert got == ["join", "join", "busy", "busy"]
 
 
--- a/tests/orderkeys/test_shared.py
+++ b/tests/orderkeys/test_shared.py
@@ -40,6 +40,7 @@
             copies[0].send("order", b"x", key="k")
             assert (await copies[0].answer())[2] == b"the one"
             assert sum(len(b.requests) for b in backends) == 1
+
     run(main())
 
 
@@ -60,6 +61,7 @@
             (place,) = [e.earlier for e in worlds[1].events if isinstance(e, api.RequestArrived)]
             assert place is not None
             assert backends[place.cell].requests
+
     run(main())
 
 
@@ -81,6 +83,7 @@
             assert arrived.earlier is not None
             now = worlds[1].proxy.clock.now()
             assert 150.0 < now - arrived.earlier.sent_ms < ago + 150.0
+
     run(main())
 
 
@@ -93,6 +96,7 @@
                 pair[who].send("order", body, "4000m", f"X-Account: {account}", key="k")
                 assert await pair[who].status() == status
             assert [m[2] for m in backend.requests] == [b"x", b"y"]
+
     run(main())
 
 
@@ -107,6 +111,7 @@
             assert await redis.ask("ZCARD", "honeywharf:x") == 0
             second.send("order", b"x", key="k")
             assert await second.status() == 200
+
     run(main())
 
 
@@ -123,6 +128,7 @@
                 writer.write(reply(200, b"tile"))
             assert await first.status() == 200
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -149,6 +155,7 @@
             name = (await redis.ask("ZRANGE", "honeywharf:x", "0", "0"))[0]  # type: ignore[index]
             kept = await redis.ask("HGET", b"honeywharf:k:" + name, "c")
             assert kept == b"%d" % sent[-1].cell
+
     run(main())
 
 
@@ -171,6 +178,7 @@
             await until(lambda: up(w))
             client.send("order", b"x", key="k")
             assert await client.status() == 200
+
     run(main())
 
 
@@ -184,6 +192,7 @@
                 client.send("order", b"x", key="k")
                 assert await client.status() == 200
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -209,13 +218,22 @@
             repeat.send("order", b"x", key="k")
             assert (await repeat.answer())[2] == b"tile"
             assert len(backend.requests) == 1
+
     run(main())
 
 
 def test_a_store_that_started_empty_is_not_believed_until_all_keys_would_have_ended() -> None:
     async def main() -> None:
-        window = [{"name": "order", "aimMs": 100.0, "deadlineMs": 400.0, "idempotency": "by_key",
-                   "group": "cell", "windowMs": 1300.0}]
+        window = [
+            {
+                "name": "order",
+                "aimMs": 100.0,
+                "deadlineMs": 400.0,
+                "idempotency": "by_key",
+                "group": "cell",
+                "windowMs": 1300.0,
+            }
+        ]
         told = {"empty": "wait", "keep_ms": {"order": 1300.0}}
         async with sharing(2, 2, told, profiles=window) as (redis, worlds, backends):
             (first,) = await clients(worlds[0])
@@ -240,6 +258,7 @@
             repeat.send("order", b"x", "400m", key="new")
             assert await repeat.status() == 503
             assert sum(len(b.requests) for b in backends) == 1
+
     run(main())
 
 
@@ -254,6 +273,7 @@
             assert not up(w)
             await redis.ask("CONFIG", "SET", "maxmemory-policy", "noeviction")
             await until(lambda: up(w))
+
     run(main())
 
 
@@ -275,6 +295,7 @@
             assert await redis.ask("HGET", b"honeywharf:k:" + name, "s") == b"D"
             assert up(w)
             assert len(backend.requests) == 1
+
     run(main())
 
 
@@ -299,6 +320,7 @@
             await until(lambda: not store_of(w).shared.owed)
             client.send("order", b"x", key="k")  # the claim that was taken late is given back
             assert await client.status() == 200
+
     run(main())
 
 
@@ -313,10 +335,13 @@
             await until(lambda: store.told.startswith("WRONGPASS"))
             secret.write_text("right\n")
             await until(lambda: up(w))
+
     run(main())
 
 
-@pytest.mark.parametrize("url", ["http://x", "redis://h:port", "redis://u:secret@h", "redis://h/a", "unix://"])
+@pytest.mark.parametrize(
+    "url", ["http://x", "redis://h:port", "redis://u:secret@h", "redis://h/a", "unix://"]
+)
 def test_a_bad_address_is_told(url: str) -> None:
     with pytest.raises(ValueError, match=r"order_keys.redis.url: found .* wanted redis://"):
         address_of(url)
--- a/tests/orderkeys/test_side.py
+++ b/tests/orderkeys/test_side.py
@@ -49,8 +49,13 @@
         def count(what: str) -> None:
             self.counts[what] += 1
 
-        self.shared = Shared(Rules(100, 10 ** 6, 1000, **{"wait_ms": 100.0, **rules}), self.link,
-                             lambda: self.now, self.noticed.append, count)
+        self.shared = Shared(
+            Rules(100, 10**6, 1000, **{"wait_ms": 100.0, **rules}),
+            self.link,
+            lambda: self.now,
+            self.noticed.append,
+            count,
+        )
         assert self.shared.opened(5_001_000.0, "noeviction") == ""
 
     def ask(self, name: bytes = b"k") -> Asker:
@@ -59,7 +64,11 @@
         return asker
 
     def end(
-        self, name: bytes, fence: int, answer: Answer | None = None, place: api.Earlier | None = None,
+        self,
+        name: bytes,
+        fence: int,
+        answer: Answer | None = None,
+        place: api.Earlier | None = None,
     ) -> None:
         self.shared.end(name, fence, "t", b"p", answer, place, 9000.0)
 
@@ -72,8 +81,13 @@
     askers = [s.ask(b"%d" % i) for i in range(5)]
     s.now += 20.0
     store = 5_001_020
-    for reply in ([b"run", store], [b"run", store, b"", b"b", b"7", 40], [b"run", store, b""],
-                  [b"join", store, 300], [b"answer", store, b"image/png\nti\nle"]):
+    for reply in (
+        [b"run", store],
+        [b"run", store, b"", b"b", b"7", 40],
+        [b"run", store, b""],
+        [b"join", store, 300],
+        [b"answer", store, b"image/png\nti\nle"],
+    ):
         s.shared.reply(reply)
     got = [a.got for a in askers]
     assert [g[0].verdict for g in got] == [V.RUN, V.RUN, V.RUN, V.JOIN, V.ANSWER]
@@ -88,11 +102,19 @@
     assert len({got[i][0].fence for i in range(3)}) == 3
 
 
-@pytest.mark.parametrize(("reply", "verdict"), [
-    ([b"payload", 1], V.OTHER_PAYLOAD), ([b"full", 1], V.FULL), ([b"busy", 1], V.BUSY),
-    ([b"young", 1, 50], V.AWAY), ([b"late", 1], V.AWAY), ("OOM command not allowed", V.FULL),
-    ("READONLY You can't write against a read only replica.", V.AWAY), ([b"answer", 1, None], V.AWAY),
-])
+@pytest.mark.parametrize(
+    ("reply", "verdict"),
+    [
+        ([b"payload", 1], V.OTHER_PAYLOAD),
+        ([b"full", 1], V.FULL),
+        ([b"busy", 1], V.BUSY),
+        ([b"young", 1, 50], V.AWAY),
+        ([b"late", 1], V.AWAY),
+        ("OOM command not allowed", V.FULL),
+        ("READONLY You can't write against a read only replica.", V.AWAY),
+        ([b"answer", 1, None], V.AWAY),
+    ],
+)
 def test_what_is_no_claim_is_told_as_what_it_is(reply: Any, verdict: Verdict) -> None:
     s = Side()
     asker = s.ask()
@@ -195,7 +217,7 @@
     assert not s.shared.knows_of(b"9")
     assert s.shared.knows_of(b"10")
     big = Side(wait_ms=100.0)
-    big.shared.rules = Rules(100, 10 ** 6, 10 ** 6)
+    big.shared.rules = Rules(100, 10**6, 10**6)
     big.shared.closed()
     for i in range(40):
         big.end(b"%d" % i, i, Answer(b"x" * 500_000), PLACE)
@@ -219,7 +241,7 @@
 
 
 def test_a_flood_of_a_hundred_thousand_new_keys_stays_within_the_tables_bounds() -> None:
-    t, verdicts = Table(1000, 10 ** 6, 1000), Counter[Verdict]()
+    t, verdicts = Table(1000, 10**6, 1000), Counter[Verdict]()
     kept = t.claim(b"runs", "other", b"p", 0.0).fence
     for i in range(100_000):  # within one second
         claim = t.claim(b"%d" % i, "flood", b"p", i / 100.0)
@@ -227,6 +249,6 @@
         if i % 2 and claim.verdict is V.RUN:
             t.finish(b"%d" % i, claim.fence, Answer(b"tile"), PLACE, 30_000.0)
         assert len(t.entries) <= 1000
-        assert t.held_bytes <= 10 ** 6
+        assert t.held_bytes <= 10**6
     assert set(verdicts) == {V.RUN, V.FULL}
     assert t.finish(b"runs", kept, Answer(b"tile"), PLACE, 30_000.0)  # what runs was not pushed out
--- a/tests/orderkeys/test_table.py
+++ b/tests/orderkeys/test_table.py
@@ -19,7 +19,7 @@
 P, Q = payload_of(b"POST", b"/api", b"one"), payload_of(b"POST", b"/api", b"two")
 
 
-def table(entries: int = 10, size: int = 10 ** 6, whole: int = 100) -> Table:
+def table(entries: int = 10, size: int = 10**6, whole: int = 100) -> Table:
     return Table(entries, size, whole)
 
 
@@ -86,9 +86,18 @@
 
 
 def test_tenants_and_classes_have_keys_of_their_own() -> None:
-    names = {name_of(t, c, k) for t, c, k in (
-        ("a", "order", b"k"), ("b", "order", b"k"), ("a", "pay", b"k"), ("ao", "rder", b"k"),
-        ("a", "orde", b"rk"), ("1:a", "order", b"k"), ("\udcff", "order", b"k"))}
+    names = {
+        name_of(t, c, k)
+        for t, c, k in (
+            ("a", "order", b"k"),
+            ("b", "order", b"k"),
+            ("a", "pay", b"k"),
+            ("ao", "rder", b"k"),
+            ("a", "orde", b"rk"),
+            ("1:a", "order", b"k"),
+            ("\udcff", "order", b"k"),
+        )
+    }
     assert len(names) == 7
     assert all(len(n) == 16 for n in names)
     assert len(name_of("a", "order", b"\x00\xff" * 5000)) == 16
@@ -123,7 +132,7 @@
 
 
 def test_bytes_are_bounded_and_a_flood_of_new_keys_leaves_nothing_over() -> None:
-    t = table(10 ** 6, 100_000, 1000)
+    t = table(10**6, 100_000, 1000)
     for i in range(5000):
         name = b"%d" % i
         claim = t.claim(name, "t", P, float(i))
@@ -131,7 +140,7 @@
         t.finish(name, claim.fence, Answer(b"x" * 500), PLACE, i + 100.0)
         assert t.held_bytes <= 100_000
     assert t.held_bytes == sum(e.bytes for e in t.entries.values())
-    while t.expire(10 ** 6):
+    while t.expire(10**6):
         pass
     assert (t.held_bytes, t.entries, t.done, t.by_count, t.pinned, t.expiries) == (0, {}, {}, {}, {}, {})
 
@@ -139,7 +148,7 @@
 @pytest.mark.skipif(sys.implementation.name != "cpython", reason="counts CPython's bytes")
 def test_a_key_takes_no_more_than_it_is_counted_for() -> None:
     names = [b"%016d" % i for i in range(20000)]
-    t = table(10 ** 6, 10 ** 9, 1000)
+    t = table(10**6, 10**9, 1000)
     tracemalloc.start()
     for name in names:
         t.finish(name, t.claim(name, "t", P, 0.0).fence, Answer(b""), api.Earlier("a", 1, 1.0), 1.0)
@@ -178,8 +187,11 @@
             self.held[name] = (got.fence, got.earlier)
         elif got.verdict is V.FULL:
             assert name not in self.table.entries
-            assert not self.table.most_done or not any(self.table.by_count.values()) or (
-                self.table.pinned.get(self.tenants[name], 0) >= 2)
+            assert (
+                not self.table.most_done
+                or not any(self.table.by_count.values())
+                or (self.table.pinned.get(self.tenants[name], 0) >= 2)
+            )
             assert name not in self.charged or self.until[name] <= self.now
 
     @precondition(lambda self: self.held)
@@ -228,5 +240,9 @@
 
 TestRules = Rules.TestCase
 TestRules.settings = given_settings(
-    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True,
-    suppress_health_check=[HealthCheck.too_slow])
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
--- a/tests/penstock/every_frame.py
+++ b/tests/penstock/every_frame.py
@@ -1,6 +1,6 @@
 """One trouble at every frame of one upload and one order, two at any two, and who finds wrong rules.
 
-    python -m tests.penstock.every_frame
+python -m tests.penstock.every_frame
 """
 
 from __future__ import annotations
@@ -39,8 +39,13 @@
                 continue  # no gateway is left: nothing can finish, and nothing is said of it here
             for at in range(steps + 1):
                 for later in range(at + 1, steps + 12, 3):
-                    found.append((f"two: {first.split()[0]}, {second.split()[0]}", {
-                        at: TROUBLES[first], later: TROUBLES[second], later + 40: Town.join}, True))
+                    found.append(
+                        (
+                            f"two: {first.split()[0]}, {second.split()[0]}",
+                            {at: TROUBLES[first], later: TROUBLES[second], later + 40: Town.join},
+                            True,
+                        )
+                    )
     return found
 
 
@@ -58,13 +63,17 @@
             if make().play(plan).faults(must_finish=must):  # type: ignore[arg-type]
                 faults[name] += 1
         wrong += sum(faults.values())
-        print(f"one {what}, {steps} steps: {sum(played.values())} plays, {sum(faults.values())} broken; "
-              + ", ".join(f"{name} {number}" for name, number in sorted(played.items())), flush=True)
+        print(
+            f"one {what}, {steps} steps: {sum(played.values())} plays, {sum(faults.values())} broken; "
+            + ", ".join(f"{name} {number}" for name, number in sorted(played.items())),
+            flush=True,
+        )
     for name, part, kind in (
-            ("no epoch at the destination", "outlets_class", NoEpochOutlets),
-            ("ledger after the send", "outlets_class", LedgerAfterSend),
-            ("acknowledged before the backend has it", "outlets_class", ToldBeforeRun),
-            ("acknowledged by the gateway", "passages_class", AcknowledgingGateway)):
+        ("no epoch at the destination", "outlets_class", NoEpochOutlets),
+        ("ledger after the send", "outlets_class", LedgerAfterSend),
+        ("acknowledged before the backend has it", "outlets_class", ToldBeforeRun),
+        ("acknowledged by the gateway", "passages_class", AcknowledgingGateway),
+    ):
         found = broken(type("Wrong", (Town,), {part: kind}))
         wrong += not found
         print(f"wrong rule, {name}: {'found' if found else 'NOT FOUND'}", flush=True)
--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -110,10 +110,16 @@
     return parse(json.dumps({**text, "gateways": gateways}))
 
 
-@pytest.mark.parametrize("wrong", [
-    {}, [1], [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
-    [{"address": "10.0.0.1:0", "region": "a"}],
-    [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}]])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {},
+        [1],
+        [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
+        [{"address": "10.0.0.1:0", "region": "a"}],
+        [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}],
+    ],
+)
 def test_gateways_that_cannot_be_used_are_refused_by_name(wrong: object) -> None:
     with pytest.raises(SettingsError, match=r"gateways: found .*, wanted a list of .address"):
         settings(wrong)
--- a/tests/penstock/test_demo.py
+++ b/tests/penstock/test_demo.py
@@ -22,13 +22,17 @@
 
 def client(name: bytes, kind: int, end: str) -> Any:
     return SimpleNamespace(
-        kind=kind, end=end, attempts=[name, name + b" again"], size=10, took=0.1, name="tile")
+        kind=kind, end=end, attempts=[name, name + b" again"], size=10, took=0.1, name="tile"
+    )
 
 
 def test_the_figures_see_what_went_wrong() -> None:
     clients = [
-        client(b"twice", ORDER, "done"), client(b"ran", UPLOAD, "not run"), client(b"never", ORDER, "done"),
-        client(b"read", READ, "done")]
+        client(b"twice", ORDER, "done"),
+        client(b"ran", UPLOAD, "not run"),
+        client(b"never", ORDER, "done"),
+        client(b"read", READ, "done"),
+    ]
     conveyor = SimpleNamespace(twice=5, moves=1)
     day = cast(Any, SimpleNamespace(clients=clients, twice_told=0, warned=0, conveyor=conveyor))
     cut = b"ran again".hex()
--- a/tests/penstock/test_drain.py
+++ b/tests/penstock/test_drain.py
@@ -29,8 +29,10 @@
 
 def test_every_state_has_an_answer_to_every_event_and_the_text_tells_the_same() -> None:
     assert set(drain.STEPS) == set(itertools.product(range(len(NAMES)), (ORDER, TERM, BACK)))
-    names = {name: getattr(drain, name) for name in (
-        "SERVING", "WARNED", "ANNOUNCED", "CLOSED", "MOVING", "LAST", "EMPTY", "GONE")}
+    names = {
+        name: getattr(drain, name)
+        for name in ("SERVING", "WARNED", "ANNOUNCED", "CLOSED", "MOVING", "LAST", "EMPTY", "GONE")
+    }
     rows = re.findall(r"^    ([A-Z]+) +(\S+) +(\S+) +(\S+)", drain.__doc__ or "", re.MULTILINE)
     told = {row[0]: row[1:] for row in rows if row[0] in names}
     assert len(told) == len(names)
--- a/tests/penstock/test_ledger.py
+++ b/tests/penstock/test_ledger.py
@@ -209,14 +209,37 @@
 def outlets(**bounds: int) -> tuple[Outlets, list[list[object]]]:
     said: list[list[object]] = []
     made = Outlets(
-        b"life", "r", Hold(1 << 20, 8, 0.5), lambda path, frame: said.append(frame), lambda outlet: None,
-        lambda outlet: None, lambda outlet, size: None, **bounds)
+        b"life",
+        "r",
+        Hold(1 << 20, 8, 0.5),
+        lambda path, frame: said.append(frame),
+        lambda outlet: None,
+        lambda outlet: None,
+        lambda outlet, size: None,
+        **bounds,
+    )
     return made, said
 
 
 def head(number: int, size: int = 0, tenant: str = "t", attempt: bytes | None = None) -> list[object]:
-    return [OPEN, number.to_bytes(16, "big"), 1, "d", b"", 0, 0, attempt or b"%d" % number, size, 1000, 1000,
-            tenant, "", [], None, 0]
+    return [
+        OPEN,
+        number.to_bytes(16, "big"),
+        1,
+        "d",
+        b"",
+        0,
+        0,
+        attempt or b"%d" % number,
+        size,
+        1000,
+        1000,
+        tenant,
+        "",
+        [],
+        None,
+        0,
+    ]
 
 
 def test_a_tenant_has_its_share_and_no_more_and_all_together_have_the_whole() -> None:
--- a/tests/penstock/test_passage.py
+++ b/tests/penstock/test_passage.py
@@ -20,11 +20,35 @@
     return Passages("b", lambda path, frame: sent.append((path, frame)), most_bytes, most_sessions), sent
 
 
-def opens(one: Passages, number: int, epoch: int = 1, length: int = -1, life: bytes = b"", origin: str = "a",
-          homes: tuple[str, ...] = ()) -> bytes:
+def opens(
+    one: Passages,
+    number: int,
+    epoch: int = 1,
+    length: int = -1,
+    life: bytes = b"",
+    origin: str = "a",
+    homes: tuple[str, ...] = (),
+) -> bytes:
     sid = number.to_bytes(16, "big")
-    frame = [OPEN, sid, epoch, "d", life, 0, 0, b"x", length, 1000, 1000, "t", origin, list(homes), None,
-             1 << 17, 2]
+    frame = [
+        OPEN,
+        sid,
+        epoch,
+        "d",
+        life,
+        0,
+        0,
+        b"x",
+        length,
+        1000,
+        1000,
+        "t",
+        origin,
+        list(homes),
+        None,
+        1 << 17,
+        2,
+    ]
     one.opens(0.0, "source", frame, lambda to, lane: "there")
     return sid
 
@@ -117,7 +141,8 @@
 
     def call(method: bytes, path: bytes) -> Any:
         return SimpleNamespace(
-            method=method, path=path, answer=lambda status, body=b"": answers.append((status, body)))
+            method=method, path=path, answer=lambda status, body=b"": answers.append((status, body))
+        )
 
     keeper._order(call(b"GET", b"/api/gateway"))
     keeper._order(call(b"POST", b"/api/gateway/drain"))
--- a/tests/penstock/test_sessions.py
+++ b/tests/penstock/test_sessions.py
@@ -26,8 +26,7 @@
         found[f"kill {place}"] = lambda town, place=place: town.kill(place)  # type: ignore[misc]
         found[f"drain {place}"] = lambda town, place=place: town.drain(place)  # type: ignore[misc]
         for side in ("source", "destination"):
-            found[f"cut {place} {side}"] = (
-                lambda town, place=place, side=side: town.sever(place, side))  # type: ignore[misc]
+            found[f"cut {place} {side}"] = lambda town, place=place, side=side: town.sever(place, side)  # type: ignore[misc]
     return found
 
 
@@ -40,7 +39,8 @@
         ("chunked", lambda: make(UPLOAD, length=-1)),
         ("order", lambda: make(ORDER, known=True)),
         ("deletion", lambda: make(b"", known=True)),
-        ("pull", lambda: make(b"", answer=UPLOAD))]
+        ("pull", lambda: make(b"", answer=UPLOAD)),
+    ]
 
 
 def once(make: Callable[[], Town], name: str, at: int, healed: int | None = None) -> list[str]:
@@ -69,7 +69,10 @@
                 for at in range(0, steps + 1, 1 if what == "order" else 3):
                     for later in range(at + 1, steps + 12, 1 if what == "order" else 5):
                         plan: dict[int, Trouble] = {
-                            at: TROUBLES[first], later: TROUBLES[second], later + 40: Town.join}
+                            at: TROUBLES[first],
+                            later: TROUBLES[second],
+                            later + 40: Town.join,
+                        }
                         assert make().play(plan).faults() == [], (what, first, at, second, later)
 
 
@@ -96,6 +99,7 @@
                 queue.insert(draw.randrange(len(queue) + 1), queue[0])
             elif len(queue) > 1:
                 queue[0], queue[1] = queue[1], queue[0]
+
         return do
 
     for seed in range(600):
@@ -108,6 +112,7 @@
 def test_the_same_attempt_by_another_session_joins_the_first_at_every_frame() -> None:
     for what, make in towns():
         for at in range(make().play().steps + 8):
+
             def again(town: Town) -> None:
                 first = town.sources[0][0].request
                 town.ways[b"\x02" * 16] = "a"
@@ -230,7 +235,8 @@
 def test_wrong_rules_are_found(part: str) -> None:
     class Wrong(Town):
         outlets_class = {"outlets": NoEpochOutlets, "ledger": LedgerAfterSend, "told": ToldBeforeRun}.get(
-            part, Outlets)
+            part, Outlets
+        )
         passages_class = AcknowledgingGateway if part == "gateway" else Passages
 
     assert broken(Wrong)
@@ -242,13 +248,17 @@
     for at in range(make().play().steps):
         for healed in (at + 32, at + 40, at + 60):
             plan: dict[int, Trouble] = {
-                at: TROUBLES["cut a source"], at + 5: TROUBLES["drain a"], healed: Town.join}
+                at: TROUBLES["cut a source"],
+                at + 5: TROUBLES["drain a"],
+                healed: Town.join,
+            }
             found = max(found, make().play(plan).sources[0][0].epoch)
     return found
 
 
 def test_a_word_of_an_old_way_moves_no_session() -> None:
     """The source's fence breaks nothing where it is missing: it saves moves, and this is what shows it."""
+
     class Wrong(Town):
         inlet_class = NoEpochInlet
 
--- a/tests/penstock/test_shift.py
+++ b/tests/penstock/test_shift.py
@@ -47,8 +47,9 @@
     assert chart(["none"], [], []) == []
 
 
-@pytest.mark.parametrize("wrong", [
-    {"hours": []}, {"troubled": [24]}, {"shape": []}, {"shape": [{"name": "x"}]}, {"rate": None}])
+@pytest.mark.parametrize(
+    "wrong", [{"hours": []}, {"troubled": [24]}, {"shape": []}, {"shape": [{"name": "x"}]}, {"rate": None}]
+)
 def test_an_experiment_that_cannot_be_played_is_refused(wrong: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match="wanted"):
         Plan(table(**wrong))
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -18,8 +18,11 @@
 
 ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
 GATE = 7700
-PLACES = [Place((f"10.8.{n}.{k}", GATE), region, zone) for n, (region, zone) in enumerate(
-    (("a", "tartu-saal"), ("b", "voru-saal"))) for k in (1, 2)]
+PLACES = [
+    Place((f"10.8.{n}.{k}", GATE), region, zone)
+    for n, (region, zone) in enumerate((("a", "tartu-saal"), ("b", "voru-saal")))
+    for k in (1, 2)
+]
 UNTIL = 24.0
 Plan = list[tuple[float, str, int]]
 
@@ -28,26 +31,30 @@
     """A sluice of one of two regions: its settings name the gateways."""
     gateways = [{"address": place.node, "region": place.region, "zone": place.zone} for place in PLACES]
     zone = json.loads(text)["zone"]
-    sluice = Sluice(host, parse(json.dumps({
-        **json.loads(text), "zones": ZONES, "region": ZONES[zone], "gateways": gateways})))
+    sluice = Sluice(
+        host,
+        parse(json.dumps({**json.loads(text), "zones": ZONES, "region": ZONES[zone], "gateways": gateways})),
+    )
     host.on_signal(TERM, sluice.terminate)
     return sluice
 
 
 def keeper(place: Place) -> Any:
     def make(host: Process) -> Weirkeeper:
-        one = Weirkeeper(
-            host, place.address, place.region, place.zone, PLACES, field.INTERNAL + 1, 5.0)
+        one = Weirkeeper(host, place.address, place.region, place.zone, PLACES, field.INTERNAL + 1, 5.0)
         host.on_signal(TERM, one.terminate)
         return one
+
     return make
 
 
 def day(seed: int, plan: Plan, faults: list[days.Fault]) -> Field:
     """A day of the mesh; `plan`: when, "drain", "back", "term" or "kill", and which gateway."""
     made = Field(seed, joined, real_reservoir, SMALL, 5.0, UNTIL)
-    keepers = [Process(Machine(made.network, place.address[0], place.zone), f"keeper-{n}", keeper(place))
-               for n, place in enumerate(PLACES)]
+    keepers = [
+        Process(Machine(made.network, place.address[0], place.zone), f"keeper-{n}", keeper(place))
+        for n, place in enumerate(PLACES)
+    ]
     for process in keepers:
         made.world.at(0.1, process.start)
     days.Day(made, faults)
@@ -73,19 +80,30 @@
     "drains": ([(9.0, "drain", 0), (12.0, "back", 0), (13.0, "drain", 1), (16.0, "back", 1)], [], 0.98),
     "kills": ([(9.0, "kill", 0), (11.0, "kill", 1), (12.0, "kill", 0), (14.0, "term", 1)], [], 0.95),
     "killed in its drain": (
-        [(9.0, "drain", 0), (9.15, "kill", 0), (12.0, "drain", 1), (12.1, "kill", 0)], [], 0.95),
+        [(9.0, "drain", 0), (9.15, "kill", 0), (12.0, "drain", 1), (12.1, "kill", 0)],
+        [],
+        0.95,
+    ),
     "a destination dies": (
         [(9.5, "kill", 0)],
-        [days.Fault(9.0, "node_kill", "power", 3), days.Fault(12.0, "node_kill", "", 8)], 0.8),
+        [days.Fault(9.0, "node_kill", "power", 3), days.Fault(12.0, "node_kill", "", 8)],
+        0.8,
+    ),
     "a source ends in a move": (
         [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "drain", 0), (12.0, "drain", 1), (13.0, "back", 0)],
-        [days.Fault(9.1, "roll_term", "", 2), days.Fault(12.1, "roll_term", "", 5)], 0.7),
+        [days.Fault(9.1, "roll_term", "", 2), days.Fault(12.1, "roll_term", "", 5)],
+        0.7,
+    ),
     "rules differ in a move": (
         [(9.0, "drain", 0), (10.0, "back", 0), (12.0, "kill", 1)],
-        [days.Fault(at, "config_change", "", 3) for at in (8.9, 9.1, 9.3, 12.0, 12.2)], 0.6),
+        [days.Fault(at, "config_change", "", 3) for at in (8.9, 9.1, 9.3, 12.0, 12.2)],
+        0.6,
+    ),
     "change, evacuation": (
         [(9.0, "drain", 0), (9.5, "back", 0), (12.0, "kill", 0)],
-        [days.Fault(9.0, "config_change", "", 3), days.Fault(11.9, "evacuate", "", 7)], 0.6),
+        [days.Fault(9.0, "config_change", "", 3), days.Fault(11.9, "evacuate", "", 7)],
+        0.6,
+    ),
 }
 
 
@@ -97,6 +115,9 @@
     asks = made.book.asks.values()
     served = sum(200 <= ask.status < 300 for ask in asks)
     assert served > share * len(asks) > 400, (served, len(asks))
-    opened = sum(side.proxy.program.source.abroad.conveyor.opened for side in made.sides  # type: ignore[attr-defined]
-                 if side.proxy.program is not None)
+    opened = sum(
+        side.proxy.program.source.abroad.conveyor.opened  # type: ignore[attr-defined]
+        for side in made.sides
+        if side.proxy.program is not None
+    )
     assert opened > 50
--- a/tests/penstock/test_spillway.py
+++ b/tests/penstock/test_spillway.py
@@ -98,8 +98,11 @@
         for _ in range(120):
             session = draw.randrange(5)
             kind = draw.choice((DATA, DATA, END, HEAD, PART, WHOLE))
-            frame = body(session, draw.randrange(4), kind) if kind in (DATA, PART) else [
-                kind, bytes([session]) * 16, 1, 0]
+            frame = (
+                body(session, draw.randrange(4), kind)
+                if kind in (DATA, PART)
+                else [kind, bytes([session]) * 16, 1, 0]
+            )
             given[session].append(frame)
             one.send(link, frame)
             if draw.random() < 0.2:
--- a/tests/penstock/town.py
+++ b/tests/penstock/town.py
@@ -36,7 +36,7 @@
 
     def window(self, size: int) -> None:
         if self.inlet is not None and self.at < len(self.body):
-            piece = self.body[self.at:self.at + size]
+            piece = self.body[self.at : self.at + size]
             self.at += len(piece)
             self.inlet.data(piece)
             if self.at == len(self.body):
@@ -67,7 +67,11 @@
     inlet_class: type[Inlet] = Inlet
 
     def __init__(
-        self, body: bytes, answer: bytes = b"done", known: bool = False, length: int | None = None,
+        self,
+        body: bytes,
+        answer: bytes = b"done",
+        known: bool = False,
+        length: int | None = None,
     ) -> None:
         self.now, self.steps, self.turn = 0.0, 0, 0
         self.answer = answer
@@ -112,9 +116,14 @@
             if place in self.alive and self.lives > 1:
                 self.gateways[place].path_lost("destination")
         self.outlets = self.outlets_class(
-            bytes([self.lives]) * 8, "r", Hold(),
+            bytes([self.lives]) * 8,
+            "r",
+            Hold(),
             self._back,
-            self._run, lambda outlet: None, lambda outlet, size: None)
+            self._run,
+            lambda outlet: None,
+            lambda outlet, size: None,
+        )
 
     def _back(self, path: Any, frame: list[Any]) -> None:
         self.queues[path, "back"].append(frame)
--- a/tests/reports/test_rules.py
+++ b/tests/reports/test_rules.py
@@ -23,29 +23,35 @@
 NAN, INF = math.nan, math.inf
 
 
-@pytest.mark.parametrize(("fields", "report", "waiting", "took"), [
-    (("queue",), (3.0,), 3.0, -1.0),
-    (("in_flight",), (5.0,), 3.0, -1.0),  # two of them run
-    (("in_flight",), (1.0,), 0.0, -1.0),
-    (("in_flight", "queue"), (9.0, 3.0), 3.0, -1.0),
-    (("in_flight", "served_per_s"), (6.0, 20.0), -1.0, 300.0),  # Little's law
-    (("in_flight", "served_per_s"), (6.0, 0.0), 4.0, -1.0),
-    (("in_flight", "served_per_s"), (0.0, 20.0), 0.0, -1.0),
-    (("service_ms",), (250.0,), -1.0, 250.0),
-    (("utilization",), (0.5,), 0.0, -1.0),
-    (("utilization",), (0.99,), -1.0, -1.0),  # full: a queue of any length
-    (("errors_per_s",), (1.0,), -1.0, -1.0),
-    (FIELDS, (5.0, 2.0, 1.0, 80.0, 20.0, 0.0), 2.0, -1.0),
-    (("queue",), (NAN,), -1.0, -1.0),
-    (("queue",), (INF,), -1.0, -1.0),
-    (("queue",), (-1.0,), -1.0, -1.0),
-    (("queue",), (2.0 ** 63,), -1.0, -1.0),
-    (("queue",), (), -1.0, -1.0),
-    (("queue",), (1.0, 2.0), -1.0, -1.0),
-    (("queue", "utilization"), (1.0, NAN), -1.0, -1.0),
-])
+@pytest.mark.parametrize(
+    ("fields", "report", "waiting", "took"),
+    [
+        (("queue",), (3.0,), 3.0, -1.0),
+        (("in_flight",), (5.0,), 3.0, -1.0),  # two of them run
+        (("in_flight",), (1.0,), 0.0, -1.0),
+        (("in_flight", "queue"), (9.0, 3.0), 3.0, -1.0),
+        (("in_flight", "served_per_s"), (6.0, 20.0), -1.0, 300.0),  # Little's law
+        (("in_flight", "served_per_s"), (6.0, 0.0), 4.0, -1.0),
+        (("in_flight", "served_per_s"), (0.0, 20.0), 0.0, -1.0),
+        (("service_ms",), (250.0,), -1.0, 250.0),
+        (("utilization",), (0.5,), 0.0, -1.0),
+        (("utilization",), (0.99,), -1.0, -1.0),  # full: a queue of any length
+        (("errors_per_s",), (1.0,), -1.0, -1.0),
+        (FIELDS, (5.0, 2.0, 1.0, 80.0, 20.0, 0.0), 2.0, -1.0),
+        (("queue",), (NAN,), -1.0, -1.0),
+        (("queue",), (INF,), -1.0, -1.0),
+        (("queue",), (-1.0,), -1.0, -1.0),
+        (("queue",), (2.0**63,), -1.0, -1.0),
+        (("queue",), (), -1.0, -1.0),
+        (("queue",), (1.0, 2.0), -1.0, -1.0),
+        (("queue", "utilization"), (1.0, NAN), -1.0, -1.0),
+    ],
+)
 def test_what_a_report_comes_to(
-    fields: tuple[str, ...], report: tuple[float, ...], waiting: float, took: float,
+    fields: tuple[str, ...],
+    report: tuple[float, ...],
+    waiting: float,
+    took: float,
 ) -> None:
     figure = Reader(fields).read(report, 2.0)
     assert (figure.waiting, figure.took_ms) == (waiting, took)
@@ -60,7 +66,7 @@
 
 @given(st.lists(st.floats(allow_nan=True, allow_infinity=True), max_size=6), st.floats(0.1, 64.0))
 def test_no_report_whatever_gives_a_figure_out_of_its_range(report: list[float], cores: float) -> None:
-    figure = Reader(FIELDS[:len(report)]).read(tuple(report), cores)
+    figure = Reader(FIELDS[: len(report)]).read(tuple(report), cores)
     assert figure.waiting == -1.0 or 0.0 <= figure.waiting <= MOST
     assert figure.took_ms == -1.0 or 0.0 <= figure.took_ms <= 1000.0 * MOST / 0.1
 
@@ -112,11 +118,14 @@
     assert not node.stuck(at + 1.0)
 
 
-@given(st.lists(st.tuples(st.floats(0.0, 4000.0), st.floats(0.0, 1e9), st.floats(0.0, 1.0)), max_size=60),
-       st.sampled_from([1.0, 0.3, 0.05, 0.001]))
+@given(
+    st.lists(st.tuples(st.floats(0.0, 4000.0), st.floats(0.0, 1e9), st.floats(0.0, 1.0)), max_size=60),
+    st.sampled_from([1.0, 0.3, 0.05, 0.001]),
+)
 @settings(deadline=None)
 def test_what_a_zone_is_open_to_stays_in_its_bounds_and_is_forgotten(
-    heard: list[tuple[float, float, float]], part: float,
+    heard: list[tuple[float, float, float]],
+    part: float,
 ) -> None:
     room, now = Room(part), 0.0
     for gap, wait, weight in heard:
@@ -241,8 +250,14 @@
 
 
 def scene(proxies: int, reports: bool, load: Reporting, seed: int = 1) -> Day:
-    day = replace(days.outage(seed), reports=reports, load=load, proxies=proxies, length_ms=24_000.0,
-                  nodes={"a": 7, "b": 7, "c": 7})
+    day = replace(
+        days.outage(seed),
+        reports=reports,
+        load=load,
+        proxies=proxies,
+        length_ms=24_000.0,
+        nodes={"a": 7, "b": 7, "c": 7},
+    )
     crash = replace(day.troubles[0], at_ms=6000.0, part=0.4, for_ms=4000.0)
     return days.load(replace(day, troubles=(crash,), retries=4), 0.75)
 
@@ -252,13 +267,20 @@
     assert good[True] > good[False] + 0.1
 
 
-@pytest.mark.parametrize("load", [
-    Reporting(late_ms=3000.0), Reporting(noise=0.5), Reporting(silent=0.5), Reporting(liars=0.3, lie=0.0),
-    Reporting(liars=0.3, lie=1000.0), Reporting(liars=0.5, lie=7.0), Reporting(swing_ms=3000.0),
-], ids=["late", "noise", "silent", "liars: 0", "liars: 1000", "stuck at 7", "late for a while"])
+@pytest.mark.parametrize(
+    "load",
+    [
+        Reporting(late_ms=3000.0),
+        Reporting(noise=0.5),
+        Reporting(silent=0.5),
+        Reporting(liars=0.3, lie=0.0),
+        Reporting(liars=0.3, lie=1000.0),
+        Reporting(liars=0.5, lie=7.0),
+        Reporting(swing_ms=3000.0),
+    ],
+    ids=["late", "noise", "silent", "liars: 0", "liars: 1000", "stuck at 7", "late for a while"],
+)
 def test_no_cold_node_is_pushed_over_and_nothing_is_lost_whatever_is_reported(load: Reporting) -> None:
     result = play(scene(12, True, load))
     assert (result.fell, result.late_drains, result.failed) == (0, 0, 0)
     assert result.goodput(14_000.0, 22_000.0) > 0.5
-
-
--- a/tests/reservoir/explore.py
+++ b/tests/reservoir/explore.py
@@ -48,8 +48,10 @@
 
     def _kept(self) -> list[tuple[str, Any]]:
         kept = [(name, value) for name, value in vars(self.asking).items() if name not in NO_STATE]
-        return sorted(((name, sorted(value) if isinstance(value, set) else value) for name, value in kept),
-                      key=lambda one: one[0])
+        return sorted(
+            ((name, sorted(value) if isinstance(value, set) else value) for name, value in kept),
+            key=lambda one: one[0],
+        )
 
     @property
     def key(self) -> str:
@@ -66,9 +68,10 @@
             kept = self._kept()
             rest = repr((self.begun, self.over, self.floor, [one for one in kept if one[0] not in LOCAL]))
             of = [value for name, value in kept if name in LOCAL]
-            local = {key[0]: repr([value.get(key) if isinstance(value, dict) else key in value
-                                   for value in of])
-                     for key in self.asking.quorums.members()}
+            local = {
+                key[0]: repr([value.get(key) if isinstance(value, dict) else key in value for value in of])
+                for key in self.asking.quorums.members()
+            }
             self.keys[True] = rest, local
         made: tuple[str, dict[str, str]] = self.keys[True]
         return made
@@ -111,8 +114,14 @@
 
     __slots__ = ("actors", "faults", "told", "votes", "wire")
 
-    def __init__(self, votes: dict[str, Vote], actors: tuple[Actor, ...], wire: tuple[Letter, ...],
-                 told: dict[int, tuple[int, str]], faults: int) -> None:
+    def __init__(
+        self,
+        votes: dict[str, Vote],
+        actors: tuple[Actor, ...],
+        wire: tuple[Letter, ...],
+        told: dict[int, tuple[int, str]],
+        faults: int,
+    ) -> None:
         self.votes, self.actors, self.wire, self.told, self.faults = votes, actors, wire, told, faults
 
     def key(self, alike: bool = False) -> int:
@@ -126,17 +135,27 @@
         for letter in self.wire:
             wires[letter.member[0]].append(letter.short)
         parts = [actor.parts for actor in self.actors]
-        members = sorted((vote.key, tuple(local[where] for _, local in parts), tuple(sorted(wires[where])))
-                         for where, vote in self.votes.items())
+        members = sorted(
+            (vote.key, tuple(local[where] for _, local in parts), tuple(sorted(wires[where])))
+            for where, vote in self.votes.items()
+        )
         return hash((tuple(members), tuple(rest for rest, _ in parts), told, self.faults))
 
 
 class World:
     """What may happen, and what must hold."""
 
-    def __init__(self, tries: int = 1, faults: int = 0, late_sync: tuple[str, ...] = (),
-                 wiped: Callable[[State], State] | None = None, acceptor: type[Acceptor] = Acceptor,
-                 split: bool = False, alike: bool = False, twice: bool = False) -> None:
+    def __init__(
+        self,
+        tries: int = 1,
+        faults: int = 0,
+        late_sync: tuple[str, ...] = (),
+        wiped: Callable[[State], State] | None = None,
+        acceptor: type[Acceptor] = Acceptor,
+        split: bool = False,
+        alike: bool = False,
+        twice: bool = False,
+    ) -> None:
         self.tries = tries  # of each round
         self.faults = faults  # losses of power, wipes, or messages that come twice, in one run
         self.late_sync = late_sync  # mutation: answers of these kinds go out before the disk is synced
@@ -159,8 +178,12 @@
         for number, actor in enumerate(node.actors):
             if not actor.begun:
                 yield partial(self.begin, node, number)
-            elif isinstance(actor.asking, Round) and actor.asking.phase == "pause" \
-                    and actor.asking.result is None and actor.asking.tries < self.tries:
+            elif (
+                isinstance(actor.asking, Round)
+                and actor.asking.phase == "pause"
+                and actor.asking.result is None
+                and actor.asking.tries < self.tries
+            ):
                 yield partial(self.act, node, number, lambda made: made.start())
         for where, vote in node.votes.items():
             yield from self._disk_steps(node, where, vote)
@@ -182,14 +205,15 @@
         actor = node.actors[number]
         floor = max(node.told, default=-1)
         begun = Actor(actor.asking, True, floor)
-        actors = (*node.actors[:number], begun, *node.actors[number + 1:])
-        return self.act(Node(node.votes, actors, node.wire, node.told, node.faults), number,
-                        lambda made: made.start())
+        actors = (*node.actors[:number], begun, *node.actors[number + 1 :])
+        return self.act(
+            Node(node.votes, actors, node.wire, node.told, node.faults), number, lambda made: made.start()
+        )
 
     def deliver(self, node: Node, at: int, again: bool = False) -> Node:
         """A message comes; `again`: it will come once more."""
         letter = node.wire[at]
-        wire = node.wire if again else node.wire[:at] + node.wire[at + 1:]
+        wire = node.wire if again else node.wire[:at] + node.wire[at + 1 :]
         node = Node(node.votes, node.actors, wire, node.told, node.faults + again)
         number, key = letter.number, letter.member
         if letter.back:
@@ -238,7 +262,7 @@
             plain = {name: value for name, value in message.items() if name != "carry"}
             wire.append(Letter(number, key, plain, False))
         actor = Actor(asking, True, old.floor, asking.result is not None)
-        actors = (*node.actors[:number], actor, *node.actors[number + 1:])
+        actors = (*node.actors[:number], actor, *node.actors[number + 1 :])
         return Node(node.votes, actors, tuple(wire), told, node.faults)
 
     @staticmethod
@@ -256,8 +280,9 @@
         return {**told, rev: (version, shown)}
 
 
-def explore(world: World, start: Node, most: int, seed: int | None = None,
-            counts: list[int] | None = None) -> tuple[int, bool]:
+def explore(
+    world: World, start: Node, most: int, seed: int | None = None, counts: list[int] | None = None
+) -> tuple[int, bool]:
     """(states met, whether that is all); BrokenError where a rule does not hold. `seed`: of the order.
 
     `counts`, where given, gets the states met so far, for whoever catches the error.
@@ -294,8 +319,9 @@
     return most
 
 
-def proposer(name: str, change: Change, epoch: int, roster: Roster, counter: int = 0,
-             made: type[Round] = Round) -> Actor:
+def proposer(
+    name: str, change: Change, epoch: int, roster: Roster, counter: int = 0, made: type[Round] = Round
+) -> Actor:
     """A round that has not begun."""
     return Actor(made((name, 1), (epoch, roster), change, 1.0, HALF, counter))
 
@@ -310,8 +336,11 @@
     node = world.begin(node, number)
     while not until(node):
         node = next((world.sync(node, where) for where, vote in node.votes.items() if vote.held), node)
-        at = next(at for at, letter in enumerate(node.wire)
-                  if letter.number == number and (letter.back or letter.member[0] in by))
+        at = next(
+            at
+            for at, letter in enumerate(node.wire)
+            if letter.number == number and (letter.back or letter.member[0] in by)
+        )
         node = world.deliver(node, at)
     return node
 
--- a/tests/reservoir/test_bounds.py
+++ b/tests/reservoir/test_bounds.py
@@ -17,8 +17,12 @@
     values: list[Any] = []
     bodies: list[bytes | None] = []
     for number in range(module.MOST_WAITING + 3):
-        basin.submit(word.replace(number, "x"), 0.5, lambda result, answer: results.append(result),
-                     (f"digest{number}", b"text"))
+        basin.submit(
+            word.replace(number, "x"),
+            0.5,
+            lambda result, answer: results.append(result),
+            (f"digest{number}", b"text"),
+        )
     for _ in range(module.MOST_READERS + 3):
         basin.read(0.5, values.append)
     for number in range(module.MOST_FETCHES + 3):
--- a/tests/reservoir/test_explored.py
+++ b/tests/reservoir/test_explored.py
@@ -7,8 +7,15 @@
 from bench.mesh_explore import CASES, ORDERS, TELLS, WRONG, played
 from honeywharf.reservoir.register import Quorums
 
-QUICK = ("accepted before the sync", "majority of the living", "version by arrival", "promise forgotten",
-         "what others accepted is not taken over", "reader without write back", "a wiped disk keeps its name")
+QUICK = (
+    "accepted before the sync",
+    "majority of the living",
+    "version by arrival",
+    "promise forgotten",
+    "what others accepted is not taken over",
+    "reader without write back",
+    "a wiped disk keeps its name",
+)
 
 
 @pytest.mark.parametrize("name", [case.name for case in CASES])
