--- a/tests/reservoir/test_program.py
+++ b/tests/reservoir/test_program.py
@@ -35,13 +35,15 @@
 def test_evacuations_begin_and_end_and_unknown_places_are_refused() -> None:
     town = Town(2)
     town.run(0.3)
-    calls = [town.call("10.0.0.1", "POST", "/api/evacuations/a/start"),
-             town.call("10.0.0.2", "POST", "/api/evacuations/a/start"),
-             town.call("10.0.0.2", "POST", "/api/evacuations/x/start"),
-             town.call("10.0.0.3", "GET", "/api/evacuations/a/start"),
-             town.call("10.0.0.3", "GET", "/api"),
-             town.call("10.0.0.3", "POST", "/api/instances/i/heartbeat", b'{"address":"10.0.9.9:80"}'),
-             town.call("10.0.0.3", "POST", "/api/instances/i/heartbeat", b'{"address":"no"}')]
+    calls = [
+        town.call("10.0.0.1", "POST", "/api/evacuations/a/start"),
+        town.call("10.0.0.2", "POST", "/api/evacuations/a/start"),
+        town.call("10.0.0.2", "POST", "/api/evacuations/x/start"),
+        town.call("10.0.0.3", "GET", "/api/evacuations/a/start"),
+        town.call("10.0.0.3", "GET", "/api"),
+        town.call("10.0.0.3", "POST", "/api/instances/i/heartbeat", b'{"address":"10.0.9.9:80"}'),
+        town.call("10.0.0.3", "POST", "/api/instances/i/heartbeat", b'{"address":"no"}'),
+    ]
     town.run(0.8)
     assert [call.status for call in calls] == [200, 200, 404, 405, 404, 307, 404]
     assert calls[5].answers[0][2] == b"Location: http://10.0.9.9:8306/api/instances/i/heartbeat\r\n"
--- a/tests/reservoir/test_register.py
+++ b/tests/reservoir/test_register.py
@@ -40,8 +40,10 @@
 
 
 def two(made: type[Round] = Round, tries: int = 1) -> Node:
-    return node(proposer("p", word.replace(1, "one"), 1, FIRST, made=made),
-                proposer("q", word.replace(1, "other"), 1, FIRST, made=made, counter=tries))
+    return node(
+        proposer("p", word.replace(1, "one"), 1, FIRST, made=made),
+        proposer("q", word.replace(1, "other"), 1, FIRST, made=made, counter=tries),
+    )
 
 
 def walks(world: World, start: Callable[[], Node], count: int) -> int:
@@ -67,7 +69,10 @@
     start = node(
         proposer("p", word.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST, made=made),
         proposer("q", word.admit(["e", "disk-e", "", False], [("a", "first")]), 1, FIRST, made=made),
-        proposer("s", word.replace(1, "one"), 1, FIRST, made=made), reader(1, FIRST), more=("d", "e"))
+        proposer("s", word.replace(1, "one"), 1, FIRST, made=made),
+        reader(1, FIRST),
+        more=("d", "e"),
+    )
     return start
 
 
@@ -88,7 +93,8 @@
         assert start.votes[where].state.epoch == 1
     start.actors = (
         proposer("p", word.replace(1, "one"), 2, asking.roster, 2, made),
-        proposer("q", word.replace(1, "other"), 1, FIRST, 5, made))
+        proposer("q", word.replace(1, "other"), 1, FIRST, 5, made),
+    )
     return start
 
 
@@ -213,7 +219,11 @@
     both = Quorums([FIRST, members([("a", "first"), ("d", "x"), ("e", "x"), ("f", "x")])])
     a, b, d, e = ("a", "first"), ("b", "first"), ("d", "x"), ("e", "x")
     wanted: list[tuple[list[Key], bool]] = [
-        ([a, b], False), ([a, b, d], False), ([a, b, d, e], True), ([a, d, e], False)]
+        ([a, b], False),
+        ([a, b, d], False),
+        ([a, b, d, e], True),
+        ([a, d, e], False),
+    ]
     for by, covered in wanted:
         assert both.covered(by) == covered
 
--- a/tests/reservoir/test_runs.py
+++ b/tests/reservoir/test_runs.py
@@ -106,8 +106,12 @@
         if self.rng.random() < 0.2:  # long enough for a disk to be lost after it
             self.lull = now + self.rng.uniform(0, CATCH_UP + 3)
         ip, span = self.rng.choice(ips), self.rng.uniform(0.1, 3.0)
-        calm = not self.down and not world.cuts and now - self.troubled > CATCH_UP \
+        calm = (
+            not self.down
+            and not world.cuts
+            and now - self.troubled > CATCH_UP
             and not any(machine.frozen for machine in world.machines.values())
+        )
         kinds = ("kill", "power", "cut", "one way", "freeze", "all", "spare")
         kind = "lose" if calm and self.rng.random() < 0.6 else self.rng.choice(kinds)
         if kind in ("kill", "power"):
--- a/tests/reservoir/town.py
+++ b/tests/reservoir/town.py
@@ -65,6 +65,7 @@
 
     def start(self, ip: str, first: bool = False) -> None:
         """Start a process."""
+
         def make(machine: Machine) -> Reservoir:
             return Reservoir(machine, settings(ip, self.seeds, first))
 
@@ -99,8 +100,9 @@
 
     def split(self, *groups: list[str]) -> None:
         """Cut groups of machines off from one another."""
-        self.world.cuts = {(a, b) for one in groups for other in groups if one is not other
-                           for a in one for b in other}
+        self.world.cuts = {
+            (a, b) for one in groups for other in groups if one is not other for a in one for b in other
+        }
 
     def known(self, ip: str) -> dict[str, Any]:
         """The word as one knows it."""
--- a/tests/reservoir/world.py
+++ b/tests/reservoir/world.py
@@ -46,7 +46,7 @@
         if not self.gone and self.handler is not None:
             for at in range(0, len(data), 65536):
                 if not self.gone:
-                    self.handler.received(data[at:at + 65536])
+                    self.handler.received(data[at : at + 65536])
 
     def close(self) -> None:
         self.abort()
@@ -175,7 +175,7 @@
         self.disk.count += 1
         if self.disk.count == self.disk.fail_at:
             if self.disk.torn:
-                self.disk.files[name] = data[:len(data) // 2]
+                self.disk.files[name] = data[: len(data) // 2]
             raise PowerLostError
         self.disk.files[name] = data
 
--- a/tests/runnel/net.py
+++ b/tests/runnel/net.py
@@ -120,9 +120,7 @@
             self.seen = {pair: version for pair, version in self.seen.items() if pair[0] != name}
         zone = ZONES[int(name.split(".")[1]) - 1]
         machine = self.machines[name] = Machine(self, name, zone)
-        society = Society(
-            cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation
-        )
+        society = Society(cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation)
         society.on_change = lambda node, entry, old: self.check(name, node, entry, old)
         society.on_down = lambda node: self.downs.append((self.now, name, node))
         self.societies[name] = society
--- a/tests/service/test_rules.py
+++ b/tests/service/test_rules.py
@@ -15,7 +15,8 @@
 
 @given(EVENTS, st.sampled_from((800.0, 5000.0)))
 def test_a_life_follows_its_table_and_steps_come_once_in_order(
-    events: list[tuple[Event, float]], longest_ms: float,
+    events: list[tuple[Event, float]],
+    longest_ms: float,
 ) -> None:
     made, now, ended = Life(longest_ms), 0.0, False
     for event, ms in events:
@@ -78,9 +79,13 @@
 # Bans.
 
 IDS = ["a", "b", "c", "d"]
-ACTS = st.lists(st.one_of(
-    st.tuples(st.just("saw"), st.frozensets(st.sampled_from(IDS))),
-    st.tuples(st.sampled_from(("exclude", "include")), st.sampled_from([*IDS, "x"]))), max_size=40)
+ACTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("saw"), st.frozensets(st.sampled_from(IDS))),
+        st.tuples(st.sampled_from(("exclude", "include")), st.sampled_from([*IDS, "x"])),
+    ),
+    max_size=40,
+)
 
 
 @given(ACTS)
@@ -128,6 +133,7 @@
 
 # What the module makes of a ban.
 
+
 def sent(driver: Driver, calls: int = 60) -> set[str]:
     return set(driver.fill(calls))
 
@@ -193,22 +199,37 @@
 
 # What is said at the second address.
 
-@pytest.mark.parametrize(("line", "wanted"), [
-    (b"readyz\n", calls.Call("readyz")), (b"exclude s-1\r\n", calls.Call("exclude", "s-1")),
-    (b"  include   s-1  \n", calls.Call("include", "s-1")), (b"evacuate\n\n", calls.Call("evacuate")),
-])
+
+@pytest.mark.parametrize(
+    ("line", "wanted"),
+    [
+        (b"readyz\n", calls.Call("readyz")),
+        (b"exclude s-1\r\n", calls.Call("exclude", "s-1")),
+        (b"  include   s-1  \n", calls.Call("include", "s-1")),
+        (b"evacuate\n\n", calls.Call("evacuate")),
+    ],
+)
 def test_a_sound_call(line: bytes, wanted: calls.Call) -> None:
     assert calls.whole(line)
     assert calls.call(line) == wanted
 
 
-@pytest.mark.parametrize(("line", "words"), [
-    (b"\n", "found 'nothing', wanted one of readyz"), (b"READYZ\n", "found 'READYZ'"),
-    (b"exclude\n", "found 0 words after exclude, wanted 1"), (b"readyz now\n", "found 1 words"),
-    (b"exclude a b\n", "found 2 words"), (b"exclude a\ninclude a\n", "one line to a connection"),
-    (b"exclude \xff\n", "found byte 0xff at 8, wanted UTF-8"), (b"exclude a\0b\n", "can't be shown"),
-    (b"exclude a", "no end of a line"), (b"x" * 600, "no end of a line"), (b"x" * 600 + b"\n", "no end"),
-])
+@pytest.mark.parametrize(
+    ("line", "words"),
+    [
+        (b"\n", "found 'nothing', wanted one of readyz"),
+        (b"READYZ\n", "found 'READYZ'"),
+        (b"exclude\n", "found 0 words after exclude, wanted 1"),
+        (b"readyz now\n", "found 1 words"),
+        (b"exclude a b\n", "found 2 words"),
+        (b"exclude a\ninclude a\n", "one line to a connection"),
+        (b"exclude \xff\n", "found byte 0xff at 8, wanted UTF-8"),
+        (b"exclude a\0b\n", "can't be shown"),
+        (b"exclude a", "no end of a line"),
+        (b"x" * 600, "no end of a line"),
+        (b"x" * 600 + b"\n", "no end"),
+    ],
+)
 def test_what_is_no_call_is_told_with_what_was_found(line: bytes, words: str) -> None:
     with pytest.raises(calls.CallError, match=words):
         calls.call(line)
--- a/tests/service/test_sockets.py
+++ b/tests/service/test_sockets.py
@@ -46,7 +46,8 @@
             assert await said(port, b"exclude b\n") == b"OK b is out\n"
             assert await said(port, b"exclude b\n") == b"OK b was out already\n"
             assert await said(port, b"exclude c\n") == (
-                b"ERR found 'c', which no list has named, wanted the id of a backend\n")
+                b"ERR found 'c', which no list has named, wanted the id of a backend\n"
+            )
             client = await Client.to(w.port)
             client.send()
             assert await client.status() == 503  # all are out: told, not overruled
@@ -66,6 +67,7 @@
             w.proxy.drain()
             assert (await said(port, b"evacuate\n")).startswith(b"ERR found 'evacuate' while ending")
         await backend.stop()
+
     run(main())
 
 
@@ -96,11 +98,13 @@
             assert len(held.requests) == before
         await one.stop()
         await two.stop()
+
     run(main())
 
 
 def test_a_connection_that_comes_up_after_the_ban_carries_nothing() -> None:
     """The request waits for the handshake of a backend that is taken out meanwhile."""
+
     async def main() -> None:
         with socket.socket() as full:  # a listener whose queue is full: connections to it come up late
             full.bind(("127.0.0.1", 0))
@@ -133,6 +137,7 @@
                     one.close()
             for plug in plugs:
                 plug.close()
+
     run(main())
 
 
@@ -184,6 +189,7 @@
             assert first.split()[1] == b"200"
             assert b"connection" not in headers
         await backend.stop()
+
     run(main())
 
 
@@ -208,4 +214,5 @@
             assert not w.proxy.keeper.bans.since
             for _, writer in idle:
                 writer.close()
+
     run(main())
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -147,16 +147,34 @@
         return self.may_spend
 
 
-TABLE = json.dumps({
-    "config-version": "r7",
-    "routes": [{
-        "name": f"r-{kind}", "hostname": "shop.example", "path-prefix": f"/{kind}/", "route-kind": kind,
-        "timeout": "3000ms", "target-latency": "500ms", "priority": 1, "target-service": SERVICE,
-        "max-attempts": 2} for kind in ("read_only", "mutating", "upload")],
-    "services": [{"name": SERVICE, "health-check-path": "/health", "max-connections": 20,
-                  "cold-per-s": 22.0}],
-    "limits": {"max-header-bytes": 8192, "max-body-bytes": 8 << 20, "header-timeout": "1s",
-               "idle-timeout": "2s"}}).encode()
+TABLE = json.dumps(
+    {
+        "config-version": "r7",
+        "routes": [
+            {
+                "name": f"r-{kind}",
+                "hostname": "shop.example",
+                "path-prefix": f"/{kind}/",
+                "route-kind": kind,
+                "timeout": "3000ms",
+                "target-latency": "500ms",
+                "priority": 1,
+                "target-service": SERVICE,
+                "max-attempts": 2,
+            }
+            for kind in ("read_only", "mutating", "upload")
+        ],
+        "services": [
+            {"name": SERVICE, "health-check-path": "/health", "max-connections": 20, "cold-per-s": 22.0}
+        ],
+        "limits": {
+            "max-header-bytes": 8192,
+            "max-body-bytes": 8 << 20,
+            "header-timeout": "1s",
+            "idle-timeout": "2s",
+        },
+    }
+).encode()
 
 
 class Caller:
@@ -186,7 +204,7 @@
                 body = b""
                 while (line := rest.partition(b"\r\n"))[0] != b"0":
                     step = int(line[0], 16)
-                    body, rest = body + line[2][:step], line[2][step + 2:]
+                    body, rest = body + line[2][:step], line[2][step + 2 :]
                 rest = rest[5:]
             else:
                 assert len(rest) >= size
@@ -325,13 +343,32 @@
 
 
 def ask(
-    kind: int = 0, length: int = 0, remaining_s: float = 1.0, patience_s: float = 0.0, method: bytes = b"",
-    attempt: bytes = ATTEMPT, service: str = SERVICE, priority: int = 1,
+    kind: int = 0,
+    length: int = 0,
+    remaining_s: float = 1.0,
+    patience_s: float = 0.0,
+    method: bytes = b"",
+    attempt: bytes = ATTEMPT,
+    service: str = SERVICE,
+    priority: int = 1,
 ) -> Ask:
     """What a source asks."""
     fields = b"Host: shop.example\r\nX-Honeywharf-Attempt-Id: %b\r\n" % attempt
-    return Ask(service, attempt, kind, remaining_s, patience_s, priority, 0.5, "tile-vault",
-               method or (b"POST" if length else b"GET"), b"/orders/2f?a=1", fields, length, 7)
+    return Ask(
+        service,
+        attempt,
+        kind,
+        remaining_s,
+        patience_s,
+        priority,
+        0.5,
+        "tile-vault",
+        method or (b"POST" if length else b"GET"),
+        b"/orders/2f?a=1",
+        fields,
+        length,
+        7,
+    )
 
 
 # A backend by script, on a simulated machine.
@@ -402,8 +439,8 @@
             if not end or len(rest) < int(line, 16) + 2:
                 return None
             size = int(line, 16)
-            assert rest[size:size + 2] == b"\r\n"
-            body, rest = body + rest[:size], rest[size + 2:]
+            assert rest[size : size + 2] == b"\r\n"
+            body, rest = body + rest[:size], rest[size + 2 :]
             if not size:
                 return body, rest
 
@@ -424,14 +461,18 @@
 
 
 def answer(
-    attempt: bytes, body: bytes = b"done", status: int = 200, seal: bool = True, more: bytes = b"",
+    attempt: bytes,
+    body: bytes = b"done",
+    status: int = 200,
+    seal: bool = True,
+    more: bytes = b"",
     chunked: bool = False,
 ) -> bytes:
     """A backend's answer."""
     sealed = b"X-Honeywharf-Server-Seal: 3e1b.07\r\n" if seal else b""
     top = b"HTTP/1.1 %d OK\r\nX-Honeywharf-Attempt-Id: %b\r\n%b%b" % (status, attempt, sealed, more)
     if chunked:
-        parts = [body[n:n + 9000] for n in range(0, len(body), 9000)]
+        parts = [body[n : n + 9000] for n in range(0, len(body), 9000)]
         chunks = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts)
         return top + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
     return top + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
@@ -481,8 +522,9 @@
         """Bytes of the request's body have gone on."""
         self.windows += size
 
-    def answer(self, status: int, fields: bytes, length: int, load: tuple[int, int, int],
-               body: bytes | None) -> None:
+    def answer(
+        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None
+    ) -> None:
         """The answer, whole, or its head."""
         assert not self.ends
         self.events.append(("answer", status, length, body is not None))
--- a/tests/sluice/test_beats.py
+++ b/tests/sluice/test_beats.py
@@ -58,15 +58,20 @@
         top = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}\r\n\r\n"
         caller.send(top.encode() + data)
         self.run()
-        (status, _, _), = caller.answers()
+        ((status, _, _),) = caller.answers()
         return status
 
     def beat(self, sequence: int = 4, life: str = LIFE, **changes: Any) -> int:
         """One beat, as PROTOCOL shows it; `changes` go into its status, or its details."""
         body: dict[str, dict[str, Any]] = {
             "details": {
-                "target-service": SERVICE, "config-version": "v1", "zone": ZONE, "capacity-slots": 12},
-            "status": {"state": "ready", "call-sequence": sequence, "cold-remaining": "0ms"}}
+                "target-service": SERVICE,
+                "config-version": "v1",
+                "zone": ZONE,
+                "capacity-slots": 12,
+            },
+            "status": {"state": "ready", "call-sequence": sequence, "cold-remaining": "0ms"},
+        }
         for name, value in changes.items():
             key = name.replace("_", "-")
             body["details" if key in body["details"] else "status"][key] = value
@@ -99,19 +104,41 @@
     assert (desk.gate.state, desk.gate.instance) == (READY, "i-next")
 
 
-@pytest.mark.parametrize("changes", [
-    {"state": "well"}, {"state": None}, {"call_sequence": "x"}, {"call_sequence": None},
-    {"capacity_slots": -1}, {"cold_remaining": "soon"}, {"cold_remaining": 5}, {"capacity_slots": "many"}])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "well"},
+        {"state": None},
+        {"call_sequence": "x"},
+        {"call_sequence": None},
+        {"capacity_slots": -1},
+        {"cold_remaining": "soon"},
+        {"cold_remaining": 5},
+        {"capacity_slots": "many"},
+    ],
+)
 def test_a_beat_that_makes_no_sense_is_refused_and_changes_nothing(changes: dict[str, Any]) -> None:
     desk = Desk()
     assert desk.beat(**changes) == 400
     assert (desk.gate.state, desk.told) == (UNKNOWN, 0)
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"{", b"[]", b"null", b"7", b'{"status":[]}', b'{"status":{}}', b"\xff\xfe",
-    b'{"details":7,"status":{}}',
-    b'{"status":{"state":"ready","call-sequence":1e999}}', b"[" * 100_000])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"7",
+        b'{"status":[]}',
+        b'{"status":{}}',
+        b"\xff\xfe",
+        b'{"details":7,"status":{}}',
+        b'{"status":{"state":"ready","call-sequence":1e999}}',
+        b"[" * 100_000,
+    ],
+)
 def test_a_body_that_is_no_beat_is_400(body: bytes) -> None:
     desk = Desk()
     assert desk.call(f"/api/instances/{LIFE}/heartbeat", body) == 400
@@ -124,9 +151,15 @@
     assert desk.gate.state == UNKNOWN
 
 
-@pytest.mark.parametrize(("method", "path", "status"), [
-    ("GET", f"/api/instances/{LIFE}/heartbeat", 405), ("POST", "/api/instances", 404), ("POST", "/", 404),
-    ("POST", "/api/instances/" + "i" * (MOST_ID + 1) + "/deregister", 400)])
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", f"/api/instances/{LIFE}/heartbeat", 405),
+        ("POST", "/api/instances", 404),
+        ("POST", "/", 404),
+        ("POST", "/api/instances/" + "i" * (MOST_ID + 1) + "/deregister", 400),
+    ],
+)
 def test_what_is_no_call_of_a_backend(method: str, path: str, status: int) -> None:
     desk = Desk()
     assert desk.call(path, method=method) == status
@@ -136,8 +169,10 @@
 
 
 def healthy(visit: Visit, request: Request, status: int = 200, cold: bytes = b"", life: str = LIFE) -> None:
-    visit.send(b"HTTP/1.1 %d OK\r\nX-Honeywharf-Instance-Id: %b\r\nX-Honeywharf-Instance-Load: 1,0,9\r\n"
-               b"%bContent-Length: 0\r\n\r\n" % (status, life.encode(), cold))
+    visit.send(
+        b"HTTP/1.1 %d OK\r\nX-Honeywharf-Instance-Id: %b\r\nX-Honeywharf-Instance-Load: 1,0,9\r\n"
+        b"%bContent-Length: 0\r\n\r\n" % (status, life.encode(), cold)
+    )
 
 
 def probed(desk: Desk, seconds: float) -> int:
--- a/tests/sluice/test_bypass.py
+++ b/tests/sluice/test_bypass.py
@@ -63,8 +63,22 @@
 
 
 def _frame(ask: Ask) -> list[Any]:
-    return [ask.service, ask.attempt, ask.kind, int(ask.remaining_s * 1000), 0, ask.priority, 0, ask.caller,
-            ask.method, ask.target, ask.fields, ask.length, ask.revision, ask.rule]
+    return [
+        ask.service,
+        ask.attempt,
+        ask.kind,
+        int(ask.remaining_s * 1000),
+        0,
+        ask.priority,
+        0,
+        ask.caller,
+        ask.method,
+        ask.target,
+        ask.fields,
+        ask.length,
+        ask.revision,
+        ask.rule,
+    ]
 
 
 def test_who_doubts_too_or_is_not_there_is_followed_by_one_more() -> None:
@@ -79,11 +93,15 @@
         assert play.client.ends == 1
 
 
-@pytest.mark.parametrize(("verdict", "wanted"), [
-    (Verdict(NOT_RUN, FULL, False, 0.7), ("final", 503, 0.7)),
-    (Verdict(MAY_HAVE_RUN, TIMED_OUT, True), ("final", 504, 0.0)),
-    (Verdict(MAY_HAVE_RUN, BROKEN_OFF, True), ("final", 502, 0.0)),
-    (Verdict(MAY_HAVE_RUN, LOST), ("final", 502, 0.0))])
+@pytest.mark.parametrize(
+    ("verdict", "wanted"),
+    [
+        (Verdict(NOT_RUN, FULL, False, 0.7), ("final", 503, 0.7)),
+        (Verdict(MAY_HAVE_RUN, TIMED_OUT, True), ("final", 504, 0.0)),
+        (Verdict(MAY_HAVE_RUN, BROKEN_OFF, True), ("final", 502, 0.0)),
+        (Verdict(MAY_HAVE_RUN, LOST), ("final", 502, 0.0)),
+    ],
+)
 def test_a_helpers_last_word_is_the_last_word(verdict: Verdict, wanted: tuple[object, ...]) -> None:
     play = Doubting()
     play.course.failed(verdict)
@@ -189,8 +207,21 @@
         self.source.list_gates("10.1.0.20")
         self.answers: Any = Answers()
         made = head(length)
-        self.ask = Ask("", ATTEMPT, HANDED, 1.5, 0.0, 0, 1.0, "tile-vault", made.method, target,
-                       b"".join(made.fields), length, revision)
+        self.ask = Ask(
+            "",
+            ATTEMPT,
+            HANDED,
+            1.5,
+            0.0,
+            0,
+            1.0,
+            "tile-vault",
+            made.method,
+            target,
+            b"".join(made.fields),
+            length,
+            revision,
+        )
 
     def take(self) -> Any:
         return bypass.take(self.source, self.ask, b"shop.example", self.answers)
@@ -213,9 +244,15 @@
     assert (play.source.passing, play.source.courses) == ({}, {})
 
 
-@pytest.mark.parametrize(("status", "told"), [
-    (503, ("fail", NOT_RUN, FULL, 0.3)), (504, ("fail", MAY_HAVE_RUN, TIMED_OUT, 0.0)),
-    (502, ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)), (404, ("answer", 404, b"words"))])
+@pytest.mark.parametrize(
+    ("status", "told"),
+    [
+        (503, ("fail", NOT_RUN, FULL, 0.3)),
+        (504, ("fail", MAY_HAVE_RUN, TIMED_OUT, 0.0)),
+        (502, ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)),
+        (404, ("answer", 404, b"words")),
+    ],
+)
 def test_what_the_mesh_says_itself_goes_back_as_what_it_proves(status: int, told: tuple[object, ...]) -> None:
     play = Helping()
     play.take()
@@ -276,4 +313,7 @@
     assert play.source.channels[-1].passed == 3
     course.failed(Verdict(MAY_HAVE_RUN, BROKEN_OFF, True))
     assert play.answers.told == [
-        ("answer", 200, None), ("data", b"abc"), ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)]
+        ("answer", 200, None),
+        ("data", b"abc"),
+        ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0),
+    ]
--- a/tests/sluice/test_course.py
+++ b/tests/sluice/test_course.py
@@ -36,16 +36,22 @@
     """One course over scripted gates."""
 
     def __init__(
-        self, kind: str = "read_only", gates: int = 3, attempts: int = 2, length: int = 0,
-        within: float = 2.0, aim_s: float = 0.5,
+        self,
+        kind: str = "read_only",
+        gates: int = 3,
+        attempts: int = 2,
+        length: int = 0,
+        within: float = 2.0,
+        aim_s: float = 0.5,
     ) -> None:
         self.clock = Clock()
         self.source = Scripted(self.clock)
         self.source.list_gates(*(f"10.1.0.{n}" for n in range(20, 20 + gates)))
         self.client = Client()
         self.length = length
-        self.course = Course(self.source, self.client, head(length),
-                             route(kind, attempts, aim_s), self.clock.now() + within)
+        self.course = Course(
+            self.source, self.client, head(length), route(kind, attempts, aim_s), self.clock.now() + within
+        )
         self.source.courses[self.course] = None
 
     def start(self, body: bytes = b"") -> Channel:
@@ -71,7 +77,8 @@
 @pytest.mark.parametrize("kind", KINDS)
 @pytest.mark.parametrize(("verdict", "spends"), [(REFUSED, []), (ROOM, []), (PROOF, [True])])
 def test_a_proof_leads_to_another_gate_and_the_budget_is_asked_only_for_arrivals(
-        kind: str, verdict: Verdict, spends: list[bool]) -> None:
+    kind: str, verdict: Verdict, spends: list[bool]
+) -> None:
     play = Play(kind)
     first = play.start()
     play.course.failed(verdict)
@@ -99,8 +106,15 @@
             assert play.client.events == [("final", 502, pytest.approx(play.client.events[0][2]))]
 
 
-@pytest.mark.parametrize(("kind", "verdict", "status"), [
-    ("read_only", PROOF, 503), ("mutating", PROOF, 503), ("upload", PROOF, 503), ("read_only", PERHAPS, 503)])
+@pytest.mark.parametrize(
+    ("kind", "verdict", "status"),
+    [
+        ("read_only", PROOF, 503),
+        ("mutating", PROOF, 503),
+        ("upload", PROOF, 503),
+        ("read_only", PERHAPS, 503),
+    ],
+)
 def test_without_a_budget_nothing_arrives_twice(kind: str, verdict: Verdict, status: int) -> None:
     play = Play(kind)
     play.source.may_spend = False
@@ -200,11 +214,20 @@
     assert [e[:2] for e in play.client.events] == [("final", 503)]
 
 
-@pytest.mark.parametrize(("kind", "length", "went", "status"), [
-    ("read_only", 0, False, 504), ("mutating", 0, False, 504), ("mutating", 5, False, 503),
-    ("mutating", 5, True, 504), ("upload", 5, False, 503), ("upload", 5, True, 504)])
+@pytest.mark.parametrize(
+    ("kind", "length", "went", "status"),
+    [
+        ("read_only", 0, False, 504),
+        ("mutating", 0, False, 504),
+        ("mutating", 5, False, 503),
+        ("mutating", 5, True, 504),
+        ("upload", 5, False, 503),
+        ("upload", 5, True, 504),
+    ],
+)
 def test_at_the_deadline_only_a_body_not_asked_for_proves_anything(
-        kind: str, length: int, went: bool, status: int) -> None:
+    kind: str, length: int, went: bool, status: int
+) -> None:
     play = Play(kind, length=length)
     channel = play.start(b"x" * length)
     if went:
@@ -361,8 +384,16 @@
     clock = Clock()
     source = Scripted(clock, seed)
     source.list_gates(*(f"10.1.0.{n}" for n in range(20, 26)))
-    verdicts = (REFUSED, ROOM, PROOF, PERHAPS, SILENT, Verdict(NOT_RUN, LOST), Verdict(NOT_RUN, LATE),
-                Verdict(MAY_HAVE_RUN, TIMED_OUT, True))
+    verdicts = (
+        REFUSED,
+        ROOM,
+        PROOF,
+        PERHAPS,
+        SILENT,
+        Verdict(NOT_RUN, LOST),
+        Verdict(NOT_RUN, LATE),
+        Verdict(MAY_HAVE_RUN, TIMED_OUT, True),
+    )
     ran: dict[Course, bool] = {}
 
     def within(channel: Channel) -> bool:
--- a/tests/sluice/test_gate.py
+++ b/tests/sluice/test_gate.py
@@ -28,37 +28,51 @@
 
 
 START: dict[str, tuple[Do, ...]] = {
-    "unknown": (), "ready": (beat(sequence=1),), "draining": (beat(sequence=1, draining=True),),
+    "unknown": (),
+    "ready": (beat(sequence=1),),
+    "draining": (beat(sequence=1, draining=True),),
     "ended": (beat(sequence=1), lambda gate: gate.deregister("i-1")),
-    "missing": (beat(sequence=1), lambda gate: gate.missing())}
+    "missing": (beat(sequence=1), lambda gate: gate.missing()),
+}
 TABLE: list[tuple[str, str, Do, int]] = [
-    ("unknown", "beat", beat(), READY), ("unknown", "last beat", beat(draining=True), DRAINING),
-    ("unknown", "health", health(), READY), ("unknown", "ill", health(well=False), UNKNOWN),
+    ("unknown", "beat", beat(), READY),
+    ("unknown", "last beat", beat(draining=True), DRAINING),
+    ("unknown", "health", health(), READY),
+    ("unknown", "ill", health(well=False), UNKNOWN),
     ("unknown", "no id", health(instance=""), UNKNOWN),
     ("unknown", "deregister", lambda g: g.deregister("i-1"), UNKNOWN),
     ("unknown", "missing", lambda g: g.missing(), UNKNOWN),
-    ("ready", "beat", beat(), READY), ("ready", "last beat", beat(draining=True), DRAINING),
+    ("ready", "beat", beat(), READY),
+    ("ready", "last beat", beat(draining=True), DRAINING),
     ("ready", "late beat", beat(sequence=1, draining=True), READY),
-    ("ready", "health", health(), READY), ("ready", "ill", health(well=False), READY),
+    ("ready", "health", health(), READY),
+    ("ready", "ill", health(well=False), READY),
     ("ready", "deregister", lambda g: g.deregister("i-1"), ENDED),
     ("ready", "another's end", lambda g: g.deregister("i-0"), READY),
     ("ready", "missing", lambda g: g.missing(), UNKNOWN),
     ("ready", "new life", beat(instance="i-2", sequence=0), READY),
     ("ready", "new life, ill", health(instance="i-2", well=False), UNKNOWN),
-    ("draining", "late beat", beat(sequence=1), DRAINING), ("draining", "health", health(), DRAINING),
-    ("draining", "taken back", beat(), READY), ("draining", "missing", lambda g: g.missing(), DRAINING),
+    ("draining", "late beat", beat(sequence=1), DRAINING),
+    ("draining", "health", health(), DRAINING),
+    ("draining", "taken back", beat(), READY),
+    ("draining", "missing", lambda g: g.missing(), DRAINING),
     ("draining", "deregister", lambda g: g.deregister("i-1"), ENDED),
     ("draining", "new life", beat(instance="i-2", sequence=0), READY),
-    ("ended", "beat", beat(sequence=9), ENDED), ("ended", "health", health(), ENDED),
+    ("ended", "beat", beat(sequence=9), ENDED),
+    ("ended", "health", health(), ENDED),
     ("ended", "missing", lambda g: g.missing(), ENDED),
     ("ended", "new life", beat(instance="i-2", sequence=0), READY),
     ("ended", "new life's health", health(instance="i-2"), READY),
-    ("missing", "late beat", beat(sequence=1), UNKNOWN), ("missing", "beat", beat(), READY),
-    ("missing", "health", health(), READY), ("missing", "last beat", beat(draining=True), DRAINING)]
+    ("missing", "late beat", beat(sequence=1), UNKNOWN),
+    ("missing", "beat", beat(), READY),
+    ("missing", "health", health(), READY),
+    ("missing", "last beat", beat(draining=True), DRAINING),
+]
 
 
 @pytest.mark.parametrize(
-    ("start", "word", "do", "after"), TABLE, ids=lambda v: v if isinstance(v, str) else "")
+    ("start", "word", "do", "after"), TABLE, ids=lambda v: v if isinstance(v, str) else ""
+)
 def test_the_table(start: str, word: str, do: Do, after: int) -> None:
     gate = made()
     for each in START[start]:
@@ -177,7 +191,8 @@
 
 @pytest.mark.parametrize(("cold_s", "refused"), [(2.9, False), (2.75, False), (2.4, True), (1.0, True)])
 def test_a_new_process_sends_to_a_cold_backend_at_once_only_if_none_before_it_can_have(
-    cold_s: float, refused: bool,
+    cold_s: float,
+    refused: bool,
 ) -> None:
     gate = Gate(10.0, SERVICE, 1.5, 5.0)
     gate.bound(22.0, 3.0)
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -44,7 +44,7 @@
     stage = Stage()
     _, told = stage.begin(ask(remaining_s=1.5))
     stage.run()
-    request, = stage.backend.requests
+    (request,) = stage.backend.requests
     assert request.line == b"GET /orders/2f?a=1 HTTP/1.1"
     assert request.headers[b"x-honeywharf-attempt-id"] == ATTEMPT
     assert request.headers[b"x-honeywharf-expected-instance"] == LIFE.encode()
@@ -63,14 +63,14 @@
     assert told.events == [("go",)]
     window = WINDOW_BYTES
     while sent < size:
-        piece = body[sent:sent + min(window + told.windows - sent, 16_384)]
+        piece = body[sent : sent + min(window + told.windows - sent, 16_384)]
         assert piece, "the window was not opened again"
         job.data(piece)
         sent += len(piece)
         stage.run(0.01)
     job.end()
     stage.run()
-    request, = stage.backend.requests
+    (request,) = stage.backend.requests
     assert request.body == body
     assert (b"transfer-encoding" in request.headers) == (length == UNKNOWN)
     assert told.events[1:] == [("answer", 200, 4, True)]
@@ -138,7 +138,7 @@
     first.data(bytes(size))
     first.end()
     stage.run()
-    visit, = stage.backend.visits
+    (visit,) = stage.backend.visits
 
     def forgotten(data: bytes) -> None:
         if way == "bytes":
@@ -163,7 +163,7 @@
     stage = Stage()
     stage.begin(ask())
     stage.run(TRUSTED_S + 0.1)
-    visit, = stage.backend.visits
+    (visit,) = stage.backend.visits
     before = visit.bytes
     job, told = stage.begin(ask())
     stage.run(TRIED_S / 2)
@@ -191,7 +191,8 @@
 def test_a_connection_is_closed_after_an_answer_that_says_so() -> None:
     stage = Stage()
     stage.backend.serve = lambda visit, request: visit.send(
-        answer(request.attempt, more=b"Connection: close\r\n"))
+        answer(request.attempt, more=b"Connection: close\r\n")
+    )
     _, told = stage.begin(ask())
     stage.run()
     assert told.events == [("answer", 200, 4, True)]
@@ -215,7 +216,8 @@
 
 
 @pytest.mark.parametrize(
-    "excess", [answer(b"old"), answer(ATTEMPT, b"twice"), b"garbage", b"\r\n\r\nHTTP/1.1 2"])
+    "excess", [answer(b"old"), answer(ATTEMPT, b"twice"), b"garbage", b"\r\n\r\nHTTP/1.1 2"]
+)
 @pytest.mark.parametrize("late", [False, True])
 def test_what_comes_behind_an_answer_belongs_to_nothing(excess: bytes, late: bool) -> None:
     stage = Stage()
@@ -261,7 +263,8 @@
     stage = Stage()
     more = b"" if status == 421 else NOT_EXECUTED
     stage.backend.serve = lambda visit, request: visit.send(
-        answer(request.attempt, b"no", status, seal=False, more=more))
+        answer(request.attempt, b"no", status, seal=False, more=more)
+    )
     _, told = stage.begin(ask(kind=1))
     stage.run()
     assert told.events == [("fail", NOT_RUN, TURNED_AWAY, True)]
@@ -281,11 +284,13 @@
 
 
 WRONG = {
-    "not an answer": (b"garbage\r\n\r\n", GARBLED), "no seal": (answer(ATTEMPT, seal=False), GARBLED),
+    "not an answer": (b"garbage\r\n\r\n", GARBLED),
+    "no seal": (answer(ATTEMPT, seal=False), GARBLED),
     "encoded": (answer(ATTEMPT, more=b"Content-Encoding: gzip\r\n"), GARBLED),
     "two lengths": (answer(ATTEMPT, more=b"Content-Length: 9\r\n"), GARBLED),
     "a bad chunk": (answer(ATTEMPT, chunked=True)[:-12] + b"zz\r\n", GARBLED),
-    "no seal, long": (answer(ATTEMPT, bytes(200_000), seal=False), GARBLED)}
+    "no seal, long": (answer(ATTEMPT, bytes(200_000), seal=False), GARBLED),
+}
 
 
 @pytest.mark.parametrize("name", WRONG)
@@ -311,8 +316,10 @@
             stage.app.after(0.005, lambda: pour(visit, left - 1))
 
     def serve(visit: Visit, request: Request) -> None:
-        visit.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\nX-Honeywharf-Attempt-Id: %b\r\n\r\n" %
-                   request.attempt)
+        visit.send(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 9000000\r\nX-Honeywharf-Attempt-Id: %b\r\n\r\n"
+            % request.attempt
+        )
         pour(visit, 40)
 
     stage.backend.serve = serve
@@ -545,7 +552,7 @@
         if draw < 0.1:
             visit.connection.abort()
         elif draw < 0.2:
-            visit.send(whole[:rng.randrange(len(whole))])
+            visit.send(whole[: rng.randrange(len(whole))])
             visit.connection.close()
         elif draw < 0.25:
             visit.send(b"nonsense\r\n\r\n")
@@ -567,9 +574,15 @@
         if rng.random() < 0.03:
             stage.gate.beat(stage.sluice.now(), LIFE, 10 + n, False, 5, 0.0)
         length = rng.choice((0, 0, 300, 50_000, UNKNOWN))
-        job, told = stage.begin(ask(
-            kind=rng.randrange(3), length=length, remaining_s=rng.uniform(0.02, 0.6),
-            patience_s=rng.choice((0.0, 0.1)), attempt=b"a%d" % n))
+        job, told = stage.begin(
+            ask(
+                kind=rng.randrange(3),
+                length=length,
+                remaining_s=rng.uniform(0.02, 0.6),
+                patience_s=rng.choice((0.0, 0.1)),
+                attempt=b"a%d" % n,
+            )
+        )
         jobs.append((job, told, length))
         for _ in range(3):
             job, told, length = rng.choice(jobs[-8:])
@@ -610,7 +623,9 @@
     stage.begin(ask())
     stage.run()
     assert [r.headers[b"x-honeywharf-expected-instance"] for r in stage.backend.requests] == [
-        LIFE.encode(), b"i-2"]
+        LIFE.encode(),
+        b"i-2",
+    ]
     assert stage.gate.service == SERVICE
 
 
--- a/tests/sluice/test_outbound.py
+++ b/tests/sluice/test_outbound.py
@@ -15,14 +15,21 @@
 REFUSED = Verdict(NOT_RUN, DRAINING)
 
 
-def request(kind: str = "read_only", attempt: bytes = b"a1", more: bytes = b"", body: bytes | None = None,
-            method: bytes = b"") -> bytes:
+def request(
+    kind: str = "read_only",
+    attempt: bytes = b"a1",
+    more: bytes = b"",
+    body: bytes | None = None,
+    method: bytes = b"",
+) -> bytes:
     """One request; with a body's length where it has one."""
     if body is not None:
         more += b"Content-Length: %d\r\n" % len(body)
-    return b"%b /%b/x HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: %b\r\n" \
-           b"X-Honeywharf-Deadline-Remaining: 2000\r\n%b\r\n%b" % (
-               method or (b"GET" if body is None else b"POST"), kind.encode(), attempt, more, body or b"")
+    return (
+        b"%b /%b/x HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: %b\r\n"
+        b"X-Honeywharf-Deadline-Remaining: 2000\r\n%b\r\n%b"
+        % (method or (b"GET" if body is None else b"POST"), kind.encode(), attempt, more, body or b"")
+    )
 
 
 def give(front: Front, channel: Channel, body: bytes, status: int = 200) -> None:
@@ -34,14 +41,14 @@
 def test_one_request_and_its_answer() -> None:
     front = Front()
     caller = front.call(request("mutating", body=b"hello"))
-    channel, = front.channels
+    (channel,) = front.channels
     assert channel.ask.method == b"POST"
     assert (channel.ask.target, channel.ask.length, channel.ask.kind) == (b"/mutating/x", 5, 1)
     assert (channel.ask.service, channel.ask.caller) == ("order-desk", "order-desk")
     channel.course.go()
     assert (bytes(channel.body), channel.ends) == (b"hello", 1)
     give(front, channel, b"done")
-    (status, top, body), = caller.answers()
+    ((status, top, body),) = caller.answers()
     assert (status, body) == (200, b"done")
     assert b"X-Honeywharf-Server-Seal: s" in top
     assert caller.gone is None
@@ -88,12 +95,18 @@
     assert [body for _, _, body in caller.answers()] == [b"body %d" % n for n in range(40)]
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (request("none"), 404), (b"GET /read_only/ HTTP/1.1\r\nHost: else.example\r\n\r\n", 404),
-    (b"GET /read_only/ HTTP/1.1\r\n\r\n", 404),
-    (b"GET /read_only/x HTTP/1.1\r\nHost: shop.example\r\n\r\n", 400)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("none"), 404),
+        (b"GET /read_only/ HTTP/1.1\r\nHost: else.example\r\n\r\n", 404),
+        (b"GET /read_only/ HTTP/1.1\r\n\r\n", 404),
+        (b"GET /read_only/x HTTP/1.1\r\nHost: shop.example\r\n\r\n", 400),
+    ],
+)
 def test_what_has_no_route_or_no_id_is_answered_here_and_the_connection_stays(
-        data: bytes, status: int) -> None:
+    data: bytes, status: int
+) -> None:
     front = Front()
     caller = front.call(data)
     assert caller.statuses() == [status]
@@ -104,11 +117,17 @@
     assert caller.statuses() == [status, 200]
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", 400), (request(more=b"X: " + b"y" * 20_000 + b"\r\n"), 431),
-    (request("upload", more=b"Content-Length: 9000000\r\n"), 413)])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (request(more=b"X: " + b"y" * 20_000 + b"\r\n"), 431),
+        (request("upload", more=b"Content-Length: 9000000\r\n"), 413),
+    ],
+)
 def test_what_breaks_the_protocol_or_a_bound_is_answered_and_ends_the_connection(
-        data: bytes, status: int) -> None:
+    data: bytes, status: int
+) -> None:
     front = Front()
     caller = front.call(request() + data)
     give(front, front.channels[0], b"ok")
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -76,4 +76,5 @@
             _, writer = await asyncio.open_connection(node.LOCAL, port)
             writer.close()
         await backend.stop()
+
     run(main())
--- a/tests/standins/test_redis.py
+++ b/tests/standins/test_redis.py
@@ -42,7 +42,10 @@
     assert set(c.smembers("m")) == {b"x", b"y"}
     assert c.zadd("z", {"a": 1, "b": 2.5, "c": 2.5, "d": 9}) == 4
     assert (c.zrange("z", 0, -1), c.zrevrange("z", 0, 0), c.zrange("z", 3, 1)) == (
-        [b"a", b"b", b"c", b"d"], [b"d"], [])
+        [b"a", b"b", b"c", b"d"],
+        [b"d"],
+        [],
+    )
     assert c.zrangebyscore("z", "-inf", 2.5, start=1, num=2) == [b"b", b"c"]
     assert (c.zincrby("z", 0.5, "a"), c.zrem("z", "d", "x"), c.zcard("z")) == (1.5, 1, 3)
     assert c.pexpire("z", 30000) == 1
@@ -75,12 +78,18 @@
 def test_values_pass_between_scripts_and_commands_as_the_page_on_lua_says(server: Redis) -> None:
     c = client(server)
     for text, wanted in (
-            ("return 3.9", 3), ("return '3.9'", b"3.9"), ("return {1, 'a', nil, 2}", [1, b"a"]),
-            ("return false", None), ("return true", 1), ("return redis.call('GET', 'none') == false", 1),
-            ("return redis.call('SET', KEYS[1], ARGV[1] + 1).ok", b"OK"),
-            ("return redis.call('GET', 'k')", b"8"),
-            ("return {ok = 'fine'}", b"fine"), ("return redis.call('HMGET', 'none', 'a', 'b')", [None, None]),
-            ("return 2 ^ 53", 2 ** 53)):
+        ("return 3.9", 3),
+        ("return '3.9'", b"3.9"),
+        ("return {1, 'a', nil, 2}", [1, b"a"]),
+        ("return false", None),
+        ("return true", 1),
+        ("return redis.call('GET', 'none') == false", 1),
+        ("return redis.call('SET', KEYS[1], ARGV[1] + 1).ok", b"OK"),
+        ("return redis.call('GET', 'k')", b"8"),
+        ("return {ok = 'fine'}", b"fine"),
+        ("return redis.call('HMGET', 'none', 'a', 'b')", [None, None]),
+        ("return 2 ^ 53", 2**53),
+    ):
         assert c.eval(text, 1, "k", "7") == wanted, text
     with pytest.raises(redis.ResponseError, match="gone wrong"):
         c.eval("return {err = 'ERR gone wrong'}", 0)
@@ -114,8 +123,10 @@
     open_one.execute_command("ACL", "SETUSER", "wharf", "on", ">secret", "~*", "+@all")
     open_one.config_set("requirepass", "right")
     wrong: list[dict[str, Any]] = [
-        {"password": "wrong"}, {"username": "wharf", "password": "right"},
-        {"username": "nobody", "password": "right"}]
+        {"password": "wrong"},
+        {"username": "wharf", "password": "right"},
+        {"username": "nobody", "password": "right"},
+    ]
     for told in wrong:
         with pytest.raises(redis.exceptions.AuthenticationError):
             client(server, **told).ping()
--- a/tests/standins/test_sockets.py
+++ b/tests/standins/test_sockets.py
@@ -57,6 +57,7 @@
         empty = await listed(registry.port, f"?after={told['generation']}&wait_ms=1")
         assert empty["instances"] == []
         await registry.stop()
+
     run(main())
 
 
@@ -68,6 +69,7 @@
         assert len(registry.changes) == MOST_CHANGES
         assert (await listed(registry.port, "?after=1&wait_ms=10"))["reset"]
         await registry.stop()
+
     run(main())
 
 
@@ -85,6 +87,7 @@
         assert (await fetch(backend.port, "/api/tile"))[0] == 404
         assert await fetch(backend.port, "/stats") == (200, b"queue=0")
         await backend.stop()
+
     run(main())
 
 
@@ -105,6 +108,7 @@
         assert (await fetch(port, "/health/live"))[0] == 200
         assert node.pace(node.started_ms) == pytest.approx(0.25)
         await backend.stop()
+
     run(main())
 
 
@@ -123,6 +127,7 @@
         marked = [headers.get(b"x-repeat") for _, headers, _ in backend.requests]
         assert all((marked[i] == b"1") == (key in keys[:i]) for i, key in enumerate(keys))
         await backend.stop()
+
     run(main())
 
 
@@ -130,7 +135,8 @@
     async def main() -> None:
         node = Node(NodeSpec(cores=64, warm_ms=0.0))
         backend = await Backend(
-            node, work_ms=0.1, spoilt=0.3, errors=0.3, report_late_ms=60000.0, seed=5).start()
+            node, work_ms=0.1, spoilt=0.3, errors=0.3, report_late_ms=60000.0, seed=5
+        ).start()
         came = {"spoilt": 0, 200: 0, 500: 0}
         for i in range(60):
             reader, writer = await asyncio.open_connection("127.0.0.1", backend.port)
@@ -147,6 +153,7 @@
         backend.report_late_ms = 0.0
         assert await fetch(backend.port, "/stats") == (200, b"queue=5")
         await backend.stop()
+
     run(main())
 
 
@@ -162,13 +169,19 @@
                 writer.close()
         assert list(front.dead_until) == [dead.port]
         await live.stop()
+
     run(main())
 
 
 def test_the_demo_shows_each_rule_and_ends_with_0() -> None:
     done = subprocess.run(
-        [sys.executable, "-m", "honeywharf", "demo", "--seconds", "4", "--rate", "60"], cwd=ROOT,
-        capture_output=True, text=True, timeout=120, check=False)
+        [sys.executable, "-m", "honeywharf", "demo", "--seconds", "4", "--rate", "60"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+        check=False,
+    )
     assert done.returncode == 0, done.stdout + done.stderr
     assert done.stdout.count("held: ") == 4
     assert "tallinn-1 dies" in done.stdout
--- a/tests/stopcock/net.py
+++ b/tests/stopcock/net.py
@@ -59,8 +59,9 @@
 
     def after(self, seconds: float, call: Callable[[], None]) -> Due:
         due, life = Due(call), self.life
-        self.net.at(seconds / self.rate, lambda: self.run(
-            life, lambda: due.call() if due.call is not None else None))
+        self.net.at(
+            seconds / self.rate, lambda: self.run(life, lambda: due.call() if due.call is not None else None)
+        )
         return due
 
     def run(self, life: int, call: Callable[[], None]) -> None:
@@ -80,8 +81,14 @@
     # The duty.
 
     def want(self) -> None:
-        self.errand = Errand(cast("Host", self), self.call, self.roster, f"{self.name}/{self.life}",
-                             [[("upkeep", "", 0)]], self.over)
+        self.errand = Errand(
+            cast("Host", self),
+            self.call,
+            self.roster,
+            f"{self.name}/{self.life}",
+            [[("upkeep", "", 0)]],
+            self.over,
+        )
         self.errand.begin(self.told)
 
     def roster(self) -> tuple[int, Sequence[Key]]:
@@ -114,8 +121,13 @@
                 done(answer)
 
         self.after(within, lambda: finish(None))
-        self.net.carry(self, self.net.nodes[to[0]], lambda there: there.take(method, args, lambda answer: (
-            self.net.carry(there, self, lambda here: finish(answer)))))
+        self.net.carry(
+            self,
+            self.net.nodes[to[0]],
+            lambda there: there.take(
+                method, args, lambda answer: self.net.carry(there, self, lambda here: finish(answer))
+            ),
+        )
 
     def take(self, method: str, args: Any, reply: Callable[[Any], None]) -> None:
         if method == "stopcock.ask":
@@ -155,8 +167,10 @@
             return
         life = other.life
         late = self.rng.uniform(0.2, 1.5) if self.rng.random() < 0.005 else 0.0
-        self.at(self.rng.uniform(0.0002, 0.002) + late, lambda: (
-            other.run(life, lambda: do(other)) if (one.name, other.name) not in self.cuts else None))
+        self.at(
+            self.rng.uniform(0.0002, 0.002) + late,
+            lambda: other.run(life, lambda: do(other)) if (one.name, other.name) not in self.cuts else None,
+        )
 
     def trouble(self) -> None:
         """One machine stands still, is cut off, starts anew, or has its time of day set."""
@@ -169,8 +183,12 @@
             node.frozen = True
             self.at(self.rng.uniform(0.05, 2.5), node.thaw)
         elif kind == "cut":
-            pairs = {(a, b) for other in self.nodes for a, b in ((node.name, other), (other, node.name))
-                     if other != node.name and self.rng.random() < 0.8}
+            pairs = {
+                (a, b)
+                for other in self.nodes
+                for a, b in ((node.name, other), (other, node.name))
+                if other != node.name and self.rng.random() < 0.8
+            }
             self.cuts |= pairs
             self.at(self.rng.uniform(0.5, 2.5), lambda: self.cuts.difference_update(pairs))
         elif kind == "start":
--- a/tests/stopcock/test_duties.py
+++ b/tests/stopcock/test_duties.py
@@ -61,8 +61,12 @@
     town = Town(7)
     town.run(1.5)
     program = town.programs["10.0.0.1"]
-    for args in ([1, "", 0, "a", 5, 1, "first"], ["upkeep", "", "0", "a", 5, 1, "first"],
-                 ["upkeep", "", 0, "a" * 201, 5, 1, "first"], ["upkeep", "", 0, "a", True, 1, "first"]):
+    for args in (
+        [1, "", 0, "a", 5, 1, "first"],
+        ["upkeep", "", "0", "a", 5, 1, "first"],
+        ["upkeep", "", 0, "a" * 201, 5, 1, "first"],
+        ["upkeep", "", 0, "a", True, 1, "first"],
+    ):
         try:
             program.basin.methods["stopcock.ask"](args, lambda answer: None, ("", 0))
         except ValueError:
--- a/tests/stopcock/test_runs.py
+++ b/tests/stopcock/test_runs.py
@@ -54,16 +54,19 @@
 #: What is wrong -> what is put in place of what.
 MUTANTS: dict[str, tuple[type, str, Callable[..., object]]] = {
     "lease kept past its end": (Lease, "holds", lambda self, now: self.until > 0),
-    "grantor forgets and grants at once": (
-        Grantor, "waits", lambda self, now, kind: False),
+    "grantor forgets and grants at once": (Grantor, "waits", lambda self, now, kind: False),
     "majority of the living": (Lease, "need", lambda self: len(self.answered) // 2 + 1),
     "no margin": (Lease, "span", lambda self: TERMS[self.duty[0]]),
     "time counted from the answer": (Lease, "heard", from_the_answer),
     "votes under a new roster at once": (Grantor, "roster", no_wait),
     "votes under a roster that is given up": (Grantor, "roster", blind),
     "votes for whoever asks": (
-        Grantor, "_judge", lambda self, now, duty, holder, number, epoch: (
-            GRANTED if epoch == self.epoch and not self.waits(now, duty[0]) else "held")),
+        Grantor,
+        "_judge",
+        lambda self, now, duty, holder, number, epoch: (
+            GRANTED if epoch == self.epoch and not self.waits(now, duty[0]) else "held"
+        ),
+    ),
 }
 
 
--- a/tests/storms/test_rules.py
+++ b/tests/storms/test_rules.py
@@ -107,9 +107,15 @@
     d = Detector()
     assert fed(d, 0.0, 20_000.0, {signs.FIRST: 100}) == [State.CALM]
     assert fed(d, 20_000.0, 5000.0, {signs.FIRST: 100, signs.REPEAT: 80}) == [
-        State.CALM, State.RISING, State.STORM]
+        State.CALM,
+        State.RISING,
+        State.STORM,
+    ]
     assert fed(d, 25_000.0, 10_000.0, {signs.FIRST: 100, signs.REPEAT: 2}) == [
-        State.STORM, State.EBBING, State.CALM]
+        State.STORM,
+        State.EBBING,
+        State.CALM,
+    ]
     assert d.reason == "quiet"
 
 
@@ -149,8 +155,11 @@
 
 
 @settings(max_examples=100, deadline=None)
-@given(st.lists(st.tuples(
-    st.sampled_from(signs.KINDS), st.integers(0, 60), st.floats(-3000.0, 2000.0)), max_size=200))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(signs.KINDS), st.integers(0, 60), st.floats(-3000.0, 2000.0)), max_size=200
+    )
+)
 def test_no_other_transition_is_possible(steps: list[tuple[int, int, float]]) -> None:
     d, now, allowed = Detector(), 1e6, {(a, b) for a, _, b, _ in TABLE}
     for kind, number, passed in steps:
@@ -163,8 +172,14 @@
 
 
 def test_every_row_of_the_table_can_be_reached_and_names_its_reason() -> None:
-    windows = [Window(first=f, repeats=r, connections=c, refused=x, usual_connections=10.0, quiet_ms=q)
-               for f in (100,) for r in (0, 30, 90) for c in (0, 100) for x in (0, 5) for q in (0.0, 5000.0)]
+    windows = [
+        Window(first=f, repeats=r, connections=c, refused=x, usual_connections=10.0, quiet_ms=q)
+        for f in (100,)
+        for r in (0, 30, 90)
+        for c in (0, 100)
+        for x in (0, 5)
+        for q in (0.0, 5000.0)
+    ]
     reached = set()
     for state in State:
         for w in windows:
@@ -178,8 +193,12 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(st.lists(st.tuples(
-    st.sampled_from("abc"), st.sampled_from(("first", "told", "early")), st.floats(0.0, 30.0)), max_size=400))
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("abc"), st.sampled_from(("first", "told", "early")), st.floats(0.0, 30.0)),
+        max_size=400,
+    )
+)
 def test_each_tenants_repeats_are_paid_by_its_own_first_tries(steps: list[tuple[str, str, float]]) -> None:
     budget, now = RepeatBudget(0.2), 0.0
     first, begun = Counter[str](), Counter[str]()
--- a/tests/storms/test_sockets.py
+++ b/tests/storms/test_sockets.py
@@ -59,6 +59,7 @@
             client.send("order", b"x", key="the same")
             assert await client.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -81,6 +82,7 @@
                 client.send()
             assert [await client.status() for client in waiting] == [200] * 5
         await backend.stop()
+
     run(main())
 
 
@@ -94,6 +96,7 @@
 
 def test_what_waited_to_be_accepted_has_so_much_less_time_left() -> None:
     """Guards against work that is begun for a client whose time is up, or goes on past it."""
+
     async def main() -> None:
         backend = await Backend().start()
         async with world([backend.row("b")], ON) as w:
@@ -109,6 +112,7 @@
             assert await client.status() == 503
             assert len(backend.requests) == 1
         await backend.stop()
+
     run(main())
 
 
@@ -133,6 +137,7 @@
             assert await after.status() == 200
             assert len(backend.requests) == (1 if leaves else 2)
         await backend.stop()
+
     run(main())
 
 
@@ -148,9 +153,14 @@
             assert sum(slot[2] for slot in s.detector.slots) == 7
             part = next(p for p in w.proxy.parts if isinstance(p, StormsPart))
             assert part.counts() == {
-                "storms:turned away": 0, "storms:promises kept": 0, "storms:promises broken": 0,
-                "storms:told beyond": 0, "storms:forgotten early": 0}
+                "storms:turned away": 0,
+                "storms:promises kept": 0,
+                "storms:promises broken": 0,
+                "storms:told beyond": 0,
+                "storms:forgotten early": 0,
+            }
         await backend.stop()
+
     run(main())
 
 
@@ -186,14 +196,17 @@
         listener.close()
         with pytest.raises(OSError, match="refused"):
             await soon(asyncio.open_connection("127.0.0.1", writer.get_extra_info("peername")[1]))
+
     run(main())
 
 
 def test_where_it_is_off_nothing_of_it_is_imported() -> None:
-    script = ("import asyncio, sys; from tests.loopback import make_config; from honeywharf import proxy; "
-              "from honeywharf.config.features import Features; loop = asyncio.new_event_loop(); "
-              "made = proxy.Proxy(make_config(1, []), loop, Features()); "
-              "loop.run_until_complete(made.front.listen(('127.0.0.1', 0))); "
-              "print([m for m in sys.modules if 'storms' in m or m in ('rbloom', 'honeywharf.http.accept')])")
+    script = (
+        "import asyncio, sys; from tests.loopback import make_config; from honeywharf import proxy; "
+        "from honeywharf.config.features import Features; loop = asyncio.new_event_loop(); "
+        "made = proxy.Proxy(make_config(1, []), loop, Features()); "
+        "loop.run_until_complete(made.front.listen(('127.0.0.1', 0))); "
+        "print([m for m in sys.modules if 'storms' in m or m in ('rbloom', 'honeywharf.http.accept')])"
+    )
     done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
--- a/tests/strainer/test_command.py
+++ b/tests/strainer/test_command.py
@@ -97,9 +97,14 @@
 def test_settings_are_told_or_their_first_fault(files: Path, capsys: Capture) -> None:
     assert mesh.main(["settings", str(files / "boot.yaml")]) == 0
     told = capsys.readouterr().out.splitlines()
-    for line in ("listen.outbound: 10.1.0.8:8304", "ports: 7620 to 7635", "bound contact: 3",
-                 "heartbeat_s: 1.3", "seeds: 10.1.0.12:8306, 10.2.0.9:8306",
-                 "data_directory: none"):
+    for line in (
+        "listen.outbound: 10.1.0.8:8304",
+        "ports: 7620 to 7635",
+        "bound contact: 3",
+        "heartbeat_s: 1.3",
+        "seeds: 10.1.0.12:8306, 10.2.0.9:8306",
+        "data_directory: none",
+    ):
         assert line in told
     assert mesh.main(["settings", str(files / "good.json")]) == 1
     assert "node-name: found nothing, wanted a name" in capsys.readouterr().out
@@ -140,7 +145,9 @@
     assert "acknowledged: r7" in capsys.readouterr().out
     assert [(method, body) for method, _, body in asked] == [("POST", CONFIGURATION)] * 3
     assert [path for _, path, _ in asked[:2]] == [
-        "/api/configuration/replace", "/api/configuration/replace?again"]
+        "/api/configuration/replace",
+        "/api/configuration/replace?again",
+    ]
 
 
 def test_a_third_redirect_is_not_followed(files: Path) -> None:
@@ -150,7 +157,9 @@
     assert len(asked) == 3
 
 
-@pytest.mark.parametrize("location", ["", "/else", "https://10.0.0.4:8080/x", "http://host:80/x", "http://[x/y"])
+@pytest.mark.parametrize(
+    "location", ["", "/else", "https://10.0.0.4:8080/x", "http://host:80/x", "http://[x/y"]
+)
 def test_a_redirect_to_what_is_no_address_ends_the_call(location: str, caplog: Log) -> None:
     with reservoir([(307, b"", location)]) as (at, _):
         assert mesh.main(["describe", at]) == 2
@@ -171,22 +180,33 @@
     with reservoir([(status, b"" if status == 204 else b"why", "")] * 2) as (at, asked):
         assert mesh.main(["evacuate", at, "tartu/saal"]) == ends
         assert mesh.main(["activate", at, "tartu-saal"]) == ends
-    assert asked == [("POST", "/api/evacuations/tartu%2Fsaal/start", b""),
-                     ("POST", "/api/evacuations/tartu-saal/complete", b"")]
+    assert asked == [
+        ("POST", "/api/evacuations/tartu%2Fsaal/start", b""),
+        ("POST", "/api/evacuations/tartu-saal/complete", b""),
+    ]
     assert ("may be in force, or may not" in caplog.text) == (ends == 2)
 
 
 def test_duties_are_told_a_line_each(capsys: pytest.CaptureFixture[str]) -> None:
-    told = {"node": "10.1.0.1:7620", "roster": 2, "waits": ["aside"], "refused": {"held": 2},
-            "votes": [["aside", "tartu-saal", 0, "10.1.0.9/ab", 17, 1.25]], "cistern": {"missing": 1},
-            "upkeep": {"granted": 1, "held": False}}
+    told = {
+        "node": "10.1.0.1:7620",
+        "roster": 2,
+        "waits": ["aside"],
+        "refused": {"held": 2},
+        "votes": [["aside", "tartu-saal", 0, "10.1.0.9/ab", 17, 1.25]],
+        "cistern": {"missing": 1},
+        "upkeep": {"granted": 1, "held": False},
+    }
     with reservoir([(200, json.dumps(told).encode(), "")]) as (at, asked):
         assert mesh.main(["duties", at]) == 0
     assert asked == [("GET", "/api/duties", b"")]
     assert capsys.readouterr().out.splitlines() == [
         "10.1.0.1:7620: roster 2, grants no aside yet",
         "vote aside tartu-saal 0: 10.1.0.9/ab, number 17, 1.25 s left",
-        "refused held=2", "upkeep granted=1 held=0", "cistern missing=1"]
+        "refused held=2",
+        "upkeep granted=1 held=0",
+        "cistern missing=1",
+    ]
     with reservoir([(404, b"", "")]) as (at, _):
         assert mesh.main(["duties", at]) == 2
 
@@ -203,7 +223,14 @@
 def test_a_wrong_call_a_missing_file_and_a_silent_address_end_with_two(files: Path, caplog: Log) -> None:
     with reservoir([]) as (gone, _):
         pass
-    for call in ([], ["bogus"], ["check"], ["check", str(files / "none")], ["describe", "core-1:8306"],
-                 ["describe", gone], ["evacuate", gone, "a"]):
+    for call in (
+        [],
+        ["bogus"],
+        ["check"],
+        ["check", str(files / "none")],
+        ["describe", "core-1:8306"],
+        ["describe", gone],
+        ["evacuate", gone, "a"],
+    ):
         assert mesh.main(call) == 2, call
     assert caplog.text.count("no clear answer") == 2
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -30,8 +30,14 @@
 
 def played(tree: Path) -> list[str]:
     done = subprocess.run(
-        [sys.executable, "-c", PLAY], cwd=tree, capture_output=True, text=True, timeout=300, check=True,
-        env={k: v for k, v in os.environ.items() if k != "PYTHONPATH"})
+        [sys.executable, "-c", PLAY],
+        cwd=tree,
+        capture_output=True,
+        text=True,
+        timeout=300,
+        check=True,
+        env={k: v for k, v in os.environ.items() if k != "PYTHONPATH"},
+    )
     return done.stdout.splitlines()
 
 
@@ -63,8 +69,11 @@
 
 def compiled() -> set[Path]:
     """What `setup.py` has compiled."""
-    found = next(node.value for node in ast.parse((ROOT / "setup.py").read_text()).body
-                 if isinstance(node, ast.Assign) and ast.unparse(node.targets[0]) == "COMPILED")
+    found = next(
+        node.value
+        for node in ast.parse((ROOT / "setup.py").read_text()).body
+        if isinstance(node, ast.Assign) and ast.unparse(node.targets[0]) == "COMPILED"
+    )
     told = eval(ast.unparse(found), {"glob": lambda some: [str(path) for path in ROOT.glob(some)]})
     return {ROOT / path for path in told}
 
@@ -72,10 +81,16 @@
 @pytest.mark.model  # it reads sources; the compiled tree has no requirements
 def test_the_lean_build_finds_or_may_miss_every_library() -> None:
     """Guards the platform's build: mypyc follows imports, and compiles nothing where it misses one."""
-    lean = re.findall(r"^[\w-]+", (ROOT / "requirements.txt").read_text() + (
-        ROOT / "requirements-build.txt").read_text(), re.M)
-    may_miss = {name.partition(".")[0] for told in tomllib.loads((ROOT / "pyproject.toml").read_text())[
-        "tool"]["mypy"]["overrides"] for name in told["module"]}
+    lean = re.findall(
+        r"^[\w-]+",
+        (ROOT / "requirements.txt").read_text() + (ROOT / "requirements-build.txt").read_text(),
+        re.M,
+    )
+    may_miss = {
+        name.partition(".")[0]
+        for told in tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["mypy"]["overrides"]
+        for name in told["module"]
+    }
     known = {"honeywharf", *sys.stdlib_module_names, *(name.replace("-", "_") for name in lean), *may_miss}
     seen, left = set[Path](), compiled()
     while left:
@@ -94,8 +109,14 @@
     for name in ("setup.py", "pyproject.toml", "README.md", "LICENSE"):
         shutil.copy(ROOT / name, tmp_path)
     done = subprocess.run(
-        [sys.executable, "setup.py", "build_ext", "--inplace"], cwd=tmp_path, capture_output=True, text=True,
-        timeout=300, check=False, env={**os.environ, "CC": "/bin/false"})
+        [sys.executable, "setup.py", "build_ext", "--inplace"],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        timeout=300,
+        check=False,
+        env={**os.environ, "CC": "/bin/false"},
+    )
     assert done.returncode == 0, done.stderr
     assert 'extension "honeywharf.policy.balancer" failed' in done.stdout + done.stderr
     assert not list(tmp_path.rglob("*.so"))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -43,12 +43,25 @@
     assert endpoint(gone)[0].state is api.EndpointState.GONE
 
 
-@pytest.mark.parametrize("bad", [
-    {"lifecycle": "asleep"}, {"hostPort": "nowhere"}, {"hostPort": None}, {"hostPort": "h:99999"},
-    {"instanceId": 5}, {"instanceId": ""}, {"startedAtMs": "x"}, {"weight": []}, {"cell": "c"},
-    {"startedAtMs": -1}, {"startedAtMs": 1e300}, {"weight": -0.5}, {"weight": float("nan")},
-    {"weight": float("inf")},
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"lifecycle": "asleep"},
+        {"hostPort": "nowhere"},
+        {"hostPort": None},
+        {"hostPort": "h:99999"},
+        {"instanceId": 5},
+        {"instanceId": ""},
+        {"startedAtMs": "x"},
+        {"weight": []},
+        {"cell": "c"},
+        {"startedAtMs": -1},
+        {"startedAtMs": 1e300},
+        {"weight": -0.5},
+        {"weight": float("nan")},
+        {"weight": float("inf")},
+    ],
+)
 def test_a_senseless_entry_is_told_apart(bad: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match=r"\w"):
         endpoint({**row("s", 3000), **bad})
@@ -66,6 +79,7 @@
             await until(lambda: len(w.discovery.calls) == 3)
             assert b"after=7&" in w.discovery.calls[2]
             assert len(w.discovery.connections) == 1
+
     run(main())
 
 
@@ -90,6 +104,7 @@
             assert len(one.requests) == 3
         await one.stop()
         await two.stop()
+
     run(main())
 
 
@@ -106,6 +121,7 @@
             await until(lambda: backend.closed == 1)
             assert w.proxy.pool.known("b") == (change.get("lifecycle") != "removed")
         await backend.stop()
+
     run(main())
 
 
@@ -128,13 +144,22 @@
             await until(lambda: old.closed == 1)
         await old.stop()
         await new.stop()
+
     run(main())
 
 
-@pytest.mark.parametrize("bad", [
-    b"garbage\r\n\r\n", reply(503), reply(200, b"{"), reply(200, b"[]"), reply(200, b'{"instances":3}'),
-    reply(200, b'{"generation":"x","instances":[]}'), b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{",
-])
+@pytest.mark.parametrize(
+    "bad",
+    [
+        b"garbage\r\n\r\n",
+        reply(503),
+        reply(200, b"{"),
+        reply(200, b"[]"),
+        reply(200, b'{"instances":3}'),
+        reply(200, b'{"generation":"x","instances":[]}'),
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{",
+    ],
+)
 def test_the_watch_comes_back_after_a_bad_answer(bad: bytes) -> None:
     async def main() -> None:
         async with world([row("b", 1)]) as w:
@@ -150,6 +175,7 @@
             event = await told(w, 2)
             assert [e.id for e in event.endpoints] == ["c"]
             assert w.proxy.pool.known("b")
+
     run(main())
 
 
@@ -169,6 +195,7 @@
         assert w.running is not None
         w.running.cancel()
         await discovery.stop()
+
     run(main())
 
 
@@ -188,6 +215,7 @@
         w.running.cancel()
         await backend.stop()
         await discovery.stop()
+
     run(main())
 
 
@@ -203,6 +231,7 @@
         assert await client.ask(b"GET /health/ready HTTP/1.1\r\n\r\n") == 503
         assert w.running is not None
         w.running.cancel()
+
     run(main())
 
 
@@ -227,6 +256,7 @@
         w.running.cancel()
         await asyncio.sleep(0)
         await discovery.stop()
+
     run(main())
 
 
@@ -268,6 +298,7 @@
             assert len(other.connections) == 1
         await other.stop()
         await backend.stop()
+
     run(main())
 
 
@@ -289,6 +320,7 @@
             await until(lambda: not first.connections)
         await first.stop()
         await last.stop()
+
     run(main())
 
 
@@ -308,6 +340,7 @@
             await until(lambda: w.proxy.pool.known("f"))
             assert other.calls[:2] == [b"GET /registry/instances HTTP/1.1"] * 2
         await other.stop()
+
     run(main())
 
 
@@ -328,13 +361,16 @@
             assert await client.status() == 200
         await other.stop()
         await backend.stop()
+
     run(main())
 
 
 @pytest.mark.parametrize("at", [1, 20, 60, -1])
 @pytest.mark.parametrize("ends", [True, False])
 def test_half_a_list_is_never_taken_and_is_asked_for_again_soon(
-    at: int, ends: bool, monkeypatch: pytest.MonkeyPatch,
+    at: int,
+    ends: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """It breaks off or stalls at some byte, in the middle of a whole list that lacks what is held."""
     monkeypatch.setattr("honeywharf.discovery.watch.STALL_S", 0.05)
@@ -360,4 +396,5 @@
             await until(lambda: w.proxy.directory.generation == 3)
             assert set(w.proxy.directory.rows) == {"b", "c"}
         await backend.stop()
+
     run(main())
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -16,22 +16,31 @@
 ORDER, PAY = HEAD.replace(b"read", b"order"), HEAD.replace(b"read", b"pay")
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"nonsense\r\n\r\n", 400),
-    (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"read", b"unheard") + b"\r\n", 400),
-    (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"X-Time-Left: 900m\r\n", b"") + b"\r\n", 400),
-    (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"900m", b"later") + b"\r\n", 400),
-    (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"X-Correlation-Id: abc\r\n", b"") + b"\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n" + ORDER + b"\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n" + HEAD + b"\r\n", 400),
-    (b"GET /api HTTP/1.1\r\nContent-Length: 1\r\n" + HEAD + b"\r\nx", 400),
-    (b"GET /api HTTP/1.1\r\nIdempotency-Key: k\r\n" + HEAD + b"\r\n", 400),
-    (b"GET /api HTTP/1.1\r\nIdempotency-Key: k\r\n" + ORDER + b"\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n" + PAY
-     + b"\r\n0\r\n\r\nPOST /api HTTP/1.1\r\nContent-Length: 0\r\n" + PAY + b"\r\n", 400),
-    (b"POST /api HTTP/1.1\r\nContent-Length: 2000000000\r\n" + HEAD + b"\r\n", 413),
-    (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * 20000 + b"\r\n\r\n", 431),
-])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"read", b"unheard") + b"\r\n", 400),
+        (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"X-Time-Left: 900m\r\n", b"") + b"\r\n", 400),
+        (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"900m", b"later") + b"\r\n", 400),
+        (b"GET /api HTTP/1.1\r\n" + HEAD.replace(b"X-Correlation-Id: abc\r\n", b"") + b"\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n" + ORDER + b"\r\n", 400),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n" + HEAD + b"\r\n", 400),
+        (b"GET /api HTTP/1.1\r\nContent-Length: 1\r\n" + HEAD + b"\r\nx", 400),
+        (b"GET /api HTTP/1.1\r\nIdempotency-Key: k\r\n" + HEAD + b"\r\n", 400),
+        (b"GET /api HTTP/1.1\r\nIdempotency-Key: k\r\n" + ORDER + b"\r\n", 400),
+        (
+            b"POST /api HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+            + PAY
+            + b"\r\n0\r\n\r\nPOST /api HTTP/1.1\r\nContent-Length: 0\r\n"
+            + PAY
+            + b"\r\n",
+            400,
+        ),
+        (b"POST /api HTTP/1.1\r\nContent-Length: 2000000000\r\n" + HEAD + b"\r\n", 413),
+        (b"GET /api HTTP/1.1\r\nX-Long: " + b"x" * 20000 + b"\r\n\r\n", 431),
+    ],
+)
 def test_bad_input_is_answered_by_the_proxy_and_sent_nowhere(raw: bytes, status: int) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -44,6 +53,7 @@
             other.send()
             assert await other.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -57,6 +67,7 @@
             client.send()
             assert await client.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -70,6 +81,7 @@
             assert [(await client.answer())[2] for _ in names] == [b"one", b"two", b"three"]
             assert [r[1][b"x-correlation-id"].decode() for r in backend.requests] == names
         await backend.stop()
+
     run(main())
 
 
@@ -92,16 +104,21 @@
                 writer.write(reply())
             await until(lambda: not w.proxy.driver.requests and w.proxy.driver.open == 0)
         await backend.stop()
+
     run(main())
 
 
-@pytest.mark.parametrize("raw", [
-    b"POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n" + HEAD + b"\r\n" + b"x" * 4_000_000,
-    b"GET /api HTTP/1.1\r\n" + b"X-Pad: pppp\r\n" * 400_000,
-    b"\x00\xff" * 2_000_000,
-])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n" + HEAD + b"\r\n" + b"x" * 4_000_000,
+        b"GET /api HTTP/1.1\r\n" + b"X-Pad: pppp\r\n" * 400_000,
+        b"\x00\xff" * 2_000_000,
+    ],
+)
 def test_a_client_that_goes_on_sending_still_gets_the_answer(raw: bytes) -> None:
     """It is read and thrown away for a while, since closing on unread bytes would take the answer back."""
+
     async def main() -> None:
         backend = await Backend().start()
         async with world([backend.row("b")]) as w:
@@ -113,6 +130,7 @@
             await until(lambda: not w.proxy.front.connections)
             assert backend.requests == []
         await backend.stop()
+
     run(main())
 
 
@@ -126,6 +144,7 @@
             assert await client.status() == 200
             await until(lambda: not w.proxy.front.connections)
         await backend.stop()
+
     run(main())
 
 
@@ -143,6 +162,7 @@
             front = w.proxy.front
             await until(lambda: not front.connections)
             assert not any((front.silent, front.partial, front.idle))
+
     run(main())
 
 
@@ -159,6 +179,7 @@
             assert left is not None
             assert left <= 5000.0
         await backend.stop()
+
     run(main())
 
 
@@ -173,6 +194,7 @@
             assert await client.status() == 400
             assert await client.closed()
         await backend.stop()
+
     run(main())
 
 
@@ -183,13 +205,16 @@
             client = await Client.to(w.port)
             client.writer.write(
                 b"POST /api HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n"
-                + HEAD.replace(b"read", b"pay") + b"\r\n")
+                + HEAD.replace(b"read", b"pay")
+                + b"\r\n"
+            )
             assert await client.status() == 100
             client.writer.write(b"ok")
             assert await client.status() == 200
             assert backend.requests[0][2] == b"ok"
             assert b"expect" not in backend.requests[0][1]
         await backend.stop()
+
     run(main())
 
 
@@ -205,6 +230,7 @@
             assert await second.status() == 503
             assert len(backend.requests) == 1
         await backend.stop()
+
     run(main())
 
 
@@ -221,6 +247,7 @@
                 writer.write(reply())
             assert await first.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -261,6 +288,7 @@
             for client in (busy, idle, fourth):
                 assert await client.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -279,6 +307,7 @@
             idle.send()  # one that is merely idle stays
             assert await idle.status() == 200
         await backend.stop()
+
     run(main())
 
 
@@ -308,6 +337,7 @@
             assert w.running is not None
             await soon(asyncio.shield(w.running))  # it ends by itself once nothing is open
         await backend.stop()
+
     run(main())
 
 
@@ -326,4 +356,5 @@
             assert w.running is not None
             await soon(asyncio.shield(w.running))
         await backend.stop()
+
     run(main())
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -18,8 +18,10 @@
 
 O = api.Outcome  # noqa: E741
 SETTINGS = api.Settings(
-    zone="z", classes=(api.RequestClass("order", 2000, 5000, effect=api.Effect.KEYED, window_ms=7500),),
-    limits=api.Limits(max_attempts=3, max_open=2), report_fields=("queue", "in_flight"),
+    zone="z",
+    classes=(api.RequestClass("order", 2000, 5000, effect=api.Effect.KEYED, window_ms=7500),),
+    limits=api.Limits(max_attempts=3, max_open=2),
+    report_fields=("queue", "in_flight"),
 )
 
 
@@ -120,7 +122,12 @@
         self.answers: list[tuple[int, bytes, float]] = []
 
     def answer(
-        self, status: int, body: bytes = b"", *, retry_after_ms: float = 0.0, kind: bytes = b"",
+        self,
+        status: int,
+        body: bytes = b"",
+        *,
+        retry_after_ms: float = 0.0,
+        kind: bytes = b"",
     ) -> None:
         self.answers.append((status, body, retry_after_ms))
 
@@ -130,8 +137,8 @@
         self.clock = FakeClock()
         self.loop, self.transport, self.script = FakeLoop(self.clock), FakeTransport(), Script()
         self.driver = Driver(
-            SETTINGS, self.script, self.transport, self.loop, self.clock,
-            ("pending", "busy_reqs"))
+            SETTINGS, self.script, self.transport, self.loop, self.clock, ("pending", "busy_reqs")
+        )
         self.count = 0
 
     def arrive(self, left_ms: float = 1000.0) -> tuple[http1.Request, FakeCaller]:
@@ -147,8 +154,11 @@
         return [e for _, e in self.script.seen if isinstance(e, kind)]
 
     def outcomes(self) -> list[tuple[int, api.Outcome, bool]]:
-        return [(e.attempt, e.outcome, e.request_over) for _, e in self.script.seen
-                if isinstance(e, api.AttemptEnded)]
+        return [
+            (e.attempt, e.outcome, e.request_over)
+            for _, e in self.script.seen
+            if isinstance(e, api.AttemptEnded)
+        ]
 
 
 def on_timer(*actions: api.Action) -> Callable[[api.Event], list[api.Action]]:
@@ -196,12 +206,14 @@
 
 def test_events_come_one_at_a_time_and_actions_do_not_re_enter(bench: Bench) -> None:
     bench.transport.names = set()  # every send comes back as NOT_SENT, caused by an action
+
     def on(event: api.Event) -> list[api.Action]:
         if isinstance(event, api.RequestArrived):
             return [api.Send(event.id, "b1", 0.0), api.Send(event.id, "b2", 0.0)]
         if isinstance(event, api.AttemptEnded) and event.attempt == 1:
             return [api.Refuse(event.request)]
         return []
+
     bench.script.on = on
     _, caller = bench.arrive()
     assert bench.outcomes() == [(0, O.NOT_SENT, False), (1, O.NOT_SENT, False)]
@@ -236,6 +248,7 @@
 def test_a_silent_backend_times_out_and_the_answer_is_out_before_the_client_gives_up(bench: Bench) -> None:
     def on(event: api.Event) -> list[api.Action]:
         return [api.Fail(event.request)] if isinstance(event, api.AttemptEnded) else send_each(event)
+
     bench.script.on = on
     start = bench.clock.ms
     _, caller = bench.arrive(1000.0)
@@ -270,8 +283,12 @@
 
 def test_a_timer_that_comes_early_leaves_no_attempt_behind(bench: Bench) -> None:
     """Guards against a retry in the last part of a ms, which nothing would end if the backend is silent."""
-    bench.script.on = lambda event: [api.Send("r1", "b1", 0.0)] if isinstance(event, api.RequestArrived) or (
-        isinstance(event, api.AttemptEnded) and event.outcome is O.TIMEOUT) else []
+    bench.script.on = lambda event: (
+        [api.Send("r1", "b1", 0.0)]
+        if isinstance(event, api.RequestArrived)
+        or (isinstance(event, api.AttemptEnded) and event.outcome is O.TIMEOUT)
+        else []
+    )
     _, caller = bench.arrive()
     (timer,) = [t for t in bench.loop.timers if not t.dead]
     bench.clock.ms = timer.at - 0.5
@@ -286,6 +303,7 @@
 def test_an_attempt_of_shorter_time_ends_by_itself(bench: Bench) -> None:
     def on(event: api.Event) -> list[api.Action]:
         return [api.Send(event.id, "b1", 80.0)] if isinstance(event, api.RequestArrived) else []
+
     bench.script.on = on
     _, caller = bench.arrive(1000.0)
     assert bench.transport.started[0].until_ms == bench.clock.ms + 80.0
@@ -318,8 +336,12 @@
 
 def test_a_second_copy_changes_nothing_for_the_client(bench: Bench) -> None:
     def on(event: api.Event) -> list[api.Action]:
-        return [*send_each(event), api.Send(event.id, "b2", 0.0)] if isinstance(
-            event, api.RequestArrived) else []
+        return (
+            [*send_each(event), api.Send(event.id, "b2", 0.0)]
+            if isinstance(event, api.RequestArrived)
+            else []
+        )
+
     bench.script.on = on
     _, caller = bench.arrive()
     bench.transport.started[1].ended(O.OK, ok(b"second"))
@@ -350,12 +372,14 @@
 
 
 def test_a_module_that_raises_costs_one_request_only(
-    bench: Bench, capsys: pytest.CaptureFixture[str],
+    bench: Bench,
+    capsys: pytest.CaptureFixture[str],
 ) -> None:
     def on(event: api.Event) -> list[api.Action]:
         if isinstance(event, api.RequestArrived) and event.id == "r1":
             raise KeyError("broken")
         return send_each(event)
+
     bench.script.on = on
     _, first = bench.arrive()
     _, second = bench.arrive()
@@ -370,6 +394,7 @@
         if isinstance(event, api.AttemptEnded):
             raise ZeroDivisionError
         return send_each(event)
+
     bench.script.on = on
     _, caller = bench.arrive()
     bench.transport.started[0].ended(O.RESET, None)
@@ -383,6 +408,7 @@
         if isinstance(event, api.AttemptEnded):
             raise ZeroDivisionError
         return send_each(event)
+
     bench.script.on = on
     _, caller = bench.arrive()
     bench.transport.started[0].ended(O.OK, ok())  # answered before the module is told
@@ -447,7 +473,10 @@
     bench.loop.advance(1000.0)
     found = [(e.endpoint, e.outcome, e.report) for _, e in bench.script.seen if isinstance(e, api.ProbeEnded)]
     assert sorted(found, key=lambda x: x[0]) == [
-        ("b1", O.OK, (1.0, 2.0)), ("b2", O.TIMEOUT, None), ("b9", O.NOT_SENT, None)]
+        ("b1", O.OK, (1.0, 2.0)),
+        ("b2", O.TIMEOUT, None),
+        ("b9", O.NOT_SENT, None),
+    ]
 
 
 def test_an_id_in_the_table_is_not_taken_twice(bench: Bench) -> None:
@@ -466,6 +495,7 @@
 def test_every_request_gets_one_answer_whatever_happens(bench: Bench) -> None:
     """Random outcomes, cancels, departures and times: one answer each at most, and nothing is left over."""
     choice = random.Random(4)
+
     def on(event: api.Event) -> list[api.Action]:
         if choice.random() < 0.02:
             raise RuntimeError("now and then")
@@ -475,6 +505,7 @@
             again: list[api.Action] = [api.Send(event.request, "b1", 0.0), api.Cancel(event.request, 0)]
             return choice.choice([again, [api.Refuse(event.request, 5.0)], [api.Fail(event.request)], []])
         return []
+
     bench.script.on = on
     callers, left = [], set()
     for _ in range(400):
--- a/tests/test_hang.py
+++ b/tests/test_hang.py
@@ -10,6 +10,7 @@
 
 def test_a_call_that_hangs_is_sent_again_and_holds_no_place() -> None:
     """Guards against gates held shut, and requests lost, by calls that no answer will ever come to."""
+
     async def main() -> None:
         backend = await Backend().start()
         backend.pause_s = 0.02
@@ -34,6 +35,7 @@
             assert balancer.endpoints.zones["z"].in_flight == 0
             assert balancer.endpoints.servers["b"].ejections == 0
         await backend.stop()
+
     run(main())
 
 
@@ -58,4 +60,5 @@
             assert len([m for m in backend.requests if m[2] == b"hangs"]) == 1
             assert [e.outcome for e in w.ended() if e.outcome is not O.OK] == [O.TIMEOUT]
         await backend.stop()
+
     run(main())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -21,10 +21,22 @@
     return http1.RequestReader()
 
 
-@pytest.mark.parametrize(("text", "ms"), [
-    (b"480m", 480.0), (b"480000u", 480.0), (b"1.5m", 1.5), (b"0m", 0.0), (b" 7u ", 0.007),
-    (b"480", None), (b"480s", None), (b"-1m", None), (b"nanm", None), (b"1e9m", None), (b"", None),
-])
+@pytest.mark.parametrize(
+    ("text", "ms"),
+    [
+        (b"480m", 480.0),
+        (b"480000u", 480.0),
+        (b"1.5m", 1.5),
+        (b"0m", 0.0),
+        (b" 7u ", 0.007),
+        (b"480", None),
+        (b"480s", None),
+        (b"-1m", None),
+        (b"nanm", None),
+        (b"1e9m", None),
+        (b"", None),
+    ],
+)
 def test_durations(text: bytes, ms: float | None) -> None:
     assert http1.duration(text) == ms
 
@@ -39,12 +51,16 @@
     (whole,) = reader().feed(GOOD)
     slow, split = reader(), []
     for i in range(len(GOOD)):
-        split += slow.feed(GOOD[i:i + 1])
+        split += slow.feed(GOOD[i : i + 1])
     (piece,) = split
     for request in (whole, piece):
         assert (request.method, request.target, request.body) == (b"POST", b"/api?x=1", b"abc")
         assert (request.id, request.class_name, request.account, request.sid) == (
-            "9b1f", "checkout", "acme", "7f3a")
+            "9b1f",
+            "checkout",
+            "acme",
+            "7f3a",
+        )
         assert (request.left_ms, request.hint_ms, request.repeat) == (480.0, 2.5, True)
         assert messages.pairs(request.facts) == {"isWrite": 1.0}
         assert request.idempotency_key == b"5c0f"
@@ -71,39 +87,63 @@
     assert b"Transfer-Encoding" not in request.head()
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"nonsense\r\n\r\n", 400),
-    (GOOD.replace(b"480m", b"soon"), 400),
-    (GOOD.replace(b"X-Account: acme", b"X-Correlation-Id: 2"), 400),
-    (GOOD.replace(b"Content-Length: 3", b"Content-Length: 2000000000"), 413),
-    (GOOD.replace(b"acme", b"a" * 20000), 431),
-    (b"GET /" + b"a" * 20000, 431),
-    (b"GET / HTTP/1.1\r\nX-Endless: " + b"a" * 20000, 431),
-    *((GOOD.replace(b"Content-Length: 3", odd), 400) for odd in (
-        b"Content-Length: 3\r\nTransfer-Encoding: chunked",
-        b"Transfer-Encoding: chunked\r\nContent-Length: 3",
-        b"Content-Length: 3\r\nContent-Length: 3", b"Content-Length: 3\r\nContent-Length: 4",
-        b"Content-Length: -3", b"Content-Length: +3", b"Content-Length: 3,3", b"Content-Length: 0x3",
-        b"Content-Length: 1_0", b"Content-Length:", b"Content-Length : 3",
-        b"Transfer-Encoding: identity",
-        b"Transfer-Encoding: gzip, chunked", b"Transfer-Encoding: chunked, gzip",
-        b"Transfer-Encoding: xchunked",
-        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", b"Transfer-Encoding:\x0bchunked",
-        b"X-A: b\r\n folded", b"X-A: b\rContent-Length: 3", b"X-A: b\nContent-Length: 3", b"X-A : b",
-        b"X-A: b\0c", b": x", b"X-Time-Left: 9m", b"X-Service-Class: b", b"Idempotency-Key: b",
-    )),
-    (GOOD.replace(b"Content-Length: 3", b"Content-Length: " + b"9" * 17), 413),
-    (GOOD.replace(b"Content-Length: 3", b"Content-Length: " + b"9" * 40), 400),
-    (GOOD.replace(b"Correlation-Id: 9b1f", b"Correlation-Id: 9b 1f"), 400),
-    (GOOD.replace(b"Correlation-Id: 9b1f", b"Correlation-Id: " + b"a" * 129), 400),
-    (GOOD.replace(b"HTTP/1.1", b"HTTP/2.0"), 400), (GOOD.replace(b" HTTP/1.1", b""), 400),
-    (GOOD.replace(b"/api?", b"/a pi?"), 400), (GOOD.replace(b"/api?", b"/api\xff?"), 400),
-    (GOOD.replace(b"POST", b"FOO"), 400), (GOOD.replace(b"POST", b"CONNECT"), 400),
-])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (GOOD.replace(b"480m", b"soon"), 400),
+        (GOOD.replace(b"X-Account: acme", b"X-Correlation-Id: 2"), 400),
+        (GOOD.replace(b"Content-Length: 3", b"Content-Length: 2000000000"), 413),
+        (GOOD.replace(b"acme", b"a" * 20000), 431),
+        (b"GET /" + b"a" * 20000, 431),
+        (b"GET / HTTP/1.1\r\nX-Endless: " + b"a" * 20000, 431),
+        *(
+            (GOOD.replace(b"Content-Length: 3", odd), 400)
+            for odd in (
+                b"Content-Length: 3\r\nTransfer-Encoding: chunked",
+                b"Transfer-Encoding: chunked\r\nContent-Length: 3",
+                b"Content-Length: 3\r\nContent-Length: 3",
+                b"Content-Length: 3\r\nContent-Length: 4",
+                b"Content-Length: -3",
+                b"Content-Length: +3",
+                b"Content-Length: 3,3",
+                b"Content-Length: 0x3",
+                b"Content-Length: 1_0",
+                b"Content-Length:",
+                b"Content-Length : 3",
+                b"Transfer-Encoding: identity",
+                b"Transfer-Encoding: gzip, chunked",
+                b"Transfer-Encoding: chunked, gzip",
+                b"Transfer-Encoding: xchunked",
+                b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                b"Transfer-Encoding:\x0bchunked",
+                b"X-A: b\r\n folded",
+                b"X-A: b\rContent-Length: 3",
+                b"X-A: b\nContent-Length: 3",
+                b"X-A : b",
+                b"X-A: b\0c",
+                b": x",
+                b"X-Time-Left: 9m",
+                b"X-Service-Class: b",
+                b"Idempotency-Key: b",
+            )
+        ),
+        (GOOD.replace(b"Content-Length: 3", b"Content-Length: " + b"9" * 17), 413),
+        (GOOD.replace(b"Content-Length: 3", b"Content-Length: " + b"9" * 40), 400),
+        (GOOD.replace(b"Correlation-Id: 9b1f", b"Correlation-Id: 9b 1f"), 400),
+        (GOOD.replace(b"Correlation-Id: 9b1f", b"Correlation-Id: " + b"a" * 129), 400),
+        (GOOD.replace(b"HTTP/1.1", b"HTTP/2.0"), 400),
+        (GOOD.replace(b" HTTP/1.1", b""), 400),
+        (GOOD.replace(b"/api?", b"/a pi?"), 400),
+        (GOOD.replace(b"/api?", b"/api\xff?"), 400),
+        (GOOD.replace(b"POST", b"FOO"), 400),
+        (GOOD.replace(b"POST", b"CONNECT"), 400),
+    ],
+)
 def test_malformed_requests_are_told_apart(raw: bytes, status: int) -> None:
     made = reader()
     for i in range(0, len(raw), 4096):
-        assert made.feed(raw[i:i + 4096]) == []
+        assert made.feed(raw[i : i + 4096]) == []
         if made.fault is not None:
             break
     assert made.fault is not None
@@ -125,7 +165,12 @@
     response = made.feed(raw[-1:])
     assert response is not None
     assert (response.status, response.unprocessed, response.load, response.body, response.keep) == (
-        503, True, b"queue=2", b"no", True)
+        503,
+        True,
+        b"queue=2",
+        b"no",
+        True,
+    )
     assert made.idle
 
 
@@ -139,12 +184,23 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 
 
-@pytest.mark.parametrize("behind", [
-    OK + b"Content-Length: 1\r\n\r\ny", b"noise", b"\x00\xff", b"H", OK + b"Content-Length: 9\r\n\r\nhalf",
-])
-@pytest.mark.parametrize("good", [
-    b"Content-Length: 1\r\n\r\nx", b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-])
+@pytest.mark.parametrize(
+    "behind",
+    [
+        OK + b"Content-Length: 1\r\n\r\ny",
+        b"noise",
+        b"\x00\xff",
+        b"H",
+        OK + b"Content-Length: 9\r\n\r\nhalf",
+    ],
+)
+@pytest.mark.parametrize(
+    "good",
+    [
+        b"Content-Length: 1\r\n\r\nx",
+        b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+    ],
+)
 def test_a_good_answer_is_not_lost_to_what_comes_behind_it(good: bytes, behind: bytes) -> None:
     made = http1.ResponseReader()
     response = made.feed(OK + good + behind)
@@ -162,10 +218,25 @@
         http1.ResponseReader().feed(interim * 50)
 
 
-@pytest.mark.parametrize("text", [
-    b"nan", b"inf", b"-inf", b"1_0", b"-1", b"+1", b"0x1", b"1e3", b"", b" ", b"1.", b".5",
-    b"9" * 400, b"\xb2",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        b"nan",
+        b"inf",
+        b"-inf",
+        b"1_0",
+        b"-1",
+        b"+1",
+        b"0x1",
+        b"1e3",
+        b"",
+        b" ",
+        b"1.",
+        b".5",
+        b"9" * 400,
+        b"\xb2",
+    ],
+)
 def test_a_figure_that_makes_no_sense_is_none(text: bytes) -> None:
     assert messages.figure(text) is None
     assert messages.pairs(b"a=" + text + b",b=2") == {"b": 2.0}
@@ -180,21 +251,24 @@
     assert made.parts == []
 
 
-@pytest.mark.parametrize("raw", [
-    b"garbage\r\n\r\n",
-    OK + b"Transfer-Encoding: chunked\r\n\r\n100001\r\n" + b"x" * 0x100001 + b"\r\n0\r\n\r\n",
-    OK + b"Content-Length: 3000000000\r\n\r\n",  # at the head, not at the cap
-    OK + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n",
-    OK + b"Content-Length: -1\r\nContent-Length: 1\r\n\r\nx",
-    OK + b"Content-Length: 3\r\nContent-Length: 1\r\n\r\nxxx",
-    OK + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
-    OK + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
-    OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
-    b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
-    b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
-    OK + b"X-Pad: pppp\r\n" * 2000,
-    OK + b"X-Pad: " + b"p" * 30000,
-])
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"garbage\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\n\r\n100001\r\n" + b"x" * 0x100001 + b"\r\n0\r\n\r\n",
+        OK + b"Content-Length: 3000000000\r\n\r\n",  # at the head, not at the cap
+        OK + b"Content-Length: " + b"9" * 5000 + b"\r\n\r\n",
+        OK + b"Content-Length: -1\r\nContent-Length: 1\r\n\r\nx",
+        OK + b"Content-Length: 3\r\nContent-Length: 1\r\n\r\nxxx",
+        OK + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+        OK + b"Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+        b"HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        OK + b"X-Pad: pppp\r\n" * 2000,
+        OK + b"X-Pad: " + b"p" * 30000,
+    ],
+)
 def test_malformed_answers(raw: bytes) -> None:
     with pytest.raises(http1.MalformedError):
         http1.ResponseReader().feed(raw)
--- a/tests/test_hurry.py
+++ b/tests/test_hurry.py
@@ -14,6 +14,7 @@
 @pytest.mark.parametrize("fails", [False, True], ids=["time-outs", "errors of the tier behind"])
 def test_callers_in_a_hurry_take_no_server_out(fails: bool) -> None:
     """Guards against ejecting sound servers, tier by tier, for calls that nobody could answer in time."""
+
     async def main() -> None:
         backends = [await Backend().start() for _ in range(3)]
         async with world([b.row(f"b{i}") for i, b in enumerate(backends)], bounds={"mostTries": 1}) as w:
@@ -40,6 +41,7 @@
             assert {name: zone.limiter.limit for name, zone in balancer.endpoints.zones.items()} == before
         for backend in backends:
             await backend.stop()
+
     run(main())
 
 
@@ -55,4 +57,5 @@
             assert w.proxy.balancer.endpoints.servers["b0"].ejections > 0
         for backend in backends:
             await backend.stop()
+
     run(main())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -22,6 +22,7 @@
 
 def play(rename: dict[str, str], seed: int = 3, servers: int = 12) -> list[str]:
     """A fixed rough script with every name taken from `rename`; the actions, with the names turned back."""
+
     def name(text: str) -> str:
         return rename.get(text, text)
 
@@ -32,7 +33,10 @@
     )
     tenants = (api.Tenant(name("small"), 20.0), api.Tenant(name("large"), 500.0))
     made = make_settings(
-        zone=name("a"), classes=classes, tenants=tenants, over_share_worth=0.1,
+        zone=name("a"),
+        classes=classes,
+        tenants=tenants,
+        over_share_worth=0.1,
         prices=api.Prices(cross_zone=0.2),
     )
     balancer = Balancer(made, seed)
@@ -44,9 +48,14 @@
     back = {v: k for k, v in rename.items()}
     events: list[api.Event] = [api.Started(), api.EndpointsListed(api.ListKind.FULL, listed)]
     for i in range(1500):
-        events.append(api.RequestArrived(
-            f"q{i}", name(rng.choice(("read", "write", "keyed"))), 1500.0,
-            name(rng.choice(("small", "large")))))
+        events.append(
+            api.RequestArrived(
+                f"q{i}",
+                name(rng.choice(("read", "write", "keyed"))),
+                1500.0,
+                name(rng.choice(("small", "large"))),
+            )
+        )
         for event in events:
             for action in balancer.handle(now, event):
                 if isinstance(action, api.Send):
@@ -62,8 +71,9 @@
             held = balancer.requests.get(request)
             tried[request] = len(held.attempts) - 1 if held else 0
             outcome = rng.choice([api.Outcome.OK] * 5 + [api.Outcome.ERROR, api.Outcome.RESET])
-            events.append(api.AttemptEnded(
-                request, tried[request], outcome, now - sent, outcome is api.Outcome.OK))
+            events.append(
+                api.AttemptEnded(request, tried[request], outcome, now - sent, outcome is api.Outcome.OK)
+            )
     return log
 
 
@@ -85,8 +95,12 @@
     code = "from tests.test_invariants import play; import zlib; print(zlib.crc32(repr(play({})).encode()))"
     prints = {
         subprocess.run(
-            [sys.executable, "-c", code], cwd=ROOT, env={**os.environ, "PYTHONHASHSEED": seed},
-            capture_output=True, text=True, check=True,
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            check=True,
         ).stdout
         for seed in ("0", "1", "77")
     }
@@ -135,8 +149,9 @@
         elif out and rng.random() < 0.5:
             request, attempt, sent = out.pop(rng.randrange(len(out)))
             outcome = rng.choice([api.Outcome.OK] * 4 + list(api.Outcome))
-            actions = balancer.handle(now, api.AttemptEnded(
-                request, attempt, outcome, now - sent, outcome is api.Outcome.OK))
+            actions = balancer.handle(
+                now, api.AttemptEnded(request, attempt, outcome, now - sent, outcome is api.Outcome.OK)
+            )
         else:
             actions = balancer.handle(now, api.RequestArrived(f"q{i}", rng.choice(("read", "keyed")), 3000.0))
         for action in actions:
@@ -176,7 +191,7 @@
     order = re.findall(r"^    (\w+)  +\w", theory, re.M)
     assert sorted(order) == sorted(path.stem for path in FILES if path.stem != "__init__")
     for path in FILES[1:]:
-        known = order[:order.index(path.stem)]
+        known = order[: order.index(path.stem)]
         text = path.read_text()
         for name in re.findall(r"from honeywharf\.policy\.(\w+) import", text):
             assert name in known, f"{path.name} imports {name}"
--- a/tests/test_levels.py
+++ b/tests/test_levels.py
@@ -121,7 +121,7 @@
         pauses.append(now - begun)
         levels.failed(now, "x")
     for n, pause in enumerate(pauses):
-        whole = min(LONGEST_S, PAUSE_S * 2 ** n)
+        whole = min(LONGEST_S, PAUSE_S * 2**n)
         assert 0.75 * whole <= pause <= 1.25 * whole + 0.002
 
 
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -107,8 +107,7 @@
     refused = []
     for _ in range(300):
         refused += [a for a in driver.request() if isinstance(a, api.Refuse)]
-        driver.feed(api.AttemptEnded(
-            f"r{driver.count}", 0, api.Outcome.OK, 800.0, True, proxy_ms=795.0))
+        driver.feed(api.AttemptEnded(f"r{driver.count}", 0, api.Outcome.OK, 800.0, True, proxy_ms=795.0))
     assert len(refused) > 200
     assert {a.reason for a in refused} == {api.Reason.PROXY}
     assert [z.limiter.limit for z in driver.balancer.endpoints.zones.values()] == before
--- a/tests/test_mesh_codec.py
+++ b/tests/test_mesh_codec.py
@@ -31,15 +31,39 @@
 
     def head(self, head: Head) -> None:
         self.heads.append(head)
-        self.events.append((
-            "head", head.method, head.target, head.host, head.attempt, tuple(head.fields), head.remaining_s,
-            head.length, head.keep, head.expects))
+        self.events.append(
+            (
+                "head",
+                head.method,
+                head.target,
+                head.host,
+                head.attempt,
+                tuple(head.fields),
+                head.remaining_s,
+                head.length,
+                head.keep,
+                head.expects,
+            )
+        )
 
     def answer(self, answer: Answer) -> None:
-        self.events.append((
-            "answer", answer.status, answer.attempt, tuple(answer.fields), answer.length, answer.keep,
-            answer.sealed, answer.encoded, answer.unexecuted, answer.idle_s, answer.cold_s, answer.load,
-            answer.instance))
+        self.events.append(
+            (
+                "answer",
+                answer.status,
+                answer.attempt,
+                tuple(answer.fields),
+                answer.length,
+                answer.keep,
+                answer.sealed,
+                answer.encoded,
+                answer.unexecuted,
+                answer.idle_s,
+                answer.cold_s,
+                answer.load,
+                answer.instance,
+            )
+        )
 
     def data(self, data: bytes) -> None:
         if self.events[-1][0] == "data":
@@ -72,20 +96,29 @@
 LINE = b"POST /a/b?c=%20d HTTP/1.1\r\nHost: a.example\r\nX-Honeywharf-Attempt-Id: 9c41\r\n"
 GET = b"GET /a/ HTTP/1.1\r\nHost: a.example\r\nX-Honeywharf-Attempt-Id: 9c42\r\n"
 TRAIN = (
-    LINE + b"X-Honeywharf-Deadline-Remaining: 1500.5\r\nContent-Length: 5\r\n\r\nhello"
-    + LINE + b"Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n"
+    LINE
+    + b"X-Honeywharf-Deadline-Remaining: 1500.5\r\nContent-Length: 5\r\n\r\nhello"
+    + LINE
+    + b"Transfer-Encoding: chunked\r\nTrailer: X-T\r\n\r\n"
     + b"3\r\nabc\r\n4;e=1\r\ndefg\r\n0\r\nX-T: 1\r\n\r\n"
-    + GET + b"X-Two: 1\r\nX-Two: 2\r\nExpect: 100-continue\r\n\r\n"
-    + GET + b"\r\n")
+    + GET
+    + b"X-Two: 1\r\nX-Two: 2\r\nExpect: 100-continue\r\n\r\n"
+    + GET
+    + b"\r\n"
+)
 ANSWER = (
     b"HTTP/1.1 200 OK\r\nX-Honeywharf-Attempt-Id: 9c41\r\nX-Honeywharf-Server-Seal: 3e.1\r\n"
-    b"X-Honeywharf-Instance-Load: 3,0,8\r\nX-Honeywharf-Instance-Id: i-7\r\n")
+    b"X-Honeywharf-Instance-Load: 3,0,8\r\nX-Honeywharf-Instance-Id: i-7\r\n"
+)
 ANSWERS = (
     b"HTTP/1.1 100 Continue\r\n\r\n"
-    + ANSWER + b"Keep-Alive: max=3, timeout=7\r\nContent-Length: 5\r\n\r\nhello"
-    + ANSWER + b"X-Honeywharf-Cold-Remaining: 250\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    + ANSWER
+    + b"Keep-Alive: max=3, timeout=7\r\nContent-Length: 5\r\n\r\nhello"
+    + ANSWER
+    + b"X-Honeywharf-Cold-Remaining: 250\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
     + b"HTTP/1.1 503 No\r\nX-Honeywharf-Not-Executed: 1\r\nContent-Encoding: gzip\r\n"
-      b"Connection: close\r\nContent-Length: 0\r\n\r\n")
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 def test_requests_are_read_as_they_stand() -> None:
@@ -106,7 +139,10 @@
     told = answers(ANSWERS)
     heads = [e for e in told.events if e[0] == "answer"]
     assert [(e[1], e[2], e[4], e[5]) for e in heads] == [
-        (200, b"9c41", 5, True), (200, b"9c41", UNKNOWN, True), (503, b"", 0, False)]
+        (200, b"9c41", 5, True),
+        (200, b"9c41", UNKNOWN, True),
+        (503, b"", 0, False),
+    ]
     assert [(e[6], e[7], e[8]) for e in heads] == [(True, False, False)] * 2 + [(False, True, True)]
     assert [e[9:] for e in heads[:2]] == [(7.0, None, b"3,0,8", b"i-7"), (0.0, 0.25, b"3,0,8", b"i-7")]
     assert [e[1] for e in told.events if e[0] == "data"] == [b"hello", b"abc"]
@@ -118,7 +154,7 @@
     whole = read(data).events
     for at in range(1, len(data)):
         assert read(data[:at], data[at:]).events == whole, f"cut at {at}"
-    assert read(*(data[n:n + 1] for n in range(len(data)))).events == whole
+    assert read(*(data[n : n + 1] for n in range(len(data)))).events == whole
 
 
 SMUGGLED = {
@@ -173,7 +209,7 @@
 @pytest.mark.parametrize("name", SMUGGLED)
 def test_what_could_be_read_in_two_ways_is_400(name: str) -> None:
     data = SMUGGLED[name]
-    for pieces in ((data,), tuple(data[n:n + 1] for n in range(len(data)))):
+    for pieces in ((data,), tuple(data[n : n + 1] for n in range(len(data)))):
         told = Told()
         reader = RequestReader(told, 1 << 20, 1 << 14)
         with pytest.raises(MalformedError) as fault:
@@ -188,22 +224,32 @@
         GET + b"Connection: keep-alive, X-Mine, Host, x-honeywharf-attempt-id\r\nX-Mine: 1\r\n"
         b"Keep-Alive: 5\r\n"
         b"TE: trailers\r\nProxy-Connection: x\r\nProxy-Authorization: x\r\nHTTP2-Settings: x\r\n"
-        b"X-Honeywharf-Expected-Instance: i-0\r\nX-Honeywharf-Caller-Service: them\r\nX-Yours: 2\r\n\r\n")
+        b"X-Honeywharf-Expected-Instance: i-0\r\nX-Honeywharf-Caller-Service: them\r\nX-Yours: 2\r\n\r\n"
+    )
     assert told.heads[0].fields == [
-        b"Host: a.example\r\n", b"X-Honeywharf-Attempt-Id: 9c42\r\n", b"X-Yours: 2\r\n"]
+        b"Host: a.example\r\n",
+        b"X-Honeywharf-Attempt-Id: 9c42\r\n",
+        b"X-Yours: 2\r\n",
+    ]
 
 
 def test_an_offer_of_another_protocol_is_ignored() -> None:
     told = requests(
-        LINE + b"Connection: Upgrade\r\nUpgrade: websocket\r\nContent-Length: 5\r\n\r\nhello", GET + b"\r\n")
+        LINE + b"Connection: Upgrade\r\nUpgrade: websocket\r\nContent-Length: 5\r\n\r\nhello", GET + b"\r\n"
+    )
     assert [e[0] for e in told.events] == ["head", "data", "whole", "head", "whole"]
     assert told.heads[0].length == 5
     assert not [f for f in told.heads[0].fields if f.lower().startswith((b"upgrade", b"connection"))]
 
 
-@pytest.mark.parametrize(("line", "keep"), [
-    (b"GET / HTTP/1.1\r\nHost: a\r\n", True), (b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n", False),
-    (b"GET / HTTP/1.0\r\nHost: a\r\n", False)])
+@pytest.mark.parametrize(
+    ("line", "keep"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", True),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n", False),
+        (b"GET / HTTP/1.0\r\nHost: a\r\n", False),
+    ],
+)
 def test_whether_the_connection_is_kept(line: bytes, keep: bool) -> None:
     assert requests(line + b"\r\n").heads[0].keep is keep
 
@@ -214,9 +260,19 @@
     return fault.value.status
 
 
-@pytest.mark.parametrize("data", [
-    LINE + b"Content-Length: 101\r\n\r\n",
-    LINE + b"Transfer-Encoding: chunked\r\n\r\n" + b"32\r\n" + b"a" * 50 + b"\r\n" + b"33\r\n" + b"a" * 51])
+@pytest.mark.parametrize(
+    "data",
+    [
+        LINE + b"Content-Length: 101\r\n\r\n",
+        LINE
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + b"32\r\n"
+        + b"a" * 50
+        + b"\r\n"
+        + b"33\r\n"
+        + b"a" * 51,
+    ],
+)
 def test_a_body_over_the_bound_is_413(data: bytes) -> None:
     assert status_of(data, 100, 1 << 14) == 413
 
@@ -226,11 +282,17 @@
     assert told.events[1:] == [("data", b"a" * 100), ("whole",)]
 
 
-@pytest.mark.parametrize("data", [
-    b"GET /" + b"a" * 9000, LINE + b"X-A: " + b"a" * 9000,
-    LINE + b"X-A: 1\r\n" * 1500, LINE + b"a" * 9000,
-    LINE + b"Transfer-Encoding: chunked\r\n\r\n3;" + b"e" * 9000,
-    LINE + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"X-A: 1\r\n" * 1500])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET /" + b"a" * 9000,
+        LINE + b"X-A: " + b"a" * 9000,
+        LINE + b"X-A: 1\r\n" * 1500,
+        LINE + b"a" * 9000,
+        LINE + b"Transfer-Encoding: chunked\r\n\r\n3;" + b"e" * 9000,
+        LINE + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"X-A: 1\r\n" * 1500,
+    ],
+)
 def test_a_head_or_a_line_over_the_bound_is_431(data: bytes) -> None:
     assert status_of(data, 1 << 20, 8192) == 431
 
@@ -241,14 +303,21 @@
     assert [e[2] for e in told.events if e[0] == "answer"] == [b"9c41", b"old"]
 
 
-@pytest.mark.parametrize("data", [
-    b"no answer at all\r\n\r\n", b"HTTP/1.1 abc OK\r\n\r\n", b"\x00" * 100, ANSWER + b"no colon\r\n\r\n",
-    ANSWER + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
-    ANSWER + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-    ANSWER + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
-    ANSWER + b"X-Honeywharf-Cold-Remaining: \xb2s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 garbage",
-    b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nabc",
-    b"HTTP/1.1 102 Processing\r\n\r\n" * (MOST_INTERIM + 1)])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"no answer at all\r\n\r\n",
+        b"HTTP/1.1 abc OK\r\n\r\n",
+        b"\x00" * 100,
+        ANSWER + b"no colon\r\n\r\n",
+        ANSWER + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        ANSWER + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        ANSWER + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        ANSWER + b"X-Honeywharf-Cold-Remaining: \xb2s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 garbage",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nabc",
+        b"HTTP/1.1 102 Processing\r\n\r\n" * (MOST_INTERIM + 1),
+    ],
+)
 def test_what_is_no_answer_is_refused(data: bytes) -> None:
     with pytest.raises(MalformedError):
         answers(data)
@@ -262,16 +331,42 @@
     assert not hasattr(reader, "parser")
 
 
-@pytest.mark.parametrize(("text", "seconds"), [
-    (b"1500", 1.5), (b" 7.5 ", 0.0075), (b"0", 0.0), (b"", None), (b".", None), (b"1.2.3", None),
-    (b"-1", None), (b"1e3", None), (b"inf", None), (b"nan", None), (b"1" * 17, None)])
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        (b"1500", 1.5),
+        (b" 7.5 ", 0.0075),
+        (b"0", 0.0),
+        (b"", None),
+        (b".", None),
+        (b"1.2.3", None),
+        (b"-1", None),
+        (b"1e3", None),
+        (b"inf", None),
+        (b"nan", None),
+        (b"1" * 17, None),
+    ],
+)
 def test_milliseconds(text: bytes, seconds: float | None) -> None:
     assert milliseconds(text) == seconds
 
 
-@pytest.mark.parametrize(("text", "seconds"), [
-    ("1500ms", 1.5), ("2.5s", 2.5), ("0s", 0.0), ("5", None), ("s", None), ("ms", None), ("-1s", None),
-    ("1e3s", None), ("1.2.3s", None), ("\xb2s", None), ("1 s", None)])
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("1500ms", 1.5),
+        ("2.5s", 2.5),
+        ("0s", 0.0),
+        ("5", None),
+        ("s", None),
+        ("ms", None),
+        ("-1s", None),
+        ("1e3s", None),
+        ("1.2.3s", None),
+        ("\xb2s", None),
+        ("1 s", None),
+    ],
+)
 def test_durations(text: str, seconds: float | None) -> None:
     assert duration(text) == seconds
 
@@ -279,12 +374,21 @@
 def test_what_is_written_can_be_read() -> None:
     told = answers(
         final(503, b"full", again_s=0.25, lines=b"X-A: 1\r\n", kind=b"text/plain"),
-        begun(200, b"X-B: 2\r\n", 3, keep=True), b"abc",
-        begun(200, b"", UNKNOWN, keep=True), b"3\r\nabc\r\n0\r\n\r\n",
-        begun(204, b"", 0, keep=True, bodiless=True), final(404, b"", keep=False))
+        begun(200, b"X-B: 2\r\n", 3, keep=True),
+        b"abc",
+        begun(200, b"", UNKNOWN, keep=True),
+        b"3\r\nabc\r\n0\r\n\r\n",
+        begun(204, b"", 0, keep=True, bodiless=True),
+        final(404, b"", keep=False),
+    )
     heads = [e for e in told.events if e[0] == "answer"]
     assert [(e[1], e[4], e[5]) for e in heads] == [
-        (503, 4, True), (200, 3, True), (200, UNKNOWN, True), (204, 0, True), (404, 0, False)]
+        (503, 4, True),
+        (200, 3, True),
+        (200, UNKNOWN, True),
+        (204, 0, True),
+        (404, 0, False),
+    ]
     assert heads[0][3] == (b"Content-Type: text/plain\r\n", b"Retry-After: 0.250\r\n", b"X-A: 1\r\n")
     assert [e[1] for e in told.events if e[0] == "data"] == [b"full", b"abc", b"abc"]
     assert final(200, b"abc", bare=True).endswith(b"Content-Length: 3\r\n\r\n")
--- a/tests/test_mesh_demo.py
+++ b/tests/test_mesh_demo.py
@@ -30,7 +30,8 @@
 
 
 def asked(
-        day: Day, kind: str = "mutating", path: str = "/orders/1", at: float = 5.0, status: int = 200) -> Ask:
+    day: Day, kind: str = "mutating", path: str = "/orders/1", at: float = 5.0, status: int = 200
+) -> Ask:
     ask = Ask(f"a{len(day.mesh.book.asks)}", day.mesh.sides[0].ip, TILES, "POST", "shop.example", path, kind)
     ask.sent, ask.status = at, status
     day.mesh.book.asks[ask.id] = ask
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -9,8 +9,7 @@
 
 O = api.Outcome  # noqa: E741
 BORROW = api.RequestClass("borrow", 1000, 2000, effect=api.Effect.ONCE, in_order=True)
-RENEW = api.RequestClass(
-    "renew", 1000, 2000, effect=api.Effect.KEYED, window_ms=1500, in_order=True)
+RENEW = api.RequestClass("renew", 1000, 2000, effect=api.Effect.KEYED, window_ms=1500, in_order=True)
 READ = api.RequestClass("read", 1000, 2000)
 GAP = 150.0
 
@@ -18,7 +17,8 @@
 @pytest.fixture
 def driver() -> Driver:
     settings = make_settings(
-        classes=(BORROW, RENEW, READ), rules=api.Rules(ask_every_ms=10000, turn_gap_ms=GAP))
+        classes=(BORROW, RENEW, READ), rules=api.Rules(ask_every_ms=10000, turn_gap_ms=GAP)
+    )
     made = Driver(settings)
     made.list([endpoint(f"a{i}") for i in range(6)])
     return made
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -148,12 +148,20 @@
     assert why.in_flight > why.limit > 0
 
 
-@pytest.mark.parametrize(("zone", "elapsed_ms", "resets", "ejected"), [
-    (1, 100.0, 3, False), (1, 100.0, 4, True),  # four failures in a row: dead, however small the zone
-    (4, 100.0, 2, True), (4, 1.0, 2, False),  # early resets tell less
-])
+@pytest.mark.parametrize(
+    ("zone", "elapsed_ms", "resets", "ejected"),
+    [
+        (1, 100.0, 3, False),
+        (1, 100.0, 4, True),  # four failures in a row: dead, however small the zone
+        (4, 100.0, 2, True),
+        (4, 1.0, 2, False),  # early resets tell less
+    ],
+)
 def test_resets_eject_by_when_they_come_and_how_small_the_zone_is(
-    zone: int, elapsed_ms: float, resets: int, ejected: bool,
+    zone: int,
+    elapsed_ms: float,
+    resets: int,
+    ejected: bool,
 ) -> None:
     """Guards against taking a whole zone out for connections that break."""
     driver = Driver(make_settings(limits=api.Limits(max_attempts=1)))
@@ -476,7 +484,8 @@
         zone.in_flight -= 50
     assert zone.limiter.limit == before
     assert all(s.ejections == 0 for s in driver.balancer.endpoints.servers.values()) == (
-        outcome is api.Outcome.NOT_SENT)
+        outcome is api.Outcome.NOT_SENT
+    )
 
 
 @pytest.mark.parametrize("outcome", [api.Outcome.ERROR, api.Outcome.RESET, api.Outcome.TIMEOUT])
@@ -499,7 +508,8 @@
 def test_a_refusal_tells_when_to_come_back_as_far_as_the_site_allows() -> None:
     for allowed, most in (
         (api.Limits(retry_after=True, max_retry_after_ms=2000.0), 600.0),
-        (api.Limits(retry_after=True, max_retry_after_ms=100.0), 100.0), (api.Limits(), 0.0),
+        (api.Limits(retry_after=True, max_retry_after_ms=100.0), 100.0),
+        (api.Limits(), 0.0),
     ):
         driver = Driver(make_settings(limits=allowed))
         (refusal,) = driver.request()
@@ -529,10 +539,14 @@
     assert isinstance(driver.end(api.Outcome.TIMEOUT, 0, hung, 500.0)[0], (api.Fail, api.Refuse))
 
 
-@pytest.mark.parametrize(("balancers", "late", "sliver"), [
-    (3, False, 1.0), (3, True, 2.0 / 3.0), (100, False, 1.0), (100, True, 0.02), (1, True, 1.0)])
+@pytest.mark.parametrize(
+    ("balancers", "late", "sliver"),
+    [(3, False, 1.0), (3, True, 2.0 / 3.0), (100, False, 1.0), (100, True, 0.02), (1, True, 1.0)],
+)
 def test_in_a_crowd_balancers_share_the_calls_over_their_limits(
-    balancers: int, late: bool, sliver: float,
+    balancers: int,
+    late: bool,
+    sliver: float,
 ) -> None:
     """Guards against a call over the limit of each of many balancers, which keeps jammed servers full."""
     driver = Driver(make_settings(balancers=balancers))
@@ -547,9 +561,12 @@
 
 
 @pytest.mark.parametrize(
-    ("held", "least", "most"), [(0, 0.9, 1.1), (1, 0.0, 0.3), (2, 0.0, 0.3), (3, 0.9, 1.1)])
+    ("held", "least", "most"), [(0, 0.9, 1.1), (1, 0.0, 0.3), (2, 0.0, 0.3), (3, 0.9, 1.1)]
+)
 def test_a_server_that_owes_a_late_answer_gets_a_tenth_of_its_calls(
-    held: int, least: float, most: float,
+    held: int,
+    least: float,
+    most: float,
 ) -> None:
     """Of three calls or more one is late by chance; of one or two it shows a jam."""
     driver = Driver(make_settings(balancers=2))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -23,9 +23,14 @@
 
 def write(path: Path, **changes: Any) -> dict[str, str]:
     raw = {
-        "name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
-        "known": {"generation": 1, "reset": True, "instances": [row("b", 1)]}, **changes,
+        "name": "n",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": SETTINGS,
+        "known": {"generation": 1, "reset": True, "instances": [row("b", 1)]},
+        **changes,
     }
     file = path / "config.json"
     file.write_text(json.dumps(raw))
@@ -40,16 +45,34 @@
     assert made.report_fields == ("pending", "busy_reqs")
 
 
-@pytest.mark.parametrize("changes", [
-    {"listen": "nowhere"}, {"listen": "127.0.0.1:99999"}, {"discovery": 5}, {"seed": "xyz"}, {"seed": None},
-    {"settings": None}, {"settings": {}}, {"settings": {**SETTINGS, "zone": 3}}, {"known": []},
-    {"limits": {"sockets": "many"}}, {"known": {"generation": 1, "instances": 5}},
-    {"settings": {**SETTINGS, "profiles": []}}, {"listen": "192.0.2.1:3000"},
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"listen": "nowhere"},
+        {"listen": "127.0.0.1:99999"},
+        {"discovery": 5},
+        {"seed": "xyz"},
+        {"seed": None},
+        {"settings": None},
+        {"settings": {}},
+        {"settings": {**SETTINGS, "zone": 3}},
+        {"known": []},
+        {"limits": {"sockets": "many"}},
+        {"known": {"generation": 1, "instances": 5}},
+        {"settings": {**SETTINGS, "profiles": []}},
+        {"listen": "192.0.2.1:3000"},
+    ],
+)
 def test_a_bad_configuration_is_one_plain_line_and_status_2(tmp_path: Path, changes: dict[str, Any]) -> None:
     result = subprocess.run(
-        [sys.executable, "-m", "honeywharf"], env=write(tmp_path, **changes), cwd=ROOT, capture_output=True,
-        text=True, timeout=WAIT_S, check=False)
+        [sys.executable, "-m", "honeywharf"],
+        env=write(tmp_path, **changes),
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=WAIT_S,
+        check=False,
+    )
     assert result.returncode == 2
     (line,) = result.stderr.splitlines()
     assert line.startswith("honeywharf: ")
@@ -71,9 +94,13 @@
     def __init__(self, path: Path, **changes: Any) -> None:
         descriptors = changes.pop("descriptors", 1024)
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "honeywharf"], cwd=ROOT, stderr=subprocess.PIPE, text=True,
+            [sys.executable, "-m", "honeywharf"],
+            cwd=ROOT,
+            stderr=subprocess.PIPE,
+            text=True,
             env=write(path, **changes),
-            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)))
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
+        )
         assert self.process.stderr is not None
         # A store may be there before the listener is: its line comes first then.
         line = next((x for x in self.process.stderr if not x.startswith("order keys: ")), "")
@@ -160,8 +187,14 @@
         file = tmp_path / "config.json"
         good, errors = json.loads(file.read_text()), proxy.process.stderr
         assert errors is not None
-        for bad in ("{", "[]", json.dumps({**good, "discovery": "nowhere"}), json.dumps({**good, "seed": []}),
-                    json.dumps({**good, "settings": {**SETTINGS, "zone": 3}}), "\udcff"):
+        for bad in (
+            "{",
+            "[]",
+            json.dumps({**good, "discovery": "nowhere"}),
+            json.dumps({**good, "seed": []}),
+            json.dumps({**good, "settings": {**SETTINGS, "zone": 3}}),
+            "\udcff",
+        ):
             file.write_bytes(bad.encode(errors="surrogateescape"))
             proxy.process.send_signal(signal.SIGHUP)
             while not (line := errors.readline()).startswith("reload: "):
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -14,7 +14,8 @@
     text = (ROOT / "README.md").read_text()
     (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
     result = subprocess.run(
-        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=120, check=False)
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=120, check=False
+    )
     assert result.returncode == 0, result.stderr
     lines = result.stdout.splitlines()
     assert lines
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -148,7 +148,9 @@
             self.listed.update({e.id: e for e in event.endpoints})
         elif isinstance(event, api.RequestArrived):
             self.open[event.id] = {
-                "cls": self.classes[event.class_name], "deadline": now + event.remaining_ms, "tries": [],
+                "cls": self.classes[event.class_name],
+                "deadline": now + event.remaining_ms,
+                "tries": [],
                 "key": event.key,
             }
         elif isinstance(event, api.RequestExpired):
@@ -174,7 +176,8 @@
             ran = any(t["ran"] for t in held["tries"])
             cls = held["cls"]
             harmless = cls.effect is api.Effect.REPEATABLE or (
-                cls.effect is api.Effect.KEYED and cls.scope is api.DedupeScope.ALL)
+                cls.effect is api.Effect.KEYED and cls.scope is api.DedupeScope.ALL
+            )
             if isinstance(action, api.Refuse) and ran and not harmless:
                 raise RuleBrokenError("refused what may have run")
 
@@ -189,8 +192,11 @@
             for key, other in self.open.items():
                 if key == action.request:
                     break
-                if other["cls"].in_order and other["key"] == held["key"] and (
-                        key not in self.over or any(t["live"] for t in other["tries"])):
+                if (
+                    other["cls"].in_order
+                    and other["key"] == held["key"]
+                    and (key not in self.over or any(t["live"] for t in other["tries"]))
+                ):
                     raise RuleBrokenError("sent out of turn")
             if not tries and self.rests.get(held["key"], 0.0) > now + 1e-6:
                 raise RuleBrokenError("sent while the key rests")
@@ -294,8 +300,12 @@
 
 
 @given(
-    seed=st.integers(0, 2**32), steps=STEPS, tier=st.integers(0, 1), scope=st.sampled_from(api.DedupeScope),
-    copies=st.booleans(), ordered=st.booleans(),
+    seed=st.integers(0, 2**32),
+    steps=STEPS,
+    tier=st.integers(0, 1),
+    scope=st.sampled_from(api.DedupeScope),
+    copies=st.booleans(),
+    ordered=st.booleans(),
 )
 def test_random_events_keep_the_rules_and_leave_nothing(
     seed: int, steps: list[int], tier: int, scope: api.DedupeScope, copies: bool, ordered: bool
@@ -304,7 +314,13 @@
     write = api.RequestClass("write", 1000, 2000, api.Effect.ONCE, in_order=ordered)
     limits = api.Limits(max_attempts=3, cancel=True, concurrent_attempts=copies)
     balancer = run_world(
-        Balancer, seed, steps, tier=tier, tiers=2, classes=(REPEATABLE, write, keyed), limits=limits,
+        Balancer,
+        seed,
+        steps,
+        tier=tier,
+        tiers=2,
+        classes=(REPEATABLE, write, keyed),
+        limits=limits,
         rules=api.Rules(cold_share=0.2, warm_after_ms=10000, ask_every_ms=10000, turn_gap_ms=150.0),
     )
     assert not balancer.requests
@@ -380,16 +396,20 @@
 
 @pytest.mark.pure
 @pytest.mark.parametrize(
-    "broken", [SendsTwice, AnswersTwice, ForgetsDrains, NeverAnswers, JumpsTheLine, ForgetsToRest])
+    "broken", [SendsTwice, AnswersTwice, ForgetsDrains, NeverAnswers, JumpsTheLine, ForgetsToRest]
+)
 def test_the_checker_catches_broken_balancers(broken: type[Balancer]) -> None:
     rng = random.Random(5)
     caught = False
     for seed in range(30):
         try:
             run_world(
-                broken, seed, [rng.randrange(10) for _ in range(100)], classes=(
-                    REPEATABLE, ONCE, KEYED, replace(ONCE, name="ordered", in_order=True)),
-                rules=api.Rules(turn_gap_ms=150.0))
+                broken,
+                seed,
+                [rng.randrange(10) for _ in range(100)],
+                classes=(REPEATABLE, ONCE, KEYED, replace(ONCE, name="ordered", in_order=True)),
+                rules=api.Rules(turn_gap_ms=150.0),
+            )
         except RuleBrokenError:
             caught = True
     assert caught
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -19,30 +19,33 @@
 O = api.Outcome  # noqa: E741
 
 
-@pytest.mark.parametrize(("step", "outcome", "report"), [
-    (reply(200, b"x", b"X-Backend-Load: busy_reqs=7,pending=2"), O.OK, (2.0, 7.0)),
-    (reply(500, b"x", b"X-Backend-Load: pending=1,busy_reqs=0"), O.ERROR, (1.0, 0.0)),
-    (reply(503, b"", b"X-Unprocessed: 1"), O.REJECTED, None),
-    (reply(504, b"", b"X-Unprocessed: 1"), O.REJECTED, None),
-    (reply(503), O.ERROR, None),
-    (reply(503, b"", b"X-Unprocessed: 0"), O.ERROR, None),
-    (reply(504), O.ERROR, None),
-    (reply(404), O.ERROR, None),
-    ("close", O.RESET, None),
-    (b"HTTP/1.1 200 OK\r\nContent-Le", O.RESET, None),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", O.RESET, None),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nno end", O.RESET, None),
-    (b"not http at all\r\n\r\n", O.ERROR, None),
-    (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nit keeps coming", O.ERROR, None),
-    (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 40000, O.ERROR, None),
-    (reply(200, b"x" * 400_000, b"X-Backend-Load: pending=0,busy_reqs=1"), O.OK, (0.0, 1.0)),
-    (reply(200, b"x" * 1_100_000), O.OK, None),
-    (reply(500, b"x" * 1_100_000), O.ERROR, None),
-    (reply() + reply(200, b"copy"), O.OK, None),
-    (reply() + b"noise", O.OK, None),
-    (reply(200, b"ok", b"X-Backend-Load: pending=nan,busy_reqs=1"), O.OK, None),
-    (b"HTTP/1.1 102 X\r\nX-Backend-Load: pending=9,busy_reqs=9\r\n\r\n" + reply(), O.OK, None),
-])
+@pytest.mark.parametrize(
+    ("step", "outcome", "report"),
+    [
+        (reply(200, b"x", b"X-Backend-Load: busy_reqs=7,pending=2"), O.OK, (2.0, 7.0)),
+        (reply(500, b"x", b"X-Backend-Load: pending=1,busy_reqs=0"), O.ERROR, (1.0, 0.0)),
+        (reply(503, b"", b"X-Unprocessed: 1"), O.REJECTED, None),
+        (reply(504, b"", b"X-Unprocessed: 1"), O.REJECTED, None),
+        (reply(503), O.ERROR, None),
+        (reply(503, b"", b"X-Unprocessed: 0"), O.ERROR, None),
+        (reply(504), O.ERROR, None),
+        (reply(404), O.ERROR, None),
+        ("close", O.RESET, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Le", O.RESET, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", O.RESET, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nno end", O.RESET, None),
+        (b"not http at all\r\n\r\n", O.ERROR, None),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nit keeps coming", O.ERROR, None),
+        (b"HTTP/1.1 200 OK\r\nX-Endless: " + b"x" * 40000, O.ERROR, None),
+        (reply(200, b"x" * 400_000, b"X-Backend-Load: pending=0,busy_reqs=1"), O.OK, (0.0, 1.0)),
+        (reply(200, b"x" * 1_100_000), O.OK, None),
+        (reply(500, b"x" * 1_100_000), O.ERROR, None),
+        (reply() + reply(200, b"copy"), O.OK, None),
+        (reply() + b"noise", O.OK, None),
+        (reply(200, b"ok", b"X-Backend-Load: pending=nan,busy_reqs=1"), O.OK, None),
+        (b"HTTP/1.1 102 X\r\nX-Backend-Load: pending=9,busy_reqs=9\r\n\r\n" + reply(), O.OK, None),
+    ],
+)
 def test_outcomes(step: bytes | str, outcome: api.Outcome, report: tuple[float, ...] | None) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -65,6 +68,7 @@
                 assert status not in (429, 503) or status == 200
                 assert len(backend.requests) == 1  # an unsafe request that may have run leaves once
         await backend.stop()
+
     run(main())
 
 
@@ -77,6 +81,7 @@
                 client.send("pay")
                 assert await client.status() == 503
                 assert {e.outcome for e in w.ended()} == {O.CONNECT_FAILED}
+
     run(main())
 
 
@@ -100,6 +105,7 @@
                 assert event.elapsed_ms >= 150.0
             for filler in fillers:
                 filler.close()
+
     run(main())
 
 
@@ -123,6 +129,7 @@
 
 def test_a_break_before_the_last_byte_left_has_run_nothing() -> None:
     """The body is larger than what the sockets' buffers take, and the backend never reads it."""
+
     async def main() -> None:
         with socket.socket() as deaf:
             deaf.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -140,6 +147,7 @@
             await soon(call.outcome.wait())
             assert call.outcomes == [O.CONNECT_FAILED]
             assert pool.count == 0
+
     run(main())
 
 
@@ -155,6 +163,7 @@
             await until(lambda: backend.closed == 1)
             assert len(backend.requests) == 1
         await backend.stop()
+
     run(main())
 
 
@@ -178,6 +187,7 @@
             assert left is not None
             assert 0.0 < left < 4000.0
         await backend.stop()
+
     run(main())
 
 
@@ -197,6 +207,7 @@
             await until(lambda: len(backend.requests) == 7)
             assert backend.connections == 2
         await backend.stop()
+
     run(main())
 
 
@@ -218,6 +229,7 @@
             assert await client.status() == 200
             assert backend.connections == 2
         await backend.stop()
+
     run(main())
 
 
@@ -232,6 +244,7 @@
                 assert await client.status() == 200
                 assert backend.connections == number
         await backend.stop()
+
     run(main())
 
 
@@ -247,6 +260,7 @@
             assert await client.status() == 200
             assert backend.connections == 2
         await backend.stop()
+
     run(main())
 
 
@@ -267,6 +281,7 @@
             assert (event.outcome, event.request_over) == (O.OK, True)
             await until(lambda: w.proxy.driver.requests == {})
         await backend.stop()
+
     run(main())
 
 
@@ -292,6 +307,7 @@
         assert (one.outcomes, two.outcomes, three.outcomes) == ([O.OK], [], [O.NOT_SENT])
         await first.stop()
         await second.stop()
+
     run(main())
 
 
@@ -306,6 +322,7 @@
             assert (event.endpoint, event.outcome, event.report) == ("b", O.OK, (4.0, 5.0))
             assert backend.requests[0][0] == b"GET /stats HTTP/1.1"
         await backend.stop()
+
     run(main())
 
 
@@ -325,12 +342,14 @@
             await until(lambda: backend.closed == 1)  # the first was given up before the second left
             assert len({r[1][b"idempotency-key"] for r in backend.requests}) == 1
         await backend.stop()
+
     run(main())
 
 
 @pytest.mark.parametrize("behind", [reply(200, b"another's"), b"noise"])
 def test_what_came_before_a_request_is_not_taken_for_its_answer(behind: bytes) -> None:
     """The surplus lies in the socket's buffer, unread, at the moment the connection is taken again."""
+
     async def main() -> None:
         backend = await Backend().start()
         loop = asyncio.get_running_loop()
@@ -350,6 +369,7 @@
         assert (backend.connections, len(backend.requests)) == (2, 2)
         await until(lambda: backend.closed == 1)
         await backend.stop()
+
     run(main())
 
 
@@ -365,6 +385,7 @@
             assert backend.connections == 2
             assert w.proxy.balancer.endpoints.servers["b"].ejections == 0
         await backend.stop()
+
     run(main())
 
 
@@ -406,6 +427,7 @@
             assert (backend.connections, call.outcomes) == (opened, [O.OK])
             pool.backends["d"].idle[0].idle_since -= 400.0
         await backend.stop()
+
     run(main())
 
 
@@ -424,13 +446,14 @@
             await soon(backend.came.wait())
             (writer,) = backend.writers
             for start in range(0, len(whole), 50_000):
-                writer.write(whole[start:start + 50_000])
+                writer.write(whole[start : start + 50_000])
                 await writer.drain()
                 await asyncio.sleep(0.3)  # together longer than the pause that one piece may take
             assert (await client.answer())[2] == body
             assert (await w.outcome()).outcome is O.OK
             assert w.proxy.pool.bytes_read == 0
         await backend.stop()
+
     run(main())
 
 
@@ -451,4 +474,5 @@
             assert (await w.outcome()).outcome is O.ERROR
             assert w.proxy.pool.bytes_read == 0
         await backend.stop()
+
     run(main())
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -22,9 +22,16 @@
 
 @pytest.mark.parametrize(
     ("ran", "why", "again", "status"),
-    [(NOT_RUN, FULL, True, 503), (NOT_RUN, TURNED_AWAY, True, 503), (NOT_RUN, TIMED_OUT, True, 503),
-     (MAY_HAVE_RUN, LOST, False, 502), (MAY_HAVE_RUN, BROKEN_OFF, False, 502),
-     (MAY_HAVE_RUN, TIMED_OUT, False, 504), (RAN, BROKEN_OFF, False, 502)])
+    [
+        (NOT_RUN, FULL, True, 503),
+        (NOT_RUN, TURNED_AWAY, True, 503),
+        (NOT_RUN, TIMED_OUT, True, 503),
+        (MAY_HAVE_RUN, LOST, False, 502),
+        (MAY_HAVE_RUN, BROKEN_OFF, False, 502),
+        (MAY_HAVE_RUN, TIMED_OUT, False, 504),
+        (RAN, BROKEN_OFF, False, 502),
+    ],
+)
 def test_what_must_not_run_twice(ran: int, why: int, again: bool, status: int) -> None:
     verdict = Verdict(ran, why)
     assert verdict.may_repeat(repeatable=False) is again
--- a/tests/traces/model.py
+++ b/tests/traces/model.py
@@ -40,7 +40,9 @@
     def exporting(tier: str, node: str) -> Sampler:
         def export(h: HopTrace) -> None:
             kept.append(h.fields(tier, node, "tallinn"))
+
         return Sampler(Sampling(rate=rate), {"read": 400.0}, export, trusts=tier != "front")
+
     samplers = {(t, n): exporting(t, f"{t}-{n}") for t in TIERS for n in (0, 1)}
     now = 0.0
     for i in range(requests):
@@ -50,7 +52,9 @@
         picks = [(rng.randrange(NODES), rng.choice(ZONES), rng.randrange(2)) for _ in TIERS]
         number, zone, node = picks[-1]
         hit = {
-            "server": (number, zone) == (2, "tartu"), "zone": zone == "tartu", "tenant": tenant == "forest",
+            "server": (number, zone) == (2, "tartu"),
+            "zone": zone == "tartu",
+            "tenant": tenant == "forest",
             "node": node == 1,
         }.get(planted, False)
         wrong = (hit and rng.random() < 0.2) or rng.random() < 0.002
@@ -61,7 +65,7 @@
             span = AttemptSpan(0, f"{rng.getrandbits(64):016x}", send, now, False)
             parent = span.span_id
             made.attempts.append(span)
-            samplers[tier, node].began(now, made, False, trace_id[-context.RANDOM_DIGITS:])
+            samplers[tier, node].began(now, made, False, trace_id[-context.RANDOM_DIGITS :])
             hops.append((made, samplers[tier, node], span))
         for depth, (made, sampler, span) in enumerate(reversed(hops)):  # answers come from below
             total += rng.lognormvariate(3.0, 0.4)
--- a/tests/traces/test_asking.py
+++ b/tests/traces/test_asking.py
@@ -20,49 +20,61 @@
     return {**texts, **flags, **numbers, **changes}
 
 
-ROW = row(failed=True, attempts=2.0, duration=1500.0, zone=frozenset(("tartu", "parnu")),
-          server=frozenset(("s1",)), **{"class": frozenset(("read",))})
-
-
-@pytest.mark.parametrize(("asked", "holds"), [
-    ("failed", True),
-    ("not failed", False),
-    ("failed and attempts > 1 and zone = \"tartu\"", True),
-    ("refused or served or attempts = 2", True),
-    ("zone != \"tartu\"", False),  # one of its texts is equal
-    ("zone != \"tallinn\"", True),
-    ("zone in [\"tallinn\", \"parnu\"]", True),
-    ("attempts in [1, 3]", False),
-    ("duration > 1 s and duration < 1500.5ms", True),
-    ("duration >= 2 * 500 + 1000 / 2", True),
-    ("duration / 0 > 1", True),
-    ("not (failed or slow) or attempts - 1 = 1", True),
-    ("failed = slow", False),
-    ("duration > 2 * p50(class)", True),
-    ("duration > p99(class)", False),
-    ("reason = \"crowded\"", False),
-])
+ROW = row(
+    failed=True,
+    attempts=2.0,
+    duration=1500.0,
+    zone=frozenset(("tartu", "parnu")),
+    server=frozenset(("s1",)),
+    **{"class": frozenset(("read",))},
+)
+
+
+@pytest.mark.parametrize(
+    ("asked", "holds"),
+    [
+        ("failed", True),
+        ("not failed", False),
+        ('failed and attempts > 1 and zone = "tartu"', True),
+        ("refused or served or attempts = 2", True),
+        ('zone != "tartu"', False),  # one of its texts is equal
+        ('zone != "tallinn"', True),
+        ('zone in ["tallinn", "parnu"]', True),
+        ("attempts in [1, 3]", False),
+        ("duration > 1 s and duration < 1500.5ms", True),
+        ("duration >= 2 * 500 + 1000 / 2", True),
+        ("duration / 0 > 1", True),
+        ("not (failed or slow) or attempts - 1 = 1", True),
+        ("failed = slow", False),
+        ("duration > 2 * p50(class)", True),
+        ("duration > p99(class)", False),
+        ('reason = "crowded"', False),
+    ],
+)
 def test_what_an_expression_holds_for(asked: str, holds: bool) -> None:
     others = [row(duration=float(d), **{"class": frozenset(("read",))}) for d in range(1, 100)]
     found = language.compiled(asked).select([*others, ROW])
     assert (ROW in found) is holds
 
 
-@pytest.mark.parametrize(("asked", "at", "words"), [
-    ("failed and", 10, "found the end, wanted"),
-    ("failed or or slow", 10, "found 'or'"),
-    ("attempts >", 10, "found the end"),
-    ("attempts > \"2\"", 11, "found a text, wanted a number"),
-    ("zone > \"a\"", 5, "found '>' between a text and another, wanted = or !="),
-    ("attempts", 0, "found a number, wanted a yes or no"),
-    ("zona = \"tartu\"", 0, "found field 'zona', wanted one of attempts, class"),
-    ("duration > p42(class)", 11, "found function 'p42', wanted p50, p90, p99"),
-    ("duration > p50(attempts)", 15, "found a number, wanted a text"),
-    ("failed % slow", 7, "found '%'"),
-    ("failed and attempts", 11, "found a number, wanted a yes or no"),
-    (" and ".join(["slow"] * 201), 0, "found over 200 parts"),
-    ("failed" + " " * 2000, 0, "found 2006 characters, wanted 2000 at most"),
-])
+@pytest.mark.parametrize(
+    ("asked", "at", "words"),
+    [
+        ("failed and", 10, "found the end, wanted"),
+        ("failed or or slow", 10, "found 'or'"),
+        ("attempts >", 10, "found the end"),
+        ('attempts > "2"', 11, "found a text, wanted a number"),
+        ('zone > "a"', 5, "found '>' between a text and another, wanted = or !="),
+        ("attempts", 0, "found a number, wanted a yes or no"),
+        ('zona = "tartu"', 0, "found field 'zona', wanted one of attempts, class"),
+        ("duration > p42(class)", 11, "found function 'p42', wanted p50, p90, p99"),
+        ("duration > p50(attempts)", 15, "found a number, wanted a text"),
+        ("failed % slow", 7, "found '%'"),
+        ("failed and attempts", 11, "found a number, wanted a yes or no"),
+        (" and ".join(["slow"] * 201), 0, "found over 200 parts"),
+        ("failed" + " " * 2000, 0, "found 2006 characters, wanted 2000 at most"),
+    ],
+)
 def test_what_is_wrong_is_told_with_its_place(asked: str, at: int, words: str) -> None:
     with pytest.raises(language.ExpressionError, match="found") as fault:
         language.compiled(asked)
@@ -72,7 +84,7 @@
 
 
 def test_a_sampler_rule_may_ask_only_what_one_hop_knows() -> None:
-    for asked in ("hops > 2", "node = \"n\"", "duration > p50(class)"):
+    for asked in ("hops > 2", 'node = "n"', "duration > p50(class)"):
         with pytest.raises(language.ExpressionError):
             language.compiled(asked, language.OF_A_HOP, quantiles=False)
     assert language.compiled("duration > 5 ms", language.OF_A_HOP, quantiles=False).wants == ()
@@ -126,6 +138,7 @@
     def ask(*words: str) -> tuple[int, str]:
         done = CliRunner().invoke(main, [*words])
         return done.exit_code, done.output
+
     status, said = ask("traces", "failed", str(file))
     assert status == 0
     assert "1 lines are no traces" in said
@@ -136,7 +149,7 @@
     assert "found field 'zona'" in said
     status, said = ask("traces", "failed", str(file), "--by", "zone", "--json")
     assert status == 0
-    assert orjson.loads(said[said.index("["):])[0]["zone"] == "tartu"
+    assert orjson.loads(said[said.index("[") :])[0]["zone"] == "tartu"
     assert ask("traces", "failed", str(file), "--by", "duration")[0] == 2
     status, said = ask("causes", str(file), "--bad", "failed")
     assert status == 0
@@ -144,7 +157,7 @@
     assert "first fail at store" in said
     status, said = ask("causes", str(file), "--json", "--bad", "failed")
     assert status == 0
-    assert orjson.loads(said[said.index("{"):])["causes"][0]["text"] == "tartu (store)"
+    assert orjson.loads(said[said.index("{") :])["causes"][0]["text"] == "tartu (store)"
     hops, _ = store.read([file])
     name = next(h["request"] for h in hops if h["end"] == "failed" and h["hop"] == "front")
     status, said = ask("explain", name, str(file))
--- a/tests/traces/test_export.py
+++ b/tests/traces/test_export.py
@@ -49,19 +49,32 @@
     (resource,) = made.resource_spans
     told = {a.key: a.value.string_value for a in resource.resource.attributes}
     assert (told["service.name"], told["service.instance.id"], told["cloud.availability_zone"]) == (
-        "honeywharf", "n3", "tartu")
+        "honeywharf",
+        "n3",
+        "tartu",
+    )
     server, lost, good, wait, *_ = resource.scope_spans[0].spans
     assert len(resource.scope_spans[0].spans) == 8  # two such requests, one resource
     assert (server.kind, server.parent_span_id.hex(), server.status.code, server.status.message) == (
-        Span.SPAN_KIND_SERVER, "2" * 16, Status.STATUS_CODE_ERROR, "no server")
+        Span.SPAN_KIND_SERVER,
+        "2" * 16,
+        Status.STATUS_CODE_ERROR,
+        "no server",
+    )
     assert (server.start_time_unix_nano, server.end_time_unix_nano) == (1_000_000_000, 1_040_000_000)
     assert (server.links[0].trace_id.hex(), server.trace_state) == ("ef" * 16, "ot=th:0")
     assert {s.parent_span_id.hex() for s in (lost, good, wait)} == {server.span_id.hex()}
     assert (lost.kind, lost.status.code, good.status.code) == (
-        Span.SPAN_KIND_CLIENT, Status.STATUS_CODE_ERROR, Status.STATUS_CODE_UNSET)
+        Span.SPAN_KIND_CLIENT,
+        Status.STATUS_CODE_ERROR,
+        Status.STATUS_CODE_UNSET,
+    )
     assert {a.key for a in good.attributes} >= {"server.address", "http.request.resend_count"}
     assert (wait.kind, wait.name, wait.links[0].span_id.hex()) == (
-        Span.SPAN_KIND_INTERNAL, "key joined", "4" * 16)
+        Span.SPAN_KIND_INTERNAL,
+        "key joined",
+        "4" * 16,
+    )
     assert wait.end_time_unix_nano - wait.start_time_unix_nano == 4_500_000
 
 
@@ -73,11 +86,18 @@
     assert abs(1.0 / (1.0 - rejected) - 1.0 / rate) < 1e-6 / rate
 
 
-@given(st.lists(st.tuples(st.booleans(), st.integers(1, 50)), max_size=60), st.integers(1, 9),
-       st.integers(20, 200), st.data())
+@given(
+    st.lists(st.tuples(st.booleans(), st.integers(1, 50)), max_size=60),
+    st.integers(1, 9),
+    st.integers(20, 200),
+    st.data(),
+)
 @settings(deadline=None)
 def test_a_queue_stays_in_its_bounds_loses_the_ordinary_first_and_counts_each(
-    lines: list[tuple[bool, int]], most: int, most_bytes: int, data: st.DataObject,
+    lines: list[tuple[bool, int]],
+    most: int,
+    most_bytes: int,
+    data: st.DataObject,
 ) -> None:
     queue, taken = Queue(most, most_bytes), 0
     for put, (bad, size) in enumerate(lines, 1):
@@ -102,7 +122,8 @@
 @given(st.lists(st.sampled_from([0, 200, 400, 429, 500, 503]), max_size=40), st.integers(0, 9))
 @settings(deadline=None)
 def test_waits_between_batches_are_bounded_and_grow_only_with_failures(
-    statuses: list[int], seed: int,
+    statuses: list[int],
+    seed: int,
 ) -> None:
     made, now = Delivery(random.Random(seed)), 0.0
     for status in statuses:
@@ -112,7 +133,7 @@
         done = made.answered(now, Answer(status))
         assert done == (status in (200, 400, 500))
         wait = made.due(now, BATCH)
-        assert wait <= (0.0 if done else min(MOST_MS, 1000.0 * 2.0 ** failures))
+        assert wait <= (0.0 if done else min(MOST_MS, 1000.0 * 2.0**failures))
         now += wait
     now += MOST_MS
     assert made.due(now, 0) == float("inf")
@@ -125,15 +146,24 @@
     assert made.due(now, BATCH) == pytest.approx(delivery.MOST_RETRY_AFTER_MS)
 
 
-@pytest.mark.parametrize(("headers", "body", "answer"), [
-    ({}, b"", Answer(200)),
-    ({"retry-after": " 12 "}, b"", Answer(200, retry_after_s=12.0)),
-    ({"retry-after": "-1"}, b"", Answer(200)),
-    ({"retry-after": "Wed, 21 Oct 2026 07:28:00 GMT"}, b"", Answer(200)),
-    ({}, b"\xff\xff no message", Answer(200, words="found an answer that is no ExportTraceServiceResponse")),
-])
+@pytest.mark.parametrize(
+    ("headers", "body", "answer"),
+    [
+        ({}, b"", Answer(200)),
+        ({"retry-after": " 12 "}, b"", Answer(200, retry_after_s=12.0)),
+        ({"retry-after": "-1"}, b"", Answer(200)),
+        ({"retry-after": "Wed, 21 Oct 2026 07:28:00 GMT"}, b"", Answer(200)),
+        (
+            {},
+            b"\xff\xff no message",
+            Answer(200, words="found an answer that is no ExportTraceServiceResponse"),
+        ),
+    ],
+)
 def test_what_a_collector_answers_is_read_with_care(
-    headers: dict[str, str | None], body: bytes, answer: Answer,
+    headers: dict[str, str | None],
+    body: bytes,
+    answer: Answer,
 ) -> None:
     assert otlp.decoded(200, headers, body) == answer
 
@@ -173,6 +203,7 @@
             assert made.queue.lost == {"lost bad": 0, "lost ordinary": 0}
         await backend.stop()
         await collector.close()
+
     run(main())
 
 
@@ -188,6 +219,7 @@
         _, writer = await asyncio.open_connection("127.0.0.1", collector.port)
         writer.close()
         await collector.close()
+
     run(main())
 
 
@@ -209,6 +241,7 @@
             await until(lambda: made.sent == 2)
         await backend.stop()
         await collector.close()
+
     run(main())
 
 
@@ -226,6 +259,7 @@
         assert made.sent + made.queue.lost["lost bad"] == 1
         await collector.close()
         return len(collector.spans)
+
     assert run(main(True)) == 1
     assert run(main(False)) == 0
 
--- a/tests/traces/test_rules.py
+++ b/tests/traces/test_rules.py
@@ -17,22 +17,25 @@
 GOOD = f"00-{ID}-{SPAN}-01".encode()
 
 
-@pytest.mark.parametrize(("parents", "found", "fault"), [
-    ([], False, ""),
-    ([GOOD], True, ""),
-    ([b" " + GOOD + b"\t"], True, ""),
-    ([GOOD, GOOD], False, "twice"),
-    ([GOOD.upper()], False, "parent"),
-    ([GOOD[:-1]], False, "parent"),
-    ([GOOD + b"-more"], False, "parent"),
-    ([b"cc" + GOOD[2:] + b"-what comes later"], True, ""),  # a later version is read by its first fields
-    ([b"cc" + GOOD[2:] + b"."], False, "parent"),
-    ([b"ff" + GOOD[2:]], False, "parent"),
-    ([f"00-{'0' * 32}-{SPAN}-01".encode()], False, "parent"),
-    ([f"00-{ID}-{'0' * 16}-01".encode()], False, "parent"),
-    ([b"x" * 10_000], False, "parent"),
-    ([b"\xff\x00"], False, "parent"),
-])
+@pytest.mark.parametrize(
+    ("parents", "found", "fault"),
+    [
+        ([], False, ""),
+        ([GOOD], True, ""),
+        ([b" " + GOOD + b"\t"], True, ""),
+        ([GOOD, GOOD], False, "twice"),
+        ([GOOD.upper()], False, "parent"),
+        ([GOOD[:-1]], False, "parent"),
+        ([GOOD + b"-more"], False, "parent"),
+        ([b"cc" + GOOD[2:] + b"-what comes later"], True, ""),  # a later version is read by its first fields
+        ([b"cc" + GOOD[2:] + b"."], False, "parent"),
+        ([b"ff" + GOOD[2:]], False, "parent"),
+        ([f"00-{'0' * 32}-{SPAN}-01".encode()], False, "parent"),
+        ([f"00-{ID}-{'0' * 16}-01".encode()], False, "parent"),
+        ([b"x" * 10_000], False, "parent"),
+        ([b"\xff\x00"], False, "parent"),
+    ],
+)
 def test_a_damaged_context_begins_a_new_trace(parents: list[bytes], found: bool, fault: str) -> None:
     made, wrong = context.parse(parents, [b"a=1"])
     assert (made is not None, wrong) == (found, fault)
@@ -40,20 +43,26 @@
         assert (made.trace_id, made.parent_id, made.state) == (ID, SPAN, "a=1")
 
 
-@pytest.mark.parametrize(("states", "kept", "bad", "fault"), [
-    ([b"a=1,b=2"], "a=1,b=2", False, ""),
-    ([b"a=1", b" b=2 ,"], "a=1,b=2", False, ""),
-    ([b"hw=bad,a=1"], "a=1", True, ""),
-    ([b"a=1,hw=good"], "a=1", False, ""),
-    ([b"a=1,a=2"], "", False, "state"),
-    ([b"A=1"], "", False, "state"),
-    ([b",".join(b"k%d=1" % i for i in range(33))], "", False, "state"),
-    ([b"a=" + b"x" * 200 + b",b=1"], "a=" + "x" * 200 + ",b=1", False, ""),
-    ([b"a=" + b"x" * 200 + b",b=" + b"y" * 200 + b",c=" + b"z" * 120], "c=" + "z" * 120, False, "state"),
-    ([b"a=" + b"x" * 10_000], "", False, "state"),
-])
+@pytest.mark.parametrize(
+    ("states", "kept", "bad", "fault"),
+    [
+        ([b"a=1,b=2"], "a=1,b=2", False, ""),
+        ([b"a=1", b" b=2 ,"], "a=1,b=2", False, ""),
+        ([b"hw=bad,a=1"], "a=1", True, ""),
+        ([b"a=1,hw=good"], "a=1", False, ""),
+        ([b"a=1,a=2"], "", False, "state"),
+        ([b"A=1"], "", False, "state"),
+        ([b",".join(b"k%d=1" % i for i in range(33))], "", False, "state"),
+        ([b"a=" + b"x" * 200 + b",b=1"], "a=" + "x" * 200 + ",b=1", False, ""),
+        ([b"a=" + b"x" * 200 + b",b=" + b"y" * 200 + b",c=" + b"z" * 120], "c=" + "z" * 120, False, "state"),
+        ([b"a=" + b"x" * 10_000], "", False, "state"),
+    ],
+)
 def test_a_tracestate_is_passed_on_within_its_bound(
-    states: list[bytes], kept: str, bad: bool, fault: str,
+    states: list[bytes],
+    kept: str,
+    bad: bool,
+    fault: str,
 ) -> None:
     made, wrong = context.parse([GOOD], states, trusts=True)
     assert made is not None
@@ -78,16 +87,22 @@
 FORGED = f"00-{ID[:18]}{'f' * 14}-{SPAN}-03".encode()
 
 
-@pytest.mark.parametrize(("trusts", "states", "randomness", "passed_on"), [
-    (True, [], "f" * 14, ""),
-    (True, [b"ot=rv:00000000000001,a=1"], "00000000000001", "ot=rv:00000000000001,a=1"),
-    (True, [b"ot=th:0;rv:00000000000001"], "00000000000001", "ot=th:0;rv:00000000000001"),
-    (True, [b"ot=rv:0001,a=1"], "f" * 14, "a=1"),  # no such member: the random flag says what counts
-    (False, [], "", ""),
-    (False, [b"ot=rv:ffffffffffffff,a=1", b"hw=bad"], "", "a=1"),
-])
+@pytest.mark.parametrize(
+    ("trusts", "states", "randomness", "passed_on"),
+    [
+        (True, [], "f" * 14, ""),
+        (True, [b"ot=rv:00000000000001,a=1"], "00000000000001", "ot=rv:00000000000001,a=1"),
+        (True, [b"ot=th:0;rv:00000000000001"], "00000000000001", "ot=th:0;rv:00000000000001"),
+        (True, [b"ot=rv:0001,a=1"], "f" * 14, "a=1"),  # no such member: the random flag says what counts
+        (False, [], "", ""),
+        (False, [b"ot=rv:ffffffffffffff,a=1", b"hw=bad"], "", "a=1"),
+    ],
+)
 def test_randomness_counts_only_from_those_who_are_trusted(
-    trusts: bool, states: list[bytes], randomness: str, passed_on: str,
+    trusts: bool,
+    states: list[bytes],
+    randomness: str,
+    passed_on: str,
 ) -> None:
     made, fault = context.parse([FORGED], states, trusts=trusts)
     assert made is not None
@@ -144,18 +159,24 @@
     h.attempts[0].late = True
 
 
-@pytest.mark.parametrize(("how", "took", "what", "kept"), [
-    ("served", 10.0, None, []),
-    ("gone", 10.0, None, []),
-    ("served", 101.0, None, ["slow"]),
-    ("refused", 1.0, None, ["refused"]),
-    ("failed", 1.0, None, ["failed"]),
-    ("overdue", 1.0, None, ["failed"]),
-    ("served", 10.0, retried, ["retried"]),
-    ("served", 10.0, late, ["late attempt"]),
-])
+@pytest.mark.parametrize(
+    ("how", "took", "what", "kept"),
+    [
+        ("served", 10.0, None, []),
+        ("gone", 10.0, None, []),
+        ("served", 101.0, None, ["slow"]),
+        ("refused", 1.0, None, ["refused"]),
+        ("failed", 1.0, None, ["failed"]),
+        ("overdue", 1.0, None, ["failed"]),
+        ("served", 10.0, retried, ["retried"]),
+        ("served", 10.0, late, ["late attempt"]),
+    ],
+)
 def test_what_is_bad_is_kept_and_what_is_not_is_held(
-    how: str, took: float, what: object, kept: list[str],
+    how: str,
+    took: float,
+    what: object,
+    kept: list[str],
 ) -> None:
     found: list[HopTrace] = []
     s, h = sampler(found), hop("00" * 16, how, took)
@@ -191,7 +212,7 @@
 def test_a_note_exports_what_is_held_and_what_is_still_to_end(after: bool) -> None:
     found: list[HopTrace] = []
     s, h = sampler(found), hop("00" * 16)
-    for step in ((0, 1) if after else (1, 0)):
+    for step in (0, 1) if after else (1, 0):
         if step:
             s.settled(10.0, h)
         else:
@@ -207,7 +228,7 @@
         s = sampler(found, trusts)
         for i in range(100):
             h = hop(f"{i:032x}", at=float(i))
-            s.began(float(i), h, True, h.trace_id[-context.RANDOM_DIGITS:])
+            s.began(float(i), h, True, h.trace_id[-context.RANDOM_DIGITS :])
             s.answered(h)
             s.settled(float(i), h)
         assert len(found) == (100 if trusts else 0)
--- a/tests/traces/test_sockets.py
+++ b/tests/traces/test_sockets.py
@@ -71,16 +71,22 @@
             assert states[1] == f"hw=bad,{states[0]}"
             assert re.fullmatch(r"ot=rv:[0-9a-f]{14},other=1", states[0])
         await backend.stop()
+
     run(main())
 
 
-@pytest.mark.parametrize(("lines", "fault"), [
-    ((f"traceparent: {PARENT}", f"traceparent: {PARENT}"), "twice"),
-    (("traceparent: " + "0" * 10_000,), "parent"),
-    ((f"traceparent: {PARENT}", "tracestate: =,="), "state"),
-])
+@pytest.mark.parametrize(
+    ("lines", "fault"),
+    [
+        ((f"traceparent: {PARENT}", f"traceparent: {PARENT}"), "twice"),
+        (("traceparent: " + "0" * 10_000,), "parent"),
+        ((f"traceparent: {PARENT}", "tracestate: =,="), "state"),
+    ],
+)
 def test_a_request_with_a_damaged_context_is_served_and_counted(
-    tmp_path: Path, lines: tuple[str, ...], fault: str,
+    tmp_path: Path,
+    lines: tuple[str, ...],
+    fault: str,
 ) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -94,6 +100,7 @@
             (part,) = w.proxy.parts
             assert part.counts()[f"traces:damaged {fault}"] == 1
         await backend.stop()
+
     run(main())
 
 
@@ -104,14 +111,14 @@
             client = await Client.to(w.port)
             for below in (0, 1):
                 parent = PARENT.replace("0af7", f"0af{below}")
-                backend.script.append(
-                    reply(200, b"ok", f"Traceresponse: {parent[:-2]}0{below}".encode()))
+                backend.script.append(reply(200, b"ok", f"Traceresponse: {parent[:-2]}0{below}".encode()))
                 client.send("read", b"", "4000m", f"traceparent: {parent}", "tracestate: hw=bad")
                 assert await client.status() == 200
             (hop,) = await kept(w, 1)
             assert hop["kept"] == ["below"]
             assert not any(b"hw=" in m[1][b"tracestate"] for m in backend.requests)
         await backend.stop()
+
     run(main())
 
 
@@ -122,15 +129,23 @@
     async def main() -> None:
         backend = await Backend().start()
         async with world([backend.row("b")], on(tmp_path / "t", rate=rate)) as w:
+
             async def ask(tenant: str, lines: Callable[[int], tuple[str, ...]]) -> None:
                 client = await Client.to(w.port)
                 for i in range(number):
                     client.send("read", b"", "4000m", f"X-Account: {tenant}", *lines(i))
                     assert await client.status() == 200
+
             await asyncio.gather(
-                ask("forger", lambda i: (f"traceparent: 00-{i + 1:018x}{'f' * 14}-b7ad6b7169203331-03",
-                                         "tracestate: ot=rv:ffffffffffffff,hw=bad")),
-                ask("plain", lambda i: ()))
+                ask(
+                    "forger",
+                    lambda i: (
+                        f"traceparent: 00-{i + 1:018x}{'f' * 14}-b7ad6b7169203331-03",
+                        "tracestate: ot=rv:ffffffffffffff,hw=bad",
+                    ),
+                ),
+                ask("plain", lambda i: ()),
+            )
             spool = spool_of(w)
             (part,) = w.proxy.parts
             hops = await kept(w, part.counts()["traces:ordinary kept"] + part.counts()["traces:bad"])
@@ -142,20 +157,33 @@
                 assert abs(sum(h["weight"] for h in some) - number) < spread / rate
             forged = [h for h in hops if h["tenant"] == "forger"]
             assert all(h["trace_id"].endswith("f" * 14) for h in forged)  # it can be found again by its id
-            told = [m[1].get(b"tracestate", b"") for m in backend.requests
-                    if m[1][b"traceparent"][21:35] == b"f" * 14]
+            told = [
+                m[1].get(b"tracestate", b"")
+                for m in backend.requests
+                if m[1][b"traceparent"][21:35] == b"f" * 14
+            ]
             assert len(told) == number
             assert all(t.startswith(b"ot=rv:") and b"ffffffffffffff" not in t for t in told)
             # Nobody below may take the made-up bits for random ones.
-            assert not any(int(m[1][b"traceparent"][-2:], 16) & 2 for m in backend.requests
-                           if m[1][b"traceparent"][21:35] == b"f" * 14)
+            assert not any(
+                int(m[1][b"traceparent"][-2:], 16) & 2
+                for m in backend.requests
+                if m[1][b"traceparent"][21:35] == b"f" * 14
+            )
         await backend.stop()
+
     run(main())
 
 
-@pytest.mark.parametrize(("trust", "tier", "trusted"), [
-    ("tier", 0, False), ("tier", 1, True), ("nobody", 1, False), ("callers", 0, True),
-])
+@pytest.mark.parametrize(
+    ("trust", "tier", "trusted"),
+    [
+        ("tier", 0, False),
+        ("tier", 1, True),
+        ("nobody", 1, False),
+        ("callers", 0, True),
+    ],
+)
 def test_who_is_trusted_is_configured(tmp_path: Path, trust: str, tier: int, trusted: bool) -> None:
     async def main() -> None:
         backend = await Backend().start()
@@ -168,6 +196,7 @@
             await until(lambda: part.counts()["traces:ordinary"] == 1)
             assert part.counts()["traces:ordinary kept"] == trusted
         await backend.stop()
+
     run(main())
 
 
@@ -189,6 +218,7 @@
             (part,) = w.proxy.parts
             assert part.counts()["traces:ordinary"] == 1
         await backend.stop()
+
     run(main())
 
 
@@ -204,10 +234,19 @@
             assert b"traceparent" not in backend.requests[0][1]
             assert w.actions[-1].why is None  # type: ignore[union-attr]
         await backend.stop()
+
     run(main())
     said = subprocess.run(
-        [sys.executable, "-c", "import sys, honeywharf.proxy; print([m for m in sys.modules if 'traces' in m"
-         " or m in ('lark', 'ddsketch')])"], capture_output=True, text=True, check=True)
+        [
+            sys.executable,
+            "-c",
+            "import sys, honeywharf.proxy; print([m for m in sys.modules if 'traces' in m"
+            " or m in ('lark', 'ddsketch')])",
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     assert said.stdout.strip() == "[]"
 
 
@@ -252,6 +291,7 @@
             assert await client.status() == 200
             assert len(await kept(w, 1)) == 1
         await backend.stop()
+
     run(main())
 
 
@@ -273,7 +313,8 @@
         path = tmp_path / "t"
         for _ in range(3):
             writer = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", WRITER, str(path), stdout=subprocess.PIPE)
+                sys.executable, "-c", WRITER, str(path), stdout=subprocess.PIPE
+            )
             assert writer.stdout is not None
             await soon(writer.stdout.readline())
             await until(lambda: path.exists() and path.stat().st_size > 0)
@@ -283,6 +324,7 @@
             assert hops
             assert damaged <= 1
             path.unlink()
+
     run(main())
 
 
@@ -302,18 +344,24 @@
 
 @pytest.mark.parametrize("told", [False, True])
 def test_a_part_that_ended_well_below_is_kept_when_the_hop_above_says_so_later(
-    tmp_path: Path, told: bool,
+    tmp_path: Path,
+    told: bool,
 ) -> None:
     """Two proxies, one behind the other.
 
     The upper one keeps the trace by a rule that the lower one has not.
     """
+
     async def main() -> None:
         backend = await Backend().start()
-        lower, upper = on(tmp_path / "b", notes="127.0.0.1:0"), on(
-            tmp_path / "a", notes="127.0.0.1:0", keep="duration >= 0 ms")
-        async with world([backend.row("n")], lower) as b, \
-                world([{**backend.row("b"), "hostPort": f"127.0.0.1:{b.port}"}], upper) as a:
+        lower, upper = (
+            on(tmp_path / "b", notes="127.0.0.1:0"),
+            on(tmp_path / "a", notes="127.0.0.1:0", keep="duration >= 0 ms"),
+        )
+        async with (
+            world([backend.row("n")], lower) as b,
+            world([{**backend.row("b"), "hostPort": f"127.0.0.1:{b.port}"}], upper) as a,
+        ):
             (above, up), (below, down) = part_of(a), part_of(b)
             up.peers, down.peers = frozenset({below.at}) if told else frozenset(), frozenset({above.at})
             client = await Client.to(a.port)
@@ -333,6 +381,7 @@
             up.datagram_received(b"hwn1" + b"x" * 16, ("127.0.0.9", 9))
             assert up.notes.counts["strange"] == 1
         await backend.stop()
+
     run(main())
 
 
@@ -352,8 +401,9 @@
     assert notes.due_ms == float("inf")
 
 
-@pytest.mark.parametrize("datagram", [b"", b"hwn1", b"hwn2" + b"x" * 16, b"hwn1" + b"x" * 15,
-                                      b"hwn1" + b"x" * 16 * (MOST_IDS + 1)])
+@pytest.mark.parametrize(
+    "datagram", [b"", b"hwn1", b"hwn2" + b"x" * 16, b"hwn1" + b"x" * 15, b"hwn1" + b"x" * 16 * (MOST_IDS + 1)]
+)
 def test_what_is_no_note_is_dropped_and_counted(datagram: bytes) -> None:
     notes = Notes()
     assert notes.heard(datagram) == []
--- a/tests/traces/test_tiers.py
+++ b/tests/traces/test_tiers.py
@@ -27,6 +27,7 @@
         assert made.unexplained == []
         assert (made.whole, made.kept_parts, made.kept_attempts) == (made.bad, made.parts, made.attempts)
         assert made.spans < 0.5 * made.of_spans  # it was no matter of keeping all
+
     run(main(), 120.0)
 
 
@@ -36,16 +37,21 @@
 
 @pytest.mark.parametrize(("lost", "explained"), [(False, "unexplained"), (True, "notes lost twice")])
 def test_the_check_sees_a_hop_that_is_missing_and_believes_only_the_record(
-    tmp_path: Path, lost: bool, explained: str,
+    tmp_path: Path,
+    lost: bool,
+    explained: str,
 ) -> None:
     network = NotesNetwork({"p-f": 1}, 0.0, 1)
     if lost:
         network.missed["p-f", "ab" * 16] = 2
     record = [seen("c", 0, "f", 500), seen("c", 0, "f", calls=("d",)), seen("d", 1, "r")]
     file = tmp_path / "t.jsonl"
-    file.write_text('{"trace_id": "%s", "hop": "%s", "request": "c", "kept": ["retried"], "duration_ms": 1.0,'
-                    ' "attempts": [{"span_id": "0%015s"}]}\n'.replace("%015s", "c".rjust(15, "0")).replace(
-                        "%s", "ab" * 16, 1).replace("%s", TIERS[0], 1))
+    file.write_text(
+        '{"trace_id": "%s", "hop": "%s", "request": "c", "kept": ["retried"], "duration_ms": 1.0,'
+        ' "attempts": [{"span_id": "0%015s"}]}\n'.replace("%015s", "c".rjust(15, "0"))
+        .replace("%s", "ab" * 16, 1)
+        .replace("%s", TIERS[0], 1)
+    )
     made = checked([Asked("c", "entry-0", 200, 0.0)], record, [file], {}, network)
     assert (made.bad, made.whole, made.parts, made.kept_parts) == (1, 0, 2, 1)
     assert dict(made.missing) == {explained: 1}
--- a/tests/traces/test_waits.py
+++ b/tests/traces/test_waits.py
@@ -75,6 +75,7 @@
             assert "waits" not in after
             assert (other["end"], other["reason"], other["kept"]) == ("failed", "other payload", ["failed"])
         await backend.stop()
+
     run(main())
 
 
@@ -99,6 +100,7 @@
             assert wait["start_ms"] + wait["duration_ms"] <= attempt["start_ms"] + 1.0
             assert "link" not in ran  # its answer is its own
         await backend.stop()
+
     run(main())
 
 
@@ -107,7 +109,8 @@
         async with sharing(1, 2) as (_, (w,), backends):
             traced: list[HopTrace] = []
             w.proxy.driver.seams.tracer = Recorder(
-                Sampler(Sampling(1.0), {}, traced.append, trusts=False), random.Random(1))
+                Sampler(Sampling(1.0), {}, traced.append, trusts=False), random.Random(1)
+            )
             for backend in backends:
                 backend.script = ["close"]  # unprovable: it may be sent again in its own cell only
             client = await Client.to(w.port)
@@ -120,9 +123,11 @@
             await until(lambda: len(traced) == 2)
             kinds = [[x.kind for x in h.waits or ()] for h in traced]
             assert all(k[0] == "key claim" for k in kinds)
-            moved = [k for h, k in zip(traced, kinds, strict=True)
-                     if len({a.endpoint for a in h.attempts}) > 1]
+            moved = [
+                k for h, k in zip(traced, kinds, strict=True) if len({a.endpoint for a in h.attempts}) > 1
+            ]
             assert all("key note" in k for k in moved)
+
     run(main())
 
 
@@ -137,8 +142,9 @@
             assert front.transport is not None
             unit = await Unit.to(front.transport.get_extra_info("sockname")[1])
             parent = options.context_bytes(PARENT.encode())
-            answer = await unit.ask([
-                *told("read"), (options.TRACE_PARENT, parent), (options.TRACE_STATE, b"other=1")])
+            answer = await unit.ask(
+                [*told("read"), (options.TRACE_PARENT, parent), (options.TRACE_STATE, b"other=1")]
+            )
             assert answer.code == coap.CONTENT
             (hop,) = await kept(w, 1)
             assert (hop["trace_id"], hop["parent_id"]) == (ID, PARENT[36:52])
@@ -154,6 +160,7 @@
             await until(lambda: not w.proxy.driver.requests and not front.layer.open_of)
             front.close()
         await backend.stop()
+
     run(main())
 
 
@@ -173,6 +180,7 @@
             assert hop["kept"] == ["below"]
             await until(lambda: not w.proxy.driver.requests)
         node.stop()
+
     run(main())
 
 
@@ -185,7 +193,9 @@
     else:
         assert text == value
     assert options.of_lines(b"traceparent: " + value.replace(b"\r\n", b"") + b"\r\n") in (
-        [], [(options.TRACE_PARENT, options.context_bytes(value))])
+        [],
+        [(options.TRACE_PARENT, options.context_bytes(value))],
+    )
 
 
 def test_a_request_that_is_refused_before_the_module_has_a_trace(tmp_path: Path) -> None:
@@ -202,4 +212,5 @@
             assert (hop["end"], hop["reason"], hop["kept"]) == ("refused", "too many open", ["refused"])
             await first.status()
         await backend.stop()
+
     run(main())
--- a/tests/weir/test_admission.py
+++ b/tests/weir/test_admission.py
@@ -17,11 +17,20 @@
         self.refused: list[str] = []
 
     def wait(
-        self, name: str, now: float = 0.0, priority: int = 0, patience_s: float = 1.0, aim_s: float = 1.0,
+        self,
+        name: str,
+        now: float = 0.0,
+        priority: int = 0,
+        patience_s: float = 1.0,
+        aim_s: float = 1.0,
     ) -> Waiter | None:
         return self.admission.wait(
-            now, (priority, aim_s), patience_s,
-            lambda: self.gone.append(name), lambda: self.refused.append(name))
+            now,
+            (priority, aim_s),
+            patience_s,
+            lambda: self.gone.append(name),
+            lambda: self.refused.append(name),
+        )
 
     def start(self, now: float = 0.0, short: bool = False) -> None:
         """One runs."""
@@ -41,7 +50,13 @@
 def test_the_highest_rank_goes_first_then_the_shortest_aim_then_the_oldest() -> None:
     bench = Bench(4)
     for name, priority, aim_s in (
-            ("c1", 2, 1.0), ("a1", 0, 1.0), ("b1", 1, 0.1), ("a2", 0, 1.0), ("a0", 0, 0.4), ("c2", 2, 1.0)):
+        ("c1", 2, 1.0),
+        ("a1", 0, 1.0),
+        ("b1", 1, 0.1),
+        ("a2", 0, 1.0),
+        ("a0", 0, 0.4),
+        ("c2", 2, 1.0),
+    ):
         bench.wait(name, priority=priority, aim_s=aim_s)
     bench.pump(0.1)
     assert bench.gone == ["a0", "a1", "a2", "b1"]
--- a/tests/weir/test_budget.py
+++ b/tests/weir/test_budget.py
@@ -54,9 +54,11 @@
 
 @pytest.mark.parametrize(
     ("proxies", "rate", "wrong"),
-    [(2, 40.0, 0), (2, 40.0, 2), (7, 200.0, 4), (30, 200.0, 4), (100, 400.0, 4), (100, 20.0, 4)])
+    [(2, 40.0, 0), (2, 40.0, 2), (7, 200.0, 4), (30, 200.0, 4), (100, 400.0, 4), (100, 20.0, 4)],
+)
 def test_the_sum_over_all_proxies_keeps_the_bound_in_each_window(
-        proxies: int, rate: float, wrong: int) -> None:
+    proxies: int, rate: float, wrong: int
+) -> None:
     for seed in range(2):
         requests, repeats = play(seed, proxies, rate, wrong)
         assert repeats, "nobody repeated anything: the test has tried nothing"
