--- a/bench/drift.py
+++ b/bench/drift.py
@@ -25,8 +25,8 @@
 from statistics import median
 from typing import Any
 
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.slips import FIRST, KINDS, LONG, WAYS, Trial
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.slips import FIRST, KINDS, LONG, WAYS, Trial
 
 ONE_RUN = {False: 20, True: 10}  # slips of one run: of short kinds, and of long ones
 TROUBLES = (
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -1,15 +1,15 @@
 """Drains and kills of live gateways: on loopback with real processes, or a working day in virtual time.
 
     python -m bench.gateway [--drains 20] [--kills 20] [--rate 80] [--seed 1] [--sessions on|off|both]
-    python -m bench.gateway --flume [--days 5] [--seed 1] [--compare] [--plan bench/days/gateway.toml]
+    python -m bench.gateway --simulation [--days 5] [--seed 1] [--compare] [--plan bench/days/gateway.toml]
     ... [--plot FOLDER]: an SVG of uploads by gateway for each run beside the text
 
 Loopback: two regions, two gateways each; the busiest gateway is drained and taken back, killed and started
 again, in turn. Printed: uploads and orders begun and how they ended, bytes sent twice, what a backend
-recorded twice or not at all, p50 and p99 of inner calls in the second before, during and after. `--flume`:
-the experiment's day with a drain, then a kill, at its hours; with `--compare` also without lanes and without
-sessions. The same seed gives the same figures on any machine. Below each run: how many uploads each gateway
-carried.
+recorded twice or not at all, p50 and p99 of inner calls in the second before, during and after.
+`--simulation`: the experiment's day with a drain, then a kill, at its hours; with `--compare` also without
+lanes and without sessions. The same seed gives the same figures on any machine. Below each run: how many
+uploads each gateway carried.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 from collections import Counter
 from pathlib import Path
 
-from honeywharf.flume.regions import READ, UPLOAD, Source
-from honeywharf.flume.shift import WINDOWS, Call, Plan, Shift, quantile
+from honeywharf.simulation.regions import READ, UPLOAD, Source
+from honeywharf.simulation.shift import WINDOWS, Call, Plan, Shift, quantile
 from honeywharf.standins import gatewaydemo
 
 COLUMNS = 110
@@ -98,7 +98,7 @@
             plot(chosen.plot, f"loopback, sessions {name}", *told)
 
 
-def flume(chosen: argparse.Namespace) -> None:
+def simulation(chosen: argparse.Namespace) -> None:
     """Working days in virtual time; the figures."""
     plan = Plan(tomllib.loads(Path(chosen.plan).read_text("utf-8")))
     for trouble in ("drain", "kill"):
@@ -145,7 +145,7 @@
         print(f"  empty after: median {empty[len(empty) // 2]:.2f} s, longest {empty[-1]:.2f} s")
     told = ([keeper.machine.ip for keeper in days[0].keepers], days[0].samples, days[0].at)
     print("\n".join(chart(*told)), flush=True)
-    plot(folder, f"flume, {title}", *told)
+    plot(folder, f"simulation, {title}", *told)
 
 
 def main() -> None:
@@ -155,12 +155,12 @@
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--rate", type=float, default=80.0, help="short requests a second")
     parser.add_argument("--sessions", choices=("on", "off", "both"), default="both")
-    parser.add_argument("--flume", action="store_true", help="in virtual time")
+    parser.add_argument("--simulation", action="store_true", help="in virtual time")
     parser.add_argument("--compare", action="store_true", help="without lanes, without sessions too")
     parser.add_argument("--plan", default="bench/days/gateway.toml")
     parser.add_argument("--plot", default="", help="a folder for SVG files")
     chosen = parser.parse_args()
-    (flume if chosen.flume else loopback)(chosen)
+    (simulation if chosen.simulation else loopback)(chosen)
 
 
 if __name__ == "__main__":
--- a/bench/mesh_cost.py
+++ b/bench/mesh_cost.py
@@ -24,10 +24,10 @@
 from pathlib import Path
 from typing import Any, cast
 
-from honeywharf.flume.days import Day
-from honeywharf.flume.field import ROUTES, Field, Shape
-from honeywharf.flume.machine import Machine, Process
-from honeywharf.flume.run import real_reservoir, real_sluice
+from honeywharf.simulation.days import Day
+from honeywharf.simulation.field import ROUTES, Field, Shape
+from honeywharf.simulation.machine import Machine, Process
+from honeywharf.simulation.run import real_reservoir, real_sluice
 
 SHAPES = ("4,3,3/3", "31,31,29/3", "99,99,99/3", "333,332,332/3")
 LEAD, SETTLED = 5.0, 13.0  # seconds until traffic, and until measuring begins
--- a/bench/mesh_mutants.py
+++ b/bench/mesh_mutants.py
@@ -2,8 +2,8 @@
 
     python -m bench.mesh_mutants [--most 12] [--first 1] [--jobs 3] [--only WORDS,...]
 
-Each mutant of tests/flume/mutants.py leaves one thing out, or does it wrong, and plays its days by seed until
-a rule tells. Printed for each: seeds needed, the rule, seconds. Status 1 where one was not found out.
+Each mutant of tests/simulation/mutants.py leaves one thing out, or does it wrong, and plays its days by seed
+until a rule tells. Printed for each: seeds needed, the rule, seconds. Status 1 where one was not found out.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from multiprocessing import get_context
 
-from tests.flume.mutants import MUTANTS, caught
+from tests.simulation.mutants import MUTANTS, caught
 
 
 def one(number: int, first: int, most: int) -> tuple[str, int, str, float]:
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -177,11 +177,11 @@
     sys.exit(command(list(words)))
 
 
-@main.command("flume", add_help_option=False, context_settings={"ignore_unknown_options": True})
+@main.command("simulation", add_help_option=False, context_settings={"ignore_unknown_options": True})
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
-def on_flume(words: tuple[str, ...]) -> None:
+def on_simulation(words: tuple[str, ...]) -> None:
     """Play days of the mesh in a simulated network, and check every rule."""
-    from honeywharf.cli.flume import main as command
+    from honeywharf.cli.simulation import main as command
 
     sys.exit(command(list(words)))
 
--- a/honeywharf/cli/flume.py
+++ b/honeywharf/cli/simulation.py
@@ -1,4 +1,4 @@
-"""`honeywharf flume`: days of the simulated network by seed, the rules checked after each step.
+"""`honeywharf simulation`: days of the simulated network by seed, the rules checked after each step.
 
 Exit status: 0 no rule was broken; 1 one was; 2 the call was wrong. A broken day is printed with its seed, the
 rule, the step and as few of its troubles as still break the rule, then what happened up to there.
@@ -21,8 +21,8 @@
 
 import cappa
 
-from honeywharf.flume.field import Shape
-from honeywharf.flume.run import Report, play, run
+from honeywharf.simulation.field import Shape
+from honeywharf.simulation.run import Report, play, run
 
 HASHES = "PYTHONHASHSEED"  # the order of sets of texts belongs to a day
 MOST_JOBS = 512
@@ -40,7 +40,7 @@
 @cappa.command(name="run", help="Play one day.")
 @dataclass
 class Run:
-    """`flume run SEED`."""
+    """`simulation run SEED`."""
 
     seed: Seed
     shape: Shaped = field(default_factory=Shape)
@@ -53,7 +53,7 @@
 @cappa.command(name="hunt", help="Play days from a seed on, and print those that break a rule.")
 @dataclass
 class Hunt:
-    """`flume hunt FIRST COUNT`."""
+    """`simulation hunt FIRST COUNT`."""
 
     first: Annotated[int, cappa.Arg(help="The first seed.")]
     count: Annotated[int, cappa.Arg(help="How many days.")]
@@ -71,7 +71,7 @@
 @cappa.command(name="replay", help="Play one day whole, and print its last steps too.")
 @dataclass
 class Replay:
-    """`flume replay SEED`."""
+    """`simulation replay SEED`."""
 
     seed: Seed
     shape: Shaped = field(default_factory=Shape)
@@ -86,18 +86,18 @@
         return 1 if report.broken else 0
 
 
-@cappa.command(name="honeywharf flume", help="Play days of the simulated network, and check every rule.")
+@cappa.command(name="honeywharf simulation", help="Play days of the simulated network, and check every rule.")
 @dataclass
-class Flume:
-    """`honeywharf flume ...`."""
+class Simulation:
+    """`honeywharf simulation ...`."""
 
     command: cappa.Subcommands[Run | Hunt | Replay]
 
 
 def main(arguments: list[str]) -> int:
-    """The command line behind `honeywharf flume`. Exit status."""
+    """The command line behind `honeywharf simulation`. Exit status."""
     try:
-        return cappa.parse(Flume, argv=arguments, completion=False).command()
+        return cappa.parse(Simulation, argv=arguments, completion=False).command()
     except cappa.Exit as ended:
         return int(ended.code or 0)
 
--- a/honeywharf/mains/host.py
+++ b/honeywharf/mains/host.py
@@ -1,4 +1,5 @@
-"""What a program of the mesh is given of its machine. `loop` does it with sockets, `flume` in virtual time.
+"""What a program of the mesh is given of its machine. `loop` does it with sockets, `simulation` in virtual
+time.
 
 Theory of operation. A program is one object, made with a `Host`; the host calls it, one call at a time, and
 nothing blocks but the disk. All times are seconds on the steady clock. Bytes given to `send` are the host's;
--- a/honeywharf/flume/days.py
+++ b/honeywharf/simulation/days.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from honeywharf.flume.field import SERVICES, TERM, ZONES, Field, Side
-from honeywharf.flume.rules import Order
+from honeywharf.simulation.field import SERVICES, TERM, ZONES, Field, Side
+from honeywharf.simulation.rules import Order
 
 if TYPE_CHECKING:
-    from honeywharf.flume.machine import Machine, Process
+    from honeywharf.simulation.machine import Machine, Process
 
 #: Kinds with their variants. Those of the core wait their turn: one counted machine at a time is lost.
 KINDS = {
--- a/honeywharf/flume/field.py
+++ b/honeywharf/simulation/field.py
@@ -5,11 +5,11 @@
 import json
 from collections.abc import Callable
 
-from honeywharf.flume.disk import Disk
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.rules import Book, Order
-from honeywharf.flume.standins import Backend, Clients, Flow, Operator
-from honeywharf.flume.world import World
+from honeywharf.simulation.disk import Disk
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.rules import Book, Order
+from honeywharf.simulation.standins import Backend, Clients, Flow, Operator
+from honeywharf.simulation.world import World
 
 Make = Callable[[Process, str], object]  # a program from its host and the text of its settings
 
--- a/honeywharf/flume/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -18,8 +18,8 @@
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.flume.disk import Disk
-from honeywharf.flume.world import Event, World
+from honeywharf.simulation.disk import Disk
+from honeywharf.simulation.world import Event, World
 
 if TYPE_CHECKING:
     from honeywharf.mains.host import Address, Connection, Handler
--- a/honeywharf/flume/regions.py
+++ b/honeywharf/simulation/regions.py
@@ -1,8 +1,8 @@
 """Seeded days of regions: sources, gateways and destinations on simulated machines, and what went wrong.
 
-The programs are the real ones (`Conveyor`, `Weirkeeper`, `Landing`) on `flume` hosts; 35 ms and a bound of
-bandwidth between regions. A day has uploads, print orders, deletions and reads, and its troubles: drains by
-order, some taken back, SIGTERM, kills, cuts, restarts of destinations.
+The programs are the real ones (`Conveyor`, `Weirkeeper`, `Landing`) on `simulation` hosts; 35 ms and a bound
+of bandwidth between regions. A day has uploads, print orders, deletions and reads, and its troubles: drains
+by order, some taken back, SIGTERM, kills, cuts, restarts of destinations.
 """
 
 from __future__ import annotations
@@ -11,8 +11,6 @@
 from collections import Counter
 from typing import Any
 
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains.streams import Ask
 from honeywharf.penstock.conveyor import Conveyor
 from honeywharf.penstock.drain import rest_first
@@ -20,6 +18,8 @@
 from honeywharf.penstock.landing import Landing
 from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 from honeywharf.verdict import FULL, NOT_RUN, Verdict
 
 GATE, LAND = 7640, 7641
@@ -398,7 +398,7 @@
 
 
 def main() -> int:
-    """`python -m honeywharf.flume.regions FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
+    """`python -m honeywharf.simulation.regions FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     regions = int(sys.argv[3]) if len(sys.argv) > 3 else 2
     sessions = len(sys.argv) < 5 or sys.argv[4] == "sessions"
--- a/honeywharf/flume/rules.py
+++ b/honeywharf/simulation/rules.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from honeywharf.flume.world import World
+    from honeywharf.simulation.world import World
 
 PROMISES = (408, 421, 429, 503)
 TRANSIT = 0.02  # seconds that a request may be on its way to a backend, beyond every bound
--- a/honeywharf/flume/run.py
+++ b/honeywharf/simulation/run.py
@@ -1,13 +1,13 @@
-"""A day by seed, and the least of its faults that breaks a rule (`honeywharf flume` plays them).
+"""A day by seed, and the least of its faults that breaks a rule (`honeywharf simulation` plays them).
 
 The order of sets of texts belongs to a day, so one is played again only under the same PYTHONHASHSEED: 0.
 """
 
 from __future__ import annotations
 
-from honeywharf.flume.days import Day, Fault, draw
-from honeywharf.flume.field import SMALL, TERM, Field, Make, Shape
-from honeywharf.flume.machine import Process
+from honeywharf.simulation.days import Day, Fault, draw
+from honeywharf.simulation.field import SMALL, TERM, Field, Make, Shape
+from honeywharf.simulation.machine import Process
 
 LEAD, QUIET = 5.0, 5.0  # seconds until traffic, and of traffic before troubles
 TROUBLES, AFTER = 10.0, 26.0  # seconds of troubles, and of traffic after the last may have begun
--- a/honeywharf/flume/shift.py
+++ b/honeywharf/simulation/shift.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from honeywharf.flume.machine import Process
-from honeywharf.flume.regions import READ, UPLOAD, Client, Day, Source
 from honeywharf.penstock.spillway import Spillway
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from honeywharf.simulation.machine import Process
+from honeywharf.simulation.regions import READ, UPLOAD, Client, Day, Source
 
 BACK_S = 2.5  # after its order a drained gateway is taken back
 WINDOWS = (("before", -2.0, 0.0), ("during", 0.0, 1.0), ("after", 1.0, 2.5))  # seconds from a trouble
--- a/honeywharf/flume/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -15,9 +15,9 @@
 
 from honeywharf.assay import second
 from honeywharf.assay.requests import Assay
-from honeywharf.flume.field import SERVICES, SMALL, ZONES, Field, Side
-from honeywharf.flume.rules import Ask, Order
-from honeywharf.flume.run import real_reservoir, real_sluice
+from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
+from honeywharf.simulation.rules import Ask, Order
+from honeywharf.simulation.run import real_reservoir, real_sluice
 from honeywharf.sluice.inbound import Job
 from honeywharf.strainer.routes import Route, Table
 
--- a/honeywharf/standins/driftdemo.py
+++ b/honeywharf/standins/driftdemo.py
@@ -19,9 +19,9 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume import field
-from honeywharf.flume.slips import Kinds
-from honeywharf.flume.standins import Flow, Message
+from honeywharf.simulation import field
+from honeywharf.simulation.slips import Kinds
+from honeywharf.simulation.standins import Flow, Message
 from honeywharf.standins.meshdemo import LOOK_S, ROUTES, Day, Mesh, Program, place
 
 SLIPS = ("kind", "weights", "lost", "evacuation", "timeout")
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -3,7 +3,7 @@
 Theory of operation. Gateways and destinations are processes of their own; the source of region a, its clients
 and the operator are on one loop of this process. A destination's backend notes each run of an attempt and
 writes the notes down when it is ended; they are compared with what clients were told. No delay is added
-between the regions: what is seen is what processes and kernels cost (`flume` has the delay).
+between the regions: what is seen is what processes and kernels cost (`simulation` has the delay).
 """
 
 from __future__ import annotations
@@ -22,7 +22,6 @@
 from pathlib import Path
 from typing import Any
 
-from honeywharf.flume import field
 from honeywharf.mains.host import Connection
 from honeywharf.mains.loop import Loop
 from honeywharf.mains.streams import Ask
@@ -30,6 +29,7 @@
 from honeywharf.penstock.kinds import BULK
 from honeywharf.penstock.landing import Landing
 from honeywharf.penstock.places import Place
+from honeywharf.simulation import field
 from honeywharf.standins import meshdemo
 from honeywharf.verdict import NOT_RUN, Verdict
 
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -2,8 +2,8 @@
 
 Theory of operation. Each program is a process of its own on an address of its own (127.x.y.n, all with the
 same ports, as the platform has it). Clients, backends and the operator are the simulation's stand-ins
-(`flume.standins`) on one loop of this process, and what they see goes into the simulation's book
-(`flume.rules`), so the rules are judged by the same code on sockets and in virtual time.
+(`simulation.standins`) on one loop of this process, and what they see goes into the simulation's book
+(`simulation.rules`), so the rules are judged by the same code on sockets and in virtual time.
 """
 
 from __future__ import annotations
@@ -24,11 +24,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume import field
-from honeywharf.flume.rules import RULES, TRANSIT, Ask, Book, Order, Rule
-from honeywharf.flume.standins import Backend, Caller, Clients, Flow, Message, Operator, text
 from honeywharf.mains.host import Address, Connection, Handler
 from honeywharf.mains.loop import Loop, LoopTimer
+from honeywharf.simulation import field
+from honeywharf.simulation.rules import RULES, TRANSIT, Ask, Book, Order, Rule
+from honeywharf.simulation.standins import Backend, Caller, Clients, Flow, Message, Operator, text
 
 ZONES = ("tartu-saal", "voru-saal")
 CORES, SIDES = 3, 5
@@ -46,7 +46,7 @@
 LOOK_S = 1.05  # clients ask whether their proxy is ready, and send a second later
 LEAST_SERVED = 0.9
 PORTS = range(8300, 30000, 100)  # below those that the kernel gives to connections
-USED = (0, 1, 2, 4, 6, *range(-680, -664))  # beside the first of them: as `flume.field` numbers them
+USED = (0, 1, 2, 4, 6, *range(-680, -664))  # beside the first of them: as `simulation.field` numbers them
 
 
 class World:
@@ -189,7 +189,8 @@
 
 
 class Mesh:
-    """All that runs. At `subnet`, such as "127.9.4", the ports of `flume.field` plus `shift` are free."""
+    """All that runs. At `subnet`, such as "127.9.4", the ports of `simulation.field` plus `shift` are
+    free."""
 
     def __init__(self, folder: Path, subnet: str, shift: int, seed: int) -> None:
         self.folder, self.subnet, self.shift = folder, subnet, shift
@@ -212,7 +213,7 @@
         return f"{self.subnet}.{number}"
 
     def port(self, number: int) -> int:
-        """The port that stands for one of `flume.field`."""
+        """The port that stands for one of `simulation.field`."""
         return number + self.shift
 
     @property
--- a/tests/assay/test_hard.py
+++ b/tests/assay/test_hard.py
@@ -8,11 +8,11 @@
 import pytest
 
 from honeywharf.assay import rounds, states
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.field import ZONES, Side
-from honeywharf.flume.rules import Ask
-from honeywharf.flume.slips import Kinds, Trial
-from honeywharf.flume.standins import Caller
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.field import ZONES, Side
+from honeywharf.simulation.rules import Ask
+from honeywharf.simulation.slips import Kinds, Trial
+from honeywharf.simulation.standins import Caller
 from honeywharf.verdict import TURNED_AWAY
 
 
--- a/tests/assay/test_history.py
+++ b/tests/assay/test_history.py
@@ -11,8 +11,8 @@
 
 from honeywharf.assay import history
 from honeywharf.assay.history import History
-from honeywharf.flume.slips import Trial
 from honeywharf.mains.host import Host
+from honeywharf.simulation.slips import Trial
 from honeywharf.strainer.configuration import digest
 from tests.strainer.examples import drawn, text
 
--- a/tests/assay/test_slips.py
+++ b/tests/assay/test_slips.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.rules import Ask
-from honeywharf.flume.slips import KINDS, Trial
-from honeywharf.flume.standins import Caller
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.rules import Ask
+from honeywharf.simulation.slips import KINDS, Trial
+from honeywharf.simulation.standins import Caller
 
 #: Kinds that need nobody's notice where no request is under way: the node asks by itself first.
 QUIET = ("freeze",)
--- a/tests/assay/test_view.py
+++ b/tests/assay/test_view.py
@@ -9,7 +9,7 @@
 
 from honeywharf.cli import drift, ending
 from honeywharf.cli.ending import WrongError
-from honeywharf.flume.slips import Trial
+from honeywharf.simulation.slips import Trial
 
 
 class Call:
--- a/tests/every_command.py
+++ b/tests/every_command.py
@@ -21,9 +21,9 @@
 import cappa
 import click
 
-from honeywharf.cli import drift, flume, main, mesh, store
-from honeywharf.flume import field
+from honeywharf.cli import drift, main, mesh, simulation, store
 from honeywharf.lab.model import NodeSpec  # noqa: F401  (the laboratory is laid too)
+from honeywharf.simulation import field
 from honeywharf.standins import meshdemo, node
 
 MOST_S = 120.0
@@ -142,7 +142,7 @@
             (("activate", nowhere, "z"), (2,)),
             (("duties", nowhere), (2,)),
         ],
-        ("flume",): [
+        ("simulation",): [
             (("run", "1"), (0,)),
             (("hunt", "1", "2", "--jobs", "1"), (0,)),
             (("replay", "1"), (0,)),
@@ -231,7 +231,7 @@
     for name, group in (
         ("mesh", mesh.Mesh),
         ("drift", drift.Drift),
-        ("flume", flume.Flume),
+        ("simulation", simulation.Simulation),
         ("mesh-store", store.MeshStore),
     ):
         left = words_of(group) - {more[0] for more, _ in table[name,]}
--- a/tests/mains/test_door.py
+++ b/tests/mains/test_door.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains.door import IDLE_S, MOST_CONNECTIONS, SMALL, Call, Door
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 
 IP, AT = "10.1.0.12", ("10.1.0.12", 8306)
 
--- a/tests/mains/test_streams.py
+++ b/tests/mains/test_streams.py
@@ -7,8 +7,6 @@
 
 import pytest
 
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains import streams
 from honeywharf.mains.calls import Answerer
 from honeywharf.mains.frames import FrameReader, encode
@@ -27,6 +25,8 @@
     Reception,
     Stream,
 )
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 from honeywharf.verdict import FULL, GARBLED, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 HERE, THERE, PORT = "10.1.0.8", "10.2.0.9", 7620
--- a/tests/penstock/test_passage.py
+++ b/tests/penstock/test_passage.py
@@ -6,10 +6,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume.regions import Day
 from honeywharf.penstock.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
 from honeywharf.penstock.passage import Passages
 from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.simulation.regions import Day
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
 
 Sent = list[tuple[Any, list[Any]]]
--- a/tests/penstock/test_shift.py
+++ b/tests/penstock/test_shift.py
@@ -9,8 +9,8 @@
 import pytest
 
 from bench.gateway import chart
-from honeywharf.flume.regions import UPLOAD
-from honeywharf.flume.shift import Plan, Shift, quantile
+from honeywharf.simulation.regions import UPLOAD
+from honeywharf.simulation.shift import Plan, Shift, quantile
 
 FILE = Path(__file__).parents[2] / "bench" / "days" / "gateway.toml"
 
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from honeywharf.flume import days, field
-from honeywharf.flume.field import SMALL, TERM, Field
-from honeywharf.flume.machine import Machine, Process
-from honeywharf.flume.run import real_reservoir
 from honeywharf.penstock.places import Place
 from honeywharf.programs.sluice import Sluice
 from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.simulation import days, field
+from honeywharf.simulation.field import SMALL, TERM, Field
+from honeywharf.simulation.machine import Machine, Process
+from honeywharf.simulation.run import real_reservoir
 from honeywharf.strainer.settings import parse
 
 ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
--- a/tests/flume/mutants.py
+++ b/tests/simulation/mutants.py
@@ -11,8 +11,6 @@
 from contextlib import contextmanager
 from typing import Any
 
-from honeywharf.flume.days import Fault
-from honeywharf.flume.run import Report, run
 from honeywharf.mains.streams import Link
 from honeywharf.programs.sluice import Sluice
 from honeywharf.reservoir import word
@@ -21,6 +19,8 @@
 from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
 from honeywharf.reservoir.store import Store
 from honeywharf.runnel.table import News
+from honeywharf.simulation.days import Fault
+from honeywharf.simulation.run import Report, run
 from honeywharf.sluice.backend import Tap
 from honeywharf.sluice.course import Course
 from honeywharf.sluice.gate import DRAINING, ENDED, READY, Gate
--- a/tests/flume/test_command.py
+++ b/tests/simulation/test_command.py
@@ -1,13 +1,13 @@
-"""`honeywharf flume`: days by seed on several processes, and what is told of a broken one."""
+"""`honeywharf simulation`: days by seed on several processes, and what is told of a broken one."""
 
 from __future__ import annotations
 
 import pytest
 
-from honeywharf.cli import flume as command
-from honeywharf.flume.days import Fault
-from honeywharf.flume.run import run
-from tests.flume.toymesh import toys
+from honeywharf.cli import simulation as command
+from honeywharf.simulation.days import Fault
+from honeywharf.simulation.run import run
+from tests.simulation.toymesh import toys
 
 
 def test_the_same_days_whatever_the_processes(capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/flume/test_disk.py
+++ b/tests/simulation/test_disk.py
@@ -4,8 +4,8 @@
 
 import random
 
-from honeywharf.flume.disk import Disk
-from tests.flume.toys import Two
+from honeywharf.simulation.disk import Disk
+from tests.simulation.toys import Two
 
 
 def save(two: Two, data: bytes) -> None:
--- a/tests/flume/test_field.py
+++ b/tests/simulation/test_field.py
@@ -4,10 +4,10 @@
 
 from collections import Counter
 
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.field import SERVICES, ZONES, Field, Shape
-from honeywharf.flume.run import real_reservoir, real_sluice
-from tests.flume.toymesh import toys
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.field import SERVICES, ZONES, Field, Shape
+from honeywharf.simulation.run import real_reservoir, real_sluice
+from tests.simulation.toymesh import toys
 
 
 def test_the_machines_of_a_shape_stand_where_they_are_told() -> None:
--- a/tests/flume/test_machine.py
+++ b/tests/simulation/test_machine.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from honeywharf.flume.machine import SILENT, WINDOW, End
 from honeywharf.mains.host import Address
-from tests.flume.toys import HERE, THERE, Log, Two
+from honeywharf.simulation.machine import SILENT, WINDOW, End
+from tests.simulation.toys import HERE, THERE, Log, Two
 
 FORTH, BACK = [(HERE, THERE)], [(THERE, HERE)]
 
--- a/tests/flume/test_mesh.py
+++ b/tests/simulation/test_mesh.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from honeywharf.flume.days import Fault
-from honeywharf.flume.run import run
+from honeywharf.simulation.days import Fault
+from honeywharf.simulation.run import run
 
 #: What happens, and the share that must be served nevertheless.
 DAYS = {
--- a/tests/flume/test_mutants.py
+++ b/tests/simulation/test_mutants.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.flume.mutants import MUTANTS, caught
+from tests.simulation.mutants import MUTANTS, caught
 
 QUICK = (
     "change drops evacuations",
--- a/tests/flume/test_rules.py
+++ b/tests/simulation/test_rules.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from honeywharf.flume.days import KINDS, Fault, draw
-from honeywharf.flume.run import Report, run, shrink
-from tests.flume.toymesh import toys
+from honeywharf.simulation.days import KINDS, Fault, draw
+from honeywharf.simulation.run import Report, run, shrink
+from tests.simulation.toymesh import toys
 
 
 def day(fault: str, faults: list[Fault], seed: int = 5, after: float = 4.0) -> Report:
--- a/tests/flume/toys.py
+++ b/tests/simulation/toys.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
-from honeywharf.flume.disk import Disk
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains.host import Connection
+from honeywharf.simulation.disk import Disk
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 
 HERE, THERE = "10.1.0.1", "10.2.0.1"
 
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -9,11 +9,11 @@
 from typing import Any, cast
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.flume.field import APPLICATION, OUTBOUND, settings as settings_text
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains.host import Address, Connection, Handler, Host
 from honeywharf.mains.streams import Ask
+from honeywharf.simulation.field import APPLICATION, OUTBOUND, settings as settings_text
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.course import Course
 from honeywharf.sluice.gate import Gate
--- a/tests/sluice/test_beats.py
+++ b/tests/sluice/test_beats.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from honeywharf.flume.field import APPLICATION, CONTROL
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
 from honeywharf.mains.door import Door
+from honeywharf.simulation.field import APPLICATION, CONTROL
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
 from honeywharf.sluice.beats import MOST_ID, Beats
 from honeywharf.sluice.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
 from honeywharf.sluice.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
--- a/tests/sluice/test_leaving.py
+++ b/tests/sluice/test_leaving.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from honeywharf.flume.days import Day
-from honeywharf.flume.field import TERM, Field
-from honeywharf.flume.run import real_reservoir, real_sluice
 from honeywharf.programs.sluice import GATE_S, UNTIL_QUIET_S, Sluice
+from honeywharf.simulation.days import Day
+from honeywharf.simulation.field import TERM, Field
+from honeywharf.simulation.run import real_reservoir, real_sluice
 from honeywharf.sluice.gate import DRAINING, READY
 
 
--- a/tests/stopcock/test_duties.py
+++ b/tests/stopcock/test_duties.py
@@ -6,7 +6,7 @@
 from typing import Any, cast
 
 from honeywharf.assay import states
-from honeywharf.flume.slips import Trial
+from honeywharf.simulation.slips import Trial
 from honeywharf.stopcock.grants import TERMS
 from tests.reservoir.town import Town
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -54,7 +54,7 @@
         "cli",
         "config",
         "core",
-        "flume",
+        "simulation",
         "lab",
         "mains",
         "proxy",
@@ -91,8 +91,8 @@
         "strainer",
         "verdict",
     ),
-    "flume": (
-        "flume",
+    "simulation": (
+        "simulation",
         "assay",
         "codecs",
         "gauges",
@@ -171,7 +171,7 @@
     "mains/streams.py",
     "mains/door.py",
     "mains/matchers.py",
-    "flume",
+    "simulation",
     "assay",
     "penstock",
     "stopcock",
--- a/tests/test_mesh_demo.py
+++ b/tests/test_mesh_demo.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from honeywharf.flume.rules import Ask
+from honeywharf.simulation.rules import Ask
 from honeywharf.standins import meshdemo
 from honeywharf.standins.meshdemo import MOVED, ORDERS, TILES, Day, Mesh
 from honeywharf.strainer import configuration, settings
