Rename the package weir to admission

Change: the package renamed whole and mechanically, with its modules, classes, tests and pages; no logic.

--- a/honeywharf/sluice/gate.py
+++ b/honeywharf/sluice/gate.py
@@ -16,9 +16,9 @@
 
 from __future__ import annotations
 
+from honeywharf.admission.admission import Admission
+from honeywharf.admission.cold import ColdBound
 from honeywharf.verdict import COLD, DRAINING as IS_DRAINING, EVACUATED, NOBODY, OTHER_SERVICE, UNREADY
-from honeywharf.weir.admission import Admission
-from honeywharf.weir.cold import ColdBound
 
 UNKNOWN, READY, DRAINING, ENDED = range(4)
 STATES = ("unknown", "ready", "draining", "ended")
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+from honeywharf.admission.intake import STALL_S, Intake
 from honeywharf.codecs.mesh import UNKNOWN, Answer
 from honeywharf.mains.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.sluice.backend import Taps
@@ -39,19 +40,18 @@
     TURNED_AWAY,
     Verdict,
 )
-from honeywharf.weir.intake import STALL_S, Intake
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Protocol
 
+    from honeywharf.admission.admission import Waiter
+    from honeywharf.admission.intake import Place
     from honeywharf.assay.requests import Assay
     from honeywharf.mains.host import Host, Timer
     from honeywharf.mains.streams import Ask
     from honeywharf.sluice.backend import Tap
     from honeywharf.sluice.gate import Gate
-    from honeywharf.weir.admission import Waiter
-    from honeywharf.weir.intake import Place
 
     class Answers(Protocol):
         """Where a job's outcome goes: a stream's frames, or the source in this process."""
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
+from honeywharf.admission.budget import RetryBudget
 from honeywharf.mains.streams import Ask, Links
 from honeywharf.policy.levels import Levels
 from honeywharf.verdict import CHOKED, WORDS, Verdict
-from honeywharf.weir.budget import RetryBudget
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -279,7 +279,7 @@
         )
         file = self.folder / f"{ip}.yaml"
         file.write_text(json.dumps(settings))
-        return Child(["honeywharf.programs.weirkeeper"], self.folder / f"{ip}.log", file)
+        return Child(["honeywharf.programs.admissionkeeper"], self.folder / f"{ip}.log", file)
 
     # The loop.
 
--- a/tests/weir/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -4,7 +4,7 @@
 
 from random import Random
 
-from honeywharf.weir.admission import QUEUE_SLOTS, Admission, Waiter
+from honeywharf.admission.admission import QUEUE_SLOTS, Admission, Waiter
 
 
 class Bench:
--- a/tests/weir/test_budget.py
+++ b/tests/admission/test_budget.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.weir.budget import SLICES, RetryBudget
+from honeywharf.admission.budget import SLICES, RetryBudget
 
 RATIO, SLACK, WINDOW = 0.2, 56.0, 10.0
 
--- a/tests/weir/test_cold.py
+++ b/tests/admission/test_cold.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.weir.cold import FRESH_S, MOST, WINDOW_S, ColdBound
+from honeywharf.admission.cold import FRESH_S, MOST, WINDOW_S, ColdBound
 
 PER_S, OVERAGE, SLACK = 22.0, 1.5, 5.0
 ALLOWED = PER_S * OVERAGE + SLACK
--- a/tests/weir/test_intake.py
+++ b/tests/admission/test_intake.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.weir.intake import (
+from honeywharf.admission.intake import (
     EACH_OUT,
     FIRST,
     LEAST_OUT,
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -11,6 +11,8 @@
 from contextlib import contextmanager
 from typing import Any
 
+from honeywharf.admission.admission import Admission
+from honeywharf.admission.cold import ColdBound
 from honeywharf.mains.streams import Link
 from honeywharf.programs.sluice import Sluice
 from honeywharf.reservoir import word
@@ -29,8 +31,6 @@
 from honeywharf.sluice.source import Source
 from honeywharf.sluice.word import Word
 from honeywharf.verdict import BROKEN_OFF, MAY_HAVE_RUN, NOT_RUN, Verdict
-from honeywharf.weir.admission import Admission
-from honeywharf.weir.cold import ColdBound
 
 Put = Callable[[object, str, Any], None]  # owner, name, what stands there instead
 Kinds = tuple[tuple[str, str], ...]
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -66,14 +66,14 @@
     "__main__.py": ("cli", "proxy"),
     # The mesh: rules, then what moves bytes between programs, then the programs and the simulation.
     "verdict.py": (),
-    "weir": ("weir",),
+    "admission": ("admission",),
     "gauges": ("gauges", "runnel"),
     "runnel": ("runnel", "cistern", "gauges"),
     "cistern": ("cistern",),
     "stopcock": ("stopcock", "mains"),
     "strainer": ("strainer",),
     "mains": ("mains", "codecs", "verdict"),
-    "sluice": ("sluice", "codecs", "mains", "policy", "strainer", "verdict", "weir"),
+    "sluice": ("sluice", "codecs", "mains", "policy", "strainer", "verdict", "admission"),
     "reservoir": ("reservoir", "mains", "strainer"),
     "penstock": ("penstock", "mains", "verdict"),
     "assay": ("assay", "stopcock", "strainer", "verdict"),
@@ -105,7 +105,7 @@
         "stopcock",
         "strainer",
         "verdict",
-        "weir",
+        "admission",
     ),
 }
 #: Modules of subsystems that settle something: no sockets, no loop, no clock.
@@ -157,7 +157,7 @@
     "admin/protocol.py",
     "admin/views.py",
     "verdict.py",
-    "weir",
+    "admission",
     "gauges",
     "runnel",
     "strainer",
@@ -182,7 +182,7 @@
 #: Rules of the mesh that know no host either: time and facts come as arguments.
 RULES = {
     "verdict.py": (),
-    "weir": ("weir",),
+    "admission": ("admission",),
     "policy/levels.py": (),
     "gauges/ring.py": (),
     "gauges/watch.py": ("gauges", "runnel"),
@@ -190,7 +190,7 @@
     "runnel/table.py": ("runnel",),
     "reservoir/register.py": ("reservoir",),
     "reservoir/word.py": ("reservoir",),
-    "sluice/gate.py": ("verdict", "weir"),
+    "sluice/gate.py": ("verdict", "admission"),
     "assay/digests.py": (),
     "assay/second.py": ("assay",),
     "assay/judge.py": (),
