Rename the package strainer to mesh_config

Change: the package renamed whole and mechanically, with its modules, classes, tests and pages; no logic.

--- a/honeywharf/assay/digests.py
+++ b/honeywharf/assay/digests.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from honeywharf.strainer.routes import Limits, Route, Service
+    from honeywharf.mesh_config.routes import Limits, Route, Service
 
     Split = tuple[tuple[str, float], ...]
 
--- a/honeywharf/assay/gather.py
+++ b/honeywharf/assay/gather.py
@@ -15,7 +15,7 @@
 
 from honeywharf.assay import digests, second
 from honeywharf.assay.history import History
-from honeywharf.strainer.routes import version_number
+from honeywharf.mesh_config.routes import version_number
 
 if TYPE_CHECKING:
     from honeywharf.mains.calls import Reply
--- a/honeywharf/assay/history.py
+++ b/honeywharf/assay/history.py
@@ -15,8 +15,8 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.strainer import changes
-from honeywharf.strainer.routes import Table
+from honeywharf.mesh_config import changes
+from honeywharf.mesh_config.routes import Table
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/honeywharf/assay/judge.py
+++ b/honeywharf/assay/judge.py
@@ -14,7 +14,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.strainer.routes import Route
+    from honeywharf.mesh_config.routes import Route
 
 RUN, STALE, ASK, CONFLICT = range(4)
 NAMES = ("run", "stale", "ask", "conflict")
--- a/honeywharf/assay/scan.py
+++ b/honeywharf/assay/scan.py
@@ -15,9 +15,9 @@
     from collections.abc import Iterator
 
     from honeywharf.assay.second import Told
+    from honeywharf.mesh_config.routes import Route, Table
     from honeywharf.programs.sluice import Sluice
     from honeywharf.runnel.entry import Entry
-    from honeywharf.strainer.routes import Route, Table
 
 READ_ONLY = "read_only"
 READY = 1  # a gate's state, as news tell it
--- a/honeywharf/assay/second.py
+++ b/honeywharf/assay/second.py
@@ -1,10 +1,10 @@
 """A second reading of the told text: slow, its own, and compared with what decided. No I/O.
 
 Theory of operation. The text is read once more after each change, by code that shares nothing with
-`strainer.routes` but the wire's words, and kept as 17 bytes a route: where it stands, the digest of its rule,
-its kind. `decide` finds by that which rule a request is under; `shares` draws a service once more. Where the
-live decision differs, one of the two readings is wrong: what follows is `watch`'s. Source: PROTOCOL,
-"Requests" and "The operator".
+`mesh_config.routes` but the wire's words, and kept as 17 bytes a route: where it stands, the digest of its
+rule, its kind. `decide` finds by that which rule a request is under; `shares` draws a service once more.
+Where the live decision differs, one of the two readings is wrong: what follows is `watch`'s. Source:
+PROTOCOL, "Requests" and "The operator".
 """
 
 from __future__ import annotations
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -14,7 +14,7 @@
 
 from honeywharf.assay import digests, scan, states
 from honeywharf.assay.second import Told
-from honeywharf.strainer.routes import Table
+from honeywharf.mesh_config.routes import Table
 
 try:
     from _sha256 import sha256  # type: ignore[import-not-found]  # without OpenSSL, which is 2 MB
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -19,9 +19,9 @@
 
 from honeywharf.cli import ending
 from honeywharf.cli.ending import DONE, NO, UNKNOWN, WrongError
-from honeywharf.strainer import changes, configuration, settings
-from honeywharf.strainer.quantities import address
-from honeywharf.strainer.routes import Route, Table
+from honeywharf.mesh_config import changes, configuration, settings
+from honeywharf.mesh_config.quantities import address
+from honeywharf.mesh_config.routes import Route, Table
 
 REDIRECTS = 2  # as many as the callers of the mesh follow
 MOST_ANSWER = 64 << 20  # bytes of an answer that are read
--- a/honeywharf/strainer/changes.py
+++ b/honeywharf/mesh_config/changes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from honeywharf.strainer.routes import Route, Service, Table
+from honeywharf.mesh_config.routes import Route, Service, Table
 
 #: What is compared, as the configuration calls it.
 ROUTE_FIELDS = (
--- a/honeywharf/strainer/configuration.py
+++ b/honeywharf/mesh_config/configuration.py
@@ -20,8 +20,8 @@
 from jsonschema import Draft202012Validator
 from result import Err, Ok, Result
 
-from honeywharf.strainer.quantities import seconds
-from honeywharf.strainer.routes import MUTATING, READ_ONLY, UPLOAD, bare_host, version_number
+from honeywharf.mesh_config.quantities import seconds
+from honeywharf.mesh_config.routes import MUTATING, READ_ONLY, UPLOAD, bare_host, version_number
 
 if TYPE_CHECKING:
     from jsonschema.exceptions import ValidationError
--- a/honeywharf/strainer/routes.py
+++ b/honeywharf/mesh_config/routes.py
@@ -13,7 +13,7 @@
 import json
 from collections.abc import Callable
 
-from honeywharf.strainer.quantities import seconds
+from honeywharf.mesh_config.quantities import seconds
 
 READ_ONLY = "read_only"
 MUTATING = "mutating"
--- a/honeywharf/strainer/settings.py
+++ b/honeywharf/mesh_config/settings.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable, Mapping
 
-from honeywharf.strainer.quantities import address, ipv4, number, seconds
+from honeywharf.mesh_config.quantities import address, ipv4, number, seconds
 
 TYPE_CHECKING = False  # as a type checker knows it, without the memory of `typing`
 if TYPE_CHECKING:
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -21,7 +21,7 @@
 from honeywharf.runnel.society import Society
 
 if TYPE_CHECKING:
-    from honeywharf.strainer.settings import Settings
+    from honeywharf.mesh_config.settings import Settings
 
 MOST_BODY = 65 << 20  # bytes of a configuration
 STOPPING = 0.9  # s that calls at work have after SIGTERM
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -34,9 +34,9 @@
     from honeywharf.mains.frames import FrameReader
     from honeywharf.mains.host import Address, Connection, Handler, Host
     from honeywharf.mains.streams import Ask, Work
+    from honeywharf.mesh_config.settings import Settings
     from honeywharf.runnel.entry import Entry
     from honeywharf.sluice.inbound import Answers
-    from honeywharf.strainer.settings import Settings
 
 COUNTERS_S = 10.0
 UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
--- a/honeywharf/programs/start.py
+++ b/honeywharf/programs/start.py
@@ -7,7 +7,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.strainer.settings import Settings
+    from honeywharf.mesh_config.settings import Settings
 
 VARIABLE = "HONEYWHARF_SETTINGS"
 
@@ -17,7 +17,7 @@
 
     `default`: the path where the environment names none; empty: it must name one.
     """
-    from honeywharf.strainer.settings import SettingsError, load
+    from honeywharf.mesh_config.settings import SettingsError, load
 
     path = os.environ.get(VARIABLE, default)
     if not path:
--- a/honeywharf/reservoir/mending.py
+++ b/honeywharf/reservoir/mending.py
@@ -14,6 +14,7 @@
 
 import msgpack  # type: ignore[import-untyped]
 
+from honeywharf.mesh_config.configuration import digest as named
 from honeywharf.reservoir import word
 from honeywharf.reservoir.register import State
 from honeywharf.reservoir.store import (
@@ -28,7 +29,6 @@
     state_bytes,
     unseal,
 )
-from honeywharf.strainer.configuration import digest as named
 
 RAISED = 1_000_000  # revisions, epochs and ballots that a return goes ahead: above all that anybody has seen
 MOST_TEXT = 80 << 20  # bytes of a configuration, unpacked
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/reservoir/operator.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from result import Result
 
-    from honeywharf.strainer.configuration import Configuration
+    from honeywharf.mesh_config.configuration import Configuration
 
     Check = Callable[[bytes], Result[Configuration, str]]
 
@@ -42,8 +42,8 @@
 
 
 def _check(raw: bytes) -> Result[Configuration, str]:
-    """The strainer's check, loaded at its first use: it takes 0.4 s of a small machine's start."""
-    from honeywharf.strainer.configuration import check
+    """The mesh_config's check, loaded at its first use: it takes 0.4 s of a small machine's start."""
+    from honeywharf.mesh_config.configuration import check
 
     return check(raw)
 
--- a/honeywharf/simulation/run.py
+++ b/honeywharf/simulation/run.py
@@ -47,8 +47,8 @@
 
 def real_sluice(host: Process, settings: str) -> object:
     """The data plane's program."""
+    from honeywharf.mesh_config.settings import parse
     from honeywharf.programs.sluice import Sluice
-    from honeywharf.strainer.settings import parse
 
     sluice = Sluice(host, parse(settings))
     host.on_signal(TERM, sluice.terminate)
@@ -57,8 +57,8 @@
 
 def real_reservoir(host: Process, settings: str) -> object:
     """The control plane's program."""
+    from honeywharf.mesh_config.settings import parse
     from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.strainer.settings import parse
 
     reservoir = Reservoir(host, parse(settings))
     host.on_signal(TERM, reservoir.stop)
--- a/honeywharf/simulation/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -15,11 +15,11 @@
 
 from honeywharf.assay import second
 from honeywharf.assay.requests import Assay
+from honeywharf.mesh_config.routes import Route, Table
 from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
 from honeywharf.simulation.rules import Ask, Order
 from honeywharf.simulation.run import real_reservoir, real_sluice
 from honeywharf.sluice.inbound import Job
-from honeywharf.strainer.routes import Route, Table
 
 LEAD = 4.0
 FIRST = 9.0  # seconds, when the first slip comes
@@ -394,7 +394,7 @@
     @staticmethod
     def digest(text: bytes) -> str:
         """As words name a text."""
-        from honeywharf.strainer.configuration import digest
+        from honeywharf.mesh_config.configuration import digest
 
         return digest(text)
 
--- a/honeywharf/sluice/bypass.py
+++ b/honeywharf/sluice/bypass.py
@@ -36,9 +36,9 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from honeywharf.mains.streams import Ask, Work
+    from honeywharf.mesh_config.routes import Route
     from honeywharf.sluice.inbound import Answers
     from honeywharf.sluice.source import Source
-    from honeywharf.strainer.routes import Route
 
 MOST_PASSING = 256
 AHEAD_BYTES = 64 * 1024  # of a body, beyond what a gate has taken
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -24,7 +24,7 @@
 
 from honeywharf.codecs.mesh import UNKNOWN, Head
 from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
-from honeywharf.strainer.routes import Route
+from honeywharf.mesh_config.routes import Route
 from honeywharf.verdict import DRIFT, FULL, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
 TYPE_CHECKING = False
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -13,13 +13,13 @@
 
     from honeywharf.assay.requests import Assay
     from honeywharf.mains.host import Host
+    from honeywharf.mesh_config.routes import Route
+    from honeywharf.mesh_config.settings import Settings
     from honeywharf.penstock.abroad import Abroad
     from honeywharf.sluice.bypass import Passing
     from honeywharf.sluice.course import Channel, Course
     from honeywharf.sluice.inbound import Inbound
     from honeywharf.sluice.word import Word
-    from honeywharf.strainer.routes import Route
-    from honeywharf.strainer.settings import Settings
 
 MOST_SERVICES = 1024
 CHOKED_S = 0.5  # at most, that a gate whose link is full of bodies is asked for no further one
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sluice/word.py
@@ -12,7 +12,7 @@
 
 import zlib
 
-from honeywharf.strainer.routes import Limits, Route, Table
+from honeywharf.mesh_config.routes import Limits, Route, Table
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
--- a/tests/assay/test_digests.py
+++ b/tests/assay/test_digests.py
@@ -8,8 +8,8 @@
 
 from honeywharf.assay import digests, scan
 from honeywharf.assay.second import Told, bare, pick, tree
-from honeywharf.strainer.routes import Route, Table
-from tests.strainer.examples import drawn, text
+from honeywharf.mesh_config.routes import Route, Table
+from tests.mesh_config.examples import drawn, text
 
 SEEDS = range(12)
 
--- a/tests/assay/test_history.py
+++ b/tests/assay/test_history.py
@@ -12,9 +12,9 @@
 from honeywharf.assay import history
 from honeywharf.assay.history import History
 from honeywharf.mains.host import Host
+from honeywharf.mesh_config.configuration import digest
 from honeywharf.simulation.slips import Trial
-from honeywharf.strainer.configuration import digest
-from tests.strainer.examples import drawn, text
+from tests.mesh_config.examples import drawn, text
 
 
 class Shelf:
--- a/tests/strainer/test_command.py
+++ b/tests/mesh_config/test_command.py
@@ -15,7 +15,7 @@
 import pytest
 
 from honeywharf.cli import mesh
-from tests.strainer.examples import CONFIGURATION, SETTINGS, example, text
+from tests.mesh_config.examples import CONFIGURATION, SETTINGS, example, text
 
 Capture = pytest.CaptureFixture[str]
 Log = pytest.LogCaptureFixture
--- a/tests/strainer/test_configuration.py
+++ b/tests/mesh_config/test_configuration.py
@@ -10,7 +10,7 @@
 import pytest
 from result import Err, Ok
 
-from honeywharf.strainer.configuration import (
+from honeywharf.mesh_config.configuration import (
     MOST_BYTES,
     MOST_FAULTS,
     MOST_VERSION,
@@ -19,8 +19,8 @@
     digest,
     faults,
 )
-from honeywharf.strainer.routes import Table
-from tests.strainer.examples import CONFIGURATION, drawn, example, text
+from honeywharf.mesh_config.routes import Table
+from tests.mesh_config.examples import CONFIGURATION, drawn, example, text
 
 Change = Callable[[Any], object]
 
--- a/tests/strainer/test_routes.py
+++ b/tests/mesh_config/test_routes.py
@@ -10,8 +10,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from honeywharf.strainer.routes import Route, Table, bare_host
-from tests.strainer.examples import CONFIGURATION, drawn, example, text
+from honeywharf.mesh_config.routes import Route, Table, bare_host
+from tests.mesh_config.examples import CONFIGURATION, drawn, example, text
 
 
 def searched(table: Table, host: bytes, path: bytes) -> Route | None:
--- a/tests/strainer/test_settings.py
+++ b/tests/mesh_config/test_settings.py
@@ -8,9 +8,9 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from honeywharf.strainer.quantities import address, seconds
-from honeywharf.strainer.settings import MOST_BYTES, SettingsError, load, parse
-from tests.strainer.examples import SETTINGS
+from honeywharf.mesh_config.quantities import address, seconds
+from honeywharf.mesh_config.settings import MOST_BYTES, SettingsError, load, parse
+from tests.mesh_config.examples import SETTINGS
 
 
 def without(key: str) -> str:
--- a/tests/penstock/test_days.py
+++ b/tests/penstock/test_days.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from honeywharf.mesh_config.settings import Settings, SettingsError, parse
 from honeywharf.penstock.drain import EMPTY
 from honeywharf.penstock.places import Place
 from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
 from honeywharf.simulation import field
 from honeywharf.simulation.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
 from honeywharf.simulation.world import World
-from honeywharf.strainer.settings import Settings, SettingsError, parse
 
 
 @pytest.mark.parametrize("seed", range(6))
--- a/tests/penstock/test_sluices.py
+++ b/tests/penstock/test_sluices.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from honeywharf.mesh_config.settings import parse
 from honeywharf.penstock.places import Place
 from honeywharf.programs.sluice import Sluice
 from honeywharf.programs.weirkeeper import Weirkeeper
@@ -14,7 +15,6 @@
 from honeywharf.simulation.field import SMALL, TERM, Field
 from honeywharf.simulation.machine import Machine, Process
 from honeywharf.simulation.run import real_reservoir
-from honeywharf.strainer.settings import parse
 
 ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
 GATE = 7700
--- a/tests/reservoir/town.py
+++ b/tests/reservoir/town.py
@@ -7,10 +7,10 @@
 
 from result import Err, Ok, Result
 
+from honeywharf.mesh_config.configuration import Configuration
+from honeywharf.mesh_config.settings import Settings
 from honeywharf.programs.reservoir import Reservoir
 from honeywharf.reservoir.operator import Operator
-from honeywharf.strainer.configuration import Configuration
-from honeywharf.strainer.settings import Settings
 from tests.reservoir.world import Machine, World
 
 ZONES = {"a": "r", "b": "r", "c": "r"}
@@ -27,7 +27,7 @@
 
 
 def check(raw: bytes) -> Result[Configuration, str]:
-    """Stands for the strainer's: `r7 anything` is a configuration."""
+    """Stands for the mesh_config's: `r7 anything` is a configuration."""
     head = raw.split(b" ", 1)[0]
     if not head.startswith(b"r"):
         return Err(f"version: found {head!r}, wanted r and a number")
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -201,7 +201,7 @@
 
 def invalid_is_taken(put: Put) -> None:
     def load(self: Operator) -> None:
-        from honeywharf.strainer import configuration
+        from honeywharf.mesh_config import configuration
 
         def lenient(raw: bytes) -> Any:
             good = was(raw)
--- a/tests/sluice/test_homes.py
+++ b/tests/sluice/test_homes.py
@@ -9,10 +9,10 @@
 from result import Err
 
 from honeywharf.assay import digests, second
+from honeywharf.mesh_config.changes import changes
+from honeywharf.mesh_config.configuration import check
+from honeywharf.mesh_config.routes import Table
 from honeywharf.sluice.course import Course
-from honeywharf.strainer.changes import changes
-from honeywharf.strainer.configuration import check
-from honeywharf.strainer.routes import Table
 from honeywharf.verdict import DRAINING, FULL, NOT_RUN, Verdict
 from tests.sluice.stage import TABLE, Client, Clock, Scripted, head, route
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -60,7 +60,7 @@
         "proxy",
         "reservoir",
         "standins",
-        "strainer",
+        "mesh_config",
         "traces",
     ),
     "__main__.py": ("cli", "proxy"),
@@ -71,12 +71,12 @@
     "runnel": ("runnel", "cistern", "gauges"),
     "cistern": ("cistern",),
     "stopcock": ("stopcock", "mains"),
-    "strainer": ("strainer",),
+    "mesh_config": ("mesh_config",),
     "mains": ("mains", "codecs", "verdict"),
-    "sluice": ("sluice", "codecs", "mains", "policy", "strainer", "verdict", "admission"),
-    "reservoir": ("reservoir", "mains", "strainer"),
+    "sluice": ("sluice", "codecs", "mains", "policy", "mesh_config", "verdict", "admission"),
+    "reservoir": ("reservoir", "mains", "mesh_config"),
     "penstock": ("penstock", "mains", "verdict"),
-    "assay": ("assay", "stopcock", "strainer", "verdict"),
+    "assay": ("assay", "stopcock", "mesh_config", "verdict"),
     "programs": (
         "programs",
         "assay",
@@ -88,7 +88,7 @@
         "runnel",
         "sluice",
         "stopcock",
-        "strainer",
+        "mesh_config",
         "verdict",
     ),
     "simulation": (
@@ -103,7 +103,7 @@
         "runnel",
         "sluice",
         "stopcock",
-        "strainer",
+        "mesh_config",
         "verdict",
         "admission",
     ),
@@ -160,7 +160,7 @@
     "admission",
     "gauges",
     "runnel",
-    "strainer",
+    "mesh_config",
     "sluice",
     "reservoir",
     "programs/sluice.py",
@@ -199,7 +199,7 @@
     "cistern": ("cistern",),
     "stopcock/grants.py": (),
     "stopcock/lease.py": ("stopcock",),
-    "strainer": ("strainer",),
+    "mesh_config": ("mesh_config",),
     **{f"penstock/{name}.py": ("penstock", "verdict") for name in ("inlet", "outlet", "passage")},
 }
 #: What a sluice must not load: each of many processes pays for it in memory.
@@ -220,7 +220,7 @@
     "honeywharf.reservoir",
     "honeywharf.cistern",
     "honeywharf.stopcock",
-    "honeywharf.strainer.configuration",
+    "honeywharf.mesh_config.configuration",
 }
 IO = {"asyncio", "socket", "select", "time", "ssl", "subprocess", "threading", "uvloop"}
 
--- a/tests/test_mesh_demo.py
+++ b/tests/test_mesh_demo.py
@@ -10,10 +10,10 @@
 
 import pytest
 
+from honeywharf.mesh_config import configuration, settings
 from honeywharf.simulation.rules import Ask
 from honeywharf.standins import meshdemo
 from honeywharf.standins.meshdemo import MOVED, ORDERS, TILES, Day, Mesh
-from honeywharf.strainer import configuration, settings
 
 
 @pytest.fixture
