--- a/bench/stopcock.py
+++ b/bench/stopcock.py
@@ -1,9 +1,9 @@
 """Leases under trouble: runs by seed in which nobody may hold a duty beside another; how long it is idle.
 
-    python -m bench.stopcock [--seeds 40] [--seconds 60] [--mutants]
+    python -m bench.lease [--seeds 40] [--seconds 60] [--mutants]
 
 Five machines with clocks that run 1 % fast or slow, three of them in a roster that changes every 3 to 8 s;
-one stands still, is cut off, starts anew or has its clock set every 0.1 to 0.9 s (tests/stopcock/net.py).
+one stands still, is cut off, starts anew or has its clock set every 0.1 to 0.9 s (tests/lease/net.py).
 Printed: runs in which two held the duty, leases granted, median and most seconds between two grants. With
 `--mutants`, for each wrong lease the seeds that were needed to find it out. Status 1 where two held it.
 """
@@ -14,8 +14,8 @@
 import statistics
 import sys
 
-from tests.stopcock.net import Net
-from tests.stopcock.test_runs import MUTANTS
+from tests.lease.net import Net
+from tests.lease.test_runs import MUTANTS
 
 
 def main() -> int:
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -74,7 +74,7 @@
         self.looked = now - LOOK_S
         self.relapses = 0
         self.rebuilding = self.asking = self.standing = False
-        self.leave: Any = None  # to stand aside: an `Errand`, once it was wanted
+        self.leave: Any = None  # to stand aside: an `LeaseAcquisition`, once it was wanted
         self.grudged = 0  # times that no majority gave leave
         self.grudged_at = now - STAND_AGAIN_S
         self.caught: dict[str, int] = {}
@@ -145,12 +145,14 @@
         """
         if self.standing or self.host.now() - self.grudged_at < STAND_AGAIN_S or not self._room():
             return
-        from honeywharf.stopcock.errand import Errand  # wanted by none but a node that can't heal itself
+        from honeywharf.lease.acquisition import (
+            LeaseAcquisition,  # wanted by none but a node that can't heal itself
+        )
 
         self.standing = True
         ip, zone = self.sluice.settings.ip, self.sluice.settings.zone
         nodes, zones = self._nodes_here()
-        self.leave = Errand(
+        self.leave = LeaseAcquisition(
             self.host,
             self.sluice.caller.call,
             self._roster,
--- a/honeywharf/stopcock/errand.py
+++ b/honeywharf/lease/acquisition.py
@@ -1,24 +1,25 @@
 """Asks grantors for what a machine wants to do, renews it while it is wanted, and gives it back. On a `Host`.
 
-`wanted` is a list of groups; the errand is granted when it holds one place of each group. Members are asked
-all at once; a place that another one has is left for the next of its group. Without a majority in `WITHIN_S`
-the errand is refused and its votes are given back: the duty is not done then, and nothing else waits for it.
+`wanted` is a list of groups; the acquisition is granted when it holds one place of each group. Members are
+asked all at once; a place that another one has is left for the next of its group. Without a majority in
+`WITHIN_S` the acquisition is refused and its votes are given back: the duty is not done then, and nothing
+else waits for it.
 """
 
 from __future__ import annotations
 
 from functools import partial
 
-from honeywharf.stopcock.lease import Lease
+from honeywharf.lease.lease import Lease
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
     from typing import Any
 
+    from honeywharf.lease.grants import Duty
+    from honeywharf.lease.lease import Key
     from honeywharf.mains.host import Address, Host, Timer
-    from honeywharf.stopcock.grants import Duty
-    from honeywharf.stopcock.lease import Key
 
     Call = Callable[[Address, str, object, float, Callable[[Any], None]], None]
     Roster = Callable[[], tuple[int, Sequence[Key]]]
@@ -26,10 +27,10 @@
 WITHIN_S = 0.3  # for the whole of a first round over all groups
 CALL_S = 0.2  # for one grantor
 SOONEST_S = 0.01  # between two looks at a lease
-MOST_TRIES = 24  # rounds of one errand until it is granted or refused
+MOST_TRIES = 24  # rounds of one acquisition until it is granted or refused
 
 
-class Errand:
+class LeaseAcquisition:
     """See the module. `lost()` is called when a lease has ended that was still wanted."""
 
     def __init__(
@@ -108,7 +109,7 @@
         for key in asked:
             told = [*lease.duty, lease.holder, lease.number, epoch, key[1]]
             self.call(
-                _address(key[0]), "stopcock.ask", told, CALL_S, partial(self._answered, lease, number, key)
+                _address(key[0]), "lease.ask", told, CALL_S, partial(self._answered, lease, number, key)
             )
 
     def _answered(self, lease: Lease, number: int, key: Key, answer: Any) -> None:
@@ -138,7 +139,7 @@
     def _free(self, lease: Lease) -> None:
         for where, disk in lease.members:
             told = [*lease.duty, lease.holder, lease.number, disk]
-            self.call(_address(where), "stopcock.free", told, CALL_S, lambda answer: None)
+            self.call(_address(where), "lease.free", told, CALL_S, lambda answer: None)
 
     def _refuse(self, done: Callable[[bool], None] | None) -> None:
         if done is not None and self.done is done:
--- a/honeywharf/stopcock/lease.py
+++ b/honeywharf/lease/lease.py
@@ -9,13 +9,13 @@
 
 from __future__ import annotations
 
-from honeywharf.stopcock.grants import GRANTED, LOW, TERMS
+from honeywharf.lease.grants import GRANTED, LOW, TERMS
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from honeywharf.stopcock.grants import Duty
+    from honeywharf.lease.grants import Duty
 
     Key = tuple[str, str]  # address, disk
 
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING, Any
 
 from honeywharf.assay import states
+from honeywharf.lease.acquisition import LeaseAcquisition
+from honeywharf.lease.grants import ROSTER, Grantor
 from honeywharf.reservoir import word
-from honeywharf.stopcock.errand import Errand
-from honeywharf.stopcock.grants import ROSTER, Grantor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,11 +29,11 @@
         self.program, self.host, self.basin = program, program.host, program.basin
         self.grantor = Grantor(self.host.now(), self.places)
         self.holder = f"{self.basin.here}/{self.host.random(6).hex()}"
-        self.errand: Errand | None = None
+        self.acquisition: LeaseAcquisition | None = None
         self.done = {"granted": 0, "refused": 0, "lost": 0}  # upkeep wanted here
         self.basin.duty = self
-        self.basin.methods["stopcock.ask"] = self._ask
-        self.basin.methods["stopcock.free"] = self._free
+        self.basin.methods["lease.ask"] = self._ask
+        self.basin.methods["lease.free"] = self._free
         program.operator.tree.add("GET", "/api/duties", self._view)
 
     # Votes.
@@ -83,12 +83,12 @@
             self.program.caller.call(to, method, args, within, done)
 
     def begin(self, go: Callable[[bool], None]) -> None:
-        """Ask for leave; False at once while there is another such errand."""
-        if self.errand is not None:
+        """Ask for leave; False at once while there is another such acquisition."""
+        if self.acquisition is not None:
             go(False)
             return
         state = self.basin.state
-        self.errand = Errand(
+        self.acquisition = LeaseAcquisition(
             self.host,
             self._call,
             lambda: (state.epoch, word.keys(state.roster)),
@@ -96,14 +96,14 @@
             [[UPKEEP]],
             self._lost,
         )
-        self.errand.begin(partial(self._answered, go))
+        self.acquisition.begin(partial(self._answered, go))
 
     def _answered(self, go: Callable[[bool], None], granted: bool) -> None:
         self.done["granted" if granted else "refused"] += 1
-        if granted and self.errand is not None:
-            self.host.log(f"duties: upkeep of the roster is ours, number {self.errand.numbers()[0]}")
+        if granted and self.acquisition is not None:
+            self.host.log(f"duties: upkeep of the roster is ours, number {self.acquisition.numbers()[0]}")
         else:
-            self.errand = None
+            self.acquisition = None
         go(granted)
 
     def _lost(self) -> None:
@@ -111,13 +111,13 @@
 
     def holds(self) -> bool:
         """Whether there is leave now."""
-        return self.errand is not None and self.errand.holds()
+        return self.acquisition is not None and self.acquisition.holds()
 
     def end(self) -> None:
         """Give it back."""
-        errand, self.errand = self.errand, None
-        if errand is not None:
-            errand.end()
+        acquisition, self.acquisition = self.acquisition, None
+        if acquisition is not None:
+            acquisition.end()
 
     # The operators' view.
 
--- a/tests/stopcock/net.py
+++ b/tests/lease/net.py
@@ -8,10 +8,10 @@
 from functools import partial
 from typing import Any, cast
 
+from honeywharf.lease.acquisition import LeaseAcquisition
+from honeywharf.lease.grants import Grantor
+from honeywharf.lease.lease import RATE
 from honeywharf.mains.host import Address, Host
-from honeywharf.stopcock.errand import Errand
-from honeywharf.stopcock.grants import Grantor
-from honeywharf.stopcock.lease import RATE
 
 Key = tuple[str, str]  # address, disk
 
@@ -31,7 +31,7 @@
 
 
 class Node:
-    """One machine: its grantor, and its errand while it wants the duty."""
+    """One machine: its grantor, and its acquisition while it wants the duty."""
 
     def __init__(self, net: Net, name: str) -> None:
         self.net, self.name, self.key = net, name, (f"{name}:{PORT}", "disk")
@@ -45,7 +45,7 @@
     def start(self) -> None:
         self.life += 1
         self.late = []
-        self.errand: Errand | None = None
+        self.acquisition: LeaseAcquisition | None = None
         self.grantor = Grantor(self.now(), lambda kind, scope: 1)
         self.after(self.net.rng.uniform(0.0, 0.1), self.want)
 
@@ -81,7 +81,7 @@
     # The duty.
 
     def want(self) -> None:
-        self.errand = Errand(
+        self.acquisition = LeaseAcquisition(
             cast("Host", self),
             self.call,
             self.roster,
@@ -89,26 +89,26 @@
             [[("upkeep", "", 0)]],
             self.over,
         )
-        self.errand.begin(self.told)
+        self.acquisition.begin(self.told)
 
     def roster(self) -> tuple[int, Sequence[Key]]:
         return self.epoch, self.net.rosters[self.epoch]
 
     def told(self, granted: bool) -> None:
         if granted:
-            assert self.errand is not None
-            self.net.granted.append((self.net.time, self.name, self.errand.numbers()[0]))
-            self.after(self.net.rng.uniform(0.0, 4.0), partial(self.give_back, self.errand))
+            assert self.acquisition is not None
+            self.net.granted.append((self.net.time, self.name, self.acquisition.numbers()[0]))
+            self.after(self.net.rng.uniform(0.0, 4.0), partial(self.give_back, self.acquisition))
         else:
             self.over()
 
-    def give_back(self, errand: Errand) -> None:
-        if self.errand is errand:
-            errand.end()
+    def give_back(self, acquisition: LeaseAcquisition) -> None:
+        if self.acquisition is acquisition:
+            acquisition.end()
             self.over()
 
     def over(self) -> None:
-        self.errand = None
+        self.acquisition = None
         self.after(self.net.rng.uniform(*PAUSE), self.want)
 
     def call(self, to: Address, method: str, args: Any, within: float, done: Callable[[Any], None]) -> None:
@@ -130,7 +130,7 @@
         )
 
     def take(self, method: str, args: Any, reply: Callable[[Any], None]) -> None:
-        if method == "stopcock.ask":
+        if method == "lease.ask":
             kind, scope, place, holder, number, epoch, _ = args
             self.grantor.roster(self.now(), self.epoch, self.accepted)
             reply(self.grantor.ask(self.now(), (kind, scope, place), holder, number, epoch))
@@ -138,7 +138,7 @@
             self.grantor.free((args[0], args[1], args[2]), args[3], args[4])
 
     def holds(self) -> bool:
-        return not self.frozen and self.errand is not None and self.errand.holds()
+        return not self.frozen and self.acquisition is not None and self.acquisition.holds()
 
 
 class Net:
--- a/tests/stopcock/test_duties.py
+++ b/tests/lease/test_duties.py
@@ -6,8 +6,8 @@
 from typing import Any, cast
 
 from honeywharf.assay import states
+from honeywharf.lease.grants import TERMS
 from honeywharf.simulation.slips import Trial
-from honeywharf.stopcock.grants import TERMS
 from tests.reservoir.town import Town
 
 
@@ -68,12 +68,12 @@
         ["upkeep", "", 0, "a", True, 1, "first"],
     ):
         try:
-            program.basin.methods["stopcock.ask"](args, lambda answer: None, ("", 0))
+            program.basin.methods["lease.ask"](args, lambda answer: None, ("", 0))
         except ValueError:
             continue
         raise AssertionError(f"{args} was taken")
     told: list[Any] = []
-    program.basin.methods["stopcock.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
+    program.basin.methods["lease.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
     assert told == [["roster", 0]]
 
 
--- a/tests/stopcock/test_grants.py
+++ b/tests/lease/test_grants.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from honeywharf.stopcock import grants
-from honeywharf.stopcock.grants import FULL, GRANTED, HELD, LOW, NONE, ROSTER, TERMS, WAITS, Grantor
-from honeywharf.stopcock.lease import MARGIN, Lease
+from honeywharf.lease import grants
+from honeywharf.lease.grants import FULL, GRANTED, HELD, LOW, NONE, ROSTER, TERMS, WAITS, Grantor
+from honeywharf.lease.lease import MARGIN, Lease
 
 UPKEEP = ("upkeep", "", 0)
 TERM = TERMS["upkeep"]
--- a/tests/stopcock/test_runs.py
+++ b/tests/lease/test_runs.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from honeywharf.stopcock.grants import GRANTED, TERMS, Grantor
-from honeywharf.stopcock.lease import RATE, Lease
-from tests.stopcock.net import Net
+from honeywharf.lease.grants import GRANTED, TERMS, Grantor
+from honeywharf.lease.lease import RATE, Lease
+from tests.lease.net import Net
 
 SECONDS, MOST = 25.0, 15  # of a run, and seeds that a mutant has
 
