Rename the package cistern to hinted_handoff

Change: the package renamed whole and mechanically, with its modules, classes, tests and pages; no logic.

--- a/bench/cistern.py
+++ b/bench/hinted_handoff.py
@@ -1,6 +1,7 @@
-"""A node returns after a freeze, a cut or a restart: how soon it knows all, with the cistern and without.
+"""A node returns after a freeze, a cut or a restart: how soon it knows all, with the hinted handoff and
+without.
 
-    python -m bench.cistern [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
+    python -m bench.hinted_handoff [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
         [--hows freeze,cut,restart]
 
 In virtual time, with the real classes on the simulated network of three zones of tests/runnel/net.py. While
@@ -34,7 +35,9 @@
     parser.add_argument("--hows", default=",".join(HOWS))
     args = parser.parse_args()
     late = 0
-    print("nodes  how      cistern   all known, s    word, s         held alive, s   bytes more  handed")
+    print(
+        "nodes  how      hinted handoff   all known, s    word, s         held alive, s   bytes more  handed"
+    )
     for nodes in [int(text) for text in args.nodes.split(",")]:
         for how in args.hows.split(","):
             for keeps in (False, True):
@@ -92,7 +95,9 @@
     found["bytes"] = sum(net.bytes.values()) - spent - quiet
     net.run(18.0, look)
     found["word"] = heard[0] - begun if heard else 20.0
-    found["handed"] = sum(one.cistern.tank.handed for one in net.live() if one.cistern is not None)
+    found["handed"] = sum(
+        one.hinted_handoff.tank.handed for one in net.live() if one.hinted_handoff is not None
+    )
     return found
 
 
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -173,7 +173,9 @@
         return _order(self.address, self.zone, "complete", self.within)
 
 
-@cappa.command(name="duties", help="Tell who holds which duty, by one reservoir's votes, and its cistern.")
+@cappa.command(
+    name="duties", help="Tell who holds which duty, by one reservoir's votes, and its hinted handoff."
+)
 @dataclass
 class Duties:
     """`mesh duties ADDRESS`."""
@@ -197,7 +199,7 @@
     yield f"{found['node']}: roster {found['roster']}{waits}"
     for kind, scope, place, holder, number, left in found["votes"]:
         yield f"vote {kind} {scope or 'all'} {place}: {holder}, number {number}, {left:.2f} s left"
-    for name in ("refused", "upkeep", "cistern"):
+    for name in ("refused", "upkeep", "hinted_handoff"):
         yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(found[name].items())) or "none")
 
 
--- a/honeywharf/cistern/tank.py
+++ b/honeywharf/hinted_handoff/hints.py
@@ -27,7 +27,7 @@
         self.what: dict[str, int] = {}
 
 
-class Tank:
+class HintStore:
     """See the module. `say(line)` is told when it fills; times are seconds on the steady clock."""
 
     __slots__ = ("_full", "all_bytes", "all_entries", "handed", "held", "say", "spilled", "stale")
@@ -81,7 +81,7 @@
         self.spilled += 1
         if not self._full:
             self._full = True
-            self.say(f"cistern: {line}")
+            self.say(f"hinted handoff: {line}")
 
     def returned(self, machine: str) -> list[str]:
         """A machine is heard again: what it should have had, oldest first; it is kept no more."""
@@ -109,6 +109,6 @@
     def counters(self) -> str:
         """For a log line."""
         return (
-            f"cistern missing={len(self.held)} entries={self.all_entries} bytes={self.all_bytes} "
+            f"hinted handoff missing={len(self.held)} entries={self.all_entries} bytes={self.all_bytes} "
             f"handed={self.handed} spilled={self.spilled} stale={self.stale}"
         )
--- a/honeywharf/cistern/news.py
+++ b/honeywharf/hinted_handoff/news.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from honeywharf.cistern.tank import KEPT, Tank
+from honeywharf.hinted_handoff.hints import KEPT, HintStore
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -17,13 +17,13 @@
 HEARD_LATE = 0.5  # seconds
 
 
-class NewsTank:
+class NewsHintStore:
     """The tank of one node's watch, with the revision of the word that each missing one last had."""
 
     __slots__ = ("tank", "words")
 
     def __init__(self, say: Callable[[str], None]) -> None:
-        self.tank = Tank(say)
+        self.tank = HintStore(say)
         self.words: dict[str, int] = {}
 
     def __contains__(self, node: str) -> bool:
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -132,7 +132,7 @@
             "refused": self.grantor.refused,
             "waits": waits,
             "upkeep": {**self.done, "held": self.holds()},
-            "cistern": self.program.handing.view(),
+            "hinted_handoff": self.program.handing.view(),
         }
 
     def _view(self, call: Asked) -> None:
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -1,4 +1,5 @@
-"""The cistern of a reservoir: what a silent member should have accepted, kept here and handed over on return.
+"""The hinted handoff of a reservoir: what a silent member should have accepted, kept here and handed over on
+return.
 
 Who keeps: the members that stand after the missing one on the ring, `KEEPERS` of them. Kept is that the word
 has changed; handed over is the newest settled value, which names its text. The member knows it then at once,
@@ -11,8 +12,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.cistern.tank import Tank
 from honeywharf.gauges.ring import Ring
+from honeywharf.hinted_handoff.hints import HintStore
 from honeywharf.reservoir import word
 from honeywharf.reservoir.basin import SILENT, WITHIN, address
 
@@ -34,11 +35,11 @@
 
     def __init__(self, program: Reservoir) -> None:
         self.program, self.host, self.basin = program, program.host, program.basin
-        self.tank = Tank(self.host.log)
+        self.tank = HintStore(self.host.log)
         self.kept = True
         self.taken = 0  # values that were news to this one, on its own return
         self.basin.on_return = self._returned
-        self.basin.methods["cistern.hand"] = self._handed
+        self.basin.methods["hinted_handoff.hand"] = self._handed
 
     def start(self) -> None:
         """Begin to look."""
@@ -76,7 +77,7 @@
         """It is heard again: at once, before its own beats ask."""
         if self.tank.returned(key[0]) and self.basin.known is not None:
             self.program.caller.call(
-                address(key[0]), "cistern.hand", self.basin.known, WITHIN, lambda answer: None
+                address(key[0]), "hinted_handoff.hand", self.basin.known, WITHIN, lambda answer: None
             )
 
     def _handed(self, args: Any, reply: Reply, peer: Address) -> None:
--- a/honeywharf/runnel/society.py
+++ b/honeywharf/runnel/society.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from honeywharf.cistern.news import NewsTank
+    from honeywharf.hinted_handoff.news import NewsHintStore
     from honeywharf.mains.host import Address, Host, Timer
     from honeywharf.runnel.entry import Entry
 
@@ -44,7 +44,7 @@
     """
 
     __slots__ = (
-        "_host", "_port", "_stopped", "_timer", "_timer_at", "cistern", "keeps", "news", "on_change",
+        "_host", "_port", "_stopped", "_timer", "_timer_at", "hinted_handoff", "keeps", "news", "on_change",
         "on_down", "on_up", "on_word", "watch",
     )  # fmt: skip
 
@@ -62,7 +62,9 @@
         self._host = host
         self._port = port
         self._stopped = False
-        self.cistern: NewsTank | None = None  # for the missing ones that this node watches, once one was
+        self.hinted_handoff: NewsHintStore | None = (
+            None  # for the missing ones that this node watches, once one was
+        )
         self.keeps = True  # False: leave it to the digests
         self.on_change: Callable[[str, Entry | None, Entry | None], None] | None = None
         self.on_word: Callable[[int, str], None] | None = None
@@ -117,7 +119,7 @@
             return
         now = self._host.now()
         self.watch.heard(now, sender[0])
-        if self.cistern is not None and sender[0] in self.cistern:
+        if self.hinted_handoff is not None and sender[0] in self.hinted_handoff:
             self._send(self._hand_over(sender[0]))
         kind = data[:1]
         if kind == BEAT and len(data) <= 8:
@@ -135,7 +137,7 @@
         self.watch.revision = self.news.revision
         self._send(self.watch.tick(now))
         self._send(self.news.tick(now))
-        if self.watch.missing or self.cistern is not None:
+        if self.watch.missing or self.hinted_handoff is not None:
             self._keep(now)
         self._timer_at = self._next(now)
         self._timer = self._host.after(max(SOONEST, self._timer_at - now), self._tick)
@@ -159,14 +161,16 @@
 
     def _keep(self, now: float) -> None:
         """Keep what the missing ones should have."""
-        if self.cistern is None:
+        if self.hinted_handoff is None:
             if not self.keeps:
                 return
-            from honeywharf.cistern.news import NewsTank  # most nodes are never missed by this one
+            from honeywharf.hinted_handoff.news import (
+                NewsHintStore,  # most nodes are never missed by this one
+            )
 
-            self.cistern = NewsTank(self._host.log)
+            self.hinted_handoff = NewsHintStore(self._host.log)
         table = self.news.table
-        self.cistern.look(
+        self.hinted_handoff.look(
             now,
             self.watch.missing,
             self.news.revision,
@@ -175,8 +179,8 @@
 
     def _hand_over(self, node: str) -> list[tuple[str, bytes]]:
         """It is heard again: what it should have had, if this one is to tell; before its first digest."""
-        assert self.cistern is not None
-        names, word = self.cistern.returned(node, self.news.revision)
+        assert self.hinted_handoff is not None
+        names, word = self.hinted_handoff.returned(node, self.news.revision)
         entry = self.news.table.get(node)
         if entry is None or not self.watch.first(node, entry.zone):
             return []
@@ -186,10 +190,10 @@
 
     def _changed(self, node: str, entry: Entry | None, old: Entry | None) -> None:
         self.watch.changed(self._host.now(), node, entry, old)
-        if self.cistern is not None and entry is not None:
+        if self.hinted_handoff is not None and entry is not None:
             if old is None or old.incarnation != entry.incarnation:
-                self.cistern.renewed(node)
-            self.cistern.changed(node, len(entry.pack(0)))
+                self.hinted_handoff.renewed(node)
+            self.hinted_handoff.changed(node, len(entry.pack(0)))
         if self.on_change:
             self.on_change(node, entry, old)
 
--- a/tests/cistern/test_tank.py
+++ b/tests/hinted_handoff/test_hints.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from honeywharf.cistern import tank
-from honeywharf.cistern.news import NewsTank
-from honeywharf.cistern.tank import Tank
+from honeywharf.hinted_handoff import hints
+from honeywharf.hinted_handoff.hints import HintStore
+from honeywharf.hinted_handoff.news import NewsHintStore
 from tests.reservoir.town import Town
 from tests.runnel.net import Net, knows, settled
 
 
 def test_the_newest_of_each_thing_is_handed_over_once() -> None:
-    held = Tank()
+    held = HintStore()
     assert held.missing("a", 1.0)
     held.keep("x", 100)
     held.keep("y", 50)
@@ -22,53 +22,53 @@
     assert (held.all_entries, held.all_bytes, held.handed) == (0, 0, 2)
 
 
-def test_each_machine_and_all_together_are_bounded_and_a_full_cistern_says_so_once() -> None:
+def test_each_machine_and_all_together_are_bounded_and_a_full_hinted_handoff_says_so_once() -> None:
     lines: list[str] = []
-    held = Tank(lines.append)
+    held = HintStore(lines.append)
     held.missing("a", 1.0)
-    for number in range(tank.ENTRIES + 5):
+    for number in range(hints.ENTRIES + 5):
         held.keep(f"n{number}", 10)
-    assert held.all_entries == tank.ENTRIES
+    assert held.all_entries == hints.ENTRIES
     assert held.spilled == 5
     assert len(lines) == 1
     held.keep("n0", 20)  # what is there may be renewed
     assert held.spilled == 5
     held.returned("a")
     held.missing("b", 1.0)
-    held.keep("big", tank.BYTES + 1)
+    held.keep("big", hints.BYTES + 1)
     assert held.held["b"].spilled
     assert len(lines) == 2
-    for number in range(tank.MOST_MACHINES + 3):
+    for number in range(hints.MOST_MACHINES + 3):
         held.missing(f"m{number}", 1.0)
-    assert len(held.held) == tank.MOST_MACHINES
-    for number in range(tank.ENTRIES):
+    assert len(held.held) == hints.MOST_MACHINES
+    for number in range(hints.ENTRIES):
         held.keep(f"n{number}", 1)
-    assert held.all_entries <= tank.ALL_ENTRIES
-    assert held.all_bytes <= tank.ALL_BYTES
+    assert held.all_entries <= hints.ALL_ENTRIES
+    assert held.all_bytes <= hints.ALL_BYTES
 
 
 def test_bytes_of_all_are_bounded() -> None:
-    held = Tank()
+    held = HintStore()
     for name in "abcdefgh":
         held.missing(name, 1.0)
     for number in range(100):
         held.keep(f"n{number}", 600)
-    assert tank.ALL_BYTES - 600 * 8 < held.all_bytes <= tank.ALL_BYTES
+    assert hints.ALL_BYTES - 600 * 8 < held.all_bytes <= hints.ALL_BYTES
     assert held.all_bytes == sum(kept.bytes for kept in held.held.values())
 
 
 def test_who_stays_away_is_kept_for_no_more() -> None:
-    held = Tank()
+    held = HintStore()
     held.missing("a", 1.0)
     held.keep("x", 100)
-    held.sweep(1.0 + tank.KEPT)
+    held.sweep(1.0 + hints.KEPT)
     assert held.held
-    held.sweep(1.1 + tank.KEPT)
+    held.sweep(1.1 + hints.KEPT)
     assert (held.all_entries, held.all_bytes, held.stale, held.returned("a")) == (0, 0, 1, [])
 
 
 def test_what_came_since_its_last_sign_is_kept_too_and_a_new_life_asks_by_itself() -> None:
-    held = NewsTank(lambda line: None)
+    held = NewsHintStore(lambda line: None)
     entries = [("old", 3.0, 10), ("late", 9.7, 10), ("fresh", 10.5, 10)]
     held.look(11.2, {"a": 10.0, "b": 10.1}, 4, entries)
     held.changed("newest", 10)
@@ -115,19 +115,19 @@
     gone = net.names[6]
     net.cut([gone], [name for name in net.names if name != gone])
     net.run(4.0)
-    keepers = [one for one in net.live() if one.cistern is not None and gone in one.cistern]
+    keepers = [one for one in net.live() if one.hinted_handoff is not None and gone in one.hinted_handoff]
     assert 3 <= len(keepers) <= 4
     assert sum(one.watch.first(gone, net.machines[gone].zone) for one in keepers) == 2
     net.cuts.clear()
     net.run(2.0)
-    assert not any(gone in one.cistern for one in keepers if one.cistern is not None)
+    assert not any(gone in one.hinted_handoff for one in keepers if one.hinted_handoff is not None)
 
 
-def test_nobody_has_a_cistern_while_nobody_was_missed() -> None:
+def test_nobody_has_a_hinted_handoff_while_nobody_was_missed() -> None:
     net = Net(1, 9, 0.0)
     net.start_all()
     net.run(8.0)
-    assert all(one.cistern is None for one in net.live())
+    assert all(one.hinted_handoff is None for one in net.live())
 
 
 def test_a_reservoir_that_returns_is_handed_the_word() -> None:
