--- a/bench/mesh_membership.py
+++ b/bench/mesh_membership.py
@@ -25,7 +25,7 @@
 import sys
 from collections.abc import Callable
 
-from honeywharf.gauges.watch import Watch
+from honeywharf.failure_detector.watch import Watch
 from honeywharf.runnel.entry import node_of
 from tests.runnel.net import ZONES, Machine, Net
 
--- a/honeywharf/gauges/watch.py
+++ b/honeywharf/failure_detector/watch.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from honeywharf.gauges.ring import Rings
+from honeywharf.failure_detector.ring import Rings
 from honeywharf.runnel.entry import key_of, node_of, number_in
 
 TYPE_CHECKING = False
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.gauges.ring import Ring
+from honeywharf.failure_detector.ring import Ring
 from honeywharf.hinted_handoff.hints import HintStore
 from honeywharf.reservoir import word
 from honeywharf.reservoir.basin import SILENT, WITHIN, address
--- a/honeywharf/runnel/society.py
+++ b/honeywharf/runnel/society.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from honeywharf.gauges.watch import BEAT, PROBE, Watch
+from honeywharf.failure_detector.watch import BEAT, PROBE, Watch
 from honeywharf.runnel.table import News
 
 TYPE_CHECKING = False
--- a/tests/gauges/test_ring.py
+++ b/tests/failure_detector/test_ring.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.gauges.ring import FAR, NEAR, Ring, Rings
+from honeywharf.failure_detector.ring import FAR, NEAR, Ring, Rings
 
 SIZES = [(1, 1), (1, 2), (1, 9), (2, 3), (2, 20), (3, 4), (3, 100), (5, 60)]
 
--- a/tests/gauges/test_watch.py
+++ b/tests/failure_detector/test_watch.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from honeywharf.gauges import watch
-from honeywharf.gauges.watch import Watch
+from honeywharf.failure_detector import watch
+from honeywharf.failure_detector.watch import Watch
 from honeywharf.runnel.entry import Entry, key_of
 from tests.runnel.net import Net, settled
 
