--- a/bench/hinted_handoff.py
+++ b/bench/hinted_handoff.py
@@ -4,7 +4,7 @@
     python -m bench.hinted_handoff [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
         [--hows freeze,cut,restart]
 
-In virtual time, with the real classes on the simulated network of three zones of tests/runnel/net.py. While
+In virtual time, with the real classes on the simulated network of three zones of tests/gossip/net.py. While
 one node is away, `changes` others change what they say, one of them settles a word, and one ends. Printed:
 seconds from the return until the node holds the newest entry of every live node (median, most), until it has
 heard of the word, until all hold it alive; bytes that all nodes sent in the first 2 s after the return, above
@@ -18,8 +18,8 @@
 import sys
 from collections.abc import Callable
 
-from honeywharf.runnel.society import Society
-from tests.runnel.net import Net, knows, sample
+from honeywharf.gossip.membership import Membership
+from tests.gossip.net import Net, knows, sample
 
 HOWS = ("freeze", "cut", "restart")
 
@@ -64,8 +64,8 @@
     net.start_all(0.5)
     net.run(0.6)
     net.run(30.0, net.all_know)
-    for society in net.live():
-        society.keeps = keeps
+    for membership in net.live():
+        membership.keeps = keeps
     net.run(3.0)
     gone = net.names[nodes // 2]
     others = [name for name in net.names if name != gone]
@@ -83,9 +83,9 @@
     net.societies[gone].on_word = lambda revision, _: heard.append(net.now)
 
     def look() -> bool:
-        society = net.societies[gone]
+        membership = net.societies[gone]
         truth = {one.news.me: one.news.table[one.news.me].version for one in net.live()}
-        if found["known"] == 20.0 and knows(society, truth):
+        if found["known"] == 20.0 and knows(membership, truth):
             found["known"] = net.now - begun
         if found["alive"] == 20.0 and all(one.alive(gone) for one in net.live()):
             found["alive"] = net.now - begun
@@ -113,7 +113,7 @@
     return lambda: restart(net, gone)
 
 
-def restart(net: Net, gone: str) -> Society:
+def restart(net: Net, gone: str) -> Membership:
     """Start it anew, with a higher incarnation."""
     return net.start(gone, 2, **sample(gone))
 
@@ -123,9 +123,9 @@
     chosen = net.rng.sample(others, min(changes + 1, len(others)))
     for name in chosen[:-1]:
         net.societies[name].tell(state="draining", turn=seed)
-    for society in net.live():
-        if society.news.me in others:
-            society.tell(rev=7)  # as if each had taken it
+    for membership in net.live():
+        if membership.news.me in others:
+            membership.tell(rev=7)  # as if each had taken it
     net.societies[chosen[0]].shout_word(7)
     net.kill(chosen[-1])
 
--- a/bench/mesh_cost.py
+++ b/bench/mesh_cost.py
@@ -90,7 +90,7 @@
         open_now = [links(process) for process in (sides if kind == "sidecar" else field.cores)]
         out[f"{kind}: links"], out[f"{kind}: links, most"] = sum(open_now) / many[kind], max(open_now)
     program: Any = sides[0].program
-    out["entries of news"] = len(program.society.entries())
+    out["entries of news"] = len(program.membership.entries())
     out["calls that are due"] = len(field.world._heap) / machines
     out["steps/s"] = (field.world.steps - steps) / span / machines
     out["memory, KiB"] = (memory() - empty) / machines / 1024
--- a/bench/mesh_membership.py
+++ b/bench/mesh_membership.py
@@ -2,7 +2,7 @@
 
     python -m bench.mesh_membership [--nodes 13,100,1000] [--span 6] [--seed 1]
 
-One network of three zones for each size, in virtual time with the real classes (`tests/runnel/net.py`), goes
+One network of three zones for each size, in virtual time with the real classes (`tests/gossip/net.py`), goes
 through the troubles below, one after another with a pause between. In each, a node ends after a third of the
 span. Printed: seconds until all others hold that node down; how many (observer, node) held a node down that
 ran; doubts that were raised against nodes that ran; bytes a second that a node sends within its zone and to
@@ -26,8 +26,8 @@
 from collections.abc import Callable
 
 from honeywharf.failure_detector.watch import Watch
-from honeywharf.runnel.entry import node_of
-from tests.runnel.net import ZONES, Machine, Net
+from honeywharf.gossip.entry import node_of
+from tests.gossip.net import ZONES, Machine, Net
 
 PAUSE = 8.0  # seconds between troubles: what was doubted has time to be forgiven
 PERIOD, SHARE, CALL = 0.1, 0.43, 0.0014  # seconds, share of them, seconds that a call takes at that share
@@ -63,7 +63,9 @@
 
     def some(self, share: float) -> list[str]:
         """Live nodes, none of them a seed."""
-        live = [society.news.me for society in self.net.live() if society.news.me not in self.net.seeds]
+        live = [
+            membership.news.me for membership in self.net.live() if membership.news.me not in self.net.seeds
+        ]
         return self.net.rng.sample(live, max(1, round(share * len(live))))
 
     def quiet(self) -> Callable[[], None]:
@@ -123,8 +125,8 @@
 
     def __init__(self, net: Net) -> None:
         self.raised: list[tuple[str, str]] = []
-        for society in net.live():
-            self._heed(society.news.me, society.watch)
+        for membership in net.live():
+            self._heed(membership.news.me, membership.watch)
 
     def _heed(self, me: str, watch: Watch) -> None:
         told = watch.tell
@@ -155,7 +157,7 @@
         ended = Troubles(net).some(0.0)[0]
     net.kill(ended)
     at = net.now
-    known = net.run(span * 2 / 3, lambda: all(not society.alive(ended) for society in net.live()))
+    known = net.run(span * 2 / 3, lambda: all(not membership.alive(ended) for membership in net.live()))
     took = net.now - at if known else float("inf")
     net.run(max(0.0, began + span - net.now))
     spent = {place: count / nodes / span for place, count in net.bytes.items()}
--- a/bench/mesh_news.py
+++ b/bench/mesh_news.py
@@ -18,8 +18,8 @@
 import sys
 import tracemalloc
 
-from honeywharf.runnel.table import News
-from tests.runnel.net import Net, sample
+from honeywharf.gossip.table import News
+from tests.gossip.net import Net, sample
 
 
 def main() -> int:
@@ -63,7 +63,7 @@
     ended = net.names[nodes // 2]
     began = net.now
     net.kill(ended)
-    net.run(20.0, lambda: all(not society.alive(ended) for society in net.live()))
+    net.run(20.0, lambda: all(not membership.alive(ended) for membership in net.live()))
     out["all hold an ended node down, s"] = net.now - began
     out["held down in vain"] = vain + sum(node != ended for _, _, node in net.downs[vain:])
     return out
@@ -79,8 +79,8 @@
 def reach(net: Net, what: str, nodes: int) -> dict[str, float]:
     """Let one node change or shout, and see when the others hear of it."""
     began, heard, first = net.now, dict[str, float](), net.names[nodes // 3]
-    for society in net.live():
-        listen(net, society.news.me, what, first, heard)
+    for membership in net.live():
+        listen(net, membership.news.me, what, first, heard)
     spent(net, "", nodes)
     if what == "word":
         net.societies[first].shout_word(7)
@@ -97,7 +97,7 @@
 
 def listen(net: Net, name: str, what: str, first: str, heard: dict[str, float]) -> None:
     """Note when a node hears of the change or the word, and let it take the word."""
-    society = net.societies[name]
+    membership = net.societies[name]
 
     def changed(node: str, *_: object) -> None:
         if what == "change" and node == first:
@@ -106,10 +106,10 @@
     def word(revision: int, _: str) -> None:
         if what == "word":
             heard.setdefault(name, net.now)
-            society.tell(rev=revision)
+            membership.tell(rev=revision)
 
-    society.on_change = changed
-    society.on_word = word
+    membership.on_change = changed
+    membership.on_word = word
 
 
 def memory() -> float:
--- a/honeywharf/assay/gather.py
+++ b/honeywharf/assay/gather.py
@@ -128,10 +128,10 @@
     def _drift(self, call: Asked) -> None:
         nodes = (
             []
-            if self.program.society is None
+            if self.program.membership is None
             else [
                 node
-                for node, entry in self.program.society.entries().items()
+                for node, entry in self.program.membership.entries().items()
                 if entry.say is not None and entry.say.get("s")
             ]
         )
--- a/honeywharf/assay/requests.py
+++ b/honeywharf/assay/requests.py
@@ -134,7 +134,7 @@
 
         Who stands aside accuses nobody, and what two say of a rule counts only until a third one runs by it.
         """
-        now, entry = self.host.now(), self.sluice.society.entries().get(key)
+        now, entry = self.host.now(), self.sluice.membership.entries().get(key)
         if entry is not None and entry.say is not None and entry.say.get("q"):
             return
         self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if now - at < ACCUSED_S}
--- a/honeywharf/assay/rounds.py
+++ b/honeywharf/assay/rounds.py
@@ -81,7 +81,7 @@
 
     def _nodes(self) -> list[str]:
         """A share of all nodes, in turn."""
-        nodes = list(self.sluice.society.entries())
+        nodes = list(self.sluice.membership.entries())
         many = len(nodes) // 4 + 4
         start = self.turn_list % max(1, len(nodes))
         self.turn_list = start + many
--- a/honeywharf/assay/scan.py
+++ b/honeywharf/assay/scan.py
@@ -15,9 +15,9 @@
     from collections.abc import Iterator
 
     from honeywharf.assay.second import Told
+    from honeywharf.gossip.entry import Entry
     from honeywharf.mesh_config.routes import Route, Table
     from honeywharf.programs.sluice import Sluice
-    from honeywharf.runnel.entry import Entry
 
 READ_ONLY = "read_only"
 READY = 1  # a gate's state, as news tell it
@@ -89,7 +89,7 @@
 
 def listed(sluice: Sluice, nodes: list[str]) -> str:
     """The first of the nodes whose entry in the list is not what the news tell, as a fault, or ""."""
-    entries, source = sluice.society.entries(), sluice.source
+    entries, source = sluice.membership.entries(), sluice.source
     for node in nodes:
         if node != sluice.settings.ip and not _as_told(sluice, node, entries.get(node)):
             return f"the list holds {node} otherwise than told"
@@ -113,6 +113,6 @@
     usable = (
         found.state == READY
         and entry.zone not in sluice.word.evacuated
-        and node not in sluice.society.watch.down
+        and node not in sluice.membership.watch.down
     )
     return target is not None and target.zone == entry.zone and target.usable == usable
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -102,7 +102,7 @@
         table, told = self.word.table, self.told
         if table is None or told is None:
             return "no told text" if self.word.ready else ""
-        fault = scan.others(self.sluice) or scan.listed(self.sluice, list(self.sluice.society.entries()))
+        fault = scan.others(self.sluice) or scan.listed(self.sluice, list(self.sluice.membership.entries()))
         return fault or next((found for found in scan.routes(table, told, self.rules) if found), "")
 
     def slip(self, by: str, what: str, renew: bool = False) -> None:
@@ -173,7 +173,7 @@
 
     def _may_stand(self, granted: bool) -> None:
         if granted and self.state.aside:
-            self.sluice.society.tell(q=1)
+            self.sluice.membership.tell(q=1)
             return
         if not granted:
             self.grudged, self.grudged_at = self.grudged + 1, self.host.now()
@@ -183,7 +183,7 @@
         """Healed, without leave, or it has ended: refuse request by request at most."""
         self.standing = False
         self.leave.end()
-        self.sluice.society.tell(q=0)
+        self.sluice.membership.tell(q=0)
 
     def _refuses(self) -> bool:
         """Whether it may refuse now: a process that stood still finds that its leave has ended."""
@@ -193,7 +193,7 @@
         """Sluices that news tell of, this one too: all, and of the own zone."""
         zones = [
             entry.zone
-            for node, entry in self.sluice.society.entries().items()
+            for node, entry in self.sluice.membership.entries().items()
             if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")
         ]
         return len(zones) + 1, zones.count(self.sluice.settings.zone) + 1
@@ -201,7 +201,7 @@
     def _room(self) -> bool:
         entries = [
             entry
-            for node, entry in self.sluice.society.entries().items()
+            for node, entry in self.sluice.membership.entries().items()
             if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")
         ]
         zone = [entry for entry in entries if entry.zone == self.sluice.settings.zone]
@@ -233,8 +233,8 @@
 
     def _relist(self) -> None:
         sluice = self.sluice
-        entries = sluice.society.entries()
-        sluice.source.doubted = {node for node in entries if node in sluice.society.watch.down}
+        entries = sluice.membership.entries()
+        sluice.source.doubted = {node for node in entries if node in sluice.membership.watch.down}
         for node in list(sluice.source.list):
             if node != sluice.settings.ip:
                 sluice.source.told(node, None, "")
--- a/honeywharf/failure_detector/watch.py
+++ b/honeywharf/failure_detector/watch.py
@@ -17,13 +17,13 @@
 from __future__ import annotations
 
 from honeywharf.failure_detector.ring import Rings
-from honeywharf.runnel.entry import key_of, node_of, number_in
+from honeywharf.gossip.entry import key_of, node_of, number_in
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from honeywharf.runnel.entry import Entry
+    from honeywharf.gossip.entry import Entry
 
 BEAT = b"t"  # and the revision that the sender holds, in as few bytes as it takes (none for 0)
 PROBE = b"p"  # answered with a beat
--- a/honeywharf/runnel/society.py
+++ b/honeywharf/gossip/membership.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 from honeywharf.failure_detector.watch import BEAT, PROBE, Watch
-from honeywharf.runnel.table import News
+from honeywharf.gossip.table import News
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from honeywharf.gossip.entry import Entry
     from honeywharf.hinted_handoff.news import NewsHintStore
     from honeywharf.mains.host import Address, Host, Timer
-    from honeywharf.runnel.entry import Entry
 
 
 SOONEST = 0.001  # seconds to the next turn, at least: timers and sums of times round differently
@@ -35,7 +35,7 @@
         return (state >> 11) / (1 << 53)
 
 
-class Society:
+class Membership:
     """All nodes, as one of them knows them. Callbacks are attributes, to be set before the first news come.
 
     on_change(node, entry, old): news of another node; entry None: dropped; entry.say None: it has left.
--- a/honeywharf/runnel/table.py
+++ b/honeywharf/gossip/table.py
@@ -21,7 +21,7 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.runnel.entry import (
+from honeywharf.gossip.entry import (
     ASK,
     DIGEST,
     ENTRY_SIZE,
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -42,13 +42,13 @@
         """How many may do a duty at once, by the sluices that news tell of here."""
         if kind == "upkeep":
             return int(scope == "")
-        society = self.program.society
+        membership = self.program.membership
         zones = (
             []
-            if society is None
+            if membership is None
             else [
                 entry.zone
-                for entry in society.entries().values()
+                for entry in membership.entries().values()
                 if entry.say is not None and entry.say.get("s")
             ]
         )
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from honeywharf.assay.gather import Gather
+from honeywharf.gossip.membership import Membership
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Door
 from honeywharf.mains.host import Address, Host
@@ -18,7 +19,6 @@
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.store import Store
 from honeywharf.reservoir.word import Value
-from honeywharf.runnel.society import Society
 
 if TYPE_CHECKING:
     from honeywharf.mesh_config.settings import Settings
@@ -47,7 +47,7 @@
             self._word,
             self._cores,
         )
-        self.society: Society | None = None
+        self.membership: Membership | None = None
         self.door: Door | None = None
         self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
@@ -70,7 +70,7 @@
         self.gather.start()
         self.handing.start()
         self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
-        self.society = Society(
+        self.membership = Membership(
             host,
             settings.ip,
             settings.ports[0],
@@ -79,7 +79,7 @@
             {"core": True, "disk": self.basin.state.disk, "rev": max(0, self.basin.announced)},
             int(host.wall() * 1000),
         )
-        self.society.on_word = self._rumour
+        self.membership.on_word = self._rumour
         self.door = Door(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
         host.after(LOADED, self.operator.load)
         host.log(
@@ -92,8 +92,8 @@
         self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
         self.gather.word(value)
         self.handing.word(value)
-        if self.society is not None:
-            self.society.shout_word(value["rev"])
+        if self.membership is not None:
+            self.membership.shout_word(value["rev"])
 
     def _rumour(self, revision: int, holder: str) -> None:
         """Somebody holds a newer word."""
@@ -102,11 +102,11 @@
 
     def _cores(self) -> list[Address]:
         """The other reservoirs that news tell of."""
-        if self.society is None:
+        if self.membership is None:
             return []
         return [
             (node, self.here[1])
-            for node, entry in self.society.entries().items()
+            for node, entry in self.membership.entries().items()
             if node != self.here[0] and entry.say is not None and entry.say.get("core")
         ]
 
@@ -118,9 +118,9 @@
         self.operator.closing = True
         if self.door is not None:
             self.door.close()
-        if self.society is not None:
-            self.society.leave()
-            self.society.stop()
+        if self.membership is not None:
+            self.membership.leave()
+            self.membership.stop()
         self.host.after(STOPPING, partial(self.host.exit, 0))
         self._finish()
 
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -11,11 +11,11 @@
 from honeywharf.assay.judge import host_of
 from honeywharf.assay.requests import Assay
 from honeywharf.assay.watch import is_named
+from honeywharf.gossip.membership import Draws, Membership
 from honeywharf.mains.calls import Answerer, Caller
 from honeywharf.mains.door import Call, Door
 from honeywharf.mains.streams import HANDED, MOST_FRAME, Reception
 from honeywharf.programs.start import settings_or_line
-from honeywharf.runnel.society import Draws, Society
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.beats import Beats
 from honeywharf.sluice.gate import DRAINING, READY, STATES, UNKNOWN, Gate
@@ -31,11 +31,11 @@
     from collections.abc import Container
     from typing import Any
 
+    from honeywharf.gossip.entry import Entry
     from honeywharf.mains.frames import FrameReader
     from honeywharf.mains.host import Address, Connection, Handler, Host
     from honeywharf.mains.streams import Ask, Work
     from honeywharf.mesh_config.settings import Settings
-    from honeywharf.runnel.entry import Entry
     from honeywharf.sluice.inbound import Answers
 
 COUNTERS_S = 10.0
@@ -69,7 +69,9 @@
         port = settings.ports[0]
         say = {**self.gate.say(), "rev": 0}
         seeds = [seed[0] for seed in settings.seeds]
-        self.society = Society(host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0))
+        self.membership = Membership(
+            host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0)
+        )
         draw = Draws(host.random(8)).random
         self.source = Source(host, settings, self.word, self.inbound, draw)
         self.source.proxies, self.source.helper = self._proxies, self.helper
@@ -77,10 +79,10 @@
             from honeywharf.penstock.abroad import joined  # one region alone does not pay for it
 
             self.source.abroad = joined(host, settings, self.inbound.begin, draw)
-        self.society.on_change = self._news
-        self.society.on_word = self._word_news
-        self.society.on_down = lambda node: self.source.doubt(node, True)
-        self.society.on_up = lambda node: self.source.doubt(node, False)
+        self.membership.on_change = self._news
+        self.membership.on_word = self._word_news
+        self.membership.on_down = lambda node: self.source.doubt(node, True)
+        self.membership.on_up = lambda node: self.source.doubt(node, False)
         self.probe = Probe(host, application, self.gate, self._gate_changed)
         self.assay = self.source.assay = self.inbound.assay = Assay(self)
         answerer = Answerer({**self.word.methods(), **self.assay.methods()}, self._streams, log=host.log)
@@ -107,10 +109,10 @@
         port = self.settings.ports[0]
         known = [
             (node, port)
-            for node, entry in self.society.entries().items()
-            if entry.say is not None and entry.say.get("core") and self.society.alive(node)
+            for node, entry in self.membership.entries().items()
+            if entry.say is not None and entry.say.get("core") and self.membership.alive(node)
         ]
-        near = [a for a in known if self.society.entries()[a[0]].zone == self.settings.zone]
+        near = [a for a in known if self.membership.entries()[a[0]].zone == self.settings.zone]
         return near + [a for a in known if a not in near] or [(seed[0], port) for seed in self.settings.seeds]
 
     def _news(self, node: str, entry: Entry | None, old: Entry | None) -> None:
@@ -124,7 +126,7 @@
     def _word_changed(self) -> None:
         self.apply()
         self._gate_changed()
-        self.society.shout_word(self.word.revision)
+        self.membership.shout_word(self.word.revision)
         self.assay.word_changed()
 
     def apply(self) -> None:
@@ -158,7 +160,7 @@
             self.said = gate.state
             self.host.log(f"backend {gate.instance or '-'} is {STATES[gate.state]}")
         self.source.told(self.settings.ip, say, self.settings.zone)
-        self.society.tell(**say)
+        self.membership.tell(**say)
 
     def _streams(self, connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
         reader.most = MOST_FRAME
@@ -175,14 +177,14 @@
     def helper(self, passed: Container[str]) -> str | None:
         """A sluice of this region that is well, of this zone where there is one; None without one."""
         settings, near, far = self.settings, [], []
-        for node, entry in self.society.entries().items():
+        for node, entry in self.membership.entries().items():
             say = entry.say
             if (
                 say is None
                 or not say.get("s")
                 or say.get("q")
                 or say.get("st") == DRAINING
-                or (node == settings.ip or node in passed or not self.society.alive(node))
+                or (node == settings.ip or node in passed or not self.membership.alive(node))
             ):
                 continue
             if entry.zone == settings.zone:
@@ -235,7 +237,7 @@
         empty = not self.source.courses and not self.inbound.jobs and not self.outbound.guests
         if since >= grace or (quiet and empty):
             self.outbound.close()
-            self.society.leave()
+            self.membership.leave()
             self.counters()
             self.host.after(0.02, lambda: self.host.exit(0))
             return
@@ -254,7 +256,7 @@
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
             f"beats={self.beats.taken} late={self.beats.late}; word={self.word.revision} "
-            f"known={len(self.society.entries())}"
+            f"known={len(self.membership.entries())}"
         )
 
     def _counters(self) -> None:
--- a/tests/failure_detector/test_watch.py
+++ b/tests/failure_detector/test_watch.py
@@ -8,8 +8,8 @@
 
 from honeywharf.failure_detector import watch
 from honeywharf.failure_detector.watch import Watch
-from honeywharf.runnel.entry import Entry, key_of
-from tests.runnel.net import Net, settled
+from honeywharf.gossip.entry import Entry, key_of
+from tests.gossip.net import Net, settled
 
 
 def zone_of(net: Net, zone: int) -> list[str]:
@@ -21,14 +21,14 @@
     zone = {name: machine.zone for name, machine in net.machines.items()}
     held: dict[str, set[str]] = {}
     for at in sorted({*zone.values()}):
-        views = [{*society.watch.down} for society in net.live() if society.news.zone == at]
+        views = [{*membership.watch.down} for membership in net.live() if membership.news.zone == at]
         held[at] = {zone[down] for down in set.intersection(*views)}
     return held
 
 
 def held_down(net: Net, *nodes: str) -> bool:
     """Whether all live ones hold just these down."""
-    return all(set(society.watch.down) == {*nodes} for society in net.live())
+    return all(set(membership.watch.down) == {*nodes} for membership in net.live())
 
 
 @pytest.mark.parametrize("nodes", [13, 100])
@@ -57,7 +57,7 @@
     expected = {"east": {"north", "west"}, "north": {"east"}, "west": {"east"}}
     assert net.run(10.0, lambda: sides(net) == expected)
     net.run(100.0)
-    assert {len(society.entries()) for society in net.live()} == {14, 26}, "dropped after 30 s"
+    assert {len(membership.entries()) for membership in net.live()} == {14, 26}, "dropped after 30 s"
     net.cuts.clear()
     net.run(0.1)
     assert net.run(10.0, net.all_know)
--- a/tests/runnel/net.py
+++ b/tests/gossip/net.py
@@ -8,10 +8,10 @@
 from functools import partial
 from typing import Any, cast
 
+from honeywharf.gossip.entry import Entry
+from honeywharf.gossip.membership import Membership
+from honeywharf.gossip.table import BURIED, KEPT
 from honeywharf.mains.host import Address, Host
-from honeywharf.runnel.entry import Entry
-from honeywharf.runnel.society import Society
-from honeywharf.runnel.table import BURIED, KEPT
 
 PORT = 7620
 ZONES = ("east", "north", "west")
@@ -29,7 +29,7 @@
 
 
 class Machine:
-    """What `Society` uses of a host."""
+    """What `Membership` uses of a host."""
 
     def __init__(self, net: Net, ip: str, zone: str) -> None:
         self.net, self.ip, self.zone = net, ip, zone
@@ -88,7 +88,7 @@
         self.sent = 0
         self.lines: list[str] = []
         self.machines: dict[str, Machine] = {}
-        self.societies: dict[str, Society] = {}
+        self.societies: dict[str, Membership] = {}
         self.seen: dict[tuple[str, str], tuple[tuple[int, int, bool], float]] = {}
         self.downs: list[tuple[float, str, str]] = []
         self.names = [f"10.{at % 3 + 1}.{at // 250}.{at % 250 + 1}" for at in range(nodes)]
@@ -113,18 +113,20 @@
             take = target.take
             target.run(lambda: take((sender, PORT), data))
 
-    def start(self, name: str, incarnation: int = 1, **say: Any) -> Society:
+    def start(self, name: str, incarnation: int = 1, **say: Any) -> Membership:
         """Start a node, or start it again."""
         if name in self.machines:
             self.machines[name].off = True
             self.seen = {pair: version for pair, version in self.seen.items() if pair[0] != name}
         zone = ZONES[int(name.split(".")[1]) - 1]
         machine = self.machines[name] = Machine(self, name, zone)
-        society = Society(cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation)
-        society.on_change = lambda node, entry, old: self.check(name, node, entry, old)
-        society.on_down = lambda node: self.downs.append((self.now, name, node))
-        self.societies[name] = society
-        return society
+        membership = Membership(
+            cast("Host", machine), name, PORT, zone, self.seeds, {"rev": 0, **say}, incarnation
+        )
+        membership.on_change = lambda node, entry, old: self.check(name, node, entry, old)
+        membership.on_down = lambda node: self.downs.append((self.now, name, node))
+        self.societies[name] = membership
+        return membership
 
     def start_all(self, spread: float = 0.5) -> None:
         for name in self.names:
@@ -159,7 +161,7 @@
         pairs = [(a, b) for a in one for b in other]
         self.cuts |= {*pairs, *((b, a) for a, b in pairs if both)}
 
-    def live(self) -> list[Society]:
+    def live(self) -> list[Membership]:
         return [self.societies[name] for name, machine in self.machines.items() if not machine.off]
 
     def kill(self, name: str) -> None:
@@ -167,8 +169,11 @@
 
     def all_know(self) -> bool:
         """Whether every live node knows every live node under its present number, and holds it alive."""
-        truth = {society.news.me: society.news.table[society.news.me].version for society in self.live()}
-        return all(knows(society, truth) for society in self.live())
+        truth = {
+            membership.news.me: membership.news.table[membership.news.me].version
+            for membership in self.live()
+        }
+        return all(knows(membership, truth) for membership in self.live())
 
 
 def settled(nodes: int, seed: int = 1, loss: float = 0.05) -> Net:
@@ -180,8 +185,8 @@
     return net
 
 
-def knows(society: Society, truth: dict[str, tuple[int, int, bool]]) -> bool:
-    table = society.news.table
+def knows(membership: Membership, truth: dict[str, tuple[int, int, bool]]) -> bool:
+    table = membership.news.table
     return all(node in table and table[node].version == version for node, version in truth.items())
 
 
--- a/tests/runnel/test_news.py
+++ b/tests/gossip/test_news.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.runnel.net import Net, sample, settled
+from tests.gossip.net import Net, sample, settled
 
 
 @pytest.mark.parametrize(("nodes", "seed"), [(3, 1), (13, 1), (13, 2), (100, 1), (100, 2)])
@@ -23,7 +23,7 @@
     for name in net.names[5:8]:
         net.societies[name].tell(state="draining")
         assert net.run(2.0, net.all_know)
-        assert all(society.entries()[name].say["state"] == "draining" for society in net.live())  # type: ignore[index]
+        assert all(membership.entries()[name].say["state"] == "draining" for membership in net.live())  # type: ignore[index]
 
 
 def note(told: list[tuple[int, str]], revision: int, holder: str) -> None:
@@ -33,8 +33,8 @@
 def test_a_word_reaches_all_and_is_told_until_it_is_taken() -> None:
     net = settled(100)
     told: dict[str, list[tuple[int, str]]] = {name: [] for name in net.names}
-    for name, society in net.societies.items():
-        society.on_word = partial(note, told[name])
+    for name, membership in net.societies.items():
+        membership.on_word = partial(note, told[name])
     first = net.names[7]
     net.societies[first].shout_word(9)
     assert net.run(1.0, lambda: all(told[name] for name in net.names if name != first))
@@ -61,8 +61,8 @@
     before = net.sent
     net.run(2.0)
     idle, before = net.sent - before, net.sent
-    for society in net.live():
-        society.tell(rev=5)
+    for membership in net.live():
+        membership.tell(rev=5)
     net.run(2.0)
     assert net.sent - before < 1.1 * idle
 
@@ -71,13 +71,13 @@
     net = settled(30)
     name = net.names[11]
     net.societies[name].leave()
-    assert net.run(2.0, lambda: not any(society.alive(name) for society in net.live()))
+    assert net.run(2.0, lambda: not any(membership.alive(name) for membership in net.live()))
     net.kill(name)
     net.run(40.0)
-    assert not any(name in society.entries() for society in net.live())
+    assert not any(name in membership.entries() for membership in net.live())
     net.run(80.0)
-    assert not any(name in society.entries() for society in net.live())
-    assert all(not society.news._buried for society in net.live())
+    assert not any(name in membership.entries() for membership in net.live())
+    assert all(not membership.news._buried for membership in net.live())
     assert net.downs == []
 
 
@@ -90,7 +90,7 @@
     net.start(name, incarnation, **{**sample(name), "id": "i-new"})
     net.run(0.2)
     assert net.run(4.0, net.all_know)
-    assert all(society.entries()[name].say["id"] == "i-new" for society in net.live())  # type: ignore[index]
+    assert all(membership.entries()[name].say["id"] == "i-new" for membership in net.live())  # type: ignore[index]
 
 
 @pytest.mark.parametrize("away", [8.0, 20.0, 60.0])
@@ -101,7 +101,7 @@
     net.cut(near, far)
     net.societies[near[1]].tell(state="draining")
     net.run(away)
-    assert not any(society.alive(near[1]) for society in net.live() if society.news.me in far)
+    assert not any(membership.alive(near[1]) for membership in net.live() if membership.news.me in far)
     net.societies[far[1]].tell(state="draining")
     net.cuts.clear()
     net.run(0.5)
@@ -119,10 +119,10 @@
     name = net.names[11]
     net.machines[name].frozen = True
     net.run(45.0)
-    assert not any(name in society.entries() for society in net.live() if society.news.me != name)
+    assert not any(name in membership.entries() for membership in net.live() if membership.news.me != name)
     net.machines[name].thaw()
     net.run(0.2)
-    assert net.run(8.0, lambda: net.all_know() and all(society.alive(name) for society in net.live()))
+    assert net.run(8.0, lambda: net.all_know() and all(membership.alive(name) for membership in net.live()))
 
 
 def test_seeds_that_are_down_are_found_later() -> None:
--- a/tests/runnel/test_society.py
+++ b/tests/gossip/test_society.py
@@ -4,25 +4,25 @@
 
 import random
 
-from honeywharf.runnel.society import Draws
-from tests.runnel.net import PORT, settled
+from honeywharf.gossip.membership import Draws
+from tests.gossip.net import PORT, settled
 
 
 def test_foreign_datagrams_of_every_first_byte_are_survived() -> None:
     net = settled(5, loss=0.0)
     rng = random.Random(5)
-    society = net.societies[net.names[0]]
+    membership = net.societies[net.names[0]]
     for first in range(256):
         for size in (0, 1, 7, 8, 9, 40, 1399):
-            society._received((net.names[1], PORT), bytes([first]) + rng.randbytes(size))
-    society._received((net.names[1], PORT), b"")
-    society._received(("8.8.8.8", 53), b"p")
-    society._received(("no address", PORT), b"t\x01")
-    ignored = society.news.ignored
+            membership._received((net.names[1], PORT), bytes([first]) + rng.randbytes(size))
+    membership._received((net.names[1], PORT), b"")
+    membership._received(("8.8.8.8", 53), b"p")
+    membership._received(("no address", PORT), b"t\x01")
+    ignored = membership.news.ignored
     assert ignored > 1000
     net.run(4.0)
     assert net.all_know()
-    assert society.news.ignored == ignored
+    assert membership.news.ignored == ignored
     assert net.downs == []
 
 
@@ -32,7 +32,7 @@
     net.machines[gone].frozen = True
     net.run(3.0)
     assert net.downs
-    others = [society.news for society in net.live() if society.news.me != gone]
+    others = [membership.news for membership in net.live() if membership.news.me != gone]
     numbers = [news.table[news.me].number for news in others]
     assert max(numbers) <= 4, "each doubt is told once; a storm renumbers with each echo"
     held = net.sent
@@ -42,12 +42,12 @@
 
 def test_who_has_stopped_sends_nothing_and_calls_nobody() -> None:
     net = settled(5)
-    society = net.societies[net.names[0]]
-    society.leave()
-    society.stop()
-    society.on_change = lambda *_: calls.append("change")
-    society.on_word = lambda *_: calls.append("word")
-    society.on_down = lambda *_: calls.append("down")
+    membership = net.societies[net.names[0]]
+    membership.leave()
+    membership.stop()
+    membership.on_change = lambda *_: calls.append("change")
+    membership.on_word = lambda *_: calls.append("word")
+    membership.on_down = lambda *_: calls.append("down")
     calls: list[str] = []
     others = net.sent
     net.run(0.0)
@@ -80,7 +80,7 @@
     net.run(2.0)
     net.kill(net.names[6])
     net.run(3.0)
-    assert all(not society.alive(net.names[6]) for society in net.live())
+    assert all(not membership.alive(net.names[6]) for membership in net.live())
     assert max(entry.number for entry in net.live()[0].entries().values()) <= 6
     net.bytes = dict.fromkeys(net.bytes, 0)
     net.run(2.0)
--- a/tests/runnel/test_table.py
+++ b/tests/gossip/test_table.py
@@ -8,9 +8,9 @@
 import msgpack  # type: ignore[import-untyped]
 import pytest
 
-from honeywharf.runnel import table
-from honeywharf.runnel.entry import Entry, datagrams, key_of, node_of
-from honeywharf.runnel.table import News
+from honeywharf.gossip import table
+from honeywharf.gossip.entry import Entry, datagrams, key_of, node_of
+from honeywharf.gossip.table import News
 
 ME, OTHER = "10.0.0.1", "10.0.0.2"
 
--- a/tests/hinted_handoff/test_hints.py
+++ b/tests/hinted_handoff/test_hints.py
@@ -5,8 +5,8 @@
 from honeywharf.hinted_handoff import hints
 from honeywharf.hinted_handoff.hints import HintStore
 from honeywharf.hinted_handoff.news import NewsHintStore
+from tests.gossip.net import Net, knows, settled
 from tests.reservoir.town import Town
-from tests.runnel.net import Net, knows, settled
 
 
 def test_the_newest_of_each_thing_is_handed_over_once() -> None:
@@ -81,8 +81,8 @@
 def returned(keeps: bool, seed: int) -> float:
     """Seconds until a node whose datagrams were cut off knows all again."""
     net = settled(13, seed, loss=0.0)
-    for society in net.live():
-        society.keeps = keeps
+    for membership in net.live():
+        membership.keeps = keeps
     net.run(2.0)
     gone = net.names[6]
     others = [name for name in net.names if name != gone]
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -13,6 +13,7 @@
 
 from honeywharf.admission.admission import Admission
 from honeywharf.admission.cold import ColdBound
+from honeywharf.gossip.table import News
 from honeywharf.mains.streams import Link
 from honeywharf.programs.sluice import Sluice
 from honeywharf.reservoir import word
@@ -20,7 +21,6 @@
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
 from honeywharf.reservoir.store import Store
-from honeywharf.runnel.table import News
 from honeywharf.simulation.days import Fault
 from honeywharf.simulation.run import Report, run
 from honeywharf.sluice.backend import Tap
