--- a/honeywharf/assay/gather.py
+++ b/honeywharf/assay/gather.py
@@ -18,11 +18,11 @@
 from honeywharf.mesh_config.routes import version_number
 
 if TYPE_CHECKING:
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
     from honeywharf.programs.reservoir import Reservoir
     from honeywharf.reservoir.operator import Asked
     from honeywharf.reservoir.word import Key, Value
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 BATCH = 16  # sluices asked at once
 WITHIN_S = 0.8  # for each
--- a/honeywharf/assay/history.py
+++ b/honeywharf/assay/history.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Host
+    from honeywharf.transport.host import Host
 
 FILE, BESIDE, TEXT = "assay-history", "assay-history.new", "assay-text-"
 MARK = b"hwa1"
--- a/honeywharf/assay/requests.py
+++ b/honeywharf/assay/requests.py
@@ -20,11 +20,11 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.mains.host import Address
     from honeywharf.mesh_config.routes import Route
     from honeywharf.programs.sluice import Sluice
     from honeywharf.sluice.course import Course
     from honeywharf.sluice.inbound import Job
+    from honeywharf.transport.host import Address
 
 FETCH_S = 0.03  # between fetches in vain that requests ask for
 MOST_HELD = 256
--- a/honeywharf/assay/rounds.py
+++ b/honeywharf/assay/rounds.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.mains.host import Address
     from honeywharf.programs.sluice import Sluice
+    from honeywharf.transport.host import Address
 
 STEP_S = 0.25  # between steps of the scan
 WHOLE_STEPS = 16  # steps of a round, 4 s, up to WHOLE_STEPS * MOST_PARTS routes
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/assay/watch.py
@@ -25,9 +25,9 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
     from honeywharf.programs.sluice import Sluice
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 LOOK_S = 0.25  # between looks at all of oneself that others or requests ask for
 MOST_STUBBORN = 16
--- a/honeywharf/cli/store.py
+++ b/honeywharf/cli/store.py
@@ -15,8 +15,8 @@
 
 from honeywharf.cli import ending
 from honeywharf.cli.ending import DONE, NO
-from honeywharf.mains.loop import Loop
 from honeywharf.reservoir import mending
+from honeywharf.transport.loop import Loop
 
 Directory = Annotated[str, cappa.Arg(help="The data directory of a reservoir.")]
 File = Annotated[str, cappa.Arg(help="The file of a backup.")]
--- a/honeywharf/gossip/membership.py
+++ b/honeywharf/gossip/membership.py
@@ -11,7 +11,7 @@
 
     from honeywharf.gossip.entry import Entry
     from honeywharf.hinted_handoff.news import NewsHintStore
-    from honeywharf.mains.host import Address, Host, Timer
+    from honeywharf.transport.host import Address, Host, Timer
 
 
 SOONEST = 0.001  # seconds to the next turn, at least: timers and sums of times round differently
--- a/honeywharf/lab/doors.py
+++ b/honeywharf/lab/doors.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True)
-class Door:
+class HttpServer:
     """One proxy's door. `accept_ms`, `request_ms`: of its core, for a connection and for a request."""
 
     accept_ms: float = 0.0
--- a/honeywharf/lab/simulator.py
+++ b/honeywharf/lab/simulator.py
@@ -15,7 +15,7 @@
 
 from honeywharf import limits
 from honeywharf.lab import doors, habits
-from honeywharf.lab.doors import Door
+from honeywharf.lab.doors import HttpServer
 from honeywharf.lab.model import Node, NodeSpec, Rack
 from honeywharf.lab.population import UNCONNECTED, Population, Turn
 from honeywharf.policy import interface as api
@@ -214,7 +214,7 @@
         self.of_zone = {z: [i for i, home in enumerate(self.homes) if home == z] for z in self.zones}
         self.shape = shape
         self.proxies = [self.balancer(i) for i in range(day.proxies)]
-        self.doors = [Door(day.accept_ms, day.request_ms) for _ in range(day.proxies)]
+        self.doors = [HttpServer(day.accept_ms, day.request_ms) for _ in range(day.proxies)]
         self.population: Population | None = None
         if day.clients:
             self.population = Population(
--- a/honeywharf/lease/acquisition.py
+++ b/honeywharf/lease/acquisition.py
@@ -19,7 +19,7 @@
 
     from honeywharf.lease.grants import Duty
     from honeywharf.lease.lease import Key
-    from honeywharf.mains.host import Address, Host, Timer
+    from honeywharf.transport.host import Address, Host, Timer
 
     Call = Callable[[Address, str, object, float, Callable[[Any], None]], None]
     Roster = Callable[[], tuple[int, Sequence[Key]]]
--- a/honeywharf/penstock/abroad.py
+++ b/honeywharf/penstock/abroad.py
@@ -16,9 +16,9 @@
     from collections.abc import Callable
     from typing import Any, Protocol
 
-    from honeywharf.mains.host import Address, Host
-    from honeywharf.mains.streams import Ask, Replies, Work
     from honeywharf.penstock.conveyor import Carriage
+    from honeywharf.transport.host import Address, Host
+    from honeywharf.transport.streams import Ask, Replies, Work
 
     class Settings(Protocol):
         """What is read of a sluice's settings."""
--- a/honeywharf/penstock/conveyor.py
+++ b/honeywharf/penstock/conveyor.py
@@ -10,7 +10,6 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.streams import WINDOW_BYTES, Ask
 from honeywharf.penstock.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
 from honeywharf.penstock.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
 from honeywharf.penstock.kinds import (
@@ -27,6 +26,7 @@
 from honeywharf.penstock.line import TO_SOURCES, Line
 from honeywharf.penstock.outlet import APART_S
 from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.transport.streams import WINDOW_BYTES, Ask
 from honeywharf.verdict import DRAINING, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -34,9 +34,9 @@
     from collections.abc import Callable, Iterable
     from typing import Any
 
-    from honeywharf.mains.host import Host, Timer
-    from honeywharf.mains.streams import Replies
     from honeywharf.penstock.places import Place
+    from honeywharf.transport.host import Host, Timer
+    from honeywharf.transport.streams import Replies
 
 TICK_S = 0.02
 STALL_S = 2.5  # nothing came on a way that owes a word; a full gateway says little for a second and more
--- a/honeywharf/penstock/landing.py
+++ b/honeywharf/penstock/landing.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.streams import Ask
 from honeywharf.penstock.hold import Hold
 from honeywharf.penstock.line import TO_LANDING, Caught
 from honeywharf.penstock.outlet import OVER, Outlet, Outlets
 from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import GARBLED, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -14,8 +14,8 @@
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
-    from honeywharf.mains.streams import Work
+    from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.transport.streams import Work
 
 DUE_S = 0.25
 MOST_LINKS = 256
--- a/honeywharf/penstock/line.py
+++ b/honeywharf/penstock/line.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.frames import FrameReader, encode
 from honeywharf.penstock.kinds import PING, PONG
+from honeywharf.transport.frames import FrameReader, encode
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Host, Timer
+    from honeywharf.transport.host import Address, Connection, Host, Timer
 
 PING_S = 0.25
 SILENT_S = 1.2
--- a/honeywharf/penstock/places.py
+++ b/honeywharf/penstock/places.py
@@ -4,7 +4,7 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address
+    from honeywharf.transport.host import Address
 
 
 class Place:
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -14,10 +14,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
     from honeywharf.programs.reservoir import Reservoir
     from honeywharf.reservoir.operator import Asked
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 UPKEEP = ("upkeep", "", 0)
 
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -20,10 +20,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
     from honeywharf.programs.reservoir import Reservoir
     from honeywharf.reservoir.word import Key, Value
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 KEEPERS = 2
 LOOK_S = 0.3  # between looks at who is silent
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -9,9 +9,6 @@
 
 from honeywharf.assay.gather import Gather
 from honeywharf.gossip.membership import Membership
-from honeywharf.mains.calls import Answerer, Caller
-from honeywharf.mains.door import Door
-from honeywharf.mains.host import Address, Host
 from honeywharf.programs.duties import Duties
 from honeywharf.programs.handing import Handing
 from honeywharf.programs.start import settings_or_line
@@ -19,6 +16,9 @@
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.store import Store
 from honeywharf.reservoir.word import Value
+from honeywharf.transport.host import Address, Host
+from honeywharf.transport.http_server import HttpServer
+from honeywharf.transport.rpc import Answerer, Caller
 
 if TYPE_CHECKING:
     from honeywharf.mesh_config.settings import Settings
@@ -48,7 +48,7 @@
             self._cores,
         )
         self.membership: Membership | None = None
-        self.door: Door | None = None
+        self.door: HttpServer | None = None
         self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
         self.gather = Gather(self)
@@ -80,7 +80,7 @@
             int(host.wall() * 1000),
         )
         self.membership.on_word = self._rumour
-        self.door = Door(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
+        self.door = HttpServer(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
         host.after(LOADED, self.operator.load)
         host.log(
             f"reservoir: {settings.node_name} at {settings.ip}, disk {self.basin.state.disk},"
@@ -133,7 +133,7 @@
 
 def main() -> int:
     """Run by the settings file that the platform names; 2 where it can't be used."""
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line("/etc/honeywharf/boot.yaml")
     if settings is None:
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -12,9 +12,6 @@
 from honeywharf.assay.requests import Assay
 from honeywharf.assay.watch import is_named
 from honeywharf.gossip.membership import Draws, Membership
-from honeywharf.mains.calls import Answerer, Caller
-from honeywharf.mains.door import Call, Door
-from honeywharf.mains.streams import HANDED, MOST_FRAME, Reception
 from honeywharf.programs.start import settings_or_line
 from honeywharf.sluice.backend import Taps
 from honeywharf.sluice.beats import Beats
@@ -24,6 +21,9 @@
 from honeywharf.sluice.probe import Probe
 from honeywharf.sluice.source import Source
 from honeywharf.sluice.word import Word
+from honeywharf.transport.http_server import Call, HttpServer
+from honeywharf.transport.rpc import Answerer, Caller
+from honeywharf.transport.streams import HANDED, MOST_FRAME, Reception
 from honeywharf.verdict import WORDS
 
 TYPE_CHECKING = False
@@ -32,11 +32,11 @@
     from typing import Any
 
     from honeywharf.gossip.entry import Entry
-    from honeywharf.mains.frames import FrameReader
-    from honeywharf.mains.host import Address, Connection, Handler, Host
-    from honeywharf.mains.streams import Ask, Work
     from honeywharf.mesh_config.settings import Settings
     from honeywharf.sluice.inbound import Answers
+    from honeywharf.transport.frames import FrameReader
+    from honeywharf.transport.host import Address, Connection, Handler, Host
+    from honeywharf.transport.streams import Ask, Work
 
 COUNTERS_S = 10.0
 UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
@@ -91,8 +91,8 @@
         self.said = UNKNOWN
         self.beats = Beats(host, self.gate, self._gate_changed)
         self.doors = [
-            Door(host, settings.listen["control-plane"], self.beats.take, 1 << 20),
-            Door(host, settings.listen["readiness"], self._readiness, 1 << 16),
+            HttpServer(host, settings.listen["control-plane"], self.beats.take, 1 << 20),
+            HttpServer(host, settings.listen["readiness"], self._readiness, 1 << 16),
         ]
         self.outbound = Outbound(host, settings.listen["outbound"], self.word, self.source)
         self.source.told(settings.ip, self.gate.say(), settings.zone)
@@ -268,7 +268,7 @@
     """Run until the platform ends it; the exit status."""
     from signal import SIGHUP, SIGTERM
 
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line()
     if settings is None:
--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/weirkeeper.py
@@ -8,7 +8,6 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from honeywharf.mains.door import Call, Door
 from honeywharf.penstock.drain import (
     ASK_AGAIN_S,
     AT_ONCE,
@@ -30,13 +29,14 @@
 from honeywharf.penstock.places import Place
 from honeywharf.penstock.spillway import LINK_MBPS, Spillway
 from honeywharf.programs.start import settings_or_line
+from honeywharf.transport.http_server import Call, HttpServer
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
 TELL_S = 0.5  # between words of its load
 QUEUE_S = 0.5  # of its link that a gateway may have on the way
@@ -84,7 +84,7 @@
         ]
         self.ticking = False
         if door is not None:
-            Door(host, door, self._order, 1 << 16)
+            HttpServer(host, door, self._order, 1 << 16)
         host.listen(at, self._accept)
         host.after(TELL_S, self._tell_again)
         host.after(COUNTERS_S, self._counters)
@@ -281,7 +281,7 @@
     """Run until the platform or an operator's SIGTERM ends it; the exit status."""
     from signal import SIGTERM
 
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line()
     if settings is None:
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     from honeywharf.config.features import Features
-    from honeywharf.service.door import Door
+    from honeywharf.service.door import HttpServer
 
 # Shares of the descriptors: callers hold a third at most with requests, each of which wants a connection to a
 # backend; the rest is for callers that idle. The proxy's own are those of the interpreter, the loop, the
@@ -80,7 +80,7 @@
         )
         self.features = features
         self.parts: list[Part] = attached(self, features) if features is not None else []
-        self.door: Door | None = None  # operators' second address
+        self.door: HttpServer | None = None  # operators' second address
         self.told: dict[str, int] = {}
         self.environ: Mapping[str, str] = os.environ
 
@@ -134,9 +134,9 @@
         if not self.conf.settings.polled_discovery:
             self.watch.watch()
         if self.conf.operator is not None:
-            from honeywharf.service.door import Door
+            from honeywharf.service.door import HttpServer
 
-            self.door = Door(self.loop, self.keeper.call)
+            self.door = HttpServer(self.loop, self.keeper.call)
             host, port = await self.door.listen(self.conf.operator)
             log(
                 f"{self.conf.name} takes operators' calls on {host}:{port}",
--- a/honeywharf/reservoir/basin.py
+++ b/honeywharf/reservoir/basin.py
@@ -15,15 +15,15 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.mains.calls import Caller
-from honeywharf.mains.host import Address, Host
 from honeywharf.reservoir import word
 from honeywharf.reservoir.register import NONE, Acceptor, Asking, Message, Round, Sends, State, Survey, ballot
 from honeywharf.reservoir.store import Store
 from honeywharf.reservoir.word import Change, Key, Value
+from honeywharf.transport.host import Address, Host
+from honeywharf.transport.rpc import Caller
 
 if TYPE_CHECKING:
-    from honeywharf.mains.calls import Method, Reply
+    from honeywharf.transport.rpc import Method, Reply
 
 BEAT = 0.3  # s between calls that tell who is there
 LATE = 0.5  # s that a beat of our own may be late before our judgement of others' silence begins anew
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/reservoir/operator.py
@@ -12,10 +12,10 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.mains.matchers import NotAllowed, Tree
 from honeywharf.reservoir import word
 from honeywharf.reservoir.basin import Basin
 from honeywharf.reservoir.word import Value
+from honeywharf.transport.matchers import NotAllowed, Tree
 
 if TYPE_CHECKING:
     from result import Result
@@ -31,7 +31,7 @@
 
 
 class Asked(Protocol):
-    """A whole call of HTTP (`mains/door.Call`)."""
+    """A whole call of HTTP (`transport/http_server.Call`)."""
 
     method: bytes
     path: bytes
--- a/honeywharf/service/door.py
+++ b/honeywharf/service/door.py
@@ -21,7 +21,7 @@
 class Caller(asyncio.Protocol):
     """One connection."""
 
-    def __init__(self, door: Door) -> None:
+    def __init__(self, door: HttpServer) -> None:
         self.door, self.data, self.told = door, b"", False
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None
@@ -63,7 +63,7 @@
         self.door.callers.pop(self, None)
 
 
-class Door:
+class HttpServer:
     """The listener; `do` carries a call out and says what to tell, or raises ValueError."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, do: Do) -> None:
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -1,4 +1,4 @@
-"""Machines, processes and the network between them: `mains/host.py` in virtual time.
+"""Machines, processes and the network between them: `transport/host.py` in virtual time.
 
 Theory of operation. A `Process` is the `Host` of one program. All calls into it go through `Process.call`:
 they wait while it is frozen or blocked by its disk, and are dropped when it has died. A disk operation moves
@@ -22,7 +22,7 @@
 from honeywharf.simulation.world import Event, World
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler
+    from honeywharf.transport.host import Address, Connection, Handler
 
 WINDOW = 65_536  # bytes unread or on the way, each direction
 PIECE = 16_384  # bytes of one delivery at most
--- a/honeywharf/simulation/regions.py
+++ b/honeywharf/simulation/regions.py
@@ -11,7 +11,6 @@
 from collections import Counter
 from typing import Any
 
-from honeywharf.mains.streams import Ask
 from honeywharf.penstock.conveyor import Conveyor
 from honeywharf.penstock.drain import rest_first
 from honeywharf.penstock.hold import Hold
@@ -20,6 +19,7 @@
 from honeywharf.programs.weirkeeper import Weirkeeper
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import FULL, NOT_RUN, Verdict
 
 GATE, LAND = 7640, 7641
--- a/honeywharf/simulation/standins.py
+++ b/honeywharf/simulation/standins.py
@@ -14,9 +14,9 @@
 
 import httptools
 
-from honeywharf.mains.host import Address, Connection
 from honeywharf.simulation.machine import Process
 from honeywharf.simulation.rules import Ask, Book, Order
+from honeywharf.transport.host import Address, Connection
 
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Internal Server Error", 503: "Service Unavailable"}
 FINAL = (400, 401, 404, 413, 431)  # answers after which a client does not try again
--- a/honeywharf/sluice/backend.py
+++ b/honeywharf/sluice/backend.py
@@ -26,7 +26,7 @@
     from collections.abc import Callable
     from typing import Protocol
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
     class User(Protocol):
         """Who has a connection for one request."""
--- a/honeywharf/sluice/beats.py
+++ b/honeywharf/sluice/beats.py
@@ -9,15 +9,15 @@
 import json
 
 from honeywharf.codecs.mesh import duration
-from honeywharf.mains.matchers import NotAllowed, Tree
+from honeywharf.transport.matchers import NotAllowed, Tree
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.door import Call
-    from honeywharf.mains.host import Host
     from honeywharf.sluice.gate import Gate
+    from honeywharf.transport.host import Host
+    from honeywharf.transport.http_server import Call
 
 MOST_ID = 256
 
--- a/honeywharf/sluice/bypass.py
+++ b/honeywharf/sluice/bypass.py
@@ -19,8 +19,8 @@
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.mains.streams import FIRST_WINDOW
 from honeywharf.sluice.course import Course
+from honeywharf.transport.streams import FIRST_WINDOW
 from honeywharf.verdict import (
     BROKEN_OFF,
     DRIFT,
@@ -35,10 +35,10 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mains.streams import Ask, Work
     from honeywharf.mesh_config.routes import Route
     from honeywharf.sluice.inbound import Answers
     from honeywharf.sluice.source import Source
+    from honeywharf.transport.streams import Ask, Work
 
 MOST_PASSING = 256
 AHEAD_BYTES = 64 * 1024  # of a body, beyond what a gate has taken
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -23,16 +23,16 @@
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import UNKNOWN, Head
-from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.mesh_config.routes import Route
+from honeywharf.transport.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.verdict import DRIFT, FULL, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Protocol
 
-    from honeywharf.mains.host import Timer
     from honeywharf.sluice.source import Source
+    from honeywharf.transport.host import Timer
 
     class Channel(Protocol):
         """The way to a gate: a stream of a link, or the job in this process."""
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -22,8 +22,8 @@
 
 from honeywharf.admission.intake import STALL_S, Intake
 from honeywharf.codecs.mesh import UNKNOWN, Answer
-from honeywharf.mains.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.sluice.backend import Taps
+from honeywharf.transport.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
     CHOKED,
@@ -48,10 +48,10 @@
     from honeywharf.admission.admission import Waiter
     from honeywharf.admission.intake import Place
     from honeywharf.assay.requests import Assay
-    from honeywharf.mains.host import Host, Timer
-    from honeywharf.mains.streams import Ask
     from honeywharf.sluice.backend import Tap
     from honeywharf.sluice.gate import Gate
+    from honeywharf.transport.host import Host, Timer
+    from honeywharf.transport.streams import Ask
 
     class Answers(Protocol):
         """Where a job's outcome goes: a stream's frames, or the source in this process."""
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -13,14 +13,14 @@
 
 from honeywharf.codecs.mesh import UNKNOWN, Head, RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
-from honeywharf.mains.streams import WINDOW_BYTES
 from honeywharf.sluice.course import ASIDE, DEADLINE_S, Course
+from honeywharf.transport.streams import WINDOW_BYTES
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
     from honeywharf.sluice.source import Source
     from honeywharf.sluice.word import Word
+    from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
 
 MOST_AHEAD = 16
 NO_WORD_S = 0.2  # after which a client may come back to a sluice that has just started
--- a/honeywharf/sluice/probe.py
+++ b/honeywharf/sluice/probe.py
@@ -15,8 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
     from honeywharf.sluice.gate import Gate
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
 PATIENT_S = 0.1
 AGAIN_S = 0.5
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from honeywharf.admission.budget import RetryBudget
-from honeywharf.mains.streams import Ask, Links
 from honeywharf.policy.levels import Levels
+from honeywharf.transport.streams import Ask, Links
 from honeywharf.verdict import CHOKED, WORDS, Verdict
 
 TYPE_CHECKING = False
@@ -12,7 +12,6 @@
     from collections.abc import Callable, Container
 
     from honeywharf.assay.requests import Assay
-    from honeywharf.mains.host import Host
     from honeywharf.mesh_config.routes import Route
     from honeywharf.mesh_config.settings import Settings
     from honeywharf.penstock.abroad import Abroad
@@ -20,6 +19,7 @@
     from honeywharf.sluice.course import Channel, Course
     from honeywharf.sluice.inbound import Inbound
     from honeywharf.sluice.word import Word
+    from honeywharf.transport.host import Host
 
 MOST_SERVICES = 1024
 CHOKED_S = 0.5  # at most, that a gate whose link is full of bodies is asked for no further one
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sluice/word.py
@@ -19,8 +19,8 @@
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.calls import Caller, Reply
-    from honeywharf.mains.host import Address, Host
+    from honeywharf.transport.host import Address, Host
+    from honeywharf.transport.rpc import Caller, Reply
 
 WITHIN_S = 0.7  # for a call
 BODY_WITHIN_S = (0.8, 6.0)  # for a text: at first, and at most after calls in vain, as it may be long
--- a/honeywharf/standins/driftdemo.py
+++ b/honeywharf/standins/driftdemo.py
@@ -154,9 +154,9 @@
 
 def main() -> int:
     """A sluice that takes slips; the exit status."""
-    from honeywharf.mains.loop import Loop
     from honeywharf.mesh_config.settings import load
     from honeywharf.programs.sluice import Sluice
+    from honeywharf.transport.loop import Loop
 
     file = os.environ["HONEYWHARF_SETTINGS"]
     loop = Loop(None)
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -22,15 +22,15 @@
 from pathlib import Path
 from typing import Any
 
-from honeywharf.mains.host import Connection
-from honeywharf.mains.loop import Loop
-from honeywharf.mains.streams import Ask
 from honeywharf.penstock.conveyor import Conveyor
 from honeywharf.penstock.kinds import BULK
 from honeywharf.penstock.landing import Landing
 from honeywharf.penstock.places import Place
 from honeywharf.simulation import field
 from honeywharf.standins import meshdemo
+from honeywharf.transport.host import Connection
+from honeywharf.transport.loop import Loop
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import NOT_RUN, Verdict
 
 READ, ORDER, UPLOAD = 0, 1, 2
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -24,11 +24,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.mains.host import Address, Connection, Handler
-from honeywharf.mains.loop import Loop, LoopTimer
 from honeywharf.simulation import field
 from honeywharf.simulation.rules import RULES, TRANSIT, Ask, Book, Order, Rule
 from honeywharf.simulation.standins import Backend, Caller, Clients, Flow, Message, Operator, text
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.loop import Loop, LoopTimer
 
 ZONES = ("tartu-saal", "voru-saal")
 CORES, SIDES = 3, 5
--- a/honeywharf/mains/door.py
+++ b/honeywharf/transport/http_server.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
 SMALL = 256 * 1024  # bytes of a body of which there may be as many as connections
 MOST_CONNECTIONS = 1024
@@ -57,7 +57,7 @@
         "timer",
     )
 
-    def __init__(self, door: Door, connection: Connection) -> None:
+    def __init__(self, door: HttpServer, connection: Connection) -> None:
         self.door, self.connection = door, connection
         self.reader = RequestReader(_Reading(self), door.most_body, MOST_HEAD)
         self.head: Head | None = None  # of the call at work
@@ -194,7 +194,7 @@
         self.guest.whole()
 
 
-class Door:
+class HttpServer:
     """Listens at an address; `take` is given each whole call.
 
     `most_body`: bytes, longer ones are answered 413.
--- a/honeywharf/mains/loop.py
+++ b/honeywharf/transport/loop.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Address, Connection, Handler
+    from honeywharf.transport.host import Address, Connection, Handler
 
 READ = 64 * 1024  # bytes of one read
 ROUNDS = 4  # reads of one connection before others have their turn
--- a/honeywharf/mains/calls.py
+++ b/honeywharf/transport/rpc.py
@@ -12,14 +12,14 @@
 
 from functools import partial
 
-from honeywharf.mains.frames import MOST, FrameReader, encode
+from honeywharf.transport.frames import MOST, FrameReader, encode
 
 TYPE_CHECKING = False  # `typing` is 1.3 MB in each process
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
 
     Done = Callable[[Any], None]
     Reply = Callable[[object], None]
--- a/honeywharf/mains/streams.py
+++ b/honeywharf/transport/streams.py
@@ -22,7 +22,7 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.frames import FrameReader, encode
+from honeywharf.transport.frames import FrameReader, encode
 from honeywharf.verdict import LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -30,7 +30,7 @@
     from collections.abc import Callable
     from typing import Any, Protocol
 
-    from honeywharf.mains.host import Address, Connection, Host, Timer
+    from honeywharf.transport.host import Address, Connection, Host, Timer
 
     class Replies(Protocol):
         """What a source's attempt is told."""
--- a/tests/assay/test_history.py
+++ b/tests/assay/test_history.py
@@ -11,9 +11,9 @@
 
 from honeywharf.assay import history
 from honeywharf.assay.history import History
-from honeywharf.mains.host import Host
 from honeywharf.mesh_config.configuration import digest
 from honeywharf.simulation.slips import Trial
+from honeywharf.transport.host import Host
 from tests.mesh_config.examples import drawn, text
 
 
--- a/tests/gossip/net.py
+++ b/tests/gossip/net.py
@@ -11,7 +11,7 @@
 from honeywharf.gossip.entry import Entry
 from honeywharf.gossip.membership import Membership
 from honeywharf.gossip.table import BURIED, KEPT
-from honeywharf.mains.host import Address, Host
+from honeywharf.transport.host import Address, Host
 
 PORT = 7620
 ZONES = ("east", "north", "west")
--- a/tests/lab/test_population.py
+++ b/tests/lab/test_population.py
@@ -6,7 +6,7 @@
 import pytest
 
 from honeywharf.lab import days, doors, habits
-from honeywharf.lab.doors import Door
+from honeywharf.lab.doors import HttpServer
 from honeywharf.lab.habits import MIXED
 from honeywharf.lab.population import MOST, Population
 from honeywharf.lab.simulator import Day, Result, Simulation, Trouble, play
@@ -84,7 +84,7 @@
 
 
 def test_a_door_accepts_at_its_pace_by_its_core_and_within_its_descriptors() -> None:
-    door = Door(accept_ms=2.0, most=4)
+    door = HttpServer(accept_ms=2.0, most=4)
     assert [door.accept(0.0), door.accept(0.0)] == [2.0, 4.0]
     door.queued = 2
     door.pace(10.0, 100.0)
--- a/tests/lease/net.py
+++ b/tests/lease/net.py
@@ -11,7 +11,7 @@
 from honeywharf.lease.acquisition import LeaseAcquisition
 from honeywharf.lease.grants import Grantor
 from honeywharf.lease.lease import RATE
-from honeywharf.mains.host import Address, Host
+from honeywharf.transport.host import Address, Host
 
 Key = tuple[str, str]  # address, disk
 
--- a/tests/reservoir/test_store_mending.py
+++ b/tests/reservoir/test_store_mending.py
@@ -8,9 +8,9 @@
 import pytest
 
 from honeywharf.cli import store as command
-from honeywharf.mains.loop import Loop
 from honeywharf.reservoir import mending
 from honeywharf.reservoir.store import BAD, BESIDE, FORMAT, REGISTER, FormatError, Store, seal, unseal
+from honeywharf.transport.loop import Loop
 from tests.reservoir.test_store import machine, state
 from tests.reservoir.town import Town
 from tests.reservoir.world import Machine
--- a/tests/reservoir/world.py
+++ b/tests/reservoir/world.py
@@ -7,7 +7,7 @@
 from heapq import heappop, heappush
 from random import Random
 
-from honeywharf.mains.host import Address, Connection, Handler
+from honeywharf.transport.host import Address, Connection, Handler
 
 DELAY = (0.0005, 0.004)  # s, one way
 
--- a/tests/service/test_sockets.py
+++ b/tests/service/test_sockets.py
@@ -10,7 +10,7 @@
 import pytest
 
 from honeywharf.service import door, life
-from honeywharf.service.door import Door
+from honeywharf.service.door import HttpServer
 from honeywharf.service.life import State
 from tests.loopback import Backend, Client, World, reply, row, run, soon, until, world
 
@@ -30,7 +30,7 @@
 @asynccontextmanager
 async def operated(w: World) -> AsyncIterator[int]:
     """The second address of a running proxy; its port."""
-    made = Door(asyncio.get_running_loop(), w.proxy.keeper.call)
+    made = HttpServer(asyncio.get_running_loop(), w.proxy.keeper.call)
     _, port = await made.listen(("127.0.0.1", 0))
     w.proxy.door = made
     yield port
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -14,7 +14,6 @@
 from honeywharf.admission.admission import Admission
 from honeywharf.admission.cold import ColdBound
 from honeywharf.gossip.table import News
-from honeywharf.mains.streams import Link
 from honeywharf.programs.sluice import Sluice
 from honeywharf.reservoir import word
 from honeywharf.reservoir.basin import Basin
@@ -30,6 +29,7 @@
 from honeywharf.sluice.outbound import Guest
 from honeywharf.sluice.source import Source
 from honeywharf.sluice.word import Word
+from honeywharf.transport.streams import Link
 from honeywharf.verdict import BROKEN_OFF, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 Put = Callable[[object, str, Any], None]  # owner, name, what stands there instead
--- a/tests/simulation/test_machine.py
+++ b/tests/simulation/test_machine.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from honeywharf.mains.host import Address
 from honeywharf.simulation.machine import SILENT, WINDOW, End
+from honeywharf.transport.host import Address
 from tests.simulation.toys import HERE, THERE, Log, Two
 
 FORTH, BACK = [(HERE, THERE)], [(THERE, HERE)]
--- a/tests/simulation/toymesh.py
+++ b/tests/simulation/toymesh.py
@@ -6,11 +6,11 @@
 from collections import deque
 from typing import Any
 
-from honeywharf.mains.host import Connection
 from honeywharf.simulation.field import APPLICATION, CONTROL, INBOUND, OUTBOUND, READINESS, TERM, Make
 from honeywharf.simulation.machine import Process
 from honeywharf.simulation.standins import COLD_PER_S, Caller, Message, Reader, text
 from honeywharf.simulation.world import World
+from honeywharf.transport.host import Connection
 
 KEEP = ("x-honeywharf-attempt-id", "x-honeywharf-deadline-remaining", "host", "x-honeywharf-caller-service")
 
--- a/tests/simulation/toys.py
+++ b/tests/simulation/toys.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Callable
 
-from honeywharf.mains.host import Connection
 from honeywharf.simulation.disk import Disk
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
+from honeywharf.transport.host import Connection
 
 HERE, THERE = "10.1.0.1", "10.2.0.1"
 
--- a/tests/sluice/stage.py
+++ b/tests/sluice/stage.py
@@ -9,8 +9,6 @@
 from typing import Any, cast
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.mains.host import Address, Connection, Handler, Host
-from honeywharf.mains.streams import Ask
 from honeywharf.mesh_config.routes import Route, Table
 from honeywharf.mesh_config.settings import Settings, parse
 from honeywharf.simulation.field import APPLICATION, OUTBOUND, settings as settings_text
@@ -23,6 +21,8 @@
 from honeywharf.sluice.outbound import Outbound
 from honeywharf.sluice.source import Source
 from honeywharf.sluice.word import Word
+from honeywharf.transport.host import Address, Connection, Handler, Host
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import Verdict
 
 IP, ZONE, SERVICE = "10.1.0.8", "tartu-saal", "order-desk"
--- a/tests/sluice/test_beats.py
+++ b/tests/sluice/test_beats.py
@@ -7,13 +7,13 @@
 
 import pytest
 
-from honeywharf.mains.door import Door
 from honeywharf.simulation.field import APPLICATION, CONTROL
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
 from honeywharf.sluice.beats import MOST_ID, Beats
 from honeywharf.sluice.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
 from honeywharf.sluice.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
+from honeywharf.transport.http_server import HttpServer
 from tests.sluice.stage import IP, LIFE, SERVICE, ZONE, Backend, Caller, Request, Visit
 
 
@@ -34,7 +34,7 @@
     def _sluice(self, host: Process) -> object:
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         self.beats = Beats(host, self.gate, self._tell)
-        self.door = Door(host, (IP, CONTROL), self.beats.take, 1 << 20)
+        self.door = HttpServer(host, (IP, CONTROL), self.beats.take, 1 << 20)
         self.probe = Probe(host, (IP, APPLICATION), self.gate, self._tell)
         return self.gate
 
--- a/tests/sluice/test_bypass.py
+++ b/tests/sluice/test_bypass.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.mesh_config.routes import Table
 from honeywharf.sluice import bypass
 from honeywharf.sluice.course import ASIDE, MOST_HELPERS, Course
+from honeywharf.transport.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.verdict import (
     BROKEN_OFF,
     DRIFT,
--- a/tests/sluice/test_course.py
+++ b/tests/sluice/test_course.py
@@ -7,8 +7,8 @@
 import pytest
 
 from honeywharf.codecs.mesh import UNKNOWN
-from honeywharf.mains.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.sluice.course import KEPT_BYTES, MOST_ASKED, MOST_WAITED, PATIENCE, Course
+from honeywharf.transport.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
     COLD,
--- a/tests/sluice/test_inbound.py
+++ b/tests/sluice/test_inbound.py
@@ -7,10 +7,10 @@
 import pytest
 
 from honeywharf.codecs.mesh import UNKNOWN
-from honeywharf.mains.streams import WINDOW_BYTES
 from honeywharf.sluice.backend import TRIED_S, TRUSTED_S
 from honeywharf.sluice.gate import READY, UNKNOWN as NOT_KNOWN
 from honeywharf.sluice.inbound import Job
+from honeywharf.transport.streams import WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
     CHOKED,
--- a/tests/sluice/test_outbound.py
+++ b/tests/sluice/test_outbound.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from honeywharf.mains.streams import WINDOW_BYTES
 from honeywharf.sluice.outbound import HELD_BYTES, MOST_AHEAD
+from honeywharf.transport.streams import WINDOW_BYTES
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sluice.stage import Channel, Front
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -56,7 +56,7 @@
         "core",
         "simulation",
         "lab",
-        "mains",
+        "transport",
         "proxy",
         "reservoir",
         "standins",
@@ -70,19 +70,19 @@
     "failure_detector": ("failure_detector", "gossip"),
     "gossip": ("gossip", "hinted_handoff", "failure_detector"),
     "hinted_handoff": ("hinted_handoff",),
-    "lease": ("lease", "mains"),
+    "lease": ("lease", "transport"),
     "mesh_config": ("mesh_config",),
-    "mains": ("mains", "codecs", "verdict"),
-    "sluice": ("sluice", "codecs", "mains", "policy", "mesh_config", "verdict", "admission"),
-    "reservoir": ("reservoir", "mains", "mesh_config"),
-    "penstock": ("penstock", "mains", "verdict"),
+    "transport": ("transport", "codecs", "verdict"),
+    "sluice": ("sluice", "codecs", "transport", "policy", "mesh_config", "verdict", "admission"),
+    "reservoir": ("reservoir", "transport", "mesh_config"),
+    "penstock": ("penstock", "transport", "verdict"),
     "assay": ("assay", "lease", "mesh_config", "verdict"),
     "programs": (
         "programs",
         "assay",
         "hinted_handoff",
         "failure_detector",
-        "mains",
+        "transport",
         "penstock",
         "reservoir",
         "gossip",
@@ -96,7 +96,7 @@
         "assay",
         "codecs",
         "failure_detector",
-        "mains",
+        "transport",
         "penstock",
         "programs",
         "reservoir",
@@ -165,12 +165,12 @@
     "reservoir",
     "programs/sluice.py",
     "programs/reservoir.py",
-    "mains/host.py",
-    "mains/frames.py",
-    "mains/calls.py",
-    "mains/streams.py",
-    "mains/door.py",
-    "mains/matchers.py",
+    "transport/host.py",
+    "transport/frames.py",
+    "transport/rpc.py",
+    "transport/streams.py",
+    "transport/http_server.py",
+    "transport/matchers.py",
     "simulation",
     "assay",
     "penstock",
@@ -271,7 +271,7 @@
 
 
 def test_a_sluice_loads_little() -> None:
-    words = "import sys, honeywharf.programs.sluice, honeywharf.mains.loop; print(*sys.modules)"
+    words = "import sys, honeywharf.programs.sluice, honeywharf.transport.loop; print(*sys.modules)"
     loaded = subprocess.run(
         [sys.executable, "-c", words], cwd=ROOT.parent, capture_output=True, text=True, check=True
     ).stdout
--- a/tests/mains/test_calls.py
+++ b/tests/transport/test_calls.py
@@ -4,16 +4,16 @@
 
 from typing import Any
 
-from honeywharf.mains import calls
-from honeywharf.mains.calls import Answerer, Caller
-from honeywharf.mains.frames import FrameReader, encode
-from honeywharf.mains.host import Address, Connection, Handler
+from honeywharf.transport import rpc
+from honeywharf.transport.frames import FrameReader, encode
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.rpc import Answerer, Caller
 from tests.reservoir.world import Machine, World
 
 AT = ("10.0.0.2", 7000)
 
 
-def pair(methods: dict[str, calls.Method]) -> tuple[World, Machine, Machine, Caller, Answerer]:
+def pair(methods: dict[str, rpc.Method]) -> tuple[World, Machine, Machine, Caller, Answerer]:
     world = World(3)
     a, b = world.machine("10.0.0.1"), world.machine("10.0.0.2")
     a.start(lambda host: None)
@@ -23,7 +23,7 @@
     return world, a, b, Caller(a), answerer
 
 
-def echo(args: Any, reply: calls.Reply, peer: Address) -> None:
+def echo(args: Any, reply: rpc.Reply, peer: Address) -> None:
     reply(args)
     reply("a second answer is dropped")
 
@@ -41,7 +41,7 @@
 
 
 def test_silence_an_unknown_method_and_nonsense_answer_none() -> None:
-    def wrong(args: Any, reply: calls.Reply, peer: Address) -> None:
+    def wrong(args: Any, reply: rpc.Reply, peer: Address) -> None:
         raise KeyError("args")
 
     world, _, _, caller, answerer = pair({"silent": lambda args, reply, peer: None, "wrong": wrong})
@@ -81,19 +81,19 @@
 def test_links_are_bounded_and_idle_ones_close() -> None:
     world, _, _, caller, _ = pair({"echo": echo})
     got: list[object] = []
-    for n in range(calls.MOST_PEERS + 5):
+    for n in range(rpc.MOST_PEERS + 5):
         caller.call(("10.0.1.1", 1 + n), "echo", n, 0.3, got.append)
-    assert caller.peers == calls.MOST_PEERS
+    assert caller.peers == rpc.MOST_PEERS
     world.run(0.2)
     assert got == [None] * 5  # refused at once, all links being at work
     world.run(2.0)
-    assert got == [None] * (calls.MOST_PEERS + 5)
-    for n in range(calls.MOST_WAITING + 3):
+    assert got == [None] * (rpc.MOST_PEERS + 5)
+    for n in range(rpc.MOST_WAITING + 3):
         caller.call(AT, "echo", n, 0.3, got.append)
     world.run(3.0)
-    assert got[-calls.MOST_WAITING - 3 : -calls.MOST_WAITING] == [None] * 3
-    assert got[-calls.MOST_WAITING :] == list(range(calls.MOST_WAITING))
-    world.run(3.0 + 2 * calls.IDLE + 1)
+    assert got[-rpc.MOST_WAITING - 3 : -rpc.MOST_WAITING] == [None] * 3
+    assert got[-rpc.MOST_WAITING :] == list(range(rpc.MOST_WAITING))
+    world.run(3.0 + 2 * rpc.IDLE + 1)
     assert caller.peers == 0
 
 
--- a/tests/mains/test_door.py
+++ b/tests/transport/test_door.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from honeywharf.mains.door import IDLE_S, MOST_CONNECTIONS, SMALL, Call, Door
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
+from honeywharf.transport.http_server import IDLE_S, MOST_CONNECTIONS, SMALL, Call, HttpServer
 
 IP, AT = "10.1.0.12", ("10.1.0.12", 8306)
 
@@ -53,7 +53,7 @@
         self.calls: list[Call] = []
         self.at_once = False
         self.inside = Process(
-            Machine(network, IP, "a"), "door", lambda host: Door(host, AT, self._take, most_body)
+            Machine(network, IP, "a"), "door", lambda host: HttpServer(host, AT, self._take, most_body)
         )
         self.outside = Process(Machine(network, "10.1.0.99", "a"), "caller", lambda host: None)
         self.inside.start()
@@ -66,9 +66,9 @@
             call.answer(200, b"n%d" % len(self.calls))
 
     @property
-    def door(self) -> Door:
+    def door(self) -> HttpServer:
         """What is tested."""
-        assert isinstance(self.inside.program, Door)
+        assert isinstance(self.inside.program, HttpServer)
         return self.inside.program
 
     def visit(self, data: bytes = b"", seconds: float = 0.05) -> Visitor:
--- a/tests/mains/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.mains.frames import FrameReader, encode
+from honeywharf.transport.frames import FrameReader, encode
 
 
 def test_any_cut_into_pieces_gives_the_same_objects() -> None:
--- a/tests/mains/test_loop.py
+++ b/tests/transport/test_loop.py
@@ -1,4 +1,4 @@
-"""The loop on real sockets of this machine: what `mains/host.py` promises to programs."""
+"""The loop on real sockets of this machine: what `transport/host.py` promises to programs."""
 
 from __future__ import annotations
 
@@ -10,9 +10,9 @@
 
 import pytest
 
-from honeywharf.mains.host import Address, Connection, Handler
-from honeywharf.mains.loop import Loop
 from honeywharf.standins.node import free_ports
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.loop import Loop
 
 LOCAL = "127.0.0.1"
 GUARD_S = 20.0  # after which a test that waits for something has failed
--- a/tests/mains/test_matchers.py
+++ b/tests/transport/test_matchers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.mains.matchers import NotAllowed, Tree
+from honeywharf.transport.matchers import NotAllowed, Tree
 
 
 def tree() -> Tree:
--- a/tests/mains/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -7,11 +7,13 @@
 
 import pytest
 
-from honeywharf.mains import streams
-from honeywharf.mains.calls import Answerer
-from honeywharf.mains.frames import FrameReader, encode
-from honeywharf.mains.host import Connection, Handler
-from honeywharf.mains.streams import (
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
+from honeywharf.transport import streams
+from honeywharf.transport.frames import FrameReader, encode
+from honeywharf.transport.host import Connection, Handler
+from honeywharf.transport.rpc import Answerer
+from honeywharf.transport.streams import (
     IDLE_S,
     MOST_STREAMS,
     PIECE,
@@ -25,8 +27,6 @@
     Reception,
     Stream,
 )
-from honeywharf.simulation.machine import Machine, Network, Process
-from honeywharf.simulation.world import World
 from honeywharf.verdict import FULL, GARBLED, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 HERE, THERE, PORT = "10.1.0.8", "10.2.0.9", 7620
