--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/gateway.py
@@ -8,7 +8,8 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from honeywharf.penstock.drain import (
+from honeywharf.programs.start import settings_or_line
+from honeywharf.sessions.drain import (
     ASK_AGAIN_S,
     AT_ONCE,
     BACK,
@@ -23,12 +24,11 @@
     Drain,
     rest_first,
 )
-from honeywharf.penstock.kinds import BULK, OPEN, SHORT, STATE
-from honeywharf.penstock.line import TO_LANDING, TO_SOURCES, Caught, Line
-from honeywharf.penstock.passage import Passages, Row
-from honeywharf.penstock.places import Place
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
-from honeywharf.programs.start import settings_or_line
+from honeywharf.sessions.kinds import BULK, OPEN, SHORT, STATE
+from honeywharf.sessions.line import TO_LANDING, TO_SOURCES, Caught, Line
+from honeywharf.sessions.passage import Passages, Row
+from honeywharf.sessions.places import Place
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
 from honeywharf.transport.http_server import Call, HttpServer
 
 TYPE_CHECKING = False
@@ -49,7 +49,7 @@
 AGAIN_S = 0.4  # before another gateway that was lost is looked for again
 
 
-class Weirkeeper:
+class GatewayNode:
     """One gateway on its host.
 
     `others`: gateways of the same region, to know whether this is the last one. `landing_port`: where the
@@ -253,7 +253,7 @@
 class Other:
     """Another gateway of the region: whether it takes sessions."""
 
-    def __init__(self, keeper: Weirkeeper, place: Place) -> None:
+    def __init__(self, keeper: GatewayNode, place: Place) -> None:
         self.keeper, self.place, self.offered = keeper, place, False
         self._look()
 
@@ -287,7 +287,7 @@
     if settings is None:
         return 2
     loop = Loop(None)
-    keeper = Weirkeeper(
+    keeper = GatewayNode(
         loop,
         (settings.ip, settings.ports[0]),
         settings.region,
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -76,7 +76,7 @@
         self.source = Source(host, settings, self.word, self.inbound, draw)
         self.source.proxies, self.source.helper = self._proxies, self.helper
         if settings.gateways:
-            from honeywharf.penstock.abroad import joined  # one region alone does not pay for it
+            from honeywharf.sessions.abroad import joined  # one region alone does not pay for it
 
             self.source.abroad = joined(host, settings, self.inbound.begin, draw)
         self.membership.on_change = self._news
--- a/honeywharf/penstock/abroad.py
+++ b/honeywharf/sessions/abroad.py
@@ -5,18 +5,18 @@
 
 from __future__ import annotations
 
-from honeywharf.penstock.conveyor import Conveyor
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.landing import Landing
-from honeywharf.penstock.places import Place
-from honeywharf.penstock.spillway import LINK_MBPS
+from honeywharf.sessions.conveyor import Conveyor
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.landing import Landing
+from honeywharf.sessions.places import Place
+from honeywharf.sessions.spillway import LINK_MBPS
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any, Protocol
 
-    from honeywharf.penstock.conveyor import Carriage
+    from honeywharf.sessions.conveyor import Carriage
     from honeywharf.transport.host import Address, Host
     from honeywharf.transport.streams import Ask, Replies, Work
 
--- a/honeywharf/penstock/conveyor.py
+++ b/honeywharf/sessions/conveyor.py
@@ -10,9 +10,9 @@
 
 from __future__ import annotations
 
-from honeywharf.penstock.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
-from honeywharf.penstock.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
-from honeywharf.penstock.kinds import (
+from honeywharf.sessions.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
+from honeywharf.sessions.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
+from honeywharf.sessions.kinds import (
     BRIEF,
     BULK,
     GONE,
@@ -23,9 +23,9 @@
     STATE,
     WINDOW,
 )
-from honeywharf.penstock.line import TO_SOURCES, Line
-from honeywharf.penstock.outlet import APART_S
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.sessions.line import TO_SOURCES, Line
+from honeywharf.sessions.outlet import APART_S
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
 from honeywharf.transport.streams import WINDOW_BYTES, Ask
 from honeywharf.verdict import DRAINING, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Iterable
     from typing import Any
 
-    from honeywharf.penstock.places import Place
+    from honeywharf.sessions.places import Place
     from honeywharf.transport.host import Host, Timer
     from honeywharf.transport.streams import Replies
 
--- a/honeywharf/penstock/landing.py
+++ b/honeywharf/sessions/landing.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.line import TO_LANDING, Caught
-from honeywharf.penstock.outlet import OVER, Outlet, Outlets
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.line import TO_LANDING, Caught
+from honeywharf.sessions.outlet import OVER, Outlet, Outlets
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
 from honeywharf.transport.streams import Ask
 from honeywharf.verdict import GARBLED, NOT_RUN, Verdict
 
--- a/honeywharf/penstock/outlet.py
+++ b/honeywharf/sessions/outlet.py
@@ -22,8 +22,8 @@
 
 from __future__ import annotations
 
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.kinds import (
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.kinds import (
     ACK,
     CLOSE,
     DATA,
--- a/honeywharf/simulation/regions.py
+++ b/honeywharf/simulation/regions.py
@@ -1,6 +1,6 @@
 """Seeded days of regions: sources, gateways and destinations on simulated machines, and what went wrong.
 
-The programs are the real ones (`Conveyor`, `Weirkeeper`, `Landing`) on `simulation` hosts; 35 ms and a bound
+The programs are the real ones (`Conveyor`, `GatewayNode`, `Landing`) on `simulation` hosts; 35 ms and a bound
 of bandwidth between regions. A day has uploads, print orders, deletions and reads, and its troubles: drains
 by order, some taken back, SIGTERM, kills, cuts, restarts of destinations.
 """
@@ -11,12 +11,12 @@
 from collections import Counter
 from typing import Any
 
-from honeywharf.penstock.conveyor import Conveyor
-from honeywharf.penstock.drain import rest_first
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.landing import Landing
-from honeywharf.penstock.places import Place
-from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.programs.gateway import GatewayNode
+from honeywharf.sessions.conveyor import Conveyor
+from honeywharf.sessions.drain import rest_first
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.landing import Landing
+from honeywharf.sessions.places import Place
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
 from honeywharf.transport.streams import Ask
@@ -285,8 +285,8 @@
         return Process(Machine(self.network, ip, zone, mbps=mbps), f"{name}-{ip}", make)
 
     def _keeper(self, place: Place) -> Any:
-        def make(host: Process) -> Weirkeeper:
-            keeper = Weirkeeper(
+        def make(host: Process) -> GatewayNode:
+            keeper = GatewayNode(
                 host,
                 place.address,
                 place.region,
@@ -331,7 +331,7 @@
         elif kind == "restart":
             self.restarts += 1
             draw.choice(self.quarries).kill()
-        elif kind == "drain" and isinstance(keeper.program, Weirkeeper):
+        elif kind == "drain" and isinstance(keeper.program, GatewayNode):
             keeper.program.order_drain()
             if draw.random() < 0.5:
                 self.world.at(self.world.now + draw.uniform(0.0, 2.0), self._back, keeper)
@@ -344,7 +344,7 @@
 
     @staticmethod
     def _back(keeper: Process) -> None:
-        if isinstance(keeper.program, Weirkeeper):
+        if isinstance(keeper.program, GatewayNode):
             keeper.program.take_back()
 
     def play(self) -> Day:
@@ -378,7 +378,7 @@
 
     def _leaks(self) -> None:
         for process in self.keepers:
-            if isinstance(process.program, Weirkeeper):
+            if isinstance(process.program, GatewayNode):
                 one = process.program.passages
                 if one.rows or one.granted:
                     self.faults.append(f"{process.name} holds {len(one.rows)} rows, {one.granted} bytes")
--- a/honeywharf/simulation/shift.py
+++ b/honeywharf/simulation/shift.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable
 from typing import Any
 
-from honeywharf.penstock.spillway import Spillway
-from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from honeywharf.programs.gateway import GatewayNode, granted_bytes
+from honeywharf.sessions.spillway import Spillway
 from honeywharf.simulation.machine import Process
 from honeywharf.simulation.regions import READ, UPLOAD, Client, Day, Source
 
@@ -175,7 +175,7 @@
                 self.world.now,
                 [
                     sum(not 0 <= row.length <= 32768 for row in keeper.program.passages.rows.values())
-                    if isinstance(keeper.program, Weirkeeper)
+                    if isinstance(keeper.program, GatewayNode)
                     else 0
                     for keeper in self.keepers
                 ],
@@ -193,7 +193,7 @@
         mine = [
             keeper
             for keeper in self.keepers
-            if isinstance(keeper.program, Weirkeeper) and keeper.machine.zone[0] == "a"
+            if isinstance(keeper.program, GatewayNode) and keeper.machine.zone[0] == "a"
         ]
         keeper = max(mine, key=lambda each: len(each.program.passages.rows))  # type: ignore[attr-defined]
         if self.trouble == "kill":
@@ -204,7 +204,7 @@
             self.world.at(self.world.now + BACK_S, self._back, keeper)
 
     def _look(self, keeper: Process, since: float) -> None:
-        if isinstance(keeper.program, Weirkeeper) and keeper.program.passages.rows:
+        if isinstance(keeper.program, GatewayNode) and keeper.program.passages.rows:
             self.world.at(self.world.now + 0.01, self._look, keeper, since)
         else:
             self.empty_s.append(self.world.now - since)
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -14,7 +14,7 @@
     from honeywharf.assay.requests import Assay
     from honeywharf.mesh_config.routes import Route
     from honeywharf.mesh_config.settings import Settings
-    from honeywharf.penstock.abroad import Abroad
+    from honeywharf.sessions.abroad import Abroad
     from honeywharf.sluice.bypass import Passing
     from honeywharf.sluice.course import Channel, Course
     from honeywharf.sluice.inbound import Inbound
--- a/honeywharf/standins/gatewaydemo.py
+++ b/honeywharf/standins/gatewaydemo.py
@@ -22,10 +22,10 @@
 from pathlib import Path
 from typing import Any
 
-from honeywharf.penstock.conveyor import Conveyor
-from honeywharf.penstock.kinds import BULK
-from honeywharf.penstock.landing import Landing
-from honeywharf.penstock.places import Place
+from honeywharf.sessions.conveyor import Conveyor
+from honeywharf.sessions.kinds import BULK
+from honeywharf.sessions.landing import Landing
+from honeywharf.sessions.places import Place
 from honeywharf.simulation import field
 from honeywharf.standins import meshdemo
 from honeywharf.transport.host import Connection
@@ -267,7 +267,7 @@
         settings = json.loads(field.settings(ip, place.zone, [ip], True))
         settings.update(
             {
-                "role": "weirkeeper",
+                "role": "gateway",
                 "region": place.region,
                 "internal-port-range": [self.gate, self.gate + 8],
                 "zones": {each.zone: each.region for each in self.places},
@@ -279,7 +279,7 @@
         )
         file = self.folder / f"{ip}.yaml"
         file.write_text(json.dumps(settings))
-        return Child(["honeywharf.programs.admissionkeeper"], self.folder / f"{ip}.log", file)
+        return Child(["honeywharf.programs.gateway"], self.folder / f"{ip}.log", file)
 
     # The loop.
 
--- a/tests/penstock/every_frame.py
+++ b/tests/sessions/every_frame.py
@@ -1,6 +1,6 @@
 """One trouble at every frame of one upload and one order, two at any two, and who finds wrong rules.
 
-python -m tests.penstock.every_frame
+python -m tests.sessions.every_frame
 """
 
 from __future__ import annotations
@@ -8,7 +8,7 @@
 import sys
 from collections import Counter
 
-from tests.penstock.test_sessions import (
+from tests.sessions.test_sessions import (
     TROUBLES,
     AcknowledgingGateway,
     LedgerAfterSend,
@@ -17,7 +17,7 @@
     broken,
     towns,
 )
-from tests.penstock.town import Town
+from tests.sessions.town import Town
 
 HEALED = (12, 45)  # steps after which a cut is whole again
 
--- a/tests/penstock/test_days.py
+++ b/tests/sessions/test_days.py
@@ -7,9 +7,9 @@
 import pytest
 
 from honeywharf.mesh_config.settings import Settings, SettingsError, parse
-from honeywharf.penstock.drain import EMPTY
-from honeywharf.penstock.places import Place
-from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from honeywharf.programs.gateway import GatewayNode, granted_bytes
+from honeywharf.sessions.drain import EMPTY
+from honeywharf.sessions.places import Place
 from honeywharf.simulation import field
 from honeywharf.simulation.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
 from honeywharf.simulation.world import World
@@ -20,13 +20,13 @@
     assert Day(seed, 2 + seed % 2).play().faults == []
 
 
-def busy(count: int, size: int, patience_s: float) -> tuple[Day, Source, Weirkeeper]:
+def busy(count: int, size: int, patience_s: float) -> tuple[Day, Source, GatewayNode]:
     """A day without troubles in whose first second many uploads begin, by one gateway."""
     day = Day(5, 2, troubles="", seconds=1.5, uploads=0)
     day.world.run(1.0)
     source, keeper = day.sources[0].program, day.keepers[0].program
     assert isinstance(source, Source)
-    assert isinstance(keeper, Weirkeeper)
+    assert isinstance(keeper, GatewayNode)
     for _ in range(count):
         Client(day, source, UPLOAD, size, patience_s)
     return day, source, keeper
@@ -86,7 +86,7 @@
 def test_the_last_gateway_of_a_region_stays_until_it_is_told_twice() -> None:
     day, _, keeper = busy(4, 400_000, 20.0)
     other = day.keepers[1].program
-    assert isinstance(other, Weirkeeper)
+    assert isinstance(other, GatewayNode)
     other.order_drain()
     day.world.run(3.0)
     assert keeper.last
--- a/tests/penstock/test_drain.py
+++ b/tests/sessions/test_drain.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from honeywharf.penstock import drain
-from honeywharf.penstock.choice import Gateway, allowed, choose
-from honeywharf.penstock.drain import (
+from honeywharf.sessions import drain
+from honeywharf.sessions.choice import Gateway, allowed, choose
+from honeywharf.sessions.drain import (
     ANNOUNCED,
     BACK,
     CLOSED,
--- a/tests/penstock/test_ledger.py
+++ b/tests/sessions/test_ledger.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.inlet import OVER, Request
-from honeywharf.penstock.kinds import OPEN, WINDOW
-from honeywharf.penstock.outlet import APART_S, LEDGER_S, MOST_JOINED, RUNNING, Outlet, Outlets
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.inlet import OVER, Request
+from honeywharf.sessions.kinds import OPEN, WINDOW
+from honeywharf.sessions.outlet import APART_S, LEDGER_S, MOST_JOINED, RUNNING, Outlet, Outlets
 from honeywharf.verdict import BROKEN_OFF, FULL, MAY_HAVE_RUN, NAMES, NOT_RUN, Verdict
-from tests.penstock.town import Town
+from tests.sessions.town import Town
 
 NOTE = Path(__file__).parents[2] / "docs" / "design" / "gateway.md"
 BODY, LONG = b"one print order", bytes(400_000)
--- a/tests/penstock/test_passage.py
+++ b/tests/sessions/test_passage.py
@@ -6,9 +6,9 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.penstock.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
-from honeywharf.penstock.passage import Passages
-from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.programs.gateway import GatewayNode
+from honeywharf.sessions.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
+from honeywharf.sessions.passage import Passages
 from honeywharf.simulation.regions import Day
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
 
@@ -136,7 +136,7 @@
 def test_the_operators_door() -> None:
     day = Day(1, troubles="", uploads=0)
     day.world.run(2.0)
-    keeper = cast(Weirkeeper, day.keepers[0].program)
+    keeper = cast(GatewayNode, day.keepers[0].program)
     answers: list[tuple[int, bytes]] = []
 
     def call(method: bytes, path: bytes) -> Any:
--- a/tests/penstock/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -8,12 +8,12 @@
 
 import pytest
 
-from honeywharf.penstock.inlet import Inlet
-from honeywharf.penstock.kinds import HAVE, OPEN
-from honeywharf.penstock.outlet import Outlet, Outlets
-from honeywharf.penstock.passage import Passages, Row
+from honeywharf.sessions.inlet import Inlet
+from honeywharf.sessions.kinds import HAVE, OPEN
+from honeywharf.sessions.outlet import Outlet, Outlets
+from honeywharf.sessions.passage import Passages, Row
 from honeywharf.verdict import FULL, NOT_RUN, Verdict
-from tests.penstock.town import PLACES, Town
+from tests.sessions.town import PLACES, Town
 
 UPLOAD = bytes(range(256)) * 520  # 133,120 bytes: nine pieces
 ORDER = b"one print order"
--- a/tests/penstock/test_sluices.py
+++ b/tests/sessions/test_sluices.py
@@ -8,9 +8,9 @@
 import pytest
 
 from honeywharf.mesh_config.settings import parse
-from honeywharf.penstock.places import Place
+from honeywharf.programs.gateway import GatewayNode
 from honeywharf.programs.sluice import Sluice
-from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.sessions.places import Place
 from honeywharf.simulation import days, field
 from honeywharf.simulation.field import SMALL, TERM, Field
 from honeywharf.simulation.machine import Machine, Process
@@ -40,8 +40,8 @@
 
 
 def keeper(place: Place) -> Any:
-    def make(host: Process) -> Weirkeeper:
-        one = Weirkeeper(host, place.address, place.region, place.zone, PLACES, field.INTERNAL + 1, 5.0)
+    def make(host: Process) -> GatewayNode:
+        one = GatewayNode(host, place.address, place.region, place.zone, PLACES, field.INTERNAL + 1, 5.0)
         host.on_signal(TERM, one.terminate)
         return one
 
@@ -71,7 +71,7 @@
         process.kill()
     elif what == "term":
         process.signal(TERM)
-    elif isinstance(one, Weirkeeper):
+    elif isinstance(one, GatewayNode):
         (one.order_drain if what == "drain" else one.take_back)()
 
 
--- a/tests/penstock/test_spillway.py
+++ b/tests/sessions/test_spillway.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from honeywharf.penstock import spillway
-from honeywharf.penstock.kinds import DATA, END, HAVE, HEAD, LEAVE, PART, PIECE, WHOLE
-from honeywharf.penstock.spillway import AHEAD, SHARE, Spillway
+from honeywharf.sessions import spillway
+from honeywharf.sessions.kinds import DATA, END, HAVE, HEAD, LEAVE, PART, PIECE, WHOLE
+from honeywharf.sessions.spillway import AHEAD, SHARE, Spillway
 
 RATE = 1_000_000.0
 
--- a/tests/penstock/town.py
+++ b/tests/sessions/town.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable
 from typing import Any
 
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.inlet import IDLE, OVER, QUIET_S, Inlet, Request
-from honeywharf.penstock.kinds import OPEN
-from honeywharf.penstock.outlet import Outlet, Outlets
-from honeywharf.penstock.passage import Passages
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.inlet import IDLE, OVER, QUIET_S, Inlet, Request
+from honeywharf.sessions.kinds import OPEN
+from honeywharf.sessions.outlet import Outlet, Outlets
+from honeywharf.sessions.passage import Passages
 from honeywharf.verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
 
 STEP_S, SILENT_S, STALL_S, DEADLINE_S = 0.01, 0.3, 1.0, 20.0
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -75,7 +75,7 @@
     "transport": ("transport", "codecs", "verdict"),
     "sluice": ("sluice", "codecs", "transport", "policy", "mesh_config", "verdict", "admission"),
     "reservoir": ("reservoir", "transport", "mesh_config"),
-    "penstock": ("penstock", "transport", "verdict"),
+    "sessions": ("sessions", "transport", "verdict"),
     "assay": ("assay", "lease", "mesh_config", "verdict"),
     "programs": (
         "programs",
@@ -83,7 +83,7 @@
         "hinted_handoff",
         "failure_detector",
         "transport",
-        "penstock",
+        "sessions",
         "reservoir",
         "gossip",
         "sluice",
@@ -97,7 +97,7 @@
         "codecs",
         "failure_detector",
         "transport",
-        "penstock",
+        "sessions",
         "programs",
         "reservoir",
         "gossip",
@@ -173,7 +173,7 @@
     "transport/matchers.py",
     "simulation",
     "assay",
-    "penstock",
+    "sessions",
     "lease",
     "hinted_handoff",
     "programs/duties.py",
@@ -200,7 +200,7 @@
     "lease/grants.py": (),
     "lease/lease.py": ("lease",),
     "mesh_config": ("mesh_config",),
-    **{f"penstock/{name}.py": ("penstock", "verdict") for name in ("inlet", "outlet", "passage")},
+    **{f"sessions/{name}.py": ("sessions", "verdict") for name in ("inlet", "outlet", "passage")},
 }
 #: What a sluice must not load: each of many processes pays for it in memory.
 HEAVY = {
