Rename the package assay to drift

Change: the package renamed whole and mechanically, with its modules, classes, tests and pages; no logic.

--- a/honeywharf/assay/gather.py
+++ b/honeywharf/drift/gather.py
@@ -1,4 +1,4 @@
-"""The assay's part in a reservoir: history, slips that sluices tell, and an operator's view of all.
+"""The drift monitor's part in a reservoir: history, slips that sluices tell, and an operator's view of all.
 
 `GET /api/drift` asks every sluice that news tell of what it runs, `BATCH` at a time, and answers with their
 views, with those who did not answer, and with this machine's history. `GET /api/drift/between/r7/r12` tells
@@ -13,8 +13,8 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.assay import digests, second
-from honeywharf.assay.history import History
+from honeywharf.drift import digests, second
+from honeywharf.drift.history import History
 from honeywharf.mesh_config.routes import version_number
 
 if TYPE_CHECKING:
@@ -68,7 +68,9 @@
     def _slip(self, args: Any, reply: Reply, peer: Address) -> None:
         node, _, by, cause, revision = args
         self.history.slip(node, by, cause, revision)
-        self.host.log(f"assay: {node} slipped from revision {revision}, found by {by}: {str(cause)[:160]}")
+        self.host.log(
+            f"drift monitor: {node} slipped from revision {revision}, found by {by}: {str(cause)[:160]}"
+        )
         reply(True)
 
     # Registers that go back.
@@ -94,7 +96,7 @@
     def _answered(self, key: Key, went_back: Any) -> None:
         """A peer was asked about its register; True where it has given up its vote."""
         if went_back is True:
-            self.host.log(f"assay: the register of {key[0]} has gone back")
+            self.host.log(f"drift monitor: the register of {key[0]} has gone back")
             self.history.slip(key[0], "peer", "its register is older than it had told", 0)
 
     def _told_older(self, args: Any, reply: Reply, peer: Address) -> None:
@@ -112,12 +114,12 @@
 
     def _disown(self, by: str) -> None:
         self.went_back += 1
-        self.host.log(f"assay: this disk has given back an older register, says {by}: it has no vote")
+        self.host.log(f"drift monitor: this disk has given back an older register, says {by}: it has no vote")
         self.history.slip(self.host_name(), "register", f"older than told, says {by}", 0)
         try:
             self.basin.disown()
         except OSError as fault:
-            self.host.log(f"assay: the disk fails: {fault}")
+            self.host.log(f"drift monitor: the disk fails: {fault}")
 
     def host_name(self) -> str:
         """This machine, as rosters hold it."""
--- a/honeywharf/assay/history.py
+++ b/honeywharf/drift/history.py
@@ -1,11 +1,11 @@
 """What a reservoir remembers of words and slips, on its disk, bounded.
 
-Theory of operation. One file, `assay-history`, holds the last words as they were settled, what each sluice
-told of its slips, and how far this machine's own register had come; the texts of the last configurations
-stand beside it, so that two versions can be compared later. It is written a moment after something came,
-whole and beside, so a loss of power costs the last second of history and nothing else. What the disk
-gives back is checked by a checksum; a damaged history is an empty one. Nothing in the mesh depends on it but
-one thing: a register that is older than the history says is a disk that has gone back.
+Theory of operation. One file, `drift-history`, holds the last words as they were settled, what each
+sluice told of its slips, and how far this machine's own register had come; the texts of the last
+configurations stand beside it, so that two versions can be compared later. It is written a moment after
+something came, whole and beside, so a loss of power costs the last second of history and nothing else. What
+the disk gives back is checked by a checksum; a damaged history is an empty one. Nothing in the mesh depends
+on it but one thing: a register that is older than the history says is a disk that has gone back.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
     from honeywharf.transport.host import Host
 
-FILE, BESIDE, TEXT = "assay-history", "assay-history.new", "assay-text-"
+FILE, BESIDE, TEXT = "drift-history", "drift-history.new", "drift-text-"
 MARK = b"hwa1"
 MOST_WORDS, MOST_SLIPS = 64, 256
 MOST_TEXTS, MOST_TEXT_BYTES = 8, 1 << 20  # kept of configurations, compressed
--- a/honeywharf/assay/requests.py
+++ b/honeywharf/drift/requests.py
@@ -1,4 +1,4 @@
-"""The assay of one sluice, as requests meet it: read twice at the source, judged at the destination.
+"""The drift monitor of one sluice, as requests meet it: read twice at the source, judged at the destination.
 
 Theory of operation. The program calls `look` for each request at its source, `drawn` for its service, `rule`
 for what travels with it, and `passes` at its destination; `word_changed` after each change of the word. What
@@ -10,10 +10,10 @@
 
 from __future__ import annotations
 
-from honeywharf.assay import judge, scan, states
-from honeywharf.assay.rounds import CONFIRM_S, GAP_S, HOLD_S, Rounds
-from honeywharf.assay.second import Told, pick
-from honeywharf.assay.watch import MOST_RELAPSES, text_of
+from honeywharf.drift import judge, scan, states
+from honeywharf.drift.rounds import CONFIRM_S, GAP_S, HOLD_S, Rounds
+from honeywharf.drift.second import Told, pick
+from honeywharf.drift.watch import MOST_RELAPSES, text_of
 from honeywharf.verdict import DRIFT
 
 TYPE_CHECKING = False
@@ -35,7 +35,7 @@
     return (host + path).decode("latin-1")[:80]
 
 
-class Assay(Rounds):
+class DriftMonitor(Rounds):
     """See the module."""
 
     def __init__(self, sluice: Sluice) -> None:
@@ -296,4 +296,4 @@
             self.told, self.told_digest = Told(text_of(word.packed, word.digest)), word.digest
         except (ValueError, KeyError, TypeError, LookupError) as fault:
             self.told, self.told_digest = None, ""
-            self.host.log(f"assay: the told text can't be read: {fault}")
+            self.host.log(f"drift monitor: the told text can't be read: {fault}")
--- a/honeywharf/assay/rounds.py
+++ b/honeywharf/drift/rounds.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-from honeywharf.assay import scan, states
-from honeywharf.assay.watch import Watch
+from honeywharf.drift import scan, states
+from honeywharf.drift.watch import Watch
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
--- a/honeywharf/assay/scan.py
+++ b/honeywharf/drift/scan.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-from honeywharf.assay import digests
+from honeywharf.drift import digests
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from honeywharf.assay.second import Told
+    from honeywharf.drift.second import Told
     from honeywharf.gossip.entry import Entry
     from honeywharf.mesh_config.routes import Route, Table
     from honeywharf.programs.sluice import Sluice
@@ -77,7 +77,7 @@
     told = {zone for zone, on in value["evac"].items() if on}
     if word.evacuated != told or gate.evacuated != (sluice.settings.zone in told):
         return f"evacuated {sorted(word.evacuated)}, told {sorted(told)}"
-    if bounds(sluice) != sluice.assay.bounds:
+    if bounds(sluice) != sluice.drift_monitor.bounds:
         return "bounds at the backend are not those that the word gave"
     return ""
 
--- a/honeywharf/assay/second.py
+++ b/honeywharf/drift/second.py
@@ -13,7 +13,7 @@
 from array import array
 from bisect import bisect_left
 
-from honeywharf.assay import digests
+from honeywharf.drift import digests
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/drift/watch.py
@@ -12,8 +12,8 @@
 
 import zlib
 
-from honeywharf.assay import digests, scan, states
-from honeywharf.assay.second import Told
+from honeywharf.drift import digests, scan, states
+from honeywharf.drift.second import Told
 from honeywharf.mesh_config.routes import Table
 
 try:
@@ -130,9 +130,9 @@
         before = self.state.at
         room = event == states.VAIN and self.leave is not None and bool(self.leave.holds())
         if self.state.event(self.host.now(), event, why, room):
-            self.host.log(
-                f"assay: {states.NAMES[before]} -> {states.NAMES[self.state.at]}{': ' + why if why else ''}"
-            )
+            reason = f": {why}" if why else ""
+            change = f"{states.NAMES[before]} -> {states.NAMES[self.state.at]}"
+            self.host.log(f"drift monitor: {change}{reason}")
         if not self.state.aside and self.standing:
             self._step_back()
 
@@ -217,7 +217,7 @@
             text = text_of(word.packed, word.digest)
             table, self.told, self.told_digest = self.build(text), Told(text), word.digest
         except (ValueError, KeyError, TypeError, LookupError) as fault:
-            self.host.log(f"assay: the told text can't be read: {fault}")
+            self.host.log(f"drift monitor: the told text can't be read: {fault}")
             return False
         value = word.value
         if (value["rev"], value["digest"], value["version"]) != (word.revision, word.digest, table.version):
@@ -285,7 +285,7 @@
         try:
             table = self.build(text_of(packed, value["digest"]))
         except ValueError as fault:
-            self.host.log(f"assay: a majority's text can't be read: {fault}")
+            self.host.log(f"drift monitor: a majority's text can't be read: {fault}")
         else:
             self.rebuilding = True
             self.word.restore(value, table, packed)
@@ -349,4 +349,4 @@
         """For a log line."""
         caught = " ".join(f"{by}={many}" for by, many in sorted(self.caught.items()))
         state, handed = states.NAMES[self.state.at], self.sluice.source.handed
-        return f"assay {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
+        return f"drift monitor {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.assay import states
+from honeywharf.drift import states
 from honeywharf.lease.acquisition import LeaseAcquisition
 from honeywharf.lease.grants import ROSTER, Grantor
 from honeywharf.reservoir import word
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -5,7 +5,8 @@
 has changed; handed over is the newest settled value, which names its text. The member knows it then at once,
 and fetches the text, instead of after its own first beat. Its vote is not touched: it goes on to accept what
 it missed by a round of its own after some beats (`Basin._compare`). A round at once was tried and dropped: a
-register whose disk has gone back was then mended before its peers had told three beats of it (`assay`).
+register whose disk has gone back was then mended before its peers had told three beats of it
+(`drift_monitor`).
 """
 
 from __future__ import annotations
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/reservoir.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from honeywharf.assay.gather import Gather
+from honeywharf.drift.gather import Gather
 from honeywharf.gossip.membership import Membership
 from honeywharf.programs.duties import Duties
 from honeywharf.programs.handing import Handing
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sluice.py
@@ -8,9 +8,9 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from honeywharf.assay.judge import host_of
-from honeywharf.assay.requests import Assay
-from honeywharf.assay.watch import is_named
+from honeywharf.drift.judge import host_of
+from honeywharf.drift.requests import DriftMonitor
+from honeywharf.drift.watch import is_named
 from honeywharf.gossip.membership import Draws, Membership
 from honeywharf.programs.start import settings_or_line
 from honeywharf.sluice.backend import Taps
@@ -84,8 +84,10 @@
         self.membership.on_down = lambda node: self.source.doubt(node, True)
         self.membership.on_up = lambda node: self.source.doubt(node, False)
         self.probe = Probe(host, application, self.gate, self._gate_changed)
-        self.assay = self.source.assay = self.inbound.assay = Assay(self)
-        answerer = Answerer({**self.word.methods(), **self.assay.methods()}, self._streams, log=host.log)
+        self.drift_monitor = self.source.drift_monitor = self.inbound.drift_monitor = DriftMonitor(self)
+        answerer = Answerer(
+            {**self.word.methods(), **self.drift_monitor.methods()}, self._streams, log=host.log
+        )
         host.listen((settings.ip, port), answerer.accept)
         self.told = 0
         self.said = UNKNOWN
@@ -127,7 +129,7 @@
         self.apply()
         self._gate_changed()
         self.membership.shout_word(self.word.revision)
-        self.assay.word_changed()
+        self.drift_monitor.word_changed()
 
     def apply(self) -> None:
         """Have everything here decide by the word in force."""
@@ -199,7 +201,7 @@
     def _readiness(self, call: Call) -> None:
         if call.path != b"/api/readiness":
             call.answer(404)
-        elif self.word.ready and not self.leaving and not self.assay.unfit:
+        elif self.word.ready and not self.leaving and not self.drift_monitor.unfit:
             call.answer(200, b"ready")
         else:
             call.answer(503, b"leaving" if self.leaving else b"no word yet")
@@ -252,7 +254,7 @@
             f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items())
         )
         self.host.log(
-            f"{self.source.counters()}; {self.assay.counters()}; "
+            f"{self.source.counters()}; {self.drift_monitor.counters()}; "
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
             f"beats={self.beats.taken} late={self.beats.late}; word={self.word.revision} "
--- a/honeywharf/reservoir/mending.py
+++ b/honeywharf/reservoir/mending.py
@@ -93,7 +93,7 @@
             report.faults.append(f"{name}: damaged")
         else:
             report.lines.append(f"{name}: {len(text)} bytes")
-    elif name.startswith("assay-"):
+    elif name.startswith("drift-"):
         report.lines.append(f"{name}: history, on which no vote depends")
     elif name != REGISTER:
         report.lines.append(f"{name}: not of a reservoir")
--- a/honeywharf/simulation/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from honeywharf.assay import second
-from honeywharf.assay.requests import Assay
+from honeywharf.drift import second
+from honeywharf.drift.requests import DriftMonitor
 from honeywharf.mesh_config.routes import Route, Table
 from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
 from honeywharf.simulation.rules import Ask, Order
@@ -197,14 +197,14 @@
 
         def undo() -> None:
             word.table, word.packed, word.digest, word.value = kept
-            sluice.assay.told_digest = ""
-            sluice.assay._read()
+            sluice.drift_monitor.told_digest = ""
+            sluice.drift_monitor._read()
 
         return undo
 
     def build(self, sluice: Any, chance: random.Random) -> Undo:
         """A program of another build reads the same text otherwise, each time."""
-        assay, word = sluice.assay, sluice.word
+        drift_monitor, word = sluice.drift_monitor, sluice.word
 
         def other(text: bytes) -> Table:
             table = Table(text)
@@ -213,17 +213,17 @@
                     route.aim_s, route.attempts = route.timeout_s, 1
             return table
 
-        assay.build, kept = other, word.table
+        drift_monitor.build, kept = other, word.table
         word.table = other(self.trial.newest)
 
         def undo() -> None:
-            assay.build, word.table = Table, kept
+            drift_monitor.build, word.table = Table, kept
 
         return undo
 
     def liar(self, sluice: Any, chance: random.Random) -> Undo:
         """It says the right digest and decides otherwise; its own second reading is blind to it."""
-        assay, source, word = sluice.assay, sluice.source, sluice.word
+        drift_monitor, source, word = sluice.drift_monitor, sluice.source, sluice.word
         find = word.find
         if chance.random() < 0.5:  # another service
             source.draw_service = lambda route: (
@@ -238,24 +238,29 @@
                 )
 
             told = {
-                prefix: assay.rules.of(of.routes[prefix])
+                prefix: drift_monitor.rules.of(of.routes[prefix])
                 for of in _hosts(sluice).values()
                 for prefix in of.routes
                 if prefix in STRICT
             }
             word.find = found
-            assay.look = lambda host, path, route: (found(host, path), 0.0)
-            source.rule = lambda route: told.get(route.prefix) or assay.rules.of(route)
+            drift_monitor.look = lambda host, path, route: (found(host, path), 0.0)
+            source.rule = lambda route: told.get(route.prefix) or drift_monitor.rules.of(route)
 
         def undo() -> None:
-            for thing, name in ((source, "draw_service"), (word, "find"), (assay, "look"), (source, "rule")):
+            for thing, name in (
+                (source, "draw_service"),
+                (word, "find"),
+                (drift_monitor, "look"),
+                (source, "rule"),
+            ):
                 thing.__dict__.pop(name, None)
 
         return undo
 
     def checker(self, sluice: Any, chance: random.Random) -> Undo:
         """What was read a second time is itself wrong."""
-        told = sluice.assay.told
+        told = sluice.drift_monitor.told
         at = chance.randrange(len(told.rules))
         told.rules[at] ^= 1 << chance.randrange(64)
         return lambda: None
@@ -342,23 +347,23 @@
     def _sluice(self, host: Any, settings: str) -> object:
         sluice: Any = real_sluice(host, settings)
         for way in WAYS:
-            setattr(sluice.assay, way, way in self.ways)
-        ip, assay = sluice.settings.ip, sluice.assay
+            setattr(sluice.drift_monitor, way, way in self.ways)
+        ip, drift_monitor = sluice.settings.ip, sluice.drift_monitor
 
         def slip(by: str, what: str, renew: bool = False) -> None:
             self._noticed(ip, by, what)
-            Assay.slip(assay, by, what, renew)
+            DriftMonitor.slip(drift_monitor, by, what, renew)
 
         def refuse(job: Job, again_s: float) -> bool:
             self._noticed(job.ask.peer or ip, "judge" if job.ask.peer else "reading", "refused")
-            return Assay._refuse_job(assay, job, again_s)
+            return DriftMonitor._refuse_job(drift_monitor, job, again_s)
 
         def hold(job: Job, holder: Any) -> bool:
             if self.kind == "freeze":
                 self._noticed(ip, "judge", "asks first")
-            return Assay._hold(assay, job, holder)
+            return DriftMonitor._hold(drift_monitor, job, holder)
 
-        assay.slip, assay._refuse_job, assay._hold = slip, refuse, hold
+        drift_monitor.slip, drift_monitor._refuse_job, drift_monitor._hold = slip, refuse, hold
         return sluice
 
     def later(self, seconds: float, call: Callable[[], None]) -> None:
@@ -415,14 +420,14 @@
         sluice: Any = self.victim.proxy.program
         if sluice is None:
             return
-        healed = sluice.assay.state.at in (2, 5) and self.kind not in ("build", "liar")
-        if healed and not sluice.assay._whole():
+        healed = sluice.drift_monitor.state.at in (2, 5) and self.kind not in ("build", "liar")
+        if healed and not sluice.drift_monitor._whole():
             return
         undo()
-        sluice.assay.relapses = 0
-        sluice.assay.rebuild()
-        if sluice.assay.state.aside:
-            sluice.assay._event(2, "undone by the trial")
+        sluice.drift_monitor.relapses = 0
+        sluice.drift_monitor.rebuild()
+        if sluice.drift_monitor.state.aside:
+            sluice.drift_monitor._event(2, "undone by the trial")
 
     # What it sees.
 
--- a/honeywharf/sluice/bypass.py
+++ b/honeywharf/sluice/bypass.py
@@ -159,8 +159,8 @@
     head.method, head.target, head.host, head.attempt = ask.method, ask.target, host, ask.attempt
     head.fields, head.remaining_s, head.length = [ask.fields], ask.remaining_s, ask.length
     route, again_s = source.word.find(host, head.path), 0.0
-    if source.assay is not None:
-        route, again_s = source.assay.look(host, head.path, route)
+    if source.drift_monitor is not None:
+        route, again_s = source.drift_monitor.look(host, head.path, route)
     if again_s:
         passing.refuse(DRIFT, again_s)
     elif route is None:
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sluice/course.py
@@ -424,9 +424,9 @@
     def answered(self, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
         self.source.served(self.service, self.gate, status)
-        assay = self.source.assay
-        if assay is not None and assay.accused and self.kind:
-            assay.agreed(assay.rule(self.route), self.gate)
+        drift_monitor = self.source.drift_monitor
+        if drift_monitor is not None and drift_monitor.accused and self.kind:
+            drift_monitor.agreed(drift_monitor.rule(self.route), self.gate)
         self.answering = True
         if body is not None:
             self.channel = None
@@ -481,13 +481,13 @@
 
     def _decides_again(self) -> bool:
         """A gate holds another rule: decide again, at last elsewhere; False where neither can be had."""
-        source, assay, again = self.source, self.source.assay, self.decided < MOST_DECIDED
-        if assay is None or self.lost_body or not (again or self._may_hand_on()):
+        source, drift_monitor, again = self.source, self.source.drift_monitor, self.decided < MOST_DECIDED
+        if drift_monitor is None or self.lost_body or not (again or self._may_hand_on()):
             return False
         source.released(self.service, self.gate)
         self.tries += 1  # a gate in this process has refused from within
         if again:
-            assay.stale(self, self.gate)
+            drift_monitor.stale(self, self.gate)
         else:
             self.hand_on()
         return True
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sluice/inbound.py
@@ -47,7 +47,7 @@
 
     from honeywharf.admission.admission import Waiter
     from honeywharf.admission.intake import Place
-    from honeywharf.assay.requests import Assay
+    from honeywharf.drift.requests import DriftMonitor
     from honeywharf.sluice.backend import Tap
     from honeywharf.sluice.gate import Gate
     from honeywharf.transport.host import Host, Timer
@@ -263,8 +263,8 @@
 
     def _turn(self) -> None:
         self.waiter = None
-        now, assay = self.inbound.host.now(), self.inbound.assay
-        if self._passes(now) and (assay is None or assay.still(self)):
+        now, drift_monitor = self.inbound.host.now(), self.inbound.drift_monitor
+        if self._passes(now) and (drift_monitor is None or drift_monitor.still(self)):
             self._start(now)
 
     def _too_long(self) -> None:
@@ -330,7 +330,7 @@
         if refusal is not None:
             self.refuse(*refusal)
             return False
-        if self.inbound.assay is not None and not self.inbound.assay.still(self):
+        if self.inbound.drift_monitor is not None and not self.inbound.drift_monitor.still(self):
             return False
         self.gate.sends(now)
         return True
@@ -385,10 +385,10 @@
         if not self.receiving:
             self._write()
             return
-        now, assay = self.inbound.host.now(), self.inbound.assay
+        now, drift_monitor = self.inbound.host.now(), self.inbound.drift_monitor
         self._no_more(now)
         self.ask.patience_s = max(self.ask.patience_s, WAIT * self.ask.aim_s)
-        if self._passes(now) and (assay is None or assay.still(self)):
+        if self._passes(now) and (drift_monitor is None or drift_monitor.still(self)):
             self._seat(now)
 
     def window(self, size: int) -> None:
@@ -571,14 +571,14 @@
         self.look: Timer | None = None
         self.look_at = 0.0
         self.pumping = False
-        self.assay: Assay | None = None
+        self.drift_monitor: DriftMonitor | None = None
         self.suspects = 0  # times at which the backend was found missing or another
 
     def begin(self, ask: Ask, answers: Answers) -> Job:
         """Take a request from a source; its outcome goes to `answers`, perhaps from within this call."""
         job = Job(self, ask, answers)
         self.jobs[job] = None
-        if self.assay is None or self.assay.passes(job):
+        if self.drift_monitor is None or self.drift_monitor.passes(job):
             job.judge()
         return job
 
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sluice/outbound.py
@@ -138,9 +138,9 @@
             exchange.closes = True
         self.exchange = exchange
         route = outbound.word.find(head.host, head.path)
-        assay, again_s = outbound.source.assay, 0.0
-        if assay is not None:
-            route, again_s = assay.look(head.host, head.path, route)
+        drift_monitor, again_s = outbound.source.drift_monitor, 0.0
+        if drift_monitor is not None:
+            route, again_s = drift_monitor.look(head.host, head.path, route)
         if again_s and outbound.source.helper(()) is not None:
             route = ASIDE
         elif again_s:
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sluice/source.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Container
 
-    from honeywharf.assay.requests import Assay
+    from honeywharf.drift.requests import DriftMonitor
     from honeywharf.mesh_config.routes import Route
     from honeywharf.mesh_config.settings import Settings
     from honeywharf.sessions.abroad import Abroad
@@ -119,7 +119,7 @@
         self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sluice that is well
         self.handed = 0  # requests that a sluice that is well was asked to decide
         self.passing: dict[Passing, None] = {}  # those of others that are decided here
-        self.assay: Assay | None = None
+        self.drift_monitor: DriftMonitor | None = None
         self.statuses: dict[int, int] = {}
         self.refusals: dict[int, int] = {}
 
@@ -191,13 +191,13 @@
 
     def rule(self, route: Route) -> bytes:
         """The digest of the rule that decides, as it travels with a request."""
-        return b"" if self.assay is None else self.assay.rule(route)
+        return b"" if self.drift_monitor is None else self.drift_monitor.rule(route)
 
     def draw_service(self, route: Route) -> str:
         """The service for one request of a route, by weight."""
         draw = self.draw()
         service = route.service(draw)
-        return service if self.assay is None else self.assay.drawn(route, draw, service)
+        return service if self.drift_monitor is None else self.drift_monitor.drawn(route, draw, service)
 
     def budget(self, service: str) -> RetryBudget:
         """The retry budget of a service."""
--- a/tests/assay/test_digests.py
+++ b/tests/drift/test_digests.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from honeywharf.assay import digests, scan
-from honeywharf.assay.second import Told, bare, pick, tree
+from honeywharf.drift import digests, scan
+from honeywharf.drift.second import Told, bare, pick, tree
 from honeywharf.mesh_config.routes import Route, Table
 from tests.mesh_config.examples import drawn, text
 
--- a/tests/assay/test_gather.py
+++ b/tests/drift/test_gather.py
@@ -7,10 +7,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.assay.gather import Gather
+from honeywharf.drift.gather import Gather
 from honeywharf.programs.reservoir import Reservoir
 from honeywharf.reservoir.register import Ballot, State
-from tests.assay.test_history import Shelf
+from tests.drift.test_history import Shelf
 from tests.reservoir.town import Town
 
 PEER = ("10.0.0.9", 7620)
--- a/tests/assay/test_hard.py
+++ b/tests/drift/test_hard.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.assay import rounds, states
+from honeywharf.drift import rounds, states
 from honeywharf.simulation.days import Day, Fault
 from honeywharf.simulation.field import ZONES, Side
 from honeywharf.simulation.rules import Ask
@@ -27,7 +27,7 @@
     assert trial.book.found == []
     assert trial.wrong == []
     assert trial.alarms == []
-    assert all(not program(side).assay.state.aside for side in trial.field.sides)
+    assert all(not program(side).drift_monitor.state.aside for side in trial.field.sides)
 
 
 def deaf(side: Side) -> None:
@@ -104,7 +104,7 @@
     assert {program(side).word.version for side in behind} == {before}
     assert {program(side).word.version for side in trial.field.sides[1::2]} == {version}
     assert all(side.proxy.program is not None for side in behind)
-    assert all(program(side).assay.caught == {} for side in trial.field.sides)
+    assert all(program(side).drift_monitor.caught == {} for side in trial.field.sides)
     for side in behind:
         word = program(side).word
         del word.heard, word._take
@@ -142,10 +142,10 @@
     whole = [program(side) for side in trial.field.sides]
     trial.play(8.6)
     assert {sluice.word.version for sluice in whole} == {trial.told[-1].version}
-    assert all(sluice.assay.state.at == states.APPLYING for sluice in whole)
+    assert all(sluice.drift_monitor.state.at == states.APPLYING for sluice in whole)
     trial.play(8.6 + rounds.WHOLE_STEPS * rounds.STEP_S + 0.5)
-    assert all(sluice.assay.state.at == states.AGREED for sluice in whole)
-    assert len({sluice.assay.view()["root"] for sluice in whole}) == 1
+    assert all(sluice.drift_monitor.state.at == states.AGREED for sluice in whole)
+    assert len({sluice.drift_monitor.view()["root"] for sluice in whole}) == 1
     calm(trial)
 
 
@@ -158,12 +158,16 @@
     chance, (first, second) = random.Random(2), trial.field.sides[:2]
     Kinds(trial).kind(program(first), chance)
     trial.play(9.5)
-    assert program(first).assay.state.at in (states.HEALED, states.AGREED)
+    assert program(first).drift_monitor.state.at in (states.HEALED, states.AGREED)
     Kinds(trial).build(program(second), chance)
     before = program(second).source.handed
     trial.play(14.0)
-    assay = program(second).assay
-    assert (assay.state.at, assay.standing, assay.unfit) == (states.DOUBTED, False, False)  # no leave
+    drift_monitor = program(second).drift_monitor
+    assert (drift_monitor.state.at, drift_monitor.standing, drift_monitor.unfit) == (
+        states.DOUBTED,
+        False,
+        False,
+    )  # no leave
     assert program(second).source.handed > before
     asked = [ask for ask in trial.book.asks.values() if ask.machine == second.ip and ask.sent > 10.0]
     assert {ask.kind for ask in asked} == {"read_only", "mutating", "upload"}
--- a/tests/assay/test_history.py
+++ b/tests/drift/test_history.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from honeywharf.assay import history
-from honeywharf.assay.history import History
+from honeywharf.drift import history
+from honeywharf.drift.history import History
 from honeywharf.mesh_config.configuration import digest
 from honeywharf.simulation.slips import Trial
 from honeywharf.transport.host import Host
--- a/tests/assay/test_judge.py
+++ b/tests/drift/test_judge.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from honeywharf.assay import states
-from honeywharf.assay.judge import ASK, CONFLICT, RUN, STALE, host_of, judge
+from honeywharf.drift import states
+from honeywharf.drift.judge import ASK, CONFLICT, RUN, STALE, host_of, judge
 from tests.sluice.stage import SERVICE, route
 
 MINE, OTHER = b"m" * 8, b"o" * 8
--- a/tests/assay/test_slips.py
+++ b/tests/drift/test_slips.py
@@ -44,13 +44,13 @@
     trial.field.sides[1].proxy.program.membership.tell(q=1)  # type: ignore[attr-defined]
     trial.world.run(9.0)
     for gate in gates[:2]:
-        sluice.assay._accuse(gate, rule)
-    assert list(sluice.assay.accused) == [gates[1]]
-    sluice.assay.agreed(rule, gates[2])
-    sluice.assay._accuse(gates[2], rule)
-    assert sluice.assay.caught == {}
-    sluice.assay._accuse(gates[1], rule)
-    assert sluice.assay.caught == {"peers": 1}
+        sluice.drift_monitor._accuse(gate, rule)
+    assert list(sluice.drift_monitor.accused) == [gates[1]]
+    sluice.drift_monitor.agreed(rule, gates[2])
+    sluice.drift_monitor._accuse(gates[2], rule)
+    assert sluice.drift_monitor.caught == {}
+    sluice.drift_monitor._accuse(gates[1], rule)
+    assert sluice.drift_monitor.caught == {"peers": 1}
 
 
 @pytest.mark.parametrize("way", ["scanning", "judging", "reading"])
@@ -89,12 +89,12 @@
     trial = Trial(8, "liar", 1)
     trial.world.run(16.5)
     sluice = cast(Any, trial.victim.proxy.program)
-    lines = [line for line in trial.victim.proxy.lines if " assay: " in line]
-    assert sluice.assay.refused > 20
-    assert sluice.assay.state.changes == len(lines) <= 20
-    assert len(sluice.assay.slips) <= 16
-    assert len(sluice.assay.courses) <= 256
-    assert len(sluice.assay.jobs) <= 256
+    lines = [line for line in trial.victim.proxy.lines if " drift monitor: " in line]
+    assert sluice.drift_monitor.refused > 20
+    assert sluice.drift_monitor.state.changes == len(lines) <= 20
+    assert len(sluice.drift_monitor.slips) <= 16
+    assert len(sluice.drift_monitor.courses) <= 256
+    assert len(sluice.drift_monitor.jobs) <= 256
 
 
 def test_what_a_client_says_of_rules_and_revisions_is_not_looked_at() -> None:
--- a/tests/lease/test_duties.py
+++ b/tests/lease/test_duties.py
@@ -5,7 +5,7 @@
 import json
 from typing import Any, cast
 
-from honeywharf.assay import states
+from honeywharf.drift import states
 from honeywharf.lease.grants import TERMS
 from honeywharf.simulation.slips import Trial
 from tests.reservoir.town import Town
@@ -79,8 +79,8 @@
 
 def aside(trial: Trial) -> list[str]:
     """Who stands aside by leave now."""
-    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides]
-    return [one.sluice.settings.ip for one in assays if one.leave is not None and one.leave.holds()]
+    drift_monitors = [cast(Any, side.proxy.program).drift_monitor for side in trial.field.sides]
+    return [one.sluice.settings.ip for one in drift_monitors if one.leave is not None and one.leave.holds()]
 
 
 def play(trial: Trial, until: float) -> int:
@@ -88,9 +88,9 @@
     trial.field.until = until
     trial.world.run(9.0)
     for side in trial.field.sides[:3]:
-        assay = cast(Any, side.proxy.program).assay
-        assay.rebuild = lambda: False
-        assay.slip("scan", "a build that cannot heal")
+        drift_monitor = cast(Any, side.proxy.program).drift_monitor
+        drift_monitor.rebuild = lambda: False
+        drift_monitor.slip("scan", "a build that cannot heal")
     most = 0
     while trial.world.now < until:
         trial.world.run(trial.world.now + 0.01)
@@ -111,10 +111,10 @@
         core.kept = False
         core.machine.power_off()
     assert play(trial, 13.0) == 0
-    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides[:3]]
-    assert sum(one.grudged for one in assays) >= 1
-    assert [one.standing for one in assays] == [False] * 3
-    assert not any(one.unfit for one in assays)
+    drift_monitors = [cast(Any, side.proxy.program).drift_monitor for side in trial.field.sides[:3]]
+    assert sum(one.grudged for one in drift_monitors) >= 1
+    assert [one.standing for one in drift_monitors] == [False] * 3
+    assert not any(one.unfit for one in drift_monitors)
 
 
 def test_leave_that_has_ended_ends_the_refusals() -> None:
@@ -122,15 +122,15 @@
     trial.field.until = 20.0
     trial.world.run(9.0)
     side = trial.field.sides[0]
-    assay = cast(Any, side.proxy.program).assay
-    assay.rebuild = lambda: False
-    assay.slip("scan", "a build that cannot heal")
+    drift_monitor = cast(Any, side.proxy.program).drift_monitor
+    drift_monitor.rebuild = lambda: False
+    drift_monitor.slip("scan", "a build that cannot heal")
     trial.world.run(9.2)
-    assert assay.standing
-    assert assay.leave.holds()
+    assert drift_monitor.standing
+    assert drift_monitor.leave.holds()
     for core in trial.field.cores:
         core.freeze()
     trial.world.run(9.2 + TERMS["aside"] + 0.4)
-    assert not assay.standing
-    assert not assay.leave.holds()
-    assert assay.state.aside, "it is doubted all the same"
+    assert not drift_monitor.standing
+    assert not drift_monitor.leave.holds()
+    assert drift_monitor.state.aside, "it is doubted all the same"
--- a/tests/reservoir/test_store_mending.py
+++ b/tests/reservoir/test_store_mending.py
@@ -93,7 +93,7 @@
     spoil(host, text)
     spoil(host, REGISTER)
     assert len(mending.repair(host)) == 2
-    assert sorted(name for name in host.disk.files if "assay" not in name) == [text + BAD, REGISTER + BAD]
+    assert sorted(name for name in host.disk.files if "drift" not in name) == [text + BAD, REGISTER + BAD]
     assert mending.repair(host) == []
     town.start("10.0.0.2", first=True)
     basin = town.programs["10.0.0.2"].basin
--- a/tests/sluice/test_bypass.py
+++ b/tests/sluice/test_bypass.py
@@ -115,7 +115,7 @@
     assert play.source.handed == 0
 
 
-class Assay:
+class DriftMonitor:
     """The part that courses call."""
 
     def __init__(self) -> None:
@@ -139,7 +139,7 @@
     """A course whose gates all hold another rule, to its end."""
     clock, client = Clock(), Client()
     source: Any = Scripted(clock)
-    source.word.table, source.assay = Table(TABLE), Assay()
+    source.word.table, source.drift_monitor = Table(TABLE), DriftMonitor()
     source.list_gates("10.1.0.20", "10.1.0.21")
     source.helper = lambda passed: None if "10.1.0.30" in passed else "10.1.0.30"
     made = head(0)
@@ -271,8 +271,8 @@
     assert leaving.take() is None
     assert leaving.answers.told[0][2] == LEAVING
     doubting = Helping()
-    doubting.source.assay = Assay()
-    doubting.source.assay.again_s = 0.4
+    doubting.source.drift_monitor = DriftMonitor()
+    doubting.source.drift_monitor.again_s = 0.4
     assert doubting.take() is None
     assert doubting.answers.told == [("fail", NOT_RUN, DRIFT, 0.4)]
     nowhere = Helping(target=b"/nowhere/1")
--- a/tests/sluice/test_homes.py
+++ b/tests/sluice/test_homes.py
@@ -8,7 +8,7 @@
 import pytest
 from result import Err
 
-from honeywharf.assay import digests, second
+from honeywharf.drift import digests, second
 from honeywharf.mesh_config.changes import changes
 from honeywharf.mesh_config.configuration import check
 from honeywharf.mesh_config.routes import Table
