--- a/bench/drift.py
+++ b/bench/drift.py
@@ -1,4 +1,4 @@
-"""Slips of every kind put into simulated sluices, with each way of noticing alone or off; and honest days.
+"""Slips of every kind put into simulated sidecars, with each way of noticing alone or off; and honest days.
 
     python -m bench.drift [--each 200] [--days 80] [--first-day 3000] [--jobs 4] [--ways all,judging]
                           [--kinds stored,weights] [--into FILE]
--- a/bench/mesh_news.py
+++ b/bench/mesh_news.py
@@ -113,7 +113,7 @@
 
 
 def memory() -> float:
-    """Bytes that an entry of a sluice takes in a table of a thousand."""
+    """Bytes that an entry of a sidecar takes in a table of a thousand."""
     told: list[bytes] = []
     for at in range(1000):
         name = f"10.1.{at >> 8}.{at & 255}"
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -70,7 +70,7 @@
 @click.option(
     "--mesh",
     is_flag=True,
-    help="Show a mesh of 3 reservoirs and 5 sluices: a change of routes, a"
+    help="Show a mesh of 3 reservoirs and 5 sidecars: a change of routes, a"
     " drain and a kill, the rules counted.",
 )
 @click.option(
@@ -81,7 +81,7 @@
 @click.option(
     "--drift",
     is_flag=True,
-    help="Show five slips put into running sluices, one after the other, each caught and healed.",
+    help="Show five slips put into running sidecars, one after the other, each caught and healed.",
 )
 @click.option(
     "--storm",
@@ -171,7 +171,7 @@
 @main.command("drift", add_help_option=False, context_settings={"ignore_unknown_options": True})
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
 def on_drift(words: tuple[str, ...]) -> None:
-    """Tell whether every sluice of a mesh runs what was told."""
+    """Tell whether every sidecar of a mesh runs what was told."""
     from honeywharf.cli.drift import main as command
 
     sys.exit(command(list(words)))
--- a/honeywharf/cli/drift.py
+++ b/honeywharf/cli/drift.py
@@ -1,4 +1,4 @@
-"""`honeywharf drift`: which sluice runs what, since when, by digest; what slipped; what changed between two.
+"""`honeywharf drift`: which sidecar runs what, since when, by digest; what slipped; what changed between two.
 
 Exit status: 0 all run what was told; 1 somebody does not, or does not answer; 2 not known (a call that is
 wrong, no reservoir that answers).
@@ -77,7 +77,7 @@
     return NO if bad or not found["told"] else DONE
 
 
-@cappa.command(name="show", help="Tell which sluice runs what, since when, and the last slips.")
+@cappa.command(name="show", help="Tell which sidecar runs what, since when, and the last slips.")
 @dataclass
 class Show:
     """`drift show`."""
@@ -93,12 +93,12 @@
         return judged(found)
 
 
-@cappa.command(name="explain", help="Tell what one sluice runs, what differs, and its slips.")
+@cappa.command(name="explain", help="Tell what one sidecar runs, what differs, and its slips.")
 @dataclass
 class Explain:
     """`drift explain NODE`."""
 
-    node: Annotated[str, cappa.Arg(help="A sluice's IPv4 address.")]
+    node: Annotated[str, cappa.Arg(help="A sidecar's IPv4 address.")]
     at: At = ""
     within: Within = 10.0
 
@@ -150,7 +150,7 @@
         return DONE if status == 200 else NO
 
 
-@cappa.command(name="honeywharf drift", help="Tell whether every sluice runs what was told.")
+@cappa.command(name="honeywharf drift", help="Tell whether every sidecar runs what was told.")
 @dataclass
 class Drift:
     """`honeywharf drift ...`."""
--- a/honeywharf/drift/digests.py
+++ b/honeywharf/drift/digests.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from _blake2 import blake2b  # `hashlib` would load OpenSSL: 2 MB in each sluice
+from _blake2 import blake2b  # `hashlib` would load OpenSSL: 2 MB in each sidecar
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
--- a/honeywharf/drift/gather.py
+++ b/honeywharf/drift/gather.py
@@ -1,6 +1,6 @@
-"""The drift monitor's part in a reservoir: history, slips that sluices tell, and an operator's view of all.
+"""The drift monitor's part in a reservoir: history, slips that sidecars tell, and an operator's view of all.
 
-`GET /api/drift` asks every sluice that news tell of what it runs, `BATCH` at a time, and answers with their
+`GET /api/drift` asks every sidecar that news tell of what it runs, `BATCH` at a time, and answers with their
 views, with those who did not answer, and with this machine's history. `GET /api/drift/between/r7/r12` tells
 what changed. A register whose disk has given back something older than it had told, to this machine's own
 history or to a peer, has no vote until it is admitted anew, as after a lost disk.
@@ -24,7 +24,7 @@
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
 
-BATCH = 16  # sluices asked at once
+BATCH = 16  # sidecars asked at once
 WITHIN_S = 0.8  # for each
 MOST_NODES = 2000
 MOST_PEERS = 64  # registers whose progress is remembered
--- a/honeywharf/drift/history.py
+++ b/honeywharf/drift/history.py
@@ -1,7 +1,7 @@
 """What a reservoir remembers of words and slips, on its disk, bounded.
 
 Theory of operation. One file, `drift-history`, holds the last words as they were settled, what each
-sluice told of its slips, and how far this machine's own register had come; the texts of the last
+sidecar told of its slips, and how far this machine's own register had come; the texts of the last
 configurations stand beside it, so that two versions can be compared later. It is written a moment after
 something came, whole and beside, so a loss of power costs the last second of history and nothing else. What
 the disk gives back is checked by a checksum; a damaged history is an empty one. Nothing in the mesh depends
@@ -77,7 +77,7 @@
             self.host.log(f"history: a text could not be kept: {fault}")
 
     def slip(self, node: object, by: object, cause: object, revision: object) -> None:
-        """A sluice tells of a slip."""
+        """A sidecar tells of a slip."""
         row = [self.host.wall(), str(node)[:64], str(by)[:16], str(cause)[:MOST_CAUSE], int(str(revision))]
         self.slips = [*self.slips[1 - MOST_SLIPS :], row]
         self._soon()
--- a/honeywharf/drift/judge.py
+++ b/honeywharf/drift/judge.py
@@ -7,7 +7,7 @@
     right rule, but decided otherwise    CONFLICT: the kind, or a service that the rule does not name
 
 `mutating` and `upload` are judged each time, by whichever side holds them for that; `read_only` by sample.
-Nothing that a client sends is looked at: revision and digest come with the frame of the source's sluice.
+Nothing that a client sends is looked at: revision and digest come with the frame of the source's sidecar.
 """
 
 from __future__ import annotations
--- a/honeywharf/drift/requests.py
+++ b/honeywharf/drift/requests.py
@@ -1,4 +1,4 @@
-"""The drift monitor of one sluice, as requests meet it: read twice at the source, judged at the destination.
+"""The drift monitor of one sidecar, as requests meet it: read twice at the source, judged at the destination.
 
 Theory of operation. The program calls `look` for each request at its source, `drawn` for its service, `rule`
 for what travels with it, and `passes` at its destination; `word_changed` after each change of the word. What
@@ -21,9 +21,9 @@
     from typing import Any
 
     from honeywharf.mesh_config.routes import Route
-    from honeywharf.programs.sluice import Sluice
-    from honeywharf.sluice.course import Course
-    from honeywharf.sluice.inbound import Job
+    from honeywharf.programs.sidecar import Sidecar
+    from honeywharf.sidecar.course import Course
+    from honeywharf.sidecar.inbound import Job
     from honeywharf.transport.host import Address
 
 FETCH_S = 0.03  # between fetches in vain that requests ask for
@@ -38,8 +38,8 @@
 class DriftMonitor(Rounds):
     """See the module."""
 
-    def __init__(self, sluice: Sluice) -> None:
-        super().__init__(sluice)
+    def __init__(self, sidecar: Sidecar) -> None:
+        super().__init__(sidecar)
         self.turn = self.sampled = 0
         self.renewing = False
         self.renewals, self.renewed = 0, self.host.now()  # the last one's number, and when it began
@@ -101,7 +101,7 @@
     def stale(self, course: Course, key: str) -> None:
         """A gate refused by its word: renew ours from there, then the course decides again."""
         by = course.revision
-        if len(self.courses) >= MOST_HELD or key == self.sluice.settings.ip or by < self.word.revision:
+        if len(self.courses) >= MOST_HELD or key == self.sidecar.settings.ip or by < self.word.revision:
             self.host.after(0.0, course.decide)
             return
         self.courses.append(course)
@@ -109,7 +109,7 @@
             self._begin()
             rule = self.rules.of(course.route)
             self._fetch(
-                (key, self.sluice.settings.ports[0]), lambda value: self._compared(key, by, rule, value)
+                (key, self.sidecar.settings.ports[0]), lambda value: self._compared(key, by, rule, value)
             )
 
     def _compared(self, key: str, by: int, rule: bytes, value: Any) -> None:
@@ -126,7 +126,7 @@
 
     def agreed(self, rule: bytes, key: str) -> None:
         """A gate has run what must not run twice by a rule: who holds it otherwise is not believed."""
-        if key != self.sluice.settings.ip:
+        if key != self.sidecar.settings.ip:
             self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if held != rule}
 
     def _accuse(self, key: str, rule: bytes) -> None:
@@ -134,7 +134,7 @@
 
         Who stands aside accuses nobody, and what two say of a rule counts only until a third one runs by it.
         """
-        now, entry = self.host.now(), self.sluice.membership.entries().get(key)
+        now, entry = self.host.now(), self.sidecar.membership.entries().get(key)
         if entry is not None and entry.say is not None and entry.say.get("q"):
             return
         self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if now - at < ACCUSED_S}
@@ -172,7 +172,7 @@
             return self._refuse_job(job, self.state.again_s())
         if strict and self.judging and not asked and now - self.ticked > GAP_S:
             return self._hold(job, None)
-        if strict and self.scanning and (fault := scan.others(self.sluice)):
+        if strict and self.scanning and (fault := scan.others(self.sidecar)):
             self.slip("scan", fault)
         if not ask.peer:
             if strict and self.judging and self.unsure and not asked:
@@ -186,7 +186,7 @@
         if verdict == judge.RUN:
             return True
         if verdict == judge.ASK and not asked:
-            return self._hold(job, (ask.peer, self.sluice.settings.ports[0]))
+            return self._hold(job, (ask.peer, self.sidecar.settings.ports[0]))
         return self._refuse_job(job, 0.0 if verdict != judge.ASK else 0.05)
 
     def still(self, job: Job) -> bool:
@@ -244,7 +244,7 @@
         return False
 
     def _ask(self, holder: Address | None) -> None:
-        cores = self.sluice.cores()
+        cores = self.sidecar.cores()
         if holder is not None or cores:
             self.cores_turn += 1
             self._fetch(holder or cores[self.cores_turn % len(cores)], self._asked)
@@ -279,7 +279,7 @@
 
     def word_changed(self) -> None:
         """Another word is in force: read its text a second time, and compare all of it, part by part."""
-        self.bounds = scan.bounds(self.sluice)
+        self.bounds = scan.bounds(self.sidecar)
         if not self.rebuilding:
             self._read()
             self.parts = None
--- a/honeywharf/drift/rounds.py
+++ b/honeywharf/drift/rounds.py
@@ -1,4 +1,4 @@
-"""What one sluice compares in idle time: the scan, part by part, and its word with a reservoir's.
+"""What one sidecar compares in idle time: the scan, part by part, and its word with a reservoir's.
 
 Theory of operation. Every `STEP_S` a step of the scan looks at some of the routes and of the list; a round is
 whole in `WHOLE_STEPS` up to `WHOLE_STEPS * MOST_PARTS` routes. Every `CONFIRM_S`, and after a standstill of
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
     from honeywharf.transport.host import Address
 
 STEP_S = 0.25  # between steps of the scan
@@ -28,8 +28,8 @@
 class Rounds(Watch):
     """See the module."""
 
-    def __init__(self, sluice: Sluice) -> None:
-        super().__init__(sluice)
+    def __init__(self, sidecar: Sidecar) -> None:
+        super().__init__(sidecar)
         self.ticked = self.confirmed = self.host.now()
         self.clean = True  # nothing found in this round
         self.turn_list = 0
@@ -65,7 +65,7 @@
         if self.parts is None or self.parts_of is not table:
             self.parts, self.parts_of, self.clean = scan.routes(table, told, self.rules), table, True
         many = min(MOST_PARTS, max(LEAST_PARTS, len(told.places) // WHOLE_STEPS + 1))
-        fault = scan.others(self.sluice) or scan.listed(self.sluice, self._nodes())
+        fault = scan.others(self.sidecar) or scan.listed(self.sidecar, self._nodes())
         try:
             while many and not fault:
                 fault, many = next(self.parts), many - 1
@@ -81,7 +81,7 @@
 
     def _nodes(self) -> list[str]:
         """A share of all nodes, in turn."""
-        nodes = list(self.sluice.membership.entries())
+        nodes = list(self.sidecar.membership.entries())
         many = len(nodes) // 4 + 4
         start = self.turn_list % max(1, len(nodes))
         self.turn_list = start + many
@@ -89,7 +89,7 @@
 
     def _confirm(self) -> None:
         """Compare the word with a reservoir's, in turn."""
-        cores = self.sluice.cores()
+        cores = self.sidecar.cores()
         if cores and self.word.ready:
             self._fetch(cores[0], self._confirmed)
 
@@ -113,4 +113,4 @@
                 self.word.take(holder, value)
             done(value if self.host.now() - asked < GAP_S else None)  # else it is as old as our standstill
 
-        self.sluice.caller.call(holder, "word.known", None, HOLD_S, known)
+        self.sidecar.caller.call(holder, "word.known", None, HOLD_S, known)
--- a/honeywharf/drift/scan.py
+++ b/honeywharf/drift/scan.py
@@ -17,7 +17,7 @@
     from honeywharf.drift.second import Told
     from honeywharf.gossip.entry import Entry
     from honeywharf.mesh_config.routes import Route, Table
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
 
 READ_ONLY = "read_only"
 READY = 1  # a gate's state, as news tell it
@@ -63,9 +63,9 @@
     return branches
 
 
-def others(sluice: Sluice) -> str:
+def others(sidecar: Sidecar) -> str:
     """A fault of the small parts that decide, or ""."""
-    word, gate, table = sluice.word, sluice.gate, sluice.word.table
+    word, gate, table = sidecar.word, sidecar.gate, sidecar.word.table
     value = word.value
     if table is None or not value:
         return ""
@@ -75,30 +75,30 @@
         stored = f"{value['rev']} with r{value['version']}"
         return f"revision {word.revision} with r{table.version} is in force, stored {stored}"
     told = {zone for zone, on in value["evac"].items() if on}
-    if word.evacuated != told or gate.evacuated != (sluice.settings.zone in told):
+    if word.evacuated != told or gate.evacuated != (sidecar.settings.zone in told):
         return f"evacuated {sorted(word.evacuated)}, told {sorted(told)}"
-    if bounds(sluice) != sluice.drift_monitor.bounds:
+    if bounds(sidecar) != sidecar.drift_monitor.bounds:
         return "bounds at the backend are not those that the word gave"
     return ""
 
 
-def bounds(sluice: Sluice) -> tuple[object, ...]:
+def bounds(sidecar: Sidecar) -> tuple[object, ...]:
     """What timers and connections at the backend hold of the word: as set by it, or as it is now."""
-    return sluice.taps.most, sluice.gate.cold.most, sluice.probe.path
+    return sidecar.taps.most, sidecar.gate.cold.most, sidecar.probe.path
 
 
-def listed(sluice: Sluice, nodes: list[str]) -> str:
+def listed(sidecar: Sidecar, nodes: list[str]) -> str:
     """The first of the nodes whose entry in the list is not what the news tell, as a fault, or ""."""
-    entries, source = sluice.membership.entries(), sluice.source
+    entries, source = sidecar.membership.entries(), sidecar.source
     for node in nodes:
-        if node != sluice.settings.ip and not _as_told(sluice, node, entries.get(node)):
+        if node != sidecar.settings.ip and not _as_told(sidecar, node, entries.get(node)):
             return f"the list holds {node} otherwise than told"
     extra = next((node for node in source.list if node not in entries), None)
     return "" if extra is None else f"the list holds {extra}, of which nothing is told"
 
 
-def _as_told(sluice: Sluice, node: str, entry: Entry | None) -> bool:
-    source = sluice.source
+def _as_told(sidecar: Sidecar, node: str, entry: Entry | None) -> bool:
+    source = sidecar.source
     found, say = source.list.get(node), entry.say if entry is not None else None
     if entry is None or say is None or not say.get("s"):
         return found is None
@@ -112,7 +112,7 @@
     target = source.levels_of(found.service).targets.get(node)
     usable = (
         found.state == READY
-        and entry.zone not in sluice.word.evacuated
-        and node not in sluice.membership.watch.down
+        and entry.zone not in sidecar.word.evacuated
+        and node not in sidecar.membership.watch.down
     )
     return target is not None and target.zone == entry.zone and target.usable == usable
--- a/honeywharf/drift/watch.py
+++ b/honeywharf/drift/watch.py
@@ -1,4 +1,5 @@
-"""What follows from a slip at one sluice: it is doubted, built anew, healed or stands aside; and who is told.
+"""What follows from a slip at one sidecar: it is doubted, built anew, healed or stands aside; and who is
+told.
 
 Theory of operation. `slip` is called by whichever way has found one (`rounds`, `requests`). The node builds
 itself anew from the told text, whose digest the majority settled, compares everything at once, and goes on,
@@ -25,7 +26,7 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
 
@@ -59,8 +60,8 @@
 class Watch:
     """See the module. `judging`, `reading` and `scanning` switch the three ways, for measuring each alone."""
 
-    def __init__(self, sluice: Sluice) -> None:
-        self.sluice, self.host, self.word = sluice, sluice.host, sluice.word
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.sidecar, self.host, self.word = sidecar, sidecar.host, sidecar.word
         self.judging = self.reading = self.scanning = True
         now = self.host.now()
         self.state = states.State(now)
@@ -102,7 +103,9 @@
         table, told = self.word.table, self.told
         if table is None or told is None:
             return "no told text" if self.word.ready else ""
-        fault = scan.others(self.sluice) or scan.listed(self.sluice, list(self.sluice.membership.entries()))
+        fault = scan.others(self.sidecar) or scan.listed(
+            self.sidecar, list(self.sidecar.membership.entries())
+        )
         return fault or next((found for found in scan.routes(table, told, self.rules) if found), "")
 
     def slip(self, by: str, what: str, renew: bool = False) -> None:
@@ -150,11 +153,11 @@
         )
 
         self.standing = True
-        ip, zone = self.sluice.settings.ip, self.sluice.settings.zone
+        ip, zone = self.sidecar.settings.ip, self.sidecar.settings.zone
         nodes, zones = self._nodes_here()
         self.leave = LeaseAcquisition(
             self.host,
-            self.sluice.caller.call,
+            self.sidecar.caller.call,
             self._roster,
             f"{ip}/{self.host.random(6).hex()}",
             [self._places(zone, states.zone_places(zones)), self._places("", states.all_places(nodes))],
@@ -173,7 +176,7 @@
 
     def _may_stand(self, granted: bool) -> None:
         if granted and self.state.aside:
-            self.sluice.membership.tell(q=1)
+            self.sidecar.membership.tell(q=1)
             return
         if not granted:
             self.grudged, self.grudged_at = self.grudged + 1, self.host.now()
@@ -183,28 +186,28 @@
         """Healed, without leave, or it has ended: refuse request by request at most."""
         self.standing = False
         self.leave.end()
-        self.sluice.membership.tell(q=0)
+        self.sidecar.membership.tell(q=0)
 
     def _refuses(self) -> bool:
         """Whether it may refuse now: a process that stood still finds that its leave has ended."""
         return bool(self.leave.asking or self.leave.holds())
 
     def _nodes_here(self) -> tuple[int, int]:
-        """Sluices that news tell of, this one too: all, and of the own zone."""
+        """Sidecars that news tell of, this one too: all, and of the own zone."""
         zones = [
             entry.zone
-            for node, entry in self.sluice.membership.entries().items()
-            if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")
+            for node, entry in self.sidecar.membership.entries().items()
+            if node != self.sidecar.settings.ip and entry.say is not None and entry.say.get("s")
         ]
-        return len(zones) + 1, zones.count(self.sluice.settings.zone) + 1
+        return len(zones) + 1, zones.count(self.sidecar.settings.zone) + 1
 
     def _room(self) -> bool:
         entries = [
             entry
-            for node, entry in self.sluice.membership.entries().items()
-            if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")
+            for node, entry in self.sidecar.membership.entries().items()
+            if node != self.sidecar.settings.ip and entry.say is not None and entry.say.get("s")
         ]
-        zone = [entry for entry in entries if entry.zone == self.sluice.settings.zone]
+        zone = [entry for entry in entries if entry.zone == self.sidecar.settings.zone]
         aside, aside_all = (
             sum(bool(entry.say and entry.say.get("q")) for entry in some) for some in (zone, entries)
         )
@@ -226,25 +229,25 @@
         word.table, word.version = table, table.version
         word.evacuated = {zone for zone, on in value["evac"].items() if on}
         self._relist()
-        self.sluice.apply()
-        self.bounds = scan.bounds(self.sluice)
+        self.sidecar.apply()
+        self.bounds = scan.bounds(self.sidecar)
         self.rebuilding, self.parts = False, None
         return not self._whole()
 
     def _relist(self) -> None:
-        sluice = self.sluice
-        entries = sluice.membership.entries()
-        sluice.source.doubted = {node for node in entries if node in sluice.membership.watch.down}
-        for node in list(sluice.source.list):
-            if node != sluice.settings.ip:
-                sluice.source.told(node, None, "")
+        sidecar = self.sidecar
+        entries = sidecar.membership.entries()
+        sidecar.source.doubted = {node for node in entries if node in sidecar.membership.watch.down}
+        for node in list(sidecar.source.list):
+            if node != sidecar.settings.ip:
+                sidecar.source.told(node, None, "")
         for node, entry in entries.items():
-            if node != sluice.settings.ip:
-                sluice.source.told(node, entry.say, entry.zone)
+            if node != sidecar.settings.ip:
+                sidecar.source.told(node, entry.say, entry.zone)
 
     def renew(self) -> None:
         """Ask a reservoir's majority for the word."""
-        cores = self.sluice.cores()
+        cores = self.sidecar.cores()
         if self.asking or not cores:
             if not self.asking:
                 self._again()
@@ -252,7 +255,7 @@
         self.asking = True
         self.cores_turn += 1
         core = cores[self.cores_turn % len(cores)]
-        self.sluice.caller.call(core, "word.read", None, 0.9, lambda value: self._read_back(core, value))
+        self.sidecar.caller.call(core, "word.read", None, 0.9, lambda value: self._read_back(core, value))
 
     def _again(self) -> None:
         self.asking = False
@@ -267,7 +270,7 @@
         elif value["digest"] == self.word.digest and self._sound():
             self._restore(value, self.word.packed)
         else:
-            self.sluice.caller.call(
+            self.sidecar.caller.call(
                 core, "word.body", value["digest"], 3.0, lambda packed: self._restore(value, packed)
             )
 
@@ -306,20 +309,20 @@
 
     def _tell(self, by: str, what: str) -> None:
         """Tell the reservoirs of a slip, for their histories; a flood of slips tells no more than one."""
-        record = [self.sluice.settings.ip, self.host.wall(), by, what, self.word.revision]
+        record = [self.sidecar.settings.ip, self.host.wall(), by, what, self.word.revision]
         now = self.host.now()
         if now - self.told_at >= TELL_S:
             self.told_at = now
-            for core in self.sluice.cores()[:MOST_TOLD]:
-                self.sluice.caller.call(core, "drift.slip", record, 1.0, lambda answer: None)
+            for core in self.sidecar.cores()[:MOST_TOLD]:
+                self.sidecar.caller.call(core, "drift.slip", record, 1.0, lambda answer: None)
 
     def view(self) -> dict[str, object]:
         """Who runs what, for an operator. Times in seconds."""
         word, state, now = self.word, self.state, self.host.now()
         live = {} if word.table is None else scan.tree(word.table, self.rules, word.evacuated)
         return {
-            "node": self.sluice.settings.ip,
-            "zone": self.sluice.settings.zone,
+            "node": self.sidecar.settings.ip,
+            "zone": self.sidecar.settings.zone,
             "state": states.NAMES[state.at],
             "for": round(now - state.since, 3),
             "why": state.why,
@@ -330,7 +333,7 @@
             "branches": {name: live[name].hex() for name in live},
             "caught": dict(self.caught),
             "refused": self.refused,
-            "handed": self.sluice.source.handed,
+            "handed": self.sidecar.source.handed,
             "changes": state.changes,
             "slips": self.slips,
             "standing": self.standing,
@@ -348,5 +351,5 @@
     def counters(self) -> str:
         """For a log line."""
         caught = " ".join(f"{by}={many}" for by, many in sorted(self.caught.items()))
-        state, handed = states.NAMES[self.state.at], self.sluice.source.handed
+        state, handed = states.NAMES[self.state.at], self.sidecar.source.handed
         return f"drift monitor {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
--- a/honeywharf/mesh_config/quantities.py
+++ b/honeywharf/mesh_config/quantities.py
@@ -1,4 +1,4 @@
-"""Times and addresses as the mesh writes them in text. Sluices import this: nothing but plain functions."""
+"""Times and addresses as the mesh writes them in text. Sidecars import this: nothing but plain functions."""
 
 from __future__ import annotations
 
--- a/honeywharf/mesh_config/routes.py
+++ b/honeywharf/mesh_config/routes.py
@@ -1,4 +1,4 @@
-"""Which service a request is for: a table built from a checked configuration, kept by every sluice.
+"""Which service a request is for: a table built from a checked configuration, kept by every sidecar.
 
 Theory of operation. By host, then by prefix: one dictionary of prefixes for each host. A path is looked up by
 its longest beginning that ends with a slash and is no longer than the host's longest prefix, then by the next
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -39,7 +39,7 @@
     # Votes.
 
     def places(self, kind: str, scope: str) -> int:
-        """How many may do a duty at once, by the sluices that news tell of here."""
+        """How many may do a duty at once, by the sidecars that news tell of here."""
         if kind == "upkeep":
             return int(scope == "")
         membership = self.program.membership
--- a/honeywharf/programs/gateway.py
+++ b/honeywharf/programs/gateway.py
@@ -53,7 +53,7 @@
     """One gateway on its host.
 
     `others`: gateways of the same region, to know whether this is the last one. `landing_port`: where the
-    sluices of any region take sessions. `order`: which session is asked to leave first.
+    sidecars of any region take sessions. `order`: which session is asked to leave first.
     """
 
     def __init__(
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sidecar.py
@@ -13,14 +13,14 @@
 from honeywharf.drift.watch import is_named
 from honeywharf.gossip.membership import Draws, Membership
 from honeywharf.programs.start import settings_or_line
-from honeywharf.sluice.backend import Taps
-from honeywharf.sluice.beats import Beats
-from honeywharf.sluice.gate import DRAINING, READY, STATES, UNKNOWN, Gate
-from honeywharf.sluice.inbound import Inbound
-from honeywharf.sluice.outbound import Outbound
-from honeywharf.sluice.probe import Probe
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
+from honeywharf.sidecar.backend import Taps
+from honeywharf.sidecar.beats import Beats
+from honeywharf.sidecar.gate import DRAINING, READY, STATES, UNKNOWN, Gate
+from honeywharf.sidecar.inbound import Inbound
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Outbound
+from honeywharf.sidecar.probe import Probe
+from honeywharf.sidecar.source import Source
 from honeywharf.transport.http_server import Call, HttpServer
 from honeywharf.transport.rpc import Answerer, Caller
 from honeywharf.transport.streams import HANDED, MOST_FRAME, Reception
@@ -33,7 +33,7 @@
 
     from honeywharf.gossip.entry import Entry
     from honeywharf.mesh_config.settings import Settings
-    from honeywharf.sluice.inbound import Answers
+    from honeywharf.sidecar.inbound import Answers
     from honeywharf.transport.frames import FrameReader
     from honeywharf.transport.host import Address, Connection, Handler, Host
     from honeywharf.transport.streams import Ask, Work
@@ -45,8 +45,8 @@
 CHECK_S = 0.1
 
 
-class Sluice:
-    """One running sluice."""
+class Sidecar:
+    """One running sidecar."""
 
     def __init__(self, host: Host, settings: Settings) -> None:
         self.host, self.settings = host, settings
@@ -169,15 +169,15 @@
         return Reception(connection, reader, frames, self._begin)
 
     def _begin(self, ask: Ask, answers: Answers) -> Work | None:
-        """A request of another sluice: for the gate here, or to be decided here."""
+        """A request of another sidecar: for the gate here, or to be decided here."""
         if ask.kind != HANDED:
             return self.inbound.begin(ask, answers)
-        from honeywharf.sluice.bypass import take  # only where another one is in doubt
+        from honeywharf.sidecar.bypass import take  # only where another one is in doubt
 
         return take(self.source, ask, host_of(ask.fields), answers)
 
     def helper(self, passed: Container[str]) -> str | None:
-        """A sluice of this region that is well, of this zone where there is one; None without one."""
+        """A sidecar of this region that is well, of this zone where there is one; None without one."""
         settings, near, far = self.settings, [], []
         for node, entry in self.membership.entries().items():
             say = entry.say
@@ -276,8 +276,8 @@
     if settings is None:
         return 2
     loop = Loop(None)
-    sluice = Sluice(loop, settings)
-    loop.on_signal(SIGTERM, sluice.terminate)
+    sidecar = Sidecar(loop, settings)
+    loop.on_signal(SIGTERM, sidecar.terminate)
     loop.on_signal(SIGHUP, lambda: loop.log("settings may have changed; they are read at the start"))
     return loop.run()
 
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/reservoir/operator.py
@@ -49,7 +49,8 @@
 
 
 class Operator:
-    """Answers calls at the control plane's address. `port`: of the sluices' control plane, for lost beats."""
+    """Answers calls at the control plane's address. `port`: of the sidecars' control plane, for lost
+    beats."""
 
     def __init__(self, basin: Basin, zones: Collection[str], port: int, check: Check = _check) -> None:
         self.basin, self.zones, self.port, self.check = basin, zones, port, check
@@ -160,7 +161,7 @@
     # What is not for this address.
 
     def _elsewhere(self, call: Asked, id: str) -> None:
-        """A beat that has lost its way: the sluice beside the backend takes it, at the port of ours."""
+        """A beat that has lost its way: the sidecar beside the backend takes it, at the port of ours."""
         try:
             ip = json.loads(call.body)["address"].rpartition(":")[0]
         except (ValueError, LookupError, TypeError, AttributeError):
--- a/honeywharf/sessions/abroad.py
+++ b/honeywharf/sessions/abroad.py
@@ -1,4 +1,4 @@
-"""What a sluice needs of this package where its settings name gateways; without them none of it is made.
+"""What a sidecar needs of this package where its settings name gateways; without them none of it is made.
 
 The program makes it by `joined`; the source asks `far` of the zone before it takes a link of its own region.
 """
@@ -21,7 +21,7 @@
     from honeywharf.transport.streams import Ask, Replies, Work
 
     class Settings(Protocol):
-        """What is read of a sluice's settings."""
+        """What is read of a sidecar's settings."""
 
         gateways: list[tuple[Address, str, str]]
         ip: str
@@ -32,14 +32,14 @@
         zones: dict[str, str]
 
 
-HOLD_SHARE = 0.25  # of a sluice's memory, for half-finished bodies
+HOLD_SHARE = 0.25  # of a sidecar's memory, for half-finished bodies
 
 
 class Abroad:
-    """The other regions, as one sluice reaches them and is reached.
+    """The other regions, as one sidecar reaches them and is reached.
 
     `port`: the first of the internal ports; sessions land at the next. `zones`: region by zone. `begin`: as
-    `sluice.inbound.Inbound.begin`.
+    `sidecar.inbound.Inbound.begin`.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         replies: Replies,
         homes: tuple[str, ...] = (),
     ) -> Carriage | None:
-        """The way to a sluice of another region; None where there is no room for one more.
+        """The way to a sidecar of another region; None where there is no room for one more.
 
         `homes`: the regions that may run it and hold its body; none: any.
         """
@@ -85,7 +85,7 @@
     begin: Callable[[Ask, Any], Work | None],
     draw: Callable[[], float],
 ) -> Abroad:
-    """The other regions by the gateways of a sluice's settings."""
+    """The other regions by the gateways of a sidecar's settings."""
     return Abroad(
         host,
         settings.ip,
--- a/honeywharf/sessions/conveyor.py
+++ b/honeywharf/sessions/conveyor.py
@@ -218,7 +218,7 @@
         tenant: str = "",
         homes: tuple[str, ...] = (),
     ) -> Carriage | None:
-        """Carry a request to the sluice at an IP address; None where there is no room for one more."""
+        """Carry a request to the sidecar at an IP address; None where there is no room for one more."""
         if self.closed or len(self.riders) >= MOST_SESSIONS:
             return None
         host = self.host
--- a/honeywharf/sessions/kinds.py
+++ b/honeywharf/sessions/kinds.py
@@ -1,7 +1,7 @@
 """Frames of a session, and the bounds that all its parties share.
 
-Each frame is a list `[kind, session, epoch, ...]`. A session is one request between two sluices; its id is 16
-random bytes of the source's. The epoch counts the ways it has taken: each new one fences all before it.
+Each frame is a list `[kind, session, epoch, ...]`. A session is one request between two sidecars; its id is
+16 random bytes of the source's. The epoch counts the ways it has taken: each new one fences all before it.
 
     source to destination
       OPEN     to, life, heard, got, attempt, length, remaining ms, expires ms (wall), tenant, origin, homes,
--- a/honeywharf/sessions/landing.py
+++ b/honeywharf/sessions/landing.py
@@ -22,7 +22,7 @@
 
 
 class Landed:
-    """Where the gate's work tells its outcome (`sluice.inbound.Answers`)."""
+    """Where the gate's work tells its outcome (`sidecar.inbound.Answers`)."""
 
     __slots__ = ("landing", "outlet", "over")
 
@@ -68,7 +68,8 @@
 
 
 class Landing:
-    """All sessions that end here. `begin(ask, answers)` gives the work, as `sluice.inbound.Inbound.begin`."""
+    """All sessions that end here. `begin(ask, answers)` gives the work, as
+    `sidecar.inbound.Inbound.begin`."""
 
     def __init__(
         self,
--- a/honeywharf/sluice/beats.py
+++ b/honeywharf/sidecar/beats.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.sluice.gate import Gate
+    from honeywharf.sidecar.gate import Gate
     from honeywharf.transport.host import Host
     from honeywharf.transport.http_server import Call
 
--- a/honeywharf/sluice/bypass.py
+++ b/honeywharf/sidecar/bypass.py
@@ -1,25 +1,25 @@
-"""Requests of a sluice that doubts its own rules, decided here in its place.
+"""Requests of a sidecar that doubts its own rules, decided here in its place.
 
-Theory of operation. A sluice that can't heal must not decide, but its clients shall not feel it: it sends a
-request on, whole, as a stream of the kind `HANDED`, to a sluice of its zone that is well. Here it has a
-course as if a client had sent it: this sluice's rules, its draw, its second reading, its budget; the gates
+Theory of operation. A sidecar that can't heal must not decide, but its clients shall not feel it: it sends a
+request on, whole, as a stream of the kind `HANDED`, to a sidecar of its zone that is well. Here it has a
+course as if a client had sent it: this sidecar's rules, its draw, its second reading, its budget; the gates
 judge it as they judge all. The attempt id and the header lines are the client's, and the caller's service is
 that of the machine where the request began. A refusal sent back proves that nothing has run.
 
-    here                                   the sluice in doubt tells its client
+    here                                   the sidecar in doubt tells its client
     refused, before a course (`refusal`)   asks one more helper, else 503
     503                                    503, with the time that stands here
     502, 504; the link was lost            the same; 502
     any other answer                       the same
 
-Bounds: `MOST_PASSING` at once, `AHEAD_BYTES` of a body held; who has an older word than the sluice that asks
+Bounds: `MOST_PASSING` at once, `AHEAD_BYTES` of a body held; who has an older word than the sidecar that asks
 refuses, and what was handed on is not handed on again. This module is loaded when it is first needed.
 """
 
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.sluice.course import Course
+from honeywharf.sidecar.course import Course
 from honeywharf.transport.streams import FIRST_WINDOW
 from honeywharf.verdict import (
     BROKEN_OFF,
@@ -36,13 +36,13 @@
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from honeywharf.mesh_config.routes import Route
-    from honeywharf.sluice.inbound import Answers
-    from honeywharf.sluice.source import Source
+    from honeywharf.sidecar.inbound import Answers
+    from honeywharf.sidecar.source import Source
     from honeywharf.transport.streams import Ask, Work
 
 MOST_PASSING = 256
 AHEAD_BYTES = 64 * 1024  # of a body, beyond what a gate has taken
-REFUSED_S = 0.05  # after which a sluice that can't help may be asked again
+REFUSED_S = 0.05  # after which a sidecar that can't help may be asked again
 LOAD = (0, 0, 0)  # of no backend
 
 
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sidecar/course.py
@@ -1,6 +1,6 @@
 """The course of one request at its source: whom it asks, what their word proves, what the client is told.
 
-Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has run
+Theory of operation. A course asks one gate at a time. A refusal between sidecars proves that nothing has run
 and costs no more than a round trip, so the next one is asked at once, each gate once, `MOST_ASKED` in all.
 When none is left that may have room, the one that told the shortest wait is asked to let the request wait,
 at most until `PATIENCE` of its aim has passed. What has reached a backend's socket is sent to another only by
@@ -13,9 +13,9 @@
     may have run     another, by the budget        502, 504
     (nobody left)    503 with a time to return     503 with a time to return, only where nothing has run
 
-A sluice in doubt of its own rules decides nothing: its course hands the request on whole, by the rule
-`ASIDE`, to a sluice that is well (`bypass`), which has a course of its own for it. At most `MOST_HELPERS` are
-asked, and none further once one of them may have run it.
+A sidecar in doubt of its own rules decides nothing: its course hands the request on whole, by the rule
+`ASIDE`, to a sidecar that is well (`bypass`), which has a course of its own for it. At most `MOST_HELPERS`
+are asked, and none further once one of them may have run it.
 
 Source: RULES (TWICE, REFUSED, BUDGET), PROTOCOL ("Requests", "Answers").
 """
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from typing import Protocol
 
-    from honeywharf.sluice.source import Source
+    from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Timer
 
     class Channel(Protocol):
@@ -79,7 +79,7 @@
 MOST_WAITED = 3  # gates that it is ready to wait at, one after the other
 RETURN_S = (0.08, 0.3)  # parts of the aim after which a refused client may come back
 END_S = 0.004  # before the deadline, a final answer still arrives
-MOST_HELPERS = 2  # sluices that a request is handed on to, one after the other
+MOST_HELPERS = 2  # sidecars that a request is handed on to, one after the other
 HELPED_S = 0.012  # before the deadline, a helper's own final answer still arrives
 
 
@@ -211,7 +211,7 @@
             self._give_up(self._return_s())
 
     def _next_helper(self) -> None:
-        """Hand the request on to a sluice that is well."""
+        """Hand the request on to a sidecar that is well."""
         key = self.source.helper(self.asked) if len(self.asked) < MOST_HELPERS else None
         if key is None:
             self._give_up(self._return_s())
@@ -283,7 +283,7 @@
         self._next()
 
     def hand_on(self) -> None:
-        """Decide no more here: nothing has run, and another sluice is to decide in this one's place."""
+        """Decide no more here: nothing has run, and another sidecar is to decide in this one's place."""
         self._by(ASIDE)
         self._next()
 
@@ -493,7 +493,7 @@
         return True
 
     def _may_hand_on(self) -> bool:
-        """Whether another sluice may decide: never for the second time, nor when a backend has seen it."""
+        """Whether another sidecar may decide: never for the second time, nor when a backend has seen it."""
         return (
             self.caller is None
             and not self.arrivals
--- a/honeywharf/sluice/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -22,7 +22,7 @@
 
 from honeywharf.admission.intake import STALL_S, Intake
 from honeywharf.codecs.mesh import UNKNOWN, Answer
-from honeywharf.sluice.backend import Taps
+from honeywharf.sidecar.backend import Taps
 from honeywharf.transport.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
@@ -48,8 +48,8 @@
     from honeywharf.admission.admission import Waiter
     from honeywharf.admission.intake import Place
     from honeywharf.drift.requests import DriftMonitor
-    from honeywharf.sluice.backend import Tap
-    from honeywharf.sluice.gate import Gate
+    from honeywharf.sidecar.backend import Tap
+    from honeywharf.sidecar.gate import Gate
     from honeywharf.transport.host import Host, Timer
     from honeywharf.transport.streams import Ask
 
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -1,4 +1,4 @@
-"""The operator's word as one sluice runs it: one revision at a time, never an older one.
+"""The operator's word as one sidecar runs it: one revision at a time, never an older one.
 
 Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is
 asked for by its digest where it is another one. At the start a word counts only if a reservoir has read it
@@ -55,7 +55,7 @@
         self._limits = Limits({})
         self.named: Callable[[bytes, str], bool] = lambda text, digest: True  # whether a text is a digest's
 
-    # Used by the rest of the sluice.
+    # Used by the rest of the sidecar.
 
     def find(self, host: bytes, path: bytes) -> Route | None:
         """The route of a request; None without one."""
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -13,17 +13,17 @@
 
 from honeywharf.codecs.mesh import UNKNOWN, Head, RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
-from honeywharf.sluice.course import ASIDE, DEADLINE_S, Course
+from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
 from honeywharf.transport.streams import WINDOW_BYTES
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.sluice.source import Source
-    from honeywharf.sluice.word import Word
+    from honeywharf.sidecar.mesh_state import Word
+    from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
 
 MOST_AHEAD = 16
-NO_WORD_S = 0.2  # after which a client may come back to a sluice that has just started
+NO_WORD_S = 0.2  # after which a client may come back to a sidecar that has just started
 HELD_BYTES = 64 * 1024  # of a body that waits to be sent
 MOST_CONNECTIONS = 3000
 DROPPED_BYTES = 4 << 20  # of a body that is read to its end though the answer is given
--- a/honeywharf/sluice/probe.py
+++ b/honeywharf/sidecar/probe.py
@@ -9,13 +9,13 @@
 
 from honeywharf.codecs.mesh import Answer, AnswerReader
 from honeywharf.codecs.reader import MalformedError
-from honeywharf.sluice.gate import READY, UNKNOWN
+from honeywharf.sidecar.gate import READY, UNKNOWN
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.sluice.gate import Gate
+    from honeywharf.sidecar.gate import Gate
     from honeywharf.transport.host import Address, Connection, Handler, Host
 
 PATIENT_S = 0.1
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sidecar/source.py
@@ -1,4 +1,4 @@
-"""What all courses of one sluice share: the word, the list, budgets, links, the gate beside it."""
+"""What all courses of one sidecar share: the word, the list, budgets, links, the gate beside it."""
 
 from __future__ import annotations
 
@@ -15,10 +15,10 @@
     from honeywharf.mesh_config.routes import Route
     from honeywharf.mesh_config.settings import Settings
     from honeywharf.sessions.abroad import Abroad
-    from honeywharf.sluice.bypass import Passing
-    from honeywharf.sluice.course import Channel, Course
-    from honeywharf.sluice.inbound import Inbound
-    from honeywharf.sluice.word import Word
+    from honeywharf.sidecar.bypass import Passing
+    from honeywharf.sidecar.course import Channel, Course
+    from honeywharf.sidecar.inbound import Inbound
+    from honeywharf.sidecar.mesh_state import Word
     from honeywharf.transport.host import Host
 
 MOST_SERVICES = 1024
@@ -116,8 +116,8 @@
         self.doubted: set[str] = set()
         self.choked: dict[str, float] = {}  # by gate of the list, until when it is asked for no body
         self.asks = 0
-        self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sluice that is well
-        self.handed = 0  # requests that a sluice that is well was asked to decide
+        self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sidecar that is well
+        self.handed = 0  # requests that a sidecar that is well was asked to decide
         self.passing: dict[Passing, None] = {}  # those of others that are decided here
         self.drift_monitor: DriftMonitor | None = None
         self.statuses: dict[int, int] = {}
@@ -186,7 +186,7 @@
         }
 
     def revision(self) -> int:
-        """Of the word that this sluice decides by."""
+        """Of the word that this sidecar decides by."""
         return self.word.revision
 
     def rule(self, route: Route) -> bytes:
--- a/honeywharf/simulation/field.py
+++ b/honeywharf/simulation/field.py
@@ -57,7 +57,7 @@
     return json.dumps(
         {  # which is YAML
             "node-name": f"node-{ip}",
-            "role": "sluice" if service else "reservoir",
+            "role": "sidecar" if service else "reservoir",
             "machine-class": "sidecar" if service else "core",
             "ip-address": ip,
             "zone": zone,
@@ -131,12 +131,12 @@
     def __init__(self, field: Field, ip: str, zone: str, service: str) -> None:
         self.field, self.ip, self.service = field, ip, service
         self.machine = Machine(field.network, ip, zone)
-        self.proxy = Process(self.machine, f"sluice-{ip}", self._proxy)
+        self.proxy = Process(self.machine, f"sidecar-{ip}", self._proxy)
         self.backend = Process(self.machine, f"backend-{ip}", self._backend)
         self.clients = Process(self.machine, f"clients-{ip}", self._clients)
 
     def _proxy(self, host: Process) -> object:
-        return self.field.sluice(
+        return self.field.sidecar(
             host, settings(self.ip, self.machine.zone, self.field.seeds, self.field.initial, self.service)
         )
 
@@ -165,7 +165,7 @@
     def __init__(
         self,
         seed: int,
-        sluice: Make,
+        sidecar: Make,
         reservoir: Make,
         shape: Shape = SMALL,
         lead: float = 5.0,
@@ -175,7 +175,7 @@
         """`per_s`: the field's requests a second, of what `ROUTES` have."""
         self.world = World(seed)
         self.network = Network(self.world)
-        self.sluice, self.reservoir, self.lead, self.until = sluice, reservoir, lead, until
+        self.sidecar, self.reservoir, self.lead, self.until = sidecar, reservoir, lead, until
         self.book = Book(self.world, {**BOUNDS, **NUMBERS, **WINDOW})
         self.seeds = [f"10.{n % 3 + 1}.0.{9 - n // 3}" for n in range(shape.cores)]
         self.cores = [self._core(ip, ZONES[n % 3]) for n, ip in enumerate(self.seeds)]
--- a/honeywharf/simulation/run.py
+++ b/honeywharf/simulation/run.py
@@ -45,14 +45,14 @@
         return [*self.story, *self.about]
 
 
-def real_sluice(host: Process, settings: str) -> object:
+def real_sidecar(host: Process, settings: str) -> object:
     """The data plane's program."""
     from honeywharf.mesh_config.settings import parse
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
 
-    sluice = Sluice(host, parse(settings))
-    host.on_signal(TERM, sluice.terminate)
-    return sluice
+    sidecar = Sidecar(host, parse(settings))
+    host.on_signal(TERM, sidecar.terminate)
+    return sidecar
 
 
 def real_reservoir(host: Process, settings: str) -> object:
@@ -68,7 +68,7 @@
 def run(
     seed: int,
     faults: list[Fault] | None = None,
-    sluice: Make = real_sluice,
+    sidecar: Make = real_sidecar,
     reservoir: Make = real_reservoir,
     shape: Shape = SMALL,
     after: float = AFTER,
@@ -79,7 +79,7 @@
     """
     begin = LEAD + QUIET
     until = begin + TROUBLES + after
-    field = Field(seed, sluice, reservoir, shape, LEAD, until)
+    field = Field(seed, sidecar, reservoir, shape, LEAD, until)
     faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
     Day(field, faults)
     field.world.strict = True
@@ -92,13 +92,13 @@
 
 
 def shrink(
-    report: Report, sluice: Make = real_sluice, reservoir: Make = real_reservoir, shape: Shape = SMALL
+    report: Report, sidecar: Make = real_sidecar, reservoir: Make = real_reservoir, shape: Shape = SMALL
 ) -> Report:
     """Leave out one fault after the other while the same rule is still broken."""
     least, tried = report, 0
     while tried < len(least.faults):
         fewer = least.faults[:tried] + least.faults[tried + 1 :]
-        again = run(report.seed, fewer, sluice, reservoir, shape)
+        again = run(report.seed, fewer, sidecar, reservoir, shape)
         if again.broken and again.broken[0][0] == report.broken[0][0]:
             least = again
         else:
--- a/honeywharf/simulation/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -1,8 +1,8 @@
-"""Slips put into running sluices by seed: who catches them, how soon, and what ran meanwhile.
+"""Slips put into running sidecars by seed: who catches them, how soon, and what ran meanwhile.
 
 Theory of operation. A `Trial` plays a field with traffic and, one after the other, puts slips of one kind
-into sluices drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
-head goes to a backend, not by the sluices. A slip that is not healed in time is undone, and counts as not
+into sidecars drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
+head goes to a backend, not by the sidecars. A slip that is not healed in time is undone, and counts as not
 caught unless somebody noticed. The three ways of noticing can be switched off.
 """
 
@@ -16,10 +16,10 @@
 from honeywharf.drift import second
 from honeywharf.drift.requests import DriftMonitor
 from honeywharf.mesh_config.routes import Route, Table
+from honeywharf.sidecar.inbound import Job
 from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
 from honeywharf.simulation.rules import Ask, Order
-from honeywharf.simulation.run import real_reservoir, real_sluice
-from honeywharf.sluice.inbound import Job
+from honeywharf.simulation.run import real_reservoir, real_sidecar
 
 LEAD = 4.0
 FIRST = 9.0  # seconds, when the first slip comes
@@ -36,37 +36,37 @@
     return made
 
 
-def _hosts(sluice: Any) -> Any:
-    return sluice.word.table._hosts
+def _hosts(sidecar: Any) -> Any:
+    return sidecar.word.table._hosts
 
 
-def _place(sluice: Any, chance: random.Random, strict: bool = True) -> tuple[Any, bytes]:
+def _place(sidecar: Any, chance: random.Random, strict: bool = True) -> tuple[Any, bytes]:
     places = [
         (of, prefix)
-        for of in _hosts(sluice).values()
+        for of in _hosts(sidecar).values()
         for prefix in of.routes
         if not strict or prefix in STRICT
     ]
     return chance.choice(places)
 
 
-def _change(sluice: Any, chance: random.Random, **fields: Any) -> Undo:
+def _change(sidecar: Any, chance: random.Random, **fields: Any) -> Undo:
     """A copy of an entry with other fields in its place."""
-    of, prefix = _place(sluice, chance)
+    of, prefix = _place(sidecar, chance)
     before = of.routes[prefix]
     of.routes[prefix] = _copy(before, **fields)
     return lambda: of.routes.__setitem__(prefix, before)
 
 
 class Kinds:
-    """Each method puts one slip into a sluice and gives what undoes it."""
+    """Each method puts one slip into a sidecar and gives what undoes it."""
 
     def __init__(self, trial: Trial) -> None:
         self.trial = trial
 
-    def stored(self, sluice: Any, chance: random.Random) -> Undo:
+    def stored(self, sidecar: Any, chance: random.Random) -> Undo:
         """The stored version is not the one in force."""
-        word, value = sluice.word, sluice.word.value
+        word, value = sidecar.word, sidecar.word.value
         table, revision, version = word.table, word.revision, word.version
         how = chance.randrange(3)
         if how == 0:
@@ -81,9 +81,9 @@
 
         return undo
 
-    def weights(self, sluice: Any, chance: random.Random) -> Undo:
+    def weights(self, sidecar: Any, chance: random.Random) -> Undo:
         """Weights are turned, or another service stands there."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes[prefix]
         split = before.split[::-1] if len(before.split) > 1 else ((chance.choice(SERVICES[:1]), 1.0),)
         of.routes[prefix] = _copy(
@@ -92,15 +92,15 @@
         )
         return lambda: of.routes.__setitem__(prefix, before)
 
-    def lost(self, sluice: Any, chance: random.Random) -> Undo:
+    def lost(self, sidecar: Any, chance: random.Random) -> Undo:
         """An entry is missing."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes.pop(prefix)
         return lambda: of.routes.__setitem__(prefix, before)
 
-    def added(self, sluice: Any, chance: random.Random) -> Undo:
+    def added(self, sidecar: Any, chance: random.Random) -> Undo:
         """An entry that nobody ordered stands before one that must not run twice."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes[prefix]
         odd = prefix + b"1" + b"/"
         of.routes[odd] = _copy(before, prefix=odd, kind="read_only")
@@ -113,32 +113,32 @@
 
         return undo
 
-    def timeout(self, sluice: Any, chance: random.Random) -> Undo:
+    def timeout(self, sidecar: Any, chance: random.Random) -> Undo:
         """A timeout of another route."""
-        return _change(sluice, chance, timeout_s=chance.choice((1.5, 2.0, 6.0, 60.0)))
+        return _change(sidecar, chance, timeout_s=chance.choice((1.5, 2.0, 6.0, 60.0)))
 
-    def kind(self, sluice: Any, chance: random.Random) -> Undo:
+    def kind(self, sidecar: Any, chance: random.Random) -> Undo:
         """What must not run twice is held for `read_only`."""
-        return _change(sluice, chance, kind="read_only")
+        return _change(sidecar, chance, kind="read_only")
 
-    def limits(self, sluice: Any, chance: random.Random) -> Undo:
+    def limits(self, sidecar: Any, chance: random.Random) -> Undo:
         """Bounds or attempts of an older version are kept."""
         how = chance.randrange(4)
         if how == 0:
-            return _change(sluice, chance, attempts=5)
+            return _change(sidecar, chance, attempts=5)
         if how == 1:
-            most, sluice.taps.most = sluice.taps.most, sluice.taps.most + 50
-            return lambda: setattr(sluice.taps, "most", most)
+            most, sidecar.taps.most = sidecar.taps.most, sidecar.taps.most + 50
+            return lambda: setattr(sidecar.taps, "most", most)
         if how == 2:
-            cold, sluice.gate.cold.most = sluice.gate.cold.most, sluice.gate.cold.most + 20
-            return lambda: setattr(sluice.gate.cold, "most", cold)
-        limits = sluice.word.table.limits
+            cold, sidecar.gate.cold.most = sidecar.gate.cold.most, sidecar.gate.cold.most + 20
+            return lambda: setattr(sidecar.gate.cold, "most", cold)
+        limits = sidecar.word.table.limits
         body, limits.max_body_bytes = limits.max_body_bytes, 1 << 30
         return lambda: setattr(limits, "max_body_bytes", body)
 
-    def evacuation(self, sluice: Any, chance: random.Random) -> Undo:
+    def evacuation(self, sidecar: Any, chance: random.Random) -> Undo:
         """An evacuation is forgotten, or never withdrawn."""
-        word, gate = sluice.word, sluice.gate
+        word, gate = sidecar.word, sidecar.gate
         before, evacuated = set(word.evacuated), gate.evacuated
         if chance.random() < 0.5:
             gate.evacuated = not gate.evacuated
@@ -150,10 +150,10 @@
 
         return undo
 
-    def list(self, sluice: Any, chance: random.Random) -> Undo:
+    def list(self, sidecar: Any, chance: random.Random) -> Undo:
         """The list has one id, zone or draining mark wrong, or this backend's cold time."""
-        source = sluice.source
-        node = chance.choice([node for node in source.list if node != sluice.settings.ip])
+        source = sidecar.source
+        node = chance.choice([node for node in source.list if node != sidecar.settings.ip])
         entry, how = source.list[node], chance.randrange(4)
         target = source.levels_of(entry.service).targets[node]
         kept = (entry.instance, entry.zone, entry.state, target.zone, target.usable)
@@ -172,7 +172,7 @@
 
         return undo
 
-    def freeze(self, sluice: Any, chance: random.Random) -> Undo:
+    def freeze(self, sidecar: Any, chance: random.Random) -> Undo:
         """The process stands still while the word changes."""
         side = self.trial.victim
         side.proxy.freeze()
@@ -186,9 +186,9 @@
         self.trial.later(3.0, thaw)
         return lambda: None
 
-    def content(self, sluice: Any, chance: random.Random) -> Undo:
+    def content(self, sidecar: Any, chance: random.Random) -> Undo:
         """Two nodes believe one revision and differ in content; half of them with a digest that fits."""
-        word = sluice.word
+        word = sidecar.word
         kept = word.table, word.packed, word.digest, word.value
         text, other = self.trial.odd(chance)
         word.table, word.packed = Table(text), other
@@ -197,14 +197,14 @@
 
         def undo() -> None:
             word.table, word.packed, word.digest, word.value = kept
-            sluice.drift_monitor.told_digest = ""
-            sluice.drift_monitor._read()
+            sidecar.drift_monitor.told_digest = ""
+            sidecar.drift_monitor._read()
 
         return undo
 
-    def build(self, sluice: Any, chance: random.Random) -> Undo:
+    def build(self, sidecar: Any, chance: random.Random) -> Undo:
         """A program of another build reads the same text otherwise, each time."""
-        drift_monitor, word = sluice.drift_monitor, sluice.word
+        drift_monitor, word = sidecar.drift_monitor, sidecar.word
 
         def other(text: bytes) -> Table:
             table = Table(text)
@@ -221,9 +221,9 @@
 
         return undo
 
-    def liar(self, sluice: Any, chance: random.Random) -> Undo:
+    def liar(self, sidecar: Any, chance: random.Random) -> Undo:
         """It says the right digest and decides otherwise; its own second reading is blind to it."""
-        drift_monitor, source, word = sluice.drift_monitor, sluice.source, sluice.word
+        drift_monitor, source, word = sidecar.drift_monitor, sidecar.source, sidecar.word
         find = word.find
         if chance.random() < 0.5:  # another service
             source.draw_service = lambda route: (
@@ -239,7 +239,7 @@
 
             told = {
                 prefix: drift_monitor.rules.of(of.routes[prefix])
-                for of in _hosts(sluice).values()
+                for of in _hosts(sidecar).values()
                 for prefix in of.routes
                 if prefix in STRICT
             }
@@ -258,14 +258,14 @@
 
         return undo
 
-    def checker(self, sluice: Any, chance: random.Random) -> Undo:
+    def checker(self, sidecar: Any, chance: random.Random) -> Undo:
         """What was read a second time is itself wrong."""
-        told = sluice.drift_monitor.told
+        told = sidecar.drift_monitor.told
         at = chance.randrange(len(told.rules))
         told.rules[at] ^= 1 << chance.randrange(64)
         return lambda: None
 
-    def disk(self, sluice: Any, chance: random.Random) -> Undo:
+    def disk(self, sidecar: Any, chance: random.Random) -> Undo:
         """A reservoir's disk gives back an older word."""
         field = self.trial.field
         core = self.trial.core = chance.choice(field.cores)
@@ -323,7 +323,7 @@
     def __init__(self, seed: int, kind: str, many: int, ways: tuple[str, ...] = WAYS) -> None:
         self.chance, self.kind, self.many, self.ways = random.Random(seed), kind, many, ways
         self.gap = LONG.get(kind, UNDONE) + 0.4
-        self.field = Field(seed, self._sluice, real_reservoir, SMALL, LEAD, FIRST + many * self.gap + 2.0)
+        self.field = Field(seed, self._sidecar, real_reservoir, SMALL, LEAD, FIRST + many * self.gap + 2.0)
         self.world, self.book = self.field.world, self.field.book
         self.slips: list[Slip] = []
         self.victim: Side = self.field.sides[0]
@@ -344,11 +344,11 @@
 
     # What the trial does.
 
-    def _sluice(self, host: Any, settings: str) -> object:
-        sluice: Any = real_sluice(host, settings)
+    def _sidecar(self, host: Any, settings: str) -> object:
+        sidecar: Any = real_sidecar(host, settings)
         for way in WAYS:
-            setattr(sluice.drift_monitor, way, way in self.ways)
-        ip, drift_monitor = sluice.settings.ip, sluice.drift_monitor
+            setattr(sidecar.drift_monitor, way, way in self.ways)
+        ip, drift_monitor = sidecar.settings.ip, sidecar.drift_monitor
 
         def slip(by: str, what: str, renew: bool = False) -> None:
             self._noticed(ip, by, what)
@@ -364,7 +364,7 @@
             return DriftMonitor._hold(drift_monitor, job, holder)
 
         drift_monitor.slip, drift_monitor._refuse_job, drift_monitor._hold = slip, refuse, hold
-        return sluice
+        return sidecar
 
     def later(self, seconds: float, call: Callable[[], None]) -> None:
         """Call so much later."""
@@ -417,17 +417,17 @@
         undo, self.undo = self.undo, lambda: None
         if self.core is not None and self.core.program is not None and self.core.program.gather.went_back:
             self.slips[-1].after, self.slips[-1].by = 0, "register"
-        sluice: Any = self.victim.proxy.program
-        if sluice is None:
+        sidecar: Any = self.victim.proxy.program
+        if sidecar is None:
             return
-        healed = sluice.drift_monitor.state.at in (2, 5) and self.kind not in ("build", "liar")
-        if healed and not sluice.drift_monitor._whole():
+        healed = sidecar.drift_monitor.state.at in (2, 5) and self.kind not in ("build", "liar")
+        if healed and not sidecar.drift_monitor._whole():
             return
         undo()
-        sluice.drift_monitor.relapses = 0
-        sluice.drift_monitor.rebuild()
-        if sluice.drift_monitor.state.aside:
-            sluice.drift_monitor._event(2, "undone by the trial")
+        sidecar.drift_monitor.relapses = 0
+        sidecar.drift_monitor.rebuild()
+        if sidecar.drift_monitor.state.aside:
+            sidecar.drift_monitor._event(2, "undone by the trial")
 
     # What it sees.
 
--- a/honeywharf/standins/driftdemo.py
+++ b/honeywharf/standins/driftdemo.py
@@ -1,7 +1,7 @@
 """`honeywharf demo --drift`: a mesh on loopback, traffic of all kinds, five slips, each caught and healed.
 
-Theory of operation. The mesh is that of `meshdemo`; its sluices run this module, which is the program of a
-sluice that takes SIGUSR1 as "put in the slip that is named in the file beside the settings". Whether it was
+Theory of operation. The mesh is that of `meshdemo`; its sidecars run this module, which is the program of a
+sidecar that takes SIGUSR1 as "put in the slip that is named in the file beside the settings". Whether it was
 caught is asked of a reservoir (`GET /api/drift`), as an operator would.
 """
 
@@ -30,7 +30,7 @@
 
 
 class _Slippery(Mesh):
-    """A mesh whose sluices take slips."""
+    """A mesh whose sidecars take slips."""
 
     def program(self, name: str, ip: str, zone: str, service: str = "") -> Program:
         """A program with its settings."""
@@ -132,7 +132,7 @@
     with tempfile.TemporaryDirectory() as name:
         mesh = _Slippery(Path(name), subnet, shift, seed)
         day = Day(mesh, seconds, rate, say)
-        say(f"{len(mesh.sides)} sluices at {subnet}.x, {rate:g} requests/s, {len(SLIPS)} slips, seed {seed}")
+        say(f"{len(mesh.sides)} sidecars at {subnet}.x, {rate:g} requests/s, {len(SLIPS)} slips, seed {seed}")
         try:
             if not day.up():
                 say("not all proxies became ready")
@@ -145,24 +145,24 @@
             mesh.stop()
 
 
-def _slip(sluice: Any, file: str) -> None:
+def _slip(sidecar: Any, file: str) -> None:
     """Put the slip in that the file names."""
     kind = Path(file).read_text()
     trial = cast(Any, SimpleNamespace(older=b"", newest=b""))
-    getattr(Kinds(trial), kind)(sluice, random.Random(kind))
+    getattr(Kinds(trial), kind)(sidecar, random.Random(kind))
 
 
 def main() -> int:
-    """A sluice that takes slips; the exit status."""
+    """A sidecar that takes slips; the exit status."""
     from honeywharf.mesh_config.settings import load
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
     from honeywharf.transport.loop import Loop
 
     file = os.environ["HONEYWHARF_SETTINGS"]
     loop = Loop(None)
-    sluice = Sluice(loop, load(file))
-    loop.on_signal(signal.SIGTERM, sluice.terminate)
-    loop.on_signal(signal.SIGUSR1, lambda: _slip(sluice, file + NAMED))
+    sidecar = Sidecar(loop, load(file))
+    loop.on_signal(signal.SIGTERM, sidecar.terminate)
+    loop.on_signal(signal.SIGUSR1, lambda: _slip(sidecar, file + NAMED))
     return loop.run()
 
 
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -154,7 +154,7 @@
     def __init__(self, mesh: Mesh, number: int, service: str) -> None:
         self.mesh, self.service = mesh, service
         self.ip, self.zone = mesh.address(20 + number), ZONES[number % len(ZONES)]
-        self.proxy = mesh.program("sluice", self.ip, self.zone, service)
+        self.proxy = mesh.program("sidecar", self.ip, self.zone, service)
         self.ready = False
         self.backend: Backend | None = None
 
@@ -218,7 +218,7 @@
 
     @property
     def programs(self) -> list[Program]:
-        """Reservoirs, then sluices."""
+        """Reservoirs, then sidecars."""
         return [*self.cores, *(side.proxy for side in self.sides)]
 
     def program(self, name: str, ip: str, zone: str, service: str = "") -> Program:
@@ -405,7 +405,7 @@
             self.left.leave(partial(self.leaver.live, field.COLD))
 
     def _kill(self) -> None:
-        self.say(f"  the sluice at {self.victim.ip} is killed by SIGKILL, and starts again")
+        self.say(f"  the sidecar at {self.victim.ip} is killed by SIGKILL, and starts again")
         self.mesh.book.trouble(self.victim.ip, 1)
         self.victim.proxy.send(signal.SIGKILL)
         self.mesh.loop.after(0.3, self._again)
@@ -428,7 +428,7 @@
         mesh = self.mesh
         mesh.operator.read_back()
         mesh.wait(END_S, lambda: mesh.heard.text is not None)
-        for name in ("sluice", "reservoir"):
+        for name in ("sidecar", "reservoir"):
             group = [program for program in mesh.programs if program.name == name]
             self.memory[name] = max(program.peak_mb() for program in group)
             for program in group:
@@ -517,7 +517,7 @@
         mesh = Mesh(Path(name), subnet, shift, seed)
         day = Day(mesh, seconds, rate, say)
         say(
-            f"{len(ZONES)} zones, {CORES} reservoirs, {SIDES} sluices with a backend each at {subnet}.x, "
+            f"{len(ZONES)} zones, {CORES} reservoirs, {SIDES} sidecars with a backend each at {subnet}.x, "
             f"{rate:g} requests/s for {seconds:g} s, seed {seed}"
         )
         try:
--- a/honeywharf/transport/streams.py
+++ b/honeywharf/transport/streams.py
@@ -1,6 +1,6 @@
-"""Links that carry requests between sluices: many streams on one connection each way, bounded windows.
+"""Links that carry requests between sidecars: many streams on one connection each way, bounded windows.
 
-Theory of operation. The source opens a link to the sluice beside a backend and keeps it. Each request is a
+Theory of operation. The source opens a link to the sidecar beside a backend and keeps it. Each request is a
 stream with a number of the source's. Frames are msgpack arrays `[kind, number, ...]`:
 
     OPEN    service, attempt, kind, remaining ms, patience ms, priority, aim ms, caller, method, target,
@@ -73,7 +73,7 @@
 
 
 OPEN, GO, DATA, END, WINDOW, ANSWER, REFUSE, FAIL, CANCEL, PING, PONG = range(11)
-HANDED = 3  # an Ask's kind where the source decides nothing: the sluice that is asked does, by its own rules
+HANDED = 3  # an Ask's kind where the source decides nothing: the sidecar that is asked does, by its own rules
 WINDOW_BYTES = 64 * 1024
 FIRST_WINDOW = 8 * 1024  # bytes of a request's body that GO asks for; its gate asks for more
 PIECE = 16 * 1024  # bytes of one DATA frame: other streams have their turn between
@@ -377,7 +377,7 @@
         self.lost = 0
 
     def to(self, node: str) -> Link:
-        """The link to the sluice at an IP address."""
+        """The link to the sidecar at an IP address."""
         link = self.links.get(node)
         if link is None or link.dead:
             link = self.links[node] = Link(self.host, (node, self.port), self._gone)
--- a/tests/drift/test_hard.py
+++ b/tests/drift/test_hard.py
@@ -17,7 +17,7 @@
 
 
 def program(side: Side) -> Any:
-    """The sluice that runs there."""
+    """The sidecar that runs there."""
     return cast(Any, side.proxy.program)
 
 
@@ -141,11 +141,11 @@
     ordered(trial)  # another timeout in each
     whole = [program(side) for side in trial.field.sides]
     trial.play(8.6)
-    assert {sluice.word.version for sluice in whole} == {trial.told[-1].version}
-    assert all(sluice.drift_monitor.state.at == states.APPLYING for sluice in whole)
+    assert {sidecar.word.version for sidecar in whole} == {trial.told[-1].version}
+    assert all(sidecar.drift_monitor.state.at == states.APPLYING for sidecar in whole)
     trial.play(8.6 + rounds.WHOLE_STEPS * rounds.STEP_S + 0.5)
-    assert all(sluice.drift_monitor.state.at == states.AGREED for sluice in whole)
-    assert len({sluice.drift_monitor.view()["root"] for sluice in whole}) == 1
+    assert all(sidecar.drift_monitor.state.at == states.AGREED for sidecar in whole)
+    assert len({sidecar.drift_monitor.view()["root"] for sidecar in whole}) == 1
     calm(trial)
 
 
--- a/tests/drift/test_slips.py
+++ b/tests/drift/test_slips.py
@@ -1,4 +1,4 @@
-"""Slips of each kind put into running sluices; and days without one, in which nobody may be alarmed."""
+"""Slips of each kind put into running sidecars; and days without one, in which nobody may be alarmed."""
 
 from __future__ import annotations
 
@@ -39,18 +39,18 @@
 def test_who_stands_aside_accuses_nobody_nor_does_one_whose_rule_a_third_has_run() -> None:
     trial = Trial(3, "none", 0)
     trial.world.run(8.0)
-    sluice = cast(Any, trial.field.sides[0].proxy.program)
+    sidecar = cast(Any, trial.field.sides[0].proxy.program)
     gates, rule = [side.ip for side in trial.field.sides[1:4]], b"12345678"
     trial.field.sides[1].proxy.program.membership.tell(q=1)  # type: ignore[attr-defined]
     trial.world.run(9.0)
     for gate in gates[:2]:
-        sluice.drift_monitor._accuse(gate, rule)
-    assert list(sluice.drift_monitor.accused) == [gates[1]]
-    sluice.drift_monitor.agreed(rule, gates[2])
-    sluice.drift_monitor._accuse(gates[2], rule)
-    assert sluice.drift_monitor.caught == {}
-    sluice.drift_monitor._accuse(gates[1], rule)
-    assert sluice.drift_monitor.caught == {"peers": 1}
+        sidecar.drift_monitor._accuse(gate, rule)
+    assert list(sidecar.drift_monitor.accused) == [gates[1]]
+    sidecar.drift_monitor.agreed(rule, gates[2])
+    sidecar.drift_monitor._accuse(gates[2], rule)
+    assert sidecar.drift_monitor.caught == {}
+    sidecar.drift_monitor._accuse(gates[1], rule)
+    assert sidecar.drift_monitor.caught == {"peers": 1}
 
 
 @pytest.mark.parametrize("way", ["scanning", "judging", "reading"])
@@ -88,13 +88,13 @@
 def test_a_flood_of_mismatches_is_little_work_and_few_lines() -> None:
     trial = Trial(8, "liar", 1)
     trial.world.run(16.5)
-    sluice = cast(Any, trial.victim.proxy.program)
+    sidecar = cast(Any, trial.victim.proxy.program)
     lines = [line for line in trial.victim.proxy.lines if " drift monitor: " in line]
-    assert sluice.drift_monitor.refused > 20
-    assert sluice.drift_monitor.state.changes == len(lines) <= 20
-    assert len(sluice.drift_monitor.slips) <= 16
-    assert len(sluice.drift_monitor.courses) <= 256
-    assert len(sluice.drift_monitor.jobs) <= 256
+    assert sidecar.drift_monitor.refused > 20
+    assert sidecar.drift_monitor.state.changes == len(lines) <= 20
+    assert len(sidecar.drift_monitor.slips) <= 16
+    assert len(sidecar.drift_monitor.courses) <= 256
+    assert len(sidecar.drift_monitor.jobs) <= 256
 
 
 def test_what_a_client_says_of_rules_and_revisions_is_not_looked_at() -> None:
--- a/tests/gossip/net.py
+++ b/tests/gossip/net.py
@@ -191,6 +191,6 @@
 
 
 def sample(name: str) -> dict[str, Any]:
-    """What a sluice would say."""
+    """What a sidecar would say."""
     backend = {"service": "huvo11a", "id": f"i-{name}", "state": "ready", "slots": 12}
-    return {"kind": "sluice", "port": 8300, **backend}
+    return {"kind": "sidecar", "port": 8300, **backend}
--- a/tests/gossip/test_table.py
+++ b/tests/gossip/test_table.py
@@ -20,7 +20,7 @@
 
 
 def entry(node: str, number: int = 1, zone: str = "east", say: dict[str, Any] | None = None) -> Entry:
-    return Entry(key_of(node), 1, number, zone, {"kind": "sluice"} if say is None else say)
+    return Entry(key_of(node), 1, number, zone, {"kind": "sidecar"} if say is None else say)
 
 
 def rumour(*entries: Entry, hop: int = table.LAST) -> list[bytes]:
--- a/tests/lease/test_duties.py
+++ b/tests/lease/test_duties.py
@@ -1,4 +1,4 @@
-"""Leases in whole reservoirs and sluices: upkeep of the roster, and leave to stand aside."""
+"""Leases in whole reservoirs and sidecars: upkeep of the roster, and leave to stand aside."""
 
 from __future__ import annotations
 
@@ -80,7 +80,7 @@
 def aside(trial: Trial) -> list[str]:
     """Who stands aside by leave now."""
     drift_monitors = [cast(Any, side.proxy.program).drift_monitor for side in trial.field.sides]
-    return [one.sluice.settings.ip for one in drift_monitors if one.leave is not None and one.leave.holds()]
+    return [one.sidecar.settings.ip for one in drift_monitors if one.leave is not None and one.leave.holds()]
 
 
 def play(trial: Trial, until: float) -> int:
--- a/tests/sessions/test_sluices.py
+++ b/tests/sessions/test_sluices.py
@@ -1,4 +1,4 @@
-"""Real sluices of two regions, joined by gateways, under the rules that judge every day of the mesh."""
+"""Real sidecars of two regions, joined by gateways, under the rules that judge every day of the mesh."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from honeywharf.mesh_config.settings import parse
 from honeywharf.programs.gateway import GatewayNode
-from honeywharf.programs.sluice import Sluice
+from honeywharf.programs.sidecar import Sidecar
 from honeywharf.sessions.places import Place
 from honeywharf.simulation import days, field
 from honeywharf.simulation.field import SMALL, TERM, Field
@@ -27,16 +27,16 @@
 Plan = list[tuple[float, str, int]]
 
 
-def joined(host: Process, text: str) -> Sluice:
-    """A sluice of one of two regions: its settings name the gateways."""
+def joined(host: Process, text: str) -> Sidecar:
+    """A sidecar of one of two regions: its settings name the gateways."""
     gateways = [{"address": place.node, "region": place.region, "zone": place.zone} for place in PLACES]
     zone = json.loads(text)["zone"]
-    sluice = Sluice(
+    sidecar = Sidecar(
         host,
         parse(json.dumps({**json.loads(text), "zones": ZONES, "region": ZONES[zone], "gateways": gateways})),
     )
-    host.on_signal(TERM, sluice.terminate)
-    return sluice
+    host.on_signal(TERM, sidecar.terminate)
+    return sidecar
 
 
 def keeper(place: Place) -> Any:
--- a/tests/sluice/stage.py
+++ b/tests/sidecar/stage.py
@@ -1,4 +1,4 @@
-"""What the tests of the sluice share: a clock by hand, a source with scripted gates, a scripted backend."""
+"""What the tests of the sidecar share: a clock by hand, a source with scripted gates, a scripted backend."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
 from honeywharf.codecs.mesh import Head
 from honeywharf.mesh_config.routes import Route, Table
 from honeywharf.mesh_config.settings import Settings, parse
+from honeywharf.sidecar.backend import Taps
+from honeywharf.sidecar.course import Course
+from honeywharf.sidecar.gate import Gate
+from honeywharf.sidecar.inbound import Inbound, Job
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Outbound
+from honeywharf.sidecar.source import Source
 from honeywharf.simulation.field import APPLICATION, OUTBOUND, settings as settings_text
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
-from honeywharf.sluice.backend import Taps
-from honeywharf.sluice.course import Course
-from honeywharf.sluice.gate import Gate
-from honeywharf.sluice.inbound import Inbound, Job
-from honeywharf.sluice.outbound import Outbound
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
 from honeywharf.transport.host import Address, Connection, Handler, Host
 from honeywharf.transport.streams import Ask
 from honeywharf.verdict import Verdict
@@ -31,7 +31,7 @@
 
 
 def settings(ip: str = IP) -> Settings:
-    """A sluice's settings."""
+    """A sidecar's settings."""
     return parse(settings_text(ip, ZONE, ["10.1.0.12"], True, SERVICE))
 
 
@@ -224,7 +224,7 @@
         self.data += data
 
     def ended(self) -> None:
-        """The sluice sends nothing more."""
+        """The sidecar sends nothing more."""
         self.half = True
         self.connection.close()
 
@@ -243,13 +243,13 @@
         self.world = World(seed)
         self.world.strict = True
         self.machine = Machine(Network(self.world), IP, ZONE)
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.client = Process(self.machine, "client", lambda host: None)
-        self.sluice.start()
+        self.sidecar.start()
         self.client.start()
         self.run(0.1)
 
-    def _sluice(self, host: Process) -> Outbound:
+    def _sidecar(self, host: Process) -> Outbound:
         source = Scripted(host)
         source.word.table = Table(TABLE)
         source.word.ready = True
@@ -259,7 +259,7 @@
     @property
     def outbound(self) -> Outbound:
         """What is tested."""
-        return cast("Outbound", self.sluice.program)
+        return cast("Outbound", self.sidecar.program)
 
     @property
     def source(self) -> Scripted:
@@ -449,7 +449,7 @@
         self.connection.send(data)
 
     def ended(self) -> None:
-        """The sluice sends nothing more."""
+        """The sidecar sends nothing more."""
         self.connection.close()
 
     def drained(self) -> None:
@@ -559,14 +559,14 @@
         self.world.strict = True
         self.network = Network(self.world)
         self.machine = Machine(self.network, IP, ZONE)
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.app = Process(self.machine, "app", Backend)
         self.slots, self.connections = slots, connections
-        self.sluice.start()
+        self.sidecar.start()
         self.app.start()
         self.run(2.0)  # what a fresh gate takes as used up is over
 
-    def _sluice(self, host: Process) -> Inbound:
+    def _sidecar(self, host: Process) -> Inbound:
         gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         gate.bound(22.0)
         taps = Taps(host, (IP, APPLICATION), lambda: None)
@@ -577,7 +577,7 @@
     @property
     def inbound(self) -> Inbound:
         """The jobs."""
-        return cast("Inbound", self.sluice.program)
+        return cast("Inbound", self.sidecar.program)
 
     @property
     def gate(self) -> Gate:
--- a/tests/sluice/test_beats.py
+++ b/tests/sidecar/test_beats.py
@@ -7,14 +7,14 @@
 
 import pytest
 
+from honeywharf.sidecar.beats import MOST_ID, Beats
+from honeywharf.sidecar.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
+from honeywharf.sidecar.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
 from honeywharf.simulation.field import APPLICATION, CONTROL
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
-from honeywharf.sluice.beats import MOST_ID, Beats
-from honeywharf.sluice.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
-from honeywharf.sluice.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
 from honeywharf.transport.http_server import HttpServer
-from tests.sluice.stage import IP, LIFE, SERVICE, ZONE, Backend, Caller, Request, Visit
+from tests.sidecar.stage import IP, LIFE, SERVICE, ZONE, Backend, Caller, Request, Visit
 
 
 class Desk:
@@ -25,13 +25,13 @@
         self.world.strict = True
         self.machine = Machine(Network(self.world), IP, ZONE)
         self.told = 0
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.app = Process(self.machine, "app", Backend)
-        self.sluice.start()
+        self.sidecar.start()
         self.app.start()
         self.run()
 
-    def _sluice(self, host: Process) -> object:
+    def _sidecar(self, host: Process) -> object:
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         self.beats = Beats(host, self.gate, self._tell)
         self.door = HttpServer(host, (IP, CONTROL), self.beats.take, 1 << 20)
@@ -83,8 +83,8 @@
     assert desk.beat(cold_remaining="2.5s") == 200
     gate = desk.gate
     assert (gate.state, gate.instance, gate.admission.slots, gate.sequence) == (READY, LIFE, 12, 4)
-    assert gate.is_cold(desk.sluice.now() + 2.4)
-    assert not gate.is_cold(desk.sluice.now() + 3.0)
+    assert gate.is_cold(desk.sidecar.now() + 2.4)
+    assert not gate.is_cold(desk.sidecar.now() + 3.0)
     assert desk.told == 1
 
 
@@ -243,13 +243,13 @@
     cold = b"X-Honeywharf-Cold-Remaining: 3000\r\n"
     desk.backend.serve = lambda visit, request: healthy(visit, request, cold=cold)
     desk.beat()
-    now = desk.sluice.now()
+    now = desk.sidecar.now()
     desk.gate.evacuate(now, on=True)
     desk.gate.evacuate(now + 0.001, on=False)
     desk.run(0.002)
     assert probed(desk, 1.0) == 1
     assert not desk.gate.doubted
-    assert desk.gate.is_cold(desk.sluice.now())
+    assert desk.gate.is_cold(desk.sidecar.now())
 
 
 def test_a_health_answer_does_not_undo_that_the_backend_leaves() -> None:
--- a/tests/sluice/test_bypass.py
+++ b/tests/sidecar/test_bypass.py
@@ -1,4 +1,4 @@
-"""Requests handed on by a sluice in doubt, at both ends: whole, once, never with a second chance to run."""
+"""Requests handed on by a sidecar in doubt, at both ends: whole, once, never with a second chance to run."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 import pytest
 
 from honeywharf.mesh_config.routes import Table
-from honeywharf.sluice import bypass
-from honeywharf.sluice.course import ASIDE, MOST_HELPERS, Course
+from honeywharf.sidecar import bypass
+from honeywharf.sidecar.course import ASIDE, MOST_HELPERS, Course
 from honeywharf.transport.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.verdict import (
     BROKEN_OFF,
@@ -22,13 +22,13 @@
     TIMED_OUT,
     Verdict,
 )
-from tests.sluice.stage import ATTEMPT, SERVICE, TABLE, Channel, Client, Clock, Scripted, head
+from tests.sidecar.stage import ATTEMPT, SERVICE, TABLE, Channel, Client, Clock, Scripted, head
 
 DOUBTS = Verdict(NOT_RUN, DRIFT, False, 0.05)
 
 
 class Doubting:
-    """A sluice in doubt with two helpers, and one request of its client."""
+    """A sidecar in doubt with two helpers, and one request of its client."""
 
     def __init__(self, length: int = 0, helpers: tuple[str, ...] = ("10.1.0.30", "10.1.0.31")) -> None:
         self.clock, self.client = Clock(), Client()
@@ -155,7 +155,7 @@
     return source
 
 
-def test_where_every_gate_holds_another_rule_another_sluice_decides() -> None:
+def test_where_every_gate_holds_another_rule_another_sidecar_decides() -> None:
     source = judged()
     assert source.handed == 1
     assert source.channels[-1].key == "10.1.0.30"
@@ -168,7 +168,7 @@
 
 
 class Answers:
-    """The stream back to the sluice in doubt."""
+    """The stream back to the sidecar in doubt."""
 
     def __init__(self) -> None:
         self.told: list[tuple[object, ...]] = []
@@ -195,7 +195,7 @@
 
 
 class Helping:
-    """A sluice that is well, and one request that was handed on to it."""
+    """A sidecar that is well, and one request that was handed on to it."""
 
     def __init__(self, length: int = 0, target: bytes = b"/mutating/1", revision: int = 7) -> None:
         self.clock = Clock()
--- a/tests/sluice/test_course.py
+++ b/tests/sidecar/test_course.py
@@ -7,7 +7,7 @@
 import pytest
 
 from honeywharf.codecs.mesh import UNKNOWN
-from honeywharf.sluice.course import KEPT_BYTES, MOST_ASKED, MOST_WAITED, PATIENCE, Course
+from honeywharf.sidecar.course import KEPT_BYTES, MOST_ASKED, MOST_WAITED, PATIENCE, Course
 from honeywharf.transport.streams import FIRST_WINDOW, WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
@@ -22,7 +22,7 @@
     TURNED_AWAY,
     Verdict,
 )
-from tests.sluice.stage import SERVICE, Channel, Client, Clock, Scripted, head, route
+from tests.sidecar.stage import SERVICE, Channel, Client, Clock, Scripted, head, route
 
 REFUSED = Verdict(NOT_RUN, DRAINING)
 ROOM = Verdict(NOT_RUN, FULL, again_s=0.02)
--- a/tests/sluice/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.sluice.gate import COLD_MARGIN_S, DRAINING, ENDED, MOST_LIVES, READY, UNKNOWN, Gate
+from honeywharf.sidecar.gate import COLD_MARGIN_S, DRAINING, ENDED, MOST_LIVES, READY, UNKNOWN, Gate
 from honeywharf.verdict import COLD, DRAINING as LEAVES, EVACUATED, NOBODY, OTHER_SERVICE, UNREADY
 
 SERVICE = "order-desk"
--- a/tests/sluice/test_homes.py
+++ b/tests/sidecar/test_homes.py
@@ -12,9 +12,9 @@
 from honeywharf.mesh_config.changes import changes
 from honeywharf.mesh_config.configuration import check
 from honeywharf.mesh_config.routes import Table
-from honeywharf.sluice.course import Course
+from honeywharf.sidecar.course import Course
 from honeywharf.verdict import DRAINING, FULL, NOT_RUN, Verdict
-from tests.sluice.stage import TABLE, Client, Clock, Scripted, head, route
+from tests.sidecar.stage import TABLE, Client, Clock, Scripted, head, route
 
 
 def text(homes: Any) -> bytes:
--- a/tests/sluice/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -7,9 +7,9 @@
 import pytest
 
 from honeywharf.codecs.mesh import UNKNOWN
-from honeywharf.sluice.backend import TRIED_S, TRUSTED_S
-from honeywharf.sluice.gate import READY, UNKNOWN as NOT_KNOWN
-from honeywharf.sluice.inbound import Job
+from honeywharf.sidecar.backend import TRIED_S, TRUSTED_S
+from honeywharf.sidecar.gate import READY, UNKNOWN as NOT_KNOWN
+from honeywharf.sidecar.inbound import Job
 from honeywharf.transport.streams import WINDOW_BYTES
 from honeywharf.verdict import (
     BROKEN_OFF,
@@ -26,7 +26,7 @@
     TIMED_OUT,
     TURNED_AWAY,
 )
-from tests.sluice.stage import ATTEMPT, LIFE, SERVICE, Answers, Request, Stage, Visit, answer, ask
+from tests.sidecar.stage import ATTEMPT, LIFE, SERVICE, Answers, Request, Stage, Visit, answer, ask
 
 NOT_EXECUTED = b"X-Honeywharf-Not-Executed: 1\r\n"
 
@@ -450,10 +450,10 @@
     stage.inbound.leaving = True
     assert stage.begin(ask())[1].events == [("fail", NOT_RUN, LEAVING, False)]
     stage.inbound.leaving = False
-    stage.inbound.end_at = stage.sluice.now() + 0.9  # the request may take 1.0 s
+    stage.inbound.end_at = stage.sidecar.now() + 0.9  # the request may take 1.0 s
     assert stage.begin(ask())[1].events == [("fail", NOT_RUN, LEAVING, False)]
     stage.inbound.end_at = float("inf")
-    stage.gate.beat(stage.sluice.now(), LIFE, 2, True, 4, 0.0)
+    stage.gate.beat(stage.sidecar.now(), LIFE, 2, True, 4, 0.0)
     assert stage.begin(ask())[1].events == [("fail", NOT_RUN, DRAINING, False)]
     stage.run()
     assert not stage.backend.visits
@@ -511,7 +511,7 @@
     stage = Stage()
     job, told = stage.begin(ask(kind=1, length=2000, remaining_s=9.0))
     stage.run(0.5)
-    stage.gate.beat(stage.sluice.now(), LIFE, 2, True, 4, 0.0)
+    stage.gate.beat(stage.sidecar.now(), LIFE, 2, True, 4, 0.0)
     stage.run(2.5)  # a slow client: `drain-timeout` is over
     job.data(bytes(2000))
     job.end()
@@ -523,7 +523,7 @@
 
 def test_a_cold_backend_gets_no_burst_of_bodies_that_were_awaited() -> None:
     stage = Stage(slots=60, connections=80)
-    now = stage.sluice.now()
+    now = stage.sidecar.now()
     stage.gate.beat(now, LIFE, 2, False, 60, 30.0)
     jobs = []
     for _ in range(3):
@@ -572,7 +572,7 @@
         if rng.random() < 0.01 and stage.app.alive:
             stage.app.kill()
         if rng.random() < 0.03:
-            stage.gate.beat(stage.sluice.now(), LIFE, 10 + n, False, 5, 0.0)
+            stage.gate.beat(stage.sidecar.now(), LIFE, 10 + n, False, 5, 0.0)
         length = rng.choice((0, 0, 300, 50_000, UNKNOWN))
         job, told = stage.begin(
             ask(
@@ -619,7 +619,7 @@
     stage = Stage()
     stage.begin(ask())
     stage.run()
-    stage.gate.beat(stage.sluice.now(), "i-2", 0, False, 4, 0.0)
+    stage.gate.beat(stage.sidecar.now(), "i-2", 0, False, 4, 0.0)
     stage.begin(ask())
     stage.run()
     assert [r.headers[b"x-honeywharf-expected-instance"] for r in stage.backend.requests] == [
--- a/tests/sluice/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -6,10 +6,10 @@
 
 import pytest
 
-from honeywharf.sluice.outbound import HELD_BYTES, MOST_AHEAD
+from honeywharf.sidecar.outbound import HELD_BYTES, MOST_AHEAD
 from honeywharf.transport.streams import WINDOW_BYTES
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
-from tests.sluice.stage import Channel, Front
+from tests.sidecar.stage import Channel, Front
 
 PERHAPS = Verdict(MAY_HAVE_RUN, BROKEN_OFF, True)
 REFUSED = Verdict(NOT_RUN, DRAINING)
@@ -333,7 +333,7 @@
 # Leaving.
 
 
-def test_a_leaving_sluice_answers_what_it_holds_and_closes() -> None:
+def test_a_leaving_sidecar_answers_what_it_holds_and_closes() -> None:
     front = Front()
     at_work, idle, begun = front.call(request()), front.call(), front.call(request()[:30])
     front.outbound.leave()
@@ -408,7 +408,7 @@
     assert not front.source.courses
 
 
-def test_a_leaving_sluice_answers_all_that_is_at_work_on_a_connection() -> None:
+def test_a_leaving_sidecar_answers_all_that_is_at_work_on_a_connection() -> None:
     front = Front()
     caller = front.call(request() + request(attempt=b"a2") + request(attempt=b"a3"))
     front.outbound.leave()
--- a/tests/sluice/test_source.py
+++ b/tests/sidecar/test_source.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tests.sluice.stage import SERVICE, ZONE, Clock, Scripted
+from tests.sidecar.stage import SERVICE, ZONE, Clock, Scripted
 
 NOW = 100.0
 
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -14,21 +14,21 @@
 from honeywharf.admission.admission import Admission
 from honeywharf.admission.cold import ColdBound
 from honeywharf.gossip.table import News
-from honeywharf.programs.sluice import Sluice
+from honeywharf.programs.sidecar import Sidecar
 from honeywharf.reservoir import word
 from honeywharf.reservoir.basin import Basin
 from honeywharf.reservoir.operator import Operator
 from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
 from honeywharf.reservoir.store import Store
+from honeywharf.sidecar.backend import Tap
+from honeywharf.sidecar.course import Course
+from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
+from honeywharf.sidecar.inbound import Job
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Guest
+from honeywharf.sidecar.source import Source
 from honeywharf.simulation.days import Fault
 from honeywharf.simulation.run import Report, run
-from honeywharf.sluice.backend import Tap
-from honeywharf.sluice.course import Course
-from honeywharf.sluice.gate import DRAINING, ENDED, READY, Gate
-from honeywharf.sluice.inbound import Job
-from honeywharf.sluice.outbound import Guest
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
 from honeywharf.transport.streams import Link
 from honeywharf.verdict import BROKEN_OFF, MAY_HAVE_RUN, NOT_RUN, Verdict
 
@@ -497,25 +497,25 @@
 
 
 def term_ends_at_once(put: Put) -> None:
-    put(Sluice, "terminate", lambda self: self.host.exit(0))
+    put(Sidecar, "terminate", lambda self: self.host.exit(0))
 
 
 def always_ready(put: Put) -> None:
     """And SIGTERM waits for nobody."""
-    put(Sluice, "_readiness", lambda self, call: call.answer(200))
-    put(Sluice, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
+    put(Sidecar, "_readiness", lambda self, call: call.answer(200))
+    put(Sidecar, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
 
 
 def leaving_refuses_who_is_there(put: Put) -> None:
     """Those at work at a gate that leaves are given up."""
 
-    def terminate(self: Sluice) -> None:
+    def terminate(self: Sidecar) -> None:
         was(self)
         for job in list(self.inbound.jobs):
             job._fail(Verdict(MAY_HAVE_RUN, BROKEN_OFF, True))
 
-    was = Sluice.terminate
-    put(Sluice, "terminate", terminate)
+    was = Sidecar.terminate
+    put(Sidecar, "terminate", terminate)
 
 
 def digest_never_sent(put: Put) -> None:
--- a/tests/simulation/toymesh.py
+++ b/tests/simulation/toymesh.py
@@ -98,7 +98,7 @@
     return message
 
 
-class ToySluice:
+class ToySidecar:
     """Outbound, inbound and the list, by the truth."""
 
     def __init__(self, host: Process, settings: str, truth: Truth) -> None:
@@ -278,6 +278,6 @@
         return truths.setdefault(host.world, Truth(fault))
 
     return (
-        lambda host, text: ToySluice(host, text, truth(host)),
+        lambda host, text: ToySidecar(host, text, truth(host)),
         lambda host, text: ToyReservoir(host, text, truth(host)),
     )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -73,7 +73,7 @@
     "lease": ("lease", "transport"),
     "mesh_config": ("mesh_config",),
     "transport": ("transport", "codecs", "verdict"),
-    "sluice": ("sluice", "codecs", "transport", "policy", "mesh_config", "verdict", "admission"),
+    "sidecar": ("sidecar", "codecs", "transport", "policy", "mesh_config", "verdict", "admission"),
     "reservoir": ("reservoir", "transport", "mesh_config"),
     "sessions": ("sessions", "transport", "verdict"),
     "drift": ("drift", "lease", "mesh_config", "verdict"),
@@ -86,7 +86,7 @@
         "sessions",
         "reservoir",
         "gossip",
-        "sluice",
+        "sidecar",
         "lease",
         "mesh_config",
         "verdict",
@@ -101,7 +101,7 @@
         "programs",
         "reservoir",
         "gossip",
-        "sluice",
+        "sidecar",
         "lease",
         "mesh_config",
         "verdict",
@@ -161,9 +161,9 @@
     "failure_detector",
     "gossip",
     "mesh_config",
-    "sluice",
+    "sidecar",
     "reservoir",
-    "programs/sluice.py",
+    "programs/sidecar.py",
     "programs/reservoir.py",
     "transport/host.py",
     "transport/frames.py",
@@ -190,7 +190,7 @@
     "gossip/table.py": ("gossip",),
     "reservoir/register.py": ("reservoir",),
     "reservoir/word.py": ("reservoir",),
-    "sluice/gate.py": ("verdict", "admission"),
+    "sidecar/gate.py": ("verdict", "admission"),
     "drift/digests.py": (),
     "drift/second.py": ("drift",),
     "drift/judge.py": (),
@@ -202,7 +202,7 @@
     "mesh_config": ("mesh_config",),
     **{f"sessions/{name}.py": ("sessions", "verdict") for name in ("inlet", "outlet", "passage")},
 }
-#: What a sluice must not load: each of many processes pays for it in memory.
+#: What a sidecar must not load: each of many processes pays for it in memory.
 HEAVY = {
     "absl",
     "asyncio",
@@ -270,12 +270,12 @@
                 assert module.split(".")[1] in RULES[name], f"{path.name} imports {module}"
 
 
-def test_a_sluice_loads_little() -> None:
-    words = "import sys, honeywharf.programs.sluice, honeywharf.transport.loop; print(*sys.modules)"
+def test_a_sidecar_loads_little() -> None:
+    words = "import sys, honeywharf.programs.sidecar, honeywharf.transport.loop; print(*sys.modules)"
     loaded = subprocess.run(
         [sys.executable, "-c", words], cwd=ROOT.parent, capture_output=True, text=True, check=True
     ).stdout
-    assert "honeywharf.sluice.gate" in loaded.split()
+    assert "honeywharf.sidecar.gate" in loaded.split()
     assert not HEAVY & set(loaded.split())
 
 
