--- a/bench/mesh_cost.py
+++ b/bench/mesh_cost.py
@@ -27,7 +27,7 @@
 from honeywharf.simulation.days import Day
 from honeywharf.simulation.field import ROUTES, Field, Shape
 from honeywharf.simulation.machine import Machine, Process
-from honeywharf.simulation.run import real_reservoir, real_sidecar
+from honeywharf.simulation.run import real_control_node, real_sidecar
 
 SHAPES = ("4,3,3/3", "31,31,29/3", "99,99,99/3", "333,332,332/3")
 LEAD, SETTLED = 5.0, 13.0  # seconds until traffic, and until measuring begins
@@ -68,7 +68,7 @@
     """One shape: what a machine of it costs, by name."""
     shape, begun, empty = Shape.told(told), time.monotonic(), memory()
     per_s = rate * shape.many / sum(row[4] for row in ROUTES)
-    field = Field(1, real_sidecar, real_reservoir, shape, LEAD, SETTLED + span, per_s)
+    field = Field(1, real_sidecar, real_control_node, shape, LEAD, SETTLED + span, per_s)
     Day(field, [])
     sent = Sent(field)
     field.world.run(LEAD - 0.1)
--- a/bench/mesh_explore.py
+++ b/bench/mesh_explore.py
@@ -23,10 +23,10 @@
 from functools import partial
 from typing import Any
 
-from honeywharf.reservoir import word
-from honeywharf.reservoir.register import Acceptor, Quorums, Round, Sends, State, Survey, ballot
-from honeywharf.reservoir.word import Change, Roster, Value
-from tests.reservoir.explore import (
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Change, Roster, Value
+from honeywharf.control.register import Acceptor, Quorums, Round, Sends, State, Survey, ballot
+from tests.control.explore import (
     Actor,
     BrokenError,
     Node,
@@ -78,7 +78,7 @@
     name: str,
     counter: int = 0,
     who: str = "p",
-    change: Callable[[int, str], Change] = word.replace,
+    change: Callable[[int, str], Change] = mesh_state.replace,
     made: type[Round] = Round,
 ) -> Actor:
     """A proposer of a configuration."""
@@ -118,7 +118,7 @@
         set(NAMES[: count // 2 + 1]),
         lambda node: any(vote.state.value is not None for vote in node.votes.values()),
     )
-    back = proposer("q", word.same, 1, roster(count), 1)
+    back = proposer("q", mesh_state.same, 1, roster(count), 1)
     readers = [reader(1, roster(count), survey) for _ in range(2)]
     return Node(made.votes, (*readers, back) if survey is Survey else tuple(readers), (), {}, 0)
 
@@ -138,7 +138,7 @@
     """Two put machines in the places of silent members, and a third proposes under the roster it knew."""
     actors = [put(3, 1, "one", who="s", made=made)]
     for who, joiner, gone in (("p", "d", "c"), ("q", "e", "a")):
-        change = word.admit([joiner, f"disk-{joiner}", "", False], [(gone, "first")])
+        change = mesh_state.admit([joiner, f"disk-{joiner}", "", False], [(gone, "first")])
         actors.append(proposer(who, change, 1, roster(3), made=made))
     return node(3, *actors, more="de")
 
@@ -150,7 +150,7 @@
 
 def readmitted(count: int) -> Node:
     """A held word; one proposes, one reads, one puts a new disk name in the place of the first member."""
-    joins = proposer("s", word.admit(["a", "new", "", False], []), 1, roster(count), 5)
+    joins = proposer("s", mesh_state.admit(["a", "new", "", False], []), 1, roster(count), 5)
     return held(count, joins, put(count, 4, "four", 3, "q"), reader(1, roster(count)))
 
 
@@ -212,7 +212,7 @@
 
 def by_arrival(version: int, digest: str) -> Change:
     """Takes whatever came last."""
-    return lambda value: (word.changed(value, version=version, digest=digest), True)
+    return lambda value: (mesh_state.changed(value, version=version, digest=digest), True)
 
 
 def living(self: Quorums, by: Any) -> bool:
@@ -224,13 +224,13 @@
 class Hasty(Survey):
     """Tells the highest that a majority told of, and writes nothing back."""
 
-    def heard(self, now: float, key: word.Key, reply: dict[str, Any]) -> Sends:
+    def heard(self, now: float, key: mesh_state.Key, reply: dict[str, Any]) -> Sends:
         """A member has answered."""
         if self.result is None and reply["is"] == "told":
             self.told[key] = (ballot(reply["accepted"]), reply["value"])
             if self.quorums.covered(self.told):
                 highest = max(self.told.values(), key=lambda told: told[0])[1]
-                self.result, self.value = "ok", highest or word.initial(self.roster)
+                self.result, self.value = "ok", highest or mesh_state.initial(self.roster)
         return []
 
 
--- a/honeywharf/cli/__init__.py
+++ b/honeywharf/cli/__init__.py
@@ -70,7 +70,7 @@
 @click.option(
     "--mesh",
     is_flag=True,
-    help="Show a mesh of 3 reservoirs and 5 sidecars: a change of routes, a"
+    help="Show a mesh of 3 control nodes and 5 sidecars: a change of routes, a"
     " drain and a kill, the rules counted.",
 )
 @click.option(
@@ -189,7 +189,7 @@
 @main.command("mesh-store", add_help_option=False, context_settings={"ignore_unknown_options": True})
 @click.argument("words", nargs=-1, type=click.UNPROCESSED)
 def on_mesh_store(words: tuple[str, ...]) -> None:
-    """Look at a reservoir's disk, mend it, back its word up, and return one."""
+    """Look at a control node's disk, mend it, back its word up, and return one."""
     from honeywharf.cli.store import main as command
 
     sys.exit(command(list(words)))
--- a/honeywharf/cli/drift.py
+++ b/honeywharf/cli/drift.py
@@ -1,7 +1,7 @@
 """`honeywharf drift`: which sidecar runs what, since when, by digest; what slipped; what changed between two.
 
 Exit status: 0 all run what was told; 1 somebody does not, or does not answer; 2 not known (a call that is
-wrong, no reservoir that answers).
+wrong, no control node that answers).
 """
 
 from __future__ import annotations
@@ -19,11 +19,11 @@
 from honeywharf.cli.ending import DONE, NO, WrongError
 from honeywharf.cli.mesh import call
 
-VARIABLE = "HONEYWHARF_RESERVOIR"
+VARIABLE = "HONEYWHARF_CONTROL_NODE"
 SHOWN_SLIPS = 20
 WELL = ("told", "applying", "agreed", "healed")
 
-At = Annotated[str, cappa.Arg(long=True, help=f"A reservoir's control-plane address; else ${VARIABLE}.")]
+At = Annotated[str, cappa.Arg(long=True, help=f"A control node's control-plane address; else ${VARIABLE}.")]
 Within = Annotated[float, cappa.Arg(long=True, help="Seconds to wait for the answer.")]
 
 
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -29,7 +29,7 @@
 AGAIN = (408, 429)  # of the statuses that tell nothing for good
 
 File = Annotated[str, cappa.Arg(help="A file; - is standard input.")]
-At = Annotated[str, cappa.Arg(help="The control-plane address of a reservoir, such as 10.1.0.12:8306.")]
+At = Annotated[str, cappa.Arg(help="The control-plane address of a control node, such as 10.1.0.12:8306.")]
 Zone = Annotated[str, cappa.Arg(help="A zone's name.")]
 Within = Annotated[float, cappa.Arg(long=True, help="Seconds to wait for each answer.")]
 
@@ -174,7 +174,7 @@
 
 
 @cappa.command(
-    name="duties", help="Tell who holds which duty, by one reservoir's votes, and its hinted handoff."
+    name="duties", help="Tell who holds which duty, by one control node's votes, and its hinted handoff."
 )
 @dataclass
 class Duties:
@@ -194,7 +194,7 @@
 
 
 def duties(found: dict[str, Any]) -> Iterator[str]:
-    """A reservoir's view of duties, a line each."""
+    """A control node's view of duties, a line each."""
     waits = f", grants no {' and no '.join(found['waits'])} yet" if found["waits"] else ""
     yield f"{found['node']}: roster {found['roster']}{waits}"
     for kind, scope, place, holder, number, left in found["votes"]:
--- a/honeywharf/cli/store.py
+++ b/honeywharf/cli/store.py
@@ -1,4 +1,4 @@
-"""`honeywharf mesh-store`: look at a reservoir's disk, mend it, back its word up, and return one.
+"""`honeywharf mesh-store`: look at a control node's disk, mend it, back its word up, and return one.
 
 Exit status: 0 done, or good; 1 faults, or refused; 2 the call was wrong, the disk fails, or it is of a later
 format than this program knows.
@@ -15,10 +15,10 @@
 
 from honeywharf.cli import ending
 from honeywharf.cli.ending import DONE, NO
-from honeywharf.reservoir import mending
+from honeywharf.control import repair
 from honeywharf.transport.loop import Loop
 
-Directory = Annotated[str, cappa.Arg(help="The data directory of a reservoir.")]
+Directory = Annotated[str, cappa.Arg(help="The data directory of a control node.")]
 File = Annotated[str, cappa.Arg(help="The file of a backup.")]
 
 
@@ -31,13 +31,13 @@
 
     def __call__(self) -> int:
         """Exit status."""
-        report = mending.check(_disk(self.directory))
+        report = repair.check(_disk(self.directory))
         for line in [*report.lines, *(f"FAULT {fault}" for fault in report.faults)]:
             print(line)
         return NO if report.faults else DONE
 
 
-@cappa.command(name="repair", help="Set aside what is damaged. Stop the reservoir first.")
+@cappa.command(name="repair", help="Set aside what is damaged. Stop the control node first.")
 @dataclass
 class Repair:
     """`mesh-store repair DIR`."""
@@ -46,7 +46,7 @@
 
     def __call__(self) -> int:
         """Exit status."""
-        for line in mending.repair(_disk(self.directory)) or ["nothing to mend"]:
+        for line in repair.repair(_disk(self.directory)) or ["nothing to mend"]:
             print(line)
         return DONE
 
@@ -61,13 +61,13 @@
 
     def __call__(self) -> int:
         """Exit status."""
-        packed = mending.backup(_disk(self.directory))
+        packed = repair.backup(_disk(self.directory))
         handle = os.open(self.file, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
         with open(handle, "wb") as opened:
             opened.write(packed)
             opened.flush()
             os.fsync(handle)
-        value = mending.opened(packed)["value"]
+        value = repair.opened(packed)["value"]
         print(f"{self.file}: word {value['rev']}, configuration r{value['version']}, {len(packed)} bytes")
         return DONE
 
@@ -89,15 +89,15 @@
             address, slash, zone = one.partition("/")
             ip, _, port = address.rpartition(":")
             if not (slash and zone and ip and port.isdigit()):
-                raise mending.BackupError(f"found member {one!r}, wanted ADDRESS:PORT/ZONE")
+                raise repair.BackupError(f"found member {one!r}, wanted ADDRESS:PORT/ZONE")
             members.append((address, zone))
         with open(self.file, "rb") as opened:
             packed = opened.read()
-        print(mending.restore(_disk(self.directory), packed, members, self.here))
+        print(repair.restore(_disk(self.directory), packed, members, self.here))
         return DONE
 
 
-@cappa.command(name="honeywharf mesh-store", help="Look at a reservoir's disk, mend it, back it up.")
+@cappa.command(name="honeywharf mesh-store", help="Look at a control node's disk, mend it, back it up.")
 @dataclass
 class MeshStore:
     """`honeywharf mesh-store ...`."""
@@ -111,7 +111,7 @@
         lambda: cappa.parse(MeshStore, argv=arguments, completion=False).command(),
         lambda fault: print(fault, file=sys.stderr),
         (),
-        (mending.BackupError,),
+        (repair.BackupError,),
     )  # FormatError is an OSError
 
 
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/control/operator.py
@@ -12,9 +12,9 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.reservoir import word
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.word import Value
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Value
+from honeywharf.control.replica import Replica
 from honeywharf.transport.matchers import NotAllowed, Tree
 
 if TYPE_CHECKING:
@@ -52,8 +52,8 @@
     """Answers calls at the control plane's address. `port`: of the sidecars' control plane, for lost
     beats."""
 
-    def __init__(self, basin: Basin, zones: Collection[str], port: int, check: Check = _check) -> None:
-        self.basin, self.zones, self.port, self.check = basin, zones, port, check
+    def __init__(self, replica: Replica, zones: Collection[str], port: int, check: Check = _check) -> None:
+        self.replica, self.zones, self.port, self.check = replica, zones, port, check
         self.closing = False
         self.at_work = 0  # calls not answered yet
         self.tree = tree = Tree()
@@ -105,13 +105,13 @@
             self._answer(call, 400, str(checked.err()).encode("utf-8", "replace")[:MOST_FAULT])
             return
         made = checked.unwrap()
-        known = self.basin.known
+        known = self.replica.known
         if known is not None and known["version"] >= made.version:
             self._taken(call, made.version)
             return
         within = PATIENCE + len(call.body) / SIZE_RATE
-        self.basin.submit(
-            word.replace(made.version, made.digest),
+        self.replica.submit(
+            mesh_state.replace(made.version, made.digest),
             within,
             partial(self._replaced, call, made.version),
             (made.digest, zlib.compress(made.text, PRESSED)),
@@ -127,7 +127,7 @@
         self._answer(call, 200, b'{"config-version":"r%d"}' % version)
 
     def _describe(self, call: Asked) -> None:
-        self.basin.read(PATIENCE, partial(self._described, call))
+        self.replica.read(PATIENCE, partial(self._described, call))
 
     def _described(self, call: Asked, value: Value | None) -> None:
         if value is None:
@@ -135,7 +135,7 @@
         elif not value["digest"]:
             self._answer(call, 404, b"no configuration yet")
         else:
-            self.basin.body(value["digest"], partial(self._text, call))
+            self.replica.body(value["digest"], partial(self._text, call))
 
     def _text(self, call: Asked, packed: bytes | None) -> None:
         """The whole configuration, as it was sent."""
@@ -150,7 +150,7 @@
         if zone not in self.zones:
             self._answer(call, 404, b"no such zone")
             return
-        self.basin.submit(word.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
+        self.replica.submit(mesh_state.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
 
     def _evacuated(self, call: Asked, result: str, answer: Any) -> None:
         if result == "ok":
@@ -173,4 +173,4 @@
         self._answer(call, 307, b"", where + b"\r\n")
 
     def _ready(self, call: Asked) -> None:
-        self._answer(call, 200 if self.basin.known is not None else 503)
+        self._answer(call, 200 if self.replica.known is not None else 503)
--- a/honeywharf/reservoir/register.py
+++ b/honeywharf/control/register.py
@@ -22,7 +22,7 @@
 from random import Random
 from typing import Any
 
-from honeywharf.reservoir.word import Change, Key, Roster, Value, initial, keys
+from honeywharf.control.mesh_state import Change, Key, Roster, Value, initial, keys
 
 Ballot = tuple[int, str, int]  # counter, proposer, its incarnation
 Message = dict[str, Any]
--- a/honeywharf/reservoir/mending.py
+++ b/honeywharf/control/repair.py
@@ -1,10 +1,11 @@
-"""A reservoir's disk as people see it: what is on it, what of it is damaged, a backup, and its return.
+"""A control node's disk as people see it: what is on it, what of it is damaged, a backup, and its return.
 
 Theory of operation. `check` and `backup` only read; every file is replaced whole, so both may be run beside a
-reservoir. `repair` and `restore` write, and want the reservoir stopped. Nothing here gives a vote to a disk
-that has lost what it promised: a damaged register is set aside, and the machine asks to be admitted anew. The
-one exception is `restore`, for when no majority of the roster is left: it begins a new roster, with new names
-for all disks, from one backup, and must be run on every member with the same backup and the same members.
+control node. `repair` and `restore` write, and want the control node stopped. Nothing here gives a vote to a
+disk that has lost what it promised: a damaged register is set aside, and the machine asks to be admitted
+anew. The one exception is `restore`, for when no majority of the roster is left: it begins a new roster, with
+new names for all disks, from one backup, and must be run on every member with the same backup and the same
+members.
 """
 
 from __future__ import annotations
@@ -14,10 +15,9 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.mesh_config.configuration import digest as named
-from honeywharf.reservoir import word
-from honeywharf.reservoir.register import State
-from honeywharf.reservoir.store import (
+from honeywharf.control import mesh_state
+from honeywharf.control.register import State
+from honeywharf.control.store import (
     BAD,
     BESIDE,
     CONFIG,
@@ -29,6 +29,7 @@
     state_bytes,
     unseal,
 )
+from honeywharf.mesh_config.configuration import digest as named
 
 RAISED = 1_000_000  # revisions, epochs and ballots that a return goes ahead: above all that anybody has seen
 MOST_TEXT = 80 << 20  # bytes of a configuration, unpacked
@@ -96,7 +97,7 @@
     elif name.startswith("drift-"):
         report.lines.append(f"{name}: history, on which no vote depends")
     elif name != REGISTER:
-        report.lines.append(f"{name}: not of a reservoir")
+        report.lines.append(f"{name}: not of a control node")
 
 
 def _text(disk: Disk, name: str) -> bytes | None:
@@ -185,10 +186,10 @@
     if in_use:
         raise BackupError(f"found {in_use[0]} on the disk, wanted an empty one")
     addresses = [one for one, _ in members]
-    if here not in addresses or len(set(addresses)) != len(members) or len(members) > word.MOST_MEMBERS:
+    if here not in addresses or len(set(addresses)) != len(members) or len(members) > mesh_state.MOST_MEMBERS:
         raise BackupError(f"found {here} and members {' '.join(addresses)}, wanted it among them, each once")
     name = f"r{zlib.crc32(packed):08x}"  # the same for all: who takes part in this return
-    roster = [word.member(address, name, zone, True) for address, zone in members]
+    roster = [mesh_state.member(address, name, zone, True) for address, zone in members]
     before = parts["value"]
     epoch = max(parts["epoch"], before["epoch"]) + RAISED
     value = {**before, "rev": before["rev"] + RAISED, "roster": roster, "epoch": epoch, "wanted": len(roster)}
--- a/honeywharf/reservoir/basin.py
+++ b/honeywharf/control/replica.py
@@ -1,4 +1,4 @@
-"""One reservoir's part in the register: its vote, changes and reads, and the roster's upkeep, on a `Host`.
+"""One control node's part in the register: its vote, changes and reads, and the roster's upkeep, on a `Host`.
 
 Theory of operation. Changes that arrive while a round is at work wait and go together in the next one; reads
 likewise. Nothing is answered to a peer before what it promises is synced. Members call one another every
@@ -15,10 +15,10 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.reservoir import word
-from honeywharf.reservoir.register import NONE, Acceptor, Asking, Message, Round, Sends, State, Survey, ballot
-from honeywharf.reservoir.store import Store
-from honeywharf.reservoir.word import Change, Key, Value
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Change, Key, Value
+from honeywharf.control.register import NONE, Acceptor, Asking, Message, Round, Sends, State, Survey, ballot
+from honeywharf.control.store import Store
 from honeywharf.transport.host import Address, Host
 from honeywharf.transport.rpc import Caller
 
@@ -89,7 +89,7 @@
     __slots__ = ("change", "deadline", "digest", "settled", "timer")
 
     def __init__(
-        self, host: Host, within: float, settled: Settled, change: Change = word.same, digest: str = ""
+        self, host: Host, within: float, settled: Settled, change: Change = mesh_state.same, digest: str = ""
     ) -> None:
         self.deadline, self.change, self.digest = host.now() + within, change, digest
         self.settled: Settled | None = settled
@@ -103,7 +103,7 @@
             settled(result, answer)
 
 
-class Basin:
+class Replica:
     """See the module. `start` it; `methods` go to an `Answerer`; `on_word` is told each newer word."""
 
     def __init__(
@@ -170,7 +170,7 @@
         """An empty disk's: the first of a seed at the first start, else a new name with no vote."""
         seed = self.first and self.here in self.seeds and self.store.empty()
         disk = "first" if seed else self.host.random(8).hex()
-        return State(disk, 1, word.seeded(self.seeds)) if self.first and self.seeds else State(disk)
+        return State(disk, 1, mesh_state.seeded(self.seeds)) if self.first and self.seeds else State(disk)
 
     @property
     def state(self) -> State:
@@ -184,7 +184,7 @@
 
     def member(self) -> bool:
         """Whether this one is in the decided roster."""
-        return self.key in word.keys(self.state.roster)
+        return self.key in mesh_state.keys(self.state.roster)
 
     def _keep(self, state: State) -> None:
         """Persist a state, then hold it; OSError leaves the old one."""
@@ -193,16 +193,16 @@
         self.store.save(state)
         if state.epoch != self.state.epoch:
             self.roster_at = self.host.now()
-            self.host.log(f"basin: roster {state.epoch}: {' '.join(one[0] for one in state.roster)}")
+            self.host.log(f"replica: roster {state.epoch}: {' '.join(one[0] for one in state.roster)}")
         self.acceptor.state = state
 
-    def _decided(self, epoch: int, roster: word.Roster) -> None:
+    def _decided(self, epoch: int, roster: mesh_state.Roster) -> None:
         """Take over a decided roster."""
         if epoch > self.state.epoch:
             try:
                 self._keep(self.state.but(epoch=epoch, roster=roster))
             except OSError as fault:
-                self.host.log(f"basin: a roster could not be kept: {fault}")
+                self.host.log(f"replica: a roster could not be kept: {fault}")
 
     def disown(self) -> None:
         """This disk gave back an older register: as after a lost disk, it has no vote until admitted anew.
@@ -229,7 +229,7 @@
             state, answer = self.acceptor.answer(message)
             self._keep(state)
         except OSError as fault:
-            self.host.log(f"basin: the disk fails: {fault}")
+            self.host.log(f"replica: the disk fails: {fault}")
             return None
         return answer
 
@@ -257,7 +257,7 @@
         self.round = Round(
             (self.here, self.incarnation),
             (self.state.epoch, self.state.roster),
-            word.together([one.change for one in batch]),
+            mesh_state.together([one.change for one in batch]),
             max(one.deadline for one in batch),
             self.rng,
             max(self.counter, self.state.promised[0]),
@@ -395,7 +395,7 @@
             self._know(made.value)
         if made.result == "unsure":
             within = made.deadline - self.host.now()
-            self.submit(word.same, within, partial(self._read_back, batch))
+            self.submit(mesh_state.same, within, partial(self._read_back, batch))
         else:
             for one in batch:
                 one.end(made.result or "", made.value)
@@ -436,7 +436,7 @@
         try:
             self.store.sweep(held | set(self.bodies))
         except OSError as fault:
-            self.host.log(f"basin: old configurations stay: {fault}")
+            self.host.log(f"replica: old configurations stay: {fault}")
 
     def body(self, digest: str, done: Body) -> None:
         """A configuration's text, compressed: from here, else from whoever has it. None where nobody has."""
@@ -447,7 +447,7 @@
         asked = self.fetches.setdefault(digest, [])
         asked.append(done)
         if len(asked) == 1:
-            sources = [key[0] for key in word.keys(self.state.roster)]
+            sources = [key[0] for key in mesh_state.keys(self.state.roster)]
             sources += [one for one in map(text, self.cores()) if one not in sources]
             self._fetch(digest, [one for one in sources if one != self.here])
 
@@ -455,7 +455,7 @@
         try:
             return self.store.get(digest)
         except OSError as fault:
-            self.host.log(f"basin: a configuration can't be read: {fault}")
+            self.host.log(f"replica: a configuration can't be read: {fault}")
             return None
 
     def _fetch(self, digest: str, sources: list[str]) -> None:
@@ -483,7 +483,7 @@
         try:
             self.store.keep(digest, body)
         except OSError as fault:
-            self.host.log(f"basin: a configuration could not be kept: {fault}")
+            self.host.log(f"replica: a configuration could not be kept: {fault}")
 
     def _learn(self, args: Any, reply: Reply, peer: Address) -> None:
         """A value is in force, says who settled it."""
@@ -518,7 +518,7 @@
         if now - self.beat_at > BEAT + LATE:
             self.well_since = now  # it is we who were away
         self.beat_at = now
-        members = word.keys(self.state.roster)
+        members = mesh_state.keys(self.state.roster)
         if self.key not in members:
             self._join(members)
         for key in members:
@@ -558,13 +558,13 @@
         self.behind = self.behind + 1 if self.member() and self.ahead > self.state.accepted else 0
         if self.behind >= 3 + 3 * self.rng.random() and self.round is None:
             self.behind = 0
-            self.submit(word.same, UPKEEP, lambda result, answer: None)
+            self.submit(mesh_state.same, UPKEEP, lambda result, answer: None)
 
     def _hear(self, key: Key | None) -> None:
         if key is not None:
             returned = key in self.silent(SILENT)
             if key not in self.heard and len(self.heard) >= MOST_HEARD:
-                members = word.keys(self.state.roster)
+                members = mesh_state.keys(self.state.roster)
                 del self.heard[min(self.heard, key=lambda one: (one in members, self.heard[one]))]
             self.heard[key] = self.host.now()
             if returned:
@@ -575,7 +575,7 @@
         now = self.host.now()
         return [
             key
-            for key in word.keys(self.state.roster)
+            for key in mesh_state.keys(self.state.roster)
             if key != self.key
             and now - max(self.heard.get(key, 0.0), self.well_since, self.roster_at) >= span
         ]
@@ -587,7 +587,7 @@
         if len(members) <= wanted or not silent or self.round is not None:
             return
         if self.key == next((key for key in members if key not in silent), None):
-            self._under_duty(word.drop(silent), lambda: None)
+            self._under_duty(mesh_state.drop(silent), lambda: None)
 
     def _under_duty(self, change: Change, over: Callable[[], None]) -> None:
         """Take members out, with leave; without it nothing is done, and who wants it asks again."""
@@ -597,7 +597,7 @@
             if not granted:
                 over()
                 return
-            self.submit(word.fenced(change, epoch, self.duty.holds), UPKEEP - WITHIN, done)
+            self.submit(mesh_state.fenced(change, epoch, self.duty.holds), UPKEEP - WITHIN, done)
 
         def done(result: str, answer: Any) -> None:
             self.duty.end()
@@ -615,7 +615,7 @@
         if not self.state.epoch or self.rng.random() < 0.2:
             self.caller.call(where, "register.roster", None, WITHIN, self._rostered)
         if self.state.epoch:
-            joiner = word.member(*self.key, self.zone, self.first)
+            joiner = mesh_state.member(*self.key, self.zone, self.first)
             self.caller.call(where, "register.admit", joiner, UPKEEP, self._rostered)
 
     def _roster(self, args: Any, reply: Reply, peer: Address) -> None:
@@ -631,19 +631,19 @@
         answer = partial(self._roster, args, reply, peer)
         if (
             not self.member()
-            or (where, disk) in word.keys(self.state.roster)
+            or (where, disk) in mesh_state.keys(self.state.roster)
             or (not first and self._hesitant(where))
         ):
             answer()
             return
         silent = self.silent(SILENT)
-        change = word.admit(word.member(where, disk, zone, bool(first)), silent)
-        if silent and not first and where not in [key[0] for key in word.keys(self.state.roster)]:
+        change = mesh_state.admit(mesh_state.member(where, disk, zone, bool(first)), silent)
+        if silent and not first and where not in [key[0] for key in mesh_state.keys(self.state.roster)]:
             self._under_duty(change, answer)  # it may take a silent member's place
         else:
             self.submit(change, UPKEEP - WITHIN, lambda result, told: answer())
 
     def _hesitant(self, where: str) -> bool:
         """Whether somebody may be about to be held silent, so that a joiner had better come back."""
-        members = [key[0] for key in word.keys(self.state.roster)]
+        members = [key[0] for key in mesh_state.keys(self.state.roster)]
         return where not in members and not self.silent(SILENT) and bool(self.silent(HESITANT))
--- a/honeywharf/reservoir/store.py
+++ b/honeywharf/control/store.py
@@ -8,7 +8,7 @@
 Format. Every file begins with `hwr` and one digit, the version of the format, then a checksum (CRC-32 of the
 body, big-endian), then the body: msgpack for the register, a compressed text for a configuration. A reader
 takes versions up to its own `FORMAT`; fields that it does not know are left out. What is of a later version
-is never taken for damage, moved or removed: the reservoir does not start on it.
+is never taken for damage, moved or removed: the control node does not start on it.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.reservoir.register import State
+from honeywharf.control.register import State
 
 REGISTER, BESIDE, CONFIG = "register", "register.new", "config-"
 BAD = ".bad"  # ends the names of files that were set aside
--- a/honeywharf/drift/gather.py
+++ b/honeywharf/drift/gather.py
@@ -1,4 +1,5 @@
-"""The drift monitor's part in a reservoir: history, slips that sidecars tell, and an operator's view of all.
+"""The drift monitor's part in a control node: history, slips that sidecars tell, and an operator's view of
+all.
 
 `GET /api/drift` asks every sidecar that news tell of what it runs, `BATCH` at a time, and answers with their
 views, with those who did not answer, and with this machine's history. `GET /api/drift/between/r7/r12` tells
@@ -18,9 +19,9 @@
 from honeywharf.mesh_config.routes import version_number
 
 if TYPE_CHECKING:
-    from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.reservoir.operator import Asked
-    from honeywharf.reservoir.word import Key, Value
+    from honeywharf.control.mesh_state import Key, Value
+    from honeywharf.control.operator import Asked
+    from honeywharf.programs.control import ControlNode
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
 
@@ -34,28 +35,28 @@
 class Gather:
     """See the module."""
 
-    def __init__(self, program: Reservoir) -> None:
-        self.program, self.host, self.basin = program, program.host, program.basin
+    def __init__(self, program: ControlNode) -> None:
+        self.program, self.host, self.replica = program, program.host, program.replica
         self.history = History(program.host)
         self.peers: dict[Key, tuple[Any, ...]] = {}  # the highest ballot that each has told
         self.went_back = 0
         tree = program.operator.tree
         tree.add("GET", "/api/drift", self._drift)
         tree.add("GET", "/api/drift/between/{before}/{after}", self._between)
-        self.basin.methods["drift.slip"] = self._slip
-        self.basin.methods["drift.older"] = self._told_older
-        self.basin.on_beat = self.beat
+        self.replica.methods["drift.slip"] = self._slip
+        self.replica.methods["drift.older"] = self._told_older
+        self.replica.on_beat = self.beat
 
     def start(self) -> None:
         """The disk can be read: take the history up, and see whether the register is older than it says."""
         self.history.load()
-        state = self.basin.state
+        state = self.replica.state
         if self.history.went_back(state.disk, state.promised, state.accepted):
             self._disown("its history")
         self._progress()
 
     def _progress(self) -> None:
-        state = self.basin.state
+        state = self.replica.state
         self.history.register(state.disk, state.promised, state.accepted)
         self.host.after(SECOND_LOOK_S, self._progress)
 
@@ -63,7 +64,7 @@
 
     def word(self, value: Value) -> None:
         """A word is in force."""
-        self.history.word(value, self.basin.store.get(value["digest"]) if value["digest"] else None)
+        self.history.word(value, self.replica.store.get(value["digest"]) if value["digest"] else None)
 
     def _slip(self, args: Any, reply: Reply, peer: Address) -> None:
         node, _, by, cause, revision = args
@@ -106,7 +107,7 @@
         name, and is told only once it is on disk. So no order of messages takes the vote of an honest member.
         """
         disk, accepted = args
-        state = self.basin.state
+        state = self.replica.state
         older = disk == state.disk and state.accepted < tuple(accepted)
         if older:
             self._disown(peer[0])
@@ -117,13 +118,13 @@
         self.host.log(f"drift monitor: this disk has given back an older register, says {by}: it has no vote")
         self.history.slip(self.host_name(), "register", f"older than told, says {by}", 0)
         try:
-            self.basin.disown()
+            self.replica.disown()
         except OSError as fault:
             self.host.log(f"drift monitor: the disk fails: {fault}")
 
     def host_name(self) -> str:
         """This machine, as rosters hold it."""
-        return self.basin.here
+        return self.replica.here
 
     # The operator's view.
 
@@ -153,8 +154,8 @@
 
     def _told(self) -> dict[str, Any]:
         """What a majority holds, as this machine knows it, with its tree."""
-        value = self.basin.known
-        packed = None if value is None or not value["digest"] else self.basin.store.get(value["digest"])
+        value = self.replica.known
+        packed = None if value is None or not value["digest"] else self.replica.store.get(value["digest"])
         if value is None or packed is None:
             return {}
         evacuated = {zone for zone, on in value["evac"].items() if on}
@@ -169,7 +170,9 @@
 
     def _between(self, call: Asked, before: str, after: str) -> None:
         try:
-            lines = self.history.between(version_number(before), version_number(after), self.basin.store.get)
+            lines = self.history.between(
+                version_number(before), version_number(after), self.replica.store.get
+            )
         except (ValueError, LookupError) as fault:
             self.program.operator.answered(call, 404, str(fault.args[0] if fault.args else fault).encode())
             return
--- a/honeywharf/drift/history.py
+++ b/honeywharf/drift/history.py
@@ -1,4 +1,4 @@
-"""What a reservoir remembers of words and slips, on its disk, bounded.
+"""What a control node remembers of words and slips, on its disk, bounded.
 
 Theory of operation. One file, `drift-history`, holds the last words as they were settled, what each
 sidecar told of its slips, and how far this machine's own register had come; the texts of the last
--- a/honeywharf/drift/requests.py
+++ b/honeywharf/drift/requests.py
@@ -176,7 +176,7 @@
             self.slip("scan", fault)
         if not ask.peer:
             if strict and self.judging and self.unsure and not asked:
-                return self._hold(job, None)  # nobody else judges it: a reservoir must know this word
+                return self._hold(job, None)  # nobody else judges it: a control node must know this word
             return self._home(job, host, path)
         if not self.judging or (not strict and self._skip()):
             return True
--- a/honeywharf/drift/rounds.py
+++ b/honeywharf/drift/rounds.py
@@ -1,8 +1,8 @@
-"""What one sidecar compares in idle time: the scan, part by part, and its word with a reservoir's.
+"""What one sidecar compares in idle time: the scan, part by part, and its word with a control node's.
 
 Theory of operation. Every `STEP_S` a step of the scan looks at some of the routes and of the list; a round is
 whole in `WHOLE_STEPS` up to `WHOLE_STEPS * MOST_PARTS` routes. Every `CONFIRM_S`, and after a standstill of
-`GAP_S`, the word is compared with a reservoir's.
+`GAP_S`, the word is compared with a control node's.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 WHOLE_STEPS = 16  # steps of a round, 4 s, up to WHOLE_STEPS * MOST_PARTS routes
 LEAST_PARTS, MOST_PARTS = 16, 100  # of one step: 1 ms at most, 0.4 % of a core
 GAP_S = 0.9  # without a step: this process stood still, and asks before it runs what must not run twice
-CONFIRM_S = 4.0  # between comparisons with a reservoir
+CONFIRM_S = 4.0  # between comparisons with a control node
 HOLD_S = 0.3  # that a request waits for news of the word
 
 
@@ -33,14 +33,14 @@
         self.ticked = self.confirmed = self.host.now()
         self.clean = True  # nothing found in this round
         self.turn_list = 0
-        self.unsure = False  # no reservoir has told this word since it was taken over
+        self.unsure = False  # no control node has told this word since it was taken over
         self.host.after(STEP_S, self._tick)
 
     def _tick(self) -> None:
         now = self.host.now()
         late = now - self.ticked > GAP_S
         if not late:
-            self.ticked = now  # else when a reservoir has told its word
+            self.ticked = now  # else when a control node has told its word
         self.host.after(STEP_S, self._tick)
         if self.scanning and self.told is not None and self.word.table is not None:
             self._step()
@@ -88,13 +88,13 @@
         return nodes[start : start + many]
 
     def _confirm(self) -> None:
-        """Compare the word with a reservoir's, in turn."""
+        """Compare the word with a control node's, in turn."""
         cores = self.sidecar.cores()
         if cores and self.word.ready:
             self._fetch(cores[0], self._confirmed)
 
     def _confirmed(self, value: Any) -> None:
-        """A reservoir has told its word."""
+        """A control node has told its word."""
         if not isinstance(value, dict) or value.get("rev", 0) > self.word.revision:
             return  # a newer text is on its way
         self.ticked, self.unsure = self.host.now(), False
@@ -102,7 +102,7 @@
         if value.get("rev") == self.word.revision and any(
             value.get(name) != mine.get(name) for name in ("version", "digest", "evac")
         ):
-            self.slip("scan", f"revision {self.word.revision} is another one at a reservoir", renew=True)
+            self.slip("scan", f"revision {self.word.revision} is another one at a control node", renew=True)
 
     def _fetch(self, holder: Address, done: Any) -> None:
         """Ask a holder for its word, and take it over where it is newer."""
--- a/honeywharf/drift/states.py
+++ b/honeywharf/drift/states.py
@@ -9,7 +9,7 @@
     healed         healed   applying  healed   doubted   -             agreed
 
 `*` only where the zone has room: at most `SHARE` of its proxies, and no half of all, stand aside at once; a
-majority of the reservoirs gives leave for each (`lease/`), so that two do not take the last place at once.
+majority of the control nodes gives leave for each (`lease/`), so that two do not take the last place at once.
 Without room a node stays doubted and refuses request by request, what its two readings disagree on. A doubted
 node refuses `mutating` and `upload` with a time to come back and serves reads that both readings agree on; a
 quarantined one is not ready too. What is not in the table raises.
--- a/honeywharf/drift/watch.py
+++ b/honeywharf/drift/watch.py
@@ -3,7 +3,7 @@
 
 Theory of operation. `slip` is called by whichever way has found one (`rounds`, `requests`). The node builds
 itself anew from the told text, whose digest the majority settled, compares everything at once, and goes on,
-all within the call that found it: the client sees a normal answer. Where that does not help, a reservoir's
+all within the call that found it: the client sees a normal answer. Where that does not help, a control node's
 majority is asked for the word, again and again with growing pauses.
 
 Bounds: a whole look at oneself, a renewal, a telling and a log line have pauses between them, whatever comes.
@@ -33,7 +33,7 @@
 LOOK_S = 0.25  # between looks at all of oneself that others or requests ask for
 MOST_STUBBORN = 16
 MOST_RELAPSES = 3  # slips so soon after healing, after which building anew counts as vain
-TELL_S, MOST_TOLD = 0.25, 7  # between slips that reservoirs are told of, and how many are told
+TELL_S, MOST_TOLD = 0.25, 7  # between slips that control nodes are told of, and how many are told
 MOST_SLIPS = 16  # told to who asks
 MOST_TEXT = 80 << 20
 MOST_WORDS = 160  # characters of a slip's cause
@@ -82,7 +82,7 @@
         self.refused = 0
         self.slips: list[list[object]] = []
         self.cores_turn = 0
-        self.told_at = now - TELL_S  # when reservoirs were told of a slip
+        self.told_at = now - TELL_S  # when control nodes were told of a slip
         self.stubborn = 1  # renewals more that count as vain after each further relapse
 
     # What follows from a slip.
@@ -144,7 +144,7 @@
     def stand(self) -> None:
         """Refuse what must not run twice until healed, if there is room for one more that does.
 
-        A majority of the reservoirs gives leave; until it has (0.3 s at most) this node refuses too.
+        A majority of the control nodes gives leave; until it has (0.3 s at most) this node refuses too.
         """
         if self.standing or self.host.now() - self.grudged_at < STAND_AGAIN_S or not self._room():
             return
@@ -246,7 +246,7 @@
                 sidecar.source.told(node, entry.say, entry.zone)
 
     def renew(self) -> None:
-        """Ask a reservoir's majority for the word."""
+        """Ask a control node's majority for the word."""
         cores = self.sidecar.cores()
         if self.asking or not cores:
             if not self.asking:
@@ -308,7 +308,7 @@
         return self.state.at == states.QUARANTINED and self.leave is not None and bool(self.leave.holds())
 
     def _tell(self, by: str, what: str) -> None:
-        """Tell the reservoirs of a slip, for their histories; a flood of slips tells no more than one."""
+        """Tell the control nodes of a slip, for their histories; a flood of slips tells no more than one."""
         record = [self.sidecar.settings.ip, self.host.wall(), by, what, self.word.revision]
         now = self.host.now()
         if now - self.told_at >= TELL_S:
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/control.py
@@ -7,15 +7,15 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from honeywharf.control.mesh_state import Value
+from honeywharf.control.operator import Operator
+from honeywharf.control.replica import Replica
+from honeywharf.control.store import Store
 from honeywharf.drift.gather import Gather
 from honeywharf.gossip.membership import Membership
 from honeywharf.programs.duties import Duties
 from honeywharf.programs.handing import Handing
 from honeywharf.programs.start import settings_or_line
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.operator import Operator
-from honeywharf.reservoir.store import Store
-from honeywharf.reservoir.word import Value
 from honeywharf.transport.host import Address, Host
 from honeywharf.transport.http_server import HttpServer
 from honeywharf.transport.rpc import Answerer, Caller
@@ -29,14 +29,14 @@
 DISK_AGAIN = 0.2  # s after which a disk that fails at the start is tried again
 
 
-class Reservoir:
-    """One reservoir on its host."""
+class ControlNode:
+    """One control node on its host."""
 
     def __init__(self, host: Host, settings: Settings) -> None:
         self.host, self.settings = host, settings
         self.here: Address = (settings.ip, settings.ports[0])
         self.caller = Caller(host)
-        self.basin = Basin(
+        self.replica = Replica(
             host,
             Store(host),
             self.caller,
@@ -49,7 +49,7 @@
         )
         self.membership: Membership | None = None
         self.door: HttpServer | None = None
-        self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
+        self.operator = Operator(self.replica, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
         self.gather = Gather(self)
         self.duties = Duties(self)
@@ -61,35 +61,35 @@
         if self.stopping:
             return
         try:
-            self.basin.start()
+            self.replica.start()
         except OSError as fault:
-            self.host.log(f"reservoir: the disk fails: {fault}")
+            self.host.log(f"control node: the disk fails: {fault}")
             self.host.after(DISK_AGAIN, self._begin)
             return
         settings, host = self.settings, self.host
         self.gather.start()
         self.handing.start()
-        self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
+        self.host.listen(self.here, Answerer(self.replica.methods, log=host.log).accept)
         self.membership = Membership(
             host,
             settings.ip,
             settings.ports[0],
             settings.zone,
             [ip for ip, _ in settings.seeds],
-            {"core": True, "disk": self.basin.state.disk, "rev": max(0, self.basin.announced)},
+            {"core": True, "disk": self.replica.state.disk, "rev": max(0, self.replica.announced)},
             int(host.wall() * 1000),
         )
         self.membership.on_word = self._rumour
         self.door = HttpServer(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
         host.after(LOADED, self.operator.load)
         host.log(
-            f"reservoir: {settings.node_name} at {settings.ip}, disk {self.basin.state.disk},"
-            f" roster {self.basin.state.epoch}"
+            f"control node: {settings.node_name} at {settings.ip}, disk {self.replica.state.disk},"
+            f" roster {self.replica.state.epoch}"
         )
 
     def _word(self, value: Value) -> None:
         """There is a newer word, and its text is here."""
-        self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
+        self.host.log(f"control node: revision {value['rev']}, configuration r{value['version']}")
         self.gather.word(value)
         self.handing.word(value)
         if self.membership is not None:
@@ -97,11 +97,11 @@
 
     def _rumour(self, revision: int, holder: str) -> None:
         """Somebody holds a newer word."""
-        if self.basin.known is None or revision > self.basin.known["rev"]:
-            self.basin.learn_from((holder, self.here[1]))
+        if self.replica.known is None or revision > self.replica.known["rev"]:
+            self.replica.learn_from((holder, self.here[1]))
 
     def _cores(self) -> list[Address]:
-        """The other reservoirs that news tell of."""
+        """The other control nodes that news tell of."""
         if self.membership is None:
             return []
         return [
@@ -139,7 +139,7 @@
     if settings is None:
         return 2
     loop = Loop(settings.data_directory)
-    program = Reservoir(loop, settings)
+    program = ControlNode(loop, settings)
     loop.on_signal(signal.SIGTERM, program.stop)
     loop.on_signal(signal.SIGHUP, lambda: None)
     return loop.run()
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -1,4 +1,5 @@
-"""Leases in a reservoir: its votes, its own duty (the roster's upkeep), and the operators' view of both."""
+"""Leases in a control node: its votes, its own duty (the roster's upkeep), and the operators' view of
+both."""
 
 from __future__ import annotations
 
@@ -6,16 +7,16 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from honeywharf.control import mesh_state
 from honeywharf.drift import states
 from honeywharf.lease.acquisition import LeaseAcquisition
 from honeywharf.lease.grants import ROSTER, Grantor
-from honeywharf.reservoir import word
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.reservoir.operator import Asked
+    from honeywharf.control.operator import Asked
+    from honeywharf.programs.control import ControlNode
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
 
@@ -23,17 +24,17 @@
 
 
 class Duties:
-    """See the module. It is the basin's `duty`: leave to take members out of the roster."""
+    """See the module. It is the replica's `duty`: leave to take members out of the roster."""
 
-    def __init__(self, program: Reservoir) -> None:
-        self.program, self.host, self.basin = program, program.host, program.basin
+    def __init__(self, program: ControlNode) -> None:
+        self.program, self.host, self.replica = program, program.host, program.replica
         self.grantor = Grantor(self.host.now(), self.places)
-        self.holder = f"{self.basin.here}/{self.host.random(6).hex()}"
+        self.holder = f"{self.replica.here}/{self.host.random(6).hex()}"
         self.acquisition: LeaseAcquisition | None = None
         self.done = {"granted": 0, "refused": 0, "lost": 0}  # upkeep wanted here
-        self.basin.duty = self
-        self.basin.methods["lease.ask"] = self._ask
-        self.basin.methods["lease.free"] = self._free
+        self.replica.duty = self
+        self.replica.methods["lease.ask"] = self._ask
+        self.replica.methods["lease.free"] = self._free
         program.operator.tree.add("GET", "/api/duties", self._view)
 
     # Votes.
@@ -57,8 +58,8 @@
     def _ask(self, args: Any, reply: Reply, peer: Address) -> None:
         kind, scope, place, holder, number, epoch, disk = args
         _checked((kind, scope, holder, disk), (place, number, epoch))
-        state = self.basin.state
-        if disk != state.disk or not self.basin.member():
+        state = self.replica.state
+        if disk != state.disk or not self.replica.member():
             reply([ROSTER, 0])  # whoever asks means another one
             return
         accepted = state.value["epoch"] if state.value is not None else 0
@@ -69,7 +70,7 @@
     def _free(self, args: Any, reply: Reply, peer: Address) -> None:
         kind, scope, place, holder, number, disk = args
         _checked((kind, scope, holder, disk), (place, number))
-        if disk == self.basin.state.disk:
+        if disk == self.replica.state.disk:
             self.grantor.free((kind, scope, place), holder, number)
         reply(True)
 
@@ -78,7 +79,7 @@
     def _call(self, to: Address, method: str, args: Any, within: float, done: Callable[[Any], None]) -> None:
         """As a caller does, but to this machine without a connection."""
         if to == self.program.here:
-            self.host.after(0.0, lambda: self.basin.methods[method](args, done, to))
+            self.host.after(0.0, lambda: self.replica.methods[method](args, done, to))
         else:
             self.program.caller.call(to, method, args, within, done)
 
@@ -87,11 +88,11 @@
         if self.acquisition is not None:
             go(False)
             return
-        state = self.basin.state
+        state = self.replica.state
         self.acquisition = LeaseAcquisition(
             self.host,
             self._call,
-            lambda: (state.epoch, word.keys(state.roster)),
+            lambda: (state.epoch, mesh_state.keys(state.roster)),
             self.holder,
             [[UPKEEP]],
             self._lost,
@@ -126,8 +127,8 @@
         now = self.host.now()
         waits = [kind for kind in ("upkeep", "aside") if self.grantor.waits(now, kind)]
         return {
-            "node": self.basin.here,
-            "roster": self.basin.state.epoch,
+            "node": self.replica.here,
+            "roster": self.replica.state.epoch,
             "votes": self.grantor.view(now),
             "refused": self.grantor.refused,
             "waits": waits,
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -1,11 +1,12 @@
-"""The hinted handoff of a reservoir: what a silent member should have accepted, kept here and handed over on
+"""The hinted handoff of a control node: what a silent member should have accepted, kept here and handed over
+on
 return.
 
 Who keeps: the members that stand after the missing one on the ring, `KEEPERS` of them. Kept is that the word
 has changed; handed over is the newest settled value, which names its text. The member knows it then at once,
 and fetches the text, instead of after its own first beat. Its vote is not touched: it goes on to accept what
-it missed by a round of its own after some beats (`Basin._compare`). A round at once was tried and dropped: a
-register whose disk has gone back was then mended before its peers had told three beats of it
+it missed by a round of its own after some beats (`Replica._compare`). A round at once was tried and dropped:
+a register whose disk has gone back was then mended before its peers had told three beats of it
 (`drift_monitor`).
 """
 
@@ -13,16 +14,16 @@
 
 from typing import TYPE_CHECKING, Any
 
+from honeywharf.control import mesh_state
+from honeywharf.control.replica import SILENT, WITHIN, address
 from honeywharf.failure_detector.ring import Ring
 from honeywharf.hinted_handoff.hints import HintStore
-from honeywharf.reservoir import word
-from honeywharf.reservoir.basin import SILENT, WITHIN, address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.reservoir.word import Key, Value
+    from honeywharf.control.mesh_state import Key, Value
+    from honeywharf.programs.control import ControlNode
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
 
@@ -34,13 +35,13 @@
 class Handing:
     """See the module. `kept` is switched off to measure what it brings."""
 
-    def __init__(self, program: Reservoir) -> None:
-        self.program, self.host, self.basin = program, program.host, program.basin
+    def __init__(self, program: ControlNode) -> None:
+        self.program, self.host, self.replica = program, program.host, program.replica
         self.tank = HintStore(self.host.log)
         self.kept = True
         self.taken = 0  # values that were news to this one, on its own return
-        self.basin.on_return = self._returned
-        self.basin.methods["hinted_handoff.hand"] = self._handed
+        self.replica.on_return = self._returned
+        self.replica.methods["hinted_handoff.hand"] = self._handed
 
     def start(self) -> None:
         """Begin to look."""
@@ -49,15 +50,15 @@
     def keeps(self, where: str) -> bool:
         """Whether this one keeps for a member, by its address."""
         ring = Ring()
-        for member, _ in word.keys(self.basin.state.roster):
+        for member, _ in mesh_state.keys(self.replica.state.roster):
             ring.add(member)
-        return self.basin.here in ring.after(where, KEEPERS)
+        return self.replica.here in ring.after(where, KEEPERS)
 
     def _look(self) -> None:
         now = self.host.now()
         self.host.after(LOOK_S, self._look)
         self.tank.sweep(now)
-        silent = [key[0] for key in self.basin.silent(SILENT)]
+        silent = [key[0] for key in self.replica.silent(SILENT)]
         for where in [one for one in self.tank.held if one not in silent]:
             self.tank.drop(where)  # it is not in the roster any more
         for where in silent:
@@ -70,21 +71,21 @@
         self._keep(self.tank.held)
 
     def _keep(self, members: Iterable[str]) -> None:
-        value = self.basin.known
+        value = self.replica.known
         if value is not None:
             self.tank.keep("word", VALUE + len(value["digest"]), members)
 
     def _returned(self, key: Key) -> None:
         """It is heard again: at once, before its own beats ask."""
-        if self.tank.returned(key[0]) and self.basin.known is not None:
+        if self.tank.returned(key[0]) and self.replica.known is not None:
             self.program.caller.call(
-                address(key[0]), "hinted_handoff.hand", self.basin.known, WITHIN, lambda answer: None
+                address(key[0]), "hinted_handoff.hand", self.replica.known, WITHIN, lambda answer: None
             )
 
     def _handed(self, args: Any, reply: Reply, peer: Address) -> None:
         """What this one should have had while it was away."""
-        self.taken += self.basin.known is None or args["rev"] > self.basin.known["rev"]
-        self.basin.take(args)
+        self.taken += self.replica.known is None or args["rev"] > self.replica.known["rev"]
+        self.replica.take(args)
         reply(True)
 
     def view(self) -> dict[str, Any]:
--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -107,7 +107,7 @@
         return max(1, len(self.source.list))
 
     def cores(self) -> list[Address]:
-        """Reservoirs' internal addresses: those that news tell of, else the seeds."""
+        """Control nodes' internal addresses: those that news tell of, else the seeds."""
         port = self.settings.ports[0]
         known = [
             (node, port)
--- a/honeywharf/sidecar/mesh_state.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -1,11 +1,11 @@
 """The operator's word as one sidecar runs it: one revision at a time, never an older one.
 
 Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is
-asked for by its digest where it is another one. At the start a word counts only if a reservoir has read it
+asked for by its digest where it is another one. At the start a word counts only if a control node has read it
 from a majority ("word.read"); after that any word of a higher revision that anybody has ("word.known") is
-taken, as reservoirs tell of none that is not settled. Whoever has a word gives it to others, so reservoirs
-need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core is not
-settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
+taken, as control nodes tell of none that is not settled. Whoever has a word gives it to others, so control
+nodes need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core
+is not settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
 """
 
 from __future__ import annotations
@@ -111,7 +111,7 @@
             self._again()
 
     def _again(self) -> None:
-        """The holder did not tell: ask a reservoir, in a while."""
+        """The holder did not tell: ask a control node, in a while."""
         if self.newest > self.revision and self.ready:
             cores = self.cores()
             if cores:
--- a/honeywharf/simulation/days.py
+++ b/honeywharf/simulation/days.py
@@ -139,23 +139,23 @@
             self._kill(side.proxy, fault.how == "power", 2.0)
 
     def core_kill(self, fault: Fault, chance: random.Random) -> None:
-        """A reservoir is killed."""
+        """A control node is killed."""
         self._kill(chance.choice(self.field.cores), fault.how == "power")
 
     def core_herd(self, fault: Fault, chance: random.Random) -> None:
-        """All reservoirs are killed at once; their disks stay."""
+        """All control nodes are killed at once; their disks stay."""
         for core in self.field.cores:
             self._kill(core, False)
 
     def core_freeze(self, fault: Fault, chance: random.Random) -> None:
-        """A reservoir stands still."""
+        """A control node stands still."""
         core = chance.choice(self.field.cores)
         core.freeze()
         self._trouble(core.machine, 3.5)
         self._later(3.5, core.thaw)
 
     def core_roll(self, fault: Fault, chance: random.Random) -> None:
-        """The reservoirs get SIGTERM in turn, and start again."""
+        """The control nodes get SIGTERM in turn, and start again."""
         for n, core in enumerate(self.field.cores):
             self._later(3.0 * n, self._term_core, core)
 
@@ -164,7 +164,7 @@
         core.signal(TERM)
 
     def core_replace(self, fault: Fault, chance: random.Random) -> None:
-        """A reservoir goes for good, with SIGTERM or without; another one comes, elsewhere and empty."""
+        """A control node goes for good, with SIGTERM or without; another one comes, elsewhere and empty."""
         old = chance.choice(self.field.cores)
         if fault.how == "planned":
             self._trouble(old.machine, 1.5)
@@ -202,12 +202,12 @@
         self._later(seconds, self.field.network.join, pairs)
 
     def core_cut(self, fault: Fault, chance: random.Random) -> None:
-        """A reservoir is cut off from the others."""
+        """A control node is cut off from the others."""
         ips = [core.machine.ip for core in self.field.cores]
         self._cut(chance.choice(self.field.cores).machine, ips, fault.how == "one_way", 5.0)
 
     def node_cut(self, fault: Fault, chance: random.Random) -> None:
-        """Some proxies are cut off from all reservoirs."""
+        """Some proxies are cut off from all control nodes."""
         for side in self._sides(chance, 0.17):
             ips = [core.machine.ip for core in self.field.cores]
             self._cut(side.machine, ips, fault.how == "one_way", 5.5)
--- a/honeywharf/simulation/field.py
+++ b/honeywharf/simulation/field.py
@@ -57,7 +57,7 @@
     return json.dumps(
         {  # which is YAML
             "node-name": f"node-{ip}",
-            "role": "sidecar" if service else "reservoir",
+            "role": "sidecar" if service else "control",
             "machine-class": "sidecar" if service else "core",
             "ip-address": ip,
             "zone": zone,
@@ -166,7 +166,7 @@
         self,
         seed: int,
         sidecar: Make,
-        reservoir: Make,
+        control_node: Make,
         shape: Shape = SMALL,
         lead: float = 5.0,
         until: float = 40.0,
@@ -175,7 +175,7 @@
         """`per_s`: the field's requests a second, of what `ROUTES` have."""
         self.world = World(seed)
         self.network = Network(self.world)
-        self.sidecar, self.reservoir, self.lead, self.until = sidecar, reservoir, lead, until
+        self.sidecar, self.control_node, self.lead, self.until = sidecar, control_node, lead, until
         self.book = Book(self.world, {**BOUNDS, **NUMBERS, **WINDOW})
         self.seeds = [f"10.{n % 3 + 1}.0.{9 - n // 3}" for n in range(shape.cores)]
         self.cores = [self._core(ip, ZONES[n % 3]) for n, ip in enumerate(self.seeds)]
@@ -202,9 +202,9 @@
 
     def _core(self, ip: str, zone: str) -> Process:
         def make(host: Process) -> object:
-            return self.reservoir(host, settings(ip, zone, self.seeds, self.initial))
+            return self.control_node(host, settings(ip, zone, self.seeds, self.initial))
 
-        return Process(Machine(self.network, ip, zone, Disk(spread=1.5)), f"reservoir-{ip}", make)
+        return Process(Machine(self.network, ip, zone, Disk(spread=1.5)), f"control node-{ip}", make)
 
     def core_instead(self, old: Process) -> Process:
         """Another core machine of the same zone, not started yet; `listed` has the operator know of it."""
--- a/honeywharf/simulation/run.py
+++ b/honeywharf/simulation/run.py
@@ -55,21 +55,21 @@
     return sidecar
 
 
-def real_reservoir(host: Process, settings: str) -> object:
+def real_control_node(host: Process, settings: str) -> object:
     """The control plane's program."""
     from honeywharf.mesh_config.settings import parse
-    from honeywharf.programs.reservoir import Reservoir
+    from honeywharf.programs.control import ControlNode
 
-    reservoir = Reservoir(host, parse(settings))
-    host.on_signal(TERM, reservoir.stop)
-    return reservoir
+    control_node = ControlNode(host, parse(settings))
+    host.on_signal(TERM, control_node.stop)
+    return control_node
 
 
 def run(
     seed: int,
     faults: list[Fault] | None = None,
     sidecar: Make = real_sidecar,
-    reservoir: Make = real_reservoir,
+    control_node: Make = real_control_node,
     shape: Shape = SMALL,
     after: float = AFTER,
 ) -> Report:
@@ -79,7 +79,7 @@
     """
     begin = LEAD + QUIET
     until = begin + TROUBLES + after
-    field = Field(seed, sidecar, reservoir, shape, LEAD, until)
+    field = Field(seed, sidecar, control_node, shape, LEAD, until)
     faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
     Day(field, faults)
     field.world.strict = True
@@ -92,13 +92,13 @@
 
 
 def shrink(
-    report: Report, sidecar: Make = real_sidecar, reservoir: Make = real_reservoir, shape: Shape = SMALL
+    report: Report, sidecar: Make = real_sidecar, control_node: Make = real_control_node, shape: Shape = SMALL
 ) -> Report:
     """Leave out one fault after the other while the same rule is still broken."""
     least, tried = report, 0
     while tried < len(least.faults):
         fewer = least.faults[:tried] + least.faults[tried + 1 :]
-        again = run(report.seed, fewer, sidecar, reservoir, shape)
+        again = run(report.seed, fewer, sidecar, control_node, shape)
         if again.broken and again.broken[0][0] == report.broken[0][0]:
             least = again
         else:
--- a/honeywharf/simulation/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -19,7 +19,7 @@
 from honeywharf.sidecar.inbound import Job
 from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
 from honeywharf.simulation.rules import Ask, Order
-from honeywharf.simulation.run import real_reservoir, real_sidecar
+from honeywharf.simulation.run import real_control_node, real_sidecar
 
 LEAD = 4.0
 FIRST = 9.0  # seconds, when the first slip comes
@@ -266,7 +266,7 @@
         return lambda: None
 
     def disk(self, sidecar: Any, chance: random.Random) -> Undo:
-        """A reservoir's disk gives back an older word."""
+        """A control node's disk gives back an older word."""
         field = self.trial.field
         core = self.trial.core = chance.choice(field.cores)
         disk = cast(Any, core.machine.disk)
@@ -323,7 +323,7 @@
     def __init__(self, seed: int, kind: str, many: int, ways: tuple[str, ...] = WAYS) -> None:
         self.chance, self.kind, self.many, self.ways = random.Random(seed), kind, many, ways
         self.gap = LONG.get(kind, UNDONE) + 0.4
-        self.field = Field(seed, self._sidecar, real_reservoir, SMALL, LEAD, FIRST + many * self.gap + 2.0)
+        self.field = Field(seed, self._sidecar, real_control_node, SMALL, LEAD, FIRST + many * self.gap + 2.0)
         self.world, self.book = self.field.world, self.field.book
         self.slips: list[Slip] = []
         self.victim: Side = self.field.sides[0]
@@ -334,7 +334,7 @@
         self.wrong: list[str] = []  # mutating requests that ran by another rule than told
         self.alarms: list[tuple[float, str, str]] = []
         self.older = b""
-        self.core: Any = None  # the reservoir whose disk went back
+        self.core: Any = None  # the control node whose disk went back
         self.moves: dict[str, dict[str, int]] = {"/orders/": {"order-desk": 3, "survey-intake": 1}}
         self.world.at(2.0, self.order, random.Random(seed))
         self.world.at(6.5, self.order, random.Random(seed + 1))
--- a/honeywharf/simulation/standins.py
+++ b/honeywharf/simulation/standins.py
@@ -553,7 +553,7 @@
 
 
 class Operator:
-    """Sends orders to one reservoir after another until an answer is clear; reads back at the end."""
+    """Sends orders to one control node after another until an answer is clear; reads back at the end."""
 
     def __init__(self, host: Process, book: Book, targets: Callable[[], list[Address]]) -> None:
         self.host, self.book, self.targets = host, book, targets
--- a/honeywharf/standins/driftdemo.py
+++ b/honeywharf/standins/driftdemo.py
@@ -2,7 +2,7 @@
 
 Theory of operation. The mesh is that of `meshdemo`; its sidecars run this module, which is the program of a
 sidecar that takes SIGUSR1 as "put in the slip that is named in the file beside the settings". Whether it was
-caught is asked of a reservoir (`GET /api/drift`), as an operator would.
+caught is asked of a control node (`GET /api/drift`), as an operator would.
 """
 
 from __future__ import annotations
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -200,7 +200,7 @@
         self.heard = Heard(self.book)
         self.book.rules.append(self.heard)
         self.seeds = [self.address(10 + n) for n in range(CORES)]
-        self.cores = [self.program("reservoir", ip, ZONES[n % len(ZONES)]) for n, ip in enumerate(self.seeds)]
+        self.cores = [self.program("control", ip, ZONES[n % len(ZONES)]) for n, ip in enumerate(self.seeds)]
         self.sides = [Side(self, n, (TILES, ORDERS, ORDERS, TILES, TILES)[n]) for n in range(SIDES)]
         self.operator = Operator(
             cast(Any, Quay(self.world, self.address(5), "outside")),
@@ -218,7 +218,7 @@
 
     @property
     def programs(self) -> list[Program]:
-        """Reservoirs, then sidecars."""
+        """Control nodes, then sidecars."""
         return [*self.cores, *(side.proxy for side in self.sides)]
 
     def program(self, name: str, ip: str, zone: str, service: str = "") -> Program:
@@ -428,7 +428,7 @@
         mesh = self.mesh
         mesh.operator.read_back()
         mesh.wait(END_S, lambda: mesh.heard.text is not None)
-        for name in ("sidecar", "reservoir"):
+        for name in ("sidecar", "control"):
             group = [program for program in mesh.programs if program.name == name]
             self.memory[name] = max(program.peak_mb() for program in group)
             for program in group:
@@ -517,7 +517,7 @@
         mesh = Mesh(Path(name), subnet, shift, seed)
         day = Day(mesh, seconds, rate, say)
         say(
-            f"{len(ZONES)} zones, {CORES} reservoirs, {SIDES} sidecars with a backend each at {subnet}.x, "
+            f"{len(ZONES)} zones, {CORES} control nodes, {SIDES} sidecars with a backend each at {subnet}.x, "
             f"{rate:g} requests/s for {seconds:g} s, seed {seed}"
         )
         try:
--- a/tests/compiled.sh
+++ b/tests/compiled.sh
@@ -22,6 +22,6 @@
     assert module.__file__.endswith(".so"), f"{module.__name__} is not compiled"
 EOF
 # Of the mesh only what passes through its compiled readers: the rest runs as it does from the sources.
-alike=$(printf ' --ignore=tests/%s' drift monitor simulation failure_detector sessions reservoir gossip mesh_config admission)
+alike=$(printf ' --ignore=tests/%s' drift monitor simulation failure_detector sessions control node gossip mesh_config admission)
 # shellcheck disable=SC2086
 HONEYWHARF_PURE_TREE=$pure python -m pytest -m "not pure and not model" $alike "$@"
--- a/tests/reservoir/explore.py
+++ b/tests/control/explore.py
@@ -15,8 +15,8 @@
 from random import Random
 from typing import Any
 
-from honeywharf.reservoir.register import Acceptor, Asking, Quorums, Round, State, Survey
-from honeywharf.reservoir.word import Change, Key, Roster, Value
+from honeywharf.control.mesh_state import Change, Key, Roster, Value
+from honeywharf.control.register import Acceptor, Asking, Quorums, Round, State, Survey
 
 
 class Half(Random):
--- a/tests/reservoir/test_bounds.py
+++ b/tests/control/test_bounds.py
@@ -4,29 +4,29 @@
 
 from typing import Any
 
-from honeywharf.reservoir import basin as module, word
-from tests.reservoir.town import Town
+from honeywharf.control import mesh_state, replica as module
+from tests.control.town import Town
 
 
 def test_changes_reads_and_fetches_that_wait_are_bounded() -> None:
     town = Town(31)
     town.run(1.0)
-    basin = town.programs["10.0.0.1"].basin
+    replica = town.programs["10.0.0.1"].replica
     town.split(["10.0.0.1"], ["10.0.0.2", "10.0.0.3"])
     results: list[str] = []
     values: list[Any] = []
     bodies: list[bytes | None] = []
     for number in range(module.MOST_WAITING + 3):
-        basin.submit(
-            word.replace(number, "x"),
+        replica.submit(
+            mesh_state.replace(number, "x"),
             0.5,
             lambda result, answer: results.append(result),
             (f"digest{number}", b"text"),
         )
     for _ in range(module.MOST_READERS + 3):
-        basin.read(0.5, values.append)
+        replica.read(0.5, values.append)
     for number in range(module.MOST_FETCHES + 3):
-        basin.body(f"missing{number}", bodies.append)
+        replica.body(f"missing{number}", bodies.append)
     assert results == []
     assert bodies == [None] * 3
     town.run(0.01)
@@ -37,18 +37,18 @@
     assert values == [None] * (module.MOST_READERS + 3)
     town.run(8.0)
     assert bodies == [None] * (module.MOST_FETCHES + 3)
-    assert basin.bodies == {}
-    assert basin.fetches == {}
+    assert replica.bodies == {}
+    assert replica.fetches == {}
 
 
 def test_who_was_heard_is_bounded() -> None:
     town = Town(32)
     town.run(1.0)
-    basin = town.programs["10.0.0.1"].basin
+    replica = town.programs["10.0.0.1"].replica
     for number in range(module.MOST_HEARD + 20):
-        basin._hear((f"10.1.0.{number}:1", "x"))
-    assert len(basin.heard) == module.MOST_HEARD
-    assert basin.silent(module.SILENT) == []
+        replica._hear((f"10.1.0.{number}:1", "x"))
+    assert len(replica.heard) == module.MOST_HEARD
+    assert replica.silent(module.SILENT) == []
 
 
 def test_one_that_was_frozen_blames_nobody() -> None:
@@ -56,11 +56,11 @@
     town.run(3.0)
     town.world.machines["10.0.0.4"].frozen = True
     town.run(3.0)
-    assert [key[0] for key in town.programs["10.0.0.1"].basin.silent(module.SILENT)] == ["10.0.0.4:7620"]
+    assert [key[0] for key in town.programs["10.0.0.1"].replica.silent(module.SILENT)] == ["10.0.0.4:7620"]
     town.world.machines["10.0.0.4"].thaw()
     town.run(0.001)
     town.run(0.2)
-    assert town.programs["10.0.0.4"].basin.silent(module.SILENT) == []
+    assert town.programs["10.0.0.4"].replica.silent(module.SILENT) == []
     town.run(2.0)
-    assert town.programs["10.0.0.1"].basin.silent(module.SILENT) == []
-    assert len(town.programs["10.0.0.1"].basin.state.roster) == 5
+    assert town.programs["10.0.0.1"].replica.silent(module.SILENT) == []
+    assert len(town.programs["10.0.0.1"].replica.state.roster) == 5
--- a/tests/reservoir/test_program.py
+++ b/tests/control/test_program.py
@@ -1,14 +1,14 @@
-"""Whole reservoirs: the operator's calls, machines that go, come back empty or are replaced, the end."""
+"""Whole control nodes: the operator's calls, machines that go, come back empty or are replaced, the end."""
 
 from __future__ import annotations
 
 import pytest
 
-from tests.reservoir.town import Town
+from tests.control.town import Town
 
 
 def roster(town: Town, ip: str) -> list[str]:
-    return [one[0].rpartition(":")[0] for one in town.programs[ip].basin.state.roster]
+    return [one[0].rpartition(":")[0] for one in town.programs[ip].replica.state.roster]
 
 
 def test_what_one_takes_another_describes_as_it_was_sent() -> None:
@@ -80,8 +80,8 @@
     town.run(0.2)
     town.start("10.0.0.3")
     town.run(2.0)
-    assert town.programs["10.0.0.3"].basin.member()
-    assert town.programs["10.0.0.3"].basin.state.disk != "first"
+    assert town.programs["10.0.0.3"].replica.member()
+    assert town.programs["10.0.0.3"].replica.state.disk != "first"
     town.world.machines["10.0.0.1"].off(power=True)
     del town.world.machines["10.0.0.1"]
     town.add("10.0.0.9")
@@ -146,7 +146,7 @@
     assert call.status == 200
     town.world.cuts.clear()
     town.run(4.0)
-    value = town.programs["10.0.0.3"].basin.state.value
+    value = town.programs["10.0.0.3"].replica.state.value
     assert value is not None
     assert value["version"] == 4
-    assert town.programs["10.0.0.3"].basin.store.has(value["digest"])
+    assert town.programs["10.0.0.3"].replica.store.has(value["digest"])
--- a/tests/reservoir/test_register.py
+++ b/tests/control/test_register.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from honeywharf.reservoir import word
-from honeywharf.reservoir.register import Acceptor, Quorums, Round, Sends, State
-from honeywharf.reservoir.word import Key, initial, keys
-from tests.reservoir.explore import (
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Key, initial, keys
+from honeywharf.control.register import Acceptor, Quorums, Round, Sends, State
+from tests.control.explore import (
     Actor,
     BrokenError,
     Node,
@@ -41,8 +41,8 @@
 
 def two(made: type[Round] = Round, tries: int = 1) -> Node:
     return node(
-        proposer("p", word.replace(1, "one"), 1, FIRST, made=made),
-        proposer("q", word.replace(1, "other"), 1, FIRST, made=made, counter=tries),
+        proposer("p", mesh_state.replace(1, "one"), 1, FIRST, made=made),
+        proposer("q", mesh_state.replace(1, "other"), 1, FIRST, made=made, counter=tries),
     )
 
 
@@ -67,9 +67,9 @@
 def swaps(made: type[Round] = Round) -> Node:
     """Two put machines in silent members' places, and a third changes the word under the roster it knew."""
     start = node(
-        proposer("p", word.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST, made=made),
-        proposer("q", word.admit(["e", "disk-e", "", False], [("a", "first")]), 1, FIRST, made=made),
-        proposer("s", word.replace(1, "one"), 1, FIRST, made=made),
+        proposer("p", mesh_state.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST, made=made),
+        proposer("q", mesh_state.admit(["e", "disk-e", "", False], [("a", "first")]), 1, FIRST, made=made),
+        proposer("s", mesh_state.replace(1, "one"), 1, FIRST, made=made),
         reader(1, FIRST),
         more=("d", "e"),
     )
@@ -84,7 +84,7 @@
 
 def stale(made: type[Round] = Round) -> Node:
     """The roster went from a, b, c to a, b, d; one proposer knows, another does not."""
-    swap = proposer("r", word.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST)
+    swap = proposer("r", mesh_state.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST)
     world = World()
     start = settled(world, node(swap, more=("d",)), 0, {"a", "b", "d"})
     asking = start.actors[0].asking
@@ -92,8 +92,8 @@
     for where in "ab":  # they have not been told that it was decided
         assert start.votes[where].state.epoch == 1
     start.actors = (
-        proposer("p", word.replace(1, "one"), 2, asking.roster, 2, made),
-        proposer("q", word.replace(1, "other"), 1, FIRST, 5, made),
+        proposer("p", mesh_state.replace(1, "one"), 2, asking.roster, 2, made),
+        proposer("q", mesh_state.replace(1, "other"), 1, FIRST, 5, made),
     )
     return start
 
@@ -116,8 +116,8 @@
 
 def settled_by_two() -> Node:
     """A word that a and b hold; another proposer and a reader come."""
-    start = settled(World(), node(proposer("r", word.replace(3, "three"), 1, FIRST)), 0, {"a", "b"})
-    start.actors = (reader(1, FIRST), proposer("q", word.replace(2, "two"), 1, FIRST, 3))
+    start = settled(World(), node(proposer("r", mesh_state.replace(3, "three"), 1, FIRST)), 0, {"a", "b"})
+    start.actors = (reader(1, FIRST), proposer("q", mesh_state.replace(2, "two"), 1, FIRST, 3))
     return start
 
 
@@ -139,7 +139,7 @@
 
 def acknowledged(world: World) -> Node:
     """What one proposer was acknowledged by a and b; then a reader comes."""
-    start = settled(world, node(proposer("p", word.replace(1, "one"), 1, FIRST)), 0, {"a", "b"})
+    start = settled(world, node(proposer("p", mesh_state.replace(1, "one"), 1, FIRST)), 0, {"a", "b"})
     start.actors = (*start.actors, reader(1, FIRST))
     return start
 
@@ -203,7 +203,9 @@
 class Forgetful(Acceptor):
     """A mutation: accepts whatever it has promised since."""
 
-    def _accept(self, state: State, asked: object, value: word.Value) -> tuple[State, dict[str, object]]:
+    def _accept(
+        self, state: State, asked: object, value: mesh_state.Value
+    ) -> tuple[State, dict[str, object]]:
         return super()._accept(state.but(promised=(0, "", 0)), asked, value)  # type: ignore[arg-type]
 
 
@@ -231,31 +233,35 @@
 def test_swap_rules() -> None:
     value = initial(FIRST)
     joiner = ["d", "x", "z", False]
-    appended, _ = word.admit(joiner, [])(value)
+    appended, _ = mesh_state.admit(joiner, [])(value)
     assert appended is not None
     assert [key[0] for key in keys(appended["roster"])] == ["a", "b", "c", "d"]
     assert (appended["epoch"], appended["wanted"], appended["rev"]) == (2, 3, 1)
-    swapped, _ = word.admit(joiner, [("b", "first")])(value)
+    swapped, _ = mesh_state.admit(joiner, [("b", "first")])(value)
     assert swapped is not None
     assert [key[0] for key in keys(swapped["roster"])] == ["a", "d", "c"]
-    wiped, _ = word.admit(["c", "y", "z", False], [("b", "first")])(value)
+    wiped, _ = mesh_state.admit(["c", "y", "z", False], [("b", "first")])(value)
     assert wiped is not None
     assert keys(wiped["roster"])[1:] == [("b", "first"), ("c", "y")]
-    fourth, _ = word.admit(["d", "x", "z", True], [("b", "first")])(value)
+    fourth, _ = mesh_state.admit(["d", "x", "z", True], [("b", "first")])(value)
     assert fourth is not None
     assert (len(fourth["roster"]), fourth["wanted"]) == (4, 4)
-    assert word.drop([("a", "first")])(value) == (None, False)
-    dropped, _ = word.drop([("a", "first"), ("b", "first")])(appended)
+    assert mesh_state.drop([("a", "first")])(value) == (None, False)
+    dropped, _ = mesh_state.drop([("a", "first"), ("b", "first")])(appended)
     assert dropped is not None
     assert [key[0] for key in keys(dropped["roster"])] == ["b", "c", "d"]
-    full = {**value, "roster": members([(str(n), "x") for n in range(word.MOST_MEMBERS)])}
-    assert word.admit(joiner, [])(full) == (None, False)
-    zones = {**value, "evac": dict.fromkeys(map(str, range(word.MOST_ZONES)), False)}
-    assert word.evacuate("new", True)(zones) == (None, False)
+    full = {**value, "roster": members([(str(n), "x") for n in range(mesh_state.MOST_MEMBERS)])}
+    assert mesh_state.admit(joiner, [])(full) == (None, False)
+    zones = {**value, "evac": dict.fromkeys(map(str, range(mesh_state.MOST_ZONES)), False)}
+    assert mesh_state.evacuate("new", True)(zones) == (None, False)
 
 
 def test_every_change_is_nothing_the_second_time() -> None:
-    for change in (word.replace(3, "x"), word.evacuate("z", True), word.admit(["d", "x", "z", False], [])):
+    for change in (
+        mesh_state.replace(3, "x"),
+        mesh_state.evacuate("z", True),
+        mesh_state.admit(["d", "x", "z", False], []),
+    ):
         made, _ = change(initial(FIRST))
         assert made is not None
         assert change(made)[0] is None
--- a/tests/reservoir/test_runs.py
+++ b/tests/control/test_runs.py
@@ -1,4 +1,4 @@
-"""Seeded runs of whole reservoirs under trouble: nothing acknowledged is lost; calm brings answers."""
+"""Seeded runs of whole control nodes under trouble: nothing acknowledged is lost; calm brings answers."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import pytest
 
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.register import Message
-from honeywharf.reservoir.word import Key, keys
-from tests.reservoir.town import Call, Town
+from honeywharf.control.mesh_state import Key, keys
+from honeywharf.control.register import Message
+from honeywharf.control.replica import Replica
+from tests.control.town import Call, Town
 
 RUNS = int(os.environ.get("RUNS", "12"))
 CATCH_UP = 4.0  # s after which a machine that was lost no longer counts as such
@@ -56,7 +56,7 @@
         """No two machines know different rosters as decided under one epoch."""
         for ip, machine in self.town.world.machines.items():
             if machine.on and ip in self.town.programs:
-                state = self.town.programs[ip].basin.state
+                state = self.town.programs[ip].replica.state
                 known = self.rosters.setdefault(state.epoch, keys(state.roster)) if state.epoch else []
                 assert not state.epoch or known == keys(state.roster)
 
@@ -199,8 +199,8 @@
     assert all(story.acks > 20 and story.reads > 20 for story in stories)
 
 
-def test_found_an_answer_before_the_sync_in_whole_reservoirs(monkeypatch: pytest.MonkeyPatch) -> None:
-    def vote(self: Basin, message: Message, body: bytes | None) -> Message | None:
+def test_found_an_answer_before_the_sync_in_whole_control_nodes(monkeypatch: pytest.MonkeyPatch) -> None:
+    def vote(self: Replica, message: Message, body: bytes | None) -> Message | None:
         state, answer = self.acceptor.answer(message)
         self.acceptor.state = state  # and only then, some other time, the disk
         self.host.after(0.05, lambda: self.store.save(self.acceptor.state))
@@ -208,7 +208,7 @@
             self.store.keep(message["value"]["digest"], body)
         return answer
 
-    monkeypatch.setattr(Basin, "vote", vote)
+    monkeypatch.setattr(Replica, "vote", vote)
     with pytest.raises(AssertionError, match="told after"):
         for_all(3)
 
--- a/tests/reservoir/test_store.py
+++ b/tests/control/test_store.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from honeywharf.reservoir.register import State
-from honeywharf.reservoir.store import BESIDE, KEPT, REGISTER, Store
-from tests.reservoir.town import Town
-from tests.reservoir.world import Machine, PowerLostError, World
+from honeywharf.control.register import State
+from honeywharf.control.store import BESIDE, KEPT, REGISTER, Store
+from tests.control.town import Town
+from tests.control.world import Machine, PowerLostError, World
 
 
 def machine() -> Machine:
@@ -84,14 +84,14 @@
         raise OSError("no space")
 
     host.write = broken  # type: ignore[method-assign]
-    promised = town.programs["10.0.0.2"].basin.state.promised
+    promised = town.programs["10.0.0.2"].replica.state.promised
     first = town.replace("10.0.0.1", 1, "one")
     town.run(0.5)
     assert first.status == 200
-    assert town.programs["10.0.0.2"].basin.state.promised == promised
+    assert town.programs["10.0.0.2"].replica.state.promised == promised
     host.write = write  # type: ignore[method-assign]
     town.run(3.0)
-    value = town.programs["10.0.0.2"].basin.state.value
+    value = town.programs["10.0.0.2"].replica.state.value
     assert value is not None
     assert value["version"] == 1
 
--- a/tests/reservoir/test_store_mending.py
+++ b/tests/control/test_store_mending.py
@@ -8,12 +8,12 @@
 import pytest
 
 from honeywharf.cli import store as command
-from honeywharf.reservoir import mending
-from honeywharf.reservoir.store import BAD, BESIDE, FORMAT, REGISTER, FormatError, Store, seal, unseal
+from honeywharf.control import repair
+from honeywharf.control.store import BAD, BESIDE, FORMAT, REGISTER, FormatError, Store, seal, unseal
 from honeywharf.transport.loop import Loop
-from tests.reservoir.test_store import machine, state
-from tests.reservoir.town import Town
-from tests.reservoir.world import Machine
+from tests.control.test_store import machine, state
+from tests.control.town import Town
+from tests.control.world import Machine
 
 TEXT = b"r5 the routes"
 
@@ -51,7 +51,7 @@
         Store(host).load()
     if name == REGISTER:
         with pytest.raises(FormatError):
-            mending.repair(host)
+            repair.repair(host)
     town.start("10.0.0.2")
     town.run(2.0)
     assert host.disk.files == before
@@ -70,7 +70,7 @@
 
 def test_check_tells_what_is_there_and_each_fault() -> None:
     _, host = used()
-    report = mending.check(host)
+    report = repair.check(host)
     assert report.faults == []
     lines = "\n".join(report.lines)
     assert "configuration r5" in lines
@@ -78,12 +78,12 @@
     assert "roster 1: 10.0.0.1:7620/" in lines
     (text,) = [name for name in host.disk.files if name.startswith("config-")]
     spoil(host, text)
-    assert mending.check(host).faults == [f"{text}: damaged"]
+    assert repair.check(host).faults == [f"{text}: damaged"]
     del host.disk.files[text]
-    assert mending.check(host).faults == [f"{text}: missing, and the register names it"]
+    assert repair.check(host).faults == [f"{text}: missing, and the register names it"]
     spoil(host, REGISTER)
-    assert mending.check(host).faults == [f"{REGISTER}: damaged"]
-    assert mending.check(machine()).lines == [f"{REGISTER}: none: the disk has no vote"]
+    assert repair.check(host).faults == [f"{REGISTER}: damaged"]
+    assert repair.check(machine()).lines == [f"{REGISTER}: none: the disk has no vote"]
 
 
 def test_repair_sets_damage_aside_and_gives_no_vote_back() -> None:
@@ -92,14 +92,14 @@
     (text,) = [name for name in host.disk.files if name.startswith("config-")]
     spoil(host, text)
     spoil(host, REGISTER)
-    assert len(mending.repair(host)) == 2
+    assert len(repair.repair(host)) == 2
     assert sorted(name for name in host.disk.files if "drift" not in name) == [text + BAD, REGISTER + BAD]
-    assert mending.repair(host) == []
+    assert repair.repair(host) == []
     town.start("10.0.0.2", first=True)
-    basin = town.programs["10.0.0.2"].basin
-    assert basin.state.disk != "first", "a lost disk has no vote, even at the first start"
+    replica = town.programs["10.0.0.2"].replica
+    assert replica.state.disk != "first", "a lost disk has no vote, even at the first start"
     town.run(4.0)
-    assert basin.member(), "it is admitted anew"
+    assert replica.member(), "it is admitted anew"
     call = town.describe("10.0.0.2")
     town.run(1.0)
     assert call.answers[0][:2] == (200, TEXT)
@@ -110,11 +110,11 @@
     store = Store(host)
     store.save(state(1).but(value=None))
     host.disk.files[BESIDE] = seal(b"torn")[:9]
-    assert mending.repair(host) == [f"{BESIDE}: removed"]
+    assert repair.repair(host) == [f"{BESIDE}: removed"]
     store.save(state(2).but(value=None))
     host.disk.files[BESIDE] = host.disk.files[REGISTER]
     spoil(host, REGISTER)
-    assert len(mending.repair(host)) == 2
+    assert len(repair.repair(host)) == 2
     again = Store(host).load()
     assert again is not None
     assert again.promised[0] == 2
@@ -122,25 +122,25 @@
 
 def test_a_backup_is_whole_or_nothing() -> None:
     _, host = used()
-    packed = mending.backup(host)
-    assert mending.opened(packed)["text"] == TEXT
+    packed = repair.backup(host)
+    assert repair.opened(packed)["text"] == TEXT
     for cut in range(0, len(packed), 7):
-        with pytest.raises(mending.BackupError):
-            mending.opened(packed[:cut])
-    with pytest.raises(mending.BackupError, match="no backup"):
-        mending.opened(seal(b"\xc1"))
-    with pytest.raises(mending.BackupError, match="no word"):
-        mending.backup(machine())
+        with pytest.raises(repair.BackupError):
+            repair.opened(packed[:cut])
+    with pytest.raises(repair.BackupError, match="no backup"):
+        repair.opened(seal(b"\xc1"))
+    with pytest.raises(repair.BackupError, match="no word"):
+        repair.backup(machine())
     (text,) = [name for name in host.disk.files if name.startswith("config-")]
     host.disk.files[text] = seal(zlib.compress(b"r5 others"))
-    with pytest.raises(mending.BackupError, match="no whole"):
-        mending.backup(host)
+    with pytest.raises(repair.BackupError, match="no whole"):
+        repair.backup(host)
 
 
 @pytest.mark.parametrize("left", [0, 1])
 def test_a_word_returns_where_no_majority_is_left(left: int) -> None:
     town, host = used()
-    packed = mending.backup(host)
+    packed = repair.backup(host)
     before = town.known("10.0.0.1")["rev"]
     members = [(f"{ip}:7620", "z") for ip in town.ips]
     for n, ip in enumerate(town.ips):
@@ -149,11 +149,11 @@
         if n >= left:
             lost.disk.files.clear()
     for ip in town.ips[left:]:
-        with pytest.raises(mending.BackupError, match="among them"):
-            mending.restore(town.world.machines[ip], packed, members, "10.0.0.9:7620")
-        mending.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
-        with pytest.raises(mending.BackupError, match="wanted an empty one"):
-            mending.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
+        with pytest.raises(repair.BackupError, match="among them"):
+            repair.restore(town.world.machines[ip], packed, members, "10.0.0.9:7620")
+        repair.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
+        with pytest.raises(repair.BackupError, match="wanted an empty one"):
+            repair.restore(town.world.machines[ip], packed, members, f"{ip}:7620")
     for ip in town.ips:
         town.start(ip)
     town.run(6.0)
@@ -162,8 +162,8 @@
         town.run(1.0)
         assert call.answers[0][:2] == (200, TEXT)
         assert town.known(ip)["evac"] == {"b": True}
-        assert town.known(ip)["rev"] > before + mending.RAISED - 1
-        assert town.programs[ip].basin.member()
+        assert town.known(ip)["rev"] > before + repair.RAISED - 1
+        assert town.programs[ip].replica.member()
     town.replace(town.ips[0], 6)
     town.run(1.0)
     assert town.known("10.0.0.3")["version"] == 6
--- a/tests/reservoir/town.py
+++ b/tests/control/town.py
@@ -1,4 +1,4 @@
-"""Whole reservoirs in the small world, and an operator that calls them past the door."""
+"""Whole control nodes in the small world, and an operator that calls them past the door."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 
 from result import Err, Ok, Result
 
+from honeywharf.control.operator import Operator
 from honeywharf.mesh_config.configuration import Configuration
 from honeywharf.mesh_config.settings import Settings
-from honeywharf.programs.reservoir import Reservoir
-from honeywharf.reservoir.operator import Operator
-from tests.reservoir.world import Machine, World
+from honeywharf.programs.control import ControlNode
+from tests.control.world import Machine, World
 
 ZONES = {"a": "r", "b": "r", "c": "r"}
 PORT, INNER = 8306, 7620
@@ -52,13 +52,13 @@
 
 
 class Town:
-    """A world with reservoirs."""
+    """A world with control nodes."""
 
     def __init__(self, seed: int, count: int = 3) -> None:
         self.world = World(seed)
         self.ips = [f"10.0.0.{n + 1}" for n in range(count)]
         self.seeds = self.ips[:3]
-        self.programs: dict[str, Reservoir] = {}
+        self.programs: dict[str, ControlNode] = {}
         for ip in self.ips:
             self.world.machine(ip)
             self.start(ip, first=True)
@@ -66,12 +66,12 @@
     def start(self, ip: str, first: bool = False) -> None:
         """Start a process."""
 
-        def make(machine: Machine) -> Reservoir:
-            return Reservoir(machine, settings(ip, self.seeds, first))
+        def make(machine: Machine) -> ControlNode:
+            return ControlNode(machine, settings(ip, self.seeds, first))
 
         made = self.world.machines[ip].start(make)
-        if isinstance(made, Reservoir):
-            made.operator = Operator(made.basin, ZONES, PORT, check)
+        if isinstance(made, ControlNode):
+            made.operator = Operator(made.replica, ZONES, PORT, check)
             self.programs[ip] = made
 
     def add(self, ip: str) -> None:
@@ -106,6 +106,6 @@
 
     def known(self, ip: str) -> dict[str, Any]:
         """The word as one knows it."""
-        known = self.programs[ip].basin.known
+        known = self.programs[ip].replica.known
         assert known is not None
         return known
--- a/tests/drift/test_gather.py
+++ b/tests/drift/test_gather.py
@@ -7,16 +7,16 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from honeywharf.control.register import Ballot, State
 from honeywharf.drift.gather import Gather
-from honeywharf.programs.reservoir import Reservoir
-from honeywharf.reservoir.register import Ballot, State
+from honeywharf.programs.control import ControlNode
+from tests.control.town import Town
 from tests.drift.test_history import Shelf
-from tests.reservoir.town import Town
 
 PEER = ("10.0.0.9", 7620)
 
 
-def older_copy(town: Town, ip: str) -> Reservoir:
+def older_copy(town: Town, ip: str) -> ControlNode:
     """Two words; then one machine's disk gives back what it held before the second."""
     machine = town.world.machines[ip]
     town.run(0.5)
@@ -31,7 +31,7 @@
     return town.programs[ip]
 
 
-def lossy(program: Reservoir, many: int) -> list[str]:
+def lossy(program: ControlNode, many: int) -> list[str]:
     """Lose the first so many questions of one machine; names of those lost."""
     lost: list[str] = []
     call = program.caller.call
@@ -54,7 +54,7 @@
     town.run(1.5)
     assert lost == [["drift.older"]] * 2
     assert back.gather.went_back == 1
-    assert back.basin.state.disk != "first"
+    assert back.replica.state.disk != "first"
     lines = [line for ip in town.ips[:2] for line in town.world.machines[ip].lines]
     assert sum("the register of 10.0.0.3" in line for line in lines) == 1, "the other came later"
 
@@ -62,18 +62,18 @@
 def test_a_disk_that_fails_at_that_moment_gives_no_vote_either() -> None:
     town = Town(3)
     town.run(0.5)
-    basin = town.programs["10.0.0.3"].basin
+    replica = town.programs["10.0.0.3"].replica
     gather = town.programs["10.0.0.3"].gather
 
     def fails(state: State) -> None:
         raise OSError("no room")
 
-    cast(Any, basin.store).save = fails
+    cast(Any, replica.store).save = fails
     answers: list[Any] = []
     gather._told_older(["first", [9, "n", 1]], answers.append, PEER)
     assert answers == [True]
-    asked = {"do": "read", "disk": "first", "decided": [basin.state.epoch, basin.state.roster]}
-    answer = basin.vote(asked, None)
+    asked = {"do": "read", "disk": "first", "decided": [replica.state.epoch, replica.state.roster]}
+    answer = replica.vote(asked, None)
     assert answer is None or answer["is"] == "other disk"
 
 
@@ -87,10 +87,10 @@
         self.accused, self.other = self._gather(), self._gather()
 
     def _gather(self) -> Gather:
-        basin = SimpleNamespace(methods={}, on_beat=None, here="10.0.0.1:7620", disown=self._disown)
+        replica = SimpleNamespace(methods={}, on_beat=None, here="10.0.0.1:7620", disown=self._disown)
         program: Any = SimpleNamespace(
             host=Shelf(),
-            basin=basin,
+            replica=replica,
             caller=SimpleNamespace(call=self._ask),
             operator=SimpleNamespace(tree=SimpleNamespace(add=lambda *path: None)),
         )
@@ -116,7 +116,7 @@
         elif luck < 0.53:  # a joiner with an empty disk takes the address over
             self.state = State(self.chance.randbytes(4).hex())
         elif self.bag:
-            cast(Any, self.accused.basin).state = self.state
+            cast(Any, self.accused.replica).state = self.state
             at = self.chance.randrange(len(self.bag))
             self.bag[at]()
             if self.chance.random() < 0.8:  # else it comes once more
--- a/tests/drift/test_history.py
+++ b/tests/drift/test_history.py
@@ -1,4 +1,4 @@
-"""What a reservoir remembers: bounded, whole or empty, and a register that goes back is noticed."""
+"""What a control node remembers: bounded, whole or empty, and a register that goes back is noticed."""
 
 from __future__ import annotations
 
@@ -113,11 +113,11 @@
     assert kept.went_back("first", (3, "n", 9), (3, "n", 1))
 
 
-def test_a_reservoir_whose_disk_gives_back_an_older_word_has_no_vote_until_admitted_anew() -> None:
+def test_a_control_node_whose_disk_gives_back_an_older_word_has_no_vote_until_admitted_anew() -> None:
     trial = Trial(3, "disk", 2).play()
     assert [slip.by for slip in trial.slips] == ["register", "register"]
     assert trial.wrong == []
     assert trial.book.found == []
-    basins = [cast(Any, core.program).basin for core in trial.field.cores]
-    assert len({tuple(map(tuple, basin.state.roster)) for basin in basins}) == 1
-    assert all(basin.member() for basin in basins)
+    replicas = [cast(Any, core.program).replica for core in trial.field.cores]
+    assert len({tuple(map(tuple, replica.state.roster)) for replica in replicas}) == 1
+    assert all(replica.member() for replica in replicas)
--- a/tests/hinted_handoff/test_hints.py
+++ b/tests/hinted_handoff/test_hints.py
@@ -5,8 +5,8 @@
 from honeywharf.hinted_handoff import hints
 from honeywharf.hinted_handoff.hints import HintStore
 from honeywharf.hinted_handoff.news import NewsHintStore
+from tests.control.town import Town
 from tests.gossip.net import Net, knows, settled
-from tests.reservoir.town import Town
 
 
 def test_the_newest_of_each_thing_is_handed_over_once() -> None:
@@ -130,7 +130,7 @@
     assert all(one.hinted_handoff is None for one in net.live())
 
 
-def test_a_reservoir_that_returns_is_handed_the_word() -> None:
+def test_a_control_node_that_returns_is_handed_the_word() -> None:
     town = Town(8)
     town.run(1.0)
     town.split(["10.0.0.3"], ["10.0.0.1", "10.0.0.2"])
--- a/tests/lease/test_duties.py
+++ b/tests/lease/test_duties.py
@@ -1,4 +1,4 @@
-"""Leases in whole reservoirs and sidecars: upkeep of the roster, and leave to stand aside."""
+"""Leases in whole control nodes and sidecars: upkeep of the roster, and leave to stand aside."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from honeywharf.drift import states
 from honeywharf.lease.grants import TERMS
 from honeywharf.simulation.slips import Trial
-from tests.reservoir.town import Town
+from tests.control.town import Town
 
 
 def test_upkeep_of_the_roster_is_done_under_a_lease_and_given_back() -> None:
@@ -19,7 +19,7 @@
     town.add("10.0.0.9")
     town.run(4.0)
     duties = [town.programs[ip].duties for ip in ("10.0.0.2", "10.0.0.3")]
-    assert town.programs["10.0.0.9"].basin.member()
+    assert town.programs["10.0.0.9"].replica.member()
     assert sum(one.done["granted"] for one in duties) >= 1
     assert [one.holds() for one in duties] == [False, False]
     assert [one.grantor.view(town.world.time) for one in duties] == [[], []]
@@ -36,7 +36,7 @@
     assert duties.done["refused"] >= 1
     assert duties.done["granted"] == 0
     assert not duties.holds()
-    assert not town.programs["10.0.0.9"].basin.member()
+    assert not town.programs["10.0.0.9"].replica.member()
     town.world.machines["10.0.0.1"].on = False
     town.start("10.0.0.1")
     town.run(2.0 + TERMS["upkeep"])
@@ -45,7 +45,7 @@
     assert taken.status == 200
 
 
-def test_an_operator_reads_duties_of_a_reservoir() -> None:
+def test_an_operator_reads_duties_of_a_control_node() -> None:
     town = Town(6)
     town.run(0.2)
     program = town.programs["10.0.0.1"]
@@ -68,12 +68,12 @@
         ["upkeep", "", 0, "a", True, 1, "first"],
     ):
         try:
-            program.basin.methods["lease.ask"](args, lambda answer: None, ("", 0))
+            program.replica.methods["lease.ask"](args, lambda answer: None, ("", 0))
         except ValueError:
             continue
         raise AssertionError(f"{args} was taken")
     told: list[Any] = []
-    program.basin.methods["lease.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
+    program.replica.methods["lease.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
     assert told == [["roster", 0]]
 
 
--- a/tests/mesh_config/test_command.py
+++ b/tests/mesh_config/test_command.py
@@ -1,4 +1,4 @@
-"""`honeywharf mesh`: what each command tells, its exit status, and how it speaks with a reservoir."""
+"""`honeywharf mesh`: what each command tells, its exit status, and how it speaks with a control node."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 @contextmanager
-def reservoir(answers: list[Answer]) -> Iterator[tuple[str, list[tuple[str, str, bytes]]]]:
+def control_node(answers: list[Answer]) -> Iterator[tuple[str, list[tuple[str, str, bytes]]]]:
     """A server that gives these answers in turn: its address, and what it was asked."""
     asked: list[tuple[str, str, bytes]] = []
 
@@ -140,7 +140,7 @@
 
 def test_replace_sends_the_file_as_it_is_and_follows_two_redirects(files: Path, capsys: Capture) -> None:
     moved = (307, b"", "http://HERE/api/configuration/replace?again")
-    with reservoir([moved, moved, (200, b"", "")]) as (at, asked):
+    with control_node([moved, moved, (200, b"", "")]) as (at, asked):
         assert mesh.main(["replace", at, str(files / "good.json")]) == 0
     assert "acknowledged: r7" in capsys.readouterr().out
     assert [(method, body) for method, _, body in asked] == [("POST", CONFIGURATION)] * 3
@@ -152,7 +152,7 @@
 
 def test_a_third_redirect_is_not_followed(files: Path) -> None:
     moved = (307, b"", "http://HERE/api/configuration/replace")
-    with reservoir([moved] * 4) as (at, asked):
+    with control_node([moved] * 4) as (at, asked):
         assert mesh.main(["replace", at, str(files / "good.json")]) == 2
     assert len(asked) == 3
 
@@ -161,13 +161,13 @@
     "location", ["", "/else", "https://10.0.0.4:8080/x", "http://host:80/x", "http://[x/y"]
 )
 def test_a_redirect_to_what_is_no_address_ends_the_call(location: str, caplog: Log) -> None:
-    with reservoir([(307, b"", location)]) as (at, _):
+    with control_node([(307, b"", location)]) as (at, _):
         assert mesh.main(["describe", at]) == 2
     assert "wanted http://address:port/path" in caplog.text
 
 
 def test_a_bad_configuration_is_not_sent(files: Path) -> None:
-    with reservoir([]) as (at, asked):
+    with control_node([]) as (at, asked):
         assert mesh.main(["replace", at, str(files / "bad.json")]) == 1
     assert asked == []
 
@@ -177,7 +177,7 @@
 
 @pytest.mark.parametrize(("status", "ends"), ENDS)
 def test_an_order_for_a_zone_ends_as_it_was_answered(status: int, ends: int, caplog: Log) -> None:
-    with reservoir([(status, b"" if status == 204 else b"why", "")] * 2) as (at, asked):
+    with control_node([(status, b"" if status == 204 else b"why", "")] * 2) as (at, asked):
         assert mesh.main(["evacuate", at, "tartu/saal"]) == ends
         assert mesh.main(["activate", at, "tartu-saal"]) == ends
     assert asked == [
@@ -197,7 +197,7 @@
         "hinted_handoff": {"missing": 1},
         "upkeep": {"granted": 1, "held": False},
     }
-    with reservoir([(200, json.dumps(told).encode(), "")]) as (at, asked):
+    with control_node([(200, json.dumps(told).encode(), "")]) as (at, asked):
         assert mesh.main(["duties", at]) == 0
     assert asked == [("GET", "/api/duties", b"")]
     assert capsys.readouterr().out.splitlines() == [
@@ -207,12 +207,12 @@
         "upkeep granted=1 held=0",
         "hinted handoff missing=1",
     ]
-    with reservoir([(404, b"", "")]) as (at, _):
+    with control_node([(404, b"", "")]) as (at, _):
         assert mesh.main(["duties", at]) == 2
 
 
 def test_describe_prints_the_bytes_as_they_came() -> None:
-    with reservoir([(200, CONFIGURATION, "")]) as (at, asked):
+    with control_node([(200, CONFIGURATION, "")]) as (at, asked):
         call = [sys.executable, "-m", "honeywharf", "mesh", "--verbose", "describe", at]
         done = subprocess.run(call, capture_output=True, check=False)
     assert (done.returncode, done.stdout) == (0, CONFIGURATION)
@@ -221,7 +221,7 @@
 
 
 def test_a_wrong_call_a_missing_file_and_a_silent_address_end_with_two(files: Path, caplog: Log) -> None:
-    with reservoir([]) as (gone, _):
+    with control_node([]) as (gone, _):
         pass
     for call in (
         [],
--- a/tests/mesh_config/test_configuration.py
+++ b/tests/mesh_config/test_configuration.py
@@ -254,7 +254,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_junk_in_any_place_is_refused_or_else_a_table_can_be_built(seed: int) -> None:
-    """What a reservoir takes, every sidecar can read: no text passes the one and breaks the other."""
+    """What a control node takes, every sidecar can read: no text passes the one and breaks the other."""
     random, taken, refused = Random(seed), 0, 0
     for _ in range(1500):
         whole = example()
--- a/tests/sessions/test_sluices.py
+++ b/tests/sessions/test_sluices.py
@@ -14,7 +14,7 @@
 from honeywharf.simulation import days, field
 from honeywharf.simulation.field import SMALL, TERM, Field
 from honeywharf.simulation.machine import Machine, Process
-from honeywharf.simulation.run import real_reservoir
+from honeywharf.simulation.run import real_control_node
 
 ZONES = {"tartu-saal": "a", "voru-saal": "b", "polva-saal": "b"}
 GATE = 7700
@@ -50,7 +50,7 @@
 
 def day(seed: int, plan: Plan, faults: list[days.Fault]) -> Field:
     """A day of the mesh; `plan`: when, "drain", "back", "term" or "kill", and which gateway."""
-    made = Field(seed, joined, real_reservoir, SMALL, 5.0, UNTIL)
+    made = Field(seed, joined, real_control_node, SMALL, 5.0, UNTIL)
     keepers = [
         Process(Machine(made.network, place.address[0], place.zone), f"keeper-{n}", keeper(place))
         for n, place in enumerate(PLACES)
--- a/tests/sidecar/test_leaving.py
+++ b/tests/sidecar/test_leaving.py
@@ -6,11 +6,11 @@
 from honeywharf.sidecar.gate import DRAINING, READY
 from honeywharf.simulation.days import Day
 from honeywharf.simulation.field import TERM, Field
-from honeywharf.simulation.run import real_reservoir, real_sidecar
+from honeywharf.simulation.run import real_control_node, real_sidecar
 
 
 def test_the_gate_of_one_that_leaves_takes_requests_until_shortly_before_its_end() -> None:
-    field = Field(31, real_sidecar, real_reservoir, until=16.0)
+    field = Field(31, real_sidecar, real_control_node, until=16.0)
     world, side = field.world, field.sides[0]
     Day(field, [])
     world.run(9.0)
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -13,13 +13,13 @@
 
 from honeywharf.admission.admission import Admission
 from honeywharf.admission.cold import ColdBound
+from honeywharf.control import mesh_state
+from honeywharf.control.operator import Operator
+from honeywharf.control.register import NONE, Acceptor, Asking, Quorums, Round
+from honeywharf.control.replica import Replica
+from honeywharf.control.store import Store
 from honeywharf.gossip.table import News
 from honeywharf.programs.sidecar import Sidecar
-from honeywharf.reservoir import word
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.operator import Operator
-from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
-from honeywharf.reservoir.store import Store
 from honeywharf.sidecar.backend import Tap
 from honeywharf.sidecar.course import Course
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
@@ -90,12 +90,12 @@
 
 
 def ack_before_sync(put: Put) -> None:
-    def keep(self: Basin, state: Any) -> None:
+    def keep(self: Replica, state: Any) -> None:
         if state is not self.state:
             self.acceptor.state = state
             self.host.after(0.05, lambda: self.store.save(state))
 
-    put(Basin, "_keep", keep)
+    put(Replica, "_keep", keep)
 
 
 def text_before_sync(put: Put) -> None:
@@ -132,7 +132,7 @@
                 asking._settled()
         return []
 
-    put(Basin, "_lost", staticmethod(lost))
+    put(Replica, "_lost", staticmethod(lost))
 
 
 def one_vote_is_enough(put: Put) -> None:
@@ -184,16 +184,16 @@
 
 def version_by_arrival(put: Put) -> None:
     def replace(version: int, digest: str) -> Any:
-        return lambda value: (word.changed(value, version=version, digest=digest), True)
+        return lambda value: (mesh_state.changed(value, version=version, digest=digest), True)
 
-    put(word, "replace", replace)
+    put(mesh_state, "replace", replace)
 
     def taken(self: Operator, call: Any) -> None:
-        known, self.basin.known = self.basin.known, None
+        known, self.replica.known = self.replica.known, None
         try:
             was(self, call)
         finally:
-            self.basin.known = known
+            self.replica.known = known
 
     was = Operator._replace
     put(Operator, "_replace", taken)
@@ -231,8 +231,8 @@
 
         return change
 
-    was = word.replace
-    put(word, "replace", replace)
+    was = mesh_state.replace
+    put(mesh_state, "replace", replace)
 
 
 def word_from_the_first(put: Put) -> None:
--- a/tests/simulation/test_field.py
+++ b/tests/simulation/test_field.py
@@ -6,13 +6,13 @@
 
 from honeywharf.simulation.days import Day, Fault
 from honeywharf.simulation.field import SERVICES, ZONES, Field, Shape
-from honeywharf.simulation.run import real_reservoir, real_sidecar
+from honeywharf.simulation.run import real_control_node, real_sidecar
 from tests.simulation.toymesh import toys
 
 
 def test_the_machines_of_a_shape_stand_where_they_are_told() -> None:
     shape = Shape.told("400,90,7/5")
-    field = Field(1, real_sidecar, real_reservoir, shape)
+    field = Field(1, real_sidecar, real_control_node, shape)
     assert str(shape) == "400,90,7/5"
     assert Counter(side.machine.zone for side in field.sides) == dict(zip(ZONES, (400, 90, 7), strict=True))
     assert Counter(core.machine.zone for core in field.cores) == dict(zip(ZONES, (2, 2, 1), strict=True))
@@ -21,7 +21,7 @@
 
 
 def test_an_uneven_field_with_five_core_machines_serves() -> None:
-    field = Field(4, real_sidecar, real_reservoir, Shape((3, 1, 2), 5), 3.0, 6.0)
+    field = Field(4, real_sidecar, real_control_node, Shape((3, 1, 2), 5), 3.0, 6.0)
     Day(field, [])
     field.world.run(8.0)
     asks = field.book.asks.values()
--- a/tests/simulation/toymesh.py
+++ b/tests/simulation/toymesh.py
@@ -250,7 +250,7 @@
         )
 
 
-class ToyReservoir:
+class ToyControlNode:
     """The operator's door, by the truth."""
 
     def __init__(self, host: Process, settings: str, truth: Truth) -> None:
@@ -279,5 +279,5 @@
 
     return (
         lambda host, text: ToySidecar(host, text, truth(host)),
-        lambda host, text: ToyReservoir(host, text, truth(host)),
+        lambda host, text: ToyControlNode(host, text, truth(host)),
     )
--- a/tests/test_builds.py
+++ b/tests/test_builds.py
@@ -100,7 +100,7 @@
     used = {name.partition(".")[0] for path in seen for name in names(path)}
     assert used - known == set()
     assert {"lark", "httptools"} <= used
-    assert not [path for path in seen if path.parent.name in ("sidecar", "reservoir", "programs")]
+    assert not [path for path in seen if path.parent.name in ("sidecar", "control", "programs")]
 
 
 def test_without_a_compiler_the_build_says_so_and_leaves_the_code_as_it_is(tmp_path: Path) -> None:
--- a/tests/test_mesh_demo.py
+++ b/tests/test_mesh_demo.py
@@ -79,7 +79,7 @@
     elif place == 4:
         day.ends = [0, None]
     else:
-        day.mesh.cores[0].log.write_text("reservoir: up\nfault 1: Traceback\n")
+        day.mesh.cores[0].log.write_text("control node: up\nfault 1: Traceback\n")
     assert told(day) == [int(each == place) for each in range(6)]
     assert day.judge() == 1
 
--- a/tests/transport/test_calls.py
+++ b/tests/transport/test_calls.py
@@ -8,7 +8,7 @@
 from honeywharf.transport.frames import FrameReader, encode
 from honeywharf.transport.host import Address, Connection, Handler
 from honeywharf.transport.rpc import Answerer, Caller
-from tests.reservoir.world import Machine, World
+from tests.control.world import Machine, World
 
 AT = ("10.0.0.2", 7000)
 
