--- a/bench/cistern.py
+++ b/bench/hinted_handoff.py
@@ -1,9 +1,10 @@
-"""A node returns after a freeze, a cut or a restart: how soon it knows all, with the cistern and without.
+"""A node returns after a freeze, a cut or a restart: how soon it knows all, with the hinted handoff and
+without.
 
-    python -m bench.cistern [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
+    python -m bench.hinted_handoff [--nodes 13,100,300] [--seeds 10] [--away 6] [--changes 8] [--loss 0.02]
         [--hows freeze,cut,restart]
 
-In virtual time, with the real classes on the simulated network of three zones of tests/runnel/net.py. While
+In virtual time, with the real classes on the simulated network of three zones of tests/gossip/net.py. While
 one node is away, `changes` others change what they say, one of them settles a word, and one ends. Printed:
 seconds from the return until the node holds the newest entry of every live node (median, most), until it has
 heard of the word, until all hold it alive; bytes that all nodes sent in the first 2 s after the return, above
@@ -17,8 +18,8 @@
 import sys
 from collections.abc import Callable
 
-from honeywharf.runnel.society import Society
-from tests.runnel.net import Net, knows, sample
+from honeywharf.gossip.membership import Membership
+from tests.gossip.net import Net, knows, sample
 
 HOWS = ("freeze", "cut", "restart")
 
@@ -34,19 +35,26 @@
     parser.add_argument("--hows", default=",".join(HOWS))
     args = parser.parse_args()
     late = 0
-    print("nodes  how      cistern   all known, s    word, s         held alive, s   bytes more  handed")
+    print(
+        "nodes  how      hinted handoff   all known, s    word, s         held alive, s   bytes more  handed"
+    )
     for nodes in [int(text) for text in args.nodes.split(",")]:
         for how in args.hows.split(","):
             for keeps in (False, True):
                 seeds = range(1, args.seeds + 1)
                 runs = [measure(nodes, seed, how, keeps, args) for seed in seeds]
                 late += sum(one["known"] >= 20.0 for one in runs)
-                spans = "  ".join(f"{statistics.median(one[name] for one in runs):6.3f}/"
-                                  f"{max(one[name] for one in runs):6.3f} "
-                                  for name in ("known", "word", "alive"))
+                spans = "  ".join(
+                    f"{statistics.median(one[name] for one in runs):6.3f}/"
+                    f"{max(one[name] for one in runs):6.3f} "
+                    for name in ("known", "word", "alive")
+                )
                 more, handed = (statistics.mean(one[name] for one in runs) for name in ("bytes", "handed"))
-                print(f"{nodes:5}  {how:8} {'with' if keeps else 'without':8} {spans} {more:10.0f} "
-                      f"{handed:7.1f}", flush=True)
+                print(
+                    f"{nodes:5}  {how:8} {'with' if keeps else 'without':8} {spans} {more:10.0f} "
+                    f"{handed:7.1f}",
+                    flush=True,
+                )
     return 1 if late else 0
 
 
@@ -56,8 +64,8 @@
     net.start_all(0.5)
     net.run(0.6)
     net.run(30.0, net.all_know)
-    for society in net.live():
-        society.keeps = keeps
+    for membership in net.live():
+        membership.keeps = keeps
     net.run(3.0)
     gone = net.names[nodes // 2]
     others = [name for name in net.names if name != gone]
@@ -75,9 +83,9 @@
     net.societies[gone].on_word = lambda revision, _: heard.append(net.now)
 
     def look() -> bool:
-        society = net.societies[gone]
+        membership = net.societies[gone]
         truth = {one.news.me: one.news.table[one.news.me].version for one in net.live()}
-        if found["known"] == 20.0 and knows(society, truth):
+        if found["known"] == 20.0 and knows(membership, truth):
             found["known"] = net.now - begun
         if found["alive"] == 20.0 and all(one.alive(gone) for one in net.live()):
             found["alive"] = net.now - begun
@@ -87,7 +95,9 @@
     found["bytes"] = sum(net.bytes.values()) - spent - quiet
     net.run(18.0, look)
     found["word"] = heard[0] - begun if heard else 20.0
-    found["handed"] = sum(one.cistern.tank.handed for one in net.live() if one.cistern is not None)
+    found["handed"] = sum(
+        one.hinted_handoff.tank.handed for one in net.live() if one.hinted_handoff is not None
+    )
     return found
 
 
@@ -103,7 +113,7 @@
     return lambda: restart(net, gone)
 
 
-def restart(net: Net, gone: str) -> Society:
+def restart(net: Net, gone: str) -> Membership:
     """Start it anew, with a higher incarnation."""
     return net.start(gone, 2, **sample(gone))
 
@@ -113,9 +123,9 @@
     chosen = net.rng.sample(others, min(changes + 1, len(others)))
     for name in chosen[:-1]:
         net.societies[name].tell(state="draining", turn=seed)
-    for society in net.live():
-        if society.news.me in others:
-            society.tell(rev=7)  # as if each had taken it
+    for membership in net.live():
+        if membership.news.me in others:
+            membership.tell(rev=7)  # as if each had taken it
     net.societies[chosen[0]].shout_word(7)
     net.kill(chosen[-1])
 
--- a/bench/mesh_cost.py
+++ b/bench/mesh_cost.py
@@ -24,10 +24,10 @@
 from pathlib import Path
 from typing import Any, cast
 
-from honeywharf.flume.days import Day
-from honeywharf.flume.field import ROUTES, Field, Shape
-from honeywharf.flume.machine import Machine, Process
-from honeywharf.flume.run import real_reservoir, real_sluice
+from honeywharf.simulation.days import Day
+from honeywharf.simulation.field import ROUTES, Field, Shape
+from honeywharf.simulation.machine import Machine, Process
+from honeywharf.simulation.run import real_control_node, real_sidecar
 
 SHAPES = ("4,3,3/3", "31,31,29/3", "99,99,99/3", "333,332,332/3")
 LEAD, SETTLED = 5.0, 13.0  # seconds until traffic, and until measuring begins
@@ -68,7 +68,7 @@
     """One shape: what a machine of it costs, by name."""
     shape, begun, empty = Shape.told(told), time.monotonic(), memory()
     per_s = rate * shape.many / sum(row[4] for row in ROUTES)
-    field = Field(1, real_sluice, real_reservoir, shape, LEAD, SETTLED + span, per_s)
+    field = Field(1, real_sidecar, real_control_node, shape, LEAD, SETTLED + span, per_s)
     Day(field, [])
     sent = Sent(field)
     field.world.run(LEAD - 0.1)
@@ -84,12 +84,13 @@
     for kind in many:
         for way in ("within its zone", "to other zones"):
             out[f"{kind}: bytes/s {way}"] = sent.bytes.get((kind, way), 0) / span / many[kind]
-        out[f"{kind}: bytes of the start"] = sum(
-            size for (of, _), size in start.items() if of == kind) / many[kind]
+        out[f"{kind}: bytes of the start"] = (
+            sum(size for (of, _), size in start.items() if of == kind) / many[kind]
+        )
         open_now = [links(process) for process in (sides if kind == "sidecar" else field.cores)]
         out[f"{kind}: links"], out[f"{kind}: links, most"] = sum(open_now) / many[kind], max(open_now)
     program: Any = sides[0].program
-    out["entries of news"] = len(program.society.entries())
+    out["entries of news"] = len(program.membership.entries())
     out["calls that are due"] = len(field.world._heap) / machines
     out["steps/s"] = (field.world.steps - steps) / span / machines
     out["memory, KiB"] = (memory() - empty) / machines / 1024
--- a/honeywharf/cli/drift.py
+++ b/honeywharf/cli/drift.py
@@ -1,7 +1,7 @@
-"""`honeywharf drift`: which sluice runs what, since when, by digest; what slipped; what changed between two.
+"""`honeywharf drift`: which sidecar runs what, since when, by digest; what slipped; what changed between two.
 
 Exit status: 0 all run what was told; 1 somebody does not, or does not answer; 2 not known (a call that is
-wrong, no reservoir that answers).
+wrong, no control node that answers).
 """
 
 from __future__ import annotations
@@ -19,11 +19,11 @@
 from honeywharf.cli.ending import DONE, NO, WrongError
 from honeywharf.cli.mesh import call
 
-VARIABLE = "HONEYWHARF_RESERVOIR"
+VARIABLE = "HONEYWHARF_CONTROL_NODE"
 SHOWN_SLIPS = 20
 WELL = ("told", "applying", "agreed", "healed")
 
-At = Annotated[str, cappa.Arg(long=True, help=f"A reservoir's control-plane address; else ${VARIABLE}.")]
+At = Annotated[str, cappa.Arg(long=True, help=f"A control node's control-plane address; else ${VARIABLE}.")]
 Within = Annotated[float, cappa.Arg(long=True, help="Seconds to wait for the answer.")]
 
 
@@ -53,12 +53,15 @@
     told = found["told"]
     parts = [f"{name} {told.get(name, '-')}" for name in ("revision", "version", "root", "digest")]
     yield f"told: {', '.join(parts)}"
-    yield (f"{'node':<16} {'zone':<14} {'state':<12} {'for s':>8} {'rev':>6} {'version':>8} {'root':<17}"
-           " refused")
+    yield (
+        f"{'node':<16} {'zone':<14} {'state':<12} {'for s':>8} {'rev':>6} {'version':>8} {'root':<17} refused"
+    )
     for view in sorted(found["views"], key=lambda one: str(one["node"])):
         mark = "" if not _differs(view, told) else "  differs"
-        yield (f"{view['node']:<16} {view['zone']:<14} {view['state']:<12} {view['for']:>8.1f} "
-               f"{view['revision']:>6} {view['version']:>8} {view['root']:<17} {view['refused']}{mark}")
+        yield (
+            f"{view['node']:<16} {view['zone']:<14} {view['state']:<12} {view['for']:>8.1f} "
+            f"{view['revision']:>6} {view['version']:>8} {view['root']:<17} {view['refused']}{mark}"
+        )
     for node in found["silent"]:
         yield f"{node:<16} does not answer"
     for wall, node, by, cause, revision in found["slips"][-SHOWN_SLIPS:]:
@@ -69,11 +72,12 @@
 def judged(found: dict[str, Any]) -> int:
     """The exit status for a view: whether all run what was told."""
     bad = found["silent"] or any(
-        view["state"] not in WELL or _differs(view, found["told"]) for view in found["views"])
+        view["state"] not in WELL or _differs(view, found["told"]) for view in found["views"]
+    )
     return NO if bad or not found["told"] else DONE
 
 
-@cappa.command(name="show", help="Tell which sluice runs what, since when, and the last slips.")
+@cappa.command(name="show", help="Tell which sidecar runs what, since when, and the last slips.")
 @dataclass
 class Show:
     """`drift show`."""
@@ -89,12 +93,12 @@
         return judged(found)
 
 
-@cappa.command(name="explain", help="Tell what one sluice runs, what differs, and its slips.")
+@cappa.command(name="explain", help="Tell what one sidecar runs, what differs, and its slips.")
 @dataclass
 class Explain:
     """`drift explain NODE`."""
 
-    node: Annotated[str, cappa.Arg(help="A sluice's IPv4 address.")]
+    node: Annotated[str, cappa.Arg(help="A sidecar's IPv4 address.")]
     at: At = ""
     within: Within = 10.0
 
@@ -146,7 +150,7 @@
         return DONE if status == 200 else NO
 
 
-@cappa.command(name="honeywharf drift", help="Tell whether every sluice runs what was told.")
+@cappa.command(name="honeywharf drift", help="Tell whether every sidecar runs what was told.")
 @dataclass
 class Drift:
     """`honeywharf drift ...`."""
@@ -161,5 +165,7 @@
     if arguments[:1] in (["--help"], ["-h"]):
         words = arguments
     return ending.status(
-        lambda: cappa.parse(Drift, argv=words, completion=False).command(), ending.logged,
-        (ValueError, KeyError, WrongError))
+        lambda: cappa.parse(Drift, argv=words, completion=False).command(),
+        ending.logged,
+        (ValueError, KeyError, WrongError),
+    )
--- a/honeywharf/assay/history.py
+++ b/honeywharf/drift/history.py
@@ -1,11 +1,11 @@
-"""What a reservoir remembers of words and slips, on its disk, bounded.
-
-Theory of operation. One file, `assay-history`, holds the last words as they were settled, what each sluice
-told of its slips, and how far this machine's own register had come; the texts of the last configurations
-stand beside it, so that two versions can be compared later. It is written a moment after something came,
-whole and beside, so a loss of power costs the last second of history and nothing else. What the disk
-gives back is checked by a checksum; a damaged history is an empty one. Nothing in the mesh depends on it but
-one thing: a register that is older than the history says is a disk that has gone back.
+"""What a control node remembers of words and slips, on its disk, bounded.
+
+Theory of operation. One file, `drift-history`, holds the last words as they were settled, what each
+sidecar told of its slips, and how far this machine's own register had come; the texts of the last
+configurations stand beside it, so that two versions can be compared later. It is written a moment after
+something came, whole and beside, so a loss of power costs the last second of history and nothing else. What
+the disk gives back is checked by a checksum; a damaged history is an empty one. Nothing in the mesh depends
+on it but one thing: a register that is older than the history says is a disk that has gone back.
 """
 
 from __future__ import annotations
@@ -15,15 +15,15 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.strainer import changes
-from honeywharf.strainer.routes import Table
+from honeywharf.mesh_config import changes
+from honeywharf.mesh_config.routes import Table
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Host
+    from honeywharf.transport.host import Host
 
-FILE, BESIDE, TEXT = "assay-history", "assay-history.new", "assay-text-"
+FILE, BESIDE, TEXT = "drift-history", "drift-history.new", "drift-text-"
 MARK = b"hwa1"
 MOST_WORDS, MOST_SLIPS = 64, 256
 MOST_TEXTS, MOST_TEXT_BYTES = 8, 1 << 20  # kept of configurations, compressed
@@ -60,9 +60,9 @@
         """A word is settled. `packed`: its text, compressed, where it is here."""
         evacuated = sorted(zone for zone, on in value["evac"].items() if on)
         row = [self.host.wall(), value["rev"], value["version"], value["digest"], evacuated]
-        self.words = [*self.words[1 - MOST_WORDS:], row]
+        self.words = [*self.words[1 - MOST_WORDS :], row]
         if packed is not None and all(value["digest"] != text[1] for text in self.texts):
-            self.new = [*self.new[1 - MOST_TEXTS:], (value, packed)]
+            self.new = [*self.new[1 - MOST_TEXTS :], (value, packed)]
         self._soon()
 
     def _keep_text(self, value: dict[str, Any], packed: bytes) -> None:
@@ -77,9 +77,9 @@
             self.host.log(f"history: a text could not be kept: {fault}")
 
     def slip(self, node: object, by: object, cause: object, revision: object) -> None:
-        """A sluice tells of a slip."""
+        """A sidecar tells of a slip."""
         row = [self.host.wall(), str(node)[:64], str(by)[:16], str(cause)[:MOST_CAUSE], int(str(revision))]
-        self.slips = [*self.slips[1 - MOST_SLIPS:], row]
+        self.slips = [*self.slips[1 - MOST_SLIPS :], row]
         self._soon()
 
     def register(self, disk: str, promised: tuple[Any, ...], accepted: tuple[Any, ...]) -> None:
@@ -91,8 +91,11 @@
 
     def went_back(self, disk: str, promised: tuple[Any, ...], accepted: tuple[Any, ...]) -> bool:
         """Whether a register that was read is older than one that was here before under the same name."""
-        return bool(self.own) and self.own[0] == disk and (
-            tuple(promised) < tuple(self.own[1]) or tuple(accepted) < tuple(self.own[2]))
+        return (
+            bool(self.own)
+            and self.own[0] == disk
+            and (tuple(promised) < tuple(self.own[1]) or tuple(accepted) < tuple(self.own[2]))
+        )
 
     def _soon(self) -> None:
         if not self.pending:
--- a/honeywharf/assay/judge.py
+++ b/honeywharf/drift/judge.py
@@ -7,14 +7,14 @@
     right rule, but decided otherwise    CONFLICT: the kind, or a service that the rule does not name
 
 `mutating` and `upload` are judged each time, by whichever side holds them for that; `read_only` by sample.
-Nothing that a client sends is looked at: revision and digest come with the frame of the source's sluice.
+Nothing that a client sends is looked at: revision and digest come with the frame of the source's sidecar.
 """
 
 from __future__ import annotations
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.strainer.routes import Route
+    from honeywharf.mesh_config.routes import Route
 
 RUN, STALE, ASK, CONFLICT = range(4)
 NAMES = ("run", "stale", "ask", "conflict")
@@ -46,4 +46,4 @@
     """The value of `Host`, in lower case, among the header lines that travel; b"" without one."""
     lines = b"\n" + fields.lower()
     at = lines.find(b"\nhost:")
-    return b"" if at < 0 else lines[at + 6:lines.find(b"\r", at)].strip()
+    return b"" if at < 0 else lines[at + 6 : lines.find(b"\r", at)].strip()
--- a/honeywharf/assay/second.py
+++ b/honeywharf/drift/second.py
@@ -1,10 +1,10 @@
 """A second reading of the told text: slow, its own, and compared with what decided. No I/O.
 
 Theory of operation. The text is read once more after each change, by code that shares nothing with
-`strainer.routes` but the wire's words, and kept as 17 bytes a route: where it stands, the digest of its rule,
-its kind. `decide` finds by that which rule a request is under; `shares` draws a service once more. Where the
-live decision differs, one of the two readings is wrong: what follows is `watch`'s. Source: PROTOCOL,
-"Requests" and "The operator".
+`mesh_config.routes` but the wire's words, and kept as 17 bytes a route: where it stands, the digest of its
+rule, its kind. `decide` finds by that which rule a request is under; `shares` draws a service once more.
+Where the live decision differs, one of the two readings is wrong: what follows is `watch`'s. Source:
+PROTOCOL, "Requests" and "The operator".
 """
 
 from __future__ import annotations
@@ -13,7 +13,7 @@
 from array import array
 from bisect import bisect_left
 
-from honeywharf.assay import digests
+from honeywharf.drift import digests
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -64,23 +64,36 @@
     host, prefix = bare(route["hostname"].encode()), route["path-prefix"].encode()
     kind = route["route-kind"]
     made = digests.rule(
-        host, prefix, kind, _s(route["timeout"]), _s(_given(route, "target-latency", route["timeout"])),
-        int(_given(route, "priority", 0)), int(_given(route, "max-attempts", 1)), _split(route),
-        tuple(sorted(set(_given(route, "allowed-regions", [])))))
+        host,
+        prefix,
+        kind,
+        _s(route["timeout"]),
+        _s(_given(route, "target-latency", route["timeout"])),
+        int(_given(route, "priority", 0)),
+        int(_given(route, "max-attempts", 1)),
+        _split(route),
+        tuple(sorted(set(_given(route, "allowed-regions", [])))),
+    )
     return host, prefix, KINDS[kind], made
 
 
 def _service(fields: dict[str, Any]) -> bytes:
     return digests.service(
-        fields["name"], _given(fields, "health-check-path", "/health"),
-        int(_given(fields, "max-connections", 100)), _s(_given(fields, "cold-start", "0s")),
-        float(_given(fields, "cold-per-s", float("inf"))))
+        fields["name"],
+        _given(fields, "health-check-path", "/health"),
+        int(_given(fields, "max-connections", 100)),
+        _s(_given(fields, "cold-start", "0s")),
+        float(_given(fields, "cold-per-s", float("inf"))),
+    )
 
 
 def _limits(fields: dict[str, Any]) -> bytes:
     return digests.limits(
-        int(_given(fields, "max-header-bytes", 16384)), int(_given(fields, "max-body-bytes", 64 << 20)),
-        _s(_given(fields, "header-timeout", "3s")), _s(_given(fields, "idle-timeout", "15s")))
+        int(_given(fields, "max-header-bytes", 16384)),
+        int(_given(fields, "max-body-bytes", 64 << 20)),
+        _s(_given(fields, "header-timeout", "3s")),
+        _s(_given(fields, "idle-timeout", "15s")),
+    )
 
 
 def tree(text: bytes, evacuated: set[str]) -> dict[str, bytes]:
--- a/honeywharf/strainer/routes.py
+++ b/honeywharf/mesh_config/routes.py
@@ -1,4 +1,4 @@
-"""Which service a request is for: a table built from a checked configuration, kept by every sluice.
+"""Which service a request is for: a table built from a checked configuration, kept by every sidecar.
 
 Theory of operation. By host, then by prefix: one dictionary of prefixes for each host. A path is looked up by
 its longest beginning that ends with a slash and is no longer than the host's longest prefix, then by the next
@@ -13,7 +13,7 @@
 import json
 from collections.abc import Callable
 
-from honeywharf.strainer.quantities import seconds
+from honeywharf.mesh_config.quantities import seconds
 
 READ_ONLY = "read_only"
 MUTATING = "mutating"
@@ -60,7 +60,17 @@
     """One route. Times are seconds; `split` holds (service, weight), weights above 0 only."""
 
     __slots__ = (
-        "aim_s", "attempts", "homes", "host", "kind", "name", "prefix", "priority", "split", "timeout_s")
+        "aim_s",
+        "attempts",
+        "homes",
+        "host",
+        "kind",
+        "name",
+        "prefix",
+        "priority",
+        "split",
+        "timeout_s",
+    )
 
     name: str
     host: bytes  # in lower case, without a port
@@ -122,7 +132,7 @@
 def bare_host(host: bytes) -> bytes:
     """A `Host` header's value in lower case, without its port."""
     colon = host.rfind(b":")
-    if colon >= 0 and (colon == len(host) - 1 or host[colon + 1:].isdigit()):  # an empty port is a port
+    if colon >= 0 and (colon == len(host) - 1 or host[colon + 1 :].isdigit()):  # an empty port is a port
         host = host[:colon]
     return host.lower()
 
--- a/honeywharf/programs/reservoir.py
+++ b/honeywharf/programs/control.py
@@ -7,21 +7,21 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from honeywharf.assay.gather import Gather
-from honeywharf.mains.calls import Answerer, Caller
-from honeywharf.mains.door import Door
-from honeywharf.mains.host import Address, Host
+from honeywharf.control.mesh_state import Value
+from honeywharf.control.operator import Operator
+from honeywharf.control.replica import Replica
+from honeywharf.control.store import Store
+from honeywharf.drift.gather import Gather
+from honeywharf.gossip.membership import Membership
 from honeywharf.programs.duties import Duties
 from honeywharf.programs.handing import Handing
 from honeywharf.programs.start import settings_or_line
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.operator import Operator
-from honeywharf.reservoir.store import Store
-from honeywharf.reservoir.word import Value
-from honeywharf.runnel.society import Society
+from honeywharf.transport.host import Address, Host
+from honeywharf.transport.http_server import HttpServer
+from honeywharf.transport.rpc import Answerer, Caller
 
 if TYPE_CHECKING:
-    from honeywharf.strainer.settings import Settings
+    from honeywharf.mesh_config.settings import Settings
 
 MOST_BODY = 65 << 20  # bytes of a configuration
 STOPPING = 0.9  # s that calls at work have after SIGTERM
@@ -29,20 +29,27 @@
 DISK_AGAIN = 0.2  # s after which a disk that fails at the start is tried again
 
 
-class Reservoir:
-    """One reservoir on its host."""
+class ControlNode:
+    """One control node on its host."""
 
     def __init__(self, host: Host, settings: Settings) -> None:
         self.host, self.settings = host, settings
         self.here: Address = (settings.ip, settings.ports[0])
         self.caller = Caller(host)
-        self.basin = Basin(
-            host, Store(host), self.caller, self.here, settings.zone,
-            [(ip, settings.ports[0]) for ip, _ in settings.seeds], settings.initial_start, self._word,
-            self._cores)
-        self.society: Society | None = None
-        self.door: Door | None = None
-        self.operator = Operator(self.basin, settings.zones, settings.listen["control-plane"][1])
+        self.replica = Replica(
+            host,
+            Store(host),
+            self.caller,
+            self.here,
+            settings.zone,
+            [(ip, settings.ports[0]) for ip, _ in settings.seeds],
+            settings.initial_start,
+            self._word,
+            self._cores,
+        )
+        self.membership: Membership | None = None
+        self.door: HttpServer | None = None
+        self.operator = Operator(self.replica, settings.zones, settings.listen["control-plane"][1])
         self.stopping = False
         self.gather = Gather(self)
         self.duties = Duties(self)
@@ -54,44 +61,54 @@
         if self.stopping:
             return
         try:
-            self.basin.start()
+            self.replica.start()
         except OSError as fault:
-            self.host.log(f"reservoir: the disk fails: {fault}")
+            self.host.log(f"control node: the disk fails: {fault}")
             self.host.after(DISK_AGAIN, self._begin)
             return
         settings, host = self.settings, self.host
         self.gather.start()
         self.handing.start()
-        self.host.listen(self.here, Answerer(self.basin.methods, log=host.log).accept)
-        self.society = Society(
-            host, settings.ip, settings.ports[0], settings.zone, [ip for ip, _ in settings.seeds],
-            {"core": True, "disk": self.basin.state.disk, "rev": max(0, self.basin.announced)},
-            int(host.wall() * 1000))
-        self.society.on_word = self._rumour
-        self.door = Door(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
+        self.host.listen(self.here, Answerer(self.replica.methods, log=host.log).accept)
+        self.membership = Membership(
+            host,
+            settings.ip,
+            settings.ports[0],
+            settings.zone,
+            [ip for ip, _ in settings.seeds],
+            {"core": True, "disk": self.replica.state.disk, "rev": max(0, self.replica.announced)},
+            int(host.wall() * 1000),
+        )
+        self.membership.on_word = self._rumour
+        self.door = HttpServer(host, settings.listen["control-plane"], self.operator.take, MOST_BODY)
         host.after(LOADED, self.operator.load)
-        host.log(f"reservoir: {settings.node_name} at {settings.ip}, disk {self.basin.state.disk},"
-                 f" roster {self.basin.state.epoch}")
+        host.log(
+            f"control node: {settings.node_name} at {settings.ip}, disk {self.replica.state.disk},"
+            f" roster {self.replica.state.epoch}"
+        )
 
     def _word(self, value: Value) -> None:
         """There is a newer word, and its text is here."""
-        self.host.log(f"reservoir: revision {value['rev']}, configuration r{value['version']}")
+        self.host.log(f"control node: revision {value['rev']}, configuration r{value['version']}")
         self.gather.word(value)
         self.handing.word(value)
-        if self.society is not None:
-            self.society.shout_word(value["rev"])
+        if self.membership is not None:
+            self.membership.shout_word(value["rev"])
 
     def _rumour(self, revision: int, holder: str) -> None:
         """Somebody holds a newer word."""
-        if self.basin.known is None or revision > self.basin.known["rev"]:
-            self.basin.learn_from((holder, self.here[1]))
+        if self.replica.known is None or revision > self.replica.known["rev"]:
+            self.replica.learn_from((holder, self.here[1]))
 
     def _cores(self) -> list[Address]:
-        """The other reservoirs that news tell of."""
-        if self.society is None:
+        """The other control nodes that news tell of."""
+        if self.membership is None:
             return []
-        return [(node, self.here[1]) for node, entry in self.society.entries().items()
-                if node != self.here[0] and entry.say is not None and entry.say.get("core")]
+        return [
+            (node, self.here[1])
+            for node, entry in self.membership.entries().items()
+            if node != self.here[0] and entry.say is not None and entry.say.get("core")
+        ]
 
     def stop(self) -> None:
         """SIGTERM: take no further calls, end those at work, and exit within a second."""
@@ -101,9 +118,9 @@
         self.operator.closing = True
         if self.door is not None:
             self.door.close()
-        if self.society is not None:
-            self.society.leave()
-            self.society.stop()
+        if self.membership is not None:
+            self.membership.leave()
+            self.membership.stop()
         self.host.after(STOPPING, partial(self.host.exit, 0))
         self._finish()
 
@@ -116,13 +133,13 @@
 
 def main() -> int:
     """Run by the settings file that the platform names; 2 where it can't be used."""
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line("/etc/honeywharf/boot.yaml")
     if settings is None:
         return 2
     loop = Loop(settings.data_directory)
-    program = Reservoir(loop, settings)
+    program = ControlNode(loop, settings)
     loop.on_signal(signal.SIGTERM, program.stop)
     loop.on_signal(signal.SIGHUP, lambda: None)
     return loop.run()
--- a/honeywharf/service/door.py
+++ b/honeywharf/service/door.py
@@ -21,7 +21,7 @@
 class Caller(asyncio.Protocol):
     """One connection."""
 
-    def __init__(self, door: Door) -> None:
+    def __init__(self, door: HttpServer) -> None:
         self.door, self.data, self.told = door, b"", False
         self.transport: asyncio.Transport
         self.timer: asyncio.TimerHandle | None = None
@@ -36,7 +36,7 @@
         """Answer once the call is whole; what comes after that is not read."""
         if self.told:
             return
-        self.data += data[:calls.MOST_LINE + 1 - len(self.data)]
+        self.data += data[: calls.MOST_LINE + 1 - len(self.data)]
         if calls.whole(self.data):
             self._say(*self.door.answer(self.data))
 
@@ -63,7 +63,7 @@
         self.door.callers.pop(self, None)
 
 
-class Door:
+class HttpServer:
     """The listener; `do` carries a call out and says what to tell, or raises ValueError."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, do: Do) -> None:
--- a/honeywharf/penstock/landing.py
+++ b/honeywharf/sessions/landing.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.streams import Ask
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.line import TO_LANDING, Caught
-from honeywharf.penstock.outlet import OVER, Outlet, Outlets
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.line import TO_LANDING, Caught
+from honeywharf.sessions.outlet import OVER, Outlet, Outlets
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import GARBLED, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -14,15 +14,15 @@
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
-    from honeywharf.mains.streams import Work
+    from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
+    from honeywharf.transport.streams import Work
 
 DUE_S = 0.25
 MOST_LINKS = 256
 
 
 class Landed:
-    """Where the gate's work tells its outcome (`sluice.inbound.Answers`)."""
+    """Where the gate's work tells its outcome (`sidecar.inbound.Answers`)."""
 
     __slots__ = ("landing", "outlet", "over")
 
@@ -36,7 +36,12 @@
         """Bytes of the body have gone on: all of it is held here."""
 
     def answer(
-        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None,
+        self,
+        status: int,
+        fields: bytes,
+        length: int,
+        load: tuple[int, int, int],
+        body: bytes | None,
     ) -> None:
         """The answer, whole, or its head."""
         outlets = self.landing.outlets
@@ -63,16 +68,23 @@
 
 
 class Landing:
-    """All sessions that end here. `begin(ask, answers)` gives the work, as `sluice.inbound.Inbound.begin`."""
+    """All sessions that end here. `begin(ask, answers)` gives the work, as
+    `sidecar.inbound.Inbound.begin`."""
 
     def __init__(
-        self, host: Host, at: Address, region: str, begin: Callable[[Ask, Any], Work | None],
-        hold: Hold | None = None, link_mbps: float = LINK_MBPS,
+        self,
+        host: Host,
+        at: Address,
+        region: str,
+        begin: Callable[[Ask, Any], Work | None],
+        hold: Hold | None = None,
+        link_mbps: float = LINK_MBPS,
     ) -> None:
         self.host, self.begin = host, begin
         self.spillway = Spillway(host.now, host.after, link_mbps * 125_000.0)
         self.outlets = Outlets(
-            host.random(8), region, hold or Hold(), self.spillway.send, self._run, self._stop, self._flowed)
+            host.random(8), region, hold or Hold(), self.spillway.send, self._run, self._stop, self._flowed
+        )
         self.links: dict[Caught, None] = {}
         self.timer: Timer | None = None
         host.listen(at, self._accept)
@@ -123,8 +135,22 @@
         """What the gate is asked, out of a head as `conveyor.head_of` makes it."""
         (service, kind, caller, method, target, fields), (patience, priority, aim, revision, rule) = head
         remaining = max(0.0, outlet.until - self.host.now())
-        return Ask(service, outlet.attempt, kind, remaining, patience / 1000.0, priority, aim / 1000.0,
-                   caller, method, target, fields, length, revision, rule)
+        return Ask(
+            service,
+            outlet.attempt,
+            kind,
+            remaining,
+            patience / 1000.0,
+            priority,
+            aim / 1000.0,
+            caller,
+            method,
+            target,
+            fields,
+            length,
+            revision,
+            rule,
+        )
 
     @staticmethod
     def _stop(outlet: Outlet) -> None:
--- a/honeywharf/sluice/bypass.py
+++ b/honeywharf/sidecar/bypass.py
@@ -1,26 +1,26 @@
-"""Requests of a sluice that doubts its own rules, decided here in its place.
+"""Requests of a sidecar that doubts its own rules, decided here in its place.
 
-Theory of operation. A sluice that can't heal must not decide, but its clients shall not feel it: it sends a
-request on, whole, as a stream of the kind `HANDED`, to a sluice of its zone that is well. Here it has a
-course as if a client had sent it: this sluice's rules, its draw, its second reading, its budget; the gates
+Theory of operation. A sidecar that can't heal must not decide, but its clients shall not feel it: it sends a
+request on, whole, as a stream of the kind `HANDED`, to a sidecar of its zone that is well. Here it has a
+course as if a client had sent it: this sidecar's rules, its draw, its second reading, its budget; the gates
 judge it as they judge all. The attempt id and the header lines are the client's, and the caller's service is
 that of the machine where the request began. A refusal sent back proves that nothing has run.
 
-    here                                   the sluice in doubt tells its client
+    here                                   the sidecar in doubt tells its client
     refused, before a course (`refusal`)   asks one more helper, else 503
     503                                    503, with the time that stands here
     502, 504; the link was lost            the same; 502
     any other answer                       the same
 
-Bounds: `MOST_PASSING` at once, `AHEAD_BYTES` of a body held; who has an older word than the sluice that asks
+Bounds: `MOST_PASSING` at once, `AHEAD_BYTES` of a body held; who has an older word than the sidecar that asks
 refuses, and what was handed on is not handed on again. This module is loaded when it is first needed.
 """
 
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.mains.streams import FIRST_WINDOW
-from honeywharf.sluice.course import Course
+from honeywharf.sidecar.course import Course
+from honeywharf.transport.streams import FIRST_WINDOW
 from honeywharf.verdict import (
     BROKEN_OFF,
     DRIFT,
@@ -35,14 +35,14 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mains.streams import Ask, Work
-    from honeywharf.sluice.inbound import Answers
-    from honeywharf.sluice.source import Source
-    from honeywharf.strainer.routes import Route
+    from honeywharf.mesh_config.routes import Route
+    from honeywharf.sidecar.inbound import Answers
+    from honeywharf.sidecar.source import Source
+    from honeywharf.transport.streams import Ask, Work
 
 MOST_PASSING = 256
 AHEAD_BYTES = 64 * 1024  # of a body, beyond what a gate has taken
-REFUSED_S = 0.05  # after which a sluice that can't help may be asked again
+REFUSED_S = 0.05  # after which a sidecar that can't help may be asked again
 LOAD = (0, 0, 0)  # of no backend
 
 
@@ -61,7 +61,8 @@
         source, now = self.source, self.source.host.now()
         source.passing[self] = None
         course = self.course = Course(
-            source, self, head, route, now + min(ask.remaining_s, route.timeout_s), ask.caller)
+            source, self, head, route, now + min(ask.remaining_s, route.timeout_s), ask.caller
+        )
         source.courses[course] = None
         if head.length != 0:
             self.answers.go()
@@ -129,7 +130,11 @@
 
     def __init__(self, passing: Passing, course: Course) -> None:
         self.data, self.end, self.window, self.cancel = (
-            course.data, course.end, course.gone_on, passing.cancel)
+            course.data,
+            course.end,
+            course.gone_on,
+            passing.cancel,
+        )
 
 
 def refusal(source: Source, ask: Ask) -> int | None:
@@ -154,8 +159,8 @@
     head.method, head.target, head.host, head.attempt = ask.method, ask.target, host, ask.attempt
     head.fields, head.remaining_s, head.length = [ask.fields], ask.remaining_s, ask.length
     route, again_s = source.word.find(host, head.path), 0.0
-    if source.assay is not None:
-        route, again_s = source.assay.look(host, head.path, route)
+    if source.drift_monitor is not None:
+        route, again_s = source.drift_monitor.look(host, head.path, route)
     if again_s:
         passing.refuse(DRIFT, again_s)
     elif route is None:
--- a/honeywharf/sluice/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -13,17 +13,17 @@
 
 from honeywharf.codecs.mesh import UNKNOWN, Head, RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
-from honeywharf.mains.streams import WINDOW_BYTES
-from honeywharf.sluice.course import ASIDE, DEADLINE_S, Course
+from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
+from honeywharf.transport.streams import WINDOW_BYTES
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler, Host, Timer
-    from honeywharf.sluice.source import Source
-    from honeywharf.sluice.word import Word
+    from honeywharf.sidecar.mesh_state import Word
+    from honeywharf.sidecar.source import Source
+    from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
 
 MOST_AHEAD = 16
-NO_WORD_S = 0.2  # after which a client may come back to a sluice that has just started
+NO_WORD_S = 0.2  # after which a client may come back to a sidecar that has just started
 HELD_BYTES = 64 * 1024  # of a body that waits to be sent
 MOST_CONNECTIONS = 3000
 DROPPED_BYTES = 4 << 20  # of a body that is read to its end though the answer is given
@@ -34,8 +34,17 @@
     """One request and its answer. `out`: bytes that wait until those before it have been answered."""
 
     __slots__ = (
-        "bodiless", "chunked", "closes", "course", "done", "keep", "long", "out", "waiting",
-        "whole_request")
+        "bodiless",
+        "chunked",
+        "closes",
+        "course",
+        "done",
+        "keep",
+        "long",
+        "out",
+        "waiting",
+        "whole_request",
+    )
 
     def __init__(self, keep: bool, bodiless: bool) -> None:
         self.course: Course | None = None
@@ -49,8 +58,17 @@
     """One client's connection."""
 
     __slots__ = (
-        "closing", "connection", "exchange", "exchanges", "gone", "outbound", "paused", "reader", "since",
-        "timer")
+        "closing",
+        "connection",
+        "exchange",
+        "exchanges",
+        "gone",
+        "outbound",
+        "paused",
+        "reader",
+        "since",
+        "timer",
+    )
 
     def __init__(self, outbound: Outbound, connection: Connection) -> None:
         self.outbound, self.connection = outbound, connection
@@ -120,9 +138,9 @@
             exchange.closes = True
         self.exchange = exchange
         route = outbound.word.find(head.host, head.path)
-        assay, again_s = outbound.source.assay, 0.0
-        if assay is not None:
-            route, again_s = assay.look(head.host, head.path, route)
+        drift_monitor, again_s = outbound.source.drift_monitor, 0.0
+        if drift_monitor is not None:
+            route, again_s = drift_monitor.look(head.host, head.path, route)
         if again_s and outbound.source.helper(()) is not None:
             route = ASIDE
         elif again_s:
@@ -142,7 +160,8 @@
         now = outbound.host.now()
         remaining = DEADLINE_S if head.remaining_s is None else head.remaining_s
         course = exchange.course = Course(
-            outbound.source, Asker(self, exchange), head, route, now + min(remaining, route.timeout_s))
+            outbound.source, Asker(self, exchange), head, route, now + min(remaining, route.timeout_s)
+        )
         outbound.source.courses[course] = None
         course.start()
 
@@ -168,7 +187,8 @@
         """Stop or go on reading."""
         course = self.exchange.course if self.exchange is not None else None
         full = len(self.exchanges) >= MOST_AHEAD or (
-            course is not None and not course.over and course.held > HELD_BYTES)
+            course is not None and not course.over and course.held > HELD_BYTES
+        )
         if full != self.paused and not self.gone:
             self.paused = full
             (self.connection.pause if full else self.connection.resume)()
@@ -205,8 +225,9 @@
             return
         if self._leaves(exchange) or (not exchange.whole_request and exchange.long):
             exchange.closes = True  # else the rest is read and dropped: a reset could eat the answer
-        exchange.out.append(final(status, words, keep=not exchange.closes, again_s=again_s,
-                                  bare=exchange.bodiless))
+        exchange.out.append(
+            final(status, words, keep=not exchange.closes, again_s=again_s, bare=exchange.bodiless)
+        )
         exchange.done = True
         self._flush()
 
--- a/honeywharf/sluice/source.py
+++ b/honeywharf/sidecar/source.py
@@ -1,25 +1,25 @@
-"""What all courses of one sluice share: the word, the list, budgets, links, the gate beside it."""
+"""What all courses of one sidecar share: the word, the list, budgets, links, the gate beside it."""
 
 from __future__ import annotations
 
-from honeywharf.mains.streams import Ask, Links
+from honeywharf.admission.budget import RetryBudget
 from honeywharf.policy.levels import Levels
+from honeywharf.transport.streams import Ask, Links
 from honeywharf.verdict import CHOKED, WORDS, Verdict
-from honeywharf.weir.budget import RetryBudget
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable, Container
 
-    from honeywharf.assay.requests import Assay
-    from honeywharf.mains.host import Host
-    from honeywharf.penstock.abroad import Abroad
-    from honeywharf.sluice.bypass import Passing
-    from honeywharf.sluice.course import Channel, Course
-    from honeywharf.sluice.inbound import Inbound
-    from honeywharf.sluice.word import Word
-    from honeywharf.strainer.routes import Route
-    from honeywharf.strainer.settings import Settings
+    from honeywharf.drift.requests import DriftMonitor
+    from honeywharf.mesh_config.routes import Route
+    from honeywharf.mesh_config.settings import Settings
+    from honeywharf.sessions.abroad import Abroad
+    from honeywharf.sidecar.bypass import Passing
+    from honeywharf.sidecar.course import Channel, Course
+    from honeywharf.sidecar.inbound import Inbound
+    from honeywharf.sidecar.mesh_state import Word
+    from honeywharf.transport.host import Host
 
 MOST_SERVICES = 1024
 CHOKED_S = 0.5  # at most, that a gate whose link is full of bodies is asked for no further one
@@ -49,7 +49,12 @@
         self.course.go()
 
     def answer(
-        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None,
+        self,
+        status: int,
+        fields: bytes,
+        length: int,
+        load: tuple[int, int, int],
+        body: bytes | None,
     ) -> None:
         """The answer, whole, or its head."""
         self.over = body is not None
@@ -88,7 +93,12 @@
     """Shared by all courses. `draw()` gives even random numbers in [0, 1)."""
 
     def __init__(
-        self, host: Host, settings: Settings, word: Word, inbound: Inbound, draw: Callable[[], float],
+        self,
+        host: Host,
+        settings: Settings,
+        word: Word,
+        inbound: Inbound,
+        draw: Callable[[], float],
     ) -> None:
         self.host, self.word, self.inbound, self.draw = host, word, inbound, draw
         self.abroad: Abroad | None = None  # where settings name gateways to other regions
@@ -106,10 +116,10 @@
         self.doubted: set[str] = set()
         self.choked: dict[str, float] = {}  # by gate of the list, until when it is asked for no body
         self.asks = 0
-        self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sluice that is well
-        self.handed = 0  # requests that a sluice that is well was asked to decide
+        self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sidecar that is well
+        self.handed = 0  # requests that a sidecar that is well was asked to decide
         self.passing: dict[Passing, None] = {}  # those of others that are decided here
-        self.assay: Assay | None = None
+        self.drift_monitor: DriftMonitor | None = None
         self.statuses: dict[int, int] = {}
         self.refusals: dict[int, int] = {}
 
@@ -128,15 +138,19 @@
         if before is not None and before.service != now.service:
             self.levels_of(before.service).gone(node)
         self.list[node] = now
-        renewed = before is None or before.instance != now.instance or (
-            before.state != READY and now.state == READY)
+        renewed = (
+            before is None
+            or before.instance != now.instance
+            or (before.state != READY and now.state == READY)
+        )
         self._relist(node, renewed)
 
     def _relist(self, node: str, renewed: bool) -> None:
         entry = self.list.get(node)
         if entry is not None:
-            usable = (entry.state == READY and entry.zone not in self.word.evacuated
-                      and node not in self.doubted)
+            usable = (
+                entry.state == READY and entry.zone not in self.word.evacuated and node not in self.doubted
+            )
             self.levels_of(entry.service).listed(node, entry.zone, usable, renewed)
 
     def relist(self) -> None:
@@ -165,22 +179,25 @@
 
         A zone whose region is not known is no home: better refused than held where it must not be.
         """
-        return {target.key for target in self.levels_of(service).targets.values()
-                if self.regions.get(target.zone, "") not in homes}
+        return {
+            target.key
+            for target in self.levels_of(service).targets.values()
+            if self.regions.get(target.zone, "") not in homes
+        }
 
     def revision(self) -> int:
-        """Of the word that this sluice decides by."""
+        """Of the word that this sidecar decides by."""
         return self.word.revision
 
     def rule(self, route: Route) -> bytes:
         """The digest of the rule that decides, as it travels with a request."""
-        return b"" if self.assay is None else self.assay.rule(route)
+        return b"" if self.drift_monitor is None else self.drift_monitor.rule(route)
 
     def draw_service(self, route: Route) -> str:
         """The service for one request of a route, by weight."""
         draw = self.draw()
         service = route.service(draw)
-        return service if self.assay is None else self.assay.drawn(route, draw, service)
+        return service if self.drift_monitor is None else self.drift_monitor.drawn(route, draw, service)
 
     def budget(self, service: str) -> RetryBudget:
         """The retry budget of a service."""
--- a/honeywharf/flume/regions.py
+++ b/honeywharf/simulation/regions.py
@@ -1,8 +1,8 @@
 """Seeded days of regions: sources, gateways and destinations on simulated machines, and what went wrong.
 
-The programs are the real ones (`Conveyor`, `Weirkeeper`, `Landing`) on `flume` hosts; 35 ms and a bound of
-bandwidth between regions. A day has uploads, print orders, deletions and reads, and its troubles: drains by
-order, some taken back, SIGTERM, kills, cuts, restarts of destinations.
+The programs are the real ones (`Conveyor`, `GatewayNode`, `Landing`) on `simulation` hosts; 35 ms and a bound
+of bandwidth between regions. A day has uploads, print orders, deletions and reads, and its troubles: drains
+by order, some taken back, SIGTERM, kills, cuts, restarts of destinations.
 """
 
 from __future__ import annotations
@@ -11,15 +11,15 @@
 from collections import Counter
 from typing import Any
 
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
-from honeywharf.mains.streams import Ask
-from honeywharf.penstock.conveyor import Conveyor
-from honeywharf.penstock.drain import rest_first
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.landing import Landing
-from honeywharf.penstock.places import Place
-from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.programs.gateway import GatewayNode
+from honeywharf.sessions.conveyor import Conveyor
+from honeywharf.sessions.drain import rest_first
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.landing import Landing
+from honeywharf.sessions.places import Place
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import FULL, NOT_RUN, Verdict
 
 GATE, LAND = 7640, 7641
@@ -131,8 +131,20 @@
         length = 0 if self.kind == READ else self.size if day.world.random.random() < 0.7 else -1
         target = b"%d" % self.size if self.kind == READ else b"0"
         ask = Ask(
-            "quarry", attempt, self.kind, self.until - host.now(), 0.0, 1, self.aim_s, "tiles", b"POST",
-            target, b"", length, 1)
+            "quarry",
+            attempt,
+            self.kind,
+            self.until - host.now(),
+            0.0,
+            1,
+            self.aim_s,
+            "tiles",
+            b"POST",
+            target,
+            b"",
+            length,
+            1,
+        )
         self.body = day.world.random.randbytes(self.size) if self.kind != READ else b""
         self.at, self.credit, self.got = 0, 0, 0
         to = day.world.random.choice(day.others(self.source.region))
@@ -152,7 +164,7 @@
     def _send(self) -> None:
         if self.end is not None or self.channel is None or self.kind == READ or self.at < 0:
             return
-        piece = self.body[self.at:self.at + self.credit]
+        piece = self.body[self.at : self.at + self.credit]
         self.credit -= len(piece)
         self.at += len(piece)
         if piece:
@@ -202,16 +214,25 @@
     def __init__(self, host: Process, day: Day) -> None:
         self.host, self.region = host, host.machine.zone.split("-")[0]
         self.conveyor = Conveyor(
-            host, self.region, host.machine.zone, day.places, day.world.random.random, day.sessions)
+            host, self.region, host.machine.zone, day.places, day.world.random.random, day.sessions
+        )
 
 
 class Day:
     """One seeded day. `troubles`: what may come; `sessions=False`: what loses its gateway fails."""
 
     def __init__(
-        self, seed: int, regions: int = 2, sessions: bool = True, troubles: str = TROUBLES,
-        mbps: float = 80.0, seconds: float = 6.0, order: Any = rest_first, uploads: int = 3,
-        most_bytes: int = 1 << 20, sources: int = 1,
+        self,
+        seed: int,
+        regions: int = 2,
+        sessions: bool = True,
+        troubles: str = TROUBLES,
+        mbps: float = 80.0,
+        seconds: float = 6.0,
+        order: Any = rest_first,
+        uploads: int = 3,
+        most_bytes: int = 1 << 20,
+        sources: int = 1,
     ) -> None:
         self.world = World(seed)
         self.world.strict = True
@@ -228,16 +249,23 @@
         self.restarts = self.cuts = 0
         self.places = [
             Place((f"10.{n}.1.{k}", GATE), region, f"{region}-{k}")
-            for n, region in enumerate(self.regions) for k in (1, 2)]
+            for n, region in enumerate(self.regions)
+            for k in (1, 2)
+        ]
         self.keepers = [
             self._process(place.address[0], place.zone, "keeper", self._keeper(place), mbps)
-            for place in self.places]
+            for place in self.places
+        ]
         self.quarries = [
             self._process(f"10.{n}.2.{k}", f"{region}-{k}", "quarry", lambda host: Quarry(host, self))
-            for n, region in enumerate(self.regions) for k in (1, 2)]
+            for n, region in enumerate(self.regions)
+            for k in (1, 2)
+        ]
         self.sources = [
             self._process(f"10.{n}.3.{k}", f"{region}-{1 + k % 2}", "source", lambda host: Source(host, self))
-            for n, region in enumerate(self.regions) for k in range(sources)]
+            for n, region in enumerate(self.regions)
+            for k in range(sources)
+        ]
         for process in (*self.keepers, *self.quarries, *self.sources):
             self.world.at(self.world.random.uniform(0.0, 0.1), process.start)
         draw = self.world.random
@@ -257,12 +285,22 @@
         return Process(Machine(self.network, ip, zone, mbps=mbps), f"{name}-{ip}", make)
 
     def _keeper(self, place: Place) -> Any:
-        def make(host: Process) -> Weirkeeper:
-            keeper = Weirkeeper(
-                host, place.address, place.region, place.zone, self.places, LAND, 5.0,
-                most_bytes=self.most_bytes, order=self.order, link_mbps=self.mbps)
+        def make(host: Process) -> GatewayNode:
+            keeper = GatewayNode(
+                host,
+                place.address,
+                place.region,
+                place.zone,
+                self.places,
+                LAND,
+                5.0,
+                most_bytes=self.most_bytes,
+                order=self.order,
+                link_mbps=self.mbps,
+            )
             host.on_signal(15, keeper.terminate)
             return keeper
+
         return make
 
     def gates(self) -> list[Quarry]:
@@ -293,20 +331,20 @@
         elif kind == "restart":
             self.restarts += 1
             draw.choice(self.quarries).kill()
-        elif kind == "drain" and isinstance(keeper.program, Weirkeeper):
+        elif kind == "drain" and isinstance(keeper.program, GatewayNode):
             keeper.program.order_drain()
             if draw.random() < 0.5:
                 self.world.at(self.world.now + draw.uniform(0.0, 2.0), self._back, keeper)
         elif kind == "cut":
             self.cuts += 1
             there = draw.choice([*self.quarries, *self.sources]).machine.ip
-            pairs = [(keeper.machine.ip, there), (there, keeper.machine.ip)][:draw.choice((1, 2))]
+            pairs = [(keeper.machine.ip, there), (there, keeper.machine.ip)][: draw.choice((1, 2))]
             self.network.cut(pairs)
             self.world.at(self.world.now + draw.choice((0.05, 0.5, 2.0, 4.0)), self.network.join, pairs)
 
     @staticmethod
     def _back(keeper: Process) -> None:
-        if isinstance(keeper.program, Weirkeeper):
+        if isinstance(keeper.program, GatewayNode):
             keeper.program.take_back()
 
     def play(self) -> Day:
@@ -340,7 +378,7 @@
 
     def _leaks(self) -> None:
         for process in self.keepers:
-            if isinstance(process.program, Weirkeeper):
+            if isinstance(process.program, GatewayNode):
                 one = process.program.passages
                 if one.rows or one.granted:
                     self.faults.append(f"{process.name} holds {len(one.rows)} rows, {one.granted} bytes")
@@ -360,7 +398,7 @@
 
 
 def main() -> int:
-    """`python -m honeywharf.flume.regions FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
+    """`python -m honeywharf.simulation.regions FIRST COUNT [REGIONS] [sessions|none] [TROUBLES]`."""
     first, count = int(sys.argv[1]), int(sys.argv[2])
     regions = int(sys.argv[3]) if len(sys.argv) > 3 else 2
     sessions = len(sys.argv) < 5 or sys.argv[4] == "sessions"
@@ -377,9 +415,14 @@
             broken += 1
             print(seed, day.faults[:3])
         if played % 50 == 0 or played == count:
-            print(f"{played} days, {broken} broken; moves {moves}, bytes twice {twice}; "
-                  + ", ".join(f"{('reads', 'orders', 'uploads')[kind]} {end}: {n}"
-                              for (kind, end), n in sorted(ends.items(), key=str)), flush=True)
+            print(
+                f"{played} days, {broken} broken; moves {moves}, bytes twice {twice}; "
+                + ", ".join(
+                    f"{('reads', 'orders', 'uploads')[kind]} {end}: {n}"
+                    for (kind, end), n in sorted(ends.items(), key=str)
+                ),
+                flush=True,
+            )
     return int(broken > 0)
 
 
--- a/honeywharf/flume/run.py
+++ b/honeywharf/simulation/run.py
@@ -1,13 +1,13 @@
-"""A day by seed, and the least of its faults that breaks a rule (`honeywharf flume` plays them).
+"""A day by seed, and the least of its faults that breaks a rule (`honeywharf simulation` plays them).
 
 The order of sets of texts belongs to a day, so one is played again only under the same PYTHONHASHSEED: 0.
 """
 
 from __future__ import annotations
 
-from honeywharf.flume.days import Day, Fault, draw
-from honeywharf.flume.field import SMALL, TERM, Field, Make, Shape
-from honeywharf.flume.machine import Process
+from honeywharf.simulation.days import Day, Fault, draw
+from honeywharf.simulation.field import SMALL, TERM, Field, Make, Shape
+from honeywharf.simulation.machine import Process
 
 LEAD, QUIET = 5.0, 5.0  # seconds until traffic, and of traffic before troubles
 TROUBLES, AFTER = 10.0, 26.0  # seconds of troubles, and of traffic after the last may have begun
@@ -28,14 +28,16 @@
         self.notes = list(field.world.notes)
         self.story = list(field.world.story)
         words = self.broken[0][2].split() if self.broken else []
-        self.about = [line for word in words[:1] if word in field.book.asks
-                      for line in field.book.asks[word].story()]
+        self.about = [
+            line for word in words[:1] if word in field.book.asks for line in field.book.asks[word].story()
+        ]
 
     def __str__(self) -> str:
         """One line for the day, one for each rule that was broken."""
         told = [f"day {self.seed}: {self.served} of {self.asked} served, {self.steps} steps, {self.faults}"]
-        told += [f"  BROKEN {rule} at {when:.3f}, step {self.steps}: {what}"
-                 for rule, when, what in self.broken]
+        told += [
+            f"  BROKEN {rule} at {when:.3f}, step {self.steps}: {what}" for rule, when, what in self.broken
+        ]
         return "\n".join(told)
 
     def history(self) -> list[str]:
@@ -43,33 +45,41 @@
         return [*self.story, *self.about]
 
 
-def real_sluice(host: Process, settings: str) -> object:
+def real_sidecar(host: Process, settings: str) -> object:
     """The data plane's program."""
-    from honeywharf.programs.sluice import Sluice
-    from honeywharf.strainer.settings import parse
-    sluice = Sluice(host, parse(settings))
-    host.on_signal(TERM, sluice.terminate)
-    return sluice
+    from honeywharf.mesh_config.settings import parse
+    from honeywharf.programs.sidecar import Sidecar
 
-
-def real_reservoir(host: Process, settings: str) -> object:
-    """The control plane's program."""
-    from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.strainer.settings import parse
-    reservoir = Reservoir(host, parse(settings))
-    host.on_signal(TERM, reservoir.stop)
-    return reservoir
+    sidecar = Sidecar(host, parse(settings))
+    host.on_signal(TERM, sidecar.terminate)
+    return sidecar
 
 
-def run(seed: int, faults: list[Fault] | None = None, sluice: Make = real_sluice,
-        reservoir: Make = real_reservoir, shape: Shape = SMALL, after: float = AFTER) -> Report:
+def real_control_node(host: Process, settings: str) -> object:
+    """The control plane's program."""
+    from honeywharf.mesh_config.settings import parse
+    from honeywharf.programs.control import ControlNode
+
+    control_node = ControlNode(host, parse(settings))
+    host.on_signal(TERM, control_node.stop)
+    return control_node
+
+
+def run(
+    seed: int,
+    faults: list[Fault] | None = None,
+    sidecar: Make = real_sidecar,
+    control_node: Make = real_control_node,
+    shape: Shape = SMALL,
+    after: float = AFTER,
+) -> Report:
     """Play a day, with the faults that its seed draws or with those given; stop at the first broken rule.
 
     `after`: seconds of traffic after the last trouble may have begun; RECOVER needs all of them.
     """
     begin = LEAD + QUIET
     until = begin + TROUBLES + after
-    field = Field(seed, sluice, reservoir, shape, LEAD, until)
+    field = Field(seed, sidecar, control_node, shape, LEAD, until)
     faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
     Day(field, faults)
     field.world.strict = True
@@ -81,13 +91,14 @@
     return Report(seed, faults, field)
 
 
-def shrink(report: Report, sluice: Make = real_sluice, reservoir: Make = real_reservoir,
-           shape: Shape = SMALL) -> Report:
+def shrink(
+    report: Report, sidecar: Make = real_sidecar, control_node: Make = real_control_node, shape: Shape = SMALL
+) -> Report:
     """Leave out one fault after the other while the same rule is still broken."""
     least, tried = report, 0
     while tried < len(least.faults):
-        fewer = least.faults[:tried] + least.faults[tried + 1:]
-        again = run(report.seed, fewer, sluice, reservoir, shape)
+        fewer = least.faults[:tried] + least.faults[tried + 1 :]
+        again = run(report.seed, fewer, sidecar, control_node, shape)
         if again.broken and again.broken[0][0] == report.broken[0][0]:
             least = again
         else:
--- a/honeywharf/flume/shift.py
+++ b/honeywharf/simulation/shift.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable
 from typing import Any
 
-from honeywharf.flume.machine import Process
-from honeywharf.flume.regions import READ, UPLOAD, Client, Day, Source
-from honeywharf.penstock.spillway import Spillway
-from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
+from honeywharf.programs.gateway import GatewayNode, granted_bytes
+from honeywharf.sessions.spillway import Spillway
+from honeywharf.simulation.machine import Process
+from honeywharf.simulation.regions import READ, UPLOAD, Client, Day, Source
 
 BACK_S = 2.5  # after its order a drained gateway is taken back
 WINDOWS = (("before", -2.0, 0.0), ("during", 0.0, 1.0), ("after", 1.0, 2.5))  # seconds from a trouble
@@ -29,7 +29,12 @@
     __slots__ = ("answer", "body", "kind", "name", "share")
 
     def __init__(
-        self, name: str, kind: int, share: float, body: Iterable[int], answer: Iterable[int],
+        self,
+        name: str,
+        kind: int,
+        share: float,
+        body: Iterable[int],
+        answer: Iterable[int],
     ) -> None:
         self.name, self.kind, self.share = name, kind, share
         self.body, self.answer = tuple(body), tuple(answer)
@@ -76,11 +81,24 @@
     """The day. `trouble`: "drain" or "kill". `lanes=False`: bodies go out as they come, for comparison."""
 
     def __init__(
-        self, seed: int, plan: Plan, trouble: str, sessions: bool = True, lanes: bool = True,
+        self,
+        seed: int,
+        plan: Plan,
+        trouble: str,
+        sessions: bool = True,
+        lanes: bool = True,
     ) -> None:
         super().__init__(
-            seed, 2, sessions, "", plan.mbps, 0.0, uploads=0, sources=plan.sources,
-            most_bytes=granted_bytes(MEMORY_MB, plan.mbps))
+            seed,
+            2,
+            sessions,
+            "",
+            plan.mbps,
+            0.0,
+            uploads=0,
+            sources=plan.sources,
+            most_bytes=granted_bytes(MEMORY_MB, plan.mbps),
+        )
         self.network.window = WIDE
         self.plan, self.trouble, self.lanes = plan, trouble, lanes
         self.refuse, self.work_s, self.slow_s = 0.0, (0.002, 0.01), 0.03
@@ -137,7 +155,8 @@
         if self.hour:
             self._begin(False)
             self.world.at(
-                self.world.now + self.world.random.expovariate(self.plan.rate * self.hour), self._ask)
+                self.world.now + self.world.random.expovariate(self.plan.rate * self.hour), self._ask
+            )
 
     def next_upload(self) -> None:
         """Keep as many uploads under way as the hour has."""
@@ -151,9 +170,17 @@
 
     def _sample(self) -> None:
         """Note how many uploads each gateway carries."""
-        self.samples.append((self.world.now, [
-            sum(not 0 <= row.length <= 32768 for row in keeper.program.passages.rows.values())
-            if isinstance(keeper.program, Weirkeeper) else 0 for keeper in self.keepers]))
+        self.samples.append(
+            (
+                self.world.now,
+                [
+                    sum(not 0 <= row.length <= 32768 for row in keeper.program.passages.rows.values())
+                    if isinstance(keeper.program, GatewayNode)
+                    else 0
+                    for keeper in self.keepers
+                ],
+            )
+        )
         if self.hour:
             self.next_upload()
             self.world.at(self.world.now + SAMPLE_S, self._sample)
@@ -163,8 +190,11 @@
     def _strike(self, number: int) -> None:
         """Drain or kill the one of region a's gateways that has more uploads."""
         self.at.append(self.world.now)
-        mine = [keeper for keeper in self.keepers if isinstance(keeper.program, Weirkeeper)
-                and keeper.machine.zone[0] == "a"]
+        mine = [
+            keeper
+            for keeper in self.keepers
+            if isinstance(keeper.program, GatewayNode) and keeper.machine.zone[0] == "a"
+        ]
         keeper = max(mine, key=lambda each: len(each.program.passages.rows))  # type: ignore[attr-defined]
         if self.trouble == "kill":
             keeper.kill()
@@ -174,7 +204,7 @@
             self.world.at(self.world.now + BACK_S, self._back, keeper)
 
     def _look(self, keeper: Process, since: float) -> None:
-        if isinstance(keeper.program, Weirkeeper) and keeper.program.passages.rows:
+        if isinstance(keeper.program, GatewayNode) and keeper.program.passages.rows:
             self.world.at(self.world.now + 0.01, self._look, keeper, since)
         else:
             self.empty_s.append(self.world.now - since)
@@ -183,11 +213,17 @@
 
     def took(self, name: str) -> dict[str, list[float]]:
         """Seconds of the requests of a shape that began before, during and after troubles."""
-        calls = [one for one in self.clients
-                 if isinstance(one, Call) and one.name == name and one.end == "done"]
-        return {window: [one.ended_at - one.began for one in calls
-                         if any(low <= one.began - at < high for at in self.at)]
-                for window, low, high in WINDOWS}
+        calls = [
+            one for one in self.clients if isinstance(one, Call) and one.name == name and one.end == "done"
+        ]
+        return {
+            window: [
+                one.ended_at - one.began
+                for one in calls
+                if any(low <= one.began - at < high for at in self.at)
+            ]
+            for window, low, high in WINDOWS
+        }
 
 
 class Flood(Spillway):
--- a/honeywharf/standins/meshdemo.py
+++ b/honeywharf/standins/meshdemo.py
@@ -2,8 +2,8 @@
 
 Theory of operation. Each program is a process of its own on an address of its own (127.x.y.n, all with the
 same ports, as the platform has it). Clients, backends and the operator are the simulation's stand-ins
-(`flume.standins`) on one loop of this process, and what they see goes into the simulation's book
-(`flume.rules`), so the rules are judged by the same code on sockets and in virtual time.
+(`simulation.standins`) on one loop of this process, and what they see goes into the simulation's book
+(`simulation.rules`), so the rules are judged by the same code on sockets and in virtual time.
 """
 
 from __future__ import annotations
@@ -24,11 +24,11 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume import field
-from honeywharf.flume.rules import RULES, TRANSIT, Ask, Book, Order, Rule
-from honeywharf.flume.standins import Backend, Caller, Clients, Flow, Message, Operator, text
-from honeywharf.mains.host import Address, Connection, Handler
-from honeywharf.mains.loop import Loop, LoopTimer
+from honeywharf.simulation import field
+from honeywharf.simulation.rules import RULES, TRANSIT, Ask, Book, Order, Rule
+from honeywharf.simulation.standins import Backend, Caller, Clients, Flow, Message, Operator, text
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.loop import Loop, LoopTimer
 
 ZONES = ("tartu-saal", "voru-saal")
 CORES, SIDES = 3, 5
@@ -38,14 +38,15 @@
     ("maps.example", "/tiles/", "read_only", TILES, 0.5, "fresh", 0),
     ("maps.example", "/parcels/", "read_only", TILES, 0.15, "pipeline", 0),
     ("shop.example", "/orders/", "mutating", ORDERS, 0.3, "fresh", 2000),
-    ("shop.example", "/uploads/", "upload", ORDERS, 0.05, "pool", 60_000))
+    ("shop.example", "/uploads/", "upload", ORDERS, 0.05, "pool", 60_000),
+)
 MOVED = "/parcels/"  # the route that the change gives to the other service
 COLD_PER_S = 9.0
 UP_S, END_S = 15.0, 10.0  # bounds of the start, and of the end of the programs
 LOOK_S = 1.05  # clients ask whether their proxy is ready, and send a second later
 LEAST_SERVED = 0.9
 PORTS = range(8300, 30000, 100)  # below those that the kernel gives to connections
-USED = (0, 1, 2, 4, 6, *range(-680, -664))  # beside the first of them: as `flume.field` numbers them
+USED = (0, 1, 2, 4, 6, *range(-680, -664))  # beside the first of them: as `simulation.field` numbers them
 
 
 class World:
@@ -121,8 +122,12 @@
         self.life += 1
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", self.module], stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, env={**os.environ, "HONEYWHARF_SETTINGS": str(self.file)})
+                [sys.executable, "-m", self.module],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, "HONEYWHARF_SETTINGS": str(self.file)},
+            )
 
     def send(self, number: int) -> None:
         """Send a signal, if it runs."""
@@ -149,7 +154,7 @@
     def __init__(self, mesh: Mesh, number: int, service: str) -> None:
         self.mesh, self.service = mesh, service
         self.ip, self.zone = mesh.address(20 + number), ZONES[number % len(ZONES)]
-        self.proxy = mesh.program("sluice", self.ip, self.zone, service)
+        self.proxy = mesh.program("sidecar", self.ip, self.zone, service)
         self.ready = False
         self.backend: Backend | None = None
 
@@ -161,19 +166,31 @@
             for served in list(self.backend.connections):
                 served.connection.abort()
         self.backend = Backend(
-            cast(Any, Quay(self.mesh.world, self.ip, self.zone)), self.mesh.book, self.service, application,
-            control, cold=cold)
+            cast(Any, Quay(self.mesh.world, self.ip, self.zone)),
+            self.mesh.book,
+            self.service,
+            application,
+            control,
+            cold=cold,
+        )
 
     def drive(self, flows: list[Flow], until: float) -> None:
         """Have the machine's clients ask until a time of the world."""
         clients = Clients(
-            cast(Any, Quay(self.mesh.world, self.ip, self.zone)), self.mesh.book, flows, lambda: self.service,
-            cast(Any, self.proxy), self.mesh.port(field.OUTBOUND), self.mesh.port(field.READINESS))
+            cast(Any, Quay(self.mesh.world, self.ip, self.zone)),
+            self.mesh.book,
+            flows,
+            lambda: self.service,
+            cast(Any, self.proxy),
+            self.mesh.port(field.OUTBOUND),
+            self.mesh.port(field.READINESS),
+        )
         clients.until = until
 
 
 class Mesh:
-    """All that runs. At `subnet`, such as "127.9.4", the ports of `flume.field` plus `shift` are free."""
+    """All that runs. At `subnet`, such as "127.9.4", the ports of `simulation.field` plus `shift` are
+    free."""
 
     def __init__(self, folder: Path, subnet: str, shift: int, seed: int) -> None:
         self.folder, self.subnet, self.shift = folder, subnet, shift
@@ -183,23 +200,25 @@
         self.heard = Heard(self.book)
         self.book.rules.append(self.heard)
         self.seeds = [self.address(10 + n) for n in range(CORES)]
-        self.cores = [self.program("reservoir", ip, ZONES[n % len(ZONES)]) for n, ip in enumerate(self.seeds)]
+        self.cores = [self.program("control", ip, ZONES[n % len(ZONES)]) for n, ip in enumerate(self.seeds)]
         self.sides = [Side(self, n, (TILES, ORDERS, ORDERS, TILES, TILES)[n]) for n in range(SIDES)]
         self.operator = Operator(
-            cast(Any, Quay(self.world, self.address(5), "outside")), self.book,
-            lambda: [(core.ip, self.port(field.CONTROL)) for core in self.cores])
+            cast(Any, Quay(self.world, self.address(5), "outside")),
+            self.book,
+            lambda: [(core.ip, self.port(field.CONTROL)) for core in self.cores],
+        )
 
     def address(self, number: int) -> str:
         """A machine's address."""
         return f"{self.subnet}.{number}"
 
     def port(self, number: int) -> int:
-        """The port that stands for one of `flume.field`."""
+        """The port that stands for one of `simulation.field`."""
         return number + self.shift
 
     @property
     def programs(self) -> list[Program]:
-        """Reservoirs, then sluices."""
+        """Control nodes, then sidecars."""
         return [*self.cores, *(side.proxy for side in self.sides)]
 
     def program(self, name: str, ip: str, zone: str, service: str = "") -> Program:
@@ -241,6 +260,7 @@
 
     def ask(self, to: Address, path: str, told: Callable[[Message | None], None]) -> None:
         """A GET of the platform's."""
+
         def answered(tag: object, message: Message | None) -> None:
             told(message)
             caller.close()
@@ -263,17 +283,44 @@
     for host, prefix, kind, service, *_ in ROUTES:
         to = ORDERS if moved and prefix == MOVED else service
         order.routes[host, prefix] = frozenset((to,))
-        routes.append({
-            "name": f"r-{prefix.strip('/')}", "hostname": host, "path-prefix": prefix, "route-kind": kind,
-            "timeout": "3000ms", "target-latency": "600ms", "priority": 1, "max-attempts": 2,
-            "target-service": to})
-    services = [{
-        "name": name, "health-check-path": "/health", "max-connections": 110, "protocol": "h1",
-        "tls-enabled": False, "cold-start": "3s", "cold-per-s": COLD_PER_S} for name in (TILES, ORDERS)]
-    order.text = json.dumps({
-        "config-version": f"r{version}", "routes": routes, "services": services,
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout": "3000ms",
-                   "idle-timeout": "15000ms"}}).encode()
+        routes.append(
+            {
+                "name": f"r-{prefix.strip('/')}",
+                "hostname": host,
+                "path-prefix": prefix,
+                "route-kind": kind,
+                "timeout": "3000ms",
+                "target-latency": "600ms",
+                "priority": 1,
+                "max-attempts": 2,
+                "target-service": to,
+            }
+        )
+    services = [
+        {
+            "name": name,
+            "health-check-path": "/health",
+            "max-connections": 110,
+            "protocol": "h1",
+            "tls-enabled": False,
+            "cold-start": "3s",
+            "cold-per-s": COLD_PER_S,
+        }
+        for name in (TILES, ORDERS)
+    ]
+    order.text = json.dumps(
+        {
+            "config-version": f"r{version}",
+            "routes": routes,
+            "services": services,
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 67108864,
+                "header-timeout": "3000ms",
+                "idle-timeout": "15000ms",
+            },
+        }
+    ).encode()
     return order
 
 
@@ -346,7 +393,8 @@
 
     def _configure(self) -> None:
         self.mesh.operator.on_ack = lambda order, ip: self.say(
-            f"  r{order.version} is acknowledged after {(order.acked - order.sent) * 1000.0:.0f} ms")
+            f"  r{order.version} is acknowledged after {(order.acked - order.sent) * 1000.0:.0f} ms"
+        )
         self.say(f"  the operator gives {MOVED} to {ORDERS} (r{self.change.version})")
         self.mesh.operator.order(self.change)
 
@@ -357,7 +405,7 @@
             self.left.leave(partial(self.leaver.live, field.COLD))
 
     def _kill(self) -> None:
-        self.say(f"  the sluice at {self.victim.ip} is killed by SIGKILL, and starts again")
+        self.say(f"  the sidecar at {self.victim.ip} is killed by SIGKILL, and starts again")
         self.mesh.book.trouble(self.victim.ip, 1)
         self.victim.proxy.send(signal.SIGKILL)
         self.mesh.loop.after(0.3, self._again)
@@ -380,7 +428,7 @@
         mesh = self.mesh
         mesh.operator.read_back()
         mesh.wait(END_S, lambda: mesh.heard.text is not None)
-        for name in ("sluice", "reservoir"):
+        for name in ("sidecar", "control"):
             group = [program for program in mesh.programs if program.name == name]
             self.memory[name] = max(program.peak_mb() for program in group)
             for program in group:
@@ -399,16 +447,22 @@
         asks = list(self.mesh.book.asks.values())
         return {
             "requests run twice that may not be": sum(
-                not ask.repeatable and len(ask.runs) > 1 for ask in asks),
+                not ask.repeatable and len(ask.runs) > 1 for ask in asks
+            ),
             "requests run after a promise that they had not": sum(
-                ask.status in (408, 421, 429, 503) and bool(ask.runs) and not ask.repeatable for ask in asks),
+                ask.status in (408, 421, 429, 503) and bool(ask.runs) and not ask.repeatable for ask in asks
+            ),
             "requests that reached the backend after its drain": sum(
-                when > self._drained() for ask in asks for when, at in ask.arrivals if at is self.left),
+                when > self._drained() for ask in asks for when, at in ask.arrivals if at is self.left
+            ),
             "requests by the old route after its change applied": sum(map(self._outdated, asks)),
             "programs that did not end with status 0": sum(status != 0 for status in self.ends),
             "faults told in the programs' logs, or met by the clients, backends and operator": sum(
-                line.startswith(("fault ", "calls: ")) for program in self.mesh.programs
-                for line in program.log.read_text("utf-8", "replace").splitlines()) + self.mesh.loop.faults,
+                line.startswith(("fault ", "calls: "))
+                for program in self.mesh.programs
+                for line in program.log.read_text("utf-8", "replace").splitlines()
+            )
+            + self.mesh.loop.faults,
         }
 
     def _drained(self) -> float:
@@ -433,22 +487,27 @@
         checks = {
             ", ".join(sorted(rules - {rule for rule, _, _ in book.found})): True,
             **{f"{rule} at {when:.1f} s: {what}": False for rule, when, what in book.found},
-            f"at least {LEAST_SERVED:.0%} served where no proxy was killed":
-                others["200"] >= LEAST_SERVED * max(1, others.total()),
-            "the change was acknowledged, and was read back at the end":
-                self.change.acked < 1e9 and self.mesh.heard.text == self.change.text}
+            f"at least {LEAST_SERVED:.0%} served where no proxy was killed": others["200"]
+            >= LEAST_SERVED * max(1, others.total()),
+            "the change was acknowledged, and was read back at the end": self.change.acked < 1e9
+            and self.mesh.heard.text == self.change.text,
+        }
         for what, kept in checks.items():
             self.say(f"{'held' if kept else 'BROKEN':>8}: {what}")
         return 0 if all(checks.values()) and not any(figures.values()) else 1
 
     def _statuses(self, at_victim: bool) -> Counter[str]:
         return Counter(
-            "no answer" if ask.status < 100 else str(ask.status) for ask in self.mesh.book.asks.values()
-            if (ask.machine == self.victim.ip) == at_victim)
+            "no answer" if ask.status < 100 else str(ask.status)
+            for ask in self.mesh.book.asks.values()
+            if (ask.machine == self.victim.ip) == at_victim
+        )
 
     def _say_statuses(self, where: str, statuses: Counter[str]) -> None:
-        self.say(f"{statuses.total()} requests {where}: " + ", ".join(
-            f"{status} {number} times" for status, number in sorted(statuses.items())))
+        self.say(
+            f"{statuses.total()} requests {where}: "
+            + ", ".join(f"{status} {number} times" for status, number in sorted(statuses.items()))
+        )
 
 
 def play(seconds: float, rate: float, seed: int, say: Callable[[str], None]) -> int:
@@ -457,13 +516,19 @@
     with tempfile.TemporaryDirectory() as name:
         mesh = Mesh(Path(name), subnet, shift, seed)
         day = Day(mesh, seconds, rate, say)
-        say(f"{len(ZONES)} zones, {CORES} reservoirs, {SIDES} sluices with a backend each at {subnet}.x, "
-            f"{rate:g} requests/s for {seconds:g} s, seed {seed}")
+        say(
+            f"{len(ZONES)} zones, {CORES} control nodes, {SIDES} sidecars with a backend each at {subnet}.x, "
+            f"{rate:g} requests/s for {seconds:g} s, seed {seed}"
+        )
         try:
             if not day.up():
-                say("not all proxies became ready: " + "; ".join(
-                    f"{program.name} {program.ip}: {program.log.read_text('utf-8', 'replace')[-500:]!r}"
-                    for program in mesh.programs))
+                say(
+                    "not all proxies became ready: "
+                    + "; ".join(
+                        f"{program.name} {program.ip}: {program.log.read_text('utf-8', 'replace')[-500:]!r}"
+                        for program in mesh.programs
+                    )
+                )
                 return 1
             say(f"all are ready after {mesh.world.now:.1f} s")
             day.play()
--- a/honeywharf/mains/door.py
+++ b/honeywharf/transport/http_server.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
 SMALL = 256 * 1024  # bytes of a body of which there may be as many as connections
 MOST_CONNECTIONS = 1024
@@ -43,10 +43,21 @@
     """One connection at the door."""
 
     __slots__ = (
-        "at_work", "behind", "connection", "door", "head", "long", "parts", "queue", "reader", "reading",
-        "size", "timer")
-
-    def __init__(self, door: Door, connection: Connection) -> None:
+        "at_work",
+        "behind",
+        "connection",
+        "door",
+        "head",
+        "long",
+        "parts",
+        "queue",
+        "reader",
+        "reading",
+        "size",
+        "timer",
+    )
+
+    def __init__(self, door: HttpServer, connection: Connection) -> None:
         self.door, self.connection = door, connection
         self.reader = RequestReader(_Reading(self), door.most_body, MOST_HEAD)
         self.head: Head | None = None  # of the call at work
@@ -183,14 +194,18 @@
         self.guest.whole()
 
 
-class Door:
+class HttpServer:
     """Listens at an address; `take` is given each whole call.
 
     `most_body`: bytes, longer ones are answered 413.
     """
 
     def __init__(
-        self, host: Host, address: Address, take: Callable[[Call], None], most_body: int = 65 << 20,
+        self,
+        host: Host,
+        address: Address,
+        take: Callable[[Call], None],
+        most_body: int = 65 << 20,
     ) -> None:
         self.host, self.address, self.take, self.most_body = host, address, take, most_body
         self.guests = self.calls = 0
--- a/tests/assay/test_hard.py
+++ b/tests/drift/test_hard.py
@@ -7,17 +7,17 @@
 
 import pytest
 
-from honeywharf.assay import rounds, states
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.field import ZONES, Side
-from honeywharf.flume.rules import Ask
-from honeywharf.flume.slips import Kinds, Trial
-from honeywharf.flume.standins import Caller
+from honeywharf.drift import rounds, states
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.field import ZONES, Side
+from honeywharf.simulation.rules import Ask
+from honeywharf.simulation.slips import Kinds, Trial
+from honeywharf.simulation.standins import Caller
 from honeywharf.verdict import TURNED_AWAY
 
 
 def program(side: Side) -> Any:
-    """The sluice that runs there."""
+    """The sidecar that runs there."""
     return cast(Any, side.proxy.program)
 
 
@@ -27,7 +27,7 @@
     assert trial.book.found == []
     assert trial.wrong == []
     assert trial.alarms == []
-    assert all(not program(side).assay.state.aside for side in trial.field.sides)
+    assert all(not program(side).drift_monitor.state.aside for side in trial.field.sides)
 
 
 def deaf(side: Side) -> None:
@@ -48,12 +48,16 @@
     side = trial.field.sides[0]
     answers: list[Any] = []
     caller = Caller(side.clients, (side.ip, 8304), lambda tag, message: answers.append(message))
-    ask = trial.book.asks["aa01"] = Ask("aa01", side.ip, side.service, "PUT", "shop.example", "/uploads/9",
-                                        "upload")
+    ask = trial.book.asks["aa01"] = Ask(
+        "aa01", side.ip, side.service, "PUT", "shop.example", "/uploads/9", "upload"
+    )
     ask.body = bytes(40_000)
     ask.deadline, ask.sent = trial.world.now + 2.0, trial.world.now
-    caller.ask(None, b"PUT /uploads/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: aa01\r\n"
-               b"Content-Length: 40000\r\n\r\n" + ask.body[:20_000])
+    caller.ask(
+        None,
+        b"PUT /uploads/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: aa01\r\n"
+        b"Content-Length: 40000\r\n\r\n" + ask.body[:20_000],
+    )
     trial.play(8.5)
     if moved:
         trial.moves["/uploads/"] = {"tile-vault": 1}
@@ -70,8 +74,10 @@
 def test_a_change_in_the_middle_of_retries_and_of_answers_421_alarms_nobody() -> None:
     trial = Trial(12, "none", 0)
     trial.field.until = 18.0
-    Day(trial.field, [Fault(8.0 + n, kind, "", 40 + n) for n in range(6)
-                      for kind in ("answer_lost", "config_change")])
+    Day(
+        trial.field,
+        [Fault(8.0 + n, kind, "", 40 + n) for n in range(6) for kind in ("answer_lost", "config_change")],
+    )
 
     def other() -> None:
         for side in trial.field.sides[:3]:
@@ -98,7 +104,7 @@
     assert {program(side).word.version for side in behind} == {before}
     assert {program(side).word.version for side in trial.field.sides[1::2]} == {version}
     assert all(side.proxy.program is not None for side in behind)
-    assert all(program(side).assay.caught == {} for side in trial.field.sides)
+    assert all(program(side).drift_monitor.caught == {} for side in trial.field.sides)
     for side in behind:
         word = program(side).word
         del word.heard, word._take
@@ -122,17 +128,24 @@
 
 def test_a_thousand_routes_changed_at_once_are_compared_within_the_bound() -> None:
     trial = Trial(15, "none", 0)
-    trial.field.idlers = [("maps.example" if n % 2 else "shop.example", f"/many{n}/",
-                           "read_only" if n % 3 else "mutating", "tile-vault") for n in range(1000)]
+    trial.field.idlers = [
+        (
+            "maps.example" if n % 2 else "shop.example",
+            f"/many{n}/",
+            "read_only" if n % 3 else "mutating",
+            "tile-vault",
+        )
+        for n in range(1000)
+    ]
     trial.play(8.0)
     ordered(trial)  # another timeout in each
     whole = [program(side) for side in trial.field.sides]
     trial.play(8.6)
-    assert {sluice.word.version for sluice in whole} == {trial.told[-1].version}
-    assert all(sluice.assay.state.at == states.APPLYING for sluice in whole)
+    assert {sidecar.word.version for sidecar in whole} == {trial.told[-1].version}
+    assert all(sidecar.drift_monitor.state.at == states.APPLYING for sidecar in whole)
     trial.play(8.6 + rounds.WHOLE_STEPS * rounds.STEP_S + 0.5)
-    assert all(sluice.assay.state.at == states.AGREED for sluice in whole)
-    assert len({sluice.assay.view()["root"] for sluice in whole}) == 1
+    assert all(sidecar.drift_monitor.state.at == states.AGREED for sidecar in whole)
+    assert len({sidecar.drift_monitor.view()["root"] for sidecar in whole}) == 1
     calm(trial)
 
 
@@ -145,12 +158,16 @@
     chance, (first, second) = random.Random(2), trial.field.sides[:2]
     Kinds(trial).kind(program(first), chance)
     trial.play(9.5)
-    assert program(first).assay.state.at in (states.HEALED, states.AGREED)
+    assert program(first).drift_monitor.state.at in (states.HEALED, states.AGREED)
     Kinds(trial).build(program(second), chance)
     before = program(second).source.handed
     trial.play(14.0)
-    assay = program(second).assay
-    assert (assay.state.at, assay.standing, assay.unfit) == (states.DOUBTED, False, False)  # no leave
+    drift_monitor = program(second).drift_monitor
+    assert (drift_monitor.state.at, drift_monitor.standing, drift_monitor.unfit) == (
+        states.DOUBTED,
+        False,
+        False,
+    )  # no leave
     assert program(second).source.handed > before
     asked = [ask for ask in trial.book.asks.values() if ask.machine == second.ip and ask.sent > 10.0]
     assert {ask.kind for ask in asked} == {"read_only", "mutating", "upload"}
--- a/tests/assay/test_history.py
+++ b/tests/drift/test_history.py
@@ -1,4 +1,4 @@
-"""What a reservoir remembers: bounded, whole or empty, and a register that goes back is noticed."""
+"""What a control node remembers: bounded, whole or empty, and a register that goes back is noticed."""
 
 from __future__ import annotations
 
@@ -9,12 +9,12 @@
 
 import pytest
 
-from honeywharf.assay import history
-from honeywharf.assay.history import History
-from honeywharf.flume.slips import Trial
-from honeywharf.mains.host import Host
-from honeywharf.strainer.configuration import digest
-from tests.strainer.examples import drawn, text
+from honeywharf.drift import history
+from honeywharf.drift.history import History
+from honeywharf.mesh_config.configuration import digest
+from honeywharf.simulation.slips import Trial
+from honeywharf.transport.host import Host
+from tests.mesh_config.examples import drawn, text
 
 
 class Shelf:
@@ -70,7 +70,7 @@
     assert len(again.slips[0][3]) == history.MOST_CAUSE
     data = shelf.files[history.FILE]
     for at in Random(1).sample(range(4, len(data)), 20):
-        shelf.files[history.FILE] = data[:at] + bytes([data[at] ^ 1]) + data[at + 1:]
+        shelf.files[history.FILE] = data[:at] + bytes([data[at] ^ 1]) + data[at + 1 :]
         assert made(shelf).words == []
 
 
@@ -113,11 +113,11 @@
     assert kept.went_back("first", (3, "n", 9), (3, "n", 1))
 
 
-def test_a_reservoir_whose_disk_gives_back_an_older_word_has_no_vote_until_admitted_anew() -> None:
+def test_a_control_node_whose_disk_gives_back_an_older_word_has_no_vote_until_admitted_anew() -> None:
     trial = Trial(3, "disk", 2).play()
     assert [slip.by for slip in trial.slips] == ["register", "register"]
     assert trial.wrong == []
     assert trial.book.found == []
-    basins = [cast(Any, core.program).basin for core in trial.field.cores]
-    assert len({tuple(map(tuple, basin.state.roster)) for basin in basins}) == 1
-    assert all(basin.member() for basin in basins)
+    replicas = [cast(Any, core.program).replica for core in trial.field.cores]
+    assert len({tuple(map(tuple, replica.state.roster)) for replica in replicas}) == 1
+    assert all(replica.member() for replica in replicas)
--- a/tests/penstock/test_ledger.py
+++ b/tests/sessions/test_ledger.py
@@ -9,12 +9,12 @@
 
 import pytest
 
-from honeywharf.penstock.hold import Hold
-from honeywharf.penstock.inlet import OVER, Request
-from honeywharf.penstock.kinds import OPEN, WINDOW
-from honeywharf.penstock.outlet import APART_S, LEDGER_S, MOST_JOINED, RUNNING, Outlet, Outlets
+from honeywharf.sessions.hold import Hold
+from honeywharf.sessions.inlet import OVER, Request
+from honeywharf.sessions.kinds import OPEN, WINDOW
+from honeywharf.sessions.outlet import APART_S, LEDGER_S, MOST_JOINED, RUNNING, Outlet, Outlets
 from honeywharf.verdict import BROKEN_OFF, FULL, MAY_HAVE_RUN, NAMES, NOT_RUN, Verdict
-from tests.penstock.town import Town
+from tests.sessions.town import Town
 
 NOTE = Path(__file__).parents[2] / "docs" / "design" / "gateway.md"
 BODY, LONG = b"one print order", bytes(400_000)
@@ -209,14 +209,37 @@
 def outlets(**bounds: int) -> tuple[Outlets, list[list[object]]]:
     said: list[list[object]] = []
     made = Outlets(
-        b"life", "r", Hold(1 << 20, 8, 0.5), lambda path, frame: said.append(frame), lambda outlet: None,
-        lambda outlet: None, lambda outlet, size: None, **bounds)
+        b"life",
+        "r",
+        Hold(1 << 20, 8, 0.5),
+        lambda path, frame: said.append(frame),
+        lambda outlet: None,
+        lambda outlet: None,
+        lambda outlet, size: None,
+        **bounds,
+    )
     return made, said
 
 
 def head(number: int, size: int = 0, tenant: str = "t", attempt: bytes | None = None) -> list[object]:
-    return [OPEN, number.to_bytes(16, "big"), 1, "d", b"", 0, 0, attempt or b"%d" % number, size, 1000, 1000,
-            tenant, "", [], None, 0]
+    return [
+        OPEN,
+        number.to_bytes(16, "big"),
+        1,
+        "d",
+        b"",
+        0,
+        0,
+        attempt or b"%d" % number,
+        size,
+        1000,
+        1000,
+        tenant,
+        "",
+        [],
+        None,
+        0,
+    ]
 
 
 def test_a_tenant_has_its_share_and_no_more_and_all_together_have_the_whole() -> None:
--- a/tests/penstock/test_passage.py
+++ b/tests/sessions/test_passage.py
@@ -6,10 +6,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume.regions import Day
-from honeywharf.penstock.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
-from honeywharf.penstock.passage import Passages
-from honeywharf.programs.weirkeeper import Weirkeeper
+from honeywharf.programs.gateway import GatewayNode
+from honeywharf.sessions.kinds import ACK, DATA, END, GONE, HAVE, OPEN, PIECE, WINDOW
+from honeywharf.sessions.passage import Passages
+from honeywharf.simulation.regions import Day
 from honeywharf.verdict import DRAINING, FULL, OTHER_SERVICE
 
 Sent = list[tuple[Any, list[Any]]]
@@ -20,11 +20,35 @@
     return Passages("b", lambda path, frame: sent.append((path, frame)), most_bytes, most_sessions), sent
 
 
-def opens(one: Passages, number: int, epoch: int = 1, length: int = -1, life: bytes = b"", origin: str = "a",
-          homes: tuple[str, ...] = ()) -> bytes:
+def opens(
+    one: Passages,
+    number: int,
+    epoch: int = 1,
+    length: int = -1,
+    life: bytes = b"",
+    origin: str = "a",
+    homes: tuple[str, ...] = (),
+) -> bytes:
     sid = number.to_bytes(16, "big")
-    frame = [OPEN, sid, epoch, "d", life, 0, 0, b"x", length, 1000, 1000, "t", origin, list(homes), None,
-             1 << 17, 2]
+    frame = [
+        OPEN,
+        sid,
+        epoch,
+        "d",
+        life,
+        0,
+        0,
+        b"x",
+        length,
+        1000,
+        1000,
+        "t",
+        origin,
+        list(homes),
+        None,
+        1 << 17,
+        2,
+    ]
     one.opens(0.0, "source", frame, lambda to, lane: "there")
     return sid
 
@@ -112,12 +136,13 @@
 def test_the_operators_door() -> None:
     day = Day(1, troubles="", uploads=0)
     day.world.run(2.0)
-    keeper = cast(Weirkeeper, day.keepers[0].program)
+    keeper = cast(GatewayNode, day.keepers[0].program)
     answers: list[tuple[int, bytes]] = []
 
     def call(method: bytes, path: bytes) -> Any:
         return SimpleNamespace(
-            method=method, path=path, answer=lambda status, body=b"": answers.append((status, body)))
+            method=method, path=path, answer=lambda status, body=b"": answers.append((status, body))
+        )
 
     keeper._order(call(b"GET", b"/api/gateway"))
     keeper._order(call(b"POST", b"/api/gateway/drain"))
--- a/tests/sluice/test_beats.py
+++ b/tests/sidecar/test_beats.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from honeywharf.flume.field import APPLICATION, CONTROL
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
-from honeywharf.mains.door import Door
-from honeywharf.sluice.beats import MOST_ID, Beats
-from honeywharf.sluice.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
-from honeywharf.sluice.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
-from tests.sluice.stage import IP, LIFE, SERVICE, ZONE, Backend, Caller, Request, Visit
+from honeywharf.sidecar.beats import MOST_ID, Beats
+from honeywharf.sidecar.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
+from honeywharf.sidecar.probe import LONGEST_S, PATIENT_S, WITHIN_S, Probe
+from honeywharf.simulation.field import APPLICATION, CONTROL
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
+from honeywharf.transport.http_server import HttpServer
+from tests.sidecar.stage import IP, LIFE, SERVICE, ZONE, Backend, Caller, Request, Visit
 
 
 class Desk:
@@ -25,16 +25,16 @@
         self.world.strict = True
         self.machine = Machine(Network(self.world), IP, ZONE)
         self.told = 0
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.app = Process(self.machine, "app", Backend)
-        self.sluice.start()
+        self.sidecar.start()
         self.app.start()
         self.run()
 
-    def _sluice(self, host: Process) -> object:
+    def _sidecar(self, host: Process) -> object:
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         self.beats = Beats(host, self.gate, self._tell)
-        self.door = Door(host, (IP, CONTROL), self.beats.take, 1 << 20)
+        self.door = HttpServer(host, (IP, CONTROL), self.beats.take, 1 << 20)
         self.probe = Probe(host, (IP, APPLICATION), self.gate, self._tell)
         return self.gate
 
@@ -58,15 +58,20 @@
         top = f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}\r\n\r\n"
         caller.send(top.encode() + data)
         self.run()
-        (status, _, _), = caller.answers()
+        ((status, _, _),) = caller.answers()
         return status
 
     def beat(self, sequence: int = 4, life: str = LIFE, **changes: Any) -> int:
         """One beat, as PROTOCOL shows it; `changes` go into its status, or its details."""
         body: dict[str, dict[str, Any]] = {
             "details": {
-                "target-service": SERVICE, "config-version": "v1", "zone": ZONE, "capacity-slots": 12},
-            "status": {"state": "ready", "call-sequence": sequence, "cold-remaining": "0ms"}}
+                "target-service": SERVICE,
+                "config-version": "v1",
+                "zone": ZONE,
+                "capacity-slots": 12,
+            },
+            "status": {"state": "ready", "call-sequence": sequence, "cold-remaining": "0ms"},
+        }
         for name, value in changes.items():
             key = name.replace("_", "-")
             body["details" if key in body["details"] else "status"][key] = value
@@ -78,8 +83,8 @@
     assert desk.beat(cold_remaining="2.5s") == 200
     gate = desk.gate
     assert (gate.state, gate.instance, gate.admission.slots, gate.sequence) == (READY, LIFE, 12, 4)
-    assert gate.is_cold(desk.sluice.now() + 2.4)
-    assert not gate.is_cold(desk.sluice.now() + 3.0)
+    assert gate.is_cold(desk.sidecar.now() + 2.4)
+    assert not gate.is_cold(desk.sidecar.now() + 3.0)
     assert desk.told == 1
 
 
@@ -99,19 +104,41 @@
     assert (desk.gate.state, desk.gate.instance) == (READY, "i-next")
 
 
-@pytest.mark.parametrize("changes", [
-    {"state": "well"}, {"state": None}, {"call_sequence": "x"}, {"call_sequence": None},
-    {"capacity_slots": -1}, {"cold_remaining": "soon"}, {"cold_remaining": 5}, {"capacity_slots": "many"}])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "well"},
+        {"state": None},
+        {"call_sequence": "x"},
+        {"call_sequence": None},
+        {"capacity_slots": -1},
+        {"cold_remaining": "soon"},
+        {"cold_remaining": 5},
+        {"capacity_slots": "many"},
+    ],
+)
 def test_a_beat_that_makes_no_sense_is_refused_and_changes_nothing(changes: dict[str, Any]) -> None:
     desk = Desk()
     assert desk.beat(**changes) == 400
     assert (desk.gate.state, desk.told) == (UNKNOWN, 0)
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"{", b"[]", b"null", b"7", b'{"status":[]}', b'{"status":{}}', b"\xff\xfe",
-    b'{"details":7,"status":{}}',
-    b'{"status":{"state":"ready","call-sequence":1e999}}', b"[" * 100_000])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b"null",
+        b"7",
+        b'{"status":[]}',
+        b'{"status":{}}',
+        b"\xff\xfe",
+        b'{"details":7,"status":{}}',
+        b'{"status":{"state":"ready","call-sequence":1e999}}',
+        b"[" * 100_000,
+    ],
+)
 def test_a_body_that_is_no_beat_is_400(body: bytes) -> None:
     desk = Desk()
     assert desk.call(f"/api/instances/{LIFE}/heartbeat", body) == 400
@@ -124,9 +151,15 @@
     assert desk.gate.state == UNKNOWN
 
 
-@pytest.mark.parametrize(("method", "path", "status"), [
-    ("GET", f"/api/instances/{LIFE}/heartbeat", 405), ("POST", "/api/instances", 404), ("POST", "/", 404),
-    ("POST", "/api/instances/" + "i" * (MOST_ID + 1) + "/deregister", 400)])
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", f"/api/instances/{LIFE}/heartbeat", 405),
+        ("POST", "/api/instances", 404),
+        ("POST", "/", 404),
+        ("POST", "/api/instances/" + "i" * (MOST_ID + 1) + "/deregister", 400),
+    ],
+)
 def test_what_is_no_call_of_a_backend(method: str, path: str, status: int) -> None:
     desk = Desk()
     assert desk.call(path, method=method) == status
@@ -136,8 +169,10 @@
 
 
 def healthy(visit: Visit, request: Request, status: int = 200, cold: bytes = b"", life: str = LIFE) -> None:
-    visit.send(b"HTTP/1.1 %d OK\r\nX-Honeywharf-Instance-Id: %b\r\nX-Honeywharf-Instance-Load: 1,0,9\r\n"
-               b"%bContent-Length: 0\r\n\r\n" % (status, life.encode(), cold))
+    visit.send(
+        b"HTTP/1.1 %d OK\r\nX-Honeywharf-Instance-Id: %b\r\nX-Honeywharf-Instance-Load: 1,0,9\r\n"
+        b"%bContent-Length: 0\r\n\r\n" % (status, life.encode(), cold)
+    )
 
 
 def probed(desk: Desk, seconds: float) -> int:
@@ -208,13 +243,13 @@
     cold = b"X-Honeywharf-Cold-Remaining: 3000\r\n"
     desk.backend.serve = lambda visit, request: healthy(visit, request, cold=cold)
     desk.beat()
-    now = desk.sluice.now()
+    now = desk.sidecar.now()
     desk.gate.evacuate(now, on=True)
     desk.gate.evacuate(now + 0.001, on=False)
     desk.run(0.002)
     assert probed(desk, 1.0) == 1
     assert not desk.gate.doubted
-    assert desk.gate.is_cold(desk.sluice.now())
+    assert desk.gate.is_cold(desk.sidecar.now())
 
 
 def test_a_health_answer_does_not_undo_that_the_backend_leaves() -> None:
--- a/tests/flume/test_mutants.py
+++ b/tests/simulation/test_mutants.py
@@ -4,12 +4,22 @@
 
 import pytest
 
-from tests.flume.mutants import MUTANTS, caught
+from tests.simulation.mutants import MUTANTS, caught
 
 QUICK = (
-    "change drops evacuations", "nobody heeds draining", "cold bound off", "any service", "echo not checked",
-    "answers as they come", "reset means not run", "503 for what may have run", "budget off",
-    "SIGTERM exits at once", "word never renewed", "invalid is taken")
+    "change drops evacuations",
+    "nobody heeds draining",
+    "cold bound off",
+    "any service",
+    "echo not checked",
+    "answers as they come",
+    "reset means not run",
+    "503 for what may have run",
+    "budget off",
+    "SIGTERM exits at once",
+    "word never renewed",
+    "invalid is taken",
+)
 
 
 @pytest.mark.parametrize("name", QUICK)
