--- a/honeywharf/cli/simulation.py
+++ b/honeywharf/cli/simulation.py
@@ -37,6 +37,11 @@
 Seed = Annotated[int, cappa.Arg(help="The number that a day is drawn from.")]
 
 
+AnyKind = Annotated[
+    bool, cappa.Arg(long="--any-kind", help="Draw from every kind of trouble, not just those of sites.")
+]
+
+
 @cappa.command(name="run", help="Play one day.")
 @dataclass
 class Run:
@@ -44,10 +49,11 @@
 
     seed: Seed
     shape: Shaped = field(default_factory=Shape)
+    any_kind: AnyKind = False
 
     def __call__(self) -> int:
         """Exit status."""
-        return _days(self.seed, 1, 1, self.shape, quiet=False)
+        return _days(self.seed, 1, 1, self.shape, self.any_kind, quiet=False)
 
 
 @cappa.command(name="hunt", help="Play days from a seed on, and print those that break a rule.")
@@ -59,13 +65,15 @@
     count: Annotated[int, cappa.Arg(help="How many days.")]
     jobs: Annotated[int, cappa.Arg(long=True, help="Processes; 0 for one a core.")] = 0
     shape: Shaped = field(default_factory=Shape)
+    any_kind: AnyKind = False
 
     def __call__(self) -> int:
         """Exit status."""
         if self.count < 1 or not 0 <= self.jobs <= MOST_JOBS:
             print(f"found {self.count} days and {self.jobs} jobs, wanted 1 or more, and 0 to {MOST_JOBS}")
             return 2
-        return _days(self.first, self.count, self.jobs or os.cpu_count() or 1, self.shape, quiet=True)
+        jobs = self.jobs or os.cpu_count() or 1
+        return _days(self.first, self.count, jobs, self.shape, self.any_kind, quiet=True)
 
 
 @cappa.command(name="replay", help="Play one day whole, and print its last steps too.")
@@ -75,11 +83,12 @@
 
     seed: Seed
     shape: Shaped = field(default_factory=Shape)
+    any_kind: AnyKind = False
 
     def __call__(self) -> int:
         """Exit status."""
         with _pool(1) as pool:
-            report = pool.submit(run, self.seed, shape=self.shape).result()
+            report = pool.submit(run, self.seed, shape=self.shape, any_kind=self.any_kind).result()
         print(report)
         for line in [*report.notes, *report.history()]:
             print(f"    {line}")
@@ -117,10 +126,11 @@
             os.environ[HASHES] = before
 
 
-def _days(first: int, count: int, jobs: int, shape: Shape, quiet: bool) -> int:
+def _days(first: int, count: int, jobs: int, shape: Shape, any_kind: bool, quiet: bool) -> int:
     bad, begun = 0, time.monotonic()
+    seeds = range(first, first + count)
     with _pool(min(jobs, count)) as pool:
-        for done, report in enumerate(pool.map(play, range(first, first + count), repeat(shape)), 1):
+        for done, report in enumerate(pool.map(play, seeds, repeat(shape), repeat(any_kind)), 1):
             bad += bool(report.broken)
             _print(report, quiet)
             if done % TOLD == 0 and done < count:
--- a/honeywharf/simulation/days.py
+++ b/honeywharf/simulation/days.py
@@ -85,6 +85,8 @@
 class Day:
     """Carries faults out on a field: one method for each kind."""
 
+    counted: tuple[str, ...] = COUNTED  # kinds that lose counted machines
+
     def __init__(self, field: Field, faults: list[Fault]) -> None:
         self.field, self.world, self.book = field, field.world, field.book
         self.leaving: set[Side] = set()  # those that leave for good, or have left
@@ -96,16 +98,19 @@
             self.world.at(fault.at, self._strike, fault)
 
     def _strike(self, fault: Fault) -> None:
-        if fault.kind in COUNTED:
+        if fault.kind in self.counted:
             if self.world.now < self.counted_until:
                 self.world.at(self.counted_until, self._strike, fault)
                 return
-            lasts = 3.0 * len(self.field.cores) if fault.kind == "core_roll" else 5.0
-            self.counted_until = self.world.now + lasts + self.book.bounds["catch-up"]
+            self.counted_until = self.world.now + self._lasts(fault) + self.book.bounds["catch-up"]
         self.world.tell("FAULT", repr(fault))
         self.struck[fault.kind] += STORM if fault.kind == "config_storm" else 1
         getattr(self, fault.kind)(fault, random.Random(fault.seed))
 
+    def _lasts(self, fault: Fault) -> float:
+        """Seconds that a trouble of counted machines takes at most."""
+        return 3.0 * len(self.field.cores) if fault.kind == "core_roll" else 5.0
+
     def _sides(self, chance: random.Random, share: float) -> list[Side]:
         return chance.sample(self.field.sides, max(1, round(share * len(self.field.sides))))
 
--- a/honeywharf/simulation/disk.py
+++ b/honeywharf/simulation/disk.py
@@ -42,13 +42,18 @@
         self.files: dict[str, bytes] = {}
         self.safe: dict[str, bytes] = {}
         self.pending: list[Operation] = []
+        self.stalled_until = 0.0  # nothing is begun before
+        self.times = 1.0  # how much longer everything takes
+        self.full = False  # takes no more bytes
         self.operations = 0  # counted since the first start, for crashes at the n-th
         self.crash_at: tuple[int, str] | None = None  # n, "before" | "torn" | "after"
 
     def do(self, kind: str, name: str, now: float, data: bytes = b"", to: str = "") -> float:
         """Do one operation at `now`; when it is over. A removal is safe with a later sync only."""
         slow = 1.0 + self.spread * (hash((self.operations, round(now * 1e6))) % 997) / 997
-        over = now if kind == "remove" else now + self.sync * slow + len(data) * self.per_byte
+        begun = max(now, self.stalled_until)
+        takes = 0.0 if kind == "remove" else (self.sync * slow + len(data) * self.per_byte) * self.times
+        over = begun + takes
         operation = Operation(kind, name, data, to, now, float("inf") if kind == "remove" else over)
         for earlier in self.pending:  # a rename syncs the folder; a write syncs the file and its own name
             synced = earlier.kind != "write" if kind == "rename" else name in (earlier.name, earlier.to)
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -13,6 +13,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -208,6 +210,13 @@
         elif self.other is not None and self.other.state == "lost" and not self.silent():
             self.take(RESET)
 
+    def torn(self) -> None:
+        """Something on the way resets the connection: both ends are told, what was under way is lost."""
+        for end in (self, self.other):
+            if end is not None:
+                end.stuck.clear()
+                end.take(RESET)
+
     def vanish(self) -> None:
         """The power went: nobody is told."""
         self.state = "lost"
@@ -628,6 +637,8 @@
 
     def _operate(self, kind: str, name: str, data: bytes = b"", to: str = "") -> None:
         disk = self._disk()
+        if disk.full and kind == "write":
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC), name)
         disk.operations += 1
         crash = disk.crash_at if disk.crash_at is not None and disk.crash_at[0] == disk.operations else None
         here = self.now_here()
--- a/honeywharf/simulation/run.py
+++ b/honeywharf/simulation/run.py
@@ -5,9 +5,10 @@
 
 from __future__ import annotations
 
-from honeywharf.simulation.days import Day, Fault, draw
+from honeywharf.simulation.days import Fault, draw
 from honeywharf.simulation.field import SMALL, TERM, Field, Make, Shape
 from honeywharf.simulation.machine import Process
+from honeywharf.simulation.rare_troubles import AnyDay, draw_any
 
 LEAD, QUIET = 5.0, 5.0  # seconds until traffic, and of traffic before troubles
 TROUBLES, AFTER = 10.0, 26.0  # seconds of troubles, and of traffic after the last may have begun
@@ -72,16 +73,19 @@
     control_node: Make = real_control_node,
     shape: Shape = SMALL,
     after: float = AFTER,
+    any_kind: bool = False,
 ) -> Report:
     """Play a day, with the faults that its seed draws or with those given; stop at the first broken rule.
 
     `after`: seconds of traffic after the last trouble may have begun; RECOVER needs all of them.
+    `any_kind`: the seed draws from every kind of trouble, not just from those that sites list.
     """
     begin = LEAD + QUIET
     until = begin + TROUBLES + after
     field = Field(seed, sidecar, control_node, shape, LEAD, until)
-    faults = draw(seed, begin, begin + TROUBLES) if faults is None else faults
-    Day(field, faults)
+    if faults is None:
+        faults = (draw_any if any_kind else draw)(seed, begin, begin + TROUBLES)
+    AnyDay(field, faults)
     field.world.strict = True
     field.world.run(until + 2.0)
     if not field.world.halted:
@@ -106,7 +110,7 @@
     return least
 
 
-def play(seed: int, shape: Shape = SMALL) -> Report:
+def play(seed: int, shape: Shape = SMALL, any_kind: bool = False) -> Report:
     """The day of a seed; where it breaks a rule, with as few of its faults as still do."""
-    report = run(seed, shape=shape)
+    report = run(seed, shape=shape, any_kind=any_kind)
     return shrink(report, shape=shape) if report.broken else report
--- a/honeywharf/simulation/standins.py
+++ b/honeywharf/simulation/standins.py
@@ -10,6 +10,7 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import httptools
@@ -21,6 +22,7 @@
 REASONS = {200: "OK", 421: "Misdirected Request", 500: "Internal Server Error", 503: "Service Unavailable"}
 FINAL = (400, 401, 404, 413, 431)  # answers after which a client does not try again
 SILENCE = 1.0  # seconds that callers of the control plane wait
+MEAN_WORK = 0.06  # seconds that a backend works on a request
 COLD_PER_S = 9.0  # requests a second that a cold backend bears
 
 
@@ -319,6 +321,7 @@
         self.backend, self.connection, self.reader = backend, connection, Reader(requests=True)
         self.next: deque[Message] = deque()
         self.work: Work | None = None
+        self.answers = 0
         self.live = True
 
     def opened(self) -> None:
@@ -347,8 +350,16 @@
         """Answer what is at work, and go on."""
         self.work = None
         self.connection.send(text(f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}", headers, body))
+        self.answers += 1
+        if self.backend.forgets:
+            self.backend.host.after(self.backend.forgets, partial(self._forget, self.answers))
         self.go()
 
+    def _forget(self, answers: int) -> None:
+        """End the connection where it has rested since so many answers."""
+        if self.live and self.work is None and self.answers == answers:
+            self.connection.abort()
+
     def ended(self) -> None:
         """The caller has ended: what it asked for is dropped."""
         self.connection.close()
@@ -381,7 +392,9 @@
         self.slots, self.queue, self.most = slots, queue, most
         self.cold_until, self.cold_per_s = host.world.now + cold, COLD_PER_S
         self.lose = self.garble = self.extra = self.unsealed = 0.0  # shares of the answers
-        self.mean, self.state, self.serial = 0.06, "ready", 0
+        self.errors = self.busy = self.hang = 0.0  # shares that fail, are turned away, are never answered
+        self.forgets = 0.0  # seconds that a connection may rest; 0 for ever
+        self.mean, self.state, self.serial = MEAN_WORK, "ready", 0
         self.connections: dict[Served, None] = {}
         self.running: dict[Work, None] = {}
         self.waiting: deque[Work] = deque()
@@ -417,13 +430,18 @@
         if ask is not None:
             ask.arrivals.append((self.host.world.now, self))
         self.book.tell("arrived", self, work.name)
-        if len(self.running) < self.slots:
+        if self._unlucky(self.busy):
+            answer(503, {"X-Honeywharf-Not-Executed": 1, "X-Honeywharf-Attempt-Id": work.name})
+        elif len(self.running) < self.slots:
             self._run(work)
         elif len(self.waiting) < self.queue:
             self.waiting.append(work)
         else:
             answer(503, {"X-Honeywharf-Not-Executed": 1, "X-Honeywharf-Attempt-Id": work.name})
 
+    def _unlucky(self, share: float) -> bool:
+        return share > 0.0 and self.host.world.random.random() < share
+
     def _run(self, work: Work) -> None:
         self.running[work] = None
         ask, head = self.book.asks.get(work.name), work.head
@@ -444,12 +462,12 @@
         self.host.after(self.host.world.random.expovariate(1 / self.mean) + 0.005, lambda: self._done(work))
 
     def _done(self, work: Work) -> None:
-        if work not in self.running:
+        if work not in self.running or self._unlucky(self.hang):
             return
         del self.running[work]
         ask, chance = self.book.asks.get(work.name), self.host.world.random
         wire, seal = work.connection.connection, f"{self.id}.{work.name}.{len(work.head.body)}"
-        status = 500 if chance.random() < 0.001 else 200
+        status = 500 if chance.random() < 0.001 or self._unlucky(self.errors) else 200
         body = zlib.crc32(work.name.encode()).to_bytes(4, "big") * chance.randint(0, 2000)
         headers: dict[str, object] = {
             "X-Honeywharf-Attempt-Id": work.name,
@@ -558,6 +576,7 @@
     def __init__(self, host: Process, book: Book, targets: Callable[[], list[Address]]) -> None:
         self.host, self.book, self.targets = host, book, targets
         self.by = ""  # the machine that acknowledged last
+        self.loses = 0.0  # share of the answers that are lost on their way
         self.on_ack: Callable[[Order, str], None] = lambda order, ip: None
 
     def order(self, order: Order, tries: int = 40) -> None:
@@ -608,6 +627,8 @@
                 return
             over.append(True)
             caller.close()
+            if message is not None and self.loses and self.host.world.random.random() < self.loses:
+                message = None
             status = 0 if message is None else message.status
             if message is not None and 200 <= status < 500 and status not in (307, 404, 408, 429):
                 clear(message, to[0])
--- /dev/null
+++ b/tests/simulation/test_rare_troubles.py
@@ -0,0 +1,119 @@
+"""Troubles that sites don't list: each is carried out, does what it says, and the mesh keeps its rules."""
+
+from __future__ import annotations
+
+import pytest
+
+from honeywharf.simulation.days import Fault
+from honeywharf.simulation.disk import Disk
+from honeywharf.simulation.field import Field
+from honeywharf.simulation.rare_troubles import EVERY_KIND, RARE_COUNTED, RARE_KINDS, AnyDay, draw_any
+from honeywharf.simulation.run import run
+from tests.simulation.toymesh import toys
+from tests.simulation.toys import Two
+
+VARIANTS = [(kind, how) for kind, hows in RARE_KINDS.items() for how in hows]
+
+
+def struck(kind: str, how: str, until: float) -> AnyDay:
+    """A day of the toy mesh with one trouble at 8 s, at a moment."""
+    day = AnyDay(Field(3, *toys("")), [Fault(8.0, kind, how, 1)])
+    day.world.run(until)
+    return day
+
+
+def test_every_kind_can_be_drawn() -> None:
+    drawn = {(fault.kind, fault.how) for seed in range(800) for fault in draw_any(seed, 10.0, 20.0)}
+    assert {(kind, how) for kind, hows in EVERY_KIND.items() for how in hows} <= drawn
+    assert set(RARE_COUNTED) <= set(EVERY_KIND)
+
+
+@pytest.mark.parametrize("first", range(0, len(VARIANTS), 6))
+def test_every_variant_is_carried_out(first: int) -> None:
+    faults = [Fault(9.0 + n, *variant, n) for n, variant in enumerate(VARIANTS[first : first + 6])]
+    report = run(first, faults, *toys(""), after=10.0)
+    assert all(rule != "FAULT" for rule, _, _ in report.broken), report
+
+
+def test_zones_of_a_bridge_cut_are_deaf_to_each_other_and_the_third_to_none() -> None:
+    for kind, pairs in (("bridge_cut", 2), ("zone_cut", 4)):
+        day = struck(kind, "", 8.1)
+        machines = [side.machine for side in day.field.sides]
+        network = day.field.network
+        deaf = {(a.zone, b.zone) for a in machines for b in machines if network.blocked(a, b)}
+        assert len(deaf) == pairs, kind
+        day.world.run(14.0)
+        assert not any(network.blocked(a, b) for a in machines for b in machines), kind
+
+
+def test_clocks_step_and_come_back() -> None:
+    day = struck("clock_step", "hour", 7.9)
+    before = {process.name: process.machine.skew for process in day.field.programs()}
+    day.world.run(8.1)
+    moved = [process for process in day.field.programs() if process.machine.skew > before[process.name]]
+    assert {process.machine.skew - before[process.name] for process in moved} == {3600.0}
+    assert len(moved) == len(before) // 3
+    day.world.run(14.0)
+    assert all(abs(process.machine.skew - before[process.name]) < 1e-6 for process in moved)
+
+
+def test_an_operator_whose_answers_are_lost_asks_again_until_one_comes() -> None:
+    day = struck("ack_lost", "", 20.0)
+    sent = [order for order in day.book.orders if order.sent >= 8.0]
+    assert len(sent) == 8
+    assert all(order.acked < 20.0 for order in sent)
+    assert max(order.acked - order.sent for order in sent) > 0.1
+
+
+def test_a_torn_connection_is_told_at_both_ends() -> None:
+    two = Two()
+    log = two.asked()
+    two.world.run(0.1)
+    two.on(two.here, lambda: log.connection.send(b"lost"))
+    log.connection.torn()  # type: ignore[attr-defined]
+    two.world.run(0.2)
+    assert log.names()[-1] == "closed reset"
+    assert two.taken[0].names()[-1] == "closed reset"
+    assert log.data == b""
+
+
+def test_a_stalled_disk_begins_nothing_and_a_slow_one_takes_longer() -> None:
+    disk = Disk()
+    well = disk.do("write", "a", 1.0, b"1") - 1.0
+    disk.stalled_until = 5.0
+    assert disk.do("write", "a", 2.0, b"1") == pytest.approx(5.0 + well)
+    disk.times = 30.0
+    assert disk.do("write", "a", 6.0, b"1") == pytest.approx(6.0 + 30 * well)
+
+
+def test_a_full_disk_refuses_writes_and_keeps_what_it_has() -> None:
+    two = Two()
+    two.on(two.there, lambda: two.there.write("a", b"kept"))
+    two.world.run(0.5)
+    disk = two.there.machine.disk
+    assert disk is not None
+    disk.full = True
+    with pytest.raises(OSError, match="No space"):
+        two.there.write("a", b"new")
+    assert two.there.read("a") == b"kept"
+    two.there.remove("a")
+    assert two.there.names() == []
+
+
+#: What happens on the mesh's own programs, and the share that must be served nevertheless.
+DAYS = {
+    "cut off": ([Fault(10.2, "core_cut", "long one_way", 1), Fault(11.0, "ack_lost", "", 2)], 0.9),
+    "disks": ([Fault(10.5, "disk_stall", "", 3), Fault(10.6, "config_storm", "long", 4)], 0.9),
+    "resets": ([Fault(11.0, "core_resets", "", 5), Fault(12.0, "reset_conns", "", 6)], 0.8),
+    "replaced": ([Fault(10.5, "core_replace", "then killed", 7), Fault(12.0, "big_config", "", 8)], 0.9),
+    "zones": ([Fault(11.0, "zone_cut", "", 9), Fault(12.0, "clock_step", "hour", 10)], 0.5),
+    "backends": ([Fault(11.0, "srv_grey", "hang", 11), Fault(12.0, "srv_flap", "", 12)], 0.5),
+}
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_a_day_of_rare_trouble_breaks_no_rule(name: str) -> None:
+    faults, share = DAYS[name]
+    report = run(21, faults, after=16.0)
+    assert report.broken == [], report
+    assert report.served > share * report.asked > 500, report
