--- a/bench/mesh_explore.py
+++ b/bench/mesh_explore.py
@@ -19,13 +19,16 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import Any
 
 from honeywharf.control import mesh_state
-from honeywharf.control.mesh_state import Change, Roster, Value
-from honeywharf.control.register import Acceptor, Quorums, Round, Sends, State, Survey, ballot
+from honeywharf.control.acceptor import Acceptor, AcceptorState
+from honeywharf.control.mesh_state import Change, Member, Membership, MeshState
+from honeywharf.control.messages import NO_BALLOT, Answer, Ballot, Current
+from honeywharf.control.quorum import Quorums
+from honeywharf.control.register import Phase, QuorumRead, Result, Round, Sends
 from tests.control.explore import (
     Actor,
     BrokenError,
@@ -55,7 +58,7 @@
     patch: tuple[type, str, Any] | None = None
 
 
-def roster(count: int) -> Roster:
+def roster(count: int) -> Membership:
     """Members by their first disks."""
     return members([(name, "first") for name in NAMES[:count]])
 
@@ -64,10 +67,10 @@
     """So many members that hold nothing yet, and machines that are not members."""
     votes = {}
     for name in NAMES[:count]:
-        state = State("first", 1, roster(count))
+        state = AcceptorState("first", 1, roster(count))
         votes[name] = Vote(state, state)
     for name in more:
-        state = State(f"disk-{name}")
+        state = AcceptorState(f"disk-{name}")
         votes[name] = Vote(state, state)
     return Node(votes, actors, (), {}, 0)
 
@@ -108,7 +111,7 @@
     return held(count, put(count, version, "other", 3, "q"), reader(1, roster(count)))
 
 
-def dead(count: int, survey: type[Survey] = Survey) -> Node:
+def dead(count: int, survey: type[QuorumRead] = QuorumRead) -> Node:
     """A proposer that died when one member had accepted; one that writes back, and two readers."""
     first = node(count, put(count, 1, "one"))
     made = along(
@@ -120,7 +123,7 @@
     )
     back = proposer("q", mesh_state.same, 1, roster(count), 1)
     readers = [reader(1, roster(count), survey) for _ in range(2)]
-    return Node(made.votes, (*readers, back) if survey is Survey else tuple(readers), (), {}, 0)
+    return Node(made.votes, (*readers, back) if survey is QuorumRead else tuple(readers), (), {}, 0)
 
 
 def promised(count: int) -> Node:
@@ -130,7 +133,7 @@
         two(count),
         0,
         set(NAMES[: count // 2 + 1]),
-        lambda node: getattr(node.actors[0].asking, "phase", "") == "accept",
+        lambda node: getattr(node.actors[0].asking, "phase", None) is Phase.ACCEPT,
     )
 
 
@@ -138,19 +141,19 @@
     """Two put machines in the places of silent members, and a third proposes under the roster it knew."""
     actors = [put(3, 1, "one", who="s", made=made)]
     for who, joiner, gone in (("p", "d", "c"), ("q", "e", "a")):
-        change = mesh_state.admit([joiner, f"disk-{joiner}", "", False], [(gone, "first")])
+        change = mesh_state.admit(Member(joiner, f"disk-{joiner}", "", False), [(gone, "first")])
         actors.append(proposer(who, change, 1, roster(3), made=made))
     return node(3, *actors, more="de")
 
 
-def renamed(state: State) -> State:
+def renamed(state: AcceptorState) -> AcceptorState:
     """What giving a name up leaves, or a wiped disk: no vote under the old name."""
-    return State("new", state.epoch, state.roster)
+    return AcceptorState("new", state.epoch, state.members)
 
 
 def readmitted(count: int) -> Node:
     """A held word; one proposes, one reads, one puts a new disk name in the place of the first member."""
-    joins = proposer("s", mesh_state.admit(["a", "new", "", False], []), 1, roster(count), 5)
+    joins = proposer("s", mesh_state.admit(Member("a", "new", "", False), []), 1, roster(count), 5)
     return held(count, joins, put(count, 4, "four", 3, "q"), reader(1, roster(count)))
 
 
@@ -218,27 +221,27 @@
 def living(self: Quorums, by: Any) -> bool:
     """A majority of those that answer."""
     there = set(by)
-    return all(any(key in there for key in one) for one in self.rosters)
+    return all(any(key in there for key in one) for one in self.memberships)
 
 
-class Hasty(Survey):
+class Hasty(QuorumRead):
     """Tells the highest that a majority told of, and writes nothing back."""
 
-    def heard(self, now: float, key: mesh_state.Key, reply: dict[str, Any]) -> Sends:
+    def received(self, now: float, key: mesh_state.Key, answer: Answer) -> Sends:
         """A member has answered."""
-        if self.result is None and reply["is"] == "told":
-            self.told[key] = (ballot(reply["accepted"]), reply["value"])
+        if self.result is None and isinstance(answer, Current):
+            self.told[key] = answer.accepted, answer.state
             if self.quorums.covered(self.told):
                 highest = max(self.told.values(), key=lambda told: told[0])[1]
-                self.result, self.value = "ok", highest or mesh_state.initial(self.roster)
+                self.result, self.value = Result.OK, highest or mesh_state.initial(self.decided.members)
         return []
 
 
 class Forgetful(Acceptor):
     """Accepts whatever it has promised since."""
 
-    def _accept(self, state: State, asked: Any, value: Value) -> tuple[State, dict[str, Any]]:
-        return super()._accept(state.but(promised=(0, "", 0)), asked, value)
+    def _accept(self, state: AcceptorState, ballot: Ballot, value: MeshState) -> tuple[AcceptorState, Answer]:
+        return super()._accept(replace(state, promised=NO_BALLOT), ballot, value)
 
 
 class Blind(Round):
@@ -246,7 +249,7 @@
 
     def _cover(self) -> Sends:
         if self.quorums.covered(self.promises):
-            self.promises = {key: ((0, "", 0), None) for key in self.promises}
+            self.promises = {key: (NO_BALLOT, None) for key in self.promises}
         return super()._cover()
 
 
@@ -272,7 +275,7 @@
         Case(
             f"{count}: promise not synced",
             partial(promised, count),
-            {**SPLIT, "faults": 1, "late_sync": ("promise",)},
+            {**SPLIT, "faults": 1, "late_sync": ("promised",)},
         ),
         Case(f"{count}: majority of the living", partial(two, count), SPLIT, (Quorums, "covered", living)),
         Case(f"{count}: version by arrival", partial(overtaken, count), SPLIT),
@@ -282,7 +285,11 @@
         Case(
             f"{count}: a wiped disk keeps its name",
             partial(contested, count, 4),
-            {"alike": True, "faults": 1, "wiped": lambda state: State(state.disk, state.epoch, state.roster)},
+            {
+                "alike": True,
+                "faults": 1,
+                "wiped": lambda state: AcceptorState(state.disk, state.epoch, state.members),
+            },
         ),
     )
 ]
--- a/honeywharf/cli/store.py
+++ b/honeywharf/cli/store.py
@@ -67,8 +67,8 @@
             opened.write(packed)
             opened.flush()
             os.fsync(handle)
-        value = repair.opened(packed)["value"]
-        print(f"{self.file}: word {value['rev']}, configuration r{value['version']}, {len(packed)} bytes")
+        value = repair.opened(packed).value
+        print(f"{self.file}: word {value.revision}, configuration r{value.version}, {len(packed)} bytes")
         return DONE
 
 
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -1,58 +1,112 @@
-"""The word: the one value that the register keeps, and the changes that may be made to it. No I/O.
-
-A value is a plain mapping that msgpack holds, and is never changed once made:
-    rev      int, one more for each change
-    version  int, of the configuration; -1 before the first
-    digest   str, the name of the configuration's text; "" before the first
-    evac     zone -> whether it is evacuated
-    roster   members: [address, disk, zone, first], `first`: it joined at the first start
-    epoch    int, one more for each change of the roster
-    wanted   int, members that there were after the first start
-A change takes a value and gives (the new one, or None where nothing changes; an answer). It may be applied
-more than once, to different values, and to its own result: what it does the second time is nothing.
+"""The mesh state: the one value that the register keeps, and the changes that may be made to it. No I/O.
+
+A `MeshState` is never changed once made. A change takes a state and gives (the new one, or None where nothing
+changes; an answer). It may be applied more than once, to different states, and to its own result: what it
+does the second time is nothing.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, replace as copied
+from typing import Any, NamedTuple
 
-Value = dict[str, Any]
-Key = tuple[str, str]  # address, disk
-Roster = list[list[Any]]
-Change = Callable[[Value], tuple[Value | None, Any]]
+Key = tuple[str, str]  # a member's address and disk name
 
 MOST_MEMBERS = 15
 MOST_ZONES = 256  # evacuations told apart
+NO_VERSION = -1  # before the first configuration
+
+
+class Member(NamedTuple):
+    """One entry of the membership. `address`: "ip:port"; `first`: it joined at the first start."""
+
+    address: str
+    disk: str
+    zone: str
+    first: bool
+
+    @property
+    def key(self) -> Key:
+        """What tells it from other members: a machine whose disk was lost is another one."""
+        return self.address, self.disk
+
+
+Membership = tuple[Member, ...]
+
+
+def unpack_membership(packed: Any) -> Membership:
+    """Members as a message or a file holds them. TypeError or ValueError where they are something else."""
+    return tuple(Member(*one) for one in packed)
 
 
-def member(address: str, disk: str, zone: str, first: bool) -> list[Any]:
-    """One entry of a roster. `address` is "ip:port"."""
-    return [address, disk, zone, first]
+@dataclass(frozen=True, slots=True)
+class MeshState:
+    """What a majority holds: the configuration by version and digest, evacuations, and the membership.
+
+    `revision` is one more for each change, `epoch` one more for each change of the membership. `digest` names
+    the configuration's text and is empty before the first. `evacuations` tells of each zone that was ever
+    evacuated whether it is so now. `wanted`: members that there were after the first start.
+    """
+
+    revision: int
+    version: int
+    digest: str
+    evacuations: Mapping[str, bool]
+    members: Membership
+    epoch: int
+    wanted: int
+
+    def pack(self) -> dict[str, Any]:
+        """As msgpack holds it, on disk and between processes."""
+        return {
+            "rev": self.revision,
+            "version": self.version,
+            "digest": self.digest,
+            "evac": dict(self.evacuations),
+            "roster": [list(member) for member in self.members],
+            "epoch": self.epoch,
+            "wanted": self.wanted,
+        }
+
+    @staticmethod
+    def unpack(packed: Any) -> MeshState:
+        """From `pack`. KeyError, TypeError or ValueError where it is something else."""
+        return MeshState(
+            packed["rev"],
+            packed["version"],
+            packed["digest"],
+            packed["evac"],
+            unpack_membership(packed["roster"]),
+            packed["epoch"],
+            packed["wanted"],
+        )
 
 
-def keys(roster: Roster) -> list[Key]:
-    """Who stands in a roster, in its order."""
-    return [(one[0], one[1]) for one in roster]
+Change = Callable[[MeshState], tuple[MeshState | None, Any]]
 
 
-def seeded(seeds: Sequence[str]) -> Roster:
-    """The roster of the first start: the seeds, each with its first disk."""
-    return [member(seed, "first", "", True) for seed in seeds]
+def keys(members: Membership) -> list[Key]:
+    """Who is in a membership, in its order."""
+    return [member.key for member in members]
 
 
-def initial(roster: Roster) -> Value:
-    """The value before the first change, under the roster of the first start."""
-    value: Value = {"rev": 0, "version": -1, "digest": "", "evac": {}}
-    return {**value, "roster": roster, "epoch": 1, "wanted": len(roster)}
+def seeded(seeds: Sequence[str]) -> Membership:
+    """The membership of the first start: the seeds, each with its first disk."""
+    return tuple(Member(seed, "first", "", True) for seed in seeds)
 
 
-def changed(value: Value, **fields: object) -> Value:
+def initial(members: Membership) -> MeshState:
+    """The state before the first change, under the membership of the first start."""
+    return MeshState(0, NO_VERSION, "", {}, members, 1, len(members))
+
+
+def changed(state: MeshState, **fields: Any) -> MeshState:
     """A copy with other fields and the next revision."""
-    return {**value, **fields, "rev": value["rev"] + 1}
+    return copied(state, revision=state.revision + 1, **fields)
 
 
-def same(value: Value) -> tuple[Value | None, Any]:
+def same(state: MeshState) -> tuple[MeshState | None, Any]:
     """The change that changes nothing."""
     return None, None
 
@@ -60,10 +114,10 @@
 def replace(version: int, digest: str) -> Change:
     """Take a configuration over where its version is above the one held; answers whether it was."""
 
-    def change(value: Value) -> tuple[Value | None, Any]:
-        if version <= value["version"]:
+    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+        if version <= state.version:
             return None, False
-        return changed(value, version=version, digest=digest), True
+        return changed(state, version=version, digest=digest), True
 
     return change
 
@@ -71,85 +125,89 @@
 def evacuate(zone: str, begin: bool) -> Change:
     """Begin or end the evacuation of a zone. Answers False where there are too many zones."""
 
-    def change(value: Value) -> tuple[Value | None, Any]:
-        evac: dict[str, bool] = value["evac"]
-        if evac.get(zone, False) == begin:
+    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+        if state.evacuations.get(zone, False) == begin:
             return None, True
-        if zone not in evac and len(evac) >= MOST_ZONES:
+        if zone not in state.evacuations and len(state.evacuations) >= MOST_ZONES:
             return None, False
-        return changed(value, evac={**evac, zone: begin}), True
+        return changed(state, evacuations={**state.evacuations, zone: begin}), True
 
     return change
 
 
-def _rostered(value: Value, roster: Roster, wanted: int) -> Value:
-    return changed(value, roster=roster, epoch=value["epoch"] + 1, wanted=wanted)
+def with_members(state: MeshState, members: Membership, wanted: int) -> MeshState:
+    """The state under another membership, of the next epoch."""
+    return changed(state, members=members, epoch=state.epoch + 1, wanted=wanted)
 
 
-def admit(joiner: list[Any], silent: Sequence[Key]) -> Change:
-    """Take a machine into the roster. `silent`: members unheard for a second, whose place it may take.
+def admit(joiner: Member, silent: Sequence[Key]) -> Change:
+    """Take a machine into the membership. `silent`: members unheard for a second, whose place it may take.
 
-    Where the roster holds its address with another disk, that entry is lost and the joiner takes its place.
-    Answers False where the roster is full.
+    Where its address is there with another disk, that entry is lost and the joiner takes its place.
+    Answers False where the membership is full.
     """
 
-    def change(value: Value) -> tuple[Value | None, Any]:
-        roster: Roster = value["roster"]
-        if (joiner[0], joiner[1]) in keys(roster):
+    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+        members = state.members
+        if joiner.key in keys(members):
             return None, True
-        place = _place(value, joiner, silent)
+        place = _place(state, joiner, silent)
         if place is not None:
-            return _rostered(value, [*roster[:place], joiner, *roster[place + 1 :]], value["wanted"]), True
-        if len(roster) >= MOST_MEMBERS:
+            return with_members(state, _put(members, place, joiner), state.wanted), True
+        if len(members) >= MOST_MEMBERS:
             return None, False
-        return _rostered(value, [*roster, joiner], value["wanted"] + bool(joiner[3])), True
+        return with_members(state, (*members, joiner), state.wanted + bool(joiner.first)), True
 
     return change
 
 
-def _place(value: Value, joiner: list[Any], silent: Sequence[Key]) -> int | None:
+def _put(members: Membership, place: int, joiner: Member) -> Membership:
+    return (*members[:place], joiner, *members[place + 1 :])
+
+
+def _place(state: MeshState, joiner: Member, silent: Sequence[Key]) -> int | None:
     """Where a joiner stands in place of another: its lost disk, else a silent member, best of its zone."""
-    roster: Roster = value["roster"]
-    for at, one in enumerate(roster):
-        if one[0] == joiner[0]:
+    members = state.members
+    for at, member in enumerate(members):
+        if member.address == joiner.address:
             return at
-    if len(roster) < value["wanted"] or joiner[3]:
+    if len(members) < state.wanted or joiner.first:
         return None
-    places = [at for at, one in enumerate(roster) if (one[0], one[1]) in silent]
-    return min(places, key=lambda at: (roster[at][2] != joiner[2], at), default=None)
+    places = [at for at, member in enumerate(members) if member.key in silent]
+    return min(places, key=lambda at: (members[at].zone != joiner.zone, at), default=None)
 
 
 def drop(silent: Sequence[Key]) -> Change:
-    """Take one silent member out of a roster that is larger than wanted."""
+    """Take one silent member out of a membership that is larger than wanted."""
 
-    def change(value: Value) -> tuple[Value | None, Any]:
-        roster: Roster = value["roster"]
-        gone = [one for one in roster if (one[0], one[1]) in silent]
-        if not gone or len(roster) <= value["wanted"]:
+    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+        gone = next((member for member in state.members if member.key in silent), None)
+        if gone is None or len(state.members) <= state.wanted:
             return None, False
-        return _rostered(value, [one for one in roster if one is not gone[0]], value["wanted"]), True
+        rest = tuple(member for member in state.members if member is not gone)
+        return with_members(state, rest, state.wanted), True
 
     return change
 
 
 def fenced(change: Change, epoch: int, still: Callable[[], bool]) -> Change:
-    """A change that is made only to the roster it was judged by, and while its maker may still make it."""
+    """A change that is made only to the membership it was judged by, while its maker may still make it."""
 
-    def fence(value: Value) -> tuple[Value | None, Any]:
-        return change(value) if value["epoch"] == epoch and still() else (None, False)
+    def fence(state: MeshState) -> tuple[MeshState | None, Any]:
+        return change(state) if state.epoch == epoch and still() else (None, False)
 
     return fence
 
 
-def together(changes: Sequence[Change]) -> Callable[[Value], tuple[Value | None, list[Any]]]:
+def together(changes: Sequence[Change]) -> Callable[[MeshState], tuple[MeshState | None, list[Any]]]:
     """Several changes as one, with an answer for each."""
 
-    def change(value: Value) -> tuple[Value | None, list[Any]]:
-        now, answers = value, []
+    def change(state: MeshState) -> tuple[MeshState | None, list[Any]]:
+        now, answers = state, []
         for one in changes:
             made, answer = one(now)
             now = now if made is None else made
             answers.append(answer)
-        return (None if now is value else now), answers
+        return (None if now is state else now), answers
 
     return change
--- a/honeywharf/control/operator.py
+++ b/honeywharf/control/operator.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from honeywharf.control import mesh_state
-from honeywharf.control.mesh_state import Value
+from honeywharf.control.mesh_state import MeshState
+from honeywharf.control.register import Result as Outcome
 from honeywharf.control.replica import Replica
 from honeywharf.transport.matchers import NotAllowed, Tree
 
@@ -27,6 +28,7 @@
 PATIENCE = 0.85  # s: the operator moves on after one second of silence
 SIZE_RATE = 20e6  # bytes a second, by which larger bodies get more time
 MOST_FAULT = 4096  # bytes of a refusal's words
+RETRY = b"Retry-After: 0.1\r\n"
 PRESSED = 3  # zlib's level: 64 MB in some 0.6 s
 
 
@@ -72,7 +74,7 @@
     def take(self, call: Asked) -> None:
         """What a door wants."""
         if self.closing:
-            call.answer(503, b"leaving", b"Retry-After: 0.1\r\n")
+            call.answer(503, b"leaving", RETRY)
             return
         self.at_work += 1
         try:
@@ -94,8 +96,8 @@
         """Answer a call that another part has taken from the tree."""
         self._answer(call, status, body)
 
-    def _unclear(self, call: Asked, result: str) -> None:
-        self._answer(call, 503, f"no majority: {result}".encode(), b"Retry-After: 0.1\r\n")
+    def _unclear(self, call: Asked, result: Outcome) -> None:
+        self._answer(call, 503, f"no majority: {result.value}".encode(), RETRY)
 
     # Configurations.
 
@@ -106,7 +108,7 @@
             return
         made = checked.unwrap()
         known = self.replica.known
-        if known is not None and known["version"] >= made.version:
+        if known is not None and known.version >= made.version:
             self._taken(call, made.version)
             return
         within = PATIENCE + len(call.body) / SIZE_RATE
@@ -117,8 +119,8 @@
             (made.digest, zlib.compress(made.text, PRESSED)),
         )
 
-    def _replaced(self, call: Asked, version: int, result: str, answer: Any) -> None:
-        if result == "ok":
+    def _replaced(self, call: Asked, version: int, result: Outcome, answer: Any) -> None:
+        if result is Outcome.OK:
             self._taken(call, version)
         else:
             self._unclear(call, result)
@@ -129,18 +131,18 @@
     def _describe(self, call: Asked) -> None:
         self.replica.read(PATIENCE, partial(self._described, call))
 
-    def _described(self, call: Asked, value: Value | None) -> None:
-        if value is None:
-            self._unclear(call, "unreachable")
-        elif not value["digest"]:
+    def _described(self, call: Asked, state: MeshState | None) -> None:
+        if state is None:
+            self._unclear(call, Outcome.UNREACHABLE)
+        elif not state.digest:
             self._answer(call, 404, b"no configuration yet")
         else:
-            self.replica.body(value["digest"], partial(self._text, call))
+            self.replica.text(state.digest, partial(self._text, call))
 
     def _text(self, call: Asked, packed: bytes | None) -> None:
         """The whole configuration, as it was sent."""
         if packed is None:
-            self._unclear(call, "the configuration's text is out of reach")
+            self._answer(call, 503, b"the configuration's text is out of reach", RETRY)
         else:
             self._answer(call, 200, zlib.decompress(packed))
 
@@ -152,8 +154,8 @@
             return
         self.replica.submit(mesh_state.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
 
-    def _evacuated(self, call: Asked, result: str, answer: Any) -> None:
-        if result == "ok":
+    def _evacuated(self, call: Asked, result: Outcome, answer: Any) -> None:
+        if result is Outcome.OK:
             self._answer(call, 200 if answer else 409, b"{}")
         else:
             self._unclear(call, result)
--- a/honeywharf/control/register.py
+++ b/honeywharf/control/register.py
@@ -1,184 +1,87 @@
-"""The register: one value, kept by a majority of a roster that may itself change. No I/O, no clock.
+"""Changes and reads of the register: one value, kept by a majority of a membership that may itself change.
 
 Theory of operation (after CASPaxos). A round asks the members to promise a ballot, takes the value that was
 accepted under the highest one, applies its change, and has the result accepted. It needs majorities, for both
-halves, of every roster that it has seen: the one known as decided, the one in the value it found, and the one
-that it puts in. What such majorities have accepted is settled, and its roster decided: from then on that
-roster alone is enough. Whoever knows an older one meets, in any majority of it, a member that accepted a
-value with the newer one, or knows it as decided and says so.
+halves, of every membership that it has seen: the one known as decided, the one in the value it found, and the
+one that it puts in. What such majorities have accepted is committed, and its membership decided: from then on
+that membership alone is enough. Whoever knows an older one meets, in any majority of it, a member that
+accepted a value with the newer one, or knows it as decided and says so.
 
 A member is an address with a disk. A machine whose disk was lost has another name, and does not answer in
-place of the old one. An acceptor's answer comes with the state that must be on disk before it is sent.
-
-Messages are mappings:
-    {"do": "prepare" | "accept" | "read", "disk", "decided": [epoch, roster], "ballot", "value"}
-    {"is": "promise" | "accepted" | "told" | "nack" | "newer" | "other disk" | "want body", ...}
-and "decided" with each answer. An accept with "carry" wants the configuration's text sent with it.
+place of the old one. No I/O and no clock here: times come as arguments, messages go out as results.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+from enum import Enum
 from random import Random
-from typing import Any
+from typing import Any, NamedTuple
 
-from honeywharf.control.mesh_state import Change, Key, Roster, Value, initial, keys
+from honeywharf.control.mesh_state import Change, Key, MeshState, initial
+from honeywharf.control.messages import (
+    NO_BALLOT,
+    Accept,
+    Accepted,
+    Answer,
+    Ballot,
+    Current,
+    Decided,
+    NewerMembership,
+    OtherDisk,
+    Prepare,
+    Promised,
+    Read,
+    Rejected,
+    Request,
+    TextMissing,
+)
+from honeywharf.control.quorum import Quorums
 
-Ballot = tuple[int, str, int]  # counter, proposer, its incarnation
-Message = dict[str, Any]
-Sends = list[tuple[Key, Message]]
+RESEND_S = 0.06  # after a lost message, until it is sent again
+STRAGGLERS_S = 0.02  # that a read waits for more answers before it gives up on finding all the same
+BACKOFF_S = 0.02  # mean of the first pause after a refusal
+MOST_DOUBLINGS = 4  # of the pause
 
-NONE: Ballot = (0, "", 0)
-AGAIN = 0.06  # s after a lost message, until it is sent again
-STRAGGLERS = 0.02  # s that a read waits for more answers before it gives up on finding all the same
-BACKOFF = 0.02  # s, mean of the first pause after a refusal; doubles up to 16 times that
-MOST_COUNTER = 1 << 62
 
+class Result(Enum):
+    """How a round or a read ended."""
 
-class State:
-    """What an acceptor keeps on its disk. Never changed once made."""
+    OK = "ok"
+    UNSURE = "unsure"  # a read found more than one acceptance: it must be written back first
+    UNREACHABLE = "unreachable"  # no majority in time
+    CONTENDED = "contended"  # others went before each time
 
-    __slots__ = ("accepted", "disk", "epoch", "promised", "roster", "value")
 
-    def __init__(
-        self,
-        disk: str,
-        epoch: int = 0,
-        roster: Roster | None = None,
-        promised: Ballot = NONE,
-        accepted: Ballot = NONE,
-        value: Value | None = None,
-    ) -> None:
-        self.disk = disk
-        self.epoch = epoch  # of the newest decided roster known; 0 where none is
-        self.roster: Roster = roster or []
-        self.promised = promised
-        self.accepted = accepted
-        self.value = value
-
-    def but(self, **fields: Any) -> State:
-        """A copy with other fields."""
-        return State(**{name: fields.get(name, getattr(self, name)) for name in self.__slots__})
-
-    def pack(self) -> Message:
-        """As msgpack holds it."""
-        return {name: getattr(self, name) for name in self.__slots__}
-
-    @staticmethod
-    def unpack(packed: Message) -> State:
-        """From `pack`. KeyError, TypeError or ValueError where it is something else."""
-        return State(
-            packed["disk"],
-            packed["epoch"],
-            packed["roster"],
-            ballot(packed["promised"]),
-            ballot(packed["accepted"]),
-            packed["value"],
-        )
-
-
-def ballot(told: Any) -> Ballot:
-    """A ballot as it came; ValueError or TypeError where it is none."""
-    counter, node, incarnation = told
-    if not (
-        isinstance(counter, int)
-        and isinstance(node, str)
-        and isinstance(incarnation, int)
-        and 0 <= counter < MOST_COUNTER
-    ):
-        raise ValueError(f"found {told!r}, wanted a ballot")
-    return counter, node, incarnation
-
-
-class Acceptor:
-    """One member's vote. The caller persists the state given, sets it here, and then sends the answer."""
-
-    def __init__(self, state: State, has_body: Callable[[str], bool] = lambda digest: True) -> None:
-        self.state = state
-        self.has_body = has_body
-
-    def answer(self, message: Message) -> tuple[State, Message]:
-        """The state to keep (the same object where nothing changes) and the answer to give after that."""
-        state = self.state
-        if message["disk"] != state.disk:
-            return self._told(state, {"is": "other disk"})
-        epoch, roster = message["decided"]
-        if epoch < state.epoch:
-            return self._told(state, {"is": "newer"})
-        if epoch > state.epoch:
-            state = state.but(epoch=epoch, roster=roster)
-        do = message["do"]
-        if do == "read":
-            return self._told(state, {"is": "told", "accepted": state.accepted, "value": state.value})
-        asked = ballot(message["ballot"])
-        if do == "prepare":
-            return self._prepare(state, asked)
-        if do == "accept":
-            return self._accept(state, asked, message["value"])
-        raise ValueError(f"found {do!r}, wanted prepare, accept or read")
-
-    def _prepare(self, state: State, asked: Ballot) -> tuple[State, Message]:
-        if asked < state.promised:
-            return self._told(state, {"is": "nack", "ballot": asked, "promised": state.promised})
-        if asked > state.promised:
-            state = state.but(promised=asked)
-        return self._told(
-            state, {"is": "promise", "ballot": asked, "accepted": state.accepted, "value": state.value}
-        )
-
-    def _accept(self, state: State, asked: Ballot, value: Value) -> tuple[State, Message]:
-        if asked < state.promised:
-            return self._told(state, {"is": "nack", "ballot": asked, "promised": state.promised})
-        if value["digest"] and not self.has_body(value["digest"]):
-            return self._told(state, {"is": "want body", "ballot": asked})
-        if asked != state.accepted:
-            state = state.but(promised=asked, accepted=asked, value=value)
-        return self._told(state, {"is": "accepted", "ballot": asked})
-
-    @staticmethod
-    def _told(state: State, answer: Message) -> tuple[State, Message]:
-        answer["decided"] = [state.epoch, state.roster]
-        return state, answer
-
-
-class Quorums:
-    """Rosters of which each must be covered by a majority."""
-
-    __slots__ = ("rosters",)
-
-    def __init__(self, rosters: Iterable[Roster]) -> None:
-        self.rosters: list[list[Key]] = []
-        for roster in rosters:
-            self.add(roster)
-
-    def add(self, roster: Roster) -> bool:
-        """Ask for one more; False where it is there already."""
-        wanted = keys(roster)
-        if any(set(wanted) == set(one) for one in self.rosters):
-            return False
-        self.rosters.append(wanted)
-        return True
+class Phase(Enum):
+    """What a round is doing."""
+
+    PREPARE = "prepare"
+    ACCEPT = "accept"
+    PAUSE = "pause"  # between tries
 
-    def members(self) -> list[Key]:
-        """Everybody, once."""
-        return list(dict.fromkeys(key for roster in self.rosters for key in roster))
 
-    def covered(self, by: Iterable[Key]) -> bool:
-        """Whether `by` has a majority of each."""
-        there = set(by)
-        return all(2 * sum(key in there for key in roster) > len(roster) for roster in self.rosters)
+class Send(NamedTuple):
+    """A request to a member; `with_text`: the configuration's text goes with it."""
+
+    key: Key
+    request: Request
+    with_text: bool = False
+
+
+Sends = list[Send]
 
 
 class Asking:
-    """What a round and a survey share: who was asked, whose message was lost, when something is due."""
+    """What a round and a read share: who was asked, whose message was lost, when something is due."""
 
-    def __init__(self, decided: tuple[int, Roster], deadline: float, rng: Random) -> None:
-        self.epoch, self.roster = decided
+    def __init__(self, decided: Decided, deadline: float, rng: Random) -> None:
+        self.decided = decided
         self.deadline = deadline
         self.rng = rng
-        self.quorums = Quorums([self.roster])
-        self.result: str | None = None  # "ok", "unsure", "unreachable", "contended"
-        self.value: Value | None = None  # of an "ok"
+        self.quorums = Quorums([decided.members])
+        self.result: Result | None = None
+        self.value: MeshState | None = None  # of an OK
         self.again: dict[Key, float] = {}  # lost messages, and when they go again
         self.wake = deadline  # when something else is due
         self.asked: set[Key] = set()
@@ -189,223 +92,222 @@
         """When `tick` has something to do at the latest, on the clock of `now`."""
         return min([self.wake, self.deadline, *self.again.values()])
 
-    def message(self, key: Key) -> Message:
+    def send(self, key: Key) -> Send:
         """What a member is asked now."""
         raise NotImplementedError
 
+    def start(self) -> Sends:
+        """Begin, or begin again."""
+        raise NotImplementedError
+
     def tick(self, now: float) -> Sends:
         """Time has passed."""
         raise NotImplementedError
 
-    def heard(self, now: float, key: Key, reply: Message) -> Sends:
+    def received(self, now: float, key: Key, answer: Answer) -> Sends:
         """A member has answered."""
         raise NotImplementedError
 
     def ask(self, members: Iterable[Key]) -> Sends:
         """Ask those who were not asked."""
-        sends = [(key, self.message(key)) for key in members if key not in self.asked]
-        self.asked.update(key for key, _ in sends)
+        sends = [self.send(key) for key in members if key not in self.asked]
+        self.asked.update(send.key for send in sends)
         return sends
 
     def lost(self, now: float, key: Key) -> None:
         """A message had no answer in time, or could not be sent."""
         if key in self.asked:
-            self.again[key] = now + AGAIN * (0.5 + self.rng.random())
+            self.again[key] = now + RESEND_S * (0.5 + self.rng.random())
 
     def resend(self, now: float) -> Sends:
         """The lost messages whose time has come."""
         due = [key for key, when in self.again.items() if when <= now]
         for key in due:
             del self.again[key]
-        return [(key, self.message(key)) for key in due if key in self.asked]
+        return [self.send(key) for key in due if key in self.asked]
 
-    def adopt(self, decided: Any) -> bool:
-        """Take over a newer decided roster; False where it is none."""
-        epoch, roster = decided
-        if epoch <= self.epoch:
+    def adopt(self, decided: Decided) -> bool:
+        """Take over a newer decided membership; False where it is none."""
+        if decided.epoch <= self.decided.epoch:
             return False
-        self.epoch, self.roster = epoch, roster
+        self.decided = decided
         return True
 
 
 class Round(Asking):
-    """One change of the register, tried until it is settled or the deadline has come.
+    """One change of the register, tried until it is committed or the deadline has come.
 
-    `heard`, `lost` and `tick` give the messages to send; `result` tells when it is over: "ok" with `value`
-    and `answer`, "unreachable" (no majority), or "contended" (others went before each time). Without an "ok"
-    the change may be in force or not.
+    `received`, `lost` and `tick` give the messages to send; `result` tells when it is over: OK with `value`
+    and `answer`, UNREACHABLE, or CONTENDED. Without an OK the change may be in force or not.
     """
 
     def __init__(
         self,
-        who: tuple[str, int],
-        decided: tuple[int, Roster],
+        proposer: tuple[str, int],
+        decided: Decided,
         change: Change,
         deadline: float,
         rng: Random,
         counter: int = 0,
     ) -> None:
         super().__init__(decided, deadline, rng)
-        self.who = who
+        self.proposer = proposer
         self.change = change
         self.answer: Any = None
         self.counter = counter
         self.tries = 0
-        self.phase = "prepare"  # then "accept"; "pause" between tries
-        self.ballot = NONE
-        self.promises: dict[Key, tuple[Ballot, Value | None]] = {}
+        self.phase = Phase.PREPARE
+        self.ballot = NO_BALLOT
+        self.promises: dict[Key, tuple[Ballot, MeshState | None]] = {}
         self.accepts: set[Key] = set()
-        self.refused: dict[Key, str] = {}
-        self.proposal: Value | None = None
+        self.refused: dict[Key, bool] = {}  # and whether by a higher ballot
+        self.proposal: MeshState | None = None
         self.fresh = False  # the proposal names a text that its base did not
 
     def start(self) -> Sends:
         """Begin, or begin again, with a higher ballot."""
         self.tries += 1
         self.counter += 1
-        self.ballot = (self.counter, *self.who)
-        self.phase, self.wake = "prepare", self.deadline
-        self.quorums = Quorums([self.roster])
+        self.ballot = Ballot(self.counter, *self.proposer)
+        self.phase, self.wake = Phase.PREPARE, self.deadline
+        self.quorums = Quorums([self.decided.members])
         self.promises, self.accepts, self.refused = {}, set(), {}
         self.asked, self.again = set(), {}
         return self.ask(self.quorums.members())
 
-    def message(self, key: Key) -> Message:
+    def send(self, key: Key) -> Send:
         """What a member is asked now."""
-        message: Message = {"do": self.phase, "disk": key[1], "decided": [self.epoch, self.roster]}
-        message["ballot"] = self.ballot
-        if self.phase == "accept":
-            message["value"] = self.proposal
-            if self.fresh:
-                message["carry"] = True
-        return message
+        if self.phase is Phase.ACCEPT and self.proposal is not None:
+            return Send(key, Accept(key[1], self.decided, self.ballot, self.proposal), self.fresh)
+        return Send(key, Prepare(key[1], self.decided, self.ballot))
 
     def tick(self, now: float) -> Sends:
         """Time has passed."""
         if self.result is not None:
             return []
         if now >= self.deadline:
-            self.result = "contended" if "nack" in self.refused.values() else "unreachable"
+            self.result = Result.CONTENDED if any(self.refused.values()) else Result.UNREACHABLE
             return []
-        if self.phase == "pause":
+        if self.phase is Phase.PAUSE:
             return self.start() if now >= self.wake else []
         return self.resend(now)
 
-    def heard(self, now: float, key: Key, reply: Message) -> Sends:
+    def received(self, now: float, key: Key, answer: Answer) -> Sends:
         """A member has answered."""
         if self.result is not None:
             return []
-        kind = reply["is"]
-        if self.adopt(reply["decided"]):
+        if self.adopt(answer.decided):
             return self.start()
-        if kind == "newer":  # this roster is known by now: ask again under it
+        if isinstance(answer, NewerMembership):  # it is known by now: ask again under it
             self.lost(now, key)
             return []
-        if kind == "other disk":
-            return self._refusal(now, key, kind)
-        if ballot(reply["ballot"]) != self.ballot or self.phase == "pause":
+        if isinstance(answer, OtherDisk):
+            return self._refused(now, key, by_ballot=False)
+        if isinstance(answer, Current) or answer.ballot != self.ballot or self.phase is Phase.PAUSE:
             return []  # of an earlier try
-        return self._votes(now, key, kind, reply)
-
-    def _votes(self, now: float, key: Key, kind: str, reply: Message) -> Sends:
-        if kind == "nack":
-            self.counter = max(self.counter, ballot(reply["promised"])[0])
-            return self._refusal(now, key, kind)
-        if kind == "promise" and self.phase == "prepare":
-            self.promises[key] = (ballot(reply["accepted"]), reply["value"])
+        return self._vote(now, key, answer)
+
+    def _vote(self, now: float, key: Key, answer: Promised | Accepted | Rejected | TextMissing) -> Sends:
+        if isinstance(answer, Rejected):
+            self.counter = max(self.counter, answer.promised.counter)
+            return self._refused(now, key, by_ballot=True)
+        if isinstance(answer, Promised) and self.phase is Phase.PREPARE:
+            self.promises[key] = answer.accepted, answer.state
             return self._cover()
-        if kind == "want body" and self.phase == "accept":
-            return [(key, {**self.message(key), "carry": True})]
-        if kind == "accepted" and self.phase == "accept":
+        if isinstance(answer, TextMissing) and self.phase is Phase.ACCEPT:
+            return [self.send(key)._replace(with_text=True)]
+        if isinstance(answer, Accepted) and self.phase is Phase.ACCEPT:
             self.accepts.add(key)
             if self.quorums.covered(self.accepts):
-                self._settled()
+                self._committed()
         return []
 
-    def _refusal(self, now: float, key: Key, kind: str) -> Sends:
+    def _refused(self, now: float, key: Key, by_ballot: bool) -> Sends:
         """One member says no: go on while the others may be enough, else pause and begin again."""
-        self.refused[key] = kind
+        self.refused[key] = by_ballot
         left = set(self.quorums.members()) - set(self.refused)
-        if self.phase != "pause" and not self.quorums.covered(left):
-            pause = BACKOFF * (1 << min(self.tries - 1, 4)) * (0.5 + self.rng.random())
-            self.phase, self.wake, self.again = "pause", now + pause, {}
+        if self.phase is not Phase.PAUSE and not self.quorums.covered(left):
+            doublings = min(self.tries - 1, MOST_DOUBLINGS)
+            pause = BACKOFF_S * (1 << doublings) * (0.5 + self.rng.random())
+            self.phase, self.wake, self.again = Phase.PAUSE, now + pause, {}
         return []
 
     def _cover(self) -> Sends:
-        """Once every roster in question is covered by promises, have the change accepted."""
+        """Once every membership in question is covered by promises, have the change accepted."""
         sends: Sends = []
         while self.quorums.covered(self.promises):
-            base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.roster)
-            if self.quorums.add(base["roster"]):
+            found = max(self.promises.values(), key=lambda promise: promise[0])[1]
+            base = found or initial(self.decided.members)
+            if self.quorums.add(base.members):
                 sends += self.ask(self.quorums.members())
                 continue
             made, self.answer = self.change(base)
             self.proposal = made or base
-            if self.quorums.add(self.proposal["roster"]):
+            if self.quorums.add(self.proposal.members):
                 sends += self.ask(self.quorums.members())
                 continue
-            self.fresh = self.proposal["digest"] != base["digest"]
-            self.phase, self.asked, self.again = "accept", set(), {}
+            self.fresh = self.proposal.digest != base.digest
+            self.phase, self.asked, self.again = Phase.ACCEPT, set(), {}
             return self.ask(self.quorums.members())
         return sends
 
-    def _settled(self) -> None:
-        """Majorities have accepted: the value is in force, and its roster decided."""
+    def _committed(self) -> None:
+        """Majorities have accepted: the value is in force, and its membership decided."""
         assert self.proposal is not None
-        self.result, self.value = "ok", self.proposal
-        self.adopt([self.proposal["epoch"], self.proposal["roster"]])
+        self.result, self.value = Result.OK, self.proposal
+        self.adopt(Decided(self.proposal.epoch, self.proposal.members))
 
 
-class Survey(Asking):
-    """A read: "ok" with `value` where majorities tell of one acceptance; "unsure" wants a round instead."""
+class QuorumRead(Asking):
+    """A read: OK with `value` where majorities tell of one acceptance; UNSURE wants a round instead."""
 
-    def __init__(self, decided: tuple[int, Roster], deadline: float, rng: Random) -> None:
+    def __init__(self, decided: Decided, deadline: float, rng: Random) -> None:
         super().__init__(decided, deadline, rng)
-        self.told: dict[Key, tuple[Ballot, Value | None]] = {}
+        self.told: dict[Key, tuple[Ballot, MeshState | None]] = {}
 
     def start(self) -> Sends:
-        """Begin."""
-        self.quorums, self.told = Quorums([self.roster]), {}
+        """Begin, or begin again."""
+        self.quorums, self.told = Quorums([self.decided.members]), {}
         self.asked, self.again = set(), {}
         return self.ask(self.quorums.members())
 
-    def message(self, key: Key) -> Message:
+    def send(self, key: Key) -> Send:
         """What a member is asked."""
-        return {"do": "read", "disk": key[1], "decided": [self.epoch, self.roster]}
+        return Send(key, Read(key[1], self.decided))
 
     def tick(self, now: float) -> Sends:
         """Time has passed."""
         if self.result is not None:
             return []
         if self.quorums.covered(self.told) and now >= self.wake:
-            self.result = "unsure"
+            self.result = Result.UNSURE
         elif now >= self.deadline:
-            self.result = "unreachable"
+            self.result = Result.UNREACHABLE
         return [] if self.result is not None else self.resend(now)
 
-    def heard(self, now: float, key: Key, reply: Message) -> Sends:
+    def received(self, now: float, key: Key, answer: Answer) -> Sends:
         """A member has answered."""
         if self.result is not None:
             return []
-        if self.adopt(reply["decided"]):
+        if self.adopt(answer.decided):
             return self.start()
-        if reply["is"] == "newer":
+        if isinstance(answer, NewerMembership):
             self.lost(now, key)
-        if reply["is"] != "told":
+        if not isinstance(answer, Current):
             return []
-        self.told[key] = (ballot(reply["accepted"]), reply["value"])
+        self.told[key] = answer.accepted, answer.state
         return self._judge(now)
 
     def _judge(self, now: float) -> Sends:
-        """Look for the same acceptance in majorities of each roster in question."""
-        highest, value = max(self.told.values(), key=lambda told: told[0])
-        value = value or initial(self.roster)
-        sends = self.ask(self.quorums.members()) if self.quorums.add(value["roster"]) else []
+        """Look for the same acceptance in majorities of each membership in question."""
+        highest, found = max(self.told.values(), key=lambda told: told[0])
+        value = found or initial(self.decided.members)
+        sends = self.ask(self.quorums.members()) if self.quorums.add(value.members) else []
         if self.quorums.covered(key for key, (accepted, _) in self.told.items() if accepted == highest):
-            self.result, self.value = "ok", value
-            self.adopt([value["epoch"], value["roster"]])
+            self.result, self.value = Result.OK, value
+            self.adopt(Decided(value.epoch, value.members))
         elif self.quorums.covered(self.told) and self.wake >= self.deadline:
-            self.wake = min(now + STRAGGLERS, self.deadline)
+            self.wake = min(now + STRAGGLERS_S, self.deadline)
             if len(self.told) == len(self.quorums.members()):
-                self.result = "unsure"
+                self.result = Result.UNSURE
         return sends
--- a/honeywharf/control/repair.py
+++ b/honeywharf/control/repair.py
@@ -11,12 +11,15 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgpack  # type: ignore[import-untyped]
 
 from honeywharf.control import mesh_state
-from honeywharf.control.register import State
+from honeywharf.control.acceptor import AcceptorState
+from honeywharf.control.mesh_state import Member, MeshState
+from honeywharf.control.messages import Ballot
 from honeywharf.control.store import (
     BAD,
     BESIDE,
@@ -32,6 +35,7 @@
 from honeywharf.mesh_config.configuration import digest as named
 
 RAISED = 1_000_000  # revisions, epochs and ballots that a return goes ahead: above all that anybody has seen
+PRESSED = 6  # zlib's level
 MOST_TEXT = 80 << 20  # bytes of a configuration, unpacked
 
 
@@ -41,7 +45,7 @@
     def __init__(self) -> None:
         self.lines: list[str] = []
         self.faults: list[str] = []
-        self.state: State | None = None
+        self.state: AcceptorState | None = None
 
 
 class BackupError(ValueError):
@@ -61,23 +65,25 @@
     for name in names:
         _tell_file(report, disk, name)
     value = report.state.value if report.state is not None else None
-    if value is not None and value["digest"] and CONFIG + value["digest"] not in names:
-        report.faults.append(f"{CONFIG}{value['digest']}: missing, and the register names it")
+    if value is not None and value.digest and CONFIG + value.digest not in names:
+        report.faults.append(f"{CONFIG}{value.digest}: missing, and the register names it")
     return report
 
 
-def _tell_state(report: Report, state: State) -> None:
+def _tell_state(report: Report, state: AcceptorState) -> None:
     say = report.lines.append
-    say(f"{REGISTER}: disk {state.disk}, promised {state.promised[0]}, accepted {state.accepted[0]}")
-    members = " ".join(f"{one[0]}/{one[2] or '?'}/{one[1]}" for one in state.roster) or "unknown"
+    say(
+        f"{REGISTER}: disk {state.disk}, promised {state.promised.counter}, accepted {state.accepted.counter}"
+    )
+    members = " ".join(f"{one.address}/{one.zone or '?'}/{one.disk}" for one in state.members) or "unknown"
     say(f"roster {state.epoch}: {members}")
     if state.value is None:
         say("word: none yet")
         return
     value = state.value
-    gone = ",".join(sorted(zone for zone, on in value["evac"].items() if on)) or "none"
+    gone = ",".join(sorted(zone for zone, on in value.evacuations.items() if on)) or "none"
     say(
-        f"word {value['rev']}: configuration r{value['version']}, {value['digest'] or 'no text'},"
+        f"word {value.revision}: configuration r{value.version}, {value.digest or 'no text'},"
         f" evacuated {gone}"
     )
 
@@ -139,36 +145,47 @@
     state = read_state(disk.read(REGISTER))
     if state is None or state.value is None:
         raise BackupError("found no word on this disk, wanted one")
-    name, text = state.value["digest"], b""
+    name, text = state.value.digest, b""
     if name:
         found = _text(disk, CONFIG + name)
         if found is None or named(found) != name:
             raise BackupError(f"found no whole {CONFIG}{name}, wanted the text that the register names")
         text = found
-    return seal(
-        msgpack.packb(
-            {
-                "epoch": state.epoch,
-                "value": state.value,
-                "counter": state.accepted[0],
-                "text": zlib.compress(text, 6),
-            }
-        )
-    )
+    return Backup(state.epoch, state.accepted.counter, state.value, text).pack()
+
 
+@dataclass(frozen=True, slots=True)
+class Backup:
+    """One state with its configuration's text, and how far the register had come: epoch, ballots' counter."""
 
-def opened(packed: bytes) -> dict[str, Any]:
-    """A backup's parts: `epoch`, `value`, `counter`, `text`. BackupError where it is none or damaged."""
+    epoch: int
+    counter: int
+    value: MeshState
+    text: bytes
+
+    def pack(self) -> bytes:
+        """As a file."""
+        parts = {
+            "epoch": self.epoch,
+            "value": self.value.pack(),
+            "counter": self.counter,
+            "text": zlib.compress(self.text, PRESSED),
+        }
+        return seal(msgpack.packb(parts))
+
+
+def opened(packed: bytes) -> Backup:
+    """A backup from its file. BackupError where it is none or damaged."""
     try:
         body = unseal(packed)
         if body is None:
             raise BackupError("found a damaged file or another one, wanted a backup")
         parts: dict[str, Any] = msgpack.unpackb(body, strict_map_key=False)
         text = zlib.decompressobj().decompress(parts["text"], MOST_TEXT)
-        value = parts["value"]
-        if value["digest"] and named(text) != value["digest"]:
+        value = MeshState.unpack(parts["value"])
+        if value.digest and named(text) != value.digest:
             raise BackupError("found a text that is not the one named, wanted a backup")
-        return {"epoch": int(parts["epoch"]), "counter": int(parts["counter"]), "value": value, "text": text}
+        return Backup(int(parts["epoch"]), int(parts["counter"]), value, text)
     except (KeyError, TypeError, ValueError, zlib.error, msgpack.UnpackException) as fault:
         if isinstance(fault, BackupError):
             raise
@@ -181,7 +198,7 @@
     `members`: (address as `check` prints it, zone) of all, in the same order everywhere; `here`: this one's.
     BackupError where the disk is in use, or `here` is no member.
     """
-    parts = opened(packed)
+    backup = opened(packed)
     in_use = [name for name in disk.names() if not name.endswith(BAD)]
     if in_use:
         raise BackupError(f"found {in_use[0]} on the disk, wanted an empty one")
@@ -189,16 +206,22 @@
     if here not in addresses or len(set(addresses)) != len(members) or len(members) > mesh_state.MOST_MEMBERS:
         raise BackupError(f"found {here} and members {' '.join(addresses)}, wanted it among them, each once")
     name = f"r{zlib.crc32(packed):08x}"  # the same for all: who takes part in this return
-    roster = [mesh_state.member(address, name, zone, True) for address, zone in members]
-    before = parts["value"]
-    epoch = max(parts["epoch"], before["epoch"]) + RAISED
-    value = {**before, "rev": before["rev"] + RAISED, "roster": roster, "epoch": epoch, "wanted": len(roster)}
-    ballot = (parts["counter"] + RAISED, "return", 0)
-    if value["digest"]:
-        disk.write(CONFIG + value["digest"], seal(zlib.compress(parts["text"], 6)))
-    disk.write(BESIDE, state_bytes(State(name, epoch, roster, ballot, ballot, value)))
+    roster = tuple(Member(address, name, zone, True) for address, zone in members)
+    before = backup.value
+    epoch = max(backup.epoch, before.epoch) + RAISED
+    value = replace(
+        before,
+        revision=before.revision + RAISED,
+        members=roster,
+        epoch=epoch,
+        wanted=len(roster),
+    )
+    ballot = Ballot(backup.counter + RAISED, "return", 0)
+    if value.digest:
+        disk.write(CONFIG + value.digest, seal(zlib.compress(backup.text, PRESSED)))
+    disk.write(BESIDE, state_bytes(AcceptorState(name, epoch, roster, ballot, ballot, value)))
     disk.rename(BESIDE, REGISTER)
-    return f"{REGISTER}: disk {name}, roster {epoch}, word {value['rev']}, configuration r{value['version']}"
+    return f"{REGISTER}: disk {name}, roster {epoch}, word {value.revision}, configuration r{value.version}"
 
 
 __all__ = ["RAISED", "BackupError", "FormatError", "Report", "backup", "check", "opened", "repair", "restore"]
--- a/honeywharf/control/store.py
+++ b/honeywharf/control/store.py
@@ -18,7 +18,7 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-from honeywharf.control.register import State
+from honeywharf.control.acceptor import AcceptorState
 
 REGISTER, BESIDE, CONFIG = "register", "register.new", "config-"
 BAD = ".bad"  # ends the names of files that were set aside
@@ -70,18 +70,18 @@
     return body
 
 
-def read_state(data: bytes | None) -> State | None:
+def read_state(data: bytes | None) -> AcceptorState | None:
     """The state in a register's bytes; None where it is missing or damaged. FormatError as in `unseal`."""
     body = unseal(data)
     if body is None:
         return None
     try:
-        return State.unpack(msgpack.unpackb(body, strict_map_key=False))
+        return AcceptorState.unpack(msgpack.unpackb(body, strict_map_key=False))
     except (ValueError, TypeError, KeyError, msgpack.UnpackException):
         return None
 
 
-def state_bytes(state: State) -> bytes:
+def state_bytes(state: AcceptorState) -> bytes:
     """A register's bytes."""
     return seal(msgpack.packb(state.pack()))
 
@@ -93,7 +93,7 @@
         self.host = host
         self.digests: list[str] = []  # configurations that are whole on disk, oldest first
 
-    def load(self) -> State | None:
+    def load(self) -> AcceptorState | None:
         """The register as it was last kept; None where the disk is empty or the register is damaged."""
         names = sorted(self.host.names())
         data = self.host.read(REGISTER)
@@ -118,7 +118,7 @@
         names = self.host.names()
         return REGISTER not in names and REGISTER + BAD not in names
 
-    def save(self, state: State) -> None:
+    def save(self, state: AcceptorState) -> None:
         """Keep the register; synced when this returns."""
         self.host.write(BESIDE, state_bytes(state))
         self.host.rename(BESIDE, REGISTER)
--- a/honeywharf/drift/gather.py
+++ b/honeywharf/drift/gather.py
@@ -19,7 +19,8 @@
 from honeywharf.mesh_config.routes import version_number
 
 if TYPE_CHECKING:
-    from honeywharf.control.mesh_state import Key, Value
+    from honeywharf.control.mesh_state import Key, MeshState
+    from honeywharf.control.messages import Heartbeat
     from honeywharf.control.operator import Asked
     from honeywharf.programs.control import ControlNode
     from honeywharf.transport.host import Address
@@ -45,7 +46,7 @@
         tree.add("GET", "/api/drift/between/{before}/{after}", self._between)
         self.replica.methods["drift.slip"] = self._slip
         self.replica.methods["drift.older"] = self._told_older
-        self.replica.on_beat = self.beat
+        self.replica.upkeep.on_heartbeat = self.heartbeat
 
     def start(self) -> None:
         """The disk can be read: take the history up, and see whether the register is older than it says."""
@@ -62,9 +63,10 @@
 
     # Words and slips.
 
-    def word(self, value: Value) -> None:
+    def word(self, state: MeshState) -> None:
         """A word is in force."""
-        self.history.word(value, self.replica.store.get(value["digest"]) if value["digest"] else None)
+        text = self.replica.store.get(state.digest) if state.digest else None
+        self.history.word(state, text)
 
     def _slip(self, args: Any, reply: Reply, peer: Address) -> None:
         node, _, by, cause, revision = args
@@ -76,6 +78,10 @@
 
     # Registers that go back.
 
+    def heartbeat(self, heartbeat: Heartbeat) -> None:
+        """A peer has told of itself."""
+        self.beat(heartbeat.key, heartbeat.accepted)
+
     def beat(self, key: Key, accepted: tuple[Any, ...]) -> None:
         """A peer has told how far its register is: where that is less than before, ask it, with each beat.
 
@@ -154,16 +160,16 @@
 
     def _told(self) -> dict[str, Any]:
         """What a majority holds, as this machine knows it, with its tree."""
-        value = self.replica.known
-        packed = None if value is None or not value["digest"] else self.replica.store.get(value["digest"])
-        if value is None or packed is None:
+        state = self.replica.known
+        packed = None if state is None or not state.digest else self.replica.store.get(state.digest)
+        if state is None or packed is None:
             return {}
-        evacuated = {zone for zone, on in value["evac"].items() if on}
+        evacuated = {zone for zone, on in state.evacuations.items() if on}
         branches = second.tree(zlib.decompress(packed), evacuated)
         return {
-            "revision": value["rev"],
-            "version": f"r{value['version']}",
-            "digest": value["digest"],
+            "revision": state.revision,
+            "version": f"r{state.version}",
+            "digest": state.digest,
             "root": digests.root(branches).hex(),
             "branches": {name: made.hex() for name, made in branches.items()},
         }
--- a/honeywharf/drift/history.py
+++ b/honeywharf/drift/history.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from honeywharf.control.mesh_state import MeshState
     from honeywharf.transport.host import Host
 
 FILE, BESIDE, TEXT = "drift-history", "drift-history.new", "drift-text-"
@@ -41,7 +42,7 @@
         self.slips: list[list[Any]] = []  # wall, node, by, cause, revision
         self.own: list[Any] = []  # this register: disk, promised, accepted
         self.texts: list[list[Any]] = []  # version, digest, bytes
-        self.new: list[tuple[dict[str, Any], bytes]] = []  # texts that are not written yet
+        self.new: list[tuple[MeshState, bytes]] = []  # texts that are not written yet
         self.pending = False
 
     def load(self) -> None:
@@ -56,21 +57,21 @@
 
     # What comes.
 
-    def word(self, value: dict[str, Any], packed: bytes | None) -> None:
+    def word(self, state: MeshState, packed: bytes | None) -> None:
         """A word is settled. `packed`: its text, compressed, where it is here."""
-        evacuated = sorted(zone for zone, on in value["evac"].items() if on)
-        row = [self.host.wall(), value["rev"], value["version"], value["digest"], evacuated]
+        evacuated = sorted(zone for zone, on in state.evacuations.items() if on)
+        row = [self.host.wall(), state.revision, state.version, state.digest, evacuated]
         self.words = [*self.words[1 - MOST_WORDS :], row]
-        if packed is not None and all(value["digest"] != text[1] for text in self.texts):
-            self.new = [*self.new[1 - MOST_TEXTS :], (value, packed)]
+        if packed is not None and all(state.digest != text[1] for text in self.texts):
+            self.new = [*self.new[1 - MOST_TEXTS :], (state, packed)]
         self._soon()
 
-    def _keep_text(self, value: dict[str, Any], packed: bytes) -> None:
+    def _keep_text(self, state: MeshState, packed: bytes) -> None:
         if len(packed) > MOST_TEXT_BYTES:
             return
         try:
-            self.host.write(TEXT + value["digest"], packed)
-            self.texts.append([value["version"], value["digest"], len(packed)])
+            self.host.write(TEXT + state.digest, packed)
+            self.texts.append([state.version, state.digest, len(packed)])
             while len(self.texts) > MOST_TEXTS or sum(text[2] for text in self.texts) > MOST_TEXT_BYTES:
                 self.host.remove(TEXT + self.texts.pop(0)[1])
         except OSError as fault:
@@ -105,8 +106,8 @@
     def _write(self) -> None:
         self.pending = False
         new, self.new = self.new, []
-        for value, packed in new:
-            self._keep_text(value, packed)
+        for state, packed in new:
+            self._keep_text(state, packed)
         body = msgpack.packb([self.words, self.slips, self.own, self.texts])
         try:
             self.host.write(BESIDE, MARK + zlib.crc32(body).to_bytes(4, "big") + body)
--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from honeywharf.control.mesh_state import Value
+from honeywharf.control.mesh_state import MeshState
 from honeywharf.control.operator import Operator
 from honeywharf.control.replica import Replica
 from honeywharf.control.store import Store
@@ -44,7 +44,7 @@
             settings.zone,
             [(ip, settings.ports[0]) for ip, _ in settings.seeds],
             settings.initial_start,
-            self._word,
+            self._state,
             self._cores,
         )
         self.membership: Membership | None = None
@@ -87,17 +87,17 @@
             f" roster {self.replica.state.epoch}"
         )
 
-    def _word(self, value: Value) -> None:
+    def _state(self, state: MeshState) -> None:
         """There is a newer word, and its text is here."""
-        self.host.log(f"control node: revision {value['rev']}, configuration r{value['version']}")
-        self.gather.word(value)
-        self.handing.word(value)
+        self.host.log(f"control node: revision {state.revision}, configuration r{state.version}")
+        self.gather.word(state)
+        self.handing.word(state)
         if self.membership is not None:
-            self.membership.shout_word(value["rev"])
+            self.membership.shout_word(state.revision)
 
     def _rumour(self, revision: int, holder: str) -> None:
         """Somebody holds a newer word."""
-        if self.replica.known is None or revision > self.replica.known["rev"]:
+        if self.replica.known is None or revision > self.replica.known.revision:
             self.replica.learn_from((holder, self.here[1]))
 
     def _cores(self) -> list[Address]:
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -32,7 +32,7 @@
         self.holder = f"{self.replica.here}/{self.host.random(6).hex()}"
         self.acquisition: LeaseAcquisition | None = None
         self.done = {"granted": 0, "refused": 0, "lost": 0}  # upkeep wanted here
-        self.replica.duty = self
+        self.replica.upkeep.duty = self
         self.replica.methods["lease.ask"] = self._ask
         self.replica.methods["lease.free"] = self._free
         program.operator.tree.add("GET", "/api/duties", self._view)
@@ -62,7 +62,7 @@
         if disk != state.disk or not self.replica.member():
             reply([ROSTER, 0])  # whoever asks means another one
             return
-        accepted = state.value["epoch"] if state.value is not None else 0
+        accepted = state.value.epoch if state.value is not None else 0
         now = self.host.now()
         self.grantor.roster(now, state.epoch, accepted)
         reply(list(self.grantor.ask(now, (kind, scope, place), holder, number, epoch)))
@@ -92,7 +92,7 @@
         self.acquisition = LeaseAcquisition(
             self.host,
             self._call,
-            lambda: (state.epoch, mesh_state.keys(state.roster)),
+            lambda: (state.epoch, mesh_state.keys(state.members)),
             self.holder,
             [[UPKEEP]],
             self._lost,
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -15,14 +15,16 @@
 from typing import TYPE_CHECKING, Any
 
 from honeywharf.control import mesh_state
-from honeywharf.control.replica import SILENT, WITHIN, address
+from honeywharf.control.address import address_of
+from honeywharf.control.membership import SILENT_S
+from honeywharf.control.quorum_client import WITHIN_S
 from honeywharf.failure_detector.ring import Ring
 from honeywharf.hinted_handoff.hints import HintStore
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from honeywharf.control.mesh_state import Key, Value
+    from honeywharf.control.mesh_state import Key, MeshState
     from honeywharf.programs.control import ControlNode
     from honeywharf.transport.host import Address
     from honeywharf.transport.rpc import Reply
@@ -40,7 +42,7 @@
         self.tank = HintStore(self.host.log)
         self.kept = True
         self.taken = 0  # values that were news to this one, on its own return
-        self.replica.on_return = self._returned
+        self.replica.upkeep.on_return = self._returned
         self.replica.methods["hinted_handoff.hand"] = self._handed
 
     def start(self) -> None:
@@ -50,7 +52,7 @@
     def keeps(self, where: str) -> bool:
         """Whether this one keeps for a member, by its address."""
         ring = Ring()
-        for member, _ in mesh_state.keys(self.replica.state.roster):
+        for member, _ in mesh_state.keys(self.replica.state.members):
             ring.add(member)
         return self.replica.here in ring.after(where, KEEPERS)
 
@@ -58,7 +60,7 @@
         now = self.host.now()
         self.host.after(LOOK_S, self._look)
         self.tank.sweep(now)
-        silent = [key[0] for key in self.replica.silent(SILENT)]
+        silent = [key[0] for key in self.replica.silent(SILENT_S)]
         for where in [one for one in self.tank.held if one not in silent]:
             self.tank.drop(where)  # it is not in the roster any more
         for where in silent:
@@ -66,25 +68,29 @@
             if wanted and self.tank.missing(where, now):
                 self._keep([where])
 
-    def word(self, value: Value) -> None:
+    def word(self, state: MeshState) -> None:
         """A newer word is in force: those who are missing should have had it."""
         self._keep(self.tank.held)
 
     def _keep(self, members: Iterable[str]) -> None:
-        value = self.replica.known
-        if value is not None:
-            self.tank.keep("word", VALUE + len(value["digest"]), members)
+        state = self.replica.known
+        if state is not None:
+            self.tank.keep("word", VALUE + len(state.digest), members)
 
     def _returned(self, key: Key) -> None:
         """It is heard again: at once, before its own beats ask."""
         if self.tank.returned(key[0]) and self.replica.known is not None:
             self.program.caller.call(
-                address(key[0]), "hinted_handoff.hand", self.replica.known, WITHIN, lambda answer: None
+                address_of(key[0]),
+                "hinted_handoff.hand",
+                self.replica.known.pack(),
+                WITHIN_S,
+                lambda answer: None,
             )
 
     def _handed(self, args: Any, reply: Reply, peer: Address) -> None:
         """What this one should have had while it was away."""
-        self.taken += self.replica.known is None or args["rev"] > self.replica.known["rev"]
+        self.taken += self.replica.known is None or args["rev"] > self.replica.known.revision
         self.replica.take(args)
         reply(True)
 
--- a/tests/control/explore.py
+++ b/tests/control/explore.py
@@ -15,8 +15,11 @@
 from random import Random
 from typing import Any
 
-from honeywharf.control.mesh_state import Change, Key, Roster, Value
-from honeywharf.control.register import Acceptor, Asking, Quorums, Round, State, Survey
+from honeywharf.control.acceptor import Acceptor, AcceptorState
+from honeywharf.control.mesh_state import Change, Key, Member, Membership, MeshState
+from honeywharf.control.messages import Decided
+from honeywharf.control.quorum import Quorums
+from honeywharf.control.register import Asking, Phase, QuorumRead, Result, Round
 
 
 class Half(Random):
@@ -57,7 +60,7 @@
     def key(self) -> str:
         """All of its state."""
         if False not in self.keys:
-            parts = (self.begun, self.over, self.floor, self._kept(), self.asking.quorums.rosters)
+            parts = (self.begun, self.over, self.floor, self._kept(), self.asking.quorums.memberships)
             self.keys[False] = repr(parts)
         return str(self.keys[False])
 
@@ -84,7 +87,7 @@
         if isinstance(value, dict | set | list):
             setattr(made, name, value.copy())
     made.quorums = Quorums([])
-    made.quorums.rosters = list(asking.quorums.rosters)
+    made.quorums.memberships = list(asking.quorums.memberships)
     return made
 
 
@@ -104,7 +107,7 @@
 
     __slots__ = ("durable", "held", "key", "state")
 
-    def __init__(self, state: State, durable: State, held: Letter | None = None) -> None:
+    def __init__(self, state: AcceptorState, durable: AcceptorState, held: Letter | None = None) -> None:
         self.state, self.durable, self.held = state, durable, held
         self.key = repr((state.pack(), durable is state or durable.pack(), held and held.short))
 
@@ -150,7 +153,7 @@
         tries: int = 1,
         faults: int = 0,
         late_sync: tuple[str, ...] = (),
-        wiped: Callable[[State], State] | None = None,
+        wiped: Callable[[AcceptorState], AcceptorState] | None = None,
         acceptor: type[Acceptor] = Acceptor,
         split: bool = False,
         alike: bool = False,
@@ -180,7 +183,7 @@
                 yield partial(self.begin, node, number)
             elif (
                 isinstance(actor.asking, Round)
-                and actor.asking.phase == "pause"
+                and actor.asking.phase is Phase.PAUSE
                 and actor.asking.result is None
                 and actor.asking.tries < self.tries
             ):
@@ -217,13 +220,13 @@
         node = Node(node.votes, node.actors, wire, node.told, node.faults + again)
         number, key = letter.number, letter.member
         if letter.back:
-            return self.act(node, number, lambda made: made.heard(0.0, key, letter.message))
+            return self.act(node, number, lambda made: made.received(0.0, key, letter.message))
         vote = node.votes.get(key[0])
         if vote is None:
             return node
         state, answer = self.acceptor(vote.state).answer(letter.message)
         reply = Letter(number, key, answer, True)
-        late = answer["is"] in self.late_sync
+        late = answer.KIND in self.late_sync
         if self.split and not late and state is not vote.state:
             made = Vote(state, vote.durable, reply)
         else:
@@ -255,23 +258,21 @@
         told = node.told
         wire = list(node.wire)
         if asking.result is not None:
-            if asking.result == "ok" and not old.over:
+            if asking.result is Result.OK and not old.over:
                 told = self.judge(told, asking.value, old.floor)
             wire = [letter for letter in wire if letter.number != number or not letter.back]
-        for key, message in sends:
-            plain = {name: value for name, value in message.items() if name != "carry"}
-            wire.append(Letter(number, key, plain, False))
+        wire += [Letter(number, send.key, send.request, False) for send in sends]
         actor = Actor(asking, True, old.floor, asking.result is not None)
         actors = (*node.actors[:number], actor, *node.actors[number + 1 :])
         return Node(node.votes, actors, tuple(wire), told, node.faults)
 
     @staticmethod
-    def judge(told: dict[int, tuple[int, str]], value: Value, floor: int) -> dict[int, tuple[int, str]]:
+    def judge(told: dict[int, tuple[int, str]], value: MeshState, floor: int) -> dict[int, tuple[int, str]]:
         """What was told as in force: never older than what was told before it was asked for."""
-        rev, version = value["rev"], value["version"]
+        rev, version = value.revision, value.version
         if rev < floor:
             raise BrokenError(f"revision {rev} was told after {floor}")
-        shown = repr(sorted(value.items(), key=lambda one: one[0]))
+        shown = repr(value)
         if told.get(rev, (0, shown))[1] != shown:
             raise BrokenError(f"two contents of revision {rev}: {told[rev][1]} and {shown}")
         for other, (known, _) in told.items():
@@ -320,15 +321,15 @@
 
 
 def proposer(
-    name: str, change: Change, epoch: int, roster: Roster, counter: int = 0, made: type[Round] = Round
+    name: str, change: Change, epoch: int, roster: Membership, counter: int = 0, made: type[Round] = Round
 ) -> Actor:
     """A round that has not begun."""
-    return Actor(made((name, 1), (epoch, roster), change, 1.0, HALF, counter))
+    return Actor(made((name, 1), Decided(epoch, roster), change, 1.0, HALF, counter))
 
 
-def reader(epoch: int, roster: Roster, made: type[Survey] = Survey) -> Actor:
+def reader(epoch: int, roster: Membership, made: type[QuorumRead] = QuorumRead) -> Actor:
     """A survey that has not begun."""
-    return Actor(made((epoch, roster), 1.0, HALF))
+    return Actor(made(Decided(epoch, roster), 1.0, HALF))
 
 
 def along(world: World, node: Node, number: int, by: set[str], until: Callable[[Node], bool]) -> Node:
@@ -352,6 +353,6 @@
     return Node(node.votes, node.actors, wire, node.told, node.faults)
 
 
-def members(keys: list[Key]) -> Roster:
-    """A roster of these."""
-    return [[where, disk, "", True] for where, disk in keys]
+def members(keys: list[Key]) -> Membership:
+    """A membership of these."""
+    return tuple(Member(where, disk, "", True) for where, disk in keys)
--- a/tests/control/test_bounds.py
+++ b/tests/control/test_bounds.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from honeywharf.control import mesh_state, replica as module
+from honeywharf.control import membership, mesh_state, proposals, texts
+from honeywharf.control.register import Result
 from tests.control.town import Town
 
 
@@ -13,42 +14,42 @@
     town.run(1.0)
     replica = town.programs["10.0.0.1"].replica
     town.split(["10.0.0.1"], ["10.0.0.2", "10.0.0.3"])
-    results: list[str] = []
+    results: list[Result] = []
     values: list[Any] = []
     bodies: list[bytes | None] = []
-    for number in range(module.MOST_WAITING + 3):
+    for number in range(proposals.MOST_WAITING + 3):
         replica.submit(
             mesh_state.replace(number, "x"),
             0.5,
             lambda result, answer: results.append(result),
             (f"digest{number}", b"text"),
         )
-    for _ in range(module.MOST_READERS + 3):
+    for _ in range(proposals.MOST_READERS + 3):
         replica.read(0.5, values.append)
-    for number in range(module.MOST_FETCHES + 3):
-        replica.body(f"missing{number}", bodies.append)
+    for number in range(texts.MOST_FETCHES + 3):
+        replica.text(f"missing{number}", bodies.append)
     assert results == []
     assert bodies == [None] * 3
     town.run(0.01)
-    assert results == ["unreachable"] * 3
+    assert results == [Result.UNREACHABLE] * 3
     assert values == [None] * 3
     town.run(0.6)
-    assert results == ["unreachable"] * (module.MOST_WAITING + 3)
-    assert values == [None] * (module.MOST_READERS + 3)
+    assert results == [Result.UNREACHABLE] * (proposals.MOST_WAITING + 3)
+    assert values == [None] * (proposals.MOST_READERS + 3)
     town.run(8.0)
-    assert bodies == [None] * (module.MOST_FETCHES + 3)
-    assert replica.bodies == {}
-    assert replica.fetches == {}
+    assert bodies == [None] * (texts.MOST_FETCHES + 3)
+    assert replica.texts.proposed == {}
+    assert replica.texts.fetches == {}
 
 
 def test_who_was_heard_is_bounded() -> None:
     town = Town(32)
     town.run(1.0)
     replica = town.programs["10.0.0.1"].replica
-    for number in range(module.MOST_HEARD + 20):
-        replica._hear((f"10.1.0.{number}:1", "x"))
-    assert len(replica.heard) == module.MOST_HEARD
-    assert replica.silent(module.SILENT) == []
+    for number in range(membership.MOST_HEARD + 20):
+        replica.upkeep.hear((f"10.1.0.{number}:1", "x"))
+    assert len(replica.upkeep.heard) == membership.MOST_HEARD
+    assert replica.silent(membership.SILENT_S) == []
 
 
 def test_one_that_was_frozen_blames_nobody() -> None:
@@ -56,11 +57,13 @@
     town.run(3.0)
     town.world.machines["10.0.0.4"].frozen = True
     town.run(3.0)
-    assert [key[0] for key in town.programs["10.0.0.1"].replica.silent(module.SILENT)] == ["10.0.0.4:7620"]
+    assert [key[0] for key in town.programs["10.0.0.1"].replica.silent(membership.SILENT_S)] == [
+        "10.0.0.4:7620"
+    ]
     town.world.machines["10.0.0.4"].thaw()
     town.run(0.001)
     town.run(0.2)
-    assert town.programs["10.0.0.4"].replica.silent(module.SILENT) == []
+    assert town.programs["10.0.0.4"].replica.silent(membership.SILENT_S) == []
     town.run(2.0)
-    assert town.programs["10.0.0.1"].replica.silent(module.SILENT) == []
-    assert len(town.programs["10.0.0.1"].replica.state.roster) == 5
+    assert town.programs["10.0.0.1"].replica.silent(membership.SILENT_S) == []
+    assert len(town.programs["10.0.0.1"].replica.state.members) == 5
--- a/tests/control/test_explored.py
+++ b/tests/control/test_explored.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bench.mesh_explore import CASES, ORDERS, TELLS, WRONG, played
-from honeywharf.control.register import Quorums
+from honeywharf.control.quorum import Quorums
 
 QUICK = (
     "accepted before the sync",
--- a/tests/control/test_program.py
+++ b/tests/control/test_program.py
@@ -8,7 +8,7 @@
 
 
 def roster(town: Town, ip: str) -> list[str]:
-    return [one[0].rpartition(":")[0] for one in town.programs[ip].replica.state.roster]
+    return [one.address.rpartition(":")[0] for one in town.programs[ip].replica.state.members]
 
 
 def test_what_one_takes_another_describes_as_it_was_sent() -> None:
@@ -47,11 +47,11 @@
     town.run(0.8)
     assert [call.status for call in calls] == [200, 200, 404, 405, 404, 307, 404]
     assert calls[5].answers[0][2] == b"Location: http://10.0.9.9:8306/api/instances/i/heartbeat\r\n"
-    assert town.known("10.0.0.3")["evac"] == {"a": True}
+    assert town.known("10.0.0.3").evacuations == {"a": True}
     end = town.call("10.0.0.3", "POST", "/api/evacuations/a/complete")
     town.run(0.5)
     assert end.status == 200
-    assert town.known("10.0.0.1")["evac"] == {"a": False}
+    assert town.known("10.0.0.1").evacuations == {"a": False}
 
 
 def test_without_a_majority_nothing_is_acknowledged_or_told_and_both_come_back_with_it() -> None:
@@ -99,7 +99,7 @@
     town.run(2.5)
     for ip in town.ips:
         assert sorted(roster(town, ip)) == town.ips
-        assert town.known(ip)["wanted"] == 5
+        assert town.known(ip).wanted == 5
     for ip in town.ips[:2]:
         town.world.machines[ip].off(power=True)
     taken = town.replace("10.0.0.5", 5, "five")
@@ -148,5 +148,5 @@
     town.run(4.0)
     value = town.programs["10.0.0.3"].replica.state.value
     assert value is not None
-    assert value["version"] == 4
-    assert town.programs["10.0.0.3"].replica.store.has(value["digest"])
+    assert value.version == 4
+    assert town.programs["10.0.0.3"].replica.store.has(value.digest)
--- a/tests/control/test_register.py
+++ b/tests/control/test_register.py
@@ -4,13 +4,17 @@
 
 import os
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import pytest
 
 from honeywharf.control import mesh_state
-from honeywharf.control.mesh_state import Key, initial, keys
-from honeywharf.control.register import Acceptor, Quorums, Round, Sends, State
+from honeywharf.control.acceptor import Acceptor, AcceptorState
+from honeywharf.control.mesh_state import Key, Member, MeshState, initial, keys
+from honeywharf.control.messages import NO_BALLOT, Answer, Ballot
+from honeywharf.control.quorum import Quorums
+from honeywharf.control.register import Phase, Round, Sends
 from tests.control.explore import (
     Actor,
     BrokenError,
@@ -30,7 +34,7 @@
 
 
 def vote(disk: str, epoch: int = 1) -> Vote:
-    state = State(disk, epoch, FIRST if epoch else None)
+    state = AcceptorState(disk, epoch, FIRST if epoch else ())
     return Vote(state, state)
 
 
@@ -67,8 +71,12 @@
 def swaps(made: type[Round] = Round) -> Node:
     """Two put machines in silent members' places, and a third changes the word under the roster it knew."""
     start = node(
-        proposer("p", mesh_state.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST, made=made),
-        proposer("q", mesh_state.admit(["e", "disk-e", "", False], [("a", "first")]), 1, FIRST, made=made),
+        proposer(
+            "p", mesh_state.admit(Member("d", "disk-d", "", False), [("c", "first")]), 1, FIRST, made=made
+        ),
+        proposer(
+            "q", mesh_state.admit(Member("e", "disk-e", "", False), [("a", "first")]), 1, FIRST, made=made
+        ),
         proposer("s", mesh_state.replace(1, "one"), 1, FIRST, made=made),
         reader(1, FIRST),
         more=("d", "e"),
@@ -84,15 +92,15 @@
 
 def stale(made: type[Round] = Round) -> Node:
     """The roster went from a, b, c to a, b, d; one proposer knows, another does not."""
-    swap = proposer("r", mesh_state.admit(["d", "disk-d", "", False], [("c", "first")]), 1, FIRST)
+    swap = proposer("r", mesh_state.admit(Member("d", "disk-d", "", False), [("c", "first")]), 1, FIRST)
     world = World()
     start = settled(world, node(swap, more=("d",)), 0, {"a", "b", "d"})
     asking = start.actors[0].asking
-    assert asking.epoch == 2
+    assert asking.decided.epoch == 2
     for where in "ab":  # they have not been told that it was decided
         assert start.votes[where].state.epoch == 1
     start.actors = (
-        proposer("p", mesh_state.replace(1, "one"), 2, asking.roster, 2, made),
+        proposer("p", mesh_state.replace(1, "one"), 2, asking.decided.members, 2, made),
         proposer("q", mesh_state.replace(1, "other"), 1, FIRST, 5, made),
     )
     return start
@@ -104,14 +112,14 @@
     walks(World(tries=3), stale, 300)
 
 
-def other_name(state: State) -> State:
+def other_name(state: AcceptorState) -> AcceptorState:
     """What is right: a wiped disk has another name."""
-    return State("new", 1, FIRST)
+    return AcceptorState("new", 1, FIRST)
 
 
-def same_name(state: State) -> State:
+def same_name(state: AcceptorState) -> AcceptorState:
     """A mutation: it votes as if nothing had been lost."""
-    return State(state.disk, 1, FIRST)
+    return AcceptorState(state.disk, 1, FIRST)
 
 
 def settled_by_two() -> Node:
@@ -147,7 +155,7 @@
 def test_found_an_answer_before_the_sync() -> None:
     right = World(faults=3)
     assert explore(right, acknowledged(right), MOST, seed=7)[1]
-    wrong = World(faults=3, late_sync=("promise", "accepted"))
+    wrong = World(faults=3, late_sync=("promised", "accepted"))
     with pytest.raises(BrokenError):
         explore(wrong, acknowledged(wrong), MOST, seed=7)
 
@@ -155,7 +163,7 @@
 def test_found_a_majority_of_those_that_answer(monkeypatch: pytest.MonkeyPatch) -> None:
     def living(self: Quorums, by: object) -> bool:
         there = set(by)  # type: ignore[call-overload]
-        return all(any(key in there for key in roster) for roster in self.rosters)
+        return all(any(key in there for key in roster) for roster in self.memberships)
 
     monkeypatch.setattr(Quorums, "covered", living)
     with pytest.raises(BrokenError):
@@ -168,12 +176,12 @@
     def _cover(self) -> Sends:
         if not self.quorums.covered(self.promises):
             return []
-        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.roster)
+        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.decided.members)
         made, self.answer = self.change(base)
         self.proposal = made or base
-        self.quorums.add(base["roster"])
-        self.quorums.add(self.proposal["roster"])
-        self.phase, self.asked, self.again = "accept", set(), {}
+        self.quorums.add(base.members)
+        self.quorums.add(self.proposal.members)
+        self.phase, self.asked, self.again = Phase.ACCEPT, set(), {}
         return self.ask(self.quorums.members())
 
 
@@ -183,10 +191,10 @@
     def _cover(self) -> Sends:
         if not self.quorums.covered(self.promises):
             return []
-        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.roster)
+        base = max(self.promises.values(), key=lambda told: told[0])[1] or initial(self.decided.members)
         made, self.answer = self.change(base)
         self.proposal = made or base
-        self.phase, self.asked, self.again = "accept", set(), {}
+        self.phase, self.asked, self.again = Phase.ACCEPT, set(), {}
         return self.ask(self.quorums.members())
 
 
@@ -203,10 +211,8 @@
 class Forgetful(Acceptor):
     """A mutation: accepts whatever it has promised since."""
 
-    def _accept(
-        self, state: State, asked: object, value: mesh_state.Value
-    ) -> tuple[State, dict[str, object]]:
-        return super()._accept(state.but(promised=(0, "", 0)), asked, value)  # type: ignore[arg-type]
+    def _accept(self, state: AcceptorState, ballot: Ballot, value: MeshState) -> tuple[AcceptorState, Answer]:
+        return super()._accept(replace(state, promised=NO_BALLOT), ballot, value)
 
 
 def test_found_an_acceptor_that_forgets_its_promise() -> None:
@@ -232,27 +238,27 @@
 
 def test_swap_rules() -> None:
     value = initial(FIRST)
-    joiner = ["d", "x", "z", False]
+    joiner = Member("d", "x", "z", False)
     appended, _ = mesh_state.admit(joiner, [])(value)
     assert appended is not None
-    assert [key[0] for key in keys(appended["roster"])] == ["a", "b", "c", "d"]
-    assert (appended["epoch"], appended["wanted"], appended["rev"]) == (2, 3, 1)
+    assert [key[0] for key in keys(appended.members)] == ["a", "b", "c", "d"]
+    assert (appended.epoch, appended.wanted, appended.revision) == (2, 3, 1)
     swapped, _ = mesh_state.admit(joiner, [("b", "first")])(value)
     assert swapped is not None
-    assert [key[0] for key in keys(swapped["roster"])] == ["a", "d", "c"]
-    wiped, _ = mesh_state.admit(["c", "y", "z", False], [("b", "first")])(value)
+    assert [key[0] for key in keys(swapped.members)] == ["a", "d", "c"]
+    wiped, _ = mesh_state.admit(Member("c", "y", "z", False), [("b", "first")])(value)
     assert wiped is not None
-    assert keys(wiped["roster"])[1:] == [("b", "first"), ("c", "y")]
-    fourth, _ = mesh_state.admit(["d", "x", "z", True], [("b", "first")])(value)
+    assert keys(wiped.members)[1:] == [("b", "first"), ("c", "y")]
+    fourth, _ = mesh_state.admit(Member("d", "x", "z", True), [("b", "first")])(value)
     assert fourth is not None
-    assert (len(fourth["roster"]), fourth["wanted"]) == (4, 4)
+    assert (len(fourth.members), fourth.wanted) == (4, 4)
     assert mesh_state.drop([("a", "first")])(value) == (None, False)
     dropped, _ = mesh_state.drop([("a", "first"), ("b", "first")])(appended)
     assert dropped is not None
-    assert [key[0] for key in keys(dropped["roster"])] == ["b", "c", "d"]
-    full = {**value, "roster": members([(str(n), "x") for n in range(mesh_state.MOST_MEMBERS)])}
+    assert [key[0] for key in keys(dropped.members)] == ["b", "c", "d"]
+    full = replace(value, members=members([(str(n), "x") for n in range(mesh_state.MOST_MEMBERS)]))
     assert mesh_state.admit(joiner, [])(full) == (None, False)
-    zones = {**value, "evac": dict.fromkeys(map(str, range(mesh_state.MOST_ZONES)), False)}
+    zones = replace(value, evacuations=dict.fromkeys(map(str, range(mesh_state.MOST_ZONES)), False))
     assert mesh_state.evacuate("new", True)(zones) == (None, False)
 
 
@@ -260,7 +266,7 @@
     for change in (
         mesh_state.replace(3, "x"),
         mesh_state.evacuate("z", True),
-        mesh_state.admit(["d", "x", "z", False], []),
+        mesh_state.admit(Member("d", "x", "z", False), []),
     ):
         made, _ = change(initial(FIRST))
         assert made is not None
--- a/tests/control/test_runs.py
+++ b/tests/control/test_runs.py
@@ -8,8 +8,8 @@
 import pytest
 
 from honeywharf.control.mesh_state import Key, keys
-from honeywharf.control.register import Message
-from honeywharf.control.replica import Replica
+from honeywharf.control.messages import Accept, Answer, Request
+from honeywharf.control.voter import Voter
 from tests.control.town import Call, Town
 
 RUNS = int(os.environ.get("RUNS", "12"))
@@ -57,8 +57,8 @@
         for ip, machine in self.town.world.machines.items():
             if machine.on and ip in self.town.programs:
                 state = self.town.programs[ip].replica.state
-                known = self.rosters.setdefault(state.epoch, keys(state.roster)) if state.epoch else []
-                assert not state.epoch or known == keys(state.roster)
+                known = self.rosters.setdefault(state.epoch, keys(state.members)) if state.epoch else []
+                assert not state.epoch or known == keys(state.members)
 
     def operate(self) -> None:
         """Maybe a call or two, to anybody."""
@@ -200,15 +200,16 @@
 
 
 def test_found_an_answer_before_the_sync_in_whole_control_nodes(monkeypatch: pytest.MonkeyPatch) -> None:
-    def vote(self: Replica, message: Message, body: bytes | None) -> Message | None:
-        state, answer = self.acceptor.answer(message)
+    def vote(self: Voter, request: Request, text: bytes | None) -> Answer | None:
+        state, answer = self.acceptor.answer(request)
         self.acceptor.state = state  # and only then, some other time, the disk
         self.host.after(0.05, lambda: self.store.save(self.acceptor.state))
-        if body is not None:
-            self.store.keep(message["value"]["digest"], body)
+        if text is not None:
+            assert isinstance(request, Accept)
+            self.store.keep(request.state.digest, text)
         return answer
 
-    monkeypatch.setattr(Replica, "vote", vote)
+    monkeypatch.setattr(Voter, "vote", vote)
     with pytest.raises(AssertionError, match="told after"):
         for_all(3)
 
--- a/tests/control/test_store.py
+++ b/tests/control/test_store.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any
 
 import pytest
 
-from honeywharf.control.register import State
+from honeywharf.control.acceptor import AcceptorState
+from honeywharf.control.mesh_state import MeshState
+from honeywharf.control.messages import Ballot
 from honeywharf.control.store import BESIDE, KEPT, REGISTER, Store
 from tests.control.town import Town
 from tests.control.world import Machine, PowerLostError, World
@@ -17,9 +18,10 @@
     return World(1).machine("10.0.0.1")
 
 
-def state(number: int) -> State:
-    value: dict[str, Any] = {"rev": number, "digest": f"d{number}", "roster": []}
-    return State("disk", 1, [], (number, "p", 1), (number, "p", 1), value)
+def state(number: int) -> AcceptorState:
+    value = MeshState(number, number, f"d{number}", {}, (), 1, 0)
+    ballot = Ballot(number, "p", 1)
+    return AcceptorState("disk", 1, (), ballot, ballot, value)
 
 
 def busy(store: Store, kept: list[int]) -> None:
@@ -93,7 +95,7 @@
     town.run(3.0)
     value = town.programs["10.0.0.2"].replica.state.value
     assert value is not None
-    assert value["version"] == 1
+    assert value.version == 1
 
 
 def test_the_text_is_kept_compressed() -> None:
--- a/tests/control/test_store_mending.py
+++ b/tests/control/test_store_repair.py
@@ -57,7 +57,7 @@
     assert host.disk.files == before
     assert town.replace("10.0.0.1", 6).answers == []
     town.run(0.5)
-    assert town.known("10.0.0.1")["version"] == 6, "the other two go on"
+    assert town.known("10.0.0.1").version == 6, "the other two go on"
 
 
 def test_every_wrong_head_is_damage() -> None:
@@ -108,10 +108,10 @@
 def test_repair_ends_a_write_that_was_cut_off() -> None:
     host = machine()
     store = Store(host)
-    store.save(state(1).but(value=None))
+    store.save(replace(state(1), value=None))
     host.disk.files[BESIDE] = seal(b"torn")[:9]
     assert repair.repair(host) == [f"{BESIDE}: removed"]
-    store.save(state(2).but(value=None))
+    store.save(replace(state(2), value=None))
     host.disk.files[BESIDE] = host.disk.files[REGISTER]
     spoil(host, REGISTER)
     assert len(repair.repair(host)) == 2
@@ -123,7 +123,7 @@
 def test_a_backup_is_whole_or_nothing() -> None:
     _, host = used()
     packed = repair.backup(host)
-    assert repair.opened(packed)["text"] == TEXT
+    assert repair.opened(packed).text == TEXT
     for cut in range(0, len(packed), 7):
         with pytest.raises(repair.BackupError):
             repair.opened(packed[:cut])
@@ -141,7 +141,7 @@
 def test_a_word_returns_where_no_majority_is_left(left: int) -> None:
     town, host = used()
     packed = repair.backup(host)
-    before = town.known("10.0.0.1")["rev"]
+    before = town.known("10.0.0.1").revision
     members = [(f"{ip}:7620", "z") for ip in town.ips]
     for n, ip in enumerate(town.ips):
         lost = town.world.machines[ip]
@@ -161,12 +161,12 @@
         call = town.describe(ip)
         town.run(1.0)
         assert call.answers[0][:2] == (200, TEXT)
-        assert town.known(ip)["evac"] == {"b": True}
-        assert town.known(ip)["rev"] > before + repair.RAISED - 1
+        assert town.known(ip).evacuations == {"b": True}
+        assert town.known(ip).revision > before + repair.RAISED - 1
         assert town.programs[ip].replica.member()
     town.replace(town.ips[0], 6)
     town.run(1.0)
-    assert town.known("10.0.0.3")["version"] == 6
+    assert town.known("10.0.0.3").version == 6
 
 
 def test_the_command_line_on_files(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
@@ -185,7 +185,7 @@
     found = Store(Loop(str(other))).load()
     assert found is not None
     assert found.value is not None
-    assert found.value["version"] == 5
+    assert found.value.version == 5
     assert command.main(["check", str(tmp_path / "none")]) == 2
     (folder / REGISTER).write_bytes(b"hwr1 garbage")
     assert command.main(["check", str(folder)]) == 1
--- a/tests/control/town.py
+++ b/tests/control/town.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import hashlib
-from typing import Any
 
 from result import Err, Ok, Result
 
+from honeywharf.control.mesh_state import MeshState
 from honeywharf.control.operator import Operator
 from honeywharf.mesh_config.configuration import Configuration
 from honeywharf.mesh_config.settings import Settings
@@ -104,8 +104,8 @@
             (a, b) for one in groups for other in groups if one is not other for a in one for b in other
         }
 
-    def known(self, ip: str) -> dict[str, Any]:
-        """The word as one knows it."""
+    def known(self, ip: str) -> MeshState:
+        """The state as one knows it."""
         known = self.programs[ip].replica.known
         assert known is not None
         return known
--- a/tests/drift/test_gather.py
+++ b/tests/drift/test_gather.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.control.register import Ballot, State
+from honeywharf.control.acceptor import AcceptorState
+from honeywharf.control.messages import Ballot, OtherDisk, Read
 from honeywharf.drift.gather import Gather
 from honeywharf.programs.control import ControlNode
 from tests.control.town import Town
@@ -65,16 +67,16 @@
     replica = town.programs["10.0.0.3"].replica
     gather = town.programs["10.0.0.3"].gather
 
-    def fails(state: State) -> None:
+    def fails(state: AcceptorState) -> None:
         raise OSError("no room")
 
     cast(Any, replica.store).save = fails
     answers: list[Any] = []
     gather._told_older(["first", [9, "n", 1]], answers.append, PEER)
     assert answers == [True]
-    asked = {"do": "read", "disk": "first", "decided": [replica.state.epoch, replica.state.roster]}
-    answer = replica.vote(asked, None)
-    assert answer is None or answer["is"] == "other disk"
+    asked = Read("first", replica.state.decided)
+    answer = replica.voter.vote(asked, None)
+    assert answer is None or isinstance(answer, OtherDisk)
 
 
 class Honest:
@@ -83,11 +85,13 @@
     def __init__(self, chance: Random) -> None:
         self.chance, self.ballot, self.given_up, self.asked = chance, 0, 0, 0
         self.bag: list[Callable[[], None]] = []
-        self.state = State("first")
+        self.state = AcceptorState("first")
         self.accused, self.other = self._gather(), self._gather()
 
     def _gather(self) -> Gather:
-        replica = SimpleNamespace(methods={}, on_beat=None, here="10.0.0.1:7620", disown=self._disown)
+        replica = SimpleNamespace(
+            methods={}, upkeep=SimpleNamespace(), here="10.0.0.1:7620", disown=self._disown
+        )
         program: Any = SimpleNamespace(
             host=Shelf(),
             replica=replica,
@@ -108,13 +112,13 @@
         luck = self.chance.random()
         if luck < 0.25:
             self.ballot += 1
-            accepted: Ballot = (self.ballot, "n", 1)
-            self.state = self.state.but(accepted=accepted, promised=accepted)
+            accepted = Ballot(self.ballot, "n", 1)
+            self.state = replace(self.state, accepted=accepted, promised=accepted)
         elif luck < 0.5:
             key, told = ("10.0.0.1:7620", self.state.disk), self.state.accepted
             self.bag.append(lambda: self.other.beat(key, told))
         elif luck < 0.53:  # a joiner with an empty disk takes the address over
-            self.state = State(self.chance.randbytes(4).hex())
+            self.state = AcceptorState(self.chance.randbytes(4).hex())
         elif self.bag:
             cast(Any, self.accused.replica).state = self.state
             at = self.chance.randrange(len(self.bag))
--- a/tests/drift/test_history.py
+++ b/tests/drift/test_history.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from honeywharf.control.mesh_state import MeshState
 from honeywharf.drift import history
 from honeywharf.drift.history import History
 from honeywharf.mesh_config.configuration import digest
@@ -53,8 +54,8 @@
     return kept
 
 
-def word(revision: int, whole: bytes) -> dict[str, Any]:
-    return {"rev": revision, "version": revision, "digest": digest(whole), "evac": {"a": True, "b": False}}
+def word(revision: int, whole: bytes) -> MeshState:
+    return MeshState(revision, revision, digest(whole), {"a": True, "b": False}, (), 1, 0)
 
 
 def test_it_comes_back_whole_or_empty() -> None:
@@ -119,5 +120,5 @@
     assert trial.wrong == []
     assert trial.book.found == []
     replicas = [cast(Any, core.program).replica for core in trial.field.cores]
-    assert len({tuple(map(tuple, replica.state.roster)) for replica in replicas}) == 1
+    assert len({tuple(map(tuple, replica.state.members)) for replica in replicas}) == 1
     assert all(replica.member() for replica in replicas)
--- a/tests/hinted_handoff/test_hints.py
+++ b/tests/hinted_handoff/test_hints.py
@@ -142,6 +142,6 @@
     assert [tank.all_entries for tank in held] == [1, 1]
     town.world.cuts = set()
     town.run(1.5)
-    assert town.known("10.0.0.3")["version"] == 5
+    assert town.known("10.0.0.3").version == 5
     assert [tank.handed for tank in held] == [1, 1]
     assert [tank.all_entries for tank in held] == [0, 0]
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -9,15 +9,20 @@
 import random
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace as replaced
 from typing import Any
 
 from honeywharf.admission.admission import Admission
 from honeywharf.admission.cold import ColdBound
 from honeywharf.control import mesh_state
+from honeywharf.control.acceptor import Acceptor
+from honeywharf.control.messages import NO_BALLOT
 from honeywharf.control.operator import Operator
-from honeywharf.control.register import NONE, Acceptor, Asking, Quorums, Round
-from honeywharf.control.replica import Replica
+from honeywharf.control.quorum import Quorums
+from honeywharf.control.quorum_client import QuorumClient
+from honeywharf.control.register import Asking, Phase, Round
 from honeywharf.control.store import Store
+from honeywharf.control.voter import Voter
 from honeywharf.gossip.table import News
 from honeywharf.programs.sidecar import Sidecar
 from honeywharf.sidecar.backend import Tap
@@ -90,12 +95,12 @@
 
 
 def ack_before_sync(put: Put) -> None:
-    def keep(self: Replica, state: Any) -> None:
+    def keep(self: Voter, state: Any) -> None:
         if state is not self.state:
             self.acceptor.state = state
             self.host.after(0.05, lambda: self.store.save(state))
 
-    put(Replica, "_keep", keep)
+    put(Voter, "keep", keep)
 
 
 def text_before_sync(put: Put) -> None:
@@ -123,16 +128,16 @@
 
     def lost(asking: Asking, now: float, key: Any) -> Any:
         asking.lost(now, key)
-        if isinstance(asking, Round) and asking.phase == "prepare":
-            asking.promises.setdefault(key, (NONE, None))
+        if isinstance(asking, Round) and asking.phase is Phase.PREPARE:
+            asking.promises.setdefault(key, (NO_BALLOT, None))
             return asking._cover()
-        if isinstance(asking, Round) and asking.phase == "accept":
+        if isinstance(asking, Round) and asking.phase is Phase.ACCEPT:
             asking.accepts.add(key)
             if asking.quorums.covered(asking.accepts):
-                asking._settled()
+                asking._committed()
         return []
 
-    put(Replica, "_lost", staticmethod(lost))
+    put(QuorumClient, "_lost", staticmethod(lost))
 
 
 def one_vote_is_enough(put: Put) -> None:
@@ -140,15 +145,15 @@
         Quorums,
         "covered",
         lambda self, by: (
-            all(any(key in roster for key in set(by)) if roster else True for roster in self.rosters)
+            all(any(key in roster for key in set(by)) if roster else True for roster in self.memberships)
             and bool(set(by))
         ),
     )
 
 
 def wiped_disk_votes(put: Put) -> None:
-    def answer(self: Acceptor, message: Any) -> Any:
-        return was(self, {**message, "disk": self.state.disk})
+    def answer(self: Acceptor, request: Any) -> Any:
+        return was(self, replaced(request, disk=self.state.disk))
 
     was = Acceptor.answer
     put(Acceptor, "answer", answer)
@@ -166,7 +171,7 @@
     """A round takes its own acceptor's value, not the one accepted under the highest ballot."""
 
     def cover(self: Round) -> Any:
-        mine = [told for key, told in self.promises.items() if key[0] == self.who[0]]
+        mine = [told for key, told in self.promises.items() if key[0] == self.proposer[0]]
         if mine and self.quorums.covered(self.promises):
             self.promises = dict.fromkeys(self.promises, mine[0])
         return was(self)
@@ -227,7 +232,7 @@
     def replace(version: int, digest: str) -> Any:
         def change(value: Any) -> Any:
             made, answer = was(version, digest)(value)
-            return (None if made is None else {**made, "evac": {}}), answer
+            return (None if made is None else replaced(made, evacuations={})), answer
 
         return change
 
