--- a/tests/control/test_store_repair.py
+++ b/tests/control/test_store_repair.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
