Confirm one content per version, and only after a majority contact

Change: the mesh state holds a bounded memory of (version, first 64 bits of the digest), searched in place; replace answers a typed Confirmation; another content under a confirmed version is 409 with both digests, an order below the memory's floor 503; every order and the readiness go through a majority contact begun after the call. A version that was overtaken before it came is recorded with its first content.

--- a/bench/mesh_explore.py
+++ b/bench/mesh_explore.py
@@ -25,7 +25,7 @@
 
 from honeywharf.control import mesh_state
 from honeywharf.control.acceptor import Acceptor, AcceptorState
-from honeywharf.control.mesh_state import Change, Member, Membership, MeshState
+from honeywharf.control.mesh_state import Change, Confirmation, Member, Membership, MeshState, Outcome
 from honeywharf.control.messages import NO_BALLOT, Answer, Ballot, Current
 from honeywharf.control.quorum import Quorums
 from honeywharf.control.register import Phase, QuorumRead, Result, Round, Sends
@@ -111,6 +111,11 @@
     return held(count, put(count, version, "other", 3, "q"), reader(1, roster(count)))
 
 
+def overtaken_twice(count: int) -> Node:
+    """A held word of version 3; two contents of version 2 come."""
+    return held(count, put(count, 2, "two", 3, "q"), put(count, 2, "other", 4, "s"))
+
+
 def dead(count: int, survey: type[QuorumRead] = QuorumRead) -> Node:
     """A proposer that died when one member had accepted; one that writes back, and two readers."""
     first = node(count, put(count, 1, "one"))
@@ -179,6 +184,11 @@
                 partial(contested, count, 4),
                 {**SPLIT, "faults": 1},
             ),
+            Case(
+                f"{count}: a held word, two contents of an overtaken version, power lost once",
+                partial(overtaken_twice, count),
+                {**SPLIT, "faults": 1},
+            ),
             Case(
                 f"{count}: a held word, an older version and a reader, messages twice",
                 partial(contested, count, 2),
@@ -218,6 +228,31 @@
     return lambda value: (mesh_state.changed(value, version=version, digest=digest), True)
 
 
+def unremembered(version: int, digest: str) -> Change:
+    """Confirms whatever is not above the version in force, without a look at its content."""
+    right = mesh_state.replace(version, digest)
+
+    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+        if version > state.version:
+            return right(state)
+        return None, Confirmation(Outcome.CONFIRMED, version, digest, digest)
+
+    return change
+
+
+def one_version_unremembered(count: int) -> Node:
+    """Another content under the version in force, where the memory of versions is left out."""
+    return held(count, put(count, 3, "other", 3, "q", unremembered))
+
+
+def overtaken_unremembered(count: int) -> Node:
+    """One content of an overtaken version was confirmed, another comes; the memory is left out."""
+    start = held(count, put(count, 2, "two", 3, "q", unremembered))
+    made = settled(World(), start, 0, set(NAMES[: count // 2 + 1]))
+    made.actors = (put(count, 2, "other", 5, "s", unremembered),)
+    return made
+
+
 def living(self: Quorums, by: Any) -> bool:
     """A majority of those that answer."""
     there = set(by)
@@ -279,6 +314,8 @@
         ),
         Case(f"{count}: majority of the living", partial(two, count), SPLIT, (Quorums, "covered", living)),
         Case(f"{count}: version by arrival", partial(overtaken, count), SPLIT),
+        Case(f"{count}: one version, two contents", partial(one_version_unremembered, count), SPLIT),
+        Case(f"{count}: an overtaken version, two contents", partial(overtaken_unremembered, count), SPLIT),
         Case(f"{count}: reader without write back", partial(dead, count, Hasty), SPLIT),
         Case(f"{count}: promise forgotten", partial(two, count), {**SPLIT, "acceptor": Forgetful}),
         Case(f"{count}: what others accepted is not taken over", partial(blind, count), SPLIT),
--- a/honeywharf/control/acceptor.py
+++ b/honeywharf/control/acceptor.py
@@ -92,7 +92,8 @@
         if isinstance(request, Accept):
             return self._accept(state, request.ballot, request.state)
         assert isinstance(request, Read)
-        return state, Current(state.decided, state.accepted, state.value)
+        value = None if state.value is None else state.value.without_history()
+        return state, Current(state.decided, state.accepted, value)
 
     def _prepare(self, state: AcceptorState, ballot: Ballot) -> tuple[AcceptorState, Answer]:
         if ballot < state.promised:
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -8,9 +8,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, replace as copied
+from dataclasses import dataclass, field, replace as copied
+from enum import Enum
 from typing import Any, NamedTuple
 
+from honeywharf.control.version_history import VersionHistory
+
 Key = tuple[str, str]  # a member's address and disk name
 
 MOST_MEMBERS = 15
@@ -46,7 +49,8 @@
 
     `revision` is one more for each change, `epoch` one more for each change of the membership. `digest` names
     the configuration's text and is empty before the first. `evacuations` tells of each zone that was ever
-    evacuated whether it is so now. `wanted`: members that there were after the first start.
+    evacuated whether it is so now. `wanted`: members that there were after the first start. `history`: which
+    content was confirmed under which version, the one in force included.
     """
 
     revision: int
@@ -56,9 +60,14 @@
     members: Membership
     epoch: int
     wanted: int
+    history: VersionHistory = field(default_factory=VersionHistory)
 
     def pack(self) -> dict[str, Any]:
-        """As msgpack holds it, on disk and between processes."""
+        """As msgpack holds it, on disk and between members."""
+        return {**self.pack_public(), "history": self.history.pack()}
+
+    def pack_public(self) -> dict[str, Any]:
+        """The same without the memory of versions, for those who make no changes."""
         return {
             "rev": self.revision,
             "version": self.version,
@@ -69,6 +78,10 @@
             "wanted": self.wanted,
         }
 
+    def without_history(self) -> MeshState:
+        """A copy that remembers no versions: for those who only read, and never to be changed."""
+        return copied(self, history=VersionHistory())
+
     @staticmethod
     def unpack(packed: Any) -> MeshState:
         """From `pack`. KeyError, TypeError or ValueError where it is something else."""
@@ -80,9 +93,20 @@
             unpack_membership(packed["roster"]),
             packed["epoch"],
             packed["wanted"],
+            _unpack_history(packed),
         )
 
 
+def _unpack_history(packed: Any) -> VersionHistory:
+    """The memory of versions; of a state written before there was one, the version in force alone."""
+    if "history" in packed:
+        return VersionHistory.unpack(packed["history"])
+    version = packed["version"]
+    if version == NO_VERSION:
+        return VersionHistory()
+    return VersionHistory(floor=version - 1).add(version, packed["digest"])
+
+
 Change = Callable[[MeshState], tuple[MeshState | None, Any]]
 
 
@@ -111,13 +135,50 @@
     return None, None
 
 
+class Outcome(Enum):
+    """What became of an order to replace the configuration."""
+
+    IN_FORCE = "in force"  # from now on
+    CONFIRMED = "confirmed"  # it was confirmed before, and is in force or was overtaken
+    CONFLICT = "conflict"  # another content is confirmed under this version
+    FORGOTTEN = "forgotten"  # it is older than what is remembered: nothing can be said of it
+
+
+class Confirmation(NamedTuple):
+    """The answer to an order. `digest` is that of the order, `confirmed` what the version was confirmed with:
+    the whole digest of the configuration in force, else its first digits.
+    """
+
+    outcome: Outcome
+    version: int
+    digest: str
+    confirmed: str
+
+
 def replace(version: int, digest: str) -> Change:
-    """Take a configuration over where its version is above the one held; answers whether it was."""
+    """Take a configuration over where its version is the highest; answers a `Confirmation`.
 
-    def change(state: MeshState) -> tuple[MeshState | None, Any]:
-        if version <= state.version:
-            return None, False
-        return changed(state, version=version, digest=digest), True
+    Each version is confirmed with one content: the first that the register takes for it, also where a higher
+    version is in force already.
+    """
+
+    def change(state: MeshState) -> tuple[MeshState | None, Confirmation]:
+        def answer(outcome: Outcome, confirmed: str = digest) -> Confirmation:
+            return Confirmation(outcome, version, digest, confirmed)
+
+        history = state.history
+        if version > state.version:
+            made = changed(state, version=version, digest=digest, history=history.add(version, digest))
+            return made, answer(Outcome.IN_FORCE)
+        if version == state.version and digest != state.digest:
+            return None, answer(Outcome.CONFLICT, state.digest)
+        if history.is_forgotten(version):
+            return None, answer(Outcome.FORGOTTEN, "")
+        if not history.mark(version):
+            return changed(state, history=history.add(version, digest)), answer(Outcome.CONFIRMED)
+        if not history.has(version, digest):
+            return None, answer(Outcome.CONFLICT, history.mark(version))
+        return None, answer(Outcome.CONFIRMED)
 
     return change
 
--- a/honeywharf/control/operator.py
+++ b/honeywharf/control/operator.py
@@ -13,22 +13,24 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 from honeywharf.control import mesh_state
-from honeywharf.control.mesh_state import MeshState
-from honeywharf.control.register import Result as Outcome
+from honeywharf.control.mesh_state import Confirmation, MeshState, Outcome
+from honeywharf.control.register import Result
 from honeywharf.control.replica import Replica
 from honeywharf.transport.matchers import NotAllowed, Tree
 
 if TYPE_CHECKING:
-    from result import Result
+    from result import Result as Checked
 
     from honeywharf.mesh_config.configuration import Configuration
 
-    Check = Callable[[bytes], Result[Configuration, str]]
+    Check = Callable[[bytes], Checked[Configuration, str]]
 
-PATIENCE = 0.85  # s: the operator moves on after one second of silence
+PATIENCE_S = 0.85  # s: the operator moves on after one second of silence
 SIZE_RATE = 20e6  # bytes a second, by which larger bodies get more time
 MOST_FAULT = 4096  # bytes of a refusal's words
 RETRY = b"Retry-After: 0.1\r\n"
+LATER = b"Retry-After: 60\r\n"
+FORGOTTEN = b"the version is older than what is remembered: whether it was confirmed is not known"
 PRESSED = 3  # zlib's level: 64 MB in some 0.6 s
 
 
@@ -43,13 +45,24 @@
         """Answer, once, now or later."""
 
 
-def _check(raw: bytes) -> Result[Configuration, str]:
+def _check(raw: bytes) -> Checked[Configuration, str]:
     """The mesh_config's check, loaded at its first use: it takes 0.4 s of a small machine's start."""
     from honeywharf.mesh_config.configuration import check
 
     return check(raw)
 
 
+def _conflict(answer: Confirmation) -> bytes:
+    """What is told of another content under a version that was confirmed."""
+    told = {
+        "error": "another content is confirmed under this version",
+        "config-version": f"r{answer.version}",
+        "sent": answer.digest,
+        "confirmed": answer.confirmed,
+    }
+    return json.dumps(told).encode()
+
+
 class Operator:
     """Answers calls at the control plane's address. `port`: of the sidecars' control plane, for lost
     beats."""
@@ -96,7 +109,7 @@
         """Answer a call that another part has taken from the tree."""
         self._answer(call, status, body)
 
-    def _unclear(self, call: Asked, result: Outcome) -> None:
+    def _unclear(self, call: Asked, result: Result) -> None:
         self._answer(call, 503, f"no majority: {result.value}".encode(), RETRY)
 
     # Configurations.
@@ -107,33 +120,31 @@
             self._answer(call, 400, str(checked.err()).encode("utf-8", "replace")[:MOST_FAULT])
             return
         made = checked.unwrap()
-        known = self.replica.known
-        if known is not None and known.version >= made.version:
-            self._taken(call, made.version)
-            return
-        within = PATIENCE + len(call.body) / SIZE_RATE
+        within = PATIENCE_S + len(call.body) / SIZE_RATE
         self.replica.submit(
             mesh_state.replace(made.version, made.digest),
             within,
-            partial(self._replaced, call, made.version),
+            partial(self._replaced, call),
             (made.digest, zlib.compress(made.text, PRESSED)),
         )
 
-    def _replaced(self, call: Asked, version: int, result: Outcome, answer: Any) -> None:
-        if result is Outcome.OK:
-            self._taken(call, version)
-        else:
+    def _replaced(self, call: Asked, result: Result, answer: Any) -> None:
+        """A round is over; `answer` is a `Confirmation` where it was committed."""
+        if result is not Result.OK:
             self._unclear(call, result)
-
-    def _taken(self, call: Asked, version: int) -> None:
-        self._answer(call, 200, b'{"config-version":"r%d"}' % version)
+        elif answer.outcome is Outcome.CONFLICT:
+            self._answer(call, 409, _conflict(answer))
+        elif answer.outcome is Outcome.FORGOTTEN:
+            self._answer(call, 503, FORGOTTEN, LATER)
+        else:
+            self._answer(call, 200, b'{"config-version":"r%d"}' % answer.version)
 
     def _describe(self, call: Asked) -> None:
-        self.replica.read(PATIENCE, partial(self._described, call))
+        self.replica.read(PATIENCE_S, partial(self._described, call))
 
     def _described(self, call: Asked, state: MeshState | None) -> None:
         if state is None:
-            self._unclear(call, Outcome.UNREACHABLE)
+            self._unclear(call, Result.UNREACHABLE)
         elif not state.digest:
             self._answer(call, 404, b"no configuration yet")
         else:
@@ -152,10 +163,10 @@
         if zone not in self.zones:
             self._answer(call, 404, b"no such zone")
             return
-        self.replica.submit(mesh_state.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
+        self.replica.submit(mesh_state.evacuate(zone, begin), PATIENCE_S, partial(self._evacuated, call))
 
-    def _evacuated(self, call: Asked, result: Outcome, answer: Any) -> None:
-        if result is Outcome.OK:
+    def _evacuated(self, call: Asked, result: Result, answer: Any) -> None:
+        if result is Result.OK:
             self._answer(call, 200 if answer else 409, b"{}")
         else:
             self._unclear(call, result)
@@ -175,4 +186,8 @@
         self._answer(call, 307, b"", where + b"\r\n")
 
     def _ready(self, call: Asked) -> None:
-        self._answer(call, 200 if self.replica.known is not None else 503)
+        """Ready: a majority answers now, and holds what this one would tell."""
+        self.replica.read(PATIENCE_S, partial(self._read_for_readiness, call))
+
+    def _read_for_readiness(self, call: Asked, state: MeshState | None) -> None:
+        self._answer(call, 503 if state is None else 200)
--- a/honeywharf/control/replica.py
+++ b/honeywharf/control/replica.py
@@ -151,7 +151,7 @@
         for address, _ in members:
             if address != self.here:
                 self.caller.call(
-                    address_of(address), "register.learn", state.pack(), WITHIN_S, lambda answer: None
+                    address_of(address), "register.learn", state.pack_public(), WITHIN_S, lambda answer: None
                 )
 
     def _know(self, state: MeshState) -> None:
@@ -217,10 +217,10 @@
         reply(True)
 
     def _read_for(self, args: Any, reply: Reply, peer: Address) -> None:
-        self.read(READ_S, lambda state: reply(None if state is None else state.pack()))
+        self.read(READ_S, lambda state: reply(None if state is None else state.pack_public()))
 
     def _known_for(self, args: Any, reply: Reply, peer: Address) -> None:
-        reply(None if self.known is None else self.known.pack())
+        reply(None if self.known is None else self.known.pack_public())
 
     def _text_for(self, args: Any, reply: Reply, peer: Address) -> None:
         reply(self.texts.local(args))
--- a/honeywharf/programs/handing.py
+++ b/honeywharf/programs/handing.py
@@ -83,7 +83,7 @@
             self.program.caller.call(
                 address_of(key[0]),
                 "hinted_handoff.hand",
-                self.replica.known.pack(),
+                self.replica.known.pack_public(),
                 WITHIN_S,
                 lambda answer: None,
             )
--- a/tests/control/test_explored.py
+++ b/tests/control/test_explored.py
@@ -11,6 +11,8 @@
     "accepted before the sync",
     "majority of the living",
     "version by arrival",
+    "one version, two contents",
+    "an overtaken version, two contents",
     "promise forgotten",
     "what others accepted is not taken over",
     "reader without write back",
