--- a/bench/mesh_explore.py
+++ b/bench/mesh_explore.py
@@ -23,10 +23,10 @@
 from functools import partial
 from typing import Any
 
-from honeywharf.reservoir import word
-from honeywharf.reservoir.register import Acceptor, Quorums, Round, Sends, State, Survey, ballot
-from honeywharf.reservoir.word import Change, Roster, Value
-from tests.reservoir.explore import (
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Change, Roster, Value
+from honeywharf.control.register import Acceptor, Quorums, Round, Sends, State, Survey, ballot
+from tests.control.explore import (
     Actor,
     BrokenError,
     Node,
@@ -72,8 +72,15 @@
     return Node(votes, actors, (), {}, 0)
 
 
-def put(count: int, version: int, name: str, counter: int = 0, who: str = "p",
-        change: Callable[[int, str], Change] = word.replace, made: type[Round] = Round) -> Actor:
+def put(
+    count: int,
+    version: int,
+    name: str,
+    counter: int = 0,
+    who: str = "p",
+    change: Callable[[int, str], Change] = mesh_state.replace,
+    made: type[Round] = Round,
+) -> Actor:
     """A proposer of a configuration."""
     return proposer(who, change(version, name), 1, roster(count), counter, made)
 
@@ -86,7 +93,7 @@
 def held(count: int, *actors: Actor, version: int = 3, world: World | None = None) -> Node:
     """A word that was acknowledged by a bare majority; then others come."""
     first = node(count, put(count, version, "three", who="r"))
-    made = settled(world or World(), first, 0, set(NAMES[:count // 2 + 1]))
+    made = settled(world or World(), first, 0, set(NAMES[: count // 2 + 1]))
     made.actors = actors
     return made
 
@@ -104,24 +111,34 @@
 def dead(count: int, survey: type[Survey] = Survey) -> Node:
     """A proposer that died when one member had accepted; one that writes back, and two readers."""
     first = node(count, put(count, 1, "one"))
-    made = along(World(), first, 0, set(NAMES[:count // 2 + 1]),
-                 lambda node: any(vote.state.value is not None for vote in node.votes.values()))
-    back = proposer("q", word.same, 1, roster(count), 1)
+    made = along(
+        World(),
+        first,
+        0,
+        set(NAMES[: count // 2 + 1]),
+        lambda node: any(vote.state.value is not None for vote in node.votes.values()),
+    )
+    back = proposer("q", mesh_state.same, 1, roster(count), 1)
     readers = [reader(1, roster(count), survey) for _ in range(2)]
     return Node(made.votes, (*readers, back) if survey is Survey else tuple(readers), (), {}, 0)
 
 
 def promised(count: int) -> Node:
     """Two proposers, of whom one has its promises already."""
-    return along(World(), two(count), 0, set(NAMES[:count // 2 + 1]),
-                 lambda node: getattr(node.actors[0].asking, "phase", "") == "accept")
+    return along(
+        World(),
+        two(count),
+        0,
+        set(NAMES[: count // 2 + 1]),
+        lambda node: getattr(node.actors[0].asking, "phase", "") == "accept",
+    )
 
 
 def swaps(made: type[Round] = Round) -> Node:
     """Two put machines in the places of silent members, and a third proposes under the roster it knew."""
     actors = [put(3, 1, "one", who="s", made=made)]
     for who, joiner, gone in (("p", "d", "c"), ("q", "e", "a")):
-        change = word.admit([joiner, f"disk-{joiner}", "", False], [(gone, "first")])
+        change = mesh_state.admit([joiner, f"disk-{joiner}", "", False], [(gone, "first")])
         actors.append(proposer(who, change, 1, roster(3), made=made))
     return node(3, *actors, more="de")
 
@@ -133,7 +150,7 @@
 
 def readmitted(count: int) -> Node:
     """A held word; one proposes, one reads, one puts a new disk name in the place of the first member."""
-    joins = proposer("s", word.admit(["a", "new", "", False], []), 1, roster(count), 5)
+    joins = proposer("s", mesh_state.admit(["a", "new", "", False], []), 1, roster(count), 5)
     return held(count, joins, put(count, 4, "four", 3, "q"), reader(1, roster(count)))
 
 
@@ -144,26 +161,48 @@
 
 SPLIT = {"split": True, "alike": True}
 CASES = [
-    *(case for count in (3, 5) for case in (
-        Case(f"{count}: a proposer and a reader, power lost once",
-             partial(one, count),
-             {**SPLIT, "faults": 1}),
-        Case(f"{count}: two proposers", partial(two, count), SPLIT),
-        Case(f"{count}: a held word, a proposer and a reader, power lost once",
-             partial(contested, count, 4),
-             {**SPLIT, "faults": 1}),
-        Case(f"{count}: a held word, an older version and a reader, messages twice",
-             partial(contested, count, 2),
-             {**SPLIT, "faults": 1, "twice": True}),
-        Case(f"{count}: a proposer that died half-way, two readers, one that writes back",
-             partial(dead, count), SPLIT),
-        Case(f"{count}: two proposers, of whom one has its promises, power lost once",
-             partial(promised, count), {**SPLIT, "faults": 1}),
-        Case(f"{count}: a held word, a disk given up, its admission, a proposer, a reader",
-             partial(readmitted, count), {"faults": 1, "wiped": renamed}),
-    )),
-    Case("3: two proposers that try twice, power lost once",
-         partial(two, 3), {**SPLIT, "tries": 2, "faults": 1}),
+    *(
+        case
+        for count in (3, 5)
+        for case in (
+            Case(
+                f"{count}: a proposer and a reader, power lost once",
+                partial(one, count),
+                {**SPLIT, "faults": 1},
+            ),
+            Case(f"{count}: two proposers", partial(two, count), SPLIT),
+            Case(
+                f"{count}: a held word, a proposer and a reader, power lost once",
+                partial(contested, count, 4),
+                {**SPLIT, "faults": 1},
+            ),
+            Case(
+                f"{count}: a held word, an older version and a reader, messages twice",
+                partial(contested, count, 2),
+                {**SPLIT, "faults": 1, "twice": True},
+            ),
+            Case(
+                f"{count}: a proposer that died half-way, two readers, one that writes back",
+                partial(dead, count),
+                SPLIT,
+            ),
+            Case(
+                f"{count}: two proposers, of whom one has its promises, power lost once",
+                partial(promised, count),
+                {**SPLIT, "faults": 1},
+            ),
+            Case(
+                f"{count}: a held word, a disk given up, its admission, a proposer, a reader",
+                partial(readmitted, count),
+                {"faults": 1, "wiped": renamed},
+            ),
+        )
+    ),
+    Case(
+        "3: two proposers that try twice, power lost once",
+        partial(two, 3),
+        {**SPLIT, "tries": 2, "faults": 1},
+    ),
     Case("3: two changes of the roster and a proposer that knows neither", swaps, {"tries": 2}),
 ]
 
@@ -173,7 +212,7 @@
 
 def by_arrival(version: int, digest: str) -> Change:
     """Takes whatever came last."""
-    return lambda value: (word.changed(value, version=version, digest=digest), True)
+    return lambda value: (mesh_state.changed(value, version=version, digest=digest), True)
 
 
 def living(self: Quorums, by: Any) -> bool:
@@ -185,13 +224,13 @@
 class Hasty(Survey):
     """Tells the highest that a majority told of, and writes nothing back."""
 
-    def heard(self, now: float, key: word.Key, reply: dict[str, Any]) -> Sends:
+    def heard(self, now: float, key: mesh_state.Key, reply: dict[str, Any]) -> Sends:
         """A member has answered."""
         if self.result is None and reply["is"] == "told":
             self.told[key] = (ballot(reply["accepted"]), reply["value"])
             if self.quorums.covered(self.told):
                 highest = max(self.told.values(), key=lambda told: told[0])[1]
-                self.result, self.value = "ok", highest or word.initial(self.roster)
+                self.result, self.value = "ok", highest or mesh_state.initial(self.roster)
         return []
 
 
@@ -222,22 +261,29 @@
 
 
 WRONG = [
-    case for count in (3, 5) for case in (
-        Case(f"{count}: accepted before the sync", partial(after, count),
-             {**SPLIT, "faults": 1, "late_sync": ("accepted",)}),
-        Case(f"{count}: promise not synced", partial(promised, count),
-             {**SPLIT, "faults": 1, "late_sync": ("promise",)}),
-        Case(f"{count}: majority of the living", partial(two, count), SPLIT,
-             (Quorums, "covered", living)),
+    case
+    for count in (3, 5)
+    for case in (
+        Case(
+            f"{count}: accepted before the sync",
+            partial(after, count),
+            {**SPLIT, "faults": 1, "late_sync": ("accepted",)},
+        ),
+        Case(
+            f"{count}: promise not synced",
+            partial(promised, count),
+            {**SPLIT, "faults": 1, "late_sync": ("promise",)},
+        ),
+        Case(f"{count}: majority of the living", partial(two, count), SPLIT, (Quorums, "covered", living)),
         Case(f"{count}: version by arrival", partial(overtaken, count), SPLIT),
         Case(f"{count}: reader without write back", partial(dead, count, Hasty), SPLIT),
         Case(f"{count}: promise forgotten", partial(two, count), {**SPLIT, "acceptor": Forgetful}),
-        Case(f"{count}: what others accepted is not taken over",
-             partial(blind, count), SPLIT),
-        Case(f"{count}: a wiped disk keeps its name",
-             partial(contested, count, 4),
-             {"alike": True, "faults": 1,
-              "wiped": lambda state: State(state.disk, state.epoch, state.roster)}),
+        Case(f"{count}: what others accepted is not taken over", partial(blind, count), SPLIT),
+        Case(
+            f"{count}: a wiped disk keeps its name",
+            partial(contested, count, 4),
+            {"alike": True, "faults": 1, "wiped": lambda state: State(state.disk, state.epoch, state.roster)},
+        ),
     )
 ]
 
--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -19,9 +19,9 @@
 
 from honeywharf.cli import ending
 from honeywharf.cli.ending import DONE, NO, UNKNOWN, WrongError
-from honeywharf.strainer import changes, configuration, settings
-from honeywharf.strainer.quantities import address
-from honeywharf.strainer.routes import Route, Table
+from honeywharf.mesh_config import changes, configuration, settings
+from honeywharf.mesh_config.quantities import address
+from honeywharf.mesh_config.routes import Route, Table
 
 REDIRECTS = 2  # as many as the callers of the mesh follow
 MOST_ANSWER = 64 << 20  # bytes of an answer that are read
@@ -29,7 +29,7 @@
 AGAIN = (408, 429)  # of the statuses that tell nothing for good
 
 File = Annotated[str, cappa.Arg(help="A file; - is standard input.")]
-At = Annotated[str, cappa.Arg(help="The control-plane address of a reservoir, such as 10.1.0.12:8306.")]
+At = Annotated[str, cappa.Arg(help="The control-plane address of a control node, such as 10.1.0.12:8306.")]
 Zone = Annotated[str, cappa.Arg(help="A zone's name.")]
 Within = Annotated[float, cappa.Arg(long=True, help="Seconds to wait for each answer.")]
 
@@ -173,7 +173,9 @@
         return _order(self.address, self.zone, "complete", self.within)
 
 
-@cappa.command(name="duties", help="Tell who holds which duty, by one reservoir's votes, and its cistern.")
+@cappa.command(
+    name="duties", help="Tell who holds which duty, by one control node's votes, and its hinted handoff."
+)
 @dataclass
 class Duties:
     """`mesh duties ADDRESS`."""
@@ -192,12 +194,12 @@
 
 
 def duties(found: dict[str, Any]) -> Iterator[str]:
-    """A reservoir's view of duties, a line each."""
+    """A control node's view of duties, a line each."""
     waits = f", grants no {' and no '.join(found['waits'])} yet" if found["waits"] else ""
     yield f"{found['node']}: roster {found['roster']}{waits}"
     for kind, scope, place, holder, number, left in found["votes"]:
         yield f"vote {kind} {scope or 'all'} {place}: {holder}, number {number}, {left:.2f} s left"
-    for name in ("refused", "upkeep", "cistern"):
+    for name in ("refused", "upkeep", "hinted_handoff"):
         yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(found[name].items())) or "none")
 
 
@@ -207,13 +209,14 @@
     """`honeywharf mesh ...`."""
 
     command: cappa.Subcommands[
-        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate
-        | Duties]
+        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate | Duties
+    ]
     verbose: Annotated[bool, cappa.Arg(short=True, long=True, propagate=True, help="Log each call.")] = False
 
 
 def main(arguments: list[str]) -> int:
     """The command line behind `honeywharf mesh`. Exit status."""
+
     def run() -> int:
         parsed = cappa.parse(Mesh, argv=arguments, completion=False)
         logging.set_verbosity(logging.INFO if parsed.verbose else logging.WARNING)
@@ -251,8 +254,10 @@
 
 def _summary(text: bytes) -> str:
     table = Table(text)
-    return (f"r{table.version}, {table.routes} routes, {len(table.services)} services,"
-            f" digest {configuration.digest(text)}")
+    return (
+        f"r{table.version}, {table.routes} routes, {len(table.services)} services,"
+        f" digest {configuration.digest(text)}"
+    )
 
 
 def _settings_lines(found: settings.Settings) -> Iterator[str]:
@@ -308,7 +313,11 @@
 
 
 def _once(
-    to: tuple[str, int], method: str, path: str, body: bytes, within: float,
+    to: tuple[str, int],
+    method: str,
+    path: str,
+    body: bytes,
+    within: float,
 ) -> tuple[int, bytes, str]:
     headers = {"Content-Type": "application/json"} if body else {}
     connection = http.client.HTTPConnection(*to, timeout=within)
--- a/honeywharf/reservoir/operator.py
+++ b/honeywharf/control/operator.py
@@ -12,15 +12,15 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.mains.matchers import NotAllowed, Tree
-from honeywharf.reservoir import word
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.word import Value
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import Value
+from honeywharf.control.replica import Replica
+from honeywharf.transport.matchers import NotAllowed, Tree
 
 if TYPE_CHECKING:
     from result import Result
 
-    from honeywharf.strainer.configuration import Configuration
+    from honeywharf.mesh_config.configuration import Configuration
 
     Check = Callable[[bytes], Result[Configuration, str]]
 
@@ -31,7 +31,7 @@
 
 
 class Asked(Protocol):
-    """A whole call of HTTP (`mains/door.Call`)."""
+    """A whole call of HTTP (`transport/http_server.Call`)."""
 
     method: bytes
     path: bytes
@@ -42,17 +42,18 @@
 
 
 def _check(raw: bytes) -> Result[Configuration, str]:
-    """The strainer's check, loaded at its first use: it takes 0.4 s of a small machine's start."""
-    from honeywharf.strainer.configuration import check
+    """The mesh_config's check, loaded at its first use: it takes 0.4 s of a small machine's start."""
+    from honeywharf.mesh_config.configuration import check
 
     return check(raw)
 
 
 class Operator:
-    """Answers calls at the control plane's address. `port`: of the sluices' control plane, for lost beats."""
+    """Answers calls at the control plane's address. `port`: of the sidecars' control plane, for lost
+    beats."""
 
-    def __init__(self, basin: Basin, zones: Collection[str], port: int, check: Check = _check) -> None:
-        self.basin, self.zones, self.port, self.check = basin, zones, port, check
+    def __init__(self, replica: Replica, zones: Collection[str], port: int, check: Check = _check) -> None:
+        self.replica, self.zones, self.port, self.check = replica, zones, port, check
         self.closing = False
         self.at_work = 0  # calls not answered yet
         self.tree = tree = Tree()
@@ -104,14 +105,17 @@
             self._answer(call, 400, str(checked.err()).encode("utf-8", "replace")[:MOST_FAULT])
             return
         made = checked.unwrap()
-        known = self.basin.known
+        known = self.replica.known
         if known is not None and known["version"] >= made.version:
             self._taken(call, made.version)
             return
         within = PATIENCE + len(call.body) / SIZE_RATE
-        self.basin.submit(word.replace(made.version, made.digest), within,
-                          partial(self._replaced, call, made.version),
-                          (made.digest, zlib.compress(made.text, PRESSED)))
+        self.replica.submit(
+            mesh_state.replace(made.version, made.digest),
+            within,
+            partial(self._replaced, call, made.version),
+            (made.digest, zlib.compress(made.text, PRESSED)),
+        )
 
     def _replaced(self, call: Asked, version: int, result: str, answer: Any) -> None:
         if result == "ok":
@@ -123,7 +127,7 @@
         self._answer(call, 200, b'{"config-version":"r%d"}' % version)
 
     def _describe(self, call: Asked) -> None:
-        self.basin.read(PATIENCE, partial(self._described, call))
+        self.replica.read(PATIENCE, partial(self._described, call))
 
     def _described(self, call: Asked, value: Value | None) -> None:
         if value is None:
@@ -131,7 +135,7 @@
         elif not value["digest"]:
             self._answer(call, 404, b"no configuration yet")
         else:
-            self.basin.body(value["digest"], partial(self._text, call))
+            self.replica.body(value["digest"], partial(self._text, call))
 
     def _text(self, call: Asked, packed: bytes | None) -> None:
         """The whole configuration, as it was sent."""
@@ -146,7 +150,7 @@
         if zone not in self.zones:
             self._answer(call, 404, b"no such zone")
             return
-        self.basin.submit(word.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
+        self.replica.submit(mesh_state.evacuate(zone, begin), PATIENCE, partial(self._evacuated, call))
 
     def _evacuated(self, call: Asked, result: str, answer: Any) -> None:
         if result == "ok":
@@ -157,7 +161,7 @@
     # What is not for this address.
 
     def _elsewhere(self, call: Asked, id: str) -> None:
-        """A beat that has lost its way: the sluice beside the backend takes it, at the port of ours."""
+        """A beat that has lost its way: the sidecar beside the backend takes it, at the port of ours."""
         try:
             ip = json.loads(call.body)["address"].rpartition(":")[0]
         except (ValueError, LookupError, TypeError, AttributeError):
@@ -169,4 +173,4 @@
         self._answer(call, 307, b"", where + b"\r\n")
 
     def _ready(self, call: Asked) -> None:
-        self._answer(call, 200 if self.basin.known is not None else 503)
+        self._answer(call, 200 if self.replica.known is not None else 503)
--- a/honeywharf/assay/requests.py
+++ b/honeywharf/drift/requests.py
@@ -1,4 +1,4 @@
-"""The assay of one sluice, as requests meet it: read twice at the source, judged at the destination.
+"""The drift monitor of one sidecar, as requests meet it: read twice at the source, judged at the destination.
 
 Theory of operation. The program calls `look` for each request at its source, `drawn` for its service, `rule`
 for what travels with it, and `passes` at its destination; `word_changed` after each change of the word. What
@@ -10,21 +10,21 @@
 
 from __future__ import annotations
 
-from honeywharf.assay import judge, scan, states
-from honeywharf.assay.rounds import CONFIRM_S, GAP_S, HOLD_S, Rounds
-from honeywharf.assay.second import Told, pick
-from honeywharf.assay.watch import MOST_RELAPSES, text_of
+from honeywharf.drift import judge, scan, states
+from honeywharf.drift.rounds import CONFIRM_S, GAP_S, HOLD_S, Rounds
+from honeywharf.drift.second import Told, pick
+from honeywharf.drift.watch import MOST_RELAPSES, text_of
 from honeywharf.verdict import DRIFT
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.mains.host import Address
-    from honeywharf.programs.sluice import Sluice
-    from honeywharf.sluice.course import Course
-    from honeywharf.sluice.inbound import Job
-    from honeywharf.strainer.routes import Route
+    from honeywharf.mesh_config.routes import Route
+    from honeywharf.programs.sidecar import Sidecar
+    from honeywharf.sidecar.course import Course
+    from honeywharf.sidecar.inbound import Job
+    from honeywharf.transport.host import Address
 
 FETCH_S = 0.03  # between fetches in vain that requests ask for
 MOST_HELD = 256
@@ -35,11 +35,11 @@
     return (host + path).decode("latin-1")[:80]
 
 
-class Assay(Rounds):
+class DriftMonitor(Rounds):
     """See the module."""
 
-    def __init__(self, sluice: Sluice) -> None:
-        super().__init__(sluice)
+    def __init__(self, sidecar: Sidecar) -> None:
+        super().__init__(sidecar)
         self.turn = self.sampled = 0
         self.renewing = False
         self.renewals, self.renewed = 0, self.host.now()  # the last one's number, and when it began
@@ -56,8 +56,12 @@
             self.slip("scan", f"r{word.table.version} decides, stored is r{word.version}")
             route = word.find(host, path)
         strict = route is None or not route.repeatable
-        if self.reading and told is not None and (strict or self._sample()) and not self._agree(
-                host, path, route):
+        if (
+            self.reading
+            and told is not None
+            and (strict or self._sample())
+            and not self._agree(host, path, route)
+        ):
             found = "none" if route is None else route.name
             self.slip("reading", f"{_shown(host, path)} takes {found}")
             route = self.word.find(host, path)
@@ -97,28 +101,32 @@
     def stale(self, course: Course, key: str) -> None:
         """A gate refused by its word: renew ours from there, then the course decides again."""
         by = course.revision
-        if len(self.courses) >= MOST_HELD or key == self.sluice.settings.ip or by < self.word.revision:
+        if len(self.courses) >= MOST_HELD or key == self.sidecar.settings.ip or by < self.word.revision:
             self.host.after(0.0, course.decide)
             return
         self.courses.append(course)
         if not self.renewing:
             self._begin()
             rule = self.rules.of(course.route)
-            self._fetch((key, self.sluice.settings.ports[0]),
-                        lambda value: self._compared(key, by, rule, value))
+            self._fetch(
+                (key, self.sidecar.settings.ports[0]), lambda value: self._compared(key, by, rule, value)
+            )
 
     def _compared(self, key: str, by: int, rule: bytes, value: Any) -> None:
         """A gate's word has come: where it is not newer than ours, one of us has slipped."""
         if isinstance(value, dict) and value.get("rev", 0) > self.word.revision:
             return
-        if not self.examine("judge", f"{key} decides otherwise") and isinstance(value, dict) and (
-                value.get("rev") == self.word.revision == by):
+        if (
+            not self.examine("judge", f"{key} decides otherwise")
+            and isinstance(value, dict)
+            and (value.get("rev") == self.word.revision == by)
+        ):
             self._accuse(key, rule)
         self._release()
 
     def agreed(self, rule: bytes, key: str) -> None:
         """A gate has run what must not run twice by a rule: who holds it otherwise is not believed."""
-        if key != self.sluice.settings.ip:
+        if key != self.sidecar.settings.ip:
             self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if held != rule}
 
     def _accuse(self, key: str, rule: bytes) -> None:
@@ -126,11 +134,10 @@
 
         Who stands aside accuses nobody, and what two say of a rule counts only until a third one runs by it.
         """
-        now, entry = self.host.now(), self.sluice.society.entries().get(key)
+        now, entry = self.host.now(), self.sidecar.membership.entries().get(key)
         if entry is not None and entry.say is not None and entry.say.get("q"):
             return
-        self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items()
-                        if now - at < ACCUSED_S}
+        self.accused = {gate: (held, at) for gate, (held, at) in self.accused.items() if now - at < ACCUSED_S}
         self.accused[key] = rule, now
         if sum(held == rule for held, _ in self.accused.values()) >= ACCUSERS:
             self.accused.clear()
@@ -165,11 +172,11 @@
             return self._refuse_job(job, self.state.again_s())
         if strict and self.judging and not asked and now - self.ticked > GAP_S:
             return self._hold(job, None)
-        if strict and self.scanning and (fault := scan.others(self.sluice)):
+        if strict and self.scanning and (fault := scan.others(self.sidecar)):
             self.slip("scan", fault)
         if not ask.peer:
             if strict and self.judging and self.unsure and not asked:
-                return self._hold(job, None)  # nobody else judges it: a reservoir must know this word
+                return self._hold(job, None)  # nobody else judges it: a control node must know this word
             return self._home(job, host, path)
         if not self.judging or (not strict and self._skip()):
             return True
@@ -179,7 +186,7 @@
         if verdict == judge.RUN:
             return True
         if verdict == judge.ASK and not asked:
-            return self._hold(job, (ask.peer, self.sluice.settings.ports[0]))
+            return self._hold(job, (ask.peer, self.sidecar.settings.ports[0]))
         return self._refuse_job(job, 0.0 if verdict != judge.ASK else 0.05)
 
     def still(self, job: Job) -> bool:
@@ -210,8 +217,12 @@
             return True
         made, kind = told.decide(host, path)
         route = self.word.find(host, path)
-        if made == ask.rule and kind == ask.kind and route is not None and any(
-                name == ask.service for name, _ in route.split):
+        if (
+            made == ask.rule
+            and kind == ask.kind
+            and route is not None
+            and any(name == ask.service for name, _ in route.split)
+        ):
             return True
         if ask.revision == self.word.revision:
             self.slip("reading", f"{_shown(host, path)} would run by another rule")
@@ -233,7 +244,7 @@
         return False
 
     def _ask(self, holder: Address | None) -> None:
-        cores = self.sluice.cores()
+        cores = self.sidecar.cores()
         if holder is not None or cores:
             self.cores_turn += 1
             self._fetch(holder or cores[self.cores_turn % len(cores)], self._asked)
@@ -268,7 +279,7 @@
 
     def word_changed(self) -> None:
         """Another word is in force: read its text a second time, and compare all of it, part by part."""
-        self.bounds = scan.bounds(self.sluice)
+        self.bounds = scan.bounds(self.sidecar)
         if not self.rebuilding:
             self._read()
             self.parts = None
@@ -285,4 +296,4 @@
             self.told, self.told_digest = Told(text_of(word.packed, word.digest)), word.digest
         except (ValueError, KeyError, TypeError, LookupError) as fault:
             self.told, self.told_digest = None, ""
-            self.host.log(f"assay: the told text can't be read: {fault}")
+            self.host.log(f"drift monitor: the told text can't be read: {fault}")
--- a/honeywharf/gauges/watch.py
+++ b/honeywharf/failure_detector/watch.py
@@ -16,14 +16,14 @@
 
 from __future__ import annotations
 
-from honeywharf.gauges.ring import Rings
-from honeywharf.runnel.entry import key_of, node_of, number_in
+from honeywharf.failure_detector.ring import Rings
+from honeywharf.gossip.entry import key_of, node_of, number_in
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from honeywharf.runnel.entry import Entry
+    from honeywharf.gossip.entry import Entry
 
 BEAT = b"t"  # and the revision that the sender holds, in as few bytes as it takes (none for 0)
 PROBE = b"p"  # answered with a beat
@@ -172,9 +172,7 @@
             self.on_up(node)
         self._judge(now, node)
 
-    def _count(
-        self, doubter: str, old: dict[str, tuple[int, int]], new: dict[str, tuple[int, int]]
-    ) -> None:
+    def _count(self, doubter: str, old: dict[str, tuple[int, int]], new: dict[str, tuple[int, int]]) -> None:
         for node in old:
             held = self._against.get(node)
             if held and node not in new:
--- a/honeywharf/programs/weirkeeper.py
+++ b/honeywharf/programs/gateway.py
@@ -8,8 +8,8 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from honeywharf.mains.door import Call, Door
-from honeywharf.penstock.drain import (
+from honeywharf.programs.start import settings_or_line
+from honeywharf.sessions.drain import (
     ASK_AGAIN_S,
     AT_ONCE,
     BACK,
@@ -24,19 +24,19 @@
     Drain,
     rest_first,
 )
-from honeywharf.penstock.kinds import BULK, OPEN, SHORT, STATE
-from honeywharf.penstock.line import TO_LANDING, TO_SOURCES, Caught, Line
-from honeywharf.penstock.passage import Passages, Row
-from honeywharf.penstock.places import Place
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
-from honeywharf.programs.start import settings_or_line
+from honeywharf.sessions.kinds import BULK, OPEN, SHORT, STATE
+from honeywharf.sessions.line import TO_LANDING, TO_SOURCES, Caught, Line
+from honeywharf.sessions.passage import Passages, Row
+from honeywharf.sessions.places import Place
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
+from honeywharf.transport.http_server import Call, HttpServer
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Handler, Host
+    from honeywharf.transport.host import Address, Connection, Handler, Host
 
 TELL_S = 0.5  # between words of its load
 QUEUE_S = 0.5  # of its link that a gateway may have on the way
@@ -49,17 +49,26 @@
 AGAIN_S = 0.4  # before another gateway that was lost is looked for again
 
 
-class Weirkeeper:
+class GatewayNode:
     """One gateway on its host.
 
     `others`: gateways of the same region, to know whether this is the last one. `landing_port`: where the
-    sluices of any region take sessions. `order`: which session is asked to leave first.
+    sidecars of any region take sessions. `order`: which session is asked to leave first.
     """
 
     def __init__(
-        self, host: Host, at: Address, region: str, zone: str, others: list[Place], landing_port: int,
-        grace_s: float = 8.0, door: Address | None = None, most_bytes: int = 64 << 20,
-        order: Callable[[int, int, float], float] = rest_first, link_mbps: float = LINK_MBPS,
+        self,
+        host: Host,
+        at: Address,
+        region: str,
+        zone: str,
+        others: list[Place],
+        landing_port: int,
+        grace_s: float = 8.0,
+        door: Address | None = None,
+        most_bytes: int = 64 << 20,
+        order: Callable[[int, int, float], float] = rest_first,
+        link_mbps: float = LINK_MBPS,
     ) -> None:
         self.host, self.region, self.zone, self.order = host, region, zone, order
         self.landing_port, self.grace_s = landing_port, grace_s
@@ -71,10 +80,11 @@
         self.down: dict[str, float] = {}  # destinations that could not be reached, and until when
         self.asked_at: dict[bytes, float] = {}
         self.others = [
-            Other(self, place) for place in others if place.region == region and place.address != at]
+            Other(self, place) for place in others if place.region == region and place.address != at
+        ]
         self.ticking = False
         if door is not None:
-            Door(host, door, self._order, 1 << 16)
+            HttpServer(host, door, self._order, 1 << 16)
         host.listen(at, self._accept)
         host.after(TELL_S, self._tell_again)
         host.after(COUNTERS_S, self._counters)
@@ -105,8 +115,13 @@
             if len(self.landings) >= MOST_LINKS or self.host.now() < self.down.get(to, 0.0):
                 return None
             line = self.landings[to, lane] = Line(
-                self.host, (to, self.landing_port), TO_LANDING, self._from_landing, self._landing_gone,
-                short=lane != BULK)
+                self.host,
+                (to, self.landing_port),
+                TO_LANDING,
+                self._from_landing,
+                self._landing_gone,
+                short=lane != BULK,
+            )
         return line
 
     def _from_landing(self, line: Line, frame: list[Any]) -> None:
@@ -193,9 +208,12 @@
         """Sessions to be asked to leave, in order: the long ones, and in time the short ones too."""
         self.asked_at = {sid: at for sid, at in self.asked_at.items() if sid in self.passages.rows}
         wait = self.drain.state == LAST and now - self.drain.since >= LAST_S
-        rows = [row for row in self.passages.rows.values()
-                if (wait or not 0 <= row.length <= SHORT)
-                and now - self.asked_at.get(row.sid, -ASK_AGAIN_S) >= ASK_AGAIN_S]
+        rows = [
+            row
+            for row in self.passages.rows.values()
+            if (wait or not 0 <= row.length <= SHORT)
+            and now - self.asked_at.get(row.sid, -ASK_AGAIN_S) >= ASK_AGAIN_S
+        ]
         rows.sort(key=lambda row: self.order(row.rest, row.length, now - row.since))
         return rows
 
@@ -215,11 +233,13 @@
     def summary(self) -> str:
         """One line of what it is and has done."""
         one = self.passages
-        return (f"state={NAMES[self.drain.state].replace(' ', '-')} sessions={len(one.rows)} "
-                f"passed={one.passed} refused={one.refused} forbidden={one.forbidden} "
-                f"granted={one.granted} waiting={self.spillway.waiting_bytes} up={one.bytes_up} "
-                f"down={one.bytes_down} sources={len(self.sources)} landings={len(self.landings)} "
-                f"last={int(self.last)}")
+        return (
+            f"state={NAMES[self.drain.state].replace(' ', '-')} sessions={len(one.rows)} "
+            f"passed={one.passed} refused={one.refused} forbidden={one.forbidden} "
+            f"granted={one.granted} waiting={self.spillway.waiting_bytes} up={one.bytes_up} "
+            f"down={one.bytes_down} sources={len(self.sources)} landings={len(self.landings)} "
+            f"last={int(self.last)}"
+        )
 
     def counters(self) -> None:
         """Log the summary."""
@@ -233,7 +253,7 @@
 class Other:
     """Another gateway of the region: whether it takes sessions."""
 
-    def __init__(self, keeper: Weirkeeper, place: Place) -> None:
+    def __init__(self, keeper: GatewayNode, place: Place) -> None:
         self.keeper, self.place, self.offered = keeper, place, False
         self._look()
 
@@ -261,17 +281,24 @@
     """Run until the platform or an operator's SIGTERM ends it; the exit status."""
     from signal import SIGTERM
 
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line()
     if settings is None:
         return 2
     loop = Loop(None)
-    keeper = Weirkeeper(
-        loop, (settings.ip, settings.ports[0]), settings.region, settings.zone,
-        [Place(*each) for each in settings.gateways], settings.ports[0] + 1,
-        settings.bound("grace-period", 8.0), settings.listen.get("control-plane"),
-        granted_bytes(settings.memory_mb, settings.link_mbps), link_mbps=settings.link_mbps)
+    keeper = GatewayNode(
+        loop,
+        (settings.ip, settings.ports[0]),
+        settings.region,
+        settings.zone,
+        [Place(*each) for each in settings.gateways],
+        settings.ports[0] + 1,
+        settings.bound("grace-period", 8.0),
+        settings.listen.get("control-plane"),
+        granted_bytes(settings.memory_mb, settings.link_mbps),
+        link_mbps=settings.link_mbps,
+    )
     loop.on_signal(SIGTERM, keeper.terminate)
     return loop.run()
 
--- a/honeywharf/penstock/conveyor.py
+++ b/honeywharf/sessions/conveyor.py
@@ -10,10 +10,9 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.streams import WINDOW_BYTES, Ask
-from honeywharf.penstock.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
-from honeywharf.penstock.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
-from honeywharf.penstock.kinds import (
+from honeywharf.sessions.choice import DOUBT_S, MOST_GATEWAYS, Gateway, choose
+from honeywharf.sessions.inlet import FLOWING, IDLE, LEAVING, OVER, QUIET_S, Inlet, Request
+from honeywharf.sessions.kinds import (
     BRIEF,
     BULK,
     GONE,
@@ -24,9 +23,10 @@
     STATE,
     WINDOW,
 )
-from honeywharf.penstock.line import TO_SOURCES, Line
-from honeywharf.penstock.outlet import APART_S
-from honeywharf.penstock.spillway import LINK_MBPS, Spillway
+from honeywharf.sessions.line import TO_SOURCES, Line
+from honeywharf.sessions.outlet import APART_S
+from honeywharf.sessions.spillway import LINK_MBPS, Spillway
+from honeywharf.transport.streams import WINDOW_BYTES, Ask
 from honeywharf.verdict import DRAINING, LOST, MAY_HAVE_RUN, NOT_RUN, Verdict
 
 TYPE_CHECKING = False
@@ -34,9 +34,9 @@
     from collections.abc import Callable, Iterable
     from typing import Any
 
-    from honeywharf.mains.host import Host, Timer
-    from honeywharf.mains.streams import Replies
-    from honeywharf.penstock.places import Place
+    from honeywharf.sessions.places import Place
+    from honeywharf.transport.host import Host, Timer
+    from honeywharf.transport.streams import Replies
 
 TICK_S = 0.02
 STALL_S = 2.5  # nothing came on a way that owes a word; a full gateway says little for a second and more
@@ -49,8 +49,10 @@
 
 def head_of(ask: Ask) -> list[object]:
     """What a session carries of a request: first what is asked for, then what may differ from try to try."""
-    return [[ask.service, ask.kind, ask.caller, ask.method, ask.target, ask.fields],
-            [int(ask.patience_s * 1000.0), ask.priority, int(ask.aim_s * 1000.0), ask.revision, ask.rule]]
+    return [
+        [ask.service, ask.kind, ask.caller, ask.method, ask.target, ask.fields],
+        [int(ask.patience_s * 1000.0), ask.priority, int(ask.aim_s * 1000.0), ask.revision, ask.rule],
+    ]
 
 
 def lane_of(ask: Ask) -> int:
@@ -64,8 +66,20 @@
     """One session of a course."""
 
     __slots__ = (
-        "apart_since", "conveyor", "inlet", "lane", "left_at", "moved_at", "next_at", "read", "replies",
-        "seen", "tries", "unreached", "way")
+        "apart_since",
+        "conveyor",
+        "inlet",
+        "lane",
+        "left_at",
+        "moved_at",
+        "next_at",
+        "read",
+        "replies",
+        "seen",
+        "tries",
+        "unreached",
+        "way",
+    )
 
     def __init__(self, conveyor: Conveyor, replies: Replies, lane: int, read: bool) -> None:
         self.conveyor, self.replies, self.lane, self.read = conveyor, replies, lane, read
@@ -130,8 +144,14 @@
         line = self.lines.get(lane)
         if line is None:
             line = self.lines[lane] = Line(
-                self.conveyor.host, self.place.address, TO_SOURCES, self._took, self._gone, lane == QUICK,
-                lane != BULK)
+                self.conveyor.host,
+                self.place.address,
+                TO_SOURCES,
+                self._took,
+                self._gone,
+                lane == QUICK,
+                lane != BULK,
+            )
         return line
 
     def _took(self, line: Line, frame: list[Any]) -> None:
@@ -170,8 +190,14 @@
     """
 
     def __init__(
-        self, host: Host, region: str, zone: str, places: Iterable[Place], draw: Callable[[], float],
-        sessions: bool = True, link_mbps: float = LINK_MBPS,
+        self,
+        host: Host,
+        region: str,
+        zone: str,
+        places: Iterable[Place],
+        draw: Callable[[], float],
+        sessions: bool = True,
+        link_mbps: float = LINK_MBPS,
     ) -> None:
         self.spillway = Spillway(host.now, host.after, link_mbps * 125_000.0)
         self.host, self.region, self.zone, self.draw, self.sessions = host, region, zone, draw, sessions
@@ -185,16 +211,30 @@
             way.look()
 
     def open(
-        self, to: str, ask: Ask, replies: Replies, tenant: str = "", homes: tuple[str, ...] = (),
+        self,
+        to: str,
+        ask: Ask,
+        replies: Replies,
+        tenant: str = "",
+        homes: tuple[str, ...] = (),
     ) -> Carriage | None:
-        """Carry a request to the sluice at an IP address; None where there is no room for one more."""
+        """Carry a request to the sidecar at an IP address; None where there is no room for one more."""
         if self.closed or len(self.riders) >= MOST_SESSIONS:
             return None
         host = self.host
         deadline = host.now() + ask.remaining_s
         request = Request(
-            to, ask.attempt, ask.length, deadline, int((host.wall() + ask.remaining_s) * 1000.0), tenant,
-            self.region, homes, head_of(ask), lane_of(ask))
+            to,
+            ask.attempt,
+            ask.length,
+            deadline,
+            int((host.wall() + ask.remaining_s) * 1000.0),
+            tenant,
+            self.region,
+            homes,
+            head_of(ask),
+            lane_of(ask),
+        )
         rider = Carriage(self, replies, request.lane, ask.kind == 0)
         rider.inlet = Inlet(host.random(16), request, _Teller(replies), self.lives.get(to, b""))
         self.riders[rider] = None
@@ -217,8 +257,14 @@
             self._over(rider)
             return
         gateway = choose(
-            [way.gateway for way in self.ways.values()], now, self.zone, self.region, inlet.request.homes,
-            last, self.draw)
+            [way.gateway for way in self.ways.values()],
+            now,
+            self.zone,
+            self.region,
+            inlet.request.homes,
+            last,
+            self.draw,
+        )
         rider.next_at = now + PAUSES_S[min(rider.tries, len(PAUSES_S) - 1)]
         rider.tries += 1
         if gateway is None:
--- a/honeywharf/penstock/line.py
+++ b/honeywharf/sessions/line.py
@@ -6,15 +6,15 @@
 
 from __future__ import annotations
 
-from honeywharf.mains.frames import FrameReader, encode
-from honeywharf.penstock.kinds import PING, PONG
+from honeywharf.sessions.kinds import PING, PONG
+from honeywharf.transport.frames import FrameReader, encode
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.host import Address, Connection, Host, Timer
+    from honeywharf.transport.host import Address, Connection, Host, Timer
 
 PING_S = 0.25
 SILENT_S = 1.2
@@ -28,8 +28,14 @@
     """The side that asked for the link. `took(line, frame)` for each frame, `gone(line)` once."""
 
     def __init__(
-        self, host: Host, to: Address, greeting: str, took: Callable[[Line, list[Any]], None],
-        gone: Callable[[Line], None], stays: bool = False, short: bool = False,
+        self,
+        host: Host,
+        to: Address,
+        greeting: str,
+        took: Callable[[Line, list[Any]], None],
+        gone: Callable[[Line], None],
+        stays: bool = False,
+        short: bool = False,
     ) -> None:
         self.host, self.to, self.took, self.gone, self.stays = host, to, took, gone, stays
         self.short = short  # it carries bodies of short requests only
@@ -113,8 +119,12 @@
     """The side that took the link. `took(line, frame)`, `gone(line)` once, `greeted(line)` once."""
 
     def __init__(
-        self, connection: Connection, greeting: str, took: Callable[[Caught, list[Any]], None],
-        gone: Callable[[Caught], None], greeted: Callable[[Caught], None],
+        self,
+        connection: Connection,
+        greeting: str,
+        took: Callable[[Caught, list[Any]], None],
+        gone: Callable[[Caught], None],
+        greeted: Callable[[Caught], None],
     ) -> None:
         self.connection, self.greeting, self.took, self.gone = connection, greeting, took, gone
         self.greeted = greeted
--- a/honeywharf/flume/slips.py
+++ b/honeywharf/simulation/slips.py
@@ -1,8 +1,8 @@
-"""Slips put into running sluices by seed: who catches them, how soon, and what ran meanwhile.
+"""Slips put into running sidecars by seed: who catches them, how soon, and what ran meanwhile.
 
 Theory of operation. A `Trial` plays a field with traffic and, one after the other, puts slips of one kind
-into sluices drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
-head goes to a backend, not by the sluices. A slip that is not healed in time is undone, and counts as not
+into sidecars drawn by seed. What runs is judged here, by the operator's orders and a hook where a request's
+head goes to a backend, not by the sidecars. A slip that is not healed in time is undone, and counts as not
 caught unless somebody noticed. The three ways of noticing can be switched off.
 """
 
@@ -13,13 +13,13 @@
 from collections.abc import Callable
 from typing import Any, cast
 
-from honeywharf.assay import second
-from honeywharf.assay.requests import Assay
-from honeywharf.flume.field import SERVICES, SMALL, ZONES, Field, Side
-from honeywharf.flume.rules import Ask, Order
-from honeywharf.flume.run import real_reservoir, real_sluice
-from honeywharf.sluice.inbound import Job
-from honeywharf.strainer.routes import Route, Table
+from honeywharf.drift import second
+from honeywharf.drift.requests import DriftMonitor
+from honeywharf.mesh_config.routes import Route, Table
+from honeywharf.sidecar.inbound import Job
+from honeywharf.simulation.field import SERVICES, SMALL, ZONES, Field, Side
+from honeywharf.simulation.rules import Ask, Order
+from honeywharf.simulation.run import real_control_node, real_sidecar
 
 LEAD = 4.0
 FIRST = 9.0  # seconds, when the first slip comes
@@ -36,33 +36,37 @@
     return made
 
 
-def _hosts(sluice: Any) -> Any:
-    return sluice.word.table._hosts
+def _hosts(sidecar: Any) -> Any:
+    return sidecar.word.table._hosts
 
 
-def _place(sluice: Any, chance: random.Random, strict: bool = True) -> tuple[Any, bytes]:
-    places = [(of, prefix) for of in _hosts(sluice).values() for prefix in of.routes
-              if not strict or prefix in STRICT]
+def _place(sidecar: Any, chance: random.Random, strict: bool = True) -> tuple[Any, bytes]:
+    places = [
+        (of, prefix)
+        for of in _hosts(sidecar).values()
+        for prefix in of.routes
+        if not strict or prefix in STRICT
+    ]
     return chance.choice(places)
 
 
-def _change(sluice: Any, chance: random.Random, **fields: Any) -> Undo:
+def _change(sidecar: Any, chance: random.Random, **fields: Any) -> Undo:
     """A copy of an entry with other fields in its place."""
-    of, prefix = _place(sluice, chance)
+    of, prefix = _place(sidecar, chance)
     before = of.routes[prefix]
     of.routes[prefix] = _copy(before, **fields)
     return lambda: of.routes.__setitem__(prefix, before)
 
 
 class Kinds:
-    """Each method puts one slip into a sluice and gives what undoes it."""
+    """Each method puts one slip into a sidecar and gives what undoes it."""
 
     def __init__(self, trial: Trial) -> None:
         self.trial = trial
 
-    def stored(self, sluice: Any, chance: random.Random) -> Undo:
+    def stored(self, sidecar: Any, chance: random.Random) -> Undo:
         """The stored version is not the one in force."""
-        word, value = sluice.word, sluice.word.value
+        word, value = sidecar.word, sidecar.word.value
         table, revision, version = word.table, word.revision, word.version
         how = chance.randrange(3)
         if how == 0:
@@ -77,24 +81,26 @@
 
         return undo
 
-    def weights(self, sluice: Any, chance: random.Random) -> Undo:
+    def weights(self, sidecar: Any, chance: random.Random) -> Undo:
         """Weights are turned, or another service stands there."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes[prefix]
         split = before.split[::-1] if len(before.split) > 1 else ((chance.choice(SERVICES[:1]), 1.0),)
-        of.routes[prefix] = _copy(before, split=tuple(
-            (name, weight) for (name, _), (_, weight) in zip(split, before.split, strict=True)))
+        of.routes[prefix] = _copy(
+            before,
+            split=tuple((name, weight) for (name, _), (_, weight) in zip(split, before.split, strict=True)),
+        )
         return lambda: of.routes.__setitem__(prefix, before)
 
-    def lost(self, sluice: Any, chance: random.Random) -> Undo:
+    def lost(self, sidecar: Any, chance: random.Random) -> Undo:
         """An entry is missing."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes.pop(prefix)
         return lambda: of.routes.__setitem__(prefix, before)
 
-    def added(self, sluice: Any, chance: random.Random) -> Undo:
+    def added(self, sidecar: Any, chance: random.Random) -> Undo:
         """An entry that nobody ordered stands before one that must not run twice."""
-        of, prefix = _place(sluice, chance)
+        of, prefix = _place(sidecar, chance)
         before = of.routes[prefix]
         odd = prefix + b"1" + b"/"
         of.routes[odd] = _copy(before, prefix=odd, kind="read_only")
@@ -107,32 +113,32 @@
 
         return undo
 
-    def timeout(self, sluice: Any, chance: random.Random) -> Undo:
+    def timeout(self, sidecar: Any, chance: random.Random) -> Undo:
         """A timeout of another route."""
-        return _change(sluice, chance, timeout_s=chance.choice((1.5, 2.0, 6.0, 60.0)))
+        return _change(sidecar, chance, timeout_s=chance.choice((1.5, 2.0, 6.0, 60.0)))
 
-    def kind(self, sluice: Any, chance: random.Random) -> Undo:
+    def kind(self, sidecar: Any, chance: random.Random) -> Undo:
         """What must not run twice is held for `read_only`."""
-        return _change(sluice, chance, kind="read_only")
+        return _change(sidecar, chance, kind="read_only")
 
-    def limits(self, sluice: Any, chance: random.Random) -> Undo:
+    def limits(self, sidecar: Any, chance: random.Random) -> Undo:
         """Bounds or attempts of an older version are kept."""
         how = chance.randrange(4)
         if how == 0:
-            return _change(sluice, chance, attempts=5)
+            return _change(sidecar, chance, attempts=5)
         if how == 1:
-            most, sluice.taps.most = sluice.taps.most, sluice.taps.most + 50
-            return lambda: setattr(sluice.taps, "most", most)
+            most, sidecar.taps.most = sidecar.taps.most, sidecar.taps.most + 50
+            return lambda: setattr(sidecar.taps, "most", most)
         if how == 2:
-            cold, sluice.gate.cold.most = sluice.gate.cold.most, sluice.gate.cold.most + 20
-            return lambda: setattr(sluice.gate.cold, "most", cold)
-        limits = sluice.word.table.limits
+            cold, sidecar.gate.cold.most = sidecar.gate.cold.most, sidecar.gate.cold.most + 20
+            return lambda: setattr(sidecar.gate.cold, "most", cold)
+        limits = sidecar.word.table.limits
         body, limits.max_body_bytes = limits.max_body_bytes, 1 << 30
         return lambda: setattr(limits, "max_body_bytes", body)
 
-    def evacuation(self, sluice: Any, chance: random.Random) -> Undo:
+    def evacuation(self, sidecar: Any, chance: random.Random) -> Undo:
         """An evacuation is forgotten, or never withdrawn."""
-        word, gate = sluice.word, sluice.gate
+        word, gate = sidecar.word, sidecar.gate
         before, evacuated = set(word.evacuated), gate.evacuated
         if chance.random() < 0.5:
             gate.evacuated = not gate.evacuated
@@ -144,10 +150,10 @@
 
         return undo
 
-    def list(self, sluice: Any, chance: random.Random) -> Undo:
+    def list(self, sidecar: Any, chance: random.Random) -> Undo:
         """The list has one id, zone or draining mark wrong, or this backend's cold time."""
-        source = sluice.source
-        node = chance.choice([node for node in source.list if node != sluice.settings.ip])
+        source = sidecar.source
+        node = chance.choice([node for node in source.list if node != sidecar.settings.ip])
         entry, how = source.list[node], chance.randrange(4)
         target = source.levels_of(entry.service).targets[node]
         kept = (entry.instance, entry.zone, entry.state, target.zone, target.usable)
@@ -166,7 +172,7 @@
 
         return undo
 
-    def freeze(self, sluice: Any, chance: random.Random) -> Undo:
+    def freeze(self, sidecar: Any, chance: random.Random) -> Undo:
         """The process stands still while the word changes."""
         side = self.trial.victim
         side.proxy.freeze()
@@ -180,9 +186,9 @@
         self.trial.later(3.0, thaw)
         return lambda: None
 
-    def content(self, sluice: Any, chance: random.Random) -> Undo:
+    def content(self, sidecar: Any, chance: random.Random) -> Undo:
         """Two nodes believe one revision and differ in content; half of them with a digest that fits."""
-        word = sluice.word
+        word = sidecar.word
         kept = word.table, word.packed, word.digest, word.value
         text, other = self.trial.odd(chance)
         word.table, word.packed = Table(text), other
@@ -191,14 +197,14 @@
 
         def undo() -> None:
             word.table, word.packed, word.digest, word.value = kept
-            sluice.assay.told_digest = ""
-            sluice.assay._read()
+            sidecar.drift_monitor.told_digest = ""
+            sidecar.drift_monitor._read()
 
         return undo
 
-    def build(self, sluice: Any, chance: random.Random) -> Undo:
+    def build(self, sidecar: Any, chance: random.Random) -> Undo:
         """A program of another build reads the same text otherwise, each time."""
-        assay, word = sluice.assay, sluice.word
+        drift_monitor, word = sidecar.drift_monitor, sidecar.word
 
         def other(text: bytes) -> Table:
             table = Table(text)
@@ -207,48 +213,60 @@
                     route.aim_s, route.attempts = route.timeout_s, 1
             return table
 
-        assay.build, kept = other, word.table
+        drift_monitor.build, kept = other, word.table
         word.table = other(self.trial.newest)
 
         def undo() -> None:
-            assay.build, word.table = Table, kept
+            drift_monitor.build, word.table = Table, kept
 
         return undo
 
-    def liar(self, sluice: Any, chance: random.Random) -> Undo:
+    def liar(self, sidecar: Any, chance: random.Random) -> Undo:
         """It says the right digest and decides otherwise; its own second reading is blind to it."""
-        assay, source, word = sluice.assay, sluice.source, sluice.word
+        drift_monitor, source, word = sidecar.drift_monitor, sidecar.source, sidecar.word
         find = word.find
         if chance.random() < 0.5:  # another service
             source.draw_service = lambda route: (
-                SERVICES[0] if route.prefix in STRICT else Route.service(route, source.draw()))
+                SERVICES[0] if route.prefix in STRICT else Route.service(route, source.draw())
+            )
         else:  # another kind
+
             def found(host: bytes, path: bytes) -> Route | None:
                 route = find(host, path)
-                return route if route is None or route.prefix not in STRICT else _copy(
-                    route, kind="read_only")
-
-            told = {prefix: assay.rules.of(of.routes[prefix]) for of in _hosts(sluice).values()
-                    for prefix in of.routes if prefix in STRICT}
+                return (
+                    route if route is None or route.prefix not in STRICT else _copy(route, kind="read_only")
+                )
+
+            told = {
+                prefix: drift_monitor.rules.of(of.routes[prefix])
+                for of in _hosts(sidecar).values()
+                for prefix in of.routes
+                if prefix in STRICT
+            }
             word.find = found
-            assay.look = lambda host, path, route: (found(host, path), 0.0)
-            source.rule = lambda route: told.get(route.prefix) or assay.rules.of(route)
+            drift_monitor.look = lambda host, path, route: (found(host, path), 0.0)
+            source.rule = lambda route: told.get(route.prefix) or drift_monitor.rules.of(route)
 
         def undo() -> None:
-            for thing, name in ((source, "draw_service"), (word, "find"), (assay, "look"), (source, "rule")):
+            for thing, name in (
+                (source, "draw_service"),
+                (word, "find"),
+                (drift_monitor, "look"),
+                (source, "rule"),
+            ):
                 thing.__dict__.pop(name, None)
 
         return undo
 
-    def checker(self, sluice: Any, chance: random.Random) -> Undo:
+    def checker(self, sidecar: Any, chance: random.Random) -> Undo:
         """What was read a second time is itself wrong."""
-        told = sluice.assay.told
+        told = sidecar.drift_monitor.told
         at = chance.randrange(len(told.rules))
         told.rules[at] ^= 1 << chance.randrange(64)
         return lambda: None
 
-    def disk(self, sluice: Any, chance: random.Random) -> Undo:
-        """A reservoir's disk gives back an older word."""
+    def disk(self, sidecar: Any, chance: random.Random) -> Undo:
+        """A control node's disk gives back an older word."""
         field = self.trial.field
         core = self.trial.core = chance.choice(field.cores)
         disk = cast(Any, core.machine.disk)
@@ -270,8 +288,23 @@
         return lambda: None
 
 
-KINDS = ("stored", "weights", "lost", "added", "timeout", "kind", "limits", "evacuation", "list", "freeze",
-         "content", "build", "liar", "checker", "disk")
+KINDS = (
+    "stored",
+    "weights",
+    "lost",
+    "added",
+    "timeout",
+    "kind",
+    "limits",
+    "evacuation",
+    "list",
+    "freeze",
+    "content",
+    "build",
+    "liar",
+    "checker",
+    "disk",
+)
 LONG = {"freeze": 4.5, "build": 8.0, "liar": 8.0, "disk": 6.0, "content": 6.0}  # seconds that each may stay
 
 
@@ -290,7 +323,7 @@
     def __init__(self, seed: int, kind: str, many: int, ways: tuple[str, ...] = WAYS) -> None:
         self.chance, self.kind, self.many, self.ways = random.Random(seed), kind, many, ways
         self.gap = LONG.get(kind, UNDONE) + 0.4
-        self.field = Field(seed, self._sluice, real_reservoir, SMALL, LEAD, FIRST + many * self.gap + 2.0)
+        self.field = Field(seed, self._sidecar, real_control_node, SMALL, LEAD, FIRST + many * self.gap + 2.0)
         self.world, self.book = self.field.world, self.field.book
         self.slips: list[Slip] = []
         self.victim: Side = self.field.sides[0]
@@ -301,7 +334,7 @@
         self.wrong: list[str] = []  # mutating requests that ran by another rule than told
         self.alarms: list[tuple[float, str, str]] = []
         self.older = b""
-        self.core: Any = None  # the reservoir whose disk went back
+        self.core: Any = None  # the control node whose disk went back
         self.moves: dict[str, dict[str, int]] = {"/orders/": {"order-desk": 3, "survey-intake": 1}}
         self.world.at(2.0, self.order, random.Random(seed))
         self.world.at(6.5, self.order, random.Random(seed + 1))
@@ -311,27 +344,27 @@
 
     # What the trial does.
 
-    def _sluice(self, host: Any, settings: str) -> object:
-        sluice: Any = real_sluice(host, settings)
+    def _sidecar(self, host: Any, settings: str) -> object:
+        sidecar: Any = real_sidecar(host, settings)
         for way in WAYS:
-            setattr(sluice.assay, way, way in self.ways)
-        ip, assay = sluice.settings.ip, sluice.assay
+            setattr(sidecar.drift_monitor, way, way in self.ways)
+        ip, drift_monitor = sidecar.settings.ip, sidecar.drift_monitor
 
         def slip(by: str, what: str, renew: bool = False) -> None:
             self._noticed(ip, by, what)
-            Assay.slip(assay, by, what, renew)
+            DriftMonitor.slip(drift_monitor, by, what, renew)
 
         def refuse(job: Job, again_s: float) -> bool:
             self._noticed(job.ask.peer or ip, "judge" if job.ask.peer else "reading", "refused")
-            return Assay._refuse_job(assay, job, again_s)
+            return DriftMonitor._refuse_job(drift_monitor, job, again_s)
 
         def hold(job: Job, holder: Any) -> bool:
             if self.kind == "freeze":
                 self._noticed(ip, "judge", "asks first")
-            return Assay._hold(assay, job, holder)
+            return DriftMonitor._hold(drift_monitor, job, holder)
 
-        assay.slip, assay._refuse_job, assay._hold = slip, refuse, hold
-        return sluice
+        drift_monitor.slip, drift_monitor._refuse_job, drift_monitor._hold = slip, refuse, hold
+        return sidecar
 
     def later(self, seconds: float, call: Callable[[], None]) -> None:
         """Call so much later."""
@@ -366,13 +399,16 @@
     @staticmethod
     def digest(text: bytes) -> str:
         """As words name a text."""
-        from honeywharf.strainer.configuration import digest
+        from honeywharf.mesh_config.configuration import digest
 
         return digest(text)
 
     def _put(self) -> None:
-        running = [side for side in self.field.sides if side.proxy.program is not None
-                   and cast(Any, side.proxy.program).word.table is not None]
+        running = [
+            side
+            for side in self.field.sides
+            if side.proxy.program is not None and cast(Any, side.proxy.program).word.table is not None
+        ]
         self.victim = self.chance.choice(running)
         self.slips.append(Slip(self.victim.ip, self.world.now))
         self.undo = getattr(Kinds(self), self.kind)(self.victim.proxy.program, self.chance)
@@ -381,17 +417,17 @@
         undo, self.undo = self.undo, lambda: None
         if self.core is not None and self.core.program is not None and self.core.program.gather.went_back:
             self.slips[-1].after, self.slips[-1].by = 0, "register"
-        sluice: Any = self.victim.proxy.program
-        if sluice is None:
+        sidecar: Any = self.victim.proxy.program
+        if sidecar is None:
             return
-        healed = sluice.assay.state.at in (2, 5) and self.kind not in ("build", "liar")
-        if healed and not sluice.assay._whole():
+        healed = sidecar.drift_monitor.state.at in (2, 5) and self.kind not in ("build", "liar")
+        if healed and not sidecar.drift_monitor._whole():
             return
         undo()
-        sluice.assay.relapses = 0
-        sluice.assay.rebuild()
-        if sluice.assay.state.aside:
-            sluice.assay._event(2, "undone by the trial")
+        sidecar.drift_monitor.relapses = 0
+        sidecar.drift_monitor.rebuild()
+        if sidecar.drift_monitor.state.aside:
+            sidecar.drift_monitor._event(2, "undone by the trial")
 
     # What it sees.
 
@@ -433,8 +469,10 @@
         self.strict["slipped"] += 1
         if self.slips:
             self.slips[-1].ran += 1
-        self.wrong.append(f"{self.world.now:.3f} {sent.id} {sent.path} of {sent.machine} at {ask.service}, "
-                          f"kind {ask.kind}, from {ask.peer or 'home'}")
+        self.wrong.append(
+            f"{self.world.now:.3f} {sent.id} {sent.path} of {sent.machine} at {ask.service}, "
+            f"kind {ask.kind}, from {ask.peer or 'home'}"
+        )
 
     def play(self, until: float = 0.0) -> Trial:
         """Play it whole, or until a time."""
--- a/honeywharf/standins/driftdemo.py
+++ b/honeywharf/standins/driftdemo.py
@@ -1,8 +1,8 @@
 """`honeywharf demo --drift`: a mesh on loopback, traffic of all kinds, five slips, each caught and healed.
 
-Theory of operation. The mesh is that of `meshdemo`; its sluices run this module, which is the program of a
-sluice that takes SIGUSR1 as "put in the slip that is named in the file beside the settings". Whether it was
-caught is asked of a reservoir (`GET /api/drift`), as an operator would.
+Theory of operation. The mesh is that of `meshdemo`; its sidecars run this module, which is the program of a
+sidecar that takes SIGUSR1 as "put in the slip that is named in the file beside the settings". Whether it was
+caught is asked of a control node (`GET /api/drift`), as an operator would.
 """
 
 from __future__ import annotations
@@ -19,9 +19,9 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from honeywharf.flume import field
-from honeywharf.flume.slips import Kinds
-from honeywharf.flume.standins import Flow, Message
+from honeywharf.simulation import field
+from honeywharf.simulation.slips import Kinds
+from honeywharf.simulation.standins import Flow, Message
 from honeywharf.standins.meshdemo import LOOK_S, ROUTES, Day, Mesh, Program, place
 
 SLIPS = ("kind", "weights", "lost", "evacuation", "timeout")
@@ -30,7 +30,7 @@
 
 
 class _Slippery(Mesh):
-    """A mesh whose sluices take slips."""
+    """A mesh whose sidecars take slips."""
 
     def program(self, name: str, ip: str, zone: str, service: str = "") -> Program:
         """A program with its settings."""
@@ -86,8 +86,10 @@
         if view is not None and sum(view["caught"].values()) > 0:
             put.caught_s, put.state = self.mesh.world.now - put.at, view["state"]
             put.by = ", ".join(sorted(view["caught"]))
-            put.sent = sum(ask.machine == put.ip and put.at <= ask.sent <= self.mesh.world.now
-                           for ask in self.mesh.book.asks.values())
+            put.sent = sum(
+                ask.machine == put.ip and put.at <= ask.sent <= self.mesh.world.now
+                for ask in self.mesh.book.asks.values()
+            )
             self.day.say(f"  {put.kind}: caught by {put.by}, {put.state}: {view['slips'][-1][2]}")
         elif self.mesh.world.now < put.at + EVERY_S - LOOK_AGAIN_S:
             self.mesh.loop.after(LOOK_AGAIN_S, partial(self._look, put))
@@ -97,17 +99,24 @@
         asks = list(self.mesh.book.asks.values())
         figures = {
             "requests run twice that may not be": sum(
-                not ask.repeatable and len(ask.runs) > 1 for ask in asks),
+                not ask.repeatable and len(ask.runs) > 1 for ask in asks
+            ),
             "requests run by a service that no rule names": sum(
-                name != at.service for ask in asks for _, at in ask.runs
-                for name in self.day.first.services(ask.host, ask.path)),
+                name != at.service
+                for ask in asks
+                for _, at in ask.runs
+                for name in self.day.first.services(ask.host, ask.path)
+            ),
             "requests refused though their rule is there": sum(ask.status == 404 for ask in asks),
             "slips not caught": sum(put.caught_s < 0 for put in self.puts),
-            "slips not healed": sum(put.state not in ("healed", "agreed") for put in self.puts)}
+            "slips not healed": sum(put.state not in ("healed", "agreed") for put in self.puts),
+        }
         self.day.say(f"{'slip':<12} {'at':<14} {'seen after':>10} {'requests there':>15}  by, state")
         for put in self.puts:
-            self.day.say(f"{put.kind:<12} {put.ip:<14} {put.caught_s:>8.2f} s {put.sent:>15}  "
-                         f"{put.by or 'nobody'}, {put.state}")
+            self.day.say(
+                f"{put.kind:<12} {put.ip:<14} {put.caught_s:>8.2f} s {put.sent:>15}  "
+                f"{put.by or 'nobody'}, {put.state}"
+            )
         served = sum(200 <= ask.status < 300 for ask in asks)
         self.day.say(f"{served} of {len(asks)} requests served")
         for what, number in figures.items():
@@ -123,7 +132,7 @@
     with tempfile.TemporaryDirectory() as name:
         mesh = _Slippery(Path(name), subnet, shift, seed)
         day = Day(mesh, seconds, rate, say)
-        say(f"{len(mesh.sides)} sluices at {subnet}.x, {rate:g} requests/s, {len(SLIPS)} slips, seed {seed}")
+        say(f"{len(mesh.sides)} sidecars at {subnet}.x, {rate:g} requests/s, {len(SLIPS)} slips, seed {seed}")
         try:
             if not day.up():
                 say("not all proxies became ready")
@@ -136,24 +145,24 @@
             mesh.stop()
 
 
-def _slip(sluice: Any, file: str) -> None:
+def _slip(sidecar: Any, file: str) -> None:
     """Put the slip in that the file names."""
     kind = Path(file).read_text()
     trial = cast(Any, SimpleNamespace(older=b"", newest=b""))
-    getattr(Kinds(trial), kind)(sluice, random.Random(kind))
+    getattr(Kinds(trial), kind)(sidecar, random.Random(kind))
 
 
 def main() -> int:
-    """A sluice that takes slips; the exit status."""
-    from honeywharf.mains.loop import Loop
-    from honeywharf.programs.sluice import Sluice
-    from honeywharf.strainer.settings import load
+    """A sidecar that takes slips; the exit status."""
+    from honeywharf.mesh_config.settings import load
+    from honeywharf.programs.sidecar import Sidecar
+    from honeywharf.transport.loop import Loop
 
     file = os.environ["HONEYWHARF_SETTINGS"]
     loop = Loop(None)
-    sluice = Sluice(loop, load(file))
-    loop.on_signal(signal.SIGTERM, sluice.terminate)
-    loop.on_signal(signal.SIGUSR1, lambda: _slip(sluice, file + NAMED))
+    sidecar = Sidecar(loop, load(file))
+    loop.on_signal(signal.SIGTERM, sidecar.terminate)
+    loop.on_signal(signal.SIGUSR1, lambda: _slip(sidecar, file + NAMED))
     return loop.run()
 
 
--- a/tests/runnel/test_table.py
+++ b/tests/gossip/test_table.py
@@ -8,9 +8,9 @@
 import msgpack  # type: ignore[import-untyped]
 import pytest
 
-from honeywharf.runnel import table
-from honeywharf.runnel.entry import Entry, datagrams, key_of, node_of
-from honeywharf.runnel.table import News
+from honeywharf.gossip import table
+from honeywharf.gossip.entry import Entry, datagrams, key_of, node_of
+from honeywharf.gossip.table import News
 
 ME, OTHER = "10.0.0.1", "10.0.0.2"
 
@@ -20,7 +20,7 @@
 
 
 def entry(node: str, number: int = 1, zone: str = "east", say: dict[str, Any] | None = None) -> Entry:
-    return Entry(key_of(node), 1, number, zone, {"kind": "sluice"} if say is None else say)
+    return Entry(key_of(node), 1, number, zone, {"kind": "sidecar"} if say is None else say)
 
 
 def rumour(*entries: Entry, hop: int = table.LAST) -> list[bytes]:
--- a/tests/strainer/test_configuration.py
+++ b/tests/mesh_config/test_configuration.py
@@ -10,7 +10,7 @@
 import pytest
 from result import Err, Ok
 
-from honeywharf.strainer.configuration import (
+from honeywharf.mesh_config.configuration import (
     MOST_BYTES,
     MOST_FAULTS,
     MOST_VERSION,
@@ -19,8 +19,8 @@
     digest,
     faults,
 )
-from honeywharf.strainer.routes import Table
-from tests.strainer.examples import CONFIGURATION, drawn, example, text
+from honeywharf.mesh_config.routes import Table
+from tests.mesh_config.examples import CONFIGURATION, drawn, example, text
 
 Change = Callable[[Any], object]
 
@@ -254,7 +254,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_junk_in_any_place_is_refused_or_else_a_table_can_be_built(seed: int) -> None:
-    """What a reservoir takes, every sluice can read: no text passes the one and breaks the other."""
+    """What a control node takes, every sidecar can read: no text passes the one and breaks the other."""
     random, taken, refused = Random(seed), 0, 0
     for _ in range(1500):
         whole = example()
--- a/tests/penstock/test_shift.py
+++ b/tests/sessions/test_shift.py
@@ -9,8 +9,8 @@
 import pytest
 
 from bench.gateway import chart
-from honeywharf.flume.regions import UPLOAD
-from honeywharf.flume.shift import Plan, Shift, quantile
+from honeywharf.simulation.regions import UPLOAD
+from honeywharf.simulation.shift import Plan, Shift, quantile
 
 FILE = Path(__file__).parents[2] / "bench" / "days" / "gateway.toml"
 
@@ -47,8 +47,9 @@
     assert chart(["none"], [], []) == []
 
 
-@pytest.mark.parametrize("wrong", [
-    {"hours": []}, {"troubled": [24]}, {"shape": []}, {"shape": [{"name": "x"}]}, {"rate": None}])
+@pytest.mark.parametrize(
+    "wrong", [{"hours": []}, {"troubled": [24]}, {"shape": []}, {"shape": [{"name": "x"}]}, {"rate": None}]
+)
 def test_an_experiment_that_cannot_be_played_is_refused(wrong: dict[str, Any]) -> None:
     with pytest.raises(ValueError, match="wanted"):
         Plan(table(**wrong))
--- a/tests/sluice/stage.py
+++ b/tests/sidecar/stage.py
@@ -1,4 +1,4 @@
-"""What the tests of the sluice share: a clock by hand, a source with scripted gates, a scripted backend."""
+"""What the tests of the sidecar share: a clock by hand, a source with scripted gates, a scripted backend."""
 
 from __future__ import annotations
 
@@ -9,20 +9,20 @@
 from typing import Any, cast
 
 from honeywharf.codecs.mesh import Head
-from honeywharf.flume.field import APPLICATION, OUTBOUND, settings as settings_text
-from honeywharf.flume.machine import Machine, Network, Process
-from honeywharf.flume.world import World
-from honeywharf.mains.host import Address, Connection, Handler, Host
-from honeywharf.mains.streams import Ask
-from honeywharf.sluice.backend import Taps
-from honeywharf.sluice.course import Course
-from honeywharf.sluice.gate import Gate
-from honeywharf.sluice.inbound import Inbound, Job
-from honeywharf.sluice.outbound import Outbound
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
-from honeywharf.strainer.routes import Route, Table
-from honeywharf.strainer.settings import Settings, parse
+from honeywharf.mesh_config.routes import Route, Table
+from honeywharf.mesh_config.settings import Settings, parse
+from honeywharf.sidecar.backend import Taps
+from honeywharf.sidecar.course import Course
+from honeywharf.sidecar.gate import Gate
+from honeywharf.sidecar.inbound import Inbound, Job
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Outbound
+from honeywharf.sidecar.source import Source
+from honeywharf.simulation.field import APPLICATION, OUTBOUND, settings as settings_text
+from honeywharf.simulation.machine import Machine, Network, Process
+from honeywharf.simulation.world import World
+from honeywharf.transport.host import Address, Connection, Handler, Host
+from honeywharf.transport.streams import Ask
 from honeywharf.verdict import Verdict
 
 IP, ZONE, SERVICE = "10.1.0.8", "tartu-saal", "order-desk"
@@ -31,7 +31,7 @@
 
 
 def settings(ip: str = IP) -> Settings:
-    """A sluice's settings."""
+    """A sidecar's settings."""
     return parse(settings_text(ip, ZONE, ["10.1.0.12"], True, SERVICE))
 
 
@@ -147,16 +147,34 @@
         return self.may_spend
 
 
-TABLE = json.dumps({
-    "config-version": "r7",
-    "routes": [{
-        "name": f"r-{kind}", "hostname": "shop.example", "path-prefix": f"/{kind}/", "route-kind": kind,
-        "timeout": "3000ms", "target-latency": "500ms", "priority": 1, "target-service": SERVICE,
-        "max-attempts": 2} for kind in ("read_only", "mutating", "upload")],
-    "services": [{"name": SERVICE, "health-check-path": "/health", "max-connections": 20,
-                  "cold-per-s": 22.0}],
-    "limits": {"max-header-bytes": 8192, "max-body-bytes": 8 << 20, "header-timeout": "1s",
-               "idle-timeout": "2s"}}).encode()
+TABLE = json.dumps(
+    {
+        "config-version": "r7",
+        "routes": [
+            {
+                "name": f"r-{kind}",
+                "hostname": "shop.example",
+                "path-prefix": f"/{kind}/",
+                "route-kind": kind,
+                "timeout": "3000ms",
+                "target-latency": "500ms",
+                "priority": 1,
+                "target-service": SERVICE,
+                "max-attempts": 2,
+            }
+            for kind in ("read_only", "mutating", "upload")
+        ],
+        "services": [
+            {"name": SERVICE, "health-check-path": "/health", "max-connections": 20, "cold-per-s": 22.0}
+        ],
+        "limits": {
+            "max-header-bytes": 8192,
+            "max-body-bytes": 8 << 20,
+            "header-timeout": "1s",
+            "idle-timeout": "2s",
+        },
+    }
+).encode()
 
 
 class Caller:
@@ -186,7 +204,7 @@
                 body = b""
                 while (line := rest.partition(b"\r\n"))[0] != b"0":
                     step = int(line[0], 16)
-                    body, rest = body + line[2][:step], line[2][step + 2:]
+                    body, rest = body + line[2][:step], line[2][step + 2 :]
                 rest = rest[5:]
             else:
                 assert len(rest) >= size
@@ -206,7 +224,7 @@
         self.data += data
 
     def ended(self) -> None:
-        """The sluice sends nothing more."""
+        """The sidecar sends nothing more."""
         self.half = True
         self.connection.close()
 
@@ -225,13 +243,13 @@
         self.world = World(seed)
         self.world.strict = True
         self.machine = Machine(Network(self.world), IP, ZONE)
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.client = Process(self.machine, "client", lambda host: None)
-        self.sluice.start()
+        self.sidecar.start()
         self.client.start()
         self.run(0.1)
 
-    def _sluice(self, host: Process) -> Outbound:
+    def _sidecar(self, host: Process) -> Outbound:
         source = Scripted(host)
         source.word.table = Table(TABLE)
         source.word.ready = True
@@ -241,7 +259,7 @@
     @property
     def outbound(self) -> Outbound:
         """What is tested."""
-        return cast("Outbound", self.sluice.program)
+        return cast("Outbound", self.sidecar.program)
 
     @property
     def source(self) -> Scripted:
@@ -325,13 +343,32 @@
 
 
 def ask(
-    kind: int = 0, length: int = 0, remaining_s: float = 1.0, patience_s: float = 0.0, method: bytes = b"",
-    attempt: bytes = ATTEMPT, service: str = SERVICE, priority: int = 1,
+    kind: int = 0,
+    length: int = 0,
+    remaining_s: float = 1.0,
+    patience_s: float = 0.0,
+    method: bytes = b"",
+    attempt: bytes = ATTEMPT,
+    service: str = SERVICE,
+    priority: int = 1,
 ) -> Ask:
     """What a source asks."""
     fields = b"Host: shop.example\r\nX-Honeywharf-Attempt-Id: %b\r\n" % attempt
-    return Ask(service, attempt, kind, remaining_s, patience_s, priority, 0.5, "tile-vault",
-               method or (b"POST" if length else b"GET"), b"/orders/2f?a=1", fields, length, 7)
+    return Ask(
+        service,
+        attempt,
+        kind,
+        remaining_s,
+        patience_s,
+        priority,
+        0.5,
+        "tile-vault",
+        method or (b"POST" if length else b"GET"),
+        b"/orders/2f?a=1",
+        fields,
+        length,
+        7,
+    )
 
 
 # A backend by script, on a simulated machine.
@@ -402,8 +439,8 @@
             if not end or len(rest) < int(line, 16) + 2:
                 return None
             size = int(line, 16)
-            assert rest[size:size + 2] == b"\r\n"
-            body, rest = body + rest[:size], rest[size + 2:]
+            assert rest[size : size + 2] == b"\r\n"
+            body, rest = body + rest[:size], rest[size + 2 :]
             if not size:
                 return body, rest
 
@@ -412,7 +449,7 @@
         self.connection.send(data)
 
     def ended(self) -> None:
-        """The sluice sends nothing more."""
+        """The sidecar sends nothing more."""
         self.connection.close()
 
     def drained(self) -> None:
@@ -424,14 +461,18 @@
 
 
 def answer(
-    attempt: bytes, body: bytes = b"done", status: int = 200, seal: bool = True, more: bytes = b"",
+    attempt: bytes,
+    body: bytes = b"done",
+    status: int = 200,
+    seal: bool = True,
+    more: bytes = b"",
     chunked: bool = False,
 ) -> bytes:
     """A backend's answer."""
     sealed = b"X-Honeywharf-Server-Seal: 3e1b.07\r\n" if seal else b""
     top = b"HTTP/1.1 %d OK\r\nX-Honeywharf-Attempt-Id: %b\r\n%b%b" % (status, attempt, sealed, more)
     if chunked:
-        parts = [body[n:n + 9000] for n in range(0, len(body), 9000)]
+        parts = [body[n : n + 9000] for n in range(0, len(body), 9000)]
         chunks = b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts)
         return top + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
     return top + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
@@ -481,8 +522,9 @@
         """Bytes of the request's body have gone on."""
         self.windows += size
 
-    def answer(self, status: int, fields: bytes, length: int, load: tuple[int, int, int],
-               body: bytes | None) -> None:
+    def answer(
+        self, status: int, fields: bytes, length: int, load: tuple[int, int, int], body: bytes | None
+    ) -> None:
         """The answer, whole, or its head."""
         assert not self.ends
         self.events.append(("answer", status, length, body is not None))
@@ -517,14 +559,14 @@
         self.world.strict = True
         self.network = Network(self.world)
         self.machine = Machine(self.network, IP, ZONE)
-        self.sluice = Process(self.machine, "sluice", self._sluice)
+        self.sidecar = Process(self.machine, "sidecar", self._sidecar)
         self.app = Process(self.machine, "app", Backend)
         self.slots, self.connections = slots, connections
-        self.sluice.start()
+        self.sidecar.start()
         self.app.start()
         self.run(2.0)  # what a fresh gate takes as used up is over
 
-    def _sluice(self, host: Process) -> Inbound:
+    def _sidecar(self, host: Process) -> Inbound:
         gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         gate.bound(22.0)
         taps = Taps(host, (IP, APPLICATION), lambda: None)
@@ -535,7 +577,7 @@
     @property
     def inbound(self) -> Inbound:
         """The jobs."""
-        return cast("Inbound", self.sluice.program)
+        return cast("Inbound", self.sidecar.program)
 
     @property
     def gate(self) -> Gate:
--- a/tests/sluice/test_bypass.py
+++ b/tests/sidecar/test_bypass.py
@@ -1,4 +1,4 @@
-"""Requests handed on by a sluice in doubt, at both ends: whole, once, never with a second chance to run."""
+"""Requests handed on by a sidecar in doubt, at both ends: whole, once, never with a second chance to run."""
 
 from __future__ import annotations
 
@@ -7,10 +7,10 @@
 
 import pytest
 
-from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
-from honeywharf.sluice import bypass
-from honeywharf.sluice.course import ASIDE, MOST_HELPERS, Course
-from honeywharf.strainer.routes import Table
+from honeywharf.mesh_config.routes import Table
+from honeywharf.sidecar import bypass
+from honeywharf.sidecar.course import ASIDE, MOST_HELPERS, Course
+from honeywharf.transport.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.verdict import (
     BROKEN_OFF,
     DRIFT,
@@ -22,13 +22,13 @@
     TIMED_OUT,
     Verdict,
 )
-from tests.sluice.stage import ATTEMPT, SERVICE, TABLE, Channel, Client, Clock, Scripted, head
+from tests.sidecar.stage import ATTEMPT, SERVICE, TABLE, Channel, Client, Clock, Scripted, head
 
 DOUBTS = Verdict(NOT_RUN, DRIFT, False, 0.05)
 
 
 class Doubting:
-    """A sluice in doubt with two helpers, and one request of its client."""
+    """A sidecar in doubt with two helpers, and one request of its client."""
 
     def __init__(self, length: int = 0, helpers: tuple[str, ...] = ("10.1.0.30", "10.1.0.31")) -> None:
         self.clock, self.client = Clock(), Client()
@@ -63,8 +63,22 @@
 
 
 def _frame(ask: Ask) -> list[Any]:
-    return [ask.service, ask.attempt, ask.kind, int(ask.remaining_s * 1000), 0, ask.priority, 0, ask.caller,
-            ask.method, ask.target, ask.fields, ask.length, ask.revision, ask.rule]
+    return [
+        ask.service,
+        ask.attempt,
+        ask.kind,
+        int(ask.remaining_s * 1000),
+        0,
+        ask.priority,
+        0,
+        ask.caller,
+        ask.method,
+        ask.target,
+        ask.fields,
+        ask.length,
+        ask.revision,
+        ask.rule,
+    ]
 
 
 def test_who_doubts_too_or_is_not_there_is_followed_by_one_more() -> None:
@@ -79,11 +93,15 @@
         assert play.client.ends == 1
 
 
-@pytest.mark.parametrize(("verdict", "wanted"), [
-    (Verdict(NOT_RUN, FULL, False, 0.7), ("final", 503, 0.7)),
-    (Verdict(MAY_HAVE_RUN, TIMED_OUT, True), ("final", 504, 0.0)),
-    (Verdict(MAY_HAVE_RUN, BROKEN_OFF, True), ("final", 502, 0.0)),
-    (Verdict(MAY_HAVE_RUN, LOST), ("final", 502, 0.0))])
+@pytest.mark.parametrize(
+    ("verdict", "wanted"),
+    [
+        (Verdict(NOT_RUN, FULL, False, 0.7), ("final", 503, 0.7)),
+        (Verdict(MAY_HAVE_RUN, TIMED_OUT, True), ("final", 504, 0.0)),
+        (Verdict(MAY_HAVE_RUN, BROKEN_OFF, True), ("final", 502, 0.0)),
+        (Verdict(MAY_HAVE_RUN, LOST), ("final", 502, 0.0)),
+    ],
+)
 def test_a_helpers_last_word_is_the_last_word(verdict: Verdict, wanted: tuple[object, ...]) -> None:
     play = Doubting()
     play.course.failed(verdict)
@@ -97,7 +115,7 @@
     assert play.source.handed == 0
 
 
-class Assay:
+class DriftMonitor:
     """The part that courses call."""
 
     def __init__(self) -> None:
@@ -121,7 +139,7 @@
     """A course whose gates all hold another rule, to its end."""
     clock, client = Clock(), Client()
     source: Any = Scripted(clock)
-    source.word.table, source.assay = Table(TABLE), Assay()
+    source.word.table, source.drift_monitor = Table(TABLE), DriftMonitor()
     source.list_gates("10.1.0.20", "10.1.0.21")
     source.helper = lambda passed: None if "10.1.0.30" in passed else "10.1.0.30"
     made = head(0)
@@ -137,7 +155,7 @@
     return source
 
 
-def test_where_every_gate_holds_another_rule_another_sluice_decides() -> None:
+def test_where_every_gate_holds_another_rule_another_sidecar_decides() -> None:
     source = judged()
     assert source.handed == 1
     assert source.channels[-1].key == "10.1.0.30"
@@ -150,7 +168,7 @@
 
 
 class Answers:
-    """The stream back to the sluice in doubt."""
+    """The stream back to the sidecar in doubt."""
 
     def __init__(self) -> None:
         self.told: list[tuple[object, ...]] = []
@@ -177,7 +195,7 @@
 
 
 class Helping:
-    """A sluice that is well, and one request that was handed on to it."""
+    """A sidecar that is well, and one request that was handed on to it."""
 
     def __init__(self, length: int = 0, target: bytes = b"/mutating/1", revision: int = 7) -> None:
         self.clock = Clock()
@@ -189,8 +207,21 @@
         self.source.list_gates("10.1.0.20")
         self.answers: Any = Answers()
         made = head(length)
-        self.ask = Ask("", ATTEMPT, HANDED, 1.5, 0.0, 0, 1.0, "tile-vault", made.method, target,
-                       b"".join(made.fields), length, revision)
+        self.ask = Ask(
+            "",
+            ATTEMPT,
+            HANDED,
+            1.5,
+            0.0,
+            0,
+            1.0,
+            "tile-vault",
+            made.method,
+            target,
+            b"".join(made.fields),
+            length,
+            revision,
+        )
 
     def take(self) -> Any:
         return bypass.take(self.source, self.ask, b"shop.example", self.answers)
@@ -213,9 +244,15 @@
     assert (play.source.passing, play.source.courses) == ({}, {})
 
 
-@pytest.mark.parametrize(("status", "told"), [
-    (503, ("fail", NOT_RUN, FULL, 0.3)), (504, ("fail", MAY_HAVE_RUN, TIMED_OUT, 0.0)),
-    (502, ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)), (404, ("answer", 404, b"words"))])
+@pytest.mark.parametrize(
+    ("status", "told"),
+    [
+        (503, ("fail", NOT_RUN, FULL, 0.3)),
+        (504, ("fail", MAY_HAVE_RUN, TIMED_OUT, 0.0)),
+        (502, ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)),
+        (404, ("answer", 404, b"words")),
+    ],
+)
 def test_what_the_mesh_says_itself_goes_back_as_what_it_proves(status: int, told: tuple[object, ...]) -> None:
     play = Helping()
     play.take()
@@ -234,8 +271,8 @@
     assert leaving.take() is None
     assert leaving.answers.told[0][2] == LEAVING
     doubting = Helping()
-    doubting.source.assay = Assay()
-    doubting.source.assay.again_s = 0.4
+    doubting.source.drift_monitor = DriftMonitor()
+    doubting.source.drift_monitor.again_s = 0.4
     assert doubting.take() is None
     assert doubting.answers.told == [("fail", NOT_RUN, DRIFT, 0.4)]
     nowhere = Helping(target=b"/nowhere/1")
@@ -276,4 +313,7 @@
     assert play.source.channels[-1].passed == 3
     course.failed(Verdict(MAY_HAVE_RUN, BROKEN_OFF, True))
     assert play.answers.told == [
-        ("answer", 200, None), ("data", b"abc"), ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0)]
+        ("answer", 200, None),
+        ("data", b"abc"),
+        ("fail", MAY_HAVE_RUN, BROKEN_OFF, 0.0),
+    ]
--- a/tests/flume/mutants.py
+++ b/tests/simulation/mutants.py
@@ -11,26 +11,26 @@
 from contextlib import contextmanager
 from typing import Any
 
-from honeywharf.flume.days import Fault
-from honeywharf.flume.run import Report, run
-from honeywharf.mains.streams import Link
-from honeywharf.programs.sluice import Sluice
-from honeywharf.reservoir import word
-from honeywharf.reservoir.basin import Basin
-from honeywharf.reservoir.operator import Operator
-from honeywharf.reservoir.register import NONE, Acceptor, Asking, Quorums, Round
-from honeywharf.reservoir.store import Store
-from honeywharf.runnel.table import News
-from honeywharf.sluice.backend import Tap
-from honeywharf.sluice.course import Course
-from honeywharf.sluice.gate import DRAINING, ENDED, READY, Gate
-from honeywharf.sluice.inbound import Job
-from honeywharf.sluice.outbound import Guest
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
+from honeywharf.admission.admission import Admission
+from honeywharf.admission.cold import ColdBound
+from honeywharf.control import mesh_state
+from honeywharf.control.operator import Operator
+from honeywharf.control.register import NONE, Acceptor, Asking, Quorums, Round
+from honeywharf.control.replica import Replica
+from honeywharf.control.store import Store
+from honeywharf.gossip.table import News
+from honeywharf.programs.sidecar import Sidecar
+from honeywharf.sidecar.backend import Tap
+from honeywharf.sidecar.course import Course
+from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
+from honeywharf.sidecar.inbound import Job
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Guest
+from honeywharf.sidecar.source import Source
+from honeywharf.simulation.days import Fault
+from honeywharf.simulation.run import Report, run
+from honeywharf.transport.streams import Link
 from honeywharf.verdict import BROKEN_OFF, MAY_HAVE_RUN, NOT_RUN, Verdict
-from honeywharf.weir.admission import Admission
-from honeywharf.weir.cold import ColdBound
 
 Put = Callable[[object, str, Any], None]  # owner, name, what stands there instead
 Kinds = tuple[tuple[str, str], ...]
@@ -39,8 +39,9 @@
 class Mutant:
     """One wrong mesh: how it is made, the troubles of its days, and the rules that may tell it."""
 
-    def __init__(self, name: str, make: Callable[[Put], None], kinds: Kinds, rules: tuple[str, ...],
-                 after: float = 5.0) -> None:
+    def __init__(
+        self, name: str, make: Callable[[Put], None], kinds: Kinds, rules: tuple[str, ...], after: float = 5.0
+    ) -> None:
         self.name, self.make, self.kinds, self.rules, self.after = name, make, kinds, rules, after
 
     def day(self, seed: int) -> list[Fault]:
@@ -89,12 +90,12 @@
 
 
 def ack_before_sync(put: Put) -> None:
-    def keep(self: Basin, state: Any) -> None:
+    def keep(self: Replica, state: Any) -> None:
         if state is not self.state:
             self.acceptor.state = state
             self.host.after(0.05, lambda: self.store.save(state))
 
-    put(Basin, "_keep", keep)
+    put(Replica, "_keep", keep)
 
 
 def text_before_sync(put: Put) -> None:
@@ -119,6 +120,7 @@
 
 def majority_of_the_living(put: Put) -> None:
     """Who does not answer counts as having agreed."""
+
     def lost(asking: Asking, now: float, key: Any) -> Any:
         asking.lost(now, key)
         if isinstance(asking, Round) and asking.phase == "prepare":
@@ -130,12 +132,18 @@
                 asking._settled()
         return []
 
-    put(Basin, "_lost", staticmethod(lost))
+    put(Replica, "_lost", staticmethod(lost))
 
 
 def one_vote_is_enough(put: Put) -> None:
-    put(Quorums, "covered", lambda self, by: all(any(key in roster for key in set(by)) if roster else True
-                                                 for roster in self.rosters) and bool(set(by)))
+    put(
+        Quorums,
+        "covered",
+        lambda self, by: (
+            all(any(key in roster for key in set(by)) if roster else True for roster in self.rosters)
+            and bool(set(by))
+        ),
+    )
 
 
 def wiped_disk_votes(put: Put) -> None:
@@ -156,6 +164,7 @@
 
 def begins_from_own_word(put: Put) -> None:
     """A round takes its own acceptor's value, not the one accepted under the highest ballot."""
+
     def cover(self: Round) -> Any:
         mine = [told for key, told in self.promises.items() if key[0] == self.who[0]]
         if mine and self.quorums.covered(self.promises):
@@ -175,16 +184,16 @@
 
 def version_by_arrival(put: Put) -> None:
     def replace(version: int, digest: str) -> Any:
-        return lambda value: (word.changed(value, version=version, digest=digest), True)
+        return lambda value: (mesh_state.changed(value, version=version, digest=digest), True)
 
-    put(word, "replace", replace)
+    put(mesh_state, "replace", replace)
 
     def taken(self: Operator, call: Any) -> None:
-        known, self.basin.known = self.basin.known, None
+        known, self.replica.known = self.replica.known, None
         try:
             was(self, call)
         finally:
-            self.basin.known = known
+            self.replica.known = known
 
     was = Operator._replace
     put(Operator, "_replace", taken)
@@ -192,7 +201,7 @@
 
 def invalid_is_taken(put: Put) -> None:
     def load(self: Operator) -> None:
-        from honeywharf.strainer import configuration
+        from honeywharf.mesh_config import configuration
 
         def lenient(raw: bytes) -> Any:
             good = was(raw)
@@ -201,6 +210,7 @@
             import json
 
             from result import Ok
+
             try:
                 version = int(json.loads(raw)["config-version"][1:])
             except ValueError:
@@ -218,14 +228,16 @@
         def change(value: Any) -> Any:
             made, answer = was(version, digest)(value)
             return (None if made is None else {**made, "evac": {}}), answer
+
         return change
 
-    was = word.replace
-    put(word, "replace", replace)
+    was = mesh_state.replace
+    put(mesh_state, "replace", replace)
 
 
 def word_from_the_first(put: Put) -> None:
     """And no news of a newer one, which mend it."""
+
     def start(self: Word) -> None:
         if not self.ready:
             core = self.cores()[0]
@@ -252,11 +264,17 @@
 
 def gate_does_not_heed(put: Put, **fields: Any) -> None:
     """Judge as if some of what the gate knows were otherwise."""
+
     def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
         kept = {name: getattr(self, name) for name in fields}
         for name, what in fields.items():
-            setattr(self, name, READY if name == "state" and self.state in (DRAINING, ENDED) else (
-                self.state if name == "state" else what))
+            setattr(
+                self,
+                name,
+                READY
+                if name == "state" and self.state in (DRAINING, ENDED)
+                else (self.state if name == "state" else what),
+            )
         try:
             return was(self, now, service, expected)
         finally:
@@ -306,6 +324,7 @@
 
 def new_process_knows_no_cold(put: Put) -> None:
     """A life is taken for warm until something tells otherwise, and coldness is not asked for."""
+
     def life(self: Gate, now: float, instance: str) -> None:
         was(self, now, instance)
         self.doubted = False
@@ -326,6 +345,7 @@
 
 def any_service(put: Put) -> None:
     """The gate does not look at the service, the list is not renewed, the backend's id is not expected."""
+
     def refusal(self: Gate, now: float, service: str, expected: str = "") -> Any:
         return was(self, now, self.service, expected)
 
@@ -346,8 +366,10 @@
 
 def life_not_told_apart(put: Put) -> None:
     """And no id is expected: another life at the address is taken for the one before it."""
-    def beat(self: Gate, now: float, instance: str, sequence: int, draining: bool, slots: int,
-             cold_s: float) -> bool:
+
+    def beat(
+        self: Gate, now: float, instance: str, sequence: int, draining: bool, slots: int, cold_s: float
+    ) -> bool:
         return bool(was(self, now, self.instance or instance, self.sequence + 1, draining, slots, 0.0))
 
     was = Gate.beat
@@ -375,6 +397,7 @@
 
 def excess_is_used(put: Put) -> None:
     """What comes while nobody waits is kept for who comes next, and no id is looked at."""
+
     def discard(self: Tap) -> None:
         if not self.up or self.connection.peer != self.pool.address or self.user is not None:
             was(self)
@@ -415,7 +438,7 @@
 
 def pieces_from_the_beginning(put: Put) -> None:
     def piece(self: Course) -> bytes:
-        return b"".join(self.kept)[:len(was(self))]
+        return b"".join(self.kept)[: len(was(self))]
 
     was = Course._piece
     put(Course, "_piece", piece)
@@ -456,6 +479,7 @@
 
 def ledger_off(put: Put) -> None:
     """A source forgets that a request may have run once it is given to another gate."""
+
     def ask(self: Course, key: str, patience_s: float) -> None:
         self.ran = False
         was(self, key, patience_s)
@@ -473,24 +497,25 @@
 
 
 def term_ends_at_once(put: Put) -> None:
-    put(Sluice, "terminate", lambda self: self.host.exit(0))
+    put(Sidecar, "terminate", lambda self: self.host.exit(0))
 
 
 def always_ready(put: Put) -> None:
     """And SIGTERM waits for nobody."""
-    put(Sluice, "_readiness", lambda self, call: call.answer(200))
-    put(Sluice, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
+    put(Sidecar, "_readiness", lambda self, call: call.answer(200))
+    put(Sidecar, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
 
 
 def leaving_refuses_who_is_there(put: Put) -> None:
     """Those at work at a gate that leaves are given up."""
-    def terminate(self: Sluice) -> None:
+
+    def terminate(self: Sidecar) -> None:
         was(self)
         for job in list(self.inbound.jobs):
             job._fail(Verdict(MAY_HAVE_RUN, BROKEN_OFF, True))
 
-    was = Sluice.terminate
-    put(Sluice, "terminate", terminate)
+    was = Sidecar.terminate
+    put(Sidecar, "terminate", terminate)
 
 
 def digest_never_sent(put: Put) -> None:
--- a/tests/test_mesh_demo.py
+++ b/tests/test_mesh_demo.py
@@ -10,10 +10,10 @@
 
 import pytest
 
-from honeywharf.flume.rules import Ask
+from honeywharf.mesh_config import configuration, settings
+from honeywharf.simulation.rules import Ask
 from honeywharf.standins import meshdemo
 from honeywharf.standins.meshdemo import MOVED, ORDERS, TILES, Day, Mesh
-from honeywharf.strainer import configuration, settings
 
 
 @pytest.fixture
@@ -30,7 +30,8 @@
 
 
 def asked(
-        day: Day, kind: str = "mutating", path: str = "/orders/1", at: float = 5.0, status: int = 200) -> Ask:
+    day: Day, kind: str = "mutating", path: str = "/orders/1", at: float = 5.0, status: int = 200
+) -> Ask:
     ask = Ask(f"a{len(day.mesh.book.asks)}", day.mesh.sides[0].ip, TILES, "POST", "shop.example", path, kind)
     ask.sent, ask.status = at, status
     day.mesh.book.asks[ask.id] = ask
@@ -78,7 +79,7 @@
     elif place == 4:
         day.ends = [0, None]
     else:
-        day.mesh.cores[0].log.write_text("reservoir: up\nfault 1: Traceback\n")
+        day.mesh.cores[0].log.write_text("control node: up\nfault 1: Traceback\n")
     assert told(day) == [int(each == place) for each in range(6)]
     assert day.judge() == 1
 
