Answer every request that was read before a sidecar ends after SIGTERM

Cause: while many machines are rolled at once the platform goes on sending clients to those that leave (under half of a zone is ready), so requests come until the end of grace-period. There the process exited with courses under way: a bare close.

Change: sidecar/shutdown.py holds the steps of a planned end, taken out of programs/sidecar.py. A request whose aim (at most a quarter of the time from SIGTERM to the end) is longer than the time left is refused at once with 503, Retry-After and Connection: close. No gate is given longer than this process has. At the end every course gets its final answer: 503 with a time to return where nothing has run or it may run twice, 502 else, and the sources of jobs at this gate are told what is known (not run, may have run) instead of a lost link.

The unit tests of the new methods are new with it.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -20,6 +20,7 @@
 from honeywharf.sidecar.mesh_state import Word
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.probe import Probe
+from honeywharf.sidecar.shutdown import Shutdown
 from honeywharf.sidecar.source import Source
 from honeywharf.transport.http_server import Call, HttpServer
 from honeywharf.transport.rpc import Answerer, Caller
@@ -39,10 +40,6 @@
     from honeywharf.transport.streams import Ask, Work
 
 COUNTERS_S = 10.0
-UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
-GATE_S = 0.8  # before that, the gate closes: what is at work behind it ends meanwhile
-END_S = 0.4  # before the end of `grace-period`
-CHECK_S = 0.1
 
 
 class Sidecar:
@@ -51,7 +48,6 @@
     def __init__(self, host: Host, settings: Settings) -> None:
         self.host, self.settings = host, settings
         now = host.now()
-        self.leaving = 0.0
         self.gate = Gate(
             now,
             settings.service or "",
@@ -97,6 +93,15 @@
             HttpServer(host, settings.listen["readiness"], self._readiness, 1 << 16),
         ]
         self.outbound = Outbound(host, settings.listen["outbound"], self.word, self.source)
+        self.shutdown = Shutdown(
+            host,
+            settings.bound("grace-period", 5.0),
+            self.source,
+            self.inbound,
+            self.outbound,
+            gate_closed=self._gate_changed,
+            ended=self._ended,
+        )
         self.source.told(settings.ip, self.gate.say(), settings.zone)
         self.word.start()
         host.after(COUNTERS_S, self._counters)
@@ -201,10 +206,10 @@
     def _readiness(self, call: Call) -> None:
         if call.path != b"/api/readiness":
             call.answer(404)
-        elif self.word.ready and not self.leaving and not self.drift_monitor.unfit:
+        elif self.word.ready and not self.shutdown.begun and not self.drift_monitor.unfit:
             call.answer(200, b"ready")
         else:
-            call.answer(503, b"leaving" if self.leaving else b"no word yet")
+            call.answer(503, b"leaving" if self.shutdown.begun else b"no word yet")
 
     def terminate(self) -> None:
         """SIGTERM: finish what is held, tell others, end when nothing is left.
@@ -212,38 +217,11 @@
         Clients are sent elsewhere from now on; the backend behind the gate is needed until shortly before the
         end, as a fleet that is rolled lacks each one for the time that its gate is closed.
         """
-        if self.leaving:
-            return
-        self.leaving = self.host.now()
-        self.host.log("leaving")
-        self.inbound.end_at = self.leaving + self._grace()
-        self.outbound.leave()
-        self.host.after(max(0.0, self._quiet() - GATE_S), self._close_gate)
-        self.host.after(CHECK_S, self._leave)
-
-    def _grace(self) -> float:
-        return self.settings.bound("grace-period", 5.0) - END_S
-
-    def _quiet(self) -> float:
-        return min(UNTIL_QUIET_S, self._grace() / 2)
+        self.shutdown.begin()
 
-    def _close_gate(self) -> None:
-        self.inbound.leaving = True
-        self._gate_changed()
-
-    def _leave(self) -> None:
-        since, grace = self.host.now() - self.leaving, self._grace()
-        quiet = since >= self._quiet()
-        if quiet:
-            self.outbound.settle()
-        empty = not self.source.courses and not self.inbound.jobs and not self.outbound.guests
-        if since >= grace or (quiet and empty):
-            self.outbound.close()
-            self.membership.leave()
-            self.counters()
-            self.host.after(0.02, lambda: self.host.exit(0))
-            return
-        self.host.after(CHECK_S, self._leave)
+    def _ended(self) -> None:
+        self.membership.leave()
+        self.counters()
 
     # Counters.
 
--- a/honeywharf/sidecar/course.py
+++ b/honeywharf/sidecar/course.py
@@ -235,7 +235,7 @@
         self.tries += 1
         tries = self.tries
         caller = self.source.service if self.caller is None else self.caller
-        remaining, rule = self.deadline - now, b""
+        remaining, rule = min(self.deadline, self.source.end_at) - now, b""
         if self.route is ASIDE:
             remaining = max(END_S, remaining - HELPED_S)
         else:
@@ -331,6 +331,24 @@
             self.source.failed(self.service, self.gate, False)
             self._final(504, 0.0)
 
+    def finish(self, again_s: float) -> None:
+        """This process ends: the final answer now, with a time to return where the request may come again."""
+        if self.over:
+            return
+        channel, self.channel = self.channel, None
+        # Guards the promise of 503: what a gate was sent whole may have run there.
+        unproven = self.ran or (channel is not None and (self.went or self.head.length == 0))
+        if channel is not None:
+            channel.cancel()
+            self.source.released(self.service, self.gate)
+        if self.answering:
+            self._end()
+            self.who.broken(self)
+        elif unproven and self.kind != 0:
+            self._final(502, 0.0)
+        else:
+            self._final(503, again_s)
+
     def _final(self, status: int, again_s: float, words: bytes = b"") -> None:
         self._end()
         self.source.count(status)
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -403,6 +403,15 @@
             self.inbound.cancelled += 1
             self._done()
 
+    def finish(self) -> None:
+        """This process ends: tell the source what is known of the request, instead of a lost link."""
+        if self.over:
+            return
+        if self.wrote:
+            self._fail(Verdict(MAY_HAVE_RUN, LEAVING, True))
+        else:
+            self.refuse(LEAVING, LEAVING_S)
+
     # What the connection to the backend says.
 
     def ready(self) -> None:
@@ -582,6 +591,11 @@
             job.judge()
         return job
 
+    def finish(self) -> None:
+        """This process ends now: the source of each job is told what is known of it."""
+        for job in list(self.jobs):
+            job.finish()
+
     def window(self) -> int:
         """Bytes of one more request's body that may be on the way: its share of the link's time."""
         bodies = 1 + sum(1 for job in self.jobs if job.started and not job.ended)
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -18,11 +18,14 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
+    from honeywharf.mesh_config.routes import Route
     from honeywharf.sidecar.mesh_state import Word
     from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Address, Connection, Handler, Host, Timer
 
 MOST_AHEAD = 16
+LAST_PART = 0.25  # of the time from SIGTERM to the end, in which requests are refused at most
+SUCCESSOR_S = 1.0  # from the end of one process of this program until the next one serves
 NO_WORD_S = 0.2  # after which a client may come back to a sidecar that has just started
 HELD_BYTES = 64 * 1024  # of a body that waits to be sent
 MOST_CONNECTIONS = 3000
@@ -158,6 +161,9 @@
         if head.expects:
             self._continue(exchange)
         now = outbound.host.now()
+        if outbound.ends_before(now, route):
+            self.own(exchange, 503, outbound.return_s(now), b"leaving")
+            return
         remaining = DEADLINE_S if head.remaining_s is None else head.remaining_s
         course = exchange.course = Course(
             outbound.source, Asker(self, exchange), head, route, now + min(remaining, route.timeout_s)
@@ -391,6 +397,7 @@
         self.host, self.address, self.word, self.source = host, address, word, source
         self.guests: dict[Guest, None] = {}
         self.leaving = False
+        self.last_s = 0.0  # before the end of this process, in which requests are refused at most
         host.listen(address, self._accept)
 
     def _accept(self, connection: Connection) -> Handler:
@@ -400,9 +407,24 @@
             connection.abort()
         return guest
 
-    def leave(self) -> None:
-        """This process ends soon: answers close their connections."""
-        self.leaving = True
+    def leave(self, end_at: float = float("inf")) -> None:
+        """This process ends at `end_at`: answers close their connections."""
+        self.leaving, self.source.end_at = True, end_at
+        self.last_s = LAST_PART * (end_at - self.host.now())
+
+    def ends_before(self, now: float, route: Route) -> bool:
+        """Whether this process is likely to end before a request that begins now has its answer."""
+        return now + min(route.aim_s, self.last_s) > self.source.end_at
+
+    def return_s(self, now: float) -> float:
+        """Seconds after which the next process of this program may serve a client that returns."""
+        return max(0.0, self.source.end_at - now) + SUCCESSOR_S
+
+    def finish(self) -> None:
+        """This process ends now: every request under way gets its final answer."""
+        again_s = self.return_s(self.host.now())
+        for course in list(self.source.courses):
+            course.finish(again_s)
 
     def settle(self) -> None:
         """Close connections on which nothing is owed."""
--- a/honeywharf/sidecar/source.py
+++ b/honeywharf/sidecar/source.py
@@ -116,6 +116,7 @@
         self.doubted: set[str] = set()
         self.choked: dict[str, float] = {}  # by gate of the list, until when it is asked for no body
         self.asks = 0
+        self.end_at = float("inf")  # when this process ends: no gate is given longer
         self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sidecar that is well
         self.handed = 0  # requests that a sidecar that is well was asked to decide
         self.passing: dict[Passing, None] = {}  # those of others that are decided here
--- a/honeywharf/simulation/days.py
+++ b/honeywharf/simulation/days.py
@@ -9,6 +9,7 @@
 
 from honeywharf.simulation.field import SERVICES, TERM, ZONES, Field, Side
 from honeywharf.simulation.rules import Order
+from honeywharf.simulation.standins import Clients
 
 if TYPE_CHECKING:
     from honeywharf.simulation.machine import Machine, Process
@@ -39,7 +40,7 @@
     "node_kill": ("", "power"),
     "release": ("",),
     "replace_with_reuse": ("",),
-    "roll_term": ("",),
+    "roll_term": ("", "busy"),
     "scale_in": ("",),
     "zone_loss": ("",),
 }
@@ -213,9 +214,20 @@
             self._cut(side.machine, ips, fault.how == "one_way", 5.5)
 
     def roll_term(self, fault: Fault, chance: random.Random) -> None:
-        """Some proxies get SIGTERM in turn, and SIGKILL after `grace-period`."""
+        """Some proxies get SIGTERM in turn, and SIGKILL after `grace-period`.
+
+        busy: so many of a zone at a time that the platform goes on sending them clients until they end.
+        """
+        busy = fault.how == "busy"
         for n, side in enumerate(self._sides(chance, 0.45)):
-            self._later(1.3 * n, self._term, side)
+            self._later((0.4 if busy else 1.3) * n, self._press_and_term if busy else self._term, side)
+
+    def _press_and_term(self, side: Side) -> None:
+        clients = side.clients.program
+        if isinstance(clients, Clients):
+            clients.presses = True
+            self._later(self.book.bounds["grace-period"] + 1.0, setattr, clients, "presses", False)
+        self._term(side)
 
     def _term(self, side: Side) -> None:
         life = side.proxy.life
--- a/honeywharf/simulation/standins.py
+++ b/honeywharf/simulation/standins.py
@@ -175,7 +175,11 @@
 
 
 class Clients:
-    """The clients of one machine; they send nothing new while its proxy is not ready."""
+    """The clients of one machine.
+
+    They send nothing new while its proxy is not ready, unless the platform `presses`: it goes on sending them
+    where under half of the zone's proxies are ready.
+    """
 
     def __init__(
         self,
@@ -191,6 +195,7 @@
         self.ip, self.outbound, self.readiness = host.machine.ip, outbound, readiness
         self.pool: list[Caller] = []
         self.missed, self.until = 2, float("inf")
+        self.presses = False
         self.count = 0
         self._probe()
         self._next()
@@ -214,7 +219,8 @@
     def _next(self) -> None:
         chance, total = self.host.world.random, sum(flow.per_s for flow in self.flows)
         self.host.after(chance.expovariate(total) if total else 0.1, self._next)
-        if total and self.missed < 2 and self.host.world.now < self.until:
+        sends = self.missed < 2 or self.presses
+        if total and sends and self.host.world.now < self.until:
             flow = chance.choices(self.flows, [flow.per_s for flow in self.flows])[0]
             ends = self.host.world.now + flow.deadline
             many = chance.randint(2, 4) if flow.habit == "pipeline" else 1
--- a/tests/sidecar/test_course.py
+++ b/tests/sidecar/test_course.py
@@ -445,3 +445,45 @@
         assert client.ends == 1, (kind, client.events)
         if kind != "read_only" and ran.get(course):
             assert ("final", 503) not in [e[:2] for e in client.events]
+
+
+@pytest.mark.parametrize(
+    ("kind", "length", "went", "ran", "told"),
+    [
+        ("read_only", 0, True, True, 503),  # it may run twice
+        ("mutating", 0, False, False, 502),  # without a body a gate may have begun it at once
+        ("mutating", 5, True, False, 502),
+        ("mutating", 5, False, False, 503),  # no byte of its body has left: a proof
+        ("mutating", 5, False, True, 502),  # another gate may have run it before
+        ("upload", 20_000, False, False, 503),
+    ],
+)
+def test_a_process_that_ends_promises_only_what_it_can_prove(
+    kind: str, length: int, went: bool, ran: bool, told: int
+) -> None:
+    play = Play(kind, length=length)
+    gate = play.start(b"x" * length)
+    play.course.ran = ran
+    if went and length:
+        play.course.go()
+    play.course.finish(1.25)
+    assert gate.cancelled
+    assert play.client.events == [("final", told, 1.25 if told == 503 else 0.0)]
+    assert play.course not in play.source.courses
+    play.course.finish(1.25)
+    assert play.client.ends == 1
+
+
+def test_an_answer_that_has_begun_breaks_off_when_the_process_ends() -> None:
+    play = Play()
+    gate = play.start()
+    play.course.answered(200, b"", 9, None)
+    play.course.finish(1.0)
+    assert gate.cancelled
+    assert play.client.events == [("answer", 200), ("broken",)]
+
+
+def test_no_gate_is_given_longer_than_this_process_has() -> None:
+    play = Play(within=2.0)
+    play.source.end_at = play.clock.now() + 0.7
+    assert play.start().ask.remaining_s == pytest.approx(0.7)
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -698,3 +698,20 @@
     assert told.events == [("go",), ("fail", NOT_RUN, DRAINING, False)]
     assert not stage.backend.visits
     idle(stage)
+
+
+def test_a_process_that_ends_tells_what_is_known_of_each_job() -> None:
+    stage = Stage(slots=1)
+    stage.backend.serve = lambda visit, request: None
+    _, running = stage.begin(ask(kind=1, attempt=b"a1"))
+    stage.run(0.05)
+    _, waiting = stage.begin(ask(kind=1, attempt=b"a2", patience_s=0.9))
+    stage.run(0.05)
+    assert len(stage.backend.requests) == 1
+    stage.inbound.finish()
+    assert running.events == [("fail", MAY_HAVE_RUN, LEAVING, True)]
+    assert waiting.events == [("fail", NOT_RUN, LEAVING, False)]
+    assert not stage.inbound.jobs
+    stage.run(0.5)
+    assert len(stage.backend.requests) == 1  # what was refused never runs
+    assert stage.gate.admission.running == 0
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from honeywharf.sidecar.outbound import HELD_BYTES, MOST_AHEAD
+from honeywharf.sidecar.outbound import HELD_BYTES, MOST_AHEAD, SUCCESSOR_S
 from honeywharf.transport.streams import WINDOW_BYTES
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sidecar.stage import Channel, Front
@@ -437,3 +437,37 @@
     assert [body for _, _, body in caller.answers()] == [b"one", b"two"]
     assert caller.gone is not None
     assert not front.source.courses
+
+
+def test_what_can_not_be_answered_before_the_end_is_refused_with_a_time_to_return() -> None:
+    front = Front()
+    held = front.call(request(attempt=b"a0"))
+    front.outbound.leave(front.sidecar.now() + 2.0)
+    front.run(1.4)  # the routes' aim is 0.5 s
+    at_work = front.call(request("mutating", b"a1", body=b"abc"))
+    assert len(front.channels) == 2
+    front.run(0.15)
+    late = front.call(request("mutating", b"a2", body=b"abc"))
+    assert len(front.channels) == 2
+    ((status, top, _),) = late.answers()
+    assert status == 503
+    assert b"Connection: close" in top
+    again_s = float(top.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
+    assert 0.4 < again_s - SUCCESSOR_S <= 0.45
+    front.run(0.1)
+    assert late.gone is not None
+    front.outbound.finish()
+    front.run(0.1)
+    assert held.statuses() == [503]  # read_only
+    assert at_work.statuses() == [503]  # its body was not asked for
+    assert not front.source.courses
+
+
+def test_a_route_with_a_long_aim_is_not_refused_for_most_of_the_grace_period() -> None:
+    front = Front()
+    front.outbound.leave(front.sidecar.now() + 1.0)
+    front.run(0.6)
+    front.call(request())
+    assert len(front.channels) == 1
+    front.run(0.2)
+    assert front.call(request(attempt=b"a2")).statuses() == [503]
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -25,7 +25,7 @@
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
 from honeywharf.sidecar.inbound import Job
 from honeywharf.sidecar.mesh_state import Word
-from honeywharf.sidecar.outbound import Guest
+from honeywharf.sidecar.outbound import Guest, Outbound
 from honeywharf.sidecar.source import Source
 from honeywharf.simulation.days import Fault
 from honeywharf.simulation.run import Report, run
@@ -506,6 +506,15 @@
     put(Sidecar, "terminate", lambda self: self.host.after(1.0, lambda: self.host.exit(0)))
 
 
+def end_without_a_word(put: Put) -> None:
+    """Requests are taken until the process ends, and what is under way then gets no answer.
+
+    Days of `MUTANTS` have too little traffic to show it; `tests/sidecar/test_leaving.py` brings it about.
+    """
+    put(Outbound, "ends_before", lambda self, now, route: False)
+    put(Outbound, "finish", lambda self: None)
+
+
 def leaving_refuses_who_is_there(put: Put) -> None:
     """Those at work at a gate that leaves are given up."""
 
