--- a/honeywharf/simulation/rules.py
+++ b/honeywharf/simulation/rules.py
@@ -329,6 +329,21 @@
         """An operator got a 2xx."""
         if not order.valid:
             self.broken(f"acknowledged though not valid: {order.text[:60]!r}")
+        for other in self._acknowledged(order.version) if order.kind == "config" else ():
+            if other.text != order.text:
+                self.broken(f"two contents were acknowledged as r{order.version}")
+
+    def refused(self, order: Order, status: int) -> None:
+        """An operator got a 4xx: never for what was acknowledged once."""
+        for other in self._acknowledged(order.version) if order.kind == "config" else ():
+            if other.text == order.text:
+                self.broken(f"r{order.version} was acknowledged and is refused with {status}")
+
+    def _acknowledged(self, version: int) -> list[Order]:
+        """Configurations of a version that were acknowledged so far."""
+        return [
+            order for order in self.book.configs() if order.version == version and order.acked <= self.now
+        ]
 
     def read_back(self, text: bytes) -> None:
         """`describe` at the end of the day."""
--- a/honeywharf/simulation/standins.py
+++ b/honeywharf/simulation/standins.py
@@ -599,6 +599,9 @@
             self.host.world.tell("operator", "has an ack of", order, "from", ip)
             self.book.tell("acked", order)
             self.on_ack(order, ip)
+        else:
+            self.host.world.tell("operator", "is refused", order, "by", ip, message.status)
+            self.book.tell("refused", order, message.status)
 
     def read_back(self, tries: int = 40) -> None:
         """Ask for the configuration until it comes."""
--- a/tests/simulation/test_rules.py
+++ b/tests/simulation/test_rules.py
@@ -24,6 +24,8 @@
     ("BUDGET", "", "BUDGET"),
     ("READ BACK", "config_change", "CONFIG"),
     ("CONFIG", "bad_config", "CONFIG"),
+    ("TWO CONTENTS", "config_race", "CONFIG"),
+    ("REFUSED AGAIN", "late_again", "CONFIG"),
     ("CONFIG BACK", "config_storm", "CONFIG"),
     ("DRAIN", "release", "DRAIN"),
     ("LOST", "roll_term", "LOST"),
--- a/tests/simulation/toymesh.py
+++ b/tests/simulation/toymesh.py
@@ -22,6 +22,7 @@
         self.fault = fault
         self.words: list[bytes] = []
         self.version, self.routes = 0, dict[tuple[str, str], Any]()
+        self.contents: dict[int, bytes] = {}
         self.backends: dict[str, dict[str, Any]] = {}
         self.empty: set[str] = set()
         self.extra = 0
@@ -45,6 +46,12 @@
         version = int(word["config-version"][1:])
         if bad and self.fault != "CONFIG":
             return 400
+        if version > self.version or self.fault == "TWO CONTENTS":
+            self.contents.setdefault(version, body)
+        if self.contents.get(version, body) != body and self.fault != "TWO CONTENTS":
+            return 409
+        if self.fault == "REFUSED AGAIN" and version <= self.version:
+            return 409
         if version > self.version:
             self.version = version
             self.words.append(body)
