Take the configuration r0 over, and no state without a configuration

Sidecars told whether a state holds a configuration by its version being true: r0, which the control plane acknowledges, was never taken over, while a state before the first configuration (version -1) with a revision above 0, as after an evacuation or a change of the membership, made a sidecar ready without routes, so that it answered 404 in place of 503. The digest tells it now, as in the control plane.

--- a/honeywharf/drift/rounds.py
+++ b/honeywharf/drift/rounds.py
@@ -109,7 +109,7 @@
         asked = self.host.now()
 
         def known(value: Any) -> None:
-            if isinstance(value, dict) and value.get("version"):
+            if isinstance(value, dict) and value.get("digest"):
                 self.word.take(holder, value)
             done(value if self.host.now() - asked < GAP_S else None)  # else it is as old as our standstill
 
--- a/honeywharf/drift/watch.py
+++ b/honeywharf/drift/watch.py
@@ -265,7 +265,7 @@
 
     def _read_back(self, core: Address, value: Any) -> None:
         """What a majority holds; None: out of reach, so this node goes on refusing and asking."""
-        if not isinstance(value, dict) or not value.get("version"):
+        if not isinstance(value, dict) or not value.get("digest"):
             self._again()
         elif value["digest"] == self.word.digest and self._sound():
             self._restore(value, self.word.packed)
--- a/honeywharf/sidecar/mesh_state.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -82,7 +82,7 @@
             self.host.after(AGAIN_S, self.start)
 
     def _started(self, core: Address, value: Any) -> None:
-        if isinstance(value, dict) and value.get("version"):
+        if isinstance(value, dict) and value.get("digest"):
             self._take(core, value)
         if not self.ready and not self.fetch:
             self.host.after(AGAIN_S, self.start)
@@ -105,7 +105,7 @@
     def _known(self, fetch: int, holder: Address, value: Any) -> None:
         if self.fetch == fetch:
             self.fetch = 0
-        if isinstance(value, dict) and value.get("version"):
+        if isinstance(value, dict) and value.get("digest"):
             self._take(holder, value)
         else:
             self._again()
