Have a sidecar that starts take nothing that no majority has told

After 4 s without a majority a starting sidecar took over what a single control node knew. A node that is cut off knows no later change, so beside it a proxy served by a configuration that had been overtaken, and told others of it. It now goes on asking for a read of a majority, and is not ready meanwhile. The cost: with more control machines lost than the fault tolerance allows, a proxy that is restarted meanwhile waits for their return; those that run go on with what they have.

--- a/tests/sidecar/test_mesh_state.py
+++ b/tests/sidecar/test_mesh_state.py
@@ -80,3 +80,10 @@
     word, nodes = started({"word.read": state(7, -1, "")}, 5.0)
     assert not word.ready
     assert nodes.asked.count("word.read") > 10
+
+
+def test_without_a_majority_nothing_is_taken_over_however_long_it_lasts() -> None:
+    known = state(9, 4, "old")
+    word, nodes = started({"word.known": known, "word.body": zlib.compress(configuration(4))}, 60.0)
+    assert not word.ready
+    assert set(nodes.asked) == {"word.read"}
