Answer without a majority at once, and start a sidecar by a majority alone

Change: calls that state anything about the mesh state get 503 at once where no majority was heard for a second, also for sidecars that ask for one; a read is not told after its deadline; a sidecar's start waits for a majority however long. Weighed: taking what sidecars beside it run: a restarted sidecar would serve while the core is away, by a state that nobody can vouch for; the operators ask that nothing be handed out then.

--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -182,6 +182,15 @@
             if key != self.voter.key and now - max(self.heard.get(key, 0.0), since) >= span
         ]
 
+    def in_contact(self) -> bool:
+        """Whether a majority was heard within `SILENT_S`: else nothing asked of it now can come back in time.
+
+        A hint that saves waiting, and no proof: what is answered rests on the majority's own answers.
+        """
+        members = keys(self.voter.state.members)
+        silent = self.silent(SILENT_S)
+        return 2 * (len(members) - len(silent)) > len(members)
+
     def _take_out(self, members: list[Key]) -> None:
         """Have a silent member leave a membership that is too large; the first that is there sees to it."""
         silent = self.silent(LOST_S)
--- a/honeywharf/control/operator.py
+++ b/honeywharf/control/operator.py
@@ -72,10 +72,12 @@
         self.closing = False
         self.at_work = 0  # calls not answered yet
         self.tree = tree = Tree()
+        begin, end = partial(self._evacuate, True), partial(self._evacuate, False)
+        self.wants_majority = [self._replace, self._describe, begin, end, self._ready]
         tree.add("POST", "/api/configuration/replace", self._replace)
         tree.add("GET", "/api/configuration/describe", self._describe)
-        tree.add("POST", "/api/evacuations/{zone}/start", partial(self._evacuate, True))
-        tree.add("POST", "/api/evacuations/{zone}/complete", partial(self._evacuate, False))
+        tree.add("POST", "/api/evacuations/{zone}/start", begin)
+        tree.add("POST", "/api/evacuations/{zone}/complete", end)
         tree.add("POST", "/api/instances/{id}/heartbeat", self._elsewhere)
         tree.add("POST", "/api/instances/{id}/deregister", self._elsewhere)
         tree.add("GET", "/api/readiness", self._ready)
@@ -99,6 +101,9 @@
             self._answer(call, 404, b"no such path")
             return
         target, params = found
+        if target in self.wants_majority and not self.replica.in_contact():
+            self._unclear(call, Result.UNREACHABLE)  # at once: the caller goes on to another one
+            return
         target(call, **params)
 
     def _answer(self, call: Asked, status: int, body: bytes = b"", lines: bytes = b"") -> None:
--- a/honeywharf/control/proposals.py
+++ b/honeywharf/control/proposals.py
@@ -161,17 +161,23 @@
             within = made.deadline - self.host.now()
             self.proposals.submit(self._write_back, within, partial(self._written_back, batch))
         else:
-            for one in batch:
-                one.end(made.result or Result.UNREACHABLE, made.value)
+            self._end(batch, made.result or Result.UNREACHABLE, made.value)
         self._next()
 
+    def _end(self, batch: list[Waiting], result: Result, value: MeshState | None) -> None:
+        """Tell those whose time is not over: after a standstill, what was read may be old."""
+        now = self.host.now()
+        for one in batch:
+            if now <= one.deadline:
+                one.end(result, value)
+            else:
+                one.end(Result.UNREACHABLE, None)
+
     @staticmethod
     def _write_back(state: MeshState) -> tuple[MeshState | None, Any]:
         """The change that changes nothing, and answers what it found."""
         return None, state
 
-    @staticmethod
-    def _written_back(batch: list[Waiting], result: Result, answer: Any) -> None:
+    def _written_back(self, batch: list[Waiting], result: Result, answer: Any) -> None:
         """Reads that wrote back what they found."""
-        for one in batch:
-            one.end(result, answer if result is Result.OK else None)
+        self._end(batch, result, answer if result is Result.OK else None)
--- a/honeywharf/control/replica.py
+++ b/honeywharf/control/replica.py
@@ -124,6 +124,10 @@
         """Members unheard for so long (s), while this one was well."""
         return self.upkeep.silent(span)
 
+    def in_contact(self) -> bool:
+        """Whether a majority was heard lately; see `Upkeep.in_contact`."""
+        return self.upkeep.in_contact()
+
     # Who is asked for what.
 
     def _heard(self, key: Key) -> None:
@@ -217,7 +221,10 @@
         reply(True)
 
     def _read_for(self, args: Any, reply: Reply, peer: Address) -> None:
-        self.read(READ_S, lambda state: reply(None if state is None else state.pack_public()))
+        if self.in_contact():
+            self.read(READ_S, lambda state: reply(None if state is None else state.pack_public()))
+        else:
+            reply(None)
 
     def _known_for(self, args: Any, reply: Reply, peer: Address) -> None:
         reply(None if self.known is None else self.known.pack_public())
--- a/honeywharf/sidecar/mesh_state.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -4,8 +4,8 @@
 asked for by its digest where it is another one. At the start a word counts only if a control node has read it
 from a majority ("word.read"); after that any word of a higher revision that anybody has ("word.known") is
 taken, as control nodes tell of none that is not settled. Whoever has a word gives it to others, so control
-nodes need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core
-is not settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
+nodes need not serve all. A start without a majority to be had waits, not ready, however long: what a control
+node that is cut off knows may be old, and nobody beside it can tell. Source: RULES, CONFIG and EVAC.
 """
 
 from __future__ import annotations
@@ -26,7 +26,6 @@
 BODY_WITHIN_S = (0.8, 6.0)  # for a text: at first, and at most after calls in vain, as it may be long
 AGAIN_S = 0.15
 PATIENT_S = 0.25  # for one holder, before news of another one is followed
-ALONE_S = 4.0
 MOST_TEXT = 80 << 20
 
 
@@ -50,7 +49,6 @@
         self.fetches = 0
         self.fetched_at = 0.0
         self.vain = 0  # fetches in a row without a text
-        self.started = host.now()
         self.turn = 0
         self._limits = Limits({})
         self.named: Callable[[bytes, str], bool] = lambda text, digest: True  # whether a text is a digest's
@@ -75,9 +73,7 @@
         if cores:
             self.turn += 1
             core = cores[self.turn % len(cores)]
-            alone = self.host.now() - self.started > ALONE_S
-            method = "word.known" if alone and self.turn % 2 else "word.read"
-            self.caller.call(core, method, None, WITHIN_S, lambda value: self._started(core, value))
+            self.caller.call(core, "word.read", None, WITHIN_S, lambda value: self._started(core, value))
         else:
             self.host.after(AGAIN_S, self.start)
 
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -104,12 +104,13 @@
         self.exited: int | None = None
         self.late: list[Callable[[], None]] = []
         self.busy = 0.0  # until then the process waits on its disk
+        self.clock_step = 0.0  # s by which the time of day is wrong
 
     def now(self) -> float:
         return self.world.time
 
     def wall(self) -> float:
-        return 1.7e9 + self.world.time
+        return 1.7e9 + self.world.time + self.clock_step
 
     def after(self, seconds: float, call: Callable[[], None]) -> Due:
         due = Due(call)
