Hand a member's place to a standby, and give no vote without the newest text

Change: a machine without a place is a standby without a vote; SIGTERM hands the place over (control/standby.py) within half of grace-period; admission and handover want the newest text at the joiner; a member has a round of its own while what it accepted is not known to be committed; who was a member once is no machine of the first start.

--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -2,8 +2,9 @@
 
 Theory of operation. Members call one another every `HEARTBEAT_S`, which tells who is silent, who knows a
 newer decided membership or state, and who has not accepted what others have. Who is not a member calls them
-too, and asks one to be admitted. To take a silent member out, or its place, wants a lease (`duty`), so that
-two do not judge at once; the register is as safe without it.
+too, and asks one to be admitted; while no place is free it is a standby (`standby`). To take a silent member
+out, or its place, wants a lease (`duty`), so that two do not judge at once; the register is as safe without
+it.
 """
 
 from __future__ import annotations
@@ -11,13 +12,14 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
-from typing import TYPE_CHECKING, Any, Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
 
 from honeywharf.control import mesh_state
 from honeywharf.control.address import address_of, text_of
 from honeywharf.control.mesh_state import Change, Key, Member, keys
 from honeywharf.control.messages import NO_BALLOT, Decided, Heartbeat
 from honeywharf.control.quorum_client import WITHIN_S
+from honeywharf.control.standby import Handover, Standbys
 
 if TYPE_CHECKING:
     from honeywharf.control.proposals import Proposals
@@ -64,8 +66,17 @@
         """Nothing to give back."""
 
 
+class Knowledge(NamedTuple):
+    """What is known here of the state in force: its revision, and its digest where the text is on disk."""
+
+    revision: int
+    digest: str
+
+
 class Upkeep:
-    """Keeps the membership. `revision`: of the state known here; `learn`: asks an address for a newer one."""
+    """Keeps the membership. `candidate`: zone, and whether this is the first start; `others`: addresses of
+    other control nodes; `learn`: asks an address for a newer state.
+    """
 
     def __init__(
         self,
@@ -76,12 +87,15 @@
         rng: Random,
         candidate: tuple[str, bool],
         others: Callable[[], list[str]],
-        revision: Callable[[], int],
+        knowledge: Callable[[], Knowledge],
         learn: Callable[[Address], None],
     ) -> None:
         self.host, self.caller, self.voter, self.proposals = host, caller, voter, proposals
-        self.rng, self.others, self.revision, self.learn = rng, others, revision, learn
+        self.rng, self.others, self.knowledge, self.learn = rng, others, knowledge, learn
         self.zone, self.first = candidate
+        self.standbys = Standbys()
+        self.handover = Handover(host, voter, proposals, self.standbys, self.zone)
+        self.leaving = False  # this process ends: it asks for no place any more
         self.heard: dict[Key, float] = {}
         self.well_since = self.beat_at = host.now()
         self.highest = NO_BALLOT  # that another says it has accepted
@@ -113,7 +127,9 @@
         self.beat_at = now
         members = keys(self.voter.state.members)
         is_member = self.voter.is_member()
-        if not is_member:
+        if is_member:
+            self.first = False  # who was a member once, and was replaced, adds none when it returns
+        elif not self.leaving:
             self._join(members)
         for key in members:
             if key[0] != self.voter.here and (self.voter.here < key[0] or not is_member):
@@ -127,7 +143,10 @@
     def _own(self) -> Heartbeat:
         """What this one tells of itself."""
         state = self.voter.state
-        return Heartbeat(*self.voter.key, state.epoch, self.revision(), state.accepted)
+        known = self.knowledge()
+        return Heartbeat(
+            *self.voter.key, state.epoch, known.revision, state.accepted, self.zone, known.digest
+        )
 
     def _heartbeat(self, args: Any, reply: Reply, peer: Address) -> None:
         self._took(Heartbeat.unpack(args))
@@ -144,16 +163,24 @@
     def _took(self, heartbeat: Heartbeat) -> None:
         """A peer has told of itself."""
         self.hear(heartbeat.key)
+        if heartbeat.key not in keys(self.voter.state.members):
+            self.standbys.hear(heartbeat, self.host.now())
         self.on_heartbeat(heartbeat)
         if heartbeat.epoch > self.voter.state.epoch:
             self._call(heartbeat.address, "register.roster", None, WITHIN_S, self._decided)
-        if heartbeat.revision > self.revision():
+        if heartbeat.revision > self.knowledge().revision:
             self.learn(address_of(heartbeat.address))
         self.highest = max(self.highest, heartbeat.accepted)
 
     def _catch_up(self) -> None:
-        """Have a round of our own where others have accepted what we have not, for some beats."""
-        is_behind = self.voter.is_member() and self.highest > self.voter.state.accepted
+        """Have a round of our own where something is left open for some beats.
+
+        Either others have accepted what this one has not; or this one has accepted what nobody has told to be
+        committed: its proposer may have died right after, and a membership is not decided until it is known.
+        """
+        state = self.voter.state
+        is_open = state.value is not None and state.value.revision > self.knowledge().revision
+        is_behind = self.voter.is_member() and (is_open or self.highest > state.accepted)
         self.behind = self.behind + 1 if is_behind else 0
         patience = BEHIND_BEATS * (1.0 + self.rng.random())
         if self.behind >= patience and self.proposals.round is None:
@@ -231,7 +258,8 @@
             self._call(to, "register.roster", None, WITHIN_S, self._decided)
         if self.voter.state.epoch:
             joiner = Member(*self.voter.key, self.zone, self.first)
-            self._call(to, "register.admit", joiner, UPKEEP_S, self._decided)
+            asked = [*joiner, self.knowledge().digest]
+            self._call(to, "register.admit", asked, UPKEEP_S, self._decided)
 
     def _tell_decided(self, args: Any, reply: Reply, peer: Address) -> None:
         reply(self.voter.state.decided)
@@ -246,7 +274,8 @@
 
     def _admit(self, args: Any, reply: Reply, peer: Address) -> None:
         """A machine wants to be a member: answered with the decided membership, with it or without."""
-        joiner = Member(*args)._replace(first=bool(args[3]))
+        *fields, digest = args
+        joiner = Member(*fields)._replace(first=bool(fields[3]))
         answer = partial(self._tell_decided, args, reply, peer)
         members = self.voter.state.members
         if (
@@ -257,12 +286,14 @@
             answer()
             return
         silent = self.silent(SILENT_S)
-        change = mesh_state.admit(joiner, silent)
+        change = mesh_state.when_holding(mesh_state.admit(joiner, silent), digest)
         replaces_disk = joiner.address in [member.address for member in members]
-        if silent and not joiner.first and not replaces_disk:
-            self._under_duty(change, answer)  # it may take a silent member's place
-        else:
+        if joiner.first or replaces_disk:
             self.proposals.submit(change, UPKEEP_S - WITHIN_S, lambda result, told: answer())
+        elif silent:
+            self._under_duty(change, answer)  # it takes a silent member's place
+        else:
+            answer()  # it is a standby
 
     def _hesitant(self, address: str) -> bool:
         """Whether somebody may be about to be held silent, so that a joiner had better come back."""
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -201,27 +201,69 @@
     return changed(state, members=members, epoch=state.epoch + 1, wanted=wanted)
 
 
+class Admission(Enum):
+    """What became of a change of the membership."""
+
+    MEMBER = "member"  # it is one, by this or before
+    STANDBY = "standby"  # there is no place for it now
+    BEHIND = "behind"  # it does not hold the newest configuration's text yet
+    FULL = "full"  # there are as many members as there may be
+    CHANGED = "changed"  # the membership is not the one that was judged by
+
+
 def admit(joiner: Member, silent: Sequence[Key]) -> Change:
     """Take a machine into the membership. `silent`: members unheard for a second, whose place it may take.
 
-    Where its address is there with another disk, that entry is lost and the joiner takes its place.
-    Answers False where the membership is full.
+    Where its address is there with another disk, that entry is lost and the joiner takes its place. Where no
+    place is free it stays a standby. Answers an `Admission`.
     """
 
-    def change(state: MeshState) -> tuple[MeshState | None, Any]:
+    def change(state: MeshState) -> tuple[MeshState | None, Admission]:
         members = state.members
         if joiner.key in keys(members):
-            return None, True
+            return None, Admission.MEMBER
         place = _place(state, joiner, silent)
         if place is not None:
-            return with_members(state, _put(members, place, joiner), state.wanted), True
+            return with_members(state, _put(members, place, joiner), state.wanted), Admission.MEMBER
+        if not joiner.first and len(members) >= state.wanted:
+            return None, Admission.STANDBY
         if len(members) >= MOST_MEMBERS:
-            return None, False
-        return with_members(state, (*members, joiner), state.wanted + bool(joiner.first)), True
+            return None, Admission.FULL
+        wanted = state.wanted + bool(joiner.first)
+        return with_members(state, (*members, joiner), wanted), Admission.MEMBER
 
     return change
 
 
+def hand_over(leaver: Key, standby: Member) -> Change:
+    """Put a standby in the place of a member that leaves. Answers an `Admission`."""
+
+    def change(state: MeshState) -> tuple[MeshState | None, Admission]:
+        members = keys(state.members)
+        if leaver not in members:
+            return None, Admission.MEMBER
+        if standby.key in members:
+            return None, Admission.CHANGED
+        made = _put(state.members, members.index(leaver), standby)
+        return with_members(state, made, state.wanted), Admission.MEMBER
+
+    return change
+
+
+def when_holding(change: Change, digest: str) -> Change:
+    """A change that gives a vote only to a machine that holds the text of the newest configuration.
+
+    `digest`: of the configuration whose text it holds.
+    """
+
+    def guarded(state: MeshState) -> tuple[MeshState | None, Any]:
+        if state.digest and state.digest != digest:
+            return None, Admission.BEHIND
+        return change(state)
+
+    return guarded
+
+
 def _put(members: Membership, place: int, joiner: Member) -> Membership:
     return (*members[:place], joiner, *members[place + 1 :])
 
@@ -255,7 +297,7 @@
     """A change that is made only to the membership it was judged by, while its maker may still make it."""
 
     def fence(state: MeshState) -> tuple[MeshState | None, Any]:
-        return change(state) if state.epoch == epoch and still() else (None, False)
+        return change(state) if state.epoch == epoch and still() else (None, Admission.CHANGED)
 
     return fence
 
--- a/honeywharf/control/messages.py
+++ b/honeywharf/control/messages.py
@@ -219,7 +219,8 @@
     """What a member or a joiner tells of itself, every beat.
 
     `epoch`: of the newest decided membership that it knows; `revision`: of the state in force that it knows,
-    -1 for none; `accepted`: the ballot accepted last.
+    -1 for none; `accepted`: the ballot accepted last; `digest`: of that state's configuration where its text
+    is on disk, else empty.
     """
 
     address: str
@@ -227,6 +228,8 @@
     epoch: int
     revision: int
     accepted: Ballot
+    zone: str
+    digest: str
 
     @property
     def key(self) -> tuple[str, str]:
@@ -236,7 +239,7 @@
     @staticmethod
     def unpack(packed: Any) -> Heartbeat:
         """From a list of its fields. ValueError or TypeError where it is something else."""
-        address, disk, epoch, revision, accepted = packed
-        if not (isinstance(address, str) and isinstance(disk, str)):
+        address, disk, epoch, revision, accepted, zone, digest = packed
+        if not all(isinstance(text, str) for text in (address, disk, zone, digest)):
             raise TypeError(f"found {packed!r}, wanted a heartbeat")
-        return Heartbeat(address, disk, int(epoch), int(revision), Ballot.unpack(accepted))
+        return Heartbeat(address, disk, int(epoch), int(revision), Ballot.unpack(accepted), zone, digest)
--- a/honeywharf/control/replica.py
+++ b/honeywharf/control/replica.py
@@ -15,7 +15,7 @@
 from honeywharf.control import mesh_state, messages
 from honeywharf.control.acceptor import AcceptorState
 from honeywharf.control.address import address_of, text_of
-from honeywharf.control.membership import UPKEEP_S, Upkeep, addresses
+from honeywharf.control.membership import UPKEEP_S, Knowledge, Upkeep, addresses
 from honeywharf.control.mesh_state import Key, MeshState
 from honeywharf.control.messages import Decided
 from honeywharf.control.proposals import Proposals, Reads
@@ -71,7 +71,7 @@
             rng,
             (zone, first),
             self._others,
-            self._revision,
+            self._knowledge,
             self.learn_from,
         )
         self.submit, self.read, self.text = self.proposals.submit, self.reads.read, self.texts.get
@@ -124,6 +124,11 @@
         """Members unheard for so long (s), while this one was well."""
         return self.upkeep.silent(span)
 
+    def leave(self, within: float, done: Callable[[], None]) -> None:
+        """This process ends as planned: a standby takes its place, where there is one; then `done()`."""
+        self.upkeep.leaving = True
+        self.upkeep.handover.begin(within, done)
+
     def in_contact(self) -> bool:
         """Whether a majority was heard lately; see `Upkeep.in_contact`."""
         return self.upkeep.in_contact()
@@ -144,6 +149,12 @@
     def _revision(self) -> int:
         return self.known.revision if self.known is not None else -1
 
+    def _knowledge(self) -> Knowledge:
+        state = self.known
+        if state is None:
+            return Knowledge(-1, "")
+        return Knowledge(state.revision, state.digest if self.store.has(state.digest) else "")
+
     # The state in force.
 
     def _committed(self, state: MeshState, members: list[Key]) -> None:
--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -25,6 +25,7 @@
 
 MOST_BODY = 65 << 20  # bytes of a configuration
 STOPPING = 0.9  # s that calls at work have after SIGTERM
+HANDOVER_S = 2.0  # that a standby has to take this machine's place, and at most half of `grace-period`
 LOADED = 0.5  # s after the start, when the door and the register have answered whoever waited
 DISK_AGAIN = 0.2  # s after which a disk that fails at the start is tried again
 
@@ -50,7 +51,7 @@
         self.membership: Membership | None = None
         self.door: HttpServer | None = None
         self.operator = Operator(self.replica, settings.zones, settings.listen["control-plane"][1])
-        self.stopping = False
+        self.stopping = self.handing_over = False
         self.gather = Gather(self)
         self.duties = Duties(self)
         self.handing = Handing(self)
@@ -121,11 +122,19 @@
         if self.membership is not None:
             self.membership.leave()
             self.membership.stop()
-        self.host.after(STOPPING, partial(self.host.exit, 0))
+        self.handing_over = True
+        within = min(HANDOVER_S, self.settings.bound("grace-period", 2 * HANDOVER_S) / 2)
+        self.host.after(max(STOPPING, within), partial(self.host.exit, 0))
+        self.replica.leave(within, self._handed_over)
         self._finish()
 
+    def _handed_over(self) -> None:
+        """The place has been taken, or there is nobody to take it: what is at work has a while to end."""
+        self.handing_over = False
+        self.host.after(STOPPING, partial(self.host.exit, 0))
+
     def _finish(self) -> None:
-        if self.operator.at_work:
+        if self.operator.at_work or self.handing_over:
             self.host.after(0.02, self._finish)
         else:
             self.host.after(0.02, partial(self.host.exit, 0))  # the answers are on their way
