Keep the names of texts over a loss of power, and find a register beside its name

Change: Host.sync_names, called after a fetched text; Store.load takes the whole register beside a missing or damaged one, as mesh-store repair did by hand. The simulated disk loses names that way too; two of its tests wrote files without a sync of the folder and sync it now, and a new one shows the loss.

--- a/honeywharf/control/store.py
+++ b/honeywharf/control/store.py
@@ -36,6 +36,9 @@
     def write(self, name: str, data: bytes) -> None:
         """Write a file whole and sync it."""
 
+    def sync_names(self) -> None:
+        """Sync the folder, so that the names of new files are safe."""
+
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, and sync the folder."""
 
@@ -94,13 +97,22 @@
         self.digests: list[str] = []  # configurations that are whole on disk, oldest first
 
     def load(self) -> AcceptorState | None:
-        """The register as it was last kept; None where the disk is empty or the register is damaged."""
+        """The register as it was last kept; None where the disk is empty or the register is damaged.
+
+        Where the register is missing or damaged and a whole one stands beside it, that is the last that was
+        written: it was synced, its new name was lost or never made, and nothing was answered by it yet.
+        """
         names = sorted(self.host.names())
         data = self.host.read(REGISTER)
         state = read_state(data)
         for name in names:
             if name.startswith(CONFIG) and not name.endswith(BAD):
                 self._found(name)
+        beside = read_state(self.host.read(BESIDE)) if state is None else None
+        if beside is not None:
+            self.host.log(f"store: {REGISTER} is taken from {BESIDE}")
+            self.host.rename(BESIDE, REGISTER)
+            return beside
         if state is None and data is not None:
             self.host.log(f"store: the register is damaged, and set aside as {REGISTER}{BAD}")
             self.host.rename(REGISTER, REGISTER + BAD)
@@ -128,13 +140,20 @@
         return digest in self.digests
 
     def keep(self, digest: str, packed: bytes) -> None:
-        """Keep a configuration's text (compressed); synced when this returns. ValueError: no digest."""
+        """Keep a configuration's text (compressed), synced. ValueError: no digest.
+
+        Its name is safe with the next `save` or `sync_names`.
+        """
         if not digest.isalnum() or len(digest) > 64:
             raise ValueError(f"found {digest[:80]!r}, wanted a digest")
         if digest not in self.digests:
             self.host.write(CONFIG + digest, seal(packed))
             self.digests.append(digest)
 
+    def sync_names(self) -> None:
+        """Have the names of all texts survive a loss of power."""
+        self.host.sync_names()
+
     def get(self, digest: str) -> bytes | None:
         """A configuration's text, compressed; None where it is not here."""
         return unseal(self.host.read(CONFIG + digest)) if digest in self.digests else None
--- a/honeywharf/control/texts.py
+++ b/honeywharf/control/texts.py
@@ -52,6 +52,7 @@
         """Keep a text on disk, if the disk lets it."""
         try:
             self.store.keep(digest, text)
+            self.store.sync_names()
         except OSError as fault:
             self.host.log(f"replica: a configuration could not be kept: {fault}")
 
--- a/honeywharf/simulation/disk.py
+++ b/honeywharf/simulation/disk.py
@@ -4,6 +4,8 @@
 
 import random
 
+NAME_LOST = 0.5  # chance that a new file whose folder was not synced is gone with the power
+
 
 class Operation:
     """One write, rename or removal: begun at `start`, safe from `done` on (seconds)."""
@@ -20,7 +22,7 @@
         files[operation.name] = operation.data
     elif operation.kind == "remove":
         files.pop(operation.name, None)
-    elif operation.name in files:
+    elif operation.kind == "rename" and operation.name in files:
         files[operation.to] = files.pop(operation.name)
 
 
@@ -45,24 +47,35 @@
         self.stalled_until = 0.0  # nothing is begun before
         self.times = 1.0  # how much longer everything takes
         self.full = False  # takes no more bytes
+        self.names_safe_at: dict[str, float] = {}  # of new files: when the folder was synced after them
         self.operations = 0  # counted since the first start, for crashes at the n-th
         self.crash_at: tuple[int, str] | None = None  # n, "before" | "torn" | "after"
 
     def do(self, kind: str, name: str, now: float, data: bytes = b"", to: str = "") -> float:
         """Do one operation at `now`; when it is over. A removal is safe with a later sync only."""
+        folder = kind in ("rename", "sync")  # these sync the folder
         slow = 1.0 + self.spread * (hash((self.operations, round(now * 1e6))) % 997) / 997
         begun = max(now, self.stalled_until)
         takes = 0.0 if kind == "remove" else (self.sync * slow + len(data) * self.per_byte) * self.times
         over = begun + takes
         operation = Operation(kind, name, data, to, now, float("inf") if kind == "remove" else over)
         for earlier in self.pending:  # a rename syncs the folder; a write syncs the file and its own name
-            synced = earlier.kind != "write" if kind == "rename" else name in (earlier.name, earlier.to)
+            synced = earlier.kind != "write" if folder else name in (earlier.name, earlier.to)
             if synced and kind != "remove":
                 earlier.done = min(earlier.done, over)
+        self._name(operation, folder)
         self.pending.append(operation)
         apply(self.files, operation)
         return over
 
+    def _name(self, operation: Operation, syncs_folder: bool) -> None:
+        """Note a file that is new, and which names a sync of the folder makes safe."""
+        if operation.kind == "write" and operation.name not in self.files:
+            self.names_safe_at[operation.name] = float("inf")
+        if syncs_folder:
+            for name, safe_at in self.names_safe_at.items():
+                self.names_safe_at[name] = min(safe_at, operation.done)
+
     def settle(self, now: float) -> None:
         """Move what has been synced by `now` to what is safe."""
         for operation in self.pending:
@@ -92,8 +105,16 @@
                 kept += [operation] * (operation.kind == "write")
         self.pending = [] if power else kept
         if power:
+            self._lose_names(now, chance)
             self.safe = dict(self.files)
 
+    def _lose_names(self, now: float, chance: random.Random) -> None:
+        """Each file whose name was not synced yet is kept or lost by itself."""
+        for name, safe_at in self.names_safe_at.items():
+            if safe_at > now and chance.random() < NAME_LOST:
+                self.files.pop(name, None)
+        self.names_safe_at.clear()
+
     def wipe(self) -> None:
         """Another disk, empty."""
-        self.files, self.safe, self.pending = {}, {}, []
+        self.files, self.safe, self.pending, self.names_safe_at = {}, {}, [], {}
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -659,6 +659,10 @@
         """Write a file whole and sync it."""
         self._operate("write", name, bytes(data))
 
+    def sync_names(self) -> None:
+        """Sync the folder."""
+        self._operate("sync", "")
+
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, and sync the folder."""
         if name not in self._disk().files:
--- a/honeywharf/transport/host.py
+++ b/honeywharf/transport/host.py
@@ -101,7 +101,13 @@
         """A file's bytes; None where there is none."""
 
     def write(self, name: str, data: bytes) -> None:
-        """Write a new file whole, or write over an old one, and sync it; its name persists with it."""
+        """Write a new file whole, or write over an old one, and sync it.
+
+        The name of a new file is safe once the folder has been synced: by `sync_names`, or a rename.
+        """
+
+    def sync_names(self) -> None:
+        """Sync the folder: names that were made, changed or removed are safe from then on."""
 
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, over what was there, and sync the folder."""
--- a/honeywharf/transport/loop.py
+++ b/honeywharf/transport/loop.py
@@ -392,7 +392,8 @@
         finally:
             os.close(file)
 
-    def _sync_folder(self) -> None:
+    def sync_names(self) -> None:
+        """Sync the folder."""
         folder = os.open(self._path("."), os.O_RDONLY)
         try:
             os.fsync(folder)
@@ -402,7 +403,7 @@
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, and sync the folder."""
         os.rename(self._path(name), self._path(to))
-        self._sync_folder()
+        self.sync_names()
 
     def remove(self, name: str) -> None:
         """Remove a file if it is there."""
--- /dev/null
+++ b/tests/control/test_hundreds_of_changes.py
@@ -0,0 +1,139 @@
+"""Hundreds of changes, with members that miss some: they catch up in time, never serve what is old, and the
+disk stays small. CHANGES sets how many (2,000 for a long run).
+"""
+
+from __future__ import annotations
+
+import os
+from random import Random
+
+import pytest
+
+from honeywharf.control.version_history import MOST_VERSIONS, RECORD_SIZE
+from tests.control.town import Call, Town
+
+CHANGES = int(os.environ.get("CHANGES", "240"))
+CATCH_UP_S = 4.0
+TEXT_BYTES = 600
+FILES_BOUND = 12  # register, texts in use and the last ones, history
+IPS = ["10.0.0.1", "10.0.0.2", "10.0.0.3"]
+
+
+class LongDay:
+    """Changes one after the other, and what was confirmed."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = Random(seed)
+        self.town = Town(seed)
+        self.town.run(1.0)
+        self.version = 0
+        self.contents: dict[int, str] = {}
+        self.reads: list[tuple[Call, int]] = []
+
+    def change(self, living: list[str]) -> None:
+        """One more change, confirmed by one of the living; all are asked for what is in force meanwhile."""
+        self.version += self.rng.choice((1, 1, 3))
+        content = self.rng.randbytes(TEXT_BYTES).hex()
+        floor = max(self.contents, default=0)
+        self.reads += [(self.town.describe(ip), floor) for ip in IPS if self.town.world.machines[ip].on]
+        while True:
+            call = self.town.replace(self.rng.choice(living), self.version, content)
+            while not call.status:
+                self.town.run(0.01)
+            if call.status == 200:
+                break
+            assert call.status == 503
+        self.contents[self.version] = content
+        self.judge()
+
+    def judge(self) -> None:
+        """Nothing older is told than what was confirmed before it was asked for."""
+        for call, floor in [one for one in self.reads if one[0].status]:
+            status, body, _ = call.answers[0]
+            if status == 200:
+                head, _, content = body.partition(b" ")
+                told = int(head[1:])
+                assert told >= floor
+                assert self.contents.get(told, content.decode()) == content.decode()
+        self.reads = [one for one in self.reads if not one[0].status]
+
+    def caught_up(self, ip: str) -> None:
+        """A member holds all that the others do: state, text, memory of versions, and votes by it."""
+        programs = self.town.programs
+        replica = programs[ip].replica
+        assert replica.known is not None
+        assert replica.known.version == self.version
+        assert replica.store.has(replica.known.digest)
+        assert replica.member()
+        values = [programs[each].replica.state.value for each in IPS]
+        assert len({None if value is None else value.revision for value in values}) == 1
+        assert values[0] is not None
+        assert values == [values[0]] * 3
+        assert len(values[0].history) == min(len(self.contents), MOST_VERSIONS)
+
+    def bounded(self) -> None:
+        """What a disk holds does not grow with the number of changes."""
+        for ip in IPS:
+            files = self.town.world.machines[ip].disk.files
+            assert len(files) <= FILES_BOUND + 8, sorted(files)  # with the texts of the drift history
+            register = len(files["register"])
+            assert register < MOST_VERSIONS * RECORD_SIZE + 4096
+
+    def away(self, ip: str, how: str, changes: int) -> None:
+        """One misses some changes, and is back."""
+        others = [each for each in IPS if each != ip]
+        machine = self.town.world.machines[ip]
+        if how == "cut":
+            self.town.split([ip], others)
+        elif how == "frozen":
+            machine.frozen = True
+        else:
+            machine.off(power=how != "killed")
+        if how == "wiped":
+            machine.disk.files.clear()
+        for _ in range(changes):
+            self.change(others)
+        if how == "cut":
+            self.town.world.cuts.clear()
+        elif how == "frozen":
+            machine.thaw()
+        else:
+            self.town.start(ip)
+        for _ in range(self.rng.choice((0, 3))):
+            self.change(others)
+        self.town.run(CATCH_UP_S)
+        self.judge()
+        self.caught_up(ip)
+        self.bounded()
+
+
+@pytest.mark.parametrize("how", ["killed", "power", "wiped", "cut", "frozen"])
+def test_a_member_that_missed_changes_catches_up(how: str) -> None:
+    day = LongDay(41)
+    spans = (1, 2, 7, CHANGES // 8, CHANGES // 4, CHANGES // 2)
+    for number, span in enumerate(spans):
+        day.away(IPS[number % 3], how, max(1, span))
+    first, last = min(day.contents), max(day.contents)
+    again = [day.town.replace(ip, version, day.contents[version]) for ip in IPS for version in (first, last)]
+    other = [day.town.replace(ip, version, "another") for ip in IPS for version in (first, last)]
+    day.town.run(0.9)
+    assert {call.status for call in again} == {200}
+    assert {call.status for call in other} == {409}
+
+
+def test_one_that_has_missed_changes_leads_with_the_newest_state_at_once() -> None:
+    day = LongDay(42)
+    for seed in range(6):
+        ip = IPS[seed % 3]
+        others = [each for each in IPS if each != ip]
+        day.town.world.machines[ip].off(power=True)
+        for _ in range(5):
+            day.change(others)
+        day.town.start(ip)
+        day.town.run(0.3)
+        newest = day.version
+        read, order = day.town.describe(ip), day.town.replace(ip, newest, "another")
+        day.town.run(0.9)
+        assert read.status in (200, 503)
+        assert read.status == 503 or read.answers[0][1].startswith(b"r%d " % newest)
+        assert order.status in (409, 503)
--- a/tests/control/test_store.py
+++ b/tests/control/test_store.py
@@ -10,6 +10,8 @@
 from honeywharf.control.mesh_state import MeshState
 from honeywharf.control.messages import Ballot
 from honeywharf.control.store import BESIDE, KEPT, REGISTER, Store
+from honeywharf.control.texts import ConfigurationTexts
+from honeywharf.transport.rpc import Caller
 from tests.control.town import Town
 from tests.control.world import Machine, PowerLostError, World
 
@@ -107,3 +109,39 @@
     (name,) = [name for name in files if name.startswith("config-")]
     assert len(files[name]) < 2000
     assert zlib.decompress(files[name][8:]).startswith(b"r1 same")
+
+
+def test_a_text_that_was_fetched_keeps_its_name_over_a_loss_of_power() -> None:
+    host = machine()
+    texts = ConfigurationTexts(host, Store(host), Caller(host), list)
+    texts.keep("d7", b"text")
+    assert texts.store.has("d7")
+    host.off(power=True, names_lost=True)
+    again = Store(host)
+    again.load()
+    assert again.get("d7") == b"text"
+
+
+def test_a_register_whose_new_name_was_lost_is_found_beside() -> None:
+    host = machine()
+    store = Store(host)
+    store.save(state(1))
+    store.save(state(2))
+    host.disk.files[BESIDE] = host.disk.files.pop(REGISTER)
+    found = Store(host).load()
+    assert found is not None
+    assert found.promised.counter == 2
+    assert REGISTER in host.disk.files
+    host.disk.files = {BESIDE: b"hwr1torn"}
+    assert Store(host).load() is None
+
+
+def test_a_damaged_register_gives_way_to_the_whole_one_beside() -> None:
+    host = machine()
+    store = Store(host)
+    store.save(state(2))
+    host.disk.files[BESIDE] = host.disk.files[REGISTER]
+    host.disk.files[REGISTER] = host.disk.files[REGISTER][:-1] + b"?"
+    found = Store(host).load()
+    assert found is not None
+    assert found.promised.counter == 2
--- a/tests/control/world.py
+++ b/tests/control/world.py
@@ -80,6 +80,7 @@
         self.files: dict[str, bytes] = {}
         self.fail_at = 0  # the number of the operation that loses power, 0 for none
         self.torn = False  # a write that loses power leaves half of itself
+        self.unnamed: set[str] = set()  # files made since the folder was synced
         self.count = 0
 
 
@@ -178,8 +179,14 @@
             if self.disk.torn:
                 self.disk.files[name] = data[: len(data) // 2]
             raise PowerLostError
+        if name not in self.disk.files:
+            self.disk.unnamed.add(name)
         self.disk.files[name] = data
 
+    def sync_names(self) -> None:
+        self._spend()
+        self.disk.unnamed.clear()
+
     def rename(self, name: str, to: str) -> None:
         self._spend()
         self.disk.count += 1
@@ -188,6 +195,7 @@
                 self.disk.files[to] = self.disk.files.pop(name)
             raise PowerLostError
         self.disk.files[to] = self.disk.files.pop(name)
+        self.disk.unnamed.clear()
 
     def remove(self, name: str) -> None:
         self.disk.count += 1
@@ -219,9 +227,14 @@
         self.guard(lambda: made.append(program(self)))
         return made[0] if made else None
 
-    def off(self, power: bool) -> None:
-        """End the process: with the machine's power (connections fall silent) or alone (they are reset)."""
+    def off(self, power: bool, names_lost: bool = False) -> None:
+        """End the process: with the machine's power (connections fall silent) or alone (they are reset).
+
+        `names_lost`: files that were made since the folder was synced are gone with the power.
+        """
         self.on = False
+        for name in self.disk.unnamed if power and names_lost else ():
+            self.disk.files.pop(name, None)
         for wire in list(self.wires):
             if not power and wire.up and not wire.gone:
                 self.world.carry(wire, Wire.reset)
--- a/tests/simulation/test_disk.py
+++ b/tests/simulation/test_disk.py
@@ -45,6 +45,7 @@
     for seed in range(60):
         disk = Disk()
         disk.do("write", "a", 0.0, b"old " * 100)
+        disk.do("sync", "", 0.5)
         disk.settle(1.0)
         disk.do("write", "a", 1.0, b"NEW " * 100)
         disk.stop(1.001, True, random.Random(seed))
@@ -59,6 +60,7 @@
         disk = Disk()
         for name in "ab":
             disk.do("write", name, 0.0, b"1")
+        disk.do("sync", "", 0.5)
         disk.settle(1.0)
         disk.do("remove", "a", 1.0)
         disk.stop(5.0, False, random.Random(seed))
@@ -75,6 +77,20 @@
     assert sorted(disk.files) == ["c"]
 
 
+def test_a_new_file_may_be_lost_until_its_folder_is_synced() -> None:
+    for folder_synced, wanted in ((False, {0, 1, 2}), (True, {2})):
+        found = set()
+        for seed in range(40):
+            disk = Disk()
+            for name in "ab":
+                disk.do("write", name, 0.0, b"1")
+            if folder_synced:
+                disk.do("sync", "", 0.5)
+            disk.stop(2.0, True, random.Random(seed))
+            found.add(len(disk.files))
+        assert found == wanted
+
+
 def test_an_operation_that_had_not_begun_leaves_nothing() -> None:
     for seed in range(20):
         two = Two(seed)
