Show who is behind and what losses can be borne; send large texts once

A configuration's text was pushed with every try to all members, and its time was reckoned by a link of 160 Mbit/s; at 86 Mbit/s with four copies a text of some MB could not arrive in any try. A describe failed with 503 where a later change had displaced the text between the read and the look for it. Change: GET /api/members and 'honeywharf mesh members' (each member's fault, standbys, losses and zones that can be borne); a text over 64 KB goes only to members that ask for it, with time by the link's own rate; describe reads again until its deadline.

--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -203,13 +203,45 @@
         yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(found[name].items())) or "none")
 
 
+@cappa.command(
+    name="members", help="Tell who keeps the mesh's state, who is behind, and how many losses can be borne."
+)
+@dataclass
+class Members:
+    """`mesh members ADDRESS`."""
+
+    address: At
+    within: Within = 5.0
+
+    def __call__(self) -> int:
+        """Exit status: 1 where no further loss can be borne."""
+        status, body = call(self.address, "GET", "/api/members", b"", self.within)
+        if status != 200:
+            raise WrongError(f"no members: {status} {body[:200].decode('utf-8', 'backslashreplace')}")
+        found = json.loads(body)
+        for line in members(found):
+            print(line)
+        return 0 if found["bearable-losses"] else 1
+
+
+def members(found: dict[str, Any]) -> Iterator[str]:
+    """A control node's view of the membership, a line each."""
+    yield f"{found['node']}: membership {found['epoch']}, majority {found['majority']}"
+    for one in found["members"]:
+        yield f"member {one['address']} zone {one['zone'] or '?'}: {one['fault'] or 'current'}"
+    for one in found["standbys"]:
+        yield f"standby {one['address']} zone {one['zone'] or '?'}"
+    yield f"losses that can be borne now: {found['bearable-losses']}"
+    yield f"zones that can be lost now: {' '.join(found['bearable-zones']) or 'none'}"
+
+
 @cappa.command(name="honeywharf mesh", help="Check files of the mesh, and give a running mesh its orders.")
 @dataclass
 class Mesh:
     """`honeywharf mesh ...`."""
 
     command: cappa.Subcommands[
-        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate | Duties
+        Check | ShowSettings | FindRoute | Diff | Describe | Replace | Evacuate | Activate | Duties | Members
     ]
     verbose: Annotated[bool, cappa.Arg(short=True, long=True, propagate=True, help="Log each call.")] = False
 
--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -97,6 +97,7 @@
         self.handover = Handover(host, voter, proposals, self.standbys, self.zone)
         self.leaving = False  # this process ends: it asks for no place any more
         self.heard: dict[Key, float] = {}
+        self.heartbeats: dict[Key, Heartbeat] = {}  # the last of each that is heard
         self.well_since = self.beat_at = host.now()
         self.highest = NO_BALLOT  # that another says it has accepted
         self.behind = 0  # beats in a row at which that was above our own
@@ -133,14 +134,14 @@
             self._join(members)
         for key in members:
             if key[0] != self.voter.here and (self.voter.here < key[0] or not is_member):
-                self._call(key[0], "ping", self._own(), WITHIN_S, self._beat_answered)
+                self._call(key[0], "ping", self.own(), WITHIN_S, self._beat_answered)
         self._take_out(members)
         self._catch_up()
 
     def _call(self, to: str, method: str, args: object, within: float, done: Callable[[Any], None]) -> None:
         self.caller.call(address_of(to), method, args, within, done)
 
-    def _own(self) -> Heartbeat:
+    def own(self) -> Heartbeat:
         """What this one tells of itself."""
         state = self.voter.state
         known = self.knowledge()
@@ -150,7 +151,7 @@
 
     def _heartbeat(self, args: Any, reply: Reply, peer: Address) -> None:
         self._took(Heartbeat.unpack(args))
-        reply(self._own())
+        reply(self.own())
 
     def _beat_answered(self, packed: Any) -> None:
         if packed is None:
@@ -163,6 +164,7 @@
     def _took(self, heartbeat: Heartbeat) -> None:
         """A peer has told of itself."""
         self.hear(heartbeat.key)
+        self.heartbeats[heartbeat.key] = heartbeat
         if heartbeat.key not in keys(self.voter.state.members):
             self.standbys.hear(heartbeat, self.host.now())
         self.on_heartbeat(heartbeat)
@@ -194,7 +196,9 @@
         returned = key in self.silent(SILENT_S)
         if key not in self.heard and len(self.heard) >= MOST_HEARD:
             members = keys(self.voter.state.members)
-            del self.heard[min(self.heard, key=lambda one: (one in members, self.heard[one]))]
+            oldest = min(self.heard, key=lambda one: (one in members, self.heard[one]))
+            del self.heard[oldest]
+            self.heartbeats.pop(oldest, None)
         self.heard[key] = self.host.now()
         if returned:
             self.on_return(key)
--- a/honeywharf/control/operator.py
+++ b/honeywharf/control/operator.py
@@ -12,7 +12,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
-from honeywharf.control import mesh_state
+from honeywharf.control import members_view, mesh_state
 from honeywharf.control.mesh_state import Confirmation, MeshState, Outcome
 from honeywharf.control.register import Result
 from honeywharf.control.replica import Replica
@@ -31,6 +31,7 @@
 RETRY = b"Retry-After: 0.1\r\n"
 LATER = b"Retry-After: 60\r\n"
 FORGOTTEN = b"the version is older than what is remembered: whether it was confirmed is not known"
+REREAD_S = 0.02  # before a configuration is read again whose text was displaced
 PRESSED = 3  # zlib's level: 64 MB in some 0.6 s
 
 
@@ -81,6 +82,7 @@
         tree.add("POST", "/api/instances/{id}/heartbeat", self._elsewhere)
         tree.add("POST", "/api/instances/{id}/deregister", self._elsewhere)
         tree.add("GET", "/api/readiness", self._ready)
+        tree.add("GET", "/api/members", self._members)
 
     def load(self) -> None:
         """Load what a check needs, before the first one waits for it."""
@@ -145,19 +147,25 @@
             self._answer(call, 200, b'{"config-version":"r%d"}' % answer.version)
 
     def _describe(self, call: Asked) -> None:
-        self.replica.read(PATIENCE_S, partial(self._described, call))
+        self._read(call, self.replica.host.now() + PATIENCE_S)
 
-    def _described(self, call: Asked, state: MeshState | None) -> None:
+    def _read(self, call: Asked, deadline: float) -> None:
+        within = deadline - self.replica.host.now()
+        self.replica.read(within, partial(self._described, call, deadline))
+
+    def _described(self, call: Asked, deadline: float, state: MeshState | None) -> None:
         if state is None:
             self._unclear(call, Result.UNREACHABLE)
         elif not state.digest:
             self._answer(call, 404, b"no configuration yet")
         else:
-            self.replica.text(state.digest, partial(self._text, call))
+            self.replica.text(state.digest, partial(self._text, call, deadline))
 
-    def _text(self, call: Asked, packed: bytes | None) -> None:
-        """The whole configuration, as it was sent."""
-        if packed is None:
+    def _text(self, call: Asked, deadline: float, packed: bytes | None) -> None:
+        """The whole configuration, as it was sent; read anew where a later one has displaced it meanwhile."""
+        if packed is None and self.replica.host.now() < deadline:
+            self.replica.host.after(REREAD_S, partial(self._read, call, deadline))
+        elif packed is None:
             self._answer(call, 503, b"the configuration's text is out of reach", RETRY)
         else:
             self._answer(call, 200, zlib.decompress(packed))
@@ -190,6 +198,10 @@
         where = f"Location: http://{ip}:{self.port}".encode() + call.path
         self._answer(call, 307, b"", where + b"\r\n")
 
+    def _members(self, call: Asked) -> None:
+        """The membership as this one sees it; no majority is asked, so that it answers when that is lost."""
+        self._answer(call, 200, json.dumps(members_view.view(self.replica)).encode())
+
     def _ready(self, call: Asked) -> None:
         """Ready: a majority answers now, and holds what this one would tell."""
         self.replica.read(PATIENCE_S, partial(self._read_for_readiness, call))
--- a/honeywharf/control/quorum_client.py
+++ b/honeywharf/control/quorum_client.py
@@ -19,7 +19,10 @@
     from honeywharf.transport.rpc import Caller
 
 WITHIN_S = 0.4  # that one message of the register may take; more with a text
-TEXT_RATE = 20e6  # bytes a second that a link is trusted to carry
+UNASKED_BYTES = 64 << 10  # of a text that is sent with a proposal though nobody has asked for it
+LINK_RATE = 20e6  # bytes a second of a link whose rate is not known
+LINK_SHARE = 0.5  # of the link's rate, that texts on their way to all members may take
+BYTES_PER_MEGABIT = 125_000.0
 LEAST_WAIT_S = 0.001
 
 Over = Callable[[], None]
@@ -37,6 +40,11 @@
         heard: Callable[[Key], None],
     ) -> None:
         self.host, self.caller, self.voter, self.texts, self.heard = host, caller, voter, texts, heard
+        self.link_rate = LINK_RATE  # bytes a second
+
+    def linked(self, mbps: float) -> None:
+        """The link of this machine carries so much."""
+        self.link_rate = mbps * BYTES_PER_MEGABIT
 
     def drive(self, asking: Asking, sends: Sends, over: Over) -> None:
         """Carry a round's or a read's messages until it has a result; then `over()`."""
@@ -92,6 +100,8 @@
     def _call_with_text(self, asking: Asking, send: Send, over: Over, text: bytes | None) -> None:
         if text is None:
             self._answered(asking, send.key, over, None)
+        elif len(text) > UNASKED_BYTES and not send.text_missing:
+            self._call(asking, send, over, None)  # it may have it since an earlier try
         else:
             self._call(asking, send, over, text)
 
@@ -100,7 +110,7 @@
         self.texts.get(send.request.state.digest, done)
 
     def _call(self, asking: Asking, send: Send, over: Over, text: bytes | None) -> None:
-        within = WITHIN_S + len(text or b"") / TEXT_RATE
+        within = WITHIN_S + self._text_time(len(text or b""))
         packed = [messages.pack(send.request), text]
         self.caller.call(
             address_of(send.key[0]),
@@ -110,6 +120,11 @@
             partial(self._received, asking, send.key, over),
         )
 
+    def _text_time(self, size: int) -> float:
+        """Seconds that a text may take to one member, while the others get it too."""
+        copies = max(1, len(self.voter.state.members) - 1)
+        return size * copies / (self.link_rate * LINK_SHARE)
+
     def _received(self, asking: Asking, key: Key, over: Over, packed: Any) -> None:
         """A peer's answer as it came, or None."""
         answer = None
--- a/honeywharf/control/register.py
+++ b/honeywharf/control/register.py
@@ -62,11 +62,14 @@
 
 
 class Send(NamedTuple):
-    """A request to a member; `with_text`: the configuration's text goes with it."""
+    """A request to a member; `with_text`: the configuration's text goes with it, where that is short or the
+    member has asked for it (`text_missing`).
+    """
 
     key: Key
     request: Request
     with_text: bool = False
+    text_missing: bool = False
 
 
 Sends = list[Send]
@@ -215,7 +218,7 @@
             self.promises[key] = answer.accepted, answer.state
             return self._cover()
         if isinstance(answer, TextMissing) and self.phase is Phase.ACCEPT:
-            return [self.send(key)._replace(with_text=True)]
+            return [self.send(key)._replace(with_text=True, text_missing=True)]
         if isinstance(answer, Accepted) and self.phase is Phase.ACCEPT:
             self.accepts.add(key)
             if self.quorums.covered(self.accepts):
--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -50,6 +50,7 @@
         )
         self.membership: Membership | None = None
         self.door: HttpServer | None = None
+        self.replica.client.linked(settings.link_mbps)
         self.operator = Operator(self.replica, settings.zones, settings.listen["control-plane"][1])
         self.stopping = self.handing_over = False
         self.gather = Gather(self)
--- a/tests/every_command.py
+++ b/tests/every_command.py
@@ -141,6 +141,7 @@
             (("evacuate", nowhere, "z"), (2,)),
             (("activate", nowhere, "z"), (2,)),
             (("duties", nowhere), (2,)),
+            (("members", nowhere), (2,)),
         ],
         ("simulation",): [
             (("run", "1"), (0,)),
