Answer what is no call only after the calls that are owed an answer

Seen in a review of who may get whose answer. Cause: the server of control calls sent 400 (413, 431) at once for bytes that make no sense, also while a call of the same read was at work. The caller read it as the answer of that call: an operator took an order for refused that was being carried out, and had its answer cut off by the close. Likewise 100 Continue for a call that was sent behind one at work came before that one's answer.

Change: the answer to what makes no sense waits until no call is owed one, then the connection closes; 100 Continue is sent only for a call that is next. Both tests (tests/transport/test_door.py) were seen to fail before: 400 and 100 first.

--- a/honeywharf/transport/http_server.py
+++ b/honeywharf/transport/http_server.py
@@ -2,7 +2,7 @@
 
 Theory of operation. One call at a time on a connection; what is sent behind it waits unread. Bodies over
 `SMALL` share one place: the process holds one long body at a time, and others wait unread. What breaks the
-protocol is answered with its status and the connection closed.
+protocol is answered with its status, after the answers that are owed, and the connection closed.
 """
 
 from __future__ import annotations
@@ -47,6 +47,7 @@
         "behind",
         "connection",
         "door",
+        "fault",
         "head",
         "long",
         "parts",
@@ -65,6 +66,7 @@
         self.behind: list[tuple[Head, bytes]] = []  # calls of the same read as the one at work
         self.parts: list[bytes] = []
         self.queue: list[bytes] = []  # unread bytes while a call is at work, one read at most
+        self.fault = b""  # the answer to what made no sense; it comes after those that are owed
         self.size = 0
         self.at_work = self.long = False
         self.timer = door.host.after(IDLE_S, self._idle)
@@ -90,8 +92,14 @@
         try:
             self.reader.feed(data)
         except MalformedError as fault:
-            self.connection.send(final(fault.status, str(fault).encode(), keep=False))
-            self.connection.close()
+            self.fault = final(fault.status, str(fault).encode(), keep=False)
+            if not self.at_work:
+                self._refuse()
+
+    def _refuse(self) -> None:
+        """Answer what made no sense, and close."""
+        self.connection.send(self.fault)
+        self.connection.close()
 
     def data(self, data: bytes) -> None:
         """A part of a body."""
@@ -136,6 +144,9 @@
         if self.behind:
             self.door.host.after(0.0, self._next)
             return
+        if self.fault:
+            self._refuse()
+            return
         self.timer = self.door.host.after(IDLE_S, self._idle)
         queue, self.queue = self.queue, []
         if queue:
@@ -182,7 +193,7 @@
     def head(self, head: Head) -> None:
         """A head is whole."""
         self.guest.reading = head
-        if head.expects:
+        if head.expects and not self.guest.at_work:
             self.guest.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def data(self, data: bytes) -> None:
--- a/tests/transport/test_door.py
+++ b/tests/transport/test_door.py
@@ -239,3 +239,27 @@
     assert visitor.statuses == [200]
     assert b"Connection: close" in visitor.data
     assert visitor.gone is not None
+
+
+def test_what_is_no_call_behind_one_at_work_is_not_that_calls_answer() -> None:
+    hall = Hall()
+    visitor = hall.visit(post(b"/1") + post(b"/2") + b"nonsense\r\n\r\n")
+    assert visitor.statuses == []
+    hall.calls[0].answer(202)
+    hall.run()
+    assert visitor.statuses == [202]
+    hall.calls[1].answer(200)
+    hall.run()
+    assert visitor.statuses == [202, 200, 400]
+    assert visitor.gone is not None
+
+
+def test_a_word_to_send_a_body_does_not_come_before_the_answer_owed() -> None:
+    hall = Hall()
+    visitor = hall.visit(post(b"/1") + post(b"/2", more=b"Expect: 100-continue\r\n"))
+    assert visitor.statuses == []
+    hall.calls[0].answer(202)
+    hall.run()
+    hall.calls[1].answer(200)
+    hall.run()
+    assert visitor.statuses == [202, 200]
