Read nothing on of a caller that left between two of its calls

Cause: what a caller sent behind a call at work is read a moment after that call's answer; where its connection was reset in that moment, the closed reader was fed and raised AttributeError, which the program logs as a fault of its own. Change: nothing is read on of a connection that is gone. Seen to fail before: test_a_caller_that_leaves_between_two_calls_leaves_nothing_behind.

--- a/honeywharf/transport/http_server.py
+++ b/honeywharf/transport/http_server.py
@@ -48,6 +48,7 @@
         "connection",
         "door",
         "fault",
+        "gone",
         "head",
         "long",
         "parts",
@@ -68,7 +69,7 @@
         self.queue: list[bytes] = []  # unread bytes while a call is at work, one read at most
         self.fault = b""  # the answer to what made no sense; it comes after those that are owed
         self.size = 0
-        self.at_work = self.long = False
+        self.at_work = self.long = self.gone = False
         self.timer = door.host.after(IDLE_S, self._idle)
 
     def _idle(self) -> None:
@@ -155,6 +156,8 @@
             self.connection.resume()
 
     def _resume(self, queue: list[bytes]) -> None:
+        if self.gone:
+            return
         self.connection.resume()
         for data in queue:
             self.received(data)
@@ -175,6 +178,7 @@
 
     def closed(self, why: str) -> None:
         """It is gone."""
+        self.gone = True
         self.timer.cancel()
         self.leave()
         self.behind.clear()
--- a/tests/sidecar/stage.py
+++ b/tests/sidecar/stage.py
@@ -401,8 +401,11 @@
 
     def received(self, data: bytes) -> None:
         """Bytes of requests."""
-        self.raw += data
         self.bytes += len(data)
+        if self.backend.read is not None:
+            self.backend.read(self, data)
+            return
+        self.raw += data
         while (request := self._cut()) is not None:
             self.requests.append(request)
             self.backend.requests.append(request)
@@ -486,6 +489,7 @@
         self.visits: list[Visit] = []
         self.requests: list[Request] = []
         self.serve: Callable[[Visit, Request], None] = self.usual
+        self.read: Callable[[Visit, bytes], None] | None = None  # takes bytes before they make a request
         host.listen((host.machine.ip, APPLICATION), self._accept)
 
     def _accept(self, connection: Connection) -> Handler:
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -715,3 +715,48 @@
     stage.run(0.5)
     assert len(stage.backend.requests) == 1  # what was refused never runs
     assert stage.gate.admission.running == 0
+
+
+def test_a_connection_with_half_a_request_on_it_carries_no_other() -> None:
+    """A backend that answers before it has read the body: the next request would be read as its rest."""
+    stage = Stage()
+    heads: list[bytes] = []
+
+    def early(visit: Visit, data: bytes) -> None:
+        if data.startswith(b"POST"):
+            heads.append(data)
+            visit.send(answer(b"a1", b"", 503, False, NOT_EXECUTED))
+
+    stage.backend.read = early
+    job, told = stage.begin(ask(kind=2, length=1 << 20, attempt=b"a1"))
+    job.data(b"x" * 40_000)
+    stage.run(0.05)
+    assert told.events[-1] == ("fail", NOT_RUN, TURNED_AWAY, True)
+    assert len(heads) == 1
+    assert stage.backend.open == 0
+    stage.backend.read = None
+    job, told = stage.begin(ask(kind=1, length=3, attempt=b"a2"))
+    job.data(b"abc")
+    job.end()
+    stage.run(0.05)
+    assert [request.attempt for request in stage.backend.requests] == [b"a2"]
+    assert told.body == b"done"
+
+
+def test_a_late_repeat_of_a_refusal_is_no_proof_for_the_next_try_of_the_same_request() -> None:
+    stage = Stage()
+    refusal = answer(b"a1", b"", 503, False, NOT_EXECUTED)
+
+    def twice(visit: Visit, request: Request) -> None:
+        if len(stage.backend.requests) == 1:
+            visit.send(refusal)
+            stage.app.after(0.01, lambda: visit.send(refusal))
+
+    stage.backend.serve = twice
+    _, told = stage.begin(ask(kind=1, attempt=b"a1"))
+    stage.run(0.005)
+    assert told.events == [("fail", NOT_RUN, TURNED_AWAY, True)]
+    _, again = stage.begin(ask(kind=1, attempt=b"a1"))
+    stage.run(0.05)
+    assert len(stage.backend.requests) == 2
+    assert again.events == []  # the backend is at work on it
--- a/tests/transport/test_door.py
+++ b/tests/transport/test_door.py
@@ -263,3 +263,15 @@
     hall.calls[1].answer(200)
     hall.run()
     assert visitor.statuses == [202, 200]
+
+
+def test_a_caller_that_leaves_between_two_calls_leaves_nothing_behind() -> None:
+    hall = Hall()
+    visitor = hall.visit(post(b"/1"))
+    visitor.connection.send(post(b"/2"))
+    hall.run()
+    visitor.connection.abort()
+    hall.calls[0].answer(200)  # the second one is read a moment later, after the reset
+    hall.run()
+    assert len(hall.calls) == 1
+    assert hall.door.guests == 0
