Use no connection again on which half a request was sent to a backend

Seen in a review of who may get whose answer. Cause: a backend may answer a long body before it has read all of it (a refusal, an error). The request was over then, and its connection went back among the idle ones with the rest of the body never sent. The next request written there was read by the backend as that rest: lost, or with a suitable body run as part of another request.

Change: a connection whose answer came before the last byte of its request was written is closed (Tap.request_whole). Seen to fail before: test_a_connection_with_half_a_request_on_it_carries_no_other (one connection for both requests).

--- a/honeywharf/sidecar/backend.py
+++ b/honeywharf/sidecar/backend.py
@@ -2,10 +2,10 @@
 
 Theory of operation. An idle connection is used again only if less time has passed than the backend keeps it
 (`Keep-Alive`, less a margin); the one used last is used first, so the rest age out. An answer belongs to a
-request only if it echoes its attempt id: what does not is skipped, and the connection is closed
-afterwards; so
-is one on which anything comes while no request is out. A new connection's request is written once it is
-up, so one that is refused has seen nothing: a proof.
+request only if it echoes its attempt id: what does not is skipped, and the connection is closed afterwards.
+So is one on which anything comes while no request is out, and one whose answer came before all of its
+request was written. A new connection's request is written once it is up, so one that is refused has seen
+nothing: a proof.
 
 A backend may forget a connection that rests, and says so only by a reset of what is sent next. So one that
 has rested for `TRUSTED_S` is tried first: the method's bytes go alone, which no backend can take for a
@@ -76,6 +76,7 @@
         "idle_until",
         "pool",
         "reader",
+        "request_whole",
         "sent",
         "skipping",
         "spoilt",
@@ -89,6 +90,7 @@
         self.user: User | None = user
         self.begun = b""  # bytes of the request that have gone ahead
         self.trying = False  # whether the backend still knows the connection
+        self.request_whole = False  # what was written is all of the user's request
         self.up = self.sent = self.spoilt = self.skipping = self.answering = False
         self.idle_since = self.idle_until = 0.0
         self.reader = AnswerReader(self, MOST_ANSWER)
@@ -106,6 +108,7 @@
     def again(self, user: User, now: float) -> None:
         """Serve one more request: at once after a short rest, else once it has been tried."""
         self.user, self.sent, self.begun = user, False, b""
+        self.request_whole = False
         if now - self.idle_since <= TRUSTED_S:
             self.pool.host.after(0.0, partial(_begin, self, user))
             return
@@ -121,14 +124,21 @@
     def _renew(self) -> None:
         """The backend had forgotten it: a new connection takes its place, as nothing has run."""
         self.trying, self.up, self.begun = False, False, b""
+        self.request_whole = False
         self.spoilt = self.skipping = self.answering = False
         self.reader = AnswerReader(self, MOST_ANSWER)
         self.pool.forgotten += 1
         self.pool.made()
         self.connection = self.pool.host.connect(self.pool.address, self._made, CONNECT_S)
 
-    def write(self, data: bytes) -> None:
-        """Send bytes of the request, from its first on; what has gone ahead is not sent twice."""
+    def write(self, data: bytes, last: bool) -> None:
+        """Send bytes of the request, from its first on; what has gone ahead is not sent twice.
+
+        `last`: nothing of the request follows.
+        """
+        self.request_whole = last
+        if not data:
+            return
         if self.begun:
             data, self.begun = data[len(self.begun) :], b""
         self.sent = True
@@ -197,6 +207,8 @@
             return
         user, self.user = self.user, None
         self.answering = False
+        if not self.request_whole:
+            self.spoilt = True  # guards the next request: it would be read as the rest of this one's body
         self.connection.resume()  # a user that held it up is done with it
         if user is not None:
             user.whole()
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -312,11 +312,9 @@
         if not self.wrote:
             data = self._head_bytes() + self._framed(data)
             self.wrote = True
-            self.tap.write(data)
+            self.tap.write(data, last=self.ended or self.ask.length == 0)
         elif data or self.ended:
-            framed = self._framed(data)
-            if framed:
-                self.tap.write(framed)
+            self.tap.write(self._framed(data), last=self.ended)
         if not self.tap.unsent:
             self.drained()
 
