Use no connection again on which a backend has refused a request

Seen in a review of who may get whose answer. Cause: a request that its backend refused (X-Honeywharf-Not-Executed, 421) may be sent to the same backend once more, under the same attempt id, where all others lack room. A backend that repeats the refusal late then has it stand where the answer of the second sending is due: the id agrees, and it was taken for the proof that what the backend was at work on had not run. A request that may not be repeated could be promised away (503), or sent on.

Change: a connection that carried a refusal is closed; no other answer leaves a request that comes back under its id. Seen to fail before: test_a_late_repeat_of_a_refusal_is_no_proof_for_the_next_try_of_the_same_request.

--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -128,6 +128,11 @@
         self.idle_s = 0.0  # how long the backend keeps the connection, where it says so
         self.cold_s: float | None = None
 
+    @property
+    def refuses(self) -> bool:
+        """Whether it is the backend's word that it has not run the request."""
+        return self.unexecuted or self.status == 421
+
 
 class RequestReader(Reader):
     """Turns what one client sends into heads, parts of bodies and ends.
--- a/honeywharf/sidecar/backend.py
+++ b/honeywharf/sidecar/backend.py
@@ -3,9 +3,9 @@
 Theory of operation. An idle connection is used again only if less time has passed than the backend keeps it
 (`Keep-Alive`, less a margin); the one used last is used first, so the rest age out. An answer belongs to a
 request only if it echoes its attempt id: what does not is skipped, and the connection is closed afterwards.
-So is one on which anything comes while no request is out, and one whose answer came before all of its
-request was written. A new connection's request is written once it is up, so one that is refused has seen
-nothing: a proof.
+So is one on which anything comes while no request is out, one whose answer came before all of its request
+was written, and one that carried a refusal, as a refused request may come back under the id it had. A new
+connection's request is written once it is up, so one that is refused has seen nothing: a proof.
 
 A backend may forget a connection that rests, and says so only by a reset of what is sent next. So one that
 has rested for `TRUSTED_S` is tried first: the method's bytes go alone, which no backend can take for a
@@ -187,7 +187,9 @@
             self.skipping = self.spoilt = True
             return
         self.skipping, self.answering = False, True
-        if not answer.keep:
+        if not answer.keep or answer.refuses:
+            # A refused request may come here again under the same id: a late repeat of this refusal must not
+            # be where its answer is due.
             self.spoilt = True
         self.idle_until = (answer.idle_s - MARGIN_S) if answer.idle_s else UNTOLD_S
         user.answered(answer)
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -462,11 +462,7 @@
         """Whether the answer is one that a client may see: a success has the seal, and is not encoded."""
         head = self.head
         return (
-            head is not None
-            and not head.unexecuted
-            and head.status != 421
-            and (head.status >= 300 or head.sealed)
-            and not head.encoded
+            head is not None and not head.refuses and (head.status >= 300 or head.sealed) and not head.encoded
         )
 
     def whole(self) -> None:
@@ -491,7 +487,7 @@
 
     def _no_answer(self, head: Answer) -> None:
         """What came is none that a client may see: the backend's word that it has not run, or nonsense."""
-        if head.status == 421 or head.unexecuted:
+        if head.refuses:
             if head.status == 421:
                 self.inbound.other_there()
             self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -741,3 +741,22 @@
     stage.run(0.05)
     assert [request.attempt for request in stage.backend.requests] == [b"a2"]
     assert told.body == b"done"
+
+
+def test_a_late_repeat_of_a_refusal_is_no_proof_for_the_next_try_of_the_same_request() -> None:
+    stage = Stage()
+    refusal = answer(b"a1", b"", 503, False, NOT_EXECUTED)
+
+    def twice(visit: Visit, request: Request) -> None:
+        if len(stage.backend.requests) == 1:
+            visit.send(refusal)
+            stage.app.after(0.01, lambda: visit.send(refusal))
+
+    stage.backend.serve = twice
+    _, told = stage.begin(ask(kind=1, attempt=b"a1"))
+    stage.run(0.005)
+    assert told.events == [("fail", NOT_RUN, TURNED_AWAY, True)]
+    _, again = stage.begin(ask(kind=1, attempt=b"a1"))
+    stage.run(0.05)
+    assert len(stage.backend.requests) == 2
+    assert again.events == []  # the backend is at work on it
