End a link whose frames don't fit the state of their stream

Seen: a destination took OPEN under a number that was in use or had been, so an answer to the first request would have gone out under the number of the second; a source passed on parts of an answer that had no head, and a second head. The programs send neither (numbers of a link only rise; a link is one connection, and a new one begins at 1), but nothing held it. Change: numbers must rise (Reception.last); an answer has one head, before its parts (Stream.begin, go_on). What does not fit ends the link, as other nonsense does.

Seen to fail before: the five new cases of tests/transport/test_streams.py. The mutant "a stream's number is used again" of the explored order now leaves out both guards, as one alone holds the rule.

--- a/honeywharf/transport/streams.py
+++ b/honeywharf/transport/streams.py
@@ -193,7 +193,7 @@
 class Stream:
     """The source's end of one request on a link."""
 
-    __slots__ = ("bodied", "link", "number", "opened_at", "repeatable", "replies", "went")
+    __slots__ = ("answering", "bodied", "link", "number", "opened_at", "repeatable", "replies", "went")
 
     def __init__(
         self,
@@ -206,8 +206,20 @@
     ) -> None:
         self.link: Link | None = link
         self.number, self.replies, self.bodied, self.went = number, replies, bodied, False
+        self.answering = False
         self.repeatable, self.opened_at = repeatable, now
 
+    def begin(self) -> None:
+        """The head of the answer has come; ValueError where it is the second."""
+        if self.answering:
+            raise ValueError(f"found a second answer of stream {self.number}, wanted one")
+        self.answering = True
+
+    def go_on(self) -> None:
+        """More of the answer has come; ValueError where it has not begun."""
+        if not self.answering:
+            raise ValueError(f"found a part of an answer of stream {self.number}, wanted its head first")
+
     def data(self, data: bytes) -> None:
         """Send a part of the body, at most what the window allows."""
         if self.link is not None:
@@ -336,13 +348,16 @@
         elif kind == WINDOW:
             replies.window(frame[2])
         elif kind == ANSWER:
+            stream.begin()
             replies.load(tuple(frame[5]))
             if frame[6] is not None:
                 self._over(stream)
             replies.answered(frame[2], frame[3], frame[4], frame[6])
         elif kind == DATA:
+            stream.go_on()
             replies.data(frame[2])
         elif kind == END:
+            stream.go_on()
             self._over(stream)
             replies.whole()
         elif kind in (REFUSE, FAIL):
@@ -404,6 +419,7 @@
     ) -> None:
         self.connection, self.reader, self.begin = connection, reader, begin
         self.work: dict[int, Work] = {}
+        self.last = 0  # the highest number of a stream so far
         for frame in frames:
             self._take(frame)
 
@@ -441,6 +457,9 @@
     def _open(self, number: int, ask: Ask) -> None:
         if len(self.work) >= MOST_STREAMS:
             raise ValueError(f"found more than {MOST_STREAMS} streams on one link, wanted at most that")
+        if number <= self.last:  # guards against an answer to one request that is read as another's
+            raise ValueError(f"found stream {number} after {self.last}, wanted a higher number")
+        self.last = number
         ask.peer = self.connection.peer[0]
         answers = Answers(self, number)
         work = self.begin(ask, answers)
--- a/tests/sidecar/order_mutants.py
+++ b/tests/sidecar/order_mutants.py
@@ -9,7 +9,7 @@
 from honeywharf.sidecar.course import Course
 from honeywharf.sidecar.inbound import Job
 from honeywharf.sidecar.outbound import Guest
-from honeywharf.transport.streams import Link, Stream
+from honeywharf.transport.streams import Ask, Link, Reception, Stream
 from honeywharf.verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sidecar.order_model import SCENES, play, singles, watched
 from tests.simulation.mutants import Put, wrong
@@ -135,7 +135,7 @@
 
 
 def stream_number_again(put: Put) -> None:
-    """The number of a stream that was given up is used for the next one."""
+    """The number of a stream that was given up is used for the next one, and the destination lets it."""
 
     def cancel(self: Stream) -> None:
         link = self.link
@@ -143,8 +143,13 @@
         if link is not None and link.number == self.number:
             link.number -= 1
 
-    was = Stream.cancel
+    def opened(self: Reception, number: int, ask: Ask) -> None:
+        self.last = 0
+        was_opened(self, number, ask)
+
+    was, was_opened = Stream.cancel, Reception._open
     put(Stream, "cancel", cancel)
+    put(Reception, "_open", opened)
 
 
 def closes_on_pipelined(put: Put) -> None:
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -477,3 +477,40 @@
     assert set(pair.link.streams) == {
         s.number for n, (s, t, _) in enumerate(opened) if not t.over and n not in cancelled
     }
+
+
+@pytest.mark.parametrize("over", [False, True])
+def test_a_number_that_was_used_opens_no_second_stream(over: bool) -> None:
+    pair = Pair()
+    _, told = pair.open()
+    pair.run()
+    (work,) = pair.works
+    if over:
+        work.answers.answer(200, b"", 2, LOAD, b"ok")
+        pair.run()
+    pair.link.connection.send(made(0).packed(1))
+    pair.run()
+    assert len(pair.works) == 1
+    assert not pair.links.links
+    assert told.events[-1][0] == ("answered" if over else "failed")
+
+
+@pytest.mark.parametrize(
+    "frames",
+    [
+        [[streams.DATA, 1, b"body"]],
+        [[streams.END, 1]],
+        [[streams.ANSWER, 1, 200, b"", 4, LOAD, None], [streams.ANSWER, 1, 200, b"", 2, LOAD, b"ok"]],
+    ],
+)
+def test_an_answer_out_of_its_order_ends_the_link_and_shows_nothing(frames: list[list[Any]]) -> None:
+    pair = Pair()
+    _, told = pair.open()
+    pair.run()
+    for frame in frames:
+        pair.works[0].answers.reception.send(frame)
+    pair.run()
+    assert not pair.links.links
+    assert told.body == b""
+    assert told.events[-1] == ("failed", MAY_HAVE_RUN, LOST, False, 0.0)
+    assert sum(event[0] == "answered" for event in told.events) == len(frames) - 1
