Let a simulated process die just after it gave up a connection that was not up

Found by pairs of faults in the explored order: a process that was killed in the instant at which it had aborted a connection on its way up raised AssertionError in the simulated kernel, which ended the exploration. There is nobody to send an end to. Seen to fail before: the new case of tests/simulation/test_machine.py.

--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -228,7 +228,7 @@
     def die(self) -> None:
         """The process ended: its kernel closes, with a reset where bytes were unread."""
         self._drop()
-        if self.state in ("open", "closing"):
+        if self.state in ("open", "closing") and self.other is not None:
             self._fly(RESET if self._unread() else END)
         self.state = "closed"
         self._leave()
--- a/tests/simulation/test_machine.py
+++ b/tests/simulation/test_machine.py
@@ -121,6 +121,16 @@
     assert again.names() == ["opened"]
 
 
+def test_a_process_may_die_just_after_it_gave_up_a_connection_that_was_not_up() -> None:
+    two = Two()
+    log = two.asked()
+    log.connection.abort()
+    two.here.kill()
+    two.world.run(1.0)
+    assert two.here.alive
+    assert log.names() == []
+
+
 def test_a_machine_back_from_the_dark_resets_what_it_no_longer_knows() -> None:
     two = Two()
     log = two.asked()
