Have the explored client send again only what stood behind a closing answer

Found by pairs of faults: the model's client sent an order once more after any loss of its connection, where an earlier request had been answered with Connection: close on another connection. PROTOCOL lets it only for what was sent behind that answer.

--- a/tests/sidecar/order_model.py
+++ b/tests/sidecar/order_model.py
@@ -252,8 +252,10 @@
         if message is not None:
             self._check(made, message)
         if made is self.other:
-            self.unread = message is not None and message.headers.get("connection") == "close"
-            if self.pair.scene.before != "pipelined":
+            closes = message is not None and message.headers.get("connection") == "close"
+            if self.pair.scene.before == "pipelined":
+                self.unread = closes
+            else:
                 self._send()
         elif message is None and self.unread:
             self.unread = False
