--- a/tests/transport/test_calls.py
+++ b/tests/transport/test_calls.py
@@ -141,3 +141,51 @@
     a.connect(AT, Answerer({}).accept).send(b"GET / HTTP/1.1\r\n\r\n")
     world.run(1.0)
     assert answerer.foreign == 1
+
+
+def test_an_answer_after_its_call_has_timed_out_is_not_the_next_ones() -> None:
+    owed: list[rpc.Reply] = []
+
+    def keep(args: Any, reply: rpc.Reply, peer: Address) -> None:
+        owed.append(reply)
+
+    world, _, _, caller, _ = pair({"keep": keep, "echo": echo})
+    got: list[tuple[str, object]] = []
+    caller.call(AT, "keep", None, 0.3, lambda answer: got.append(("first", answer)))
+    for n in range(4):  # the link lives, so it is kept
+        world.run(0.1 * (n + 1))
+        caller.call(AT, "echo", n, 1.0, lambda answer: None)
+    world.run(0.5)
+    assert got == [("first", None)]
+    assert caller.peers == 1
+    caller.call(AT, "keep", None, 1.0, lambda answer: got.append(("second", answer)))
+    world.run(0.6)
+    owed[0]("late")
+    world.run(0.7)
+    assert got == [("first", None)]
+    owed[1]("due")
+    world.run(0.8)
+    assert got == [("first", None), ("second", "due")]
+
+
+def test_an_answer_on_a_link_that_was_given_up_is_not_the_one_of_the_next_link() -> None:
+    """Both links number their calls from 1."""
+    owed: list[rpc.Reply] = []
+    methods: dict[str, rpc.Method] = {"keep": lambda args, reply, peer: owed.append(reply), "echo": echo}
+    world, _, _, caller, _ = pair(methods)
+    got: list[tuple[str, object]] = []
+    caller.call(AT, "echo", 0, 1.0, lambda answer: got.append(("up", answer)))
+    world.run(0.1)
+    world.cuts.add((AT[0], "10.0.0.1"))
+    caller.call(AT, "keep", None, 0.3, lambda answer: got.append(("first", answer)))
+    world.run(0.5)
+    owed[0]("late")
+    assert got == [("up", 0), ("first", None)]
+    assert caller.peers == 0  # nothing moved: the link was given up
+    world.cuts.clear()
+    caller.call(AT, "keep", None, 1.0, lambda answer: got.append(("second", answer)))
+    world.run(1.4)
+    assert len(got) == 2
+    owed[1]("due")
+    world.run(1.45)
+    assert got[2:] == [("second", "due")]
