--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -312,11 +312,9 @@
         if not self.wrote:
             data = self._head_bytes() + self._framed(data)
             self.wrote = True
-            self.tap.write(data)
+            self.tap.write(data, last=self.ended or self.ask.length == 0)
         elif data or self.ended:
-            framed = self._framed(data)
-            if framed:
-                self.tap.write(framed)
+            self.tap.write(self._framed(data), last=self.ended)
         if not self.tap.unsent:
             self.drained()
 
@@ -464,11 +462,7 @@
         """Whether the answer is one that a client may see: a success has the seal, and is not encoded."""
         head = self.head
         return (
-            head is not None
-            and not head.unexecuted
-            and head.status != 421
-            and (head.status >= 300 or head.sealed)
-            and not head.encoded
+            head is not None and not head.refuses and (head.status >= 300 or head.sealed) and not head.encoded
         )
 
     def whole(self) -> None:
@@ -493,7 +487,7 @@
 
     def _no_answer(self, head: Answer) -> None:
         """What came is none that a client may see: the backend's word that it has not run, or nonsense."""
-        if head.status == 421 or head.unexecuted:
+        if head.refuses:
             if head.status == 421:
                 self.inbound.other_there()
             self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
