Check whole histories of operators' calls as those of one register

Change: random runs with two operators, up to eight orders under way, lost answers and orders sent again, kills, losses of power, wipes, cuts, freezes and stepped clocks; the history is checked afterwards (one content a version, no refusal of what was confirmed, reads in order, evacuations of some order of their calls). With the memory of versions left out, and with reads answered by one machine, the same runs are found out. No change of the program.

--- /dev/null
+++ b/tests/control/test_history.py
@@ -0,0 +1,198 @@
+"""All calls of several operators and their answers, checked as one history afterwards.
+
+Up to eight orders are under way at once, from two operators, to any machine; answers are lost and orders sent
+again; machines are killed, lose power, are wiped, cut off, frozen, and their clocks are stepped. The history
+must be that of one register: a content is confirmed at most once for each version, a read is no older than
+what was confirmed before it began, and evacuations that are read are those of some order of their calls.
+"""
+
+from __future__ import annotations
+
+import os
+from itertools import count
+from typing import NamedTuple
+
+import pytest
+
+from honeywharf.control.mesh_state import MeshState
+from tests.control.test_runs import Story
+from tests.control.town import Call
+
+RUNS = int(os.environ.get("RUNS", "6"))
+MOST_UNDER_WAY = 8
+LOST_ANSWERS = 0.3
+ZONES = "abc"
+
+
+class Order(NamedTuple):
+    """A call that an operator may make again. `key`: version and content, or zone and whether it begins."""
+
+    path: str
+    body: bytes
+    key: tuple[object, object]
+
+
+class Event(NamedTuple):
+    """One call of the history; `status` 0: the answer was lost, or there was none."""
+
+    order: Order
+    began: float
+    ended: float
+    status: int
+
+
+class ReadEvent(NamedTuple):
+    """A state that a majority read told."""
+
+    began: float
+    ended: float
+    state: MeshState
+
+
+class Operators(Story):
+    """Two operators and a reader, under the troubles of a story."""
+
+    def __init__(self, seed: int, count: int) -> None:
+        super().__init__(seed, count)
+        self.orders: list[Order] = []
+        self.under_way: list[tuple[Order, float, Call]] = []
+        self.events: list[Event] = []
+        self.states: list[ReadEvent] = []
+        self.numbers = count_from(1)
+
+    def operate(self) -> None:
+        """Answers come, or are lost; new orders go out, and old ones again."""
+        self.collect()
+        if len(self.under_way) < MOST_UNDER_WAY and self.rng.random() < 0.5:
+            self.order(self.draw())
+        if self.rng.random() < 0.3:
+            self.read()
+        if self.rng.random() < 0.02:
+            machine = self.rng.choice(list(self.town.world.machines.values()))
+            machine.clock_step = self.rng.choice((-3600.0, 0.0, 2.0, 3600.0))
+
+    def draw(self) -> Order:
+        """Something new, something under a number that is taken, an evacuation, or an old order again."""
+        luck = self.rng.random()
+        if self.orders and luck < 0.45:
+            return self.rng.choice(self.orders[-30:])
+        if luck < 0.65:
+            zone, begin = self.rng.choice(ZONES), self.rng.random() < 0.5
+            path = f"/api/evacuations/{zone}/{'start' if begin else 'complete'}"
+            return Order(path, b"", (zone, begin))
+        taken = bool(self.orders) and luck < 0.85
+        version = self.rng.choice((0, 1, 2)) + self.version if taken else next(self.numbers) + self.version
+        self.version = max(self.version, version)
+        content = self.rng.randbytes(6).hex()
+        body = f"r{version} {content}".encode()
+        return Order("/api/configuration/replace", body, (version, content))
+
+    def order(self, order: Order) -> None:
+        """Send it to anybody."""
+        self.orders.append(order)
+        ip = self.rng.choice(list(self.town.world.machines))
+        now = self.town.world.time
+        self.under_way.append((order, now, self.town.call(ip, "POST", order.path, order.body)))
+
+    def read(self) -> None:
+        """What a majority holds, as one machine is told."""
+        ip = self.rng.choice(list(self.town.world.machines))
+        began = self.town.world.time
+        if not self.town.world.machines[ip].on:
+            return
+
+        def told(state: MeshState | None) -> None:
+            if state is not None:
+                self.states.append(ReadEvent(began, self.town.world.time, state))
+
+        self.town.programs[ip].replica.read(0.8, told)
+
+    def collect(self) -> None:
+        """Answers that have come; some are lost on their way, and an operator waits a second at most."""
+        now, left = self.town.world.time, []
+        for order, began, call in self.under_way:
+            if call.answers or now - began > 1.0:
+                lost = self.rng.random() < LOST_ANSWERS
+                self.events.append(Event(order, began, now, 0 if lost else call.status))
+            else:
+                left.append((order, began, call))
+        self.under_way = left
+
+
+def count_from(first: int) -> count[int]:
+    """Numbers, one after the other."""
+    return count(first)
+
+
+def check(operators: Operators) -> None:
+    """The history is that of one register."""
+    replaces = [event for event in operators.events if isinstance(event.order.key[0], int)]
+    confirmed: dict[object, object] = {}
+    for event in replaces:
+        if event.status == 200:
+            version, content = event.order.key
+            assert confirmed.setdefault(version, content) == content, f"two contents of r{version}"
+    for event in replaces:
+        version, content = event.order.key
+        assert event.status in (0, 200, 409, 503)
+        if event.status == 409:
+            assert confirmed.get(version) != content, f"r{version} {content} was confirmed and is refused"
+    check_reads(operators, replaces)
+    check_evacuations(operators)
+
+
+def check_reads(operators: Operators, replaces: list[Event]) -> None:
+    """Reads follow what was confirmed and what was read before they began."""
+    done: list[tuple[float, int]] = []
+    for event in replaces:
+        version = event.order.key[0]
+        if event.status == 200 and isinstance(version, int):
+            done.append((event.ended, version))
+    newest: list[tuple[float, int]] = []
+    for read in sorted(operators.states, key=lambda read: read.ended):
+        floor = max((version for ended, version in done if ended < read.began), default=-1)
+        assert read.state.version >= floor, f"r{read.state.version} was read after r{floor} was confirmed"
+        before = max((revision for ended, revision in newest if ended < read.began), default=-1)
+        assert read.state.revision >= before, "reads went back"
+        newest.append((read.ended, read.state.revision))
+
+
+def check_evacuations(operators: Operators) -> None:
+    """A zone's evacuation that is read was set by a call that nothing confirmed has replaced since."""
+    for zone in ZONES:
+        events = [event for event in operators.events if event.order.key[0] == zone]
+        for read in operators.states:
+            told = read.state.evacuations.get(zone, False)
+            settled = [e for e in events if e.status == 200 and e.ended < read.began]
+            last = max((e.began for e in settled), default=None)
+            if last is None:
+                continue
+            unsettled = [e for e in events if e.began < read.ended and (e.ended >= last or e.status != 200)]
+            possible = {e.order.key[1] for e in unsettled} | {
+                e.order.key[1] for e in settled if e.began == last
+            }
+            assert told in possible, f"{zone} is {told} at {read.ended}, which no call can have left"
+
+
+def play(seed: int, members: int, steps: int = 400) -> Operators:
+    """A history of 20 s and its calm end."""
+    operators = Operators(seed, members)
+    operators.town.run(1.0)
+    for _ in range(steps):
+        operators.step()
+        operators.operate()
+        operators.trouble()
+    operators.calm()
+    operators.collect()
+    check(operators)
+    return operators
+
+
+@pytest.mark.parametrize("members", [3, 5])
+def test_every_history_is_that_of_one_register(members: int) -> None:
+    played = [play(seed, members) for seed in range(RUNS)]
+    statuses = [event.status for each in played for event in each.events]
+    assert statuses.count(200) > 30 * RUNS
+    assert statuses.count(409) > RUNS
+    assert statuses.count(0) > 10 * RUNS
+    assert sum(len(each.states) for each in played) > 30 * RUNS
--- a/tests/control/test_mechanisms.py
+++ b/tests/control/test_mechanisms.py
@@ -14,7 +14,7 @@
 from honeywharf.control.proposals import Reads
 from honeywharf.control.standby import Handover
 from honeywharf.sidecar.mesh_state import Word
-from tests.control import test_cut_off, test_one_content, test_second_loss
+from tests.control import test_cut_off, test_history, test_one_content, test_second_loss
 from tests.sidecar import test_mesh_state
 
 Patch = pytest.MonkeyPatch
@@ -178,6 +178,8 @@
         remembers_no_versions,
         scenario(test_one_content.test_of_two_contents_under_one_version_one_is_confirmed_and_read_back),
     ),
+    (remembers_no_versions, scenario(test_history.test_every_history_is_that_of_one_register, 3)),
+    (answers_from_what_it_knows, scenario(test_history.test_every_history_is_that_of_one_register, 3)),
     (
         remembers_the_version_in_force_alone,
         scenario(
