--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -228,7 +228,7 @@
     def die(self) -> None:
         """The process ended: its kernel closes, with a reset where bytes were unread."""
         self._drop()
-        if self.state in ("open", "closing"):
+        if self.state in ("open", "closing") and self.other is not None:
             self._fly(RESET if self._unread() else END)
         self.state = "closed"
         self._leave()
@@ -659,6 +659,10 @@
         """Write a file whole and sync it."""
         self._operate("write", name, bytes(data))
 
+    def sync_names(self) -> None:
+        """Sync the folder."""
+        self._operate("sync", "")
+
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, and sync the folder."""
         if name not in self._disk().files:
--- a/tests/sidecar/test_mesh_state.py
+++ b/tests/sidecar/test_mesh_state.py
@@ -1,13 +1,45 @@
-"""What a sidecar takes for the mesh state at its start: only what a majority has told."""
+"""What a sidecar takes for the mesh state at its start: a configuration that a majority has told."""
 
 from __future__ import annotations
 
+import json
+import zlib
 from typing import Any, cast
 
 from honeywharf.sidecar.mesh_state import Word
+from honeywharf.simulation.field import ROUTES
 from tests.control.world import World
 
 CORES = [("10.0.0.1", 7620), ("10.0.0.2", 7620)]
+HOST, PREFIX = ROUTES[0][:2]
+
+
+def configuration(version: int) -> bytes:
+    """The text of a configuration with one route."""
+    route = {
+        "name": "r-1",
+        "hostname": HOST,
+        "path-prefix": PREFIX,
+        "route-kind": "read_only",
+        "timeout": "3000ms",
+        "target-latency": "600ms",
+        "priority": 1,
+        "max-attempts": 2,
+        "target-service": "tile-vault",
+    }
+    limits = {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 67108864,
+        "header-timeout": "3000ms",
+        "idle-timeout": "15000ms",
+    }
+    whole = {"config-version": f"r{version}", "routes": [route], "services": [], "limits": limits}
+    return json.dumps(whole).encode()
+
+
+def state(revision: int, version: int, digest: str) -> dict[str, Any]:
+    """A mesh state as control nodes tell it."""
+    return {"rev": revision, "version": version, "digest": digest, "evac": {}}
 
 
 class Asked:
@@ -22,6 +54,30 @@
         self.machine.after(within, lambda: done(self.answers.get(method)))
 
 
+def started(answers: dict[str, Any], seconds: float) -> tuple[Word, Asked]:
+    """A sidecar's state so long after its start."""
+    asked = Asked(answers)
+    asked.machine.start(lambda machine: None)
+    word = Word(cast(Any, asked.machine), cast(Any, asked), lambda: CORES, lambda: None)
+    word.start()
+    asked.machine.world.run(asked.machine.world.time + seconds)
+    return word, asked
+
+
+def test_the_first_version_that_there_can_be_is_taken_over() -> None:
+    told = {"word.read": state(1, 0, "zero"), "word.body": zlib.compress(configuration(0))}
+    word, _ = started(told, 3.0)
+    assert word.ready
+    assert word.version == 0
+    assert word.find(HOST.encode(), PREFIX.encode()) is not None
+
+
+def test_a_state_without_a_configuration_makes_nobody_ready() -> None:
+    word, asked = started({"word.read": state(7, -1, "")}, 20.0)
+    assert not word.ready
+    assert asked.methods.count("word.read") > 10
+
+
 def test_without_a_majority_it_takes_nothing_however_long_it_waits() -> None:
     old = {"rev": 3, "version": 5, "digest": "five", "evac": {}}
     asked = Asked({"word.known": old, "word.body": b"text"})
