--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -125,6 +125,7 @@
         self.host.after(HEARTBEAT_S * (0.9 + 0.2 * self.rng.random()), self._beat)
         if now - self.beat_at > HEARTBEAT_S + LATE_S:
             self.well_since = now  # it is we who were away
+            self.host.log(f"replica: this process stood still for {now - self.beat_at:.1f} s")
         self.beat_at = now
         members = keys(self.voter.state.members)
         is_member = self.voter.is_member()
--- a/tests/control/test_bounds.py
+++ b/tests/control/test_bounds.py
@@ -64,6 +64,7 @@
     town.run(0.001)
     town.run(0.2)
     assert town.programs["10.0.0.4"].replica.silent(membership.SILENT_S) == []
+    assert sum("stood still for 3." in line for line in town.world.machines["10.0.0.4"].lines) == 1
     town.run(2.0)
     assert town.programs["10.0.0.1"].replica.silent(membership.SILENT_S) == []
     assert len(town.programs["10.0.0.1"].replica.state.members) == 5
