Measure control by fleet size: real processes beside hollow sidecars on loopback

Change: bench.mesh_scale starts control and sidecar processes as they are deployed, with their traffic counted by the kernel's own figures of each connection, and hollow sidecars for all other machines: the sidecar program's own object, whole, on an event loop that 150 of them share, with a backend that only beats. Each size is bounded in time and ends what it started.

Not seen failing: the tests came with the code.

--- /dev/null
+++ b/bench/mesh_scale.py
@@ -0,0 +1,96 @@
+"""What control costs as the fleet grows: real processes beside hollow sidecars, on loopback, by size.
+
+    python -m bench.mesh_scale [--nodes 30,100,300] [--controls 6] [--services 160] [--real 3] [--target 1200]
+
+For each size: `--controls` control processes and `--real` sidecar processes as they are deployed, and hollow
+sidecars (`bench.scale.hollow`) for all other machines, in five zones of two regions. They start, rest, take a
+change every 20 s, restart, lose a control process and are split between two zones. Printed for each figure:
+its value by size, the power of the size with which it grows, and what a line and that power make of it at the
+target. `--report FILE` keeps the figures as JSON. A size takes a minute or two, and every process that was
+started ends with it. Status 1 where a program's log tells of a fault.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from bench.scale import fits, phases
+from bench.scale.fleet import Fleet
+from bench.scale.phases import Figures, Schedule
+from bench.scale.plan import Plan
+
+NODES_PER_PROCESS = 150
+LIMIT_S = 900.0  # after which every process of a size ends by itself
+STARTS_PER_S = 60.0  # nodes
+
+
+def measure(plan: Plan, real: int, schedule: Schedule) -> Figures:
+    """All phases of one size."""
+    processes = max(1, -(-plan.nodes // NODES_PER_PROCESS))
+    figures: Figures = {}
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        Fleet(plan, Path(folder), real, processes, LIMIT_S) as fleet,
+    ):
+        for name, phase in phases.PHASES:
+            figures |= phases.prefixed(name, phase(fleet, schedule))
+        figures |= phases.prefixed("end", phases.memory(fleet))
+    return figures
+
+
+def table(sizes: list[int], columns: list[Figures], target: int) -> list[str]:
+    """A line a figure: its values, the exponent, and the target by a line and by a power."""
+    head = f"{'':52}" + "".join(f"{size:>11}" for size in sizes)
+    lines = [f"{head}{'exponent':>11}{f'line {target}':>12}{f'power {target}':>12}"]
+    for name in columns[0]:
+        points = [
+            (float(size), column[name]) for size, column in zip(sizes, columns, strict=True)
+            if name in column]
+        line = f"{name:52}" + "".join(f"{value:11.2f}" for _, value in points)
+        if len(points) > 1:
+            power = fits.power(points)
+            exponent, there = (power.exponent, power.at(target)) if power else (0.0, 0.0)
+            line += f"{exponent:11.2f}{fits.line(points).at(target):12.2f}{there:12.2f}"
+        lines.append(line)
+    return lines
+
+
+def arguments(given: list[str]) -> argparse.Namespace:
+    """From the command line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--nodes", default="30,100,300")
+    parser.add_argument("--controls", type=int, default=6)
+    parser.add_argument("--services", type=int, default=160)
+    parser.add_argument("--real", type=int, default=3)
+    parser.add_argument("--target", type=int, default=1200)
+    parser.add_argument("--changes", type=int, default=3)
+    parser.add_argument("--every", type=float, default=20.0)
+    parser.add_argument("--report", default="")
+    return parser.parse_args(given)
+
+
+def main(given: list[str]) -> int:
+    """Measure every size and print the table."""
+    asked = arguments(given)
+    sizes = [int(text) for text in asked.nodes.split(",")]
+    columns: list[Figures] = []
+    for nodes in sizes:
+        begun = time.monotonic()
+        schedule = Schedule(nodes / STARTS_PER_S, 15.0, asked.changes, asked.every, 3, 12.0)
+        plan = Plan.on_free_ports(nodes, asked.controls, asked.services)
+        columns.append(measure(plan, asked.real, schedule))
+        print(f"{nodes} nodes: {time.monotonic() - begun:.0f} s", flush=True)
+        if asked.report:
+            report = {str(size): column for size, column in zip(sizes, columns, strict=False)}
+            Path(asked.report).write_text(json.dumps(report, indent=1))
+    print("\n".join(table(sizes, columns, asked.target)))
+    return 1 if any(column["end | faults in the logs"] for column in columns) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/scale/node_host.py
@@ -0,0 +1,157 @@
+"""The `Host` of one hollow node: its addresses, sockets and counts on an event loop that many nodes share."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from bench.scale.counted_loop import CountedLoop
+from bench.scale.traffic import Traffic
+from honeywharf.mains.loop import LoopTimer, Wire
+
+if TYPE_CHECKING:
+    from honeywharf.mains.host import Address, Connection, Handler
+
+
+class Reach:
+    """Which machines reach each other: all, but for those of two zones that a partition separates."""
+
+    def __init__(self, zone_of: Callable[[str], str]) -> None:
+        self._zone_of = zone_of
+        self.partitioned: frozenset[str] = frozenset()
+
+    def separates(self, ip: str, other: str) -> bool:
+        """Whether the partition lies between two machines."""
+        if not self.partitioned:
+            return False
+        return {self._zone_of(ip), self._zone_of(other)} == self.partitioned
+
+
+class Unreachable:
+    """A connection through a partition: nothing is heard until the time for connecting is over."""
+
+    unsent = 0
+
+    def __init__(
+        self, host: NodeHost, to: Address, handler: Callable[[Connection], Handler], within: float,
+    ) -> None:
+        self.peer = to
+        self._handler = handler(self)
+        self._timer = host.after(within, lambda: self._handler.closed("timeout"))
+        self._host = host
+
+    def send(self, data: bytes) -> None:
+        """It is lost."""
+
+    def close(self) -> None:
+        """Give up."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Give up."""
+        self._timer.cancel()
+        self._host.after(0.0, lambda: self._handler.closed(""))
+
+    def pause(self) -> None:
+        """Nothing comes anyway."""
+
+    def resume(self) -> None:
+        """Nothing comes anyway."""
+
+
+class NodeHost:
+    """What a program is given of its machine (`Host`). `exited` is called when the program ends itself."""
+
+    def __init__(self, loop: CountedLoop, ip: str, internal_port: int, reach: Reach) -> None:
+        self.loop, self.ip, self.internal_port, self.reach = loop, ip, internal_port, reach
+        self.traffic = Traffic()
+        self.stopped = False
+        self.exited: Callable[[], None] = self.stop
+        self._socket: socket.socket | None = None
+        self._listening: list[Address] = []
+        self._wires: dict[Wire, Address] = {}  # open connections that this node asked for
+        self.now, self.wall, self.random = loop.now, loop.wall, loop.random
+
+    def after(self, seconds: float, call: Callable[[], None]) -> LoopTimer:
+        """Call once, so much later, unless the node has stopped by then."""
+        return self.loop.after(seconds, lambda: None if self.stopped else call())
+
+    def connect(
+        self, to: Address, handler: Callable[[Connection], Handler], within: float = 1.0,
+    ) -> Connection:
+        """Ask for a connection; none comes up through a partition."""
+        if self.stopped or self.reach.separates(self.ip, to[0]):
+            return Unreachable(self, to, handler, within)
+        wire = self.loop.connect(to, handler, within)
+        if to[0] != self.ip:
+            self.loop.count(wire, self.traffic)
+        self._wires = {old: peer for old, peer in self._wires.items() if old.handler is not None}
+        self._wires[wire] = to
+        return wire
+
+    def listen(self, at: Address, accept: Callable[[Connection], Handler]) -> None:
+        """Take connections; those at the internal port are counted."""
+
+        def accept_counted(connection: Connection) -> Handler:
+            assert isinstance(connection, Wire)
+            if at[1] == self.internal_port:
+                self.loop.count(connection, self.traffic)
+            self._wires[connection] = (self.ip, 0)  # where it comes from is not known
+            return accept(connection)
+
+        self.loop.listen(at, accept_counted)
+        self._listening.append(at)
+
+    def unlisten(self, at: Address) -> None:
+        """Take no further connections."""
+        self.loop.unlisten(at)
+
+    def datagrams(self, at: Address, received: Callable[[Address, bytes], None]) -> None:
+        """Take datagrams."""
+
+        def received_counted(sender: Address, data: bytes) -> None:
+            if self.stopped or self.reach.separates(self.ip, sender[0]):
+                return
+            self.traffic.received_datagram(len(data))
+            received(sender, data)
+
+        self.loop.datagrams(at, received_counted)
+        self._socket = self.loop.mouth
+
+    def send_datagram(self, to: Address, data: bytes) -> None:
+        """Send; what goes into a partition is sent, and lost."""
+        self.traffic.sent_datagram(len(data))
+        if self._socket is None or self.stopped or self.reach.separates(self.ip, to[0]):
+            return
+        try:
+            self._socket.sendto(data, to)
+        except OSError:
+            return  # a full queue, or nobody there: as if it had been lost on the way
+
+    def partition(self) -> None:
+        """Lose the connections that lead through the partition."""
+        for wire, peer in list(self._wires.items()):
+            if self.reach.separates(self.ip, peer[0]):
+                self.loop.drop(wire, "timeout")
+
+    def log(self, line: str) -> None:
+        """Nobody reads the log of a hollow node."""
+
+    def exit(self, status: int) -> None:
+        """The program has ended."""
+        self.loop.after(0.0, self.exited)
+
+    def stop(self) -> None:
+        """Close everything at once, as the death of a process does."""
+        if self.stopped:
+            return
+        self.stopped = True
+        for at in self._listening:
+            self.loop.unlisten(at)
+        if self._socket is not None:
+            self.loop.epoll.unregister(self._socket.fileno())
+            del self.loop.ears[self._socket.fileno()]
+            self._socket.close()
+        for wire in list(self._wires):
+            self.loop.drop(wire, "reset")
--- /dev/null
+++ b/bench/scale/phases.py
@@ -0,0 +1,246 @@
+"""What is done to a running fleet, one phase after the other, and what each shows as figures by name."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bench.scale.fits import percentile
+from bench.scale.fleet import Fleet
+from bench.scale.messages import NodeSample
+from bench.scale.plan import PARTITIONED
+from bench.scale.processes import Spawned
+from bench.scale.traffic import Traffic
+from honeywharf.flume import field
+
+Figures = dict[str, float]
+IN_FORCE_S = 30.0  # that a change may take everywhere before the run gives up
+START_S = 120.0  # that all nodes may take to know each other
+SETTLE_S = 3.0
+RECOVERY_S = 20.0
+
+
+@dataclass(frozen=True)
+class Schedule:
+    """How long each phase is watched, in seconds, and how many changes and restarts there are."""
+
+    spread_s: float
+    rest_s: float
+    changes: int
+    change_every_s: float
+    restarts: int
+    partition_s: float
+
+
+class Meter:
+    """What each role spends between its making and `read`."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.roles: dict[str, list[Spawned]] = {
+            "hollow": fleet.hollow,
+            "sidecar": [process for process in fleet.sidecars if process.running],
+            "control": [process for process in fleet.controls if process.running],
+        }
+        self.begun = time.monotonic()
+        self.before = {role: self._sampled(role) for role in self.roles}
+        self.processor = {role: self._processor(role) for role in self.roles}
+
+    def _sampled(self, role: str) -> list[Traffic]:
+        return [sample.traffic for sample in self.fleet.samples(self.roles[role])]
+
+    def _processor(self, role: str) -> float:
+        return sum(process.processor_s() for process in self.roles[role])
+
+    def read(self) -> Figures:
+        """Figures a second of one node of each role."""
+        seconds = time.monotonic() - self.begun
+        figures: Figures = {}
+        for role in self.roles:
+            spent = [
+                after - before
+                for after, before in zip(self._sampled(role), self.before[role], strict=True)]
+            if not spent:
+                continue
+            total, nodes = sum(spent, Traffic()), len(spent) * seconds
+            processor = self._processor(role) - self.processor[role]
+            figures |= {
+                f"{role}: bytes/s sent": total.bytes_sent / nodes,
+                f"{role}: bytes/s received": total.bytes_received / nodes,
+                f"{role}: bytes/s sent, most": max(each.bytes_sent for each in spent) / seconds,
+                f"{role}: datagrams/s sent": total.datagrams_sent / nodes,
+                f"{role}: segments/s sent": total.segments_sent / nodes,
+                f"{role}: links/s opened": total.links_opened / nodes,
+                f"{role}: % of a core": 100.0 * processor / nodes,
+            }
+        return figures
+
+
+def prefixed(phase: str, figures: Figures) -> Figures:
+    """Figures under the name of their phase."""
+    return {f"{phase} | {name}": value for name, value in figures.items()}
+
+
+def start(fleet: Fleet, schedule: Schedule) -> Figures:
+    """From nothing until every node knows every other one and has the first configuration in force."""
+    fleet.wait("a control process", 15.0, lambda: fleet.is_ready(fleet.plan.control_ip(0), field.CONTROL))
+    fleet.change()
+    begun = time.monotonic()
+    fleet.start_nodes(schedule.spread_s)
+    fleet.pause(schedule.spread_s)
+    samples: list[NodeSample] = []
+
+    def complete() -> bool:
+        samples[:] = fleet.hollow_samples()
+        return all(sample.complete for sample in samples)
+
+    fleet.wait("all nodes know all others", START_S, complete)
+    fleet.wait("the sidecar processes are ready", START_S, lambda: all(
+        fleet.is_ready(process.address[0], field.READINESS) for process in fleet.sidecars))
+    nodes = len(samples)
+    return {
+        "seconds until all know all": max(sample.complete for sample in samples) - begun,
+        "node: seconds until ready, p99": percentile([s.ready - s.started for s in samples], 0.99),
+        "node: bytes received": sum(sample.traffic.bytes_received for sample in samples) / nodes,
+        "node: bytes sent": sum(sample.traffic.bytes_sent for sample in samples) / nodes,
+        "control: bytes sent": sum(
+            sample.traffic.bytes_sent for sample in fleet.samples(fleet.controls)) / fleet.plan.controls,
+    }
+
+
+def rest(fleet: Fleet, schedule: Schedule) -> Figures:
+    """Nothing happens."""
+    fleet.pause(SETTLE_S)
+    meter = Meter(fleet)
+    fleet.pause(schedule.rest_s)
+    return meter.read()
+
+
+def _change(fleet: Fleet, first: int = 0) -> tuple[float, list[float]]:
+    """One change: how long its acknowledgement took, and how long after that each node had it in force."""
+    sent, acknowledged = fleet.change(first)
+    version = fleet.version
+    times: list[float] = []
+
+    def everywhere() -> bool:
+        times[:] = fleet.in_force(version)
+        return all(times)
+
+    fleet.wait(f"r{version} is in force everywhere", IN_FORCE_S, everywhere)
+    return acknowledged - sent, [max(0.0, at - acknowledged) for at in times]
+
+
+def changes(fleet: Fleet, schedule: Schedule) -> Figures:
+    """A change every `change_every_s`."""
+    meter = Meter(fleet)
+    acknowledgements: list[float] = []
+    delays: list[float] = []
+    for _ in range(schedule.changes):
+        begun = time.monotonic()
+        acknowledgement, times = _change(fleet)
+        acknowledgements.append(acknowledgement)
+        delays += times
+        fleet.pause(max(0.0, schedule.change_every_s - (time.monotonic() - begun)))
+    return {
+        "acknowledged after, ms, most": 1000.0 * max(acknowledgements),
+        "in force after that, ms, p50": 1000.0 * percentile(delays, 0.5),
+        "in force after that, ms, p99": 1000.0 * percentile(delays, 0.99),
+        "in force after that, ms, most": 1000.0 * max(delays),
+        **meter.read(),
+    }
+
+
+def restarts(fleet: Fleet, schedule: Schedule) -> Figures:
+    """Machines restart one after the other: hollow ones, and a sidecar process."""
+    indexes = fleet.shares[0][: schedule.restarts]
+    ready, complete, received = [], [], []
+    for index in indexes:
+        fleet.restart_hollow(index)
+        found: list[NodeSample] = []
+
+        def is_complete(index: int = index, found: list[NodeSample] = found) -> bool:
+            found[:] = [sample for sample in fleet.hollow_samples() if sample.index == index]
+            return bool(found[0].complete)
+
+        fleet.wait(f"node {index} is complete again", RECOVERY_S, is_complete)
+        ready.append(found[0].ready - found[0].started)
+        complete.append(found[0].complete - found[0].started)
+        received.append(float(found[0].traffic.bytes_received))
+    figures = {
+        "hollow: ms until ready": 1000.0 * max(ready),
+        "hollow: ms until it knows all": 1000.0 * max(complete),
+        "hollow: bytes received until then": max(received),
+    }
+    if fleet.sidecars:
+        process = fleet.sidecars[0]
+        figures["sidecar process: ms until ready"] = 1000.0 * _process_restart(
+            fleet, process, lambda: fleet.is_ready(process.address[0], field.READINESS))
+    return figures
+
+
+def _process_restart(fleet: Fleet, process: Spawned, ready: Callable[[], bool]) -> float:
+    """Kill a process and start it at once; seconds from its start until it is ready."""
+    process.kill()
+    process.start()
+    return fleet.wait(f"{process.name} is ready again", RECOVERY_S, ready)
+
+
+def control_loss(fleet: Fleet, schedule: Schedule) -> Figures:
+    """A control process is killed, a change is sent to it at once, and it starts again."""
+    fleet.controls[0].kill()
+    acknowledgement, times = _change(fleet, first=0)
+    fleet.controls[0].start()
+    ready = fleet.wait("the control process is ready again", RECOVERY_S, lambda: fleet.is_ready(
+        fleet.plan.control_ip(0), field.CONTROL))
+    return {
+        "acknowledged after, ms": 1000.0 * acknowledgement,
+        "in force after that, ms, most": 1000.0 * max(times),
+        "control: ms until ready again": 1000.0 * ready,
+    }
+
+
+def partition(fleet: Fleet, schedule: Schedule) -> Figures:
+    """Two zones cannot reach each other."""
+    fleet.pause(SETTLE_S)
+    before = {sample.index: sample.traffic for sample in fleet.hollow_samples()}
+    meter = Meter(fleet)
+    fleet.partition(PARTITIONED)
+    fleet.pause(schedule.partition_s)
+    figures = meter.read()
+    samples = fleet.hollow_samples()
+    inside = [
+        (sample.traffic - before[sample.index]).bytes_sent / schedule.partition_s
+        for sample in samples if fleet.plan.node(sample.index).zone in PARTITIONED]
+    acknowledgement, times = _change(fleet)
+    fleet.partition(())
+    fleet.wait("all nodes know all others again", RECOVERY_S, lambda: all(
+        sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()))
+    return {
+        "in the two zones: bytes/s sent": sum(inside) / max(1, len(inside)),
+        "nodes held unreachable, most": max(sample.held_down for sample in samples),
+        "acknowledged after, ms": 1000.0 * acknowledgement,
+        "in force after that, ms, most": 1000.0 * max(times),
+        **figures,
+    }
+
+
+def memory(fleet: Fleet) -> Figures:
+    """Resident memory at the end."""
+    hollow = sum(process.memory_mb() for process in fleet.hollow)
+    figures = {
+        "hollow: MB a node": hollow / max(1, fleet.plan.nodes - len(fleet.sidecars)),
+        "control: MB, most": max(process.memory_mb() for process in fleet.controls),
+        "control: MB, peak": max(process.memory_mb("VmHWM") for process in fleet.controls),
+        "run: MB in all": sum(process.memory_mb() for process in fleet.all),
+        "faults in the logs": float(sum(process.faults() for process in fleet.all)),
+    }
+    if fleet.sidecars:
+        figures["sidecar: MB, most"] = max(process.memory_mb() for process in fleet.sidecars)
+        figures["sidecar: MB, peak"] = max(process.memory_mb("VmHWM") for process in fleet.sidecars)
+    return figures
+
+
+PHASES: tuple[tuple[str, Callable[[Fleet, Schedule], Figures]], ...] = (
+    ("start", start), ("rest", rest), ("changes", changes), ("restarts", restarts),
+    ("control lost", control_loss), ("partition", partition))
--- /dev/null
+++ b/bench/scale/real_process.py
@@ -0,0 +1,49 @@
+"""Run a program of the mesh as it is deployed, on an event loop that counts its traffic.
+
+    python -m bench.scale.real_process PROGRAM MANAGEMENT_PORT LIMIT_S
+
+PROGRAM is a module of `honeywharf.programs`, whose `main` runs unchanged; its settings are those that the
+environment names. The run asks it for its counts at MANAGEMENT_PORT of its own address.
+"""
+
+from __future__ import annotations
+
+import importlib
+import json
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from bench.scale import messages
+from bench.scale.counted_loop import CountedLoop
+from bench.scale.messages import NodeSample
+from honeywharf.mains import loop as loop_module
+from honeywharf.mains.calls import Answerer
+from honeywharf.programs.start import VARIABLE
+
+
+def main(arguments: list[str]) -> int:
+    """Run the program; its exit status, or 0 when the time is over."""
+    program, port, limit_s = arguments[0], int(arguments[1]), float(arguments[2])
+    settings = json.loads(Path(os.environ[VARIABLE]).read_text("utf-8"))
+    ip, internal_port = settings["ip-address"], settings["internal-port-range"][0]
+
+    def counted(directory: str | None) -> CountedLoop:
+        loop = CountedLoop(directory, ip, internal_port)
+
+        def sample(args: Any, reply: Any, peer: Any) -> None:
+            loop.read_links()
+            reply([NodeSample(-1, loop.traffic).packed()])
+
+        loop.listen((ip, port), Answerer({messages.SAMPLE: sample}).accept)
+        loop.after(limit_s, lambda: loop.exit(0))
+        return loop
+
+    loop_module.Loop = counted  # type: ignore[assignment,misc]
+    status: int = importlib.import_module(f"honeywharf.programs.{program}").main()
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tests/bench/test_scale.py
@@ -0,0 +1,136 @@
+"""The scale run's own logic: layout, counts, fits, and a fleet of ten hollow nodes with real control."""
+
+import socket
+from contextlib import closing
+from pathlib import Path
+
+import pytest
+
+from bench import mesh_scale
+from bench.scale import fits
+from bench.scale.fleet import Fleet
+from bench.scale.messages import NodeSample, Start
+from bench.scale.payload import configuration
+from bench.scale.phases import Schedule, start
+from bench.scale.plan import PARTITIONED, ZONES, Plan
+from bench.scale.traffic import TCP_HEADERS, CountedLink, Traffic
+from honeywharf.strainer import settings
+from honeywharf.strainer.configuration import check
+
+PLAN = Plan(nodes=1200, controls=6, services=160, octet=20, shift=0)
+
+
+def test_every_machine_has_an_address_of_its_own_that_names_its_zone() -> None:
+    nodes = [PLAN.node(index) for index in range(PLAN.nodes)]
+    controls = [(PLAN.control_ip(index), PLAN.control_zone(index)) for index in range(PLAN.controls)]
+    places = [(node.ip, node.zone) for node in nodes] + controls
+    assert len({ip for ip, _ in places}) == PLAN.nodes + PLAN.controls
+    assert all(PLAN.zone_of(ip) == zone for ip, zone in places)
+    assert len({node.service for node in nodes}) == PLAN.services
+    assert all(max(map(int, ip.split("."))) < 256 for ip, _ in places)
+
+
+def test_sidecar_processes_stand_outside_the_partition() -> None:
+    assert {PLAN.node(index).zone for index in PLAN.real_nodes(20)}.isdisjoint(PARTITIONED)
+
+
+def test_settings_are_those_of_a_machine_of_two_regions(tmp_path: Path) -> None:
+    read = settings.parse(PLAN.node_settings(PLAN.node(7)))
+    assert (read.ip, read.zone, read.service) == ("127.22.1.2", "north-c", "service-007")
+    assert read.zones == dict(ZONES)
+    assert read.bound("config-apply", 0.0) == 6.0
+    control = settings.parse(PLAN.control_settings(5, tmp_path))
+    assert (control.ip, control.data_directory) == ("127.20.250.2", str(tmp_path))
+    assert control.seeds == read.seeds
+
+
+def test_configurations_are_valid_and_differ() -> None:
+    first, second = (check(configuration(version, 160)).unwrap() for version in (1, 2))
+    assert (first.version, second.version) == (1, 2)
+    assert first.digest != second.digest
+
+
+def test_a_line_and_a_power_are_found_again() -> None:
+    line = fits.line([(30, 70.0), (100, 210.0), (300, 610.0)])
+    assert (line.start, line.slope, line.error) == pytest.approx((10.0, 2.0, 0.0), abs=1e-9)
+    assert line.at(1200) == pytest.approx(2410.0)
+    power = fits.power([(30, 3 * 30**1.5), (100, 3 * 100**1.5), (300, 3 * 300**1.5)])
+    assert power is not None
+    assert (power.factor, power.exponent) == pytest.approx((3.0, 1.5))
+    assert fits.power([(30, 0.0), (100, 1.0)]) is None
+    with pytest.raises(ValueError, match="no points"):
+        fits.line([])
+
+
+def test_a_fit_tells_how_far_it_is_off() -> None:
+    assert fits.line([(1, 1.0), (2, 4.0), (3, 1.0)]).error == pytest.approx(1.0)
+
+
+@pytest.mark.parametrize(("share", "found"), [(0.5, 5.0), (0.99, 10.0), (1.0, 10.0), (0.0, 1.0)])
+def test_percentiles(share: float, found: float) -> None:
+    assert fits.percentile([float(value) for value in range(10, 0, -1)], share) == found
+
+
+def test_counts_are_kept_by_machine_and_survive_the_way_to_the_run() -> None:
+    traffic = Traffic()
+    traffic.sent_datagram(72)
+    traffic.received_datagram(12)
+    assert (traffic.bytes_sent, traffic.bytes_received, traffic.packets_sent) == (100, 40, 1)
+    twice = traffic + traffic
+    assert twice - traffic == traffic
+    sample = NodeSample(3, twice, started=1.5, ready=2.5, known=9)
+    assert NodeSample.unpacked(sample.packed()) == sample
+    order = Start([1, 2], 0.5, 12, [0])
+    assert Start.unpacked(order.packed()) == order
+
+
+def test_a_link_is_counted_once_however_often_it_is_read() -> None:
+    with (
+        closing(socket.create_server(("127.0.0.1", 0))) as server,
+        closing(socket.create_connection(server.getsockname())) as caller,
+        closing(server.accept()[0]) as answerer,
+    ):
+        traffic = Traffic()
+        link = CountedLink(answerer, traffic)
+        caller.sendall(bytes(3000))
+        left = 3000
+        while left:
+            left -= len(answerer.recv(left))
+        link.read()
+        link.read()
+        payload = traffic.link_bytes_received - TCP_HEADERS * traffic.segments_received
+        assert payload == 3000
+        assert traffic.links_opened == 1
+    link.read()  # closed: nothing more, and no error
+
+
+def test_a_small_fleet_starts_changes_restarts_and_parts(tmp_path: Path) -> None:
+    plan = Plan.on_free_ports(nodes=10, controls=3, services=4)
+    schedule = Schedule(0.0, 0.0, 1, 0.0, 1, 0.0)
+    with Fleet(plan, tmp_path, real=0, processes=1, limit_s=60.0) as fleet:
+        figures = start(fleet, schedule)
+        assert figures["node: bytes received"] > 0
+        samples = fleet.hollow_samples()
+        assert [sample.known for sample in samples] == [13] * 10
+
+        sent, acknowledged = fleet.change()
+        fleet.wait("the change", 10.0, lambda: all(fleet.in_force(fleet.version)))
+        assert sent < acknowledged
+
+        lives = {sample.index: sample.started for sample in samples}
+        fleet.restart_hollow(4)
+        fleet.wait("node 4", 10.0, lambda: all(sample.complete for sample in fleet.hollow_samples()))
+        assert [sample.index for sample in fleet.hollow_samples()
+                if sample.started != lives[sample.index]] == [4]
+
+        fleet.partition(PARTITIONED)
+        assert sent < fleet.change()[1]
+        fleet.wait("a change beside a partition", 10.0, lambda: all(fleet.in_force(fleet.version)))
+        processes = fleet.all
+        assert sum(process.faults() for process in processes) == 0
+    assert not any(process.running for process in processes)
+
+
+def test_the_table_leads_to_the_target() -> None:
+    lines = mesh_scale.table([30, 300], [{"rest | x": 60.0}, {"rest | x": 600.0}], 1200)
+    assert lines[1].split() == ["rest", "|", "x", "60.00", "600.00", "1.00", "2400.00", "2400.00"]
