Part real processes of the scale run too, and watch regions that lose each other

Change: partitions hold at the end of each connection that asked for it, in real processes as in hollow ones; hollow nodes of a process share their readings of a text; the zones' cut is watched twice, early and late; the regions' cut lasts until tables have dropped the other side.

--- a/bench/mesh_scale.py
+++ b/bench/mesh_scale.py
@@ -4,10 +4,11 @@
 
 For each size: `--controls` control processes and `--real` sidecar processes as they are deployed, and hollow
 sidecars (`bench.scale.hollow`) for all other machines, in five zones of two regions. They start, rest, take a
-change every 20 s, restart, lose a control process and are split between two zones. Printed for each figure:
-its value by size, the power of the size with which it grows, and what a line and that power make of it at the
-target. `--report FILE` keeps the figures as JSON. A size takes a minute or two, and every process that was
-started ends with it. Status 1 where a program's log tells of a fault.
+change every 20 s, restart, lose a control process, and are split between two zones and between the regions
+(`--without PHASE,...` leaves some of that out). Printed for each figure: its value by size, the power of the
+size with which it grows, and what a line and that power make of it at the target. `--report FILE` keeps the
+figures as JSON. A size takes some four minutes, and every process that was started ends with it. Status 1
+where a program's log tells of a fault.
 """
 
 from __future__ import annotations
@@ -29,16 +30,16 @@
 STARTS_PER_S = 60.0  # nodes
 
 
-def measure(plan: Plan, real: int, schedule: Schedule) -> Figures:
-    """All phases of one size."""
+def measure(plan: Plan, real: int, schedule: Schedule, chosen: list[str]) -> Figures:
+    """The chosen phases of one size."""
     processes = max(1, -(-plan.nodes // NODES_PER_PROCESS))
     figures: Figures = {}
     with (
         tempfile.TemporaryDirectory() as folder,
         Fleet(plan, Path(folder), real, processes, LIMIT_S) as fleet,
     ):
-        for name, phase in phases.PHASES:
-            figures |= phases.prefixed(name, phase(fleet, schedule))
+        for name in chosen:
+            figures |= phases.prefixed(name, phases.PHASES[name](fleet, schedule))
         figures |= phases.prefixed("end", phases.memory(fleet))
     return figures
 
@@ -70,6 +71,7 @@
     parser.add_argument("--target", type=int, default=1200)
     parser.add_argument("--changes", type=int, default=3)
     parser.add_argument("--every", type=float, default=20.0)
+    parser.add_argument("--without", default="", help="phases that are left out, separated by commas")
     parser.add_argument("--report", default="")
     return parser.parse_args(given)
 
@@ -78,12 +80,16 @@
     """Measure every size and print the table."""
     asked = arguments(given)
     sizes = [int(text) for text in asked.nodes.split(",")]
+    left_out = [name for name in asked.without.split(",") if name]
+    if unknown := set(left_out) - set(phases.PHASES):
+        sys.exit(f"found no phase {', '.join(sorted(unknown))}, wanted of {', '.join(phases.PHASES)}")
+    chosen = [name for name in phases.PHASES if name not in left_out]
     columns: list[Figures] = []
     for nodes in sizes:
         begun = time.monotonic()
         schedule = Schedule(nodes / STARTS_PER_S, 15.0, asked.changes, asked.every, 3, 12.0)
         plan = Plan.on_free_ports(nodes, asked.controls, asked.services)
-        columns.append(measure(plan, asked.real, schedule))
+        columns.append(measure(plan, asked.real, schedule, chosen))
         print(f"{nodes} nodes: {time.monotonic() - begun:.0f} s", flush=True)
         if asked.report:
             report = {str(size): column for size, column in zip(sizes, columns, strict=False)}
--- a/bench/scale/counted_loop.py
+++ b/bench/scale/counted_loop.py
@@ -1,4 +1,4 @@
-"""The programs' event loop, with the traffic between machines counted.
+"""The programs' event loop, with the traffic between machines counted, and partitions between them.
 
 Connections count where this side asked another machine for them, or where they come to the internal port.
 What a machine says to itself (its backend, its clients) and the run's own questions are no traffic.
@@ -8,8 +8,9 @@
 
 import sys
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
+from bench.scale.reach import TIMEOUT, Reach, Unreachable
 from bench.scale.traffic import CountedLink, Traffic
 from honeywharf.mains.loop import Loop, Wire
 
@@ -18,10 +19,17 @@
 
 
 class CountedLoop(Loop):
-    """A `Loop` for one machine. `ip` and `internal_port` tell which connections are counted."""
+    """A `Loop` for one machine. `ip` and `internal_port` tell which connections are counted.
 
-    def __init__(self, directory: str | None, ip: str = "", internal_port: int = 0) -> None:
+    Each connection between machines has an end that asked for it, which is the end that a partition breaks.
+    """
+
+    def __init__(
+        self, directory: str | None, ip: str = "", internal_port: int = 0, reach: Reach | None = None,
+    ) -> None:
         super().__init__(directory)
+        self.reach = reach or Reach(lambda ip: "")
+        self.asked: dict[Wire, str] = {}  # open connections that this machine asked for, and where they lead
         self.ip, self.internal_port = ip, internal_port
         self.traffic = Traffic()
         self.links: dict[Wire, CountedLink] = {}
@@ -37,6 +45,7 @@
 
     def drop(self, wire: Wire, why: str) -> None:
         """Take the last counts of a connection before it is closed."""
+        self.asked.pop(wire, None)
         link = self.links.pop(wire, None)
         if link is not None:
             link.read()
@@ -51,11 +60,20 @@
 
     def connect(self, to: Address, handler: Callable[[Connection], Handler], within: float = 1.0) -> Wire:
         """Ask for a connection, counted where it leads to another machine."""
+        if self.ip and self.reach.separates(self.ip, to[0]):
+            return cast(Wire, Unreachable(self.after, to, handler, within))
         wire = super().connect(to, handler, within)
         if self.ip and to[0] != self.ip:
             self.count(wire, self.traffic)
+            self.asked[wire] = to[0]
         return wire
 
+    def part(self) -> None:
+        """Lose the connections that lead through the partition."""
+        for wire, ip in list(self.asked.items()):
+            if self.reach.separates(self.ip, ip):
+                self.drop(wire, TIMEOUT)
+
     def listen(self, at: Address, accept: Callable[[Connection], Handler]) -> None:
         """Take connections, counted at the internal port."""
         if at[1] != self.internal_port:
@@ -73,12 +91,14 @@
         """Take datagrams, counted."""
 
         def received_counted(sender: Address, data: bytes) -> None:
-            self.traffic.received_datagram(len(data))
-            received(sender, data)
+            if not self.reach.separates(self.ip, sender[0]):
+                self.traffic.received_datagram(len(data))
+                received(sender, data)
 
         super().datagrams(at, received_counted)
 
     def send_datagram(self, to: Address, data: bytes) -> None:
         """Send, counted."""
         self.traffic.sent_datagram(len(data))
-        super().send_datagram(to, data)
+        if not self.reach.separates(self.ip, to[0]):
+            super().send_datagram(to, data)
--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -15,6 +15,7 @@
 from bench.scale.payload import configuration
 from bench.scale.plan import MANAGEMENT, Plan
 from bench.scale.processes import Spawned
+from bench.scale.reach import Zones
 from honeywharf.cli.ending import WrongError
 from honeywharf.cli.mesh import call
 from honeywharf.flume import field
@@ -25,6 +26,7 @@
 CONTROL_PROGRAM, SIDECAR_PROGRAM = "reservoir", "sluice"
 ANSWER_S = 20.0  # that a process of the run has for one answer
 POLL_S = 0.05
+NOWHERE: Zones = frozenset()
 ORDER_S = 1.0  # that a control machine has to acknowledge before the operator asks the next one
 ORDER_PAUSE_S = 0.1
 
@@ -77,9 +79,9 @@
     def _real(self, name: str, program: str, ip: str, settings: str, limit_s: float) -> Spawned:
         file = self.folder / f"{name}.yaml"
         file.write_text(settings)
-        port = self.plan.port(MANAGEMENT)
-        arguments = ["bench.scale.real_process", program, str(port), str(limit_s)]
-        return Spawned(self.folder, name, (ip, port), arguments, {VARIABLE: str(file)})
+        arguments = ["bench.scale.real_process", json.dumps(asdict(self.plan)), program, str(limit_s)]
+        address = (ip, self.plan.port(MANAGEMENT))
+        return Spawned(self.folder, name, address, arguments, {VARIABLE: str(file)})
 
     def _control(self, index: int, limit_s: float) -> Spawned:
         disk = self.folder / f"disk-{index}"
@@ -163,9 +165,10 @@
         self.ask(messages.KILL, [(process, [index])])
         self.ask(messages.START, [(process, Start([index], 0.0, self.machines).packed())])
 
-    def partition(self, zones: tuple[str, ...]) -> None:
-        """Separate two zones for all hollow nodes, or none."""
-        self.ask(messages.PARTITION, [(process, list(zones)) for process in self.hollow])
+    def partition(self, one: Zones = NOWHERE, other: Zones = NOWHERE) -> None:
+        """Separate two groups of zones; without them, join all again."""
+        sides = [sorted(one), sorted(other)]
+        self.ask(messages.PARTITION, [(process, sides) for process in self.all if process.running])
 
     def change(self, first: int = 0) -> tuple[float, float]:
         """Put a new configuration in force; when it was sent first and when it was acknowledged.
@@ -188,10 +191,13 @@
         raise FleetError(f"acknowledgement of r{self.version}", time.monotonic() - begun)
 
     def in_force(self, version: int) -> list[float]:
-        """When each running sidecar had a version in force; 0 for those that do not have it yet."""
+        """When each running hollow node had a version in force; 0 for those that do not have it yet."""
         answers = self.ask(messages.APPLIED, [(process, version) for process in self.hollow])
-        real = [process.in_force(version) for process in self.sidecars if process.running]
-        return [at for answer in answers for at in answer] + real
+        return [at for answer in answers for at in answer]
+
+    def in_force_at_processes(self, version: int) -> list[float]:
+        """The same of the running sidecar processes."""
+        return [process.in_force(version) for process in self.sidecars if process.running]
 
     def is_ready(self, ip: str, port: int) -> bool:
         """Whether a machine says that it is ready."""
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -2,7 +2,7 @@
 
 Nothing of the program is replaced: its gossip, failure detector, configuration holder, heartbeat intake and
 even its data path are the objects that a sidecar process makes. It is hollow in that it shares its process
-with others and no client sends it a request.
+and its readings of configurations (`shared_readings`) with others, and that no client sends it a request.
 """
 
 from __future__ import annotations
@@ -11,8 +11,9 @@
 
 from bench.scale.counted_loop import CountedLoop
 from bench.scale.heartbeats import Heartbeats
-from bench.scale.node_host import NodeHost, Reach
+from bench.scale.node_host import NodeHost
 from bench.scale.plan import Node, Plan
+from bench.scale.reach import Reach
 from honeywharf.flume import field
 from honeywharf.programs.sluice import Sluice
 from honeywharf.strainer.settings import parse
--- a/bench/scale/hollow_process.py
+++ b/bench/scale/hollow_process.py
@@ -4,7 +4,7 @@
 
 PLAN: the plan's fields as JSON. PROCESS: which of the run's processes it is. It ends after LIMIT_S seconds in
 any case. Garbage collection is off: one pass over hundreds of tables in one heap would stop all its nodes for
-longer than any process of one node is ever stopped.
+longer than any process of one node is ever stopped. Its nodes share their readings of configurations.
 """
 
 from __future__ import annotations
@@ -15,13 +15,13 @@
 from functools import partial
 from typing import Any
 
-from bench.scale import messages
+from bench.scale import messages, shared_readings
 from bench.scale.counted_loop import CountedLoop
 from bench.scale.heartbeats import Heartbeats
 from bench.scale.hollow import HollowNode
 from bench.scale.messages import NodeSample, Start
-from bench.scale.node_host import Reach
 from bench.scale.plan import MANAGEMENT, Plan
+from bench.scale.reach import Reach
 from honeywharf.flume import field
 from honeywharf.mains.calls import Answerer
 from honeywharf.mains.host import Address
@@ -88,16 +88,18 @@
         return min((at for held, at in node.applied.items() if held >= revision), default=0.0)
 
     def _partition(self, args: Any, reply: Reply, peer: Address) -> None:
-        self.reach.partitioned = frozenset(args)
+        one, other = args
+        self.reach.part(frozenset(one), frozenset(other))
         for node in self.nodes.values():
             if node.host is not None:
-                node.host.partition()
-        reply(len(args))
+                node.host.part()
+        reply(True)
 
 
 def main(arguments: list[str]) -> int:
     """Run until the time is over, or the run ends this process."""
     gc.disable()
+    shared_readings.share()
     plan = Plan(**json.loads(arguments[0]))
     loop = CountedLoop(None)
     HollowProcess(loop, plan, int(arguments[1]))
--- a/bench/scale/node_host.py
+++ b/bench/scale/node_host.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bench.scale.counted_loop import CountedLoop
+from bench.scale.reach import TIMEOUT, Reach, Unreachable
 from bench.scale.traffic import Traffic
 from honeywharf.mains.loop import LoopTimer, Wire
 
@@ -14,52 +15,6 @@
     from honeywharf.mains.host import Address, Connection, Handler
 
 
-class Reach:
-    """Which machines reach each other: all, but for those of two zones that a partition separates."""
-
-    def __init__(self, zone_of: Callable[[str], str]) -> None:
-        self._zone_of = zone_of
-        self.partitioned: frozenset[str] = frozenset()
-
-    def separates(self, ip: str, other: str) -> bool:
-        """Whether the partition lies between two machines."""
-        if not self.partitioned:
-            return False
-        return {self._zone_of(ip), self._zone_of(other)} == self.partitioned
-
-
-class Unreachable:
-    """A connection through a partition: nothing is heard until the time for connecting is over."""
-
-    unsent = 0
-
-    def __init__(
-        self, host: NodeHost, to: Address, handler: Callable[[Connection], Handler], within: float,
-    ) -> None:
-        self.peer = to
-        self._handler = handler(self)
-        self._timer = host.after(within, lambda: self._handler.closed("timeout"))
-        self._host = host
-
-    def send(self, data: bytes) -> None:
-        """It is lost."""
-
-    def close(self) -> None:
-        """Give up."""
-        self.abort()
-
-    def abort(self) -> None:
-        """Give up."""
-        self._timer.cancel()
-        self._host.after(0.0, lambda: self._handler.closed(""))
-
-    def pause(self) -> None:
-        """Nothing comes anyway."""
-
-    def resume(self) -> None:
-        """Nothing comes anyway."""
-
-
 class NodeHost:
     """What a program is given of its machine (`Host`). `exited` is called when the program ends itself."""
 
@@ -82,7 +37,7 @@
     ) -> Connection:
         """Ask for a connection; none comes up through a partition."""
         if self.stopped or self.reach.separates(self.ip, to[0]):
-            return Unreachable(self, to, handler, within)
+            return Unreachable(self.after, to, handler, within)
         wire = self.loop.connect(to, handler, within)
         if to[0] != self.ip:
             self.loop.count(wire, self.traffic)
@@ -129,11 +84,11 @@
         except OSError:
             return  # a full queue, or nobody there: as if it had been lost on the way
 
-    def partition(self) -> None:
+    def part(self) -> None:
         """Lose the connections that lead through the partition."""
         for wire, peer in list(self._wires.items()):
             if self.reach.separates(self.ip, peer[0]):
-                self.loop.drop(wire, "timeout")
+                self.loop.drop(wire, TIMEOUT)
 
     def log(self, line: str) -> None:
         """Nobody reads the log of a hollow node."""
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -4,21 +4,22 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bench.scale.fits import percentile
 from bench.scale.fleet import Fleet
 from bench.scale.messages import NodeSample
-from bench.scale.plan import PARTITIONED
+from bench.scale.plan import DEAF_REGIONS, DEAF_ZONES
 from bench.scale.processes import Spawned
 from bench.scale.traffic import Traffic
-from honeywharf.flume import field
+from honeywharf.flume import field as machines
 
 Figures = dict[str, float]
 IN_FORCE_S = 30.0  # that a change may take everywhere before the run gives up
 START_S = 120.0  # that all nodes may take to know each other
 SETTLE_S = 3.0
-RECOVERY_S = 20.0
+RECOVERY_S = 60.0
+GONE_S = 35.0  # after which a node that is held unreachable has been dropped from every table
 
 
 @dataclass(frozen=True)
@@ -84,7 +85,7 @@
 
 def start(fleet: Fleet, schedule: Schedule) -> Figures:
     """From nothing until every node knows every other one and has the first configuration in force."""
-    fleet.wait("a control process", 15.0, lambda: fleet.is_ready(fleet.plan.control_ip(0), field.CONTROL))
+    fleet.wait("a control process", 15.0, lambda: fleet.is_ready(fleet.plan.control_ip(0), machines.CONTROL))
     fleet.change()
     begun = time.monotonic()
     fleet.start_nodes(schedule.spread_s)
@@ -97,7 +98,7 @@
 
     fleet.wait("all nodes know all others", START_S, complete)
     fleet.wait("the sidecar processes are ready", START_S, lambda: all(
-        fleet.is_ready(process.address[0], field.READINESS) for process in fleet.sidecars))
+        fleet.is_ready(process.address[0], machines.READINESS) for process in fleet.sidecars))
     nodes = len(samples)
     return {
         "seconds until all know all": max(sample.complete for sample in samples) - begun,
@@ -117,38 +118,51 @@
     return meter.read()
 
 
-def _change(fleet: Fleet, first: int = 0) -> tuple[float, list[float]]:
-    """One change: how long its acknowledgement took, and how long after that each node had it in force."""
-    sent, acknowledged = fleet.change(first)
-    version = fleet.version
-    times: list[float] = []
-
-    def everywhere() -> bool:
-        times[:] = fleet.in_force(version)
-        return all(times)
-
-    fleet.wait(f"r{version} is in force everywhere", IN_FORCE_S, everywhere)
-    return acknowledged - sent, [max(0.0, at - acknowledged) for at in times]
+@dataclass
+class Changes:
+    """Changes that were made. Seconds; `hollow` and `processes` from the acknowledgement until in force."""
+
+    acknowledgements: list[float] = field(default_factory=list)
+    hollow: list[float] = field(default_factory=list)
+    processes: list[float] = field(default_factory=list)
+
+    def make(self, fleet: Fleet, first: int = 0) -> None:
+        """Make one, and wait until it is in force everywhere."""
+        sent, acknowledged = fleet.change(first)
+        version = fleet.version
+        hollow: list[float] = []
+        processes: list[float] = []
+
+        def everywhere() -> bool:
+            hollow[:] = fleet.in_force(version)
+            processes[:] = fleet.in_force_at_processes(version)
+            return all(hollow) and all(processes)
+
+        fleet.wait(f"r{version} is in force everywhere", IN_FORCE_S, everywhere)
+        self.acknowledgements.append(acknowledged - sent)
+        self.hollow += [max(0.0, at - acknowledged) for at in hollow]
+        self.processes += [max(0.0, at - acknowledged) for at in processes]
+
+    def figures(self) -> Figures:
+        """In milliseconds."""
+        return {
+            "acknowledged after, ms, p50": 1000.0 * percentile(self.acknowledgements, 0.5),
+            "acknowledged after, ms, most": 1000.0 * max(self.acknowledgements),
+            "hollow: in force after that, ms, p50": 1000.0 * percentile(self.hollow, 0.5),
+            "hollow: in force after that, ms, p99": 1000.0 * percentile(self.hollow, 0.99),
+            "hollow: in force after that, ms, most": 1000.0 * max(self.hollow),
+            "sidecar: in force after that, ms, most": 1000.0 * max(self.processes, default=0.0),
+        }
 
 
 def changes(fleet: Fleet, schedule: Schedule) -> Figures:
     """A change every `change_every_s`."""
-    meter = Meter(fleet)
-    acknowledgements: list[float] = []
-    delays: list[float] = []
+    meter, made = Meter(fleet), Changes()
     for _ in range(schedule.changes):
         begun = time.monotonic()
-        acknowledgement, times = _change(fleet)
-        acknowledgements.append(acknowledgement)
-        delays += times
+        made.make(fleet)
         fleet.pause(max(0.0, schedule.change_every_s - (time.monotonic() - begun)))
-    return {
-        "acknowledged after, ms, most": 1000.0 * max(acknowledgements),
-        "in force after that, ms, p50": 1000.0 * percentile(delays, 0.5),
-        "in force after that, ms, p99": 1000.0 * percentile(delays, 0.99),
-        "in force after that, ms, most": 1000.0 * max(delays),
-        **meter.read(),
-    }
+    return {**made.figures(), **meter.read()}
 
 
 def restarts(fleet: Fleet, schedule: Schedule) -> Figures:
@@ -175,7 +189,7 @@
     if fleet.sidecars:
         process = fleet.sidecars[0]
         figures["sidecar process: ms until ready"] = 1000.0 * _process_restart(
-            fleet, process, lambda: fleet.is_ready(process.address[0], field.READINESS))
+            fleet, process, lambda: fleet.is_ready(process.address[0], machines.READINESS))
     return figures
 
 
@@ -189,42 +203,65 @@
 def control_loss(fleet: Fleet, schedule: Schedule) -> Figures:
     """A control process is killed, a change is sent to it at once, and it starts again."""
     fleet.controls[0].kill()
-    acknowledgement, times = _change(fleet, first=0)
+    made = Changes()
+    made.make(fleet, first=0)
     fleet.controls[0].start()
     ready = fleet.wait("the control process is ready again", RECOVERY_S, lambda: fleet.is_ready(
-        fleet.plan.control_ip(0), field.CONTROL))
+        fleet.plan.control_ip(0), machines.CONTROL))
     return {
-        "acknowledged after, ms": 1000.0 * acknowledgement,
-        "in force after that, ms, most": 1000.0 * max(times),
+        **made.figures(),
         "control: ms until ready again": 1000.0 * ready,
     }
 
 
-def partition(fleet: Fleet, schedule: Schedule) -> Figures:
-    """Two zones cannot reach each other."""
+def _joined(fleet: Fleet) -> float:
+    """Join all again; seconds until every node knows every other one and holds none unreachable."""
+    fleet.partition()
+    return fleet.wait("all nodes know all others again", RECOVERY_S, lambda: all(
+        sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()))
+
+
+def zones_deaf(fleet: Fleet, schedule: Schedule) -> Figures:
+    """Two zones cannot reach each other; first the time in which that is news, then what stays of it."""
     fleet.pause(SETTLE_S)
-    before = {sample.index: sample.traffic for sample in fleet.hollow_samples()}
     meter = Meter(fleet)
-    fleet.partition(PARTITIONED)
+    fleet.partition(*DEAF_ZONES)
     fleet.pause(schedule.partition_s)
-    figures = meter.read()
-    samples = fleet.hollow_samples()
-    inside = [
-        (sample.traffic - before[sample.index]).bytes_sent / schedule.partition_s
-        for sample in samples if fleet.plan.node(sample.index).zone in PARTITIONED]
-    acknowledgement, times = _change(fleet)
-    fleet.partition(())
-    fleet.wait("all nodes know all others again", RECOVERY_S, lambda: all(
-        sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()))
+    figures = prefixed("first", meter.read())
+    meter = Meter(fleet)
+    fleet.pause(2 * schedule.partition_s)
+    figures |= prefixed("later", meter.read())
+    held = max(sample.held_down for sample in fleet.hollow_samples())
+    made = Changes()
+    made.make(fleet)
     return {
-        "in the two zones: bytes/s sent": sum(inside) / max(1, len(inside)),
-        "nodes held unreachable, most": max(sample.held_down for sample in samples),
-        "acknowledged after, ms": 1000.0 * acknowledgement,
-        "in force after that, ms, most": 1000.0 * max(times),
+        "nodes held unreachable, most": held,
+        **made.figures(),
+        "seconds until all is well again": _joined(fleet),
         **figures,
     }
 
 
+def regions_deaf(fleet: Fleet, schedule: Schedule) -> Figures:
+    """The regions cannot reach each other, for longer than entries of the unreachable are kept."""
+    fleet.pause(SETTLE_S)
+    meter = Meter(fleet)
+    fleet.partition(*DEAF_REGIONS)
+    fleet.pause(schedule.partition_s)
+    figures = prefixed("first", meter.read())
+    fleet.pause(max(0.0, GONE_S - schedule.partition_s))
+    meter = Meter(fleet)
+    fleet.pause(schedule.partition_s)
+    figures |= prefixed("later", meter.read())
+    sent, acknowledged = fleet.change()
+    meter = Meter(fleet)
+    figures["seconds until all is well again"] = _joined(fleet)
+    figures["seconds until the change of meanwhile is everywhere"] = fleet.wait(
+        "the change", IN_FORCE_S, lambda: all(fleet.in_force(fleet.version)))
+    figures["acknowledged after, ms"] = 1000.0 * (acknowledged - sent)
+    return {**figures, **prefixed("joined", meter.read())}
+
+
 def memory(fleet: Fleet) -> Figures:
     """Resident memory at the end."""
     hollow = sum(process.memory_mb() for process in fleet.hollow)
@@ -241,6 +278,12 @@
     return figures
 
 
-PHASES: tuple[tuple[str, Callable[[Fleet, Schedule], Figures]], ...] = (
-    ("start", start), ("rest", rest), ("changes", changes), ("restarts", restarts),
-    ("control lost", control_loss), ("partition", partition))
+PHASES: dict[str, Callable[[Fleet, Schedule], Figures]] = {
+    "start": start,
+    "rest": rest,
+    "changes": changes,
+    "restarts": restarts,
+    "control lost": control_loss,
+    "zones deaf": zones_deaf,
+    "regions deaf": regions_deaf,
+}
--- a/bench/scale/plan.py
+++ b/bench/scale/plan.py
@@ -21,8 +21,12 @@
     ("south-a", "south"),
     ("south-b", "south"),
 )
-#: The two zones that lose each other in the partition phase. No real sidecar runs there.
-PARTITIONED = ("north-b", "north-c")
+#: What loses each other in the two partitions: two zones, and the two regions.
+DEAF_ZONES = (frozenset({"north-b"}), frozenset({"north-c"}))
+DEAF_REGIONS = (
+    frozenset(zone for zone, region in ZONES if region == "north"),
+    frozenset(zone for zone, region in ZONES if region == "south"),
+)
 PER_ROW = 200  # sidecar machines of a zone that share the third number of their addresses
 CONTROL_ROW = 250  # third number of the control machines' addresses
 MANAGEMENT_ROW = 251  # third number of the addresses at which the run's own processes are asked
@@ -91,9 +95,8 @@
         return ZONES[int(ip.split(".")[1]) - self.octet][0]
 
     def real_nodes(self, count: int) -> list[int]:
-        """Indexes of the machines whose sidecar is a process of its own."""
-        outside = (index for index in range(self.nodes) if self.node(index).zone not in PARTITIONED)
-        return [index for index, _ in zip(outside, range(count), strict=False)]
+        """Indexes of the machines whose sidecar is a process of its own: the first ones."""
+        return list(range(min(count, self.nodes)))
 
     # Settings files.
 
--- a/bench/scale/real_process.py
+++ b/bench/scale/real_process.py
@@ -1,9 +1,10 @@
 """Run a program of the mesh as it is deployed, on an event loop that counts its traffic.
 
-    python -m bench.scale.real_process PROGRAM MANAGEMENT_PORT LIMIT_S
+    python -m bench.scale.real_process PLAN PROGRAM LIMIT_S
 
 PROGRAM is a module of `honeywharf.programs`, whose `main` runs unchanged; its settings are those that the
-environment names. The run asks it for its counts at MANAGEMENT_PORT of its own address.
+environment names. The run asks it for its counts, and parts it from others, at the management port of its own
+address. PLAN: the plan's fields as JSON. It ends after LIMIT_S seconds in any case.
 """
 
 from __future__ import annotations
@@ -18,6 +19,8 @@
 from bench.scale import messages
 from bench.scale.counted_loop import CountedLoop
 from bench.scale.messages import NodeSample
+from bench.scale.plan import MANAGEMENT, Plan
+from bench.scale.reach import Reach
 from honeywharf.mains import loop as loop_module
 from honeywharf.mains.calls import Answerer
 from honeywharf.programs.start import VARIABLE
@@ -25,18 +28,24 @@
 
 def main(arguments: list[str]) -> int:
     """Run the program; its exit status, or 0 when the time is over."""
-    program, port, limit_s = arguments[0], int(arguments[1]), float(arguments[2])
+    plan, program, limit_s = Plan(**json.loads(arguments[0])), arguments[1], float(arguments[2])
     settings = json.loads(Path(os.environ[VARIABLE]).read_text("utf-8"))
     ip, internal_port = settings["ip-address"], settings["internal-port-range"][0]
 
     def counted(directory: str | None) -> CountedLoop:
-        loop = CountedLoop(directory, ip, internal_port)
+        loop = CountedLoop(directory, ip, internal_port, Reach(plan.zone_of))
 
         def sample(args: Any, reply: Any, peer: Any) -> None:
             loop.read_links()
             reply([NodeSample(-1, loop.traffic).packed()])
 
-        loop.listen((ip, port), Answerer({messages.SAMPLE: sample}).accept)
+        def partition(args: Any, reply: Any, peer: Any) -> None:
+            loop.reach.part(frozenset(args[0]), frozenset(args[1]))
+            loop.part()
+            reply(True)
+
+        answerer = Answerer({messages.SAMPLE: sample, messages.PARTITION: partition})
+        loop.listen((ip, plan.port(MANAGEMENT)), answerer.accept)
         loop.after(limit_s, lambda: loop.exit(0))
         return loop
 
--- /dev/null
+++ b/bench/scale/shared_readings.py
@@ -0,0 +1,32 @@
+"""One reading of each configuration for all hollow nodes of a process.
+
+A sidecar reads the text of a configuration twice, into a table of routes and into a second, independent
+form. On machines of their own all do so at the same time; a hundred nodes of one process would do it one
+after the other, and the last one would have the change in force a second late. So each text is read once in
+each way and the result is shared: neither is changed after it was made. What the reading costs is measured at
+the sidecar processes, which share nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+from typing import Any, cast
+
+from honeywharf.assay import requests
+from honeywharf.assay.second import Told
+from honeywharf.sluice import word
+from honeywharf.strainer.routes import Table
+
+READINGS = 4  # of the latest texts that are kept
+
+
+def once(read: Callable[[bytes], Any]) -> Callable[[bytes], Any]:
+    """The same, read once for each text."""
+    return lru_cache(READINGS)(read)
+
+
+def share() -> None:
+    """From now on all nodes of this process share their readings."""
+    cast(Any, word).Table = once(Table)
+    cast(Any, requests).Told = once(Told)
--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -12,7 +12,8 @@
 from bench.scale.messages import NodeSample, Start
 from bench.scale.payload import configuration
 from bench.scale.phases import Schedule, start
-from bench.scale.plan import PARTITIONED, ZONES, Plan
+from bench.scale.plan import DEAF_REGIONS, DEAF_ZONES, ZONES, Plan
+from bench.scale.reach import Reach
 from bench.scale.traffic import TCP_HEADERS, CountedLink, Traffic
 from honeywharf.strainer import settings
 from honeywharf.strainer.configuration import check
@@ -30,8 +31,21 @@
     assert all(max(map(int, ip.split("."))) < 256 for ip, _ in places)
 
 
-def test_sidecar_processes_stand_outside_the_partition() -> None:
-    assert {PLAN.node(index).zone for index in PLAN.real_nodes(20)}.isdisjoint(PARTITIONED)
+def test_a_partition_separates_two_sides_and_nothing_else() -> None:
+    ips = {zone: PLAN.node(index).ip for index, (zone, _) in enumerate(ZONES)}
+    reach = Reach(PLAN.zone_of)
+
+    def separated() -> set[tuple[str, str]]:
+        return {(a, b) for a in ips for b in ips if reach.separates(ips[a], ips[b])}
+
+    assert not separated()
+    reach.part(*DEAF_ZONES)
+    assert separated() == {("north-b", "north-c"), ("north-c", "north-b")}
+    reach.part(*DEAF_REGIONS)
+    assert len(separated()) == 12
+    assert all(dict(ZONES)[a] != dict(ZONES)[b] for a, b in separated())
+    reach.part(frozenset(), frozenset())
+    assert not separated()
 
 
 def test_settings_are_those_of_a_machine_of_two_regions(tmp_path: Path) -> None:
@@ -123,9 +137,11 @@
         assert [sample.index for sample in fleet.hollow_samples()
                 if sample.started != lives[sample.index]] == [4]
 
-        fleet.partition(PARTITIONED)
+        fleet.partition(*DEAF_ZONES)
         assert sent < fleet.change()[1]
         fleet.wait("a change beside a partition", 10.0, lambda: all(fleet.in_force(fleet.version)))
+        assert all(sample.known == 13 for sample in fleet.hollow_samples())
+        fleet.partition()
         processes = fleet.all
         assert sum(process.faults() for process in processes) == 0
     assert not any(process.running for process in processes)
