--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -1,15 +1,15 @@
 """Drains and kills of live gateways: on loopback with real processes, or a working day in virtual time.
 
     python -m bench.gateway [--drains 20] [--kills 20] [--rate 80] [--seed 1] [--sessions on|off|both]
-    python -m bench.gateway --flume [--days 5] [--seed 1] [--compare] [--plan bench/days/gateway.toml]
+    python -m bench.gateway --simulation [--days 5] [--seed 1] [--compare] [--plan bench/days/gateway.toml]
     ... [--plot FOLDER]: an SVG of uploads by gateway for each run beside the text
 
 Loopback: two regions, two gateways each; the busiest gateway is drained and taken back, killed and started
 again, in turn. Printed: uploads and orders begun and how they ended, bytes sent twice, what a backend
-recorded twice or not at all, p50 and p99 of inner calls in the second before, during and after. `--flume`:
-the experiment's day with a drain, then a kill, at its hours; with `--compare` also without lanes and without
-sessions. The same seed gives the same figures on any machine. Below each run: how many uploads each gateway
-carried.
+recorded twice or not at all, p50 and p99 of inner calls in the second before, during and after.
+`--simulation`: the experiment's day with a drain, then a kill, at its hours; with `--compare` also without
+lanes and without sessions. The same seed gives the same figures on any machine. Below each run: how many
+uploads each gateway carried.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 from collections import Counter
 from pathlib import Path
 
-from honeywharf.flume.regions import READ, UPLOAD, Source
-from honeywharf.flume.shift import WINDOWS, Call, Plan, Shift, quantile
+from honeywharf.simulation.regions import READ, UPLOAD, Source
+from honeywharf.simulation.shift import WINDOWS, Call, Plan, Shift, quantile
 from honeywharf.standins import gatewaydemo
 
 COLUMNS = 110
@@ -45,8 +45,9 @@
         means: list[float] = []
         for cell in row:  # a column without a sample shows the one before
             means.append(sum(cell) / len(cell) if cell else means[-1] if means else 0.0)
-        digits = "".join("." if mean == 0 else "+" if mean >= 9.5 else f"{max(1, round(mean))}"
-                         for mean in means)
+        digits = "".join(
+            "." if mean == 0 else "+" if mean >= 9.5 else f"{max(1, round(mean))}" for mean in means
+        )
         lines.append(f"{name:18}{digits}")
     return [*lines, f"{'':18}{span:.0f} s; v: a trouble begins; a digit: uploads, +: ten or more"]
 
@@ -79,8 +80,14 @@
             continue
         days: list[gatewaydemo.Day] = []
         figures = gatewaydemo.run(
-            chosen.drains, chosen.kills, chosen.rate, chosen.seed, name == "on", lambda line: None,
-            drew=days.append)
+            chosen.drains,
+            chosen.kills,
+            chosen.rate,
+            chosen.seed,
+            name == "on",
+            lambda line: None,
+            drew=days.append,
+        )
         load = os.getloadavg()[0]
         print(f"sessions {name}: {chosen.drains} drains, {chosen.kills} kills, load {load:.1f}")
         for key, value in sorted(figures.items()):
@@ -91,14 +98,16 @@
             plot(chosen.plot, f"loopback, sessions {name}", *told)
 
 
-def flume(chosen: argparse.Namespace) -> None:
+def simulation(chosen: argparse.Namespace) -> None:
     """Working days in virtual time; the figures."""
     plan = Plan(tomllib.loads(Path(chosen.plan).read_text("utf-8")))
     for trouble in ("drain", "kill"):
         kinds = [("", True, True), (", lanes off", True, False), (", sessions off", False, True)]
         for title, sessions, lanes in kinds if chosen.compare else kinds[:1]:
-            days = [Shift(seed, plan, trouble, sessions, lanes).work()
-                    for seed in range(chosen.seed, chosen.seed + chosen.days)]
+            days = [
+                Shift(seed, plan, trouble, sessions, lanes).work()
+                for seed in range(chosen.seed, chosen.seed + chosen.days)
+            ]
             report(f"{trouble}{title}", days, chosen.plot)
 
 
@@ -111,7 +120,8 @@
         p99 = {window: quantile(values, 0.99) for window, values in took.items()}
         words = ", ".join(
             f"{window} {quantile(values, 0.5) * 1e3:.1f} / {p99[window] * 1e3:.1f} of {len(values)}"
-            for window, values in took.items())
+            for window, values in took.items()
+        )
         ratio = p99["during"] / max(1e-9, p99["before"])
         print(f"  {name} p50 / p99 ms: {words}; during / before {ratio:.2f}")
     ends: Counter[str] = Counter()
@@ -126,14 +136,16 @@
     sides = [side.program for day in days for side in day.sources if isinstance(side.program, Source)]
     twice = sum(side.conveyor.twice for side in sides)
     print("  " + ", ".join(f"{key} {value}" for key, value in sorted(ends.items()) if value))
-    print(f"  bytes twice {twice}; broken {sum(bool(day.faults) for day in days)}"
-          f"; {[fault for day in days for fault in day.faults][:2]}")
+    print(
+        f"  bytes twice {twice}; broken {sum(bool(day.faults) for day in days)}"
+        f"; {[fault for day in days for fault in day.faults][:2]}"
+    )
     empty = sorted(took for day in days for took in day.empty_s)
     if empty:
         print(f"  empty after: median {empty[len(empty) // 2]:.2f} s, longest {empty[-1]:.2f} s")
     told = ([keeper.machine.ip for keeper in days[0].keepers], days[0].samples, days[0].at)
     print("\n".join(chart(*told)), flush=True)
-    plot(folder, f"flume, {title}", *told)
+    plot(folder, f"simulation, {title}", *told)
 
 
 def main() -> None:
@@ -143,12 +155,12 @@
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--rate", type=float, default=80.0, help="short requests a second")
     parser.add_argument("--sessions", choices=("on", "off", "both"), default="both")
-    parser.add_argument("--flume", action="store_true", help="in virtual time")
+    parser.add_argument("--simulation", action="store_true", help="in virtual time")
     parser.add_argument("--compare", action="store_true", help="without lanes, without sessions too")
     parser.add_argument("--plan", default="bench/days/gateway.toml")
     parser.add_argument("--plot", default="", help="a folder for SVG files")
     chosen = parser.parse_args()
-    (flume if chosen.flume else loopback)(chosen)
+    (simulation if chosen.simulation else loopback)(chosen)
 
 
 if __name__ == "__main__":
--- a/honeywharf/assay/states.py
+++ b/honeywharf/drift/states.py
@@ -9,7 +9,7 @@
     healed         healed   applying  healed   doubted   -             agreed
 
 `*` only where the zone has room: at most `SHARE` of its proxies, and no half of all, stand aside at once; a
-majority of the reservoirs gives leave for each (`stopcock/`), so that two do not take the last place at once.
+majority of the control nodes gives leave for each (`lease/`), so that two do not take the last place at once.
 Without room a node stays doubted and refuses request by request, what its two readings disagree on. A doubted
 node refuses `mutating` and `upload` with a time to come back and serves reads that both readings agree on; a
 quarantined one is not ready too. What is not in the table raises.
@@ -27,8 +27,13 @@
     APPLYING: {HEARD: APPLYING, APPLIED: APPLYING, MATCHED: AGREED, SLIPPED: DOUBTED},
     AGREED: {HEARD: TOLD, APPLIED: APPLYING, MATCHED: AGREED, SLIPPED: DOUBTED, CALM: AGREED},
     DOUBTED: {HEARD: DOUBTED, APPLIED: DOUBTED, MATCHED: HEALED, SLIPPED: DOUBTED, VAIN: QUARANTINED},
-    QUARANTINED: {HEARD: QUARANTINED, APPLIED: QUARANTINED, MATCHED: HEALED, SLIPPED: QUARANTINED,
-                  VAIN: QUARANTINED},
+    QUARANTINED: {
+        HEARD: QUARANTINED,
+        APPLIED: QUARANTINED,
+        MATCHED: HEALED,
+        SLIPPED: QUARANTINED,
+        VAIN: QUARANTINED,
+    },
     HEALED: {HEARD: HEALED, APPLIED: APPLYING, MATCHED: HEALED, SLIPPED: DOUBTED, CALM: AGREED},
 }
 SHARE = 0.25  # of a zone's proxies that may stand aside at once, but always one
--- a/honeywharf/assay/watch.py
+++ b/honeywharf/drift/watch.py
@@ -1,8 +1,9 @@
-"""What follows from a slip at one sluice: it is doubted, built anew, healed or stands aside; and who is told.
+"""What follows from a slip at one sidecar: it is doubted, built anew, healed or stands aside; and who is
+told.
 
 Theory of operation. `slip` is called by whichever way has found one (`rounds`, `requests`). The node builds
 itself anew from the told text, whose digest the majority settled, compares everything at once, and goes on,
-all within the call that found it: the client sees a normal answer. Where that does not help, a reservoir's
+all within the call that found it: the client sees a normal answer. Where that does not help, a control node's
 majority is asked for the word, again and again with growing pauses.
 
 Bounds: a whole look at oneself, a renewal, a telling and a log line have pauses between them, whatever comes.
@@ -12,9 +13,9 @@
 
 import zlib
 
-from honeywharf.assay import digests, scan, states
-from honeywharf.assay.second import Told
-from honeywharf.strainer.routes import Table
+from honeywharf.drift import digests, scan, states
+from honeywharf.drift.second import Told
+from honeywharf.mesh_config.routes import Table
 
 try:
     from _sha256 import sha256  # type: ignore[import-not-found]  # without OpenSSL, which is 2 MB
@@ -25,14 +26,14 @@
 if TYPE_CHECKING:
     from typing import Any
 
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
-    from honeywharf.programs.sluice import Sluice
+    from honeywharf.programs.sidecar import Sidecar
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 LOOK_S = 0.25  # between looks at all of oneself that others or requests ask for
 MOST_STUBBORN = 16
 MOST_RELAPSES = 3  # slips so soon after healing, after which building anew counts as vain
-TELL_S, MOST_TOLD = 0.25, 7  # between slips that reservoirs are told of, and how many are told
+TELL_S, MOST_TOLD = 0.25, 7  # between slips that control nodes are told of, and how many are told
 MOST_SLIPS = 16  # told to who asks
 MOST_TEXT = 80 << 20
 MOST_WORDS = 160  # characters of a slip's cause
@@ -59,8 +60,8 @@
 class Watch:
     """See the module. `judging`, `reading` and `scanning` switch the three ways, for measuring each alone."""
 
-    def __init__(self, sluice: Sluice) -> None:
-        self.sluice, self.host, self.word = sluice, sluice.host, sluice.word
+    def __init__(self, sidecar: Sidecar) -> None:
+        self.sidecar, self.host, self.word = sidecar, sidecar.host, sidecar.word
         self.judging = self.reading = self.scanning = True
         now = self.host.now()
         self.state = states.State(now)
@@ -74,14 +75,14 @@
         self.looked = now - LOOK_S
         self.relapses = 0
         self.rebuilding = self.asking = self.standing = False
-        self.leave: Any = None  # to stand aside: an `Errand`, once it was wanted
+        self.leave: Any = None  # to stand aside: an `LeaseAcquisition`, once it was wanted
         self.grudged = 0  # times that no majority gave leave
         self.grudged_at = now - STAND_AGAIN_S
         self.caught: dict[str, int] = {}
         self.refused = 0
         self.slips: list[list[object]] = []
         self.cores_turn = 0
-        self.told_at = now - TELL_S  # when reservoirs were told of a slip
+        self.told_at = now - TELL_S  # when control nodes were told of a slip
         self.stubborn = 1  # renewals more that count as vain after each further relapse
 
     # What follows from a slip.
@@ -102,7 +103,9 @@
         table, told = self.word.table, self.told
         if table is None or told is None:
             return "no told text" if self.word.ready else ""
-        fault = scan.others(self.sluice) or scan.listed(self.sluice, list(self.sluice.society.entries()))
+        fault = scan.others(self.sidecar) or scan.listed(
+            self.sidecar, list(self.sidecar.membership.entries())
+        )
         return fault or next((found for found in scan.routes(table, told, self.rules) if found), "")
 
     def slip(self, by: str, what: str, renew: bool = False) -> None:
@@ -116,7 +119,7 @@
             self.stubborn = min(MOST_STUBBORN, 2 * self.stubborn)
             self.relapses = MOST_RELAPSES + self.stubborn
         self.caught[by] = self.caught.get(by, 0) + 1
-        self.slips = [*self.slips[1 - MOST_SLIPS:], [round(self.host.wall(), 3), by, what]]
+        self.slips = [*self.slips[1 - MOST_SLIPS :], [round(self.host.wall(), 3), by, what]]
         self._event(states.SLIPPED, f"{by}: {what}")
         self._tell(by, what)
         if not renew and self.relapses < MOST_RELAPSES and self.rebuild():
@@ -130,8 +133,9 @@
         before = self.state.at
         room = event == states.VAIN and self.leave is not None and bool(self.leave.holds())
         if self.state.event(self.host.now(), event, why, room):
-            self.host.log(f"assay: {states.NAMES[before]} -> {states.NAMES[self.state.at]}"
-                          f"{': ' + why if why else ''}")
+            reason = f": {why}" if why else ""
+            change = f"{states.NAMES[before]} -> {states.NAMES[self.state.at]}"
+            self.host.log(f"drift monitor: {change}{reason}")
         if not self.state.aside and self.standing:
             self._step_back()
 
@@ -140,19 +144,25 @@
     def stand(self) -> None:
         """Refuse what must not run twice until healed, if there is room for one more that does.
 
-        A majority of the reservoirs gives leave; until it has (0.3 s at most) this node refuses too.
+        A majority of the control nodes gives leave; until it has (0.3 s at most) this node refuses too.
         """
         if self.standing or self.host.now() - self.grudged_at < STAND_AGAIN_S or not self._room():
             return
-        from honeywharf.stopcock.errand import Errand  # wanted by none but a node that can't heal itself
+        from honeywharf.lease.acquisition import (
+            LeaseAcquisition,  # wanted by none but a node that can't heal itself
+        )
 
         self.standing = True
-        ip, zone = self.sluice.settings.ip, self.sluice.settings.zone
+        ip, zone = self.sidecar.settings.ip, self.sidecar.settings.zone
         nodes, zones = self._nodes_here()
-        self.leave = Errand(
-            self.host, self.sluice.caller.call, self._roster, f"{ip}/{self.host.random(6).hex()}",
+        self.leave = LeaseAcquisition(
+            self.host,
+            self.sidecar.caller.call,
+            self._roster,
+            f"{ip}/{self.host.random(6).hex()}",
             [self._places(zone, states.zone_places(zones)), self._places("", states.all_places(nodes))],
-            self._step_back)
+            self._step_back,
+        )
         self.leave.begin(self._may_stand)
 
     def _places(self, scope: str, many: int) -> list[tuple[str, str, int]]:
@@ -166,7 +176,7 @@
 
     def _may_stand(self, granted: bool) -> None:
         if granted and self.state.aside:
-            self.sluice.society.tell(q=1)
+            self.sidecar.membership.tell(q=1)
             return
         if not granted:
             self.grudged, self.grudged_at = self.grudged + 1, self.host.now()
@@ -176,24 +186,31 @@
         """Healed, without leave, or it has ended: refuse request by request at most."""
         self.standing = False
         self.leave.end()
-        self.sluice.society.tell(q=0)
+        self.sidecar.membership.tell(q=0)
 
     def _refuses(self) -> bool:
         """Whether it may refuse now: a process that stood still finds that its leave has ended."""
         return bool(self.leave.asking or self.leave.holds())
 
     def _nodes_here(self) -> tuple[int, int]:
-        """Sluices that news tell of, this one too: all, and of the own zone."""
-        zones = [entry.zone for node, entry in self.sluice.society.entries().items()
-                 if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")]
-        return len(zones) + 1, zones.count(self.sluice.settings.zone) + 1
+        """Sidecars that news tell of, this one too: all, and of the own zone."""
+        zones = [
+            entry.zone
+            for node, entry in self.sidecar.membership.entries().items()
+            if node != self.sidecar.settings.ip and entry.say is not None and entry.say.get("s")
+        ]
+        return len(zones) + 1, zones.count(self.sidecar.settings.zone) + 1
 
     def _room(self) -> bool:
-        entries = [entry for node, entry in self.sluice.society.entries().items()
-                   if node != self.sluice.settings.ip and entry.say is not None and entry.say.get("s")]
-        zone = [entry for entry in entries if entry.zone == self.sluice.settings.zone]
-        aside, aside_all = (sum(bool(entry.say and entry.say.get("q")) for entry in some)
-                            for some in (zone, entries))
+        entries = [
+            entry
+            for node, entry in self.sidecar.membership.entries().items()
+            if node != self.sidecar.settings.ip and entry.say is not None and entry.say.get("s")
+        ]
+        zone = [entry for entry in entries if entry.zone == self.sidecar.settings.zone]
+        aside, aside_all = (
+            sum(bool(entry.say and entry.say.get("q")) for entry in some) for some in (zone, entries)
+        )
         return states.room(aside, len(zone) + 1, aside_all, len(entries) + 1)
 
     def rebuild(self) -> bool:
@@ -203,7 +220,7 @@
             text = text_of(word.packed, word.digest)
             table, self.told, self.told_digest = self.build(text), Told(text), word.digest
         except (ValueError, KeyError, TypeError, LookupError) as fault:
-            self.host.log(f"assay: the told text can't be read: {fault}")
+            self.host.log(f"drift monitor: the told text can't be read: {fault}")
             return False
         value = word.value
         if (value["rev"], value["digest"], value["version"]) != (word.revision, word.digest, table.version):
@@ -212,25 +229,25 @@
         word.table, word.version = table, table.version
         word.evacuated = {zone for zone, on in value["evac"].items() if on}
         self._relist()
-        self.sluice.apply()
-        self.bounds = scan.bounds(self.sluice)
+        self.sidecar.apply()
+        self.bounds = scan.bounds(self.sidecar)
         self.rebuilding, self.parts = False, None
         return not self._whole()
 
     def _relist(self) -> None:
-        sluice = self.sluice
-        entries = sluice.society.entries()
-        sluice.source.doubted = {node for node in entries if node in sluice.society.watch.down}
-        for node in list(sluice.source.list):
-            if node != sluice.settings.ip:
-                sluice.source.told(node, None, "")
+        sidecar = self.sidecar
+        entries = sidecar.membership.entries()
+        sidecar.source.doubted = {node for node in entries if node in sidecar.membership.watch.down}
+        for node in list(sidecar.source.list):
+            if node != sidecar.settings.ip:
+                sidecar.source.told(node, None, "")
         for node, entry in entries.items():
-            if node != sluice.settings.ip:
-                sluice.source.told(node, entry.say, entry.zone)
+            if node != sidecar.settings.ip:
+                sidecar.source.told(node, entry.say, entry.zone)
 
     def renew(self) -> None:
-        """Ask a reservoir's majority for the word."""
-        cores = self.sluice.cores()
+        """Ask a control node's majority for the word."""
+        cores = self.sidecar.cores()
         if self.asking or not cores:
             if not self.asking:
                 self._again()
@@ -238,7 +255,7 @@
         self.asking = True
         self.cores_turn += 1
         core = cores[self.cores_turn % len(cores)]
-        self.sluice.caller.call(core, "word.read", None, 0.9, lambda value: self._read_back(core, value))
+        self.sidecar.caller.call(core, "word.read", None, 0.9, lambda value: self._read_back(core, value))
 
     def _again(self) -> None:
         self.asking = False
@@ -253,8 +270,9 @@
         elif value["digest"] == self.word.digest and self._sound():
             self._restore(value, self.word.packed)
         else:
-            self.sluice.caller.call(core, "word.body", value["digest"], 3.0,
-                                    lambda packed: self._restore(value, packed))
+            self.sidecar.caller.call(
+                core, "word.body", value["digest"], 3.0, lambda packed: self._restore(value, packed)
+            )
 
     def _sound(self) -> bool:
         try:
@@ -270,7 +288,7 @@
         try:
             table = self.build(text_of(packed, value["digest"]))
         except ValueError as fault:
-            self.host.log(f"assay: a majority's text can't be read: {fault}")
+            self.host.log(f"drift monitor: a majority's text can't be read: {fault}")
         else:
             self.rebuilding = True
             self.word.restore(value, table, packed)
@@ -290,29 +308,41 @@
         return self.state.at == states.QUARANTINED and self.leave is not None and bool(self.leave.holds())
 
     def _tell(self, by: str, what: str) -> None:
-        """Tell the reservoirs of a slip, for their histories; a flood of slips tells no more than one."""
-        record = [self.sluice.settings.ip, self.host.wall(), by, what, self.word.revision]
+        """Tell the control nodes of a slip, for their histories; a flood of slips tells no more than one."""
+        record = [self.sidecar.settings.ip, self.host.wall(), by, what, self.word.revision]
         now = self.host.now()
         if now - self.told_at >= TELL_S:
             self.told_at = now
-            for core in self.sluice.cores()[:MOST_TOLD]:
-                self.sluice.caller.call(core, "drift.slip", record, 1.0, lambda answer: None)
+            for core in self.sidecar.cores()[:MOST_TOLD]:
+                self.sidecar.caller.call(core, "drift.slip", record, 1.0, lambda answer: None)
 
     def view(self) -> dict[str, object]:
         """Who runs what, for an operator. Times in seconds."""
         word, state, now = self.word, self.state, self.host.now()
         live = {} if word.table is None else scan.tree(word.table, self.rules, word.evacuated)
         return {
-            "node": self.sluice.settings.ip, "zone": self.sluice.settings.zone,
-            "state": states.NAMES[state.at], "for": round(now - state.since, 3), "why": state.why,
-            "revision": word.revision, "version": f"r{word.version}", "digest": word.digest,
-            "root": digests.root(live).hex(), "branches": {name: live[name].hex() for name in live},
-            "caught": dict(self.caught), "refused": self.refused, "handed": self.sluice.source.handed,
+            "node": self.sidecar.settings.ip,
+            "zone": self.sidecar.settings.zone,
+            "state": states.NAMES[state.at],
+            "for": round(now - state.since, 3),
+            "why": state.why,
+            "revision": word.revision,
+            "version": f"r{word.version}",
+            "digest": word.digest,
+            "root": digests.root(live).hex(),
+            "branches": {name: live[name].hex() for name in live},
+            "caught": dict(self.caught),
+            "refused": self.refused,
+            "handed": self.sidecar.source.handed,
             "changes": state.changes,
-            "slips": self.slips, "standing": self.standing, "leave-refused": self.grudged}
+            "slips": self.slips,
+            "standing": self.standing,
+            "leave-refused": self.grudged,
+        }
 
     def methods(self) -> dict[str, Any]:
         """What others may call."""
+
         def view(args: Any, reply: Reply, peer: Address) -> None:
             reply(self.view())
 
@@ -321,5 +351,5 @@
     def counters(self) -> str:
         """For a log line."""
         caught = " ".join(f"{by}={many}" for by, many in sorted(self.caught.items()))
-        state, handed = states.NAMES[self.state.at], self.sluice.source.handed
-        return f"assay {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
+        state, handed = states.NAMES[self.state.at], self.sidecar.source.handed
+        return f"drift monitor {state} refused={self.refused} handed={handed} caught {caught or 'none'}"
--- a/honeywharf/strainer/settings.py
+++ b/honeywharf/mesh_config/settings.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable, Mapping
 
-from honeywharf.strainer.quantities import address, ipv4, number, seconds
+from honeywharf.mesh_config.quantities import address, ipv4, number, seconds
 
 TYPE_CHECKING = False  # as a type checker knows it, without the memory of `typing`
 if TYPE_CHECKING:
@@ -39,10 +39,37 @@
     """One process's settings. Times are seconds, addresses are (IPv4 in dots, port)."""
 
     __slots__ = (
-        "application", "bounds", "config_mode", "contracts", "cpu_cores", "cpu_share", "data_directory",
-        "disk_mb", "fds", "file", "gateways", "heartbeat_s", "initial_start", "ip", "link_mbps", "listen",
-        "loss_counted", "machine_class", "machine_failures", "memory_mb", "node_name", "ports", "region",
-        "role", "seeds", "serves", "service", "unread", "zone", "zone_failures", "zones",
+        "application",
+        "bounds",
+        "config_mode",
+        "contracts",
+        "cpu_cores",
+        "cpu_share",
+        "data_directory",
+        "disk_mb",
+        "fds",
+        "file",
+        "gateways",
+        "heartbeat_s",
+        "initial_start",
+        "ip",
+        "link_mbps",
+        "listen",
+        "loss_counted",
+        "machine_class",
+        "machine_failures",
+        "memory_mb",
+        "node_name",
+        "ports",
+        "region",
+        "role",
+        "seeds",
+        "serves",
+        "service",
+        "unread",
+        "zone",
+        "zone_failures",
+        "zones",
     )
 
     file: str  # where it was read from, for refusals
--- a/honeywharf/programs/duties.py
+++ b/honeywharf/programs/duties.py
@@ -1,4 +1,5 @@
-"""Leases in a reservoir: its votes, its own duty (the roster's upkeep), and the operators' view of both."""
+"""Leases in a control node: its votes, its own duty (the roster's upkeep), and the operators' view of
+both."""
 
 from __future__ import annotations
 
@@ -6,53 +7,59 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.assay import states
-from honeywharf.reservoir import word
-from honeywharf.stopcock.errand import Errand
-from honeywharf.stopcock.grants import ROSTER, Grantor
+from honeywharf.control import mesh_state
+from honeywharf.drift import states
+from honeywharf.lease.acquisition import LeaseAcquisition
+from honeywharf.lease.grants import ROSTER, Grantor
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from honeywharf.mains.calls import Reply
-    from honeywharf.mains.host import Address
-    from honeywharf.programs.reservoir import Reservoir
-    from honeywharf.reservoir.operator import Asked
+    from honeywharf.control.operator import Asked
+    from honeywharf.programs.control import ControlNode
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc import Reply
 
 UPKEEP = ("upkeep", "", 0)
 
 
 class Duties:
-    """See the module. It is the basin's `duty`: leave to take members out of the roster."""
+    """See the module. It is the replica's `duty`: leave to take members out of the roster."""
 
-    def __init__(self, program: Reservoir) -> None:
-        self.program, self.host, self.basin = program, program.host, program.basin
+    def __init__(self, program: ControlNode) -> None:
+        self.program, self.host, self.replica = program, program.host, program.replica
         self.grantor = Grantor(self.host.now(), self.places)
-        self.holder = f"{self.basin.here}/{self.host.random(6).hex()}"
-        self.errand: Errand | None = None
+        self.holder = f"{self.replica.here}/{self.host.random(6).hex()}"
+        self.acquisition: LeaseAcquisition | None = None
         self.done = {"granted": 0, "refused": 0, "lost": 0}  # upkeep wanted here
-        self.basin.duty = self
-        self.basin.methods["stopcock.ask"] = self._ask
-        self.basin.methods["stopcock.free"] = self._free
+        self.replica.duty = self
+        self.replica.methods["lease.ask"] = self._ask
+        self.replica.methods["lease.free"] = self._free
         program.operator.tree.add("GET", "/api/duties", self._view)
 
     # Votes.
 
     def places(self, kind: str, scope: str) -> int:
-        """How many may do a duty at once, by the sluices that news tell of here."""
+        """How many may do a duty at once, by the sidecars that news tell of here."""
         if kind == "upkeep":
             return int(scope == "")
-        society = self.program.society
-        zones = [] if society is None else [
-            entry.zone for entry in society.entries().values()
-            if entry.say is not None and entry.say.get("s")]
+        membership = self.program.membership
+        zones = (
+            []
+            if membership is None
+            else [
+                entry.zone
+                for entry in membership.entries().values()
+                if entry.say is not None and entry.say.get("s")
+            ]
+        )
         return states.zone_places(zones.count(scope)) if scope else states.all_places(len(zones))
 
     def _ask(self, args: Any, reply: Reply, peer: Address) -> None:
         kind, scope, place, holder, number, epoch, disk = args
         _checked((kind, scope, holder, disk), (place, number, epoch))
-        state = self.basin.state
-        if disk != state.disk or not self.basin.member():
+        state = self.replica.state
+        if disk != state.disk or not self.replica.member():
             reply([ROSTER, 0])  # whoever asks means another one
             return
         accepted = state.value["epoch"] if state.value is not None else 0
@@ -63,7 +70,7 @@
     def _free(self, args: Any, reply: Reply, peer: Address) -> None:
         kind, scope, place, holder, number, disk = args
         _checked((kind, scope, holder, disk), (place, number))
-        if disk == self.basin.state.disk:
+        if disk == self.replica.state.disk:
             self.grantor.free((kind, scope, place), holder, number)
         reply(True)
 
@@ -72,26 +79,32 @@
     def _call(self, to: Address, method: str, args: Any, within: float, done: Callable[[Any], None]) -> None:
         """As a caller does, but to this machine without a connection."""
         if to == self.program.here:
-            self.host.after(0.0, lambda: self.basin.methods[method](args, done, to))
+            self.host.after(0.0, lambda: self.replica.methods[method](args, done, to))
         else:
             self.program.caller.call(to, method, args, within, done)
 
     def begin(self, go: Callable[[bool], None]) -> None:
-        """Ask for leave; False at once while there is another such errand."""
-        if self.errand is not None:
+        """Ask for leave; False at once while there is another such acquisition."""
+        if self.acquisition is not None:
             go(False)
             return
-        state = self.basin.state
-        self.errand = Errand(self.host, self._call, lambda: (state.epoch, word.keys(state.roster)),
-                             self.holder, [[UPKEEP]], self._lost)
-        self.errand.begin(partial(self._answered, go))
+        state = self.replica.state
+        self.acquisition = LeaseAcquisition(
+            self.host,
+            self._call,
+            lambda: (state.epoch, mesh_state.keys(state.roster)),
+            self.holder,
+            [[UPKEEP]],
+            self._lost,
+        )
+        self.acquisition.begin(partial(self._answered, go))
 
     def _answered(self, go: Callable[[bool], None], granted: bool) -> None:
         self.done["granted" if granted else "refused"] += 1
-        if granted and self.errand is not None:
-            self.host.log(f"duties: upkeep of the roster is ours, number {self.errand.numbers()[0]}")
+        if granted and self.acquisition is not None:
+            self.host.log(f"duties: upkeep of the roster is ours, number {self.acquisition.numbers()[0]}")
         else:
-            self.errand = None
+            self.acquisition = None
         go(granted)
 
     def _lost(self) -> None:
@@ -99,13 +112,13 @@
 
     def holds(self) -> bool:
         """Whether there is leave now."""
-        return self.errand is not None and self.errand.holds()
+        return self.acquisition is not None and self.acquisition.holds()
 
     def end(self) -> None:
         """Give it back."""
-        errand, self.errand = self.errand, None
-        if errand is not None:
-            errand.end()
+        acquisition, self.acquisition = self.acquisition, None
+        if acquisition is not None:
+            acquisition.end()
 
     # The operators' view.
 
@@ -113,9 +126,15 @@
         """Votes that are out, refusals, what was wanted here."""
         now = self.host.now()
         waits = [kind for kind in ("upkeep", "aside") if self.grantor.waits(now, kind)]
-        return {"node": self.basin.here, "roster": self.basin.state.epoch, "votes": self.grantor.view(now),
-                "refused": self.grantor.refused, "waits": waits,
-                "upkeep": {**self.done, "held": self.holds()}, "cistern": self.program.handing.view()}
+        return {
+            "node": self.replica.here,
+            "roster": self.replica.state.epoch,
+            "votes": self.grantor.view(now),
+            "refused": self.grantor.refused,
+            "waits": waits,
+            "upkeep": {**self.done, "held": self.holds()},
+            "hinted_handoff": self.program.handing.view(),
+        }
 
     def _view(self, call: Asked) -> None:
         self.program.operator.answered(call, 200, json.dumps(self.view()).encode())
--- a/honeywharf/programs/sluice.py
+++ b/honeywharf/programs/sidecar.py
@@ -8,22 +8,22 @@
 if __name__ == "__main__":  # run by its path: the folder above the package is where the package is found
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
-from honeywharf.assay.judge import host_of
-from honeywharf.assay.requests import Assay
-from honeywharf.assay.watch import is_named
-from honeywharf.mains.calls import Answerer, Caller
-from honeywharf.mains.door import Call, Door
-from honeywharf.mains.streams import HANDED, MOST_FRAME, Reception
+from honeywharf.drift.judge import host_of
+from honeywharf.drift.requests import DriftMonitor
+from honeywharf.drift.watch import is_named
+from honeywharf.gossip.membership import Draws, Membership
 from honeywharf.programs.start import settings_or_line
-from honeywharf.runnel.society import Draws, Society
-from honeywharf.sluice.backend import Taps
-from honeywharf.sluice.beats import Beats
-from honeywharf.sluice.gate import DRAINING, READY, STATES, UNKNOWN, Gate
-from honeywharf.sluice.inbound import Inbound
-from honeywharf.sluice.outbound import Outbound
-from honeywharf.sluice.probe import Probe
-from honeywharf.sluice.source import Source
-from honeywharf.sluice.word import Word
+from honeywharf.sidecar.backend import Taps
+from honeywharf.sidecar.beats import Beats
+from honeywharf.sidecar.gate import DRAINING, READY, STATES, UNKNOWN, Gate
+from honeywharf.sidecar.inbound import Inbound
+from honeywharf.sidecar.mesh_state import Word
+from honeywharf.sidecar.outbound import Outbound
+from honeywharf.sidecar.probe import Probe
+from honeywharf.sidecar.source import Source
+from honeywharf.transport.http_server import Call, HttpServer
+from honeywharf.transport.rpc import Answerer, Caller
+from honeywharf.transport.streams import HANDED, MOST_FRAME, Reception
 from honeywharf.verdict import WORDS
 
 TYPE_CHECKING = False
@@ -31,12 +31,12 @@
     from collections.abc import Container
     from typing import Any
 
-    from honeywharf.mains.frames import FrameReader
-    from honeywharf.mains.host import Address, Connection, Handler, Host
-    from honeywharf.mains.streams import Ask, Work
-    from honeywharf.runnel.entry import Entry
-    from honeywharf.sluice.inbound import Answers
-    from honeywharf.strainer.settings import Settings
+    from honeywharf.gossip.entry import Entry
+    from honeywharf.mesh_config.settings import Settings
+    from honeywharf.sidecar.inbound import Answers
+    from honeywharf.transport.frames import FrameReader
+    from honeywharf.transport.host import Address, Connection, Handler, Host
+    from honeywharf.transport.streams import Ask, Work
 
 COUNTERS_S = 10.0
 UNTIL_QUIET_S = 2.6  # after SIGTERM: by then the platform has noticed, and sends no new clients
@@ -45,15 +45,19 @@
 CHECK_S = 0.1
 
 
-class Sluice:
-    """One running sluice."""
+class Sidecar:
+    """One running sidecar."""
 
     def __init__(self, host: Host, settings: Settings) -> None:
         self.host, self.settings = host, settings
         now = host.now()
         self.leaving = 0.0
-        self.gate = Gate(now, settings.service or "", settings.bound("cold-overage", 1.0),
-                         settings.bound("cold-slack", 0.0))
+        self.gate = Gate(
+            now,
+            settings.service or "",
+            settings.bound("cold-overage", 1.0),
+            settings.bound("cold-slack", 0.0),
+        )
         application = settings.application or ("127.0.0.1", 0)
         self.handshakes = 0
         self.taps = Taps(host, application, self._handshake)
@@ -65,28 +69,33 @@
         port = settings.ports[0]
         say = {**self.gate.say(), "rev": 0}
         seeds = [seed[0] for seed in settings.seeds]
-        self.society = Society(
-            host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0))
+        self.membership = Membership(
+            host, settings.ip, port, settings.zone, seeds, say, int(host.wall() * 1000.0)
+        )
         draw = Draws(host.random(8)).random
         self.source = Source(host, settings, self.word, self.inbound, draw)
         self.source.proxies, self.source.helper = self._proxies, self.helper
         if settings.gateways:
-            from honeywharf.penstock.abroad import joined  # one region alone does not pay for it
+            from honeywharf.sessions.abroad import joined  # one region alone does not pay for it
 
             self.source.abroad = joined(host, settings, self.inbound.begin, draw)
-        self.society.on_change = self._news
-        self.society.on_word = self._word_news
-        self.society.on_down = lambda node: self.source.doubt(node, True)
-        self.society.on_up = lambda node: self.source.doubt(node, False)
+        self.membership.on_change = self._news
+        self.membership.on_word = self._word_news
+        self.membership.on_down = lambda node: self.source.doubt(node, True)
+        self.membership.on_up = lambda node: self.source.doubt(node, False)
         self.probe = Probe(host, application, self.gate, self._gate_changed)
-        self.assay = self.source.assay = self.inbound.assay = Assay(self)
-        answerer = Answerer({**self.word.methods(), **self.assay.methods()}, self._streams, log=host.log)
+        self.drift_monitor = self.source.drift_monitor = self.inbound.drift_monitor = DriftMonitor(self)
+        answerer = Answerer(
+            {**self.word.methods(), **self.drift_monitor.methods()}, self._streams, log=host.log
+        )
         host.listen((settings.ip, port), answerer.accept)
         self.told = 0
         self.said = UNKNOWN
         self.beats = Beats(host, self.gate, self._gate_changed)
-        self.doors = [Door(host, settings.listen["control-plane"], self.beats.take, 1 << 20),
-                      Door(host, settings.listen["readiness"], self._readiness, 1 << 16)]
+        self.doors = [
+            HttpServer(host, settings.listen["control-plane"], self.beats.take, 1 << 20),
+            HttpServer(host, settings.listen["readiness"], self._readiness, 1 << 16),
+        ]
         self.outbound = Outbound(host, settings.listen["outbound"], self.word, self.source)
         self.source.told(settings.ip, self.gate.say(), settings.zone)
         self.word.start()
@@ -98,11 +107,14 @@
         return max(1, len(self.source.list))
 
     def cores(self) -> list[Address]:
-        """Reservoirs' internal addresses: those that news tell of, else the seeds."""
+        """Control nodes' internal addresses: those that news tell of, else the seeds."""
         port = self.settings.ports[0]
-        known = [(node, port) for node, entry in self.society.entries().items()
-                 if entry.say is not None and entry.say.get("core") and self.society.alive(node)]
-        near = [a for a in known if self.society.entries()[a[0]].zone == self.settings.zone]
+        known = [
+            (node, port)
+            for node, entry in self.membership.entries().items()
+            if entry.say is not None and entry.say.get("core") and self.membership.alive(node)
+        ]
+        near = [a for a in known if self.membership.entries()[a[0]].zone == self.settings.zone]
         return near + [a for a in known if a not in near] or [(seed[0], port) for seed in self.settings.seeds]
 
     def _news(self, node: str, entry: Entry | None, old: Entry | None) -> None:
@@ -116,8 +128,8 @@
     def _word_changed(self) -> None:
         self.apply()
         self._gate_changed()
-        self.society.shout_word(self.word.revision)
-        self.assay.word_changed()
+        self.membership.shout_word(self.word.revision)
+        self.drift_monitor.word_changed()
 
     def apply(self) -> None:
         """Have everything here decide by the word in force."""
@@ -150,27 +162,32 @@
             self.said = gate.state
             self.host.log(f"backend {gate.instance or '-'} is {STATES[gate.state]}")
         self.source.told(self.settings.ip, say, self.settings.zone)
-        self.society.tell(**say)
+        self.membership.tell(**say)
 
     def _streams(self, connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
         reader.most = MOST_FRAME
         return Reception(connection, reader, frames, self._begin)
 
     def _begin(self, ask: Ask, answers: Answers) -> Work | None:
-        """A request of another sluice: for the gate here, or to be decided here."""
+        """A request of another sidecar: for the gate here, or to be decided here."""
         if ask.kind != HANDED:
             return self.inbound.begin(ask, answers)
-        from honeywharf.sluice.bypass import take  # only where another one is in doubt
+        from honeywharf.sidecar.bypass import take  # only where another one is in doubt
 
         return take(self.source, ask, host_of(ask.fields), answers)
 
     def helper(self, passed: Container[str]) -> str | None:
-        """A sluice of this region that is well, of this zone where there is one; None without one."""
+        """A sidecar of this region that is well, of this zone where there is one; None without one."""
         settings, near, far = self.settings, [], []
-        for node, entry in self.society.entries().items():
+        for node, entry in self.membership.entries().items():
             say = entry.say
-            if say is None or not say.get("s") or say.get("q") or say.get("st") == DRAINING or (
-                    node == settings.ip or node in passed or not self.society.alive(node)):
+            if (
+                say is None
+                or not say.get("s")
+                or say.get("q")
+                or say.get("st") == DRAINING
+                or (node == settings.ip or node in passed or not self.membership.alive(node))
+            ):
                 continue
             if entry.zone == settings.zone:
                 near.append(node)
@@ -184,7 +201,7 @@
     def _readiness(self, call: Call) -> None:
         if call.path != b"/api/readiness":
             call.answer(404)
-        elif self.word.ready and not self.leaving and not self.assay.unfit:
+        elif self.word.ready and not self.leaving and not self.drift_monitor.unfit:
             call.answer(200, b"ready")
         else:
             call.answer(503, b"leaving" if self.leaving else b"no word yet")
@@ -222,7 +239,7 @@
         empty = not self.source.courses and not self.inbound.jobs and not self.outbound.guests
         if since >= grace or (quiet and empty):
             self.outbound.close()
-            self.society.leave()
+            self.membership.leave()
             self.counters()
             self.host.after(0.02, lambda: self.host.exit(0))
             return
@@ -234,13 +251,15 @@
         """One line of what was done so far."""
         inbound = self.inbound
         refused = " ".join(
-            f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items()))
+            f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items())
+        )
         self.host.log(
-            f"{self.source.counters()}; {self.assay.counters()}; "
+            f"{self.source.counters()}; {self.drift_monitor.counters()}; "
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {refused or 'none'}; "
             f"beats={self.beats.taken} late={self.beats.late}; word={self.word.revision} "
-            f"known={len(self.society.entries())}")
+            f"known={len(self.membership.entries())}"
+        )
 
     def _counters(self) -> None:
         self.counters()
@@ -251,14 +270,14 @@
     """Run until the platform ends it; the exit status."""
     from signal import SIGHUP, SIGTERM
 
-    from honeywharf.mains.loop import Loop
+    from honeywharf.transport.loop import Loop
 
     settings = settings_or_line()
     if settings is None:
         return 2
     loop = Loop(None)
-    sluice = Sluice(loop, settings)
-    loop.on_signal(SIGTERM, sluice.terminate)
+    sidecar = Sidecar(loop, settings)
+    loop.on_signal(SIGTERM, sidecar.terminate)
     loop.on_signal(SIGHUP, lambda: loop.log("settings may have changed; they are read at the start"))
     return loop.run()
 
--- a/honeywharf/sluice/course.py
+++ b/honeywharf/sidecar/course.py
@@ -1,6 +1,6 @@
 """The course of one request at its source: whom it asks, what their word proves, what the client is told.
 
-Theory of operation. A course asks one gate at a time. A refusal between sluices proves that nothing has run
+Theory of operation. A course asks one gate at a time. A refusal between sidecars proves that nothing has run
 and costs no more than a round trip, so the next one is asked at once, each gate once, `MOST_ASKED` in all.
 When none is left that may have room, the one that told the shortest wait is asked to let the request wait,
 at most until `PATIENCE` of its aim has passed. What has reached a backend's socket is sent to another only by
@@ -13,9 +13,9 @@
     may have run     another, by the budget        502, 504
     (nobody left)    503 with a time to return     503 with a time to return, only where nothing has run
 
-A sluice in doubt of its own rules decides nothing: its course hands the request on whole, by the rule
-`ASIDE`, to a sluice that is well (`bypass`), which has a course of its own for it. At most `MOST_HELPERS` are
-asked, and none further once one of them may have run it.
+A sidecar in doubt of its own rules decides nothing: its course hands the request on whole, by the rule
+`ASIDE`, to a sidecar that is well (`bypass`), which has a course of its own for it. At most `MOST_HELPERS`
+are asked, and none further once one of them may have run it.
 
 Source: RULES (TWICE, REFUSED, BUDGET), PROTOCOL ("Requests", "Answers").
 """
@@ -23,16 +23,16 @@
 from __future__ import annotations
 
 from honeywharf.codecs.mesh import UNKNOWN, Head
-from honeywharf.mains.streams import FIRST_WINDOW, HANDED, Ask
-from honeywharf.strainer.routes import Route
+from honeywharf.mesh_config.routes import Route
+from honeywharf.transport.streams import FIRST_WINDOW, HANDED, Ask
 from honeywharf.verdict import DRIFT, FULL, LOST, MAY_HAVE_RUN, NOT_RUN, TIMED_OUT, Verdict
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from typing import Protocol
 
-    from honeywharf.mains.host import Timer
-    from honeywharf.sluice.source import Source
+    from honeywharf.sidecar.source import Source
+    from honeywharf.transport.host import Timer
 
     class Channel(Protocol):
         """The way to a gate: a stream of a link, or the job in this process."""
@@ -70,6 +70,7 @@
         def taken(self, course: Course) -> None:
             """Bytes of the request's body have gone on: more may be read."""
 
+
 PATIENCE = 0.22  # of the aim, from the request's arrival: later refusals are priced
 KEPT_BYTES = 512 * 1024  # of a body that is kept, so that it can be sent once more
 MOST_ASKED = 6  # gates that one request asks for a free slot
@@ -78,7 +79,7 @@
 MOST_WAITED = 3  # gates that it is ready to wait at, one after the other
 RETURN_S = (0.08, 0.3)  # parts of the aim after which a refused client may come back
 END_S = 0.004  # before the deadline, a final answer still arrives
-MOST_HELPERS = 2  # sluices that a request is handed on to, one after the other
+MOST_HELPERS = 2  # sidecars that a request is handed on to, one after the other
 HELPED_S = 0.012  # before the deadline, a helper's own final answer still arrives
 
 
@@ -107,13 +108,49 @@
     """
 
     __slots__ = (
-        "answering", "arrivals", "arrived_at", "asked", "caller", "channel", "credit", "deadline", "decided",
-        "drifted", "due", "ended", "finished", "gate", "head", "kept", "kept_bytes", "kind", "lost_body",
-        "over", "ran", "read", "revision", "route", "sending", "sent", "service", "source", "tries",
-        "waited", "went", "who")
-
-    def __init__(self, source: Source, who: Client, head: Head, route: Route, deadline: float,
-                 caller: str | None = None) -> None:
+        "answering",
+        "arrivals",
+        "arrived_at",
+        "asked",
+        "caller",
+        "channel",
+        "credit",
+        "deadline",
+        "decided",
+        "drifted",
+        "due",
+        "ended",
+        "finished",
+        "gate",
+        "head",
+        "kept",
+        "kept_bytes",
+        "kind",
+        "lost_body",
+        "over",
+        "ran",
+        "read",
+        "revision",
+        "route",
+        "sending",
+        "sent",
+        "service",
+        "source",
+        "tries",
+        "waited",
+        "went",
+        "who",
+    )
+
+    def __init__(
+        self,
+        source: Source,
+        who: Client,
+        head: Head,
+        route: Route,
+        deadline: float,
+        caller: str | None = None,
+    ) -> None:
         self.source, self.who, self.head, self.route, self.deadline = source, who, head, route, deadline
         self.arrived_at, self.caller = source.host.now(), caller
         self.kind = kind_of(route)
@@ -174,7 +211,7 @@
             self._give_up(self._return_s())
 
     def _next_helper(self) -> None:
-        """Hand the request on to a sluice that is well."""
+        """Hand the request on to a sidecar that is well."""
         key = self.source.helper(self.asked) if len(self.asked) < MOST_HELPERS else None
         if key is None:
             self._give_up(self._return_s())
@@ -203,9 +240,22 @@
             remaining = max(END_S, remaining - HELPED_S)
         else:
             rule = self.source.rule(self.route)
-        ask = Ask(self.service, head.attempt, self.kind, remaining, patience_s, self.route.priority,
-                  self.route.aim_s, caller, head.method, head.target, b"".join(head.fields),
-                  head.length, self.revision, rule)
+        ask = Ask(
+            self.service,
+            head.attempt,
+            self.kind,
+            remaining,
+            patience_s,
+            self.route.priority,
+            self.route.aim_s,
+            caller,
+            head.method,
+            head.target,
+            b"".join(head.fields),
+            head.length,
+            self.revision,
+            rule,
+        )
         self.source.asks += 1
         self.channel = None
         channel = self.source.open(key, ask, self)
@@ -233,7 +283,7 @@
         self._next()
 
     def hand_on(self) -> None:
-        """Decide no more here: nothing has run, and another sluice is to decide in this one's place."""
+        """Decide no more here: nothing has run, and another sidecar is to decide in this one's place."""
         self._by(ASIDE)
         self._next()
 
@@ -340,14 +390,17 @@
         start = self.read - self.kept_bytes
         for part in self.kept:
             if start + len(part) > self.sent:
-                return part[self.sent - start:][:self.credit]
+                return part[self.sent - start :][: self.credit]
             start += len(part)
         return b""
 
     def _forget(self) -> None:
         """Keep no more of what was sent than a second gate may be given."""
-        while self.kept and self.kept_bytes > KEPT_BYTES and (
-                self.read - self.kept_bytes + len(self.kept[0]) <= self.sent):
+        while (
+            self.kept
+            and self.kept_bytes > KEPT_BYTES
+            and (self.read - self.kept_bytes + len(self.kept[0]) <= self.sent)
+        ):
             self.kept_bytes -= len(self.kept.pop(0))
             self.lost_body = True
 
@@ -371,9 +424,9 @@
     def answered(self, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
         self.source.served(self.service, self.gate, status)
-        assay = self.source.assay
-        if assay is not None and assay.accused and self.kind:
-            assay.agreed(assay.rule(self.route), self.gate)
+        drift_monitor = self.source.drift_monitor
+        if drift_monitor is not None and drift_monitor.accused and self.kind:
+            drift_monitor.agreed(drift_monitor.rule(self.route), self.gate)
         self.answering = True
         if body is not None:
             self.channel = None
@@ -428,21 +481,25 @@
 
     def _decides_again(self) -> bool:
         """A gate holds another rule: decide again, at last elsewhere; False where neither can be had."""
-        source, assay, again = self.source, self.source.assay, self.decided < MOST_DECIDED
-        if assay is None or self.lost_body or not (again or self._may_hand_on()):
+        source, drift_monitor, again = self.source, self.source.drift_monitor, self.decided < MOST_DECIDED
+        if drift_monitor is None or self.lost_body or not (again or self._may_hand_on()):
             return False
         source.released(self.service, self.gate)
         self.tries += 1  # a gate in this process has refused from within
         if again:
-            assay.stale(self, self.gate)
+            drift_monitor.stale(self, self.gate)
         else:
             self.hand_on()
         return True
 
     def _may_hand_on(self) -> bool:
-        """Whether another sluice may decide: never for the second time, nor when a backend has seen it."""
-        return (self.caller is None and not self.arrivals and not self.lost_body
-                and self.source.helper(()) is not None)
+        """Whether another sidecar may decide: never for the second time, nor when a backend has seen it."""
+        return (
+            self.caller is None
+            and not self.arrivals
+            and not self.lost_body
+            and self.source.helper(()) is not None
+        )
 
     def _not_helped(self, verdict: Verdict) -> None:
         """A helper has proved that nothing ran: its own final word, or it can't decide either."""
@@ -464,8 +521,13 @@
             self.source.failed(self.service, self.gate, False)
         else:
             self.source.refused(self.service, self.gate, verdict)
-        if (self.lost_body or not verdict.may_repeat(self.kind == 0) or self.arrivals >= self.route.attempts
-                or verdict.why == TIMED_OUT or not self.source.spend(self.service)):
+        if (
+            self.lost_body
+            or not verdict.may_repeat(self.kind == 0)
+            or self.arrivals >= self.route.attempts
+            or verdict.why == TIMED_OUT
+            or not self.source.spend(self.service)
+        ):
             self._give_up(self._return_s())
         else:
             self._next()
--- a/honeywharf/sluice/word.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -1,26 +1,26 @@
-"""The operator's word as one sluice runs it: one revision at a time, never an older one.
+"""The operator's word as one sidecar runs it: one revision at a time, never an older one.
 
 Theory of operation. A word is `(revision, version, digest, evacuated zones)`; the configuration's text is
-asked for by its digest where it is another one. At the start a word counts only if a reservoir has read it
+asked for by its digest where it is another one. At the start a word counts only if a control node has read it
 from a majority ("word.read"); after that any word of a higher revision that anybody has ("word.known") is
-taken, as reservoirs tell of none that is not settled. Whoever has a word gives it to others, so reservoirs
-need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core is not
-settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
+taken, as control nodes tell of none that is not settled. Whoever has a word gives it to others, so control
+nodes need not serve all. A start without a majority to be had takes what is known after `ALONE_S`: the core
+is not settled then, and no rule asks for more. Source: RULES, CONFIG and EVAC.
 """
 
 from __future__ import annotations
 
 import zlib
 
-from honeywharf.strainer.routes import Limits, Route, Table
+from honeywharf.mesh_config.routes import Limits, Route, Table
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
     from typing import Any
 
-    from honeywharf.mains.calls import Caller, Reply
-    from honeywharf.mains.host import Address, Host
+    from honeywharf.transport.host import Address, Host
+    from honeywharf.transport.rpc import Caller, Reply
 
 WITHIN_S = 0.7  # for a call
 BODY_WITHIN_S = (0.8, 6.0)  # for a text: at first, and at most after calls in vain, as it may be long
@@ -33,8 +33,9 @@
 class Word:
     """What is in force here. `changed()` is called after each change, `holders()` gives addresses to ask."""
 
-    def __init__(self, host: Host, caller: Caller, cores: Callable[[], list[Address]],
-                 changed: Callable[[], None]) -> None:
+    def __init__(
+        self, host: Host, caller: Caller, cores: Callable[[], list[Address]], changed: Callable[[], None]
+    ) -> None:
         self.host, self.caller, self.cores, self.changed = host, caller, cores, changed
         self.revision = 0
         self.version = 0
@@ -54,7 +55,7 @@
         self._limits = Limits({})
         self.named: Callable[[bytes, str], bool] = lambda text, digest: True  # whether a text is a digest's
 
-    # Used by the rest of the sluice.
+    # Used by the rest of the sidecar.
 
     def find(self, host: bytes, path: bytes) -> Route | None:
         """The route of a request; None without one."""
@@ -92,8 +93,9 @@
         busy = self.fetch and self.host.now() - self.fetched_at < PATIENT_S
         if revision > self.revision and self.ready and not busy:
             fetch = self._begin()
-            self.caller.call(holder, "word.known", None, WITHIN_S,
-                             lambda value: self._known(fetch, holder, value))
+            self.caller.call(
+                holder, "word.known", None, WITHIN_S, lambda value: self._known(fetch, holder, value)
+            )
 
     def _begin(self) -> int:
         self.fetches += 1
@@ -109,7 +111,7 @@
             self._again()
 
     def _again(self) -> None:
-        """The holder did not tell: ask a reservoir, in a while."""
+        """The holder did not tell: ask a control node, in a while."""
         if self.newest > self.revision and self.ready:
             cores = self.cores()
             if cores:
@@ -136,8 +138,13 @@
         fetch = self._begin()
         first, most = BODY_WITHIN_S
         within = min(most, first * 2 ** min(self.vain, 4))
-        self.caller.call(holder, "word.body", value["digest"], within,
-                         lambda packed: self._body(fetch, holder, value, packed))
+        self.caller.call(
+            holder,
+            "word.body",
+            value["digest"],
+            within,
+            lambda packed: self._body(fetch, holder, value, packed),
+        )
 
     def _body(self, fetch: int, holder: Address, value: dict[str, Any], packed: Any) -> None:
         if self.fetch == fetch:
@@ -173,5 +180,7 @@
 
     def methods(self) -> dict[str, Callable[[Any, Reply, Address], None]]:
         """What others may call."""
-        return {"word.known": lambda args, reply, peer: reply(self.value or None),
-                "word.body": lambda args, reply, peer: reply(self.packed if args == self.digest else None)}
+        return {
+            "word.known": lambda args, reply, peer: reply(self.value or None),
+            "word.body": lambda args, reply, peer: reply(self.packed if args == self.digest else None),
+        }
--- a/tests/reservoir/town.py
+++ b/tests/control/town.py
@@ -1,4 +1,4 @@
-"""Whole reservoirs in the small world, and an operator that calls them past the door."""
+"""Whole control nodes in the small world, and an operator that calls them past the door."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 
 from result import Err, Ok, Result
 
-from honeywharf.programs.reservoir import Reservoir
-from honeywharf.reservoir.operator import Operator
-from honeywharf.strainer.configuration import Configuration
-from honeywharf.strainer.settings import Settings
-from tests.reservoir.world import Machine, World
+from honeywharf.control.operator import Operator
+from honeywharf.mesh_config.configuration import Configuration
+from honeywharf.mesh_config.settings import Settings
+from honeywharf.programs.control import ControlNode
+from tests.control.world import Machine, World
 
 ZONES = {"a": "r", "b": "r", "c": "r"}
 PORT, INNER = 8306, 7620
@@ -27,7 +27,7 @@
 
 
 def check(raw: bytes) -> Result[Configuration, str]:
-    """Stands for the strainer's: `r7 anything` is a configuration."""
+    """Stands for the mesh_config's: `r7 anything` is a configuration."""
     head = raw.split(b" ", 1)[0]
     if not head.startswith(b"r"):
         return Err(f"version: found {head!r}, wanted r and a number")
@@ -52,25 +52,26 @@
 
 
 class Town:
-    """A world with reservoirs."""
+    """A world with control nodes."""
 
     def __init__(self, seed: int, count: int = 3) -> None:
         self.world = World(seed)
         self.ips = [f"10.0.0.{n + 1}" for n in range(count)]
         self.seeds = self.ips[:3]
-        self.programs: dict[str, Reservoir] = {}
+        self.programs: dict[str, ControlNode] = {}
         for ip in self.ips:
             self.world.machine(ip)
             self.start(ip, first=True)
 
     def start(self, ip: str, first: bool = False) -> None:
         """Start a process."""
-        def make(machine: Machine) -> Reservoir:
-            return Reservoir(machine, settings(ip, self.seeds, first))
+
+        def make(machine: Machine) -> ControlNode:
+            return ControlNode(machine, settings(ip, self.seeds, first))
 
         made = self.world.machines[ip].start(make)
-        if isinstance(made, Reservoir):
-            made.operator = Operator(made.basin, ZONES, PORT, check)
+        if isinstance(made, ControlNode):
+            made.operator = Operator(made.replica, ZONES, PORT, check)
             self.programs[ip] = made
 
     def add(self, ip: str) -> None:
@@ -99,11 +100,12 @@
 
     def split(self, *groups: list[str]) -> None:
         """Cut groups of machines off from one another."""
-        self.world.cuts = {(a, b) for one in groups for other in groups if one is not other
-                           for a in one for b in other}
+        self.world.cuts = {
+            (a, b) for one in groups for other in groups if one is not other for a in one for b in other
+        }
 
     def known(self, ip: str) -> dict[str, Any]:
         """The word as one knows it."""
-        known = self.programs[ip].basin.known
+        known = self.programs[ip].replica.known
         assert known is not None
         return known
--- a/tests/assay/test_slips.py
+++ b/tests/drift/test_slips.py
@@ -1,4 +1,4 @@
-"""Slips of each kind put into running sluices; and days without one, in which nobody may be alarmed."""
+"""Slips of each kind put into running sidecars; and days without one, in which nobody may be alarmed."""
 
 from __future__ import annotations
 
@@ -6,10 +6,10 @@
 
 import pytest
 
-from honeywharf.flume.days import Day, Fault
-from honeywharf.flume.rules import Ask
-from honeywharf.flume.slips import KINDS, Trial
-from honeywharf.flume.standins import Caller
+from honeywharf.simulation.days import Day, Fault
+from honeywharf.simulation.rules import Ask
+from honeywharf.simulation.slips import KINDS, Trial
+from honeywharf.simulation.standins import Caller
 
 #: Kinds that need nobody's notice where no request is under way: the node asks by itself first.
 QUIET = ("freeze",)
@@ -39,18 +39,18 @@
 def test_who_stands_aside_accuses_nobody_nor_does_one_whose_rule_a_third_has_run() -> None:
     trial = Trial(3, "none", 0)
     trial.world.run(8.0)
-    sluice = cast(Any, trial.field.sides[0].proxy.program)
+    sidecar = cast(Any, trial.field.sides[0].proxy.program)
     gates, rule = [side.ip for side in trial.field.sides[1:4]], b"12345678"
-    trial.field.sides[1].proxy.program.society.tell(q=1)  # type: ignore[attr-defined]
+    trial.field.sides[1].proxy.program.membership.tell(q=1)  # type: ignore[attr-defined]
     trial.world.run(9.0)
     for gate in gates[:2]:
-        sluice.assay._accuse(gate, rule)
-    assert list(sluice.assay.accused) == [gates[1]]
-    sluice.assay.agreed(rule, gates[2])
-    sluice.assay._accuse(gates[2], rule)
-    assert sluice.assay.caught == {}
-    sluice.assay._accuse(gates[1], rule)
-    assert sluice.assay.caught == {"peers": 1}
+        sidecar.drift_monitor._accuse(gate, rule)
+    assert list(sidecar.drift_monitor.accused) == [gates[1]]
+    sidecar.drift_monitor.agreed(rule, gates[2])
+    sidecar.drift_monitor._accuse(gates[2], rule)
+    assert sidecar.drift_monitor.caught == {}
+    sidecar.drift_monitor._accuse(gates[1], rule)
+    assert sidecar.drift_monitor.caught == {"peers": 1}
 
 
 @pytest.mark.parametrize("way", ["scanning", "judging", "reading"])
@@ -58,7 +58,10 @@
     trial = Trial(6, "kind", 4, (way,)).play()
     assert sum(slip.after >= 0 for slip in trial.slips) >= 1
     assert {slip.by for slip in trial.slips if slip.by} == {
-        "scanning": {"scan"}, "judging": {"judge"}, "reading": {"reading"}}[way]
+        "scanning": {"scan"},
+        "judging": {"judge"},
+        "reading": {"reading"},
+    }[way]
 
 
 HONEST = {
@@ -85,13 +88,13 @@
 def test_a_flood_of_mismatches_is_little_work_and_few_lines() -> None:
     trial = Trial(8, "liar", 1)
     trial.world.run(16.5)
-    sluice = cast(Any, trial.victim.proxy.program)
-    lines = [line for line in trial.victim.proxy.lines if " assay: " in line]
-    assert sluice.assay.refused > 20
-    assert sluice.assay.state.changes == len(lines) <= 20
-    assert len(sluice.assay.slips) <= 16
-    assert len(sluice.assay.courses) <= 256
-    assert len(sluice.assay.jobs) <= 256
+    sidecar = cast(Any, trial.victim.proxy.program)
+    lines = [line for line in trial.victim.proxy.lines if " drift monitor: " in line]
+    assert sidecar.drift_monitor.refused > 20
+    assert sidecar.drift_monitor.state.changes == len(lines) <= 20
+    assert len(sidecar.drift_monitor.slips) <= 16
+    assert len(sidecar.drift_monitor.courses) <= 256
+    assert len(sidecar.drift_monitor.jobs) <= 256
 
 
 def test_what_a_client_says_of_rules_and_revisions_is_not_looked_at() -> None:
@@ -100,11 +103,15 @@
     side = trial.field.sides[0]
     caller = Caller(side.clients, (side.ip, 8304), lambda tag, message: statuses.append(message))
     statuses: list[Any] = []
-    trial.book.asks["f0f0"] = ask = Ask("f0f0", side.ip, side.service, "POST", "shop.example", "/orders/9",
-                                        "mutating")
+    trial.book.asks["f0f0"] = ask = Ask(
+        "f0f0", side.ip, side.service, "POST", "shop.example", "/orders/9", "mutating"
+    )
     ask.deadline = trial.world.now + 2.0
-    caller.ask(None, b"POST /orders/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: f0f0\r\n"
-               b"X-Honeywharf-Revision: 9999\r\nX-Honeywharf-Rule: 00000000\r\nContent-Length: 0\r\n\r\n")
+    caller.ask(
+        None,
+        b"POST /orders/9 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: f0f0\r\n"
+        b"X-Honeywharf-Revision: 9999\r\nX-Honeywharf-Rule: 00000000\r\nContent-Length: 0\r\n\r\n",
+    )
     trial.world.run(8.0)
     assert [message.status for message in statuses] == [200]
     assert trial.alarms == []
--- a/tests/stopcock/test_duties.py
+++ b/tests/lease/test_duties.py
@@ -1,14 +1,14 @@
-"""Leases in whole reservoirs and sluices: upkeep of the roster, and leave to stand aside."""
+"""Leases in whole control nodes and sidecars: upkeep of the roster, and leave to stand aside."""
 
 from __future__ import annotations
 
 import json
 from typing import Any, cast
 
-from honeywharf.assay import states
-from honeywharf.flume.slips import Trial
-from honeywharf.stopcock.grants import TERMS
-from tests.reservoir.town import Town
+from honeywharf.drift import states
+from honeywharf.lease.grants import TERMS
+from honeywharf.simulation.slips import Trial
+from tests.control.town import Town
 
 
 def test_upkeep_of_the_roster_is_done_under_a_lease_and_given_back() -> None:
@@ -19,7 +19,7 @@
     town.add("10.0.0.9")
     town.run(4.0)
     duties = [town.programs[ip].duties for ip in ("10.0.0.2", "10.0.0.3")]
-    assert town.programs["10.0.0.9"].basin.member()
+    assert town.programs["10.0.0.9"].replica.member()
     assert sum(one.done["granted"] for one in duties) >= 1
     assert [one.holds() for one in duties] == [False, False]
     assert [one.grantor.view(town.world.time) for one in duties] == [[], []]
@@ -36,7 +36,7 @@
     assert duties.done["refused"] >= 1
     assert duties.done["granted"] == 0
     assert not duties.holds()
-    assert not town.programs["10.0.0.9"].basin.member()
+    assert not town.programs["10.0.0.9"].replica.member()
     town.world.machines["10.0.0.1"].on = False
     town.start("10.0.0.1")
     town.run(2.0 + TERMS["upkeep"])
@@ -45,7 +45,7 @@
     assert taken.status == 200
 
 
-def test_an_operator_reads_duties_of_a_reservoir() -> None:
+def test_an_operator_reads_duties_of_a_control_node() -> None:
     town = Town(6)
     town.run(0.2)
     program = town.programs["10.0.0.1"]
@@ -61,22 +61,26 @@
     town = Town(7)
     town.run(1.5)
     program = town.programs["10.0.0.1"]
-    for args in ([1, "", 0, "a", 5, 1, "first"], ["upkeep", "", "0", "a", 5, 1, "first"],
-                 ["upkeep", "", 0, "a" * 201, 5, 1, "first"], ["upkeep", "", 0, "a", True, 1, "first"]):
+    for args in (
+        [1, "", 0, "a", 5, 1, "first"],
+        ["upkeep", "", "0", "a", 5, 1, "first"],
+        ["upkeep", "", 0, "a" * 201, 5, 1, "first"],
+        ["upkeep", "", 0, "a", True, 1, "first"],
+    ):
         try:
-            program.basin.methods["stopcock.ask"](args, lambda answer: None, ("", 0))
+            program.replica.methods["lease.ask"](args, lambda answer: None, ("", 0))
         except ValueError:
             continue
         raise AssertionError(f"{args} was taken")
     told: list[Any] = []
-    program.basin.methods["stopcock.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
+    program.replica.methods["lease.ask"](["upkeep", "", 0, "a", 5, 1, "another disk"], told.append, ("", 0))
     assert told == [["roster", 0]]
 
 
 def aside(trial: Trial) -> list[str]:
     """Who stands aside by leave now."""
-    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides]
-    return [one.sluice.settings.ip for one in assays if one.leave is not None and one.leave.holds()]
+    drift_monitors = [cast(Any, side.proxy.program).drift_monitor for side in trial.field.sides]
+    return [one.sidecar.settings.ip for one in drift_monitors if one.leave is not None and one.leave.holds()]
 
 
 def play(trial: Trial, until: float) -> int:
@@ -84,9 +88,9 @@
     trial.field.until = until
     trial.world.run(9.0)
     for side in trial.field.sides[:3]:
-        assay = cast(Any, side.proxy.program).assay
-        assay.rebuild = lambda: False
-        assay.slip("scan", "a build that cannot heal")
+        drift_monitor = cast(Any, side.proxy.program).drift_monitor
+        drift_monitor.rebuild = lambda: False
+        drift_monitor.slip("scan", "a build that cannot heal")
     most = 0
     while trial.world.now < until:
         trial.world.run(trial.world.now + 0.01)
@@ -107,10 +111,10 @@
         core.kept = False
         core.machine.power_off()
     assert play(trial, 13.0) == 0
-    assays = [cast(Any, side.proxy.program).assay for side in trial.field.sides[:3]]
-    assert sum(one.grudged for one in assays) >= 1
-    assert [one.standing for one in assays] == [False] * 3
-    assert not any(one.unfit for one in assays)
+    drift_monitors = [cast(Any, side.proxy.program).drift_monitor for side in trial.field.sides[:3]]
+    assert sum(one.grudged for one in drift_monitors) >= 1
+    assert [one.standing for one in drift_monitors] == [False] * 3
+    assert not any(one.unfit for one in drift_monitors)
 
 
 def test_leave_that_has_ended_ends_the_refusals() -> None:
@@ -118,15 +122,15 @@
     trial.field.until = 20.0
     trial.world.run(9.0)
     side = trial.field.sides[0]
-    assay = cast(Any, side.proxy.program).assay
-    assay.rebuild = lambda: False
-    assay.slip("scan", "a build that cannot heal")
+    drift_monitor = cast(Any, side.proxy.program).drift_monitor
+    drift_monitor.rebuild = lambda: False
+    drift_monitor.slip("scan", "a build that cannot heal")
     trial.world.run(9.2)
-    assert assay.standing
-    assert assay.leave.holds()
+    assert drift_monitor.standing
+    assert drift_monitor.leave.holds()
     for core in trial.field.cores:
         core.freeze()
     trial.world.run(9.2 + TERMS["aside"] + 0.4)
-    assert not assay.standing
-    assert not assay.leave.holds()
-    assert assay.state.aside, "it is doubted all the same"
+    assert not drift_monitor.standing
+    assert not drift_monitor.leave.holds()
+    assert drift_monitor.state.aside, "it is doubted all the same"
--- a/tests/penstock/test_days.py
+++ b/tests/sessions/test_days.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from honeywharf.flume import field
-from honeywharf.flume.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
-from honeywharf.flume.world import World
-from honeywharf.penstock.drain import EMPTY
-from honeywharf.penstock.places import Place
-from honeywharf.programs.weirkeeper import Weirkeeper, granted_bytes
-from honeywharf.strainer.settings import Settings, SettingsError, parse
+from honeywharf.mesh_config.settings import Settings, SettingsError, parse
+from honeywharf.programs.gateway import GatewayNode, granted_bytes
+from honeywharf.sessions.drain import EMPTY
+from honeywharf.sessions.places import Place
+from honeywharf.simulation import field
+from honeywharf.simulation.regions import READ, TROUBLES, UPLOAD, Client, Day, Source
+from honeywharf.simulation.world import World
 
 
 @pytest.mark.parametrize("seed", range(6))
@@ -20,13 +20,13 @@
     assert Day(seed, 2 + seed % 2).play().faults == []
 
 
-def busy(count: int, size: int, patience_s: float) -> tuple[Day, Source, Weirkeeper]:
+def busy(count: int, size: int, patience_s: float) -> tuple[Day, Source, GatewayNode]:
     """A day without troubles in whose first second many uploads begin, by one gateway."""
     day = Day(5, 2, troubles="", seconds=1.5, uploads=0)
     day.world.run(1.0)
     source, keeper = day.sources[0].program, day.keepers[0].program
     assert isinstance(source, Source)
-    assert isinstance(keeper, Weirkeeper)
+    assert isinstance(keeper, GatewayNode)
     for _ in range(count):
         Client(day, source, UPLOAD, size, patience_s)
     return day, source, keeper
@@ -86,7 +86,7 @@
 def test_the_last_gateway_of_a_region_stays_until_it_is_told_twice() -> None:
     day, _, keeper = busy(4, 400_000, 20.0)
     other = day.keepers[1].program
-    assert isinstance(other, Weirkeeper)
+    assert isinstance(other, GatewayNode)
     other.order_drain()
     day.world.run(3.0)
     assert keeper.last
@@ -110,10 +110,16 @@
     return parse(json.dumps({**text, "gateways": gateways}))
 
 
-@pytest.mark.parametrize("wrong", [
-    {}, [1], [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
-    [{"address": "10.0.0.1:0", "region": "a"}],
-    [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}]])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        {},
+        [1],
+        [{"address": "10.0.0.1", "region": "a", "zone": "a-1"}],
+        [{"address": "10.0.0.1:0", "region": "a"}],
+        [{"address": "10.0.0.1:7640", "region": "", "zone": "a-1"}],
+    ],
+)
 def test_gateways_that_cannot_be_used_are_refused_by_name(wrong: object) -> None:
     with pytest.raises(SettingsError, match=r"gateways: found .*, wanted a list of .address"):
         settings(wrong)
