--- a/bench/mesh_scale.py
+++ b/bench/mesh_scale.py
@@ -15,6 +15,7 @@
 
 import argparse
 import json
+import signal
 import sys
 import tempfile
 import time
@@ -50,8 +51,8 @@
     lines = [f"{head}{'exponent':>11}{f'line {target}':>12}{f'power {target}':>12}"]
     for name in columns[0]:
         points = [
-            (float(size), column[name]) for size, column in zip(sizes, columns, strict=True)
-            if name in column]
+            (float(size), column[name]) for size, column in zip(sizes, columns, strict=True) if name in column
+        ]
         line = f"{name:52}" + "".join(f"{value:11.2f}" for _, value in points)
         if len(points) > 1:
             power = fits.power(points)
@@ -78,6 +79,7 @@
 
 def main(given: list[str]) -> int:
     """Measure every size and print the table."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("ended by SIGTERM"))  # which ends the processes too
     asked = arguments(given)
     sizes = [int(text) for text in asked.nodes.split(",")]
     left_out = [name for name in asked.without.split(",") if name]
--- a/bench/scale/backend_process.py
+++ b/bench/scale/backend_process.py
@@ -1,21 +1,22 @@
 """A backend that answers every request at once, in a process of its own.
 
-    python -m bench.scale.backend_process IP PORT LIMIT_S
+python -m bench.scale.backend_process IP PORT LIMIT_S
 """
 
 from __future__ import annotations
 
 import sys
 
-from honeywharf.mains.host import Connection, Handler
-from honeywharf.mains.loop import Loop
+from honeywharf.transport.host import Connection, Handler
+from honeywharf.transport.loop import Loop
 
 END = b"\r\n\r\n"
 ATTEMPT = b"x-honeywharf-attempt-id"
 BODY = bytes(512)
 ANSWER = (
     b"HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: %d\r\n"
-    b"X-Honeywharf-Attempt-Id: %b\r\nX-Honeywharf-Server-Seal: seal.%b\r\n\r\n%b")
+    b"X-Honeywharf-Attempt-Id: %b\r\nX-Honeywharf-Server-Seal: seal.%b\r\n\r\n%b"
+)
 
 
 class Served:
--- a/bench/scale/counted_loop.py
+++ b/bench/scale/counted_loop.py
@@ -12,10 +12,10 @@
 
 from bench.scale.reach import TIMEOUT, Reach, Unreachable
 from bench.scale.traffic import CountedLink, Traffic
-from honeywharf.mains.loop import Loop, Wire
+from honeywharf.transport.loop import Loop, Wire
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler
+    from honeywharf.transport.host import Address, Connection, Handler
 
 
 class CountedLoop(Loop):
@@ -25,7 +25,11 @@
     """
 
     def __init__(
-        self, directory: str | None, ip: str = "", internal_port: int = 0, reach: Reach | None = None,
+        self,
+        directory: str | None,
+        ip: str = "",
+        internal_port: int = 0,
+        reach: Reach | None = None,
     ) -> None:
         super().__init__(directory)
         self.reach = reach or Reach(lambda ip: "")
--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -18,12 +18,12 @@
 from bench.scale.reach import Zones
 from honeywharf.cli.ending import WrongError
 from honeywharf.cli.mesh import call
-from honeywharf.flume import field
-from honeywharf.mains.calls import Caller
-from honeywharf.mains.loop import Loop
 from honeywharf.programs.start import VARIABLE
+from honeywharf.simulation import field
+from honeywharf.transport.loop import Loop
+from honeywharf.transport.rpc import Caller
 
-CONTROL_PROGRAM, SIDECAR_PROGRAM = "reservoir", "sluice"
+CONTROL_PROGRAM, SIDECAR_PROGRAM = "control", "sidecar"
 ANSWER_S = 20.0  # that a process of the run has for one answer
 POLL_S = 0.05
 NOWHERE: Zones = frozenset()
@@ -87,8 +87,7 @@
         disk = self.folder / f"disk-{index}"
         disk.mkdir()
         settings = self.plan.control_settings(index, disk)
-        return self._real(
-            f"control-{index}", CONTROL_PROGRAM, self.plan.control_ip(index), settings, limit_s)
+        return self._real(f"control-{index}", CONTROL_PROGRAM, self.plan.control_ip(index), settings, limit_s)
 
     def _sidecar(self, index: int, limit_s: float) -> Spawned:
         node = self.plan.node(index)
@@ -97,8 +96,7 @@
 
     def _hollow(self, process: int, limit_s: float) -> Spawned:
         address = (self.plan.management_ip(process), self.plan.port(MANAGEMENT))
-        arguments = [
-            "bench.scale.hollow_process", json.dumps(asdict(self.plan)), str(process), str(limit_s)]
+        arguments = ["bench.scale.hollow_process", json.dumps(asdict(self.plan)), str(process), str(limit_s)]
         return Spawned(self.folder, f"hollow-{process}", address, arguments)
 
     # Asking the processes.
@@ -154,14 +152,16 @@
             process.start()
         orders = [
             (process, Start(share, spread_s, self.machines).packed())
-            for process, share in zip(self.hollow, self.shares, strict=True)]
+            for process, share in zip(self.hollow, self.shares, strict=True)
+        ]
         orders[0][1][3] = self.real_indexes
         self.ask(messages.START, orders)
 
     def restart_hollow(self, index: int) -> None:
         """Kill one hollow node and start it again."""
         process = next(
-            process for process, share in zip(self.hollow, self.shares, strict=True) if index in share)
+            process for process, share in zip(self.hollow, self.shares, strict=True) if index in share
+        )
         self.ask(messages.KILL, [(process, [index])])
         self.ask(messages.START, [(process, Start([index], 0.0, self.machines).packed())])
 
--- a/bench/scale/heartbeats.py
+++ b/bench/scale/heartbeats.py
@@ -6,10 +6,10 @@
 import random
 from typing import TYPE_CHECKING
 
-from honeywharf.mains.loop import Loop, Wire
+from honeywharf.transport.loop import Loop, Wire
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler
+    from honeywharf.transport.host import Address, Connection, Handler
 
 INTERVAL_S = 1.3
 SLOTS = 64
@@ -24,7 +24,11 @@
         self._loop, self._control = loop, control
         self._path = f"/api/instances/{instance}/heartbeat"
         self._details = {
-            "target-service": service, "config-version": "v1", "zone": zone, "capacity-slots": SLOTS}
+            "target-service": service,
+            "config-version": "v1",
+            "zone": zone,
+            "capacity-slots": SLOTS,
+        }
         self._sequence = 0
         self._wire: Wire | None = None
         self.acknowledged = 0
@@ -43,14 +47,18 @@
         if self._wire is None:
             self._wire = Loop.connect(self._loop, self._control, self._opening)
         self._sequence += 1
-        body = json.dumps({
-            "address": f"{self._control[0]}:8080",
-            "details": self._details,
-            "status": {"state": "ready", "call-sequence": self._sequence, "cold-remaining": "0ms"},
-        })
-        self._wire.send((
-            f"POST {self._path} HTTP/1.1\r\nHost: {self._control[0]}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+        body = json.dumps(
+            {
+                "address": f"{self._control[0]}:8080",
+                "details": self._details,
+                "status": {"state": "ready", "call-sequence": self._sequence, "cold-remaining": "0ms"},
+            }
+        )
+        head = (
+            f"POST {self._path} HTTP/1.1\r\nHost: {self._control[0]}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self._wire.send((head + body).encode())
         self._loop.after(INTERVAL_S * random.uniform(1.0 - JITTER, 1.0 + JITTER), self._beat)
 
     # The connection's handler.
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -14,12 +14,12 @@
 from bench.scale.node_host import NodeHost
 from bench.scale.plan import Node, Plan
 from bench.scale.reach import Reach
-from honeywharf.flume import field
-from honeywharf.programs.sluice import Sluice
-from honeywharf.strainer.settings import parse
+from honeywharf.mesh_config.settings import parse
+from honeywharf.programs.sidecar import Sidecar
+from honeywharf.simulation import field
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Host
+    from honeywharf.transport.host import Host
 
 CHECK_S = 0.02  # between looks at whether a starting node knows all others
 
@@ -33,7 +33,7 @@
         self.applied: dict[int, float] = {}  # by version, when it came into force in this life
         self.started = self.ready = self.complete = 0.0
         self.host: NodeHost | None = None
-        self.program: Sluice | None = None
+        self.program: Sidecar | None = None
         self.backend: Heartbeats | None = None
 
     def start(self, known: int) -> None:
@@ -45,7 +45,7 @@
         self.host = host = NodeHost(self.loop, self.node.ip, port, self.reach)
         host.exited = self.kill
         settings = parse(self.plan.node_settings(self.node), self.node.ip)
-        self.program = program = Sluice(cast("Host", host), settings)
+        self.program = program = Sidecar(cast("Host", host), settings)
         changed = program.word.changed
 
         def noted() -> None:
@@ -58,15 +58,15 @@
         self.backend = Heartbeats(self.loop, control, instance, self.node.service, self.node.zone)
         host.after(CHECK_S, lambda: self._look(program, known))
 
-    def _applied(self, program: Sluice) -> None:
+    def _applied(self, program: Sidecar) -> None:
         now = self.loop.now()
         self.ready = self.ready or now
         self.applied[program.word.version] = now
 
-    def _look(self, program: Sluice, known: int) -> None:
+    def _look(self, program: Sidecar, known: int) -> None:
         if self.host is None or self.program is not program:
             return
-        if self.ready and len(program.society.entries()) >= known:
+        if self.ready and len(program.membership.entries()) >= known:
             self.complete = self.loop.now()
         else:
             self.host.after(CHECK_S, lambda: self._look(program, known))
@@ -76,14 +76,14 @@
         if self.host is None or self.program is None or self.backend is None:
             return
         self.backend.stop()
-        self.program.society.stop()
+        self.program.membership.stop()
         self.host.stop()
         self.program = self.backend = None
 
     def held_down(self) -> int:
         """Nodes that this one holds unreachable."""
-        return 0 if self.program is None else len(self.program.society.watch.down)
+        return 0 if self.program is None else len(self.program.membership.watch.down)
 
     def known(self) -> int:
         """Entries of its table."""
-        return 0 if self.program is None else len(self.program.society.entries())
+        return 0 if self.program is None else len(self.program.membership.entries())
--- a/bench/scale/hollow_process.py
+++ b/bench/scale/hollow_process.py
@@ -22,9 +22,9 @@
 from bench.scale.messages import NodeSample, Start
 from bench.scale.plan import MANAGEMENT, Plan
 from bench.scale.reach import Reach
-from honeywharf.flume import field
-from honeywharf.mains.calls import Answerer
-from honeywharf.mains.host import Address
+from honeywharf.simulation import field
+from honeywharf.transport.host import Address
+from honeywharf.transport.rpc import Answerer
 
 Reply = Any  # the way back of one call
 
@@ -37,13 +37,16 @@
         self.reach = Reach(plan.zone_of)
         self.nodes: dict[int, HollowNode] = {}
         self.backends: list[Heartbeats] = []
-        answerer = Answerer({
-            messages.START: self._start,
-            messages.KILL: self._kill,
-            messages.SAMPLE: self._sample,
-            messages.APPLIED: self._applied,
-            messages.PARTITION: self._partition,
-        }, log=loop.log)
+        answerer = Answerer(
+            {
+                messages.START: self._start,
+                messages.KILL: self._kill,
+                messages.SAMPLE: self._sample,
+                messages.APPLIED: self._applied,
+                messages.PARTITION: self._partition,
+            },
+            log=loop.log,
+        )
         loop.listen((plan.management_ip(process), plan.port(MANAGEMENT)), answerer.accept)
 
     def _start(self, args: Any, reply: Reply, peer: Address) -> None:
@@ -58,8 +61,7 @@
         for index in start.backends_only:
             machine = self.plan.node(index)
             control = (machine.ip, self.plan.port(field.CONTROL))
-            self.backends.append(
-                Heartbeats(self.loop, control, f"i-{index}", machine.service, machine.zone))
+            self.backends.append(Heartbeats(self.loop, control, f"i-{index}", machine.service, machine.zone))
         reply(len(start.indexes))
 
     def _kill(self, args: Any, reply: Reply, peer: Address) -> None:
@@ -76,8 +78,15 @@
         assert node.host is not None
         revision = max(node.applied, default=0)
         return NodeSample(
-            node.node.index, node.host.traffic, node.started, node.ready, node.complete, node.known(),
-            node.held_down(), revision)
+            node.node.index,
+            node.host.traffic,
+            node.started,
+            node.ready,
+            node.complete,
+            node.known(),
+            node.held_down(),
+            revision,
+        )
 
     def _applied(self, args: Any, reply: Reply, peer: Address) -> None:
         """When each node had a revision in force, or a newer one that overtook it."""
--- a/bench/scale/load.py
+++ b/bench/scale/load.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 
 from bench.scale.fits import percentile
-from honeywharf.mains.host import Address, Connection, Handler
-from honeywharf.mains.loop import Loop
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.loop import Loop
 
 DEADLINE_MS = 1400
 HEAD_END = b"\r\n\r\n"
@@ -79,7 +79,14 @@
     """Sends to `to` for `seconds`: `rate` requests a second; with 0 each as soon as the last is answered."""
 
     def __init__(
-        self, loop: Loop, to: Address, host: str, path: str, rate: float, lanes: int, seconds: float,
+        self,
+        loop: Loop,
+        to: Address,
+        host: str,
+        path: str,
+        rate: float,
+        lanes: int,
+        seconds: float,
     ) -> None:
         self.loop, self.rate = loop, rate
         self.answers = Answers()
@@ -115,10 +122,13 @@
         self.idle.remove(lane)
         self.busy.add(lane)
         self._serial += 1
-        lane.send((
-            f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
-            f"X-Honeywharf-Attempt-Id: attempt-{self._serial:09}\r\n"
-            f"X-Honeywharf-Deadline-Remaining: {DEADLINE_MS}\r\n\r\n").encode())
+        lane.send(
+            (
+                f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
+                f"X-Honeywharf-Attempt-Id: attempt-{self._serial:09}\r\n"
+                f"X-Honeywharf-Deadline-Remaining: {DEADLINE_MS}\r\n\r\n"
+            ).encode()
+        )
 
     def answered(self, lane: Lane, well: bool, seconds: float) -> None:
         """One request is over."""
--- a/bench/scale/node_host.py
+++ b/bench/scale/node_host.py
@@ -9,10 +9,10 @@
 from bench.scale.counted_loop import CountedLoop
 from bench.scale.reach import TIMEOUT, Reach, Unreachable
 from bench.scale.traffic import Traffic
-from honeywharf.mains.loop import LoopTimer, Wire
+from honeywharf.transport.loop import LoopTimer, Wire
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler
+    from honeywharf.transport.host import Address, Connection, Handler
 
 
 class NodeHost:
@@ -33,7 +33,10 @@
         return self.loop.after(seconds, lambda: None if self.stopped else call())
 
     def connect(
-        self, to: Address, handler: Callable[[Connection], Handler], within: float = 1.0,
+        self,
+        to: Address,
+        handler: Callable[[Connection], Handler],
+        within: float = 1.0,
     ) -> Connection:
         """Ask for a connection; none comes up through a partition."""
         if self.stopped or self.reach.separates(self.ip, to[0]):
--- a/bench/scale/payload.py
+++ b/bench/scale/payload.py
@@ -18,17 +18,19 @@
         _route(names, service, rank) for service in range(services) for rank in range(ROUTES_PER_SERVICE)
     ]
     routes[version % len(routes)]["timeout"] = f"{BASE_TIMEOUT_MS + version}ms"
-    return json.dumps({
-        "config-version": f"r{version}",
-        "routes": routes,
-        "services": [_service(name) for name in names],
-        "limits": {
-            "max-header-bytes": 16384,
-            "max-body-bytes": 67108864,
-            "header-timeout": "3000ms",
-            "idle-timeout": "15000ms",
-        },
-    }).encode()
+    return json.dumps(
+        {
+            "config-version": f"r{version}",
+            "routes": routes,
+            "services": [_service(name) for name in names],
+            "limits": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 67108864,
+                "header-timeout": "3000ms",
+                "idle-timeout": "15000ms",
+            },
+        }
+    ).encode()
 
 
 def _word(text: str) -> str:
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -12,7 +12,7 @@
 from bench.scale.plan import DEAF_REGIONS, DEAF_ZONES
 from bench.scale.processes import Spawned
 from bench.scale.traffic import Traffic
-from honeywharf.flume import field as machines
+from honeywharf.simulation import field as machines
 
 Figures = dict[str, float]
 IN_FORCE_S = 30.0  # that a change may take everywhere before the run gives up
@@ -60,8 +60,8 @@
         figures: Figures = {}
         for role in self.roles:
             spent = [
-                after - before
-                for after, before in zip(self._sampled(role), self.before[role], strict=True)]
+                after - before for after, before in zip(self._sampled(role), self.before[role], strict=True)
+            ]
             if not spent:
                 continue
             total, nodes = sum(spent, Traffic()), len(spent) * seconds
@@ -97,16 +97,19 @@
         return all(sample.complete for sample in samples)
 
     fleet.wait("all nodes know all others", START_S, complete)
-    fleet.wait("the sidecar processes are ready", START_S, lambda: all(
-        fleet.is_ready(process.address[0], machines.READINESS) for process in fleet.sidecars))
+    fleet.wait(
+        "the sidecar processes are ready",
+        START_S,
+        lambda: all(fleet.is_ready(process.address[0], machines.READINESS) for process in fleet.sidecars),
+    )
     nodes = len(samples)
     return {
         "seconds until all know all": max(sample.complete for sample in samples) - begun,
         "node: seconds until ready, p99": percentile([s.ready - s.started for s in samples], 0.99),
         "node: bytes received": sum(sample.traffic.bytes_received for sample in samples) / nodes,
         "node: bytes sent": sum(sample.traffic.bytes_sent for sample in samples) / nodes,
-        "control: bytes sent": sum(
-            sample.traffic.bytes_sent for sample in fleet.samples(fleet.controls)) / fleet.plan.controls,
+        "control: bytes sent": sum(sample.traffic.bytes_sent for sample in fleet.samples(fleet.controls))
+        / fleet.plan.controls,
     }
 
 
@@ -189,7 +192,8 @@
     if fleet.sidecars:
         process = fleet.sidecars[0]
         figures["sidecar process: ms until ready"] = 1000.0 * _process_restart(
-            fleet, process, lambda: fleet.is_ready(process.address[0], machines.READINESS))
+            fleet, process, lambda: fleet.is_ready(process.address[0], machines.READINESS)
+        )
     return figures
 
 
@@ -206,8 +210,11 @@
     made = Changes()
     made.make(fleet, first=0)
     fleet.controls[0].start()
-    ready = fleet.wait("the control process is ready again", RECOVERY_S, lambda: fleet.is_ready(
-        fleet.plan.control_ip(0), machines.CONTROL))
+    ready = fleet.wait(
+        "the control process is ready again",
+        RECOVERY_S,
+        lambda: fleet.is_ready(fleet.plan.control_ip(0), machines.CONTROL),
+    )
     return {
         **made.figures(),
         "control: ms until ready again": 1000.0 * ready,
@@ -217,8 +224,13 @@
 def _joined(fleet: Fleet) -> float:
     """Join all again; seconds until every node knows every other one and holds none unreachable."""
     fleet.partition()
-    return fleet.wait("all nodes know all others again", RECOVERY_S, lambda: all(
-        sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()))
+    return fleet.wait(
+        "all nodes know all others again",
+        RECOVERY_S,
+        lambda: all(
+            sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()
+        ),
+    )
 
 
 def zones_deaf(fleet: Fleet, schedule: Schedule) -> Figures:
@@ -257,7 +269,8 @@
     meter = Meter(fleet)
     figures["seconds until all is well again"] = _joined(fleet)
     figures["seconds until the change of meanwhile is everywhere"] = fleet.wait(
-        "the change", IN_FORCE_S, lambda: all(fleet.in_force(fleet.version)))
+        "the change", IN_FORCE_S, lambda: all(fleet.in_force(fleet.version))
+    )
     figures["acknowledged after, ms"] = 1000.0 * (acknowledged - sent)
     return {**figures, **prefixed("joined", meter.read())}
 
--- a/bench/scale/plan.py
+++ b/bench/scale/plan.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from honeywharf.flume import field
+from honeywharf.simulation import field
 from honeywharf.standins.meshdemo import place
 
 #: Zone and region; two regions of three and two zones.
--- a/bench/scale/processes.py
+++ b/bench/scale/processes.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from honeywharf.mains.host import Address
+from honeywharf.transport.host import Address
 
 NANOSECONDS = 1e9  # in a second
 KB_PER_MB = 1024.0
@@ -19,8 +19,14 @@
 class Spawned:
     """A process that is asked at `address`. `arguments`: a module and what it is given."""
 
-    def __init__(self, folder: Path, name: str, address: Address, arguments: list[str],
-                 environment: dict[str, str] | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        address: Address,
+        arguments: list[str],
+        environment: dict[str, str] | None = None,
+    ) -> None:
         self.name, self.address, self.arguments = name, address, arguments
         self.environment = {**os.environ, **(environment or {})}
         self.log = folder / f"{name}.log"
@@ -30,8 +36,12 @@
         """Begin a life."""
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", *self.arguments], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env=self.environment)
+                [sys.executable, "-m", *self.arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=self.environment,
+            )
 
     def kill(self) -> None:
         """End at once; harmless where it does not run."""
--- a/bench/scale/reach.py
+++ b/bench/scale/reach.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from honeywharf.mains.host import Address, Connection, Handler, Timer
+    from honeywharf.transport.host import Address, Connection, Handler, Timer
 
 Zones = frozenset[str]
 TIMEOUT = "timeout"
--- a/bench/scale/real_process.py
+++ b/bench/scale/real_process.py
@@ -21,9 +21,9 @@
 from bench.scale.messages import NodeSample
 from bench.scale.plan import MANAGEMENT, Plan
 from bench.scale.reach import Reach
-from honeywharf.mains import loop as loop_module
-from honeywharf.mains.calls import Answerer
 from honeywharf.programs.start import VARIABLE
+from honeywharf.transport import loop as loop_module
+from honeywharf.transport.rpc import Answerer
 
 
 def main(arguments: list[str]) -> int:
--- a/bench/scale/shared_readings.py
+++ b/bench/scale/shared_readings.py
@@ -13,10 +13,10 @@
 from functools import lru_cache
 from typing import Any, cast
 
-from honeywharf.assay import requests
-from honeywharf.assay.second import Told
-from honeywharf.sluice import word
-from honeywharf.strainer.routes import Table
+from honeywharf.drift import requests
+from honeywharf.drift.second import Told
+from honeywharf.mesh_config.routes import Table
+from honeywharf.sidecar import mesh_state
 
 READINGS = 4  # of the latest texts that are kept
 
@@ -28,5 +28,5 @@
 
 def share() -> None:
     """From now on all nodes of this process share their readings."""
-    cast(Any, word).Table = once(Table)
+    cast(Any, mesh_state).Table = once(Table)
     cast(Any, requests).Told = once(Told)
--- a/bench/two_hops.py
+++ b/bench/two_hops.py
@@ -23,8 +23,8 @@
 from bench.scale.payload import host_and_prefix
 from bench.scale.plan import Plan
 from bench.scale.processes import Spawned
-from honeywharf.flume import field
-from honeywharf.mains.host import Address
+from honeywharf.simulation import field
+from honeywharf.transport.host import Address
 
 NODES = 5  # one in each zone; two of them are processes of their own
 WARM_S = 2.0
@@ -72,8 +72,18 @@
 
 
 COLUMNS = (
-    "rate", "answers/s", "p50 alone", "through", "added", "p99 alone", "through", "added", "source us",
-    "dest. us", "failed")
+    "rate",
+    "answers/s",
+    "p50 alone",
+    "through",
+    "added",
+    "p99 alone",
+    "through",
+    "added",
+    "source us",
+    "dest. us",
+    "failed",
+)
 
 
 def main(given: list[str]) -> int:
@@ -88,8 +98,12 @@
     failed = 0
     with tempfile.TemporaryDirectory() as name, Fleet(plan, Path(name), 2, 1, LIMIT_S) as fleet:
         course = Course(fleet, asked.lanes)
-        backend = Spawned(Path(name), "backend", course.direct, [
-            "bench.scale.backend_process", course.direct[0], str(course.direct[1]), str(LIMIT_S)])
+        backend = Spawned(
+            Path(name),
+            "backend",
+            course.direct,
+            ["bench.scale.backend_process", course.direct[0], str(course.direct[1]), str(LIMIT_S)],
+        )
         backend.start()
         try:
             phases.start(fleet, phases.Schedule(0.0, 0.0, 0, 0.0, 0, 0.0))
--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -15,8 +15,8 @@
 from bench.scale.plan import DEAF_REGIONS, DEAF_ZONES, ZONES, Plan
 from bench.scale.reach import Reach
 from bench.scale.traffic import TCP_HEADERS, CountedLink, Traffic
-from honeywharf.strainer import settings
-from honeywharf.strainer.configuration import check
+from honeywharf.mesh_config import settings
+from honeywharf.mesh_config.configuration import check
 
 PLAN = Plan(nodes=1200, controls=6, services=160, octet=20, shift=0)
 
@@ -134,8 +134,9 @@
         lives = {sample.index: sample.started for sample in samples}
         fleet.restart_hollow(4)
         fleet.wait("node 4", 10.0, lambda: all(sample.complete for sample in fleet.hollow_samples()))
-        assert [sample.index for sample in fleet.hollow_samples()
-                if sample.started != lives[sample.index]] == [4]
+        assert [
+            sample.index for sample in fleet.hollow_samples() if sample.started != lives[sample.index]
+        ] == [4]
 
         fleet.partition(*DEAF_ZONES)
         assert sent < fleet.change()[1]
