Ask only hollow nodes that have started, and wait for all of them

Cause: a run of 100 nodes on a busy machine asked a process for its nodes before the last one had begun, met an assertion, and got no answer. Change: such nodes are left out, and the start waits until none is.

--- a/bench/scale/hollow_process.py
+++ b/bench/scale/hollow_process.py
@@ -20,6 +20,7 @@
 from bench.scale.heartbeats import Heartbeats
 from bench.scale.hollow import HollowNode
 from bench.scale.messages import NodeSample, Start
+from bench.scale.node_host import NodeHost
 from bench.scale.plan import MANAGEMENT, Plan
 from bench.scale.reach import Reach
 from honeywharf.simulation import field
@@ -71,15 +72,15 @@
 
     def _sample(self, args: Any, reply: Reply, peer: Address) -> None:
         self.loop.read_links()
-        reply([self._sampled(node).packed() for node in self.nodes.values()])
+        started = [(node, node.host) for node in self.nodes.values() if node.host is not None]
+        reply([self._sampled(node, host).packed() for node, host in started])
 
     @staticmethod
-    def _sampled(node: HollowNode) -> NodeSample:
-        assert node.host is not None
+    def _sampled(node: HollowNode, host: NodeHost) -> NodeSample:
         revision = max(node.applied, default=0)
         return NodeSample(
             node.node.index,
-            node.host.traffic,
+            host.traffic,
             node.started,
             node.ready,
             node.complete,
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -91,10 +91,11 @@
     fleet.start_nodes(schedule.spread_s)
     fleet.pause(schedule.spread_s)
     samples: list[NodeSample] = []
+    hollow = sum(map(len, fleet.shares))
 
     def complete() -> bool:
         samples[:] = fleet.hollow_samples()
-        return all(sample.complete for sample in samples)
+        return len(samples) == hollow and all(sample.complete for sample in samples)
 
     fleet.wait("all nodes know all others", START_S, complete)
     fleet.wait(
@@ -102,12 +103,11 @@
         START_S,
         lambda: all(fleet.is_ready(process.address[0], machines.READINESS) for process in fleet.sidecars),
     )
-    nodes = len(samples)
     return {
         "seconds until all know all": max(sample.complete for sample in samples) - begun,
         "node: seconds until ready, p99": percentile([s.ready - s.started for s in samples], 0.99),
-        "node: bytes received": sum(sample.traffic.bytes_received for sample in samples) / nodes,
-        "node: bytes sent": sum(sample.traffic.bytes_sent for sample in samples) / nodes,
+        "node: bytes received": sum(sample.traffic.bytes_received for sample in samples) / hollow,
+        "node: bytes sent": sum(sample.traffic.bytes_sent for sample in samples) / hollow,
         "control: bytes sent": sum(sample.traffic.bytes_sent for sample in fleet.samples(fleet.controls))
         / fleet.plan.controls,
     }
