Have the scale run lose a rack and a zone, and wait for slow processes

Cause: on a machine with a load of 30 a process was asked before it listened, and the small fleet's test failed once (FleetError); what a rack or a zone costs the others was not measured. Change: the start waits until all processes answer; two phases end a thirtieth of the machines, and a zone, at once and bring them back; a node's counts go on over its lives; the load of the machine stands among the figures.

--- a/bench/mesh_scale.py
+++ b/bench/mesh_scale.py
@@ -4,11 +4,11 @@
 
 For each size: `--controls` control processes and `--real` sidecar processes as they are deployed, and hollow
 sidecars (`bench.scale.hollow`) for all other machines, in five zones of two regions. They start, rest, take a
-change every 20 s, restart, lose a control process, and are split between two zones and between the regions
-(`--without PHASE,...` leaves some of that out). Printed for each figure: its value by size, the power of the
-size with which it grows, and what a line and that power make of it at the target. `--report FILE` keeps the
-figures as JSON. A size takes some four minutes, and every process that was started ends with it. Status 1
-where a program's log tells of a fault.
+change every 20 s, restart, lose a control process, a rack and a zone, and are split between two zones and
+between the regions (`--without PHASE,...` leaves some of that out). Printed for each figure: its value by
+size, the power of the size with which it grows, and what a line and that power make of it at the target.
+`--report FILE` keeps the figures as JSON. A size takes some four minutes, and every process that was started
+ends with it. Status 1 where a program's log tells of a fault.
 """
 
 from __future__ import annotations
--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -49,8 +49,8 @@
         self.controls = [self._control(index, limit_s) for index in range(plan.controls)]
         self.sidecars = [self._sidecar(index, limit_s) for index in self.real_indexes]
         self.hollow = [self._hollow(process, limit_s) for process in range(processes)]
-        hollow_indexes = [index for index in range(plan.nodes) if index not in self.real_indexes]
-        self.shares = [hollow_indexes[process::processes] for process in range(processes)]
+        self.hollow_indexes = [index for index in range(plan.nodes) if index not in self.real_indexes]
+        self.shares = [self.hollow_indexes[process::processes] for process in range(processes)]
         self.version = 0
 
     def __enter__(self) -> Fleet:
@@ -116,10 +116,11 @@
         self.loop.after(seconds, partial(self.loop.exit, 0))
         self.loop.run()
 
-    def ask(self, method: str, args: Iterable[tuple[Spawned, Any]]) -> list[Any]:
-        """Answers of some processes, asked at once, in their order. FleetError where one does not answer."""
-        asked = list(args)
+    def _answers(self, method: str, asked: list[tuple[Spawned, Any]]) -> dict[int, Any]:
+        """Answers by the place of the question; None where none came."""
         answers: dict[int, Any] = {}
+        if not asked:
+            return answers
 
         def answered(rank: int, answer: Any) -> None:
             answers[rank] = answer
@@ -130,6 +131,17 @@
             self.caller.call(process.address, method, arguments, ANSWER_S, partial(answered, rank))
         self.loop.status = None
         self.loop.run()
+        return answers
+
+    def answering(self, processes: list[Spawned]) -> bool:
+        """Whether all of some processes can be asked."""
+        answers = self._answers(messages.SAMPLE, [(process, None) for process in processes])
+        return all(answer is not None for answer in answers.values())
+
+    def ask(self, method: str, args: Iterable[tuple[Spawned, Any]]) -> list[Any]:
+        """Answers of some processes, asked at once, in their order. FleetError where one does not answer."""
+        asked = list(args)
+        answers = self._answers(method, asked)
         silent = [asked[rank][0].name for rank, answer in answers.items() if answer is None]
         if silent:
             raise FleetError(f"{method}: answers of {', '.join(silent)}", ANSWER_S)
@@ -157,13 +169,25 @@
         orders[0][1][3] = self.real_indexes
         self.ask(messages.START, orders)
 
-    def restart_hollow(self, index: int) -> None:
-        """Kill one hollow node and start it again."""
-        process = next(
-            process for process, share in zip(self.hollow, self.shares, strict=True) if index in share
-        )
-        self.ask(messages.KILL, [(process, [index])])
-        self.ask(messages.START, [(process, Start([index], 0.0, self.machines).packed())])
+    def _by_process(self, indexes: list[int]) -> list[tuple[Spawned, list[int]]]:
+        """Hollow nodes by their process; processes without any of them are left out."""
+        chosen = set(indexes)
+        by_process = [
+            (process, [index for index in share if index in chosen])
+            for process, share in zip(self.hollow, self.shares, strict=True)
+        ]
+        return [(process, some) for process, some in by_process if some]
+
+    def kill_hollow(self, indexes: list[int]) -> None:
+        """End hollow nodes at once."""
+        self.ask(messages.KILL, self._by_process(indexes))
+
+    def revive_hollow(self, indexes: list[int]) -> None:
+        """Start hollow nodes that were ended."""
+        orders = [
+            (process, Start(some, 0.0, self.machines).packed()) for process, some in self._by_process(indexes)
+        ]
+        self.ask(messages.START, orders)
 
     def partition(self, one: Zones = NOWHERE, other: Zones = NOWHERE) -> None:
         """Separate two groups of zones; without them, join all again."""
--- a/bench/scale/hollow.py
+++ b/bench/scale/hollow.py
@@ -14,6 +14,7 @@
 from bench.scale.node_host import NodeHost
 from bench.scale.plan import Node, Plan
 from bench.scale.reach import Reach
+from bench.scale.traffic import Traffic
 from honeywharf.mesh_config.settings import parse
 from honeywharf.programs.sidecar import Sidecar
 from honeywharf.simulation import field
@@ -33,6 +34,7 @@
         self.applied: dict[int, float] = {}  # by version, when it came into force in this life
         self.started = self.ready = self.complete = 0.0
         self.host: NodeHost | None = None
+        self.earlier = Traffic()  # of the lives before this one
         self.program: Sidecar | None = None
         self.backend: Heartbeats | None = None
 
@@ -41,6 +43,8 @@
         self.lives += 1
         self.started, self.ready, self.complete = self.loop.now(), 0.0, 0.0
         self.applied = {}
+        if self.host is not None:
+            self.earlier += self.host.traffic
         port = self.plan.port(field.INTERNAL)
         self.host = host = NodeHost(self.loop, self.node.ip, port, self.reach)
         host.exited = self.kill
@@ -80,6 +84,10 @@
         self.host.stop()
         self.program = self.backend = None
 
+    def traffic(self) -> Traffic:
+        """What all lives have exchanged with other machines."""
+        return self.earlier if self.host is None else self.earlier + self.host.traffic
+
     def held_down(self) -> int:
         """Nodes that this one holds unreachable."""
         return 0 if self.program is None else len(self.program.membership.watch.down)
--- a/bench/scale/hollow_process.py
+++ b/bench/scale/hollow_process.py
@@ -20,7 +20,6 @@
 from bench.scale.heartbeats import Heartbeats
 from bench.scale.hollow import HollowNode
 from bench.scale.messages import NodeSample, Start
-from bench.scale.node_host import NodeHost
 from bench.scale.plan import MANAGEMENT, Plan
 from bench.scale.reach import Reach
 from honeywharf.simulation import field
@@ -72,21 +71,19 @@
 
     def _sample(self, args: Any, reply: Reply, peer: Address) -> None:
         self.loop.read_links()
-        started = [(node, node.host) for node in self.nodes.values() if node.host is not None]
-        reply([self._sampled(node, host).packed() for node, host in started])
+        reply([self._sampled(node).packed() for node in self.nodes.values() if node.lives])
 
     @staticmethod
-    def _sampled(node: HollowNode, host: NodeHost) -> NodeSample:
-        revision = max(node.applied, default=0)
+    def _sampled(node: HollowNode) -> NodeSample:
         return NodeSample(
             node.node.index,
-            host.traffic,
+            node.traffic(),
             node.started,
             node.ready,
             node.complete,
             node.known(),
             node.held_down(),
-            revision,
+            max(node.applied, default=0),
         )
 
     def _applied(self, args: Any, reply: Reply, peer: Address) -> None:
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +19,8 @@
 IN_FORCE_S = 30.0  # that a change may take everywhere before the run gives up
 START_S = 120.0  # that all nodes may take to know each other
 SETTLE_S = 3.0
+RACKS = 30  # of the fleet
+LOST_ZONE = "south-b"  # no sidecar process runs there with three of them
 RECOVERY_S = 60.0
 GONE_S = 35.0  # after which a node that is held unreachable has been dropped from every table
 
@@ -85,7 +88,7 @@
 
 def start(fleet: Fleet, schedule: Schedule) -> Figures:
     """From nothing until every node knows every other one and has the first configuration in force."""
-    fleet.wait("a control process", 15.0, lambda: fleet.is_ready(fleet.plan.control_ip(0), machines.CONTROL))
+    fleet.wait("the processes", START_S, lambda: fleet.answering([*fleet.hollow, *fleet.controls]))
     fleet.change()
     begun = time.monotonic()
     fleet.start_nodes(schedule.spread_s)
@@ -168,22 +171,26 @@
     return {**made.figures(), **meter.read()}
 
 
+def _node(fleet: Fleet, index: int) -> NodeSample:
+    """One hollow node."""
+    return next(sample for sample in fleet.hollow_samples() if sample.index == index)
+
+
+def _restarted(fleet: Fleet, index: int) -> tuple[float, float, float]:
+    """Restart a hollow node: seconds until it is ready, and knows all, and the bytes received until then."""
+    before = _node(fleet, index)
+    fleet.kill_hollow([index])
+    fleet.revive_hollow([index])
+    fleet.wait(f"node {index} is complete again", RECOVERY_S, lambda: bool(_node(fleet, index).complete))
+    after = _node(fleet, index)
+    received = (after.traffic - before.traffic).bytes_received
+    return after.ready - after.started, after.complete - after.started, float(received)
+
+
 def restarts(fleet: Fleet, schedule: Schedule) -> Figures:
     """Machines restart one after the other: hollow ones, and a sidecar process."""
-    indexes = fleet.shares[0][: schedule.restarts]
-    ready, complete, received = [], [], []
-    for index in indexes:
-        fleet.restart_hollow(index)
-        found: list[NodeSample] = []
-
-        def is_complete(index: int = index, found: list[NodeSample] = found) -> bool:
-            found[:] = [sample for sample in fleet.hollow_samples() if sample.index == index]
-            return bool(found[0].complete)
-
-        fleet.wait(f"node {index} is complete again", RECOVERY_S, is_complete)
-        ready.append(found[0].ready - found[0].started)
-        complete.append(found[0].complete - found[0].started)
-        received.append(float(found[0].traffic.bytes_received))
+    restarted = [_restarted(fleet, index) for index in fleet.shares[0][: schedule.restarts]]
+    ready, complete, received = zip(*restarted, strict=True)
     figures = {
         "hollow: ms until ready": 1000.0 * max(ready),
         "hollow: ms until it knows all": 1000.0 * max(complete),
@@ -204,6 +211,44 @@
     return fleet.wait(f"{process.name} is ready again", RECOVERY_S, ready)
 
 
+def _machines_lost(fleet: Fleet, lost: list[int], seconds: float) -> Figures:
+    """Hollow nodes end at once without a word, and come back after `seconds` or more."""
+    meter, begun = Meter(fleet), time.monotonic()
+    fleet.kill_hollow(lost)
+
+    def noticed() -> bool:
+        left = [sample for sample in fleet.hollow_samples() if sample.index not in gone]
+        return all(sample.held_down >= len(lost) for sample in left)
+
+    gone = set(lost)
+    known = fleet.wait("all hold the lost machines unreachable", RECOVERY_S, noticed)
+    fleet.pause(max(0.0, seconds - (time.monotonic() - begun)))
+    figures = meter.read()
+    meter = Meter(fleet)
+    fleet.revive_hollow(lost)
+    back = fleet.wait("all nodes know all others again", RECOVERY_S, lambda: _all_well(fleet))
+    fleet.pause(max(0.0, seconds - back))
+    return {
+        "machines": len(lost),
+        "seconds until all hold them unreachable": known,
+        "seconds until all is well again": back,
+        **prefixed("lost", figures),
+        **prefixed("back", meter.read()),
+    }
+
+
+def rack_lost(fleet: Fleet, schedule: Schedule) -> Figures:
+    """A thirtieth of the machines, of one zone, ends at once: forty of 1,200."""
+    zone = [index for index in fleet.hollow_indexes if fleet.plan.node(index).zone == LOST_ZONE]
+    return _machines_lost(fleet, zone[: max(1, fleet.plan.nodes // RACKS)], schedule.partition_s)
+
+
+def zone_lost(fleet: Fleet, schedule: Schedule) -> Figures:
+    """All machines of a zone but those of control end at once."""
+    zone = [index for index in fleet.hollow_indexes if fleet.plan.node(index).zone == LOST_ZONE]
+    return _machines_lost(fleet, zone, schedule.partition_s)
+
+
 def control_loss(fleet: Fleet, schedule: Schedule) -> Figures:
     """A control process is killed, a change is sent to it at once, and it starts again."""
     fleet.controls[0].kill()
@@ -221,16 +266,15 @@
     }
 
 
+def _all_well(fleet: Fleet) -> bool:
+    """Whether every hollow node knows every machine and holds none unreachable."""
+    return all(sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples())
+
+
 def _joined(fleet: Fleet) -> float:
-    """Join all again; seconds until every node knows every other one and holds none unreachable."""
+    """Join all again; seconds until all is well."""
     fleet.partition()
-    return fleet.wait(
-        "all nodes know all others again",
-        RECOVERY_S,
-        lambda: all(
-            sample.known >= fleet.machines and not sample.held_down for sample in fleet.hollow_samples()
-        ),
-    )
+    return fleet.wait("all nodes know all others again", RECOVERY_S, lambda: _all_well(fleet))
 
 
 def zones_deaf(fleet: Fleet, schedule: Schedule) -> Figures:
@@ -283,6 +327,7 @@
         "control: MB, most": max(process.memory_mb() for process in fleet.controls),
         "control: MB, peak": max(process.memory_mb("VmHWM") for process in fleet.controls),
         "run: MB in all": sum(process.memory_mb() for process in fleet.all),
+        "run: load average of the machine": os.getloadavg()[0],
         "faults in the logs": float(sum(process.faults() for process in fleet.all)),
     }
     if fleet.sidecars:
@@ -297,6 +342,8 @@
     "changes": changes,
     "restarts": restarts,
     "control lost": control_loss,
+    "rack lost": rack_lost,
+    "zone lost": zone_lost,
     "zones deaf": zones_deaf,
     "regions deaf": regions_deaf,
 }
--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -132,7 +132,8 @@
         assert sent < acknowledged
 
         lives = {sample.index: sample.started for sample in samples}
-        fleet.restart_hollow(4)
+        fleet.kill_hollow([4])
+        fleet.revive_hollow([4])
         fleet.wait("node 4", 10.0, lambda: all(sample.complete for sample in fleet.hollow_samples()))
         assert [
             sample.index for sample in fleet.hollow_samples() if sample.started != lives[sample.index]
