Let the scale run go on after a phase that did not end, and say how many nodes were behind

Cause: a run of 1,200 nodes on a machine with a load of 45 gave up after r4 was not in force everywhere within 30 s, lost the figures of the phases before, and did not say whether one node or all were behind.

--- a/bench/mesh_scale.py
+++ b/bench/mesh_scale.py
@@ -8,7 +8,8 @@
 between the regions (`--without PHASE,...` leaves some of that out). Printed for each figure: its value by
 size, the power of the size with which it grows, and what a line and that power make of it at the target.
 `--report FILE` keeps the figures as JSON. A size takes some four minutes, and every process that was started
-ends with it. Status 1 where a program's log tells of a fault.
+ends with it. Status 1 where a program's log tells of a fault, or a phase did not come to its end (it is told,
+and the next one begins).
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 from pathlib import Path
 
 from bench.scale import fits, phases
-from bench.scale.fleet import Fleet
+from bench.scale.fleet import Fleet, FleetError
 from bench.scale.phases import Figures, Schedule
 from bench.scale.plan import Plan
 
@@ -40,7 +41,11 @@
         Fleet(plan, Path(folder), real, processes, LIMIT_S) as fleet,
     ):
         for name in chosen:
-            figures |= phases.prefixed(name, phases.PHASES[name](fleet, schedule))
+            try:
+                figures |= phases.prefixed(name, phases.PHASES[name](fleet, schedule))
+            except FleetError as error:
+                print(f"{plan.nodes} nodes, {name}: {error}", flush=True)
+                figures |= phases.prefixed(name, {"failed": 1.0})
         figures |= phases.prefixed("end", phases.memory(fleet))
     return figures
 
@@ -49,7 +54,7 @@
     """A line a figure: its values, the exponent, and the target by a line and by a power."""
     head = f"{'':52}" + "".join(f"{size:>11}" for size in sizes)
     lines = [f"{head}{'exponent':>11}{f'line {target}':>12}{f'power {target}':>12}"]
-    for name in columns[0]:
+    for name in dict.fromkeys(name for column in columns for name in column):
         points = [
             (float(size), column[name]) for size, column in zip(sizes, columns, strict=True) if name in column
         ]
@@ -97,7 +102,8 @@
             report = {str(size): column for size, column in zip(sizes, columns, strict=False)}
             Path(asked.report).write_text(json.dumps(report, indent=1))
     print("\n".join(table(sizes, columns, asked.target)))
-    return 1 if any(column["end | faults in the logs"] for column in columns) else 0
+    failed = any(name.endswith("| failed") for column in columns for name in column)
+    return 1 if failed or any(column["end | faults in the logs"] for column in columns) else 0
 
 
 if __name__ == "__main__":
--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -36,6 +36,7 @@
 
     def __init__(self, what: str, seconds: float) -> None:
         super().__init__(f"{what}: not within {seconds:g} s")
+        self.what, self.seconds = what, seconds
 
 
 class Fleet:
--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from bench.scale.fits import percentile
-from bench.scale.fleet import Fleet
+from bench.scale.fleet import Fleet, FleetError
 from bench.scale.messages import NodeSample
 from bench.scale.plan import DEAF_REGIONS, DEAF_ZONES
 from bench.scale.processes import Spawned
@@ -144,7 +144,11 @@
             processes[:] = fleet.in_force_at_processes(version)
             return all(hollow) and all(processes)
 
-        fleet.wait(f"r{version} is in force everywhere", IN_FORCE_S, everywhere)
+        try:
+            fleet.wait(f"r{version} is in force everywhere", IN_FORCE_S, everywhere)
+        except FleetError as error:
+            behind = hollow.count(0.0) + processes.count(0.0)
+            raise FleetError(f"{error.what} ({behind} nodes are behind)", error.seconds) from None
         self.acknowledgements.append(acknowledged - sent)
         self.hollow += [max(0.0, at - acknowledged) for at in hollow]
         self.processes += [max(0.0, at - acknowledged) for at in processes]
