--- a/bench/mesh_scale.py
+++ b/bench/mesh_scale.py
@@ -58,7 +58,8 @@
         points = [
             (float(size), column[name]) for size, column in zip(sizes, columns, strict=True) if name in column
         ]
-        line = f"{name:52}" + "".join(f"{value:11.2f}" for _, value in points)
+        cells = [f"{column[name]:.2f}" if name in column else "-" for column in columns]
+        line = f"{name:52}" + "".join(f"{cell:>11}" for cell in cells)
         if len(points) > 1:
             power = fits.power(points)
             exponent, there = (power.exponent, power.at(target)) if power else (0.0, 0.0)
--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -151,4 +151,6 @@
 
 def test_the_table_leads_to_the_target() -> None:
     lines = mesh_scale.table([30, 300], [{"rest | x": 60.0}, {"rest | x": 600.0}], 1200)
+    partly = mesh_scale.table([30, 300], [{"rest | x": 60.0}, {"rest | y": 6.0}], 1200)
+    assert [line.split()[-2:] for line in partly[1:]] == [["60.00", "-"], ["-", "6.00"]]
     assert lines[1].split() == ["rest", "|", "x", "60.00", "600.00", "1.00", "2400.00", "2400.00"]
