--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -312,11 +312,9 @@
         if not self.wrote:
             data = self._head_bytes() + self._framed(data)
             self.wrote = True
-            self.tap.write(data)
+            self.tap.write(data, last=self.ended or self.ask.length == 0)
         elif data or self.ended:
-            framed = self._framed(data)
-            if framed:
-                self.tap.write(framed)
+            self.tap.write(self._framed(data), last=self.ended)
         if not self.tap.unsent:
             self.drained()
 
@@ -403,6 +401,15 @@
             self.inbound.cancelled += 1
             self._done()
 
+    def finish(self) -> None:
+        """This process ends: tell the source what is known of the request, instead of a lost link."""
+        if self.over:
+            return
+        if self.wrote:
+            self._fail(Verdict(MAY_HAVE_RUN, LEAVING, True))
+        else:
+            self.refuse(LEAVING, LEAVING_S)
+
     # What the connection to the backend says.
 
     def ready(self) -> None:
@@ -455,11 +462,7 @@
         """Whether the answer is one that a client may see: a success has the seal, and is not encoded."""
         head = self.head
         return (
-            head is not None
-            and not head.unexecuted
-            and head.status != 421
-            and (head.status >= 300 or head.sealed)
-            and not head.encoded
+            head is not None and not head.refuses and (head.status >= 300 or head.sealed) and not head.encoded
         )
 
     def whole(self) -> None:
@@ -484,7 +487,7 @@
 
     def _no_answer(self, head: Answer) -> None:
         """What came is none that a client may see: the backend's word that it has not run, or nonsense."""
-        if head.status == 421 or head.unexecuted:
+        if head.refuses:
             if head.status == 421:
                 self.inbound.other_there()
             self._fail(Verdict(NOT_RUN, TURNED_AWAY, True, 0.05))
@@ -582,6 +585,11 @@
             job.judge()
         return job
 
+    def finish(self) -> None:
+        """This process ends now: the source of each job is told what is known of it."""
+        for job in list(self.jobs):
+            job.finish()
+
     def window(self) -> int:
         """Bytes of one more request's body that may be on the way: its share of the link's time."""
         bodies = 1 + sum(1 for job in self.jobs if job.started and not job.ended)
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -13,6 +13,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import traceback
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -208,6 +210,13 @@
         elif self.other is not None and self.other.state == "lost" and not self.silent():
             self.take(RESET)
 
+    def torn(self) -> None:
+        """Something on the way resets the connection: both ends are told, what was under way is lost."""
+        for end in (self, self.other):
+            if end is not None:
+                end.stuck.clear()
+                end.take(RESET)
+
     def vanish(self) -> None:
         """The power went: nobody is told."""
         self.state = "lost"
@@ -219,7 +228,7 @@
     def die(self) -> None:
         """The process ended: its kernel closes, with a reset where bytes were unread."""
         self._drop()
-        if self.state in ("open", "closing"):
+        if self.state in ("open", "closing") and self.other is not None:
             self._fly(RESET if self._unread() else END)
         self.state = "closed"
         self._leave()
@@ -628,6 +637,8 @@
 
     def _operate(self, kind: str, name: str, data: bytes = b"", to: str = "") -> None:
         disk = self._disk()
+        if disk.full and kind == "write":
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC), name)
         disk.operations += 1
         crash = disk.crash_at if disk.crash_at is not None and disk.crash_at[0] == disk.operations else None
         here = self.now_here()
@@ -648,6 +659,10 @@
         """Write a file whole and sync it."""
         self._operate("write", name, bytes(data))
 
+    def sync_names(self) -> None:
+        """Sync the folder."""
+        self._operate("sync", "")
+
     def rename(self, name: str, to: str) -> None:
         """Give a file another name, and sync the folder."""
         if name not in self._disk().files:
