Forget the doubt of a proxy whose entry is dropped

Cause: a proxy that is held down for 30 s is dropped from the table, and the watchers forget that it was down; the list of backends went on counting it as doubted. When it came back (a region that was lost for longer than 30 s, a machine that stood still) no sidecar sent it anything until the scan of the drift monitor found the difference, doubted itself and built all anew: one slip at every sidecar, each told to all control nodes.

Change: news that a proxy has gone end the doubt of it, as they do at the watchers.

Measured: the test in tests/sidecar/test_source.py, seen failing before ({'a'} == set()), passes; tests/sidecar/test_source.py, test_course.py and tests/drift pass (232).

--- a/honeywharf/sidecar/source.py
+++ b/honeywharf/sidecar/source.py
@@ -127,7 +127,12 @@
     # The list.
 
     def told(self, node: str, say: dict[str, object] | None, zone: str) -> None:
-        """News of a proxy: what its gate says of its backend; None when it has gone."""
+        """News of a proxy: what its gate says of its backend; None when it has gone.
+
+        Who has gone is held down by nobody: if it comes back, it comes without a doubt.
+        """
+        if say is None:
+            self.doubted.discard(node)
         before = self.list.get(node)
         if say is None or not say.get("s"):
             if before is not None:
--- a/tests/sidecar/test_source.py
+++ b/tests/sidecar/test_source.py
@@ -77,3 +77,13 @@
     assert len(source.levels) <= 1024 + 1
     assert len(source.budgets) <= 1024
     assert picks(source) == {"a"}
+
+
+def test_a_proxy_that_was_dropped_while_it_was_held_down_is_picked_when_it_is_back() -> None:
+    source = listed("a", "b")
+    source.doubt("a", True)
+    assert picks(source) == {"b"}
+    source.told("a", None, ZONE)  # its entry was dropped; nobody holds it down any more
+    assert source.doubted == set()
+    source.told("a", {"s": SERVICE, "b": "i-a", "st": 1, "sl": 8}, ZONE)
+    assert picks(source) == {"a", "b"}
