Count machines that were dropped as noticed in the scale run

Cause: at 300 nodes on a machine with a load of 45 the phase did not end: who noticed the loss more than 30 s before the last one had dropped the entries again.

--- a/bench/scale/phases.py
+++ b/bench/scale/phases.py
@@ -220,9 +220,10 @@
     meter, begun = Meter(fleet), time.monotonic()
     fleet.kill_hollow(lost)
 
-    def noticed() -> bool:
+    def noticed() -> bool:  # held unreachable, or dropped since
         left = [sample for sample in fleet.hollow_samples() if sample.index not in gone]
-        return all(sample.held_down >= len(lost) for sample in left)
+        alive = fleet.machines - len(lost)
+        return all(sample.known - sample.held_down <= alive for sample in left)
 
     gone = set(lost)
     known = fleet.wait("all hold the lost machines unreachable", RECOVERY_S, noticed)
