--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,84 @@
+"""The load of the latency bench: its rate, its bound of lanes, and what it counts, against a real backend."""
+
+from __future__ import annotations
+
+from functools import partial
+
+import pytest
+
+from bench.scale.backend_process import Served, attempt_of
+from bench.scale.load import Load
+from honeywharf.transport.host import Address, Connection, Handler
+from honeywharf.transport.loop import Loop
+
+
+class Silent(Served):
+    """A backend that never answers."""
+
+    def received(self, data: bytes) -> None:
+        """Nothing."""
+
+
+def serve(loop: Loop, handler: type[Served]) -> Address:
+    """Listen on loopback; where."""
+
+    def accept(connection: Connection) -> Handler:
+        return handler(connection)
+
+    loop.listen(("127.0.0.1", 0), accept)
+    ((sock, _, _),) = loop.listeners.values()
+    return "127.0.0.1", sock.getsockname()[1]
+
+
+def run_until_over(loop: Loop, load: Load) -> None:
+    """Let the loop run until all is answered, five seconds at most."""
+
+    def look() -> None:
+        if load.over:
+            loop.exit(0)
+        else:
+            loop.after(0.005, look)
+
+    loop.after(5.0, partial(loop.exit, 1))
+    look()
+    assert loop.run() == 0
+
+
+def test_requests_go_out_at_the_rate_and_are_timed() -> None:
+    loop = Loop(None)
+    load = Load(loop, serve(loop, Served), "a.example", "/b/", rate=200.0, lanes=4, seconds=0.2)
+    run_until_over(loop, load)
+    sent = len(load.answers.times) + load.skipped
+    assert 30 <= sent <= 41
+    assert load.answers.failed == 0
+    assert 0.0 < load.answers.percentile_ms(0.5) <= load.answers.percentile_ms(0.99)
+
+
+def test_without_a_rate_each_lane_sends_as_soon_as_it_is_answered() -> None:
+    loop = Loop(None)
+    load = Load(loop, serve(loop, Served), "a.example", "/b/", rate=0.0, lanes=3, seconds=0.1)
+    run_until_over(loop, load)
+    assert len(load.answers.times) > 3
+    assert load.answers.failed == load.skipped == 0
+
+
+def test_what_finds_no_lane_is_counted() -> None:
+    loop = Loop(None)
+    load = Load(loop, serve(loop, Silent), "a.example", "/b/", rate=200.0, lanes=2, seconds=0.1)
+    loop.after(0.15, partial(loop.exit, 0))
+    loop.run()
+    assert len(load.busy) == 2
+    assert load.skipped >= 10
+    assert not load.over
+
+
+@pytest.mark.parametrize(
+    ("head", "attempt"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX-Honeywharf-Attempt-Id:  a-1 ", b"a-1"),
+        (b"GET / HTTP/1.1\r\nx-honeywharf-attempt-id: b", b"b"),
+        (b"GET / HTTP/1.1\r\nHost: a", b""),
+    ],
+)
+def test_the_backend_reads_the_attempt(head: bytes, attempt: bytes) -> None:
+    assert attempt_of(head) == attempt
