Ask a node's other watcher elsewhere before it is doubted

Cause: where two zones lose each other, half of their nodes have one watcher that hears nothing of them.

Change: a watcher elsewhere that does not hear a node asks the node's other watcher elsewhere (inquiry), which tells how long ago it heard the node itself (testimony). It counts from that time, not from now, so a real end is known no later; only signs of the node's own count, so two watchers cannot keep a dead node alive for each other. Watchers of the own zone ask nobody.

--- a/honeywharf/failure_detector/watch.py
+++ b/honeywharf/failure_detector/watch.py
@@ -3,8 +3,10 @@
 Theory of operation. Each node sends a beat of a few bytes to its watchers on the rings of live nodes:
 two in its zone every 0.4 s, two elsewhere every 0.8 s. A watcher that has heard nothing from one for 1 s
 (1.6 s from elsewhere) asks it for a beat, and after 1.6 s (2.4 s) doubts it, under the version of the
-entry that it knows. Its doubts stand in what it says of itself, so news carries and mends them, and a
-doubter's end ends them. A node is down when two live nodes doubt its present version, or one where all
+entry that it knows. A watcher elsewhere also asks the node's other watcher elsewhere, and counts what that
+one heard of the node itself as if it had heard it at that time: where two zones lose each other, nobody is
+doubted whom a third zone hears. Its doubts stand in what it says of itself, so news carries and mends them,
+and a doubter's end ends them. A node is down when two live nodes doubt its present version, or one where all
 its other watchers are doubted too (their zones are out of sight); it stays down until it is heard of
 under a newer version. Who is doubted tells itself anew, which ends all doubts of it.
 
@@ -27,6 +29,8 @@
 
 BEAT = b"t"  # and the revision that the sender holds, in as few bytes as it takes (none for 0)
 PROBE = b"p"  # answered with a beat
+INQUIRY = b"q"  # and the key, 4 bytes, of a node that the sender does not hear: has the receiver heard it?
+TESTIMONY = b"v"  # the key, and how many milliseconds ago the sender heard the node itself, 2 bytes
 BEAT_EVERY = 0.4  # seconds; to watchers elsewhere every second time
 ASKED, SILENT = 1.0, 1.6  # seconds without a sign until it is asked for one, and doubted
 ELSEWHERE = 1.5  # times as long for nodes of other zones, nearly
@@ -34,6 +38,7 @@
 NEEDED = 2  # doubts
 PATIENCE = 16  # times as long, at most
 DOUBTS = 16  # told by one node, at most
+KEY_SIZE, AGE_SIZE = 4, 2  # bytes in an inquiry and a testimony
 
 
 class Watch:
@@ -41,8 +46,8 @@
 
     __slots__ = (
         "_against", "_doubts", "_due", "_entries", "_heard", "_heard_any", "_me", "_odd", "_patience",
-        "_unwell_until", "_zone", "down", "missing", "on_down", "on_refute", "on_up", "revision", "rings",
-        "tell",
+        "_signs", "_unwell_until", "_zone", "down", "missing", "on_down", "on_refute", "on_up", "revision",
+        "rings", "tell",
     )  # fmt: skip
 
     def __init__(self, me: str, zone: str, entries: Mapping[str, Entry]) -> None:
@@ -61,6 +66,7 @@
         self._against: dict[str, dict[str, tuple[int, int]]] = {}  # doubted: doubter: version
         self._doubts: dict[str, tuple[int, int]] = {}  # the own ones
         self._heard: dict[str, float] = {}  # those watched only
+        self._signs: dict[str, float] = {}  # those watched only: when a datagram of their own came
         self._heard_any = 0.0
         self._patience: dict[str, int] = {}  # those watched only, times as long
         self._due = 0.0
@@ -75,10 +81,40 @@
         """A datagram came from a node."""
         self._heard_any = now
         if node in self._heard:
-            self._heard[node] = now
+            self._heard[node] = self._signs[node] = now
             self._patience.pop(node, None)
             self.missing.pop(node, None)
 
+    def inquired(self, now: float, asker: str, about: bytes) -> list[tuple[str, bytes]]:
+        """The answer to an inquiry: none where this node has heard nothing lately either."""
+        node = node_of(int.from_bytes(about, "big"))
+        if len(about) != KEY_SIZE or node not in self._signs:
+            return []
+        age = now - self._signs[node]
+        if age > ASKED * ELSEWHERE:
+            return []
+        return [(asker, TESTIMONY + about + round(1000.0 * age).to_bytes(AGE_SIZE, "big"))]
+
+    def testified(self, now: float, testimony: bytes) -> None:
+        """Another watcher has heard a node: as good as a sign of that time. What is malformed is ignored."""
+        if len(testimony) != KEY_SIZE + AGE_SIZE:
+            return
+        node = node_of(int.from_bytes(testimony[:KEY_SIZE], "big"))
+        heard_at = now - int.from_bytes(testimony[KEY_SIZE:], "big") / 1000.0
+        if node in self._heard and node not in self.down:
+            self._heard[node] = max(self._heard[node], heard_at)
+
+    def _inquiries(self, silent: list[str]) -> list[tuple[str, bytes]]:
+        """Questions to the other watchers elsewhere of nodes of other zones that are silent here."""
+        out: list[tuple[str, bytes]] = []
+        for node in silent:
+            zone = self._entries[node].zone
+            if zone != self._zone:
+                question = INQUIRY + key_of(node).to_bytes(KEY_SIZE, "big")
+                witnesses = self.rings.watchers(node, zone)[1]
+                out += [(by, question) for by in witnesses if by != self._me]
+        return out
+
     def beat(self) -> bytes:
         """What is sent to each watcher, and to who asks."""
         return BEAT + self.revision.to_bytes((self.revision.bit_length() + 7) // 8, "big")
@@ -93,7 +129,8 @@
         self._odd = not self._odd
         beat = self.beat()
         near, far = self.rings.watchers(self._me, self._zone)
-        out = [(node, PROBE) for node in self._look(now)]
+        silent = self._look(now)
+        out = [(node, PROBE) for node in silent] + self._inquiries(silent)
         return out + [(node, beat) for node in (near + far if self._odd else near)]
 
     def _look(self, now: float) -> list[str]:
@@ -128,6 +165,7 @@
     def _forget(self, kept: set[str]) -> None:
         for node in [node for node in self._heard if node not in kept]:
             del self._heard[node]
+            self._signs.pop(node, None)
             self._patience.pop(node, None)
             self.missing.pop(node, None)
 
--- a/honeywharf/gossip/membership.py
+++ b/honeywharf/gossip/membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from honeywharf.failure_detector.watch import BEAT, PROBE, Watch
+from honeywharf.failure_detector.watch import BEAT, INQUIRY, PROBE, TESTIMONY, Watch
 from honeywharf.gossip.table import News
 
 TYPE_CHECKING = False
@@ -126,6 +126,10 @@
             self.news.holds(sender[0], int.from_bytes(data[1:], "big"))
         elif kind == PROBE:
             self._send([(sender[0], self.watch.beat())])
+        elif kind == INQUIRY:
+            self._send(self.watch.inquired(now, sender[0], data[1:]))
+        elif kind == TESTIMONY:
+            self.watch.testified(now, data[1:])
         else:
             self._send(self.news.received(now, sender[0], data))
         self._rearm()
--- a/tests/failure_detector/test_watch.py
+++ b/tests/failure_detector/test_watch.py
@@ -109,6 +109,64 @@
     assert net.downs == []
 
 
+def test_who_is_heard_in_a_third_zone_is_not_doubted_where_two_zones_lose_each_other() -> None:
+    net = settled(60, loss=0.0)
+    net.cut(zone_of(net, 1), zone_of(net, 2))
+    doubts: list[list[tuple[int, int, int]]] = []
+    tells = [(membership.watch, membership.watch.tell) for membership in net.live()]
+    for each, _ in tells:
+        each.tell = doubts.append
+    net.run(30.0)
+    assert doubts == []
+    for each, tell in tells:
+        each.tell = tell
+    ended = zone_of(net, 1)[5]
+    net.kill(ended)
+    assert net.run(4.0, lambda: held_down(net, ended)), "a real end is known as soon as ever"
+
+
+def test_a_witness_tells_only_what_it_heard_of_the_node_itself() -> None:
+    nodes = ["10.1.0.1", "10.2.0.1", "10.3.0.1"]
+    table = {
+        node: Entry(key_of(node), 1, 1, zone, {}) for node, zone in zip(nodes, ("a", "b", "c"), strict=True)
+    }
+    one = Watch(nodes[0], "a", table)
+    for node in nodes[1:]:
+        one.changed(0.0, node, table[node], None)
+    one.heard(0.0, nodes[2])
+    one.tick(0.0)  # watches both; has heard neither since
+    about = key_of(nodes[1]).to_bytes(4, "big")
+    assert one.inquired(0.2, nodes[2], about) == []
+    one.heard(0.5, nodes[1])
+    assert one.inquired(0.75, nodes[2], about) == [(nodes[2], watch.TESTIMONY + about + b"\x00\xfa")]
+    assert one.inquired(0.5 + watch.ASKED * watch.ELSEWHERE + 0.01, nodes[2], about) == []
+    for malformed in (b"", about[:3], about + b"\0", b"\xff" * 4):
+        assert one.inquired(0.6, nodes[2], malformed) == []
+        one.testified(0.6, malformed)
+
+
+def test_a_testimony_counts_from_when_the_node_was_heard() -> None:
+    nodes = ["10.1.0.1", "10.2.0.1", "10.3.0.1"]
+    table = {
+        node: Entry(key_of(node), 1, 1, zone, {}) for node, zone in zip(nodes, ("a", "b", "c"), strict=True)
+    }
+    one = Watch(nodes[0], "a", table)
+    for node in nodes[1:]:
+        one.changed(0.0, node, table[node], None)
+    about = key_of(nodes[1]).to_bytes(4, "big")
+    questions: list[tuple[str, bytes]] = []
+    for at in range(1, 5):
+        one.heard(0.4 * at, nodes[2])
+        questions += one.tick(0.4 * at)
+    assert (nodes[2], watch.INQUIRY + about) not in questions
+    one.heard(2.0, nodes[2])
+    assert (nodes[2], watch.INQUIRY + about) in one.tick(2.0)
+    one.testified(2.1, about + (300).to_bytes(2, "big"))
+    assert one._heard[nodes[1]] == pytest.approx(1.8)
+    one.testified(2.2, about + (2000).to_bytes(2, "big"))
+    assert one._heard[nodes[1]] == pytest.approx(1.8), "an older sign changes nothing"
+
+
 def test_two_nodes_alone_blame_nobody_and_three_hold_one_down() -> None:
     net = settled(2)
     net.kill(net.names[1])
