--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from honeywharf.control.mesh_state import Value
+from honeywharf.control.mesh_state import MeshState
 from honeywharf.control.operator import Operator
 from honeywharf.control.replica import Replica
 from honeywharf.control.store import Store
@@ -25,6 +25,7 @@
 
 MOST_BODY = 65 << 20  # bytes of a configuration
 STOPPING = 0.9  # s that calls at work have after SIGTERM
+HANDOVER_S = 2.0  # that a standby has to take this machine's place, and at most half of `grace-period`
 LOADED = 0.5  # s after the start, when the door and the register have answered whoever waited
 DISK_AGAIN = 0.2  # s after which a disk that fails at the start is tried again
 
@@ -44,13 +45,14 @@
             settings.zone,
             [(ip, settings.ports[0]) for ip, _ in settings.seeds],
             settings.initial_start,
-            self._word,
+            self._state,
             self._cores,
         )
         self.membership: Membership | None = None
         self.door: HttpServer | None = None
+        self.replica.client.linked(settings.link_mbps)
         self.operator = Operator(self.replica, settings.zones, settings.listen["control-plane"][1])
-        self.stopping = False
+        self.stopping = self.handing_over = False
         self.gather = Gather(self)
         self.duties = Duties(self)
         self.handing = Handing(self)
@@ -87,17 +89,17 @@
             f" roster {self.replica.state.epoch}"
         )
 
-    def _word(self, value: Value) -> None:
+    def _state(self, state: MeshState) -> None:
         """There is a newer word, and its text is here."""
-        self.host.log(f"control node: revision {value['rev']}, configuration r{value['version']}")
-        self.gather.word(value)
-        self.handing.word(value)
+        self.host.log(f"control node: revision {state.revision}, configuration r{state.version}")
+        self.gather.word(state)
+        self.handing.word(state)
         if self.membership is not None:
-            self.membership.shout_word(value["rev"])
+            self.membership.shout_word(state.revision)
 
     def _rumour(self, revision: int, holder: str) -> None:
         """Somebody holds a newer word."""
-        if self.replica.known is None or revision > self.replica.known["rev"]:
+        if self.replica.known is None or revision > self.replica.known.revision:
             self.replica.learn_from((holder, self.here[1]))
 
     def _cores(self) -> list[Address]:
@@ -121,11 +123,19 @@
         if self.membership is not None:
             self.membership.leave()
             self.membership.stop()
-        self.host.after(STOPPING, partial(self.host.exit, 0))
+        self.handing_over = True
+        within = min(HANDOVER_S, self.settings.bound("grace-period", 2 * HANDOVER_S) / 2)
+        self.host.after(max(STOPPING, within), partial(self.host.exit, 0))
+        self.replica.leave(within, self._handed_over)
         self._finish()
 
+    def _handed_over(self) -> None:
+        """The place has been taken, or there is nobody to take it: what is at work has a while to end."""
+        self.handing_over = False
+        self.host.after(STOPPING, partial(self.host.exit, 0))
+
     def _finish(self) -> None:
-        if self.operator.at_work:
+        if self.operator.at_work or self.handing_over:
             self.host.after(0.02, self._finish)
         else:
             self.host.after(0.02, partial(self.host.exit, 0))  # the answers are on their way
--- a/honeywharf/sidecar/source.py
+++ b/honeywharf/sidecar/source.py
@@ -116,6 +116,7 @@
         self.doubted: set[str] = set()
         self.choked: dict[str, float] = {}  # by gate of the list, until when it is asked for no body
         self.asks = 0
+        self.end_at = float("inf")  # when this process ends: no gate is given longer
         self.helper: Callable[[Container[str]], str | None] = lambda passed: None  # a sidecar that is well
         self.handed = 0  # requests that a sidecar that is well was asked to decide
         self.passing: dict[Passing, None] = {}  # those of others that are decided here
@@ -126,7 +127,12 @@
     # The list.
 
     def told(self, node: str, say: dict[str, object] | None, zone: str) -> None:
-        """News of a proxy: what its gate says of its backend; None when it has gone."""
+        """News of a proxy: what its gate says of its backend; None when it has gone.
+
+        Who has gone is held down by nobody: if it comes back, it comes without a doubt.
+        """
+        if say is None:
+            self.doubted.discard(node)
         before = self.list.get(node)
         if say is None or not say.get("s"):
             if before is not None:
--- a/tests/control/test_explored.py
+++ b/tests/control/test_explored.py
@@ -5,12 +5,14 @@
 import pytest
 
 from bench.mesh_explore import CASES, ORDERS, TELLS, WRONG, played
-from honeywharf.control.register import Quorums
+from honeywharf.control.quorum import Quorums
 
 QUICK = (
     "accepted before the sync",
     "majority of the living",
     "version by arrival",
+    "one version, two contents",
+    "an overtaken version, two contents",
     "promise forgotten",
     "what others accepted is not taken over",
     "reader without write back",
