Use the simulation's mutants of retries for one order as well

Cause: two mutants, a second sending and a 503 without a proof, stood twice to the letter in tests/simulation/mutants.py and tests/sidecar/order_mutants.py. Change: the second takes them from the first; no assertion changed.

--- a/tests/sidecar/order_mutants.py
+++ b/tests/sidecar/order_mutants.py
@@ -12,7 +12,7 @@
 from honeywharf.transport.streams import Ask, Link, Reception, Stream
 from honeywharf.verdict import MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sidecar.order_model import SCENES, play, singles, watched
-from tests.simulation.mutants import Put, wrong
+from tests.simulation.mutants import Put, refuses_what_may_have_run, repeats_what_may_have_run, wrong
 
 
 def lost_link_proves(put: Put) -> None:
@@ -83,22 +83,6 @@
     put(Job, "finish", finish)
 
 
-def repeats_without_proof(put: Put) -> None:
-    """What may have run is sent to another gate."""
-    put(Verdict, "may_repeat", lambda self, repeatable: True)
-
-
-def promises_without_proof(put: Put) -> None:
-    """What may have run is answered 503."""
-
-    def give_up(self: Course, again_s: float) -> None:
-        self.ran = False
-        was(self, again_s)
-
-    was = Course._give_up
-    put(Course, "_give_up", give_up)
-
-
 def failure_is_refusal(put: Put) -> None:
     """A gate's word that a request may have run is read as a refusal."""
 
@@ -173,8 +157,8 @@
     Mutant("a gate's silence until the deadline proves", own_timeout_proves),
     Mutant("the end of the client's proxy proves", end_proves, manner="silent"),
     Mutant("the end of the backend's proxy proves", leaving_gate_proves, manner="silent"),
-    Mutant("sent again without a proof", repeats_without_proof),
-    Mutant("503 without a proof", promises_without_proof),
+    Mutant("sent again without a proof", repeats_what_may_have_run),
+    Mutant("503 without a proof", refuses_what_may_have_run),
     Mutant("a failure is read as a refusal", failure_is_refusal),
     Mutant("the echoed id is not checked", echo_not_checked, manner="another's"),
     Mutant("answers as they come", answers_as_they_come, "behind another request"),
