Read a control node's views in one place

Cause: mesh duties and mesh members asked for their view and judged its status by the same lines twice. Change: one function; the lines printed are as before.

--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -173,6 +173,14 @@
         return _order(self.address, self.zone, "complete", self.within)
 
 
+def view(address: str, name: str, within: float) -> Any:
+    """What a control node shows at `/api/NAME`. `within`: seconds. WrongError where it shows nothing."""
+    status, body = call(address, "GET", f"/api/{name}", b"", within)
+    if status != 200:
+        raise WrongError(f"no {name}: {status} {body[:200].decode('utf-8', 'backslashreplace')}")
+    return json.loads(body)
+
+
 @cappa.command(
     name="duties", help="Tell who holds which duty, by one control node's votes, and its hinted handoff."
 )
@@ -185,10 +193,7 @@
 
     def __call__(self) -> int:
         """Exit status."""
-        status, body = call(self.address, "GET", "/api/duties", b"", self.within)
-        if status != 200:
-            raise WrongError(f"no duties: {status} {body[:200].decode('utf-8', 'backslashreplace')}")
-        for line in duties(json.loads(body)):
+        for line in duties(view(self.address, "duties", self.within)):
             print(line)
         return 0
 
@@ -215,10 +220,7 @@
 
     def __call__(self) -> int:
         """Exit status: 1 where no further loss can be borne."""
-        status, body = call(self.address, "GET", "/api/members", b"", self.within)
-        if status != 200:
-            raise WrongError(f"no members: {status} {body[:200].decode('utf-8', 'backslashreplace')}")
-        found = json.loads(body)
+        found = view(self.address, "members", self.within)
         for line in members(found):
             print(line)
         return 0 if found["bearable-losses"] else 1
