Test what mesh members prints, and its status

Cause: reading the change again: the command's status 1 where no loss can be borne had no test. Change: a test of both statuses and every line.

--- a/tests/mesh_config/test_command.py
+++ b/tests/mesh_config/test_command.py
@@ -234,3 +234,32 @@
     ):
         assert mesh.main(call) == 2, call
     assert caplog.text.count("no clear answer") == 2
+
+
+@pytest.mark.parametrize(("bearable", "status"), [(1, 0), (0, 1)])
+def test_members_are_told_a_line_each_and_no_loss_to_bear_is_status_1(
+    bearable: int, status: int, capsys: pytest.CaptureFixture[str]
+) -> None:
+    told = {
+        "node": "10.1.0.1:7620",
+        "epoch": 3,
+        "majority": 2,
+        "members": [
+            {"address": "10.1.0.1:7620", "zone": "a", "disk": "first", "fault": ""},
+            {"address": "10.1.0.2:7620", "zone": "", "disk": "first", "fault": "silent"},
+        ],
+        "standbys": [{"address": "10.1.0.9:7620", "zone": "b"}],
+        "bearable-losses": bearable,
+        "bearable-zones": [],
+    }
+    with control_node([(200, json.dumps(told).encode(), "")]) as (at, asked):
+        assert mesh.main(["members", at]) == status
+    assert asked == [("GET", "/api/members", b"")]
+    assert capsys.readouterr().out.splitlines() == [
+        "10.1.0.1:7620: membership 3, majority 2",
+        "member 10.1.0.1:7620 zone a: current",
+        "member 10.1.0.2:7620 zone ?: silent",
+        "standby 10.1.0.9:7620 zone b",
+        f"losses that can be borne now: {bearable}",
+        "zones that can be lost now: none",
+    ]
