Count clients that leave with requests under way, in the sidecar's log

Cause: the recorded logs can't tell apart whether a client's close is taken for a half-close, is not read, or is cancelled and the cancellation lost (docs/incidents, hypotheses 1 to 3). No change of what is done. Failed tries: the first count took a close followed by a reset for two departures.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -263,7 +263,8 @@
             f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items())
         )
         self.host.log(
-            f"{self.source.counters()}; {self.drift_monitor.counters()}; "
+            f"{self.source.counters()}; {self.outbound.departures.counters()}; "
+            f"{self.drift_monitor.counters()}; "
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {rejected or 'none'}; "
             f"beats={self.heartbeats.taken} late={self.heartbeats.late}; word={self.mesh_state.revision} "
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -15,6 +15,7 @@
 from honeywharf.codecs.mesh import RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
 from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
+from honeywharf.sidecar.departures import Departures
 from honeywharf.transport.stream import WINDOW_SIZE
 
 TYPE_CHECKING = False
@@ -64,6 +65,7 @@
     __slots__ = (
         "closing",
         "connection",
+        "departed",
         "exchange",
         "exchanges",
         "gone",
@@ -81,6 +83,7 @@
         self.exchanges: list[Exchange] = []  # the first is answered first
         self.exchange: Exchange | None = None  # whose body is being read
         self.closing = self.gone = self.paused = False
+        self.departed = False  # with requests under way
         self.since = outbound.host.now()  # of what the timer waits for
         self.timer: Timer | None = None
         self._time()
@@ -198,6 +201,7 @@
         )
         if full != self.paused and not self.gone:
             self.paused = full
+            self.outbound.departures.paused += full
             (self.connection.pause if full else self.connection.resume)()
 
     def _fault(self, status: int, words: bytes) -> None:
@@ -318,6 +322,7 @@
 
     def ended(self) -> None:
         """The client sends nothing more; it may still read what it is owed."""
+        self._note_departure(reset=False)
         if not self.exchanges:
             self.connection.close()
         elif not self.reader.idle:
@@ -335,13 +340,30 @@
         self.gone = True
         if self.timer is not None:
             self.timer.cancel()
-        for exchange in self.exchanges:
-            if exchange.course is not None:
-                exchange.course.cancel()
+        if why:
+            self._note_departure(reset=True)
+        for course in self._under_way():
+            course.cancel()
+            self.outbound.departures.cancelled += self.departed
         self.exchanges.clear()
         self.outbound.guests.pop(self, None)
         self.reader.close()
 
+    def _under_way(self) -> list[Course]:
+        """Requests of this client that have no final answer yet."""
+        courses = [exchange.course for exchange in self.exchanges if exchange.course is not None]
+        return [course for course in courses if not course.over]
+
+    def _note_departure(self, *, reset: bool) -> None:
+        """Count that the client has left requests of its own under way; once for a connection."""
+        under_way, departures = len(self._under_way()), self.outbound.departures
+        if not under_way or self.departed:
+            return
+        self.departed = True
+        departures.reset += reset
+        departures.closed += not reset
+        departures.requests += under_way
+
     def settle(self) -> None:
         """This process leaves: close if nothing is owed."""
         if not self.exchanges and self.reader.idle:
@@ -397,6 +419,7 @@
     def __init__(self, host: Host, address: Address, word: Word, source: Source) -> None:
         self.host, self.address, self.word, self.source = host, address, word, source
         self.guests: dict[Guest, None] = {}
+        self.departures = Departures()
         self.leaving = False
         self.last_s = 0.0  # before the end of this process, in which requests are refused at most
         host.listen(address, self._accept)
