Ask clients that have ended their bytes whether they are still there

A FIN is a close or a half-close, and the sidecar took each for a half-close without asking: it answered what was under way and only then closed. Backends went on for every client that closed in order; only resets cancelled. A client that waits with its own side closed is answered as before. The test of half-closed clients now also holds that exactly one interim response comes first. Failed tries: taking each FIN for a departure was weighed and not built: it would cut off clients that wait with their own side closed, which a test has held us to since the first landing.

--- a/honeywharf/sidecar/departures.py
+++ b/honeywharf/sidecar/departures.py
@@ -1,17 +1,67 @@
-"""Counters of clients that leave while requests of theirs are under way.
+"""Clients that leave while requests of theirs are under way: found out, and counted.
 
-They tell three faults apart that look alike from outside, as work that goes on for nobody:
+Theory of operation. The end of a client's bytes (a FIN) means that it has closed its connection, or that it
+has closed its sending half only and waits for its answers; TCP tells these apart by what comes back. An
+interim response, which every client has to skip (RFC 9110, 15.2), is met by a reset where the client has
+closed: then the connection is gone, and its requests with it. So a client that has ended its bytes is sent
+one at once, and again from time to time until its answers have gone, as it may close wholly later.
 
-- the end of a client's bytes is not taken for its departure: `cancelled` stays behind `requests`
-- the end is not read: `paused` rises, `requests` does not
-- the cancellation is lost behind the source: `cancelled` rises here, and not at the gates
+An answer that has begun leaves no place for an interim response, and HTTP/1.0 knows none: there the next
+bytes of the answer are what finds out.
+Source: RULES, GONE; RFC 9112, 9.6.
 """
 
 from __future__ import annotations
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from honeywharf.transport.host import Connection, Host, Timer
+
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+FIRST_INTERVAL_S = 0.2  # between the first and the second interim response; each further interval is longer
+INTERVAL_GROWTH = 2.0
+MAX_INTERVAL_S = 2.0
+
+
+class DepartureProbe:
+    """Asks a client that has ended its bytes whether it is still there, by interim responses.
+
+    `may_ask` tells whether the next bytes on the connection may be an interim response. Where the client has
+    closed, the connection is reset, and its handler is told.
+    """
+
+    __slots__ = ("connection", "host", "interval_s", "may_ask", "timer")
+
+    def __init__(self, host: Host, connection: Connection, may_ask: Callable[[], bool]) -> None:
+        self.host, self.connection, self.may_ask = host, connection, may_ask
+        self.interval_s = FIRST_INTERVAL_S
+        self.timer: Timer | None = None
+
+    def start(self) -> None:
+        """Ask now, and again until stopped."""
+        if self.may_ask():
+            self.connection.send(INTERIM_RESPONSE)
+        self.timer = self.host.after(self.interval_s, self.start)
+        self.interval_s = min(MAX_INTERVAL_S, INTERVAL_GROWTH * self.interval_s)
+
+    def stop(self) -> None:
+        """Ask no further."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
 
 class Departures:
-    """How clients' connections ended while requests were under way, and what became of those requests."""
+    """How clients' connections ended while requests were under way, and what became of those requests.
+
+    The counters tell three faults apart that look alike from outside, as work that goes on for nobody:
+
+    - the end of a client's bytes is not taken for its departure: `cancelled` stays behind `requests`
+    - the end is not read: `paused` rises, `requests` does not
+    - the cancellation is lost behind the source: `cancelled` rises here, and not at the gates
+    """
 
     __slots__ = ("cancelled", "closed", "paused", "requests", "reset")
 
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -15,7 +15,7 @@
 from honeywharf.codecs.mesh import RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
 from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
-from honeywharf.sidecar.departures import Departures
+from honeywharf.sidecar.departures import INTERIM_RESPONSE, DepartureProbe, Departures
 from honeywharf.transport.stream import WINDOW_SIZE
 
 TYPE_CHECKING = False
@@ -44,6 +44,7 @@
         "closes",
         "course",
         "done",
+        "interim",
         "keep",
         "long",
         "out",
@@ -51,13 +52,18 @@
         "whole_request",
     )
 
-    def __init__(self, keep: bool, bodiless: bool) -> None:
+    def __init__(self, keep: bool, bodiless: bool, interim: bool) -> None:
         self.course: Course | None = None
-        self.keep, self.bodiless = keep, bodiless
+        self.keep, self.bodiless, self.interim = keep, bodiless, interim
         self.done = self.chunked = self.whole_request = self.closes = self.long = False
         self.out: list[bytes] = []
         self.waiting = 0  # bytes of the answer's body not yet told as gone
 
+    def may_take_interim(self) -> bool:
+        """Whether an interim response may be written: the client knows them, and no answer has begun."""
+        course = self.course
+        return self.interim and not (self.done or self.out or course is None or course.answering)
+
 
 class Guest:
     """One client's connection."""
@@ -71,6 +77,7 @@
         "gone",
         "outbound",
         "paused",
+        "probe",
         "reader",
         "since",
         "timer",
@@ -84,6 +91,7 @@
         self.exchange: Exchange | None = None  # whose body is being read
         self.closing = self.gone = self.paused = False
         self.departed = False  # with requests under way
+        self.probe: DepartureProbe | None = None  # since the client has ended its bytes
         self.since = outbound.host.now()  # of what the timer waits for
         self.timer: Timer | None = None
         self._time()
@@ -133,7 +141,7 @@
 
     def head(self, head: Head) -> None:
         """A request's head is whole."""
-        exchange = Exchange(head.keep, head.method == b"HEAD")
+        exchange = Exchange(head.keep, head.method == b"HEAD", head.interim)
         exchange.whole_request, exchange.long = head.length == 0, head.length > DROPPED_BYTES
         behind = self.exchanges[-1].closes if self.exchanges else False
         self.exchanges.append(exchange)
@@ -177,7 +185,7 @@
 
     def _continue(self, exchange: Exchange) -> None:
         if self.exchanges[0] is exchange:
-            self.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.connection.send(INTERIM_RESPONSE)
 
     def data(self, data: bytes) -> None:
         """A part of a body."""
@@ -209,7 +217,7 @@
         exchange = self.exchange
         self.exchange = None
         if exchange is None:
-            exchange = Exchange(False, False)
+            exchange = Exchange(False, False, False)
             self.exchanges.append(exchange)
         elif exchange.course is not None and not exchange.course.over:
             course = exchange.course
@@ -321,7 +329,7 @@
         self.connection.close()
 
     def ended(self) -> None:
-        """The client sends nothing more; it may still read what it is owed."""
+        """The client sends nothing more: it has closed, or it still waits for what it is owed."""
         self._note_departure(reset=False)
         if not self.exchanges:
             self.connection.close()
@@ -329,8 +337,13 @@
             self.connection.abort()
         else:
             self.exchanges[-1].closes = True
+            self.probe = DepartureProbe(self.outbound.host, self.connection, self._may_probe)
+            self.probe.start()
             self._flush()
 
+    def _may_probe(self) -> bool:
+        return bool(self.exchanges) and self.exchanges[0].may_take_interim()
+
     def drained(self) -> None:
         """What was written has gone."""
         self._flush()
@@ -340,6 +353,8 @@
         self.gone = True
         if self.timer is not None:
             self.timer.cancel()
+        if self.probe is not None:
+            self.probe.stop()
         if why:
             self._note_departure(reset=True)
         for course in self._under_way():
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.sidecar.departures import Departures
+from honeywharf.sidecar.departures import FIRST_INTERVAL_S, INTERIM_RESPONSE, MAX_INTERVAL_S, Departures
 from honeywharf.sidecar.outbound import MAX_AHEAD
 from tests.sidecar.stage import Front
 from tests.sidecar.test_outbound import give, request
@@ -45,3 +45,72 @@
     assert [channel.cancelled for channel in front.channels] == [True] * requests
     assert not front.source.courses
     assert not front.outbound.guests
+
+
+def test_a_client_that_waits_with_its_own_side_closed_is_asked_again_and_may_leave_later() -> None:
+    front = Front()
+    caller = front.call(request())
+    caller.connection.finish()
+    front.run(FIRST_INTERVAL_S * 3.5)
+    asked = caller.data.count(INTERIM_RESPONSE)
+    assert asked == 3
+    assert caller.data == INTERIM_RESPONSE * asked
+    assert not front.channels[0].cancelled
+    caller.connection.abort()
+    front.run()
+    assert front.channels[0].cancelled
+
+
+def test_it_is_asked_less_and_less_often_and_not_at_all_once_it_is_answered() -> None:
+    front = Front()
+    caller = front.call(request())
+    caller.connection.finish()
+    front.run(FIRST_INTERVAL_S * 7.5)
+    asked = caller.data.count(INTERIM_RESPONSE)
+    assert asked == 4
+    give(front, front.channels[0], b"ok")
+    front.run(3 * MAX_INTERVAL_S)
+    assert caller.data.count(INTERIM_RESPONSE) == asked
+    assert caller.data.endswith(b"ok")
+    assert caller.gone is not None
+
+
+def test_nothing_is_put_into_an_answer_that_has_begun() -> None:
+    front = Front()
+    caller = front.call(request() + request(attempt=b"a2"))
+    first, second = front.channels
+    first.course.answered(200, b"", 10, None)
+    first.course.answer_data(b"01234")
+    caller.connection.finish()
+    front.run(1.0)
+    assert INTERIM_RESPONSE not in caller.data
+    first.course.answer_data(b"56789")
+    first.course.whole()
+    front.run(FIRST_INTERVAL_S * 3)
+    assert caller.data.endswith(b"0123456789" + INTERIM_RESPONSE), "the second request's client is not asked"
+    give(front, second, b"ok")
+    assert caller.data.endswith(b"ok")
+
+
+def test_a_client_of_http_1_0_is_not_asked_and_gets_its_answer() -> None:
+    front = Front()
+    caller = front.call(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+    caller.connection.finish()
+    front.run(1.0)
+    assert caller.data == b""
+    give(front, front.channels[0], b"ok")
+    assert caller.statuses() == [200]
+
+
+def test_a_client_that_leaves_in_the_middle_of_an_answer_is_found_out_by_its_next_bytes() -> None:
+    front = Front()
+    caller = front.call(request())
+    (channel,) = front.channels
+    channel.course.answered(200, b"", 100_000, None)
+    channel.course.answer_data(b"x" * 1000)
+    front.run()
+    caller.connection.close()
+    front.run()
+    channel.course.answer_data(b"x" * 1000)
+    front.run()
+    assert channel.cancelled
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from honeywharf.sidecar.departures import INTERIM_RESPONSE
 from honeywharf.sidecar.outbound import HELD_BYTES, MAX_AHEAD, SUCCESSOR_S
 from honeywharf.transport.stream import WINDOW_SIZE
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
@@ -322,6 +323,8 @@
     caller = front.call(request() + request(attempt=b"a2"))
     caller.connection.finish()
     front.run()
+    assert caller.data == INTERIM_RESPONSE, "it was not asked whether it still waits"
+    caller.data = b""
     for channel in front.channels:
         assert not channel.cancelled
         give(front, channel, b"ok")
