See the end of a client's bytes on connections that are not read at the moment

Change: `watch_end` on connections: while reading is paused, epoll's RDHUP tells the end of the far side's bytes, and the client is asked by an interim response as if the end had been read.

--- a/bench/scale/reach.py
+++ b/bench/scale/reach.py
@@ -69,3 +69,6 @@
 
     def resume(self) -> None:
         """Nothing comes anyway."""
+
+    def watch_end(self, call: Callable[[], None]) -> None:
+        """Nothing ever comes."""
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -211,6 +211,8 @@
             self.paused = full
             self.outbound.departures.paused += full
             (self.connection.pause if full else self.connection.resume)()
+            if full and self.probe is None:
+                self.connection.watch_end(self._start_probe)
 
     def _fault(self, status: int, words: bytes) -> None:
         """What came makes no sense, or not in time: it is answered last, and the connection ends."""
@@ -330,16 +332,22 @@
 
     def ended(self) -> None:
         """The client sends nothing more: it has closed, or it still waits for what it is owed."""
-        self._note_departure(reset=False)
         if not self.exchanges:
             self.connection.close()
         elif not self.reader.idle:
+            self._note_departure(reset=False)
             self.connection.abort()
         else:
             self.exchanges[-1].closes = True
+            self._start_probe()
+            self._flush()
+
+    def _start_probe(self) -> None:
+        """The client has ended its bytes, all of which may not be read yet: find out whether it is there."""
+        if self.probe is None and not self.gone:
+            self._note_departure(reset=False)
             self.probe = DepartureProbe(self.outbound.host, self.connection, self._may_probe)
             self.probe.start()
-            self._flush()
 
     def _may_probe(self) -> bool:
         return bool(self.exchanges) and self.exchanges[0].may_take_interim()
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -102,6 +102,7 @@
     """One end of a connection (`host.Connection`). Programs see the methods that the interface names."""
 
     __slots__ = (
+        "end_watcher",
         "finished",
         "flying",
         "handler",
@@ -132,6 +133,7 @@
         self.finished = 0  # 1 when nothing more is to be sent, 2 when the far side has been told
         self.last = 0.0
         self.quiet: Event | None = None
+        self.end_watcher: Callable[[], None] | None = None
         process.machine.network.add(self)
         process.ends[self] = None
 
@@ -176,8 +178,19 @@
             self.paused = False
             self.process.world.at(self.process.now_here(), self.process.call, self.life, self._read)
 
+    def watch_end(self, call: Callable[[], None]) -> None:
+        """Call once if the far side ends its bytes while reading is paused."""
+        self.end_watcher = call
+        self.process.world.at(self.process.now_here(), self.process.call, self.life, self._show_end)
+
     # What the network does.
 
+    def _show_end(self) -> None:
+        """Tell who watches that the end has come and is not read."""
+        if self.paused and self.state == "open" and self.end_watcher is not None and END in self.inbox:
+            call, self.end_watcher = self.end_watcher, None
+            call()
+
     def silent(self) -> bool:
         """Whether the far side gives no sign of life now."""
         if self.other is None:
@@ -331,6 +344,7 @@
         else:
             self.inbox.append(item)
             self.process.call(self.life, self._read)
+            self.process.call(self.life, self._show_end)
 
     def _up(self) -> None:
         if self.state == "opening":
--- a/honeywharf/transport/event_loop.py
+++ b/honeywharf/transport/event_loop.py
@@ -1,16 +1,16 @@
 """A `host.Host` on sockets: one thread, one `epoll`, timers in a heap.
 
 Theory of operation. `run` waits for the next timer or the next ready descriptor, and calls what is due. A
-connection with unsent bytes waits until it is writable, a paused one does not wait for data. A peer that is
-unreachable is noticed by `TCP_USER_TIMEOUT` while bytes are unacknowledged, and by keep-alive probes while
-none are. Source of the options: tcp(7). The interface and its contracts are in `host`.
+connection with unsent bytes waits until it is writable. A paused one does not wait for data; where
+`watch_end` asks for it, it waits for the end of the far side's bytes, which `epoll` tells before they are
+read. A peer that is unreachable is noticed by `TCP_USER_TIMEOUT` while bytes are unacknowledged, and by
+keep-alive probes while none are. Source of the options: tcp(7). The interface and its contracts: `host`.
 """
 
 from __future__ import annotations
 
 import os
 import select
-import signal
 import socket
 import sys
 import time
@@ -18,6 +18,7 @@
 from heapq import heappop, heappush
 
 from honeywharf.transport.disk import Disk
+from honeywharf.transport.signal_pipe import SignalPipe
 from honeywharf.transport.tcp_connection import TcpConnection
 
 TYPE_CHECKING = False  # `typing` is 1.3 MB in each process
@@ -33,7 +34,7 @@
 KEEPALIVE_S = 1  # between keep-alive probes of a connection that says nothing
 MAX_DATAGRAMS = 64  # read before others have their turn
 
-_IN, _OUT = select.EPOLLIN, select.EPOLLOUT
+_IN, _OUT, _FAR_END = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 _BROKEN = select.EPOLLHUP | select.EPOLLERR
 
 
@@ -64,8 +65,7 @@
         self.timer_count = 0
         self.ready: list[Callable[[], None]] = []
         self.status: int | None = None
-        self.signals: dict[int, Callable[[], None]] = {}
-        self.wakeup_reader, self.wakeup_writer = -1, -1
+        self.signals: SignalPipe | None = None
         self.iterations = self.errors = 0
 
     # Clocks and timers.
@@ -164,6 +164,8 @@
         if connection.socket.fileno() not in self.connections:
             return
         wanted = 0 if connection.is_paused or connection.is_read_closed or connection.is_connecting else _IN
+        if connection.is_paused and connection.end_watcher is not None and not connection.is_read_closed:
+            wanted |= _FAR_END
         if connection.buffer or connection.is_connecting:
             wanted |= _OUT
         if wanted != connection.mask:
@@ -218,12 +220,20 @@
             return
         if events & _OUT:
             self._write(connection)
+        if events & _FAR_END and connection.end_watcher is not None:
+            self._end_seen(connection, connection.end_watcher)
         if connection.handler is not None and events & (_IN | _BROKEN):
             if connection.mask & _IN:
                 self._read(connection)
             elif events & _BROKEN:
                 self.drop(connection, "reset")
 
+    def _end_seen(self, connection: TcpConnection, call: Callable[[], None]) -> None:
+        """The far side has ended its bytes, which are not read as the connection is paused."""
+        connection.end_watcher = None
+        self.update_interest(connection)
+        call()
+
     def _connected(self, connection: TcpConnection) -> None:
         error = connection.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
@@ -314,23 +324,10 @@
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Call when the process is sent a signal."""
-        if self.wakeup_reader < 0:
-            self.wakeup_reader, self.wakeup_writer = os.pipe()
-            for end in (self.wakeup_reader, self.wakeup_writer):
-                os.set_blocking(end, False)
-            signal.set_wakeup_fd(self.wakeup_writer, warn_on_full_buffer=False)
-            self.epoll.register(self.wakeup_reader, _IN)
-        self.signals[number] = call
-        signal.signal(number, lambda *_: None)  # what is to be done is done in its turn
-
-    def _signalled(self) -> None:
-        try:
-            numbers = os.read(self.wakeup_reader, 64)
-        except BlockingIOError:
-            return
-        for number in numbers:
-            if number in self.signals:
-                self.signals[number]()
+        if self.signals is None:
+            self.signals = SignalPipe()
+            self.epoll.register(self.signals.reader, _IN)
+        self.signals.on(number, call)
 
     def run(self) -> int:
         """Serve until `exit`; the status."""
@@ -345,8 +342,8 @@
                         self._datagrams_ready(number)
                     elif number in self.listeners:
                         self._accept(number)
-                    elif number == self.wakeup_reader:
-                        self._signalled()
+                    elif self.signals is not None and number == self.signals.reader:
+                        self.signals.handle()
                 except Exception:  # noqa: BLE001 - one call's error must not end the process; it is logged
                     self._failed(connection)
             self._call_due_timers()
--- a/honeywharf/transport/host.py
+++ b/honeywharf/transport/host.py
@@ -62,6 +62,9 @@
     def resume(self) -> None:
         """Read again."""
 
+    def watch_end(self, call: Callable[[], None]) -> None:
+        """Call once if the far side ends its bytes while reading is paused, though they are not read yet."""
+
 
 class Host(Protocol):
     """One machine, as one process sees it."""
--- a/honeywharf/transport/tcp_connection.py
+++ b/honeywharf/transport/tcp_connection.py
@@ -32,6 +32,7 @@
     __slots__ = (
         "buffer",
         "connect_timer",
+        "end_watcher",
         "handler",
         "is_closing",
         "is_connecting",
@@ -52,6 +53,7 @@
         self.is_closing = self.is_paused = self.is_read_closed = False
         self.mask = 0
         self.connect_timer: Timer | None = None
+        self.end_watcher: Callable[[], None] | None = None
 
     def send(self, data: bytes) -> None:
         """Send, later if need be."""
@@ -103,3 +105,8 @@
         if self.is_paused:
             self.is_paused = False
             self.loop.update_interest(self)
+
+    def watch_end(self, call: Callable[[], None]) -> None:
+        """Call once if the far side ends its bytes while reading is paused."""
+        self.end_watcher = call
+        self.loop.update_interest(self)
--- a/tests/control/virtual_network.py
+++ b/tests/control/virtual_network.py
@@ -72,6 +72,9 @@
     def resume(self) -> None:
         pass
 
+    def watch_end(self, call: Callable[[], None]) -> None:
+        pass
+
 
 class Disk:
     """Files; what a loss of power leaves of them."""
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -114,3 +114,30 @@
     channel.course.answer_data(b"x" * 1000)
     front.run()
     assert channel.cancelled
+
+
+@pytest.mark.parametrize("more", [0, 1], ids=["read to its end", "with a request unread"])
+def test_a_client_that_closes_while_its_connection_is_not_read_takes_its_requests_with_it(more: int) -> None:
+    front = Front()
+    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_AHEAD)))
+    caller.send(request(attempt=b"late") * more)
+    front.run()
+    assert front.outbound.departures.paused == 1
+    caller.connection.close()
+    front.run()
+    assert [channel.cancelled for channel in front.channels] == [True] * MAX_AHEAD
+    assert not front.outbound.guests
+
+
+def test_a_client_that_ends_its_side_while_it_is_not_read_gets_its_answers() -> None:
+    front = Front()
+    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_AHEAD)))
+    caller.send(request(attempt=b"late"))
+    caller.connection.finish()
+    front.run()
+    for n in range(MAX_AHEAD + 1):
+        give(front, front.channels[n], b"body %d" % n)
+    assert caller.data.count(b"HTTP/1.1 200") == MAX_AHEAD + 1
+    assert caller.data.startswith(INTERIM_RESPONSE + b"HTTP/1.1 200")
+    assert caller.data.count(INTERIM_RESPONSE) == 1
+    assert caller.gone is not None
--- a/tests/simulation/test_machine.py
+++ b/tests/simulation/test_machine.py
@@ -70,6 +70,23 @@
     assert log.names() == ["opened"]
 
 
+def test_the_end_of_a_paused_connection_is_told_before_it_is_read() -> None:
+    two = Two(echo=False)
+    log = two.asked()
+    two.world.run(0.1)
+    there, seen = two.taken[0], list[bytes]()
+    two.on(two.there, there.connection.pause)
+    two.on(two.there, lambda: there.connection.watch_end(lambda: seen.append(there.data)))
+    two.on(two.here, lambda: log.connection.send(b"late"))
+    two.on(two.here, log.connection.close)
+    two.world.run(0.2)
+    assert seen == [b""]
+    assert there.names() == []
+    two.on(two.there, there.connection.resume)
+    two.world.run(0.3)
+    assert (there.data, there.names(), len(seen)) == (b"late", ["ended"], 1)
+
+
 @pytest.mark.parametrize("pairs", [FORTH, BACK, FORTH + BACK])
 def test_a_cut_is_silent_and_what_it_held_up_comes_afterwards(pairs: list[tuple[str, str]]) -> None:
     two = Two()
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -238,6 +238,53 @@
     peer.close()
 
 
+@pytest.mark.parametrize("unread", [b"", b"not read yet"])
+def test_the_end_of_a_paused_connection_is_told_and_its_bytes_stay(bed: Bed, unread: bytes) -> None:
+    peer = socket.create_connection(bed.at)
+    peer.sendall(b"first")
+    bed.until(lambda: bool(bed.taken) and bool(bed.taken[0].data))
+    there, seen = bed.taken[0], list[bytes]()
+    there.connection.pause()
+    there.connection.watch_end(lambda: seen.append(bytes(there.data)))
+    peer.sendall(unread)
+    peer.shutdown(socket.SHUT_WR)
+    bed.until(lambda: bool(seen))
+    turns = bed.loop.iterations
+    bed.until(lambda: bed.loop.iterations > turns + 20)
+    assert seen == [b"first"], "it is told once, and nothing is read"
+    assert "ended" not in there.told
+    there.connection.resume()
+    bed.until(lambda: "ended" in there.told)
+    assert there.data == b"first" + unread
+    there.connection.close()
+    peer.close()
+
+
+def test_a_peer_that_has_closed_resets_what_is_sent_to_it_though_nothing_is_read(bed: Bed) -> None:
+    peer = socket.create_connection(bed.at)
+    peer.sendall(b"first")
+    bed.until(lambda: bool(bed.taken) and bool(bed.taken[0].data))
+    there = bed.taken[0]
+    there.connection.pause()
+    there.connection.watch_end(lambda: there.connection.send(b"are you there?"))
+    peer.sendall(b"not read yet")
+    peer.close()
+    bed.until(lambda: there.told[-1].startswith("closed"))
+    assert there.told[-1] == "closed reset"
+    assert there.data == b"first"
+
+
+def test_a_connection_that_is_read_has_no_watcher_called(bed: Bed) -> None:
+    peer = socket.create_connection(bed.at)
+    bed.until(lambda: bool(bed.taken))
+    there, seen = bed.taken[0], list[int]()
+    there.connection.watch_end(lambda: seen.append(1))
+    peer.close()
+    bed.until(lambda: "ended" in there.told)
+    assert not seen
+    there.connection.close()
+
+
 def test_close_sends_what_is_held_and_abort_drops_it(bed: Bed) -> None:
     for end, whole in (("close", True), ("abort", False)):
         bed.taken.clear()
@@ -393,11 +440,10 @@
         bed.until(lambda: len(told) == 2)
         assert told == [signal.SIGUSR1, signal.SIGHUP]
     finally:
-        signal.set_wakeup_fd(-1)
         for number, handler in before.items():
             signal.signal(number, handler)
-        os.close(bed.loop.wakeup_reader)
-        os.close(bed.loop.wakeup_writer)
+        assert bed.loop.signals is not None
+        bed.loop.signals.close()
 
 
 def test_run_gives_the_status_it_was_ended_with() -> None:
