Draw clients that leave and backends that are cut off in copies with every kind of trouble

Change: both with their variants. Measured: copies of the four deployments are written against what `kinds` prints for each; the tests of the copies pass.

--- a/bench/all_troubles.py
+++ b/bench/all_troubles.py
@@ -51,6 +51,7 @@
     "srv_grey": "health",
     "srv_lying_health": "health",
     "srv_flap": "health",
+    "srv_cut": "health",
     "idle_race": "pool",
 }
 OPEN = re.compile(r"^contracts = \[(?P<names>[^\]\n]*)\]$", re.MULTILINE)
@@ -98,6 +99,18 @@
     "replace_with_reuse": ({"share": 0.15}, ({}, {"how": "drain"}, {"how": "dark"})),
     "burst": ({"for_s": 3.0}, ({"x": 1.5}, {"x": 2.0})),
     "retry_abuse": ({"share": 0.3, "x": 3.0, "for_s": 5.0}, ({},)),
+    "give_up": ({"share": 0.5, "for_s": 8.0}, ({}, {"x": 100.0}, {"share": 1.0})),
+    "srv_cut": (
+        {"share": 0.2, "for_s": 5.0},
+        (
+            {},
+            {"how": "fronts", "x": 0.3},
+            {"how": "some", "x": 0.3},
+            {"how": "some lossy", "x": 0.3},
+            {"how": "one_way"},
+            {"how": "reset"},
+        ),
+    ),
     "node_kill": (
         {"for_s": 3.0},
         (
