Wait for the store's line of a killed proxy wherever it stands; wrong meshes for GONE

The proxy logs that the shared store is there either before or after it says where it listens; tests/ test_process.Process threw the early lines away, and the scene then waited 60 s for one of them. Change: Process keeps those lines and the scene looks there first; it also fails at once where the process has ended. Three wrong meshes for the rule GONE: a close taken for a half-close, a cancellation that is lost, a reset that is not heeded. Failed tries: none.

--- a/tests/orderkeys/test_kills.py
+++ b/tests/orderkeys/test_kills.py
@@ -80,10 +80,11 @@
         Process, path, known={"generation": 1, "reset": True, "instances": rows}
     )
     try:
-        pipe = process.process.stderr
+        pipe, lines = process.process.stderr, process.early
         assert pipe is not None
-        while "the shared store is there" not in await soon(asyncio.to_thread(pipe.readline)):
-            pass
+        while not any("the shared store is there" in line for line in lines):
+            lines.append(await soon(asyncio.to_thread(pipe.readline)))
+            assert lines[-1], "the process has ended"
         async with world(rows, on(redis)) as other:
             await until(lambda: up(other))
             yield Scene(redis, relay, process, other, backends)
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -29,6 +29,7 @@
 from honeywharf.programs.sidecar import Sidecar
 from honeywharf.sidecar.backend import Tap
 from honeywharf.sidecar.course import Course
+from honeywharf.sidecar.departures import DepartureProbe
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
 from honeywharf.sidecar.inbound import Job
 from honeywharf.sidecar.mesh_state import Word
@@ -539,9 +540,32 @@
     put(Admission, "ended", lambda self, now, short, took: None)
 
 
+def close_is_a_half_close(put: Put) -> None:
+    """Clients that have ended their bytes are not asked whether they are still there."""
+    put(DepartureProbe, "start", lambda self: None)
+
+
+def cancellation_is_lost(put: Put) -> None:
+    """The gate is not told that nobody waits any more."""
+    put(Course, "cancel", lambda self: self._end() if not self.over else None)
+
+
+def reset_is_not_heeded(put: Put) -> None:
+    """A client's connection breaks off, and its requests go on."""
+
+    def closed(self: Guest, why: str) -> None:
+        for exchange in self.exchanges:
+            exchange.course = None
+        was(self, why)
+
+    was = Guest.closed
+    put(Guest, "closed", closed)
+
+
 POWER, WIPE = ("closing", "power_off_all"), ("closing", "wipe_after_ack")
 KILL, CUT = ("node_kill", ""), ("core_cut", "")
 RACE, AGAIN = ("config_race", "versions"), ("late_again", "")
+LEAVE = ("give_up", "slow")
 STORM, CHANGE, LOST = ("config_storm", ""), ("config_change", ""), ("answer_lost", "heavy")
 
 MUTANTS = [
@@ -584,5 +608,8 @@
     Mutant("always ready, and ends soon", always_ready, (("roll_term", ""),), ("LOST",)),
     Mutant("leaving gives up who is there", leaving_refuses_who_is_there, (("roll_term", ""),), ("LOST",)),
     Mutant("digest never sent, nor rumours of the word", digest_never_sent, (STORM,), ("CONFIG",)),
+    Mutant("a close is a half-close", close_is_a_half_close, (LEAVE,), ("GONE",)),
+    Mutant("cancellation is lost", cancellation_is_lost, (LEAVE,), ("GONE",)),
+    Mutant("reset is not heeded", reset_is_not_heeded, (LEAVE,), ("GONE",)),
     Mutant("slots never given back", slots_never_given_back, (KILL,), ("RECOVER",), 26.0),
 ]
--- a/tests/simulation/test_mutants.py
+++ b/tests/simulation/test_mutants.py
@@ -19,6 +19,8 @@
     "SIGTERM exits at once",
     "word never renewed",
     "invalid is taken",
+    "a close is a half-close",
+    "cancellation is lost",
 )
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -102,8 +102,11 @@
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors)),
         )
         assert self.process.stderr is not None
-        # A store may be there before the listener is: its line comes first then.
-        line = next((x for x in self.process.stderr if not x.startswith("order keys: ")), "")
+        self.early: list[str] = []  # a store may be there before the listener is: its line comes first then
+        line = self.process.stderr.readline()
+        while line.startswith("order keys: "):
+            self.early.append(line)
+            line = self.process.stderr.readline()
         assert line.startswith("n listens on 127.0.0.1:")
         self.port = int(line.rpartition(":")[2])
 
