Give a client's connection a module of its own, and what it needs of others a name

Change: sidecar/client_connection.py (ClientConnection, ExchangeClient, LocalAnswer; `head` in four functions), outbound.py keeps the address. Shutdown and the connection name what they need as protocols; the shutdown leaves the circle of imports, the new module takes its place (11, as before). What is done is as it was. Measured: tests of the sidecar, drift, compatibility and layers pass; types and linter clean. Failed tries: NamedTuple for LocalAnswer: it would load `typing`, 1.3 MB in each process.

--- a/honeywharf/sidecar/shutdown.py
+++ b/honeywharf/sidecar/shutdown.py
@@ -19,13 +19,51 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sized
+    from typing import Protocol
 
-    from honeywharf.sidecar.inbound import Inbound
-    from honeywharf.sidecar.outbound import Outbound
-    from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Host
 
+    class RequestSource(Protocol):
+        """The source of requests of this process's clients."""
+
+        @property
+        def courses(self) -> Sized:
+            """Requests under way."""
+
+    class ClientSide(Protocol):
+        """The address that clients come to."""
+
+        @property
+        def clients(self) -> Sized:
+            """Clients' connections."""
+
+        def leave(self, end_at: float) -> None:
+            """This process ends at `end_at`: answers close their connections."""
+
+        def settle(self) -> None:
+            """Close connections on which nothing is owed."""
+
+        def finish(self) -> None:
+            """This process ends now: every request under way gets its final answer."""
+
+        def close(self) -> None:
+            """Take no further connections."""
+
+    class BackendSide(Protocol):
+        """The requests before the backend on this machine."""
+
+        end_at: float  # when this process ends
+        leaving: bool
+
+        @property
+        def jobs(self) -> Sized:
+            """Requests under way."""
+
+        def finish(self) -> None:
+            """This process ends now: the source of each request is told what is known of it."""
+
+
 UNTIL_QUIET_S = 2.6  # by then the platform has noticed, and sends no new clients
 GATE_S = 0.8  # before that, the gate closes
 END_S = 0.4  # before the end of `grace-period`, the last requests are answered
@@ -41,9 +79,9 @@
         self,
         host: Host,
         grace_period_s: float,
-        source: Source,
-        inbound: Inbound,
-        outbound: Outbound,
+        source: RequestSource,
+        inbound: BackendSide,
+        outbound: ClientSide,
         gate_closed: Callable[[], None],
         ended: Callable[[], None],
     ) -> None:
@@ -89,7 +127,7 @@
             self.host.after(CHECK_S, self._look)
 
     def _empty(self) -> bool:
-        return not self.source.courses and not self.inbound.jobs and not self.outbound.guests
+        return not self.source.courses and not self.inbound.jobs and not self.outbound.clients
 
     def _end(self) -> None:
         """Answer whatever is under way, then exit."""
--- a/tests/sidecar/order_mutants.py
+++ b/tests/sidecar/order_mutants.py
@@ -6,9 +6,9 @@
 from typing import Any, NamedTuple
 
 from honeywharf.sidecar.backend import Tap
+from honeywharf.sidecar.client_connection import ClientConnection
 from honeywharf.sidecar.course import Course
 from honeywharf.sidecar.inbound import Job
-from honeywharf.sidecar.outbound import Guest
 from honeywharf.transport.link import ClientStream, Link
 from honeywharf.transport.link_server import LinkServer
 from honeywharf.transport.stream import ForwardedRequest
@@ -112,12 +112,12 @@
 def answers_as_they_come(put: Put) -> None:
     """Answers on a client's connection are written in the order in which they come."""
 
-    def write(self: Guest) -> None:
+    def write(self: ClientConnection) -> None:
         self.exchanges.sort(key=lambda exchange: not exchange.done)
         was(self)
 
-    was = Guest._write
-    put(Guest, "_write", write)
+    was = ClientConnection._write
+    put(ClientConnection, "_write", write)
 
 
 def stream_number_again(put: Put) -> None:
@@ -140,7 +140,7 @@
 
 def closes_on_pipelined(put: Put) -> None:
     """A process that leaves closes a connection behind an answer though more is at work on it."""
-    put(Guest, "_leaves", lambda self, exchange: self.outbound.leaving)
+    put(ClientConnection, "_leaves", lambda self, exchange: self.outbound.leaving)
 
 
 class Mutant(NamedTuple):
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from honeywharf.sidecar.client_connection import MAX_PIPELINED
 from honeywharf.sidecar.departures import FIRST_INTERVAL_S, INTERIM_RESPONSE, MAX_INTERVAL_S, Departures
-from honeywharf.sidecar.outbound import MAX_AHEAD
 from tests.sidecar.stage import Front
 from tests.sidecar.test_outbound import give, request
 
@@ -32,7 +32,7 @@
 
 def test_a_connection_that_is_no_longer_read_is_counted() -> None:
     front = Front()
-    front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_AHEAD)))
+    front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_PIPELINED)))
     assert "paused=1" in front.outbound.departures.counters()
 
 
@@ -44,7 +44,7 @@
     front.run()
     assert [channel.cancelled for channel in front.channels] == [True] * requests
     assert not front.source.courses
-    assert not front.outbound.guests
+    assert not front.outbound.clients
 
 
 def test_a_client_that_waits_with_its_own_side_closed_is_asked_again_and_may_leave_later() -> None:
@@ -119,25 +119,25 @@
 @pytest.mark.parametrize("more", [0, 1], ids=["read to its end", "with a request unread"])
 def test_a_client_that_closes_while_its_connection_is_not_read_takes_its_requests_with_it(more: int) -> None:
     front = Front()
-    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_AHEAD)))
+    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_PIPELINED)))
     caller.send(request(attempt=b"late") * more)
     front.run()
     assert front.outbound.departures.paused == 1
     caller.connection.close()
     front.run()
-    assert [channel.cancelled for channel in front.channels] == [True] * MAX_AHEAD
-    assert not front.outbound.guests
+    assert [channel.cancelled for channel in front.channels] == [True] * MAX_PIPELINED
+    assert not front.outbound.clients
 
 
 def test_a_client_that_ends_its_side_while_it_is_not_read_gets_its_answers() -> None:
     front = Front()
-    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_AHEAD)))
+    caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_PIPELINED)))
     caller.send(request(attempt=b"late"))
     caller.connection.finish()
     front.run()
-    for n in range(MAX_AHEAD + 1):
+    for n in range(MAX_PIPELINED + 1):
         give(front, front.channels[n], b"body %d" % n)
-    assert caller.data.count(b"HTTP/1.1 200") == MAX_AHEAD + 1
+    assert caller.data.count(b"HTTP/1.1 200") == MAX_PIPELINED + 1
     assert caller.data.startswith(INTERIM_RESPONSE + b"HTTP/1.1 200")
     assert caller.data.count(INTERIM_RESPONSE) == 1
     assert caller.gone is not None
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -6,8 +6,9 @@
 
 import pytest
 
+from honeywharf.sidecar.client_connection import MAX_HELD_BODY, MAX_PIPELINED
 from honeywharf.sidecar.departures import INTERIM_RESPONSE
-from honeywharf.sidecar.outbound import HELD_BYTES, MAX_AHEAD, SUCCESSOR_S
+from honeywharf.sidecar.outbound import SUCCESSOR_S
 from honeywharf.transport.stream import WINDOW_SIZE
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sidecar.stage import Channel, Front
@@ -87,12 +88,12 @@
     for n in range(40):
         caller.send(request(attempt=b"a%d" % n))
         front.run(0.001)
-    assert len(front.channels) == MAX_AHEAD
+    assert len(front.channels) == MAX_PIPELINED
     for n in range(40):
-        assert n < len(front.channels) <= n + MAX_AHEAD
+        assert n < len(front.channels) <= n + MAX_PIPELINED
         give(front, front.channels[n], b"body %d" % n)
         if n == 0:
-            assert len(front.channels) > MAX_AHEAD, "the next was not read when the first had ended"
+            assert len(front.channels) > MAX_PIPELINED, "the next was not read when the first had ended"
     assert [body for _, _, body in caller.answers()] == [b"body %d" % n for n in range(40)]
 
 
@@ -137,7 +138,7 @@
     assert (first, second) == (200, status)
     assert b"Connection: close" in top
     assert caller.gone is not None
-    assert not front.outbound.guests
+    assert not front.outbound.clients
 
 
 def test_a_head_that_does_not_end_is_408() -> None:
@@ -183,13 +184,13 @@
     front = Front()
     caller = front.call(request("upload", body=bytes(1_000_000)), seconds=0.5)
     course = front.channels[0].course
-    assert HELD_BYTES < course.held <= HELD_BYTES + 64 * 1024
+    assert MAX_HELD_BODY < course.held <= MAX_HELD_BODY + 64 * 1024
     assert caller.connection.unsent > 500_000
     course.go()
     while not front.channels[0].ends:
         course.window(30_000)
         front.run()
-        assert course.held <= HELD_BYTES + 64 * 1024
+        assert course.held <= MAX_HELD_BODY + 64 * 1024
     assert len(front.channels[0].body) == 1_000_000
     give(front, front.channels[0], b"ok")
     assert caller.statuses() == [200]
@@ -225,7 +226,7 @@
     front.channels[1].course.failed(REFUSED)
     front.run(1.0)
     assert caller.gone is not None
-    assert not front.outbound.guests
+    assert not front.outbound.clients
 
 
 def test_a_client_that_expects_a_word_before_its_body_gets_it() -> None:
@@ -315,7 +316,7 @@
     front.run()
     assert all(channel.cancelled for channel in front.channels)
     assert not front.source.courses
-    assert not front.outbound.guests
+    assert not front.outbound.clients
 
 
 def test_a_client_that_only_ends_its_sending_gets_its_answers() -> None:
@@ -359,7 +360,7 @@
     front.outbound.close()
     late = front.call(request())
     assert late.gone == "refused"
-    assert not front.outbound.guests
+    assert not front.outbound.clients
 
 
 @pytest.mark.parametrize("seed", range(5))
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -28,12 +28,13 @@
 from honeywharf.gossip.gossip import Gossip
 from honeywharf.programs.sidecar import Sidecar
 from honeywharf.sidecar.backend import Tap
+from honeywharf.sidecar.client_connection import ClientConnection
 from honeywharf.sidecar.course import Course
 from honeywharf.sidecar.departures import DepartureProbe
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
 from honeywharf.sidecar.inbound import Job
 from honeywharf.sidecar.mesh_state import Word
-from honeywharf.sidecar.outbound import Guest, Outbound
+from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.source import Source
 from honeywharf.simulation.days import Fault
 from honeywharf.simulation.run import Report, run
@@ -421,12 +422,12 @@
 
 
 def answers_as_they_come(put: Put) -> None:
-    def write(self: Guest) -> None:
+    def write(self: ClientConnection) -> None:
         self.exchanges.sort(key=lambda exchange: not exchange.done)
         was(self)
 
-    was = Guest._write
-    put(Guest, "_write", write)
+    was = ClientConnection._write
+    put(ClientConnection, "_write", write)
 
 
 def caller_as_sent(put: Put) -> None:
@@ -553,13 +554,13 @@
 def reset_is_not_heeded(put: Put) -> None:
     """A client's connection breaks off, and its requests go on."""
 
-    def closed(self: Guest, why: str) -> None:
+    def closed(self: ClientConnection, why: str) -> None:
         for exchange in self.exchanges:
             exchange.course = None
         was(self, why)
 
-    was = Guest.closed
-    put(Guest, "closed", closed)
+    was = ClientConnection.closed
+    put(ClientConnection, "closed", closed)
 
 
 POWER, WIPE = ("closing", "power_off_all"), ("closing", "wipe_after_ack")
