--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -263,7 +263,7 @@
             f"{WORDS[why].replace(' ', '-')}={n}" for why, n in sorted(inbound.refused.items())
         )
         self.host.log(
-            f"{self.source.counters()}; {self.outbound.departures.counters()}; "
+            f"{self.source.counters()}; {self.outbound.disconnects.counters()}; "
             f"{self.drift_monitor.counters()}; "
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {rejected or 'none'}; "
--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -4,7 +4,7 @@
 first writes, the others hold their answers, which the windows of their courses bound. Reading stops while
 `MAX_PIPELINED` requests are under way, or while more of a body is held than `MAX_HELD_BODY`. What breaks the
 protocol or a bound of the configuration is answered (400, 408, 413, 431) behind the answers that are owed,
-and ends the connection. A client that ends its bytes is asked whether it still waits (`departures`).
+and ends the connection. A client that ends its bytes is asked whether it still waits (`disconnects`).
 Source: PROTOCOL, "Requests"; RULES, LOST, MIXED and GONE.
 """
 
@@ -14,7 +14,7 @@
 from honeywharf.codecs.mesh import RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
 from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
-from honeywharf.sidecar.departures import INTERIM_RESPONSE, DepartureProbe
+from honeywharf.sidecar.disconnects import INTERIM_RESPONSE, DisconnectProbe
 from honeywharf.transport.stream import WINDOW_SIZE
 
 TYPE_CHECKING = False
@@ -22,7 +22,7 @@
     from typing import Protocol
 
     from honeywharf.mesh_config.routes import Route
-    from honeywharf.sidecar.departures import Departures
+    from honeywharf.sidecar.disconnects import DisconnectCounters
     from honeywharf.sidecar.mesh_state import Word
     from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Connection, Host, Timer
@@ -33,7 +33,7 @@
         host: Host
         word: Word
         source: Source
-        departures: Departures
+        disconnects: DisconnectCounters
         leaving: bool  # this process ends: answers close their connections
         clients: dict[ClientConnection, None]
 
@@ -96,7 +96,7 @@
     __slots__ = (
         "closing",
         "connection",
-        "departed",
+        "disconnected",
         "exchange",
         "exchanges",
         "gone",
@@ -115,8 +115,8 @@
         self.exchanges: list[Exchange] = []  # the first is answered first
         self.exchange: Exchange | None = None  # whose body is being read
         self.closing = self.gone = self.paused = False
-        self.departed = False  # with requests under way
-        self.probe: DepartureProbe | None = None  # since the client has ended its bytes
+        self.disconnected = False  # with requests under way
+        self.probe: DisconnectProbe | None = None  # since the client has ended its bytes
         self.since = outbound.host.now()  # of what the timer waits for
         self.timer: Timer | None = None
         self._time()
@@ -248,7 +248,7 @@
         )
         if full != self.paused and not self.gone:
             self.paused = full
-            self.outbound.departures.paused += full
+            self.outbound.disconnects.paused += full
             (self.connection.pause if full else self.connection.resume)()
             if full and self.probe is None:
                 self.connection.watch_end(self._start_probe)
@@ -380,7 +380,7 @@
         if not self.exchanges:
             self.connection.close()
         elif not self.reader.idle:
-            self._note_departure(reset=False)
+            self._note_disconnect(reset=False)
             self.connection.abort()
         else:
             self.exchanges[-1].closes = True
@@ -390,8 +390,8 @@
     def _start_probe(self) -> None:
         """The client has ended its bytes, all of which may not be read yet: find out whether it is there."""
         if self.probe is None and not self.gone:
-            self._note_departure(reset=False)
-            self.probe = DepartureProbe(self.outbound.host, self.connection, self._may_probe)
+            self._note_disconnect(reset=False)
+            self.probe = DisconnectProbe(self.outbound.host, self.connection, self._may_probe)
             self.probe.start()
 
     def _may_probe(self) -> bool:
@@ -409,10 +409,10 @@
         if self.probe is not None:
             self.probe.stop()
         if why:
-            self._note_departure(reset=True)
+            self._note_disconnect(reset=True)
         for course in self._under_way():
             course.cancel()
-            self.outbound.departures.cancelled += self.departed
+            self.outbound.disconnects.cancelled += self.disconnected
         self.exchanges.clear()
         self.outbound.clients.pop(self, None)
         self.reader.close()
@@ -422,15 +422,15 @@
         courses = [exchange.course for exchange in self.exchanges if exchange.course is not None]
         return [course for course in courses if not course.over]
 
-    def _note_departure(self, *, reset: bool) -> None:
+    def _note_disconnect(self, *, reset: bool) -> None:
         """Count that the client has left requests of its own under way; once for a connection."""
-        under_way, departures = len(self._under_way()), self.outbound.departures
-        if not under_way or self.departed:
+        under_way, disconnects = len(self._under_way()), self.outbound.disconnects
+        if not under_way or self.disconnected:
             return
-        self.departed = True
-        departures.reset += reset
-        departures.closed += not reset
-        departures.requests += under_way
+        self.disconnected = True
+        disconnects.reset += reset
+        disconnects.closed += not reset
+        disconnects.requests += under_way
 
     def settle(self) -> None:
         """This process leaves: close if nothing is owed."""
--- a/honeywharf/sidecar/departures.py
+++ b/honeywharf/sidecar/disconnects.py
@@ -25,7 +25,7 @@
 MAX_INTERVAL_S = 2.0
 
 
-class DepartureProbe:
+class DisconnectProbe:
     """Asks a client that has ended its bytes whether it is still there, by interim responses.
 
     `may_ask` tells whether the next bytes on the connection may be an interim response. Where the client has
@@ -53,12 +53,12 @@
             self.timer = None
 
 
-class Departures:
+class DisconnectCounters:
     """How clients' connections ended while requests were under way, and what became of those requests.
 
     The counters tell three faults apart that look alike from outside, as work that goes on for nobody:
 
-    - the end of a client's bytes is not taken for its departure: `cancelled` stays behind `requests`
+    - the end of a client's bytes is not taken for a disconnect: `cancelled` stays behind `requests`
     - the end is not read: `paused` rises, `requests` does not
     - the cancellation is lost behind the source: `cancelled` rises here, and not at the gates
     """
@@ -75,6 +75,6 @@
     def counters(self) -> str:
         """What happened so far, for a log line."""
         return (
-            f"clients left closed={self.closed} reset={self.reset} "
+            f"clients disconnected closed={self.closed} reset={self.reset} "
             f"requests={self.requests} cancelled={self.cancelled} paused={self.paused}"
         )
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from honeywharf.sidecar.client_connection import ClientConnection
-from honeywharf.sidecar.departures import Departures
+from honeywharf.sidecar.disconnects import DisconnectCounters
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
@@ -26,7 +26,7 @@
     def __init__(self, host: Host, address: Address, word: Word, source: Source) -> None:
         self.host, self.address, self.word, self.source = host, address, word, source
         self.clients: dict[ClientConnection, None] = {}
-        self.departures = Departures()
+        self.disconnects = DisconnectCounters()
         self.leaving = False
         self.last_s = 0.0  # before the end of this process, in which requests are refused at most
         host.listen(address, self._accept)
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_disconnects.py
@@ -5,7 +5,12 @@
 import pytest
 
 from honeywharf.sidecar.client_connection import MAX_PIPELINED
-from honeywharf.sidecar.departures import FIRST_INTERVAL_S, INTERIM_RESPONSE, MAX_INTERVAL_S, Departures
+from honeywharf.sidecar.disconnects import (
+    FIRST_INTERVAL_S,
+    INTERIM_RESPONSE,
+    MAX_INTERVAL_S,
+    DisconnectCounters,
+)
 from tests.sidecar.stage import Front
 from tests.sidecar.test_outbound import give, request
 
@@ -16,7 +21,7 @@
     give(front, front.channels[0], b"ok")
     caller.connection.close()
     front.run()
-    assert front.outbound.departures.counters() == Departures().counters()
+    assert front.outbound.disconnects.counters() == DisconnectCounters().counters()
 
 
 @pytest.mark.parametrize(
@@ -27,13 +32,13 @@
     caller = front.call(request() + request(attempt=b"a2"))
     (caller.connection.close if how == "close" else caller.connection.abort)()
     front.run()
-    assert f"clients left {counted}" in front.outbound.departures.counters()
+    assert f"clients disconnected {counted}" in front.outbound.disconnects.counters()
 
 
 def test_a_connection_that_is_no_longer_read_is_counted() -> None:
     front = Front()
     front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_PIPELINED)))
-    assert "paused=1" in front.outbound.departures.counters()
+    assert "paused=1" in front.outbound.disconnects.counters()
 
 
 def test_requests_of_a_client_that_closes_in_order_are_cancelled() -> None:
@@ -122,7 +127,7 @@
     caller = front.call(b"".join(request(attempt=b"a%d" % n) for n in range(MAX_PIPELINED)))
     caller.send(request(attempt=b"late") * more)
     front.run()
-    assert front.outbound.departures.paused == 1
+    assert front.outbound.disconnects.paused == 1
     caller.connection.close()
     front.run()
     assert [channel.cancelled for channel in front.channels] == [True] * MAX_PIPELINED
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -30,7 +30,7 @@
 from honeywharf.sidecar.backend import Tap
 from honeywharf.sidecar.client_connection import ClientConnection
 from honeywharf.sidecar.course import Course
-from honeywharf.sidecar.departures import DepartureProbe
+from honeywharf.sidecar.disconnects import DisconnectProbe
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
 from honeywharf.sidecar.inbound import Job
 from honeywharf.sidecar.mesh_state import Word
@@ -543,7 +543,7 @@
 
 def close_is_a_half_close(put: Put) -> None:
     """Clients that have ended their bytes are not asked whether they are still there."""
-    put(DepartureProbe, "start", lambda self: None)
+    put(DisconnectProbe, "start", lambda self: None)
 
 
 def cancellation_is_lost(put: Put) -> None:
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -274,6 +274,17 @@
     assert there.data == b"first"
 
 
+def test_a_peer_that_has_closed_resets_what_is_sent_to_it_after_its_end(bed: Bed) -> None:
+    peer = socket.create_connection(bed.at)
+    peer.sendall(b"first")
+    peer.close()
+    bed.until(lambda: bool(bed.taken) and "ended" in bed.taken[0].told)
+    there = bed.taken[0]
+    there.connection.send(b"are you there?")
+    bed.until(lambda: there.told[-1].startswith("closed"))
+    assert there.told == ["received", "ended", "closed reset"]
+
+
 def test_a_connection_that_is_read_has_no_watcher_called(bed: Bed) -> None:
     peer = socket.create_connection(bed.at)
     bed.until(lambda: bool(bed.taken))
