Keep the bytes of the mesh's interim response in its codec

Cause: 100 Continue stood in transport/http_server.py and, written again in this change, in the sidecar. Change: codecs/mesh.py has it, both use it. The first proxy's front keeps its own: it reads by another codec. Measured: tests of clients' connections, transport, codec and layers pass. Failed tries: none.

--- a/honeywharf/codecs/mesh.py
+++ b/honeywharf/codecs/mesh.py
@@ -59,6 +59,7 @@
     504: b"Gateway Timeout",
 }
 MAX_INTERIM = 8  # 1xx answers ahead of one answer
+INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_ID = 128  # bytes of an attempt id
 
 
--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -11,10 +11,10 @@
 from __future__ import annotations
 
 from honeywharf.codecs.heads import UNKNOWN, Head
-from honeywharf.codecs.mesh import RequestReader, begun, final
+from honeywharf.codecs.mesh import INTERIM_RESPONSE, RequestReader, begun, final
 from honeywharf.codecs.reader import MalformedError
 from honeywharf.sidecar.course import ASIDE, DEADLINE_S, Course
-from honeywharf.sidecar.disconnects import INTERIM_RESPONSE, DisconnectProbe
+from honeywharf.sidecar.disconnects import DisconnectProbe
 from honeywharf.transport.stream import WINDOW_SIZE
 
 TYPE_CHECKING = False
--- a/honeywharf/sidecar/disconnects.py
+++ b/honeywharf/sidecar/disconnects.py
@@ -13,13 +13,14 @@
 
 from __future__ import annotations
 
+from honeywharf.codecs.mesh import INTERIM_RESPONSE
+
 TYPE_CHECKING = False
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from honeywharf.transport.host import Connection, Host, Timer
 
-INTERIM_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 FIRST_INTERVAL_S = 0.2  # between the first and the second interim response; each further interval is longer
 INTERVAL_GROWTH = 2.0
 MAX_INTERVAL_S = 2.0
--- a/honeywharf/transport/http_server.py
+++ b/honeywharf/transport/http_server.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from honeywharf.codecs.heads import Head
-from honeywharf.codecs.mesh import RequestReader, final
+from honeywharf.codecs.mesh import INTERIM_RESPONSE, RequestReader, final
 from honeywharf.codecs.reader import MalformedError
 
 TYPE_CHECKING = False
@@ -200,7 +200,7 @@
         """A head is whole."""
         self.http_connection.reading = head
         if head.expects and not self.http_connection.is_busy:
-            self.http_connection.connection.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.http_connection.connection.send(INTERIM_RESPONSE)
 
     def data(self, data: bytes) -> None:
         """A part of its body."""
--- a/tests/sidecar/test_disconnects.py
+++ b/tests/sidecar/test_disconnects.py
@@ -4,13 +4,9 @@
 
 import pytest
 
+from honeywharf.codecs.mesh import INTERIM_RESPONSE
 from honeywharf.sidecar.client_connection import MAX_PIPELINED
-from honeywharf.sidecar.disconnects import (
-    FIRST_INTERVAL_S,
-    INTERIM_RESPONSE,
-    MAX_INTERVAL_S,
-    DisconnectCounters,
-)
+from honeywharf.sidecar.disconnects import FIRST_INTERVAL_S, MAX_INTERVAL_S, DisconnectCounters
 from tests.sidecar.stage import Front
 from tests.sidecar.test_outbound import give, request
 
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from honeywharf.codecs.mesh import INTERIM_RESPONSE
 from honeywharf.sidecar.client_connection import MAX_HELD_BODY, MAX_PIPELINED
-from honeywharf.sidecar.disconnects import INTERIM_RESPONSE
 from honeywharf.sidecar.outbound import SUCCESSOR_S
 from honeywharf.transport.stream import WINDOW_SIZE
 from honeywharf.verdict import BROKEN_OFF, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
