Name what a client's connection and the shutdown do in the words of the field

Change: drain, draining, close_idle, is_closed, request_complete, complete_answer, retry_after_s, may_probe.

--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -34,7 +34,7 @@
         word: Word
         source: Source
         disconnects: DisconnectCounters
-        leaving: bool  # this process ends: answers close their connections
+        draining: bool  # this process ends: answers close their connections
         clients: dict[ClientConnection, None]
 
         def ends_before(self, now: float, route: Route) -> bool:
@@ -73,14 +73,14 @@
         "keep",
         "long",
         "out",
+        "request_complete",
         "waiting",
-        "whole_request",
     )
 
     def __init__(self, keep: bool, bodiless: bool, interim: bool) -> None:
         self.course: Course | None = None
         self.keep, self.bodiless, self.interim = keep, bodiless, interim
-        self.done = self.chunked = self.whole_request = self.closes = self.long = False
+        self.done = self.chunked = self.request_complete = self.closes = self.long = False
         self.out: list[bytes] = []
         self.waiting = 0  # bytes of the answer's body not yet told as gone
 
@@ -99,7 +99,7 @@
         "disconnected",
         "exchange",
         "exchanges",
-        "gone",
+        "is_closed",
         "outbound",
         "paused",
         "probe",
@@ -114,7 +114,7 @@
         self.reader = RequestReader(_RequestSink(self), limits.max_body_bytes, limits.max_header_bytes + 4096)
         self.exchanges: list[Exchange] = []  # the first is answered first
         self.exchange: Exchange | None = None  # whose body is being read
-        self.closing = self.gone = self.paused = False
+        self.closing = self.is_closed = self.paused = False
         self.disconnected = False  # with requests under way
         self.probe: DisconnectProbe | None = None  # since the client has ended its bytes
         self.since = outbound.host.now()  # of what the timer waits for
@@ -133,7 +133,7 @@
 
     def _timed_out(self) -> None:
         self.timer = None
-        if self.gone or self.closing:
+        if self.is_closed or self.closing:
             return
         if self.reader.in_head or (self.exchange is not None and not self.paused):
             self._fault(408, SLOW_BODY)
@@ -158,7 +158,7 @@
         except MalformedError as fault:
             self._fault(fault.status, str(fault).encode())
             return
-        if self.gone:
+        if self.is_closed:
             return
         if not (in_head and self.reader.in_head):
             self._time()
@@ -167,7 +167,7 @@
     def head(self, head: Head) -> None:
         """A request's head is whole."""
         exchange = Exchange(head.keep, head.method == b"HEAD", head.interim)
-        exchange.whole_request, exchange.long = head.length == 0, head.length > MAX_DISCARDED_BODY
+        exchange.request_complete, exchange.long = head.length == 0, head.length > MAX_DISCARDED_BODY
         behind = self.exchanges[-1].closes if self.exchanges else False
         self.exchanges.append(exchange)
         if self.closing or behind:
@@ -235,7 +235,7 @@
         """The request is whole."""
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            exchange.whole_request = True
+            exchange.request_complete = True
             if exchange.course is not None:
                 exchange.course.end()
             self._flush()
@@ -246,14 +246,14 @@
         full = len(self.exchanges) >= MAX_PIPELINED or (
             course is not None and not course.over and course.held > MAX_HELD_BODY
         )
-        if full != self.paused and not self.gone:
+        if full != self.paused and not self.is_closed:
             self.paused = full
             self.outbound.disconnects.paused += full
             (self.connection.pause if full else self.connection.resume)()
             if full and self.probe is None:
                 self.connection.watch_end(self._start_probe)
 
-    def _fault(self, status: int, words: bytes) -> None:
+    def _fault(self, status: int, text: bytes) -> None:
         """What came makes no sense, or not in time: it is answered last, and the connection ends."""
         exchange = self.exchange
         self.exchange = None
@@ -273,7 +273,7 @@
         if exchange.out or exchange.done:
             exchange.done = True
         else:
-            self.own(exchange, LocalAnswer(status, 0.0, words))
+            self.own(exchange, LocalAnswer(status, 0.0, text))
         self.closing = True
         self._flush()
 
@@ -283,7 +283,7 @@
         """An answer of the mesh's own."""
         if exchange.done:
             return
-        if self._leaves(exchange) or (not exchange.whole_request and exchange.long):
+        if self._is_last_answer(exchange) or (not exchange.request_complete and exchange.long):
             exchange.closes = True  # else the rest is read and dropped: a reset could eat the answer
         exchange.out.append(
             final(
@@ -297,13 +297,13 @@
         exchange.done = True
         self._flush()
 
-    def _leaves(self, exchange: Exchange) -> bool:
+    def _is_last_answer(self, exchange: Exchange) -> bool:
         """Whether this answer is the last because the process leaves; those at work behind it are owed."""
-        return self.outbound.leaving and self.exchanges[-1:] == [exchange]
+        return self.outbound.draining and self.exchanges[-1:] == [exchange]
 
     def answer(self, exchange: Exchange, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
-        if self._leaves(exchange):
+        if self._is_last_answer(exchange):
             exchange.closes = True
         exchange.chunked = length == UNKNOWN and body is None
         bodiless = exchange.bodiless or status in (204, 304)
@@ -320,7 +320,7 @@
         exchange.waiting += len(data)
         self._flush()
 
-    def answer_whole(self, exchange: Exchange) -> None:
+    def complete_answer(self, exchange: Exchange) -> None:
         """It is whole."""
         if exchange.chunked:
             exchange.out.append(b"0\r\n\r\n")
@@ -329,7 +329,7 @@
 
     def broken(self, exchange: Exchange) -> None:
         """An answer that has begun breaks off: the connection must not look as if it had not."""
-        if not self.gone:
+        if not self.is_closed:
             if self.exchanges and self.exchanges[0] is exchange:
                 self.connection.abort()
             else:
@@ -340,12 +340,12 @@
     def _flush(self) -> None:
         """Write what may be written, and read on if there is room now, or a rest to be dropped."""
         self._write()
-        if not self.gone:
+        if not self.is_closed:
             self.gauge()
 
     def _write(self) -> None:
         """Write what may be written, in order."""
-        while self.exchanges and not self.gone:
+        while self.exchanges and not self.is_closed:
             exchange = self.exchanges[0]
             if exchange.out:
                 data = b"".join(exchange.out)
@@ -359,10 +359,10 @@
             if exchange.closes:
                 self._close()
                 return
-            if not exchange.whole_request:
+            if not exchange.request_complete:
                 return
             del self.exchanges[0]
-            if not self.exchanges and self.outbound.leaving and self.reader.idle:
+            if not self.exchanges and self.outbound.draining and self.reader.idle:
                 self._close()
                 return
 
@@ -389,7 +389,7 @@
 
     def _start_probe(self) -> None:
         """The client has ended its bytes, all of which may not be read yet: find out whether it is there."""
-        if self.probe is None and not self.gone:
+        if self.probe is None and not self.is_closed:
             self._note_disconnect(reset=False)
             self.probe = DisconnectProbe(self.outbound.host, self.connection, self._may_probe)
             self.probe.start()
@@ -403,7 +403,7 @@
 
     def closed(self, why: str) -> None:
         """It is gone: nobody waits."""
-        self.gone = True
+        self.is_closed = True
         if self.timer is not None:
             self.timer.cancel()
         if self.probe is not None:
@@ -432,7 +432,7 @@
         disconnects.closed += not reset
         disconnects.requests += under_way
 
-    def settle(self) -> None:
+    def close_idle(self) -> None:
         """This process leaves: close if nothing is owed."""
         if not self.exchanges and self.reader.idle:
             self.closing = True
@@ -456,9 +456,9 @@
     def __init__(self, client: ClientConnection, exchange: Exchange) -> None:
         self.client, self.exchange = client, exchange
 
-    def final(self, course: Course, status: int, again_s: float, words: bytes) -> None:
+    def final(self, course: Course, status: int, retry_after_s: float, text: bytes) -> None:
         """An answer of the mesh's own."""
-        self.client.own(self.exchange, LocalAnswer(status, again_s, words))
+        self.client.own(self.exchange, LocalAnswer(status, retry_after_s, text))
 
     def answer(self, course: Course, status: int, fields: bytes, length: int, body: bytes | None) -> None:
         """A backend's answer."""
@@ -470,7 +470,7 @@
 
     def whole(self, course: Course) -> None:
         """It is whole."""
-        self.client.answer_whole(self.exchange)
+        self.client.complete_answer(self.exchange)
 
     def broken(self, course: Course) -> None:
         """It breaks off."""
--- a/honeywharf/sidecar/course.py
+++ b/honeywharf/sidecar/course.py
@@ -52,7 +52,7 @@
     class Client(Protocol):
         """Where the answer goes."""
 
-        def final(self, course: Course, status: int, again_s: float, words: bytes) -> None:
+        def final(self, course: Course, status: int, retry_after_s: float, text: bytes) -> None:
             """An answer of the mesh's own."""
 
         def answer(self, course: Course, status: int, fields: bytes, length: int, body: bytes | None) -> None:
--- a/honeywharf/sidecar/disconnects.py
+++ b/honeywharf/sidecar/disconnects.py
@@ -29,20 +29,20 @@
 class DisconnectProbe:
     """Asks a client that has ended its bytes whether it is still there, by interim responses.
 
-    `may_ask` tells whether the next bytes on the connection may be an interim response. Where the client has
-    closed, the connection is reset, and its handler is told.
+    `may_probe` tells whether the next bytes on the connection may be an interim response. Where the client
+    has closed, the connection is reset, and its handler is told.
     """
 
-    __slots__ = ("connection", "host", "interval_s", "may_ask", "timer")
+    __slots__ = ("connection", "host", "interval_s", "may_probe", "timer")
 
-    def __init__(self, host: Host, connection: Connection, may_ask: Callable[[], bool]) -> None:
-        self.host, self.connection, self.may_ask = host, connection, may_ask
+    def __init__(self, host: Host, connection: Connection, may_probe: Callable[[], bool]) -> None:
+        self.host, self.connection, self.may_probe = host, connection, may_probe
         self.interval_s = FIRST_INTERVAL_S
         self.timer: Timer | None = None
 
     def start(self) -> None:
         """Ask now, and again until stopped."""
-        if self.may_ask():
+        if self.may_probe():
             self.connection.send(INTERIM_RESPONSE)
         self.timer = self.host.after(self.interval_s, self.start)
         self.interval_s = min(MAX_INTERVAL_S, INTERVAL_GROWTH * self.interval_s)
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -27,7 +27,7 @@
         self.host, self.address, self.word, self.source = host, address, word, source
         self.clients: dict[ClientConnection, None] = {}
         self.disconnects = DisconnectCounters()
-        self.leaving = False
+        self.draining = False
         self.last_s = 0.0  # before the end of this process, in which requests are refused at most
         host.listen(address, self._accept)
 
@@ -38,9 +38,9 @@
             connection.abort()
         return client
 
-    def leave(self, end_at: float = float("inf")) -> None:
+    def drain(self, end_at: float = float("inf")) -> None:
         """This process ends at `end_at`: answers close their connections."""
-        self.leaving, self.source.end_at = True, end_at
+        self.draining, self.source.end_at = True, end_at
         self.last_s = LAST_PART * (end_at - self.host.now())
 
     def ends_before(self, now: float, route: Route) -> bool:
@@ -57,10 +57,10 @@
         for course in list(self.source.courses):
             course.finish(again_s)
 
-    def settle(self) -> None:
+    def close_idle(self) -> None:
         """Close connections on which nothing is owed."""
         for client in list(self.clients):
-            client.settle()
+            client.close_idle()
 
     def close(self) -> None:
         """Take no further connections."""
--- a/honeywharf/sidecar/shutdown.py
+++ b/honeywharf/sidecar/shutdown.py
@@ -38,10 +38,10 @@
         def clients(self) -> Sized:
             """Clients' connections."""
 
-        def leave(self, end_at: float) -> None:
+        def drain(self, end_at: float) -> None:
             """This process ends at `end_at`: answers close their connections."""
 
-        def settle(self) -> None:
+        def close_idle(self) -> None:
             """Close connections on which nothing is owed."""
 
         def finish(self) -> None:
@@ -105,7 +105,7 @@
         self.host.log("leaving")
         end_at = self.begun_at + self.grace_s
         self.inbound.end_at = end_at
-        self.outbound.leave(end_at)
+        self.outbound.drain(end_at)
         self.host.after(max(0.0, self.quiet_s - GATE_S), self._close_gate)
         self.host.after(CHECK_S, self._look)
         self.host.after(self.grace_s, self._end)
@@ -120,7 +120,7 @@
             return
         quiet = self.host.now() - self.begun_at >= self.quiet_s
         if quiet:
-            self.outbound.settle()
+            self.outbound.close_idle()
         if quiet and self._empty():
             self._end()
         else:
--- a/tests/sidecar/order_mutants.py
+++ b/tests/sidecar/order_mutants.py
@@ -140,7 +140,7 @@
 
 def closes_on_pipelined(put: Put) -> None:
     """A process that leaves closes a connection behind an answer though more is at work on it."""
-    put(ClientConnection, "_leaves", lambda self, exchange: self.outbound.leaving)
+    put(ClientConnection, "_is_last_answer", lambda self, exchange: self.outbound.draining)
 
 
 class Mutant(NamedTuple):
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -340,8 +340,8 @@
 def test_a_leaving_sidecar_answers_what_it_holds_and_closes() -> None:
     front = Front()
     at_work, idle, begun = front.call(request()), front.call(), front.call(request()[:30])
-    front.outbound.leave()
-    front.outbound.settle()
+    front.outbound.drain()
+    front.outbound.close_idle()
     front.run(0.1)
     assert idle.gone is not None
     assert begun.gone is None
@@ -415,8 +415,8 @@
 def test_a_leaving_sidecar_answers_all_that_is_at_work_on_a_connection() -> None:
     front = Front()
     caller = front.call(request() + request(attempt=b"a2") + request(attempt=b"a3"))
-    front.outbound.leave()
-    front.outbound.settle()
+    front.outbound.drain()
+    front.outbound.close_idle()
     give(front, front.channels[1], b"two")
     give(front, front.channels[0], b"one")
     assert [body for _, _, body in caller.answers()] == [b"one", b"two"]
@@ -431,7 +431,7 @@
 def test_what_comes_behind_an_answer_that_closes_is_not_begun() -> None:
     front = Front()
     caller = front.call(request() + request(attempt=b"a2"))
-    front.outbound.leave()
+    front.outbound.drain()
     give(front, front.channels[1], b"two")  # it waits, and says that the connection closes
     caller.send(request("mutating", b"a3") + request("mutating", b"a4", body=b"abc"))
     front.run()
@@ -446,7 +446,7 @@
 def test_what_can_not_be_answered_before_the_end_is_refused_with_a_time_to_return() -> None:
     front = Front()
     held = front.call(request(attempt=b"a0"))
-    front.outbound.leave(front.sidecar.now() + 2.0)
+    front.outbound.drain(front.sidecar.now() + 2.0)
     front.run(1.4)  # the routes' aim is 0.5 s
     at_work = front.call(request("mutating", b"a1", body=b"abc"))
     assert len(front.channels) == 2
@@ -469,7 +469,7 @@
 
 def test_a_route_with_a_long_aim_is_not_refused_for_most_of_the_grace_period() -> None:
     front = Front()
-    front.outbound.leave(front.sidecar.now() + 1.0)
+    front.outbound.drain(front.sidecar.now() + 1.0)
     front.run(0.6)
     front.call(request())
     assert len(front.channels) == 1
