Have a test of asking again fail where nobody asks again

Cause: found on reading the change: the test let its client leave by a reset, which cancels without any asking; the simulated network told the end of a half-closed connection once more at its close, which no kernel does. Change: the client closes in order, the network tells its end once. Two tests share their beginning. Measured: with the second asking left out three tests fail (before: two); without the network's change its new test fails. Both files pass.

--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -296,7 +296,7 @@
             self.short = True
             return
         if self.state == "closing":
-            self._fly(RESET if self._unread() else END)
+            self._tell_closed()
             self._go()
         elif self.finished == 1:
             self.finished = 2
@@ -306,6 +306,13 @@
             if self.handler is not None:
                 self.process.call(self.life, self.handler.drained)
 
+    def _tell_closed(self) -> None:
+        """The last on the wire: a reset where bytes are unread, nothing where the end was told before."""
+        if self._unread():
+            self._fly(RESET)
+        elif self.finished != 2:
+            self._fly(END)
+
     def _fly(self, item: bytes | int | str) -> None:
         assert self.other is not None
         here, there = self.process.machine, self.other.process.machine
--- a/tests/sidecar/test_disconnects.py
+++ b/tests/sidecar/test_disconnects.py
@@ -7,7 +7,7 @@
 from honeywharf.codecs.mesh import INTERIM_RESPONSE
 from honeywharf.sidecar.client_connection import MAX_PIPELINED
 from honeywharf.sidecar.disconnects import FIRST_INTERVAL_S, MAX_INTERVAL_S, DisconnectCounters
-from tests.sidecar.stage import Front
+from tests.sidecar.stage import Caller, Front
 from tests.sidecar.test_outbound import give, request
 
 
@@ -48,30 +48,31 @@
     assert not front.outbound.clients
 
 
-def test_a_client_that_waits_with_its_own_side_closed_is_asked_again_and_may_leave_later() -> None:
+def half_closed(asked: int, seconds: float) -> tuple[Front, Caller]:
+    """A client that ended its side with a request under way, and how often it was asked since."""
     front = Front()
     caller = front.call(request())
     caller.connection.finish()
-    front.run(FIRST_INTERVAL_S * 3.5)
-    asked = caller.data.count(INTERIM_RESPONSE)
-    assert asked == 3
+    front.run(seconds)
     assert caller.data == INTERIM_RESPONSE * asked
     assert not front.channels[0].cancelled
-    caller.connection.abort()
-    front.run()
-    assert front.channels[0].cancelled
+    return front, caller
+
+
+def test_a_client_that_waits_with_its_own_side_closed_is_asked_again_and_may_leave_later() -> None:
+    front, caller = half_closed(asked=3, seconds=FIRST_INTERVAL_S * 3.5)
+    caller.connection.close()  # which sends nothing: its end is known already
+    front.run(FIRST_INTERVAL_S * 2)
+    assert not front.channels[0].cancelled
+    front.run(FIRST_INTERVAL_S * 2)
+    assert front.channels[0].cancelled, "it was not asked again"
 
 
 def test_it_is_asked_less_and_less_often_and_not_at_all_once_it_is_answered() -> None:
-    front = Front()
-    caller = front.call(request())
-    caller.connection.finish()
-    front.run(FIRST_INTERVAL_S * 7.5)
-    asked = caller.data.count(INTERIM_RESPONSE)
-    assert asked == 4
+    front, caller = half_closed(asked=4, seconds=FIRST_INTERVAL_S * 7.5)
     give(front, front.channels[0], b"ok")
     front.run(3 * MAX_INTERVAL_S)
-    assert caller.data.count(INTERIM_RESPONSE) == asked
+    assert caller.data.count(INTERIM_RESPONSE) == 4
     assert caller.data.endswith(b"ok")
     assert caller.gone is not None
 
--- a/tests/simulation/test_machine.py
+++ b/tests/simulation/test_machine.py
@@ -70,6 +70,20 @@
     assert log.names() == ["opened"]
 
 
+def test_a_close_after_a_half_close_says_nothing_more_and_resets_what_is_sent_then() -> None:
+    two = Two(echo=False)
+    log = two.asked()
+    two.world.run(0.1)
+    assert isinstance(log.connection, End)
+    two.on(two.here, log.connection.finish)
+    two.on(two.here, log.connection.close)
+    two.world.run(0.2)
+    assert two.taken[0].names() == ["ended"]
+    two.on(two.there, lambda: two.taken[0].connection.send(b"are you there?"))
+    two.world.run(0.3)
+    assert two.taken[0].names() == ["ended", "closed reset"]
+
+
 def test_the_end_of_a_paused_connection_is_told_before_it_is_read() -> None:
     two = Two(echo=False)
     log = two.asked()
