--- a/review/harness.py
+++ b/review/harness.py
@@ -322,7 +322,7 @@
 
 
 class Backend:
-    """A backend beside a sidecar. `runs` holds (time, attempt id) of each request that it began to work on."""
+    """A backend beside a sidecar. `runs` has (time, attempt id) of each request that it began to work on."""
 
     def __init__(self, mesh: Mesh, sidecar: Program, service: str, record: Record, work: Work) -> None:
         self.mesh, self.ip, self.service, self.record, self.work = mesh, sidecar.ip, service, record, work
