--- a/review/harness.py
+++ b/review/harness.py
@@ -384,6 +384,8 @@
                 if incoming.path == "/health":
                     status = "200 OK" if self.state == "ready" else "503 Service Unavailable"
                     fields = {"X-Honeywharf-Instance-Id": self.id, "X-Honeywharf-Instance-Load": "0,0,9"}
+                    if self.cold_s > 0:
+                        fields["X-Honeywharf-Cold-Remaining"] = str(round(self.cold_s * 1000))
                     writer.write(encode(f"HTTP/1.1 {status}", dict(fields)))
                 elif headers.get("x-honeywharf-expected-instance", self.id) != self.id:
                     await incoming.body()
