Keep late evacuation orders from undoing newer ones

When the node woke it put the old `complete` in force: 118 requests reached the zone past `evacuation` and `outer-bound`.

Cause: an order was submitted whenever it was read, and nothing told an older order from the state. A line for each order as it is read (a trial) showed that the stopped node reads it 0.1 s after it wakes, with the caller's FIN in the socket, and had begun no round of the register before; so it was neither a half-done write nor a late message between control nodes. Both of these, packets that are held up without any stop, and a proposal that is made again after a conflict undo newer orders too.

Change: a node takes a revision that it knows to be committed (the fence), proves that the caller still waits (an interim response that the caller's host acknowledges; a closed connection answers it with a reset), and proposes the order with the fence. A state with a higher revision supersedes it whenever it is proposed, and every order makes a revision. Newer orders of the caller come after the proof, so they have higher revisions. No clock, no limit for a stop; messages and disks are as before. Host.watch_delivery tells of the acknowledgement. Calls over HTTP/1.0 have no interim responses: 505.

Failed before: with these tests on test_an_order_in_the_socket_of_a_frozen_node_...[0.0, 0.02, 0.1, 0.5] test_an_order_that_the_network_delays_... test_a_proposer_that_is_stopped_at_any_moment_...[0.15] test_proposals_that_the_network_delays_...[out-0.15, both-0.15] AssertionError: assert [{'a': False}... {'a': False}] == [{'a': True},..., {'a': True}] test_history.py is stricter: a call that was given up may not replace a newer one that was confirmed. The simulation has the trouble `late_order` (a stopped process whose kernel receives; held-up packets); with the proof and the fence taken out both variants break EVAC.

The tests but the exclusive ones pass.

--- a/bench/scale/reach.py
+++ b/bench/scale/reach.py
@@ -72,3 +72,6 @@
 
     def watch_half_close(self, call: Callable[[], None]) -> None:
         """Does nothing: no data arrives."""
+
+    def watch_delivery(self, call: Callable[[], None]) -> None:
+        """Does nothing: nothing is sent."""
--- a/honeywharf/control/committed_state.py
+++ b/honeywharf/control/committed_state.py
@@ -7,7 +7,7 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control.membership import KnownState
-from honeywharf.control.mesh_state import MemberId, MeshState
+from honeywharf.control.mesh_state import NO_REVISION, MemberId, MeshState
 from honeywharf.control.messages import DecidedMembership
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
 from honeywharf.transport.address import parse_address
@@ -20,7 +20,6 @@
     from honeywharf.transport.rpc_client import RpcClient
 
 ANNOUNCE_INTERVAL_S = 0.3  # The interval of checks whether a missing text has arrived.
-NO_REVISION = -1
 
 
 class CommittedState:
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -18,6 +18,7 @@
 MAX_MEMBERS = 15
 MAX_ZONES = 256  # The number of zones whose evacuation is stored is bounded.
 NO_VERSION = -1  # The version before the first configuration.
+NO_REVISION = -1  # Below the revision of the first state.
 INITIAL_DISK = "first"  # The disk name of a seed at the first start of the system.
 
 
@@ -203,15 +204,37 @@
     return change
 
 
-def set_evacuation(zone: str, begin: bool) -> Change:
-    """Begins or ends the evacuation of a zone. The change answers False if too many zones are stored."""
+class EvacuationOutcome(Enum):
+    """The outcome of an order to begin or end an evacuation."""
 
-    def change(state: MeshState) -> tuple[MeshState | None, bool]:
-        if state.evacuations.get(zone, False) == begin:
-            return None, True
+    IN_FORCE = "in force"
+    SUPERSEDED = "superseded"  # The state has changed since the fence; the order has changed nothing.
+    TOO_MANY_ZONES = "too many zones"
+
+
+class EvacuationAnswer(NamedTuple):
+    """The answer to `set_evacuation`; `revision` is that of the state that the order met or made."""
+
+    outcome: EvacuationOutcome
+    revision: int
+
+
+def set_evacuation(zone: str, begin: bool, fence: int) -> Change:
+    """Begins or ends the evacuation of a zone; the change answers an `EvacuationAnswer`.
+
+    `fence` is a revision that was known to be committed before the caller was last seen waiting. A state with
+    a higher revision may hold a newer order of the same operator, so it supersedes this order. Each order
+    makes a revision, even if it leaves the zone as it is, so that it supersedes the orders before it.
+    Source: RULES, EVAC.
+    """
+
+    def change(state: MeshState) -> tuple[MeshState | None, EvacuationAnswer]:
+        if state.revision > fence:
+            return None, EvacuationAnswer(EvacuationOutcome.SUPERSEDED, state.revision)
         if zone not in state.evacuations and len(state.evacuations) >= MAX_ZONES:
-            return None, False
-        return state.with_changes(evacuations={**state.evacuations, zone: begin}), True
+            return None, EvacuationAnswer(EvacuationOutcome.TOO_MANY_ZONES, state.revision)
+        changed = state.with_changes(evacuations={**state.evacuations, zone: begin})
+        return changed, EvacuationAnswer(EvacuationOutcome.IN_FORCE, changed.revision)
 
     return change
 
--- a/honeywharf/control/operator_api.py
+++ b/honeywharf/control/operator_api.py
@@ -14,8 +14,9 @@
 from typing import TYPE_CHECKING, Protocol
 
 from honeywharf.control import mesh_state
+from honeywharf.control.evacuation_calls import EvacuationCall, EvacuationCounters
 from honeywharf.control.members_view import members_view
-from honeywharf.control.mesh_state import Confirmation, MeshState, Outcome
+from honeywharf.control.mesh_state import Confirmation, EvacuationOutcome, MeshState, Outcome
 from honeywharf.control.register import QuorumResult
 from honeywharf.control.register_queues import ConfigurationText
 from honeywharf.control.replica import Replica
@@ -45,6 +46,13 @@
     path: bytes
     body: bytes
 
+    @property
+    def takes_interim_responses(self) -> bool:
+        """Whether the caller understands interim responses, so that `confirm_caller` may be used."""
+
+    def confirm_caller(self, confirmed: Callable[[], None]) -> None:
+        """Calls `confirmed` once it is known that the caller has waited for the answer after this call."""
+
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
         """Answers the call, once, now or later. `lines` are further header lines, each with its line end."""
 
@@ -80,6 +88,7 @@
         self.replica, self.zones, self.sidecar_port, self.check = replica, zones, sidecar_port, check
         self.is_shutting_down = False
         self.pending_calls = 0
+        self.evacuation_counters = EvacuationCounters()
         self.routes = routes = UrlMatcher()
         begin, end = partial(self._set_evacuation, True), partial(self._set_evacuation, False)
         self.majority_calls = [self._replace, self._describe, begin, end, self._readiness]
@@ -185,14 +194,21 @@
         if zone not in self.zones:
             self.answer(call, 404, b"no such zone")
             return
-        change = mesh_state.set_evacuation(zone, begin)
-        self.replica.submit(change, ANSWER_TIMEOUT_S, partial(self._evacuation_set, call))
+        if not call.takes_interim_responses:
+            self.answer(call, 505, b"expected HTTP/1.1, which has interim responses")
+            return
+        order = EvacuationCall(
+            self.replica, self.evacuation_counters, zone, begin, call.confirm_caller, ANSWER_TIMEOUT_S
+        )
+        order.start(partial(self._evacuation_set, call))
 
-    def _evacuation_set(self, call: HttpCall, result: QuorumResult, answer: bool | None) -> None:
-        if result is QuorumResult.OK:
-            self.answer(call, 200 if answer else 409, b"{}")
-        else:
+    def _evacuation_set(
+        self, call: HttpCall, result: QuorumResult, outcome: EvacuationOutcome | None
+    ) -> None:
+        if outcome is None:
             self._answer_unavailable(call, result)
+        else:
+            self.answer(call, 200 if outcome is EvacuationOutcome.IN_FORCE else 409, b"{}")
 
     # Other calls.
 
--- a/honeywharf/simulation/actors.py
+++ b/honeywharf/simulation/actors.py
@@ -105,6 +105,7 @@
         )
         self.waiting: deque[Any] = deque()
         self.is_open, self.is_connected = True, False
+        self.on_opened: Callable[[], None] = lambda: None
         self.connection: Connection = host.connect(to, lambda connection: self)
 
     def send_request(self, tag: Any, data: bytes) -> None:
@@ -125,8 +126,9 @@
         self.connection.close()
 
     def opened(self) -> None:
-        """Called when the connection is established."""
+        """Called when the connection is established, before anything is sent."""
         self.is_connected = True
+        self.on_opened()
 
     def drained(self) -> None:
         """Called when all buffered bytes were sent."""
@@ -641,9 +643,14 @@
         self.acked_by = ""  # The control node of the last acknowledgement.
         self.ack_loss_share = 0.0  # The share of the answers that are lost in transit.
         self.on_ack: Callable[[Order, str], None] = lambda order, ip: None
+        # Called with the address of a control node when a connection to it is established.
+        self.on_connected: Callable[[str], None] = lambda ip: None
 
-    def order(self, order: Order, tries: int = 40) -> None:
-        """Sends an order, and retries until it has a final answer."""
+    def order(self, order: Order, tries: int = 40, *, first: str = "") -> None:
+        """Sends an order, and retries until it has a final answer.
+
+        `first` is the address of the node to try first, and not again; empty for any.
+        """
         self.invariant_checker.orders.append(order)
         order.sent = self.host.world.now
         self.host.world.record_event("operator", "sends", order)
@@ -654,6 +661,7 @@
             text(f"POST /api/{path} HTTP/1.1", headers, order.text),
             tries,
             lambda message, ip: self._finish_order(order, message, ip),
+            first=first,
         )
 
     def _finish_order(self, order: Order, message: Message, ip: str) -> None:
@@ -681,18 +689,21 @@
         tries: int,
         on_final_answer: Callable[[Message, str], None],
         on_failure: Callable[[], None] = lambda: None,
+        first: str = "",
+        avoided: str = "",
     ) -> None:
         if not tries:
             on_failure()
             return
-        to = self.host.world.random.choice(self.targets())
+        targets = [to for to in self.targets() if to[0] != avoided]
+        to = self.host.world.random.choice([to for to in targets if to[0] == first] or targets)
         finished: list[bool] = []
 
         def end(message: Message | None) -> None:
             if finished:
                 return
             finished.append(True)
-            caller.close()
+            caller.leave() if message is None else caller.close()
             if (
                 message is not None
                 and self.ack_loss_share
@@ -703,10 +714,12 @@
             if message is not None and 200 <= status < 500 and status not in (307, 404, 408, 429):
                 on_final_answer(message, to[0])
             else:
-                self.host.after(
-                    0.1, lambda: self._send_until_answered(data, tries - 1, on_final_answer, on_failure)
-                )
+                self.host.after(0.1, retry)
+
+        def retry() -> None:
+            self._send_until_answered(data, tries - 1, on_final_answer, on_failure, avoided=first or avoided)
 
         caller = Caller(self.host, to, lambda tag, message: end(message))
+        caller.on_opened = lambda: self.on_connected(to[0])
         caller.send_request(None, data)
         self.host.after(CONTROL_TIMEOUT_S, lambda: end(None))
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -112,6 +112,7 @@
     """One end of a connection, which implements `host.Connection`."""
 
     __slots__ = (
+        "delivery_callbacks",
         "end_callback",
         "finished",
         "handler",
@@ -144,6 +145,7 @@
         self.last_arrival = 0.0
         self.silence_timer: Event | None = None
         self.end_callback: Callable[[], None] | None = None
+        self.delivery_callbacks: list[Callable[[], None]] = []
         process.machine.network.add(self)
         process.ends[self] = None
 
@@ -195,8 +197,20 @@
             self.process.process_now(), self.process.call, self.incarnation, self._notify_end_watcher
         )
 
+    def watch_delivery(self, call: Callable[[], None]) -> None:
+        """Calls once when the peer has read all bytes sent so far."""
+        self.delivery_callbacks.append(call)
+        self.process.after_disk(self._notify_delivery)
+
     # Delivery by the network.
 
+    def _notify_delivery(self) -> None:
+        """Notifies the watchers of delivery, if nothing is unread at the peer or in flight."""
+        if self.state == "open" and not self.send_buffer and not self.in_flight:
+            calls, self.delivery_callbacks = self.delivery_callbacks, []
+            for call in calls:
+                self.process.call(self.incarnation, call)
+
     def _notify_end_watcher(self) -> None:
         """Notifies the watcher of an unread end mark."""
         if (
@@ -215,7 +229,7 @@
         here, destination = self.process.machine, self.other.process
         network = here.network
         return here is not destination.machine and (
-            destination.frozen
+            (destination.frozen and not destination.kernel_runs)
             or network.blocked(here, destination.machine)
             or network.blocked(destination.machine, here)
         )
@@ -368,6 +382,7 @@
         if isinstance(item, int):
             self.in_flight -= item
             self.process.call(self.incarnation, self._send_buffered)
+            self.process.call(self.incarnation, self._notify_delivery)
         elif item == RESET:
             self.receive_buffer.clear()
             self.process.call(
@@ -456,6 +471,7 @@
         self.machine, self.name, self.make, self.restart_delay_s = machine, name, make, restart_delay_s
         self.world, self.incarnation = machine.network.world, 0
         self.alive, self.frozen, self.is_restarted = False, False, True
+        self.kernel_runs = False  # While frozen: whether the machine still accepts and receives.
         self.program: object = None
         self.disk_busy_until = 0.0  # The end of its disk operation.
         self.ends: dict[End, None] = {}
@@ -513,9 +529,13 @@
         else:
             self.kill()
 
-    def freeze(self) -> None:
-        """Stops the process: no events, no timers, no sending."""
-        self.frozen = True
+    def freeze(self, kernel_runs: bool = False) -> None:
+        """Stops the process: no events, no timers, no sending.
+
+        `kernel_runs`: as by SIGSTOP, connections are still accepted and bytes received; else the machine is
+        silent.
+        """
+        self.frozen, self.kernel_runs = True, kernel_runs
         self.machine.network.watch_silent_peers()
 
     def thaw(self) -> None:
@@ -625,7 +645,7 @@
                 self.world.at(self.world.now + network.delay(destination, self.machine), end.receive, RESET)
             return
         process, accept = listener
-        if process.frozen:
+        if process.frozen and not process.kernel_runs:
             self.world.at(self.world.now + 1.0, self._send_syn, end, 2.0)
             return
         if sum(1 for _, do, _ in process.waiting if do == process.accept_connection) < LISTEN_BACKLOG:
--- a/honeywharf/simulation/rare_faults.py
+++ b/honeywharf/simulation/rare_faults.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable, Iterable
+from functools import partial
 from itertools import product
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
     Fault,
     FaultSchedule,
 )
+from honeywharf.simulation.invariants import Order
 
 if TYPE_CHECKING:
     from honeywharf.simulation.disk import Disk
@@ -54,10 +56,21 @@
     "srv_slow": ("",),
     "zone_cut": ("",),
 }
-EVERY_KIND = {**KINDS, **RARE_KINDS}
-RARE_SERIALIZED_KINDS = (*SERIALIZED_KINDS, "core_resets", "disk_full", "disk_slow", "disk_stall", "zone_cut")
+#: Drawn beside the others, by a generator of their own.
+ORDER_KINDS: dict[str, tuple[str, ...]] = {"late_order": ("", "delayed")}
+EVERY_KIND = {**KINDS, **RARE_KINDS, **ORDER_KINDS}
+RARE_SERIALIZED_KINDS = (
+    *SERIALIZED_KINDS,
+    "core_resets",
+    "disk_full",
+    "disk_slow",
+    "disk_stall",
+    "late_order",
+    "zone_cut",
+)
 
 LOST_ACK_SHARE = 0.7
+ORDER_FAULT_SHARE = 0.25
 LONG_CUT_S, SHORT_CUT_S = 20.0, 2.9
 LONG_STORM_CHANGES, STORM_INTERVAL_S = 60, 0.08
 ADDED_ROUTES = 100
@@ -69,21 +82,43 @@
 RESET_SHARE = 0.5  # The share of a machine's connections that are reset.
 DISCONNECT_SHARE = 0.6  # The share of the requests whose clients disconnect early.
 DISCONNECT_PERIOD_S = 8.0
+# Times of `late_order` since its first order: of the order that is read late, and of the end of the last one.
+LATE_ORDER_AT_S, LATE_ORDER_S = 4.0, 18.0
+STOPPED_S = 3.5
+# The node is stopped this long before the order is sent, so that its heartbeats are due first when it wakes.
+STOPPED_BEFORE_S = 0.5
+HELD_UP_S = 2.5  # Less than the time after which a connection to a silent peer is lost.
+NEWER_ORDER_DELAY_S = 0.5  # From the acknowledgement of the repeated order to the newer one.
 SLOW_WORK_S = 20 * MEAN_WORK_S  # The working time of backends while clients disconnect.
 
 
-def draw_any_faults(seed: int, begin: float, end: float) -> list[Fault]:
-    """Returns faults of any kind between two times; one of three schedules ends with a closing fault."""
+def draw_any_faults(seed: int, begin: float, end: float, order_faults: bool = True) -> list[Fault]:
+    """Returns faults of any kind between two times; one of three schedules ends with a closing fault.
+
+    Without `order_faults` there are none of `ORDER_KINDS`.
+    """
     rng, faults = random.Random(f"any {seed}"), []
+    kinds = {**KINDS, **RARE_KINDS}
     for _ in range(rng.randint(2, 6)):
-        kind = rng.choice(list(EVERY_KIND))
+        kind = rng.choice(list(kinds))
         at = rng.uniform(begin, end)
-        faults.append(Fault(at, kind, rng.choice(EVERY_KIND[kind]), rng.getrandbits(32)))
+        faults.append(Fault(at, kind, rng.choice(kinds[kind]), rng.getrandbits(32)))
     if rng.random() < 1 / 3:
         faults.append(Fault(end + 6.0, "closing", rng.choice(CLOSING_VARIANTS), rng.getrandbits(32)))
+    if order_faults:
+        faults += _draw_order_faults(seed, begin, end)
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def _draw_order_faults(seed: int, begin: float, end: float) -> list[Fault]:
+    """Returns a fault of `ORDER_KINDS` for one of four seeds."""
+    rng = random.Random(f"orders {seed}")
+    if rng.random() >= ORDER_FAULT_SHARE:
+        return []
+    kind = rng.choice(list(ORDER_KINDS))
+    return [Fault(rng.uniform(begin, end), kind, rng.choice(ORDER_KINDS[kind]), rng.getrandbits(32))]
+
+
 class RareFaultSchedule(FaultSchedule):
     """Injects faults of every kind."""
 
@@ -97,6 +132,8 @@
             return 5.0 + self._recovery_s()
         if "both" in fault.how:
             return 1.0 + RESTART_INTERVAL_S * len(self.deployment.cores)
+        if fault.kind == "late_order":
+            return LATE_ORDER_S
         return super()._max_duration_s(fault)
 
     def _recovery_s(self) -> float:
@@ -131,6 +168,48 @@
         others = [machine for other in ZONES if other != zone for machine in self._machines(other)]
         self._partition_groups(self._machines(zone), others, 5.0)
 
+    # Faults of orders.
+
+    def late_order(self, fault: Fault, rng: random.Random) -> None:
+        """Lets a control node read an order late, after it was repeated elsewhere and a newer one given.
+
+        The node is stopped meanwhile while its kernel receives; with `delayed` nothing is stopped, and only
+        the packets with the order are held up.
+        """
+        zone, core = rng.choice(ZONES), rng.choice(self.deployment.cores)
+        operator, complete = self.deployment.operator, Order("complete", zone=zone)
+        operator.order(Order("start", zone=zone))
+
+        def acknowledged(order: Order, ip: str) -> None:
+            if order is complete:
+                self._schedule(NEWER_ORDER_DELAY_S, operator.order, Order("start", zone=zone))
+
+        operator.on_ack = acknowledged
+        if fault.how == "delayed":
+            self._schedule(LATE_ORDER_AT_S, self._hold_up_operator, core)
+        else:
+            self._schedule(LATE_ORDER_AT_S - STOPPED_BEFORE_S, self._stop_core, core)
+        self._schedule(LATE_ORDER_AT_S, partial(operator.order, complete, first=core.machine.ip))
+        self._schedule(LATE_ORDER_S, operator.order, Order("complete", zone=zone))
+
+    def _stop_core(self, core: Process) -> None:
+        core.freeze(kernel_runs=True)
+        self._mark_fault(core.machine, STOPPED_S)
+        self._schedule(STOPPED_S, core.thaw)
+
+    def _hold_up_operator(self, core: Process) -> None:
+        """Holds up what the operator sends to a control node on its next connection."""
+        operator, network = self.deployment.operator, self.deployment.network
+        pairs = [(operator.host.machine.ip, core.machine.ip)]
+
+        def connected(ip: str) -> None:
+            if ip == core.machine.ip:
+                operator.on_connected = lambda ip: None
+                network.cut(pairs)
+                self._schedule(HELD_UP_S, network.remove_cuts, pairs)
+
+        operator.on_connected = connected
+
     def core_cut(self, fault: Fault, rng: random.Random) -> None:
         """Partitions a control node from the others; variants are longer, change seeds or restart nodes."""
         words = fault.how.split()
--- a/honeywharf/transport/host.py
+++ b/honeywharf/transport/host.py
@@ -67,6 +67,13 @@
     def watch_half_close(self, call: Callable[[], None]) -> None:
         """Calls `call` once if the peer half-closes while reading is paused, even with bytes unread."""
 
+    def watch_delivery(self, call: Callable[[], None]) -> None:
+        """Calls `call` once the peer's host has acknowledged all bytes sent so far, while the peer is open.
+
+        A peer that has closed the connection acknowledges nothing. Nothing is called if the connection ends
+        first.
+        """
+
 
 class Host(Protocol):
     """One machine, as seen by one process."""
--- a/honeywharf/transport/http_server.py
+++ b/honeywharf/transport/http_server.py
@@ -40,6 +40,21 @@
         if http_connection is not None:
             http_connection.answer(status, body, lines)
 
+    @property
+    def takes_interim_responses(self) -> bool:
+        """Whether the caller understands interim responses; HTTP/1.0 has none."""
+        return self.head.interim
+
+    def confirm_caller(self, confirmed: Callable[[], None]) -> None:
+        """Calls `confirmed` once it is known that the caller has waited for the answer after this call.
+
+        An interim response is sent, which every caller skips (RFC 9110, 15.2); a caller that has closed its
+        connection meets it with a reset, and `confirmed` is not called.
+        """
+        if self._connection is not None:
+            self._connection.connection.send(INTERIM_RESPONSE)
+            self._connection.connection.watch_delivery(confirmed)
+
 
 class _HttpConnection:
     """One connection of the server."""
--- a/honeywharf/transport/tcp_connection.py
+++ b/honeywharf/transport/tcp_connection.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import socket
+import sys
+from functools import partial
+
 TYPE_CHECKING = False  # Importing `typing` costs 1.3 MB in each process.
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
     from typing import Protocol
 
@@ -16,6 +19,9 @@
         def soon(self, call: Callable[[], None]) -> None:
             """Schedules a call for after the current one returns."""
 
+        def after(self, seconds: float, call: Callable[[], None]) -> Timer:
+            """Schedules one call after a delay."""
+
         def update_interest(self, connection: TcpConnection) -> None:
             """Registers the events that the connection waits for."""
 
@@ -26,6 +32,14 @@
             """Closes the socket and calls the handler's `closed`, once."""
 
 
+# The interval at which the acknowledgement of sent bytes is polled; it doubles up to the maximum.
+MIN_DELIVERY_POLL_S = 0.001
+MAX_DELIVERY_POLL_S = 0.02
+TCP_INFO_BYTES = 104
+C_INT_BYTES = 4
+TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # The states of tcp(7) in which the peer may still receive.
+
+
 class TcpConnection:
     """One TCP connection of an event loop (`host.Connection`)."""
 
@@ -110,3 +124,33 @@
         """Calls `call` once if the peer half-closes while reading is paused."""
         self.end_callback = call
         self.loop.update_interest(self)
+
+    def watch_delivery(self, call: Callable[[], None]) -> None:
+        """Calls `call` once the peer's host has acknowledged all bytes sent so far."""
+        self.loop.after(MIN_DELIVERY_POLL_S, partial(self._poll_delivery, call, MIN_DELIVERY_POLL_S))
+
+    def _poll_delivery(self, call: Callable[[], None], interval_s: float) -> None:
+        """Calls `call`, or polls again; the kernel signals no event for an acknowledgement."""
+        if self.handler is None:
+            return
+        if not self.buffer and _is_all_acknowledged(self.socket):
+            call()
+            return
+        interval_s = min(MAX_DELIVERY_POLL_S, 2 * interval_s)
+        self.loop.after(interval_s, partial(self._poll_delivery, call, interval_s))
+
+
+def _is_all_acknowledged(sock: socket.socket) -> bool:
+    """Returns whether the peer's host has acknowledged all bytes and the connection is not lost.
+
+    The state is read last: a connection that was reset keeps no queue.
+    """
+    from fcntl import ioctl
+    from termios import TIOCOUTQ
+
+    try:
+        unacknowledged = int.from_bytes(ioctl(sock.fileno(), TIOCOUTQ, bytes(C_INT_BYTES)), sys.byteorder)
+        state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)[0]
+    except OSError:
+        return False
+    return unacknowledged == 0 and state in (TCP_ESTABLISHED, TCP_CLOSE_WAIT)
--- a/tests/compatibility/message_shapes.py
+++ b/tests/compatibility/message_shapes.py
@@ -15,6 +15,8 @@
 import msgpack  # type: ignore[import-untyped]
 
 from honeywharf.simulation import machine, regions, run, slips
+from honeywharf.simulation.fault_schedule import Fault
+from honeywharf.simulation.rare_faults import draw_any_faults
 from honeywharf.transport.framing import FrameReader
 
 MESH_SEEDS = (1, 3, 9)
@@ -161,12 +163,18 @@
     trial.world.run(trial.world.now + VIEW_S)
 
 
+def recorded_faults(seed: int) -> list[Fault]:
+    """Returns the faults of the days that the golden file was recorded with."""
+    begin = run.TRAFFIC_START_S + run.FAULT_FREE_S
+    return draw_any_faults(seed, begin, begin + run.FAULTS_S, order_faults=False)
+
+
 def record() -> dict[str, list[Any]]:
     """Runs the simulations; returns the shapes."""
     recorder = ShapeRecorder()
     recorder.install()
     for seed in MESH_SEEDS:
-        run.run(seed, any_kind=True, after=8.0)
+        run.run(seed, recorded_faults(seed), after=8.0)
     for drift in DRIFTS:
         trial = slips.Trial(DRIFT_SEED, drift, DRIFT_COUNT).play()
         view_drift(trial)
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -11,7 +12,7 @@
 from honeywharf.mesh_config.configuration import Configuration
 from honeywharf.mesh_config.settings import Settings
 from honeywharf.programs.control import ControlNode
-from tests.control.virtual_network import Machine, VirtualNetwork
+from tests.control.virtual_network import DELAY, Machine, VirtualNetwork
 
 ZONES = {"a": "r", "b": "r", "c": "r"}
 PORT, INTERNAL_PORT = 8306, 7620
@@ -40,11 +41,32 @@
 
 
 class Call:
-    """A call as the HTTP server passes it to the API."""
+    """A call as the HTTP server passes it to the API. The caller gives it up by `give_up`."""
 
-    def __init__(self, method: str, path: str, body: bytes = b"") -> None:
+    takes_interim_responses = True
+
+    def __init__(self, machine: Machine, method: str, path: str, body: bytes = b"") -> None:
+        self.machine = machine
         self.method, self.path, self.body = method.encode(), path.encode(), body
         self.answers: list[tuple[int, bytes, bytes]] = []
+        self.is_waiting = True
+
+    def give_up(self) -> None:
+        """Closes the caller's connection."""
+        self.is_waiting = False
+
+    def confirm_caller(self, confirmed: Callable[[], None]) -> None:
+        """Carries an interim response to the caller, and its acknowledgement back if the caller waits."""
+        network = self.machine.network
+
+        def arrive() -> None:
+            if self.is_waiting:
+                network.at(network.time + network.rng.uniform(*DELAY), acknowledged)
+
+        def acknowledged() -> None:
+            self.machine.after(0.0, confirmed)
+
+        network.at(network.time + network.rng.uniform(*DELAY), arrive)
 
     def answer(self, status: int, body: bytes = b"", lines: bytes = b"") -> None:
         self.answers.append((status, body, lines))
@@ -86,7 +108,7 @@
 
     def call(self, ip: str, method: str, path: str, body: bytes = b"") -> Call:
         """Calls a control node; the answer arrives as time passes."""
-        call = Call(method, path, body)
+        call = Call(self.network.machines[ip], method, path, body)
         if self.network.machines[ip].on:
             self.network.machines[ip].after(0.001, lambda: self.programs[ip].operator.handle(call))
         return call
--- a/tests/control/test_history.py
+++ b/tests/control/test_history.py
@@ -112,6 +112,7 @@
         now, remaining = self.cluster.network.time, []
         for order, began, call in self.in_flight:
             if call.answers or now - began > 1.0:
+                call.give_up()
                 lost = self.rng.random() < LOST_ANSWERS
                 self.events.append(Event(order, began, now, 0 if lost else call.status))
             else:
@@ -158,7 +159,10 @@
 
 
 def check_evacuations(operators: Operators) -> None:
-    """Checks that each evacuation that is read was set by a call that no confirmed call has replaced."""
+    """Checks that each evacuation that is read was set by a call that no confirmed call has replaced.
+
+    A call whose caller has given it up may not replace one that was made afterwards and is confirmed.
+    """
     for zone in ZONES:
         events = [event for event in operators.events if event.order.key[0] == zone]
         for read in operators.states:
@@ -167,7 +171,7 @@
             last = max((e.began for e in settled), default=None)
             if last is None:
                 continue
-            unsettled = [e for e in events if e.began < read.ended and (e.ended >= last or e.status != 200)]
+            unsettled = [e for e in events if e.began < read.ended and e.ended >= last]
             possible = {e.order.key[1] for e in unsettled} | {
                 e.order.key[1] for e in settled if e.began == last
             }
--- /dev/null
+++ b/tests/control/test_late_orders.py
@@ -0,0 +1,190 @@
+"""Orders that are read, proposed or accepted late, after their caller has given them up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import EvacuationOutcome, MeshState, initial_membership, initial_state
+from tests.control.cluster import Call, ControlCluster
+
+A, B, C = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+OPERATOR_WAIT_S = 1.0  # An operator gives a call up after this time.
+OPERATOR_TRIES = 3  # Within `ack-timeout`.
+STEP_S = 0.01
+# How long a caller waits before it gives up; a node that wakes after the shorter time is still in its order's
+# time, and proposes the order again.
+WAITS_S = (OPERATOR_WAIT_S, 0.15)
+MOMENTS = range(0, 60, 2)  # In ms after the order was sent; an order takes some 40.
+
+
+def order(cluster: ControlCluster, ip: str, step: str) -> Call:
+    """Sends an order for zone `a`."""
+    return cluster.call(ip, "POST", f"/api/evacuations/a/{step}")
+
+
+def acknowledged(cluster: ControlCluster, ip: str, step: str) -> None:
+    """Sends an order for zone `a`, again like an operator, until it is acknowledged."""
+    for _ in range(OPERATOR_TRIES):
+        call = order(cluster, ip, step)
+        sent_at = cluster.network.time
+        while not call.status and cluster.network.time < sent_at + OPERATOR_WAIT_S:
+            cluster.run(STEP_S)
+        call.give_up()
+        if call.status == 200:
+            return
+    raise AssertionError(f"{step} was not acknowledged")
+
+
+def evacuated_cluster(seed: int) -> ControlCluster:
+    """Returns a cluster in which zone `a` is evacuated."""
+    cluster = ControlCluster(seed)
+    cluster.run(1.0)
+    acknowledged(cluster, B, "start")
+    return cluster
+
+
+def give_up_and_start_again(cluster: ControlCluster, late: Call, wait_s: float = OPERATOR_WAIT_S) -> None:
+    """Gives a `complete` up, has it acknowledged elsewhere, and evacuates the zone again."""
+    cluster.run(wait_s)
+    late.give_up()
+    acknowledged(cluster, B, "complete")
+    acknowledged(cluster, B, "start")
+
+
+def check_evacuated(cluster: ControlCluster) -> None:
+    """Checks that the zone is evacuated, on all nodes, as the newest order wants."""
+    cluster.run(3.0)
+    assert [cluster.known(ip).evacuations for ip in cluster.ips] == [{"a": True}] * 3
+
+
+@pytest.mark.parametrize("read_after_s", [0.0, 0.02, 0.1, 0.5])
+def test_an_order_in_the_socket_of_a_frozen_node_takes_no_effect_when_it_wakes(read_after_s: float) -> None:
+    """Guards against EVAC: a `complete` that was given up withdrew an evacuation acknowledged since."""
+    cluster = evacuated_cluster(1)
+    machine = cluster.network.machines[A]
+    machine.frozen = True
+    late = Call(machine, "POST", "/api/evacuations/a/complete")
+    give_up_and_start_again(cluster, late)
+    machine.unfreeze()
+    machine.after(read_after_s, lambda: cluster.programs[A].operator.handle(late))
+    check_evacuated(cluster)
+
+
+def test_an_order_that_the_network_delays_takes_no_effect_on_a_node_that_was_never_stopped() -> None:
+    """Guards against EVAC without any freeze: the packets of a `complete` arrive after a newer order."""
+    cluster = evacuated_cluster(2)
+    machine = cluster.network.machines[A]
+    late = Call(machine, "POST", "/api/evacuations/a/complete")
+    cluster.network.at(cluster.network.time + 3.5, lambda: cluster.programs[A].operator.handle(late))
+    give_up_and_start_again(cluster, late)
+    cluster.run(2.0)
+    check_evacuated(cluster)
+    assert cluster.programs[A].operator.evacuation_counters.abandoned == 1
+    assert any("does not wait" in line for line in machine.lines)
+
+
+@pytest.mark.parametrize("wait_s", WAITS_S)
+def test_a_proposer_that_is_stopped_at_any_moment_of_an_order_does_not_undo_a_newer_one(
+    wait_s: float,
+) -> None:
+    """Guards against EVAC: an order is confirmed, or half proposed, when its node is stopped."""
+    for moment in MOMENTS:
+        cluster = evacuated_cluster(100 + moment)
+        late = order(cluster, A, "complete")
+        cluster.run(moment / 1000)
+        if late.status:
+            continue
+        cluster.network.machines[A].frozen = True
+        give_up_and_start_again(cluster, late, wait_s)
+        cluster.network.machines[A].unfreeze()
+        check_evacuated(cluster)
+
+
+@pytest.mark.parametrize("wait_s", WAITS_S)
+@pytest.mark.parametrize("way", ["out", "both"])
+def test_proposals_that_the_network_delays_do_not_undo_a_newer_order(way: str, wait_s: float) -> None:
+    """Guards against EVAC: the messages of an order between control nodes arrive after a newer order."""
+    for moment in MOMENTS:
+        cluster = evacuated_cluster(200 + moment)
+        late = order(cluster, A, "complete")
+        cluster.run(moment / 1000)
+        if late.status:
+            continue
+        cluster.network.cuts = {(A, B), (A, C)} | ({(B, A), (C, A)} if way == "both" else set())
+        give_up_and_start_again(cluster, late, wait_s)
+        cluster.network.cuts.clear()
+        check_evacuated(cluster)
+
+
+def test_an_order_that_is_proposed_again_after_a_conflict_does_not_undo_a_newer_one() -> None:
+    """Guards against EVAC: a value that one member accepted is adopted by another, then proposed again."""
+    state = initial_state(initial_membership([A, B, C]))
+    late = mesh_state.set_evacuation("a", False, state.revision)
+    adopted = applied(late, state)
+    newer = applied(mesh_state.set_evacuation("a", True, adopted.revision), adopted)
+    changed, answer = late(newer)
+    assert (changed, answer.outcome) == (None, EvacuationOutcome.SUPERSEDED)
+    assert late(adopted)[0] is None
+
+
+def test_an_order_that_changes_nothing_supersedes_the_ones_before_it() -> None:
+    """Guards against EVAC: a `complete` is late, after a `start` that left the zone as it was."""
+    state = initial_state(initial_membership([A, B, C]))
+    evacuated = applied(mesh_state.set_evacuation("a", True, state.revision), state)
+    late = mesh_state.set_evacuation("a", False, evacuated.revision)
+    again = applied(mesh_state.set_evacuation("a", True, evacuated.revision), evacuated)
+    assert late(again)[0] is None
+
+
+def applied(change: mesh_state.Change, state: MeshState) -> MeshState:
+    """Returns the state that a change makes."""
+    changed, _ = change(state)
+    assert changed is not None
+    return changed
+
+
+def test_orders_of_two_operators_who_wait_are_all_acknowledged() -> None:
+    cluster = evacuated_cluster(3)
+    steps = ["start", "complete"] * 4
+    calls = [order(cluster, ip, step) for step, ip in zip(steps, [A, B, C] * 3, strict=False)]
+    cluster.run(OPERATOR_WAIT_S)
+    assert {call.status for call in calls} <= {200, 503}
+    assert [call.status for call in calls].count(200) >= len(calls) / 2
+    acknowledged(cluster, C, "start")
+    cluster.run(1.0)
+    assert cluster.known(A).evacuations == {"a": True}
+
+
+def test_an_order_is_acknowledged_beside_a_storm_of_configurations() -> None:
+    cluster = evacuated_cluster(6)
+    for round_ in range(10):
+        call = order(cluster, A, "complete" if round_ % 2 else "start")
+        for version in range(8):
+            cluster.replace(cluster.ips[version % 3], 100 * round_ + version + 1)
+            cluster.run(0.08)
+        cluster.run(OPERATOR_WAIT_S)
+        assert call.status == 200
+
+
+def test_a_node_that_knows_only_an_old_state_still_takes_orders() -> None:
+    cluster = evacuated_cluster(4)
+    replica = cluster.programs[C].replica
+    replica.committed.known = None
+    acknowledged(cluster, C, "complete")
+    assert cluster.programs[C].operator.evacuation_counters.superseded == 1
+    cluster.run(1.0)
+    assert cluster.known(A).evacuations == {"a": False}
+
+
+def test_an_operator_without_interim_responses_is_told_what_is_missing() -> None:
+    cluster = evacuated_cluster(5)
+    call = Call(cluster.network.machines[A], "POST", "/api/evacuations/a/complete")
+    call.takes_interim_responses = False
+    handle: Callable[[Call], None] = cluster.programs[A].operator.handle
+    handle(call)
+    assert call.status == 505
+    cluster.run(1.0)
+    assert cluster.known(B).evacuations == {"a": True}
--- a/tests/control/test_register.py
+++ b/tests/control/test_register.py
@@ -284,7 +284,8 @@
     full = replace(value, members=members([MemberId(str(n), "x") for n in range(mesh_state.MAX_MEMBERS)]))
     assert mesh_state.admit(Member("d", "x", "z", True), [])(full) == (None, Admission.FULL)
     zones = replace(value, evacuations=dict.fromkeys(map(str, range(mesh_state.MAX_ZONES)), False))
-    assert mesh_state.set_evacuation("new", True)(zones) == (None, False)
+    answer = mesh_state.EvacuationAnswer(mesh_state.EvacuationOutcome.TOO_MANY_ZONES, zones.revision)
+    assert mesh_state.set_evacuation("new", True, zones.revision)(zones) == (None, answer)
 
 
 def test_a_handover_swaps_and_never_grows_the_membership() -> None:
@@ -317,7 +318,7 @@
 def test_every_change_is_nothing_the_second_time() -> None:
     for change in (
         mesh_state.replace_configuration(3, "x"),
-        mesh_state.set_evacuation("z", True),
+        mesh_state.set_evacuation("z", True, 0),
         mesh_state.admit(Member("d", "x", "z", False), [MemberId("a", "first")]),
         mesh_state.hand_over(MemberId("a", "first"), Member("d", "x", "z", False)),
     ):
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -374,6 +374,46 @@
     assert within.events == ["opened", "closed "]
 
 
+@pytest.mark.parametrize("end", ["waits", "half-closes", "closes", "resets"])
+def test_delivery_is_reported_only_while_the_peer_is_open(loop_fixture: LoopFixture, end: str) -> None:
+    """Guards against EVAC: an order took effect though its caller had closed the connection."""
+    delivered: list[str] = []
+    with socket.create_connection(loop_fixture.address) as caller:
+        caller.send(b"order")
+        loop_fixture.run_until(lambda: bool(loop_fixture.accepted and loop_fixture.accepted[0].data))
+        server = loop_fixture.accepted[0]
+        if end == "half-closes":
+            caller.shutdown(socket.SHUT_WR)
+        elif end == "closes":
+            caller.close()
+        elif end == "resets":
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            caller.close()
+        server.connection.send(b"interim")
+        server.connection.watch_delivery(lambda: delivered.append(end))
+        is_open = end in ("waits", "half-closes")
+        loop_fixture.run_until(lambda: bool(delivered) if is_open else "closed reset" in server.events)
+        loop_fixture.run_until(lambda: True)
+    assert delivered == ([end] if is_open else [])
+
+
+def test_delivery_is_not_reported_while_bytes_are_unacknowledged(loop_fixture: LoopFixture) -> None:
+    delivered: list[bool] = []
+    client = loop_fixture.connect_to_listener()
+    loop_fixture.run_until(lambda: bool(loop_fixture.accepted))
+    server = loop_fixture.accepted[0]
+    client.connection.pause()
+    server.connection.send(b"x" * (32 << 20))
+    server.connection.watch_delivery(lambda: delivered.append(True))
+    assert server.connection.unsent
+    polls = loop_fixture.loop.iterations + 50
+    loop_fixture.run_until(lambda: loop_fixture.loop.iterations > polls)
+    assert not delivered
+    client.connection.resume()
+    loop_fixture.run_until(lambda: bool(delivered))
+    assert len(client.data) == 32 << 20
+
+
 def test_stop_listening_keeps_open_connections() -> None:
     loop_fixture = LoopFixture()
     at = free_port()
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -248,6 +248,30 @@
     assert fixture.requests[0].body == b"abc"
 
 
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_caller_is_confirmed_only_if_it_waits(leaves: bool) -> None:
+    """Guards against EVAC: an order took effect though its caller had closed the connection."""
+    fixture, confirmed = ServerFixture(), list[bool]()
+    client = fixture.connect(post_request())
+    (request,) = fixture.requests
+    if leaves:
+        client.connection.close()
+    request.confirm_caller(lambda: confirmed.append(True))
+    assert not confirmed
+    fixture.run()
+    request.answer(200)
+    fixture.run()
+    assert confirmed == ([] if leaves else [True])
+    assert client.statuses == ([] if leaves else [100, 200])
+
+
+def test_a_caller_without_interim_responses_is_known() -> None:
+    fixture = ServerFixture()
+    fixture.connect(b"POST /a HTTP/1.0\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+    fixture.connect(post_request())
+    assert [request.takes_interim_responses for request in fixture.requests] == [False, True]
+
+
 def test_a_closed_server_accepts_nobody_and_answers_pending_requests() -> None:
     fixture = ServerFixture()
     client = fixture.connect(post_request())
