Keep late admissions from bringing back members that are gone

What would be seen: a membership that names a machine or a disk that is gone. With three members one further loss leaves no majority; with a fourth, lost one no loss can be borne.

Cause: the class of the late evacuation orders, on a related path. A request to be admitted carries no number, so a control node that reads it late (or proposes it late) puts a lost disk in the place of the new one, or adds a machine of the first start again that was replaced since.

Change: a member notes the epoch, asks the joiner for its heartbeat, and submits the admission for that epoch only if the joiner answers with the disk of its request; a change of the membership in between starts it again within its time. A joiner of the first start enlarges the membership only while nobody was replaced, and a machine that takes a place is not of the first start. No new call and no new field.

--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -12,7 +12,7 @@
 from honeywharf.control.contacts import SUSPECT_AFTER_S, UNREACHABLE_AFTER_S
 from honeywharf.control.member_removal import CHANGE_TIMEOUT_S
 from honeywharf.control.mesh_state import Member, MemberId, member_ids
-from honeywharf.control.messages import DecidedMembership
+from honeywharf.control.messages import DecidedMembership, Heartbeat
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
 from honeywharf.transport.address import parse_address
 
@@ -44,12 +44,21 @@
         return Member(self.address, self.disk, self.zone, bool(self.is_initial))
 
 
+class _PendingAdmission(NamedTuple):
+    """A request to be admitted that a member handles until `deadline`; `answer` answers the joiner."""
+
+    request: AdmissionRequest
+    deadline: float
+    answer: Callable[[], None]
+
+
 class Joining:
     """Both sides of an admission.
 
     `zone` is this machine's zone; `is_initial_start` is set when the system starts for the first time;
     `other_addresses` returns the addresses of other control nodes, "ip:port"; `text_digest` returns the
-    digest of the newest configuration whose text is on this disk, or an empty string.
+    digest of the newest configuration whose text is on this disk, or an empty string; `own_heartbeat` returns
+    this machine's report about itself.
     """
 
     def __init__(
@@ -67,6 +76,7 @@
         self.zone, self.is_initial_start = "", False
         self.other_addresses: Callable[[], list[str]] = list
         self.text_digest: Callable[[], str] = str
+        self.own_heartbeat: Callable[[], Heartbeat]
 
     def methods(self) -> dict[str, Method]:
         """Returns the RPC methods that peers may call."""
@@ -123,26 +133,77 @@
     def _admit(self, args: Any, reply: Reply, peer: Address) -> None:
         """Handles a request to be admitted; the answer is the decided membership in either case."""
         request = AdmissionRequest(*args)
-        joiner = request.joiner
         answer = partial(self._answer_decided_membership, args, reply, peer)
-        members = self.voter.state.members
-        if (
-            not self.voter.is_member()
-            or joiner.id in member_ids(members)
-            or (not joiner.is_initial and self._should_retry_soon(joiner.address))
-        ):
-            answer()
+        deadline = self.host.now() + CHANGE_TIMEOUT_S - CALL_TIMEOUT_S
+        self._confirm_joiner(_PendingAdmission(request, deadline, answer))
+
+    def _may_be_admitted(self, request: AdmissionRequest) -> bool:
+        joiner = request.joiner
+        return (
+            self.voter.is_member()
+            and joiner.id not in member_ids(self.voter.state.members)
+            and (self._enlarges(joiner) or not self._should_retry_soon(joiner.address))
+        )
+
+    def _enlarges(self, joiner: Member) -> bool:
+        """Returns whether a joiner is added to the members, as one of the first start."""
+        return mesh_state.enlarges(self.voter.state.members, joiner)
+
+    def _confirm_joiner(self, admission: _PendingAdmission) -> None:
+        """Asks the joiner whether it still has the disk of its request, which may be read late.
+
+        The epoch is read before: a later change of the membership supersedes the admission.
+        """
+        if not self._may_be_admitted(admission.request):
+            admission.answer()
             return
+        epoch = self.voter.state.epoch
+        self.caller.call(
+            parse_address(admission.request.address),
+            rpc_methods.HEARTBEAT,
+            self.own_heartbeat(),
+            CALL_TIMEOUT_S,
+            partial(self._joiner_answered, admission, epoch),
+        )
+
+    def _joiner_answered(self, admission: _PendingAdmission, epoch: int, packed: Any) -> None:
+        request = admission.request
+        if self._is_confirmed(request, packed) and self._may_be_admitted(request):
+            self._submit_admission(admission, epoch)
+        else:
+            admission.answer()
+
+    def _is_confirmed(self, request: AdmissionRequest, packed: Any) -> bool:
+        """Returns whether a joiner's heartbeat shows the disk of its request."""
+        if packed is None:
+            return False
+        try:
+            heartbeat = Heartbeat.unpack(packed)
+        except (ValueError, TypeError) as error:
+            self.host.log(f"replica: invalid heartbeat from a joiner: {error}")
+            return False
+        return heartbeat.sender == request.joiner.id
+
+    def _submit_admission(self, admission: _PendingAdmission, epoch: int) -> None:
+        joiner, remaining = admission.request.joiner, admission.deadline - self.host.now()
         unreachable = self.contacts.unreachable(UNREACHABLE_AFTER_S)
-        change = mesh_state.require_text(mesh_state.admit(joiner, unreachable), request.digest)
-        replaces_disk = joiner.address in [member.address for member in members]
-        if joiner.is_initial or replaces_disk:
-            timeout = CHANGE_TIMEOUT_S - CALL_TIMEOUT_S
-            self.changes.submit(change, timeout, lambda result, admission: answer())
+        change = mesh_state.require_text(mesh_state.admit(joiner, unreachable), admission.request.digest)
+        replaces_disk = joiner.address in [member.address for member in self.voter.state.members]
+        done = partial(self._admission_done, admission)
+        if self._enlarges(joiner) or replaces_disk:
+            fenced = mesh_state.fenced(change, epoch, lambda: True)
+            self.changes.submit(fenced, max(0.0, remaining), lambda result, outcome: done(outcome))
         elif unreachable:
-            self.removal.submit_under_lease(change, answer)  # The joiner replaces an unreachable member.
+            self.removal.submit_under_lease(change, epoch, done)  # It replaces an unreachable member.
+        else:
+            admission.answer()  # The joiner stays a standby.
+
+    def _admission_done(self, admission: _PendingAdmission, outcome: Any) -> None:
+        """Answers the joiner, or starts again if the membership has changed meanwhile."""
+        if outcome is mesh_state.Admission.CHANGED and self.host.now() < admission.deadline:
+            self._confirm_joiner(admission)
         else:
-            answer()  # The joiner stays a standby.
+            admission.answer()
 
     def _should_retry_soon(self, address: str) -> bool:
         """Returns whether a joiner should retry, because a member may be about to become unreachable."""
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -69,19 +69,24 @@
             return
         first_reachable = next((member for member in members if member not in unreachable), None)
         if self.voter.member_id == first_reachable:
-            self.submit_under_lease(mesh_state.remove_unreachable(unreachable), lambda: None)
+            change = mesh_state.remove_unreachable(unreachable)
+            self.submit_under_lease(change, self.voter.state.epoch, lambda answer: None)
 
-    def submit_under_lease(self, change: Change, done: Callable[[], None]) -> None:
-        """Submits a change under the lease; without the lease nothing changes, and the caller tries again."""
-        self.lease.begin(partial(self._submit, change, self.voter.state.epoch, done))
+    def submit_under_lease(self, change: Change, epoch: int, done: Callable[[Any], None]) -> None:
+        """Submits a change of the membership of `epoch` under the lease.
 
-    def _submit(self, change: Change, epoch: int, done: Callable[[], None], granted: bool) -> None:
+        `done` gets the change's answer; None without the lease, when nothing changes and the caller tries
+        again.
+        """
+        self.lease.begin(partial(self._submit, change, epoch, done))
+
+    def _submit(self, change: Change, epoch: int, done: Callable[[Any], None], granted: bool) -> None:
         if not granted:
-            done()
+            done(None)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
         self.changes.submit(fenced, CHANGE_TIMEOUT_S - CALL_TIMEOUT_S, partial(self._finished, done))
 
-    def _finished(self, done: Callable[[], None], result: object, answer: Any) -> None:
+    def _finished(self, done: Callable[[Any], None], result: object, answer: Any) -> None:
         self.lease.end()
-        done()
+        done(answer)
--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -71,6 +71,7 @@
         self.removal = MemberRemoval(voter, changes, self.contacts)
         self.joining = Joining(host, caller, voter, changes, self.contacts, self.removal, rng)
         self.joining.text_digest = lambda: known_state().digest
+        self.joining.own_heartbeat = self.own_heartbeat
         self.standbys = Standbys()
         self.handover = Handover(host, voter, changes, self.standbys)
         self.is_leaving = False  # Set when the process shuts down; it requests no admission any more.
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -249,6 +249,15 @@
     CHANGED = "changed"  # The membership has changed since the change was requested.
 
 
+def enlarges(members: Membership, joiner: Member) -> bool:
+    """Returns whether a joiner of the first start enlarges the membership instead of taking a place.
+
+    Once a member was replaced, which leaves a later one in its place, the first start is over: a joiner that
+    claims to belong to it may have been a member before.
+    """
+    return joiner.is_initial and all(member.is_initial for member in members)
+
+
 def admit(joiner: Member, unreachable: Sequence[MemberId]) -> Change:
     """Makes a machine a member; the change answers an `Admission`. `unreachable` members may be replaced.
 
@@ -262,15 +271,14 @@
             return None, Admission.MEMBER
         index = _index_to_replace(state, joiner, unreachable)
         if index is not None:
-            return state.with_members(
-                _replace_at(members, index, joiner), state.target_size
-            ), Admission.MEMBER
-        if not joiner.is_initial and len(members) >= state.target_size:
+            replaced = _replace_at(members, index, joiner._replace(is_initial=False))
+            return state.with_members(replaced, state.target_size), Admission.MEMBER
+        is_added = enlarges(members, joiner)
+        if not is_added and len(members) >= state.target_size:
             return None, Admission.STANDBY
         if len(members) >= MAX_MEMBERS:
             return None, Admission.FULL
-        target_size = state.target_size + bool(joiner.is_initial)
-        return state.with_members((*members, joiner), target_size), Admission.MEMBER
+        return state.with_members((*members, joiner), state.target_size + is_added), Admission.MEMBER
 
     return change
 
@@ -317,7 +325,7 @@
     for index, member in enumerate(members):
         if member.address == joiner.address:
             return index
-    if len(members) < state.target_size or joiner.is_initial:
+    if len(members) < state.target_size or enlarges(members, joiner):
         return None
     candidates = [index for index, member in enumerate(members) if member.id in unreachable]
     return min(candidates, key=lambda index: (members[index].zone != joiner.zone, index), default=None)
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -6,11 +6,12 @@
 
 import pytest
 
+from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
 from honeywharf.control.mesh_state import EvacuationOutcome, MeshState, initial_membership, initial_state
 from tests.control.cluster import Call, ControlCluster
 
-A, B, C = "10.0.0.1", "10.0.0.2", "10.0.0.3"
+A, B, C, SPARE = "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.9"
 OPERATOR_WAIT_S = 1.0  # An operator gives a call up after this time.
 OPERATOR_TRIES = 3  # Within `ack-timeout`.
 STEP_S = 0.01
@@ -188,3 +189,72 @@
     assert call.status == 505
     cluster.run(1.0)
     assert cluster.known(B).evacuations == {"a": True}
+
+
+def admission_of(cluster: ControlCluster, ip: str, digest: str = "") -> list[object]:
+    """Returns the request by which a machine with its present disk asks to be admitted."""
+    replica = cluster.programs[ip].replica
+    return [*replica.member_id, replica.settings.zone, True, digest]
+
+
+def member_ips(cluster: ControlCluster, ip: str) -> list[str]:
+    """Returns the addresses of the members, as a control node knows them."""
+    return sorted(member.address.rpartition(":")[0] for member in cluster.programs[ip].replica.state.members)
+
+
+def read_late(cluster: ControlCluster, ip: str, admission: list[object]) -> None:
+    """Lets a node read a request of another machine to be admitted; the membership must stay as it is."""
+    admit = cluster.programs[ip].replica.methods[rpc_methods.ADMIT_MEMBER]
+    cluster.network.machines[ip].after(0.0, lambda: admit(admission, lambda answer: None, (B, 1)))
+    voters = mesh_state.member_ids(cluster.programs[ip].replica.state.members)
+    for _ in range(int(2.0 / STEP_S)):
+        cluster.run(STEP_S)
+        assert mesh_state.member_ids(cluster.programs[ip].replica.state.members) == voters
+
+
+def test_a_late_admission_of_a_lost_disk_does_not_replace_the_new_one() -> None:
+    """Guards against a membership that names a disk which is gone, and has lost the vote of the new one."""
+    cluster = ControlCluster(7)
+    cluster.run(1.0)
+    late = admission_of(cluster, C)
+    cluster.network.machines[C].off(power=True)
+    cluster.network.machines[C].disk.files.clear()
+    cluster.start(C)
+    cluster.run(3.0)
+    new = cluster.programs[C].replica.member_id
+    assert cluster.programs[C].replica.is_member()
+    read_late(cluster, A, late)
+    assert new in mesh_state.member_ids(cluster.programs[A].replica.state.members)
+
+
+def test_a_late_admission_of_a_machine_that_is_gone_does_not_grow_the_membership() -> None:
+    """Guards against a member that nobody hears: four members, of whom one is gone, bear no loss."""
+    cluster = ControlCluster(8)
+    cluster.run(1.0)
+    late = admission_of(cluster, C)
+    cluster.network.machines[C].off(power=True)
+    del cluster.network.machines[C]
+    cluster.add(SPARE)
+    cluster.run(5.0)
+    assert member_ips(cluster, A) == sorted([A, B, SPARE])
+    read_late(cluster, A, late)
+    assert member_ips(cluster, A) == sorted([A, B, SPARE])
+    assert cluster.known(A).target_size == 3
+
+
+def test_a_handover_that_is_proposed_late_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a member that nobody hears, by the handover of a leaver that was stopped half-way."""
+    cluster = ControlCluster(9)
+    cluster.run(1.0)
+    cluster.add(SPARE)
+    cluster.run(4.0)
+    proposed: list[mesh_state.Change] = []
+    changes = cluster.programs[A].replica.changes
+    monkeypatch.setattr(changes, "submit", lambda change, timeout, done: proposed.append(change))
+    cluster.programs[A].stop()
+    change, state = proposed[0], cluster.known(B)
+    assert change(state)[1] is mesh_state.Admission.MEMBER
+    later = state.with_members(state.members, state.target_size)
+    assert change(later) == (None, mesh_state.Admission.CHANGED)
+    cluster.run(1.0)
+    assert change(state) == (None, mesh_state.Admission.CHANGED)
