Forward answers of the own backend from one loop, so that none stands still

Cause: `InboundRequest._forward_answer` passes a part on and then pauses the backend's connection by the rest that it kept before. A source in this process widens the window from within that call, which runs the method inside itself, sends the rest and resumes the connection; the outer call then pauses it by the old rest, and nothing resumes it. SIGTERM, links and slow clients have no part in it: the same classes in the simulated network stand still by the order of calls alone.

Change: a call from within returns at once; the outer one forwards as long as the window allows and judges last, from the state, whether reading is paused or the answer is complete. The writing of answers to a client has the same shape and gets the same guard; no order of events was found that breaks it. A request gives its slot back once.

Failed before, on (bodies and parts of drawn sizes, own gate and link): test_an_answer_in_parts_arrives_whole[True] Failing explicit example: answer=Body(size=200000, parts=(8000,), is_chunked=False), pause_s=0.002 test_an_answer_waits_for_a_client_that_stops_reading_and_arrives_whole[True]

Tests of sidecar, simulation, sessions, drift, compatibility, admission, transport and standins pass.

--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -101,6 +101,7 @@
         "exchange",
         "exchanges",
         "is_closed",
+        "is_writing",
         "outbound",
         "paused",
         "probe",
@@ -114,7 +115,7 @@
         self.reader = RequestReader(_RequestSink(self), limits.max_body_bytes, limits.max_header_bytes + 4096)
         self.exchanges: list[Exchange] = []  # in the order of their answers
         self.exchange: Exchange | None = None  # the one whose body is being read
-        self.closing = self.is_closed = self.paused = False
+        self.closing = self.is_closed = self.is_writing = self.paused = False
         self.disconnected = False  # whether the client has left with requests under way
         self.probe: DisconnectProbe | None = None  # set once the client has sent a FIN
         self.created_at = outbound.host.now()
@@ -344,8 +345,17 @@
                 self._flush()
 
     def _flush(self) -> None:
-        """Writes what may be written, and reads on where there is room now, or a body to be dropped."""
-        self._write()
+        """Writes what may be written, and reads on where there is room now, or a body to be dropped.
+
+        A gate in this process answers from within `_write`, which then writes on itself.
+        """
+        if self.is_writing:
+            return
+        self.is_writing = True
+        try:
+            self._write()
+        finally:
+            self.is_writing = False
         if not self.is_closed:
             self.update_reading()
 
@@ -364,6 +374,7 @@
             ):
                 unreported_bytes, exchange.unreported_bytes = exchange.unreported_bytes, 0
                 exchange.request.answer_forwarded(unreported_bytes)
+                continue  # more of the answer may have come meanwhile
             if not exchange.done:
                 return
             if exchange.closes:
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -78,6 +78,7 @@
 
 MAX_SHORT_BODY_BYTES = INITIAL_WINDOW  # up to this size a body is received before the head is written
 MAX_WHOLE_ANSWER_BYTES = 64 * 1024  # an answer up to this size is forwarded only when it is complete
+UNLIMITED_WINDOW = 1 << 62  # for the rest of an answer that is complete, which is not read any more
 MAX_HELD_BODY_BYTES = 512 * 1024  # a body up to this size is received before a slot is taken
 # Shares of the request's latency target.
 MAX_BACKLOG_SHARE = 0.3  # wait of a body's first byte for the link
@@ -96,6 +97,7 @@
     """One request at its destination. `deadline` is in seconds on the steady clock."""
 
     __slots__ = (
+        "answer_complete",
         "answer_parts",
         "answer_window",
         "attempt",
@@ -114,6 +116,7 @@
         "head_written",
         "inbound",
         "is_admitted",
+        "is_forwarding",
         "is_over",
         "pending_body",
         "receiving",
@@ -147,6 +150,7 @@
         # Parts of an answer that is not complete, or for which there is no window.
         self.answer_parts: list[bytes] = []
         self.answer_window = WINDOW_SIZE
+        self.answer_complete = self.is_forwarding = False
         self.begun_at = self.checked_at = 0.0
 
     # Admission.
@@ -474,22 +478,44 @@
                 return
             self.streaming = True
             self.responder.answer(head.status, b"".join(head.fields), head.length, self.gate.load(), None)
-            self._forward_answer()
+            if not self.is_over:
+                self._forward_answer()
 
     def _forward_answer(self) -> None:
-        """Forwards what the window allows, and pauses reading from the backend while more is left."""
+        """Forwards what the window allows, and pauses reading from the backend while more is left.
+
+        A source in this process widens the window from within `Responder.data`. That call returns here at
+        once; the loop forwards what it allows, and what is left is judged last.
+        """
+        if self.is_forwarding:
+            return
+        self.is_forwarding = True
+        try:
+            while not self.is_over and (part := self._next_answer_part()):
+                self.responder.data(part)
+        finally:
+            self.is_forwarding = False
+        if self.is_over:
+            return
+        if self.answer_complete and not self.answer_parts:
+            self._complete_answer()
+        elif self.backend_connection is not None:
+            connection = self.backend_connection.connection
+            connection.pause() if self.answer_parts else connection.resume()
+
+    def _next_answer_part(self) -> bytes:
+        """Takes the bytes of the answer that the window allows; empty if there are none."""
         data = b"".join(self.answer_parts)
-        now, rest = data[: self.answer_window], data[self.answer_window :]
-        self.answer_window -= len(now)
+        part, rest = data[: self.answer_window], data[self.answer_window :]
+        self.answer_window -= len(part)
         self.answer_parts = [rest] if rest else []
-        if now:
-            self.responder.data(now)
-        if self.backend_connection is not None:
-            (
-                self.backend_connection.connection.pause
-                if rest
-                else self.backend_connection.connection.resume
-            )()
+        return part
+
+    def _complete_answer(self) -> None:
+        """Ends a request whose answer was forwarded in parts."""
+        self.inbound.served += 1
+        self.responder.complete()
+        self._release()
 
     def _may_reach_client(self) -> bool:
         """Whether a client may see the answer: not a rejection, not encoded, and a success has the seal."""
@@ -507,11 +533,8 @@
         head = self.head
         assert head is not None
         if self.streaming:
-            self.answer_window = 1 << 62
+            self.answer_window, self.answer_complete = UNLIMITED_WINDOW, True
             self._forward_answer()
-            self.inbound.served += 1
-            self.responder.complete()
-            self._release()
         elif not self._may_reach_client():
             self._discard_answer(head)
         else:
@@ -557,7 +580,9 @@
             self.responder.fail(verdict, load)
 
     def _release(self) -> None:
-        """Gives the slot and the connection back."""
+        """Gives the slot and the connection back, once."""
+        if self.is_over:
+            return
         self.is_over = True
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
