Keep a full recipient and a missing slot as reasons not to read a body

What would be seen: the first proxy buffers a whole answer for a client that does not read, or reads answers without a slot of the buffer budget, past its bound of memory.

`Pipe.attach` resumed the source after it had given the sink what was buffered, though the sink had become full within that call, which a connection reports once; the same resume ended the wait for a slot. `wait_for_slot` returned the newest ticket, which is not the caller's if its callback waits too.

Change: a pipe keeps whether its sink is full, a connection to a backend both reasons for not reading; a ticket is the caller's own.

--- a/honeywharf/flow/buffer_budget.py
+++ b/honeywharf/flow/buffer_budget.py
@@ -57,9 +57,10 @@
     def wait_for_slot(self, on_slot: Callable[[], None]) -> int:
         """Calls back with a slot, at once or later; returns a ticket for `cancel_wait`."""
         self.last_ticket += 1
-        self.waiting[self.last_ticket] = on_slot
+        ticket = self.last_ticket  # A callback may take a further ticket.
+        self.waiting[ticket] = on_slot
         self._grant_waiting()
-        return self.last_ticket
+        return ticket
 
     def cancel_wait(self, ticket: int) -> None:
         """Cancels the wait of a ticket."""
--- a/honeywharf/flow/pipe.py
+++ b/honeywharf/flow/pipe.py
@@ -60,6 +60,7 @@
         "ended",
         "failed",
         "has_slot",
+        "is_full",
         "length",
         "on_complete",
         "received_bytes",
@@ -75,6 +76,7 @@
         self.slot_ticket = 0  # The ticket of a pipe that waits for a slot, else 0.
         self.source: Source | None = None
         self.sink: Sink | None = None
+        self.is_full = False  # Whether the sink buffers too much, as it has reported.
         self.buffered: list[bytes] = []
         self.received_bytes = 0
         self.replay_lost = self.ended = self.failed = self.cancelled = False
@@ -140,18 +142,19 @@
         elif self.failed:
             sink.aborted()
         elif self.source is not None:
-            self.source.set_paused(False)
+            self.source.set_paused(self.is_full)  # The sink may have reported it from within `take`.
 
     def detach(self, sink: Sink) -> None:
         """Removes a failed sink; another may be attached unless `replay_lost`."""
         if self.sink is not sink:
             return
-        self.sink = None
+        self.sink, self.is_full = None, False
         if self.received_bytes >= REPLAY_BYTES and not self.is_finished and self.source is not None:
             self.source.set_paused(True)
 
     def set_full(self, is_full: bool) -> None:
         """Pauses the source while the sink buffers too much, and resumes it afterwards."""
+        self.is_full = is_full
         if self.source is not None and not self.is_finished:
             self.source.set_paused(is_full)
 
--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -73,6 +73,7 @@
         "closed",
         "has_unsent_bytes",
         "idle_since_ms",
+        "is_recipient_full",
         "last_read_ms",
         "poll",
         "pool",
@@ -84,6 +85,7 @@
         "sink",
         "timer",
         "transport",
+        "waits_for_slot",
     )
 
     def __init__(self, pool: Pool, backend: Backend) -> None:
@@ -94,6 +96,7 @@
         self.sink: ConnectionSink | None = None
         self.response_pipe: Pipe | None = None  # streamed response
         self.read_paused = False  # whether reading of the streamed response is paused
+        self.is_recipient_full = self.waits_for_slot = False  # the two reasons for it
         self.has_unsent_bytes = self.closed = False
         self.idle_since_ms = 0.0
         self.timer: asyncio.TimerHandle | None = None  # while a response is partly read
@@ -145,8 +148,13 @@
             self._end(O.CONNECT_FAILED, None)
 
     def set_paused(self, paused: bool) -> None:
-        """Stops or resumes reading the response."""
-        self.read_paused = paused
+        """Stops or resumes reading the response, by the speed of its recipient."""
+        self.is_recipient_full = paused
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Reads the response unless its recipient is full or the buffer budget has no slot for it yet."""
+        paused = self.read_paused = self.is_recipient_full or self.waits_for_slot
         if not self.closed and not self.transport.is_closing():
             if paused:
                 self.transport.pause_reading()
@@ -227,9 +235,12 @@
         self.timer = self.pool.loop.call_later(STREAM_STALL_TIMEOUT_S, self._check_stream_stall)
         self.pool.streams += 1
         bound_reads(self.transport, self)
-        if self.pool.buffer_budget.open_pipes >= self.pool.buffer_budget.max_pipes:
-            self.set_paused(True)  # resumed when a slot is free
-        pipe.slot_ticket = self.pool.buffer_budget.wait_for_slot(self._slot_acquired)
+        budget = self.pool.buffer_budget
+        self.waits_for_slot = budget.open_pipes >= budget.max_pipes
+        self._update_reading()
+        ticket = budget.wait_for_slot(self._slot_acquired)
+        if not pipe.has_slot:  # Otherwise it was granted from within.
+            pipe.slot_ticket = ticket
         if call is not None:
             call.connection = None
             call.ended(O.OK, response)
@@ -240,7 +251,8 @@
             self.pool.buffer_budget.release()
             return
         self.response_pipe.has_slot, self.response_pipe.slot_ticket = True, 0
-        self.set_paused(False)
+        self.waits_for_slot = False
+        self._update_reading()
 
     def _read_streamed(self, data: bytes) -> None:
         """Reads a streamed response; at its end the connection may be reused."""
--- a/tests/flow/test_rules.py
+++ b/tests/flow/test_rules.py
@@ -88,6 +88,71 @@
         assert recording_source.is_cancelled == (end == "cancel")
 
 
+class BoundedSink(RecordingSink):
+    """A sink that reports once when it becomes full, from within `take`, like a transport."""
+
+    def __init__(self, made: Pipe, capacity: int) -> None:
+        super().__init__()
+        self.pipe, self.capacity, self.unsent, self.is_full = made, capacity, 0, False
+
+    def take(self, data: bytes) -> None:
+        super().take(data)
+        self.unsent += len(data)
+        if self.unsent > self.capacity and not self.is_full:
+            self.is_full = True
+            self.pipe.set_full(True)
+
+    def send(self) -> None:
+        """Sends all that is buffered."""
+        self.unsent = 0
+        if self.is_full:
+            self.is_full = False
+            self.pipe.set_full(False)
+
+
+FLOW_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("push"), st.integers(1, REPLAY_BYTES)),
+        st.tuples(st.sampled_from(("attach", "detach", "send")), st.just(0)),
+    ),
+    max_size=24,
+)
+
+
+@given(FLOW_STEPS, st.integers(0, 2 * REPLAY_BYTES))
+def test_a_source_is_paused_exactly_while_its_sink_is_full(
+    steps: list[tuple[str, int]], capacity: int
+) -> None:
+    """Guards against a body that is buffered without a bound: a sink became full while it was attached."""
+    budget = BufferBudget(1 << 22)
+    made, source = Pipe(budget, None, has_slot=budget.acquire()), RecordingSource()
+    made.source = source
+    sink: BoundedSink | None = None
+    for step, size in steps:
+        if step == "push" and not source.paused:
+            made.push(bytes(size))
+        elif step == "attach" and sink is None and not made.replay_lost:
+            sink = BoundedSink(made, capacity)
+            made.attach(sink)
+        elif step == "detach" and sink is not None:
+            made.detach(sink)
+            sink = None
+        elif step == "send" and sink is not None:
+            sink.send()
+        if sink is not None:
+            assert source.paused == sink.is_full
+            assert sink.unsent <= capacity + 2 * REPLAY_BYTES  # What is replayed, and one push.
+
+
+def test_a_ticket_is_that_of_its_caller_even_if_a_callback_takes_another() -> None:
+    """Guards against a wait that is cancelled by somebody else's ticket."""
+    budget = BufferBudget(MIN_SHARE_BYTES + MAX_READ)
+    tickets: list[int] = []
+    ticket = budget.wait_for_slot(lambda: tickets.append(budget.wait_for_slot(lambda: None)))
+    assert (ticket, tickets) == (1, [2])
+    assert list(budget.waiting) == [2]
+
+
 @given(st.lists(st.sampled_from(("enter", "wait", "leave", "forget")), max_size=60))
 def test_a_budget_never_grants_more_slots_than_it_has(steps: list[str]) -> None:
     made = BufferBudget(5 * (MIN_SHARE_BYTES + MAX_READ))
--- a/tests/flow/test_sockets.py
+++ b/tests/flow/test_sockets.py
@@ -10,6 +10,7 @@
 
 from honeywharf.flow import buffer_budget
 from honeywharf.http import backend as upstream, front as downstream
+from honeywharf.http.body_streams import ConnectionSource
 from honeywharf.policy import interface as api
 from tests.loopback import Backend, Client, reply, run, running_proxy, soon, until
 
@@ -368,6 +369,13 @@
                 reading_client.reader
             )  # The first bytes arrive, the rest waits for a slot.
             assert b"200" in response_head
+            # Guards against answers that are read without a slot, once a client takes them.
+            (download,) = w.proxy.front.downloads
+            assert download.stream is not None
+            assert isinstance(download.stream.source, ConnectionSource)
+            backend_connection = download.stream.source.connection
+            assert isinstance(backend_connection, upstream.Connection)
+            assert backend_connection.read_paused
             first.writer.write(b"x" * 10_000)
             assert len((await first.answer())[2]) == len(LONG)
             assert len(await soon(reading_client.reader.readexactly(len(LONG)))) == len(LONG)
