--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -23,7 +23,7 @@
 from honeywharf.mesh_config.quantities import address
 from honeywharf.mesh_config.routes import Route, RoutingTable
 
-MAX_REDIRECTS = 2
+MAX_REDIRECTS = 2  # The other callers of the mesh follow as many.
 MAX_ANSWER_BYTES = 64 << 20
 ORDER_UNCERTAIN = "The order may be in force, or may not: send it again"
 RETRYABLE_STATUSES = (408, 429)  # The client errors that may not recur.
--- a/honeywharf/gossip/dissemination.py
+++ b/honeywharf/gossip/dissemination.py
@@ -19,8 +19,8 @@
 
 Datagrams = list[tuple[str, bytes]]  # Destination node and payload.
 
-BATCH_DELAY_S = 0.02
-REPEAT_DELAY_S = 0.15
+BATCH_DELAY_S = 0.02  # Rumours wait this long for one another.
+REPEAT_DELAY_S = 0.15  # After this time a rumour is forwarded a second time.
 FANOUT, REPEAT_FANOUT = 3, 2  # Peers that a rumour is forwarded to, the first and the second time.
 MAX_CROSS_ZONE_HOPS = 2  # A rumour with fewer hops is also forwarded to other zones.
 MAX_BATCH_ENTRIES = 64
--- a/honeywharf/gossip/table.py
+++ b/honeywharf/gossip/table.py
@@ -20,9 +20,9 @@
 
 MAX_NODES = 4096
 REVISION = "rev"  # Changes of this attribute keep the sequence number; see `is_unsequenced`.
-INACTIVE_OFFER_S = 15.0
-INACTIVE_RETENTION_S = 30.0
-DROPPED_RETENTION_S = 60.0
+INACTIVE_OFFER_S = 15.0  # A node that has gone is offered to others for this time.
+INACTIVE_RETENTION_S = 30.0  # It is kept for this time.
+DROPPED_RETENTION_S = 60.0  # It is remembered as dropped for this time.
 REPAIR_HOPS = 14  # A repaired entry from another zone gets these hops and is forwarded within the zone.
 NO_FORWARD_HOPS = 15  # An entry with these hops is not forwarded.
 
--- a/honeywharf/handover/link.py
+++ b/honeywharf/handover/link.py
@@ -27,6 +27,7 @@
 STATE_TIMEOUT_S = 0.4
 MAX_LINKS = 4
 MAX_QUEUED_FRAMES = 512  # A link with more unsent frames is closed.
+# A descriptor that the peer's queue had no room for is offered again after this time.
 DESCRIPTOR_RETRY_S = 0.005
 MAX_FDS = 1
 FILE_NAME_FORMAT = "honeywharf-{}-{}.{}"  # The fields are host, port, and "sock" or "words".
--- a/honeywharf/limits/lateness.py
+++ b/honeywharf/limits/lateness.py
@@ -23,6 +23,7 @@
 ON_TIME_BASES = 1.35  # base times; a mean beyond them, over many answers, shows congestion
 MIN_ON_TIME_PART = 0.25  # no answer within this part of the target is late
 ADAPT_TIME_MS = 500.0
+# In base times, where those are more than `ADAPT_TIME_MS`.
 ADAPT_BASE_TIMES = 1.5  # a limit that moves faster than its answers arrive oscillates
 GROWTH_SLOWDOWN = 5.0
 SLOW_START_SPEEDUP = 4.0  # growth is faster below the first value, which is known to be safe
--- a/honeywharf/reports/node.py
+++ b/honeywharf/reports/node.py
@@ -19,7 +19,7 @@
 
 SMOOTHING_MS = 200.0  # time constant of the filter
 DECAY_MS = 1500.0  # time constant with which a report loses weight
-MAX_REPORT_AGE_MS = 3.0 * DECAY_MS
+MAX_REPORT_AGE_MS = 3.0 * DECAY_MS  # an older report counts nothing
 STUCK_MS = 5000.0
 STUCK_REPORTS = 8
 MAX_RATIO = 2.5  # bounds the ratio of an answer's time to the time expected by the report, and its inverse
--- a/honeywharf/reports/reports.py
+++ b/honeywharf/reports/reports.py
@@ -37,11 +37,11 @@
         self.reader = ReportReader(settings.report_fields)
         self.proxy_share = min(1.0, settings.zones / settings.balancers)
         self.nodes: dict[str, NodeReports] = {}  # bounded: `listed` removes endpoints that are not listed
-        self.zone_loads: dict[str, ZoneLoad] = {}
+        self.zone_loads: dict[str, ZoneLoad] = {}  # as many as there are zones
         self.started: dict[str, float | None] = {}
         self.wait_per_call_ms = self.base_ms = self.reference_ms = self.service_ms = 0.0
         self.wait_samples = 0
-        self.service_samples = 0
+        self.service_samples = 0  # answers that `service_ms` is the mean of
         self.counts = {"heard": 0, "no figure": 0, "doubted": 0, "late": 0}
 
     def listed(self, started: dict[str, float | None]) -> None:
--- a/honeywharf/sessions/drain.py
+++ b/honeywharf/sessions/drain.py
@@ -30,7 +30,7 @@
 ORDER, TERM, CANCEL = range(3)
 CONFIRMATION_S = 30.0  # A second order confirms the first within this time.
 ANNOUNCEMENT_S = 0.1  # This exceeds the latency between regions, so that sources know of the drain.
-MOVES_PER_TICK = 32
+MOVES_PER_TICK = 32  # Sessions that are asked to move in one tick.
 TICK_INTERVAL_S = 0.02
 REPEAT_LEAVE_S = 1.0  # A session still here is asked to move again after this time.
 # With this much of `grace-period` left, the last gateway drains without a second order.
--- a/honeywharf/sidecar/probe.py
+++ b/honeywharf/sidecar/probe.py
@@ -20,7 +20,7 @@
     from honeywharf.transport.host import Address, Connection, Handler, Host
 
 FIRST_DELAY_S = 0.1
-MIN_RETRY_DELAY_S = 0.5
+MIN_RETRY_DELAY_S = 0.5  # Between checks of a backend that does not answer.
 MAX_RETRY_DELAY_S = 2.0
 TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024
--- a/honeywharf/simulation/world.py
+++ b/honeywharf/simulation/world.py
@@ -9,8 +9,8 @@
 from collections.abc import Callable
 from typing import Any
 
-MAX_TRACE_LINES = 400
-MAX_EVENT_LINES = 120
+MAX_TRACE_LINES = 400  # The last lines, which tell what happened before a rule was broken.
+MAX_EVENT_LINES = 120  # The last main events, for the reader of a run that broke a rule.
 
 
 class Event:
--- a/honeywharf/traces/context.py
+++ b/honeywharf/traces/context.py
@@ -95,7 +95,7 @@
         if match is None or match[1] in members or len(members) >= MAX_MEMBERS:
             return {}, "state"
         members[match[1]] = text
-    # Members over 128 characters are dropped first, then those at the end (3.3.1.5).
+    # Members over 128 characters are dropped first, then those at the end (3.3.1.5). A cut counts as a fault.
     fault = "" if _length(members) <= MAX_TRACE_STATE_CHARS else "state"
     for name in [n for n, m in members.items() if len(m) > 128 and fault]:
         del members[name]
--- a/honeywharf/traces/delivery.py
+++ b/honeywharf/traces/delivery.py
@@ -21,7 +21,7 @@
 MAX_BATCH_WAIT_MS = 1000.0
 INITIAL_BACKOFF_MS, MAX_BACKOFF_MS = 1000.0, 30_000.0
 RETRYABLE = frozenset({429, 502, 503, 504})
-MAX_RETRY_AFTER_MS = 300_000.0
+MAX_RETRY_AFTER_MS = 300_000.0  # A collector's Retry-After is followed up to this.
 
 
 @dataclass(frozen=True)
--- a/honeywharf/traces/otlp.py
+++ b/honeywharf/traces/otlp.py
@@ -33,7 +33,7 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024
 NANOSECONDS_PER_MS = 1_000_000
-CLOSE_TIMEOUT_S = 1.0
+CLOSE_TIMEOUT_S = 1.0  # For the last batch, at the end of the process.
 
 
 def attribute(key: str, value: object) -> KeyValue:
--- a/honeywharf/traces/spool.py
+++ b/honeywharf/traces/spool.py
@@ -12,7 +12,7 @@
 
 from honeywharf.traces.queue import Queue
 
-WRITE_INTERVAL_S = 0.2
+WRITE_INTERVAL_S = 0.2  # The thread gathers lines for this time.
 
 
 class Spool:
--- a/honeywharf/transport/event_loop.py
+++ b/honeywharf/transport/event_loop.py
@@ -30,8 +30,8 @@
 READ_BYTES = 64 * 1024
 MAX_READS_PER_EVENT = 4  # This bounds the reads of one connection before others are served.
 LISTEN_BACKLOG = 512
-USER_TIMEOUT_MS = 3000
-KEEPALIVE_INTERVAL_S = 1
+USER_TIMEOUT_MS = 3000  # A peer is lost after this time without an acknowledgement.
+KEEPALIVE_INTERVAL_S = 1  # Between probes of a connection that carries nothing.
 MAX_DATAGRAMS_PER_EVENT = 64
 
 _IN, _OUT, _HALF_CLOSED = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
