Bound what a sidecar holds of an upload beyond 512 KiB too

Cause: a client is paused by `pending_bytes`, which was 0 once a part of the body had been dropped, that is beyond 512 KiB. From then on the client was read as fast as it sent.

Change: it is what was received less what was sent, always. After a part was dropped there is no further attempt, so both counts are those of the attempt under way.

Failed before: test_a_long_upload_is_held_within_its_bounds_at_a_slow_backend[True] on: assert 737280 <= ((524288 + 65536) + (2 * 65536)); parts=[16384], reads=[False, False, False, True]

Tests of sidecar and sessions pass.

--- a/honeywharf/sidecar/outbound_request.py
+++ b/honeywharf/sidecar/outbound_request.py
@@ -406,7 +406,7 @@
     @property
     def pending_bytes(self) -> int:
         """Bytes of the body received and not yet sent to the gate."""
-        return max(0, self.bytes_received - self.bytes_sent) if not self.body_dropped else 0
+        return max(0, self.bytes_received - self.bytes_sent)
 
     def _send_body(self) -> None:
         """Sends what the window allows; a gate in this process may widen it, or reject, from within."""
--- a/tests/sidecar/test_bodies_in_parts.py
+++ b/tests/sidecar/test_bodies_in_parts.py
@@ -16,14 +16,17 @@
 
 from honeywharf.mesh_config.routes import RoutingTable
 from honeywharf.sidecar.backend import BackendConnectionPool
+from honeywharf.sidecar.client_connection import MAX_HELD_BODY_BYTES
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.inbound import MAX_WHOLE_ANSWER_BYTES, Inbound, InboundRequest
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
+from honeywharf.sidecar.outbound_request import MAX_RETAINED_BODY_BYTES
 from honeywharf.sidecar.source import Source
 from honeywharf.simulation.deployment import APPLICATION, OUTBOUND
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
+from honeywharf.transport.event_loop import READ_BYTES
 from honeywharf.transport.framing import FrameReader
 from honeywharf.transport.host import Connection, Handler, Host
 from honeywharf.transport.link_server import LinkServer, StreamResponder
@@ -89,6 +92,7 @@
 
 
 PARTS = st.lists(st.sampled_from((1_000, 8_000, 8_192, 16_384, 65_535, 65_536, 65_537, 200_000)), min_size=1)
+LARGE_PARTS = st.lists(st.sampled_from((16_384, 65_535, 65_536, 65_537, 200_000)), min_size=1, max_size=6)
 SIZES = st.sampled_from((0, 1, 8_193, 65_536, 65_537, 72_000, 131_073, 200_000, 700_000))
 BODIES = st.builds(
     lambda size, parts, is_chunked: Body(size, tuple(parts), is_chunked), SIZES, PARTS, st.booleans()
@@ -171,7 +175,7 @@
         backend.serve = respond
         return backend.requests
 
-    def send(self, kind: str, body: Body) -> HttpClient:
+    def send(self, kind: str, body: Body, pause_s: float = PAUSE_S) -> HttpClient:
         """Sends a request in parts."""
         client = HttpClient(self.client_process, (IP, OUTBOUND))
         client.send(
@@ -179,7 +183,7 @@
             b"X-Honeywharf-Deadline-Remaining: %d\r\n%b\r\n\r\n"
             % (kind.encode(), ATTEMPT, DEADLINE_MS, body.framing)
         )
-        body.write(self.client_process, client.send, PAUSE_S)
+        body.write(self.client_process, client.send, pause_s)
         return client
 
     def check_released(self) -> None:
@@ -240,3 +244,36 @@
     trial.run(2.0)
     assert [data for _, _, data in client.answers()] == [answer.data]
     trial.check_released()
+
+
+@pytest.mark.parametrize("is_local", [True, False])
+@settings(max_examples=20, deadline=None)
+@given(
+    parts=LARGE_PARTS,
+    is_chunked=st.booleans(),
+    reads=st.lists(st.booleans(), min_size=2, max_size=16).filter(any),
+)
+def test_a_long_upload_is_held_within_its_bounds_at_a_slow_backend(
+    is_local: bool, parts: list[int], is_chunked: bool, reads: list[bool]
+) -> None:
+    """Guards against a sidecar that runs out of memory: long uploads were read without a bound."""
+    trial = Trial(is_local)
+    body = Body(700_000 if is_chunked else 2 << 20, tuple(parts), is_chunked)
+    requests = trial.serve(Body(4, (4,)), 0.0)
+    client = trial.send("upload", body, pause_s=0.0)
+    backend = cast("ScriptedBackend", trial.served.app.program)
+    for turn in range(100):
+        for scripted in backend.accepted:
+            scripted.connection.resume() if reads[turn % len(reads)] else scripted.connection.pause()
+        trial.run(0.01)
+        for request in trial.first.outbound.source.active_requests:
+            assert request.pending_bytes <= MAX_HELD_BODY_BYTES + READ_BYTES
+            assert request.retained_bytes <= MAX_RETAINED_BODY_BYTES + MAX_HELD_BODY_BYTES + 2 * READ_BYTES
+        for inbound_request in trial.served.inbound.pending_requests:
+            assert sum(map(len, inbound_request.body)) <= MAX_RETAINED_BODY_BYTES + 2 * WINDOW_SIZE
+    for scripted in backend.accepted:
+        scripted.connection.resume()
+    trial.run(1.0)
+    assert [request.body for request in requests] == [body.data]
+    assert [status for status, _, _ in client.answers()] == [200]
+    trial.check_released()
