--- a/tests/sessions/network.py
+++ b/tests/sessions/network.py
@@ -64,6 +64,7 @@
 class SessionNetwork:
     """The network. `answer`: the backend's answer to each complete body."""
 
+    client_class: type[SourceClient] = SourceClient
     receivers_class: type[Receivers] = Receivers
     relay_class: type[Relay] = Relay
     sender_class: type[Sender] = Sender
@@ -95,7 +96,7 @@
 
     def add(self, body: bytes, attempt: bytes, incarnation: bytes, length: int) -> Sender:
         session_id = bytes([len(self.sources) + 1]) * 16
-        client = SourceClient(body)
+        client = self.client_class(body)
         request = Request("d", attempt, length, self.now + DEADLINE_S, int((self.now + DEADLINE_S) * 1000))
         sender = self.sender_class(session_id, request, client, incarnation)
         client.sender = sender
--- a/tests/sessions/test_parts.py
+++ b/tests/sessions/test_parts.py
@@ -14,7 +14,7 @@
 from honeywharf.sessions.frames import CHUNK_BYTES, WINDOW_BYTES
 from honeywharf.sessions.receiver import Receiver
 from honeywharf.transport.stream import WINDOW_SIZE
-from tests.sessions.network import GATEWAYS, SessionNetwork
+from tests.sessions.network import GATEWAYS, SessionNetwork, SourceClient
 
 SIZES = st.sampled_from((0, 1, CHUNK_BYTES, CHUNK_BYTES + 1, WINDOW_BYTES, WINDOW_BYTES + 1, 700_000))
 PARTS = st.lists(
@@ -57,17 +57,40 @@
             self.network.receivers.answer_completed(self.receiver)
 
 
+class PartsClient(SourceClient):
+    """A client that grants as much as it takes, at once or later, by `grants` in turn."""
+
+    def __init__(self, body: bytes) -> None:
+        super().__init__(body)
+        self.grants, self.turns = [NOW], 0
+        self.later: list[int] = []
+
+    def data(self, data: bytes) -> None:
+        """Takes a part of the answer."""
+        self.answer += data
+        self.turns += 1
+        self.later.append(len(data))
+        if self.grants[self.turns % len(self.grants)] == NOW:
+            self.grant()
+
+    def grant(self) -> None:
+        """Grants what was taken longest ago."""
+        if self.later and self.sender is not None:
+            self.sender.window(self.later.pop(0))
+
+
 class PartsNetwork(SessionNetwork):
     """A network whose clients grant windows at once or later, and whose backend answers in parts."""
 
+    client_class = PartsClient
+
     def __init__(self, body: bytes, answer: bytes, parts: list[int], grants: list[str], length: int) -> None:
-        self.parts, self.grants, self.turns = parts, grants, 0
+        self.parts = parts
         self.answers: dict[bytes, AnswerInParts] = {}
-        self.later: list[int] = []
         super().__init__(body, answer, length=length)
-        sender, client = self.sources[0]
-        client.data = self.take  # type: ignore[method-assign]
-        self.sender, self.client = sender, client
+        self.client = self.sources[0][1]
+        assert isinstance(self.client, PartsClient)
+        self.client.grants = grants
 
     def restart(self) -> None:
         """Starts the destination, whose backend writes on as its answers are consumed."""
@@ -79,19 +102,10 @@
         if receiver.session_id in self.answers:
             self.answers[receiver.session_id].widen(size)
 
-    def take(self, data: bytes) -> None:
-        """Takes a part of the answer, and grants as much again now or in a later step."""
-        self.client.answer += data
-        self.turns += 1
-        if self.grants[self.turns % len(self.grants)] == NOW:
-            self.sender.window(len(data))
-        else:
-            self.later.append(len(data))
-
     def step(self) -> bool:
         """Grants what was put off, then delivers one frame."""
-        if self.later and self.steps % 3 == 0:
-            self.sender.window(self.later.pop(0))
+        if self.steps % 3 == 0 and isinstance(self.client, PartsClient):
+            self.client.grant()
         return super().step()
 
     def _answer(self, receiver: Receiver) -> None:
