Take the counters out of evacuation calls, which nobody could read

EvacuationCounters were read by tests alone: no page, no log line and no view showed them. The log line tells what an operator needs: an order whose caller does not wait. The attempt number that came back with a confirmation could never differ, as there is one confirmation an attempt. The timer of an order that is answered is cancelled; the docstring counts its three steps.

The tests ask the same of what is seen from outside: exactly one such line, and two interim responses where the first attempt met a newer state.

--- a/honeywharf/control/evacuation_calls.py
+++ b/honeywharf/control/evacuation_calls.py
@@ -1,7 +1,7 @@
 """An operator's order to begin or end an evacuation: applied only while its caller still waits for it.
 
 Theory of operation. Evacuation orders carry no version, so an order that is read late (from the socket of a
-process that was stopped, or after its packets were delayed) can't be told from a new one by its text. Two
+process that was stopped, or after its packets were delayed) can't be told from a new one by its text. Three
 steps together keep it from undoing a newer order of the same operator:
 
 1. The fence is taken: the revision of a state that this node knows to be committed.
@@ -36,15 +36,6 @@
 Done = Callable[[QuorumResult, EvacuationOutcome | None], None]
 
 
-class EvacuationCounters:
-    """How the orders of evacuations that this node has read were ended."""
-
-    def __init__(self) -> None:
-        self.applied = 0
-        self.superseded = 0  # Attempts that another change has superseded.
-        self.abandoned = 0  # Orders whose caller was not confirmed in time; none of them was submitted.
-
-
 class EvacuationCall:
     """One order. `done` is called once, within `timeout` seconds, with the outcome if the result is OK.
 
@@ -52,63 +43,53 @@
     """
 
     def __init__(
-        self,
-        replica: Replica,
-        counters: EvacuationCounters,
-        zone: str,
-        begin: bool,
-        confirm_caller: ConfirmCaller,
-        timeout: float,
+        self, replica: Replica, zone: str, begin: bool, confirm_caller: ConfirmCaller, timeout: float
     ) -> None:
-        self.replica, self.host, self.counters = replica, replica.host, counters
+        self.replica, self.host = replica, replica.host
         self.zone, self.begin, self.confirm_caller = zone, begin, confirm_caller
-        self.deadline = replica.host.now() + timeout
+        self.deadline = self.host.now() + timeout
+        self.timer = self.host.after(timeout, self._timed_out)
         self.attempts = 0
-        self.is_submitted = False
+        self.is_confirmed = False  # Whether the caller was confirmed in the present attempt.
         self.done: Done | None = None
 
     def start(self, done: Done) -> None:
         """Applies the order."""
         self.done = done
-        self.host.after(self.deadline - self.host.now(), self._timed_out)
         self._confirm(self.replica.committed.revision)
 
     def _confirm(self, fence: int) -> None:
         """Confirms the caller, after the fence is known."""
         self.attempts += 1
-        attempt = self.attempts
-        self.confirm_caller(lambda: self._confirmed(attempt, fence))
+        self.is_confirmed = False
+        self.confirm_caller(lambda: self._confirmed(fence))
 
-    def _confirmed(self, attempt: int, fence: int) -> None:
+    def _confirmed(self, fence: int) -> None:
         remaining = self.deadline - self.host.now()
-        if self.done is None or attempt != self.attempts or remaining <= 0:
+        if self.done is None or remaining <= 0:
             return
-        self.is_submitted = True
+        self.is_confirmed = True
         change = mesh_state.set_evacuation(self.zone, self.begin, fence)
         self.replica.submit(change, remaining, self._answered)
 
     def _answered(self, result: QuorumResult, answer: EvacuationAnswer) -> None:
         if result is not QuorumResult.OK:
             self._finish(result, None)
-            return
-        if answer.outcome is not EvacuationOutcome.SUPERSEDED:
-            self.counters.applied += answer.outcome is EvacuationOutcome.IN_FORCE
+        elif answer.outcome is not EvacuationOutcome.SUPERSEDED:
             self._finish(result, answer.outcome)
-            return
-        self.counters.superseded += 1
-        if self.attempts < MAX_ATTEMPTS and self.done is not None:
+        elif self.attempts < MAX_ATTEMPTS and self.done is not None:
             self._confirm(answer.revision)
         else:
             self._finish(QuorumResult.CONTENDED, None)
 
     def _timed_out(self) -> None:
-        if self.done is not None and not self.is_submitted:
-            self.counters.abandoned += 1
+        if not self.is_confirmed:
             step = "start" if self.begin else "complete"
             self.host.log(f"operator: {step} {self.zone} not applied: its caller does not wait for it")
         self._finish(QuorumResult.UNREACHABLE, None)
 
     def _finish(self, result: QuorumResult, outcome: EvacuationOutcome | None) -> None:
+        self.timer.cancel()
         done, self.done = self.done, None
         if done is not None:
             done(result, outcome)
--- a/honeywharf/control/operator_api.py
+++ b/honeywharf/control/operator_api.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from honeywharf.control import mesh_state
-from honeywharf.control.evacuation_calls import EvacuationCall, EvacuationCounters
+from honeywharf.control.evacuation_calls import EvacuationCall
 from honeywharf.control.members_view import members_view
 from honeywharf.control.mesh_state import Confirmation, EvacuationOutcome, MeshState, Outcome
 from honeywharf.control.register import QuorumResult
@@ -88,7 +88,6 @@
         self.replica, self.zones, self.sidecar_port, self.check = replica, zones, sidecar_port, check
         self.is_shutting_down = False
         self.pending_calls = 0
-        self.evacuation_counters = EvacuationCounters()
         self.routes = routes = UrlMatcher()
         begin, end = partial(self._set_evacuation, True), partial(self._set_evacuation, False)
         self.majority_calls = [self._replace, self._describe, begin, end, self._readiness]
@@ -197,9 +196,7 @@
         if not call.takes_interim_responses:
             self.answer(call, 505, b"expected HTTP/1.1, which has interim responses")
             return
-        order = EvacuationCall(
-            self.replica, self.evacuation_counters, zone, begin, call.confirm_caller, ANSWER_TIMEOUT_S
-        )
+        order = EvacuationCall(self.replica, zone, begin, call.confirm_caller, ANSWER_TIMEOUT_S)
         order.start(partial(self._evacuation_set, call))
 
     def _evacuation_set(
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -50,6 +50,7 @@
         self.method, self.path, self.body = method.encode(), path.encode(), body
         self.answers: list[tuple[int, bytes, bytes]] = []
         self.is_waiting = True
+        self.confirmations = 0  # The interim responses sent to the caller.
 
     def give_up(self) -> None:
         """Closes the caller's connection."""
@@ -58,6 +59,7 @@
     def confirm_caller(self, confirmed: Callable[[], None]) -> None:
         """Carries an interim response to the caller, and its acknowledgement back if the caller waits."""
         network = self.machine.network
+        self.confirmations += 1
 
         def arrive() -> None:
             if self.is_waiting:
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -26,8 +26,8 @@
     return cluster.call(ip, "POST", f"/api/evacuations/a/{step}")
 
 
-def acknowledged(cluster: ControlCluster, ip: str, step: str) -> None:
-    """Sends an order for zone `a`, again like an operator, until it is acknowledged."""
+def acknowledged(cluster: ControlCluster, ip: str, step: str) -> Call:
+    """Sends an order for zone `a`, again like an operator, until it is acknowledged; returns that call."""
     for _ in range(OPERATOR_TRIES):
         call = order(cluster, ip, step)
         sent_at = cluster.network.time
@@ -35,7 +35,7 @@
             cluster.run(STEP_S)
         call.give_up()
         if call.status == 200:
-            return
+            return call
     raise AssertionError(f"{step} was not acknowledged")
 
 
@@ -83,8 +83,7 @@
     give_up_and_start_again(cluster, late)
     cluster.run(2.0)
     check_evacuated(cluster)
-    assert cluster.programs[A].operator.evacuation_counters.abandoned == 1
-    assert any("does not wait" in line for line in machine.lines)
+    assert sum("does not wait" in line for line in machine.lines) == 1
 
 
 @pytest.mark.parametrize("wait_s", WAITS_S)
@@ -172,10 +171,9 @@
 
 def test_a_node_that_knows_only_an_old_state_still_takes_orders() -> None:
     cluster = evacuated_cluster(4)
-    replica = cluster.programs[C].replica
-    replica.committed.known = None
-    acknowledged(cluster, C, "complete")
-    assert cluster.programs[C].operator.evacuation_counters.superseded == 1
+    cluster.programs[C].replica.committed.known = None
+    call = acknowledged(cluster, C, "complete")
+    assert call.confirmations == 2, "the first attempt was superseded by the newer state"
     cluster.run(1.0)
     assert cluster.known(A).evacuations == {"a": False}
 
--- a/tests/simulation/test_late_orders.py
+++ b/tests/simulation/test_late_orders.py
@@ -24,8 +24,7 @@
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     def apply(self: EvacuationCall, fence: int) -> None:
-        self.attempts += 1
-        self._confirmed(self.attempts, ANY_REVISION)
+        self._confirmed(ANY_REVISION)
 
     monkeypatch.setattr(EvacuationCall, "_confirm", apply)
     report = run(1, [Fault(8.0, "late_order", how, 1)], after=DAY_S)
