Hold orders up in the random histories, and stop an order at each step of its course

A fifth of its orders are now read up to 4 s late.

The tests that stop or cut off a proposer shared their loop, whose comment claimed an order of 40 ms; past some 24 ms they played nothing. They take each step until the order is answered now, eight at least. Orders of operators who wait are all acknowledged, those that got 503 when they are sent again.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -108,11 +108,12 @@
         self.network.machine(ip)
         self.start(ip)
 
-    def call(self, ip: str, method: str, path: str, body: bytes = b"") -> Call:
-        """Calls a control node; the answer arrives as time passes."""
-        call = Call(self.network.machines[ip], method, path, body)
-        if self.network.machines[ip].on:
-            self.network.machines[ip].after(0.001, lambda: self.programs[ip].operator.handle(call))
+    def call(self, ip: str, method: str, path: str, body: bytes = b"", delay_s: float = 0.0) -> Call:
+        """Calls a control node, which reads the call after a delay; the answer arrives as time passes."""
+        machine = self.network.machines[ip]
+        call = Call(machine, method, path, body)
+        if machine.on:
+            machine.after(0.001 + delay_s, lambda: self.programs[ip].operator.handle(call))
         return call
 
     def replace(self, ip: str, version: int, content: str = "") -> Call:
--- a/tests/control/test_history.py
+++ b/tests/control/test_history.py
@@ -21,6 +21,7 @@
 RUNS = int(os.environ.get("RUNS", "6"))
 MAX_IN_FLIGHT = 8
 LOST_ANSWERS = 0.3
+HELD_UP_ORDERS, MAX_HELD_UP_S = 0.2, 4.0  # The share of orders whose packets the network holds up.
 ZONES = "abc"
 
 
@@ -91,8 +92,10 @@
         """Sends an order to a random machine."""
         self.orders.append(order)
         ip = self.rng.choice(list(self.cluster.network.machines))
-        now = self.cluster.network.time
-        self.in_flight.append((order, now, self.cluster.call(ip, "POST", order.path, order.body)))
+        now, delay = self.cluster.network.time, 0.0
+        if self.rng.random() < HELD_UP_ORDERS:
+            delay = self.rng.uniform(0.0, MAX_HELD_UP_S)
+        self.in_flight.append((order, now, self.cluster.call(ip, "POST", order.path, order.body, delay)))
 
     def read(self) -> None:
         """Reads the committed state from a random machine."""
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import count
 
 import pytest
 
@@ -18,7 +19,8 @@
 # How long a caller waits before it gives up; a node that wakes after the shorter time is still in its order's
 # time, and proposes the order again.
 WAITS_S = (OPERATOR_WAIT_S, 0.15)
-MOMENTS = range(0, 60, 2)  # In ms after the order was sent; an order takes some 40.
+MOMENT_STEP_S = 0.002
+MIN_MOMENTS = 8  # An order takes at least so many steps: the caller's proof, and two rounds with their syncs.
 
 
 def order(cluster: ControlCluster, ip: str, step: str) -> Call:
@@ -61,6 +63,18 @@
     assert [cluster.known(ip).evacuations for ip in cluster.ips] == [{"a": True}] * 3
 
 
+def orders_under_way(seed: int) -> Iterator[tuple[ControlCluster, Call]]:
+    """Yields clusters with a `complete` at node A, each a step later in its course, until it is answered."""
+    for step in count():
+        cluster = evacuated_cluster(seed + step)
+        late = order(cluster, A, "complete")
+        cluster.run(step * MOMENT_STEP_S)
+        if late.status:
+            assert step >= MIN_MOMENTS
+            return
+        yield cluster, late
+
+
 @pytest.mark.parametrize("read_after_s", [0.0, 0.02, 0.1, 0.5])
 def test_an_order_in_the_socket_of_a_frozen_node_takes_no_effect_when_it_wakes(read_after_s: float) -> None:
     """Guards against EVAC: a `complete` that was given up withdrew an evacuation acknowledged since."""
@@ -91,12 +105,7 @@
     wait_s: float,
 ) -> None:
     """Guards against EVAC: an order is confirmed, or half proposed, when its node is stopped."""
-    for moment in MOMENTS:
-        cluster = evacuated_cluster(100 + moment)
-        late = order(cluster, A, "complete")
-        cluster.run(moment / 1000)
-        if late.status:
-            continue
+    for cluster, late in orders_under_way(seed=100):
         cluster.network.machines[A].frozen = True
         give_up_and_start_again(cluster, late, wait_s)
         cluster.network.machines[A].unfreeze()
@@ -107,12 +116,7 @@
 @pytest.mark.parametrize("way", ["out", "both"])
 def test_proposals_that_the_network_delays_do_not_undo_a_newer_order(way: str, wait_s: float) -> None:
     """Guards against EVAC: the messages of an order between control nodes arrive after a newer order."""
-    for moment in MOMENTS:
-        cluster = evacuated_cluster(200 + moment)
-        late = order(cluster, A, "complete")
-        cluster.run(moment / 1000)
-        if late.status:
-            continue
+    for cluster, late in orders_under_way(seed=200):
         cluster.network.cuts = {(A, B), (A, C)} | ({(B, A), (C, A)} if way == "both" else set())
         give_up_and_start_again(cluster, late, wait_s)
         cluster.network.cuts.clear()
@@ -146,13 +150,16 @@
     return changed
 
 
-def test_orders_of_two_operators_who_wait_are_all_acknowledged() -> None:
+def test_orders_of_operators_who_wait_supersede_each_other_and_are_all_acknowledged() -> None:
     cluster = evacuated_cluster(3)
     steps = ["start", "complete"] * 4
     calls = [order(cluster, ip, step) for step, ip in zip(steps, [A, B, C] * 3, strict=False)]
     cluster.run(OPERATOR_WAIT_S)
     assert {call.status for call in calls} <= {200, 503}
     assert [call.status for call in calls].count(200) >= len(calls) / 2
+    for step, call in zip(steps, calls, strict=True):
+        if call.status != 200:
+            acknowledged(cluster, A, step)
     acknowledged(cluster, C, "start")
     cluster.run(1.0)
     assert cluster.known(A).evacuations == {"a": True}
