--- a/tests/sidecar/fixtures.py
+++ b/tests/sidecar/fixtures.py
@@ -95,6 +95,7 @@
         self.ends = self.answer_bytes_forwarded = 0
         self.cancelled = False
         self.on_data: Callable[[bytes], None] = lambda data: None
+        self.on_window: Callable[[], None] = lambda: None
 
     def data(self, data: bytes) -> None:
         """Records a part of the request's body."""
@@ -110,6 +111,7 @@
     def window(self, size: int) -> None:
         """Counts the bytes of the answer that were forwarded."""
         self.answer_bytes_forwarded += size
+        self.on_window()
 
     def cancel(self) -> None:
         """Notes the cancellation."""
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -86,6 +86,25 @@
     assert [len(body) for _, _, body in caller.answers()] == [5, 100_000]
 
 
+def test_an_answer_that_a_gate_ends_from_within_takes_no_other_request_with_it() -> None:
+    """Guards against LOST: the writing of an answer came back into itself and dropped the next request."""
+    setup = OutboundSetup()
+    caller = setup.call(request(attempt=b"a") + request(attempt=b"b"))
+    first, second = setup.channels
+
+    def end() -> None:
+        first.on_window = lambda: None
+        first.outbound_request.answer_data(b"last")
+        first.outbound_request.whole()
+
+    first.on_window = end
+    first.outbound_request.answered(200, b"", 9, None)
+    first.outbound_request.answer_data(b"first")
+    give(setup, second, b"second")
+    assert [body for _, _, body in caller.answers()] == [b"firstlast", b"second"]
+    assert not setup.source.active_requests
+
+
 def test_pipelined_requests_are_bounded_and_read_on_as_earlier_ones_end() -> None:
     setup = OutboundSetup()
     caller = setup.call()
