Take out two checks of inbound requests that nothing needs, and name the usual fence

`_forward_answer` looks itself whether the request is over, before and after it forwards, so its callers need not, and a request is released once. `fenced` without a condition is its default.

--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -191,7 +191,7 @@
         replaces_disk = joiner.address in [member.address for member in self.voter.state.members]
         done = partial(self._admission_done, admission)
         if self._enlarges(joiner) or replaces_disk:
-            fenced = mesh_state.fenced(change, epoch, lambda: True)
+            fenced = mesh_state.fenced(change, epoch)
             self.changes.submit(fenced, max(0.0, remaining), lambda result, outcome: done(outcome))
         elif unreachable:
             self.removal.submit_under_lease(change, epoch, done)  # It replaces an unreachable member.
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -344,7 +344,7 @@
     return change
 
 
-def fenced(change: Change, epoch: int, is_allowed: Callable[[], bool]) -> Change:
+def fenced(change: Change, epoch: int, is_allowed: Callable[[], bool] = lambda: True) -> Change:
     """Returns a change that applies only to the membership of `epoch`, and while `is_allowed()` is true."""
 
     def fence(state: MeshState) -> tuple[MeshState | None, Any]:
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -478,8 +478,7 @@
                 return
             self.streaming = True
             self.responder.answer(head.status, b"".join(head.fields), head.length, self.gate.load(), None)
-            if not self.is_over:
-                self._forward_answer()
+            self._forward_answer()
 
     def _forward_answer(self) -> None:
         """Forwards what the window allows, and pauses reading from the backend while more is left.
@@ -580,9 +579,7 @@
             self.responder.fail(verdict, load)
 
     def _release(self) -> None:
-        """Gives the slot and the connection back, once."""
-        if self.is_over:
-            return
+        """Gives the slot and the connection back."""
         self.is_over = True
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
