Make the inbound side of the sidecar tests in one place

test_bodies_in_parts set up a gate and a pool as InboundSetup does, and bounded a destination's body by the source's constant of the same size. Both use make_inbound now, and the bound is the destination's own. The assertions are the same.

--- a/tests/sidecar/fixtures.py
+++ b/tests/sidecar/fixtures.py
@@ -565,6 +565,16 @@
         self.ends += 1
 
 
+def make_inbound(host: Process, slots: int = 4, connections: int = 20) -> Inbound:
+    """Returns the inbound side of a machine: a gate whose backend is ready, and connections to it."""
+    gate = Gate(host.now(), SERVICE, 1.5, 5.0)
+    gate.set_slow_start(22.0)
+    gate.heartbeat(host.now(), INSTANCE, 1, False, slots, 0.0)
+    pool = BackendConnectionPool(host, (host.machine.ip, APPLICATION), lambda: None)
+    pool.most = connections
+    return Inbound(host, gate, pool)
+
+
 class InboundSetup:
     """One machine with a gate, its inbound requests and a scripted backend, in a strict simulation."""
 
@@ -581,12 +591,7 @@
         self.run(2.0)  # the slow-start window that a new gate takes as used up is over
 
     def _sidecar(self, host: Process) -> Inbound:
-        gate = Gate(host.now(), SERVICE, 1.5, 5.0)
-        gate.set_slow_start(22.0)
-        pool = BackendConnectionPool(host, (IP, APPLICATION), lambda: None)
-        pool.most = self.connections
-        gate.heartbeat(host.now(), INSTANCE, 1, False, self.slots, 0.0)
-        return Inbound(host, gate, pool)
+        return make_inbound(host, self.slots, self.connections)
 
     @property
     def inbound(self) -> Inbound:
--- a/tests/sidecar/test_bodies_in_parts.py
+++ b/tests/sidecar/test_bodies_in_parts.py
@@ -15,20 +15,19 @@
 from hypothesis import example, given, settings, strategies as st
 
 from honeywharf.mesh_config.routes import RoutingTable
-from honeywharf.sidecar.backend import BackendConnectionPool
+from honeywharf.sidecar import inbound
 from honeywharf.sidecar.client_connection import MAX_HELD_BODY_BYTES
-from honeywharf.sidecar.gate import Gate
-from honeywharf.sidecar.inbound import MAX_WHOLE_ANSWER_BYTES, Inbound, InboundRequest
+from honeywharf.sidecar.inbound import InboundRequest
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.outbound_request import MAX_RETAINED_BODY_BYTES
 from honeywharf.sidecar.source import Source
-from honeywharf.simulation.deployment import APPLICATION, OUTBOUND
+from honeywharf.simulation.deployment import OUTBOUND
 from honeywharf.simulation.machine import Machine, Network, Process
 from honeywharf.simulation.world import World
 from honeywharf.transport.event_loop import READ_BYTES
 from honeywharf.transport.framing import FrameReader
-from honeywharf.transport.host import Connection, Handler, Host
+from honeywharf.transport.host import Connection, Handler
 from honeywharf.transport.link_server import LinkServer, StreamResponder
 from honeywharf.transport.rpc_server import RpcServer
 from honeywharf.transport.stream import WINDOW_SIZE, ForwardedRequest
@@ -43,6 +42,7 @@
     ReceivedRequest,
     ScriptedBackend,
     ScriptedConnection,
+    make_inbound,
     settings as sidecar_settings,
 )
 
@@ -110,21 +110,13 @@
 
     def _sidecar(self, host: Process) -> object:
         own = sidecar_settings(self.machine.ip)
-        gate = Gate(host.now(), SERVICE, 1.5, 5.0)
-        gate.set_slow_start(22.0)
-        gate.heartbeat(host.now(), INSTANCE, 1, False, 4, 0.0)
-        pool = BackendConnectionPool(host, (self.machine.ip, APPLICATION), lambda: None)
-        self.inbound = Inbound(host, gate, pool)
+        self.inbound = make_inbound(host)
         host.listen((self.machine.ip, own.internal_ports[0]), RpcServer({}, self._accept_link).accept)
-        self.outbound = self._outbound(host)
-        return self.outbound
-
-    def _outbound(self, host: Host) -> Outbound:
         mesh_state = MeshStateReplica(host, cast("Any", None), list, lambda: None)
-        mesh_state.ready = True
-        mesh_state.table = RoutingTable(TABLE)
-        source = Source(host, sidecar_settings(self.machine.ip), mesh_state, self.inbound, lambda: 0.5)
-        return Outbound(host, (self.machine.ip, OUTBOUND), mesh_state, source)
+        mesh_state.ready, mesh_state.table = True, RoutingTable(TABLE)
+        source = Source(host, own, mesh_state, self.inbound, lambda: 0.5)
+        self.outbound = Outbound(host, (self.machine.ip, OUTBOUND), mesh_state, source)
+        return self.outbound
 
     def _accept_link(self, connection: Connection, reader: FrameReader, frames: list[Any]) -> Handler:
         return LinkServer(connection, reader, frames, self._begin)
@@ -225,7 +217,7 @@
 @pytest.mark.parametrize("is_local", [True, False])
 @settings(max_examples=60, deadline=None)
 @given(
-    answer=BODIES.filter(lambda body: body.size > MAX_WHOLE_ANSWER_BYTES),
+    answer=BODIES.filter(lambda body: body.size > inbound.MAX_WHOLE_ANSWER_BYTES),
     reads=st.lists(st.booleans(), min_size=1, max_size=12),
 )
 def test_an_answer_waits_for_a_client_that_stops_reading_and_arrives_whole(
@@ -270,7 +262,7 @@
             assert request.pending_bytes <= MAX_HELD_BODY_BYTES + READ_BYTES
             assert request.retained_bytes <= MAX_RETAINED_BODY_BYTES + MAX_HELD_BODY_BYTES + 2 * READ_BYTES
         for inbound_request in trial.served.inbound.pending_requests:
-            assert sum(map(len, inbound_request.body)) <= MAX_RETAINED_BODY_BYTES + 2 * WINDOW_SIZE
+            assert sum(map(len, inbound_request.body)) <= inbound.MAX_HELD_BODY_BYTES + 2 * WINDOW_SIZE
     for scripted in backend.accepted:
         scripted.connection.resume()
     trial.run(1.0)
