--- a/honeywharf/traces/causes.py
+++ b/honeywharf/traces/causes.py
@@ -17,7 +17,7 @@
 from statistics import NormalDist, median
 from typing import Any
 
-MIN_ODDS_RATIO = 3.0  # The odds are as many times as great among the bad as among the good.
+MIN_ODDS_RATIO = 3.0  # The odds are at least as many times as great among the bad as among the good.
 MIN_SHARE_BAD = 0.2
 MIN_BAD_TRACES = 8  # Fewer bad traces are not analysed.
 FALSE_POSITIVE_RATE = 1e-4  # The probability of a cause where bad traces have nothing in common.
