Keep a late renewal from undoing a newer state at a sidecar

A renewal applies what it read from a majority even if its revision is lower, as the present one may have drifted; the answer may be older than a state that came by gossip since.

Change: a renewal notes how many states were applied when its read began, and reads again if another came.

Failed before: test_a_renewal_that_is_read_late_does_not_undo_a_newer_state on the commit before: assert 2 > 2. Tests of drift pass.

--- a/honeywharf/drift/remediation.py
+++ b/honeywharf/drift/remediation.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import zlib
+from functools import partial
 
 from honeywharf import rpc_methods
 from honeywharf.drift import digests, scan, states
@@ -284,7 +285,11 @@
                 sidecar.source.update_backend(node, entry.attributes, entry.zone)
 
     def renew(self) -> None:
-        """Reads the state of a majority through a control node."""
+        """Reads the state of a majority through a control node.
+
+        It is applied even if its revision is lower, as the present one may have drifted; but not if another
+        state was applied since the read began, which may be newer.
+        """
         candidates = self.sidecar.control_nodes()
         if self.renewal_in_flight or not candidates:
             if not self.renewal_in_flight:
@@ -298,7 +303,7 @@
             rpc_methods.READ_STATE,
             None,
             0.9,
-            lambda value: self._on_majority_state(control_node, value),
+            partial(self._on_majority_state, control_node, self.configuration.applications),
         )
 
     def _schedule_renewal(self) -> None:
@@ -307,19 +312,19 @@
             self.request_quarantine()  # A lease may be available by now.
             self.host.after(self.state.retry_delay_s(), self.renew)
 
-    def _on_majority_state(self, control_node: Address, value: Any) -> None:
+    def _on_majority_state(self, control_node: Address, applications: int, value: Any) -> None:
         """Handles the state of a majority. None: no majority was reachable, so the node tries again later."""
         if not isinstance(value, dict) or not value.get("digest"):
             self._schedule_renewal()
         elif value["digest"] == self.configuration.digest and self._is_text_intact():
-            self._restore(value, self.configuration.packed)
+            self._restore(applications, value, self.configuration.packed)
         else:
             self.sidecar.caller.call(
                 control_node,
                 rpc_methods.CONFIGURATION_TEXT,
                 value["digest"],
                 3.0,
-                lambda packed: self._restore(value, packed),
+                partial(self._restore, applications, value),
             )
 
     def _is_text_intact(self) -> bool:
@@ -328,9 +333,10 @@
         except ValueError:
             return False
 
-    def _restore(self, value: Any, packed: Any) -> None:
+    def _restore(self, applications: int, value: Any, packed: Any) -> None:
         self.renewal_in_flight = False
-        if not self.state.is_suspect or not isinstance(packed, bytes):
+        is_overtaken = self.configuration.applications != applications
+        if not self.state.is_suspect or not isinstance(packed, bytes) or is_overtaken:
             self._schedule_renewal()
             return
         try:
--- a/honeywharf/sidecar/mesh_state.py
+++ b/honeywharf/sidecar/mesh_state.py
@@ -60,6 +60,7 @@
         self.packed = b""  # the configuration's text, compressed
         self.ready = False
         self.newest = 0  # the highest revision announced
+        self.applications = 0  # the mesh states applied so far
         self.fetch_number = 0  # the number of the fetch under way; 0 without one
         self.fetches = 0
         self.fetched_at = 0.0
@@ -189,6 +190,7 @@
     def _apply(self, value: dict[str, Any], table: RoutingTable | None, packed: bytes) -> None:
         if table is not None:
             self.table, self.packed, self.digest = table, packed, value["digest"]
+        self.applications += 1
         self.value, self.revision, self.version = value, value["rev"], value["version"]
         self.newest = max(self.newest, self.revision)
         self.evacuated = {zone for zone, on in value["evac"].items() if on}
--- a/tests/drift/test_hard.py
+++ b/tests/drift/test_hard.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
 
+from honeywharf import rpc_methods
 from honeywharf.drift import periodic_scan, states
 from honeywharf.simulation.actors import Caller
 from honeywharf.simulation.deployment import ZONES, SidecarNode
 from honeywharf.simulation.fault_schedule import Fault, FaultSchedule
-from honeywharf.simulation.invariants import Attempt
+from honeywharf.simulation.invariants import Attempt, Order
 from honeywharf.simulation.slips import DriftKinds, Trial
 from honeywharf.verdict import REJECTED_BY_BACKEND
 
@@ -183,3 +185,44 @@
     assert {ask.status for ask in asked if ask.sent < 12.0} <= {200, 500}
     assert trial.wrong == []
     assert trial.world.crashes == []
+
+
+class HeldReads:
+    """A sidecar's RPC client that holds the answers to reads of a majority back, until `release`."""
+
+    def __init__(self, rpc_client: Any) -> None:
+        self.rpc_client = rpc_client
+        self.held: list[Callable[[], None]] = []
+
+    def call(self, to: Any, method: str, args: Any, within: float, done: Any) -> None:
+        """Makes a call."""
+
+        def hold(answer: Any) -> None:
+            self.held.append(lambda: done(answer))
+
+        self.rpc_client.call(to, method, args, within, hold if method == rpc_methods.READ_STATE else done)
+
+    def release(self) -> None:
+        """Delivers the first answer that was held back."""
+        self.held.pop(0)()
+
+
+def test_a_renewal_that_is_read_late_does_not_undo_a_newer_state() -> None:
+    """Guards against CONFIG and EVAC: a node that renews itself went back to a state that was read before."""
+    trial = Trial(5, "build", 1)
+    trial.world.run(11.0)
+    side = next(s for s in trial.deployment.sidecar_nodes if program(s).drift_monitor.state.is_suspect)
+    sidecar = program(side)
+    held = sidecar.caller = HeldReads(sidecar.caller)
+    while not held.held:
+        trial.world.run(trial.world.now + 0.01)
+    before = sidecar.mesh_state.revision
+    trial.deployment.operator.order(Order("start", zone=ZONES[0]))
+    trial.world.run(trial.world.now + 0.6)
+    assert sidecar.mesh_state.revision > before
+    held.release()
+    assert sidecar.mesh_state.revision > before
+    assert sidecar.mesh_state.evacuated == {ZONES[0]}
+    while not held.held:
+        trial.world.run(trial.world.now + 0.01)
+    assert trial.world.crashes == []
