Test each row of the table of late orders that named a test which shows something else

The rows of a committed state, of a removal and of gossip named whole test files in which nothing arrives late. Four tests do that now; each fails where the line it is for is taken out (tried: the comparison of revisions at a control node and at a sidecar, the epoch and the lease of a fenced change, the versions of entries).

--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import replace
 from itertools import count
 
 import pytest
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
+from honeywharf.control.member_removal import AlwaysGranted
 from honeywharf.control.mesh_state import EvacuationOutcome, MeshState, initial_membership, initial_state
 from tests.control.cluster import Call, ControlCluster
 
@@ -263,3 +265,45 @@
     assert change(later) == (None, mesh_state.Admission.CHANGED)
     cluster.run(1.0)
     assert change(state) == (None, mesh_state.Admission.CHANGED)
+
+
+def test_a_committed_state_that_is_told_late_does_not_replace_a_newer_one() -> None:
+    """Guards against EVAC: a message of an older write arrives after those of a newer one."""
+    cluster = evacuated_cluster(10)
+    replica = cluster.programs[A].replica
+    late = cluster.known(A).pack_public()
+    acknowledged(cluster, B, "complete")
+    cluster.run(1.0)
+    newest = cluster.known(A)
+    for method in (rpc_methods.STATE_COMMITTED, rpc_methods.HINTED_HANDOFF):
+        replica.methods[method](late, lambda answer: None, (B, 1))
+    assert cluster.known(A) == newest
+    assert newest.evacuations == {"a": False}
+
+
+class EndingLease(AlwaysGranted):
+    """A lease that the test ends."""
+
+    is_held = True
+
+    def holds(self) -> bool:
+        """Returns whether the test has not ended it."""
+        return self.is_held
+
+
+def test_a_removal_that_is_proposed_late_changes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a member that is removed after it was heard again, by a node that was stopped."""
+    cluster = ControlCluster(11)
+    cluster.run(1.0)
+    proposed: list[mesh_state.Change] = []
+    removal = cluster.programs[A].replica.membership.removal
+    lease = removal.lease = EndingLease()
+    monkeypatch.setattr(removal.changes, "submit", lambda change, timeout, done: proposed.append(change))
+    state = cluster.known(A)
+    larger = replace(state, members=(*state.members, mesh_state.Member("d", "x", "a", True)))
+    lost = mesh_state.member_ids(state.members)[2:]
+    removal.submit_under_lease(mesh_state.remove_unreachable(lost), state.epoch, lambda answer: None)
+    assert proposed[0](larger)[1] is True
+    assert proposed[0](replace(larger, epoch=state.epoch + 1)) == (None, mesh_state.Admission.CHANGED)
+    lease.is_held = False
+    assert proposed[0](larger) == (None, mesh_state.Admission.CHANGED)
--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -87,6 +87,17 @@
         assert one.table.checksum != other.table.checksum
 
 
+def test_an_entry_that_arrives_late_does_not_replace_a_newer_one() -> None:
+    """Guards against a backend in service that has left: its older entry comes after the newer one."""
+    local = gossip()
+    node = "10.9.0.7"
+    older, newer = (entry(node, n, attributes={"kind": "sidecar", "st": n}) for n in (4, 5))
+    for each in (newer, older):
+        for data in rumour(each):
+            local.received(0.0, PEER_NODE, data)
+    assert (local.table.entries[node].sequence, local.table.entries[node].attributes) == (5, newer.attributes)
+
+
 def test_the_table_is_bounded() -> None:
     local = gossip()
     add_entries(local, range(5000))
--- a/tests/sidecar/test_mesh_state.py
+++ b/tests/sidecar/test_mesh_state.py
@@ -74,6 +74,16 @@
     assert mesh_state.find(HOST.encode(), PREFIX.encode()) is not None
 
 
+def test_a_state_that_is_told_late_does_not_replace_a_newer_one() -> None:
+    """Guards against EVAC: an older state arrives after a newer one, with the same text or another."""
+    answers = {"word.read": state(5, 0, "zero"), "word.body": zlib.compress(configuration(0))}
+    mesh_state, rpc_client = started(answers, 3.0)
+    for late in (state(4, 0, "zero"), state(4, 0, "one")):
+        mesh_state.offer(CONTROL_NODES[0], late)
+        rpc_client.machine.network.run(rpc_client.machine.network.time + 3.0)
+        assert (mesh_state.revision, mesh_state.digest) == (5, "zero")
+
+
 def test_a_mesh_state_without_a_configuration_makes_no_sidecar_ready() -> None:
     mesh_state, rpc_client = started({"word.read": state(7, -1, "")}, 20.0)
     assert not mesh_state.ready
