Assign a pipe's ticket in one line again

The ticket of a slot that was granted at once is one that nobody waits by, and cancelling it does nothing; the condition around it changed nothing, and no test could tell. Tests of flow pass.

--- a/honeywharf/http/backend.py
+++ b/honeywharf/http/backend.py
@@ -238,9 +238,7 @@
         budget = self.pool.buffer_budget
         self.waits_for_slot = budget.open_pipes >= budget.max_pipes
         self._update_reading()
-        ticket = budget.wait_for_slot(self._slot_acquired)
-        if not pipe.has_slot:  # Otherwise it was granted from within.
-            pipe.slot_ticket = ticket
+        pipe.slot_ticket = budget.wait_for_slot(self._slot_acquired)
         if call is not None:
             call.connection = None
             call.ended(O.OK, response)
