Test what the late admissions, the order's deadline and a cancelled answer rest on

Lines were taken out one at a time, and where no test failed one was written: the epoch of an admission and of a replacement, the second try after a change, the rule that the first start is over once a member was replaced, an order that is confirmed after its time, and a source that cancels from within the part that it gets, with and without a wider window. No program is changed.

--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -10,8 +10,10 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
+from honeywharf.control.joining import AdmissionRequest
 from honeywharf.control.member_removal import AlwaysGranted
 from honeywharf.control.mesh_state import EvacuationOutcome, MeshState, initial_membership, initial_state
+from honeywharf.control.register import QuorumResult
 from tests.control.cluster import Call, ControlCluster
 
 A, B, C, SPARE = "10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.9"
@@ -307,3 +309,103 @@
     assert proposed[0](replace(larger, epoch=state.epoch + 1)) == (None, mesh_state.Admission.CHANGED)
     lease.is_held = False
     assert proposed[0](larger) == (None, mesh_state.Admission.CHANGED)
+
+
+def test_an_order_that_is_confirmed_after_its_time_is_not_proposed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against EVAC: a node is stopped between the proof of the caller and the proposal."""
+    cluster = evacuated_cluster(12)
+    held: list[Callable[[], None]] = []
+    late = Call(cluster.network.machines[A], "POST", "/api/evacuations/a/complete")
+    monkeypatch.setattr(late, "confirm_caller", held.append)
+    handle: Callable[[Call], None] = cluster.programs[A].operator.handle
+    handle(late)
+    cluster.run(OPERATOR_WAIT_S)
+    assert late.status == 503
+    proposed = cluster.programs[A].replica.changes.counter
+    held[0]()
+    check_evacuated(cluster)
+    assert cluster.programs[A].replica.changes.counter == proposed
+
+
+def test_a_joiner_of_the_first_start_enlarges_no_membership_in_which_a_member_was_replaced() -> None:
+    """Guards against a fourth member: a machine that was a member asks once more, or is read late."""
+    state = initial_state(initial_membership([A, B, C]))
+    lost = mesh_state.member_ids(state.members)[:1]
+    late = mesh_state.Member("d", "x", "a", True)
+    assert len(applied(mesh_state.admit(late, []), state).members) == 4
+    for replacement in (mesh_state.Member("e", "y", "a", False), mesh_state.Member(A, "y", "a", True)):
+        replaced = applied(mesh_state.admit(replacement, lost), state)
+        assert not replaced.members[0].is_initial
+        assert mesh_state.admit(late, [])(replaced) == (None, mesh_state.Admission.STANDBY)
+
+
+class RecordedSubmissions:
+    """The changes of the membership that a node submits; the test answers them."""
+
+    def __init__(self, cluster: ControlCluster, ip: str, monkeypatch: pytest.MonkeyPatch) -> None:
+        manager = cluster.programs[ip].replica.membership
+        self.changes: list[mesh_state.Change] = []
+        self.epochs: list[int] = []
+        self.done: list[Callable[[object], None]] = []
+        monkeypatch.setattr(manager.changes, "submit", self._submit)
+        monkeypatch.setattr(manager.removal, "submit_under_lease", self._submit_under_lease)
+
+    def _submit(
+        self, change: mesh_state.Change, timeout: float, done: Callable[[object, object], None]
+    ) -> None:
+        self.changes.append(change)
+        self.done.append(lambda outcome: done(QuorumResult.OK, outcome))
+
+    def _submit_under_lease(
+        self, change: mesh_state.Change, epoch: int, done: Callable[[object], None]
+    ) -> None:
+        self.changes.append(change)
+        self.epochs.append(epoch)
+        self.done.append(done)
+
+
+def test_an_admission_is_for_the_epoch_before_its_joiner_was_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an admission that undoes a newer change of the membership; it is tried again."""
+    cluster = ControlCluster(13)
+    cluster.run(1.0)
+    submissions = RecordedSubmissions(cluster, A, monkeypatch)
+    RecordedSubmissions(cluster, B, monkeypatch)  # The joiner may ask B first, which does nothing here.
+    cluster.network.machines[C].off(power=True)
+    cluster.network.machines[C].disk.files.clear()
+    cluster.start(C)
+    while not submissions.changes:
+        cluster.run(STEP_S)
+    state = cluster.known(A)
+    assert submissions.changes[0](state)[1] is mesh_state.Admission.MEMBER
+    assert submissions.changes[0](replace(state, epoch=state.epoch + 1))[1] is mesh_state.Admission.CHANGED
+    asked = len(submissions.changes)
+    submissions.done[-1](mesh_state.Admission.CHANGED)
+    cluster.run(0.05)
+    assert len(submissions.changes) == asked + 1
+
+
+def test_a_replacement_is_for_the_epoch_before_its_joiner_was_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a replacement that undoes a newer change of the membership."""
+    cluster = ControlCluster(14)
+    cluster.run(1.0)
+    submissions = RecordedSubmissions(cluster, A, monkeypatch)
+    RecordedSubmissions(cluster, B, monkeypatch)
+    cluster.network.machines[C].off(power=True)
+    cluster.run(1.5)
+    cluster.add(SPARE)
+    voter, joining = cluster.programs[A].replica.voter, cluster.programs[A].replica.membership.joining
+    epoch, may_be_admitted = voter.state.epoch, joining._may_be_admitted
+
+    def overtaken(request: AdmissionRequest) -> bool:
+        """Lets the membership change once the joiner has answered, which is when this is asked again."""
+        may = may_be_admitted(request)
+        asked.append(request)
+        if len(asked) % 2 == 0:
+            voter.acceptor.state = replace(voter.state, epoch=epoch + 1)
+        return may
+
+    asked: list[AdmissionRequest] = []
+    monkeypatch.setattr(joining, "_may_be_admitted", overtaken)
+    while not submissions.epochs:
+        cluster.run(STEP_S)
+    assert submissions.epochs[0] == epoch
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -103,6 +103,46 @@
     idle(setup)
 
 
+class LeavingResponder(RecordingResponder):
+    """A source that cancels its request from within the call that brings a given part of the answer.
+
+    `widens`: it widens the window first.
+    """
+
+    def __init__(self, parts: int, widens: bool) -> None:
+        super().__init__()
+        self.parts, self.widens = parts, widens
+        self.inbound_request: InboundRequest
+
+    def data(self, data: bytes) -> None:
+        """Takes a part, and cancels at the last one that it wants."""
+        super().data(data)
+        self.parts -= 1
+        if self.widens:
+            self.inbound_request.window(len(data))
+        if not self.parts:
+            self.inbound_request.cancel()
+
+
+@pytest.mark.parametrize(("parts", "widens"), [(1, False), (1, True), (2, False)])
+def test_a_request_that_is_cancelled_from_within_its_answer_is_released_once(
+    parts: int, widens: bool
+) -> None:
+    """Guards against a slot that is given back twice: the answer is complete when its source leaves."""
+    setup = InboundSetup()
+    body = bytes(
+        WINDOW_SIZE + 2000
+    )  # More than one read, so that its end comes with the part that starts it.
+    setup.backend.serve = lambda scripted, request: scripted.send(answer(request.attempt, body))
+    responder = LeavingResponder(parts, widens)
+    responder.inbound_request, _ = setup.begin(forwarded_request(), responder)
+    setup.run()
+    assert not responder.parts
+    assert [event[0] for event in responder.events] == ["answer"]
+    assert setup.inbound.served == 0
+    idle(setup)
+
+
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 def test_connections_are_reused_and_the_one_used_last_first(method: bytes) -> None:
     setup = InboundSetup()
