Show answers and logs when a scale fleet's change is not acknowledged

The exception now has notes: each kind of answer with its number, and for each process whether it runs and the last 40 lines of its log.

--- a/bench/scale/fleet.py
+++ b/bench/scale/fleet.py
@@ -4,10 +4,13 @@
 
 import json
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import asdict
 from functools import partial
+from http import HTTPStatus
 from pathlib import Path
+from types import TracebackType
 from typing import Any
 
 from bench.scale import messages
@@ -29,6 +32,8 @@
 NO_ZONES: Zones = frozenset()
 REQUEST_TIMEOUT_S = 1.0
 RETRY_INTERVAL_S = 0.1
+MAX_CHANGE_ATTEMPTS = 60
+MAX_LOG_LINES = 40  # Of each process, in the notes of an exception.
 
 
 class FleetError(Exception):
@@ -60,9 +65,13 @@
             process.start()
         return self
 
-    def __exit__(self, *exception: object) -> None:
-        """Kills all processes."""
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        """Kills all processes; an exception gets the last lines of their logs as notes."""
         for process in self.all:
+            if error is not None:
+                error.add_note(process.report(MAX_LOG_LINES))
             process.kill()
 
     @property
@@ -208,22 +217,28 @@
         """Replaces the configuration; returns the times of the first request and of the acknowledgement.
 
         Sends the request to control machine `first`, and after each failure or time-out to the next one.
-        FleetError if none acknowledges it.
+        FleetError, with each kind of answer and its number, if none acknowledges it.
         """
         self.version += 1
         text = configuration(self.version, self.plan.services)
         started_at = time.monotonic()
-        for attempt in range(60):
+        answers: Counter[str] = Counter()
+        for attempt in range(MAX_CHANGE_ATTEMPTS):
             ip = self.plan.control_ip((first + attempt) % self.plan.controls)
             address = f"{ip}:{self.plan.port(deployment.CONTROL)}"
             try:
-                status, _ = call(address, "POST", "/api/configuration/replace", text, REQUEST_TIMEOUT_S)
-            except MeshCallError:
-                status = 0
-            if status == 200:
-                return started_at, time.monotonic()
+                status, body = call(address, "POST", "/api/configuration/replace", text, REQUEST_TIMEOUT_S)
+            except MeshCallError as unanswered:
+                answers[str(unanswered)] += 1
+            else:
+                if status == HTTPStatus.OK:
+                    return started_at, time.monotonic()
+                answers[f"{address}: {status} {body!r}"] += 1
             self.pause(RETRY_INTERVAL_S)
-        raise FleetError(f"acknowledgement of r{self.version}", time.monotonic() - started_at)
+        error = FleetError(f"acknowledgement of r{self.version}", time.monotonic() - started_at)
+        for answer, count in answers.items():
+            error.add_note(f"{count} times {answer}")
+        raise error
 
     def application_times(self, version: int) -> list[float]:
         """Returns when each running hollow node applied a version; 0 for those that have not."""
--- a/bench/scale/processes.py
+++ b/bench/scale/processes.py
@@ -85,6 +85,13 @@
                 return float(matched[1])
         return 0.0
 
+    def report(self, max_lines: int) -> str:
+        """Returns whether the process runs or how it ended, and the last lines of its log."""
+        ended = None if self.process is None else self.process.poll()
+        state = "running" if self.running else f"not running, exit status {ended}"
+        lines = self.log.read_text("utf-8", "replace").splitlines() if self.log.exists() else []
+        return "\n".join([f"{self.name}: {state}", *lines[-max_lines:]])
+
     def faults(self) -> int:
         """Returns the number of faults in the program's log."""
         return self.log.read_text("utf-8", "replace").count(" fault ")
--- a/tests/bench/test_scale.py
+++ b/tests/bench/test_scale.py
@@ -7,8 +7,8 @@
 import pytest
 
 from bench import mesh_scale
-from bench.scale import fits
-from bench.scale.fleet import Fleet
+from bench.scale import fits, fleet
+from bench.scale.fleet import Fleet, FleetError
 from bench.scale.messages import NodeSample, Start
 from bench.scale.payload import configuration
 from bench.scale.phases import Schedule, start
@@ -17,6 +17,7 @@
 from bench.scale.traffic import TCP_HEADER_BYTES, CountedLink, Traffic
 from honeywharf.mesh_config import settings
 from honeywharf.mesh_config.configuration import check
+from honeywharf.simulation import deployment
 
 PLAN = Plan(nodes=1200, controls=6, services=160, octet=20, shift=0)
 
@@ -149,6 +150,26 @@
     assert not any(process.running for process in processes)
 
 
+def test_a_change_that_nobody_acknowledges_reports_the_answers_and_the_logs(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a failure that can't be traced, because it shows neither answers nor logs."""
+    monkeypatch.setattr(fleet, "MAX_CHANGE_ATTEMPTS", 4)
+    plan = Plan.on_free_ports(nodes=1, controls=1, services=1)
+    (tmp_path / "control-0.log").write_text("the last line of its log\n")
+
+    def change_without_control_processes() -> None:
+        with Fleet(plan, tmp_path, real=0, processes=0, limit_s=60.0) as running:
+            running.controls[0].kill()
+            running.change()
+
+    with pytest.raises(FleetError) as caught:
+        change_without_control_processes()
+    notes = "\n".join(caught.value.__notes__)
+    assert f"4 times {plan.control_ip(0)}:{plan.port(deployment.CONTROL)}: no clear answer" in notes
+    assert "control-0: not running, exit status -9\nthe last line of its log" in notes
+
+
 def test_the_table_extrapolates_to_the_target() -> None:
     lines = mesh_scale.table([30, 300], [{"rest | x": 60.0}, {"rest | x": 600.0}], 1200)
     partly = mesh_scale.table([30, 300], [{"rest | x": 60.0}, {"rest | y": 6.0}], 1200)
