Apply changed limits of bodies and heads to kept connections of clients

Cause: ClientConnection gave its reader the limits in force when the connection was opened, and never again; routes and time-outs are looked up for each request.

Change: the reader gets the limits in force before each request, also behind another one in the same bytes. A request that is being read keeps the limits of its beginning.

Before the change, tests/sidecar/test_changed_limits.py, 5 failed: 'assert [200, 413] == [200, 200]' (whole and in 7 parts), '[200, 431] == [200, 200]', '[200] == [200, 413]' for a lowered limit, and '[200, 200] == [200, 413]' for a request behind another one. After: 5 pass, and tests/sidecar, tests/compatibility and tests/drift pass. Not played with real processes.

--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -46,6 +46,7 @@
 
 MAX_PIPELINED = 16
 NO_CONFIGURATION_RETRY_S = 0.2  # Retry-After of a sidecar that has no configuration yet
+HEAD_MARGIN_BYTES = 4096  # A head may exceed the configured size of its fields by its first line.
 MAX_HELD_BODY_BYTES = 64 * 1024  # bounds the received part of a body that waits to be forwarded
 MAX_DISCARDED_BODY_BYTES = 4 << 20  # a longer body is not read to its end once its request is answered
 SLOW_BODY = b"the body was too slow"
@@ -112,7 +113,8 @@
     def __init__(self, outbound: Listener, connection: Connection) -> None:
         self.outbound, self.connection = outbound, connection
         limits = outbound.mesh_state.limits()
-        self.reader = RequestReader(_RequestSink(self), limits.max_body_bytes, limits.max_header_bytes + 4096)
+        max_head_bytes = limits.max_header_bytes + HEAD_MARGIN_BYTES
+        self.reader = RequestReader(_RequestSink(self), limits.max_body_bytes, max_head_bytes)
         self.exchanges: list[Exchange] = []  # in the order of their answers
         self.exchange: Exchange | None = None  # the one whose body is being read
         self.closing = self.is_closed = self.is_writing = self.paused = False
@@ -153,6 +155,8 @@
         """Reads bytes of requests."""
         if self.closing:
             return
+        if self.reader.idle:
+            self._update_limits()
         in_head = self.reader.in_head
         try:
             self.reader.feed(data)
@@ -165,6 +169,12 @@
             self._restart_timer()
         self.update_reading()
 
+    def _update_limits(self) -> None:
+        """Sets the limits in force for the next request; one that is being read keeps its own."""
+        limits = self.outbound.mesh_state.limits()
+        self.reader.max_body = limits.max_body_bytes
+        self.reader.max_head = limits.max_header_bytes + HEAD_MARGIN_BYTES
+
     def head(self, head: RequestHead) -> None:
         """Takes the head of a request: routes it, and begins or rejects it."""
         exchange = Exchange(head.keep, head.method == b"HEAD", head.interim)
@@ -237,6 +247,7 @@
 
     def whole(self) -> None:
         """Notes that the request being read is complete."""
+        self._update_limits()
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
             exchange.request_complete = True
