Let an upload wait for a backend that does not read

Cause: TCP_USER_TIMEOUT, 3 s, also ends a connection whose peer acknowledges and does not read. The sidecar took that for the backend's end.

Change: connections to the own backend have no such time-out (Connection.tolerate_unread). Both ends are on one machine, so the end of the backend is seen without it, and each request has a deadline.

--- a/bench/scale/reach.py
+++ b/bench/scale/reach.py
@@ -73,5 +73,8 @@
     def watch_half_close(self, call: Callable[[], None]) -> None:
         """Does nothing: no data arrives."""
 
+    def tolerate_unread(self) -> None:
+        """Does nothing: nothing is sent."""
+
     def watch_delivery(self, call: Callable[[], None]) -> None:
         """Does nothing: nothing is sent."""
--- a/honeywharf/sidecar/backend.py
+++ b/honeywharf/sidecar/backend.py
@@ -99,6 +99,8 @@
         self.connection: Connection = pool.host.connect(pool.address, self._made, CONNECT_TIMEOUT_S)
 
     def _made(self, connection: Connection) -> Handler:
+        """Takes a new connection. Its requests have deadlines, which bound the wait for a busy backend."""
+        connection.tolerate_unread()
         return self
 
     def opened(self) -> None:
--- a/honeywharf/simulation/machine.py
+++ b/honeywharf/simulation/machine.py
@@ -197,6 +197,9 @@
             self.process.process_now(), self.process.call, self.incarnation, self._notify_end_watcher
         )
 
+    def tolerate_unread(self) -> None:
+        """Does nothing: only an unreachable peer is lost here, not one that does not read."""
+
     def watch_delivery(self, call: Callable[[], None]) -> None:
         """Calls once when the peer has read all bytes sent so far."""
         self.delivery_callbacks.append(call)
--- a/honeywharf/transport/host.py
+++ b/honeywharf/transport/host.py
@@ -74,6 +74,12 @@
         first.
         """
 
+    def tolerate_unread(self) -> None:
+        """Keeps the connection for as long as a peer on this machine does not read what was sent.
+
+        Otherwise such a peer is taken for lost like an unreachable one. The caller bounds the wait.
+        """
+
 
 class Host(Protocol):
     """One machine, as seen by one process."""
--- a/honeywharf/transport/tcp_connection.py
+++ b/honeywharf/transport/tcp_connection.py
@@ -36,6 +36,7 @@
 MIN_DELIVERY_POLL_S = 0.001
 MAX_DELIVERY_POLL_S = 0.02
 TCP_INFO_BYTES = 104
+NO_USER_TIMEOUT = 0
 C_INT_BYTES = 4
 TCP_ESTABLISHED, TCP_CLOSE_WAIT = 1, 8  # The states of tcp(7) in which the peer may still receive.
 
@@ -125,6 +126,10 @@
         self.end_callback = call
         self.loop.update_interest(self)
 
+    def tolerate_unread(self) -> None:
+        """Keeps the connection for as long as a peer on this machine does not read what was sent."""
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, NO_USER_TIMEOUT)
+
     def watch_delivery(self, call: Callable[[], None]) -> None:
         """Calls `call` once the peer's host has acknowledged all bytes sent so far."""
         self.loop.after(MIN_DELIVERY_POLL_S, partial(self._poll_delivery, call, MIN_DELIVERY_POLL_S))
--- a/tests/control/virtual_network.py
+++ b/tests/control/virtual_network.py
@@ -75,6 +75,9 @@
     def watch_half_close(self, call: Callable[[], None]) -> None:
         pass
 
+    def tolerate_unread(self) -> None:
+        pass
+
     def watch_delivery(self, call: Callable[[], None]) -> None:
         pass
 
