--- a/review/first_start2.py
+++ b/review/first_start2.py
@@ -1,4 +1,4 @@
-"""Two cases: the control nodes end while they start for the first time, and no mesh forms any more."""
+"""The control nodes end while they start for the first time, and no mesh forms any more."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
     send_request,
 )
 
-SIGNAL_AFTER_S = 0.08  # after the start of the programs, which take about 0.2 s until they handle signals
+SIGNAL_AFTER_S = 0.04  # after the start of the programs, whose imports take 0.08 s and more
 RESTART_DELAY_S = 0.5  # "started again after a short delay with the settings of that moment"
 ACK_TIMEOUT_S, CONTACT_S = 4.0, 3.0  # `ack-timeout` and `contact`
 WATCH_S = 30.0
@@ -45,6 +45,7 @@
             self.ends.append((machine.name, status))
             self.mesh.record.write(f"{machine.name} {machine.ip} ended with status {status}")
             await asyncio.sleep(RESTART_DELAY_S)
+            machine.write_settings(False, self.mesh.seeds)  # the very first start is over
             machine.start()
             self.mesh.record.write(f"{machine.name} {machine.ip} started again")
 
@@ -83,7 +84,6 @@
         platform = Platform(mesh)
         if TROUBLE:
             for machine in mesh.control:
-                machine.write_settings(False, mesh.seeds)  # the very first start is over
                 machine.send(number)
             record.write(f"{signal.Signals(number).name} to each control node")
         for machine in mesh.sidecars:
