Begin no request in a stopping sidecar that may outlast it

Cause: after SIGTERM a request was refused only if its latency target did not fit into the time left; how long it takes is not bounded by that, nor by earlier answers. Further attempts, requests delegated to this sidecar, admitted requests whose head was not written, and sessions of other regions had the same fault.

Change: one rule, sidecar/lifetime.py. Once the platform has noticed the shutdown, an attempt begins only if its deadline is not after the end of the process; else 503 with a time to return, at once. Gates, delegates and destinations of sessions refuse so from SIGTERM on. A refused body on its way is read and dropped, so that no reset destroys the answer; a refused `Expect` is not continued. The end of a short grace period lies in its last sixth. A log line tells what a shutdown refused and broke off.

Two tests stated the old rule (the latency target) and are replaced by test_what_may_outlast_the_process_is_refused_with_a_time_to_return and test_after_the_clients_have_left_only_what_ends_in_time_is_taken.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -17,6 +17,7 @@
 from honeywharf.sidecar.gate import DRAINING, READY, STATES, UNKNOWN, Gate
 from honeywharf.sidecar.heartbeat_api import HeartbeatApi
 from honeywharf.sidecar.inbound import Inbound
+from honeywharf.sidecar.lifetime import Lifetime
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.probe import Probe
@@ -65,7 +66,8 @@
         application = settings.application or NO_APPLICATION
         self.handshakes = 0
         self.backend_connections = BackendConnectionPool(host, application, self._count_handshake)
-        self.inbound = Inbound(host, self.gate, self.backend_connections)
+        self.lifetime = Lifetime()
+        self.inbound = Inbound(host, self.gate, self.backend_connections, self.lifetime)
         self.inbound.set_link_speed(settings.link_mbps)
         self.caller = RpcClient(host)
         self.mesh_state = MeshStateReplica(host, self.caller, self.control_nodes, self._mesh_state_changed)
@@ -88,6 +90,7 @@
         self.shutdown = Shutdown(
             host,
             settings.bound("grace-period", DEFAULT_GRACE_PERIOD_S),
+            self.lifetime,
             self.source,
             self.inbound,
             self.outbound,
@@ -108,13 +111,15 @@
 
     def _make_source(self) -> Source:
         draw = XorShift(self.host.random(SEED_BYTES)).random
-        source = Source(self.host, self.settings, self.mesh_state, self.inbound, draw)
+        source = Source(self.host, self.settings, self.mesh_state, self.inbound, draw, self.lifetime)
         source.count_sidecars, source.pick_delegate = self._count_sidecars, self.choose_delegate
         if self.settings.gateways:
             # Imported here, so that a mesh of one region does not load the module.
             from honeywharf.sessions.remote_regions import regions_from_settings
 
-            source.remote_regions = regions_from_settings(self.host, self.settings, self.inbound.begin, draw)
+            regions = regions_from_settings(self.host, self.settings, self.inbound.begin, draw)
+            regions.destination.receivers.is_outlasted = self.lifetime.is_outlasted
+            source.remote_regions = regions
         return source
 
     def _listen_for_peers(self) -> None:
--- a/honeywharf/sessions/receiver.py
+++ b/honeywharf/sessions/receiver.py
@@ -50,6 +50,7 @@
     MAY_HAVE_RUN,
     NOT_RUN,
     OTHER_SERVICE,
+    SHUTTING_DOWN,
     TOO_LATE,
     Verdict,
 )
@@ -163,6 +164,8 @@
         self.kept_answers: dict[bytes, int] = {}
         self.kept_answer_bytes = 0
         self.rejected = self.fenced_frames = self.joined_sessions = 0
+        # Whether this process, which shuts down, may end before work with this deadline; never by itself.
+        self.is_outlasted: Callable[[float], bool] = lambda deadline: False
 
     # Frames received.
 
@@ -232,6 +235,8 @@
             self.send(link, [UNKNOWN, session_id, epoch, self.incarnation])
             return
         reason = self._rejection_reason(wall_ms, expires, allowed_regions)
+        if reason is None and self.is_outlasted(now + remaining / 1000.0):
+            reason = SHUTTING_DOWN
         if reason is not None:
             self._reject(link, session_id, epoch, reason)
             return
--- a/honeywharf/sidecar/client_connection.py
+++ b/honeywharf/sidecar/client_connection.py
@@ -37,12 +37,6 @@
         draining: bool  # this process shuts down: answers close their connections
         clients: dict[ClientConnection, None]
 
-        def ends_before(self, now: float, route: Route) -> bool:
-            """Whether this process is likely to end before a request that begins now has its answer."""
-
-        def restart_wait_s(self, now: float) -> float:
-            """Returns the seconds after which the next process of this program is likely to serve."""
-
 
 MAX_PIPELINED = 16
 NO_CONFIGURATION_RETRY_S = 0.2  # Retry-After of a sidecar that has no configuration yet
@@ -65,9 +59,11 @@
     """One request and its answer. `pending_output` waits until the requests before it have been answered."""
 
     __slots__ = (
+        "awaits_continue",
         "bodiless",
         "chunked",
         "closes",
+        "discards_body",
         "done",
         "has_long_body",
         "interim",
@@ -82,6 +78,8 @@
         self.request: OutboundRequest | None = None
         self.keep, self.bodiless, self.interim = keep, bodiless, interim
         self.done = self.chunked = self.request_complete = self.closes = self.has_long_body = False
+        self.awaits_continue = False  # the client sends its body after an interim response, which it lacks
+        self.discards_body = False  # the rest of the body is read and dropped before the connection closes
         self.pending_output: list[bytes] = []
         self.unreported_bytes = 0  # bytes of the answer's body not yet reported as sent
 
@@ -182,6 +180,7 @@
             head.length == 0,
             head.length > MAX_DISCARDED_BODY_BYTES,
         )
+        exchange.awaits_continue = head.expects
         follows_last = self.exchanges[-1].closes if self.exchanges else False
         self.exchanges.append(exchange)
         if self.closing or follows_last:
@@ -221,16 +220,16 @@
         return None
 
     def _begin(self, exchange: Exchange, head: RequestHead, route: Route) -> None:
-        """Starts a request, unless this process is likely to end before its answer."""
-        if head.expects:
-            self._continue(exchange)
+        """Starts a request, unless it may outlast this process."""
         outbound = self.outbound
-        now = outbound.host.now()
-        if outbound.ends_before(now, route):
-            self.answer_locally(exchange, LocalAnswer(503, outbound.restart_wait_s(now), b"leaving"))
-            return
+        now, lifetime = outbound.host.now(), outbound.source.lifetime
         remaining = DEFAULT_DEADLINE_S if head.remaining_s is None else head.remaining_s
         deadline = now + min(remaining, route.timeout_s)
+        if not lifetime.may_begin(now, deadline):
+            self.answer_locally(exchange, LocalAnswer(503, lifetime.restart_wait_s(now), b"leaving"))
+            return
+        if head.expects:
+            self._continue(exchange)
         request = OutboundRequest(outbound.source, ExchangeClient(self, exchange), head, route, deadline)
         exchange.request = request
         outbound.source.active_requests[request] = None
@@ -238,6 +237,7 @@
 
     def _continue(self, exchange: Exchange) -> None:
         if self.exchanges[0] is exchange:
+            exchange.awaits_continue = False
             self.connection.send(INTERIM_RESPONSE)
 
     def data(self, data: bytes) -> None:
@@ -289,6 +289,7 @@
             exchange.done = True
         else:
             self.answer_locally(exchange, LocalAnswer(status, 0.0, text))
+        exchange.discards_body = False
         self.closing = True
         self._flush()
 
@@ -299,8 +300,11 @@
         if exchange.done:
             return
         if self._is_last_answer(exchange) or (not exchange.request_complete and exchange.has_long_body):
-            # Otherwise the rest of the body is read and dropped, as a reset could destroy the answer.
             exchange.closes = True
+        # Closing a connection with unread bytes resets it, which could destroy the answer.
+        exchange.discards_body = not (
+            exchange.request_complete or exchange.has_long_body or exchange.awaits_continue
+        )
         exchange.pending_output.append(
             full_response(
                 answer.status,
@@ -388,7 +392,7 @@
                 continue  # more of the answer may have come meanwhile
             if not exchange.done:
                 return
-            if exchange.closes:
+            if exchange.closes and not (exchange.discards_body and not exchange.request_complete):
                 self._close()
                 return
             if not exchange.request_complete:
--- a/honeywharf/sidecar/delegation.py
+++ b/honeywharf/sidecar/delegation.py
@@ -148,6 +148,9 @@
     """Returns why a request can't be decided here, before its route is looked up; None where it can."""
     if source.inbound.shutting_down:
         return SHUTTING_DOWN
+    if source.lifetime.is_outlasted(source.host.now() + forwarded.remaining_s):
+        source.lifetime.refused += 1
+        return SHUTTING_DOWN
     if not source.mesh_state.ready:
         return NOT_READY
     if source.mesh_state.revision < forwarded.revision:
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -49,6 +49,7 @@
     from honeywharf.drift.monitor import DriftMonitor
     from honeywharf.sidecar.backend import BackendConnection
     from honeywharf.sidecar.gate import Gate
+    from honeywharf.sidecar.lifetime import Lifetime
     from honeywharf.transport.host import Host, Timer
     from honeywharf.transport.stream import ForwardedRequest
 
@@ -261,8 +262,10 @@
         inbound, forwarded = self.inbound, self.forwarded
         if self.deadline - now < MIN_REMAINING_S:
             self.reject(TOO_LATE, 0.0)
-        elif (inbound.shutting_down and not forwarded.max_queue_wait_s) or self.deadline > inbound.end_at:
+        elif inbound.shutting_down and not forwarded.max_queue_wait_s:
             self.reject(SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_S)
+        elif inbound.lifetime.is_outlasted(self.deadline):
+            self._reject_as_outlasting()
         else:
             rejection = inbound.gate.rejection(now, forwarded.service)
             if rejection is None:
@@ -279,6 +282,11 @@
             self.reject(*rejection)
         return False
 
+    def _reject_as_outlasting(self) -> None:
+        """Rejects a request that the backend may still be working on when this process ends."""
+        self.inbound.lifetime.refused += 1
+        self.reject(SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER_S)
+
     def _slow_start_over(self) -> None:
         """Tries again after the wait for a cold backend, whose next request may be another one."""
         self.slow_start_timer = None
@@ -350,8 +358,14 @@
             self.drained()
 
     def _passes_gate_again(self) -> bool:
-        """Queries the gate again where its admission is old, as the body or the connection was slow."""
+        """Queries the gate again where its admission is old, as the body or the connection was slow.
+
+        A shutdown that has begun since counts at once: the backend has not seen a byte yet.
+        """
         now = self.inbound.host.now()
+        if self.inbound.lifetime.is_outlasted(self.deadline):
+            self._reject_as_outlasting()
+            return False
         if now - self.checked_at <= RECHECK_AFTER_S:
             return True
         self.checked_at = now
@@ -619,13 +633,12 @@
 class Inbound:
     """All requests sent through one gate to its backend."""
 
-    def __init__(self, host: Host, gate: Gate, pool: BackendConnectionPool) -> None:
-        self.host, self.gate, self.pool = host, gate, pool
+    def __init__(self, host: Host, gate: Gate, pool: BackendConnectionPool, lifetime: Lifetime) -> None:
+        self.host, self.gate, self.pool, self.lifetime = host, gate, pool, lifetime
         self.pending_requests: dict[InboundRequest, None] = {}
         self.rejections: dict[int, int] = {}
         self.served = self.failed = self.cancelled = 0
         self.shutting_down = False
-        self.end_at = float("inf")  # the end of this process; a request that may take longer is not begun
         self.waiting_for_slow_start = 0  # requests
         self.link_bytes_s = float("inf")  # rate of this machine's network link, in bytes a second
         self.body_flow_control = BodyFlowControl()
--- a/honeywharf/sidecar/outbound.py
+++ b/honeywharf/sidecar/outbound.py
@@ -10,13 +10,10 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from honeywharf.mesh_config.routes import Route
     from honeywharf.sidecar.mesh_state import MeshStateReplica
     from honeywharf.sidecar.source import Source
     from honeywharf.transport.host import Address, Connection, Handler, Host
 
-MAX_REJECTING_SHARE = 0.25  # share of the time from SIGTERM to the end in which requests may be rejected
-RESTART_S = 1.0  # from the end of one process of this program until the next one serves
 MAX_CONNECTIONS = 3000
 
 
@@ -28,7 +25,6 @@
         self.clients: dict[ClientConnection, None] = {}
         self.disconnects = DisconnectCounters()
         self.draining = False
-        self.rejecting_s = 0.0  # longest time before the end of this process in which requests are rejected
         host.listen(address, self._accept)
 
     def _accept(self, connection: Connection) -> Handler:
@@ -38,22 +34,13 @@
             connection.abort()
         return client
 
-    def drain(self, end_at: float = float("inf")) -> None:
-        """Starts shutting down: this process ends at `end_at`, and answers close their connections."""
-        self.draining, self.source.end_at = True, end_at
-        self.rejecting_s = MAX_REJECTING_SHARE * (end_at - self.host.now())
-
-    def ends_before(self, now: float, route: Route) -> bool:
-        """Whether this process is likely to end before a request that begins now has its answer."""
-        return now + min(route.latency_target_s, self.rejecting_s) > self.source.end_at
-
-    def restart_wait_s(self, now: float) -> float:
-        """Returns the seconds after which the next process of this program is likely to serve."""
-        return max(0.0, self.source.end_at - now) + RESTART_S
+    def drain(self) -> None:
+        """Starts shutting down: answers close their connections from now on."""
+        self.draining = True
 
     def finish(self) -> None:
         """Gives every request under way its final answer, as this process ends now."""
-        retry_after_s = self.restart_wait_s(self.host.now())
+        retry_after_s = self.source.lifetime.restart_wait_s(self.host.now())
         for request in list(self.source.active_requests):
             request.finish(retry_after_s)
 
--- a/honeywharf/sidecar/outbound_request.py
+++ b/honeywharf/sidecar/outbound_request.py
@@ -193,10 +193,13 @@
     # Choice of the gate.
 
     def _try_next_gate(self) -> None:
-        now = self.source.host.now()
+        now, lifetime = self.source.host.now(), self.source.lifetime
         if self.deadline - now <= ANSWER_MARGIN_S:
             self._give_up(0.0)
             return
+        if not lifetime.may_begin(now, self.deadline):
+            self._give_up(lifetime.restart_wait_s(now))
+            return
         if self.route is DELEGATED_ROUTE:
             self._try_next_delegate()
             return
@@ -255,7 +258,7 @@
         self.attempts += 1
         attempts = self.attempts
         caller = self.source.service if self.caller is None else self.caller
-        remaining, rule = min(self.deadline, self.source.end_at) - now, b""
+        remaining, rule = min(self.deadline, self.source.lifetime.end_at) - now, b""
         if self.route is DELEGATED_ROUTE:
             remaining = max(ANSWER_MARGIN_S, remaining - DELEGATE_MARGIN_S)
         else:
--- a/honeywharf/sidecar/shutdown.py
+++ b/honeywharf/sidecar/shutdown.py
@@ -6,8 +6,7 @@
     quiet - 0.8   the gate before the backend closes; requests that run there finish meanwhile
     quiet         the platform has noticed and sends no new clients; idle connections are closed
     from quiet    the process ends as soon as nothing is under way
-    end - target  requests not likely to be answered by `end` are rejected with Retry-After; the time is
-                  the route's latency target
+                  and requests that may outlast it are rejected at once, with Retry-After (`lifetime`)
     end           every request still under way gets its final answer, then the process ends
 
 The platform goes on sending clients to a sidecar that is not ready where too few others of its zone are, so
@@ -23,6 +22,7 @@
     from collections.abc import Callable, Sized
     from typing import Protocol
 
+    from honeywharf.sidecar.lifetime import Lifetime
     from honeywharf.transport.host import Host
 
     class RequestSource(Protocol):
@@ -39,8 +39,8 @@
         def clients(self) -> Sized:
             """Clients' connections."""
 
-        def drain(self, end_at: float) -> None:
-            """Starts shutting down: this process ends at `end_at`, and answers close their connections."""
+        def drain(self) -> None:
+            """Starts shutting down: answers close their connections from now on."""
 
         def close_idle(self) -> None:
             """Closes connections without a request under way."""
@@ -54,7 +54,6 @@
     class BackendSide(Protocol):
         """The requests to the backend on this machine."""
 
-        end_at: float  # the end of this process
         shutting_down: bool  # the gate rejects requests that may be queued elsewhere
 
         @property
@@ -68,7 +67,9 @@
 QUIET_AFTER_S = 2.6  # from SIGTERM until the platform has noticed and sends no new clients
 GATE_CLOSES_BEFORE_S = 0.8  # the gate closes this long before the platform has noticed
 END_MARGIN_S = 0.4  # the last requests are answered this long before the end of `grace-period`
-MAX_END_MARGIN_SHARE = 0.2  # the margin is at most this share of `grace-period`
+# The margin is at most this share of `grace-period`: less than the last sixth, in which a request that was
+# sent early enough may be broken off.
+MAX_END_MARGIN_SHARE = 0.15
 CHECK_S = 0.1
 EXIT_DELAY_S = 0.02  # between the last answers and the exit, so that the written bytes are sent
 
@@ -80,13 +81,15 @@
         self,
         host: Host,
         grace_period_s: float,
+        lifetime: Lifetime,
         source: RequestSource,
         inbound: BackendSide,
         outbound: ClientSide,
         gate_closed: Callable[[], None],
         ended: Callable[[], None],
     ) -> None:
-        self.host, self.source, self.inbound, self.outbound = host, source, inbound, outbound
+        self.host, self.lifetime = host, lifetime
+        self.source, self.inbound, self.outbound = source, inbound, outbound
         self.gate_closed, self.ended = gate_closed, ended
         self.grace_s = grace_period_s - min(END_MARGIN_S, MAX_END_MARGIN_SHARE * grace_period_s)
         self.quiet_s = min(QUIET_AFTER_S, self.grace_s / 2)
@@ -104,9 +107,8 @@
             return
         self.started_at = self.host.now()
         self.host.log("SIGTERM received; shutting down")
-        end_at = self.started_at + self.grace_s
-        self.inbound.end_at = end_at
-        self.outbound.drain(end_at)
+        self.lifetime.plan_end(self.started_at + self.grace_s, self.started_at + self.quiet_s)
+        self.outbound.drain()
         self.host.after(max(0.0, self.quiet_s - GATE_CLOSES_BEFORE_S), self._close_gate)
         self.host.after(CHECK_S, self._check)
         self.host.after(self.grace_s, self._end)
@@ -139,11 +141,21 @@
         if self.ending:
             return
         self.ending = True
+        self._log_end()
         self.outbound.close()
         self.outbound.finish()
         self.inbound.finish()
         self.ended()
         self.host.after(EXIT_DELAY_S, self._exit)
 
+    def _log_end(self) -> None:
+        """Logs what the end costs: requests refused because of it, and requests that it breaks off."""
+        lasted_s = self.host.now() - (self.started_at or 0.0)
+        self.host.log(
+            f"shutdown ends after {lasted_s:.2f} s: refused {self.lifetime.refused}, broken off"
+            f" {len(self.source.active_requests)} of clients here and {len(self.inbound.pending_requests)}"
+            " at the backend here"
+        )
+
     def _exit(self) -> None:
         self.host.exit(0)
--- a/honeywharf/sidecar/source.py
+++ b/honeywharf/sidecar/source.py
@@ -18,6 +18,7 @@
     from honeywharf.sessions.remote_regions import RemoteRegions
     from honeywharf.sidecar.delegation import DelegatedRequest
     from honeywharf.sidecar.inbound import Inbound
+    from honeywharf.sidecar.lifetime import Lifetime
     from honeywharf.sidecar.mesh_state import MeshStateReplica
     from honeywharf.sidecar.outbound_request import Channel, OutboundRequest
     from honeywharf.transport.host import Host
@@ -105,8 +106,10 @@
         mesh_state: MeshStateReplica,
         inbound: Inbound,
         draw: Callable[[], float],
+        lifetime: Lifetime,
     ) -> None:
         self.host, self.mesh_state, self.inbound, self.draw = host, mesh_state, inbound, draw
+        self.lifetime = lifetime
         self.remote_regions: RemoteRegions | None = (
             None  # set where the settings name gateways to other regions
         )
@@ -124,7 +127,6 @@
         self.suspected: set[str] = set()
         self.saturated_until: dict[str, float] = {}  # a gate gets no large body until then
         self.sent = 0
-        self.end_at = float("inf")  # the end of this process, which bounds every request's deadline
         # Returns a healthy sidecar that is not among those tried.
         self.pick_delegate: Callable[[Container[str]], str | None] = lambda tried: None
         self.delegated = 0  # requests delegated to other sidecars
--- a/honeywharf/simulation/invariants.py
+++ b/honeywharf/simulation/invariants.py
@@ -23,6 +23,8 @@
 TRANSIT_S = 0.02  # The time that a request may be in flight to a backend, in addition to every bound.
 CANCELLATION_S = 0.5  # The time within which work for a client that has disconnected has to end.
 MAX_LATE_CANCELLATIONS = 3  # The number of requests that may end or arrive late for any reason.
+# What was sent at most this long after SIGTERM may be broken off in the last part of `grace-period`.
+EXCUSED_SENT_WITHIN_S, EXCUSED_LAST_SHARE = 3.0, 1 / 6
 MAX_LATE_CANCELLATION_SHARE = 0.25  # The same as a share of the requests that would still be running.
 
 
@@ -293,8 +295,17 @@
         fair = self.now < attempt.deadline and not attempt.answer_corrupted
         return since < self.bound["grace-period"] + 1 and calm and fair
 
+    def is_excused(self, attempt: Attempt) -> bool:
+        """Whether a request that its backend is at work on may be broken off now (NEWS-22)."""
+        since = self.terminated_at.get(attempt.machine, -1e9)
+        last_part_s = (1.0 - EXCUSED_LAST_SHARE) * self.bound["grace-period"]
+        at_work = bool(attempt.runs) and not attempt.answers
+        return at_work and attempt.sent - since <= EXCUSED_SENT_WITHIN_S and self.now - since >= last_part_s
+
     def connection_lost(self, attempt: Attempt) -> None:
         """The connection ended before a complete answer."""
+        if self.is_excused(attempt):
+            return
         late = self.now - attempt.sent > self.bound["loss-slack"] and not attempt.is_pipelined
         if self.is_planned_work(attempt) and (attempt.arrivals or late):
             place = (
@@ -307,7 +318,8 @@
     def answered(self, attempt: Attempt, status: int, headers: dict[str, str], body: bytes) -> None:
         """A client has received an answer."""
         own = "x-honeywharf-server-seal" not in headers and status >= 500
-        if own and attempt.runs and not attempt.answers and self.is_planned_work(attempt):
+        broken_off = own and attempt.runs and not attempt.answers
+        if broken_off and self.is_planned_work(attempt) and not self.is_excused(attempt):
             self.report_violation(f"{attempt.id} received {status} from the mesh while it was running")
 
 
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -12,7 +12,7 @@
 from honeywharf.sessions.receiver import Receiver, Receivers
 from honeywharf.sessions.relay import Relay, RelayedSession
 from honeywharf.sessions.sender import Sender
-from honeywharf.verdict import FULL, NOT_RUN, Verdict
+from honeywharf.verdict import FULL, NOT_RUN, SHUTTING_DOWN, Verdict
 from tests.sessions.network import GATEWAYS, SessionNetwork
 
 UPLOAD = bytes(range(256)) * 520  # 133,120 bytes: nine chunks.
@@ -281,3 +281,15 @@
 
     assert paths_taken(slow(SessionNetwork)) == 2
     assert paths_taken(slow(Wrong)) > 2
+
+
+def test_a_destination_that_ends_before_the_deadline_asks_for_no_body() -> None:
+    """Guards against a body that is sent to another region and rejected there when it is complete."""
+    network = SessionNetwork(UPLOAD)
+    network.receivers.is_outlasted = lambda deadline: True
+    network.run()
+    ((_, client),) = network.sources
+    (outcome,) = client.outcomes
+    assert isinstance(outcome, Verdict)
+    assert (outcome.ran, outcome.why) == (NOT_RUN, SHUTTING_DOWN)
+    assert client.position == 0
--- a/tests/sidecar/fixtures.py
+++ b/tests/sidecar/fixtures.py
@@ -14,6 +14,7 @@
 from honeywharf.sidecar.backend import BackendConnectionPool
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.inbound import Inbound, InboundRequest
+from honeywharf.sidecar.lifetime import Lifetime
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.outbound_request import OutboundRequest
@@ -125,7 +126,7 @@
     def __init__(self, clock: ManualClock | Host, seed: int = 1) -> None:
         host = cast("Host", clock)
         mesh_state = MeshStateReplica(host, cast("Any", None), list, lambda: None)
-        super().__init__(host, settings(), mesh_state, cast("Inbound", None), Random(seed).random)
+        super().__init__(host, settings(), mesh_state, cast("Inbound", None), Random(seed).random, Lifetime())
         self.channels: list[FakeChannel] = []
         self.retry_decisions: list[bool] = []
         self.allow_retries = True
@@ -282,6 +283,12 @@
         self.run(seconds)
         return caller
 
+    def shut_down(self, ends_after_s: float, clients_leave_after_s: float) -> None:
+        """Begins a shutdown whose times count from now."""
+        now = self.sidecar.now()
+        self.source.lifetime.plan_end(now + ends_after_s, now + clients_leave_after_s)
+        self.outbound.drain()
+
     def run(self, seconds: float = 0.01) -> None:
         """Lets time pass; an exception in a program fails the test."""
         self.world.run(self.world.now + seconds)
@@ -572,7 +579,7 @@
     gate.heartbeat(host.now(), INSTANCE, 1, False, slots, 0.0)
     pool = BackendConnectionPool(host, (host.machine.ip, APPLICATION), lambda: None)
     pool.most = connections
-    return Inbound(host, gate, pool)
+    return Inbound(host, gate, pool, Lifetime())
 
 
 class InboundSetup:
--- a/tests/sidecar/order_model.py
+++ b/tests/sidecar/order_model.py
@@ -27,6 +27,7 @@
 from honeywharf.sidecar.backend import BackendConnectionPool
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.inbound import Inbound
+from honeywharf.sidecar.lifetime import Lifetime
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.shutdown import Shutdown
@@ -179,11 +180,12 @@
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
         self.gate.set_slow_start(22.0)
         pool = BackendConnectionPool(host, (ip, APPLICATION), lambda: None)
-        self.inbound = Inbound(host, self.gate, pool)
+        lifetime = Lifetime()
+        self.inbound = Inbound(host, self.gate, pool, lifetime)
         self.inbound.set_link_speed(own.link_mbps)
         mesh_state = MeshStateReplica(host, RpcCaller(host), list, lambda: None)
         mesh_state.table, mesh_state.ready, mesh_state.revision = RoutingTable(TABLE), True, 7
-        self.source = Source(host, own, mesh_state, self.inbound, lambda: 0.0)
+        self.source = Source(host, own, mesh_state, self.inbound, lambda: 0.0, lifetime)
         self.source.retry_slack = 100.0  # large, so that the retry budget prevents no retry
         answerer = RpcServer({}, self._streams)
         host.listen((ip, INTERNAL), answerer.accept)
@@ -191,6 +193,7 @@
         self.shutdown = Shutdown(
             host,
             GRACE_S,
+            lifetime,
             self.source,
             self.inbound,
             self.outbound,
--- a/tests/sidecar/test_bodies_in_parts.py
+++ b/tests/sidecar/test_bodies_in_parts.py
@@ -114,7 +114,7 @@
         host.listen((self.machine.ip, own.internal_ports[0]), RpcServer({}, self._accept_link).accept)
         mesh_state = MeshStateReplica(host, cast("Any", None), list, lambda: None)
         mesh_state.ready, mesh_state.table = True, RoutingTable(TABLE)
-        source = Source(host, own, mesh_state, self.inbound, lambda: 0.5)
+        source = Source(host, own, mesh_state, self.inbound, lambda: 0.5, self.inbound.lifetime)
         self.outbound = Outbound(host, (self.machine.ip, OUTBOUND), mesh_state, source)
         return self.outbound
 
--- a/tests/sidecar/test_delegation.py
+++ b/tests/sidecar/test_delegation.py
@@ -302,6 +302,11 @@
     leaving.source.inbound.shutting_down = True
     assert leaving.begin() is None
     assert leaving.responder.events[0][2] == SHUTTING_DOWN
+    ending = DelegateSetup()
+    now = ending.clock.now()
+    ending.source.lifetime.plan_end(now + 1.4, now + 0.7)  # the request may take 1.5 s
+    assert ending.begin() is None
+    assert ending.responder.events[0][:3] == ("fail", NOT_RUN, SHUTTING_DOWN)
     doubting = DelegateSetup()
     doubting.source.drift_monitor = DriftMonitor()
     doubting.source.drift_monitor.retry_after_s = 0.4
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -10,6 +10,7 @@
 from honeywharf.sidecar.backend import MAX_IDLE_UNPROBED_S, PROBE_WAIT_S
 from honeywharf.sidecar.gate import READY, UNKNOWN as NOT_KNOWN
 from honeywharf.sidecar.inbound import InboundRequest
+from honeywharf.sidecar.lifetime import NEVER
 from honeywharf.transport.stream import WINDOW_SIZE
 from honeywharf.verdict import (
     CONNECTION_BROKEN,
@@ -50,6 +51,25 @@
     assert setup.backend.open == len(setup.inbound.pool.open_connections) == len(setup.inbound.pool.idle)
 
 
+@pytest.mark.parametrize("length", [0, 5, 200_000])
+def test_a_shutdown_after_the_admission_keeps_a_long_request_from_the_backend(
+    length: int,
+) -> None:
+    """Guards against work that a backend begins for a sidecar that ends before it is done."""
+    setup = InboundSetup()
+    request, responder = setup.begin(forwarded_request(remaining_s=1.0, length=length, method=b"POST"))
+    now = setup.sidecar.now()
+    setup.inbound.lifetime.plan_end(now + 0.9, now + 0.5)
+    if length:
+        request.data(b"b" * length)
+        request.end()
+    setup.run()
+    assert responder.events[-1] == ("fail", NOT_RUN, SHUTTING_DOWN, False)
+    assert setup.inbound.lifetime.refused == 1
+    assert not setup.backend.requests
+    idle(setup)
+
+
 def test_a_request_reaches_the_backend_unchanged_with_the_added_header_lines() -> None:
     setup = InboundSetup()
     _, responder = setup.begin(forwarded_request(remaining_s=1.5))
@@ -510,9 +530,9 @@
     setup.inbound.shutting_down = True
     assert setup.begin(forwarded_request())[1].events == [("fail", NOT_RUN, SHUTTING_DOWN, False)]
     setup.inbound.shutting_down = False
-    setup.inbound.end_at = setup.sidecar.now() + 0.9  # the request may take 1.0 s
+    setup.inbound.lifetime.plan_end(setup.sidecar.now() + 0.9, NEVER)  # the request may take 1.0 s
     assert setup.begin(forwarded_request())[1].events == [("fail", NOT_RUN, SHUTTING_DOWN, False)]
-    setup.inbound.end_at = float("inf")
+    setup.inbound.lifetime.plan_end(NEVER, NEVER)
     setup.gate.heartbeat(setup.sidecar.now(), INSTANCE, 2, True, 4, 0.0)
     assert setup.begin(forwarded_request())[1].events == [("fail", NOT_RUN, DRAINING, False)]
     setup.run()
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -8,7 +8,7 @@
 
 from honeywharf.codecs.mesh import INTERIM_RESPONSE
 from honeywharf.sidecar.client_connection import MAX_HELD_BODY_BYTES, MAX_PIPELINED
-from honeywharf.sidecar.outbound import RESTART_S
+from honeywharf.sidecar.lifetime import RESTART_S
 from honeywharf.transport.stream import WINDOW_SIZE
 from honeywharf.verdict import CONNECTION_BROKEN, DRAINING, MAY_HAVE_RUN, NOT_RUN, Verdict
 from tests.sidecar.fixtures import FakeChannel, OutboundSetup
@@ -468,21 +468,22 @@
     assert not setup.source.active_requests
 
 
-def test_what_can_not_be_answered_before_the_end_is_refused_with_a_time_to_return() -> None:
+def test_what_may_outlast_the_process_is_refused_with_a_time_to_return() -> None:
     setup = OutboundSetup()
     pipelined = setup.call(request(attempt=b"a0"))
-    setup.outbound.drain(setup.sidecar.now() + 2.0)
-    setup.run(1.4)  # the routes' latency target is 0.5 s
+    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=1.0)
+    setup.run(0.95)
     with_request = setup.call(request("mutating", b"a1", body=b"abc"))
     assert len(setup.channels) == 2
-    setup.run(0.15)
+    setup.run(0.5)
+    # The deadline is 2 s, the latency target 0.5 s.
     late = setup.call(request("mutating", b"a2", body=b"abc"))
     assert len(setup.channels) == 2
     ((status, top, _),) = late.answers()
     assert status == 503
     assert b"Connection: close" in top
     retry_after_s = float(top.partition(b"Retry-After: ")[2].partition(b"\r\n")[0])
-    assert 0.4 < retry_after_s - RESTART_S <= 0.45
+    assert 0.5 < retry_after_s - RESTART_S <= 0.55
     setup.run(0.1)
     assert late.close_reason is not None
     setup.outbound.finish()
@@ -492,11 +493,54 @@
     assert not setup.source.active_requests
 
 
-def test_a_route_with_a_long_latency_target_is_served_for_most_of_the_grace_period() -> None:
+@pytest.mark.parametrize(("remaining_ms", "is_taken"), [(900, True), (1100, False), (None, False)])
+def test_after_the_clients_have_left_only_what_ends_in_time_is_taken(
+    remaining_ms: int | None, is_taken: bool
+) -> None:
+    """Guards against an order that is taken by a stopping sidecar and broken off at its end (review/6)."""
+    setup = OutboundSetup()
+    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.9)
+    setup.run(0.95)
+    field = b"" if remaining_ms is None else b"X-Honeywharf-Deadline-Remaining: %d\r\n" % remaining_ms
+    caller = setup.call(
+        b"POST /mutating/1 HTTP/1.1\r\nHost: shop.example\r\nX-Honeywharf-Attempt-Id: a1\r\n"
+        b"%bContent-Length: 0\r\n\r\n" % field
+    )
+    assert len(setup.channels) == is_taken
+    assert caller.statuses() == ([] if is_taken else [503])
+
+
+def test_a_stopping_sidecar_asks_for_no_body_that_it_refuses() -> None:
+    setup = OutboundSetup()
+    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.0)
+    setup.run(0.05)
+    head = request("upload", b"a1", more=b"Expect: 100-continue\r\n", body=b"b" * 3_000_000)[:-3_000_000]
+    caller = setup.call(head)
+    assert caller.statuses() == [503]
+    setup.run(0.1)
+    assert caller.close_reason is not None
+
+
+def test_a_refused_body_on_its_way_is_read_so_that_no_reset_destroys_the_refusal() -> None:
     setup = OutboundSetup()
-    setup.outbound.drain(setup.sidecar.now() + 1.0)
-    setup.run(0.6)
-    setup.call(request())
-    assert len(setup.channels) == 1
+    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.0)
+    setup.run(0.05)
+    whole = request("upload", b"a1", body=b"b" * 100_000)
+    caller = setup.call(whole[:40_000])
+    assert caller.statuses() == [503]
+    assert caller.close_reason is None
+    assert not caller.half
+    caller.send(whole[40_000:])
     setup.run(0.2)
-    assert setup.call(request(attempt=b"a2")).statuses() == [503]
+    assert caller.half
+    assert not setup.channels
+
+
+def test_a_refused_body_that_does_not_come_ends_the_connection() -> None:
+    setup = OutboundSetup()
+    setup.shut_down(ends_after_s=20.0, clients_leave_after_s=0.0)
+    setup.run(0.05)
+    caller = setup.call(request("upload", b"a1", body=b"b" * 100_000)[:40_000])
+    setup.run(2.2)  # `idle-timeout` is 2 s
+    assert caller.statuses() == [503]
+    assert caller.close_reason is not None
--- a/tests/sidecar/test_outbound_request.py
+++ b/tests/sidecar/test_outbound_request.py
@@ -495,5 +495,29 @@
 
 def test_no_gate_gets_a_deadline_after_the_end_of_this_process() -> None:
     scenario = Scenario(within=2.0)
-    scenario.source.end_at = scenario.clock.now() + 0.7
+    scenario.source.lifetime.plan_end(scenario.clock.now() + 0.7, scenario.clock.now() + 0.3)
     assert scenario.start().forwarded.remaining_s == pytest.approx(0.7)
+
+
+@pytest.mark.parametrize(
+    ("verdict", "kind", "status"),
+    [
+        (REJECTED, "mutating", 503),
+        (REJECTED_AT_BACKEND, "mutating", 503),
+        (MAYBE_RUN, "read_only", 503),
+        (MAYBE_RUN, "mutating", 502),
+    ],
+)
+def test_a_stopping_sidecar_begins_no_further_attempt_that_may_outlast_it(
+    verdict: Verdict, kind: str, status: int
+) -> None:
+    """Guards against a retry at the end of a process, which breaks it off at the backend."""
+    scenario = Scenario(kind, within=2.0)
+    scenario.start()
+    now = scenario.clock.now()
+    scenario.source.lifetime.plan_end(now + 1.0, now + 0.5)
+    scenario.clock.move(0.6)
+    scenario.request.failed(verdict)
+    assert scenario.asked == 1
+    assert [event[:2] for event in scenario.client.events] == [("final", status)]
+    assert scenario.source.lifetime.refused == (verdict is not MAYBE_RUN or kind == "read_only")
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -32,6 +32,7 @@
 from honeywharf.sidecar.disconnects import DisconnectProbe
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, Gate
 from honeywharf.sidecar.inbound import InboundRequest
+from honeywharf.sidecar.lifetime import Lifetime
 from honeywharf.sidecar.mesh_state import MeshStateReplica
 from honeywharf.sidecar.outbound import Outbound
 from honeywharf.sidecar.outbound_request import OutboundRequest
@@ -527,7 +528,7 @@
 
     Runs of `MUTANTS` have too little traffic to show it; `tests/sidecar/test_leaving.py` covers it.
     """
-    put(Outbound, "ends_before", lambda self, now, route: False)
+    put(Lifetime, "may_begin", lambda self, now, deadline: True)
     put(Outbound, "finish", lambda self: None)
 
 
