First proxy: refuse requests that may outlast a process that ends

Callers may have seen: a 502 or 504 while the backend was at work, well before the deadline, from a proxy that had SIGTERM.

Cause: all requests in flight are answered at the end of a shutdown, and new ones were taken until 1.1 s after SIGTERM, or on kept connections while another process takes over, whatever their deadlines.

Change: from the moment at which clients have another way, the driver refuses a request whose deadline is after the end (Step.REJECT_OUTLASTING): nothing has run, so a retry is safe.

Before, tests/test_driver.py test_a_request_that_may_outlast_the_process_is_refused_at_once[900.0]: "assert 1 == False", an attempt was started. After: passed; tests of driver, service, handover and processes pass.

--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -63,6 +63,8 @@
         self.open_requests = 0  # requests without a final answer
         self.event_queue: deque[tuple[api.Event, Exchange | None]] = deque()
         self.scheduled = self.running = False
+        # Every request in flight is answered at this time, as the process ends then. It is in ms.
+        self.answers_until_ms = INFINITY
         self.counts: dict[str, int] = {}
         self.probes = Probes(transport, loop, clock, self._enqueue, self._parse_report)
 
@@ -87,6 +89,9 @@
             if self.is_full():
                 self.close_without_decision(request, "refused", "too many open")
                 caller.answer(Status.REFUSED)  # nothing has run, so a retry is safe
+            elif self.clock.now() + self.validator.answer_time_ms(request) > self.answers_until_ms:
+                self.close_without_decision(request, "refused", "may outlast this process")
+                caller.answer(Status.REFUSED)  # how long a backend takes is bounded by the deadline alone
             elif not self.accept(request, caller):
                 self.close_without_decision(request, "failed", "conflict")
                 caller.answer(Status.CONFLICT)
--- a/honeywharf/proxy.py
+++ b/honeywharf/proxy.py
@@ -240,6 +240,10 @@
         """Whether a client without a connection still waits for an answer."""
         return any(component.has_pending_answers() for component in self.components)
 
+    def limit_answers(self, until_ms: float) -> None:
+        """Rejects later requests whose deadlines are after `until_ms`."""
+        self.driver.answers_until_ms = until_ms
+
     def answer_all(self) -> None:
         """Answers all requests in flight before the platform kills the process."""
         self.driver.fail_all()
--- a/honeywharf/service/controller.py
+++ b/honeywharf/service/controller.py
@@ -54,6 +54,9 @@
     def has_pending_answers(self) -> bool:
         """Whether a client without a connection still waits for an answer."""
 
+    def limit_answers(self, until_ms: float) -> None:
+        """Rejects later requests whose deadlines are after `until_ms`, when all in flight are answered."""
+
     def answer_all(self) -> None:
         """Answers all requests in flight."""
 
@@ -151,6 +154,8 @@
         elif step is Step.REJECT:
             self.front.rejecting = True
             self.loop.call_soon(self.check_empty)
+        elif step is Step.REJECT_OUTLASTING:
+            self.served.limit_answers(self.lifecycle.answer_all_ms)
         elif step is Step.STOP_ACCEPTING:
             self.front.stop_listening()
             self.loop.call_soon(self.check_empty)
--- a/honeywharf/service/lifecycle.py
+++ b/honeywharf/service/lifecycle.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -71,6 +72,7 @@
     CLOSE_IDLE = "close idle connections"
     CLOSE_WITHOUT_REQUEST = "close connections on which nothing has come"
     REJECT = "refuse calls from now on"
+    REJECT_OUTLASTING = "refuse calls whose deadlines are after the end"
     HAND_OVER_CONNECTIONS = "give connections to the other process"
     STOP_ACCEPTING = "stop accepting"
     ANSWER_ALL = "answer all that is open"
@@ -166,6 +168,7 @@
     if state is S.HANDING_OVER:
         return (
             (0.0, Step.STOP_ACCEPTING),
+            (0.0, Step.REJECT_OUTLASTING),  # The other process takes them.
             (0.0, Step.HAND_OVER_CONNECTIONS),
             (max(0.0, answer_all_ms - HAND_OVER_IDLE_MS), Step.CLOSE_IDLE),
             (max(0.0, answer_all_ms - HAND_OVER_IDLE_MS), Step.CLOSE_WITHOUT_REQUEST),
@@ -176,6 +179,7 @@
         return (
             (0.0, Step.CLOSE_IDLE),
             (STOP_ACCEPTING_AFTER_MS, Step.STOP_ACCEPTING),
+            (STOP_ACCEPTING_AFTER_MS, Step.REJECT_OUTLASTING),  # The clients of later requests have others.
             (STOP_ACCEPTING_AFTER_MS + FIRST_REQUEST_GRACE_MS, Step.CLOSE_IDLE),
             (STOP_ACCEPTING_AFTER_MS + FIRST_REQUEST_GRACE_MS, Step.CLOSE_WITHOUT_REQUEST),
             (answer_all_ms, Step.ANSWER_ALL),
@@ -222,6 +226,11 @@
         """Returns the time of the next step; None if there is none."""
         return self.due[0][0] if self.due else None
 
+    @property
+    def answer_all_ms(self) -> float:
+        """The time at which all requests in flight are answered; infinite if the process does not end."""
+        return next((at for at, step in self.due if step is Step.ANSWER_ALL), math.inf)
+
     @property
     def properties(self) -> StateProperties:
         """The properties of the current state."""
--- a/tests/service/test_rules.py
+++ b/tests/service/test_rules.py
@@ -62,6 +62,20 @@
         assert step_times[Step.CLOSE_WITHOUT_REQUEST] <= step_times[Step.ANSWER_ALL] or state is State.ENDING
 
 
+@pytest.mark.parametrize(
+    ("event", "from_ms"), [(Event.TERMINATE, lifecycle.STOP_ACCEPTING_AFTER_MS), (Event.HAND_OVER, 0.0)]
+)
+def test_a_process_that_ends_refuses_what_may_outlast_it_once_its_clients_have_others(
+    event: Event, from_ms: float
+) -> None:
+    process = Lifecycle(5000.0)
+    process.handle_event(0.0, Event.LISTENING)
+    assert process.answer_all_ms == float("inf")
+    process.handle_event(10.0, event)
+    assert process.answer_all_ms == 10.0 + lifecycle.KILL_AFTER_MS + lifecycle.ANSWER_ALL_DELAY_MS
+    assert (10.0 + from_ms, Step.REJECT_OUTLASTING) in process.due
+
+
 def test_an_evacuated_proxy_holds_no_young_request_at_the_time_limit() -> None:
     """4 s after the command, no connection is idle or has a request of the last 2 s."""
     step_times = [(step, ms) for ms, step in lifecycle.steps(State.EVACUATING, 5000.0)]
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -530,3 +530,20 @@
     assert harness.driver.open_requests == 0
     for name, caller in callers:
         assert len(caller.answers) == (0 if name in disconnected else 1)
+
+
+@pytest.mark.parametrize(("time_left_ms", "is_taken"), [(900.0, False), (1100.0, True)])
+def test_a_request_that_may_outlast_the_process_is_refused_at_once(
+    harness: DriverHarness, time_left_ms: float, is_taken: bool
+) -> None:
+    """Guards against an attempt that a backend is at work on when the process answers all and ends."""
+    harness.script.on = send_to_b1
+    harness.driver.answers_until_ms = harness.clock.now() + time_left_ms
+    request, caller = http1.Request(), FakeCaller()
+    request.id, request.class_name, request.left_ms = "r1", "order", 1000.0
+    request.method, request.target, request.read_ms = b"POST", b"/api", harness.clock.ms
+    request.idempotency_key = b"k"
+    assert harness.driver.submit(request, caller) is None
+    harness.loop.run_soon()
+    assert len(harness.transport.started) == is_taken
+    assert caller.answers == ([] if is_taken else [(Status.REFUSED, b"", 0.0)])
