Let other processes remember which backends have departed

Cause: what orders a heartbeat against a departure is the backend's call-sequence, which the sidecar kept in memory alone.

Change: a departure (the backend's key and the call-sequence, or its end) is recorded by a majority of the known control nodes before it is acknowledged, and published by gossip. Every process keeps it, and tells it to a sidecar whose entry lacks it; that sidecar takes no earlier statement of the backend. A heartbeat that a health answer contradicts after a start counts from the next one on.

Of the same class: a late heartbeat of an earlier instance, unknown after a restart, ended the present one for good; it returns now once a health answer names it.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -8,12 +8,14 @@
 if __name__ == "__main__":  # Run by its path: the package is found in the directory above it.
     sys.path[0] = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
+from honeywharf import rpc_methods
 from honeywharf.drift.destination_check import host_of
 from honeywharf.drift.monitor import DriftMonitor
 from honeywharf.drift.remediation import matches_digest
 from honeywharf.gossip.membership import Membership, XorShift
 from honeywharf.programs.start import load_settings
 from honeywharf.sidecar.backend import BackendConnectionPool
+from honeywharf.sidecar.departures import DepartureKeeper, Replication
 from honeywharf.sidecar.gate import DRAINING, READY, STATES, UNKNOWN, Gate
 from honeywharf.sidecar.heartbeat_api import HeartbeatApi
 from honeywharf.sidecar.inbound import Inbound
@@ -40,6 +42,7 @@
     from honeywharf.sidecar.inbound import Responder
     from honeywharf.transport.framing import FrameReader
     from honeywharf.transport.host import Address, Connection, Handler, Host
+    from honeywharf.transport.rpc_server import Reply
     from honeywharf.transport.stream import ForwardedRequest, RequestHandler
 
 COUNTERS_INTERVAL_S = 10.0  # The counters are logged at this interval.
@@ -74,6 +77,13 @@
         self.mesh_state.has_digest = matches_digest
         self.membership = self._start_gossip()
         self.source = self._make_source()
+        self.departures = DepartureKeeper(
+            host,
+            self.caller,
+            settings.internal_ports[0],
+            self._published_attributes,
+            XorShift(settings.ip.encode()).random,
+        )
         self.membership.on_change = self._entry_changed
         self.membership.on_newer_revision = self._newer_revision
         self.membership.on_down = lambda node: self.source.set_suspected(node, True)
@@ -81,9 +91,16 @@
         self.probe = Probe(host, application, self.gate, self._gate_changed)
         self.drift_monitor = self.source.drift_monitor = self.inbound.drift_monitor = DriftMonitor(self)
         self._listen_for_peers()
-        self.announced_changes = 0  # The number of the gate's last announced change.
+        self.announced_changes = (0, 0)  # The numbers of the gate's last announced changes.
         self.logged_state = UNKNOWN
-        self.heartbeats = HeartbeatApi(host, self.gate, self._gate_changed)
+        self.replication = Replication(host, self.caller, self.control_nodes)
+        self.heartbeats = HeartbeatApi(
+            host,
+            self.gate,
+            self._gate_changed,
+            (settings.ip, settings.listen_addresses["control-plane"][1]),
+            self.replication.record,
+        )
         self.http_servers = self._start_http_servers()
         outbound_address = settings.listen_addresses["outbound"]
         self.outbound = Outbound(host, outbound_address, self.mesh_state, self.source)
@@ -124,10 +141,29 @@
 
     def _listen_for_peers(self) -> None:
         """Accepts the calls and links of other processes."""
-        methods = {**self.mesh_state.methods(), **self.drift_monitor.methods()}
+        methods = {
+            **self.mesh_state.methods(),
+            **self.drift_monitor.methods(),
+            **self.departures.methods(),
+            rpc_methods.DEPARTED: self._told_departures,
+        }
         server = RpcServer(methods, self._serve_link, log=self.host.log)
         self.host.listen((self.settings.ip, self.settings.internal_ports[0]), server.accept)
 
+    def _told_departures(self, args: object, reply: Reply, peer: Address) -> None:
+        """Takes departures of the backend here that this process has forgotten by a restart."""
+        state = self.gate.state
+        self.gate.note_departures(args)
+        if self.gate.state != state:
+            self.host.log(f"departed before this start: backend {self.gate.instance}, says {peer[0]}")
+        self._gate_changed()
+        reply(True)
+
+    def _published_attributes(self, node: str) -> dict[str, object] | None:
+        """Returns the gossip attributes of another live node."""
+        is_alive = node != self.settings.ip and self.membership.is_alive(node)
+        return self.membership.entries()[node].attributes if is_alive else None
+
     def _start_http_servers(self) -> list[HttpServer]:
         """Starts the servers for the backend's heartbeats and the platform's readiness probe."""
         addresses = self.settings.listen_addresses
@@ -162,6 +198,7 @@
     def _entry_changed(self, node: str, entry: Entry | None, old: Entry | None) -> None:
         if node != self.settings.ip:
             say = None if entry is None else entry.attributes
+            self.departures.entry_changed(node, say)
             self.source.update_backend(node, say, entry.zone if entry is not None else "")
 
     def _newer_revision(self, revision: int, node: str) -> None:
@@ -194,9 +231,10 @@
         """Publishes a changed state of the gate to other nodes."""
         gate = self.gate
         self.probe.schedule()
-        if gate.changes == self.announced_changes and not self.inbound.shutting_down:
+        changes = (gate.changes, gate.departure_changes)
+        if changes == self.announced_changes and not self.inbound.shutting_down:
             return
-        self.announced_changes = gate.changes
+        self.announced_changes = changes
         attributes = gate.gossip_attributes()
         if self.inbound.shutting_down and gate.state == READY:
             attributes["st"] = DRAINING
@@ -276,7 +314,9 @@
             f"{self.drift_monitor.summary()}; "
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {rejected or 'none'}; "
-            f"beats={self.heartbeats.received} late={self.heartbeats.late}; word={self.mesh_state.revision} "
+            f"beats={self.heartbeats.received} late={self.heartbeats.late} "
+            f"unrecorded={self.replication.unconfirmed} told={self.departures.told}; "
+            f"word={self.mesh_state.revision} "
             f"known={len(self.membership.entries())}"
         )
 
--- a/honeywharf/rpc_methods.py
+++ b/honeywharf/rpc_methods.py
@@ -35,6 +35,11 @@
 #: Control node to a member that has returned: the public mesh state that it missed, answered with true.
 HINTED_HANDOFF = "hinted_handoff.hand"
 
+#: Sidecar to a control node: pairs of a backend's key and a call sequence, answered with true.
+RECORD_DEPARTURES = "departures.record"
+#: Any process to a sidecar: departures of its backend that its gossip entry lacks, answered with true.
+DEPARTED = "departures.tell"
+
 #: Sidecar to a control node: `[node, seconds, way, cause, revision]`, answered with true.
 DRIFT_REPORT = "drift.slip"
 #: Control node to a sidecar: no arguments, answered with the sidecar's view of its own drift.
--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -9,7 +9,13 @@
     DRAINING  it shuts down: no further request from the moment at which its heartbeat is acknowledged
     ENDED     it has deregistered
 
-An instance that has ended never returns: late heartbeats of it change nothing. Until `cold_until` the backend
+An instance that has ended never returns: late heartbeats of it change nothing. `departures` outlive this
+process at others (`departures`), as its memory does not: they tell a statement that came before the departure
+from one that came after. What a restarted process hears first may be wrong, whoever says it: a heartbeat that
+contradicts a health answer (503) counts from the next one on. An instance that was displaced by a heartbeat
+of an unknown one, which may have been a late one, returns when a health answer names it.
+
+Until `cold_until` the backend
 is cold (caches not filled), and slow start bounds its requests. `cold_unknown` is set where it may be cold
 without having reported it: after an evacuation, for a new instance, and when this process starts. Slow start
 then applies until a later heartbeat or health answer reports it. Source: RULES (DRAIN, ROUTE, EVAC,
@@ -20,6 +26,14 @@
 
 from honeywharf.admission.admission_queue import Admission
 from honeywharf.admission.cold_start import ColdBound
+from honeywharf.admission.departures import (
+    ATTRIBUTE,
+    DEREGISTERED,
+    backend_key,
+    merge_departures,
+    pack_departures,
+    unpack_departures,
+)
 from honeywharf.verdict import (
     DRAINING as IS_DRAINING,
     EVACUATED,
@@ -29,6 +43,10 @@
     SLOW_START,
 )
 
+TYPE_CHECKING = False
+if TYPE_CHECKING:
+    from honeywharf.admission.departures import Departures
+
 UNKNOWN, READY, DRAINING, ENDED = range(4)
 STATES = ("unknown", "ready", "draining", "ended")
 MAX_ENDED_INSTANCES = 64  # ids of ended instances that are remembered
@@ -48,6 +66,10 @@
         self.instance = ""
         self.sequence = -1
         self.ended_instances: dict[str, None] = {}  # oldest first
+        self.displaced: dict[str, int] = {}  # last sequence of those ended only by another one's heartbeat
+        self.departures: Departures = {}  # oldest first
+        self.departure_changes = 0
+        self.is_denied = False  # the last health answer of the present instance was bad
         self.admission = Admission(INITIAL_SLOTS)
         self.cold = ColdBound(
             now, float("inf") if cold_slack == float("inf") else 0.0, cold_overage, cold_slack, fresh=True
@@ -73,13 +95,23 @@
         cold_s: float,
     ) -> bool:
         """Takes a heartbeat; False where it is out of order or of an ended instance, and changes nothing."""
-        if instance in self.ended_instances or (instance == self.instance and sequence <= self.sequence):
+        departed_at = self.departures.get(backend_key(instance), -1)
+        if (
+            instance in self.ended_instances
+            or (instance == self.instance and sequence <= self.sequence)
+            or (sequence <= departed_at and not draining)
+        ):
             return False
         self._set_instance(now, instance)
+        is_contradiction = self.is_denied and self.state == UNKNOWN and self.sequence < 0 and not draining
         self.sequence, self.last_report_at = sequence, now
         if slots > 0:
             self.admission.slots = slots
         self._set_cold(now, cold_s)
+        if is_contradiction:
+            return True
+        if draining and self.state != DRAINING:
+            self._add_departures({backend_key(instance): sequence})
         self._set_state(DRAINING if draining else READY)
         return True
 
@@ -96,19 +128,55 @@
 
         A heartbeat's draining state stays in force.
         """
-        if not instance or instance in self.ended_instances:
+        if not instance or (instance in self.ended_instances and not self._takes_back(instance)):
             return
         self._set_instance(now, instance)
-        self.last_report_at = now
+        self.last_report_at, self.is_denied = now, not is_healthy
         if slots > 0:
             self.admission.slots = slots
         if sent_at >= self.restored_at:
             self._set_cold(now, cold_s or 0.0)
         if self.state == UNKNOWN and is_healthy:
             self._set_state(READY)
+        self._apply_departures()
+
+    def _takes_back(self, instance: str) -> bool:
+        """Whether a displaced instance is the one at the address after all, and makes it return.
+
+        The displaced one was a live instance, so the one that displaced it was announced by a late heartbeat.
+        """
+        if self.state != UNKNOWN or instance not in self.displaced:
+            return False
+        late, sequence = self.instance, self.displaced.pop(instance)
+        del self.ended_instances[instance]
+        self._mark_ended(late)
+        self.instance, self.sequence, self.is_denied = instance, sequence, False
+        self.changes += 1
+        return True
+
+    def note_departures(self, packed: object) -> None:
+        """Takes departures that other processes remember, from before this process started."""
+        self._add_departures(unpack_departures(packed))
+        self._apply_departures()
+
+    def _add_departures(self, departures: Departures) -> None:
+        self.departure_changes += merge_departures(self.departures, departures)
+
+    def _apply_departures(self) -> None:
+        """Closes the gate if the present instance has departed by its last statement."""
+        departed_at = self.departures.get(backend_key(self.instance), -1)
+        if not self.instance or departed_at < self.sequence or departed_at < 0:
+            return
+        if departed_at == DEREGISTERED:
+            self._mark_ended(self.instance)
+            self._set_state(ENDED)
+        elif self.state != ENDED:
+            self._set_state(DRAINING)
 
     def deregister(self, instance: str) -> None:
         """Notes that an instance has ended."""
+        self.displaced.pop(instance, None)
+        self._add_departures({backend_key(instance): DEREGISTERED})
         self._mark_ended(instance)
         if instance == self.instance:
             self._set_state(ENDED)
@@ -137,7 +205,10 @@
         if instance == self.instance:
             return
         if self.instance:
+            if self.state in (READY, UNKNOWN):
+                self.displaced[self.instance] = self.sequence
             self._mark_ended(self.instance)
+        self.is_denied = False
         self.instance, self.sequence, self.cold_unknown = instance, -1, True
         self.state = UNKNOWN
         self.changes += 1
@@ -145,7 +216,9 @@
     def _mark_ended(self, instance: str) -> None:
         self.ended_instances[instance] = None
         while len(self.ended_instances) > MAX_ENDED_INSTANCES:
-            del self.ended_instances[next(iter(self.ended_instances))]
+            oldest = next(iter(self.ended_instances))
+            del self.ended_instances[oldest]
+            self.displaced.pop(oldest, None)
 
     def _set_cold(self, now: float, cold_s: float) -> None:
         self.cold_unknown = False
@@ -194,4 +267,12 @@
 
     def gossip_attributes(self) -> dict[str, object]:
         """Returns the backend's state as gossip sends it to other nodes."""
-        return {"s": self.service, "b": self.instance, "st": self.state, "sl": self.admission.slots}
+        attributes: dict[str, object] = {
+            "s": self.service,
+            "b": self.instance,
+            "st": self.state,
+            "sl": self.admission.slots,
+        }
+        if self.departures:
+            attributes[ATTRIBUTE] = pack_departures(self.departures)
+        return attributes
--- a/honeywharf/simulation/actors.py
+++ b/honeywharf/simulation/actors.py
@@ -441,6 +441,7 @@
         self.cold_until, self.cold_per_s = host.world.now + cold, COLD_PER_S
         self.lose = self.garble = self.extra = self.unsealed = 0.0
         self.errors = self.busy = self.hang = 0.0  # The shares answered with 500, refused, and unanswered.
+        self.health_lies = False  # Whether health answers are good while it leaves, and bad while it is well.
         self.idle_timeout_s = 0.0  # The time after which an idle connection is reset; 0 for never.
         self.mean_work_s, self.state, self.call_sequence = MEAN_WORK_S, "ready", 0
         self.connections: dict[ServerConnection, None] = {}
@@ -473,7 +474,7 @@
             return
         if request.head.path == "/health":
             answer(
-                200 if self.state == "ready" else 503,
+                200 if (self.state == "ready") != self.health_lies else 503,
                 {
                     "X-Honeywharf-Instance-Id": self.id,
                     "X-Honeywharf-Cold-Remaining": self._cold_remaining_ms(),
@@ -574,6 +575,16 @@
 
     # Registration with the control plane.
 
+    def depart(self, how: str) -> Callable[[], None]:
+        """Drains or deregisters, and serves on. Returns a call that sends a heartbeat of before that."""
+        late_heartbeat = self._heartbeat_body()
+        self.state = "draining" if how == "drain" else "gone"
+        if how == "drain":
+            self._call("heartbeat", self._heartbeat_body())
+        else:
+            self._call("deregister", b"")
+        return lambda: self._call("heartbeat", late_heartbeat, state="ready")
+
     def leave(self, complete: Callable[[], None]) -> None:
         """Reports `draining`, serves on for a while, deregisters, then calls `complete`."""
         self.state = "draining"
@@ -613,8 +624,9 @@
             }
         ).encode()
 
-    def _call(self, what: str, body: bytes) -> None:
-        state = self.state
+    def _call(self, what: str, body: bytes, state: str = "") -> None:
+        """Calls the control plane. `state`: what the call says, if it is not the present state."""
+        state = state or self.state
 
         def answer_received(tag: object, message: Message | None) -> None:
             if message is not None and 200 <= message.status < 300:
--- a/honeywharf/simulation/rare_faults.py
+++ b/honeywharf/simulation/rare_faults.py
@@ -19,9 +19,9 @@
     KINDS,
     SERIALIZED_KINDS,
     Fault,
-    FaultSchedule,
 )
 from honeywharf.simulation.invariants import Order
+from honeywharf.simulation.restart_faults import RESTART_KINDS, RestartFaultSchedule, draw_restart_faults
 
 if TYPE_CHECKING:
     from honeywharf.simulation.disk import Disk
@@ -58,7 +58,7 @@
 }
 #: Drawn beside the others, by a generator of their own.
 ORDER_KINDS: dict[str, tuple[str, ...]] = {"late_order": ("", "delayed")}
-EVERY_KIND = {**KINDS, **RARE_KINDS, **ORDER_KINDS}
+EVERY_KIND = {**KINDS, **RARE_KINDS, **ORDER_KINDS, **RESTART_KINDS}
 RARE_SERIALIZED_KINDS = (
     *SERIALIZED_KINDS,
     "core_resets",
@@ -95,7 +95,7 @@
 def draw_any_faults(seed: int, begin: float, end: float, order_faults: bool = True) -> list[Fault]:
     """Returns faults of any kind between two times; one of three schedules ends with a closing fault.
 
-    Without `order_faults` there are none of `ORDER_KINDS`.
+    Without `order_faults` there are none of `ORDER_KINDS` and `RESTART_KINDS`.
     """
     rng, faults = random.Random(f"any {seed}"), []
     kinds = {**KINDS, **RARE_KINDS}
@@ -107,6 +107,7 @@
         faults.append(Fault(end + 6.0, "closing", rng.choice(CLOSING_VARIANTS), rng.getrandbits(32)))
     if order_faults:
         faults += _draw_order_faults(seed, begin, end)
+        faults += draw_restart_faults(seed, begin, end)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -119,7 +120,7 @@
     return [Fault(rng.uniform(begin, end), kind, rng.choice(ORDER_KINDS[kind]), rng.getrandbits(32))]
 
 
-class RareFaultSchedule(FaultSchedule):
+class RareFaultSchedule(RestartFaultSchedule):
     """Injects faults of every kind."""
 
     serialized_kinds = RARE_SERIALIZED_KINDS
--- /dev/null
+++ b/honeywharf/simulation/restart_faults.py
@@ -0,0 +1,101 @@
+"""Faults round the end and the start of a sidecar: work that outlasts it, and statements that it forgets."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from honeywharf.simulation.actors import MEAN_WORK_S, Backend
+from honeywharf.simulation.deployment import SidecarNode
+from honeywharf.simulation.fault_schedule import Fault, FaultSchedule
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+#: Drawn beside the others, by a generator of their own.
+RESTART_KINDS: dict[str, tuple[str, ...]] = {
+    "late_heartbeat": ("deregister", "drain", "deregister lying", "drain lying", "deregister twice"),
+    "slow_stop": ("",),
+}
+RESTART_FAULT_SHARE = 0.25
+SLOW_STOP_WORK_S = 1.0  # The mean working time of backends while sidecars are stopped.
+LONG_DEADLINE_S = 5.0  # The deadline of requests meanwhile; requests may last nearly as long as a stop.
+SLOW_STOP_S = 10.0
+# Times of `late_heartbeat` since the departure: kill, late heartbeats, and the backend's end.
+MAX_KILL_DELAY_S, LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S, DEPARTED_S = 1.0, 4.5, 5.5, 9.0
+
+
+def draw_restart_faults(seed: int, begin: float, end: float) -> list[Fault]:
+    """Returns a fault of `RESTART_KINDS` for one of four seeds."""
+    rng = random.Random(f"restarts {seed}")
+    if rng.random() >= RESTART_FAULT_SHARE:
+        return []
+    kind = rng.choice(list(RESTART_KINDS))
+    return [Fault(rng.uniform(begin, end), kind, rng.choice(RESTART_KINDS[kind]), rng.getrandbits(32))]
+
+
+class RestartFaultSchedule(FaultSchedule):
+    """Injects these faults beside those of `FaultSchedule`."""
+
+    def slow_stop(self, fault: Fault, rng: random.Random) -> None:
+        """Stops some proxies under load while backends work for seconds and clients wait for it."""
+        self.invariant_checker.last_any_fault_at = self.world.now
+        for flow in self.deployment.flows:
+            self._schedule(SLOW_STOP_S, setattr, flow, "deadline", flow.deadline)
+            flow.deadline = LONG_DEADLINE_S
+        for sidecar_node in self.deployment.sidecar_nodes:
+            backend = sidecar_node.live_backend()
+            if backend is not None:
+                backend.mean_work_s = SLOW_STOP_WORK_S
+                self._schedule(SLOW_STOP_S, setattr, backend, "mean_work_s", MEAN_WORK_S)
+        self._send_change(round(LONG_DEADLINE_S * 1000))
+        quiet_s = self.invariant_checker.bounds["contact"] + 0.1
+        for n, sidecar_node in enumerate(self._choose_nodes(rng, 0.3)):
+            self._schedule(quiet_s + 0.4 * n, self._terminate_under_load, sidecar_node)
+
+    def late_heartbeat(self, fault: Fault, rng: random.Random) -> None:
+        """Lets a backend depart, kills its proxy, and delivers a heartbeat of before the departure.
+
+        With "lying" the backend's health answers are good all the same, with "twice" two are late.
+        """
+        words = fault.how.split()
+        candidates = [node for node in self.deployment.sidecar_nodes if self._may_depart(node)]
+        if not candidates:
+            return
+        sidecar_node = rng.choice(candidates)
+        backend = sidecar_node.live_backend()
+        assert backend is not None
+        self.departing_nodes.add(sidecar_node)
+        backend.health_lies = "lying" in words
+        late_heartbeats = [backend.depart(words[0])]
+        if "twice" in words:
+            late_heartbeats.append(self._heartbeat_before(backend))
+        self._schedule(rng.uniform(0.01, MAX_KILL_DELAY_S), self._kill, sidecar_node.proxy, False)
+        for at, send in zip((LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S), late_heartbeats, strict=False):
+            self._schedule(at, self._send_late, sidecar_node, backend, send)
+        self._schedule(DEPARTED_S, self._replace_departed, sidecar_node)
+
+    def _may_depart(self, sidecar_node: SidecarNode) -> bool:
+        backend = sidecar_node.live_backend()
+        is_ready = backend is not None and backend.state == "ready"
+        return (
+            is_ready and sidecar_node not in self.departing_nodes and self._has_other_instance(sidecar_node)
+        )
+
+    @staticmethod
+    def _heartbeat_before(backend: Backend) -> Callable[[], None]:
+        """Returns a call that sends one more heartbeat which was on its way at the departure."""
+        state, backend.state = backend.state, "ready"
+        body = backend._heartbeat_body()
+        backend.state = state
+        return lambda: backend._call("heartbeat", body, state="ready")
+
+    def _send_late(self, sidecar_node: SidecarNode, backend: Backend, send: Callable[[], None]) -> None:
+        if sidecar_node.live_backend() is backend:
+            send()
+
+    def _replace_departed(self, sidecar_node: SidecarNode) -> None:
+        self.departing_nodes.discard(sidecar_node)
+        sidecar_node.backend.is_restarted = False
+        sidecar_node.backend.end()
+        self._schedule(self.invariant_checker.bounds["address-reuse"], self._start_backend, sidecar_node)
--- /dev/null
+++ b/tests/sidecar/test_departures.py
@@ -0,0 +1,295 @@
+"""Departures that outlive the process that acknowledged them: data, keepers, recording, gate."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import permutations
+from typing import Any, cast
+
+import pytest
+
+from honeywharf import rpc_methods
+from honeywharf.admission.departures import (
+    ATTRIBUTE,
+    DEREGISTERED,
+    MAX_DEPARTURES,
+    backend_key,
+    merge_departures,
+    pack_departures,
+    unpack_departures,
+)
+from honeywharf.sidecar.departures import (
+    CONFIRM_TIMEOUT_S,
+    MAX_MACHINES,
+    MAX_TELL_DELAY_S,
+    TELL_TIMEOUT_S,
+    DepartureKeeper,
+    Replication,
+)
+from honeywharf.sidecar.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
+from tests.sidecar.fixtures import IP, SERVICE, ManualClock
+
+Done = Callable[[Any], None]
+PORT = 7620
+X, Y = backend_key("i-x"), backend_key("i-y")
+
+
+class FakeCaller:
+    """Records calls of peers' methods; a test answers them."""
+
+    def __init__(self) -> None:
+        self.calls: list[tuple[Any, str, Any, Done]] = []
+
+    def call(self, to: Any, method: str, args: Any, within: float, done: Done) -> None:
+        self.calls.append((to, method, args, done))
+
+
+# Data.
+
+
+def test_departures_are_the_same_in_any_order_and_however_often_they_come() -> None:
+    statements = [{X: 3}, {Y: 9}, {X: DEREGISTERED}, {Y: 4}]
+    for order in permutations(statements):
+        known: dict[int, int] = {}
+        for statement in (*order, *order):
+            merge_departures(known, statement)
+        assert known == {X: DEREGISTERED, Y: 9}
+        assert not merge_departures(known, {X: 5, Y: 9})
+
+
+def test_departures_of_one_machine_are_bounded_and_the_oldest_are_forgotten() -> None:
+    known: dict[int, int] = {}
+    for key in range(3 * MAX_DEPARTURES):
+        merge_departures(known, {key: 1})
+    assert list(known) == list(range(2 * MAX_DEPARTURES, 3 * MAX_DEPARTURES))
+
+
+@pytest.mark.parametrize(
+    "value", [None, 7, "x", {}, [7], [[1]], [[1, "2"]], [[True, 2]], [[1, 2, 3]], [None]]
+)
+def test_malformed_departures_are_left_out(value: object) -> None:
+    assert unpack_departures(value) == {}
+    assert unpack_departures(pack_departures({X: 3})) == {X: 3}
+
+
+# Keepers.
+
+
+class KeeperSetup:
+    """A keeper, and the gossip attributes of the machines that it sees."""
+
+    def __init__(self) -> None:
+        self.clock, self.caller = ManualClock(), FakeCaller()
+        self.attributes: dict[str, dict[str, Any] | None] = {}
+        self.keeper = DepartureKeeper(
+            cast("Any", self.clock), cast("Any", self.caller), PORT, self.attributes.get, lambda: 0.5
+        )
+
+    def publish(self, departures: dict[int, int] | None = None) -> None:
+        """Changes the entry of the machine."""
+        entry: dict[str, Any] = {"s": SERVICE}
+        if departures:
+            entry[ATTRIBUTE] = pack_departures(departures)
+        self.attributes[IP] = entry
+        self.keeper.entry_changed(IP, entry)
+
+
+def test_a_restarted_machine_is_told_what_its_entry_lacks() -> None:
+    """Guards against a departure that only the process knew which acknowledged it (review/8)."""
+    setup = KeeperSetup()
+    setup.publish({X: 4})
+    setup.publish({X: DEREGISTERED})
+    setup.clock.move(1.0)
+    assert setup.caller.calls == []
+    setup.keeper.entry_changed(IP, None)  # it has left
+    setup.publish()
+    setup.clock.move(MAX_TELL_DELAY_S)
+    ((to, method, args, _),) = setup.caller.calls
+    assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTED, [[X, DEREGISTERED]])
+
+
+def test_a_machine_that_another_process_has_told_is_not_told_again() -> None:
+    setup = KeeperSetup()
+    setup.publish({X: 4})
+    setup.publish()
+    setup.publish({X: 4})
+    setup.clock.move(2.0)
+    assert setup.caller.calls == []
+    assert not setup.keeper.telling
+
+
+def test_a_machine_is_told_again_until_its_entry_has_it_or_it_is_gone() -> None:
+    setup = KeeperSetup()
+    setup.publish({X: 4})
+    setup.publish()
+    for _ in range(3):
+        setup.clock.move(MAX_TELL_DELAY_S + TELL_TIMEOUT_S)
+        setup.caller.calls[-1][3](None)
+    assert setup.keeper.told == 3
+    setup.attributes[IP] = None
+    setup.clock.move(5.0)
+    assert len(setup.caller.calls) == 3
+    assert not setup.keeper.telling
+
+
+def test_a_machine_that_has_forgotten_the_oldest_is_not_told_them() -> None:
+    setup = KeeperSetup()
+    setup.publish({X: 4})
+    setup.keeper.record(IP, {X: 5})
+    setup.publish(dict.fromkeys(range(MAX_DEPARTURES), 1))
+    setup.clock.move(2.0)
+    assert setup.caller.calls == []
+
+
+def test_a_keeper_records_what_a_machine_says_of_itself_and_is_bounded() -> None:
+    setup = KeeperSetup()
+    replies: list[object] = []
+    record = setup.keeper.methods()[rpc_methods.RECORD_DEPARTURES]
+    for n in range(MAX_MACHINES + 5):
+        record([[X, n]], replies.append, (f"10.{n >> 8}.{n & 255}.1", PORT))
+    assert len(setup.keeper.departures) == MAX_MACHINES
+    assert replies == [True] * (MAX_MACHINES + 5)
+
+
+# Recording.
+
+
+class LoggingClock(ManualClock):
+    """A clock with a log."""
+
+    def log(self, text: str) -> None:
+        """Drops a line."""
+
+
+class RecordingSetup:
+    """The recording of departures at five control nodes."""
+
+    def __init__(self, nodes: int = 5) -> None:
+        self.clock, self.caller = LoggingClock(), FakeCaller()
+        self.done: list[bool] = []
+        nodes_at = [(f"10.1.0.{n}", PORT) for n in range(nodes)]
+        self.replication = Replication(cast("Any", self.clock), cast("Any", self.caller), lambda: nodes_at)
+
+    def record(self, departures: dict[int, int]) -> None:
+        """Begins to record departures."""
+        self.replication.record(departures, lambda: self.done.append(True))
+
+    def answer(self, *replies: object) -> None:
+        """Answers the next calls."""
+        for reply in replies:
+            self.caller.calls.pop(0)[3](reply)
+
+
+def test_a_departure_is_acknowledged_once_a_majority_has_recorded_it() -> None:
+    """Guards against an acknowledgement that dies with the process that gave it."""
+    setup = RecordingSetup()
+    setup.record({X: 4})
+    assert [call[1:3] for call in setup.caller.calls] == [(rpc_methods.RECORD_DEPARTURES, [[X, 4]])] * 5
+    setup.answer(True, None, True)
+    assert setup.done == []
+    setup.answer(True, True)
+    assert setup.done == [True]
+    setup.record({X: 4})  # the backend says it again, as the answer was lost
+    assert setup.done == [True, True]
+    assert len(setup.caller.calls) == 0
+    setup.record({X: DEREGISTERED})
+    assert len(setup.caller.calls) == 5
+
+
+def test_without_a_majority_a_departure_is_acknowledged_all_the_same_and_counted() -> None:
+    setup = RecordingSetup(3)
+    setup.record({X: 4})
+    setup.answer(True, None, None)
+    assert setup.done == [True]
+    assert setup.replication.unconfirmed == 1
+    alone = RecordingSetup(0)
+    alone.record({X: 4})
+    assert alone.done == [True]
+    assert CONFIRM_TIMEOUT_S < 0.5  # a backend waits a second for its acknowledgement
+
+
+# The gate.
+
+
+def restarted_gate() -> Gate:
+    """Returns the gate of a process that has just started."""
+    gate = Gate(10.0, SERVICE, 1.5, 5.0)
+    gate.set_slow_start(22.0)
+    return gate
+
+
+def beat(gate: Gate, sequence: int, instance: str = "i-x", draining: bool = False) -> bool:
+    """Sends a heartbeat."""
+    return gate.heartbeat(10.0, instance, sequence, draining, 8, 0.0)
+
+
+@pytest.mark.parametrize("told_first", [True, False])
+@pytest.mark.parametrize("is_healthy", [True, False])
+def test_no_late_statement_brings_back_a_deregistered_instance(told_first: bool, is_healthy: bool) -> None:
+    gate = restarted_gate()
+    if not told_first:
+        beat(gate, 7)
+        gate.health_answer(10.0, "i-x", is_healthy, 8, None, 9.9)
+    gate.note_departures([[X, DEREGISTERED]])
+    assert beat(gate, 8) is False
+    gate.health_answer(10.0, "i-x", is_healthy, 8, None, 9.9)
+    assert gate.state == ENDED
+    assert gate.rejection(10.0, SERVICE) is not None
+    assert beat(gate, 1, "i-y")
+    assert (gate.instance, gate.state) == ("i-y", READY)
+
+
+def test_a_drained_instance_returns_only_by_a_later_statement() -> None:
+    gate = restarted_gate()
+    gate.note_departures([[X, 7]])
+    gate.health_answer(10.0, "i-x", True, 8, None, 9.9)
+    assert gate.state == DRAINING
+    assert beat(gate, 6) is False
+    assert gate.state == DRAINING
+    assert beat(gate, 8)
+    assert gate.state == READY
+    gate.note_departures([[X, 7]])  # told once more, late
+    assert gate.state == READY
+
+
+def test_a_heartbeat_that_a_health_answer_contradicts_counts_from_the_next_one_on() -> None:
+    gate = restarted_gate()
+    gate.health_answer(10.0, "i-x", False, 8, None, 9.9)
+    assert beat(gate, 5)
+    assert gate.state == UNKNOWN
+    assert beat(gate, 5) is False
+    assert beat(gate, 6)
+    assert gate.state == READY
+    agreed = restarted_gate()
+    agreed.health_answer(10.0, "i-x", False, 8, None, 9.9)
+    beat(agreed, 5)
+    agreed.health_answer(10.0, "i-x", True, 8, None, 9.9)
+    assert agreed.state == READY
+
+
+def test_an_instance_that_a_late_heartbeat_displaced_returns_once_a_health_answer_names_it() -> None:
+    """Guards against a late beat of an earlier instance that ends the present one for good."""
+    gate = restarted_gate()
+    beat(gate, 5, "i-y")
+    beat(gate, 99, "i-x")  # of an earlier instance, late: this process does not know it
+    assert gate.instance == "i-x"
+    gate.backend_missing()  # the backend has answered 421
+    gate.health_answer(10.0, "i-y", True, 8, None, 9.9)
+    assert (gate.instance, gate.state) == ("i-y", READY)
+    assert beat(gate, 100, "i-x") is False
+    assert beat(gate, 6, "i-y")
+    gate.deregister("i-y")
+    gate.health_answer(10.0, "i-y", True, 8, None, 9.9)
+    assert gate.state == ENDED
+
+
+def test_departures_are_published_and_told_ones_too() -> None:
+    gate = restarted_gate()
+    assert ATTRIBUTE not in gate.gossip_attributes()
+    gate.note_departures([[Y, 3]])
+    beat(gate, 4)
+    beat(gate, 5, draining=True)
+    beat(gate, 6, draining=True)
+    assert gate.gossip_attributes()[ATTRIBUTE] == [[Y, 3], [X, 5]]
+    gate.deregister("i-x")
+    assert gate.gossip_attributes()[ATTRIBUTE] == [[Y, 3], [X, DEREGISTERED]]
--- a/tests/sidecar/test_heartbeat_api.py
+++ b/tests/sidecar/test_heartbeat_api.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from honeywharf.admission.departures import DEREGISTERED, backend_key
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
 from honeywharf.sidecar.heartbeat_api import MAX_ID, HeartbeatApi
 from honeywharf.sidecar.probe import FIRST_DELAY_S, MAX_RETRY_DELAY_S, TIMEOUT_S, Probe
@@ -42,7 +43,7 @@
 
     def _sidecar(self, host: Process) -> object:
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
-        self.heartbeat_api = HeartbeatApi(host, self.gate, self._tell)
+        self.heartbeat_api = HeartbeatApi(host, self.gate, self._tell, (IP, CONTROL))
         self.http_server = HttpServer(host, (IP, CONTROL), self.heartbeat_api.handle, 1 << 20)
         self.probe = Probe(host, (IP, APPLICATION), self.gate, self._tell)
         return self.gate
@@ -162,6 +163,49 @@
     assert setup.gate.state == UNKNOWN
 
 
+def test_a_heartbeat_of_another_machines_backend_is_redirected_there_and_changes_nothing() -> None:
+    """Guards against a statement of another machine's backend that displaces the one here."""
+    setup = GateSetup()
+    setup.send_heartbeat()
+    caller = HttpClient(setup.app, (IP, CONTROL))
+    body = json.dumps(
+        {
+            "address": "10.1.0.77:8301",
+            "status": {"state": "ready", "call-sequence": 3, "cold-remaining": "0ms"},
+        }
+    ).encode()
+    path = f"/api/instances/i-other/heartbeat HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    caller.send(f"POST {path}".encode() + body)
+    setup.run()
+    ((status, top, _),) = caller.answers()
+    assert status == 307
+    assert (
+        f"Location: http://10.1.0.77:{CONTROL}/api/instances/i-other/heartbeat\r\n".encode() in top + b"\r\n"
+    )
+    assert (setup.gate.instance, setup.gate.state) == (INSTANCE, READY)
+
+
+@pytest.mark.parametrize("what", ["draining", "deregister"])
+def test_a_departure_is_acknowledged_only_once_it_is_recorded_elsewhere(what: str) -> None:
+    setup = GateSetup()
+    setup.send_heartbeat(4)
+    waiting: list[Any] = []
+    setup.heartbeat_api.recorded = lambda departures, done: waiting.append((departures, done))
+    caller = HttpClient(setup.app, (IP, CONTROL))
+    body = b"" if what == "deregister" else b'{"status":{"state":"draining","call-sequence":5}}'
+    name = "deregister" if what == "deregister" else "heartbeat"
+    top = f"POST /api/instances/{INSTANCE}/{name} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n\r\n"
+    caller.send(top.encode() + body)
+    setup.run()
+    assert caller.data == b""
+    assert setup.gate.state == (ENDED if what == "deregister" else DRAINING)  # in force at once
+    ((departures, done),) = waiting
+    assert departures == {backend_key(INSTANCE): DEREGISTERED if what == "deregister" else 5}
+    done()
+    setup.run()
+    assert caller.statuses() == [200]
+
+
 @pytest.mark.parametrize(
     ("method", "path", "status"),
     [
