--- a/honeywharf/simulation/deployment.py
+++ b/honeywharf/simulation/deployment.py
@@ -253,6 +253,7 @@
     ) -> Order:
         """Creates a configuration; `moves` contains the traffic splits of some routes by prefix."""
         routes, order = [], Order("config", version)
+        order.timeout_s = timeout / 1000.0
         present = {sidecar_node.service for sidecar_node in self.sidecar_nodes}
         for host, prefix, kind, service in (*(row[:4] for row in ROUTES), *self.idle_routes):
             split = traffic_splits.get(prefix, {service: 1})
--- a/honeywharf/simulation/invariants.py
+++ b/honeywharf/simulation/invariants.py
@@ -25,6 +25,9 @@
 MAX_LATE_CANCELLATIONS = 3  # The number of requests that may end or arrive late for any reason.
 # What was sent at most this long after SIGTERM may be broken off in the last part of `grace-period`.
 EXCUSED_SENT_WITHIN_S, EXCUSED_LAST_SHARE = 3.0, 1 / 6
+MAX_EARLY_TIMEOUT_S = (
+    0.005  # A time-out is answered this long before the deadline, so that it is there in time.
+)
 MAX_LATE_CANCELLATION_SHARE = 0.25  # The same as a share of the requests that would still be running.
 
 
@@ -87,13 +90,14 @@
 class Order:
     """An operator's order: "config" with its routes, or "start" or "complete" of the evacuation of a zone."""
 
-    __slots__ = ("acked", "kind", "routes", "sent", "text", "valid", "version", "zone")
+    __slots__ = ("acked", "kind", "routes", "sent", "text", "timeout_s", "valid", "version", "zone")
 
     def __init__(
         self, kind: str, version: int = 0, zone: str = "", text: bytes = b"", valid: bool = True
     ) -> None:
         self.kind, self.version, self.zone, self.text, self.valid = kind, version, zone, text, valid
         self.routes: dict[tuple[str, str], frozenset[str]] = {}
+        self.timeout_s = float("inf")  # The time-out of its routes.
         self.sent, self.acked = float("inf"), float("inf")
 
     def __str__(self) -> str:
@@ -292,9 +296,17 @@
         calm = self.invariant_checker.last_any_fault_at < attempt.sent - self.bound["contact"] and not any(
             self.invariant_checker.active_faults.values()
         )
-        fair = self.now < attempt.deadline and not attempt.answer_corrupted
+        until = min(attempt.deadline, attempt.sent + self.shortest_timeout_s(attempt)) - MAX_EARLY_TIMEOUT_S
+        fair = self.now < until and not attempt.answer_corrupted
         return since < self.bound["grace-period"] + 1 and calm and fair
 
+    def shortest_timeout_s(self, attempt: Attempt) -> float:
+        """Returns the shortest time-out of the configurations by which the attempt may be handled."""
+        configs = [order for order in self.invariant_checker.configs() if order.sent <= self.now]
+        acked_by = attempt.sent - self.bound["config-apply"]
+        newest = max((order.version for order in configs if order.acked <= acked_by), default=0)
+        return min((order.timeout_s for order in configs if order.version >= newest), default=float("inf"))
+
     def is_excused(self, attempt: Attempt) -> bool:
         """Whether a request that its backend is at work on may be broken off now (NEWS-22)."""
         since = self.terminated_at.get(attempt.machine, -1e9)
--- a/tests/simulation/test_restart_faults.py
+++ b/tests/simulation/test_restart_faults.py
@@ -7,9 +7,12 @@
 from honeywharf.sidecar.departures import DepartureKeeper
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.lifetime import Lifetime
+from honeywharf.simulation.deployment import BOUNDS
 from honeywharf.simulation.fault_schedule import Fault
+from honeywharf.simulation.invariants import Attempt, InvariantChecker, Order
 from honeywharf.simulation.restart_faults import RESTART_KINDS
 from honeywharf.simulation.run import run
+from honeywharf.simulation.world import World
 
 AFTER_S = 12.0  # Of traffic after the period of faults: a late heartbeat has its effect in it.
 SEEDS = (1, 2)
@@ -59,3 +62,32 @@
 def test_a_sidecar_that_takes_everything_until_its_end_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Lifetime, "may_begin", lambda self, now, deadline: True)
     assert broken_rules(Fault(8.0, "slow_stop", "", 0)) == {"LOST"}
+
+
+@pytest.mark.parametrize(
+    ("sent_after_s", "lasted_s", "is_lost"),
+    [
+        (2.9, 2.2, False),  # sent within 3 s, broken off in the last sixth of the grace period of 6 s
+        (2.9, 2.0, True),
+        (3.1, 2.2, True),
+        (3.1, 2.496, False),  # the route's time-out of 2.5 s
+        (3.1, 2.49, True),
+        (-1.0, 2.496, False),
+    ],
+)
+def test_an_answer_of_the_mesh_during_a_stop_is_excused_only_as_the_pages_say(
+    sent_after_s: float, lasted_s: float, is_lost: bool
+) -> None:
+    world = World(1)
+    checker = InvariantChecker(world, {**BOUNDS})
+    order = Order("config", 1)
+    order.sent = order.acked = 0.0
+    order.timeout_s = 2.5
+    checker.orders.append(order)
+    attempt = Attempt("a1", "10.1.0.20", "s", "POST", "h", "/p", "mutating")
+    attempt.sent, attempt.deadline = 20.0 + sent_after_s, 20.0 + sent_after_s + 5.0
+    attempt.runs.append((attempt.sent, None))
+    world.at(20.0, checker.notify, "terminated", attempt.machine)
+    world.at(attempt.sent + lasted_s, checker.notify, "answered", attempt, 502, {}, b"")
+    world.run(30.0)
+    assert [rule for rule, _, _ in checker.violations] == ["LOST"] * is_lost
