--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -22,6 +22,8 @@
 from honeywharf.admission.body_flow_control import STALL_S, BodyFlowControl
 from honeywharf.codecs.heads import UNKNOWN, ResponseHead
 from honeywharf.sidecar.backend import BackendConnectionPool
+from honeywharf.sidecar.backend_encoding import encode_body, encode_head
+from honeywharf.sidecar.queue_runner import QueueRunner
 from honeywharf.transport.stream import INITIAL_WINDOW, WINDOW_SIZE
 from honeywharf.verdict import (
     CONNECTION_BROKEN,
@@ -185,7 +187,7 @@
             if self.waiter is None:
                 self.reject(FULL, admission.expected_wait_s((forwarded.priority, forwarded.latency_target_s)))
             else:
-                self.inbound.schedule_expiry()
+                self.inbound.queue_runner.schedule_expiry()
         else:
             self.reject(FULL, admission.expected_wait_s((forwarded.priority, forwarded.latency_target_s)))
 
@@ -379,32 +381,10 @@
         return True
 
     def _encode_head(self) -> bytes:
-        forwarded = self.forwarded
-        remaining = max(1, int((self.deadline - self.inbound.host.now()) * 1000.0))
-        framing = b""
-        if forwarded.length == UNKNOWN:
-            framing = b"Transfer-Encoding: chunked\r\n"
-        elif forwarded.length or forwarded.method not in (b"GET", b"HEAD"):
-            framing = b"Content-Length: %d\r\n" % forwarded.length
-        return (
-            b"%b %b HTTP/1.1\r\n%b%bX-Honeywharf-Deadline-Remaining: %d\r\n"
-            b"X-Honeywharf-Expected-Instance: %b\r\nX-Honeywharf-Caller-Service: %b\r\n\r\n"
-            % (
-                forwarded.method,
-                forwarded.target,
-                forwarded.fields,
-                framing,
-                remaining,
-                self.gate.instance.encode(),
-                forwarded.caller.encode(),
-            )
-        )
+        return encode_head(self.forwarded, self.deadline - self.inbound.host.now(), self.gate.instance)
 
     def _encode_body(self, data: bytes) -> bytes:
-        if self.forwarded.length != UNKNOWN:
-            return data
-        chunk = b"%x\r\n%b\r\n" % (len(data), data) if data else b""
-        return chunk + b"0\r\n\r\n" if self.body_complete else chunk
+        return encode_body(data, self.forwarded.length, is_last=self.body_complete)
 
     # Calls by the source.
 
@@ -614,7 +594,7 @@
             self.gate.admission.finish(
                 now, self.short, now - self.begun_at if self.head is not None else None
             )
-            self.inbound.start_waiting_soon()
+            self.inbound.queue_runner.start_soon()
         self.inbound.pending_requests.pop(self, None)
 
 
@@ -644,9 +624,7 @@
         self.body_flow_control = BodyFlowControl()
         self.receiving = 0  # requests whose bodies are received before they have a slot
         self.stall_timer: Timer | None = None
-        self.expiry_timer: Timer | None = None
-        self.expiry_at = 0.0
-        self.start_scheduled = False
+        self.queue_runner = QueueRunner(host, gate.admission)
         self.drift_monitor: DriftMonitor | None = None
         self.backend_mismatches = 0  # times that no backend, or another one, was found at the address
 
@@ -712,34 +690,3 @@
         self.backend_mismatches += 1
         self.gate.backend_missing()
         self.pool.close_idle()
-
-    def start_waiting_soon(self) -> None:
-        """Starts queued requests once the calls in progress have returned."""
-        if not self.start_scheduled:
-            self.start_scheduled = True
-            self.host.after(0.0, self._start_waiting)
-
-    def _start_waiting(self) -> None:
-        self.start_scheduled = False
-        admission = self.gate.admission
-        while True:
-            waiter = admission.pop_next(self.host.now())
-            if waiter is None:
-                return
-            waiter.start()
-
-    def schedule_expiry(self) -> None:
-        """Schedules the rejection of queued requests that wait too long."""
-        expires_at = self.gate.admission.next_expiry()
-        if expires_at is None or (self.expiry_timer is not None and self.expiry_at <= expires_at):
-            return
-        if self.expiry_timer is not None:
-            self.expiry_timer.cancel()
-        self.expiry_at = expires_at
-        self.expiry_timer = self.host.after(max(0.0, expires_at - self.host.now()), self._expire_waiting)
-
-    def _expire_waiting(self) -> None:
-        self.expiry_timer = None
-        for waiter in self.gate.admission.pop_expired(self.host.now()):
-            waiter.refuse()
-        self.schedule_expiry()
