Record departures under the machine that is named, not the caller's address

Found by reading the change again. Callers saw nothing yet: gossip held the departure too.

Cause: a control node recorded a departure under the address that the call came from. Outgoing connections are not bound to the machine's address, so on loopback it is 127.0.0.1 (a connection to 127.28.9.10 has the source 127.0.0.1), and on a machine with several addresses it may be any. Besides, a registry of 4,096 machines refused each further machine for good.

Change: the call carries [node, pairs]; the registry forgets the machine that departed longest ago. The registry reads the membership itself, in place of a function that both programs had written, and the times at which processes notify a machine differ by their names, without a generator. Names are those of the field (registry, notify).

--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -12,11 +12,11 @@
 from honeywharf.control.replica import Replica, ReplicaSettings
 from honeywharf.control.store import Store
 from honeywharf.drift.aggregator import DriftAggregator
-from honeywharf.gossip.membership import Membership, XorShift
+from honeywharf.gossip.membership import Membership
 from honeywharf.programs.control_handoff import ControlHandoff
 from honeywharf.programs.control_leases import ControlLeases
 from honeywharf.programs.start import load_settings
-from honeywharf.sidecar.departures import DepartureKeeper
+from honeywharf.sidecar.departures import DepartureRegistry
 from honeywharf.transport.host import Address, Host
 from honeywharf.transport.http_server import HttpServer
 from honeywharf.transport.rpc_client import RpcClient
@@ -57,13 +57,6 @@
             self._state_changed,
             self._other_control_nodes,
         )
-        self.departures = DepartureKeeper(
-            host,
-            self.caller,
-            self.local_address[1],
-            self._published_attributes,
-            XorShift(settings.ip.encode()).random,
-        )
         self.membership: Membership | None = None
         self.http_server: HttpServer | None = None
         self.replica.client.set_link_rate(settings.link_mbps)
@@ -89,9 +82,10 @@
         settings, host = self.settings, self.host
         self.drift_aggregator.start()
         self.hinted_handoff.start()
-        self.replica.methods.update(self.departures.methods())
         host.listen(self.local_address, RpcServer(self.replica.methods, log=host.log).accept)
         self.membership = self._start_gossip()
+        self.departures = DepartureRegistry(host, self.caller, self.local_address[1], self.membership)
+        self.replica.methods.update(self.departures.methods())
         control_plane = settings.listen_addresses["control-plane"]
         self.http_server = HttpServer(host, control_plane, self.operator.handle, MAX_BODY_BYTES)
         host.after(PRELOAD_DELAY_S, self.operator.preload)
@@ -117,13 +111,7 @@
         return membership
 
     def _entry_changed(self, node: str, entry: Entry | None, old: Entry | None) -> None:
-        self.departures.entry_changed(node, None if entry is None else entry.attributes)
-
-    def _published_attributes(self, node: str) -> dict[str, object] | None:
-        """Returns the gossip attributes of another live node."""
-        if self.membership is None or not self.membership.is_alive(node):
-            return None
-        return self.membership.entries()[node].attributes
+        self.departures.entry_changed(node, entry)
 
     def _state_changed(self, state: MeshState) -> None:
         """Announces a newer committed state, whose text is present."""
--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -15,7 +15,7 @@
 from honeywharf.gossip.membership import Membership, XorShift
 from honeywharf.programs.start import load_settings
 from honeywharf.sidecar.backend import BackendConnectionPool
-from honeywharf.sidecar.departures import DepartureKeeper, Replication
+from honeywharf.sidecar.departures import DepartureRegistry, Replication
 from honeywharf.sidecar.gate import DRAINING, READY, STATES, UNKNOWN, Gate
 from honeywharf.sidecar.heartbeat_api import HeartbeatApi
 from honeywharf.sidecar.inbound import Inbound
@@ -77,13 +77,7 @@
         self.mesh_state.has_digest = matches_digest
         self.membership = self._start_gossip()
         self.source = self._make_source()
-        self.departures = DepartureKeeper(
-            host,
-            self.caller,
-            settings.internal_ports[0],
-            self._published_attributes,
-            XorShift(settings.ip.encode()).random,
-        )
+        self.departures = DepartureRegistry(host, self.caller, settings.internal_ports[0], self.membership)
         self.membership.on_change = self._entry_changed
         self.membership.on_newer_revision = self._newer_revision
         self.membership.on_down = lambda node: self.source.set_suspected(node, True)
@@ -93,7 +87,7 @@
         self._listen_for_peers()
         self.announced_changes = (0, 0)  # The numbers of the gate's last announced changes.
         self.logged_state = UNKNOWN
-        self.replication = Replication(host, self.caller, self.control_nodes)
+        self.replication = Replication(host, self.caller, settings.ip, self.control_nodes)
         self.heartbeats = HeartbeatApi(
             host,
             self.gate,
@@ -145,12 +139,12 @@
             **self.mesh_state.methods(),
             **self.drift_monitor.methods(),
             **self.departures.methods(),
-            rpc_methods.DEPARTED: self._told_departures,
+            rpc_methods.DEPARTURES_MISSED: self._departures_missed,
         }
         server = RpcServer(methods, self._serve_link, log=self.host.log)
         self.host.listen((self.settings.ip, self.settings.internal_ports[0]), server.accept)
 
-    def _told_departures(self, args: object, reply: Reply, peer: Address) -> None:
+    def _departures_missed(self, args: object, reply: Reply, peer: Address) -> None:
         """Takes departures of the backend here that this process has forgotten by a restart."""
         state = self.gate.state
         self.gate.note_departures(args)
@@ -159,11 +153,6 @@
         self._gate_changed()
         reply(True)
 
-    def _published_attributes(self, node: str) -> dict[str, object] | None:
-        """Returns the gossip attributes of another live node."""
-        is_alive = node != self.settings.ip and self.membership.is_alive(node)
-        return self.membership.entries()[node].attributes if is_alive else None
-
     def _start_http_servers(self) -> list[HttpServer]:
         """Starts the servers for the backend's heartbeats and the platform's readiness probe."""
         addresses = self.settings.listen_addresses
@@ -198,7 +187,7 @@
     def _entry_changed(self, node: str, entry: Entry | None, old: Entry | None) -> None:
         if node != self.settings.ip:
             say = None if entry is None else entry.attributes
-            self.departures.entry_changed(node, say)
+            self.departures.entry_changed(node, entry)
             self.source.update_backend(node, say, entry.zone if entry is not None else "")
 
     def _newer_revision(self, revision: int, node: str) -> None:
@@ -315,7 +304,7 @@
             f"gate served={inbound.served} failed={inbound.failed} "
             f"cancelled={inbound.cancelled} handshakes={self.handshakes} refused {rejected or 'none'}; "
             f"beats={self.heartbeats.received} late={self.heartbeats.late} "
-            f"unrecorded={self.replication.unconfirmed} told={self.departures.told}; "
+            f"unrecorded={self.replication.unconfirmed} notified={self.departures.notifications}; "
             f"word={self.mesh_state.revision} "
             f"known={len(self.membership.entries())}"
         )
--- a/honeywharf/rpc_methods.py
+++ b/honeywharf/rpc_methods.py
@@ -35,10 +35,10 @@
 #: Control node to a member that has returned: the public mesh state that it missed, answered with true.
 HINTED_HANDOFF = "hinted_handoff.hand"
 
-#: Sidecar to a control node: pairs of a backend's key and a call sequence, answered with true.
+#: Sidecar to a control node: `[node, pairs of a backend's key and a call sequence]`, answered with true.
 RECORD_DEPARTURES = "departures.record"
 #: Any process to a sidecar: departures of its backend that its gossip entry lacks, answered with true.
-DEPARTED = "departures.tell"
+DEPARTURES_MISSED = "departures.notify"
 
 #: Sidecar to a control node: `[node, seconds, way, cause, revision]`, answered with true.
 DRIFT_REPORT = "drift.slip"
--- a/honeywharf/sidecar/departures.py
+++ b/honeywharf/sidecar/departures.py
@@ -7,16 +7,18 @@
     statement    before it is acknowledged, a majority of the known control nodes records it (`Replication`);
                  gossip brings it to all processes, as an attribute of the sidecar's entry
     survival     every process keeps the departures of every machine, whatever the machine's later starts say
-    restart      who sees an entry that lacks a departure tells the machine (`DepartureKeeper`), after a
-                 random wait, as one is enough; the gate then rejects earlier statements of that backend
+    restart      who sees an entry that lacks a departure notifies the machine (`DepartureRegistry`), each
+                 after another wait, as one is enough; the gate then rejects what the backend said earlier
 
-A process that is told late is not in touch before: it needs a path to the control nodes for `contact`, and
-these tell it within `MAX_TELL_DELAY_S`. Departures are merged by their highest sequence, so repetition, order
-and origin do not matter. Source: RULES (DRAIN), NEWS-22 ("A beat may come seconds late").
+A process that is notified late is not in touch before: it needs a path to the control nodes for `contact`,
+and these notify it within `MAX_NOTIFY_DELAY_S`. Departures are merged by their highest sequence, so
+repetition, order and origin do not matter. Source: RULES (DRAIN), NEWS-22 ("A beat may come seconds late").
 """
 
 from __future__ import annotations
 
+import zlib
+
 from honeywharf import rpc_methods
 from honeywharf.admission.departures import (
     ATTRIBUTE,
@@ -28,106 +30,131 @@
 
 TYPE_CHECKING = False
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from typing import Any
+    from collections.abc import Callable, Mapping
+    from typing import Any, Protocol
 
     from honeywharf.admission.departures import Departures
     from honeywharf.transport.host import Address, Host
     from honeywharf.transport.rpc_client import RpcClient
     from honeywharf.transport.rpc_server import Reply
 
+    class GossipEntry(Protocol):
+        """What a machine has published."""
+
+        attributes: dict[str, Any] | None
+
+    class Membership(Protocol):
+        """The view of all machines, as `gossip.membership.Membership` has it."""
+
+        @property
+        def local_node(self) -> str:
+            """The IP address of this machine."""
+
+        def entries(self) -> Mapping[str, GossipEntry]:
+            """All entries by machine."""
+
+        def is_alive(self, node: str) -> bool:
+            """Whether a machine is known, has not left and is not marked down."""
+
+
 MAX_MACHINES = 4096
-MAX_TELL_DELAY_S = 0.3  # the longest random wait before a machine is told
-TELL_TIMEOUT_S = 0.5
+MAX_NOTIFY_DELAY_S = 0.3  # the longest wait of a process before it notifies a machine
+NOTIFY_TIMEOUT_S = 0.5
 CONFIRM_TIMEOUT_S = 0.25  # a departure is acknowledged after this time even without a majority
 
 
-class DepartureKeeper:
-    """Keeps the departures of all machines, and tells a machine what its own entry lacks.
+def notify_delay_s(local_node: str, node: str) -> float:
+    """Returns the seconds to wait before `node` is notified, which differ among the notifying processes."""
+    return MAX_NOTIFY_DELAY_S * zlib.crc32(f"{local_node} {node}".encode()) / (1 << 32)
 
-    `published(node)` returns the gossip attributes of a live machine, None for any other.
-    """
 
-    def __init__(
-        self,
-        host: Host,
-        rpc_client: RpcClient,
-        port: int,
-        published: Callable[[str], dict[str, Any] | None],
-        draw: Callable[[], float],
-    ) -> None:
-        self.host, self.rpc_client, self.port = host, rpc_client, port
-        self.published, self.draw = published, draw
-        self.departures: dict[str, Departures] = {}  # by machine
-        self.telling: set[str] = set()  # machines that are to be told
-        self.told = 0
+class DepartureRegistry:
+    """The departures of all machines; notifies a machine of those that its own entry lacks."""
 
-    def methods(self) -> dict[str, Callable[[Any, Reply, Address], None]]:
+    def __init__(self, host: Host, rpc_client: RpcClient, port: int, membership: Membership) -> None:
+        """`port` is the internal port of every machine."""
+        self.host, self.rpc_client, self.port, self.membership = host, rpc_client, port, membership
+        self.departures: dict[str, Departures] = {}  # by machine; the one that departed last is at the end
+        self.scheduled: set[str] = set()  # machines that are to be notified
+        self.notifications = 0
+
+    def methods(self) -> dict[str, Callable[[object, Reply, Address], None]]:
         """Returns the RPC methods that sidecars call."""
         return {rpc_methods.RECORD_DEPARTURES: self._record_called}
 
-    def _record_called(self, args: Any, reply: Reply, peer: Address) -> None:
-        self.record(peer[0], unpack_departures(args))
-        reply(True)
+    def _record_called(self, args: object, reply: Reply, peer: Address) -> None:
+        """Records departures under the machine that the caller names: it may call from another address."""
+        if isinstance(args, list) and len(args) == 2 and isinstance(args[0], str):
+            self.record(args[0], unpack_departures(args[1]))
+            reply(True)
+        else:
+            reply(None)
 
     def record(self, node: str, departures: Departures) -> None:
-        """Keeps the departures of a machine."""
-        if departures and (node in self.departures or len(self.departures) < MAX_MACHINES):
-            merge_departures(self.departures.setdefault(node, {}), departures)
-
-    def entry_changed(self, node: str, attributes: dict[str, Any] | None) -> None:
-        """Handles a changed gossip entry of another machine."""
-        if attributes is None:
+        """Keeps the departures of a machine; beyond `MAX_MACHINES` the oldest machine is forgotten."""
+        if not departures:
+            return
+        known = self.departures.pop(node, {})
+        merge_departures(known, departures)
+        self.departures[node] = known
+        if len(self.departures) > MAX_MACHINES:
+            del self.departures[next(iter(self.departures))]
+
+    def entry_changed(self, node: str, entry: GossipEntry | None) -> None:
+        """Handles a changed gossip entry of another machine; None where it was dropped."""
+        if entry is None or entry.attributes is None:
             return
-        if ATTRIBUTE in attributes:
-            self.record(node, unpack_departures(attributes[ATTRIBUTE]))
+        self.record(node, unpack_departures(entry.attributes.get(ATTRIBUTE)))
         if self._missing(node):
-            self._tell_later(node, 0.0)
+            self._notify_later(node, 0.0)
 
     def _missing(self, node: str) -> Departures:
         """Returns the departures that a machine's entry lacks; empty for one that is not alive."""
-        known, attributes = self.departures.get(node), self.published(node)
-        if not known or attributes is None or "s" not in attributes:
+        known, entry = self.departures.get(node), self.membership.entries().get(node)
+        if not known or entry is None or entry.attributes is None or not self.membership.is_alive(node):
             return {}
-        published = unpack_departures(attributes.get(ATTRIBUTE))
+        published = unpack_departures(entry.attributes.get(ATTRIBUTE))
         if len(published) >= MAX_DEPARTURES:  # it has forgotten the others, as they are the oldest
             return {}
         return {key: sequence for key, sequence in known.items() if published.get(key, -1) < sequence}
 
-    def _tell_later(self, node: str, delay_s: float) -> None:
-        if node not in self.telling:
-            self.telling.add(node)
-            self.host.after(delay_s + self.draw() * MAX_TELL_DELAY_S, lambda: self._tell(node))
+    def _notify_later(self, node: str, delay_s: float) -> None:
+        if node not in self.scheduled:
+            self.scheduled.add(node)
+            delay_s += notify_delay_s(self.membership.local_node, node)
+            self.host.after(delay_s, lambda: self._notify(node))
 
-    def _tell(self, node: str) -> None:
+    def _notify(self, node: str) -> None:
         missing = self._missing(node)
-        if not missing:  # another process has told it, or it has left
-            self.telling.discard(node)
+        if not missing:  # another process was faster, or the machine has left
+            self.scheduled.discard(node)
             return
-        self.told += 1
+        self.notifications += 1
         self.rpc_client.call(
             (node, self.port),
-            rpc_methods.DEPARTED,
+            rpc_methods.DEPARTURES_MISSED,
             pack_departures(missing),
-            TELL_TIMEOUT_S,
-            lambda reply: self._answered(node),
+            NOTIFY_TIMEOUT_S,
+            lambda reply: self._notified(node),
         )
 
-    def _answered(self, node: str) -> None:
+    def _notified(self, node: str) -> None:
         """Looks again after a while: the call may have failed, and gossip needs a moment."""
-        self.telling.discard(node)
+        self.scheduled.discard(node)
         if self._missing(node):
-            self._tell_later(node, TELL_TIMEOUT_S)
+            self._notify_later(node, NOTIFY_TIMEOUT_S)
 
 
 class Replication:
     """Has departures of this machine recorded by control nodes before they are acknowledged.
 
-    `control_nodes()` returns the addresses of the known control nodes.
+    `node` is this machine's IP address. `control_nodes()` returns the addresses of the known control nodes.
     """
 
-    def __init__(self, host: Host, rpc_client: RpcClient, control_nodes: Callable[[], list[Address]]) -> None:
-        self.host, self.rpc_client, self.control_nodes = host, rpc_client, control_nodes
+    def __init__(
+        self, host: Host, rpc_client: RpcClient, node: str, control_nodes: Callable[[], list[Address]]
+    ) -> None:
+        self.host, self.rpc_client, self.node, self.control_nodes = host, rpc_client, node, control_nodes
         self.recorded: Departures = {}  # by a majority
         self.unconfirmed = 0  # departures acknowledged without a majority
 
@@ -160,10 +187,10 @@
 
     def send(self, control_nodes: list[Address]) -> None:
         """Calls all control nodes."""
-        packed = pack_departures(self.departures)
+        args = [self.replication.node, pack_departures(self.departures)]
         for control_node in control_nodes:
             self.replication.rpc_client.call(
-                control_node, rpc_methods.RECORD_DEPARTURES, packed, CONFIRM_TIMEOUT_S, self._answered
+                control_node, rpc_methods.RECORD_DEPARTURES, args, CONFIRM_TIMEOUT_S, self._answered
             )
 
     def _answered(self, reply: object) -> None:
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -21,10 +21,11 @@
 from honeywharf.sidecar.departures import (
     CONFIRM_TIMEOUT_S,
     MAX_MACHINES,
-    MAX_TELL_DELAY_S,
-    TELL_TIMEOUT_S,
-    DepartureKeeper,
+    MAX_NOTIFY_DELAY_S,
+    NOTIFY_TIMEOUT_S,
+    DepartureRegistry,
     Replication,
+    notify_delay_s,
 )
 from honeywharf.sidecar.gate import DRAINING, ENDED, READY, UNKNOWN, Gate
 from tests.sidecar.fixtures import IP, SERVICE, ManualClock
@@ -72,83 +73,122 @@
     assert unpack_departures(pack_departures({X: 3})) == {X: 3}
 
 
-# Keepers.
+# The registry.
 
 
-class KeeperSetup:
-    """A keeper, and the gossip attributes of the machines that it sees."""
+class FakeEntry:
+    """A gossip entry."""
+
+    def __init__(self, attributes: dict[str, Any] | None) -> None:
+        self.attributes = attributes
+
+
+class FakeMembership:
+    """The entries that a process sees; a test may mark machines down."""
+
+    local_node = "10.1.0.99"
+
+    def __init__(self) -> None:
+        self.by_node: dict[str, FakeEntry] = {}
+        self.down: set[str] = set()
+
+    def entries(self) -> dict[str, FakeEntry]:
+        return self.by_node
+
+    def is_alive(self, node: str) -> bool:
+        return node not in self.down
+
+
+class RegistrySetup:
+    """A registry, and the machines that its process sees."""
 
     def __init__(self) -> None:
-        self.clock, self.caller = ManualClock(), FakeCaller()
-        self.attributes: dict[str, dict[str, Any] | None] = {}
-        self.keeper = DepartureKeeper(
-            cast("Any", self.clock), cast("Any", self.caller), PORT, self.attributes.get, lambda: 0.5
+        self.clock, self.caller, self.membership = ManualClock(), FakeCaller(), FakeMembership()
+        self.registry = DepartureRegistry(
+            cast("Any", self.clock), cast("Any", self.caller), PORT, self.membership
         )
 
     def publish(self, departures: dict[int, int] | None = None) -> None:
         """Changes the entry of the machine."""
-        entry: dict[str, Any] = {"s": SERVICE}
+        attributes: dict[str, Any] = {"s": SERVICE}
         if departures:
-            entry[ATTRIBUTE] = pack_departures(departures)
-        self.attributes[IP] = entry
-        self.keeper.entry_changed(IP, entry)
+            attributes[ATTRIBUTE] = pack_departures(departures)
+        self.membership.by_node[IP] = FakeEntry(attributes)
+        self.registry.entry_changed(IP, self.membership.by_node[IP])
 
 
 def test_a_restarted_machine_is_told_what_its_entry_lacks() -> None:
     """Guards against a departure that only the process knew which acknowledged it (review/8)."""
-    setup = KeeperSetup()
+    setup = RegistrySetup()
     setup.publish({X: 4})
     setup.publish({X: DEREGISTERED})
     setup.clock.move(1.0)
     assert setup.caller.calls == []
-    setup.keeper.entry_changed(IP, None)  # it has left
+    setup.registry.entry_changed(IP, FakeEntry(None))  # it has left
     setup.publish()
-    setup.clock.move(MAX_TELL_DELAY_S)
+    setup.clock.move(MAX_NOTIFY_DELAY_S)
     ((to, method, args, _),) = setup.caller.calls
-    assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTED, [[X, DEREGISTERED]])
+    assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTURES_MISSED, [[X, DEREGISTERED]])
 
 
 def test_a_machine_that_another_process_has_told_is_not_told_again() -> None:
-    setup = KeeperSetup()
+    setup = RegistrySetup()
     setup.publish({X: 4})
     setup.publish()
     setup.publish({X: 4})
     setup.clock.move(2.0)
     assert setup.caller.calls == []
-    assert not setup.keeper.telling
+    assert not setup.registry.scheduled
 
 
 def test_a_machine_is_told_again_until_its_entry_has_it_or_it_is_gone() -> None:
-    setup = KeeperSetup()
+    setup = RegistrySetup()
     setup.publish({X: 4})
     setup.publish()
     for _ in range(3):
-        setup.clock.move(MAX_TELL_DELAY_S + TELL_TIMEOUT_S)
+        setup.clock.move(MAX_NOTIFY_DELAY_S + NOTIFY_TIMEOUT_S)
         setup.caller.calls[-1][3](None)
-    assert setup.keeper.told == 3
-    setup.attributes[IP] = None
+    assert setup.registry.notifications == 3
+    setup.membership.down.add(IP)
     setup.clock.move(5.0)
     assert len(setup.caller.calls) == 3
-    assert not setup.keeper.telling
+    assert not setup.registry.scheduled
 
 
 def test_a_machine_that_has_forgotten_the_oldest_is_not_told_them() -> None:
-    setup = KeeperSetup()
+    setup = RegistrySetup()
     setup.publish({X: 4})
-    setup.keeper.record(IP, {X: 5})
+    setup.registry.record(IP, {X: 5})
     setup.publish(dict.fromkeys(range(MAX_DEPARTURES), 1))
     setup.clock.move(2.0)
     assert setup.caller.calls == []
 
 
-def test_a_keeper_records_what_a_machine_says_of_itself_and_is_bounded() -> None:
-    setup = KeeperSetup()
-    replies: list[object] = []
-    record = setup.keeper.methods()[rpc_methods.RECORD_DEPARTURES]
-    for n in range(MAX_MACHINES + 5):
-        record([[X, n]], replies.append, (f"10.{n >> 8}.{n & 255}.1", PORT))
-    assert len(setup.keeper.departures) == MAX_MACHINES
-    assert replies == [True] * (MAX_MACHINES + 5)
+def test_departures_are_recorded_under_the_machine_that_is_named_whatever_address_it_calls_from() -> None:
+    """Guards against departures that are kept under 127.0.0.1, from which no entry ever comes."""
+    setup, replies = RegistrySetup(), list[object]()
+    record = setup.registry.methods()[rpc_methods.RECORD_DEPARTURES]
+    record([IP, [[X, 4]]], replies.append, ("127.0.0.1", 40_000))
+    record("x", replies.append, ("127.0.0.1", 40_000))
+    assert replies == [True, None]
+    setup.publish()
+    setup.clock.move(MAX_NOTIFY_DELAY_S)
+    assert [(to, args) for to, _, args, _ in setup.caller.calls] == [((IP, PORT), [[X, 4]])]
+
+
+def test_the_machines_of_a_registry_are_bounded_and_the_oldest_is_forgotten() -> None:
+    setup = RegistrySetup()
+    nodes = [f"10.{n >> 8}.{n & 255}.1" for n in range(MAX_MACHINES + 5)]
+    for node in nodes:
+        setup.registry.record(node, {X: 1})
+        setup.registry.record(nodes[0], {X: 1})  # it is not the oldest
+    assert list(setup.registry.departures) == [*nodes[6:], nodes[0]]
+
+
+def test_processes_notify_a_machine_at_different_times() -> None:
+    delays = {notify_delay_s(f"10.1.0.{n}", IP) for n in range(50)}
+    assert len(delays) == 50
+    assert max(delays) < MAX_NOTIFY_DELAY_S
 
 
 # Recording.
@@ -168,7 +208,9 @@
         self.clock, self.caller = LoggingClock(), FakeCaller()
         self.done: list[bool] = []
         nodes_at = [(f"10.1.0.{n}", PORT) for n in range(nodes)]
-        self.replication = Replication(cast("Any", self.clock), cast("Any", self.caller), lambda: nodes_at)
+        self.replication = Replication(
+            cast("Any", self.clock), cast("Any", self.caller), IP, lambda: nodes_at
+        )
 
     def record(self, departures: dict[int, int]) -> None:
         """Begins to record departures."""
@@ -184,7 +226,7 @@
     """Guards against an acknowledgement that dies with the process that gave it."""
     setup = RecordingSetup()
     setup.record({X: 4})
-    assert [call[1:3] for call in setup.caller.calls] == [(rpc_methods.RECORD_DEPARTURES, [[X, 4]])] * 5
+    assert [call[1:3] for call in setup.caller.calls] == [(rpc_methods.RECORD_DEPARTURES, [IP, [[X, 4]]])] * 5
     setup.answer(True, None, True)
     assert setup.done == []
     setup.answer(True, True)
--- a/tests/simulation/test_restart_faults.py
+++ b/tests/simulation/test_restart_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.sidecar.departures import DepartureKeeper
+from honeywharf.sidecar.departures import DepartureRegistry
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.lifetime import Lifetime
 from honeywharf.simulation.deployment import BOUNDS
@@ -32,7 +32,7 @@
 
 
 def test_a_sidecar_that_is_told_nothing_after_a_restart_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(DepartureKeeper, "entry_changed", lambda self, node, attributes: None)
+    monkeypatch.setattr(DepartureRegistry, "entry_changed", lambda self, node, entry: None)
     reports = [
         run(seed, [Fault(10.0, "late_heartbeat", "deregister lying", seed)], after=AFTER_S) for seed in SEEDS
     ]
@@ -41,7 +41,7 @@
 
 def test_a_health_answer_alone_does_not_bring_back_what_departed(monkeypatch: pytest.MonkeyPatch) -> None:
     """Where nobody remembers, a heartbeat that a health answer contradicts counts from the next one on."""
-    monkeypatch.setattr(DepartureKeeper, "entry_changed", lambda self, node, attributes: None)
+    monkeypatch.setattr(DepartureRegistry, "entry_changed", lambda self, node, entry: None)
     for seed in SEEDS:
         assert run(seed, [Fault(10.0, "late_heartbeat", "deregister", seed)], after=AFTER_S).broken == []
     monkeypatch.setattr(
