Let the shutdown read its lifetime from the source, and shorten the sidecar's constructor

Shutdown had eight parameters, one of them a part of another. `accepts_all_until` names what the time means for requests; no behaviour changes.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -78,36 +78,18 @@
         self.membership = self._start_gossip()
         self.source = self._make_source()
         self.departures = DepartureRegistry(host, self.caller, settings.internal_ports[0], self.membership)
-        self.membership.on_change = self._entry_changed
-        self.membership.on_newer_revision = self._newer_revision
-        self.membership.on_down = lambda node: self.source.set_suspected(node, True)
-        self.membership.on_up = lambda node: self.source.set_suspected(node, False)
+        self._watch_membership()
         self.probe = Probe(host, application, self.gate, self._gate_changed)
         self.drift_monitor = self.source.drift_monitor = self.inbound.drift_monitor = DriftMonitor(self)
         self._listen_for_peers()
         self.announced_changes = (0, 0)  # The numbers of the gate's last announced changes.
         self.logged_state = UNKNOWN
         self.replication = Replication(host, self.caller, settings.ip, self.control_nodes)
-        self.heartbeats = HeartbeatApi(
-            host,
-            self.gate,
-            self._gate_changed,
-            (settings.ip, settings.listen_addresses["control-plane"][1]),
-            self.replication.record,
-        )
+        self.heartbeats = self._make_heartbeat_api()
         self.http_servers = self._start_http_servers()
         outbound_address = settings.listen_addresses["outbound"]
         self.outbound = Outbound(host, outbound_address, self.mesh_state, self.source)
-        self.shutdown = Shutdown(
-            host,
-            settings.bound("grace-period", DEFAULT_GRACE_PERIOD_S),
-            self.lifetime,
-            self.source,
-            self.inbound,
-            self.outbound,
-            gate_closed=self._gate_changed,
-            ended=self._shut_down,
-        )
+        self.shutdown = self._make_shutdown()
         self.source.update_backend(settings.ip, self.gate.gossip_attributes(), settings.zone)
         self.mesh_state.start()
         host.after(COUNTERS_INTERVAL_S, self._log_counters_periodically)
@@ -120,6 +102,29 @@
         incarnation = int(host.wall_time() * 1000.0)
         return Membership(host, settings.ip, port, settings.zone, seeds, attributes, incarnation)
 
+    def _watch_membership(self) -> None:
+        """Sets the callbacks of gossip and of the failure detector."""
+        self.membership.on_change = self._entry_changed
+        self.membership.on_newer_revision = self._newer_revision
+        self.membership.on_down = lambda node: self.source.set_suspected(node, True)
+        self.membership.on_up = lambda node: self.source.set_suspected(node, False)
+
+    def _make_heartbeat_api(self) -> HeartbeatApi:
+        settings = self.settings
+        local_address = (settings.ip, settings.listen_addresses["control-plane"][1])
+        return HeartbeatApi(self.host, self.gate, self._gate_changed, local_address, self.replication.record)
+
+    def _make_shutdown(self) -> Shutdown:
+        return Shutdown(
+            self.host,
+            self.settings.bound("grace-period", DEFAULT_GRACE_PERIOD_S),
+            self.source,
+            self.inbound,
+            self.outbound,
+            gate_closed=self._gate_changed,
+            ended=self._shut_down,
+        )
+
     def _make_source(self) -> Source:
         draw = XorShift(self.host.random(SEED_BYTES)).random
         source = Source(self.host, self.settings, self.mesh_state, self.inbound, draw, self.lifetime)
--- a/honeywharf/sidecar/lifetime.py
+++ b/honeywharf/sidecar/lifetime.py
@@ -5,11 +5,11 @@
 time-out. A process that stops therefore begins an attempt only if the deadline is not after its own end.
 
 One exception is needed: the platform needs some time to notice that this process is not ready, and sends it
-clients until then, which have no other way into the mesh. Until `clients_leave_at` their requests are taken
-whatever their deadlines are. Source: RULES and NEWS-22 (LOST), PROTOCOL ("How clients arrive").
+clients until then, which have no other way into the mesh. Until `accepts_all_until` their requests are
+accepted whatever their deadlines are. Source: RULES and NEWS-22 (LOST), PROTOCOL ("How clients arrive").
 
     before SIGTERM           everything is begun
-    until `clients_leave_at` requests of clients here: everything; of other sidecars: what ends in time
+    until `accepts_all_until` requests of clients here: everything; of other sidecars: what ends in time
     later                    what ends in time
 """
 
@@ -23,23 +23,23 @@
 class Lifetime:
     """When this process ends, shared by all of its parts. Times are in seconds on the steady clock."""
 
-    __slots__ = ("clients_leave_at", "end_at", "refused")
+    __slots__ = ("accepts_all_until", "end_at", "refused")
 
     def __init__(self) -> None:
-        self.end_at = self.clients_leave_at = NEVER
+        self.end_at = self.accepts_all_until = NEVER
         self.refused = 0  # requests and attempts not begun because they could outlast this process
 
-    def plan_end(self, end_at: float, clients_leave_at: float) -> None:
-        """Notes that this process ends at `end_at`, and when the platform sends it no more clients."""
-        self.end_at, self.clients_leave_at = end_at, clients_leave_at
+    def plan_end(self, end_at: float, accepts_all_until: float) -> None:
+        """Plans the end of this process, and how long clients' requests are accepted all the same."""
+        self.end_at, self.accepts_all_until = end_at, accepts_all_until
 
     def is_outlasted(self, deadline: float) -> bool:
-        """Whether work that may last until `deadline` may still be under way when this process ends."""
+        """Whether work that may last until `deadline` (in s) may be under way when this process ends."""
         return deadline > self.end_at + ROUNDING_S
 
     def may_begin(self, now: float, deadline: float) -> bool:
-        """Whether an attempt for a client of this machine may begin; counts a refusal."""
-        if now <= self.clients_leave_at or not self.is_outlasted(deadline):
+        """Whether an attempt for a client of this machine may begin; counts a refusal. Times are in s."""
+        if now <= self.accepts_all_until or not self.is_outlasted(deadline):
             return True
         self.refused += 1
         return False
--- a/honeywharf/sidecar/shutdown.py
+++ b/honeywharf/sidecar/shutdown.py
@@ -28,6 +28,8 @@
     class RequestSource(Protocol):
         """The requests of this process's clients."""
 
+        lifetime: Lifetime
+
         @property
         def active_requests(self) -> Sized:
             """Requests under way."""
@@ -81,15 +83,14 @@
         self,
         host: Host,
         grace_period_s: float,
-        lifetime: Lifetime,
         source: RequestSource,
         inbound: BackendSide,
         outbound: ClientSide,
         gate_closed: Callable[[], None],
         ended: Callable[[], None],
     ) -> None:
-        self.host, self.lifetime = host, lifetime
-        self.source, self.inbound, self.outbound = source, inbound, outbound
+        self.host, self.source, self.inbound, self.outbound = host, source, inbound, outbound
+        self.lifetime = source.lifetime
         self.gate_closed, self.ended = gate_closed, ended
         self.grace_s = grace_period_s - min(END_MARGIN_S, MAX_END_MARGIN_SHARE * grace_period_s)
         self.quiet_s = min(QUIET_AFTER_S, self.grace_s / 2)
--- a/tests/sidecar/fixtures.py
+++ b/tests/sidecar/fixtures.py
@@ -283,10 +283,10 @@
         self.run(seconds)
         return caller
 
-    def shut_down(self, ends_after_s: float, clients_leave_after_s: float) -> None:
+    def shut_down(self, ends_after_s: float, accepts_all_for_s: float) -> None:
         """Begins a shutdown whose times count from now."""
         now = self.sidecar.now()
-        self.source.lifetime.plan_end(now + ends_after_s, now + clients_leave_after_s)
+        self.source.lifetime.plan_end(now + ends_after_s, now + accepts_all_for_s)
         self.outbound.drain()
 
     def run(self, seconds: float = 0.01) -> None:
--- a/tests/sidecar/order_model.py
+++ b/tests/sidecar/order_model.py
@@ -193,7 +193,6 @@
         self.shutdown = Shutdown(
             host,
             GRACE_S,
-            lifetime,
             self.source,
             self.inbound,
             self.outbound,
--- a/tests/sidecar/test_leaving.py
+++ b/tests/sidecar/test_leaving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
@@ -139,8 +140,7 @@
     shutdown = Shutdown(
         cast("Any", None),
         grace_s,
-        Lifetime(),
-        cast("Any", None),
+        cast("Any", SimpleNamespace(lifetime=Lifetime())),
         cast("Any", None),
         cast("Any", None),
         gate_closed=lambda: None,
--- a/tests/sidecar/test_outbound.py
+++ b/tests/sidecar/test_outbound.py
@@ -471,7 +471,7 @@
 def test_what_may_outlast_the_process_is_refused_with_a_time_to_return() -> None:
     setup = OutboundSetup()
     pipelined = setup.call(request(attempt=b"a0"))
-    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=1.0)
+    setup.shut_down(ends_after_s=2.0, accepts_all_for_s=1.0)
     setup.run(0.95)
     with_request = setup.call(request("mutating", b"a1", body=b"abc"))
     assert len(setup.channels) == 2
@@ -494,12 +494,12 @@
 
 
 @pytest.mark.parametrize(("remaining_ms", "is_taken"), [(900, True), (1100, False), (None, False)])
-def test_after_the_clients_have_left_only_what_ends_in_time_is_taken(
+def test_once_the_platform_has_noticed_only_what_ends_in_time_is_accepted(
     remaining_ms: int | None, is_taken: bool
 ) -> None:
     """Guards against an order that is taken by a stopping sidecar and broken off at its end (review/6)."""
     setup = OutboundSetup()
-    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.9)
+    setup.shut_down(ends_after_s=2.0, accepts_all_for_s=0.9)
     setup.run(0.95)
     field = b"" if remaining_ms is None else b"X-Honeywharf-Deadline-Remaining: %d\r\n" % remaining_ms
     caller = setup.call(
@@ -512,7 +512,7 @@
 
 def test_a_stopping_sidecar_asks_for_no_body_that_it_refuses() -> None:
     setup = OutboundSetup()
-    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.0)
+    setup.shut_down(ends_after_s=2.0, accepts_all_for_s=0.0)
     setup.run(0.05)
     head = request("upload", b"a1", more=b"Expect: 100-continue\r\n", body=b"b" * 3_000_000)[:-3_000_000]
     caller = setup.call(head)
@@ -523,7 +523,7 @@
 
 def test_a_refused_body_on_its_way_is_read_so_that_no_reset_destroys_the_refusal() -> None:
     setup = OutboundSetup()
-    setup.shut_down(ends_after_s=2.0, clients_leave_after_s=0.0)
+    setup.shut_down(ends_after_s=2.0, accepts_all_for_s=0.0)
     setup.run(0.05)
     whole = request("upload", b"a1", body=b"b" * 100_000)
     caller = setup.call(whole[:40_000])
@@ -538,7 +538,7 @@
 
 def test_a_refused_body_that_does_not_come_ends_the_connection() -> None:
     setup = OutboundSetup()
-    setup.shut_down(ends_after_s=20.0, clients_leave_after_s=0.0)
+    setup.shut_down(ends_after_s=20.0, accepts_all_for_s=0.0)
     setup.run(0.05)
     caller = setup.call(request("upload", b"a1", body=b"b" * 100_000)[:40_000])
     setup.run(2.2)  # `idle-timeout` is 2 s
