Join a session to the first one of its attempt before a stopping destination may reject it

Cause: a stopping destination rejected each new session that may outlast it as not run, also one of an attempt that another session had begun, and whose request may have run. The source would promise the client that it has not (REFUSED).

Change: the check follows the look into the idempotency table. It is set through a method of RemoteRegions in place of an attribute three objects away, and a test has the real sidecar set it.

--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -134,7 +134,7 @@
             from honeywharf.sessions.remote_regions import regions_from_settings
 
             regions = regions_from_settings(self.host, self.settings, self.inbound.begin, draw)
-            regions.destination.receivers.is_outlasted = self.lifetime.is_outlasted
+            regions.reject_outlasting(self.lifetime.is_outlasted)
             source.remote_regions = regions
         return source
 
--- a/honeywharf/sessions/receiver.py
+++ b/honeywharf/sessions/receiver.py
@@ -235,8 +235,6 @@
             self.send(link, [UNKNOWN, session_id, epoch, self.incarnation])
             return
         reason = self._rejection_reason(wall_ms, expires, allowed_regions)
-        if reason is None and self.is_outlasted(now + remaining / 1000.0):
-            reason = SHUTTING_DOWN
         if reason is not None:
             self._reject(link, session_id, epoch, reason)
             return
@@ -260,6 +258,9 @@
         if first is not None:
             self._join(now, first, receiver, link, epoch, window_end)
             return
+        if self.is_outlasted(receiver.deadline):  # not before: the first session of its attempt may have run
+            self._reject(link, receiver.session_id, epoch, SHUTTING_DOWN)
+            return
         size = receiver.length if receiver.length >= 0 else WINDOW_BYTES
         if not self.body_quota.reserve(receiver.tenant, size):
             self._reject(link, receiver.session_id, epoch, FULL)
--- a/honeywharf/sessions/remote_regions.py
+++ b/honeywharf/sessions/remote_regions.py
@@ -67,6 +67,10 @@
         )
         self.session_client = SessionClient(host, self.region, zone, gateways, draw, link_mbps=link_mbps)
 
+    def reject_outlasting(self, is_outlasted: Callable[[float], bool]) -> None:
+        """Rejects new sessions here with a deadline for which `is_outlasted` holds (in s, steady clock)."""
+        self.destination.receivers.is_outlasted = is_outlasted
+
     def is_remote(self, zone: str) -> bool:
         """Returns whether a zone is in another region; an unknown zone counts as local."""
         return self.zones.get(zone, self.region) != self.region
--- a/tests/sessions/test_sessions.py
+++ b/tests/sessions/test_sessions.py
@@ -293,3 +293,16 @@
     assert isinstance(outcome, Verdict)
     assert (outcome.ran, outcome.why) == (NOT_RUN, SHUTTING_DOWN)
     assert client.position == 0
+
+
+def test_a_second_session_of_an_attempt_is_not_rejected_as_not_run_by_a_destination_that_ends() -> None:
+    """Guards against REFUSED: the first session of the attempt may have run its request."""
+    network = SessionNetwork(ORDER, known=True)
+    network.run()
+    assert len(network.executions) == 1
+    network.receivers.is_outlasted = lambda deadline: True
+    network.add(ORDER, b"attempt-1", network.receivers.incarnation, len(ORDER))
+    network.run()
+    (_, first), (_, second) = network.sources
+    assert second.outcomes == first.outcomes
+    assert len(network.executions) == 1
--- a/tests/sessions/test_sidecars.py
+++ b/tests/sessions/test_sidecars.py
@@ -127,3 +127,17 @@
         if side.proxy.program is not None
     )
     assert opened > 50
+
+
+def test_a_sidecar_that_is_stopped_rejects_sessions_that_may_outlast_it() -> None:
+    made = day(31, [], [])
+    side = made.sidecar_nodes[0]
+    sidecar = side.proxy.program
+    assert isinstance(sidecar, Sidecar)
+    assert sidecar.source.remote_regions is not None
+    receivers = sidecar.source.remote_regions.destination.receivers
+    assert not receivers.is_outlasted(sidecar.host.now() + 60.0)
+    side.proxy.signal(SIGTERM)
+    made.world.run(made.world.now + 0.1)
+    assert receivers.is_outlasted(sidecar.host.now() + 60.0)
+    assert not receivers.is_outlasted(sidecar.host.now() + 1.0)
