First proxy: a process that ends joins known order keys and refuses only new ones

Cause: the driver refused each request that may outlast the process, also one that repeats a key whose first request is running here: "not run" for an order that may have.

Change: a repetition of a key that is known here begins nothing, so it is joined or answered as before; a new key is refused. The test drains a real proxy on loopback, so it also covers that the lifecycle's step reaches the driver, which no test did. With keys shared in a store a key that only another proxy knows is refused as new, as it is when a proxy is full.

--- a/honeywharf/core/driver.py
+++ b/honeywharf/core/driver.py
@@ -89,7 +89,7 @@
             if self.is_full():
                 self.close_without_decision(request, "refused", "too many open")
                 caller.answer(Status.REFUSED)  # nothing has run, so a retry is safe
-            elif self.clock.now() + self.validator.answer_time_ms(request) > self.answers_until_ms:
+            elif self._may_outlast(request):
                 self.close_without_decision(request, "refused", "may outlast this process")
                 caller.answer(Status.REFUSED)  # how long a backend takes is bounded by the deadline alone
             elif not self.accept(request, caller):
@@ -97,6 +97,16 @@
                 caller.answer(Status.CONFLICT)
         return error
 
+    def _may_outlast(self, request: Request) -> bool:
+        """Whether a request would begin to run now, and may still be running when this process ends.
+
+        A repetition of a known key begins nothing, and a refusal would deny what its first may have done.
+        """
+        if self.clock.now() + self.validator.answer_time_ms(request) <= self.answers_until_ms:
+            return False
+        deduplicator = self.hooks.request_deduplicator
+        return deduplicator is None or not deduplicator.knows(request)
+
     def close_without_decision(self, request: Request, how: str, reason: str) -> None:
         """Ends the trace of a request that is answered without a decision, before its answer."""
         self.hooks.answered_without_decision(request, how, reason, self.clock.now())
--- a/honeywharf/core/hooks.py
+++ b/honeywharf/core/hooks.py
@@ -58,6 +58,9 @@
     def accept(self, request: Request, caller: Caller, remaining_ms: float) -> bool:
         """Takes a valid request of a keyed class. Returns False if it can't be joined."""
 
+    def knows(self, request: Request) -> bool:
+        """Whether the key of a request is known, so that its operation may have run."""
+
     def client_disconnected(self, request: Request) -> None:
         """Drops a waiting request whose client has disconnected."""
 
--- a/honeywharf/orderkeys/deduplicator.py
+++ b/honeywharf/orderkeys/deduplicator.py
@@ -206,6 +206,11 @@
         self._claim_in_store(waiting, self.shared)
         return True
 
+    def knows(self, request: Request) -> bool:
+        """Whether the key of a request is known here, so that its operation may have run."""
+        name = key_name(request.account, request.class_name, request.idempotency_key)
+        return name in self.runs or self.table.known(name, self.driver.clock.now()) is not None
+
     # Keys of this proxy only.
 
     def _claim_locally(
--- a/tests/orderkeys/test_deduplicator.py
+++ b/tests/orderkeys/test_deduplicator.py
@@ -100,6 +100,28 @@
     run(main())
 
 
+def test_a_process_that_ends_refuses_new_keys_and_joins_known_ones() -> None:
+    """Guards against a refusal that says of a repeated order that it has not run."""
+
+    async def main() -> None:
+        async with proxy_with_backends() as (w, (backend,)):
+            backend.default_reply = None
+            first, repeat, other = await clients(w, 3)
+            first.send("order", b"x", key="k")
+            await until(lambda: backend.request_received.is_set())
+            w.proxy.controller.shares_listener = True
+            w.proxy.drain()
+            for client, key in ((repeat, "k"), (other, "new")):
+                client.send("order", b"x", key=key)
+            assert await other.status() == 503
+            await until(lambda: len(deduplicator_of(w).waiting) == 1)
+            await answer_all(backend, b"the one")
+            assert [(await client.answer())[2] for client in (first, repeat)] == [b"the one"] * 2
+            assert len(backend.requests) == 1
+
+    run(main())
+
+
 def test_without_the_feature_each_copy_is_sent() -> None:
     """Shows that the test above passes because of the feature."""
 
