Redirect misdirected heartbeats by one function in both programs

The sidecar's redirect had written the control node's parsing of the address and its Location line again. Both use transport.address now. No behaviour changes; tests of control, heartbeat API, transport and layers pass.

--- a/honeywharf/control/operator_api.py
+++ b/honeywharf/control/operator_api.py
@@ -20,6 +20,7 @@
 from honeywharf.control.register import QuorumResult
 from honeywharf.control.register_queues import ConfigurationText
 from honeywharf.control.replica import Replica
+from honeywharf.transport.address import ipv4_of, redirect_line
 from honeywharf.transport.url_matcher import MethodNotAllowedError, UrlMatcher
 
 if TYPE_CHECKING:
@@ -248,14 +249,13 @@
     def _redirect_heartbeat(self, call: HttpCall, id: str) -> None:
         """Redirects a misdirected heartbeat of a backend to the sidecar on the backend's machine."""
         try:
-            ip = json.loads(call.body)["address"].rpartition(":")[0]
-        except (ValueError, LookupError, TypeError, AttributeError):
+            ip = ipv4_of(json.loads(call.body)["address"])
+        except (ValueError, LookupError, TypeError):
             ip = ""
-        if ip.count(".") != 3 or not ip.replace(".", "").isdigit():
+        if ip:
+            self.answer(call, 307, b"", redirect_line(ip, self.sidecar_port, call.path))
+        else:
             self.answer(call, 404, b"beats go to the proxy beside the backend")
-            return
-        location = f"Location: http://{ip}:{self.sidecar_port}".encode() + call.path
-        self.answer(call, 307, b"", location + b"\r\n")
 
     def _members(self, call: HttpCall) -> None:
         """Answers with the membership as this node sees it; no quorum is needed, so it works without one."""
--- a/honeywharf/sidecar/heartbeat_api.py
+++ b/honeywharf/sidecar/heartbeat_api.py
@@ -12,6 +12,7 @@
 
 from honeywharf.admission.departures import backend_key
 from honeywharf.codecs.mesh import parse_duration
+from honeywharf.transport.address import ipv4_of, redirect_line
 from honeywharf.transport.url_matcher import MethodNotAllowedError, UrlMatcher
 
 TYPE_CHECKING = False
@@ -93,11 +94,10 @@
 
     def _redirect(self, call: HttpRequest, address: object) -> bool:
         """Redirects a call of a backend on another machine to the sidecar there; returns whether it was."""
-        ip = address.rpartition(":")[0] if isinstance(address, str) else ""
-        if ip == self.local_address[0] or ip.count(".") != 3 or not ip.replace(".", "").isdigit():
+        ip, (local_ip, port) = ipv4_of(address), self.local_address
+        if ip in ("", local_ip):
             return False
-        location = f"Location: http://{ip}:{self.local_address[1]}".encode() + call.path
-        call.answer(307, b"", location + b"\r\n")
+        call.answer(307, b"", redirect_line(ip, port, call.path))
         return True
 
     def _acknowledge(self, call: HttpRequest, departed: str) -> None:
