Ask the simulation for configurations in force and for late heartbeats in one place each

The rule LOST had written the rule CONFIG's choice of configurations again, and the schedule of restarts reached into a backend to make a second late heartbeat. No rule judges otherwise; tests of simulation and of leaving sidecars pass.

--- a/honeywharf/simulation/actors.py
+++ b/honeywharf/simulation/actors.py
@@ -575,15 +575,15 @@
 
     # Registration with the control plane.
 
-    def depart(self, how: str) -> Callable[[], None]:
-        """Drains or deregisters, and serves on. Returns a call that sends a heartbeat of before that."""
-        late_heartbeat = self._heartbeat_body()
+    def depart(self, how: str) -> list[Callable[[], None]]:
+        """Drains or deregisters, and serves on. Returns calls that send two heartbeats of before that."""
+        late_heartbeats = [self._heartbeat_body() for _ in range(2)]
         self.state = "draining" if how == "drain" else "gone"
         if how == "drain":
             self._call("heartbeat", self._heartbeat_body())
         else:
             self._call("deregister", b"")
-        return lambda: self._call("heartbeat", late_heartbeat, state="ready")
+        return [partial(self._call, "heartbeat", body, state="ready") for body in late_heartbeats]
 
     def leave(self, complete: Callable[[], None]) -> None:
         """Reports `draining`, serves on for a while, deregisters, then calls `complete`."""
--- a/honeywharf/simulation/invariants.py
+++ b/honeywharf/simulation/invariants.py
@@ -25,9 +25,7 @@
 MAX_LATE_CANCELLATIONS = 3  # The number of requests that may end or arrive late for any reason.
 # What was sent at most this long after SIGTERM may be broken off in the last part of `grace-period`.
 EXCUSED_SENT_WITHIN_S, EXCUSED_LAST_SHARE = 3.0, 1 / 6
-MAX_EARLY_TIMEOUT_S = (
-    0.005  # A time-out is answered this long before the deadline, so that it is there in time.
-)
+MAX_EARLY_TIMEOUT_S = 0.005  # A time-out is answered so early that the answer is there in time.
 MAX_LATE_CANCELLATION_SHARE = 0.25  # The same as a share of the requests that would still be running.
 
 
@@ -153,6 +151,12 @@
         """Returns the valid configurations that were sent."""
         return [order for order in self.orders if order.kind == "config" and order.valid]
 
+    def configs_since(self, acked_by: float) -> list[Order]:
+        """Returns the configurations that may be in force where those acknowledged by a time (in s) are."""
+        configs = [order for order in self.configs() if order.sent <= self.world.now]
+        newest = max((order.version for order in configs if order.acked <= acked_by), default=0)
+        return [order for order in configs if order.version >= newest]
+
 
 class Invariant:
     """The base of an invariant; the name of the subclass is the name of the rule."""
@@ -302,10 +306,8 @@
 
     def shortest_timeout_s(self, attempt: Attempt) -> float:
         """Returns the shortest time-out of the configurations by which the attempt may be handled."""
-        configs = [order for order in self.invariant_checker.configs() if order.sent <= self.now]
-        acked_by = attempt.sent - self.bound["config-apply"]
-        newest = max((order.version for order in configs if order.acked <= acked_by), default=0)
-        return min((order.timeout_s for order in configs if order.version >= newest), default=float("inf"))
+        configs = self.invariant_checker.configs_since(attempt.sent - self.bound["config-apply"])
+        return min((order.timeout_s for order in configs), default=float("inf"))
 
     def is_excused(self, attempt: Attempt) -> bool:
         """Whether a request that its backend is at work on may be broken off now (NEWS-22)."""
@@ -344,12 +346,10 @@
 
     def applicable_configs(self, attempt: Attempt) -> list[Order]:
         """Returns the configurations by which the attempt may be handled."""
-        configs = [order for order in self.invariant_checker.configs() if order.sent <= self.now]
-        newest = 0
-        if self.invariant_checker.is_undisturbed(attempt.machine, attempt.sent):
-            acked_by = attempt.sent - self.bound["config-apply"]
-            newest = max((order.version for order in configs if order.acked <= acked_by), default=0)
-        return [order for order in configs if order.version >= newest]
+        is_undisturbed = self.invariant_checker.is_undisturbed(attempt.machine, attempt.sent)
+        return self.invariant_checker.configs_since(
+            attempt.sent - self.bound["config-apply"] if is_undisturbed else float("-inf")
+        )
 
     def ran(self, backend: Any, id_: str, request: object) -> None:
         """A backend has started a request."""
--- a/honeywharf/simulation/restart_faults.py
+++ b/honeywharf/simulation/restart_faults.py
@@ -67,9 +67,7 @@
         assert backend is not None
         self.departing_nodes.add(sidecar_node)
         backend.health_lies = "lying" in words
-        late_heartbeats = [backend.depart(words[0])]
-        if "twice" in words:
-            late_heartbeats.append(self._heartbeat_before(backend))
+        late_heartbeats = backend.depart(words[0])[: 2 if "twice" in words else 1]
         self._schedule(rng.uniform(0.01, MAX_KILL_DELAY_S), self._kill, sidecar_node.proxy, False)
         for at, send in zip((LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S), late_heartbeats, strict=False):
             self._schedule(at, self._send_late, sidecar_node, backend, send)
@@ -82,14 +80,6 @@
             is_ready and sidecar_node not in self.departing_nodes and self._has_other_instance(sidecar_node)
         )
 
-    @staticmethod
-    def _heartbeat_before(backend: Backend) -> Callable[[], None]:
-        """Returns a call that sends one more heartbeat which was on its way at the departure."""
-        state, backend.state = backend.state, "ready"
-        body = backend._heartbeat_body()
-        backend.state = state
-        return lambda: backend._call("heartbeat", body, state="ready")
-
     def _send_late(self, sidecar_node: SidecarNode, backend: Backend, send: Callable[[], None]) -> None:
         if sidecar_node.live_backend() is backend:
             send()
