Let a health check, not a late heartbeat, end slow start after an evacuation or a start

Cause: a heartbeat's cold time counted from its arrival. After an evacuation or a restart of the sidecar the backend may have become cold since the heartbeat was sent; call-sequence orders heartbeats among themselves only, and a restarted process has forgotten it. A later heartbeat also replaced the cold time that a health check had told.

Change: from a start and from the end of an evacuation on, only the answer to a health check that was sent since then ends slow start. Heartbeats extend a known cold time and never shorten it. Where four checks in a row bring no answer, heartbeats have to do. The simulation draws `late_cold_time`.

Tests that were changed, none weaker: - test_a_heartbeat_in_time_makes_the_health_check_unnecessary and the end of test_after_an_evacuation_only_later_heartbeats_and_health_checks_count stated the fault (a heartbeat that arrives later was taken for one that was sent later).

--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -15,11 +15,15 @@
 contradicts a health answer (503) counts from the next one on. An instance that was displaced by a heartbeat
 of an unknown one, which may have been a late one, returns when a health answer names it.
 
-Until `cold_until` the backend
-is cold (caches not filled), and slow start bounds its requests. `cold_unknown` is set where it may be cold
-without having reported it: after an evacuation, for a new instance, and when this process starts. Slow start
-then applies until a later heartbeat or health answer reports it. Source: RULES (DRAIN, ROUTE, EVAC,
-FAILBACK), PROTOCOL ("Backends", "Which backends there are"). Times are in seconds on the steady clock.
+Until `cold_until` the backend is cold (caches not filled), and slow start bounds its requests. `cold_unknown`
+is set where it may be cold without having reported it: after an evacuation, for a new instance, and when this
+process starts. Slow start then applies until it is reported. A heartbeat that arrives after an evacuation or
+after the start may have been sent before the backend became cold, as nothing in it tells when it was sent
+(`cold_needs_check`): only the answer to a health check that was sent since then is a proof. For the same
+reason no heartbeat shortens a cold time that is known.
+
+Source: RULES (DRAIN, ROUTE, EVAC, FAILBACK), PROTOCOL ("Backends", "Which backends there are"). Times are in
+seconds on the steady clock.
 """
 
 from __future__ import annotations
@@ -78,6 +82,7 @@
         self.started_at = now
         self.cold_until = 0.0
         self.cold_unknown = True
+        self.cold_needs_check = True  # heartbeats may be of before the start, or the evacuation
         self.evacuated = False
         self.restored_at = 0.0  # end of the last evacuation of the zone
         self.last_report_at = 0.0  # when the last heartbeat or health answer came; 0 before the first
@@ -107,7 +112,7 @@
         self.sequence, self.last_report_at = sequence, now
         if slots > 0:
             self.admission.slots = slots
-        self._set_cold(now, cold_s)
+        self._set_reported_cold(now, cold_s)
         if is_contradiction:
             return True
         if draining and self.state != DRAINING:
@@ -135,6 +140,7 @@
         if slots > 0:
             self.admission.slots = slots
         if sent_at >= self.restored_at:
+            self.cold_needs_check = False
             self._set_cold(now, cold_s or 0.0)
         if self.state == UNKNOWN and is_healthy:
             self._set_state(READY)
@@ -188,10 +194,15 @@
         if self.state == READY:
             self._set_state(UNKNOWN)
 
+    def checks_failed(self) -> None:
+        """Notes that health checks bring no answer, so that heartbeats have to do."""
+        self.cold_needs_check = False
+
     def set_evacuated(self, now: float, on: bool) -> None:
         """Notes that the zone is evacuated, or that its evacuation has ended."""
         if self.evacuated and not on:
-            self.restored_at, self.cold_unknown = now, True
+            self.restored_at = now
+            self.cold_unknown = self.cold_needs_check = True
         if self.evacuated != on:
             self.evacuated = on
             self.changes += 1
@@ -209,7 +220,8 @@
                 self.displaced[self.instance] = self.sequence
             self._mark_ended(self.instance)
         self.is_denied = False
-        self.instance, self.sequence, self.cold_unknown = instance, -1, True
+        self.instance, self.sequence = instance, -1
+        self.cold_unknown, self.cold_until = True, 0.0
         self.state = UNKNOWN
         self.changes += 1
 
@@ -220,6 +232,18 @@
             del self.ended_instances[oldest]
             self.displaced.pop(oldest, None)
 
+    def _set_reported_cold(self, now: float, cold_s: float) -> None:
+        """Takes the cold time of a heartbeat, which only extends what is known of the present instance.
+
+        It may have been sent before the backend became cold, and a stated cold time ends by itself.
+        """
+        known_until = self.cold_until
+        if not self.cold_needs_check:
+            self._set_cold(now, cold_s)
+        elif cold_s > 0:
+            self.cold_until = now + cold_s + COLD_MARGIN_S
+        self.cold_until = max(known_until, self.cold_until)
+
     def _set_cold(self, now: float, cold_s: float) -> None:
         self.cold_unknown = False
         self.cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
--- a/honeywharf/sidecar/probe.py
+++ b/honeywharf/sidecar/probe.py
@@ -1,8 +1,10 @@
 """Health checks of the backend, sent only where no heartbeat reports its state, as each costs time there.
 
 Theory of operation. A check is sent when the gate does not know the backend's state (this process is new, a
-connection was refused) or whether it is cold (its zone's evacuation has ended). A heartbeat often comes
-first, so a check waits `FIRST_DELAY_S` for one; heartbeats may be much longer apart.
+connection was refused) or whether it is cold (this process is new, its zone's evacuation has ended). A
+heartbeat often comes first and tells the state, so a check waits `FIRST_DELAY_S` for one; heartbeats may be
+much longer apart. Where
+`MAX_FAILED_CHECKS` in a row bring no answer, heartbeats have to do.
 """
 
 from __future__ import annotations
@@ -24,6 +26,7 @@
 MAX_RETRY_DELAY_S = 2.0
 TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024
+MAX_FAILED_CHECKS = 4
 
 
 class Probe:
@@ -34,7 +37,7 @@
         self.path: bytes | None = None
         self.is_scheduled = False
         self.delay_s = FIRST_DELAY_S
-        self.sent = 0
+        self.sent = self.failed_in_a_row = 0
 
     def is_wanted(self) -> bool:
         """Whether the gate lacks the state that a health check returns."""
@@ -59,7 +62,10 @@
     def answered(self, answer: ResponseHead | None, sent_at: float) -> None:
         """Takes the answer of a check that was sent at `sent_at`; None where none came."""
         self.is_scheduled = False
-        if answer is not None:
+        if answer is None:
+            self._check_failed()
+        else:
+            self.failed_in_a_row = 0
             load = answer.load.split(b",")
             slots = int(load[2]) if len(load) == 3 and load[2].strip().isdigit() else 0
             self.gate.health_answer(
@@ -74,6 +80,11 @@
         self.gate_changed()
         self.schedule()
 
+    def _check_failed(self) -> None:
+        self.failed_in_a_row += 1
+        if self.failed_in_a_row >= MAX_FAILED_CHECKS:
+            self.gate.checks_failed()
+
 
 class _HealthCheck:
     """One health check."""
--- a/honeywharf/simulation/actors.py
+++ b/honeywharf/simulation/actors.py
@@ -585,6 +585,12 @@
             self._call("deregister", b"")
         return [partial(self._call, "heartbeat", body, state="ready") for body in late_heartbeats]
 
+    def become_cold(self, cold_s: float, late: int) -> list[Callable[[], None]]:
+        """Becomes cold for `cold_s`. Returns calls that send `late` heartbeats of before that, in order."""
+        heartbeats = [self._heartbeat_body() for _ in range(late)]
+        self.cold_until = self.host.world.now + cold_s
+        return [partial(self._call, "heartbeat", body) for body in heartbeats]
+
     def leave(self, complete: Callable[[], None]) -> None:
         """Reports `draining`, serves on for a while, deregisters, then calls `complete`."""
         self.state = "draining"
--- a/honeywharf/simulation/restart_faults.py
+++ b/honeywharf/simulation/restart_faults.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING
 
 from honeywharf.simulation.actors import MEAN_WORK_S, Backend
-from honeywharf.simulation.deployment import SidecarNode
+from honeywharf.simulation.deployment import COLD_START_S, ZONES, SidecarNode
 from honeywharf.simulation.fault_schedule import Fault, FaultSchedule
+from honeywharf.simulation.invariants import Order
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -15,12 +16,16 @@
 #: Drawn beside the others, by a generator of their own.
 RESTART_KINDS: dict[str, tuple[str, ...]] = {
     "late_heartbeat": ("deregister", "drain", "deregister lying", "drain lying", "deregister twice"),
+    "late_cold_time": ("evacuation", "restart"),
     "slow_stop": ("",),
 }
 RESTART_FAULT_SHARE = 0.25
 SLOW_STOP_WORK_S = 1.0  # The mean working time of backends while sidecars are stopped.
 LONG_DEADLINE_S = 5.0  # The deadline of requests meanwhile; requests may last nearly as long as a stop.
 SLOW_STOP_S = 10.0
+EVACUATED_S = 6.0  # The length of the evacuation of `late_cold_time`.
+COLD_TRAFFIC_FACTOR, COLD_TRAFFIC_S = 4.0, 2.5  # The load when backends that have become cold return.
+LATE_COLD_TIMES_S = (0.05, 0.1, 0.15, 0.2, 0.3)  # Of late heartbeats, since the zone or the process returns.
 # Times of `late_heartbeat` since the departure: kill, late heartbeats, and the backend's end.
 MAX_KILL_DELAY_S, LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S, DEPARTED_S = 1.0, 4.5, 5.5, 9.0
 
@@ -73,6 +78,40 @@
             self._schedule(at, self._send_late, sidecar_node, backend, send)
         self._schedule(DEPARTED_S, self._replace_departed, sidecar_node)
 
+    def late_cold_time(self, fault: Fault, rng: random.Random) -> None:
+        """Lets the backends of a zone become cold; heartbeats of before that are late.
+
+        With "evacuation" they do so before its end, with "restart" while their proxies restart.
+        """
+        zone = rng.choice(ZONES)
+        if fault.how == "evacuation":
+            self.deployment.operator.order(Order("start", zone=zone))
+            self._schedule(EVACUATED_S, self._return_cold, zone)
+        else:
+            self._restart_cold(zone)
+
+    def _return_cold(self, zone: str) -> None:
+        self._become_cold(zone, 0.0)
+        self.deployment.operator.order(Order("complete", zone=zone))
+
+    def _restart_cold(self, zone: str) -> None:
+        proxies = [node.proxy for node in self.deployment.sidecar_nodes if node.machine.zone == zone]
+        for proxy in proxies:
+            self._kill(proxy, False)
+        self._become_cold(zone, max(proxy.restart_delay_s for proxy in proxies))
+
+    def _become_cold(self, zone: str, delay_s: float) -> None:
+        """Lets a zone's backends become cold under load; late heartbeats begin to arrive after `delay_s`."""
+        for flow in self.deployment.flows:
+            self._schedule(COLD_TRAFFIC_S, setattr, flow, "per_s", flow.per_s)
+            flow.per_s *= COLD_TRAFFIC_FACTOR
+        for sidecar_node in self.deployment.sidecar_nodes:
+            backend = sidecar_node.live_backend()
+            if sidecar_node.machine.zone == zone and backend is not None:
+                late_heartbeats = backend.become_cold(COLD_START_S, len(LATE_COLD_TIMES_S))
+                for at, send in zip(LATE_COLD_TIMES_S, late_heartbeats, strict=True):
+                    self._schedule(delay_s + at, self._send_late, sidecar_node, backend, send)
+
     def _may_depart(self, sidecar_node: SidecarNode) -> bool:
         backend = sidecar_node.live_backend()
         is_ready = backend is not None and backend.state == "ready"
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -30,12 +30,20 @@
     return lambda gate: gate.health_answer(10.0, instance, is_healthy, 8, None, asked)
 
 
-def gate_of_order_desk() -> Gate:
+def new_gate() -> Gate:
+    """Returns the gate of a process that has just started."""
     gate = Gate(0.0, SERVICE, 1.5, 5.0)
     gate.set_slow_start(22.0)
     return gate
 
 
+def gate_of_order_desk() -> Gate:
+    """Returns the gate of a process whose first health check is over."""
+    gate = new_gate()
+    gate.cold_needs_check = False
+    return gate
+
+
 FIRST_EVENTS: dict[str, tuple[Do, ...]] = {
     "unknown": (),
     "ready": (send_heartbeat(sequence=1),),
@@ -177,13 +185,52 @@
     gate.health_answer(12.2, "i-1", True, 8, 2.0, sent_at=12.05)
     assert gate.is_cold(12.2 + 2.0)
     assert not gate.is_cold(12.2 + 2.0 + COLD_MARGIN_S)
+    gate.heartbeat(12.3, "i-1", 3, False, 8, 0.0)  # of before the evacuation, like all that follow
+    assert gate.is_cold(12.2 + 2.0)
     gate.set_evacuated(60.0, on=True)
     gate.set_evacuated(61.0, on=False)
     assert gate.is_cold(70.0)
-    gate.heartbeat(61.5, "i-1", 3, False, 8, 0.0)
+    gate.heartbeat(61.5, "i-1", 4, False, 8, 0.0)
+    assert gate.is_cold(70.0)
+    gate.health_answer(62.0, "i-1", True, 8, None, sent_at=61.9)
     assert not gate.is_cold(70.0)
 
 
+def test_a_late_heartbeat_does_not_make_a_cold_backend_warm_after_a_start() -> None:
+    """Guards against FAILBACK: a heartbeat of before the backend became cold lifted slow start."""
+    gate = new_gate()
+    send_heartbeat()(gate)
+    assert gate.state == READY
+    assert gate.is_cold(50.0)
+    gate.heartbeat(10.1, "i-1", 3, False, 8, 2.0)
+    assert gate.cold_until == 10.1 + 2.0 + COLD_MARGIN_S
+    gate.health_answer(10.2, "i-1", True, 8, 2.5, sent_at=10.15)
+    gate.heartbeat(10.3, "i-1", 4, False, 8, 0.0)
+    gate.heartbeat(10.4, "i-1", 5, False, 8, 1.0)
+    assert gate.is_cold(10.2 + 2.5)
+    assert not gate.is_cold(10.2 + 2.5 + COLD_MARGIN_S)
+    gate.heartbeat(20.0, "i-1", 6, False, 8, 3.0)  # it has become cold once more
+    assert gate.is_cold(23.0)
+
+
+def test_without_answers_to_health_checks_heartbeats_have_to_do() -> None:
+    gate = new_gate()
+    gate.checks_failed()
+    send_heartbeat()(gate)
+    assert not gate.is_cold(50.0)
+    gate.set_evacuated(60.0, on=True)
+    gate.set_evacuated(61.0, on=False)
+    gate.heartbeat(61.5, "i-1", 3, False, 8, 0.0)
+    assert gate.is_cold(70.0)  # checks are due anew
+
+
+def test_the_cold_time_of_an_instance_does_not_bind_the_next_one() -> None:
+    gate = gate_of_order_desk()
+    send_heartbeat(cold_s=30.0)(gate)
+    send_heartbeat("i-2")(gate)
+    assert not gate.is_cold(10.0)
+
+
 def test_ending_an_evacuation_that_was_not_in_force_changes_nothing() -> None:
     gate = gate_of_order_desk()
     send_heartbeat()(gate)
@@ -208,4 +255,6 @@
     gate = Gate(10.0, SERVICE, 1.5, 5.0)
     gate.set_slow_start(22.0, 3.0)
     gate.heartbeat(10.0, "i-1", 1, False, 8, cold_s)
+    assert gate.rejection(10.0, SERVICE) is not None  # it may be late, and its cold time too long
+    gate.health_answer(10.0, "i-1", True, 8, cold_s, sent_at=10.0)
     assert (gate.rejection(10.0, SERVICE) is not None) == is_rejected
--- a/tests/simulation/test_restart_faults.py
+++ b/tests/simulation/test_restart_faults.py
@@ -53,6 +53,21 @@
     assert {rule for report in reports for rule, _, _ in report.broken} == {"DRAIN"}
 
 
+@pytest.mark.parametrize("how", RESTART_KINDS["late_cold_time"])
+def test_a_heartbeat_of_before_a_backend_became_cold_lifts_no_slow_start(how: str) -> None:
+    """Guards against FAILBACK: late heartbeats made cold backends warm after an evacuation or a restart."""
+    for seed in SEEDS:
+        assert run(seed, [Fault(10.0, "late_cold_time", how, seed)], after=AFTER_S).broken == []
+
+
+@pytest.mark.parametrize("how", RESTART_KINDS["late_cold_time"])
+def test_a_sidecar_that_believes_each_cold_time_is_found_out(
+    how: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Gate, "_set_reported_cold", Gate._set_cold)
+    assert broken_rules(Fault(10.0, "late_cold_time", how, 0)) == {"FAILBACK"}
+
+
 def test_slow_work_is_not_broken_off_by_planned_stops_under_load() -> None:
     """Guards against LOST: a stopping sidecar took orders that it could not finish (review/6)."""
     for seed in SEEDS:
