Leave out health checks that a backend turned away, or whose answer names no instance

Cause: a busy backend turns a health check away like any request (503 with X-Honeywharf-Not-Executed). That answer counted as "not cold", which ended slow start, and as "not well", so that the next heartbeat after a restart did not count. An answer without an instance was left out, but kept checks going for ever.

Change: neither says anything; four of them in a row, or of checks without an answer, leave the cold time to heartbeats, so that a wrong health-check-path does not keep a backend in slow start.

--- a/honeywharf/sidecar/probe.py
+++ b/honeywharf/sidecar/probe.py
@@ -3,8 +3,9 @@
 Theory of operation. A check is sent when the gate does not know the backend's state (this process is new, a
 connection was refused) or whether it is cold (this process is new, its zone's evacuation has ended). A
 heartbeat often comes first and tells the state, so a check waits `FIRST_DELAY_S` for one; heartbeats may be
-much longer apart. Where
-`MAX_FAILED_CHECKS` in a row bring no answer, heartbeats have to do.
+much longer apart. An answer says something of the backend only if it names the instance and was not turned
+away, as a busy backend does with any request. Where `MAX_FAILED_CHECKS` in a row bring no such answer,
+heartbeats have to do.
 """
 
 from __future__ import annotations
@@ -62,7 +63,7 @@
     def answered(self, answer: ResponseHead | None, sent_at: float) -> None:
         """Takes the answer of a check that was sent at `sent_at`; None where none came."""
         self.is_scheduled = False
-        if answer is None:
+        if answer is None or answer.is_not_executed or not answer.instance:
             self._check_failed()
         else:
             self.failed_in_a_row = 0
--- a/tests/sidecar/test_heartbeat_api.py
+++ b/tests/sidecar/test_heartbeat_api.py
@@ -296,9 +296,18 @@
     assert probed(setup, 5.0) == 0
 
 
-def test_health_checks_without_an_answer_leave_the_cold_time_to_heartbeats() -> None:
+@pytest.mark.parametrize("how", ["turned away", "without instance", "silent"])
+def test_health_checks_without_an_answer_leave_the_cold_time_to_heartbeats(how: str) -> None:
+    """Guards against a turned-away check that was taken for a statement of the backend."""
     setup = GateSetup()
-    setup.backend.serve = lambda scripted, request: None
+
+    def serve(scripted: ScriptedConnection, request: ReceivedRequest) -> None:
+        if how == "turned away":
+            healthy(scripted, request, 503, b"X-Honeywharf-Not-Executed: 1\r\n")
+        elif how == "without instance":
+            healthy(scripted, request, 404, instance_id="")
+
+    setup.backend.serve = serve
     setup.probe.path = b"/health"
     setup.send_heartbeat()
     setup.probe.schedule()
