Believe a health answer that contradicts the first heartbeat whichever comes first

Callers would see: all processes are killed at once while a deregistered backend serves on; its late heartbeat is the first message after the restart, and requests go to it until its end (DRAIN).

Cause: nobody remembers the departure then, and the health answer (503) counted against a first heartbeat only if it came before it. After it, the backend was ready already.

Change: the check that follows each start counts in both orders: the backend is ready from the next heartbeat or good health answer on. The simulation draws "deregister all" of late_heartbeat.

--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -11,8 +11,9 @@
 
 An instance that has ended never returns: late heartbeats of it change nothing. `departures` outlive this
 process at others (`departures`), as its memory does not: they tell a statement that came before the departure
-from one that came after. What a restarted process hears first may be wrong, whoever says it: a heartbeat that
-contradicts a health answer (503) counts from the next one on. An instance that was displaced by a heartbeat
+from one that came after. What a restarted process hears first may be wrong, whoever says it: where the first
+heartbeat and a health answer (503) contradict each other, whichever comes first, the backend is ready from
+the next heartbeat or good health answer on. An instance that was displaced by a heartbeat
 of an unknown one, which may have been a late one, returns when a health answer names it.
 
 Until `cold_until` the backend is cold (caches not filled), and slow start bounds its requests. `cold_unknown`
@@ -74,6 +75,9 @@
         self.departures: Departures = {}  # oldest first
         self.departure_changes = 0
         self.is_denied = False  # the last health answer of the present instance was bad
+        self.is_unconfirmed = (
+            False  # one heartbeat of the present instance, and nothing else, says it is ready
+        )
         self.admission = Admission(INITIAL_SLOTS)
         self.cold = ColdBound(
             now, float("inf") if cold_slack == float("inf") else 0.0, cold_overage, cold_slack, fresh=True
@@ -108,7 +112,8 @@
         ):
             return False
         self._set_instance(now, instance)
-        is_contradiction = self.is_denied and self.state == UNKNOWN and self.sequence < 0 and not draining
+        is_first = self.sequence < 0
+        is_contradiction = self.is_denied and self.state == UNKNOWN and is_first and not draining
         self.sequence, self.last_report_at = sequence, now
         if slots > 0:
             self.admission.slots = slots
@@ -117,6 +122,7 @@
             return True
         if draining and self.state != DRAINING:
             self._add_departures({backend_key(instance): sequence})
+        self.is_unconfirmed = is_first and self.state == UNKNOWN
         self._set_state(DRAINING if draining else READY)
         return True
 
@@ -144,6 +150,9 @@
             self._set_cold(now, cold_s or 0.0)
         if self.state == UNKNOWN and is_healthy:
             self._set_state(READY)
+        elif self.state == READY and self.is_unconfirmed and not is_healthy:
+            self._set_state(UNKNOWN)
+        self.is_unconfirmed = False
         self._apply_departures()
 
     def _takes_back(self, instance: str) -> bool:
@@ -219,7 +228,7 @@
             if self.state in (READY, UNKNOWN):
                 self.displaced[self.instance] = self.sequence
             self._mark_ended(self.instance)
-        self.is_denied = False
+        self.is_denied = self.is_unconfirmed = False
         self.instance, self.sequence = instance, -1
         self.cold_unknown, self.cold_until = True, 0.0
         self.state = UNKNOWN
--- a/honeywharf/simulation/restart_faults.py
+++ b/honeywharf/simulation/restart_faults.py
@@ -15,7 +15,14 @@
 
 #: Drawn beside the others, by a generator of their own.
 RESTART_KINDS: dict[str, tuple[str, ...]] = {
-    "late_heartbeat": ("deregister", "drain", "deregister lying", "drain lying", "deregister twice"),
+    "late_heartbeat": (
+        "deregister",
+        "drain",
+        "deregister lying",
+        "drain lying",
+        "deregister twice",
+        "deregister all",
+    ),
     "late_cold_time": ("evacuation", "restart"),
     "slow_stop": ("",),
 }
@@ -23,6 +30,7 @@
 SLOW_STOP_WORK_S = 1.0  # The mean working time of backends while sidecars are stopped.
 LONG_DEADLINE_S = 5.0  # The deadline of requests meanwhile; requests may last nearly as long as a stop.
 SLOW_STOP_S = 10.0
+ALL_KILLED_AT_S, FIRST_S = 1.0, 0.02  # Of "all"; a heartbeat arrives before the first health check.
 EVACUATED_S = 6.0  # The length of the evacuation of `late_cold_time`.
 COLD_TRAFFIC_FACTOR, COLD_TRAFFIC_S = 4.0, 2.5  # The load when backends that have become cold return.
 LATE_COLD_TIMES_S = (0.05, 0.1, 0.15, 0.2, 0.3)  # Of late heartbeats, since the zone or the process returns.
@@ -61,7 +69,8 @@
     def late_heartbeat(self, fault: Fault, rng: random.Random) -> None:
         """Lets a backend depart, kills its proxy, and delivers a heartbeat of before the departure.
 
-        With "lying" the backend's health answers are good all the same, with "twice" two are late.
+        With "lying" the backend's health answers are good all the same, with "twice" two are late. With "all"
+        all proxies and control nodes are killed, and the heartbeat is the first message after the restart.
         """
         words = fault.how.split()
         candidates = [node for node in self.deployment.sidecar_nodes if self._may_depart(node)]
@@ -73,11 +82,22 @@
         self.departing_nodes.add(sidecar_node)
         backend.health_lies = "lying" in words
         late_heartbeats = backend.depart(words[0])[: 2 if "twice" in words else 1]
-        self._schedule(rng.uniform(0.01, MAX_KILL_DELAY_S), self._kill, sidecar_node.proxy, False)
-        for at, send in zip((LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S), late_heartbeats, strict=False):
+        kill_at, late_at = rng.uniform(0.01, MAX_KILL_DELAY_S), LATE_HEARTBEAT_AT_S
+        if "all" in words:
+            kill_at, late_at = ALL_KILLED_AT_S, ALL_KILLED_AT_S + sidecar_node.proxy.restart_delay_s + FIRST_S
+            self._schedule(kill_at, self._kill_all)
+        else:
+            self._schedule(kill_at, self._kill, sidecar_node.proxy, False)
+        for at, send in zip((late_at, LATER_HEARTBEAT_AT_S), late_heartbeats, strict=False):
             self._schedule(at, self._send_late, sidecar_node, backend, send)
         self._schedule(DEPARTED_S, self._replace_departed, sidecar_node)
 
+    def _kill_all(self) -> None:
+        """Kills all proxies and control nodes, so that nobody remembers what only memories hold."""
+        self.invariant_checker.last_any_fault_at = self.world.now
+        for process in [node.proxy for node in self.deployment.sidecar_nodes] + self.deployment.cores:
+            self._kill(process, False)
+
     def late_cold_time(self, fault: Fault, rng: random.Random) -> None:
         """Lets the backends of a zone become cold; heartbeats of before that are late.
 
