Take what is known of the backend's cold time out of the gate

The gate held states of the backend and, between them, six fields of its cold time. They are a class of their own now, admission/cold_time.py, with one method an event.

--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -16,12 +16,7 @@
 the next heartbeat or good health answer on. An instance that was displaced by a heartbeat
 of an unknown one, which may have been a late one, returns when a health answer names it.
 
-Until `cold_until` the backend is cold (caches not filled), and slow start bounds its requests. `cold_unknown`
-is set where it may be cold without having reported it: after an evacuation, for a new instance, and when this
-process starts. Slow start then applies until it is reported. A heartbeat that arrives after an evacuation or
-after the start may have been sent before the backend became cold, as nothing in it tells when it was sent
-(`cold_needs_check`): only the answer to a health check that was sent since then is a proof. For the same
-reason no heartbeat shortens a cold time that is known.
+While the backend is cold, or may be, slow start bounds its requests (`admission.cold_time`).
 
 Source: RULES (DRAIN, ROUTE, EVAC, FAILBACK), PROTOCOL ("Backends", "Which backends there are"). Times are in
 seconds on the steady clock.
@@ -31,6 +26,7 @@
 
 from honeywharf.admission.admission_queue import Admission
 from honeywharf.admission.cold_start import ColdBound
+from honeywharf.admission.cold_time import ColdTime
 from honeywharf.admission.departures import (
     ATTRIBUTE,
     DEREGISTERED,
@@ -56,10 +52,6 @@
 STATES = ("unknown", "ready", "draining", "ended")
 MAX_ENDED_INSTANCES = 64  # ids of ended instances that are remembered
 INITIAL_SLOTS = 4  # in force before the backend announces its own number
-MIN_RESTART_S = (
-    0.3  # shortest time from the end of one process of this program to the next one's first request
-)
-COLD_MARGIN_S = 0.25  # added to the announced cold time, to cover the delay of the message
 
 
 class Gate:
@@ -75,20 +67,13 @@
         self.departures: Departures = {}  # oldest first
         self.departure_changes = 0
         self.is_denied = False  # the last health answer of the present instance was bad
-        self.is_unconfirmed = (
-            False  # one heartbeat of the present instance, and nothing else, says it is ready
-        )
+        self.is_unconfirmed = False  # the present instance is ready by one heartbeat, and nothing else
         self.admission = Admission(INITIAL_SLOTS)
         self.cold = ColdBound(
             now, float("inf") if cold_slack == float("inf") else 0.0, cold_overage, cold_slack, fresh=True
         )
-        self.cold_start_s = float("inf")  # configured time for which a started backend is cold
-        self.started_at = now
-        self.cold_until = 0.0
-        self.cold_unknown = True
-        self.cold_needs_check = True  # heartbeats may be of before the start, or the evacuation
+        self.cold_time = ColdTime(now, self.cold)
         self.evacuated = False
-        self.restored_at = 0.0  # end of the last evacuation of the zone
         self.last_report_at = 0.0  # when the last heartbeat or health answer came; 0 before the first
         self.changes = 0
 
@@ -117,7 +102,7 @@
         self.sequence, self.last_report_at = sequence, now
         if slots > 0:
             self.admission.slots = slots
-        self._set_reported_cold(now, cold_s)
+        self.cold_time.heartbeat(now, cold_s)
         if is_contradiction:
             return True
         if draining and self.state != DRAINING:
@@ -145,9 +130,7 @@
         self.last_report_at, self.is_denied = now, not is_healthy
         if slots > 0:
             self.admission.slots = slots
-        if sent_at >= self.restored_at:
-            self.cold_needs_check = False
-            self._set_cold(now, cold_s or 0.0)
+        self.cold_time.health_answer(now, cold_s or 0.0, sent_at)
         if self.state == UNKNOWN and is_healthy:
             self._set_state(READY)
         elif self.state == READY and self.is_unconfirmed and not is_healthy:
@@ -199,26 +182,21 @@
     def backend_missing(self) -> None:
         """Notes that no backend, or another one than expected, was found: which one is there is not known."""
         if self.state != UNKNOWN:
-            self.cold_unknown = True
+            self.cold_time.instance_missing()
         if self.state == READY:
             self._set_state(UNKNOWN)
 
-    def checks_failed(self) -> None:
-        """Notes that health checks bring no answer, so that heartbeats have to do."""
-        self.cold_needs_check = False
-
     def set_evacuated(self, now: float, on: bool) -> None:
         """Notes that the zone is evacuated, or that its evacuation has ended."""
         if self.evacuated and not on:
-            self.restored_at = now
-            self.cold_unknown = self.cold_needs_check = True
+            self.cold_time.evacuation_ended(now)
         if self.evacuated != on:
             self.evacuated = on
             self.changes += 1
 
     def set_slow_start(self, per_s: float, start_s: float = 0.0) -> None:
         """Sets slow start as configured: requests a second to a cold backend, and how long it is cold."""
-        self.cold_start_s = start_s or float("inf")
+        self.cold_time.start_s = start_s or float("inf")
         self.cold.set_bound(min(per_s, 1e9), self.cold_overage, self.cold_slack)
 
     def _set_instance(self, now: float, instance: str) -> None:
@@ -230,7 +208,7 @@
             self._mark_ended(self.instance)
         self.is_denied = self.is_unconfirmed = False
         self.instance, self.sequence = instance, -1
-        self.cold_unknown, self.cold_until = True, 0.0
+        self.cold_time.instance_changed()
         self.state = UNKNOWN
         self.changes += 1
 
@@ -241,24 +219,6 @@
             del self.ended_instances[oldest]
             self.displaced.pop(oldest, None)
 
-    def _set_reported_cold(self, now: float, cold_s: float) -> None:
-        """Takes the cold time of a heartbeat, which only extends what is known of the present instance.
-
-        It may have been sent before the backend became cold, and a stated cold time ends by itself.
-        """
-        known_until = self.cold_until
-        if not self.cold_needs_check:
-            self._set_cold(now, cold_s)
-        elif cold_s > 0:
-            self.cold_until = now + cold_s + COLD_MARGIN_S
-        self.cold_until = max(known_until, self.cold_until)
-
-    def _set_cold(self, now: float, cold_s: float) -> None:
-        self.cold_unknown = False
-        self.cold_until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
-        if cold_s > 0 and self.cold_start_s - cold_s <= now - self.started_at + MIN_RESTART_S:
-            self.cold.assume_unused()  # the backend started after the last process of this program ended
-
     def _set_state(self, state: int) -> None:
         if state != self.state:
             self.state = state
@@ -266,10 +226,6 @@
 
     # Admission.
 
-    def is_cold(self, now: float) -> bool:
-        """Whether slow start applies."""
-        return self.cold_unknown or now < self.cold_until
-
     def rejection(self, now: float, service: str, expected: str = "") -> tuple[int, float] | None:
         """Returns why a request must not run here now, and after how many seconds a retry may succeed.
 
@@ -283,7 +239,7 @@
             return (NO_BACKEND if self.last_report_at else NOT_READY), 0.0
         if self.evacuated:
             return EVACUATED, 0.0
-        if self.is_cold(now):
+        if self.cold_time.is_cold(now):
             wait = self.cold.wait_s(now)
             if wait > 0:
                 return SLOW_START, wait
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from honeywharf.sidecar.gate import COLD_MARGIN_S, DRAINING, ENDED, MAX_ENDED_INSTANCES, READY, UNKNOWN, Gate
+from honeywharf.admission.cold_time import COLD_MARGIN_S
+from honeywharf.sidecar.gate import DRAINING, ENDED, MAX_ENDED_INSTANCES, READY, UNKNOWN, Gate
 from honeywharf.verdict import (
     DRAINING as IS_DRAINING,
     EVACUATED,
@@ -40,7 +41,7 @@
 def gate_of_order_desk() -> Gate:
     """Returns the gate of a process whose first health check is over."""
     gate = new_gate()
-    gate.cold_needs_check = False
+    gate.cold_time.needs_check = False
     return gate
 
 
@@ -107,7 +108,7 @@
     assert gate.state == after
     assert (gate.changes > changes) == ((gate.state, gate.instance) != (state, instance_before))
     assert (gate.rejection(20.0, SERVICE) is None) == (
-        after == READY and (not gate.cold_unknown or "new instance" in event)
+        after == READY and (not gate.cold_time.is_unknown or "new instance" in event)
     )
 
 
@@ -172,13 +173,13 @@
 
 def test_a_backend_is_taken_for_cold_until_it_tells_after_a_restart_or_a_new_instance() -> None:
     gate = gate_of_order_desk()
-    assert gate.is_cold(50.0)
+    assert gate.cold_time.is_cold(50.0)
     send_health_answer()(gate)
-    assert not gate.is_cold(50.0)
+    assert not gate.cold_time.is_cold(50.0)
     gate.backend_missing()
-    assert gate.is_cold(50.0)
+    assert gate.cold_time.is_cold(50.0)
     send_heartbeat()(gate)
-    assert not gate.is_cold(50.0)
+    assert not gate.cold_time.is_cold(50.0)
 
 
 def test_after_an_evacuation_only_later_heartbeats_and_health_checks_count() -> None:
@@ -186,22 +187,22 @@
     send_heartbeat()(gate)
     gate.set_evacuated(11.0, on=True)
     gate.set_evacuated(12.0, on=False)
-    assert gate.is_cold(50.0)
+    assert gate.cold_time.is_cold(50.0)
     assert gate.state == READY
     gate.health_answer(12.1, "i-1", True, 8, 0.0, sent_at=11.9)
-    assert gate.is_cold(50.0)
+    assert gate.cold_time.is_cold(50.0)
     gate.health_answer(12.2, "i-1", True, 8, 2.0, sent_at=12.05)
-    assert gate.is_cold(12.2 + 2.0)
-    assert not gate.is_cold(12.2 + 2.0 + COLD_MARGIN_S)
+    assert gate.cold_time.is_cold(12.2 + 2.0)
+    assert not gate.cold_time.is_cold(12.2 + 2.0 + COLD_MARGIN_S)
     gate.heartbeat(12.3, "i-1", 3, False, 8, 0.0)  # of before the evacuation, like all that follow
-    assert gate.is_cold(12.2 + 2.0)
+    assert gate.cold_time.is_cold(12.2 + 2.0)
     gate.set_evacuated(60.0, on=True)
     gate.set_evacuated(61.0, on=False)
-    assert gate.is_cold(70.0)
+    assert gate.cold_time.is_cold(70.0)
     gate.heartbeat(61.5, "i-1", 4, False, 8, 0.0)
-    assert gate.is_cold(70.0)
+    assert gate.cold_time.is_cold(70.0)
     gate.health_answer(62.0, "i-1", True, 8, None, sent_at=61.9)
-    assert not gate.is_cold(70.0)
+    assert not gate.cold_time.is_cold(70.0)
 
 
 def test_a_late_heartbeat_does_not_make_a_cold_backend_warm_after_a_start() -> None:
@@ -209,34 +210,34 @@
     gate = new_gate()
     send_heartbeat()(gate)
     assert gate.state == READY
-    assert gate.is_cold(50.0)
+    assert gate.cold_time.is_cold(50.0)
     gate.heartbeat(10.1, "i-1", 3, False, 8, 2.0)
-    assert gate.cold_until == 10.1 + 2.0 + COLD_MARGIN_S
+    assert gate.cold_time.until == 10.1 + 2.0 + COLD_MARGIN_S
     gate.health_answer(10.2, "i-1", True, 8, 2.5, sent_at=10.15)
     gate.heartbeat(10.3, "i-1", 4, False, 8, 0.0)
     gate.heartbeat(10.4, "i-1", 5, False, 8, 1.0)
-    assert gate.is_cold(10.2 + 2.5)
-    assert not gate.is_cold(10.2 + 2.5 + COLD_MARGIN_S)
+    assert gate.cold_time.is_cold(10.2 + 2.5)
+    assert not gate.cold_time.is_cold(10.2 + 2.5 + COLD_MARGIN_S)
     gate.heartbeat(20.0, "i-1", 6, False, 8, 3.0)  # it has become cold once more
-    assert gate.is_cold(23.0)
+    assert gate.cold_time.is_cold(23.0)
 
 
 def test_without_answers_to_health_checks_heartbeats_have_to_do() -> None:
     gate = new_gate()
-    gate.checks_failed()
+    gate.cold_time.checks_failed()
     send_heartbeat()(gate)
-    assert not gate.is_cold(50.0)
+    assert not gate.cold_time.is_cold(50.0)
     gate.set_evacuated(60.0, on=True)
     gate.set_evacuated(61.0, on=False)
     gate.heartbeat(61.5, "i-1", 3, False, 8, 0.0)
-    assert gate.is_cold(70.0)  # checks are due anew
+    assert gate.cold_time.is_cold(70.0)  # checks are due anew
 
 
 def test_the_cold_time_of_an_instance_does_not_bind_the_next_one() -> None:
     gate = gate_of_order_desk()
     send_heartbeat(cold_s=30.0)(gate)
     send_heartbeat("i-2")(gate)
-    assert not gate.is_cold(10.0)
+    assert not gate.cold_time.is_cold(10.0)
 
 
 def test_ending_an_evacuation_that_was_not_in_force_changes_nothing() -> None:
@@ -244,7 +245,7 @@
     send_heartbeat()(gate)
     changes = gate.changes
     gate.set_evacuated(11.0, on=False)
-    assert (gate.changes, gate.cold_unknown) == (changes, False)
+    assert (gate.changes, gate.cold_time.is_unknown) == (changes, False)
 
 
 def test_gossip_attributes_and_load() -> None:
