Count no cold time as a proof that a backend has started since this process's predecessor

Cause: a sidecar that has just started waits 1.15 s before it sends a cold backend requests, as it does not know what its predecessor sent. It took a cold time as long as a start's for a start, and then did not wait. A backend may become cold again while it is cold (PROTOCOL, "Backends"); its bound was then used twice in a second (FAILBACK).

Change: the wait holds whatever cold time is stated; two fields and a method go.

--- a/honeywharf/admission/cold_start.py
+++ b/honeywharf/admission/cold_start.py
@@ -3,7 +3,9 @@
 Theory of operation. RULES, FAILBACK: a cold backend may receive at most `cold-per-s` x `cold-overage` +
 `cold-slack` requests in any second. The sidecar sends at most `BOUND_PART` of that in any sliding `WINDOW_S`,
 which is a little longer than a second, as the delay between sending and arrival varies. A sidecar that has
-just started does not know how much its predecessor sent, so it treats the bound as used up at its start.
+just started does not know how much its predecessor sent, so it treats the bound as used up at its start. That
+the backend states a whole start's cold time does not prove that it started since: it may have become cold
+again while it was cold.
 """
 
 from __future__ import annotations
@@ -31,10 +33,6 @@
         """Applies a new bound: the configured requests per second, and the rule's overage and slack."""
         self.most = max(1, min(MAX_KEPT, int(BOUND_PART * min(1e6, per_s * overage + slack))))
 
-    def assume_unused(self) -> None:
-        """Ends the wait at the start, as no predecessor can have sent anything."""
-        self.starts_at = 0.0
-
     def wait_s(self, now: float) -> float:
         """Returns the seconds until one more request may be sent; 0.0 for at once."""
         if now < self.starts_at:
--- a/honeywharf/admission/cold_time.py
+++ b/honeywharf/admission/cold_time.py
@@ -13,30 +13,15 @@
 
 from __future__ import annotations
 
-TYPE_CHECKING = False
-if TYPE_CHECKING:
-    from honeywharf.admission.cold_start import ColdBound
-
 COLD_MARGIN_S = 0.25  # added to a stated cold time, to cover the delay of the message
-MIN_RESTART_S = 0.3  # shortest time from the end of one process to the first request of the next one
 
 
 class ColdTime:
-    """The cold time of the present instance. `bound` is the slow start that applies meanwhile."""
-
-    __slots__ = (
-        "bound",
-        "is_unknown",
-        "needs_check",
-        "restored_at",
-        "start_s",
-        "started_at",
-        "until",
-    )
-
-    def __init__(self, now: float, bound: ColdBound) -> None:
-        self.bound, self.started_at = bound, now
-        self.start_s = float("inf")  # configured time for which a started backend is cold
+    """The cold time of the present instance."""
+
+    __slots__ = ("is_unknown", "needs_check", "restored_at", "until")
+
+    def __init__(self) -> None:
         self.until = 0.0
         self.is_unknown = True
         self.needs_check = True
@@ -85,5 +70,3 @@
     def _set(self, now: float, cold_s: float) -> None:
         self.is_unknown = False
         self.until = now + cold_s + COLD_MARGIN_S if cold_s > 0 else 0.0
-        if cold_s > 0 and self.start_s - cold_s <= now - self.started_at + MIN_RESTART_S:
-            self.bound.assume_unused()  # the backend started after the last process of this program ended
--- a/honeywharf/programs/sidecar.py
+++ b/honeywharf/programs/sidecar.py
@@ -211,7 +211,7 @@
         if state.table is not None:
             service = state.table.services.get(self.gate.service)
             if service is not None:
-                self.gate.set_slow_start(service.slow_start_requests_per_s, service.slow_start_s)
+                self.gate.set_slow_start(service.slow_start_requests_per_s)
                 self.backend_connections.most = max(1, service.max_connections - 2)
                 self.probe.path = service.health_check_path.encode()
         self.source.update_usable()
--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -72,7 +72,7 @@
         self.cold = ColdBound(
             now, float("inf") if cold_slack == float("inf") else 0.0, cold_overage, cold_slack, fresh=True
         )
-        self.cold_time = ColdTime(now, self.cold)
+        self.cold_time = ColdTime()
         self.evacuated = False
         self.last_report_at = 0.0  # when the last heartbeat or health answer came; 0 before the first
         self.changes = 0
@@ -194,9 +194,8 @@
             self.evacuated = on
             self.changes += 1
 
-    def set_slow_start(self, per_s: float, start_s: float = 0.0) -> None:
-        """Sets slow start as configured: requests a second to a cold backend, and how long it is cold."""
-        self.cold_time.start_s = start_s or float("inf")
+    def set_slow_start(self, per_s: float) -> None:
+        """Sets slow start as configured: requests a second to a cold backend."""
         self.cold.set_bound(min(per_s, 1e9), self.cold_overage, self.cold_slack)
 
     def _set_instance(self, now: float, instance: str) -> None:
