Keep departed backends on the control nodes' disks, for a kill of all processes at once

Callers would see: all processes are killed at once while a deregistered backend serves on; afterwards a second late heartbeat, or one and a false health answer, bring it back, and requests go to it until its end (DRAIN).

Cause: departures lived in memories only, though of all processes. Neither heartbeats nor health answers prove anything to a process that has lost its memory, so something has to outlive all of them.

Change: a control node writes departures to a file (`departures`) before it says that they are recorded; those that gossip brings follow within 0.5 s, together. The file is read at the start, and departures merge in any order, so it needs no agreement. A disk that fails records nothing; one that cannot be read is not overwritten. `mesh-store check` names the file; wire, register and texts are as they were.

--- a/honeywharf/control/repair.py
+++ b/honeywharf/control/repair.py
@@ -11,6 +11,8 @@
 from honeywharf.control.backup import read_text
 from honeywharf.control.store import (
     DAMAGED_SUFFIX,
+    DEPARTURES,
+    DEPARTURES_NEW,
     REGISTER,
     REGISTER_NEW,
     TEXT_PREFIX,
@@ -80,6 +82,8 @@
             report.lines.append(f"{name}: {len(text)} bytes")
     elif name.startswith(HISTORY_PREFIX):
         report.lines.append(f"{name}: drift history, no vote depends on it")
+    elif name in (DEPARTURES, DEPARTURES_NEW):
+        report.lines.append(f"{name}: departed backends, no vote depends on it")
     elif name != REGISTER:
         report.lines.append(f"{name}: not a file of a control node")
 
--- a/honeywharf/control/store.py
+++ b/honeywharf/control/store.py
@@ -22,6 +22,7 @@
 from honeywharf.control.acceptor import AcceptorState
 
 REGISTER, REGISTER_NEW, TEXT_PREFIX = "register", "register.new", "config-"
+DEPARTURES, DEPARTURES_NEW = "departures", "departures.new"  # `programs.departure_file` writes them.
 DAMAGED_SUFFIX = ".bad"  # Damaged files are renamed with this suffix.
 MAGIC, FORMAT_VERSION = b"hwr", 1
 HEADER_BYTES = 8  # The magic, the version's digit and the checksum take 8 bytes.
--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -15,6 +15,7 @@
 from honeywharf.gossip.membership import Membership
 from honeywharf.programs.control_handoff import ControlHandoff
 from honeywharf.programs.control_leases import ControlLeases
+from honeywharf.programs.departure_file import DepartureFile
 from honeywharf.programs.start import load_settings
 from honeywharf.sidecar.departures import DepartureRegistry
 from honeywharf.transport.host import Address, Host
@@ -85,6 +86,7 @@
         host.listen(self.local_address, RpcServer(self.replica.methods, log=host.log).accept)
         self.membership = self._start_gossip()
         self.departures = DepartureRegistry(host, self.caller, self.local_address[1], self.membership)
+        self.departures.use_storage(DepartureFile(host))
         self.replica.methods.update(self.departures.methods())
         control_plane = settings.listen_addresses["control-plane"]
         self.http_server = HttpServer(host, control_plane, self.operator.handle, MAX_BODY_BYTES)
--- a/honeywharf/sidecar/departures.py
+++ b/honeywharf/sidecar/departures.py
@@ -6,7 +6,8 @@
 
     statement    before it is acknowledged, a majority of the known control nodes records it (`Replication`);
                  gossip brings it to all processes, as an attribute of the sidecar's entry
-    survival     every process keeps the departures of every machine, whatever the machine's later starts say
+    survival     every process keeps the departures of every machine, whatever the machine's later starts say;
+                 control nodes keep them on their disks too (`DepartureStorage`), for a kill of all at once
     restart      who sees an entry that lacks a departure notifies the machine (`DepartureRegistry`), each
                  after another wait, as one is enough; the gate then rejects what the backend said earlier
 
@@ -43,6 +44,18 @@
 
         attributes: dict[str, Any] | None
 
+    class DepartureStorage(Protocol):
+        """Where a control node keeps departures. Each method raises OSError if the disk fails."""
+
+        def load(self) -> object:
+            """Returns the rows as they were saved, if nothing has damaged them."""
+
+        def save(self, rows: list[DepartureRow]) -> None:
+            """Writes the departures of all machines."""
+
+    #: A machine and its packed departures.
+    DepartureRow = tuple[str, list[list[int]]]
+
     class Membership(Protocol):
         """The view of all machines, as `gossip.membership.Membership` has it."""
 
@@ -60,6 +73,7 @@
 MAX_MACHINES = 4096
 MAX_NOTIFY_DELAY_S = 0.3  # the longest wait of a process before it notifies a machine
 NOTIFY_TIMEOUT_S = 0.5
+SAVE_DELAY_S = 0.5  # from a departure that gossip brings to its write, which takes others along
 CONFIRM_TIMEOUT_S = 0.25  # a departure is acknowledged after this time even without a majority
 
 
@@ -75,6 +89,8 @@
         """`port` is the internal port of every machine."""
         self.host, self.rpc_client, self.port, self.membership = host, rpc_client, port, membership
         self.departures: dict[str, Departures] = {}  # by machine; the one that departed last is at the end
+        self.storage: DepartureStorage | None = None  # a sidecar has none
+        self.is_save_scheduled = False
         self.scheduled: set[str] = set()  # machines that are to be notified
         self.notifications = 0
 
@@ -82,29 +98,67 @@
         """Returns the RPC methods that sidecars call."""
         return {rpc_methods.RECORD_DEPARTURES: self._record_called}
 
+    def use_storage(self, storage: DepartureStorage) -> None:
+        """Takes the departures that a storage holds, and keeps departures there if it can be read."""
+        try:
+            stored = storage.load()
+        except OSError as fault:
+            self.host.log(f"departures: the disk fails: {fault}")
+            return
+        self.storage = storage
+        for row in stored if isinstance(stored, list) else ():
+            if isinstance(row, list) and len(row) == 2 and isinstance(row[0], str):
+                self.record(row[0], unpack_departures(row[1]))
+
     def _record_called(self, args: object, reply: Reply, peer: Address) -> None:
         """Records departures under the machine that the caller names: it may call from another address."""
         if isinstance(args, list) and len(args) == 2 and isinstance(args[0], str):
-            self.record(args[0], unpack_departures(args[1]))
-            reply(True)
+            is_new = self.record(args[0], unpack_departures(args[1]))
+            reply(True if not is_new or self._save() else None)
         else:
             reply(None)
 
-    def record(self, node: str, departures: Departures) -> None:
-        """Keeps the departures of a machine; beyond `MAX_MACHINES` the oldest machine is forgotten."""
+    def record(self, node: str, departures: Departures) -> bool:
+        """Keeps the departures of a machine; returns whether one is new.
+
+        Beyond `MAX_MACHINES` the machine that departed longest ago is forgotten.
+        """
         if not departures:
-            return
+            return False
         known = self.departures.pop(node, {})
-        merge_departures(known, departures)
+        is_new = merge_departures(known, departures)
         self.departures[node] = known
         if len(self.departures) > MAX_MACHINES:
             del self.departures[next(iter(self.departures))]
+        return is_new
+
+    def _save(self) -> bool:
+        """Writes the departures to the storage, if there is one; returns whether they are kept there."""
+        if self.storage is None:
+            return True
+        try:
+            self.storage.save([(node, pack_departures(each)) for node, each in self.departures.items()])
+        except OSError as fault:
+            self.host.log(f"departures: the disk fails: {fault}")
+            return False
+        return True
+
+    def _save_soon(self) -> None:
+        """Schedules a write for departures that gossip has brought, which nobody waits for."""
+        if self.storage is not None and not self.is_save_scheduled:
+            self.is_save_scheduled = True
+            self.host.after(SAVE_DELAY_S, self._save_scheduled)
+
+    def _save_scheduled(self) -> None:
+        self.is_save_scheduled = False
+        self._save()
 
     def entry_changed(self, node: str, entry: GossipEntry | None) -> None:
         """Handles a changed gossip entry of another machine; None where it was dropped."""
         if entry is None or entry.attributes is None:
             return
-        self.record(node, unpack_departures(entry.attributes.get(ATTRIBUTE)))
+        if self.record(node, unpack_departures(entry.attributes.get(ATTRIBUTE))):
+            self._save_soon()
         if self._missing(node):
             self._notify_later(node, 0.0)
 
--- a/honeywharf/simulation/restart_faults.py
+++ b/honeywharf/simulation/restart_faults.py
@@ -22,6 +22,8 @@
         "drain lying",
         "deregister twice",
         "deregister all",
+        "deregister all lying",
+        "drain all twice",
     ),
     "late_cold_time": ("evacuation", "restart", "restart twice"),
     "slow_stop": ("",),
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -23,6 +23,7 @@
     MAX_MACHINES,
     MAX_NOTIFY_DELAY_S,
     NOTIFY_TIMEOUT_S,
+    SAVE_DELAY_S,
     DepartureRegistry,
     Replication,
     notify_delay_s,
@@ -99,11 +100,18 @@
         return node not in self.down
 
 
+class LoggingClock(ManualClock):
+    """A clock with a log."""
+
+    def log(self, text: str) -> None:
+        """Drops a line."""
+
+
 class RegistrySetup:
     """A registry, and the machines that its process sees."""
 
     def __init__(self) -> None:
-        self.clock, self.caller, self.membership = ManualClock(), FakeCaller(), FakeMembership()
+        self.clock, self.caller, self.membership = LoggingClock(), FakeCaller(), FakeMembership()
         self.registry = DepartureRegistry(
             cast("Any", self.clock), cast("Any", self.caller), PORT, self.membership
         )
@@ -191,14 +199,78 @@
     assert max(delays) < MAX_NOTIFY_DELAY_S
 
 
-# Recording.
+class FakeStorage:
+    """A storage of departures that can fail."""
 
+    def __init__(self, stored: list[Any] | None = None) -> None:
+        self.stored: list[Any] = stored or []
+        self.saves = 0
+        self.fails = False
 
-class LoggingClock(ManualClock):
-    """A clock with a log."""
+    def load(self) -> object:
+        if self.fails:
+            raise OSError("no disk")
+        return self.stored
 
-    def log(self, text: str) -> None:
-        """Drops a line."""
+    def save(self, rows: list[Any]) -> None:
+        if self.fails:
+            raise OSError("full")
+        self.saves += 1
+        self.stored = [list(row) for row in rows]
+
+
+def test_a_departure_is_on_disk_before_a_control_node_says_that_it_is_recorded() -> None:
+    """Guards against DRAIN after a kill of all processes at once, whose memories are gone."""
+    setup, storage, replies = RegistrySetup(), FakeStorage(), list[object]()
+    setup.registry.use_storage(storage)
+    record = setup.registry.methods()[rpc_methods.RECORD_DEPARTURES]
+    record([IP, [[X, 4]]], lambda reply: replies.append((reply, list(storage.stored))), (IP, PORT))
+    assert replies == [(True, [[IP, [[X, 4]]]])]
+    record([IP, [[X, 4]]], replies.append, (IP, PORT))
+    assert storage.saves == 1  # nothing is new
+    storage.fails = True
+    record([IP, [[X, 5]]], replies.append, (IP, PORT))
+    assert replies[1:] == [True, None]
+    restarted = RegistrySetup()
+    restarted.registry.use_storage(FakeStorage(storage.stored))
+    restarted.publish()
+    restarted.clock.move(MAX_NOTIFY_DELAY_S)
+    ((to, method, args, _),) = restarted.caller.calls
+    assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTURES_MISSED, [[X, 4]])
+
+
+def test_departures_that_gossip_brings_are_written_together_soon() -> None:
+    setup, storage = RegistrySetup(), FakeStorage()
+    setup.registry.use_storage(storage)
+    setup.publish({X: 4})
+    setup.publish({X: 4, Y: 2})
+    setup.publish({X: 4, Y: 2})
+    assert storage.saves == 0
+    setup.clock.move(SAVE_DELAY_S)
+    assert (storage.saves, storage.stored) == (1, [[IP, [[X, 4], [Y, 2]]]])
+    setup.clock.move(5.0)
+    assert storage.saves == 1
+
+
+@pytest.mark.parametrize("stored", [None, 3, ["x"], [["a", 3, 4]], [[5, [[X, 1]]]], [["a", [["b", 1], 7]]]])
+def test_damaged_rows_of_a_storage_are_left_out(stored: Any) -> None:
+    setup = RegistrySetup()
+    setup.registry.use_storage(FakeStorage(stored))
+    assert setup.registry.departures == {}
+
+
+def test_a_storage_that_can_not_be_read_is_not_overwritten() -> None:
+    setup, storage = RegistrySetup(), FakeStorage()
+    storage.fails = True
+    setup.registry.use_storage(storage)
+    storage.fails = False
+    setup.publish({X: 4})
+    setup.clock.move(SAVE_DELAY_S)
+    assert storage.saves == 0
+    assert setup.registry.departures == {IP: {X: 4}}
+
+
+# Recording.
 
 
 class RecordingSetup:
