Keep the file of departures beside the other files of the control plane

The class is in control/store.py now, which has that import and the format of all files there. Its code and the bytes that it writes are the same.

--- a/honeywharf/control/store.py
+++ b/honeywharf/control/store.py
@@ -4,17 +4,20 @@
 the two. A checksum detects damage, and a damaged register counts as a lost disk: it is renamed to
 `register.bad`, for operators to inspect. A configuration's text is written directly under its final name; if
 the write is torn, the checksum fails and the text counts as missing. A removed file may reappear after a
-power failure, which costs only space.
+power failure, which costs only space. The departures of backends (`DepartureFile`) outlive a kill of all
+processes at once; a missing or damaged file counts as empty, as they merge in any order and other processes
+hold them too.
 
 Format. Every file begins with `hwr` and one digit, the version of the format, then a checksum (CRC-32 of the
-body, big-endian), then the body: msgpack for the register, a compressed text for a configuration. A reader
-accepts versions up to its own `FORMAT_VERSION` and ignores unknown fields. A file of a later version is never
-treated as damaged, moved or removed: the control node does not start on it.
+body, big-endian), then the body: msgpack for the register and the departures, a compressed text for a
+configuration. A reader accepts versions up to its own `FORMAT_VERSION` and ignores unknown fields. A file of a
+later version is never treated as damaged, moved or removed: the control node does not start on it.
 """
 
 from __future__ import annotations
 
 import zlib
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgpack  # type: ignore[import-untyped]
@@ -22,7 +25,7 @@
 from honeywharf.control.acceptor import AcceptorState
 
 REGISTER, REGISTER_NEW, TEXT_PREFIX = "register", "register.new", "config-"
-DEPARTURES, DEPARTURES_NEW = "departures", "departures.new"  # `programs.departure_file` writes them.
+DEPARTURES, DEPARTURES_NEW = "departures", "departures.new"
 DAMAGED_SUFFIX = ".bad"  # Damaged files are renamed with this suffix.
 MAGIC, FORMAT_VERSION = b"hwr", 1
 HEADER_BYTES = 8  # The magic, the version's digit and the checksum take 8 bytes.
@@ -177,3 +180,23 @@
         for digest in unreferenced[:-MAX_UNREFERENCED_TEXTS]:
             self.digests.remove(digest)
             self.host.remove(TEXT_PREFIX + digest)
+
+
+class DepartureFile:
+    """The departures that a control node knows. Each method raises OSError if the disk fails."""
+
+    def __init__(self, disk: Disk) -> None:
+        self.disk = disk
+
+    def load(self) -> object:
+        """Returns the rows as they were saved; None without an intact file."""
+        body = decode_file(self.disk.read(DEPARTURES))
+        try:
+            return None if body is None else msgpack.unpackb(body)
+        except (ValueError, msgpack.UnpackException):
+            return None
+
+    def save(self, rows: Sequence[object]) -> None:
+        """Replaces the file; it is synced when this returns."""
+        self.disk.write(DEPARTURES_NEW, encode_file(msgpack.packb(rows)))
+        self.disk.rename(DEPARTURES_NEW, DEPARTURES)
--- a/honeywharf/programs/control.py
+++ b/honeywharf/programs/control.py
@@ -10,12 +10,11 @@
 from honeywharf.control.mesh_state import MeshState
 from honeywharf.control.operator_api import OperatorApi
 from honeywharf.control.replica import Replica, ReplicaSettings
-from honeywharf.control.store import Store
+from honeywharf.control.store import DepartureFile, Store
 from honeywharf.drift.aggregator import DriftAggregator
 from honeywharf.gossip.membership import Membership
 from honeywharf.programs.control_handoff import ControlHandoff
 from honeywharf.programs.control_leases import ControlLeases
-from honeywharf.programs.departure_file import DepartureFile
 from honeywharf.programs.start import load_settings
 from honeywharf.sidecar.departures import DepartureRegistry
 from honeywharf.transport.host import Address, Host
--- a/tests/control/test_departure_file.py
+++ b/tests/control/test_departure_file.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 from honeywharf.control.repair import check
-from honeywharf.control.store import DEPARTURES, DEPARTURES_NEW
-from honeywharf.programs.departure_file import DepartureFile
+from honeywharf.control.store import DEPARTURES, DEPARTURES_NEW, DepartureFile
 from tests.control.test_store import machine
 
 STORED = [("10.1.0.8", [[5, 3]]), ("10.1.0.9", [[7, 1], [6, 2]])]
