--- a/honeywharf/control/store.py
+++ b/honeywharf/control/store.py
@@ -10,8 +10,8 @@
 
 Format. Every file begins with `hwr` and one digit, the version of the format, then a checksum (CRC-32 of the
 body, big-endian), then the body: msgpack for the register and the departures, a compressed text for a
-configuration. A reader accepts versions up to its own `FORMAT_VERSION` and ignores unknown fields. A file of a
-later version is never treated as damaged, moved or removed: the control node does not start on it.
+configuration. A reader accepts versions up to its own `FORMAT_VERSION` and ignores unknown fields. A file of
+a later version is never treated as damaged, moved or removed: the control node does not start on it.
 """
 
 from __future__ import annotations
