Say that a departure is recorded only if it is on disk, whoever brought it first

Cause: a control node answered "recorded" without a write if it knew the departure already. Gossip brings it 20 ms after the statement and is written up to 0.5 s later, so the call that comes behind it was answered from memory; and after a write that had failed the repeated call was. A kill of all processes then forgot a departure that a majority had confirmed (DRAIN).

Change: the registry knows whether the storage lacks anything, and answers only once it lacks nothing. A write that failed is tried again with the next departure or entry of gossip.

--- a/honeywharf/sidecar/departures.py
+++ b/honeywharf/sidecar/departures.py
@@ -91,6 +91,7 @@
         self.departures: dict[str, Departures] = {}  # by machine; the one that departed last is at the end
         self.storage: DepartureStorage | None = None  # a sidecar has none
         self.is_save_scheduled = False
+        self.has_unsaved = False  # whether the storage lacks a departure
         self.scheduled: set[str] = set()  # machines that are to be notified
         self.notifications = 0
 
@@ -109,43 +110,41 @@
         for row in stored if isinstance(stored, list) else ():
             if isinstance(row, list) and len(row) == 2 and isinstance(row[0], str):
                 self.record(row[0], unpack_departures(row[1]))
+        self.has_unsaved = False
 
     def _record_called(self, args: object, reply: Reply, peer: Address) -> None:
         """Records departures under the machine that the caller names: it may call from another address."""
         if isinstance(args, list) and len(args) == 2 and isinstance(args[0], str):
-            is_new = self.record(args[0], unpack_departures(args[1]))
-            reply(True if not is_new or self._save() else None)
+            self.record(args[0], unpack_departures(args[1]))
+            reply(self._save() or None)
         else:
             reply(None)
 
-    def record(self, node: str, departures: Departures) -> bool:
-        """Keeps the departures of a machine; returns whether one is new.
-
-        Beyond `MAX_MACHINES` the machine that departed longest ago is forgotten.
-        """
+    def record(self, node: str, departures: Departures) -> None:
+        """Keeps the departures of a machine; beyond `MAX_MACHINES` the oldest machine is forgotten."""
         if not departures:
-            return False
+            return
         known = self.departures.pop(node, {})
-        is_new = merge_departures(known, departures)
+        self.has_unsaved |= merge_departures(known, departures)
         self.departures[node] = known
         if len(self.departures) > MAX_MACHINES:
             del self.departures[next(iter(self.departures))]
-        return is_new
 
     def _save(self) -> bool:
-        """Writes the departures to the storage, if there is one; returns whether they are kept there."""
-        if self.storage is None:
+        """Writes what the storage lacks, if there is one; returns whether it lacks nothing."""
+        if self.storage is None or not self.has_unsaved:
             return True
         try:
             self.storage.save([(node, pack_departures(each)) for node, each in self.departures.items()])
         except OSError as fault:
             self.host.log(f"departures: the disk fails: {fault}")
             return False
+        self.has_unsaved = False
         return True
 
     def _save_soon(self) -> None:
         """Schedules a write for departures that gossip has brought, which nobody waits for."""
-        if self.storage is not None and not self.is_save_scheduled:
+        if self.storage is not None and self.has_unsaved and not self.is_save_scheduled:
             self.is_save_scheduled = True
             self.host.after(SAVE_DELAY_S, self._save_scheduled)
 
@@ -157,8 +156,8 @@
         """Handles a changed gossip entry of another machine; None where it was dropped."""
         if entry is None or entry.attributes is None:
             return
-        if self.record(node, unpack_departures(entry.attributes.get(ATTRIBUTE))):
-            self._save_soon()
+        self.record(node, unpack_departures(entry.attributes.get(ATTRIBUTE)))
+        self._save_soon()
         if self._missing(node):
             self._notify_later(node, 0.0)
 
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -239,6 +239,24 @@
     assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTURES_MISSED, [[X, 4]])
 
 
+def test_a_departure_that_is_known_but_not_on_disk_yet_is_not_said_to_be_recorded() -> None:
+    """Guards against DRAIN: gossip is faster than the call, and its departures are written later."""
+    setup, storage, replies = RegistrySetup(), FakeStorage(), list[object]()
+    setup.registry.use_storage(storage)
+    record = setup.registry.methods()[rpc_methods.RECORD_DEPARTURES]
+    setup.publish({X: 4})
+    record([IP, [[X, 4]]], lambda reply: replies.append((reply, storage.stored)), (IP, PORT))
+    assert replies == [(True, [[IP, [[X, 4]]]])]
+    storage.fails = True
+    for _ in range(2):
+        record([IP, [[X, 5]]], replies.append, (IP, PORT))
+    storage.fails = False
+    record([IP, [[X, 5]]], replies.append, (IP, PORT))
+    assert replies[1:] == [None, None, True]
+    setup.clock.move(SAVE_DELAY_S)
+    assert (storage.saves, storage.stored) == (2, [[IP, [[X, 5]]]])  # nothing is left to be written
+
+
 def test_departures_that_gossip_brings_are_written_together_soon() -> None:
     setup, storage = RegistrySetup(), FakeStorage()
     setup.registry.use_storage(storage)
