Bound the call-sequence in a departure, so that its machine's entry can be published

Cause: a backend's call-sequence has no bound, and a departure is published with it. A message holds 64 bits: with a higher one the sidecar's entry could not be packed ("OverflowError: Python int too large to convert to C unsigned long"), so a draining backend was not known as such anywhere else.

Change: a departure carries at most MAX_SEQUENCE, which is below a deregistration.

--- a/honeywharf/admission/departures.py
+++ b/honeywharf/admission/departures.py
@@ -16,6 +16,7 @@
 
 ATTRIBUTE = "gone"  # of a sidecar's gossip entry
 DEREGISTERED = (1 << 62) - 1  # above every `call-sequence`
+MAX_SEQUENCE = DEREGISTERED - 1  # of a departure; messages hold 64 bits, and a `call-sequence` has no bound
 MAX_DEPARTURES = 8  # of one machine; the oldest are forgotten first
 
 
--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -30,6 +30,7 @@
 from honeywharf.admission.departures import (
     ATTRIBUTE,
     DEREGISTERED,
+    MAX_SEQUENCE,
     backend_key,
     merge_departures,
     pack_departures,
@@ -106,7 +107,7 @@
         if is_contradiction:
             return True
         if draining and self.state != DRAINING:
-            self._add_departures({backend_key(instance): sequence})
+            self._add_departures({backend_key(instance): min(sequence, MAX_SEQUENCE)})
         self.is_unconfirmed = is_first and self.state == UNKNOWN
         self._set_state(DRAINING if draining else READY)
         return True
--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable
 from itertools import permutations
 from typing import Any, cast
@@ -415,6 +416,20 @@
     assert gate.state == ENDED
 
 
+def test_a_call_sequence_of_any_size_can_be_published_and_is_no_deregistration() -> None:
+    """Guards against a departure that can't be packed, so that no entry of its machine is published."""
+    gate = restarted_gate()
+    beat(gate, 1 << 70)
+    beat(gate, (1 << 70) + 1, draining=True)
+    packed = gate.gossip_attributes()[ATTRIBUTE]
+    assert packed == [[X, DEREGISTERED - 1]]
+    struct.pack(">q", DEREGISTERED)  # messages hold 64 bits
+    again = restarted_gate()
+    again.note_departures(packed)
+    again.health_answer(10.0, "i-x", True, 8, None, 9.9)
+    assert again.state == DRAINING
+
+
 def test_departures_are_published_and_told_ones_too() -> None:
     gate = restarted_gate()
     assert ATTRIBUTE not in gate.gossip_attributes()
