Tell requests to wait for a restarted sidecar's first health check, not for the end of slow start

Callers saw: where a heartbeat came before the first health check after a restart, their sidecars kept off a warm backend for 1.15 s.

Cause: while a check is due the backend counts as cold, and the gate told the wait of slow start, though the check answers within 0.2 s.

Change: as long as it is not known whether the backend is cold, the wait told is 0.2 s at most; a cold backend still gets nothing before its predecessor's requests are old.

--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -52,6 +52,7 @@
 UNKNOWN, READY, DRAINING, ENDED = range(4)
 STATES = ("unknown", "ready", "draining", "ended")
 MAX_ENDED_INSTANCES = 64  # ids of ended instances that are remembered
+HEALTH_CHECK_S = 0.2  # in which a health check is likely to tell whether the backend is cold
 INITIAL_SLOTS = 4  # in force before the backend announces its own number
 
 
@@ -241,6 +242,8 @@
             return EVACUATED, 0.0
         if self.cold_time.is_cold(now):
             wait = self.cold.wait_s(now)
+            if self.cold_time.is_unknown:
+                wait = min(wait, HEALTH_CHECK_S)
             if wait > 0:
                 return SLOW_START, wait
         return None
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -8,7 +8,7 @@
 
 from honeywharf.admission.cold_start import STARTUP_WAIT_S
 from honeywharf.admission.cold_time import COLD_MARGIN_S
-from honeywharf.sidecar.gate import DRAINING, ENDED, MAX_ENDED_INSTANCES, READY, UNKNOWN, Gate
+from honeywharf.sidecar.gate import DRAINING, ENDED, HEALTH_CHECK_S, MAX_ENDED_INSTANCES, READY, UNKNOWN, Gate
 from honeywharf.verdict import (
     DRAINING as IS_DRAINING,
     EVACUATED,
@@ -265,6 +265,16 @@
     gate = Gate(10.0, SERVICE, 1.5, 5.0)
     gate.set_slow_start(22.0)
     gate.heartbeat(10.0, "i-1", 1, False, 8, cold_s)
+    assert gate.rejection(10.0, SERVICE) == (SLOW_START, HEALTH_CHECK_S)  # a check is due
     gate.health_answer(10.0, "i-1", True, 8, cold_s, sent_at=10.0)
     assert gate.rejection(10.0, SERVICE) == (SLOW_START, 10.0 + STARTUP_WAIT_S - 10.0)
     assert gate.rejection(10.0 + STARTUP_WAIT_S, SERVICE) is None
+
+
+def test_requests_wait_for_the_first_health_check_and_not_for_the_end_of_slow_start() -> None:
+    """Guards against a warm backend that a restarted sidecar keeps idle for a second."""
+    gate = new_gate()
+    gate.heartbeat(0.0, "i-1", 1, False, 8, 0.0)
+    assert gate.rejection(0.0, SERVICE) == (SLOW_START, HEALTH_CHECK_S)
+    gate.health_answer(HEALTH_CHECK_S, "i-1", True, 8, 0.0, sent_at=0.1)
+    assert gate.rejection(HEALTH_CHECK_S, SERVICE) is None
