--- a/honeywharf/simulation/fault_schedule.py
+++ b/honeywharf/simulation/fault_schedule.py
@@ -73,6 +73,17 @@
         return f"{self.at:.1f} {self.kind} {self.how}".strip()
 
 
+def draw_occasional_fault(
+    stream: str, kinds: dict[str, tuple[str, ...]], share: float, begin: float, end: float
+) -> list[Fault]:
+    """Returns a fault of one of the kinds for a share of the random streams, which are named by text."""
+    rng = random.Random(stream)
+    if rng.random() >= share:
+        return []
+    kind = rng.choice(list(kinds))
+    return [Fault(rng.uniform(begin, end), kind, rng.choice(kinds[kind]), rng.getrandbits(32))]
+
+
 def draw_faults(seed: int, begin: float, end: float) -> list[Fault]:
     """Returns faults between two times; one of three schedules ends with a closing fault."""
     rng, faults = random.Random(seed), []
--- a/honeywharf/simulation/rare_faults.py
+++ b/honeywharf/simulation/rare_faults.py
@@ -20,9 +20,10 @@
     KINDS,
     SERIALIZED_KINDS,
     Fault,
+    draw_occasional_fault,
 )
 from honeywharf.simulation.invariants import Order
-from honeywharf.simulation.restart_faults import RESTART_KINDS, RestartFaultSchedule, draw_restart_faults
+from honeywharf.simulation.restart_faults import RESTART_FAULT_SHARE, RESTART_KINDS, RestartFaultSchedule
 
 if TYPE_CHECKING:
     from honeywharf.simulation.disk import Disk
@@ -107,20 +108,11 @@
     if rng.random() < 1 / 3:
         faults.append(Fault(end + 6.0, "closing", rng.choice(CLOSING_VARIANTS), rng.getrandbits(32)))
     if order_faults:
-        faults += _draw_order_faults(seed, begin, end)
-        faults += draw_restart_faults(seed, begin, end)
+        faults += draw_occasional_fault(f"orders {seed}", ORDER_KINDS, ORDER_FAULT_SHARE, begin, end)
+        faults += draw_occasional_fault(f"restarts {seed}", RESTART_KINDS, RESTART_FAULT_SHARE, begin, end)
     return sorted(faults, key=lambda fault: fault.at)
 
 
-def _draw_order_faults(seed: int, begin: float, end: float) -> list[Fault]:
-    """Returns a fault of `ORDER_KINDS` for one of four seeds."""
-    rng = random.Random(f"orders {seed}")
-    if rng.random() >= ORDER_FAULT_SHARE:
-        return []
-    kind = rng.choice(list(ORDER_KINDS))
-    return [Fault(rng.uniform(begin, end), kind, rng.choice(ORDER_KINDS[kind]), rng.getrandbits(32))]
-
-
 class RareFaultSchedule(RestartFaultSchedule):
     """Injects faults of every kind."""
 
--- a/honeywharf/simulation/restart_faults.py
+++ b/honeywharf/simulation/restart_faults.py
@@ -41,15 +41,6 @@
 MAX_KILL_DELAY_S, LATE_HEARTBEAT_AT_S, LATER_HEARTBEAT_AT_S, DEPARTED_S = 1.0, 4.5, 5.5, 9.0
 
 
-def draw_restart_faults(seed: int, begin: float, end: float) -> list[Fault]:
-    """Returns a fault of `RESTART_KINDS` for one of four seeds."""
-    rng = random.Random(f"restarts {seed}")
-    if rng.random() >= RESTART_FAULT_SHARE:
-        return []
-    kind = rng.choice(list(RESTART_KINDS))
-    return [Fault(rng.uniform(begin, end), kind, rng.choice(RESTART_KINDS[kind]), rng.getrandbits(32))]
-
-
 class RestartFaultSchedule(FaultSchedule):
     """Injects these faults beside those of `FaultSchedule`."""
 
