Name the warm-up of a backend as the glossary does, and wrap the gate's page of reasons

What a gate knows of its backend's cold time had the name that the glossary replaces ("cold": warming up). admission/cold_time.py is admission/warmup.py, ColdTime is Warmup. Names and comments only; tests of sidecar, admission, restart faults and layers pass.

--- a/honeywharf/sidecar/gate.py
+++ b/honeywharf/sidecar/gate.py
@@ -9,24 +9,23 @@
     DRAINING  it shuts down: no further request from the moment at which its heartbeat is acknowledged
     ENDED     it has deregistered
 
-An instance that has ended never returns: late heartbeats of it change nothing. `departures` outlive this
-process at others (`departures`), as its memory does not: they tell a statement that came before the departure
-from one that came after. What a restarted process hears first may be wrong, whoever says it: where the first
-heartbeat and a health answer (503) contradict each other, whichever comes first, the backend is ready from
-the next heartbeat or good health answer on. An instance that was displaced by a heartbeat
-of an unknown one, which may have been a late one, returns when a health answer names it.
+An instance that has ended never returns: late heartbeats of it change nothing. Departures outlive this
+process at others, as its memory does not (`sidecar.departures`): they tell what a backend said before it
+departed from what it said later. What a restarted process hears first may be wrong, whoever says it: where
+the first heartbeat and a health answer (503) contradict each other, whichever comes first, the backend is
+ready from the next heartbeat or good health answer on. An instance that was displaced by a heartbeat of an
+unknown one, which may have been a late one, returns when a health answer names it.
 
-While the backend is cold, or may be, slow start bounds its requests (`admission.cold_time`).
+While the backend warms up, or may do so, slow start bounds its requests (`admission.warmup`).
 
-Source: RULES (DRAIN, ROUTE, EVAC, FAILBACK), PROTOCOL ("Backends", "Which backends there are"). Times are in
-seconds on the steady clock.
+Source: RULES (DRAIN, ROUTE, EVAC, FAILBACK), PROTOCOL ("Backends", "Which backends there are"). Times are
+in seconds on the steady clock.
 """
 
 from __future__ import annotations
 
 from honeywharf.admission.admission_queue import Admission
 from honeywharf.admission.cold_start import ColdBound
-from honeywharf.admission.cold_time import ColdTime
 from honeywharf.admission.departures import (
     ATTRIBUTE,
     DEREGISTERED,
@@ -36,6 +35,7 @@
     pack_departures,
     unpack_departures,
 )
+from honeywharf.admission.warmup import Warmup
 from honeywharf.verdict import (
     DRAINING as IS_DRAINING,
     EVACUATED,
@@ -74,7 +74,7 @@
         self.cold = ColdBound(
             now, float("inf") if cold_slack == float("inf") else 0.0, cold_overage, cold_slack, fresh=True
         )
-        self.cold_time = ColdTime()
+        self.warmup = Warmup()
         self.evacuated = False
         self.last_report_at = 0.0  # when the last heartbeat or health answer came; 0 before the first
         self.changes = 0
@@ -104,7 +104,7 @@
         self.sequence, self.last_report_at = sequence, now
         if slots > 0:
             self.admission.slots = slots
-        self.cold_time.heartbeat(now, cold_s)
+        self.warmup.heartbeat(now, cold_s)
         if is_contradiction:
             return True
         if draining and self.state != DRAINING:
@@ -132,7 +132,7 @@
         self.last_report_at, self.is_denied = now, not is_healthy
         if slots > 0:
             self.admission.slots = slots
-        self.cold_time.health_answer(now, cold_s or 0.0, sent_at)
+        self.warmup.health_answer(now, cold_s or 0.0, sent_at)
         if self.state == UNKNOWN and is_healthy:
             self._set_state(READY)
         elif self.state == READY and self.is_unconfirmed and not is_healthy:
@@ -184,14 +184,14 @@
     def backend_missing(self) -> None:
         """Notes that no backend, or another one than expected, was found: which one is there is not known."""
         if self.state != UNKNOWN:
-            self.cold_time.instance_missing()
+            self.warmup.instance_missing()
         if self.state == READY:
             self._set_state(UNKNOWN)
 
     def set_evacuated(self, now: float, on: bool) -> None:
         """Notes that the zone is evacuated, or that its evacuation has ended."""
         if self.evacuated and not on:
-            self.cold_time.evacuation_ended(now)
+            self.warmup.evacuation_ended(now)
         if self.evacuated != on:
             self.evacuated = on
             self.changes += 1
@@ -209,7 +209,7 @@
             self._mark_ended(self.instance)
         self.is_denied = self.is_unconfirmed = False
         self.instance, self.sequence = instance, -1
-        self.cold_time.instance_changed()
+        self.warmup.instance_changed()
         self.state = UNKNOWN
         self.changes += 1
 
@@ -240,9 +240,9 @@
             return (NO_BACKEND if self.last_report_at else NOT_READY), 0.0
         if self.evacuated:
             return EVACUATED, 0.0
-        if self.cold_time.is_cold(now):
+        if self.warmup.is_warming_up(now):
             wait = self.cold.wait_s(now)
-            if self.cold_time.is_unknown:
+            if self.warmup.is_unknown:
                 wait = min(wait, HEALTH_CHECK_S)
             if wait > 0:
                 return SLOW_START, wait
--- a/honeywharf/sidecar/inbound.py
+++ b/honeywharf/sidecar/inbound.py
@@ -455,7 +455,7 @@
         """Takes the answer's head."""
         self.head = answer
         if answer.cold_s is not None:
-            self.gate.cold_time.answer(self.inbound.host.now(), answer.cold_s)
+            self.gate.warmup.answer(self.inbound.host.now(), answer.cold_s)
         if answer.load:
             self.inbound.update_slots(answer.load)
 
--- a/honeywharf/sidecar/probe.py
+++ b/honeywharf/sidecar/probe.py
@@ -44,7 +44,7 @@
         """Whether the gate lacks the state that a health check returns."""
         gate = self.gate
         return self.path is not None and (
-            gate.state == UNKNOWN or (gate.cold_time.is_unknown and gate.state == READY)
+            gate.state == UNKNOWN or (gate.warmup.is_unknown and gate.state == READY)
         )
 
     def schedule(self) -> None:
@@ -84,7 +84,7 @@
     def _check_failed(self) -> None:
         self.failed_in_a_row += 1
         if self.failed_in_a_row >= MAX_FAILED_CHECKS:
-            self.gate.cold_time.checks_failed()
+            self.gate.warmup.checks_failed()
 
 
 class _HealthCheck:
--- a/tests/sidecar/fixtures.py
+++ b/tests/sidecar/fixtures.py
@@ -575,7 +575,7 @@
 def make_inbound(host: Process, slots: int = 4, connections: int = 20) -> Inbound:
     """Returns the inbound side of a machine: a gate whose backend is ready, and connections to it."""
     gate = Gate(host.now(), SERVICE, 1.5, 5.0)
-    gate.cold_time.needs_check = False  # as after a first health check
+    gate.warmup.needs_check = False  # as after a first health check
     gate.set_slow_start(22.0)
     gate.heartbeat(host.now(), INSTANCE, 1, False, slots, 0.0)
     pool = BackendConnectionPool(host, (host.machine.ip, APPLICATION), lambda: None)
--- a/tests/sidecar/order_model.py
+++ b/tests/sidecar/order_model.py
@@ -178,7 +178,7 @@
         own, ip = settings(host.machine.ip), host.machine.ip
         self.host, self.deployment = host, deployment
         self.gate = Gate(host.now(), SERVICE, 1.5, 5.0)
-        self.gate.cold_time.needs_check = False  # as after a first health check
+        self.gate.warmup.needs_check = False  # as after a first health check
         self.gate.set_slow_start(22.0)
         pool = BackendConnectionPool(host, (ip, APPLICATION), lambda: None)
         lifetime = Lifetime()
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -7,7 +7,7 @@
 import pytest
 
 from honeywharf.admission.cold_start import STARTUP_WAIT_S
-from honeywharf.admission.cold_time import COLD_MARGIN_S
+from honeywharf.admission.warmup import WARMUP_MARGIN_S
 from honeywharf.sidecar.gate import DRAINING, ENDED, HEALTH_CHECK_S, MAX_ENDED_INSTANCES, READY, UNKNOWN, Gate
 from honeywharf.verdict import (
     DRAINING as IS_DRAINING,
@@ -42,7 +42,7 @@
 def gate_of_order_desk() -> Gate:
     """Returns the gate of a process whose first health check is over."""
     gate = new_gate()
-    gate.cold_time.needs_check = False
+    gate.warmup.needs_check = False
     return gate
 
 
@@ -109,7 +109,7 @@
     assert gate.state == after
     assert (gate.changes > changes) == ((gate.state, gate.instance) != (state, instance_before))
     assert (gate.rejection(20.0, SERVICE) is None) == (
-        after == READY and (not gate.cold_time.is_unknown or "new instance" in event)
+        after == READY and (not gate.warmup.is_unknown or "new instance" in event)
     )
 
 
@@ -168,19 +168,19 @@
     assert rejection_with_wait is not None
     assert rejection_with_wait[0] == SLOW_START
     assert rejection_with_wait[1] == pytest.approx(0.65)
-    assert gate.rejection(10.0 + 3.0 + COLD_MARGIN_S, SERVICE) is None
-    assert send_until_rejected(gate, 10.0 + 3.0 + COLD_MARGIN_S) == 500
+    assert gate.rejection(10.0 + 3.0 + WARMUP_MARGIN_S, SERVICE) is None
+    assert send_until_rejected(gate, 10.0 + 3.0 + WARMUP_MARGIN_S) == 500
 
 
 def test_a_backend_is_taken_for_cold_until_it_tells_after_a_restart_or_a_new_instance() -> None:
     gate = gate_of_order_desk()
-    assert gate.cold_time.is_cold(50.0)
+    assert gate.warmup.is_warming_up(50.0)
     send_health_answer()(gate)
-    assert not gate.cold_time.is_cold(50.0)
+    assert not gate.warmup.is_warming_up(50.0)
     gate.backend_missing()
-    assert gate.cold_time.is_cold(50.0)
+    assert gate.warmup.is_warming_up(50.0)
     send_heartbeat()(gate)
-    assert not gate.cold_time.is_cold(50.0)
+    assert not gate.warmup.is_warming_up(50.0)
 
 
 def test_after_an_evacuation_only_later_heartbeats_and_health_checks_count() -> None:
@@ -188,22 +188,22 @@
     send_heartbeat()(gate)
     gate.set_evacuated(11.0, on=True)
     gate.set_evacuated(12.0, on=False)
-    assert gate.cold_time.is_cold(50.0)
+    assert gate.warmup.is_warming_up(50.0)
     assert gate.state == READY
     gate.health_answer(12.1, "i-1", True, 8, 0.0, sent_at=11.9)
-    assert gate.cold_time.is_cold(50.0)
+    assert gate.warmup.is_warming_up(50.0)
     gate.health_answer(12.2, "i-1", True, 8, 2.0, sent_at=12.05)
-    assert gate.cold_time.is_cold(12.2 + 2.0)
-    assert not gate.cold_time.is_cold(12.2 + 2.0 + COLD_MARGIN_S)
+    assert gate.warmup.is_warming_up(12.2 + 2.0)
+    assert not gate.warmup.is_warming_up(12.2 + 2.0 + WARMUP_MARGIN_S)
     gate.heartbeat(12.3, "i-1", 3, False, 8, 0.0)  # of before the evacuation, like all that follow
-    assert gate.cold_time.is_cold(12.2 + 2.0)
+    assert gate.warmup.is_warming_up(12.2 + 2.0)
     gate.set_evacuated(60.0, on=True)
     gate.set_evacuated(61.0, on=False)
-    assert gate.cold_time.is_cold(70.0)
+    assert gate.warmup.is_warming_up(70.0)
     gate.heartbeat(61.5, "i-1", 4, False, 8, 0.0)
-    assert gate.cold_time.is_cold(70.0)
+    assert gate.warmup.is_warming_up(70.0)
     gate.health_answer(62.0, "i-1", True, 8, None, sent_at=61.9)
-    assert not gate.cold_time.is_cold(70.0)
+    assert not gate.warmup.is_warming_up(70.0)
 
 
 def test_a_late_heartbeat_does_not_make_a_cold_backend_warm_after_a_start() -> None:
@@ -211,34 +211,34 @@
     gate = new_gate()
     send_heartbeat()(gate)
     assert gate.state == READY
-    assert gate.cold_time.is_cold(50.0)
+    assert gate.warmup.is_warming_up(50.0)
     gate.heartbeat(10.1, "i-1", 3, False, 8, 2.0)
-    assert gate.cold_time.until == 10.1 + 2.0 + COLD_MARGIN_S
+    assert gate.warmup.until == 10.1 + 2.0 + WARMUP_MARGIN_S
     gate.health_answer(10.2, "i-1", True, 8, 2.5, sent_at=10.15)
     gate.heartbeat(10.3, "i-1", 4, False, 8, 0.0)
     gate.heartbeat(10.4, "i-1", 5, False, 8, 1.0)
-    assert gate.cold_time.is_cold(10.2 + 2.5)
-    assert not gate.cold_time.is_cold(10.2 + 2.5 + COLD_MARGIN_S)
+    assert gate.warmup.is_warming_up(10.2 + 2.5)
+    assert not gate.warmup.is_warming_up(10.2 + 2.5 + WARMUP_MARGIN_S)
     gate.heartbeat(20.0, "i-1", 6, False, 8, 3.0)  # it has become cold once more
-    assert gate.cold_time.is_cold(23.0)
+    assert gate.warmup.is_warming_up(23.0)
 
 
 def test_without_answers_to_health_checks_heartbeats_have_to_do() -> None:
     gate = new_gate()
-    gate.cold_time.checks_failed()
+    gate.warmup.checks_failed()
     send_heartbeat()(gate)
-    assert not gate.cold_time.is_cold(50.0)
+    assert not gate.warmup.is_warming_up(50.0)
     gate.set_evacuated(60.0, on=True)
     gate.set_evacuated(61.0, on=False)
     gate.heartbeat(61.5, "i-1", 3, False, 8, 0.0)
-    assert gate.cold_time.is_cold(70.0)  # checks are due anew
+    assert gate.warmup.is_warming_up(70.0)  # checks are due anew
 
 
 def test_the_cold_time_of_an_instance_does_not_bind_the_next_one() -> None:
     gate = gate_of_order_desk()
     send_heartbeat(cold_s=30.0)(gate)
     send_heartbeat("i-2")(gate)
-    assert not gate.cold_time.is_cold(10.0)
+    assert not gate.warmup.is_warming_up(10.0)
 
 
 def test_ending_an_evacuation_that_was_not_in_force_changes_nothing() -> None:
@@ -246,7 +246,7 @@
     send_heartbeat()(gate)
     changes = gate.changes
     gate.set_evacuated(11.0, on=False)
-    assert (gate.changes, gate.cold_time.is_unknown) == (changes, False)
+    assert (gate.changes, gate.warmup.is_unknown) == (changes, False)
 
 
 def test_gossip_attributes_and_load() -> None:
--- a/tests/sidecar/test_heartbeat_api.py
+++ b/tests/sidecar/test_heartbeat_api.py
@@ -98,12 +98,12 @@
 
 def test_a_heartbeat_sets_state_slots_and_cold_time() -> None:
     setup = GateSetup()
-    setup.gate.cold_time.needs_check = False  # as after a first health check
+    setup.gate.warmup.needs_check = False  # as after a first health check
     assert setup.send_heartbeat(cold_remaining="2.5s") == 200
     gate = setup.gate
     assert (gate.state, gate.instance, gate.admission.slots, gate.sequence) == (READY, INSTANCE, 12, 4)
-    assert gate.cold_time.is_cold(setup.sidecar.now() + 2.4)
-    assert not gate.cold_time.is_cold(setup.sidecar.now() + 3.0)
+    assert gate.warmup.is_warming_up(setup.sidecar.now() + 2.4)
+    assert not gate.warmup.is_warming_up(setup.sidecar.now() + 3.0)
     assert setup.gate_changes == 1
 
 
@@ -260,7 +260,7 @@
     assert setup.backend.requests[0].line == b"GET /health HTTP/1.1"
     assert (setup.gate.state, setup.gate.instance, setup.gate.admission.slots) == (READY, INSTANCE, 9)
     assert setup.backend.open == 0
-    assert setup.gate.cold_time.until > 0
+    assert setup.gate.warmup.until > 0
 
 
 def test_after_a_heartbeat_in_time_one_health_check_asks_for_the_cold_time() -> None:
@@ -276,9 +276,9 @@
     assert setup.backend.requests == []
     setup.run(1.0)
     assert len(setup.backend.requests) == 1
-    assert setup.gate.cold_time.is_cold(setup.sidecar.now())
+    assert setup.gate.warmup.is_warming_up(setup.sidecar.now())
     setup.run(5.0)
-    assert not setup.gate.cold_time.is_cold(setup.sidecar.now())
+    assert not setup.gate.warmup.is_warming_up(setup.sidecar.now())
     assert probed(setup, 5.0) == 0
 
 
@@ -313,12 +313,12 @@
     setup.probe.schedule()
     setup.run(0.5)
     assert setup.gate.state == READY
-    assert setup.gate.cold_time.is_unknown
+    assert setup.gate.warmup.is_unknown
     setup.send_heartbeat(5)
-    assert setup.gate.cold_time.is_unknown
+    assert setup.gate.warmup.is_unknown
     setup.run(MAX_FAILED_CHECKS * (MAX_RETRY_DELAY_S + TIMEOUT_S))
     setup.send_heartbeat(6)
-    assert not setup.gate.cold_time.is_unknown
+    assert not setup.gate.warmup.is_unknown
     assert not setup.gate.is_denied
 
 
@@ -364,8 +364,8 @@
     setup.gate.set_evacuated(now + 0.001, on=False)
     setup.run(0.002)
     assert probed(setup, 1.0) == 1
-    assert not setup.gate.cold_time.is_unknown
-    assert setup.gate.cold_time.is_cold(setup.sidecar.now())
+    assert not setup.gate.warmup.is_unknown
+    assert setup.gate.warmup.is_warming_up(setup.sidecar.now())
 
 
 def test_a_health_answer_does_not_undo_draining() -> None:
--- a/tests/sidecar/test_inbound.py
+++ b/tests/sidecar/test_inbound.py
@@ -342,7 +342,7 @@
     setup.run()
     assert responder.events == [("fail", NOT_RUN, REJECTED_BY_BACKEND, True)]
     assert (setup.gate.state == NOT_KNOWN) == (status == 421)
-    assert setup.gate.cold_time.is_unknown == (status == 421)
+    assert setup.gate.warmup.is_unknown == (status == 421)
     idle(setup)
 
 
@@ -447,7 +447,7 @@
     setup.run()
     assert responder.events == [("fail", NOT_RUN, NO_BACKEND, False)]
     assert setup.gate.state == NOT_KNOWN
-    assert setup.gate.cold_time.is_unknown
+    assert setup.gate.warmup.is_unknown
     assert setup.gate.admission.running == 0
 
 
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -14,7 +14,7 @@
 
 from honeywharf.admission.admission_queue import Admission
 from honeywharf.admission.cold_start import ColdBound
-from honeywharf.admission.cold_time import ColdTime
+from honeywharf.admission.warmup import Warmup
 from honeywharf.control import mesh_state
 from honeywharf.control.acceptor import Acceptor
 from honeywharf.control.messages import NO_PROPOSAL
@@ -327,11 +327,11 @@
 
 
 def cold_bound_off(put: Patch) -> None:
-    put(ColdTime, "is_cold", lambda self, now: False)
+    put(Warmup, "is_warming_up", lambda self, now: False)
 
 
 def cold_is_not_told(put: Patch) -> None:
-    put(ColdTime, "_set", lambda self, now, cold_s: setattr(self, "is_unknown", False))
+    put(Warmup, "_set", lambda self, now, cold_s: setattr(self, "is_unknown", False))
 
 
 def new_process_knows_no_cold(put: Patch) -> None:
@@ -339,11 +339,11 @@
 
     def life(self: Gate, now: float, instance: str) -> None:
         was(self, now, instance)
-        self.cold_time.is_unknown = False
+        self.warmup.is_unknown = False
 
     was = Gate._set_instance
     put(Gate, "_set_instance", life)
-    put(ColdTime, "_set", lambda self, now, cold_s: None)
+    put(Warmup, "_set", lambda self, now, cold_s: None)
 
 
 def cold_bound_by_slices(put: Patch) -> None:
--- a/tests/simulation/test_restart_faults.py
+++ b/tests/simulation/test_restart_faults.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from honeywharf.admission.cold_time import ColdTime
+from honeywharf.admission.warmup import Warmup
 from honeywharf.sidecar.departures import DepartureRegistry
 from honeywharf.sidecar.gate import Gate
 from honeywharf.sidecar.lifetime import Lifetime
@@ -66,7 +66,7 @@
 def test_a_sidecar_that_believes_each_cold_time_is_found_out(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(ColdTime, "heartbeat", ColdTime._set)
+    monkeypatch.setattr(Warmup, "heartbeat", Warmup._set)
     assert broken_rules(Fault(10.0, "late_cold_time", how, 0)) == {"FAILBACK"}
 
 
