Test eight lines of the change that no test failed without

Each of 45 lines of this change was taken out or altered on a scratch copy (a trial), and the tests beside it were run. Eight of the first 41 went unnoticed: a machine told for ever what it must forget, what is read from disk written again, an ended instance that a late departure makes draining, a deregistered instance that displaces the present one, the bound of displaced ones, checks that do not fail in a row, the order of departures that are stated again, and a file that is overwritten in place.

--- a/tests/sidecar/test_departures.py
+++ b/tests/sidecar/test_departures.py
@@ -67,6 +67,15 @@
     assert list(known) == list(range(2 * MAX_DEPARTURES, 3 * MAX_DEPARTURES))
 
 
+def test_a_departure_that_was_stated_again_is_not_the_oldest_any_more() -> None:
+    known = {X: 3}
+    merge_departures(known, dict.fromkeys(range(MAX_DEPARTURES - 1), 1))
+    merge_departures(known, {X: DEREGISTERED})
+    merge_departures(known, dict.fromkeys(range(MAX_DEPARTURES, 2 * MAX_DEPARTURES - 1), 1))
+    assert known[X] == DEREGISTERED
+    assert len(known) == MAX_DEPARTURES
+
+
 @pytest.mark.parametrize(
     "value", [None, 7, "x", {}, [7], [[1]], [[1, "2"]], [[True, 2]], [[1, 2, 3]], [None]]
 )
@@ -164,6 +173,17 @@
     assert not setup.registry.scheduled
 
 
+def test_a_machine_with_as_many_departures_as_it_keeps_is_not_told_another_one() -> None:
+    """Guards against processes that tell a machine for ever what it has to forget for newer ones."""
+    setup = RegistrySetup()
+    setup.publish(dict.fromkeys(range(MAX_DEPARTURES - 1), 1))
+    setup.registry.record(IP, {X: 5})
+    setup.publish(dict.fromkeys(range(MAX_DEPARTURES), 1))
+    assert X in setup.registry.departures[IP]
+    setup.clock.move(2.0)
+    assert setup.caller.calls == []
+
+
 def test_a_machine_that_has_forgotten_the_oldest_is_not_told_them() -> None:
     setup = RegistrySetup()
     setup.publish({X: 4})
@@ -232,10 +252,11 @@
     storage.fails = True
     record([IP, [[X, 5]]], replies.append, (IP, PORT))
     assert replies[1:] == [True, None]
-    restarted = RegistrySetup()
-    restarted.registry.use_storage(FakeStorage(storage.stored))
+    restarted, kept = RegistrySetup(), FakeStorage(storage.stored)
+    restarted.registry.use_storage(kept)
     restarted.publish()
-    restarted.clock.move(MAX_NOTIFY_DELAY_S)
+    restarted.clock.move(MAX_NOTIFY_DELAY_S + SAVE_DELAY_S)
+    assert kept.saves == 0  # what was read is not written again
     ((to, method, args, _),) = restarted.caller.calls
     assert (to, method, args) == ((IP, PORT), rpc_methods.DEPARTURES_MISSED, [[X, 4]])
 
@@ -416,6 +437,27 @@
     assert gate.state == ENDED
 
 
+def test_a_displaced_instance_that_has_deregistered_since_does_not_displace_the_present_one() -> None:
+    gate = restarted_gate()
+    beat(gate, 5, "i-x")
+    beat(gate, 1, "i-y")
+    gate.deregister("i-x")
+    gate.backend_missing()
+    gate.health_answer(10.0, "i-x", True, 8, None, 9.9)  # a false one: it has ended
+    assert gate.instance == "i-y"
+    assert beat(gate, 2, "i-y")
+    assert gate.state == READY
+
+
+def test_an_ended_instance_stays_ended_when_its_older_departure_is_told_late() -> None:
+    gate = restarted_gate()
+    beat(gate, 5)
+    gate.deregister("i-x")
+    gate.note_departures([[key, 1] for key in range(MAX_DEPARTURES)])
+    gate.note_departures([[X, 6]])
+    assert gate.state == ENDED
+
+
 def test_a_call_sequence_of_any_size_can_be_published_and_is_no_deregistration() -> None:
     """Guards against a departure that can't be packed, so that no entry of its machine is published."""
     gate = restarted_gate()
--- a/tests/sidecar/test_gate.py
+++ b/tests/sidecar/test_gate.py
@@ -130,6 +130,7 @@
     for n in range(3 * MAX_ENDED_INSTANCES):
         send_heartbeat(f"i-{n}", 1)(gate)
     assert len(gate.ended_instances) == MAX_ENDED_INSTANCES
+    assert gate.displaced.keys() <= gate.ended_instances.keys()
     assert send_heartbeat(f"i-{2 * MAX_ENDED_INSTANCES + 2}", 99)(gate) is False
 
 
--- a/tests/sidecar/test_heartbeat_api.py
+++ b/tests/sidecar/test_heartbeat_api.py
@@ -368,6 +368,23 @@
     assert setup.gate.warmup.is_warming_up(setup.sidecar.now())
 
 
+def test_only_checks_that_fail_in_a_row_leave_the_cold_time_to_heartbeats() -> None:
+    setup = GateSetup()
+
+    def fail_checks() -> None:
+        for _ in range(MAX_FAILED_CHECKS - 1):
+            setup.probe.answered(None, setup.sidecar.now())
+
+    setup.backend.serve = healthy
+    fail_checks()
+    assert probed(setup, 5.0) == 1
+    setup.gate.set_evacuated(setup.sidecar.now(), on=True)
+    setup.gate.set_evacuated(setup.sidecar.now(), on=False)
+    fail_checks()
+    setup.send_heartbeat()
+    assert setup.gate.warmup.is_unknown
+
+
 def test_a_health_answer_does_not_undo_draining() -> None:
     setup = GateSetup()
     setup.backend.serve = healthy
