Log and count what becomes of each admission, where it is requested and decided

Change: AdmissionLog counts each attempt by outcome (no lease, text missing, superseded, no place, not committed, ...) in /api/duties and `honeywharf mesh duties`, and logs a joiner's outcome when it changes; the joiner logs its first request and its vote with the seconds since its start; the lease logs its grantors' reasons. No behaviour changes.

--- a/honeywharf/cli/mesh.py
+++ b/honeywharf/cli/mesh.py
@@ -217,8 +217,9 @@
     yield f"{view['node']}: roster {view['roster']}{waits}"
     for kind, scope, slot, holder, number, remaining_s in view["votes"]:
         yield f"vote {kind} {scope or 'all'} {slot}: {holder}, number {number}, {remaining_s:.2f} s left"
-    for name in ("refused", "upkeep", "hinted_handoff"):
-        yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(view[name].items())) or "none")
+    for name in ("refused", "upkeep", "admissions", "hinted_handoff"):
+        counters = view.get(name, {})  # A control node of an older build has no `admissions`.
+        yield f"{name} " + (" ".join(f"{key}={int(n)}" for key, n in sorted(counters.items())) or "none")
 
 
 @cappa.command(
--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -9,6 +9,7 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
+from honeywharf.control.admission_log import AdmissionLog, AdmissionOutcome
 from honeywharf.control.contacts import SUSPECT_AFTER_S, UNREACHABLE_AFTER_S
 from honeywharf.control.member_removal import CHANGE_TIMEOUT_S
 from honeywharf.control.mesh_state import Member, MemberId, member_ids
@@ -25,6 +26,14 @@
     from honeywharf.transport.rpc_client import RpcClient
     from honeywharf.transport.rpc_server import Method, Reply
 
+OUTCOMES = {
+    mesh_state.Admission.MEMBER: AdmissionOutcome.ADMITTED,
+    mesh_state.Admission.STANDBY: AdmissionOutcome.NO_PLACE,
+    mesh_state.Admission.BEHIND: AdmissionOutcome.TEXT_MISSING,
+    mesh_state.Admission.FULL: AdmissionOutcome.FULL,
+    mesh_state.Admission.CHANGED: AdmissionOutcome.SUPERSEDED,
+    mesh_state.Admission.NO_LEASE: AdmissionOutcome.NO_LEASE,
+}
 # The probability that a joiner that knows the membership requests it again, at each heartbeat.
 REFRESH_PROBABILITY = 0.2
 
@@ -73,6 +82,7 @@
     ) -> None:
         self.host, self.caller, self.voter, self.changes = host, caller, voter, changes
         self.contacts, self.removal, self.rng = contacts, removal, rng
+        self.log = AdmissionLog(host)
         self.zone, self.is_initial_start = "", False
         self.other_addresses: Callable[[], list[str]] = list
         self.text_digest: Callable[[], str] = str
@@ -97,6 +107,7 @@
         if not self.voter.state.epoch or self.rng.random() < REFRESH_PROBABILITY:
             self.request_decided_membership(peer)
         if self.voter.state.epoch:
+            self.log.requested()
             member_id = self.voter.member_id
             request = AdmissionRequest(*member_id, self.zone, self.is_initial_start, self.text_digest())
             self.caller.call(
@@ -139,11 +150,13 @@
 
     def _may_be_admitted(self, request: AdmissionRequest) -> bool:
         joiner = request.joiner
-        return (
-            self.voter.is_member()
-            and joiner.id not in member_ids(self.voter.state.members)
-            and (self._enlarges(joiner) or not self._should_retry_soon(joiner.address))
-        )
+        if not self.voter.is_member() or joiner.id in member_ids(self.voter.state.members):
+            self.log.decided(joiner.address, AdmissionOutcome.NOT_DECIDED_HERE)
+            return False
+        if not self._enlarges(joiner) and self._should_retry_soon(joiner.address):
+            self.log.decided(joiner.address, AdmissionOutcome.MAY_BE_REACHABLE)
+            return False
+        return True
 
     def _enlarges(self, joiner: Member) -> bool:
         """Returns whether a joiner is added to the members, as one of the first start."""
@@ -168,7 +181,10 @@
 
     def _joiner_answered(self, admission: _PendingAdmission, epoch: int, packed: Any) -> None:
         request = admission.request
-        if self._is_confirmed(request, packed) and self._may_be_admitted(request):
+        if not self._is_confirmed(request, packed):
+            self.log.decided(request.address, AdmissionOutcome.UNCONFIRMED)
+            admission.answer()
+        elif self._may_be_admitted(request):
             self._submit_admission(admission, epoch)
         else:
             admission.answer()
@@ -196,10 +212,12 @@
         elif unreachable:
             self.removal.submit_under_lease(change, epoch, done)  # It replaces an unreachable member.
         else:
+            self.log.decided(joiner.address, AdmissionOutcome.NO_PLACE)
             admission.answer()  # The joiner stays a standby.
 
     def _admission_done(self, admission: _PendingAdmission, outcome: Any) -> None:
         """Answers the joiner, or starts again if the membership has changed meanwhile."""
+        self.log.decided(admission.request.address, OUTCOMES.get(outcome, AdmissionOutcome.NOT_COMMITTED))
         if outcome is mesh_state.Admission.CHANGED and self.host.now() < admission.deadline:
             self._confirm_joiner(admission)
         else:
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -75,14 +75,14 @@
     def submit_under_lease(self, change: Change, epoch: int, done: Callable[[Any], None]) -> None:
         """Submits a change of the membership of `epoch` under the lease.
 
-        `done` gets the change's answer; None without the lease, when nothing changes and the caller tries
-        again.
+        `done` gets the change's answer; `Admission.NO_LEASE` without the lease, when nothing changes and the
+        caller tries again; None if no majority accepted the change in time.
         """
         self.lease.begin(partial(self._submit, change, epoch, done))
 
     def _submit(self, change: Change, epoch: int, done: Callable[[Any], None], granted: bool) -> None:
         if not granted:
-            done(None)
+            done(mesh_state.Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
         self.changes.submit(fenced, CHANGE_TIMEOUT_S - CALL_TIMEOUT_S, partial(self._finished, done))
--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -112,6 +112,7 @@
         members = member_ids(self.voter.state.members)
         is_member = self.voter.is_member()
         if is_member:
+            self.joining.log.joined()
             # A member that is replaced later does not enlarge the membership when it returns.
             self.joining.is_initial_start = False
         elif not self.is_leaving:
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -247,6 +247,7 @@
     BEHIND = "behind"  # The joiner does not have the newest configuration's text yet.
     FULL = "full"  # The membership has its maximum size.
     CHANGED = "changed"  # The membership has changed since the change was requested.
+    NO_LEASE = "no lease"  # The change was not submitted: the lease was refused.
 
 
 def enlarges(members: Membership, joiner: Member) -> bool:
--- a/honeywharf/lease/acquisition.py
+++ b/honeywharf/lease/acquisition.py
@@ -54,6 +54,7 @@
         self.done: Callable[[bool], None] | None = None  # Set while the acquisition is pending.
         self.is_granted = False
         self.rounds = 0
+        self.rejections: set[str] = set()  # The grantors' rejecting answers.
         self.deadline = 0.0
         self.timer: Timer | None = None
 
@@ -129,6 +130,7 @@
             lease.timed_out(round_number, member)
         else:
             lease.received(now, round_number, member, answer[0], answer[1])
+            self.rejections |= lease.rejections
         if self.done is None or lease is not self.leases[-1] or round_number != lease.round:
             return
         if lease.holds(now):
--- a/honeywharf/programs/control_leases.py
+++ b/honeywharf/programs/control_leases.py
@@ -33,6 +33,7 @@
         self.grantor = Grantor(self.host.now(), self.slots)
         self.holder = f"{self.replica.local_address}/{self.host.random(HOLDER_ID_BYTES).hex()}"
         self.acquisition: LeaseAcquisition | None = None
+        self.last_refusal = ""  # The reasons of the last refusal since a lease was granted, for the log.
         self.outcomes = {"granted": 0, "refused": 0, "lost": 0}  # Outcomes of this node's own acquisitions.
         self.replica.membership.removal.lease = self
         self.replica.methods[rpc_methods.LEASE_REQUEST] = self._answer_request
@@ -112,10 +113,20 @@
             number = self.acquisition.numbers()[0]
             # docs/operators/duties.md documents this line.
             self.host.log(f"duties: upkeep of the roster is ours, number {number}")
+            self.last_refusal = ""
         else:
+            self._log_refusal()
             self.acquisition = None
         done(granted)
 
+    def _log_refusal(self) -> None:
+        """Logs why the lease was refused, unless the last refusal had the same reasons."""
+        rejections = self.acquisition.rejections if self.acquisition is not None else set()
+        reason = ", ".join(sorted(rejections)) or "no majority answered"
+        if reason != self.last_refusal:
+            self.last_refusal = reason
+            self.host.log(f"duties: upkeep of the roster is refused: {reason}")
+
     def _lease_lost(self) -> None:
         self.outcomes["lost"] += 1
 
@@ -142,6 +153,7 @@
             "refused": self.grantor.rejections,
             "waits": waiting,
             "upkeep": {**self.outcomes, "held": self.holds()},
+            "admissions": dict(self.replica.membership.joining.log.outcomes),
             "hinted_handoff": self.program.hinted_handoff.view(),
         }
 
--- a/tests/mesh_config/test_command.py
+++ b/tests/mesh_config/test_command.py
@@ -196,6 +196,7 @@
         "votes": [["aside", "tartu-saal", 0, "10.1.0.9/ab", 17, 1.25]],
         "hinted_handoff": {"missing": 1},
         "upkeep": {"granted": 1, "held": False},
+        "admissions": {"admitted": 1, "no-lease": 3},
     }
     with control_node([(200, json.dumps(view).encode(), "")]) as (at, requests):
         assert mesh.main(["duties", at]) == 0
@@ -205,6 +206,7 @@
         "vote aside tartu-saal 0: 10.1.0.9/ab, number 17, 1.25 s left",
         "refused held=2",
         "upkeep granted=1 held=0",
+        "admissions admitted=1 no-lease=3",
         "hinted_handoff missing=1",
     ]
     with control_node([(404, b"", "")]) as (at, _):
