Begin the term of grantors with the change of the membership, not with the next request

Cause: Grantor.adopt_epoch was called by lease requests only, so the term of 1 s that a grantor waits after a change of the membership began with the first request under it, which is that of the next replacement. The reverse fault is on the same path: a grantor that was never asked before the change did not wait at all, so that it could vote while a lease of the old membership was valid. Change: the voter tells the leases of each membership that it adopts, and of the one that it loads. Evidence, before: test_the_term_after_a_change_of_the_membership_begins_with_the_change AssertionError: assert ['waits', 'waits'] == ['granted', 'granted'] test_a_grantor_that_was_never_asked_waits_a_term_after_a_change_of_the_membership AssertionError: assert 'granted' == 'waits' After: both pass, with all of tests/lease and tests/control. The term runs from the change on each grantor's own clock, so a lease of the old membership has ended when the first vote under the new one is given, as before.

--- a/honeywharf/control/voter.py
+++ b/honeywharf/control/voter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -23,6 +24,8 @@
         self.host, self.store, self.local_address = host, store, local_address
         self.acceptor = Acceptor(AcceptorState(""), store.has_text)
         self.membership_changed_at = 0.0  # When the decided membership was adopted, on the steady clock.
+        # Called once the state is loaded, and with each decided membership that is adopted.
+        self.on_membership: Callable[[], None] = lambda: None
 
     @property
     def state(self) -> AcceptorState:
@@ -45,17 +48,20 @@
             state = new
             self.store.save(state)
         self.acceptor.state = state
+        self.on_membership()
 
     def persist(self, state: AcceptorState) -> None:
         """Syncs a state to disk, then makes it the current one; an OSError leaves the old state current."""
         if state is self.state:
             return
         self.store.save(state)
-        if state.epoch != self.state.epoch:
+        has_new_membership = state.epoch != self.state.epoch
+        self.acceptor.state = state
+        if has_new_membership:
             self.membership_changed_at = self.host.now()
             addresses = " ".join(member.address for member in state.members)
             self.host.log(f"replica: membership {state.epoch}: {addresses}")
-        self.acceptor.state = state
+            self.on_membership()
 
     def adopt_membership(self, decided: DecidedMembership) -> None:
         """Adopts a decided membership if it is newer; a disk error is logged."""
--- a/honeywharf/lease/grantor.py
+++ b/honeywharf/lease/grantor.py
@@ -77,7 +77,7 @@
     def adopt_epoch(self, now: float, epoch: int, accepted_epoch: int) -> None:
         """Sets the epoch of the decided membership and that of the accepted value (0 without one).
 
-        It is called before each `request`.
+        It is called at the start, when a membership is adopted, and before each `request`.
         """
         if epoch != self.epoch:
             if self.epoch >= 0:
--- a/honeywharf/programs/control_leases.py
+++ b/honeywharf/programs/control_leases.py
@@ -36,6 +36,7 @@
         self.last_refusal = ""  # The reasons of the last refusal since a lease was granted, for the log.
         self.outcomes = {"granted": 0, "refused": 0, "lost": 0}  # Outcomes of this node's own acquisitions.
         self.replica.membership.removal.lease = self
+        self.replica.voter.on_membership = self._adopt_membership
         self.replica.methods[rpc_methods.LEASE_REQUEST] = self._answer_request
         self.replica.methods[rpc_methods.LEASE_RELEASE] = self._answer_release
         program.operator.routes.add("GET", "/api/duties", self._answer_view)
@@ -61,6 +62,16 @@
         entries = membership.entries().values()
         return [entry.zone for entry in entries if entry.attributes is not None and entry.attributes.get("s")]
 
+    def _adopt_membership(self) -> None:
+        """Tells the grantor which membership is decided, and which one is accepted.
+
+        It is called with each new membership, so that the grantor's term of waiting begins there and not
+        with the first request, which comes with the next failure of a member.
+        """
+        state = self.replica.state
+        accepted_epoch = state.value.epoch if state.value is not None else 0
+        self.grantor.adopt_epoch(self.host.now(), state.epoch, accepted_epoch)
+
     def _answer_request(self, args: Any, reply: Reply, peer: Address) -> None:
         kind, scope, slot, holder, number, epoch, disk = args
         _check_names(kind, scope, holder, disk)
@@ -69,9 +80,8 @@
         if disk != state.disk or not self.replica.is_member():
             reply([VoteAnswer.OTHER_EPOCH, 0])  # The caller means another member.
             return
-        accepted_epoch = state.value.epoch if state.value is not None else 0
+        self._adopt_membership()
         now = self.host.now()
-        self.grantor.adopt_epoch(now, state.epoch, accepted_epoch)
         reply(list(self.grantor.request(now, Role(kind, scope, slot), holder, number, epoch)))
 
     def _answer_release(self, args: Any, reply: Reply, peer: Address) -> None:
--- a/tests/lease/test_control_leases.py
+++ b/tests/lease/test_control_leases.py
@@ -142,3 +142,43 @@
     assert not drift_monitor.quarantine_active
     assert not drift_monitor.quarantine_lease.holds()
     assert drift_monitor.state.is_suspect, "the drift is still reported"
+
+
+def vote_requested(cluster: ControlCluster, ip: str) -> str:
+    """Returns a control node's answer to a request for the lease to remove members, under its own epoch."""
+    state = cluster.programs[ip].replica.state
+    answers: list[Any] = []
+    request = [MEMBER_REMOVAL, "", 0, "holder", 1 + state.epoch, state.epoch, state.disk]
+    cluster.programs[ip].replica.methods["lease.ask"](request, answers.append, ("", 0))
+    return str(answers[0][0])
+
+
+def replaced_disk(seed: int, was_asked: bool) -> ControlCluster:
+    """Returns a cluster right after a member with a new disk has replaced the one with the lost disk.
+
+    With `was_asked` the grantors have granted the lease before, under the old membership.
+    """
+    cluster = ControlCluster(seed)
+    cluster.run(1.5)
+    if was_asked:
+        assert [vote_requested(cluster, ip) for ip in cluster.ips] == ["granted"] * 3
+        cluster.run(TERMS[MEMBER_REMOVAL])
+    cluster.network.machines["10.0.0.3"].off(power=True)
+    cluster.network.machines["10.0.0.3"].disk.files.clear()
+    cluster.start("10.0.0.3")
+    while cluster.programs["10.0.0.1"].replica.state.epoch == 1:
+        cluster.run(0.01)
+    return cluster
+
+
+def test_the_term_after_a_change_of_the_membership_begins_with_the_change() -> None:
+    """Guards against CONFIG: each replacement waited a term that its own first request began."""
+    cluster = replaced_disk(8, was_asked=True)
+    cluster.run(TERMS[MEMBER_REMOVAL] + 0.1)
+    assert [vote_requested(cluster, ip) for ip in cluster.ips[:2]] == ["granted"] * 2
+
+
+def test_a_grantor_that_was_never_asked_waits_a_term_after_a_change_of_the_membership() -> None:
+    """Guards against two holders: votes of the old membership count for a term, whoever gave them."""
+    cluster = replaced_disk(9, was_asked=False)
+    assert vote_requested(cluster, "10.0.0.1") == "waits"
