Let a machine accept its own admission, with the newest text, before any member does

Cause: the change that admits a machine compared the digest that the machine had reported in its request with that of the state found by the write. Each change of the configuration in between, or in the same batch, answered 'behind': the admission waited for a quiet moment. Change: a write whose proposal has members that its base lacks asks these alone to accept it first (phase ADMIT), with the text if they report it missing, and the members only when they have. Between the promises and the members' acceptances no other change can come. A newcomer that is silent, declines or has another disk ends the write with NOT_JOINED: no member was asked, so nothing has changed. Changes of the membership are writes of their own, with places of their own in the queue, and other changes don't overtake them there. require_text is gone; the confirmation that it gave is stronger now, as the machine holds the text when the vote is given, and not some time before. The explored register checks after each commit that whoever got a vote had accepted its admission on disk; the mutation AdmitWithoutAsking is found. test_no_vote_without_the_newest_text tested require_text and is replaced by tests of the write for the same four changes; test_a_joiner_has_no_vote_before_it_holds_the_text drops the texts that the write brings too, and test_mechanisms leaves out the new phase where it left out require_text.

--- a/honeywharf/control/admission_log.py
+++ b/honeywharf/control/admission_log.py
@@ -20,7 +20,7 @@
     UNCONFIRMED = "unconfirmed"  # The joiner did not answer under the disk of its request.
     NO_PLACE = "no-place"  # The joiner stays a standby.
     NO_LEASE = "no-lease"
-    TEXT_MISSING = "text-missing"  # The joiner does not hold the newest configuration's text.
+    NOT_JOINED = "not-joined"  # The joiner did not accept its own admission in time.
     SUPERSEDED = "superseded"  # The membership changed meanwhile.
     FULL = "full"
     NOT_COMMITTED = "not-committed"  # No majority accepted the change in time.
--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -11,7 +11,7 @@
 from honeywharf.control import mesh_state
 from honeywharf.control.admission_log import AdmissionLog, AdmissionOutcome
 from honeywharf.control.contacts import SUSPECT_AFTER_S, UNREACHABLE_AFTER_S
-from honeywharf.control.member_removal import CHANGE_TIMEOUT_S
+from honeywharf.control.member_removal import CHANGE_TIMEOUT_S, membership_outcome
 from honeywharf.control.mesh_state import Member, MemberId, member_ids
 from honeywharf.control.messages import DecidedMembership, Heartbeat
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
@@ -29,9 +29,9 @@
 OUTCOMES = {
     mesh_state.Admission.MEMBER: AdmissionOutcome.ADMITTED,
     mesh_state.Admission.STANDBY: AdmissionOutcome.NO_PLACE,
-    mesh_state.Admission.BEHIND: AdmissionOutcome.TEXT_MISSING,
     mesh_state.Admission.FULL: AdmissionOutcome.FULL,
     mesh_state.Admission.CHANGED: AdmissionOutcome.SUPERSEDED,
+    mesh_state.Admission.NOT_JOINED: AdmissionOutcome.NOT_JOINED,
     mesh_state.Admission.NO_LEASE: AdmissionOutcome.NO_LEASE,
 }
 # The probability that a joiner that knows the membership requests it again, at each heartbeat.
@@ -203,12 +203,14 @@
     def _submit_admission(self, admission: _PendingAdmission, epoch: int) -> None:
         joiner, remaining = admission.request.joiner, admission.deadline - self.host.now()
         unreachable = self.contacts.unreachable(UNREACHABLE_AFTER_S)
-        change = mesh_state.require_text(mesh_state.admit(joiner, unreachable), admission.request.digest)
+        change = mesh_state.admit(joiner, unreachable)
         replaces_disk = joiner.address in [member.address for member in self.voter.state.members]
         done = partial(self._admission_done, admission)
         if self._enlarges(joiner) or replaces_disk:
             fenced = mesh_state.fenced(change, epoch)
-            self.changes.submit(fenced, max(0.0, remaining), lambda result, outcome: done(outcome))
+            self.changes.submit_membership_change(
+                fenced, max(0.0, remaining), lambda result, answer: done(membership_outcome(result, answer))
+            )
         elif unreachable:
             self.removal.submit_under_lease(change, epoch, done)  # It replaces an unreachable member.
         else:
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -10,6 +10,7 @@
 from honeywharf.control.contacts import REMOVE_AFTER_S
 from honeywharf.control.mesh_state import Change, MemberId
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
+from honeywharf.control.register import QuorumResult
 
 if TYPE_CHECKING:
     from honeywharf.control.contacts import ContactTracker
@@ -19,6 +20,11 @@
 CHANGE_TIMEOUT_S = 1.5  # The time-out of a change of the membership, or of a write that changes nothing.
 
 
+def membership_outcome(result: QuorumResult, answer: Any) -> Any:
+    """Returns the outcome of a change of the membership: its answer, or that the joiner did not accept."""
+    return mesh_state.Admission.NOT_JOINED if result is QuorumResult.NOT_JOINED else answer
+
+
 class RemovalLease(Protocol):
     """A lease to remove members, granted to one control node at a time. The register is safe without it."""
 
@@ -85,8 +91,10 @@
             done(mesh_state.Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
-        self.changes.submit(fenced, CHANGE_TIMEOUT_S - CALL_TIMEOUT_S, partial(self._finished, done))
+        self.changes.submit_membership_change(
+            fenced, CHANGE_TIMEOUT_S - CALL_TIMEOUT_S, partial(self._finished, done)
+        )
 
-    def _finished(self, done: Callable[[Any], None], result: object, answer: Any) -> None:
+    def _finished(self, done: Callable[[Any], None], result: QuorumResult, answer: Any) -> None:
         self.lease.end()
-        done(answer)
+        done(membership_outcome(result, answer))
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -244,9 +244,9 @@
 
     MEMBER = "member"  # The joiner is a member, by this change or an earlier one.
     STANDBY = "standby"  # There is no free place now.
-    BEHIND = "behind"  # The joiner does not have the newest configuration's text yet.
     FULL = "full"  # The membership has its maximum size.
     CHANGED = "changed"  # The membership has changed since the change was requested.
+    NOT_JOINED = "not joined"  # The joiner did not accept its own admission in time.
     NO_LEASE = "no lease"  # The change was not submitted: the lease was refused.
 
 
@@ -299,20 +299,6 @@
     return change
 
 
-def require_text(change: Change, digest: str) -> Change:
-    """Returns a change that gives a vote only to a machine that has the text of the newest configuration.
-
-    `digest` names the configuration whose text the machine has.
-    """
-
-    def guarded(state: MeshState) -> tuple[MeshState | None, Any]:
-        if state.digest and state.digest != digest:
-            return None, Admission.BEHIND
-        return change(state)
-
-    return guarded
-
-
 def _replace_at(members: Membership, index: int, joiner: Member) -> Membership:
     return (*members[:index], joiner, *members[index + 1 :])
 
--- a/honeywharf/control/quorum_client.py
+++ b/honeywharf/control/quorum_client.py
@@ -95,13 +95,13 @@
         if run.operation.result is not None:
             return
         if not request.with_text:
-            self._answered(run, request.to, self.voter.vote(request.request, None))
+            self._answered(run, request, self.voter.vote(request.request, None))
             return
         self._with_text(request, partial(self._vote_with_text, run, request))
 
     def _vote_with_text(self, run: _Run, request: OutgoingRequest, text: bytes | None) -> None:
         answer = None if text is None else self.voter.vote(request.request, text)
-        self._answered(run, request.to, answer)
+        self._answered(run, request, answer)
 
     def _send(self, run: _Run, request: OutgoingRequest) -> None:
         """Sends a request to a peer's acceptor, with the configuration's text if it is needed."""
@@ -112,7 +112,7 @@
 
     def _call_with_text(self, run: _Run, request: OutgoingRequest, text: bytes | None) -> None:
         if text is None:
-            self._answered(run, request.to, None)
+            self._answered(run, request, None)
         elif len(text) > MAX_UNREQUESTED_TEXT_BYTES and not request.text_missing:
             self._call(run, request, None)  # The member may have the text from an earlier attempt.
         else:
@@ -129,7 +129,7 @@
             rpc_methods.REGISTER_REQUEST,
             [messages.pack(request.request), text],
             timeout,
-            partial(self._received, run, request.to),
+            partial(self._received, run, request),
         )
 
     def _text_transfer_s(self, size: int) -> float:
@@ -137,27 +137,27 @@
         copies = max(1, len(self.voter.state.members) - 1)
         return size * copies / (self.link_bytes_per_s * TEXT_LINK_SHARE)
 
-    def _received(self, run: _Run, member: MemberId, packed: Any) -> None:
+    def _received(self, run: _Run, request: OutgoingRequest, packed: Any) -> None:
         """Decodes a peer's answer; None stands for no answer in time."""
         answer = None
         if packed is not None:
             try:
                 answer = messages.unpack_answer(packed)
             except (ValueError, TypeError, LookupError) as error:
-                self.host.log(f"replica: invalid answer from {member.address}: {error}")
-        self._answered(run, member, answer)
+                self.host.log(f"replica: invalid answer from {request.to.address}: {error}")
+        self._answered(run, request, answer)
 
-    def _answered(self, run: _Run, member: MemberId, answer: Answer | None) -> None:
+    def _answered(self, run: _Run, request: OutgoingRequest, answer: Answer | None) -> None:
         """Passes a member's answer to the operation; None stands for no answer."""
         now = self.host.now()
         if answer is None:
-            self._step(run, lambda: self._message_lost(run.operation, now, member))
+            self._step(run, lambda: self._request_lost(run.operation, now, request))
             return
         if not isinstance(answer, DiskMismatch):
-            self.on_contact(member)
-        self._step(run, lambda: run.operation.received(now, member, answer))
+            self.on_contact(request.to)
+        self._step(run, lambda: run.operation.received(now, request.to, answer))
 
     @staticmethod
-    def _message_lost(operation: QuorumOperation, now: float, member: MemberId) -> OutgoingRequests:
-        operation.message_lost(now, member)
+    def _request_lost(operation: QuorumOperation, now: float, request: OutgoingRequest) -> OutgoingRequests:
+        operation.request_lost(now, request)
         return []
--- a/honeywharf/control/register.py
+++ b/honeywharf/control/register.py
@@ -9,6 +9,10 @@
 in any majority of it, a member that has accepted a value with the newer membership, or that knows it as
 decided and reports it. `docs/design/control-state.md` has the full argument.
 
+A machine that a change makes a member accepts the value that admits it before any member is asked to: it has
+that value and its configuration's text on disk before its vote counts, however often the configuration
+changes meanwhile. A machine that does not accept in time is not admitted, and nothing has changed.
+
 A member is an address with a disk. A machine whose disk was lost gets another disk name, and does not answer
 for the old one. There is no I/O and no clock in this module: times are arguments, and messages to send are
 return values.
@@ -21,7 +25,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
-from honeywharf.control.mesh_state import Change, MemberId, MeshState, initial_state
+from honeywharf.control.mesh_state import Change, MemberId, MeshState, initial_state, member_ids
 from honeywharf.control.messages import (
     NO_PROPOSAL,
     Accept,
@@ -53,6 +57,7 @@
     OK = "ok"
     INCONCLUSIVE = "unsure"  # A read found different accepted values; a write has to settle which is current.
     UNREACHABLE = "unreachable"  # No majority answered in time.
+    NOT_JOINED = "not joined"  # A machine that the change admits has not accepted it; nothing has changed.
     CONTENDED = "contended"  # Other proposers used higher numbers in every attempt.
 
 
@@ -60,10 +65,14 @@
     """The phase of a write."""
 
     PREPARE = "prepare"
+    ADMIT = "admit"  # The machines that the change admits are asked to accept, before any member.
     ACCEPT = "accept"
     BACKOFF = "backoff"  # The write waits between two attempts.
 
 
+ACCEPT_PHASES = (Phase.ADMIT, Phase.ACCEPT)
+
+
 class Proposer(NamedTuple):
     """The process that makes a change: its address, and a number drawn at the start of the process."""
 
@@ -140,8 +149,12 @@
         self.contacted.update(request.to for request in requests)
         return requests
 
-    def message_lost(self, now: float, member: MemberId) -> None:
-        """Schedules a resend for a message that was not answered in time or could not be sent."""
+    def request_lost(self, now: float, request: OutgoingRequest) -> None:
+        """Records that a request was not answered in time or could not be sent."""
+        self.schedule_resend(now, request.to)
+
+    def schedule_resend(self, now: float, member: MemberId) -> None:
+        """Schedules a resend of the current request for a member."""
         if member in self.contacted:
             self.resend_at[member] = now + MEAN_RESEND_DELAY_S * (0.5 + self.rng.random())
 
@@ -160,11 +173,17 @@
         return True
 
 
+def newcomers(base: MeshState, proposal: MeshState) -> tuple[MemberId, ...]:
+    """Returns the members of a proposal that its base does not have."""
+    members = member_ids(base.members)
+    return tuple(member for member in member_ids(proposal.members) if member not in members)
+
+
 class QuorumWrite(QuorumOperation):
     """One change of the register, attempted until it is committed or its deadline has passed.
 
-    `result` is OK, with `value` (the committed state) and `answer` (the change's answer), UNREACHABLE or
-    CONTENDED. Without OK the change may or may not be in force.
+    `result` is OK, with `value` (the committed state) and `answer` (the change's answer), UNREACHABLE,
+    CONTENDED or NOT_JOINED. Without OK the change may or may not be in force; with NOT_JOINED it is not.
     """
 
     def __init__(
@@ -189,6 +208,7 @@
         self.accepted_by: set[MemberId] = set()
         self.rejections: dict[MemberId, bool] = {}  # The value is True for a rejection by a higher number.
         self.proposal: MeshState | None = None
+        self.newcomers: tuple[MemberId, ...] = ()  # The machines that the proposal admits.
         self.introduces_text = False  # Whether the proposal names a configuration that its base did not name.
 
     def start(self) -> OutgoingRequests:
@@ -204,11 +224,23 @@
 
     def request_for(self, member: MemberId) -> OutgoingRequest:
         """Returns the request for a member in the current phase."""
-        if self.phase is Phase.ACCEPT and self.proposal is not None:
+        if self.phase in ACCEPT_PHASES and self.proposal is not None:
             accept = Accept(member.disk, self.decided, self.number, self.proposal)
             return OutgoingRequest(member, accept, self.introduces_text)
         return OutgoingRequest(member, Prepare(member.disk, self.decided, self.number))
 
+    def request_lost(self, now: float, request: OutgoingRequest) -> None:
+        """Records that a request was not answered; without a newcomer's acceptance the write ends."""
+        if self._admits(request.to) and isinstance(request.request, Accept):
+            if request.request.number == self.number:
+                self.result = QuorumResult.NOT_JOINED
+        else:
+            self.schedule_resend(now, request.to)
+
+    def _admits(self, member: MemberId) -> bool:
+        """Returns whether the write waits for a machine to accept its own admission."""
+        return self.phase is Phase.ADMIT and member in self.newcomers
+
     def tick(self, now: float) -> OutgoingRequests:
         """Does what is due at `now`; returns the requests to send."""
         if self.result is not None:
@@ -229,7 +261,7 @@
             return self.start()
         if isinstance(answer, NewerMembership):
             # The newer membership is adopted by now; the request is sent again under it.
-            self.message_lost(now, member)
+            self.schedule_resend(now, member)
             return []
         if isinstance(answer, DiskMismatch):
             return self._rejected(now, member, by_number=False)
@@ -249,19 +281,33 @@
         if isinstance(answer, Promised) and self.phase is Phase.PREPARE:
             self.promises[member] = AcceptedValue(answer.accepted, answer.state)
             return self._propose_when_promised()
-        if isinstance(answer, TextMissing) and self.phase is Phase.ACCEPT:
+        if isinstance(answer, TextMissing) and self.phase in ACCEPT_PHASES:
             return [self.request_for(member)._replace(with_text=True, text_missing=True)]
-        if isinstance(answer, Accepted) and self.phase is Phase.ACCEPT:
+        if isinstance(answer, Accepted) and self.phase in ACCEPT_PHASES:
             self.accepted_by.add(member)
-            if self.quorums.covered(self.accepted_by):
-                self._commit()
+            return self._accepted()
+        return []
+
+    def _accepted(self) -> OutgoingRequests:
+        """Goes on to the members once all newcomers have accepted, and commits once a quorum has."""
+        if self.phase is Phase.ADMIT:
+            if not self.accepted_by.issuperset(self.newcomers):
+                return []
+            self.phase = Phase.ACCEPT
+            return self.contact(self.quorums.members())
+        if self.quorums.covered(self.accepted_by):
+            self._commit()
         return []
 
     def _rejected(self, now: float, member: MemberId, by_number: bool) -> OutgoingRequests:
         """Counts a rejection; starts a backoff if the remaining members are no quorum any more."""
+        if self._admits(member) and not by_number:
+            self.result = QuorumResult.NOT_JOINED  # Its disk is gone, or it declines.
+            return []
         self.rejections[member] = by_number
         remaining = set(self.quorums.members()) - set(self.rejections)
-        if self.phase is not Phase.BACKOFF and not self.quorums.covered(remaining):
+        can_succeed = self.quorums.covered(remaining) and not self._admits(member)
+        if self.phase is not Phase.BACKOFF and not can_succeed:
             doublings = min(self.attempts - 1, MAX_BACKOFF_DOUBLINGS)
             backoff = MEAN_FIRST_BACKOFF_S * (1 << doublings) * (0.5 + self.rng.random())
             self.phase, self.wake_at, self.resend_at = Phase.BACKOFF, now + backoff, {}
@@ -282,8 +328,10 @@
                 requests += self.contact(self.quorums.members())
                 continue
             self.introduces_text = self.proposal.digest != base.digest
-            self.phase, self.contacted, self.resend_at = Phase.ACCEPT, set(), {}
-            return self.contact(self.quorums.members())
+            self.newcomers = newcomers(base, self.proposal)
+            self.phase = Phase.ADMIT if self.newcomers else Phase.ACCEPT
+            self.contacted, self.resend_at = set(), {}
+            return self.contact(self.newcomers or self.quorums.members())
         return requests
 
     def _commit(self) -> None:
@@ -331,7 +379,7 @@
         if self.adopt(answer.decided):
             return self.start()
         if isinstance(answer, NewerMembership):
-            self.message_lost(now, member)
+            self.schedule_resend(now, member)
         if not isinstance(answer, CurrentValue):
             return []
         self.answers[member] = AcceptedValue(answer.accepted, answer.state)
--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -18,6 +18,7 @@
     from honeywharf.transport.host import Host
 
 MAX_PENDING_CHANGES = 64
+MAX_PENDING_MEMBERSHIP_CHANGES = 8
 MAX_PENDING_READS = 256
 INCARNATION_BYTES = 6
 
@@ -35,7 +36,7 @@
 class PendingRequest:
     """A pending change or read: `done` is called once, with the result or at the deadline."""
 
-    __slots__ = ("change", "deadline", "digest", "done", "timer")
+    __slots__ = ("change", "changes_members", "deadline", "digest", "done", "timer")
 
     def __init__(
         self,
@@ -44,9 +45,11 @@
         done: ChangeDone,
         change: Change = mesh_state.no_change,
         digest: str = "",
+        changes_members: bool = False,
     ) -> None:
         """`timeout` is in seconds from now; `digest` names the text that is submitted with a change."""
         self.deadline, self.change, self.digest = host.now() + timeout, change, digest
+        self.changes_members = changes_members
         self.done: ChangeDone | None = done
         self.timer = host.after(max(0.0, timeout), partial(self.complete, QuorumResult.UNREACHABLE, None))
 
@@ -88,21 +91,45 @@
         The result is UNREACHABLE without waiting if too many changes are pending or no membership is known.
         Without OK the change may or may not be in force.
         """
-        if len(self.pending) >= MAX_PENDING_CHANGES or not self.voter.state.epoch:
+        count = sum(not request.changes_members for request in self.pending)
+        if count >= MAX_PENDING_CHANGES or not self.voter.state.epoch:
             self.host.after(0.0, partial(done, QuorumResult.UNREACHABLE, None))
             return
         digest = "" if text is None else text.digest
         if text is not None:
             self.texts.proposed[digest] = text.compressed
-        self.pending.append(PendingRequest(self.host, timeout, done, change, digest))
+        self._add(PendingRequest(self.host, timeout, done, change, digest))
+
+    def submit_membership_change(self, change: Change, timeout: float, done: ChangeDone) -> None:
+        """Submits a change of the membership like `submit`, as a write of its own.
+
+        It has a write of its own because a write that admits a machine waits for that machine. Other changes
+        do not take its place in the queue, and only those submitted before it are written before it.
+        """
+        count = sum(request.changes_members for request in self.pending)
+        if count >= MAX_PENDING_MEMBERSHIP_CHANGES or not self.voter.state.epoch:
+            self.host.after(0.0, partial(done, QuorumResult.UNREACHABLE, None))
+            return
+        self._add(PendingRequest(self.host, timeout, done, change, changes_members=True))
+
+    def _add(self, request: PendingRequest) -> None:
+        self.pending.append(request)
         if self.current is None:
             self.host.after(0.0, self._start_next)
 
+    def _next_batch(self) -> list[PendingRequest]:
+        """Takes the next pending requests: a change of the membership, or all changes before the next one."""
+        is_membership_change = [request.changes_members for request in self.pending]
+        size = is_membership_change.index(True) if any(is_membership_change) else len(self.pending)
+        size = max(1, size)
+        batch, self.pending = self.pending[:size], self.pending[size:]
+        return batch
+
     def _start_next(self) -> None:
-        """Combines all pending changes into one write."""
+        """Combines the next pending changes into one write."""
         if self.current is not None or not self.pending:
             return
-        batch, self.pending = self.pending, []
+        batch = self._next_batch()
         state = self.voter.state
         self.current = QuorumWrite(
             Proposer(self.voter.local_address, self.incarnation),
--- a/honeywharf/control/standby.py
+++ b/honeywharf/control/standby.py
@@ -85,12 +85,10 @@
             self.done()
             return
         standby = min(present, key=self._preference)
-        change = mesh_state.require_text(
-            mesh_state.hand_over(self.voter.member_id, standby.member), standby.digest
-        )
+        change = mesh_state.hand_over(self.voter.member_id, standby.member)
         attempt_ends_at = min(now + ATTEMPT_TIMEOUT_S, self.deadline)
         fenced = mesh_state.fenced(change, self.voter.state.epoch, lambda: self.host.now() < attempt_ends_at)
-        self.changes.submit(fenced, attempt_ends_at - now, self._answered)
+        self.changes.submit_membership_change(fenced, attempt_ends_at - now, self._answered)
 
     def _preference(self, standby: Standby) -> tuple[bool, float]:
         """Returns a sort key: standbys of this zone first, then the most recent contact."""
--- a/tests/control/explore.py
+++ b/tests/control/explore.py
@@ -17,6 +17,7 @@
 
 from honeywharf.control.acceptor import Acceptor, AcceptorState
 from honeywharf.control.mesh_state import (
+    INITIAL_DISK,
     Change,
     Confirmation,
     Member,
@@ -24,6 +25,7 @@
     Membership,
     MeshState,
     Outcome,
+    member_ids,
 )
 from honeywharf.control.messages import DecidedMembership
 from honeywharf.control.quorum import Quorums
@@ -147,9 +149,12 @@
 
 
 class Node:
-    """One state of the system. `wire` has the messages in flight, `committed` the reported states."""
+    """One state of the system. `wire` has the messages in flight, `committed` the reported states.
 
-    __slots__ = ("actors", "committed", "faults", "orders", "votes", "wire")
+    `joined` are the machines that had their own admission on disk at some time.
+    """
+
+    __slots__ = ("actors", "committed", "faults", "joined", "orders", "votes", "wire")
 
     def __init__(
         self,
@@ -159,7 +164,9 @@
         committed: dict[int, tuple[int, str]],
         faults: int,
         orders: Orders = (),
+        joined: frozenset[MemberId] = frozenset(),
     ) -> None:
+        self.joined = joined
         self.votes, self.actors, self.wire, self.committed, self.faults = (
             votes,
             actors,
@@ -171,7 +178,7 @@
 
     def key(self, alike: bool = False) -> int:
         """Returns a key that is equal for equivalent states."""
-        committed = (*sorted(self.committed.items()), self.orders)
+        committed = (*sorted(self.committed.items()), self.orders, self.joined)
         if not alike:
             votes = tuple(vote.key for vote in self.votes.values())
             actors = tuple(actor.key for actor in self.actors)
@@ -253,14 +260,16 @@
         floor = max(node.committed, default=-1)
         started = Actor(actor.operation, True, floor)
         actors = (*node.actors[:number], started, *node.actors[number + 1 :])
-        node = Node(node.votes, actors, node.wire, node.committed, node.faults, node.orders)
+        node = Node(node.votes, actors, node.wire, node.committed, node.faults, node.orders, node.joined)
         return self.act(node, number, lambda made: made.start())
 
     def deliver(self, node: Node, at: int, again: bool = False) -> Node:
         """Delivers a message; with `again` it stays in flight and is delivered once more."""
         envelope = node.wire[at]
         wire = node.wire if again else node.wire[:at] + node.wire[at + 1 :]
-        node = Node(node.votes, node.actors, wire, node.committed, node.faults + again, node.orders)
+        node = Node(
+            node.votes, node.actors, wire, node.committed, node.faults + again, node.orders, node.joined
+        )
         number, key = envelope.number, envelope.member
         if envelope.back:
             return self.act(node, number, lambda made: made.received(0.0, key, envelope.message))
@@ -276,14 +285,23 @@
             made = Vote(state, vote.durable if late else state)
             node.wire = (*node.wire, reply)
         node.votes = {**node.votes, key[0]: made}
+        node.joined |= self.own_admission(key[0], made.durable)
         return node
 
+    @staticmethod
+    def own_admission(where: str, durable: AcceptorState) -> frozenset[MemberId]:
+        """Returns the machine if the value on its disk has it among the members."""
+        member = MemberId(where, durable.disk)
+        admits = durable.value is not None and member in member_ids(durable.value.members)
+        return frozenset([member] if admits else [])
+
     def sync(self, node: Node, where: str) -> Node:
         """Syncs an acceptor's write, and sends the answer that was held for it."""
         vote = node.votes[where]
         wire = node.wire if vote.held is None else (*node.wire, vote.held)
         votes = {**node.votes, where: Vote(vote.state, vote.state)}
-        return Node(votes, node.actors, wire, node.committed, node.faults, node.orders)
+        joined = node.joined | self.own_admission(where, vote.state)
+        return Node(votes, node.actors, wire, node.committed, node.faults, node.orders, joined)
 
     def fault(self, node: Node, where: str, kept: bool) -> Node:
         """Fails the power or the disk of an acceptor; with `kept` an unsynced write survives."""
@@ -291,7 +309,8 @@
         remaining = vote.state if kept else vote.durable
         remaining = remaining if self.wiped is None else self.wiped(remaining)
         votes = {**node.votes, where: Vote(remaining, remaining)}
-        return Node(votes, node.actors, node.wire, node.committed, node.faults + 1, node.orders)
+        joined = node.joined | self.own_admission(where, remaining)
+        return Node(votes, node.actors, node.wire, node.committed, node.faults + 1, node.orders, joined)
 
     def act(self, node: Node, number: int, step: Callable[[Any], Any]) -> Node:
         """Lets an actor take a step, and checks its result."""
@@ -303,12 +322,20 @@
         if operation.result is not None:
             if operation.result is QuorumResult.OK and not old.is_done:
                 committed = self.check_result(committed, operation.value, old.floor)
+                self.check_joined(operation.value, node.joined)
                 orders = self.check_order(orders, getattr(operation, "answer", None))
             wire = [envelope for envelope in wire if envelope.number != number or not envelope.back]
         wire += [Envelope(number, send.to, send.request, False) for send in sends]
         actor = Actor(operation, True, old.floor, operation.result is not None)
         actors = (*node.actors[:number], actor, *node.actors[number + 1 :])
-        return Node(node.votes, actors, tuple(wire), committed, node.faults, orders)
+        return Node(node.votes, actors, tuple(wire), committed, node.faults, orders, node.joined)
+
+    @staticmethod
+    def check_joined(value: MeshState, joined: frozenset[MemberId]) -> None:
+        """Checks that each machine that has got a vote had accepted the value that gave it the vote."""
+        for member in member_ids(value.members):
+            if member.disk != INITIAL_DISK and member not in joined:
+                raise BrokenError(f"{member.address} has a vote, and has not accepted its admission")
 
     @staticmethod
     def check_result(
@@ -418,7 +445,7 @@
     """Runs one actor to its end with only the acceptors `by`; its other messages are lost."""
     node = run_until(world, node, number, by, lambda node: node.actors[number].is_done)
     wire = tuple(envelope for envelope in node.wire if envelope.number != number)
-    return Node(node.votes, node.actors, wire, node.committed, node.faults, node.orders)
+    return Node(node.votes, node.actors, wire, node.committed, node.faults, node.orders, node.joined)
 
 
 def members(keys: list[MemberId]) -> Membership:
--- a/tests/control/test_bounds.py
+++ b/tests/control/test_bounds.py
@@ -2,13 +2,19 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 from honeywharf.control import contacts, mesh_state
 from honeywharf.control.configuration_texts import MAX_FETCHES
 from honeywharf.control.mesh_state import MemberId
 from honeywharf.control.register import QuorumResult
-from honeywharf.control.register_queues import MAX_PENDING_CHANGES, MAX_PENDING_READS, ConfigurationText
+from honeywharf.control.register_queues import (
+    MAX_PENDING_CHANGES,
+    MAX_PENDING_MEMBERSHIP_CHANGES,
+    MAX_PENDING_READS,
+    ConfigurationText,
+)
 from tests.control.cluster import ControlCluster
 
 
@@ -45,6 +51,33 @@
     assert replica.texts.fetches == {}
 
 
+def record(results: list[QuorumResult], done: list[str], result: QuorumResult, answer: Any) -> None:
+    """Records the result of a change of the membership."""
+    results.append(result)
+    done.append("members")
+
+
+def test_changes_of_the_membership_that_wait_are_bounded_and_keep_their_turn() -> None:
+    """Guards against CONFIG: other changes filled the queue, or were written before an admission."""
+    cluster = ControlCluster(34)
+    cluster.run(1.0)
+    replica = cluster.programs["10.0.0.1"].replica
+    done: list[str] = []
+    results: list[QuorumResult] = []
+    for _ in range(MAX_PENDING_CHANGES):
+        replica.submit(mesh_state.no_change, 0.9, lambda result, answer: done.append("change"))
+    for _ in range(MAX_PENDING_MEMBERSHIP_CHANGES + 2):
+        replica.changes.submit_membership_change(mesh_state.no_change, 0.9, partial(record, results, done))
+    for _ in range(3):
+        replica.submit(mesh_state.no_change, 0.9, lambda result, answer: done.append("refused"))
+    cluster.run(0.9)
+    assert results.count(QuorumResult.OK) == MAX_PENDING_MEMBERSHIP_CHANGES
+    assert results.count(QuorumResult.UNREACHABLE) == 2
+    assert done.count("refused") == 3
+    written = [name for name in done if name != "refused"][2:]
+    assert written == ["change"] * MAX_PENDING_CHANGES + ["members"] * MAX_PENDING_MEMBERSHIP_CHANGES
+
+
 def test_remembered_contacts_are_bounded() -> None:
     cluster = ControlCluster(32)
     cluster.run(1.0)
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -259,7 +259,9 @@
     cluster.run(4.0)
     proposed: list[mesh_state.Change] = []
     changes = cluster.programs[A].replica.changes
-    monkeypatch.setattr(changes, "submit", lambda change, timeout, done: proposed.append(change))
+    monkeypatch.setattr(
+        changes, "submit_membership_change", lambda change, timeout, done: proposed.append(change)
+    )
     cluster.programs[A].stop()
     change, state = proposed[0], cluster.known(B)
     assert change(state)[1] is mesh_state.Admission.MEMBER
@@ -300,7 +302,9 @@
     proposed: list[mesh_state.Change] = []
     removal = cluster.programs[A].replica.membership.removal
     lease = removal.lease = EndingLease()
-    monkeypatch.setattr(removal.changes, "submit", lambda change, timeout, done: proposed.append(change))
+    monkeypatch.setattr(
+        removal.changes, "submit_membership_change", lambda change, timeout, done: proposed.append(change)
+    )
     state = cluster.known(A)
     larger = replace(state, members=(*state.members, mesh_state.Member("d", "x", "a", True)))
     lost = mesh_state.member_ids(state.members)[2:]
@@ -347,7 +351,7 @@
         self.changes: list[mesh_state.Change] = []
         self.epochs: list[int] = []
         self.done: list[Callable[[object], None]] = []
-        monkeypatch.setattr(manager.changes, "submit", self._submit)
+        monkeypatch.setattr(manager.changes, "submit_membership_change", self._submit)
         monkeypatch.setattr(manager.removal, "submit_under_lease", self._submit_under_lease)
 
     def _submit(
--- a/tests/control/test_mechanisms.py
+++ b/tests/control/test_mechanisms.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from honeywharf.control import mesh_state
+from honeywharf.control import mesh_state, register
 from honeywharf.control.contacts import ContactTracker
 from honeywharf.control.joining import Joining
 from honeywharf.control.membership import MembershipManager
@@ -142,8 +142,8 @@
 
 
 def votes_without_the_text(patch: Patch) -> None:
-    """A joiner is admitted before it has the newest text."""
-    patch.setattr(mesh_state, "require_text", lambda change, digest: change)
+    """A joiner is admitted before it has accepted its admission, for which it needs the newest text."""
+    patch.setattr(register, "newcomers", lambda base, proposal: ())
 
 
 def leaves_the_last_write_open(patch: Patch) -> None:
--- a/tests/control/test_register.py
+++ b/tests/control/test_register.py
@@ -12,10 +12,19 @@
 from honeywharf.control import mesh_state
 from honeywharf.control.acceptor import Acceptor, AcceptorState
 from honeywharf.control.mesh_state import Admission, Member, MemberId, MeshState, initial_state, member_ids
-from honeywharf.control.messages import NO_PROPOSAL, Answer, ProposalNumber
+from honeywharf.control.messages import NO_PROPOSAL, Accept, Answer, DecidedMembership, ProposalNumber
 from honeywharf.control.quorum import Quorums
-from honeywharf.control.register import OutgoingRequests, Phase, QuorumWrite
+from honeywharf.control.register import (
+    OutgoingRequest,
+    OutgoingRequests,
+    Phase,
+    Proposer,
+    QuorumResult,
+    QuorumWrite,
+    newcomers,
+)
 from tests.control.explore import (
+    FIXED_RANDOM,
     Actor,
     BrokenError,
     Node,
@@ -299,20 +308,115 @@
     assert mesh_state.hand_over(MemberId("c", "first"), standby)(made) == (None, Admission.CHANGED)
 
 
-def test_no_vote_without_the_newest_text() -> None:
-    held, _ = mesh_state.replace_configuration(7, "seven")(initial_state(FIRST))
-    assert held is not None
-    standby = Member("d", "x", "z", False)
-    for change in (
-        mesh_state.hand_over(MemberId("b", "first"), standby),
-        mesh_state.admit(standby, [MemberId("b", "first")]),
-        mesh_state.admit(Member("b", "x", "z", False), []),
-    ):
-        assert mesh_state.require_text(change, "six")(held) == (None, Admission.BEHIND)
-        assert mesh_state.require_text(change, "")(held) == (None, Admission.BEHIND)
-        made, answer = mesh_state.require_text(change, "seven")(held)
-        assert made is not None
-        assert answer is Admission.MEMBER
+JOINER = Member("d", "disk-d", "z", False)
+ADMISSIONS = [
+    mesh_state.hand_over(MemberId("b", "first"), JOINER),
+    mesh_state.admit(JOINER, [MemberId("b", "first")]),
+    mesh_state.admit(Member("b", "disk-b", "z", False), []),
+    mesh_state.admit(Member("d", "disk-d", "z", True), []),
+]
+
+
+class AdmissionInProgress:
+    """A write that admits a machine to a register with version 7, and the acceptors that answer it."""
+
+    def __init__(self, change: mesh_state.Change) -> None:
+        held, _ = mesh_state.replace_configuration(7, "seven")(initial_state(FIRST))
+        assert held is not None
+        changed, _ = change(held)
+        assert changed is not None
+        self.joiner = newcomers(held, changed)[0]
+        number = ProposalNumber(1, "r", 1)
+        state = AcceptorState("first", 1, FIRST, number, number, held)
+        self.texts: dict[MemberId, set[str]] = {MemberId(where, "first"): {"seven"} for where in "abc"}
+        self.texts[self.joiner] = {"six"}
+        self.states = {member: state for member in member_ids(FIRST)}
+        self.states[self.joiner] = AcceptorState(self.joiner.disk)
+        self.write = QuorumWrite(
+            Proposer("a", 1), DecidedMembership(1, FIRST), change, 1.0, FIXED_RANDOM, counter=1
+        )
+        self.requests = self.write.start()
+
+    def answer(self, request: OutgoingRequest) -> None:
+        """Lets an acceptor answer a request; the requests that follow are added to `requests`."""
+        self.requests.remove(request)
+        if request.with_text and isinstance(request.request, Accept):
+            self.texts[request.to].add(request.request.state.digest)
+        acceptor = Acceptor(self.states[request.to], lambda digest: digest in self.texts[request.to])
+        self.states[request.to], answer = acceptor.answer(request.request)
+        self.requests += self.write.received(0.0, request.to, answer)
+
+    def until_the_joiner_is_asked(self) -> None:
+        """Lets all members answer until the write waits for the joiner alone."""
+        while not any(isinstance(request.request, Accept) for request in self.requests):
+            self.answer(self.requests[0])
+        self.requests = [one for one in self.requests if isinstance(one.request, Accept)]
+        assert [request.to for request in self.requests] == [self.joiner]
+
+
+@pytest.mark.parametrize("change", ADMISSIONS)
+def test_a_machine_holds_the_newest_text_before_any_member_is_asked_to_admit_it(
+    change: mesh_state.Change,
+) -> None:
+    """Guards against CONFIG: an admission waited for a moment without changes of the configuration."""
+    admission = AdmissionInProgress(change)
+    admission.until_the_joiner_is_asked()
+    admission.answer(admission.requests[0])
+    assert [(one.to, one.with_text) for one in admission.requests] == [(admission.joiner, True)]
+    admission.answer(admission.requests[0])
+    assert "seven" in admission.texts[admission.joiner]
+    while admission.requests:
+        assert admission.joiner in admission.write.accepted_by
+        admission.answer(admission.requests[0])
+    assert admission.write.result is QuorumResult.OK
+    assert admission.write.value is not None
+    assert admission.joiner in member_ids(admission.write.value.members)
+
+
+@pytest.mark.parametrize("change", ADMISSIONS)
+@pytest.mark.parametrize("how", ["is silent", "has another disk"])
+def test_a_machine_that_does_not_accept_is_not_admitted_and_nothing_changes(
+    change: mesh_state.Change, how: str
+) -> None:
+    """Guards against a member that is gone when it is admitted, and against one with a lost disk."""
+    admission = AdmissionInProgress(change)
+    admission.until_the_joiner_is_asked()
+    before = {member: state.value for member, state in admission.states.items()}
+    if how == "is silent":
+        admission.write.request_lost(0.4, admission.requests[0])
+    else:
+        admission.states[admission.joiner] = AcceptorState("another")
+        admission.answer(admission.requests[0])
+    assert admission.write.result is QuorumResult.NOT_JOINED
+    assert {member: state.value for member, state in admission.states.items()} == before
+
+
+def test_a_joiner_that_has_promised_more_is_asked_again_with_a_higher_number() -> None:
+    admission = AdmissionInProgress(ADMISSIONS[0])
+    admission.until_the_joiner_is_asked()
+    promised = ProposalNumber(9, "z", 1)
+    admission.states[admission.joiner] = AcceptorState(admission.joiner.disk, 1, FIRST, promised)
+    admission.answer(admission.requests[0])
+    assert (admission.write.result, admission.write.phase) == (None, Phase.BACKOFF)
+    admission.requests = admission.write.tick(0.5)
+    admission.until_the_joiner_is_asked()
+    assert admission.write.number > promised
+
+
+class AdmitWithoutAsking(QuorumWrite):
+    """A mutation: members accept an admission though the machine has not."""
+
+    def _propose_when_promised(self) -> OutgoingRequests:
+        requests = super()._propose_when_promised()
+        if self.phase is Phase.ADMIT:
+            self.phase = Phase.ACCEPT
+            requests += self.contact(self.quorums.members())
+        return requests
+
+
+def test_found_a_vote_for_a_machine_that_has_not_accepted_it() -> None:
+    with pytest.raises(BrokenError):
+        random_runs(World(tries=3), lambda: membership_changes(AdmitWithoutAsking), 3000)
 
 
 def test_every_change_is_nothing_the_second_time() -> None:
--- a/tests/control/test_second_loss.py
+++ b/tests/control/test_second_loss.py
@@ -5,10 +5,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
 import pytest
 
+from honeywharf import rpc_methods
 from tests.control.cluster import ControlCluster
 
+if TYPE_CHECKING:
+    from honeywharf.transport.host import Address
+    from honeywharf.transport.rpc_server import Reply
+
 A, B, C, NEW, NEWER = (f"10.0.0.{number}" for number in (1, 2, 3, 18, 19))
 CATCH_UP_S = 4.0
 STEPS = [0.0, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.08, 0.12, 0.2, 0.35, 0.6, 0.9, 1.3]
@@ -152,7 +160,23 @@
     assert read.answers == [(200, b"r8 eight", b"")]
 
 
+def drop_texts(cluster: ControlCluster, ip: str, dropped: list[bytes]) -> Callable[[], None]:
+    """Drops requests of the register that bring a machine a text; returns a function that ends this."""
+    methods = cluster.programs[ip].replica.methods
+    answer = methods[rpc_methods.REGISTER_REQUEST]
+
+    def answer_without_text(args: Any, reply: Reply, peer: Address) -> None:
+        if args[1] is None:
+            answer(args, reply, peer)
+        else:
+            dropped.append(args[1])
+
+    methods[rpc_methods.REGISTER_REQUEST] = answer_without_text
+    return lambda: methods.update({rpc_methods.REGISTER_REQUEST: answer})
+
+
 def test_a_joiner_has_no_vote_before_it_holds_the_text() -> None:
+    """Neither where it can't fetch the text itself, nor where the text that it is sent gets lost."""
     cluster = started(37)
     methods = [cluster.programs[ip].replica.methods for ip in (B, C)]
     texts = [each["word.body"] for each in methods]
@@ -161,16 +185,43 @@
     lose(cluster, A)
     cluster.run(1.0)
     cluster.start(A)
+    dropped: list[bytes] = []
+    restore = drop_texts(cluster, A, dropped)
     cluster.run(CATCH_UP_S)
     assert not cluster.programs[A].replica.is_member()
+    assert dropped, "it was offered the text, so only the text was missing"
     for each, text in zip(methods, texts, strict=True):
         each["word.body"] = text
+    restore()
     cluster.run(CATCH_UP_S)
     assert cluster.programs[A].replica.is_member()
     lose(cluster, B)
     check_available(cluster, [A, C])
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("how", ["replaced", "wiped"])
+def test_a_successor_is_admitted_while_the_configuration_changes_all_the_time(how: str, seed: int) -> None:
+    """Guards against CONFIG: each change made a successor's report of its text too old for its admission."""
+    cluster = started(40 + seed)
+    lost, new = (A, A) if how == "wiped" else (A, NEW)
+    if how == "planned":
+        cluster.add(new)
+        cluster.run(CATCH_UP_S)
+        cluster.programs[lost].stop()
+    else:
+        lose(cluster, lost)
+        cluster.start(new) if how == "wiped" else cluster.add(new)
+    ends_at = cluster.network.time + CATCH_UP_S
+    version = 100
+    while cluster.network.time < ends_at:
+        version += 1
+        cluster.replace((B, C)[version % 2], version, "changed")
+        cluster.run(0.02)
+    assert cluster.programs[new].replica.is_member()
+    assert members(cluster, B) == sorted([B, C, new])
+
+
 def test_a_planned_end_without_a_standby_keeps_the_place() -> None:
     cluster = started(38)
     cluster.programs[A].stop()
--- a/tests/simulation/mutants.py
+++ b/tests/simulation/mutants.py
@@ -21,7 +21,7 @@
 from honeywharf.control.operator_api import OperatorApi
 from honeywharf.control.quorum import Quorums
 from honeywharf.control.quorum_client import QuorumClient
-from honeywharf.control.register import AcceptedValue, Phase, QuorumOperation, QuorumWrite
+from honeywharf.control.register import AcceptedValue, OutgoingRequest, Phase, QuorumOperation, QuorumWrite
 from honeywharf.control.store import Store
 from honeywharf.control.voter import Voter
 from honeywharf.gossip.anti_entropy import AntiEntropy
@@ -137,8 +137,9 @@
 def majority_of_the_living(put: Patch) -> None:
     """Counts a voter that does not answer as one that agreed."""
 
-    def lost(asking: QuorumOperation, now: float, key: Any) -> Any:
-        asking.message_lost(now, key)
+    def lost(asking: QuorumOperation, now: float, request: OutgoingRequest) -> Any:
+        key = request.to
+        asking.request_lost(now, request)
         if isinstance(asking, QuorumWrite) and asking.phase is Phase.PREPARE:
             asking.promises.setdefault(key, AcceptedValue(NO_PROPOSAL, None))
             return asking._propose_when_promised()
@@ -148,7 +149,7 @@
                 asking._commit()
         return []
 
-    put(QuorumClient, "_message_lost", staticmethod(lost))
+    put(QuorumClient, "_request_lost", staticmethod(lost))
 
 
 def one_vote_is_enough(put: Patch) -> None:
