Let a control node that shuts down decline to become a member again

A control node that had handed its place over and waited for its last calls went on sending heartbeats, counted as a standby, and got the place of the next member that left: a member that is about to end. Evidence, before: test_a_machine_that_shuts_down_is_not_admitted_again AssertionError: assert '10.0.0.1' not in ['10.0.0.18', '10.0.0.1', '10.0.0.3', '10.0.0.5', '10.0.0.4'] After: passes, with tests/control.

--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -74,7 +74,6 @@
         self.joining.own_heartbeat = self.own_heartbeat
         self.standbys = Standbys()
         self.handover = Handover(host, voter, changes, self.standbys)
-        self.is_leaving = False  # Set when the process shuts down; it requests no admission any more.
         self.last_heartbeat_at = host.now()
         self.highest_accepted = NO_PROPOSAL  # The highest number that any machine reports as accepted.
         self.heartbeats_behind = 0  # The number of consecutive heartbeats at which this member was behind.
@@ -115,9 +114,10 @@
             self.joining.log.joined()
             # A member that is replaced later does not enlarge the membership when it returns.
             self.joining.is_initial_start = False
-        elif not self.is_leaving:
+        elif not self.voter.is_leaving:
             self.joining.request_admission(members)
-        for member in members:
+        is_absent = self.voter.is_leaving and not is_member  # It has handed its place over: no standby.
+        for member in [] if is_absent else members:
             if self._initiates_heartbeat(member, is_member):
                 self._send_heartbeat(member)
         self.removal.remove_unreachable(members)
--- a/honeywharf/control/messages.py
+++ b/honeywharf/control/messages.py
@@ -139,7 +139,7 @@
 
 @dataclass(frozen=True, slots=True)
 class DiskMismatch:
-    """Answers any request: this machine does not have the disk that the request is meant for."""
+    """Answers any request: this machine does not vote with the disk that the request is meant for."""
 
     KIND: ClassVar[str] = "other disk"
     decided: DecidedMembership
--- a/honeywharf/control/replica.py
+++ b/honeywharf/control/replica.py
@@ -146,7 +146,7 @@
 
         The handover takes at most `timeout` seconds.
         """
-        self.membership.is_leaving = True
+        self.voter.is_leaving = True
         self.membership.handover.begin(timeout, done)
 
     def _record_contact(self, member: MemberId) -> None:
--- a/honeywharf/control/voter.py
+++ b/honeywharf/control/voter.py
@@ -8,7 +8,7 @@
 
 from honeywharf.control.acceptor import Acceptor, AcceptorState
 from honeywharf.control.mesh_state import MemberId, member_ids
-from honeywharf.control.messages import Accept, Answer, DecidedMembership, Request
+from honeywharf.control.messages import Accept, Answer, DecidedMembership, DiskMismatch, Request
 
 if TYPE_CHECKING:
     from honeywharf.control.store import Store
@@ -24,6 +24,7 @@
         self.host, self.store, self.local_address = host, store, local_address
         self.acceptor = Acceptor(AcceptorState(""), store.has_text)
         self.membership_changed_at = 0.0  # When the decided membership was adopted, on the steady clock.
+        self.is_leaving = False  # Set when the process shuts down: it does not become a member any more.
         # Called once the state is loaded, and with each decided membership that is adopted.
         self.on_membership: Callable[[], None] = lambda: None
 
@@ -41,6 +42,10 @@
         """Returns whether this machine is in the decided membership."""
         return self.member_id in member_ids(self.state.members)
 
+    def can_vote(self) -> bool:
+        """Returns whether this machine is a member and is not shutting down."""
+        return self.is_member() and not self.is_leaving
+
     def load(self, new: AcceptorState) -> None:
         """Loads the state from disk, or saves `new` on an empty disk. Raises OSError if the disk fails."""
         state = self.store.load()
@@ -87,8 +92,10 @@
         """Returns the answer to a request after the new state is on disk; None if the disk fails.
 
         `text` is the compressed text of the configuration that the request names, if it came with the
-        request.
+        request. A machine that shuts down declines its own admission.
         """
+        if self.is_leaving and self._admits_this_machine(request):
+            return DiskMismatch(self.state.decided)
         try:
             if text is not None and isinstance(request, Accept) and request.disk == self.state.disk:
                 self.store.put_text(request.state.digest, text)
@@ -98,3 +105,8 @@
             self.host.log(f"replica: the disk fails, request not answered: {error}")
             return None
         return answer
+
+    def _admits_this_machine(self, request: Request) -> bool:
+        """Returns whether a request would make this machine, which is no member, a member."""
+        is_proposed = isinstance(request, Accept) and self.member_id in member_ids(request.state.members)
+        return is_proposed and not self.is_member()
