Let the members replace a lost control node by themselves, in a fixed order

Cause: progress waited for a random peer. A joiner asked one random address each 0.3 s, out of members, seeds and all control nodes that gossip still lists, the lost ones included; only the member that happened to be asked acted, and only if the joiner, the lease and the silence fitted at that moment. Change: control/replacement.py. Joiners ask several peers for the membership at once, each in its turn, and show themselves to all members as soon as they know it. Each member sees by itself who is unreachable and which standbys are present. The first reachable one replaces, the next ones take over 0.6 s later each; a failed attempt is repeated every 0.1 s as long as there is a need, and whoever had no majority leaves the turn to the next for 0.6 s. A request for admission only adds machines of the first start, one member after the other. The question to the joiner before the change is gone: it accepts the change itself.

--- a/honeywharf/control/admission_log.py
+++ b/honeywharf/control/admission_log.py
@@ -16,8 +16,6 @@
 
     ADMITTED = "admitted"
     NOT_DECIDED_HERE = "not-decided-here"  # This node is no member, or the joiner is one already.
-    MAY_BE_REACHABLE = "may-be-reachable"  # A member is silent, but not for long enough.
-    UNCONFIRMED = "unconfirmed"  # The joiner did not answer under the disk of its request.
     NO_PLACE = "no-place"  # The joiner stays a standby.
     NO_LEASE = "no-lease"
     NOT_JOINED = "not-joined"  # The joiner did not accept its own admission in time.
--- a/honeywharf/control/contacts.py
+++ b/honeywharf/control/contacts.py
@@ -14,7 +14,6 @@
 
 # The times without contact until each consequence.
 UNREACHABLE_AFTER_S = 1.0  # Another machine may replace the member.
-SUSPECT_AFTER_S = 0.45  # A joiner has to retry, because the member may be about to become unreachable.
 REMOVE_AFTER_S = 2.0  # The member is removed from a membership that is larger than its target size.
 MAX_CONTACTS = 256  # The number of machines whose last contact is stored.
 
--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -1,41 +1,36 @@
-"""Admission of members: a machine requests its admission, and a member submits the membership change."""
+"""Admission of members: a machine learns the membership, and requests its admission at the first start.
+
+Theory of operation. A machine that is no member asks for the decided membership, several peers at a time and
+each in its turn, so that addresses of machines that are gone cost no time. Its heartbeats (`membership`) show
+it to all members, which replace a lost disk or an unreachable member by themselves (`replacement`). A request
+for admission, sent to one member after the other, adds a machine of the first start to the membership.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from functools import partial
-from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
-from honeywharf.control.admission_log import AdmissionLog, AdmissionOutcome
-from honeywharf.control.contacts import SUSPECT_AFTER_S, UNREACHABLE_AFTER_S
-from honeywharf.control.member_removal import CHANGE_TIMEOUT_S, membership_outcome
-from honeywharf.control.mesh_state import Member, MemberId, member_ids
-from honeywharf.control.messages import DecidedMembership, Heartbeat
+from honeywharf.control.admission_log import AdmissionOutcome
+from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, CHANGE_TIMEOUT_S, membership_outcome
+from honeywharf.control.mesh_state import Admission, Member, MemberId
+from honeywharf.control.messages import DecidedMembership
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
+from honeywharf.control.replacement import OUTCOMES
 from honeywharf.transport.address import parse_address
 
 if TYPE_CHECKING:
-    from honeywharf.control.contacts import ContactTracker
-    from honeywharf.control.member_removal import MemberRemoval
     from honeywharf.control.register_queues import ChangeQueue
+    from honeywharf.control.replacement import MemberReplacement
     from honeywharf.control.voter import Voter
     from honeywharf.transport.host import Address, Host
     from honeywharf.transport.rpc_client import RpcClient
     from honeywharf.transport.rpc_server import Method, Reply
 
-OUTCOMES = {
-    mesh_state.Admission.MEMBER: AdmissionOutcome.ADMITTED,
-    mesh_state.Admission.STANDBY: AdmissionOutcome.NO_PLACE,
-    mesh_state.Admission.FULL: AdmissionOutcome.FULL,
-    mesh_state.Admission.CHANGED: AdmissionOutcome.SUPERSEDED,
-    mesh_state.Admission.NOT_JOINED: AdmissionOutcome.NOT_JOINED,
-    mesh_state.Admission.NO_LEASE: AdmissionOutcome.NO_LEASE,
-}
-# The probability that a joiner that knows the membership requests it again, at each heartbeat.
-REFRESH_PROBABILITY = 0.2
+MAX_PEERS_ASKED = 6  # The peers that are asked for the membership with one heartbeat.
 
 
 class AdmissionRequest(NamedTuple):
@@ -53,21 +48,13 @@
         return Member(self.address, self.disk, self.zone, bool(self.is_initial))
 
 
-class _PendingAdmission(NamedTuple):
-    """A request to be admitted that a member handles until `deadline`; `answer` answers the joiner."""
-
-    request: AdmissionRequest
-    deadline: float
-    answer: Callable[[], None]
-
-
 class Joining:
     """Both sides of an admission.
 
     `zone` is this machine's zone; `is_initial_start` is set when the system starts for the first time;
     `other_addresses` returns the addresses of other control nodes, "ip:port"; `text_digest` returns the
-    digest of the newest configuration whose text is on this disk, or an empty string; `own_heartbeat` returns
-    this machine's report about itself.
+    digest of the newest configuration whose text is on this disk, or an empty string; `on_membership` is
+    called when a newer membership was learned from a peer.
     """
 
     def __init__(
@@ -76,17 +63,15 @@
         caller: RpcClient,
         voter: Voter,
         changes: ChangeQueue,
-        contacts: ContactTracker,
-        removal: MemberRemoval,
-        rng: Random,
+        replacement: MemberReplacement,
     ) -> None:
         self.host, self.caller, self.voter, self.changes = host, caller, voter, changes
-        self.contacts, self.removal, self.rng = contacts, removal, rng
-        self.log = AdmissionLog(host)
+        self.replacement, self.log = replacement, replacement.log
         self.zone, self.is_initial_start = "", False
+        self.heartbeats = 0  # The heartbeats since the start at which this machine was no member.
         self.other_addresses: Callable[[], list[str]] = list
         self.text_digest: Callable[[], str] = str
-        self.own_heartbeat: Callable[[], Heartbeat]
+        self.on_membership: Callable[[], None] = lambda: None
 
     def methods(self) -> dict[str, Method]:
         """Returns the RPC methods that peers may call."""
@@ -98,25 +83,28 @@
     # The joiner's side.
 
     def request_admission(self, members: list[MemberId]) -> None:
-        """Requests the admission of this machine, or first the membership if that is unknown."""
-        known = [member.address for member in members] + self.other_addresses()
-        peers = [address for address in dict.fromkeys(known) if address != self.voter.local_address]
-        if not peers:
-            return
-        peer = self.rng.choice(peers)
-        if not self.voter.state.epoch or self.rng.random() < REFRESH_PROBABILITY:
+        """Requests the membership from some peers, and the admission of this machine from one member."""
+        turn, self.heartbeats = self.heartbeats, self.heartbeats + 1
+        local = self.voter.local_address
+        voters = [member.address for member in members if member.address != local]
+        known = [address for address in dict.fromkeys(voters + self.other_addresses()) if address != local]
+        for peer in _in_turn(known, turn * MAX_PEERS_ASKED, MAX_PEERS_ASKED):
             self.request_decided_membership(peer)
-        if self.voter.state.epoch:
-            self.log.requested()
-            member_id = self.voter.member_id
-            request = AdmissionRequest(*member_id, self.zone, self.is_initial_start, self.text_digest())
-            self.caller.call(
-                parse_address(peer),
-                rpc_methods.ADMIT_MEMBER,
-                request,
-                CHANGE_TIMEOUT_S,
-                self._received_membership,
-            )
+        for peer in _in_turn(voters, turn, 1):
+            self._request_admission_from(peer)
+
+    def _request_admission_from(self, peer: str) -> None:
+        self.log.requested()
+        request = AdmissionRequest(
+            *self.voter.member_id, self.zone, self.is_initial_start, self.text_digest()
+        )
+        self.caller.call(
+            parse_address(peer),
+            rpc_methods.ADMIT_MEMBER,
+            request,
+            CHANGE_TIMEOUT_S,
+            self._received_membership,
+        )
 
     def request_decided_membership(self, peer: str) -> None:
         """Requests the decided membership from a peer, and adopts it if it is newer."""
@@ -131,10 +119,13 @@
     def _received_membership(self, packed: Any) -> None:
         if packed is None:
             return
+        epoch = self.voter.state.epoch
         try:
             self.voter.adopt_membership(DecidedMembership.unpack(packed))
         except (ValueError, TypeError) as error:
             self.host.log(f"replica: invalid membership from a peer: {error}")
+        if self.voter.state.epoch > epoch:
+            self.on_membership()
 
     # A member's side.
 
@@ -142,94 +133,38 @@
         reply(self.voter.state.decided)
 
     def _admit(self, args: Any, reply: Reply, peer: Address) -> None:
-        """Handles a request to be admitted; the answer is the decided membership in either case."""
-        request = AdmissionRequest(*args)
-        answer = partial(self._answer_decided_membership, args, reply, peer)
-        deadline = self.host.now() + CHANGE_TIMEOUT_S - CALL_TIMEOUT_S
-        self._confirm_joiner(_PendingAdmission(request, deadline, answer))
+        """Handles a request to be admitted; the answer is the decided membership in any case.
 
-    def _may_be_admitted(self, request: AdmissionRequest) -> bool:
-        joiner = request.joiner
-        if not self.voter.is_member() or joiner.id in member_ids(self.voter.state.members):
+        Only a machine of the first start is added by its request. The epoch supersedes a request that is read
+        late, and the joiner accepts the change first, under the disk of its request.
+        """
+        joiner = AdmissionRequest(*args).joiner
+        state = self.voter.state
+        answer = partial(self._answer_decided_membership, args, reply, peer)
+        if not self.voter.can_vote() or joiner.id in mesh_state.member_ids(state.members):
             self.log.decided(joiner.address, AdmissionOutcome.NOT_DECIDED_HERE)
-            return False
-        if not self._enlarges(joiner) and self._should_retry_soon(joiner.address):
-            self.log.decided(joiner.address, AdmissionOutcome.MAY_BE_REACHABLE)
-            return False
-        return True
-
-    def _enlarges(self, joiner: Member) -> bool:
-        """Returns whether a joiner is added to the members, as one of the first start."""
-        return mesh_state.enlarges(self.voter.state.members, joiner)
+            answer()
+        elif mesh_state.enlarges(state.members, joiner) and not self._replaces_disk(joiner):
+            change = mesh_state.fenced(mesh_state.admit(joiner, []), state.epoch)
+            self.changes.submit_membership_change(
+                change,
+                ATTEMPT_TIMEOUT_S,
+                lambda result, outcome: self._admitted(joiner, membership_outcome(result, outcome), answer),
+            )
+        else:
+            self.replacement.check()
+            answer()
 
-    def _confirm_joiner(self, admission: _PendingAdmission) -> None:
-        """Asks the joiner whether it still has the disk of its request, which may be read late.
+    def _replaces_disk(self, joiner: Member) -> bool:
+        return joiner.address in [member.address for member in self.voter.state.members]
 
-        The epoch is read before: a later change of the membership supersedes the admission.
-        """
-        if not self._may_be_admitted(admission.request):
-            admission.answer()
-            return
-        epoch = self.voter.state.epoch
-        self.caller.call(
-            parse_address(admission.request.address),
-            rpc_methods.HEARTBEAT,
-            self.own_heartbeat(),
-            CALL_TIMEOUT_S,
-            partial(self._joiner_answered, admission, epoch),
+    def _admitted(self, joiner: Member, outcome: Admission | None, answer: Callable[[], None]) -> None:
+        self.log.decided(
+            joiner.address, AdmissionOutcome.NOT_COMMITTED if outcome is None else OUTCOMES[outcome]
         )
+        answer()
 
-    def _joiner_answered(self, admission: _PendingAdmission, epoch: int, packed: Any) -> None:
-        request = admission.request
-        if not self._is_confirmed(request, packed):
-            self.log.decided(request.address, AdmissionOutcome.UNCONFIRMED)
-            admission.answer()
-        elif self._may_be_admitted(request):
-            self._submit_admission(admission, epoch)
-        else:
-            admission.answer()
 
-    def _is_confirmed(self, request: AdmissionRequest, packed: Any) -> bool:
-        """Returns whether a joiner's heartbeat shows the disk of its request."""
-        if packed is None:
-            return False
-        try:
-            heartbeat = Heartbeat.unpack(packed)
-        except (ValueError, TypeError) as error:
-            self.host.log(f"replica: invalid heartbeat from a joiner: {error}")
-            return False
-        return heartbeat.sender == request.joiner.id
-
-    def _submit_admission(self, admission: _PendingAdmission, epoch: int) -> None:
-        joiner, remaining = admission.request.joiner, admission.deadline - self.host.now()
-        unreachable = self.contacts.unreachable(UNREACHABLE_AFTER_S)
-        change = mesh_state.admit(joiner, unreachable)
-        replaces_disk = joiner.address in [member.address for member in self.voter.state.members]
-        done = partial(self._admission_done, admission)
-        if self._enlarges(joiner) or replaces_disk:
-            fenced = mesh_state.fenced(change, epoch)
-            self.changes.submit_membership_change(
-                fenced, max(0.0, remaining), lambda result, answer: done(membership_outcome(result, answer))
-            )
-        elif unreachable:
-            self.removal.submit_under_lease(change, epoch, done)  # It replaces an unreachable member.
-        else:
-            self.log.decided(joiner.address, AdmissionOutcome.NO_PLACE)
-            admission.answer()  # The joiner stays a standby.
-
-    def _admission_done(self, admission: _PendingAdmission, outcome: Any) -> None:
-        """Answers the joiner, or starts again if the membership has changed meanwhile."""
-        self.log.decided(admission.request.address, OUTCOMES.get(outcome, AdmissionOutcome.NOT_COMMITTED))
-        if outcome is mesh_state.Admission.CHANGED and self.host.now() < admission.deadline:
-            self._confirm_joiner(admission)
-        else:
-            admission.answer()
-
-    def _should_retry_soon(self, address: str) -> bool:
-        """Returns whether a joiner should retry, because a member may be about to become unreachable."""
-        members = [member.address for member in self.voter.state.members]
-        return (
-            address not in members
-            and not self.contacts.unreachable(UNREACHABLE_AFTER_S)
-            and bool(self.contacts.unreachable(SUSPECT_AFTER_S))
-        )
+def _in_turn(items: list[str], start: int, count: int) -> list[str]:
+    """Returns up to `count` items from a position on, and from the first item again after the last."""
+    return [items[(start + offset) % len(items)] for offset in range(min(count, len(items)))]
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -17,7 +17,8 @@
     from honeywharf.control.register_queues import ChangeQueue
     from honeywharf.control.voter import Voter
 
-CHANGE_TIMEOUT_S = 1.5  # The time-out of a change of the membership, or of a write that changes nothing.
+CHANGE_TIMEOUT_S = 1.5  # The time-out of a call that changes the membership, or of an empty write.
+ATTEMPT_TIMEOUT_S = CHANGE_TIMEOUT_S - CALL_TIMEOUT_S  # The time-out of the change itself.
 
 
 def membership_outcome(result: QuorumResult, answer: Any) -> Any:
@@ -91,9 +92,7 @@
             done(mesh_state.Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
-        self.changes.submit_membership_change(
-            fenced, CHANGE_TIMEOUT_S - CALL_TIMEOUT_S, partial(self._finished, done)
-        )
+        self.changes.submit_membership_change(fenced, ATTEMPT_TIMEOUT_S, partial(self._finished, done))
 
     def _finished(self, done: Callable[[Any], None], result: QuorumResult, answer: Any) -> None:
         self.lease.end()
--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -3,9 +3,9 @@
 Theory of operation. Members send heartbeats to one another every `HEARTBEAT_INTERVAL_S`, which show who is
 unreachable (`contacts`), who knows a newer decided membership or state, and who has not accepted the newest
 state: such a member makes a write that changes nothing, and so brings itself up to date. A machine that is
-not a member sends heartbeats to the members too, and requests its admission (`joining`); while no place is
-free it is a standby (`standby`). An unreachable member is replaced or removed only under a lease
-(`member_removal`).
+not a member sends heartbeats to the members too (`joining`); while no place is free it is a standby
+(`standby`). The members replace an unreachable member by a standby (`replacement`). An unreachable member is
+replaced or removed only under a lease (`member_removal`).
 """
 
 from __future__ import annotations
@@ -22,6 +22,7 @@
 from honeywharf.control.mesh_state import MemberId, member_ids
 from honeywharf.control.messages import NO_PROPOSAL, Heartbeat
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
+from honeywharf.control.replacement import MemberReplacement
 from honeywharf.control.standby import Handover, Standbys
 from honeywharf.transport.address import parse_address
 
@@ -69,10 +70,11 @@
         self.rng, self.known_state, self.fetch_state = rng, known_state, fetch_state
         self.contacts = ContactTracker(host, voter)
         self.removal = MemberRemoval(voter, changes, self.contacts)
-        self.joining = Joining(host, caller, voter, changes, self.contacts, self.removal, rng)
-        self.joining.text_digest = lambda: known_state().digest
-        self.joining.own_heartbeat = self.own_heartbeat
         self.standbys = Standbys()
+        self.replacement = MemberReplacement(host, voter, changes, self.contacts, self.removal, self.standbys)
+        self.joining = Joining(host, caller, voter, changes, self.replacement)
+        self.joining.text_digest = lambda: known_state().digest
+        self.joining.on_membership = self._membership_learned
         self.handover = Handover(host, voter, changes, self.standbys)
         self.last_heartbeat_at = host.now()
         self.highest_accepted = NO_PROPOSAL  # The highest number that any machine reports as accepted.
@@ -109,20 +111,34 @@
         self.host.after(HEARTBEAT_INTERVAL_S * (least + width * self.rng.random()), self._send_heartbeats)
         self._detect_stall(now)
         members = member_ids(self.voter.state.members)
-        is_member = self.voter.is_member()
-        if is_member:
+        if self.voter.is_member():
             self.joining.log.joined()
             # A member that is replaced later does not enlarge the membership when it returns.
             self.joining.is_initial_start = False
         elif not self.voter.is_leaving:
             self.joining.request_admission(members)
-        is_absent = self.voter.is_leaving and not is_member  # It has handed its place over: no standby.
-        for member in [] if is_absent else members:
-            if self._initiates_heartbeat(member, is_member):
-                self._send_heartbeat(member)
+        self._call_members()
         self.removal.remove_unreachable(members)
+        self.replacement.check()
         self._catch_up()
 
+    def _call_members(self) -> None:
+        """Sends a heartbeat to each member that this machine calls.
+
+        A machine that has handed its place over and shuts down is no standby, and calls nobody.
+        """
+        is_member = self.voter.is_member()
+        if not is_member and self.voter.is_leaving:
+            return
+        for member in member_ids(self.voter.state.members):
+            if self._initiates_heartbeat(member, is_member):
+                self._send_heartbeat(member)
+
+    def _membership_learned(self) -> None:
+        """Shows a machine that is no member to the members that it has just learned of."""
+        if not self.voter.is_member():
+            self._call_members()
+
     def _detect_stall(self, now: float) -> None:
         stall = now - self.last_heartbeat_at
         if stall > HEARTBEAT_INTERVAL_S + STALL_THRESHOLD_S:
--- a/honeywharf/control/standby.py
+++ b/honeywharf/control/standby.py
@@ -3,13 +3,15 @@
 Theory of operation. A machine that is not needed as a member sends heartbeats to all members, reports which
 configuration's text it has, and learns each newer state like a member. A member that shuts down as planned
 first hands its place to a standby, by a change of the membership (`mesh_state.hand_over`), so the membership
-never grows and never contains a member that has gone. If a member fails without notice, a standby requests
-its place (`joining`). In both cases the standby must have the text of the newest configuration first.
+never grows and never contains a member that has gone. If a member fails without notice, another one gives
+its place to a standby (`replacement`). In both cases the standby accepts its admission, with the newest text,
+before any member does.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from honeywharf.control import mesh_state
@@ -41,6 +43,19 @@
 
     def __init__(self) -> None:
         self.by_id: dict[MemberId, Standby] = {}
+        self._declined_at: dict[MemberId, float] = {}  # At most `MAX_STANDBYS`.
+
+    def decline(self, member: MemberId, now: float) -> None:
+        """Records that a standby did not accept its admission; it is absent until its next heartbeat."""
+        self.by_id.pop(member, None)
+        self._declined_at.pop(member, None)
+        if len(self._declined_at) >= MAX_STANDBYS:
+            del self._declined_at[next(iter(self._declined_at))]
+        self._declined_at[member] = now
+
+    def declined_at(self, member: MemberId) -> float:
+        """Returns when a standby last did not accept its admission; 0 if it never did."""
+        return self._declined_at.get(member, 0.0)
 
     def record(self, heartbeat: Heartbeat, now: float) -> None:
         """Records the heartbeat of a machine that is not a member.
@@ -88,13 +103,18 @@
         change = mesh_state.hand_over(self.voter.member_id, standby.member)
         attempt_ends_at = min(now + ATTEMPT_TIMEOUT_S, self.deadline)
         fenced = mesh_state.fenced(change, self.voter.state.epoch, lambda: self.host.now() < attempt_ends_at)
-        self.changes.submit_membership_change(fenced, attempt_ends_at - now, self._answered)
-
-    def _preference(self, standby: Standby) -> tuple[bool, float]:
-        """Returns a sort key: standbys of this zone first, then the most recent contact."""
-        return standby.member.zone != self.zone, -standby.last_contact_at
-
-    def _answered(self, result: QuorumResult, answer: Any) -> None:
+        self.changes.submit_membership_change(
+            fenced, attempt_ends_at - now, partial(self._answered, standby.member.id)
+        )
+
+    def _preference(self, standby: Standby) -> tuple[float, bool, float]:
+        """Returns a sort key: those that did not decline, of this zone, with the most recent contact."""
+        declined_at = self.standbys.declined_at(standby.member.id)
+        return declined_at, standby.member.zone != self.zone, -standby.last_contact_at
+
+    def _answered(self, standby: MemberId, result: QuorumResult, answer: Any) -> None:
+        if result is QuorumResult.NOT_JOINED:
+            self.standbys.decline(standby, self.host.now())
         if result is QuorumResult.OK and answer is Admission.MEMBER:
             self.done()
         else:
