Try a rejected write again without waiting for a member that is silent

Cause: a write that one of the two living members had rejected still counted the silent one among those that might complete its majority, and waited for it until the write's deadline: no answer came, and no new attempt. Change: members that did not answer last time, or that are unreachable when the write begins, are asked but not waited for. An attempt may start again at any time, so this changes no decision. Evidence, before, test_a_rejected_write_does_not_wait_for_a_silent_member: lost first: assert <Phase.PREPARE: 'prepare'> is <Phase.BACKOFF: 'backoff'>; lost last: the same After: passes.

--- a/honeywharf/control/register.py
+++ b/honeywharf/control/register.py
@@ -197,8 +197,12 @@
         deadline: float,
         rng: Random,
         counter: int = 0,
+        silent: Iterable[MemberId] = (),
     ) -> None:
-        """`counter` belongs to the highest proposal number known; the first attempt uses the next one."""
+        """`counter` belongs to the highest proposal number known; the first attempt uses the next one.
+
+        `silent` are members that are expected not to answer; an attempt that needs them starts again.
+        """
         super().__init__(decided, deadline, rng)
         self.proposer = proposer
         self.change = change
@@ -210,6 +214,7 @@
         self.promises: dict[MemberId, AcceptedValue] = {}
         self.accepted_by: set[MemberId] = set()
         self.rejections: dict[MemberId, bool] = {}  # The value is True for a rejection by a higher number.
+        self.silent = set(silent)  # Members that did not answer last time.
         self.held_until = 0.0  # No further attempt is started before this time.
         self.yields = False  # Whether the write ends instead of another attempt.
         self.proposal: MeshState | None = None
@@ -239,8 +244,11 @@
         if self._admits(request.to) and isinstance(request.request, Accept):
             if request.request.number == self.number:
                 self.result = QuorumResult.NOT_JOINED
-        else:
-            self.schedule_resend(now, request.to)
+            return
+        self.silent.add(request.to)
+        self.schedule_resend(now, request.to)
+        if self.rejections:
+            self._back_off_if_hopeless(now)
 
     def _admits(self, member: MemberId) -> bool:
         """Returns whether the write waits for a machine to accept its own admission."""
@@ -265,6 +273,7 @@
         """Processes a member's answer; returns the requests to send."""
         if self.result is not None:
             return []
+        self.silent.discard(member)
         if self.adopt(answer.decided):
             return self.start()
         if isinstance(answer, NewerMembership):
@@ -308,20 +317,28 @@
         return []
 
     def _rejected(self, now: float, member: MemberId, by_number: bool) -> OutgoingRequests:
-        """Counts a rejection; starts a backoff if the remaining members are no quorum any more."""
+        """Counts a rejection; a newcomer that does not vote with its disk ends the write."""
         if self._admits(member) and not by_number:
             self.result = QuorumResult.NOT_JOINED  # Its disk is gone, or it declines.
             return []
         self.rejections[member] = by_number
-        remaining = set(self.quorums.members()) - set(self.rejections)
-        can_succeed = self.quorums.covered(remaining) and not self._admits(member)
-        if self.phase is not Phase.BACKOFF and not can_succeed:
-            doublings = min(self.attempts - 1, MAX_BACKOFF_DOUBLINGS)
-            backoff = MEAN_FIRST_BACKOFF_S * (1 << doublings) * (0.5 + self.rng.random())
-            self.phase, self.resend_at = Phase.BACKOFF, {}
-            self.wake_at = now if self.yields else max(now + backoff, self.held_until)
+        self._back_off_if_hopeless(now)
         return []
 
+    def _back_off_if_hopeless(self, now: float) -> None:
+        """Starts a backoff after a rejection if the members that may still answer are no quorum.
+
+        Silent members are not waited for: the next attempt asks them too.
+        """
+        remaining = set(self.quorums.members()) - set(self.rejections) - self.silent
+        can_succeed = self.quorums.covered(remaining) and not any(map(self._admits, self.rejections))
+        if self.phase is Phase.BACKOFF or can_succeed:
+            return
+        doublings = min(self.attempts - 1, MAX_BACKOFF_DOUBLINGS)
+        backoff = MEAN_FIRST_BACKOFF_S * (1 << doublings) * (0.5 + self.rng.random())
+        self.phase, self.resend_at = Phase.BACKOFF, {}
+        self.wake_at = now if self.yields else max(now + backoff, self.held_until)
+
     def _propose_when_promised(self) -> OutgoingRequests:
         """Applies the change and starts the accept phase once there are promises from a quorum."""
         requests: OutgoingRequests = []
--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -80,6 +80,7 @@
     ) -> None:
         self.host, self.voter, self.texts, self.client = host, voter, texts, client
         self.precedence = precedence
+        self.silent_members: Callable[[], list[MemberId]] = list  # Members that are expected not to answer.
         precedence.on_held = self._held
         self.rng, self.on_committed = rng, on_committed
         self.incarnation = int.from_bytes(host.random(INCARNATION_BYTES), "big")
@@ -169,6 +170,7 @@
             max(request.deadline for request in batch),
             self.rng,
             max(self.counter, state.promised.counter),
+            self.silent_members(),
         )
         self.client.run(self.current, self.current.start(), partial(self._finished, self.current, batch))
 
--- a/honeywharf/control/replica.py
+++ b/honeywharf/control/replica.py
@@ -18,6 +18,7 @@
 from honeywharf.control.acceptor import AcceptorState
 from honeywharf.control.committed_state import CommittedState
 from honeywharf.control.configuration_texts import ConfigurationTexts
+from honeywharf.control.contacts import UNREACHABLE_AFTER_S
 from honeywharf.control.member_removal import CHANGE_TIMEOUT_S
 from honeywharf.control.membership import MembershipManager
 from honeywharf.control.mesh_state import MemberId, MeshState
@@ -91,6 +92,7 @@
             host, caller, self.voter, self.changes, rng, self.committed.summary, self.committed.fetch
         )
         self.membership.configure(settings.zone, settings.is_initial_start, self._other_addresses)
+        self.changes.silent_members = lambda: self.unreachable_members(UNREACHABLE_AFTER_S)
         self.submit, self.read, self.get_text = self.changes.submit, self.reads.read, self.texts.get
         self.methods: dict[str, Method] = {
             **self.membership.methods(),
--- a/tests/control/test_register.py
+++ b/tests/control/test_register.py
@@ -12,7 +12,14 @@
 from honeywharf.control import mesh_state
 from honeywharf.control.acceptor import Acceptor, AcceptorState
 from honeywharf.control.mesh_state import Admission, Member, MemberId, MeshState, initial_state, member_ids
-from honeywharf.control.messages import NO_PROPOSAL, Accept, Answer, DecidedMembership, ProposalNumber
+from honeywharf.control.messages import (
+    NO_PROPOSAL,
+    Accept,
+    Answer,
+    DecidedMembership,
+    ProposalNumber,
+    Rejected,
+)
 from honeywharf.control.quorum import Quorums
 from honeywharf.control.register import (
     OutgoingRequest,
@@ -403,6 +410,28 @@
     assert admission.write.number > promised
 
 
+@pytest.mark.parametrize("how", ["silent before", "lost first", "lost last"])
+def test_a_rejected_write_does_not_wait_for_a_silent_member(how: str) -> None:
+    """Guards against a change that waits for its deadline: one of three is gone, and one rejected it."""
+    a, b, c = member_ids(FIRST)
+    write = QuorumWrite(
+        Proposer("a", 1), DecidedMembership(1, FIRST), mesh_state.no_change, 4.0, FIXED_RANDOM
+    )
+    if how == "silent before":
+        write.silent.add(c)
+    requests = {request.to: request for request in write.start()}
+    rejected = Rejected(write.decided, write.number, ProposalNumber(9, "z", 1))
+    if how == "lost first":
+        write.request_lost(0.4, requests[c])
+    write.received(0.4, b, rejected)
+    if how == "lost last":
+        assert write.phase is Phase.PREPARE
+        write.request_lost(0.5, requests[c])
+    assert write.phase is Phase.BACKOFF
+    assert {request.to for request in write.tick(1.0)} == {a, b, c}
+    assert write.number > rejected.promised
+
+
 class AdmitWithoutAsking(QuorumWrite):
     """A mutation: members accept an admission though the machine has not."""
 
