Bound the time to a successor's vote by named constants, and check it in the simulation

Two places of the sum waited for a heartbeat: a member looks at once when a standby appears, and a standby that did not accept in time is tried again after 0.1 s, after others. The simulation draws core_turnover: three control nodes are replaced in turn, each once its predecessor has had catch-up, under a storm with a change each 0.08 s, planned or not, or with a successor that dies. The invariant ADMISSION judges each successor at the bound, if no other control node had a fault.

--- a/honeywharf/control/membership.py
+++ b/honeywharf/control/membership.py
@@ -177,7 +177,9 @@
         self.contacts.record(heartbeat.sender)
         self.contacts.heartbeats[heartbeat.sender] = heartbeat
         if heartbeat.sender not in member_ids(self.voter.state.members):
-            self.standbys.record(heartbeat, self.host.now())
+            is_new = self.standbys.record(heartbeat, self.host.now())
+            if is_new:
+                self.host.after(0.0, self.replacement.check)
         self.on_heartbeat(heartbeat)
         if heartbeat.epoch > self.voter.state.epoch:
             self.joining.request_decided_membership(heartbeat.address)
--- a/honeywharf/control/standby.py
+++ b/honeywharf/control/standby.py
@@ -46,8 +46,7 @@
         self._declined_at: dict[MemberId, float] = {}  # At most `MAX_STANDBYS`.
 
     def decline(self, member: MemberId, now: float) -> None:
-        """Records that a standby did not accept its admission; it is absent until its next heartbeat."""
-        self.by_id.pop(member, None)
+        """Records that a standby did not accept its admission, so that others are preferred."""
         self._declined_at.pop(member, None)
         if len(self._declined_at) >= MAX_STANDBYS:
             del self._declined_at[next(iter(self._declined_at))]
@@ -57,15 +56,17 @@
         """Returns when a standby last did not accept its admission; 0 if it never did."""
         return self._declined_at.get(member, 0.0)
 
-    def record(self, heartbeat: Heartbeat, now: float) -> None:
-        """Records the heartbeat of a machine that is not a member.
+    def record(self, heartbeat: Heartbeat, now: float) -> bool:
+        """Records the heartbeat of a machine that is not a member; returns whether it was absent before.
 
         Above `MAX_STANDBYS` the standby with the oldest contact is dropped.
         """
         member = Member(heartbeat.address, heartbeat.disk, heartbeat.zone, False)
         if member.id not in self.by_id and len(self.by_id) >= MAX_STANDBYS:
             del self.by_id[min(self.by_id, key=lambda key: self.by_id[key].last_contact_at)]
+        known = self.by_id.get(member.id)
         self.by_id[member.id] = Standby(member, heartbeat.digest, now)
+        return known is None or now - known.last_contact_at > PRESENCE_TIMEOUT_S
 
     def present(self, now: float, members: list[MemberId]) -> list[Standby]:
         """Returns the standbys that are present at `now` and are not members."""
--- a/honeywharf/simulation/invariants.py
+++ b/honeywharf/simulation/invariants.py
@@ -3,9 +3,9 @@
 The simulated clients, backends and operators notify an `InvariantChecker` of each event. The checker calls
 every invariant that has a method of the event's name: `sent`, `answered`, `client_left`, `connection_lost`
 and `unexpected_bytes` (clients); `arrived`, `ran` and `heartbeat_acked` (backends); `ordered`, `acked`,
-`refused` and `read_back` (operators); `terminated` and `closing` (the fault schedule and the run). An
-invariant records what it needs and calls `report_violation`. The name of an invariant's class, in capitals,
-is the name of its rule in RULES.md.
+`refused` and `read_back` (operators); `terminated`, `successor_judged` and `closing` (the fault schedule and
+the run). An invariant records what it needs and calls `report_violation`. The name of an invariant's class,
+in capitals, is the name of its rule in RULES.md; ADMISSION is this project's own.
 
 A machine is undisturbed if it had no fault within the bound `contact`, and no control node had one either.
 """
@@ -554,6 +554,15 @@
             self.report_violation(f"{served} of {len(late)} requests served after recovery")
 
 
+class Admission(Invariant):
+    """A successor of a lost control node must have its vote within the bound of docs/design/admission.md."""
+
+    def successor_judged(self, machine: str, has_vote: bool) -> None:
+        """The bound has passed since a successor's start, and no other control node had a fault."""
+        if not has_vote:
+            self.report_violation(f"{machine} has no vote within the bound")
+
+
 INVARIANTS: tuple[type[Invariant], ...] = (
     Mixed,
     Unasked,
@@ -568,4 +577,5 @@
     Evac,
     Gone,
     Recover,
+    Admission,
 )
--- a/honeywharf/simulation/rare_faults.py
+++ b/honeywharf/simulation/rare_faults.py
@@ -23,7 +23,13 @@
     draw_occasional_fault,
 )
 from honeywharf.simulation.invariants import Order
-from honeywharf.simulation.restart_faults import RESTART_FAULT_SHARE, RESTART_KINDS, RestartFaultSchedule
+from honeywharf.simulation.membership_faults import (
+    MEMBERSHIP_FAULT_SHARE,
+    MEMBERSHIP_KINDS,
+    TURNOVERS,
+    MembershipFaultSchedule,
+)
+from honeywharf.simulation.restart_faults import RESTART_FAULT_SHARE, RESTART_KINDS
 
 if TYPE_CHECKING:
     from honeywharf.simulation.disk import Disk
@@ -60,10 +66,11 @@
 }
 #: Drawn beside the others, by a generator of their own.
 ORDER_KINDS: dict[str, tuple[str, ...]] = {"late_order": ("", "delayed")}
-EVERY_KIND = {**KINDS, **RARE_KINDS, **ORDER_KINDS, **RESTART_KINDS}
+EVERY_KIND = {**KINDS, **RARE_KINDS, **ORDER_KINDS, **RESTART_KINDS, **MEMBERSHIP_KINDS}
 RARE_SERIALIZED_KINDS = (
     *SERIALIZED_KINDS,
     "core_resets",
+    "core_turnover",
     "disk_full",
     "disk_slow",
     "disk_stall",
@@ -97,7 +104,7 @@
 def draw_any_faults(seed: int, begin: float, end: float, order_faults: bool = True) -> list[Fault]:
     """Returns faults of any kind between two times; one of three schedules ends with a closing fault.
 
-    Without `order_faults` there are none of `ORDER_KINDS` and `RESTART_KINDS`.
+    Without `order_faults` there are none of `ORDER_KINDS`, `RESTART_KINDS` and `MEMBERSHIP_KINDS`.
     """
     rng, faults = random.Random(f"any {seed}"), []
     kinds = {**KINDS, **RARE_KINDS}
@@ -110,10 +117,13 @@
     if order_faults:
         faults += draw_occasional_fault(f"orders {seed}", ORDER_KINDS, ORDER_FAULT_SHARE, begin, end)
         faults += draw_occasional_fault(f"restarts {seed}", RESTART_KINDS, RESTART_FAULT_SHARE, begin, end)
+        faults += draw_occasional_fault(
+            f"members {seed}", MEMBERSHIP_KINDS, MEMBERSHIP_FAULT_SHARE, begin, begin
+        )
     return sorted(faults, key=lambda fault: fault.at)
 
 
-class RareFaultSchedule(RestartFaultSchedule):
+class RareFaultSchedule(MembershipFaultSchedule):
     """Injects faults of every kind."""
 
     serialized_kinds = RARE_SERIALIZED_KINDS
@@ -126,6 +136,8 @@
             return 5.0 + self._recovery_s()
         if "both" in fault.how:
             return 1.0 + RESTART_INTERVAL_S * len(self.deployment.cores)
+        if fault.kind == "core_turnover":
+            return TURNOVERS * self.turnover_interval_s()
         if fault.kind == "late_order":
             return LATE_ORDER_S
         return super()._max_duration_s(fault)
