Let an evacuation that changes of the configuration superseded go before the next ones

Callers saw (on the tests' network): while all control nodes change the configuration, an order of an evacuation is superseded by each of them, and four attempts in each call don't suffice. Cause: the order applies only if no change came since its fence, so it waits for a moment without changes between its caller's confirmation and its write. Change: once it was superseded, its node claims precedence from the others and over its own other changes, and submits the order with precedence. Fence, proof and change are as before, so EVAC's argument is too.

--- a/honeywharf/control/evacuation_calls.py
+++ b/honeywharf/control/evacuation_calls.py
@@ -70,7 +70,10 @@
             return
         self.is_confirmed = True
         change = mesh_state.set_evacuation(self.zone, self.begin, fence)
-        self.replica.submit(change, remaining, self._answered)
+        if self.attempts == 1:
+            self.replica.submit(change, remaining, self._answered)
+        else:
+            self.replica.changes.submit_with_precedence(change, remaining, self._answered)
 
     def _answered(self, result: QuorumResult, answer: EvacuationAnswer) -> None:
         if result is not QuorumResult.OK:
@@ -78,6 +81,7 @@
         elif answer.outcome is not EvacuationOutcome.SUPERSEDED:
             self._finish(result, answer.outcome)
         elif self.attempts < MAX_ATTEMPTS and self.done is not None:
+            self.replica.precedence.claim(holds_here=True)  # Until the change is written, or expired.
             self._confirm(answer.revision)
         else:
             self._finish(QuorumResult.CONTENDED, None)
--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -146,7 +146,7 @@
             answer()
         elif mesh_state.enlarges(state.members, joiner) and not self._replaces_disk(joiner):
             change = mesh_state.fenced(mesh_state.admit(joiner, []), state.epoch)
-            self.changes.submit_membership_change(
+            self.changes.submit_with_precedence(
                 change,
                 ATTEMPT_TIMEOUT_S,
                 lambda result, outcome: self._admitted(joiner, membership_outcome(result, outcome), answer),
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -92,7 +92,7 @@
             done(mesh_state.Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
-        self.changes.submit_membership_change(fenced, ATTEMPT_TIMEOUT_S, partial(self._finished, done))
+        self.changes.submit_with_precedence(fenced, ATTEMPT_TIMEOUT_S, partial(self._finished, done))
 
     def _finished(self, done: Callable[[Any], None], result: QuorumResult, answer: Any) -> None:
         self.lease.end()
--- a/honeywharf/control/precedence.py
+++ b/honeywharf/control/precedence.py
@@ -1,9 +1,11 @@
-"""Lets changes of the membership go first: meanwhile the other members start no other changes.
-
-Theory of operation. The register has no leader, so proposers compete, and one that needs more steps, because
-it admits a machine, loses more often. Before a change of the membership its proposer claims precedence from
-the other members. Each of them starts no other write until the claim is released or has expired, and a write
-in progress starts no further attempt: each member can reject the claimer's proposal at most once. A claim
+"""Lets changes that need more steps go first: meanwhile the other members start no other changes.
+
+Theory of operation. The register has no leader, so proposers compete. A change of the membership, which may
+admit a machine, needs a step more, and an evacuation needs a moment without changes between its caller's
+confirmation and its write: both lose more often than others. Before such a change its proposer claims
+precedence from the other members. Each of them starts no other write until the claim is released or has
+expired, and a write in progress starts no further attempt: each member can reject the claimer's proposal at
+most once. A claim
 only decides who waits, so a lost, late or false one costs time and nothing else. Claims in a row end after
 `MAX_HOLD_S`, and the next one counts only after `MIN_PAUSE_S`, so that other changes are not held up for ever
 either.
@@ -42,13 +44,24 @@
         """Returns the RPC methods that peers may call."""
         return {rpc_methods.CLAIM_PRECEDENCE: self._answer_claim}
 
-    def claim(self) -> None:
-        """Claims precedence from the other members."""
+    def claim(self, holds_here: bool = False) -> None:
+        """Claims precedence from the other members, and with `holds_here` over this node's other changes."""
         self._call_members(CLAIM_S)
+        if holds_here:
+            self._record(self._local_ip, CLAIM_S, self._member_ips())
 
     def release(self) -> None:
         """Releases the claim."""
         self._call_members(0.0)
+        if self._local_ip in self.claims:
+            self._record(self._local_ip, 0.0, self._member_ips())
+
+    @property
+    def _local_ip(self) -> str:
+        return parse_address(self.voter.local_address)[0]
+
+    def _member_ips(self) -> set[str]:
+        return {parse_address(member.address)[0] for member in self.voter.state.members}
 
     def _call_members(self, seconds: float) -> None:
         state = self.voter.state
@@ -63,13 +76,13 @@
                 )
 
     def is_held(self) -> bool:
-        """Returns whether this node starts no changes but those of the membership now."""
+        """Returns whether this node starts no changes now but those that claim precedence themselves."""
         return self.host.now() < self.held_until
 
     def _answer_claim(self, args: Any, reply: Reply, peer: Address) -> None:
         """Holds other changes up for a member with the same membership, or ends this."""
         epoch, seconds = args
-        members = {parse_address(member.address)[0] for member in self.voter.state.members}
+        members = self._member_ips()
         if epoch == self.voter.state.epoch and peer[0] in members:
             self._record(peer[0], min(float(seconds), CLAIM_S), members)
         reply(True)
--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -19,7 +19,7 @@
     from honeywharf.transport.host import Host, Timer
 
 MAX_PENDING_CHANGES = 64
-MAX_PENDING_MEMBERSHIP_CHANGES = 8
+MAX_PENDING_FIRST = 8
 MAX_PENDING_READS = 256
 INCARNATION_BYTES = 6
 
@@ -37,7 +37,7 @@
 class PendingRequest:
     """A pending change or read: `done` is called once, with the result or at the deadline."""
 
-    __slots__ = ("change", "changes_members", "deadline", "digest", "done", "timer")
+    __slots__ = ("change", "deadline", "digest", "done", "goes_first", "timer")
 
     def __init__(
         self,
@@ -46,11 +46,11 @@
         done: ChangeDone,
         change: Change = mesh_state.no_change,
         digest: str = "",
-        changes_members: bool = False,
+        goes_first: bool = False,
     ) -> None:
         """`timeout` is in seconds from now; `digest` names the text that is submitted with a change."""
         self.deadline, self.change, self.digest = host.now() + timeout, change, digest
-        self.changes_members = changes_members
+        self.goes_first = goes_first
         self.done: ChangeDone | None = done
         self.timer = host.after(max(0.0, timeout), partial(self.complete, QuorumResult.UNREACHABLE, None))
 
@@ -86,7 +86,7 @@
         self.incarnation = int.from_bytes(host.random(INCARNATION_BYTES), "big")
         self.pending: list[PendingRequest] = []
         self.current: QuorumWrite | None = None
-        self.is_changing_members = False  # Whether the write in progress changes the membership.
+        self.is_first = False  # Whether the write in progress went first.
         self.timer: Timer | None = None  # Set while another member has, or had, precedence.
         self.counter = 0  # The counter of the highest proposal number used or seen.
 
@@ -98,7 +98,7 @@
         The result is UNREACHABLE without waiting if too many changes are pending or no membership is known.
         Without OK the change may or may not be in force.
         """
-        count = sum(not request.changes_members for request in self.pending)
+        count = sum(not request.goes_first for request in self.pending)
         if count >= MAX_PENDING_CHANGES or not self.voter.state.epoch:
             self.host.after(0.0, partial(done, QuorumResult.UNREACHABLE, None))
             return
@@ -107,21 +107,22 @@
             self.texts.proposed[digest] = text.compressed
         self._add(PendingRequest(self.host, timeout, done, change, digest))
 
-    def submit_membership_change(self, change: Change, timeout: float, done: ChangeDone) -> None:
-        """Submits a change of the membership like `submit`, as a write of its own that goes first.
+    def submit_with_precedence(self, change: Change, timeout: float, done: ChangeDone) -> None:
+        """Submits a change like `submit`, as a write of its own that goes first.
 
-        It has a write of its own because a write that admits a machine waits for that machine. Another write
-        in progress ends at its next conflict, and its changes are submitted again afterwards.
+        It is for changes of the membership, whose write may wait for the machine that it admits, and for
+        evacuations that were superseded. Another write in progress ends at its next conflict, and its changes
+        are submitted again afterwards.
         """
-        count = sum(request.changes_members for request in self.pending)
-        if count >= MAX_PENDING_MEMBERSHIP_CHANGES or not self.voter.state.epoch:
+        count = sum(request.goes_first for request in self.pending)
+        if count >= MAX_PENDING_FIRST or not self.voter.state.epoch:
             self.host.after(0.0, partial(done, QuorumResult.UNREACHABLE, None))
             return
         self.precedence.claim()
-        if self.current is not None and not self.is_changing_members:
+        if self.current is not None and not self.is_first:
             self.current.yields = True
             self.host.after(0.0, self.current.wake)
-        self._add(PendingRequest(self.host, timeout, done, change, changes_members=True))
+        self._add(PendingRequest(self.host, timeout, done, change, goes_first=True))
 
     def _add(self, request: PendingRequest) -> None:
         self.pending.append(request)
@@ -131,7 +132,7 @@
     def _held(self) -> None:
         """Holds the write in progress up while another member has precedence, and goes on afterwards."""
         precedence = self.precedence
-        if self.current is not None and not self.is_changing_members:
+        if self.current is not None and not self.is_first:
             self.current.held_until = precedence.held_until
         if self.timer is not None:
             self.timer.cancel()
@@ -139,14 +140,14 @@
         self.timer = self.host.after(wait, self._start_next)
 
     def _next_batch(self) -> list[PendingRequest]:
-        """Takes the next pending requests: a change of the membership, or else all changes.
+        """Takes the next pending requests: a change that goes first, or else all changes.
 
-        While another member has precedence, only a change of the membership is taken.
+        While another member has precedence, only a change that goes first is taken.
         """
-        membership_change = next((request for request in self.pending if request.changes_members), None)
-        if membership_change is not None:
-            self.pending.remove(membership_change)
-            return [membership_change]
+        first = next((request for request in self.pending if request.goes_first), None)
+        if first is not None:
+            self.pending.remove(first)
+            return [first]
         if self.precedence.is_held():
             return []
         batch, self.pending = self.pending, []
@@ -159,8 +160,8 @@
         batch = self._next_batch()
         if not batch:
             return
-        self.is_changing_members = batch[0].changes_members
-        if self.is_changing_members:
+        self.is_first = batch[0].goes_first
+        if self.is_first:
             self.precedence.claim()
         state = self.voter.state
         self.current = QuorumWrite(
@@ -176,7 +177,7 @@
 
     def _finished(self, write: QuorumWrite, batch: list[PendingRequest]) -> None:
         self.current, self.counter = None, max(self.counter, write.counter)
-        if self.is_changing_members:
+        if self.is_first:
             self.precedence.release()
         self.voter.adopt_membership(write.decided)
         if write.result is QuorumResult.OK and write.value is not None:
--- a/honeywharf/control/replacement.py
+++ b/honeywharf/control/replacement.py
@@ -139,7 +139,7 @@
             self.removal.submit_under_lease(need.change, need.epoch, done)
             return
         fenced = mesh_state.fenced(need.change, need.epoch)
-        self.changes.submit_membership_change(
+        self.changes.submit_with_precedence(
             fenced, ATTEMPT_TIMEOUT_S, lambda result, answer: done(membership_outcome(result, answer))
         )
 
--- a/honeywharf/control/standby.py
+++ b/honeywharf/control/standby.py
@@ -104,7 +104,7 @@
         change = mesh_state.hand_over(self.voter.member_id, standby.member)
         attempt_ends_at = min(now + ATTEMPT_TIMEOUT_S, self.deadline)
         fenced = mesh_state.fenced(change, self.voter.state.epoch, lambda: self.host.now() < attempt_ends_at)
-        self.changes.submit_membership_change(
+        self.changes.submit_with_precedence(
             fenced, attempt_ends_at - now, partial(self._answered, standby.member.id)
         )
 
--- a/honeywharf/simulation/membership_faults.py
+++ b/honeywharf/simulation/membership_faults.py
@@ -5,7 +5,7 @@
 import random
 from typing import TYPE_CHECKING, Any
 
-from honeywharf.control.admission_bound import ADMISSION_BOUND_S
+from honeywharf.programs.admission_bound import ADMISSION_BOUND_S
 from honeywharf.simulation.deployment import SIGTERM
 from honeywharf.simulation.fault_schedule import Fault
 from honeywharf.simulation.restart_faults import RestartFaultSchedule
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -92,7 +92,7 @@
     def fail(change: Change, timeout: float, done: ChangeDone) -> None:
         changes.host.after(timeout, lambda: done(QuorumResult.UNREACHABLE, None))
 
-    monkeypatch.setattr(changes, "submit_membership_change", fail)
+    monkeypatch.setattr(changes, "submit_with_precedence", fail)
     cluster.add(NEW)
     assert time_to_vote(cluster, NEW) < CATCH_UP_S
 
--- a/tests/control/test_bounds.py
+++ b/tests/control/test_bounds.py
@@ -11,7 +11,7 @@
 from honeywharf.control.register import QuorumResult
 from honeywharf.control.register_queues import (
     MAX_PENDING_CHANGES,
-    MAX_PENDING_MEMBERSHIP_CHANGES,
+    MAX_PENDING_FIRST,
     MAX_PENDING_READS,
     ConfigurationText,
 )
@@ -66,16 +66,16 @@
     results: list[QuorumResult] = []
     for _ in range(MAX_PENDING_CHANGES):
         replica.submit(mesh_state.no_change, 0.9, lambda result, answer: done.append("change"))
-    for _ in range(MAX_PENDING_MEMBERSHIP_CHANGES + 2):
-        replica.changes.submit_membership_change(mesh_state.no_change, 0.9, partial(record, results, done))
+    for _ in range(MAX_PENDING_FIRST + 2):
+        replica.changes.submit_with_precedence(mesh_state.no_change, 0.9, partial(record, results, done))
     for _ in range(3):
         replica.submit(mesh_state.no_change, 0.9, lambda result, answer: done.append("refused"))
     cluster.run(0.9)
-    assert results.count(QuorumResult.OK) == MAX_PENDING_MEMBERSHIP_CHANGES
+    assert results.count(QuorumResult.OK) == MAX_PENDING_FIRST
     assert results.count(QuorumResult.UNREACHABLE) == 2
     assert done.count("refused") == 3
     written = [name for name in done if name != "refused"][2:]
-    assert written == ["members"] * MAX_PENDING_MEMBERSHIP_CHANGES + ["change"] * MAX_PENDING_CHANGES
+    assert written == ["members"] * MAX_PENDING_FIRST + ["change"] * MAX_PENDING_CHANGES
 
 
 def test_remembered_contacts_are_bounded() -> None:
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -259,7 +259,7 @@
     proposed: list[mesh_state.Change] = []
     changes = cluster.programs[A].replica.changes
     monkeypatch.setattr(
-        changes, "submit_membership_change", lambda change, timeout, done: proposed.append(change)
+        changes, "submit_with_precedence", lambda change, timeout, done: proposed.append(change)
     )
     cluster.programs[A].stop()
     change, state = proposed[0], cluster.known(B)
@@ -302,7 +302,7 @@
     removal = cluster.programs[A].replica.membership.removal
     lease = removal.lease = EndingLease()
     monkeypatch.setattr(
-        removal.changes, "submit_membership_change", lambda change, timeout, done: proposed.append(change)
+        removal.changes, "submit_with_precedence", lambda change, timeout, done: proposed.append(change)
     )
     state = cluster.known(A)
     larger = replace(state, members=(*state.members, mesh_state.Member("d", "x", "a", True)))
@@ -349,7 +349,7 @@
         manager = cluster.programs[ip].replica.membership
         self.changes: list[mesh_state.Change] = []
         self.done: list[Callable[[object], None]] = []
-        monkeypatch.setattr(manager.changes, "submit_membership_change", self._submit)
+        monkeypatch.setattr(manager.changes, "submit_with_precedence", self._submit)
 
     def _submit(
         self, change: mesh_state.Change, timeout: float, done: Callable[[object, object], None]
@@ -398,7 +398,7 @@
     voter, state = manager.voter, cluster.known(A)
     proposed: list[mesh_state.Change] = []
     monkeypatch.setattr(
-        manager.changes, "submit_membership_change", lambda change, timeout, done: proposed.append(change)
+        manager.changes, "submit_with_precedence", lambda change, timeout, done: proposed.append(change)
     )
 
     def overtake() -> None:
@@ -410,3 +410,30 @@
     cluster.run(4.0)
     assert proposed[0](state)[1] is mesh_state.Admission.MEMBER
     assert proposed[0](replace(state, epoch=state.epoch + 1))[1] is mesh_state.Admission.CHANGED
+
+
+ACK_TIMEOUT_S = 4.0  # The sites' `ack-timeout`.
+DENSE_GAP_S = 0.01  # An eighth of the gap in a `config_storm` of the sites.
+
+
+def test_an_evacuation_is_acknowledged_while_all_nodes_change_the_configuration_without_a_pause() -> None:
+    """Guards against EVAC: each change of the configuration supersedes an order of an evacuation."""
+    cluster = ControlCluster(15)
+    cluster.run(1.5)
+    longest, version = 0.0, 0
+    for number in range(6):
+        began_at = cluster.network.time
+        step = "complete" if number % 2 else "start"
+        call = order(cluster, cluster.ips[number % 3], step)
+        while call.status != 200 and cluster.network.time < began_at + 2 * ACK_TIMEOUT_S:
+            if call.answers or cluster.network.time >= began_at + OPERATOR_WAIT_S:
+                call.give_up()
+                call = order(cluster, cluster.ips[(number + version) % 3], step)
+            for _ in range(round(OPERATOR_WAIT_S / DENSE_GAP_S)):
+                version += 1
+                cluster.replace(cluster.ips[version % 3], version)
+                cluster.run(DENSE_GAP_S)
+                if call.answers:
+                    break
+        longest = max(longest, cluster.network.time - began_at)
+    assert longest <= ACK_TIMEOUT_S
--- a/tests/control/test_precedence.py
+++ b/tests/control/test_precedence.py
@@ -77,7 +77,7 @@
     cluster = started(4)
     claim(cluster, A, B, [1, CLAIM_S])
     results: list[QuorumResult] = []
-    cluster.programs[A].replica.changes.submit_membership_change(
+    cluster.programs[A].replica.changes.submit_with_precedence(
         mesh_state.no_change, 1.0, lambda result, answer: results.append(result)
     )
     cluster.run(0.2)
@@ -91,7 +91,7 @@
         for ip in (B, C):
             cluster.replace(ip, 10 + round_, "same")
         order = cluster.replace(A, 10 + round_, "same")
-        cluster.programs[A].replica.changes.submit_membership_change(
+        cluster.programs[A].replica.changes.submit_with_precedence(
             mesh_state.no_change, 1.0, lambda result, answer: done.append(result.value)
         )
         cluster.run(0.9)
--- a/tests/simulation/test_membership_faults.py
+++ b/tests/simulation/test_membership_faults.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from honeywharf.control.admission_bound import ADMISSION_BOUND_S
 from honeywharf.control.replacement import MemberReplacement
 from honeywharf.lease.grantor import Grantor
+from honeywharf.programs.admission_bound import ADMISSION_BOUND_S
 from honeywharf.simulation.deployment import BOUNDS
 from honeywharf.simulation.fault_schedule import Fault
 from honeywharf.simulation.invariants import Admission
