--- a/bench/mesh_explore.py
+++ b/bench/mesh_explore.py
@@ -36,10 +36,10 @@
     AcceptedValue,
     OutgoingRequests,
     Phase,
-    QuorumRead,
     QuorumResult,
     QuorumWrite,
 )
+from honeywharf.control.register_read import QuorumRead
 from tests.control.explore import (
     Actor,
     BrokenError,
--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -9,7 +9,8 @@
 
 from honeywharf.control import mesh_state
 from honeywharf.control.mesh_state import Change, MemberId, MeshState
-from honeywharf.control.register import Proposer, QuorumRead, QuorumResult, QuorumWrite
+from honeywharf.control.register import Proposer, QuorumResult, QuorumWrite
+from honeywharf.control.register_read import QuorumRead
 
 if TYPE_CHECKING:
     from honeywharf.control.configuration_texts import ConfigurationTexts
--- a/tests/control/explore.py
+++ b/tests/control/explore.py
@@ -33,10 +33,10 @@
     Phase,
     Proposer,
     QuorumOperation,
-    QuorumRead,
     QuorumResult,
     QuorumWrite,
 )
+from honeywharf.control.register_read import QuorumRead
 
 
 class FixedRandom(Random):
