Lose a machine in the control cluster's tests by one method

Five places of four test files took a machine's power and its disk away by hand, or by two equal functions. ControlCluster.lose does it.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -108,6 +108,11 @@
         self.network.machine(ip)
         self.start(ip)
 
+    def lose(self, ip: str) -> None:
+        """Loses a machine with its disk for good."""
+        self.network.machines[ip].off(power=True)
+        self.network.machines[ip].disk.files.clear()
+
     def call(self, ip: str, method: str, path: str, body: bytes = b"", delay_s: float = 0.0) -> Call:
         """Calls a control node, which reads the call after a delay; the answer arrives as time passes."""
         machine = self.network.machines[ip]
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -24,15 +24,9 @@
     return cluster
 
 
-def lose(cluster: ControlCluster, ip: str) -> None:
-    """Loses a machine with its disk for good."""
-    cluster.network.machines[ip].off(power=True)
-    cluster.network.machines[ip].disk.files.clear()
-
-
 def test_an_admission_is_logged_where_it_is_requested_and_where_it_is_decided() -> None:
     cluster = started(1)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.add(NEW)
     cluster.run(4.0)
     own = [line for line in cluster.network.machines[NEW].lines if line.startswith("admission: ")]
@@ -72,7 +66,7 @@
 def test_addresses_of_machines_that_are_gone_do_not_delay_an_admission(seed: int) -> None:
     """Guards against CONFIG: a joiner asked one random address, which was mostly that of a lost machine."""
     cluster = started(10 + seed)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.add(NEW)
     joining = cluster.programs[NEW].replica.membership.joining
     known = joining.other_addresses
@@ -86,7 +80,7 @@
 ) -> None:
     """Guards against CONFIG: an admission that waits for one member, which can't make it."""
     cluster = started(20 + seed, 5)
-    lose(cluster, A)
+    cluster.lose(A)
     changes = cluster.programs[B].replica.changes
 
     def fail(change: Change, timeout: float, done: ChangeDone) -> None:
@@ -101,12 +95,12 @@
 def test_a_successor_that_dies_half_admitted_is_replaced_in_time(seed: int) -> None:
     """Guards against CONFIG: a machine that has accepted its admission is gone before it is a member."""
     cluster = started(30 + seed)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.add(NEW)
     voter = cluster.programs[NEW].replica.voter
     while voter.state.value is None:
         cluster.run(0.001)
-    lose(cluster, NEW)
+    cluster.lose(NEW)
     cluster.add(NEWER)
     assert time_to_vote(cluster, NEWER) < CATCH_UP_S
 
@@ -116,7 +110,7 @@
     """Guards against CONFIG: the second replacement waits for the term after the first one."""
     cluster = started(40 + seed, 5)
     for lost, new in ((A, NEW), (B, NEWER)):
-        lose(cluster, lost)
+        cluster.lose(lost)
         cluster.add(new)
     assert max(time_to_vote(cluster, new) for new in (NEW, NEWER)) < CATCH_UP_S
 
--- a/tests/control/test_late_orders.py
+++ b/tests/control/test_late_orders.py
@@ -225,8 +225,7 @@
     cluster = ControlCluster(7)
     cluster.run(1.0)
     late = admission_of(cluster, C)
-    cluster.network.machines[C].off(power=True)
-    cluster.network.machines[C].disk.files.clear()
+    cluster.lose(C)
     cluster.start(C)
     cluster.run(3.0)
     new = cluster.programs[C].replica.member_id
@@ -364,8 +363,7 @@
     cluster.run(1.0)
     submissions = RecordedSubmissions(cluster, A, monkeypatch)
     RecordedSubmissions(cluster, B, monkeypatch)  # The joiner may ask B first, which does nothing here.
-    cluster.network.machines[C].off(power=True)
-    cluster.network.machines[C].disk.files.clear()
+    cluster.lose(C)
     cluster.start(C)
     while not submissions.changes:
         cluster.run(STEP_S)
--- a/tests/control/test_second_loss.py
+++ b/tests/control/test_second_loss.py
@@ -34,12 +34,6 @@
     return cluster
 
 
-def lose(cluster: ControlCluster, ip: str) -> None:
-    """Loses a machine with its disk for good."""
-    cluster.network.machines[ip].off(power=True)
-    cluster.network.machines[ip].disk.files.clear()
-
-
 def members(cluster: ControlCluster, ip: str) -> list[str]:
     """Returns the membership that a control node knows."""
     return sorted(each.address.rpartition(":")[0] for each in cluster.programs[ip].replica.state.members)
@@ -64,7 +58,7 @@
     assert members(cluster, B) == [A, B, C], "a machine that is not needed yet has no vote"
     cluster.programs[A].stop()
     cluster.run(step)
-    lose(cluster, B)
+    cluster.lose(B)
     cluster.run(3.0)
     assert cluster.network.machines[A].exited == 0
     assert members(cluster, C) == sorted([B, C, NEW])
@@ -78,20 +72,20 @@
     cluster.run(CATCH_UP_S)
     cluster.programs[A].stop()
     cluster.run(step)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.run(CATCH_UP_S)
-    lose(cluster, C)
+    cluster.lose(C)
     check_available(cluster, [B, NEW])
 
 
 @pytest.mark.parametrize("step", STEPS)
 def test_a_joiner_that_dies_half_way(step: float) -> None:
     cluster = started(33)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.run(1.0)
     cluster.add(NEW)
     cluster.run(0.5 + step)
-    lose(cluster, NEW)
+    cluster.lose(NEW)
     check_available(cluster, [B, C])
     cluster.add(NEWER)
     cluster.run(2.0 + CATCH_UP_S)
@@ -111,9 +105,9 @@
             cluster.run(CATCH_UP_S)
             cluster.programs[gone].stop()
             cluster.run(1.5)
-            lose(cluster, gone)
+            cluster.lose(gone)
         else:
-            lose(cluster, gone)
+            cluster.lose(gone)
             cluster.run(1.0)
             if how == "wiped":
                 cluster.start(gone)
@@ -123,7 +117,7 @@
         assert len(members(cluster, cluster.ips[-1])) == count
     ips = members(cluster, cluster.ips[-1])
     for ip in ips[:tolerated]:
-        lose(cluster, ip)
+        cluster.lose(ip)
     check_available(cluster, ips[tolerated:])
 
 
@@ -138,7 +132,7 @@
     remaining = cluster.ips[2:]
     assert members(cluster, C) == sorted([*remaining, NEW, NEWER])
     for ip in remaining[:2]:
-        lose(cluster, ip)
+        cluster.lose(ip)
     check_available(cluster, [remaining[2], NEW, NEWER])
 
 
@@ -183,7 +177,7 @@
     texts = [each["word.body"] for each in methods]
     for each in methods:
         each["word.body"] = lambda args, reply, peer: reply(None)
-    lose(cluster, A)
+    cluster.lose(A)
     cluster.run(1.0)
     cluster.start(A)
     dropped: list[bytes] = []
@@ -196,7 +190,7 @@
     restore()
     cluster.run(CATCH_UP_S)
     assert cluster.programs[A].replica.is_member()
-    lose(cluster, B)
+    cluster.lose(B)
     check_available(cluster, [A, C])
 
 
@@ -211,7 +205,7 @@
         cluster.run(CATCH_UP_S)
         cluster.programs[lost].stop()
     else:
-        lose(cluster, lost)
+        cluster.lose(lost)
         cluster.start(new) if how == "wiped" else cluster.add(new)
     ends_at = cluster.network.time + CATCH_UP_S
     version = 100
@@ -252,6 +246,6 @@
 
     for _ in range(2):
         write_again()
-    lose(cluster, cluster.ips[3])
+    cluster.lose(cluster.ips[3])
     cluster.run(CATCH_UP_S)
     assert members(cluster, B) == [A, B, C]
--- a/tests/lease/test_control_leases.py
+++ b/tests/lease/test_control_leases.py
@@ -163,8 +163,7 @@
     if was_asked:
         assert [vote_requested(cluster, ip) for ip in cluster.ips] == ["granted"] * 3
         cluster.run(TERMS[MEMBER_REMOVAL])
-    cluster.network.machines["10.0.0.3"].off(power=True)
-    cluster.network.machines["10.0.0.3"].disk.files.clear()
+    cluster.lose("10.0.0.3")
     cluster.start("10.0.0.3")
     while cluster.programs["10.0.0.1"].replica.state.epoch == 1:
         cluster.run(0.01)
