Forget the texts of changes that expire while their write yields; ignore own late heartbeats

Evidence, before, tests/control/test_precedence.py: AssertionError: assert {'d': b'text'} == {} ValueError: MemberId(address='10.0.0.1:7620', disk='first') is not in list After: pass, with tests/control.

--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -183,16 +183,21 @@
         self.voter.adopt_membership(write.decided)
         if write.result is QuorumResult.OK and write.value is not None:
             self._committed(write.value, write.quorums.members())
-        if write.result is QuorumResult.YIELDED:
+        has_yielded = write.result is QuorumResult.YIELDED
+        if has_yielded:
             self.pending = [request for request in batch if request.done is not None] + self.pending
-            self._start_next()
-            return
         for digest in {request.digest for request in batch} - {request.digest for request in self.pending}:
             self.texts.proposed.pop(digest, None)
+        if not has_yielded:
+            self._complete(write, batch)
+        self._start_next()
+
+    @staticmethod
+    def _complete(write: QuorumWrite, batch: list[PendingRequest]) -> None:
+        """Completes the requests of a write that has ended."""
         result = write.result or QuorumResult.UNREACHABLE
         for index, request in enumerate(batch):
             request.complete(result, write.answer[index] if result is QuorumResult.OK else None)
-        self._start_next()
 
     def _committed(self, value: MeshState, members: list[MemberId]) -> None:
         text = self.texts.proposed.get(value.digest)
--- a/honeywharf/control/replacement.py
+++ b/honeywharf/control/replacement.py
@@ -100,7 +100,11 @@
     def _needed(self, now: float) -> Replacement | None:
         """Returns the replacement that is needed now; None if there is none, or if this is not a member."""
         state = self.voter.state
-        present = self.standbys.present(now, member_ids(state.members))
+        present = [
+            standby
+            for standby in self.standbys.present(now, member_ids(state.members))
+            if standby.member.address != self.voter.local_address  # A late heartbeat of an earlier disk.
+        ]
         if not present or not self.voter.can_vote():
             return None
         addresses = [member.address for member in state.members]
--- a/tests/control/test_precedence.py
+++ b/tests/control/test_precedence.py
@@ -6,13 +6,19 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
+from honeywharf.control.mesh_state import MemberId
 from honeywharf.control.precedence import CLAIM_S, MAX_HOLD_S, MIN_PAUSE_S
 from honeywharf.control.register import QuorumResult
+from honeywharf.control.register_queues import ConfigurationText
 from tests.control.cluster import ControlCluster
 
 A, B, C = (f"10.0.0.{number}" for number in (1, 2, 3))
 
 
+def ignore(result: QuorumResult, answer: Any) -> None:
+    """Takes the result of a change."""
+
+
 def claim(cluster: ControlCluster, ip: str, claimer: str, args: Any) -> None:
     """Lets a node receive a claim from another machine."""
     method = cluster.programs[ip].replica.methods[rpc_methods.CLAIM_PRECEDENCE]
@@ -97,3 +103,32 @@
         cluster.run(0.9)
         assert order.status == 200
     assert done == ["ok"] * 30
+
+
+def test_the_text_of_a_change_that_expires_while_its_write_yields_is_forgotten() -> None:
+    """Guards against texts that stay in memory: a change that is not submitted again needs none."""
+    cluster = started(6)
+    replica = cluster.programs[A].replica
+    replica.submit(mesh_state.replace_configuration(7, "d"), 0.05, ignore, ConfigurationText("d", b"text"))
+    replica.submit(mesh_state.no_change, 2.0, ignore)
+    cluster.run(0.001)
+    write = replica.changes.current
+    assert write is not None
+    write.held_until = cluster.network.time + 1.0
+    write._rejected(cluster.network.time, MemberId(f"{B}:7620", "first"), by_number=True)
+    write._rejected(cluster.network.time, MemberId(f"{C}:7620", "first"), by_number=True)
+    cluster.run(0.2)
+    replica.changes.submit_with_precedence(mesh_state.no_change, 1.0, ignore)
+    cluster.run(2.0)
+    assert replica.texts.proposed == {}
+
+
+def test_a_late_heartbeat_of_a_disk_that_a_member_lost_does_not_disturb_that_member() -> None:
+    cluster = started(7)
+    manager = cluster.programs[A].replica.membership
+    late = manager.own_heartbeat()._replace(disk="lost")
+    cluster.network.machines[A].after(0.0, lambda: manager._record(late))
+    cluster.run(2.0)
+    assert cluster.programs[A].replica.is_member()
+    assert time_to_change(cluster, A) < CLAIM_S
+    assert not [line for line in cluster.network.machines[A].lines if line.startswith("fault")]
