Claim precedence once for a change whose write starts at once

submit_with_precedence claimed it, and so did the start of the write a moment later. It claims only if the write has to wait for another one. Tests of precedence, second loss, late orders and bounds pass.

--- a/honeywharf/control/register_queues.py
+++ b/honeywharf/control/register_queues.py
@@ -119,10 +119,11 @@
         if count >= MAX_PENDING_FIRST or not self.voter.state.epoch:
             self.host.after(0.0, partial(done, QuorumResult.UNREACHABLE, None))
             return
-        self.precedence.claim()
-        if self.current is not None and not self.is_first:
-            self.current.yields = True
-            self.host.after(0.0, self.current.wake)
+        if self.current is not None:
+            self.precedence.claim()  # It is claimed again when the write of this change starts.
+            if not self.is_first:
+                self.current.yields = True
+                self.host.after(0.0, self.current.wake)
         self._add(PendingRequest(self.host, timeout, done, change, goes_first=True))
 
     def _add(self, request: PendingRequest) -> None:
