Use one enumeration for the outcomes of admissions

AdmissionOutcome repeated Admission, and a table translated one into the other; a detail that nothing gave and the digest of a standby that nothing reads any more are gone too. The counters' names are as documented.

--- a/honeywharf/control/admission_log.py
+++ b/honeywharf/control/admission_log.py
@@ -2,28 +2,15 @@
 
 from __future__ import annotations
 
-from enum import StrEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from honeywharf.control.mesh_state import Admission
     from honeywharf.transport.host import Host
 
 MAX_JOINERS = 64  # The last outcome is stored for this many joiners.
 
 
-class AdmissionOutcome(StrEnum):
-    """What became of one attempt to admit a machine. The values are names of counters for operators."""
-
-    ADMITTED = "admitted"
-    NOT_DECIDED_HERE = "not-decided-here"  # This node is no member, or the joiner is one already.
-    NO_PLACE = "no-place"  # The joiner stays a standby.
-    NO_LEASE = "no-lease"
-    NOT_JOINED = "not-joined"  # The joiner did not accept its own admission in time.
-    SUPERSEDED = "superseded"  # The membership changed meanwhile.
-    FULL = "full"
-    NOT_COMMITTED = "not-committed"  # No majority accepted the change in time.
-
-
 class AdmissionLog:
     """The admissions that one control node takes part in.
 
@@ -35,7 +22,7 @@
         self.outcomes: dict[str, int] = {}
         self.started_at = host.now()
         self.requests = 0  # The requests of this machine for its own admission.
-        self._last_outcomes: dict[str, tuple[AdmissionOutcome, str]] = {}
+        self._last_outcomes: dict[str, Admission] = {}
 
     def requested(self) -> None:
         """Counts a request of this machine for its own admission."""
@@ -55,12 +42,12 @@
     def _elapsed(self) -> float:
         return self.host.now() - self.started_at
 
-    def decided(self, joiner: str, outcome: AdmissionOutcome, detail: str = "") -> None:
+    def decided(self, joiner: str, outcome: Admission) -> None:
         """Records the outcome of an attempt to admit the machine at an address, "ip:port"."""
-        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
-        if self._last_outcomes.get(joiner) == (outcome, detail):
+        self.outcomes[outcome.value] = self.outcomes.get(outcome.value, 0) + 1
+        if self._last_outcomes.get(joiner) is outcome:
             return
         if joiner not in self._last_outcomes and len(self._last_outcomes) >= MAX_JOINERS:
             del self._last_outcomes[next(iter(self._last_outcomes))]
-        self._last_outcomes[joiner] = (outcome, detail)
-        self.host.log(f"admission: {joiner}: {outcome}{detail and f' ({detail})'}")
+        self._last_outcomes[joiner] = outcome
+        self.host.log(f"admission: {joiner}: {outcome.value}")
--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -14,12 +14,10 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
-from honeywharf.control.admission_log import AdmissionOutcome
-from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, CHANGE_TIMEOUT_S, membership_outcome
+from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, CHANGE_TIMEOUT_S, admission_outcome
 from honeywharf.control.mesh_state import Admission, Member, MemberId
 from honeywharf.control.messages import DecidedMembership
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
-from honeywharf.control.replacement import OUTCOMES
 from honeywharf.transport.address import parse_address
 
 if TYPE_CHECKING:
@@ -142,14 +140,14 @@
         state = self.voter.state
         answer = partial(self._answer_decided_membership, args, reply, peer)
         if not self.voter.can_vote() or joiner.id in mesh_state.member_ids(state.members):
-            self.log.decided(joiner.address, AdmissionOutcome.NOT_DECIDED_HERE)
+            self.log.decided(joiner.address, Admission.NOT_DECIDED_HERE)
             answer()
         elif mesh_state.enlarges(state.members, joiner) and not self._replaces_disk(joiner):
             change = mesh_state.fenced(mesh_state.admit(joiner, []), state.epoch)
             self.changes.submit_with_precedence(
                 change,
                 ATTEMPT_TIMEOUT_S,
-                lambda result, outcome: self._admitted(joiner, membership_outcome(result, outcome), answer),
+                lambda result, outcome: self._admitted(joiner, admission_outcome(result, outcome), answer),
             )
         else:
             self.replacement.check()
@@ -158,10 +156,8 @@
     def _replaces_disk(self, joiner: Member) -> bool:
         return joiner.address in [member.address for member in self.voter.state.members]
 
-    def _admitted(self, joiner: Member, outcome: Admission | None, answer: Callable[[], None]) -> None:
-        self.log.decided(
-            joiner.address, AdmissionOutcome.NOT_COMMITTED if outcome is None else OUTCOMES[outcome]
-        )
+    def _admitted(self, joiner: Member, outcome: Admission, answer: Callable[[], None]) -> None:
+        self.log.decided(joiner.address, outcome)
         answer()
 
 
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -8,7 +8,7 @@
 
 from honeywharf.control import mesh_state
 from honeywharf.control.contacts import REMOVE_AFTER_S
-from honeywharf.control.mesh_state import Change, MemberId
+from honeywharf.control.mesh_state import Admission, Change, MemberId
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
 from honeywharf.control.register import QuorumResult
 
@@ -21,9 +21,11 @@
 ATTEMPT_TIMEOUT_S = CHANGE_TIMEOUT_S - CALL_TIMEOUT_S  # The time-out of the change itself.
 
 
-def membership_outcome(result: QuorumResult, answer: Any) -> Any:
-    """Returns the outcome of a change of the membership: its answer, or that the joiner did not accept."""
-    return mesh_state.Admission.NOT_JOINED if result is QuorumResult.NOT_JOINED else answer
+def admission_outcome(result: QuorumResult, answer: Admission) -> Admission:
+    """Returns the outcome of an admission: its answer, or why the write did not end with one."""
+    if result is QuorumResult.OK:
+        return answer
+    return Admission.NOT_JOINED if result is QuorumResult.NOT_JOINED else Admission.NOT_COMMITTED
 
 
 class RemovalLease(Protocol):
@@ -82,18 +84,17 @@
     def submit_under_lease(self, change: Change, epoch: int, done: Callable[[Any], None]) -> None:
         """Submits a change of the membership of `epoch` under the lease.
 
-        `done` gets the change's answer; `Admission.NO_LEASE` without the lease, when nothing changes and the
-        caller tries again; None if no majority accepted the change in time.
+        `done` gets the change's answer, or why there is none: without the lease nothing has changed.
         """
         self.lease.begin(partial(self._submit, change, epoch, done))
 
     def _submit(self, change: Change, epoch: int, done: Callable[[Any], None], granted: bool) -> None:
         if not granted:
-            done(mesh_state.Admission.NO_LEASE)
+            done(Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
         self.changes.submit_with_precedence(fenced, ATTEMPT_TIMEOUT_S, partial(self._finished, done))
 
     def _finished(self, done: Callable[[Any], None], result: QuorumResult, answer: Any) -> None:
         self.lease.end()
-        done(membership_outcome(result, answer))
+        done(admission_outcome(result, answer))
--- a/honeywharf/control/mesh_state.py
+++ b/honeywharf/control/mesh_state.py
@@ -240,14 +240,16 @@
 
 
 class Admission(Enum):
-    """The outcome of a change of the membership."""
+    """The outcome of a change of the membership. The values are names of counters for operators."""
 
-    MEMBER = "member"  # The joiner is a member, by this change or an earlier one.
-    STANDBY = "standby"  # There is no free place now.
+    MEMBER = "admitted"  # The joiner is a member, by this change or an earlier one.
+    STANDBY = "no-place"  # There is no free place now.
     FULL = "full"  # The membership has its maximum size.
-    CHANGED = "changed"  # The membership has changed since the change was requested.
-    NOT_JOINED = "not joined"  # The joiner did not accept its own admission in time.
-    NO_LEASE = "no lease"  # The change was not submitted: the lease was refused.
+    CHANGED = "superseded"  # The membership has changed since the change was requested.
+    NOT_JOINED = "not-joined"  # The joiner did not accept its own admission in time.
+    NO_LEASE = "no-lease"  # The change was not submitted: the lease was refused.
+    NOT_COMMITTED = "not-committed"  # No majority accepted the change in time.
+    NOT_DECIDED_HERE = "not-decided-here"  # This node is no member, or the joiner is one already.
 
 
 def enlarges(members: Membership, joiner: Member) -> bool:
--- a/honeywharf/control/replacement.py
+++ b/honeywharf/control/replacement.py
@@ -12,12 +12,12 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from honeywharf.control import mesh_state
-from honeywharf.control.admission_log import AdmissionLog, AdmissionOutcome
+from honeywharf.control.admission_log import AdmissionLog
 from honeywharf.control.contacts import UNREACHABLE_AFTER_S
-from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, membership_outcome
+from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, admission_outcome
 from honeywharf.control.mesh_state import Admission, Change, Member, MemberId, member_ids
 
 if TYPE_CHECKING:
@@ -31,15 +31,6 @@
 TAKEOVER_DELAY_S = 0.6  # The next reachable member takes over after this time.
 RETRY_INTERVAL_S = 0.1  # The interval of checks while there is a need.
 
-OUTCOMES = {
-    Admission.MEMBER: AdmissionOutcome.ADMITTED,
-    Admission.STANDBY: AdmissionOutcome.NO_PLACE,
-    Admission.FULL: AdmissionOutcome.FULL,
-    Admission.CHANGED: AdmissionOutcome.SUPERSEDED,
-    Admission.NOT_JOINED: AdmissionOutcome.NOT_JOINED,
-    Admission.NO_LEASE: AdmissionOutcome.NO_LEASE,
-}
-
 
 class Replacement(NamedTuple):
     """A replacement that is needed in `epoch`: by `joiner`, of its lost disk or of an unreachable member."""
@@ -144,16 +135,16 @@
             return
         fenced = mesh_state.fenced(need.change, need.epoch)
         self.changes.submit_with_precedence(
-            fenced, ATTEMPT_TIMEOUT_S, lambda result, answer: done(membership_outcome(result, answer))
+            fenced, ATTEMPT_TIMEOUT_S, lambda result, answer: done(admission_outcome(result, answer))
         )
 
-    def _replaced(self, joiner: Member, outcome: Any) -> None:
+    def _replaced(self, joiner: Member, outcome: Admission) -> None:
         """Records the outcome, and tries again if it was no success."""
         self.is_in_progress = False
-        self.log.decided(joiner.address, OUTCOMES.get(outcome, AdmissionOutcome.NOT_COMMITTED))
+        self.log.decided(joiner.address, outcome)
         if outcome is Admission.NOT_JOINED:
             self.standbys.decline(joiner.id, self.host.now())
-        if outcome is None:
+        if outcome is Admission.NOT_COMMITTED:
             self.next_attempt_at = self.host.now() + TAKEOVER_DELAY_S
         if outcome is Admission.CHANGED:
             self.host.after(0.0, self.check)
--- a/honeywharf/control/standby.py
+++ b/honeywharf/control/standby.py
@@ -31,10 +31,9 @@
 
 
 class Standby(NamedTuple):
-    """A standby's last report about itself. `digest` names the configuration whose text it has."""
+    """A standby and its last report about itself."""
 
     member: Member
-    digest: str
     last_contact_at: float
 
 
@@ -65,7 +64,7 @@
         if member.id not in self.by_id and len(self.by_id) >= MAX_STANDBYS:
             del self.by_id[min(self.by_id, key=lambda key: self.by_id[key].last_contact_at)]
         known = self.by_id.get(member.id)
-        self.by_id[member.id] = Standby(member, heartbeat.digest, now)
+        self.by_id[member.id] = Standby(member, now)
         return known is None or now - known.last_contact_at > PRESENCE_TIMEOUT_S
 
     def present(self, now: float, members: list[MemberId]) -> list[Standby]:
--- a/tests/control/test_admission.py
+++ b/tests/control/test_admission.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from honeywharf.control.admission_log import MAX_JOINERS, AdmissionLog, AdmissionOutcome
-from honeywharf.control.mesh_state import Change
+from honeywharf.control.admission_log import MAX_JOINERS, AdmissionLog
+from honeywharf.control.mesh_state import Admission, Change
 from honeywharf.control.register import QuorumResult
 from honeywharf.control.register_queues import ChangeDone
 from tests.control.cluster import ControlCluster
@@ -33,7 +33,7 @@
     assert "first request" in own[0]
     assert "this machine has a vote" in own[-1]
     views = [cluster.programs[ip].leases.view()["admissions"] for ip in (B, C)]
-    assert sum(view.get(AdmissionOutcome.ADMITTED, 0) for view in views) == 1
+    assert sum(view.get(Admission.MEMBER.value, 0) for view in views) == 1
     lines = cluster.network.machines[B].lines + cluster.network.machines[C].lines
     assert f"admission: {NEW}:7620: admitted" in lines
 
@@ -42,11 +42,11 @@
     machine = VirtualNetwork(1).machine(A)
     log = AdmissionLog(machine)
     for _ in range(3):
-        log.decided(NEW, AdmissionOutcome.NO_LEASE)
+        log.decided(NEW, Admission.NO_LEASE)
     assert machine.lines == [f"admission: {NEW}: no-lease"]
     assert log.outcomes == {"no-lease": 3}
     for number in range(2 * MAX_JOINERS):
-        log.decided(str(number), AdmissionOutcome.NO_PLACE)
+        log.decided(str(number), Admission.STANDBY)
     assert len(log._last_outcomes) == MAX_JOINERS
 
 
