--- a/honeywharf/control/joining.py
+++ b/honeywharf/control/joining.py
@@ -14,7 +14,7 @@
 
 from honeywharf import rpc_methods
 from honeywharf.control import mesh_state
-from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, CHANGE_TIMEOUT_S, admission_outcome
+from honeywharf.control.member_removal import CHANGE_TIMEOUT_S, WRITE_TIMEOUT_S, admission_outcome
 from honeywharf.control.mesh_state import Admission, Member, MemberId
 from honeywharf.control.messages import DecidedMembership
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
@@ -139,14 +139,14 @@
         joiner = AdmissionRequest(*args).joiner
         state = self.voter.state
         answer = partial(self._answer_decided_membership, args, reply, peer)
-        if not self.voter.can_vote() or joiner.id in mesh_state.member_ids(state.members):
+        if not self.voter.is_staying_member() or joiner.id in mesh_state.member_ids(state.members):
             self.log.decided(joiner.address, Admission.NOT_DECIDED_HERE)
             answer()
         elif mesh_state.enlarges(state.members, joiner) and not self._replaces_disk(joiner):
             change = mesh_state.fenced(mesh_state.admit(joiner, []), state.epoch)
             self.changes.submit_with_precedence(
                 change,
-                ATTEMPT_TIMEOUT_S,
+                WRITE_TIMEOUT_S,
                 lambda result, outcome: self._admitted(joiner, admission_outcome(result, outcome), answer),
             )
         else:
--- a/honeywharf/control/member_removal.py
+++ b/honeywharf/control/member_removal.py
@@ -18,7 +18,7 @@
     from honeywharf.control.voter import Voter
 
 CHANGE_TIMEOUT_S = 1.5  # The time-out of a call that changes the membership, or of an empty write.
-ATTEMPT_TIMEOUT_S = CHANGE_TIMEOUT_S - CALL_TIMEOUT_S  # The time-out of the change itself.
+WRITE_TIMEOUT_S = CHANGE_TIMEOUT_S - CALL_TIMEOUT_S  # The time-out of the change itself.
 
 
 def admission_outcome(result: QuorumResult, answer: Admission) -> Admission:
@@ -93,7 +93,7 @@
             done(Admission.NO_LEASE)
             return
         fenced = mesh_state.fenced(change, epoch, self.lease.holds)
-        self.changes.submit_with_precedence(fenced, ATTEMPT_TIMEOUT_S, partial(self._finished, done))
+        self.changes.submit_with_precedence(fenced, WRITE_TIMEOUT_S, partial(self._finished, done))
 
     def _finished(self, done: Callable[[Any], None], result: QuorumResult, answer: Any) -> None:
         self.lease.end()
--- a/honeywharf/control/replacement.py
+++ b/honeywharf/control/replacement.py
@@ -17,7 +17,7 @@
 from honeywharf.control import mesh_state
 from honeywharf.control.admission_log import AdmissionLog
 from honeywharf.control.contacts import UNREACHABLE_AFTER_S
-from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S, admission_outcome
+from honeywharf.control.member_removal import WRITE_TIMEOUT_S, admission_outcome
 from honeywharf.control.mesh_state import Admission, Change, Member, MemberId, member_ids
 
 if TYPE_CHECKING:
@@ -96,7 +96,7 @@
             for standby in self.standbys.present(now, member_ids(state.members))
             if standby.member.address != self.voter.local_address  # A late heartbeat of an earlier disk.
         ]
-        if not present or not self.voter.can_vote():
+        if not present or not self.voter.is_staying_member():
             return None
         addresses = [member.address for member in state.members]
         new_disks = [standby for standby in present if standby.member.address in addresses]
@@ -135,7 +135,7 @@
             return
         fenced = mesh_state.fenced(need.change, need.epoch)
         self.changes.submit_with_precedence(
-            fenced, ATTEMPT_TIMEOUT_S, lambda result, answer: done(admission_outcome(result, answer))
+            fenced, WRITE_TIMEOUT_S, lambda result, answer: done(admission_outcome(result, answer))
         )
 
     def _replaced(self, joiner: Member, outcome: Admission) -> None:
--- a/honeywharf/control/voter.py
+++ b/honeywharf/control/voter.py
@@ -42,7 +42,7 @@
         """Returns whether this machine is in the decided membership."""
         return self.member_id in member_ids(self.state.members)
 
-    def can_vote(self) -> bool:
+    def is_staying_member(self) -> bool:
         """Returns whether this machine is a member and is not shutting down."""
         return self.is_member() and not self.is_leaving
 
--- a/honeywharf/programs/admission_bound.py
+++ b/honeywharf/programs/admission_bound.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from honeywharf.control.contacts import UNREACHABLE_AFTER_S
-from honeywharf.control.member_removal import ATTEMPT_TIMEOUT_S
+from honeywharf.control.member_removal import WRITE_TIMEOUT_S
 from honeywharf.control.membership import HEARTBEAT_INTERVAL_S, HEARTBEAT_JITTER
 from honeywharf.control.quorum_client import CALL_TIMEOUT_S
 from honeywharf.control.replacement import RETRY_INTERVAL_S
@@ -21,7 +21,7 @@
 NEEDED_AFTER_S = UNREACHABLE_AFTER_S + MAX_HEARTBEAT_INTERVAL_S
 LOST_LEASE_S = ACQUIRE_TIMEOUT_S + RETRY_INTERVAL_S
 LOST_ADMISSION_S = ACQUIRE_TIMEOUT_S + CALL_TIMEOUT_S + RETRY_INTERVAL_S
-SUCCESSFUL_ATTEMPT_S = ACQUIRE_TIMEOUT_S + ATTEMPT_TIMEOUT_S
+SUCCESSFUL_ATTEMPT_S = ACQUIRE_TIMEOUT_S + WRITE_TIMEOUT_S
 
 ADMISSION_BOUND_S = (
     max(PRESENT_AFTER_S, NEEDED_AFTER_S) + LOST_LEASE_S + LOST_ADMISSION_S + SUCCESSFUL_ATTEMPT_S
