--- a/tests/control/test_precedence.py
+++ b/tests/control/test_precedence.py
@@ -8,7 +8,7 @@
 from honeywharf.control import mesh_state
 from honeywharf.control.mesh_state import MemberId
 from honeywharf.control.precedence import CLAIM_S, MAX_HOLD_S, MIN_PAUSE_S
-from honeywharf.control.register import QuorumResult
+from honeywharf.control.register import Phase, QuorumResult, QuorumWrite
 from honeywharf.control.register_queues import ConfigurationText
 from tests.control.cluster import ControlCluster
 
@@ -90,19 +90,55 @@
     assert results == [QuorumResult.OK]
 
 
-def test_the_changes_of_a_write_that_yields_are_written_afterwards() -> None:
+def reject_current_write(cluster: ControlCluster, ip: str, held_s: float) -> QuorumWrite:
+    """Lets both other members reject a node's write, which makes its next attempt `held_s` later only."""
+    write = cluster.programs[ip].replica.changes.current
+    assert write is not None
+    now = cluster.network.time
+    write.held_until = max(write.held_until, now + held_s)
+    for other in (B, C):
+        write._rejected(now, MemberId(f"{other}:7620", "first"), by_number=True)
+    assert write.phase is Phase.BACKOFF
+    return write
+
+
+def test_a_write_yields_at_its_conflict_and_its_changes_are_written_afterwards() -> None:
     cluster = started(5)
-    done: list[str] = []
-    for round_ in range(30):
-        for ip in (B, C):
-            cluster.replace(ip, 10 + round_, "same")
-        order = cluster.replace(A, 10 + round_, "same")
-        cluster.programs[A].replica.changes.submit_with_precedence(
-            mesh_state.no_change, 1.0, lambda result, answer: done.append(result.value)
-        )
-        cluster.run(0.9)
-        assert order.status == 200
-    assert done == ["ok"] * 30
+    replica = cluster.programs[A].replica
+    done: list[tuple[str, QuorumResult]] = []
+    replica.submit(mesh_state.no_change, 3.0, lambda result, answer: done.append(("change", result)))
+    cluster.run(0.001)
+    reject_current_write(cluster, A, held_s=1.0)
+    replica.changes.submit_with_precedence(
+        mesh_state.no_change, 1.0, lambda result, answer: done.append(("first", result))
+    )
+    cluster.run(0.5)
+    assert done == [("first", QuorumResult.OK), ("change", QuorumResult.OK)]
+
+
+def test_a_write_in_progress_starts_no_further_attempt_while_another_member_has_precedence() -> None:
+    cluster = started(8)
+    cluster.programs[A].replica.submit(mesh_state.no_change, 3.0, ignore)
+    cluster.run(0.001)
+    method = cluster.programs[A].replica.methods[rpc_methods.CLAIM_PRECEDENCE]
+    method([1, CLAIM_S], lambda answer: None, (B, 40000))
+    write = reject_current_write(cluster, A, held_s=0.0)
+    assert write.wake_at >= cluster.programs[A].replica.precedence.held_until > cluster.network.time
+
+
+def test_a_change_that_went_first_gives_its_claim_back() -> None:
+    cluster = started(9)
+    results: list[QuorumResult] = []
+    cluster.programs[A].replica.changes.submit_with_precedence(
+        mesh_state.no_change, 1.0, lambda result, answer: results.append(result)
+    )
+    held = [cluster.programs[B].replica.precedence.is_held()]
+    while not results:
+        cluster.run(0.001)
+        held.append(cluster.programs[B].replica.precedence.is_held())
+    cluster.run(0.02)
+    assert any(held)
+    assert not cluster.programs[B].replica.precedence.is_held()
 
 
 def test_the_text_of_a_change_that_expires_while_its_write_yields_is_forgotten() -> None:
@@ -112,11 +148,7 @@
     replica.submit(mesh_state.replace_configuration(7, "d"), 0.05, ignore, ConfigurationText("d", b"text"))
     replica.submit(mesh_state.no_change, 2.0, ignore)
     cluster.run(0.001)
-    write = replica.changes.current
-    assert write is not None
-    write.held_until = cluster.network.time + 1.0
-    write._rejected(cluster.network.time, MemberId(f"{B}:7620", "first"), by_number=True)
-    write._rejected(cluster.network.time, MemberId(f"{C}:7620", "first"), by_number=True)
+    reject_current_write(cluster, A, held_s=1.0)
     cluster.run(0.2)
     replica.changes.submit_with_precedence(mesh_state.no_change, 1.0, ignore)
     cluster.run(2.0)
--- a/tests/control/test_register.py
+++ b/tests/control/test_register.py
@@ -21,6 +21,7 @@
     Rejected,
 )
 from honeywharf.control.quorum import Quorums
+from honeywharf.control.quorum_client import CALL_TIMEOUT_S
 from honeywharf.control.register import (
     OutgoingRequest,
     OutgoingRequests,
@@ -30,6 +31,7 @@
     QuorumWrite,
     newcomers,
 )
+from tests.control.cluster import ControlCluster
 from tests.control.explore import (
     FIXED_RANDOM,
     Actor,
@@ -432,6 +434,22 @@
     assert write.number > rejected.promised
 
 
+def test_a_node_does_not_wait_for_a_member_that_it_knows_to_be_unreachable() -> None:
+    """Guards against a change that takes a call's time-out: one of three is gone, and one rejects it."""
+    cluster = ControlCluster(80)
+    cluster.run(1.5)
+    cluster.lose("10.0.0.3")
+    cluster.run(1.5)
+    voter = cluster.programs["10.0.0.2"].replica.voter
+    voter.acceptor.state = replace(voter.state, promised=ProposalNumber(999, "z", 1))
+    results: list[QuorumResult] = []
+    cluster.programs["10.0.0.1"].replica.submit(
+        mesh_state.no_change, 2.0, lambda result, answer: results.append(result)
+    )
+    cluster.run(CALL_TIMEOUT_S / 2)
+    assert results == [QuorumResult.OK]
+
+
 class AdmitWithoutAsking(QuorumWrite):
     """A mutation: members accept an admission though the machine has not."""
 
